Whole path as separate processes: agent, node, engine, object API, machine list

Cause: nothing existed; the users ask first for a thin path that serves a request end to end. Change: typed settings, thrift messages over authenticated TCP, a pure request chart at the agent, a node that grants runners by consistent hashing, the administration API with compare-and-swap, stand-ins, a demo, tests.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Every target installs what it needs into .venv and needs nothing else.
+PYTHON ?= python3.11
+BIN := .venv/bin
+
+.PHONY: demo test lint format bench
+
+.venv/.installed: pyproject.toml requirements.lock
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install -q --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install -q --disable-pip-version-check --no-deps -e .
+	touch $@
+
+demo: .venv/.installed
+	$(BIN)/python scripts/demo.py
+
+test: .venv/.installed
+	$(BIN)/python -m pytest
+
+lint: .venv/.installed
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+format: .venv/.installed
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+bench: .venv/.installed
+	$(BIN)/martenrun bench path --json
--- /dev/null
+++ b/src/martenrun/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API, served by every node."""
--- /dev/null
+++ b/src/martenrun/agent/process.py
@@ -0,0 +1,45 @@
+"""The agent process: wiring of decision logic and drivers."""
+
+from typing import Any
+
+from martenrun.agent.configuration import AgentConfigurationLogic
+from martenrun.agent.requests import RequestsLogic
+from martenrun.edge.application import CallerApplication
+from martenrun.edge.forward import EdgePort
+from martenrun.edge.server import HttpServer
+from martenrun.events import PeerMessage
+from martenrun.process import Clock, LoopActor
+from martenrun.settings.model import AgentSettings
+from martenrun.wire.transport import PeerTransport
+
+
+class AgentProcess:
+    """Everything that runs in an agent process."""
+
+    def __init__(self, settings: AgentSettings) -> None:
+        configuration = AgentConfigurationLogic(list(settings.seed_nodes))
+        requests = RequestsLogic(configuration.live_nodes)
+        self._loop: Any = None
+        self._port = EdgePort(tell=lambda event: self._loop.tell(event))
+        self._transport = PeerTransport(
+            f"agent/{settings.name}",
+            settings.cluster_secret.encode(),
+            lambda peer, message: self._loop.tell(PeerMessage(peer, message)),
+        )
+        self._loop = LoopActor.start([configuration, requests], self._transport, self._port.deliver)
+        application = CallerApplication(self._port, lambda: configuration.state.view, settings.zone)
+        self._server = HttpServer(application, settings.http_address, settings.http_threads)
+        self._clock = Clock(self._loop.tell)
+
+    def start(self) -> None:
+        """Start every driver."""
+        self._transport.start()
+        self._clock.start()
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop every driver and the loop."""
+        self._server.stop()
+        self._clock.stop()
+        self._transport.stop()
+        self._loop.stop()
--- /dev/null
+++ b/src/martenrun/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The ``martenrun`` command."""
--- /dev/null
+++ b/src/martenrun/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration objects, their state in each process, and how they reach it."""
--- /dev/null
+++ b/src/martenrun/configuration/objects.py
@@ -0,0 +1,118 @@
+"""Schemas of the configuration objects that operators publish."""
+
+import enum
+import re
+from typing import Annotated
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
+
+from martenrun.constants import DEFAULT_BLOCK_BYTES
+from martenrun.errors import InvalidObjectError
+
+_NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
+
+
+def checked_name(text: str) -> str:
+    """Return an object's name; raises ValueError unless it is a short lower-case label."""
+    if not _NAME_PATTERN.fullmatch(text):
+        raise ValueError("use 1 to 63 of a-z, 0-9, '.', '-', starting with a letter or digit")
+    return text
+
+
+Name = Annotated[str, AfterValidator(checked_name)]
+
+
+class Kind(enum.StrEnum):
+    """Kinds of configuration objects."""
+
+    TENANT = "tenants"
+    API_KEY = "keys"
+    POOL = "pools"
+    POLICY = "policies"
+    ROUTE = "routes"
+
+
+class Role(enum.StrEnum):
+    """What the holder of a key may do."""
+
+    CALLER = "caller"
+    READER = "reader"
+    TENANT_ADMIN = "tenant-admin"
+    PLATFORM_ADMIN = "platform-admin"
+
+
+class ConfigurationDocument(BaseModel):
+    """Base of every object's document; unknown fields are faults."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Tenant(ConfigurationDocument):
+    """A group of callers that shares the pools with others.
+
+    ``weight`` is the tenant's share of a contended pool relative to other tenants.
+    """
+
+    weight: float = Field(default=1.0, gt=0, le=1_000)
+    requests_per_s: float = Field(default=1_000.0, gt=0)
+    tokens_per_s: float = Field(default=1_000_000.0, gt=0)
+    concurrent_streams: int = Field(default=1_000, gt=0)
+    queue_length: int = Field(default=1_000, ge=0)
+
+
+class ApiKey(ConfigurationDocument):
+    """A bearer token, stored as the hex SHA-256 of the token."""
+
+    tenant: Name
+    role: Role = Role.CALLER
+    key_sha256: str = Field(pattern=r"^[0-9a-f]{64}$")
+
+
+class Pool(ConfigurationDocument):
+    """Runners that serve one model with one weights version."""
+
+    model: str = Field(min_length=1)
+    weights_version: str = Field(min_length=1)
+    block_bytes: int = Field(default=DEFAULT_BLOCK_BYTES, ge=64, le=1_000_000)
+    policy: Name | None = None
+
+
+class Policy(ConfigurationDocument):
+    """A sharing policy: a CEL expression that gives a tenant's weight (see docs/POLICIES.md)."""
+
+    expression: str = Field(min_length=1, max_length=4_096)
+
+
+class Route(ConfigurationDocument):
+    """Lets tenants use a pool under a model name; an empty tenant list means all."""
+
+    model: str = Field(min_length=1)
+    pool: Name
+    tenants: list[Name] = Field(default_factory=list)
+
+
+Document = Tenant | ApiKey | Pool | Policy | Route
+
+_MODELS: dict[Kind, type[Document]] = {
+    Kind.TENANT: Tenant,
+    Kind.API_KEY: ApiKey,
+    Kind.POOL: Pool,
+    Kind.POLICY: Policy,
+    Kind.ROUTE: Route,
+}
+
+
+def parse_document(kind: Kind, data: bytes) -> Document:
+    """Check a JSON document against its kind's schema.
+
+    Raises:
+        InvalidObjectError: naming every faulty field.
+    """
+    try:
+        return _MODELS[kind].model_validate_json(data)
+    except ValidationError as error:
+        faults = "; ".join(
+            f"{'.'.join(str(part) for part in fault['loc']) or 'document'}: {fault['msg']}"
+            for fault in error.errors()
+        )
+        raise InvalidObjectError(f"{kind.value}: {faults}") from error
--- /dev/null
+++ b/src/martenrun/edge/request.py
@@ -0,0 +1,145 @@
+"""Parsing a caller's request into a decision question and the body for the engine."""
+
+import secrets
+from dataclasses import dataclass
+
+import msgspec
+from werkzeug.datastructures import Headers
+
+from martenrun.configuration.view import ConfigurationView
+from martenrun.errors import DeadlineExceededError, InvalidKeyError, InvalidRequestError
+from martenrun.identity.chain import chain_seed, hash_chain
+from martenrun.identity.prompt import (
+    ChatMessage,
+    canonical_chat_text,
+    canonical_completion_text,
+)
+from martenrun.wire.messages import DecideRequest
+
+DEFAULT_DEADLINE_S = 60.0
+DEFAULT_OUTPUT_TOKENS = 16
+MAXIMUM_PRIORITY = 10
+_CHAT_PATH = "/v1/chat/completions"
+
+
+class _Body(msgspec.Struct):
+    model: str
+    prompt: str | None = None
+    messages: list[ChatMessage] | None = None
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool = False
+    priority: int = 0
+
+
+@dataclass(frozen=True)
+class CallerRequest:
+    """A caller's request, checked and authenticated.
+
+    ``fields`` is the caller's JSON object; the engine gets it with the router's fields added.
+    """
+
+    path: str
+    question: DecideRequest
+    repeatable: bool
+    stream: bool
+    fields: dict[str, object]
+
+    def engine_body(self, priority: int) -> bytes:
+        """Encode the body for the engine."""
+        added = {
+            "cache_salt": self.question.tenant,
+            "request_id": f"{self.question.request_id}",
+            "priority": priority,
+        }
+        if self.stream:
+            added["stream_options"] = {"include_usage": True}
+        return msgspec.json.encode({**self.fields, **added})
+
+
+def bearer_token(headers: Headers) -> str:
+    """Return the bearer token; raises InvalidKeyError if there is none."""
+    scheme, _, token = headers.get("Authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not token:
+        raise InvalidKeyError("the Authorization header has no bearer token")
+    return token.strip()
+
+
+def parse_request(
+    path: str, headers: Headers, data: bytes, view: ConfigurationView, zone: str
+) -> CallerRequest:
+    """Check a completion or chat request.
+
+    Raises:
+        MartenrunError: of the kind that fits the first fault found.
+    """
+    tenant = view.key_of(bearer_token(headers)).tenant
+    view.tenant(tenant)
+    body, fields = _decode(data)
+    routed = view.route(tenant, body.model)
+    text = _canonical_text(path, body)
+    seed = chain_seed(tenant, routed.pool.weights_version)
+    question = DecideRequest(
+        request_id=headers.get("X-Request-Id") or secrets.token_hex(8),
+        tenant=tenant,
+        model=body.model,
+        weights_version=routed.pool.weights_version,
+        chain=hash_chain(text, seed, routed.pool.block_bytes),
+        prompt_bytes=len(text),
+        maximum_output_tokens=_output_tokens(body),
+        priority=body.priority,
+        deadline_s=_deadline_s(headers),
+        idempotency_key=headers.get("Idempotency-Key", ""),
+        zone=zone,
+    )
+    return CallerRequest(path, question, _is_repeatable(headers), body.stream, fields)
+
+
+def _decode(data: bytes) -> tuple[_Body, dict[str, object]]:
+    try:
+        fields = msgspec.json.decode(data, type=dict[str, object])
+        body = msgspec.convert(fields, type=_Body)
+    except msgspec.MsgspecError as error:
+        raise InvalidRequestError(f"the body is not a valid request: {error}") from error
+    if not 0 <= body.priority <= MAXIMUM_PRIORITY:
+        raise InvalidRequestError(f"field 'priority' must be from 0 to {MAXIMUM_PRIORITY}")
+    return body, fields
+
+
+def _canonical_text(path: str, body: _Body) -> bytes:
+    if path == _CHAT_PATH:
+        if body.messages is None:
+            raise InvalidRequestError("field 'messages' is missing")
+        return canonical_chat_text(body.messages)
+    if body.prompt is None:
+        raise InvalidRequestError("field 'prompt' is missing")
+    return canonical_completion_text(body.prompt)
+
+
+def _output_tokens(body: _Body) -> int:
+    given = body.max_completion_tokens or body.max_tokens
+    if given is None:
+        return DEFAULT_OUTPUT_TOKENS
+    if given < 1:
+        raise InvalidRequestError("field 'max_tokens' must be positive")
+    return given
+
+
+def _deadline_s(headers: Headers) -> float:
+    text = headers.get("X-Deadline-Seconds")
+    if text is None:
+        return DEFAULT_DEADLINE_S
+    try:
+        seconds = float(text)
+    except ValueError as error:
+        raise InvalidRequestError("header X-Deadline-Seconds is not a number") from error
+    if not seconds > 0:
+        raise DeadlineExceededError("the deadline given is already past")
+    return min(seconds, 24 * 3600.0)
+
+
+def _is_repeatable(headers: Headers) -> bool:
+    text = headers.get("X-Repeatable", "true").lower()
+    if text not in ("true", "false"):
+        raise InvalidRequestError("header X-Repeatable must be 'true' or 'false'")
+    return text == "true"
--- /dev/null
+++ b/src/martenrun/edge/responses.py
@@ -0,0 +1,46 @@
+"""Bodies and headers of the HTTP edges: errors in OpenAI's shape, typed further."""
+
+import math
+
+import msgspec
+from werkzeug.wrappers import Response
+
+from martenrun.errors import MartenrunError, VersionConflictError
+
+
+class ErrorDetail(msgspec.Struct, omit_defaults=True):
+    """The ``error`` member of an error body."""
+
+    message: str
+    type: str
+    code: str
+    ran: str
+    remedy: str
+    present_version: int | None = None
+
+
+class ErrorBody(msgspec.Struct):
+    """An error body."""
+
+    error: ErrorDetail
+
+
+def error_body(error: MartenrunError) -> bytes:
+    """Encode an error as JSON."""
+    kind = "invalid_request_error" if error.http_status < 500 else "server_error"
+    present = error.present_version if isinstance(error, VersionConflictError) else None
+    detail = ErrorDetail(error.message, kind, error.code, error.ran.value, error.remedy, present)
+    return msgspec.json.encode(ErrorBody(detail))
+
+
+def error_response(error: MartenrunError) -> Response:
+    """Return the response that tells a typed error."""
+    response = Response(error_body(error), status=error.http_status, mimetype="application/json")
+    if error.retry_after_s is not None:
+        response.headers["Retry-After"] = str(max(1, math.ceil(error.retry_after_s)))
+    return response
+
+
+def json_response(value: object, status: int = 200) -> Response:
+    """Return a JSON response of any value that msgspec encodes."""
+    return Response(msgspec.json.encode(value), status=status, mimetype="application/json")
--- /dev/null
+++ b/src/martenrun/events.py
@@ -0,0 +1,123 @@
+"""Events that drivers give to decision logic, and instructions it gives back.
+
+Decision logic is pure: ``handle(event, now) -> list[Instruction]``.  ``now`` is a monotonic
+time in seconds; it is never compared across machines.
+
+See also: :mod:`martenrun.process`, which carries instructions out.
+"""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from martenrun.errors import MartenrunError
+from martenrun.platform.engine import AttemptResult, RunnerDescription
+from martenrun.platform.machine_list import Machine
+from martenrun.wire.messages import ConfigurationUpdate, DecideRequest, Grant, Message
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed."""
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMessage:
+    """A message arrived from a node or an agent."""
+
+    peer: str
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class StoreChanges:
+    """The object API has told changes."""
+
+    update: ConfigurationUpdate
+
+
+@dataclass(frozen=True, slots=True)
+class MachinesListed:
+    """The machine list has answered."""
+
+    machines: list[Machine]
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerDescribed:
+    """An engine has described itself, or failed to (``description`` is None)."""
+
+    runner: str
+    description: RunnerDescription | None
+
+
+@dataclass(frozen=True, slots=True)
+class RequestArrived:
+    """A caller's request has been parsed and authenticated at the edge."""
+
+    question: DecideRequest
+    repeatable: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """An attempt at an engine is over."""
+
+    request_id: str
+    attempt: int
+    result: AttemptResult
+    first_token_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class CallerGone:
+    """The caller closed its connection."""
+
+    request_id: str
+
+
+Event = (
+    Tick
+    | PeerMessage
+    | StoreChanges
+    | MachinesListed
+    | RunnerDescribed
+    | RequestArrived
+    | AttemptEnded
+    | CallerGone
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send a message to a peer; it may get lost."""
+
+    peer: str
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class RunAttempt:
+    """Tell the edge to send the request to the granted runner."""
+
+    request_id: str
+    grant: Grant
+
+
+@dataclass(frozen=True, slots=True)
+class Finish:
+    """Tell the edge the request's final answer; ``error`` is None when it is whole."""
+
+    request_id: str
+    error: MartenrunError | None
+    result: AttemptResult | None = None
+
+
+Instruction = Send | RunAttempt | Finish
+
+
+class DecisionLogic(Protocol):
+    """A pure state machine that a process runs on its one loop."""
+
+    def handle(self, event: Event, now: float) -> list[Instruction]:
+        """Take in an event at time ``now`` and return what to do."""
+        ...
--- /dev/null
+++ b/src/martenrun/identity/__init__.py
@@ -0,0 +1,1 @@
+"""Identities of prompts, tenants and runners."""
--- /dev/null
+++ b/src/martenrun/node/__init__.py
@@ -0,0 +1,1 @@
+"""The node: answers agents' questions, administers the configuration."""
--- /dev/null
+++ b/src/martenrun/node/routing.py
@@ -0,0 +1,141 @@
+"""Decision logic that answers agents' questions with a runner or a refusal."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from martenrun.configuration.view import ConfigurationView
+from martenrun.errors import CapacityError, MartenrunError, NoRunnerError
+from martenrun.events import (
+    Event,
+    Instruction,
+    MachinesListed,
+    PeerMessage,
+    RunnerDescribed,
+    Send,
+)
+from martenrun.platform.machine_list import Machine
+from martenrun.routing.policy import RoutingPolicy, RunnerState
+from martenrun.wire.messages import AttemptReport, DecideRequest, Grant, Refusal, WithdrawRequest
+
+RETRY_AFTER_S = 1.0
+"""When a refused caller should come back, in seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class GrantedAttempt:
+    """A grant whose end has not been reported."""
+
+    agent: str
+    runner: str
+
+
+class RoutingLogic:
+    """Keeps the runners' state and answers decision questions.
+
+    Args:
+        policy: chooses among usable runners.
+        view: returns the configuration in force.
+    """
+
+    def __init__(self, policy: RoutingPolicy, view: Callable[[], ConfigurationView]) -> None:
+        self._policy = policy
+        self._view = view
+        self.runners: dict[str, RunnerState] = {}
+        self._granted: dict[tuple[str, int], GrantedAttempt] = {}
+
+    def handle(self, event: Event, now: float) -> list[Instruction]:
+        """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
+        match event:
+            case PeerMessage(peer, DecideRequest() as question):
+                return [Send(peer, self._decide(peer, question, now))]
+            case PeerMessage(_, AttemptReport() as report):
+                self._end_attempt(report.request_id, report.attempt)
+            case PeerMessage(_, WithdrawRequest() as withdrawal):
+                self._end_attempt(withdrawal.request_id, withdrawal.attempt)
+            case MachinesListed(machines):
+                self._update_machines(machines)
+            case RunnerDescribed():
+                self._update_runner(event)
+        return []
+
+    def _decide(self, peer: str, question: DecideRequest, now: float) -> Grant | Refusal:
+        try:
+            return self._grant(peer, question, now)
+        except MartenrunError as error:
+            return refusal_of(question, error)
+
+    def _grant(self, peer: str, question: DecideRequest, now: float) -> Grant:
+        pool_name = self._view().route(question.tenant, question.model).name
+        usable = [
+            runner
+            for runner in self.runners.values()
+            if runner.pool == pool_name
+            and runner.is_usable
+            and runner.name not in question.excluded_runners
+        ]
+        if not usable:
+            raise NoRunnerError(
+                f"pool {pool_name!r} has no usable runner", retry_after_s=RETRY_AFTER_S
+            )
+        free = [runner for runner in usable if runner.free_slots > 0]
+        if not free:
+            raise CapacityError(f"pool {pool_name!r} is full", retry_after_s=RETRY_AFTER_S)
+        choice = self._policy.route(question, free, now)
+        runner = choice.runner
+        runner.in_flight += 1
+        self._granted[(question.request_id, question.attempt)] = GrantedAttempt(peer, runner.name)
+        return Grant(
+            question.request_id,
+            question.attempt,
+            runner.name,
+            runner.address,
+            runner.incarnation,
+            runner.weights_version,
+            choice.believed_blocks,
+            question.priority,
+        )
+
+    def _end_attempt(self, request_id: str, attempt: int) -> None:
+        granted = self._granted.pop((request_id, attempt), None)
+        runner = self.runners.get(granted.runner) if granted is not None else None
+        if runner is not None:
+            runner.in_flight -= 1
+
+    def _update_machines(self, machines: list[Machine]) -> None:
+        listed = {machine.name: machine for machine in machines if machine.role == "engine"}
+        for name in set(self.runners) - set(listed):
+            self.runners[name].leaving = True
+        for machine in listed.values():
+            runner = self.runners.get(machine.name)
+            if runner is None:
+                runner = RunnerState(machine.name, machine.address, machine.zone, machine.pool)
+                self.runners[machine.name] = runner
+            runner.leaving = machine.is_leaving
+            runner.address = machine.address
+
+    def _update_runner(self, event: RunnerDescribed) -> None:
+        runner = self.runners.get(event.runner)
+        if runner is None:
+            return
+        if event.description is None:
+            runner.incarnation = ""
+            return
+        description = event.description
+        runner.incarnation = description.incarnation
+        runner.weights_version = description.weights_version
+        runner.slots = description.slots
+        runner.reported_running = description.running
+
+
+def refusal_of(question: DecideRequest, error: MartenrunError) -> Refusal:
+    """Return the message that tells an agent a typed error."""
+    retry_after_s = -1.0 if error.retry_after_s is None else error.retry_after_s
+    return Refusal(
+        question.request_id,
+        question.attempt,
+        error.code,
+        error.message,
+        error.remedy,
+        error.ran.value,
+        retry_after_s,
+    )
--- /dev/null
+++ b/src/martenrun/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of processes, read from a TOML file and flags."""
--- /dev/null
+++ b/src/martenrun/standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for a model engine: batching time model, prefix cache, OpenAI-compatible API."""
--- /dev/null
+++ b/src/martenrun/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Internal protocol between agents and nodes: messages, codec, transport."""
--- /dev/null
+++ b/src/martenrun/wire/frames.py
@@ -0,0 +1,92 @@
+"""Framing and authentication of internal messages on a TCP connection or in a datagram.
+
+A frame is a 4-byte big-endian length, a 16-byte keyed BLAKE2b tag and the payload.  The tag
+key of a connection derives from the cluster secret and both sides' nonces, and every tag
+covers a frame counter, so a stranger's, repeated or reordered frame ends the connection.
+"""
+
+import hashlib
+import hmac
+import struct
+
+from martenrun.constants import MAXIMUM_FRAME_BYTES
+
+TAG_BYTES = 16
+NONCE_BYTES = 16
+_LENGTH = struct.Struct("!I")
+_COUNTER = struct.Struct("!Q")
+
+
+class FrameError(ValueError):
+    """A frame that is too long or whose tag does not match."""
+
+
+def tag(key: bytes, payload: bytes) -> bytes:
+    """Return the authentication tag of ``payload``."""
+    return hashlib.blake2b(payload, key=key, digest_size=TAG_BYTES).digest()
+
+
+def session_key(secret: bytes, connector_nonce: bytes, acceptor_nonce: bytes) -> bytes:
+    """Derive the key of one connection from the cluster secret."""
+    nonces = connector_nonce + acceptor_nonce
+    return hashlib.blake2b(nonces, key=secret, digest_size=32).digest()
+
+
+def seal_datagram(secret: bytes, payload: bytes) -> bytes:
+    """Return ``payload`` with its tag in front."""
+    return tag(secret, payload) + payload
+
+
+def open_datagram(secret: bytes, datagram: bytes) -> bytes:
+    """Return the payload of a datagram; raises FrameError if the tag does not match."""
+    payload = datagram[TAG_BYTES:]
+    if not hmac.compare_digest(datagram[:TAG_BYTES], tag(secret, payload)):
+        raise FrameError("datagram tag does not match; check cluster_secret on both sides")
+    return payload
+
+
+class FrameWriter:
+    """Seals the frames of one direction of a connection."""
+
+    def __init__(self, direction: bytes) -> None:
+        self._direction = direction
+        self._counter = 0
+
+    def seal(self, key: bytes, payload: bytes) -> bytes:
+        """Return the frame that carries ``payload``."""
+        covered = self._direction + _COUNTER.pack(self._counter) + payload
+        self._counter += 1
+        body = tag(key, covered) + payload
+        return _LENGTH.pack(len(body)) + body
+
+
+class FrameReader:
+    """Cuts a byte stream into frames and checks their tags."""
+
+    def __init__(self, direction: bytes) -> None:
+        self._direction = direction
+        self._counter = 0
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> None:
+        """Add received bytes."""
+        self._buffer += data
+
+    def next_payload(self, key: bytes) -> bytes | None:
+        """Return the next whole payload, or None until more bytes arrive."""
+        if len(self._buffer) < _LENGTH.size:
+            return None
+        (length,) = _LENGTH.unpack_from(self._buffer)
+        if not TAG_BYTES <= length <= MAXIMUM_FRAME_BYTES:
+            raise FrameError(f"frame of {length} bytes is outside the limits")
+        end = _LENGTH.size + length
+        if len(self._buffer) < end:
+            return None
+        body = bytes(self._buffer[_LENGTH.size : end])
+        del self._buffer[:end]
+        payload = body[TAG_BYTES:]
+        covered = self._direction + _COUNTER.pack(self._counter) + payload
+        self._counter += 1
+        if not hmac.compare_digest(body[:TAG_BYTES], tag(key, covered)):
+            raise FrameError("frame tag does not match; check cluster_secret on both sides")
+        return payload
--- /dev/null
+++ b/src/martenrun/wire/transport.py
@@ -0,0 +1,190 @@
+"""Transport of internal messages over TCP: one selector thread per process.
+
+The transport is a driver: it holds no decisions.  Received messages are handed to a callback
+(an actor's ``tell``), and sends may come from any thread.  Delivery is at most once and
+unacknowledged; the decision logic repeats what must arrive.
+"""
+
+import collections
+import contextlib
+import ipaddress
+import selectors
+import socket
+import threading
+from collections.abc import Callable
+from typing import Any
+
+from absl import logging
+
+from martenrun.wire.codec import CodecError, decode, encode
+from martenrun.wire.connection import Connection
+from martenrun.wire.frames import FrameError
+from martenrun.wire.messages import Message
+
+_READ_BYTES = 256 * 1024
+_MAXIMUM_OUTGOING_BYTES = 16 * 1024 * 1024
+
+Receive = Callable[[str, Message], Any]
+"""Called with the peer's name and the message, on the transport's thread."""
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Parse ``IP:port``; raises ValueError with the remedy for anything else."""
+    host, separator, port = text.rpartition(":")
+    if not separator or not port.isdigit() or not 0 <= int(port) <= 65_535:
+        raise ValueError(f"{text!r} is not of the form IP:port")
+    ipaddress.ip_address(host)
+    return host, int(port)
+
+
+class PeerTransport:
+    """Sends and receives internal messages between named peers.
+
+    Nodes are named by their ``IP:port`` and can be connected to; agents have other names and
+    are reached only over the connection they opened.
+    """
+
+    def __init__(self, name: str, secret: bytes, receive: Receive) -> None:
+        self.name = name
+        self._secret = secret
+        self._receive = receive
+        self._selector = selectors.DefaultSelector()
+        self._commands: collections.deque[tuple[str, bytes]] = collections.deque()
+        self._connections: dict[str, Connection] = {}
+        self._wake_reader, self._wake_writer = socket.socketpair()
+        self._wake_reader.setblocking(False)
+        self._selector.register(self._wake_reader, selectors.EVENT_READ, self._drain_wake)
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="peer-transport", daemon=True)
+
+    def listen(self, address: str) -> None:
+        """Accept connections on ``IP:port``; must be called before :meth:`start`."""
+        listener = socket.create_server(parse_address(address), backlog=512)
+        listener.setblocking(False)
+        self._selector.register(listener, selectors.EVENT_READ, lambda: self._accept(listener))
+
+    def start(self) -> None:
+        """Start the selector thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop the thread and close every connection."""
+        self._stopping.set()
+        self._wake()
+        self._thread.join(timeout=5)
+
+    def send(self, peer: str, message: Message) -> None:
+        """Queue a message for a peer; it is dropped if the peer cannot be reached."""
+        self._commands.append((peer, encode(message)))
+        self._wake()
+
+    def _wake(self) -> None:
+        with contextlib.suppress(BlockingIOError, OSError):
+            self._wake_writer.send(b"\0")
+
+    def _drain_wake(self) -> None:
+        with contextlib.suppress(BlockingIOError):
+            self._wake_reader.recv(4096)
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            for key, _events in self._selector.select(timeout=1.0):
+                if isinstance(key.data, Connection):
+                    self._service(key.data)
+                else:
+                    key.data()
+            self._send_queued()
+        for connection in list(self._connections.values()):
+            connection.sock.close()
+        self._selector.close()
+
+    def _send_queued(self) -> None:
+        while self._commands:
+            peer, payload = self._commands.popleft()
+            connection = self._connections.get(peer) or self._connect(peer)
+            if connection is None:
+                continue
+            connection.queue(payload)
+            if len(connection.outgoing) > _MAXIMUM_OUTGOING_BYTES:
+                self._close(connection, "peer reads too slowly")
+            else:
+                self._flush(connection)
+
+    def _connect(self, peer: str) -> Connection | None:
+        try:
+            address = parse_address(peer)
+        except ValueError:
+            return None
+        sock = socket.socket(socket.AF_INET)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.connect_ex(address)
+        connection = Connection(sock, self.name, self._secret, peer, is_connector=True)
+        self._connections[peer] = connection
+        self._selector.register(sock, selectors.EVENT_READ | selectors.EVENT_WRITE, connection)
+        return connection
+
+    def _accept(self, listener: socket.socket) -> None:
+        sock, _address = listener.accept()
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = Connection(sock, self.name, self._secret, "", is_connector=False)
+        self._selector.register(sock, selectors.EVENT_READ | selectors.EVENT_WRITE, connection)
+
+    def _service(self, connection: Connection) -> None:
+        self._flush(connection)
+        try:
+            data = connection.sock.recv(_READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._close(connection, str(error))
+            return
+        if not data:
+            self._close(connection, "closed by peer")
+            return
+        self._deliver(connection, data)
+
+    def _deliver(self, connection: Connection, data: bytes) -> None:
+        was_established = connection.established
+        try:
+            payloads = connection.receive(data)
+            decoded = [decode(payload) for payload in payloads]
+        except (FrameError, CodecError) as error:
+            self._close(connection, str(error))
+            return
+        if connection.established and not was_established:
+            self._connections[connection.peer] = connection
+        for message in decoded:
+            self._receive(connection.peer, message)
+        self._flush(connection)
+
+    def _flush(self, connection: Connection) -> None:
+        try:
+            while connection.outgoing:
+                sent = connection.sock.send(connection.outgoing)
+                del connection.outgoing[:sent]
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            self._close(connection, str(error))
+            return
+        self._watch(connection)
+
+    def _watch(self, connection: Connection) -> None:
+        events = selectors.EVENT_READ
+        if connection.outgoing:
+            events |= selectors.EVENT_WRITE
+        with contextlib.suppress(KeyError, ValueError):
+            self._selector.modify(connection.sock, events, connection)
+
+    def _close(self, connection: Connection, reason: str) -> None:
+        with contextlib.suppress(KeyError, ValueError):
+            self._selector.unregister(connection.sock)
+        connection.sock.close()
+        if self._connections.get(connection.peer) is connection:
+            del self._connections[connection.peer]
+        if connection.peer:
+            logging.log_every_n_seconds(
+                logging.INFO, "connection to %s ended: %s", 5, connection.peer, reason
+            )
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,42 @@
+"""Tests of the configuration state."""
+
+import pytest
+
+from martenrun.configuration.objects import Kind, parse_document
+from martenrun.configuration.state import ConfigurationState
+from martenrun.errors import InvalidObjectError
+from martenrun.wire.messages import ConfigurationObject, ConfigurationUpdate
+
+
+def tenant(revision, weight):
+    document = b'{"weight": %d}' % weight
+    return ConfigurationObject("tenants", "t", revision, False, document)
+
+
+def test_late_and_repeated_updates_never_bring_back_an_older_version():
+    state = ConfigurationState()
+    newer = ConfigurationUpdate(0, 5, [tenant(5, weight=5)])
+    older = ConfigurationUpdate(0, 3, [tenant(3, weight=3)])
+    for update in (newer, older, newer):
+        state.apply(update)
+    assert (state.revision, state.view.tenant("t").weight) == (5, 5)
+
+
+def test_an_update_with_a_gap_is_not_applied():
+    state = ConfigurationState()
+    assert not state.apply(ConfigurationUpdate(4, 5, [tenant(5, weight=5)]))
+    assert state.revision == 0
+
+
+def test_what_a_peer_passes_on_equals_what_it_has():
+    state, copy = ConfigurationState(), ConfigurationState()
+    state.apply(ConfigurationUpdate(0, 5, [tenant(5, weight=5)]))
+    copy.apply(state.update_since(0))
+    assert copy.view == state.view
+
+
+def test_every_faulty_field_is_named():
+    with pytest.raises(InvalidObjectError) as caught:
+        parse_document(Kind.TENANT, b'{"weight": -1, "colour": "red"}')
+    assert "weight" in caught.value.message
+    assert "colour" in caught.value.message
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,68 @@
+"""The whole path as separate processes, called with an ordinary OpenAI client."""
+
+import openai
+import pytest
+from deployment import Deployment
+
+from martenrun.load.client import CompletionCall, CompletionClient
+
+MODEL = "vine-reader"
+
+
+@pytest.fixture(scope="module")
+def deployment():
+    running = Deployment()
+    try:
+        running.start_platform()
+        running.start_engine("zone-a", "readers", MODEL, "--prefill-s-per-block", "0.001")
+        running.start_nodes(["zone-a"])
+        running.start_agents(["zone-a"])
+        running.apply_tenant("growers", "growers-key")
+        running.apply("pools", "readers", {"model": MODEL, "weights_version": "v1"})
+        running.wait_ready(running.apply("routes", "readers", {"model": MODEL, "pool": "readers"}))
+        yield running
+    finally:
+        running.stop()
+
+
+@pytest.fixture(params=["agent", "node"])
+def edge(deployment, request):
+    return deployment.agent_edges[0] if request.param == "agent" else deployment.node_edges[0]
+
+
+def test_an_ordinary_client_streams_a_chat_and_lists_models(edge):
+    client = openai.OpenAI(base_url=f"http://{edge}/v1", api_key="growers-key", max_retries=0)
+    assert [model.id for model in client.models.list()] == [MODEL]
+    messages = [{"role": "user", "content": "is block seven ripe?"}]
+    stream = client.chat.completions.create(
+        model=MODEL, messages=messages, max_tokens=5, stream=True
+    )
+    chunks = [chunk.choices[0].delta.content or "" for chunk in stream if chunk.choices]
+    assert len("".join(chunks).split()) == 5
+    whole = client.chat.completions.create(model=MODEL, messages=messages, max_tokens=5)
+    assert whole.choices[0].message.content == "".join(chunks)
+
+
+def test_a_repeated_prefix_is_found_in_the_cache(edge):
+    client = CompletionClient(edge, "growers-key")
+    prompt = edge + "n" * 40_000
+    first, second = (
+        client.stream(CompletionCall(f"{edge}-{index}", MODEL, prompt)) for index in range(2)
+    )
+    assert (first.whole, second.whole) == (True, True)
+    assert first.cached_tokens == 0
+    assert second.cached_tokens == 10_000
+
+
+@pytest.mark.parametrize(
+    ("model", "key", "status", "code"),
+    [
+        ("unknown", "growers-key", 404, "model_not_found"),
+        (MODEL, "wrong-key", 401, "invalid_api_key"),
+    ],
+)
+def test_bad_requests_get_a_typed_error(edge, model, key, status, code):
+    record = CompletionClient(edge, key).stream(CompletionCall("bad", model, "hello"))
+    assert record.status == status
+    assert f'"code":"{code}"' in record.error
+    assert '"ran":"no"' in record.error
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,65 @@
+"""Tests of the internal protocol: codec, frames, transport."""
+
+import dataclasses
+import queue
+
+import pytest
+from deployment import free_address
+
+from martenrun.wire import codec
+from martenrun.wire.frames import FrameError, FrameReader, FrameWriter
+from martenrun.wire.messages import DecideRequest, Queued
+from martenrun.wire.transport import PeerTransport
+
+SECRET = b"0123456789abcdef"
+
+
+@pytest.mark.parametrize("name", sorted(codec.message_classes()))
+def test_message_class_has_the_fields_of_its_struct(name):
+    cls = codec.message_classes()[name]
+    spec = codec.idl_struct(name).thrift_spec
+    assert [entry[1] for entry in spec.values()] == [f.name for f in dataclasses.fields(cls)]
+
+
+def test_message_survives_encoding():
+    question = DecideRequest("r", "t", "m", "v", b"\xff" * 16, excluded_runners=["a", "b"])
+    assert codec.decode(codec.encode(question)) == question
+
+
+@pytest.mark.parametrize("data", [b"", b"\x00" * 40, b"garbage" * 9])
+def test_malformed_bytes_are_a_codec_error(data):
+    with pytest.raises(codec.CodecError):
+        codec.decode(data)
+
+
+@pytest.mark.parametrize("fault", ["flipped", "repeated"])
+def test_a_forged_or_repeated_frame_is_refused(fault):
+    writer, reader = FrameWriter(b"c"), FrameReader(b"c")
+    frame = writer.seal(SECRET, b"payload")
+    reader.feed(frame)
+    assert reader.next_payload(SECRET) == b"payload"
+    second = frame if fault == "repeated" else writer.seal(SECRET, b"next")[:-1] + b"\x00"
+    reader.feed(second)
+    with pytest.raises(FrameError):
+        reader.next_payload(SECRET)
+
+
+def test_transport_answers_over_the_callers_connection_and_shuts_out_strangers():
+    address = free_address()
+    server = PeerTransport(address, SECRET, lambda peer, m: server.send(peer, m))
+    server.listen(address)
+    answers = queue.Queue()
+    client = PeerTransport("agent/one", SECRET, lambda peer, m: answers.put(m))
+    stranger_answers = queue.Queue()
+    stranger = PeerTransport("agent/x", b"another-secret--", lambda p, m: stranger_answers.put(m))
+    transports = (server, client, stranger)
+    for transport in transports:
+        transport.start()
+    try:
+        stranger.send(address, Queued("stranger", 1, 0.5))
+        client.send(address, Queued("r", 1, 0.5))
+        assert answers.get(timeout=10) == Queued("r", 1, 0.5)
+        assert stranger_answers.empty()
+    finally:
+        for transport in transports:
+            transport.stop()
