--- /dev/null
+++ b/src/martenrun/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which nodes are alive: views, failure detection, gossip."""
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -13,6 +13,7 @@
 from martenrun.events import MachinesListed, PeerMessage, RunnerDescribed, StoreChanges
 from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.node.routing import RoutingLogic
+from martenrun.node.runners import RunnerTable
 from martenrun.platform.engine import EngineConnections
 from martenrun.platform.machine_list import MachineList
 from martenrun.platform.object_api import ObjectApi
@@ -35,7 +36,8 @@
         self._machine_list = MachineList(settings.machine_list)
         self._engines = EngineConnections()
         self._configuration = NodeConfigurationLogic(own_address, list(settings.seed_nodes))
-        self._routing = RoutingLogic(ConsistentHashPolicy(), self._view)
+        self._runners = RunnerTable()
+        routing = RoutingLogic(self._runners, ConsistentHashPolicy(), self._view)
         requests = RequestsLogic(lambda: [own_address])
         self._loop: Any = None
         port = EdgePort(tell=lambda event: self._loop.tell(event))
@@ -46,7 +48,7 @@
         )
         self._transport.listen(own_address)
         self._loop = LoopActor.start(
-            [self._configuration, self._routing, requests], self._transport, port.deliver
+            [self._configuration, self._runners, routing, requests], self._transport, port.deliver
         )
         caller = CallerApplication(port, self._view, settings.zone)
         admin = AdminApplication(self._store, self._view, settings.bootstrap_key_sha256)
@@ -89,7 +91,7 @@
         self._loop.tell(MachinesListed(self._machine_list.machines()))
 
     def _describe_runners(self) -> None:
-        for runner in list(self._routing.runners.values()):
+        for runner in list(self._runners.runners.values()):
             try:
                 description = self._engines.describe(runner.address)
             except HTTPError:
--- a/src/martenrun/node/routing.py
+++ b/src/martenrun/node/routing.py
@@ -5,16 +5,9 @@
 
 from martenrun.configuration.view import ConfigurationView
 from martenrun.errors import CapacityError, MartenrunError, NoRunnerError
-from martenrun.events import (
-    Event,
-    Instruction,
-    MachinesListed,
-    PeerMessage,
-    RunnerDescribed,
-    Send,
-)
-from martenrun.platform.machine_list import Machine
-from martenrun.routing.policy import RoutingPolicy, RunnerState
+from martenrun.events import Event, Instruction, PeerMessage, Send
+from martenrun.node.runners import RunnerTable
+from martenrun.routing.policy import RoutingPolicy
 from martenrun.wire.messages import AttemptReport, DecideRequest, Grant, Refusal, WithdrawRequest
 
 RETRY_AFTER_S = 1.0
@@ -30,17 +23,20 @@
 
 
 class RoutingLogic:
-    """Keeps the runners' state and answers decision questions.
+    """Answers decision questions and counts the attempts it granted.
 
     Args:
+        table: the runners.
         policy: chooses among usable runners.
         view: returns the configuration in force.
     """
 
-    def __init__(self, policy: RoutingPolicy, view: Callable[[], ConfigurationView]) -> None:
+    def __init__(
+        self, table: RunnerTable, policy: RoutingPolicy, view: Callable[[], ConfigurationView]
+    ) -> None:
+        self._table = table
         self._policy = policy
         self._view = view
-        self.runners: dict[str, RunnerState] = {}
         self._granted: dict[tuple[str, int], GrantedAttempt] = {}
 
     def handle(self, event: Event, now: float) -> list[Instruction]:
@@ -52,10 +48,6 @@
                 self._end_attempt(report.request_id, report.attempt)
             case PeerMessage(_, WithdrawRequest() as withdrawal):
                 self._end_attempt(withdrawal.request_id, withdrawal.attempt)
-            case MachinesListed(machines):
-                self._update_machines(machines)
-            case RunnerDescribed():
-                self._update_runner(event)
         return []
 
     def _decide(self, peer: str, question: DecideRequest, now: float) -> Grant | Refusal:
@@ -66,13 +58,7 @@
 
     def _grant(self, peer: str, question: DecideRequest, now: float) -> Grant:
         pool_name = self._view().route(question.tenant, question.model).name
-        usable = [
-            runner
-            for runner in self.runners.values()
-            if runner.pool == pool_name
-            and runner.is_usable
-            and runner.name not in question.excluded_runners
-        ]
+        usable = self._table.usable(pool_name, question.excluded_runners)
         if not usable:
             raise NoRunnerError(
                 f"pool {pool_name!r} has no usable runner", retry_after_s=RETRY_AFTER_S
@@ -97,35 +83,10 @@
 
     def _end_attempt(self, request_id: str, attempt: int) -> None:
         granted = self._granted.pop((request_id, attempt), None)
-        runner = self.runners.get(granted.runner) if granted is not None else None
+        runner = self._table.runners.get(granted.runner) if granted is not None else None
         if runner is not None:
             runner.in_flight -= 1
 
-    def _update_machines(self, machines: list[Machine]) -> None:
-        listed = {machine.name: machine for machine in machines if machine.role == "engine"}
-        for name in set(self.runners) - set(listed):
-            self.runners[name].leaving = True
-        for machine in listed.values():
-            runner = self.runners.get(machine.name)
-            if runner is None:
-                runner = RunnerState(machine.name, machine.address, machine.zone, machine.pool)
-                self.runners[machine.name] = runner
-            runner.leaving = machine.is_leaving
-            runner.address = machine.address
-
-    def _update_runner(self, event: RunnerDescribed) -> None:
-        runner = self.runners.get(event.runner)
-        if runner is None:
-            return
-        if event.description is None:
-            runner.incarnation = ""
-            return
-        description = event.description
-        runner.incarnation = description.incarnation
-        runner.weights_version = description.weights_version
-        runner.slots = description.slots
-        runner.reported_running = description.running
-
 
 def refusal_of(question: DecideRequest, error: MartenrunError) -> Refusal:
     """Return the message that tells an agent a typed error."""
--- /dev/null
+++ b/src/martenrun/node/runners.py
@@ -0,0 +1,54 @@
+"""Decision logic that keeps the table of runners current."""
+
+from martenrun.events import Event, Instruction, MachinesListed, RunnerDescribed
+from martenrun.platform.machine_list import Machine
+from martenrun.routing.policy import RunnerState
+
+
+class RunnerTable:
+    """Runners by name, from the lagging machine list and the engines' own descriptions."""
+
+    def __init__(self) -> None:
+        self.runners: dict[str, RunnerState] = {}
+
+    def handle(self, event: Event, now: float) -> list[Instruction]:
+        """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
+        match event:
+            case MachinesListed(machines):
+                self._update_machines(machines)
+            case RunnerDescribed():
+                self._update_runner(event)
+        return []
+
+    def usable(self, pool: str, excluded: list[str]) -> list[RunnerState]:
+        """Return the pool's runners that may get new work, without the excluded ones."""
+        return [
+            runner
+            for runner in self.runners.values()
+            if runner.pool == pool and runner.is_usable and runner.name not in excluded
+        ]
+
+    def _update_machines(self, machines: list[Machine]) -> None:
+        listed = {machine.name: machine for machine in machines if machine.role == "engine"}
+        for name in set(self.runners) - set(listed):
+            self.runners[name].leaving = True
+        for machine in listed.values():
+            runner = self.runners.get(machine.name)
+            if runner is None:
+                runner = RunnerState(machine.name, machine.address, machine.zone, machine.pool)
+                self.runners[machine.name] = runner
+            runner.leaving = machine.is_leaving
+            runner.address = machine.address
+
+    def _update_runner(self, event: RunnerDescribed) -> None:
+        runner = self.runners.get(event.runner)
+        if runner is None:
+            return
+        if event.description is None:
+            runner.incarnation = ""
+            return
+        description = event.description
+        runner.incarnation = description.incarnation
+        runner.weights_version = description.weights_version
+        runner.slots = description.slots
+        runner.reported_running = description.running
--- /dev/null
+++ b/src/martenrun/simulation/hollow.py
@@ -0,0 +1,81 @@
+"""A hollow process: real decision logic, run by the virtual clock instead of an actor."""
+
+from collections.abc import Callable
+
+from martenrun.constants import TICK_INTERVAL_S
+from martenrun.events import (
+    DecisionLogic,
+    Event,
+    Finish,
+    PeerMessage,
+    RunAttempt,
+    Send,
+    Tick,
+)
+from martenrun.simulation.network import SimulatedNetwork
+from martenrun.simulation.scheduler import Scheduler
+
+
+class HollowProcess:
+    """Runs decision logic as :class:`martenrun.process.LoopActor` does, in virtual time.
+
+    Args:
+        name: peer name on the network.
+        parts: decision logic; each event goes to all of them in order.
+        to_edge: receives RunAttempt and Finish instructions.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        parts: list[DecisionLogic],
+        scheduler: Scheduler,
+        network: SimulatedNetwork,
+        to_edge: Callable[[RunAttempt | Finish], None],
+        tick_interval_s: float = TICK_INTERVAL_S,
+    ) -> None:
+        self.name = name
+        self.parts = parts
+        self._scheduler = scheduler
+        self._network = network
+        self._to_edge = to_edge
+        self._tick_interval_s = tick_interval_s
+        self._alive = True
+        self._frozen_events: list[Event] | None = None
+        network.attach(name, lambda peer, message: self.tell(PeerMessage(peer, message)))
+        scheduler.after(0.0, self._tick)
+
+    def tell(self, event: Event) -> None:
+        """Handle an event now, or after the freeze."""
+        if not self._alive:
+            return
+        if self._frozen_events is not None:
+            self._frozen_events.append(event)
+            return
+        for part in self.parts:
+            for instruction in part.handle(event, self._scheduler.now):
+                if isinstance(instruction, Send):
+                    self._network.send(self.name, instruction.peer, instruction.message)
+                else:
+                    self._to_edge(instruction)
+
+    def kill(self) -> None:
+        """End the process at once; its state is lost."""
+        self._alive = False
+        self._network.detach(self.name)
+
+    def freeze(self) -> None:
+        """Pause the process; events wait."""
+        self._frozen_events = []
+
+    def thaw(self) -> None:
+        """Continue after a freeze with the events that waited."""
+        waiting, self._frozen_events = self._frozen_events or [], None
+        for event in waiting:
+            self.tell(event)
+
+    def _tick(self) -> None:
+        if self._alive:
+            if self._frozen_events is None:
+                self.tell(Tick())
+            self._scheduler.after(self._tick_interval_s, self._tick)
--- /dev/null
+++ b/src/martenrun/simulation/network.py
@@ -0,0 +1,92 @@
+"""A simulated network between named peers: delays, losses, duplicates, cuts."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from martenrun.simulation.scheduler import Scheduler
+from martenrun.wire.codec import decode, encode
+from martenrun.wire.messages import Message
+
+
+@dataclass
+class LinkFaults:
+    """Probabilities and times that hold for every message.
+
+    Attributes:
+        delay_s: shortest one-way time.
+        jitter_s: largest added time, drawn evenly; lets messages overtake each other.
+        loss: probability that a message is lost.
+        duplicate: probability that a message arrives twice.
+    """
+
+    delay_s: float = 0.001
+    jitter_s: float = 0.001
+    loss: float = 0.0
+    duplicate: float = 0.0
+
+
+@dataclass
+class PeerTraffic:
+    """Messages and encoded bytes that a peer has sent and received."""
+
+    sent_messages: int = 0
+    sent_bytes: int = 0
+    received_messages: int = 0
+    received_bytes: int = 0
+
+
+Deliver = Callable[[str, Message], None]
+
+
+class SimulatedNetwork:
+    """Delivers encoded messages between peers in virtual time.
+
+    Messages are really encoded and decoded, so their size and cost are those of real ones
+    and no object is shared between peers.
+    """
+
+    def __init__(self, scheduler: Scheduler, rng: random.Random, faults: LinkFaults) -> None:
+        self.faults = faults
+        self.traffic: dict[str, PeerTraffic] = {}
+        self._scheduler = scheduler
+        self._rng = rng
+        self._peers: dict[str, Deliver] = {}
+        self._groups: dict[str, int] = {}
+
+    def attach(self, name: str, deliver: Deliver) -> None:
+        """Connect a peer; attaching again replaces it, as after a restart."""
+        self._peers[name] = deliver
+        self.traffic.setdefault(name, PeerTraffic())
+
+    def detach(self, name: str) -> None:
+        """Disconnect a peer; messages on their way to it are lost."""
+        self._peers.pop(name, None)
+
+    def cut(self, groups: list[list[str]]) -> None:
+        """Let only peers of the same group reach each other; unnamed peers form one group."""
+        self._groups = {name: i for i, names in enumerate(groups, start=1) for name in names}
+
+    def heal(self) -> None:
+        """Remove the cut."""
+        self._groups = {}
+
+    def send(self, sender: str, receiver: str, message: Message) -> None:
+        """Send a message; it may arrive late, twice or never."""
+        data = encode(message)
+        self.traffic[sender].sent_messages += 1
+        self.traffic[sender].sent_bytes += len(data)
+        copies = 2 if self._rng.random() < self.faults.duplicate else 1
+        for _ in range(copies):
+            if self._rng.random() < self.faults.loss:
+                continue
+            delay_s = self.faults.delay_s + self._rng.random() * self.faults.jitter_s
+            self._scheduler.after(delay_s, lambda: self._arrive(sender, receiver, data))
+
+    def _arrive(self, sender: str, receiver: str, data: bytes) -> None:
+        deliver = self._peers.get(receiver)
+        if deliver is None or self._groups.get(sender, 0) != self._groups.get(receiver, 0):
+            return
+        self.traffic[receiver].received_messages += 1
+        self.traffic[receiver].received_bytes += len(data)
+        deliver(sender, decode(data))
