Carry instructions through a table of carriers; add calls of the object API

Cause: each new kind of instruction would have changed the loop actor. Change: LoopActor and HollowProcess take carriers by instruction type; Tell, StoreWrite and StoreRead with StoreAnswered, carried by a bounded pool of driver threads. Conclusion: new instructions need one line of wiring.

--- a/src/martenrun/agent/process.py
+++ b/src/martenrun/agent/process.py
@@ -7,8 +7,8 @@
 from martenrun.edge.application import CallerApplication
 from martenrun.edge.forward import EdgePort
 from martenrun.edge.server import HttpServer
-from martenrun.events import PeerMessage
-from martenrun.process import Clock, LoopActor
+from martenrun.events import Finish, PeerMessage, RunAttempt, Send
+from martenrun.process import Clock, LoopActor, message_carrier
 from martenrun.settings.model import AgentSettings
 from martenrun.wire.transport import PeerTransport
 
@@ -26,7 +26,14 @@
             settings.cluster_secret.encode(),
             lambda peer, message: self._loop.tell(PeerMessage(peer, message)),
         )
-        self._loop = LoopActor.start([configuration, requests], self._transport, self._port.deliver)
+        self._loop = LoopActor.start(
+            [configuration, requests],
+            {
+                Send: message_carrier(self._transport, lambda event: self._loop.tell(event)),
+                RunAttempt: self._port.deliver,
+                Finish: self._port.deliver,
+            },
+        )
         application = CallerApplication(self._port, lambda: configuration.state.view, settings.zone)
         self._server = HttpServer(application, settings.http_address, settings.http_threads)
         self._clock = Clock(self._loop.tell)
--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -6,13 +6,20 @@
 See also: :mod:`martenrun.process`, which carries instructions out.
 """
 
+import enum
 from dataclasses import dataclass
 from typing import Protocol
 
 from martenrun.errors import MartenrunError
 from martenrun.platform.engine import AttemptResult, RunnerDescription
 from martenrun.platform.machine_list import Machine
-from martenrun.wire.messages import ConfigurationUpdate, DecideRequest, Grant, Message
+from martenrun.wire.messages import (
+    ConfigurationObject,
+    ConfigurationUpdate,
+    DecideRequest,
+    Grant,
+    Message,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +82,29 @@
     request_id: str
 
 
+class StoreOutcome(enum.StrEnum):
+    """How a call of the object API ended."""
+
+    DONE = "done"
+    CONFLICT = "conflict"
+    NOT_FOUND = "not_found"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class StoreAnswered:
+    """A StoreWrite or StoreRead has ended.
+
+    ``UNKNOWN`` means that a write may or may not have taken effect.  ``found`` is the object
+    for a read that is DONE; ``version`` is the version present after a write or a conflict.
+    """
+
+    call_id: str
+    outcome: StoreOutcome
+    version: int = 0
+    found: ConfigurationObject | None = None
+
+
 Event = (
     Tick
     | PeerMessage
@@ -84,6 +114,7 @@
     | RequestArrived
     | AttemptEnded
     | CallerGone
+    | StoreAnswered
 )
 
 
@@ -112,7 +143,37 @@
     result: AttemptResult | None = None
 
 
-Instruction = Send | RunAttempt | Finish
+@dataclass(frozen=True, slots=True)
+class Tell:
+    """Give an event to every part of the same process, after the present one."""
+
+    event: Event
+
+
+@dataclass(frozen=True, slots=True)
+class StoreWrite:
+    """Compare-and-swap an object of the object API; StoreAnswered follows.
+
+    ``document`` is JSON, or None to remove the object; ``expected`` 0 creates.
+    """
+
+    call_id: str
+    kind: str
+    name: str
+    expected: int
+    document: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class StoreRead:
+    """Read one object of the object API; StoreAnswered follows."""
+
+    call_id: str
+    kind: str
+    name: str
+
+
+Instruction = Send | RunAttempt | Finish | Tell | StoreWrite | StoreRead
 
 
 class DecisionLogic(Protocol):
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -10,14 +10,24 @@
 from martenrun.edge.application import CallerApplication
 from martenrun.edge.forward import EdgePort
 from martenrun.edge.server import HttpServer
-from martenrun.events import MachinesListed, PeerMessage, RunnerDescribed, StoreChanges
+from martenrun.events import (
+    Finish,
+    MachinesListed,
+    PeerMessage,
+    RunAttempt,
+    RunnerDescribed,
+    Send,
+    StoreChanges,
+    StoreRead,
+    StoreWrite,
+)
 from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.node.routing import RoutingLogic
 from martenrun.node.runners import RunnerTable
 from martenrun.platform.engine import EngineConnections
 from martenrun.platform.machine_list import MachineList
 from martenrun.platform.object_api import ObjectApi
-from martenrun.process import Clock, LoopActor, Poller
+from martenrun.process import Clock, LoopActor, Poller, StoreWorkers, message_carrier
 from martenrun.routing.baselines import ConsistentHashPolicy
 from martenrun.settings.model import NodeSettings
 from martenrun.wire.transport import PeerTransport
@@ -40,6 +50,7 @@
         routing = RoutingLogic(self._runners, ConsistentHashPolicy(), self._view)
         requests = RequestsLogic(lambda: [own_address])
         self._loop: Any = None
+        self._store_workers = StoreWorkers(self._store, lambda event: self._loop.tell(event))
         port = EdgePort(tell=lambda event: self._loop.tell(event))
         self._transport = PeerTransport(
             own_address,
@@ -48,7 +59,14 @@
         )
         self._transport.listen(own_address)
         self._loop = LoopActor.start(
-            [self._configuration, self._runners, routing, requests], self._transport, port.deliver
+            [self._configuration, self._runners, routing, requests],
+            {
+                Send: message_carrier(self._transport, lambda event: self._loop.tell(event)),
+                RunAttempt: port.deliver,
+                Finish: port.deliver,
+                StoreWrite: self._store_workers.carry,
+                StoreRead: self._store_workers.carry,
+            },
         )
         caller = CallerApplication(port, self._view, settings.zone)
         admin = AdminApplication(self._store, self._view, settings.bootstrap_key_sha256)
@@ -76,6 +94,7 @@
             poller.stop()
         self._clock.stop()
         self._transport.stop()
+        self._store_workers.stop()
         self._loop.stop()
 
     def _view(self) -> Any:
--- a/src/martenrun/process.py
+++ b/src/martenrun/process.py
@@ -6,45 +6,50 @@
 
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 import pykka
 from absl import logging
 
 from martenrun.constants import TICK_INTERVAL_S
+from martenrun.errors import MartenrunError, ObjectNotFoundError, VersionConflictError
 from martenrun.events import (
     DecisionLogic,
     Event,
-    Finish,
     Instruction,
     PeerMessage,
-    RunAttempt,
     Send,
+    StoreAnswered,
+    StoreOutcome,
+    StoreRead,
+    StoreWrite,
+    Tell,
     Tick,
 )
+from martenrun.platform.object_api import ObjectApi
 from martenrun.wire.transport import PeerTransport
 
+STORE_WORKERS = 4
+"""Calls of the object API in progress at a time, per process."""
+
+Carrier = Callable[[Any], None]
+"""Carries out instructions of one type; must not block."""
+
 
 class LoopActor(pykka.ThreadingActor):
     """Runs the decision logic of one process.
 
     Args:
         parts: decision logic; each event goes to all of them in order.
-        transport: carries Send instructions.
-        to_edge: carries RunAttempt and Finish instructions to the waiting edge thread.
+        carriers: what carries out each type of instruction; Tell needs none.
     """
 
-    def __init__(
-        self,
-        parts: list[DecisionLogic],
-        transport: PeerTransport,
-        to_edge: Callable[[RunAttempt | Finish], None],
-    ) -> None:
+    def __init__(self, parts: list[DecisionLogic], carriers: Mapping[type[Any], Carrier]) -> None:
         super().__init__()
         self._parts = parts
-        self._transport = transport
-        self._to_edge = to_edge
+        self._carriers = carriers
 
     def on_receive(self, message: Any) -> None:
         """Handle one event."""
@@ -60,12 +65,53 @@
                 self._carry_out(instruction)
 
     def _carry_out(self, instruction: Instruction) -> None:
-        if not isinstance(instruction, Send):
-            self._to_edge(instruction)
-        elif instruction.peer == self._transport.name:
-            self.actor_ref.tell(PeerMessage(instruction.peer, instruction.message))
+        if isinstance(instruction, Tell):
+            self.actor_ref.tell(instruction.event)
+        else:
+            self._carriers[type(instruction)](instruction)
+
+
+def message_carrier(transport: PeerTransport, tell: Callable[[Event], None]) -> Carrier:
+    """Return the carrier of Send; messages to the process itself skip the network."""
+
+    def carry(instruction: Send) -> None:
+        if instruction.peer == transport.name:
+            tell(PeerMessage(instruction.peer, instruction.message))
         else:
-            self._transport.send(instruction.peer, instruction.message)
+            transport.send(instruction.peer, instruction.message)
+
+    return carry
+
+
+class StoreWorkers:
+    """Driver threads that carry out StoreWrite and StoreRead."""
+
+    def __init__(self, store: ObjectApi, tell: Callable[[Event], None]) -> None:
+        self._store = store
+        self._tell = tell
+        self._threads = ThreadPoolExecutor(STORE_WORKERS, thread_name_prefix="store")
+
+    def carry(self, instruction: StoreWrite | StoreRead) -> None:
+        """Start a call; its StoreAnswered follows."""
+        self._threads.submit(lambda: self._tell(self._answer(instruction)))
+
+    def stop(self) -> None:
+        """Wait for no further calls."""
+        self._threads.shutdown(wait=False, cancel_futures=True)
+
+    def _answer(self, call: StoreWrite | StoreRead) -> StoreAnswered:
+        try:
+            if isinstance(call, StoreRead):
+                found = self._store.get(call.kind, call.name)
+                return StoreAnswered(call.call_id, StoreOutcome.DONE, found.revision, found)
+            version = self._store.write(call.kind, call.name, call.expected, call.document)
+            return StoreAnswered(call.call_id, StoreOutcome.DONE, version)
+        except VersionConflictError as error:
+            return StoreAnswered(call.call_id, StoreOutcome.CONFLICT, error.present_version)
+        except ObjectNotFoundError:
+            return StoreAnswered(call.call_id, StoreOutcome.NOT_FOUND)
+        except MartenrunError:
+            return StoreAnswered(call.call_id, StoreOutcome.UNKNOWN)
 
 
 class Clock:
--- a/src/martenrun/simulation/hollow.py
+++ b/src/martenrun/simulation/hollow.py
@@ -1,17 +1,11 @@
 """A hollow process: real decision logic, run by the virtual clock instead of an actor."""
 
-from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Any
 
 from martenrun.constants import TICK_INTERVAL_S
-from martenrun.events import (
-    DecisionLogic,
-    Event,
-    Finish,
-    PeerMessage,
-    RunAttempt,
-    Send,
-    Tick,
-)
+from martenrun.events import DecisionLogic, Event, Instruction, PeerMessage, Send, Tell, Tick
+from martenrun.process import Carrier
 from martenrun.simulation.network import SimulatedNetwork
 from martenrun.simulation.scheduler import Scheduler
 
@@ -22,7 +16,7 @@
     Args:
         name: peer name on the network.
         parts: decision logic; each event goes to all of them in order.
-        to_edge: receives RunAttempt and Finish instructions.
+        carriers: what carries out each type of instruction; Send and Tell need none.
     """
 
     def __init__(
@@ -31,14 +25,14 @@
         parts: list[DecisionLogic],
         scheduler: Scheduler,
         network: SimulatedNetwork,
-        to_edge: Callable[[RunAttempt | Finish], None],
+        carriers: Mapping[type[Any], Carrier],
         tick_interval_s: float = TICK_INTERVAL_S,
     ) -> None:
         self.name = name
         self.parts = parts
         self._scheduler = scheduler
         self._network = network
-        self._to_edge = to_edge
+        self._carriers = carriers
         self._tick_interval_s = tick_interval_s
         self._alive = True
         self._frozen_events: list[Event] | None = None
@@ -54,10 +48,16 @@
             return
         for part in self.parts:
             for instruction in part.handle(event, self._scheduler.now):
-                if isinstance(instruction, Send):
-                    self._network.send(self.name, instruction.peer, instruction.message)
-                else:
-                    self._to_edge(instruction)
+                self._carry_out(instruction)
+
+    def _carry_out(self, instruction: Instruction) -> None:
+        if isinstance(instruction, Send):
+            self._network.send(self.name, instruction.peer, instruction.message)
+        elif isinstance(instruction, Tell):
+            event = instruction.event
+            self._scheduler.after(0.0, lambda: self.tell(event))
+        else:
+            self._carriers[type(instruction)](instruction)
 
     def kill(self) -> None:
         """End the process at once; its state is lost."""
