--- /dev/null
+++ b/src/martenrun/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: one module each, with a click command."""
--- /dev/null
+++ b/src/martenrun/cli/bench.py
@@ -0,0 +1,11 @@
+"""Commands that measure; each benchmark is a module of :mod:`martenrun.bench`.
+
+A benchmark module offers a click command; it is added to the group by one line here.
+"""
+
+import click
+
+
+@click.group()
+def bench() -> None:
+    """Measure a part of the product; results are printed as JSON with --json."""
