Work out the capacity table from a slope file

Cause: the page of costs at the target size must not part ways with its figures. Change: capacity/ multiplies measured slopes with their drivers at the target size and marks what exceeds the allowance; 'martenrun capacity' prints it or replaces the page's table. Conclusion: the page follows once slopes are measured.

--- /dev/null
+++ b/src/martenrun/capacity/table.py
@@ -0,0 +1,110 @@
+"""Working out the capacity table from a slope file, and writing it as Markdown."""
+
+from pathlib import Path
+
+import msgspec
+
+from martenrun.capacity.model import Allowance, Line, Slope, Target, units_at
+
+MICROSECONDS_PER_S = 1_000_000
+TABLE_START = "<!-- table: martenrun capacity -->"
+TABLE_END = "<!-- end of table -->"
+
+
+class RoleTotal(msgspec.Struct, frozen=True):
+    """Sum of a role's lines against the allowance."""
+
+    role: str
+    cpu_share: float
+    bytes_per_s: float
+    state_bytes: float
+    over: list[str]
+
+
+class CapacityTable(msgspec.Struct, frozen=True):
+    """Every line, and the sum of each role."""
+
+    lines: list[Line]
+    totals: list[RoleTotal]
+
+
+def read_slopes(path: Path) -> list[Slope]:
+    """Read a slope file; raises msgspec.MsgspecError for a faulty one."""
+    return msgspec.json.decode(path.read_bytes(), type=list[Slope])
+
+
+def work_out(slopes: list[Slope], target: Target) -> CapacityTable:
+    """Multiply each slope with its driver at the target size and sum up by role."""
+    lines = [_line(slope, target) for slope in slopes]
+    roles = sorted({line.role for line in lines})
+    totals = [_total(role, lines, target.allowance) for role in roles]
+    return CapacityTable(lines, totals)
+
+
+def _line(slope: Slope, target: Target) -> Line:
+    units = units_at(slope.driver, target.size)
+    return Line(
+        role=slope.role,
+        name=slope.name,
+        driver=slope.driver.value,
+        units=round(units, 3),
+        cpu_share=slope.cpu_us * units / MICROSECONDS_PER_S,
+        bytes_per_s=slope.sent_bytes * units,
+        messages_per_s=slope.messages * units,
+        state_bytes=slope.state_bytes * units,
+        mechanism=slope.mechanism,
+        result=slope.result,
+        note=slope.note,
+    )
+
+
+def _total(role: str, lines: list[Line], allowance: Allowance) -> RoleTotal:
+    own = [line for line in lines if line.role == role]
+    cpu_share = sum(line.cpu_share for line in own)
+    bytes_per_s = sum(line.bytes_per_s for line in own)
+    state_bytes = sum(line.state_bytes for line in own)
+    measures = {
+        "cpu": cpu_share > allowance.cpu_share,
+        "bytes": bytes_per_s > allowance.bytes_per_s,
+        "memory": state_bytes > allowance.memory_bytes,
+    }
+    over = [name for name, exceeded in measures.items() if exceeded]
+    return RoleTotal(role, cpu_share, bytes_per_s, state_bytes, over)
+
+
+def as_markdown(table: CapacityTable, allowance: Allowance) -> str:
+    """Write the table as it stands in docs/CAPACITY.md, markers included."""
+    rows = [
+        TABLE_START,
+        "",
+        "| role | line | grows with | units | % of a core | bytes/s | messages/s | memory MB "
+        "| mechanism | measured by |",
+        "| --- | --- | --- | ---: | ---: | ---: | ---: | ---: | --- | --- |",
+    ]
+    for line in table.lines:
+        rows.append(
+            f"| {line.role} | {line.name} | {line.driver} | {line.units:,.4g} "
+            f"| {line.cpu_share * 100:.3f} | {line.bytes_per_s:,.0f} "
+            f"| {line.messages_per_s:,.1f} | {line.state_bytes / 1e6:,.2f} "
+            f"| `{line.mechanism}` | `{line.result}` |"
+        )
+    rows += [
+        "",
+        "| role | % of a core | bytes/s | memory MB | over the allowance |",
+        "| --- | ---: | ---: | ---: | --- |",
+        f"| allowance | {allowance.cpu_share * 100:.3f} | {allowance.bytes_per_s:,.0f} "
+        f"| {allowance.memory_bytes / 1e6:,.2f} | |",
+    ]
+    for total in table.totals:
+        rows.append(
+            f"| {total.role} | {total.cpu_share * 100:.3f} | {total.bytes_per_s:,.0f} "
+            f"| {total.state_bytes / 1e6:,.2f} | {', '.join(total.over) or 'no'} |"
+        )
+    return "\n".join([*rows, "", TABLE_END])
+
+
+def replace_table(page: str, table_text: str) -> str:
+    """Return the page with its table replaced; raises ValueError without markers."""
+    start = page.index(TABLE_START)
+    end = page.index(TABLE_END) + len(TABLE_END)
+    return page[:start] + table_text + page[end:]
--- a/src/martenrun/cli/main.py
+++ b/src/martenrun/cli/main.py
@@ -4,6 +4,7 @@
 
 from martenrun.cli.admin import admin
 from martenrun.cli.bench import bench
+from martenrun.cli.capacity import capacity
 from martenrun.cli.processes import agent, check_settings, node
 from martenrun.cli.standin import standin
 
@@ -20,3 +21,4 @@
 main.add_command(admin)
 main.add_command(standin)
 main.add_command(bench)
+main.add_command(capacity)
