Let a keyed non-repeatable request go on only while it holds its claim

Cause: an idempotency key was carried to the node and ignored there, so two arrivals of a non-repeatable request ran twice; a caller's X-Request-Id was used as the system's own id, so two requests with one id mixed; a late grant overwrote the running one or kept its slot. Change: claims/ creates a claim in the object API before routing sees the question, reads it back by its holder after a lost answer, and records the end by compare-and-swap. Each arrival has an id of its own; late grants are given back; claims stay out of watchers' copies. Conclusion: object API chosen over replicas, which a herd of restarts forgets; retention of claims is noted as not built.

--- a/src/martenrun/agent/requests.py
+++ b/src/martenrun/agent/requests.py
@@ -7,8 +7,9 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
+from martenrun.claims.record import ClaimState
 from martenrun.constants import DECISION_TIMEOUT_S
 from martenrun.errors import (
     DeadlineExceededError,
@@ -35,7 +36,14 @@
 from martenrun.identity.rendezvous import ranked
 from martenrun.platform.engine import AttemptOutcome, AttemptResult
 from martenrun.statecharts.compiler import load_chart
-from martenrun.wire.messages import AttemptReport, DecideRequest, Grant, Queued, Refusal
+from martenrun.wire.messages import (
+    AttemptReport,
+    ClaimReport,
+    DecideRequest,
+    Grant,
+    Queued,
+    Refusal,
+)
 from martenrun.wire.messages import WithdrawRequest as Withdraw
 
 MAXIMUM_ATTEMPTS = 4
@@ -61,6 +69,7 @@
     result: AttemptResult | None = None
     first_token_s: float = 0.0
     excluded: list[str] = field(default_factory=list)
+    ran: Ran = Ran.NO
 
 
 class RequestsLogic:
@@ -98,8 +107,8 @@
         match event:
             case RequestArrived():
                 return self._arrived(event, now)
-            case PeerMessage(_, Grant() | Refusal() | Queued() as answer):
-                return self._answered(answer, now)
+            case PeerMessage(peer, Grant() | Refusal() | Queued() as answer):
+                return self._answered(peer, answer, now)
             case AttemptEnded():
                 return self._attempt_ended(event, now)
             case CallerGone():
@@ -124,10 +133,14 @@
             return self._step(question.request_id, "no_node_left", now)
         return self._ask(request, now)
 
-    def _answered(self, answer: Grant | Refusal | Queued, now: float) -> list[Instruction]:
+    def _answered(
+        self, peer: str, answer: Grant | Refusal | Queued, now: float
+    ) -> list[Instruction]:
         request = self._active.get(answer.request_id)
         if request is None or answer.attempt != request.attempt:
-            return []
+            return _declined(peer, answer)
+        if request.state != "deciding":
+            return []  # The same answer again.
         if isinstance(answer, Grant):
             request.grant = answer
             return self._step(answer.request_id, "granted", now)
@@ -187,19 +200,24 @@
             instructions += self._actions[action](request, now)
         if request.state in _CHART.final:
             self._active.pop(request_id, None)
+            instructions += _claim_report(request)
         return instructions
 
     def _ask(self, request: ActiveRequest, now: float) -> list[Instruction]:
         request.attempt += 1
         request.asked_until = now + DECISION_TIMEOUT_S
-        question = request.question
-        question.attempt = request.attempt
-        question.deadline_s = max(0.0, request.deadline - now)
-        question.excluded_runners = list(request.excluded)
+        # A copy: a node's own front hands the object itself to the node's decision logic.
+        question = replace(
+            request.question,
+            attempt=request.attempt,
+            deadline_s=max(0.0, request.deadline - now),
+            excluded_runners=list(request.excluded),
+        )
         return [Send(request.nodes[0], question)]
 
     def _run_attempt(self, request: ActiveRequest, now: float) -> list[Instruction]:
         assert request.grant is not None
+        request.ran = Ran.UNKNOWN
         return [RunAttempt(request.question.request_id, request.grant)]
 
     def _wait_longer(self, request: ActiveRequest, now: float) -> list[Instruction]:
@@ -240,6 +258,7 @@
         return [Send(request.nodes[0], report)]
 
     def _finish(self, request: ActiveRequest, error: MartenrunError | None) -> list[Instruction]:
+        request.ran = Ran.YES if error is None else error.ran
         return [Finish(request.question.request_id, error, request.result)]
 
     def _answer_complete(self, request: ActiveRequest, now: float) -> list[Instruction]:
@@ -278,3 +297,22 @@
         else:
             error = OutcomeUnknownError(message)
         return self._finish(request, error)
+
+
+def _declined(peer: str, answer: Grant | Refusal | Queued) -> list[Instruction]:
+    """Give back a grant that nobody waits for any more."""
+    if not isinstance(answer, Grant):
+        return []
+    return [Send(peer, Withdraw(answer.request_id, answer.attempt))]
+
+
+def _claim_report(request: ActiveRequest) -> list[Instruction]:
+    """Tell a node how a keyed request ended, unless nobody knows."""
+    question = request.question
+    if not question.idempotency_key or not request.nodes or request.ran is Ran.UNKNOWN:
+        return []
+    state = ClaimState.DONE if request.ran is Ran.YES else ClaimState.RELEASED
+    report = ClaimReport(
+        question.request_id, question.tenant, question.idempotency_key, state.value
+    )
+    return [Send(request.nodes[0], report)]
--- /dev/null
+++ b/src/martenrun/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once claims of idempotency keys, kept in the object API."""
--- a/src/martenrun/constants.py
+++ b/src/martenrun/constants.py
@@ -23,3 +23,6 @@
 
 ENGINE_READ_TIMEOUT_S = 30.0
 """Longest silence accepted on an engine's stream, in seconds."""
+
+CLAIM_KIND = "claims"
+"""Kind of claim objects in the object API; not a kind that operators publish."""
--- a/src/martenrun/edge/application.py
+++ b/src/martenrun/edge/application.py
@@ -79,7 +79,10 @@
         pieces = Forwarder(self._port, self._engines, caller_request, caller_gone).run()
         # The first piece decides the status: errors before any output become a typed body.
         first = next(pieces, b"")
-        headers = {"X-Request-Id": caller_request.question.request_id}
+        headers = {
+            "X-Request-Id": caller_request.caller_id,
+            "X-Martenrun-Request-Id": caller_request.question.request_id,
+        }
         mimetype = "text/event-stream" if caller_request.stream else "application/json"
         content = _PieceStream(first, pieces, caller_request)
         return Response(content, headers=headers, mimetype=mimetype)
--- a/src/martenrun/edge/request.py
+++ b/src/martenrun/edge/request.py
@@ -19,6 +19,8 @@
 DEFAULT_DEADLINE_S = 60.0
 DEFAULT_OUTPUT_TOKENS = 16
 MAXIMUM_PRIORITY = 10
+MAXIMUM_KEY_BYTES = 256
+REQUEST_ID_BYTES = 8
 _CHAT_PATH = "/v1/chat/completions"
 
 
@@ -37,10 +39,13 @@
     """A caller's request, checked and authenticated.
 
     ``fields`` is the caller's JSON object; the engine gets it with the router's fields added.
+    ``caller_id`` is the caller's own request id: callers may use one twice, so inside the
+    system a request goes by ``question.request_id``, which is unique.
     """
 
     path: str
     question: DecideRequest
+    caller_id: str
     repeatable: bool
     stream: bool
     fields: dict[str, object]
@@ -78,9 +83,10 @@
     body, fields = _decode(data)
     routed = view.route(tenant, body.model)
     text = _canonical_text(path, body)
+    repeatable = _is_repeatable(headers)
     seed = chain_seed(tenant, routed.pool.weights_version)
     question = DecideRequest(
-        request_id=headers.get("X-Request-Id") or secrets.token_hex(8),
+        request_id=secrets.token_hex(REQUEST_ID_BYTES),
         tenant=tenant,
         model=body.model,
         weights_version=routed.pool.weights_version,
@@ -89,10 +95,11 @@
         maximum_output_tokens=_output_tokens(body),
         priority=body.priority,
         deadline_s=_deadline_s(headers),
-        idempotency_key=headers.get("Idempotency-Key", ""),
+        idempotency_key="" if repeatable else _idempotency_key(headers),
         zone=zone,
     )
-    return CallerRequest(path, question, _is_repeatable(headers), body.stream, fields)
+    caller_id = headers.get("X-Request-Id") or question.request_id
+    return CallerRequest(path, question, caller_id, repeatable, body.stream, fields)
 
 
 def _decode(data: bytes) -> tuple[_Body, dict[str, object]]:
@@ -125,6 +132,13 @@
     return given
 
 
+def _idempotency_key(headers: Headers) -> str:
+    key = headers.get("Idempotency-Key", "")
+    if len(key.encode()) > MAXIMUM_KEY_BYTES:
+        raise InvalidRequestError(f"header Idempotency-Key is over {MAXIMUM_KEY_BYTES} bytes")
+    return key
+
+
 def _deadline_s(headers: Headers) -> float:
     text = headers.get("X-Deadline-Seconds")
     if text is None:
--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -105,6 +105,14 @@
     found: ConfigurationObject | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class QuestionCleared:
+    """A question with an idempotency key holds its claim and may be decided."""
+
+    peer: str
+    question: DecideRequest
+
+
 Event = (
     Tick
     | PeerMessage
@@ -115,6 +123,7 @@
     | AttemptEnded
     | CallerGone
     | StoreAnswered
+    | QuestionCleared
 )
 
 
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -7,6 +7,7 @@
 
 from martenrun.admin.application import ADMIN_PREFIX, AdminApplication
 from martenrun.agent.requests import RequestsLogic
+from martenrun.claims.logic import ClaimsLogic
 from martenrun.edge.application import CallerApplication
 from martenrun.edge.forward import EdgePort
 from martenrun.edge.server import HttpServer
@@ -49,6 +50,7 @@
         self._runners = RunnerTable()
         routing = RoutingLogic(self._runners, ConsistentHashPolicy(), self._view)
         requests = RequestsLogic(lambda: [own_address])
+        claims = ClaimsLogic(own_address)
         self._loop: Any = None
         self._store_workers = StoreWorkers(self._store, lambda event: self._loop.tell(event))
         port = EdgePort(tell=lambda event: self._loop.tell(event))
@@ -59,7 +61,7 @@
         )
         self._transport.listen(own_address)
         self._loop = LoopActor.start(
-            [self._configuration, self._runners, routing, requests],
+            [self._configuration, self._runners, claims, routing, requests],
             {
                 Send: message_carrier(self._transport, lambda event: self._loop.tell(event)),
                 RunAttempt: port.deliver,
--- a/src/martenrun/node/routing.py
+++ b/src/martenrun/node/routing.py
@@ -5,7 +5,7 @@
 
 from martenrun.configuration.view import ConfigurationView
 from martenrun.errors import CapacityError, MartenrunError, NoRunnerError
-from martenrun.events import Event, Instruction, PeerMessage, Send
+from martenrun.events import Event, Instruction, PeerMessage, QuestionCleared, Send
 from martenrun.node.runners import RunnerTable
 from martenrun.routing.policy import RoutingPolicy
 from martenrun.wire.messages import AttemptReport, DecideRequest, Grant, Refusal, WithdrawRequest
@@ -42,7 +42,9 @@
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
         match event:
-            case PeerMessage(peer, DecideRequest() as question):
+            case PeerMessage(_, DecideRequest(idempotency_key=key)) if key:
+                return []  # ClaimsLogic clears it first.
+            case PeerMessage(peer, DecideRequest() as question) | QuestionCleared(peer, question):
                 return [Send(peer, self._decide(peer, question, now))]
             case PeerMessage(_, AttemptReport() as report):
                 self._end_attempt(report.request_id, report.attempt)
--- a/src/martenrun/platform/object_api.py
+++ b/src/martenrun/platform/object_api.py
@@ -4,6 +4,7 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
+from martenrun.constants import CLAIM_KIND
 from martenrun.errors import ObjectNotFoundError, StoreUnavailableError, VersionConflictError
 from martenrun.platform.http import connection_pool
 from martenrun.wire.messages import ConfigurationObject, ConfigurationUpdate
@@ -38,7 +39,8 @@
         """Return changes after a revision, waiting up to ``wait_s`` for one."""
         response = self._request("GET", f"/v1/objects?after={after}&wait_s={wait_s}")
         found = msgspec.json.decode(response.data, type=_List)
-        objects = [_converted(item) for item in found.objects]
+        # Claims are read one by one where they are needed; watchers do not hold them.
+        objects = [_converted(item) for item in found.objects if item.kind != CLAIM_KIND]
         return ConfigurationUpdate(after, found.revision, objects)
 
     def get(self, kind: str, name: str) -> ConfigurationObject:
--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -92,3 +92,10 @@
   4: list<string> nodes
   5: bool complete
 }
+
+struct ClaimReport {
+  1: string request_id
+  2: string tenant
+  3: string idempotency_key
+  4: string state
+}
--- a/src/martenrun/wire/messages.py
+++ b/src/martenrun/wire/messages.py
@@ -143,6 +143,16 @@
     complete: bool = False
 
 
+@dataclass(slots=True)
+class ClaimReport:
+    """Agent to node: a keyed request has its final answer; ``state`` is a ClaimState value."""
+
+    request_id: str = ""
+    tenant: str = ""
+    idempotency_key: str = ""
+    state: str = ""
+
+
 Message = (
     DecideRequest
     | Grant
@@ -153,5 +163,6 @@
     | ConfigurationQuery
     | ConfigurationObject
     | ConfigurationUpdate
+    | ClaimReport
 )
 """Messages that travel inside an :class:`Envelope`."""
