Bound a request's life at the agent: resume, retry budget, true errors, caller watch

Cause: a broken stream always ended in an error; a refusal after an attempt that may have run said 'ran: no'; retries had neither budget nor pause; a caller who left was only noticed at the next token; a kept connection closed by the engine looked like a request that may have run. Change: the chart gains 'pausing' and 'may_resume'; errors are told for all attempts together; each attempt has a connection of its own with a bound on silence before the first event and between events; one thread watches all callers and breaks what their requests wait for; requests above max_streams, bodies and headers over their limits get a typed error at once.

--- /dev/null
+++ b/src/martenrun/agent/active.py
@@ -0,0 +1,110 @@
+"""State of one request at an agent, and how its errors are told truly.
+
+See also: :mod:`martenrun.agent.requests`.
+"""
+
+from dataclasses import dataclass, field
+
+from martenrun.errors import (
+    DeadlineExceededError,
+    EngineError,
+    MartenrunError,
+    OutcomeUnknownError,
+    Ran,
+    StreamBrokenError,
+    error_classes,
+)
+from martenrun.platform.engine import AttemptOutcome, AttemptResult
+from martenrun.wire.messages import DecideRequest, Grant, Refusal
+
+RETRY_AFTER_S = 1.0
+"""When to come back after a failure that may pass, in seconds."""
+
+_ERRORS = error_classes()
+_RAN_BY_OUTCOME = {
+    AttemptOutcome.COMPLETE: Ran.YES,
+    AttemptOutcome.BROKEN: Ran.YES,
+    AttemptOutcome.UNKNOWN: Ran.UNKNOWN,
+    AttemptOutcome.CALLER_GONE: Ran.UNKNOWN,
+    AttemptOutcome.NOT_RUN: Ran.NO,
+}
+_RAN_ORDER = (Ran.NO, Ran.UNKNOWN, Ran.YES)
+
+
+@dataclass
+class ActiveRequest:
+    """State of one request; ``attempt`` counts questions so that late answers do not match.
+
+    Attributes:
+        nodes: nodes to ask, the present one first.
+        deadline: when the request must have begun to answer, on the loop's clock.
+        asked_until: when the present node counts as silent.
+        resume_at: when a pause before the next question is over.
+        attempts: attempts at engines that have ended.
+        ran: whether any attempt ran it, as far as is known.
+        has_output: whether the caller has received output.
+    """
+
+    question: DecideRequest
+    repeatable: bool
+    state: str
+    nodes: list[str]
+    deadline: float
+    asked_until: float = 0.0
+    resume_at: float = 0.0
+    attempt: int = 0
+    attempts: int = 0
+    grant: Grant | None = None
+    refusal: Refusal | None = None
+    result: AttemptResult | None = None
+    first_token_s: float = 0.0
+    can_resume: bool = False
+    excluded: list[str] = field(default_factory=list)
+    ran: Ran = Ran.NO
+    has_output: bool = False
+
+    def take_result(self, result: AttemptResult) -> None:
+        """Record how an attempt ended."""
+        self.result = result
+        self.attempts += 1
+        self.ran = later_ran(self.ran, _RAN_BY_OUTCOME[result.outcome])
+        self.has_output = self.has_output or result.outcome is AttemptOutcome.BROKEN
+
+    def told(self, error: MartenrunError) -> MartenrunError:
+        """Return an error that is true of all attempts, not only of the last step."""
+        if self.has_output:
+            return StreamBrokenError(f"the stream broke and could not go on: {error.message}")
+        error.ran = later_ran(error.ran, self.ran)
+        return error
+
+    def refusal_error(self) -> MartenrunError:
+        """Return the error that a node's refusal names."""
+        assert self.refusal is not None
+        refusal = self.refusal
+        kind = _ERRORS.get(refusal.code, MartenrunError)
+        error = MartenrunError.__new__(kind)
+        MartenrunError.__init__(
+            error,
+            refusal.message,
+            remedy=refusal.remedy or None,
+            ran=Ran(refusal.ran),
+            retry_after_s=refusal.retry_after_s if refusal.retry_after_s >= 0 else None,
+        )
+        return error
+
+    def failure_error(self, now: float) -> MartenrunError:
+        """Return the error of the last attempt."""
+        assert self.result is not None
+        message = self.result.message
+        if self.result.outcome is AttemptOutcome.BROKEN:
+            return StreamBrokenError(message)
+        if now >= self.deadline:
+            return DeadlineExceededError(message, ran=self.ran)
+        if self.result.outcome is AttemptOutcome.NOT_RUN:
+            return EngineError(message, ran=Ran.NO, retry_after_s=RETRY_AFTER_S)
+        return OutcomeUnknownError(message)
+
+
+def later_ran(first: Ran, second: Ran) -> Ran:
+    """Return the stronger of two: yes before unknown before no."""
+    return max(first, second, key=_RAN_ORDER.index)
--- a/src/martenrun/agent/process.py
+++ b/src/martenrun/agent/process.py
@@ -34,19 +34,23 @@
                 Finish: self._port.deliver,
             },
         )
-        application = CallerApplication(self._port, lambda: configuration.state.view, settings.zone)
-        self._server = HttpServer(application, settings.http_address, settings.http_threads)
+        application = CallerApplication(self._port, lambda: configuration.state.view, settings)
+        self._server = HttpServer(
+            application, settings.http_address, settings.max_streams + settings.http_threads
+        )
         self._clock = Clock(self._loop.tell)
 
     def start(self) -> None:
         """Start every driver."""
         self._transport.start()
         self._clock.start()
+        self._port.watch.start()
         self._server.start()
 
     def stop(self) -> None:
         """Stop every driver and the loop."""
         self._server.stop()
         self._clock.stop()
+        self._port.watch.stop()
         self._transport.stop()
         self._loop.stop()
--- a/src/martenrun/agent/requests.py
+++ b/src/martenrun/agent/requests.py
@@ -6,21 +6,15 @@
 See also: ``statecharts/request.toml``, :mod:`martenrun.edge.forward`.
 """
 
+import random
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
+from martenrun.agent.active import RETRY_AFTER_S, ActiveRequest, later_ran
+from martenrun.agent.retry import RetryBudget, pause_s
 from martenrun.claims.record import ClaimState
-from martenrun.constants import DECISION_TIMEOUT_S
-from martenrun.errors import (
-    DeadlineExceededError,
-    EngineError,
-    MartenrunError,
-    NodeUnavailableError,
-    OutcomeUnknownError,
-    Ran,
-    StreamBrokenError,
-    error_classes,
-)
+from martenrun.constants import DECISION_TIMEOUT_S, RESUME_WINDOW_S
+from martenrun.errors import DeadlineExceededError, MartenrunError, NodeUnavailableError, Ran
 from martenrun.events import (
     AttemptEnded,
     CallerGone,
@@ -39,37 +33,16 @@
 from martenrun.wire.messages import (
     AttemptReport,
     ClaimReport,
-    DecideRequest,
     Grant,
     Queued,
     Refusal,
+    WithdrawRequest,
 )
-from martenrun.wire.messages import WithdrawRequest as Withdraw
 
 MAXIMUM_ATTEMPTS = 4
 """Attempts at engines for one request, the first included."""
 
 _CHART = load_chart("request")
-_ERRORS = error_classes()
-
-
-@dataclass
-class ActiveRequest:
-    """State of one request; ``attempt`` counts questions so that late answers do not match."""
-
-    question: DecideRequest
-    repeatable: bool
-    state: str
-    nodes: list[str]
-    deadline: float
-    asked_until: float = 0.0
-    attempt: int = 0
-    grant: Grant | None = None
-    refusal: Refusal | None = None
-    result: AttemptResult | None = None
-    first_token_s: float = 0.0
-    excluded: list[str] = field(default_factory=list)
-    ran: Ran = Ran.NO
 
 
 class RequestsLogic:
@@ -77,10 +50,15 @@
 
     Args:
         live_nodes: returns the addresses of nodes that may be asked.
+        rng: source of jitter.
     """
 
-    def __init__(self, live_nodes: Callable[[], list[str]]) -> None:
+    def __init__(
+        self, live_nodes: Callable[[], list[str]], rng: random.Random | None = None
+    ) -> None:
         self._live_nodes = live_nodes
+        self._rng = rng or random.Random()
+        self._budget = RetryBudget()
         self._active: dict[str, ActiveRequest] = {}
         self._actions: dict[str, Callable[[ActiveRequest, float], list[Instruction]]] = {
             "run_attempt": self._run_attempt,
@@ -93,6 +71,7 @@
             "report": self._report,
             "answer_complete": self._answer_complete,
             "exclude_runner": self._exclude_runner,
+            "pause": self._pause,
             "ask_again": self._ask_again,
             "answer_failure": self._answer_failure,
         }
@@ -112,7 +91,7 @@
             case AttemptEnded():
                 return self._attempt_ended(event, now)
             case CallerGone():
-                return self._step(event.request_id, "caller_gone", now)
+                return self._caller_gone(event.request_id, now)
             case Tick():
                 return self._check_times(now)
             case _:
@@ -129,6 +108,7 @@
             now + question.deadline_s,
         )
         self._active[question.request_id] = request
+        self._budget.earn()
         if not request.nodes:
             return self._step(question.request_id, "no_node_left", now)
         return self._ask(request, now)
@@ -153,37 +133,48 @@
         request = self._active.get(event.request_id)
         if request is None or event.attempt != request.attempt:
             return []
-        request.result = event.result
+        request.take_result(event.result)
         request.first_token_s = event.first_token_s
-        return self._step(event.request_id, self._classified(request), now)
+        request.can_resume = event.can_resume
+        return self._step(event.request_id, self._classified(request, now), now)
 
-    def _classified(self, request: ActiveRequest) -> str:
-        """Return the chart event for the attempt's outcome.
+    def _caller_gone(self, request_id: str, now: float) -> list[Instruction]:
+        request = self._active.get(request_id)
+        if request is not None and request.state == "running":
+            request.ran = later_ran(request.ran, Ran.UNKNOWN)
+        return self._step(request_id, "caller_gone", now)
 
-        A non-repeatable request is tried again only if it certainly was not run; a
-        repeatable one also if no output has reached the caller.
-        """
+    def _classified(self, request: ActiveRequest, now: float) -> str:
+        """Return the chart event for the attempt's outcome."""
         assert request.result is not None
         outcome = request.result.outcome
         if outcome is AttemptOutcome.COMPLETE:
             return "completed"
-        if outcome is AttemptOutcome.CALLER_GONE:
-            return "caller_gone"
-        attempts_left = len(request.excluded) + 1 < MAXIMUM_ATTEMPTS
-        may_repeat = outcome is AttemptOutcome.NOT_RUN or (
-            outcome is AttemptOutcome.UNKNOWN and request.repeatable
-        )
-        return "may_retry" if attempts_left and may_repeat else "failed"
+        if request.attempts >= MAXIMUM_ATTEMPTS or not self._may_run_again(request):
+            return "failed"
+        if outcome is AttemptOutcome.BROKEN:
+            request.deadline = max(request.deadline, now + RESUME_WINDOW_S)
+            return "may_resume"
+        if now >= request.deadline or not self._budget.spend():
+            return "failed"
+        return "may_retry"
+
+    @staticmethod
+    def _may_run_again(request: ActiveRequest) -> bool:
+        """Whether another attempt is right.
+
+        A request that certainly was not run may always be tried again.  One that may have
+        run must be repeatable, and one whose caller has output must be resumable.
+        """
+        if request.has_output and not request.can_resume:
+            return False
+        return request.ran is Ran.NO or request.repeatable
 
     def _check_times(self, now: float) -> list[Instruction]:
         instructions: list[Instruction] = []
         for request_id, request in list(self._active.items()):
-            if request.state != "deciding":
-                continue
-            if now >= request.deadline:
-                instructions += self._step(request_id, "deadline_passed", now)
-            elif now >= request.asked_until:
-                event = "node_silent" if len(request.nodes) > 1 else "no_node_left"
+            event = _due_event(request, now)
+            if event:
                 instructions += self._step(request_id, event, now)
         return instructions
 
@@ -217,7 +208,7 @@
 
     def _run_attempt(self, request: ActiveRequest, now: float) -> list[Instruction]:
         assert request.grant is not None
-        request.ran = Ran.UNKNOWN
+        request.result = None
         return [RunAttempt(request.question.request_id, request.grant)]
 
     def _wait_longer(self, request: ActiveRequest, now: float) -> list[Instruction]:
@@ -227,7 +218,7 @@
     def _withdraw(self, request: ActiveRequest, now: float) -> list[Instruction]:
         if not request.nodes:
             return []
-        withdrawal = Withdraw(request.question.request_id, request.attempt)
+        withdrawal = WithdrawRequest(request.question.request_id, request.attempt)
         return [Send(request.nodes[0], withdrawal)]
 
     def _ask_next_node(self, request: ActiveRequest, now: float) -> list[Instruction]:
@@ -257,53 +248,52 @@
         )
         return [Send(request.nodes[0], report)]
 
-    def _finish(self, request: ActiveRequest, error: MartenrunError | None) -> list[Instruction]:
-        request.ran = Ran.YES if error is None else error.ran
-        return [Finish(request.question.request_id, error, request.result)]
+    def _pause(self, request: ActiveRequest, now: float) -> list[Instruction]:
+        request.resume_at = now + pause_s(request.attempts, self._rng)
+        return []
+
+    @staticmethod
+    def _refuse(request: ActiveRequest, error: MartenrunError) -> list[Instruction]:
+        told = request.told(error)
+        request.ran = told.ran
+        return [Finish(request.question.request_id, told)]
 
     def _answer_complete(self, request: ActiveRequest, now: float) -> list[Instruction]:
-        return self._finish(request, None)
+        return [Finish(request.question.request_id, None, request.result)]
 
     def _answer_refusal(self, request: ActiveRequest, now: float) -> list[Instruction]:
-        assert request.refusal is not None
-        refusal = request.refusal
-        kind = _ERRORS.get(refusal.code, MartenrunError)
-        retry_after_s = refusal.retry_after_s if refusal.retry_after_s >= 0 else None
-        error = MartenrunError.__new__(kind)
-        MartenrunError.__init__(
-            error,
-            refusal.message,
-            remedy=refusal.remedy or None,
-            ran=Ran(refusal.ran),
-            retry_after_s=retry_after_s,
-        )
-        return self._finish(request, error)
+        return self._refuse(request, request.refusal_error())
 
     def _answer_node_unavailable(self, request: ActiveRequest, now: float) -> list[Instruction]:
-        error = NodeUnavailableError("no node answered in time", retry_after_s=1.0)
-        return self._finish(request, error)
+        error = NodeUnavailableError("no node answered in time", retry_after_s=RETRY_AFTER_S)
+        return self._refuse(request, error)
 
     def _answer_deadline(self, request: ActiveRequest, now: float) -> list[Instruction]:
-        return self._finish(request, DeadlineExceededError("the deadline passed in the queue"))
+        error = DeadlineExceededError("the deadline passed in the queue")
+        return self._refuse(request, error)
 
     def _answer_failure(self, request: ActiveRequest, now: float) -> list[Instruction]:
-        assert request.result is not None
-        message = request.result.message
-        error: MartenrunError
-        if request.result.outcome is AttemptOutcome.NOT_RUN:
-            error = EngineError(message, ran=Ran.NO, retry_after_s=1.0)
-        elif request.result.outcome is AttemptOutcome.BROKEN:
-            error = StreamBrokenError(message)
-        else:
-            error = OutcomeUnknownError(message)
-        return self._finish(request, error)
+        return self._refuse(request, request.failure_error(now))
+
+
+def _due_event(request: ActiveRequest, now: float) -> str:
+    """Return the chart event that time alone causes, or an empty string."""
+    if request.state == "running":
+        return ""
+    if now >= request.deadline:
+        return "deadline_passed"
+    if request.state == "pausing":
+        return "pause_over" if now >= request.resume_at else ""
+    if now < request.asked_until:
+        return ""
+    return "node_silent" if len(request.nodes) > 1 else "no_node_left"
 
 
 def _declined(peer: str, answer: Grant | Refusal | Queued) -> list[Instruction]:
     """Give back a grant that nobody waits for any more."""
     if not isinstance(answer, Grant):
         return []
-    return [Send(peer, Withdraw(answer.request_id, answer.attempt))]
+    return [Send(peer, WithdrawRequest(answer.request_id, answer.attempt))]
 
 
 def _claim_report(request: ActiveRequest) -> list[Instruction]:
--- a/src/martenrun/constants.py
+++ b/src/martenrun/constants.py
@@ -26,3 +26,6 @@
 
 CLAIM_KIND = "claims"
 """Kind of claim objects in the object API; not a kind that operators publish."""
+
+RESUME_WINDOW_S = 5.0
+"""Time that a broken stream is given to go on elsewhere, past its deadline too, in seconds."""
--- a/src/martenrun/edge/application.py
+++ b/src/martenrun/edge/application.py
@@ -1,18 +1,22 @@
 """WSGI application of the caller's API, the same on agents and on nodes."""
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from typing import Any
 
-from absl import logging
 from prometheus_client import generate_latest
 from werkzeug.wrappers import Request, Response
 
 from martenrun.configuration.view import ConfigurationView
 from martenrun.edge.forward import CallerLeft, EdgePort, Forwarder
-from martenrun.edge.request import CallerRequest, bearer_token, parse_request
-from martenrun.edge.responses import error_body, error_response, json_response
+from martenrun.edge.request import bearer_token, parse_request, read_body
+from martenrun.edge.responses import error_response, json_response
+from martenrun.edge.streams import PieceStream, StreamSlot, StreamSlots
 from martenrun.errors import MartenrunError, NodeUnavailableError
 from martenrun.platform.engine import EngineConnections
+from martenrun.settings.model import ProcessSettings
+
+CALLER_LEFT_STATUS = 499
+"""Status in the logs of a request whose caller left; nobody receives it."""
 
 _COMPLETION_PATHS = ("/v1/completions", "/v1/chat/completions")
 
@@ -23,13 +27,19 @@
     Args:
         port: connection to the process's loop.
         view: returns the configuration in force.
-        zone: zone of this process.
+        settings: zone, limits and time-outs of this process.
     """
 
-    def __init__(self, port: EdgePort, view: Callable[[], ConfigurationView], zone: str) -> None:
+    def __init__(
+        self,
+        port: EdgePort,
+        view: Callable[[], ConfigurationView],
+        settings: ProcessSettings,
+    ) -> None:
         self._port = port
         self._view = view
-        self._zone = zone
+        self._settings = settings
+        self._slots = StreamSlots(settings.max_streams)
         self._engines = EngineConnections()
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
@@ -40,7 +50,7 @@
         except MartenrunError as error:
             response = error_response(error)
         except CallerLeft:
-            response = Response(status=499)
+            response = Response(status=CALLER_LEFT_STATUS)
         return response(environ, start_response)
 
     def _serve(self, request: Request) -> Response:
@@ -72,11 +82,29 @@
         return json_response({"object": "list", "data": models})
 
     def _complete(self, request: Request) -> Response:
+        slot = self._slots.take()
+        try:
+            return self._carry(request, slot)
+        except BaseException:
+            slot.give_back()
+            raise
+
+    def _carry(self, request: Request, slot: StreamSlot) -> Response:
         caller_request = parse_request(
-            request.path, request.headers, request.get_data(), self._view(), self._zone
+            request.path,
+            request.headers,
+            read_body(request),
+            self._view(),
+            self._settings.zone,
         )
         caller_gone = request.environ.get("waitress.client_disconnected", lambda: False)
-        pieces = Forwarder(self._port, self._engines, caller_request, caller_gone).run()
+        pieces = Forwarder(
+            self._port,
+            self._engines,
+            caller_request,
+            caller_gone,
+            self._settings.token_gap_timeout_s,
+        ).run()
         # The first piece decides the status: errors before any output become a typed body.
         first = next(pieces, b"")
         headers = {
@@ -84,33 +112,5 @@
             "X-Martenrun-Request-Id": caller_request.question.request_id,
         }
         mimetype = "text/event-stream" if caller_request.stream else "application/json"
-        content = _PieceStream(first, pieces, caller_request)
+        content = PieceStream(first, pieces, caller_request, slot)
         return Response(content, headers=headers, mimetype=mimetype)
-
-
-class _PieceStream:
-    """Iterator over output that ends a broken stream with a typed error event."""
-
-    def __init__(self, first: bytes, rest: Iterator[bytes], request: CallerRequest) -> None:
-        self._pieces = self._chained(first, rest)
-        self._rest = rest
-        self._request = request
-
-    def __iter__(self) -> Iterator[bytes]:
-        return self._pieces
-
-    def close(self) -> None:
-        """Stop the request; called by the HTTP server also when the caller has gone."""
-        self._pieces.close()
-        close = getattr(self._rest, "close", None)
-        if close is not None:
-            close()
-
-    def _chained(self, first: bytes, rest: Iterator[bytes]) -> Any:
-        yield first
-        try:
-            yield from rest
-        except MartenrunError as error:
-            question = self._request.question
-            logging.warning("request %s ended with %s", question.request_id, error.code)
-            yield b"event: error\ndata: " + error_body(error) + b"\n\n"
--- a/src/martenrun/edge/forward.py
+++ b/src/martenrun/edge/forward.py
@@ -11,12 +11,25 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
+from martenrun.constants import ENGINE_READ_TIMEOUT_S, RESUME_WINDOW_S
 from martenrun.edge.request import CallerRequest
+from martenrun.edge.watch import CallerWatch, WatchedCaller
 from martenrun.errors import MartenrunError
 from martenrun.events import AttemptEnded, CallerGone, Event, Finish, RequestArrived, RunAttempt
-from martenrun.platform.engine import EngineConnections, EngineRequest
+from martenrun.platform.attempt import EngineAttempt
+from martenrun.platform.engine import AttemptOutcome, EngineConnections, EngineRequest
+from martenrun.platform.stream_progress import StreamProgress
 
-Mailbox = queue.SimpleQueue[RunAttempt | Finish]
+MINIMUM_WAIT_S = 0.05
+"""Shortest time an engine is given for its first token, in seconds."""
+
+
+@dataclass(frozen=True)
+class CallerNotice:
+    """The caller has gone; put into a mailbox to end a wait."""
+
+
+Mailbox = queue.SimpleQueue[RunAttempt | Finish | CallerNotice]
 
 
 @dataclass
@@ -26,10 +39,12 @@
     Attributes:
         tell: gives an event to the loop.
         mailboxes: where each request's instructions are put, by request id.
+        watch: notices callers who have gone.
     """
 
     tell: Callable[[Event], None]
     mailboxes: dict[str, Mailbox] = field(default_factory=dict)
+    watch: CallerWatch = field(default_factory=CallerWatch)
 
     def deliver(self, instruction: RunAttempt | Finish) -> None:
         """Hand an instruction of the loop to the thread that carries the request."""
@@ -47,13 +62,19 @@
         engines: EngineConnections,
         request: CallerRequest,
         caller_gone: Callable[[], bool],
+        token_gap_timeout_s: float,
     ) -> None:
         self._port = port
         self._engines = engines
         self._request = request
         self._caller_gone = caller_gone
+        self._token_gap_timeout_s = token_gap_timeout_s
         self._mailbox: Mailbox = queue.SimpleQueue()
         self._request_id = request.question.request_id
+        self._progress = StreamProgress()
+        self._deadline = time.monotonic() + request.question.deadline_s
+        self._attempt: EngineAttempt | None = None
+        self._has_left = False
 
     def run(self) -> Iterator[bytes]:
         """Yield server-sent events, or one whole body; raises a MartenrunError at the end.
@@ -62,53 +83,81 @@
         engine's work.
         """
         self._port.mailboxes[self._request_id] = self._mailbox
+        self._port.watch.add(self._request_id, WatchedCaller(self._caller_gone, self._leave))
+        is_over = False
         try:
             self._port.tell(RequestArrived(self._request.question, self._request.repeatable))
             while True:
-                instruction = self._next_instruction()
+                instruction = self._mailbox.get()
+                if isinstance(instruction, CallerNotice):
+                    raise CallerLeft
                 if isinstance(instruction, Finish):
                     break
-                yield from self._attempt(instruction)
+                yield from self._run_attempt(instruction)
+            is_over = True
             yield from _final_pieces(instruction)
         finally:
+            if not is_over:
+                self._port.tell(CallerGone(self._request_id))
+            self._port.watch.remove(self._request_id)
             del self._port.mailboxes[self._request_id]
 
-    def _next_instruction(self) -> RunAttempt | Finish:
-        while True:
-            try:
-                return self._mailbox.get(timeout=0.5)
-            except queue.Empty:
-                if self._caller_gone():
-                    self._port.tell(CallerGone(self._request_id))
-                    raise CallerLeft from None
+    def _leave(self) -> None:
+        """End every wait of this request; called from the watching thread."""
+        self._has_left = True
+        attempt = self._attempt
+        if attempt is not None:
+            attempt.abort()
+        self._mailbox.put(CallerNotice())
 
-    def _attempt(self, instruction: RunAttempt) -> Iterator[bytes]:
+    def _run_attempt(self, instruction: RunAttempt) -> Iterator[bytes]:
         grant = instruction.grant
-        body = self._request.engine_body(grant.priority)
-        engine_request = EngineRequest(
-            self._request.path, body, grant.incarnation, self._request.stream
-        )
         started = time.monotonic()
         first_token_s = 0.0
-        attempt = self._engines.start(grant.address, engine_request)
-        finished = False
+        attempt = EngineAttempt(grant.address, self._engine_request(instruction), self._progress)
+        self._attempt = attempt
+        if self._has_left:
+            raise CallerLeft
         try:
             for piece in attempt.events():
                 first_token_s = first_token_s or time.monotonic() - started
                 yield piece
-            finished = True
         finally:
-            if not finished:
+            self._attempt = None
+            if attempt.result.outcome is AttemptOutcome.CALLER_GONE:
+                attempt.abort()
                 self._engines.cancel(grant.address, self._request_id)
-                self._port.tell(CallerGone(self._request_id))
             attempt.close()
+        if attempt.result.outcome is AttemptOutcome.CALLER_GONE:
+            raise CallerLeft
         self._port.tell(
-            AttemptEnded(self._request_id, grant.attempt, attempt.result, first_token_s)
+            AttemptEnded(
+                self._request_id,
+                grant.attempt,
+                attempt.result,
+                first_token_s,
+                can_resume=self._progress.can_resume,
+            )
+        )
+
+    def _engine_request(self, instruction: RunAttempt) -> EngineRequest:
+        grant = instruction.grant
+        least_s = RESUME_WINDOW_S if self._progress.has_events else MINIMUM_WAIT_S
+        left_s = max(least_s, self._deadline - time.monotonic())
+        # Only a stream shows that it lives before it is whole.
+        silence_s = min(ENGINE_READ_TIMEOUT_S, left_s) if self._request.stream else left_s
+        return EngineRequest(
+            self._request.path,
+            self._request.engine_body(grant.priority, self._progress.resume_fields()),
+            grant.incarnation,
+            self._request.stream,
+            silence_s,
+            self._token_gap_timeout_s,
         )
 
 
 class CallerLeft(Exception):  # noqa: N818 - it is not an error
-    """The caller closed its connection while its request waited."""
+    """The caller closed its connection before its request was over."""
 
 
 def _final_pieces(finish: Finish) -> Iterator[bytes]:
--- a/src/martenrun/edge/request.py
+++ b/src/martenrun/edge/request.py
@@ -5,15 +5,23 @@
 
 import msgspec
 from werkzeug.datastructures import Headers
+from werkzeug.wrappers import Request
 
 from martenrun.configuration.view import ConfigurationView
-from martenrun.errors import DeadlineExceededError, InvalidKeyError, InvalidRequestError
+from martenrun.constants import MAXIMUM_BODY_BYTES
+from martenrun.errors import (
+    BodyTooLargeError,
+    DeadlineExceededError,
+    InvalidKeyError,
+    InvalidRequestError,
+)
 from martenrun.identity.chain import chain_seed, hash_chain
 from martenrun.identity.prompt import (
     ChatMessage,
     canonical_chat_text,
     canonical_completion_text,
 )
+from martenrun.platform.stream_progress import ResumeFields
 from martenrun.wire.messages import DecideRequest
 
 DEFAULT_DEADLINE_S = 60.0
@@ -50,18 +58,31 @@
     stream: bool
     fields: dict[str, object]
 
-    def engine_body(self, priority: int) -> bytes:
-        """Encode the body for the engine."""
-        added = {
+    def engine_body(self, priority: int, resume: ResumeFields | None) -> bytes:
+        """Encode the body for the engine; ``resume`` is what the caller has already."""
+        added: dict[str, object] = {
             "cache_salt": self.question.tenant,
-            "request_id": f"{self.question.request_id}",
+            "request_id": self.question.request_id,
             "priority": priority,
+            "resume_from": resume.resume_from if resume else 0,
+            "resume_text": resume.resume_text if resume else "",
         }
         if self.stream:
             added["stream_options"] = {"include_usage": True}
         return msgspec.json.encode({**self.fields, **added})
 
 
+def read_body(request: Request) -> bytes:
+    """Read the body; raises BodyTooLargeError.
+
+    The HTTP server has the whole body before the application starts, so this never waits.
+    """
+    size = request.content_length or 0
+    if size > MAXIMUM_BODY_BYTES:
+        raise BodyTooLargeError(f"the body has {size} bytes; {MAXIMUM_BODY_BYTES} are allowed")
+    return request.get_data()
+
+
 def bearer_token(headers: Headers) -> str:
     """Return the bearer token; raises InvalidKeyError if there is none."""
     scheme, _, token = headers.get("Authorization", "").partition(" ")
--- a/src/martenrun/edge/server.py
+++ b/src/martenrun/edge/server.py
@@ -4,15 +4,28 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from waitress.server import create_server
+from waitress.channel import HTTPChannel
+from waitress.server import TcpWSGIServer, create_server
+from waitress.task import ErrorTask
+from waitress.utilities import RequestEntityTooLarge, RequestHeaderFieldsTooLarge
 
 from martenrun.constants import MAXIMUM_BODY_BYTES
+from martenrun.edge.responses import error_body
+from martenrun.errors import (
+    BodyTooLargeError,
+    HeadersTooLargeError,
+    InvalidRequestError,
+    MartenrunError,
+)
 from martenrun.wire.transport import parse_address
 
 WsgiApplication = Callable[..., Iterable[bytes]]
 
-_MAXIMUM_HEADER_BYTES = 64 * 1024
-_CHANNEL_TIMEOUT_S = 60
+MAXIMUM_HEADER_BYTES = 64 * 1024
+"""Largest request line and headers accepted, in bytes."""
+
+CHANNEL_TIMEOUT_S = 30
+"""Time after which a connection that sends nothing, or half a request, is closed."""
 
 
 class HttpServer:
@@ -27,13 +40,15 @@
             threads=threads,
             connection_limit=threads * 4,
             max_request_body_size=MAXIMUM_BODY_BYTES,
-            max_request_header_size=_MAXIMUM_HEADER_BYTES,
-            channel_timeout=_CHANNEL_TIMEOUT_S,
+            max_request_header_size=MAXIMUM_HEADER_BYTES,
+            channel_timeout=CHANNEL_TIMEOUT_S,
             channel_request_lookahead=1,
             # Each piece of a stream is sent at once instead of being gathered.
             send_bytes=1,
             ident="martenrun",
         )
+        assert isinstance(self._server, TcpWSGIServer)
+        self._server.channel_class = _Channel
         self._thread = threading.Thread(target=self._server.run, name="http", daemon=True)
 
     @property
@@ -48,3 +63,30 @@
     def stop(self) -> None:
         """Stop accepting and close every connection."""
         self._server.close()
+
+
+class _TypedErrorTask(ErrorTask):
+    """Answers a request that could not be read with a typed error body."""
+
+    def execute(self) -> None:
+        error = _typed(self.request.error)
+        body = error_body(error)
+        self.status = f"{error.http_status} {self.request.error.reason}"
+        self.response_headers.append(("Content-Type", "application/json"))
+        self.set_close_on_finish()
+        self.content_length = len(body)
+        self.write(body)
+
+
+class _Channel(HTTPChannel):
+    error_task_class = _TypedErrorTask
+
+
+def _typed(error: Any) -> MartenrunError:
+    if isinstance(error, RequestEntityTooLarge):
+        return BodyTooLargeError(f"the body is over {MAXIMUM_BODY_BYTES} bytes")
+    if isinstance(error, RequestHeaderFieldsTooLarge):
+        return HeadersTooLargeError(f"the headers are over {MAXIMUM_HEADER_BYTES} bytes")
+    if error.code >= 500:
+        return MartenrunError(str(error.body))
+    return InvalidRequestError(f"the request cannot be read: {error.body}")
--- /dev/null
+++ b/src/martenrun/edge/streams.py
@@ -0,0 +1,99 @@
+"""Requests carried by one process: their bounded number, and how a stream ends.
+
+See also: :mod:`martenrun.edge.application`.
+"""
+
+import threading
+from collections.abc import Iterator
+from typing import Any
+
+from absl import logging
+
+from martenrun.edge.forward import CallerLeft
+from martenrun.edge.request import CallerRequest
+from martenrun.edge.responses import error_body
+from martenrun.errors import EdgeFullError, MartenrunError
+
+RETRY_AFTER_S = 1.0
+"""When a caller refused for want of a slot should come back, in seconds."""
+
+
+class StreamSlots:
+    """Slots of the requests that a process carries at a time; thread-safe."""
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._lock = threading.Lock()
+        self._taken = 0
+
+    @property
+    def taken(self) -> int:
+        """Requests carried now."""
+        return self._taken
+
+    def take(self) -> "StreamSlot":
+        """Take a slot; raises EdgeFullError at once if there is none."""
+        with self._lock:
+            if self._taken >= self._limit:
+                message = f"this process carries {self._limit} requests already"
+                raise EdgeFullError(message, retry_after_s=RETRY_AFTER_S)
+            self._taken += 1
+        return StreamSlot(self)
+
+    def _give_back(self) -> None:
+        with self._lock:
+            self._taken -= 1
+
+
+class StreamSlot:
+    """One request's slot."""
+
+    def __init__(self, slots: StreamSlots) -> None:
+        self._slots: StreamSlots | None = slots
+
+    def give_back(self) -> None:
+        """Give the slot back; later calls do nothing."""
+        slots, self._slots = self._slots, None
+        if slots is not None:
+            slots._give_back()
+
+
+class PieceStream:
+    """Iterator over a request's output that ends a broken stream with a typed error event."""
+
+    def __init__(
+        self, first: bytes, rest: Iterator[bytes], request: CallerRequest, slot: StreamSlot
+    ) -> None:
+        self._pieces: Any = self._chained(first, rest)
+        self._rest: Any = rest
+        self._request = request
+        self._slot = slot
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self._pieces
+
+    def close(self) -> None:
+        """Stop the request; called by the HTTP server also when the caller has gone."""
+        try:
+            self._pieces.close()
+            self._rest.close()
+        finally:
+            self._slot.give_back()
+
+    def _chained(self, first: bytes, rest: Iterator[bytes]) -> Iterator[bytes]:
+        yield first
+        try:
+            yield from rest
+        except CallerLeft:
+            return
+        except MartenrunError as error:
+            yield self._error_event(error)
+        except Exception:
+            # A fault of our own must not end a stream silently either.
+            logging.exception("carrying a stream failed")
+            yield self._error_event(MartenrunError("the router failed"))
+
+    def _error_event(self, error: MartenrunError) -> bytes:
+        question = self._request.question
+        logging.warning("request %s ended with %s", question.request_id, error.code)
+        return b"event: error\ndata: " + error_body(error) + b"\n\n"
--- a/src/martenrun/errors.py
+++ b/src/martenrun/errors.py
@@ -131,6 +131,22 @@
     remedy = "Come back after the time given in Retry-After."
 
 
+class EdgeFullError(MartenrunError):
+    """This process carries as many streams as it can carry well."""
+
+    code = "edge_full"
+    http_status = 503
+    remedy = "Come back after Retry-After, or use another agent or node."
+
+
+class HeadersTooLargeError(InvalidRequestError):
+    """The request's headers are over the limit."""
+
+    code = "headers_too_large"
+    http_status = 431
+    remedy = "Send fewer or shorter headers."
+
+
 class NoRunnerError(MartenrunError):
     """No live runner can serve the model."""
 
--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -67,12 +67,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
-    """An attempt at an engine is over."""
+    """An attempt at an engine is over.
+
+    ``can_resume`` tells whether another engine could go on with a broken stream.
+    """
 
     request_id: str
     attempt: int
     result: AttemptResult
     first_token_s: float
+    can_resume: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -53,7 +53,7 @@
         claims = ClaimsLogic(own_address)
         self._loop: Any = None
         self._store_workers = StoreWorkers(self._store, lambda event: self._loop.tell(event))
-        port = EdgePort(tell=lambda event: self._loop.tell(event))
+        self._port = port = EdgePort(tell=lambda event: self._loop.tell(event))
         self._transport = PeerTransport(
             own_address,
             settings.cluster_secret.encode(),
@@ -70,10 +70,12 @@
                 StoreRead: self._store_workers.carry,
             },
         )
-        caller = CallerApplication(port, self._view, settings.zone)
+        caller = CallerApplication(port, self._view, settings)
         admin = AdminApplication(self._store, self._view, settings.bootstrap_key_sha256)
         application = NodeApplication(caller, admin)
-        self._server = HttpServer(application, settings.http_address, settings.http_threads)
+        self._server = HttpServer(
+            application, settings.http_address, settings.max_streams + settings.http_threads
+        )
         self._clock = Clock(self._loop.tell)
         self._pollers = [
             Poller("store-watch", self._watch_store, pause_s=0.0),
@@ -85,6 +87,7 @@
         """Start every driver."""
         self._transport.start()
         self._clock.start()
+        self._port.watch.start()
         for poller in self._pollers:
             poller.start()
         self._server.start()
@@ -95,6 +98,7 @@
         for poller in self._pollers:
             poller.stop()
         self._clock.stop()
+        self._port.watch.stop()
         self._transport.stop()
         self._store_workers.stop()
         self._loop.stop()
--- /dev/null
+++ b/tests/test_requests.py
@@ -0,0 +1,241 @@
+"""A request's life at the agent: silence, retries, resuming, late answers, true errors."""
+
+import random
+
+import pytest
+
+from martenrun.agent.requests import MAXIMUM_ATTEMPTS, RequestsLogic
+from martenrun.agent.retry import MAXIMUM_SAVED
+from martenrun.constants import DECISION_TIMEOUT_S
+from martenrun.events import (
+    AttemptEnded,
+    CallerGone,
+    Finish,
+    PeerMessage,
+    RequestArrived,
+    RunAttempt,
+    Send,
+    Tick,
+)
+from martenrun.platform.engine import AttemptOutcome, AttemptResult
+from martenrun.wire.messages import (
+    AttemptReport,
+    ClaimReport,
+    DecideRequest,
+    Grant,
+    Queued,
+    Refusal,
+    WithdrawRequest,
+)
+
+
+class Agent:
+    """Runs the logic and keeps what it gives back."""
+
+    def __init__(self, nodes=("node-a", "node-b")):
+        self.logic = RequestsLogic(lambda: list(nodes), random.Random(1))
+        self.now = 0.0
+        self.out = []
+
+    def tell(self, event):
+        self.out += self.logic.handle(event, self.now)
+
+    def arrive(self, request_id="r", repeatable=True, key="", deadline_s=10.0):
+        question = DecideRequest(
+            request_id, "growers", "reader", deadline_s=deadline_s, idempotency_key=key
+        )
+        self.tell(RequestArrived(question, repeatable))
+
+    def wait(self, seconds):
+        self.now += seconds
+        self.tell(Tick())
+
+    def sent(self, kind):
+        return [
+            item for item in self.out if isinstance(item, Send) and isinstance(item.message, kind)
+        ]
+
+    def asked(self):
+        return self.sent(DecideRequest)[-1]
+
+    def grant(self, runner="engine-0", request_id="r", attempt=None):
+        asked = self.asked()
+        attempt = asked.message.attempt if attempt is None else attempt
+        self.tell(PeerMessage(asked.peer, Grant(request_id, attempt, runner)))
+
+    def refuse(self, code="no_runner"):
+        asked = self.asked()
+        refusal = Refusal("r", asked.message.attempt, code, "none", "", "no", 1.5)
+        self.tell(PeerMessage(asked.peer, refusal))
+
+    def end(self, outcome, can_resume=True):
+        attempt = self.runs()[-1].grant.attempt
+        self.tell(AttemptEnded("r", attempt, AttemptResult(outcome), 0.1, can_resume))
+
+    def runs(self):
+        return [item for item in self.out if isinstance(item, RunAttempt)]
+
+    def error(self):
+        (finish,) = [item for item in self.out if isinstance(item, Finish)]
+        return finish.error
+
+
+@pytest.fixture
+def agent():
+    return Agent()
+
+
+def test_after_a_nodes_silence_the_next_is_asked_and_the_last_silence_is_answered(agent):
+    agent.arrive()
+    first = agent.asked().peer
+    agent.wait(DECISION_TIMEOUT_S)
+    assert agent.asked().peer != first
+    assert agent.sent(WithdrawRequest)[0].peer == first
+    agent.wait(DECISION_TIMEOUT_S)
+    assert (agent.error().code, agent.error().ran) == ("node_unavailable", "no")
+    assert agent.error().retry_after_s is not None
+    assert agent.logic.active_count == 0
+
+
+def test_queued_notices_keep_a_question_waiting_until_its_deadline_and_no_longer(agent):
+    agent.arrive(deadline_s=2.0)
+    for _ in range(4):
+        agent.wait(0.5)
+        agent.tell(PeerMessage("node", Queued("r", 1, 9.0)))
+    assert agent.error().code == "deadline_exceeded"
+    assert agent.sent(WithdrawRequest)
+
+
+def test_late_crossing_and_repeated_answers_reach_nobody(agent):
+    agent.arrive()
+    agent.wait(DECISION_TIMEOUT_S)
+    agent.grant("late", attempt=1)
+    assert agent.runs() == []
+    agent.grant("engine-1")
+    agent.grant("again")
+    agent.grant("stranger", request_id="other")
+    assert [run.grant.runner for run in agent.runs()] == ["engine-1"]
+    declined = [
+        (item.message.request_id, item.message.attempt) for item in agent.sent(WithdrawRequest)
+    ]
+    assert declined == [("r", 1), ("r", 1), ("other", 2)]
+    agent.end(AttemptOutcome.COMPLETE)
+    assert agent.error() is None
+    assert agent.sent(AttemptReport)[0].message.runner == "engine-1"
+
+
+@pytest.mark.parametrize(
+    ("repeatable", "outcome", "again"),
+    [
+        (True, AttemptOutcome.NOT_RUN, True),
+        (True, AttemptOutcome.UNKNOWN, True),
+        (True, AttemptOutcome.BROKEN, True),
+        (False, AttemptOutcome.NOT_RUN, True),
+        (False, AttemptOutcome.UNKNOWN, False),
+        (False, AttemptOutcome.BROKEN, False),
+    ],
+)
+def test_only_what_may_run_again_does(agent, repeatable, outcome, again):
+    agent.arrive(repeatable=repeatable)
+    agent.grant()
+    agent.end(outcome)
+    agent.wait(DECISION_TIMEOUT_S / 2)
+    questions = agent.sent(DecideRequest)
+    assert (len(questions) == 2) is again
+    if again:
+        assert questions[1].message.excluded_runners == ["engine-0"]
+        assert agent.logic.active_count == 1
+    else:
+        assert agent.error().ran in ("unknown", "yes")
+
+
+def test_a_refusal_after_an_unknown_attempt_does_not_say_not_run(agent):
+    agent.arrive()
+    agent.grant()
+    agent.end(AttemptOutcome.UNKNOWN)
+    agent.wait(1.0)
+    agent.refuse()
+    assert (agent.error().code, agent.error().ran) == ("no_runner", "unknown")
+
+
+def test_a_refusal_after_output_says_the_stream_broke(agent):
+    agent.arrive()
+    agent.grant()
+    agent.end(AttemptOutcome.BROKEN)
+    agent.refuse()
+    assert (agent.error().code, agent.error().ran) == ("stream_broken", "yes")
+
+
+def test_output_that_cannot_be_resumed_is_not_tried_again(agent):
+    agent.arrive()
+    agent.grant()
+    agent.end(AttemptOutcome.BROKEN, can_resume=False)
+    assert agent.error().code == "stream_broken"
+
+
+def test_a_stream_that_breaks_past_its_deadline_still_gets_time_to_go_on(agent):
+    agent.arrive(deadline_s=1.0)
+    agent.grant()
+    agent.now = 60.0
+    agent.end(AttemptOutcome.BROKEN)
+    agent.wait(0.5)
+    assert agent.asked().message.deadline_s > 1.0
+    agent.wait(10.0)
+    assert agent.error().code == "stream_broken"
+
+
+def test_attempts_are_bounded_and_the_last_failure_is_answered_at_once(agent):
+    agent.arrive(deadline_s=60.0)
+    for _ in range(MAXIMUM_ATTEMPTS):
+        agent.grant()
+        agent.end(AttemptOutcome.NOT_RUN)
+        agent.wait(1.0)
+    assert len(agent.runs()) == MAXIMUM_ATTEMPTS
+    assert (agent.error().ran, agent.error().retry_after_s) == ("no", 1.0)
+
+
+def test_a_spent_retry_budget_ends_retries(agent):
+    requests = int(MAXIMUM_SAVED) * 2
+    for index in range(requests):
+        agent.arrive(f"r{index}")
+        agent.grant(request_id=f"r{index}")
+        result = AttemptResult(AttemptOutcome.NOT_RUN)
+        agent.tell(AttemptEnded(f"r{index}", 1, result, 0.0))
+    agent.wait(1.0)
+    retries = sum(item.message.attempt == 2 for item in agent.sent(DecideRequest))
+    assert MAXIMUM_SAVED <= retries <= MAXIMUM_SAVED + 0.2 * requests
+    assert agent.logic.active_count == retries
+
+
+@pytest.mark.parametrize("state", ["deciding", "pausing", "running"])
+def test_a_caller_who_leaves_is_forgotten_in_every_state(agent, state):
+    agent.arrive(key="pay-1", repeatable=False)
+    if state != "deciding":
+        agent.grant()
+    if state == "pausing":
+        agent.end(AttemptOutcome.NOT_RUN)
+    agent.tell(CallerGone("r"))
+    assert agent.logic.active_count == 0
+    states = [item.message.state for item in agent.sent(ClaimReport)]
+    assert states == ([] if state == "running" else ["released"])
+
+
+@pytest.mark.parametrize(
+    ("outcome", "state"),
+    [
+        (AttemptOutcome.COMPLETE, ["done"]),
+        (AttemptOutcome.BROKEN, ["done"]),
+        (AttemptOutcome.UNKNOWN, []),
+    ],
+)
+def test_the_end_of_a_claim_is_reported_only_if_it_is_known(agent, outcome, state):
+    agent.arrive(key="pay-1", repeatable=False)
+    agent.grant()
+    agent.end(outcome)
+    assert [item.message.state for item in agent.sent(ClaimReport)] == state
+
+
+def test_without_nodes_the_answer_comes_at_once():
+    agent = Agent(nodes=())
+    agent.arrive()
+    assert agent.error().code == "node_unavailable"
