Read the engines' cache-event feeds

Cause: nodes knew nothing of what engines cache; the stand-in published no events. Change: feed of numbered entries in the stand-in (lag, seeded losses, replay), adapter platform/cache_events.py that gives net changes with a gap flag and drops replays, event CacheEventsRead and a poller in the node. Before: no feed. Conclusion: consumers can rely on incarnation, sequence range and gap flag.

--- a/src/martenrun/cli/standin.py
+++ b/src/martenrun/cli/standin.py
@@ -7,6 +7,7 @@
 from martenrun.cli.run import run_until_signal
 from martenrun.edge.server import HttpServer
 from martenrun.standins.engine.application import EngineApplication
+from martenrun.standins.engine.events import FeedFaults
 from martenrun.standins.engine.model import TimeModel
 from martenrun.standins.machines import MachineListApplication
 from martenrun.standins.objects import ObjectApiApplication
@@ -48,6 +49,9 @@
 @click.option("--cache-blocks", default=2_000, show_default=True)
 @click.option("--prefill-s-per-block", default=0.02, show_default=True)
 @click.option("--decode-s-per-token", default=0.005, show_default=True)
+@click.option("--event-lag-s", default=0.2, show_default=True, help="Delay of cache events.")
+@click.option("--event-loss", default=0.0, show_default=True, help="Share of entries lost.")
+@click.option("--seed", default=0, show_default=True, help="Seed of the losses.")
 def engine(
     address: str,
     model: str,
@@ -57,8 +61,14 @@
     cache_blocks: int,
     prefill_s_per_block: float,
     decode_s_per_token: float,
+    event_lag_s: float,
+    event_loss: float,
+    seed: int,
 ) -> None:
     """Run a model engine."""
     times = TimeModel(prefill_s_per_block, decode_s_per_token)
-    application = EngineApplication(model, weights_version, slots, block_bytes, cache_blocks, times)
+    faults = FeedFaults(event_lag_s, event_loss, seed)
+    application = EngineApplication(
+        model, weights_version, slots, block_bytes, cache_blocks, times, faults
+    )
     _serve(application, address, f"engine {application.incarnation}", slots + 16)
--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from martenrun.errors import MartenrunError
+from martenrun.platform.cache_events import CacheEvents
 from martenrun.platform.engine import AttemptResult, RunnerDescription
 from martenrun.platform.machine_list import Machine
 from martenrun.wire.messages import (
@@ -57,6 +58,14 @@
     description: RunnerDescription | None
 
 
+@dataclass(frozen=True, slots=True)
+class CacheEventsRead:
+    """An engine's cache-event feed has told something new."""
+
+    runner: str
+    events: CacheEvents
+
+
 @dataclass(frozen=True, slots=True)
 class RequestArrived:
     """A caller's request has been parsed and authenticated at the edge."""
@@ -111,6 +120,7 @@
     | StoreChanges
     | MachinesListed
     | RunnerDescribed
+    | CacheEventsRead
     | RequestArrived
     | AttemptEnded
     | CallerGone
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -11,6 +11,7 @@
 from martenrun.edge.forward import EdgePort
 from martenrun.edge.server import HttpServer
 from martenrun.events import (
+    CacheEventsRead,
     Finish,
     MachinesListed,
     PeerMessage,
@@ -24,6 +25,7 @@
 from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.node.routing import RoutingLogic
 from martenrun.node.runners import RunnerTable
+from martenrun.platform.cache_events import CacheEventReader
 from martenrun.platform.engine import EngineConnections
 from martenrun.platform.machine_list import MachineList
 from martenrun.platform.object_api import ObjectApi
@@ -35,6 +37,7 @@
 WATCH_WAIT_S = 5.0
 MACHINE_POLL_S = 0.5
 RUNNER_POLL_S = 0.5
+CACHE_EVENTS_POLL_S = 0.2
 
 
 class NodeProcess:
@@ -45,6 +48,7 @@
         self._store = ObjectApi(settings.object_api)
         self._machine_list = MachineList(settings.machine_list)
         self._engines = EngineConnections()
+        self._cache_events = CacheEventReader(self._engines)
         self._configuration = NodeConfigurationLogic(own_address, list(settings.seed_nodes))
         self._runners = RunnerTable()
         routing = RoutingLogic(self._runners, ConsistentHashPolicy(), self._view)
@@ -77,6 +81,7 @@
             Poller("store-watch", self._watch_store, pause_s=0.0),
             Poller("machine-list", self._list_machines, MACHINE_POLL_S),
             Poller("runners", self._describe_runners, RUNNER_POLL_S),
+            Poller("cache-events", self._read_cache_events, CACHE_EVENTS_POLL_S),
         ]
 
     def start(self) -> None:
@@ -117,6 +122,15 @@
                 description = None
             self._loop.tell(RunnerDescribed(runner.name, description))
 
+    def _read_cache_events(self) -> None:
+        for runner in list(self._runners.runners.values()):
+            try:
+                events = self._cache_events.read(runner.name, runner.address)
+            except HTTPError:
+                continue
+            if events is not None:
+                self._loop.tell(CacheEventsRead(runner.name, events))
+
 
 class NodeApplication:
     """Serves the caller's API and the administration API on one address."""
--- a/src/martenrun/standins/engine/application.py
+++ b/src/martenrun/standins/engine/application.py
@@ -15,9 +15,12 @@
     canonical_completion_text,
 )
 from martenrun.standins.engine.cache import PrefixCache
+from martenrun.standins.engine.events import CacheEventFeed, FeedFaults
 from martenrun.standins.engine.model import TimeModel
 
 _BYTES_PER_TOKEN = 4
+FEED_WAIT_S = 0.05
+"""How often a waiting feed request looks for entries that have become due, in seconds."""
 _WORDS = ("season", "note", "block", "tally", "weight", "permit", "market", "stall")
 
 
@@ -45,6 +48,7 @@
         block_bytes: int,
         cache_blocks: int,
         times: TimeModel,
+        feed_faults: FeedFaults | None = None,
     ) -> None:
         self.incarnation = secrets.token_hex(4)
         self._model = model
@@ -54,6 +58,7 @@
         self._times = times
         self._lock = threading.Lock()
         self._cache = PrefixCache(cache_blocks)
+        self._feed = CacheEventFeed(self.incarnation, feed_faults or FeedFaults())
         self._running = 0
         self._cancelled: set[str] = set()
         self._executed: list[str] = []
@@ -71,6 +76,8 @@
             return _json({})
         if request.path == "/v1/runner":
             return _json(self._description())
+        if request.path == "/v1/cache-events":
+            return self._cache_events(request)
         if request.path == "/v1/executed":
             return _json(self._executed)
         return _json({"error": {"message": "not found"}}, 404)
@@ -86,6 +93,17 @@
                 "cached_blocks": len(self._cache),
             }
 
+    def _cache_events(self, request: Request) -> Response:
+        after = int(request.args.get("after", "0"))
+        incarnation = request.args.get("incarnation", "")
+        until = time.monotonic() + float(request.args.get("wait_s", "0"))
+        while True:
+            now = time.monotonic()
+            answer = self._feed.read(after, incarnation, now)
+            if answer.entries or now >= until:
+                return _json(answer)
+            self._feed.wait(min(until - now, FEED_WAIT_S))
+
     def _complete(self, request: Request) -> Response:
         expected = request.headers.get("X-Expected-Incarnation", self.incarnation)
         if expected != self.incarnation:
@@ -117,6 +135,7 @@
             time.sleep(self._times.prefill_s(uncached, running))
             with self._lock:
                 self._cache.insert(chain)
+                self._feed.add(*self._cache.take_events(), time.monotonic())
             cached_tokens = matched * self._block_bytes // _BYTES_PER_TOKEN
             for index in range(body.max_tokens):
                 if body.request_id in self._cancelled:
