Let routing policies rank runners and learn from attempts

Cause: a home node needs an order of runners (an owner may refuse the first), and a policy that learns must be told of grants, corrections and ends of attempts. Change: RoutingPolicy has rank (route is its first), corrected, granted, observe, withdrawn; RankingPolicy is the base of policies that learn nothing; RunnerState says when the load report arrived and how much own work it may already count. Baselines rank full runners last. Conclusion: owners and homes can be built against this interface.

--- a/src/martenrun/node/routing.py
+++ b/src/martenrun/node/routing.py
@@ -46,8 +46,10 @@
                 return [Send(peer, self._decide(peer, question, now))]
             case PeerMessage(_, AttemptReport() as report):
                 self._end_attempt(report.request_id, report.attempt)
+                self._policy.observe(report, now)
             case PeerMessage(_, WithdrawRequest() as withdrawal):
                 self._end_attempt(withdrawal.request_id, withdrawal.attempt)
+                self._policy.withdrawn(withdrawal.request_id, withdrawal.attempt)
         return []
 
     def _decide(self, peer: str, question: DecideRequest, now: float) -> Grant | Refusal:
@@ -69,6 +71,7 @@
         choice = self._policy.route(question, free, now)
         runner = choice.runner
         runner.in_flight += 1
+        self._policy.granted(question, choice, now)
         self._granted[(question.request_id, question.attempt)] = GrantedAttempt(peer, runner.name)
         return Grant(
             question.request_id,
--- a/src/martenrun/node/runners.py
+++ b/src/martenrun/node/runners.py
@@ -17,7 +17,7 @@
             case MachinesListed(machines):
                 self._update_machines(machines)
             case RunnerDescribed():
-                self._update_runner(event)
+                self._update_runner(event, now)
         return []
 
     def usable(self, pool: str, excluded: list[str]) -> list[RunnerState]:
@@ -40,7 +40,7 @@
             runner.leaving = machine.is_leaving
             runner.address = machine.address
 
-    def _update_runner(self, event: RunnerDescribed) -> None:
+    def _update_runner(self, event: RunnerDescribed, now: float) -> None:
         runner = self.runners.get(event.runner)
         if runner is None:
             return
@@ -52,3 +52,5 @@
         runner.weights_version = description.weights_version
         runner.slots = description.slots
         runner.reported_running = description.running
+        runner.reported_at = now
+        runner.in_flight_at_report = runner.in_flight
--- a/src/martenrun/routing/baselines.py
+++ b/src/martenrun/routing/baselines.py
@@ -1,44 +1,55 @@
-"""Baseline policies, kept for comparison with the product's own policy."""
+"""Baseline policies, kept for comparison with the product's own policy.
+
+They prefer runners with a free slot and rank the full ones behind them.
+
+See also: :mod:`martenrun.routing.prefix_aware`.
+"""
 
 from collections.abc import Sequence
 
 from martenrun.constants import BLOCK_HASH_BYTES
 from martenrun.identity.rendezvous import ranked
-from martenrun.routing.policy import RunnerChoice, RunnerState
+from martenrun.routing.policy import RankingPolicy, RunnerChoice, RunnerState
 from martenrun.wire.messages import DecideRequest
 
 
-class RoundRobinPolicy:
+class RoundRobinPolicy(RankingPolicy):
     """Takes the runners in turn."""
 
     def __init__(self) -> None:
         self._turn = 0
 
-    def route(
+    def rank(
         self, question: DecideRequest, runners: Sequence[RunnerState], now: float
-    ) -> RunnerChoice:
-        """Return the next runner in turn."""
+    ) -> list[RunnerChoice]:
+        """Return the runners from the next in turn on."""
         self._turn += 1
-        return RunnerChoice(runners[self._turn % len(runners)])
+        start = self._turn % max(1, len(runners))
+        return _free_first([*runners[start:], *runners[:start]])
 
 
-class LeastLoadedPolicy:
+class LeastLoadedPolicy(RankingPolicy):
     """Takes the runner with the most free slots."""
 
-    def route(
+    def rank(
         self, question: DecideRequest, runners: Sequence[RunnerState], now: float
-    ) -> RunnerChoice:
-        """Return the runner with the most free slots."""
-        return RunnerChoice(max(runners, key=lambda runner: runner.free_slots))
+    ) -> list[RunnerChoice]:
+        """Return the runners by falling number of free slots."""
+        return _free_first(sorted(runners, key=lambda runner: -runner.free_slots))
 
 
-class ConsistentHashPolicy:
+class ConsistentHashPolicy(RankingPolicy):
     """Takes the runner that ranks first for the prompt's first block."""
 
-    def route(
+    def rank(
         self, question: DecideRequest, runners: Sequence[RunnerState], now: float
-    ) -> RunnerChoice:
-        """Return the runner of highest rendezvous weight."""
+    ) -> list[RunnerChoice]:
+        """Return the runners by falling rendezvous weight."""
         key = question.tenant.encode() + question.chain[:BLOCK_HASH_BYTES]
         by_name = {runner.name: runner for runner in runners}
-        return RunnerChoice(by_name[ranked(key, by_name)[0]])
+        return _free_first([by_name[name] for name in ranked(key, by_name)])
+
+
+def _free_first(runners: Sequence[RunnerState]) -> list[RunnerChoice]:
+    ordered = sorted(runners, key=lambda runner: runner.free_slots <= 0)
+    return [RunnerChoice(runner) for runner in ordered]
--- a/src/martenrun/routing/policy.py
+++ b/src/martenrun/routing/policy.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from martenrun.wire.messages import DecideRequest
+from martenrun.wire.messages import AttemptReport, DecideRequest
 
 
 @dataclass(slots=True)
@@ -17,6 +17,8 @@
         incarnation: changes whenever the engine restarts; empty until it described itself.
         in_flight: requests this node has granted and that have not ended.
         reported_running: the engine's own count, some time old.
+        reported_at: this node's time when that count arrived, in seconds.
+        in_flight_at_report: ``in_flight`` when that count arrived.
     """
 
     name: str
@@ -29,6 +31,8 @@
     in_flight: int = 0
     reported_running: int = 0
     leaving: bool = False
+    reported_at: float = 0.0
+    in_flight_at_report: int = 0
 
     @property
     def is_usable(self) -> bool:
@@ -43,17 +47,77 @@
 
 @dataclass(frozen=True, slots=True)
 class RunnerChoice:
-    """The chosen runner and how many leading blocks are believed to be cached there."""
+    """A runner that may take the request, and what is expected of it.
+
+    Attributes:
+        believed_blocks: leading blocks of the prompt believed to be cached there.
+        expected_first_token_s: expected time to the first token; 0 if the policy has no model.
+    """
 
     runner: RunnerState
     believed_blocks: int = 0
+    expected_first_token_s: float = 0.0
 
 
 class RoutingPolicy(Protocol):
-    """Chooses one of the runners that could take a request now."""
+    """Ranks the runners that could take a request, and learns from what became of it.
+
+    The order of calls for one attempt is ``rank``, then ``corrected`` for each owner that told
+    what it knows, then ``granted``, then ``observe`` or ``withdrawn``.
+    """
+
+    def rank(
+        self, question: DecideRequest, runners: Sequence[RunnerState], now: float
+    ) -> list[RunnerChoice]:
+        """Return choices among ``runners``, best first; empty only if ``runners`` is."""
+        ...
 
     def route(
         self, question: DecideRequest, runners: Sequence[RunnerState], now: float
     ) -> RunnerChoice:
-        """Return the choice among ``runners``, which is not empty."""
+        """Return the best choice among ``runners``, which is not empty."""
+        ...
+
+    def corrected(self, question: DecideRequest, runner: str, cached_blocks: int) -> None:
+        """Take in how many leading blocks the runner's owner node knows to be cached."""
+        ...
+
+    def granted(self, question: DecideRequest, choice: RunnerChoice, now: float) -> None:
+        """Count the work of an attempt that has been granted."""
+        ...
+
+    def observe(self, report: AttemptReport, now: float) -> None:
+        """Learn from an attempt that has ended; unknown attempts are ignored."""
         ...
+
+    def withdrawn(self, request_id: str, attempt: int) -> None:
+        """Forget a granted attempt that did not run to its end."""
+        ...
+
+
+class RankingPolicy:
+    """Base of policies that learn nothing; subclasses give ``rank``."""
+
+    def rank(
+        self, question: DecideRequest, runners: Sequence[RunnerState], now: float
+    ) -> list[RunnerChoice]:
+        """See :meth:`RoutingPolicy.rank`."""
+        raise NotImplementedError
+
+    def route(
+        self, question: DecideRequest, runners: Sequence[RunnerState], now: float
+    ) -> RunnerChoice:
+        """See :meth:`RoutingPolicy.route`."""
+        return self.rank(question, runners, now)[0]
+
+    def corrected(self, question: DecideRequest, runner: str, cached_blocks: int) -> None:
+        """See :meth:`RoutingPolicy.corrected`."""
+
+    def granted(self, question: DecideRequest, choice: RunnerChoice, now: float) -> None:
+        """See :meth:`RoutingPolicy.granted`."""
+
+    def observe(self, report: AttemptReport, now: float) -> None:
+        """See :meth:`RoutingPolicy.observe`."""
+
+    def withdrawn(self, request_id: str, attempt: int) -> None:
+        """See :meth:`RoutingPolicy.withdrawn`."""
