--- /dev/null
+++ b/src/martenrun/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Admission: per-tenant limits, bounded waiting and retry budgets."""
--- /dev/null
+++ b/src/martenrun/sharing/__init__.py
@@ -0,0 +1,1 @@
+"""Fair sharing of runners between tenants: queue, policies, usage over all nodes."""
