--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -24,7 +24,7 @@
     """Publish two tenants, a pool, a policy and a route."""
     for tenant, key in TENANTS.items():
         deployment.apply_tenant(tenant, key)
-    deployment.apply("policies", "equal", {"expression": "tenant.weight"})
+    deployment.apply("policies", "equal", {"expression": "weight"})
     deployment.apply(
         "pools", "readers", {"model": MODEL, "weights_version": "v1", "policy": "equal"}
     )
--- a/src/martenrun/admin/application.py
+++ b/src/martenrun/admin/application.py
@@ -13,7 +13,7 @@
 import msgspec
 from werkzeug.wrappers import Request, Response
 
-from martenrun.configuration.objects import Kind, Role, checked_name, parse_document
+from martenrun.configuration.objects import Kind, Policy, Role, checked_name, parse_document
 from martenrun.configuration.view import ConfigurationView
 from martenrun.edge.request import bearer_token
 from martenrun.edge.responses import error_response, json_response
@@ -25,6 +25,7 @@
     PermissionDeniedError,
 )
 from martenrun.platform.object_api import ObjectApi
+from martenrun.sharing.policy import check_policy
 
 ADMIN_PREFIX = "/admin/v1/"
 
@@ -111,7 +112,9 @@
         document = None
         if request.method == "PUT":
             document = request.get_data()
-            parse_document(kind, document)
+            parsed = parse_document(kind, document)
+            if isinstance(parsed, Policy):
+                check_policy(parsed.expression)
         elif request.method != "DELETE":
             raise InvalidRequestError(f"method {request.method} is not served here")
         elif expected == 0:
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -66,3 +66,8 @@
     assert record.status == status
     assert f'"code":"{code}"' in record.error
     assert '"ran":"no"' in record.error
+
+
+def test_a_policy_that_would_divide_by_zero_is_refused_when_published(deployment):
+    with pytest.raises(RuntimeError, match=r"invalid_object.*guard divisors"):
+        deployment.apply("policies", "bad", {"expression": "weight / usage_10s"})
