Read lost answers back by change identity; compact the object API's watches

Cause: a write whose answer was lost was told as an unavailable store, though it may have taken effect; a watch could not be told that removals it had missed were gone. Change: every write carries a change identity that is stored with the object; after a lost answer the adapter reads it back and tells accepted, conflict or a typed unknown outcome, never refused. The stand-in compacts removals and answers 410 to older watches; a list without a revision is a complete copy. Faults: down, slow, answers lost after the effect for writes and reads, with seeded probabilities, by flags and POST /faults. An identity names the version it replaces, so that a write overtaken before it is told apart from one replaced after it. Ruled out: sending the write again; a creation could bring back an object removed meanwhile.

--- a/src/martenrun/admin/application.py
+++ b/src/martenrun/admin/application.py
@@ -93,11 +93,10 @@
         return role
 
     def _list(self, kind: Kind) -> Response:
-        update = self._store.changes(0, wait_s=0)
+        update = self._store.list_all([kind.value])
         objects = [
             NamedObject(item.kind, item.name, item.revision, msgspec.Raw(item.document))
             for item in update.objects
-            if item.kind == kind.value and not item.deleted
         ]
         return json_response(objects)
 
--- a/src/martenrun/cli/standin.py
+++ b/src/martenrun/cli/standin.py
@@ -9,7 +9,7 @@
 from martenrun.standins.engine.application import EngineApplication
 from martenrun.standins.engine.model import TimeModel
 from martenrun.standins.machines import MachineListApplication
-from martenrun.standins.objects import ObjectApiApplication
+from martenrun.standins.objects import Faults, ObjectApiApplication
 
 _THREADS = 64
 _ADDRESS = click.option("--address", required=True, help="IP:port to serve on.")
@@ -26,9 +26,16 @@
 
 @standin.command()
 @_ADDRESS
-def objects(address: str) -> None:
+@click.option("--delay-s", default=0.0, show_default=True, help="Added to every call.")
+@click.option("--slow-probability", default=0.0, show_default=True, help="Of a call being slow.")
+@click.option("--slow-s", default=1.0, show_default=True, help="Added to a slow call.")
+@click.option("--lose-write-probability", default=0.0, show_default=True)
+@click.option("--lose-read-probability", default=0.0, show_default=True)
+@click.option("--seed", default=0, show_default=True, help="Of the faults' draws.")
+@click.option("--retained-changes", default=10_000, show_default=True, help="Before compaction.")
+def objects(address: str, retained_changes: int, **faults: Any) -> None:
     """Run the object API."""
-    _serve(ObjectApiApplication(), address, "object API")
+    _serve(ObjectApiApplication(Faults(**faults), retained_changes), address, "object API")
 
 
 @standin.command()
--- a/src/martenrun/errors.py
+++ b/src/martenrun/errors.py
@@ -155,6 +155,23 @@
     remedy = "Try again later; what was accepted before stays in force."
 
 
+class WatchCompactedError(MartenrunError):
+    """A watch asked for changes that the object API no longer keeps."""
+
+    code = "watch_compacted"
+    http_status = 410
+    remedy = "List all objects and watch from the revision of the list."
+
+
+class ChangeOutcomeUnknownError(MartenrunError):
+    """A change of an object may or may not have taken effect."""
+
+    code = "change_outcome_unknown"
+    http_status = 504
+    ran = Ran.UNKNOWN
+    remedy = "Read the object before trying again; the change may be in force already or soon."
+
+
 class DeadlineExceededError(MartenrunError):
     """The request cannot meet, or has passed, its deadline."""
 
