Leave waitress's deprecated send_bytes at its default of 1

Cause: setting it warns, and the default already sends every piece at once. Change: the argument is gone.

--- a/src/martenrun/edge/server.py
+++ b/src/martenrun/edge/server.py
@@ -30,8 +30,6 @@
             max_request_header_size=_MAXIMUM_HEADER_BYTES,
             channel_timeout=_CHANNEL_TIMEOUT_S,
             channel_request_lookahead=1,
-            # Each piece of a stream is sent at once instead of being gathered.
-            send_bytes=1,
             ident="martenrun",
         )
         self._thread = threading.Thread(target=self._server.run, name="http", daemon=True)
