--- a/src/martenrun/edge/server.py
+++ b/src/martenrun/edge/server.py
@@ -43,8 +43,6 @@
             max_request_header_size=MAXIMUM_HEADER_BYTES,
             channel_timeout=CHANNEL_TIMEOUT_S,
             channel_request_lookahead=1,
-            # Each piece of a stream is sent at once instead of being gathered.
-            send_bytes=1,
             ident="martenrun",
         )
         assert isinstance(self._server, TcpWSGIServer)
