Build a node's and an agent's decision logic in one factory each

Cause: the list of parts stood inside the process modules, next to sockets and threads, so a simulation had to repeat it and could come to differ from what really runs. Conclusion: new parts are wired in one place for real and hollow processes.

--- a/src/martenrun/agent/process.py
+++ b/src/martenrun/agent/process.py
@@ -1,9 +1,10 @@
 """The agent process: wiring of decision logic and drivers."""
 
+import random
+import secrets
 from typing import Any
 
-from martenrun.agent.configuration import AgentConfigurationLogic
-from martenrun.agent.requests import RequestsLogic
+from martenrun.agent.parts import agent_parts
 from martenrun.edge.application import CallerApplication
 from martenrun.edge.forward import EdgePort
 from martenrun.edge.server import HttpServer
@@ -17,8 +18,7 @@
     """Everything that runs in an agent process."""
 
     def __init__(self, settings: AgentSettings) -> None:
-        configuration = AgentConfigurationLogic(list(settings.seed_nodes))
-        requests = RequestsLogic(configuration.live_nodes)
+        self._parts = agent_parts(settings, secrets.token_hex(8), random.Random())
         self._loop: Any = None
         self._port = EdgePort(tell=lambda event: self._loop.tell(event))
         self._transport = PeerTransport(
@@ -27,14 +27,14 @@
             lambda peer, message: self._loop.tell(PeerMessage(peer, message)),
         )
         self._loop = LoopActor.start(
-            [configuration, requests],
+            self._parts.in_order(),
             {
                 Send: message_carrier(self._transport, lambda event: self._loop.tell(event)),
                 RunAttempt: self._port.deliver,
                 Finish: self._port.deliver,
             },
         )
-        application = CallerApplication(self._port, lambda: configuration.state.view, settings.zone)
+        application = CallerApplication(self._port, self._parts.view, settings.zone)
         self._server = HttpServer(application, settings.http_address, settings.http_threads)
         self._clock = Clock(self._loop.tell)
 
--- /dev/null
+++ b/src/martenrun/node/parts.py
@@ -0,0 +1,50 @@
+"""The decision logic of a node, built in one place for real and for hollow processes.
+
+See also: :mod:`martenrun.node.process`, :mod:`martenrun.proof.world`.
+"""
+
+import random
+from dataclasses import dataclass
+
+from martenrun.agent.requests import RequestsLogic
+from martenrun.configuration.view import ConfigurationView
+from martenrun.events import DecisionLogic
+from martenrun.node.configuration import NodeConfigurationLogic
+from martenrun.node.routing import RoutingLogic
+from martenrun.node.runners import RunnerTable
+from martenrun.routing.baselines import ConsistentHashPolicy
+from martenrun.settings.model import NodeSettings
+
+
+@dataclass(frozen=True)
+class NodeParts:
+    """Every part of a node's decision logic."""
+
+    configuration: NodeConfigurationLogic
+    runners: RunnerTable
+    routing: RoutingLogic
+    requests: RequestsLogic
+
+    def view(self) -> ConfigurationView:
+        """Return the configuration in force."""
+        return self.configuration.state.view
+
+    def in_order(self) -> list[DecisionLogic]:
+        """Return the parts in the order in which they handle an event."""
+        return [self.configuration, self.runners, self.routing, self.requests]
+
+
+def node_parts(settings: NodeSettings, incarnation: str, rng: random.Random) -> NodeParts:
+    """Build the decision logic of one run of a node.
+
+    Args:
+        settings: the node's settings.
+        incarnation: identity of this run of the node; changes at every restart.
+        rng: source of jitter; seeded in simulations.
+    """
+    own_address = settings.peer_address
+    configuration = NodeConfigurationLogic(own_address, list(settings.seed_nodes))
+    runners = RunnerTable()
+    routing = RoutingLogic(runners, ConsistentHashPolicy(), lambda: configuration.state.view)
+    requests = RequestsLogic(lambda: [own_address])
+    return NodeParts(configuration, runners, routing, requests)
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -1,12 +1,13 @@
 """The node process: wiring of decision logic and drivers."""
 
+import random
+import secrets
 from collections.abc import Iterable
 from typing import Any
 
 from urllib3.exceptions import HTTPError
 
 from martenrun.admin.application import ADMIN_PREFIX, AdminApplication
-from martenrun.agent.requests import RequestsLogic
 from martenrun.edge.application import CallerApplication
 from martenrun.edge.forward import EdgePort
 from martenrun.edge.server import HttpServer
@@ -21,14 +22,11 @@
     StoreRead,
     StoreWrite,
 )
-from martenrun.node.configuration import NodeConfigurationLogic
-from martenrun.node.routing import RoutingLogic
-from martenrun.node.runners import RunnerTable
+from martenrun.node.parts import node_parts
 from martenrun.platform.engine import EngineConnections
 from martenrun.platform.machine_list import MachineList
 from martenrun.platform.object_api import ObjectApi
 from martenrun.process import Clock, LoopActor, Poller, StoreWorkers, message_carrier
-from martenrun.routing.baselines import ConsistentHashPolicy
 from martenrun.settings.model import NodeSettings
 from martenrun.wire.transport import PeerTransport
 
@@ -45,10 +43,7 @@
         self._store = ObjectApi(settings.object_api)
         self._machine_list = MachineList(settings.machine_list)
         self._engines = EngineConnections()
-        self._configuration = NodeConfigurationLogic(own_address, list(settings.seed_nodes))
-        self._runners = RunnerTable()
-        routing = RoutingLogic(self._runners, ConsistentHashPolicy(), self._view)
-        requests = RequestsLogic(lambda: [own_address])
+        self._parts = node_parts(settings, secrets.token_hex(8), random.Random())
         self._loop: Any = None
         self._store_workers = StoreWorkers(self._store, lambda event: self._loop.tell(event))
         port = EdgePort(tell=lambda event: self._loop.tell(event))
@@ -59,7 +54,7 @@
         )
         self._transport.listen(own_address)
         self._loop = LoopActor.start(
-            [self._configuration, self._runners, routing, requests],
+            self._parts.in_order(),
             {
                 Send: message_carrier(self._transport, lambda event: self._loop.tell(event)),
                 RunAttempt: port.deliver,
@@ -68,8 +63,8 @@
                 StoreRead: self._store_workers.carry,
             },
         )
-        caller = CallerApplication(port, self._view, settings.zone)
-        admin = AdminApplication(self._store, self._view, settings.bootstrap_key_sha256)
+        caller = CallerApplication(port, self._parts.view, settings.zone)
+        admin = AdminApplication(self._store, self._parts.view, settings.bootstrap_key_sha256)
         application = NodeApplication(caller, admin)
         self._server = HttpServer(application, settings.http_address, settings.http_threads)
         self._clock = Clock(self._loop.tell)
@@ -97,11 +92,8 @@
         self._store_workers.stop()
         self._loop.stop()
 
-    def _view(self) -> Any:
-        return self._configuration.state.view
-
     def _watch_store(self) -> None:
-        known = self._configuration.state.revision
+        known = self._parts.configuration.state.revision
         update = self._store.changes(known, WATCH_WAIT_S)
         if update.to_revision > known:
             self._loop.tell(StoreChanges(update))
@@ -110,7 +102,7 @@
         self._loop.tell(MachinesListed(self._machine_list.machines()))
 
     def _describe_runners(self) -> None:
-        for runner in list(self._runners.runners.values()):
+        for runner in list(self._parts.runners.runners.values()):
             try:
                 description = self._engines.describe(runner.address)
             except HTTPError:
