Add a history model and one checker per promise

Cause: nothing recorded a concurrent run, so none of the nine promises could be checked. Change: typed records (proof/history.py) and nine pure checkers (proof/checkers/). A fault that hit a process excuses only what its own checker names; a missing answer is a violation. Before: no check.

--- /dev/null
+++ b/src/martenrun/proof/__init__.py
@@ -0,0 +1,1 @@
+"""History checking: concurrent runs under failure, recorded and checked promise by promise."""
--- /dev/null
+++ b/src/martenrun/proof/checkers/leaving.py
@@ -0,0 +1,26 @@
+"""A back end that is leaving gets no new work after a few seconds."""
+
+from martenrun.proof.checkers.violation import Violation
+from martenrun.proof.history import Executed, History, LeavingAnnounced, LeavingWithdrawn
+
+PROMISE = "leaving"
+
+LEAVING_BOUND_S = 3.0
+"""Longest time from the platform's mark to the last new work, in seconds."""
+
+
+def check_leaving(history: History, bound_s: float = LEAVING_BOUND_S) -> list[Violation]:
+    """Find executions that began at an engine more than ``bound_s`` after its mark."""
+    since: dict[str, float] = {}
+    found: list[Violation] = []
+    for record in history.records:
+        match record:
+            case LeavingAnnounced(process=process):
+                since.setdefault(process, record.time_s)
+            case LeavingWithdrawn(process=process):
+                since.pop(process, None)
+            case Executed(engine=engine) if record.time_s > since.get(engine, 1e18) + bound_s:
+                late_s = record.time_s - since[engine]
+                detail = f"new work at {engine} {late_s:.2f} s after it began to leave"
+                found.append(Violation(PROMISE, record.request_id, record.time_s, detail))
+    return found
--- /dev/null
+++ b/src/martenrun/proof/history.py
@@ -0,0 +1,172 @@
+"""Records of a concurrent run, as its checkers read them.
+
+One observer outside the system takes all times, so records of one history may be compared
+and sorted by ``time_s``.  The same records come from simulations and from real processes.
+
+See also: :mod:`martenrun.proof.checkers`.
+"""
+
+from typing import TypeVar
+
+import msgspec
+
+
+class Token(msgspec.Struct, frozen=True):
+    """One piece of output: which prompt it answers and its place in that answer, from 0."""
+
+    source: str
+    index: int
+
+
+class CacheOrigin(msgspec.Struct, frozen=True):
+    """Who wrote a cached block."""
+
+    tenant: str
+    weights_version: str
+    incarnation: str
+
+
+class Record(msgspec.Struct, frozen=True, tag=True, kw_only=True):
+    """Base of all records; ``time_s`` is the observer's clock, in seconds."""
+
+    time_s: float
+
+
+class RequestInvoked(Record, frozen=True, tag=True):
+    """A caller sent a request to the edge of process ``edge``.
+
+    ``source`` names the prompt; ``deadline_s`` is the time allowed for a decision.
+    """
+
+    request_id: str
+    edge: str
+    tenant: str
+    source: str
+    output_tokens: int
+    repeatable: bool = True
+    idempotency_key: str = ""
+    deadline_s: float = 30.0
+
+
+class RequestAnswered(Record, frozen=True, tag=True):
+    """A caller's request is over.
+
+    ``terminated`` tells that the stream ended with its terminator; ``code`` and ``ran`` are
+    those of the typed error, empty if there was none.
+    """
+
+    request_id: str
+    tokens: list[Token]
+    terminated: bool
+    code: str = ""
+    ran: str = ""
+
+
+class Granted(Record, frozen=True, tag=True):
+    """A node named a runner for an attempt.
+
+    ``chain`` holds the prompt's block hashes in hexadecimal, hashed for ``tenant`` and
+    ``chain_version``; ``believed_blocks`` of them are credited as cached at the runner.
+    """
+
+    node: str
+    request_id: str
+    attempt: int
+    runner: str
+    incarnation: str
+    weights_version: str
+    tenant: str
+    chain_version: str
+    chain: list[str]
+    believed_blocks: int
+
+
+class Executed(Record, frozen=True, tag=True):
+    """An engine began to execute an attempt; ``reused`` tells who wrote the blocks it used."""
+
+    engine: str
+    incarnation: str
+    expected_incarnation: str
+    weights_version: str
+    request_id: str
+    tenant: str
+    chain: list[str]
+    reused: list[CacheOrigin]
+
+
+class ConfigurationAccepted(Record, frozen=True, tag=True):
+    """The administration API told an operator that a change is accepted."""
+
+    revision: int
+
+
+class ConfigurationInForce(Record, frozen=True, tag=True):
+    """A process was seen with a configuration in force; ``digest`` covers its contents."""
+
+    process: str
+    incarnation: str
+    revision: int
+    digest: str
+
+
+class ProcessStarted(Record, frozen=True, tag=True):
+    """A node, agent or engine started; ``restarted`` tells that it had run before."""
+
+    process: str
+    restarted: bool
+
+
+class ProcessDisturbed(Record, frozen=True, tag=True):
+    """A fault hit a process: ``kind`` is ``kill``, ``freeze`` or ``cut``; until ``until_s``."""
+
+    process: str
+    kind: str
+    until_s: float
+
+
+class LeavingAnnounced(Record, frozen=True, tag=True):
+    """The platform marked a machine as leaving."""
+
+    process: str
+
+
+class LeavingWithdrawn(Record, frozen=True, tag=True):
+    """The platform marked a leaving machine as live again, or replaced it."""
+
+    process: str
+
+
+class PlannedStop(Record, frozen=True, tag=True):
+    """A process was asked to stop at ``time_s`` and had ended by ``until_s``."""
+
+    process: str
+    until_s: float
+
+
+AnyRecord = (
+    RequestInvoked
+    | RequestAnswered
+    | Granted
+    | Executed
+    | ConfigurationAccepted
+    | ConfigurationInForce
+    | ProcessStarted
+    | ProcessDisturbed
+    | LeavingAnnounced
+    | LeavingWithdrawn
+    | PlannedStop
+)
+
+
+RecordType = TypeVar("RecordType", bound=Record)
+
+
+class History(msgspec.Struct):
+    """All records of one run, in order of time, which ended at ``end_s``."""
+
+    records: list[AnyRecord] = msgspec.field(default_factory=list)
+    end_s: float = 0.0
+
+    def of(self, kind: type[RecordType]) -> list[RecordType]:
+        """Return the records of one kind, in order of time."""
+        return [record for record in self.records if isinstance(record, kind)]
--- /dev/null
+++ b/tests/test_proof_checkers.py
@@ -0,0 +1,172 @@
+"""Each checker finds a violation planted in a hand-made history, and passes the mended one."""
+
+import pytest
+
+from martenrun.proof.checkers import CHECKERS
+from martenrun.proof.history import (
+    CacheOrigin,
+    ConfigurationAccepted,
+    ConfigurationInForce,
+    Executed,
+    Granted,
+    History,
+    LeavingAnnounced,
+    LeavingWithdrawn,
+    PlannedStop,
+    ProcessDisturbed,
+    ProcessStarted,
+    RequestAnswered,
+    RequestInvoked,
+    Token,
+)
+
+LATER_S = 60.0
+
+
+def invoked(request_id="r", **fields):
+    values = {"time_s": 0.0, "edge": "agent", "tenant": "t", "source": "p", "output_tokens": 2}
+    return RequestInvoked(request_id=request_id, **{**values, **fields})
+
+
+def answered(indices=(0, 1), source="p", request_id="r", **fields):
+    tokens = [Token(source, index) for index in indices]
+    values = {"time_s": 1.0, "terminated": not fields.get("code")}
+    return RequestAnswered(request_id=request_id, tokens=tokens, **{**values, **fields})
+
+
+def executed(request_id="r", **fields):
+    values = {
+        "time_s": 0.5,
+        "engine": "engine",
+        "incarnation": "i",
+        "expected_incarnation": "i",
+        "weights_version": "v1",
+        "tenant": "t",
+        "chain": ["a", "b"],
+        "reused": [],
+    }
+    return Executed(request_id=request_id, **{**values, **fields})
+
+
+def granted(**fields):
+    values = {
+        "time_s": 2.0,
+        "node": "node",
+        "request_id": "r",
+        "attempt": 1,
+        "runner": "engine",
+        "incarnation": "i",
+        "weights_version": "v1",
+        "tenant": "t",
+        "chain_version": "v1",
+        "chain": ["a", "b"],
+        "believed_blocks": 2,
+    }
+    return Granted(**{**values, **fields})
+
+
+def in_force(time_s, revision, digest="", incarnation="i", process="node"):
+    return ConfigurationInForce(
+        time_s=time_s,
+        process=process,
+        incarnation=incarnation,
+        revision=revision,
+        digest=digest or str(revision),
+    )
+
+
+def origin(tenant="t", weights_version="v1", incarnation="i"):
+    return CacheOrigin(tenant, weights_version, incarnation)
+
+
+def broken(time_s=1.0, ran="yes"):
+    return answered((0,), time_s=time_s, code="stream_broken", ran=ran)
+
+
+STOP = PlannedStop(time_s=0.7, process="engine", until_s=3.0)
+KILL = ProcessDisturbed(time_s=0.0, process="node", kind="kill", until_s=1.0)
+RESTART = ProcessStarted(time_s=1.0, process="node", restarted=True)
+LEAVING = LeavingAnnounced(time_s=1.0, process="engine")
+
+PLANTED = [
+    ("streams", [invoked(), answered((0,))]),
+    ("streams", [invoked(), answered((1, 0))]),
+    ("streams", [invoked(), answered((0, 0, 1), code="stream_broken")]),
+    ("streams", [invoked(), answered((0,), terminated=False)]),
+    ("own_answer", [invoked(), answered(source="q")]),
+    ("own_answer", [invoked(), answered(), answered(time_s=2.0)]),
+    ("own_answer", [answered()]),
+    ("own_answer", [invoked(deadline_s=1.0)]),
+    ("not_run", [invoked(), executed(), answered((), code="no_runner", ran="no")]),
+    ("not_run", [invoked(), answered((), code="no_runner", ran="no"), executed(time_s=9.0)]),
+    ("at_most_once", [invoked(repeatable=False), executed(), executed(time_s=0.6)]),
+    (
+        "at_most_once",
+        [
+            invoked("a", repeatable=False, idempotency_key="k"),
+            invoked("b", repeatable=False, idempotency_key="k"),
+            executed("a"),
+            executed("b"),
+        ],
+    ),
+    ("leaving", [LEAVING, executed(time_s=4.1)]),
+    ("cache_use", [executed(reused=[origin(tenant="u")])]),
+    ("cache_use", [executed(reused=[origin(weights_version="v0")])]),
+    ("cache_use", [executed(reused=[origin(incarnation="h")])]),
+    ("cache_use", [executed(expected_incarnation="h")]),
+    ("cache_use", [executed(tenant="u"), granted()]),
+    ("cache_use", [executed(incarnation="h", expected_incarnation="h"), granted()]),
+    ("cache_use", [executed(), granted(weights_version="v2")]),
+    ("cache_use", [executed(chain=["a"]), granted()]),
+    (
+        "restart",
+        [
+            KILL,
+            RESTART,
+            invoked(time_s=2.5, edge="node"),
+            answered((), time_s=2.6, code="model_not_found", ran="no"),
+        ],
+    ),
+    ("restart", [KILL, RESTART, invoked(time_s=2.5, edge="node")]),
+    ("planned_stop", [invoked(), executed(), STOP, broken()]),
+    ("planned_stop", [invoked(edge="engine"), STOP]),
+    ("configuration", [in_force(1.0, 2), in_force(2.0, 1)]),
+    ("configuration", [in_force(1.0, 2, "a"), in_force(2.0, 2, "b", process="other")]),
+    (
+        "configuration",
+        [in_force(0.5, 1), ConfigurationAccepted(time_s=1.0, revision=2), in_force(20.0, 1)],
+    ),
+]
+
+CLEAN = [
+    ("streams", [invoked(), answered(), answered((0,), request_id="s", code="stream_broken")]),
+    ("own_answer", [invoked(), answered()]),
+    ("not_run", [invoked(), executed(), answered((), code="outcome_unknown", ran="unknown")]),
+    ("at_most_once", [invoked(repeatable=False), executed(), invoked("s"), executed("s")]),
+    ("leaving", [LEAVING, executed(time_s=3.9)]),
+    (
+        "leaving",
+        [LEAVING, LeavingWithdrawn(time_s=2.0, process="engine"), executed(time_s=9.0)],
+    ),
+    ("cache_use", [executed(reused=[origin()]), granted()]),
+    ("restart", [KILL, RESTART, invoked(time_s=2.5, edge="node"), answered(time_s=2.6)]),
+    ("planned_stop", [invoked(), executed(), STOP, answered()]),
+    (
+        "configuration",
+        [in_force(0.5, 1), ConfigurationAccepted(time_s=1.0, revision=2), in_force(9.0, 2)],
+    ),
+]
+
+
+@pytest.mark.parametrize(("promise", "records"), PLANTED)
+def test_a_planted_violation_is_found(promise, records):
+    assert [found.promise for found in CHECKERS[promise](History(records, LATER_S))] == [promise]
+
+
+@pytest.mark.parametrize(("promise", "records"), CLEAN)
+def test_a_clean_history_passes(promise, records):
+    assert CHECKERS[promise](History(records, LATER_S)) == []
+
+
+def test_every_checker_has_a_planted_violation():
+    assert {promise for promise, _records in PLANTED} == set(CHECKERS)
