--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from martenrun.agent.requests import RequestsLogic
+from martenrun.claims.logic import ClaimsLogic
 from martenrun.configuration.view import ConfigurationView
 from martenrun.events import DecisionLogic
 from martenrun.node.configuration import NodeConfigurationLogic
@@ -22,6 +23,7 @@
 
     configuration: NodeConfigurationLogic
     runners: RunnerTable
+    claims: ClaimsLogic
     routing: RoutingLogic
     requests: RequestsLogic
 
@@ -31,7 +33,7 @@
 
     def in_order(self) -> list[DecisionLogic]:
         """Return the parts in the order in which they handle an event."""
-        return [self.configuration, self.runners, self.routing, self.requests]
+        return [self.configuration, self.runners, self.claims, self.routing, self.requests]
 
 
 def node_parts(settings: NodeSettings, incarnation: str, rng: random.Random) -> NodeParts:
@@ -46,5 +48,6 @@
     configuration = NodeConfigurationLogic(own_address, list(settings.seed_nodes))
     runners = RunnerTable()
     routing = RoutingLogic(runners, ConsistentHashPolicy(), lambda: configuration.state.view)
+    claims = ClaimsLogic(own_address)
     requests = RequestsLogic(lambda: [own_address])
-    return NodeParts(configuration, runners, routing, requests)
+    return NodeParts(configuration, runners, claims, routing, requests)
