Log requests by fields without prompts or keys; give each process its own metrics

Cause: logs were free text with error messages, which may quote a caller; metrics were the library's global registry and held nothing of requests. Change: observability/ writes name=value lines whose names are an enumeration and whose values are quoted and cut; one line and one count for each request's end, by error code; process and version stand in every line; metrics live in a registry of the process. Conclusion: per-tenant metrics are left out, since 5,100 tenants times buckets do not fit.

--- a/src/martenrun/cli/run.py
+++ b/src/martenrun/cli/run.py
@@ -10,6 +10,7 @@
 from absl import logging
 
 from martenrun.errors import SettingsError
+from martenrun.observability.logs import identify_process
 
 
 class Runnable(Protocol):
@@ -28,6 +29,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda _number, _frame: stopping.set())
     logging.set_verbosity(logging.INFO)
+    identify_process(description)
     process.start()
     logging.info("%s started", description)
     stopping.wait()
--- a/src/martenrun/edge/application.py
+++ b/src/martenrun/edge/application.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from prometheus_client import generate_latest
 from werkzeug.wrappers import Request, Response
 
 from martenrun.configuration.view import ConfigurationView
@@ -12,6 +11,8 @@
 from martenrun.edge.responses import error_response, json_response
 from martenrun.edge.streams import PieceStream, StreamSlot, StreamSlots
 from martenrun.errors import MartenrunError, NodeUnavailableError
+from martenrun.observability.metrics import EdgeMetrics
+from martenrun.observability.requests import RequestObservation
 from martenrun.platform.engine import EngineConnections
 from martenrun.settings.model import ProcessSettings
 
@@ -39,6 +40,7 @@
         self._port = port
         self._view = view
         self._settings = settings
+        self._metrics = EdgeMetrics()
         self._slots = StreamSlots(settings.max_streams)
         self._engines = EngineConnections()
 
@@ -63,7 +65,7 @@
         if request.path == "/readyz":
             return self._ready()
         if request.path == "/metrics":
-            return Response(generate_latest(), mimetype="text/plain")
+            return Response(self._metrics.exposition(), mimetype="text/plain")
         return json_response({"error": {"message": "not found", "code": "not_found"}}, 404)
 
     def _ready(self) -> Response:
@@ -82,14 +84,23 @@
         return json_response({"object": "list", "data": models})
 
     def _complete(self, request: Request) -> Response:
-        slot = self._slots.take()
+        observation = RequestObservation(self._metrics)
+        slot = StreamSlot(None)
         try:
-            return self._carry(request, slot)
+            slot = self._slots.take()
+            return self._carry(request, slot, observation)
+        except MartenrunError as error:
+            slot.give_back()
+            observation.failed(error)
+            raise
         except BaseException:
             slot.give_back()
+            observation.caller_gone()
             raise
 
-    def _carry(self, request: Request, slot: StreamSlot) -> Response:
+    def _carry(
+        self, request: Request, slot: StreamSlot, observation: RequestObservation
+    ) -> Response:
         caller_request = parse_request(
             request.path,
             request.headers,
@@ -97,6 +108,7 @@
             self._view(),
             self._settings.zone,
         )
+        observation.identified(caller_request.question, caller_request.caller_id)
         caller_gone = request.environ.get("waitress.client_disconnected", lambda: False)
         pieces = Forwarder(
             self._port,
@@ -107,10 +119,11 @@
         ).run()
         # The first piece decides the status: errors before any output become a typed body.
         first = next(pieces, b"")
+        observation.first_output()
         headers = {
             "X-Request-Id": caller_request.caller_id,
             "X-Martenrun-Request-Id": caller_request.question.request_id,
         }
         mimetype = "text/event-stream" if caller_request.stream else "application/json"
-        content = PieceStream(first, pieces, caller_request, slot)
+        content = PieceStream(first, pieces, slot, observation)
         return Response(content, headers=headers, mimetype=mimetype)
--- a/src/martenrun/edge/streams.py
+++ b/src/martenrun/edge/streams.py
@@ -10,9 +10,9 @@
 from absl import logging
 
 from martenrun.edge.forward import CallerLeft
-from martenrun.edge.request import CallerRequest
 from martenrun.edge.responses import error_body
 from martenrun.errors import EdgeFullError, MartenrunError
+from martenrun.observability.requests import RequestObservation
 
 RETRY_AFTER_S = 1.0
 """When a caller refused for want of a slot should come back, in seconds."""
@@ -46,10 +46,10 @@
 
 
 class StreamSlot:
-    """One request's slot."""
+    """One request's slot; ``slots`` is None if none was taken."""
 
-    def __init__(self, slots: StreamSlots) -> None:
-        self._slots: StreamSlots | None = slots
+    def __init__(self, slots: StreamSlots | None) -> None:
+        self._slots = slots
 
     def give_back(self) -> None:
         """Give the slot back; later calls do nothing."""
@@ -59,14 +59,21 @@
 
 
 class PieceStream:
-    """Iterator over a request's output that ends a broken stream with a typed error event."""
+    """Iterator over a request's output that ends a broken stream with a typed error event.
+
+    Closing it before its end counts as the caller's leaving.
+    """
 
     def __init__(
-        self, first: bytes, rest: Iterator[bytes], request: CallerRequest, slot: StreamSlot
+        self,
+        first: bytes,
+        rest: Iterator[bytes],
+        slot: StreamSlot,
+        observation: RequestObservation,
     ) -> None:
         self._pieces: Any = self._chained(first, rest)
         self._rest: Any = rest
-        self._request = request
+        self._observation = observation
         self._slot = slot
 
     def __iter__(self) -> Iterator[bytes]:
@@ -78,6 +85,7 @@
             self._pieces.close()
             self._rest.close()
         finally:
+            self._observation.caller_gone()
             self._slot.give_back()
 
     def _chained(self, first: bytes, rest: Iterator[bytes]) -> Iterator[bytes]:
@@ -92,8 +100,9 @@
             # A fault of our own must not end a stream silently either.
             logging.exception("carrying a stream failed")
             yield self._error_event(MartenrunError("the router failed"))
+        else:
+            self._observation.whole()
 
     def _error_event(self, error: MartenrunError) -> bytes:
-        question = self._request.question
-        logging.warning("request %s ended with %s", question.request_id, error.code)
+        self._observation.failed(error)
         return b"event: error\ndata: " + error_body(error) + b"\n\n"
