--- a/Makefile
+++ b/Makefile
@@ -26,4 +26,5 @@
 	$(BIN)/ruff check --fix .
 
 bench: .venv/.installed
-	$(BIN)/martenrun bench path --json
+	$(BIN)/python scripts/bench.py path
+	$(BIN)/python scripts/bench.py streams
--- /dev/null
+++ b/scripts/bench.py
@@ -0,0 +1,89 @@
+"""Runs the benchmarks that need real processes, and writes their figures.
+
+Usage: ``bench.py path|streams [FILE]``; without a file the figures are only printed.
+"""
+
+import subprocess
+import sys
+from pathlib import Path
+
+from deployment import Deployment
+
+MODEL = "vine-reader"
+KEY = "growers-key"
+ENGINE_GAP_MS = 50
+STREAM_STEPS = (50, 100, 150, 200, 250, 300, 400)
+STREAM_ENGINES = 4
+SLOTS = 1_000
+
+
+def start(engines: int, decode_s: float) -> Deployment:
+    """Start a platform, engines, one node and one agent, and publish a route."""
+    deployment = Deployment()
+    try:
+        deployment.start_platform()
+        flags = (
+            "--slots",
+            str(SLOTS),
+            "--decode-s-per-token",
+            str(decode_s),
+            "--prefill-s-per-block",
+            "0",
+        )
+        for _ in range(engines):
+            deployment.start_engine("zone-a", "readers", MODEL, *flags)
+        deployment.start_nodes(["zone-a"])
+        deployment.start_agents(["zone-a"], "--max-streams", "1000")
+        deployment.apply_tenant("growers", KEY)
+        deployment.apply("pools", "readers", {"model": MODEL, "weights_version": "v1"})
+        route = {"model": MODEL, "pool": "readers"}
+        deployment.wait_ready(deployment.apply("routes", "readers", route))
+    except BaseException:
+        deployment.stop()
+        raise
+    return deployment
+
+
+def measured(*arguments: str) -> bytes:
+    """Run one benchmark command and return its JSON line."""
+    command = [sys.executable, "-m", "martenrun.cli", "bench", *arguments, "--json"]
+    return subprocess.run(command, check=True, stdout=subprocess.PIPE).stdout
+
+
+def path() -> bytes:
+    """Measure what the path adds over a direct call."""
+    deployment = start(engines=1, decode_s=0.002)
+    try:
+        nodes = [flag for edge in deployment.node_edges for flag in ("--node", edge)]
+        ends = ("--engine", deployment.engines[0], "--edge", deployment.agent_edges[0])
+        return measured("path", *ends, *nodes, "--key", KEY)
+    finally:
+        deployment.stop()
+
+
+def streams() -> bytes:
+    """Measure how many streams one agent carries well."""
+    deployment = start(STREAM_ENGINES, ENGINE_GAP_MS / 1_000)
+    try:
+        steps = [flag for step in STREAM_STEPS for flag in ("--step", str(step))]
+        edge = ("--edge", deployment.agent_edges[0], "--key", KEY)
+        return measured("streams", *edge, *steps, "--engine-gap-ms", str(ENGINE_GAP_MS))
+    finally:
+        deployment.stop()
+
+
+def main() -> int:
+    """Run the named benchmark."""
+    benchmarks = {"path": path, "streams": streams}
+    if len(sys.argv) not in (2, 3) or sys.argv[1] not in benchmarks:
+        print(__doc__, file=sys.stderr)
+        return 2
+    figures = benchmarks[sys.argv[1]]()
+    if len(sys.argv) == 3:
+        Path(sys.argv[2]).write_bytes(figures)
+    print(figures.decode(), end="")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -120,7 +120,7 @@
             *seeds,
         )
 
-    def start_agents(self, zones: list[str]) -> None:
+    def start_agents(self, zones: list[str], *flags: str) -> None:
         """Start one agent in each of the zones."""
         for zone in zones:
             address = free_address()
@@ -133,6 +133,7 @@
                 *("--name", name, "--zone", zone, "--cluster-secret", CLUSTER_SECRET),
                 *("--http-address", address),
                 *seeds,
+                *flags,
             )
             wait_until(lambda edge=address: answers(edge, "/healthz"), name, START_TIMEOUT_S)
 
--- a/src/martenrun/cli/bench.py
+++ b/src/martenrun/cli/bench.py
@@ -5,7 +5,14 @@
 
 import click
 
+from martenrun.bench.path import path
+from martenrun.bench.streams import streams
+
 
 @click.group()
 def bench() -> None:
     """Measure a part of the product; results are printed as JSON with --json."""
+
+
+bench.add_command(path)
+bench.add_command(streams)
--- a/src/martenrun/cli/processes.py
+++ b/src/martenrun/cli/processes.py
@@ -22,6 +22,8 @@
         click.option("--region", help="Region of this machine."),
         click.option("--http-address", help="IP:port of the HTTP edge."),
         click.option("--seed-nodes", multiple=True, help="IP:port of a node; repeatable."),
+        click.option("--max-streams", type=int, help="Requests carried at a time."),
+        click.option("--token-gap-timeout-s", type=float, help="Longest silence between tokens."),
         click.option("--cluster-secret", envvar="MARTENRUN_CLUSTER_SECRET", help="Secret."),
     ]
     for option in reversed(options):
