Make the stand-in engine whole; count attempts strictly

Cause: the stand-in had no queue, resume, faults, lagging load or orders, ended a cancelled stream with its terminator, and the adapter took any 412 or 429 as 'not run' and any 200 body as complete. Change: the stand-in is split into batch, cache, feed, faults, weights, orders, messages and HTTP face; tokens are a function of prompt and weights version. The adapter takes only a typed refusal or a connection that never opened as not run, sends the expected weights version, and an answer that is no whole JSON document is not complete. Conclusion: agents can resume by resume_from and resume_text.

--- a/src/martenrun/cli/standin.py
+++ b/src/martenrun/cli/standin.py
@@ -9,10 +9,12 @@
 from martenrun.standins.engine.application import EngineApplication
 from martenrun.standins.engine.events import FeedFaults
 from martenrun.standins.engine.model import TimeModel
+from martenrun.standins.engine.settings import EngineSettings
 from martenrun.standins.machines import MachineListApplication
 from martenrun.standins.objects import ObjectApiApplication
 
 _THREADS = 64
+_THREADS_FOR_CONTROL = 16
 _ADDRESS = click.option("--address", required=True, help="IP:port to serve on.")
 
 
@@ -45,30 +47,34 @@
 @click.option("--model", required=True)
 @click.option("--weights-version", default="v1", show_default=True)
 @click.option("--slots", default=16, show_default=True, help="Streams served at a time.")
+@click.option("--queue-depth", default=0, show_default=True, help="Requests that may wait.")
 @click.option("--block-bytes", default=4_000, show_default=True)
 @click.option("--cache-blocks", default=2_000, show_default=True)
 @click.option("--prefill-s-per-block", default=0.02, show_default=True)
 @click.option("--decode-s-per-token", default=0.005, show_default=True)
+@click.option("--slowdown-per-stream", default=0.05, show_default=True)
 @click.option("--event-lag-s", default=0.2, show_default=True, help="Delay of cache events.")
 @click.option("--event-loss", default=0.0, show_default=True, help="Share of entries lost.")
 @click.option("--seed", default=0, show_default=True, help="Seed of the losses.")
+@click.option("--load-lag-s", default=0.0, show_default=True, help="Age of the reported load.")
+@click.option("--weight-store", default="", help="IP:port of the weight store.")
+@click.option("--kv-store", default="", help="IP:port of the KV store.")
 def engine(
     address: str,
-    model: str,
-    weights_version: str,
-    slots: int,
-    block_bytes: int,
-    cache_blocks: int,
     prefill_s_per_block: float,
     decode_s_per_token: float,
+    slowdown_per_stream: float,
     event_lag_s: float,
     event_loss: float,
     seed: int,
+    **options: Any,
 ) -> None:
     """Run a model engine."""
-    times = TimeModel(prefill_s_per_block, decode_s_per_token)
-    faults = FeedFaults(event_lag_s, event_loss, seed)
-    application = EngineApplication(
-        model, weights_version, slots, block_bytes, cache_blocks, times, faults
+    settings = EngineSettings(
+        times=TimeModel(prefill_s_per_block, decode_s_per_token, slowdown_per_stream),
+        feed=FeedFaults(event_lag_s, event_loss, seed),
+        **options,
     )
-    _serve(application, address, f"engine {application.incarnation}", slots + 16)
+    application = EngineApplication(settings)
+    threads = settings.slots + settings.queue_depth + _THREADS_FOR_CONTROL
+    _serve(application, address, f"engine {application.incarnation}", threads)
--- a/src/martenrun/edge/forward.py
+++ b/src/martenrun/edge/forward.py
@@ -86,7 +86,11 @@
         grant = instruction.grant
         body = self._request.engine_body(grant.priority)
         engine_request = EngineRequest(
-            self._request.path, body, grant.incarnation, self._request.stream
+            self._request.path,
+            body,
+            grant.incarnation,
+            self._request.stream,
+            grant.weights_version,
         )
         started = time.monotonic()
         first_token_s = 0.0
--- a/src/martenrun/platform/engine.py
+++ b/src/martenrun/platform/engine.py
@@ -7,19 +7,25 @@
 
 import msgspec
 import urllib3
-from urllib3.exceptions import HTTPError, NewConnectionError
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from martenrun.constants import ENGINE_READ_TIMEOUT_S
 from martenrun.platform.http import connection_pool
 
+_CONTROL_TIMEOUT_S = 2.0
 _DONE = b"data: [DONE]"
 _EVENT_END = b"\n\n"
 _DATA = b"data: "
-_NOT_RUN_STATUSES = (412, 429)
+_REFUSAL_STATUSES = (412, 429)
 
 
 class AttemptOutcome(enum.StrEnum):
-    """How an attempt at an engine ended."""
+    """How an attempt at an engine ended.
+
+    ``COMPLETE``: the whole answer came, a stream's terminator included.  ``NOT_RUN``: the
+    engine certainly did not run it.  ``UNKNOWN``: no output came, but it may have run.
+    ``BROKEN``: output came, but not all of it.
+    """
 
     COMPLETE = "complete"
     NOT_RUN = "not_run"
@@ -28,9 +34,25 @@
     CALLER_GONE = "caller_gone"
 
 
+class RunnerServingState(enum.StrEnum):
+    """Whether an engine takes requests."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    LOADING = "loading"
+    FAILED = "failed"
+
+
 @dataclass(frozen=True)
 class RunnerDescription:
-    """What an engine tells about itself; loads lag."""
+    """What an engine tells about itself; loads lag.
+
+    Attributes:
+        weights_version: weights it serves with; empty while it loads others.
+        state: ``serving``, or why it takes no requests (see :class:`RunnerServingState`).
+        target_version: the weights version last ordered.
+        fence: the highest fencing token it has seen in this incarnation.
+    """
 
     incarnation: str
     model: str
@@ -38,16 +60,27 @@
     running: int
     slots: int
     cached_blocks: int
+    waiting: int = 0
+    state: str = RunnerServingState.SERVING
+    target_version: str = ""
+    fence: int = 0
+    role: str = ""
+    adapters: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
 class EngineRequest:
-    """One attempt: the caller's path and body with the router's fields added."""
+    """One attempt: the caller's path and body with the router's fields added.
+
+    The engine refuses it, without running it, unless its incarnation and, if one is given,
+    its weights version are the expected ones.
+    """
 
     path: str
     body: bytes
     incarnation: str
     stream: bool
+    weights_version: str = ""
 
 
 @dataclass
@@ -76,6 +109,15 @@
     usage: _Usage | None = None
 
 
+class _RefusalDetails(msgspec.Struct):
+    ran: str = ""
+    message: str = ""
+
+
+class _Refusal(msgspec.Struct):
+    error: _RefusalDetails
+
+
 class EngineConnections:
     """Connection pools to engines, by address; used from driver threads."""
 
@@ -90,13 +132,16 @@
 
     def describe(self, address: str) -> RunnerDescription:
         """Ask an engine for its incarnation, version and load; raises HTTPError."""
-        response = self.pool(address).request("GET", "/v1/runner", timeout=2.0)
+        response = self.pool(address).request("GET", "/v1/runner", timeout=_CONTROL_TIMEOUT_S)
+        if response.status != 200:
+            raise HTTPError(f"the engine answered {response.status}")
         return msgspec.json.decode(response.data, type=RunnerDescription)
 
     def cancel(self, address: str, request_id: str) -> None:
         """Ask an engine to stop a stream; failures are ignored, the stream is closed anyway."""
         with contextlib.suppress(HTTPError):
-            self.pool(address).request("POST", f"/v1/cancel?request_id={request_id}", timeout=2.0)
+            path = f"/v1/cancel?request_id={request_id}"
+            self.pool(address).request("POST", path, timeout=_CONTROL_TIMEOUT_S)
 
     def start(self, address: str, request: EngineRequest) -> "EngineAttempt":
         """Prepare one attempt; nothing is sent before its events are read."""
@@ -121,6 +166,8 @@
             "Content-Type": "application/json",
             "X-Expected-Incarnation": self._request.incarnation,
         }
+        if self._request.weights_version:
+            headers["X-Expected-Weights-Version"] = self._request.weights_version
         try:
             response = self._pool.request(
                 "POST",
@@ -129,17 +176,16 @@
                 headers=headers,
                 preload_content=False,
             )
-        except NewConnectionError as error:
-            self._end(AttemptOutcome.NOT_RUN, f"connection refused: {error}")
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            # No connection, so not a byte of the request has left.
+            self._end(AttemptOutcome.NOT_RUN, f"no connection: {error}")
             return
         except HTTPError as error:
             self._end(AttemptOutcome.UNKNOWN, f"no answer: {error}")
             return
         self._response = response
-        if response.status in _NOT_RUN_STATUSES:
-            self._end(AttemptOutcome.NOT_RUN, f"engine refused with {response.status}")
-        elif response.status != 200:
-            self._end(AttemptOutcome.UNKNOWN, f"engine answered {response.status}")
+        if response.status != 200:
+            self._take_refusal(response)
         elif self._request.stream:
             yield from self._stream(response)
         else:
@@ -158,14 +204,27 @@
         self.result.outcome = outcome
         self.result.message = message
 
+    def _take_refusal(self, response: urllib3.BaseHTTPResponse) -> None:
+        """Only a typed refusal shows that the request was not run."""
+        try:
+            refusal = msgspec.json.decode(response.read(), type=_Refusal).error
+        except (HTTPError, msgspec.MsgspecError):
+            refusal = _RefusalDetails()
+        is_not_run = response.status in _REFUSAL_STATUSES and refusal.ran == "no"
+        outcome = AttemptOutcome.NOT_RUN if is_not_run else AttemptOutcome.UNKNOWN
+        self._end(outcome, f"the engine answered {response.status}: {refusal.message}")
+
     def _read_whole(self, response: urllib3.BaseHTTPResponse) -> None:
         try:
             self.result.body = response.read()
         except HTTPError as error:
             self._end(AttemptOutcome.UNKNOWN, f"the answer ended early: {error}")
             return
-        self._take_usage(self.result.body)
-        self._end(AttemptOutcome.COMPLETE, "")
+        if self._take_usage(self.result.body):
+            self._end(AttemptOutcome.COMPLETE, "")
+        else:
+            self.result.body = b""
+            self._end(AttemptOutcome.UNKNOWN, "the answer is not a whole JSON document")
 
     def _stream(self, response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
         """Pass events on until the terminator; a stream without one is not whole."""
@@ -185,15 +244,17 @@
             message = f"the stream broke: {error}"
         self._end(ended_early, message)
 
-    def _take_usage(self, document: bytes) -> None:
+    def _take_usage(self, document: bytes) -> bool:
+        """Take the usage from a document; returns whether it is a whole JSON document."""
         try:
             usage = msgspec.json.decode(document, type=_UsageHolder).usage
         except msgspec.MsgspecError:
-            return
+            return False
         if usage is not None:
             self.result.prompt_tokens = usage.prompt_tokens
             self.result.output_tokens = usage.completion_tokens
             self.result.cached_tokens = usage.prompt_tokens_details.cached_tokens
+        return True
 
 
 def _events(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
--- a/src/martenrun/standins/engine/application.py
+++ b/src/martenrun/standins/engine/application.py
@@ -1,209 +1,181 @@
 """HTTP face of the stand-in engine (the protocol is described in docs/PROTOCOL.md)."""
 
-import secrets
-import threading
 import time
 from collections.abc import Iterator
 
 import msgspec
 from werkzeug.wrappers import Request, Response
 
-from martenrun.identity.chain import block_count, chain_seed, hash_chain
-from martenrun.identity.prompt import (
-    ChatMessage,
-    canonical_chat_text,
-    canonical_completion_text,
-)
-from martenrun.standins.engine.cache import PrefixCache
-from martenrun.standins.engine.events import CacheEventFeed, FeedFaults
-from martenrun.standins.engine.model import TimeModel
-
-_BYTES_PER_TOKEN = 4
+from martenrun.standins.engine.faults import ConnectionCutError, Faults
+from martenrun.standins.engine.incarnation import Generation, Incarnation
+from martenrun.standins.engine.messages import TERMINATOR, Completion, EngineBody
+from martenrun.standins.engine.orders import FenceGuard, Order
+from martenrun.standins.engine.refusals import RefusalCode, RefusedError
+from martenrun.standins.engine.settings import EngineSettings
+
 FEED_WAIT_S = 0.05
 """How often a waiting feed request looks for entries that have become due, in seconds."""
-_WORDS = ("season", "note", "block", "tally", "weight", "permit", "market", "stall")
+
+_FREEZE_CHECK_S = 0.02
 
 
-class EngineBody(msgspec.Struct):
-    """Fields of a completion or chat request that the engine reads."""
+class Description(msgspec.Struct):
+    """Answer of ``GET /v1/runner``; ``running`` and ``waiting`` lag."""
 
+    incarnation: str
     model: str
-    prompt: str = ""
-    messages: list[ChatMessage] = msgspec.field(default_factory=list)
-    max_tokens: int = 16
-    stream: bool = False
-    priority: int = 0
-    cache_salt: str = ""
-    request_id: str = ""
+    weights_version: str
+    running: int
+    waiting: int
+    slots: int
+    cached_blocks: int
+    state: str
+    target_version: str
+    fence: int
+    role: str
+    adapters: list[str]
 
 
 class EngineApplication:
-    """WSGI application of one engine incarnation."""
-
-    def __init__(
-        self,
-        model: str,
-        weights_version: str,
-        slots: int,
-        block_bytes: int,
-        cache_blocks: int,
-        times: TimeModel,
-        feed_faults: FeedFaults | None = None,
-    ) -> None:
-        self.incarnation = secrets.token_hex(4)
-        self._model = model
-        self._weights_version = weights_version
-        self._slots = slots
-        self._block_bytes = block_bytes
-        self._times = times
-        self._lock = threading.Lock()
-        self._cache = PrefixCache(cache_blocks)
-        self._feed = CacheEventFeed(self.incarnation, feed_faults or FeedFaults())
-        self._running = 0
-        self._cancelled: set[str] = set()
+    """WSGI application of one engine; a crash gives it another incarnation."""
+
+    def __init__(self, settings: EngineSettings) -> None:
+        self._settings = settings
+        self._faults = Faults()
         self._executed: list[str] = []
+        self._begin()
+
+    def _begin(self) -> None:
+        self._engine = Incarnation(self._settings)
+        self._guard = FenceGuard(self._engine.name)
+
+    @property
+    def incarnation(self) -> str:
+        """The present incarnation."""
+        return self._engine.name
 
     def __call__(self, environ: dict[str, object], start_response: object) -> object:
         """Serve one request."""
-        return self._serve(Request(environ))(environ, start_response)  # type: ignore[arg-type]
+        request = Request(environ)
+        try:
+            response = self._serve(request)
+        except RefusedError as error:
+            response = _refusal(error)
+        except msgspec.MsgspecError as error:
+            response = _refusal(RefusedError(RefusalCode.INVALID, str(error)))
+        return response(environ, start_response)  # type: ignore[arg-type]
 
     def _serve(self, request: Request) -> Response:
-        if request.path in ("/v1/completions", "/v1/chat/completions"):
-            return self._complete(request)
-        if request.path == "/v1/cancel":
-            with self._lock:
-                self._cancelled.add(request.args["request_id"])
-            return _json({})
-        if request.path == "/v1/runner":
-            return _json(self._description())
-        if request.path == "/v1/cache-events":
-            return self._cache_events(request)
+        if request.path == "/faults":
+            return self._set_faults(request)
         if request.path == "/v1/executed":
             return _json(self._executed)
-        return _json({"error": {"message": "not found"}}, 404)
-
-    def _description(self) -> dict[str, object]:
-        with self._lock:
-            return {
-                "incarnation": self.incarnation,
-                "model": self._model,
-                "weights_version": self._weights_version,
-                "running": self._running,
-                "slots": self._slots,
-                "cached_blocks": len(self._cache),
-            }
+        self._hold_up()
+        match request.path:
+            case "/v1/completions" | "/v1/chat/completions":
+                return self._complete(request)
+            case "/v1/cancel":
+                self._engine.cancelled.add(request.args["request_id"])
+                return _json({})
+            case "/v1/runner":
+                return _json(self._description())
+            case "/v1/cache-events":
+                return self._cache_events(request)
+            case "/v1/orders":
+                order = msgspec.json.decode(request.get_data(), type=Order)
+                self._engine.weights.carry_out(order, self._guard)
+                return _json(self._description(), 202)
+        return _json({"error": {"message": "not found", "ran": "no"}}, 404)
+
+    def _set_faults(self, request: Request) -> Response:
+        self._faults = msgspec.json.decode(request.get_data(), type=Faults)
+        if self._faults.replay_events:
+            self._engine.feed.replay(self._faults.replay_events)
+        if self._faults.crash:
+            self._engine.is_dead.set()
+            self._begin()
+        return _json({})
+
+    def _hold_up(self) -> None:
+        """Let the frozen time and the set delay pass."""
+        time.sleep(self._faults.delay_s)
+        while self._faults.freeze:
+            time.sleep(_FREEZE_CHECK_S)
+
+    def _description(self) -> Description:
+        engine = self._engine
+        load = engine.load_report.shown(time.monotonic())
+        weights = engine.weights
+        return Description(
+            engine.name,
+            self._settings.model,
+            weights.version,
+            load.running,
+            load.waiting,
+            self._settings.slots,
+            len(engine.cached),
+            weights.state.value,
+            weights.target_version,
+            self._guard.fence,
+            weights.role.value,
+            weights.adapters,
+        )
 
     def _cache_events(self, request: Request) -> Response:
+        feed = self._engine.feed
         after = int(request.args.get("after", "0"))
         incarnation = request.args.get("incarnation", "")
         until = time.monotonic() + float(request.args.get("wait_s", "0"))
         while True:
             now = time.monotonic()
-            answer = self._feed.read(after, incarnation, now)
+            answer = feed.read(after, incarnation, now)
             if answer.entries or now >= until:
                 return _json(answer)
-            self._feed.wait(min(until - now, FEED_WAIT_S))
+            feed.wait(min(until - now, FEED_WAIT_S))
 
     def _complete(self, request: Request) -> Response:
-        expected = request.headers.get("X-Expected-Incarnation", self.incarnation)
-        if expected != self.incarnation:
-            return _json({"error": {"message": "another incarnation", "ran": "no"}}, 412)
+        engine = self._engine
+        expected = request.headers.get("X-Expected-Incarnation", "")
+        if expected and expected != engine.name:
+            message = f"the engine's incarnation is {engine.name}"
+            raise RefusedError(RefusalCode.ANOTHER_INCARNATION, message)
         body = msgspec.json.decode(request.get_data(), type=EngineBody)
-        chat = request.path.endswith("chat/completions")
-        text = (
-            canonical_chat_text(body.messages) if chat else canonical_completion_text(body.prompt)
-        )
-        with self._lock:
-            if self._running >= self._slots:
-                return _json({"error": {"message": "no free slot", "ran": "no"}}, 429)
-            self._running += 1
-            self._executed.append(body.request_id)
+        completion = Completion(body, request.path.endswith("chat/completions"))
+        version = request.headers.get("X-Expected-Weights-Version", "")
+        generation = engine.enter(completion, version)
+        self._executed.append(body.request_id)
         if body.stream:
-            return Response(self._events(body, text, chat), mimetype="text/event-stream")
-        pieces = list(self._generate(body, text))
-        return _json(_whole_answer(body, chat, pieces))
-
-    def _generate(self, body: EngineBody, text: bytes) -> Iterator[tuple[str, int]]:
-        """Yield (token text, cached tokens), paced by the time model."""
-        try:
-            seed = chain_seed(body.cache_salt, self._weights_version)
-            chain = hash_chain(text, seed, self._block_bytes)
-            with self._lock:
-                matched = self._cache.match(chain)
-                running = self._running
-            uncached = len(text) / self._block_bytes - matched
-            time.sleep(self._times.prefill_s(uncached, running))
-            with self._lock:
-                self._cache.insert(chain)
-                self._feed.add(*self._cache.take_events(), time.monotonic())
-            cached_tokens = matched * self._block_bytes // _BYTES_PER_TOKEN
-            for index in range(body.max_tokens):
-                if body.request_id in self._cancelled:
-                    return
-                time.sleep(self._times.decode_s(self._running))
-                yield (
-                    f"{_WORDS[(index + block_count(chain)) % len(_WORDS)]}-{index} ",
-                    cached_tokens,
-                )
-        finally:
-            with self._lock:
-                self._running -= 1
-
-    def _events(self, body: EngineBody, text: bytes, chat: bool) -> Iterator[bytes]:
-        count = 0
-        cached_tokens = 0
-        for piece, matched_tokens in self._generate(body, text):
-            count += 1
-            cached_tokens = matched_tokens
-            yield _event(_chunk(body, chat, piece))
-        finish = _chunk(body, chat, "", finish="length")
-        finish["usage"] = _usage(text, count, cached_tokens)
-        yield _event(finish)
-        yield b"data: [DONE]\n\n"
-
-
-def _event(value: object) -> bytes:
-    return b"data: " + msgspec.json.encode(value) + b"\n\n"
-
-
-def _usage(text: bytes, output_tokens: int, cached_tokens: int) -> dict[str, object]:
-    prompt_tokens = max(1, len(text) // _BYTES_PER_TOKEN)
-    return {
-        "prompt_tokens": prompt_tokens,
-        "completion_tokens": output_tokens,
-        "total_tokens": prompt_tokens + output_tokens,
-        "prompt_tokens_details": {"cached_tokens": cached_tokens},
-    }
-
-
-def _chunk(
-    body: EngineBody, chat: bool, piece: str, finish: str | None = None
-) -> dict[str, object]:
-    choice: dict[str, object] = {"index": 0, "finish_reason": finish}
-    if chat:
-        choice["delta"] = {"content": piece} if piece else {}
-    else:
-        choice["text"] = piece
-    kind = "chat.completion.chunk" if chat else "text_completion"
-    identity = body.request_id or "request"
-    return {"id": identity, "object": kind, "created": 0, "model": body.model, "choices": [choice]}
-
-
-def _whole_answer(body: EngineBody, chat: bool, pieces: list[tuple[str, int]]) -> dict[str, object]:
-    text = "".join(piece for piece, _cached in pieces)
-    answer = _chunk(body, chat, text, finish="length")
-    prompt = canonical_chat_text(body.messages) if chat else body.prompt.encode()
-    answer["usage"] = _usage(prompt, len(pieces), pieces[-1][1] if pieces else 0)
-    if chat:
-        answer["object"] = "chat.completion"
-        answer["choices"] = [
-            {
-                "index": 0,
-                "finish_reason": "length",
-                "message": {"role": "assistant", "content": text},
-            }
-        ]
-    return answer
+            events = self._events(completion, generation)
+            return Response(events, mimetype="text/event-stream")
+        text = "".join(generation.run())
+        answer = completion.whole(
+            body.resume_text + text, body.max_tokens, generation.cached_tokens
+        )
+        return _json(answer)
+
+    def _events(self, completion: Completion, generation: Generation) -> Iterator[bytes]:
+        """Yield server-sent events, broken off as the faults say."""
+        for count, token in enumerate(generation.run()):
+            while self._faults.freeze:
+                time.sleep(_FREEZE_CHECK_S)
+            self._cut_if_due(count)
+            yield completion.piece(token)
+        body = completion.body
+        self._cut_if_due(body.max_tokens - body.resume_from)
+        yield completion.finish(body.max_tokens, generation.cached_tokens)
+        if not self._faults.omit_terminator:
+            yield TERMINATOR
+
+    def _cut_if_due(self, tokens_sent: int) -> None:
+        faults = self._faults
+        if faults.cut_streams > 0 and tokens_sent == faults.cut_after_tokens:
+            faults.cut_streams -= 1
+            raise ConnectionCutError
+
+
+def _refusal(error: RefusedError) -> Response:
+    body = {"message": error.message, "code": error.code.value, "ran": "no"}
+    return _json({"error": body}, error.status)
 
 
 def _json(value: object, status: int = 200) -> Response:
--- a/src/martenrun/standins/engine/cache.py
+++ b/src/martenrun/standins/engine/cache.py
@@ -50,3 +50,8 @@
         removed = numpy.array(self._removed, dtype="<i8").tobytes()
         self._stored, self._removed = [], []
         return stored, removed
+
+    def clear(self) -> None:
+        """Forget every block."""
+        self._removed += self._blocks
+        self._blocks.clear()
