Add stand-ins of the weight store and the KV store, and block transfers

Cause: nothing could load weights or move kept blocks. Conclusion: what to export and when is the routing's matter; the edge is there.

--- a/src/martenrun/cli/standin.py
+++ b/src/martenrun/cli/standin.py
@@ -10,8 +10,10 @@
 from martenrun.standins.engine.events import FeedFaults
 from martenrun.standins.engine.model import TimeModel
 from martenrun.standins.engine.settings import EngineSettings
+from martenrun.standins.kv_store import KvStoreApplication
 from martenrun.standins.machines import MachineListApplication
 from martenrun.standins.objects import ObjectApiApplication
+from martenrun.standins.weights import LoadPace, WeightStoreApplication
 
 _THREADS = 64
 _THREADS_FOR_CONTROL = 16
@@ -42,6 +44,33 @@
     _serve(MachineListApplication(lag_s), address, "machine list")
 
 
+@standin.command()
+@_ADDRESS
+@click.option("--load-s", default=2.0, show_default=True, help="Time of one undisturbed load.")
+@click.option("--full-rate-loads", default=3, show_default=True, help="Loads before it slows.")
+@click.option("--overload-penalty", default=0.1, show_default=True, help="Rate lost per load more.")
+@click.option("--publish", multiple=True, help="MODEL/VERSION that exists; may be repeated.")
+def weights(
+    address: str,
+    load_s: float,
+    full_rate_loads: int,
+    overload_penalty: float,
+    publish: tuple[str, ...],
+) -> None:
+    """Run the weight store."""
+    pace = LoadPace(load_s, full_rate_loads, overload_penalty)
+    _serve(WeightStoreApplication(pace, list(publish)), address, "weight store")
+
+
+@standin.command("kv-store")
+@_ADDRESS
+@click.option("--capacity-blocks", default=100_000, show_default=True)
+@click.option("--transfer-s-per-block", default=0.002, show_default=True)
+def kv_store(address: str, capacity_blocks: int, transfer_s_per_block: float) -> None:
+    """Run a KV store."""
+    _serve(KvStoreApplication(capacity_blocks, transfer_s_per_block), address, "KV store")
+
+
 @standin.command()
 @_ADDRESS
 @click.option("--model", required=True)
--- /dev/null
+++ b/src/martenrun/platform/kv_transfers.py
@@ -0,0 +1,56 @@
+"""Adapter for moving cached blocks between engines and their KV store."""
+
+import enum
+
+import msgspec
+from urllib3.exceptions import HTTPError
+
+from martenrun.platform.engine import EngineConnections
+
+_TIMEOUT_S = 30.0
+
+
+class TransferDirection(enum.StrEnum):
+    """Which way blocks move, seen from the engine."""
+
+    EXPORT = "export"
+    IMPORT = "import"
+
+
+class BlockTransfer(msgspec.Struct, frozen=True):
+    """Which blocks to move.
+
+    Attributes:
+        incarnation: the engine refuses if it has restarted since.
+        weights_version: the engine refuses if it serves with other weights.
+        chain: hashes of a prompt's leading blocks, 8 bytes each.
+    """
+
+    incarnation: str
+    weights_version: str
+    chain: bytes
+
+
+class _Moved(msgspec.Struct):
+    blocks: int
+
+
+class KvTransfers:
+    """Orders block transfers; used from driver threads."""
+
+    def __init__(self, engines: EngineConnections) -> None:
+        self._engines = engines
+
+    def move(self, address: str, direction: TransferDirection, transfer: BlockTransfer) -> int:
+        """Move blocks and return how many leading ones were moved; 0 if refused or failed."""
+        body = msgspec.json.encode(transfer)
+        path = f"/v1/kv/{direction.value}"
+        try:
+            response = self._engines.pool(address).request(
+                "POST", path, body=body, timeout=_TIMEOUT_S
+            )
+        except HTTPError:
+            return 0
+        if response.status != 200:
+            return 0
+        return msgspec.json.decode(response.data, type=_Moved).blocks
--- a/src/martenrun/standins/engine/application.py
+++ b/src/martenrun/standins/engine/application.py
@@ -12,6 +12,7 @@
 from martenrun.standins.engine.orders import FenceGuard, Order
 from martenrun.standins.engine.refusals import RefusalCode, RefusedError
 from martenrun.standins.engine.settings import EngineSettings
+from martenrun.standins.engine.transfers import TransferQuestion, export_blocks, import_blocks
 
 FEED_WAIT_S = 0.05
 """How often a waiting feed request looks for entries that have become due, in seconds."""
@@ -81,6 +82,10 @@
                 return _json(self._description())
             case "/v1/cache-events":
                 return self._cache_events(request)
+            case "/v1/kv/export" | "/v1/kv/import":
+                question = msgspec.json.decode(request.get_data(), type=TransferQuestion)
+                move = export_blocks if request.path.endswith("export") else import_blocks
+                return _json(move(self._engine, question))
             case "/v1/orders":
                 order = msgspec.json.decode(request.get_data(), type=Order)
                 self._engine.weights.carry_out(order, self._guard)
--- a/src/martenrun/standins/engine/refusals.py
+++ b/src/martenrun/standins/engine/refusals.py
@@ -14,9 +14,15 @@
     RESUME_MISMATCH = "resume_mismatch"
     STALE_FENCE = "stale_fence"
     INVALID = "invalid"
+    STORE_UNAVAILABLE = "store_unavailable"
 
 
-_STATUSES = {RefusalCode.FULL: 429, RefusalCode.CANCELLED: 409, RefusalCode.INVALID: 400}
+_STATUSES = {
+    RefusalCode.FULL: 429,
+    RefusalCode.CANCELLED: 409,
+    RefusalCode.INVALID: 400,
+    RefusalCode.STORE_UNAVAILABLE: 503,
+}
 _OTHER_STATUS = 412
 
 
