--- a/tests/engine_server.py
+++ b/tests/engine_server.py
@@ -7,7 +7,9 @@
 from deployment import free_address
 
 from martenrun.edge.server import HttpServer
+from martenrun.platform.attempt import EngineAttempt
 from martenrun.platform.engine import EngineConnections, EngineRequest
+from martenrun.platform.stream_progress import StreamProgress
 from martenrun.standins.engine.application import EngineApplication
 from martenrun.standins.engine.model import TimeModel
 from martenrun.standins.engine.settings import EngineSettings
@@ -50,9 +52,9 @@
             json.dumps(body).encode(),
             self.incarnation if incarnation is None else incarnation,
             body["stream"],
-            weights_version,
+            weights_version=weights_version,
         )
-        return self.connections.start(self.address, request)
+        return EngineAttempt(self.address, request, StreamProgress())
 
     def run(self, *arguments, **fields):
         """Run an attempt to its end; returns its events and result."""
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -8,8 +8,10 @@
 import urllib3
 from deployment import free_address, wait_until
 
-from engine_server import SLOW, running_engine, text_of
-from martenrun.platform.engine import AttemptOutcome, EngineConnections, EngineRequest
+from engine_server import SLOW, running_engine, served, text_of
+from martenrun.platform.attempt import EngineAttempt
+from martenrun.platform.engine import AttemptOutcome, EngineRequest
+from martenrun.platform.stream_progress import StreamProgress
 from martenrun.standins.engine.refusals import RefusedError
 from martenrun.standins.engine.scheduler import Batch, Load, LoadReport
 
@@ -64,14 +66,21 @@
     assert f"refused-{fields}" not in executed(engine)
 
 
-def test_a_refused_connection_was_not_run_and_an_untyped_refusal_may_have_been(engine):
+def refuse_untyped(environ, start_response):
+    start_response(environ["PATH_INFO"].strip("/") + " Refused", [])
+    return [b'{"error": {"message": "somebody in between refuses"}}']
+
+
+def test_a_refused_connection_was_not_run_and_an_untyped_refusal_may_have_been():
     def outcome(address, path):
-        attempt = EngineConnections().start(address, EngineRequest(path, b"{}", "", True))
+        attempt = EngineAttempt(address, EngineRequest(path, b"{}", "", True), StreamProgress())
         assert list(attempt.events()) == []
         return attempt.result.outcome
 
     assert outcome(free_address(), "/v1/completions") is AttemptOutcome.NOT_RUN
-    assert outcome(engine.address, "/v1/no-such-path") is AttemptOutcome.UNKNOWN
+    with served(refuse_untyped) as address:
+        for status in (412, 429, 500):
+            assert outcome(address, f"/{status}") is AttemptOutcome.UNKNOWN
 
 
 def test_a_crash_breaks_streams_and_comes_back_empty_under_the_same_address():
