--- a/src/martenrun/edge/server.py
+++ b/src/martenrun/edge/server.py
@@ -16,6 +16,7 @@
     HeadersTooLargeError,
     InvalidRequestError,
     MartenrunError,
+    Ran,
 )
 from martenrun.wire.transport import parse_address
 
@@ -86,5 +87,6 @@
     if isinstance(error, RequestHeaderFieldsTooLarge):
         return HeadersTooLargeError(f"the headers are over {MAXIMUM_HEADER_BYTES} bytes")
     if error.code >= 500:
-        return MartenrunError(str(error.body))
+        # The application failed anywhere on its way: the request may have been run.
+        return MartenrunError(str(error.body), ran=Ran.UNKNOWN)
     return InvalidRequestError(f"the request cannot be read: {error.body}")
--- a/src/martenrun/platform/engine.py
+++ b/src/martenrun/platform/engine.py
@@ -14,9 +14,16 @@
 from martenrun.constants import ENGINE_READ_TIMEOUT_S
 from martenrun.platform.http import connection_pool
 
+_CONTROL_TIMEOUT_S = 2.0
+
 
 class AttemptOutcome(enum.StrEnum):
-    """How an attempt at an engine ended."""
+    """How an attempt at an engine ended.
+
+    ``COMPLETE``: the whole answer came, a stream's terminator included.  ``NOT_RUN``: the
+    engine certainly did not run it.  ``UNKNOWN``: no output came, but it may have run.
+    ``BROKEN``: output came, but not all of it.
+    """
 
     COMPLETE = "complete"
     NOT_RUN = "not_run"
@@ -25,9 +32,25 @@
     CALLER_GONE = "caller_gone"
 
 
+class RunnerServingState(enum.StrEnum):
+    """Whether an engine takes requests."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    LOADING = "loading"
+    FAILED = "failed"
+
+
 @dataclass(frozen=True)
 class RunnerDescription:
-    """What an engine tells about itself; loads lag."""
+    """What an engine tells about itself; loads lag.
+
+    Attributes:
+        weights_version: weights it serves with; empty while it loads others.
+        state: ``serving``, or why it takes no requests (see :class:`RunnerServingState`).
+        target_version: the weights version last ordered.
+        fence: the highest fencing token it has seen in this incarnation.
+    """
 
     incarnation: str
     model: str
@@ -35,6 +58,12 @@
     running: int
     slots: int
     cached_blocks: int
+    waiting: int = 0
+    state: str = RunnerServingState.SERVING
+    target_version: str = ""
+    fence: int = 0
+    role: str = ""
+    adapters: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -42,7 +71,9 @@
     """One attempt: the caller's path and body with the router's fields added.
 
     ``first_event_timeout_s`` bounds the silence before the answer begins, or is whole if it is
-    not streamed; ``token_gap_timeout_s`` the silence between two events of a stream.
+    not streamed; ``token_gap_timeout_s`` the silence between two events of a stream.  The engine
+    refuses the request, without running it, unless its incarnation and, if one is given, its
+    weights version are the expected ones.
     """
 
     path: str
@@ -51,6 +82,7 @@
     stream: bool
     first_event_timeout_s: float = ENGINE_READ_TIMEOUT_S
     token_gap_timeout_s: float = ENGINE_READ_TIMEOUT_S
+    weights_version: str = ""
 
 
 @dataclass
@@ -79,10 +111,13 @@
 
     def describe(self, address: str) -> RunnerDescription:
         """Ask an engine for its incarnation, version and load; raises HTTPError."""
-        response = self.pool(address).request("GET", "/v1/runner", timeout=2.0)
+        response = self.pool(address).request("GET", "/v1/runner", timeout=_CONTROL_TIMEOUT_S)
+        if response.status != 200:
+            raise HTTPError(f"the engine answered {response.status}")
         return msgspec.json.decode(response.data, type=RunnerDescription)
 
     def cancel(self, address: str, request_id: str) -> None:
         """Ask an engine to stop a stream; failures are ignored, the stream is closed anyway."""
         with contextlib.suppress(HTTPError):
-            self.pool(address).request("POST", f"/v1/cancel?request_id={request_id}", timeout=2.0)
+            path = f"/v1/cancel?request_id={request_id}"
+            self.pool(address).request("POST", path, timeout=_CONTROL_TIMEOUT_S)
