--- a/src/martenrun/agent/parts.py
+++ b/src/martenrun/agent/parts.py
@@ -38,5 +38,5 @@
         rng: source of jitter; seeded in simulations.
     """
     configuration = AgentConfigurationLogic(list(settings.seed_nodes))
-    requests = RequestsLogic(configuration.live_nodes)
+    requests = RequestsLogic(configuration.live_nodes, rng)
     return AgentParts(configuration, requests)
--- a/src/martenrun/edge/forward.py
+++ b/src/martenrun/edge/forward.py
@@ -153,6 +153,7 @@
             self._request.stream,
             silence_s,
             self._token_gap_timeout_s,
+            grant.weights_version,
         )
 
 
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -48,6 +48,6 @@
     configuration = NodeConfigurationLogic(own_address, list(settings.seed_nodes))
     runners = RunnerTable()
     routing = RoutingLogic(runners, ConsistentHashPolicy(), lambda: configuration.state.view)
-    claims = ClaimsLogic(own_address)
-    requests = RequestsLogic(lambda: [own_address])
+    claims = ClaimsLogic(f"{own_address}/{incarnation}")
+    requests = RequestsLogic(lambda: [own_address], rng)
     return NodeParts(configuration, runners, claims, routing, requests)
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -8,6 +8,7 @@
 from urllib3.exceptions import HTTPError
 
 from martenrun.admin.application import ADMIN_PREFIX, AdminApplication
+from martenrun.configuration.objects import Kind
 from martenrun.edge.application import CallerApplication
 from martenrun.edge.forward import EdgePort
 from martenrun.edge.server import HttpServer
@@ -103,7 +104,7 @@
 
     def _watch_store(self) -> None:
         known = self._parts.configuration.state.revision
-        update = self._store.changes(known, WATCH_WAIT_S)
+        update = self._store.changes(known, WATCH_WAIT_S, Kind)
         if update.to_revision > known:
             self._loop.tell(StoreChanges(update))
 
--- a/src/martenrun/platform/attempt.py
+++ b/src/martenrun/platform/attempt.py
@@ -25,7 +25,6 @@
 _EVENT_END = b"\n\n"
 _DATA = b"data: "
 _FAILURES = (HTTPError, http.client.HTTPException, OSError)
-_NOT_RUN_STATUSES = (412, 429)
 
 
 class _PromptDetails(msgspec.Struct):
@@ -113,6 +112,8 @@
             "Content-Type": "application/json",
             "X-Expected-Incarnation": self._request.incarnation,
         }
+        if self._request.weights_version:
+            headers["X-Expected-Weights-Version"] = self._request.weights_version
         self._connection.request(
             "POST",
             self._request.path,
@@ -139,12 +140,12 @@
         self.result.message = message
 
     def _refused(self, response: urllib3.BaseHTTPResponse) -> None:
-        """Take in an answer other than 200; an engine that says it ran nothing is believed."""
+        """Take in an answer other than 200; only one that says so was certainly not run."""
         message = f"the engine answered {response.status}"
-        not_run = response.status in _NOT_RUN_STATUSES
+        not_run = False
         with contextlib.suppress(msgspec.MsgspecError, *_FAILURES):
             error = msgspec.json.decode(response.read(), type=_ErrorHolder).error
-            not_run = not_run or error.ran == "no"
+            not_run = error.ran == "no"
         self._end(AttemptOutcome.NOT_RUN if not_run else AttemptOutcome.UNKNOWN, message)
 
     def _read_whole(self, response: urllib3.BaseHTTPResponse) -> None:
--- a/src/martenrun/platform/object_api.py
+++ b/src/martenrun/platform/object_api.py
@@ -13,7 +13,6 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
-from martenrun.constants import CLAIM_KIND
 from martenrun.errors import (
     ChangeOutcomeUnknownError,
     ObjectNotFoundError,
@@ -71,8 +70,7 @@
         if response.status == 410:
             raise WatchCompactedError(f"changes after revision {after} were compacted")
         found = msgspec.json.decode(response.data, type=_List)
-        # Claims are read one by one where they are needed; watchers do not hold them.
-        objects = [_converted(item) for item in found.objects if item.kind != CLAIM_KIND]
+        objects = [_converted(item) for item in found.objects]
         return ConfigurationUpdate(after, found.revision, objects)
 
     def get(self, kind: str, name: str) -> ConfigurationObject:
