--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from martenrun.errors import MartenrunError
+from martenrun.platform.cache_events import CacheEvents
 from martenrun.platform.engine import AttemptResult, RunnerDescription
 from martenrun.platform.machine_list import Machine
 from martenrun.wire.messages import (
@@ -57,6 +58,14 @@
     description: RunnerDescription | None
 
 
+@dataclass(frozen=True, slots=True)
+class CacheEventsRead:
+    """An engine's cache-event feed has told something new."""
+
+    runner: str
+    events: CacheEvents
+
+
 @dataclass(frozen=True, slots=True)
 class RequestArrived:
     """A caller's request has been parsed and authenticated at the edge."""
@@ -67,12 +76,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
-    """An attempt at an engine is over."""
+    """An attempt at an engine is over.
+
+    ``can_resume`` tells whether another engine could go on with a broken stream.
+    """
 
     request_id: str
     attempt: int
     result: AttemptResult
     first_token_s: float
+    can_resume: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,16 +118,26 @@
     found: ConfigurationObject | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class QuestionCleared:
+    """A question with an idempotency key holds its claim and may be decided."""
+
+    peer: str
+    question: DecideRequest
+
+
 Event = (
     Tick
     | PeerMessage
     | StoreChanges
     | MachinesListed
     | RunnerDescribed
+    | CacheEventsRead
     | RequestArrived
     | AttemptEnded
     | CallerGone
     | StoreAnswered
+    | QuestionCleared
 )
 
 
