--- a/src/martenrun/cli/bench.py
+++ b/src/martenrun/cli/bench.py
@@ -5,6 +5,7 @@
 
 import click
 
+from martenrun.bench.index import index_command
 from martenrun.bench.path import path
 from martenrun.bench.streams import streams
 
@@ -16,3 +17,4 @@
 
 bench.add_command(path)
 bench.add_command(streams)
+bench.add_command(index_command)
