--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -92,3 +92,17 @@
   4: list<string> nodes
   5: bool complete
 }
+
+struct UsageDigest {
+  1: i64 incarnation
+  2: i32 sequence
+  3: string zone
+  4: binary records
+}
+
+struct UsageTotals {
+  1: i64 incarnation
+  2: i32 sequence
+  3: double added_usage
+  4: binary records
+}
--- /dev/null
+++ b/tests/test_usage.py
@@ -0,0 +1,159 @@
+"""Usage over all nodes: sums, lost and repeated digests, node death, restarts."""
+
+import random
+
+import pytest
+
+from martenrun.events import PeerMessage, Send, Tick
+from martenrun.membership.view import Member, StaticMemberView
+from martenrun.sharing.records import UsageRecord, pack, tenant_id, unpack
+from martenrun.sharing.usage import RECORDS_PER_REPORT, UsageExchange
+from martenrun.simulation.hollow import HollowProcess
+from martenrun.simulation.network import LinkFaults, SimulatedNetwork
+from martenrun.simulation.scheduler import Scheduler
+from martenrun.wire.messages import UsageDigest
+
+
+class Cluster:
+    """Hollow nodes in zones that serve steady rates."""
+
+    def __init__(self, zones: list[str], faults: LinkFaults | None = None) -> None:
+        self.scheduler = Scheduler()
+        faults = faults or LinkFaults()
+        self.network = SimulatedNetwork(self.scheduler, random.Random(1), faults)
+        self.members = [Member(f"10.0.0.{i}:1", zone) for i, zone in enumerate(zones)]
+        self.views = [StaticMemberView(member, self.members) for member in self.members]
+        self.rates: dict[tuple[int, str], float] = {}
+        self.nodes: list[UsageExchange] = []
+        self.processes: list[HollowProcess] = []
+        for index in range(len(zones)):
+            self.start(index)
+        self.scheduler.after(0.0, self.work)
+
+    def start(self, index: int, seed: int = 0) -> None:
+        node = UsageExchange(self.views[index], random.Random(100 * seed + index))
+        name = self.members[index].address
+        process = HollowProcess(name, [node], self.scheduler, self.network, {})
+        self.nodes[index : index + 1] = [node]
+        self.processes[index : index + 1] = [process]
+
+    def work(self) -> None:
+        for (index, tenant), rate in self.rates.items():
+            self.nodes[index].served(tenant, rate / 10, self.scheduler.now)
+            self.nodes[index].demanded(tenant, rate / 5, self.scheduler.now)
+        self.scheduler.after(0.1, self.work)
+
+    def run(self, seconds: float) -> None:
+        self.scheduler.run_until(self.scheduler.now + seconds)
+
+    def total(self, index: int, tenant: str) -> float:
+        return self.nodes[index].usage(tenant, self.scheduler.now).all_usage
+
+
+ZONES = ["a", "a", "a", "b", "b", "c"]
+
+
+@pytest.mark.parametrize(
+    "faults", [LinkFaults(), LinkFaults(loss=0.2, duplicate=0.2, jitter_s=0.5)], ids=["good", "bad"]
+)
+def test_every_node_learns_the_sum_over_all_zones(faults):
+    cluster = Cluster(ZONES, faults)
+    cluster.rates = {(index, "big"): 100.0 * (index + 1) for index in range(6)}
+    cluster.run(90.0)
+    for index in range(6):
+        assert cluster.total(index, "big") == pytest.approx(2_100.0, rel=0.12)
+
+
+def test_limits_are_divided_in_proportion_to_demand():
+    cluster = Cluster(ZONES)
+    cluster.rates = {(0, "t"): 300.0, (5, "t"): 100.0, (1, "lone"): 50.0}
+    cluster.run(90.0)
+    now = cluster.scheduler.now
+    assert cluster.nodes[0].limit_share("t", now) == pytest.approx(0.75, rel=0.1)
+    assert cluster.nodes[5].limit_share("t", now) == pytest.approx(0.25, rel=0.12)
+    assert cluster.nodes[1].limit_share("lone", now) == pytest.approx(1.0, rel=0.1)
+    assert cluster.nodes[2].limit_share("never seen", now) == 1.0
+
+
+def test_the_part_of_a_dead_node_ages_out_also_while_it_is_still_listed():
+    cluster = Cluster(ZONES)
+    cluster.rates = {(0, "t"): 100.0, (4, "t"): 100.0}
+    cluster.run(60.0)
+    assert cluster.total(0, "t") == pytest.approx(200.0, rel=0.12)
+    cluster.processes[4].kill()
+    del cluster.rates[(4, "t")]
+    cluster.run(60.0)
+    assert cluster.total(0, "t") == pytest.approx(100.0, rel=0.12)
+
+
+def test_another_member_takes_over_the_shard_of_a_dead_node():
+    cluster = Cluster(ZONES)
+    cluster.rates = {(index, "t"): 100.0 for index in range(6)}
+    cluster.run(60.0)
+    adder = cluster.nodes[0]._adder("a", tenant_id("t"))
+    dead = next(i for i, member in enumerate(cluster.members) if member.address == adder)
+    cluster.processes[dead].kill()
+    for tenant_node in [key for key in cluster.rates if key[0] == dead]:
+        del cluster.rates[tenant_node]
+    left = [member for member in cluster.members if member.address != adder]
+    for view in cluster.views:
+        view.members = left
+    cluster.run(60.0)
+    assert cluster.total((dead + 1) % 3, "t") == pytest.approx(500.0, rel=0.12)
+
+
+def test_a_restarted_node_is_heard_although_its_sequence_starts_again():
+    cluster = Cluster(ZONES)
+    cluster.rates = {(0, "t"): 100.0, (1, "t"): 100.0}
+    cluster.run(60.0)
+    cluster.processes[1].kill()
+    cluster.start(1, seed=1)
+    cluster.run(60.0)
+    assert cluster.total(0, "t") == pytest.approx(200.0, rel=0.12)
+
+
+def test_a_cut_lets_each_side_share_by_what_it_sees_and_heals():
+    cluster = Cluster(ZONES)
+    cluster.rates = {(0, "t"): 100.0, (5, "t"): 100.0}
+    cluster.run(60.0)
+    cluster.network.cut([[cluster.members[5].address]])
+    cluster.run(60.0)
+    assert cluster.total(0, "t") == pytest.approx(100.0, rel=0.12)
+    cluster.network.heal()
+    cluster.run(60.0)
+    assert cluster.total(0, "t") == pytest.approx(200.0, rel=0.12)
+
+
+def adder(records: list[UsageRecord]) -> tuple[UsageExchange, UsageDigest]:
+    own = Member("10.0.0.1:1", "a")
+    node = UsageExchange(StaticMemberView(own, [own]), random.Random(1))
+    return node, UsageDigest(7, 1, "", pack(records))
+
+
+def test_a_repeated_or_overtaken_digest_is_not_taken_in_or_answered():
+    node, digest = adder([UsageRecord(5, 100.0, 0.0)])
+    assert len(node.handle(PeerMessage("peer", digest), 0.0)) == 1
+    assert node.handle(PeerMessage("peer", digest), 0.0) == []
+    older = UsageDigest(7, 0, "", pack([UsageRecord(5, 900.0, 0.0)]))
+    assert node.handle(PeerMessage("peer", older), 0.0) == []
+    newer = UsageDigest(7, 2, "", pack([UsageRecord(5, 100.0, 0.0)]))
+    (answer,) = node.handle(PeerMessage("peer", newer), 0.0)
+    assert isinstance(answer, Send)
+    (total,) = unpack(answer.message.records)
+    assert total.usage == pytest.approx(100.0)
+
+
+def test_malformed_records_are_dropped():
+    bad = [UsageRecord(1, float("nan"), 0.0), UsageRecord(2, -5.0, 0.0), UsageRecord(3, 1e15, 0.0)]
+    assert unpack(pack([*bad, UsageRecord(4, 1.0, 2.0)]) + b"tail") == [UsageRecord(4, 1.0, 2.0)]
+
+
+def test_a_report_is_bounded_and_large_tenants_go_first():
+    own = Member("10.0.0.1:1", "a")
+    node = UsageExchange(StaticMemberView(own, [own]), random.Random(1))
+    for number in range(500):
+        node.served(f"t{number}", 1_000.0 + number, 0.0)
+    node.handle(Tick(), 0.0)
+    sent = [item.message for item in node.handle(Tick(), 2.0) if isinstance(item, Send)]
+    reported = {record.tenant_id for digest in sent for record in unpack(digest.records)}
+    assert reported == {tenant_id(f"t{number}") for number in range(500 - RECORDS_PER_REPORT, 500)}
