Watch the object API from a few leased nodes and fan changes out between nodes

Cause: every node watched the object API, which bears few readers; a node that restarted while it was down had no configuration; a compacted watch could not be followed. Change: watcher leases per region, claimed by rank so that a herd of restarts does not storm the object API; epidemic push to three random live nodes, comparison of revisions with a random node every 2 s; pages for long copies; complete copies that remove what they do not list; agents answer queries too; a new process gathers copies for 0.25 s and takes the newest.

--- a/src/martenrun/agent/configuration.py
+++ b/src/martenrun/agent/configuration.py
@@ -1,24 +1,38 @@
 """Decision logic that keeps an agent's copy of the configuration current."""
 
+import random
+
+from martenrun.configuration.replica import ConfigurationReplica, nodes_digest
 from martenrun.configuration.state import ConfigurationState
 from martenrun.events import Event, Instruction, PeerMessage, Send, Tick
 from martenrun.wire.messages import ConfigurationQuery, ConfigurationUpdate
 
-QUERY_INTERVAL_S = 0.5
-"""Time between two questions for newer configuration, in seconds."""
+QUERY_INTERVAL_S = 2.0
+"""Mean time between two questions for newer configuration, in seconds."""
+FIRST_QUERY_S = 0.25
+"""Time between two questions while the agent has no configuration, in seconds."""
 
 
 class AgentConfigurationLogic:
-    """Asks one node after another for configuration newer than the own copy.
+    """Asks a random node for configuration newer than the own copy, and answers nodes.
+
+    The copy outlives the nodes: restarted nodes learn from it.
 
-    The copy outlives the nodes: it is also what restarted nodes may learn from.
+    Args:
+        seed_nodes: nodes named in the settings.
+        rng: source of jitter and of random choices.
     """
 
-    def __init__(self, seed_nodes: list[str]) -> None:
-        self.state = ConfigurationState(nodes=list(seed_nodes))
+    def __init__(self, seed_nodes: list[str], rng: random.Random | None = None) -> None:
         self._seed_nodes = list(seed_nodes)
+        self._rng = rng or random.Random("/".join(seed_nodes))
+        self._replica = ConfigurationReplica(seed_nodes, self._rng)
         self._next_query = 0.0
-        self._turn = 0
+
+    @property
+    def state(self) -> ConfigurationState:
+        """The configuration in force."""
+        return self._replica.state
 
     def live_nodes(self) -> list[str]:
         """Return the nodes to ask for decisions."""
@@ -27,16 +41,24 @@
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
         match event:
-            case PeerMessage(_, ConfigurationUpdate() as update):
-                self.state.apply(update)
-            case Tick() if now >= self._next_query:
-                self._next_query = now + QUERY_INTERVAL_S
-                return self._query()
+            case PeerMessage(peer, ConfigurationQuery() as query):
+                return self._replica.answer(peer, query)
+            case PeerMessage(peer, ConfigurationUpdate() as update):
+                return self._replica.take_in(peer, update, now)
+            case Tick():
+                self._replica.settle(now)
+                return self._query(now)
         return []
 
-    def _query(self) -> list[Instruction]:
+    def _query(self, now: float) -> list[Instruction]:
+        if now < self._next_query:
+            return []
+        is_new = self.state.revision == 0
+        interval_s = FIRST_QUERY_S if is_new else QUERY_INTERVAL_S
+        self._next_query = now + self._replica.jittered(interval_s)
         nodes = sorted({*self.live_nodes(), *self._seed_nodes})
-        self._turn += 1
         if not nodes:
             return []
-        return [Send(nodes[self._turn % len(nodes)], ConfigurationQuery(self.state.revision))]
+        digest = nodes_digest(self.state.nodes)
+        query = ConfigurationQuery(self.state.revision, nodes_digest=digest)
+        return [Send(self._rng.choice(nodes), query)]
--- a/src/martenrun/agent/process.py
+++ b/src/martenrun/agent/process.py
@@ -1,5 +1,6 @@
 """The agent process: wiring of decision logic and drivers."""
 
+import random
 from typing import Any
 
 from martenrun.agent.configuration import AgentConfigurationLogic
@@ -17,7 +18,7 @@
     """Everything that runs in an agent process."""
 
     def __init__(self, settings: AgentSettings) -> None:
-        configuration = AgentConfigurationLogic(list(settings.seed_nodes))
+        configuration = AgentConfigurationLogic(list(settings.seed_nodes), random.Random())
         requests = RequestsLogic(configuration.live_nodes)
         self._loop: Any = None
         self._port = EdgePort(tell=lambda event: self._loop.tell(event))
--- a/src/martenrun/configuration/objects.py
+++ b/src/martenrun/configuration/objects.py
@@ -32,6 +32,10 @@
     ROUTE = "routes"
 
 
+REPLICATED_KINDS = tuple(kind.value for kind in Kind)
+"""Kinds that every node and agent keeps a copy of."""
+
+
 class Role(enum.StrEnum):
     """What the holder of a key may do."""
 
--- /dev/null
+++ b/src/martenrun/configuration/watching.py
@@ -0,0 +1,252 @@
+"""Decision logic by which a few nodes watch the object API for all others.
+
+Each region has a slot (two in a single region), a lease object in the object API.  The node
+that holds a slot renews its lease by compare-and-swap.  Others look at the lease now and
+then; who sees it unchanged for ``LEASE_TIMEOUT_S`` of the own clock takes it.  No clocks are
+compared.  A holder that was paused past its lease keeps reading until its next renewal
+conflicts; that costs one more reader and nothing else, because versions only ever go up.
+
+See also: ``statecharts/watcher.toml``.
+"""
+
+import random
+import re
+
+import msgspec
+
+from martenrun.configuration.state import ConfigurationState
+from martenrun.events import (
+    Event,
+    Instruction,
+    StoreAnswered,
+    StoreOutcome,
+    StoreRead,
+    StoreWatch,
+    StoreWatched,
+    StoreWrite,
+    Tick,
+    WatchOutcome,
+)
+from martenrun.identity.rendezvous import weight
+from martenrun.membership.view import MemberView
+from martenrun.statecharts.compiler import load_chart
+from martenrun.wire.messages import ConfigurationUpdate
+
+LEASE_KIND = "watchers"
+RENEWAL_S = 3.0
+"""Time between two renewals of a held lease, in seconds."""
+LEASE_TIMEOUT_S = 10.0
+"""How long a lease must be seen unchanged before another node takes it, in seconds."""
+LOOK_S = 5.0
+"""Time between two looks at a lease by the first candidate; the n-th waits n times that."""
+LOOK_SOON_S = 0.5
+"""Mean time until a look after a write with an unknown outcome, in seconds."""
+JOIN_S = 2.0
+"""Time given to a new node to learn of its fellows, in seconds."""
+SHORTEST_PAUSE_S = 0.25
+LONGEST_PAUSE_S = 4.0
+"""Pause after a failed watch, doubled up to the longest, in seconds."""
+
+_CHART = load_chart("watcher")
+_EVENT_OF = {
+    StoreOutcome.DONE: "write_done",
+    StoreOutcome.CONFLICT: "write_conflict",
+    StoreOutcome.UNKNOWN: "write_unknown",
+    StoreOutcome.NOT_FOUND: "write_conflict",
+}
+
+
+class WatcherLease(msgspec.Struct):
+    """Document of a slot's lease."""
+
+    holder: str
+    renewals: int
+
+
+class StoreWatching:
+    """Holds or seeks a watcher's lease, and watches while it holds one.
+
+    Args:
+        state: the configuration in force; updates are applied to it.
+        members: the live nodes.
+        rng: source of jitter.
+        has_seeds: whether other nodes are named in the settings.
+    """
+
+    def __init__(
+        self,
+        state: ConfigurationState,
+        members: MemberView,
+        rng: random.Random,
+        has_seeds: bool = False,
+    ) -> None:
+        self.phase = _CHART.initial
+        self.slot = ""
+        self._state = state
+        self._members = members
+        self._rng = rng
+        self._has_seeds = has_seeds
+        self._has_looked = False
+        self._next_look: float | None = None
+        self._next_renewal = 0.0
+        self._lease_version = 0
+        self._lease_seen_at = 0.0
+        self._renewals = 0
+        self._calls = 0
+        self._is_watching = False
+        self._next_watch = 0.0
+        self._pause_s = SHORTEST_PAUSE_S
+        self._position = 0
+        self._actions = {
+            "read_lease": self._read_lease,
+            "claim_lease": self._write_lease,
+            "renew_lease": self._write_lease,
+            "start_watch": self._start_watch,
+            "look_soon": self._look_soon,
+        }
+
+    @property
+    def holds_lease(self) -> bool:
+        """Whether this node believes that it holds a watcher's lease."""
+        return self.phase in ("holding", "renewing")
+
+    def handle(self, event: Event, now: float) -> list[Instruction]:
+        """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
+        match event:
+            case Tick():
+                return self._tick(now)
+            case StoreAnswered() if event.call_id == self._call_id():
+                return self._lease_answered(event, now)
+            case StoreWatched(outcome, update):
+                return self._watched(outcome, update, now)
+        return []
+
+    def slots(self) -> list[str]:
+        """Return the names of the leases that serve this node's region."""
+        live = self._members.live()
+        region = re.sub("[^a-z0-9.-]", "-", self._members.own.region.lower()) or "local"
+        own_region = self._members.own.region
+        is_single = all(member.region == own_region for member in live)
+        return [f"{region}-{number}" for number in range(2 if is_single else 1)]
+
+    def _tick(self, now: float) -> list[Instruction]:
+        if self._next_look is None:
+            self._next_look = now + self._first_delay_s()
+        instructions: list[Instruction] = []
+        if self.phase == "idle" and now >= self._next_look and not self._is_postponed(now):
+            instructions += self._step("look_due", now)
+        if self.phase == "holding" and now >= self._next_renewal:
+            instructions += self._step("renewal_due", now)
+        if self.holds_lease and not self._is_watching and now >= self._next_watch:
+            instructions += self._start_watch(now)
+        return instructions
+
+    def _first_delay_s(self) -> float:
+        """Return the time in which members become known; it also spreads a herd of restarts."""
+        is_alone = len(self._members.live()) <= 1
+        return JOIN_S * (0.5 + self._rng.random()) if is_alone and self._has_seeds else 0.0
+
+    def _is_postponed(self, now: float) -> bool:
+        """Leave the first look to the candidates before this node."""
+        rank = self._rank()
+        if self._has_looked or rank == 0:
+            return False
+        self._has_looked = True
+        self._next_look = now + LOOK_S * rank * (0.5 + self._rng.random())
+        return True
+
+    def _rank(self) -> int:
+        """Choose the slot this node is nearest to; return its place among the candidates."""
+        own = self._members.own
+        candidates = [member for member in self._members.live() if member.region == own.region]
+        ranks = {}
+        for slot in self.slots():
+            key = slot.encode()
+            own_weight = weight(key, own.address)
+            ranks[slot] = sum(weight(key, other.address) > own_weight for other in candidates)
+        slot = min(ranks, key=lambda name: ranks[name])
+        if slot != self.slot and not self.holds_lease:
+            self.slot = slot
+            self._lease_version = 0
+        return ranks[slot]
+
+    def _step(self, event: str, now: float) -> list[Instruction]:
+        transition = _CHART.step(self.phase, event)
+        if transition is None:
+            return []
+        self.phase = transition.next_state
+        return [part for action in transition.actions for part in self._actions[action](now)]
+
+    def _call_id(self) -> str:
+        return f"watcher/{self._calls}"
+
+    def _read_lease(self, now: float) -> list[Instruction]:
+        rank = self._rank()
+        self._next_look = now + LOOK_S * max(1, rank) * (0.75 + 0.5 * self._rng.random())
+        self._calls += 1
+        return [StoreRead(self._call_id(), LEASE_KIND, self.slot)]
+
+    def _look_soon(self, now: float) -> list[Instruction]:
+        """Read the lease again soon: an own write may have taken effect unnoticed."""
+        self._next_look = now + LOOK_SOON_S * (0.5 + self._rng.random())
+        return []
+
+    def _write_lease(self, now: float) -> list[Instruction]:
+        self._next_renewal = now + RENEWAL_S
+        self._renewals += 1
+        self._calls += 1
+        document = msgspec.json.encode(WatcherLease(self._members.own.address, self._renewals))
+        return [StoreWrite(self._call_id(), LEASE_KIND, self.slot, self._lease_version, document)]
+
+    def _lease_answered(self, answer: StoreAnswered, now: float) -> list[Instruction]:
+        if self.phase == "reading":
+            return self._step(self._lease_event(answer, now), now)
+        if answer.outcome is StoreOutcome.DONE:
+            self._lease_version = answer.version
+        return self._step(_EVENT_OF[answer.outcome], now)
+
+    def _lease_event(self, answer: StoreAnswered, now: float) -> str:
+        if answer.outcome is StoreOutcome.NOT_FOUND:
+            self._lease_version = 0
+            return "lease_free"
+        if answer.outcome is not StoreOutcome.DONE or answer.found is None:
+            return "read_failed"
+        if answer.version != self._lease_version:
+            self._lease_version = answer.version
+            self._lease_seen_at = now
+        lease = msgspec.json.decode(answer.found.document, type=WatcherLease)
+        is_own = lease.holder == self._members.own.address
+        is_lapsed = now - self._lease_seen_at >= LEASE_TIMEOUT_S
+        return "lease_free" if is_own or is_lapsed else "lease_held"
+
+    def _start_watch(self, now: float) -> list[Instruction]:
+        if self._is_watching:
+            return []
+        self._is_watching = True
+        self._position = max(self._position, self._state.revision)
+        # A first copy is a list: changes since the beginning are kept by nobody.
+        return [StoreWatch(self._position if self._position > 0 else -1)]
+
+    def _watched(
+        self, outcome: WatchOutcome, update: ConfigurationUpdate, now: float
+    ) -> list[Instruction]:
+        self._is_watching = False
+        if outcome is WatchOutcome.UNAVAILABLE:
+            self._next_watch = now + self._pause_s * (0.5 + self._rng.random())
+            self._pause_s = min(2 * self._pause_s, LONGEST_PAUSE_S)
+            return []
+        self._pause_s = SHORTEST_PAUSE_S
+        if outcome is WatchOutcome.COMPACTED:
+            self._is_watching = True
+            return [StoreWatch(-1)]
+        self._apply(update)
+        return self._start_watch(now) if self.holds_lease else []
+
+    def _apply(self, update: ConfigurationUpdate) -> None:
+        self._position = max(self._position, update.to_revision)
+        if update.complete:
+            self._state.apply(update)
+        elif update.objects:
+            # Only changes of configuration move the revision in force.
+            revision = max(item.revision for item in update.objects)
+            self._state.apply(ConfigurationUpdate(update.from_revision, revision, update.objects))
--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -105,6 +105,22 @@
     found: ConfigurationObject | None = None
 
 
+class WatchOutcome(enum.StrEnum):
+    """How a StoreWatch ended."""
+
+    CHANGES = "changes"
+    COMPACTED = "compacted"
+    UNAVAILABLE = "unavailable"
+
+
+@dataclass(frozen=True, slots=True)
+class StoreWatched:
+    """A StoreWatch has ended; ``update`` may be empty, and is complete for a list."""
+
+    outcome: WatchOutcome
+    update: ConfigurationUpdate
+
+
 Event = (
     Tick
     | PeerMessage
@@ -115,6 +131,7 @@
     | AttemptEnded
     | CallerGone
     | StoreAnswered
+    | StoreWatched
 )
 
 
@@ -173,7 +190,17 @@
     name: str
 
 
-Instruction = Send | RunAttempt | Finish | Tell | StoreWrite | StoreRead
+@dataclass(frozen=True, slots=True)
+class StoreWatch:
+    """Wait for configuration changes after a revision; StoreWatched follows.
+
+    ``after`` below zero lists all configuration objects at once.
+    """
+
+    after: int
+
+
+Instruction = Send | RunAttempt | Finish | Tell | StoreWrite | StoreRead | StoreWatch
 
 
 class DecisionLogic(Protocol):
--- a/src/martenrun/node/configuration.py
+++ b/src/martenrun/node/configuration.py
@@ -1,24 +1,137 @@
-"""Decision logic that keeps a node's configuration current and passes it on."""
+"""Decision logic that keeps a node's configuration current and passes it on.
 
+Changes reach a node from the object API if it holds a watcher's lease, and else from other
+nodes: whoever learns a change pushes it to a few random live nodes, and every node compares
+revisions with a random other node every few seconds.
+
+See also: docs/design/configuration.md.
+"""
+
+import random
+from collections.abc import Sequence
+
+from martenrun.configuration.replica import ConfigurationReplica
 from martenrun.configuration.state import ConfigurationState
-from martenrun.events import Event, Instruction, PeerMessage, Send, StoreChanges
+from martenrun.configuration.watching import StoreWatching
+from martenrun.events import (
+    Event,
+    Instruction,
+    PeerMessage,
+    Send,
+    StoreChanges,
+    Tick,
+)
+from martenrun.membership.view import Member, MemberView, StaticMemberView
 from martenrun.wire.messages import ConfigurationQuery, ConfigurationUpdate
 
+PUSH_FANOUT = 3
+"""Random live nodes to which a node passes a change on."""
+MAXIMUM_PUSH_BYTES = 4 * 1024
+"""Longer changes are announced and then asked for, in bytes of documents."""
+COMPARISON_S = 2.0
+"""Mean time between two comparisons of revisions with a random node, in seconds."""
+FIRST_QUERY_S = 0.25
+"""Time between two rounds of questions while a node has no configuration, in seconds."""
+MAXIMUM_AGENTS = 256
+"""Agents remembered by a node; the ones not heard of for longest are forgotten."""
+
 
 class NodeConfigurationLogic:
-    """Takes in changes from the object API and answers agents' and nodes' queries."""
+    """Replicates the configuration between the object API, nodes and agents.
 
-    def __init__(self, own_address: str, seed_nodes: list[str]) -> None:
+    Args:
+        own_address: ``IP:port`` of the internal protocol.
+        seed_nodes: nodes named in the settings; asked at the start and now and then.
+        members: the live nodes; by default the seed nodes.
+        rng: source of jitter and of random choices.
+    """
+
+    def __init__(
+        self,
+        own_address: str,
+        seed_nodes: Sequence[str],
+        members: MemberView | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
         nodes = sorted({own_address, *seed_nodes})
-        self.state = ConfigurationState(nodes=nodes)
+        own = Member(own_address)
+        self._members = members or StaticMemberView(own, [Member(node) for node in nodes])
+        self._own_address = own_address
+        self._seed_nodes = [node for node in seed_nodes if node != own_address]
+        self._rng = rng or random.Random(own_address)
+        self._replica = ConfigurationReplica(nodes, self._rng)
+        self._agents: dict[str, int] = {}
+        self._next_query = 0.0
+        self._pushed = 0
+        self.watching = StoreWatching(self.state, self._members, self._rng, bool(self._seed_nodes))
+
+    @property
+    def state(self) -> ConfigurationState:
+        """The configuration in force."""
+        return self._replica.state
+
+    @property
+    def agents(self) -> dict[str, int]:
+        """Agents that have asked this node lately, with the revision each had in force."""
+        return self._agents
 
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
+        sender = event.peer if isinstance(event, PeerMessage) else ""
+        instructions = self._handle(event, now)
+        instructions += self.watching.handle(event, now)
+        return instructions + self._push(sender)
+
+    def _handle(self, event: Event, now: float) -> list[Instruction]:
         match event:
+            case Tick():
+                return self._tick(now)
+            case PeerMessage(peer, ConfigurationQuery() as query):
+                return self._answer(peer, query)
+            case PeerMessage(peer, ConfigurationUpdate() as update):
+                update.nodes = []
+                return self._replica.take_in(peer, update, now)
             case StoreChanges(update):
                 self.state.apply(update)
-            case PeerMessage(_, ConfigurationUpdate() as update):
-                self.state.apply(update)
-            case PeerMessage(peer, ConfigurationQuery(known_revision)):
-                return [Send(peer, self.state.update_since(known_revision))]
         return []
+
+    def _tick(self, now: float) -> list[Instruction]:
+        self._replica.settle(now)
+        if now < self._next_query:
+            return []
+        is_new = self.state.revision == 0
+        self._next_query = now + self._replica.jittered(FIRST_QUERY_S if is_new else COMPARISON_S)
+        self.state.nodes = sorted(member.address for member in self._members.live())
+        peers = self._first_peers() if is_new else self._random_nodes(1, "")
+        return [Send(peer, ConfigurationQuery(self.state.revision)) for peer in peers]
+
+    def _answer(self, peer: str, query: ConfigurationQuery) -> list[Instruction]:
+        if peer.startswith("agent/"):
+            self._agents.pop(peer, None)
+            self._agents[peer] = query.known_revision
+            if len(self._agents) > MAXIMUM_AGENTS:
+                del self._agents[next(iter(self._agents))]
+        return self._replica.answer(peer, query)
+
+    def _push(self, sender: str) -> list[Instruction]:
+        """Pass on what was learned since the last push."""
+        pushed, self._pushed = self._pushed, self.state.revision
+        # A first copy is not news to anybody.
+        if pushed == 0 or pushed == self.state.revision:
+            return []
+        update = self.state.update_since(pushed)
+        update.nodes = []
+        size = sum(len(item.document) for item in update.objects)
+        is_small = size <= MAXIMUM_PUSH_BYTES and not update.complete
+        message = update if is_small else ConfigurationQuery(self.state.revision)
+        return [Send(peer, message) for peer in self._random_nodes(PUSH_FANOUT, sender)]
+
+    def _random_nodes(self, count: int, excluded: str) -> list[str]:
+        live = [member.address for member in self._members.live()]
+        others = [node for node in live if node not in (self._own_address, excluded)]
+        return self._rng.sample(others, min(count, len(others)))
+
+    def _first_peers(self) -> list[str]:
+        live = {member.address for member in self._members.live()}
+        known = sorted({*live, *self._seed_nodes, *self._agents} - {self._own_address})
+        return self._rng.sample(known, min(PUSH_FANOUT, len(known)))
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -1,5 +1,6 @@
 """The node process: wiring of decision logic and drivers."""
 
+import random
 from collections.abc import Iterable
 from typing import Any
 
@@ -7,6 +8,7 @@
 
 from martenrun.admin.application import ADMIN_PREFIX, AdminApplication
 from martenrun.agent.requests import RequestsLogic
+from martenrun.configuration.driver import WatchWorker
 from martenrun.edge.application import CallerApplication
 from martenrun.edge.forward import EdgePort
 from martenrun.edge.server import HttpServer
@@ -17,8 +19,8 @@
     RunAttempt,
     RunnerDescribed,
     Send,
-    StoreChanges,
     StoreRead,
+    StoreWatch,
     StoreWrite,
 )
 from martenrun.node.configuration import NodeConfigurationLogic
@@ -32,7 +34,6 @@
 from martenrun.settings.model import NodeSettings
 from martenrun.wire.transport import PeerTransport
 
-WATCH_WAIT_S = 5.0
 MACHINE_POLL_S = 0.5
 RUNNER_POLL_S = 0.5
 
@@ -45,12 +46,15 @@
         self._store = ObjectApi(settings.object_api)
         self._machine_list = MachineList(settings.machine_list)
         self._engines = EngineConnections()
-        self._configuration = NodeConfigurationLogic(own_address, list(settings.seed_nodes))
+        self._configuration = NodeConfigurationLogic(
+            own_address, list(settings.seed_nodes), rng=random.Random()
+        )
         self._runners = RunnerTable()
         routing = RoutingLogic(self._runners, ConsistentHashPolicy(), self._view)
         requests = RequestsLogic(lambda: [own_address])
         self._loop: Any = None
         self._store_workers = StoreWorkers(self._store, lambda event: self._loop.tell(event))
+        self._watch_worker = WatchWorker(self._store, lambda event: self._loop.tell(event))
         port = EdgePort(tell=lambda event: self._loop.tell(event))
         self._transport = PeerTransport(
             own_address,
@@ -66,6 +70,7 @@
                 Finish: port.deliver,
                 StoreWrite: self._store_workers.carry,
                 StoreRead: self._store_workers.carry,
+                StoreWatch: self._watch_worker.carry,
             },
         )
         caller = CallerApplication(port, self._view, settings.zone)
@@ -74,7 +79,6 @@
         self._server = HttpServer(application, settings.http_address, settings.http_threads)
         self._clock = Clock(self._loop.tell)
         self._pollers = [
-            Poller("store-watch", self._watch_store, pause_s=0.0),
             Poller("machine-list", self._list_machines, MACHINE_POLL_S),
             Poller("runners", self._describe_runners, RUNNER_POLL_S),
         ]
@@ -100,12 +104,6 @@
     def _view(self) -> Any:
         return self._configuration.state.view
 
-    def _watch_store(self) -> None:
-        known = self._configuration.state.revision
-        update = self._store.changes(known, WATCH_WAIT_S)
-        if update.to_revision > known:
-            self._loop.tell(StoreChanges(update))
-
     def _list_machines(self) -> None:
         self._loop.tell(MachinesListed(self._machine_list.machines()))
 
--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -75,6 +75,8 @@
 
 struct ConfigurationQuery {
   1: i64 known_revision
+  2: i64 page_after
+  3: i64 nodes_digest
 }
 
 struct ConfigurationObject {
@@ -91,4 +93,6 @@
   3: list<ConfigurationObject> objects
   4: list<string> nodes
   5: bool complete
+  6: bool continues
+  7: i64 page_after
 }
--- a/src/martenrun/wire/messages.py
+++ b/src/martenrun/wire/messages.py
@@ -112,9 +112,16 @@
 
 @dataclass(slots=True)
 class ConfigurationQuery:
-    """Agent or node to node: send me what is newer than ``known_revision``."""
+    """Send me what is newer than ``known_revision``; also tells what the sender has in force.
+
+    ``page_after`` asks for the page after that revision of an update that continues.
+    ``nodes_digest`` stands for the live nodes that an agent knows; another digest is answered
+    with the nodes, zero with none.
+    """
 
     known_revision: int = 0
+    page_after: int = 0
+    nodes_digest: int = 0
 
 
 @dataclass(slots=True)
@@ -130,10 +137,10 @@
 
 @dataclass(slots=True)
 class ConfigurationUpdate:
-    """Changes after ``from_revision`` up to ``to_revision``.
+    """Changes after ``from_revision`` up to ``to_revision``, by rising revision.
 
     ``complete`` marks a full copy: objects it does not list do not exist.  ``nodes`` are the
-    addresses of live nodes.
+    addresses of live nodes.  ``continues`` marks a page that another one follows.
     """
 
     from_revision: int = 0
@@ -141,6 +148,8 @@
     objects: list[ConfigurationObject] = field(default_factory=list)
     nodes: list[str] = field(default_factory=list)
     complete: bool = False
+    continues: bool = False
+    page_after: int = 0
 
 
 Message = (
--- /dev/null
+++ b/tests/test_configuration_replication.py
@@ -0,0 +1,241 @@
+"""Tests of configuration between the object API, nodes and agents, in virtual time."""
+
+import json
+import random
+
+import pytest
+
+from martenrun.agent.configuration import AgentConfigurationLogic
+from martenrun.configuration import replica
+from martenrun.configuration.state import MAXIMUM_REMOVALS, ConfigurationState
+from martenrun.events import Send, Tick
+from martenrun.membership.view import Member, StaticMemberView
+from martenrun.node.configuration import NodeConfigurationLogic
+from martenrun.simulation.hollow import HollowProcess
+from martenrun.simulation.network import LinkFaults, SimulatedNetwork
+from martenrun.simulation.scheduler import Scheduler
+from martenrun.simulation.store import SimulatedStore, StoreFaults
+from martenrun.wire.messages import ConfigurationObject, ConfigurationUpdate
+
+
+class Cluster:
+    """Hollow nodes and agents with an object API; revisions in force are seen to only rise."""
+
+    def __init__(self, nodes=8, agents=3, regions=1, loss=0.05):
+        self.scheduler = Scheduler()
+        self.network = SimulatedNetwork(
+            self.scheduler, random.Random(1), LinkFaults(loss=loss, duplicate=0.05)
+        )
+        self.store = SimulatedStore(self.scheduler, random.Random(2), StoreFaults())
+        self.members = [
+            Member(f"10.0.0.{index}:1", region=f"region-{index % regions}")
+            for index in range(nodes)
+        ]
+        self.logic, self.processes, self.versions = {}, {}, {}
+        for member in self.members:
+            self.start_node(member)
+        for index in range(agents):
+            self._start(
+                f"agent/{index}",
+                AgentConfigurationLogic(
+                    [member.address for member in self.members], random.Random(index)
+                ),
+                {},
+            )
+
+    def start_node(self, member, run=0):
+        name = member.address
+        logic = NodeConfigurationLogic(
+            name,
+            [other.address for other in self.members],
+            StaticMemberView(member, self.members),
+            random.Random(f"{name}/{run}"),
+        )
+        self._start(name, logic, self.store.carriers(name, lambda e: self.processes[name].tell(e)))
+
+    def _start(self, name, logic, carriers):
+        self.logic[name] = logic
+        self.processes[name] = HollowProcess(
+            name, [logic], self.scheduler, self.network, carriers, tick_interval_s=0.1
+        )
+
+    def publish(self, weight, name="a"):
+        version = self.versions.get(name, 0)
+        document = None if weight is None else json.dumps({"weight": weight}).encode()
+        self.versions[name] = self.store.write("tenants", name, version, document)
+        if weight is None:
+            self.versions[name] = 0
+
+    def weights(self, name="a"):
+        found = set()
+        for logic in self.logic.values():
+            tenants = {key[1]: item for key, item in logic.state.view.documents.items()}
+            found.add(tenants[name].weight if name in tenants else None)
+        return found
+
+    def run(self, seconds):
+        until = self.scheduler.now + seconds
+        before = {name: logic.state.revision for name, logic in self.logic.items()}
+        while self.scheduler.now < until:
+            self.scheduler.run_until(min(until, self.scheduler.now + 0.1))
+            after = {name: logic.state.revision for name, logic in self.logic.items()}
+            for name, revision in after.items():
+                assert revision >= before[name], f"{name} went back"
+            before = after
+
+    def run_until(self, condition, seconds):
+        until = self.scheduler.now + seconds
+        while not condition():
+            assert self.scheduler.now < until, f"not within {seconds} s of virtual time"
+            self.run(0.1)
+
+    def watchers(self):
+        return [
+            name
+            for name, logic in self.logic.items()
+            if isinstance(logic, NodeConfigurationLogic) and logic.watching.holds_lease
+        ]
+
+
+@pytest.fixture
+def cluster():
+    running = Cluster()
+    running.publish(1)
+    running.run_until(lambda: running.weights() == {1.0}, 12)
+    return running
+
+
+def test_a_change_is_in_force_everywhere_with_two_watchers(cluster):
+    cluster.publish(2)
+    cluster.run_until(lambda: cluster.weights() == {2.0}, 12)
+    assert len(cluster.watchers()) == 2
+
+
+def test_removals_missed_during_compaction_are_listed_again(cluster):
+    cluster.publish(1, "removed")
+    cluster.run_until(lambda: cluster.weights("removed") == {1.0}, 12)
+    cluster.store.unreachable = {member.address for member in cluster.members}
+    cluster.run(6)
+    cluster.publish(None, "removed")
+    cluster.store.store.compact()
+    cluster.publish(3)
+    cluster.store.unreachable = set()
+    cluster.run_until(lambda: cluster.weights() == {3.0}, 12)
+    assert cluster.weights("removed") == {None}
+
+
+def test_nodes_restarted_with_the_store_down_learn_from_agents(cluster):
+    cluster.store.faults.down = True
+    for member in cluster.members:
+        cluster.processes[member.address].kill()
+        cluster.start_node(member, run=1)
+    assert cluster.weights() == {1.0, None}
+    cluster.run_until(lambda: cluster.weights() == {1.0}, 8)
+
+
+def test_a_restarted_node_takes_the_newest_of_the_offered_copies(cluster):
+    # One peer is cut off with the old copy; the restarted node hears it first.
+    stale, restarted = cluster.members[0], cluster.members[1]
+    cluster.network.cut([[stale.address]])
+    cluster.store.unreachable = {stale.address}
+    cluster.publish(5)
+    cluster.run(12)
+    assert cluster.weights() == {1.0, 5.0}
+    logic = NodeConfigurationLogic(restarted.address, [], None, random.Random(0))
+    old = cluster.logic[stale.address].state.update_since(0)
+    new = cluster.logic[restarted.address].state.update_since(0)
+    for peer, offer in (("old", old), ("new", new), ("old", old)):
+        logic._replica.take_in(peer, offer, 0.0)
+        assert logic.state.revision == 0
+    logic.handle(Tick(), replica.SETTLE_S)
+    assert logic.state.view.tenant("a").weight == 5.0
+    cluster.network.heal()
+    cluster.run_until(lambda: cluster.weights() == {5.0}, 12)
+
+
+def test_a_region_that_was_cut_off_catches_up():
+    cluster = Cluster(nodes=9, regions=3)
+    cluster.publish(1)
+    cluster.run_until(lambda: cluster.weights() == {1.0}, 12)
+    region = [member.address for member in cluster.members if member.region == "region-1"]
+    cluster.network.cut([region])
+    cluster.store.unreachable = set(region)
+    cluster.publish(2)
+    cluster.run(20)
+    assert cluster.weights() == {1.0, 2.0}
+    cluster.store.unreachable = set()
+    cluster.network.heal()
+    cluster.run_until(lambda: cluster.weights() == {2.0}, 12)
+
+
+def test_a_watcher_paused_past_its_lease_is_replaced_and_changes_nothing(cluster):
+    cluster.run(2)
+    paused = cluster.watchers()
+    for name in paused:
+        cluster.processes[name].freeze()
+    cluster.publish(2)
+    others = {name: logic for name, logic in cluster.logic.items() if name not in paused}
+    cluster.run_until(
+        lambda: all(logic.state.view.tenant("a").weight == 2.0 for logic in others.values()), 60
+    )
+    for name in paused:
+        assert cluster.logic[name].watching.holds_lease
+        cluster.processes[name].thaw()
+    cluster.run_until(lambda: cluster.weights() == {2.0}, 12)
+    cluster.run_until(lambda: len(cluster.watchers()) == 2, 20)
+
+
+def test_watchers_outlive_lost_answers_of_the_store(cluster):
+    cluster.store.faults.lose_write_probability = 0.5
+    cluster.store.faults.lose_read_probability = 0.3
+    for weight in range(2, 8):
+        cluster.publish(weight)
+        cluster.run_until(lambda weight=weight: cluster.weights() == {float(weight)}, 30)
+
+
+def test_an_update_with_a_gap_makes_the_node_ask_its_sender():
+    copy = replica.ConfigurationReplica([], random.Random(0))
+    late = ConfigurationUpdate(7, 8, [ConfigurationObject("tenants", "a", 8, False, b"{}")])
+    assert copy.take_in("sender", late, 0.0) == [Send("sender", replica.ConfigurationQuery(0))]
+    assert copy.state.revision == 0
+
+
+def test_an_older_complete_copy_changes_nothing_and_a_newer_one_removes():
+    state = ConfigurationState()
+    items = [ConfigurationObject("tenants", name, 4, False, b"{}") for name in ("a", "b")]
+    state.apply(ConfigurationUpdate(0, 4, items))
+    assert not state.apply(ConfigurationUpdate(0, 3, items[:1], complete=True))
+    assert state.apply(ConfigurationUpdate(0, 9, items[:1], complete=True))
+    assert [name for _kind, name in state.view.documents] == ["a"]
+
+
+def test_a_copy_from_before_the_remembered_removals_is_complete():
+    state, copy = ConfigurationState(), ConfigurationState()
+    state.apply(ConfigurationUpdate(0, 1, [ConfigurationObject("tenants", "a", 1, False, b"{}")]))
+    copy.apply(state.update_since(0))
+    for revision in range(2, MAXIMUM_REMOVALS + 4):
+        name = "a" if revision == 2 else f"r{revision}"
+        gone = ConfigurationObject("tenants", name, revision, deleted=True)
+        state.apply(ConfigurationUpdate(revision - 1, revision, [gone]))
+    update = state.update_since(copy.revision)
+    assert update.complete
+    copy.apply(update)
+    assert copy.view.documents == {}
+
+
+def test_a_long_copy_travels_in_pages(monkeypatch):
+    monkeypatch.setattr(replica, "PAGE_BYTES", 50)
+    full, empty = (replica.ConfigurationReplica([], random.Random(0)) for _ in range(2))
+    items = [
+        ConfigurationObject("tenants", f"t{n}", n, False, b'{"weight":2}') for n in range(1, 30)
+    ]
+    full.state.apply(ConfigurationUpdate(0, 29, items))
+    questions = [Send("full", replica.ConfigurationQuery(0))]
+    pages = 0
+    while questions:
+        (answer,) = full.answer("empty", questions[0].message)
+        questions = empty.take_in("full", answer.message, 0.0)
+        pages += 1
+    assert pages > 3
+    empty.settle(replica.SETTLE_S)
+    assert empty.state.view == full.state.view
--- a/tests/test_statecharts.py
+++ b/tests/test_statecharts.py
@@ -1,8 +1,13 @@
 """Tests of chart files and their compiler."""
 
+import random
+
 import pytest
 
 from martenrun.agent.requests import RequestsLogic
+from martenrun.configuration.state import ConfigurationState
+from martenrun.configuration.watching import StoreWatching
+from martenrun.membership.view import Member, StaticMemberView
 from martenrun.statecharts.compiler import ChartError, compile_chart, load_chart
 
 ROW = '[[transition]]\nstate="{}"\nevent="{}"\nnext="{}"\n'
@@ -27,3 +32,9 @@
 def test_every_action_of_the_request_chart_is_implemented():
     logic = RequestsLogic(lambda: [])
     assert load_chart("request").actions == set(logic._actions)
+
+
+def test_every_action_of_the_watcher_chart_is_implemented():
+    members = StaticMemberView(Member("node"), [Member("node")])
+    watching = StoreWatching(ConfigurationState(), members, random.Random(0))
+    assert load_chart("watcher").actions == set(watching._actions)
