--- a/src/martenrun/cli/bench.py
+++ b/src/martenrun/cli/bench.py
@@ -5,7 +5,12 @@
 
 import click
 
+from martenrun.bench.configuration import configuration
+
 
 @click.group()
 def bench() -> None:
     """Measure a part of the product; results are printed as JSON with --json."""
+
+
+bench.add_command(configuration)
--- a/src/martenrun/configuration/watching.py
+++ b/src/martenrun/configuration/watching.py
@@ -248,5 +248,7 @@
             self._state.apply(update)
         elif update.objects:
             # Only changes of configuration move the revision in force.
+            # The position may be past it, when only other objects were written.
             revision = max(item.revision for item in update.objects)
-            self._state.apply(ConfigurationUpdate(update.from_revision, revision, update.objects))
+            known = min(update.from_revision, self._state.revision)
+            self._state.apply(ConfigurationUpdate(known, revision, update.objects))
--- a/tests/test_configuration_replication.py
+++ b/tests/test_configuration_replication.py
@@ -111,6 +111,13 @@
     assert len(cluster.watchers()) == 2
 
 
+def test_a_change_after_a_quiet_time_is_in_force_everywhere(cluster):
+    # Meanwhile only leases are written; they move the store's revision.
+    cluster.run(30)
+    cluster.publish(2)
+    cluster.run_until(lambda: cluster.weights() == {2.0}, 12)
+
+
 def test_removals_missed_during_compaction_are_listed_again(cluster):
     cluster.publish(1, "removed")
     cluster.run_until(lambda: cluster.weights("removed") == {1.0}, 12)
