Ask somebody else when a question for configuration is not answered

Cause: a question that met a cut-off or dead node, or was lost, was repeated only after the ordinary 2 s; during the region cut a third of them met nobody, hence the longest waits. Change: a question is always answered, if only with an empty update; after 0.5 s of silence another node is asked.

--- a/src/martenrun/agent/configuration.py
+++ b/src/martenrun/agent/configuration.py
@@ -27,7 +27,6 @@
         self._seed_nodes = list(seed_nodes)
         self._rng = rng or random.Random("/".join(seed_nodes))
         self._replica = ConfigurationReplica(seed_nodes, self._rng)
-        self._next_query = 0.0
 
     @property
     def state(self) -> ConfigurationState:
@@ -51,11 +50,10 @@
         return []
 
     def _query(self, now: float) -> list[Instruction]:
-        if now < self._next_query:
+        if not self._replica.is_question_due(now):
             return []
         is_new = self.state.revision == 0
-        interval_s = FIRST_QUERY_S if is_new else QUERY_INTERVAL_S
-        self._next_query = now + self._replica.jittered(interval_s)
+        self._replica.asked(now, FIRST_QUERY_S if is_new else QUERY_INTERVAL_S)
         nodes = sorted({*self.live_nodes(), *self._seed_nodes})
         if not nodes:
             return []
--- a/src/martenrun/configuration/replica.py
+++ b/src/martenrun/configuration/replica.py
@@ -23,6 +23,9 @@
 SETTLE_S = 0.25
 """How long a new process gathers copies before it takes the newest, in seconds."""
 
+ANSWER_TIMEOUT_S = 0.5
+"""How long an answer may take before somebody else is asked, in seconds."""
+
 PAGES_TIMEOUT_S = 5.0
 """How long the pages of one update may take; after that it is asked for anew."""
 
@@ -57,24 +60,36 @@
         self._offers: list[ConfigurationUpdate] = []
         self._settled_at: float | None = None
         self._pages: _Pages | None = None
+        self._next_question = 0.0
+        self._regular_question = 0.0
 
     def jittered(self, seconds: float) -> float:
         """Return a time within half of ``seconds``, so that processes do not keep step."""
         return seconds * (0.5 + self._rng.random())
 
+    def is_question_due(self, now: float) -> bool:
+        """Whether it is time to ask somebody: regularly, and soon again after silence."""
+        return now >= self._next_question
+
+    def asked(self, now: float, interval_s: float) -> None:
+        """Note that somebody was asked; the next question is due after an answer and a while."""
+        self._regular_question = now + self.jittered(interval_s)
+        self._next_question = min(self._regular_question, now + ANSWER_TIMEOUT_S)
+
     def answer(self, peer: str, query: ConfigurationQuery) -> list[Instruction]:
         """Answer a query, and ask back if the other side has a newer copy."""
         if query.known_revision > self.state.revision:
+            self._next_question = self._regular_question
             return [Send(peer, ConfigurationQuery(self.state.revision))]
         update = self._page(query)
+        # An empty answer tells that there is nothing newer; silence, that it got lost.
         wants_nodes = query.nodes_digest not in (0, nodes_digest(self.state.nodes))
-        if update.to_revision <= query.known_revision and not wants_nodes:
-            return []
         update.nodes = list(self.state.nodes) if wants_nodes else []
         return [Send(peer, update)]
 
     def take_in(self, peer: str, update: ConfigurationUpdate, now: float) -> list[Instruction]:
         """Take in an update from a peer; returns questions for what is still missing."""
+        self._next_question = self._regular_question
         if update.continues or update.page_after:
             return self._take_page(peer, update, now)
         if self.state.leaves_gap(update):
--- a/src/martenrun/node/configuration.py
+++ b/src/martenrun/node/configuration.py
@@ -61,7 +61,6 @@
         self._rng = rng or random.Random(own_address)
         self._replica = ConfigurationReplica(nodes, self._rng)
         self._agents: dict[str, int] = {}
-        self._next_query = 0.0
         self._pushed = 0
         self.watching = StoreWatching(self.state, self._members, self._rng, bool(self._seed_nodes))
 
@@ -97,10 +96,10 @@
 
     def _tick(self, now: float) -> list[Instruction]:
         self._replica.settle(now)
-        if now < self._next_query:
+        if not self._replica.is_question_due(now):
             return []
         is_new = self.state.revision == 0
-        self._next_query = now + self._replica.jittered(FIRST_QUERY_S if is_new else COMPARISON_S)
+        self._replica.asked(now, FIRST_QUERY_S if is_new else COMPARISON_S)
         self.state.nodes = sorted(member.address for member in self._members.live())
         peers = self._first_peers() if is_new else self._random_nodes(1, "")
         return [Send(peer, ConfigurationQuery(self.state.revision)) for peer in peers]
