--- a/src/martenrun/cli/bench.py
+++ b/src/martenrun/cli/bench.py
@@ -5,6 +5,7 @@
 
 import click
 
+from martenrun.bench.configuration import configuration
 from martenrun.bench.index import index_command
 from martenrun.bench.path import path
 from martenrun.bench.streams import streams
@@ -18,3 +19,4 @@
 bench.add_command(path)
 bench.add_command(streams)
 bench.add_command(index_command)
+bench.add_command(configuration)
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -45,7 +45,7 @@
         rng: source of jitter; seeded in simulations.
     """
     own_address = settings.peer_address
-    configuration = NodeConfigurationLogic(own_address, list(settings.seed_nodes))
+    configuration = NodeConfigurationLogic(own_address, list(settings.seed_nodes), rng=rng)
     runners = RunnerTable()
     routing = RoutingLogic(runners, ConsistentHashPolicy(), lambda: configuration.state.view)
     claims = ClaimsLogic(f"{own_address}/{incarnation}")
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -8,7 +8,7 @@
 from urllib3.exceptions import HTTPError
 
 from martenrun.admin.application import ADMIN_PREFIX, AdminApplication
-from martenrun.configuration.objects import Kind
+from martenrun.configuration.driver import WatchWorker
 from martenrun.edge.application import CallerApplication
 from martenrun.edge.forward import EdgePort
 from martenrun.edge.server import HttpServer
@@ -20,8 +20,8 @@
     RunAttempt,
     RunnerDescribed,
     Send,
-    StoreChanges,
     StoreRead,
+    StoreWatch,
     StoreWrite,
 )
 from martenrun.node.parts import node_parts
@@ -33,7 +33,6 @@
 from martenrun.settings.model import NodeSettings
 from martenrun.wire.transport import PeerTransport
 
-WATCH_WAIT_S = 5.0
 MACHINE_POLL_S = 0.5
 RUNNER_POLL_S = 0.5
 CACHE_EVENTS_POLL_S = 0.2
@@ -52,6 +51,7 @@
         self._loop: Any = None
         self._store_workers = StoreWorkers(self._store, lambda event: self._loop.tell(event))
         self._port = port = EdgePort(tell=lambda event: self._loop.tell(event))
+        self._watch_worker = WatchWorker(self._store, lambda event: self._loop.tell(event))
         self._transport = PeerTransport(
             own_address,
             settings.cluster_secret.encode(),
@@ -66,6 +66,7 @@
                 Finish: port.deliver,
                 StoreWrite: self._store_workers.carry,
                 StoreRead: self._store_workers.carry,
+                StoreWatch: self._watch_worker.carry,
             },
         )
         caller = CallerApplication(port, self._parts.view, settings)
@@ -76,7 +77,6 @@
         )
         self._clock = Clock(self._loop.tell)
         self._pollers = [
-            Poller("store-watch", self._watch_store, pause_s=0.0),
             Poller("machine-list", self._list_machines, MACHINE_POLL_S),
             Poller("runners", self._describe_runners, RUNNER_POLL_S),
             Poller("cache-events", self._read_cache_events, CACHE_EVENTS_POLL_S),
@@ -102,12 +102,6 @@
         self._store_workers.stop()
         self._loop.stop()
 
-    def _watch_store(self) -> None:
-        known = self._parts.configuration.state.revision
-        update = self._store.changes(known, WATCH_WAIT_S, Kind)
-        if update.to_revision > known:
-            self._loop.tell(StoreChanges(update))
-
     def _list_machines(self) -> None:
         self._loop.tell(MachinesListed(self._machine_list.machines()))
 
