Let one owner node lease each runner's slots to home nodes

Cause: every node counted only its own grants and polled the lagging load of all runners, so nodes together granted more than a runner has, and polling grew with nodes times runners.

Change: package ownership/. Rendezvous hashing gives each runner one owner in its zone; the owner polls only its runners, leases their slots, queues what finds none in a fair queue, and voids leases that the engine does not show. Homes ask owners for a slot with a bounded wait, learn loads from the answers, re-route waiting questions and renew long leases. Three nodes read the machine list, the others pull changes by digest. The earlier logic stays as bench/local_counts.py for comparison.

--- a/src/martenrun/node/routing.py
+++ b/src/martenrun/bench/local_counts.py
@@ -1,4 +1,9 @@
-"""Decision logic that answers agents' questions with a runner or a refusal."""
+"""Baseline without owners: each node counts its own grants and polls every runner's load.
+
+This was the first version of routing; it is kept to compare rejections by engines.
+
+See also: :mod:`martenrun.ownership`.
+"""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -6,6 +11,7 @@
 from martenrun.configuration.view import ConfigurationView
 from martenrun.errors import CapacityError, MartenrunError, NoRunnerError
 from martenrun.events import Event, Instruction, PeerMessage, QuestionCleared, Send
+from martenrun.node.refusals import refusal_of
 from martenrun.node.runners import RunnerTable
 from martenrun.routing.policy import RoutingPolicy
 from martenrun.wire.messages import AttemptReport, DecideRequest, Grant, Refusal, WithdrawRequest
@@ -22,7 +28,7 @@
     runner: str
 
 
-class RoutingLogic:
+class LocalCountsLogic:
     """Answers decision questions and counts the attempts it granted.
 
     Args:
@@ -91,17 +97,3 @@
         runner = self._table.runners.get(granted.runner) if granted is not None else None
         if runner is not None:
             runner.in_flight -= 1
-
-
-def refusal_of(question: DecideRequest, error: MartenrunError) -> Refusal:
-    """Return the message that tells an agent a typed error."""
-    retry_after_s = -1.0 if error.retry_after_s is None else error.retry_after_s
-    return Refusal(
-        question.request_id,
-        question.attempt,
-        error.code,
-        error.message,
-        error.remedy,
-        error.ran.value,
-        retry_after_s,
-    )
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -10,9 +10,14 @@
 from martenrun.claims.logic import ClaimsLogic
 from martenrun.configuration.view import ConfigurationView
 from martenrun.events import DecisionLogic
+from martenrun.membership.view import Member, StaticMemberView
 from martenrun.node.configuration import NodeConfigurationLogic
-from martenrun.node.routing import RoutingLogic
 from martenrun.node.runners import RunnerTable
+from martenrun.ownership.home import HomeLogic
+from martenrun.ownership.logic import OwnershipLogic
+from martenrun.ownership.machine_feed import MachineFeed
+from martenrun.ownership.owner import OwnerLogic
+from martenrun.ownership.owners import OwnerMap
 from martenrun.routing.baselines import ConsistentHashPolicy
 from martenrun.settings.model import NodeSettings
 
@@ -23,8 +28,9 @@
 
     configuration: NodeConfigurationLogic
     runners: RunnerTable
+    machine_feed: MachineFeed
+    ownership: OwnershipLogic
     claims: ClaimsLogic
-    routing: RoutingLogic
     requests: RequestsLogic
 
     def view(self) -> ConfigurationView:
@@ -33,7 +39,14 @@
 
     def in_order(self) -> list[DecisionLogic]:
         """Return the parts in the order in which they handle an event."""
-        return [self.configuration, self.runners, self.claims, self.routing, self.requests]
+        return [
+            self.configuration,
+            self.runners,
+            self.machine_feed,
+            self.claims,
+            self.ownership,
+            self.requests,
+        ]
 
 
 def node_parts(settings: NodeSettings, incarnation: str, rng: random.Random) -> NodeParts:
@@ -47,7 +60,20 @@
     own_address = settings.peer_address
     configuration = NodeConfigurationLogic(own_address, list(settings.seed_nodes))
     runners = RunnerTable()
-    routing = RoutingLogic(runners, ConsistentHashPolicy(), lambda: configuration.state.view)
+    # Zones of the seeds are unknown here, so none is told: all nodes must see the same owners.
+    addresses = sorted({own_address, *settings.seed_nodes})
+    members = StaticMemberView(Member(own_address), [Member(address) for address in addresses])
+    owners = OwnerMap(members)
+    home = HomeLogic(
+        owners,
+        runners,
+        ConsistentHashPolicy(),
+        lambda: configuration.state.view,
+        settings.zone,
+        rng,
+    )
+    ownership = OwnershipLogic(own_address, home, OwnerLogic(owners, runners))
     claims = ClaimsLogic(own_address)
     requests = RequestsLogic(lambda: [own_address])
-    return NodeParts(configuration, runners, claims, routing, requests)
+    feed = MachineFeed(members, rng)
+    return NodeParts(configuration, runners, feed, ownership, claims, requests)
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -108,10 +108,14 @@
             self._loop.tell(StoreChanges(update))
 
     def _list_machines(self) -> None:
-        self._loop.tell(MachinesListed(self._machine_list.machines()))
+        if self._parts.machine_feed.must_poll():
+            self._loop.tell(MachinesListed(self._machine_list.machines()))
 
     def _describe_runners(self) -> None:
-        for runner in list(self._parts.runners.runners.values()):
+        for name in list(self._parts.ownership.owner.owned):
+            runner = self._parts.runners.runners.get(name)
+            if runner is None:
+                continue
             try:
                 description = self._engines.describe(runner.address)
             except HTTPError:
--- a/src/martenrun/node/runners.py
+++ b/src/martenrun/node/runners.py
@@ -6,10 +6,14 @@
 
 
 class RunnerTable:
-    """Runners by name, from the lagging machine list and the engines' own descriptions."""
+    """Runners by name, from the lagging machine list and the engines' own descriptions.
+
+    ``version`` rises whenever a runner comes, goes or starts or stops leaving.
+    """
 
     def __init__(self) -> None:
         self.runners: dict[str, RunnerState] = {}
+        self.version = 0
 
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
@@ -30,16 +34,29 @@
 
     def _update_machines(self, machines: list[Machine]) -> None:
         listed = {machine.name: machine for machine in machines if machine.role == "engine"}
-        for name in set(self.runners) - set(listed):
-            self.runners[name].leaving = True
+        for name in self.runners.keys() - listed.keys():
+            self._remove(name)
         for machine in listed.values():
             runner = self.runners.get(machine.name)
             if runner is None:
                 runner = RunnerState(machine.name, machine.address, machine.zone, machine.pool)
                 self.runners[machine.name] = runner
-            runner.leaving = machine.is_leaving
+                self.version += 1
+            if runner.leaving != machine.is_leaving:
+                runner.leaving = machine.is_leaving
+                self.version += 1
             runner.address = machine.address
 
+    def _remove(self, name: str) -> None:
+        """Forget a runner that is no longer listed once its requests have ended."""
+        runner = self.runners[name]
+        if not runner.leaving:
+            runner.leaving = True
+            self.version += 1
+        if runner.in_flight <= 0:
+            del self.runners[name]
+            self.version += 1
+
     def _update_runner(self, event: RunnerDescribed, now: float) -> None:
         runner = self.runners.get(event.runner)
         if runner is None:
--- /dev/null
+++ b/src/martenrun/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Which node owns a runner's slots, and how nodes act together on them."""
--- /dev/null
+++ b/src/martenrun/ownership/logic.py
@@ -0,0 +1,47 @@
+"""Home and owner logic of one node, joined so that messages to itself take no network hop."""
+
+from martenrun.events import Event, Instruction, PeerMessage, Send, Tell
+from martenrun.ownership.home import HomeLogic
+from martenrun.ownership.owner import OwnerLogic
+from martenrun.wire.messages import (
+    LeasesVoided,
+    ReleaseSlots,
+    RenewLeases,
+    ReserveSlot,
+    SlotGranted,
+    SlotRefused,
+    SlotsQueued,
+)
+
+_TO_OWNER = (ReserveSlot, ReleaseSlots, RenewLeases)
+_TO_HOME = (SlotGranted, SlotsQueued, SlotRefused, LeasesVoided)
+
+
+class OwnershipLogic:
+    """The part of a node's process that decides questions and hands out slots."""
+
+    def __init__(self, own_address: str, home: HomeLogic, owner: OwnerLogic) -> None:
+        self._own_address = own_address
+        self.home = home
+        self.owner = owner
+
+    def handle(self, event: Event, now: float) -> list[Instruction]:
+        """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
+        pending = [*self.owner.handle(event, now), *self.home.handle(event, now)]
+        instructions: list[Instruction] = []
+        while pending:
+            instruction = pending.pop(0)
+            if isinstance(instruction, Send) and instruction.peer == self._own_address:
+                pending += self._deliver(instruction, now)
+            else:
+                instructions.append(instruction)
+        return instructions
+
+    def _deliver(self, instruction: Send, now: float) -> list[Instruction]:
+        event = PeerMessage(instruction.peer, instruction.message)
+        if isinstance(instruction.message, _TO_OWNER):
+            return self.owner.handle(event, now)
+        if isinstance(instruction.message, _TO_HOME):
+            return self.home.handle(event, now)
+        # The node's own front asked the question; its answer goes over the loop.
+        return [Tell(event)]
--- /dev/null
+++ b/src/martenrun/ownership/questions.py
@@ -0,0 +1,135 @@
+"""State of one decision question at its home node."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from martenrun.errors import (
+    CapacityError,
+    DeadlineExceededError,
+    MartenrunError,
+    NoRunnerError,
+)
+from martenrun.ownership.reasons import Reason
+from martenrun.routing.policy import RunnerChoice
+from martenrun.wire.messages import DecideRequest, Grant
+
+MAXIMUM_DIRECT_TRIES = 3
+"""Runners asked for a free slot at once before the question queues."""
+
+MAXIMUM_QUEUE_TRIES = 3
+"""Runners asked for a place in their queues."""
+
+NO_RUNNER_RETRY_AFTER_S = 1.0
+FULL_RETRY_AFTER_S = 1.0
+"""Retry-After when no owner has told an expected wait, in seconds."""
+
+
+@dataclass(slots=True)
+class Reservation:
+    """One reservation asked of one owner; its id is also the lease's."""
+
+    reservation_id: int
+    question: "OpenQuestion"
+    choice: RunnerChoice
+    owner: str
+    may_queue: bool
+    answer_until: float
+    is_queued: bool = False
+    is_redirected: bool = False
+    incarnation: str = ""
+
+    @property
+    def runner(self) -> str:
+        """Name of the runner."""
+        return self.choice.runner.name
+
+
+@dataclass(slots=True)
+class OpenQuestion:
+    """A question without its end; ``lease`` is set once it is granted."""
+
+    question: DecideRequest
+    agent: str
+    pool: str
+    state: str
+    deadline: float
+    choices: list[RunnerChoice]
+    tell_at: float = 0.0
+    probe_at: float = 0.0
+    expected_wait_s: float = 0.0
+    accept_any_version: bool = False
+    tried: set[str] = field(default_factory=set)
+    queue_tried: set[str] = field(default_factory=set)
+    waits_s: dict[str, float] = field(default_factory=dict)
+    reasons: set[Reason] = field(default_factory=set)
+    reservations: dict[int, Reservation] = field(default_factory=dict)
+    lease: Reservation | None = None
+
+    def hinted(self, choice: RunnerChoice) -> None:
+        """Consider a runner that an owner has told to be free, after the next best."""
+        name = choice.runner.name
+        is_known = any(known.runner.name == name for known in self.choices)
+        if not is_known and name not in self.question.excluded_runners:
+            self.choices.insert(len(self.tried), choice)
+
+    def forget_tries(self) -> None:
+        """Start over, after a place in a queue was lost."""
+        self.tried.clear()
+        self.queue_tried.clear()
+
+    def next_choice(self, is_reachable: Callable[[str], bool]) -> tuple[RunnerChoice, bool] | None:
+        """Return the runner to ask and whether to queue there; None when none is left.
+
+        Args:
+            is_reachable: whether the runner's owner is believed to answer.
+        """
+        reachable = [choice for choice in self.choices if is_reachable(choice.runner.name)]
+        choices = reachable or self.choices
+        if len(self.tried) < MAXIMUM_DIRECT_TRIES and len(choices) > 1:
+            for choice in choices:
+                if choice.runner.name not in self.tried and choice.runner.free_slots > 0:
+                    self.tried.add(choice.runner.name)
+                    return choice, False
+        return self._next_queue(choices)
+
+    def _next_queue(self, choices: list[RunnerChoice]) -> tuple[RunnerChoice, bool] | None:
+        left = [choice for choice in choices if choice.runner.name not in self.queue_tried]
+        if not left or len(self.queue_tried) >= MAXIMUM_QUEUE_TRIES:
+            return None
+        best = min(left, key=self._expected_s)
+        self.queue_tried.add(best.runner.name)
+        return best, True
+
+    def _expected_s(self, choice: RunnerChoice) -> float:
+        return self.waits_s.get(choice.runner.name, 0.0) + choice.expected_first_token_s
+
+    def error(self, now: float) -> MartenrunError:
+        """Return why no candidate took the question, and when to come back."""
+        waits = [wait_s for wait_s in self.waits_s.values() if wait_s > 0]
+        wait_s = min(waits, default=FULL_RETRY_AFTER_S)
+        if Reason.DEADLINE in self.reasons:
+            left_s = self.deadline - now
+            return DeadlineExceededError(
+                f"the queues need {wait_s:.1f} s and {left_s:.1f} s are left",
+                retry_after_s=max(0.05, wait_s - left_s),
+            )
+        if Reason.FULL in self.reasons:
+            return CapacityError(f"pool {self.pool!r} is full", retry_after_s=wait_s)
+        return NoRunnerError(
+            f"pool {self.pool!r} has no usable runner", retry_after_s=NO_RUNNER_RETRY_AFTER_S
+        )
+
+
+def granted_message(question: DecideRequest, lease: Reservation) -> Grant:
+    """Return the message that tells an agent its lease."""
+    runner = lease.choice.runner
+    return Grant(
+        question.request_id,
+        question.attempt,
+        runner.name,
+        runner.address,
+        lease.incarnation,
+        runner.weights_version,
+        lease.choice.believed_blocks,
+        question.priority,
+    )
--- /dev/null
+++ b/src/martenrun/ownership/reservations.py
@@ -0,0 +1,109 @@
+"""The reservations that a home node has asked of owners and not given back."""
+
+import random
+from collections.abc import Iterable, Mapping
+
+from martenrun.events import Instruction, Send
+from martenrun.limits.cost import expected_tokens
+from martenrun.ownership.owners import OwnerMap
+from martenrun.ownership.questions import OpenQuestion, Reservation
+from martenrun.routing.policy import RunnerChoice
+from martenrun.wire.messages import ReleaseSlots, ReserveSlot
+
+OWNER_TIMEOUT_S = 0.15
+"""How long an owner may take to answer before the next candidate is asked, in seconds."""
+
+SUSPECT_S = 1.0
+"""How long a silent owner's runners are asked last, in seconds."""
+
+
+class ReservationTable:
+    """Reservations by id, and which owners have been silent.
+
+    Args:
+        rng: draws the incarnation that makes ids unique over restarts.
+        sends_chain: whether owners are sent the chain, because they know their runners' caches.
+    """
+
+    def __init__(self, owners: OwnerMap, rng: random.Random, sends_chain: bool) -> None:
+        self._owners = owners
+        self._sends_chain = sends_chain
+        self._incarnation = rng.getrandbits(31) << 32
+        self._count = 0
+        self._by_id: dict[int, Reservation] = {}
+        self._suspects: dict[str, float] = {}
+
+    @property
+    def by_id(self) -> Mapping[int, Reservation]:
+        """All reservations, granted ones included."""
+        return self._by_id
+
+    def ask(
+        self,
+        question: OpenQuestion,
+        choice: RunnerChoice,
+        may_queue: bool,
+        now: float,
+        owner: str | None = None,
+    ) -> Instruction:
+        """Return the message that asks a runner's owner, or ``owner``, for a slot."""
+        asked = question.question
+        runner = choice.runner.name
+        self._count += 1
+        identity = self._incarnation | self._count
+        reservation = Reservation(
+            identity,
+            question,
+            choice,
+            owner or self._owners.owner(runner),
+            may_queue,
+            now + OWNER_TIMEOUT_S,
+            is_redirected=owner is not None,
+        )
+        self._by_id[identity] = question.reservations[identity] = reservation
+        message = ReserveSlot(
+            identity,
+            runner,
+            asked.tenant,
+            asked.priority,
+            int(expected_tokens(asked)),
+            int((question.deadline - now) * 1000),
+            may_queue,
+            "" if question.accept_any_version else asked.weights_version,
+            asked.chain if self._sends_chain else b"",
+        )
+        return Send(reservation.owner, message)
+
+    def forget(self, identity: int) -> Reservation | None:
+        """Remove a reservation that its owner has ended."""
+        reservation = self._by_id.pop(identity, None)
+        if reservation is not None:
+            reservation.question.reservations.pop(identity, None)
+        return reservation
+
+    def give_back(self, reservations: Iterable[Reservation]) -> list[Instruction]:
+        """Remove reservations and return the messages that tell their owners."""
+        instructions: list[Instruction] = []
+        for reservation in list(reservations):
+            identity = reservation.reservation_id
+            self.forget(identity)
+            instructions.append(Send(reservation.owner, ReleaseSlots([identity])))
+        return instructions
+
+    def is_reachable(self, runner: str, now: float) -> bool:
+        """Return whether a runner has an owner that has not been silent a short time ago."""
+        owner = self._owners.owner(runner)
+        return bool(owner) and self._suspects.get(owner, 0.0) <= now
+
+    def is_overdue(self, reservation: Reservation, now: float) -> bool:
+        """Return whether an answer is overdue or can not come; notes the owner's silence."""
+        if reservation.is_queued and not self._owners.is_live(reservation.owner):
+            return True
+        if now < reservation.answer_until:
+            return False
+        self._suspects[reservation.owner] = now + SUSPECT_S
+        return True
+
+    def heard(self, owner: str) -> None:
+        """An owner has answered."""
+        self._suspects.pop(owner, None)
--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -99,3 +99,79 @@
   3: string idempotency_key
   4: string state
 }
+
+struct ReserveSlot {
+  1: i64 reservation_id
+  2: string runner
+  3: string tenant
+  4: i32 priority
+  5: i32 cost_tokens
+  6: i32 deadline_ms
+  7: bool may_queue
+  8: string weights_version
+  9: binary chain
+}
+
+struct SlotGranted {
+  1: i64 reservation_id
+  2: string address
+  3: string incarnation
+  4: string weights_version
+  5: i32 cached_blocks
+  6: i32 free_slots
+}
+
+struct SlotsQueued {
+  1: list<i64> reservation_ids
+  2: list<i32> expected_waits_ms
+}
+
+struct RunnerLoad {
+  1: string runner
+  2: i32 free_slots
+}
+
+struct SlotRefused {
+  1: i64 reservation_id
+  2: string reason
+  3: string owner
+  4: i32 expected_wait_ms
+  5: list<RunnerLoad> loads
+}
+
+struct ReleaseSlots {
+  1: list<i64> reservation_ids
+}
+
+struct LeaseRenewal {
+  1: i64 reservation_id
+  2: string runner
+  3: string incarnation
+}
+
+struct RenewLeases {
+  1: list<LeaseRenewal> leases
+}
+
+struct LeasesVoided {
+  1: list<i64> reservation_ids
+}
+
+struct MachinesQuery {
+  1: i64 known_digest
+}
+
+struct MachineEntry {
+  1: string name
+  2: string role
+  3: string address
+  4: string zone
+  5: string pool
+  6: string state
+}
+
+struct MachinesUpdate {
+  1: i64 digest
+  2: bool complete
+  3: list<MachineEntry> machines
+}
--- /dev/null
+++ b/tests/test_ownership_parts.py
@@ -0,0 +1,272 @@
+"""Parts of slot ownership on their own: owner, home, owner map, machine feed."""
+
+import random
+
+import pytest
+
+from martenrun.events import MachinesListed, PeerMessage, RunnerDescribed, Send, Tick
+from martenrun.membership.view import Member, StaticMemberView
+from martenrun.node.runners import RunnerTable
+from martenrun.ownership.candidates import CANDIDATES, PoolIndex
+from martenrun.ownership.machine_feed import ASK_FOR_ALL, MISMATCHES, READERS, MachineFeed
+from martenrun.ownership.owner import OwnerLogic
+from martenrun.ownership.owners import OwnerMap
+from martenrun.platform.engine import RunnerDescription
+from martenrun.platform.machine_list import Machine
+from martenrun.routing.policy import RunnerState
+from martenrun.simulation.hollow import HollowProcess
+from martenrun.simulation.network import LinkFaults, SimulatedNetwork
+from martenrun.simulation.scheduler import Scheduler
+from martenrun.wire.messages import (
+    LeaseRenewal,
+    LeasesVoided,
+    MachineEntry,
+    MachinesQuery,
+    MachinesUpdate,
+    ReleaseSlots,
+    RenewLeases,
+    ReserveSlot,
+    SlotGranted,
+    SlotRefused,
+    SlotsQueued,
+)
+
+OWN = Member("10.0.0.1:7000", "a")
+OTHER = Member("10.0.0.2:7000", "a")
+
+
+def machine(name, state="live", zone="a"):
+    return Machine(name, "engine", "10.1.0.1:80", zone, "pool", state)
+
+
+def described(name, running=0, incarnation="i1", slots=2):
+    return RunnerDescribed(name, RunnerDescription(incarnation, "model", "v1", running, slots, 0))
+
+
+class Owner:
+    """An owner of one runner called ``r`` and the messages it sends."""
+
+    def __init__(self, view=None):
+        self.table = RunnerTable()
+        self.logic = OwnerLogic(OwnerMap(view or StaticMemberView(OWN, [OWN])), self.table)
+        self.now = 0.0
+        self.tell(MachinesListed([machine("r")]))
+        self.tell(Tick())
+        self.tell(described("r"))
+
+    def tell(self, event, after_s=0.0):
+        self.now += after_s
+        sent = [*self.table.handle(event, self.now), *self.logic.handle(event, self.now)]
+        return [instruction.message for instruction in sent if isinstance(instruction, Send)]
+
+    def reserve(self, identity, may_queue=True, version="v1", deadline_ms=5_000):
+        message = ReserveSlot(identity, "r", "t", 0, 10, deadline_ms, may_queue, version)
+        return self.tell(PeerMessage("home", message))
+
+    def release(self, *identities):
+        return self.tell(PeerMessage("home", ReleaseSlots(list(identities))))
+
+    @property
+    def leases(self):
+        return len(self.logic.owned["r"].leases)
+
+
+def test_a_repeated_reservation_takes_one_slot_and_gets_the_same_answer():
+    owner = Owner()
+    first, second = owner.reserve(1), owner.reserve(1)
+    assert isinstance(first[0], SlotGranted) and first == second
+    assert owner.leases == 1
+
+
+def test_a_release_that_overtakes_or_repeats_leaves_nothing():
+    owner = Owner()
+    owner.release(1)
+    assert owner.reserve(1) == []
+    owner.reserve(2)
+    owner.release(2)
+    owner.release(2)
+    assert owner.reserve(2) == []
+    assert owner.leases == 0
+
+
+def test_waiting_reservations_get_slots_in_turn_and_can_be_cancelled():
+    owner = Owner()
+    owner.reserve(1), owner.reserve(2)
+    assert isinstance(owner.reserve(3)[0], SlotsQueued)
+    assert isinstance(owner.reserve(4)[0], SlotsQueued)
+    assert owner.release(3) == []
+    granted = owner.release(1)
+    assert [(type(m), m.reservation_id) for m in granted] == [(SlotGranted, 4)]
+
+
+@pytest.mark.parametrize(
+    ("spoil", "reason"),
+    [
+        (lambda owner: owner.tell(MachinesListed([machine("r", "leaving")])), "leaving"),
+        (lambda owner: owner.tell(RunnerDescribed("r", None)), "unknown_runner"),
+        (lambda owner: [owner.reserve(8), owner.reserve(9)], "full"),
+    ],
+)
+def test_refusals_are_typed(spoil, reason):
+    owner = Owner()
+    spoil(owner)
+    (refused,) = owner.reserve(1, may_queue=False)
+    assert isinstance(refused, SlotRefused)
+    assert refused.reason == reason
+    assert owner.reserve(2, may_queue=False, version="v0")[0].reason != "granted"
+
+
+def test_another_weights_version_is_refused_unless_any_will_do():
+    owner = Owner()
+    assert owner.reserve(1, version="v0")[0].reason == "stale_version"
+    assert isinstance(owner.reserve(2, version="")[0], SlotGranted)
+
+
+def test_a_member_that_joins_takes_over_and_the_old_owner_names_it():
+    view = StaticMemberView(OWN, [OWN])
+    owner = Owner(view)
+    view.members = [OTHER]
+    owner.reserve(1), owner.reserve(2), owner.reserve(3)
+    flushed = owner.tell(Tick(), after_s=1.0)
+    assert [(m.reservation_id, m.reason, m.owner) for m in flushed] == [
+        (3, "not_owner", OTHER.address)
+    ]
+
+
+def test_a_new_incarnation_voids_leases_and_serves_the_queue():
+    owner = Owner()
+    for identity in (1, 2, 3):
+        owner.reserve(identity)
+    voided, granted = owner.tell(described("r", incarnation="i2"))
+    assert voided == LeasesVoided([1, 2])
+    assert (granted.reservation_id, granted.incarnation) == (3, "i2")
+
+
+def test_work_of_an_earlier_owner_counts_until_its_leases_are_registered():
+    owner = Owner()
+    owner.tell(described("r", running=2))
+    assert owner.reserve(1, may_queue=False)[0].reason == "full"
+    renewal = RenewLeases([LeaseRenewal(7, "r", "i1"), LeaseRenewal(8, "r", "i1")])
+    assert owner.tell(PeerMessage("home", renewal)) == []
+    assert owner.leases == 2
+    owner.release(7)
+    assert isinstance(owner.reserve(2, may_queue=False)[0], SlotGranted)
+
+
+def test_a_renewal_of_an_older_incarnation_is_void():
+    owner = Owner()
+    renewal = RenewLeases([LeaseRenewal(7, "r", "i0")])
+    assert owner.tell(PeerMessage("home", renewal)) == [LeasesVoided([7])]
+
+
+def test_a_lease_that_the_engine_never_shows_is_void_before_it_expires():
+    owner = Owner()
+    owner.reserve(1)
+    voided = []
+    for _poll in range(20):
+        voided += owner.tell(described("r", running=0), after_s=0.5)
+    assert voided == [LeasesVoided([1])]
+
+
+def test_owners_agree_between_nodes_and_move_only_with_their_member():
+    members = [Member(f"10.0.0.{n}:7000", "ab"[n % 2]) for n in range(10)]
+    table = RunnerTable()
+    machines = [machine(f"r{n}", zone="ab"[n % 2]) for n in range(200)]
+    table.handle(MachinesListed(machines), 0.0)
+    first = StaticMemberView(members[0], members)
+    maps = [OwnerMap(first), OwnerMap(StaticMemberView(members[3], members[::-1]))]
+    for owners in maps:
+        owners.refresh(table)
+    names = list(table.runners)
+    before = [maps[0].owner(name) for name in names]
+    assert before == [maps[1].owner(name) for name in names]
+    zones = {member.address: member.zone for member in members}
+    assert all(zones[o] == table.runners[n].zone for o, n in zip(before, names, strict=True))
+    first.members = members[:-1]
+    assert maps[0].refresh(table)
+    moved = [o for o, n in zip(before, names, strict=True) if maps[0].owner(n) != o]
+    assert moved and set(moved) == {members[-1].address}
+
+
+def test_candidates_of_a_large_pool_are_few_stable_and_partly_near():
+    runners = [RunnerState(f"r{n}", "", "ab"[n % 2], "pool") for n in range(500)]
+    index = PoolIndex(runners, "a")
+    found = index.candidates(b"key")
+    assert len({runner.name for runner in found}) == CANDIDATES
+    assert [r.name for r in found] == [r.name for r in index.candidates(b"key")]
+    assert sum(runner.zone == "a" for runner in found) >= CANDIDATES // 2
+
+
+def test_three_nodes_read_the_machine_list_and_all_know_a_change_within_three_seconds():
+    members = [Member(f"10.0.0.{n}:7000") for n in range(12)]
+    scheduler = Scheduler()
+    rng = random.Random(5)
+    network = SimulatedNetwork(scheduler, rng, LinkFaults(loss=0.02, duplicate=0.05))
+    views, feeds, tables, processes = [], [], [], []
+    for member in members:
+        views.append(StaticMemberView(member, members))
+        feeds.append(MachineFeed(views[-1], random.Random(rng.random())))
+        tables.append(RunnerTable())
+        parts = [tables[-1], feeds[-1]]
+        processes.append(HollowProcess(member.address, parts, scheduler, network, {}))
+    readers = [n for n, feed in enumerate(feeds) if feed.is_reader()]
+    assert len(readers) == READERS
+
+    def list_machines(state):
+        for number, feed in enumerate(feeds):
+            if feed.is_reader():
+                processes[number].tell(MachinesListed([machine("r1", state), machine("r2")]))
+
+    list_machines("live")
+    scheduler.run_until(4.0)
+    assert all(len(table.runners) == 2 for table in tables)
+    processes[readers[0]].kill()
+    list_machines("leaving")
+    scheduler.run_until(7.0)
+    alive = [n for n in range(len(members)) if n != readers[0]]
+    assert all(tables[n].runners["r1"].leaving for n in alive)
+
+
+def test_another_reader_continues_without_the_whole_list_and_a_stranger_state_gets_it():
+    feeds = [MachineFeed(StaticMemberView(OWN, [OWN]), random.Random(n)) for n in range(2)]
+    for feed in feeds:
+        feed.handle(MachinesListed([machine("r1"), machine("r2")]), 0.0)
+    taker = MachineFeed(StaticMemberView(OTHER, [OWN]), random.Random(2))
+    (query,) = taker.handle(Tick(), 0.0)
+    (answer,) = feeds[0].handle(PeerMessage("node", query.message), 0.0)
+    (told,) = taker.handle(PeerMessage(OWN.address, answer.message), 0.0)
+    taker.handle(told.event, 0.0)
+    feeds[1].handle(MachinesListed([machine("r2", "leaving")]), 0.0)
+    (query,) = taker.handle(Tick(), 5.0)
+    (answer,) = feeds[1].handle(PeerMessage("node", query.message), 5.0)
+    assert not answer.message.complete
+    assert {(e.name, e.state) for e in answer.message.machines} == {
+        ("r1", "removed"),
+        ("r2", "leaving"),
+    }
+    (whole,) = feeds[1].handle(PeerMessage("node", MachinesQuery(12345)), 5.0)
+    assert whole.message.complete and len(whole.message.machines) == 1
+
+
+def test_an_update_that_does_not_lead_to_its_digest_changes_nothing():
+    taker = MachineFeed(StaticMemberView(OTHER, [OWN]), random.Random(2))
+    wrong = MachinesUpdate(77, False, [MachineEntry("r", "engine", "10.1.0.1:80", "a")])
+    for _time in range(MISMATCHES):
+        assert taker.handle(PeerMessage(OWN.address, wrong), 0.0) == []
+    (query,) = taker.handle(Tick(), 0.0)
+    assert query.message == MachinesQuery(ASK_FOR_ALL)
+
+
+def test_a_lease_lives_while_it_is_renewed_and_ends_when_its_home_is_gone():
+    owner = Owner()
+    owner.reserve(1), owner.reserve(2)
+    voided = []
+    for _second in range(40):
+        owner.tell(described("r", running=2))
+        owner.tell(PeerMessage("home", RenewLeases([LeaseRenewal(2, "r", "i1")])))
+        voided += owner.tell(Tick(), after_s=1.0)
+    assert voided == [LeasesVoided([1])]
+    # The engine still runs both, so the runner is still full.
+    owner.tell(described("r", running=2), after_s=3.0)
+    owner.tell(described("r", running=2), after_s=3.0)
+    assert owner.reserve(3, may_queue=False)[0].reason == "full"
