--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -99,3 +99,17 @@
   3: string idempotency_key
   4: string state
 }
+
+struct UsageDigest {
+  1: i64 incarnation
+  2: i32 sequence
+  3: string zone
+  4: binary records
+}
+
+struct UsageTotals {
+  1: i64 incarnation
+  2: i32 sequence
+  3: double added_usage
+  4: binary records
+}
