--- a/src/martenrun/cli/bench.py
+++ b/src/martenrun/cli/bench.py
@@ -6,6 +6,9 @@
 import click
 
 from martenrun.bench.configuration import configuration
+from martenrun.bench.index import index_command
+from martenrun.bench.path import path
+from martenrun.bench.streams import streams
 
 
 @click.group()
@@ -14,3 +17,6 @@
 
 
 bench.add_command(configuration)
+bench.add_command(path)
+bench.add_command(streams)
+bench.add_command(index_command)
--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -76,12 +76,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
-    """An attempt at an engine is over."""
+    """An attempt at an engine is over.
+
+    ``can_resume`` tells whether another engine could go on with a broken stream.
+    """
 
     request_id: str
     attempt: int
     result: AttemptResult
     first_token_s: float
+    can_resume: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,6 +134,14 @@
     update: ConfigurationUpdate
 
 
+@dataclass(frozen=True, slots=True)
+class QuestionCleared:
+    """A question with an idempotency key holds its claim and may be decided."""
+
+    peer: str
+    question: DecideRequest
+
+
 Event = (
     Tick
     | PeerMessage
@@ -142,6 +154,7 @@
     | CallerGone
     | StoreAnswered
     | StoreWatched
+    | QuestionCleared
 )
 
 
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -51,7 +51,7 @@
         self._loop: Any = None
         self._store_workers = StoreWorkers(self._store, lambda event: self._loop.tell(event))
         self._watch_worker = WatchWorker(self._store, lambda event: self._loop.tell(event))
-        port = EdgePort(tell=lambda event: self._loop.tell(event))
+        self._port = port = EdgePort(tell=lambda event: self._loop.tell(event))
         self._transport = PeerTransport(
             own_address,
             settings.cluster_secret.encode(),
@@ -69,10 +69,12 @@
                 StoreWatch: self._watch_worker.carry,
             },
         )
-        caller = CallerApplication(port, self._parts.view, settings.zone)
+        caller = CallerApplication(port, self._parts.view, settings)
         admin = AdminApplication(self._store, self._parts.view, settings.bootstrap_key_sha256)
         application = NodeApplication(caller, admin)
-        self._server = HttpServer(application, settings.http_address, settings.http_threads)
+        self._server = HttpServer(
+            application, settings.http_address, settings.max_streams + settings.http_threads
+        )
         self._clock = Clock(self._loop.tell)
         self._pollers = [
             Poller("machine-list", self._list_machines, MACHINE_POLL_S),
@@ -84,6 +86,7 @@
         """Start every driver."""
         self._transport.start()
         self._clock.start()
+        self._port.watch.start()
         for poller in self._pollers:
             poller.start()
         self._server.start()
@@ -94,6 +97,7 @@
         for poller in self._pollers:
             poller.stop()
         self._clock.stop()
+        self._port.watch.stop()
         self._transport.stop()
         self._store_workers.stop()
         self._loop.stop()
--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -96,3 +96,10 @@
   6: bool continues
   7: i64 page_after
 }
+
+struct ClaimReport {
+  1: string request_id
+  2: string tenant
+  3: string idempotency_key
+  4: string state
+}
--- a/src/martenrun/wire/messages.py
+++ b/src/martenrun/wire/messages.py
@@ -152,6 +152,16 @@
     page_after: int = 0
 
 
+@dataclass(slots=True)
+class ClaimReport:
+    """Agent to node: a keyed request has its final answer; ``state`` is a ClaimState value."""
+
+    request_id: str = ""
+    tenant: str = ""
+    idempotency_key: str = ""
+    state: str = ""
+
+
 Message = (
     DecideRequest
     | Grant
@@ -162,5 +172,6 @@
     | ConfigurationQuery
     | ConfigurationObject
     | ConfigurationUpdate
+    | ClaimReport
 )
 """Messages that travel inside an :class:`Envelope`."""
