Check roles, references and sizes in the administration API; retire keys

Cause: only platform admins could change anything, a tenant admin could read every tenant, a route could name no pool, a pool in use could be deleted, and a key could not be rotated with an overlap. Change: tenant admins read and change their own tenant's keys and cannot hand out wider roles; references are checked against the object API; objects over 256 KiB are refused; a key has 'retired', so that two keys are valid until the old one is retired. Drains become objects. Weighed for rotation: a time after which a key ends would be counted anew by each restarted node or need compared clocks; an explicit flag is in force everywhere within seconds and stays. Measured: tests/test_admin.py, 7 tests; before the change, the tenant admin's, reference, size and rotation tests have no code to pass.

--- a/src/martenrun/admin/application.py
+++ b/src/martenrun/admin/application.py
@@ -3,6 +3,8 @@
 ``GET /admin/v1/KIND``, ``GET|PUT|DELETE /admin/v1/KIND/NAME`` and ``GET /admin/v1/status``.
 A change carries ``If-Match: VERSION`` (0 to create) and is answered only after the object
 API has committed it.
+
+See also: :mod:`martenrun.admin.access`, :mod:`martenrun.admin.references`.
 """
 
 import hashlib
@@ -13,8 +15,18 @@
 import msgspec
 from werkzeug.wrappers import Request, Response
 
-from martenrun.configuration.objects import Kind, Policy, Role, checked_name, parse_document
+from martenrun.admin.access import Operator
+from martenrun.admin.references import check_references, check_unused
+from martenrun.configuration.objects import (
+    Document,
+    Kind,
+    Policy,
+    Role,
+    checked_name,
+    parse_document,
+)
 from martenrun.configuration.view import ConfigurationView
+from martenrun.constants import MAXIMUM_OBJECT_BYTES
 from martenrun.edge.request import bearer_token
 from martenrun.edge.responses import error_response, json_response
 from martenrun.errors import (
@@ -22,10 +34,13 @@
     InvalidRequestError,
     MartenrunError,
     ObjectNotFoundError,
+    ObjectTooLargeError,
     PermissionDeniedError,
+    VersionConflictError,
 )
 from martenrun.platform.object_api import ObjectApi
 from martenrun.sharing.policy import check_policy
+from martenrun.wire.messages import ConfigurationObject
 
 ADMIN_PREFIX = "/admin/v1/"
 
@@ -39,6 +54,12 @@
     document: msgspec.Raw
 
 
+class Accepted(msgspec.Struct):
+    """Answer to a change that is committed; in force everywhere within seconds."""
+
+    version: int
+
+
 class AdminApplication:
     """Serves the administration API.
 
@@ -69,57 +90,99 @@
         return response(environ, start_response)
 
     def _serve(self, request: Request) -> Response:
-        role = self._role(request)
+        operator = self._operator(request)
         parts = request.path.removeprefix(ADMIN_PREFIX).split("/")
         if parts == ["status"]:
             return json_response({"revision": self._view().revision})
         kind = _kind(parts[0])
         if len(parts) == 1:
-            return self._list(kind)
-        name = _name(parts[1])
+            return self._list(operator, kind)
+        name = _name("/".join(parts[1:]))
         if request.method == "GET":
-            return self._get(kind, name)
-        if role is not Role.PLATFORM_ADMIN:
-            raise PermissionDeniedError(f"role {role.value} may not change {kind.value}")
-        return self._change(request, kind, name)
+            return self._get(operator, kind, name)
+        operator.check_change(kind)
+        return json_response(Accepted(self._change(request, operator, kind, name)))
 
-    def _role(self, request: Request) -> Role:
+    def _operator(self, request: Request) -> Operator:
         token = bearer_token(request.headers)
         digest = hashlib.sha256(token.encode()).hexdigest()
         if hmac.compare_digest(digest, self._bootstrap_key_sha256):
-            return Role.PLATFORM_ADMIN
-        role = self._view().key_of(token).role
-        if role is Role.CALLER:
+            return Operator(Role.PLATFORM_ADMIN)
+        key = self._view().key_of(token)
+        if key.role is Role.CALLER:
             raise PermissionDeniedError("a caller's key does not open the administration API")
-        return role
+        return Operator(key.role, key.tenant)
 
-    def _list(self, kind: Kind) -> Response:
-        update = self._store.list_all([kind.value])
+    def _list(self, operator: Operator, kind: Kind) -> Response:
         objects = [
-            NamedObject(item.kind, item.name, item.revision, msgspec.Raw(item.document))
-            for item in update.objects
+            _shown(item)
+            for item in self._store.list_all([kind.value]).objects
+            if _may_read(operator, kind, item)
         ]
         return json_response(objects)
 
-    def _get(self, kind: Kind, name: str) -> Response:
+    def _get(self, operator: Operator, kind: Kind, name: str) -> Response:
         item = self._store.get(kind.value, name)
-        shown = NamedObject(item.kind, item.name, item.revision, msgspec.Raw(item.document))
-        return json_response(shown)
+        if not _may_read(operator, kind, item):
+            role = operator.role.value
+            raise PermissionDeniedError(f"role {role} may not read {kind.value}/{name}")
+        return json_response(_shown(item))
 
-    def _change(self, request: Request, kind: Kind, name: str) -> Response:
+    def _change(self, request: Request, operator: Operator, kind: Kind, name: str) -> int:
         expected = _expected_version(request)
-        document = None
-        if request.method == "PUT":
-            document = request.get_data()
-            parsed = parse_document(kind, document)
-            if isinstance(parsed, Policy):
-                check_policy(parsed.expression)
-        elif request.method != "DELETE":
+        if request.method not in ("PUT", "DELETE"):
             raise InvalidRequestError(f"method {request.method} is not served here")
-        elif expected == 0:
-            raise ObjectNotFoundError(f"{kind.value}/{name}: deleting needs its version")
-        version = self._store.write(kind.value, name, expected, document)
-        return json_response({"version": version})
+        if expected > 0 or request.method == "DELETE":
+            self._check_replaced(operator, kind, name, expected)
+        if request.method == "DELETE":
+            check_unused(self._store, kind, name)
+            return self._store.write(kind.value, name, expected, None)
+        data = _object_body(request)
+        document = parse_document(kind, data)
+        operator.check_document(document)
+        self._check_content(document)
+        return self._store.write(kind.value, name, expected, data)
+
+    def _check_replaced(self, operator: Operator, kind: Kind, name: str, expected: int) -> None:
+        """Check the object that a change replaces; compare-and-swap makes sure it stays so."""
+        try:
+            present = self._store.get(kind.value, name)
+        except ObjectNotFoundError as error:
+            message = f"{kind.value}/{name} does not exist"
+            raise VersionConflictError(message, present_version=0) from error
+        if operator.role is not Role.PLATFORM_ADMIN:
+            operator.check_document(parse_document(kind, present.document))
+        if present.revision != expected:
+            message = f"{kind.value}/{name} has version {present.revision}, not {expected}"
+            raise VersionConflictError(message, present_version=present.revision)
+
+    def _check_content(self, document: Document) -> None:
+        if isinstance(document, Policy):
+            check_policy(document.expression)
+        check_references(self._store, document)
+
+
+def _may_read(operator: Operator, kind: Kind, item: ConfigurationObject) -> bool:
+    if operator.reads_all:
+        return True
+    try:
+        return operator.may_read(kind, item.name, parse_document(kind, item.document))
+    except InvalidObjectError:
+        return False
+
+
+def _shown(item: ConfigurationObject) -> NamedObject:
+    return NamedObject(item.kind, item.name, item.revision, msgspec.Raw(item.document))
+
+
+def _object_body(request: Request) -> bytes:
+    length = request.content_length or 0
+    data = b"" if length > MAXIMUM_OBJECT_BYTES else request.get_data()
+    if max(length, len(data)) > MAXIMUM_OBJECT_BYTES:
+        raise ObjectTooLargeError(
+            f"the object has {max(length, len(data))} bytes; the limit is {MAXIMUM_OBJECT_BYTES}"
+        )
+    return data
 
 
 def _kind(text: str) -> Kind:
--- a/src/martenrun/configuration/objects.py
+++ b/src/martenrun/configuration/objects.py
@@ -30,6 +30,7 @@
     POOL = "pools"
     POLICY = "policies"
     ROUTE = "routes"
+    DRAIN = "drains"
 
 
 REPLICATED_KINDS = tuple(kind.value for kind in Kind)
@@ -65,11 +66,16 @@
 
 
 class ApiKey(ConfigurationDocument):
-    """A bearer token, stored as the hex SHA-256 of the token."""
+    """A bearer token, stored as the hex SHA-256 of the token.
+
+    A tenant may have many keys.  A key is rotated by publishing a second one and retiring the
+    first when its holders have moved; both are valid meanwhile.
+    """
 
     tenant: Name
     role: Role = Role.CALLER
     key_sha256: str = Field(pattern=r"^[0-9a-f]{64}$")
+    retired: bool = False
 
 
 class Pool(ConfigurationDocument):
@@ -95,7 +101,21 @@
     tenants: list[Name] = Field(default_factory=list)
 
 
-Document = Tenant | ApiKey | Pool | Policy | Route
+class DrainRole(enum.StrEnum):
+    """What kind of machine is drained."""
+
+    RUNNER = "runner"
+    NODE = "node"
+
+
+class Drain(ConfigurationDocument):
+    """Marks the runner or node of the object's name as leaving: it gets no new work."""
+
+    role: DrainRole = DrainRole.RUNNER
+    reason: str = Field(default="", max_length=1_000)
+
+
+Document = Tenant | ApiKey | Pool | Policy | Route | Drain
 
 _MODELS: dict[Kind, type[Document]] = {
     Kind.TENANT: Tenant,
@@ -103,6 +123,7 @@
     Kind.POOL: Pool,
     Kind.POLICY: Policy,
     Kind.ROUTE: Route,
+    Kind.DRAIN: Drain,
 }
 
 
--- a/src/martenrun/constants.py
+++ b/src/martenrun/constants.py
@@ -29,3 +29,6 @@
 
 RESUME_WINDOW_S = 5.0
 """Time that a broken stream is given to go on elsewhere, past its deadline too, in seconds."""
+
+MAXIMUM_OBJECT_BYTES = 256 * 1024
+"""Largest configuration object accepted by the administration API, in bytes of JSON."""
--- a/src/martenrun/errors.py
+++ b/src/martenrun/errors.py
@@ -114,6 +114,22 @@
     remedy = "Correct the fields named in the message and apply again."
 
 
+class ObjectInUseError(MartenrunError):
+    """Other configuration objects refer to the one that is to be deleted."""
+
+    code = "object_in_use"
+    http_status = 409
+    remedy = "Delete or change the objects that refer to it first."
+
+
+class ObjectTooLargeError(MartenrunError):
+    """A configuration object is over the limit."""
+
+    code = "object_too_large"
+    http_status = 413
+    remedy = "Split the object, or shorten its lists."
+
+
 class DuplicateRequestError(MartenrunError):
     """The idempotency key of a non-repeatable request was used before."""
 
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,167 @@
+"""Tests of the administration API: roles, references, conflicts, lost answers, key rotation."""
+
+import hashlib
+import json
+import threading
+
+import pytest
+from werkzeug.test import Client
+
+from martenrun.admin.application import AdminApplication
+from martenrun.configuration.state import ConfigurationState
+from martenrun.constants import MAXIMUM_OBJECT_BYTES
+from martenrun.errors import InvalidKeyError
+from martenrun.platform import object_api
+from object_api_server import Store
+
+ROOT = "root-token"
+
+
+def digest(token):
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+class Admin:
+    """The administration API over the stand-in; its view follows the store at once."""
+
+    def __init__(self, store):
+        self.store = store
+        self.client = Client(AdminApplication(store.api, self.view, digest(ROOT)))
+
+    def view(self):
+        state = ConfigurationState()
+        listed = self.store.application.store.list_all()
+        update = object_api.ConfigurationUpdate(0, listed.revision, complete=True)
+        update.objects = [
+            object_api.ConfigurationObject(
+                item.kind, item.name, item.version, False, json.dumps(item.document).encode()
+            )
+            for item in listed.objects
+        ]
+        state.apply(update)
+        return state.view
+
+    def call(self, method, path, document=None, version=0, token=ROOT):
+        response = self.client.open(
+            f"/admin/v1/{path}",
+            method=method,
+            data=None if document is None else json.dumps(document),
+            headers={"Authorization": f"Bearer {token}", "If-Match": str(version)},
+        )
+        return response.status_code, response.get_json()
+
+    def put(self, path, document, version=0, token=ROOT):
+        status, body = self.call("PUT", path, document, version, token)
+        assert status == 200, body
+        return body["version"]
+
+    def refusal(self, method, path, document=None, version=0, token=ROOT):
+        status, body = self.call(method, path, document, version, token)
+        assert status >= 400, body
+        return body["error"]
+
+    def key(self, name, tenant, role="caller"):
+        return self.put(
+            f"keys/{name}", {"tenant": tenant, "role": role, "key_sha256": digest(name)}
+        )
+
+
+@pytest.fixture
+def admin(monkeypatch):
+    monkeypatch.setattr(object_api, "READ_BACK_PAUSES_S", (0.0, 0.01))
+    store = Store()
+    made = Admin(store)
+    for tenant in ("growers", "sellers"):
+        made.put(f"tenants/{tenant}", {})
+    yield made
+    store.stop()
+
+
+def test_a_tenant_admin_changes_only_its_own_tenants_keys(admin):
+    admin.key("boss", "growers", "tenant-admin")
+    foreign = admin.key("foreign", "sellers")
+    document = {"tenant": "growers", "key_sha256": digest("new")}
+    version = admin.put("keys/new", document, token="boss")
+    for path, changed, expected in [
+        ("keys/other", {**document, "tenant": "sellers"}, 0),
+        ("keys/foreign", document, foreign),
+        ("keys/high", {**document, "role": "platform-admin"}, 0),
+        ("keys/high", {**document, "role": "reader"}, 0),
+        ("tenants/growers", {"weight": 9}, 1),
+        ("drains/runner-1", {}, 0),
+    ]:
+        refusal = admin.refusal("PUT", path, changed, expected, token="boss")
+        assert refusal["code"] == "permission_denied", path
+    assert admin.refusal("DELETE", "keys/foreign", None, foreign, "boss")["code"] == (
+        "permission_denied"
+    )
+    _status, listed = admin.call("GET", "keys", token="boss")
+    assert {item["name"] for item in listed} == {"boss", "new"}
+    assert admin.refusal("GET", "keys/foreign", token="boss")["code"] == "permission_denied"
+    assert admin.call("DELETE", "keys/new", None, version, "boss")[0] == 200
+
+
+def test_a_reader_reads_all_and_a_caller_nothing(admin):
+    admin.key("reading", "growers", "reader")
+    admin.key("calling", "growers")
+    assert len(admin.call("GET", "tenants", token="reading")[1]) == 2
+    assert admin.refusal("PUT", "tenants/x", {}, token="reading")["code"] == "permission_denied"
+    assert admin.refusal("GET", "tenants", token="calling")["code"] == "permission_denied"
+    assert admin.refusal("GET", "tenants", token="nobody")["code"] == "invalid_api_key"
+
+
+def test_references_must_exist_and_what_is_used_is_not_deleted(admin):
+    route = {"model": "m", "pool": "p", "tenants": ["growers", "nobody"]}
+    refusal = admin.refusal("PUT", "routes/r", route)
+    assert refusal["code"] == "invalid_object"
+    assert "pools/p" in refusal["message"]
+    assert "tenants/nobody" in refusal["message"]
+    policy = admin.put("policies/even", {"expression": "weight"})
+    pool = admin.put("pools/p", {"model": "m", "weights_version": "v", "policy": "even"})
+    used = admin.put("routes/r", {**route, "tenants": ["growers"]})
+    for path, version in [("pools/p", pool), ("policies/even", policy)]:
+        assert admin.refusal("DELETE", path, None, version)["code"] == "object_in_use"
+    assert admin.call("DELETE", "routes/r", None, used)[0] == 200
+    assert admin.call("DELETE", "pools/p", None, pool)[0] == 200
+
+
+def test_racing_operators_have_one_winner_and_the_others_see_its_version(admin):
+    version = admin.put("tenants/growers", {"weight": 2}, version=1)
+    admin.store.set_faults(lose_write_probability=0.5, seed=5)
+    answers = []
+
+    def race(weight):
+        answers.append(admin.call("PUT", "tenants/growers", {"weight": weight}, version))
+
+    operators = [threading.Thread(target=race, args=(weight,)) for weight in range(3, 9)]
+    for operator in operators:
+        operator.start()
+    for operator in operators:
+        operator.join()
+    won = [body["version"] for status, body in answers if status == 200]
+    assert len(won) == 1
+    lost = [body["error"] for status, body in answers if status == 409]
+    assert [error["present_version"] for error in lost] == won * 5
+
+
+def test_a_change_of_unknown_outcome_is_never_called_refused(admin):
+    admin.store.set_faults(lose_answers=1, lose_read_probability=1.0)
+    refusal = admin.refusal("PUT", "tenants/new", {})
+    assert (refusal["code"], refusal["ran"]) == ("change_outcome_unknown", "unknown")
+    assert "Read the object" in refusal["remedy"]
+
+
+def test_too_large_objects_are_refused(admin):
+    document = {"expression": "w" * MAXIMUM_OBJECT_BYTES}
+    assert admin.refusal("PUT", "policies/long", document)["code"] == "object_too_large"
+
+
+def test_a_key_is_rotated_with_an_overlap(admin):
+    old = admin.key("old", "growers")
+    admin.key("new", "growers")
+    assert [admin.view().key_of(token).tenant for token in ("old", "new")] == ["growers"] * 2
+    retired = {"tenant": "growers", "key_sha256": digest("old"), "retired": True}
+    admin.put("keys/old", retired, old)
+    with pytest.raises(InvalidKeyError, match="retired"):
+        admin.view().key_of("old")
+    assert admin.view().key_of("new").tenant == "growers"
