--- a/src/martenrun/cli/bench.py
+++ b/src/martenrun/cli/bench.py
@@ -16,7 +16,7 @@
     """Measure a part of the product; results are printed as JSON with --json."""
 
 
-bench.add_command(configuration)
 bench.add_command(path)
 bench.add_command(streams)
 bench.add_command(index_command)
+bench.add_command(configuration)
--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -118,6 +118,14 @@
     found: ConfigurationObject | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class QuestionCleared:
+    """A question with an idempotency key holds its claim and may be decided."""
+
+    peer: str
+    question: DecideRequest
+
+
 class WatchOutcome(enum.StrEnum):
     """How a StoreWatch ended."""
 
@@ -134,14 +142,6 @@
     update: ConfigurationUpdate
 
 
-@dataclass(frozen=True, slots=True)
-class QuestionCleared:
-    """A question with an idempotency key holds its claim and may be decided."""
-
-    peer: str
-    question: DecideRequest
-
-
 Event = (
     Tick
     | PeerMessage
@@ -153,8 +153,8 @@
     | AttemptEnded
     | CallerGone
     | StoreAnswered
-    | StoreWatched
     | QuestionCleared
+    | StoreWatched
 )
 
 
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -50,8 +50,8 @@
         self._parts = node_parts(settings, secrets.token_hex(8), random.Random())
         self._loop: Any = None
         self._store_workers = StoreWorkers(self._store, lambda event: self._loop.tell(event))
-        self._watch_worker = WatchWorker(self._store, lambda event: self._loop.tell(event))
         self._port = port = EdgePort(tell=lambda event: self._loop.tell(event))
+        self._watch_worker = WatchWorker(self._store, lambda event: self._loop.tell(event))
         self._transport = PeerTransport(
             own_address,
             settings.cluster_secret.encode(),
@@ -103,10 +103,14 @@
         self._loop.stop()
 
     def _list_machines(self) -> None:
-        self._loop.tell(MachinesListed(self._machine_list.machines()))
+        if self._parts.machine_feed.must_poll():
+            self._loop.tell(MachinesListed(self._machine_list.machines()))
 
     def _describe_runners(self) -> None:
-        for runner in list(self._parts.runners.runners.values()):
+        for name in list(self._parts.ownership.owner.owned):
+            runner = self._parts.runners.runners.get(name)
+            if runner is None:
+                continue
             try:
                 description = self._engines.describe(runner.address)
             except HTTPError:
