Add the prefix-aware policy: least expected time to the first token

Cause: the baselines know nothing of caches, or bind a prefix to one runner whatever its load. Change: PrefixAwarePolicy ranks by expected wait + prefill of blocks believed uncached + zone; rates are learned from reports; own work counts at once and foreign load by its age. BeliefBook joins event feeds, own routing (two generations with a learned lifetime) and corrections. martenrun bench decision measures a decision.

--- a/src/martenrun/cli/bench.py
+++ b/src/martenrun/cli/bench.py
@@ -5,6 +5,7 @@
 
 import click
 
+from martenrun.bench.decision import decision_command
 from martenrun.bench.index import index_command
 
 
@@ -14,3 +15,4 @@
 
 
 bench.add_command(index_command)
+bench.add_command(decision_command)
--- /dev/null
+++ b/src/martenrun/routing/beliefs.py
@@ -0,0 +1,253 @@
+"""Beliefs about caches from all sources: event feeds, own routing, owners' and agents' words.
+
+A runner whose event feed this node reads is *fed*: its beliefs stay until an event, a gap or a
+correction takes them.  Of other runners a node knows what it has sent there; such beliefs stand
+in two generations and the older one is dropped each lifetime, because nobody tells of
+evictions.  The lifetime is learned: wrong beliefs shorten it, right ones lengthen it.  A gap in
+a feed drops all that is believed of the runner but what was sent there within a lifetime.
+
+See also: :class:`martenrun.routing.prefix_index.PrefixIndex`.
+"""
+
+import collections
+from dataclasses import dataclass
+
+import numpy
+from numpy.typing import NDArray
+
+from martenrun.identity.chain import BlockHashes
+from martenrun.routing.prefix_index import PrefixIndex, RunnerIdentity
+from martenrun.routing.prefix_table import WIDE_SLOTS_PER_TABLE
+
+FED_MEMORY_BYTES = 60_000_000
+"""Bound of the index of fed runners: 4.3 million blocks at 14 bytes each."""
+
+ROUTED_MEMORY_BYTES = 3_000_000
+"""Bound of the index of runners that are not fed."""
+
+FED_RUNNERS = 32
+"""Fed runners that are told apart; one more stays unknown."""
+
+ROUTED_SLOTS = WIDE_SLOTS_PER_TABLE
+"""Two generations of 32 runners that are not fed."""
+
+RECENT_CHAINS = 2_048
+"""Chains sent to fed runners that are remembered against gaps."""
+
+_MAXIMUM_COLUMNS = 64
+_MINIMUM_LIFETIME_S = 2.0
+_MAXIMUM_LIFETIME_S = 120.0
+_FIRST_LIFETIME_S = 20.0
+_LENGTHEN = 1.02
+_SHORTEN = 0.85
+
+
+@dataclass(slots=True)
+class _Generations:
+    """Slot names of a runner that is not fed: where beliefs are added, and the older ones."""
+
+    current: str
+    older: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Routed:
+    """A chain that was sent to a fed runner."""
+
+    runner: str
+    chain: BlockHashes
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Columns:
+    """Where the beliefs about some runners stand in the indexes (-1: nowhere), shape (runners,)."""
+
+    fed: NDArray[numpy.int64]
+    current: NDArray[numpy.int64]
+    older: NDArray[numpy.int64]
+    is_fed: NDArray[numpy.bool_]
+    is_routed: NDArray[numpy.bool_]
+    has_fed: bool
+    has_routed: bool
+
+
+class BeliefBook:
+    """What one node believes about the caches of all runners it deals with.
+
+    Args:
+        fed_memory_bytes: bound of the index of fed runners.
+        routed_memory_bytes: bound of the index of the others.
+    """
+
+    def __init__(
+        self,
+        fed_memory_bytes: int = FED_MEMORY_BYTES,
+        routed_memory_bytes: int = ROUTED_MEMORY_BYTES,
+    ) -> None:
+        self.lifetime_s = _FIRST_LIFETIME_S
+        self._fed = PrefixIndex(fed_memory_bytes, FED_RUNNERS)
+        self._routed = PrefixIndex(routed_memory_bytes, ROUTED_SLOTS, ROUTED_SLOTS)
+        self._identities: dict[str, RunnerIdentity] = {}
+        self._generations: dict[str, _Generations] = {}
+        self._fed_runners: set[str] = set()
+        self._rotated_at = 0.0
+        self._recent: collections.deque[_Routed] = collections.deque(maxlen=RECENT_CHAINS)
+        self._columns: dict[tuple[str, ...], _Columns] = {}
+
+    def identify(self, runner: str, incarnation: str, weights_version: str) -> None:
+        """Name the run that later calls mean; another run ends every older belief."""
+        known = self._identities.get(runner)
+        if (
+            known is not None
+            and known.incarnation == incarnation
+            and known.weights_version == weights_version
+        ):
+            return
+        if known is not None:
+            self.forget(runner)
+        self._columns.clear()
+        identity = RunnerIdentity(incarnation, weights_version)
+        self._identities[runner] = identity
+        generations = _Generations(f"{runner}#0", f"{runner}#1")
+        self._generations[runner] = generations
+        for name in (generations.current, generations.older):
+            self._routed.identify(name, identity)
+
+    def forget(self, runner: str) -> None:
+        """Forget a runner and every belief about it."""
+        self._columns.clear()
+        self.feed_ended(runner)
+        self._identities.pop(runner, None)
+        generations = self._generations.pop(runner, None)
+        if generations is not None:
+            self._routed.forget(generations.current)
+            self._routed.forget(generations.older)
+
+    def incarnation_of(self, runner: str) -> str:
+        """Return the incarnation that beliefs about a runner mean, empty if it is unknown."""
+        identity = self._identities.get(runner)
+        return "" if identity is None else identity.incarnation
+
+    def feed(self, runner: str, stored: BlockHashes, removed: BlockHashes) -> None:
+        """Apply what an identified runner's event feed told; repeated events do no harm."""
+        identity = self._identities.get(runner)
+        if identity is None:
+            return
+        if runner not in self._fed_runners:
+            self._columns.clear()
+            self._fed_runners.add(runner)
+            self._fed.identify(runner, identity)
+        self._fed.add(runner, stored)
+        self._fed.remove(runner, removed)
+
+    def feed_gap(self, runner: str, now: float) -> None:
+        """Drop what is believed of a fed runner: any of it may have been removed in the gap.
+
+        What was sent there within a lifetime is believed again.
+        """
+        self._fed.drop(runner)
+        for sent in self._recent:
+            if sent.runner == runner and now - sent.at < self.lifetime_s:
+                self._fed.add(runner, sent.chain)
+
+    def feed_ended(self, runner: str) -> None:
+        """The runner's feed is no longer read here."""
+        if runner in self._fed_runners:
+            self._columns.clear()
+            self._fed_runners.discard(runner)
+            self._fed.forget(runner)
+
+    def routed(self, runner: str, chain: BlockHashes, believed: int, now: float) -> None:
+        """A request with this chain is sent to the runner, which will hold it.
+
+        ``believed`` leading blocks are known already; they only live longer.
+        """
+        if runner in self._fed_runners:
+            self._fed.add(runner, chain[believed:])
+            self._recent.append(_Routed(runner, chain, now))
+        elif runner in self._generations:
+            self._routed.add(self._generations[runner].current, chain)
+
+    def corrected(self, runner: str, chain: BlockHashes, believed: int, cached: int) -> None:
+        """Take in how many leading blocks are really cached at this moment."""
+        if cached < believed:
+            self._remove(runner, chain[cached:believed])
+        elif cached > believed:
+            self._add(runner, chain[believed:cached])
+
+    def judged(self, believed: int, cached: int) -> None:
+        """Learn the lifetime from what became of one belief."""
+        if believed:
+            change = _SHORTEN if cached < believed / 2 else _LENGTHEN
+            bounded = min(_MAXIMUM_LIFETIME_S, self.lifetime_s * change)
+            self.lifetime_s = max(_MINIMUM_LIFETIME_S, bounded)
+
+    def not_run(self, runner: str, hashes: BlockHashes) -> None:
+        """Blocks that a refused attempt would have cached are not there."""
+        self._remove(runner, hashes)
+
+    def leading(self, chain: BlockHashes, runners: tuple[str, ...]) -> NDArray[numpy.int64]:
+        """Return the leading blocks believed cached at each runner, shape (runners,)."""
+        columns = self._columns_of(runners)
+        leading = numpy.zeros(len(runners), numpy.int64)
+        if columns.has_fed:
+            leading = self._fed.match(chain).blocks[columns.fed] * columns.is_fed
+        if columns.has_routed:
+            blocks = self._routed.match(chain).blocks
+            routed = numpy.maximum(blocks[columns.current], blocks[columns.older])
+            leading += routed * columns.is_routed
+        return leading
+
+    def age(self, now: float) -> None:
+        """Drop the older generation once a lifetime."""
+        if now - self._rotated_at < self.lifetime_s:
+            return
+        self._rotated_at = now
+        self._columns.clear()
+        for generations in self._generations.values():
+            self._routed.drop(generations.older)
+            generations.current, generations.older = generations.older, generations.current
+
+    def _add(self, runner: str, hashes: BlockHashes) -> None:
+        if runner in self._fed_runners:
+            self._fed.add(runner, hashes)
+        elif runner in self._generations:
+            self._routed.add(self._generations[runner].current, hashes)
+
+    def _remove(self, runner: str, hashes: BlockHashes) -> None:
+        if runner in self._fed_runners:
+            self._fed.remove(runner, hashes)
+        elif runner in self._generations:
+            self._routed.remove(self._generations[runner].current, hashes)
+            self._routed.remove(self._generations[runner].older, hashes)
+
+    def _columns_of(self, runners: tuple[str, ...]) -> _Columns:
+        columns = self._columns.get(runners)
+        if columns is None:
+            if len(self._columns) >= _MAXIMUM_COLUMNS:
+                self._columns.clear()
+            columns = self._columns[runners] = self._find_columns(runners)
+        return columns
+
+    def _find_columns(self, runners: tuple[str, ...]) -> _Columns:
+        fed, current, older = [], [], []
+        for runner in runners:
+            generations = self._generations.get(runner)
+            is_fed = runner in self._fed_runners
+            fed.append(self._fed.slot_of(runner) if is_fed else -1)
+            if is_fed or generations is None:
+                current.append(-1)
+                older.append(-1)
+            else:
+                current.append(self._routed.slot_of(generations.current))
+                older.append(self._routed.slot_of(generations.older))
+        return _Columns(
+            numpy.array(fed, numpy.int64),
+            numpy.array(current, numpy.int64),
+            numpy.array(older, numpy.int64),
+            numpy.array(fed, numpy.int64) >= 0,
+            numpy.array(current, numpy.int64) >= 0,
+            max(fed, default=-1) >= 0,
+            max(current, default=-1) >= 0,
+        )
--- a/src/martenrun/routing/policy.py
+++ b/src/martenrun/routing/policy.py
@@ -69,7 +69,10 @@
     def rank(
         self, question: DecideRequest, runners: Sequence[RunnerState], now: float
     ) -> list[RunnerChoice]:
-        """Return choices among ``runners``, best first; empty only if ``runners`` is."""
+        """Return choices among ``runners``, best first; empty only if ``runners`` is.
+
+        A policy may leave the worst ones out.
+        """
         ...
 
     def route(
--- /dev/null
+++ b/src/martenrun/routing/prefix_aware.py
@@ -0,0 +1,224 @@
+"""The product's policy: the runner with the least expected time to the first token.
+
+Expected time = wait for a slot + prefill of the blocks believed uncached + zone distance.
+Candidates are the believed holders of any part of the prompt, two runners that rendezvous
+hashing prefers for the prompt's first blocks (so that a node that knows nothing yet finds old
+caches), and two random ones (so that no single idle-looking runner draws everything).
+
+A hot prefix widens by itself: once the wait at its holders exceeds the prefill elsewhere, the
+next request goes elsewhere and makes a new holder.  It shrinks by itself: with less load the
+preferred holder is always best and other copies are evicted.
+"""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import numpy
+from numpy.typing import NDArray
+
+from martenrun.constants import BLOCK_HASH_BYTES, DEFAULT_BLOCK_BYTES
+from martenrun.identity.chain import BlockHashes, as_array
+from martenrun.identity.rendezvous import weight
+from martenrun.platform.engine import AttemptOutcome
+from martenrun.routing.beliefs import BeliefBook
+from martenrun.routing.first_token_model import FirstTokenModel
+from martenrun.routing.policy import RankingPolicy, RunnerChoice, RunnerState
+from martenrun.wire.messages import AttemptReport, DecideRequest
+
+OTHER_ZONE_S = 0.004
+"""Time that a request and its first token lose between two zones, in seconds."""
+
+LOAD_HALF_LIFE_S = 1.5
+"""Age at which a foreign load counts half, in seconds."""
+
+PREFERRED_BLOCKS = (1, 4)
+"""Prefix lengths whose rendezvous-preferred runner is a candidate, in blocks."""
+
+RANDOM_CANDIDATES = 2
+
+MAXIMUM_CHOICES = 8
+"""Choices returned for one question."""
+
+MAXIMUM_RANKED = 4_096
+"""Ranked questions remembered for corrections; the oldest is forgotten first."""
+
+_NOT_CANDIDATE_S = 1e6
+_MAXIMUM_NAME_TUPLES = 64
+_NOT_PREFERRED = 1.1
+"""Factor on the prefill at runners that hashing does not prefer, so that prefixes settle."""
+
+_MIX = numpy.uint64(0x9E3779B97F4A7C15)
+_MIX_SHIFT = numpy.uint64(16)
+
+
+@dataclass(slots=True)
+class _GrantedWork:
+    """An attempt that has been granted and has not ended."""
+
+    runner: str
+    model: str
+    chain: BlockHashes
+    prompt_blocks: float
+    believed_blocks: int
+    load: float
+    granted_at: float
+
+
+class PrefixAwarePolicy(RankingPolicy):
+    """Ranks runners by expected time to the first token; see the module.
+
+    Args:
+        beliefs: what is believed about caches.
+        rng: draws the random candidates.
+        block_bytes: length of a block in bytes of prompt text.
+    """
+
+    def __init__(
+        self, beliefs: BeliefBook, rng: random.Random, block_bytes: int = DEFAULT_BLOCK_BYTES
+    ) -> None:
+        self.beliefs = beliefs
+        self._rng = rng
+        self._block_bytes = block_bytes
+        self._models: dict[str, FirstTokenModel] = {}
+        self._granted: dict[tuple[str, int], _GrantedWork] = {}
+        self._ranked: dict[tuple[str, int], list[RunnerChoice]] = {}
+        self._name_hashes: dict[tuple[str, ...], NDArray[numpy.uint64]] = {}
+
+    def rank(
+        self, question: DecideRequest, runners: Sequence[RunnerState], now: float
+    ) -> list[RunnerChoice]:
+        """See :meth:`martenrun.routing.policy.RoutingPolicy.rank`."""
+        for runner in runners:
+            self.beliefs.identify(runner.name, runner.incarnation, runner.weights_version)
+        names = tuple([runner.name for runner in runners])
+        believed = self.beliefs.leading(as_array(question.chain), names).tolist()
+        preferred = self._preferred(question.chain, names)
+        costs = self._costs(question, runners, believed, preferred, now)
+        drawn = self._rng.choices(range(len(names)), k=RANDOM_CANDIDATES) if names else []
+        for index, blocks in enumerate(believed):
+            if not blocks and index not in preferred and index not in drawn:
+                costs[index] += _NOT_CANDIDATE_S
+        order = sorted(range(len(names)), key=costs.__getitem__)
+        choices = [
+            RunnerChoice(runners[index], believed[index], costs[index])
+            for index in order[:MAXIMUM_CHOICES]
+        ]
+        self._remember(question, choices)
+        return choices
+
+    def corrected(self, question: DecideRequest, runner: str, cached_blocks: int) -> None:
+        """See :meth:`martenrun.routing.policy.RoutingPolicy.corrected`."""
+        chain = as_array(question.chain)
+        for choice in self._ranked.get((question.request_id, question.attempt), ()):
+            if choice.runner.name == runner:
+                self.beliefs.corrected(runner, chain, choice.believed_blocks, cached_blocks)
+
+    def granted(self, question: DecideRequest, choice: RunnerChoice, now: float) -> None:
+        """See :meth:`martenrun.routing.policy.RoutingPolicy.granted`."""
+        self.beliefs.age(now)
+        self._ranked.pop((question.request_id, question.attempt), None)
+        chain = as_array(question.chain)
+        self.beliefs.routed(choice.runner.name, chain, choice.believed_blocks, now)
+        self._granted[(question.request_id, question.attempt)] = _GrantedWork(
+            choice.runner.name,
+            question.model,
+            chain,
+            question.prompt_bytes / self._block_bytes,
+            choice.believed_blocks,
+            load_of(choice.runner, now),
+            now,
+        )
+
+    def observe(self, report: AttemptReport, now: float) -> None:
+        """See :meth:`martenrun.routing.policy.RoutingPolicy.observe`."""
+        work = self._granted.pop((report.request_id, report.attempt), None)
+        if work is None or work.runner != report.runner:
+            return
+        if report.outcome == AttemptOutcome.NOT_RUN:
+            self.beliefs.not_run(work.runner, work.chain[work.believed_blocks :])
+        elif report.outcome == AttemptOutcome.COMPLETE and report.prompt_tokens > 0:
+            self._learn(work, report, now)
+
+    def withdrawn(self, request_id: str, attempt: int) -> None:
+        """See :meth:`martenrun.routing.policy.RoutingPolicy.withdrawn`."""
+        self._granted.pop((request_id, attempt), None)
+        self._ranked.pop((request_id, attempt), None)
+
+    def _learn(self, work: _GrantedWork, report: AttemptReport, now: float) -> None:
+        cached_share = min(1.0, report.cached_tokens / report.prompt_tokens)
+        cached_blocks = cached_share * work.prompt_blocks
+        self.beliefs.judged(work.believed_blocks, round(cached_blocks))
+        if cached_blocks < work.believed_blocks:
+            self.beliefs.routed(work.runner, work.chain, 0, now)
+        model = self._model(work.model)
+        model.observe_service(now - work.granted_at)
+        uncached_blocks = work.prompt_blocks - cached_blocks
+        model.observe_first_token(uncached_blocks, work.load, report.first_token_s)
+
+    def _remember(self, question: DecideRequest, choices: list[RunnerChoice]) -> None:
+        self._ranked[(question.request_id, question.attempt)] = choices
+        if len(self._ranked) > MAXIMUM_RANKED:
+            del self._ranked[next(iter(self._ranked))]
+
+    def _model(self, name: str) -> FirstTokenModel:
+        model = self._models.get(name)
+        if model is None:
+            model = self._models[name] = FirstTokenModel()
+        return model
+
+    def _preferred(self, chain: bytes, names: tuple[str, ...]) -> set[int]:
+        """Return the indexes of the runners that hashing prefers for the first blocks."""
+        if not names or not chain:
+            return set()
+        ends = [min(len(chain), blocks * BLOCK_HASH_BYTES) for blocks in PREFERRED_BLOCKS]
+        keys = [chain[end - BLOCK_HASH_BYTES : end] for end in ends]
+        key_array = numpy.frombuffer(b"".join(keys), numpy.uint64)
+        weights = (self._hashes_of(names) ^ key_array[:, None]) * _MIX >> _MIX_SHIFT
+        return set(weights.argmax(axis=1).tolist())
+
+    def _hashes_of(self, names: tuple[str, ...]) -> NDArray[numpy.uint64]:
+        hashes = self._name_hashes.get(names)
+        if hashes is None:
+            if len(self._name_hashes) >= _MAXIMUM_NAME_TUPLES:
+                self._name_hashes.clear()
+            hashes = numpy.array([weight(b"", name) for name in names], numpy.uint64)
+            self._name_hashes[names] = hashes
+        return hashes
+
+    def _costs(
+        self,
+        question: DecideRequest,
+        runners: Sequence[RunnerState],
+        believed: list[int],
+        preferred: set[int],
+        now: float,
+    ) -> list[float]:
+        """Return each runner's expected time to the first token, in seconds."""
+        model = self._model(question.model)
+        prompt_blocks = question.prompt_bytes / self._block_bytes
+        costs = []
+        for index, runner in enumerate(runners):
+            load = load_of(runner, now)
+            uncached = max(0.0, prompt_blocks - believed[index])
+            cost = model.prefill_s(uncached, load)
+            if index not in preferred:
+                cost *= _NOT_PREFERRED
+            if load >= runner.slots - 1:
+                cost += model.wait_s(load, runner.slots)
+            if runner.zone != question.zone:
+                cost += OTHER_ZONE_S
+            costs.append(cost)
+        return costs
+
+
+def load_of(runner: RunnerState, now: float) -> float:
+    """Return the streams believed to run on a runner.
+
+    Own work counts at once; foreign work as reported, discounted by the report's age.
+    """
+    foreign = runner.reported_running - runner.in_flight_at_report
+    if foreign <= 0:
+        return runner.in_flight
+    age_s = max(0.0, now - runner.reported_at)
+    return runner.in_flight + foreign * 0.5 ** (age_s / LOAD_HALF_LIFE_S)
--- a/src/martenrun/routing/prefix_index.py
+++ b/src/martenrun/routing/prefix_index.py
@@ -14,7 +14,7 @@
 from numpy.typing import NDArray
 
 from martenrun.identity.chain import BlockHashes
-from martenrun.routing.prefix_table import SLOTS_PER_TABLE, PrefixTable
+from martenrun.routing.prefix_table import SLOTS_PER_TABLE, PrefixTable, SlotMasks
 
 _MATCH_CHUNK_BLOCKS = 128
 
@@ -109,11 +109,18 @@
     Args:
         memory_bytes: bound of all tables together; taken at once.
         maximum_runners: runners that can be identified at a time.
+        table_slots: runners a table; narrow tables take less memory, wide ones less time.
     """
 
-    def __init__(self, memory_bytes: int, maximum_runners: int = SLOTS_PER_TABLE) -> None:
-        tables = -(-maximum_runners // SLOTS_PER_TABLE)
-        self._tables = [PrefixTable(memory_bytes // tables) for _ in range(tables)]
+    def __init__(
+        self,
+        memory_bytes: int,
+        maximum_runners: int = SLOTS_PER_TABLE,
+        table_slots: int = SLOTS_PER_TABLE,
+    ) -> None:
+        tables = -(-maximum_runners // table_slots)
+        self._table_slots = table_slots
+        self._tables = [PrefixTable(memory_bytes // tables, table_slots) for _ in range(tables)]
         self._slots = RunnerSlots(maximum_runners)
 
     @property
@@ -142,19 +149,19 @@
         """See :meth:`PrefixKnowledge.add`."""
         slot = self._slots.by_name.get(runner)
         if slot is not None and len(hashes):
-            self._tables[slot // SLOTS_PER_TABLE].add(hashes, slot % SLOTS_PER_TABLE)
+            self._tables[slot // self._table_slots].add(hashes, slot % self._table_slots)
 
     def remove(self, runner: str, hashes: BlockHashes) -> None:
         """See :meth:`PrefixKnowledge.remove`."""
         slot = self._slots.by_name.get(runner)
         if slot is not None and len(hashes):
-            self._tables[slot // SLOTS_PER_TABLE].remove(hashes, slot % SLOTS_PER_TABLE)
+            self._tables[slot // self._table_slots].remove(hashes, slot % self._table_slots)
 
     def drop(self, runner: str) -> None:
         """See :meth:`PrefixKnowledge.drop`."""
         slot = self._slots.by_name.get(runner)
         if slot is not None:
-            self._tables[slot // SLOTS_PER_TABLE].drop(slot % SLOTS_PER_TABLE)
+            self._tables[slot // self._table_slots].drop(slot % self._table_slots)
 
     def forget(self, runner: str) -> None:
         """See :meth:`PrefixKnowledge.forget`."""
@@ -171,19 +178,26 @@
         slot = self._slots.by_name.get(runner)
         if slot is None:
             return 0
-        return self._tables[slot // SLOTS_PER_TABLE].count(slot % SLOTS_PER_TABLE)
+        return self._tables[slot // self._table_slots].count(slot % self._table_slots)
 
     def match(self, chain: BlockHashes) -> LeadingBlocks:
         """See :meth:`PrefixKnowledge.match`."""
+        if len(self._tables) == 1:
+            return LeadingBlocks(self._slots.by_name, self._leading(self._tables[0], chain))
         blocks = numpy.concatenate([self._leading(table, chain) for table in self._tables])
         return LeadingBlocks(self._slots.by_name, blocks)
 
+    def slot_of(self, runner: str) -> int:
+        """Return the runner's slot in matches, -1 if it is not identified."""
+        return self._slots.by_name.get(runner, -1)
+
     def _leading(self, table: PrefixTable, chain: BlockHashes) -> NDArray[numpy.int64]:
-        leading = numpy.zeros(SLOTS_PER_TABLE, numpy.int64)
-        still = numpy.uint32(0xFFFFFFFF)
+        leading = numpy.zeros(self._table_slots, numpy.int64)
+        still = None
         for start in range(0, len(chain), _MATCH_CHUNK_BLOCKS):
             masks = table.masks(chain[start : start + _MATCH_CHUNK_BLOCKS])
-            masks[0] &= still
+            if still is not None:
+                masks[0] &= still
             held = numpy.bitwise_and.accumulate(masks)
             leading += _holders_by_slot(held)
             still = held[-1]
@@ -192,7 +206,7 @@
         return leading
 
 
-def _holders_by_slot(masks: NDArray[numpy.uint32]) -> NDArray[numpy.int64]:
+def _holders_by_slot(masks: SlotMasks) -> NDArray[numpy.int64]:
     """Return how many of the masks hold each slot's bit, shape (slots,)."""
-    octets = masks.astype("<u4").view(numpy.uint8).reshape(len(masks), -1)
+    octets = masks.view(numpy.uint8).reshape(len(masks), -1)
     return numpy.unpackbits(octets, axis=1, bitorder="little").sum(axis=0, dtype=numpy.int64)
--- a/src/martenrun/routing/prefix_table.py
+++ b/src/martenrun/routing/prefix_table.py
@@ -1,8 +1,8 @@
-"""A table of block hashes in fixed memory: which of up to 32 runners hold each block.
+"""A table of block hashes in fixed memory: which of up to 32 or 64 runners hold each.
 
 Every hash has two buckets of eight entries; it goes to the second if the first is
 crowded and the second less so.  An
-entry is a 64-bit hash and a 32-bit mask of runner slots, 12 bytes; a mask of zero is a free
+entry is a 64-bit hash and a mask of runner slots, 12 bytes for 32 slots; a mask of zero is a free
 entry.  All operations take whole batches of hashes, so no Python object stands for a block.
 When both buckets are full, an entry is overwritten: a belief is lost, which costs a hint and
 nothing else.
@@ -16,11 +16,12 @@
 from martenrun.identity.chain import BlockHashes
 
 SLOTS_PER_TABLE = 32
-"""Runners that one table distinguishes."""
+"""Runners that a table of the narrow kind distinguishes."""
 
-ENTRY_BYTES = 12
-"""Bytes of one entry: a 64-bit hash and a 32-bit mask."""
+WIDE_SLOTS_PER_TABLE = 64
+"""Runners that a table of the wide kind distinguishes."""
 
+_HASH_BYTES = 8
 _WAY_BITS = 3
 _WAYS = 1 << _WAY_BITS
 _INSERT_ROUNDS = 8
@@ -29,6 +30,9 @@
 _HALF_BITS = numpy.uint64(32)
 _LOW_HALF = numpy.uint64(0xFFFFFFFF)
 
+SlotMasks = NDArray[numpy.unsignedinteger]
+"""Masks of runner slots, one a block, shape (blocks,)."""
+
 _Positions = NDArray[numpy.int64]
 
 
@@ -37,13 +41,18 @@
 
     Args:
         memory_bytes: bound of the table's memory; it is taken at once.
+        slots: :data:`SLOTS_PER_TABLE` or :data:`WIDE_SLOTS_PER_TABLE`.
     """
 
-    def __init__(self, memory_bytes: int) -> None:
-        buckets = max(2, memory_bytes // (ENTRY_BYTES * _WAYS))
+    def __init__(self, memory_bytes: int, slots: int = SLOTS_PER_TABLE) -> None:
+        mask_type = numpy.uint32 if slots == SLOTS_PER_TABLE else numpy.uint64
+        entry_bytes = _HASH_BYTES + numpy.dtype(mask_type).itemsize
+        buckets = max(2, memory_bytes // (entry_bytes * _WAYS))
+        self._mask_type = mask_type
+        self._all_slots = (1 << slots) - 1
         self._buckets = numpy.uint64(buckets)
         self._hashes = numpy.zeros((buckets, _WAYS), numpy.int64)
-        self._masks = numpy.zeros((buckets, _WAYS), numpy.uint32)
+        self._masks = numpy.zeros((buckets, _WAYS), mask_type)
         self._flat_hashes = self._hashes.reshape(-1)
         self._flat_masks = self._masks.reshape(-1)
         self.overwritten = 0
@@ -53,17 +62,21 @@
         """Bytes that the arrays take."""
         return self._hashes.nbytes + self._masks.nbytes
 
-    def masks(self, hashes: BlockHashes) -> NDArray[numpy.uint32]:
-        """Return each block's mask of slots, 0 if unknown; shape (hashes,)."""
-        masks = numpy.zeros(len(hashes), numpy.uint32)
-        positions = self._find(hashes)
-        known = numpy.flatnonzero(positions >= 0)
-        masks[known] = self._flat_masks[positions[known]]
-        return masks
+    def masks(self, hashes: BlockHashes) -> SlotMasks:
+        """Return each block's mask of slots, 0 if unknown; shape (hashes,).
+
+        Few calls over both buckets at once: for the short batches of a match the calls cost
+        more than the memory they touch.
+        """
+        halves = hashes.view(numpy.uint32).reshape(-1, 2).astype(numpy.uint64)
+        buckets = (halves * self._buckets >> _HALF_BITS).view(numpy.int64)
+        is_same = self._hashes.take(buckets, axis=0) == hashes[:, None, None]
+        masks = self._masks.take(buckets, axis=0) * is_same
+        return masks.reshape(len(hashes), -1).max(axis=1)
 
     def add(self, hashes: BlockHashes, slot: int) -> None:
         """Believe that a slot holds the blocks; repeated hashes do no harm."""
-        bit = numpy.uint32(1 << slot)
+        bit = self._mask_type(1 << slot)
         for start in range(0, len(hashes), _BATCH_HASHES):
             batch = hashes[start : start + _BATCH_HASHES]
             positions = self._find(batch)
@@ -72,14 +85,14 @@
 
     def remove(self, hashes: BlockHashes, slot: int) -> None:
         """No longer believe that a slot holds the blocks."""
-        others = numpy.uint32(~(1 << slot) & 0xFFFFFFFF)
+        others = self._mask_type(~(1 << slot) & self._all_slots)
         for start in range(0, len(hashes), _BATCH_HASHES):
             positions = self._find(hashes[start : start + _BATCH_HASHES])
             self._flat_masks[positions[positions >= 0]] &= others
 
     def drop(self, slot: int) -> None:
         """Forget everything believed of a slot."""
-        self._masks &= numpy.uint32(~(1 << slot) & 0xFFFFFFFF)
+        self._masks &= self._mask_type(~(1 << slot) & self._all_slots)
 
     def clear(self) -> None:
         """Forget everything."""
@@ -87,7 +100,7 @@
 
     def count(self, slot: int) -> int:
         """Return how many blocks a slot is believed to hold; walks the whole table."""
-        return int(numpy.count_nonzero(self._masks & numpy.uint32(1 << slot)))
+        return int(numpy.count_nonzero(self._masks & self._mask_type(1 << slot)))
 
     def _first_bucket(self, hashes: BlockHashes) -> _Positions:
         high = hashes.view(numpy.uint64) >> _HALF_BITS
@@ -120,7 +133,7 @@
         where = found if rows is None else rows[found]
         positions[where] = (buckets[found] << _WAY_BITS) + (hits & (_WAYS - 1))
 
-    def _insert(self, hashes: BlockHashes, bit: numpy.uint32) -> None:
+    def _insert(self, hashes: BlockHashes, bit: numpy.unsignedinteger) -> None:
         """Write unknown hashes; where two meet in one entry, one goes on to the next round."""
         for _ in range(_INSERT_ROUNDS):
             if not len(hashes):
