--- a/src/martenrun/cli/bench.py
+++ b/src/martenrun/cli/bench.py
@@ -7,6 +7,7 @@
 
 from martenrun.bench.decision import decision_command
 from martenrun.bench.index import index_command
+from martenrun.bench.routing import routing_command
 
 
 @click.group()
@@ -16,3 +17,4 @@
 
 bench.add_command(index_command)
 bench.add_command(decision_command)
+bench.add_command(routing_command)
--- /dev/null
+++ b/src/martenrun/deployments/__init__.py
@@ -0,0 +1,1 @@
+"""Descriptions of deployments, for benchmarks: zones, pools, tenants, load and faults."""
