Roll weights through a pool by fenced orders under load permits

Cause: publishing another weights version changed nothing at the engines. Change: orders/: permits in one object of the object API, replaced by compare-and-swap, whose version is the fencing token; a keeper that survives conflicts, lost and late answers; rolls as instances of statecharts/runner.toml. Pool gets floor, adapters and role. New event OrderAnswered, instruction SendOrder, adapter engine_orders.py. A runner that drains or loads gets no new work.

--- a/src/martenrun/configuration/objects.py
+++ b/src/martenrun/configuration/objects.py
@@ -41,6 +41,14 @@
     PLATFORM_ADMIN = "platform-admin"
 
 
+class RunnerRole(enum.StrEnum):
+    """Which phase of requests a pool's runners serve."""
+
+    MIXED = "mixed"
+    PREFILL = "prefill"
+    DECODE = "decode"
+
+
 class ConfigurationDocument(BaseModel):
     """Base of every object's document; unknown fields are faults."""
 
@@ -69,12 +77,19 @@
 
 
 class Pool(ConfigurationDocument):
-    """Runners that serve one model with one weights version."""
+    """Runners that serve one model with one weights version.
+
+    A roll of new weights leaves at least ``floor`` of the runners serving.  Each runner also
+    gets the ``adapters`` and, if it is given, the ``role``.
+    """
 
     model: str = Field(min_length=1)
     weights_version: str = Field(min_length=1)
     block_bytes: int = Field(default=DEFAULT_BLOCK_BYTES, ge=64, le=1_000_000)
     policy: Name | None = None
+    floor: int = Field(default=0, ge=0)
+    adapters: list[Name] = Field(default_factory=list)
+    role: RunnerRole | None = None
 
 
 class Policy(ConfigurationDocument):
--- a/src/martenrun/configuration/state.py
+++ b/src/martenrun/configuration/state.py
@@ -65,3 +65,8 @@
         newer = [item for item in self._objects.values() if item.revision > revision]
         newer.sort(key=lambda item: item.revision)
         return ConfigurationUpdate(revision, max(self.revision, revision), newer, self.nodes)
+
+    def revision_of(self, kind: Kind, name: str) -> int:
+        """Return the revision that last wrote an object; 0 if it is not known."""
+        found = self._objects.get((kind.value, name))
+        return 0 if found is None else found.revision
--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -13,6 +13,7 @@
 from martenrun.errors import MartenrunError
 from martenrun.platform.cache_events import CacheEvents
 from martenrun.platform.engine import AttemptResult, RunnerDescription
+from martenrun.platform.engine_orders import EngineOrder, OrderOutcome
 from martenrun.platform.machine_list import Machine
 from martenrun.wire.messages import (
     ConfigurationObject,
@@ -126,6 +127,15 @@
     question: DecideRequest
 
 
+@dataclass(frozen=True, slots=True)
+class OrderAnswered:
+    """An order to an engine has ended; the same ``order`` may be sent more than once."""
+
+    runner: str
+    order: EngineOrder
+    outcome: OrderOutcome
+
+
 Event = (
     Tick
     | PeerMessage
@@ -138,6 +148,7 @@
     | CallerGone
     | StoreAnswered
     | QuestionCleared
+    | OrderAnswered
 )
 
 
@@ -196,7 +207,16 @@
     name: str
 
 
-Instruction = Send | RunAttempt | Finish | Tell | StoreWrite | StoreRead
+@dataclass(frozen=True, slots=True)
+class SendOrder:
+    """Send a fenced order to a runner's engine; OrderAnswered follows."""
+
+    runner: str
+    address: str
+    order: EngineOrder
+
+
+Instruction = Send | RunAttempt | Finish | Tell | StoreWrite | StoreRead | SendOrder
 
 
 class DecisionLogic(Protocol):
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -10,9 +10,11 @@
 from martenrun.claims.logic import ClaimsLogic
 from martenrun.configuration.view import ConfigurationView
 from martenrun.events import DecisionLogic
+from martenrun.identity.rendezvous import ranked
 from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.node.routing import RoutingLogic
 from martenrun.node.runners import RunnerTable
+from martenrun.orders.rolls import RollsLogic
 from martenrun.routing.baselines import ConsistentHashPolicy
 from martenrun.settings.model import NodeSettings
 
@@ -26,6 +28,7 @@
     claims: ClaimsLogic
     routing: RoutingLogic
     requests: RequestsLogic
+    rolls: RollsLogic
 
     def view(self) -> ConfigurationView:
         """Return the configuration in force."""
@@ -33,7 +36,14 @@
 
     def in_order(self) -> list[DecisionLogic]:
         """Return the parts in the order in which they handle an event."""
-        return [self.configuration, self.runners, self.claims, self.routing, self.requests]
+        return [
+            self.configuration,
+            self.runners,
+            self.claims,
+            self.routing,
+            self.requests,
+            self.rolls,
+        ]
 
 
 def node_parts(settings: NodeSettings, incarnation: str, rng: random.Random) -> NodeParts:
@@ -50,4 +60,10 @@
     routing = RoutingLogic(runners, ConsistentHashPolicy(), lambda: configuration.state.view)
     claims = ClaimsLogic(own_address)
     requests = RequestsLogic(lambda: [own_address])
-    return NodeParts(configuration, runners, claims, routing, requests)
+
+    def is_owner(runner: str) -> bool:
+        return ranked(runner.encode(), configuration.state.nodes)[0] == own_address
+
+    holder = f"{own_address}/{incarnation}"
+    rolls = RollsLogic(holder, runners.runners, configuration.state, is_owner, rng)
+    return NodeParts(configuration, runners, claims, routing, requests, rolls)
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -19,13 +19,16 @@
     RunAttempt,
     RunnerDescribed,
     Send,
+    SendOrder,
     StoreChanges,
     StoreRead,
     StoreWrite,
 )
 from martenrun.node.parts import node_parts
+from martenrun.orders.workers import OrderWorkers
 from martenrun.platform.cache_events import CacheEventReader
 from martenrun.platform.engine import EngineConnections
+from martenrun.platform.engine_orders import EngineOrders
 from martenrun.platform.machine_list import MachineList
 from martenrun.platform.object_api import ObjectApi
 from martenrun.process import Clock, LoopActor, Poller, StoreWorkers, message_carrier
@@ -50,6 +53,9 @@
         self._parts = node_parts(settings, secrets.token_hex(8), random.Random())
         self._loop: Any = None
         self._store_workers = StoreWorkers(self._store, lambda event: self._loop.tell(event))
+        self._order_workers = OrderWorkers(
+            EngineOrders(self._engines), lambda event: self._loop.tell(event)
+        )
         self._port = port = EdgePort(tell=lambda event: self._loop.tell(event))
         self._transport = PeerTransport(
             own_address,
@@ -65,6 +71,7 @@
                 Finish: port.deliver,
                 StoreWrite: self._store_workers.carry,
                 StoreRead: self._store_workers.carry,
+                SendOrder: self._order_workers.carry,
             },
         )
         caller = CallerApplication(port, self._parts.view, settings)
@@ -99,6 +106,7 @@
         self._port.watch.stop()
         self._transport.stop()
         self._store_workers.stop()
+        self._order_workers.stop()
         self._loop.stop()
 
     def _watch_store(self) -> None:
--- a/src/martenrun/node/runners.py
+++ b/src/martenrun/node/runners.py
@@ -1,6 +1,7 @@
 """Decision logic that keeps the table of runners current."""
 
 from martenrun.events import Event, Instruction, MachinesListed, RunnerDescribed
+from martenrun.platform.engine import RunnerServingState
 from martenrun.platform.machine_list import Machine
 from martenrun.routing.policy import RunnerState
 
@@ -50,6 +51,7 @@
         description = event.description
         runner.incarnation = description.incarnation
         runner.weights_version = description.weights_version
+        runner.accepting = description.state == RunnerServingState.SERVING
         runner.slots = description.slots
         runner.reported_running = description.running
         runner.reported_at = now
--- a/src/martenrun/routing/policy.py
+++ b/src/martenrun/routing/policy.py
@@ -19,6 +19,7 @@
         reported_running: the engine's own count, some time old.
         reported_at: this node's time when that count arrived, in seconds.
         in_flight_at_report: ``in_flight`` when that count arrived.
+        accepting: false while the engine drains or loads.
     """
 
     name: str
@@ -33,11 +34,12 @@
     leaving: bool = False
     reported_at: float = 0.0
     in_flight_at_report: int = 0
+    accepting: bool = True
 
     @property
     def is_usable(self) -> bool:
         """Whether new work may be sent to the runner."""
-        return bool(self.incarnation) and not self.leaving
+        return bool(self.incarnation) and self.accepting and not self.leaving
 
     @property
     def free_slots(self) -> int:
