--- a/src/martenrun/agent/parts.py
+++ b/src/martenrun/agent/parts.py
@@ -37,6 +37,6 @@
         incarnation: identity of this run of the agent; changes at every restart.
         rng: source of jitter; seeded in simulations.
     """
-    configuration = AgentConfigurationLogic(list(settings.seed_nodes))
-    requests = RequestsLogic(configuration.live_nodes)
+    configuration = AgentConfigurationLogic(list(settings.seed_nodes), rng)
+    requests = RequestsLogic(configuration.live_nodes, rng)
     return AgentParts(configuration, requests)
--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -136,6 +136,22 @@
     outcome: OrderOutcome
 
 
+class WatchOutcome(enum.StrEnum):
+    """How a StoreWatch ended."""
+
+    CHANGES = "changes"
+    COMPACTED = "compacted"
+    UNAVAILABLE = "unavailable"
+
+
+@dataclass(frozen=True, slots=True)
+class StoreWatched:
+    """A StoreWatch has ended; ``update`` may be empty, and is complete for a list."""
+
+    outcome: WatchOutcome
+    update: ConfigurationUpdate
+
+
 Event = (
     Tick
     | PeerMessage
@@ -149,6 +165,7 @@
     | StoreAnswered
     | QuestionCleared
     | OrderAnswered
+    | StoreWatched
 )
 
 
@@ -216,7 +233,17 @@
     order: EngineOrder
 
 
-Instruction = Send | RunAttempt | Finish | Tell | StoreWrite | StoreRead | SendOrder
+@dataclass(frozen=True, slots=True)
+class StoreWatch:
+    """Wait for configuration changes after a revision; StoreWatched follows.
+
+    ``after`` below zero lists all configuration objects at once.
+    """
+
+    after: int
+
+
+Instruction = Send | RunAttempt | Finish | Tell | StoreWrite | StoreRead | StoreWatch | SendOrder
 
 
 class DecisionLogic(Protocol):
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -55,14 +55,15 @@
         rng: source of jitter; seeded in simulations.
     """
     own_address = settings.peer_address
-    configuration = NodeConfigurationLogic(own_address, list(settings.seed_nodes))
+    configuration = NodeConfigurationLogic(own_address, list(settings.seed_nodes), rng=rng)
     runners = RunnerTable()
     routing = RoutingLogic(runners, ConsistentHashPolicy(), lambda: configuration.state.view)
-    claims = ClaimsLogic(own_address)
-    requests = RequestsLogic(lambda: [own_address])
+    claims = ClaimsLogic(f"{own_address}/{incarnation}")
+    requests = RequestsLogic(lambda: [own_address], rng)
 
     def is_owner(runner: str) -> bool:
-        return ranked(runner.encode(), configuration.state.nodes)[0] == own_address
+        nodes = configuration.state.nodes or [own_address]
+        return ranked(runner.encode(), nodes)[0] == own_address
 
     holder = f"{own_address}/{incarnation}"
     rolls = RollsLogic(holder, runners.runners, configuration.state, is_owner, rng)
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -8,6 +8,7 @@
 from urllib3.exceptions import HTTPError
 
 from martenrun.admin.application import ADMIN_PREFIX, AdminApplication
+from martenrun.configuration.driver import WatchWorker
 from martenrun.edge.application import CallerApplication
 from martenrun.edge.forward import EdgePort
 from martenrun.edge.server import HttpServer
@@ -20,8 +21,8 @@
     RunnerDescribed,
     Send,
     SendOrder,
-    StoreChanges,
     StoreRead,
+    StoreWatch,
     StoreWrite,
 )
 from martenrun.node.parts import node_parts
@@ -35,7 +36,6 @@
 from martenrun.settings.model import NodeSettings
 from martenrun.wire.transport import PeerTransport
 
-WATCH_WAIT_S = 5.0
 MACHINE_POLL_S = 0.5
 RUNNER_POLL_S = 0.5
 CACHE_EVENTS_POLL_S = 0.2
@@ -57,6 +57,7 @@
             EngineOrders(self._engines), lambda event: self._loop.tell(event)
         )
         self._port = port = EdgePort(tell=lambda event: self._loop.tell(event))
+        self._watch_worker = WatchWorker(self._store, lambda event: self._loop.tell(event))
         self._transport = PeerTransport(
             own_address,
             settings.cluster_secret.encode(),
@@ -71,6 +72,7 @@
                 Finish: port.deliver,
                 StoreWrite: self._store_workers.carry,
                 StoreRead: self._store_workers.carry,
+                StoreWatch: self._watch_worker.carry,
                 SendOrder: self._order_workers.carry,
             },
         )
@@ -82,7 +84,6 @@
         )
         self._clock = Clock(self._loop.tell)
         self._pollers = [
-            Poller("store-watch", self._watch_store, pause_s=0.0),
             Poller("machine-list", self._list_machines, MACHINE_POLL_S),
             Poller("runners", self._describe_runners, RUNNER_POLL_S),
             Poller("cache-events", self._read_cache_events, CACHE_EVENTS_POLL_S),
@@ -109,12 +110,6 @@
         self._order_workers.stop()
         self._loop.stop()
 
-    def _watch_store(self) -> None:
-        known = self._parts.configuration.state.revision
-        update = self._store.changes(known, WATCH_WAIT_S)
-        if update.to_revision > known:
-            self._loop.tell(StoreChanges(update))
-
     def _list_machines(self) -> None:
         self._loop.tell(MachinesListed(self._machine_list.machines()))
 
--- a/src/martenrun/orders/keeper.py
+++ b/src/martenrun/orders/keeper.py
@@ -55,6 +55,7 @@
         serving: counts a pool's serving runners.
         is_settled: whether a lapsed permit protects nothing any more: its runner has gone or
             has done what was ordered.
+        maximum_loads: runners that may load at a time, over all nodes.
     """
 
     def __init__(
@@ -63,12 +64,14 @@
         rng: random.Random,
         serving: ServingCount,
         is_settled: SettledTest,
+        maximum_loads: int = permits.MAXIMUM_LOADS,
     ) -> None:
         self.held: dict[str, HeldPermit] = {}
         self._holder = holder
         self._rng = rng
         self._serving = serving
         self._is_settled = is_settled
+        self._maximum_loads = maximum_loads
         self._wishes: dict[str, PermitWish] = {}
         self._table = PermitTable()
         self._version = 0
@@ -181,7 +184,9 @@
         if now - self._renewed_at >= permits.RENEWAL_INTERVAL_S:
             table = permits.renewed(table, self._own_changes())
         for _runner, wish in sorted(self._wishes.items()):
-            table = permits.granted(table, wish, self._holder, expired, self._serving)
+            table = permits.granted(
+                table, wish, self._holder, expired, self._serving, self._maximum_loads
+            )
         return table
 
     def _written(
--- a/src/martenrun/orders/rolls.py
+++ b/src/martenrun/orders/rolls.py
@@ -23,7 +23,7 @@
     Tick,
 )
 from martenrun.orders.keeper import PermitKeeper
-from martenrun.orders.permits import Permit, PermitWish
+from martenrun.orders.permits import MAXIMUM_LOADS, Permit, PermitWish
 from martenrun.orders.target import Target, next_target
 from martenrun.platform.engine import RunnerDescription, RunnerServingState
 from martenrun.platform.engine_orders import EngineOrder, OrderAction, OrderOutcome
@@ -73,6 +73,7 @@
         is_owner: whether this node owns a runner; two nodes that both believe so waste
             permits but break nothing.
         rng: for jitter.
+        maximum_loads: runners that may load at a time, over all nodes.
     """
 
     def __init__(
@@ -82,9 +83,12 @@
         configuration: ConfigurationState,
         is_owner: Callable[[str], bool],
         rng: random.Random,
+        maximum_loads: int = MAXIMUM_LOADS,
     ) -> None:
         self.rolls: dict[str, RunnerRoll] = {}
-        self.keeper = PermitKeeper(holder, rng, self._serving_count, self._is_settled)
+        self.keeper = PermitKeeper(
+            holder, rng, self._serving_count, self._is_settled, maximum_loads
+        )
         self._holder = holder
         self._runners = runners
         self._configuration = configuration
--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -75,6 +75,8 @@
 
 struct ConfigurationQuery {
   1: i64 known_revision
+  2: i64 page_after
+  3: i64 nodes_digest
 }
 
 struct ConfigurationObject {
@@ -91,6 +93,8 @@
   3: list<ConfigurationObject> objects
   4: list<string> nodes
   5: bool complete
+  6: bool continues
+  7: i64 page_after
 }
 
 struct ClaimReport {
@@ -99,3 +103,17 @@
   3: string idempotency_key
   4: string state
 }
+
+struct UsageDigest {
+  1: i64 incarnation
+  2: i32 sequence
+  3: string zone
+  4: binary records
+}
+
+struct UsageTotals {
+  1: i64 incarnation
+  2: i32 sequence
+  3: double added_usage
+  4: binary records
+}
