--- a/src/martenrun/cli/bench.py
+++ b/src/martenrun/cli/bench.py
@@ -5,10 +5,12 @@
 
 import click
 
+from martenrun.bench.adapter import adapter
 from martenrun.bench.configuration import configuration
 from martenrun.bench.decision import decision_command
 from martenrun.bench.index import index_command
 from martenrun.bench.path import path
+from martenrun.bench.rolls import rolls
 from martenrun.bench.routing import routing_command
 from martenrun.bench.streams import streams
 
@@ -24,3 +26,5 @@
 bench.add_command(configuration)
 bench.add_command(decision_command)
 bench.add_command(routing_command)
+bench.add_command(adapter)
+bench.add_command(rolls)
--- a/src/martenrun/configuration/state.py
+++ b/src/martenrun/configuration/state.py
@@ -123,3 +123,8 @@
             self.compacted = max(self.compacted, oldest.revision)
             if self._objects.get((oldest.kind, oldest.name)) is oldest:
                 del self._objects[(oldest.kind, oldest.name)]
+
+    def revision_of(self, kind: Kind, name: str) -> int:
+        """Return the revision that last wrote an object; 0 if it is not known."""
+        found = self._objects.get((kind.value, name))
+        return 0 if found is None else found.revision
