Membership between nodes by probes and gossip

Cause: nodes knew only their seed list; a dead or leaving node stayed in use.

Change: GossipMembership (SWIM: direct and indirect probes, suspicion, incarnations, bounded news, full lists only on joining, after cuts and when digests stay different), datagrams beside the TCP transport, SendDatagram, MembersChanged, LeaveRequested. Agents learn the live nodes through ConfigurationUpdate.nodes. A death is never taken from another node's word: the claim makes a node probe for itself, so that the two sides of a healed cut do not bury each other.

--- a/src/martenrun/constants.py
+++ b/src/martenrun/constants.py
@@ -23,3 +23,6 @@
 
 ENGINE_READ_TIMEOUT_S = 30.0
 """Longest silence accepted on an engine's stream, in seconds."""
+
+MAXIMUM_DATAGRAM_BYTES = 1_200
+"""Largest datagram sent between nodes, in bytes; it fits one packet on any usual network."""
--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from martenrun.errors import MartenrunError
+from martenrun.membership.view import Member
 from martenrun.platform.engine import AttemptResult, RunnerDescription
 from martenrun.platform.machine_list import Machine
 from martenrun.wire.messages import (
@@ -105,6 +106,18 @@
     found: ConfigurationObject | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class MembersChanged:
+    """The live nodes have changed; ``members`` are sorted by address, leaving ones excluded."""
+
+    members: tuple[Member, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveRequested:
+    """This process is asked to stop: tell the others, take no new work."""
+
+
 Event = (
     Tick
     | PeerMessage
@@ -115,6 +128,8 @@
     | AttemptEnded
     | CallerGone
     | StoreAnswered
+    | MembersChanged
+    | LeaveRequested
 )
 
 
@@ -126,6 +141,17 @@
     message: Message
 
 
+@dataclass(frozen=True, slots=True)
+class SendDatagram:
+    """Send a message to a node in one datagram; it may get lost and must be small.
+
+    See also: :data:`martenrun.constants.MAXIMUM_DATAGRAM_BYTES`.
+    """
+
+    peer: str
+    message: Message
+
+
 @dataclass(frozen=True, slots=True)
 class RunAttempt:
     """Tell the edge to send the request to the granted runner."""
@@ -173,7 +199,7 @@
     name: str
 
 
-Instruction = Send | RunAttempt | Finish | Tell | StoreWrite | StoreRead
+Instruction = Send | RunAttempt | Finish | Tell | StoreWrite | StoreRead | SendDatagram
 
 
 class DecisionLogic(Protocol):
--- /dev/null
+++ b/src/martenrun/membership/gossip.py
@@ -0,0 +1,340 @@
+"""Membership of a node by probes and gossip, after the SWIM protocol.
+
+Cost does not grow with the number of nodes: a node probes one member in each interval and
+tells each piece of news a few times.  Full lists are exchanged only when a node joins, after
+a cut, and when two nodes' digests stay different.
+
+See also: docs/design/membership.md, :mod:`martenrun.membership.table`.
+"""
+
+import random
+from collections.abc import Sequence
+
+from martenrun.events import (
+    Event,
+    Instruction,
+    LeaveRequested,
+    MachinesListed,
+    MembersChanged,
+    PeerMessage,
+    Send,
+    SendDatagram,
+    Tell,
+    Tick,
+)
+from martenrun.membership.listed import ListedNodes
+from martenrun.membership.prober import RELAY_MEMORY_S, OpenProbe, Prober, Relay
+from martenrun.membership.record import MemberRecord, MemberStatus
+from martenrun.membership.table import MemberTable
+from martenrun.membership.view import Member
+from martenrun.settings.model import MembershipSettings
+from martenrun.wire.messages import (
+    MemberClaim,
+    MemberGossip,
+    MemberList,
+    Probe,
+    ProbeAnswer,
+    ProbeRequest,
+)
+
+STALL_S = 1.0
+"""A pause between two events after which a node distrusts its own timers, in seconds."""
+
+SEEDS_ASKED = 3
+"""Seed nodes asked at a time when joining."""
+
+BULK_CLAIMS = 28
+"""Changes at a time, about two datagrams, above which full lists are exchanged sooner."""
+
+BULK_REPAIRS = 5
+"""Full exchanges in one repair interval while there are so many changes."""
+
+JITTER = 0.2
+"""Largest part by which an interval is lengthened or shortened."""
+
+
+class GossipMembership:
+    """A :class:`martenrun.membership.view.MemberView` kept current by gossip.
+
+    Args:
+        own: this node.
+        seeds: addresses of nodes to join through; this node's own is skipped.
+        rng: source of all random choices.
+    """
+
+    def __init__(
+        self, own: Member, seeds: Sequence[str], settings: MembershipSettings, rng: random.Random
+    ) -> None:
+        self._settings = settings
+        self._rng = rng
+        self._seeds = [seed for seed in seeds if seed != own.address]
+        self._table = MemberTable(own, settings)
+        self._prober = Prober(self._table, settings, rng)
+        self._listed = ListedNodes(own.address)
+        self._joined = not self._seeds
+        self._live: tuple[Member, ...] = (own,)
+        self._told_version = (0, 0)
+        self._last_event_at: float | None = None
+        self._next_repair = 0.0
+        self._bulk_until = 0.0
+        self._due = {"probe": 0.0, "gossip": 0.0, "dead": 0.0, "join": 0.0}
+
+    @property
+    def own(self) -> Member:
+        """This node."""
+        return self._table.own.member()
+
+    @property
+    def leave_is_spread(self) -> bool:
+        """Whether this node is leaving and has told so often enough that others know."""
+        own = self._table.own
+        return own.status is MemberStatus.LEAVING and own.address not in self._table.news
+
+    def live(self) -> Sequence[Member]:
+        """Return members believed alive, this node included, leaving ones excluded."""
+        return self._live
+
+    def statuses(self) -> dict[str, MemberStatus]:
+        """Return what is believed of every known member, by address."""
+        return {record.address: record.status for record in self._table.records.values()}
+
+    def handle(self, event: Event, now: float) -> list[Instruction]:
+        """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
+        self._notice_stall(now)
+        instructions = self._handled(event, now)
+        if isinstance(event, Tick):
+            # Once a tick: a list that brings many changes is one change for the others.
+            instructions += self._told_changes()
+        return instructions
+
+    def _handled(self, event: Event, now: float) -> list[Instruction]:
+        match event:
+            case Tick():
+                return self._tick(now)
+            case PeerMessage(peer, message):
+                return self._message(peer, message, now)
+            case MachinesListed(machines):
+                if self._listed.update(machines):
+                    self._table.leave(now)
+            case LeaveRequested():
+                self._table.leave(now)
+        return []
+
+    def _message(self, peer: str, message: object, now: float) -> list[Instruction]:
+        match message:
+            case Probe(sequence, _, claims):
+                self._take_in(claims, now)
+                own = self._table.own.claim() if self._is_stranger(peer) else None
+                answer = ProbeAnswer(sequence, self._table.digest, self._claims_for(peer, own))
+                return [SendDatagram(peer, answer), *self._greet(peer, now)]
+            case ProbeAnswer():
+                self._take_in(message.claims, now)
+                return self._answered(peer, message, now)
+            case ProbeRequest(sequence, target, claims):
+                self._take_in(claims, now)
+                return self._relay(peer, sequence, target, now)
+            case MemberGossip(claims):
+                self._take_in(claims, now)
+                return self._greet(peer, now)
+            case MemberList(wants_answer, members):
+                return self._list_received(peer, wants_answer, members, now)
+        return []
+
+    def _tick(self, now: float) -> list[Instruction]:
+        settings = self._settings
+        self._table.expire(now)
+        instructions = self._check_probes(now)
+        if self._is_due("join", settings.join_interval_s, now):
+            instructions += self._join(now)
+        if self._is_due("probe", settings.probe_interval_s, now):
+            instructions += self._probe(now)
+        if self._is_due("gossip", settings.gossip_interval_s, now):
+            instructions += self._gossip()
+        if self._is_due("dead", settings.dead_probe_interval_s, now):
+            instructions += self._probe_dead()
+        return instructions
+
+    def _is_due(self, name: str, interval_s: float, now: float) -> bool:
+        if now < self._due[name]:
+            return False
+        self._due[name] = now + interval_s * self._rng.uniform(1 - JITTER, 1 + JITTER)
+        return True
+
+    # Probing
+
+    def _probe(self, now: float) -> list[Instruction]:
+        self._prober.drop_old_relays(now)
+        target = self._prober.next_target()
+        if target is None:
+            return []
+        sequence = self._prober.next_sequence()
+        indirect_at = now + self._settings.probe_timeout_s
+        self._prober.open[sequence] = OpenProbe(target.address, target.incarnation, indirect_at)
+        return [SendDatagram(target.address, self._probe_message(sequence, target.address))]
+
+    def _probe_message(self, sequence: int, target: str, relay_for: str = "") -> Probe:
+        return Probe(sequence, relay_for, self._claims_for(target))
+
+    def _check_probes(self, now: float) -> list[Instruction]:
+        instructions: list[Instruction] = []
+        for sequence, probe in list(self._prober.open.items()):
+            if now < probe.indirect_at:
+                continue
+            record = self._table.records.get(probe.target)
+            if probe.asked_others or record is None:
+                del self._prober.open[sequence]
+                self._fail(record, probe, now)
+                continue
+            probe.asked_others = True
+            probe.indirect_at = now + 2 * self._settings.probe_timeout_s
+            again = self._probe_message(sequence, probe.target)
+            instructions.append(SendDatagram(probe.target, again))
+            for relay in self._prober.relays_for(record):
+                request = ProbeRequest(sequence, probe.target, self._claims_for(relay))
+                instructions.append(SendDatagram(relay, request))
+        return instructions
+
+    def _fail(self, record: MemberRecord | None, probe: OpenProbe, now: float) -> None:
+        if record is None or record.incarnation != probe.incarnation:
+            return
+        if record.address in self._listed.removed:
+            self._table.removal_confirmed(record, now)
+        else:
+            self._table.probe_failed(record, now)
+
+    def _relay(self, peer: str, sequence: int, target: str, now: float) -> list[Instruction]:
+        if target not in self._table.records:
+            return []
+        own_sequence = self._prober.next_sequence()
+        self._prober.relays[own_sequence] = Relay(peer, sequence, now + RELAY_MEMORY_S)
+        return [SendDatagram(target, self._probe_message(own_sequence, target, relay_for=peer))]
+
+    def _answered(self, peer: str, answer: ProbeAnswer, now: float) -> list[Instruction]:
+        relay = self._prober.relays.pop(answer.sequence, None)
+        if relay is not None:
+            passed_on = ProbeAnswer(relay.sequence, self._table.digest, answer.claims)
+            return [SendDatagram(relay.asked_by, passed_on)]
+        self._prober.open.pop(answer.sequence, None)
+        if answer.digest != self._table.digest and self._is_repair_due(now):
+            return self._exchange(peer, now)
+        return self._greet(peer, now)
+
+    def _is_repair_due(self, now: float) -> bool:
+        """Return whether a difference will not settle by news alone, or not soon enough."""
+        is_quiet = now >= self._table.changed_at + self._settings.repair_interval_s / 2
+        return is_quiet or self._is_bulk(now)
+
+    def _is_bulk(self, now: float) -> bool:
+        return now < self._bulk_until or len(self._table.news) > BULK_CLAIMS
+
+    def _probe_dead(self) -> list[Instruction]:
+        """Look whether a dead member is back, as after a cut."""
+        record = self._prober.random_dead()
+        if record is None:
+            return []
+        sequence = self._prober.next_sequence()
+        return [SendDatagram(record.address, self._probe_message(sequence, record.address))]
+
+    # News
+
+    def _take_in(self, claims: list[MemberClaim], now: float, spread: bool = True) -> None:
+        for claim in claims:
+            self._table.take_in(claim, now, spread)
+
+    def _claims_for(self, peer: str, extra: MemberClaim | None = None) -> list[MemberClaim]:
+        """Return news for a peer; what is held against it goes first so that it can refute."""
+        record = self._table.records.get(peer)
+        if record is not None and record.status in (MemberStatus.SUSPECTED, MemberStatus.DEAD):
+            extra = record.claim()
+        return self._table.news.take(len(self._table.records), extra)
+
+    def _gossip(self) -> list[Instruction]:
+        instructions: list[Instruction] = []
+        if len(self._table.news) > 0:
+            for peer in self._prober.random_members(self._settings.gossip_fanout):
+                claims = self._claims_for(peer)
+                if claims:
+                    instructions.append(SendDatagram(peer, MemberGossip(claims)))
+        return instructions
+
+    # Full lists
+
+    def _join(self, now: float) -> list[Instruction]:
+        known = self._table.records
+        if self._joined:
+            unknown = [seed for seed in self._seeds if seed not in known]
+            is_turn = self._rng.random() < self._settings.join_interval_s / (
+                self._settings.dead_probe_interval_s
+            )
+            asked = self._rng.sample(unknown, 1) if unknown and is_turn else []
+        else:
+            asked = self._rng.sample(self._seeds, min(SEEDS_ASKED, len(self._seeds)))
+        question = MemberList(True, [self._table.own.claim()])
+        return [Send(seed, question) for seed in asked]
+
+    def _list_received(
+        self, peer: str, wants_answer: bool, members: list[MemberClaim], now: float
+    ) -> list[Instruction]:
+        doubted_before = set(self._table.unverified)
+        if self._table.count_news(members) > BULK_CLAIMS:
+            # So many changes travel faster as lists than as news.
+            self._bulk_until = now + self._settings.repair_interval_s
+            self._take_in(members, now, spread=False)
+        else:
+            self._take_in(members, now)
+        self._joined = self._joined or not wants_answer
+        instructions: list[Instruction] = []
+        if wants_answer:
+            instructions.append(Send(peer, MemberList(False, self._table.claims())))
+        for address in set(self._table.unverified) - doubted_before:
+            # The member itself can refute at once what the other side holds against it.
+            claim = self._table.unverified[address]
+            instructions.append(SendDatagram(address, MemberGossip([claim])))
+        return instructions
+
+    def _is_stranger(self, peer: str) -> bool:
+        record = self._table.records.get(peer)
+        return record is None or record.status is MemberStatus.DEAD
+
+    def _greet(self, peer: str, now: float) -> list[Instruction]:
+        """Exchange full lists with a node that was unknown or believed dead."""
+        return self._exchange(peer, now) if self._is_stranger(peer) else []
+
+    def _exchange(self, peer: str, now: float) -> list[Instruction]:
+        if now < self._next_repair:
+            return []
+        interval_s = self._settings.repair_interval_s
+        if self._is_bulk(now):
+            interval_s /= BULK_REPAIRS
+        self._next_repair = now + interval_s * self._rng.uniform(1 - JITTER, 1 + JITTER)
+        return [Send(peer, MemberList(True, self._table.claims()))]
+
+    # This node itself
+
+    def _notice_stall(self, now: float) -> None:
+        """After a pause of this process, silence of others proves nothing."""
+        if self._last_event_at is not None and now - self._last_event_at > STALL_S:
+            self._prober.open.clear()
+            self._table.postpone(now - self._last_event_at)
+        self._last_event_at = now
+
+    def _told_changes(self) -> list[Instruction]:
+        version = (self._table.version, self._listed.version)
+        if version == self._told_version:
+            return []
+        self._told_version = version
+        live = self._computed_live()
+        if live == self._live:
+            return []
+        self._live = live
+        return [Tell(MembersChanged(live))]
+
+    def _computed_live(self) -> tuple[Member, ...]:
+        excluded = (MemberStatus.LEAVING, MemberStatus.DEAD)
+        members = [
+            record.member()
+            for record in self._table.records.values()
+            if record.status not in excluded and record.address not in self._listed.leaving
+        ]
+        members.sort(key=lambda member: member.address)
+        return tuple(members)
--- /dev/null
+++ b/src/martenrun/membership/prober.py
@@ -0,0 +1,106 @@
+"""Failure detection: probing one member after another, directly and through others."""
+
+import random
+from dataclasses import dataclass
+
+from martenrun.membership.record import MemberRecord, MemberStatus
+from martenrun.membership.table import MemberTable
+from martenrun.settings.model import MembershipSettings
+
+RELAY_MEMORY_S = 5.0
+"""How long a node remembers for whom it probes, in seconds."""
+
+
+@dataclass(slots=True)
+class OpenProbe:
+    """The probe whose answer is awaited."""
+
+    target: str
+    incarnation: int
+    indirect_at: float
+    asked_others: bool = False
+
+
+@dataclass(slots=True)
+class Relay:
+    """A probe made for another node."""
+
+    asked_by: str
+    sequence: int
+    until: float
+
+
+class Prober:
+    """Chooses targets and relays and keeps the open probes of one node.
+
+    Every member is probed once in each round over a shuffled list, so that a dead one is
+    found within a round by each and within about one interval by somebody.
+    """
+
+    def __init__(
+        self, table: MemberTable, settings: MembershipSettings, rng: random.Random
+    ) -> None:
+        self.open: dict[int, OpenProbe] = {}
+        self.relays: dict[int, Relay] = {}
+        self._table = table
+        self._settings = settings
+        self._rng = rng
+        self._round: list[str] = []
+        self._sequence = rng.randrange(1 << 30)
+
+    def next_sequence(self) -> int:
+        """Return a number that no open probe of this node has."""
+        self._sequence = (self._sequence + 1) % (1 << 31)
+        return self._sequence
+
+    def next_target(self) -> MemberRecord | None:
+        """Return the member to probe now: a doubted one before the next of the round."""
+        for address in list(self._table.unverified):
+            record = self._table.records.get(address)
+            if record is not None and not self._is_probed(address):
+                del self._table.unverified[address]
+                return record
+        for _ in range(2):
+            while self._round:
+                record = self._table.records.get(self._round.pop())
+                if record is not None and record.status is not MemberStatus.DEAD:
+                    return record
+            self._round = self._others()
+            self._rng.shuffle(self._round)
+        return None
+
+    def relays_for(self, target: MemberRecord) -> list[str]:
+        """Return the members to ask for an indirect probe, other zones first."""
+        records = self._table.records
+        candidates = [address for address in self._others() if address != target.address]
+        count = min(self._settings.indirect_probes, len(candidates))
+        sample = self._rng.sample(candidates, min(4 * count, len(candidates)))
+        near = {self._table.own.zone, target.zone}
+        sample.sort(key=lambda address: records[address].zone in near)
+        return sample[:count]
+
+    def random_members(self, count: int) -> list[str]:
+        """Return members to tell news to."""
+        others = self._others()
+        return self._rng.sample(others, min(count, len(others)))
+
+    def random_dead(self) -> MemberRecord | None:
+        """Return a dead member that may have come back."""
+        dead = [r for r in self._table.records.values() if r.status is MemberStatus.DEAD]
+        return self._rng.choice(dead) if dead else None
+
+    def drop_old_relays(self, now: float) -> None:
+        """Forget relays whose answer would come too late."""
+        for sequence in [key for key, relay in self.relays.items() if now >= relay.until]:
+            del self.relays[sequence]
+
+    def _others(self) -> list[str]:
+        own = self._table.own
+        return [
+            record.address
+            for record in self._table.records.values()
+            if record.status is not MemberStatus.DEAD and record is not own
+        ]
+
+    def _is_probed(self, address: str) -> bool:
+        return any(probe.target == address for probe in self.open.values())
--- /dev/null
+++ b/src/martenrun/membership/record.py
@@ -0,0 +1,63 @@
+"""What a node remembers of one member."""
+
+import enum
+import hashlib
+import struct
+from dataclasses import dataclass
+
+from martenrun.membership.view import Member
+from martenrun.wire.messages import MemberClaim
+
+_FINGERPRINT = struct.Struct("!q")
+
+
+class MemberStatus(enum.IntEnum):
+    """States of ``statecharts/member.toml`` that travel in claims.
+
+    Of two claims with the same incarnation the one with the higher status is newer.
+    """
+
+    LIVE = 0
+    LEAVING = 1
+    SUSPECTED = 2
+    DEAD = 3
+
+
+@dataclass(slots=True)
+class MemberRecord:
+    """Belief about one member.
+
+    Attributes:
+        incarnation: raised by the member alone, to refute claims about it.
+        due: when the suspicion or the memory of the death ends.
+        fingerprint: this record's part of the digest; 0 for a dead member.
+    """
+
+    address: str
+    zone: str
+    region: str
+    incarnation: int = 0
+    status: MemberStatus = MemberStatus.LIVE
+    due: float = 0.0
+    fingerprint: int = 0
+
+    def claim(self) -> MemberClaim:
+        """Return what this node tells others of the member."""
+        return MemberClaim(self.address, self.zone, self.region, self.incarnation, int(self.status))
+
+    def member(self) -> Member:
+        """Return the member as other decision logic sees it."""
+        return Member(self.address, self.zone, self.region, self.status is MemberStatus.LEAVING)
+
+    def is_older_than(self, claim: MemberClaim) -> bool:
+        """Return whether a claim is news."""
+        return (self.incarnation, self.status) < (claim.incarnation, claim.status)
+
+    def computed_fingerprint(self) -> int:
+        """Return the fingerprint of the present state; a suspected member counts as live."""
+        if self.status is MemberStatus.DEAD:
+            return 0
+        leaving = self.status is MemberStatus.LEAVING
+        text = f"{self.address} {self.incarnation} {leaving}".encode()
+        (value,) = _FINGERPRINT.unpack(hashlib.blake2b(text, digest_size=8).digest())
+        return int(value)
--- a/src/martenrun/node/configuration.py
+++ b/src/martenrun/node/configuration.py
@@ -1,7 +1,16 @@
 """Decision logic that keeps a node's configuration current and passes it on."""
 
+from dataclasses import replace
+
 from martenrun.configuration.state import ConfigurationState
-from martenrun.events import Event, Instruction, PeerMessage, Send, StoreChanges
+from martenrun.events import (
+    Event,
+    Instruction,
+    MembersChanged,
+    PeerMessage,
+    Send,
+    StoreChanges,
+)
 from martenrun.wire.messages import ConfigurationQuery, ConfigurationUpdate
 
 
@@ -18,7 +27,10 @@
             case StoreChanges(update):
                 self.state.apply(update)
             case PeerMessage(_, ConfigurationUpdate() as update):
-                self.state.apply(update)
+                # A node takes the live nodes from its own membership.
+                self.state.apply(replace(update, nodes=[]))
+            case MembersChanged(members):
+                self.state.nodes = [member.address for member in members]
             case PeerMessage(peer, ConfigurationQuery(known_revision)):
                 return [Send(peer, self.state.update_since(known_revision))]
         return []
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -1,5 +1,6 @@
 """The node process: wiring of decision logic and drivers."""
 
+import random
 from collections.abc import Iterable
 from typing import Any
 
@@ -17,17 +18,27 @@
     RunAttempt,
     RunnerDescribed,
     Send,
+    SendDatagram,
     StoreChanges,
     StoreRead,
     StoreWrite,
 )
+from martenrun.membership.gossip import GossipMembership
+from martenrun.membership.view import Member
 from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.node.routing import RoutingLogic
 from martenrun.node.runners import RunnerTable
 from martenrun.platform.engine import EngineConnections
 from martenrun.platform.machine_list import MachineList
 from martenrun.platform.object_api import ObjectApi
-from martenrun.process import Clock, LoopActor, Poller, StoreWorkers, message_carrier
+from martenrun.process import (
+    Clock,
+    LoopActor,
+    Poller,
+    StoreWorkers,
+    datagram_carrier,
+    message_carrier,
+)
 from martenrun.routing.baselines import ConsistentHashPolicy
 from martenrun.settings.model import NodeSettings
 from martenrun.wire.transport import PeerTransport
@@ -46,6 +57,12 @@
         self._machine_list = MachineList(settings.machine_list)
         self._engines = EngineConnections()
         self._configuration = NodeConfigurationLogic(own_address, list(settings.seed_nodes))
+        self._membership = GossipMembership(
+            Member(own_address, settings.zone, settings.region),
+            settings.seed_nodes,
+            settings.membership,
+            random.Random(),
+        )
         self._runners = RunnerTable()
         routing = RoutingLogic(self._runners, ConsistentHashPolicy(), self._view)
         requests = RequestsLogic(lambda: [own_address])
@@ -59,9 +76,10 @@
         )
         self._transport.listen(own_address)
         self._loop = LoopActor.start(
-            [self._configuration, self._runners, routing, requests],
+            [self._membership, self._configuration, self._runners, routing, requests],
             {
                 Send: message_carrier(self._transport, lambda event: self._loop.tell(event)),
+                SendDatagram: datagram_carrier(self._transport),
                 RunAttempt: port.deliver,
                 Finish: port.deliver,
                 StoreWrite: self._store_workers.carry,
--- a/src/martenrun/process.py
+++ b/src/martenrun/process.py
@@ -21,6 +21,7 @@
     Instruction,
     PeerMessage,
     Send,
+    SendDatagram,
     StoreAnswered,
     StoreOutcome,
     StoreRead,
@@ -83,6 +84,15 @@
     return carry
 
 
+def datagram_carrier(transport: PeerTransport) -> Carrier:
+    """Return the carrier of SendDatagram."""
+
+    def carry(instruction: SendDatagram) -> None:
+        transport.send_datagram(instruction.peer, instruction.message)
+
+    return carry
+
+
 class StoreWorkers:
     """Driver threads that carry out StoreWrite and StoreRead."""
 
--- a/src/martenrun/settings/model.py
+++ b/src/martenrun/settings/model.py
@@ -16,6 +16,41 @@
 """``IP:port``; names are not resolved."""
 
 
+class MembershipSettings(BaseModel):
+    """Times and counts of failure detection between nodes; the same on every node."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    probe_interval_s: float = Field(
+        default=1.0, ge=0.2, le=60, description="seconds between two probes of a node"
+    )
+    probe_timeout_s: float = Field(
+        default=0.4, ge=0.05, le=10, description="seconds until others are asked to probe"
+    )
+    indirect_probes: int = Field(
+        default=3, ge=0, le=10, description="nodes asked to probe a silent one"
+    )
+    suspicion_timeout_s: float = Field(
+        default=4.0, ge=0.5, le=120, description="seconds a suspected node has to refute"
+    )
+    gossip_interval_s: float = Field(
+        default=0.2, ge=0.05, le=10, description="seconds between two rounds of news"
+    )
+    gossip_fanout: int = Field(default=2, ge=1, le=10, description="nodes told in one round")
+    dead_probe_interval_s: float = Field(
+        default=5.0, ge=1, le=600, description="seconds between two probes of dead nodes"
+    )
+    forget_dead_after_s: float = Field(
+        default=1800.0, ge=10, le=86_400, description="seconds until a dead node is forgotten"
+    )
+    join_interval_s: float = Field(
+        default=1.0, ge=0.1, le=60, description="seconds between two attempts to join"
+    )
+    repair_interval_s: float = Field(
+        default=10.0, ge=1, le=600, description="shortest time between two full exchanges"
+    )
+
+
 class ProcessSettings(BaseModel):
     """Settings that every process has."""
 
@@ -36,6 +71,9 @@
     peer_address: Address = Field(description="IP:port of the internal protocol")
     object_api: Address = Field(description="IP:port of the platform's object API")
     machine_list: Address = Field(description="IP:port of the platform's machine list")
+    membership: MembershipSettings = Field(
+        default_factory=MembershipSettings, description="failure detection between nodes"
+    )
     bootstrap_key_sha256: str = Field(
         default="", pattern=r"^([0-9a-f]{64})?$", description="digest of the first admin key"
     )
--- a/src/martenrun/simulation/hollow.py
+++ b/src/martenrun/simulation/hollow.py
@@ -4,7 +4,16 @@
 from typing import Any
 
 from martenrun.constants import TICK_INTERVAL_S
-from martenrun.events import DecisionLogic, Event, Instruction, PeerMessage, Send, Tell, Tick
+from martenrun.events import (
+    DecisionLogic,
+    Event,
+    Instruction,
+    PeerMessage,
+    Send,
+    SendDatagram,
+    Tell,
+    Tick,
+)
 from martenrun.process import Carrier
 from martenrun.simulation.network import SimulatedNetwork
 from martenrun.simulation.scheduler import Scheduler
@@ -16,7 +25,8 @@
     Args:
         name: peer name on the network.
         parts: decision logic; each event goes to all of them in order.
-        carriers: what carries out each type of instruction; Send and Tell need none.
+        carriers: what carries out each type of instruction; Send, SendDatagram and
+            Tell need none.
     """
 
     def __init__(
@@ -53,6 +63,8 @@
     def _carry_out(self, instruction: Instruction) -> None:
         if isinstance(instruction, Send):
             self._network.send(self.name, instruction.peer, instruction.message)
+        elif isinstance(instruction, SendDatagram):
+            self._network.send_datagram(self.name, instruction.peer, instruction.message)
         elif isinstance(instruction, Tell):
             event = instruction.event
             self._scheduler.after(0.0, lambda: self.tell(event))
--- a/src/martenrun/simulation/network.py
+++ b/src/martenrun/simulation/network.py
@@ -6,6 +6,7 @@
 
 from martenrun.simulation.scheduler import Scheduler
 from martenrun.wire.codec import decode, encode
+from martenrun.wire.frames import TAG_BYTES, checked_datagram
 from martenrun.wire.messages import Message
 
 
@@ -73,7 +74,19 @@
 
     def send(self, sender: str, receiver: str, message: Message) -> None:
         """Send a message; it may arrive late, twice or never."""
+        self._send(sender, receiver, encode(message))
+
+    def send_datagram(self, sender: str, receiver: str, message: Message) -> None:
+        """Send a message in one datagram; the same faults as for :meth:`send`.
+
+        Raises:
+            FrameError: it does not fit one datagram.
+        """
         data = encode(message)
+        checked_datagram(data, TAG_BYTES + 1 + len(sender))
+        self._send(sender, receiver, data)
+
+    def _send(self, sender: str, receiver: str, data: bytes) -> None:
         self.traffic[sender].sent_messages += 1
         self.traffic[sender].sent_bytes += len(data)
         copies = 2 if self._rng.random() < self.faults.duplicate else 1
--- a/src/martenrun/wire/frames.py
+++ b/src/martenrun/wire/frames.py
@@ -1,6 +1,6 @@
 """Framing and authentication of internal messages on a TCP connection or in a datagram.
 
-A frame is a 4-byte big-endian length, a 16-byte keyed BLAKE2b tag and the payload.  The tag
+A TCP frame is a 4-byte big-endian length, a 16-byte keyed BLAKE2b tag and the payload.  The tag
 key of a connection derives from the cluster secret and both sides' nonces, and every tag
 covers a frame counter, so a stranger's, repeated or reordered frame ends the connection.
 """
@@ -9,12 +9,14 @@
 import hmac
 import struct
 
-from martenrun.constants import MAXIMUM_FRAME_BYTES
+from martenrun.constants import MAXIMUM_DATAGRAM_BYTES, MAXIMUM_FRAME_BYTES
 
 TAG_BYTES = 16
 NONCE_BYTES = 16
 _LENGTH = struct.Struct("!I")
 _COUNTER = struct.Struct("!Q")
+_DATAGRAM = b"d"
+"""Covered by a datagram's tag, so that a Hello's frame is never taken for one."""
 
 
 class FrameError(ValueError):
@@ -32,17 +34,36 @@
     return hashlib.blake2b(nonces, key=secret, digest_size=32).digest()
 
 
-def seal_datagram(secret: bytes, payload: bytes) -> bytes:
-    """Return ``payload`` with its tag in front."""
-    return tag(secret, payload) + payload
+def checked_datagram(payload: bytes, overhead_bytes: int) -> bytes:
+    """Return ``payload`` if it fits one datagram; raises FrameError if not."""
+    if len(payload) + overhead_bytes > MAXIMUM_DATAGRAM_BYTES:
+        raise FrameError(f"a payload of {len(payload)} bytes does not fit one datagram")
+    return payload
+
+
+def seal_datagram(secret: bytes, sender: str, payload: bytes) -> bytes:
+    """Return a datagram: tag, length of the sender's name, name, payload.
 
+    Raises:
+        FrameError: the payload is too long.
+    """
+    name = sender.encode()
+    checked_datagram(payload, TAG_BYTES + 1 + len(name))
+    body = bytes([len(name)]) + name + payload
+    return tag(secret, _DATAGRAM + body) + body
 
-def open_datagram(secret: bytes, datagram: bytes) -> bytes:
-    """Return the payload of a datagram; raises FrameError if the tag does not match."""
-    payload = datagram[TAG_BYTES:]
-    if not hmac.compare_digest(datagram[:TAG_BYTES], tag(secret, payload)):
+
+def open_datagram(secret: bytes, datagram: bytes) -> tuple[str, bytes]:
+    """Return the sender's name and the payload; raises FrameError for a stranger's datagram.
+
+    A recorded datagram can be repeated by a stranger, so the messages sent this way must
+    stand being repeated.
+    """
+    body = datagram[TAG_BYTES:]
+    if not hmac.compare_digest(datagram[:TAG_BYTES], tag(secret, _DATAGRAM + body)):
         raise FrameError("datagram tag does not match; check cluster_secret on both sides")
-    return payload
+    end = 1 + body[0]
+    return body[1:end].decode(), body[end:]
 
 
 class FrameWriter:
--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -92,3 +92,38 @@
   4: list<string> nodes
   5: bool complete
 }
+
+struct MemberClaim {
+  1: string address
+  2: string zone
+  3: string region
+  4: i64 incarnation
+  5: byte status
+}
+
+struct Probe {
+  1: i32 sequence
+  2: string relay_for
+  3: list<MemberClaim> claims
+}
+
+struct ProbeAnswer {
+  1: i32 sequence
+  2: i64 digest
+  3: list<MemberClaim> claims
+}
+
+struct ProbeRequest {
+  1: i32 sequence
+  2: string target
+  3: list<MemberClaim> claims
+}
+
+struct MemberGossip {
+  1: list<MemberClaim> claims
+}
+
+struct MemberList {
+  1: bool wants_answer
+  2: list<MemberClaim> members
+}
--- a/src/martenrun/wire/transport.py
+++ b/src/martenrun/wire/transport.py
@@ -1,4 +1,4 @@
-"""Transport of internal messages over TCP: one selector thread per process.
+"""Transport of internal messages over TCP and UDP: one selector thread per process.
 
 The transport is a driver: it holds no decisions.  Received messages are handed to a callback
 (an actor's ``tell``), and sends may come from any thread.  Delivery is at most once and
@@ -16,14 +16,18 @@
 
 from absl import logging
 
+from martenrun.constants import MAXIMUM_DATAGRAM_BYTES
 from martenrun.wire.codec import CodecError, decode, encode
 from martenrun.wire.connection import Connection
-from martenrun.wire.frames import FrameError
+from martenrun.wire.frames import FrameError, open_datagram, seal_datagram
 from martenrun.wire.messages import Message
 
 _READ_BYTES = 256 * 1024
 _MAXIMUM_OUTGOING_BYTES = 16 * 1024 * 1024
 
+_DATAGRAMS_AT_ONCE = 64
+"""Datagrams read before connections get their turn again."""
+
 Receive = Callable[[str, Message], Any]
 """Called with the peer's name and the message, on the transport's thread."""
 
@@ -51,6 +55,7 @@
         self._selector = selectors.DefaultSelector()
         self._commands: collections.deque[tuple[str, bytes]] = collections.deque()
         self._connections: dict[str, Connection] = {}
+        self._datagrams: socket.socket | None = None
         self._wake_reader, self._wake_writer = socket.socketpair()
         self._wake_reader.setblocking(False)
         self._selector.register(self._wake_reader, selectors.EVENT_READ, self._drain_wake)
@@ -58,7 +63,11 @@
         self._thread = threading.Thread(target=self._run, name="peer-transport", daemon=True)
 
     def listen(self, address: str) -> None:
-        """Accept connections on ``IP:port``; must be called before :meth:`start`."""
+        """Accept connections and datagrams on ``IP:port``; call it before :meth:`start`."""
+        self._datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._datagrams.bind(parse_address(address))
+        self._datagrams.setblocking(False)
+        self._selector.register(self._datagrams, selectors.EVENT_READ, self._read_datagrams)
         listener = socket.create_server(parse_address(address), backlog=512)
         listener.setblocking(False)
         self._selector.register(listener, selectors.EVENT_READ, lambda: self._accept(listener))
@@ -78,6 +87,32 @@
         self._commands.append((peer, encode(message)))
         self._wake()
 
+    def send_datagram(self, peer: str, message: Message) -> None:
+        """Send a message to a node in one datagram; it is dropped if it cannot go at once."""
+        if self._datagrams is None:
+            return
+        try:
+            datagram = seal_datagram(self._secret, self.name, encode(message))
+            self._datagrams.sendto(datagram, parse_address(peer))
+        except (OSError, ValueError) as error:
+            logging.log_every_n_seconds(
+                logging.WARNING, "datagram to %s was not sent: %s", 5, peer, error
+            )
+
+    def _read_datagrams(self) -> None:
+        assert self._datagrams is not None
+        for _ in range(_DATAGRAMS_AT_ONCE):
+            try:
+                datagram = self._datagrams.recv(MAXIMUM_DATAGRAM_BYTES + 1)
+                sender, payload = open_datagram(self._secret, datagram)
+                message = decode(payload)
+            except BlockingIOError:
+                return
+            except (OSError, ValueError, IndexError):
+                # A stranger's datagram, or the echo of one that met no listener.
+                continue
+            self._receive(sender, message)
+
     def _wake(self) -> None:
         with contextlib.suppress(BlockingIOError, OSError):
             self._wake_writer.send(b"\0")
@@ -96,6 +131,8 @@
             self._send_queued()
         for connection in list(self._connections.values()):
             connection.sock.close()
+        if self._datagrams is not None:
+            self._datagrams.close()
         self._selector.close()
 
     def _send_queued(self) -> None:
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,103 @@
+"""Membership of hollow nodes in virtual time, under the failures it is meant for."""
+
+import pytest
+
+from martenrun.events import LeaveRequested
+from martenrun.membership.record import MemberStatus
+from martenrun.membership.table import MemberTable
+from martenrun.simulation.members import MemberCluster
+from martenrun.simulation.network import LinkFaults
+from martenrun.statecharts.compiler import load_chart
+from martenrun.wire.messages import MemberClaim
+
+LEAVING_KNOWN_WITHIN_S = 3.0
+
+
+def joined(nodes=12, seed=1, **faults):
+    cluster = MemberCluster(nodes, seed, LinkFaults(**faults))
+    cluster.run(1.0)
+    cluster.run_until(cluster.agrees, 30)
+    return cluster
+
+
+def test_every_action_of_the_member_chart_is_implemented():
+    cluster = MemberCluster(1, 1)
+    cluster.run(1.0)
+    table = MemberTable(next(iter(cluster.views.values())).own, cluster.settings)
+    assert load_chart("member").actions == set(table._actions)
+
+
+def test_a_killed_node_is_noticed_and_comes_back_under_a_new_incarnation():
+    cluster = joined()
+    victim = cluster.addresses[-1]
+    cluster.kill(victim)
+    cluster.run_until(cluster.agrees, 20)
+    cluster.start(victim)
+    cluster.run_until(cluster.agrees, 10)
+
+
+def test_a_node_restarted_before_its_death_was_noticed_is_never_dead():
+    cluster = joined()
+    victim = cluster.addresses[-1]
+    cluster.kill(victim)
+    cluster.run(0.5)
+    cluster.start(victim)
+    cluster.run(1.0)
+    for _ in range(100):
+        cluster.run(0.2)
+        assert cluster.count_believing(victim, MemberStatus.DEAD) == 0
+
+
+def test_a_leaving_node_gets_no_new_work_within_three_seconds():
+    cluster = joined(40, loss=0.05)
+    leaver = cluster.addresses[7]
+    cluster.processes[leaver].tell(LeaveRequested())
+    expected = [address for address in cluster.addresses if address != leaver]
+    cluster.run_until(lambda: cluster.agrees(expected), LEAVING_KNOWN_WITHIN_S)
+    cluster.run_until(lambda: cluster.views[leaver].leave_is_spread, 10)
+
+
+def test_a_stranger_to_the_cluster_cannot_be_claimed_dead_into_being():
+    cluster = joined(3)
+    table = MemberTable(cluster.views[cluster.addresses[0]].own, cluster.settings)
+    table.take_in(MemberClaim("10.9.9.9:1", "z", "r", 4, MemberStatus.DEAD), 1.0)
+    assert "10.9.9.9:1" not in table.records
+
+
+@pytest.mark.parametrize("frozen_s", [3.0, 30.0], ids=["suspected", "declared-dead"])
+def test_a_frozen_node_is_believed_again_after_its_thaw(frozen_s):
+    cluster = joined()
+    victim = cluster.addresses[5]
+    cluster.processes[victim].freeze()
+    cluster.run(frozen_s)
+    if frozen_s > 20:
+        assert cluster.count_believing(victim, MemberStatus.DEAD) == 11
+    cluster.processes[victim].thaw()
+    cluster.run_until(cluster.agrees, 10)
+    assert cluster.live_seen_by(victim) == set(cluster.addresses)
+
+
+def test_two_halves_of_a_cut_go_on_and_merge_by_themselves():
+    cluster = joined(24)
+    region = cluster.in_region(1)
+    rest = [address for address in cluster.addresses if address not in region]
+    cluster.network.cut([region])
+
+    def parted():
+        return all(
+            cluster.live_seen_by(address) == set(region if address in region else rest)
+            for address in cluster.addresses
+        )
+
+    cluster.run_until(parted, 60)
+    cluster.network.heal()
+    cluster.run_until(cluster.agrees, 30)
+
+
+def test_a_herd_of_restarts_settles():
+    cluster = joined(30)
+    herd = cluster.addresses[::3]
+    for address in herd:
+        cluster.kill(address)
+        cluster.start(address)
+    cluster.run_until(cluster.agrees, 20)
