--- a/src/martenrun/node/routing.py
+++ b/src/martenrun/bench/local_counts.py
@@ -1,11 +1,17 @@
-"""Decision logic that answers agents' questions with a runner or a refusal."""
+"""Baseline without owners: each node counts its own grants and polls every runner's load.
+
+This was the first version of routing; it is kept to compare rejections by engines.
+
+See also: :mod:`martenrun.ownership`.
+"""
 
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from martenrun.configuration.view import ConfigurationView
 from martenrun.errors import CapacityError, MartenrunError, NoRunnerError
-from martenrun.events import Event, Instruction, PeerMessage, Send
+from martenrun.events import Event, Instruction, PeerMessage, QuestionCleared, Send
+from martenrun.node.refusals import refusal_of
 from martenrun.node.runners import RunnerTable
 from martenrun.routing.policy import RoutingPolicy
 from martenrun.wire.messages import AttemptReport, DecideRequest, Grant, Refusal, WithdrawRequest
@@ -22,7 +28,7 @@
     runner: str
 
 
-class RoutingLogic:
+class LocalCountsLogic:
     """Answers decision questions and counts the attempts it granted.
 
     Args:
@@ -42,12 +48,16 @@
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
         match event:
-            case PeerMessage(peer, DecideRequest() as question):
+            case PeerMessage(_, DecideRequest(idempotency_key=key)) if key:
+                return []  # ClaimsLogic clears it first.
+            case PeerMessage(peer, DecideRequest() as question) | QuestionCleared(peer, question):
                 return [Send(peer, self._decide(peer, question, now))]
             case PeerMessage(_, AttemptReport() as report):
                 self._end_attempt(report.request_id, report.attempt)
+                self._policy.observe(report, now)
             case PeerMessage(_, WithdrawRequest() as withdrawal):
                 self._end_attempt(withdrawal.request_id, withdrawal.attempt)
+                self._policy.withdrawn(withdrawal.request_id, withdrawal.attempt)
         return []
 
     def _decide(self, peer: str, question: DecideRequest, now: float) -> Grant | Refusal:
@@ -69,6 +79,7 @@
         choice = self._policy.route(question, free, now)
         runner = choice.runner
         runner.in_flight += 1
+        self._policy.granted(question, choice, now)
         self._granted[(question.request_id, question.attempt)] = GrantedAttempt(peer, runner.name)
         return Grant(
             question.request_id,
@@ -86,17 +97,3 @@
         runner = self._table.runners.get(granted.runner) if granted is not None else None
         if runner is not None:
             runner.in_flight -= 1
-
-
-def refusal_of(question: DecideRequest, error: MartenrunError) -> Refusal:
-    """Return the message that tells an agent a typed error."""
-    retry_after_s = -1.0 if error.retry_after_s is None else error.retry_after_s
-    return Refusal(
-        question.request_id,
-        question.attempt,
-        error.code,
-        error.message,
-        error.remedy,
-        error.ran.value,
-        retry_after_s,
-    )
--- a/src/martenrun/constants.py
+++ b/src/martenrun/constants.py
@@ -26,3 +26,9 @@
 
 MAXIMUM_DATAGRAM_BYTES = 1_200
 """Largest datagram sent between nodes, in bytes; it fits one packet on any usual network."""
+
+CLAIM_KIND = "claims"
+"""Kind of claim objects in the object API; not a kind that operators publish."""
+
+RESUME_WINDOW_S = 5.0
+"""Time that a broken stream is given to go on elsewhere, past its deadline too, in seconds."""
--- a/src/martenrun/edge/request.py
+++ b/src/martenrun/edge/request.py
@@ -5,20 +5,30 @@
 
 import msgspec
 from werkzeug.datastructures import Headers
+from werkzeug.wrappers import Request
 
 from martenrun.configuration.view import ConfigurationView
-from martenrun.errors import DeadlineExceededError, InvalidKeyError, InvalidRequestError
+from martenrun.constants import MAXIMUM_BODY_BYTES
+from martenrun.errors import (
+    BodyTooLargeError,
+    DeadlineExceededError,
+    InvalidKeyError,
+    InvalidRequestError,
+)
 from martenrun.identity.chain import chain_seed, hash_chain
 from martenrun.identity.prompt import (
     ChatMessage,
     canonical_chat_text,
     canonical_completion_text,
 )
+from martenrun.platform.stream_progress import ResumeFields
 from martenrun.wire.messages import DecideRequest
 
 DEFAULT_DEADLINE_S = 60.0
 DEFAULT_OUTPUT_TOKENS = 16
 MAXIMUM_PRIORITY = 10
+MAXIMUM_KEY_BYTES = 256
+REQUEST_ID_BYTES = 8
 _CHAT_PATH = "/v1/chat/completions"
 
 
@@ -37,26 +47,42 @@
     """A caller's request, checked and authenticated.
 
     ``fields`` is the caller's JSON object; the engine gets it with the router's fields added.
+    ``caller_id`` is the caller's own request id: callers may use one twice, so inside the
+    system a request goes by ``question.request_id``, which is unique.
     """
 
     path: str
     question: DecideRequest
+    caller_id: str
     repeatable: bool
     stream: bool
     fields: dict[str, object]
 
-    def engine_body(self, priority: int) -> bytes:
-        """Encode the body for the engine."""
-        added = {
+    def engine_body(self, priority: int, resume: ResumeFields | None) -> bytes:
+        """Encode the body for the engine; ``resume`` is what the caller has already."""
+        added: dict[str, object] = {
             "cache_salt": self.question.tenant,
-            "request_id": f"{self.question.request_id}",
+            "request_id": self.question.request_id,
             "priority": priority,
+            "resume_from": resume.resume_from if resume else 0,
+            "resume_text": resume.resume_text if resume else "",
         }
         if self.stream:
             added["stream_options"] = {"include_usage": True}
         return msgspec.json.encode({**self.fields, **added})
 
 
+def read_body(request: Request) -> bytes:
+    """Read the body; raises BodyTooLargeError.
+
+    The HTTP server has the whole body before the application starts, so this never waits.
+    """
+    size = request.content_length or 0
+    if size > MAXIMUM_BODY_BYTES:
+        raise BodyTooLargeError(f"the body has {size} bytes; {MAXIMUM_BODY_BYTES} are allowed")
+    return request.get_data()
+
+
 def bearer_token(headers: Headers) -> str:
     """Return the bearer token; raises InvalidKeyError if there is none."""
     scheme, _, token = headers.get("Authorization", "").partition(" ")
@@ -78,9 +104,10 @@
     body, fields = _decode(data)
     routed = view.route(tenant, body.model)
     text = _canonical_text(path, body)
+    repeatable = _is_repeatable(headers)
     seed = chain_seed(tenant, routed.pool.weights_version)
     question = DecideRequest(
-        request_id=headers.get("X-Request-Id") or secrets.token_hex(8),
+        request_id=secrets.token_hex(REQUEST_ID_BYTES),
         tenant=tenant,
         model=body.model,
         weights_version=routed.pool.weights_version,
@@ -89,10 +116,11 @@
         maximum_output_tokens=_output_tokens(body),
         priority=body.priority,
         deadline_s=_deadline_s(headers),
-        idempotency_key=headers.get("Idempotency-Key", ""),
+        idempotency_key="" if repeatable else _idempotency_key(headers),
         zone=zone,
     )
-    return CallerRequest(path, question, _is_repeatable(headers), body.stream, fields)
+    caller_id = headers.get("X-Request-Id") or question.request_id
+    return CallerRequest(path, question, caller_id, repeatable, body.stream, fields)
 
 
 def _decode(data: bytes) -> tuple[_Body, dict[str, object]]:
@@ -125,6 +153,13 @@
     return given
 
 
+def _idempotency_key(headers: Headers) -> str:
+    key = headers.get("Idempotency-Key", "")
+    if len(key.encode()) > MAXIMUM_KEY_BYTES:
+        raise InvalidRequestError(f"header Idempotency-Key is over {MAXIMUM_KEY_BYTES} bytes")
+    return key
+
+
 def _deadline_s(headers: Headers) -> float:
     text = headers.get("X-Deadline-Seconds")
     if text is None:
--- a/src/martenrun/errors.py
+++ b/src/martenrun/errors.py
@@ -131,6 +131,22 @@
     remedy = "Come back after the time given in Retry-After."
 
 
+class EdgeFullError(MartenrunError):
+    """This process carries as many streams as it can carry well."""
+
+    code = "edge_full"
+    http_status = 503
+    remedy = "Come back after Retry-After, or use another agent or node."
+
+
+class HeadersTooLargeError(InvalidRequestError):
+    """The request's headers are over the limit."""
+
+    code = "headers_too_large"
+    http_status = 431
+    remedy = "Send fewer or shorter headers."
+
+
 class NoRunnerError(MartenrunError):
     """No live runner can serve the model."""
 
@@ -155,6 +171,23 @@
     remedy = "Try again later; what was accepted before stays in force."
 
 
+class WatchCompactedError(MartenrunError):
+    """A watch asked for changes that the object API no longer keeps."""
+
+    code = "watch_compacted"
+    http_status = 410
+    remedy = "List all objects and watch from the revision of the list."
+
+
+class ChangeOutcomeUnknownError(MartenrunError):
+    """A change of an object may or may not have taken effect."""
+
+    code = "change_outcome_unknown"
+    http_status = 504
+    ran = Ran.UNKNOWN
+    remedy = "Read the object before trying again; the change may be in force already or soon."
+
+
 class DeadlineExceededError(MartenrunError):
     """The request cannot meet, or has passed, its deadline."""
 
--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -12,6 +12,7 @@
 
 from martenrun.errors import MartenrunError
 from martenrun.membership.view import Member
+from martenrun.platform.cache_events import CacheEvents
 from martenrun.platform.engine import AttemptResult, RunnerDescription
 from martenrun.platform.machine_list import Machine
 from martenrun.wire.messages import (
@@ -58,6 +59,14 @@
     description: RunnerDescription | None
 
 
+@dataclass(frozen=True, slots=True)
+class CacheEventsRead:
+    """An engine's cache-event feed has told something new."""
+
+    runner: str
+    events: CacheEvents
+
+
 @dataclass(frozen=True, slots=True)
 class RequestArrived:
     """A caller's request has been parsed and authenticated at the edge."""
@@ -68,12 +77,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
-    """An attempt at an engine is over."""
+    """An attempt at an engine is over.
+
+    ``can_resume`` tells whether another engine could go on with a broken stream.
+    """
 
     request_id: str
     attempt: int
     result: AttemptResult
     first_token_s: float
+    can_resume: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,18 +131,45 @@
     """This process is asked to stop: tell the others, take no new work."""
 
 
+@dataclass(frozen=True, slots=True)
+class QuestionCleared:
+    """A question with an idempotency key holds its claim and may be decided."""
+
+    peer: str
+    question: DecideRequest
+
+
+class WatchOutcome(enum.StrEnum):
+    """How a StoreWatch ended."""
+
+    CHANGES = "changes"
+    COMPACTED = "compacted"
+    UNAVAILABLE = "unavailable"
+
+
+@dataclass(frozen=True, slots=True)
+class StoreWatched:
+    """A StoreWatch has ended; ``update`` may be empty, and is complete for a list."""
+
+    outcome: WatchOutcome
+    update: ConfigurationUpdate
+
+
 Event = (
     Tick
     | PeerMessage
     | StoreChanges
     | MachinesListed
     | RunnerDescribed
+    | CacheEventsRead
     | RequestArrived
     | AttemptEnded
     | CallerGone
     | StoreAnswered
     | MembersChanged
     | LeaveRequested
+    | QuestionCleared
+    | StoreWatched
 )
 
 
@@ -199,7 +239,17 @@
     name: str
 
 
-Instruction = Send | RunAttempt | Finish | Tell | StoreWrite | StoreRead | SendDatagram
+@dataclass(frozen=True, slots=True)
+class StoreWatch:
+    """Wait for configuration changes after a revision; StoreWatched follows.
+
+    ``after`` below zero lists all configuration objects at once.
+    """
+
+    after: int
+
+
+Instruction = Send | RunAttempt | Finish | Tell | StoreWrite | StoreRead | StoreWatch | SendDatagram
 
 
 class DecisionLogic(Protocol):
--- /dev/null
+++ b/src/martenrun/node/parts.py
@@ -0,0 +1,81 @@
+"""The decision logic of a node, built in one place for real and for hollow processes.
+
+See also: :mod:`martenrun.node.process`, :mod:`martenrun.proof.world`.
+"""
+
+import random
+from dataclasses import dataclass
+
+from martenrun.agent.requests import RequestsLogic
+from martenrun.claims.logic import ClaimsLogic
+from martenrun.configuration.view import ConfigurationView
+from martenrun.events import DecisionLogic
+from martenrun.membership.gossip import GossipMembership
+from martenrun.membership.view import Member
+from martenrun.node.configuration import NodeConfigurationLogic
+from martenrun.node.runners import RunnerTable
+from martenrun.ownership.home import HomeLogic
+from martenrun.ownership.logic import OwnershipLogic
+from martenrun.ownership.machine_feed import MachineFeed
+from martenrun.ownership.owner import OwnerLogic
+from martenrun.ownership.owners import OwnerMap
+from martenrun.routing.baselines import ConsistentHashPolicy
+from martenrun.settings.model import NodeSettings
+
+
+@dataclass(frozen=True)
+class NodeParts:
+    """Every part of a node's decision logic."""
+
+    membership: GossipMembership
+    configuration: NodeConfigurationLogic
+    runners: RunnerTable
+    machine_feed: MachineFeed
+    ownership: OwnershipLogic
+    claims: ClaimsLogic
+    requests: RequestsLogic
+
+    def view(self) -> ConfigurationView:
+        """Return the configuration in force."""
+        return self.configuration.state.view
+
+    def in_order(self) -> list[DecisionLogic]:
+        """Return the parts in the order in which they handle an event."""
+        return [
+            self.membership,
+            self.configuration,
+            self.runners,
+            self.machine_feed,
+            self.claims,
+            self.ownership,
+            self.requests,
+        ]
+
+
+def node_parts(settings: NodeSettings, incarnation: str, rng: random.Random) -> NodeParts:
+    """Build the decision logic of one run of a node.
+
+    Args:
+        settings: the node's settings.
+        incarnation: identity of this run of the node; changes at every restart.
+        rng: source of jitter; seeded in simulations.
+    """
+    own_address = settings.peer_address
+    own = Member(own_address, settings.zone, settings.region)
+    members = GossipMembership(own, settings.seed_nodes, settings.membership, rng)
+    configuration = NodeConfigurationLogic(own_address, settings.seed_nodes, members, rng)
+    runners = RunnerTable()
+    owners = OwnerMap(members)
+    home = HomeLogic(
+        owners,
+        runners,
+        ConsistentHashPolicy(),
+        lambda: configuration.state.view,
+        settings.zone,
+        rng,
+    )
+    ownership = OwnershipLogic(own_address, home, OwnerLogic(owners, runners))
+    claims = ClaimsLogic(f"{own_address}/{incarnation}")
+    requests = RequestsLogic(lambda: [own_address], rng)
+    feed = MachineFeed(members, rng)
+    return NodeParts(members, configuration, runners, feed, ownership, claims, requests)
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -1,17 +1,19 @@
 """The node process: wiring of decision logic and drivers."""
 
 import random
+import secrets
 from collections.abc import Iterable
 from typing import Any
 
 from urllib3.exceptions import HTTPError
 
 from martenrun.admin.application import ADMIN_PREFIX, AdminApplication
-from martenrun.agent.requests import RequestsLogic
+from martenrun.configuration.driver import WatchWorker
 from martenrun.edge.application import CallerApplication
 from martenrun.edge.forward import EdgePort
 from martenrun.edge.server import HttpServer
 from martenrun.events import (
+    CacheEventsRead,
     Finish,
     MachinesListed,
     PeerMessage,
@@ -19,15 +21,12 @@
     RunnerDescribed,
     Send,
     SendDatagram,
-    StoreChanges,
     StoreRead,
+    StoreWatch,
     StoreWrite,
 )
-from martenrun.membership.gossip import GossipMembership
-from martenrun.membership.view import Member
-from martenrun.node.configuration import NodeConfigurationLogic
-from martenrun.node.routing import RoutingLogic
-from martenrun.node.runners import RunnerTable
+from martenrun.node.parts import node_parts
+from martenrun.platform.cache_events import CacheEventReader
 from martenrun.platform.engine import EngineConnections
 from martenrun.platform.machine_list import MachineList
 from martenrun.platform.object_api import ObjectApi
@@ -39,13 +38,12 @@
     datagram_carrier,
     message_carrier,
 )
-from martenrun.routing.baselines import ConsistentHashPolicy
 from martenrun.settings.model import NodeSettings
 from martenrun.wire.transport import PeerTransport
 
-WATCH_WAIT_S = 5.0
 MACHINE_POLL_S = 0.5
 RUNNER_POLL_S = 0.5
+CACHE_EVENTS_POLL_S = 0.2
 
 
 class NodeProcess:
@@ -56,19 +54,12 @@
         self._store = ObjectApi(settings.object_api)
         self._machine_list = MachineList(settings.machine_list)
         self._engines = EngineConnections()
-        self._configuration = NodeConfigurationLogic(own_address, list(settings.seed_nodes))
-        self._membership = GossipMembership(
-            Member(own_address, settings.zone, settings.region),
-            settings.seed_nodes,
-            settings.membership,
-            random.Random(),
-        )
-        self._runners = RunnerTable()
-        routing = RoutingLogic(self._runners, ConsistentHashPolicy(), self._view)
-        requests = RequestsLogic(lambda: [own_address])
+        self._cache_events = CacheEventReader(self._engines)
+        self._parts = node_parts(settings, secrets.token_hex(8), random.Random())
         self._loop: Any = None
         self._store_workers = StoreWorkers(self._store, lambda event: self._loop.tell(event))
-        port = EdgePort(tell=lambda event: self._loop.tell(event))
+        self._port = port = EdgePort(tell=lambda event: self._loop.tell(event))
+        self._watch_worker = WatchWorker(self._store, lambda event: self._loop.tell(event))
         self._transport = PeerTransport(
             own_address,
             settings.cluster_secret.encode(),
@@ -76,7 +67,7 @@
         )
         self._transport.listen(own_address)
         self._loop = LoopActor.start(
-            [self._membership, self._configuration, self._runners, routing, requests],
+            self._parts.in_order(),
             {
                 Send: message_carrier(self._transport, lambda event: self._loop.tell(event)),
                 SendDatagram: datagram_carrier(self._transport),
@@ -84,23 +75,27 @@
                 Finish: port.deliver,
                 StoreWrite: self._store_workers.carry,
                 StoreRead: self._store_workers.carry,
+                StoreWatch: self._watch_worker.carry,
             },
         )
-        caller = CallerApplication(port, self._view, settings.zone)
-        admin = AdminApplication(self._store, self._view, settings.bootstrap_key_sha256)
+        caller = CallerApplication(port, self._parts.view, settings)
+        admin = AdminApplication(self._store, self._parts.view, settings.bootstrap_key_sha256)
         application = NodeApplication(caller, admin)
-        self._server = HttpServer(application, settings.http_address, settings.http_threads)
+        self._server = HttpServer(
+            application, settings.http_address, settings.max_streams + settings.http_threads
+        )
         self._clock = Clock(self._loop.tell)
         self._pollers = [
-            Poller("store-watch", self._watch_store, pause_s=0.0),
             Poller("machine-list", self._list_machines, MACHINE_POLL_S),
             Poller("runners", self._describe_runners, RUNNER_POLL_S),
+            Poller("cache-events", self._read_cache_events, CACHE_EVENTS_POLL_S),
         ]
 
     def start(self) -> None:
         """Start every driver."""
         self._transport.start()
         self._clock.start()
+        self._port.watch.start()
         for poller in self._pollers:
             poller.start()
         self._server.start()
@@ -111,30 +106,35 @@
         for poller in self._pollers:
             poller.stop()
         self._clock.stop()
+        self._port.watch.stop()
         self._transport.stop()
         self._store_workers.stop()
         self._loop.stop()
 
-    def _view(self) -> Any:
-        return self._configuration.state.view
-
-    def _watch_store(self) -> None:
-        known = self._configuration.state.revision
-        update = self._store.changes(known, WATCH_WAIT_S)
-        if update.to_revision > known:
-            self._loop.tell(StoreChanges(update))
-
     def _list_machines(self) -> None:
-        self._loop.tell(MachinesListed(self._machine_list.machines()))
+        if self._parts.machine_feed.must_poll():
+            self._loop.tell(MachinesListed(self._machine_list.machines()))
 
     def _describe_runners(self) -> None:
-        for runner in list(self._runners.runners.values()):
+        for name in list(self._parts.ownership.owner.owned):
+            runner = self._parts.runners.runners.get(name)
+            if runner is None:
+                continue
             try:
                 description = self._engines.describe(runner.address)
             except HTTPError:
                 description = None
             self._loop.tell(RunnerDescribed(runner.name, description))
 
+    def _read_cache_events(self) -> None:
+        for runner in list(self._parts.runners.runners.values()):
+            try:
+                events = self._cache_events.read(runner.name, runner.address)
+            except HTTPError:
+                continue
+            if events is not None:
+                self._loop.tell(CacheEventsRead(runner.name, events))
+
 
 class NodeApplication:
     """Serves the caller's API and the administration API on one address."""
