--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from martenrun.errors import MartenrunError
+from martenrun.membership.view import Member
 from martenrun.platform.cache_events import CacheEvents
 from martenrun.platform.engine import AttemptResult, RunnerDescription
 from martenrun.platform.engine_orders import EngineOrder, OrderOutcome
@@ -119,6 +120,18 @@
     found: ConfigurationObject | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class MembersChanged:
+    """The live nodes have changed; ``members`` are sorted by address, leaving ones excluded."""
+
+    members: tuple[Member, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveRequested:
+    """This process is asked to stop: tell the others, take no new work."""
+
+
 @dataclass(frozen=True, slots=True)
 class QuestionCleared:
     """A question with an idempotency key holds its claim and may be decided."""
@@ -163,6 +176,8 @@
     | AttemptEnded
     | CallerGone
     | StoreAnswered
+    | MembersChanged
+    | LeaveRequested
     | QuestionCleared
     | OrderAnswered
     | StoreWatched
@@ -177,6 +192,17 @@
     message: Message
 
 
+@dataclass(frozen=True, slots=True)
+class SendDatagram:
+    """Send a message to a node in one datagram; it may get lost and must be small.
+
+    See also: :data:`martenrun.constants.MAXIMUM_DATAGRAM_BYTES`.
+    """
+
+    peer: str
+    message: Message
+
+
 @dataclass(frozen=True, slots=True)
 class RunAttempt:
     """Tell the edge to send the request to the granted runner."""
@@ -243,7 +269,17 @@
     after: int
 
 
-Instruction = Send | RunAttempt | Finish | Tell | StoreWrite | StoreRead | StoreWatch | SendOrder
+Instruction = (
+    Send
+    | RunAttempt
+    | Finish
+    | Tell
+    | StoreWrite
+    | StoreRead
+    | StoreWatch
+    | SendOrder
+    | SendDatagram
+)
 
 
 class DecisionLogic(Protocol):
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -10,7 +10,8 @@
 from martenrun.claims.logic import ClaimsLogic
 from martenrun.configuration.view import ConfigurationView
 from martenrun.events import DecisionLogic
-from martenrun.membership.view import Member, StaticMemberView
+from martenrun.membership.gossip import GossipMembership
+from martenrun.membership.view import Member
 from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.node.runners import RunnerTable
 from martenrun.orders.rolls import RollsLogic
@@ -27,6 +28,7 @@
 class NodeParts:
     """Every part of a node's decision logic."""
 
+    membership: GossipMembership
     configuration: NodeConfigurationLogic
     runners: RunnerTable
     machine_feed: MachineFeed
@@ -42,6 +44,7 @@
     def in_order(self) -> list[DecisionLogic]:
         """Return the parts in the order in which they handle an event."""
         return [
+            self.membership,
             self.configuration,
             self.runners,
             self.machine_feed,
@@ -61,11 +64,10 @@
         rng: source of jitter; seeded in simulations.
     """
     own_address = settings.peer_address
-    configuration = NodeConfigurationLogic(own_address, list(settings.seed_nodes), rng=rng)
+    own = Member(own_address, settings.zone, settings.region)
+    members = GossipMembership(own, settings.seed_nodes, settings.membership, rng)
+    configuration = NodeConfigurationLogic(own_address, settings.seed_nodes, members, rng)
     runners = RunnerTable()
-    # Zones of the seeds are unknown here, so none is told: all nodes must see the same owners.
-    addresses = sorted({own_address, *settings.seed_nodes})
-    members = StaticMemberView(Member(own_address), [Member(address) for address in addresses])
     owners = OwnerMap(members)
     home = HomeLogic(
         owners,
@@ -81,4 +83,4 @@
     feed = MachineFeed(members, rng)
     holder = f"{own_address}/{incarnation}"
     rolls = RollsLogic(holder, runners.runners, configuration.state, owners.owns, rng)
-    return NodeParts(configuration, runners, feed, ownership, claims, requests, rolls)
+    return NodeParts(members, configuration, runners, feed, ownership, claims, requests, rolls)
