--- a/src/martenrun/cli/bench.py
+++ b/src/martenrun/cli/bench.py
@@ -12,6 +12,7 @@
 from martenrun.bench.path import path
 from martenrun.bench.rolls import rolls
 from martenrun.bench.routing import routing_command
+from martenrun.bench.scale.command import scale
 from martenrun.bench.streams import streams
 
 
@@ -28,3 +29,4 @@
 bench.add_command(routing_command)
 bench.add_command(adapter)
 bench.add_command(rolls)
+bench.add_command(scale)
