--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -10,11 +10,15 @@
 from martenrun.claims.logic import ClaimsLogic
 from martenrun.configuration.view import ConfigurationView
 from martenrun.events import DecisionLogic
-from martenrun.identity.rendezvous import ranked
+from martenrun.membership.view import Member, StaticMemberView
 from martenrun.node.configuration import NodeConfigurationLogic
-from martenrun.node.routing import RoutingLogic
 from martenrun.node.runners import RunnerTable
 from martenrun.orders.rolls import RollsLogic
+from martenrun.ownership.home import HomeLogic
+from martenrun.ownership.logic import OwnershipLogic
+from martenrun.ownership.machine_feed import MachineFeed
+from martenrun.ownership.owner import OwnerLogic
+from martenrun.ownership.owners import OwnerMap
 from martenrun.routing.baselines import ConsistentHashPolicy
 from martenrun.settings.model import NodeSettings
 
@@ -25,8 +29,9 @@
 
     configuration: NodeConfigurationLogic
     runners: RunnerTable
+    machine_feed: MachineFeed
+    ownership: OwnershipLogic
     claims: ClaimsLogic
-    routing: RoutingLogic
     requests: RequestsLogic
     rolls: RollsLogic
 
@@ -39,8 +44,9 @@
         return [
             self.configuration,
             self.runners,
+            self.machine_feed,
             self.claims,
-            self.routing,
+            self.ownership,
             self.requests,
             self.rolls,
         ]
@@ -57,14 +63,22 @@
     own_address = settings.peer_address
     configuration = NodeConfigurationLogic(own_address, list(settings.seed_nodes), rng=rng)
     runners = RunnerTable()
-    routing = RoutingLogic(runners, ConsistentHashPolicy(), lambda: configuration.state.view)
+    # Zones of the seeds are unknown here, so none is told: all nodes must see the same owners.
+    addresses = sorted({own_address, *settings.seed_nodes})
+    members = StaticMemberView(Member(own_address), [Member(address) for address in addresses])
+    owners = OwnerMap(members)
+    home = HomeLogic(
+        owners,
+        runners,
+        ConsistentHashPolicy(),
+        lambda: configuration.state.view,
+        settings.zone,
+        rng,
+    )
+    ownership = OwnershipLogic(own_address, home, OwnerLogic(owners, runners))
     claims = ClaimsLogic(f"{own_address}/{incarnation}")
     requests = RequestsLogic(lambda: [own_address], rng)
-
-    def is_owner(runner: str) -> bool:
-        nodes = configuration.state.nodes or [own_address]
-        return ranked(runner.encode(), nodes)[0] == own_address
-
+    feed = MachineFeed(members, rng)
     holder = f"{own_address}/{incarnation}"
-    rolls = RollsLogic(holder, runners.runners, configuration.state, is_owner, rng)
-    return NodeParts(configuration, runners, claims, routing, requests, rolls)
+    rolls = RollsLogic(holder, runners.runners, configuration.state, owners.owns, rng)
+    return NodeParts(configuration, runners, feed, ownership, claims, requests, rolls)
