--- a/src/martenrun/orders/keeper.py
+++ b/src/martenrun/orders/keeper.py
@@ -103,6 +103,11 @@
         held = self.held.get(runner)
         return held if held is not None and now < held.valid_until else None
 
+    def lapsed_runners(self, now: float) -> set[str]:
+        """Return the runners whose permit has lapsed, as far as the last read shows."""
+        expired = self._observer.expired(now)
+        return {permit.runner for permit in self._table.permits if permit.change in expired}
+
     def tick(self, now: float) -> list[Instruction]:
         """Start the next call of the object API if one is due."""
         if self._call is not None:
