Show which configuration is in force where; drain runners; typed admin commands

Cause: the status told one number of one node; a runner could be drained only through the machine list; the command line printed raw error bodies. Change: a node asks all others when an operator wants the status and shows the slowest nodes and agents, watchers, faulty objects, drains and silent nodes. 'drains' objects make runners leaving. Commands: status, drain, new-key, retire-key; exit status 3 for a conflict, 4 for an unknown outcome. Watcher candidates are dealt out to the slots in turn. Weighed: gossiping every node's revision costs bytes all the time; asking costs 2 messages a node for each status.

--- a/src/martenrun/admin/application.py
+++ b/src/martenrun/admin/application.py
@@ -17,6 +17,7 @@
 
 from martenrun.admin.access import Operator
 from martenrun.admin.references import check_references, check_unused
+from martenrun.admin.status import Status
 from martenrun.configuration.objects import (
     Document,
     Kind,
@@ -68,6 +69,7 @@
         view: returns the configuration in force on this node.
         bootstrap_key_sha256: digest of a platform admin's key that is valid without any
             stored key, so that the first objects can be published; empty for none.
+        status: returns the status of the configuration on all nodes.
     """
 
     def __init__(
@@ -75,10 +77,12 @@
         store: ObjectApi,
         view: Callable[[], ConfigurationView],
         bootstrap_key_sha256: str,
+        status: Callable[[], Status],
     ) -> None:
         self._store = store
         self._view = view
         self._bootstrap_key_sha256 = bootstrap_key_sha256
+        self._status = status
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         """Serve one request."""
@@ -93,7 +97,9 @@
         operator = self._operator(request)
         parts = request.path.removeprefix(ADMIN_PREFIX).split("/")
         if parts == ["status"]:
-            return json_response({"revision": self._view().revision})
+            if not operator.reads_all:
+                raise PermissionDeniedError(f"role {operator.role.value} may not read the status")
+            return json_response(self._status())
         kind = _kind(parts[0])
         if len(parts) == 1:
             return self._list(operator, kind)
--- a/src/martenrun/cli/admin.py
+++ b/src/martenrun/cli/admin.py
@@ -1,89 +1,170 @@
-"""Commands of operators, through the administration API of any node."""
+"""Commands of operators, through the administration API of any node.
 
-import sys
+Exit status: 0 accepted, 1 refused, 3 version conflict, 4 outcome unknown.
+"""
+
+import hashlib
+import secrets
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 import click
 import msgspec
-import urllib3
 
-from martenrun.admin.application import ADMIN_PREFIX
+from martenrun.admin.client import AdminClient
+from martenrun.configuration.objects import ApiKey, Drain, DrainRole, Kind, Role
+from martenrun.errors import ChangeOutcomeUnknownError, MartenrunError, VersionConflictError
 
-_TIMEOUT_S = 10.0
+_KIND = click.argument("kind", type=click.Choice([kind.value for kind in Kind]))
+_NAME = click.argument("name")
+EXIT_REFUSED = 1
+EXIT_CONFLICT = 3
+EXIT_OUTCOME_UNKNOWN = 4
 
 
 @click.group()
-@click.option("--node", "node_address", required=True, help="IP:port of a node's HTTP edge.")
+@click.option(
+    "--node", "address", required=True, envvar="MARTENRUN_NODE", help="IP:port of any node's HTTP."
+)
 @click.option("--key", envvar="MARTENRUN_ADMIN_KEY", required=True, help="Admin key.")
 @click.pass_context
-def admin(context: click.Context, node_address: str, key: str) -> None:
-    """Administer tenants, keys, pools, policies and routes."""
-    context.obj = AdminClient(node_address, key)
+def admin(context: click.Context, address: str, key: str) -> None:
+    """Administer tenants, keys, pools, policies, routes and drains."""
+    context.obj = AdminClient(address, key)
 
 
-class AdminClient:
-    """Calls the administration API of one node."""
+@contextmanager
+def _errors_printed() -> Iterator[None]:
+    """Print a typed error with its remedy and exit with its status."""
+    try:
+        yield
+    except MartenrunError as error:
+        click.echo(f"{error.code}: {error.message}\n  remedy: {error.remedy}", err=True)
+        if isinstance(error, VersionConflictError):
+            click.echo(f"  present version: {error.present_version}", err=True)
+            raise SystemExit(EXIT_CONFLICT) from None
+        unknown = isinstance(error, ChangeOutcomeUnknownError)
+        raise SystemExit(EXIT_OUTCOME_UNKNOWN if unknown else EXIT_REFUSED) from None
 
-    def __init__(self, address: str, key: str) -> None:
-        self._base = f"http://{address}{ADMIN_PREFIX}"
-        self._headers = {"Authorization": f"Bearer {key}"}
-        self._http = urllib3.PoolManager(timeout=_TIMEOUT_S, retries=False)
 
-    def call(
-        self, method: str, path: str, body: bytes | None = None, version: int | None = None
-    ) -> bytes:
-        """Call the API; exits with status 1 and the typed error if it is refused."""
-        headers = dict(self._headers)
-        if version is not None:
-            headers["If-Match"] = str(version)
-        response = self._http.request(method, self._base + path, body=body, headers=headers)
-        if response.status >= 400:
-            click.echo(response.data.decode(), err=True)
-            sys.exit(1)
-        return response.data
+def _echo(value: object) -> None:
+    click.echo(msgspec.json.encode(value).decode())
 
 
 @admin.command("apply")
-@click.argument("kind")
-@click.argument("name")
+@_KIND
+@_NAME
 @click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
 @click.option("--version", default=0, show_default=True, help="Expected version, 0 to create.")
 @click.pass_obj
 def apply_object(client: AdminClient, kind: str, name: str, file: Path, version: int) -> None:
     """Create or replace an object from a JSON file."""
-    click.echo(client.call("PUT", f"{kind}/{name}", file.read_bytes(), version).decode())
+    with _errors_printed():
+        accepted = client.apply(kind, name, file.read_bytes(), version)
+    click.echo(f"accepted: {kind}/{name} has version {accepted}")
 
 
 @admin.command("get")
-@click.argument("kind")
-@click.argument("name")
+@_KIND
+@_NAME
 @click.pass_obj
 def get_object(client: AdminClient, kind: str, name: str) -> None:
     """Print an object with its version."""
-    click.echo(client.call("GET", f"{kind}/{name}").decode())
+    with _errors_printed():
+        _echo(client.get(kind, name))
 
 
 @admin.command("list")
-@click.argument("kind")
+@_KIND
 @click.pass_obj
 def list_objects(client: AdminClient, kind: str) -> None:
-    """Print every object of a kind."""
-    for item in msgspec.json.decode(client.call("GET", kind), type=list[msgspec.Raw]):
-        click.echo(bytes(item).decode())
+    """Print every object of a kind, one a line."""
+    with _errors_printed():
+        for item in client.list(kind):
+            _echo(item)
 
 
 @admin.command("delete")
-@click.argument("kind")
-@click.argument("name")
+@_KIND
+@_NAME
 @click.option("--version", required=True, type=int, help="Expected version.")
 @click.pass_obj
 def delete_object(client: AdminClient, kind: str, name: str, version: int) -> None:
-    """Remove an object."""
-    click.echo(client.call("DELETE", f"{kind}/{name}", version=version).decode())
+    """Delete an object that nothing refers to."""
+    with _errors_printed():
+        accepted = client.delete(kind, name, version)
+    click.echo(f"accepted: {kind}/{name} is deleted in version {accepted}")
+
+
+@admin.command("new-key")
+@_NAME
+@click.option("--tenant", required=True)
+@click.option("--role", type=click.Choice([role.value for role in Role]), default="caller")
+@click.pass_obj
+def new_key(client: AdminClient, name: str, tenant: str, role: str) -> None:
+    """Make a random key, publish its digest, and print the key; it is not kept anywhere."""
+    token = secrets.token_urlsafe(32)
+    digest = hashlib.sha256(token.encode()).hexdigest()
+    document = {"tenant": tenant, "role": role, "key_sha256": digest}
+    with _errors_printed():
+        client.apply(Kind.API_KEY.value, name, msgspec.json.encode(document), 0)
+    click.echo(token)
+
+
+@admin.command("retire-key")
+@_NAME
+@click.pass_obj
+def retire_key(client: AdminClient, name: str) -> None:
+    """Refuse a key from now on; the end of a rotation."""
+    with _errors_printed():
+        present = client.get(Kind.API_KEY.value, name)
+        key = ApiKey.model_validate_json(bytes(present.document))
+        document = key.model_copy(update={"retired": True}).model_dump_json().encode()
+        accepted = client.apply(Kind.API_KEY.value, name, document, present.version)
+    click.echo(f"accepted: keys/{name} is retired in version {accepted}")
+
+
+@admin.command("drain")
+@_NAME
+@click.option("--role", type=click.Choice([role.value for role in DrainRole]), default="runner")
+@click.option("--reason", default="", help="Shown to other operators.")
+@click.option("--stop", is_flag=True, help="End the drain: the machine may get work again.")
+@click.pass_obj
+def drain(client: AdminClient, name: str, role: str, reason: str, stop: bool) -> None:
+    """Give a runner or node no new work; running requests go on."""
+    kind = Kind.DRAIN.value
+    with _errors_printed():
+        if stop:
+            client.delete(kind, name, client.get(kind, name).version)
+        else:
+            document = Drain(role=DrainRole(role), reason=reason).model_dump_json().encode()
+            client.apply(kind, name, document, 0)
+    click.echo(f"accepted: the drain of {name} is {'ended' if stop else 'published'}")
 
 
 @admin.command("status")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON line.")
 @click.pass_obj
-def status(client: AdminClient) -> None:
-    """Print the node's status."""
-    click.echo(client.call("GET", "status").decode())
+def status(client: AdminClient, as_json: bool) -> None:
+    """Print which revision is in force where, the slowest first."""
+    with _errors_printed():
+        found = client.status()
+    if as_json:
+        _echo(found)
+        return
+    click.echo(f"in force on {found.node}: revision {found.revision}")
+    click.echo(f"newest anywhere: {found.newest_revision}, slowest: {found.slowest_revision}")
+    for label, entries in (("node", found.nodes), ("agent", found.agents)):
+        for entry in entries:
+            behind = found.newest_revision - entry.revision
+            click.echo(f"  {label:<7}{entry.name:<28}{entry.revision:>10}  behind {behind}")
+    for watcher in found.watchers:
+        click.echo(f"watcher: {watcher.node} holds {watcher.lease}")
+    for title, names in (
+        ("did not answer", found.silent_nodes),
+        ("faulty object, last good one in force", found.faults),
+        ("draining", found.drains),
+    ):
+        for name in names:
+            click.echo(f"{title}: {name}")
--- a/src/martenrun/configuration/view.py
+++ b/src/martenrun/configuration/view.py
@@ -34,6 +34,7 @@
     documents: Mapping[tuple[Kind, str], Document] = field(default_factory=dict)
     keys: Mapping[str, ApiKey] = field(default_factory=dict)
     routes_by_model: Mapping[str, tuple[Route, ...]] = field(default_factory=dict)
+    drains: Mapping[str, Drain] = field(default_factory=dict)
 
     @classmethod
     def build(
@@ -47,7 +48,8 @@
                 keys[document.key_sha256] = document
             elif isinstance(document, Route):
                 routes[document.model] = (*routes.get(document.model, ()), document)
-        return cls(revision, dict(documents), keys, routes)
+        drains = {name: item for (_, name), item in documents.items() if isinstance(item, Drain)}
+        return cls(revision, dict(documents), keys, routes, drains)
 
     def key_of(self, token: str) -> ApiKey:
         """Return the key object of a bearer token; raises InvalidKeyError.
@@ -72,11 +74,7 @@
 
     def drained(self, role: DrainRole) -> frozenset[str]:
         """Return the names of the machines of a role that operators drain."""
-        return frozenset(
-            name
-            for (_kind, name), document in self.documents.items()
-            if isinstance(document, Drain) and document.role is role
-        )
+        return frozenset(name for name, drain in self.drains.items() if drain.role is role)
 
     def routes(self, tenant: str) -> dict[str, RoutedPool]:
         """Return the pool of every model that a tenant may use, by model."""
--- a/src/martenrun/configuration/watching.py
+++ b/src/martenrun/configuration/watching.py
@@ -156,19 +156,19 @@
         return True
 
     def _rank(self) -> int:
-        """Choose the slot this node is nearest to; return its place among the candidates."""
+        """Choose this node's slot; return its place among the slot's candidates."""
         own = self._members.own
+        region = own.region.encode()
+        own_weight = weight(region, own.address)
         candidates = [member for member in self._members.live() if member.region == own.region]
-        ranks = {}
-        for slot in self.slots():
-            key = slot.encode()
-            own_weight = weight(key, own.address)
-            ranks[slot] = sum(weight(key, other.address) > own_weight for other in candidates)
-        slot = min(ranks, key=lambda name: ranks[name])
+        place = sum(weight(region, other.address) > own_weight for other in candidates)
+        # Candidates are dealt out to the slots in turn, so that two nodes fill two slots.
+        slots = self.slots()
+        slot = slots[place % len(slots)]
         if slot != self.slot and not self.holds_lease:
             self.slot = slot
             self._lease_version = 0
-        return ranks[slot]
+        return place // len(slots)
 
     def _step(self, event: str, now: float) -> list[Instruction]:
         transition = _CHART.step(self.phase, event)
--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -20,6 +20,7 @@
     DecideRequest,
     Grant,
     Message,
+    NodeStatus,
 )
 
 
@@ -142,6 +143,13 @@
     update: ConfigurationUpdate
 
 
+@dataclass(frozen=True, slots=True)
+class StatusWanted:
+    """An operator asks which configuration is in force where; StatusReady follows."""
+
+    query_id: str
+
+
 Event = (
     Tick
     | PeerMessage
@@ -155,6 +163,7 @@
     | StoreAnswered
     | QuestionCleared
     | StoreWatched
+    | StatusWanted
 )
 
 
@@ -223,7 +232,17 @@
     after: int
 
 
-Instruction = Send | RunAttempt | Finish | Tell | StoreWrite | StoreRead | StoreWatch
+@dataclass(frozen=True, slots=True)
+class StatusReady:
+    """Give the operator the status; nodes that did not answer are missing in ``nodes``."""
+
+    query_id: str
+    own: str
+    members: list[str]
+    nodes: dict[str, NodeStatus]
+
+
+Instruction = Send | RunAttempt | Finish | Tell | StoreWrite | StoreRead | StoreWatch | StatusReady
 
 
 class DecisionLogic(Protocol):
--- a/src/martenrun/node/configuration.py
+++ b/src/martenrun/node/configuration.py
@@ -9,6 +9,7 @@
 
 import random
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 from martenrun.configuration.replica import ConfigurationReplica
 from martenrun.configuration.state import ConfigurationState
@@ -36,6 +37,18 @@
 """Agents remembered by a node; the ones not heard of for longest are forgotten."""
 
 
+AGENT_MEMORY_S = 10.0
+"""How long an agent's revision is told in the status after it was heard, in seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class AgentHeard:
+    """The revision an agent had in force when it was heard, and when that was."""
+
+    revision: int
+    at: float
+
+
 class NodeConfigurationLogic:
     """Replicates the configuration between the object API, nodes and agents.
 
@@ -60,7 +73,7 @@
         self._seed_nodes = [node for node in seed_nodes if node != own_address]
         self._rng = rng or random.Random(own_address)
         self._replica = ConfigurationReplica(nodes, self._rng)
-        self._agents: dict[str, int] = {}
+        self._agents: dict[str, AgentHeard] = {}
         self._pushed = 0
         self.watching = StoreWatching(self.state, self._members, self._rng, bool(self._seed_nodes))
 
@@ -69,10 +82,13 @@
         """The configuration in force."""
         return self._replica.state
 
-    @property
-    def agents(self) -> dict[str, int]:
-        """Agents that have asked this node lately, with the revision each had in force."""
-        return self._agents
+    def agents(self, now: float) -> dict[str, int]:
+        """Return agents that have asked this node lately, and the revision each had in force."""
+        return {
+            name: heard.revision
+            for name, heard in self._agents.items()
+            if now - heard.at <= AGENT_MEMORY_S
+        }
 
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
@@ -86,7 +102,7 @@
             case Tick():
                 return self._tick(now)
             case PeerMessage(peer, ConfigurationQuery() as query):
-                return self._answer(peer, query)
+                return self._answer(peer, query, now)
             case PeerMessage(peer, ConfigurationUpdate() as update):
                 update.nodes = []
                 return self._replica.take_in(peer, update, now)
@@ -104,10 +120,10 @@
         peers = self._first_peers() if is_new else self._random_nodes(1, "")
         return [Send(peer, ConfigurationQuery(self.state.revision)) for peer in peers]
 
-    def _answer(self, peer: str, query: ConfigurationQuery) -> list[Instruction]:
+    def _answer(self, peer: str, query: ConfigurationQuery, now: float) -> list[Instruction]:
         if peer.startswith("agent/"):
             self._agents.pop(peer, None)
-            self._agents[peer] = query.known_revision
+            self._agents[peer] = AgentHeard(query.known_revision, now)
             if len(self._agents) > MAXIMUM_AGENTS:
                 del self._agents[next(iter(self._agents))]
         return self._replica.answer(peer, query)
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -8,6 +8,8 @@
 
 from martenrun.agent.requests import RequestsLogic
 from martenrun.claims.logic import ClaimsLogic
+from martenrun.configuration.objects import DrainRole
+from martenrun.configuration.status import StatusLogic
 from martenrun.configuration.view import ConfigurationView
 from martenrun.events import DecisionLogic
 from martenrun.membership.view import Member, StaticMemberView
@@ -27,6 +29,7 @@
     """Every part of a node's decision logic."""
 
     configuration: NodeConfigurationLogic
+    status: StatusLogic
     runners: RunnerTable
     machine_feed: MachineFeed
     ownership: OwnershipLogic
@@ -41,6 +44,7 @@
         """Return the parts in the order in which they handle an event."""
         return [
             self.configuration,
+            self.status,
             self.runners,
             self.machine_feed,
             self.claims,
@@ -59,7 +63,7 @@
     """
     own_address = settings.peer_address
     configuration = NodeConfigurationLogic(own_address, list(settings.seed_nodes), rng=rng)
-    runners = RunnerTable()
+    runners = RunnerTable(lambda: configuration.state.view.drained(DrainRole.RUNNER))
     # Zones of the seeds are unknown here, so none is told: all nodes must see the same owners.
     addresses = sorted({own_address, *settings.seed_nodes})
     members = StaticMemberView(Member(own_address), [Member(address) for address in addresses])
@@ -76,4 +80,5 @@
     claims = ClaimsLogic(f"{own_address}/{incarnation}")
     requests = RequestsLogic(lambda: [own_address], rng)
     feed = MachineFeed(members, rng)
-    return NodeParts(configuration, runners, feed, ownership, claims, requests)
+    status = StatusLogic(configuration, members)
+    return NodeParts(configuration, status, runners, feed, ownership, claims, requests)
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -8,6 +8,7 @@
 from urllib3.exceptions import HTTPError
 
 from martenrun.admin.application import ADMIN_PREFIX, AdminApplication
+from martenrun.admin.status import StatusPort
 from martenrun.configuration.driver import WatchWorker
 from martenrun.edge.application import CallerApplication
 from martenrun.edge.forward import EdgePort
@@ -20,6 +21,7 @@
     RunAttempt,
     RunnerDescribed,
     Send,
+    StatusReady,
     StoreRead,
     StoreWatch,
     StoreWrite,
@@ -52,6 +54,7 @@
         self._store_workers = StoreWorkers(self._store, lambda event: self._loop.tell(event))
         self._port = port = EdgePort(tell=lambda event: self._loop.tell(event))
         self._watch_worker = WatchWorker(self._store, lambda event: self._loop.tell(event))
+        status_port = StatusPort(lambda event: self._loop.tell(event))
         self._transport = PeerTransport(
             own_address,
             settings.cluster_secret.encode(),
@@ -67,10 +70,16 @@
                 StoreWrite: self._store_workers.carry,
                 StoreRead: self._store_workers.carry,
                 StoreWatch: self._watch_worker.carry,
+                StatusReady: status_port.deliver,
             },
         )
         caller = CallerApplication(port, self._parts.view, settings)
-        admin = AdminApplication(self._store, self._parts.view, settings.bootstrap_key_sha256)
+        admin = AdminApplication(
+            self._store,
+            self._parts.view,
+            settings.bootstrap_key_sha256,
+            lambda: status_port.status(self._parts.view()),
+        )
         application = NodeApplication(caller, admin)
         self._server = HttpServer(
             application, settings.http_address, settings.max_streams + settings.http_threads
--- a/src/martenrun/node/runners.py
+++ b/src/martenrun/node/runners.py
@@ -1,6 +1,8 @@
 """Decision logic that keeps the table of runners current."""
 
-from martenrun.events import Event, Instruction, MachinesListed, RunnerDescribed
+from collections.abc import Callable
+
+from martenrun.events import Event, Instruction, MachinesListed, RunnerDescribed, Tick
 from martenrun.platform.machine_list import Machine
 from martenrun.routing.policy import RunnerState
 
@@ -9,15 +11,22 @@
     """Runners by name, from the lagging machine list and the engines' own descriptions.
 
     ``version`` rises whenever a runner comes, goes or starts or stops leaving.
+
+    Args:
+        drained: returns the names of runners that operators drain; they are leaving too.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, drained: Callable[[], frozenset[str]] = frozenset) -> None:
         self.runners: dict[str, RunnerState] = {}
         self.version = 0
+        self._drained = drained
+        self._listed_leaving: set[str] = set()
 
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
         match event:
+            case Tick():
+                self._update_leaving()
             case MachinesListed(machines):
                 self._update_machines(machines)
             case RunnerDescribed():
@@ -42,10 +51,17 @@
                 runner = RunnerState(machine.name, machine.address, machine.zone, machine.pool)
                 self.runners[machine.name] = runner
                 self.version += 1
-            if runner.leaving != machine.is_leaving:
-                runner.leaving = machine.is_leaving
-                self.version += 1
             runner.address = machine.address
+        self._listed_leaving = {machine.name for machine in machines if machine.is_leaving}
+        self._listed_leaving |= self.runners.keys() - listed.keys()
+        self._update_leaving()
+
+    def _update_leaving(self) -> None:
+        leaving = self._listed_leaving | self._drained()
+        for runner in self.runners.values():
+            if runner.leaving != (runner.name in leaving):
+                runner.leaving = not runner.leaving
+                self.version += 1
 
     def _remove(self, name: str) -> None:
         """Forget a runner that is no longer listed once its requests have ended."""
--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -193,3 +193,20 @@
   2: bool complete
   3: list<MachineEntry> machines
 }
+
+struct StatusQuery {
+  1: string query_id
+}
+
+struct AgentRevision {
+  1: string agent
+  2: i64 revision
+}
+
+struct NodeStatus {
+  1: string query_id
+  2: i64 revision
+  3: string watcher_lease
+  4: list<string> faults
+  5: list<AgentRevision> agents
+}
--- a/src/martenrun/wire/messages.py
+++ b/src/martenrun/wire/messages.py
@@ -306,6 +306,36 @@
     machines: list[MachineEntry] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class StatusQuery:
+    """Node to node: which configuration is in force with you?"""
+
+    query_id: str = ""
+
+
+@dataclass(slots=True)
+class AgentRevision:
+    """The revision that an agent had in force when it was heard last."""
+
+    agent: str = ""
+    revision: int = 0
+
+
+@dataclass(slots=True)
+class NodeStatus:
+    """Node to node: what is in force here, and with the agents heard lately.
+
+    ``watcher_lease`` names the lease held, or is empty; ``faults`` names objects whose newest
+    document does not fit its schema.
+    """
+
+    query_id: str = ""
+    revision: int = 0
+    watcher_lease: str = ""
+    faults: list[str] = field(default_factory=list)
+    agents: list[AgentRevision] = field(default_factory=list)
+
+
 Message = (
     DecideRequest
     | Grant
@@ -328,5 +358,7 @@
     | LeasesVoided
     | MachinesQuery
     | MachinesUpdate
+    | StatusQuery
+    | NodeStatus
 )
 """Messages that travel inside an :class:`Envelope`."""
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -26,7 +26,7 @@
 
     def __init__(self, store):
         self.store = store
-        self.client = Client(AdminApplication(store.api, self.view, digest(ROOT)))
+        self.client = Client(AdminApplication(store.api, self.view, digest(ROOT), self.status))
 
     def view(self):
         state = ConfigurationState()
@@ -41,6 +41,9 @@
         state.apply(update)
         return state.view
 
+    def status(self):
+        raise AssertionError("not called here")
+
     def call(self, method, path, document=None, version=0, token=ROOT):
         response = self.client.open(
             f"/admin/v1/{path}",
