--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -11,8 +11,10 @@
 from typing import Protocol
 
 from martenrun.errors import MartenrunError
+from martenrun.membership.view import Member
 from martenrun.platform.cache_events import CacheEvents
 from martenrun.platform.engine import AttemptResult, RunnerDescription
+from martenrun.platform.engine_orders import EngineOrder, OrderOutcome
 from martenrun.platform.machine_list import Machine
 from martenrun.wire.messages import (
     ConfigurationObject,
@@ -119,6 +121,18 @@
     found: ConfigurationObject | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class MembersChanged:
+    """The live nodes have changed; ``members`` are sorted by address, leaving ones excluded."""
+
+    members: tuple[Member, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveRequested:
+    """This process is asked to stop: tell the others, take no new work."""
+
+
 @dataclass(frozen=True, slots=True)
 class QuestionCleared:
     """A question with an idempotency key holds its claim and may be decided."""
@@ -127,6 +141,15 @@
     question: DecideRequest
 
 
+@dataclass(frozen=True, slots=True)
+class OrderAnswered:
+    """An order to an engine has ended; the same ``order`` may be sent more than once."""
+
+    runner: str
+    order: EngineOrder
+    outcome: OrderOutcome
+
+
 class WatchOutcome(enum.StrEnum):
     """How a StoreWatch ended."""
 
@@ -161,7 +184,10 @@
     | AttemptEnded
     | CallerGone
     | StoreAnswered
+    | MembersChanged
+    | LeaveRequested
     | QuestionCleared
+    | OrderAnswered
     | StoreWatched
     | StatusWanted
 )
@@ -175,6 +201,17 @@
     message: Message
 
 
+@dataclass(frozen=True, slots=True)
+class SendDatagram:
+    """Send a message to a node in one datagram; it may get lost and must be small.
+
+    See also: :data:`martenrun.constants.MAXIMUM_DATAGRAM_BYTES`.
+    """
+
+    peer: str
+    message: Message
+
+
 @dataclass(frozen=True, slots=True)
 class RunAttempt:
     """Tell the edge to send the request to the granted runner."""
@@ -222,6 +259,15 @@
     name: str
 
 
+@dataclass(frozen=True, slots=True)
+class SendOrder:
+    """Send a fenced order to a runner's engine; OrderAnswered follows."""
+
+    runner: str
+    address: str
+    order: EngineOrder
+
+
 @dataclass(frozen=True, slots=True)
 class StoreWatch:
     """Wait for configuration changes after a revision; StoreWatched follows.
@@ -242,7 +288,18 @@
     nodes: dict[str, NodeStatus]
 
 
-Instruction = Send | RunAttempt | Finish | Tell | StoreWrite | StoreRead | StoreWatch | StatusReady
+Instruction = (
+    Send
+    | RunAttempt
+    | Finish
+    | Tell
+    | StoreWrite
+    | StoreRead
+    | StoreWatch
+    | SendOrder
+    | SendDatagram
+    | StatusReady
+)
 
 
 class DecisionLogic(Protocol):
--- a/src/martenrun/node/configuration.py
+++ b/src/martenrun/node/configuration.py
@@ -17,6 +17,7 @@
 from martenrun.events import (
     Event,
     Instruction,
+    MembersChanged,
     PeerMessage,
     Send,
     StoreChanges,
@@ -108,6 +109,8 @@
                 return self._replica.take_in(peer, update, now)
             case StoreChanges(update):
                 self.state.apply(update)
+            case MembersChanged(members):
+                self.state.nodes = [member.address for member in members]
         return []
 
     def _tick(self, now: float) -> list[Instruction]:
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -12,9 +12,11 @@
 from martenrun.configuration.status import StatusLogic
 from martenrun.configuration.view import ConfigurationView
 from martenrun.events import DecisionLogic
-from martenrun.membership.view import Member, StaticMemberView
+from martenrun.membership.gossip import GossipMembership
+from martenrun.membership.view import Member
 from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.node.runners import RunnerTable
+from martenrun.orders.rolls import RollsLogic
 from martenrun.ownership.home import HomeLogic
 from martenrun.ownership.logic import OwnershipLogic
 from martenrun.ownership.machine_feed import MachineFeed
@@ -28,6 +30,7 @@
 class NodeParts:
     """Every part of a node's decision logic."""
 
+    membership: GossipMembership
     configuration: NodeConfigurationLogic
     status: StatusLogic
     runners: RunnerTable
@@ -35,6 +38,7 @@
     ownership: OwnershipLogic
     claims: ClaimsLogic
     requests: RequestsLogic
+    rolls: RollsLogic
 
     def view(self) -> ConfigurationView:
         """Return the configuration in force."""
@@ -43,6 +47,7 @@
     def in_order(self) -> list[DecisionLogic]:
         """Return the parts in the order in which they handle an event."""
         return [
+            self.membership,
             self.configuration,
             self.status,
             self.runners,
@@ -50,6 +55,7 @@
             self.claims,
             self.ownership,
             self.requests,
+            self.rolls,
         ]
 
 
@@ -62,11 +68,10 @@
         rng: source of jitter; seeded in simulations.
     """
     own_address = settings.peer_address
-    configuration = NodeConfigurationLogic(own_address, list(settings.seed_nodes), rng=rng)
+    own = Member(own_address, settings.zone, settings.region)
+    members = GossipMembership(own, settings.seed_nodes, settings.membership, rng)
+    configuration = NodeConfigurationLogic(own_address, settings.seed_nodes, members, rng)
     runners = RunnerTable(lambda: configuration.state.view.drained(DrainRole.RUNNER))
-    # Zones of the seeds are unknown here, so none is told: all nodes must see the same owners.
-    addresses = sorted({own_address, *settings.seed_nodes})
-    members = StaticMemberView(Member(own_address), [Member(address) for address in addresses])
     owners = OwnerMap(members)
     home = HomeLogic(
         owners,
@@ -81,4 +86,8 @@
     requests = RequestsLogic(lambda: [own_address], rng)
     feed = MachineFeed(members, rng)
     status = StatusLogic(configuration, members)
-    return NodeParts(configuration, status, runners, feed, ownership, claims, requests)
+    holder = f"{own_address}/{incarnation}"
+    rolls = RollsLogic(holder, runners.runners, configuration.state, owners.owns, rng)
+    return NodeParts(
+        members, configuration, status, runners, feed, ownership, claims, requests, rolls
+    )
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -21,17 +21,28 @@
     RunAttempt,
     RunnerDescribed,
     Send,
+    SendDatagram,
+    SendOrder,
     StatusReady,
     StoreRead,
     StoreWatch,
     StoreWrite,
 )
 from martenrun.node.parts import node_parts
+from martenrun.orders.workers import OrderWorkers
 from martenrun.platform.cache_events import CacheEventReader
 from martenrun.platform.engine import EngineConnections
+from martenrun.platform.engine_orders import EngineOrders
 from martenrun.platform.machine_list import MachineList
 from martenrun.platform.object_api import ObjectApi
-from martenrun.process import Clock, LoopActor, Poller, StoreWorkers, message_carrier
+from martenrun.process import (
+    Clock,
+    LoopActor,
+    Poller,
+    StoreWorkers,
+    datagram_carrier,
+    message_carrier,
+)
 from martenrun.settings.model import NodeSettings
 from martenrun.wire.transport import PeerTransport
 
@@ -52,6 +63,9 @@
         self._parts = node_parts(settings, secrets.token_hex(8), random.Random())
         self._loop: Any = None
         self._store_workers = StoreWorkers(self._store, lambda event: self._loop.tell(event))
+        self._order_workers = OrderWorkers(
+            EngineOrders(self._engines), lambda event: self._loop.tell(event)
+        )
         self._port = port = EdgePort(tell=lambda event: self._loop.tell(event))
         self._watch_worker = WatchWorker(self._store, lambda event: self._loop.tell(event))
         status_port = StatusPort(lambda event: self._loop.tell(event))
@@ -65,12 +79,14 @@
             self._parts.in_order(),
             {
                 Send: message_carrier(self._transport, lambda event: self._loop.tell(event)),
+                SendDatagram: datagram_carrier(self._transport),
                 RunAttempt: port.deliver,
                 Finish: port.deliver,
                 StoreWrite: self._store_workers.carry,
                 StoreRead: self._store_workers.carry,
                 StoreWatch: self._watch_worker.carry,
                 StatusReady: status_port.deliver,
+                SendOrder: self._order_workers.carry,
             },
         )
         caller = CallerApplication(port, self._parts.view, settings)
@@ -109,6 +125,7 @@
         self._port.watch.stop()
         self._transport.stop()
         self._store_workers.stop()
+        self._order_workers.stop()
         self._loop.stop()
 
     def _list_machines(self) -> None:
