--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -15,6 +15,7 @@
 from martenrun.membership.gossip import GossipMembership
 from martenrun.membership.view import Member
 from martenrun.node.configuration import NodeConfigurationLogic
+from martenrun.node.drain import NodeDrainLogic
 from martenrun.node.runners import RunnerTable
 from martenrun.orders.rolls import RollsLogic
 from martenrun.ownership.home import HomeLogic
@@ -33,6 +34,7 @@
     membership: GossipMembership
     configuration: NodeConfigurationLogic
     status: StatusLogic
+    drain: NodeDrainLogic
     runners: RunnerTable
     machine_feed: MachineFeed
     ownership: OwnershipLogic
@@ -50,6 +52,7 @@
             self.membership,
             self.configuration,
             self.status,
+            self.drain,
             self.runners,
             self.machine_feed,
             self.claims,
@@ -86,8 +89,9 @@
     requests = RequestsLogic(lambda: [own_address], rng)
     feed = MachineFeed(members, rng)
     status = StatusLogic(configuration, members)
+    drain = NodeDrainLogic(settings.name, lambda: configuration.state.view)
     holder = f"{own_address}/{incarnation}"
     rolls = RollsLogic(holder, runners.runners, configuration.state, owners.owns, rng)
     return NodeParts(
-        members, configuration, status, runners, feed, ownership, claims, requests, rolls
+        members, configuration, status, drain, runners, feed, ownership, claims, requests, rolls
     )
--- a/tests/test_configuration_processes.py
+++ b/tests/test_configuration_processes.py
@@ -66,6 +66,18 @@
     wait_until(lambda: complete(deployment, "again").whole, "work after the drain", 10)
 
 
+def test_a_drained_node_leaves(deployment):
+    def nodes():
+        return {
+            entry["name"] for entry in json.loads(admin(deployment, "status", "--json"))["nodes"]
+        }
+
+    admin(deployment, "drain", "node-1", "--role", "node")
+    wait_until(lambda: nodes() == {deployment.node_peers[0]}, "the node's leaving", 20)
+    assert "draining: node node-1" in admin(deployment, "status")
+    admin(deployment, "drain", "node-1", "--stop")
+
+
 def test_a_new_key_works_and_a_retired_one_does_not(deployment):
     token = admin(deployment, "new-key", "second", "--tenant", "growers").strip()
     client = CompletionClient(deployment.agent_edges[0], token)
