--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -8,11 +8,14 @@
 
 from martenrun.agent.requests import RequestsLogic
 from martenrun.claims.logic import ClaimsLogic
+from martenrun.configuration.objects import DrainRole
+from martenrun.configuration.status import StatusLogic
 from martenrun.configuration.view import ConfigurationView
 from martenrun.events import DecisionLogic
 from martenrun.membership.gossip import GossipMembership
 from martenrun.membership.view import Member
 from martenrun.node.configuration import NodeConfigurationLogic
+from martenrun.node.drain import NodeDrainLogic
 from martenrun.node.runners import RunnerTable
 from martenrun.orders.rolls import RollsLogic
 from martenrun.ownership.home import HomeLogic
@@ -30,6 +33,8 @@
 
     membership: GossipMembership
     configuration: NodeConfigurationLogic
+    status: StatusLogic
+    drain: NodeDrainLogic
     runners: RunnerTable
     machine_feed: MachineFeed
     ownership: OwnershipLogic
@@ -46,6 +51,8 @@
         return [
             self.membership,
             self.configuration,
+            self.status,
+            self.drain,
             self.runners,
             self.machine_feed,
             self.claims,
@@ -67,7 +74,7 @@
     own = Member(own_address, settings.zone, settings.region)
     members = GossipMembership(own, settings.seed_nodes, settings.membership, rng)
     configuration = NodeConfigurationLogic(own_address, settings.seed_nodes, members, rng)
-    runners = RunnerTable()
+    runners = RunnerTable(lambda: configuration.state.view.drained(DrainRole.RUNNER))
     owners = OwnerMap(members)
     home = HomeLogic(
         owners,
@@ -81,6 +88,10 @@
     claims = ClaimsLogic(f"{own_address}/{incarnation}")
     requests = RequestsLogic(lambda: [own_address], rng)
     feed = MachineFeed(members, rng)
+    status = StatusLogic(configuration, members)
+    drain = NodeDrainLogic(settings.name, lambda: configuration.state.view)
     holder = f"{own_address}/{incarnation}"
     rolls = RollsLogic(holder, runners.runners, configuration.state, owners.owns, rng)
-    return NodeParts(members, configuration, runners, feed, ownership, claims, requests, rolls)
+    return NodeParts(
+        members, configuration, status, drain, runners, feed, ownership, claims, requests, rolls
+    )
