--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -12,7 +12,7 @@
 MODEL = "vine-reader"
 KEY = "growers-key"
 ENGINE_GAP_MS = 50
-STREAM_STEPS = (50, 100, 150, 200, 250, 300, 400)
+STREAM_STEPS = (50, 100, 200, 300, 400)
 STREAM_ENGINES = 4
 SLOTS = 1_000
 
@@ -22,14 +22,10 @@
     deployment = Deployment()
     try:
         deployment.start_platform()
-        flags = (
-            "--slots",
-            str(SLOTS),
-            "--decode-s-per-token",
-            str(decode_s),
-            "--prefill-s-per-block",
-            "0",
-        )
+        flags = [
+            *("--slots", str(SLOTS), "--decode-s-per-token", str(decode_s)),
+            *("--prefill-s-per-block", "0", "--slowdown-per-stream", "0"),
+        ]
         for _ in range(engines):
             deployment.start_engine("zone-a", "readers", MODEL, *flags)
         deployment.start_nodes(["zone-a"])
--- a/src/martenrun/settings/model.py
+++ b/src/martenrun/settings/model.py
@@ -64,7 +64,7 @@
     seed_nodes: list[Address] = Field(default_factory=list, description="nodes to ask first")
     http_threads: int = Field(default=16, ge=4, le=512, description="threads beside streams")
     max_streams: int = Field(
-        default=256, ge=1, le=1_000, description="requests carried at a time; more are refused"
+        default=100, ge=1, le=1_000, description="requests carried at a time; more are refused"
     )
     token_gap_timeout_s: float = Field(
         default=5.0, ge=0.2, le=600.0, description="longest silence between tokens, in seconds"
