Measure slot ownership against nodes that count only their own grants

Cause: bytes, CPU and over-granting of the new leases had no benchmark.

The machine list is polled each second instead of each half, and an unchanged list costs a comparison of bytes instead of work for every machine.

--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -33,7 +33,7 @@
 from martenrun.settings.model import NodeSettings
 from martenrun.wire.transport import PeerTransport
 
-MACHINE_POLL_S = 0.5
+MACHINE_POLL_S = 1.0
 RUNNER_POLL_S = 0.5
 CACHE_EVENTS_POLL_S = 0.2
 
--- a/src/martenrun/node/runners.py
+++ b/src/martenrun/node/runners.py
@@ -14,11 +14,13 @@
     def __init__(self) -> None:
         self.runners: dict[str, RunnerState] = {}
         self.version = 0
+        self._last_listed: list[Machine] | None = None
 
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
         match event:
-            case MachinesListed(machines):
+            case MachinesListed(machines) if machines is not self._last_listed:
+                self._last_listed = machines
                 self._update_machines(machines)
             case RunnerDescribed():
                 self._update_runner(event, now)
--- a/src/martenrun/ownership/machine_feed.py
+++ b/src/martenrun/ownership/machine_feed.py
@@ -52,6 +52,7 @@
     def __init__(self, members: MemberView, rng: random.Random) -> None:
         self._members = members
         self._rng = rng
+        self._last_listed: list[Machine] | None = None
         self._known: dict[str, Machine] = {}
         self._digest = 0
         self._sequence = 0
@@ -81,7 +82,8 @@
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
         match event:
-            case MachinesListed(machines):
+            case MachinesListed(machines) if machines is not self._last_listed:
+                self._last_listed = machines
                 self._note(machines)
             case PeerMessage(peer, MachinesQuery(known_digest)):
                 return [Send(peer, self._changes(known_digest))]
--- a/src/martenrun/platform/machine_list.py
+++ b/src/martenrun/platform/machine_list.py
@@ -33,13 +33,21 @@
 
     def __init__(self, address: str) -> None:
         self._pool = connection_pool(address, _READ_TIMEOUT_S, size=2)
+        self._last_data = b""
+        self._last_machines: list[Machine] = []
 
     def machines(self) -> list[Machine]:
-        """Return the machines as the platform shows them, possibly some seconds late."""
+        """Return the machines as the platform shows them, possibly some seconds late.
+
+        The same list object is returned while the platform's answer is the same.
+        """
         try:
             response = self._pool.request("GET", "/v1/machines")
         except HTTPError as error:
             raise StoreUnavailableError(f"the machine list did not answer: {error}") from error
         if response.status != 200:
             raise StoreUnavailableError(f"the machine list answered {response.status}")
-        return msgspec.json.decode(response.data, type=list[Machine])
+        if response.data != self._last_data or not self._last_data:
+            self._last_machines = msgspec.json.decode(response.data, type=list[Machine])
+            self._last_data = response.data
+        return self._last_machines
--- a/src/martenrun/simulation/ownership_cluster.py
+++ b/src/martenrun/simulation/ownership_cluster.py
@@ -7,6 +7,7 @@
 See also: :mod:`martenrun.ownership`, :mod:`martenrun.bench.ownership`.
 """
 
+import collections
 import itertools
 import random
 from collections.abc import Callable
@@ -59,6 +60,7 @@
     rejected: int = 0
     last_start: float = 0.0
     is_down: bool = False
+    reports: collections.deque[tuple[float, int]] = field(default_factory=collections.deque)
 
     @property
     def incarnation(self) -> str:
@@ -69,14 +71,17 @@
         """Come back empty under the same address."""
         self.restarts += 1
         self.running.clear()
+        self.reports.clear()
 
-    def describe(self) -> RunnerDescription | None:
-        """Return the engine's own description."""
+    def describe(self, now: float, load_lag_s: float) -> RunnerDescription | None:
+        """Return the engine's own description; the load is ``load_lag_s`` old."""
         if self.is_down:
             return None
-        return RunnerDescription(
-            self.incarnation, MODEL, self.version, len(self.running), self.slots, 0
-        )
+        self.reports.append((now, len(self.running)))
+        while len(self.reports) > 1 and self.reports[1][0] <= now - load_lag_s:
+            self.reports.popleft()
+        running = self.reports[0][1]
+        return RunnerDescription(self.incarnation, MODEL, self.version, running, self.slots, 0)
 
     def start(self, key: tuple[str, int], incarnation: str, now: float) -> bool:
         """Start an attempt if it fits."""
@@ -115,6 +120,7 @@
     queued_messages: int = 0
     grants: int = 0
     refused_retries: int = 0
+    first_grant_s: float | None = None
 
 
 MakeNodeLogic = Callable[["OwnershipCluster", Member, RunnerTable], list[DecisionLogic]]
@@ -134,10 +140,13 @@
         zones: int = 2,
         make_logic: MakeNodeLogic | None = None,
         agents: int = 4,
+        network_class: type[SimulatedNetwork] = SimulatedNetwork,
+        load_lag_s: float = 0.0,
     ) -> None:
+        self._load_lag_s = load_lag_s
         self.rng = random.Random(seed)
         self.scheduler = Scheduler()
-        self.network = SimulatedNetwork(self.scheduler, self.rng, faults or LinkFaults())
+        self.network = network_class(self.scheduler, self.rng, faults or LinkFaults())
         self._zones = [f"zone-{index}" for index in range(zones)]
         self._make_logic = make_logic
         self.configuration = _configuration()
@@ -281,6 +290,8 @@
                 self._finish(request)
             else:
                 request.grants = message.attempt
+                if request.first_grant_s is None:
+                    request.first_grant_s = self.scheduler.now - request.started_at
                 self._run(request, message, peer)
 
         return receive
@@ -356,11 +367,15 @@
 
     def _poll(self) -> None:
         """Each node reads the machine list and describes its runners: its own ones only."""
+        now = self.scheduler.now
+        reports = {
+            name: engine.describe(now, self._load_lag_s) for name, engine in self.engines.items()
+        }
         for node in self.nodes.values():
             node.process.tell(MachinesListed(self.listed))
             described = self.engines if node.ownership is None else node.ownership.owner.owned
             for name in list(described):
-                node.process.tell(RunnerDescribed(name, self.engines[name].describe()))
+                node.process.tell(RunnerDescribed(name, reports[name]))
         self.scheduler.after(POLL_S, self._poll)
 
 
