Consider fewer candidates, found in one pass and remembered per prefix

Change: eight candidates, from one pass over the pool's hashes, remembered per prefix key; runners known to be free are added only when the prefix's own candidates are full; candidates are looked at one at a time.

--- a/src/martenrun/ownership/candidates.py
+++ b/src/martenrun/ownership/candidates.py
@@ -8,32 +8,42 @@
 
 from collections.abc import Iterable
 
-from martenrun.ownership.hashing import HashArray, name_hash, name_hashes, top_columns
+import numpy
+
+from martenrun.ownership.hashing import HashArray, best, mixed, name_hash, name_hashes
 from martenrun.routing.policy import RunnerState
 
-CANDIDATES = 12
+CANDIDATES = 8
 """Runners considered for one question before hints are added."""
 
 
+REMEMBERED_KEYS = 2_048
+"""Prefix keys whose candidates are remembered, for each pool."""
+
+
 class PoolIndex:
     """Hashes of a pool's runners, for finding a prefix's candidates."""
 
     def __init__(self, runners: Iterable[RunnerState], zone: str) -> None:
         self.runners = list(runners)
+        self._remembered: dict[bytes, list[RunnerState]] = {}
         self._hashes: HashArray = name_hashes([runner.name for runner in self.runners])
-        self._near = [runner for runner in self.runners if runner.zone == zone]
-        self._near_hashes: HashArray = name_hashes([runner.name for runner in self._near])
+        self._near = numpy.array([runner.zone == zone for runner in self.runners]).nonzero()[0]
 
     def candidates(self, key: bytes) -> list[RunnerState]:
         """Return up to :data:`CANDIDATES` runners for a prefix key, best first."""
         if len(self.runners) <= CANDIDATES:
             return self.runners
-        key_hash = name_hash(key)
-        near = top_columns(key_hash, self._near_hashes, CANDIDATES // 2) if self._near else []
-        found = {self._near[index].name: self._near[index] for index in near}
-        for index in top_columns(key_hash, self._hashes, CANDIDATES):
-            if len(found) >= CANDIDATES:
-                break
-            runner = self.runners[index]
-            found.setdefault(runner.name, runner)
-        return list(found.values())
+        found = self._remembered.get(key)
+        if found is None:
+            found = self._remembered[key] = self._found(key)
+            if len(self._remembered) > REMEMBERED_KEYS:
+                del self._remembered[next(iter(self._remembered))]
+        return found
+
+    def _found(self, key: bytes) -> list[RunnerState]:
+        weights = mixed(self._hashes ^ numpy.uint64(name_hash(key)))
+        near = self._near[best(weights[self._near], CANDIDATES // 2)]
+        everywhere = best(weights, CANDIDATES)
+        found = dict.fromkeys([*near.tolist(), *everywhere.tolist()])
+        return [self.runners[index] for index in list(found)[:CANDIDATES]]
--- a/src/martenrun/ownership/hashing.py
+++ b/src/martenrun/ownership/hashing.py
@@ -44,11 +44,15 @@
     return mixed(rows[:, None] ^ columns[None, :]).argmax(axis=1)
 
 
-def top_columns(key: int, columns: HashArray, count: int) -> list[int]:
-    """Return the indices of the ``count`` columns of highest weight, best first."""
-    weights = mixed(columns ^ numpy.uint64(key))
+def best(weights: HashArray, count: int) -> NDArray[numpy.int64]:
+    """Return the indices of the ``count`` largest weights, largest first."""
     if len(weights) > count:
         found = numpy.argpartition(weights, -count)[-count:]
     else:
         found = numpy.arange(len(weights))
-    return [int(index) for index in found[numpy.argsort(weights[found])[::-1]]]
+    return found[numpy.argsort(weights[found])[::-1]]
+
+
+def top_columns(key: int, columns: HashArray, count: int) -> list[int]:
+    """Return the indices of the ``count`` columns of highest weight for a key, best first."""
+    return [int(index) for index in best(mixed(columns ^ numpy.uint64(key)), count)]
--- a/src/martenrun/ownership/loads.py
+++ b/src/martenrun/ownership/loads.py
@@ -21,6 +21,10 @@
 """Runners remembered as free for each pool."""
 
 
+SPARE_CANDIDATES = 2
+"""Runners known to be free that are considered when a prefix's own candidates are full."""
+
+
 class LoadBook:
     """Learned loads of all runners and the candidates of each pool.
 
@@ -57,14 +61,23 @@
     ) -> list[RunnerState]:
         """Return the runners to consider for a prefix key, with aged loads."""
         index = self._index(pool)
-        found = list(index.candidates(key))
-        names = {runner.name for runner in found}
-        found += [runner for runner in self.known_free(pool, now) if runner.name not in names]
-        usable = [runner for runner in found if not runner.leaving and runner.name not in excluded]
+        usable = [
+            runner
+            for runner in index.candidates(key)
+            if not runner.leaving and runner.name not in excluded
+        ]
+        has_free = False
         for runner in usable:
             self._age(runner, now)
+            has_free = has_free or runner.free_slots > 0
+        if not has_free:
+            usable += self._spare(pool, [*excluded, *(runner.name for runner in usable)], now)
         return usable
 
+    def _spare(self, pool: str, excluded: list[str], now: float) -> list[RunnerState]:
+        known = self.known_free(pool, now)[-SPARE_CANDIDATES:]
+        return [runner for runner in known if runner.name not in excluded]
+
     def known_free(self, pool: str, now: float) -> list[RunnerState]:
         """Return the runners that were told to be free a short time ago, newest last."""
         known = self._free.get(pool)
--- a/src/martenrun/ownership/questions.py
+++ b/src/martenrun/ownership/questions.py
@@ -83,14 +83,15 @@
         Args:
             is_reachable: whether the runner's owner is believed to answer.
         """
-        reachable = [choice for choice in self.choices if is_reachable(choice.runner.name)]
-        choices = reachable or self.choices
-        if len(self.tried) < MAXIMUM_DIRECT_TRIES and len(choices) > 1:
-            for choice in choices:
-                if choice.runner.name not in self.tried and choice.runner.free_slots > 0:
-                    self.tried.add(choice.runner.name)
+        if len(self.tried) < MAXIMUM_DIRECT_TRIES and len(self.choices) > 1:
+            for choice in self.choices:
+                name = choice.runner.name
+                is_free = name not in self.tried and choice.runner.free_slots > 0
+                if is_free and is_reachable(name):
+                    self.tried.add(name)
                     return choice, False
-        return self._next_queue(choices)
+        reachable = [choice for choice in self.choices if is_reachable(choice.runner.name)]
+        return self._next_queue(reachable or self.choices)
 
     def _next_queue(self, choices: list[RunnerChoice]) -> tuple[RunnerChoice, bool] | None:
         left = [choice for choice in choices if choice.runner.name not in self.queue_tried]
