--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -13,6 +13,7 @@
 from martenrun.membership.view import Member, StaticMemberView
 from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.node.runners import RunnerTable
+from martenrun.orders.rolls import RollsLogic
 from martenrun.ownership.home import HomeLogic
 from martenrun.ownership.logic import OwnershipLogic
 from martenrun.ownership.machine_feed import MachineFeed
@@ -32,6 +33,7 @@
     ownership: OwnershipLogic
     claims: ClaimsLogic
     requests: RequestsLogic
+    rolls: RollsLogic
 
     def view(self) -> ConfigurationView:
         """Return the configuration in force."""
@@ -46,6 +48,7 @@
             self.claims,
             self.ownership,
             self.requests,
+            self.rolls,
         ]
 
 
@@ -76,4 +79,6 @@
     claims = ClaimsLogic(f"{own_address}/{incarnation}")
     requests = RequestsLogic(lambda: [own_address], rng)
     feed = MachineFeed(members, rng)
-    return NodeParts(configuration, runners, feed, ownership, claims, requests)
+    holder = f"{own_address}/{incarnation}"
+    rolls = RollsLogic(holder, runners.runners, configuration.state, owners.owns, rng)
+    return NodeParts(configuration, runners, feed, ownership, claims, requests, rolls)
