--- a/src/martenrun/cli/bench.py
+++ b/src/martenrun/cli/bench.py
@@ -13,6 +13,7 @@
 from martenrun.bench.path import path
 from martenrun.bench.rolls import rolls
 from martenrun.bench.routing import routing_command
+from martenrun.bench.scale.command import scale
 from martenrun.bench.streams import streams
 
 
@@ -29,4 +30,5 @@
 bench.add_command(routing_command)
 bench.add_command(adapter)
 bench.add_command(rolls)
+bench.add_command(scale)
 bench.add_command(ownership)
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -8,10 +8,14 @@
 
 from martenrun.agent.requests import RequestsLogic
 from martenrun.claims.logic import ClaimsLogic
+from martenrun.configuration.objects import DrainRole
+from martenrun.configuration.status import StatusLogic
 from martenrun.configuration.view import ConfigurationView
 from martenrun.events import DecisionLogic
-from martenrun.membership.view import Member, StaticMemberView
+from martenrun.membership.gossip import GossipMembership
+from martenrun.membership.view import Member
 from martenrun.node.configuration import NodeConfigurationLogic
+from martenrun.node.drain import NodeDrainLogic
 from martenrun.node.runners import RunnerTable
 from martenrun.orders.rolls import RollsLogic
 from martenrun.ownership.home import HomeLogic
@@ -27,7 +31,10 @@
 class NodeParts:
     """Every part of a node's decision logic."""
 
+    membership: GossipMembership
     configuration: NodeConfigurationLogic
+    status: StatusLogic
+    drain: NodeDrainLogic
     runners: RunnerTable
     machine_feed: MachineFeed
     ownership: OwnershipLogic
@@ -42,7 +49,10 @@
     def in_order(self) -> list[DecisionLogic]:
         """Return the parts in the order in which they handle an event."""
         return [
+            self.membership,
             self.configuration,
+            self.status,
+            self.drain,
             self.runners,
             self.machine_feed,
             self.claims,
@@ -61,11 +71,10 @@
         rng: source of jitter; seeded in simulations.
     """
     own_address = settings.peer_address
-    configuration = NodeConfigurationLogic(own_address, list(settings.seed_nodes), rng=rng)
-    runners = RunnerTable()
-    # Zones of the seeds are unknown here, so none is told: all nodes must see the same owners.
-    addresses = sorted({own_address, *settings.seed_nodes})
-    members = StaticMemberView(Member(own_address), [Member(address) for address in addresses])
+    own = Member(own_address, settings.zone, settings.region)
+    members = GossipMembership(own, settings.seed_nodes, settings.membership, rng)
+    configuration = NodeConfigurationLogic(own_address, settings.seed_nodes, members, rng)
+    runners = RunnerTable(lambda: configuration.state.view.drained(DrainRole.RUNNER))
     owners = OwnerMap(members)
     home = HomeLogic(
         owners,
@@ -79,6 +88,10 @@
     claims = ClaimsLogic(f"{own_address}/{incarnation}")
     requests = RequestsLogic(lambda: [own_address], rng)
     feed = MachineFeed(members, rng)
+    status = StatusLogic(configuration, members)
+    drain = NodeDrainLogic(settings.name, lambda: configuration.state.view)
     holder = f"{own_address}/{incarnation}"
     rolls = RollsLogic(holder, runners.runners, configuration.state, owners.owns, rng)
-    return NodeParts(configuration, runners, feed, ownership, claims, requests, rolls)
+    return NodeParts(
+        members, configuration, status, drain, runners, feed, ownership, claims, requests, rolls
+    )
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -8,6 +8,7 @@
 from urllib3.exceptions import HTTPError
 
 from martenrun.admin.application import ADMIN_PREFIX, AdminApplication
+from martenrun.admin.status import StatusPort
 from martenrun.configuration.driver import WatchWorker
 from martenrun.edge.application import CallerApplication
 from martenrun.edge.forward import EdgePort
@@ -20,7 +21,9 @@
     RunAttempt,
     RunnerDescribed,
     Send,
+    SendDatagram,
     SendOrder,
+    StatusReady,
     StoreRead,
     StoreWatch,
     StoreWrite,
@@ -32,7 +35,14 @@
 from martenrun.platform.engine_orders import EngineOrders
 from martenrun.platform.machine_list import MachineList
 from martenrun.platform.object_api import ObjectApi
-from martenrun.process import Clock, LoopActor, Poller, StoreWorkers, message_carrier
+from martenrun.process import (
+    Clock,
+    LoopActor,
+    Poller,
+    StoreWorkers,
+    datagram_carrier,
+    message_carrier,
+)
 from martenrun.settings.model import NodeSettings
 from martenrun.wire.transport import PeerTransport
 
@@ -58,6 +68,7 @@
         )
         self._port = port = EdgePort(tell=lambda event: self._loop.tell(event))
         self._watch_worker = WatchWorker(self._store, lambda event: self._loop.tell(event))
+        status_port = StatusPort(lambda event: self._loop.tell(event))
         self._transport = PeerTransport(
             own_address,
             settings.cluster_secret.encode(),
@@ -68,16 +79,23 @@
             self._parts.in_order(),
             {
                 Send: message_carrier(self._transport, lambda event: self._loop.tell(event)),
+                SendDatagram: datagram_carrier(self._transport),
                 RunAttempt: port.deliver,
                 Finish: port.deliver,
                 StoreWrite: self._store_workers.carry,
                 StoreRead: self._store_workers.carry,
                 StoreWatch: self._watch_worker.carry,
+                StatusReady: status_port.deliver,
                 SendOrder: self._order_workers.carry,
             },
         )
         caller = CallerApplication(port, self._parts.view, settings)
-        admin = AdminApplication(self._store, self._parts.view, settings.bootstrap_key_sha256)
+        admin = AdminApplication(
+            self._store,
+            self._parts.view,
+            settings.bootstrap_key_sha256,
+            lambda: status_port.status(self._parts.view()),
+        )
         application = NodeApplication(caller, admin)
         self._server = HttpServer(
             application, settings.http_address, settings.max_streams + settings.http_threads
@@ -115,7 +133,8 @@
             self._loop.tell(MachinesListed(self._machine_list.machines()))
 
     def _describe_runners(self) -> None:
-        for name in list(self._parts.ownership.owner.owned):
+        owned = list(self._parts.ownership.owner.owned)
+        for name in {*owned, *self._parts.rolls.watched}:
             runner = self._parts.runners.runners.get(name)
             if runner is None:
                 continue
