Bound what a connection may cost and tell strangers nothing

Cause: an acceptor sent its Hello before it had heard one; a recorded Hello, repeated by a stranger, took over the peer's name and got its messages; no connection had a time limit, an unreachable or frozen peer kept up to 16 MiB each, a failed accept ended the thread, and an unreachable peer was tried at every message.

--- a/src/martenrun/wire/connection.py
+++ b/src/martenrun/wire/connection.py
@@ -3,6 +3,7 @@
 import secrets
 import socket
 
+from martenrun.constants import MAXIMUM_FRAME_BYTES
 from martenrun.wire.codec import PROTOCOL_VERSION, decode_struct, encode_struct
 from martenrun.wire.frames import (
     NONCE_BYTES,
@@ -15,15 +16,28 @@
 
 _CONNECTOR = b"c"
 _ACCEPTOR = b"a"
+_CONFIRMATION = b""
+"""The connector's first payload under the session key; it shows that it knows the secret."""
+
+MAXIMUM_HELLO_BYTES = 1024
+"""Largest frame accepted before the handshake is complete, in bytes."""
 
 
 class Connection:
     """Buffers and handshake state of one connection.
 
+    The connector's Hello is sealed with the cluster secret; the acceptor, which is silent
+    until then, seals its own under a key that covers the connector's nonce; the connector
+    then confirms under the session key.  So neither side tells anything to a stranger, also
+    not to one that repeats recorded frames.
+
     Attributes:
         peer: name of the other side; known from the start for the connector, and from the
             Hello for the acceptor.
-        established: whether both Hellos have been exchanged.
+        established: whether the other side has shown that it knows the secret.
+        opened_at: when the connection was opened, by the transport's clock.
+        heard_at: when bytes were received last.
+        stuck_since: since when nothing of what is waiting could be sent; None if none waits.
     """
 
     def __init__(
@@ -32,16 +46,29 @@
         self.sock = sock
         self.peer = peer
         self.established = False
+        self.opened_at = 0.0
+        self.heard_at = 0.0
+        self.stuck_since: float | None = None
+        self.outgoing = bytearray()
         self._secret = secret
         self._is_connector = is_connector
         self._nonce = secrets.token_bytes(NONCE_BYTES)
         own, other = (_CONNECTOR, _ACCEPTOR) if is_connector else (_ACCEPTOR, _CONNECTOR)
         self._writer = FrameWriter(own)
-        self._reader = FrameReader(other)
-        self._key = secret
+        self._reader = FrameReader(other, MAXIMUM_HELLO_BYTES)
+        self._own_name = own_name
         self._waiting: list[bytes] = []
-        hello = Hello(PROTOCOL_VERSION, own_name, self._nonce)
-        self.outgoing = bytearray(self._writer.seal(secret, encode_struct(hello)))
+        self._waiting_bytes = 0
+        self._has_hello = False
+        self._key = secret
+        if is_connector:
+            self._say_hello(secret)
+            self._key = session_key(secret, self._nonce, b"")
+
+    @property
+    def queued_bytes(self) -> int:
+        """Bytes that wait to be sent."""
+        return len(self.outgoing) + self._waiting_bytes
 
     def queue(self, payload: bytes) -> None:
         """Queue a payload; it is sealed once the handshake is complete."""
@@ -49,28 +76,48 @@
             self.outgoing += self._writer.seal(self._key, payload)
         else:
             self._waiting.append(payload)
+            self._waiting_bytes += len(payload)
 
     def receive(self, data: bytes) -> list[bytes]:
-        """Add received bytes and return the payloads completed by them."""
+        """Add received bytes and return the payloads completed by them.
+
+        Raises:
+            FrameError: a frame is too long or not from a member of the cluster.
+            CodecError: the first frame is not a Hello.
+        """
         self._reader.feed(data)
         payloads: list[bytes] = []
         while (payload := self._reader.next_payload(self._key)) is not None:
-            if self.established:
-                payloads.append(payload)
+            if not self._has_hello:
+                self._take_hello(payload)
+            elif not self.established:
+                self._establish()
             else:
-                self._complete_handshake(payload)
+                payloads.append(payload)
         return payloads
 
-    def _complete_handshake(self, payload: bytes) -> None:
+    def _say_hello(self, key: bytes) -> None:
+        hello = Hello(PROTOCOL_VERSION, self._own_name, self._nonce)
+        self.outgoing += self._writer.seal(key, encode_struct(hello))
+
+    def _take_hello(self, payload: bytes) -> None:
         hello: Hello = decode_struct(Hello, payload)
         if hello.protocol_version != PROTOCOL_VERSION:
             raise FrameError(f"peer speaks protocol version {hello.protocol_version}")
+        self._has_hello = True
         if self._is_connector:
             self._key = session_key(self._secret, self._nonce, hello.nonce)
-        else:
-            self.peer = hello.peer
-            self._key = session_key(self._secret, hello.nonce, self._nonce)
+            self.outgoing += self._writer.seal(self._key, _CONFIRMATION)
+            self._establish()
+            return
+        self.peer = hello.peer
+        self._say_hello(session_key(self._secret, hello.nonce, b""))
+        self._key = session_key(self._secret, hello.nonce, self._nonce)
+
+    def _establish(self) -> None:
         self.established = True
+        self._reader.maximum_bytes = MAXIMUM_FRAME_BYTES
         for waiting in self._waiting:
             self.outgoing += self._writer.seal(self._key, waiting)
         self._waiting.clear()
+        self._waiting_bytes = 0
--- a/src/martenrun/wire/frames.py
+++ b/src/martenrun/wire/frames.py
@@ -82,9 +82,14 @@
 
 
 class FrameReader:
-    """Cuts a byte stream into frames and checks their tags."""
+    """Cuts a byte stream into frames and checks their tags.
 
-    def __init__(self, direction: bytes) -> None:
+    Attributes:
+        maximum_bytes: a longer frame is refused as soon as its length is read.
+    """
+
+    def __init__(self, direction: bytes, maximum_bytes: int = MAXIMUM_FRAME_BYTES) -> None:
+        self.maximum_bytes = maximum_bytes
         self._direction = direction
         self._counter = 0
         self._buffer = bytearray()
@@ -98,7 +103,7 @@
         if len(self._buffer) < _LENGTH.size:
             return None
         (length,) = _LENGTH.unpack_from(self._buffer)
-        if not TAG_BYTES <= length <= MAXIMUM_FRAME_BYTES:
+        if not TAG_BYTES <= length <= self.maximum_bytes:
             raise FrameError(f"frame of {length} bytes is outside the limits")
         end = _LENGTH.size + length
         if len(self._buffer) < end:
--- a/src/martenrun/wire/transport.py
+++ b/src/martenrun/wire/transport.py
@@ -11,6 +11,7 @@
 import selectors
 import socket
 import threading
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -20,10 +21,20 @@
 from martenrun.wire.codec import CodecError, decode, encode
 from martenrun.wire.connection import Connection
 from martenrun.wire.frames import FrameError, open_datagram, seal_datagram
+from martenrun.wire.limits import (
+    HANDSHAKE_TIMEOUT_S,
+    MAXIMUM_OUTGOING_BYTES,
+    MAXIMUM_TOTAL_OUTGOING_BYTES,
+    MAXIMUM_UNESTABLISHED,
+    STUCK_TIMEOUT_S,
+    SUPERSEDED_IDLE_S,
+    SWEEP_INTERVAL_S,
+    Backoffs,
+    tune,
+)
 from martenrun.wire.messages import Message
 
 _READ_BYTES = 256 * 1024
-_MAXIMUM_OUTGOING_BYTES = 16 * 1024 * 1024
 
 _DATAGRAMS_AT_ONCE = 64
 """Datagrams read before connections get their turn again."""
@@ -55,6 +66,12 @@
         self._selector = selectors.DefaultSelector()
         self._commands: collections.deque[tuple[str, bytes]] = collections.deque()
         self._connections: dict[str, Connection] = {}
+        self._open: dict[Connection, None] = {}
+        self._unestablished: dict[Connection, None] = {}
+        self._stuck: dict[Connection, None] = {}
+        self._backoffs = Backoffs()
+        self._next_sweep = 0.0
+        self._listener: socket.socket | None = None
         self._datagrams: socket.socket | None = None
         self._wake_reader, self._wake_writer = socket.socketpair()
         self._wake_reader.setblocking(False)
@@ -70,6 +87,7 @@
         self._selector.register(self._datagrams, selectors.EVENT_READ, self._read_datagrams)
         listener = socket.create_server(parse_address(address), backlog=512)
         listener.setblocking(False)
+        self._listener = listener
         self._selector.register(listener, selectors.EVENT_READ, lambda: self._accept(listener))
 
     def start(self) -> None:
@@ -123,53 +141,123 @@
 
     def _run(self) -> None:
         while not self._stopping.is_set():
-            for key, _events in self._selector.select(timeout=1.0):
-                if isinstance(key.data, Connection):
-                    self._service(key.data)
-                else:
-                    key.data()
+            for key, _events in self._selector.select(timeout=SWEEP_INTERVAL_S):
+                self._dispatch(key.data)
             self._send_queued()
-        for connection in list(self._connections.values()):
+            self._sweep()
+        for connection in list(self._open):
             connection.sock.close()
-        if self._datagrams is not None:
-            self._datagrams.close()
+        for sock in (self._listener, self._datagrams, self._wake_reader, self._wake_writer):
+            if sock is not None:
+                sock.close()
         self._selector.close()
 
+    def _dispatch(self, target: Connection | Callable[[], None]) -> None:
+        try:
+            if isinstance(target, Connection):
+                self._service(target)
+            else:
+                target()
+        except Exception as error:
+            # One connection's fault must not end the thread that serves all others.
+            logging.exception("transport event failed")
+            if isinstance(target, Connection):
+                self._close(target, str(error))
+
     def _send_queued(self) -> None:
         while self._commands:
             peer, payload = self._commands.popleft()
             connection = self._connections.get(peer) or self._connect(peer)
             if connection is None:
                 continue
-            connection.queue(payload)
-            if len(connection.outgoing) > _MAXIMUM_OUTGOING_BYTES:
-                self._close(connection, "peer reads too slowly")
-            else:
-                self._flush(connection)
+            self._queue(connection, payload)
+
+    def _queue(self, connection: Connection, payload: bytes) -> None:
+        waiting = sum(entry.queued_bytes for entry in self._stuck)
+        if waiting + len(payload) > MAXIMUM_TOTAL_OUTGOING_BYTES:
+            logging.log_every_n_seconds(logging.WARNING, "messages dropped: peers are slow", 5)
+            return
+        connection.queue(payload)
+        if connection.queued_bytes > MAXIMUM_OUTGOING_BYTES:
+            self._close(connection, "peer reads too slowly")
+        else:
+            self._flush(connection)
 
     def _connect(self, peer: str) -> Connection | None:
+        now = time.monotonic()
+        if not self._backoffs.may_connect(peer, now):
+            return None
         try:
             address = parse_address(peer)
         except ValueError:
             return None
-        sock = socket.socket(socket.AF_INET)
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            sock = socket.socket(socket.AF_INET)
+            tune(sock)
+        except OSError as error:
+            logging.log_every_n_seconds(logging.WARNING, "no socket for %s: %s", 5, peer, error)
+            return None
         sock.connect_ex(address)
         connection = Connection(sock, self.name, self._secret, peer, is_connector=True)
         self._connections[peer] = connection
-        self._selector.register(sock, selectors.EVENT_READ | selectors.EVENT_WRITE, connection)
+        self._add(connection, now)
         return connection
 
     def _accept(self, listener: socket.socket) -> None:
-        sock, _address = listener.accept()
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            sock, _address = listener.accept()
+            tune(sock)
+        except OSError as error:
+            logging.log_every_n_seconds(logging.WARNING, "cannot accept: %s", 5, error)
+            self._close_oldest_unestablished()
+            return
         connection = Connection(sock, self.name, self._secret, "", is_connector=False)
-        self._selector.register(sock, selectors.EVENT_READ | selectors.EVENT_WRITE, connection)
+        self._add(connection, time.monotonic())
+        if len(self._unestablished) > MAXIMUM_UNESTABLISHED:
+            self._close_oldest_unestablished()
+
+    def _add(self, connection: Connection, now: float) -> None:
+        connection.opened_at = connection.heard_at = now
+        self._open[connection] = None
+        self._unestablished[connection] = None
+        self._selector.register(
+            connection.sock, selectors.EVENT_READ | selectors.EVENT_WRITE, connection
+        )
+
+    def _close_oldest_unestablished(self) -> None:
+        for connection in self._unestablished:
+            self._close(connection, "too many connections without a handshake")
+            return
+
+    def _sweep(self) -> None:
+        """Close what is beyond its limits."""
+        now = time.monotonic()
+        if now < self._next_sweep:
+            return
+        self._next_sweep = now + SWEEP_INTERVAL_S
+        self._backoffs.forget_old(now)
+        for connection in list(self._open):
+            reason = self._fault(connection, now)
+            if reason:
+                self._close(connection, reason)
+
+    def _fault(self, connection: Connection, now: float) -> str:
+        if not connection.established:
+            is_late = now - connection.opened_at > HANDSHAKE_TIMEOUT_S
+            return "no handshake in time" if is_late else ""
+        if connection.stuck_since is not None and now - connection.stuck_since > STUCK_TIMEOUT_S:
+            return "peer takes no bytes"
+        is_superseded = self._connections.get(connection.peer) is not connection
+        if is_superseded and now - connection.heard_at > SUPERSEDED_IDLE_S:
+            return "replaced by a newer connection"
+        return ""
 
     def _service(self, connection: Connection) -> None:
+        if connection not in self._open:
+            return
         self._flush(connection)
+        if connection not in self._open:
+            return
         try:
             data = connection.sock.recv(_READ_BYTES)
         except BlockingIOError:
@@ -180,6 +268,7 @@
         if not data:
             self._close(connection, "closed by peer")
             return
+        connection.heard_at = time.monotonic()
         self._deliver(connection, data)
 
     def _deliver(self, connection: Connection, data: bytes) -> None:
@@ -191,6 +280,8 @@
             self._close(connection, str(error))
             return
         if connection.established and not was_established:
+            self._unestablished.pop(connection, None)
+            self._backoffs.succeeded(connection.peer)
             self._connections[connection.peer] = connection
         for message in decoded:
             self._receive(connection.peer, message)
@@ -201,11 +292,19 @@
             while connection.outgoing:
                 sent = connection.sock.send(connection.outgoing)
                 del connection.outgoing[:sent]
+                connection.stuck_since = None
         except BlockingIOError:
             pass
         except OSError as error:
             self._close(connection, str(error))
             return
+        if connection.queued_bytes == 0:
+            connection.stuck_since = None
+            self._stuck.pop(connection, None)
+        else:
+            self._stuck[connection] = None
+            if connection.stuck_since is None:
+                connection.stuck_since = time.monotonic()
         self._watch(connection)
 
     def _watch(self, connection: Connection) -> None:
@@ -216,11 +315,18 @@
             self._selector.modify(connection.sock, events, connection)
 
     def _close(self, connection: Connection, reason: str) -> None:
+        if connection not in self._open:
+            return
         with contextlib.suppress(KeyError, ValueError):
             self._selector.unregister(connection.sock)
         connection.sock.close()
+        del self._open[connection]
+        self._unestablished.pop(connection, None)
+        self._stuck.pop(connection, None)
         if self._connections.get(connection.peer) is connection:
             del self._connections[connection.peer]
+            if not connection.established:
+                self._backoffs.failed(connection.peer, time.monotonic())
         if connection.peer:
             logging.log_every_n_seconds(
                 logging.INFO, "connection to %s ended: %s", 5, connection.peer, reason
