--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -14,6 +14,7 @@
 from martenrun.membership.view import Member
 from martenrun.platform.cache_events import CacheEvents
 from martenrun.platform.engine import AttemptResult, RunnerDescription
+from martenrun.platform.engine_orders import EngineOrder, OrderOutcome
 from martenrun.platform.machine_list import Machine
 from martenrun.wire.messages import (
     ConfigurationObject,
@@ -139,6 +140,15 @@
     question: DecideRequest
 
 
+@dataclass(frozen=True, slots=True)
+class OrderAnswered:
+    """An order to an engine has ended; the same ``order`` may be sent more than once."""
+
+    runner: str
+    order: EngineOrder
+    outcome: OrderOutcome
+
+
 class WatchOutcome(enum.StrEnum):
     """How a StoreWatch ended."""
 
@@ -169,6 +179,7 @@
     | MembersChanged
     | LeaveRequested
     | QuestionCleared
+    | OrderAnswered
     | StoreWatched
 )
 
@@ -239,6 +250,15 @@
     name: str
 
 
+@dataclass(frozen=True, slots=True)
+class SendOrder:
+    """Send a fenced order to a runner's engine; OrderAnswered follows."""
+
+    runner: str
+    address: str
+    order: EngineOrder
+
+
 @dataclass(frozen=True, slots=True)
 class StoreWatch:
     """Wait for configuration changes after a revision; StoreWatched follows.
@@ -249,7 +269,17 @@
     after: int
 
 
-Instruction = Send | RunAttempt | Finish | Tell | StoreWrite | StoreRead | StoreWatch | SendDatagram
+Instruction = (
+    Send
+    | RunAttempt
+    | Finish
+    | Tell
+    | StoreWrite
+    | StoreRead
+    | StoreWatch
+    | SendDatagram
+    | SendOrder
+)
 
 
 class DecisionLogic(Protocol):
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -14,6 +14,7 @@
 from martenrun.membership.view import Member
 from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.node.runners import RunnerTable
+from martenrun.orders.rolls import RollsLogic
 from martenrun.ownership.home import HomeLogic
 from martenrun.ownership.logic import OwnershipLogic
 from martenrun.ownership.machine_feed import MachineFeed
@@ -34,6 +35,7 @@
     ownership: OwnershipLogic
     claims: ClaimsLogic
     requests: RequestsLogic
+    rolls: RollsLogic
 
     def view(self) -> ConfigurationView:
         """Return the configuration in force."""
@@ -49,6 +51,7 @@
             self.claims,
             self.ownership,
             self.requests,
+            self.rolls,
         ]
 
 
@@ -78,4 +81,6 @@
     claims = ClaimsLogic(f"{own_address}/{incarnation}")
     requests = RequestsLogic(lambda: [own_address], rng)
     feed = MachineFeed(members, rng)
-    return NodeParts(members, configuration, runners, feed, ownership, claims, requests)
+    holder = f"{own_address}/{incarnation}"
+    rolls = RollsLogic(holder, runners.runners, configuration.state, owners.owns, rng)
+    return NodeParts(members, configuration, runners, feed, ownership, claims, requests, rolls)
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -21,13 +21,16 @@
     RunnerDescribed,
     Send,
     SendDatagram,
+    SendOrder,
     StoreRead,
     StoreWatch,
     StoreWrite,
 )
 from martenrun.node.parts import node_parts
+from martenrun.orders.workers import OrderWorkers
 from martenrun.platform.cache_events import CacheEventReader
 from martenrun.platform.engine import EngineConnections
+from martenrun.platform.engine_orders import EngineOrders
 from martenrun.platform.machine_list import MachineList
 from martenrun.platform.object_api import ObjectApi
 from martenrun.process import (
@@ -58,6 +61,9 @@
         self._parts = node_parts(settings, secrets.token_hex(8), random.Random())
         self._loop: Any = None
         self._store_workers = StoreWorkers(self._store, lambda event: self._loop.tell(event))
+        self._order_workers = OrderWorkers(
+            EngineOrders(self._engines), lambda event: self._loop.tell(event)
+        )
         self._port = port = EdgePort(tell=lambda event: self._loop.tell(event))
         self._watch_worker = WatchWorker(self._store, lambda event: self._loop.tell(event))
         self._transport = PeerTransport(
@@ -76,6 +82,7 @@
                 StoreWrite: self._store_workers.carry,
                 StoreRead: self._store_workers.carry,
                 StoreWatch: self._watch_worker.carry,
+                SendOrder: self._order_workers.carry,
             },
         )
         caller = CallerApplication(port, self._parts.view, settings)
@@ -109,6 +116,7 @@
         self._port.watch.stop()
         self._transport.stop()
         self._store_workers.stop()
+        self._order_workers.stop()
         self._loop.stop()
 
     def _list_machines(self) -> None:
