--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -22,6 +22,7 @@
     DecideRequest,
     Grant,
     Message,
+    NodeStatus,
 )
 
 
@@ -165,6 +166,13 @@
     update: ConfigurationUpdate
 
 
+@dataclass(frozen=True, slots=True)
+class StatusWanted:
+    """An operator asks which configuration is in force where; StatusReady follows."""
+
+    query_id: str
+
+
 Event = (
     Tick
     | PeerMessage
@@ -181,6 +189,7 @@
     | QuestionCleared
     | OrderAnswered
     | StoreWatched
+    | StatusWanted
 )
 
 
@@ -269,6 +278,16 @@
     after: int
 
 
+@dataclass(frozen=True, slots=True)
+class StatusReady:
+    """Give the operator the status; nodes that did not answer are missing in ``nodes``."""
+
+    query_id: str
+    own: str
+    members: list[str]
+    nodes: dict[str, NodeStatus]
+
+
 Instruction = (
     Send
     | RunAttempt
@@ -277,8 +296,9 @@
     | StoreWrite
     | StoreRead
     | StoreWatch
-    | SendDatagram
     | SendOrder
+    | SendDatagram
+    | StatusReady
 )
 
 
--- a/src/martenrun/membership/gossip.py
+++ b/src/martenrun/membership/gossip.py
@@ -93,7 +93,12 @@
         own = self._table.own
         if own.status is not MemberStatus.LEAVING:
             return False
-        return own.address not in self._table.news or not self._prober.has_others
+        return own.address not in self._table.news or self.is_alone
+
+    @property
+    def is_alone(self) -> bool:
+        """Whether no other node is live and staying; may be read from any thread."""
+        return all(member.address == self._table.own.address for member in self._live)
 
     def live(self) -> Sequence[Member]:
         """Return members believed alive, this node included, leaving ones excluded."""
--- a/src/martenrun/membership/prober.py
+++ b/src/martenrun/membership/prober.py
@@ -54,11 +54,6 @@
         self._round: list[str] = []
         self._sequence = rng.randrange(1 << 30)
 
-    @property
-    def has_others(self) -> bool:
-        """Whether there is anyone to probe or to tell."""
-        return bool(self._others())
-
     def next_sequence(self) -> int:
         """Return a number that no open probe of this node has."""
         self._sequence = (self._sequence + 1) % (1 << 31)
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -10,6 +10,7 @@
 from urllib3.exceptions import HTTPError
 
 from martenrun.admin.application import ADMIN_PREFIX, AdminApplication
+from martenrun.admin.status import StatusPort
 from martenrun.configuration.driver import WatchWorker
 from martenrun.edge.application import CallerApplication
 from martenrun.edge.drain import wait_while
@@ -26,6 +27,7 @@
     Send,
     SendDatagram,
     SendOrder,
+    StatusReady,
     StoreRead,
     StoreWatch,
     StoreWrite,
@@ -76,6 +78,7 @@
         )
         self._port = port = EdgePort(tell=lambda event: self._loop.tell(event))
         self._watch_worker = WatchWorker(self._store, lambda event: self._loop.tell(event))
+        status_port = StatusPort(lambda event: self._loop.tell(event))
         self._transport = PeerTransport(
             own_address,
             settings.cluster_secret.encode(),
@@ -92,13 +95,19 @@
                 StoreWrite: self._store_workers.carry,
                 StoreRead: self._store_workers.carry,
                 StoreWatch: self._watch_worker.carry,
+                StatusReady: status_port.deliver,
                 SendOrder: self._order_workers.carry,
             },
         )
         caller = CallerApplication(port, self._parts.view, settings)
         self._slots = caller.slots
         self._drain_timeout_s = settings.drain_timeout_s
-        admin = AdminApplication(self._store, self._parts.view, settings.bootstrap_key_sha256)
+        admin = AdminApplication(
+            self._store,
+            self._parts.view,
+            settings.bootstrap_key_sha256,
+            lambda: status_port.status(self._parts.view()),
+        )
         application = NodeApplication(caller, admin)
         self._server = HttpServer(
             application, settings.http_address, settings.max_streams + settings.http_threads
@@ -131,7 +140,7 @@
         wait_while(lambda: not membership.leave_is_spread, LEAVE_SPREAD_LIMIT_S, hurry)
         if not wait_while(lambda: self._slots.taken > 0, self._drain_timeout_s, hurry):
             logging.warning("%d streams are cut by the stop", self._slots.taken)
-        if self._parts.configuration.agents:
+        if not membership.is_alone:
             hurry.wait(LATE_QUESTIONS_S)
 
     def stop(self) -> None:
@@ -151,7 +160,8 @@
             self._loop.tell(MachinesListed(self._machine_list.machines()))
 
     def _describe_runners(self) -> None:
-        for name in list(self._parts.ownership.owner.owned):
+        owned = list(self._parts.ownership.owner.owned)
+        for name in {*owned, *self._parts.rolls.watched}:
             runner = self._parts.runners.runners.get(name)
             if runner is None:
                 continue
--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -228,3 +228,20 @@
   1: bool wants_answer
   2: list<MemberClaim> members
 }
+
+struct StatusQuery {
+  1: string query_id
+}
+
+struct AgentRevision {
+  1: string agent
+  2: i64 revision
+}
+
+struct NodeStatus {
+  1: string query_id
+  2: i64 revision
+  3: string watcher_lease
+  4: list<string> faults
+  5: list<AgentRevision> agents
+}
--- a/tests/rolls_world.py
+++ b/tests/rolls_world.py
@@ -101,7 +101,9 @@
     def tick(self):
         if not self.is_paused:
             for engine in self.world.engines.values():
-                if self.world.clock.now % DESCRIBE_S < 0.1:
+                is_described = self.world.owner_of(engine.name) == self.name
+                is_described |= engine.name in self.logic.watched
+                if is_described and self.world.clock.now % DESCRIBE_S < 0.1:
                     self.tell(RunnerDescribed(engine.name, engine.describe()))
             self.tell(Tick())
         self.world.clock.after(0.1, self.tick)
@@ -128,7 +130,7 @@
         self.floor, self.store_faults = floor, store_faults
         self.version, self.document = 0, None
         self.most_loads, self.fewest_serving, self.failing_loads = 0, engines, 0
-        self.order_delay_s, self.holding = 0.0, False
+        self.order_delay_s, self.unpermitted = 0.0, set()
         self.owners = {}
         self.engines = {f"e{i}": VirtualEngine(self, f"e{i}") for i in range(engines)}
         self.nodes = [VirtualNode(self, f"n{i}") for i in range(nodes)]
@@ -185,15 +187,20 @@
         states = [engine.state for engine in self.engines.values()]
         self.most_loads = max(self.most_loads, states.count("loading"))
         self.fewest_serving = min(self.fewest_serving, states.count("serving"))
+        permitted = {permit.runner for permit in self.permits()}
+        loading = {engine.name for engine in self.engines.values() if engine.state == "loading"}
+        self.unpermitted |= loading - permitted
 
     def run_until(self, condition, limit_s=2_000.0):
         until = self.clock.now + limit_s
         while not condition():
             assert self.clock.now < until, self.state()
             self.clock.run_until(self.clock.now + 0.5)
+            self.check()
 
     def run(self, time_s):
-        self.clock.run_until(self.clock.now + time_s)
+        until = self.clock.now + time_s
+        self.run_until(lambda: self.clock.now >= until)
 
     def all_serve(self, version):
         return all((e.version, e.state) == (version, "serving") for e in self.engines.values())
