Measure sharing under overload against FIFO and per-node queues

Cause: no figure showed whether shares hold over all nodes. Change: 'martenrun bench sharing' runs the real queue, exchange and controller in virtual time (three large tenants, one of them with 1,000 keys, bursty, light and ordinary ones; twofold overload; prompts cached near two nodes each).

--- a/src/martenrun/cli/bench.py
+++ b/src/martenrun/cli/bench.py
@@ -8,6 +8,7 @@
 from martenrun.bench.configuration import configuration
 from martenrun.bench.index import index_command
 from martenrun.bench.path import path
+from martenrun.bench.sharing import sharing
 from martenrun.bench.streams import streams
 
 
@@ -20,3 +21,4 @@
 bench.add_command(streams)
 bench.add_command(index_command)
 bench.add_command(configuration)
+bench.add_command(sharing)
--- a/src/martenrun/sharing/shares.py
+++ b/src/martenrun/sharing/shares.py
@@ -16,10 +16,10 @@
 CONTROL_INTERVAL_S = 1.0
 """Time between two corrections, in seconds."""
 
-INTEGRAL_GAIN = 0.05
+INTEGRAL_GAIN = 0.1
 """Part of the logarithmic share error that is added to the correction in one interval."""
 
-PROPORTIONAL_GAIN = 0.5
+PROPORTIONAL_GAIN = 1.0
 """Part of the present logarithmic share error that is corrected at once."""
 
 MAXIMUM_CORRECTION = 16.0
--- a/src/martenrun/sharing/usage.py
+++ b/src/martenrun/sharing/usage.py
@@ -95,7 +95,7 @@
         self._heard: dict[str, _Heard] = {}
         self._added_usage: dict[str, Reported] = {}
         self._adders: dict[tuple[str, int], str] = {}
-        self._adders_for: tuple[Member, ...] = ()
+        self._live: tuple[Member, ...] = ()
         self._next_report: float | None = None
         self._next_forget = 0.0
 
@@ -162,10 +162,17 @@
         if now >= self._next_forget:
             self._next_forget = now + FORGET_INTERVAL_S
             self._forget_stale(now)
+        self._update_members()
         self._sequence += 1
         self._added = self._aggregator.total_usage()
         return self._reports(now) + self._zone_digests(now)
 
+    def _update_members(self) -> None:
+        live = tuple(self._members.live())
+        if live != self._live:
+            self._live = live
+            self._adders.clear()
+
     def _reports(self, now: float) -> list[Instruction]:
         zone = self._members.own.zone
         by_adder: dict[str, list[UsageRecord]] = {}
@@ -194,7 +201,7 @@
             if self._adder(own.zone, record.tenant_id) == own.address
         ]
         by_adder: dict[str, list[UsageRecord]] = {}
-        for zone in sorted({member.zone for member in self._members.live()} - {own.zone}):
+        for zone in sorted({member.zone for member in self._live} - {own.zone}):
             for record in changes:
                 by_adder.setdefault(self._adder(zone, record.tenant_id), []).append(record)
         return [Send(adder, self._digest(own.zone, part)) for adder, part in by_adder.items()]
@@ -236,14 +243,10 @@
 
     def _adder(self, zone: str, identity: int) -> str:
         """Return the address of the node that adds up a tenant in a zone."""
-        live = tuple(self._members.live())
-        if live != self._adders_for:
-            self._adders_for = live
-            self._adders.clear()
         shard = shard_of(identity)
         found = self._adders.get((zone, shard))
         if found is None:
-            addresses = [member.address for member in live if member.zone == zone]
+            addresses = [member.address for member in self._live if member.zone == zone]
             ranking = ranked(f"usage shard {shard}".encode(), addresses)
             found = ranking[0] if ranking else self._members.own.address
             self._adders[(zone, shard)] = found
