Put policies, shares over all nodes, limits and their metrics in force

Cause: owners' queues served every tenant with weight 1 (the owner's 'weights' was never called), policies were checked and never evaluated, and limits counted node by node. Change: SharingLogic evaluates each owned pool's policy for waiting tenants, corrects the weights by the usage over all nodes and sets them on the queues; AdmissionLimits meters demand and use by tenant and model and holds a node's share of each limit. /metrics counts admissions and refusals by tenant (200 names at most, the rest together) and failing policies; /admin/v1/status shows each policy's PolicyStatus.

--- a/src/martenrun/admin/application.py
+++ b/src/martenrun/admin/application.py
@@ -7,7 +7,7 @@
 
 import hashlib
 import hmac
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
 import msgspec
@@ -26,6 +26,7 @@
 )
 from martenrun.platform.object_api import ObjectApi
 from martenrun.sharing.policy import check_policy
+from martenrun.sharing.policy_weights import PolicyStatus
 
 ADMIN_PREFIX = "/admin/v1/"
 
@@ -39,6 +40,13 @@
     document: msgspec.Raw
 
 
+class NodeStatus(msgspec.Struct):
+    """What one node tells of itself: the revision in force and its pools' sharing policies."""
+
+    revision: int
+    policies: list[PolicyStatus]
+
+
 class AdminApplication:
     """Serves the administration API.
 
@@ -47,6 +55,7 @@
         view: returns the configuration in force on this node.
         bootstrap_key_sha256: digest of a platform admin's key that is valid without any
             stored key, so that the first objects can be published; empty for none.
+        policies: returns the status of the sharing policies on this node.
     """
 
     def __init__(
@@ -54,10 +63,12 @@
         store: ObjectApi,
         view: Callable[[], ConfigurationView],
         bootstrap_key_sha256: str,
+        policies: Callable[[], Sequence[PolicyStatus]] = tuple,
     ) -> None:
         self._store = store
         self._view = view
         self._bootstrap_key_sha256 = bootstrap_key_sha256
+        self._policies = policies
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         """Serve one request."""
@@ -72,7 +83,7 @@
         role = self._role(request)
         parts = request.path.removeprefix(ADMIN_PREFIX).split("/")
         if parts == ["status"]:
-            return json_response({"revision": self._view().revision})
+            return json_response(NodeStatus(self._view().revision, list(self._policies())))
         kind = _kind(parts[0])
         if len(parts) == 1:
             return self._list(kind)
--- a/src/martenrun/edge/application.py
+++ b/src/martenrun/edge/application.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from prometheus_client.registry import Collector
 from werkzeug.wrappers import Request, Response
 
 from martenrun.configuration.view import ConfigurationView
@@ -44,6 +45,10 @@
         self._slots = StreamSlots(settings.max_streams)
         self._engines = EngineConnections()
 
+    def add_metrics(self, collector: Collector) -> None:
+        """Expose further metrics of the process at ``/metrics``."""
+        self._metrics.add(collector)
+
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         """Serve one request."""
         request = Request(environ)
--- a/src/martenrun/limits/admission.py
+++ b/src/martenrun/limits/admission.py
@@ -14,9 +14,11 @@
 from dataclasses import dataclass
 
 from martenrun.configuration.objects import Tenant
-from martenrun.errors import CapacityError, DeadlineExceededError
+from martenrun.errors import CapacityError, DeadlineExceededError, MartenrunError
 from martenrun.limits.cost import expected_tokens
+from martenrun.limits.counts import ADMITTED, AdmissionCounts
 from martenrun.limits.token_bucket import TokenBucket
+from martenrun.sharing.meter import NoMeter, UsageMeter
 from martenrun.wire.messages import DecideRequest
 
 BURST_S = 2.0
@@ -38,8 +40,10 @@
 @dataclass(slots=True)
 class _Admitted:
     tenant: str
+    model: str
     expected_tokens: float
     is_queued: bool = False
+    is_started: bool = False
 
 
 class _EndRate:
@@ -95,11 +99,23 @@
     """Limits of all tenants at one node.
 
     Args:
-        share_of: returns this node's share of a tenant's limits, above 0 and at most 1.
+        share_of: returns this node's share of a tenant's limits, above 0 and at most 1, for
+            (tenant, now).
+        meter: is told what tenants ask for and are given.
+
+    Attributes:
+        counts: admissions and refusals by tenant.
     """
 
-    def __init__(self, share_of: Callable[[str], float] = lambda tenant: 1.0) -> None:
+    def __init__(
+        self,
+        share_of: Callable[[str, float], float] = lambda tenant, now: 1.0,
+        meter: UsageMeter | None = None,
+    ) -> None:
+        self.counts = AdmissionCounts()
         self._share_of = share_of
+        self._meter = meter or NoMeter()
+        self._next_forget = 0.0
         self._tenants: dict[str, _TenantLimits] = {}
         self._admitted: dict[str, _Admitted] = {}
 
@@ -117,17 +133,31 @@
 
         A further attempt of an admitted request is not counted again.
         """
-        check_deadline(question.deadline_s, expected_wait_s)
+        if now >= self._next_forget:
+            self._next_forget = now + IDLE_TENANT_S
+            self.forget_idle(now)
         if question.request_id in self._admitted:
+            check_deadline(question.deadline_s, expected_wait_s)
             return
-        limits = self._limits(question.tenant, tenant, now)
+        try:
+            check_deadline(question.deadline_s, expected_wait_s)
+            self._admit(question, tenant, now)
+        except MartenrunError as error:
+            self.counts.add(question.tenant, error.code)
+            raise
+        self.counts.add(question.tenant, ADMITTED)
+
+    def _admit(self, question: DecideRequest, tenant: Tenant, now: float) -> None:
         tokens = expected_tokens(question)
+        self._meter.demanded(question.tenant, question.model, tokens, now)
+        limits = self._limits(question.tenant, tenant, now)
         self._check_rates(question.tenant, limits, tokens, now)
         self._check_streams(question.tenant, limits, now)
         limits.requests.take(1.0, now)
         limits.tokens.take(tokens, now)
         limits.admitted += 1
-        self._admitted[question.request_id] = _Admitted(question.tenant, tokens)
+        admitted = _Admitted(question.tenant, question.model, tokens)
+        self._admitted[question.request_id] = admitted
 
     def queued(self, request_id: str, now: float) -> None:
         """Count an admitted request as waiting; raises CapacityError if too many wait.
@@ -139,6 +169,7 @@
             return
         limits = self._tenants[admitted.tenant]
         if limits.queued >= limits.queue_limit:
+            self.counts.add(admitted.tenant, CapacityError.code)
             raise CapacityError(
                 f"tenant {admitted.tenant!r} has {limits.queued} requests waiting, its limit",
                 retry_after_s=_told(limits.ends.wait_s(1, now)),
@@ -149,9 +180,15 @@
     def started(self, request_id: str, now: float) -> None:
         """A slot was granted; the request no longer waits."""
         admitted = self._admitted.get(request_id)
-        if admitted is not None and admitted.is_queued:
+        if admitted is None:
+            return
+        if admitted.is_queued:
             admitted.is_queued = False
             self._tenants[admitted.tenant].queued -= 1
+        if not admitted.is_started:
+            admitted.is_started = True
+            tokens = admitted.expected_tokens
+            self._meter.served(admitted.tenant, admitted.model, tokens, now)
 
     def ended(self, request_id: str, now: float, used_tokens: float | None = None) -> None:
         """The request is over, run or not.
@@ -167,8 +204,12 @@
         limits.admitted -= 1
         limits.queued -= admitted.is_queued
         limits.ends.ended(now)
-        if used_tokens is not None:
-            limits.tokens.take(used_tokens - admitted.expected_tokens, now)
+        if used_tokens is None:
+            return
+        correction = used_tokens - admitted.expected_tokens
+        limits.tokens.take(correction, now)
+        if admitted.is_started:
+            self._meter.served(admitted.tenant, admitted.model, correction, now)
 
     def active(self, tenant: str) -> int:
         """Return how many requests of a tenant are admitted and not over."""
@@ -176,13 +217,13 @@
         return limits.admitted if limits is not None else 0
 
     def forget_idle(self, now: float) -> None:
-        """Forget tenants without requests; to be called every minute or so."""
+        """Forget tenants without requests; ``check`` does so every minute."""
         for name, limits in list(self._tenants.items()):
             if not limits.admitted and now - limits.used_at > IDLE_TENANT_S:
                 del self._tenants[name]
 
     def _limits(self, name: str, tenant: Tenant, now: float) -> _TenantLimits:
-        share = self._share_of(name)
+        share = self._share_of(name, now)
         limits = self._tenants.get(name)
         if limits is None:
             limits = self._tenants[name] = _TenantLimits(tenant, share, now)
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -10,6 +10,7 @@
 from martenrun.claims.logic import ClaimsLogic
 from martenrun.configuration.view import ConfigurationView
 from martenrun.events import DecisionLogic
+from martenrun.limits.admission import AdmissionLimits
 from martenrun.membership.view import Member, StaticMemberView
 from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.node.runners import RunnerTable
@@ -20,6 +21,9 @@
 from martenrun.ownership.owners import OwnerMap
 from martenrun.routing.baselines import ConsistentHashPolicy
 from martenrun.settings.model import NodeSettings
+from martenrun.sharing.logic import SharingLogic
+from martenrun.sharing.meter import ExchangeMeter
+from martenrun.sharing.usage import UsageExchange
 
 
 @dataclass(frozen=True)
@@ -32,6 +36,8 @@
     ownership: OwnershipLogic
     claims: ClaimsLogic
     requests: RequestsLogic
+    sharing: SharingLogic
+    limits: AdmissionLimits
 
     def view(self) -> ConfigurationView:
         """Return the configuration in force."""
@@ -46,6 +52,7 @@
             self.claims,
             self.ownership,
             self.requests,
+            self.sharing,
         ]
 
 
@@ -64,6 +71,9 @@
     addresses = sorted({own_address, *settings.seed_nodes})
     members = StaticMemberView(Member(own_address), [Member(address) for address in addresses])
     owners = OwnerMap(members)
+    exchange = UsageExchange(members, rng)
+    meter = ExchangeMeter(exchange)
+    limits = AdmissionLimits(meter.limit_share, meter)
     home = HomeLogic(
         owners,
         runners,
@@ -71,9 +81,14 @@
         lambda: configuration.state.view,
         settings.zone,
         rng,
+        limits,
+    )
+    owner = OwnerLogic(owners, runners)
+    ownership = OwnershipLogic(own_address, home, owner)
+    sharing = SharingLogic(
+        exchange, meter, owner.pool_queues, lambda: configuration.state.view, limits.active
     )
-    ownership = OwnershipLogic(own_address, home, OwnerLogic(owners, runners))
     claims = ClaimsLogic(f"{own_address}/{incarnation}")
     requests = RequestsLogic(lambda: [own_address], rng)
     feed = MachineFeed(members, rng)
-    return NodeParts(configuration, runners, feed, ownership, claims, requests)
+    return NodeParts(configuration, runners, feed, ownership, claims, requests, sharing, limits)
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -2,7 +2,7 @@
 
 import random
 import secrets
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Any
 
 from urllib3.exceptions import HTTPError
@@ -25,12 +25,14 @@
     StoreWrite,
 )
 from martenrun.node.parts import node_parts
+from martenrun.observability.admission import SharingCollector
 from martenrun.platform.cache_events import CacheEventReader
 from martenrun.platform.engine import EngineConnections
 from martenrun.platform.machine_list import MachineList
 from martenrun.platform.object_api import ObjectApi
 from martenrun.process import Clock, LoopActor, Poller, StoreWorkers, message_carrier
 from martenrun.settings.model import NodeSettings
+from martenrun.sharing.policy_weights import PolicyStatus
 from martenrun.wire.transport import PeerTransport
 
 MACHINE_POLL_S = 0.5
@@ -70,7 +72,10 @@
             },
         )
         caller = CallerApplication(port, self._parts.view, settings)
-        admin = AdminApplication(self._store, self._parts.view, settings.bootstrap_key_sha256)
+        caller.add_metrics(SharingCollector(self._parts.limits.counts, self._policy_statuses))
+        admin = AdminApplication(
+            self._store, self._parts.view, settings.bootstrap_key_sha256, self._policy_statuses
+        )
         application = NodeApplication(caller, admin)
         self._server = HttpServer(
             application, settings.http_address, settings.max_streams + settings.http_threads
@@ -102,6 +107,9 @@
         self._store_workers.stop()
         self._loop.stop()
 
+    def _policy_statuses(self) -> Sequence[PolicyStatus]:
+        return self._parts.sharing.statuses
+
     def _list_machines(self) -> None:
         if self._parts.machine_feed.must_poll():
             self._loop.tell(MachinesListed(self._machine_list.machines()))
--- a/src/martenrun/observability/metrics.py
+++ b/src/martenrun/observability/metrics.py
@@ -8,6 +8,7 @@
     ProcessCollector,
     generate_latest,
 )
+from prometheus_client.registry import Collector
 
 FIRST_TOKEN_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
 
@@ -40,6 +41,10 @@
             registry=self._registry,
         )
 
+    def add(self, collector: Collector) -> None:
+        """Expose further metrics of the process."""
+        self._registry.register(collector)
+
     def exposition(self) -> bytes:
         """Return every metric in Prometheus's text format."""
         return generate_latest(self._registry)
--- a/src/martenrun/ownership/owner.py
+++ b/src/martenrun/ownership/owner.py
@@ -7,7 +7,7 @@
 """
 
 import heapq
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 
 from martenrun.events import Event, Instruction, PeerMessage, RunnerDescribed, Send, Tick
 from martenrun.node.runners import RunnerTable
@@ -16,6 +16,7 @@
 from martenrun.ownership.reasons import Reason
 from martenrun.ownership.slots import LeaseKey, RunnerSlots
 from martenrun.sharing.fair_queue import QueueEntry
+from martenrun.sharing.logic import PoolQueues
 from martenrun.wire.messages import (
     LeasesVoided,
     ReleaseSlots,
@@ -60,7 +61,6 @@
         owners: who owns which runner.
         table: runners by the machine list, with who is leaving.
         cached_blocks: what this node knows of its runners' caches.
-        weights: tenants' weights of a pool for the fair queues.
     """
 
     def __init__(
@@ -68,12 +68,10 @@
         owners: OwnerMap,
         table: RunnerTable,
         cached_blocks: CachedBlocks = no_cached_blocks,
-        weights: Callable[[str], Mapping[str, float]] = lambda pool: {},
     ) -> None:
         self._owners = owners
         self._table = table
         self._cached_blocks = cached_blocks
-        self._weights = weights
         self.owned: dict[str, RunnerSlots] = {}
         self._pools: dict[str, list[RunnerSlots]] = {}
         self._leased: dict[LeaseKey, RunnerSlots] = {}
@@ -97,6 +95,18 @@
                 return self._tick(now)
         return []
 
+    def pool_queues(self) -> list[PoolQueues]:
+        """Return the queues of the owned runners, by pool."""
+        return [
+            PoolQueues(
+                pool,
+                [runner.queue for runner in runners],
+                sum(runner.slots - runner.free for runner in runners if runner.incarnation),
+                sum(runner.slots for runner in runners if runner.incarnation),
+            )
+            for pool, runners in self._pools.items()
+        ]
+
     def _reserve(self, home: str, reservation: ReserveSlot, now: float) -> list[Instruction]:
         key = LeaseKey(home, reservation.reservation_id)
         if key in self._ended:
--- a/src/martenrun/sharing/fair_queue.py
+++ b/src/martenrun/sharing/fair_queue.py
@@ -12,7 +12,7 @@
 import heapq
 import itertools
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from martenrun.sharing.drain import DrainMeter
@@ -85,6 +85,7 @@
     def __init__(self, default_weight: float = 1.0) -> None:
         self._default_weight = default_weight
         self._weights: dict[str, float] = {}
+        self._others: Callable[[str], float] | None = None
         self._tenants: dict[str, _TenantQueue] = {}
         self._turns: list[tuple[float, int, str]] = []
         self._deadlines: list[tuple[float, int, _Waiting]] = []
@@ -186,25 +187,32 @@
         if tenant is None:
             return whole_s
         state = self._tenants.get(tenant)
-        weight = self._weights.get(tenant, self._default_weight)
+        weight = self._weight(tenant)
         backlogged = state is not None and state.live > 0
         competing = self._active_weight + (0.0 if backlogged else weight)
         ahead = state.waiting_tokens if state is not None else 0.0
         return min(whole_s, self._drain.wait_s(ahead * competing / weight))
 
-    def set_weights(self, weights: Mapping[str, float]) -> None:
+    def set_weights(
+        self, weights: Mapping[str, float], others: Callable[[str], float] | None = None
+    ) -> None:
         """Replace the weights; they hold for every pop from now on.
 
-        Tenants not named have the default weight.  Raises ValueError for a weight that is not
-        a finite number of at least zero; zero counts as :data:`MINIMUM_WEIGHT`.
+        Args:
+            weights: by tenant.
+            others: returns the weight of a tenant not named; the default weight if omitted.
+
+        Raises ValueError for a weight that is not a finite number of at least zero; zero
+        counts as :data:`MINIMUM_WEIGHT`.
         """
         for name, weight in weights.items():
             if not math.isfinite(weight) or weight < 0:
                 raise ValueError(f"weight of {name!r} must be finite and not negative: {weight}")
         self._weights = {name: max(MINIMUM_WEIGHT, weight) for name, weight in weights.items()}
+        self._others = others
         self._active_weight = 0.0
         for name, tenant in self._tenants.items():
-            tenant.weight = self._weights.get(name, self._default_weight)
+            tenant.weight = self._weight(name)
             if tenant.live:
                 self._active_weight += tenant.weight
 
@@ -222,10 +230,16 @@
     def _tenant(self, name: str) -> _TenantQueue:
         found = self._tenants.get(name)
         if found is None:
-            weight = self._weights.get(name, self._default_weight)
-            found = self._tenants[name] = _TenantQueue(weight, self._virtual_time)
+            found = _TenantQueue(self._weight(name), self._virtual_time)
+            self._tenants[name] = found
         return found
 
+    def _weight(self, name: str) -> float:
+        found = self._weights.get(name)
+        if found is not None:
+            return found
+        return self._others(name) if self._others is not None else self._default_weight
+
     def _take_turn(self, name: str, tenant: _TenantQueue) -> None:
         tenant.turn = next(self._order)
         heapq.heappush(self._turns, (tenant.virtual_time, tenant.turn, name))
--- a/src/martenrun/sharing/policy.py
+++ b/src/martenrun/sharing/policy.py
@@ -49,7 +49,7 @@
         usage_share: the tenant's part of all tenants' ``usage_10s``, 0 to 1.
         queue_length: requests of the tenant that wait at this node.
         active_streams: requests of the tenant in progress at this node.
-        pool_utilisation: used slots of the pool's runners, 0 to 1.
+        pool_utilisation: used slots of the pool's runners that the node owns, 0 to 1.
     """
 
     tenant: str = ""
--- a/src/martenrun/sharing/policy_weights.py
+++ b/src/martenrun/sharing/policy_weights.py
@@ -21,6 +21,7 @@
     """What an operator sees of a policy at one node.
 
     Attributes:
+        pool: the pool whose weights the policy gives.
         name: the policy's name; empty if the pool has none.
         published: the expression last published.
         in_force: the expression evaluated now; differs from ``published`` if that does not
@@ -32,6 +33,7 @@
         evaluations, failures: counts since the process started.
     """
 
+    pool: str = ""
     name: str = ""
     published: str = ""
     in_force: str = ""
@@ -89,9 +91,10 @@
             del self.weights[oldest]
             self._failing.discard(oldest)
 
-    def status(self) -> PolicyStatus:
+    def status(self, pool: str = "") -> PolicyStatus:
         """Return what an operator should see."""
         return PolicyStatus(
+            pool,
             self._name,
             self._published,
             self._policy.expression if self._policy is not None else "",
--- a/src/martenrun/sharing/usage.py
+++ b/src/martenrun/sharing/usage.py
@@ -122,16 +122,15 @@
         """Return the usage of all tenants known to the adding nodes, in tokens per second."""
         return sum(added.usage for added in self._added_usage.values())
 
-    def limit_share(self, tenant: str, now: float) -> float:
+    def share_of(self, own_demand: float, all_demand: float) -> float:
         """Return this node's share of a tenant's limits, in proportion to demand.
 
         A tenant that nobody else has reported has its whole limits here.
         """
-        usage = self.usage(tenant, now)
-        if usage.all_demand <= usage.own_demand:
+        if all_demand <= own_demand:
             return 1.0
         least = UNASKED_SHARE / max(1, len(self._members.live()))
-        return max(least, usage.own_demand / usage.all_demand)
+        return max(least, own_demand / all_demand)
 
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -103,7 +103,7 @@
 
 
 def test_limits_hold_in_this_nodes_share_and_change_without_restart():
-    limits = AdmissionLimits(share_of=lambda name: 0.5)
+    limits = AdmissionLimits(share_of=lambda name, now: 0.5)
     tenant = Tenant(concurrent_streams=4)
     limits.check(question(0), tenant, 0.0)
     limits.check(question(1), tenant, 0.0)
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -49,6 +49,10 @@
     def total(self, index: int, tenant: str) -> float:
         return self.nodes[index].usage(tenant, self.scheduler.now).all_usage
 
+    def share(self, index: int, tenant: str) -> float:
+        usage = self.nodes[index].usage(tenant, self.scheduler.now)
+        return self.nodes[index].share_of(usage.own_demand, usage.all_demand)
+
 
 ZONES = ["a", "a", "a", "b", "b", "c"]
 
@@ -68,11 +72,11 @@
     cluster = Cluster(ZONES)
     cluster.rates = {(0, "t"): 300.0, (5, "t"): 100.0, (1, "lone"): 50.0}
     cluster.run(90.0)
-    now = cluster.scheduler.now
-    assert cluster.nodes[0].limit_share("t", now) == pytest.approx(0.75, rel=0.1)
-    assert cluster.nodes[5].limit_share("t", now) == pytest.approx(0.25, rel=0.12)
-    assert cluster.nodes[1].limit_share("lone", now) == pytest.approx(1.0, rel=0.1)
-    assert cluster.nodes[2].limit_share("never seen", now) == 1.0
+    assert cluster.share(0, "t") == pytest.approx(0.75, rel=0.1)
+    assert cluster.share(5, "t") == pytest.approx(0.25, rel=0.12)
+    assert cluster.share(1, "lone") == pytest.approx(1.0, rel=0.1)
+    assert cluster.share(2, "never seen") == 1.0
+    assert 0 < cluster.nodes[2].share_of(0.0, 500.0) < 1 / 6
 
 
 def test_the_part_of_a_dead_node_ages_out_also_while_it_is_still_listed():
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -2,7 +2,8 @@
 
 import openai
 import pytest
-from deployment import Deployment
+import urllib3
+from deployment import ADMIN_KEY, Deployment
 
 from martenrun.load.client import CompletionCall, CompletionClient
 
@@ -71,3 +72,13 @@
 def test_a_policy_that_would_divide_by_zero_is_refused_when_published(deployment):
     with pytest.raises(RuntimeError, match=r"invalid_object.*guard divisors"):
         deployment.apply("policies", "bad", {"expression": "weight / usage_10s"})
+
+
+def test_a_node_shows_admissions_by_tenant_and_the_status_of_policies(deployment):
+    edge = deployment.node_edges[0]
+    assert CompletionClient(edge, "growers-key").stream(CompletionCall("m", MODEL, "hello")).whole
+    metrics = urllib3.request("GET", f"http://{edge}/metrics").data.decode()
+    assert 'martenrun:admissions_total{outcome="admitted",tenant="growers"}' in metrics
+    headers = {"Authorization": f"Bearer {ADMIN_KEY}"}
+    status = urllib3.request("GET", f"http://{edge}/admin/v1/status", headers=headers).json()
+    assert [policy["pool"] for policy in status["policies"]] == ["readers"]
