--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -14,6 +14,7 @@
 from martenrun.membership.view import Member, StaticMemberView
 from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.node.runners import RunnerTable
+from martenrun.orders.rolls import RollsLogic
 from martenrun.ownership.home import HomeLogic
 from martenrun.ownership.logic import OwnershipLogic
 from martenrun.ownership.machine_feed import MachineFeed
@@ -36,6 +37,7 @@
     ownership: OwnershipLogic
     claims: ClaimsLogic
     requests: RequestsLogic
+    rolls: RollsLogic
     sharing: SharingLogic
     limits: AdmissionLimits
 
@@ -53,6 +55,7 @@
             self.ownership,
             self.requests,
             self.sharing,
+            self.rolls,
         ]
 
 
@@ -91,4 +94,8 @@
     claims = ClaimsLogic(f"{own_address}/{incarnation}")
     requests = RequestsLogic(lambda: [own_address], rng)
     feed = MachineFeed(members, rng)
-    return NodeParts(configuration, runners, feed, ownership, claims, requests, sharing, limits)
+    holder = f"{own_address}/{incarnation}"
+    rolls = RollsLogic(holder, runners.runners, configuration.state, owners.owns, rng)
+    return NodeParts(
+        configuration, runners, feed, ownership, claims, requests, rolls, sharing, limits
+    )
