Count usage at the owner, where slots are granted

Cause: usage was counted at the home node only. A runner's owner that is not a tenant's home knew no usage of it, took it for starved and raised its weight up to 16 times. In real processes (2 nodes, 2 engines of 4 slots, 1 agent, two tenants with weights 1 and 3, 20 callers each, 20 s after 20 s of warm-up) the tokens stood 1.23 to 1. With one node and one engine they stood 2.58 to 1, so the queue was not at fault; queueing at a second runner as well (tried in HomeLogic._probe, taken back) gave 1.14. Change: the owner counts a grant's expected tokens, the home the difference at the end (which may be negative); an owner watches the tenants that wait at it. The exchange looks at unused tenants only in turn.

--- a/src/martenrun/bench/usage_exchange.py
+++ b/src/martenrun/bench/usage_exchange.py
@@ -1,4 +1,4 @@
-"""Cost and accuracy of the usage exchange at size, in virtual time.
+"""``martenrun bench usage-exchange``: its cost and accuracy at size, in virtual time.
 
 Hollow nodes run the real :class:`martenrun.sharing.usage.UsageExchange` over a simulated
 network that really encodes every message.
@@ -13,6 +13,9 @@
 from dataclasses import dataclass
 from itertools import accumulate
 
+import click
+import msgspec
+
 from martenrun.events import PeerMessage, Send, Tick
 from martenrun.membership.view import Member, StaticMemberView
 from martenrun.sharing.usage import UsageExchange
@@ -44,6 +47,7 @@
     tenants: int
     zones: int
     loss: float
+    seed: int
     sent_bytes_per_s_mean: float
     sent_bytes_per_s_max: float
     received_bytes_per_s_max: float
@@ -144,6 +148,7 @@
         tenants,
         zones,
         loss,
+        seed,
         round(statistics.mean(sent), 1),
         round(max(sent), 1),
         round(max(received), 1),
@@ -159,3 +164,18 @@
     sent = traffic.sent_bytes + FRAME_OVERHEAD_BYTES * traffic.sent_messages
     received = traffic.received_bytes + FRAME_OVERHEAD_BYTES * traffic.received_messages
     return sent, received, traffic.sent_messages
+
+
+@click.command("usage-exchange")
+@click.option("--nodes", default=370, show_default=True, type=click.IntRange(1, 1_000))
+@click.option("--tenants", default=5_100, show_default=True, type=click.IntRange(1, 20_000))
+@click.option("--zones", default=6, show_default=True, type=click.IntRange(1, 32))
+@click.option("--loss", default=0.01, show_default=True, help="Probability per message.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON line.")
+def usage_exchange(
+    nodes: int, tenants: int, zones: int, loss: float, seed: int, as_json: bool
+) -> None:
+    """Bytes, messages, CPU and error of the exchange of usage between nodes."""
+    data = msgspec.json.encode(run_exchange(nodes, tenants, zones, loss, seed=seed))
+    click.echo(data if as_json else msgspec.json.format(data))
--- a/src/martenrun/cli/bench.py
+++ b/src/martenrun/cli/bench.py
@@ -14,6 +14,7 @@
 from martenrun.bench.routing import routing_command
 from martenrun.bench.sharing import sharing
 from martenrun.bench.streams import streams
+from martenrun.bench.usage_exchange import usage_exchange
 
 
 @click.group()
@@ -30,3 +31,4 @@
 bench.add_command(routing_command)
 bench.add_command(adapter)
 bench.add_command(rolls)
+bench.add_command(usage_exchange)
--- a/src/martenrun/limits/admission.py
+++ b/src/martenrun/limits/admission.py
@@ -185,10 +185,7 @@
         if admitted.is_queued:
             admitted.is_queued = False
             self._tenants[admitted.tenant].queued -= 1
-        if not admitted.is_started:
-            admitted.is_started = True
-            tokens = admitted.expected_tokens
-            self._meter.served(admitted.tenant, admitted.model, tokens, now)
+        admitted.is_started = True
 
     def ended(self, request_id: str, now: float, used_tokens: float | None = None) -> None:
         """The request is over, run or not.
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -86,11 +86,15 @@
         rng,
         limits,
     )
-    owner = OwnerLogic(owners, runners)
-    ownership = OwnershipLogic(own_address, home, owner)
     sharing = SharingLogic(
-        exchange, meter, owner.pool_queues, lambda: configuration.state.view, limits.active
+        exchange,
+        meter,
+        lambda: owner.pool_queues(),
+        lambda: configuration.state.view,
+        limits.active,
     )
+    owner = OwnerLogic(owners, runners, granted=sharing.granted)
+    ownership = OwnershipLogic(own_address, home, owner)
     claims = ClaimsLogic(f"{own_address}/{incarnation}")
     requests = RequestsLogic(lambda: [own_address], rng)
     feed = MachineFeed(members, rng)
--- a/src/martenrun/ownership/owner.py
+++ b/src/martenrun/ownership/owner.py
@@ -54,6 +54,10 @@
     return 0
 
 
+def _count_nothing(pool: str, tenant: str, tokens: float, now: float) -> None:
+    """Count no usage."""
+
+
 class OwnerLogic:
     """Slots of all runners that this node owns.
 
@@ -61,6 +65,7 @@
         owners: who owns which runner.
         table: runners by the machine list, with who is leaving.
         cached_blocks: what this node knows of its runners' caches.
+        granted: is told the expected tokens of each grant, as (pool, tenant, tokens, now).
     """
 
     def __init__(
@@ -68,10 +73,12 @@
         owners: OwnerMap,
         table: RunnerTable,
         cached_blocks: CachedBlocks = no_cached_blocks,
+        granted: Callable[[str, str, float, float], None] = _count_nothing,
     ) -> None:
         self._owners = owners
         self._table = table
         self._cached_blocks = cached_blocks
+        self._count = granted
         self.owned: dict[str, RunnerSlots] = {}
         self._pools: dict[str, list[RunnerSlots]] = {}
         self._leased: dict[LeaseKey, RunnerSlots] = {}
@@ -121,6 +128,7 @@
         if runner is None or reason is not None:
             return [self._refusal(key, reservation.runner, reason or Reason.UNKNOWN_RUNNER)]
         if runner.free > 0 and not len(runner.queue):
+            self._granted(runner.name, reservation.tenant, reservation.cost_tokens, now)
             return [self._grant(key, runner, reservation.chain, now)]
         return [self._enqueue(key, runner, reservation, now)]
 
@@ -142,6 +150,11 @@
         self._leased[key] = runner
         return self._granted_message(key, runner, chain)
 
+    def _granted(self, runner: str, tenant: str, tokens: float, now: float) -> None:
+        listed = self._table.runners.get(runner)
+        if listed is not None:
+            self._count(listed.pool, tenant, tokens, now)
+
     def _granted_message(self, key: LeaseKey, runner: RunnerSlots, chain: bytes) -> Instruction:
         listed = self._table.runners[runner.name]
         granted = SlotGranted(
@@ -219,6 +232,7 @@
                 break
             key = LeaseKey(entry.request_id, entry.attempt)
             del self._waiting[key]
+            self._granted(runner.name, entry.tenant, entry.cost_tokens, now)
             chain = entry.payload if isinstance(entry.payload, bytes) else b""
             instructions.append(self._grant(key, runner, chain, now))
         return instructions
--- a/src/martenrun/sharing/aggregation.py
+++ b/src/martenrun/sharing/aggregation.py
@@ -41,7 +41,7 @@
 
         Large changes go first, and small ones gain with time, so that none waits for ever.
         """
-        largest = max(usage, demand, self.usage, self.demand)
+        largest = max(abs(usage), demand, abs(self.usage), self.demand)
         if largest < RATE_FLOOR:
             return 0.0
         gap = max(abs(usage - self.usage), abs(demand - self.demand))
@@ -136,6 +136,6 @@
                 del self._tenants[identity]
 
     def _change(self, tenant: _Tenant, usage: float, demand: float) -> None:
-        tenant.own_usage = max(0.0, tenant.own_usage + usage)
-        tenant.own_demand = max(0.0, tenant.own_demand + demand)
-        self.own_zone_usage = max(0.0, self.own_zone_usage + usage)
+        tenant.own_usage += usage
+        tenant.own_demand += demand
+        self.own_zone_usage += usage
--- a/src/martenrun/sharing/decay.py
+++ b/src/martenrun/sharing/decay.py
@@ -30,6 +30,9 @@
         self.updated = now
 
     def add(self, usage: float, demand: float) -> None:
-        """Add rates that hold at ``updated``."""
-        self.usage = max(0.0, self.usage + usage)
-        self.demand = max(0.0, self.demand + demand)
+        """Add rates that hold at ``updated``.
+
+        The usage may fall below zero: a node takes back what another one has counted.
+        """
+        self.usage += usage
+        self.demand += demand
--- a/src/martenrun/sharing/logic.py
+++ b/src/martenrun/sharing/logic.py
@@ -85,6 +85,17 @@
             self._update(now)
         return instructions
 
+    def granted(self, pool: str, tenant: str, tokens: float, now: float) -> None:
+        """Count the expected tokens of a slot that this node has granted.
+
+        The home node corrects the count when the request ends.
+        """
+        self._meter.served(tenant, self._model(pool), tokens, now)
+
+    def _model(self, pool: str) -> str:
+        document = self._view().documents.get((Kind.POOL, pool))
+        return document.model if isinstance(document, Pool) else ""
+
     def _update(self, now: float) -> None:
         present = self._queues()
         for name in self._pools.keys() - {item.pool for item in present}:
@@ -102,6 +113,8 @@
             pool = self._pools[item.pool] = self._new_pool(item.pool)
         self._publish(item.pool, pool)
         waiting = sorted({name for queue in item.queues for name in queue.backlogged()})
+        for name in waiting:
+            self._meter.watch(name, pool.model, now)
         pool.policy.evaluate([self._inputs(pool, item, name, now) for name in waiting])
         pool.long_usage = {name: pool.long_usage[name] for name in waiting}
         weights = pool.controller.weights(waiting, now)
@@ -126,11 +139,11 @@
 
     def _publish(self, name: str, pool: _Pool) -> None:
         documents = self._view().documents
+        pool.model = self._model(name)
         document = documents.get((Kind.POOL, name))
         if not isinstance(document, Pool):
             pool.policy.withdraw()
             return
-        pool.model = document.model
         policy = documents.get((Kind.POLICY, document.policy or ""))
         if isinstance(policy, Policy):
             pool.policy.publish(document.policy or "", policy.expression)
--- a/src/martenrun/sharing/meter.py
+++ b/src/martenrun/sharing/meter.py
@@ -52,6 +52,10 @@
         """Return a tenant's rates of one model."""
         return self._exchange.usage(tenant + _SEPARATOR + model, now)
 
+    def watch(self, tenant: str, model: str, now: float) -> None:
+        """Keep a tenant's sums current at this node although it may use nothing here."""
+        self._exchange.watch(tenant + _SEPARATOR + model, now)
+
     def limit_share(self, tenant: str, now: float) -> float:
         """Return this node's share of a tenant's limits, over all its models."""
         usages = [self.usage(tenant, model, now) for model in self._models.get(tenant, ())]
--- a/src/martenrun/sharing/records.py
+++ b/src/martenrun/sharing/records.py
@@ -13,13 +13,19 @@
 SHARDS = 32
 """Groups of tenants; in each zone one node adds up a shard."""
 
+MAXIMUM_RATE = 1e12
+"""Rates beyond this are not believed, in tokens per second."""
+
 _RECORD = struct.Struct("<Qff")
 RECORD_BYTES = _RECORD.size
 
 
 @dataclass(frozen=True, slots=True)
 class UsageRecord:
-    """A tenant's decayed usage and demand, in tokens per second."""
+    """A tenant's decayed usage and demand, in tokens per second.
+
+    The usage is negative where a node takes back more than it has given.
+    """
 
     tenant_id: int
     usage: float
@@ -50,4 +56,4 @@
 
 
 def _is_rate(value: float) -> bool:
-    return 0.0 <= value < 1e12
+    return -MAXIMUM_RATE < value < MAXIMUM_RATE
--- a/src/martenrun/sharing/usage.py
+++ b/src/martenrun/sharing/usage.py
@@ -20,12 +20,14 @@
 from martenrun.sharing.aggregation import (
     HOLD_S,
     RATE_FLOOR,
+    REFRESH_S,
     REPORT_INTERVAL_S,
     Reported,
     UsageAggregator,
 )
 from martenrun.sharing.decay import USAGE_WINDOW_S, UseRate
 from martenrun.sharing.records import (
+    SHARDS,
     UsageRecord,
     pack,
     shard_of,
@@ -40,6 +42,12 @@
 RECORDS_PER_ZONE_DIGEST = 64
 """Tenants that a zone's adding node tells other zones of in one interval."""
 
+REFRESH_TURNS = round(REFRESH_S / REPORT_INTERVAL_S)
+"""Reports in which every tenant is looked at once."""
+
+WATCH_INTERVAL_S = 2 * REPORT_INTERVAL_S
+"""Time between two reports of a watched tenant whose own rates do not change, in seconds."""
+
 FORGET_INTERVAL_S = 5.0
 """Time between removals of stale state, in seconds."""
 
@@ -59,9 +67,14 @@
 
 @dataclass(slots=True)
 class _OwnTenant:
-    """Rates at this node, what was last reported of them, and the rates of other nodes."""
+    """Rates at this node, what was last reported of them, and the rates of other nodes.
+
+    ``turn`` is the report out of REFRESH_TURNS in which it is looked at even if unused.
+    """
 
     here: UseRate
+    turn: int
+    watched_at: float = float("-inf")
     reported: Reported = field(default_factory=Reported)
     elsewhere: Reported = field(default_factory=Reported)
 
@@ -90,6 +103,7 @@
         self._sequence = 0
         self._tenants: dict[str, _OwnTenant] = {}
         self._names: dict[int, str] = {}
+        self._touched: set[str] = set()
         self._aggregator = UsageAggregator()
         self._added = 0.0
         self._heard: dict[str, _Heard] = {}
@@ -107,6 +121,11 @@
         """Count tokens that a tenant has asked for here, refused or not."""
         self._rate(tenant, now).add(0.0, tokens / USAGE_WINDOW_S)
 
+    def watch(self, tenant: str, now: float) -> None:
+        """Ask for a tenant's sums also if it uses nothing here; to be repeated while needed."""
+        self._rate(tenant, now)
+        self._tenants[tenant].watched_at = now
+
     def usage(self, tenant: str, now: float) -> TenantUsage:
         """Return a tenant's rates here and on all nodes together."""
         found = self._tenants.get(tenant)
@@ -115,7 +134,10 @@
         here, elsewhere = found.here, found.elsewhere
         here.advance(now)
         return TenantUsage(
-            here.usage, here.demand, here.usage + elsewhere.usage, here.demand + elsewhere.demand
+            here.usage,
+            here.demand,
+            max(0.0, here.usage + elsewhere.usage),
+            here.demand + elsewhere.demand,
         )
 
     def total_usage(self) -> float:
@@ -146,8 +168,11 @@
     def _rate(self, name: str, now: float) -> UseRate:
         found = self._tenants.get(name)
         if found is None:
-            found = self._tenants[name] = _OwnTenant(UseRate(updated=now))
-            self._names[tenant_id(name)] = name
+            identity = tenant_id(name)
+            turn = identity // SHARDS % REFRESH_TURNS
+            found = self._tenants[name] = _OwnTenant(UseRate(updated=now), turn)
+            self._names[identity] = name
+        self._touched.add(name)
         found.here.advance(now)
         return found.here
 
@@ -183,12 +208,24 @@
         return [Send(adder, self._digest("", records)) for adder, records in by_adder.items()]
 
     def _urgent(self, now: float) -> list[str]:
+        """Return the tenants to report.
+
+        Only those used since the last report, and in turn a part of the others, are looked at:
+        rates that only fade need no more than a refresh.
+        """
+        turn = self._sequence % REFRESH_TURNS
         urgent: list[tuple[float, str]] = []
         for name, tenant in self._tenants.items():
+            if tenant.turn != turn and name not in self._touched:
+                continue
             tenant.here.advance(now)
             urgency = tenant.reported.urgency(tenant.here.usage, tenant.here.demand, now)
+            is_watched = now - tenant.watched_at <= REPORT_INTERVAL_S
+            if is_watched and now - tenant.reported.at >= WATCH_INTERVAL_S:
+                urgency = max(urgency, abs(tenant.elsewhere.usage), RATE_FLOOR)
             if urgency > 0:
                 urgent.append((urgency, name))
+        self._touched.clear()
         urgent.sort(reverse=True)
         return [name for _urgency, name in urgent[:RECORDS_PER_REPORT]]
 
@@ -236,7 +273,7 @@
             tenant = self._tenants.get(self._names.get(record.tenant_id, ""))
             if tenant is None:
                 continue
-            usage = max(0.0, record.usage - tenant.reported.usage)
+            usage = record.usage - tenant.reported.usage
             demand = max(0.0, record.demand - tenant.reported.demand)
             tenant.elsewhere = Reported(usage, demand, now)
 
@@ -254,7 +291,8 @@
     def _forget_stale(self, now: float) -> None:
         self._aggregator.forget_stale(now)
         for name, tenant in list(self._tenants.items()):
-            is_idle = max(tenant.here.usage, tenant.here.demand) < RATE_FLOOR
+            is_idle = max(abs(tenant.here.usage), tenant.here.demand) < RATE_FLOOR
+            is_idle = is_idle and now - tenant.watched_at > HOLD_S
             if is_idle and now - tenant.reported.at > HOLD_S:
                 del self._tenants[name]
                 self._names.pop(tenant_id(name), None)
