Run watch, claims, leases, membership and rolls in the simulated histories; add prove

Cause: the simulation carried its own store and polled it, which the nodes no longer do, and there was no command for many histories. Checker 'restart' made exact: it does not count an agent while no node has had the bound, nor a router while no process holds a copy and the object API is down; each has a planted and a clean case.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3.11
 BIN := .venv/bin
 
-.PHONY: demo test lint format bench
+.PHONY: demo test lint format bench prove
 
 .venv/.installed: pyproject.toml requirements.lock
 	$(PYTHON) -m venv .venv
@@ -28,3 +28,6 @@
 bench: .venv/.installed
 	$(BIN)/python scripts/bench.py path
 	$(BIN)/python scripts/bench.py streams
+
+prove: .venv/.installed
+	$(BIN)/python scripts/prove.py
--- a/src/martenrun/cli/main.py
+++ b/src/martenrun/cli/main.py
@@ -6,6 +6,7 @@
 from martenrun.cli.bench import bench
 from martenrun.cli.capacity import capacity
 from martenrun.cli.processes import agent, check_settings, node
+from martenrun.cli.prove import prove
 from martenrun.cli.standin import standin
 
 
@@ -22,3 +23,4 @@
 main.add_command(standin)
 main.add_command(bench)
 main.add_command(capacity)
+main.add_command(prove)
--- a/src/martenrun/edge/request.py
+++ b/src/martenrun/edge/request.py
@@ -14,6 +14,7 @@
     DeadlineExceededError,
     InvalidKeyError,
     InvalidRequestError,
+    NodeUnavailableError,
 )
 from martenrun.identity.chain import chain_seed, hash_chain
 from martenrun.identity.prompt import (
@@ -99,6 +100,8 @@
     Raises:
         MartenrunError: of the kind that fits the first fault found.
     """
+    if view.revision == 0:
+        raise NodeUnavailableError("no configuration has arrived yet", retry_after_s=1.0)
     tenant = view.key_of(bearer_token(headers)).tenant
     view.tenant(tenant)
     body, fields = _decode(data)
--- a/src/martenrun/proof/checkers/configuration.py
+++ b/src/martenrun/proof/checkers/configuration.py
@@ -11,8 +11,28 @@
 
 
 def check_configuration(history: History, bound_s: float = IN_FORCE_BOUND_S) -> list[Violation]:
-    """Find processes that fell back, that differ at the same revision, or that are late."""
-    return [*_reverts(history), *_differences(history), *_late(history, bound_s)]
+    """Find processes that fell back, differ at the same revision, or are late; lost updates."""
+    return [
+        *_reverts(history),
+        *_differences(history),
+        *_lost_updates(history),
+        *_late(history, bound_s),
+    ]
+
+
+def _lost_updates(history: History) -> list[Violation]:
+    """Find two accepted changes of an object that were based on the same version."""
+    first: dict[tuple[str, int], ConfigurationAccepted] = {}
+    found: list[Violation] = []
+    for accepted in history.of(ConfigurationAccepted):
+        base = (accepted.subject, accepted.expected)
+        if accepted.subject and first.setdefault(base, accepted) is not accepted:
+            detail = f"two accepted changes of version {accepted.expected}"
+            found.append(Violation(PROMISE, accepted.subject, accepted.time_s, detail))
+        if accepted.removed:
+            # The object may be created anew from version 0.
+            first.pop((accepted.subject, 0), None)
+    return found
 
 
 def _reverts(history: History) -> list[Violation]:
@@ -40,21 +60,19 @@
 
 
 def _late(history: History, bound_s: float) -> list[Violation]:
+    """Find processes that ran undisturbed for the bound without an older accepted change."""
     disturbances = Disturbances(history)
-    found: list[Violation] = []
+    accepted = history.of(ConfigurationAccepted)
     first_seen: dict[str, float] = {}
+    found: list[Violation] = []
     for seen in history.of(ConfigurationInForce):
-        first_seen.setdefault(seen.process, seen.time_s)
-    highest = 0
-    accepted_at: list[tuple[float, int]] = []
-    for accepted in history.of(ConfigurationAccepted):
-        highest = max(highest, accepted.revision)
-        accepted_at.append((accepted.time_s, highest))
-    for seen in history.of(ConfigurationInForce):
-        for accepted_s, revision in accepted_at:
-            start_s = max(accepted_s, first_seen[seen.process])
-            due_s = disturbances.calm_since(seen.process, start_s, bound_s)
-            if seen.time_s > due_s and seen.revision < revision:
-                detail = f"revision {revision} not in force {seen.time_s - accepted_s:.1f} s later"
-                found.append(Violation(PROMISE, seen.process, seen.time_s, detail))
+        since_s = seen.time_s - bound_s
+        if first_seen.setdefault(seen.process, seen.time_s) > since_s:
+            continue
+        if disturbances.touch(seen.process, since_s, seen.time_s):
+            continue
+        due = max((item.revision for item in accepted if item.time_s <= since_s), default=0)
+        if seen.revision < due:
+            detail = f"revision {due} not in force {bound_s} s after it was accepted"
+            found.append(Violation(PROMISE, seen.process, seen.time_s, detail))
     return found
--- a/src/martenrun/proof/history.py
+++ b/src/martenrun/proof/history.py
@@ -10,6 +10,9 @@
 
 import msgspec
 
+OBJECT_API = "object-api"
+"""Name of the platform's object API among processes."""
+
 
 class Token(msgspec.Struct, frozen=True):
     """One piece of output: which prompt it answers and its place in that answer, from 0."""
@@ -95,9 +98,15 @@
 
 
 class ConfigurationAccepted(Record, frozen=True, tag=True):
-    """The administration API told an operator that a change is accepted."""
+    """The administration API told an operator that a change is accepted.
+
+    ``subject`` is KIND/NAME; ``expected`` the version that the change was based on.
+    """
 
     revision: int
+    subject: str = ""
+    expected: int = 0
+    removed: bool = False
 
 
 class ConfigurationInForce(Record, frozen=True, tag=True):
@@ -110,14 +119,15 @@
 
 
 class ProcessStarted(Record, frozen=True, tag=True):
-    """A node, agent or engine started; ``restarted`` tells that it had run before."""
+    """A node or agent started; ``restarted`` tells that it had run before."""
 
     process: str
     restarted: bool
+    is_node: bool = True
 
 
 class ProcessDisturbed(Record, frozen=True, tag=True):
-    """A fault hit a process: ``kind`` is ``kill``, ``freeze`` or ``cut``; until ``until_s``."""
+    """A fault hit a process: ``kind`` is ``kill``, ``freeze``, ``cut`` or ``down``."""
 
     process: str
     kind: str
--- /dev/null
+++ b/src/martenrun/proof/processes.py
@@ -0,0 +1,248 @@
+"""Simulated node and agent processes over all their runs.
+
+Each run builds its decision logic with the same factory as the real process.
+"""
+
+import random
+from collections.abc import Callable, Mapping
+from typing import NoReturn
+
+import msgspec
+from werkzeug.datastructures import Headers
+from werkzeug.test import Client
+
+from martenrun.admin.application import AdminApplication
+from martenrun.agent.parts import AgentParts, agent_parts
+from martenrun.edge.request import parse_request
+from martenrun.errors import MartenrunError, NodeUnavailableError
+from martenrun.events import (
+    CacheEventsRead,
+    Event,
+    Finish,
+    MachinesListed,
+    RunAttempt,
+    RunnerDescribed,
+)
+from martenrun.node.parts import NodeParts, node_parts
+from martenrun.proof.edges import SimulatedEdge
+from martenrun.proof.object_api import SimulatedObjectApi
+from martenrun.proof.recorder import Recorder
+from martenrun.settings.model import AgentSettings, NodeSettings
+from martenrun.simulation.engine import SimulatedEngine
+from martenrun.simulation.feed import SimulatedFeedReader
+from martenrun.simulation.hollow import HollowProcess
+from martenrun.simulation.machines import SimulatedMachines
+from martenrun.simulation.network import SimulatedNetwork
+from martenrun.simulation.scheduler import Scheduler
+from martenrun.simulation.store import SimulatedStore
+
+PLATFORM_POLL_S = 0.5
+CACHE_EVENTS_POLL_S = 0.2
+PLATFORM_DELAY_S = 0.005
+COMPLETION_PATH = "/v1/completions"
+
+
+class Surroundings(msgspec.Struct, frozen=True):
+    """What all simulated processes share; ``engines`` are by address."""
+
+    scheduler: Scheduler
+    network: SimulatedNetwork
+    store: SimulatedStore
+    machines: SimulatedMachines
+    engines: Mapping[str, SimulatedEngine]
+    recorder: Recorder
+    rng: random.Random
+
+
+class SimulatedProcess:
+    """A node or an agent: starts, serves callers, freezes, dies and starts again.
+
+    Attributes:
+        name: name in histories.
+        peer: name on the internal network.
+    """
+
+    parts: NodeParts | AgentParts
+    settings: NodeSettings | AgentSettings
+
+    def __init__(self, name: str, peer: str, around: Surroundings) -> None:
+        self.name = name
+        self.peer = peer
+        self._around = around
+        self._runs = 0
+        self._waiting: list[Callable[[], None]] = []
+        self.start()
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether the process runs and is not paused."""
+        return self.hollow.is_alive and not self.hollow.is_frozen
+
+    @property
+    def incarnation(self) -> str:
+        """Identity of the present run."""
+        return f"{self.name}.{self._runs}"
+
+    def build_parts(self, rng: random.Random) -> NodeParts | AgentParts:
+        """Build the decision logic of one run."""
+        raise NotImplementedError
+
+    def start(self) -> None:
+        """Start a run with nothing kept from the one before."""
+        self._runs += 1
+        around = self._around
+        self.parts = self.build_parts(random.Random(around.rng.randrange(1 << 30)))
+        self.edge = SimulatedEdge(
+            around.scheduler,
+            around.recorder,
+            around.engines,
+            lambda event: self.hollow.tell(event),
+            self.settings.token_gap_timeout_s,
+        )
+        hollow = HollowProcess(
+            self.peer,
+            self.parts.in_order(),
+            around.scheduler,
+            around.network,
+            {
+                RunAttempt: self.edge.run_attempt,
+                Finish: self.edge.finish,
+                **around.store.carriers(self.name, lambda event: hollow.tell(event)),
+            },
+            observe=lambda _receiver, message: around.recorder.sent(self.name, message),
+        )
+        self.hollow = hollow
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.hollow.kill()
+        self.edge.break_off()
+        waiting, self._waiting = self._waiting, []
+        for call in waiting:
+            call()
+
+    def freeze(self) -> None:
+        """Pause the process."""
+        if self.is_serving:
+            self.hollow.freeze()
+
+    def thaw(self) -> None:
+        """Continue after a pause."""
+        if self.hollow.is_alive and self.hollow.is_frozen:
+            self.hollow.thaw()
+            waiting, self._waiting = self._waiting, []
+            for call in waiting:
+                call()
+
+    def request(self, headers: Mapping[str, str], body: bytes) -> None:
+        """Serve a caller's request on the process's edge."""
+        if not self.hollow.is_alive:
+            self.edge.lose(headers["X-Request-Id"], [])
+        elif self.hollow.is_frozen:
+            self._waiting.append(lambda: self.request(headers, body))
+        else:
+            self._serve(headers, body)
+
+    def _serve(self, headers: Mapping[str, str], body: bytes) -> None:
+        try:
+            parsed = parse_request(
+                COMPLETION_PATH, Headers(dict(headers)), body, self.parts.view(), "zone"
+            )
+        except MartenrunError as error:
+            self.edge.answer(headers["X-Request-Id"], None, error)
+            return
+        # Ids are drawn at random in the product; here they are the callers', for repeatability.
+        parsed.question.request_id = headers["X-Request-Id"]
+        self.edge.begin(parsed)
+
+
+class SimulatedAgent(SimulatedProcess):
+    """An agent."""
+
+    settings: AgentSettings
+
+    def __init__(self, name: str, seed_nodes: list[str], around: Surroundings) -> None:
+        self.settings = AgentSettings(
+            name=name,
+            zone="zone",
+            cluster_secret="simulated-secret",
+            http_address="10.0.0.1:8000",
+            seed_nodes=seed_nodes,
+        )
+        super().__init__(name, f"agent/{name}", around)
+
+    def build_parts(self, rng: random.Random) -> AgentParts:
+        """Build the decision logic of one run."""
+        return agent_parts(self.settings, self.incarnation, rng)
+
+
+class SimulatedNode(SimulatedProcess):
+    """A node, with the pollers that its real process has."""
+
+    parts: NodeParts
+    settings: NodeSettings
+
+    def __init__(self, name: str, peer: str, seed_nodes: list[str], around: Surroundings) -> None:
+        self.settings = NodeSettings(
+            name=name,
+            zone="zone",
+            cluster_secret="simulated-secret",
+            http_address="10.0.0.1:8000",
+            seed_nodes=seed_nodes,
+            peer_address=peer,
+            object_api="10.0.1.1:8000",
+            machine_list="10.0.1.2:8000",
+        )
+        super().__init__(name, peer, around)
+
+    def build_parts(self, rng: random.Random) -> NodeParts:
+        """Build the decision logic of one run."""
+        return node_parts(self.settings, self.incarnation, rng)
+
+    def start(self) -> None:
+        """Start a run and its pollers."""
+        super().start()
+        self._feeds = SimulatedFeedReader()
+        run = self._runs
+        self._poll(run, PLATFORM_POLL_S, self._list_machines)
+        self._poll(run, PLATFORM_POLL_S, self._describe_runners)
+        self._poll(run, CACHE_EVENTS_POLL_S, self._read_cache_events)
+
+    def administration(self, key_sha256: str) -> Client:
+        """Return a client of the node's administration API."""
+        store = SimulatedObjectApi(self._around.store, self._around.rng)
+        return Client(AdminApplication(store, self.parts.view, key_sha256, _no_status))
+
+    def _poll(self, run: int, interval_s: float, poll: Callable[[], None]) -> None:
+        if run != self._runs or not self.hollow.is_alive:
+            return
+        if not self.hollow.is_frozen:
+            poll()
+        self._around.scheduler.after(interval_s, lambda: self._poll(run, interval_s, poll))
+
+    def _list_machines(self) -> None:
+        if self.parts.machine_feed.must_poll():
+            self._tell_later(MachinesListed(self._around.machines.machines()))
+
+    def _describe_runners(self) -> None:
+        for name in sorted({*self.parts.ownership.owner.owned, *self.parts.rolls.watched}):
+            runner = self.parts.runners.runners.get(name)
+            if runner is not None:
+                engine = self._around.engines[runner.address]
+                self._tell_later(RunnerDescribed(runner.name, engine.describe()))
+
+    def _read_cache_events(self) -> None:
+        for runner in list(self.parts.runners.runners.values()):
+            engine = self._around.engines[runner.address]
+            if engine.answers:
+                events = self._feeds.read(runner.name, engine.incarnation, engine.feed)
+                if events is not None:
+                    self._tell_later(CacheEventsRead(runner.name, events))
+
+    def _tell_later(self, event: Event) -> None:
+        hollow = self.hollow
+        self._around.scheduler.after(PLATFORM_DELAY_S, lambda: hollow.tell(event))
+
+
+def _no_status() -> NoReturn:
+    raise NodeUnavailableError("the simulation does not ask for the status")
--- /dev/null
+++ b/src/martenrun/proof/world.py
@@ -0,0 +1,140 @@
+"""A simulated world: nodes, agents, engines, object API and machine list in virtual time.
+
+See also: :mod:`martenrun.proof.injector`, which brings the faults about.
+"""
+
+import random
+
+import msgspec
+
+from martenrun.platform.machine_list import Machine
+from martenrun.proof.callers import Callers
+from martenrun.proof.checkers import Violation, check_all
+from martenrun.proof.history import History, ProcessStarted
+from martenrun.proof.injector import FaultInjector
+from martenrun.proof.operators import Operators
+from martenrun.proof.processes import (
+    SimulatedAgent,
+    SimulatedNode,
+    SimulatedProcess,
+    Surroundings,
+)
+from martenrun.proof.recorder import Recorder
+from martenrun.proof.schedule import Schedule
+from martenrun.simulation.engine import SimulatedEngine
+from martenrun.simulation.machines import SimulatedMachines
+from martenrun.simulation.network import LinkFaults, SimulatedNetwork
+from martenrun.simulation.scheduler import Scheduler
+from martenrun.simulation.store import SimulatedStore, StoreFaults
+
+MACHINE_LAG_S = 1.0
+OBSERVE_INTERVAL_S = 0.5
+WARM_UP_S = 3.0
+"""Time for configuration and runners to become known before the load, in seconds."""
+
+QUIET_S = 14.0
+"""Time without load after the last fault, in which everything must come right, in seconds."""
+
+LONGEST_RUN_S = 80.0
+
+
+class World:
+    """One history: build it from a schedule, then :meth:`run` it."""
+
+    def __init__(self, schedule: Schedule) -> None:
+        self._schedule = schedule
+        rng = random.Random(schedule.seed)
+        self.scheduler = Scheduler()
+        self.recorder = Recorder(lambda: self.scheduler.now)
+        self._build_platform(rng)
+        self._build_processes()
+        members: list[SimulatedProcess] = [*self.agents, *self.nodes]
+        self.members = members
+        self.callers = Callers(self.scheduler, self.recorder, rng, members, schedule.copy_share)
+        self.operators = Operators(self.scheduler, self.recorder, rng, self.nodes)
+
+    def run(self) -> History:
+        """Run to the end and return what was recorded."""
+        schedule = self._schedule
+        self._record_starts()
+        self.operators.publish_all()
+        self._observe()
+        self.scheduler.run_until(WARM_UP_S)
+        load_until_s = WARM_UP_S + schedule.load_s
+        self.callers.run(schedule.requests_per_s, load_until_s)
+        injector = FaultInjector(
+            self.around, self.nodes, self.agents, self.engines, self.callers, self.operators
+        )
+        injector.plan(schedule.faults)
+        faults_until_s = max(
+            (fault.at_s + fault.duration_s for fault in schedule.faults), default=0
+        )
+        self.scheduler.run_until(max(load_until_s, WARM_UP_S + faults_until_s) + QUIET_S)
+        while self._is_busy() and self.scheduler.now < LONGEST_RUN_S:
+            self.scheduler.run_until(self.scheduler.now + 1.0)
+        return self.recorder.history()
+
+    def _build_platform(self, rng: random.Random) -> None:
+        machines = SimulatedMachines(self.scheduler, MACHINE_LAG_S)
+        self.engines = [
+            SimulatedEngine(
+                f"engine-{index}",
+                f"10.0.2.{index + 1}:8000",
+                self.scheduler,
+                self.recorder.executed,
+            )
+            for index in range(self._schedule.engines)
+        ]
+        for engine in self.engines:
+            machines.put(Machine(engine.name, "engine", engine.address, "zone", "pool"))
+        self.around = Surroundings(
+            self.scheduler,
+            SimulatedNetwork(self.scheduler, rng, LinkFaults()),
+            SimulatedStore(self.scheduler, rng, StoreFaults()),
+            machines,
+            {engine.address: engine for engine in self.engines},
+            self.recorder,
+            rng,
+        )
+
+    def _build_processes(self) -> None:
+        peers = [f"10.0.0.{index + 1}:7000" for index in range(self._schedule.nodes)]
+        self.nodes = [
+            SimulatedNode(f"node-{index}", peer, peers, self.around)
+            for index, peer in enumerate(peers)
+        ]
+        self.agents = [
+            SimulatedAgent(f"agent-{index}", peers, self.around)
+            for index in range(self._schedule.agents)
+        ]
+
+    def _record_starts(self) -> None:
+        for member in self.members:
+            is_node = isinstance(member, SimulatedNode)
+            self.recorder.add(
+                ProcessStarted(time_s=0.0, process=member.name, restarted=False, is_node=is_node)
+            )
+
+    def _observe(self) -> None:
+        for member in self.members:
+            if member.is_serving:
+                self.recorder.in_force(member.name, member.incarnation, member.parts.view())
+        self.scheduler.after(OBSERVE_INTERVAL_S, self._observe)
+
+    def _is_busy(self) -> bool:
+        return any(member.edge.active_count for member in self.members)
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """What one history came to."""
+
+    schedule: Schedule
+    operations: int
+    violations: list[Violation]
+
+
+def run_schedule(schedule: Schedule) -> Outcome:
+    """Run one history and check every promise."""
+    world = World(schedule)
+    history = world.run()
+    return Outcome(schedule, world.callers.sent, check_all(history))
--- /dev/null
+++ b/src/martenrun/simulation/engine.py
@@ -0,0 +1,296 @@
+"""A simulated engine: batching time model, prefix cache, crashes and freezes.
+
+One :class:`EngineStream` is one connection that carries one attempt; its calls to the edge
+are made in order, as on TCP.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+
+from martenrun.constants import BLOCK_HASH_BYTES
+from martenrun.identity.chain import chain_seed, hash_chain
+from martenrun.identity.prompt import canonical_completion_text
+from martenrun.platform.engine import RunnerDescription
+from martenrun.simulation.feed import SimulatedFeed
+from martenrun.simulation.scheduler import Scheduler
+
+PREFILL_S_PER_BLOCK = 0.01
+DECODE_S_PER_TOKEN = 0.02
+CONNECTION_DELAY_S = 0.001
+
+
+class EngineBody(msgspec.Struct):
+    """Fields of the body of an attempt that the engine reads."""
+
+    prompt: str
+    max_tokens: int
+    cache_salt: str = ""
+    request_id: str = ""
+    resume_from: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class CachedBlock:
+    """Which request wrote a block into a cache, and where."""
+
+    request_id: str
+    weights_version: str
+    incarnation: str
+
+
+@dataclass(frozen=True, slots=True)
+class Execution:
+    """The start of one execution, as the engine knows it; ``chain`` is concatenated hashes."""
+
+    engine: str
+    incarnation: str
+    expected_incarnation: str
+    weights_version: str
+    body: EngineBody
+    chain: bytes
+    reused: tuple[CachedBlock, ...]
+
+
+class StreamReader(Protocol):
+    """The edge's side of a connection."""
+
+    def take_token(self, index: int, prompt: str, matched_blocks: int) -> None:
+        """Take one piece of output."""
+
+    def take_end(self) -> None:
+        """Take the stream's terminator."""
+
+    def take_refusal(self, message: str) -> None:
+        """Take an answer that says that nothing was run."""
+
+    def take_reset(self) -> None:
+        """Learn that the connection broke."""
+
+
+class EngineStream:
+    """One connection; closing it from either side ends the execution or the reading."""
+
+    def __init__(self, reader: StreamReader) -> None:
+        self.reader: StreamReader | None = reader
+        self.is_cancelled = False
+        self.next_token = 0
+        self.matched_blocks = 0
+
+    def cancel(self) -> None:
+        """The edge closes: the engine stops its work."""
+        self.reader = None
+        self.is_cancelled = True
+
+    def cut(self) -> None:
+        """The network breaks the connection; the engine may go on working."""
+        reader, self.reader = self.reader, None
+        if reader is not None:
+            reader.take_reset()
+
+
+class SimulatedEngine:
+    """One engine machine over all its incarnations.
+
+    Args:
+        observe: is told every execution as it begins.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        scheduler: Scheduler,
+        observe: Callable[[Execution], None],
+        slots: int = 8,
+        cache_blocks: int = 64,
+        block_bytes: int = 64,
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.model = "model"
+        self.weights_version = "v1"
+        self.is_up = True
+        self.slots = slots
+        self._scheduler = scheduler
+        self._observe = observe
+        self._cache_blocks = cache_blocks
+        self._block_bytes = block_bytes
+        self._runs = 1
+        self._cache: OrderedDict[bytes, CachedBlock] = OrderedDict()
+        self._streams: list[EngineStream] = []
+        self._running = 0
+        self._waiting: list[Callable[[], None]] | None = None
+        self.feed = SimulatedFeed(scheduler, self.incarnation)
+
+    @property
+    def incarnation(self) -> str:
+        """Identity of the present run."""
+        return f"{self.name}.{self._runs}"
+
+    @property
+    def running(self) -> int:
+        """Executions in progress."""
+        return self._running
+
+    @property
+    def answers(self) -> bool:
+        """Whether the process runs and is not paused."""
+        return self.is_up and self._waiting is None
+
+    def describe(self) -> RunnerDescription | None:
+        """Return the engine's own description, or None if it does not answer."""
+        if not self.answers:
+            return None
+        return RunnerDescription(
+            self.incarnation,
+            self.model,
+            self.weights_version,
+            self._running,
+            self.slots,
+            len(self._cache),
+        )
+
+    def connect(self, expected_incarnation: str, body: bytes, reader: StreamReader) -> EngineStream:
+        """Open a connection and send an attempt on it."""
+        stream = EngineStream(reader)
+        request = msgspec.json.decode(body, type=EngineBody)
+        self._scheduler.after(
+            CONNECTION_DELAY_S, lambda: self._accept(expected_incarnation, request, stream)
+        )
+        return stream
+
+    def crash(self) -> None:
+        """End the process at once; connections are reset and the cache is lost."""
+        self.is_up = False
+        self._waiting = None
+        streams, self._streams = self._streams, []
+        for stream in streams:
+            stream.is_cancelled = True
+            stream.cut()
+
+    def restart(self) -> None:
+        """Come back empty under the same address, unless it is up."""
+        if self.is_up:
+            return
+        self._runs += 1
+        self._running = 0
+        self._cache.clear()
+        self.feed = SimulatedFeed(self._scheduler, self.incarnation)
+        self.is_up = True
+
+    def freeze(self) -> None:
+        """Pause; connections stay open and silent."""
+        if self._waiting is None and self.is_up:
+            self._waiting = []
+
+    def thaw(self) -> None:
+        """Go on with what waited."""
+        waiting, self._waiting = self._waiting or [], None
+        for call in waiting:
+            call()
+
+    def cut_connections(self) -> None:
+        """Break every connection while the executions go on."""
+        for stream in self._streams:
+            stream.cut()
+
+    def _accept(self, expected: str, body: EngineBody, stream: EngineStream) -> None:
+        if self._waiting is not None:
+            self._waiting.append(lambda: self._accept(expected, body, stream))
+            return
+        if stream.reader is None:
+            return
+        refusal = self._refusal(expected)
+        if refusal:
+            stream.reader.take_refusal(refusal)
+            return
+        self._execute(expected, body, stream)
+
+    def _refusal(self, expected: str) -> str:
+        if not self.is_up:
+            return "connection refused"
+        if expected != self.incarnation:
+            return "another incarnation"
+        return "no free slot" if self._running >= self.slots else ""
+
+    def _execute(self, expected: str, body: EngineBody, stream: EngineStream) -> None:
+        own = CachedBlock(body.request_id, self.weights_version, self.incarnation)
+        text = canonical_completion_text(body.prompt)
+        seed = chain_seed(body.cache_salt, self.weights_version)
+        chain = hash_chain(text, seed, self._block_bytes)
+        blocks = _blocks(chain)
+        reused = self._match(blocks)
+        stream.matched_blocks = len(reused)
+        stream.next_token = body.resume_from
+        self._running += 1
+        self._streams.append(stream)
+        self._observe(
+            Execution(
+                self.name, own.incarnation, expected, own.weights_version, body, chain, reused
+            )
+        )
+        prefill_s = PREFILL_S_PER_BLOCK * (len(blocks) - len(reused))
+        run = self._runs
+        self._later(prefill_s, run, lambda: self._prefilled(blocks, own, body, stream))
+
+    def _prefilled(
+        self, blocks: list[bytes], own: CachedBlock, body: EngineBody, stream: EngineStream
+    ) -> None:
+        stored = [block for block in blocks if block not in self._cache]
+        for block in blocks:
+            self._cache.setdefault(block, own)
+            self._cache.move_to_end(block)
+        removed: list[bytes] = []
+        while len(self._cache) > self._cache_blocks:
+            removed.append(self._cache.popitem(last=False)[0])
+        self.feed.write(stored, removed)
+        self._decode(body, stream)
+
+    def _decode(self, body: EngineBody, stream: EngineStream) -> None:
+        if stream.is_cancelled or stream.next_token >= body.max_tokens:
+            self._finish(stream)
+            return
+        if stream.reader is not None:
+            stream.reader.take_token(stream.next_token, body.prompt, stream.matched_blocks)
+        stream.next_token += 1
+        self._later(DECODE_S_PER_TOKEN, self._runs, lambda: self._decode(body, stream))
+
+    def _finish(self, stream: EngineStream) -> None:
+        self._running -= 1
+        self._streams.remove(stream)
+        reader, stream.reader = stream.reader, None
+        if reader is not None:
+            reader.take_end()
+
+    def _match(self, blocks: list[bytes]) -> tuple[CachedBlock, ...]:
+        reused: list[CachedBlock] = []
+        for block in blocks:
+            origin = self._cache.get(block)
+            if origin is None:
+                break
+            self._cache.move_to_end(block)
+            reused.append(origin)
+        return tuple(reused)
+
+    def _later(self, delay_s: float, run: int, call: Callable[[], None]) -> None:
+        """Make a call later, unless this run of the engine has ended by then."""
+
+        def due() -> None:
+            if run != self._runs or not self.is_up:
+                return
+            if self._waiting is not None:
+                self._waiting.append(due)
+                return
+            call()
+
+        self._scheduler.after(delay_s, due)
+
+
+def _blocks(chain: bytes) -> list[bytes]:
+    return [
+        chain[start : start + BLOCK_HASH_BYTES] for start in range(0, len(chain), BLOCK_HASH_BYTES)
+    ]
--- a/src/martenrun/simulation/hollow.py
+++ b/src/martenrun/simulation/hollow.py
@@ -1,6 +1,6 @@
 """A hollow process: real decision logic, run by the virtual clock instead of an actor."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from martenrun.constants import TICK_INTERVAL_S
@@ -17,6 +17,7 @@
 from martenrun.process import Carrier
 from martenrun.simulation.network import SimulatedNetwork
 from martenrun.simulation.scheduler import Scheduler
+from martenrun.wire.messages import Message
 
 
 class HollowProcess:
@@ -27,6 +28,7 @@
         parts: decision logic; each event goes to all of them in order.
         carriers: what carries out each type of instruction; Send, SendDatagram and
             Tell need none.
+        observe: is told the receiver and the message of everything that is sent.
     """
 
     def __init__(
@@ -37,6 +39,7 @@
         network: SimulatedNetwork,
         carriers: Mapping[type[Any], Carrier],
         tick_interval_s: float = TICK_INTERVAL_S,
+        observe: Callable[[str, Message], None] | None = None,
     ) -> None:
         self.name = name
         self.parts = parts
@@ -44,6 +47,7 @@
         self._network = network
         self._carriers = carriers
         self._tick_interval_s = tick_interval_s
+        self._observe = observe
         self._alive = True
         self._frozen_events: list[Event] | None = None
         network.attach(name, lambda peer, message: self.tell(PeerMessage(peer, message)))
@@ -62,7 +66,9 @@
 
     def _carry_out(self, instruction: Instruction) -> None:
         if isinstance(instruction, Send):
-            self._network.send(self.name, instruction.peer, instruction.message)
+            if self._observe is not None:
+                self._observe(instruction.peer, instruction.message)
+            self._send(instruction)
         elif isinstance(instruction, SendDatagram):
             self._network.send_datagram(self.name, instruction.peer, instruction.message)
         elif isinstance(instruction, Tell):
@@ -71,6 +77,24 @@
         else:
             self._carriers[type(instruction)](instruction)
 
+    def _send(self, instruction: Send) -> None:
+        if instruction.peer != self.name:
+            self._network.send(self.name, instruction.peer, instruction.message)
+            return
+        # As in message_carrier: messages to the process itself skip the network.
+        event = PeerMessage(instruction.peer, instruction.message)
+        self._scheduler.after(0.0, lambda: self.tell(event))
+
+    @property
+    def is_alive(self) -> bool:
+        """Whether the process has not been killed."""
+        return self._alive
+
+    @property
+    def is_frozen(self) -> bool:
+        """Whether the process is paused."""
+        return self._frozen_events is not None
+
     def kill(self) -> None:
         """End the process at once; its state is lost."""
         self._alive = False
--- a/tests/test_proof_checkers.py
+++ b/tests/test_proof_checkers.py
@@ -75,6 +75,12 @@
     )
 
 
+def accepted(revision, expected):
+    return ConfigurationAccepted(
+        time_s=1.0, revision=revision, subject="tenants/t", expected=expected
+    )
+
+
 def origin(tenant="t", weights_version="v1", incarnation="i"):
     return CacheOrigin(tenant, weights_version, incarnation)
 
@@ -83,6 +89,11 @@
     return answered((0,), time_s=time_s, code="stream_broken", ran=ran)
 
 
+NODE = ProcessStarted(time_s=0.0, process="node", restarted=False)
+AGENT_RESTART = ProcessStarted(time_s=1.0, process="agent", restarted=True, is_node=False)
+UNSERVED = answered((), time_s=2.6, code="node_unavailable", ran="no")
+STORE_DOWN = ProcessDisturbed(time_s=0.0, process="object-api", kind="down", until_s=9.0)
+NODE_ASKED = invoked(time_s=2.0, edge="node")
 STOP = PlannedStop(time_s=0.7, process="engine", until_s=3.0)
 KILL = ProcessDisturbed(time_s=0.0, process="node", kind="kill", until_s=1.0)
 RESTART = ProcessStarted(time_s=1.0, process="node", restarted=True)
@@ -128,14 +139,26 @@
         ],
     ),
     ("restart", [KILL, RESTART, invoked(time_s=2.5, edge="node")]),
+    ("restart", [KILL, in_force(0.7, 1, process="o"), STORE_DOWN, RESTART, NODE_ASKED, UNSERVED]),
+    ("restart", [NODE, AGENT_RESTART, invoked(time_s=2.5), UNSERVED]),
     ("planned_stop", [invoked(), executed(), STOP, broken()]),
     ("planned_stop", [invoked(edge="engine"), STOP]),
     ("configuration", [in_force(1.0, 2), in_force(2.0, 1)]),
+    ("configuration", [accepted(2, expected=1), accepted(3, expected=1)]),
     ("configuration", [in_force(1.0, 2, "a"), in_force(2.0, 2, "b", process="other")]),
     (
         "configuration",
         [in_force(0.5, 1), ConfigurationAccepted(time_s=1.0, revision=2), in_force(20.0, 1)],
     ),
+    (
+        "configuration",
+        [
+            KILL,
+            in_force(0.5, 1),
+            ConfigurationAccepted(time_s=0.6, revision=2),
+            in_force(13.1, 1, incarnation="j"),
+        ],
+    ),
 ]
 
 CLEAN = [
@@ -150,11 +173,31 @@
     ),
     ("cache_use", [executed(reused=[origin()]), granted()]),
     ("restart", [KILL, RESTART, invoked(time_s=2.5, edge="node"), answered(time_s=2.6)]),
+    (
+        "restart",
+        [
+            NODE,
+            ProcessDisturbed(time_s=0.5, process="node", kind="kill", until_s=1.9),
+            AGENT_RESTART,
+            invoked(time_s=2.5),
+            UNSERVED,
+        ],
+    ),
+    ("restart", [KILL, STORE_DOWN, RESTART, NODE_ASKED, UNSERVED]),
     ("planned_stop", [invoked(), executed(), STOP, answered()]),
     (
         "configuration",
         [in_force(0.5, 1), ConfigurationAccepted(time_s=1.0, revision=2), in_force(9.0, 2)],
     ),
+    (
+        "configuration",
+        [
+            in_force(0.5, 1),
+            ConfigurationAccepted(time_s=0.6, revision=1),
+            ProcessDisturbed(time_s=14.0, process="node", kind="kill", until_s=15.0),
+            in_force(16.0, 0, incarnation="j"),
+        ],
+    ),
 ]
 
 
--- /dev/null
+++ b/tests/test_proof_simulation.py
@@ -0,0 +1,174 @@
+"""Simulated histories: every checker fails without its guard and passes with it."""
+
+import dataclasses
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from martenrun.agent.active import ActiveRequest
+from martenrun.agent.requests import RequestsLogic
+from martenrun.claims.logic import ClaimsLogic
+from martenrun.configuration.state import ConfigurationState
+from martenrun.edge.request import CallerRequest
+from martenrun.errors import Ran
+from martenrun.events import QuestionCleared, Tell
+from martenrun.platform.engine import AttemptOutcome
+from martenrun.platform.machine_list import Machine
+from martenrun.proof.schedule import Fault, FaultKind, Schedule, draw_schedule
+from martenrun.proof.world import run_schedule
+
+HELD = {
+    "cache_use",
+    "streams",
+    "own_answer",
+    "not_run",
+    "at_most_once",
+    "leaving",
+    "planned_stop",
+    "configuration",
+}
+"""Promises whose mechanisms have landed."""
+
+
+def fault(kind, at_s, duration_s=1.0, target=0):
+    return Fault(kind, at_s, duration_s, target)
+
+
+def schedule(*faults, **fields):
+    return Schedule(seed=7, faults=faults, **fields)
+
+
+CRASHES = schedule(
+    *(fault(FaultKind.CRASH_ENGINE, 1.0 + index, 0.3, index) for index in range(8)),
+    requests_per_s=16.0,
+    copy_share=0.0,
+)
+CUTS = schedule(
+    *(fault(FaultKind.CUT_CONNECTIONS, 0.5 + 0.25 * index, 0.0, index) for index in range(36)),
+    requests_per_s=16.0,
+    copy_share=0.0,
+)
+LEAVING = schedule(fault(FaultKind.ENGINE_LEAVES, 1.0), load_s=9.0, requests_per_s=8.0)
+BUSY_LEAVING = schedule(
+    fault(FaultKind.ENGINE_LEAVES, 1.0), engines=1, load_s=9.5, requests_per_s=40.0, copy_share=0.0
+)
+LATE_MESSAGES = schedule(
+    fault(FaultKind.LOSE_MESSAGES, 0.5, 9.0, target=1),
+    *(fault(FaultKind.RACE_OPERATORS, 1.0 + 0.2 * index) for index in range(30)),
+)
+
+
+def found(run, promise):
+    return [violation for violation in run_schedule(run).violations if violation.promise == promise]
+
+
+def share_cache_between_tenants(monkeypatch):
+    with_salt = CallerRequest.engine_body
+
+    def without_salt(self, *arguments):
+        question = dataclasses.replace(self.question, tenant="same")
+        return with_salt(dataclasses.replace(self, question=question), *arguments)
+
+    monkeypatch.setattr(CallerRequest, "engine_body", without_salt)
+
+
+def take_broken_streams_as_whole(monkeypatch):
+    classified = RequestsLogic._classified
+
+    def classify(self, request, now):
+        is_broken = request.result.outcome is AttemptOutcome.BROKEN
+        return "completed" if is_broken else classified(self, request, now)
+
+    monkeypatch.setattr(RequestsLogic, "_classified", classify)
+
+
+def never_time_out(monkeypatch):
+    monkeypatch.setattr(RequestsLogic, "_check_times", lambda self, now: [])
+
+
+def call_unknown_outcomes_not_run(monkeypatch):
+    def told(self, error):
+        error.ran = Ran.NO
+        return error
+
+    monkeypatch.setattr(ActiveRequest, "told", told)
+
+
+def repeat_what_may_have_run(monkeypatch):
+    monkeypatch.setattr(RequestsLogic, "_may_run_again", staticmethod(lambda request: True))
+
+
+def clear_without_a_claim(monkeypatch):
+    def asked(self, peer, question, now):
+        return [Tell(QuestionCleared(peer, question))]
+
+    monkeypatch.setattr(ClaimsLogic, "_asked", asked)
+
+
+def use_leaving_runners(monkeypatch):
+    monkeypatch.setattr(Machine, "is_leaving", property(lambda self: False))
+
+
+def take_older_updates(monkeypatch):
+    apply = ConfigurationState.apply
+
+    def apply_any(self, update):
+        self.revision = min(self.revision, update.from_revision)
+        self._objects.clear()
+        return apply(self, update)
+
+    monkeypatch.setattr(ConfigurationState, "apply", apply_any)
+
+
+GUARDS = [
+    ("cache_use", share_cache_between_tenants, schedule()),
+    ("streams", take_broken_streams_as_whole, CRASHES),
+    ("own_answer", never_time_out, LATE_MESSAGES),
+    ("not_run", call_unknown_outcomes_not_run, CUTS),
+    ("at_most_once", repeat_what_may_have_run, CUTS),
+    ("at_most_once", clear_without_a_claim, schedule(requests_per_s=16.0)),
+    ("leaving", use_leaving_runners, LEAVING),
+    ("planned_stop", use_leaving_runners, BUSY_LEAVING),
+    ("configuration", take_older_updates, LATE_MESSAGES),
+]
+
+
+@pytest.mark.parametrize(("promise", "remove_guard", "run"), GUARDS)
+def test_the_checker_finds_the_violation_only_without_the_guard(
+    promise, remove_guard, run, monkeypatch
+):
+    assert found(run, promise) == []
+    remove_guard(monkeypatch)
+    assert found(run, promise)
+
+
+def test_the_same_schedule_gives_the_same_outcome():
+    run = draw_schedule(3)
+    assert msgspec.json.encode(run_schedule(run)) == msgspec.json.encode(run_schedule(run))
+
+
+FAULTS = st.builds(
+    Fault,
+    kind=st.sampled_from(list(FaultKind)),
+    at_s=st.floats(0.5, 6.0),
+    duration_s=st.sampled_from((0.3, 1.5, 5.0)),
+    target=st.integers(0, 100),
+)
+SCHEDULES = st.builds(
+    Schedule,
+    seed=st.integers(0, 1_000),
+    nodes=st.integers(1, 4),
+    agents=st.integers(1, 2),
+    engines=st.integers(1, 4),
+    load_s=st.just(6.0),
+    faults=st.lists(FAULTS, max_size=4).map(tuple),
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=12)
+@given(SCHEDULES)
+def test_no_promise_is_broken_whatever_fails(run):
+    violations = run_schedule(run).violations
+    assert [violation for violation in violations if violation.promise in HELD] == []
