Choose the newest of several long copies; ask anew when pages stop coming

Cause: reading again: a new process took the pages of whoever answered first, so that a long copy of a cut-off peer could be in force before a newer one, and a sender that died in the middle delayed it by 5 s. It also went on asking three nodes every 0.25 s for first pages meanwhile. Change: first pages are gathered like whole copies, the newest is followed; a missing page ends the attempt after 1 s; no other questions while pages come. The event StoreChanges, which nothing gives any more, is gone; the status logic moves to node/. Before and after: test_a_new_process_takes_the_newest_long_copy_in_pages and test_pages_that_stop_coming_are_asked_for_anew need the change; both pass with it.

--- a/src/martenrun/admin/status.py
+++ b/src/martenrun/admin/status.py
@@ -6,10 +6,10 @@
 
 import msgspec
 
-from martenrun.configuration.status import STATUS_TIMEOUT_S, newest_agent_revisions
 from martenrun.configuration.view import ConfigurationView
 from martenrun.errors import NodeUnavailableError
 from martenrun.events import Event, StatusReady, StatusWanted
+from martenrun.node.status import STATUS_TIMEOUT_S, newest_agent_revisions
 
 _LOOP_TIMEOUT_S = STATUS_TIMEOUT_S + 2.0
 
--- a/src/martenrun/agent/configuration.py
+++ b/src/martenrun/agent/configuration.py
@@ -45,8 +45,7 @@
             case PeerMessage(peer, ConfigurationUpdate() as update):
                 return self._replica.take_in(peer, update, now)
             case Tick():
-                self._replica.settle(now)
-                return self._query(now)
+                return self._replica.settle(now) + self._query(now)
         return []
 
     def _query(self, now: float) -> list[Instruction]:
--- a/src/martenrun/configuration/replica.py
+++ b/src/martenrun/configuration/replica.py
@@ -26,8 +26,8 @@
 ANSWER_TIMEOUT_S = 0.5
 """How long an answer may take before somebody else is asked, in seconds."""
 
-PAGES_TIMEOUT_S = 5.0
-"""How long the pages of one update may take; after that it is asked for anew."""
+PAGE_TIMEOUT_S = 1.0
+"""How long the next page of an update may take before the update is asked for anew."""
 
 
 def nodes_digest(nodes: Sequence[str]) -> int:
@@ -35,13 +35,21 @@
     return 1 + zlib.crc32("\n".join(sorted(nodes)).encode())
 
 
+@dataclass(frozen=True, slots=True)
+class _Offer:
+    """A copy, or the first page of one, that a peer has offered."""
+
+    peer: str
+    update: ConfigurationUpdate
+
+
 @dataclass
 class _Pages:
     """The pages of one update that have arrived so far."""
 
     sender: str
-    until: float
     complete: bool
+    until: float = 0.0
     last_revision: int = 0
     objects: list[ConfigurationObject] = field(default_factory=list)
 
@@ -57,7 +65,7 @@
     def __init__(self, nodes: Sequence[str], rng: random.Random) -> None:
         self.state = ConfigurationState(nodes=list(nodes))
         self._rng = rng
-        self._offers: list[ConfigurationUpdate] = []
+        self._offers: list[_Offer] = []
         self._settled_at: float | None = None
         self._pages: _Pages | None = None
         self._next_question = 0.0
@@ -69,7 +77,7 @@
 
     def is_question_due(self, now: float) -> bool:
         """Whether it is time to ask somebody: regularly, and soon again after silence."""
-        return now >= self._next_question
+        return now >= self._next_question and not self._is_paging(now)
 
     def asked(self, now: float, interval_s: float) -> None:
         """Note that somebody was asked; the next question is due after an answer and a while."""
@@ -90,26 +98,38 @@
     def take_in(self, peer: str, update: ConfigurationUpdate, now: float) -> list[Instruction]:
         """Take in an update from a peer; returns questions for what is still missing."""
         self._next_question = self._regular_question
-        if update.continues or update.page_after:
+        if update.page_after:
             return self._take_page(peer, update, now)
         if self.state.leaves_gap(update):
             return [Send(peer, ConfigurationQuery(self.state.revision))]
         if self.state.revision == 0 and update.to_revision > 0:
             # Another peer may offer a newer copy; an older one must not be in force before it.
-            self._offers.append(update)
+            self._offers.append(_Offer(peer, update))
             if self._settled_at is None:
                 self._settled_at = now + SETTLE_S
             return []
-        self.state.apply(update)
-        return []
+        return self._accept(peer, update, now)
 
-    def settle(self, now: float) -> bool:
+    def settle(self, now: float) -> list[Instruction]:
         """Take the newest of the copies gathered since the start, once it is time."""
         if self._settled_at is None or now < self._settled_at:
-            return False
+            return []
         self._settled_at = None
         offers, self._offers = self._offers, []
-        return self.state.apply(max(offers, key=lambda offer: offer.to_revision))
+        newest = max(offers, key=lambda offer: offer.update.to_revision)
+        return self._accept(newest.peer, newest.update, now)
+
+    def _accept(self, peer: str, update: ConfigurationUpdate, now: float) -> list[Instruction]:
+        if not update.continues:
+            self.state.apply(update)
+            return []
+        if self._is_paging(now):
+            return []
+        self._pages = _Pages(peer, update.complete)
+        return self._add_page(self._pages, update, now)
+
+    def _is_paging(self, now: float) -> bool:
+        return self._pages is not None and now <= self._pages.until
 
     def _page(self, query: ConfigurationQuery) -> ConfigurationUpdate:
         update = self.state.update_since(query.known_revision)
@@ -126,17 +146,21 @@
         return update
 
     def _take_page(self, peer: str, page: ConfigurationUpdate, now: float) -> list[Instruction]:
-        pages = self._pages
-        if page.page_after == 0 and (pages is None or now > pages.until):
-            pages = self._pages = _Pages(peer, now + PAGES_TIMEOUT_S, page.complete)
-        if pages is None or not pages.fits(peer, page):
+        if self._pages is None or not self._pages.fits(peer, page):
             return []
+        return self._add_page(self._pages, page, now)
+
+    def _add_page(self, pages: _Pages, page: ConfigurationUpdate, now: float) -> list[Instruction]:
         pages.objects += page.objects
         if page.continues:
             pages.last_revision = page.objects[-1].revision
-            return [Send(peer, ConfigurationQuery(page.from_revision, pages.last_revision))]
+            pages.until = now + PAGE_TIMEOUT_S
+            query = ConfigurationQuery(page.from_revision, pages.last_revision)
+            return [Send(pages.sender, query)]
         self._pages = None
-        whole = ConfigurationUpdate(
-            page.from_revision, page.to_revision, pages.objects, complete=page.complete
+        self.state.apply(
+            ConfigurationUpdate(
+                page.from_revision, page.to_revision, pages.objects, complete=page.complete
+            )
         )
-        return self.take_in(peer, whole, now)
+        return []
--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -39,13 +39,6 @@
     message: Message
 
 
-@dataclass(frozen=True, slots=True)
-class StoreChanges:
-    """The object API has told changes."""
-
-    update: ConfigurationUpdate
-
-
 @dataclass(frozen=True, slots=True)
 class MachinesListed:
     """The machine list has answered."""
@@ -176,7 +169,6 @@
 Event = (
     Tick
     | PeerMessage
-    | StoreChanges
     | MachinesListed
     | RunnerDescribed
     | CacheEventsRead
--- a/src/martenrun/node/configuration.py
+++ b/src/martenrun/node/configuration.py
@@ -20,7 +20,6 @@
     MembersChanged,
     PeerMessage,
     Send,
-    StoreChanges,
     Tick,
 )
 from martenrun.membership.view import Member, MemberView, StaticMemberView
@@ -107,21 +106,20 @@
             case PeerMessage(peer, ConfigurationUpdate() as update):
                 update.nodes = []
                 return self._replica.take_in(peer, update, now)
-            case StoreChanges(update):
-                self.state.apply(update)
             case MembersChanged(members):
                 self.state.nodes = [member.address for member in members]
         return []
 
     def _tick(self, now: float) -> list[Instruction]:
-        self._replica.settle(now)
+        instructions = self._replica.settle(now)
         if not self._replica.is_question_due(now):
-            return []
+            return instructions
         is_new = self.state.revision == 0
         self._replica.asked(now, FIRST_QUERY_S if is_new else COMPARISON_S)
         self.state.nodes = sorted(member.address for member in self._members.live())
         peers = self._first_peers() if is_new else self._random_nodes(1, "")
-        return [Send(peer, ConfigurationQuery(self.state.revision)) for peer in peers]
+        query = ConfigurationQuery(self.state.revision)
+        return instructions + [Send(peer, query) for peer in peers]
 
     def _answer(self, peer: str, query: ConfigurationQuery, now: float) -> list[Instruction]:
         if peer.startswith("agent/"):
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -9,7 +9,6 @@
 from martenrun.agent.requests import RequestsLogic
 from martenrun.claims.logic import ClaimsLogic
 from martenrun.configuration.objects import DrainRole
-from martenrun.configuration.status import StatusLogic
 from martenrun.configuration.view import ConfigurationView
 from martenrun.events import DecisionLogic
 from martenrun.membership.gossip import GossipMembership
@@ -17,6 +16,7 @@
 from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.node.drain import NodeDrainLogic
 from martenrun.node.runners import RunnerTable
+from martenrun.node.status import StatusLogic
 from martenrun.orders.rolls import RollsLogic
 from martenrun.ownership.home import HomeLogic
 from martenrun.ownership.logic import OwnershipLogic
--- a/tests/test_configuration_replication.py
+++ b/tests/test_configuration_replication.py
@@ -230,19 +230,45 @@
     assert copy.view.documents == {}
 
 
-def test_a_long_copy_travels_in_pages(monkeypatch):
-    monkeypatch.setattr(replica, "PAGE_BYTES", 50)
-    full, empty = (replica.ConfigurationReplica([], random.Random(0)) for _ in range(2))
+def replica_with(count):
+    full = replica.ConfigurationReplica([], random.Random(0))
     items = [
-        ConfigurationObject("tenants", f"t{n}", n, False, b'{"weight":2}') for n in range(1, 30)
+        ConfigurationObject("tenants", f"t{n}", n, False, b'{"weight":2}')
+        for n in range(1, count + 1)
     ]
-    full.state.apply(ConfigurationUpdate(0, 29, items))
-    questions = [Send("full", replica.ConfigurationQuery(0))]
-    pages = 0
+    full.state.apply(ConfigurationUpdate(0, count, items))
+    return full
+
+
+def test_a_new_process_takes_the_newest_long_copy_in_pages(monkeypatch):
+    monkeypatch.setattr(replica, "PAGE_BYTES", 50)
+    peers = {"old": replica_with(20), "new": replica_with(29), "older": replica_with(10)}
+    empty = replica.ConfigurationReplica([], random.Random(0))
+    for name, peer in peers.items():
+        (answer,) = peer.answer("empty", replica.ConfigurationQuery(0))
+        assert answer.message.continues
+        assert empty.take_in(name, answer.message, 0.0) == []
+    questions = empty.settle(replica.SETTLE_S)
+    pages = 1
     while questions:
-        (answer,) = full.answer("empty", questions[0].message)
-        questions = empty.take_in("full", answer.message, 0.0)
+        assert empty.state.revision == 0
+        assert questions[0].peer == "new"
+        (answer,) = peers["new"].answer("empty", questions[0].message)
+        # A page that comes twice changes nothing.
+        questions = empty.take_in("new", answer.message, replica.SETTLE_S)
+        assert empty.take_in("new", answer.message, replica.SETTLE_S) == []
         pages += 1
     assert pages > 3
-    empty.settle(replica.SETTLE_S)
-    assert empty.state.view == full.state.view
+    assert empty.state.view == peers["new"].state.view
+
+
+def test_pages_that_stop_coming_are_asked_for_anew(monkeypatch):
+    monkeypatch.setattr(replica, "PAGE_BYTES", 50)
+    full, behind = replica_with(29), replica_with(2)
+    (first,) = full.answer("behind", replica.ConfigurationQuery(2))
+    behind.asked(0.0, 0.1)
+    assert behind.take_in("dead", first.message, 0.0) != []
+    assert not behind.is_question_due(replica.PAGE_TIMEOUT_S)
+    late = replica.PAGE_TIMEOUT_S + 0.1
+    assert behind.is_question_due(late)
+    assert behind.take_in("alive", first.message, late) != []
