--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -133,7 +133,8 @@
             self._loop.tell(MachinesListed(self._machine_list.machines()))
 
     def _describe_runners(self) -> None:
-        for name in list(self._parts.ownership.owner.owned):
+        owned = list(self._parts.ownership.owner.owned)
+        for name in {*owned, *self._parts.rolls.watched}:
             runner = self._parts.runners.runners.get(name)
             if runner is None:
                 continue
--- a/src/martenrun/ownership/slots.py
+++ b/src/martenrun/ownership/slots.py
@@ -8,7 +8,7 @@
 import collections
 from dataclasses import dataclass, field
 
-from martenrun.platform.engine import RunnerDescription
+from martenrun.platform.engine import RunnerDescription, RunnerServingState
 from martenrun.sharing.fair_queue import FairQueue
 
 LOAD_LAG_S = 2.0
@@ -44,6 +44,7 @@
     name: str
     incarnation: str = ""
     weights_version: str = ""
+    accepting: bool = True
     slots: int = 0
     foreign: int = 0
     leases: dict[LeaseKey, Lease] = field(default_factory=dict)
@@ -56,7 +57,12 @@
     @property
     def free(self) -> int:
         """Slots that may be leased now."""
-        return self.slots - self.foreign - len(self.leases) if self.incarnation else 0
+        return self.slots - self.foreign - len(self.leases) if self.takes_work else 0
+
+    @property
+    def takes_work(self) -> bool:
+        """Whether the engine is reachable and neither drains nor loads."""
+        return bool(self.incarnation) and self.accepting
 
     def grant(self, key: LeaseKey, now: float) -> None:
         """Lease a slot."""
@@ -89,6 +95,7 @@
         was_reachable = bool(self.incarnation)
         self.incarnation = description.incarnation
         self.weights_version = description.weights_version
+        self.accepting = description.state == RunnerServingState.SERVING
         self.slots = description.slots
         is_restarted = self._last_incarnation not in ("", description.incarnation)
         self._last_incarnation = description.incarnation
