--- a/src/martenrun/node/configuration.py
+++ b/src/martenrun/node/configuration.py
@@ -16,6 +16,7 @@
 from martenrun.events import (
     Event,
     Instruction,
+    MembersChanged,
     PeerMessage,
     Send,
     StoreChanges,
@@ -92,6 +93,8 @@
                 return self._replica.take_in(peer, update, now)
             case StoreChanges(update):
                 self.state.apply(update)
+            case MembersChanged(members):
+                self.state.nodes = [member.address for member in members]
         return []
 
     def _tick(self, now: float) -> list[Instruction]:
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -20,6 +20,7 @@
     RunAttempt,
     RunnerDescribed,
     Send,
+    SendDatagram,
     SendOrder,
     StoreRead,
     StoreWatch,
@@ -32,7 +33,14 @@
 from martenrun.platform.engine_orders import EngineOrders
 from martenrun.platform.machine_list import MachineList
 from martenrun.platform.object_api import ObjectApi
-from martenrun.process import Clock, LoopActor, Poller, StoreWorkers, message_carrier
+from martenrun.process import (
+    Clock,
+    LoopActor,
+    Poller,
+    StoreWorkers,
+    datagram_carrier,
+    message_carrier,
+)
 from martenrun.settings.model import NodeSettings
 from martenrun.wire.transport import PeerTransport
 
@@ -68,6 +76,7 @@
             self._parts.in_order(),
             {
                 Send: message_carrier(self._transport, lambda event: self._loop.tell(event)),
+                SendDatagram: datagram_carrier(self._transport),
                 RunAttempt: port.deliver,
                 Finish: port.deliver,
                 StoreWrite: self._store_workers.carry,
