--- a/src/martenrun/admin/application.py
+++ b/src/martenrun/admin/application.py
@@ -17,6 +17,7 @@
 
 from martenrun.admin.access import Operator
 from martenrun.admin.references import check_references, check_unused
+from martenrun.admin.weights import check_weights
 from martenrun.configuration.objects import (
     Document,
     Kind,
@@ -39,6 +40,7 @@
     VersionConflictError,
 )
 from martenrun.platform.object_api import ObjectApi
+from martenrun.platform.weight_store import WeightStore
 from martenrun.sharing.policy import check_policy
 from martenrun.wire.messages import ConfigurationObject
 
@@ -68,6 +70,7 @@
         view: returns the configuration in force on this node.
         bootstrap_key_sha256: digest of a platform admin's key that is valid without any
             stored key, so that the first objects can be published; empty for none.
+        weights: the weight store, if pools are to be checked against it.
     """
 
     def __init__(
@@ -75,10 +78,12 @@
         store: ObjectApi,
         view: Callable[[], ConfigurationView],
         bootstrap_key_sha256: str,
+        weights: WeightStore | None = None,
     ) -> None:
         self._store = store
         self._view = view
         self._bootstrap_key_sha256 = bootstrap_key_sha256
+        self._weights = weights
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         """Serve one request."""
@@ -160,6 +165,8 @@
         if isinstance(document, Policy):
             check_policy(document.expression)
         check_references(self._store, document)
+        if self._weights is not None:
+            check_weights(self._weights, document)
 
 
 def _may_read(operator: Operator, kind: Kind, item: ConfigurationObject) -> bool:
--- a/src/martenrun/cli/processes.py
+++ b/src/martenrun/cli/processes.py
@@ -36,6 +36,7 @@
 @click.option("--peer-address", help="IP:port of the internal protocol.")
 @click.option("--object-api", help="IP:port of the platform's object API.")
 @click.option("--machine-list", help="IP:port of the platform's machine list.")
+@click.option("--weight-store", help="IP:port of the weight store; pools are checked against it.")
 @click.option("--bootstrap-key-sha256", help="Digest of the first admin key.")
 def node(settings: Path | None, **flags: object) -> None:
     """Run a node."""
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -33,6 +33,7 @@
 from martenrun.platform.engine_orders import EngineOrders
 from martenrun.platform.machine_list import MachineList
 from martenrun.platform.object_api import ObjectApi
+from martenrun.platform.weight_store import WeightStore
 from martenrun.process import (
     Clock,
     LoopActor,
@@ -86,7 +87,10 @@
             },
         )
         caller = CallerApplication(port, self._parts.view, settings)
-        admin = AdminApplication(self._store, self._parts.view, settings.bootstrap_key_sha256)
+        weights = WeightStore(settings.weight_store) if settings.weight_store else None
+        admin = AdminApplication(
+            self._store, self._parts.view, settings.bootstrap_key_sha256, weights
+        )
         application = NodeApplication(caller, admin)
         self._server = HttpServer(
             application, settings.http_address, settings.max_streams + settings.http_threads
--- a/src/martenrun/settings/model.py
+++ b/src/martenrun/settings/model.py
@@ -77,6 +77,9 @@
     peer_address: Address = Field(description="IP:port of the internal protocol")
     object_api: Address = Field(description="IP:port of the platform's object API")
     machine_list: Address = Field(description="IP:port of the platform's machine list")
+    weight_store: Address | None = Field(
+        default=None, description="IP:port of the weight store; pools are checked against it"
+    )
     membership: MembershipSettings = Field(
         default_factory=MembershipSettings, description="failure detection between nodes"
     )
--- a/src/martenrun/standins/weights.py
+++ b/src/martenrun/standins/weights.py
@@ -79,9 +79,13 @@
         """Serve one request."""
         return self._serve(Request(environ))(environ, start_response)  # type: ignore[arg-type]
 
+    def set_faults(self, faults: Faults) -> None:
+        """Replace the faults in force."""
+        self._faults = faults
+
     def _serve(self, request: Request) -> Response:
         if request.path == "/faults":
-            self._faults = msgspec.json.decode(request.get_data(), type=Faults)
+            self.set_faults(msgspec.json.decode(request.get_data(), type=Faults))
             return _json({})
         if self._faults.down:
             return _json({"error": "down"}, 503)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -10,8 +10,11 @@
 from martenrun.admin.application import AdminApplication
 from martenrun.configuration.state import ConfigurationState
 from martenrun.constants import MAXIMUM_OBJECT_BYTES
+from martenrun.edge.server import HttpServer
 from martenrun.errors import InvalidKeyError
 from martenrun.platform import object_api
+from martenrun.platform.weight_store import WeightStore
+from martenrun.standins.weights import Faults, LoadPace, WeightStoreApplication
 from object_api_server import Store
 
 ROOT = "root-token"
@@ -165,3 +168,19 @@
     with pytest.raises(InvalidKeyError, match="retired"):
         admin.view().key_of("old")
     assert admin.view().key_of("new").tenant == "growers"
+
+
+def test_a_pool_must_name_weights_that_exist_unless_the_weight_store_is_down(admin):
+    weights = WeightStoreApplication(LoadPace(), ["m/v1"])
+    server = HttpServer(weights, "127.0.0.1:0", threads=4)
+    server.start()
+    admin.client.application._weights = WeightStore(f"127.0.0.1:{server.port}")
+    try:
+        admin.put("pools/known", {"model": "m", "weights_version": "v1"})
+        pool = {"model": "m", "weights_version": "v9", "adapters": ["a1"]}
+        body = admin.refusal("PUT", "pools/unknown", pool)
+        assert "v9, a1" in json.dumps(body)
+        weights.set_faults(Faults(down=True))
+        admin.put("pools/unknown", pool)
+    finally:
+        server.stop()
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -6,7 +6,7 @@
 from engine_server import FAST, MODEL, SLOW, running_engine, served
 from martenrun.platform.engine import AttemptOutcome
 from martenrun.platform.engine_orders import EngineOrder, EngineOrders, OrderAction, OrderOutcome
-from martenrun.standins.weights import LoadPace, WeightStoreApplication
+from martenrun.standins.weights import Faults, LoadPace, WeightStoreApplication
 
 
 @pytest.fixture
@@ -57,10 +57,10 @@
 
 
 def test_a_store_that_is_down_leaves_the_order_to_be_sent_again(engine, store):
-    store._faults.down = True
+    store.set_faults(Faults(down=True))
     assert send(engine, 7, "v2") is OrderOutcome.UNKNOWN
     assert describe(engine).state == "serving"
-    store._faults.down = False
+    store.set_faults(Faults())
     assert send(engine, 7, "v2") is OrderOutcome.ACCEPTED
     wait_until(lambda: describe(engine).weights_version == "v2", "v2 serves", 5.0)
 
