--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -8,6 +8,7 @@
 from urllib3.exceptions import HTTPError
 
 from martenrun.admin.application import ADMIN_PREFIX, AdminApplication
+from martenrun.admin.status import StatusPort
 from martenrun.configuration.driver import WatchWorker
 from martenrun.edge.application import CallerApplication
 from martenrun.edge.forward import EdgePort
@@ -22,6 +23,7 @@
     Send,
     SendDatagram,
     SendOrder,
+    StatusReady,
     StoreRead,
     StoreWatch,
     StoreWrite,
@@ -45,7 +47,7 @@
 from martenrun.settings.model import NodeSettings
 from martenrun.wire.transport import PeerTransport
 
-MACHINE_POLL_S = 0.5
+MACHINE_POLL_S = 1.0
 RUNNER_POLL_S = 0.5
 CACHE_EVENTS_POLL_S = 0.2
 
@@ -67,6 +69,7 @@
         )
         self._port = port = EdgePort(tell=lambda event: self._loop.tell(event))
         self._watch_worker = WatchWorker(self._store, lambda event: self._loop.tell(event))
+        status_port = StatusPort(lambda event: self._loop.tell(event))
         self._transport = PeerTransport(
             own_address,
             settings.cluster_secret.encode(),
@@ -83,13 +86,18 @@
                 StoreWrite: self._store_workers.carry,
                 StoreRead: self._store_workers.carry,
                 StoreWatch: self._watch_worker.carry,
+                StatusReady: status_port.deliver,
                 SendOrder: self._order_workers.carry,
             },
         )
         caller = CallerApplication(port, self._parts.view, settings)
         weights = WeightStore(settings.weight_store) if settings.weight_store else None
         admin = AdminApplication(
-            self._store, self._parts.view, settings.bootstrap_key_sha256, weights
+            self._store,
+            self._parts.view,
+            settings.bootstrap_key_sha256,
+            lambda: status_port.status(self._parts.view()),
+            weights,
         )
         application = NodeApplication(caller, admin)
         self._server = HttpServer(
--- a/src/martenrun/node/runners.py
+++ b/src/martenrun/node/runners.py
@@ -1,25 +1,42 @@
 """Decision logic that keeps the table of runners current."""
 
-from martenrun.events import Event, Instruction, MachinesListed, RunnerDescribed
+from collections.abc import Callable
+
+from martenrun.events import Event, Instruction, MachinesListed, RunnerDescribed, Tick
 from martenrun.platform.engine import RunnerServingState
 from martenrun.platform.machine_list import Machine
 from martenrun.routing.policy import RunnerState
 
+DRAIN_LOOK_INTERVAL_S = 0.5
+"""Time between two looks at the drained runners, in seconds."""
+
 
 class RunnerTable:
     """Runners by name, from the lagging machine list and the engines' own descriptions.
 
     ``version`` rises whenever a runner comes, goes or starts or stops leaving.
+
+    Args:
+        drained: returns the names of runners that operators drain; they are leaving too.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, drained: Callable[[], frozenset[str]] = frozenset) -> None:
         self.runners: dict[str, RunnerState] = {}
         self.version = 0
+        self._drained = drained
+        self._drained_before: frozenset[str] = frozenset()
+        self._next_look = 0.0
+        self._last_listed: list[Machine] | None = None
+        self._listed_leaving: set[str] = set()
 
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
         match event:
-            case MachinesListed(machines):
+            case Tick() if now >= self._next_look:
+                self._next_look = now + DRAIN_LOOK_INTERVAL_S
+                self._look_for_drains()
+            case MachinesListed(machines) if machines is not self._last_listed:
+                self._last_listed = machines
                 self._update_machines(machines)
             case RunnerDescribed():
                 self._update_runner(event, now)
@@ -43,10 +60,23 @@
                 runner = RunnerState(machine.name, machine.address, machine.zone, machine.pool)
                 self.runners[machine.name] = runner
                 self.version += 1
-            if runner.leaving != machine.is_leaving:
-                runner.leaving = machine.is_leaving
-                self.version += 1
             runner.address = machine.address
+        self._listed_leaving = {machine.name for machine in machines if machine.is_leaving}
+        self._listed_leaving |= self.runners.keys() - listed.keys()
+        self._update_leaving()
+
+    def _look_for_drains(self) -> None:
+        """Pass over all runners only if the drains have changed."""
+        if self._drained() != self._drained_before:
+            self._update_leaving()
+
+    def _update_leaving(self) -> None:
+        self._drained_before = self._drained()
+        leaving = self._listed_leaving | self._drained_before
+        for runner in self.runners.values():
+            if runner.leaving != (runner.name in leaving):
+                runner.leaving = not runner.leaving
+                self.version += 1
 
     def _remove(self, name: str) -> None:
         """Forget a runner that is no longer listed once its requests have ended."""
--- a/src/martenrun/wire/messages.py
+++ b/src/martenrun/wire/messages.py
@@ -11,15 +11,6 @@
 from dataclasses import dataclass, field
 
 
-@dataclass(slots=True, eq=True)
-class Envelope:
-    """Frame content: names the kind of message that ``body`` encodes."""
-
-    protocol_version: int = 0
-    kind: str = ""
-    body: bytes = b""
-
-
 @dataclass(slots=True)
 class Hello:
     """First frame of each side of a connection."""
@@ -214,7 +205,6 @@
     """Owner to home: the slot is leased; ``free_slots`` are left after it."""
 
     reservation_id: int = 0
-    address: str = ""
     incarnation: str = ""
     weights_version: str = ""
     cached_blocks: int = 0
@@ -366,6 +356,36 @@
     members: list[MemberClaim] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class StatusQuery:
+    """Node to node: which configuration is in force with you?"""
+
+    query_id: str = ""
+
+
+@dataclass(slots=True)
+class AgentRevision:
+    """The revision that an agent had in force when it was heard last."""
+
+    agent: str = ""
+    revision: int = 0
+
+
+@dataclass(slots=True)
+class NodeStatus:
+    """Node to node: what is in force here, and with the agents heard lately.
+
+    ``watcher_lease`` names the lease held, or is empty; ``faults`` names objects whose newest
+    document does not fit its schema.
+    """
+
+    query_id: str = ""
+    revision: int = 0
+    watcher_lease: str = ""
+    faults: list[str] = field(default_factory=list)
+    agents: list[AgentRevision] = field(default_factory=list)
+
+
 Message = (
     DecideRequest
     | Grant
@@ -393,5 +413,7 @@
     | LeasesVoided
     | MachinesQuery
     | MachinesUpdate
+    | StatusQuery
+    | NodeStatus
 )
-"""Messages that travel inside an :class:`Envelope`."""
+"""Messages that travel between processes, each behind a header (see the codec)."""
