--- a/src/martenrun/admin/application.py
+++ b/src/martenrun/admin/application.py
@@ -18,6 +18,7 @@
 from martenrun.admin.access import Operator
 from martenrun.admin.references import check_references, check_unused
 from martenrun.admin.status import Status
+from martenrun.admin.weights import check_weights
 from martenrun.configuration.objects import (
     Document,
     Kind,
@@ -40,6 +41,7 @@
     VersionConflictError,
 )
 from martenrun.platform.object_api import ObjectApi
+from martenrun.platform.weight_store import WeightStore
 from martenrun.sharing.policy import check_policy
 from martenrun.wire.messages import ConfigurationObject
 
@@ -70,6 +72,7 @@
         bootstrap_key_sha256: digest of a platform admin's key that is valid without any
             stored key, so that the first objects can be published; empty for none.
         status: returns the status of the configuration on all nodes.
+        weights: the weight store, if pools are to be checked against it.
     """
 
     def __init__(
@@ -78,11 +81,13 @@
         view: Callable[[], ConfigurationView],
         bootstrap_key_sha256: str,
         status: Callable[[], Status],
+        weights: WeightStore | None = None,
     ) -> None:
         self._store = store
         self._view = view
         self._bootstrap_key_sha256 = bootstrap_key_sha256
         self._status = status
+        self._weights = weights
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         """Serve one request."""
@@ -166,6 +171,8 @@
         if isinstance(document, Policy):
             check_policy(document.expression)
         check_references(self._store, document)
+        if self._weights is not None:
+            check_weights(self._weights, document)
 
 
 def _may_read(operator: Operator, kind: Kind, item: ConfigurationObject) -> bool:
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -40,6 +40,7 @@
 from martenrun.platform.engine_orders import EngineOrders
 from martenrun.platform.machine_list import MachineList
 from martenrun.platform.object_api import ObjectApi
+from martenrun.platform.weight_store import WeightStore
 from martenrun.process import (
     Clock,
     LoopActor,
@@ -105,11 +106,13 @@
         self._slots = caller.slots
         self._drain_timeout_s = settings.drain_timeout_s
         caller.add_metrics(SharingCollector(self._parts.limits.counts, self._policy_statuses))
+        weights = WeightStore(settings.weight_store) if settings.weight_store else None
         admin = AdminApplication(
             self._store,
             self._parts.view,
             settings.bootstrap_key_sha256,
             lambda: status_port.status(self._parts.view(), self._policy_statuses()),
+            weights,
         )
         application = NodeApplication(caller, admin)
         self._server = HttpServer(
