--- /dev/null
+++ b/src/martenrun/bench/membership.py
@@ -0,0 +1,256 @@
+"""Measures membership over many hollow nodes in virtual time, with real encoded messages.
+
+CPU times hold the simulated network and clock too, so they are upper bounds.
+"""
+
+import functools
+import json
+import statistics
+import time
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+
+import click
+
+from martenrun.events import LeaveRequested
+from martenrun.membership.record import MemberStatus
+from martenrun.simulation.members import ZONES, MemberCluster
+from martenrun.simulation.network import LinkFaults
+
+LIMIT_S = 180.0
+"""Longest virtual time waited for anything."""
+HERD_SHARE = 0.1
+HERD_DOWN_S = 2.0
+"""How long a restarting node is away, in seconds."""
+CUT_S = 60.0
+"""How long a region is cut off."""
+SETTLE_S = 20.0
+STEP_S = 0.25
+"""Resolution of the times to notice, in seconds."""
+
+
+@dataclass(frozen=True)
+class Cost:
+    """What a node spends, per second; only what it sends is counted."""
+
+    sent_bytes: float
+    sent_messages: float
+    cpu_us: float
+
+
+@dataclass(frozen=True)
+class Quantiles:
+    """Quantiles of times, in seconds."""
+
+    p50_s: float
+    p99_s: float
+    max_s: float
+    samples: int
+
+
+@dataclass(frozen=True)
+class Result:
+    """Everything measured for one size; times in virtual seconds."""
+
+    nodes: int
+    seed: int
+    loss: float
+    start_s: float
+    idle: Cost
+    false_suspicions_per_node_hour: float
+    false_deaths: int
+    notice_death: Quantiles
+    notice_leaving: Quantiles
+    herd_restart_s: float
+    herd: Cost
+    zone_lost_s: float
+    zone_back_s: float
+    region_cut_s: float
+    region_heal_s: float
+    heal: Cost
+
+
+Action = Callable[[], float | None]
+Removal = Callable[[str], None]
+
+
+class MembershipBench:
+    """One run over a cluster of ``nodes`` hollow nodes."""
+
+    def __init__(self, nodes: int, seed: int, loss: float, deaths: int, idle_s: float) -> None:
+        self._seed = seed
+        self._loss = loss
+        self._deaths = deaths
+        self._idle_s = idle_s
+        self._cluster = MemberCluster(nodes, seed, LinkFaults(loss=loss))
+
+    def run(self) -> Result:
+        """Run every scenario, one after another."""
+        cluster = self._cluster
+        cluster.run(1.0)
+        start_s = self._until_agreed()
+        cluster.run(SETTLE_S)
+        idle, suspicions, false_deaths = self._idle()
+        notice_death = self._notice(self._kill)
+        notice_leaving = self._notice(self._leave)
+        herd_restart_s, herd = self._costed(self._herd)
+        zone_lost_s, zone_back_s = self._lose_zone()
+        region_cut_s = self._cut_region()
+        region_heal_s, heal = self._costed(self._heal)
+        return Result(
+            nodes=len(cluster.addresses),
+            seed=self._seed,
+            loss=self._loss,
+            start_s=start_s,
+            idle=idle,
+            false_suspicions_per_node_hour=suspicions,
+            false_deaths=false_deaths,
+            notice_death=notice_death,
+            notice_leaving=notice_leaving,
+            herd_restart_s=herd_restart_s,
+            herd=herd,
+            zone_lost_s=zone_lost_s,
+            zone_back_s=zone_back_s,
+            region_cut_s=region_cut_s,
+            region_heal_s=region_heal_s,
+            heal=heal,
+        )
+
+    def _until_agreed(self) -> float:
+        return self._cluster.run_until(self._cluster.agrees, LIMIT_S, STEP_S)
+
+    def _idle(self) -> tuple[Cost, float, int]:
+        """Return the cost without changes, false suspicions per node and hour, false deaths."""
+        cluster = self._cluster
+        suspected: set[tuple[str, str]] = set()
+        suspicions = deaths = 0
+
+        def look() -> None:
+            nonlocal suspected, suspicions, deaths
+            present = set()
+            for viewer, view in cluster.views.items():
+                for address, status in view.statuses().items():
+                    if status is MemberStatus.SUSPECTED:
+                        present.add((viewer, address))
+                    deaths += status is MemberStatus.DEAD
+            # A suspicion is counted once, however many nodes hear of it.
+            known = {address for _viewer, address in suspected}
+            suspicions += len({address for _viewer, address in present} - known)
+            suspected = present
+
+        _none, cost = self._costed(lambda: cluster.run(self._idle_s))
+        before = cluster.scheduler.now
+        while cluster.scheduler.now < before + self._idle_s:
+            cluster.run(STEP_S)
+            look()
+        node_hours = len(cluster.views) * self._idle_s / 3600
+        return cost, round(suspicions / node_hours, 3), deaths
+
+    def _costed(self, action: Action) -> tuple[float, Cost]:
+        """Return an action's own result, and each node's mean cost per virtual second."""
+        traffic = self._cluster.network.traffic
+        before = {name: (t.sent_bytes, t.sent_messages) for name, t in traffic.items()}
+        virtual, cpu = self._cluster.scheduler.now, time.process_time()
+        result = action()
+        cpu_s = time.process_time() - cpu
+        node_s = (self._cluster.scheduler.now - virtual) * len(before)
+        sent_bytes = sum(t.sent_bytes - before[name][0] for name, t in traffic.items())
+        messages = sum(t.sent_messages - before[name][1] for name, t in traffic.items())
+        cost = Cost(
+            round(sent_bytes / node_s, 1),
+            round(messages / node_s, 2),
+            round(cpu_s / node_s * 1e6, 1),
+        )
+        return result or 0.0, cost
+
+    def _notice(self, remove: Removal) -> Quantiles:
+        """Remove nodes one after another; time until each other node does not use it."""
+        cluster = self._cluster
+        times: list[float] = []
+        for _ in range(self._deaths):
+            address = cluster.rng.choice(cluster.addresses[ZONES:])
+            remove(address)
+            waiting = set(cluster.views) - {address}
+            started = cluster.scheduler.now
+            while waiting and cluster.scheduler.now - started < LIMIT_S:
+                cluster.run(STEP_S)
+                noticed = {a for a in waiting if address not in cluster.live_seen_by(a)}
+                times += [cluster.scheduler.now - started] * len(noticed)
+                waiting -= noticed
+            times += [LIMIT_S] * len(waiting)
+            if address in cluster.views:
+                cluster.kill(address)
+            cluster.start(address)
+            self._until_agreed()
+        return _quantiles(times)
+
+    def _kill(self, address: str) -> None:
+        self._cluster.kill(address)
+
+    def _leave(self, address: str) -> None:
+        self._cluster.processes[address].tell(LeaveRequested())
+
+    def _herd(self) -> float:
+        cluster = self._cluster
+        count = max(1, round(HERD_SHARE * len(cluster.addresses)))
+        for address in cluster.rng.sample(cluster.addresses, count):
+            cluster.kill(address)
+            cluster.scheduler.after(HERD_DOWN_S, functools.partial(cluster.start, address))
+        cluster.run(HERD_DOWN_S)
+        return self._until_agreed()
+
+    def _lose_zone(self) -> tuple[float, float]:
+        cluster = self._cluster
+        lost = cluster.in_zone(ZONES - 1)
+        for address in lost:
+            cluster.kill(address)
+        lost_s = self._until_agreed()
+        for address in lost:
+            cluster.start(address)
+        return lost_s, self._until_agreed()
+
+    def _cut_region(self) -> float:
+        """Cut a region off; returns when both sides saw exactly themselves."""
+        cluster = self._cluster
+        region = set(cluster.in_region(1))
+        rest = set(cluster.addresses) - region
+        cluster.network.cut([sorted(region)])
+
+        def parted() -> bool:
+            return all(
+                cluster.live_seen_by(address) == (region if address in region else rest)
+                for address in cluster.addresses
+            )
+
+        started = cluster.scheduler.now
+        parted_s = cluster.run_until(parted, LIMIT_S, STEP_S)
+        cluster.run(max(0.0, started + CUT_S - cluster.scheduler.now))
+        return parted_s
+
+    def _heal(self) -> float:
+        self._cluster.network.heal()
+        return self._until_agreed()
+
+
+def _quantiles(times: list[float]) -> Quantiles:
+    cuts = statistics.quantiles(times, n=100, method="inclusive")
+    return Quantiles(round(cuts[49], 2), round(cuts[98], 2), round(max(times), 2), len(times))
+
+
+@click.command()
+@click.option("--nodes", default=40, show_default=True, help="Hollow nodes; at least 12.")
+@click.option("--seed", default=1, show_default=True, help="Of all random choices.")
+@click.option("--loss", default=0.0, show_default=True, help="Probability of a lost message.")
+@click.option("--deaths", default=3, show_default=True, help="Nodes killed, and nodes that leave.")
+@click.option("--idle-s", default=30.0, show_default=True, help="Virtual seconds without change.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON line.")
+def membership(
+    nodes: int, seed: int, loss: float, deaths: int, idle_s: float, as_json: bool
+) -> None:
+    """Measure failure detection between nodes: its cost and how fast it notices."""
+    result = asdict(MembershipBench(nodes, seed, loss, deaths, idle_s).run())
+    if as_json:
+        click.echo(json.dumps(result))
+        return
+    for name, value in result.items():
+        click.echo(f"{name:32} {value}")
--- a/src/martenrun/cli/bench.py
+++ b/src/martenrun/cli/bench.py
@@ -9,6 +9,7 @@
 from martenrun.bench.configuration import configuration
 from martenrun.bench.decision import decision_command
 from martenrun.bench.index import index_command
+from martenrun.bench.membership import membership
 from martenrun.bench.path import path
 from martenrun.bench.rolls import rolls
 from martenrun.bench.routing import routing_command
@@ -30,3 +31,4 @@
 bench.add_command(adapter)
 bench.add_command(rolls)
 bench.add_command(scale)
+bench.add_command(membership)
