--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -56,7 +56,7 @@
 LATE_QUESTIONS_S = 2.5
 """Time for which agents' late questions are refused; longer than agents' query interval."""
 
-MACHINE_POLL_S = 0.5
+MACHINE_POLL_S = 1.0
 RUNNER_POLL_S = 0.5
 CACHE_EVENTS_POLL_S = 0.2
 
