--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -53,13 +53,13 @@
 from martenrun.sharing.policy_weights import PolicyStatus
 from martenrun.wire.transport import PeerTransport
 
-MACHINE_POLL_S = 1.0
 LEAVE_SPREAD_LIMIT_S = 3.0
 """Longest time that other nodes are given to learn of a planned stop, in seconds."""
 
 LATE_QUESTIONS_S = 2.5
 """Time for which agents' late questions are refused; longer than agents' query interval."""
 
+MACHINE_POLL_S = 1.0
 RUNNER_POLL_S = 0.5
 CACHE_EVENTS_POLL_S = 0.2
 
