Do not go on with a stream on other weights; show that tests reach the second engine

Cause: a broken stream could go on with a runner whose weights had changed since its begin; the failure tests would have passed if a stream had ended before its fault took effect. Change: a grant for another version after output is given back and the stream ends typed; the tests count the engines that ran the request; a test lists every (state, event) pair that the request chart leaves out.

--- a/src/martenrun/agent/active.py
+++ b/src/martenrun/agent/active.py
@@ -70,6 +70,12 @@
         self.ran = later_ran(self.ran, _RAN_BY_OUTCOME[result.outcome])
         self.has_output = self.has_output or result.outcome is AttemptOutcome.BROKEN
 
+    def weights_differ(self, grant: Grant) -> bool:
+        """Whether going on there would mix the output of two weights versions."""
+        if not self.has_output or self.grant is None:
+            return False
+        return grant.weights_version != self.grant.weights_version
+
     def told(self, error: MartenrunError) -> MartenrunError:
         """Return an error that is true of all attempts, not only of the last step."""
         if self.has_output:
--- a/src/martenrun/agent/requests.py
+++ b/src/martenrun/agent/requests.py
@@ -14,7 +14,13 @@
 from martenrun.agent.retry import RetryBudget, pause_s
 from martenrun.claims.record import ClaimState
 from martenrun.constants import DECISION_TIMEOUT_S, RESUME_WINDOW_S
-from martenrun.errors import DeadlineExceededError, MartenrunError, NodeUnavailableError, Ran
+from martenrun.errors import (
+    DeadlineExceededError,
+    MartenrunError,
+    NodeUnavailableError,
+    Ran,
+    StreamBrokenError,
+)
 from martenrun.events import (
     AttemptEnded,
     CallerGone,
@@ -122,6 +128,9 @@
         if request.state != "deciding":
             return []  # The same answer again.
         if isinstance(answer, Grant):
+            if request.weights_differ(answer):
+                request.refusal = _weights_changed(answer)
+                return _declined(peer, answer) + self._step(answer.request_id, "refused", now)
             request.grant = answer
             return self._step(answer.request_id, "granted", now)
         if isinstance(answer, Queued):
@@ -289,6 +298,11 @@
     return "node_silent" if len(request.nodes) > 1 else "no_node_left"
 
 
+def _weights_changed(grant: Grant) -> Refusal:
+    message = f"the weights changed to {grant.weights_version!r} while the stream ran"
+    return Refusal(grant.request_id, grant.attempt, StreamBrokenError.code, message)
+
+
 def _declined(peer: str, answer: Grant | Refusal | Queued) -> list[Instruction]:
     """Give back a grant that nobody waits for any more."""
     if not isinstance(answer, Grant):
--- a/tests/test_request_failures.py
+++ b/tests/test_request_failures.py
@@ -12,7 +12,7 @@
 
 MODEL = "vine-reader"
 KEY = "growers-key"
-TOKENS = 40
+TOKENS = 80
 
 
 @pytest.fixture(scope="module")
@@ -82,8 +82,10 @@
     return urllib3.request("GET", f"http://{address}{path}", retries=False, timeout=5.0).json()
 
 
-def executions(deployment, request_id):
-    return sum(get(engine, "/v1/executed").count(request_id) for engine in deployment.engines)
+def executions(deployment, request_id, dead=()):
+    """Count how often engines that live have begun a request."""
+    live = [engine for engine in deployment.engines if engine not in dead]
+    return sum(get(engine, "/v1/executed").count(request_id) for engine in live)
 
 
 def serving(deployment, request_id):
@@ -115,6 +117,7 @@
     set_faults(engine, omit_terminator=True)
     assert call.finish() == expected
     set_faults(engine)
+    assert executions(deployment, call.id) == 2
 
 
 def test_a_frozen_engine_counts_as_broken_and_the_stream_goes_on(deployment):
@@ -127,10 +130,11 @@
         assert call.finish() == expected
     finally:
         process.send_signal(signal.SIGCONT)
+    assert executions(deployment, call.id) == 2
 
 
 def test_a_broken_non_repeatable_stream_ends_typed_and_its_key_never_runs_again(deployment):
-    call = Call(deployment.agent_edges[0], "pay", once_headers("pay-1")).start()
+    call = Call(deployment.agent_edges[0], "pay", once_headers("pay-1"), tokens=500).start()
     engine = deployment.engines[serving(deployment, call.id)]
     set_faults(engine, crash=True)
     _, _, terminators, error = call.finish()
@@ -222,5 +226,7 @@
     edge = deployment.node_edges[0]
     expected = Call(edge, "kill").finish()
     call = Call(edge, "kill").start()
-    deployment.kill(f"engine-{serving(deployment, call.id)}")
+    index = serving(deployment, call.id)
+    deployment.kill(f"engine-{index}")
     assert call.finish() == expected
+    assert executions(deployment, call.id, dead=[deployment.engines[index]]) == 1
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -18,6 +18,7 @@
     Tick,
 )
 from martenrun.platform.engine import AttemptOutcome, AttemptResult
+from martenrun.statecharts.compiler import load_chart
 from martenrun.wire.messages import (
     AttemptReport,
     ClaimReport,
@@ -166,6 +167,18 @@
     assert (agent.error().code, agent.error().ran) == ("stream_broken", "yes")
 
 
+def test_a_stream_does_not_go_on_with_other_weights(agent):
+    agent.arrive()
+    agent.grant()
+    agent.end(AttemptOutcome.BROKEN)
+    asked = agent.asked()
+    grant = Grant("r", asked.message.attempt, "engine-1", weights_version="v2")
+    agent.tell(PeerMessage(asked.peer, grant))
+    assert len(agent.runs()) == 1
+    assert agent.sent(WithdrawRequest)[0].message.attempt == grant.attempt
+    assert (agent.error().code, agent.error().ran) == ("stream_broken", "yes")
+
+
 def test_output_that_cannot_be_resumed_is_not_tried_again(agent):
     agent.arrive()
     agent.grant()
@@ -239,3 +252,19 @@
     agent = Agent(nodes=())
     agent.arrive()
     assert agent.error().code == "node_unavailable"
+
+
+def test_every_event_has_a_transition_in_every_state_it_can_meet():
+    """Pairs without one are events that cannot come, or that must change nothing."""
+    chart = load_chart("request")
+    states = {state for state, _ in chart.table}
+    events = {event for _, event in chart.table}
+    missing = {(state, event) for state in states for event in events} - set(chart.table)
+    answers = {"granted", "queued", "refused"}
+    ends = {"completed", "failed", "may_retry", "may_resume"}
+    silence = {"node_silent", "no_node_left"}
+    assert missing == (
+        {("deciding", event) for event in ends | {"pause_over"}}
+        | {("running", event) for event in answers | silence | {"pause_over", "deadline_passed"}}
+        | {("pausing", event) for event in answers | ends | silence}
+    )
