--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -177,3 +177,23 @@
     assert len(to_live_homes) >= 15
     # Each silent owner costs its timeout of 0.15 s and a tick; service takes 0.5 s.
     assert all(request.finished_at < 1.0 + 0.5 + 3 * 0.25 for request in to_live_homes)
+
+
+@pytest.mark.parametrize("seed", [11, 12])
+def test_a_node_that_was_paused_while_others_took_over_leaves_no_lease(seed):
+    faults = LinkFaults(delay_s=0.001, jitter_s=0.03, loss=0.05, duplicate=0.1)
+    cluster = OwnershipCluster(nodes=5, runners=10, seed=seed, faults=faults, load_lag_s=1.0)
+    cluster.load(14.0, until_s=15.0, prefixes=30, service_s=1.5)
+    cluster.scheduler.run_until(3.0)
+    paused = cluster.members[seed % 5].address
+    cluster.nodes[paused].process.freeze()
+    cluster.scheduler.run_until(5.0)
+    everyone = {member.address for member in cluster.members}
+    cluster.see_members(everyone - {paused})
+    cluster.nodes[paused].view.members = cluster.members
+    cluster.scheduler.run_until(9.0)
+    cluster.nodes[paused].process.thaw()
+    cluster.scheduler.run_until(10.0)
+    cluster.see_members(everyone)
+    finish(cluster, 15.0)
+    assert_typed_refusals(cluster)
