--- a/src/martenrun/limits/admission.py
+++ b/src/martenrun/limits/admission.py
@@ -24,6 +24,9 @@
 BURST_S = 2.0
 """Unused rate that a tenant may take at once, in seconds of its rate."""
 
+SHARE_INTERVAL_S = 0.5
+"""How long a node's share of a tenant's limits is kept, in seconds."""
+
 RATE_MEMORY_S = 10.0
 """Time constant of the measured rate at which a tenant's streams end, in seconds."""
 
@@ -70,7 +73,11 @@
 
 
 class _TenantLimits:
-    """One tenant's buckets and counts at this node."""
+    """One tenant's buckets and counts at this node.
+
+    ``tenant`` and the node's share are looked at again at ``update_at``, or when the object in
+    force is another one.
+    """
 
     def __init__(self, tenant: Tenant, share: float, now: float) -> None:
         rate, tokens = tenant.requests_per_s * share, tenant.tokens_per_s * share
@@ -82,6 +89,8 @@
         self.concurrent_limit = 0
         self.queue_limit = 0
         self.used_at = now
+        self.update_at = now
+        self.tenant = tenant
         self.update(tenant, share, now)
 
     def update(self, tenant: Tenant, share: float, now: float) -> None:
@@ -92,7 +101,8 @@
             self.tokens.change_rate(tokens, max(1.0, tokens * BURST_S), now)
         self.concurrent_limit = max(1, math.ceil(tenant.concurrent_streams * share))
         self.queue_limit = math.ceil(tenant.queue_length * share)
-        self.used_at = now
+        self.tenant = tenant
+        self.update_at = now + SHARE_INTERVAL_S
 
 
 class AdmissionLimits:
@@ -220,12 +230,13 @@
                 del self._tenants[name]
 
     def _limits(self, name: str, tenant: Tenant, now: float) -> _TenantLimits:
-        share = self._share_of(name, now)
         limits = self._tenants.get(name)
         if limits is None:
-            limits = self._tenants[name] = _TenantLimits(tenant, share, now)
-        else:
-            limits.update(tenant, share, now)
+            limits = _TenantLimits(tenant, self._share_of(name, now), now)
+            self._tenants[name] = limits
+        elif limits.tenant is not tenant or now >= limits.update_at:
+            limits.update(tenant, self._share_of(name, now), now)
+        limits.used_at = now
         return limits
 
     def _check_rates(self, name: str, limits: _TenantLimits, tokens: float, now: float) -> None:
