--- a/src/martenrun/bench/routing_node.py
+++ b/src/martenrun/bench/routing_node.py
@@ -71,11 +71,12 @@
             beliefs.feed_gap(batch.engine, now)
         beliefs.feed(batch.engine, batch.stored, batch.removed)
 
-    def cached_blocks(self, engine: str, chain: BlockHashes) -> int:
-        """Return the leading blocks that this node believes cached, -1 if it cannot know."""
+    def cached_blocks(self, engine: str, chain: bytes, now: float) -> int:
+        """Answer a reservation as the runner's owner; -1 if this node cannot know."""
         if not isinstance(self.policy, PrefixAwarePolicy):
             return -1
-        return int(self.policy.beliefs.leading(chain, (engine,))[0])
+        incarnation = self.runners[engine].incarnation
+        return self.policy.reserved(engine, incarnation, chain, now)
 
 
 def incarnation_of(engine: SimulatedEngine) -> str:
--- a/src/martenrun/bench/routing_simulation.py
+++ b/src/martenrun/bench/routing_simulation.py
@@ -7,6 +7,7 @@
 
 import functools
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import numpy
@@ -18,7 +19,6 @@
 from martenrun.bench.routing_workload import TOKENS_PER_BLOCK, PlannedRequest, Workload
 from martenrun.constants import BLOCK_HASH_BYTES, DEFAULT_BLOCK_BYTES
 from martenrun.deployments.model import Deployment
-from martenrun.identity.chain import as_array
 from martenrun.identity.rendezvous import ranked
 from martenrun.routing.policy import RunnerChoice
 from martenrun.simulation.scheduler import Scheduler
@@ -81,7 +81,10 @@
         self._load = load
         self._feeds = feeds
         self._scheduler = Scheduler()
-        self._rng = random.Random(f"faults {seed}")
+        # One generator a kind of fault, so that every policy meets the same crashes.
+        self._crash_rng = random.Random(f"crashes {seed}")
+        self._restart_rng = random.Random(f"restarts {seed}")
+        self._event_rng = random.Random(f"events {seed}")
         self._counts = RoutingCounts(WARM_UP_S)
         self._engines: dict[str, SimulatedEngine] = {}
         self._attempts: dict[str, list[_Attempt]] = {}
@@ -101,11 +104,13 @@
             for plan in Workload(self._deployment, scaled, rng).requests(duration_s):
                 self._scheduler.after(plan.at, functools.partial(self._arrive, plan))
         for engine in self._engines.values():
-            self._scheduler.after(self._rng.random(), functools.partial(self._publish, engine))
+            self._scheduler.after(
+                self._event_rng.random(), functools.partial(self._publish, engine)
+            )
         self._scheduler.after(0.0, self._report_loads)
         faults = self._deployment.faults
-        self._plan(faults.engine_crash_every_s, self._crash_one)
-        self._plan(faults.node_restart_every_s, self._restart_one)
+        self._plan(self._crash_rng, faults.engine_crash_every_s, self._crash_one)
+        self._plan(self._restart_rng, faults.node_restart_every_s, self._restart_one)
         self._scheduler.run_until(duration_s + self._deployment.deadline_s)
         counts = self._counts
         return RoutingFigures(
@@ -217,7 +222,7 @@
         attempt.is_running = True
         engine, request = attempt.engine, attempt.request
         owner = self._nodes[engine.owner]
-        cached = owner.cached_blocks(engine.name, as_array(request.question.chain))
+        cached = owner.cached_blocks(engine.name, request.question.chain, self._scheduler.now)
         load = engine.slots_used + len(engine.waiting)
         self._scheduler.after(hop_s, lambda: self._take_grant(attempt, cached, load))
         delay_s = hop_s + self._client_link_s(attempt.home.zone, request.plan.zone)
@@ -299,14 +304,13 @@
 
     # Faults, events and reports.
 
-    def _plan(self, mean_s: float, call: object) -> None:
-        delay_s = self._rng.expovariate(1.0 / mean_s)
-        self._scheduler.after(delay_s, call)  # type: ignore[arg-type]
+    def _plan(self, rng: random.Random, mean_s: float, call: Callable[[], None]) -> None:
+        self._scheduler.after(rng.expovariate(1.0 / mean_s), call)
 
     def _crash_one(self) -> None:
         faults = self._deployment.faults
-        engine = self._rng.choice(list(self._engines.values()))
-        self._plan(faults.engine_crash_every_s, self._crash_one)
+        engine = self._crash_rng.choice(list(self._engines.values()))
+        self._plan(self._crash_rng, faults.engine_crash_every_s, self._crash_one)
         if not engine.is_up:
             return
         engine.crash()
@@ -330,8 +334,9 @@
             runner.incarnation = incarnation_of(engine)
 
     def _restart_one(self) -> None:
-        self._plan(self._deployment.faults.node_restart_every_s, self._restart_one)
-        number = self._rng.randrange(len(self._nodes))
+        mean_s = self._deployment.faults.node_restart_every_s
+        self._plan(self._restart_rng, mean_s, self._restart_one)
+        number = self._restart_rng.randrange(len(self._nodes))
         old = self._nodes[number]
         old.is_live = False
         self._scheduler.after(NODE_DOWN_S, lambda: self._replace_node(number))
@@ -349,7 +354,7 @@
         cache.stored, cache.removed = [], []
         if not changed or not engine.is_up:
             return
-        if self._rng.random() < faults.event_loss:
+        if self._event_rng.random() < faults.event_loss:
             engine.lost_events = True
             return
         stored = [block for block in changed if block in cache]
@@ -362,7 +367,7 @@
             engine.lost_events,
         )
         engine.lost_events = False
-        lag_s = faults.event_lag_s * (0.5 + 0.5 * self._rng.random())
+        lag_s = faults.event_lag_s * (0.5 + 0.5 * self._event_rng.random())
         due = max(self._feed_free_at.get(engine.name, 0.0), self._scheduler.now + lag_s)
         self._feed_free_at[engine.name] = due
         self._scheduler.after(due - self._scheduler.now, lambda: self._deliver(engine, batch))
--- a/src/martenrun/routing/beliefs.py
+++ b/src/martenrun/routing/beliefs.py
@@ -37,17 +37,26 @@
 _MAXIMUM_COLUMNS = 64
 _MINIMUM_LIFETIME_S = 2.0
 _MAXIMUM_LIFETIME_S = 120.0
-_FIRST_LIFETIME_S = 20.0
-_LENGTHEN = 1.02
-_SHORTEN = 0.85
+FIRST_LIFETIME_S = 20.0
+"""Lifetime of beliefs about a runner of which nothing is learned yet, in seconds."""
+
+_LENGTHEN = 1.005
+_SHORTEN = 0.8
 
 
 @dataclass(slots=True)
 class _Generations:
-    """Slot names of a runner that is not fed: where beliefs are added, and the older ones."""
+    """Slot names of a runner that is not fed, and the learned lifetime of beliefs about it.
+
+    Attributes:
+        current: where beliefs are added.
+        older: beliefs that end at the next rotation.
+    """
 
     current: str
     older: str
+    lifetime_s: float = FIRST_LIFETIME_S
+    rotated_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,13 +94,11 @@
         fed_memory_bytes: int = FED_MEMORY_BYTES,
         routed_memory_bytes: int = ROUTED_MEMORY_BYTES,
     ) -> None:
-        self.lifetime_s = _FIRST_LIFETIME_S
         self._fed = PrefixIndex(fed_memory_bytes, FED_RUNNERS)
         self._routed = PrefixIndex(routed_memory_bytes, ROUTED_SLOTS, ROUTED_SLOTS)
         self._identities: dict[str, RunnerIdentity] = {}
         self._generations: dict[str, _Generations] = {}
         self._fed_runners: set[str] = set()
-        self._rotated_at = 0.0
         self._recent: collections.deque[_Routed] = collections.deque(maxlen=RECENT_CHAINS)
         self._columns: dict[tuple[str, ...], _Columns] = {}
 
@@ -129,6 +136,10 @@
         identity = self._identities.get(runner)
         return "" if identity is None else identity.incarnation
 
+    def is_fed(self, runner: str, incarnation: str) -> bool:
+        """Whether this run's event feed is read here."""
+        return runner in self._fed_runners and self.incarnation_of(runner) == incarnation
+
     def feed(self, runner: str, stored: BlockHashes, removed: BlockHashes) -> None:
         """Apply what an identified runner's event feed told; repeated events do no harm."""
         identity = self._identities.get(runner)
@@ -147,8 +158,9 @@
         What was sent there within a lifetime is believed again.
         """
         self._fed.drop(runner)
+        lifetime_s = self.lifetime_s(runner)
         for sent in self._recent:
-            if sent.runner == runner and now - sent.at < self.lifetime_s:
+            if sent.runner == runner and now - sent.at < lifetime_s:
                 self._fed.add(runner, sent.chain)
 
     def feed_ended(self, runner: str) -> None:
@@ -176,12 +188,18 @@
         elif cached > believed:
             self._add(runner, chain[believed:cached])
 
-    def judged(self, believed: int, cached: int) -> None:
-        """Learn the lifetime from what became of one belief."""
-        if believed:
+    def lifetime_s(self, runner: str) -> float:
+        """Return how long blocks are believed to stay cached unused; short under pressure."""
+        generations = self._generations.get(runner)
+        return FIRST_LIFETIME_S if generations is None else generations.lifetime_s
+
+    def judged(self, runner: str, believed: int, cached: int) -> None:
+        """Learn a runner's lifetime from what became of one belief."""
+        generations = self._generations.get(runner)
+        if believed and generations is not None:
             change = _SHORTEN if cached < believed / 2 else _LENGTHEN
-            bounded = min(_MAXIMUM_LIFETIME_S, self.lifetime_s * change)
-            self.lifetime_s = max(_MINIMUM_LIFETIME_S, bounded)
+            bounded = min(_MAXIMUM_LIFETIME_S, generations.lifetime_s * change)
+            generations.lifetime_s = max(_MINIMUM_LIFETIME_S, bounded)
 
     def not_run(self, runner: str, hashes: BlockHashes) -> None:
         """Blocks that a refused attempt would have cached are not there."""
@@ -200,14 +218,14 @@
         return leading
 
     def age(self, now: float) -> None:
-        """Drop the older generation once a lifetime."""
-        if now - self._rotated_at < self.lifetime_s:
-            return
-        self._rotated_at = now
-        self._columns.clear()
+        """Drop the older generation of each runner whose lifetime has passed."""
         for generations in self._generations.values():
-            self._routed.drop(generations.older)
-            generations.current, generations.older = generations.older, generations.current
+            if now - generations.rotated_at >= generations.lifetime_s:
+                generations.rotated_at = now
+                self._columns.clear()
+                self._routed.drop(generations.older)
+                swapped = generations.older, generations.current
+                generations.current, generations.older = swapped
 
     def _add(self, runner: str, hashes: BlockHashes) -> None:
         if runner in self._fed_runners:
--- a/src/martenrun/routing/prefix_aware.py
+++ b/src/martenrun/routing/prefix_aware.py
@@ -23,6 +23,7 @@
 from martenrun.platform.engine import AttemptOutcome
 from martenrun.routing.beliefs import BeliefBook
 from martenrun.routing.first_token_model import FirstTokenModel
+from martenrun.routing.hot_prefixes import MINIMUM_COMPUTED_BLOCKS, Computation, HotPrefixes
 from martenrun.routing.policy import RankingPolicy, RunnerChoice, RunnerState
 from martenrun.wire.messages import AttemptReport, DecideRequest
 
@@ -32,11 +33,26 @@
 LOAD_HALF_LIFE_S = 1.5
 """Age at which a foreign load counts half, in seconds."""
 
-PREFERRED_BLOCKS = (1, 4)
+PREFERRED_BLOCKS = (1,)
 """Prefix lengths whose rendezvous-preferred runner is a candidate, in blocks."""
 
 RANDOM_CANDIDATES = 2
 
+PRESSURE_S = 10.0
+"""Lifetime of blocks at which a prefill is held to cost double, for what it will evict."""
+
+BUSY_SHARE = 0.8
+"""Share of slots in use from which the holders of a hot prefix are too few."""
+
+COPY_USE_S = 3.0
+"""Time over which the uses of a new copy of a hot prefix are counted, in seconds."""
+
+MAXIMUM_USES = 16.0
+"""Most uses that share the prefill of a new copy."""
+
+SHARED_BLOCKS = 3.0
+"""More uncached blocks than this are taken for a missing prefix, fewer for a question."""
+
 MAXIMUM_CHOICES = 8
 """Choices returned for one question."""
 
@@ -45,7 +61,7 @@
 
 _NOT_CANDIDATE_S = 1e6
 _MAXIMUM_NAME_TUPLES = 64
-_NOT_PREFERRED = 1.1
+_NOT_PREFERRED = 1.5
 """Factor on the prefill at runners that hashing does not prefer, so that prefixes settle."""
 
 _MIX = numpy.uint64(0x9E3779B97F4A7C15)
@@ -80,6 +96,7 @@
         self.beliefs = beliefs
         self._rng = rng
         self._block_bytes = block_bytes
+        self._hot = HotPrefixes()
         self._models: dict[str, FirstTokenModel] = {}
         self._granted: dict[tuple[str, int], _GrantedWork] = {}
         self._ranked: dict[tuple[str, int], list[RunnerChoice]] = {}
@@ -93,8 +110,17 @@
             self.beliefs.identify(runner.name, runner.incarnation, runner.weights_version)
         names = tuple([runner.name for runner in runners])
         believed = self.beliefs.leading(as_array(question.chain), names).tolist()
+        computations = self._hot.computations(question.chain, now)
+        for computation in computations:
+            if computation.runner in names:
+                index = names.index(computation.runner)
+                believed[index] = min(believed[index], computation.blocks_before)
         preferred = self._preferred(question.chain, names)
-        costs = self._costs(question, runners, believed, preferred, now)
+        uses = 1.0
+        if not computations and _holders_are_busy(runners, believed, now):
+            rate = self._hot.rate(question.chain, now)
+            uses = max(1.0, min(MAXIMUM_USES, rate * COPY_USE_S))
+        costs = self._costs(question, runners, believed, preferred, uses, now)
         drawn = self._rng.choices(range(len(names)), k=RANDOM_CANDIDATES) if names else []
         for index, blocks in enumerate(believed):
             if not blocks and index not in preferred and index not in drawn:
@@ -119,6 +145,13 @@
         self.beliefs.age(now)
         self._ranked.pop((question.request_id, question.attempt), None)
         chain = as_array(question.chain)
+        self._hot.count(question.chain, now)
+        uncached = len(chain) - choice.believed_blocks
+        if uncached >= MINIMUM_COMPUTED_BLOCKS:
+            model = self._model(question.model)
+            ready_at = now + model.prefill_s(uncached, load_of(choice.runner, now))
+            computation = Computation(choice.runner.name, ready_at, choice.believed_blocks)
+            self._hot.started(question.chain, computation)
         self.beliefs.routed(choice.runner.name, chain, choice.believed_blocks, now)
         self._granted[(question.request_id, question.attempt)] = _GrantedWork(
             choice.runner.name,
@@ -135,6 +168,7 @@
         work = self._granted.pop((report.request_id, report.attempt), None)
         if work is None or work.runner != report.runner:
             return
+        self._hot.ended(work.chain[:1].tobytes(), work.runner)
         if report.outcome == AttemptOutcome.NOT_RUN:
             self.beliefs.not_run(work.runner, work.chain[work.believed_blocks :])
         elif report.outcome == AttemptOutcome.COMPLETE and report.prompt_tokens > 0:
@@ -145,10 +179,23 @@
         self._granted.pop((request_id, attempt), None)
         self._ranked.pop((request_id, attempt), None)
 
+    def reserved(self, runner: str, incarnation: str, chain: bytes, now: float) -> int:
+        """Answer, as the runner's owner, how many leading blocks it is believed to hold.
+
+        The chain is remembered: what is used survives a gap in the feed.  Returns -1 if this
+        node knows nothing of the runner's cache.
+        """
+        if not chain or not self.beliefs.is_fed(runner, incarnation):
+            return -1
+        hashes = as_array(chain)
+        believed = int(self.beliefs.leading(hashes, (runner,))[0])
+        self.beliefs.routed(runner, hashes, believed, now)
+        return believed
+
     def _learn(self, work: _GrantedWork, report: AttemptReport, now: float) -> None:
         cached_share = min(1.0, report.cached_tokens / report.prompt_tokens)
         cached_blocks = cached_share * work.prompt_blocks
-        self.beliefs.judged(work.believed_blocks, round(cached_blocks))
+        self.beliefs.judged(work.runner, work.believed_blocks, round(cached_blocks))
         if cached_blocks < work.believed_blocks:
             self.beliefs.routed(work.runner, work.chain, 0, now)
         model = self._model(work.model)
@@ -192,9 +239,14 @@
         runners: Sequence[RunnerState],
         believed: list[int],
         preferred: set[int],
+        uses: float,
         now: float,
     ) -> list[float]:
-        """Return each runner's expected time to the first token, in seconds."""
+        """Return each runner's expected time to the first token, in seconds.
+
+        The prefill of a prefix that will be used again soon is shared by its uses, so that a
+        hot prefix gets another holder before many requests have waited for the first.
+        """
         model = self._model(question.model)
         prompt_blocks = question.prompt_bytes / self._block_bytes
         costs = []
@@ -202,8 +254,11 @@
             load = load_of(runner, now)
             uncached = max(0.0, prompt_blocks - believed[index])
             cost = model.prefill_s(uncached, load)
+            if uncached > SHARED_BLOCKS:
+                cost /= uses
             if index not in preferred:
                 cost *= _NOT_PREFERRED
+            cost *= 1.0 + PRESSURE_S / self.beliefs.lifetime_s(runner.name)
             if load >= runner.slots - 1:
                 cost += model.wait_s(load, runner.slots)
             if runner.zone != question.zone:
@@ -212,6 +267,16 @@
         return costs
 
 
+def _holders_are_busy(runners: Sequence[RunnerState], believed: list[int], now: float) -> bool:
+    """Whether every runner that holds nearly the most of a prompt has few slots left."""
+    enough = max(believed, default=0) - SHARED_BLOCKS
+    return enough > 0 and all(
+        load_of(runner, now) >= BUSY_SHARE * runner.slots
+        for runner, blocks in zip(runners, believed, strict=True)
+        if blocks >= enough
+    )
+
+
 def load_of(runner: RunnerState, now: float) -> float:
     """Return the streams believed to run on a runner.
 
--- /dev/null
+++ b/tests/test_bench_routing.py
@@ -0,0 +1,33 @@
+"""Tests of the routing benchmark."""
+
+import pytest
+
+from martenrun.bench.routing import DEPLOYMENTS, run_benchmark
+from martenrun.bench.routing_policies import POLICY_NAMES
+from martenrun.deployments.model import load_deployment
+
+SHORT_S = 14.0
+
+
+def run_short(deployment, policy, seed=3):
+    return run_benchmark(deployment, policy, seed, 0.4, "owner", SHORT_S)
+
+
+@pytest.mark.parametrize("policy", POLICY_NAMES)
+def test_the_same_seed_gives_the_same_figures(policy):
+    figures = run_short("angurlekha", policy)
+    assert figures == run_short("angurlekha", policy)
+    assert figures.requests > 0
+    assert 0.0 <= figures.wasted <= 1.0 - figures.hit_rate
+
+
+def test_another_seed_gives_other_figures():
+    assert run_short("angurlekha", "oracle", 3) != run_short("angurlekha", "oracle", 4)
+
+
+@pytest.mark.parametrize("name", DEPLOYMENTS)
+def test_deployments_have_the_sizes_their_operators_give(name):
+    deployment = load_deployment(name)
+    sizes = (len(deployment.zones), [pool.runners for pool in deployment.pools])
+    assert sizes == {"angurlekha": (3, [6, 3]), "souk-fellah": (4, [9, 4])}[name]
+    assert len(deployment.popularity.tenant_shares) == 8
--- a/tests/test_prefix_aware.py
+++ b/tests/test_prefix_aware.py
@@ -116,17 +116,18 @@
     beliefs, chain = BeliefBook(600_000, 600_000), as_array(make_question("a", 20).chain)
     beliefs.identify("r1", "1", "v1")
     beliefs.routed("r1", chain, 0, 0.0)
-    beliefs.age(beliefs.lifetime_s)
+    beliefs.age(beliefs.lifetime_s("r1"))
     assert beliefs.leading(chain, ("r1",)).tolist() == [20]
-    beliefs.age(2 * beliefs.lifetime_s)
+    beliefs.age(2 * beliefs.lifetime_s("r1"))
     assert beliefs.leading(chain, ("r1",)).tolist() == [0]
 
 
 def test_wrong_beliefs_shorten_their_lifetime():
     beliefs = BeliefBook(600_000, 600_000)
-    before = beliefs.lifetime_s
-    beliefs.judged(20, 2)
-    assert beliefs.lifetime_s < before
+    beliefs.identify("r1", "1", "v1")
+    before = beliefs.lifetime_s("r1")
+    beliefs.judged("r1", 20, 2)
+    assert beliefs.lifetime_s("r1") < before
 
 
 def test_stale_loads_draw_no_herd_onto_one_idle_looking_runner():
@@ -195,3 +196,12 @@
         load = number % 10
         model.observe_first_token(40, load, 40 * (0.05 + 0.004 * load))
     assert model.prefill_s(10, 5) == pytest.approx(0.7, rel=0.05)
+
+
+def test_a_prefix_that_is_still_being_computed_does_not_count_as_held():
+    policy, runners, question = make_policy(), make_runners(4), make_question("a", 50)
+    first = policy.route(question, runners, 0.0)
+    policy.granted(question, first, 0.0)
+    assert policy.route(question, runners, 0.1).believed_blocks == 0
+    policy.observe(AttemptReport("a", 0, first.runner.name, "complete", 50_000, 0, 8, 1.0), 0.3)
+    assert policy.route(question, runners, 0.4).believed_blocks == 50
