--- a/src/martenrun/configuration/objects.py
+++ b/src/martenrun/configuration/objects.py
@@ -30,6 +30,11 @@
     POOL = "pools"
     POLICY = "policies"
     ROUTE = "routes"
+    DRAIN = "drains"
+
+
+REPLICATED_KINDS = tuple(kind.value for kind in Kind)
+"""Kinds that every node and agent keeps a copy of."""
 
 
 class Role(enum.StrEnum):
@@ -41,6 +46,14 @@
     PLATFORM_ADMIN = "platform-admin"
 
 
+class RunnerRole(enum.StrEnum):
+    """Which phase of requests a pool's runners serve."""
+
+    MIXED = "mixed"
+    PREFILL = "prefill"
+    DECODE = "decode"
+
+
 class ConfigurationDocument(BaseModel):
     """Base of every object's document; unknown fields are faults."""
 
@@ -61,20 +74,32 @@
 
 
 class ApiKey(ConfigurationDocument):
-    """A bearer token, stored as the hex SHA-256 of the token."""
+    """A bearer token, stored as the hex SHA-256 of the token.
+
+    A tenant may have many keys.  A key is rotated by publishing a second one and retiring the
+    first when its holders have moved; both are valid meanwhile.
+    """
 
     tenant: Name
     role: Role = Role.CALLER
     key_sha256: str = Field(pattern=r"^[0-9a-f]{64}$")
+    retired: bool = False
 
 
 class Pool(ConfigurationDocument):
-    """Runners that serve one model with one weights version."""
+    """Runners that serve one model with one weights version.
+
+    A roll of new weights leaves at least ``floor`` of the runners serving.  Each runner also
+    gets the ``adapters`` and, if it is given, the ``role``.
+    """
 
     model: str = Field(min_length=1)
     weights_version: str = Field(min_length=1)
     block_bytes: int = Field(default=DEFAULT_BLOCK_BYTES, ge=64, le=1_000_000)
     policy: Name | None = None
+    floor: int = Field(default=0, ge=0)
+    adapters: list[Name] = Field(default_factory=list)
+    role: RunnerRole | None = None
 
 
 class Policy(ConfigurationDocument):
@@ -91,7 +116,21 @@
     tenants: list[Name] = Field(default_factory=list)
 
 
-Document = Tenant | ApiKey | Pool | Policy | Route
+class DrainRole(enum.StrEnum):
+    """What kind of machine is drained."""
+
+    RUNNER = "runner"
+    NODE = "node"
+
+
+class Drain(ConfigurationDocument):
+    """Marks the runner or node of the object's name as leaving: it gets no new work."""
+
+    role: DrainRole = DrainRole.RUNNER
+    reason: str = Field(default="", max_length=1_000)
+
+
+Document = Tenant | ApiKey | Pool | Policy | Route | Drain
 
 _MODELS: dict[Kind, type[Document]] = {
     Kind.TENANT: Tenant,
@@ -99,6 +138,7 @@
     Kind.POOL: Pool,
     Kind.POLICY: Policy,
     Kind.ROUTE: Route,
+    Kind.DRAIN: Drain,
 }
 
 
--- a/src/martenrun/configuration/view.py
+++ b/src/martenrun/configuration/view.py
@@ -1,10 +1,21 @@
 """An immutable view of the configuration in force, safe to read from any thread."""
 
 import hashlib
+import hmac
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import TypeVar
 
-from martenrun.configuration.objects import ApiKey, Document, Kind, Pool, Route, Tenant
+from martenrun.configuration.objects import (
+    ApiKey,
+    Document,
+    Drain,
+    DrainRole,
+    Kind,
+    Pool,
+    Route,
+    Tenant,
+)
 from martenrun.errors import InvalidKeyError, UnknownModelError
 
 
@@ -23,24 +34,68 @@
     revision: int = 0
     documents: Mapping[tuple[Kind, str], Document] = field(default_factory=dict)
     keys: Mapping[str, ApiKey] = field(default_factory=dict)
+    routes_by_name: Mapping[str, Route] = field(default_factory=dict)
+    routes_by_model: Mapping[str, tuple[Route, ...]] = field(default_factory=dict)
+    drains: Mapping[str, Drain] = field(default_factory=dict)
 
     @classmethod
     def build(
         cls, revision: int, documents: Mapping[tuple[Kind, str], Document]
     ) -> "ConfigurationView":
-        """Copy the documents and index the API keys by their digest."""
-        keys = {item.key_sha256: item for item in documents.values() if isinstance(item, ApiKey)}
-        return cls(revision, dict(documents), keys)
+        """Return the view of some documents."""
+        return cls().changed(revision, documents)
+
+    def changed(
+        self, revision: int, changes: Mapping[tuple[Kind, str], Document | None]
+    ) -> "ConfigurationView":
+        """Return the view of a later revision; None removes a document.
+
+        Only the indexes that the changes touch are made anew: most changes concern one of
+        thousands of documents.
+        """
+        documents = dict(self.documents)
+        for key, document in changes.items():
+            documents.pop(key, None)
+            if document is not None:
+                documents[key] = document
+        kinds = {kind for kind, _name in changes}
+        routes = self.routes_by_name
+        if Kind.ROUTE in kinds:
+            routes = _documents_of(Kind.ROUTE, Route, self.routes_by_name, changes)
+        drains = self.drains
+        if Kind.DRAIN in kinds:
+            drains = _documents_of(Kind.DRAIN, Drain, self.drains, changes)
+        by_model = self.routes_by_model if Kind.ROUTE not in kinds else _by_model(routes)
+        keys = self.keys if Kind.API_KEY not in kinds else self._changed_keys(documents, changes)
+        return ConfigurationView(revision, documents, keys, routes, by_model, drains)
+
+    def _changed_keys(
+        self,
+        documents: Mapping[tuple[Kind, str], Document],
+        changes: Mapping[tuple[Kind, str], Document | None],
+    ) -> Mapping[str, ApiKey]:
+        keys = dict(self.keys)
+        for key, document in changes.items():
+            before = self.documents.get(key)
+            if isinstance(document, ApiKey):
+                keys[document.key_sha256] = document
+            if isinstance(before, ApiKey) and not _has_digest(document, before.key_sha256):
+                # Another object may hold the same digest.
+                return _keys_of(documents)
+        return keys
 
     def key_of(self, token: str) -> ApiKey:
         """Return the key object of a bearer token; raises InvalidKeyError.
 
-        The look-up is by the token's SHA-256, so its timing tells nothing about stored keys.
+        The look-up is by the token's SHA-256, which nobody can choose, and the comparison
+        takes the same time for every key.
         """
         digest = hashlib.sha256(token.encode()).hexdigest()
         found = self.keys.get(digest)
-        if found is None:
+        if found is None or not hmac.compare_digest(found.key_sha256, digest):
             raise InvalidKeyError("the API key is missing, unknown or revoked")
+        if found.retired:
+            raise InvalidKeyError("the API key is retired; use the tenant's newer key")
         return found
 
     def tenant(self, name: str) -> Tenant:
@@ -50,21 +105,62 @@
             raise InvalidKeyError(f"tenant {name!r} does not exist")
         return found
 
+    def drained(self, role: DrainRole) -> frozenset[str]:
+        """Return the names of the machines of a role that operators drain."""
+        return frozenset(name for name, drain in self.drains.items() if drain.role is role)
+
     def routes(self, tenant: str) -> dict[str, RoutedPool]:
         """Return the pool of every model that a tenant may use, by model."""
-        usable: dict[str, RoutedPool] = {}
-        for document in self.documents.values():
-            if not isinstance(document, Route):
-                continue
-            pool = self.documents.get((Kind.POOL, document.pool))
-            allowed = not document.tenants or tenant in document.tenants
-            if allowed and isinstance(pool, Pool):
-                usable[document.model] = RoutedPool(document.pool, pool)
-        return usable
+        found = {model: self._routed(tenant, model) for model in self.routes_by_model}
+        return {model: routed for model, routed in found.items() if routed is not None}
 
     def route(self, tenant: str, model: str) -> RoutedPool:
         """Return the pool that serves a model for a tenant; raises UnknownModelError."""
-        found = self.routes(tenant).get(model)
+        found = self._routed(tenant, model)
         if found is None:
             raise UnknownModelError(f"no route of tenant {tenant!r} names model {model!r}")
         return found
+
+    def _routed(self, tenant: str, model: str) -> RoutedPool | None:
+        # The route published last decides.
+        for route in reversed(self.routes_by_model.get(model, ())):
+            pool = self.documents.get((Kind.POOL, route.pool))
+            allowed = not route.tenants or tenant in route.tenants
+            if allowed and isinstance(pool, Pool):
+                return RoutedPool(route.pool, pool)
+        return None
+
+
+DocumentType = TypeVar("DocumentType", bound=Document)
+
+
+def _documents_of(
+    kind: Kind,
+    document_type: type[DocumentType],
+    present: Mapping[str, DocumentType],
+    changes: Mapping[tuple[Kind, str], Document | None],
+) -> dict[str, DocumentType]:
+    """Return the documents of a kind by name; changed ones come last."""
+    found = dict(present)
+    for (changed_kind, name), document in changes.items():
+        if changed_kind is kind:
+            found.pop(name, None)
+            if isinstance(document, document_type):
+                found[name] = document
+    return found
+
+
+def _has_digest(document: Document | None, digest: str) -> bool:
+    return isinstance(document, ApiKey) and document.key_sha256 == digest
+
+
+def _keys_of(documents: Mapping[tuple[Kind, str], Document]) -> dict[str, ApiKey]:
+    found = [item for item in documents.values() if isinstance(item, ApiKey)]
+    return {item.key_sha256: item for item in found}
+
+
+def _by_model(routes: Mapping[str, Route]) -> dict[str, tuple[Route, ...]]:
+    found: dict[str, list[Route]] = {}
+    for route in routes.values():
+        found.setdefault(route.model, []).append(route)
+    return {model: tuple(entries) for model, entries in found.items()}
--- a/src/martenrun/constants.py
+++ b/src/martenrun/constants.py
@@ -24,8 +24,14 @@
 ENGINE_READ_TIMEOUT_S = 30.0
 """Longest silence accepted on an engine's stream, in seconds."""
 
+MAXIMUM_DATAGRAM_BYTES = 1_200
+"""Largest datagram sent between nodes, in bytes; it fits one packet on any usual network."""
+
 CLAIM_KIND = "claims"
 """Kind of claim objects in the object API; not a kind that operators publish."""
 
 RESUME_WINDOW_S = 5.0
 """Time that a broken stream is given to go on elsewhere, past its deadline too, in seconds."""
+
+MAXIMUM_OBJECT_BYTES = 256 * 1024
+"""Largest configuration object accepted by the administration API, in bytes of JSON."""
--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -11,8 +11,10 @@
 from typing import Protocol
 
 from martenrun.errors import MartenrunError
+from martenrun.membership.view import Member
 from martenrun.platform.cache_events import CacheEvents
 from martenrun.platform.engine import AttemptResult, RunnerDescription
+from martenrun.platform.engine_orders import EngineOrder, OrderOutcome
 from martenrun.platform.machine_list import Machine
 from martenrun.wire.messages import (
     ConfigurationObject,
@@ -20,6 +22,7 @@
     DecideRequest,
     Grant,
     Message,
+    NodeStatus,
 )
 
 
@@ -118,6 +121,18 @@
     found: ConfigurationObject | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class MembersChanged:
+    """The live nodes have changed; ``members`` are sorted by address, leaving ones excluded."""
+
+    members: tuple[Member, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveRequested:
+    """This process is asked to stop: tell the others, take no new work."""
+
+
 @dataclass(frozen=True, slots=True)
 class QuestionCleared:
     """A question with an idempotency key holds its claim and may be decided."""
@@ -126,6 +141,38 @@
     question: DecideRequest
 
 
+@dataclass(frozen=True, slots=True)
+class OrderAnswered:
+    """An order to an engine has ended; the same ``order`` may be sent more than once."""
+
+    runner: str
+    order: EngineOrder
+    outcome: OrderOutcome
+
+
+class WatchOutcome(enum.StrEnum):
+    """How a StoreWatch ended."""
+
+    CHANGES = "changes"
+    COMPACTED = "compacted"
+    UNAVAILABLE = "unavailable"
+
+
+@dataclass(frozen=True, slots=True)
+class StoreWatched:
+    """A StoreWatch has ended; ``update`` may be empty, and is complete for a list."""
+
+    outcome: WatchOutcome
+    update: ConfigurationUpdate
+
+
+@dataclass(frozen=True, slots=True)
+class StatusWanted:
+    """An operator asks which configuration is in force where; StatusReady follows."""
+
+    query_id: str
+
+
 Event = (
     Tick
     | PeerMessage
@@ -137,7 +184,12 @@
     | AttemptEnded
     | CallerGone
     | StoreAnswered
+    | MembersChanged
+    | LeaveRequested
     | QuestionCleared
+    | OrderAnswered
+    | StoreWatched
+    | StatusWanted
 )
 
 
@@ -149,6 +201,17 @@
     message: Message
 
 
+@dataclass(frozen=True, slots=True)
+class SendDatagram:
+    """Send a message to a node in one datagram; it may get lost and must be small.
+
+    See also: :data:`martenrun.constants.MAXIMUM_DATAGRAM_BYTES`.
+    """
+
+    peer: str
+    message: Message
+
+
 @dataclass(frozen=True, slots=True)
 class RunAttempt:
     """Tell the edge to send the request to the granted runner."""
@@ -196,7 +259,47 @@
     name: str
 
 
-Instruction = Send | RunAttempt | Finish | Tell | StoreWrite | StoreRead
+@dataclass(frozen=True, slots=True)
+class SendOrder:
+    """Send a fenced order to a runner's engine; OrderAnswered follows."""
+
+    runner: str
+    address: str
+    order: EngineOrder
+
+
+@dataclass(frozen=True, slots=True)
+class StoreWatch:
+    """Wait for configuration changes after a revision; StoreWatched follows.
+
+    ``after`` below zero lists all configuration objects at once.
+    """
+
+    after: int
+
+
+@dataclass(frozen=True, slots=True)
+class StatusReady:
+    """Give the operator the status; nodes that did not answer are missing in ``nodes``."""
+
+    query_id: str
+    own: str
+    members: list[str]
+    nodes: dict[str, NodeStatus]
+
+
+Instruction = (
+    Send
+    | RunAttempt
+    | Finish
+    | Tell
+    | StoreWrite
+    | StoreRead
+    | StoreWatch
+    | SendOrder
+    | SendDatagram
+    | StatusReady
+)
 
 
 class DecisionLogic(Protocol):
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -8,11 +8,21 @@
 
 from martenrun.agent.requests import RequestsLogic
 from martenrun.claims.logic import ClaimsLogic
+from martenrun.configuration.objects import DrainRole
+from martenrun.configuration.status import StatusLogic
 from martenrun.configuration.view import ConfigurationView
 from martenrun.events import DecisionLogic
+from martenrun.membership.gossip import GossipMembership
+from martenrun.membership.view import Member
 from martenrun.node.configuration import NodeConfigurationLogic
-from martenrun.node.routing import RoutingLogic
+from martenrun.node.drain import NodeDrainLogic
 from martenrun.node.runners import RunnerTable
+from martenrun.orders.rolls import RollsLogic
+from martenrun.ownership.home import HomeLogic
+from martenrun.ownership.logic import OwnershipLogic
+from martenrun.ownership.machine_feed import MachineFeed
+from martenrun.ownership.owner import OwnerLogic
+from martenrun.ownership.owners import OwnerMap
 from martenrun.routing.baselines import ConsistentHashPolicy
 from martenrun.settings.model import NodeSettings
 
@@ -21,11 +31,16 @@
 class NodeParts:
     """Every part of a node's decision logic."""
 
+    membership: GossipMembership
     configuration: NodeConfigurationLogic
+    status: StatusLogic
+    drain: NodeDrainLogic
     runners: RunnerTable
+    machine_feed: MachineFeed
+    ownership: OwnershipLogic
     claims: ClaimsLogic
-    routing: RoutingLogic
     requests: RequestsLogic
+    rolls: RollsLogic
 
     def view(self) -> ConfigurationView:
         """Return the configuration in force."""
@@ -33,7 +48,18 @@
 
     def in_order(self) -> list[DecisionLogic]:
         """Return the parts in the order in which they handle an event."""
-        return [self.configuration, self.runners, self.claims, self.routing, self.requests]
+        return [
+            self.membership,
+            self.configuration,
+            self.status,
+            self.drain,
+            self.runners,
+            self.machine_feed,
+            self.claims,
+            self.ownership,
+            self.requests,
+            self.rolls,
+        ]
 
 
 def node_parts(settings: NodeSettings, incarnation: str, rng: random.Random) -> NodeParts:
@@ -45,9 +71,27 @@
         rng: source of jitter; seeded in simulations.
     """
     own_address = settings.peer_address
-    configuration = NodeConfigurationLogic(own_address, list(settings.seed_nodes))
-    runners = RunnerTable()
-    routing = RoutingLogic(runners, ConsistentHashPolicy(), lambda: configuration.state.view)
-    claims = ClaimsLogic(own_address)
-    requests = RequestsLogic(lambda: [own_address])
-    return NodeParts(configuration, runners, claims, routing, requests)
+    own = Member(own_address, settings.zone, settings.region)
+    members = GossipMembership(own, settings.seed_nodes, settings.membership, rng)
+    configuration = NodeConfigurationLogic(own_address, settings.seed_nodes, members, rng)
+    runners = RunnerTable(lambda: configuration.state.view.drained(DrainRole.RUNNER))
+    owners = OwnerMap(members)
+    home = HomeLogic(
+        owners,
+        runners,
+        ConsistentHashPolicy(),
+        lambda: configuration.state.view,
+        settings.zone,
+        rng,
+    )
+    ownership = OwnershipLogic(own_address, home, OwnerLogic(owners, runners))
+    claims = ClaimsLogic(f"{own_address}/{incarnation}")
+    requests = RequestsLogic(lambda: [own_address], rng)
+    feed = MachineFeed(members, rng)
+    status = StatusLogic(configuration, members)
+    drain = NodeDrainLogic(settings.name, lambda: configuration.state.view)
+    holder = f"{own_address}/{incarnation}"
+    rolls = RollsLogic(holder, runners.runners, configuration.state, owners.owns, rng)
+    return NodeParts(
+        members, configuration, status, drain, runners, feed, ownership, claims, requests, rolls
+    )
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -8,6 +8,8 @@
 from urllib3.exceptions import HTTPError
 
 from martenrun.admin.application import ADMIN_PREFIX, AdminApplication
+from martenrun.admin.status import StatusPort
+from martenrun.configuration.driver import WatchWorker
 from martenrun.edge.application import CallerApplication
 from martenrun.edge.forward import EdgePort
 from martenrun.edge.server import HttpServer
@@ -19,20 +21,31 @@
     RunAttempt,
     RunnerDescribed,
     Send,
-    StoreChanges,
+    SendDatagram,
+    SendOrder,
+    StatusReady,
     StoreRead,
+    StoreWatch,
     StoreWrite,
 )
 from martenrun.node.parts import node_parts
+from martenrun.orders.workers import OrderWorkers
 from martenrun.platform.cache_events import CacheEventReader
 from martenrun.platform.engine import EngineConnections
+from martenrun.platform.engine_orders import EngineOrders
 from martenrun.platform.machine_list import MachineList
 from martenrun.platform.object_api import ObjectApi
-from martenrun.process import Clock, LoopActor, Poller, StoreWorkers, message_carrier
+from martenrun.process import (
+    Clock,
+    LoopActor,
+    Poller,
+    StoreWorkers,
+    datagram_carrier,
+    message_carrier,
+)
 from martenrun.settings.model import NodeSettings
 from martenrun.wire.transport import PeerTransport
 
-WATCH_WAIT_S = 5.0
 MACHINE_POLL_S = 0.5
 RUNNER_POLL_S = 0.5
 CACHE_EVENTS_POLL_S = 0.2
@@ -50,7 +63,12 @@
         self._parts = node_parts(settings, secrets.token_hex(8), random.Random())
         self._loop: Any = None
         self._store_workers = StoreWorkers(self._store, lambda event: self._loop.tell(event))
+        self._order_workers = OrderWorkers(
+            EngineOrders(self._engines), lambda event: self._loop.tell(event)
+        )
         self._port = port = EdgePort(tell=lambda event: self._loop.tell(event))
+        self._watch_worker = WatchWorker(self._store, lambda event: self._loop.tell(event))
+        status_port = StatusPort(lambda event: self._loop.tell(event))
         self._transport = PeerTransport(
             own_address,
             settings.cluster_secret.encode(),
@@ -61,21 +79,29 @@
             self._parts.in_order(),
             {
                 Send: message_carrier(self._transport, lambda event: self._loop.tell(event)),
+                SendDatagram: datagram_carrier(self._transport),
                 RunAttempt: port.deliver,
                 Finish: port.deliver,
                 StoreWrite: self._store_workers.carry,
                 StoreRead: self._store_workers.carry,
+                StoreWatch: self._watch_worker.carry,
+                StatusReady: status_port.deliver,
+                SendOrder: self._order_workers.carry,
             },
         )
         caller = CallerApplication(port, self._parts.view, settings)
-        admin = AdminApplication(self._store, self._parts.view, settings.bootstrap_key_sha256)
+        admin = AdminApplication(
+            self._store,
+            self._parts.view,
+            settings.bootstrap_key_sha256,
+            lambda: status_port.status(self._parts.view()),
+        )
         application = NodeApplication(caller, admin)
         self._server = HttpServer(
             application, settings.http_address, settings.max_streams + settings.http_threads
         )
         self._clock = Clock(self._loop.tell)
         self._pollers = [
-            Poller("store-watch", self._watch_store, pause_s=0.0),
             Poller("machine-list", self._list_machines, MACHINE_POLL_S),
             Poller("runners", self._describe_runners, RUNNER_POLL_S),
             Poller("cache-events", self._read_cache_events, CACHE_EVENTS_POLL_S),
@@ -99,19 +125,19 @@
         self._port.watch.stop()
         self._transport.stop()
         self._store_workers.stop()
+        self._order_workers.stop()
         self._loop.stop()
 
-    def _watch_store(self) -> None:
-        known = self._parts.configuration.state.revision
-        update = self._store.changes(known, WATCH_WAIT_S)
-        if update.to_revision > known:
-            self._loop.tell(StoreChanges(update))
-
     def _list_machines(self) -> None:
-        self._loop.tell(MachinesListed(self._machine_list.machines()))
+        if self._parts.machine_feed.must_poll():
+            self._loop.tell(MachinesListed(self._machine_list.machines()))
 
     def _describe_runners(self) -> None:
-        for runner in list(self._parts.runners.runners.values()):
+        owned = list(self._parts.ownership.owner.owned)
+        for name in {*owned, *self._parts.rolls.watched}:
+            runner = self._parts.runners.runners.get(name)
+            if runner is None:
+                continue
             try:
                 description = self._engines.describe(runner.address)
             except HTTPError:
--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -75,6 +75,8 @@
 
 struct ConfigurationQuery {
   1: i64 known_revision
+  2: i64 page_after
+  3: i64 nodes_digest
 }
 
 struct ConfigurationObject {
@@ -91,6 +93,8 @@
   3: list<ConfigurationObject> objects
   4: list<string> nodes
   5: bool complete
+  6: bool continues
+  7: i64 page_after
 }
 
 struct ClaimReport {
@@ -99,3 +103,145 @@
   3: string idempotency_key
   4: string state
 }
+
+struct UsageDigest {
+  1: i64 incarnation
+  2: i32 sequence
+  3: string zone
+  4: binary records
+}
+
+struct UsageTotals {
+  1: i64 incarnation
+  2: i32 sequence
+  3: double added_usage
+  4: binary records
+}
+
+struct ReserveSlot {
+  1: i64 reservation_id
+  2: string runner
+  3: string tenant
+  4: i32 priority
+  5: i32 cost_tokens
+  6: i32 deadline_ms
+  7: bool may_queue
+  8: string weights_version
+  9: binary chain
+}
+
+struct SlotGranted {
+  1: i64 reservation_id
+  2: string address
+  3: string incarnation
+  4: string weights_version
+  5: i32 cached_blocks
+  6: i32 free_slots
+}
+
+struct SlotsQueued {
+  1: list<i64> reservation_ids
+  2: list<i32> expected_waits_ms
+}
+
+struct RunnerLoad {
+  1: string runner
+  2: i32 free_slots
+}
+
+struct SlotRefused {
+  1: i64 reservation_id
+  2: string reason
+  3: string owner
+  4: i32 expected_wait_ms
+  5: list<RunnerLoad> loads
+}
+
+struct ReleaseSlots {
+  1: list<i64> reservation_ids
+}
+
+struct LeaseRenewal {
+  1: i64 reservation_id
+  2: string runner
+  3: string incarnation
+}
+
+struct RenewLeases {
+  1: list<LeaseRenewal> leases
+}
+
+struct LeasesVoided {
+  1: list<i64> reservation_ids
+}
+
+struct MachinesQuery {
+  1: i64 known_digest
+}
+
+struct MachineEntry {
+  1: string name
+  2: string role
+  3: string address
+  4: string zone
+  5: string pool
+  6: string state
+}
+
+struct MachinesUpdate {
+  1: i64 digest
+  2: bool complete
+  3: list<MachineEntry> machines
+}
+
+struct MemberClaim {
+  1: string address
+  2: string zone
+  3: string region
+  4: i64 incarnation
+  5: byte status
+}
+
+struct Probe {
+  1: i32 sequence
+  2: string relay_for
+  3: list<MemberClaim> claims
+}
+
+struct ProbeAnswer {
+  1: i32 sequence
+  2: i64 digest
+  3: list<MemberClaim> claims
+}
+
+struct ProbeRequest {
+  1: i32 sequence
+  2: string target
+  3: list<MemberClaim> claims
+}
+
+struct MemberGossip {
+  1: list<MemberClaim> claims
+}
+
+struct MemberList {
+  1: bool wants_answer
+  2: list<MemberClaim> members
+}
+
+struct StatusQuery {
+  1: string query_id
+}
+
+struct AgentRevision {
+  1: string agent
+  2: i64 revision
+}
+
+struct NodeStatus {
+  1: string query_id
+  2: i64 revision
+  3: string watcher_lease
+  4: list<string> faults
+  5: list<AgentRevision> agents
+}
