Wire prefix knowledge into the node: event feeds, beliefs, prefix-aware ranking

Cause: nodes chose runners by consistent hashing and read every runner's cache events for nothing; a correction from an owner whose feed had a gap wiped right beliefs at homes. Change: CacheEventsLogic applies owned runners' feeds (numbers, gaps, incarnations) to the node's BeliefBook; HomeLogic ranks with PrefixAwarePolicy; a node reads only the feeds of runners it owns. Dropping a slot only reads pages without it.

--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -14,6 +14,7 @@
 from martenrun.events import DecisionLogic
 from martenrun.membership.gossip import GossipMembership
 from martenrun.membership.view import Member
+from martenrun.node.cache_events import CacheEventsLogic
 from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.node.drain import NodeDrainLogic
 from martenrun.node.runners import RunnerTable
@@ -23,7 +24,8 @@
 from martenrun.ownership.machine_feed import MachineFeed
 from martenrun.ownership.owner import OwnerLogic
 from martenrun.ownership.owners import OwnerMap
-from martenrun.routing.baselines import ConsistentHashPolicy
+from martenrun.routing.beliefs import BeliefBook
+from martenrun.routing.prefix_aware import PrefixAwarePolicy
 from martenrun.settings.model import NodeSettings
 
 
@@ -41,6 +43,7 @@
     claims: ClaimsLogic
     requests: RequestsLogic
     rolls: RollsLogic
+    cache_events: CacheEventsLogic
 
     def view(self) -> ConfigurationView:
         """Return the configuration in force."""
@@ -55,6 +58,7 @@
             self.drain,
             self.runners,
             self.machine_feed,
+            self.cache_events,
             self.claims,
             self.ownership,
             self.requests,
@@ -76,10 +80,11 @@
     configuration = NodeConfigurationLogic(own_address, settings.seed_nodes, members, rng)
     runners = RunnerTable(lambda: configuration.state.view.drained(DrainRole.RUNNER))
     owners = OwnerMap(members)
+    beliefs = BeliefBook()
     home = HomeLogic(
         owners,
         runners,
-        ConsistentHashPolicy(),
+        PrefixAwarePolicy(beliefs, rng),
         lambda: configuration.state.view,
         settings.zone,
         rng,
@@ -93,5 +98,15 @@
     holder = f"{own_address}/{incarnation}"
     rolls = RollsLogic(holder, runners.runners, configuration.state, owners.owns, rng)
     return NodeParts(
-        members, configuration, status, drain, runners, feed, ownership, claims, requests, rolls
+        members,
+        configuration,
+        status,
+        drain,
+        runners,
+        feed,
+        ownership,
+        claims,
+        requests,
+        rolls,
+        CacheEventsLogic(beliefs, runners, owners.owns),
     )
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -145,7 +145,10 @@
             self._loop.tell(RunnerDescribed(runner.name, description))
 
     def _read_cache_events(self) -> None:
-        for runner in list(self._parts.runners.runners.values()):
+        for name in list(self._parts.ownership.owner.owned):
+            runner = self._parts.runners.runners.get(name)
+            if runner is None:
+                continue
             try:
                 events = self._cache_events.read(runner.name, runner.address)
             except HTTPError:
--- a/src/martenrun/routing/beliefs.py
+++ b/src/martenrun/routing/beliefs.py
@@ -136,9 +136,10 @@
         identity = self._identities.get(runner)
         return "" if identity is None else identity.incarnation
 
-    def is_fed(self, runner: str, incarnation: str) -> bool:
-        """Whether this run's event feed is read here."""
-        return runner in self._fed_runners and self.incarnation_of(runner) == incarnation
+    @property
+    def fed_runners(self) -> list[str]:
+        """Names of the runners whose event feeds are read here."""
+        return list(self._fed_runners)
 
     def feed(self, runner: str, stored: BlockHashes, removed: BlockHashes) -> None:
         """Apply what an identified runner's event feed told; repeated events do no harm."""
--- a/src/martenrun/routing/prefix_aware.py
+++ b/src/martenrun/routing/prefix_aware.py
@@ -144,6 +144,8 @@
         """See :meth:`martenrun.routing.policy.RoutingPolicy.granted`."""
         self.beliefs.age(now)
         self._ranked.pop((question.request_id, question.attempt), None)
+        runner = choice.runner
+        self.beliefs.identify(runner.name, runner.incarnation, runner.weights_version)
         chain = as_array(question.chain)
         self._hot.count(question.chain, now)
         uncached = len(chain) - choice.believed_blocks
@@ -179,19 +181,6 @@
         self._granted.pop((request_id, attempt), None)
         self._ranked.pop((request_id, attempt), None)
 
-    def reserved(self, runner: str, incarnation: str, chain: bytes, now: float) -> int:
-        """Answer, as the runner's owner, how many leading blocks it is believed to hold.
-
-        The chain is remembered: what is used survives a gap in the feed.  Returns -1 if this
-        node knows nothing of the runner's cache.
-        """
-        if not chain or not self.beliefs.is_fed(runner, incarnation):
-            return -1
-        hashes = as_array(chain)
-        believed = int(self.beliefs.leading(hashes, (runner,))[0])
-        self.beliefs.routed(runner, hashes, believed, now)
-        return believed
-
     def _learn(self, work: _GrantedWork, report: AttemptReport, now: float) -> None:
         cached_share = min(1.0, report.cached_tokens / report.prompt_tokens)
         cached_blocks = cached_share * work.prompt_blocks
--- a/src/martenrun/routing/prefix_table.py
+++ b/src/martenrun/routing/prefix_table.py
@@ -27,6 +27,7 @@
 _INSERT_ROUNDS = 8
 _CROWDED_BELOW_FREE = 4
 _BATCH_HASHES = 8192
+_DROP_ENTRIES = 65_536
 _HALF_BITS = numpy.uint64(32)
 _LOW_HALF = numpy.uint64(0xFFFFFFFF)
 
@@ -91,8 +92,16 @@
             self._flat_masks[positions[positions >= 0]] &= others
 
     def drop(self, slot: int) -> None:
-        """Forget everything believed of a slot."""
-        self._masks &= self._mask_type(~(1 << slot) & self._all_slots)
+        """Forget everything believed of a slot.
+
+        Pages without the slot are only read, so that memory never used stays untaken.
+        """
+        bit = self._mask_type(1 << slot)
+        others = self._mask_type(~(1 << slot) & self._all_slots)
+        for start in range(0, len(self._flat_masks), _DROP_ENTRIES):
+            masks = self._flat_masks[start : start + _DROP_ENTRIES]
+            if (masks & bit).any():
+                masks &= others
 
     def clear(self) -> None:
         """Forget everything."""
