--- a/src/martenrun/bench/routing_node.py
+++ b/src/martenrun/bench/routing_node.py
@@ -71,12 +71,6 @@
             beliefs.feed_gap(batch.engine, now)
         beliefs.feed(batch.engine, batch.stored, batch.removed)
 
-    def cached_blocks(self, engine: str, chain: BlockHashes) -> int:
-        """Return the leading blocks that this node believes cached, -1 if it cannot know."""
-        if not isinstance(self.policy, PrefixAwarePolicy):
-            return -1
-        return int(self.policy.beliefs.leading(chain, (engine,))[0])
-
 
 def incarnation_of(engine: SimulatedEngine) -> str:
     """Return the name of an engine's present run, empty while it is down."""
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -14,6 +14,7 @@
 from martenrun.limits.admission import AdmissionLimits
 from martenrun.membership.gossip import GossipMembership
 from martenrun.membership.view import Member
+from martenrun.node.cache_events import CacheEventsLogic
 from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.node.drain import NodeDrainLogic
 from martenrun.node.late_questions import LateQuestions
@@ -25,7 +26,8 @@
 from martenrun.ownership.machine_feed import MachineFeed
 from martenrun.ownership.owner import OwnerLogic
 from martenrun.ownership.owners import OwnerMap
-from martenrun.routing.baselines import ConsistentHashPolicy
+from martenrun.routing.beliefs import BeliefBook
+from martenrun.routing.prefix_aware import PrefixAwarePolicy
 from martenrun.settings.model import NodeSettings
 from martenrun.sharing.logic import SharingLogic
 from martenrun.sharing.meter import ExchangeMeter
@@ -48,6 +50,7 @@
     rolls: RollsLogic
     sharing: SharingLogic
     limits: AdmissionLimits
+    cache_events: CacheEventsLogic
 
     def view(self) -> ConfigurationView:
         """Return the configuration in force."""
@@ -67,6 +70,7 @@
                 self.membership.own.address,
                 lambda: self.membership.own.leaving,
             ),
+            self.cache_events,
             self.requests,
             self.sharing,
             self.rolls,
@@ -90,10 +94,11 @@
     exchange = UsageExchange(members, rng)
     meter = ExchangeMeter(exchange)
     limits = AdmissionLimits(meter.limit_share, meter)
+    beliefs = BeliefBook()
     home = HomeLogic(
         owners,
         runners,
-        ConsistentHashPolicy(),
+        PrefixAwarePolicy(beliefs, rng),
         lambda: configuration.state.view,
         settings.zone,
         rng,
@@ -128,4 +133,5 @@
         rolls,
         sharing,
         limits,
+        CacheEventsLogic(beliefs, runners, owners.owns),
     )
