--- a/src/martenrun/ownership/owner.py
+++ b/src/martenrun/ownership/owner.py
@@ -156,10 +156,8 @@
             self._count(listed.pool, tenant, tokens, now)
 
     def _granted_message(self, key: LeaseKey, runner: RunnerSlots, chain: bytes) -> Instruction:
-        listed = self._table.runners[runner.name]
         granted = SlotGranted(
             key.reservation_id,
-            listed.address,
             runner.incarnation,
             runner.weights_version,
             self._cached_blocks(runner.name, runner.incarnation, chain) if chain else 0,
--- a/src/martenrun/simulation/network.py
+++ b/src/martenrun/simulation/network.py
@@ -83,12 +83,13 @@
             FrameError: it does not fit one datagram.
         """
         data = encode(message)
-        checked_datagram(data, TAG_BYTES + 1 + len(sender))
-        self._send(sender, receiver, data)
+        overhead_bytes = TAG_BYTES + 1 + len(sender)
+        checked_datagram(data, overhead_bytes)
+        self._send(sender, receiver, data, overhead_bytes)
 
-    def _send(self, sender: str, receiver: str, data: bytes) -> None:
+    def _send(self, sender: str, receiver: str, data: bytes, overhead_bytes: int = 0) -> None:
         self.traffic[sender].sent_messages += 1
-        self.traffic[sender].sent_bytes += len(data)
+        self.traffic[sender].sent_bytes += len(data) + overhead_bytes
         copies = 2 if self._rng.random() < self.faults.duplicate else 1
         for _ in range(copies):
             if self._rng.random() < self.faults.loss:
