--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -40,6 +40,7 @@
 from martenrun.platform.engine_orders import EngineOrders
 from martenrun.platform.machine_list import MachineList
 from martenrun.platform.object_api import ObjectApi
+from martenrun.platform.weight_store import WeightStore
 from martenrun.process import (
     Clock,
     LoopActor,
@@ -52,13 +53,13 @@
 from martenrun.sharing.policy_weights import PolicyStatus
 from martenrun.wire.transport import PeerTransport
 
-MACHINE_POLL_S = 1.0
 LEAVE_SPREAD_LIMIT_S = 3.0
 """Longest time that other nodes are given to learn of a planned stop, in seconds."""
 
 LATE_QUESTIONS_S = 2.5
 """Time for which agents' late questions are refused; longer than agents' query interval."""
 
+MACHINE_POLL_S = 1.0
 RUNNER_POLL_S = 0.5
 CACHE_EVENTS_POLL_S = 0.2
 
@@ -102,14 +103,16 @@
             },
         )
         caller = CallerApplication(port, self._parts.view, settings)
-        caller.add_metrics(SharingCollector(self._parts.limits.counts, self._policy_statuses))
         self._slots = caller.slots
         self._drain_timeout_s = settings.drain_timeout_s
+        caller.add_metrics(SharingCollector(self._parts.limits.counts, self._policy_statuses))
+        weights = WeightStore(settings.weight_store) if settings.weight_store else None
         admin = AdminApplication(
             self._store,
             self._parts.view,
             settings.bootstrap_key_sha256,
             lambda: status_port.status(self._parts.view(), self._policy_statuses()),
+            weights,
         )
         application = NodeApplication(caller, admin)
         self._server = HttpServer(
