--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -3,7 +3,7 @@
 import random
 import secrets
 import threading
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Any
 
 from absl import logging
@@ -33,6 +33,7 @@
     StoreWrite,
 )
 from martenrun.node.parts import node_parts
+from martenrun.observability.admission import SharingCollector
 from martenrun.orders.workers import OrderWorkers
 from martenrun.platform.cache_events import CacheEventReader
 from martenrun.platform.engine import EngineConnections
@@ -49,15 +50,16 @@
     message_carrier,
 )
 from martenrun.settings.model import NodeSettings
+from martenrun.sharing.policy_weights import PolicyStatus
 from martenrun.wire.transport import PeerTransport
 
-MACHINE_POLL_S = 1.0
 LEAVE_SPREAD_LIMIT_S = 3.0
 """Longest time that other nodes are given to learn of a planned stop, in seconds."""
 
 LATE_QUESTIONS_S = 2.5
 """Time for which agents' late questions are refused; longer than agents' query interval."""
 
+MACHINE_POLL_S = 1.0
 RUNNER_POLL_S = 0.5
 CACHE_EVENTS_POLL_S = 0.2
 
@@ -103,12 +105,13 @@
         caller = CallerApplication(port, self._parts.view, settings)
         self._slots = caller.slots
         self._drain_timeout_s = settings.drain_timeout_s
+        caller.add_metrics(SharingCollector(self._parts.limits.counts, self._policy_statuses))
         weights = WeightStore(settings.weight_store) if settings.weight_store else None
         admin = AdminApplication(
             self._store,
             self._parts.view,
             settings.bootstrap_key_sha256,
-            lambda: status_port.status(self._parts.view()),
+            lambda: status_port.status(self._parts.view(), self._policy_statuses()),
             weights,
         )
         application = NodeApplication(caller, admin)
@@ -158,6 +161,9 @@
         self._order_workers.stop()
         self._loop.stop()
 
+    def _policy_statuses(self) -> Sequence[PolicyStatus]:
+        return self._parts.sharing.statuses
+
     def _list_machines(self) -> None:
         if self._parts.machine_feed.must_poll():
             self._loop.tell(MachinesListed(self._machine_list.machines()))
