--- a/src/martenrun/admin/status.py
+++ b/src/martenrun/admin/status.py
@@ -2,14 +2,15 @@
 
 import queue
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 
-from martenrun.configuration.status import STATUS_TIMEOUT_S, newest_agent_revisions
 from martenrun.configuration.view import ConfigurationView
 from martenrun.errors import NodeUnavailableError
 from martenrun.events import Event, StatusReady, StatusWanted
+from martenrun.node.status import STATUS_TIMEOUT_S, newest_agent_revisions
+from martenrun.sharing.policy_weights import PolicyStatus
 
 _LOOP_TIMEOUT_S = STATUS_TIMEOUT_S + 2.0
 
@@ -39,6 +40,7 @@
         silent_nodes: members that did not answer in time.
         faults: objects whose newest document is not in force because it is faulty.
         drains: runners and nodes that operators drain.
+        policies: sharing policies of the pools whose runners the answering node owns.
     """
 
     node: str
@@ -51,6 +53,7 @@
     watchers: list[Watcher]
     faults: list[str]
     drains: list[str]
+    policies: list[PolicyStatus] = []
 
 
 class StatusPort:
@@ -66,7 +69,7 @@
         if waiting is not None:
             waiting.put(instruction)
 
-    def status(self, view: ConfigurationView) -> Status:
+    def status(self, view: ConfigurationView, policies: Sequence[PolicyStatus] = ()) -> Status:
         """Ask the loop and wait; raises NodeUnavailableError if the loop does not answer."""
         query_id = secrets.token_hex(8)
         waiting = self._waiting[query_id] = queue.SimpleQueue()
@@ -77,10 +80,12 @@
             raise NodeUnavailableError("the node's loop did not answer in time") from error
         finally:
             del self._waiting[query_id]
-        return _status(ready, view)
+        return _status(ready, view, policies)
 
 
-def _status(ready: StatusReady, view: ConfigurationView) -> Status:
+def _status(
+    ready: StatusReady, view: ConfigurationView, policies: Sequence[PolicyStatus]
+) -> Status:
     nodes = [InForce(name, node.revision) for name, node in ready.nodes.items()]
     told = newest_agent_revisions(ready.nodes.values())
     agents = [InForce(name, revision) for name, revision in told.items()]
@@ -100,4 +105,5 @@
         ],
         faults=sorted({fault for node in ready.nodes.values() for fault in node.faults}),
         drains=sorted(f"{drain.role.value} {name}" for name, drain in view.drains.items()),
+        policies=list(policies),
     )
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -3,7 +3,7 @@
 import random
 import secrets
 import threading
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Any
 
 from absl import logging
@@ -33,12 +33,14 @@
     StoreWrite,
 )
 from martenrun.node.parts import node_parts
+from martenrun.observability.admission import SharingCollector
 from martenrun.orders.workers import OrderWorkers
 from martenrun.platform.cache_events import CacheEventReader
 from martenrun.platform.engine import EngineConnections
 from martenrun.platform.engine_orders import EngineOrders
 from martenrun.platform.machine_list import MachineList
 from martenrun.platform.object_api import ObjectApi
+from martenrun.platform.weight_store import WeightStore
 from martenrun.process import (
     Clock,
     LoopActor,
@@ -48,6 +50,7 @@
     message_carrier,
 )
 from martenrun.settings.model import NodeSettings
+from martenrun.sharing.policy_weights import PolicyStatus
 from martenrun.wire.transport import PeerTransport
 
 LEAVE_SPREAD_LIMIT_S = 3.0
@@ -102,11 +105,14 @@
         caller = CallerApplication(port, self._parts.view, settings)
         self._slots = caller.slots
         self._drain_timeout_s = settings.drain_timeout_s
+        caller.add_metrics(SharingCollector(self._parts.limits.counts, self._policy_statuses))
+        weights = WeightStore(settings.weight_store) if settings.weight_store else None
         admin = AdminApplication(
             self._store,
             self._parts.view,
             settings.bootstrap_key_sha256,
-            lambda: status_port.status(self._parts.view()),
+            lambda: status_port.status(self._parts.view(), self._policy_statuses()),
+            weights,
         )
         application = NodeApplication(caller, admin)
         self._server = HttpServer(
@@ -155,6 +161,9 @@
         self._order_workers.stop()
         self._loop.stop()
 
+    def _policy_statuses(self) -> Sequence[PolicyStatus]:
+        return self._parts.sharing.statuses
+
     def _list_machines(self) -> None:
         if self._parts.machine_feed.must_poll():
             self._loop.tell(MachinesListed(self._machine_list.machines()))
