--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,9 +2,10 @@
 
 import pytest
 
-from martenrun.events import LeaveRequested
+from martenrun.events import LeaveRequested, MachinesListed
 from martenrun.membership.record import MemberStatus
 from martenrun.membership.table import MemberTable
+from martenrun.platform.machine_list import Machine
 from martenrun.simulation.members import MemberCluster
 from martenrun.simulation.network import LinkFaults
 from martenrun.statecharts.compiler import load_chart
@@ -101,3 +102,32 @@
         cluster.kill(address)
         cluster.start(address)
     cluster.run_until(cluster.agrees, 20)
+
+
+def listed(address, state="live"):
+    return Machine(address, "node", address, "zone-0", "", state)
+
+
+def test_the_machine_lists_leaving_node_is_unused_at_once_and_leaves_by_itself():
+    cluster = joined()
+    leaver = cluster.addresses[5]
+    machines = [listed(a, "leaving" if a == leaver else "live") for a in cluster.addresses]
+    cluster.processes[cluster.addresses[0]].tell(MachinesListed(machines))
+    cluster.run(0.1)
+    assert leaver not in cluster.live_seen_by(cluster.addresses[0])
+    assert leaver in cluster.live_seen_by(cluster.addresses[1]), "only one node has the list"
+    cluster.processes[leaver].tell(MachinesListed(machines))
+    cluster.run_until(lambda: leaver not in cluster.live_seen_by(cluster.addresses[1]), 3.0)
+
+
+def test_a_node_off_the_machine_list_is_dead_only_if_it_does_not_answer():
+    cluster = joined()
+    dead, answering = cluster.addresses[5:7]
+    for address in cluster.addresses[:5]:
+        for machines in (cluster.addresses, cluster.addresses[:5]):
+            cluster.processes[address].tell(MachinesListed([listed(a) for a in machines]))
+    cluster.kill(dead)
+    cluster.run_until(lambda: cluster.count_believing(dead, MemberStatus.DEAD) > 0, 20)
+    cluster.run(20.0)
+    assert cluster.count_believing(answering, MemberStatus.DEAD) == 0
+    assert cluster.count_believing(dead, MemberStatus.DEAD) == len(cluster.views)
