Stop the HTTP server on its own thread and poll instead of select

Change: sockets are closed by the server's thread, stopping twice is harmless, waitress polls. Conclusion: a process with more than 1,023 descriptors goes on serving.

--- a/src/martenrun/edge/server.py
+++ b/src/martenrun/edge/server.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from waitress import wasyncore
 from waitress.channel import HTTPChannel
 from waitress.server import TcpWSGIServer, create_server
 from waitress.task import ErrorTask
@@ -29,6 +30,10 @@
 """Time after which a connection that sends nothing, or half a request, is closed."""
 
 
+STOP_LIMIT_S = 5.0
+"""Longest time that stopping waits for the server's thread."""
+
+
 class HttpServer:
     """A waitress server on its own driver thread."""
 
@@ -44,6 +49,8 @@
             max_request_header_size=MAXIMUM_HEADER_BYTES,
             channel_timeout=CHANNEL_TIMEOUT_S,
             channel_request_lookahead=1,
+            # select() ends at file descriptor 1,023; a full process has more.
+            asyncore_use_poll=True,
             ident="martenrun",
         )
         assert isinstance(self._server, TcpWSGIServer)
@@ -60,8 +67,15 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Stop accepting and close every connection."""
-        self._server.close()
+        """Stop accepting and close every connection; stopping twice does nothing more."""
+        if not self._thread.is_alive():
+            return
+        # On the server's own thread: a socket closed under its poll would raise there.
+        self._server.trigger.pull_trigger(self._close_all)
+        self._thread.join(timeout=STOP_LIMIT_S)
+
+    def _close_all(self) -> None:
+        wasyncore.close_all(self._server._map, ignore_all=True)
 
 
 class _TypedErrorTask(ErrorTask):
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,60 @@
+"""The HTTP server: stopping cleanly, and more connections than select() can name."""
+
+import resource
+import socket
+import threading
+
+import pytest
+import urllib3
+from deployment import free_address
+
+from martenrun.edge.server import HttpServer
+from martenrun.wire.transport import parse_address
+
+SELECT_LIMIT = 1_024
+
+
+def application(environ, start_response):
+    start_response("200 OK", [("Content-Length", "2")])
+    return [b"ok"]
+
+
+@pytest.fixture
+def server():
+    address = free_address()
+    running = HttpServer(application, address, threads=200)
+    running.start()
+    yield address, running
+    running.stop()
+
+
+@pytest.fixture
+def failures(monkeypatch):
+    seen = []
+    monkeypatch.setattr(threading, "excepthook", seen.append)
+    return seen
+
+
+def test_a_server_stops_without_failing_and_frees_its_address(server, failures):
+    address, running = server
+    with socket.create_connection(parse_address(address)) as idle:
+        assert urllib3.request("GET", f"http://{address}/").data == b"ok"
+        running.stop()
+        assert idle.recv(1) == b""
+    assert failures == []
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(parse_address(address))
+
+
+def test_connections_beyond_the_limit_of_select_are_served(server, failures):
+    soft, _hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft < 2 * SELECT_LIMIT + 500:
+        pytest.skip("the machine's limit of open files is too low for this")
+    address, _running = server
+    held = [socket.create_connection(parse_address(address)) for _ in range(SELECT_LIMIT // 2 + 50)]
+    try:
+        assert urllib3.request("GET", f"http://{address}/").data == b"ok"
+    finally:
+        for sock in held:
+            sock.close()
+    assert failures == []
