--- a/src/martenrun/proof/history.py
+++ b/src/martenrun/proof/history.py
@@ -85,9 +85,13 @@
 
 
 class Executed(Record, frozen=True, tag=True):
-    """An engine began to execute an attempt; ``reused`` tells who wrote the blocks it used."""
+    """An engine began to execute an attempt; ``reused`` tells who wrote the blocks it used.
+
+    ``received_s`` is when the engine's machine got the attempt: a paused engine runs it later.
+    """
 
     engine: str
+    received_s: float
     incarnation: str
     expected_incarnation: str
     weights_version: str
--- a/src/martenrun/proof/recorder.py
+++ b/src/martenrun/proof/recorder.py
@@ -49,6 +49,7 @@
             Executed(
                 time_s=self._now(),
                 engine=execution.engine,
+                received_s=execution.received_s,
                 incarnation=execution.incarnation,
                 expected_incarnation=execution.expected_incarnation,
                 weights_version=execution.weights_version,
--- a/tests/test_proof_checkers.py
+++ b/tests/test_proof_checkers.py
@@ -38,6 +38,7 @@
     values = {
         "time_s": 0.5,
         "engine": "engine",
+        "received_s": fields.get("time_s", 0.5),
         "incarnation": "i",
         "expected_incarnation": "i",
         "weights_version": "v1",
@@ -121,6 +122,7 @@
         ],
     ),
     ("leaving", [LEAVING, executed(time_s=4.1)]),
+    ("leaving", [LEAVING, executed(time_s=9.0, received_s=4.1)]),
     ("cache_use", [executed(reused=[origin(tenant="u")])]),
     ("cache_use", [executed(reused=[origin(weights_version="v0")])]),
     ("cache_use", [executed(reused=[origin(incarnation="h")])]),
@@ -167,6 +169,7 @@
     ("not_run", [invoked(), executed(), answered((), code="outcome_unknown", ran="unknown")]),
     ("at_most_once", [invoked(repeatable=False), executed(), invoked("s"), executed("s")]),
     ("leaving", [LEAVING, executed(time_s=3.9)]),
+    ("leaving", [LEAVING, executed(time_s=9.0, received_s=0.9)]),
     (
         "leaving",
         [LEAVING, LeavingWithdrawn(time_s=2.0, process="engine"), executed(time_s=9.0)],
--- a/tests/test_proof_simulation.py
+++ b/tests/test_proof_simulation.py
@@ -13,11 +13,13 @@
 from martenrun.configuration.state import ConfigurationState
 from martenrun.edge.request import CallerRequest
 from martenrun.errors import Ran
-from martenrun.events import QuestionCleared, Tell
+from martenrun.events import PeerMessage, QuestionCleared, Tell
+from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.platform.engine import AttemptOutcome
 from martenrun.platform.machine_list import Machine
 from martenrun.proof.schedule import Fault, FaultKind, Schedule, draw_schedule
 from martenrun.proof.world import run_schedule
+from martenrun.wire.messages import ConfigurationUpdate
 
 HELD = {
     "cache_use",
@@ -54,6 +56,9 @@
 BUSY_LEAVING = schedule(
     fault(FaultKind.ENGINE_LEAVES, 1.0), engines=1, load_s=9.5, requests_per_s=40.0, copy_share=0.0
 )
+RESTART_WITHOUT_STORE = schedule(
+    fault(FaultKind.STORE_DOWN, 0.5, 9.0), fault(FaultKind.KILL_NODE, 2.0, 0.3)
+)
 LATE_MESSAGES = schedule(
     fault(FaultKind.LOSE_MESSAGES, 0.5, 9.0, target=1),
     *(fault(FaultKind.RACE_OPERATORS, 1.0 + 0.2 * index) for index in range(30)),
@@ -122,7 +127,20 @@
     monkeypatch.setattr(ConfigurationState, "apply", apply_any)
 
 
+def take_no_configuration_from_peers(monkeypatch):
+    handle = NodeConfigurationLogic._handle
+
+    def handle_no_update(self, event, now):
+        is_update = isinstance(event, PeerMessage) and isinstance(
+            event.message, ConfigurationUpdate
+        )
+        return [] if is_update else handle(self, event, now)
+
+    monkeypatch.setattr(NodeConfigurationLogic, "_handle", handle_no_update)
+
+
 GUARDS = [
+    ("restart", take_no_configuration_from_peers, RESTART_WITHOUT_STORE),
     ("cache_use", share_cache_between_tenants, schedule()),
     ("streams", take_broken_streams_as_whole, CRASHES),
     ("own_answer", never_time_out, LATE_MESSAGES),
