--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -12,10 +12,12 @@
 from martenrun.configuration.status import StatusLogic
 from martenrun.configuration.view import ConfigurationView
 from martenrun.events import DecisionLogic
+from martenrun.limits.admission import AdmissionLimits
 from martenrun.membership.gossip import GossipMembership
 from martenrun.membership.view import Member
 from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.node.drain import NodeDrainLogic
+from martenrun.node.late_questions import LateQuestions
 from martenrun.node.runners import RunnerTable
 from martenrun.orders.rolls import RollsLogic
 from martenrun.ownership.home import HomeLogic
@@ -25,6 +27,9 @@
 from martenrun.ownership.owners import OwnerMap
 from martenrun.routing.baselines import ConsistentHashPolicy
 from martenrun.settings.model import NodeSettings
+from martenrun.sharing.logic import SharingLogic
+from martenrun.sharing.meter import ExchangeMeter
+from martenrun.sharing.usage import UsageExchange
 
 
 @dataclass(frozen=True)
@@ -41,6 +46,8 @@
     claims: ClaimsLogic
     requests: RequestsLogic
     rolls: RollsLogic
+    sharing: SharingLogic
+    limits: AdmissionLimits
 
     def view(self) -> ConfigurationView:
         """Return the configuration in force."""
@@ -55,9 +62,13 @@
             self.drain,
             self.runners,
             self.machine_feed,
-            self.claims,
-            self.ownership,
+            LateQuestions(
+                [self.claims, self.ownership],
+                self.membership.own.address,
+                lambda: self.membership.own.leaving,
+            ),
             self.requests,
+            self.sharing,
             self.rolls,
         ]
 
@@ -76,6 +87,9 @@
     configuration = NodeConfigurationLogic(own_address, settings.seed_nodes, members, rng)
     runners = RunnerTable(lambda: configuration.state.view.drained(DrainRole.RUNNER))
     owners = OwnerMap(members)
+    exchange = UsageExchange(members, rng)
+    meter = ExchangeMeter(exchange)
+    limits = AdmissionLimits(meter.limit_share, meter)
     home = HomeLogic(
         owners,
         runners,
@@ -83,8 +97,17 @@
         lambda: configuration.state.view,
         settings.zone,
         rng,
+        limits,
     )
-    ownership = OwnershipLogic(own_address, home, OwnerLogic(owners, runners))
+    sharing = SharingLogic(
+        exchange,
+        meter,
+        lambda: owner.pool_queues(),
+        lambda: configuration.state.view,
+        limits.active,
+    )
+    owner = OwnerLogic(owners, runners, granted=sharing.granted)
+    ownership = OwnershipLogic(own_address, home, owner)
     claims = ClaimsLogic(f"{own_address}/{incarnation}")
     requests = RequestsLogic(lambda: [own_address], rng)
     feed = MachineFeed(members, rng)
@@ -93,5 +116,16 @@
     holder = f"{own_address}/{incarnation}"
     rolls = RollsLogic(holder, runners.runners, configuration.state, owners.owns, rng)
     return NodeParts(
-        members, configuration, status, drain, runners, feed, ownership, claims, requests, rolls
+        members,
+        configuration,
+        status,
+        drain,
+        runners,
+        feed,
+        ownership,
+        claims,
+        requests,
+        rolls,
+        sharing,
+        limits,
     )
