--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -17,6 +17,7 @@
 from martenrun.node.cache_events import CacheEventsLogic
 from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.node.drain import NodeDrainLogic
+from martenrun.node.late_questions import LateQuestions
 from martenrun.node.runners import RunnerTable
 from martenrun.orders.rolls import RollsLogic
 from martenrun.ownership.home import HomeLogic
@@ -59,8 +60,11 @@
             self.runners,
             self.machine_feed,
             self.cache_events,
-            self.claims,
-            self.ownership,
+            LateQuestions(
+                [self.claims, self.ownership],
+                self.membership.own.address,
+                lambda: self.membership.own.leaving,
+            ),
             self.requests,
             self.rolls,
         ]
--- a/src/martenrun/node/runners.py
+++ b/src/martenrun/node/runners.py
@@ -7,6 +7,9 @@
 from martenrun.platform.machine_list import Machine
 from martenrun.routing.policy import RunnerState
 
+DRAIN_LOOK_INTERVAL_S = 0.5
+"""Time between two looks at the drained runners, in seconds."""
+
 
 class RunnerTable:
     """Runners by name, from the lagging machine list and the engines' own descriptions.
@@ -21,14 +24,19 @@
         self.runners: dict[str, RunnerState] = {}
         self.version = 0
         self._drained = drained
+        self._drained_before: frozenset[str] = frozenset()
+        self._next_look = 0.0
+        self._last_listed: list[Machine] | None = None
         self._listed_leaving: set[str] = set()
 
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
         match event:
-            case Tick():
-                self._update_leaving()
-            case MachinesListed(machines):
+            case Tick() if now >= self._next_look:
+                self._next_look = now + DRAIN_LOOK_INTERVAL_S
+                self._look_for_drains()
+            case MachinesListed(machines) if machines is not self._last_listed:
+                self._last_listed = machines
                 self._update_machines(machines)
             case RunnerDescribed():
                 self._update_runner(event, now)
@@ -57,8 +65,14 @@
         self._listed_leaving |= self.runners.keys() - listed.keys()
         self._update_leaving()
 
+    def _look_for_drains(self) -> None:
+        """Pass over all runners only if the drains have changed."""
+        if self._drained() != self._drained_before:
+            self._update_leaving()
+
     def _update_leaving(self) -> None:
-        leaving = self._listed_leaving | self._drained()
+        self._drained_before = self._drained()
+        leaving = self._listed_leaving | self._drained_before
         for runner in self.runners.values():
             if runner.leaving != (runner.name in leaving):
                 runner.leaving = not runner.leaving
