--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -9,9 +9,9 @@
 from martenrun.agent.requests import RequestsLogic
 from martenrun.claims.logic import ClaimsLogic
 from martenrun.configuration.objects import DrainRole
-from martenrun.configuration.status import StatusLogic
 from martenrun.configuration.view import ConfigurationView
 from martenrun.events import DecisionLogic
+from martenrun.limits.admission import AdmissionLimits
 from martenrun.membership.gossip import GossipMembership
 from martenrun.membership.view import Member
 from martenrun.node.cache_events import CacheEventsLogic
@@ -19,6 +19,7 @@
 from martenrun.node.drain import NodeDrainLogic
 from martenrun.node.late_questions import LateQuestions
 from martenrun.node.runners import RunnerTable
+from martenrun.node.status import StatusLogic
 from martenrun.orders.rolls import RollsLogic
 from martenrun.ownership.home import HomeLogic
 from martenrun.ownership.logic import OwnershipLogic
@@ -28,6 +29,9 @@
 from martenrun.routing.beliefs import BeliefBook
 from martenrun.routing.prefix_aware import PrefixAwarePolicy
 from martenrun.settings.model import NodeSettings
+from martenrun.sharing.logic import SharingLogic
+from martenrun.sharing.meter import ExchangeMeter
+from martenrun.sharing.usage import UsageExchange
 
 
 @dataclass(frozen=True)
@@ -45,6 +49,8 @@
     requests: RequestsLogic
     rolls: RollsLogic
     cache_events: CacheEventsLogic
+    sharing: SharingLogic
+    limits: AdmissionLimits
 
     def view(self) -> ConfigurationView:
         """Return the configuration in force."""
@@ -66,6 +72,7 @@
                 lambda: self.membership.own.leaving,
             ),
             self.requests,
+            self.sharing,
             self.rolls,
         ]
 
@@ -85,6 +92,9 @@
     runners = RunnerTable(lambda: configuration.state.view.drained(DrainRole.RUNNER))
     owners = OwnerMap(members)
     beliefs = BeliefBook()
+    exchange = UsageExchange(members, rng)
+    meter = ExchangeMeter(exchange)
+    limits = AdmissionLimits(meter.limit_share, meter)
     home = HomeLogic(
         owners,
         runners,
@@ -92,8 +102,17 @@
         lambda: configuration.state.view,
         settings.zone,
         rng,
+        limits,
     )
-    ownership = OwnershipLogic(own_address, home, OwnerLogic(owners, runners))
+    sharing = SharingLogic(
+        exchange,
+        meter,
+        lambda: owner.pool_queues(),
+        lambda: configuration.state.view,
+        limits.active,
+    )
+    owner = OwnerLogic(owners, runners, granted=sharing.granted)
+    ownership = OwnershipLogic(own_address, home, owner)
     claims = ClaimsLogic(f"{own_address}/{incarnation}")
     requests = RequestsLogic(lambda: [own_address], rng)
     feed = MachineFeed(members, rng)
@@ -113,4 +132,6 @@
         requests,
         rolls,
         CacheEventsLogic(beliefs, runners, owners.owns),
+        sharing,
+        limits,
     )
--- a/src/martenrun/sharing/usage.py
+++ b/src/martenrun/sharing/usage.py
@@ -20,12 +20,14 @@
 from martenrun.sharing.aggregation import (
     HOLD_S,
     RATE_FLOOR,
+    REFRESH_S,
     REPORT_INTERVAL_S,
     Reported,
     UsageAggregator,
 )
 from martenrun.sharing.decay import USAGE_WINDOW_S, UseRate
 from martenrun.sharing.records import (
+    SHARDS,
     UsageRecord,
     pack,
     shard_of,
@@ -40,6 +42,12 @@
 RECORDS_PER_ZONE_DIGEST = 64
 """Tenants that a zone's adding node tells other zones of in one interval."""
 
+REFRESH_TURNS = round(REFRESH_S / REPORT_INTERVAL_S)
+"""Reports in which every tenant is looked at once."""
+
+WATCH_INTERVAL_S = 2 * REPORT_INTERVAL_S
+"""Time between two reports of a watched tenant whose own rates do not change, in seconds."""
+
 FORGET_INTERVAL_S = 5.0
 """Time between removals of stale state, in seconds."""
 
@@ -59,9 +67,14 @@
 
 @dataclass(slots=True)
 class _OwnTenant:
-    """Rates at this node, what was last reported of them, and the rates of other nodes."""
+    """Rates at this node, what was last reported of them, and the rates of other nodes.
+
+    ``turn`` is the report out of REFRESH_TURNS in which it is looked at even if unused.
+    """
 
     here: UseRate
+    turn: int
+    watched_at: float = float("-inf")
     reported: Reported = field(default_factory=Reported)
     elsewhere: Reported = field(default_factory=Reported)
 
@@ -90,12 +103,13 @@
         self._sequence = 0
         self._tenants: dict[str, _OwnTenant] = {}
         self._names: dict[int, str] = {}
+        self._touched: set[str] = set()
         self._aggregator = UsageAggregator()
         self._added = 0.0
         self._heard: dict[str, _Heard] = {}
         self._added_usage: dict[str, Reported] = {}
         self._adders: dict[tuple[str, int], str] = {}
-        self._adders_for: tuple[Member, ...] = ()
+        self._live: tuple[Member, ...] = ()
         self._next_report: float | None = None
         self._next_forget = 0.0
 
@@ -107,6 +121,11 @@
         """Count tokens that a tenant has asked for here, refused or not."""
         self._rate(tenant, now).add(0.0, tokens / USAGE_WINDOW_S)
 
+    def watch(self, tenant: str, now: float) -> None:
+        """Ask for a tenant's sums also if it uses nothing here; to be repeated while needed."""
+        self._rate(tenant, now)
+        self._tenants[tenant].watched_at = now
+
     def usage(self, tenant: str, now: float) -> TenantUsage:
         """Return a tenant's rates here and on all nodes together."""
         found = self._tenants.get(tenant)
@@ -115,23 +134,25 @@
         here, elsewhere = found.here, found.elsewhere
         here.advance(now)
         return TenantUsage(
-            here.usage, here.demand, here.usage + elsewhere.usage, here.demand + elsewhere.demand
+            here.usage,
+            here.demand,
+            max(0.0, here.usage + elsewhere.usage),
+            here.demand + elsewhere.demand,
         )
 
     def total_usage(self) -> float:
         """Return the usage of all tenants known to the adding nodes, in tokens per second."""
         return sum(added.usage for added in self._added_usage.values())
 
-    def limit_share(self, tenant: str, now: float) -> float:
+    def share_of(self, own_demand: float, all_demand: float) -> float:
         """Return this node's share of a tenant's limits, in proportion to demand.
 
         A tenant that nobody else has reported has its whole limits here.
         """
-        usage = self.usage(tenant, now)
-        if usage.all_demand <= usage.own_demand:
+        if all_demand <= own_demand:
             return 1.0
-        least = UNASKED_SHARE / max(1, len(self._members.live()))
-        return max(least, usage.own_demand / usage.all_demand)
+        least = UNASKED_SHARE / max(1, len(self._live))
+        return max(least, own_demand / all_demand)
 
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
@@ -147,8 +168,11 @@
     def _rate(self, name: str, now: float) -> UseRate:
         found = self._tenants.get(name)
         if found is None:
-            found = self._tenants[name] = _OwnTenant(UseRate(updated=now))
-            self._names[tenant_id(name)] = name
+            identity = tenant_id(name)
+            turn = identity // SHARDS % REFRESH_TURNS
+            found = self._tenants[name] = _OwnTenant(UseRate(updated=now), turn)
+            self._names[identity] = name
+        self._touched.add(name)
         found.here.advance(now)
         return found.here
 
@@ -162,10 +186,17 @@
         if now >= self._next_forget:
             self._next_forget = now + FORGET_INTERVAL_S
             self._forget_stale(now)
+        self._update_members()
         self._sequence += 1
         self._added = self._aggregator.total_usage()
         return self._reports(now) + self._zone_digests(now)
 
+    def _update_members(self) -> None:
+        live = tuple(self._members.live())
+        if live != self._live:
+            self._live = live
+            self._adders.clear()
+
     def _reports(self, now: float) -> list[Instruction]:
         zone = self._members.own.zone
         by_adder: dict[str, list[UsageRecord]] = {}
@@ -177,12 +208,24 @@
         return [Send(adder, self._digest("", records)) for adder, records in by_adder.items()]
 
     def _urgent(self, now: float) -> list[str]:
+        """Return the tenants to report.
+
+        Only those used since the last report, and in turn a part of the others, are looked at:
+        rates that only fade need no more than a refresh.
+        """
+        turn = self._sequence % REFRESH_TURNS
         urgent: list[tuple[float, str]] = []
         for name, tenant in self._tenants.items():
+            if tenant.turn != turn and name not in self._touched:
+                continue
             tenant.here.advance(now)
             urgency = tenant.reported.urgency(tenant.here.usage, tenant.here.demand, now)
+            is_watched = now - tenant.watched_at <= REPORT_INTERVAL_S
+            if is_watched and now - tenant.reported.at >= WATCH_INTERVAL_S:
+                urgency = max(urgency, abs(tenant.elsewhere.usage), RATE_FLOOR)
             if urgency > 0:
                 urgent.append((urgency, name))
+        self._touched.clear()
         urgent.sort(reverse=True)
         return [name for _urgency, name in urgent[:RECORDS_PER_REPORT]]
 
@@ -194,7 +237,7 @@
             if self._adder(own.zone, record.tenant_id) == own.address
         ]
         by_adder: dict[str, list[UsageRecord]] = {}
-        for zone in sorted({member.zone for member in self._members.live()} - {own.zone}):
+        for zone in sorted({member.zone for member in self._live} - {own.zone}):
             for record in changes:
                 by_adder.setdefault(self._adder(zone, record.tenant_id), []).append(record)
         return [Send(adder, self._digest(own.zone, part)) for adder, part in by_adder.items()]
@@ -230,20 +273,16 @@
             tenant = self._tenants.get(self._names.get(record.tenant_id, ""))
             if tenant is None:
                 continue
-            usage = max(0.0, record.usage - tenant.reported.usage)
+            usage = record.usage - tenant.reported.usage
             demand = max(0.0, record.demand - tenant.reported.demand)
             tenant.elsewhere = Reported(usage, demand, now)
 
     def _adder(self, zone: str, identity: int) -> str:
         """Return the address of the node that adds up a tenant in a zone."""
-        live = tuple(self._members.live())
-        if live != self._adders_for:
-            self._adders_for = live
-            self._adders.clear()
         shard = shard_of(identity)
         found = self._adders.get((zone, shard))
         if found is None:
-            addresses = [member.address for member in live if member.zone == zone]
+            addresses = [member.address for member in self._live if member.zone == zone]
             ranking = ranked(f"usage shard {shard}".encode(), addresses)
             found = ranking[0] if ranking else self._members.own.address
             self._adders[(zone, shard)] = found
@@ -252,7 +291,8 @@
     def _forget_stale(self, now: float) -> None:
         self._aggregator.forget_stale(now)
         for name, tenant in list(self._tenants.items()):
-            is_idle = max(tenant.here.usage, tenant.here.demand) < RATE_FLOOR
+            is_idle = max(abs(tenant.here.usage), tenant.here.demand) < RATE_FLOOR
+            is_idle = is_idle and now - tenant.watched_at > HOLD_S
             if is_idle and now - tenant.reported.at > HOLD_S:
                 del self._tenants[name]
                 self._names.pop(tenant_id(name), None)
