Ownership: questions wait while a runner changes its owner

Cause: (1) an owner that had just taken a runner up, or had not yet swept after a change of members, answered reservations with unknown_runner until it had looked at the engine (poll 0.5 s); (2) a home whose only candidate's owner was dead or silent refused at once. With one runner both ended as no_runner although the runner was fine.

Change: an owner takes a change of members in before it answers for a runner it does not hold, and queues reservations for a runner that it has not looked at yet; the first description serves or refuses them. A home whose candidates' owners are all silent (or all say that they are not the owner) keeps the question waiting within its deadline and asks again every 0.25-0.5 s (new transition owners_silent). Reasons of an earlier round no longer decide a later refusal.

--- a/src/martenrun/ownership/home.py
+++ b/src/martenrun/ownership/home.py
@@ -47,7 +47,10 @@
 """Time between two Queued messages to an agent, in seconds; agents expect one each second."""
 
 PROBE_INTERVAL_S = 0.25
-"""Shortest time between two tries of another runner while a question waits, in seconds."""
+"""Shortest time between two tries of a waiting question, in seconds.
+
+It tries another runner, or, if no owner has answered it, all candidates again.
+"""
 
 ENDED_S = 30.0
 """How long an ended question is remembered against repeated messages, in seconds."""
@@ -220,7 +223,9 @@
                 instructions += self._queue(question, now)
         return instructions
 
-    def _queue(self, question: OpenQuestion, now: float) -> list[Instruction]:
+    def _queue(
+        self, question: OpenQuestion, now: float, event: str = "slot_queued"
+    ) -> list[Instruction]:
         self._plan_probe(question, now)
         try:
             self._limits.queued(question.question.request_id, now)
@@ -228,7 +233,7 @@
             # The tenant has too many waiting; not one of the chart's own reasons.
             instructions = self._step(question, "withdrawn", now)
             return [*instructions, Send(question.agent, refusal_of(question.question, error))]
-        return self._step(question, "slot_queued", now)
+        return self._step(question, event, now)
 
     def _slot_refused(self, owner: str, refused: SlotRefused, now: float) -> list[Instruction]:
         self._reservations.heard(owner)
@@ -288,7 +293,12 @@
             instructions += self._check_silence(question, now)
             if now >= question.tell_at:
                 instructions += self._step(question, "time_to_tell", now)
-            if question.state == "waiting" and now >= question.probe_at and not has_probed:
+            if question.state != "waiting" or now < question.probe_at:
+                continue
+            if not question.reservations:
+                question.forget_tries()
+                instructions += self._step(question, "queue_lost", now)
+            elif not has_probed:
                 has_probed = True
                 instructions += self._step(question, "time_to_probe", now)
         self._ended.forget_old(now)
@@ -333,6 +343,8 @@
 
     def _reserve_next(self, question: OpenQuestion, now: float) -> list[Instruction]:
         found = question.next_choice(lambda runner: self._reservations.is_reachable(runner, now))
+        if found is None and question.has_silent_owners_only:
+            return self._queue(question, now, "owners_silent")
         if found is None:
             return self._step(question, "no_candidate_left", now)
         choice, may_queue = found
@@ -347,18 +359,17 @@
         self._limits.started(asked.request_id, now)
         self._policy.granted(asked, lease.choice, now)
         self._leases.granted(lease, now)
-        grant = granted_message(asked, lease)
-        return [Send(question.agent, grant)]
+        return [Send(question.agent, granted_message(asked, lease))]
 
     def _answer_queued(self, question: OpenQuestion, now: float) -> list[Instruction]:
         question.tell_at = now + TELL_INTERVAL_S
         asked = question.question
-        queued = Queued(asked.request_id, asked.attempt, question.expected_wait_s)
-        return [Send(question.agent, queued)]
+        return [
+            Send(question.agent, Queued(asked.request_id, asked.attempt, question.expected_wait_s))
+        ]
 
     def _answer_refusal(self, question: OpenQuestion, now: float) -> list[Instruction]:
-        refusal = refusal_of(question.question, question.error(now))
-        return [Send(question.agent, refusal)]
+        return [Send(question.agent, refusal_of(question.question, question.error(now)))]
 
     def _answer_deadline(self, question: OpenQuestion, now: float) -> list[Instruction]:
         error = DeadlineExceededError("the deadline passed in the queue")
--- a/src/martenrun/ownership/owner.py
+++ b/src/martenrun/ownership/owner.py
@@ -123,14 +123,19 @@
         leased = self._leased.get(key)
         if leased is not None:
             return [self._granted_message(key, leased, reservation.chain)]
+        # A change of owners may have reached the home before this node's next sweep.
+        changes = [] if reservation.runner in self.owned else self._update_owned()
+        return [*changes, self._answer(key, reservation, now)]
+
+    def _answer(self, key: LeaseKey, reservation: ReserveSlot, now: float) -> Instruction:
         runner = self.owned.get(reservation.runner)
         reason = self._fault(reservation, runner)
         if runner is None or reason is not None:
-            return [self._refusal(key, reservation.runner, reason or Reason.UNKNOWN_RUNNER)]
+            return self._refusal(key, reservation.runner, reason or Reason.UNKNOWN_RUNNER)
         if runner.free > 0 and not len(runner.queue):
             self._granted(runner.name, reservation.tenant, reservation.cost_tokens, now)
-            return [self._grant(key, runner, reservation.chain, now)]
-        return [self._enqueue(key, runner, reservation, now)]
+            return self._grant(key, runner, reservation.chain, now)
+        return self._enqueue(key, runner, reservation, now)
 
     def _fault(self, reservation: ReserveSlot, runner: RunnerSlots | None) -> Reason | None:
         listed = self._table.runners.get(reservation.runner)
@@ -140,6 +145,8 @@
             return Reason.NOT_OWNER if is_foreign else Reason.UNKNOWN_RUNNER
         if listed is None or listed.leaving:
             return Reason.LEAVING
+        if not runner.is_described:
+            return None
         if not runner.takes_work:
             return Reason.UNKNOWN_RUNNER
         wanted = reservation.weights_version
@@ -208,6 +215,12 @@
         listed = self._table.runners.get(runner.name)
         return runner.takes_work and listed is not None and not listed.leaving
 
+    def _may_wait(self, runner: RunnerSlots) -> bool:
+        """Whether reservations may stay in a runner's queue."""
+        listed = self._table.runners.get(runner.name)
+        is_staying = listed is not None and not listed.leaving
+        return is_staying and (runner.takes_work or not runner.is_described)
+
     def _release(self, home: str, identities: list[int], now: float) -> list[Instruction]:
         instructions: list[Instruction] = []
         for identity in identities:
@@ -300,7 +313,7 @@
             for entry in runner.queue.expire(now):
                 self._waiting.pop(LeaseKey(entry.request_id, entry.attempt), None)
             instructions += self._end_leases(runner.expire(now), now)
-            if not self._takes_work(runner):
+            if not self._may_wait(runner):
                 instructions += self._flush(runner, Reason.LEAVING)
             instructions += self._serve_queue(runner, now)
         self._ended.forget_old(now)
--- a/src/martenrun/ownership/questions.py
+++ b/src/martenrun/ownership/questions.py
@@ -73,7 +73,8 @@
             self.choices.insert(len(self.tried), choice)
 
     def forget_tries(self) -> None:
-        """Start over, after a place in a queue was lost."""
+        """Start over, after a place in a queue was lost or owners were silent."""
+        self.reasons.clear()
         self.tried.clear()
         self.queue_tried.clear()
 
@@ -104,6 +105,11 @@
     def _expected_s(self, choice: RunnerChoice) -> float:
         return self.waits_s.get(choice.runner.name, 0.0) + choice.expected_first_token_s
 
+    @property
+    def has_silent_owners_only(self) -> bool:
+        """Whether no owner has told a candidate's state since the start: owners change."""
+        return self.reasons <= {Reason.NOT_OWNER}
+
     def error(self, now: float) -> MartenrunError:
         """Return why no candidate took the question, and when to come back."""
         waits = [wait_s for wait_s in self.waits_s.values() if wait_s > 0]
--- a/src/martenrun/ownership/slots.py
+++ b/src/martenrun/ownership/slots.py
@@ -39,9 +39,14 @@
 
 @dataclass
 class RunnerSlots:
-    """Slots of one owned runner; an empty incarnation means that it takes no work."""
+    """Slots of one owned runner; an empty incarnation means that it takes no work.
+
+    ``is_described`` tells whether this owner has looked at the engine since it took the runner
+    up.  Until then it can not know the runner's state, and reservations wait.
+    """
 
     name: str
+    is_described: bool = False
     incarnation: str = ""
     weights_version: str = ""
     accepting: bool = True
@@ -88,11 +93,13 @@
 
     def unreachable(self) -> None:
         """The engine did not describe itself: grant nothing until it does."""
+        self.is_described = True
         self.incarnation = ""
 
     def described_as(self, description: RunnerDescription, now: float) -> list[LeaseKey]:
         """Take in a load report; returns the leases that it shows to be void."""
         was_reachable = bool(self.incarnation)
+        self.is_described = True
         self.incarnation = description.incarnation
         self.weights_version = description.weights_version
         self.accepting = description.state == RunnerServingState.SERVING
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -197,3 +197,42 @@
     cluster.see_members(everyone)
     finish(cluster, 15.0)
     assert_typed_refusals(cluster)
+
+
+@pytest.mark.parametrize(("end", "noticed_s"), [("left", 0.0), ("killed", 0.0), ("killed", 3.0)])
+def test_the_only_runner_stays_usable_while_its_owner_changes(end, noticed_s):
+    cluster = OwnershipCluster(nodes=2, runners=1, seed=5, slots=8, zones=1)
+    cluster.scheduler.run_until(1.6)
+    (owner,) = (address for address, node in cluster.nodes.items() if node.ownership.owner.owned)
+    if end == "left":
+        cluster.see_members(cluster.nodes.keys() - {owner})
+    else:
+        cluster.kill_node(owner, noticed_s)
+    for step in range(20):
+        cluster.scheduler.after(0.05 * step, lambda step=step: cluster.ask(step, service_s=0.2))
+    cluster.scheduler.run_until(20.0)
+    assert len(cluster.requests) == 20
+    assert [r.refusal.code for r in cluster.requests.values() if r.refusal] == []
+    assert all(r.first_grant_s <= noticed_s + 2.5 for r in cluster.requests.values())
+    assert sum(engine.rejected for engine in cluster.engines.values()) == 0
+
+
+def test_a_question_at_a_silent_owner_waits_and_ends_with_its_deadline():
+    cluster = OwnershipCluster(nodes=2, runners=1, seed=5, zones=1)
+    cluster.scheduler.run_until(1.6)
+    (owner,) = (address for address, node in cluster.nodes.items() if node.ownership.owner.owned)
+    cluster.kill_node(owner, noticed_after_s=60.0)
+    request = cluster.ask(1, service_s=0.2, deadline_s=4.0)
+    cluster.scheduler.run_until(10.0)
+    assert request.queued_messages > 0
+    assert request.refusal.code == "deadline_exceeded"
+    assert request.finished_at <= request.deadline + 0.2
+    assert cluster.open_questions() == 0
+
+
+def test_a_runner_that_never_describes_itself_is_refused_and_not_waited_for():
+    cluster = OwnershipCluster(nodes=1, runners=1, seed=5, zones=1)
+    cluster.engines["runner-0"].is_down = True
+    request = cluster.ask(1, service_s=0.2, deadline_s=20.0)
+    cluster.scheduler.run_until(3.0)
+    assert request.refusal.code == "no_runner"
