Sharing: idle models are looked for every ten seconds

Cause: once a second each node advanced the rates of every tenant and model it had seen, only to forget the idle ones (a quarter of SharingLogic's time in the profile: 0.417 of 1.628 s).

Change: the look is made every FORGET_INTERVAL_S = 10 s. Shares don't change: an idle model adds less than 0.001 tokens/s.

--- a/src/martenrun/sharing/logic.py
+++ b/src/martenrun/sharing/logic.py
@@ -21,6 +21,9 @@
 from martenrun.sharing.shares import CONTROL_INTERVAL_S, ShareController
 from martenrun.sharing.usage import UsageExchange
 
+FORGET_INTERVAL_S = 10.0
+"""Time between two looks for models that nobody asks for any more, in seconds."""
+
 LONG_WINDOW_S = 300.0
 """Time constant of a policy's ``usage_5m``, in seconds."""
 
@@ -74,6 +77,7 @@
         self._active = active
         self._pools: dict[str, _Pool] = {}
         self._next = 0.0
+        self._next_forget = 0.0
         self.statuses: tuple[PolicyStatus, ...] = ()
         """Status of every pool's policy; replaced, never changed, so threads may read it."""
 
@@ -105,7 +109,9 @@
         self.statuses = tuple(
             pool.policy.status(name) for name, pool in sorted(self._pools.items())
         )
-        self._meter.forget_idle(now)
+        if now >= self._next_forget:
+            self._next_forget = now + FORGET_INTERVAL_S
+            self._meter.forget_idle(now)
 
     def _update_pool(self, item: PoolQueues, now: float) -> None:
         pool = self._pools.get(item.pool)
