Wire: fields with their default values are not written

Cause: a node sends 332 bytes a request (8 nodes, 62 requests/s a node), of which the target allows 260: Grant 114, UsageDigest 91, ReserveSlot 66, SlotGranted 42, ReleaseSlots 15, UsageTotals 4. Empty and zero fields cost 7 bytes each in these.

Change: the encoder leaves out fields that have the dataclass's default; the reader starts from the defaults already, so old and new bytes are both read. Defaults are now part of the protocol.

--- a/src/martenrun/wire/codec.py
+++ b/src/martenrun/wire/codec.py
@@ -2,9 +2,12 @@
 
 thriftpy2 reads the IDL at import time; no generated code and no generator are needed.  The
 specification of each struct is attached to the dataclass of the same name, so that the
-dataclass itself is written and read (about 7 and 11 microseconds a message).
+dataclass itself is read (about 11 microseconds a message).  A field that has its default value
+is not written; the reader's dataclass gives it the same value, so defaults are part of the
+protocol and must not change within a protocol version.
 """
 
+import dataclasses
 import hashlib
 import inspect
 import struct
@@ -59,10 +62,39 @@
 _classes = _attach_specifications()
 
 
+def _default_of(field: dataclasses.Field[Any]) -> Any:
+    if field.default_factory is not dataclasses.MISSING:
+        return field.default_factory()
+    return field.default
+
+
+class _Sparse:
+    """A message's fields without the defaults; thriftpy2 writes no field that is None."""
+
+
+def _sparse_class(cls: type[Any]) -> type[Any]:
+    fields: dict[str, Any] = dict.fromkeys(field.name for field in dataclasses.fields(cls))
+    return type(cls.__name__, (_Sparse,), {**fields, "thrift_spec": cls.thrift_spec})
+
+
+_sparse_classes = {cls: _sparse_class(cls) for cls in _classes.values()}
+_names = {cls: [each.name for each in dataclasses.fields(cls)] for cls in _classes.values()}
+_defaults = {
+    cls: [_default_of(field) for field in dataclasses.fields(cls)] for cls in _classes.values()
+}
+
+
 def encode_struct(value: Any) -> bytes:
-    """Encode one message dataclass."""
+    """Encode one message dataclass; fields with their default values take no bytes."""
+    cls = type(value)
+    sparse = _sparse_classes[cls]()
+    fields = sparse.__dict__
+    for name, default in zip(_names[cls], _defaults[cls], strict=True):
+        present = getattr(value, name)
+        if present is not default and present != default:
+            fields[name] = present
     buffer = TCyMemoryBuffer()
-    TCyBinaryProtocol(buffer).write_struct(value)
+    TCyBinaryProtocol(buffer).write_struct(sparse)
     return bytes(buffer.getvalue())
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -5,10 +5,12 @@
 
 import pytest
 from deployment import free_address
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from martenrun.wire import codec
 from martenrun.wire.frames import FrameError, FrameReader, FrameWriter
-from martenrun.wire.messages import DecideRequest, Queued
+from martenrun.wire.messages import DecideRequest, Queued, ReserveSlot
 from martenrun.wire.transport import PeerTransport
 
 SECRET = b"0123456789abcdef"
@@ -26,6 +28,23 @@
     assert codec.decode(codec.encode(question)) == question
 
 
+@pytest.mark.parametrize("name", sorted(codec.message_classes()))
+def test_a_message_of_defaults_takes_a_header_only_and_survives(name):
+    message = codec.message_classes()[name]()
+    data = codec.encode(message)
+    assert len(data) == 4
+    assert codec.decode(data) == message
+
+
+@given(st.integers(-1, 1), st.sampled_from(["", "r"]), st.booleans(), st.sampled_from([b"", b"\0"]))
+@settings(derandomize=True, deadline=None)
+def test_fields_survive_whether_or_not_they_have_their_defaults(number, text, flag, octets):
+    message = ReserveSlot(number, text, text, number, number, number, flag, text, octets)
+    found = codec.decode(codec.encode(message))
+    assert found == message
+    assert found.may_queue is flag
+
+
 @pytest.mark.parametrize("data", [b"", b"\x00" * 40, b"garbage" * 9])
 def test_malformed_bytes_are_a_codec_error(data):
     with pytest.raises(codec.CodecError):
