Rank home nodes with one vector operation; let a node's front ask the home node

Cause: an edge ranked every live node with a scalar hash for each request, which grows with the nodes; and a node's front always asked itself, so the same prefix had two homes. Hit rate of the front was not measured.

--- a/src/martenrun/agent/requests.py
+++ b/src/martenrun/agent/requests.py
@@ -11,6 +11,7 @@
 from dataclasses import replace
 
 from martenrun.agent.active import RETRY_AFTER_S, ActiveRequest, later_ran
+from martenrun.agent.home_nodes import HomeNodes
 from martenrun.agent.retry import RetryBudget, pause_s
 from martenrun.claims.record import ClaimState
 from martenrun.constants import DECISION_TIMEOUT_S, RESUME_WINDOW_S
@@ -34,7 +35,6 @@
     Send,
     Tick,
 )
-from martenrun.identity.rendezvous import ranked
 from martenrun.platform.engine import AttemptOutcome, AttemptResult
 from martenrun.statecharts.compiler import load_chart
 from martenrun.wire.messages import (
@@ -63,7 +63,7 @@
     def __init__(
         self, live_nodes: Callable[[], list[str]], rng: random.Random | None = None
     ) -> None:
-        self._live_nodes = live_nodes
+        self._home_nodes = HomeNodes(live_nodes)
         self._rng = rng or random.Random()
         self._budget = RetryBudget()
         self._active: dict[str, ActiveRequest] = {}
@@ -106,12 +106,11 @@
 
     def _arrived(self, event: RequestArrived, now: float) -> list[Instruction]:
         question = event.question
-        key = f"{question.tenant}\0{question.model}\0".encode() + question.chain[:8]
         request = ActiveRequest(
             question,
             event.repeatable,
             _CHART.initial,
-            ranked(key, self._live_nodes()),
+            self._home_nodes.ranked(question),
             now + question.deadline_s,
         )
         self._active[question.request_id] = request
--- /dev/null
+++ b/src/martenrun/capacity/results.py
@@ -0,0 +1,127 @@
+"""The fields of the result files that the capacity table is worked out from.
+
+Each struct reads one file of docs/measurements/; other fields of the file are ignored.  The
+benchmarks that write the files define what the fields mean.
+"""
+
+import statistics
+from collections.abc import Callable
+from pathlib import Path
+from typing import TypeVar
+
+import msgspec
+
+Result = TypeVar("Result")
+
+
+class ScaleScenario(msgspec.Struct):
+    """Size of a scale run."""
+
+    nodes: int
+    runners: int
+
+
+class ScaleUsage(msgspec.Struct):
+    """What one hollow process spent while idle."""
+
+    cpu_us_per_s: float
+    sent_bytes_per_s: float
+    sent_messages_per_s: float
+    cpu_us_per_s_by_part: dict[str, float]
+
+
+class ScaleLoad(msgspec.Struct):
+    """What a request cost."""
+
+    node_cpu_us_per_request: float
+    agent_cpu_us_per_request: float
+    node_bytes_per_request: float
+    agent_bytes_per_request: float
+    messages_per_request: float
+
+
+class ScaleResult(msgspec.Struct):
+    """Result of ``martenrun bench scale``."""
+
+    scenario: ScaleScenario
+    codec_us_per_message: float
+    idle_node: ScaleUsage
+    idle_agent: ScaleUsage
+    load: ScaleLoad
+
+
+class PathResult(msgspec.Struct):
+    """Result of ``scripts/bench.py path``."""
+
+    agent_cpu_ms_per_request: float
+    node_cpu_ms_per_request: float
+
+
+class ConfigurationResult(msgspec.Struct):
+    """Result of ``martenrun bench configuration``."""
+
+    node_bytes_per_s: float
+    node_messages_per_s: float
+    state_bytes_per_object: float
+    cpu_ms_per_process_s: float
+
+
+class UsageExchangeResult(msgspec.Struct):
+    """Result of ``martenrun bench usage-exchange``."""
+
+    tenants: int
+    sent_bytes_per_s_mean: float
+    messages_per_s_mean: float
+    cpu_ms_per_s_mean: float
+
+
+class IndexResult(msgspec.Struct):
+    """One line of ``martenrun bench index``."""
+
+    kind: str
+    bytes_per_block: float
+    stored_ns_per_event: float
+    removed_ns_per_event: float
+
+
+class StreamStep(msgspec.Struct):
+    """One load of ``scripts/bench.py streams``."""
+
+    streams: int
+    events_per_s: float
+    cpu_part: float
+    is_good: bool
+
+
+class StreamsResult(msgspec.Struct):
+    """Result of ``scripts/bench.py streams``."""
+
+    steps: list[StreamStep]
+
+
+def read_result(path: Path, kind: type[Result]) -> Result:
+    """Read a file that holds one JSON object."""
+    return msgspec.json.decode(path.read_bytes(), type=kind)
+
+
+def read_lines(path: Path, kind: type[Result]) -> list[Result]:
+    """Read a file that holds one JSON object a line."""
+    lines = path.read_bytes().splitlines()
+    return [msgspec.json.decode(line, type=kind) for line in lines if line.strip()]
+
+
+def median_of(results: list[Result], figure: Callable[[Result], float]) -> float:
+    """Return the median of a figure over repeated runs."""
+    return statistics.median(figure(result) for result in results)
+
+
+def fit_line(points: list[tuple[float, float]]) -> tuple[float, float]:
+    """Return (slope, value at zero) of the least-squares line; a falling line counts as flat."""
+    xs = [x for x, _y in points]
+    ys = [y for _x, y in points]
+    if len(set(xs)) < 2:
+        return 0.0, statistics.mean(ys)
+    fitted = statistics.linear_regression(xs, ys)
+    if fitted.slope < 0:
+        return 0.0, statistics.mean(ys)
+    return fitted.slope, fitted.intercept
--- a/src/martenrun/ownership/hashing.py
+++ b/src/martenrun/identity/hashing.py
@@ -3,7 +3,7 @@
 Every node must compute the same weights, so the mixing function and the hash of names are part
 of the internal protocol.
 
-See also: :mod:`martenrun.identity.rendezvous`, the scalar form used by agents.
+See also: :mod:`martenrun.identity.rendezvous`, the scalar form for few names.
 """
 
 import hashlib
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -114,7 +114,7 @@
     owner = OwnerLogic(owners, runners, granted=sharing.granted)
     ownership = OwnershipLogic(own_address, home, owner)
     claims = ClaimsLogic(f"{own_address}/{incarnation}")
-    requests = RequestsLogic(lambda: [own_address], rng)
+    requests = RequestsLogic(lambda: [member.address for member in members.live()], rng)
     feed = MachineFeed(members, rng)
     status = StatusLogic(configuration, members)
     drain = NodeDrainLogic(settings.name, lambda: configuration.state.view)
--- a/src/martenrun/ownership/candidates.py
+++ b/src/martenrun/ownership/candidates.py
@@ -10,7 +10,7 @@
 
 import numpy
 
-from martenrun.ownership.hashing import HashArray, best, mixed, name_hash, name_hashes
+from martenrun.identity.hashing import HashArray, best, mixed, name_hash, name_hashes
 from martenrun.routing.policy import RunnerState
 
 CANDIDATES = 8
--- a/src/martenrun/ownership/machine_feed.py
+++ b/src/martenrun/ownership/machine_feed.py
@@ -13,8 +13,8 @@
 import random
 
 from martenrun.events import Event, Instruction, MachinesListed, PeerMessage, Send, Tell, Tick
+from martenrun.identity.hashing import name_hash, name_hashes, top_columns
 from martenrun.membership.view import MemberView
-from martenrun.ownership.hashing import name_hash, name_hashes, top_columns
 from martenrun.platform.machine_list import Machine
 from martenrun.wire.messages import MachineEntry, MachinesQuery, MachinesUpdate
 
--- a/src/martenrun/ownership/owners.py
+++ b/src/martenrun/ownership/owners.py
@@ -7,9 +7,9 @@
 See also: :mod:`martenrun.membership.view`.
 """
 
+from martenrun.identity.hashing import best_columns, name_hashes
 from martenrun.membership.view import Member, MemberView
 from martenrun.node.runners import RunnerTable
-from martenrun.ownership.hashing import best_columns, name_hashes
 
 
 class OwnerMap:
