Let the scale run leave its faults out

Cause: at 370 nodes the three faults take most of a run, and slopes need only start, idle and load. Change: --no-faults. Measured: nothing; lint and types clean. Conclusion: none.

--- a/src/martenrun/bench/scale/command.py
+++ b/src/martenrun/bench/scale/command.py
@@ -21,6 +21,7 @@
 @click.option("--requests-per-node-s", default=10.0, show_default=True)
 @click.option("--phase-s", default=5.0, show_default=True, help="Virtual time of a phase.")
 @click.option("--changes", default=10, show_default=True, help="Configuration changes.")
+@click.option("--faults/--no-faults", "with_faults", default=True, show_default=True)
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON line.")
 def scale(
     nodes: int,
@@ -32,6 +33,7 @@
     requests_per_node_s: float,
     phase_s: float,
     changes: int,
+    with_faults: bool,
     as_json: bool,
 ) -> None:
     """Run hollow nodes, agents and runners in virtual time and report what they cost."""
@@ -45,6 +47,7 @@
         requests_per_node_s,
         phase_s,
         changes,
+        with_faults,
     )
     encoded = msgspec.json.encode(ScaleRun(scenario).run())
     text = encoded if as_json else msgspec.json.format(encoded)
--- a/src/martenrun/bench/scale/report.py
+++ b/src/martenrun/bench/scale/report.py
@@ -20,6 +20,7 @@
     requests_per_node_s: float
     phase_s: float
     changes: int
+    with_faults: bool = True
 
 
 class Spread(msgspec.Struct, frozen=True):
--- a/src/martenrun/bench/scale/run.py
+++ b/src/martenrun/bench/scale/run.py
@@ -52,7 +52,7 @@
         idle_node, idle_agent = self._idle()
         load = self._load(idle_node, idle_agent)
         changes = self._changes()
-        faults = [self._herd_with_store_down(), self._zone_lost(), self._region_cut()]
+        faults = self._faults() if self._scenario.with_faults else []
         peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * KIBIBYTE
         return ScaleReport(
             self._scenario,
@@ -123,6 +123,9 @@
             self._advance(CHANGE_PAUSE_S)
         return times
 
+    def _faults(self) -> list[FaultResult]:
+        return [self._herd_with_store_down(), self._zone_lost(), self._region_cut()]
+
     def _herd_with_store_down(self) -> FaultResult:
         """Restart a tenth of the nodes at once while the object API is down."""
         cluster = self._cluster
