Import only what a command runs

Cause: every process imported all commands: benchmarks, proofs and stand-ins; and the package cel imports its interactive command line (typer, rich, prompt_toolkit).

--- /dev/null
+++ b/scripts/measure_restart.py
@@ -0,0 +1,126 @@
+"""Measures how soon a killed node is back while the object API is down.
+
+Usage: ``measure_restart.py [ROUNDS]``; prints one JSON line.  Three nodes and one agent are up,
+the object API is killed, then one node after the other is killed and started again.  Times run
+from just before the process is started: to the first 200 of ``/readyz`` and to the end of the
+first request answered with 200 by the node's own front.
+"""
+
+import json
+import statistics
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import urllib3
+from bench import KEY, MODEL
+from deployment import START_TIMEOUT_S, Deployment, answers
+
+ROUNDS = 6
+NODES = 3
+POLL_S = 0.005
+_IMPORTS = "import martenrun.cli.main, martenrun.node.process"
+
+
+def start() -> Deployment:
+    """Start a platform, an engine, three nodes and one agent, and publish a route."""
+    deployment = Deployment()
+    try:
+        deployment.start_platform()
+        deployment.start_engine("zone-a", "readers", MODEL)
+        deployment.start_nodes(["zone-a"] * NODES)
+        deployment.start_agents(["zone-a"])
+        deployment.apply_tenant("growers", KEY)
+        deployment.apply("pools", "readers", {"model": MODEL, "weights_version": "v1"})
+        route = {"model": MODEL, "pool": "readers"}
+        deployment.wait_ready(deployment.apply("routes", "readers", route))
+    except BaseException:
+        deployment.stop()
+        raise
+    return deployment
+
+
+def seconds_until(condition: Callable[[], bool], started: float) -> float:
+    """Return the time from ``started`` until a condition holds, in seconds."""
+    while not condition():
+        if time.monotonic() > started + START_TIMEOUT_S:
+            raise TimeoutError("the node did not come back")
+        time.sleep(POLL_S)
+    return time.monotonic() - started
+
+
+def completes(edge: str) -> bool:
+    """Return whether an edge answers one short completion with 200."""
+    try:
+        response = urllib3.request(
+            "POST",
+            f"http://{edge}/v1/completions",
+            json={"model": MODEL, "prompt": "grapes", "max_tokens": 1},
+            headers={"Authorization": f"Bearer {KEY}"},
+            retries=False,
+            timeout=5.0,
+        )
+    except urllib3.exceptions.HTTPError:
+        return False
+    return response.status == 200
+
+
+def resident_bytes(process: int) -> int:
+    """Return the memory of a process that is resident, in bytes."""
+    status = Path(f"/proc/{process}/status").read_text(encoding="ascii")
+    line = next(line for line in status.splitlines() if line.startswith("VmRSS:"))
+    return int(line.split()[1]) * 1024
+
+
+def import_cpu_s() -> float:
+    """Return the processor time a fresh interpreter takes to import a node, in seconds."""
+    code = f"import time; {_IMPORTS}; print(time.process_time())"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True)
+    return float(done.stdout)
+
+
+def measure(deployment: Deployment, rounds: int) -> dict[str, list[float]]:
+    """Restart nodes in turn with the object API down; return the samples by name."""
+    deployment.kill("objects")
+    samples: dict[str, list[float]] = {"ready_s": [], "first_answer_s": [], "rss_mib": []}
+    for index in range(rounds):
+        node = index % NODES
+        edge = deployment.node_edges[node]
+        deployment.kill(f"node-{node}")
+        started = time.monotonic()
+        deployment.start_node(node, "zone-a")
+        ready_s = seconds_until(lambda edge=edge: answers(edge, "/readyz"), started)
+        samples["ready_s"].append(ready_s)
+        answer_s = seconds_until(lambda edge=edge: completes(edge), started)
+        samples["first_answer_s"].append(answer_s)
+        process = deployment.processes[f"node-{node}"].pid
+        samples["rss_mib"].append(resident_bytes(process) / 2**20)
+    return samples
+
+
+def spread(values: list[float]) -> dict[str, float]:
+    """Return median, least and greatest of samples."""
+    return {
+        "median": round(statistics.median(values), 3),
+        "least": round(min(values), 3),
+        "greatest": round(max(values), 3),
+    }
+
+
+def main() -> None:
+    """Measure and print."""
+    rounds = int(sys.argv[1]) if len(sys.argv) > 1 else ROUNDS
+    imports = [import_cpu_s() for _ in range(5)]
+    deployment = start()
+    try:
+        samples = measure(deployment, rounds)
+    finally:
+        deployment.stop()
+    result = {name: spread(values) for name, values in samples.items()}
+    print(json.dumps({"rounds": rounds, "import_cpu_s": spread(imports), **result}))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/martenrun/cli/main.py
+++ b/src/martenrun/cli/main.py
@@ -2,25 +2,21 @@
 
 import click
 
-from martenrun.cli.admin import admin
-from martenrun.cli.bench import bench
-from martenrun.cli.capacity import capacity
-from martenrun.cli.processes import agent, check_settings, node
-from martenrun.cli.prove import prove
-from martenrun.cli.standin import standin
+from martenrun.cli.lazy import LazyGroup
 
+_COMMANDS = {
+    "node": "martenrun.cli.processes:node",
+    "agent": "martenrun.cli.processes:agent",
+    "check-settings": "martenrun.cli.processes:check_settings",
+    "admin": "martenrun.cli.admin:admin",
+    "standin": "martenrun.cli.standin:standin",
+    "bench": "martenrun.cli.bench:bench",
+    "capacity": "martenrun.cli.capacity:capacity",
+    "prove": "martenrun.cli.prove:prove",
+}
 
-@click.group()
+
+@click.group(cls=LazyGroup, lazy_commands=_COMMANDS)
 @click.version_option(package_name="martenrun")
 def main() -> None:
     """A router for language-model traffic with long shared prompts."""
-
-
-main.add_command(node)
-main.add_command(agent)
-main.add_command(check_settings)
-main.add_command(admin)
-main.add_command(standin)
-main.add_command(bench)
-main.add_command(capacity)
-main.add_command(prove)
--- a/src/martenrun/cli/processes.py
+++ b/src/martenrun/cli/processes.py
@@ -4,9 +4,7 @@
 
 import click
 
-from martenrun.agent.process import AgentProcess
 from martenrun.cli.run import faults_printed, run_until_signal
-from martenrun.node.process import NodeProcess
 from martenrun.settings.load import check_file, read_settings
 from martenrun.settings.model import AgentSettings, NodeSettings
 
@@ -40,6 +38,9 @@
 @click.option("--bootstrap-key-sha256", help="Digest of the first admin key.")
 def node(settings: Path | None, **flags: object) -> None:
     """Run a node."""
+    # Imported here so that neither process loads the other's modules.
+    from martenrun.node.process import NodeProcess
+
     with faults_printed():
         values = read_settings(NodeSettings, settings, flags)
         run_until_signal(NodeProcess(values), f"node {values.name}")
@@ -49,6 +50,8 @@
 @_common
 def agent(settings: Path | None, **flags: object) -> None:
     """Run an agent."""
+    from martenrun.agent.process import AgentProcess
+
     with faults_printed():
         values = read_settings(AgentSettings, settings, flags)
         run_until_signal(AgentProcess(values), f"agent {values.name}")
--- a/src/martenrun/sharing/policy.py
+++ b/src/martenrun/sharing/policy.py
@@ -11,9 +11,10 @@
 import time
 from dataclasses import dataclass, fields
 
-import cel
-
 from martenrun.errors import InvalidObjectError
+from martenrun.sharing.cel_module import load_cel
+
+_cel = load_cel()
 
 MAXIMUM_EXPRESSION_BYTES = 4_096
 MAXIMUM_TOKENS = 256
@@ -84,7 +85,7 @@
     def __init__(self, expression: str) -> None:
         _check_text(expression)
         try:
-            self._program = cel.compile(expression)
+            self._program = _cel.compile(expression)
         except ValueError as error:
             raise InvalidObjectError(
                 f"the policy does not parse: {_first_line(error)}",
