Check histories recorded from real processes

Engines report each execution on standard output before its first token, with the caller's own id, which the router passes on in the body's field 'user'.

--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -115,11 +115,15 @@
             *("--name", f"node-{index}", "--zone", zone, "--cluster-secret", CLUSTER_SECRET),
             *("--peer-address", self.node_peers[index]),
             *("--http-address", self.node_edges[index]),
-            *("--object-api", self.objects, "--machine-list", self.machines),
+            *("--object-api", self.objects_of(index), "--machine-list", self.machines),
             *("--bootstrap-key-sha256", _ADMIN_DIGEST),
             *seeds,
         )
 
+    def objects_of(self, index: int) -> str:
+        """Return the address at which the node of an index finds the object API."""
+        return self.objects
+
     def start_agents(self, zones: list[str], *flags: str) -> None:
         """Start one agent in each of the zones."""
         for zone in zones:
--- /dev/null
+++ b/scripts/faulty_relay.py
@@ -0,0 +1,96 @@
+"""A TCP relay whose connections can be cut and slowed, for trials with real processes."""
+
+import contextlib
+import socket
+import threading
+import time
+
+from deployment import free_address
+
+_READ_BYTES = 65_536
+_CONNECT_TIMEOUT_S = 2.0
+
+
+class FaultyRelay:
+    """Relays connections at ``address`` to ``target``, both ``IP:port``.
+
+    Attributes:
+        delay_s: waited before each piece is passed on, in seconds.
+    """
+
+    def __init__(self, target: str) -> None:
+        self.address = free_address()
+        self.delay_s = 0.0
+        self._target = _parsed(target)
+        self._is_cut = False
+        self._open: set[socket.socket] = set()
+        self._lock = threading.Lock()
+        self._listener = socket.create_server(_parsed(self.address))
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def cut(self) -> None:
+        """Break every connection, and each new one, until :meth:`restore`."""
+        self._is_cut = True
+        with self._lock:
+            broken = list(self._open)
+        for sock in broken:
+            _shut(sock)
+
+    def restore(self) -> None:
+        """Relay again, without delay."""
+        self._is_cut = False
+        self.delay_s = 0.0
+
+    def close(self) -> None:
+        """Break every connection and take no more."""
+        self.cut()
+        _shut(self._listener)
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                near, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._relay, args=(near,), daemon=True).start()
+
+    def _relay(self, near: socket.socket) -> None:
+        with contextlib.suppress(OSError), near:
+            if self._is_cut:
+                return
+            with socket.create_connection(self._target, timeout=_CONNECT_TIMEOUT_S) as far:
+                far.settimeout(None)
+                self._carry_both(near, far)
+
+    def _carry_both(self, near: socket.socket, far: socket.socket) -> None:
+        with self._lock:
+            self._open |= {near, far}
+        back = threading.Thread(target=self._carry, args=(far, near), daemon=True)
+        back.start()
+        self._carry(near, far)
+        back.join()
+        with self._lock:
+            self._open -= {near, far}
+
+    def _carry(self, source: socket.socket, sink: socket.socket) -> None:
+        """Pass bytes on until the source ends, then end the sink's input as well."""
+        with contextlib.suppress(OSError):
+            while data := source.recv(_READ_BYTES):
+                if self.delay_s:
+                    time.sleep(self.delay_s)
+                if self._is_cut:
+                    break
+                sink.sendall(data)
+        with contextlib.suppress(OSError):
+            sink.shutdown(socket.SHUT_WR)
+
+
+def _parsed(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def _shut(sock: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
--- a/src/martenrun/cli/standin.py
+++ b/src/martenrun/cli/standin.py
@@ -8,6 +8,7 @@
 from martenrun.edge.server import HttpServer
 from martenrun.standins.engine.application import EngineApplication
 from martenrun.standins.engine.events import FeedFaults
+from martenrun.standins.engine.executions import print_report, report_nothing
 from martenrun.standins.engine.model import TimeModel
 from martenrun.standins.engine.settings import EngineSettings
 from martenrun.standins.kv_store import KvStoreApplication
@@ -95,6 +96,7 @@
 @click.option("--load-lag-s", default=0.0, show_default=True, help="Age of the reported load.")
 @click.option("--weight-store", default="", help="IP:port of the weight store.")
 @click.option("--kv-store", default="", help="IP:port of the KV store.")
+@click.option("--print-executions", is_flag=True, help="One JSON line for each execution.")
 def engine(
     address: str,
     prefill_s_per_block: float,
@@ -103,6 +105,7 @@
     event_lag_s: float,
     event_loss: float,
     seed: int,
+    print_executions: bool,
     **options: Any,
 ) -> None:
     """Run a model engine."""
@@ -111,6 +114,7 @@
         feed=FeedFaults(event_lag_s, event_loss, seed),
         **options,
     )
-    application = EngineApplication(settings)
+    report = print_report if print_executions else report_nothing
+    application = EngineApplication(settings, report)
     threads = settings.slots + settings.queue_depth + _THREADS_FOR_CONTROL
     _serve(application, address, f"engine {application.incarnation}", threads)
--- a/src/martenrun/load/client.py
+++ b/src/martenrun/load/client.py
@@ -18,6 +18,8 @@
     Attributes:
         whole: whether the stream ended with its terminator and without an error.
         text: the output, joined.
+        lost: ``refused`` if no connection came about, so that nothing was sent; ``broken`` if
+            the connection was lost later.
         first_token_s: time to the first event, in seconds.
     """
 
@@ -26,6 +28,7 @@
     whole: bool = False
     text: str = ""
     error: str = ""
+    lost: str = ""
     first_token_s: float = 0.0
     duration_s: float = 0.0
     prompt_tokens: int = 0
@@ -78,6 +81,8 @@
         try:
             self._read(call, record, started)
         except urllib3.exceptions.HTTPError as error:
+            is_refused = isinstance(error, urllib3.exceptions.NewConnectionError)
+            record.lost = "refused" if is_refused else "broken"
             record.error = f"transport: {error}"
         record.duration_s = time.monotonic() - started
         return record
@@ -88,6 +93,7 @@
             "prompt": call.prompt,
             "max_tokens": call.output_tokens,
             "stream": True,
+            "user": call.request_id,
         }
         headers = {
             "Authorization": f"Bearer {self._key}",
--- a/src/martenrun/standins/engine/application.py
+++ b/src/martenrun/standins/engine/application.py
@@ -6,6 +6,11 @@
 import msgspec
 from werkzeug.wrappers import Request, Response
 
+from martenrun.standins.engine.executions import (
+    ExecutionReport,
+    ReportExecution,
+    report_nothing,
+)
 from martenrun.standins.engine.faults import ConnectionCutError, Faults
 from martenrun.standins.engine.incarnation import Generation, Incarnation
 from martenrun.standins.engine.messages import TERMINATOR, Completion, EngineBody
@@ -38,10 +43,18 @@
 
 
 class EngineApplication:
-    """WSGI application of one engine; a crash gives it another incarnation."""
+    """WSGI application of one engine; a crash gives it another incarnation.
 
-    def __init__(self, settings: EngineSettings) -> None:
+    Args:
+        settings: what the engine is started with.
+        report_execution: called with every execution before its first token.
+    """
+
+    def __init__(
+        self, settings: EngineSettings, report_execution: ReportExecution = report_nothing
+    ) -> None:
         self._settings = settings
+        self._report_execution = report_execution
         self._faults = Faults()
         self._executed: list[str] = []
         self._begin()
@@ -139,6 +152,7 @@
             feed.wait(min(until - now, FEED_WAIT_S))
 
     def _complete(self, request: Request) -> Response:
+        received_s = time.monotonic()
         engine = self._engine
         expected = request.headers.get("X-Expected-Incarnation", "")
         if expected and expected != engine.name:
@@ -149,6 +163,18 @@
         version = request.headers.get("X-Expected-Weights-Version", "")
         generation = engine.enter(completion, version)
         self._executed.append(body.request_id)
+        self._report_execution(
+            ExecutionReport(
+                request_id=body.request_id,
+                caller_id=body.user,
+                tenant=body.cache_salt,
+                incarnation=engine.name,
+                expected_incarnation=expected,
+                weights_version=engine.weights.version,
+                received_s=received_s,
+                began_s=time.monotonic(),
+            )
+        )
         if body.stream:
             events = self._events(completion, generation)
             return Response(events, mimetype="text/event-stream")
--- a/src/martenrun/standins/engine/messages.py
+++ b/src/martenrun/standins/engine/messages.py
@@ -17,6 +17,7 @@
 
     ``resume_from`` output tokens, whose text is ``resume_text``, exist already; the answer
     goes on with the next one and ends, as the whole would have, at ``max_tokens``.
+    ``user`` is the caller's own; it is only reported.
     """
 
     model: str
@@ -29,6 +30,7 @@
     request_id: str = ""
     resume_from: int = 0
     resume_text: str = ""
+    user: str = ""
 
 
 class PromptDetails(msgspec.Struct):
