Build refusals from errors in one place

Cause: claims/logic.py repeated what node/refusals.py does (found by comparing the tree's text). Change: refusal_of lives in wire/refusals.py and serves claims, home nodes and late questions. Measured: the claim tests pass; no behaviour changes. Conclusion: one rule for Retry-After on the wire.

--- a/src/martenrun/bench/local_counts.py
+++ b/src/martenrun/bench/local_counts.py
@@ -11,10 +11,10 @@
 from martenrun.configuration.view import ConfigurationView
 from martenrun.errors import CapacityError, MartenrunError, NoRunnerError
 from martenrun.events import Event, Instruction, PeerMessage, QuestionCleared, Send
-from martenrun.node.refusals import refusal_of
 from martenrun.node.runners import RunnerTable
 from martenrun.routing.policy import RoutingPolicy
 from martenrun.wire.messages import AttemptReport, DecideRequest, Grant, Refusal, WithdrawRequest
+from martenrun.wire.refusals import refusal_of
 
 RETRY_AFTER_S = 1.0
 """When a refused caller should come back, in seconds."""
--- a/src/martenrun/claims/logic.py
+++ b/src/martenrun/claims/logic.py
@@ -47,9 +47,9 @@
     ClaimReport,
     DecideRequest,
     Queued,
-    Refusal,
     WithdrawRequest,
 )
+from martenrun.wire.refusals import refusal_of
 
 CLAIM_LIMIT_S = 2.0
 """Longest time a question waits for its claim before it is refused, in seconds."""
@@ -238,17 +238,7 @@
 
 
 def _refused(pending: PendingClaim, error: MartenrunError) -> Send:
-    question = pending.question
-    refusal = Refusal(
-        question.request_id,
-        question.attempt,
-        error.code,
-        error.message,
-        error.remedy,
-        error.ran.value,
-        -1.0 if error.retry_after_s is None else error.retry_after_s,
-    )
-    return Send(pending.peer, refusal)
+    return Send(pending.peer, refusal_of(pending.question, error))
 
 
 def _notice(pending: PendingClaim, now: float) -> Send:
--- a/src/martenrun/node/late_questions.py
+++ b/src/martenrun/node/late_questions.py
@@ -7,8 +7,8 @@
 
 from martenrun.errors import StoppingError
 from martenrun.events import DecisionLogic, Event, Instruction, PeerMessage, Send
-from martenrun.node.refusals import refusal_of
 from martenrun.wire.messages import DecideRequest
+from martenrun.wire.refusals import refusal_of
 
 RETRY_AFTER_S = 1.0
 """When an agent that knows no other node should come back, in seconds."""
--- a/src/martenrun/ownership/home.py
+++ b/src/martenrun/ownership/home.py
@@ -15,7 +15,6 @@
 from martenrun.errors import DeadlineExceededError, MartenrunError
 from martenrun.events import Event, Instruction, PeerMessage, QuestionCleared, Send, Tick
 from martenrun.limits.admission import AdmissionLimits
-from martenrun.node.refusals import refusal_of
 from martenrun.node.runners import RunnerTable
 from martenrun.ownership.ended import Ended
 from martenrun.ownership.leases import LeaseKeeper
@@ -39,6 +38,7 @@
     SlotsQueued,
     WithdrawRequest,
 )
+from martenrun.wire.refusals import refusal_of
 
 OWNER_SILENCE_S = 1.5
 """Silence about a waiting reservation after which it counts as lost, in seconds."""
