Join hollow nodes with real processes over loopback sockets

Cause: the scale run joins hollow nodes only in virtual time, so that no run showed many nodes beside real node, agent and engine processes over real sockets.

The transport counts the bytes it sends.

--- a/src/martenrun/cli/bench.py
+++ b/src/martenrun/cli/bench.py
@@ -15,6 +15,7 @@
 from martenrun.bench.rolls import rolls
 from martenrun.bench.routing import routing_command
 from martenrun.bench.scale.command import scale
+from martenrun.bench.scale.host import hollow_host
 from martenrun.bench.sharing import sharing
 from martenrun.bench.streams import streams
 from martenrun.bench.usage_exchange import usage_exchange
@@ -36,6 +37,7 @@
 bench.add_command(rolls)
 bench.add_command(usage_exchange)
 bench.add_command(scale)
+bench.add_command(hollow_host)
 bench.add_command(membership)
 bench.add_command(ownership)
 bench.add_command(membership)
--- /dev/null
+++ b/src/martenrun/node/core.py
@@ -0,0 +1,88 @@
+"""The core of a node: its decision logic on a loop, joined to other nodes and the object API.
+
+Real nodes add HTTP edges and connections to engines; hollow nodes of the scale run do not.
+
+See also: :mod:`martenrun.node.process`, :mod:`martenrun.bench.scale.host`.
+"""
+
+import random
+from collections.abc import Mapping
+from typing import Any
+
+from martenrun.configuration.driver import WatchWorker
+from martenrun.events import (
+    Event,
+    PeerMessage,
+    Send,
+    SendDatagram,
+    StoreRead,
+    StoreWatch,
+    StoreWrite,
+)
+from martenrun.node.parts import node_parts
+from martenrun.platform.object_api import ObjectApi
+from martenrun.process import (
+    Carrier,
+    Clock,
+    LoopActor,
+    StoreWorkers,
+    datagram_carrier,
+    message_carrier,
+)
+from martenrun.settings.model import NodeSettings
+from martenrun.wire.transport import PeerTransport
+
+
+class NodeCore:
+    """Parts, loop, clock, transport and object API client of one node.
+
+    Args:
+        settings: the node's settings.
+        incarnation: identity of this run of the node; changes at every restart.
+        rng: source of the decision logic's jitter.
+
+    Raises:
+        OSError: the node's peer address cannot be listened on.
+    """
+
+    def __init__(self, settings: NodeSettings, incarnation: str, rng: random.Random) -> None:
+        address = settings.peer_address
+        self.parts = node_parts(settings, incarnation, rng)
+        self.store = ObjectApi(settings.object_api)
+        self.transport = PeerTransport(
+            address,
+            settings.cluster_secret.encode(),
+            lambda peer, message: self.tell(PeerMessage(peer, message)),
+        )
+        self.transport.listen(address)
+        self._store_workers = StoreWorkers(self.store, self.tell)
+        self._watch_worker = WatchWorker(self.store, self.tell)
+        self._clock = Clock(self.tell)
+        self._loop: Any = None
+
+    def tell(self, event: Event) -> None:
+        """Give the loop an event; call :meth:`start_loop` before."""
+        self._loop.tell(event)
+
+    def start_loop(self, carriers: Mapping[type[Any], Carrier]) -> None:
+        """Start the loop with the carriers of instructions that are not the core's own."""
+        own: dict[type[Any], Carrier] = {
+            Send: message_carrier(self.transport, self.tell),
+            SendDatagram: datagram_carrier(self.transport),
+            StoreWrite: self._store_workers.carry,
+            StoreRead: self._store_workers.carry,
+            StoreWatch: self._watch_worker.carry,
+        }
+        self._loop = LoopActor.start(self.parts.in_order(), {**own, **carriers})
+
+    def start(self) -> None:
+        """Start the transport and the clock."""
+        self.transport.start()
+        self._clock.start()
+
+    def stop(self) -> None:
+        """Stop every driver and the loop."""
+        self._clock.stop()
+        self.transport.stop()
+        self._store_workers.stop()
+        self._loop.stop()
--- a/src/martenrun/wire/transport.py
+++ b/src/martenrun/wire/transport.py
@@ -57,10 +57,16 @@
 
     Nodes are named by their ``IP:port`` and can be connected to; agents have other names and
     are reached only over the connection they opened.
+
+    Attributes:
+        sent_stream_bytes: bytes given to TCP so far, handshakes and frames included.
+        sent_datagram_bytes: bytes given to UDP so far.
     """
 
     def __init__(self, name: str, secret: bytes, receive: Receive) -> None:
         self.name = name
+        self.sent_stream_bytes = 0
+        self.sent_datagram_bytes = 0
         self._secret = secret
         self._receive = receive
         self._selector = selectors.DefaultSelector()
@@ -111,7 +117,7 @@
             return
         try:
             datagram = seal_datagram(self._secret, self.name, encode(message))
-            self._datagrams.sendto(datagram, parse_address(peer))
+            self.sent_datagram_bytes += self._datagrams.sendto(datagram, parse_address(peer))
         except (OSError, ValueError) as error:
             logging.log_every_n_seconds(
                 logging.WARNING, "datagram to %s was not sent: %s", 5, peer, error
@@ -293,6 +299,7 @@
             while connection.outgoing:
                 sent = connection.sock.send(connection.outgoing)
                 del connection.outgoing[:sent]
+                self.sent_stream_bytes += sent
                 connection.stuck_since = None
         except BlockingIOError:
             pass
