Start HTTP threads when requests need them

Cause: waitress starts all threads (max_streams + http_threads, 116 by default) before it listens and waits for each: 0.57 s of a node's start (0.09 s of CPU, machine busy), seen in stack samples of NodeProcess.__init__. Change: a dispatcher that starts 4 threads and one more whenever a request finds none free.

--- a/src/martenrun/edge/server.py
+++ b/src/martenrun/edge/server.py
@@ -11,6 +11,7 @@
 from waitress.utilities import RequestEntityTooLarge, RequestHeaderFieldsTooLarge
 
 from martenrun.constants import MAXIMUM_BODY_BYTES
+from martenrun.edge.dispatcher import OnDemandDispatcher
 from martenrun.edge.responses import error_body
 from martenrun.errors import (
     BodyTooLargeError,
@@ -52,6 +53,7 @@
             # select() ends at file descriptor 1,023; a full process has more.
             asyncore_use_poll=True,
             ident="martenrun",
+            _dispatcher=OnDemandDispatcher(threads),
         )
         assert isinstance(self._server, TcpWSGIServer)
         self._server.channel_class = _Channel
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -3,6 +3,7 @@
 import resource
 import socket
 import threading
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 import urllib3
@@ -58,3 +59,32 @@
         for sock in held:
             sock.close()
     assert failures == []
+
+
+def test_threads_are_started_when_requests_need_them_and_up_to_the_limit():
+    limit, together = 12, 10
+    meeting = threading.Barrier(together)
+
+    def waits_for_others(environ, start_response):
+        meeting.wait(timeout=10)
+        return application(environ, start_response)
+
+    def server_threads():
+        return [each for each in threading.enumerate() if each.name.startswith("waitress-")]
+
+    before = len(server_threads())
+    address = free_address()
+    running = HttpServer(waits_for_others, address, threads=limit)
+    running.start()
+    try:
+        assert len(server_threads()) - before < together
+        with ThreadPoolExecutor(together) as callers:
+            for _ in range(3):
+                answers = [
+                    callers.submit(urllib3.request, "GET", f"http://{address}/")
+                    for _ in range(together)
+                ]
+                assert all(answer.result().data == b"ok" for answer in answers)
+        assert together <= len(server_threads()) - before <= limit
+    finally:
+        running.stop()
