--- a/src/martenrun/cli/bench.py
+++ b/src/martenrun/cli/bench.py
@@ -19,6 +19,7 @@
     "rolls": "martenrun.bench.rolls:rolls",
     "usage-exchange": "martenrun.bench.usage_exchange:usage_exchange",
     "scale": "martenrun.bench.scale.command:scale",
+    "hollow-host": "martenrun.bench.scale.host:hollow_host",
     "membership": "martenrun.bench.membership:membership",
     "ownership": "martenrun.bench.ownership:ownership",
 }
