Give events only to the parts that handle them

Cause: every event went to all eleven parts of a node; the description of an owned runner, twice a second for each of 32, means something to three of them, and inside ownership to one of two. Change: a part names in `handles` what it takes; one Dispatcher is used by the real loop, by hollow processes and by LateQuestions.

--- a/src/martenrun/agent/requests.py
+++ b/src/martenrun/agent/requests.py
@@ -60,6 +60,8 @@
         rng: source of jitter.
     """
 
+    handles = frozenset({Tick, RequestArrived, AttemptEnded, CallerGone, Grant, Refusal, Queued})
+
     def __init__(
         self, live_nodes: Callable[[], list[str]], rng: random.Random | None = None
     ) -> None:
--- a/src/martenrun/bench/scale/timing.py
+++ b/src/martenrun/bench/scale/timing.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from martenrun.dispatch import handled_kinds
 from martenrun.events import DecisionLogic, Event, Instruction, PeerMessage
 
 MICROSECONDS_PER_S = 1_000_000
@@ -52,6 +53,7 @@
         self._part = part
         self._meter = meter
         self._name = type(part).__name__
+        self.handles = handled_kinds(part)
 
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
--- a/src/martenrun/claims/logic.py
+++ b/src/martenrun/claims/logic.py
@@ -98,6 +98,8 @@
         own_name: a name unique to this process, for the ids of its calls.
     """
 
+    handles = frozenset({Tick, StoreAnswered, DecideRequest, WithdrawRequest, ClaimReport})
+
     def __init__(self, own_name: str) -> None:
         self._prefix = f"claim/{own_name}/"
         self._counter = itertools.count()
--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -295,7 +295,11 @@
 
 
 class DecisionLogic(Protocol):
-    """A pure state machine that a process runs on its one loop."""
+    """A pure state machine that a process runs on its one loop.
+
+    It may name the events and messages it handles in an attribute ``handles``; without it, it
+    is given every event.  See also: :mod:`martenrun.dispatch`.
+    """
 
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event at time ``now`` and return what to do."""
--- a/src/martenrun/membership/gossip.py
+++ b/src/martenrun/membership/gossip.py
@@ -65,6 +65,19 @@
         rng: source of all random choices.
     """
 
+    handles = frozenset(
+        {
+            Tick,
+            MachinesListed,
+            LeaveRequested,
+            Probe,
+            ProbeAnswer,
+            ProbeRequest,
+            MemberGossip,
+            MemberList,
+        }
+    )
+
     def __init__(
         self, own: Member, seeds: Sequence[str], settings: MembershipSettings, rng: random.Random
     ) -> None:
--- a/src/martenrun/node/cache_events.py
+++ b/src/martenrun/node/cache_events.py
@@ -34,6 +34,8 @@
         owns: whether this node reads a runner's feed.
     """
 
+    handles = frozenset({Tick, CacheEventsRead})
+
     def __init__(
         self, beliefs: BeliefBook, table: RunnerTable, owns: Callable[[str], bool]
     ) -> None:
--- a/src/martenrun/node/configuration.py
+++ b/src/martenrun/node/configuration.py
@@ -20,6 +20,8 @@
     MembersChanged,
     PeerMessage,
     Send,
+    StoreAnswered,
+    StoreWatched,
     Tick,
 )
 from martenrun.membership.view import Member, MemberView, StaticMemberView
@@ -59,6 +61,10 @@
         rng: source of jitter and of random choices.
     """
 
+    handles = frozenset(
+        {Tick, MembersChanged, StoreAnswered, StoreWatched, ConfigurationQuery, ConfigurationUpdate}
+    )
+
     def __init__(
         self,
         own_address: str,
--- a/src/martenrun/node/drain.py
+++ b/src/martenrun/node/drain.py
@@ -18,6 +18,8 @@
         view: returns the configuration in force.
     """
 
+    handles = frozenset({Tick})
+
     def __init__(self, name: str, view: Callable[[], ConfigurationView]) -> None:
         self._name = name
         self._view = view
--- a/src/martenrun/node/late_questions.py
+++ b/src/martenrun/node/late_questions.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable, Sequence
 
+from martenrun.dispatch import Dispatcher, joined_kinds
 from martenrun.errors import StoppingError
 from martenrun.events import DecisionLogic, Event, Instruction, PeerMessage, Send
 from martenrun.wire.messages import DecideRequest
@@ -29,7 +30,8 @@
     def __init__(
         self, parts: Sequence[DecisionLogic], own_address: str, is_leaving: Callable[[], bool]
     ) -> None:
-        self._parts = parts
+        self._dispatcher = Dispatcher(parts)
+        self.handles = joined_kinds(parts)
         self._own_address = own_address
         self._is_leaving = is_leaving
 
@@ -40,7 +42,7 @@
                 error = StoppingError("this node is being stopped", retry_after_s=RETRY_AFTER_S)
                 return [Send(peer, refusal_of(question, error))]
         instructions: list[Instruction] = []
-        for part in self._parts:
+        for part in self._dispatcher.parts_for(event):
             instructions += part.handle(event, now)
         return instructions
 
--- a/src/martenrun/node/runners.py
+++ b/src/martenrun/node/runners.py
@@ -20,6 +20,8 @@
         drained: returns the names of runners that operators drain; they are leaving too.
     """
 
+    handles = frozenset({Tick, MachinesListed, RunnerDescribed})
+
     def __init__(self, drained: Callable[[], frozenset[str]] = frozenset) -> None:
         self.runners: dict[str, RunnerState] = {}
         self.version = 0
--- a/src/martenrun/node/status.py
+++ b/src/martenrun/node/status.py
@@ -40,6 +40,8 @@
 class StatusLogic:
     """Answers other nodes' status queries and gathers answers for operators."""
 
+    handles = frozenset({Tick, StatusWanted, StatusQuery, NodeStatus})
+
     def __init__(self, configuration: NodeConfigurationLogic, members: MemberView) -> None:
         self._configuration = configuration
         self._members = members
--- a/src/martenrun/orders/rolls.py
+++ b/src/martenrun/orders/rolls.py
@@ -78,6 +78,8 @@
         maximum_loads: runners that may load at a time, over all nodes.
     """
 
+    handles = frozenset({Tick, RunnerDescribed, OrderAnswered, StoreAnswered})
+
     def __init__(
         self,
         holder: str,
--- a/src/martenrun/ownership/logic.py
+++ b/src/martenrun/ownership/logic.py
@@ -1,9 +1,21 @@
 """Home and owner logic of one node, joined so that messages to itself take no network hop."""
 
-from martenrun.events import Event, Instruction, PeerMessage, Send, Tell
+from martenrun.dispatch import kind_of
+from martenrun.events import (
+    Event,
+    Instruction,
+    PeerMessage,
+    QuestionCleared,
+    RunnerDescribed,
+    Send,
+    Tell,
+    Tick,
+)
 from martenrun.ownership.home import HomeLogic
 from martenrun.ownership.owner import OwnerLogic
 from martenrun.wire.messages import (
+    AttemptReport,
+    DecideRequest,
     LeasesVoided,
     ReleaseSlots,
     RenewLeases,
@@ -11,15 +23,29 @@
     SlotGranted,
     SlotRefused,
     SlotsQueued,
+    WithdrawRequest,
 )
 
 _TO_OWNER = (ReserveSlot, ReleaseSlots, RenewLeases)
 _TO_HOME = (SlotGranted, SlotsQueued, SlotRefused, LeasesVoided)
+_OWNER_KINDS = frozenset({RunnerDescribed, *_TO_OWNER})
 
 
 class OwnershipLogic:
     """The part of a node's process that decides questions and hands out slots."""
 
+    handles = frozenset(
+        {
+            Tick,
+            QuestionCleared,
+            DecideRequest,
+            AttemptReport,
+            WithdrawRequest,
+            *_OWNER_KINDS,
+            *_TO_HOME,
+        }
+    )
+
     def __init__(self, own_address: str, home: HomeLogic, owner: OwnerLogic) -> None:
         self._own_address = own_address
         self.home = home
@@ -38,11 +64,9 @@
         return instructions
 
     def _handled(self, event: Event, now: float) -> list[Instruction]:
-        if not isinstance(event, PeerMessage):
+        if isinstance(event, Tick):
             return [*self.owner.handle(event, now), *self.home.handle(event, now)]
-        if isinstance(event.message, _TO_OWNER):
-            return self.owner.handle(event, now)
-        return self.home.handle(event, now)
+        return (self.owner if kind_of(event) in _OWNER_KINDS else self.home).handle(event, now)
 
     def _deliver(self, instruction: Send, now: float) -> list[Instruction]:
         event = PeerMessage(instruction.peer, instruction.message)
--- a/src/martenrun/ownership/machine_feed.py
+++ b/src/martenrun/ownership/machine_feed.py
@@ -49,6 +49,8 @@
 class MachineFeed:
     """Reads or pulls the machine list, and gives it to the process as MachinesListed."""
 
+    handles = frozenset({Tick, MachinesListed, MachinesQuery, MachinesUpdate})
+
     def __init__(self, members: MemberView, rng: random.Random) -> None:
         self._members = members
         self._rng = rng
--- a/src/martenrun/process.py
+++ b/src/martenrun/process.py
@@ -14,6 +14,7 @@
 from absl import logging
 
 from martenrun.constants import TICK_INTERVAL_S
+from martenrun.dispatch import Dispatcher
 from martenrun.errors import MartenrunError, ObjectNotFoundError, VersionConflictError
 from martenrun.events import (
     DecisionLogic,
@@ -43,19 +44,19 @@
     """Runs the decision logic of one process.
 
     Args:
-        parts: decision logic; each event goes to all of them in order.
+        parts: decision logic; each event goes to those that handle it, in order.
         carriers: what carries out each type of instruction; Tell needs none.
     """
 
     def __init__(self, parts: list[DecisionLogic], carriers: Mapping[type[Any], Carrier]) -> None:
         super().__init__()
-        self._parts = parts
+        self._dispatcher = Dispatcher(parts)
         self._carriers = carriers
 
     def on_receive(self, message: Any) -> None:
         """Handle one event."""
         event: Event = message
-        for part in self._parts:
+        for part in self._dispatcher.parts_for(event):
             try:
                 instructions = part.handle(event, time.monotonic())
             except Exception:
--- a/src/martenrun/sharing/logic.py
+++ b/src/martenrun/sharing/logic.py
@@ -20,6 +20,7 @@
 from martenrun.sharing.policy_weights import PolicyStatus, PolicyWeights
 from martenrun.sharing.shares import CONTROL_INTERVAL_S, ShareController
 from martenrun.sharing.usage import UsageExchange
+from martenrun.wire.messages import UsageDigest, UsageTotals
 
 LONG_WINDOW_S = 300.0
 """Time constant of a policy's ``usage_5m``, in seconds."""
@@ -59,6 +60,8 @@
         active: returns a tenant's requests in progress at this node.
     """
 
+    handles = frozenset({Tick, UsageDigest, UsageTotals})
+
     def __init__(
         self,
         exchange: UsageExchange,
--- a/src/martenrun/simulation/hollow.py
+++ b/src/martenrun/simulation/hollow.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from martenrun.constants import TICK_INTERVAL_S
+from martenrun.dispatch import Dispatcher
 from martenrun.events import (
     DecisionLogic,
     Event,
@@ -25,7 +26,7 @@
 
     Args:
         name: peer name on the network.
-        parts: decision logic; each event goes to all of them in order.
+        parts: decision logic; each event goes to those that handle it, in order.
         carriers: what carries out each type of instruction; Send, SendDatagram and
             Tell need none.
         observe: is told the receiver and the message of everything that is sent.
@@ -42,7 +43,7 @@
         observe: Callable[[str, Message], None] | None = None,
     ) -> None:
         self.name = name
-        self.parts = parts
+        self._dispatcher = Dispatcher(parts)
         self._scheduler = scheduler
         self._network = network
         self._carriers = carriers
@@ -60,7 +61,7 @@
         if self._frozen_events is not None:
             self._frozen_events.append(event)
             return
-        for part in self.parts:
+        for part in self._dispatcher.parts_for(event):
             for instruction in part.handle(event, self._scheduler.now):
                 self._carry_out(instruction)
 
