Give nodes that restart together a copy without the wait for fellows

Cause: when all nodes restart, fellows are empty too. A first copy waited for a watcher's lease (1 to 3 s for fellows, 10 s if its holder is gone), and an agent was asked only after it had asked by itself.

Change: the eight seed nodes of highest weight read one list without the lease, two at once and two more every 0.5 s while still empty; an empty node asks an agent that sends it anything, and always asks one agent it knows; an agent that meets an empty node offers its copy to three others.

Whole suite not run; the tests of configuration, statecharts and the simulation were.

--- a/src/martenrun/agent/configuration.py
+++ b/src/martenrun/agent/configuration.py
@@ -11,6 +11,10 @@
 """Mean time between two questions for newer configuration, in seconds."""
 FIRST_QUERY_S = 0.25
 """Time between two questions while the agent has no configuration, in seconds."""
+OFFER_FANOUT = 3
+"""Other nodes to which an agent offers its copy after it has met an empty node."""
+OFFER_INTERVAL_S = 0.25
+"""Shortest time between two rounds of such offers, in seconds."""
 
 
 class AgentConfigurationLogic:
@@ -27,6 +31,7 @@
         self._seed_nodes = list(seed_nodes)
         self._rng = rng or random.Random("/".join(seed_nodes))
         self._replica = ConfigurationReplica(seed_nodes, self._rng)
+        self._next_offer = 0.0
 
     @property
     def state(self) -> ConfigurationState:
@@ -41,13 +46,23 @@
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
         match event:
             case PeerMessage(peer, ConfigurationQuery() as query):
-                return self._replica.answer(peer, query)
+                return self._replica.answer(peer, query) + self._offer(peer, query, now)
             case PeerMessage(peer, ConfigurationUpdate() as update):
                 return self._replica.take_in(peer, update, now)
             case Tick():
                 return self._replica.settle(now) + self._query(now)
         return []
 
+    def _offer(self, peer: str, query: ConfigurationQuery, now: float) -> list[Instruction]:
+        """Offer the own copy to other nodes: where one is empty, all may have restarted."""
+        has_copy = self.state.revision > 0
+        if query.known_revision > 0 or not has_copy or now < self._next_offer:
+            return []
+        self._next_offer = now + OFFER_INTERVAL_S
+        others = sorted({*self.live_nodes(), *self._seed_nodes} - {peer})
+        chosen = self._rng.sample(others, min(OFFER_FANOUT, len(others)))
+        return [Send(node, ConfigurationQuery(self.state.revision)) for node in chosen]
+
     def _query(self, now: float) -> list[Instruction]:
         if not self._replica.is_question_due(now):
             return []
--- a/src/martenrun/configuration/watching.py
+++ b/src/martenrun/configuration/watching.py
@@ -11,9 +11,12 @@
 
 import random
 import re
+from collections.abc import Sequence
+from math import inf
 
 import msgspec
 
+from martenrun.configuration.first_copy import first_read_delay_s
 from martenrun.configuration.state import ConfigurationState
 from martenrun.events import (
     Event,
@@ -70,7 +73,7 @@
         state: the configuration in force; updates are applied to it.
         members: the live nodes.
         rng: source of jitter.
-        has_seeds: whether other nodes are named in the settings.
+        seed_nodes: addresses named in the settings, this node's own included if it is one.
     """
 
     def __init__(
@@ -78,14 +81,16 @@
         state: ConfigurationState,
         members: MemberView,
         rng: random.Random,
-        has_seeds: bool = False,
+        seed_nodes: Sequence[str] = (),
     ) -> None:
         self.phase = _CHART.initial
         self.slot = ""
         self._state = state
         self._members = members
         self._rng = rng
-        self._has_seeds = has_seeds
+        self._has_seeds = any(seed != members.own.address for seed in seed_nodes)
+        self._first_read_s = first_read_delay_s(members.own.address, seed_nodes)
+        self._first_read_at = inf
         self._has_looked = False
         self._next_look: float | None = None
         self._next_renewal = 0.0
@@ -132,6 +137,7 @@
     def _tick(self, now: float) -> list[Instruction]:
         if self._next_look is None:
             self._next_look = now + self._first_delay_s()
+            self._first_read_at = now + self._first_read_s
         instructions: list[Instruction] = []
         if self.phase == "idle" and now >= self._next_look and not self._is_postponed(now):
             instructions += self._step("look_due", now)
@@ -139,8 +145,15 @@
             instructions += self._step("renewal_due", now)
         if self.holds_lease and not self._is_watching and now >= self._next_watch:
             instructions += self._start_watch(now)
+        if self._is_first_read_due(now):
+            # Without the lease: this is one list, which ends at once.
+            instructions += self._start_watch(now)
         return instructions
 
+    def _is_first_read_due(self, now: float) -> bool:
+        is_due = now >= max(self._first_read_at, self._next_watch)
+        return is_due and self._state.revision == 0 and not self._is_watching
+
     def _first_delay_s(self) -> float:
         """Return the time in which members become known; it also spreads a herd of restarts."""
         is_alone = len(self._members.live()) <= 1
@@ -236,6 +249,7 @@
             self._pause_s = min(2 * self._pause_s, LONGEST_PAUSE_S)
             return []
         self._pause_s = SHORTEST_PAUSE_S
+        self._first_read_at = inf
         if outcome is WatchOutcome.COMPACTED:
             self._is_watching = True
             return [StoreWatch(-1)]
--- a/src/martenrun/node/configuration.py
+++ b/src/martenrun/node/configuration.py
@@ -35,7 +35,8 @@
 """Time between two rounds of questions while a node has no configuration, in seconds."""
 MAXIMUM_AGENTS = 256
 """Agents remembered by a node; the ones not heard of for longest are forgotten."""
-
+AGENT_PREFIX = "agent/"
+"""Beginning of the names of agents on the internal network."""
 
 AGENT_MEMORY_S = 10.0
 """How long an agent's revision is told in the status after it was heard, in seconds."""
@@ -74,8 +75,9 @@
         self._rng = rng or random.Random(own_address)
         self._replica = ConfigurationReplica(nodes, self._rng)
         self._agents: dict[str, AgentHeard] = {}
+        self._asked_early: set[str] = set()
         self._pushed = 0
-        self.watching = StoreWatching(self.state, self._members, self._rng, bool(self._seed_nodes))
+        self.watching = StoreWatching(self.state, self._members, self._rng, seed_nodes)
 
     @property
     def state(self) -> ConfigurationState:
@@ -108,21 +110,30 @@
                 return self._replica.take_in(peer, update, now)
             case MembersChanged(members):
                 self.state.nodes = [member.address for member in members]
+            case PeerMessage(peer, _) if self._may_have_copy(peer):
+                self._asked_early.add(peer)
+                return [Send(peer, ConfigurationQuery(self.state.revision))]
         return []
 
+    def _may_have_copy(self, peer: str) -> bool:
+        """Whether to ask an agent at once that has sent anything to this empty node."""
+        is_new = self.state.revision == 0 and peer.startswith(AGENT_PREFIX)
+        return is_new and peer not in self._asked_early and len(self._asked_early) < PUSH_FANOUT
+
     def _tick(self, now: float) -> list[Instruction]:
         instructions = self._replica.settle(now)
         if not self._replica.is_question_due(now):
             return instructions
         is_new = self.state.revision == 0
         self._replica.asked(now, FIRST_QUERY_S if is_new else COMPARISON_S)
+        self._asked_early.clear()
         self.state.nodes = sorted(member.address for member in self._members.live())
         peers = self._first_peers() if is_new else self._random_nodes(1, "")
         query = ConfigurationQuery(self.state.revision)
         return instructions + [Send(peer, query) for peer in peers]
 
     def _answer(self, peer: str, query: ConfigurationQuery, now: float) -> list[Instruction]:
-        if peer.startswith("agent/"):
+        if peer.startswith(AGENT_PREFIX):
             self._agents.pop(peer, None)
             self._agents[peer] = AgentHeard(query.known_revision, now)
             if len(self._agents) > MAXIMUM_AGENTS:
@@ -149,5 +160,8 @@
 
     def _first_peers(self) -> list[str]:
         live = {member.address for member in self._members.live()}
-        known = sorted({*live, *self._seed_nodes, *self._agents} - {self._own_address})
-        return self._rng.sample(known, min(PUSH_FANOUT, len(known)))
+        nodes = sorted({*live, *self._seed_nodes} - {self._own_address})
+        # Agents outlive a restart of all nodes, so one of them is always asked.
+        agents = self._rng.sample(sorted(self._agents), min(1, len(self._agents)))
+        count = min(PUSH_FANOUT - len(agents), len(nodes))
+        return agents + self._rng.sample(nodes, count)
--- a/tests/test_configuration_replication.py
+++ b/tests/test_configuration_replication.py
@@ -2,20 +2,27 @@
 
 import json
 import random
+from math import inf
 
 import pytest
 
 from martenrun.agent.configuration import AgentConfigurationLogic
 from martenrun.configuration import replica
+from martenrun.configuration.first_copy import first_read_delay_s
 from martenrun.configuration.state import MAXIMUM_REMOVALS, ConfigurationState
-from martenrun.events import Send, Tick
+from martenrun.events import PeerMessage, Send, Tick
 from martenrun.membership.view import Member, StaticMemberView
 from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.simulation.hollow import HollowProcess
 from martenrun.simulation.network import LinkFaults, SimulatedNetwork
 from martenrun.simulation.scheduler import Scheduler
 from martenrun.simulation.store import SimulatedStore, StoreFaults
-from martenrun.wire.messages import ConfigurationObject, ConfigurationUpdate
+from martenrun.wire.messages import (
+    AttemptReport,
+    ConfigurationObject,
+    ConfigurationQuery,
+    ConfigurationUpdate,
+)
 
 
 class Cluster:
@@ -140,6 +147,48 @@
     cluster.run_until(lambda: cluster.weights() == {1.0}, 8)
 
 
+def test_nodes_restarted_together_read_a_copy_without_waiting_for_the_lease():
+    cluster = Cluster(agents=0)
+    cluster.publish(1)
+    cluster.run_until(lambda: cluster.weights() == {1.0}, 12)
+    watchers = cluster.watchers()
+    for member in cluster.members:
+        cluster.processes[member.address].kill()
+        if member.address in watchers:
+            # It does not come back, and its lease lapses only after ten seconds.
+            del cluster.logic[member.address]
+        else:
+            cluster.start_node(member, run=1)
+    cluster.run_until(lambda: cluster.weights() == {1.0}, 2.0)
+
+
+def test_few_nodes_read_a_first_copy_and_no_two_sets_differ():
+    seeds = [f"10.0.0.{index}:1" for index in range(40)]
+    delays = [first_read_delay_s(own, seeds) for own in seeds]
+    assert sorted(delays)[:9] == [0.0, 0.0, 0.5, 0.5, 1.0, 1.0, 1.5, 1.5, inf]
+    assert delays == [first_read_delay_s(own, seeds[::-1]) for own in seeds]
+    assert first_read_delay_s("10.0.1.1:1", seeds) == inf
+    assert first_read_delay_s("10.0.1.1:1", []) == 0.0
+
+
+def test_a_node_without_a_copy_asks_an_agent_that_sends_anything():
+    logic = NodeConfigurationLogic("10.0.0.1:1", [], None, random.Random(0))
+    report = PeerMessage("agent/0", AttemptReport("request", 1, "runner", "complete", 1, 0, 1, 0.1))
+    assert logic.handle(report, 0.0) == [Send("agent/0", ConfigurationQuery(0))]
+    assert logic.handle(report, 0.0) == []
+
+
+def test_an_agent_that_meets_an_empty_node_offers_its_copy_to_others(cluster):
+    nodes = [member.address for member in cluster.members]
+    agent = cluster.logic["agent/0"]
+    empty = PeerMessage(nodes[0], ConfigurationQuery(0))
+    sent = agent.handle(empty, cluster.scheduler.now + 100.0)[1:]
+    assert [item.message for item in sent] == [ConfigurationQuery(agent.state.revision)] * 3
+    assert len({item.peer for item in sent} & set(nodes[1:])) == 3
+    again = agent.handle(empty, cluster.scheduler.now + 100.0)
+    assert len(again) == 1
+
+
 def test_a_restarted_node_takes_the_newest_of_the_offered_copies(cluster):
     # One peer is cut off with the old copy; the restarted node hears it first.
     stale, restarted = cluster.members[0], cluster.members[1]
--- a/tests/test_proof_simulation.py
+++ b/tests/test_proof_simulation.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from martenrun.agent.active import ActiveRequest
+from martenrun.agent.configuration import AgentConfigurationLogic
 from martenrun.agent.requests import RequestsLogic
 from martenrun.claims.logic import ClaimsLogic
 from martenrun.configuration.state import ConfigurationState
@@ -39,7 +40,7 @@
 
 
 def schedule(*faults, **fields):
-    return Schedule(seed=7, faults=faults, **fields)
+    return Schedule(**{"seed": 7, "faults": faults, **fields})
 
 
 CRASHES = schedule(
@@ -59,6 +60,13 @@
 RESTART_WITHOUT_STORE = schedule(
     fault(FaultKind.STORE_DOWN, 0.5, 9.0), fault(FaultKind.KILL_NODE, 2.0, 0.3)
 )
+RESTART_ALL_WITHOUT_STORE = schedule(
+    fault(FaultKind.STORE_DOWN, 0.5, 9.0),
+    fault(FaultKind.RESTART_ALL_NODES, 2.0, 0.3),
+    nodes=4,
+    agents=1,
+    requests_per_s=16.0,
+)
 LATE_MESSAGES = schedule(
     fault(FaultKind.LOSE_MESSAGES, 0.5, 9.0, target=1),
     *(fault(FaultKind.RACE_OPERATORS, 1.0 + 0.2 * index) for index in range(30)),
@@ -139,7 +147,13 @@
     monkeypatch.setattr(NodeConfigurationLogic, "_handle", handle_no_update)
 
 
+def ask_no_agent_before_it_asks(monkeypatch):
+    monkeypatch.setattr(NodeConfigurationLogic, "_may_have_copy", lambda self, peer: False)
+    monkeypatch.setattr(AgentConfigurationLogic, "_offer", lambda self, peer, query, now: [])
+
+
 GUARDS = [
+    ("restart", ask_no_agent_before_it_asks, RESTART_ALL_WITHOUT_STORE),
     ("restart", take_no_configuration_from_peers, RESTART_WITHOUT_STORE),
     ("cache_use", share_cache_between_tenants, schedule()),
     ("streams", take_broken_streams_as_whole, CRASHES),
