--- a/Makefile
+++ b/Makefile
@@ -30,4 +30,7 @@
 	$(BIN)/python scripts/bench.py streams
 
 prove: .venv/.installed
-	$(BIN)/python scripts/prove.py
+	status=0; \
+	$(BIN)/python scripts/prove.py || status=1; \
+	$(BIN)/python scripts/prove_processes.py --runs 20 --limit-s 150 || status=1; \
+	exit $$status
--- a/scripts/prove_processes.py
+++ b/scripts/prove_processes.py
@@ -88,7 +88,8 @@
     parser.add_argument("--limit-s", type=float, default=600.0)
     parser.add_argument("--json", action="store_true")
     arguments = parser.parse_args()
-    signal.signal(signal.SIGTERM, _interrupt)
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, _interrupt)
     seeds = range(arguments.seed, arguments.seed + arguments.runs)
     schedules = (draw_process_schedule(seed) for seed in seeds)
     try:
