--- a/src/martenrun/ownership/machine_feed.py
+++ b/src/martenrun/ownership/machine_feed.py
@@ -13,8 +13,8 @@
 import random
 
 from martenrun.events import Event, Instruction, MachinesListed, PeerMessage, Send, Tell, Tick
+from martenrun.identity.hashing import name_hash, name_hashes, top_columns
 from martenrun.membership.view import MemberView
-from martenrun.ownership.hashing import name_hash, name_hashes, top_columns
 from martenrun.platform.machine_list import Machine
 from martenrun.wire.messages import MachineEntry, MachinesQuery, MachinesUpdate
 
@@ -49,6 +49,8 @@
 class MachineFeed:
     """Reads or pulls the machine list, and gives it to the process as MachinesListed."""
 
+    handles = frozenset({Tick, MachinesListed, MachinesQuery, MachinesUpdate})
+
     def __init__(self, members: MemberView, rng: random.Random) -> None:
         self._members = members
         self._rng = rng
--- a/src/martenrun/sharing/logic.py
+++ b/src/martenrun/sharing/logic.py
@@ -20,6 +20,7 @@
 from martenrun.sharing.policy_weights import PolicyStatus, PolicyWeights
 from martenrun.sharing.shares import CONTROL_INTERVAL_S, ShareController
 from martenrun.sharing.usage import UsageExchange
+from martenrun.wire.messages import UsageDigest, UsageTotals
 
 FORGET_INTERVAL_S = 10.0
 """Time between two looks for models that nobody asks for any more, in seconds."""
@@ -62,6 +63,8 @@
         active: returns a tenant's requests in progress at this node.
     """
 
+    handles = frozenset({Tick, UsageDigest, UsageTotals})
+
     def __init__(
         self,
         exchange: UsageExchange,
