--- a/scripts/scale_joined.py
+++ b/scripts/scale_joined.py
@@ -152,6 +152,12 @@
             duration_s=round(time.monotonic() - began, 1),
         )
 
+    def stop(self) -> None:
+        """End every process; hollow nodes have nothing to save and are killed."""
+        for name in [name for name in self.deployment.processes if name.startswith("host-")]:
+            self.deployment.kill(name)
+        self.deployment.stop()
+
     def _start_real(self) -> None:
         deployment = self.deployment
         deployment.start_platform()
@@ -326,7 +332,7 @@
         raise SystemExit(f"stopped: {guard.reason or 'interrupted'}") from None
     finally:
         guard.stop()
-        run.deployment.stop()
+        run.stop()
     click.echo(json.dumps(dataclasses.asdict(report), indent=None if as_json else 2))
 
 
