Let a waiting question take places in two runners' queues

Cause: a question waited in one runner's queue. A tenant whose prompts prefer one runner was missing in the other queues, which served the rest beyond their weights; corrected weights followed seconds later and overshot.

Change: when a question is queued, the home asks a second place, drawn from the runners whose longer prefill costs no more than the expected wait; the first grant gives the other place back. Probes of free runners go on as before.

Run: tests of ownership, sharing, state charts, requests and claims, and lint; the whole suite was not run.

--- a/src/martenrun/load/client.py
+++ b/src/martenrun/load/client.py
@@ -19,6 +19,7 @@
         whole: whether the stream ended with its terminator and without an error.
         text: the output, joined.
         first_token_s: time to the first event, in seconds.
+        routed_id: the request's identity within the system; empty if no answer began.
     """
 
     request_id: str
@@ -30,6 +31,7 @@
     duration_s: float = 0.0
     prompt_tokens: int = 0
     cached_tokens: int = 0
+    routed_id: str = ""
 
 
 class _Choice(msgspec.Struct):
@@ -107,6 +109,7 @@
             timeout=urllib3.Timeout(connect=2.0, read=call.deadline_s + 5.0),
         )
         record.status = response.status
+        record.routed_id = response.headers.get("X-Martenrun-Request-Id", "")
         if response.status != 200:
             record.error = response.data.decode(errors="replace")
             return
--- a/src/martenrun/ownership/home.py
+++ b/src/martenrun/ownership/home.py
@@ -99,6 +99,7 @@
             "give_back": self._give_back,
             "give_back_others": self._give_back_others,
             "probe": self._probe,
+            "queue_twice": self._queue_twice,
         }
 
     @property
@@ -376,10 +377,18 @@
     def _plan_probe(self, question: OpenQuestion, now: float) -> None:
         question.probe_at = now + PROBE_INTERVAL_S * self._rng.uniform(1.0, 2.0)
 
+    def _queue_twice(self, question: OpenQuestion, now: float) -> list[Instruction]:
+        """Wait at a second runner as well; the first grant gives the other place back."""
+        found = question.second_places(lambda name: self._reservations.is_reachable(name, now))
+        if not found:
+            return []
+        # Drawn, so that every queue meets every tenant whose prompts may run there.
+        return [self._reservations.ask(question, self._rng.choice(found), True, now)]
+
     def _probe(self, question: OpenQuestion, now: float) -> list[Instruction]:
         """Try another runner that may be free, and keep the place in the queue."""
         self._plan_probe(question, now)
-        if len(question.reservations) > 1:
+        if any(not reservation.is_queued for reservation in question.reservations.values()):
             return []
         waiting = {reservation.runner for reservation in question.reservations.values()}
         excluded = waiting.union(question.question.excluded_runners)
--- a/src/martenrun/ownership/questions.py
+++ b/src/martenrun/ownership/questions.py
@@ -101,6 +101,26 @@
         self.queue_tried.add(best.runner.name)
         return best, True
 
+    def second_places(self, is_reachable: Callable[[str], bool]) -> list[RunnerChoice]:
+        """Return the runners in one of whose queues the question should wait too.
+
+        With a place in one queue only, a tenant whose prompts prefer one runner is missing in
+        the other queues, which then serve others beyond their weights.  A second place is
+        worth it while its longer prefill costs no more than the expected wait.
+        """
+        placed = {reservation.runner: reservation for reservation in self.reservations.values()}
+        if len(placed) != 1:
+            return []
+        first = next(iter(placed.values())).choice
+        most_s = first.expected_first_token_s + self.expected_wait_s
+        return [
+            choice
+            for choice in self.choices
+            if choice.runner.name not in placed
+            and choice.expected_first_token_s <= most_s
+            and is_reachable(choice.runner.name)
+        ]
+
     def _expected_s(self, choice: RunnerChoice) -> float:
         return self.waits_s.get(choice.runner.name, 0.0) + choice.expected_first_token_s
 
--- a/src/martenrun/simulation/ownership_cluster.py
+++ b/src/martenrun/simulation/ownership_cluster.py
@@ -42,6 +42,7 @@
 POOL = "readers"
 MODEL = "vine-reader"
 TENANT = "growers"
+OTHER_TENANT = "stallholders"
 VERSION = "v1"
 POLL_S = 0.5
 NODE_SILENCE_S = 1.0
@@ -197,12 +198,14 @@
 
     # Requests.
 
-    def ask(self, prefix: int, service_s: float, deadline_s: float = 30.0) -> SimulatedRequest:
+    def ask(
+        self, prefix: int, service_s: float, deadline_s: float = 30.0, tenant: str = TENANT
+    ) -> SimulatedRequest:
         """Ask one question now; attempts go on until its final end."""
         request_id = f"{next(self._numbers):016x}"
         chain = prefix.to_bytes(8, "big") * 4
         question = DecideRequest(
-            request_id, TENANT, MODEL, VERSION, chain, 16_000, 100, 0, deadline_s
+            request_id, tenant, MODEL, VERSION, chain, 16_000, 100, 0, deadline_s
         )
         nodes = ranked(chain[:8], [member.address for member in self.members])
         now = self.scheduler.now
@@ -380,10 +383,12 @@
 
 
 def _configuration() -> ConfigurationView:
+    tenant = Tenant(
+        requests_per_s=1e6, tokens_per_s=1e9, concurrent_streams=10**6, queue_length=10**6
+    )
     documents: dict[tuple[Kind, str], Document] = {
-        (Kind.TENANT, TENANT): Tenant(
-            requests_per_s=1e6, tokens_per_s=1e9, concurrent_streams=10**6, queue_length=10**6
-        ),
+        (Kind.TENANT, TENANT): tenant,
+        (Kind.TENANT, OTHER_TENANT): tenant,
         (Kind.POOL, POOL): Pool(model=MODEL, weights_version=VERSION),
         (Kind.ROUTE, POOL): Route(model=MODEL, pool=POOL),
     }
