Grant nothing from an old machine list or an old grant after a pause

Cause: events that waited while a process was paused are handled before the next machine list, so an owner granted slots of an engine that had begun to leave, and a front or an agent used grants from before its pause.

Change: more than 1 s between two events counts as a pause. The owner then queues instead of granting until a machine list arrives later than 0.1 s after it, 3 s at most. Fronts and agents withdraw every question in "deciding" and ask it anew (new event "stalled" in the request chart).

Open: a pause between decision and driver, and a list from a reader that was paused itself.

--- a/src/martenrun/agent/requests.py
+++ b/src/martenrun/agent/requests.py
@@ -35,6 +35,7 @@
     Tick,
 )
 from martenrun.identity.rendezvous import ranked
+from martenrun.ownership.stall import StallDetector
 from martenrun.platform.engine import AttemptOutcome, AttemptResult
 from martenrun.statecharts.compiler import load_chart
 from martenrun.wire.messages import (
@@ -67,6 +68,7 @@
         self._rng = rng or random.Random()
         self._budget = RetryBudget()
         self._active: dict[str, ActiveRequest] = {}
+        self._stall = StallDetector()
         self._actions: dict[str, Callable[[ActiveRequest, float], list[Instruction]]] = {
             "run_attempt": self._run_attempt,
             "wait_longer": self._wait_longer,
@@ -90,6 +92,17 @@
 
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
+        if self._stall.is_stalled(now):
+            return self._ask_anew(now) + self._handled(event, now)
+        return self._handled(event, now)
+
+    def _ask_anew(self, now: float) -> list[Instruction]:
+        """After a pause, replace every open question; answers to the old ones are declined."""
+        waiting = [name for name, held in self._active.items() if held.state == "deciding"]
+        steps = [self._step(request_id, "stalled", now) for request_id in waiting]
+        return [instruction for step in steps for instruction in step]
+
+    def _handled(self, event: Event, now: float) -> list[Instruction]:
         match event:
             case RequestArrived():
                 return self._arrived(event, now)
--- a/src/martenrun/ownership/logic.py
+++ b/src/martenrun/ownership/logic.py
@@ -42,6 +42,7 @@
             return [*self.owner.handle(event, now), *self.home.handle(event, now)]
         if isinstance(event.message, _TO_OWNER):
             return self.owner.handle(event, now)
+        self.owner.note(event, now)
         return self.home.handle(event, now)
 
     def _deliver(self, instruction: Send, now: float) -> list[Instruction]:
--- a/src/martenrun/ownership/owner.py
+++ b/src/martenrun/ownership/owner.py
@@ -15,6 +15,7 @@
 from martenrun.ownership.owners import OwnerMap
 from martenrun.ownership.reasons import Reason
 from martenrun.ownership.slots import LeaseKey, RunnerSlots
+from martenrun.ownership.stall import MachineListAge
 from martenrun.sharing.fair_queue import QueueEntry
 from martenrun.sharing.logic import PoolQueues
 from martenrun.wire.messages import (
@@ -86,9 +87,11 @@
         self._ended: Ended[LeaseKey] = Ended(TOMBSTONE_S)
         self._next_note = 0.0
         self._next_sweep = 0.0
+        self._list_age = MachineListAge()
 
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
+        self._list_age.note(event, now)
         match event:
             case PeerMessage(home, ReserveSlot() as reservation):
                 return self._reserve(home, reservation, now)
@@ -102,6 +105,10 @@
                 return self._tick(now)
         return []
 
+    def note(self, event: Event, now: float) -> None:
+        """Take notice of an event that others handle: it shows that the process runs."""
+        self._list_age.note(event, now)
+
     def pool_queues(self) -> list[PoolQueues]:
         """Return the queues of the owned runners, by pool."""
         return [
@@ -127,7 +134,7 @@
         reason = self._fault(reservation, runner)
         if runner is None or reason is not None:
             return [self._refusal(key, reservation.runner, reason or Reason.UNKNOWN_RUNNER)]
-        if runner.free > 0 and not len(runner.queue):
+        if runner.free > 0 and not len(runner.queue) and self._list_age.is_trusted(now):
             self._granted(runner.name, reservation.tenant, reservation.cost_tokens, now)
             return [self._grant(key, runner, reservation.chain, now)]
         return [self._enqueue(key, runner, reservation, now)]
@@ -224,6 +231,9 @@
 
     def _serve_queue(self, runner: RunnerSlots, now: float) -> list[Instruction]:
         instructions: list[Instruction] = []
+        if not self._list_age.is_trusted(now):
+            # A runner that began to leave during a pause of this process is not known yet.
+            return instructions
         while runner.free > 0 and len(runner.queue) and self._takes_work(runner):
             entry = runner.queue.pop(now)
             if entry is None:
--- a/tests/test_ownership_parts.py
+++ b/tests/test_ownership_parts.py
@@ -270,3 +270,26 @@
     owner.tell(described("r", running=2), after_s=3.0)
     owner.tell(described("r", running=2), after_s=3.0)
     assert owner.reserve(3, may_queue=False)[0].reason == "full"
+
+
+def test_after_a_pause_an_owner_queues_until_a_machine_list_from_after_it():
+    owner = Owner()
+    owner.tell(Tick(), after_s=0.9)
+    (granted,) = owner.reserve(1)
+    assert isinstance(granted, SlotGranted)
+    owner.tell(MachinesListed([machine("r")]), after_s=5.0)  # It waited during the pause.
+    (queued,) = owner.reserve(2)
+    assert isinstance(queued, SlotsQueued)
+    owner.tell(Tick(), after_s=0.5)
+    owner.tell(MachinesListed([machine("r", "leaving")]))
+    (refused,) = owner.tell(Tick(), after_s=0.5)
+    assert (refused.reservation_id, refused.reason) == (2, "leaving")
+
+
+def test_after_a_pause_without_any_machine_list_an_owner_grants_again():
+    owner = Owner()
+    owner.tell(Tick(), after_s=5.0)
+    owner.reserve(1, deadline_ms=20_000)
+    for _ in range(5):
+        assert not [m for m in owner.tell(Tick(), after_s=0.5) if isinstance(m, SlotGranted)]
+    assert [m for m in owner.tell(Tick(), after_s=0.6) if isinstance(m, SlotGranted)]
--- a/tests/test_proof_simulation.py
+++ b/tests/test_proof_simulation.py
@@ -16,6 +16,7 @@
 from martenrun.errors import Ran
 from martenrun.events import PeerMessage, QuestionCleared, Tell
 from martenrun.node.configuration import NodeConfigurationLogic
+from martenrun.ownership.stall import MachineListAge
 from martenrun.platform.engine import AttemptOutcome
 from martenrun.platform.machine_list import Machine
 from martenrun.proof.schedule import Fault, FaultKind, Schedule, draw_schedule
@@ -67,6 +68,23 @@
     agents=1,
     requests_per_s=16.0,
 )
+PAUSED_NODE = schedule(
+    fault(FaultKind.FREEZE_NODE, 2.0, 5.0),
+    fault(FaultKind.ENGINE_LEAVES, 2.2),
+    nodes=1,
+    engines=2,
+    requests_per_s=16.0,
+)
+PAUSED_AGENT = schedule(
+    fault(FaultKind.FREEZE_AGENT, 2.0, 5.0),
+    fault(FaultKind.ENGINE_LEAVES, 2.2),
+    seed=1,
+    nodes=2,
+    agents=1,
+    engines=1,
+    requests_per_s=16.0,
+    copy_share=0.0,
+)
 LATE_MESSAGES = schedule(
     fault(FaultKind.LOSE_MESSAGES, 0.5, 9.0, target=1),
     *(fault(FaultKind.RACE_OPERATORS, 1.0 + 0.2 * index) for index in range(30)),
@@ -152,7 +170,17 @@
     monkeypatch.setattr(AgentConfigurationLogic, "_offer", lambda self, peer, query, now: [])
 
 
+def trust_an_old_machine_list(monkeypatch):
+    monkeypatch.setattr(MachineListAge, "is_trusted", lambda self, now: True)
+
+
+def use_grants_from_before_a_pause(monkeypatch):
+    monkeypatch.setattr(RequestsLogic, "_ask_anew", lambda self, now: [])
+
+
 GUARDS = [
+    ("leaving", trust_an_old_machine_list, PAUSED_NODE),
+    ("leaving", use_grants_from_before_a_pause, PAUSED_AGENT),
     ("restart", ask_no_agent_before_it_asks, RESTART_ALL_WITHOUT_STORE),
     ("restart", take_no_configuration_from_peers, RESTART_WITHOUT_STORE),
     ("cache_use", share_cache_between_tenants, schedule()),
