--- a/src/martenrun/node/configuration.py
+++ b/src/martenrun/node/configuration.py
@@ -20,10 +20,17 @@
     MembersChanged,
     PeerMessage,
     Send,
+    StoreAnswered,
+    StoreWatched,
     Tick,
 )
 from martenrun.membership.view import Member, MemberView, StaticMemberView
-from martenrun.wire.messages import ConfigurationQuery, ConfigurationUpdate
+from martenrun.wire.messages import (
+    AttemptReport,
+    ConfigurationQuery,
+    ConfigurationUpdate,
+    DecideRequest,
+)
 
 PUSH_FANOUT = 3
 """Random live nodes to which a node passes a change on."""
@@ -60,6 +67,19 @@
         rng: source of jitter and of random choices.
     """
 
+    handles = frozenset(
+        {
+            Tick,
+            MembersChanged,
+            StoreAnswered,
+            StoreWatched,
+            ConfigurationQuery,
+            ConfigurationUpdate,
+            DecideRequest,
+            AttemptReport,
+        }
+    )
+
     def __init__(
         self,
         own_address: str,
@@ -110,7 +130,7 @@
                 return self._replica.take_in(peer, update, now)
             case MembersChanged(members):
                 self.state.nodes = [member.address for member in members]
-            case PeerMessage(peer, _) if self._may_have_copy(peer):
+            case PeerMessage(peer, DecideRequest() | AttemptReport()) if self._may_have_copy(peer):
                 self._asked_early.add(peer)
                 return [Send(peer, ConfigurationQuery(self.state.revision))]
         return []
--- a/src/martenrun/ownership/logic.py
+++ b/src/martenrun/ownership/logic.py
@@ -1,25 +1,53 @@
 """Home and owner logic of one node, joined so that messages to itself take no network hop."""
 
-from martenrun.events import Event, Instruction, PeerMessage, Send, Tell
+from martenrun.dispatch import kind_of
+from martenrun.events import (
+    Event,
+    Instruction,
+    MachinesListed,
+    PeerMessage,
+    QuestionCleared,
+    RunnerDescribed,
+    Send,
+    Tell,
+    Tick,
+)
 from martenrun.ownership.home import HomeLogic
 from martenrun.ownership.owner import OwnerLogic
 from martenrun.wire.messages import (
+    AttemptReport,
+    DecideRequest,
     LeasesVoided,
+    MachinesUpdate,
     ReleaseSlots,
     RenewLeases,
     ReserveSlot,
     SlotGranted,
     SlotRefused,
     SlotsQueued,
+    WithdrawRequest,
 )
 
 _TO_OWNER = (ReserveSlot, ReleaseSlots, RenewLeases)
 _TO_HOME = (SlotGranted, SlotsQueued, SlotRefused, LeasesVoided)
+_OWNER_KINDS = frozenset({RunnerDescribed, MachinesListed, MachinesUpdate, *_TO_OWNER})
 
 
 class OwnershipLogic:
     """The part of a node's process that decides questions and hands out slots."""
 
+    handles = frozenset(
+        {
+            Tick,
+            QuestionCleared,
+            DecideRequest,
+            AttemptReport,
+            WithdrawRequest,
+            *_OWNER_KINDS,
+            *_TO_HOME,
+        }
+    )
+
     def __init__(self, own_address: str, home: HomeLogic, owner: OwnerLogic) -> None:
         self._own_address = own_address
         self.home = home
@@ -38,9 +66,9 @@
         return instructions
 
     def _handled(self, event: Event, now: float) -> list[Instruction]:
-        if not isinstance(event, PeerMessage):
+        if isinstance(event, Tick):
             return [*self.owner.handle(event, now), *self.home.handle(event, now)]
-        if isinstance(event.message, _TO_OWNER):
+        if kind_of(event) in _OWNER_KINDS:
             return self.owner.handle(event, now)
         self.owner.note(event, now)
         return self.home.handle(event, now)
--- a/tests/test_proof_simulation.py
+++ b/tests/test_proof_simulation.py
@@ -78,11 +78,11 @@
 PAUSED_AGENT = schedule(
     fault(FaultKind.FREEZE_AGENT, 2.0, 5.0),
     fault(FaultKind.ENGINE_LEAVES, 2.2),
-    seed=1,
+    seed=2,
     nodes=2,
     agents=1,
     engines=1,
-    requests_per_s=16.0,
+    requests_per_s=40.0,
     copy_share=0.0,
 )
 LATE_MESSAGES = schedule(
