--- a/src/martenrun/node/configuration.py
+++ b/src/martenrun/node/configuration.py
@@ -25,7 +25,12 @@
     Tick,
 )
 from martenrun.membership.view import Member, MemberView, StaticMemberView
-from martenrun.wire.messages import ConfigurationQuery, ConfigurationUpdate
+from martenrun.wire.messages import (
+    AttemptReport,
+    ConfigurationQuery,
+    ConfigurationUpdate,
+    DecideRequest,
+)
 
 PUSH_FANOUT = 3
 """Random live nodes to which a node passes a change on."""
@@ -63,7 +68,16 @@
     """
 
     handles = frozenset(
-        {Tick, MembersChanged, StoreAnswered, StoreWatched, ConfigurationQuery, ConfigurationUpdate}
+        {
+            Tick,
+            MembersChanged,
+            StoreAnswered,
+            StoreWatched,
+            ConfigurationQuery,
+            ConfigurationUpdate,
+            DecideRequest,
+            AttemptReport,
+        }
     )
 
     def __init__(
@@ -116,7 +130,7 @@
                 return self._replica.take_in(peer, update, now)
             case MembersChanged(members):
                 self.state.nodes = [member.address for member in members]
-            case PeerMessage(peer, _) if self._may_have_copy(peer):
+            case PeerMessage(peer, DecideRequest() | AttemptReport()) if self._may_have_copy(peer):
                 self._asked_early.add(peer)
                 return [Send(peer, ConfigurationQuery(self.state.revision))]
         return []
--- a/src/martenrun/ownership/logic.py
+++ b/src/martenrun/ownership/logic.py
@@ -4,6 +4,7 @@
 from martenrun.events import (
     Event,
     Instruction,
+    MachinesListed,
     PeerMessage,
     QuestionCleared,
     RunnerDescribed,
@@ -17,6 +18,7 @@
     AttemptReport,
     DecideRequest,
     LeasesVoided,
+    MachinesUpdate,
     ReleaseSlots,
     RenewLeases,
     ReserveSlot,
@@ -28,7 +30,7 @@
 
 _TO_OWNER = (ReserveSlot, ReleaseSlots, RenewLeases)
 _TO_HOME = (SlotGranted, SlotsQueued, SlotRefused, LeasesVoided)
-_OWNER_KINDS = frozenset({RunnerDescribed, *_TO_OWNER})
+_OWNER_KINDS = frozenset({RunnerDescribed, MachinesListed, MachinesUpdate, *_TO_OWNER})
 
 
 class OwnershipLogic:
@@ -66,7 +68,10 @@
     def _handled(self, event: Event, now: float) -> list[Instruction]:
         if isinstance(event, Tick):
             return [*self.owner.handle(event, now), *self.home.handle(event, now)]
-        return (self.owner if kind_of(event) in _OWNER_KINDS else self.home).handle(event, now)
+        if kind_of(event) in _OWNER_KINDS:
+            return self.owner.handle(event, now)
+        self.owner.note(event, now)
+        return self.home.handle(event, now)
 
     def _deliver(self, instruction: Send, now: float) -> list[Instruction]:
         event = PeerMessage(instruction.peer, instruction.message)
