--- a/src/martenrun/ownership/home.py
+++ b/src/martenrun/ownership/home.py
@@ -391,10 +391,9 @@
     def _queue_twice(self, question: OpenQuestion, now: float) -> list[Instruction]:
         """Wait at a second runner as well; the first grant gives the other place back."""
         found = question.second_places(lambda name: self._reservations.is_reachable(name, now))
-        if not found:
-            return []
-        # Drawn, so that every queue meets every tenant whose prompts may run there.
-        return [self._reservations.ask(question, self._rng.choice(found), True, now)]
+        return (
+            [self._reservations.ask(question, self._rng.choice(found), True, now)] if found else []
+        )
 
     def _probe(self, question: OpenQuestion, now: float) -> list[Instruction]:
         """Try another runner that may be free, and keep the place in the queue."""
--- a/src/martenrun/ownership/questions.py
+++ b/src/martenrun/ownership/questions.py
@@ -107,7 +107,8 @@
 
         With a place in one queue only, a tenant whose prompts prefer one runner is missing in
         the other queues, which then serve others beyond their weights.  A second place is
-        worth it while its longer prefill costs no more than the expected wait.
+        worth it while its longer prefill costs no more than the expected wait.  The caller draws
+        one, so that every queue meets every tenant whose prompts may run there.
         """
         placed = {reservation.runner: reservation for reservation in self.reservations.values()}
         if len(placed) != 1:
