Ask a silent node last until it answers again

Cause: after a node's death agents went on asking it until the members had found it dead, about nine seconds later, and each such question waited 1 s before the next node was asked.

Change: a node that let a question go unanswered is ranked last until it answers; every 2 s one question is risked on it.

--- a/src/martenrun/agent/requests.py
+++ b/src/martenrun/agent/requests.py
@@ -112,7 +112,7 @@
             question,
             event.repeatable,
             _CHART.initial,
-            self._home_nodes.ranked(question),
+            self._home_nodes.ranked(question, now),
             now + question.deadline_s,
         )
         self._active[question.request_id] = request
@@ -124,6 +124,7 @@
     def _answered(
         self, peer: str, answer: Grant | Refusal | Queued, now: float
     ) -> list[Instruction]:
+        self._home_nodes.heard(peer)
         request = self._active.get(answer.request_id)
         if request is None or answer.attempt != request.attempt:
             return _declined(peer, answer)
@@ -235,7 +236,7 @@
         return [Send(request.nodes[0], withdrawal)]
 
     def _ask_next_node(self, request: ActiveRequest, now: float) -> list[Instruction]:
-        request.nodes.pop(0)
+        self._home_nodes.silent(request.nodes.pop(0), now)
         return self._ask(request, now)
 
     def _ask_again(self, request: ActiveRequest, now: float) -> list[Instruction]:
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from martenrun.agent.home_nodes import SILENT_RETRY_S
 from martenrun.agent.requests import MAXIMUM_ATTEMPTS, RequestsLogic
 from martenrun.agent.retry import MAXIMUM_SAVED
 from martenrun.constants import DECISION_TIMEOUT_S
@@ -98,6 +99,24 @@
     assert agent.logic.active_count == 0
 
 
+def test_a_silent_node_is_asked_last_but_for_one_question_now_and_then(agent):
+    def asked_by(request_id):
+        agent.arrive(request_id)
+        return agent.asked().peer
+
+    home = asked_by("r1")
+    agent.wait(DECISION_TIMEOUT_S)
+    other = agent.asked().peer
+    assert asked_by("r2") == other != home
+    for request_id, attempt in (("r1", 2), ("r2", 1)):
+        agent.tell(PeerMessage(other, Refusal(request_id, attempt, "capacity", "full")))
+    agent.wait(SILENT_RETRY_S)
+    risked = [asked_by("r3"), asked_by("r4")]
+    assert risked == [home, other]
+    agent.tell(PeerMessage(home, Queued("r3", 1, 0.5)))
+    assert asked_by("r5") == home
+
+
 def test_queued_notices_keep_a_question_waiting_until_its_deadline_and_no_longer(agent):
     agent.arrive(deadline_s=2.0)
     for _ in range(4):
