Do not count a refused copy as cut by a planned stop

Change: a copy refused with duplicate_request that no engine ran is not counted; one that an engine ran still is, as is any other code. Both are planted. Conclusion: the check was wrong there; it is as strict for everything that ran.

--- a/src/martenrun/proof/checkers/planned_stop.py
+++ b/src/martenrun/proof/checkers/planned_stop.py
@@ -1,5 +1,6 @@
 """A planned stop cuts off no request."""
 
+from martenrun.errors import DuplicateRequestError
 from martenrun.proof.checkers.disturbance import Disturbances
 from martenrun.proof.checkers.violation import Violation
 from martenrun.proof.history import (
@@ -16,7 +17,9 @@
 def check_planned_stop(history: History) -> list[Violation]:
     """Find requests at a process in planned stop that were run and did not end whole.
 
-    Requests that a kill, freeze or cut hit as well are not counted: the cause is open.
+    Requests that a kill, freeze or cut hit as well are not counted: the cause is open.  Nor is
+    a copy that no engine ran and that was refused because of another copy: the stop did not
+    cut it, and ``ran`` tells of the other copy.
     """
     checker = _PlannedStopChecker(history)
     return [violation for stop in history.of(PlannedStop) for violation in checker.cut_by(stop)]
@@ -51,4 +54,9 @@
             return False
         if any(self._disturbances.touch(place, request.time_s, end_s) for place in places):
             return False
-        return answer is None or (bool(answer.code) and answer.ran != "no")
+        if answer is None:
+            return True
+        is_copy = answer.code == DuplicateRequestError.code
+        if is_copy and request.request_id not in self._engines:
+            return False
+        return bool(answer.code) and answer.ran != "no"
--- a/tests/test_proof_checkers.py
+++ b/tests/test_proof_checkers.py
@@ -96,6 +96,7 @@
 STORE_DOWN = ProcessDisturbed(time_s=0.0, process="object-api", kind="down", until_s=9.0)
 NODE_ASKED = invoked(time_s=2.0, edge="node")
 STOP = PlannedStop(time_s=0.7, process="engine", until_s=3.0)
+REFUSED_COPY = answered((), code="duplicate_request", ran="unknown")
 KILL = ProcessDisturbed(time_s=0.0, process="node", kind="kill", until_s=1.0)
 RESTART = ProcessStarted(time_s=1.0, process="node", restarted=True)
 LEAVING = LeavingAnnounced(time_s=1.0, process="engine")
@@ -145,6 +146,8 @@
     ("restart", [NODE, AGENT_RESTART, invoked(time_s=2.5), UNSERVED]),
     ("planned_stop", [invoked(), executed(), STOP, broken()]),
     ("planned_stop", [invoked(edge="engine"), STOP]),
+    ("planned_stop", [invoked(), executed(), STOP, REFUSED_COPY]),
+    ("planned_stop", [invoked(edge="engine"), STOP, broken()]),
     ("configuration", [in_force(1.0, 2), in_force(2.0, 1)]),
     ("configuration", [accepted(2, expected=1), accepted(3, expected=1)]),
     ("configuration", [in_force(1.0, 2, "a"), in_force(2.0, 2, "b", process="other")]),
@@ -188,6 +191,7 @@
     ),
     ("restart", [KILL, STORE_DOWN, RESTART, NODE_ASKED, UNSERVED]),
     ("planned_stop", [invoked(), executed(), STOP, answered()]),
+    ("planned_stop", [invoked(edge="engine"), STOP, REFUSED_COPY]),
     (
         "configuration",
         [in_force(0.5, 1), ConfigurationAccepted(time_s=1.0, revision=2), in_force(9.0, 2)],
