Credit a grant with nothing believed of the runner's run before

Ruled out: lossy index entries and the order of recorded messages; each violation followed an engine's crash. Change: a choice carries the incarnation and weights version it was ranked for, and loses its believed blocks when the slot is granted for another run. tests/conftest.py passes over and prints what KNOWN-RED.txt lists; the file does not exist, nothing is passed over. Conclusion: the promise about dead engines holds for grants, too.

--- a/src/martenrun/ownership/home.py
+++ b/src/martenrun/ownership/home.py
@@ -196,6 +196,9 @@
         question = reservation.question
         if question.lease is not None:
             return []
+        reservation.choice = reservation.choice.granted_at(
+            granted.incarnation, granted.weights_version
+        )
         runner = reservation.choice.runner
         runner.incarnation = granted.incarnation
         runner.weights_version = granted.weights_version
--- a/src/martenrun/routing/policy.py
+++ b/src/martenrun/routing/policy.py
@@ -54,11 +54,22 @@
     Attributes:
         believed_blocks: leading blocks of the prompt believed to be cached there.
         expected_first_token_s: expected time to the first token; 0 if the policy has no model.
+        incarnation, weights_version: the runner's when it was ranked, which the belief is about.
     """
 
     runner: RunnerState
     believed_blocks: int = 0
     expected_first_token_s: float = 0.0
+    incarnation: str = ""
+    weights_version: str = ""
+
+    def granted_at(self, incarnation: str, weights_version: str) -> "RunnerChoice":
+        """Return the choice as its slot was granted: another run holds none of the blocks."""
+        if (incarnation, weights_version) == (self.incarnation, self.weights_version):
+            return self
+        return RunnerChoice(
+            self.runner, 0, self.expected_first_token_s, incarnation, weights_version
+        )
 
 
 class RoutingPolicy(Protocol):
--- a/src/martenrun/routing/prefix_aware.py
+++ b/src/martenrun/routing/prefix_aware.py
@@ -125,7 +125,13 @@
                 costs[index] += _NOT_CANDIDATE_S
         order = sorted(range(len(names)), key=costs.__getitem__)
         choices = [
-            RunnerChoice(runners[index], believed[index], costs[index])
+            RunnerChoice(
+                runners[index],
+                believed[index],
+                costs[index],
+                runners[index].incarnation,
+                runners[index].weights_version,
+            )
             for index in order[:MAXIMUM_CHOICES]
         ]
         self._remember(question, choices)
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,27 @@
+"""Passes over the tests that KNOWN-RED.txt lists, and prints them."""
+
+from pathlib import Path
+
+import pytest
+
+KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+
+
+def known_red():
+    """Return each line of KNOWN-RED.txt by the test it names."""
+    if not KNOWN_RED.exists():
+        return {}
+    lines = [line.strip() for line in KNOWN_RED.read_text().splitlines() if line.strip()]
+    return {line.split(" | ")[0]: line for line in lines}
+
+
+def pytest_collection_modifyitems(items):
+    listed = known_red()
+    for item in items:
+        if item.nodeid in listed:
+            item.add_marker(pytest.mark.skip(reason=f"known red: {listed[item.nodeid]}"))
+
+
+def pytest_terminal_summary(terminalreporter):
+    for line in known_red().values():
+        terminalreporter.write_line(f"KNOWN RED, passed over: {line}")
--- a/tests/test_proof_simulation.py
+++ b/tests/test_proof_simulation.py
@@ -21,6 +21,7 @@
 from martenrun.platform.machine_list import Machine
 from martenrun.proof.schedule import Fault, FaultKind, Schedule, draw_schedule
 from martenrun.proof.world import run_schedule
+from martenrun.routing.policy import RunnerChoice
 from martenrun.wire.messages import ConfigurationUpdate
 
 HELD = {
@@ -178,7 +179,12 @@
     monkeypatch.setattr(RequestsLogic, "_ask_anew", lambda self, now: [])
 
 
+def credit_the_run_before(monkeypatch):
+    monkeypatch.setattr(RunnerChoice, "granted_at", lambda choice, *_identity: choice)
+
+
 GUARDS = [
+    ("cache_use", credit_the_run_before, draw_schedule(165)),
     ("leaving", trust_an_old_machine_list, PAUSED_NODE),
     ("leaving", use_grants_from_before_a_pause, PAUSED_AGENT),
     ("restart", ask_no_agent_before_it_asks, RESTART_ALL_WITHOUT_STORE),
