--- a/tests/test_proof_simulation.py
+++ b/tests/test_proof_simulation.py
@@ -238,3 +238,7 @@
 def test_no_promise_is_broken_whatever_fails(run):
     violations = run_schedule(run).violations
     assert [violation for violation in violations if violation.promise in HELD] == []
+
+
+def test_nodes_restarted_in_a_drawn_schedule_refuse_nothing_while_an_engine_lives():
+    assert found(draw_schedule(272), "restart") == []
