Stop an HTTP server cleanly when a worker wakes it in the middle of the stop

If a worker thread that ends its answer pulled the trigger between the two, the server's thread closed the trigger first and the write met a closed descriptor.

Ruled out: a second stop, and a server that had not started: both return before.

Change: the closing waits until the pull that asked for it is done.

Before: a new test that pulls the trigger in between fails with EBADF, 1 of 1. After: it passes; tests/test_http_server.py and tests/test_engine.py three times, 24 passed each.

--- a/src/martenrun/edge/server.py
+++ b/src/martenrun/edge/server.py
@@ -72,13 +72,18 @@
         """Stop accepting and close every connection; stopping twice does nothing more."""
         if not self._thread.is_alive():
             return
+        is_pulled = threading.Event()
+
+        def close_all() -> None:
+            # A worker's pull may run this before the pull below has used the trigger.
+            is_pulled.wait(STOP_LIMIT_S)
+            wasyncore.close_all(self._server._map, ignore_all=True)
+
         # On the server's own thread: a socket closed under its poll would raise there.
-        self._server.trigger.pull_trigger(self._close_all)
+        self._server.trigger.pull_trigger(close_all)
+        is_pulled.set()
         self._thread.join(timeout=STOP_LIMIT_S)
 
-    def _close_all(self) -> None:
-        wasyncore.close_all(self._server._map, ignore_all=True)
-
 
 class _TypedErrorTask(ErrorTask):
     """Answers a request that could not be read with a typed error body."""
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -47,6 +47,25 @@
         socket.create_connection(parse_address(address))
 
 
+def test_a_server_woken_by_another_thread_in_the_middle_of_a_stop_stops_cleanly(server, failures):
+    address, running = server
+    trigger = running._server.trigger
+    pull = trigger._physical_pull
+
+    def pull_twice():
+        # What a worker thread does that ends its answer at this moment.
+        pull()
+        running._thread.join(timeout=0.3)
+        pull()
+
+    trigger._physical_pull = pull_twice
+    running.stop()
+    assert not running._thread.is_alive()
+    assert failures == []
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(parse_address(address))
+
+
 def test_connections_beyond_the_limit_of_select_are_served(server, failures):
     soft, _hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft < 2 * SELECT_LIMIT + 500:
