Measure one request at its home and its owner at the target size

Cause: the scale run joins tens of nodes in one process, so its figure for a decision mixes starting up (each home sees its prefixes for the first time) with the lasting cost, and 12,000 runners do not fit into its time. 'martenrun bench request' runs one home and one owner in virtual time with 370 members and 12,000 runners, a warm-up as long as the measured time, and gives processor time and bytes by message.

--- a/src/martenrun/cli/bench.py
+++ b/src/martenrun/cli/bench.py
@@ -14,6 +14,7 @@
     "configuration": "martenrun.bench.configuration:configuration",
     "sharing": "martenrun.bench.sharing:sharing",
     "decision": "martenrun.bench.decision:decision_command",
+    "request": "martenrun.bench.request_cost:request_command",
     "routing": "martenrun.bench.routing:routing_command",
     "adapter": "martenrun.bench.adapter:adapter",
     "rolls": "martenrun.bench.rolls:rolls",
