Believe in every runner a home has sent work to

Cause: beliefs about runners whose feed a home does not read stood in a table of masks with 32 slots, given to the first 32 runners that were ranked. With 12,000 runners none of these is asked again, so the home believed nothing of any runner it used and paid 60 numpy calls for it. An unknown run of a runner was also entered twice: under an empty incarnation when ranked, and again at its first grant, which wiped two slots of the 3 MB table.

Ruled out: more slots in the masks (256 runners are 32 bytes a block); a set of blocks a runner (98 bytes a block); a list of chains by first block (thousands below a hot prefix, each compared).

Change: a radix tree of the chains that were sent, with the runs that were sent them and when at each node (routing/prefix_tree.py). A match takes a look-up and a comparison of bytes at each fork. A belief names the run itself, so another run ends it without a walk. Beliefs end 1.5 learned lifetimes after their last use instead of being swept in two generations (between one and two).

--- a/src/martenrun/routing/beliefs.py
+++ b/src/martenrun/routing/beliefs.py
@@ -1,34 +1,35 @@
 """Beliefs about caches from all sources: event feeds, own routing, owners' and agents' words.
 
 A runner whose event feed this node reads is *fed*: its beliefs stay until an event, a gap or a
-correction takes them.  Of other runners a node knows what it has sent there; such beliefs stand
-in two generations and the older one is dropped each lifetime, because nobody tells of
-evictions.  The lifetime is learned: wrong beliefs shorten it, right ones lengthen it.  A gap in
-a feed drops all that is believed of the runner but what was sent there within a lifetime.
+correction takes them.  Of other runners a node knows what it has sent there and when; such a
+belief ends some lifetimes after it was used last, because nobody tells of evictions.  The
+lifetime is learned: wrong beliefs shorten it, right ones lengthen it.  A gap in a feed drops all
+that is believed of the runner but what was sent there within a lifetime.
 
-See also: :class:`martenrun.routing.prefix_index.PrefixIndex`.
+See also: :class:`martenrun.routing.prefix_index.PrefixIndex`,
+:class:`martenrun.routing.prefix_tree.PrefixTree`.
 """
 
 import collections
-import heapq
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from martenrun.identity.chain import BlockHashes
+from martenrun.constants import BLOCK_HASH_BYTES
+from martenrun.identity.chain import BlockHashes, as_array
 from martenrun.routing.prefix_index import PrefixIndex, RunnerIdentity
-from martenrun.routing.prefix_table import WIDE_SLOTS_PER_TABLE
+from martenrun.routing.prefix_tree import PrefixTree
 
 FED_MEMORY_BYTES = 60_000_000
 """Bound of the index of fed runners: 4.3 million blocks at 14 bytes each."""
 
 ROUTED_MEMORY_BYTES = 3_000_000
-"""Bound of the index of runners that are not fed."""
+"""Bound of what is known of chains sent to runners that are not fed."""
 
 FED_RUNNERS = 32
 """Fed runners that are told apart; one more stays unknown."""
 
-ROUTED_SLOTS = WIDE_SLOTS_PER_TABLE
-"""Two generations of 32 runners that are not fed."""
+BELIEVED_LIFETIMES = 1.5
+"""Lifetimes for which a block that was sent to a runner is believed to be there."""
 
 RECENT_CHAINS = 2_048
 """Chains sent to fed runners that are remembered against gaps."""
@@ -42,21 +43,15 @@
 _SHORTEN = 0.8
 
 
-@dataclass(slots=True)
-class _Generations:
-    """Slot names of a runner that is not fed, and the learned lifetime of beliefs about it.
+@dataclass(slots=True, eq=False)
+class _Run:
+    """One run of a runner with one version of its weights, and the lifetime learned of it.
 
-    Attributes:
-        current: where beliefs are added.
-        older: beliefs that end at the next rotation.
-        due_at: when the next rotation is planned.
+    Beliefs name the run itself, so that none about an earlier run is ever found again.
     """
 
-    current: str
-    older: str
+    identity: RunnerIdentity
     lifetime_s: float = FIRST_LIFETIME_S
-    rotated_at: float = 0.0
-    due_at: float = FIRST_LIFETIME_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,7 +59,7 @@
     """A chain that was sent to a fed runner."""
 
     runner: str
-    chain: BlockHashes
+    chain: bytes
     at: float
 
 
@@ -73,7 +68,7 @@
 
     Args:
         fed_memory_bytes: bound of the index of fed runners.
-        routed_memory_bytes: bound of the index of the others.
+        routed_memory_bytes: bound of what is known of the others.
     """
 
     def __init__(
@@ -82,45 +77,25 @@
         routed_memory_bytes: int = ROUTED_MEMORY_BYTES,
     ) -> None:
         self._fed = PrefixIndex(fed_memory_bytes, FED_RUNNERS)
-        self._routed = PrefixIndex(routed_memory_bytes, ROUTED_SLOTS, ROUTED_SLOTS)
-        self._identities: dict[str, RunnerIdentity] = {}
-        self._generations: dict[str, _Generations] = {}
+        self._routed: PrefixTree[_Run] = PrefixTree(routed_memory_bytes)
+        self._runs: dict[str, _Run] = {}
         self._fed_runners: set[str] = set()
-        self._rotations: list[tuple[float, str]] = []
         self._recent: collections.deque[_Routed] = collections.deque(maxlen=RECENT_CHAINS)
 
     def identify(self, runner: str, incarnation: str, weights_version: str) -> None:
         """Name the run that later calls mean; another run ends every older belief."""
-        known = self._identities.get(runner)
-        if (
-            known is not None
-            and known.incarnation == incarnation
-            and known.weights_version == weights_version
-        ):
-            return
-        if known is not None:
-            self.forget(runner)
-        identity = RunnerIdentity(incarnation, weights_version)
-        self._identities[runner] = identity
-        generations = _Generations(f"{runner}#0", f"{runner}#1")
-        self._generations[runner] = generations
-        heapq.heappush(self._rotations, (generations.due_at, runner))
-        for name in (generations.current, generations.older):
-            self._routed.identify(name, identity)
+        run = self._runs.get(runner)
+        if run is not None:
+            known = run.identity
+            if known.incarnation == incarnation and known.weights_version == weights_version:
+                return
+            self.feed_ended(runner)
+        self._runs[runner] = _Run(RunnerIdentity(incarnation, weights_version))
 
     def forget(self, runner: str) -> None:
         """Forget a runner and every belief about it."""
         self.feed_ended(runner)
-        self._identities.pop(runner, None)
-        generations = self._generations.pop(runner, None)
-        if generations is not None:
-            self._routed.forget(generations.current)
-            self._routed.forget(generations.older)
-
-    def incarnation_of(self, runner: str) -> str:
-        """Return the incarnation that beliefs about a runner mean, empty if it is unknown."""
-        identity = self._identities.get(runner)
-        return "" if identity is None else identity.incarnation
+        self._runs.pop(runner, None)
 
     @property
     def fed_runners(self) -> list[str]:
@@ -129,12 +104,12 @@
 
     def feed(self, runner: str, stored: BlockHashes, removed: BlockHashes) -> None:
         """Apply what an identified runner's event feed told; repeated events do no harm."""
-        identity = self._identities.get(runner)
-        if identity is None:
+        run = self._runs.get(runner)
+        if run is None:
             return
         if runner not in self._fed_runners:
             self._fed_runners.add(runner)
-            self._fed.identify(runner, identity)
+            self._fed.identify(runner, run.identity)
         self._fed.add(runner, stored)
         self._fed.remove(runner, removed)
 
@@ -147,7 +122,7 @@
         lifetime_s = self.lifetime_s(runner)
         for sent in self._recent:
             if sent.runner == runner and now - sent.at < lifetime_s:
-                self._fed.add(runner, sent.chain)
+                self._fed.add(runner, as_array(sent.chain))
 
     def feed_ended(self, runner: str) -> None:
         """The runner's feed is no longer read here."""
@@ -155,95 +130,57 @@
             self._fed_runners.discard(runner)
             self._fed.forget(runner)
 
-    def routed(self, runner: str, chain: BlockHashes, believed: int, now: float) -> None:
+    def routed(self, runner: str, chain: bytes, believed: int, now: float) -> None:
         """A request with this chain is sent to the runner, which will hold it.
 
         ``believed`` leading blocks are known already; they only live longer.
         """
         if runner in self._fed_runners:
-            self._fed.add(runner, chain[believed:])
+            self._fed.add(runner, as_array(chain)[believed:])
             self._recent.append(_Routed(runner, chain, now))
-        elif runner in self._generations:
-            self._routed.add(self._generations[runner].current, chain)
+        elif runner in self._runs:
+            self._routed.add(self._runs[runner], chain, now)
 
-    def corrected(self, runner: str, chain: BlockHashes, believed: int, cached: int) -> None:
+    def corrected(self, runner: str, chain: bytes, believed: int, cached: int, now: float) -> None:
         """Take in how many leading blocks are really cached at this moment."""
         if cached < believed:
-            self._remove(runner, chain[cached:believed])
-        elif cached > believed:
-            self._add(runner, chain[believed:cached])
+            self.not_run(runner, chain[: believed * BLOCK_HASH_BYTES], cached)
+        elif runner in self._fed_runners:
+            self._fed.add(runner, as_array(chain)[believed:cached])
+        elif cached > believed and runner in self._runs:
+            self._routed.add(self._runs[runner], chain[: cached * BLOCK_HASH_BYTES], now)
 
     def lifetime_s(self, runner: str) -> float:
         """Return how long blocks are believed to stay cached unused; short under pressure."""
-        generations = self._generations.get(runner)
-        return FIRST_LIFETIME_S if generations is None else generations.lifetime_s
+        run = self._runs.get(runner)
+        return FIRST_LIFETIME_S if run is None else run.lifetime_s
 
     def judged(self, runner: str, believed: int, cached: int) -> None:
         """Learn a runner's lifetime from what became of one belief."""
-        generations = self._generations.get(runner)
-        if believed and generations is not None:
+        run = self._runs.get(runner)
+        if believed and run is not None:
             change = _SHORTEN if cached < believed / 2 else _LENGTHEN
-            bounded = min(_MAXIMUM_LIFETIME_S, generations.lifetime_s * change)
-            generations.lifetime_s = max(_MINIMUM_LIFETIME_S, bounded)
-            if generations.rotated_at + generations.lifetime_s < generations.due_at:
-                self._plan_rotation(runner, generations)
+            bounded = min(_MAXIMUM_LIFETIME_S, run.lifetime_s * change)
+            run.lifetime_s = max(_MINIMUM_LIFETIME_S, bounded)
 
-    def not_run(self, runner: str, hashes: BlockHashes) -> None:
-        """Blocks that a refused attempt would have cached are not there."""
-        self._remove(runner, hashes)
+    def not_run(self, runner: str, chain: bytes, believed: int) -> None:
+        """Blocks after the first ``believed`` that a chain would have left are not there."""
+        if runner in self._fed_runners:
+            self._fed.remove(runner, as_array(chain)[believed:])
+        elif runner in self._runs:
+            self._routed.remove(self._runs[runner], chain, believed)
 
-    def leading(self, chain: BlockHashes, runners: Sequence[str]) -> list[int]:
+    def leading(self, chain: bytes, runners: Sequence[str], now: float) -> list[int]:
         """Return the leading blocks believed cached at each runner, in order."""
-        leading = [0] * len(runners)
-        fed_blocks: list[int] | None = None
-        routed_blocks: list[int] | None = None
-        for index, runner in enumerate(runners):
-            if runner in self._fed_runners:
-                if fed_blocks is None:
-                    fed_blocks = self._fed.match(chain).blocks.tolist()
-                slot = self._fed.slot_of(runner)
-                leading[index] = fed_blocks[slot] if slot >= 0 else 0
-                continue
-            generations = self._generations.get(runner)
-            slot = -1 if generations is None else self._routed.slot_of(generations.current)
-            if generations is None or slot < 0:
-                continue
-            if routed_blocks is None:
-                routed_blocks = self._routed.match(chain).blocks.tolist()
-            older = self._routed.slot_of(generations.older)
-            leading[index] = max(routed_blocks[slot], routed_blocks[older] if older >= 0 else 0)
+        runs = [self._runs.get(runner) for runner in runners]
+        since = [0.0 if run is None else now - BELIEVED_LIFETIMES * run.lifetime_s for run in runs]
+        fed = [index for index, runner in enumerate(runners) if runner in self._fed_runners]
+        for index in fed:
+            runs[index] = None
+        leading = self._routed.leading(chain, runs, since)
+        if fed:
+            blocks = self._fed.match(as_array(chain)).blocks.tolist()
+            for index in fed:
+                slot = self._fed.slot_of(runners[index])
+                leading[index] = blocks[slot] if slot >= 0 else 0
         return leading
-
-    def age(self, now: float) -> None:
-        """Drop the older generation of each runner whose lifetime has passed.
-
-        Costs nothing while no rotation is planned, however many runners are known.
-        """
-        while self._rotations and self._rotations[0][0] <= now:
-            due_at, runner = heapq.heappop(self._rotations)
-            generations = self._generations.get(runner)
-            if generations is None or generations.due_at != due_at:
-                continue  # Forgotten, or planned anew since.
-            if generations.rotated_at + generations.lifetime_s <= now:
-                generations.rotated_at = now
-                self._routed.drop(generations.older)
-                swapped = generations.older, generations.current
-                generations.current, generations.older = swapped
-            self._plan_rotation(runner, generations)
-
-    def _plan_rotation(self, runner: str, generations: _Generations) -> None:
-        generations.due_at = generations.rotated_at + generations.lifetime_s
-        heapq.heappush(self._rotations, (generations.due_at, runner))
-
-    def _add(self, runner: str, hashes: BlockHashes) -> None:
-        if runner in self._fed_runners:
-            self._fed.add(runner, hashes)
-        elif runner in self._generations:
-            self._routed.add(self._generations[runner].current, hashes)
-
-    def _remove(self, runner: str, hashes: BlockHashes) -> None:
-        if runner in self._fed_runners:
-            self._fed.remove(runner, hashes)
-        elif runner in self._generations:
-            self._routed.remove(self._generations[runner].current, hashes)
-            self._routed.remove(self._generations[runner].older, hashes)
--- a/src/martenrun/routing/prefix_aware.py
+++ b/src/martenrun/routing/prefix_aware.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 
 from martenrun.constants import BLOCK_HASH_BYTES, DEFAULT_BLOCK_BYTES
-from martenrun.identity.chain import BlockHashes, as_array
+from martenrun.identity.chain import block_count
 from martenrun.identity.rendezvous import weight
 from martenrun.platform.engine import AttemptOutcome
 from martenrun.routing.beliefs import BeliefBook
@@ -72,13 +72,21 @@
 
     runner: str
     model: str
-    chain: BlockHashes
+    chain: bytes
     prompt_blocks: float
     believed_blocks: int
     load: float
     granted_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class _RankedQuestion:
+    """The choices that a question got, and when."""
+
+    choices: list[RunnerChoice]
+    at: float
+
+
 class PrefixAwarePolicy(RankingPolicy):
     """Ranks runners by expected time to the first token; see the module.
 
@@ -97,7 +105,7 @@
         self._hot = HotPrefixes()
         self._models: dict[str, FirstTokenModel] = {}
         self._granted: dict[tuple[str, int], _GrantedWork] = {}
-        self._ranked: dict[tuple[str, int], list[RunnerChoice]] = {}
+        self._ranked: dict[tuple[str, int], _RankedQuestion] = {}
         self._name_hashes: dict[str, int] = {}
 
     def rank(
@@ -107,7 +115,7 @@
         for runner in runners:
             self.beliefs.identify(runner.name, runner.incarnation, runner.weights_version)
         names = [runner.name for runner in runners]
-        believed = self.beliefs.leading(as_array(question.chain), names)
+        believed = self.beliefs.leading(question.chain, names, now)
         computations = self._hot.computations(question.chain, now)
         for computation in computations:
             if computation.runner in names:
@@ -134,30 +142,32 @@
             )
             for index in order[:MAXIMUM_CHOICES]
         ]
-        self._remember(question, choices)
+        self._remember(question, _RankedQuestion(choices, now))
         return choices
 
     def corrected(self, question: DecideRequest, runner: str, cached_blocks: int) -> None:
         """See :meth:`martenrun.routing.policy.RoutingPolicy.corrected`."""
-        chain = as_array(question.chain)
-        for choice in self._ranked.get((question.request_id, question.attempt), ()):
+        ranked = self._ranked.get((question.request_id, question.attempt))
+        if ranked is None:
+            return
+        for choice in ranked.choices:
             if choice.runner.name == runner:
-                self.beliefs.corrected(runner, chain, choice.believed_blocks, cached_blocks)
+                believed = choice.believed_blocks
+                self.beliefs.corrected(runner, question.chain, believed, cached_blocks, ranked.at)
 
     def granted(self, question: DecideRequest, choice: RunnerChoice, now: float) -> None:
         """See :meth:`martenrun.routing.policy.RoutingPolicy.granted`."""
-        self.beliefs.age(now)
         self._ranked.pop((question.request_id, question.attempt), None)
         runner = choice.runner
         self.beliefs.identify(runner.name, runner.incarnation, runner.weights_version)
-        chain = as_array(question.chain)
-        self._hot.count(question.chain, now)
-        uncached = len(chain) - choice.believed_blocks
+        chain = question.chain
+        self._hot.count(chain, now)
+        uncached = block_count(chain) - choice.believed_blocks
         if uncached >= MINIMUM_COMPUTED_BLOCKS:
             model = self._model(question.model)
             ready_at = now + model.prefill_s(uncached, load_of(choice.runner, now))
             computation = Computation(choice.runner.name, ready_at, choice.believed_blocks)
-            self._hot.started(question.chain, computation)
+            self._hot.started(chain, computation)
         self.beliefs.routed(choice.runner.name, chain, choice.believed_blocks, now)
         self._granted[(question.request_id, question.attempt)] = _GrantedWork(
             choice.runner.name,
@@ -174,9 +184,9 @@
         work = self._granted.pop((report.request_id, report.attempt), None)
         if work is None or work.runner != report.runner:
             return
-        self._hot.ended(work.chain[:1].tobytes(), work.runner)
+        self._hot.ended(work.chain, work.runner)
         if report.outcome == AttemptOutcome.NOT_RUN:
-            self.beliefs.not_run(work.runner, work.chain[work.believed_blocks :])
+            self.beliefs.not_run(work.runner, work.chain, work.believed_blocks)
         elif report.outcome == AttemptOutcome.COMPLETE and report.prompt_tokens > 0:
             self._learn(work, report, now)
 
@@ -196,8 +206,8 @@
         uncached_blocks = work.prompt_blocks - cached_blocks
         model.observe_first_token(uncached_blocks, work.load, report.first_token_s)
 
-    def _remember(self, question: DecideRequest, choices: list[RunnerChoice]) -> None:
-        self._ranked[(question.request_id, question.attempt)] = choices
+    def _remember(self, question: DecideRequest, ranked: _RankedQuestion) -> None:
+        self._ranked[(question.request_id, question.attempt)] = ranked
         if len(self._ranked) > MAXIMUM_RANKED:
             del self._ranked[next(iter(self._ranked))]
 
