Find a prefix's candidates on a ring, flat in the pool

Cause: candidates were found by weighing every runner of the pool for each prefix key not among the last 2,048; that cost grows with the pool, and all of it is lost whenever any runner comes or goes (about every 70 s at the target size), as were the indexes of all pools.

Change: each runner stands at eight points of a ring of 64-bit hashes; a prefix takes the runners that follow its hash on the ring of its zone and on that of the whole pool. Nothing is remembered by key. Only the pools whose runners changed are made anew.

--- a/src/martenrun/ownership/candidates.py
+++ b/src/martenrun/ownership/candidates.py
@@ -1,49 +1,72 @@
 """Which runners of a pool a home node considers for a prompt.
 
 Ranking all runners of a large pool for every request would cost more than the decision may.
-A home considers the runners of highest rendezvous weight for the prompt's first block, half of
-them in its own zone, so that requests with one prefix meet the same few runners, and adds
-runners that owners have told to be free.
+Every runner stands at some points of a ring of 64-bit hashes.  A home considers the runners that
+follow the hash of the prompt's first block, half of them in its own zone, so that requests with
+one prefix meet the same few runners.  Finding them takes two binary searches, however many
+runners the pool has, and a runner that comes or goes changes the candidates of the prefixes
+before its points only.
 """
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 
 import numpy
 
-from martenrun.identity.hashing import HashArray, best, mixed, name_hash, name_hashes
+from martenrun.identity.hashing import mixed, name_hash, name_hashes
 from martenrun.routing.policy import RunnerState
 
 CANDIDATES = 8
 """Runners considered for one question before hints are added."""
 
+POINTS = 8
+"""Points of a runner on the ring; more spread prefixes more evenly and take more memory."""
 
-REMEMBERED_KEYS = 2_048
-"""Prefix keys whose candidates are remembered, for each pool."""
+_WINDOW = 3 * CANDIDATES
+"""Points looked at first; runners with several of them are rare but in small pools."""
+
+
+class _Ring:
+    """Some of a pool's runners, named by their indexes, by the hashes of their points."""
+
+    def __init__(self, names: Sequence[str], indexes: Sequence[int]) -> None:
+        hashes = name_hashes([names[index] for index in indexes])
+        numbers = mixed(numpy.arange(1, POINTS + 1, dtype=numpy.uint64))
+        points = mixed(hashes[:, None] ^ numbers[None, :]).ravel()
+        order = points.argsort()
+        self._points = points[order]
+        self._runners = len(indexes)
+        at_points = numpy.repeat(numpy.array(indexes, dtype=numpy.uint32), POINTS)[order]
+        self._at_points = numpy.concatenate([at_points, at_points[:_WINDOW]])
+
+    def following(self, key: int, count: int) -> list[int]:
+        """Return up to ``count`` different runners whose points follow a key."""
+        start = int(self._points.searchsorted(numpy.uint64(key)))
+        found = list(dict.fromkeys(self._at_points[start : start + _WINDOW].tolist()))
+        if len(found) < min(count, self._runners):
+            found = list(dict.fromkeys(numpy.roll(self._at_points, -start).tolist()))
+        return found[:count]
 
 
 class PoolIndex:
-    """Hashes of a pool's runners, for finding a prefix's candidates."""
+    """A pool's runners on rings, for finding a prefix's candidates.
+
+    Args:
+        runners: the pool's runners.
+        zone: the zone whose runners are half of the candidates.
+    """
 
-    def __init__(self, runners: Iterable[RunnerState], zone: str) -> None:
+    def __init__(self, runners: Sequence[RunnerState], zone: str) -> None:
         self.runners = list(runners)
-        self._remembered: dict[bytes, list[RunnerState]] = {}
-        self._hashes: HashArray = name_hashes([runner.name for runner in self.runners])
-        self._near = numpy.array([runner.zone == zone for runner in self.runners]).nonzero()[0]
+        names = [runner.name for runner in self.runners]
+        near = [index for index, runner in enumerate(self.runners) if runner.zone == zone]
+        self._all = _Ring(names, range(len(names)))
+        self._near = _Ring(names, near)
 
     def candidates(self, key: bytes) -> list[RunnerState]:
-        """Return up to :data:`CANDIDATES` runners for a prefix key, best first."""
+        """Return up to :data:`CANDIDATES` runners for a prefix key, near ones first."""
         if len(self.runners) <= CANDIDATES:
             return self.runners
-        found = self._remembered.get(key)
-        if found is None:
-            found = self._remembered[key] = self._found(key)
-            if len(self._remembered) > REMEMBERED_KEYS:
-                del self._remembered[next(iter(self._remembered))]
-        return found
-
-    def _found(self, key: bytes) -> list[RunnerState]:
-        weights = mixed(self._hashes ^ numpy.uint64(name_hash(key)))
-        near = self._near[best(weights[self._near], CANDIDATES // 2)]
-        everywhere = best(weights, CANDIDATES)
-        found = dict.fromkeys([*near.tolist(), *everywhere.tolist()])
+        place = name_hash(key)
+        near = self._near.following(place, CANDIDATES // 2)
+        found = dict.fromkeys(near + self._all.following(place, CANDIDATES))
         return [self.runners[index] for index in list(found)[:CANDIDATES]]
--- a/src/martenrun/ownership/loads.py
+++ b/src/martenrun/ownership/loads.py
@@ -4,6 +4,7 @@
 cost is flat in the number of runners; what is old is treated as unknown.
 """
 
+import operator
 import random
 from collections.abc import Callable, Iterable
 
@@ -105,17 +106,33 @@
 
     def _index(self, pool: str) -> PoolIndex:
         if self._index_version != self._table.version:
-            self._indexes.clear()
             self._index_version = self._table.version
+            self._update_indexes()
         index = self._indexes.get(pool)
         if index is None:
-            runners = self._table.runners.values()
-            members = [runner for runner in runners if runner.pool == pool and not runner.leaving]
-            index = self._indexes[pool] = PoolIndex(members, self._zone)
+            index = self._indexes[pool] = PoolIndex([], self._zone)
         return index
 
+    def _update_indexes(self) -> None:
+        """Make the indexes of the pools anew whose runners have changed."""
+        members: dict[str, list[RunnerState]] = {}
+        for runner in self._table.runners.values():
+            if not runner.leaving:
+                members.setdefault(runner.pool, []).append(runner)
+        for pool in self._indexes.keys() - members.keys():
+            del self._indexes[pool]
+        for pool, runners in members.items():
+            index = self._indexes.get(pool)
+            if index is None or not _are_same(index.runners, runners):
+                self._indexes[pool] = PoolIndex(runners, self._zone)
+
     def _age(self, runner: RunnerState, now: float) -> None:
         if not runner.slots:
             runner.slots = ASSUMED_SLOTS
         if runner.reported_running and runner.reported_at <= now - LOAD_LIFETIME_S:
             runner.reported_running = min(runner.reported_running, runner.in_flight)
+
+
+def _are_same(first: list[RunnerState], second: list[RunnerState]) -> bool:
+    """Whether two lists hold the same objects; their contents change all the time."""
+    return len(first) == len(second) and all(map(operator.is_, first, second))
--- a/tests/test_ownership_parts.py
+++ b/tests/test_ownership_parts.py
@@ -8,6 +8,7 @@
 from martenrun.membership.view import Member, StaticMemberView
 from martenrun.node.runners import RunnerTable
 from martenrun.ownership.candidates import CANDIDATES, PoolIndex
+from martenrun.ownership.loads import LoadBook
 from martenrun.ownership.machine_feed import ASK_FOR_ALL, MISMATCHES, READERS, MachineFeed
 from martenrun.ownership.owner import OwnerLogic
 from martenrun.ownership.owners import OwnerMap
@@ -197,6 +198,46 @@
     assert sum(runner.zone == "a" for runner in found) >= CANDIDATES // 2
 
 
+@pytest.mark.parametrize("size", [9, 20, 500])
+def test_a_runner_that_goes_changes_only_the_candidates_of_the_prefixes_it_served(size):
+    runners = [RunnerState(f"r{n}", "", "abc"[n % 3], "pool") for n in range(size)]
+    before, after = PoolIndex(runners, "a"), PoolIndex(runners[1:], "a")
+    served = 0
+    for key in (b"prefix %d" % n for n in range(300)):
+        had = {runner.name for runner in before.candidates(key)}
+        has = {runner.name for runner in after.candidates(key)}
+        served += "r0" in had
+        assert len(has) == min(CANDIDATES, size - 1)
+        assert len(had - has) <= (2 if "r0" in had else 0)
+    assert served
+
+
+def test_prefixes_are_spread_over_the_runners_of_a_pool():
+    runners = [RunnerState(f"r{n}", "", "abc"[n % 3], "pool") for n in range(100)]
+    index = PoolIndex(runners, "nowhere")
+    counts = dict.fromkeys((runner.name for runner in runners), 0)
+    for number in range(10_000):
+        for runner in index.candidates(b"prefix %d" % number):
+            counts[runner.name] += 1
+    mean = 10_000 * CANDIDATES / len(runners)
+    assert 0.5 * mean < min(counts.values()) and max(counts.values()) < 1.6 * mean
+
+
+def test_indexes_follow_runners_that_come_leave_and_go():
+    table = RunnerTable()
+    book = LoadBook(table, "a", random.Random(1))
+
+    def known(names, **states):
+        table.handle(MachinesListed([machine(name, states.get(name, "live")) for name in names]), 0)
+        return {runner.name for runner in book.candidates("pool", b"key", (), 0.0)}
+
+    assert known(["r1", "r2"]) == {"r1", "r2"}
+    assert known(["r1", "r2", "r3"]) == {"r1", "r2", "r3"}
+    assert known(["r1", "r2", "r3"], r2="leaving") == {"r1", "r3"}
+    assert known(["r3"]) == {"r3"}
+    assert known([]) == set()
+
+
 def test_three_nodes_read_the_machine_list_and_all_know_a_change_within_three_seconds():
     members = [Member(f"10.0.0.{n}:7000") for n in range(12)]
     scheduler = Scheduler()
