--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -15,6 +15,8 @@
 
 import urllib3
 
+from martenrun.standins.machines import Machine, put_machine
+
 ADMIN_KEY = "demo-admin-key"
 CLUSTER_SECRET = "demo-cluster-secret-0123456789"
 START_TIMEOUT_S = 30.0
@@ -85,16 +87,7 @@
 
     def register(self, name: str, address: str, zone: str, pool: str, state: str = "live") -> None:
         """Put an engine into the machine list."""
-        machine = {
-            "name": name,
-            "role": "engine",
-            "address": address,
-            "zone": zone,
-            "pool": pool,
-            "state": state,
-        }
-        url = f"http://{self.machines}/v1/machines/{name}"
-        urllib3.request("PUT", url, body=json.dumps(machine).encode(), timeout=5.0)
+        put_machine(self.machines, Machine(name, "engine", address, zone, pool, state))
 
     def start_nodes(self, zones: list[str]) -> None:
         """Start one node in each of the zones, all knowing each other."""
--- a/src/martenrun/cli/admin.py
+++ b/src/martenrun/cli/admin.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from martenrun.admin.client import AdminClient
+from martenrun.cli.in_force import in_force
 from martenrun.configuration.objects import ApiKey, Drain, DrainRole, Kind, Role
 from martenrun.errors import ChangeOutcomeUnknownError, MartenrunError, VersionConflictError
 
@@ -34,8 +35,11 @@
     context.obj = AdminClient(address, key)
 
 
+admin.add_command(in_force)
+
+
 @contextmanager
-def _errors_printed() -> Iterator[None]:
+def errors_printed() -> Iterator[None]:
     """Print a typed error with its remedy and exit with its status."""
     try:
         yield
@@ -60,7 +64,7 @@
 @click.pass_obj
 def apply_object(client: AdminClient, kind: str, name: str, file: Path, version: int) -> None:
     """Create or replace an object from a JSON file."""
-    with _errors_printed():
+    with errors_printed():
         accepted = client.apply(kind, name, file.read_bytes(), version)
     click.echo(f"accepted: {kind}/{name} has version {accepted}")
 
@@ -71,7 +75,7 @@
 @click.pass_obj
 def get_object(client: AdminClient, kind: str, name: str) -> None:
     """Print an object with its version."""
-    with _errors_printed():
+    with errors_printed():
         _echo(client.get(kind, name))
 
 
@@ -80,7 +84,7 @@
 @click.pass_obj
 def list_objects(client: AdminClient, kind: str) -> None:
     """Print every object of a kind, one a line."""
-    with _errors_printed():
+    with errors_printed():
         for item in client.list(kind):
             _echo(item)
 
@@ -92,7 +96,7 @@
 @click.pass_obj
 def delete_object(client: AdminClient, kind: str, name: str, version: int) -> None:
     """Delete an object that nothing refers to."""
-    with _errors_printed():
+    with errors_printed():
         accepted = client.delete(kind, name, version)
     click.echo(f"accepted: {kind}/{name} is deleted in version {accepted}")
 
@@ -107,7 +111,7 @@
     token = secrets.token_urlsafe(32)
     digest = hashlib.sha256(token.encode()).hexdigest()
     document = {"tenant": tenant, "role": role, "key_sha256": digest}
-    with _errors_printed():
+    with errors_printed():
         client.apply(Kind.API_KEY.value, name, msgspec.json.encode(document), 0)
     click.echo(token)
 
@@ -117,7 +121,7 @@
 @click.pass_obj
 def retire_key(client: AdminClient, name: str) -> None:
     """Refuse a key from now on; the end of a rotation."""
-    with _errors_printed():
+    with errors_printed():
         present = client.get(Kind.API_KEY.value, name)
         key = ApiKey.model_validate_json(bytes(present.document))
         document = key.model_copy(update={"retired": True}).model_dump_json().encode()
@@ -134,7 +138,7 @@
 def drain(client: AdminClient, name: str, role: str, reason: str, stop: bool) -> None:
     """Give a runner or node no new work; running requests go on."""
     kind = Kind.DRAIN.value
-    with _errors_printed():
+    with errors_printed():
         if stop:
             client.delete(kind, name, client.get(kind, name).version)
         else:
@@ -148,7 +152,7 @@
 @click.pass_obj
 def status(client: AdminClient, as_json: bool) -> None:
     """Print which revision is in force where, the slowest first."""
-    with _errors_printed():
+    with errors_printed():
         found = client.status()
     if as_json:
         _echo(found)
--- a/src/martenrun/cli/standin.py
+++ b/src/martenrun/cli/standin.py
@@ -1,5 +1,6 @@
 """Commands that run the stand-ins of outside systems."""
 
+import time
 from typing import Any
 
 import click
@@ -12,12 +13,14 @@
 from martenrun.standins.engine.model import TimeModel
 from martenrun.standins.engine.settings import EngineSettings
 from martenrun.standins.kv_store import KvStoreApplication
-from martenrun.standins.machines import MachineListApplication
+from martenrun.standins.machines import Machine, MachineListApplication, put_machine
 from martenrun.standins.objects import Faults, ObjectApiApplication
 from martenrun.standins.weights import LoadPace, WeightStoreApplication
 
 _THREADS = 64
 _THREADS_FOR_CONTROL = 16
+_REGISTER_TIMEOUT_S = 20.0
+_REGISTER_INTERVAL_S = 0.1
 _ADDRESS = click.option("--address", required=True, help="IP:port to serve on.")
 
 
@@ -52,6 +55,25 @@
     _serve(MachineListApplication(lag_s), address, "machine list")
 
 
+@standin.command()
+@click.option("--machines", "machine_list", required=True, help="IP:port of the machine list.")
+@click.argument("name")
+@click.argument("engine_address")
+@click.option("--pool", required=True, help="Pool whose requests the engine serves.")
+@click.option("--zone", default="zone-a", show_default=True)
+@click.option("--leaving", is_flag=True, help="Show it as about to leave.")
+def register(
+    machine_list: str, name: str, engine_address: str, pool: str, zone: str, leaving: bool
+) -> None:
+    """Put an engine into the machine list, or change its entry."""
+    machine = Machine(name, "engine", engine_address, zone, pool, "leaving" if leaving else "live")
+    until = time.monotonic() + _REGISTER_TIMEOUT_S
+    while not put_machine(machine_list, machine):
+        if time.monotonic() > until:
+            raise click.ClickException(f"the machine list at {machine_list} does not answer")
+        time.sleep(_REGISTER_INTERVAL_S)
+
+
 @standin.command()
 @_ADDRESS
 @click.option("--load-s", default=2.0, show_default=True, help="Time of one undisturbed load.")
--- a/src/martenrun/standins/machines.py
+++ b/src/martenrun/standins/machines.py
@@ -8,6 +8,7 @@
 import time
 
 import msgspec
+import urllib3
 from werkzeug.wrappers import Request, Response
 
 
@@ -22,6 +23,17 @@
     state: str = "live"
 
 
+def put_machine(address: str, machine: Machine) -> bool:
+    """Register a machine at the machine list of an address; returns whether it answered."""
+    url = f"http://{address}/v1/machines/{machine.name}"
+    try:
+        body = msgspec.json.encode(machine)
+        response = urllib3.request("PUT", url, body=body, retries=False, timeout=2.0)
+    except urllib3.exceptions.HTTPError:
+        return False
+    return response.status == 200
+
+
 class MachineListApplication:
     """WSGI application of the machine list."""
 
