Hold believed blocks as fingerprints in a table that grows

Cause: an entry of the prefix index was a 64-bit hash and a 32-bit mask, 14.9 bytes a block at 4.3 million blocks: 64 MB, all that a node may take. The table was spread over its whole memory, so that the first thousand blocks made 34 MB resident.

Ruled out: 16-bit fingerprints with 32-bit masks (7.5 bytes at 80% load, no bits left to grow by), fingerprint and one runner's number (a hot block takes 32 places), chained tables (a match asks all). Tried: scattering the masks of hits (60 masks 30 us instead of 22); both buckets from 21 bits each (more calls, same losses).

Change: an entry is 32 bits (22-bit fingerprint, group of eight slots, mask of eight); buckets of eight within a cache line, two choices; segments that are split by the next fingerprint bit, one a batch. The interface stays. FED_MEMORY_BYTES and ROUTED_MEMORY_BYTES in beliefs.py follow the entry's size.

--- a/src/martenrun/routing/beliefs.py
+++ b/src/martenrun/routing/beliefs.py
@@ -18,10 +18,10 @@
 from martenrun.routing.prefix_index import PrefixIndex, RunnerIdentity
 from martenrun.routing.prefix_table import WIDE_SLOTS_PER_TABLE
 
-FED_MEMORY_BYTES = 60_000_000
-"""Bound of the index of fed runners: 4.3 million blocks at 14 bytes each."""
+FED_MEMORY_BYTES = 21_500_000
+"""Bound of the index of fed runners: 4.3 million blocks at 5 bytes each."""
 
-ROUTED_MEMORY_BYTES = 3_000_000
+ROUTED_MEMORY_BYTES = 1_000_000
 """Bound of the index of runners that are not fed."""
 
 FED_RUNNERS = 32
--- a/src/martenrun/routing/prefix_index.py
+++ b/src/martenrun/routing/prefix_index.py
@@ -107,7 +107,7 @@
     """Beliefs in numpy arrays within a set memory bound.
 
     Args:
-        memory_bytes: bound of all tables together; taken at once.
+        memory_bytes: bound of all tables together; reached as beliefs are added.
         maximum_runners: runners that can be identified at a time.
         table_slots: runners a table; narrow tables take less memory, wide ones less time.
     """
@@ -125,7 +125,7 @@
 
     @property
     def memory_bytes(self) -> int:
-        """Bytes that the arrays take."""
+        """Bytes that the tables use at present."""
         return sum(table.memory_bytes for table in self._tables)
 
     @property
@@ -180,6 +180,11 @@
             return 0
         return self._tables[slot // self._table_slots].count(slot % self._table_slots)
 
+    def held(self, hashes: BlockHashes) -> int:
+        """Return how many of the blocks any runner is believed to hold."""
+        masks = [table.masks(hashes) for table in self._tables]
+        return int(numpy.count_nonzero(numpy.bitwise_or.reduce(masks)))
+
     def match(self, chain: BlockHashes) -> LeadingBlocks:
         """See :meth:`PrefixKnowledge.match`."""
         if len(self._tables) == 1:
--- a/src/martenrun/routing/prefix_table.py
+++ b/src/martenrun/routing/prefix_table.py
@@ -1,15 +1,20 @@
-"""A table of block hashes in fixed memory: which of up to 32 or 64 runners hold each.
+"""A table of block fingerprints that grows within a bound: which of 32 or 64 runners hold each.
 
-Every hash has two buckets of eight entries; it goes to the second if the first is
-crowded and the second less so.  An
-entry is a 64-bit hash and a mask of runner slots, 12 bytes for 32 slots; a mask of zero is a free
-entry.  All operations take whole batches of hashes, so no Python object stands for a block.
-When both buckets are full, an entry is overwritten: a belief is lost, which costs a hint and
-nothing else.
+An entry is 32 bits: a fingerprint of a block's hash, the number of a group of eight slots, and
+the mask of the group's slots that hold the block; a mask of zero is a free entry.  A block has
+two buckets of eight entries and goes to the one with more room.  When both are full, an entry
+is overwritten: a belief is lost, which costs a hint and nothing else.  So does a collision of
+fingerprints, of which :attr:`PrefixTable.false_match_rate` is a bound.
 
-See also: :class:`martenrun.routing.prefix_index.PrefixIndex`.
+Buckets are kept in segments.  A segment that is nearly full is split by the next bit of its
+entries' fingerprints: entries keep their bucket and place, so one split is a copy of one segment,
+and no more than one is made for a batch.  Memory of segments not in use is never touched.
+
+See also: :class:`martenrun.routing.prefix_index.PrefixIndex`, ``docs/design/routing.md``.
 """
 
+from dataclasses import dataclass
+
 import numpy
 from numpy.typing import NDArray
 
@@ -21,155 +26,262 @@
 WIDE_SLOTS_PER_TABLE = 64
 """Runners that a table of the wide kind distinguishes."""
 
-_HASH_BYTES = 8
+ENTRY_BYTES = 4
+"""Bytes of one block held by any of eight runners that share a group."""
+
+_GROUP_SLOTS = 8
+_MASK_BITS = 8
+_MASK = numpy.uint32(0xFF)
 _WAY_BITS = 3
 _WAYS = 1 << _WAY_BITS
+_CHOICES = 2
+_ENTRIES_OF_BLOCK_BITS = 4
+"""Two buckets of eight entries are 16."""
+
+_CACHE_LINE_BYTES = 64
+_MAXIMUM_SPLITS = 5
+_MINIMUM_SEGMENT_BYTES = 65_536
+_SPLIT_ABOVE_LOAD = 0.8
 _INSERT_ROUNDS = 8
-_CROWDED_BELOW_FREE = 4
 _BATCH_HASHES = 8192
 _DROP_ENTRIES = 65_536
+
+_MULTIPLIER = numpy.uint64(0x9E3779B97F4A7C15)
+"""Spreads hashes that differ in few bits; odd, so no two become the same."""
+
+_BUCKET_MULTIPLIERS = numpy.array([1, 0x85EBCA6B], numpy.uint32)
+"""Give a block's two buckets from the upper half of its hash."""
+
 _HALF_BITS = numpy.uint64(32)
-_LOW_HALF = numpy.uint64(0xFFFFFFFF)
 
 SlotMasks = NDArray[numpy.unsignedinteger]
 """Masks of runner slots, one a block, shape (blocks,)."""
 
 _Positions = NDArray[numpy.int64]
+_Entries = NDArray[numpy.uint32]
+
+
+@dataclass(slots=True)
+class _Located:
+    """Where blocks may be.
+
+    Attributes:
+        fingerprints: entries' upper bits, shape (blocks,).
+        buckets: numbers of both buckets, shape (blocks, 2).
+    """
+
+    fingerprints: _Entries
+    buckets: _Positions
 
 
 class PrefixTable:
     """Masks of runner slots by block hash.
 
     Args:
-        memory_bytes: bound of the table's memory; it is taken at once.
+        memory_bytes: bound of the table's memory, reached as blocks are added.
         slots: :data:`SLOTS_PER_TABLE` or :data:`WIDE_SLOTS_PER_TABLE`.
     """
 
     def __init__(self, memory_bytes: int, slots: int = SLOTS_PER_TABLE) -> None:
-        mask_type = numpy.uint32 if slots == SLOTS_PER_TABLE else numpy.uint64
-        entry_bytes = _HASH_BYTES + numpy.dtype(mask_type).itemsize
-        buckets = max(2, memory_bytes // (entry_bytes * _WAYS))
-        self._mask_type = mask_type
-        self._all_slots = (1 << slots) - 1
-        self._buckets = numpy.uint64(buckets)
-        self._hashes = numpy.zeros((buckets, _WAYS), numpy.int64)
-        self._masks = numpy.zeros((buckets, _WAYS), mask_type)
-        self._flat_hashes = self._hashes.reshape(-1)
-        self._flat_masks = self._masks.reshape(-1)
+        splits = (memory_bytes // _MINIMUM_SEGMENT_BYTES).bit_length() - 1
+        self._maximum_splits = max(0, min(_MAXIMUM_SPLITS, splits))
+        segments = 1 << self._maximum_splits
+        self._segment_buckets = max(2, memory_bytes // (ENTRY_BYTES * _WAYS * segments))
+        self._bucket_factor = numpy.uint64(self._segment_buckets)
+        self._groups = slots // _GROUP_SLOTS
+        self._mask_type = numpy.uint32 if slots == SLOTS_PER_TABLE else numpy.uint64
+        self._place_bits = _MASK_BITS + self._groups.bit_length() - 1
+        self._place_limit = numpy.uint32(1 << self._place_bits)
+        self._fingerprint = ~(self._place_limit - 1)
+        self._masks_by_place = self._make_masks_by_place()
+        prefix_bits = max(1, self._maximum_splits)
+        self._prefix_shift = numpy.uint32(32 - prefix_bits)
+        self._entries = _aligned_zeros(segments * self._segment_buckets * _WAYS)
+        self._buckets = self._entries.reshape(-1, _WAYS)
+        self._first_buckets = numpy.zeros(1 << prefix_bits, numpy.uint64)
+        self._depths = [0]
+        self._inserted = numpy.zeros(segments, numpy.int64)
         self.overwritten = 0
 
     @property
     def memory_bytes(self) -> int:
-        """Bytes that the arrays take."""
-        return self._hashes.nbytes + self._masks.nbytes
+        """Bytes of the segments in use."""
+        return len(self._depths) * self._segment_entries * ENTRY_BYTES
 
-    def masks(self, hashes: BlockHashes) -> SlotMasks:
-        """Return each block's mask of slots, 0 if unknown; shape (hashes,).
+    @property
+    def false_match_rate(self) -> float:
+        """Bound of the chance that an unknown block finds an entry; one runner's is less."""
+        fingerprint_bits = 32 - self._place_bits - max(self._depths)
+        return _CHOICES * _WAYS / (1 << fingerprint_bits)
 
-        Few calls over both buckets at once: for the short batches of a match the calls cost
-        more than the memory they touch.
-        """
-        halves = hashes.view(numpy.uint32).reshape(-1, 2).astype(numpy.uint64)
-        buckets = (halves * self._buckets >> _HALF_BITS).view(numpy.int64)
-        is_same = self._hashes.take(buckets, axis=0) == hashes[:, None, None]
-        masks = self._masks.take(buckets, axis=0) * is_same
-        return masks.reshape(len(hashes), -1).max(axis=1)
+    def masks(self, hashes: BlockHashes) -> SlotMasks:
+        """Return each block's mask of slots, 0 if unknown; shape (hashes,)."""
+        located = self._locate(hashes)
+        entries = self._buckets.take(located.buckets, axis=0, mode="clip")
+        entries ^= located.fingerprints[:, None, None]
+        # Another fingerprint leaves a value beyond the last place, whose mask is 0.
+        masks = self._masks_by_place.take(entries.reshape(len(hashes), -1), mode="clip")
+        return numpy.bitwise_or.reduce(masks, axis=1)
 
     def add(self, hashes: BlockHashes, slot: int) -> None:
         """Believe that a slot holds the blocks; repeated hashes do no harm."""
-        bit = self._mask_type(1 << slot)
         for start in range(0, len(hashes), _BATCH_HASHES):
-            batch = hashes[start : start + _BATCH_HASHES]
-            positions = self._find(batch)
-            self._flat_masks[positions[positions >= 0]] |= bit
-            self._insert(batch[positions < 0], bit)
+            self._split_fullest()
+            located = self._locate(hashes[start : start + _BATCH_HASHES])
+            wanted, bit = self._wanted(located, slot)
+            buckets = self._buckets.take(located.buckets, axis=0, mode="clip")
+            hits = _hits(buckets, wanted)
+            self._entries[_positions(located.buckets, hits)] |= bit
+            is_missing = numpy.ones(len(wanted), numpy.bool_)
+            is_missing[hits >> _ENTRIES_OF_BLOCK_BITS] = False
+            missing = numpy.flatnonzero(is_missing)
+            if len(missing):
+                self._insert(located.buckets[missing], wanted[missing] | bit, buckets[missing])
 
     def remove(self, hashes: BlockHashes, slot: int) -> None:
         """No longer believe that a slot holds the blocks."""
-        others = self._mask_type(~(1 << slot) & self._all_slots)
         for start in range(0, len(hashes), _BATCH_HASHES):
-            positions = self._find(hashes[start : start + _BATCH_HASHES])
-            self._flat_masks[positions[positions >= 0]] &= others
+            located = self._locate(hashes[start : start + _BATCH_HASHES])
+            wanted, bit = self._wanted(located, slot)
+            hits = _hits(self._buckets.take(located.buckets, axis=0, mode="clip"), wanted)
+            self._entries[_positions(located.buckets, hits)] &= ~bit
 
     def drop(self, slot: int) -> None:
-        """Forget everything believed of a slot.
-
-        Pages without the slot are only read, so that memory never used stays untaken.
-        """
-        bit = self._mask_type(1 << slot)
-        others = self._mask_type(~(1 << slot) & self._all_slots)
-        for start in range(0, len(self._flat_masks), _DROP_ENTRIES):
-            masks = self._flat_masks[start : start + _DROP_ENTRIES]
-            if (masks & bit).any():
-                masks &= others
+        """Forget everything believed of a slot."""
+        place, wanted, bit = self._place(slot)
+        used = self._used
+        for start in range(0, len(used), _DROP_ENTRIES):
+            entries = used[start : start + _DROP_ENTRIES]
+            entries ^= ((entries & place) == wanted) * bit
 
     def clear(self) -> None:
         """Forget everything."""
-        self._masks.fill(0)
+        self._used.fill(0)
+        self._inserted.fill(0)
 
     def count(self, slot: int) -> int:
         """Return how many blocks a slot is believed to hold; walks the whole table."""
-        return int(numpy.count_nonzero(self._masks & self._mask_type(1 << slot)))
-
-    def _first_bucket(self, hashes: BlockHashes) -> _Positions:
-        high = hashes.view(numpy.uint64) >> _HALF_BITS
-        return (high * self._buckets >> _HALF_BITS).view(numpy.int64)
-
-    def _second_bucket(self, hashes: BlockHashes) -> _Positions:
-        low = hashes.view(numpy.uint64) & _LOW_HALF
-        return (low * self._buckets >> _HALF_BITS).view(numpy.int64)
-
-    def _find(self, hashes: BlockHashes) -> _Positions:
-        """Return the flat position of each hash's entry, -1 if it has none."""
-        positions = numpy.full(len(hashes), -1)
-        self._find_in(self._first_bucket(hashes), hashes, positions, None)
-        missing = numpy.flatnonzero(positions < 0)
-        if len(missing):
-            rest = hashes[missing]
-            self._find_in(self._second_bucket(rest), rest, positions, missing)
-        return positions
-
-    def _find_in(
-        self,
-        buckets: _Positions,
-        hashes: BlockHashes,
-        positions: _Positions,
-        rows: _Positions | None,
-    ) -> None:
-        is_same = self._hashes.take(buckets, axis=0) == hashes[:, None]
-        hits = numpy.flatnonzero(is_same)
-        found = hits >> _WAY_BITS
-        where = found if rows is None else rows[found]
-        positions[where] = (buckets[found] << _WAY_BITS) + (hits & (_WAYS - 1))
-
-    def _insert(self, hashes: BlockHashes, bit: numpy.unsignedinteger) -> None:
-        """Write unknown hashes; where two meet in one entry, one goes on to the next round."""
+        place, wanted, _bit = self._place(slot)
+        return int(numpy.count_nonzero((self._used & place) == wanted))
+
+    @property
+    def _segment_entries(self) -> int:
+        return self._segment_buckets * _WAYS
+
+    @property
+    def _used(self) -> _Entries:
+        return self._entries[: len(self._depths) * self._segment_entries]
+
+    def _segment(self, number: int) -> _Entries:
+        return self._entries[number * self._segment_entries : (number + 1) * self._segment_entries]
+
+    def _make_masks_by_place(self) -> SlotMasks:
+        """Return the mask of all slots for the lower bits of an entry, and 0 as the last."""
+        masks = [
+            mask << group * _GROUP_SLOTS
+            for group in range(self._groups)
+            for mask in range(1 << _MASK_BITS)
+        ]
+        return numpy.array([*masks, 0], self._mask_type)
+
+    def _locate(self, hashes: BlockHashes) -> _Located:
+        halves = (hashes.view(numpy.uint64) * _MULTIPLIER).view(numpy.uint32).reshape(-1, 2)
+        lower = halves[:, 0]
+        buckets = numpy.multiply(
+            halves[:, 1:] * _BUCKET_MULTIPLIERS, self._bucket_factor, dtype=numpy.uint64
+        )
+        buckets >>= _HALF_BITS
+        buckets += self._first_buckets.take(lower >> self._prefix_shift)[:, None]
+        return _Located(lower & self._fingerprint, buckets.view(numpy.int64))
+
+    def _wanted(self, located: _Located, slot: int) -> tuple[_Entries, numpy.uint32]:
+        """Return the blocks' entries without masks, and the slot's bit of a mask."""
+        group, bit = divmod(slot, _GROUP_SLOTS)
+        return located.fingerprints | numpy.uint32(group << _MASK_BITS), numpy.uint32(1 << bit)
+
+    def _place(self, slot: int) -> tuple[numpy.uint32, numpy.uint32, numpy.uint32]:
+        """Return the bits that tell whether an entry means a slot, their values, the slot's bit."""
+        group, number = divmod(slot, _GROUP_SLOTS)
+        bit = numpy.uint32(1 << number)
+        groups = ~self._fingerprint & ~_MASK
+        return groups | bit, numpy.uint32(group << _MASK_BITS) | bit, bit
+
+    def _insert(self, numbers: _Positions, values: _Entries, buckets: _Entries) -> None:
+        """Write unknown blocks; where two meet in one entry, one goes on to the next round.
+
+        Args:
+            numbers: numbers of the blocks' buckets, shape (blocks, 2).
+            values: what to write, shape (blocks,).
+            buckets: entries of the buckets, shape (blocks, 2, 8).
+        """
+        segments = numbers[:, 0] // self._segment_buckets
+        self._inserted += numpy.bincount(segments, minlength=len(self._inserted))
         for _ in range(_INSERT_ROUNDS):
-            if not len(hashes):
+            positions = self._choose(numbers, values, buckets)
+            self._entries[positions] = values
+            lost = numpy.flatnonzero(self._entries[positions] != values)
+            if not len(lost):
                 return
-            positions = self._choose_entries(hashes)
-            self._flat_hashes[positions] = hashes
-            self._flat_masks[positions] = bit
-            hashes = hashes[self._flat_hashes[positions] != hashes]
-        self.overwritten += len(hashes)
-
-    def _choose_entries(self, hashes: BlockHashes) -> _Positions:
-        buckets = self._first_bucket(hashes)
-        is_free = self._masks.take(buckets, axis=0) == 0
-        free = is_free.sum(axis=1)
-        crowded = numpy.flatnonzero(free < _CROWDED_BELOW_FREE)
-        if len(crowded):
-            rest = hashes[crowded]
-            second = self._second_bucket(rest)
-            is_free_second = self._masks.take(second, axis=0) == 0
-            free_second = is_free_second.sum(axis=1)
-            moves = free_second > free[crowded]
-            moved = crowded[moves]
-            buckets[moved] = second[moves]
-            is_free[moved] = is_free_second[moves]
-            free[moved] = free_second[moves]
-        ways = is_free.argmax(axis=1)
-        full = numpy.flatnonzero(free == 0)
-        ways[full] = hashes[full] & (_WAYS - 1)
-        self.overwritten += len(full)
-        return (buckets << _WAY_BITS) + ways
+            numbers, values = numbers[lost], values[lost]
+            buckets = self._buckets.take(numbers, axis=0, mode="clip")
+        self.overwritten += len(values)
+
+    def _choose(self, numbers: _Positions, values: _Entries, buckets: _Entries) -> _Positions:
+        """Return the position of a free entry for each block, in the emptier of its buckets."""
+        is_free = (buckets & _MASK) == 0
+        free = is_free.sum(axis=2)
+        choices = (free[:, 1] > free[:, 0]).view(numpy.int8)
+        rows = numpy.arange(len(choices))
+        ways = is_free[rows, choices].argmax(axis=1)
+        full = numpy.flatnonzero(free.max(axis=1) == 0)
+        if len(full):
+            ways[full] = (values[full] >> self._place_bits) & (_WAYS - 1)
+            self.overwritten += len(full)
+        return (numbers[rows, choices] << _WAY_BITS) + ways
+
+    def _split_fullest(self) -> None:
+        """Split the segment that has taken most blocks if it is nearly full and may be split."""
+        number = int(self._inserted.argmax())
+        limit = int(_SPLIT_ABOVE_LOAD * self._segment_entries)
+        if self._inserted[number] <= limit:
+            return
+        segment = self._segment(number)
+        # Blocks were also removed and overwritten since.
+        self._inserted[number] = numpy.count_nonzero(segment & _MASK)
+        if self._inserted[number] > limit and self._depths[number] < self._maximum_splits:
+            self._split(number)
+        elif self._inserted[number] > limit:
+            self._inserted[number] = 0
+
+    def _split(self, number: int) -> None:
+        depth = self._depths[number]
+        prefixes = numpy.arange(len(self._first_buckets))
+        is_upper = (prefixes >> (self._maximum_splits - 1 - depth)) & 1 == 1
+        is_own = self._first_buckets == number * self._segment_buckets
+        self._first_buckets[is_own & is_upper] = len(self._depths) * self._segment_buckets
+        segment, upper = self._segment(number), self._segment(len(self._depths))
+        moves = segment >> numpy.uint32(31 - depth) & numpy.uint32(1)
+        numpy.multiply(segment, moves, out=upper)
+        segment *= numpy.uint32(1) - moves
+        self._depths[number] = depth + 1
+        self._inserted[number] = numpy.count_nonzero(segment & _MASK)
+        self._inserted[len(self._depths)] = numpy.count_nonzero(upper & _MASK)
+        self._depths.append(depth + 1)
+
+
+def _hits(buckets: _Entries, wanted: _Entries) -> _Positions:
+    """Return where among the blocks' entries, shape (blocks, 2, 8), the wanted ones are."""
+    return numpy.flatnonzero((buckets ^ wanted[:, None, None]) <= _MASK)
+
+
+def _positions(buckets: _Positions, hits: _Positions) -> _Positions:
+    """Return the positions in the table of hits among the blocks' entries."""
+    return (buckets.reshape(-1)[hits >> _WAY_BITS] << _WAY_BITS) + (hits & (_WAYS - 1))
+
+
+def _aligned_zeros(entries: int) -> _Entries:
+    """Return zeros from the start of a cache line, so that no bucket lies across two."""
+    line = _CACHE_LINE_BYTES // ENTRY_BYTES
+    memory = numpy.zeros(entries + line, numpy.uint32)
+    skipped = -memory.ctypes.data % _CACHE_LINE_BYTES // ENTRY_BYTES
+    return memory[skipped : skipped + entries]
