Start no native threads in a node and let the first tick come at once

Cause: importing a node took twice as much processor time as wall time. numpy's linear algebra (OpenBLAS) starts a thread a core at import, and they spin for work that neither nodes nor agents have. And the loop of a started process waited 50 ms for its first tick, which sends its first questions.

Ruled out: the setting in the environment of the operator only (a start by hand would be without it); an own value of the operator is kept.

Change: the commands of node and agent set OPENBLAS_NUM_THREADS=1, OpenBLAS's documented setting, before numpy is imported. The clock ticks when it is started. scripts/measure_restart.py tells load and whether bytecode is cached.

--- a/scripts/measure_restart.py
+++ b/scripts/measure_restart.py
@@ -3,10 +3,13 @@
 Usage: ``measure_restart.py [ROUNDS]``; prints one JSON line.  Three nodes and one agent are up,
 the object API is killed, then one node after the other is killed and started again.  Times run
 from just before the process is started: to the first 200 of ``/readyz`` and to the end of the
-first request answered with 200 by the node's own front.
+first request answered with 200 by the node's own front.  ``bytecode_is_cached`` tells whether the
+product's own modules were compiled before, or are at each start.
 """
 
+import importlib.util
 import json
+import os
 import statistics
 import subprocess
 import sys
@@ -21,7 +24,11 @@
 ROUNDS = 6
 NODES = 3
 POLL_S = 0.005
-_IMPORTS = "import martenrun.cli.main, martenrun.node.process"
+_IMPORTS = (
+    "import martenrun.cli.main, martenrun.cli.libraries as libraries;"
+    "libraries.limit_native_threads();"
+    "import martenrun.cli.processes, martenrun.node.process"
+)
 
 
 def start() -> Deployment:
@@ -74,6 +81,12 @@
     return int(line.split()[1]) * 1024
 
 
+def bytecode_is_cached() -> bool:
+    """Return whether a start finds the node's modules compiled."""
+    spec = importlib.util.find_spec("martenrun.process")
+    return spec is not None and spec.cached is not None and Path(spec.cached).exists()
+
+
 def import_cpu_s() -> float:
     """Return the processor time a fresh interpreter takes to import a node, in seconds."""
     code = f"import time; {_IMPORTS}; print(time.process_time())"
@@ -119,7 +132,12 @@
     finally:
         deployment.stop()
     result = {name: spread(values) for name, values in samples.items()}
-    print(json.dumps({"rounds": rounds, "import_cpu_s": spread(imports), **result}))
+    conditions = {
+        "rounds": rounds,
+        "bytecode_is_cached": bytecode_is_cached(),
+        "load_average": [round(value, 1) for value in os.getloadavg()[:2]],
+    }
+    print(json.dumps({**conditions, "import_cpu_s": spread(imports), **result}))
 
 
 if __name__ == "__main__":
--- a/src/martenrun/cli/processes.py
+++ b/src/martenrun/cli/processes.py
@@ -4,6 +4,7 @@
 
 import click
 
+from martenrun.cli.libraries import limit_native_threads
 from martenrun.cli.run import faults_printed, run_until_signal
 from martenrun.settings.load import check_file, read_settings
 from martenrun.settings.model import AgentSettings, NodeSettings
@@ -38,6 +39,7 @@
 @click.option("--bootstrap-key-sha256", help="Digest of the first admin key.")
 def node(settings: Path | None, **flags: object) -> None:
     """Run a node."""
+    limit_native_threads()
     # Imported here so that neither process loads the other's modules.
     from martenrun.node.process import NodeProcess
 
@@ -50,6 +52,7 @@
 @_common
 def agent(settings: Path | None, **flags: object) -> None:
     """Run an agent."""
+    limit_native_threads()
     from martenrun.agent.process import AgentProcess
 
     with faults_printed():
--- a/src/martenrun/process.py
+++ b/src/martenrun/process.py
@@ -134,7 +134,8 @@
         self._thread = threading.Thread(target=self._run, name="clock", daemon=True)
 
     def start(self) -> None:
-        """Start ticking."""
+        """Start ticking; the first tick comes at once, so that a start waits for none."""
+        self._tell(Tick())
         self._thread.start()
 
     def stop(self) -> None:
--- a/tests/test_start_up.py
+++ b/tests/test_start_up.py
@@ -1,5 +1,6 @@
 """What a node imports when it starts, and commands that are imported when they are run."""
 
+import os
 import subprocess
 import sys
 
@@ -36,6 +37,19 @@
     assert imported.isdisjoint(NOT_FOR_NODES)
 
 
+def test_native_libraries_start_no_threads_in_a_node() -> None:
+    code = (
+        "import os; from click.testing import CliRunner; from martenrun.cli.main import main;"
+        "result = CliRunner().invoke(main, ['node']); assert result.exit_code == 2, result;"
+        "print(len(os.listdir('/proc/self/task')))"
+    )
+    environment = {k: v for k, v in os.environ.items() if k != "OPENBLAS_NUM_THREADS"}
+    done = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, check=True, env=environment
+    )
+    assert done.stdout.decode().split() == ["1"]
+
+
 @pytest.mark.parametrize("group", [main, bench])
 def test_every_listed_command_can_be_imported(group: click.Group) -> None:
     context = click.Context(group)
