Share runners out without hashing their names at every change of members

Ruled out: the scheduler, encoding, and the observer as the cause of the slow start.

Change: hashes of runners are kept per zone, a change shares out only the zones it touches, the own runners come from the same pass; membership keeps the node's own member; the readers are ranked once a view. One line of owner.py uses OwnerMap.owned. The run tells each phase on stderr, and its heap is frozen after the start, so that cyclic garbage is not looked for in the heaps of all nodes together.

What is left of the start: every node owns all runners until it has joined.

--- a/src/martenrun/bench/scale/command.py
+++ b/src/martenrun/bench/scale/command.py
@@ -49,6 +49,7 @@
         changes,
         with_faults,
     )
-    encoded = msgspec.json.encode(ScaleRun(scenario).run())
+    run = ScaleRun(scenario, progress=lambda line: click.echo(line, err=True))
+    encoded = msgspec.json.encode(run.run())
     text = encoded if as_json else msgspec.json.format(encoded)
     click.echo(text.decode())
--- a/src/martenrun/bench/scale/run.py
+++ b/src/martenrun/bench/scale/run.py
@@ -1,8 +1,10 @@
 """The phases of a scale run: start, idle, load, changes of configuration, faults."""
 
+import gc
 import resource
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 from martenrun.bench.scale.cluster import HollowNode, Outcomes, ScaleCluster
 from martenrun.bench.scale.observe import (
@@ -32,13 +34,28 @@
 FAULT_LOAD_PER_NODE_S = 1.0
 DEAREST_COUNT = 12
 KIBIBYTE = 1024
+BYTES_PER_GIGABYTE = 1_000_000_000
+
+
+Progress = Callable[[str], None]
+"""Is told one line at the end of each phase."""
+
+
+def _tell_nobody(_line: str) -> None:
+    pass
 
 
 class ScaleRun:
-    """One run of a scenario."""
+    """One run of a scenario.
+
+    Args:
+        scenario: size, load and faults.
+        progress: is told the end of each phase.
+    """
 
-    def __init__(self, scenario: Scenario) -> None:
+    def __init__(self, scenario: Scenario, progress: Progress = _tell_nobody) -> None:
         self._scenario = scenario
+        self._progress = progress
         self._cluster = ScaleCluster(
             scenario.nodes, scenario.runners, scenario.agents, scenario.seed
         )
@@ -48,12 +65,17 @@
     def run(self) -> ScaleReport:
         """Run every phase."""
         started = time.monotonic()
-        start_s = self._start()
-        idle_node, idle_agent = self._idle()
-        load = self._load(idle_node, idle_agent)
-        changes = self._changes()
+        with self._phase("start"), _heap_frozen_after():
+            start_s = self._start()
+        with self._phase("idle"):
+            idle_node, idle_agent = self._idle()
+        with self._phase("load"):
+            load = self._load(idle_node, idle_agent)
+        with self._phase("changes"):
+            changes = self._changes()
         faults = self._faults() if self._scenario.with_faults else []
-        peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * KIBIBYTE
+        gc.unfreeze()
+        peak = _peak_memory_bytes()
         return ScaleReport(
             self._scenario,
             round(start_s, 2),
@@ -67,6 +89,19 @@
             round(time.monotonic() - started, 1),
         )
 
+    @contextmanager
+    def _phase(self, name: str) -> Iterator[None]:
+        """Tell what a phase took; processor time is the simulation's too."""
+        virtual_s, cpu_s = self._cluster.scheduler.now, time.process_time()
+        yield
+        virtual_s = self._cluster.scheduler.now - virtual_s
+        cpu_s = time.process_time() - cpu_s
+        gigabytes = _peak_memory_bytes() / BYTES_PER_GIGABYTE
+        self._progress(
+            f"{name}: {virtual_s:.1f} virtual s, {cpu_s:.1f} s of processor time, "
+            f"peak memory {gigabytes:.2f} GB"
+        )
+
     def _start(self) -> float:
         """Start everything at once; return when the last node was ready."""
         self._revision = self._publisher.publish_all()
@@ -189,6 +224,16 @@
         end_fault: Callable[[], None] | None = None,
     ) -> FaultResult:
         """Keep a light load going through a fault and time what the nodes see."""
+        with self._phase(fault):
+            return self._observed(fault, has_noticed, has_recovered, end_fault)
+
+    def _observed(
+        self,
+        fault: str,
+        has_noticed: Callable[[HollowNode], bool] | None,
+        has_recovered: Callable[[HollowNode], bool],
+        end_fault: Callable[[], None] | None,
+    ) -> FaultResult:
         cluster = self._cluster
         outcomes = cluster.outcomes = Outcomes()
         rate = FAULT_LOAD_PER_NODE_S * self._scenario.nodes
@@ -214,3 +259,20 @@
     def _advance(self, seconds: float) -> None:
         scheduler = self._cluster.scheduler
         scheduler.run_until(scheduler.now + seconds)
+
+
+@contextmanager
+def _heap_frozen_after() -> Iterator[None]:
+    """Keep the collector of cyclic garbage from walking the started nodes again and again.
+
+    A collection that one real node would make over its own heap would walk those of all.
+    """
+    gc.disable()
+    yield
+    gc.collect()
+    gc.freeze()
+    gc.enable()
+
+
+def _peak_memory_bytes() -> int:
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * KIBIBYTE
--- a/src/martenrun/membership/gossip.py
+++ b/src/martenrun/membership/gossip.py
@@ -98,7 +98,7 @@
     @property
     def own(self) -> Member:
         """This node."""
-        return self._table.own.member()
+        return self._table.own_member
 
     @property
     def leave_is_spread(self) -> bool:
--- a/src/martenrun/membership/table.py
+++ b/src/martenrun/membership/table.py
@@ -27,10 +27,12 @@
         digest: equal on two nodes that believe in the same members.
         changed_at: when the digest changed last.
         version: raised when the digest changes.
+        own_member: this node as other decision logic sees it.
     """
 
     def __init__(self, own: Member, settings: MembershipSettings) -> None:
         self.own = MemberRecord(own.address, own.zone, own.region)
+        self.own_member = self.own.member()
         self.records: dict[str, MemberRecord] = {own.address: self.own}
         self.news = NewsQueue()
         self.unverified: dict[str, MemberClaim] = {}
@@ -105,6 +107,7 @@
         """Make this node a leaving one."""
         if self.own.status is not MemberStatus.LEAVING:
             self.own.status = MemberStatus.LEAVING
+            self.own_member = self.own.member()
             self._raise_incarnation(self.own.incarnation + 1, now)
 
     def claims(self) -> list[MemberClaim]:
--- a/src/martenrun/ownership/machine_feed.py
+++ b/src/martenrun/ownership/machine_feed.py
@@ -11,10 +11,11 @@
 
 import collections
 import random
+from collections.abc import Sequence
 
 from martenrun.events import Event, Instruction, MachinesListed, PeerMessage, Send, Tell, Tick
 from martenrun.identity.hashing import name_hash, name_hashes, top_columns
-from martenrun.membership.view import MemberView
+from martenrun.membership.view import Member, MemberView
 from martenrun.platform.machine_list import Machine
 from martenrun.wire.messages import MachineEntry, MachinesQuery, MachinesUpdate
 
@@ -67,11 +68,18 @@
         self._mismatches = 0
         self._turn = 0
         self._next_pull = 0.0
+        self._readers_of: Sequence[Member] = ()
+        self._readers: list[str] = []
 
     def readers(self) -> list[str]:
         """Return the addresses of the nodes that read the list."""
-        live = sorted(member.address for member in self._members.live())
-        return [live[index] for index in top_columns(_READER_KEY, name_hashes(live), READERS)]
+        members = self._members.live()
+        if members is not self._readers_of:
+            live = sorted(member.address for member in members)
+            best = top_columns(_READER_KEY, name_hashes(live), READERS)
+            self._readers_of = members
+            self._readers = [live[index] for index in best]
+        return self._readers
 
     def must_poll(self) -> bool:
         """Return whether to poll the list: as a reader, or because no reader has answered."""
--- a/src/martenrun/ownership/owner.py
+++ b/src/martenrun/ownership/owner.py
@@ -334,7 +334,7 @@
         if not self._owners.refresh(self._table):
             return []
         table = self._table.runners
-        wanted = {name for name in table if self._owners.owns(name)}
+        wanted = self._owners.owned()
         instructions: list[Instruction] = []
         for name in self.owned.keys() - wanted:
             runner = self.owned.pop(name)
--- a/src/martenrun/ownership/owners.py
+++ b/src/martenrun/ownership/owners.py
@@ -7,13 +7,30 @@
 See also: :mod:`martenrun.membership.view`.
 """
 
-from martenrun.identity.hashing import best_columns, name_hashes
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from martenrun.identity.hashing import HashArray, best_columns, name_hashes
 from martenrun.membership.view import Member, MemberView
 from martenrun.node.runners import RunnerTable
 
 
+@dataclass(slots=True)
+class _Zone:
+    """Runners of a zone, the members that share them, and those that are this node's."""
+
+    runners: tuple[str, ...]
+    hashes: HashArray
+    members: tuple[str, ...] = ()
+    own: frozenset[str] = field(default_factory=frozenset)
+
+
 class OwnerMap:
-    """Owners of all runners, computed again only for zones whose members or runners changed."""
+    """Owners of all runners, computed again only for zones whose members or runners changed.
+
+    A change of members costs one pass over the runners of the zones it touches, and hashes no
+    runner's name again: members change many times while a large cluster starts.
+    """
 
     def __init__(self, members: MemberView) -> None:
         self._members = members
@@ -21,7 +38,7 @@
         self._table_version = -1
         self._addresses: frozenset[str] = frozenset()
         self._owners: dict[str, str] = {}
-        self._zones: dict[str, tuple[tuple[str, ...], tuple[str, ...]]] = {}
+        self._zones: dict[str, _Zone] = {}
         self.version = 0
 
     @property
@@ -34,16 +51,16 @@
         live = tuple(self._members.live())
         if live == self._live and table.version == self._table_version:
             return False
+        if table.version != self._table_version:
+            self._take_runners(table)
         self._live = live
         self._table_version = table.version
         self._addresses = frozenset(member.address for member in live)
         by_zone: dict[str, list[str]] = {}
-        for runner in table.runners.values():
-            by_zone.setdefault(runner.zone, []).append(runner.name)
-        for zone, runners in by_zone.items():
-            own_zone = sorted(member.address for member in live if member.zone == zone)
-            members = tuple(own_zone or sorted(self._addresses))
-            self._refresh_zone(zone, tuple(runners), members)
+        for member in live:
+            by_zone.setdefault(member.zone, []).append(member.address)
+        for name, zone in self._zones.items():
+            self._share_out(zone, sorted(by_zone.get(name) or self._addresses))
         self.version += 1
         return True
 
@@ -55,14 +72,32 @@
         """Return whether this node owns a runner."""
         return self._owners.get(runner) == self.own_address
 
+    def owned(self) -> set[str]:
+        """Return the names of the runners that this node owned at the last refresh."""
+        return {name for zone in self._zones.values() for name in zone.own}
+
     def is_live(self, address: str) -> bool:
         """Return whether an address is a live member by the last refresh."""
         return address in self._addresses
 
-    def _refresh_zone(self, zone: str, runners: tuple[str, ...], members: tuple[str, ...]) -> None:
-        if self._zones.get(zone) == (runners, members) or not members:
+    def _take_runners(self, table: RunnerTable) -> None:
+        by_zone: dict[str, list[str]] = {}
+        for runner in table.runners.values():
+            by_zone.setdefault(runner.zone, []).append(runner.name)
+        for name in self._zones.keys() - by_zone.keys():
+            del self._zones[name]
+        for name, names in by_zone.items():
+            runners = tuple(names)
+            if name not in self._zones or self._zones[name].runners != runners:
+                self._zones[name] = _Zone(runners, name_hashes(runners))
+
+    def _share_out(self, zone: _Zone, addresses: Sequence[str]) -> None:
+        members = tuple(addresses)
+        if zone.members == members or not members:
             return
-        self._zones[zone] = (runners, members)
-        best = best_columns(name_hashes(runners), name_hashes(members))
-        for runner, index in zip(runners, best, strict=True):
-            self._owners[runner] = members[index]
+        zone.members = members
+        best = best_columns(zone.hashes, name_hashes(members)).tolist()
+        self._owners.update(zip(zone.runners, map(members.__getitem__, best), strict=True))
+        own_index = members.index(self.own_address) if self.own_address in members else -1
+        own = [name for name, index in zip(zone.runners, best, strict=True) if index == own_index]
+        zone.own = frozenset(own)
