Refuse a question only on what owners have said, and not while one is silent

Cause: a home that found no candidate left refused as soon as one owner had answered anything, also if the owner of the only live engine was silent for 0.15 s. Besides, a suspected owner's runners were never asked once any other was reachable, and runners said to be unusable used up the three tries, so that dead engines hid live ones. Ruled out by the traces: an empty machine list, a missing configuration, an owner map with a dead member (it was the same at both nodes).

Change: the question keeps which runners' owners have answered; suspects are asked last; the question waits while an owner asked is silent, for TAKE_OVER_S at most if others have answered; unusable runners are not counted among the tries and not asked again.

Before and after: of the tests of a slow owner (0.4 and 2 s) and of dead engines, three cases failed and pass.

--- a/src/martenrun/ownership/home.py
+++ b/src/martenrun/ownership/home.py
@@ -257,7 +257,7 @@
         self, question: OpenQuestion, reservation: Reservation, refused: SlotRefused, now: float
     ) -> None:
         reason = Reason(refused.reason)
-        question.reasons.add(reason)
+        question.refused_by_owner(reservation.runner, reason)
         question.waits_s[reservation.runner] = refused.expected_wait_ms / 1000
         question.accept_any_version |= reason is Reason.STALE_VERSION
         loads = {load.runner: load.free_slots for load in refused.loads}
@@ -347,7 +347,7 @@
 
     def _reserve_next(self, question: OpenQuestion, now: float) -> list[Instruction]:
         found = question.next_choice(lambda runner: self._reservations.is_reachable(runner, now))
-        if found is None and question.has_silent_owners_only:
+        if found is None and question.awaits_owner(now):
             return self._queue(question, now, "owners_silent")
         if found is None:
             return self._step(question, "no_candidate_left", now)
--- a/src/martenrun/ownership/questions.py
+++ b/src/martenrun/ownership/questions.py
@@ -19,6 +19,12 @@
 MAXIMUM_QUEUE_TRIES = 3
 """Runners asked for a place in their queues."""
 
+TAKE_OVER_S = 6.0
+"""Time after which what the other owners say decides, in seconds.
+
+A dead owner's runners have another owner by then.
+"""
+
 NO_RUNNER_RETRY_AFTER_S = 1.0
 FULL_RETRY_AFTER_S = 1.0
 """Retry-After when no owner has told an expected wait, in seconds."""
@@ -62,6 +68,8 @@
     queue_tried: set[str] = field(default_factory=set)
     waits_s: dict[str, float] = field(default_factory=dict)
     reasons: set[Reason] = field(default_factory=set)
+    answered: set[str] = field(default_factory=set)
+    unusable: set[str] = field(default_factory=set)
     reservations: dict[int, Reservation] = field(default_factory=dict)
     lease: Reservation | None = None
 
@@ -75,6 +83,8 @@
     def forget_tries(self) -> None:
         """Start over, after a place in a queue was lost or owners were silent."""
         self.reasons.clear()
+        self.answered.clear()
+        self.unusable.clear()
         self.tried.clear()
         self.queue_tried.clear()
 
@@ -84,7 +94,7 @@
         Args:
             is_reachable: whether the runner's owner is believed to answer.
         """
-        if len(self.tried) < MAXIMUM_DIRECT_TRIES and len(self.choices) > 1:
+        if len(self.tried - self.unusable) < MAXIMUM_DIRECT_TRIES and len(self.choices) > 1:
             for choice in self.choices:
                 name = choice.runner.name
                 is_free = name not in self.tried and choice.runner.free_slots > 0
@@ -92,14 +102,16 @@
                     self.tried.add(name)
                     return choice, False
         reachable = [choice for choice in self.choices if is_reachable(choice.runner.name)]
-        return self._next_queue(reachable or self.choices)
+        return self._next_queue(reachable) or self._next_queue(self.choices)
 
     def _next_queue(self, choices: list[RunnerChoice]) -> tuple[RunnerChoice, bool] | None:
-        left = [choice for choice in choices if choice.runner.name not in self.queue_tried]
-        if not left or len(self.queue_tried) >= MAXIMUM_QUEUE_TRIES:
+        known = self.queue_tried | self.unusable
+        left = [choice for choice in choices if choice.runner.name not in known]
+        if not left or len(self.queue_tried - self.unusable) >= MAXIMUM_QUEUE_TRIES:
             return None
         best = min(left, key=self._expected_s)
         self.queue_tried.add(best.runner.name)
+        self.answered.discard(best.runner.name)
         return best, True
 
     def second_places(self, is_reachable: Callable[[str], bool]) -> list[RunnerChoice]:
@@ -126,10 +138,19 @@
     def _expected_s(self, choice: RunnerChoice) -> float:
         return self.waits_s.get(choice.runner.name, 0.0) + choice.expected_first_token_s
 
-    @property
-    def has_silent_owners_only(self) -> bool:
-        """Whether no owner has told a candidate's state since the start: owners change."""
-        return self.reasons <= {Reason.NOT_OWNER}
+    def refused_by_owner(self, runner: str, reason: Reason) -> None:
+        """Note that a runner's owner has refused; a node that is not its owner knows nothing."""
+        self.reasons.add(reason)
+        if reason is not Reason.NOT_OWNER:
+            self.answered.add(runner)
+        if reason in (Reason.LEAVING, Reason.UNKNOWN_RUNNER):
+            self.unusable.add(runner)
+
+    def awaits_owner(self, now: float) -> bool:
+        """Whether the owner of a runner asked has not told its state, and may still do so."""
+        is_silent = not self.answered >= self.tried | self.queue_tried
+        opened_at = self.deadline - self.question.deadline_s
+        return is_silent and (not self.answered or now < opened_at + TAKE_OVER_S)
 
     def error(self, now: float) -> MartenrunError:
         """Return why no candidate took the question, and when to come back."""
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -236,3 +236,52 @@
     request = cluster.ask(1, service_s=0.2, deadline_s=20.0)
     cluster.scheduler.run_until(3.0)
     assert request.refusal.code == "no_runner"
+
+
+def owned_by_others(cluster):
+    """Return a node, and a runner that another node owns."""
+    first, second = cluster.nodes.values()
+    runner = next(iter(second.ownership.owner.owned))
+    return first, second, runner
+
+
+@pytest.mark.parametrize("slow_s", [0.4, 2.0])
+def test_the_last_live_engine_is_waited_for_while_its_owner_is_slow(slow_s):
+    cluster = OwnershipCluster(nodes=2, runners=4, seed=5, zones=1)
+    cluster.scheduler.run_until(1.6)
+    home, owner, live = owned_by_others(cluster)
+    for name, engine in cluster.engines.items():
+        engine.is_down = name != live
+    cluster.scheduler.run_until(3.0)
+    owner.process.freeze()
+    cluster.scheduler.after(slow_s, owner.process.thaw)
+    requests = [cluster.ask(number, service_s=0.1) for number in range(8)]
+    cluster.scheduler.run_until(6.0)
+    at_home = [r for r in requests if r.nodes[0] == home.member.address]
+    assert at_home
+    assert [r.refusal.code for r in requests if r.refusal] == []
+    assert all(r.grants for r in requests)
+
+
+def test_when_the_owner_of_the_last_engine_stays_silent_the_others_word_decides():
+    cluster = OwnershipCluster(nodes=2, runners=4, seed=5, zones=1)
+    cluster.scheduler.run_until(1.6)
+    _home, owner, live = owned_by_others(cluster)
+    for name, engine in cluster.engines.items():
+        engine.is_down = name != live
+    cluster.scheduler.run_until(3.0)
+    cluster.kill_node(owner.member.address, noticed_after_s=60.0)
+    request = cluster.ask(1, service_s=0.1, deadline_s=50.0)
+    cluster.scheduler.run_until(15.0)
+    assert (request.refusal.code, request.finished_at < 11.0) == ("no_runner", True)
+
+
+def test_dead_engines_before_it_in_rank_do_not_hide_the_live_one():
+    cluster = OwnershipCluster(nodes=2, runners=8, seed=5, zones=1)
+    for name, engine in cluster.engines.items():
+        engine.is_down = name != "runner-5"
+    cluster.scheduler.run_until(1.6)
+    requests = [cluster.ask(number, service_s=0.01) for number in range(8)]
+    cluster.scheduler.run_until(4.0)
+    assert [r.refusal.code for r in requests if r.refusal] == []
+    assert all(r.finished_at is not None for r in requests)
