Let a restarted reader of the machine list ask its fellow readers

Cause: a node that is one of the three readers never pulled the list from the others. Restarted while the platform's machine list is down it knew no runner and refused with no_runner, although its fellow readers held the list.

Ruled out: the configuration (in force, the refusal is no_runner) and ownership (the other node kept its runners).

Change: a reader that knows no machine pulls like any other node until it does; it still polls. The new test fails without the change.

--- a/src/martenrun/ownership/machine_feed.py
+++ b/src/martenrun/ownership/machine_feed.py
@@ -1,5 +1,8 @@
 """Few nodes read the machine list; the others ask those for changes.
 
+A reader that has just started asks the other readers until it knows a list, because the
+platform may not answer it.
+
 The readers are the members of highest rendezvous weight for a fixed key, so every node knows
 them without agreement.  A state of the list is named by a digest of its content.  A node pulls
 what changed since the digest it knows, from one reader at a time, and takes the next reader
@@ -129,7 +132,10 @@
     def _pull(self) -> list[Instruction]:
         readers = self.readers()
         own = self._members.own.address
-        if not readers or own in readers:
+        if own in readers and self._known:
+            return []
+        readers = [reader for reader in readers if reader != own]
+        if not readers:
             return []
         if self._unanswered >= SILENT_PULLS:
             self._turn += 1
--- a/tests/test_ownership_parts.py
+++ b/tests/test_ownership_parts.py
@@ -227,6 +227,20 @@
     assert all(tables[n].runners["r1"].leaving for n in alive)
 
 
+def test_a_restarted_reader_asks_the_others_while_the_platform_does_not_answer():
+    old, new = (
+        MachineFeed(StaticMemberView(own, [OWN, OTHER]), random.Random(1)) for own in (OWN, OTHER)
+    )
+    assert old.is_reader() and new.is_reader()
+    old.handle(MachinesListed([machine("r1")]), 0.0)
+    (query,) = new.handle(Tick(), 0.0)
+    (answer,) = old.handle(PeerMessage(OTHER.address, query.message), 0.0)
+    (told,) = new.handle(PeerMessage(OWN.address, answer.message), 0.0)
+    assert [listed.name for listed in told.event.machines] == ["r1"]
+    new.handle(told.event, 0.0)
+    assert new.handle(Tick(), 5.0) == [] and new.must_poll()
+
+
 def test_another_reader_continues_without_the_whole_list_and_a_stranger_state_gets_it():
     feeds = [MachineFeed(StaticMemberView(OWN, [OWN]), random.Random(n)) for n in range(2)]
     for feed in feeds:
