Simulate zones, two regions, lost zones, cut regions and a failing machine list

Histories ran in one zone and one region, and the machine list always answered. A schedule now has one to four zones over two regions; the object API and the machine list stand in one region. New faults: a zone lost (its nodes and engines killed, its agents cut off), the regions cut from each other (messages, streams and the platform), the machine list down, and it lagging 4 s.

Checkers: leaving begins its bound again when the machine list can be read and is not late, and for edges that were cut off from the platform; restart does not count no_runner when the list is down and every node has started or died since, because nothing holds it. Each has planted and clean histories on both sides of the bound.

--- a/src/martenrun/proof/edges.py
+++ b/src/martenrun/proof/edges.py
@@ -17,8 +17,9 @@
 from martenrun.platform.stream_progress import ResumeFields
 from martenrun.proof.history import RequestAnswered, Token
 from martenrun.proof.recorder import Recorder
-from martenrun.simulation.engine import EngineStream, SimulatedEngine
+from martenrun.simulation.engine import SimulatedEngine
 from martenrun.simulation.scheduler import Scheduler
+from martenrun.simulation.stream import EngineStream
 
 BYTES_PER_TOKEN = 4
 
@@ -44,6 +45,7 @@
         tell: gives an event to the process's loop.
         engines: by address.
         token_gap_timeout_s: longest silence on a stream that has begun.
+        is_cut_from: returns whether the machine at an address cannot be reached.
     """
 
     def __init__(
@@ -53,10 +55,12 @@
         engines: Mapping[str, SimulatedEngine],
         tell: Callable[[Event], None],
         token_gap_timeout_s: float,
+        is_cut_from: Callable[[str], bool],
     ) -> None:
         self.scheduler = scheduler
         self.engines = engines
         self.token_gap_timeout_s = token_gap_timeout_s
+        self.is_cut_from = is_cut_from
         self.tell = tell
         self._recorder = recorder
         self._carried: dict[str, CarriedRequest] = {}
@@ -147,7 +151,9 @@
         grant = self._instruction.grant
         engine = self._edge.engines[grant.address]
         body = self._carried.request.engine_body(grant.priority, self._carried.resume_fields())
-        self._stream = engine.connect(grant.incarnation, body, self)
+        self._stream = engine.connect(
+            grant.incarnation, body, self, lambda: self._edge.is_cut_from(grant.address)
+        )
         self._edge.scheduler.after(self._allowed_silence_s(), self._check_silence)
 
     def abandon(self) -> None:
@@ -162,6 +168,9 @@
         self._first_token_s = self._first_token_s or self._heard_s - self._started_s
         self._carried.tokens.append(Token(source_of(prompt), index))
         self._result.output_tokens += 1
+        if self._result.output_tokens == 1:
+            # The silence allowed from now on is shorter than the one before the first token.
+            self._edge.scheduler.after(self._allowed_silence_s(), self._check_silence)
         self._result.prompt_tokens = len(prompt) // BYTES_PER_TOKEN
 
     def take_end(self) -> None:
--- a/src/martenrun/proof/history.py
+++ b/src/martenrun/proof/history.py
@@ -13,6 +13,12 @@
 OBJECT_API = "object-api"
 """Name of the platform's object API among processes."""
 
+MACHINE_LIST = "machine-list"
+"""Name of the platform's machine list among processes."""
+
+ISOLATED = "isolated"
+"""Kind of the fault that cuts a process off from the platform."""
+
 
 class Token(msgspec.Struct, frozen=True):
     """One piece of output: which prompt it answers and its place in that answer, from 0."""
@@ -113,6 +119,12 @@
     removed: bool = False
 
 
+class RemovalUnknown(Record, frozen=True, tag=True):
+    """The answer to an operator's removal of an object was lost: it may have taken effect."""
+
+    subject: str
+
+
 class ConfigurationInForce(Record, frozen=True, tag=True):
     """A process was seen with a configuration in force; ``digest`` covers its contents."""
 
@@ -131,7 +143,10 @@
 
 
 class ProcessDisturbed(Record, frozen=True, tag=True):
-    """A fault hit a process: ``kind`` is ``kill``, ``freeze``, ``cut`` or ``down``."""
+    """A fault hit a process.
+
+    ``kind`` is ``kill``, ``freeze``, ``cut``, :data:`ISOLATED`, ``late`` or ``down``.
+    """
 
     process: str
     kind: str
@@ -163,6 +178,7 @@
     | Granted
     | Executed
     | ConfigurationAccepted
+    | RemovalUnknown
     | ConfigurationInForce
     | ProcessStarted
     | ProcessDisturbed
--- a/src/martenrun/proof/injector.py
+++ b/src/martenrun/proof/injector.py
@@ -13,6 +13,7 @@
     ProcessStarted,
 )
 from martenrun.proof.operators import Operators
+from martenrun.proof.place_faults import PlaceFaults
 from martenrun.proof.processes import SimulatedNode, SimulatedProcess, Surroundings
 from martenrun.proof.schedule import Fault, FaultKind
 from martenrun.simulation.engine import SimulatedEngine
@@ -44,6 +45,12 @@
     callers: Callers
     operators: Operators
     _leaving: set[str] = field(default_factory=set)
+    _places: PlaceFaults = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._places = PlaceFaults(
+            self.around, self.nodes, self.agents, self.engines, self._disturb
+        )
 
     def plan(self, faults: Sequence[Fault]) -> None:
         """Schedule every fault."""
@@ -74,6 +81,10 @@
             FaultKind.RESTART_ALL_NODES: lambda: self._kill_all(duration_s),
             FaultKind.RACE_OPERATORS: self.operators.race,
             FaultKind.SHIFT_HOT_PREFIX: self._shift,
+            FaultKind.LOSE_ZONE: lambda: self._lose_zone(fault),
+            FaultKind.CUT_REGIONS: lambda: self._places.cut_regions(duration_s),
+            FaultKind.MACHINES_DOWN: lambda: self._places.machines_down(duration_s),
+            FaultKind.MACHINES_LATE: lambda: self._places.machines_late(duration_s),
         }
         return actions[fault.kind]
 
@@ -105,6 +116,15 @@
         for node in self.nodes:
             self._kill(node, duration_s)
 
+    def _lose_zone(self, fault: Fault) -> None:
+        """Lose a zone's nodes and engines, and the links of its agents."""
+        zone = self._places.zone_of(fault.target)
+        self._places.cut_zone(zone, fault.duration_s)
+        for node in self._places.nodes_in(zone):
+            self._kill(node, fault.duration_s)
+        for engine in self._places.engines_in(zone):
+            self._crash(engine, fault.duration_s)
+
     def _freeze(self, process: SimulatedProcess, duration_s: float) -> None:
         if process.is_serving:
             self._disturb(process.name, "freeze", duration_s)
--- a/src/martenrun/proof/object_api.py
+++ b/src/martenrun/proof/object_api.py
@@ -21,10 +21,15 @@
 
 
 class SimulatedObjectApi(ObjectApi):
-    """Calls a simulated store at once; the adapter's reading back always ends in no time."""
+    """Calls a simulated store at once; the adapter's reading back always ends in no time.
 
-    def __init__(self, store: SimulatedStore, rng: random.Random) -> None:
+    Args:
+        process: name of the process that calls; it may be cut off from the store.
+    """
+
+    def __init__(self, store: SimulatedStore, rng: random.Random, process: str) -> None:
         self._simulated = store
+        self._process = process
         self._rng = rng
 
     def list_all(self, kinds: Iterable[str] = ()) -> ConfigurationUpdate:
@@ -60,7 +65,7 @@
         return 0 if found is None or found.deleted else found.version
 
     def _check_up(self) -> None:
-        if self._simulated.faults.down:
+        if self._simulated.fails_for(self._process):
             raise StoreUnavailableError("the object API did not answer")
 
 
--- a/src/martenrun/proof/operators.py
+++ b/src/martenrun/proof/operators.py
@@ -5,8 +5,9 @@
 import msgspec
 from werkzeug.test import Client
 
+from martenrun.errors import ChangeOutcomeUnknownError
 from martenrun.proof.callers import MODEL, TENANTS, key_of, key_sha256
-from martenrun.proof.history import ConfigurationAccepted
+from martenrun.proof.history import ConfigurationAccepted, RemovalUnknown
 from martenrun.proof.processes import SimulatedNode
 from martenrun.proof.recorder import Recorder
 from martenrun.simulation.scheduler import Scheduler
@@ -73,6 +74,7 @@
             headers={"Authorization": f"Bearer {ADMIN_KEY}", "If-Match": str(expected)},
         )
         if response.status_code != 200:
+            self._note_failure(subject, document, msgspec.json.decode(response.data))
             self._learn_version(client, subject)
             return
         version = int(msgspec.json.decode(response.data)["version"])
@@ -87,6 +89,12 @@
             )
         )
 
+    def _note_failure(
+        self, subject: str, document: dict[str, object] | None, failure: dict[str, dict[str, str]]
+    ) -> None:
+        if document is None and failure["error"]["code"] == ChangeOutcomeUnknownError.code:
+            self._recorder.add(RemovalUnknown(time_s=self._scheduler.now, subject=subject))
+
     def _learn_version(self, client: Client, subject: str) -> None:
         """Read back an object whose change was refused or whose answer was lost."""
         headers = {"Authorization": f"Bearer {ADMIN_KEY}"}
--- a/src/martenrun/proof/schedule.py
+++ b/src/martenrun/proof/schedule.py
@@ -30,6 +30,10 @@
     RESTART_ALL_NODES = "restart_all_nodes"
     RACE_OPERATORS = "race_operators"
     SHIFT_HOT_PREFIX = "shift_hot_prefix"
+    LOSE_ZONE = "lose_zone"
+    CUT_REGIONS = "cut_regions"
+    MACHINES_DOWN = "machines_down"
+    MACHINES_LATE = "machines_late"
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -46,12 +50,14 @@
 
     ``load_s`` is the time during which callers send requests, ``requests_per_s`` in all;
     ``copy_share`` of the non-repeatable ones are sent twice with one idempotency key.
+    Machines are spread evenly over ``zones``, and those over two regions.
     """
 
     seed: int
     nodes: int = 3
     agents: int = 2
     engines: int = 3
+    zones: int = 1
     load_s: float = 10.0
     requests_per_s: float = 8.0
     copy_share: float = 0.4
@@ -71,6 +77,7 @@
         nodes=rng.randint(8, 14) if is_large else rng.randint(2, 4),
         agents=rng.randint(6, 10) if is_large else rng.randint(1, 3),
         engines=rng.randint(6, 12) if is_large else rng.randint(2, 4),
+        zones=rng.choice((1, 2, 3, 4)),
         load_s=load_s,
         requests_per_s=24.0 if is_large else rng.uniform(4.0, 12.0),
         faults=tuple(faults),
--- a/src/martenrun/simulation/hollow.py
+++ b/src/martenrun/simulation/hollow.py
@@ -29,7 +29,8 @@
         parts: decision logic; each event goes to those that handle it, in order.
         carriers: what carries out each type of instruction; Send, SendDatagram and
             Tell need none.
-        observe: is told the receiver and the message of everything that is sent.
+        observe: is told the receiver and the message of everything that is sent, to the
+            process itself too.
     """
 
     def __init__(
@@ -74,6 +75,9 @@
             self._network.send_datagram(self.name, instruction.peer, instruction.message)
         elif isinstance(instruction, Tell):
             event = instruction.event
+            if self._observe is not None and isinstance(event, PeerMessage):
+                # A node's answer to its own front does not pass the network.
+                self._observe(self.name, event.message)
             self._scheduler.after(0.0, lambda: self.tell(event))
         else:
             self._carriers[type(instruction)](instruction)
--- a/src/martenrun/simulation/network.py
+++ b/src/martenrun/simulation/network.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from martenrun.simulation.places import Places
 from martenrun.simulation.scheduler import Scheduler
 from martenrun.wire.codec import decode, encode
 from martenrun.wire.frames import TAG_BYTES, checked_datagram
@@ -45,11 +46,21 @@
 
     Messages are really encoded and decoded, so their size and cost are those of real ones
     and no object is shared between peers.
+
+    Args:
+        places: where peers stand; all are near each other if not given.
     """
 
-    def __init__(self, scheduler: Scheduler, rng: random.Random, faults: LinkFaults) -> None:
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        rng: random.Random,
+        faults: LinkFaults,
+        places: Places | None = None,
+    ) -> None:
         self.faults = faults
         self.traffic: dict[str, PeerTraffic] = {}
+        self._places = places or Places()
         self._scheduler = scheduler
         self._rng = rng
         self._peers: dict[str, Deliver] = {}
@@ -95,12 +106,15 @@
             if self._rng.random() < self.faults.loss:
                 continue
             delay_s = self.faults.delay_s + self._rng.random() * self.faults.jitter_s
+            delay_s += self._places.delay_s(sender, receiver)
             self._scheduler.after(delay_s, lambda: self._arrive(sender, receiver, data))
 
     def _arrive(self, sender: str, receiver: str, data: bytes) -> None:
         deliver = self._peers.get(receiver)
         if deliver is None or self._groups.get(sender, 0) != self._groups.get(receiver, 0):
             return
+        if self._places.are_cut(sender, receiver):
+            return
         self.traffic[receiver].received_messages += 1
         self.traffic[receiver].received_bytes += len(data)
         deliver(sender, decode(data))
--- a/tests/test_proof_checkers.py
+++ b/tests/test_proof_checkers.py
@@ -15,6 +15,7 @@
     PlannedStop,
     ProcessDisturbed,
     ProcessStarted,
+    RemovalUnknown,
     RequestAnswered,
     RequestInvoked,
     Token,
@@ -99,7 +100,13 @@
 REFUSED_COPY = answered((), code="duplicate_request", ran="unknown")
 KILL = ProcessDisturbed(time_s=0.0, process="node", kind="kill", until_s=1.0)
 RESTART = ProcessStarted(time_s=1.0, process="node", restarted=True)
+LOST_REMOVAL = RemovalUnknown(time_s=1.5, subject="tenants/t")
 LEAVING = LeavingAnnounced(time_s=1.0, process="engine")
+HOLDER = ProcessStarted(time_s=-9.0, process="holder", restarted=False)
+LIST_DOWN = ProcessDisturbed(time_s=0.5, process="machine-list", kind="down", until_s=2.0)
+LIST_LATE = ProcessDisturbed(time_s=0.5, process="machine-list", kind="late", until_s=2.0)
+ISOLATED = ProcessDisturbed(time_s=0.5, process="agent", kind="isolated", until_s=2.0)
+NO_RUNNER = answered((), time_s=2.6, code="no_runner", ran="no")
 
 PLANTED = [
     ("streams", [invoked(), answered((0,))]),
@@ -124,6 +131,9 @@
     ),
     ("leaving", [LEAVING, executed(time_s=4.1)]),
     ("leaving", [LEAVING, executed(time_s=9.0, received_s=4.1)]),
+    ("leaving", [LEAVING, LIST_DOWN, executed(time_s=5.1)]),
+    ("leaving", [invoked(), ISOLATED, LEAVING, executed(time_s=5.1)]),
+    ("leaving", [invoked(edge="other"), ISOLATED, LEAVING, executed(time_s=4.1)]),
     ("cache_use", [executed(reused=[origin(tenant="u")])]),
     ("cache_use", [executed(reused=[origin(weights_version="v0")])]),
     ("cache_use", [executed(reused=[origin(incarnation="h")])]),
@@ -144,12 +154,15 @@
     ("restart", [KILL, RESTART, invoked(time_s=2.5, edge="node")]),
     ("restart", [KILL, in_force(0.7, 1, process="o"), STORE_DOWN, RESTART, NODE_ASKED, UNSERVED]),
     ("restart", [NODE, AGENT_RESTART, invoked(time_s=2.5), UNSERVED]),
+    ("restart", [LIST_LATE, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
+    ("restart", [HOLDER, LIST_DOWN, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
     ("planned_stop", [invoked(), executed(), STOP, broken()]),
     ("planned_stop", [invoked(edge="engine"), STOP]),
     ("planned_stop", [invoked(), executed(), STOP, REFUSED_COPY]),
     ("planned_stop", [invoked(edge="engine"), STOP, broken()]),
     ("configuration", [in_force(1.0, 2), in_force(2.0, 1)]),
     ("configuration", [accepted(2, expected=1), accepted(3, expected=1)]),
+    ("configuration", [accepted(2, expected=0), LOST_REMOVAL, accepted(3, 0), accepted(4, 0)]),
     ("configuration", [in_force(1.0, 2, "a"), in_force(2.0, 2, "b", process="other")]),
     (
         "configuration",
@@ -167,6 +180,7 @@
 ]
 
 CLEAN = [
+    ("configuration", [accepted(2, expected=0), LOST_REMOVAL, accepted(3, expected=0)]),
     ("streams", [invoked(), answered(), answered((0,), request_id="s", code="stream_broken")]),
     ("own_answer", [invoked(), answered()]),
     ("not_run", [invoked(), executed(), answered((), code="outcome_unknown", ran="unknown")]),
@@ -177,7 +191,10 @@
         "leaving",
         [LEAVING, LeavingWithdrawn(time_s=2.0, process="engine"), executed(time_s=9.0)],
     ),
+    ("leaving", [LEAVING, LIST_DOWN, executed(time_s=4.9)]),
+    ("leaving", [invoked(), ISOLATED, LEAVING, executed(time_s=4.9)]),
     ("cache_use", [executed(reused=[origin()]), granted()]),
+    ("restart", [LIST_DOWN, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
     ("restart", [KILL, RESTART, invoked(time_s=2.5, edge="node"), answered(time_s=2.6)]),
     (
         "restart",
