--- a/src/martenrun/bench/routing_engine.py
+++ b/src/martenrun/bench/routing_engine.py
@@ -29,6 +29,10 @@
                 return count
         return len(hashes)
 
+    def blocks(self) -> list[int]:
+        """Return all blocks held."""
+        return list(self._blocks)
+
     def insert(self, hashes: list[int]) -> None:
         """Hold all blocks; the head of the chain counts as used last."""
         for block in reversed(hashes):
--- a/src/martenrun/bench/routing_figures.py
+++ b/src/martenrun/bench/routing_figures.py
@@ -5,6 +5,8 @@
 import msgspec
 import numpy
 
+from martenrun.bench.routing_causes import LateCauses
+
 
 class RoutingFigures(msgspec.Struct, frozen=True):
     """One line of results; times in seconds, shares of 1.
@@ -13,6 +15,7 @@
         hit_rate: cached tokens over prompt tokens.
         wasted: tokens computed although another live runner had them, over prompt tokens.
         restarted: attempts begun again because an engine crashed or was gone.
+        late: requests whose first token took over 0.1 s, by cause.
     """
 
     deployment: str
@@ -28,6 +31,7 @@
     ttft_p99_s: float
     refused: int
     restarted: int
+    late: dict[str, int]
 
 
 @dataclass(slots=True)
@@ -42,6 +46,7 @@
     refused: int = 0
     restarted: int = 0
     first_token_s: list[float] = field(default_factory=list)
+    causes: LateCauses = field(default_factory=LateCauses)
 
     def count_prefill(self, arrived_at: float, prompt: float, cached: int, best: int) -> None:
         """Count one prefill; ``best`` is the most that any live runner had."""
--- a/src/martenrun/bench/routing_node.py
+++ b/src/martenrun/bench/routing_node.py
@@ -29,6 +29,7 @@
     zone: str
     policy: RankingPolicy
     is_live: bool = True
+    started_at: float = 0.0
     runners: dict[str, RunnerState] = field(default_factory=dict)
 
     def learn_of(self, engines: list[SimulatedEngine]) -> None:
--- a/src/martenrun/bench/routing_simulation.py
+++ b/src/martenrun/bench/routing_simulation.py
@@ -7,14 +7,14 @@
 
 import functools
 import random
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
-import numpy
-
+from martenrun.bench.routing_causes import FORGOTTEN_S, LATE_S, LateCause, LateRequest
 from martenrun.bench.routing_engine import LruBlocks, SimulatedEngine
+from martenrun.bench.routing_faults import RoutingFaults
+from martenrun.bench.routing_feeds import RoutingFeeds
 from martenrun.bench.routing_figures import RoutingCounts, RoutingFigures
-from martenrun.bench.routing_node import FeedBatch, SimulatedNode, incarnation_of
+from martenrun.bench.routing_node import SimulatedNode, incarnation_of
 from martenrun.bench.routing_policies import make_policy
 from martenrun.bench.routing_workload import TOKENS_PER_BLOCK, PlannedRequest, Workload
 from martenrun.constants import BLOCK_HASH_BYTES, DEFAULT_BLOCK_BYTES
@@ -26,9 +26,6 @@
 from martenrun.wire.messages import AttemptReport, DecideRequest
 
 WARM_UP_S = 10.0
-LOAD_REPORT_INTERVAL_S = 0.5
-LOAD_REPORT_LAG_S = 0.5
-NODE_DOWN_S = 0.5
 _RETRY_S = 0.1
 
 
@@ -53,9 +50,13 @@
     choice: RunnerChoice
     engine: SimulatedEngine
     incarnation: int
+    ranked: list[RunnerChoice]
     is_running: bool = False
     is_over: bool = False
     cached_blocks: int = 0
+    best_blocks: int = 0
+    best_believed: int = 0
+    waited_s: float = 0.0
     first_token_s: float = 0.0
 
 
@@ -81,20 +82,20 @@
         self._load = load
         self._feeds = feeds
         self._scheduler = Scheduler()
-        # One generator a kind of fault, so that every policy meets the same crashes.
-        self._crash_rng = random.Random(f"crashes {seed}")
-        self._restart_rng = random.Random(f"restarts {seed}")
-        self._event_rng = random.Random(f"events {seed}")
         self._counts = RoutingCounts(WARM_UP_S)
         self._engines: dict[str, SimulatedEngine] = {}
         self._attempts: dict[str, list[_Attempt]] = {}
-        self._feed_free_at: dict[str, float] = {}
         self._make_engines()
         zones = deployment.zones
         self._nodes = [
             self._make_node(f"node-{number}", zones[number % len(zones)])
             for number in range(deployment.nodes)
         ]
+        faults, parts = deployment.faults, (self._engines, self._nodes)
+        self._faults = RoutingFaults(
+            self._scheduler, faults, seed, *parts, self._crash, self._make_node
+        )
+        self._events = RoutingFeeds(self._scheduler, faults, seed, *parts, feeds == "all")
 
     def run(self, duration_s: float) -> RoutingFigures:
         """Run the load for a while and return what was counted."""
@@ -103,14 +104,8 @@
             rng = random.Random(f"load {pool.model} {self._seed}")
             for plan in Workload(self._deployment, scaled, rng).requests(duration_s):
                 self._scheduler.after(plan.at, functools.partial(self._arrive, plan))
-        for engine in self._engines.values():
-            self._scheduler.after(
-                self._event_rng.random(), functools.partial(self._publish, engine)
-            )
-        self._scheduler.after(0.0, self._report_loads)
-        faults = self._deployment.faults
-        self._plan(self._crash_rng, faults.engine_crash_every_s, self._crash_one)
-        self._plan(self._restart_rng, faults.node_restart_every_s, self._restart_one)
+        self._events.begin()
+        self._faults.begin()
         self._scheduler.run_until(duration_s + self._deployment.deadline_s)
         counts = self._counts
         return RoutingFigures(
@@ -127,6 +122,7 @@
             counts.quantile_s(0.99),
             counts.refused,
             counts.restarted,
+            counts.causes.counts,
         )
 
     def _make_engines(self) -> None:
@@ -143,7 +139,8 @@
 
     def _make_node(self, name: str, zone: str) -> SimulatedNode:
         rng = random.Random(f"{name} {self._seed} {self._scheduler.now}")
-        node = SimulatedNode(name, zone, make_policy(self._policy, self._engines, rng))
+        policy = make_policy(self._policy, self._engines, rng)
+        node = SimulatedNode(name, zone, policy, started_at=self._scheduler.now)
         node.learn_of(list(self._engines.values()))
         return node
 
@@ -191,9 +188,10 @@
             request.excluded.clear()
             self._scheduler.after(_RETRY_S, lambda: self._ask(request))
             return
-        choice = home.policy.route(request.question, runners, self._scheduler.now)
+        ranked_choices = home.policy.rank(request.question, runners, self._scheduler.now)
+        choice = ranked_choices[0]
         engine = self._engines[choice.runner.name]
-        attempt = _Attempt(request, home, choice, engine, engine.incarnation)
+        attempt = _Attempt(request, home, choice, engine, engine.incarnation, ranked_choices)
         owner = self._nodes[engine.owner]
         hop_s = self._link_s(home.zone, owner.zone)
         self._scheduler.after(hop_s, lambda: self._reserve(attempt, hop_s))
@@ -220,6 +218,7 @@
             attempt.engine.free_slot()
             return
         attempt.is_running = True
+        attempt.waited_s = self._scheduler.now - attempt.request.plan.at
         engine, request = attempt.engine, attempt.request
         load = engine.slots_used + len(engine.waiting)
         self._scheduler.after(hop_s, lambda: self._take_grant(attempt, load))
@@ -241,30 +240,58 @@
         engine, plan = attempt.engine, attempt.request.plan
         prompt_blocks = plan.prompt_bytes / DEFAULT_BLOCK_BYTES
         attempt.cached_blocks = engine.cache.leading(plan.hashes)
-        best = max(
-            other.cache.leading(plan.hashes)
-            for other in self._engines.values()
-            if other.is_up and other.pool.model == plan.model
-        )
+        self._find_best(attempt)
+        best = attempt.best_blocks
         self._counts.count_prefill(plan.at, prompt_blocks, attempt.cached_blocks, best)
         engine.running += 1
         prefill_s = engine.times.prefill_s(prompt_blocks - attempt.cached_blocks, engine.running)
         attempt.first_token_s = prefill_s
         self._scheduler.after(prefill_s, lambda: self._first_token(attempt))
 
+    def _find_best(self, attempt: _Attempt) -> None:
+        """Take down the most leading blocks at any live runner, and what the home believed."""
+        plan = attempt.request.plan
+        leading = {
+            engine.name: engine.cache.leading(plan.hashes)
+            for engine in self._engines.values()
+            if engine.is_up and engine.pool.model == plan.model
+        }
+        attempt.best_blocks = max(leading.values())
+        attempt.best_believed = max(
+            choice.believed_blocks if leading.get(choice.runner.name, 0) else 0
+            for choice in attempt.ranked
+        )
+
     def _first_token(self, attempt: _Attempt) -> None:
         if attempt.is_over:
             return
         engine, request = attempt.engine, attempt.request
-        engine.cache.insert(request.plan.hashes)
         if not request.has_first_token:
-            request.has_first_token = True
-            link_s = self._client_link_s(engine.zone, request.plan.zone)
-            waited_s = self._scheduler.now + link_s - request.plan.at
-            self._counts.count_first_token(request.plan.at, waited_s)
+            self._count_first_token(attempt)
+        removed_before = len(engine.cache.removed)
+        engine.cache.insert(request.plan.hashes)
+        self._counts.causes.lost(engine.cache.removed[removed_before:], LateCause.EVICTED)
         decode_s = request.plan.output_tokens * engine.times.decode_s(engine.running)
         self._scheduler.after(decode_s, lambda: self._end(attempt))
 
+    def _count_first_token(self, attempt: _Attempt) -> None:
+        request, plan = attempt.request, attempt.request.plan
+        request.has_first_token = True
+        link_s = self._client_link_s(attempt.engine.zone, plan.zone)
+        waited_s = self._scheduler.now + link_s - plan.at
+        self._counts.count_first_token(plan.at, waited_s)
+        if plan.at >= WARM_UP_S and waited_s > LATE_S:
+            late = LateRequest(
+                plan.hashes,
+                request.attempt,
+                attempt.waited_s / waited_s,
+                attempt.cached_blocks,
+                attempt.best_blocks,
+                attempt.best_believed,
+                0.0 < attempt.home.started_at > self._scheduler.now - FORGOTTEN_S,
+            )
+            self._counts.causes.count(late)
+
     def _end(self, attempt: _Attempt) -> None:
         if attempt.is_over:
             return
@@ -289,26 +316,8 @@
         )
         attempt.home.policy.observe(report, self._scheduler.now)
 
-    def _again(self, attempt: _Attempt) -> None:
-        """Ask once more after an attempt that an engine's end took away."""
-        attempt.is_over = True
-        request = attempt.request
-        if request.plan.at >= WARM_UP_S:
-            self._counts.restarted += 1
-        request.excluded.add(attempt.engine.name)
-        self._ask(request)
-
-    # Faults, events and reports.
-
-    def _plan(self, rng: random.Random, mean_s: float, call: Callable[[], None]) -> None:
-        self._scheduler.after(rng.expovariate(1.0 / mean_s), call)
-
-    def _crash_one(self) -> None:
-        faults = self._deployment.faults
-        engine = self._crash_rng.choice(list(self._engines.values()))
-        self._plan(self._crash_rng, faults.engine_crash_every_s, self._crash_one)
-        if not engine.is_up:
-            return
+    def _crash(self, engine: SimulatedEngine) -> None:
+        self._counts.causes.crashed(engine)
         engine.crash()
         for attempt in self._attempts[engine.name]:
             if attempt.is_over:
@@ -317,68 +326,12 @@
                 self._report(attempt, "broken")
             self._again(attempt)
         self._attempts[engine.name].clear()
-        self._scheduler.after(faults.notice_s, lambda: self._notice(engine))
-        self._scheduler.after(faults.engine_down_s, lambda: self._come_back(engine))
-
-    def _come_back(self, engine: SimulatedEngine) -> None:
-        engine.come_back()
-        self._scheduler.after(self._deployment.faults.notice_s, lambda: self._notice(engine))
-
-    def _notice(self, engine: SimulatedEngine) -> None:
-        for node in self._nodes:
-            runner = node.runners[engine.name]
-            runner.incarnation = incarnation_of(engine)
-
-    def _restart_one(self) -> None:
-        mean_s = self._deployment.faults.node_restart_every_s
-        self._plan(self._restart_rng, mean_s, self._restart_one)
-        number = self._restart_rng.randrange(len(self._nodes))
-        old = self._nodes[number]
-        old.is_live = False
-        self._scheduler.after(NODE_DOWN_S, lambda: self._replace_node(number))
-
-    def _replace_node(self, number: int) -> None:
-        old = self._nodes[number]
-        self._nodes[number] = self._make_node(old.name, old.zone)
-
-    def _publish(self, engine: SimulatedEngine) -> None:
-        """Publish what the cache stored and removed since the last time."""
-        faults = self._deployment.faults
-        self._scheduler.after(faults.event_interval_s, lambda: self._publish(engine))
-        cache = engine.cache
-        changed = dict.fromkeys(cache.stored + cache.removed)
-        cache.stored, cache.removed = [], []
-        if not changed or not engine.is_up:
-            return
-        if self._event_rng.random() < faults.event_loss:
-            engine.lost_events = True
-            return
-        stored = [block for block in changed if block in cache]
-        removed = [block for block in changed if block not in cache]
-        batch = FeedBatch(
-            engine.name,
-            incarnation_of(engine),
-            numpy.array(stored, "<i8"),
-            numpy.array(removed, "<i8"),
-            engine.lost_events,
-        )
-        engine.lost_events = False
-        lag_s = faults.event_lag_s * (0.5 + 0.5 * self._event_rng.random())
-        due = max(self._feed_free_at.get(engine.name, 0.0), self._scheduler.now + lag_s)
-        self._feed_free_at[engine.name] = due
-        self._scheduler.after(due - self._scheduler.now, lambda: self._deliver(engine, batch))
-
-    def _deliver(self, engine: SimulatedEngine, batch: FeedBatch) -> None:
-        readers = self._nodes if self._feeds == "all" else [self._nodes[engine.owner]]
-        for node in readers:
-            node.take_feed(batch, self._scheduler.now)
-
-    def _report_loads(self) -> None:
-        self._scheduler.after(LOAD_REPORT_INTERVAL_S, self._report_loads)
-        loads = [(engine.name, engine.running) for engine in self._engines.values()]
-        self._scheduler.after(LOAD_REPORT_LAG_S, lambda: self._take_loads(loads))
-
-    def _take_loads(self, loads: list[tuple[str, int]]) -> None:
-        for node in self._nodes:
-            for name, running in loads:
-                node.take_load(name, running, self._scheduler.now)
+
+    def _again(self, attempt: _Attempt) -> None:
+        """Ask once more after an attempt that an engine's end took away."""
+        attempt.is_over = True
+        request = attempt.request
+        if request.plan.at >= WARM_UP_S:
+            self._counts.restarted += 1
+        request.excluded.add(attempt.engine.name)
+        self._ask(request)
--- a/tests/test_bench_routing.py
+++ b/tests/test_bench_routing.py
@@ -3,6 +3,7 @@
 import pytest
 
 from martenrun.bench.routing import DEPLOYMENTS, run_benchmark
+from martenrun.bench.routing_causes import LateCause, LateCauses, LateRequest
 from martenrun.bench.routing_policies import POLICY_NAMES
 from martenrun.deployments.model import load_deployment
 
@@ -31,3 +32,29 @@
     sizes = (len(deployment.zones), [pool.runners for pool in deployment.pools])
     assert sizes == {"angurlekha": (3, [6, 3]), "souk-fellah": (4, [9, 4])}[name]
     assert len(deployment.popularity.tenant_shares) == 8
+
+
+def late(cached, best, best_believed, home_forgot=False, attempts=1, waited_share=0.0):
+    hashes = list(range(20))
+    return LateRequest(hashes, attempts, waited_share, cached, best, best_believed, home_forgot)
+
+
+@pytest.mark.parametrize(
+    ("request_", "cause"),
+    [
+        (late(0, 0, 0, attempts=2), LateCause.ENGINE_GONE),
+        (late(0, 0, 0, waited_share=0.6), LateCause.SLOT_WAIT),
+        (late(0, 10, 8), LateCause.HOLDER_PASSED_OVER),
+        (late(0, 10, 0, home_forgot=True), LateCause.HOME_FORGOT),
+        (late(0, 10, 0), LateCause.NOT_BELIEVED),
+        (late(0, 0, 0), LateCause.EVICTED),
+        (late(5, 5, 5), LateCause.CRASHED),
+        (late(15, 15, 15), LateCause.FIRST_USE),
+    ],
+)
+def test_a_late_request_has_one_cause(request_, cause):
+    causes = LateCauses()
+    causes.lost(range(5), LateCause.EVICTED)
+    causes.lost(range(5, 15), LateCause.CRASHED)
+    causes.count(request_)
+    assert causes.counts == {cause.value: 1}
