--- a/src/martenrun/routing/beliefs.py
+++ b/src/martenrun/routing/beliefs.py
@@ -19,8 +19,8 @@
 from martenrun.routing.prefix_index import PrefixIndex, RunnerIdentity
 from martenrun.routing.prefix_tree import PrefixTree
 
-FED_MEMORY_BYTES = 60_000_000
-"""Bound of the index of fed runners: 4.3 million blocks at 14 bytes each."""
+FED_MEMORY_BYTES = 21_500_000
+"""Bound of the index of fed runners: 4.3 million blocks at 5 bytes each."""
 
 ROUTED_MEMORY_BYTES = 3_000_000
 """Bound of what is known of chains sent to runners that are not fed."""
