Split the internal protocol's messages by job

Requests, slots, configuration, usage, machines, membership and the handshake are modules of a package now; martenrun.wire.messages still offers every class.

--- a/src/martenrun/wire/codec.py
+++ b/src/martenrun/wire/codec.py
@@ -35,7 +35,7 @@
 def message_classes() -> dict[str, type[Any]]:
     """Return every dataclass of :mod:`martenrun.wire.messages` by name."""
     members = inspect.getmembers(messages, inspect.isclass)
-    return {name: cls for name, cls in members if cls.__module__ == messages.__name__}
+    return {name: cls for name, cls in members if cls.__module__.startswith(messages.__name__)}
 
 
 def idl_struct(name: str) -> Any:
--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -1,7 +1,7 @@
 // Internal protocol of martenrun, version 2: thrift's compact protocol.  One struct per message.
 // On the wire a struct stands behind 3 bytes: the protocol version and, as 16 bits in network
 // order, the BLAKE2b hash (2 bytes) of the struct's name.
-// The classes in martenrun/wire/messages.py carry the same fields; a test compares them.
+// The classes in martenrun/wire/messages/ carry the same fields; a test compares them.
 // Times are seconds unless a name says otherwise.  Chains are 8 bytes a block.
 
 struct Hello {
--- /dev/null
+++ b/src/martenrun/wire/messages/slots.py
@@ -0,0 +1,94 @@
+"""A runner's slots between a home node and the runner's owner.
+
+See also: :mod:`martenrun.ownership.owner`.
+"""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class ReserveSlot:
+    """Home to owner: reserve a slot of ``runner`` for one attempt.
+
+    ``reservation_id`` is unique for the home; its upper 31 bits name the home's incarnation.  It
+    is also the lease's identity once the slot is granted.  ``deadline_ms`` is the time left.
+    An empty ``weights_version`` accepts any.
+    """
+
+    reservation_id: int = 0
+    runner: str = ""
+    tenant: str = ""
+    priority: int = 0
+    cost_tokens: int = 0
+    deadline_ms: int = 0
+    may_queue: bool = False
+    weights_version: str = ""
+    chain: bytes = b""
+
+
+@dataclass(slots=True)
+class SlotGranted:
+    """Owner to home: the slot is leased; ``free_slots`` are left after it."""
+
+    reservation_id: int = 0
+    incarnation: str = ""
+    weights_version: str = ""
+    cached_blocks: int = 0
+    free_slots: int = 0
+
+
+@dataclass(slots=True)
+class SlotsQueued:
+    """Owner to home: these reservations wait; repeated while they do."""
+
+    reservation_ids: list[int] = field(default_factory=list)
+    expected_waits_ms: list[int] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class RunnerLoad:
+    """A hint about one runner; ``free_slots`` below zero counts waiting reservations."""
+
+    runner: str = ""
+    free_slots: int = 0
+
+
+@dataclass(slots=True)
+class SlotRefused:
+    """Owner to home: no slot; ``reason`` is a :class:`martenrun.ownership.reasons.Reason`."""
+
+    reservation_id: int = 0
+    reason: str = ""
+    owner: str = ""
+    expected_wait_ms: int = 0
+    loads: list[RunnerLoad] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class ReleaseSlots:
+    """Home to owner: cancel these reservations or give back their leases."""
+
+    reservation_ids: list[int] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class LeaseRenewal:
+    """One lease that a home still uses."""
+
+    reservation_id: int = 0
+    runner: str = ""
+    incarnation: str = ""
+
+
+@dataclass(slots=True)
+class RenewLeases:
+    """Home to owner: keep these leases, or register them after the owner has changed."""
+
+    leases: list[LeaseRenewal] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class LeasesVoided:
+    """Owner to home: these leases ended without the home's release."""
+
+    reservation_ids: list[int] = field(default_factory=list)
