Let nodes accept other cluster secrets, so that the secret can be changed

Cause: one secret sealed everything. Changing it needed a stop of all processes at once, because two processes with different secrets cannot talk, and then also a restart of all nodes without any copy of the configuration but the agents'.

Change: setting `accepted_secrets` of nodes; the acceptor takes the secret that the connector's Hello matches. Three passes: accept the new one, seal with it, drop the old one. A metric tells when nobody uses the old one.

Before: a process with another secret reached nobody (the strangers' tests).

Conclusion: a change of secret costs three rolling restarts of nodes, one of agents.

--- a/src/martenrun/agent/process.py
+++ b/src/martenrun/agent/process.py
@@ -15,6 +15,7 @@
 from martenrun.events import Finish, PeerMessage, RunAttempt, Send
 from martenrun.process import Clock, LoopActor, message_carrier
 from martenrun.settings.model import AgentSettings
+from martenrun.wire.keys import cluster_keys
 from martenrun.wire.transport import PeerTransport
 
 
@@ -27,7 +28,7 @@
         self._port = EdgePort(tell=lambda event: self._loop.tell(event))
         self._transport = PeerTransport(
             f"agent/{settings.name}",
-            settings.cluster_secret.encode(),
+            cluster_keys(settings.cluster_secret),
             lambda peer, message: self._loop.tell(PeerMessage(peer, message)),
         )
         self._loop = LoopActor.start(
--- a/src/martenrun/node/core.py
+++ b/src/martenrun/node/core.py
@@ -30,6 +30,7 @@
     message_carrier,
 )
 from martenrun.settings.model import NodeSettings
+from martenrun.wire.keys import cluster_keys
 from martenrun.wire.transport import PeerTransport
 
 
@@ -49,9 +50,11 @@
         address = settings.peer_address
         self.parts = node_parts(settings, incarnation, rng)
         self.store = ObjectApi(settings.object_api)
+        keys = cluster_keys(settings.cluster_secret, settings.accepted_secrets)
+        self.key_uses = keys.uses
         self.transport = PeerTransport(
             address,
-            settings.cluster_secret.encode(),
+            keys,
             lambda peer, message: self.tell(PeerMessage(peer, message)),
         )
         self.transport.listen(address)
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -24,6 +24,7 @@
 from martenrun.node.core import NodeCore
 from martenrun.node.polls import NodePolls
 from martenrun.observability.admission import SharingCollector
+from martenrun.observability.keys import KeyCollector
 from martenrun.orders.workers import OrderWorkers
 from martenrun.platform.engine import EngineConnections
 from martenrun.platform.engine_orders import EngineOrders
@@ -70,6 +71,7 @@
         caller = CallerApplication(port, self._parts.view, settings)
         self._slots = caller.slots
         self._drain_timeout_s = settings.drain_timeout_s
+        caller.add_metrics(KeyCollector(core.key_uses))
         caller.add_metrics(SharingCollector(self._parts.limits.counts, self._policy_statuses))
         weights = WeightStore(settings.weight_store) if settings.weight_store else None
         admin = AdminApplication(
--- a/src/martenrun/settings/model.py
+++ b/src/martenrun/settings/model.py
@@ -74,9 +74,16 @@
     )
 
 
+ClusterSecret = Annotated[str, Field(min_length=16, max_length=64)]
+"""A key of the cluster, as text."""
+
+
 class NodeSettings(ProcessSettings):
     """Settings of ``martenrun node``."""
 
+    accepted_secrets: list[ClusterSecret] = Field(
+        default_factory=list, max_length=4, description="other cluster secrets accepted for now"
+    )
     peer_address: Address = Field(description="IP:port of the internal protocol")
     object_api: Address = Field(description="IP:port of the platform's object API")
     machine_list: Address = Field(description="IP:port of the platform's machine list")
--- a/src/martenrun/wire/connection.py
+++ b/src/martenrun/wire/connection.py
@@ -12,6 +12,7 @@
     FrameWriter,
     session_key,
 )
+from martenrun.wire.keys import ClusterKeys
 from martenrun.wire.messages import Hello
 
 _CONNECTOR = b"c"
@@ -26,7 +27,7 @@
 class Connection:
     """Buffers and handshake state of one connection.
 
-    The connector's Hello is sealed with the cluster secret; the acceptor, which is silent
+    The connector's Hello is sealed with its sealing key; the acceptor, which is silent
     until then, seals its own under a key that covers the connector's nonce; the connector
     then confirms under the session key.  So neither side tells anything to a stranger, also
     not to one that repeats recorded frames.
@@ -41,7 +42,7 @@
     """
 
     def __init__(
-        self, sock: socket.socket, own_name: str, secret: bytes, peer: str, is_connector: bool
+        self, sock: socket.socket, own_name: str, keys: ClusterKeys, peer: str, is_connector: bool
     ) -> None:
         self.sock = sock
         self.peer = peer
@@ -50,7 +51,8 @@
         self.heard_at = 0.0
         self.stuck_since: float | None = None
         self.outgoing = bytearray()
-        self._secret = secret
+        self._keys = keys
+        self._secret = keys.sealing
         self._is_connector = is_connector
         self._nonce = secrets.token_bytes(NONCE_BYTES)
         own, other = (_CONNECTOR, _ACCEPTOR) if is_connector else (_ACCEPTOR, _CONNECTOR)
@@ -60,10 +62,10 @@
         self._waiting: list[bytes] = []
         self._waiting_bytes = 0
         self._has_hello = False
-        self._key = secret
+        self._key = self._secret
         if is_connector:
-            self._say_hello(secret)
-            self._key = session_key(secret, self._nonce, b"")
+            self._say_hello(self._secret)
+            self._key = session_key(self._secret, self._nonce, b"")
 
     @property
     def queued_bytes(self) -> int:
@@ -87,7 +89,9 @@
         """
         self._reader.feed(data)
         payloads: list[bytes] = []
-        while (payload := self._reader.next_payload(self._key)) is not None:
+        if not self._has_hello and not self._is_connector:
+            self._take_connectors_hello()
+        while self._may_read and (payload := self._reader.next_payload(self._key)) is not None:
             if not self._has_hello:
                 self._take_hello(payload)
             elif not self.established:
@@ -96,6 +100,18 @@
                 payloads.append(payload)
         return payloads
 
+    @property
+    def _may_read(self) -> bool:
+        """Whether the key of the next frame is known: an acceptor learns it from the Hello."""
+        return self._is_connector or self._has_hello
+
+    def _take_connectors_hello(self) -> None:
+        frame = self._reader.next_frame(self._keys.accepted)
+        if frame is not None:
+            self._secret = frame.key
+            self._keys.note_use(frame.key)
+            self._take_hello(frame.payload)
+
     def _say_hello(self, key: bytes) -> None:
         hello = Hello(PROTOCOL_VERSION, self._own_name, self._nonce)
         self.outgoing += self._writer.seal(key, encode_struct(hello))
--- a/src/martenrun/wire/frames.py
+++ b/src/martenrun/wire/frames.py
@@ -8,6 +8,8 @@
 import hashlib
 import hmac
 import struct
+from collections.abc import Sequence
+from dataclasses import dataclass
 
 from martenrun.constants import MAXIMUM_DATAGRAM_BYTES, MAXIMUM_FRAME_BYTES
 
@@ -53,17 +55,43 @@
     return tag(secret, _DATAGRAM + body) + body
 
 
-def open_datagram(secret: bytes, datagram: bytes) -> tuple[str, bytes]:
-    """Return the sender's name and the payload; raises FrameError for a stranger's datagram.
+@dataclass(frozen=True, slots=True)
+class OpenedDatagram:
+    """A datagram of a member, and the key that it was sealed with."""
+
+    sender: str
+    payload: bytes
+    key: bytes
+
+
+def open_datagram(keys: Sequence[bytes], datagram: bytes) -> OpenedDatagram:
+    """Open a datagram sealed with one of the keys; raises FrameError for a stranger's.
 
     A recorded datagram can be repeated by a stranger, so the messages sent this way must
     stand being repeated.
     """
     body = datagram[TAG_BYTES:]
-    if not hmac.compare_digest(datagram[:TAG_BYTES], tag(secret, _DATAGRAM + body)):
+    key = _matching_key(keys, datagram[:TAG_BYTES], _DATAGRAM + body)
+    if key is None:
         raise FrameError("datagram tag does not match; check cluster_secret on both sides")
     end = 1 + body[0]
-    return body[1:end].decode(), body[end:]
+    return OpenedDatagram(body[1:end].decode(), body[end:], key)
+
+
+def _matching_key(keys: Sequence[bytes], present: bytes, covered: bytes) -> bytes | None:
+    """Return the key under which a tag covers some bytes, None if there is none."""
+    for key in keys:
+        if hmac.compare_digest(present, tag(key, covered)):
+            return key
+    return None
+
+
+@dataclass(frozen=True, slots=True)
+class OpenedFrame:
+    """A frame's payload, and the key that it was sealed with."""
+
+    payload: bytes
+    key: bytes
 
 
 class FrameWriter:
@@ -100,6 +128,15 @@
 
     def next_payload(self, key: bytes) -> bytes | None:
         """Return the next whole payload, or None until more bytes arrive."""
+        frame = self.next_frame((key,))
+        return None if frame is None else frame.payload
+
+    def next_frame(self, keys: Sequence[bytes]) -> OpenedFrame | None:
+        """Return the next whole frame, sealed with one of the keys, or None until it is there.
+
+        Raises:
+            FrameError: the frame is too long, or no key's tag matches.
+        """
         if len(self._buffer) < _LENGTH.size:
             return None
         (length,) = _LENGTH.unpack_from(self._buffer)
@@ -113,6 +150,7 @@
         payload = body[TAG_BYTES:]
         covered = self._direction + _COUNTER.pack(self._counter) + payload
         self._counter += 1
-        if not hmac.compare_digest(body[:TAG_BYTES], tag(key, covered)):
+        key = _matching_key(keys, body[:TAG_BYTES], covered)
+        if key is None:
             raise FrameError("frame tag does not match; check cluster_secret on both sides")
-        return payload
+        return OpenedFrame(payload, key)
--- a/src/martenrun/wire/transport.py
+++ b/src/martenrun/wire/transport.py
@@ -21,6 +21,7 @@
 from martenrun.wire.codec import CodecError, decode, encode
 from martenrun.wire.connection import Connection
 from martenrun.wire.frames import FrameError, open_datagram, seal_datagram
+from martenrun.wire.keys import ClusterKeys
 from martenrun.wire.limits import (
     HANDSHAKE_TIMEOUT_S,
     MAXIMUM_OUTGOING_BYTES,
@@ -63,11 +64,11 @@
         sent_datagram_bytes: bytes given to UDP so far.
     """
 
-    def __init__(self, name: str, secret: bytes, receive: Receive) -> None:
+    def __init__(self, name: str, keys: ClusterKeys, receive: Receive) -> None:
         self.name = name
         self.sent_stream_bytes = 0
         self.sent_datagram_bytes = 0
-        self._secret = secret
+        self._keys = keys
         self._receive = receive
         self._selector = selectors.DefaultSelector()
         self._commands: collections.deque[tuple[str, bytes]] = collections.deque()
@@ -116,7 +117,7 @@
         if self._datagrams is None:
             return
         try:
-            datagram = seal_datagram(self._secret, self.name, encode(message))
+            datagram = seal_datagram(self._keys.sealing, self.name, encode(message))
             self.sent_datagram_bytes += self._datagrams.sendto(datagram, parse_address(peer))
         except (OSError, ValueError) as error:
             logging.log_every_n_seconds(
@@ -128,14 +129,15 @@
         for _ in range(_DATAGRAMS_AT_ONCE):
             try:
                 datagram = self._datagrams.recv(MAXIMUM_DATAGRAM_BYTES + 1)
-                sender, payload = open_datagram(self._secret, datagram)
-                message = decode(payload)
+                opened = open_datagram(self._keys.accepted, datagram)
+                message = decode(opened.payload)
             except BlockingIOError:
                 return
             except (OSError, ValueError, IndexError):
                 # A stranger's datagram, or the echo of one that met no listener.
                 continue
-            self._receive(sender, message)
+            self._keys.note_use(opened.key)
+            self._receive(opened.sender, message)
 
     def _wake(self) -> None:
         with contextlib.suppress(BlockingIOError, OSError):
@@ -205,7 +207,7 @@
             logging.log_every_n_seconds(logging.WARNING, "no socket for %s: %s", 5, peer, error)
             return None
         sock.connect_ex(address)
-        connection = Connection(sock, self.name, self._secret, peer, is_connector=True)
+        connection = Connection(sock, self.name, self._keys, peer, is_connector=True)
         self._connections[peer] = connection
         self._add(connection, now)
         return connection
@@ -218,7 +220,7 @@
             logging.log_every_n_seconds(logging.WARNING, "cannot accept: %s", 5, error)
             self._close_oldest_unestablished()
             return
-        connection = Connection(sock, self.name, self._secret, "", is_connector=False)
+        connection = Connection(sock, self.name, self._keys, "", is_connector=False)
         self._add(connection, time.monotonic())
         if len(self._unestablished) > MAXIMUM_UNESTABLISHED:
             self._close_oldest_unestablished()
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -13,10 +13,12 @@
 from martenrun.wire.codec import encode
 from martenrun.wire.connection import Connection
 from martenrun.wire.frames import FrameError, open_datagram, seal_datagram
+from martenrun.wire.keys import ClusterKeys
 from martenrun.wire.messages import ConfigurationObject, Queued
 from martenrun.wire.transport import PeerTransport, parse_address
 
 SECRET = b"0123456789abcdef"
+KEYS = ClusterKeys(SECRET)
 MESSAGE = Queued("r", 1, 0.5)
 
 
@@ -24,7 +26,7 @@
 def server():
     address = free_address()
     received = queue.Queue()
-    running = PeerTransport(address, SECRET, lambda peer, message: received.put((peer, message)))
+    running = PeerTransport(address, KEYS, lambda peer, message: received.put((peer, message)))
     running.listen(address)
     running.start()
     try:
@@ -35,7 +37,7 @@
 
 def assert_serves(running, received):
     """Check that an honest peer is still served."""
-    client = PeerTransport("agent/honest", SECRET, lambda peer, message: None)
+    client = PeerTransport("agent/honest", KEYS, lambda peer, message: None)
     client.start()
     try:
         client.send(running.name, MESSAGE)
@@ -49,7 +51,7 @@
 
 
 def recorded_hello():
-    return bytes(Connection(None, "agent/recorded", SECRET, "x", is_connector=True).outgoing)
+    return bytes(Connection(None, "agent/recorded", KEYS, "x", is_connector=True).outgoing)
 
 
 @pytest.mark.parametrize(
@@ -94,7 +96,7 @@
     with server() as (running, _received), contextlib.closing(socket.socket()) as frozen:
         frozen.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         frozen.connect(parse_address(running.name))
-        handshake = Connection(frozen, "agent/frozen", SECRET, "x", is_connector=True)
+        handshake = Connection(frozen, "agent/frozen", KEYS, "x", is_connector=True)
         frozen.sendall(handshake.outgoing)
         handshake.outgoing.clear()
         handshake.receive(frozen.recv(4096))
@@ -141,7 +143,7 @@
         address = free_address()
         for _ in range(2):
             answers = queue.Queue()
-            peer = PeerTransport(address, SECRET, lambda _, m, box=answers: box.put(m))
+            peer = PeerTransport(address, KEYS, lambda _, m, box=answers: box.put(m))
             peer.listen(address)
             peer.start()
 
@@ -167,6 +169,7 @@
 
 
 def test_a_datagram_has_a_size_limit_and_names_its_sender():
-    assert open_datagram(SECRET, seal_datagram(SECRET, "n", b"abc")) == ("n", b"abc")
+    opened = open_datagram([SECRET], seal_datagram(SECRET, "n", b"abc"))
+    assert (opened.sender, opened.payload) == ("n", b"abc")
     with pytest.raises(FrameError):
         seal_datagram(SECRET, "n", b"x" * MAXIMUM_DATAGRAM_BYTES)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,10 +10,13 @@
 
 from martenrun.wire import codec
 from martenrun.wire.frames import FrameError, FrameReader, FrameWriter
+from martenrun.wire.keys import ClusterKeys
 from martenrun.wire.messages import DecideRequest, Queued, ReserveSlot
 from martenrun.wire.transport import PeerTransport
 
 SECRET = b"0123456789abcdef"
+KEYS = ClusterKeys(SECRET)
+OTHER_KEYS = ClusterKeys(b"another-secret--")
 
 
 @pytest.mark.parametrize("name", sorted(codec.message_classes()))
@@ -65,12 +68,12 @@
 
 def test_transport_answers_over_the_callers_connection_and_shuts_out_strangers():
     address = free_address()
-    server = PeerTransport(address, SECRET, lambda peer, m: server.send(peer, m))
+    server = PeerTransport(address, KEYS, lambda peer, m: server.send(peer, m))
     server.listen(address)
     answers = queue.Queue()
-    client = PeerTransport("agent/one", SECRET, lambda peer, m: answers.put(m))
+    client = PeerTransport("agent/one", KEYS, lambda peer, m: answers.put(m))
     stranger_answers = queue.Queue()
-    stranger = PeerTransport("agent/x", b"another-secret--", lambda p, m: stranger_answers.put(m))
+    stranger = PeerTransport("agent/x", OTHER_KEYS, lambda p, m: stranger_answers.put(m))
     transports = (server, client, stranger)
     for transport in transports:
         transport.start()
