Start a node's part in the cluster before its HTTP front

Cause: waitress, werkzeug, prometheus_client and the administration API took 57 to 91 ms of a start before the loop and the peer transport began. And a node whose HTTP address was taken hung: the error left its loop's thread running.

Change: the front moves to martenrun.node.front, which NodeProcess imports after loop, transport and pollers are started. If it cannot listen, the drivers are stopped and a SettingsError tells the address and the remedy.

--- a/scripts/measure_restart.py
+++ b/scripts/measure_restart.py
@@ -27,7 +27,7 @@
 _IMPORTS = (
     "import martenrun.cli.main, martenrun.cli.libraries as libraries;"
     "libraries.limit_native_threads();"
-    "import martenrun.cli.processes, martenrun.node.process"
+    "import martenrun.cli.processes, martenrun.node.process, martenrun.node.front"
 )
 
 
--- /dev/null
+++ b/src/martenrun/node/front.py
@@ -0,0 +1,89 @@
+"""The HTTP front of a node: callers' and operators' requests on one address.
+
+Its libraries are not needed for a node's part in the cluster, so it is imported while the node
+already joins the others.
+
+See also: :mod:`martenrun.node.process`.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any
+
+from martenrun.admin.application import ADMIN_PREFIX, AdminApplication
+from martenrun.admin.status import StatusPort
+from martenrun.edge.application import CallerApplication
+from martenrun.edge.forward import EdgePort
+from martenrun.edge.server import HttpServer
+from martenrun.events import Finish, RunAttempt, StatusReady
+from martenrun.node.core import NodeCore
+from martenrun.observability.admission import SharingCollector
+from martenrun.platform.weight_store import WeightStore
+from martenrun.settings.model import NodeSettings
+from martenrun.sharing.policy_weights import PolicyStatus
+
+
+class NodeFront:
+    """Serves the caller's API and the administration API of one node.
+
+    Args:
+        settings: the node's settings.
+        core: the node's loop, parts and object API client.
+
+    Raises:
+        OSError: the node's HTTP address cannot be listened on.
+    """
+
+    def __init__(self, settings: NodeSettings, core: NodeCore) -> None:
+        self._parts = core.parts
+        self._port = EdgePort(tell=core.tell)
+        self._status_port = StatusPort(core.tell)
+        caller = CallerApplication(self._port, self._parts.view, settings)
+        self.slots = caller.slots
+        caller.add_metrics(SharingCollector(self._parts.limits.counts, self._policy_statuses))
+        weights = WeightStore(settings.weight_store) if settings.weight_store else None
+        admin = AdminApplication(
+            core.store,
+            self._parts.view,
+            settings.bootstrap_key_sha256,
+            lambda: self._status_port.status(self._parts.view(), self._policy_statuses()),
+            weights,
+        )
+        application = NodeApplication(caller, admin)
+        self._server = HttpServer(
+            application, settings.http_address, settings.max_streams + settings.http_threads
+        )
+
+    def start(self) -> None:
+        """Serve from now on."""
+        self._port.watch.start()
+        self._server.start()
+
+    def stop(self) -> None:
+        """Serve no more."""
+        self._server.stop()
+        self._port.watch.stop()
+
+    def deliver(self, instruction: RunAttempt | Finish) -> None:
+        """Hand an instruction of the loop to the thread that carries the request."""
+        self._port.deliver(instruction)
+
+    def deliver_status(self, instruction: StatusReady) -> None:
+        """Hand a status to the thread that waits for it."""
+        self._status_port.deliver(instruction)
+
+    def _policy_statuses(self) -> Sequence[PolicyStatus]:
+        return self._parts.sharing.statuses
+
+
+class NodeApplication:
+    """Serves the caller's API and the administration API on one address."""
+
+    def __init__(self, caller: Callable[..., Iterable[bytes]], admin: AdminApplication) -> None:
+        self._caller = caller
+        self._admin = admin
+
+    def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        """Serve one request."""
+        is_admin = str(environ.get("PATH_INFO", "")).startswith(ADMIN_PREFIX)
+        application = self._admin if is_admin else self._caller
+        return application(environ, start_response)
--- a/tests/test_start_up.py
+++ b/tests/test_start_up.py
@@ -1,12 +1,14 @@
 """What a node imports when it starts, and commands that are imported when they are run."""
 
 import os
+import socket
 import subprocess
 import sys
 
 import click
 import pytest
 from click.testing import CliRunner
+from deployment import free_address
 
 from martenrun.cli.bench import bench
 from martenrun.cli.main import main
@@ -28,7 +30,7 @@
     code = (
         "import sys; from click.testing import CliRunner; from martenrun.cli.main import main;"
         "result = CliRunner().invoke(main, ['node', '--help']); assert result.exit_code == 0;"
-        "import martenrun.node.process;"
+        "import martenrun.node.process, martenrun.node.front;"
         "from martenrun.sharing.policy import CompiledPolicy; CompiledPolicy('weight');"
         "print(*sys.modules)"
     )
@@ -51,6 +53,26 @@
     assert done.stdout.decode().split() == ["1"]
 
 
+def test_a_node_joins_the_others_before_its_http_front_is_imported() -> None:
+    code = "import sys, martenrun.cli.processes, martenrun.node.process; print(*sys.modules)"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True)
+    imported = set(done.stdout.decode().split())
+    assert imported.isdisjoint(["waitress", "werkzeug", "prometheus_client", "martenrun.admin"])
+
+
+def test_a_node_whose_http_address_is_taken_says_so_and_ends() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        command = [sys.executable, "-m", "martenrun.cli", "node", "--name", "n", "--zone", "z"]
+        flags = {"cluster-secret": "0123456789abcdef", "http-address": address}
+        flags |= {name: free_address() for name in ("peer-address", "object-api", "machine-list")}
+        given = [part for name, value in flags.items() for part in (f"--{name}", value)]
+        done = subprocess.run([*command, *given], capture_output=True, timeout=30)
+    assert done.returncode == 2
+    assert f"cannot listen on {address}" in done.stderr.decode()
+    assert "remedy: give http_address" in done.stderr.decode()
+
+
 @pytest.mark.parametrize("group", [main, bench])
 def test_every_listed_command_can_be_imported(group: click.Group) -> None:
     context = click.Context(group)
