Measure what a decision costs real nodes through sockets

Change: scripts/bench.py control starts three nodes and six engines, and martenrun bench control asks each node 60 and 200 questions a second over agents' real transports, many in progress, and reports each attempt's end. Nodes tell processor time by thread and bytes of internal messages in /metrics (martenrun:thread_cpu_seconds, martenrun:peer_bytes), which the bench reads; idle cost is taken off.

--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -1,13 +1,13 @@
 """Runs the benchmarks that need real processes, and writes their figures.
 
-Usage: ``bench.py path|streams [FILE]``; without a file the figures are only printed.
+Usage: ``bench.py path|streams|control [FILE]``; without a file the figures are only printed.
 """
 
 import subprocess
 import sys
 from pathlib import Path
 
-from deployment import Deployment
+from deployment import CLUSTER_SECRET, Deployment
 
 MODEL = "vine-reader"
 KEY = "growers-key"
@@ -15,10 +15,12 @@
 STREAM_STEPS = (50, 100, 200, 300, 400)
 STREAM_ENGINES = 4
 SLOTS = 1_000
+CONTROL_ENGINES = 6
+CONTROL_NODES = 3
 
 
-def start(engines: int, decode_s: float) -> Deployment:
-    """Start a platform, engines, one node and one agent, and publish a route."""
+def start(engines: int, decode_s: float, nodes: int = 1) -> Deployment:
+    """Start a platform, engines, nodes and one agent, and publish a route."""
     deployment = Deployment()
     try:
         deployment.start_platform()
@@ -28,7 +30,7 @@
         ]
         for _ in range(engines):
             deployment.start_engine("zone-a", "readers", MODEL, *flags)
-        deployment.start_nodes(["zone-a"])
+        deployment.start_nodes(["zone-a"] * nodes)
         deployment.start_agents(["zone-a"], "--max-streams", "1000")
         deployment.apply_tenant("growers", KEY)
         deployment.apply("pools", "readers", {"model": MODEL, "weights_version": "v1"})
@@ -68,9 +70,26 @@
         deployment.stop()
 
 
+def control() -> bytes:
+    """Measure what a decision costs real nodes under a steady load."""
+    deployment = start(CONTROL_ENGINES, 0.002, CONTROL_NODES)
+    try:
+        limits = {"requests_per_s": 1e6, "tokens_per_s": 1e9, "concurrent_streams": 1_000_000}
+        deployment.wait_ready(deployment.apply("tenants", "growers", limits, version=1))
+        nodes = [
+            flag
+            for peer, edge in zip(deployment.node_peers, deployment.node_edges, strict=True)
+            for flag in ("--node", peer, edge)
+        ]
+        secret = ("--cluster-secret", CLUSTER_SECRET, "--tenant", "growers", "--model", MODEL)
+        return measured("control", *nodes, *secret)
+    finally:
+        deployment.stop()
+
+
 def main() -> int:
     """Run the named benchmark."""
-    benchmarks = {"path": path, "streams": streams}
+    benchmarks = {"path": path, "streams": streams, "control": control}
     if len(sys.argv) not in (2, 3) or sys.argv[1] not in benchmarks:
         print(__doc__, file=sys.stderr)
         return 2
--- a/src/martenrun/cli/bench.py
+++ b/src/martenrun/cli/bench.py
@@ -10,6 +10,7 @@
 _COMMANDS = {
     "path": "martenrun.bench.path:path",
     "streams": "martenrun.bench.streams:streams",
+    "control": "martenrun.bench.control:control",
     "index": "martenrun.bench.index:index_command",
     "configuration": "martenrun.bench.configuration:configuration",
     "sharing": "martenrun.bench.sharing:sharing",
--- a/src/martenrun/node/front.py
+++ b/src/martenrun/node/front.py
@@ -17,6 +17,7 @@
 from martenrun.events import Finish, RunAttempt, StatusReady
 from martenrun.node.core import NodeCore
 from martenrun.observability.admission import SharingCollector
+from martenrun.observability.process_cost import ProcessCostCollector
 from martenrun.platform.weight_store import WeightStore
 from martenrun.settings.model import NodeSettings
 from martenrun.sharing.policy_weights import PolicyStatus
@@ -40,6 +41,7 @@
         caller = CallerApplication(self._port, self._parts.view, settings)
         self.slots = caller.slots
         caller.add_metrics(SharingCollector(self._parts.limits.counts, self._policy_statuses))
+        caller.add_metrics(ProcessCostCollector(core.transport))
         weights = WeightStore(settings.weight_store) if settings.weight_store else None
         admin = AdminApplication(
             core.store,
--- /dev/null
+++ b/tests/test_process_cost.py
@@ -0,0 +1,56 @@
+"""What a process tells about its own cost."""
+
+import threading
+
+import pytest
+from deployment import free_address
+
+from martenrun.bench.process_cost import ProcessCost, read_cost
+from martenrun.edge.server import HttpServer
+from martenrun.observability.metrics import EdgeMetrics
+from martenrun.observability.process_cost import ProcessCostCollector
+from martenrun.wire.messages import StatusQuery
+from martenrun.wire.transport import PeerTransport
+
+
+@pytest.fixture
+def busy_thread():
+    stopping = threading.Event()
+    running = threading.Thread(target=lambda: spin(stopping), name="busy-3")
+    running.start()
+    yield
+    stopping.set()
+    running.join()
+
+
+def spin(stopping):
+    while not stopping.is_set():
+        pass
+
+
+def test_cost_is_told_by_thread_and_by_way(busy_thread):
+    address = free_address()
+    transport = PeerTransport(address, b"0123456789abcdef", lambda *_: None)
+    transport.listen(address)
+    transport.start()
+    metrics = EdgeMetrics()
+    metrics.add(ProcessCostCollector(transport))
+
+    def application(_environ, start_response):
+        start_response("200 OK", [("Content-Type", "text/plain")])
+        return [metrics.exposition()]
+
+    edge = free_address()
+    server = HttpServer(application, edge, threads=4)
+    server.start()
+    try:
+        before = read_cost(edge)
+        transport.send_datagram(address, StatusQuery("q"))
+        spent = ProcessCost()
+        while spent.thread_cpu_s.get("busy", 0.0) < 0.05:
+            spent = read_cost(edge).since(before)
+    finally:
+        server.stop()
+        transport.stop()
+    assert spent.cpu_s >= 0.05
+    assert spent.peer_bytes == transport.sent_datagram_bytes > 0
