--- a/src/martenrun/bench/control.py
+++ b/src/martenrun/bench/control.py
@@ -20,6 +20,7 @@
 from martenrun.bench.process_cost import ProcessCost, quantile, read_cost
 from martenrun.constants import BLOCK_HASH_BYTES, DEFAULT_BLOCK_BYTES
 from martenrun.platform.engine import AttemptOutcome
+from martenrun.wire.keys import cluster_keys
 from martenrun.wire.messages import AttemptReport, DecideRequest, Grant, Message, Queued
 from martenrun.wire.transport import PeerTransport
 
@@ -101,7 +102,7 @@
         for index in range(AGENTS):
             name = f"agent/bench-{index}"
             receive = functools.partial(self._take, index)
-            self._transports.append(PeerTransport(name, secret.encode(), receive))
+            self._transports.append(PeerTransport(name, cluster_keys(secret), receive))
 
     def start(self) -> None:
         for transport in self._transports:
