Do not count no_runner against a restart while no engine could run anything

Cause: the restart check counted every refusal with no_runner.

Ruled out: leaving the code out of the check. It still counts when any engine was on the list, neither leaving nor dead, silent or cut off for the last second, and not told so within its bound; a broken connection alone is no excuse, and a history without the list of engines has none.

Change: histories name their engines (EngineListed), and restart asks them. The known red test is replaced by the same schedule with the second engine answering, in which nothing may be refused, and by one that shows what the refusals were; five hand-made histories stand on both sides.

--- a/src/martenrun/proof/checkers/restart.py
+++ b/src/martenrun/proof/checkers/restart.py
@@ -2,7 +2,9 @@
 
 from math import inf
 
+from martenrun.errors import NoRunnerError
 from martenrun.proof.checkers.disturbance import Disturbances
+from martenrun.proof.checkers.engines import EngineAvailability
 from martenrun.proof.checkers.violation import Violation
 from martenrun.proof.history import (
     MACHINE_LIST,
@@ -32,10 +34,11 @@
 def check_restart(history: History) -> list[Violation]:
     """Find requests that a restarted router's edge got after the bound and did not serve.
 
-    Refusals for want of capacity count as served.  Three cases are not counted, because nothing
+    Refusals for want of capacity count as served.  Four cases are not counted, because nothing
     could serve: an agent without any node that has had the bound since its own start, a router
-    for which no process holds a copy of the configuration while the object API is down, and one
-    for which no node holds a copy of the machine list while that is down.
+    for which no process holds a copy of the configuration while the object API is down, one
+    for which no node holds a copy of the machine list while that is down, and ``no_runner``
+    while each engine was dead, silent, cut off or leaving.
     """
     return _RestartChecker(history).violations()
 
@@ -47,6 +50,7 @@
         self._answers = {answer.request_id: answer for answer in history.of(RequestAnswered)}
         self._nodes = {start.process for start in history.of(ProcessStarted) if start.is_node}
         self._starts = history.of(ProcessStarted)
+        self._engines = EngineAvailability(history, self._disturbances)
         self._copies = [seen for seen in history.of(ConfigurationInForce) if seen.revision > 0]
 
     def violations(self) -> list[Violation]:
@@ -75,6 +79,8 @@
         answer = self._answers.get(request.request_id)
         if answer is None:
             return "no answer" if end_s <= self._history.end_s else ""
+        if answer.code == NoRunnerError.code and self._engines.none_can_run(request.time_s):
+            return ""
         return f"refused with {answer.code}" if answer.code in UNSERVED_CODES else ""
 
     def _has_no_node(self, request: RequestInvoked, end_s: float) -> bool:
--- a/src/martenrun/proof/history.py
+++ b/src/martenrun/proof/history.py
@@ -142,6 +142,12 @@
     is_node: bool = True
 
 
+class EngineListed(Record, frozen=True, tag=True):
+    """The platform put an engine on the machine list; the run knows all engines by these."""
+
+    process: str
+
+
 class ProcessDisturbed(Record, frozen=True, tag=True):
     """A fault hit a process.
 
@@ -181,6 +187,7 @@
     | RemovalUnknown
     | ConfigurationInForce
     | ProcessStarted
+    | EngineListed
     | ProcessDisturbed
     | LeavingAnnounced
     | LeavingWithdrawn
--- a/src/martenrun/proof/world.py
+++ b/src/martenrun/proof/world.py
@@ -10,7 +10,7 @@
 from martenrun.platform.machine_list import Machine
 from martenrun.proof.callers import Callers
 from martenrun.proof.checkers import Violation, check_all
-from martenrun.proof.history import History, ProcessStarted
+from martenrun.proof.history import EngineListed, History, ProcessStarted
 from martenrun.proof.injector import FaultInjector
 from martenrun.proof.operators import Operators
 from martenrun.proof.processes import (
@@ -95,6 +95,7 @@
             place = self._place(index)
             places.put(place, engine.name, engine.address)
             machines.put(Machine(engine.name, "engine", engine.address, place.zone, "pool"))
+            self.recorder.add(EngineListed(time_s=0.0, process=engine.name))
         store = SimulatedStore(self.scheduler, rng, StoreFaults())
         store.is_cut = lambda name: places.are_cut(name, PLATFORM)
         self.around = Surroundings(
--- a/tests/test_proof_checkers.py
+++ b/tests/test_proof_checkers.py
@@ -7,6 +7,7 @@
     CacheOrigin,
     ConfigurationAccepted,
     ConfigurationInForce,
+    EngineListed,
     Executed,
     Granted,
     History,
@@ -106,6 +107,10 @@
 LIST_DOWN = ProcessDisturbed(time_s=0.5, process="machine-list", kind="down", until_s=2.0)
 LIST_LATE = ProcessDisturbed(time_s=0.5, process="machine-list", kind="late", until_s=2.0)
 ISOLATED = ProcessDisturbed(time_s=0.5, process="agent", kind="isolated", until_s=2.0)
+ENGINE = EngineListed(time_s=0.0, process="engine")
+OTHER = EngineListed(time_s=0.0, process="other")
+ENGINE_DEAD = ProcessDisturbed(time_s=0.5, process="engine", kind="kill", until_s=1.5)
+ENGINE_CUT = ProcessDisturbed(time_s=1.5, process="engine", kind="cut", until_s=1.5)
 NO_RUNNER = answered((), time_s=2.6, code="no_runner", ran="no")
 
 PLANTED = [
@@ -156,6 +161,9 @@
     ("restart", [NODE, AGENT_RESTART, invoked(time_s=2.5), UNSERVED]),
     ("restart", [LIST_LATE, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
     ("restart", [HOLDER, LIST_DOWN, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
+    ("restart", [ENGINE, ENGINE_CUT, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
+    ("restart", [ENGINE, OTHER, ENGINE_DEAD, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
+    ("restart", [ENGINE, ENGINE_DEAD, KILL, RESTART, NODE_ASKED, UNSERVED]),
     ("planned_stop", [invoked(), executed(), STOP, broken()]),
     ("planned_stop", [invoked(edge="engine"), STOP]),
     ("planned_stop", [invoked(), executed(), STOP, REFUSED_COPY]),
@@ -207,6 +215,8 @@
         ],
     ),
     ("restart", [KILL, STORE_DOWN, RESTART, NODE_ASKED, UNSERVED]),
+    ("restart", [ENGINE, ENGINE_DEAD, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
+    ("restart", [ENGINE, LEAVING, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
     ("planned_stop", [invoked(), executed(), STOP, answered()]),
     ("planned_stop", [invoked(edge="engine"), STOP, REFUSED_COPY]),
     (
--- a/tests/test_proof_simulation.py
+++ b/tests/test_proof_simulation.py
@@ -19,8 +19,10 @@
 from martenrun.ownership.stall import MachineListAge
 from martenrun.platform.engine import AttemptOutcome
 from martenrun.platform.machine_list import Machine
+from martenrun.proof.checkers.restart import check_restart
+from martenrun.proof.history import EngineListed, History
 from martenrun.proof.schedule import Fault, FaultKind, Schedule, draw_schedule
-from martenrun.proof.world import run_schedule
+from martenrun.proof.world import World, run_schedule
 from martenrun.routing.policy import RunnerChoice
 from martenrun.wire.messages import ConfigurationUpdate
 
@@ -101,7 +103,6 @@
 )
 NODES_RESTARTED = schedule(
     fault(FaultKind.RESTART_ALL_NODES, 2.8842861076872714, 5.0, 547),
-    fault(FaultKind.FREEZE_ENGINE, 7.068889337516754, 5.0, 837),
     fault(FaultKind.FREEZE_ENGINE, 3.282518932346762, 0.3, 243),
     fault(FaultKind.CUT_CONNECTIONS, 2.9975614068653877, 1.5, 527),
     fault(FaultKind.CUT_NETWORK, 5.0535837432115, 1.5, 483),
@@ -302,5 +303,17 @@
     assert [violation for violation in violations if violation.promise in HELD] == []
 
 
-def test_nodes_restarted_in_a_drawn_schedule_refuse_nothing_while_an_engine_lives():
+def test_restarted_nodes_refuse_nothing_while_an_engine_answers():
     assert found(NODES_RESTARTED, "restart") == []
+
+
+def test_a_refusal_for_want_of_a_runner_counts_unless_every_engine_is_out():
+    both_out = msgspec.structs.replace(
+        NODES_RESTARTED,
+        faults=(*NODES_RESTARTED.faults, fault(FaultKind.FREEZE_ENGINE, 7.07, 5.0, 837)),
+    )
+    history = World(both_out).run()
+    listed = [record for record in history.records if not isinstance(record, EngineListed)]
+    assert check_restart(history) == []
+    details = {found.detail for found in check_restart(History(listed, history.end_s))}
+    assert details == {"refused with no_runner"}
