Simulate planned stops of nodes and agents, and check that others know first

Only engines were stopped as planned in the simulation. The steps and their bounds are those of the real processes' drains, in virtual time (proof/drain.py).

planned_stop now also finds questions to a node that has ended by its planned stop, from edges and over a network that no fault hit since it began (record Asked, for each question). A process's absence after its stop is a disturbance of its own kind, which does not excuse a request cut by that stop.

Found without: the word to other members (questions after the stop), and the wait for streams (cut requests); neither with them. Five hand-made histories.

--- a/src/martenrun/proof/checkers/disturbance.py
+++ b/src/martenrun/proof/checkers/disturbance.py
@@ -17,10 +17,17 @@
         """Return the faults of a process."""
         return self._faults[process]
 
-    def touch(self, process: str, start_s: float, end_s: float) -> bool:
-        """Return whether a fault of the process overlaps a span."""
+    def touch(
+        self, process: str, start_s: float, end_s: float, besides: frozenset[str] = frozenset()
+    ) -> bool:
+        """Return whether a fault of the process overlaps a span.
+
+        Args:
+            besides: kinds of faults that do not count.
+        """
         return any(
-            fault.time_s <= end_s and fault.until_s >= start_s for fault in self._faults[process]
+            fault.time_s <= end_s and fault.until_s >= start_s and fault.kind not in besides
+            for fault in self._faults[process]
         )
 
     def calm_since(
--- a/src/martenrun/proof/checkers/planned_stop.py
+++ b/src/martenrun/proof/checkers/planned_stop.py
@@ -1,18 +1,26 @@
-"""A planned stop cuts off no request."""
+"""A planned stop cuts off no request, and the others know of it before it ends."""
+
+from math import inf
 
 from martenrun.errors import DuplicateRequestError
 from martenrun.proof.checkers.disturbance import Disturbances
 from martenrun.proof.checkers.violation import Violation
 from martenrun.proof.history import (
+    NETWORK,
+    STOPPED,
+    Asked,
     Executed,
     History,
     PlannedStop,
+    ProcessStarted,
     RequestAnswered,
     RequestInvoked,
 )
 
 PROMISE = "planned_stop"
 
+_ABSENCE = frozenset({STOPPED})
+
 
 def check_planned_stop(history: History) -> list[Violation]:
     """Find requests at a process in planned stop that were run and did not end whole.
@@ -20,9 +28,14 @@
     Requests that a kill, freeze or cut hit as well are not counted: the cause is open.  Nor is
     a copy that no engine ran and that was refused because of another copy: the stop did not
     cut it, and ``ran`` tells of the other copy.
+
+    Also found: questions to a node that has ended by a planned stop, from an edge and over a
+    network that no fault hit since the stop began.
     """
     checker = _PlannedStopChecker(history)
-    return [violation for stop in history.of(PlannedStop) for violation in checker.cut_by(stop)]
+    found = [violation for stop in history.of(PlannedStop) for violation in checker.cut_by(stop)]
+    late = [violation for stop in history.of(PlannedStop) for violation in checker.late(stop)]
+    return [*found, *late]
 
 
 class _PlannedStopChecker:
@@ -31,6 +44,8 @@
         self._invoked = history.of(RequestInvoked)
         self._answers = {answer.request_id: answer for answer in history.of(RequestAnswered)}
         self._disturbances = Disturbances(history)
+        self._asked = history.of(Asked)
+        self._starts = history.of(ProcessStarted)
         self._engines: dict[str, list[str]] = {}
         for run in history.of(Executed):
             self._engines.setdefault(run.request_id, []).append(run.engine)
@@ -45,6 +60,31 @@
             if self._is_cut(request, stop)
         ]
 
+    def late(self, stop: PlannedStop) -> list[Violation]:
+        """Return the requests for which a node was asked after its planned stop."""
+        starts = [start.time_s for start in self._starts if start.process == stop.process]
+        return_s = min((start_s for start_s in starts if start_s > stop.until_s), default=inf)
+        return [
+            Violation(
+                PROMISE,
+                asked.request_id,
+                asked.time_s,
+                f"{stop.process} was asked {asked.time_s - stop.until_s:.2f} s after its stop",
+            )
+            for asked in self._asked
+            if asked.node == stop.process
+            and stop.until_s < asked.time_s < return_s
+            and not self._may_not_know(asked, stop)
+        ]
+
+    def _may_not_know(self, asked: Asked, stop: PlannedStop) -> bool:
+        """Whether a fault may have kept the edge from learning of a stop."""
+        parties = (stop.process, asked.edge, NETWORK)
+        return any(
+            self._disturbances.touch(party, stop.time_s, asked.time_s, _ABSENCE)
+            for party in parties
+        )
+
     def _is_cut(self, request: RequestInvoked, stop: PlannedStop) -> bool:
         places = [request.edge, *self._engines.get(request.request_id, [])]
         answer = self._answers.get(request.request_id)
@@ -52,7 +92,9 @@
         overlaps = request.time_s <= stop.until_s and end_s >= stop.time_s
         if stop.process not in places or not overlaps or stop.until_s > self._end_s:
             return False
-        if any(self._disturbances.touch(place, request.time_s, end_s) for place in places):
+        if any(
+            self._disturbances.touch(place, request.time_s, end_s, _ABSENCE) for place in places
+        ):
             return False
         if answer is None:
             return True
--- a/src/martenrun/proof/history.py
+++ b/src/martenrun/proof/history.py
@@ -16,6 +16,12 @@
 MACHINE_LIST = "machine-list"
 """Name of the platform's machine list among processes."""
 
+NETWORK = "network"
+"""Name of the network between processes among processes: a fault of it loses messages."""
+
+STOPPED = "stopped"
+"""Kind of a process's absence after its planned stop."""
+
 ISOLATED = "isolated"
 """Kind of the fault that cuts a process off from the platform."""
 
@@ -71,6 +77,14 @@
     ran: str = ""
 
 
+class Asked(Record, frozen=True, tag=True):
+    """An edge asked a node which engine should serve a request."""
+
+    request_id: str
+    edge: str
+    node: str
+
+
 class Granted(Record, frozen=True, tag=True):
     """A node named a runner for an attempt.
 
@@ -151,7 +165,8 @@
 class ProcessDisturbed(Record, frozen=True, tag=True):
     """A fault hit a process.
 
-    ``kind`` is ``kill``, ``freeze``, ``cut``, :data:`ISOLATED`, ``late`` or ``down``.
+    ``kind`` is ``kill``, ``freeze``, ``cut``, :data:`ISOLATED`, ``late``, ``loss``,
+    :data:`STOPPED` or ``down``.
     """
 
     process: str
@@ -181,6 +196,7 @@
 AnyRecord = (
     RequestInvoked
     | RequestAnswered
+    | Asked
     | Granted
     | Executed
     | ConfigurationAccepted
--- a/src/martenrun/proof/injector.py
+++ b/src/martenrun/proof/injector.py
@@ -5,7 +5,9 @@
 
 from martenrun.proof.callers import Callers
 from martenrun.proof.history import (
+    NETWORK,
     OBJECT_API,
+    STOPPED,
     LeavingAnnounced,
     LeavingWithdrawn,
     PlannedStop,
@@ -81,6 +83,8 @@
             FaultKind.RESTART_ALL_NODES: lambda: self._kill_all(duration_s),
             FaultKind.RACE_OPERATORS: self.operators.race,
             FaultKind.SHIFT_HOT_PREFIX: self._shift,
+            FaultKind.STOP_NODE: lambda: self._stop(node, duration_s),
+            FaultKind.STOP_AGENT: lambda: self._stop(agent, duration_s),
             FaultKind.LOSE_ZONE: lambda: self._lose_zone(fault),
             FaultKind.CUT_REGIONS: lambda: self._places.cut_regions(duration_s),
             FaultKind.MACHINES_DOWN: lambda: self._places.machines_down(duration_s),
@@ -112,6 +116,20 @@
         )
         self._later(PROBE_AFTER_S, lambda: self.callers.probe(process))
 
+    def _stop(self, process: SimulatedProcess, duration_s: float) -> None:
+        """Stop a process as planned; it starts again some time after it has ended."""
+        if not process.is_serving or process.is_draining:
+            return
+        begun_s = self.around.scheduler.now
+
+        def ended() -> None:
+            now = self.around.scheduler.now
+            self.around.recorder.add(PlannedStop(time_s=begun_s, process=process.name, until_s=now))
+            self._disturb(process.name, STOPPED, duration_s)
+            self._later(duration_s, lambda: self._start(process))
+
+        process.drain(ended)
+
     def _kill_all(self, duration_s: float) -> None:
         for node in self.nodes:
             self._kill(node, duration_s)
@@ -158,6 +176,7 @@
         faults = self.around.network.faults
         jitter_s = JITTERS_S[fault.target % len(JITTERS_S)]
         faults.loss, faults.duplicate, faults.jitter_s = LOSS, DUPLICATES, jitter_s
+        self._disturb(NETWORK, "loss", fault.duration_s + jitter_s)
         self._later(fault.duration_s, self._heal_messages)
 
     def _heal_messages(self) -> None:
--- a/src/martenrun/proof/processes.py
+++ b/src/martenrun/proof/processes.py
@@ -14,16 +14,19 @@
 from martenrun.admin.application import AdminApplication
 from martenrun.agent.parts import AgentParts, agent_parts
 from martenrun.edge.request import parse_request
-from martenrun.errors import MartenrunError, NodeUnavailableError
+from martenrun.errors import MartenrunError, NodeUnavailableError, StoppingError
 from martenrun.events import (
     CacheEventsRead,
     Event,
     Finish,
+    LeaveRequested,
     MachinesListed,
     RunAttempt,
     RunnerDescribed,
 )
 from martenrun.node.parts import NodeParts, node_parts
+from martenrun.node.process import LATE_QUESTIONS_S, LEAVE_SPREAD_LIMIT_S
+from martenrun.proof.drain import Drain, DrainStep
 from martenrun.proof.edges import SimulatedEdge
 from martenrun.proof.object_api import SimulatedObjectApi
 from martenrun.proof.recorder import Recorder
@@ -63,6 +66,7 @@
         name: name in histories.
         peer: name on the internal network.
         place: where its machine stands.
+        is_draining: whether it is in a planned stop.
     """
 
     parts: NodeParts | AgentParts
@@ -95,6 +99,7 @@
     def start(self) -> None:
         """Start a run with nothing kept from the one before."""
         self._runs += 1
+        self.is_draining = False
         around = self._around
         self.parts = self.build_parts(random.Random(around.rng.randrange(1 << 30)))
         self.edge = SimulatedEdge(
@@ -115,7 +120,7 @@
                 Finish: self.edge.finish,
                 **around.store.carriers(self.name, lambda event: hollow.tell(event)),
             },
-            observe=lambda _receiver, message: around.recorder.sent(self.name, message),
+            observe=lambda receiver, message: around.recorder.sent(self.name, receiver, message),
         )
         self.hollow = hollow
 
@@ -125,12 +130,34 @@
 
     def kill(self) -> None:
         """End the process at once."""
+        self.is_draining = False
         self.hollow.kill()
         self.edge.break_off()
         waiting, self._waiting = self._waiting, []
         for call in waiting:
             call()
 
+    def drain(self, ended: Callable[[], None]) -> None:
+        """Begin a planned stop; ``ended`` is called when the process has ended by it."""
+        run = self._runs
+        self.is_draining = True
+
+        def stop() -> None:
+            self.kill()
+            ended()
+
+        Drain(
+            self._around.scheduler,
+            self.drain_steps(),
+            lambda: self.hollow.is_frozen,
+            lambda: run != self._runs or not self.hollow.is_alive,
+            stop,
+        )
+
+    def drain_steps(self) -> list[DrainStep]:
+        """Return what a planned stop waits for: the streams that are running."""
+        return [DrainStep(lambda: self.edge.active_count > 0, self.settings.drain_timeout_s)]
+
     def freeze(self) -> None:
         """Pause the process."""
         if self.is_serving:
@@ -150,6 +177,9 @@
             self.edge.lose(headers["X-Request-Id"], [])
         elif self.hollow.is_frozen:
             self._waiting.append(lambda: self.request(headers, body))
+        elif self.is_draining:
+            error = StoppingError("this process is being stopped")
+            self.edge.answer(headers["X-Request-Id"], None, error)
         else:
             self._serve(headers, body)
 
@@ -224,6 +254,16 @@
         self._poll(run, PLATFORM_POLL_S, self._describe_runners)
         self._poll(run, CACHE_EVENTS_POLL_S, self._read_cache_events)
 
+    def drain_steps(self) -> list[DrainStep]:
+        """Tell the others first, let the front's streams end, then refuse late questions."""
+        self.hollow.tell(LeaveRequested())
+        membership = self.parts.membership
+        return [
+            DrainStep(lambda: not membership.leave_is_spread, LEAVE_SPREAD_LIMIT_S),
+            *super().drain_steps(),
+            DrainStep(lambda: not membership.is_alone, LATE_QUESTIONS_S),
+        ]
+
     def administration(self, key_sha256: str) -> Client:
         """Return a client of the node's administration API."""
         store = SimulatedObjectApi(self._around.store, self._around.rng, self.name)
--- a/src/martenrun/proof/recorder.py
+++ b/src/martenrun/proof/recorder.py
@@ -7,6 +7,7 @@
 from martenrun.constants import BLOCK_HASH_BYTES
 from martenrun.proof.history import (
     AnyRecord,
+    Asked,
     CacheOrigin,
     ConfigurationInForce,
     Executed,
@@ -19,9 +20,14 @@
 
 
 class Recorder:
-    """Collects records; ``now`` returns the observer's time in seconds."""
+    """Collects records; ``now`` returns the observer's time in seconds.
+
+    Attributes:
+        names: names of processes by their names on the internal network.
+    """
 
     def __init__(self, now: Callable[[], float]) -> None:
+        self.names: dict[str, str] = {}
         self._now = now
         self._records: list[AnyRecord] = []
         self._tenants: dict[str, str] = {}
@@ -60,9 +66,24 @@
             )
         )
 
-    def sent(self, sender: str, message: Message) -> None:
-        """Record a message if it is a grant; questions are kept to know its chain."""
+    def sent(self, sender: str, receiver: str, message: Message) -> None:
+        """Record a message if it is a question or a grant.
+
+        A question's chain is kept, because a grant is recorded with it.
+
+        Args:
+            sender: name of a process.
+            receiver: name on the internal network.
+        """
         if isinstance(message, DecideRequest):
+            self.add(
+                Asked(
+                    time_s=self._now(),
+                    request_id=message.request_id,
+                    edge=sender,
+                    node=self.names.get(receiver, receiver),
+                )
+            )
             self._questions[(message.request_id, message.attempt)] = DecideRequest(
                 tenant=message.tenant,
                 weights_version=message.weights_version,
--- a/src/martenrun/proof/schedule.py
+++ b/src/martenrun/proof/schedule.py
@@ -34,6 +34,8 @@
     CUT_REGIONS = "cut_regions"
     MACHINES_DOWN = "machines_down"
     MACHINES_LATE = "machines_late"
+    STOP_NODE = "stop_node"
+    STOP_AGENT = "stop_agent"
 
 
 class Fault(msgspec.Struct, frozen=True):
--- a/src/martenrun/proof/world.py
+++ b/src/martenrun/proof/world.py
@@ -53,6 +53,7 @@
         self._build_processes()
         members: list[SimulatedProcess] = [*self.agents, *self.nodes]
         self.members = members
+        self.recorder.names.update({member.peer: member.name for member in members})
         self.callers = Callers(self.scheduler, self.recorder, rng, members, schedule.copy_share)
         self.operators = Operators(self.scheduler, self.recorder, rng, self.nodes)
 
@@ -139,7 +140,7 @@
         self.scheduler.after(OBSERVE_INTERVAL_S, self._observe)
 
     def _is_busy(self) -> bool:
-        return any(member.edge.active_count for member in self.members)
+        return any(member.edge.active_count or member.is_draining for member in self.members)
 
 
 def _region(number: int) -> str:
--- a/tests/test_proof_checkers.py
+++ b/tests/test_proof_checkers.py
@@ -4,6 +4,7 @@
 
 from martenrun.proof.checkers import CHECKERS
 from martenrun.proof.history import (
+    Asked,
     CacheOrigin,
     ConfigurationAccepted,
     ConfigurationInForce,
@@ -78,6 +79,10 @@
     )
 
 
+def asked(time_s):
+    return Asked(time_s=time_s, request_id="r", edge="agent", node="node")
+
+
 def accepted(revision, expected):
     return ConfigurationAccepted(
         time_s=1.0, revision=revision, subject="tenants/t", expected=expected
@@ -113,6 +118,12 @@
 ENGINE_CUT = ProcessDisturbed(time_s=1.5, process="engine", kind="cut", until_s=1.5)
 NO_RUNNER = answered((), time_s=2.6, code="no_runner", ran="no")
 
+ABSENT = ProcessDisturbed(time_s=1.0, process="agent", kind="stopped", until_s=9.0)
+AGENT_STOP = PlannedStop(time_s=0.5, process="agent", until_s=1.0)
+NODE_STOP = PlannedStop(time_s=0.5, process="node", until_s=1.0)
+NODE_GONE = ProcessDisturbed(time_s=1.0, process="node", kind="stopped", until_s=9.0)
+RESTARTED_LATER = ProcessStarted(time_s=9.0, process="node", restarted=True)
+
 PLANTED = [
     ("streams", [invoked(), answered((0,))]),
     ("streams", [invoked(), answered((1, 0))]),
@@ -168,6 +179,9 @@
     ("planned_stop", [invoked(edge="engine"), STOP]),
     ("planned_stop", [invoked(), executed(), STOP, REFUSED_COPY]),
     ("planned_stop", [invoked(edge="engine"), STOP, broken()]),
+    ("planned_stop", [invoked(edge="agent"), ABSENT, AGENT_STOP, broken()]),
+    ("planned_stop", [NODE_STOP, NODE_GONE, asked(1.5)]),
+    ("planned_stop", [NODE_STOP, NODE_GONE, asked(1.5), RESTARTED_LATER]),
     ("configuration", [in_force(1.0, 2), in_force(2.0, 1)]),
     ("configuration", [accepted(2, expected=1), accepted(3, expected=1)]),
     ("configuration", [accepted(2, expected=0), LOST_REMOVAL, accepted(3, 0), accepted(4, 0)]),
@@ -218,6 +232,8 @@
     ("restart", [ENGINE, ENGINE_DEAD, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
     ("restart", [ENGINE, LEAVING, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
     ("planned_stop", [invoked(), executed(), STOP, answered()]),
+    ("planned_stop", [NODE_STOP, NODE_GONE, asked(0.9), RESTARTED_LATER, asked(9.5)]),
+    ("planned_stop", [NODE_STOP, NODE_GONE, ISOLATED, asked(1.5)]),
     ("planned_stop", [invoked(edge="engine"), STOP, REFUSED_COPY]),
     (
         "configuration",
--- a/tests/test_proof_simulation.py
+++ b/tests/test_proof_simulation.py
@@ -15,12 +15,15 @@
 from martenrun.edge.request import CallerRequest
 from martenrun.errors import Ran
 from martenrun.events import PeerMessage, QuestionCleared, Tell
+from martenrun.membership.table import MemberTable
 from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.ownership.stall import MachineListAge
 from martenrun.platform.engine import AttemptOutcome
 from martenrun.platform.machine_list import Machine
 from martenrun.proof.checkers.restart import check_restart
+from martenrun.proof.drain import DrainStep
 from martenrun.proof.history import EngineListed, History
+from martenrun.proof.processes import SimulatedProcess
 from martenrun.proof.schedule import Fault, FaultKind, Schedule, draw_schedule
 from martenrun.proof.world import World, run_schedule
 from martenrun.routing.policy import RunnerChoice
@@ -144,6 +147,13 @@
     load_s=9.5,
     requests_per_s=16.0,
 )
+STOPS = schedule(
+    *(fault(FaultKind.STOP_NODE, 1.0 + 4.0 * index, 5.0, index) for index in range(2)),
+    *(fault(FaultKind.STOP_AGENT, 0.8 + 1.5 * index, 0.3, index) for index in range(6)),
+    nodes=3,
+    agents=3,
+    requests_per_s=32.0,
+)
 LATE_MESSAGES = schedule(
     fault(FaultKind.LOSE_MESSAGES, 0.5, 9.0, target=1),
     *(fault(FaultKind.RACE_OPERATORS, 1.0 + 0.2 * index) for index in range(30)),
@@ -241,7 +251,17 @@
     monkeypatch.setattr(RunnerChoice, "granted_at", lambda choice, *_identity: choice)
 
 
+def leave_without_a_word(monkeypatch):
+    monkeypatch.setattr(MemberTable, "leave", lambda self, now: None)
+
+
+def stop_without_waiting_for_streams(monkeypatch):
+    monkeypatch.setattr(SimulatedProcess, "drain_steps", lambda self: [DrainStep(bool, 0.0)])
+
+
 GUARDS = [
+    ("planned_stop", leave_without_a_word, STOPS),
+    ("planned_stop", stop_without_waiting_for_streams, STOPS),
     ("cache_use", credit_the_run_before, RUNNERS_RESTARTED),
     ("leaving", trust_an_old_machine_list, PAUSED_NODE),
     ("leaving", use_grants_from_before_a_pause, PAUSED_AGENT),
