Read cache-event feeds in the simulation as nodes do, late too, and check beliefs

Found without: beliefs that survive an incarnation, under crashes with losing feeds; none with their end.

The test without the word to others still finds the violation.

--- a/src/martenrun/simulation/feed.py
+++ b/src/martenrun/simulation/feed.py
@@ -11,11 +11,15 @@
 
 FEED_LAG_S = 0.3
 
+LATE_ANSWER_S = 1.5
+"""How much later answers arrive while a feed loses entries, in seconds."""
+
 
 class SimulatedFeed:
     """Entries of one incarnation; each can be read ``FEED_LAG_S`` after it was written.
 
-    While ``is_losing`` new entries are lost; their numbers show in the answers.
+    While ``is_losing`` new entries are lost, and answers arrive late, possibly after a restart
+    of the engine and in another order; the numbers of lost entries show in the answers.
     """
 
     def __init__(self, scheduler: Scheduler, incarnation: str) -> None:
@@ -26,6 +30,11 @@
         self._entries: list[tuple[float, FeedEntry]] = []
         self._lost: list[tuple[float, int]] = []
 
+    @property
+    def answer_delay_s(self) -> float:
+        """How much later than usual an answer arrives now, in seconds."""
+        return LATE_ANSWER_S if self.is_losing else 0.0
+
     def write(self, stored: list[bytes], removed: list[bytes]) -> None:
         """Add an entry."""
         self._sequence += 1
--- a/tests/test_proof_simulation.py
+++ b/tests/test_proof_simulation.py
@@ -26,6 +26,7 @@
 from martenrun.proof.processes import SimulatedProcess
 from martenrun.proof.schedule import Fault, FaultKind, Schedule, draw_schedule
 from martenrun.proof.world import World, run_schedule
+from martenrun.routing.beliefs import BeliefBook
 from martenrun.routing.policy import RunnerChoice
 from martenrun.wire.messages import ConfigurationUpdate
 
@@ -147,6 +148,11 @@
     load_s=9.5,
     requests_per_s=16.0,
 )
+FEEDS_LOST = schedule(
+    *(fault(FaultKind.CRASH_ENGINE, 1.0 + index, 0.3, index) for index in range(8)),
+    *(fault(FaultKind.LOSE_CACHE_EVENTS, 0.5 + 2.0 * index, 1.5, index) for index in range(4)),
+    requests_per_s=16.0,
+)
 STOPS = schedule(
     *(fault(FaultKind.STOP_NODE, 1.0 + 4.0 * index, 5.0, index) for index in range(2)),
     *(fault(FaultKind.STOP_AGENT, 0.8 + 1.5 * index, 0.3, index) for index in range(6)),
@@ -259,7 +265,18 @@
     monkeypatch.setattr(SimulatedProcess, "drain_steps", lambda self: [DrainStep(bool, 0.0)])
 
 
+def keep_beliefs_about_an_incarnation_that_ended(monkeypatch):
+    identify = BeliefBook.identify
+
+    def identify_once(self, runner, incarnation, weights_version):
+        if runner not in self._identities:
+            identify(self, runner, incarnation, weights_version)
+
+    monkeypatch.setattr(BeliefBook, "identify", identify_once)
+
+
 GUARDS = [
+    ("cache_use", keep_beliefs_about_an_incarnation_that_ended, FEEDS_LOST),
     ("planned_stop", leave_without_a_word, STOPS),
     ("planned_stop", stop_without_waiting_for_streams, STOPS),
     ("cache_use", credit_the_run_before, RUNNERS_RESTARTED),
