--- a/src/martenrun/proof/world.py
+++ b/src/martenrun/proof/world.py
@@ -10,7 +10,7 @@
 from martenrun.platform.machine_list import Machine
 from martenrun.proof.callers import Callers
 from martenrun.proof.checkers import Violation, check_all
-from martenrun.proof.history import History, ProcessStarted
+from martenrun.proof.history import EngineListed, History, ProcessStarted
 from martenrun.proof.injector import FaultInjector
 from martenrun.proof.operators import Operators
 from martenrun.proof.processes import (
@@ -53,6 +53,7 @@
         self._build_processes()
         members: list[SimulatedProcess] = [*self.agents, *self.nodes]
         self.members = members
+        self.recorder.names.update({member.peer: member.name for member in members})
         self.callers = Callers(self.scheduler, self.recorder, rng, members, schedule.copy_share)
         self.operators = Operators(self.scheduler, self.recorder, rng, self.nodes)
 
@@ -95,6 +96,7 @@
             place = self._place(index)
             places.put(place, engine.name, engine.address)
             machines.put(Machine(engine.name, "engine", engine.address, place.zone, "pool"))
+            self.recorder.add(EngineListed(time_s=0.0, process=engine.name))
         store = SimulatedStore(self.scheduler, rng, StoreFaults())
         store.is_cut = lambda name: places.are_cut(name, PLATFORM)
         self.around = Surroundings(
@@ -138,7 +140,7 @@
         self.scheduler.after(OBSERVE_INTERVAL_S, self._observe)
 
     def _is_busy(self) -> bool:
-        return any(member.edge.active_count for member in self.members)
+        return any(member.edge.active_count or member.is_draining for member in self.members)
 
 
 def _region(number: int) -> str:
--- a/tests/test_proof_checkers.py
+++ b/tests/test_proof_checkers.py
@@ -4,9 +4,11 @@
 
 from martenrun.proof.checkers import CHECKERS
 from martenrun.proof.history import (
+    Asked,
     CacheOrigin,
     ConfigurationAccepted,
     ConfigurationInForce,
+    EngineListed,
     Executed,
     Granted,
     History,
@@ -77,6 +79,10 @@
     )
 
 
+def asked(time_s):
+    return Asked(time_s=time_s, request_id="r", edge="agent", node="node")
+
+
 def accepted(revision, expected):
     return ConfigurationAccepted(
         time_s=1.0, revision=revision, subject="tenants/t", expected=expected
@@ -106,8 +112,20 @@
 LIST_DOWN = ProcessDisturbed(time_s=0.5, process="machine-list", kind="down", until_s=2.0)
 LIST_LATE = ProcessDisturbed(time_s=0.5, process="machine-list", kind="late", until_s=2.0)
 ISOLATED = ProcessDisturbed(time_s=0.5, process="agent", kind="isolated", until_s=2.0)
+ENGINE = EngineListed(time_s=0.0, process="engine")
+OTHER = EngineListed(time_s=0.0, process="other")
+ENGINE_DEAD = ProcessDisturbed(time_s=0.5, process="engine", kind="kill", until_s=1.5)
+ENGINE_CUT = ProcessDisturbed(time_s=1.5, process="engine", kind="cut", until_s=1.5)
 NO_RUNNER = answered((), time_s=2.6, code="no_runner", ran="no")
 
+ABSENT = ProcessDisturbed(time_s=1.0, process="agent", kind="stopped", until_s=9.0)
+AGENT_STOP = PlannedStop(time_s=0.5, process="agent", until_s=1.0)
+HOLDER_DEAD = ProcessDisturbed(time_s=0.0, process="holder", kind="kill", until_s=0.6)
+JUST_STARTED = ProcessDisturbed(time_s=-1.0, process="node", kind="kill", until_s=0.2)
+NODE_STOP = PlannedStop(time_s=0.5, process="node", until_s=1.0)
+NODE_GONE = ProcessDisturbed(time_s=1.0, process="node", kind="stopped", until_s=9.0)
+RESTARTED_LATER = ProcessStarted(time_s=9.0, process="node", restarted=True)
+
 PLANTED = [
     ("streams", [invoked(), answered((0,))]),
     ("streams", [invoked(), answered((1, 0))]),
@@ -156,10 +174,16 @@
     ("restart", [NODE, AGENT_RESTART, invoked(time_s=2.5), UNSERVED]),
     ("restart", [LIST_LATE, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
     ("restart", [HOLDER, LIST_DOWN, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
+    ("restart", [ENGINE, ENGINE_CUT, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
+    ("restart", [ENGINE, OTHER, ENGINE_DEAD, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
+    ("restart", [ENGINE, ENGINE_DEAD, KILL, RESTART, NODE_ASKED, UNSERVED]),
     ("planned_stop", [invoked(), executed(), STOP, broken()]),
     ("planned_stop", [invoked(edge="engine"), STOP]),
     ("planned_stop", [invoked(), executed(), STOP, REFUSED_COPY]),
     ("planned_stop", [invoked(edge="engine"), STOP, broken()]),
+    ("planned_stop", [invoked(edge="agent"), ABSENT, AGENT_STOP, broken()]),
+    ("planned_stop", [HOLDER, NODE_STOP, NODE_GONE, asked(1.5)]),
+    ("planned_stop", [HOLDER, NODE_STOP, NODE_GONE, asked(1.5), RESTARTED_LATER]),
     ("configuration", [in_force(1.0, 2), in_force(2.0, 1)]),
     ("configuration", [accepted(2, expected=1), accepted(3, expected=1)]),
     ("configuration", [accepted(2, expected=0), LOST_REMOVAL, accepted(3, 0), accepted(4, 0)]),
@@ -207,7 +231,13 @@
         ],
     ),
     ("restart", [KILL, STORE_DOWN, RESTART, NODE_ASKED, UNSERVED]),
+    ("restart", [ENGINE, ENGINE_DEAD, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
+    ("restart", [ENGINE, LEAVING, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
     ("planned_stop", [invoked(), executed(), STOP, answered()]),
+    ("planned_stop", [HOLDER, NODE_STOP, NODE_GONE, asked(0.9), RESTARTED_LATER, asked(9.5)]),
+    ("planned_stop", [HOLDER, NODE_STOP, NODE_GONE, ISOLATED, asked(1.5)]),
+    ("planned_stop", [HOLDER, HOLDER_DEAD, NODE_STOP, NODE_GONE, asked(1.5)]),
+    ("planned_stop", [HOLDER, JUST_STARTED, NODE_STOP, NODE_GONE, asked(1.5)]),
     ("planned_stop", [invoked(edge="engine"), STOP, REFUSED_COPY]),
     (
         "configuration",
