--- a/src/martenrun/proof/recorder.py
+++ b/src/martenrun/proof/recorder.py
@@ -3,10 +3,12 @@
 import hashlib
 from collections.abc import Callable
 
+from martenrun.configuration.objects import encode_document
 from martenrun.configuration.view import ConfigurationView
 from martenrun.constants import BLOCK_HASH_BYTES
 from martenrun.proof.history import (
     AnyRecord,
+    Asked,
     CacheOrigin,
     ConfigurationInForce,
     Executed,
@@ -19,9 +21,14 @@
 
 
 class Recorder:
-    """Collects records; ``now`` returns the observer's time in seconds."""
+    """Collects records; ``now`` returns the observer's time in seconds.
+
+    Attributes:
+        names: names of processes by their names on the internal network.
+    """
 
     def __init__(self, now: Callable[[], float]) -> None:
+        self.names: dict[str, str] = {}
         self._now = now
         self._records: list[AnyRecord] = []
         self._tenants: dict[str, str] = {}
@@ -60,9 +67,24 @@
             )
         )
 
-    def sent(self, sender: str, message: Message) -> None:
-        """Record a message if it is a grant; questions are kept to know its chain."""
+    def sent(self, sender: str, receiver: str, message: Message) -> None:
+        """Record a message if it is a question or a grant.
+
+        A question's chain is kept, because a grant is recorded with it.
+
+        Args:
+            sender: name of a process.
+            receiver: name on the internal network.
+        """
         if isinstance(message, DecideRequest):
+            self.add(
+                Asked(
+                    time_s=self._now(),
+                    request_id=message.request_id,
+                    edge=sender,
+                    node=self.names.get(receiver, receiver),
+                )
+            )
             self._questions[(message.request_id, message.attempt)] = DecideRequest(
                 tenant=message.tenant,
                 weights_version=message.weights_version,
@@ -108,7 +130,7 @@
             return known[1]
         digest = hashlib.blake2b(digest_size=8)
         for (kind, name), document in sorted(view.documents.items()):
-            digest.update(f"{kind}/{name}={document.model_dump_json()}\n".encode())
+            digest.update(f"{kind}/{name}=".encode() + encode_document(document) + b"\n")
         self._digests[id(view)] = (view, digest.hexdigest())
         return digest.hexdigest()
 
--- a/tests/test_proof_simulation.py
+++ b/tests/test_proof_simulation.py
@@ -15,12 +15,18 @@
 from martenrun.edge.request import CallerRequest
 from martenrun.errors import Ran
 from martenrun.events import PeerMessage, QuestionCleared, Tell
+from martenrun.membership.table import MemberTable
 from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.ownership.stall import MachineListAge
 from martenrun.platform.engine import AttemptOutcome
 from martenrun.platform.machine_list import Machine
+from martenrun.proof.checkers.restart import check_restart
+from martenrun.proof.drain import DrainStep
+from martenrun.proof.history import EngineListed, History
+from martenrun.proof.processes import SimulatedProcess
 from martenrun.proof.schedule import Fault, FaultKind, Schedule, draw_schedule
-from martenrun.proof.world import run_schedule
+from martenrun.proof.world import World, run_schedule
+from martenrun.routing.beliefs import BeliefBook
 from martenrun.routing.policy import RunnerChoice
 from martenrun.wire.messages import ConfigurationUpdate
 
@@ -101,7 +107,6 @@
 )
 NODES_RESTARTED = schedule(
     fault(FaultKind.RESTART_ALL_NODES, 2.8842861076872714, 5.0, 547),
-    fault(FaultKind.FREEZE_ENGINE, 7.068889337516754, 5.0, 837),
     fault(FaultKind.FREEZE_ENGINE, 3.282518932346762, 0.3, 243),
     fault(FaultKind.CUT_CONNECTIONS, 2.9975614068653877, 1.5, 527),
     fault(FaultKind.CUT_NETWORK, 5.0535837432115, 1.5, 483),
@@ -143,6 +148,18 @@
     load_s=9.5,
     requests_per_s=16.0,
 )
+FEEDS_LOST = schedule(
+    *(fault(FaultKind.CRASH_ENGINE, 1.0 + index, 0.3, index) for index in range(8)),
+    *(fault(FaultKind.LOSE_CACHE_EVENTS, 0.5 + 2.0 * index, 1.5, index) for index in range(4)),
+    requests_per_s=16.0,
+)
+STOPS = schedule(
+    *(fault(FaultKind.STOP_NODE, 1.0 + 4.0 * index, 5.0, index) for index in range(2)),
+    *(fault(FaultKind.STOP_AGENT, 0.8 + 1.5 * index, 0.3, index) for index in range(6)),
+    nodes=3,
+    agents=3,
+    requests_per_s=32.0,
+)
 LATE_MESSAGES = schedule(
     fault(FaultKind.LOSE_MESSAGES, 0.5, 9.0, target=1),
     *(fault(FaultKind.RACE_OPERATORS, 1.0 + 0.2 * index) for index in range(30)),
@@ -240,7 +257,28 @@
     monkeypatch.setattr(RunnerChoice, "granted_at", lambda choice, *_identity: choice)
 
 
+def leave_without_a_word(monkeypatch):
+    monkeypatch.setattr(MemberTable, "leave", lambda self, now: None)
+
+
+def stop_without_waiting_for_streams(monkeypatch):
+    monkeypatch.setattr(SimulatedProcess, "drain_steps", lambda self: [DrainStep(bool, 0.0)])
+
+
+def keep_beliefs_about_an_incarnation_that_ended(monkeypatch):
+    identify = BeliefBook.identify
+
+    def identify_once(self, runner, incarnation, weights_version):
+        if runner not in self._identities:
+            identify(self, runner, incarnation, weights_version)
+
+    monkeypatch.setattr(BeliefBook, "identify", identify_once)
+
+
 GUARDS = [
+    ("cache_use", keep_beliefs_about_an_incarnation_that_ended, FEEDS_LOST),
+    ("planned_stop", leave_without_a_word, STOPS),
+    ("planned_stop", stop_without_waiting_for_streams, STOPS),
     ("cache_use", credit_the_run_before, RUNNERS_RESTARTED),
     ("leaving", trust_an_old_machine_list, PAUSED_NODE),
     ("leaving", use_grants_from_before_a_pause, PAUSED_AGENT),
@@ -302,5 +340,17 @@
     assert [violation for violation in violations if violation.promise in HELD] == []
 
 
-def test_nodes_restarted_in_a_drawn_schedule_refuse_nothing_while_an_engine_lives():
+def test_restarted_nodes_refuse_nothing_while_an_engine_answers():
     assert found(NODES_RESTARTED, "restart") == []
+
+
+def test_a_refusal_for_want_of_a_runner_counts_unless_every_engine_is_out():
+    both_out = msgspec.structs.replace(
+        NODES_RESTARTED,
+        faults=(*NODES_RESTARTED.faults, fault(FaultKind.FREEZE_ENGINE, 7.07, 5.0, 837)),
+    )
+    history = World(both_out).run()
+    listed = [record for record in history.records if not isinstance(record, EngineListed)]
+    assert check_restart(history) == []
+    details = {found.detail for found in check_restart(History(listed, history.end_s))}
+    assert details == {"refused with no_runner"}
