Make a pool's rings when first asked; work out loads once a ranking

A pool's rings are made when it is asked of first now.

Ranking worked out a runner's load twice and carried a list of prefix lengths that held one.

--- a/src/martenrun/ownership/candidates.py
+++ b/src/martenrun/ownership/candidates.py
@@ -50,6 +50,9 @@
 class PoolIndex:
     """A pool's runners on rings, for finding a prefix's candidates.
 
+    The rings are made when they are asked for first: a node that has just started knows every
+    pool, and its first questions are of a few.
+
     Args:
         runners: the pool's runners.
         zone: the zone whose runners are half of the candidates.
@@ -57,16 +60,21 @@
 
     def __init__(self, runners: Sequence[RunnerState], zone: str) -> None:
         self.runners = list(runners)
-        names = [runner.name for runner in self.runners]
-        near = [index for index, runner in enumerate(self.runners) if runner.zone == zone]
-        self._all = _Ring(names, range(len(names)))
-        self._near = _Ring(names, near)
+        self._zone = zone
+        self._rings: tuple[_Ring, _Ring] | None = None
 
     def candidates(self, key: bytes) -> list[RunnerState]:
         """Return up to :data:`CANDIDATES` runners for a prefix key, near ones first."""
         if len(self.runners) <= CANDIDATES:
             return self.runners
+        near, everywhere = self._rings or self._make_rings()
         place = name_hash(key)
-        near = self._near.following(place, CANDIDATES // 2)
-        found = dict.fromkeys(near + self._all.following(place, CANDIDATES))
-        return [self.runners[index] for index in list(found)[:CANDIDATES]]
+        found = near.following(place, CANDIDATES // 2)
+        found = list(dict.fromkeys(found + everywhere.following(place, CANDIDATES)))
+        return [self.runners[index] for index in found[:CANDIDATES]]
+
+    def _make_rings(self) -> tuple[_Ring, _Ring]:
+        names = [runner.name for runner in self.runners]
+        near = [index for index, runner in enumerate(self.runners) if runner.zone == self._zone]
+        self._rings = _Ring(names, near), _Ring(names, range(len(names)))
+        return self._rings
--- a/src/martenrun/routing/prefix_aware.py
+++ b/src/martenrun/routing/prefix_aware.py
@@ -1,9 +1,9 @@
 """The product's policy: the runner with the least expected time to the first token.
 
 Expected time = wait for a slot + prefill of the blocks believed uncached + zone distance.
-Candidates are the believed holders of any part of the prompt, two runners that rendezvous
-hashing prefers for the prompt's first blocks (so that a node that knows nothing yet finds old
-caches), and two random ones (so that no single idle-looking runner draws everything).
+Candidates are the believed holders of any part of the prompt, the runner that rendezvous hashing
+prefers for the prompt's first block (so that a node that knows nothing yet finds old caches),
+and two random ones (so that no single idle-looking runner draws everything).
 
 A hot prefix widens by itself: once the wait at its holders exceeds the prefill elsewhere, the
 next request goes elsewhere and makes a new holder.  It shrinks by itself: with less load the
@@ -30,9 +30,6 @@
 LOAD_HALF_LIFE_S = 1.5
 """Age at which a foreign load counts half, in seconds."""
 
-PREFERRED_BLOCKS = (1,)
-"""Prefix lengths whose rendezvous-preferred runner is a candidate, in blocks."""
-
 RANDOM_CANDIDATES = 2
 
 PRESSURE_S = 10.0
@@ -121,15 +118,16 @@
             if computation.runner in names:
                 index = names.index(computation.runner)
                 believed[index] = min(believed[index], computation.blocks_before)
-        preferred = self._preferred(question.chain, names)
+        loads = [load_of(runner, now) for runner in runners]
         uses = 1.0
-        if not computations and _holders_are_busy(runners, believed, now):
+        if not computations and _holders_are_busy(runners, loads, believed):
             rate = self._hot.rate(question.chain, now)
             uses = max(1.0, min(MAXIMUM_USES, rate * COPY_USE_S))
-        costs = self._costs(question, runners, believed, preferred, uses, now)
+        preferred = self._preferred(question.chain, names)
+        costs = self._costs(question, runners, loads, believed, preferred, uses)
         drawn = self._rng.choices(range(len(names)), k=RANDOM_CANDIDATES) if names else []
         for index, blocks in enumerate(believed):
-            if not blocks and index not in preferred and index not in drawn:
+            if not blocks and index != preferred and index not in drawn:
                 costs[index] += _NOT_CANDIDATE_S
         order = sorted(range(len(names)), key=costs.__getitem__)
         choices = [
@@ -217,18 +215,15 @@
             model = self._models[name] = FirstTokenModel()
         return model
 
-    def _preferred(self, chain: bytes, names: list[str]) -> set[int]:
-        """Return the indexes of the runners that hashing prefers for the first blocks."""
+    def _preferred(self, chain: bytes, names: list[str]) -> int | None:
+        """Return the index of the runner that hashing prefers for the first block."""
         if not names or not chain:
-            return set()
-        hashes = [self._hash_of(name) for name in names]
-        preferred = set()
-        for blocks in PREFERRED_BLOCKS:
-            end = min(len(chain), blocks * BLOCK_HASH_BYTES)
-            key = int.from_bytes(chain[end - BLOCK_HASH_BYTES : end], "little")
-            weights = [((each ^ key) * _MIX & _MASK_64) >> _MIX_SHIFT for each in hashes]
-            preferred.add(weights.index(max(weights)))
-        return preferred
+            return None
+        key = int.from_bytes(chain[:BLOCK_HASH_BYTES], "little")
+        known = self._name_hashes
+        hashes = [known.get(name) or self._hash_of(name) for name in names]
+        weights = [((each ^ key) * _MIX & _MASK_64) >> _MIX_SHIFT for each in hashes]
+        return weights.index(max(weights))
 
     def _hash_of(self, name: str) -> int:
         found = self._name_hashes.get(name)
@@ -242,10 +237,10 @@
         self,
         question: DecideRequest,
         runners: Sequence[RunnerState],
+        loads: list[float],
         believed: list[int],
-        preferred: set[int],
+        preferred: int | None,
         uses: float,
-        now: float,
     ) -> list[float]:
         """Return each runner's expected time to the first token, in seconds.
 
@@ -256,12 +251,12 @@
         prompt_blocks = question.prompt_bytes / self._block_bytes
         costs = []
         for index, runner in enumerate(runners):
-            load = load_of(runner, now)
+            load = loads[index]
             uncached = max(0.0, prompt_blocks - believed[index])
             cost = model.prefill_s(uncached, load)
             if uncached > SHARED_BLOCKS:
                 cost /= uses
-            if index not in preferred:
+            if index != preferred:
                 cost *= _NOT_PREFERRED
             cost *= 1.0 + PRESSURE_S / self.beliefs.lifetime_s(runner.name)
             if load >= runner.slots - 1:
@@ -272,13 +267,17 @@
         return costs
 
 
-def _holders_are_busy(runners: Sequence[RunnerState], believed: list[int], now: float) -> bool:
+def _holders_are_busy(
+    runners: Sequence[RunnerState], loads: list[float], believed: list[int]
+) -> bool:
     """Whether every runner that holds nearly the most of a prompt has few slots left."""
     enough = max(believed, default=0) - SHARED_BLOCKS
-    return enough > 0 and all(
-        load_of(runner, now) >= BUSY_SHARE * runner.slots
-        for runner, blocks in zip(runners, believed, strict=True)
-        if blocks >= enough
+    if enough <= 0:
+        return False
+    return all(
+        loads[index] >= BUSY_SHARE * runner.slots
+        for index, runner in enumerate(runners)
+        if believed[index] >= enough
     )
 
 
