Measure a request also with cold processor caches

Cause: the scale run says 150 to 280 us for a DecideRequest where the request benchmark says 71. Ruled out by trials: garbage collection (115 us with the collector off at 40 nodes and 62 requests/s) and the pool's size (flat). What is left is memory: 40 nodes take turns on one core's caches.

--- a/src/martenrun/bench/request_cost.py
+++ b/src/martenrun/bench/request_cost.py
@@ -5,6 +5,10 @@
 Every message is really encoded and decoded.  The owner side of all runners is one node's logic,
 so an owner's work on each clock tick and the usage exchange are not part of it.
 
+A process that is alone on its core keeps its data in the caches from one message to the next; one
+that shares it does not.  ``--swept-mb`` reads that much memory before each message is decoded, so
+that a run tells the other extreme.
+
 See also: :mod:`martenrun.bench.usage_exchange`, :mod:`martenrun.bench.scale`.
 """
 
@@ -60,6 +64,7 @@
 _OWNER = "10.9.9.9:7000"
 _AGENT = "agent/1"
 _US_PER_S = 1e6
+_FLOATS_PER_MB = 1_000_000 // 8
 _EMPTY = numpy.empty(0, dtype="<i8")
 
 
@@ -85,6 +90,7 @@
     nodes: int
     runners: int
     prefixes: int
+    swept_mb: int
     seed: int
     requests: int
     granted: int
@@ -112,6 +118,7 @@
     """A home, an owner and an agent in virtual time."""
 
     handlers: dict[str, Logic]
+    swept: "numpy.ndarray[tuple[int], numpy.dtype[numpy.float64]]"
     now: float = 0.0
     codec_s: float = 0.0
     granted: int = 0
@@ -137,6 +144,9 @@
         """Encode, count, decode and deliver a message."""
         started = time.thread_time()
         data = encode(message)
+        self.codec_s += time.thread_time() - started
+        self.swept.sum()
+        started = time.thread_time()
         received = decode(data)
         self.codec_s += time.thread_time() - started
         self.sent[sender] += 1
@@ -192,7 +202,7 @@
     ]
 
 
-def _cluster(nodes: int, runners: int, seed: int) -> _Run:
+def _cluster(nodes: int, runners: int, swept_mb: int, seed: int) -> _Run:
     rng = random.Random(seed)
     listed = make_runners(runners)
     machines = [runner.machine for runner in listed.values()]
@@ -224,7 +234,8 @@
     owner.handle(Tick(), 0.0)
     for runner in listed.values():
         owner.handle(RunnerDescribed(runner.machine.name, runner.describe()), 0.0)
-    return _Run({_HOME: home.handle, _OWNER: owner.handle})
+    swept = numpy.ones(swept_mb * _FLOATS_PER_MB)
+    return _Run({_HOME: home.handle, _OWNER: owner.handle}, swept)
 
 
 @dataclass(frozen=True)
@@ -266,10 +277,16 @@
 
 
 def measure(
-    nodes: int, runners: int, prefixes: int, seconds: float, requests_per_s: float, seed: int
+    nodes: int,
+    runners: int,
+    prefixes: int,
+    seconds: float,
+    requests_per_s: float,
+    seed: int,
+    swept_mb: int = 0,
 ) -> RequestCost:
     """Run a warm-up as long as the measured time, then measure."""
-    run = _cluster(nodes, runners, seed)
+    run = _cluster(nodes, runners, swept_mb, seed)
     rng = random.Random(seed)
     questions = _Questions(prefixes, rng)
     gc.collect()  # A node that has run for a while holds its tables as old objects.
@@ -290,10 +307,10 @@
             measured_from, requests, run.granted, run.known, run.codec_s = 0.0, 0, 0, 0, 0.0
             run.totals.clear()
             run.sent.clear()
-    return _result(run, (nodes, runners, prefixes, seed), requests)
+    return _result(run, (nodes, runners, prefixes, swept_mb, seed), requests)
 
 
-def _result(run: _Run, scenario: tuple[int, int, int, int], requests: int) -> RequestCost:
+def _result(run: _Run, scenario: tuple[int, int, int, int, int], requests: int) -> RequestCost:
     parts = [
         MessageCost(
             {_HOME: "home", _OWNER: "owner"}.get(role, "agent"),
@@ -324,6 +341,7 @@
 @click.option("--prefixes", default=1_000, show_default=True, help="Prefixes of this home node.")
 @click.option("--seconds", default=30.0, show_default=True, help="Measured virtual time.")
 @click.option("--requests-per-s", default=62.0, show_default=True)
+@click.option("--swept-mb", default=0, show_default=True, help="Read before each message.")
 @click.option("--seed", default=1, show_default=True)
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON line.")
 def request_command(
@@ -332,11 +350,12 @@
     prefixes: int,
     seconds: float,
     requests_per_s: float,
+    swept_mb: int,
     seed: int,
     as_json: bool,
 ) -> None:
     """Measure processor time and bytes of one request at its home and its owner."""
     collect_seldom()  # As a node's process does.
-    cost = measure(nodes, runners, prefixes, seconds, requests_per_s, seed)
+    cost = measure(nodes, runners, prefixes, seconds, requests_per_s, seed, swept_mb)
     encoded = msgspec.json.encode(cost)
     click.echo((encoded if as_json else msgspec.json.format(encoded)).decode())
