Look a runner's run up once a ranking, and forget those long gone

Each candidate was looked up in four tables by its name: run, feed, name hash, lifetime.

Change: identify returns the run, which carries all four; at most 16,384 runs are kept, the one named first is forgotten first.

--- a/src/martenrun/routing/beliefs.py
+++ b/src/martenrun/routing/beliefs.py
@@ -16,6 +16,7 @@
 
 from martenrun.constants import BLOCK_HASH_BYTES
 from martenrun.identity.chain import BlockHashes, as_array
+from martenrun.identity.rendezvous import weight
 from martenrun.routing.prefix_index import PrefixIndex, RunnerIdentity
 from martenrun.routing.prefix_tree import PrefixTree
 
@@ -28,6 +29,9 @@
 FED_RUNNERS = 32
 """Fed runners that are told apart; one more stays unknown."""
 
+MAXIMUM_RUNS = 16_384
+"""Runners that are told apart; the one named first is forgotten first."""
+
 BELIEVED_LIFETIMES = 1.5
 """Lifetimes for which a block that was sent to a runner is believed to be there."""
 
@@ -44,14 +48,23 @@
 
 
 @dataclass(slots=True, eq=False)
-class _Run:
-    """One run of a runner with one version of its weights, and the lifetime learned of it.
+class RunnerRun:
+    """One run of a runner with one version of its weights, and what is learned of it.
 
     Beliefs name the run itself, so that none about an earlier run is ever found again.
+
+    Attributes:
+        name_hash: weight of the runner's name in hashing.
+        lifetime_s: how long blocks are believed to stay cached unused; short under pressure.
+        is_fed: whether this node reads the runner's event feed.
     """
 
-    identity: RunnerIdentity
+    runner: str
+    incarnation: str
+    weights_version: str
+    name_hash: int
     lifetime_s: float = FIRST_LIFETIME_S
+    is_fed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,20 +90,23 @@
         routed_memory_bytes: int = ROUTED_MEMORY_BYTES,
     ) -> None:
         self._fed = PrefixIndex(fed_memory_bytes, FED_RUNNERS)
-        self._routed: PrefixTree[_Run] = PrefixTree(routed_memory_bytes)
-        self._runs: dict[str, _Run] = {}
+        self._routed: PrefixTree[RunnerRun] = PrefixTree(routed_memory_bytes)
+        self._runs: dict[str, RunnerRun] = {}
         self._fed_runners: set[str] = set()
         self._recent: collections.deque[_Routed] = collections.deque(maxlen=RECENT_CHAINS)
 
-    def identify(self, runner: str, incarnation: str, weights_version: str) -> None:
+    def identify(self, runner: str, incarnation: str, weights_version: str) -> RunnerRun:
         """Name the run that later calls mean; another run ends every older belief."""
         run = self._runs.get(runner)
         if run is not None:
-            known = run.identity
-            if known.incarnation == incarnation and known.weights_version == weights_version:
-                return
-            self.feed_ended(runner)
-        self._runs[runner] = _Run(RunnerIdentity(incarnation, weights_version))
+            if run.incarnation == incarnation and run.weights_version == weights_version:
+                return run
+            self.forget(runner)
+        name_hash = weight(b"", runner)
+        run = self._runs[runner] = RunnerRun(runner, incarnation, weights_version, name_hash)
+        if len(self._runs) > MAXIMUM_RUNS:
+            self.forget(next(iter(self._runs)))
+        return run
 
     def forget(self, runner: str) -> None:
         """Forget a runner and every belief about it."""
@@ -107,9 +123,10 @@
         run = self._runs.get(runner)
         if run is None:
             return
-        if runner not in self._fed_runners:
+        if not run.is_fed:
+            run.is_fed = True
             self._fed_runners.add(runner)
-            self._fed.identify(runner, run.identity)
+            self._fed.identify(runner, RunnerIdentity(run.incarnation, run.weights_version))
         self._fed.add(runner, stored)
         self._fed.remove(runner, removed)
 
@@ -128,6 +145,7 @@
         """The runner's feed is no longer read here."""
         if runner in self._fed_runners:
             self._fed_runners.discard(runner)
+            self._runs[runner].is_fed = False
             self._fed.forget(runner)
 
     def routed(self, runner: str, chain: bytes, believed: int, now: float) -> None:
@@ -172,15 +190,22 @@
 
     def leading(self, chain: bytes, runners: Sequence[str], now: float) -> list[int]:
         """Return the leading blocks believed cached at each runner, in order."""
-        runs = [self._runs.get(runner) for runner in runners]
-        since = [0.0 if run is None else now - BELIEVED_LIFETIMES * run.lifetime_s for run in runs]
-        fed = [index for index, runner in enumerate(runners) if runner in self._fed_runners]
-        for index in fed:
-            runs[index] = None
-        leading = self._routed.leading(chain, runs, since)
-        if fed:
-            blocks = self._fed.match(as_array(chain)).blocks.tolist()
-            for index in fed:
-                slot = self._fed.slot_of(runners[index])
-                leading[index] = blocks[slot] if slot >= 0 else 0
+        return self.leading_at([self._runs.get(runner) for runner in runners], chain, now)
+
+    def leading_at(self, runs: Sequence[RunnerRun | None], chain: bytes, now: float) -> list[int]:
+        """Return the leading blocks believed cached at each run of a runner, in order."""
+        routed = [None if run is None or run.is_fed else run for run in runs]
+        since = [
+            0.0 if run is None else now - BELIEVED_LIFETIMES * run.lifetime_s for run in routed
+        ]
+        leading = self._routed.leading(chain, routed, since)
+        if self._fed_runners and any(run.is_fed for run in runs if run is not None):
+            self._add_fed(runs, chain, leading)
         return leading
+
+    def _add_fed(self, runs: Sequence[RunnerRun | None], chain: bytes, leading: list[int]) -> None:
+        blocks = self._fed.match(as_array(chain)).blocks.tolist()
+        for index, run in enumerate(runs):
+            if run is not None and run.is_fed:
+                slot = self._fed.slot_of(run.runner)
+                leading[index] = blocks[slot] if slot >= 0 else 0
--- a/src/martenrun/routing/prefix_aware.py
+++ b/src/martenrun/routing/prefix_aware.py
@@ -16,9 +16,8 @@
 
 from martenrun.constants import BLOCK_HASH_BYTES, DEFAULT_BLOCK_BYTES
 from martenrun.identity.chain import block_count
-from martenrun.identity.rendezvous import weight
 from martenrun.platform.engine import AttemptOutcome
-from martenrun.routing.beliefs import BeliefBook
+from martenrun.routing.beliefs import BeliefBook, RunnerRun
 from martenrun.routing.first_token_model import FirstTokenModel
 from martenrun.routing.hot_prefixes import MINIMUM_COMPUTED_BLOCKS, Computation, HotPrefixes
 from martenrun.routing.policy import RankingPolicy, RunnerChoice, RunnerState
@@ -54,7 +53,6 @@
 """Ranked questions remembered for corrections; the oldest is forgotten first."""
 
 _NOT_CANDIDATE_S = 1e6
-_MAXIMUM_NAME_HASHES = 16_384
 _NOT_PREFERRED = 1.5
 """Factor on the prefill at runners that hashing does not prefer, so that prefixes settle."""
 
@@ -103,33 +101,33 @@
         self._models: dict[str, FirstTokenModel] = {}
         self._granted: dict[tuple[str, int], _GrantedWork] = {}
         self._ranked: dict[tuple[str, int], _RankedQuestion] = {}
-        self._name_hashes: dict[str, int] = {}
 
     def rank(
         self, question: DecideRequest, runners: Sequence[RunnerState], now: float
     ) -> list[RunnerChoice]:
         """See :meth:`martenrun.routing.policy.RoutingPolicy.rank`."""
-        for runner in runners:
-            self.beliefs.identify(runner.name, runner.incarnation, runner.weights_version)
-        names = [runner.name for runner in runners]
-        believed = self.beliefs.leading(question.chain, names, now)
+        identify = self.beliefs.identify
+        runs = [
+            identify(runner.name, runner.incarnation, runner.weights_version) for runner in runners
+        ]
+        believed = self.beliefs.leading_at(runs, question.chain, now)
         computations = self._hot.computations(question.chain, now)
         for computation in computations:
-            if computation.runner in names:
-                index = names.index(computation.runner)
-                believed[index] = min(believed[index], computation.blocks_before)
+            for index, run in enumerate(runs):
+                if run.runner == computation.runner:
+                    believed[index] = min(believed[index], computation.blocks_before)
         loads = [load_of(runner, now) for runner in runners]
         uses = 1.0
         if not computations and _holders_are_busy(runners, loads, believed):
             rate = self._hot.rate(question.chain, now)
             uses = max(1.0, min(MAXIMUM_USES, rate * COPY_USE_S))
-        preferred = self._preferred(question.chain, names)
-        costs = self._costs(question, runners, loads, believed, preferred, uses)
-        drawn = self._rng.choices(range(len(names)), k=RANDOM_CANDIDATES) if names else []
+        preferred = _preferred(question.chain, runs)
+        costs = self._costs(question, runners, runs, loads, believed, preferred, uses)
+        drawn = self._rng.choices(range(len(runs)), k=RANDOM_CANDIDATES) if runs else []
         for index, blocks in enumerate(believed):
             if not blocks and index != preferred and index not in drawn:
                 costs[index] += _NOT_CANDIDATE_S
-        order = sorted(range(len(names)), key=costs.__getitem__)
+        order = sorted(range(len(runs)), key=costs.__getitem__)
         choices = [
             RunnerChoice(
                 runners[index],
@@ -215,28 +213,11 @@
             model = self._models[name] = FirstTokenModel()
         return model
 
-    def _preferred(self, chain: bytes, names: list[str]) -> int | None:
-        """Return the index of the runner that hashing prefers for the first block."""
-        if not names or not chain:
-            return None
-        key = int.from_bytes(chain[:BLOCK_HASH_BYTES], "little")
-        known = self._name_hashes
-        hashes = [known.get(name) or self._hash_of(name) for name in names]
-        weights = [((each ^ key) * _MIX & _MASK_64) >> _MIX_SHIFT for each in hashes]
-        return weights.index(max(weights))
-
-    def _hash_of(self, name: str) -> int:
-        found = self._name_hashes.get(name)
-        if found is None:
-            if len(self._name_hashes) >= _MAXIMUM_NAME_HASHES:
-                self._name_hashes.clear()
-            found = self._name_hashes[name] = weight(b"", name)
-        return found
-
     def _costs(
         self,
         question: DecideRequest,
         runners: Sequence[RunnerState],
+        runs: Sequence[RunnerRun],
         loads: list[float],
         believed: list[int],
         preferred: int | None,
@@ -258,7 +239,7 @@
                 cost /= uses
             if index != preferred:
                 cost *= _NOT_PREFERRED
-            cost *= 1.0 + PRESSURE_S / self.beliefs.lifetime_s(runner.name)
+            cost *= 1.0 + PRESSURE_S / runs[index].lifetime_s
             if load >= runner.slots - 1:
                 cost += model.wait_s(load, runner.slots)
             if runner.zone != question.zone:
@@ -267,6 +248,15 @@
         return costs
 
 
+def _preferred(chain: bytes, runs: Sequence[RunnerRun]) -> int | None:
+    """Return the index of the runner that hashing prefers for the first block."""
+    if not runs or not chain:
+        return None
+    key = int.from_bytes(chain[:BLOCK_HASH_BYTES], "little")
+    weights = [((run.name_hash ^ key) * _MIX & _MASK_64) >> _MIX_SHIFT for run in runs]
+    return weights.index(max(weights))
+
+
 def _holders_are_busy(
     runners: Sequence[RunnerState], loads: list[float], believed: list[int]
 ) -> bool:
--- a/tests/test_prefix_tree.py
+++ b/tests/test_prefix_tree.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from martenrun.routing.beliefs import BELIEVED_LIFETIMES, BeliefBook
+from martenrun.routing.beliefs import BELIEVED_LIFETIMES, MAXIMUM_RUNS, BeliefBook
 from martenrun.routing.prefix_tree import MAXIMUM_HOLDERS, PrefixTree
 
 HOLDERS = ("r0", "r1", "r2")
@@ -74,6 +74,15 @@
     assert all(beliefs.leading(chain, (name,), 1.0) == [10] for name, chain in chains.items())
 
 
+def test_runners_that_have_gone_for_good_are_forgotten_in_the_end():
+    beliefs = BeliefBook(600_000, 600_000)
+    first = beliefs.identify("r0", "1", "v1")
+    assert beliefs.identify("r0", "1", "v1") is first
+    for number in range(1, MAXIMUM_RUNS + 1):
+        beliefs.identify(f"r{number}", "1", "v1")
+    assert beliefs.identify("r0", "1", "v1") is not first
+
+
 @settings(derandomize=True, deadline=None, max_examples=30)
 @given(steps=st.lists(st.tuples(st.floats(0.1, 9.0), st.booleans(), st.booleans()), max_size=60))
 def test_beliefs_end_by_the_lifetime_learned_last_and_with_the_run(steps):
