End a planned stop without losing a request, and refuse half-sent ones typed

Cause: the server closed every connection as soon as no request was carried. What waited unsent for a slow caller, was being received, or waited in the listening socket was lost. A stream beyond the drain time ended silently. Half-sent requests were closed without an answer, one byte every 29 s held a connection for good, and connections beyond the limit waited without an answer.

Change: EdgeStop refuses, drains, cuts with typed ends, then closes each connection once nothing is on its way on it. Connections over max_connections get 503 too_many_connections. No worker's thread is held by a request that is not whole. HttpServer's connections move to edge/channel.py.

Command: pytest tests/test_drain.py tests/test_edge_connections.py

--- a/src/martenrun/agent/process.py
+++ b/src/martenrun/agent/process.py
@@ -5,13 +5,11 @@
 import threading
 from typing import Any
 
-from absl import logging
-
 from martenrun.agent.parts import agent_parts
 from martenrun.edge.application import CallerApplication
-from martenrun.edge.drain import wait_while
+from martenrun.edge.drain import EdgeStop
 from martenrun.edge.forward import EdgePort
-from martenrun.edge.server import HttpServer
+from martenrun.edge.server import ConnectionLimits, HttpServer
 from martenrun.events import Finish, PeerMessage, RunAttempt, Send
 from martenrun.process import Clock, LoopActor, message_carrier
 from martenrun.settings.model import AgentSettings
@@ -38,11 +36,15 @@
                 Finish: self._port.deliver,
             },
         )
-        self._drain_timeout_s = settings.drain_timeout_s
         application = CallerApplication(self._port, self._parts.view, settings)
-        self._slots = application.slots
         self._server = HttpServer(
-            application, settings.http_address, settings.max_streams + settings.http_threads
+            application,
+            settings.http_address,
+            settings.max_streams + settings.http_threads,
+            ConnectionLimits(settings.max_connections, settings.receive_timeout_s),
+        )
+        self._stop = EdgeStop(
+            application.slots, self._server, self._port.watch, settings.drain_timeout_s
         )
         self._clock = Clock(self._loop.tell)
 
@@ -55,9 +57,9 @@
 
     def drain(self, hurry: threading.Event) -> None:
         """Refuse new requests, typed and not run, and let running streams end."""
-        self._slots.close()
-        if not wait_while(lambda: self._slots.taken > 0, self._drain_timeout_s, hurry):
-            logging.warning("%d streams are cut by the stop", self._slots.taken)
+        self._stop.begin()
+        self._stop.end_requests(hurry)
+        self._stop.close_connections(hurry)
 
     def stop(self) -> None:
         """Stop every driver and the loop."""
--- a/src/martenrun/edge/forward.py
+++ b/src/martenrun/edge/forward.py
@@ -14,7 +14,12 @@
 from martenrun.constants import ENGINE_READ_TIMEOUT_S, RESUME_WINDOW_S
 from martenrun.edge.request import CallerRequest
 from martenrun.edge.watch import CallerWatch, WatchedCaller
-from martenrun.errors import MartenrunError
+from martenrun.errors import (
+    MartenrunError,
+    OutcomeUnknownError,
+    StoppingError,
+    StreamBrokenError,
+)
 from martenrun.events import AttemptEnded, CallerGone, Event, Finish, RequestArrived, RunAttempt
 from martenrun.platform.attempt import EngineAttempt
 from martenrun.platform.engine import AttemptOutcome, EngineConnections, EngineRequest
@@ -24,12 +29,21 @@
 """Shortest time an engine is given for its first token, in seconds."""
 
 
+RETRY_AFTER_S = 1.0
+"""When a caller whose request was cut before it began should come back, in seconds."""
+
+
 @dataclass(frozen=True)
 class CallerNotice:
     """The caller has gone; put into a mailbox to end a wait."""
 
 
-Mailbox = queue.SimpleQueue[RunAttempt | Finish | CallerNotice]
+@dataclass(frozen=True)
+class StopNotice:
+    """The process stops and its drain time is over; put into a mailbox to end a wait."""
+
+
+Mailbox = queue.SimpleQueue[RunAttempt | Finish | CallerNotice | StopNotice]
 
 
 @dataclass
@@ -75,6 +89,9 @@
         self._deadline = time.monotonic() + request.question.deadline_s
         self._attempt: EngineAttempt | None = None
         self._has_left = False
+        self._is_cut = False
+        self._attempts = 0
+        self._is_complete = False
 
     def run(self) -> Iterator[bytes]:
         """Yield server-sent events, or one whole body; raises a MartenrunError at the end.
@@ -83,7 +100,8 @@
         engine's work.
         """
         self._port.mailboxes[self._request_id] = self._mailbox
-        self._port.watch.add(self._request_id, WatchedCaller(self._caller_gone, self._leave))
+        watched = WatchedCaller(self._caller_gone, self._leave, self._cut)
+        self._port.watch.add(self._request_id, watched)
         is_over = False
         try:
             self._port.tell(RequestArrived(self._request.question, self._request.repeatable))
@@ -91,6 +109,10 @@
                 instruction = self._mailbox.get()
                 if isinstance(instruction, CallerNotice):
                     raise CallerLeft
+                if isinstance(instruction, StopNotice):
+                    if self._is_complete:
+                        continue  # Its final answer is on the way.
+                    raise self._cut_error()
                 if isinstance(instruction, Finish):
                     break
                 yield from self._run_attempt(instruction)
@@ -105,10 +127,27 @@
     def _leave(self) -> None:
         """End every wait of this request; called from the watching thread."""
         self._has_left = True
+        self._break_off(CallerNotice())
+
+    def _cut(self) -> None:
+        """End this request with a typed error; called from the stopping thread."""
+        self._is_cut = True
+        self._break_off(StopNotice())
+
+    def _break_off(self, notice: CallerNotice | StopNotice) -> None:
         attempt = self._attempt
         if attempt is not None:
             attempt.abort()
-        self._mailbox.put(CallerNotice())
+        self._mailbox.put(notice)
+
+    def _cut_error(self) -> MartenrunError:
+        """Return what is true of a request that the process's stop has ended."""
+        reason = "the process was stopped and the drain time is over"
+        if self._progress.has_events:
+            return StreamBrokenError(f"the stream is not whole: {reason}")
+        if self._attempts:
+            return OutcomeUnknownError(reason)
+        return StoppingError(reason, retry_after_s=RETRY_AFTER_S)
 
     def _run_attempt(self, instruction: RunAttempt) -> Iterator[bytes]:
         grant = instruction.grant
@@ -118,6 +157,9 @@
         self._attempt = attempt
         if self._has_left:
             raise CallerLeft
+        if self._is_cut:
+            raise self._cut_error()
+        self._attempts += 1
         try:
             for piece in attempt.events():
                 first_token_s = first_token_s or time.monotonic() - started
@@ -129,7 +171,8 @@
                 self._engines.cancel(grant.address, self._request_id)
             attempt.close()
         if attempt.result.outcome is AttemptOutcome.CALLER_GONE:
-            raise CallerLeft
+            raise self._cut_error() if self._is_cut else CallerLeft()
+        self._is_complete = attempt.result.outcome is AttemptOutcome.COMPLETE
         self._port.tell(
             AttemptEnded(
                 self._request_id,
--- a/src/martenrun/edge/server.py
+++ b/src/martenrun/edge/server.py
@@ -1,62 +1,142 @@
 """Serving WSGI applications with waitress."""
 
 import threading
+import time
 from collections.abc import Callable, Iterable
-from typing import Any
+from dataclasses import dataclass
 
 from waitress import wasyncore
-from waitress.channel import HTTPChannel
-from waitress.server import TcpWSGIServer, create_server
-from waitress.task import ErrorTask
-from waitress.utilities import RequestEntityTooLarge, RequestHeaderFieldsTooLarge
+from waitress.adjustments import Adjustments
+from waitress.server import TcpWSGIServer
 
 from martenrun.constants import MAXIMUM_BODY_BYTES
+from martenrun.edge.channel import MAXIMUM_HEADER_BYTES, REFUSED_RECEIVE_S, Channel
 from martenrun.edge.dispatcher import OnDemandDispatcher
-from martenrun.edge.responses import error_body
-from martenrun.errors import (
-    BodyTooLargeError,
-    HeadersTooLargeError,
-    InvalidRequestError,
-    MartenrunError,
-    Ran,
-)
+from martenrun.edge.drain import wait_while
+from martenrun.errors import TooManyConnectionsError
 from martenrun.wire.transport import parse_address
 
 WsgiApplication = Callable[..., Iterable[bytes]]
 
-MAXIMUM_HEADER_BYTES = 64 * 1024
-"""Largest request line and headers accepted, in bytes."""
+CONNECTIONS_PER_THREAD = 4
+"""Connections held for each thread if no number is given."""
 
-CHANNEL_TIMEOUT_S = 30
-"""Time after which a connection that sends nothing, or half a request, is closed."""
+REFUSED_CONNECTIONS = 64
+"""Connections beyond the limit that get a typed refusal at a time; further ones wait."""
 
+RECEIVE_TIMEOUT_S = 30.0
+"""Time to receive a request, and for which a connection may be idle, in seconds."""
+
+CHECK_INTERVAL_S = 1.0
+"""Longest time between two looks at the times of all connections, in seconds."""
+
+CHECKS_PER_TIMEOUT = 4
+"""Least number of such looks within the time to receive a request."""
 
 STOP_LIMIT_S = 5.0
 """Longest time that stopping waits for the server's thread."""
 
+RETRY_AFTER_S = 1.0
+"""When a caller refused for want of a connection should come back, in seconds."""
+
+
+@dataclass(frozen=True)
+class ConnectionLimits:
+    """Bounds of the connections of one server.
+
+    Attributes:
+        maximum: connections that are served at a time; None is four for each thread.
+        receive_timeout_s: time to receive a request, and for which a connection may be idle.
+    """
+
+    maximum: int | None = None
+    receive_timeout_s: float = RECEIVE_TIMEOUT_S
+
+
+class _Server(TcpWSGIServer):
+    """Waitress's server with typed refusals and an orderly stop; runs on its own thread."""
+
+    accepting: bool
+    channel_class = Channel
+    is_stopping = False
+    receive_timeout_s = RECEIVE_TIMEOUT_S
+    maximum_connections = 0
+
+    def handle_accept(self) -> None:
+        """Accept one connection; one over the limit is only told so."""
+        before = len(self.active_channels)
+        super().handle_accept()
+        if before >= self.maximum_connections:
+            message = f"this process holds {self.maximum_connections} connections already"
+            for channel in list(self.active_channels.values())[before:]:
+                channel.refusal = TooManyConnectionsError(message, retry_after_s=RETRY_AFTER_S)
+
+    def maintenance(self, now: float) -> None:
+        """Look at the times of every connection."""
+        now = time.monotonic()
+        for channel in list(self.active_channels.values()):
+            timeout_s = self.receive_timeout_s
+            if channel.refusal is not None or not self.accepting:
+                timeout_s = min(timeout_s, REFUSED_RECEIVE_S)
+            channel.check_times(now, timeout_s)
+
+    def stop_accepting(self) -> None:
+        """Accept the connections that wait already, then close the listening socket."""
+        if not self.accepting:
+            return
+        held = -1
+        while held < len(self.active_channels):
+            held = len(self.active_channels)
+            self.handle_accept()
+        self.accepting = False
+        # Not self.close(), which closes the trigger too.
+        wasyncore.dispatcher.close(self)
+
+    def close_unused(self) -> None:
+        """Close every connection that nothing is asked or answered on."""
+        self.maintenance(0.0)
+        for channel in list(self.active_channels.values()):
+            channel.close_if_idle()
+
 
 class HttpServer:
     """A waitress server on its own driver thread."""
 
-    def __init__(self, application: WsgiApplication, address: str, threads: int) -> None:
+    def __init__(
+        self,
+        application: WsgiApplication,
+        address: str,
+        threads: int,
+        limits: ConnectionLimits | None = None,
+    ) -> None:
+        limits = limits or ConnectionLimits()
+        maximum = limits.maximum or threads * CONNECTIONS_PER_THREAD
+        check_interval_s = min(CHECK_INTERVAL_S, limits.receive_timeout_s / CHECKS_PER_TIMEOUT)
         host, port = parse_address(address)
-        self._server: Any = create_server(
-            application,
+        adjustments = Adjustments(
             host=host,
             port=port,
             threads=threads,
-            connection_limit=threads * 4,
+            connection_limit=maximum + REFUSED_CONNECTIONS,
             max_request_body_size=MAXIMUM_BODY_BYTES,
             max_request_header_size=MAXIMUM_HEADER_BYTES,
-            channel_timeout=CHANNEL_TIMEOUT_S,
             channel_request_lookahead=1,
             # select() ends at file descriptor 1,023; a full process has more.
             asyncore_use_poll=True,
             ident="martenrun",
-            _dispatcher=OnDemandDispatcher(threads),
         )
-        assert isinstance(self._server, TcpWSGIServer)
-        self._server.channel_class = _Channel
+        # Waitress reads these two as whole seconds from its keyword arguments.
+        adjustments.cleanup_interval = check_interval_s
+        adjustments.asyncore_loop_timeout = check_interval_s
+        self._server = _Server(
+            application,
+            {},
+            dispatcher=OnDemandDispatcher(threads),
+            adj=adjustments,
+            sockinfo=adjustments.listen[0],
+        )
+        self._server.maximum_connections = maximum
+        self._server.receive_timeout_s = limits.receive_timeout_s
         self._thread = threading.Thread(target=self._server.run, name="http", daemon=True)
 
     @property
@@ -68,6 +148,28 @@
         """Serve on a background thread."""
         self._thread.start()
 
+    def begin_stop(self) -> None:
+        """Tell every caller from now on, with its answer, to leave its connection."""
+        self._server.is_stopping = True
+
+    def finish(self, limit_s: float, hurry: threading.Event) -> bool:
+        """Take no new connections and answer what has come on the present ones.
+
+        Connections close once they are idle; returns whether all did in time.
+
+        Args:
+            limit_s: longest wait, in seconds.
+            hurry: ends the wait at once.
+        """
+        self.begin_stop()
+        self._server.trigger.pull_trigger(self._server.stop_accepting)
+
+        def has_connections() -> bool:
+            self._server.trigger.pull_trigger(self._server.close_unused)
+            return self._server.accepting or bool(self._server.active_channels)
+
+        return wait_while(has_connections, limit_s, hurry)
+
     def stop(self) -> None:
         """Stop accepting and close every connection; stopping twice does nothing more."""
         if not self._thread.is_alive():
@@ -83,31 +185,3 @@
         self._server.trigger.pull_trigger(close_all)
         is_pulled.set()
         self._thread.join(timeout=STOP_LIMIT_S)
-
-
-class _TypedErrorTask(ErrorTask):
-    """Answers a request that could not be read with a typed error body."""
-
-    def execute(self) -> None:
-        error = _typed(self.request.error)
-        body = error_body(error)
-        self.status = f"{error.http_status} {self.request.error.reason}"
-        self.response_headers.append(("Content-Type", "application/json"))
-        self.set_close_on_finish()
-        self.content_length = len(body)
-        self.write(body)
-
-
-class _Channel(HTTPChannel):
-    error_task_class = _TypedErrorTask
-
-
-def _typed(error: Any) -> MartenrunError:
-    if isinstance(error, RequestEntityTooLarge):
-        return BodyTooLargeError(f"the body is over {MAXIMUM_BODY_BYTES} bytes")
-    if isinstance(error, RequestHeaderFieldsTooLarge):
-        return HeadersTooLargeError(f"the headers are over {MAXIMUM_HEADER_BYTES} bytes")
-    if error.code >= 500:
-        # The application failed anywhere on its way: the request may have been run.
-        return MartenrunError(str(error.body), ran=Ran.UNKNOWN)
-    return InvalidRequestError(f"the request cannot be read: {error.body}")
--- a/src/martenrun/edge/watch.py
+++ b/src/martenrun/edge/watch.py
@@ -21,10 +21,12 @@
     Attributes:
         is_gone: whether the caller has closed its connection.
         leave: breaks what the request waits for; called once, from the watching thread.
+        cut: ends the request with a typed error, as the process stops; called once.
     """
 
     is_gone: Callable[[], bool]
     leave: Callable[[], None]
+    cut: Callable[[], None]
 
 
 class CallerWatch:
@@ -51,6 +53,12 @@
         """Stop watching a request's caller."""
         self._watched.pop(request_id, None)
 
+    def cut_all(self) -> None:
+        """End every request that is left when the process stops."""
+        for request_id, caller in list(self._watched.items()):
+            self.remove(request_id)
+            caller.cut()
+
     def _run(self) -> None:
         while not self._stopping.wait(CHECK_INTERVAL_S):
             self.look()
--- a/src/martenrun/errors.py
+++ b/src/martenrun/errors.py
@@ -171,6 +171,22 @@
     remedy = "Send fewer or shorter headers."
 
 
+class RequestTimeoutError(MartenrunError):
+    """The request was not received whole in time."""
+
+    code = "request_timeout"
+    http_status = 408
+    remedy = "Send the whole request at once, with the body length that its header names."
+
+
+class TooManyConnectionsError(MartenrunError):
+    """This process holds as many connections as it may."""
+
+    code = "too_many_connections"
+    http_status = 503
+    remedy = "Use connections again, come back after Retry-After, or use another agent or node."
+
+
 class NoRunnerError(MartenrunError):
     """No live runner can serve the model."""
 
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -6,14 +6,12 @@
 from collections.abc import Iterable, Sequence
 from typing import Any
 
-from absl import logging
-
 from martenrun.admin.application import ADMIN_PREFIX, AdminApplication
 from martenrun.admin.status import StatusPort
 from martenrun.edge.application import CallerApplication
-from martenrun.edge.drain import wait_while
+from martenrun.edge.drain import EdgeStop, wait_while
 from martenrun.edge.forward import EdgePort
-from martenrun.edge.server import HttpServer
+from martenrun.edge.server import ConnectionLimits, HttpServer
 from martenrun.events import (
     Finish,
     LeaveRequested,
@@ -68,8 +66,6 @@
             }
         )
         caller = CallerApplication(port, self._parts.view, settings)
-        self._slots = caller.slots
-        self._drain_timeout_s = settings.drain_timeout_s
         caller.add_metrics(SharingCollector(self._parts.limits.counts, self._policy_statuses))
         weights = WeightStore(settings.weight_store) if settings.weight_store else None
         admin = AdminApplication(
@@ -81,8 +77,12 @@
         )
         application = NodeApplication(caller, admin)
         self._server = HttpServer(
-            application, settings.http_address, settings.max_streams + settings.http_threads
+            application,
+            settings.http_address,
+            settings.max_streams + settings.http_threads,
+            ConnectionLimits(settings.max_connections, settings.receive_timeout_s),
         )
+        self._stop = EdgeStop(caller.slots, self._server, port.watch, settings.drain_timeout_s)
         self._pollers = [
             Poller("machine-list", self._polls.list_machines, MACHINE_POLL_S),
             Poller("runners", self._polls.describe_runners, RUNNER_POLL_S),
@@ -104,13 +104,13 @@
         ask another node.
         """
         self._core.tell(LeaveRequested())
-        self._slots.close()
+        self._stop.begin()
         membership = self._parts.membership
         wait_while(lambda: not membership.leave_is_spread, LEAVE_SPREAD_LIMIT_S, hurry)
-        if not wait_while(lambda: self._slots.taken > 0, self._drain_timeout_s, hurry):
-            logging.warning("%d streams are cut by the stop", self._slots.taken)
+        self._stop.end_requests(hurry)
         if not membership.is_alone:
             hurry.wait(LATE_QUESTIONS_S)
+        self._stop.close_connections(hurry)
 
     def stop(self) -> None:
         """Stop every driver and the loop."""
--- a/src/martenrun/settings/model.py
+++ b/src/martenrun/settings/model.py
@@ -66,6 +66,12 @@
     max_streams: int = Field(
         default=100, ge=1, le=1_000, description="requests carried at a time; more are refused"
     )
+    max_connections: int | None = Field(
+        default=None, ge=1, le=20_000, description="connections held; more are refused"
+    )
+    receive_timeout_s: float = Field(
+        default=30.0, ge=0.2, le=600.0, description="seconds to receive a caller's request"
+    )
     token_gap_timeout_s: float = Field(
         default=5.0, ge=0.2, le=600.0, description="longest silence between tokens, in seconds"
     )
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -1,11 +1,14 @@
 """Planned stops of real processes: others know first, streams end, nothing new is run."""
 
+import json
 import signal
+import threading
+from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 import urllib3
-from deployment import Deployment, wait_until
+from deployment import Deployment, answers, wait_until
 
 from martenrun.load.client import CompletionCall, CompletionClient
 
@@ -52,6 +55,56 @@
     return future
 
 
+class SteadyCaller(threading.Thread):
+    """Sends request after request, on one kept connection or on new ones, until none is taken."""
+
+    def __init__(self, edge, keeps_connection):
+        super().__init__()
+        self._url = f"http://{edge}/v1/completions"
+        self._pool = urllib3.PoolManager(maxsize=1, retries=False)
+        self._headers = {"Authorization": "Bearer growers-key"}
+        if not keeps_connection:
+            self._headers["Connection"] = "close"
+        self.outcomes = Counter()
+
+    def run(self):
+        body = json.dumps({"model": MODEL, "prompt": "steady", "max_tokens": 1})
+        while not self.outcomes["refused connection"]:
+            self.outcomes[self._outcome(body)] += 1
+
+    def _outcome(self, body):
+        try:
+            answer = self._pool.request(
+                "POST", self._url, body=body, headers=self._headers, timeout=10.0
+            )
+        except urllib3.exceptions.NewConnectionError:
+            return "refused connection"
+        except urllib3.exceptions.HTTPError as error:
+            return f"lost: {error!r}"
+        if answer.status == 200:
+            return "ok"
+        error = answer.json()["error"]
+        return f"{error['code']}, ran {error['ran']}, again in {answer.headers['Retry-After']}"
+
+
+def test_a_stream_beyond_the_drain_time_ends_with_a_typed_event(deployment, tmp_path):
+    settings = tmp_path / "agent.toml"
+    settings.write_text("[agent]\ndrain_timeout_s = 0.3\n")
+    deployment.start_agents(["zone-a"], "--settings", str(settings))
+    edge = deployment.agent_edges[-1]
+    wait_until(lambda: answers(edge, "/readyz"), "configuration", 10)
+    with ThreadPoolExecutor() as pool:
+        cut = running_stream(pool, deployment, edge)
+        process = deployment.processes[f"agent-{len(deployment.agent_edges) - 1}"]
+        process.send_signal(signal.SIGTERM)
+        record = cut.result()
+        assert record.text, "the stream had not begun"
+        assert '"code":"stream_broken"' in record.error
+        assert '"ran":"yes"' in record.error
+        assert process.wait(timeout=15) == 0
+    deployment.agent_edges.pop()
+
+
 # The agent is stopped last: the node's test needs it.
 @pytest.mark.parametrize("name", ["node-0", "agent-0"])
 def test_a_stopped_process_ends_its_streams_and_refuses_new_ones_unrun(deployment, name):
@@ -59,6 +112,10 @@
     with ThreadPoolExecutor() as pool:
         long = running_stream(pool, deployment, edge)
         process = deployment.processes[name]
+        callers = [SteadyCaller(edge, keeps_connection) for keeps_connection in (True, False) * 2]
+        for caller in callers:
+            caller.start()
+        wait_until(lambda: all(each.outcomes["ok"] for each in callers), "steady calls", 10)
         process.send_signal(signal.SIGTERM)
         wait_until(lambda: refuses_new_work(edge), "refusal", 5)
         refused = carried(edge, "late")
@@ -70,6 +127,11 @@
             assert [record.error for record in records] == [""] * 10
         assert long.result().whole
         assert process.wait(timeout=15) == 0
+    for caller in callers:
+        caller.join()
+    outcomes = sum((caller.outcomes for caller in callers), Counter())
+    assert outcomes.pop("stopping, ran no, again in 1") > 10
+    assert set(outcomes) == {"ok", "refused connection"}, outcomes
     if name == "node-0":
         records = [carried(deployment.agent_edges[0], index) for index in range(10, 20)]
         assert [record.error for record in records] == [""] * 10
