Remove claims of ended requests once they are older than a retention time

Ruled out: time stamps in claims (they compare two machines' clocks); ages remembered by a node (a week would never pass between restarts); a number of revisions alone (a burst would remove young keys); following a watch (what waits for its age does not fit a node's memory).

Change: the object retention/claims, 7 days and 50 removals a second by default. Marks in one object tell how long ago, at least, the object API had a revision; whoever replaces the object adds its own clock's time since it learnt of the version replaced, so compare-and-swap keeps intervals from being counted twice. The node that replaced it last walks over claims in pages of names and removes done and released ones by the version it saw; held ones stay. The object API adapter and stand-in list pages.

Conclusion: bounded by the claims of one retention time, a 64th more, and held ones. Not measured on real processes over a retention time, whose floor is one hour.

--- a/src/martenrun/configuration/objects.py
+++ b/src/martenrun/configuration/objects.py
@@ -31,6 +31,7 @@
     POLICY = "policies"
     ROUTE = "routes"
     DRAIN = "drains"
+    RETENTION = "retention"
 
 
 REPLICATED_KINDS = tuple(kind.value for kind in Kind)
@@ -130,7 +131,17 @@
     reason: str = Field(default="", max_length=1_000)
 
 
-Document = Tenant | ApiKey | Pool | Policy | Route | Drain
+class Retention(ConfigurationDocument):
+    """How long something lasting is kept; the object's name says what (``claims``).
+
+    A key that is used again after its claim was removed runs again.
+    """
+
+    seconds: float = Field(default=7 * 86_400.0, ge=3_600, le=400 * 86_400)
+    removals_per_s: float = Field(default=50.0, gt=0, le=1_000)
+
+
+Document = Tenant | ApiKey | Pool | Policy | Route | Drain | Retention
 
 _MODELS: dict[Kind, type[Document]] = {
     Kind.TENANT: Tenant,
@@ -139,6 +150,7 @@
     Kind.POLICY: Policy,
     Kind.ROUTE: Route,
     Kind.DRAIN: Drain,
+    Kind.RETENTION: Retention,
 }
 
 
--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -106,12 +106,14 @@
 
     ``UNKNOWN`` means that a write may or may not have taken effect.  ``found`` is the object
     for a read that is DONE; ``version`` is the version present after a write or a conflict.
+    ``listed`` is the answer to a StoreList.
     """
 
     call_id: str
     outcome: StoreOutcome
     version: int = 0
     found: ConfigurationObject | None = None
+    listed: tuple[ConfigurationObject, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -251,6 +253,19 @@
     name: str
 
 
+@dataclass(frozen=True, slots=True)
+class StoreList:
+    """Read the objects of a kind that come after a name, in their names' order.
+
+    StoreAnswered follows; fewer than ``limit`` objects are the last ones.
+    """
+
+    call_id: str
+    kind: str
+    after_name: str
+    limit: int
+
+
 @dataclass(frozen=True, slots=True)
 class SendOrder:
     """Send a fenced order to a runner's engine; OrderAnswered follows."""
@@ -287,6 +302,7 @@
     | Tell
     | StoreWrite
     | StoreRead
+    | StoreList
     | StoreWatch
     | SendOrder
     | SendDatagram
--- a/src/martenrun/node/core.py
+++ b/src/martenrun/node/core.py
@@ -15,6 +15,7 @@
     PeerMessage,
     Send,
     SendDatagram,
+    StoreList,
     StoreRead,
     StoreWatch,
     StoreWrite,
@@ -71,6 +72,7 @@
             SendDatagram: datagram_carrier(self.transport),
             StoreWrite: self._store_workers.carry,
             StoreRead: self._store_workers.carry,
+            StoreList: self._store_workers.carry,
             StoreWatch: self._watch_worker.carry,
         }
         self._loop = LoopActor.start(self.parts.in_order(), {**own, **carriers})
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -8,6 +8,7 @@
 
 from martenrun.agent.requests import RequestsLogic
 from martenrun.claims.logic import ClaimsLogic
+from martenrun.claims.retention import ClaimRetentionLogic, retention_of
 from martenrun.configuration.objects import DrainRole
 from martenrun.configuration.view import ConfigurationView
 from martenrun.events import DecisionLogic
@@ -46,6 +47,7 @@
     machine_feed: MachineFeed
     ownership: OwnershipLogic
     claims: ClaimsLogic
+    claim_retention: ClaimRetentionLogic
     requests: RequestsLogic
     rolls: RollsLogic
     sharing: SharingLogic
@@ -70,6 +72,7 @@
                 self.membership.own.address,
                 lambda: self.membership.own.leaving,
             ),
+            self.claim_retention,
             self.cache_events,
             self.requests,
             self.sharing,
@@ -114,6 +117,11 @@
     owner = OwnerLogic(owners, runners, granted=sharing.granted)
     ownership = OwnershipLogic(own_address, home, owner)
     claims = ClaimsLogic(f"{own_address}/{incarnation}")
+    claim_retention = ClaimRetentionLogic(
+        f"{own_address}/{incarnation}",
+        lambda: configuration.watching.holds_lease,
+        lambda: retention_of(configuration.state.view),
+    )
     requests = RequestsLogic(lambda: [member.address for member in members.live()], rng)
     feed = MachineFeed(members, rng)
     status = StatusLogic(configuration, members)
@@ -129,6 +137,7 @@
         feed,
         ownership,
         claims,
+        claim_retention,
         requests,
         rolls,
         sharing,
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -22,6 +22,7 @@
 from martenrun.node.core import NodeCore
 from martenrun.node.polls import NodePolls
 from martenrun.observability.admission import SharingCollector
+from martenrun.observability.claims import ClaimsCollector
 from martenrun.orders.workers import OrderWorkers
 from martenrun.platform.engine import EngineConnections
 from martenrun.platform.engine_orders import EngineOrders
@@ -67,6 +68,7 @@
         )
         caller = CallerApplication(port, self._parts.view, settings)
         caller.add_metrics(SharingCollector(self._parts.limits.counts, self._policy_statuses))
+        caller.add_metrics(ClaimsCollector(self._parts.claim_retention))
         weights = WeightStore(settings.weight_store) if settings.weight_store else None
         admin = AdminApplication(
             core.store,
--- a/src/martenrun/platform/object_api.py
+++ b/src/martenrun/platform/object_api.py
@@ -59,6 +59,13 @@
         objects = [_converted(item) for item in found.objects]
         return ConfigurationUpdate(0, found.revision, objects, complete=True)
 
+    def list_page(self, kind: str, after_name: str, limit: int) -> list[ConfigurationObject]:
+        """Return the first objects of a kind whose names come after one, in order."""
+        path = f"/v1/objects?kinds={kind}&after_name={after_name}&limit={limit}"
+        response = self._request("GET", path)
+        found = msgspec.json.decode(response.data, type=_List)
+        return [_converted(item) for item in found.objects]
+
     def changes(self, after: int, wait_s: float, kinds: Iterable[str] = ()) -> ConfigurationUpdate:
         """Return changes after a revision, waiting up to ``wait_s`` for one.
 
--- a/src/martenrun/process.py
+++ b/src/martenrun/process.py
@@ -24,6 +24,7 @@
     Send,
     SendDatagram,
     StoreAnswered,
+    StoreList,
     StoreOutcome,
     StoreRead,
     StoreWrite,
@@ -95,14 +96,14 @@
 
 
 class StoreWorkers:
-    """Driver threads that carry out StoreWrite and StoreRead."""
+    """Driver threads that carry out StoreWrite, StoreRead and StoreList."""
 
     def __init__(self, store: ObjectApi, tell: Callable[[Event], None]) -> None:
         self._store = store
         self._tell = tell
         self._threads = ThreadPoolExecutor(STORE_WORKERS, thread_name_prefix="store")
 
-    def carry(self, instruction: StoreWrite | StoreRead) -> None:
+    def carry(self, instruction: StoreWrite | StoreRead | StoreList) -> None:
         """Start a call; its StoreAnswered follows."""
         self._threads.submit(lambda: self._tell(self._answer(instruction)))
 
@@ -110,11 +111,14 @@
         """Wait for no further calls."""
         self._threads.shutdown(wait=False, cancel_futures=True)
 
-    def _answer(self, call: StoreWrite | StoreRead) -> StoreAnswered:
+    def _answer(self, call: StoreWrite | StoreRead | StoreList) -> StoreAnswered:
         try:
             if isinstance(call, StoreRead):
                 found = self._store.get(call.kind, call.name)
                 return StoreAnswered(call.call_id, StoreOutcome.DONE, found.revision, found)
+            if isinstance(call, StoreList):
+                listed = tuple(self._store.list_page(call.kind, call.after_name, call.limit))
+                return StoreAnswered(call.call_id, StoreOutcome.DONE, listed=listed)
             version = self._store.write(call.kind, call.name, call.expected, call.document)
             return StoreAnswered(call.call_id, StoreOutcome.DONE, version)
         except VersionConflictError as error:
--- a/src/martenrun/simulation/store.py
+++ b/src/martenrun/simulation/store.py
@@ -11,6 +11,7 @@
 from martenrun.events import (
     Event,
     StoreAnswered,
+    StoreList,
     StoreOutcome,
     StoreRead,
     StoreWatch,
@@ -55,7 +56,7 @@
 
 
 class SimulatedStore:
-    """Carries out StoreWrite, StoreRead and StoreWatch of many hollow processes.
+    """Carries out the store instructions of many hollow processes.
 
     Attributes:
         calls: calls begun, watches included.
@@ -76,6 +77,7 @@
         return {
             StoreWrite: lambda call: self._begin(lambda: self._write(name, call, tell)),
             StoreRead: lambda call: self._begin(lambda: self._read(name, call, tell)),
+            StoreList: lambda call: self._begin(lambda: self._list(name, call, tell)),
             StoreWatch: lambda call: self._begin(lambda: self._watch(name, call, tell)),
         }
 
@@ -118,6 +120,14 @@
                 answer = StoreAnswered(call.call_id, StoreOutcome.DONE, item.revision, item)
         self._later(lambda: tell(answer))
 
+    def _list(self, name: str, call: StoreList, tell: Tell) -> None:
+        answer = StoreAnswered(call.call_id, StoreOutcome.UNKNOWN)
+        if not self._fails(name) and self._rng.random() >= self.faults.lose_read_probability:
+            page = self.store.list_page(call.kind, call.after_name, call.limit)
+            listed = tuple(_converted(item) for item in page.objects)
+            answer = StoreAnswered(call.call_id, StoreOutcome.DONE, listed=listed)
+        self._later(lambda: tell(answer))
+
     def _watch(self, name: str, call: StoreWatch, tell: Tell) -> None:
         if self._fails(name) or self._rng.random() < self.faults.lose_read_probability:
             watched = StoreWatched(WatchOutcome.UNAVAILABLE, ConfigurationUpdate())
--- a/src/martenrun/standins/object_store.py
+++ b/src/martenrun/standins/object_store.py
@@ -5,6 +5,7 @@
 compacted; a watch from before the compacted revision could miss them and is refused.
 """
 
+import heapq
 import threading
 
 import msgspec
@@ -57,6 +58,17 @@
             found = [item for item in self._newer(0, kinds) if not item.deleted]
             return ObjectList(self._revision, found)
 
+    def list_page(self, kind: str, after_name: str, limit: int) -> ObjectList:
+        """Return the first objects of a kind whose names come after one, in order."""
+        with self._changed:
+            later = (
+                item
+                for item in self._objects.values()
+                if item.kind == kind and item.name > after_name and not item.deleted
+            )
+            found = heapq.nsmallest(limit, later, key=lambda item: item.name)
+            return ObjectList(self._revision, found)
+
     def changes(self, after: int, wait_s: float, kinds: frozenset[str] = frozenset()) -> ObjectList:
         """Return changes after a revision, waiting up to ``wait_s`` for one.
 
--- a/src/martenrun/standins/objects.py
+++ b/src/martenrun/standins/objects.py
@@ -5,6 +5,8 @@
 * ``GET /v1/objects`` -- every object that exists.
 * ``GET /v1/objects?after=R&wait_s=S&kinds=A,B`` -- changes after revision R, removals
   included; 410 when R was compacted: list again.
+* ``GET /v1/objects?kinds=A&after_name=N&limit=L`` -- the first objects of a kind whose names
+  come after N, in order.
 * ``GET /v1/objects/KIND/NAME`` -- one object; 404 tells a removal's change if it is known.
 * ``PUT /v1/objects/KIND/NAME?expected=V&change=ID`` -- create (V=0) or replace; 409 on mismatch.
 * ``DELETE /v1/objects/KIND/NAME?expected=V&change=ID`` -- remove; 409 on mismatch.
@@ -114,6 +116,10 @@
     def _list(self, request: Request) -> Response:
         after = request.args.get("after")
         kinds = frozenset(filter(None, request.args.get("kinds", "").split(",")))
+        limit = request.args.get("limit")
+        if limit is not None:
+            after_name = request.args.get("after_name", "")
+            return _json(self.store.list_page(request.args["kinds"], after_name, int(limit)))
         if after is None:
             return _json(self.store.list_all(kinds))
         try:
--- a/tests/test_object_api.py
+++ b/tests/test_object_api.py
@@ -119,3 +119,13 @@
     for racer in racers:
         racer.join()
     assert (won, lost) == ([version + 1], [version + 1] * 5)
+
+
+def test_a_kind_is_read_in_pages_in_the_order_of_names(store):
+    for name in ("d", "b", "c", "a"):
+        store.api.write("claims", name, 0, b"{}")
+    store.api.write("tenants", "c", 0, b"{}")
+    store.api.write("claims", "b", 2, None)
+    first = store.api.list_page("claims", "", 2)
+    assert [item.name for item in first] == ["a", "c"]
+    assert [item.name for item in store.api.list_page("claims", "c", 2)] == ["d"]
