--- a/tests/test_process_cost.py
+++ b/tests/test_process_cost.py
@@ -9,6 +9,7 @@
 from martenrun.edge.server import HttpServer
 from martenrun.observability.metrics import EdgeMetrics
 from martenrun.observability.process_cost import ProcessCostCollector
+from martenrun.wire.keys import ClusterKeys
 from martenrun.wire.messages import StatusQuery
 from martenrun.wire.transport import PeerTransport
 
@@ -30,7 +31,7 @@
 
 def test_cost_is_told_by_thread_and_by_way(busy_thread):
     address = free_address()
-    transport = PeerTransport(address, b"0123456789abcdef", lambda *_: None)
+    transport = PeerTransport(address, ClusterKeys(b"0123456789abcdef"), lambda *_: None)
     transport.listen(address)
     transport.start()
     metrics = EdgeMetrics()
--- a/tests/test_proof_simulation.py
+++ b/tests/test_proof_simulation.py
@@ -269,7 +269,7 @@
     identify = BeliefBook.identify
 
     def identify_once(self, runner, incarnation, weights_version):
-        if runner not in self._identities:
+        if runner not in self._runs:
             identify(self, runner, incarnation, weights_version)
 
     monkeypatch.setattr(BeliefBook, "identify", identify_once)
