Place cold prefixes evenly over runners, by the blocks each home has placed

Cause: rendezvous hashing of 80 prefixes over six runners gives one of them 24; its cache thrashes. Change: a home remembers where it placed a prefix and gives a new one to the first runner in rendezvous order that has at most 1.1 times its mean of this home's blocks. In the benchmark a restarted owner now reads the events its engines kept, as the real feed gives them (net change of one read); before, it knew nothing of earlier events.

--- a/src/martenrun/bench/routing_faults.py
+++ b/src/martenrun/bench/routing_faults.py
@@ -20,6 +20,7 @@
         nodes: all nodes; a restart puts a new one in its place.
         crashed: called after an engine has lost everything.
         make_node: returns a new node of this name and zone.
+        replaced: called with the number of a node that is new.
     """
 
     def __init__(
@@ -31,6 +32,7 @@
         nodes: list[SimulatedNode],
         crashed: Callable[[SimulatedEngine], None],
         make_node: Callable[[str, str], SimulatedNode],
+        replaced: Callable[[int], None],
     ) -> None:
         self._scheduler = scheduler
         self._faults = faults
@@ -40,6 +42,7 @@
         self._nodes = nodes
         self._crashed = crashed
         self._make_node = make_node
+        self._replaced = replaced
 
     def begin(self) -> None:
         """Plan the first crash and the first restart."""
@@ -75,3 +78,4 @@
     def _replace_node(self, number: int) -> None:
         old = self._nodes[number]
         self._nodes[number] = self._make_node(old.name, old.zone)
+        self._replaced(number)
--- a/src/martenrun/bench/routing_feeds.py
+++ b/src/martenrun/bench/routing_feeds.py
@@ -1,7 +1,9 @@
 """What engines tell nodes in the routing benchmark: cache events and loads, late and lossy."""
 
+import collections
 import functools
 import random
+from collections.abc import Sequence
 
 import numpy
 
@@ -13,6 +15,9 @@
 LOAD_REPORT_INTERVAL_S = 0.5
 LOAD_REPORT_LAG_S = 0.5
 
+KEPT_BATCHES = 10_000
+"""Events that an engine keeps for a reader that starts anew."""
+
 
 class RoutingFeeds:
     """Publishes cache events and loads of all engines.
@@ -39,6 +44,7 @@
         self._nodes = nodes
         self._to_all = to_all
         self._free_at: dict[str, float] = {}
+        self._published: dict[str, collections.deque[FeedBatch]] = {}
 
     def begin(self) -> None:
         """Plan the first events and reports."""
@@ -47,6 +53,13 @@
             self._scheduler.after(self._rng.random(), publish)
         self._scheduler.after(0.0, self._report_loads)
 
+    def replay(self, number: int) -> None:
+        """Let a new node read what the engines it owns have published and kept."""
+        for engine in self._engines.values():
+            kept = self._published.get(engine.name)
+            if kept and (engine.owner == number or self._to_all):
+                self._nodes[number].take_feed(net_change(kept), self._scheduler.now)
+
     def _publish(self, engine: SimulatedEngine) -> None:
         """Publish what the cache stored and removed since the last time."""
         self._scheduler.after(self._faults.event_interval_s, lambda: self._publish(engine))
@@ -74,6 +87,10 @@
         self._scheduler.after(due - self._scheduler.now, lambda: self._deliver(engine, batch))
 
     def _deliver(self, engine: SimulatedEngine, batch: FeedBatch) -> None:
+        kept = self._published.setdefault(engine.name, collections.deque(maxlen=KEPT_BATCHES))
+        if kept and kept[-1].incarnation != batch.incarnation:
+            kept.clear()
+        kept.append(batch)
         readers = self._nodes if self._to_all else [self._nodes[engine.owner]]
         for node in readers:
             node.take_feed(batch, self._scheduler.now)
@@ -87,3 +104,23 @@
         for node in self._nodes:
             for name, running in loads:
                 node.take_load(name, running, self._scheduler.now)
+
+
+def net_change(batches: Sequence[FeedBatch]) -> FeedBatch:
+    """Return events of one run as the adapter of feeds gives them in one read.
+
+    See also: :func:`martenrun.platform.cache_events.take_in`.
+    """
+    is_stored: dict[int, bool] = {}
+    for batch in batches:
+        is_stored.update(dict.fromkeys(batch.stored.tolist(), True))
+        is_stored.update(dict.fromkeys(batch.removed.tolist(), False))
+    stored = [block for block, held in is_stored.items() if held]
+    removed = [block for block, held in is_stored.items() if not held]
+    return FeedBatch(
+        batches[-1].engine,
+        batches[-1].incarnation,
+        numpy.array(stored, "<i8"),
+        numpy.array(removed, "<i8"),
+        any(batch.gap for batch in batches),
+    )
--- a/src/martenrun/bench/routing_simulation.py
+++ b/src/martenrun/bench/routing_simulation.py
@@ -92,10 +92,10 @@
             for number in range(deployment.nodes)
         ]
         faults, parts = deployment.faults, (self._engines, self._nodes)
+        self._events = RoutingFeeds(self._scheduler, faults, seed, *parts, feeds == "all")
         self._faults = RoutingFaults(
-            self._scheduler, faults, seed, *parts, self._crash, self._make_node
+            self._scheduler, faults, seed, *parts, self._crash, self._make_node, self._events.replay
         )
-        self._events = RoutingFeeds(self._scheduler, faults, seed, *parts, feeds == "all")
 
     def run(self, duration_s: float) -> RoutingFigures:
         """Run the load for a while and return what was counted."""
--- a/src/martenrun/routing/prefix_aware.py
+++ b/src/martenrun/routing/prefix_aware.py
@@ -1,9 +1,9 @@
 """The product's policy: the runner with the least expected time to the first token.
 
 Expected time = wait for a slot + prefill of the blocks believed uncached + zone distance.
-Candidates are the believed holders of any part of the prompt, two runners that rendezvous
-hashing prefers for the prompt's first blocks (so that a node that knows nothing yet finds old
-caches), and two random ones (so that no single idle-looking runner draws everything).
+Candidates are the believed holders of any part of the prompt, the runner on which this home
+has placed the prompt's prefix (:mod:`martenrun.routing.placement`), and two random ones (so
+that no single idle-looking runner draws everything).
 
 A hot prefix widens by itself: once the wait at its holders exceeds the prefill elsewhere, the
 next request goes elsewhere and makes a new holder.  It shrinks by itself: with less load the
@@ -14,13 +14,13 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from martenrun.constants import BLOCK_HASH_BYTES, DEFAULT_BLOCK_BYTES
+from martenrun.constants import DEFAULT_BLOCK_BYTES
 from martenrun.identity.chain import BlockHashes, as_array
-from martenrun.identity.rendezvous import weight
 from martenrun.platform.engine import AttemptOutcome
 from martenrun.routing.beliefs import BeliefBook
 from martenrun.routing.first_token_model import FirstTokenModel
 from martenrun.routing.hot_prefixes import MINIMUM_COMPUTED_BLOCKS, Computation, HotPrefixes
+from martenrun.routing.placement import Placement
 from martenrun.routing.policy import RankingPolicy, RunnerChoice, RunnerState
 from martenrun.wire.messages import AttemptReport, DecideRequest
 
@@ -30,9 +30,6 @@
 LOAD_HALF_LIFE_S = 1.5
 """Age at which a foreign load counts half, in seconds."""
 
-PREFERRED_BLOCKS = (1,)
-"""Prefix lengths whose rendezvous-preferred runner is a candidate, in blocks."""
-
 RANDOM_CANDIDATES = 2
 
 PRESSURE_S = 10.0
@@ -57,13 +54,8 @@
 """Ranked questions remembered for corrections; the oldest is forgotten first."""
 
 _NOT_CANDIDATE_S = 1e6
-_MAXIMUM_NAME_HASHES = 16_384
 _NOT_PREFERRED = 1.5
-"""Factor on the prefill at runners that hashing does not prefer, so that prefixes settle."""
-
-_MIX = 0x9E3779B97F4A7C15
-_MIX_SHIFT = 16
-_MASK_64 = 0xFFFF_FFFF_FFFF_FFFF
+"""Factor on the prefill at runners where the prefix is not placed, so that prefixes settle."""
 
 
 @dataclass(slots=True)
@@ -98,7 +90,7 @@
         self._models: dict[str, FirstTokenModel] = {}
         self._granted: dict[tuple[str, int], _GrantedWork] = {}
         self._ranked: dict[tuple[str, int], list[RunnerChoice]] = {}
-        self._name_hashes: dict[str, int] = {}
+        self._placement = Placement()
 
     def rank(
         self, question: DecideRequest, runners: Sequence[RunnerState], now: float
@@ -113,7 +105,7 @@
             if computation.runner in names:
                 index = names.index(computation.runner)
                 believed[index] = min(believed[index], computation.blocks_before)
-        preferred = self._preferred(question.chain, names)
+        preferred = self._preferred(question.chain, names, believed, now)
         uses = 1.0
         if not computations and _holders_are_busy(runners, believed, now):
             rate = self._hot.rate(question.chain, now)
@@ -207,26 +199,13 @@
             model = self._models[name] = FirstTokenModel()
         return model
 
-    def _preferred(self, chain: bytes, names: list[str]) -> set[int]:
-        """Return the indexes of the runners that hashing prefers for the first blocks."""
+    def _preferred(
+        self, chain: bytes, names: list[str], believed: list[int], now: float
+    ) -> set[int]:
+        """Return the index of the runner on which the prefix is placed, if there is one."""
         if not names or not chain:
             return set()
-        hashes = [self._hash_of(name) for name in names]
-        preferred = set()
-        for blocks in PREFERRED_BLOCKS:
-            end = min(len(chain), blocks * BLOCK_HASH_BYTES)
-            key = int.from_bytes(chain[end - BLOCK_HASH_BYTES : end], "little")
-            weights = [((each ^ key) * _MIX & _MASK_64) >> _MIX_SHIFT for each in hashes]
-            preferred.add(weights.index(max(weights)))
-        return preferred
-
-    def _hash_of(self, name: str) -> int:
-        found = self._name_hashes.get(name)
-        if found is None:
-            if len(self._name_hashes) >= _MAXIMUM_NAME_HASHES:
-                self._name_hashes.clear()
-            found = self._name_hashes[name] = weight(b"", name)
-        return found
+        return {names.index(self._placement.runner_for(chain, names, believed, now))}
 
     def _costs(
         self,
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,61 @@
+"""Tests of the placement of cold prefixes."""
+
+import random
+
+import numpy
+
+from martenrun.routing.placement import UNUSED_S, Placement
+
+NAMES = [f"r{number}" for number in range(6)]
+
+
+def make_chain(rng, blocks):
+    return numpy.array([rng.getrandbits(63) for _ in range(blocks)], "<i8").tobytes()
+
+
+def place(placement, chain, names=NAMES, now=0.0, believed=None):
+    return placement.runner_for(chain, names, believed or [0] * len(names), now)
+
+
+def test_prefixes_fill_runners_evenly_and_stay_where_they_are():
+    rng, placement = random.Random(1), Placement()
+    chains = [make_chain(rng, 40) for _ in range(60)]
+    placed = [place(placement, chain) for chain in chains]
+    counts = [placed.count(name) for name in NAMES]
+    assert max(counts) - min(counts) <= 4
+    assert [place(placement, chain, now=1.0) for chain in chains] == placed
+
+
+def test_a_home_that_has_forgotten_places_most_prefixes_again_where_they_were():
+    rng, before, after = random.Random(2), Placement(), Placement()
+    chains = [make_chain(rng, 40) for _ in range(60)]
+    placed = [place(before, chain) for chain in chains]
+    again = [place(after, chain) for chain in reversed(chains)]
+    same = sum(a == b for a, b in zip(placed, reversed(again), strict=True))
+    assert same > 30
+
+
+def test_a_new_prefix_goes_to_the_runner_that_is_believed_to_hold_it():
+    chain = make_chain(random.Random(3), 9)
+    assert place(Placement(), chain, believed=[0, 2, 9, 0, 0, 0]) == "r2"
+
+
+def test_a_prefix_moves_when_its_runner_is_not_offered_and_its_blocks_count_there():
+    rng, placement = random.Random(4), Placement()
+    chain = make_chain(rng, 40)
+    first = place(placement, chain)
+    others = [name for name in NAMES if name != first]
+    second = place(placement, chain, others)
+    assert second != first
+    assert place(placement, chain) == second
+
+
+def test_unused_prefixes_and_forgotten_ones_no_longer_count():
+    rng, placement = random.Random(5), Placement()
+    for _ in range(20):
+        place(placement, make_chain(rng, 40))
+    chain = make_chain(rng, 8)
+    place(placement, chain, now=UNUSED_S)
+    assert placement.blocks_on(NAMES) == 8
+    placement.forget(chain)
+    assert placement.blocks_on(NAMES) == 0
