Tell a restarted home which prefixes its runners served; fill runners to the mean

Change (simulation and pure logic, not yet between processes): owners remember the first block of each reservation and tell a home that has come back the latest runner of each of its prefixes. A new prefix goes to a runner with at most the mean of placed blocks (the factor 1.1 is gone).

--- a/src/martenrun/bench/routing_node.py
+++ b/src/martenrun/bench/routing_node.py
@@ -6,6 +6,7 @@
 from martenrun.identity.chain import BlockHashes
 from martenrun.routing.policy import RankingPolicy, RunnerState
 from martenrun.routing.prefix_aware import PrefixAwarePolicy
+from martenrun.routing.served_prefixes import ServedPrefix, ServedPrefixes
 
 WEIGHTS_VERSION = "v1"
 
@@ -31,6 +32,7 @@
     is_live: bool = True
     started_at: float = 0.0
     runners: dict[str, RunnerState] = field(default_factory=dict)
+    served: ServedPrefixes = field(default_factory=ServedPrefixes)
 
     def learn_of(self, engines: list[SimulatedEngine]) -> None:
         """Take in engines as they are."""
@@ -53,6 +55,13 @@
             if runner.pool == model and runner.is_usable and runner.name not in excluded
         ]
 
+    def take_served(self, prefixes: list[ServedPrefix]) -> None:
+        """Take in where an owner saw prefixes served."""
+        if isinstance(self.policy, PrefixAwarePolicy):
+            for prefix in prefixes:
+                first_block = prefix.key.first_block
+                self.policy.placement.settle(first_block, prefix.runner, prefix.served_at)
+
     def take_load(self, runner_name: str, running: int, now: float) -> None:
         """Take in a runner's load."""
         runner = self.runners[runner_name]
--- a/src/martenrun/bench/routing_simulation.py
+++ b/src/martenrun/bench/routing_simulation.py
@@ -21,11 +21,15 @@
 from martenrun.deployments.model import Deployment
 from martenrun.identity.rendezvous import ranked
 from martenrun.routing.policy import RunnerChoice
+from martenrun.routing.served_prefixes import PrefixKey, ServedPrefix
 from martenrun.simulation.scheduler import Scheduler
 from martenrun.standins.engine.model import TimeModel
 from martenrun.wire.messages import AttemptReport, DecideRequest
 
 WARM_UP_S = 10.0
+TELL_SERVED_S = 0.1
+"""Time until a node that has come back hears from owners, in seconds."""
+
 _RETRY_S = 0.1
 
 
@@ -94,7 +98,7 @@
         faults, parts = deployment.faults, (self._engines, self._nodes)
         self._events = RoutingFeeds(self._scheduler, faults, seed, *parts, feeds == "all")
         self._faults = RoutingFaults(
-            self._scheduler, faults, seed, *parts, self._crash, self._make_node, self._events.replay
+            self._scheduler, faults, seed, *parts, self._crash, self._make_node, self._replaced
         )
 
     def run(self, duration_s: float) -> RoutingFigures:
@@ -144,6 +148,10 @@
         node.learn_of(list(self._engines.values()))
         return node
 
+    def _replaced(self, number: int) -> None:
+        self._events.replay(number)
+        self._scheduler.after(TELL_SERVED_S, lambda: self._tell_served(number))
+
     def _link_s(self, zone: str, other: str) -> float:
         return 0.0 if zone == other else self._deployment.between_zones_s
 
@@ -166,14 +174,26 @@
             return
         request.attempt += 1
         request.question.attempt = request.attempt
-        question = request.question
-        key = f"{question.tenant}\0{question.model}\0".encode()
-        key += question.chain[:BLOCK_HASH_BYTES]
-        live = {node.name: node for node in self._nodes if node.is_live}
-        home = live[ranked(key, live)[0]]
+        home = self._home_of(prefix_key(request.question))
         delay_s = self._client_link_s(request.plan.zone, home.zone)
         self._scheduler.after(delay_s, lambda: self._decide(request, home))
 
+    def _home_of(self, key: PrefixKey) -> SimulatedNode:
+        name = f"{key.tenant}\0{key.model}\0".encode() + key.first_block
+        live = {node.name: node for node in self._nodes if node.is_live}
+        return live[ranked(name, live)[0]]
+
+    def _tell_served(self, number: int) -> None:
+        """Let owners tell a node that has come back which prefixes it had placed where."""
+        home = self._nodes[number]
+        for owner in self._nodes:
+            if owner.is_live:
+                prefixes = owner.served.of_home(
+                    lambda key: self._home_of(key) is home,
+                    lambda name: incarnation_of(self._engines[name]),
+                )
+                home.take_served(prefixes)
+
     def _is_late(self, request: _Active) -> bool:
         if self._scheduler.now < request.plan.at + self._deployment.deadline_s:
             return False
@@ -202,6 +222,13 @@
             self._again(attempt)
             return
         attempt.incarnation = engine.incarnation
+        served = ServedPrefix(
+            prefix_key(attempt.request.question),
+            engine.name,
+            incarnation_of(engine),
+            self._scheduler.now,
+        )
+        self._nodes[engine.owner].served.served(served)
         self._attempts[engine.name].append(attempt)
         engine.take_slot(lambda: self._slot_taken(attempt, hop_s))
         wait_s = attempt.request.plan.at + self._deployment.deadline_s - self._scheduler.now
@@ -335,3 +362,8 @@
             self._counts.restarted += 1
         request.excluded.add(attempt.engine.name)
         self._ask(request)
+
+
+def prefix_key(question: DecideRequest) -> PrefixKey:
+    """Return what decides which home a question has."""
+    return PrefixKey(question.tenant, question.model, question.chain[:BLOCK_HASH_BYTES])
--- a/src/martenrun/routing/placement.py
+++ b/src/martenrun/routing/placement.py
@@ -1,11 +1,12 @@
 """Where a home places prefixes that it believes nobody holds.
 
 A home is asked about the same prefixes again and again, so it remembers where it placed them.
-A new prefix goes to the first runner in rendezvous order on which this home has not placed more
-than its share of blocks: prefixes then fill all caches evenly, and a home that has forgotten
-everything finds most of them where they were.
+A new prefix goes to the first runner in rendezvous order on which this home has placed no more
+blocks than on the mean runner: prefixes then fill all caches evenly, and a home that has forgotten
+everything finds more of them than by chance.  Owners tell such a home the rest.
 
-See also: :class:`martenrun.routing.prefix_aware.PrefixAwarePolicy`.
+See also: :class:`martenrun.routing.prefix_aware.PrefixAwarePolicy`,
+:mod:`martenrun.routing.served_prefixes`.
 """
 
 from collections.abc import Sequence
@@ -20,9 +21,6 @@
 UNUSED_S = 60.0
 """Time without use after which a prefix no longer counts, in seconds."""
 
-SHARE_FACTOR = 1.1
-"""Blocks placed on a runner, over the mean of all runners, up to which it takes more."""
-
 _MAXIMUM_NAME_HASHES = 16_384
 _MIX = 0x9E3779B97F4A7C15
 _MIX_SHIFT = 16
@@ -71,6 +69,12 @@
         self._forget_unused(now)
         return placed.runner
 
+    def settle(self, first_block: bytes, runner: str, served_at: float) -> None:
+        """Take in where another node saw a prefix served, unless something newer is known."""
+        placed = self._placed.get(first_block)
+        if placed is None or (not placed.blocks and placed.used_at < served_at):
+            self._placed[first_block] = _Placed(runner, 0, served_at)
+
     def blocks_on(self, names: Sequence[str]) -> int:
         """Return the blocks placed on these runners."""
         return sum(self._blocks.get(name, 0) for name in names)
@@ -83,11 +87,11 @@
 
     def _choose(self, key: bytes, names: Sequence[str]) -> str:
         held = [self._blocks.get(name, 0) for name in names]
-        bound = SHARE_FACTOR * sum(held) / len(names)
+        mean = sum(held) / len(names)
         number = int.from_bytes(key, "little")
         best, best_weight = "", -1
         for name, blocks in zip(names, held, strict=True):
-            if blocks <= bound:
+            if blocks <= mean:
                 weighed = ((self._hash_of(name) ^ number) * _MIX & _MASK_64) >> _MIX_SHIFT
                 if weighed > best_weight:
                     best, best_weight = name, weighed
--- a/src/martenrun/routing/prefix_aware.py
+++ b/src/martenrun/routing/prefix_aware.py
@@ -90,7 +90,7 @@
         self._models: dict[str, FirstTokenModel] = {}
         self._granted: dict[tuple[str, int], _GrantedWork] = {}
         self._ranked: dict[tuple[str, int], list[RunnerChoice]] = {}
-        self._placement = Placement()
+        self.placement = Placement()
 
     def rank(
         self, question: DecideRequest, runners: Sequence[RunnerState], now: float
@@ -205,7 +205,7 @@
         """Return the index of the runner on which the prefix is placed, if there is one."""
         if not names or not chain:
             return set()
-        return {names.index(self._placement.runner_for(chain, names, believed, now))}
+        return {names.index(self.placement.runner_for(chain, names, believed, now))}
 
     def _costs(
         self,
