--- a/src/martenrun/proof/history.py
+++ b/src/martenrun/proof/history.py
@@ -13,6 +13,18 @@
 OBJECT_API = "object-api"
 """Name of the platform's object API among processes."""
 
+MACHINE_LIST = "machine-list"
+"""Name of the platform's machine list among processes."""
+
+NETWORK = "network"
+"""Name of the network between processes among processes: a fault of it loses messages."""
+
+STOPPED = "stopped"
+"""Kind of a process's absence after its planned stop."""
+
+ISOLATED = "isolated"
+"""Kind of the fault that cuts a process off from the platform."""
+
 
 class Token(msgspec.Struct, frozen=True):
     """One piece of output: which prompt it answers and its place in that answer, from 0."""
@@ -65,6 +77,14 @@
     ran: str = ""
 
 
+class Asked(Record, frozen=True, tag=True):
+    """An edge asked a node which engine should serve a request."""
+
+    request_id: str
+    edge: str
+    node: str
+
+
 class Granted(Record, frozen=True, tag=True):
     """A node named a runner for an attempt.
 
@@ -113,6 +133,12 @@
     removed: bool = False
 
 
+class RemovalUnknown(Record, frozen=True, tag=True):
+    """The answer to an operator's removal of an object was lost: it may have taken effect."""
+
+    subject: str
+
+
 class ConfigurationInForce(Record, frozen=True, tag=True):
     """A process was seen with a configuration in force; ``digest`` covers its contents."""
 
@@ -130,8 +156,18 @@
     is_node: bool = True
 
 
+class EngineListed(Record, frozen=True, tag=True):
+    """The platform put an engine on the machine list; the run knows all engines by these."""
+
+    process: str
+
+
 class ProcessDisturbed(Record, frozen=True, tag=True):
-    """A fault hit a process: ``kind`` is ``kill``, ``freeze``, ``cut`` or ``down``."""
+    """A fault hit a process.
+
+    ``kind`` is ``kill``, ``freeze``, ``cut``, :data:`ISOLATED`, ``late``, ``loss``,
+    :data:`STOPPED` or ``down``.
+    """
 
     process: str
     kind: str
@@ -160,11 +196,14 @@
 AnyRecord = (
     RequestInvoked
     | RequestAnswered
+    | Asked
     | Granted
     | Executed
     | ConfigurationAccepted
+    | RemovalUnknown
     | ConfigurationInForce
     | ProcessStarted
+    | EngineListed
     | ProcessDisturbed
     | LeavingAnnounced
     | LeavingWithdrawn
