Exchange differences between members, and probe those that came late

Cause: two faults of membership at size. (1) After a cut nodes exchanged full lists and told news without a bound: at 370 nodes up to 60 KB/s a node on average in a second and 261 KB/s at the busiest. (2) A node drew up the round of members to probe once and probed only those, 370 s long: members that came after a herd of starts were probed by nobody, so two of a zone's 61 dead nodes were noticed after 30 s.

Change: digests of 64 buckets, then 17 bytes for each member of differing buckets, then what is newer; full claims only for unknown members; answers at most twice a second. News are bounded at 6,000 bytes/s, probes that verify a claimed death carry no other news. Newcomers get a random place in the round; when three members of a zone are suspected, half of the probes go to the others of that zone. New messages: MemberDigests, MemberStates, MemberUpdate (wire/).

A node that all others verify at once still passes 16 KB/s for 5 s.

--- a/src/martenrun/membership/gossip.py
+++ b/src/martenrun/membership/gossip.py
@@ -1,8 +1,8 @@
 """Membership of a node by probes and gossip, after the SWIM protocol.
 
 Cost does not grow with the number of nodes: a node probes one member in each interval and
-tells each piece of news a few times.  Full lists are exchanged only when a node joins, after
-a cut, and when two nodes' digests stay different.
+tells each piece of news a few times.  A node that joins asks for a full list.  After a cut, and
+when two nodes' digests stay different, they exchange what differs.
 
 See also: docs/design/membership.md, :mod:`martenrun.membership.table`.
 """
@@ -22,7 +22,9 @@
     Tell,
     Tick,
 )
+from martenrun.membership.exchange import JITTER, DifferenceExchange
 from martenrun.membership.listed import ListedNodes
+from martenrun.membership.news import NewsBudget
 from martenrun.membership.prober import RELAY_MEMORY_S, OpenProbe, Prober, Relay
 from martenrun.membership.record import MemberRecord, MemberStatus
 from martenrun.membership.table import MemberTable
@@ -30,8 +32,11 @@
 from martenrun.settings.model import MembershipSettings
 from martenrun.wire.messages import (
     MemberClaim,
+    MemberDigests,
     MemberGossip,
     MemberList,
+    MemberStates,
+    MemberUpdate,
     Probe,
     ProbeAnswer,
     ProbeRequest,
@@ -43,17 +48,11 @@
 SEEDS_ASKED = 3
 """Seed nodes asked at a time when joining."""
 
-BULK_CLAIMS = 28
-"""Changes at a time, about two datagrams, above which full lists are exchanged sooner."""
-
-BULK_REPAIRS = 5
-"""Full exchanges in one repair interval while there are so many changes."""
-
 VERIFIED_AT_ONCE = 5
 """Members claimed dead that are probed in one round of news."""
 
-JITTER = 0.2
-"""Largest part by which an interval is lengthened or shortened."""
+BULK_FANOUT = 1
+"""Nodes told in one round of news while there are so many changes."""
 
 
 class GossipMembership:
@@ -75,6 +74,9 @@
             ProbeRequest,
             MemberGossip,
             MemberList,
+            MemberDigests,
+            MemberStates,
+            MemberUpdate,
         }
     )
 
@@ -87,12 +89,12 @@
         self._table = MemberTable(own, settings)
         self._prober = Prober(self._table, settings, rng)
         self._listed = ListedNodes(own.address)
+        self._news_budget = NewsBudget()
         self._joined = not self._seeds
         self._live: tuple[Member, ...] = (own,)
         self._told_version = (0, 0)
         self._last_event_at: float | None = None
-        self._next_repair = 0.0
-        self._bulk_until = 0.0
+        self._exchange = DifferenceExchange(self._table, settings, rng)
         self._due = {"probe": 0.0, "gossip": 0.0, "dead": 0.0, "join": 0.0}
 
     @property
@@ -161,6 +163,8 @@
                 return self._greet(peer, now)
             case MemberList(wants_answer, members):
                 return self._list_received(peer, wants_answer, members, now)
+            case MemberDigests() | MemberStates() | MemberUpdate():
+                return self._exchange.handle(peer, message, now)
         return []
 
     def _tick(self, now: float) -> list[Instruction]:
@@ -172,7 +176,7 @@
         if self._is_due("probe", settings.probe_interval_s, now):
             instructions += self._probe(now)
         if self._is_due("gossip", settings.gossip_interval_s, now):
-            instructions += self._gossip() + self._verify(now)
+            instructions += self._gossip(now) + self._verify(now)
         if self._is_due("dead", settings.dead_probe_interval_s, now):
             instructions += self._probe_dead()
         return instructions
@@ -203,8 +207,9 @@
         probe = OpenProbe(target.address, target.incarnation, indirect_at)
         probe.is_corroborated = claim is not None
         self._prober.open[sequence] = probe
-        message = Probe(sequence, "", self._claims_for(target.address, claim))
-        return SendDatagram(target.address, message)
+        # Many claimed deaths may be verified at once; their probes carry no other news.
+        claims = self._claims_for(target.address) if claim is None else [claim]
+        return SendDatagram(target.address, Probe(sequence, "", claims))
 
     def _probe_message(self, sequence: int, target: str, relay_for: str = "") -> Probe:
         return Probe(sequence, relay_for, self._claims_for(target))
@@ -221,8 +226,8 @@
                 continue
             probe.asked_others = True
             probe.indirect_at = now + 2 * self._settings.probe_timeout_s
-            again = self._probe_message(sequence, probe.target)
-            instructions.append(SendDatagram(probe.target, again))
+            claims = [] if probe.is_corroborated else self._claims_for(probe.target)
+            instructions.append(SendDatagram(probe.target, Probe(sequence, "", claims)))
             relays = [] if probe.is_corroborated else self._prober.relays_for(record)
             for relay in relays:
                 request = ProbeRequest(sequence, probe.target, self._claims_for(relay))
@@ -250,18 +255,10 @@
             passed_on = ProbeAnswer(relay.sequence, self._table.digest, answer.claims)
             return [SendDatagram(relay.asked_by, passed_on)]
         self._prober.open.pop(answer.sequence, None)
-        if answer.digest != self._table.digest and self._is_repair_due(now):
-            return self._exchange(peer, now)
+        if answer.digest != self._table.digest and self._exchange.is_due(now):
+            return self._exchange.begin(peer, now)
         return self._greet(peer, now)
 
-    def _is_repair_due(self, now: float) -> bool:
-        """Return whether a difference will not settle by news alone, or not soon enough."""
-        is_quiet = now >= self._table.changed_at + self._settings.repair_interval_s / 2
-        return is_quiet or self._is_bulk(now)
-
-    def _is_bulk(self, now: float) -> bool:
-        return now < self._bulk_until or len(self._table.news) > BULK_CLAIMS
-
     def _probe_dead(self) -> list[Instruction]:
         """Look whether a dead member is back, as after a cut."""
         record = self._prober.random_dead()
@@ -272,27 +269,31 @@
 
     # News
 
-    def _take_in(self, claims: list[MemberClaim], now: float, spread: bool = True) -> None:
+    def _take_in(self, claims: list[MemberClaim], now: float) -> None:
         for claim in claims:
-            self._table.take_in(claim, now, spread)
+            self._table.take_in(claim, now)
 
     def _claims_for(self, peer: str, extra: MemberClaim | None = None) -> list[MemberClaim]:
         """Return news for a peer; what is held against it goes first so that it can refute."""
         record = self._table.records.get(peer)
         if record is not None and record.status in (MemberStatus.SUSPECTED, MemberStatus.DEAD):
             extra = record.claim()
-        return self._table.news.take(len(self._table.records), extra)
+        room_bytes = self._news_budget.left(self._last_event_at or 0.0)
+        claims = self._table.news.take(len(self._table.records), extra, room_bytes)
+        self._news_budget.spend(claims)
+        return claims
 
-    def _gossip(self) -> list[Instruction]:
+    def _gossip(self, now: float) -> list[Instruction]:
         instructions: list[Instruction] = []
         if len(self._table.news) > 0:
-            for peer in self._prober.random_members(self._settings.gossip_fanout):
+            fanout = BULK_FANOUT if self._exchange.is_bulk(now) else self._settings.gossip_fanout
+            for peer in self._prober.random_members(fanout):
                 claims = self._claims_for(peer)
                 if claims:
                     instructions.append(SendDatagram(peer, MemberGossip(claims)))
         return instructions
 
-    # Full lists
+    # Lists and differences
 
     def _join(self, now: float) -> list[Instruction]:
         known = self._table.records
@@ -310,12 +311,7 @@
     def _list_received(
         self, peer: str, wants_answer: bool, members: list[MemberClaim], now: float
     ) -> list[Instruction]:
-        if self._table.count_news(members) > BULK_CLAIMS:
-            # So many changes travel faster as lists than as news.
-            self._bulk_until = now + self._settings.repair_interval_s
-            self._take_in(members, now, spread=False)
-        else:
-            self._take_in(members, now)
+        self._exchange.take_in(members, now)
         self._joined = self._joined or not wants_answer
         instructions: list[Instruction] = []
         if wants_answer:
@@ -327,17 +323,8 @@
         return record is None or record.status is MemberStatus.DEAD
 
     def _greet(self, peer: str, now: float) -> list[Instruction]:
-        """Exchange full lists with a node that was unknown or believed dead."""
-        return self._exchange(peer, now) if self._is_stranger(peer) else []
-
-    def _exchange(self, peer: str, now: float) -> list[Instruction]:
-        if now < self._next_repair:
-            return []
-        interval_s = self._settings.repair_interval_s
-        if self._is_bulk(now):
-            interval_s /= BULK_REPAIRS
-        self._next_repair = now + interval_s * self._rng.uniform(1 - JITTER, 1 + JITTER)
-        return [Send(peer, MemberList(True, self._table.claims()))]
+        """Exchange differences with a node that was unknown or believed dead."""
+        return self._exchange.begin(peer, now) if self._is_stranger(peer) else []
 
     # This node itself
 
--- a/src/martenrun/membership/news.py
+++ b/src/martenrun/membership/news.py
@@ -19,6 +19,32 @@
 """How often a claim is told for each factor of ten in the number of members."""
 
 
+NEWS_BYTES_PER_S = 6_000
+"""Bytes of news that a node sends per second when there are many changes."""
+
+NEWS_BURST_BYTES = 4_000
+"""Bytes of news that a node may send at once after a quiet time."""
+
+
+class NewsBudget:
+    """Bounds the bytes of news, so that a cut or a lost zone does not flood the network."""
+
+    def __init__(self) -> None:
+        self._left = float(NEWS_BURST_BYTES)
+        self._at = 0.0
+
+    def left(self, now: float) -> int:
+        """Return the bytes that may be sent now."""
+        earned = max(0.0, now - self._at) * NEWS_BYTES_PER_S
+        self._left = min(float(NEWS_BURST_BYTES), self._left + earned)
+        self._at = now
+        return int(self._left)
+
+    def spend(self, claims: list[MemberClaim]) -> None:
+        """Take the bytes of claims that are sent."""
+        self._left -= sum(claim_bytes(claim) for claim in claims)
+
+
 @dataclass(slots=True)
 class News:
     """A claim and how often it has been told."""
@@ -43,16 +69,19 @@
         """Queue a claim; it replaces an older one of the same member."""
         self._news[claim.address] = News(claim)
 
-    def take(self, members: int, first: MemberClaim | None = None) -> list[MemberClaim]:
+    def take(
+        self, members: int, first: MemberClaim | None = None, room_bytes: int = CLAIMS_BYTES
+    ) -> list[MemberClaim]:
         """Return claims for one datagram, those told least often first.
 
         Args:
             members: number of members, which sets how often a claim is told.
             first: a claim that must go with this datagram in any case.
+            room_bytes: room for claims, if that is less than a datagram's.
         """
         limit = REPEATS_PER_DECADE * math.ceil(math.log10(members + 1))
         taken = [] if first is None else [first]
-        room = CLAIMS_BYTES - sum(claim_bytes(claim) for claim in taken)
+        room = min(CLAIMS_BYTES, room_bytes) - sum(claim_bytes(claim) for claim in taken)
         if not self._news:
             return taken
         for news in sorted(self._news.values(), key=lambda entry: entry.told):
--- a/src/martenrun/membership/prober.py
+++ b/src/martenrun/membership/prober.py
@@ -1,5 +1,6 @@
 """Failure detection: probing one member after another, directly and through others."""
 
+import collections
 import random
 from dataclasses import dataclass
 
@@ -11,6 +12,12 @@
 RELAY_MEMORY_S = 5.0
 """How long a node remembers for whom it probes, in seconds."""
 
+SUSPECTED_IN_ZONE = 3
+"""Suspected members of one zone from which on the others of that zone are probed sooner."""
+
+ZONE_PROBE_SHARE = 0.5
+"""Share of probes that go to such a zone; the others go on with the round."""
+
 
 @dataclass(slots=True)
 class OpenProbe:
@@ -40,7 +47,10 @@
     """Chooses targets and relays and keeps the open probes of one node.
 
     Every member is probed once in each round over a shuffled list, so that a dead one is
-    found within a round by each and within about one interval by somebody.
+    found within a round by each and within about one interval by somebody.  A member that
+    comes during a round gets a random place in what is left of it; else no node would probe
+    the members that came after all had drawn up their rounds.  When several members of a zone
+    are suspected, half of the probes go to the others of that zone.
     """
 
     def __init__(
@@ -52,7 +62,10 @@
         self._settings = settings
         self._rng = rng
         self._round: list[str] = []
+        self._in_round: set[str] = set()
+        self._seen_version = -1
         self._sequence = rng.randrange(1 << 30)
+        self._order = random.Random(self._sequence)
 
     def next_sequence(self) -> int:
         """Return a number that no open probe of this node has."""
@@ -60,16 +73,44 @@
         return self._sequence
 
     def next_target(self) -> MemberRecord | None:
-        """Return the member to probe now, the next of the round."""
+        """Return the member to probe now: of a zone in doubt, or the next of the round."""
+        doubtful = self._of_doubtful_zones()
+        if doubtful and self._order.random() < ZONE_PROBE_SHARE:
+            return self._order.choice(doubtful)
+        self._add_newcomers()
         for _ in range(2):
             while self._round:
-                record = self._table.records.get(self._round.pop())
+                address = self._round.pop()
+                record = self._table.records.get(address)
                 if record is not None and record.status is not MemberStatus.DEAD:
                     return record
+                self._in_round.discard(address)
             self._round = self._others()
             self._rng.shuffle(self._round)
+            self._in_round = set(self._round)
         return None
 
+    def _add_newcomers(self) -> None:
+        """Give members that this round does not know a random place in it."""
+        if self._seen_version == self._table.version:
+            return
+        self._seen_version = self._table.version
+        for address in self._others():
+            if address not in self._in_round:
+                self._in_round.add(address)
+                self._round.insert(self._order.randint(0, len(self._round)), address)
+
+    def _of_doubtful_zones(self) -> list[MemberRecord]:
+        """Return the members, not suspected themselves, of zones with several suspected ones."""
+        others = [r for r in self._table.records.values() if r is not self._table.own]
+        suspected = [r.zone for r in others if r.status is MemberStatus.SUSPECTED]
+        if len(suspected) < SUSPECTED_IN_ZONE:
+            return []
+        counts = collections.Counter(suspected)
+        zones = {zone for zone, count in counts.items() if count >= SUSPECTED_IN_ZONE}
+        usable = (MemberStatus.LIVE, MemberStatus.LEAVING)
+        return [r for r in others if r.zone in zones and r.status in usable]
+
     def doubted(self, count: int) -> list[tuple[MemberRecord, MemberClaim]]:
         """Take out members that others claim to be dead, each with that claim."""
         taken: list[tuple[MemberRecord, MemberClaim]] = []
--- a/src/martenrun/membership/record.py
+++ b/src/martenrun/membership/record.py
@@ -3,7 +3,7 @@
 import enum
 import hashlib
 import struct
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from martenrun.membership.view import Member
 from martenrun.wire.messages import MemberClaim
@@ -31,6 +31,7 @@
         incarnation: raised by the member alone, to refute claims about it.
         due: when the suspicion or the memory of the death ends.
         fingerprint: this record's part of the digest; 0 for a dead member.
+        identity: hash of the address, which stands for it between nodes that know the member.
     """
 
     address: str
@@ -40,6 +41,10 @@
     status: MemberStatus = MemberStatus.LIVE
     due: float = 0.0
     fingerprint: int = 0
+    identity: int = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.identity = _hashed(self.address)
 
     def claim(self) -> MemberClaim:
         """Return what this node tells others of the member."""
@@ -58,6 +63,9 @@
         if self.status is MemberStatus.DEAD:
             return 0
         leaving = self.status is MemberStatus.LEAVING
-        text = f"{self.address} {self.incarnation} {leaving}".encode()
-        (value,) = _FINGERPRINT.unpack(hashlib.blake2b(text, digest_size=8).digest())
-        return int(value)
+        return _hashed(f"{self.address} {self.incarnation} {leaving}")
+
+
+def _hashed(text: str) -> int:
+    (value,) = _FINGERPRINT.unpack(hashlib.blake2b(text.encode(), digest_size=8).digest())
+    return int(value)
--- a/src/martenrun/membership/table.py
+++ b/src/martenrun/membership/table.py
@@ -17,6 +17,14 @@
 _STATUS_OF = {name: status for status, name in _STATE_OF.items()}
 _CLAIM_EVENT_OF = {status: f"{name}_claimed" for status, name in _STATE_OF.items()}
 
+BUCKETS = 64
+"""Parts that the members are divided into to find what two nodes believe differently."""
+
+
+def bucket_of(identity: int) -> int:
+    """Return the bucket of a member, the same on every node."""
+    return identity % BUCKETS
+
 
 class MemberTable:
     """Records of all members, this node's own included.
@@ -25,6 +33,8 @@
         news: what others have to be told.
         unverified: live members that somebody claims to be dead, with that claim.
         digest: equal on two nodes that believe in the same members.
+        bucket_digests: the same for the members of each bucket.
+        by_identity: records by the hash of their address.
         changed_at: when the digest changed last.
         version: raised when the digest changes.
         own_member: this node as other decision logic sees it.
@@ -34,9 +44,11 @@
         self.own = MemberRecord(own.address, own.zone, own.region)
         self.own_member = self.own.member()
         self.records: dict[str, MemberRecord] = {own.address: self.own}
+        self.by_identity: dict[int, MemberRecord] = {self.own.identity: self.own}
         self.news = NewsQueue()
         self.unverified: dict[str, MemberClaim] = {}
         self.digest = 0
+        self.bucket_digests = [0] * BUCKETS
         self.changed_at = 0.0
         self.version = 0
         self._settings = settings
@@ -73,6 +85,7 @@
                 return
             record = MemberRecord(claim.address, claim.zone, claim.region, incarnation=-1)
             self.records[claim.address] = record
+            self.by_identity[record.identity] = record
         if record.is_older_than(claim):
             self._step(record, _CLAIM_EVENT_OF[MemberStatus(claim.status)], claim, now)
             if spread and record.claim() == claim:
@@ -140,7 +153,9 @@
     def _update_digest(self, record: MemberRecord, now: float) -> None:
         fingerprint = record.computed_fingerprint()
         if fingerprint != record.fingerprint:
-            self.digest ^= fingerprint ^ record.fingerprint
+            difference = fingerprint ^ record.fingerprint
+            self.digest ^= difference
+            self.bucket_digests[bucket_of(record.identity)] ^= difference
             record.fingerprint = fingerprint
             self.changed_at = now
             self.version += 1
@@ -173,3 +188,4 @@
 
     def _forget(self, record: MemberRecord, claim: MemberClaim | None, now: float) -> None:
         del self.records[record.address]
+        del self.by_identity[record.identity]
--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -224,6 +224,21 @@
   2: list<MemberClaim> members
 }
 
+struct MemberDigests {
+  1: binary buckets
+}
+
+struct MemberStates {
+  1: binary buckets
+  2: binary states
+}
+
+struct MemberUpdate {
+  1: binary states
+  2: list<MemberClaim> members
+  3: binary wanted
+}
+
 struct StatusQuery {
   1: string query_id
 }
--- a/src/martenrun/wire/messages.py
+++ b/src/martenrun/wire/messages.py
@@ -350,12 +350,40 @@
 
 @dataclass(slots=True)
 class MemberList:
-    """Node to node: every member the sender knows; ``wants_answer`` asks for the same."""
+    """Node to node, joining: members the sender knows; ``wants_answer`` asks for all of them."""
 
     wants_answer: bool = False
     members: list[MemberClaim] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class MemberDigests:
+    """Node to node: digests of the members I believe in, 8 bytes a bucket."""
+
+    buckets: bytes = b""
+
+
+@dataclass(slots=True)
+class MemberStates:
+    """Node to node: the buckets that differ, a byte each, and their members' states, packed."""
+
+    buckets: bytes = b""
+    states: bytes = b""
+
+
+@dataclass(slots=True)
+class MemberUpdate:
+    """Node to node: what I know better than your states.
+
+    ``states`` are of members that you know, ``members`` of others; ``wanted`` are identities,
+    8 bytes each, of members that I do not know.
+    """
+
+    states: bytes = b""
+    members: list[MemberClaim] = field(default_factory=list)
+    wanted: bytes = b""
+
+
 @dataclass(slots=True)
 class StatusQuery:
     """Node to node: which configuration is in force with you?"""
@@ -401,6 +429,9 @@
     | ProbeRequest
     | MemberGossip
     | MemberList
+    | MemberDigests
+    | MemberStates
+    | MemberUpdate
     | ClaimReport
     | UsageDigest
     | UsageTotals
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,15 +3,25 @@
 import pytest
 
 from martenrun.events import LeaveRequested, MachinesListed
+from martenrun.membership.differences import (
+    claims_in,
+    claims_wanted,
+    digests_of,
+    states_that_differ,
+    update_for,
+)
 from martenrun.membership.record import MemberStatus
 from martenrun.membership.table import MemberTable
+from martenrun.membership.view import Member
 from martenrun.platform.machine_list import Machine
+from martenrun.settings.model import MembershipSettings
 from martenrun.simulation.members import MemberCluster
 from martenrun.simulation.network import LinkFaults
 from martenrun.statecharts.compiler import load_chart
 from martenrun.wire.messages import MemberClaim
 
 LEAVING_KNOWN_WITHIN_S = 3.0
+ALLOWED_BYTES_PER_S = 16_000
 
 
 def joined(nodes=12, seed=1, **faults):
@@ -131,3 +141,75 @@
     cluster.run(20.0)
     assert cluster.count_believing(answering, MemberStatus.DEAD) == 0
     assert cluster.count_believing(dead, MemberStatus.DEAD) == len(cluster.views)
+
+
+def test_a_healed_cut_costs_each_node_less_than_its_allowance_in_every_second():
+    cluster = joined(60)
+    cluster.run(20)
+    cluster.network.cut([cluster.in_region(1)])
+    cluster.run(40)
+    cluster.network.heal()
+    for _ in range(15):
+        before = {name: traffic.sent_bytes for name, traffic in cluster.network.traffic.items()}
+        cluster.run(1.0)
+        sent = [t.sent_bytes - before[name] for name, t in cluster.network.traffic.items()]
+        assert max(sent) < ALLOWED_BYTES_PER_S
+    assert cluster.agrees()
+
+
+def test_members_that_came_late_are_probed_in_the_round_that_has_begun():
+    cluster = joined(60)
+    latest = cluster.addresses[-1]
+    cluster.kill(latest)
+    cluster.run_until(cluster.agrees, 40)
+    cluster.start(latest)
+    cluster.run_until(cluster.agrees, 10)
+    for view in cluster.views.values():
+        if view.own.address != latest:
+            view._prober.next_target()
+            assert latest in view._prober._in_round
+
+
+def test_a_lost_zone_is_noticed_by_all_within_twenty_seconds_of_a_herd_start():
+    cluster = joined(120, loss=0.05)
+    for address in cluster.in_zone(5):
+        cluster.kill(address)
+    assert cluster.run_until(cluster.agrees, 20) <= 20
+
+
+def test_a_node_that_knows_nobody_learns_all_from_differences():
+    table = MemberTable(Member("10.0.0.1:7000", "a", "r"), MembershipSettings())
+    other = MemberTable(Member("10.0.0.2:7000", "b", "r"), MembershipSettings())
+    for number in range(3, 40):
+        other.take_in(MemberClaim(f"10.0.0.{number}:7000", "b", "r", number, 0), 0.0)
+    states = states_that_differ(other, digests_of(table))
+    update = update_for(table, states)
+    assert [claim.address for claim in update.members] == ["10.0.0.1:7000"]
+    for claim in claims_wanted(other, update.wanted):
+        table.take_in(claim, 0.0)
+    for claim in update.members:
+        other.take_in(claim, 0.0)
+    assert table.digest == other.digest
+    assert states_that_differ(other, digests_of(table)) is None
+
+
+def test_only_newer_states_travel_between_nodes_that_know_the_same_members():
+    tables = [
+        MemberTable(Member(f"10.0.0.{n}:7000", "a", "r"), MembershipSettings()) for n in (1, 2)
+    ]
+    claims = [MemberClaim(f"10.0.1.{n}:7000", "a", "r", 0, 0) for n in range(50)]
+    claims += [table.own.claim() for table in tables]
+    for table in tables:
+        for claim in claims:
+            table.take_in(claim, 0.0)
+    first, second = tables
+    first.take_in(MemberClaim("10.0.1.7:7000", "a", "r", 5, 0), 0.0)
+    second.take_in(MemberClaim("10.0.1.8:7000", "a", "r", 6, 0), 0.0)
+    states = states_that_differ(second, digests_of(first))
+    assert len(states.buckets) == 2
+    for claim in claims_in(first, states.states):
+        first.take_in(claim, 0.0)
+    update = update_for(first, states)
+    assert (update.members, update.wanted) == ([], b"")
+    (newer,) = claims_in(second, update.states)
+    assert (newer.address, newer.incarnation) == ("10.0.1.7:7000", 5)
