Say nothing of keys, models or runners before a node knows them

Pulling the machine list took up to 0.83 s to start where the reader had none at the first question. Ruled out: holding questions at a starting node (nodes that know are asked sooner).

Change: look-ups of an empty view raise not_ready (503, not run, Retry-After), whoever asks; a gate refuses questions as not_ready until configuration and machine list have arrived, and /readyz of a node says so; agents go on to the next node, also when a node contradicts their own configuration, and ask in rounds for 4 s. A node without a machine list pulls every 0.25 s, and an unanswered pull is repeated after 0.375 s with the next reader's turn after two as before.

--- a/src/martenrun/agent/active.py
+++ b/src/martenrun/agent/active.py
@@ -40,6 +40,7 @@
         deadline: when the request must have begun to answer, on the loop's clock.
         asked_until: when the present node counts as silent.
         resume_at: when a pause before the next question is over.
+        search_until: when to give up asking nodes in rounds; 0 while some node decides.
         attempts: attempts at engines that have ended.
         ran: whether any attempt ran it, as far as is known.
         has_output: whether the caller has received output.
@@ -52,6 +53,7 @@
     deadline: float
     asked_until: float = 0.0
     resume_at: float = 0.0
+    search_until: float = 0.0
     attempt: int = 0
     attempts: int = 0
     grant: Grant | None = None
--- a/src/martenrun/agent/requests.py
+++ b/src/martenrun/agent/requests.py
@@ -17,11 +17,14 @@
 from martenrun.constants import DECISION_TIMEOUT_S, RESUME_WINDOW_S
 from martenrun.errors import (
     DeadlineExceededError,
+    InvalidKeyError,
     MartenrunError,
     NodeUnavailableError,
+    NotReadyError,
     Ran,
     StoppingError,
     StreamBrokenError,
+    UnknownModelError,
 )
 from martenrun.events import (
     AttemptEnded,
@@ -50,6 +53,18 @@
 MAXIMUM_ATTEMPTS = 4
 """Attempts at engines for one request, the first included."""
 
+NODE_SEARCH_S = 4.0
+"""How long nodes are asked again after each of them has been silent or not ready, in seconds."""
+
+ROUND_PAUSE_S = 0.25
+"""Mean pause before the nodes are asked once more, in seconds."""
+
+_UNABLE_CODES = frozenset({StoppingError.code, NotReadyError.code})
+"""Refusals of a node that can not judge the question."""
+
+_CONTRARY_CODES = frozenset({UnknownModelError.code, InvalidKeyError.code})
+"""Refusals that contradict this edge's configuration: one of the two copies is older."""
+
 _CHART = load_chart("request")
 
 
@@ -77,6 +92,8 @@
             "answer_refusal": self._answer_refusal,
             "withdraw": self._withdraw,
             "ask_next_node": self._ask_next_node,
+            "ask_other_node": self._ask_other_node,
+            "plan_round": self._plan_round,
             "answer_node_unavailable": self._answer_node_unavailable,
             "answer_deadline": self._answer_deadline,
             "report": self._report,
@@ -141,6 +158,8 @@
         request = self._active.get(answer.request_id)
         if request is None or answer.attempt != request.attempt:
             return _declined(peer, answer)
+        if request.state == "pausing":
+            return _declined(peer, answer)
         if request.state != "deciding":
             return []  # The same answer again.
         if isinstance(answer, Grant):
@@ -151,10 +170,24 @@
             return self._step(answer.request_id, "granted", now)
         if isinstance(answer, Queued):
             return self._step(answer.request_id, "queued", now)
-        if answer.code == StoppingError.code and len(request.nodes) > 1:
-            return self._step(answer.request_id, "node_silent", now)
         request.refusal = answer
-        return self._step(answer.request_id, "refused", now)
+        return self._step(answer.request_id, self._refused_event(request, answer, now), now)
+
+    def _refused_event(self, request: ActiveRequest, refusal: Refusal, now: float) -> str:
+        """Return the chart event for a node's refusal."""
+        is_last = len(request.nodes) <= 1
+        if refusal.code in _UNABLE_CODES:
+            return self._search_event(request, now) if is_last else "node_unable"
+        if refusal.code in _CONTRARY_CODES and not is_last:
+            return "node_contrary"
+        return "refused"
+
+    def _search_event(self, request: ActiveRequest, now: float) -> str:
+        """Return the chart event when no node is left to ask in this round."""
+        if request.search_until == 0.0:
+            request.search_until = now + NODE_SEARCH_S
+        is_over = now + ROUND_PAUSE_S >= min(request.search_until, request.deadline)
+        return "no_node_left" if is_over else "round_over"
 
     def _attempt_ended(self, event: AttemptEnded, now: float) -> list[Instruction]:
         request = self._active.get(event.request_id)
@@ -200,11 +233,23 @@
     def _check_times(self, now: float) -> list[Instruction]:
         instructions: list[Instruction] = []
         for request_id, request in list(self._active.items()):
-            event = _due_event(request, now)
+            event = self._due_event(request, now)
             if event:
                 instructions += self._step(request_id, event, now)
         return instructions
 
+    def _due_event(self, request: ActiveRequest, now: float) -> str:
+        """Return the chart event that time alone causes, or an empty string."""
+        if request.state == "running":
+            return ""
+        if now >= request.deadline:
+            return "deadline_passed"
+        if request.state == "pausing":
+            return "pause_over" if now >= request.resume_at else ""
+        if now < request.asked_until:
+            return ""
+        return "node_silent" if len(request.nodes) > 1 else self._search_event(request, now)
+
     def _step(self, request_id: str, event: str, now: float) -> list[Instruction]:
         request = self._active.get(request_id)
         if request is None:
@@ -236,9 +281,11 @@
     def _run_attempt(self, request: ActiveRequest, now: float) -> list[Instruction]:
         assert request.grant is not None
         request.result = None
+        request.search_until = 0.0
         return [RunAttempt(request.question.request_id, request.grant)]
 
     def _wait_longer(self, request: ActiveRequest, now: float) -> list[Instruction]:
+        request.search_until = 0.0
         request.asked_until = now + DECISION_TIMEOUT_S
         return []
 
@@ -252,6 +299,16 @@
         self._home_nodes.silent(request.nodes.pop(0), now)
         return self._ask(request, now)
 
+    def _ask_other_node(self, request: ActiveRequest, now: float) -> list[Instruction]:
+        request.nodes.pop(0)
+        return self._ask(request, now)
+
+    def _plan_round(self, request: ActiveRequest, now: float) -> list[Instruction]:
+        self._home_nodes.silent(request.nodes[0], now)
+        request.nodes = self._home_nodes.ranked(request.question, now) or request.nodes
+        request.resume_at = now + ROUND_PAUSE_S * self._rng.uniform(0.5, 1.5)
+        return []
+
     def _ask_again(self, request: ActiveRequest, now: float) -> list[Instruction]:
         return self._ask(request, now)
 
@@ -292,6 +349,8 @@
         return self._refuse(request, request.refusal_error())
 
     def _answer_node_unavailable(self, request: ActiveRequest, now: float) -> list[Instruction]:
+        if request.refusal is not None and request.refusal.code in _UNABLE_CODES:
+            return self._refuse(request, request.refusal_error())
         error = NodeUnavailableError("no node answered in time", retry_after_s=RETRY_AFTER_S)
         return self._refuse(request, error)
 
@@ -303,19 +362,6 @@
         return self._refuse(request, request.failure_error(now))
 
 
-def _due_event(request: ActiveRequest, now: float) -> str:
-    """Return the chart event that time alone causes, or an empty string."""
-    if request.state == "running":
-        return ""
-    if now >= request.deadline:
-        return "deadline_passed"
-    if request.state == "pausing":
-        return "pause_over" if now >= request.resume_at else ""
-    if now < request.asked_until:
-        return ""
-    return "node_silent" if len(request.nodes) > 1 else "no_node_left"
-
-
 def _weights_changed(grant: Grant) -> Refusal:
     message = f"the weights changed to {grant.weights_version!r} while the stream ran"
     return Refusal(grant.request_id, grant.attempt, StreamBrokenError.code, message)
--- a/src/martenrun/configuration/view.py
+++ b/src/martenrun/configuration/view.py
@@ -16,7 +16,10 @@
     Route,
     Tenant,
 )
-from martenrun.errors import InvalidKeyError, UnknownModelError
+from martenrun.errors import InvalidKeyError, NotReadyError, UnknownModelError
+
+FIRST_COPY_RETRY_AFTER_S = 1.0
+"""When to come back to a process that has no configuration yet, in seconds."""
 
 
 @dataclass(frozen=True)
@@ -29,7 +32,11 @@
 
 @dataclass(frozen=True)
 class ConfigurationView:
-    """Typed look-ups over the documents of one revision."""
+    """Typed look-ups over the documents of one revision.
+
+    The view of a process that has no copy yet has revision 0.  It knows nothing, so its
+    look-ups raise NotReadyError and never say that something does not exist.
+    """
 
     revision: int = 0
     documents: Mapping[tuple[Kind, str], Document] = field(default_factory=dict)
@@ -90,6 +97,7 @@
         The look-up is by the token's SHA-256, which nobody can choose, and the comparison
         takes the same time for every key.
         """
+        self._check_known()
         digest = hashlib.sha256(token.encode()).hexdigest()
         found = self.keys.get(digest)
         if found is None or not hmac.compare_digest(found.key_sha256, digest):
@@ -100,6 +108,7 @@
 
     def tenant(self, name: str) -> Tenant:
         """Return a tenant; raises InvalidKeyError if its key outlived it."""
+        self._check_known()
         found = self.documents.get((Kind.TENANT, name))
         if not isinstance(found, Tenant):
             raise InvalidKeyError(f"tenant {name!r} does not exist")
@@ -111,16 +120,24 @@
 
     def routes(self, tenant: str) -> dict[str, RoutedPool]:
         """Return the pool of every model that a tenant may use, by model."""
+        self._check_known()
         found = {model: self._routed(tenant, model) for model in self.routes_by_model}
         return {model: routed for model, routed in found.items() if routed is not None}
 
     def route(self, tenant: str, model: str) -> RoutedPool:
         """Return the pool that serves a model for a tenant; raises UnknownModelError."""
+        self._check_known()
         found = self._routed(tenant, model)
         if found is None:
             raise UnknownModelError(f"no route of tenant {tenant!r} names model {model!r}")
         return found
 
+    def _check_known(self) -> None:
+        if self.revision == 0:
+            raise NotReadyError(
+                "no configuration has arrived yet", retry_after_s=FIRST_COPY_RETRY_AFTER_S
+            )
+
     def _routed(self, tenant: str, model: str) -> RoutedPool | None:
         # The route published last decides.
         for route in reversed(self.routes_by_model.get(model, ())):
--- a/src/martenrun/edge/application.py
+++ b/src/martenrun/edge/application.py
@@ -30,6 +30,7 @@
         port: connection to the process's loop.
         view: returns the configuration in force.
         settings: zone, limits and time-outs of this process.
+        readiness_fault: returns why the process can not serve yet, or None.
     """
 
     def __init__(
@@ -37,10 +38,12 @@
         port: EdgePort,
         view: Callable[[], ConfigurationView],
         settings: ProcessSettings,
+        readiness_fault: Callable[[], MartenrunError | None] = lambda: None,
     ) -> None:
         self._port = port
         self._view = view
         self._settings = settings
+        self._readiness_fault = readiness_fault
         self._metrics = EdgeMetrics()
         self.slots = StreamSlots(settings.max_streams)
         self._engines = EngineConnections()
@@ -79,6 +82,9 @@
         revision = self._view().revision
         if revision == 0:
             raise NodeUnavailableError("no configuration has arrived yet", retry_after_s=1.0)
+        fault = self._readiness_fault()
+        if fault is not None:
+            raise fault
         return json_response({"status": "ready", "revision": revision})
 
     def _models(self, request: Request) -> Response:
--- a/src/martenrun/errors.py
+++ b/src/martenrun/errors.py
@@ -163,6 +163,14 @@
     remedy = "Send it to another agent or node now, or here again after Retry-After."
 
 
+class NotReadyError(MartenrunError):
+    """This process has just started and does not know its configuration or machines yet."""
+
+    code = "not_ready"
+    http_status = 503
+    remedy = "Send it to another agent or node now, or here again after Retry-After."
+
+
 class HeadersTooLargeError(InvalidRequestError):
     """The request's headers are over the limit."""
 
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -10,6 +10,7 @@
 from martenrun.claims.logic import ClaimsLogic
 from martenrun.configuration.objects import DrainRole
 from martenrun.configuration.view import ConfigurationView
+from martenrun.errors import NotReadyError
 from martenrun.events import DecisionLogic
 from martenrun.limits.admission import AdmissionLimits
 from martenrun.membership.gossip import GossipMembership
@@ -17,7 +18,7 @@
 from martenrun.node.cache_events import CacheEventsLogic
 from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.node.drain import NodeDrainLogic
-from martenrun.node.late_questions import LateQuestions
+from martenrun.node.question_gate import QuestionGate, readiness_fault
 from martenrun.node.runners import RunnerTable
 from martenrun.node.status import StatusLogic
 from martenrun.orders.rolls import RollsLogic
@@ -56,6 +57,10 @@
         """Return the configuration in force."""
         return self.configuration.state.view
 
+    def readiness_fault(self) -> NotReadyError | None:
+        """Return why this node can not judge questions yet, or None if it can."""
+        return readiness_fault(self.view().revision, self.runners.is_listed)
+
     def in_order(self) -> list[DecisionLogic]:
         """Return the parts in the order in which they handle an event."""
         return [
@@ -65,10 +70,11 @@
             self.drain,
             self.runners,
             self.machine_feed,
-            LateQuestions(
+            QuestionGate(
                 [self.claims, self.ownership],
                 self.membership.own.address,
                 lambda: self.membership.own.leaving,
+                self.readiness_fault,
             ),
             self.cache_events,
             self.requests,
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -67,7 +67,7 @@
                 SendOrder: self._order_workers.carry,
             }
         )
-        caller = CallerApplication(port, self._parts.view, settings)
+        caller = CallerApplication(port, self._parts.view, settings, self._parts.readiness_fault)
         self._slots = caller.slots
         self._drain_timeout_s = settings.drain_timeout_s
         caller.add_metrics(SharingCollector(self._parts.limits.counts, self._policy_statuses))
--- a/src/martenrun/node/runners.py
+++ b/src/martenrun/node/runners.py
@@ -31,6 +31,11 @@
         self._last_listed: list[Machine] | None = None
         self._listed_leaving: set[str] = set()
 
+    @property
+    def is_listed(self) -> bool:
+        """Whether the machine list has arrived since the start."""
+        return self._last_listed is not None
+
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
         match event:
--- a/src/martenrun/ownership/machine_feed.py
+++ b/src/martenrun/ownership/machine_feed.py
@@ -22,12 +22,18 @@
 """Nodes that poll the machine list."""
 
 PULL_INTERVAL_S = 0.75
-"""Time between two questions to a reader, in seconds; each is jittered by a tenth."""
+"""Time from a reader's answer to the next question, in seconds; jittered by a tenth."""
+
+FIRST_PULL_INTERVAL_S = 0.25
+"""The same while no list is known: readers that start know none either."""
+
+ANSWER_TIMEOUT_S = 0.375
+"""Time after which a question counts as unanswered, in seconds; jittered alike."""
 
 SILENT_PULLS = 2
 """Unanswered pulls after which another reader is asked."""
 
-CUT_OFF_PULLS = 12
+CUT_OFF_PULLS = 24
 """Unanswered pulls in a row after which a node reads the list itself."""
 
 MISMATCHES = 2
@@ -90,12 +96,18 @@
             case PeerMessage(peer, MachinesQuery(known_digest)):
                 return [Send(peer, self._changes(known_digest))]
             case PeerMessage(_, MachinesUpdate() as update):
+                if self._unanswered:
+                    interval_s = PULL_INTERVAL_S if update.digest else FIRST_PULL_INTERVAL_S
+                    self._next_pull = now + self._jittered(interval_s)
                 return self._take(update)
             case Tick() if now >= self._next_pull:
-                self._next_pull = now + PULL_INTERVAL_S * self._rng.uniform(0.9, 1.1)
+                self._next_pull = now + self._jittered(ANSWER_TIMEOUT_S)
                 return self._pull()
         return []
 
+    def _jittered(self, seconds: float) -> float:
+        return seconds * self._rng.uniform(0.9, 1.1)
+
     def _note(self, machines: list[Machine]) -> None:
         """Log what differs from the list known before, and name the new state."""
         listed = {machine.name: machine for machine in machines}
