Do not count a refusal for want of runners while every engine is out

The refusals are true, typed, at once and with Retry-After; holding them would be holding back what is given up. Ruled out: an empty machine list, an owner without description, a dead member, the lag of the list against a restart. So the check was wrong: it took every no_runner for a want of knowledge.

Change: histories record which engines are listed; no_runner is not counted if at one moment between request and answer every listed engine was down, paused (until 1 s after), or leaving (until 3 s after it was withdrawn). Nothing else is excused, and a history that lists no engine (real processes) excuses nothing. Four planted violations hold the edges of it: one engine usable, engines not listed, the engine back for longer than the bound, another code.

--- a/src/martenrun/proof/history.py
+++ b/src/martenrun/proof/history.py
@@ -130,6 +130,12 @@
     is_node: bool = True
 
 
+class EngineListed(Record, frozen=True, tag=True):
+    """An engine is in the machine list from the start of the history on."""
+
+    process: str
+
+
 class ProcessDisturbed(Record, frozen=True, tag=True):
     """A fault hit a process: ``kind`` is ``kill``, ``freeze``, ``cut`` or ``down``."""
 
@@ -165,6 +171,7 @@
     | ConfigurationAccepted
     | ConfigurationInForce
     | ProcessStarted
+    | EngineListed
     | ProcessDisturbed
     | LeavingAnnounced
     | LeavingWithdrawn
--- a/src/martenrun/proof/world.py
+++ b/src/martenrun/proof/world.py
@@ -10,7 +10,7 @@
 from martenrun.platform.machine_list import Machine
 from martenrun.proof.callers import Callers
 from martenrun.proof.checkers import Violation, check_all
-from martenrun.proof.history import History, ProcessStarted
+from martenrun.proof.history import EngineListed, History, ProcessStarted
 from martenrun.proof.injector import FaultInjector
 from martenrun.proof.operators import Operators
 from martenrun.proof.processes import (
@@ -115,6 +115,9 @@
                 ProcessStarted(time_s=0.0, process=member.name, restarted=False, is_node=is_node)
             )
 
+        for engine in self.engines:
+            self.recorder.add(EngineListed(time_s=0.0, process=engine.name))
+
     def _observe(self) -> None:
         for member in self.members:
             if member.is_serving:
--- a/tests/test_proof_checkers.py
+++ b/tests/test_proof_checkers.py
@@ -7,6 +7,7 @@
     CacheOrigin,
     ConfigurationAccepted,
     ConfigurationInForce,
+    EngineListed,
     Executed,
     Granted,
     History,
@@ -100,6 +101,9 @@
 KILL = ProcessDisturbed(time_s=0.0, process="node", kind="kill", until_s=1.0)
 RESTART = ProcessStarted(time_s=1.0, process="node", restarted=True)
 LEAVING = LeavingAnnounced(time_s=1.0, process="engine")
+ENGINES = [EngineListed(time_s=0.0, process=name) for name in ("engine", "other")]
+OTHER_KILL = ProcessDisturbed(time_s=1.5, process="other", kind="kill", until_s=1.8)
+NO_RUNNER = answered((), time_s=2.6, code="no_runner", ran="no")
 
 PLANTED = [
     ("streams", [invoked(), answered((0,))]),
@@ -144,6 +148,21 @@
     ("restart", [KILL, RESTART, invoked(time_s=2.5, edge="node")]),
     ("restart", [KILL, in_force(0.7, 1, process="o"), STORE_DOWN, RESTART, NODE_ASKED, UNSERVED]),
     ("restart", [NODE, AGENT_RESTART, invoked(time_s=2.5), UNSERVED]),
+    ("restart", [*ENGINES, KILL, RESTART, LEAVING, NODE_ASKED, NO_RUNNER]),
+    ("restart", [KILL, RESTART, LEAVING, OTHER_KILL, NODE_ASKED, NO_RUNNER]),
+    (
+        "restart",
+        [
+            *ENGINES,
+            KILL,
+            RESTART,
+            LEAVING,
+            OTHER_KILL,
+            invoked(time_s=2.9, edge="node"),
+            answered((), time_s=3.0, code="no_runner", ran="no"),
+        ],
+    ),
+    ("restart", [*ENGINES, KILL, RESTART, LEAVING, OTHER_KILL, NODE_ASKED, UNSERVED]),
     ("planned_stop", [invoked(), executed(), STOP, broken()]),
     ("planned_stop", [invoked(edge="engine"), STOP]),
     ("planned_stop", [invoked(), executed(), STOP, REFUSED_COPY]),
@@ -190,6 +209,7 @@
         ],
     ),
     ("restart", [KILL, STORE_DOWN, RESTART, NODE_ASKED, UNSERVED]),
+    ("restart", [*ENGINES, KILL, RESTART, LEAVING, OTHER_KILL, NODE_ASKED, NO_RUNNER]),
     ("planned_stop", [invoked(), executed(), STOP, answered()]),
     ("planned_stop", [invoked(edge="engine"), STOP, REFUSED_COPY]),
     (
