Record a removal whose answer was lost and that was read back

The removal was never recorded, so the checker saw two creations. The recorder's fault; the product's versions were right. Ruled out: a compare-and-swap that lost an update.

Change: the operator records that it read the object gone; the checker starts anew there, as after an accepted removal. Only a read after an own removal counts. Before and after: the new history of lost answers is clean with the records and not without them; planted: a removal seen before both creations excuses nothing.

--- a/src/martenrun/proof/checkers/configuration.py
+++ b/src/martenrun/proof/checkers/configuration.py
@@ -2,7 +2,12 @@
 
 from martenrun.proof.checkers.disturbance import Disturbances
 from martenrun.proof.checkers.violation import Violation
-from martenrun.proof.history import ConfigurationAccepted, ConfigurationInForce, History
+from martenrun.proof.history import (
+    ConfigurationAccepted,
+    ConfigurationInForce,
+    ConfigurationRemovalSeen,
+    History,
+)
 
 PROMISE = "configuration"
 
@@ -24,14 +29,18 @@
     """Find two accepted changes of an object that were based on the same version."""
     first: dict[tuple[str, int], ConfigurationAccepted] = {}
     found: list[Violation] = []
-    for accepted in history.of(ConfigurationAccepted):
-        base = (accepted.subject, accepted.expected)
-        if accepted.subject and first.setdefault(base, accepted) is not accepted:
-            detail = f"two accepted changes of version {accepted.expected}"
-            found.append(Violation(PROMISE, accepted.subject, accepted.time_s, detail))
-        if accepted.removed:
+    for record in history.records:
+        if isinstance(record, ConfigurationRemovalSeen):
+            first.pop((record.subject, 0), None)
+        if not isinstance(record, ConfigurationAccepted):
+            continue
+        base = (record.subject, record.expected)
+        if record.subject and first.setdefault(base, record) is not record:
+            detail = f"two accepted changes of version {record.expected}"
+            found.append(Violation(PROMISE, record.subject, record.time_s, detail))
+        if record.removed:
             # The object may be created anew from version 0.
-            first.pop((accepted.subject, 0), None)
+            first.pop((record.subject, 0), None)
     return found
 
 
--- a/src/martenrun/proof/history.py
+++ b/src/martenrun/proof/history.py
@@ -113,6 +113,12 @@
     removed: bool = False
 
 
+class ConfigurationRemovalSeen(Record, frozen=True, tag=True):
+    """An operator whose removal of an object had no known outcome read that it is gone."""
+
+    subject: str
+
+
 class ConfigurationInForce(Record, frozen=True, tag=True):
     """A process was seen with a configuration in force; ``digest`` covers its contents."""
 
@@ -169,6 +175,7 @@
     | Granted
     | Executed
     | ConfigurationAccepted
+    | ConfigurationRemovalSeen
     | ConfigurationInForce
     | ProcessStarted
     | EngineListed
--- a/src/martenrun/proof/operators.py
+++ b/src/martenrun/proof/operators.py
@@ -6,7 +6,7 @@
 from werkzeug.test import Client
 
 from martenrun.proof.callers import MODEL, TENANTS, key_of, key_sha256
-from martenrun.proof.history import ConfigurationAccepted
+from martenrun.proof.history import ConfigurationAccepted, ConfigurationRemovalSeen
 from martenrun.proof.processes import SimulatedNode
 from martenrun.proof.recorder import Recorder
 from martenrun.simulation.scheduler import Scheduler
@@ -73,7 +73,7 @@
             headers={"Authorization": f"Bearer {ADMIN_KEY}", "If-Match": str(expected)},
         )
         if response.status_code != 200:
-            self._learn_version(client, subject)
+            self._learn_version(client, subject, is_removal=document is None)
             return
         version = int(msgspec.json.decode(response.data)["version"])
         self._versions[subject] = 0 if document is None else version
@@ -87,11 +87,14 @@
             )
         )
 
-    def _learn_version(self, client: Client, subject: str) -> None:
+    def _learn_version(self, client: Client, subject: str, is_removal: bool) -> None:
         """Read back an object whose change was refused or whose answer was lost."""
         headers = {"Authorization": f"Bearer {ADMIN_KEY}"}
         response = client.get(f"/admin/v1/{subject}", headers=headers)
         if response.status_code == 200:
             self._versions[subject] = int(msgspec.json.decode(response.data)["version"])
         elif response.status_code == 404:
+            if is_removal and self._versions.get(subject):
+                seen = ConfigurationRemovalSeen(time_s=self._scheduler.now, subject=subject)
+                self._recorder.add(seen)
             self._versions[subject] = 0
--- a/tests/test_proof_checkers.py
+++ b/tests/test_proof_checkers.py
@@ -7,6 +7,7 @@
     CacheOrigin,
     ConfigurationAccepted,
     ConfigurationInForce,
+    ConfigurationRemovalSeen,
     EngineListed,
     Executed,
     Granted,
@@ -101,6 +102,7 @@
 KILL = ProcessDisturbed(time_s=0.0, process="node", kind="kill", until_s=1.0)
 RESTART = ProcessStarted(time_s=1.0, process="node", restarted=True)
 LEAVING = LeavingAnnounced(time_s=1.0, process="engine")
+REMOVAL_SEEN = ConfigurationRemovalSeen(time_s=1.0, subject="tenants/t")
 ENGINES = [EngineListed(time_s=0.0, process=name) for name in ("engine", "other")]
 OTHER_KILL = ProcessDisturbed(time_s=1.5, process="other", kind="kill", until_s=1.8)
 NO_RUNNER = answered((), time_s=2.6, code="no_runner", ran="no")
@@ -169,6 +171,8 @@
     ("planned_stop", [invoked(edge="engine"), STOP, broken()]),
     ("configuration", [in_force(1.0, 2), in_force(2.0, 1)]),
     ("configuration", [accepted(2, expected=1), accepted(3, expected=1)]),
+    ("configuration", [accepted(2, expected=0), accepted(3, expected=0)]),
+    ("configuration", [REMOVAL_SEEN, accepted(2, expected=0), accepted(3, expected=0)]),
     ("configuration", [in_force(1.0, 2, "a"), in_force(2.0, 2, "b", process="other")]),
     (
         "configuration",
@@ -216,6 +220,7 @@
         "configuration",
         [in_force(0.5, 1), ConfigurationAccepted(time_s=1.0, revision=2), in_force(9.0, 2)],
     ),
+    ("configuration", [accepted(2, expected=0), REMOVAL_SEEN, accepted(3, expected=0)]),
     (
         "configuration",
         [
--- a/tests/test_proof_simulation.py
+++ b/tests/test_proof_simulation.py
@@ -19,8 +19,10 @@
 from martenrun.ownership.stall import MachineListAge
 from martenrun.platform.engine import AttemptOutcome
 from martenrun.platform.machine_list import Machine
+from martenrun.proof.checkers.configuration import check_configuration
+from martenrun.proof.history import ConfigurationRemovalSeen, History
 from martenrun.proof.schedule import Fault, FaultKind, Schedule, draw_schedule
-from martenrun.proof.world import run_schedule
+from martenrun.proof.world import World, run_schedule
 from martenrun.routing.policy import RunnerChoice
 from martenrun.wire.messages import ConfigurationUpdate
 
@@ -74,6 +76,10 @@
     requests_per_s=40.0,
     copy_share=0.0,
 )
+LOST_ANSWERS = schedule(
+    *(fault(FaultKind.LOSE_ANSWERS, 0.5 + 0.5 * index, 1.0) for index in range(16)),
+    requests_per_s=1.0,
+)
 LATE_MESSAGES = schedule(
     fault(FaultKind.LOSE_MESSAGES, 0.5, 9.0, target=1),
     *(fault(FaultKind.RACE_OPERATORS, 1.0 + 0.2 * index) for index in range(30)),
@@ -230,3 +236,11 @@
 @pytest.mark.parametrize("seed", [90, 180, 268, 272, 283])
 def test_nodes_restarted_in_a_drawn_schedule_refuse_nothing_while_an_engine_lives(seed):
     assert found(draw_schedule(seed), "restart") == []
+
+
+def test_a_removal_whose_answer_was_lost_does_not_make_the_next_creation_a_lost_update():
+    history = World(LOST_ANSWERS).run()
+    assert history.of(ConfigurationRemovalSeen)
+    assert check_configuration(history) == []
+    records = [item for item in history.records if not isinstance(item, ConfigurationRemovalSeen)]
+    assert check_configuration(History(records, history.end_s))
