--- a/src/martenrun/node/front.py
+++ b/src/martenrun/node/front.py
@@ -44,7 +44,9 @@
         self._parts = core.parts
         self._port = EdgePort(tell=core.tell)
         self._status_port = StatusPort(core.tell)
-        caller = CallerApplication(self._port, self._parts.view, settings)
+        caller = CallerApplication(
+            self._port, self._parts.view, settings, self._parts.readiness_fault
+        )
         caller.add_metrics(KeyCollector(core.key_uses))
         caller.add_metrics(SharingCollector(self._parts.limits.counts, self._policy_statuses))
         caller.add_metrics(ClaimsCollector(self._parts.claim_retention))
