Give who asks from before a complete copy a complete copy

Cause: a process that begins with a list of what exists does not know which objects were removed before it, but answered others' questions for changes as if it did. They went up to its revision without the removals, and a removed tenant or key stayed in force on them for good.

Ruled out: the watch and the object API (the list was right) and the answer lost on the way (the removal itself was never sent).

Change: a complete copy counts as the forgetting of all removals before it, so that older askers get a complete copy too.

--- a/src/martenrun/configuration/state.py
+++ b/src/martenrun/configuration/state.py
@@ -25,9 +25,10 @@
 class ConfigurationState:
     """Objects in force by kind and name, latest removals included, and the revision reached.
 
-    ``view`` is replaced, never changed, so other threads may read it.  ``compacted`` is the
-    revision of the latest forgotten removal.  ``faults`` names the objects whose newest
-    document does not fit its schema; their last good document stays in force.
+    ``view`` is replaced, never changed, so other threads may read it.  Removals up to
+    ``compacted`` may be unknown here: they were forgotten, or came before a complete copy.
+    ``faults`` names the objects whose newest document does not fit its schema; their last good
+    document stays in force.
     """
 
     revision: int = 0
@@ -58,6 +59,8 @@
             self._apply_object(item)
         if update.complete:
             self._remove_unlisted(update)
+            # Which objects were removed before the copy, it does not tell.
+            self.compacted = max(self.compacted, update.to_revision)
         self.revision = update.to_revision
         self.view = self.view.changed(self.revision, self._changes)
         self._changes = {}
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -37,6 +37,16 @@
     assert copy.view == state.view
 
 
+def test_a_process_that_has_begun_with_a_complete_copy_passes_removals_on():
+    older, newer = ConfigurationState(), ConfigurationState()
+    older.apply(ConfigurationUpdate(0, 3, [tenant(3, weight=3)]))
+    # The tenant was removed in revision 4; a list of what exists does not tell.
+    newer.apply(ConfigurationUpdate(0, 5, [], complete=True))
+    older.apply(newer.update_since(older.revision))
+    assert older.revision == 5
+    assert older.view == newer.view
+
+
 def test_every_faulty_field_is_named():
     with pytest.raises(InvalidObjectError) as caught:
         parse_document(Kind.TENANT, b'{"weight": -1, "colour": "red"}')
