Believe nothing of a runner that is sent a prompt hashed for other weights

Cause: while a pool rolls from v1 to v2, questions are hashed for v2, and runners that still serve v1 may be granted. What they were sent was believed cached there under the hashes of v2, and later grants to v1 were credited with blocks of v2. The runner caches under hashes of v1, so no event can ever take such a belief back.

Ruled out: use of a block of other weights (none: the engine hashes for its own version and forgets its cache before it loads).

The new test fails without it.

--- a/src/martenrun/routing/prefix_aware.py
+++ b/src/martenrun/routing/prefix_aware.py
@@ -168,7 +168,9 @@
             ready_at = now + model.prefill_s(uncached, load_of(choice.runner, now))
             computation = Computation(choice.runner.name, ready_at, choice.believed_blocks)
             self._hot.started(chain, computation)
-        self.beliefs.routed(choice.runner.name, chain, choice.believed_blocks, now)
+        if question.weights_version in ("", runner.weights_version):
+            # With other weights the runner caches blocks under other hashes.
+            self.beliefs.routed(runner.name, chain, choice.believed_blocks, now)
         self._granted[(question.request_id, question.attempt)] = _GrantedWork(
             choice.runner.name,
             question.model,
--- a/tests/test_prefix_aware.py
+++ b/tests/test_prefix_aware.py
@@ -76,6 +76,13 @@
     assert {choice.believed_blocks for choice in choices} == {0}
 
 
+def test_a_runner_with_other_weights_is_not_credited_with_what_it_is_sent():
+    policy, runners = make_policy(), make_runners(1)
+    runners[0].weights_version = "v0"
+    run(policy, make_question("a", 30), runners)
+    assert policy.rank(make_question("b", 30), runners, 1.0)[0].believed_blocks == 0
+
+
 def test_tenants_with_the_same_prompt_share_no_beliefs(policy_that_knows_r1):
     question = make_question("q", 30, tenant="stallholders")
     choices = policy_that_knows_r1.rank(question, make_runners(4), 0.0)
