Roll out weights under failure in the simulation, and check loads and late orders

Engines kept one weights version and got no order. Simulated engines now take fenced orders with the stand-in's own guard: they drain, forget their cache, load for 2 s and serve; they refuse attempts that expect other weights, as the real adapter asks. New faults: operators publish the next version; and they do so while the next node that gives an order is paused for 50 s, longer than its lease, with the order on its way out, and another version is published meanwhile.

New checker weights: at most two engines out of service for loads at a time, one always left, no load by a token not higher than an earlier load's, nothing run with other weights than granted, and no stream continued with other weights. cache_use already covers blocks of older weights.

Six hand-made histories. Not checked: that a roll-out ends, because a dead holder's lease outlasts a history's quiet end.

restart does not count no_runner if at the answer, too, no engine could run: a request that waits may see the last engine go. Engines that load count as out of service there.

--- a/src/martenrun/proof/checkers/__init__.py
+++ b/src/martenrun/proof/checkers/__init__.py
@@ -16,6 +16,7 @@
 from martenrun.proof.checkers.restart import check_restart
 from martenrun.proof.checkers.streams import check_streams
 from martenrun.proof.checkers.violation import Checker, Violation
+from martenrun.proof.checkers.weights import check_weights
 from martenrun.proof.history import History
 
 CHECKERS: Mapping[str, Checker] = MappingProxyType(
@@ -29,6 +30,7 @@
         "leaving": check_leaving,
         "planned_stop": check_planned_stop,
         "configuration": check_configuration,
+        "weights": check_weights,
     }
 )
 
--- a/src/martenrun/proof/checkers/engines.py
+++ b/src/martenrun/proof/checkers/engines.py
@@ -1,7 +1,14 @@
 """Which engines could have taken new work at a time."""
 
 from martenrun.proof.checkers.disturbance import Disturbances
-from martenrun.proof.history import EngineListed, History, LeavingAnnounced, LeavingWithdrawn
+from martenrun.proof.history import (
+    EngineListed,
+    History,
+    LeavingAnnounced,
+    LeavingWithdrawn,
+    LoadBegun,
+    LoadEnded,
+)
 
 KNOWN_BOUND_S = 1.0
 """Longest time until the router knows that an engine can be used again, in seconds."""
@@ -17,6 +24,8 @@
         self._disturbances = disturbances
         self._engines = [listed.process for listed in history.of(EngineListed)]
         self._leaving = history.of(LeavingAnnounced)
+        self._begun = history.of(LoadBegun)
+        self._ended = history.of(LoadEnded)
         self._withdrawn = history.of(LeavingWithdrawn)
 
     def none_can_run(self, time_s: float) -> bool:
@@ -32,8 +41,15 @@
             fault.until_s > fault.time_s and fault.time_s <= time_s and fault.until_s >= since_s
             for fault in self._disturbances.of(engine)
         )
+        is_out = is_out or self._is_loading(engine, since_s, time_s)
         return not is_out and not self._is_leaving(engine, time_s)
 
+    def _is_loading(self, engine: str, since_s: float, until_s: float) -> bool:
+        begun = [load.time_s for load in self._begun if load.engine == engine]
+        ended = [load.time_s for load in self._ended if load.engine == engine]
+        last_s = max((begun_s for begun_s in begun if begun_s <= until_s), default=None)
+        return last_s is not None and not any(last_s <= end_s < since_s for end_s in ended)
+
     def _is_leaving(self, engine: str, time_s: float) -> bool:
         marks = [mark.time_s for mark in self._leaving if mark.process == engine]
         begun_s = max((mark_s for mark_s in marks if mark_s <= time_s), default=None)
--- a/src/martenrun/proof/edges.py
+++ b/src/martenrun/proof/edges.py
@@ -17,6 +17,7 @@
 from martenrun.platform.stream_progress import ResumeFields
 from martenrun.proof.history import RequestAnswered, Token
 from martenrun.proof.recorder import Recorder
+from martenrun.routing.prefix_index import RunnerIdentity
 from martenrun.simulation.engine import SimulatedEngine
 from martenrun.simulation.scheduler import Scheduler
 from martenrun.simulation.stream import EngineStream
@@ -152,7 +153,10 @@
         engine = self._edge.engines[grant.address]
         body = self._carried.request.engine_body(grant.priority, self._carried.resume_fields())
         self._stream = engine.connect(
-            grant.incarnation, body, self, lambda: self._edge.is_cut_from(grant.address)
+            RunnerIdentity(grant.incarnation, grant.weights_version),
+            body,
+            self,
+            lambda: self._edge.is_cut_from(grant.address),
         )
         self._edge.scheduler.after(self._allowed_silence_s(), self._check_silence)
 
--- a/src/martenrun/proof/history.py
+++ b/src/martenrun/proof/history.py
@@ -108,6 +108,8 @@
     """An engine began to execute an attempt; ``reused`` tells who wrote the blocks it used.
 
     ``received_s`` is when the engine's machine got the attempt: a paused engine runs it later.
+    ``expected_version`` is the weights version of the grant, empty if it is not known;
+    ``resume_from`` the number of pieces of output that the caller had before.
     """
 
     engine: str
@@ -119,6 +121,26 @@
     tenant: str
     chain: list[str]
     reused: list[CacheOrigin]
+    expected_version: str = ""
+    resume_from: int = 0
+
+
+class LoadBegun(Record, frozen=True, tag=True):
+    """An engine left service to load weights, by an order with fencing token ``fence``."""
+
+    engine: str
+    incarnation: str
+    version: str
+    fence: int
+
+
+class LoadEnded(Record, frozen=True, tag=True):
+    """An engine's load is over: it serves again, gave it up for another one or has crashed."""
+
+    engine: str
+    incarnation: str
+    version: str
+    fence: int
 
 
 class ConfigurationAccepted(Record, frozen=True, tag=True):
@@ -199,6 +221,8 @@
     | Asked
     | Granted
     | Executed
+    | LoadBegun
+    | LoadEnded
     | ConfigurationAccepted
     | RemovalUnknown
     | ConfigurationInForce
--- a/src/martenrun/proof/injector.py
+++ b/src/martenrun/proof/injector.py
@@ -1,5 +1,6 @@
 """Brings the faults of a schedule about in a simulated world."""
 
+import functools
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
@@ -29,6 +30,9 @@
 PROBE_AFTER_S = 1.1
 """A restarted process is sent a request this long after its start, in seconds."""
 
+SECOND_ROLL_S = 2.0
+"""Time from the pause of a permit's holder to the next weights version, in seconds."""
+
 LOSS = 0.2
 DUPLICATES = 0.2
 LOST_ANSWERS = 0.5
@@ -83,6 +87,8 @@
             FaultKind.RESTART_ALL_NODES: lambda: self._kill_all(duration_s),
             FaultKind.RACE_OPERATORS: self.operators.race,
             FaultKind.SHIFT_HOT_PREFIX: self._shift,
+            FaultKind.ROLL_WEIGHTS: self.operators.roll,
+            FaultKind.PAUSE_PERMIT_HOLDER: lambda: self._pause_holder(duration_s),
             FaultKind.STOP_NODE: lambda: self._stop(node, duration_s),
             FaultKind.STOP_AGENT: lambda: self._stop(agent, duration_s),
             FaultKind.LOSE_ZONE: lambda: self._lose_zone(fault),
@@ -149,6 +155,22 @@
             process.freeze()
             self._later(duration_s, process.thaw)
 
+    def _pause_holder(self, duration_s: float) -> None:
+        """Pause the next node that gives an order, with the order on its way out.
+
+        Meanwhile operators publish another version, so that a late order would undo it.
+        """
+
+        def pause(holder: SimulatedNode) -> None:
+            for node in self.nodes:
+                node.on_order = _do_nothing
+            self._freeze(holder, duration_s)
+            self._later(SECOND_ROLL_S, self.operators.roll)
+
+        for node in self.nodes:
+            node.on_order = functools.partial(pause, node)
+        self.operators.roll()
+
     def _crash(self, engine: SimulatedEngine, duration_s: float) -> None:
         if engine.is_up:
             self._disturb(engine.name, "kill", duration_s)
@@ -241,3 +263,7 @@
         self.around.machines.mark(engine.name, "live")
         now = self.around.scheduler.now
         self.around.recorder.add(LeavingWithdrawn(time_s=now, process=engine.name))
+
+
+def _do_nothing() -> None:
+    pass
--- a/src/martenrun/proof/operators.py
+++ b/src/martenrun/proof/operators.py
@@ -14,6 +14,8 @@
 
 ADMIN_KEY = "admin-key"
 GUEST = "tenants/guest"
+FLOOR = 1
+"""Runners of the pool that go on serving while others load."""
 
 
 class Operators:
@@ -31,6 +33,7 @@
         self._rng = rng
         self._nodes = nodes
         self._versions: dict[str, int] = {}
+        self._weights = 1
 
     def publish_all(self) -> None:
         """Publish tenants, their keys, a pool and a route."""
@@ -38,9 +41,23 @@
             self._apply("tenants", tenant, {"weight": 1.0})
             digest = key_sha256(key_of(tenant))
             self._apply("keys", f"{tenant}-key", {"tenant": tenant, "key_sha256": digest})
-        self._apply("pools", "pool", {"model": MODEL, "weights_version": "v1", "block_bytes": 64})
+        self._publish_pool()
         self._apply("routes", "route", {"model": MODEL, "pool": "pool"})
 
+    def roll(self) -> None:
+        """Publish the pool with the next weights version."""
+        self._weights += 1
+        self._publish_pool()
+
+    def _publish_pool(self) -> None:
+        pool = {
+            "model": MODEL,
+            "weights_version": f"v{self._weights}",
+            "block_bytes": 64,
+            "floor": FLOOR,
+        }
+        self._apply("pools", "pool", pool)
+
     def race(self) -> None:
         """Change one tenant twice at the same time; make or remove another one."""
         self._toggle_guest()
--- a/src/martenrun/proof/processes.py
+++ b/src/martenrun/proof/processes.py
@@ -5,7 +5,7 @@
 
 import random
 from collections.abc import Callable, Mapping
-from typing import NoReturn
+from typing import Any, NoReturn
 
 import msgspec
 from werkzeug.datastructures import Headers
@@ -21,11 +21,15 @@
     Finish,
     LeaveRequested,
     MachinesListed,
+    OrderAnswered,
     RunAttempt,
     RunnerDescribed,
+    SendOrder,
 )
 from martenrun.node.parts import NodeParts, node_parts
 from martenrun.node.process import LATE_QUESTIONS_S, LEAVE_SPREAD_LIMIT_S
+from martenrun.platform.engine_orders import OrderOutcome
+from martenrun.process import Carrier
 from martenrun.proof.drain import Drain, DrainStep
 from martenrun.proof.edges import SimulatedEdge
 from martenrun.proof.object_api import SimulatedObjectApi
@@ -96,6 +100,10 @@
         """Build the decision logic of one run."""
         raise NotImplementedError
 
+    def own_carriers(self) -> dict[type[Any], Carrier]:
+        """Return the carriers of instructions that only this kind of process has."""
+        return {}
+
     def start(self) -> None:
         """Start a run with nothing kept from the one before."""
         self._runs += 1
@@ -118,6 +126,7 @@
             {
                 RunAttempt: self.edge.run_attempt,
                 Finish: self.edge.finish,
+                **self.own_carriers(),
                 **around.store.carriers(self.name, lambda event: hollow.tell(event)),
             },
             observe=lambda receiver, message: around.recorder.sent(self.name, receiver, message),
@@ -220,7 +229,11 @@
 
 
 class SimulatedNode(SimulatedProcess):
-    """A node, with the pollers that its real process has."""
+    """A node, with the pollers that its real process has.
+
+    Attributes:
+        on_order: is called whenever the node gives an engine an order.
+    """
 
     parts: NodeParts
     settings: NodeSettings
@@ -228,6 +241,7 @@
     def __init__(
         self, name: str, peer: str, seed_nodes: list[str], place: Place, around: Surroundings
     ) -> None:
+        self.on_order: Callable[[], None] = _do_nothing
         self.settings = NodeSettings(
             name=name,
             zone=place.zone,
@@ -245,6 +259,31 @@
         """Build the decision logic of one run."""
         return node_parts(self.settings, self.incarnation, rng)
 
+    def own_carriers(self) -> dict[type[Any], Carrier]:
+        """Return the carrier of orders to engines."""
+        return {SendOrder: self._carry_order}
+
+    def _carry_order(self, instruction: SendOrder) -> None:
+        """Send an order; one that a pause of the process catches is sent after the pause."""
+        self.on_order()
+        run = self._runs
+
+        def send() -> None:
+            if run != self._runs or not self.hollow.is_alive:
+                return
+            if self.hollow.is_frozen:
+                self._waiting.append(send)
+                return
+            outcome = self._sent(instruction)
+            self._tell_later(OrderAnswered(instruction.runner, instruction.order, outcome))
+
+        self._around.scheduler.after(PLATFORM_DELAY_S, send)
+
+    def _sent(self, instruction: SendOrder) -> OrderOutcome:
+        if self.is_cut_from(instruction.address):
+            return OrderOutcome.UNKNOWN
+        return self._around.engines[instruction.address].take_order(instruction.order)
+
     def start(self) -> None:
         """Start a run and its pollers."""
         super().start()
@@ -308,5 +347,9 @@
         self._around.scheduler.after(PLATFORM_DELAY_S + delay_s, lambda: hollow.tell(event))
 
 
+def _do_nothing() -> None:
+    pass
+
+
 def _no_status() -> NoReturn:
     raise NodeUnavailableError("the simulation does not ask for the status")
--- a/tests/test_proof_checkers.py
+++ b/tests/test_proof_checkers.py
@@ -14,6 +14,8 @@
     History,
     LeavingAnnounced,
     LeavingWithdrawn,
+    LoadBegun,
+    LoadEnded,
     PlannedStop,
     ProcessDisturbed,
     ProcessStarted,
@@ -83,6 +85,18 @@
     return Asked(time_s=time_s, request_id="r", edge="agent", node="node")
 
 
+def listed(engine):
+    return EngineListed(time_s=0.0, process=engine)
+
+
+def begun(engine, fence=5):
+    return LoadBegun(time_s=0.5, engine=engine, incarnation=engine, version="v2", fence=fence)
+
+
+def ended(engine):
+    return LoadEnded(time_s=0.6, engine=engine, incarnation=engine, version="v2", fence=5)
+
+
 def accepted(revision, expected):
     return ConfigurationAccepted(
         time_s=1.0, revision=revision, subject="tenants/t", expected=expected
@@ -177,6 +191,7 @@
     ("restart", [ENGINE, ENGINE_CUT, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
     ("restart", [ENGINE, OTHER, ENGINE_DEAD, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
     ("restart", [ENGINE, ENGINE_DEAD, KILL, RESTART, NODE_ASKED, UNSERVED]),
+    ("restart", [ENGINE, begun("engine"), ended("engine"), KILL, RESTART, NODE_ASKED, NO_RUNNER]),
     ("planned_stop", [invoked(), executed(), STOP, broken()]),
     ("planned_stop", [invoked(edge="engine"), STOP]),
     ("planned_stop", [invoked(), executed(), STOP, REFUSED_COPY]),
@@ -184,6 +199,12 @@
     ("planned_stop", [invoked(edge="agent"), ABSENT, AGENT_STOP, broken()]),
     ("planned_stop", [HOLDER, NODE_STOP, NODE_GONE, asked(1.5)]),
     ("planned_stop", [HOLDER, NODE_STOP, NODE_GONE, asked(1.5), RESTARTED_LATER]),
+    ("weights", [begun("a"), begun("b"), begun("c")]),
+    ("weights", [listed("a"), listed("b"), begun("a"), begun("b")]),
+    ("weights", [begun("a", fence=7), ended("a"), begun("a", fence=6)]),
+    ("weights", [begun("a"), ended("a"), begun("a")]),
+    ("weights", [executed(expected_version="v2")]),
+    ("weights", [executed(), executed(weights_version="v2", resume_from=1)]),
     ("configuration", [in_force(1.0, 2), in_force(2.0, 1)]),
     ("configuration", [accepted(2, expected=1), accepted(3, expected=1)]),
     ("configuration", [accepted(2, expected=0), LOST_REMOVAL, accepted(3, 0), accepted(4, 0)]),
@@ -204,6 +225,10 @@
 ]
 
 CLEAN = [
+    ("weights", [listed("a"), listed("b"), begun("a"), ended("a"), begun("b"), ended("b")]),
+    ("weights", [begun("a"), ended("a"), begun("a", fence=6)]),
+    ("weights", [executed(expected_version="v1"), executed(resume_from=1)]),
+    ("restart", [ENGINE, begun("engine"), KILL, RESTART, NODE_ASKED, NO_RUNNER]),
     ("configuration", [accepted(2, expected=0), LOST_REMOVAL, accepted(3, expected=0)]),
     ("streams", [invoked(), answered(), answered((0,), request_id="s", code="stream_broken")]),
     ("own_answer", [invoked(), answered()]),
