Restart all nodes, stop agents and cut an agent from the nodes in the real runs

The runs over real processes killed one node at a time, stopped only nodes, and never cut the links between agents and nodes. Three new kinds of faults: every node killed and all started at a time, a planned stop of an agent, and the links of one agent to every node cut. That agent is run by scripts/relayed_agent.py, which translates the nodes' addresses into those of one relay for each node; the product's code is unchanged. A run now lists its engines, so that restart does not count no_runner while none of them could run anything.

--- a/scripts/faulty_relay.py
+++ b/scripts/faulty_relay.py
@@ -16,11 +16,13 @@
 
     Attributes:
         delay_s: waited before each piece is passed on, in seconds.
+        connections: connections relayed so far.
     """
 
     def __init__(self, target: str) -> None:
         self.address = free_address()
         self.delay_s = 0.0
+        self.connections = 0
         self._target = _parsed(target)
         self._is_cut = False
         self._open: set[socket.socket] = set()
@@ -65,6 +67,7 @@
 
     def _carry_both(self, near: socket.socket, far: socket.socket) -> None:
         with self._lock:
+            self.connections += 1
             self._open |= {near, far}
         back = threading.Thread(target=self._carry, args=(far, near), daemon=True)
         back.start()
--- a/scripts/process_faults.py
+++ b/scripts/process_faults.py
@@ -19,7 +19,7 @@
     ProcessDisturbed,
     ProcessStarted,
 )
-from martenrun.proof.process_schedule import ProcessFault, ProcessFaultKind
+from martenrun.proof.process_schedule import ALL_NODES, ProcessFault, ProcessFaultKind
 
 RELAY_DELAY_S = 0.1
 OBJECTS_DELAY_S = 0.3
@@ -54,7 +54,10 @@
             ProcessFaultKind.KILL_ENGINE: self._kill,
             ProcessFaultKind.FREEZE_NODE: self._freeze,
             ProcessFaultKind.FREEZE_ENGINE: self._freeze,
+            ProcessFaultKind.RESTART_ALL_NODES: self._restart_all,
             ProcessFaultKind.STOP_NODE: self._stop,
+            ProcessFaultKind.STOP_AGENT: self._stop,
+            ProcessFaultKind.CUT_AGENT: self._cut,
             ProcessFaultKind.ENGINE_LEAVES: self._leave,
             ProcessFaultKind.CUT_ENGINE: self._cut,
             ProcessFaultKind.SLOW_ENGINE: self._slow,
@@ -68,10 +71,13 @@
     def carry_out(self, fault: ProcessFault, start_s: float) -> None:
         """Wait for a fault's time and bring it about; ``start_s`` is the run's start."""
         time.sleep(max(0.0, start_s + fault.at_s - time.monotonic()))
-        hit = _Hit(fault.process, time.monotonic())
-        self._hits.append(hit)
+        is_for_all = fault.process == ALL_NODES
+        processes = self._deployment.nodes() if is_for_all else [fault.process]
+        hits = [_Hit(process, time.monotonic()) for process in processes]
+        self._hits += hits
         self._actions[fault.kind](fault)
-        hit.ended_s = time.monotonic()
+        for hit in hits:
+            hit.ended_s = time.monotonic()
 
     def hit(self, process: str, start_s: float, end_s: float) -> bool:
         """Return whether a fault or planned stop of a process overlapped a span."""
@@ -88,6 +94,9 @@
     def _restart(self, name: str) -> None:
         """Start a process again; for an edge, its start counts from its first answer."""
         self._deployment.restart(name)
+        self._note_started(name)
+
+    def _note_started(self, name: str) -> None:
         if not name.startswith("engine-"):
             is_node = name.startswith("node-")
             started = ProcessStarted(
@@ -103,6 +112,20 @@
         self._restart(fault.process)
         self._disturbed(fault.process, "kill", since_s)
 
+    def _restart_all(self, fault: ProcessFault) -> None:
+        """Kill every node and start all of them at a time."""
+        since_s = time.monotonic()
+        nodes = self._deployment.nodes()
+        for name in nodes:
+            self._deployment.kill(name)
+        time.sleep(fault.duration_s)
+        for name in nodes:
+            self._deployment.start_again(name)
+        for name in nodes:
+            self._deployment.wait_answers(name)
+            self._note_started(name)
+            self._disturbed(name, "kill", since_s)
+
     def _freeze(self, fault: ProcessFault) -> None:
         since_s = time.monotonic()
         self._deployment.freeze(fault.process)
@@ -133,12 +156,17 @@
 
     def _cut(self, fault: ProcessFault) -> None:
         since_s = time.monotonic()
-        is_engine = fault.kind is ProcessFaultKind.CUT_ENGINE
-        relay = self._deployment.engine_relay if is_engine else self._deployment.objects_relay
-        assert relay is not None
-        relay.cut()
+        relays = {
+            ProcessFaultKind.CUT_ENGINE: [self._deployment.engine_relay],
+            ProcessFaultKind.CUT_OBJECTS: [self._deployment.objects_relay],
+            ProcessFaultKind.CUT_AGENT: self._deployment.node_relays,
+        }[fault.kind]
+        present = [relay for relay in relays if relay is not None]
+        for relay in present:
+            relay.cut()
         time.sleep(fault.duration_s)
-        relay.restore()
+        for relay in present:
+            relay.restore()
         self._disturbed(fault.process, "cut", since_s)
 
     def _slow(self, fault: ProcessFault) -> None:
--- a/scripts/process_run.py
+++ b/scripts/process_run.py
@@ -10,10 +10,11 @@
 
 from martenrun.load.client import CompletionCall, CompletionClient
 from martenrun.proof.checkers.restart import RESTART_BOUND_S
-from martenrun.proof.history import History, RequestInvoked
+from martenrun.proof.history import EngineListed, History, RequestInvoked
 from martenrun.proof.process_records import AnswerReader, answer_record, prompt_of
 from martenrun.proof.process_schedule import (
     DEADLINE_S,
+    ENGINES,
     TENANTS,
     PlannedRequest,
     ProcessSchedule,
@@ -38,6 +39,8 @@
     def run(self) -> History:
         """Run to the end, restore the deployment and return the history."""
         schedule = self._schedule
+        for index in range(ENGINES):
+            self._recorder.add(EngineListed(time_s=time.monotonic(), process=f"engine-{index}"))
         with ConfigurationWatch(self._deployment, self._recorder):
             self._disturb_under_load()
             self._probe_restarted()
--- a/scripts/proved_deployment.py
+++ b/scripts/proved_deployment.py
@@ -7,6 +7,7 @@
 import sys
 import threading
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import IO
 
 import msgspec
@@ -28,6 +29,7 @@
     AGENTS,
     ENGINES,
     NODES,
+    RELAYED_AGENT,
     RELAYED_ENGINE,
     RELAYED_NODE,
     TENANTS,
@@ -49,7 +51,10 @@
 
 @dataclass
 class ProvedDeployment(Deployment):
-    """Three nodes, two agents and three engines; one engine and one node behind relays.
+    """Three nodes, two agents and three engines, with relays on some of their links.
+
+    One engine is reached through a relay, one node reaches the object API through one, and one
+    agent each node, unless ``entries`` has that agent.
 
     Attributes:
         entries: arguments after ``python`` that run the command line of a process, by its
@@ -64,6 +69,7 @@
     revision: int = 0
     engine_relay: FaultyRelay | None = None
     objects_relay: FaultyRelay | None = None
+    node_relays: list[FaultyRelay] = field(default_factory=list)
     _commands: dict[str, list[str]] = field(default_factory=dict)
 
     def start(self) -> None:
@@ -74,6 +80,8 @@
         self.agent_edges = [free_address() for _ in range(AGENTS)]
         self.objects_relay = FaultyRelay(self.objects)
         self.engine_relay = FaultyRelay(self.engines[RELAYED_ENGINE])
+        self.node_relays = [FaultyRelay(peer) for peer in self.node_peers]
+        self.entries.setdefault(f"agent-{RELAYED_AGENT}", self._relayed_entry())
         self.run("objects", "standin", "objects", "--address", self.objects)
         self.run("machines", "standin", "machines", "--address", self.machines)
         for index, address in enumerate(self.engines):
@@ -92,6 +100,15 @@
         self.revision = self.apply("routes", POOL, {"model": MODEL, "pool": POOL})
         self.restore()
 
+    def _relayed_entry(self) -> tuple[str, ...]:
+        pairs = zip(self.node_peers, self.node_relays, strict=True)
+        addresses = {peer: relay.address for peer, relay in pairs}
+        return (str(Path(__file__).with_name("relayed_agent.py")), json.dumps(addresses))
+
+    def _relays(self) -> list[FaultyRelay]:
+        relays = [self.engine_relay, self.objects_relay, *self.node_relays]
+        return [relay for relay in relays if relay is not None]
+
     def _start_agent(self, index: int) -> None:
         seeds = [flag for peer in self.node_peers for flag in ("--seed-nodes", peer)]
         self.run(
@@ -145,7 +162,15 @@
 
     def restart(self, name: str) -> None:
         """Start a process that has ended once more, and wait until it answers."""
+        self.start_again(name)
+        self.wait_answers(name)
+
+    def start_again(self, name: str) -> None:
+        """Start a process that has ended once more."""
         self.run(name, *self._commands[name])
+
+    def wait_answers(self, name: str) -> None:
+        """Wait until a process answers."""
         path = "/v1/runner" if name.startswith("engine-") else "/healthz"
         wait_until(lambda: answers(self.address_of(name), path), name, START_TIMEOUT_S)
 
@@ -155,10 +180,13 @@
         addresses = {"node": self.node_edges, "agent": self.agent_edges, "engine": self.engines}
         return addresses[role][int(index)]
 
+    def nodes(self) -> list[str]:
+        """Return the names of all nodes."""
+        return [f"node-{index}" for index in range(len(self.node_edges))]
+
     def edges(self) -> list[str]:
         """Return the names of all processes that take callers' requests."""
-        nodes = [f"node-{index}" for index in range(len(self.node_edges))]
-        return [*nodes, *(f"agent-{index}" for index in range(len(self.agent_edges)))]
+        return [*self.nodes(), *(f"agent-{index}" for index in range(len(self.agent_edges)))]
 
     def freeze(self, name: str) -> None:
         """Pause a process."""
@@ -180,9 +208,8 @@
         for name in list(self.frozen):
             self.thaw(name)
         self.set_object_faults()
-        for relay in (self.engine_relay, self.objects_relay):
-            if relay is not None:
-                relay.restore()
+        for relay in self._relays():
+            relay.restore()
         for name, process in list(self.processes.items()):
             if process.poll() is not None:
                 self.restart(name)
@@ -214,9 +241,8 @@
         for name in list(self.frozen):
             self.thaw(name)
         super().stop()
-        for relay in (self.engine_relay, self.objects_relay):
-            if relay is not None:
-                relay.close()
+        for relay in self._relays():
+            relay.close()
 
 
 def key_of(tenant: str) -> str:
--- a/src/martenrun/proof/process_schedule.py
+++ b/src/martenrun/proof/process_schedule.py
@@ -16,6 +16,10 @@
 """The engine that is reached through a relay, which can cut and slow its connections."""
 RELAYED_NODE = NODES - 1
 """The node that reaches the object API through a relay."""
+RELAYED_AGENT = 0
+"""The agent that reaches every node through a relay."""
+ALL_NODES = "nodes"
+"""What a fault hits that hits every node."""
 
 LOAD_S = 2.0
 LATE_LOAD_S = (3.5, 4.5)
@@ -40,7 +44,10 @@
     KILL_ENGINE = "kill_engine"
     FREEZE_NODE = "freeze_node"
     FREEZE_ENGINE = "freeze_engine"
+    RESTART_ALL_NODES = "restart_all_nodes"
     STOP_NODE = "stop_node"
+    STOP_AGENT = "stop_agent"
+    CUT_AGENT = "cut_agent"
     ENGINE_LEAVES = "engine_leaves"
     CUT_ENGINE = "cut_engine"
     SLOW_ENGINE = "slow_engine"
@@ -101,7 +108,7 @@
     faults = [_draw_fault(rng, rng.choice(kinds))]
     if rng.random() < 0.5:
         second = _draw_fault(rng, rng.choice(kinds))
-        if second.process != faults[0].process:
+        if not _overlap(second.process, faults[0].process):
             faults.append(second)
     starts = [rng.uniform(0.0, LOAD_S) for _ in range(REQUESTS)]
     if any(fault.kind is ProcessFaultKind.ENGINE_LEAVES for fault in faults):
@@ -112,6 +119,13 @@
     return ProcessSchedule(seed, sorted(requests, key=lambda request: request.at_s), faults)
 
 
+def _overlap(one: str, other: str) -> bool:
+    """Whether two faults hit the same process."""
+    if ALL_NODES in (one, other):
+        return one.startswith("node") and other.startswith("node")
+    return one == other
+
+
 def _draw_fault(rng: random.Random, kind: ProcessFaultKind) -> ProcessFault:
     return ProcessFault(
         kind, _draw_process(rng, kind), rng.uniform(*_FAULT_AT_S), rng.uniform(*_FAULT_LASTS_S)
@@ -123,7 +137,11 @@
         return f"node-{rng.randrange(NODES)}"
     if kind in _ENGINE_FAULTS:
         return f"engine-{rng.randrange(ENGINES)}"
-    if kind is ProcessFaultKind.KILL_AGENT:
+    if kind is ProcessFaultKind.RESTART_ALL_NODES:
+        return ALL_NODES
+    if kind is ProcessFaultKind.CUT_AGENT:
+        return f"agent-{RELAYED_AGENT}"
+    if kind in (ProcessFaultKind.KILL_AGENT, ProcessFaultKind.STOP_AGENT):
         return f"agent-{rng.randrange(AGENTS)}"
     if kind in (ProcessFaultKind.CUT_ENGINE, ProcessFaultKind.SLOW_ENGINE):
         return f"engine-{RELAYED_ENGINE}"
--- a/tests/test_proof_processes.py
+++ b/tests/test_proof_processes.py
@@ -45,6 +45,10 @@
         running.stop()
 
 
+SEED_OF_BOTH = 2
+"""A seed whose run has a cut agent and a restart of all nodes."""
+
+
 def freezing_schedule(seed):
     """Every engine is paused in turn while streams run that may not be repeated."""
     requests = [
@@ -90,6 +94,21 @@
     assert summary.executions >= summary.answers["whole"] > 0
 
 
+def test_a_cut_between_an_agent_and_the_nodes_and_a_restart_of_all_nodes_break_no_promise(
+    deployment,
+):
+    kinds = (ProcessFaultKind.CUT_AGENT, ProcessFaultKind.RESTART_ALL_NODES)
+    before = sum(relay.connections for relay in deployment.node_relays)
+    assert before > 0
+    schedule = draw_process_schedule(SEED_OF_BOTH, kinds)
+    assert {fault.kind for fault in schedule.faults} == set(kinds)
+    campaign = ProcessCampaign(schedule.seed)
+    campaign.add(schedule.seed, schedule.faults, ProcessRun(deployment, schedule).run())
+    assert sum(relay.connections for relay in deployment.node_relays) > before
+    summary = campaign.finish([])
+    assert summary.is_clean, summary.violations
+
+
 def text(source, count):
     return TokenSequence(f"{prompt_of(source)}".encode(), WEIGHTS_VERSION).text(count)
 
