Write messages from the sending thread and wake the transport once

Cause: each message sent woke the transport's thread through a socket pair, took two turns of the interpreter's lock and up to three changes of the selector's registration, also when nothing had changed; each read took a new buffer of 256 KB.

Ruled out: a thread for each peer (more wake-ups, not fewer).

Change: a message for an open connection with nothing waiting is written by the thread that sends it; the write never blocks, and what the socket does not take is left to the selector thread, which is woken once for many. Registrations change only when they differ; reads go into one buffer; messages queued for one peer are written together. A lock covers the connections' writing side; messages are decoded and delivered without it.

--- a/src/martenrun/wire/connection.py
+++ b/src/martenrun/wire/connection.py
@@ -38,6 +38,7 @@
         opened_at: when the connection was opened, by the transport's clock.
         heard_at: when bytes were received last.
         stuck_since: since when nothing of what is waiting could be sent; None if none waits.
+        watched_events: the events of the socket that the transport's selector waits for.
     """
 
     def __init__(
@@ -49,6 +50,7 @@
         self.opened_at = 0.0
         self.heard_at = 0.0
         self.stuck_since: float | None = None
+        self.watched_events = 0
         self.outgoing = bytearray()
         self._secret = secret
         self._is_connector = is_connector
@@ -65,6 +67,11 @@
             self._say_hello(secret)
             self._key = session_key(secret, self._nonce, b"")
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether a message can be written at once: nothing waits, the handshake is complete."""
+        return self.established and not self.outgoing
+
     @property
     def queued_bytes(self) -> int:
         """Bytes that wait to be sent."""
@@ -78,7 +85,7 @@
             self._waiting.append(payload)
             self._waiting_bytes += len(payload)
 
-    def receive(self, data: bytes) -> list[bytes]:
+    def receive(self, data: bytes | memoryview) -> list[bytes]:
         """Add received bytes and return the payloads completed by them.
 
         Raises:
--- a/src/martenrun/wire/frames.py
+++ b/src/martenrun/wire/frames.py
@@ -94,7 +94,7 @@
         self._counter = 0
         self._buffer = bytearray()
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         """Add received bytes."""
         self._buffer += data
 
--- a/src/martenrun/wire/transport.py
+++ b/src/martenrun/wire/transport.py
@@ -1,13 +1,14 @@
 """Transport of internal messages over TCP and UDP: one selector thread per process.
 
 The transport is a driver: it holds no decisions.  Received messages are handed to a callback
-(an actor's ``tell``), and sends may come from any thread.  Delivery is at most once and
-unacknowledged; the decision logic repeats what must arrive.
+(an actor's ``tell``), and sends may come from any thread.  A message for an open connection with
+nothing waiting is written by the sending thread itself, which never blocks; everything else is
+left to the selector thread.  Delivery is at most once and unacknowledged; the decision logic
+repeats what must arrive.
 """
 
 import collections
 import contextlib
-import ipaddress
 import selectors
 import socket
 import threading
@@ -18,6 +19,7 @@
 from absl import logging
 
 from martenrun.constants import MAXIMUM_DATAGRAM_BYTES
+from martenrun.wire.addresses import parse_address
 from martenrun.wire.codec import CodecError, decode, encode
 from martenrun.wire.connection import Connection
 from martenrun.wire.frames import FrameError, open_datagram, seal_datagram
@@ -43,15 +45,6 @@
 """Called with the peer's name and the message, on the transport's thread."""
 
 
-def parse_address(text: str) -> tuple[str, int]:
-    """Parse ``IP:port``; raises ValueError with the remedy for anything else."""
-    host, separator, port = text.rpartition(":")
-    if not separator or not port.isdigit() or not 0 <= int(port) <= 65_535:
-        raise ValueError(f"{text!r} is not of the form IP:port")
-    ipaddress.ip_address(host)
-    return host, int(port)
-
-
 class PeerTransport:
     """Sends and receives internal messages between named peers.
 
@@ -70,7 +63,11 @@
         self._secret = secret
         self._receive = receive
         self._selector = selectors.DefaultSelector()
+        # Held while connections are looked up, sealed for, written to or closed.
+        self._lock = threading.RLock()
+        self._read_buffer = bytearray(_READ_BYTES)
         self._commands: collections.deque[tuple[str, bytes]] = collections.deque()
+        self._unfinished: dict[Connection, None] = {}
         self._connections: dict[str, Connection] = {}
         self._open: dict[Connection, None] = {}
         self._unestablished: dict[Connection, None] = {}
@@ -79,6 +76,7 @@
         self._next_sweep = 0.0
         self._listener: socket.socket | None = None
         self._datagrams: socket.socket | None = None
+        self._is_woken = False
         self._wake_reader, self._wake_writer = socket.socketpair()
         self._wake_reader.setblocking(False)
         self._selector.register(self._wake_reader, selectors.EVENT_READ, self._drain_wake)
@@ -107,8 +105,11 @@
         self._thread.join(timeout=5)
 
     def send(self, peer: str, message: Message) -> None:
-        """Queue a message for a peer; it is dropped if the peer cannot be reached."""
-        self._commands.append((peer, encode(message)))
+        """Send a message to a peer, or queue it; it is dropped if the peer cannot be reached."""
+        payload = encode(message)
+        with self._lock:
+            if self._write_now(peer, payload):
+                return
         self._wake()
 
     def send_datagram(self, peer: str, message: Message) -> None:
@@ -137,11 +138,39 @@
                 continue
             self._receive(sender, message)
 
+    def _write_now(self, peer: str, payload: bytes) -> bool:
+        """Write a message if it need not wait, else queue it; returns whether all is written."""
+        connection = self._connections.get(peer)
+        # A queued message may be for the same peer and goes first.
+        if connection is None or not connection.is_idle or self._commands:
+            self._commands.append((peer, payload))
+            return False
+        connection.queue(payload)
+        # An error is met again by the selector thread, which then closes the connection.
+        with contextlib.suppress(OSError):
+            self._write(connection)
+        if connection.outgoing:
+            self._unfinished[connection] = None
+        return not connection.outgoing
+
+    def _write(self, connection: Connection) -> None:
+        """Write what the socket takes; raises BlockingIOError once it takes no more."""
+        while connection.outgoing:
+            sent = connection.sock.send(connection.outgoing)
+            del connection.outgoing[:sent]
+            self.sent_stream_bytes += sent
+            connection.stuck_since = None
+
     def _wake(self) -> None:
-        with contextlib.suppress(BlockingIOError, OSError):
-            self._wake_writer.send(b"\0")
+        """Have the selector thread look at what is queued; it is woken once for many."""
+        if not self._is_woken:
+            self._is_woken = True
+            with contextlib.suppress(OSError):
+                self._wake_writer.send(b"\0")
 
     def _drain_wake(self) -> None:
+        # Before the queue is read: what is queued from now on wakes the thread again.
+        self._is_woken = False
         with contextlib.suppress(BlockingIOError):
             self._wake_reader.recv(4096)
 
@@ -149,11 +178,14 @@
         while not self._stopping.is_set():
             for key, _events in self._selector.select(timeout=SWEEP_INTERVAL_S):
                 self._dispatch(key.data)
+            with self._lock:
+                self._send_queued()
+                self._sweep()
+        with self._lock:
             self._send_queued()
-            self._sweep()
-        self._send_queued()
-        for connection in list(self._open):
-            connection.sock.close()
+            for connection in list(self._open):
+                connection.sock.close()
+            self._connections.clear()
         for sock in (self._listener, self._datagrams, self._wake_reader, self._wake_writer):
             if sock is not None:
                 sock.close()
@@ -169,26 +201,31 @@
             # One connection's fault must not end the thread that serves all others.
             logging.exception("transport event failed")
             if isinstance(target, Connection):
-                self._close(target, str(error))
+                with self._lock:
+                    self._close(target, str(error))
 
     def _send_queued(self) -> None:
+        touched, self._unfinished = self._unfinished, {}
         while self._commands:
             peer, payload = self._commands.popleft()
             connection = self._connections.get(peer) or self._connect(peer)
-            if connection is None:
-                continue
-            self._queue(connection, payload)
+            if connection is not None and self._queue(connection, payload):
+                touched[connection] = None
+        for connection in touched:
+            self._flush(connection)
 
-    def _queue(self, connection: Connection, payload: bytes) -> None:
+    def _queue(self, connection: Connection, payload: bytes) -> bool:
+        """Queue a message; returns whether the connection has something to be written."""
         waiting = sum(entry.queued_bytes for entry in self._stuck)
         if waiting + len(payload) > MAXIMUM_TOTAL_OUTGOING_BYTES:
             logging.log_every_n_seconds(logging.WARNING, "messages dropped: peers are slow", 5)
-            return
+            return False
         connection.queue(payload)
         if connection.queued_bytes > MAXIMUM_OUTGOING_BYTES:
             self._close(connection, "peer reads too slowly")
-        else:
-            self._flush(connection)
+            return False
+        self._note_waiting(connection)
+        return True
 
     def _connect(self, peer: str) -> Connection | None:
         now = time.monotonic()
@@ -227,14 +264,13 @@
         connection.opened_at = connection.heard_at = now
         self._open[connection] = None
         self._unestablished[connection] = None
-        self._selector.register(
-            connection.sock, selectors.EVENT_READ | selectors.EVENT_WRITE, connection
-        )
+        connection.watched_events = _events_of(connection)
+        self._selector.register(connection.sock, connection.watched_events, connection)
 
     def _close_oldest_unestablished(self) -> None:
-        for connection in self._unestablished:
-            self._close(connection, "too many connections without a handshake")
-            return
+        oldest = next(iter(self._unestablished), None)
+        if oldest is not None:
+            self._close(oldest, "too many connections without a handshake")
 
     def _sweep(self) -> None:
         """Close what is beyond its limits."""
@@ -260,65 +296,82 @@
         return ""
 
     def _service(self, connection: Connection) -> None:
-        if connection not in self._open:
+        with self._lock:
+            data = self._read(connection)
+            payloads = self._opened(connection, data) if data else []
+        # Without the lock: the loop may send meanwhile, and the receiver may answer at once.
+        try:
+            messages = [decode(payload) for payload in payloads]
+        except CodecError as error:
+            with self._lock:
+                self._close(connection, str(error))
             return
-        self._flush(connection)
+        for message in messages:
+            self._receive(connection.peer, message)
+
+    def _read(self, connection: Connection) -> memoryview | None:
+        """Write what waits and read once; returns nothing if there was nothing to read."""
+        if connection.outgoing:
+            self._flush(connection)
         if connection not in self._open:
-            return
+            return None
         try:
-            data = connection.sock.recv(_READ_BYTES)
+            size = connection.sock.recv_into(self._read_buffer)
         except BlockingIOError:
-            return
+            return None
         except OSError as error:
             self._close(connection, str(error))
-            return
-        if not data:
+            return None
+        if not size:
             self._close(connection, "closed by peer")
-            return
+            return None
         connection.heard_at = time.monotonic()
-        self._deliver(connection, data)
+        return memoryview(self._read_buffer)[:size]
 
-    def _deliver(self, connection: Connection, data: bytes) -> None:
+    def _opened(self, connection: Connection, data: memoryview) -> list[bytes]:
+        """Return the payloads completed by received bytes; a fault ends the connection."""
         was_established = connection.established
         try:
             payloads = connection.receive(data)
-            decoded = [decode(payload) for payload in payloads]
         except (FrameError, CodecError) as error:
             self._close(connection, str(error))
-            return
+            return []
         if connection.established and not was_established:
             self._unestablished.pop(connection, None)
             self._backoffs.succeeded(connection.peer)
             self._connections[connection.peer] = connection
-        for message in decoded:
-            self._receive(connection.peer, message)
-        self._flush(connection)
+        if connection.outgoing:
+            self._flush(connection)
+        return payloads
 
     def _flush(self, connection: Connection) -> None:
+        """Write what waits, and watch for the moment when more can be written."""
+        if connection not in self._open:
+            return
         try:
-            while connection.outgoing:
-                sent = connection.sock.send(connection.outgoing)
-                del connection.outgoing[:sent]
-                self.sent_stream_bytes += sent
-                connection.stuck_since = None
+            self._write(connection)
         except BlockingIOError:
             pass
         except OSError as error:
             self._close(connection, str(error))
             return
+        self._note_waiting(connection)
+        self._watch(connection)
+
+    def _note_waiting(self, connection: Connection) -> None:
         if connection.queued_bytes == 0:
             connection.stuck_since = None
             self._stuck.pop(connection, None)
-        else:
-            self._stuck[connection] = None
-            if connection.stuck_since is None:
-                connection.stuck_since = time.monotonic()
-        self._watch(connection)
+            return
+        self._stuck[connection] = None
+        if connection.stuck_since is None:
+            connection.stuck_since = time.monotonic()
 
     def _watch(self, connection: Connection) -> None:
-        events = selectors.EVENT_READ
-        if connection.outgoing:
-            events |= selectors.EVENT_WRITE
+        events = _events_of(connection)
+        if events == connection.watched_events:
+            return
+        connection.watched_events = events
         with contextlib.suppress(KeyError, ValueError):
             self._selector.modify(connection.sock, events, connection)
 
@@ -331,6 +384,7 @@
         del self._open[connection]
         self._unestablished.pop(connection, None)
         self._stuck.pop(connection, None)
+        self._unfinished.pop(connection, None)
         if self._connections.get(connection.peer) is connection:
             del self._connections[connection.peer]
             if not connection.established:
@@ -339,3 +393,8 @@
             logging.log_every_n_seconds(
                 logging.INFO, "connection to %s ended: %s", 5, connection.peer, reason
             )
+
+
+def _events_of(connection: Connection) -> int:
+    """Return the events that a connection waits for."""
+    return selectors.EVENT_READ | (selectors.EVENT_WRITE if connection.outgoing else 0)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -4,6 +4,7 @@
 import queue
 import socket
 import struct
+import threading
 
 import pytest
 from deployment import free_address, wait_until
@@ -120,6 +121,35 @@
             assert running._connections[address].queued_bytes <= 10_000
 
 
+def test_messages_of_several_threads_arrive_whole_and_in_each_threads_order():
+    sizes = [10, 200_000, 10, 10, 60_000] * 6
+
+    def send_all(sender, name):
+        for number, size in enumerate(sizes):
+            sender.send(running.name, ConfigurationObject(name, "", number, False, b"x" * size))
+
+    with server() as (running, received), server() as (sender, _):
+        names = ("a", "b", "c")
+        threads = [threading.Thread(target=send_all, args=(sender, name)) for name in names]
+        for thread in threads:
+            thread.start()
+        found = [received.get(timeout=10)[1] for _ in range(len(names) * len(sizes))]
+        for thread in threads:
+            thread.join()
+    for name in names:
+        own = [(each.revision, len(each.document)) for each in found if each.kind == name]
+        assert own == list(enumerate(sizes))
+
+
+def test_a_message_sent_after_the_stop_is_dropped():
+    with server() as (running, received), server() as (sender, _):
+        sender.send(running.name, MESSAGE)
+        received.get(timeout=10)
+        sender.stop()
+        sender.send(running.name, MESSAGE)
+    assert received.empty()
+
+
 def test_attempts_to_connect_back_off_and_end_with_success():
     backoffs = limits.Backoffs()
     pauses = []
