--- a/src/martenrun/node/front.py
+++ b/src/martenrun/node/front.py
@@ -12,11 +12,13 @@
 from martenrun.admin.application import ADMIN_PREFIX, AdminApplication
 from martenrun.admin.status import StatusPort
 from martenrun.edge.application import CallerApplication
+from martenrun.edge.drain import EdgeStop
 from martenrun.edge.forward import EdgePort
-from martenrun.edge.server import HttpServer
+from martenrun.edge.server import ConnectionLimits, HttpServer
 from martenrun.events import Finish, RunAttempt, StatusReady
 from martenrun.node.core import NodeCore
 from martenrun.observability.admission import SharingCollector
+from martenrun.observability.claims import ClaimsCollector
 from martenrun.observability.keys import KeyCollector
 from martenrun.observability.process_cost import ProcessCostCollector
 from martenrun.platform.weight_store import WeightStore
@@ -27,6 +29,9 @@
 class NodeFront:
     """Serves the caller's API and the administration API of one node.
 
+    Attributes:
+        planned_stop: ends the front's requests step by step.
+
     Args:
         settings: the node's settings.
         core: the node's loop, parts and object API client.
@@ -39,10 +44,12 @@
         self._parts = core.parts
         self._port = EdgePort(tell=core.tell)
         self._status_port = StatusPort(core.tell)
-        caller = CallerApplication(self._port, self._parts.view, settings)
-        self.slots = caller.slots
+        caller = CallerApplication(
+            self._port, self._parts.view, settings, self._parts.readiness_fault
+        )
         caller.add_metrics(KeyCollector(core.key_uses))
         caller.add_metrics(SharingCollector(self._parts.limits.counts, self._policy_statuses))
+        caller.add_metrics(ClaimsCollector(self._parts.claim_retention))
         caller.add_metrics(ProcessCostCollector(core.transport))
         weights = WeightStore(settings.weight_store) if settings.weight_store else None
         admin = AdminApplication(
@@ -54,7 +61,13 @@
         )
         application = NodeApplication(caller, admin)
         self._server = HttpServer(
-            application, settings.http_address, settings.max_streams + settings.http_threads
+            application,
+            settings.http_address,
+            settings.max_streams + settings.http_threads,
+            ConnectionLimits(settings.max_connections, settings.receive_timeout_s),
+        )
+        self.planned_stop = EdgeStop(
+            caller.slots, self._server, self._port.watch, settings.drain_timeout_s
         )
 
     def start(self) -> None:
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -5,8 +5,6 @@
 import threading
 from typing import TYPE_CHECKING, Any
 
-from absl import logging
-
 from martenrun.edge.drain import wait_while
 from martenrun.errors import SettingsError
 from martenrun.events import Finish, LeaveRequested, RunAttempt, SendOrder, StatusReady
@@ -85,15 +83,15 @@
         ask another node.
         """
         assert self._front is not None
-        slots = self._front.slots
+        planned_stop = self._front.planned_stop
         self._core.tell(LeaveRequested())
-        slots.close()
+        planned_stop.begin()
         membership = self._core.parts.membership
         wait_while(lambda: not membership.leave_is_spread, LEAVE_SPREAD_LIMIT_S, hurry)
-        if not wait_while(lambda: slots.taken > 0, self._settings.drain_timeout_s, hurry):
-            logging.warning("%d streams are cut by the stop", slots.taken)
+        planned_stop.end_requests(hurry)
         if not membership.is_alone:
             hurry.wait(LATE_QUESTIONS_S)
+        planned_stop.close_connections(hurry)
 
     def stop(self) -> None:
         """Stop every driver and the loop."""
--- a/src/martenrun/routing/beliefs.py
+++ b/src/martenrun/routing/beliefs.py
@@ -16,7 +16,6 @@
 
 from martenrun.constants import BLOCK_HASH_BYTES
 from martenrun.identity.chain import BlockHashes, as_array
-from martenrun.identity.rendezvous import weight
 from martenrun.routing.prefix_index import PrefixIndex, RunnerIdentity
 from martenrun.routing.prefix_tree import PrefixTree
 
@@ -54,7 +53,6 @@
     Beliefs name the run itself, so that none about an earlier run is ever found again.
 
     Attributes:
-        name_hash: weight of the runner's name in hashing.
         lifetime_s: how long blocks are believed to stay cached unused; short under pressure.
         is_fed: whether this node reads the runner's event feed.
     """
@@ -62,7 +60,6 @@
     runner: str
     incarnation: str
     weights_version: str
-    name_hash: int
     lifetime_s: float = FIRST_LIFETIME_S
     is_fed: bool = False
 
@@ -102,8 +99,7 @@
             if run.incarnation == incarnation and run.weights_version == weights_version:
                 return run
             self.forget(runner)
-        name_hash = weight(b"", runner)
-        run = self._runs[runner] = RunnerRun(runner, incarnation, weights_version, name_hash)
+        run = self._runs[runner] = RunnerRun(runner, incarnation, weights_version)
         if len(self._runs) > MAXIMUM_RUNS:
             self.forget(next(iter(self._runs)))
         return run
--- a/src/martenrun/routing/prefix_aware.py
+++ b/src/martenrun/routing/prefix_aware.py
@@ -1,9 +1,9 @@
 """The product's policy: the runner with the least expected time to the first token.
 
 Expected time = wait for a slot + prefill of the blocks believed uncached + zone distance.
-Candidates are the believed holders of any part of the prompt, the runner that rendezvous hashing
-prefers for the prompt's first block (so that a node that knows nothing yet finds old caches),
-and two random ones (so that no single idle-looking runner draws everything).
+Candidates are the believed holders of any part of the prompt, the runner on which this home
+has placed the prompt's prefix (:mod:`martenrun.routing.placement`), and two random ones (so
+that no single idle-looking runner draws everything).
 
 A hot prefix widens by itself: once the wait at its holders exceeds the prefill elsewhere, the
 next request goes elsewhere and makes a new holder.  It shrinks by itself: with less load the
@@ -14,12 +14,13 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from martenrun.constants import BLOCK_HASH_BYTES, DEFAULT_BLOCK_BYTES
+from martenrun.constants import DEFAULT_BLOCK_BYTES
 from martenrun.identity.chain import block_count
 from martenrun.platform.engine import AttemptOutcome
 from martenrun.routing.beliefs import BeliefBook, RunnerRun
 from martenrun.routing.first_token_model import FirstTokenModel
 from martenrun.routing.hot_prefixes import MINIMUM_COMPUTED_BLOCKS, Computation, HotPrefixes
+from martenrun.routing.placement import Placement
 from martenrun.routing.policy import RankingPolicy, RunnerChoice, RunnerState
 from martenrun.wire.messages import AttemptReport, DecideRequest
 
@@ -54,11 +55,7 @@
 
 _NOT_CANDIDATE_S = 1e6
 _NOT_PREFERRED = 1.5
-"""Factor on the prefill at runners that hashing does not prefer, so that prefixes settle."""
-
-_MIX = 0x9E3779B97F4A7C15
-_MIX_SHIFT = 16
-_MASK_64 = 0xFFFF_FFFF_FFFF_FFFF
+"""Factor on the prefill at runners where the prefix is not placed, so that prefixes settle."""
 
 
 @dataclass(slots=True)
@@ -101,6 +98,7 @@
         self._models: dict[str, FirstTokenModel] = {}
         self._granted: dict[tuple[str, int], _GrantedWork] = {}
         self._ranked: dict[tuple[str, int], _RankedQuestion] = {}
+        self.placement = Placement()
 
     def rank(
         self, question: DecideRequest, runners: Sequence[RunnerState], now: float
@@ -121,7 +119,7 @@
         if not computations and _holders_are_busy(runners, loads, believed):
             rate = self._hot.rate(question.chain, now)
             uses = max(1.0, min(MAXIMUM_USES, rate * COPY_USE_S))
-        preferred = _preferred(question.chain, runs)
+        preferred = self._preferred(question.chain, runs, believed, now)
         costs = self._costs(question, runners, runs, loads, believed, preferred, uses)
         drawn = self._rng.choices(range(len(runs)), k=RANDOM_CANDIDATES) if runs else []
         for index, blocks in enumerate(believed):
@@ -164,7 +162,9 @@
             ready_at = now + model.prefill_s(uncached, load_of(choice.runner, now))
             computation = Computation(choice.runner.name, ready_at, choice.believed_blocks)
             self._hot.started(chain, computation)
-        self.beliefs.routed(choice.runner.name, chain, choice.believed_blocks, now)
+        if question.weights_version in ("", runner.weights_version):
+            # With other weights the runner caches blocks under other hashes.
+            self.beliefs.routed(runner.name, chain, choice.believed_blocks, now)
         self._granted[(question.request_id, question.attempt)] = _GrantedWork(
             choice.runner.name,
             question.model,
@@ -213,6 +213,15 @@
             model = self._models[name] = FirstTokenModel()
         return model
 
+    def _preferred(
+        self, chain: bytes, runs: Sequence[RunnerRun], believed: list[int], now: float
+    ) -> int | None:
+        """Return the index of the runner on which the prefix is placed, if there is one."""
+        if not runs or not chain:
+            return None
+        names = [run.runner for run in runs]
+        return names.index(self.placement.runner_for(chain, names, believed, now))
+
     def _costs(
         self,
         question: DecideRequest,
@@ -248,15 +257,6 @@
         return costs
 
 
-def _preferred(chain: bytes, runs: Sequence[RunnerRun]) -> int | None:
-    """Return the index of the runner that hashing prefers for the first block."""
-    if not runs or not chain:
-        return None
-    key = int.from_bytes(chain[:BLOCK_HASH_BYTES], "little")
-    weights = [((run.name_hash ^ key) * _MIX & _MASK_64) >> _MIX_SHIFT for run in runs]
-    return weights.index(max(weights))
-
-
 def _holders_are_busy(
     runners: Sequence[RunnerState], loads: list[float], believed: list[int]
 ) -> bool:
