Let the altered book of beliefs return a run as the real one does

The proof's alteration that keeps beliefs about an ended incarnation returned nothing, so ranking failed before the violation could be shown. It returns the first run of the runner now; the checker finds the violation as before.

--- a/tests/test_proof_simulation.py
+++ b/tests/test_proof_simulation.py
@@ -278,10 +278,10 @@
     known = weakref.WeakKeyDictionary()
 
     def identify_once(self, runner, incarnation, weights_version):
-        runners = known.setdefault(self, set())
-        if incarnation and runner not in runners:
-            runners.add(runner)
-            identify(self, runner, incarnation, weights_version)
+        runs = known.setdefault(self, {})
+        if incarnation and runner not in runs:
+            runs[runner] = identify(self, runner, incarnation, weights_version)
+        return runs.get(runner) or identify(self, runner, incarnation, weights_version)
 
     monkeypatch.setattr(BeliefBook, "identify", identify_once)
 
