Follow engines by held push streams instead of polling them

Change: one thread with a selector reads every engine's stream in rounds of 0.1 s and gives the loop one batch a round; connecting and reading never wait. Pure logic (followed_engine) decides what is told and when to try again. Engines without the stream are polled as before, only while they answer. Cache events of a runner that has another owner now are dropped. Ruled out: reading chunks through urllib3 blocks in the middle of a chunk; the chunks are taken apart by waitress's incremental receiver, the head by http.client.

--- a/src/martenrun/bench/scale/host.py
+++ b/src/martenrun/bench/scale/host.py
@@ -36,6 +36,7 @@
 from martenrun.errors import MartenrunError
 from martenrun.events import SendOrder
 from martenrun.node.core import NodeCore
+from martenrun.node.feeds import PolledEngines
 from martenrun.node.polls import NodePolls
 from martenrun.platform.engine import EngineConnections, RunnerDescription
 from martenrun.platform.machine_list import Machine, MachineList
@@ -50,7 +51,6 @@
 
 MACHINE_POLL_S = 1.0
 RUNNER_POLL_S = 0.5
-CACHE_EVENTS_POLL_S = 0.2
 _HOLLOW_RUNNERS = "127.255."
 _UNUSED_ADDRESS = "127.0.0.1:1"
 _ADDRESSES_PER_NET = 250
@@ -161,11 +161,11 @@
             core = NodeCore(plan.settings(index), f"{rng.getrandbits(64):016x}", rng)
             core.start_loop({SendOrder: lambda _order: None})
             self._cores.append(core)
-            self._polls.append(NodePolls(core.parts, machine_list, engines, core.tell))
+            polls = NodePolls(core.parts, machine_list, engines, PolledEngines(), core.tell)
+            self._polls.append(polls)
         self._pollers = [
             Poller("machine-list", self._list_machines, MACHINE_POLL_S),
-            Poller("runners", self._describe_runners, RUNNER_POLL_S),
-            Poller("cache-events", self._read_cache_events, CACHE_EVENTS_POLL_S),
+            Poller("runners", self._follow_engines, RUNNER_POLL_S),
         ]
         self._stopping = threading.Event()
         self._reporter = threading.Thread(target=self._report, name="reporter", daemon=True)
@@ -206,13 +206,9 @@
             except MartenrunError as error:
                 logging.log_every_n_seconds(logging.WARNING, "machine list: %s", 5, error)
 
-    def _describe_runners(self) -> None:
+    def _follow_engines(self) -> None:
         for polls in self._polls:
-            polls.describe_runners()
-
-    def _read_cache_events(self) -> None:
-        for polls in self._polls:
-            polls.read_cache_events()
+            polls.follow_engines()
 
     def _report(self) -> None:
         watched: tuple[list[int], list[int]] = ([], [])
--- a/src/martenrun/cli/bench.py
+++ b/src/martenrun/cli/bench.py
@@ -19,6 +19,8 @@
     "rolls": "martenrun.bench.rolls:rolls",
     "usage-exchange": "martenrun.bench.usage_exchange:usage_exchange",
     "scale": "martenrun.bench.scale.command:scale",
+    "feeds": "martenrun.bench.feeds:feeds",
+    "feed-engines": "martenrun.bench.feed_engines:feed_engines",
     "hollow-host": "martenrun.bench.scale.host:hollow_host",
     "membership": "martenrun.bench.membership:membership",
     "ownership": "martenrun.bench.ownership:ownership",
--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -166,6 +166,16 @@
     query_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class EventBatch:
+    """Events that a driver tells at once; the loop handles each in order.
+
+    No part of the decision logic sees a batch.
+    """
+
+    events: "tuple[Event, ...]"
+
+
 Event = (
     Tick
     | PeerMessage
@@ -182,6 +192,7 @@
     | OrderAnswered
     | StoreWatched
     | StatusWanted
+    | EventBatch
 )
 
 
--- a/src/martenrun/node/cache_events.py
+++ b/src/martenrun/node/cache_events.py
@@ -60,6 +60,9 @@
         if runner is None or runner.incarnation != events.incarnation:
             # Of another run than the one that gets work: nothing it holds can be used.
             return
+        if not self._owns(runner_name):
+            # Told before the owner changed; nobody would tell of later removals.
+            return
         position = self._positions.get(runner_name, _Position())
         known = position.sequence if position.incarnation == events.incarnation else 0
         if events.last_sequence <= known:
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -22,8 +22,10 @@
     StatusReady,
 )
 from martenrun.node.core import NodeCore
+from martenrun.node.feeds import EngineFeeds
 from martenrun.node.polls import NodePolls
 from martenrun.observability.admission import SharingCollector
+from martenrun.observability.engine_feeds import EngineFeedsCollector
 from martenrun.orders.workers import OrderWorkers
 from martenrun.platform.engine import EngineConnections
 from martenrun.platform.engine_orders import EngineOrders
@@ -43,7 +45,6 @@
 
 MACHINE_POLL_S = 1.0
 RUNNER_POLL_S = 0.5
-CACHE_EVENTS_POLL_S = 0.2
 
 
 class NodeProcess:
@@ -53,8 +54,9 @@
         self._core = core = NodeCore(settings, secrets.token_hex(8), random.Random())
         self._parts = core.parts
         self._engines = EngineConnections()
+        self._feeds = EngineFeeds(core.tell, random.Random())
         self._polls = NodePolls(
-            core.parts, MachineList(settings.machine_list), self._engines, core.tell
+            core.parts, MachineList(settings.machine_list), self._engines, self._feeds, core.tell
         )
         self._order_workers = OrderWorkers(EngineOrders(self._engines), core.tell)
         self._port = port = EdgePort(tell=core.tell)
@@ -70,6 +72,7 @@
         caller = CallerApplication(port, self._parts.view, settings)
         self._slots = caller.slots
         self._drain_timeout_s = settings.drain_timeout_s
+        caller.add_metrics(EngineFeedsCollector(self._feeds.figures))
         caller.add_metrics(SharingCollector(self._parts.limits.counts, self._policy_statuses))
         weights = WeightStore(settings.weight_store) if settings.weight_store else None
         admin = AdminApplication(
@@ -85,14 +88,14 @@
         )
         self._pollers = [
             Poller("machine-list", self._polls.list_machines, MACHINE_POLL_S),
-            Poller("runners", self._polls.describe_runners, RUNNER_POLL_S),
-            Poller("cache-events", self._polls.read_cache_events, CACHE_EVENTS_POLL_S),
+            Poller("runners", self._polls.follow_engines, RUNNER_POLL_S),
         ]
 
     def start(self) -> None:
         """Start every driver."""
         self._core.start()
         self._port.watch.start()
+        self._feeds.start()
         for poller in self._pollers:
             poller.start()
         self._server.start()
@@ -117,6 +120,7 @@
         self._server.stop()
         for poller in self._pollers:
             poller.stop()
+        self._feeds.stop()
         self._port.watch.stop()
         self._order_workers.stop()
         self._core.stop()
--- a/src/martenrun/process.py
+++ b/src/martenrun/process.py
@@ -19,6 +19,7 @@
 from martenrun.events import (
     DecisionLogic,
     Event,
+    EventBatch,
     Instruction,
     PeerMessage,
     Send,
@@ -54,8 +55,14 @@
         self._carriers = carriers
 
     def on_receive(self, message: Any) -> None:
-        """Handle one event."""
-        event: Event = message
+        """Handle one event, or each of a batch."""
+        if isinstance(message, EventBatch):
+            for event in message.events:
+                self._handle(event)
+        else:
+            self._handle(message)
+
+    def _handle(self, event: Event) -> None:
         for part in self._dispatcher.parts_for(event):
             try:
                 instructions = part.handle(event, time.monotonic())
