--- a/src/martenrun/bench/configuration.py
+++ b/src/martenrun/bench/configuration.py
@@ -1,7 +1,8 @@
 """Measures how configuration spreads over many hollow nodes and agents in virtual time.
 
-The real decision logic exchanges really encoded messages.  The members are ideal: every node
-knows all others, also those that are cut off or restarting.
+The real decision logic exchanges really encoded messages.  With ideal members every node knows
+all others, also those that are cut off or restarting, and the costs are those of configuration
+alone.  With gossip each node runs the real membership, whose costs are then in the figures.
 """
 
 import json
@@ -15,9 +16,11 @@
 
 from martenrun.agent.configuration import AgentConfigurationLogic
 from martenrun.configuration.state import ConfigurationState
-from martenrun.events import Event
-from martenrun.membership.view import Member, StaticMemberView
+from martenrun.events import DecisionLogic, Event
+from martenrun.membership.gossip import GossipMembership
+from martenrun.membership.view import Member, MemberView, StaticMemberView
 from martenrun.node.configuration import NodeConfigurationLogic
+from martenrun.settings.model import MembershipSettings
 from martenrun.simulation.hollow import HollowProcess
 from martenrun.simulation.network import LinkFaults, SimulatedNetwork
 from martenrun.simulation.scheduler import Scheduler
@@ -26,10 +29,13 @@
 
 CHANGES_PER_DAY = 28_000
 REGIONS = 3
+ZONES = 6
 WARM_UP_S = 20.0
 SETTLING_S = 20.0
 """Time after the last change in which it must be in force everywhere, in seconds."""
 HOLLOW_TICK_S = 0.25
+GOSSIP_TICK_S = 0.1
+"""Tick of nodes with real membership, as in a process, in seconds."""
 SEED_NODES = 5
 STATE_SAMPLE_OBJECTS = 10_200
 """One tenant and one key for each of 5,100 tenants."""
@@ -47,6 +53,7 @@
     duration_s: float
     cut_s: float
     objects: int
+    gossip: bool = False
 
 
 @dataclass(frozen=True)
@@ -121,7 +128,7 @@
         self.copied_at: dict[str, float] = {}
         self.processes: dict[str, _Observed] = {}
         self.members = [
-            Member(f"10.{n // 250}.{n % 250}.1:7000", region=f"region-{n % REGIONS}")
+            Member(f"10.{n // 250}.{n % 250}.1:7000", f"zone-{n % ZONES}", f"region-{n % REGIONS}")
             for n in range(scenario.nodes)
         ]
         self.node_names = [member.address for member in self.members]
@@ -136,24 +143,44 @@
             name = member.address
             if name in self.processes:
                 self.processes[name].kill()
+            members, parts = self._membership(member, run)
             logic = NodeConfigurationLogic(
                 name,
                 self.node_names[:SEED_NODES],
-                StaticMemberView(member, self.members),
+                members,
                 random.Random(f"{self.scenario.seed}/{name}/{run}"),
             )
-            self._start(name, logic)
+            self._start(name, logic, parts)
+
+    def _membership(self, member: Member, run: int) -> tuple[MemberView, list[DecisionLogic]]:
+        """Return a node's view of the members, and the logic that keeps it."""
+        if not self.scenario.gossip:
+            return StaticMemberView(member, self.members), []
+        rng = random.Random(f"{self.scenario.seed}/{member.address}/members/{run}")
+        seeds = self.node_names[:SEED_NODES]
+        view = GossipMembership(member, seeds, MembershipSettings(), rng)
+        return view, [view]
 
     def start_agents(self) -> None:
         """Start every agent."""
         for name in self.agent_names:
             rng = random.Random(f"{self.scenario.seed}/{name}")
-            self._start(name, AgentConfigurationLogic(self.node_names[:SEED_NODES], rng))
-
-    def _start(self, name: str, logic: NodeConfigurationLogic | AgentConfigurationLogic) -> None:
+            self._start(name, AgentConfigurationLogic(self.node_names[:SEED_NODES], rng), [])
+
+    def _start(
+        self,
+        name: str,
+        logic: NodeConfigurationLogic | AgentConfigurationLogic,
+        others: list[DecisionLogic],
+    ) -> None:
         carriers = self.store.carriers(name, lambda event: self.processes[name].tell(event))
         process = _Observed(
-            name, [logic], self.scheduler, self.network, carriers, tick_interval_s=HOLLOW_TICK_S
+            name,
+            [*others, logic],
+            self.scheduler,
+            self.network,
+            carriers,
+            tick_interval_s=GOSSIP_TICK_S if self.scenario.gossip else HOLLOW_TICK_S,
         )
         process.observe(self, logic.state)
         self.processes[name] = process
@@ -323,8 +350,17 @@
 @click.option("--duration-s", default=300.0, show_default=True, help="Virtual time of changes.")
 @click.option("--cut-s", default=60.0, show_default=True, help="How long a region is cut off.")
 @click.option("--objects", default=200, show_default=True, help="Objects published before.")
+@click.option(
+    "--members",
+    type=click.Choice(["ideal", "gossip"]),
+    default="ideal",
+    show_default=True,
+    help="Whether nodes know all others, or run the real membership.",
+)
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON line.")
-def configuration(agents: int | None, as_json: bool, nodes: int, **options: float) -> None:
+def configuration(
+    agents: int | None, as_json: bool, nodes: int, members: str, **options: float
+) -> None:
     """Measure how configuration changes spread over hollow nodes and agents."""
     scenario = Scenario(
         nodes=nodes,
@@ -334,6 +370,7 @@
         duration_s=options["duration_s"],
         cut_s=options["cut_s"],
         objects=int(options["objects"]),
+        gossip=members == "gossip",
     )
     result = asdict(run(scenario))
     if as_json:
--- a/src/martenrun/bench/membership.py
+++ b/src/martenrun/bench/membership.py
@@ -22,8 +22,10 @@
 HERD_SHARE = 0.1
 HERD_DOWN_S = 2.0
 """How long a restarting node is away, in seconds."""
-CUT_S = 60.0
-"""How long a region is cut off."""
+CUT_S = 30.0
+"""How long a cut goes on after both sides have noticed it."""
+RESTART_SETTLE_S = 15.0
+"""Time given to the news of a restart, in seconds."""
 SETTLE_S = 20.0
 STEP_S = 0.25
 """Resolution of the times to notice, in seconds."""
@@ -31,11 +33,23 @@
 
 @dataclass(frozen=True)
 class Cost:
-    """What a node spends, per second; only what it sends is counted."""
+    """What a node spends, per second; only what it sends is counted.
+
+    ``busiest_bytes`` are of the node that sent most.
+    """
 
     sent_bytes: float
     sent_messages: float
     cpu_us: float
+    busiest_bytes: float
+
+
+@dataclass(frozen=True)
+class Restart:
+    """What the restart of one node costs each node, above the cost without changes."""
+
+    sent_bytes: float
+    sent_messages: float
 
 
 @dataclass(frozen=True)
@@ -63,9 +77,12 @@
     notice_leaving: Quantiles
     herd_restart_s: float
     herd: Cost
+    restart: Restart
     zone_lost_s: float
+    zone: Cost
     zone_back_s: float
     region_cut_s: float
+    cut: Cost
     region_heal_s: float
     heal: Cost
 
@@ -94,8 +111,11 @@
         notice_death = self._notice(self._kill)
         notice_leaving = self._notice(self._leave)
         herd_restart_s, herd = self._costed(self._herd)
-        zone_lost_s, zone_back_s = self._lose_zone()
-        region_cut_s = self._cut_region()
+        restart = self._restart(idle)
+        zone_lost_s, zone = self._costed(self._lose_zone)
+        zone_back_s = self._zone_back()
+        region_cut_s, cut = self._costed(self._cut_region)
+        cluster.run(CUT_S)
         region_heal_s, heal = self._costed(self._heal)
         return Result(
             nodes=len(cluster.addresses),
@@ -109,9 +129,12 @@
             notice_leaving=notice_leaving,
             herd_restart_s=herd_restart_s,
             herd=herd,
+            restart=restart,
             zone_lost_s=zone_lost_s,
+            zone=zone,
             zone_back_s=zone_back_s,
             region_cut_s=region_cut_s,
+            cut=cut,
             region_heal_s=region_heal_s,
             heal=heal,
         )
@@ -160,6 +183,11 @@
             round(sent_bytes / node_s, 1),
             round(messages / node_s, 2),
             round(cpu_s / node_s * 1e6, 1),
+            round(
+                max(t.sent_bytes - before[name][0] for name, t in traffic.items())
+                / (self._cluster.scheduler.now - virtual),
+                1,
+            ),
         )
         return result or 0.0, cost
 
@@ -199,15 +227,34 @@
         cluster.run(HERD_DOWN_S)
         return self._until_agreed()
 
-    def _lose_zone(self) -> tuple[float, float]:
+    def _restart(self, idle: Cost) -> Restart:
+        """Restart nodes one after another; return what one restart costs each node."""
         cluster = self._cluster
-        lost = cluster.in_zone(ZONES - 1)
-        for address in lost:
-            cluster.kill(address)
-        lost_s = self._until_agreed()
-        for address in lost:
-            cluster.start(address)
-        return lost_s, self._until_agreed()
+        begin_s = cluster.scheduler.now
+
+        def restarts() -> None:
+            for address in cluster.rng.sample(cluster.addresses[ZONES:], self._deaths):
+                cluster.kill(address)
+                cluster.run(HERD_DOWN_S)
+                cluster.start(address)
+                cluster.run(RESTART_SETTLE_S)
+
+        _none, cost = self._costed(restarts)
+        seconds = (cluster.scheduler.now - begin_s) / self._deaths
+        return Restart(
+            round((cost.sent_bytes - idle.sent_bytes) * seconds, 1),
+            round((cost.sent_messages - idle.sent_messages) * seconds, 2),
+        )
+
+    def _lose_zone(self) -> float:
+        for address in self._cluster.in_zone(ZONES - 1):
+            self._cluster.kill(address)
+        return self._until_agreed()
+
+    def _zone_back(self) -> float:
+        for address in self._cluster.in_zone(ZONES - 1):
+            self._cluster.start(address)
+        return self._until_agreed()
 
     def _cut_region(self) -> float:
         """Cut a region off; returns when both sides saw exactly themselves."""
@@ -222,10 +269,7 @@
                 for address in cluster.addresses
             )
 
-        started = cluster.scheduler.now
-        parted_s = cluster.run_until(parted, LIMIT_S, STEP_S)
-        cluster.run(max(0.0, started + CUT_S - cluster.scheduler.now))
-        return parted_s
+        return cluster.run_until(parted, LIMIT_S, STEP_S)
 
     def _heal(self) -> float:
         self._cluster.network.heal()
--- /dev/null
+++ b/src/martenrun/bench/node_state.py
@@ -0,0 +1,118 @@
+"""Measures the memory that a node's decision logic takes for the machines it knows.
+
+See also: docs/CAPACITY.md.
+"""
+
+import gc
+import random
+import tracemalloc
+
+import click
+import msgspec
+
+from martenrun.bench.scale.cluster import SECRET, UNUSED_ADDRESS
+from martenrun.bench.scale.platform import make_runners, region_name, zone_name
+from martenrun.events import Event, MachinesListed, PeerMessage, Tick
+from martenrun.node.parts import NodeParts, node_parts
+from martenrun.platform.machine_list import Machine
+from martenrun.settings.model import NodeSettings
+from martenrun.wire.messages import MemberClaim, MemberList
+
+SETTLING_TICKS = 40
+TICK_S = 0.1
+
+
+class NodeStateResult(msgspec.Struct, frozen=True):
+    """Memory of one node's beliefs, in bytes.
+
+    Attributes:
+        bytes_per_member: for each other node.
+        bytes_per_runner: for each runner on the machine list, with the list itself and the
+            slots of the runners that the node owns.
+    """
+
+    nodes: int
+    runners: int
+    own_runners: int
+    bytes_per_member: float
+    bytes_per_runner: float
+
+
+def run(nodes: int, runners: int) -> NodeStateResult:
+    """Let one node learn of members, then of runners."""
+    parts = _node()
+    now = _tick(parts, 0.0)
+    tracemalloc.start()
+    begin_bytes = _allocated_bytes()
+    claims = [
+        MemberClaim(_address(index), zone_name(index), region_name(index), 0, 0)
+        for index in range(1, nodes)
+    ]
+    _tell(parts, PeerMessage(_address(1), MemberList(False, claims)), now)
+    del claims
+    now = _tick(parts, now)
+    members_bytes = _allocated_bytes()
+    _tell(parts, MachinesListed(_machines(runners)), now)
+    now = _tick(parts, now)
+    runners_bytes = _allocated_bytes()
+    tracemalloc.stop()
+    return NodeStateResult(
+        nodes,
+        runners,
+        len(parts.ownership.owner.owned),
+        round((members_bytes - begin_bytes) / max(1, nodes - 1), 1),
+        round((runners_bytes - members_bytes) / runners, 1),
+    )
+
+
+def _node() -> NodeParts:
+    settings = NodeSettings(
+        name="node-0",
+        zone=zone_name(0),
+        region=region_name(0),
+        cluster_secret=SECRET,
+        http_address=UNUSED_ADDRESS,
+        seed_nodes=[_address(1)],
+        peer_address=_address(0),
+        object_api=UNUSED_ADDRESS,
+        machine_list=UNUSED_ADDRESS,
+    )
+    return node_parts(settings, "state", random.Random(1))
+
+
+def _address(index: int) -> str:
+    return f"10.0.{index // 250}.{index % 250}:7000"
+
+
+def _machines(runners: int) -> list[Machine]:
+    # Decoded anew, as from the network: no text is shared between machines.
+    machines = [runner.machine for runner in make_runners(runners).values()]
+    return msgspec.json.decode(msgspec.json.encode(machines), type=list[Machine])
+
+
+def _tell(parts: NodeParts, event: Event, now: float) -> None:
+    for part in parts.in_order():
+        part.handle(event, now)
+
+
+def _tick(parts: NodeParts, now: float) -> float:
+    for _ in range(SETTLING_TICKS):
+        now += TICK_S
+        _tell(parts, Tick(), now)
+    return now
+
+
+def _allocated_bytes() -> int:
+    gc.collect()
+    current, _peak = tracemalloc.get_traced_memory()
+    return current
+
+
+@click.command("node-state")
+@click.option("--nodes", default=370, show_default=True, type=click.IntRange(2, 10_000))
+@click.option("--runners", default=12_000, show_default=True, type=click.IntRange(1, 100_000))
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON line.")
+def node_state(nodes: int, runners: int, as_json: bool) -> None:
+    """Measure the memory a node takes for members and runners."""
+    encoded = msgspec.json.encode(run(nodes, runners))
+    click.echo((encoded if as_json else msgspec.json.format(encoded)).decode())
--- a/src/martenrun/bench/scale/observe.py
+++ b/src/martenrun/bench/scale/observe.py
@@ -1,7 +1,8 @@
 """Watching a scale run: usage of a phase, and when conditions come true at each node."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 
 from martenrun.bench.scale.cluster import HollowNode, ScaleCluster
 from martenrun.bench.scale.report import PartCost, Usage
@@ -22,7 +23,7 @@
         self._begin_s = cluster.scheduler.now
         cluster.node_meter.reset()
         cluster.agent_meter.reset()
-        self._sent = self._totals()
+        self._sent = self._by_process()
 
     def node_usage(self) -> Usage:
         """Return a node's average usage."""
@@ -35,31 +36,55 @@
     def _usage(self, meter: CostMeter, processes: int, role: str) -> Usage:
         elapsed_s = self._cluster.scheduler.now - self._begin_s
         process_seconds = processes * elapsed_s
-        now = self._totals()
-        sent_bytes, sent, received = (
-            (after - before) / process_seconds
-            for after, before in zip(now[role], self._sent[role], strict=True)
+        sent = [
+            after.minus(self._sent.get(name, _Traffic()))
+            for name, after in self._by_process().items()
+            if _role(name) == role
+        ]
+
+        def per_second(costs: Mapping[str, float]) -> dict[str, float]:
+            return {
+                name: round(cpu_s * MICROSECONDS_PER_S / process_seconds, 1)
+                for name, cpu_s in sorted(costs.items())
+            }
+
+        return Usage(
+            round(meter.cpu_s() * MICROSECONDS_PER_S / process_seconds, 1),
+            round(sum(entry.sent_bytes for entry in sent) / process_seconds, 1),
+            round(sum(entry.sent for entry in sent) / process_seconds, 2),
+            round(sum(entry.received for entry in sent) / process_seconds, 2),
+            per_second(meter.by_part()),
+            per_second(meter.by_event()),
+            round(max(entry.sent_bytes for entry in sent) / elapsed_s, 1),
+            round(max(entry.sent for entry in sent) / elapsed_s, 2),
         )
-        parts = {
-            part: round(cpu_s * MICROSECONDS_PER_S / process_seconds, 1)
-            for part, cpu_s in sorted(meter.by_part().items())
+
+    def _by_process(self) -> dict[str, "_Traffic"]:
+        return {
+            name: _Traffic(entry.sent_bytes, entry.sent_messages, entry.received_messages)
+            for name, entry in self._cluster.network.traffic.items()
         }
-        total = meter.cpu_s() * MICROSECONDS_PER_S / process_seconds
-        return Usage(
-            round(total, 1), round(sent_bytes, 1), round(sent, 2), round(received, 2), parts
+
+
+@dataclass(frozen=True)
+class _Traffic:
+    """Bytes and messages of one process."""
+
+    sent_bytes: int = 0
+    sent: int = 0
+    received: int = 0
+
+    def minus(self, other: "_Traffic") -> "_Traffic":
+        """Return what was added since."""
+        return _Traffic(
+            self.sent_bytes - other.sent_bytes,
+            self.sent - other.sent,
+            self.received - other.received,
         )
 
-    def _totals(self) -> dict[str, tuple[int, int, int]]:
-        found = {"node": (0, 0, 0), "agent": (0, 0, 0)}
-        for name, entry in self._cluster.network.traffic.items():
-            role = "agent" if name.startswith(_AGENT_PREFIX) else "node"
-            bytes_, sent, received = found[role]
-            found[role] = (
-                bytes_ + entry.sent_bytes,
-                sent + entry.sent_messages,
-                received + entry.received_messages,
-            )
-        return found
+
+def _role(name: str) -> str:
+    return "agent" if name.startswith(_AGENT_PREFIX) else "node"
 
 
 def dearest(meter: CostMeter, count: int) -> list[PartCost]:
@@ -89,7 +114,7 @@
 def codec_us_per_message() -> float:
     """Measure encoding and decoding of one typical message, in microseconds."""
     message = ReserveSlot(1, "runner-1", "tenant-1", 0, 10_000, 30_000, True, "v1", b"x" * 80)
-    started = time.perf_counter()
+    started = time.thread_time()
     for _ in range(_CODEC_ROUNDS):
         decode(encode(message))
-    return round((time.perf_counter() - started) * MICROSECONDS_PER_S / _CODEC_ROUNDS, 2)
+    return round((time.thread_time() - started) * MICROSECONDS_PER_S / _CODEC_ROUNDS, 2)
--- a/src/martenrun/bench/scale/report.py
+++ b/src/martenrun/bench/scale/report.py
@@ -45,6 +45,7 @@
     """What one process of a role spent in a phase, on average.
 
     ``cpu_us_per_s`` is the processor time of decision logic; encoding is reported apart.
+    ``busiest_sent_bytes_per_s`` is of the process that sent most.
     """
 
     cpu_us_per_s: float
@@ -52,10 +53,17 @@
     sent_messages_per_s: float
     received_messages_per_s: float
     cpu_us_per_s_by_part: dict[str, float]
+    cpu_us_per_s_by_event: dict[str, float]
+    busiest_sent_bytes_per_s: float
+    busiest_sent_messages_per_s: float
 
 
 class LoadResult(msgspec.Struct, frozen=True):
-    """What a load did and cost; per-request costs are above those of the idle phase."""
+    """What a load did and cost; per-request costs are above those of the idle phase.
+
+    ``node_question_cpu_us_per_request`` counts only the events that requests cause at homes and
+    owners; it does not hold the difference of two phases, and so scatters less.
+    """
 
     asked: int
     whole: int
@@ -63,6 +71,7 @@
     rejected_by_engines: int
     decision: Spread
     node_cpu_us_per_request: float
+    node_question_cpu_us_per_request: float
     agent_cpu_us_per_request: float
     node_bytes_per_request: float
     agent_bytes_per_request: float
--- a/src/martenrun/bench/scale/run.py
+++ b/src/martenrun/bench/scale/run.py
@@ -3,7 +3,7 @@
 import gc
 import resource
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 
 from martenrun.bench.scale.cluster import HollowNode, Outcomes, ScaleCluster
@@ -36,6 +36,20 @@
 KIBIBYTE = 1024
 BYTES_PER_GIGABYTE = 1_000_000_000
 
+QUESTION_EVENTS = (
+    "DecideRequest",
+    "WithdrawRequest",
+    "AttemptReport",
+    "ReserveSlot",
+    "SlotGranted",
+    "SlotRefused",
+    "SlotsQueued",
+    "ReleaseSlots",
+    "RenewLeases",
+    "LeasesVoided",
+)
+"""Events that requests cause at homes and owners."""
+
 
 Progress = Callable[[str], None]
 """Is told one line at the end of each phase."""
@@ -141,6 +155,7 @@
             sum(runner.rejected for runner in cluster.runners.values()),
             spread(outcomes.decision_s),
             round((node.cpu_us_per_s - idle_node.cpu_us_per_s) * per_node, 1),
+            round(_question_cpu_us(node.cpu_us_per_s_by_event) * per_node, 1),
             round((agent.cpu_us_per_s - idle_agent.cpu_us_per_s) * per_agent, 1),
             round((node.sent_bytes_per_s - idle_node.sent_bytes_per_s) * per_node, 1),
             round((agent.sent_bytes_per_s - idle_agent.sent_bytes_per_s) * per_agent, 1),
@@ -261,6 +276,10 @@
         scheduler.run_until(scheduler.now + seconds)
 
 
+def _question_cpu_us(by_event: Mapping[str, float]) -> float:
+    return sum(by_event.get(event, 0.0) for event in QUESTION_EVENTS)
+
+
 @contextmanager
 def _heap_frozen_after() -> Iterator[None]:
     """Keep the collector of cyclic garbage from walking the started nodes again and again.
--- a/src/martenrun/bench/scale/timing.py
+++ b/src/martenrun/bench/scale/timing.py
@@ -40,6 +40,13 @@
             found[part] += cost.cpu_s
         return dict(found)
 
+    def by_event(self) -> dict[str, float]:
+        """Return the processor time that each kind of event took, in seconds."""
+        found: dict[str, float] = defaultdict(float)
+        for (_part, event), cost in self.costs.items():
+            found[event] += cost.cpu_s
+        return dict(found)
+
 
 class TimedPart:
     """Decision logic whose processor time is metered.
@@ -57,9 +64,9 @@
 
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
-        started = time.perf_counter()
+        started = time.thread_time()
         instructions = self._part.handle(event, now)
-        spent = time.perf_counter() - started
+        spent = time.thread_time() - started
         cost = self._meter.costs[(self._name, _event_name(event))]
         cost.calls += 1
         cost.cpu_s += spent
--- a/src/martenrun/capacity/fit.py
+++ b/src/martenrun/capacity/fit.py
@@ -1,28 +1,35 @@
 """Fitting the slopes of the capacity table from the result files in docs/measurements/."""
 
+import statistics
 from pathlib import Path
 
-from martenrun.capacity.model import Driver, Slope
+from martenrun.capacity.cache_fit import cache_slopes
+from martenrun.capacity.day_fit import day_slopes
+from martenrun.capacity.model import Driver, Figure, Slope
 from martenrun.capacity.results import (
     ConfigurationResult,
-    IndexResult,
     PathResult,
     RestartResult,
     ScaleResult,
-    StreamsResult,
     UsageExchangeResult,
+    by_seed,
     fit_line,
     median_of,
     read_lines,
     read_result,
+    spread_of,
 )
+from martenrun.capacity.role_fit import other_role_slopes, state_slopes
 
 SCALE_FILE = "scale.jsonl"
+FULL_FILE = "scale-full.json"
+"""The run at the target's nodes and runners, if there is one."""
+
 SHARING_PART = "SharingLogic"
+DESCRIPTION_EVENT = "RunnerDescribed"
 OBJECTS_PER_TENANT = 2
 MICROSECONDS_PER_MS = 1_000
 BYTES_PER_MIB = 1_048_576
-NANOSECONDS_PER_MICROSECOND = 1_000
 
 _SCALE_RUN = "martenrun bench scale --nodes 10|40|120|370 --json"
 
@@ -30,14 +37,18 @@
 def fit_slopes(measurements: Path) -> list[Slope]:
     """Return every slope that the result files give."""
     scale = read_lines(measurements / SCALE_FILE, ScaleResult)
+    if (measurements / FULL_FILE).exists():
+        scale.append(read_result(measurements / FULL_FILE, ScaleResult))
     return [
         *_process(measurements),
         *_idle_node(scale),
         *_sharing(measurements),
         *_requests(scale, measurements),
         *_configuration(measurements),
-        *_cache(measurements),
-        *_agent(scale, measurements),
+        *cache_slopes(measurements),
+        *state_slopes(measurements),
+        *other_role_slopes(scale, measurements),
+        *day_slopes(measurements),
     ]
 
 
@@ -59,36 +70,52 @@
 
 
 def _idle_node(scale: list[ScaleResult]) -> list[Slope]:
-    """Cost of a node without requests; the exchange of usage has a line of its own."""
-
-    def points(figure: str) -> list[tuple[float, float]]:
-        return [
-            (float(result.scenario.nodes), float(getattr(result.idle_node, figure)))
-            for result in scale
-        ]
-
-    cpu = [
-        (
-            float(result.scenario.nodes),
-            result.idle_node.cpu_us_per_s
-            - result.idle_node.cpu_us_per_s_by_part.get(SHARING_PART, 0.0),
-        )
-        for result in scale
-    ]
-    cpu_slope, cpu_base = fit_line(cpu)
-    bytes_slope, bytes_base = fit_line(points("sent_bytes_per_s"))
-    messages_slope, messages_base = fit_line(points("sent_messages_per_s"))
+    """Cost of a node without requests; usage and descriptions have lines of their own."""
+
+    def points(figure: str, results: list[ScaleResult]) -> list[tuple[float, float]]:
+        return [(float(r.scenario.nodes), float(getattr(r.idle_node, figure))) for r in results]
+
+    def cpu(results: list[ScaleResult]) -> list[tuple[float, float]]:
+        return [(float(r.scenario.nodes), _idle_cpu_us(r)) for r in results]
+
+    cpu_slope, cpu_base = fit_line(cpu(scale))
+    fits = [fit_line(cpu(results)) for results in by_seed(scale)]
+    bytes_slope, bytes_base = fit_line(points("sent_bytes_per_s", scale))
+    messages_slope, messages_base = fit_line(points("sent_messages_per_s", scale))
     files = f"docs/measurements/{SCALE_FILE}"
     mechanism = "src/martenrun/node/parts.py"
-    note = "32 owned runners; logic only, without sockets and threads"
+    note = "logic only, without sockets and threads; spread over seeds"
     return [
         Slope("node", "idle, base", Driver.CONSTANT, mechanism, _SCALE_RUN, files,
-              cpu_us=cpu_base, sent_bytes=bytes_base, messages=messages_base, note=note),
+              cpu_us=cpu_base, sent_bytes=bytes_base, messages=messages_base, note=note,
+              cpu_us_spread=spread_of([base for _slope, base in fits])),
         Slope("node", "idle, growth", Driver.NODES, mechanism, _SCALE_RUN, files,
-              cpu_us=cpu_slope, sent_bytes=bytes_slope, messages=messages_slope, note=note),
+              cpu_us=cpu_slope, sent_bytes=bytes_slope, messages=messages_slope, note=note,
+              cpu_us_spread=spread_of([slope for slope, _base in fits])),
+        _descriptions(scale, files),
     ]  # fmt: skip
 
 
+def _idle_cpu_us(result: ScaleResult) -> float:
+    idle = result.idle_node
+    sharing = idle.cpu_us_per_s_by_part.get(SHARING_PART, 0.0)
+    return idle.cpu_us_per_s - sharing - idle.cpu_us_per_s_by_event.get(DESCRIPTION_EVENT, 0.0)
+
+
+def _descriptions(scale: list[ScaleResult], files: str) -> Slope:
+    figures = [
+        r.idle_node.cpu_us_per_s_by_event.get(DESCRIPTION_EVENT, 0.0)
+        / (r.scenario.runners / r.scenario.nodes)
+        for r in scale
+    ]
+    return Slope(
+        "node", "runner descriptions at the owner", Driver.RUNNERS,
+        "src/martenrun/ownership/slots.py", _SCALE_RUN, files,
+        cpu_us=statistics.median(figures), cpu_us_spread=spread_of(figures),
+        note="logic only, two descriptions a second; leases count as decisions",
+    )  # fmt: skip
+
+
 def _sharing(measurements: Path) -> list[Slope]:
     name = "usage-exchange.json"
     result = read_result(measurements / name, UsageExchangeResult)
@@ -109,27 +136,51 @@
 
 
 def _requests(scale: list[ScaleResult], measurements: Path) -> list[Slope]:
-    path = read_result(measurements / "path.json", PathResult)
-    logic_us = median_of(scale, lambda result: result.load.node_cpu_us_per_request)
-    messages = median_of(scale, lambda result: result.load.messages_per_request)
+    logic = [result.load.node_question_cpu_us_per_request for result in scale]
+    most_nodes = max(result.scenario.nodes for result in scale)
+    largest = [result for result in scale if result.scenario.nodes == most_nodes]
+    messages = median_of(largest, lambda result: result.load.messages_per_request)
     codec_us = median_of(scale, lambda result: result.codec_us_per_message) * messages
-    sent_bytes = median_of(scale, lambda result: result.load.node_bytes_per_request)
-    process_us = path.node_cpu_ms_per_request * MICROSECONDS_PER_MS
-    drivers_us = max(0.0, process_us - logic_us - codec_us)
+    sent_bytes = median_of(largest, lambda result: result.load.node_bytes_per_request)
+    logic_us = median_of(largest, lambda result: result.load.node_question_cpu_us_per_request)
     files = f"docs/measurements/{SCALE_FILE}"
     return [
-        Slope("node", "decisions", Driver.REQUESTS_PER_S, "src/martenrun/ownership/home.py",
-              _SCALE_RUN, files, cpu_us=logic_us, sent_bytes=sent_bytes, messages=messages,
-              note="home and owner, with the exchange of usage that goes with load; median"),
+        Slope("node", "decisions and leases", Driver.REQUESTS_PER_S,
+              "src/martenrun/ownership/home.py", _SCALE_RUN, files,
+              cpu_us=logic_us, sent_bytes=sent_bytes, messages=messages,
+              cpu_us_spread=spread_of(logic),
+              note="home and owner; bytes with the exchange of usage that goes with load; "
+              f"at {most_nodes} nodes; spread over sizes and seeds"),
         Slope("node", "encoding of messages", Driver.REQUESTS_PER_S,
               "src/martenrun/wire/codec.py", _SCALE_RUN, files, cpu_us=codec_us),
-        Slope("node", "sockets, threads, loop", Driver.REQUESTS_PER_S,
-              "src/martenrun/wire/transport.py", "scripts/bench.py path",
-              "docs/measurements/path.json", cpu_us=drivers_us,
-              note="what a real process takes beyond logic and encoding"),
+        _drivers(scale, measurements),
     ]  # fmt: skip
 
 
+def _drivers(scale: list[ScaleResult], measurements: Path) -> Slope:
+    """What a real process takes beyond logic and encoding.
+
+    The path run has one node and few runners, so the smallest scale runs are taken off.  A
+    difference that is not positive shows that the two were measured under unlike conditions: it
+    is no figure at all.
+    """
+    path = read_result(measurements / "path.json", PathResult)
+    least_nodes = min(result.scenario.nodes for result in scale)
+    small = [result for result in scale if result.scenario.nodes == least_nodes]
+    logic_us = median_of(small, lambda result: result.load.node_question_cpu_us_per_request)
+    messages = median_of(small, lambda result: result.load.messages_per_request)
+    codec_us = median_of(small, lambda result: result.codec_us_per_message) * messages
+    drivers_us = path.node_cpu_ms_per_request * MICROSECONDS_PER_MS - logic_us - codec_us
+    is_figure = drivers_us > 0
+    return Slope(
+        "node", "sockets, threads, loop", Driver.REQUESTS_PER_S, "src/martenrun/wire/transport.py",
+        "scripts/bench.py path", "docs/measurements/path.json",
+        cpu_us=drivers_us if is_figure else 0.0,
+        unmeasured=[] if is_figure else [Figure.CPU],
+        note="a real process beyond logic and encoding, one request after the other",
+    )  # fmt: skip
+
+
 def _configuration(measurements: Path) -> list[Slope]:
     name = "configuration-370.json"
     result = read_result(measurements / name, ConfigurationResult)
@@ -146,36 +197,3 @@
               state_bytes=result.state_bytes_per_object * OBJECTS_PER_TENANT,
               note="a tenant and a key each"),
     ]  # fmt: skip
-
-
-def _cache(measurements: Path) -> list[Slope]:
-    name = "routing-index.json"
-    lines = [
-        result for result in read_lines(measurements / name, IndexResult) if result.kind == "arrays"
-    ]
-    stored_ns = median_of(lines, lambda result: result.stored_ns_per_event)
-    removed_ns = median_of(lines, lambda result: result.removed_ns_per_event)
-    run = "martenrun bench index --json"
-    files = f"docs/measurements/{name}"
-    mechanism = "src/martenrun/routing/prefix_index.py"
-    return [
-        Slope("node", "cache events", Driver.CACHE_EVENTS_PER_S, mechanism, run, files,
-              cpu_us=(stored_ns + removed_ns) / 2 / NANOSECONDS_PER_MICROSECOND,
-              note="index only; reading and decoding the feeds is not measured"),
-        Slope("node", "believed blocks", Driver.BLOCKS, mechanism, run, files,
-              state_bytes=median_of(lines, lambda result: result.bytes_per_block)),
-    ]  # fmt: skip
-
-
-def _agent(scale: list[ScaleResult], measurements: Path) -> list[Slope]:
-    """The agents' side: not control of a node, but the path that carries the tokens."""
-    streams = read_result(measurements / "streams.json", StreamsResult)
-    good = [step for step in streams.steps if step.is_good]
-    best = max(good, key=lambda step: step.events_per_s)
-    cpu_us = best.cpu_part * 1_000_000 / best.events_per_s
-    return [
-        Slope("agents, all", "tokens carried", Driver.TOKENS_PER_S,
-              "src/martenrun/edge/forward.py", "scripts/bench.py streams",
-              "docs/measurements/streams.json", cpu_us=cpu_us,
-              note=f"{best.events_per_s:.0f} tokens/s a process before quality falls"),
-    ]  # fmt: skip
--- a/src/martenrun/capacity/model.py
+++ b/src/martenrun/capacity/model.py
@@ -50,18 +50,37 @@
     TENANTS = "tenants"
     REQUESTS_PER_S = "requests per node and second"
     RUNNERS = "runners per node"
+    RUNNERS_IN_ALL = "runners"
     BLOCKS = "cached blocks per node"
     CACHE_EVENTS_PER_S = "cache events per node and second"
     CHANGES_PER_S = "configuration changes per second"
-    MEMBER_CHANGES_PER_S = "node restarts per second"
+    MEMBER_CHANGES_PER_S = "failures and restarts of machines per second"
+    REQUESTS_IN_ALL_PER_S = "requests per second, all agents"
     TOKENS_PER_S = "output tokens per second, all agents"
 
 
+class Figure(enum.StrEnum):
+    """The figures of a line."""
+
+    CPU = "cpu"
+    BYTES = "bytes"
+    MESSAGES = "messages"
+    MEMORY = "memory"
+
+
+class Spread(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Least and greatest value over repeated runs."""
+
+    least: float
+    greatest: float
+    runs: int
+
+
 class Slope(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """A measured cost per unit of its driver.
 
     Attributes:
-        role: node, owner, watcher, front or agent.
+        role: whose cost it is; lines of one role add up.
         cpu_us: processor time, in microseconds per unit (and second, for a rate).
         sent_bytes: control bytes sent per unit (and second).
         messages: control messages sent per unit (and second).
@@ -69,7 +88,9 @@
         mechanism: file that carries the line.
         run: command that gave the figures.
         result: file with its output.
-        note: spread, and what the figure leaves out.
+        note: what the figure leaves out.
+        unmeasured: figures that nobody has measured; they are told, never counted as nothing.
+        cpu_us_spread: of ``cpu_us`` over repeated runs, None for a single run.
     """
 
     role: str
@@ -83,6 +104,8 @@
     messages: float = 0.0
     state_bytes: float = 0.0
     note: str = ""
+    unmeasured: list[Figure] = []
+    cpu_us_spread: Spread | None = None
 
 
 class Line(msgspec.Struct, frozen=True):
@@ -99,6 +122,8 @@
     mechanism: str
     result: str
     note: str
+    unmeasured: list[Figure] = []
+    cpu_share_spread: Spread | None = None
 
 
 def load_target() -> Target:
@@ -115,10 +140,14 @@
         Driver.TENANTS: float(size.tenants),
         Driver.REQUESTS_PER_S: size.requests_per_s / size.nodes,
         Driver.RUNNERS: size.runners / size.nodes,
+        Driver.RUNNERS_IN_ALL: float(size.runners),
         Driver.BLOCKS: size.cached_blocks / size.nodes,
         Driver.CACHE_EVENTS_PER_S: size.cache_events_per_s / size.nodes,
         Driver.CHANGES_PER_S: size.configuration_changes_per_day / SECONDS_PER_DAY,
-        Driver.MEMBER_CHANGES_PER_S: size.machines_replaced_per_day / SECONDS_PER_DAY,
+        Driver.MEMBER_CHANGES_PER_S: (
+            (size.machines_failed_per_day + size.machines_replaced_per_day) / SECONDS_PER_DAY
+        ),
+        Driver.REQUESTS_IN_ALL_PER_S: size.requests_per_s,
         Driver.TOKENS_PER_S: size.output_tokens_per_s,
     }
     return per_node[driver]
--- a/src/martenrun/capacity/results.py
+++ b/src/martenrun/capacity/results.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from martenrun.capacity.model import Spread
+
 Result = TypeVar("Result")
 
 
@@ -19,6 +21,7 @@
 
     nodes: int
     runners: int
+    seed: int = 0
 
 
 class ScaleUsage(msgspec.Struct):
@@ -28,12 +31,16 @@
     sent_bytes_per_s: float
     sent_messages_per_s: float
     cpu_us_per_s_by_part: dict[str, float]
+    cpu_us_per_s_by_event: dict[str, float]
+    busiest_sent_bytes_per_s: float
+    busiest_sent_messages_per_s: float
 
 
 class ScaleLoad(msgspec.Struct):
     """What a request cost."""
 
     node_cpu_us_per_request: float
+    node_question_cpu_us_per_request: float
     agent_cpu_us_per_request: float
     node_bytes_per_request: float
     agent_bytes_per_request: float
@@ -61,6 +68,7 @@
     """Result of ``martenrun bench configuration``."""
 
     node_bytes_per_s: float
+    node_bytes_per_s_max: float
     node_messages_per_s: float
     state_bytes_per_object: float
     cpu_ms_per_process_s: float
@@ -75,6 +83,61 @@
     cpu_ms_per_s_mean: float
 
 
+class NodeStateResult(msgspec.Struct):
+    """Result of ``martenrun bench node-state``."""
+
+    bytes_per_member: float
+    bytes_per_runner: float
+
+
+class FeedResult(msgspec.Struct):
+    """One entry of ``scripts/measure_feeds.py``: following all engines of a node."""
+
+    way: str
+    engines: int
+    events_per_s: float
+    cpu_ms_per_s: float
+
+
+class MembershipCost(msgspec.Struct):
+    """What each node spent per second on membership."""
+
+    sent_bytes: float
+    sent_messages: float
+    cpu_us: float
+    busiest_bytes: float
+
+
+class MembershipRestart(msgspec.Struct):
+    """What one node's restart cost each node."""
+
+    sent_bytes: float
+    sent_messages: float
+
+
+class MembershipResult(msgspec.Struct):
+    """Result of ``martenrun bench membership``."""
+
+    nodes: int
+    loss: float
+    restart: MembershipRestart
+    zone: MembershipCost
+    cut: MembershipCost
+    heal: MembershipCost
+
+
+class MembershipRun(msgspec.Struct):
+    """One run in the file of ``martenrun bench membership``."""
+
+    result: MembershipResult
+
+
+class MembershipFile(msgspec.Struct):
+    """Every run of ``martenrun bench membership``."""
+
+    runs: list[MembershipRun]
+
+
 class IndexResult(msgspec.Struct):
     """One line of ``martenrun bench index``."""
 
@@ -122,6 +185,18 @@
     return [msgspec.json.decode(line, type=kind) for line in lines if line.strip()]
 
 
+def by_seed(results: list[ScaleResult]) -> list[list[ScaleResult]]:
+    """Return the results of each seed that was run at several sizes."""
+    seeds = sorted({result.scenario.seed for result in results})
+    groups = [[r for r in results if r.scenario.seed == seed] for seed in seeds]
+    return [group for group in groups if len({r.scenario.nodes for r in group}) > 1]
+
+
+def spread_of(values: list[float]) -> Spread | None:
+    """Return the spread of repeated values, None for a single one."""
+    return Spread(min(values), max(values), len(values)) if len(values) > 1 else None
+
+
 def median_of(results: list[Result], figure: Callable[[Result], float]) -> float:
     """Return the median of a figure over repeated runs."""
     return statistics.median(figure(result) for result in results)
--- /dev/null
+++ b/src/martenrun/capacity/role_fit.py
@@ -0,0 +1,103 @@
+"""Slopes of a node's beliefs, of roles that few nodes have, and of agents."""
+
+from pathlib import Path
+
+from martenrun.capacity.model import Driver, Figure, Slope
+from martenrun.capacity.results import (
+    ConfigurationResult,
+    NodeStateResult,
+    PathResult,
+    ScaleResult,
+    StreamsResult,
+    median_of,
+    read_result,
+)
+
+MICROSECONDS_PER_MS = 1_000
+MICROSECONDS_PER_S = 1_000_000
+AGENTS = "agents, all"
+_SCALE_RUN = "martenrun bench scale --nodes 10|40|120|370 --json"
+_SCALE_FILE = "docs/measurements/scale.jsonl"
+_CONFIGURATION_FILE = "configuration-370.json"
+
+
+def state_slopes(measurements: Path) -> list[Slope]:
+    """Return what a node believes of members and runners."""
+    name = "node-state.json"
+    result = read_result(measurements / name, NodeStateResult)
+    run, file = "martenrun bench node-state --json", f"docs/measurements/{name}"
+    return [
+        Slope("node", "members known", Driver.NODES, "src/martenrun/membership/table.py", run,
+              file, state_bytes=result.bytes_per_member),
+        Slope("node", "runners known", Driver.RUNNERS_IN_ALL, "src/martenrun/node/runners.py",
+              run, file, state_bytes=result.bytes_per_runner,
+              note="machine list, table, owners, index of pools"),
+    ]  # fmt: skip
+
+
+def other_role_slopes(scale: list[ScaleResult], measurements: Path) -> list[Slope]:
+    """Return the roles beside that of every node."""
+    return [
+        _machine_list_reader(scale),
+        _watcher(measurements),
+        Slope("front on a node", "streams carried", Driver.CONSTANT,
+              "src/martenrun/edge/forward.py", "", "",
+              unmeasured=[Figure.CPU, Figure.BYTES, Figure.MEMORY],
+              note="the same code as an agent's, in the process of a node"),
+        *_agents(scale, measurements),
+    ]  # fmt: skip
+
+
+def _machine_list_reader(scale: list[ScaleResult]) -> Slope:
+    """The busiest idle node is one of the three readers, whom all others ask."""
+
+    def above(result: ScaleResult, busiest: float, mean: float) -> float:
+        return max(0.0, busiest - mean) / result.scenario.nodes
+
+    return Slope(
+        "machine list reader, three", "answers to the others", Driver.NODES,
+        "src/martenrun/ownership/machine_feed.py", _SCALE_RUN, _SCALE_FILE,
+        sent_bytes=median_of(scale, lambda r: above(
+            r, r.idle_node.busiest_sent_bytes_per_s, r.idle_node.sent_bytes_per_s)),
+        messages=median_of(scale, lambda r: above(
+            r, r.idle_node.busiest_sent_messages_per_s, r.idle_node.sent_messages_per_s)),
+        unmeasured=[Figure.CPU],
+        note="what the busiest idle node sends above the mean; its processor time is in the mean",
+    )  # fmt: skip
+
+
+def _watcher(measurements: Path) -> Slope:
+    result = read_result(measurements / _CONFIGURATION_FILE, ConfigurationResult)
+    return Slope(
+        "configuration watcher, one a region", "pushes of changes", Driver.CONSTANT,
+        "src/martenrun/configuration/watching.py",
+        "martenrun bench configuration --nodes 370 --json",
+        f"docs/measurements/{_CONFIGURATION_FILE}",
+        sent_bytes=max(0.0, result.node_bytes_per_s_max - result.node_bytes_per_s) / 2,
+        unmeasured=[Figure.CPU, Figure.MESSAGES],
+        note="what the busiest node moves above the mean; half of both directions",
+    )  # fmt: skip
+
+
+def _agents(scale: list[ScaleResult], measurements: Path) -> list[Slope]:
+    """The agents' side: not control of a node, but the path that carries the tokens."""
+    path = read_result(measurements / "path.json", PathResult)
+    streams = read_result(measurements / "streams.json", StreamsResult)
+    good = [step for step in streams.steps if step.is_good]
+    best = max(good, key=lambda step: step.events_per_s)
+    cpu_us = best.cpu_part * MICROSECONDS_PER_S / best.events_per_s
+    return [
+        Slope(AGENTS, "requests", Driver.REQUESTS_IN_ALL_PER_S, "src/martenrun/agent/requests.py",
+              "scripts/bench.py path", "docs/measurements/path.json",
+              cpu_us=path.agent_cpu_ms_per_request * MICROSECONDS_PER_MS,
+              sent_bytes=median_of(scale, lambda r: r.load.agent_bytes_per_request),
+              note="whole process, prompts of 40,000 bytes; bytes of control from the scale run"),
+        Slope(AGENTS, "tokens carried", Driver.TOKENS_PER_S, "src/martenrun/edge/forward.py",
+              "scripts/bench.py streams", "docs/measurements/streams.json", cpu_us=cpu_us,
+              note=f"{best.events_per_s:.0f} tokens/s a process before quality falls"),
+        Slope("agent, one", "idle", Driver.CONSTANT, "src/martenrun/agent/parts.py", _SCALE_RUN,
+              _SCALE_FILE, cpu_us=median_of(scale, lambda r: r.idle_agent.cpu_us_per_s),
+              sent_bytes=median_of(scale, lambda r: r.idle_agent.sent_bytes_per_s),
+              messages=median_of(scale, lambda r: r.idle_agent.sent_messages_per_s),
+              unmeasured=[Figure.MEMORY], note="logic only"),
+    ]  # fmt: skip
--- a/src/martenrun/capacity/table.py
+++ b/src/martenrun/capacity/table.py
@@ -4,24 +4,44 @@
 
 import msgspec
 
-from martenrun.capacity.model import Allowance, Line, Slope, Target, units_at
+from martenrun.capacity.model import (
+    Allowance,
+    Figure,
+    Line,
+    Slope,
+    Spread,
+    Target,
+    units_at,
+)
 
 MICROSECONDS_PER_S = 1_000_000
 NODE_ROLE = "node"
 """The role that the allowance is for."""
 
+NOT_MEASURED = "not measured"
+WHOLE_UNITS_FROM = 1_000
+"""Units from which on no fractions are shown."""
+
+
 TABLE_START = "<!-- table: martenrun capacity -->"
 TABLE_END = "<!-- end of table -->"
 
 
 class RoleTotal(msgspec.Struct, frozen=True):
-    """Sum of a role's lines against the allowance."""
+    """Sum of a role's lines against the allowance.
+
+    ``unmeasured`` names the lines that lack a figure: the true sum is greater.  ``partial`` are
+    figures that some lines lack, ``missing`` those that all lack.
+    """
 
     role: str
     cpu_share: float
     bytes_per_s: float
     state_bytes: float
     over: list[str]
+    unmeasured: list[str] = []
+    partial: list[Figure] = []
+    missing: list[Figure] = []
 
 
 class CapacityTable(msgspec.Struct, frozen=True):
@@ -58,6 +78,8 @@
         mechanism=slope.mechanism,
         result=slope.result,
         note=slope.note,
+        unmeasured=slope.unmeasured,
+        cpu_share_spread=_share_spread(slope.cpu_us_spread, units),
     )
 
 
@@ -73,7 +95,25 @@
     }
     is_held_to_it = role == NODE_ROLE
     over = [name for name, exceeded in measures.items() if exceeded and is_held_to_it]
-    return RoleTotal(role, cpu_share, bytes_per_s, state_bytes, over)
+    unmeasured = [line.name for line in own if line.unmeasured]
+    lacking = {f: sum(f in line.unmeasured for line in own) for f in Figure}
+    return RoleTotal(
+        role,
+        cpu_share,
+        bytes_per_s,
+        state_bytes,
+        over,
+        unmeasured,
+        partial=[figure for figure, count in lacking.items() if 0 < count < len(own)],
+        missing=[figure for figure, count in lacking.items() if count == len(own)],
+    )
+
+
+def _share_spread(spread: Spread | None, units: float) -> Spread | None:
+    if spread is None:
+        return None
+    scale = units / MICROSECONDS_PER_S
+    return Spread(spread.least * scale, spread.greatest * scale, spread.runs)
 
 
 def as_markdown(table: CapacityTable, allowance: Allowance) -> str:
@@ -85,28 +125,54 @@
         "| mechanism | measured by |",
         "| --- | --- | --- | ---: | ---: | ---: | ---: | ---: | --- | --- |",
     ]
-    for line in table.lines:
-        rows.append(
-            f"| {line.role} | {line.name} | {line.driver} | {line.units:,.4g} "
-            f"| {line.cpu_share * 100:.3f} | {line.bytes_per_s:,.0f} "
-            f"| {line.messages_per_s:,.1f} | {line.state_bytes / 1e6:,.2f} "
-            f"| `{line.mechanism}` | `{line.result}` |"
-        )
+    rows += [_line_row(line) for line in table.lines]
     rows += [
         "",
-        "| role | % of a core | bytes/s | memory MB | over the allowance |",
-        "| --- | ---: | ---: | ---: | --- |",
+        "| role | % of a core | bytes/s | memory MB | over the allowance | not wholly measured |",
+        "| --- | ---: | ---: | ---: | --- | --- |",
         f"| allowance | {allowance.cpu_share * 100:.3f} | {allowance.bytes_per_s:,.0f} "
-        f"| {allowance.memory_bytes / 1e6:,.2f} | |",
+        f"| {allowance.memory_bytes / 1e6:,.2f} | | |",
     ]
     for total in table.totals:
-        rows.append(
-            f"| {total.role} | {total.cpu_share * 100:.3f} | {total.bytes_per_s:,.0f} "
-            f"| {total.state_bytes / 1e6:,.2f} | {_verdict(total)} |"
-        )
+        rows.append(_total_row(total))
     return "\n".join([*rows, "", TABLE_END])
 
 
+def _total_row(total: RoleTotal) -> str:
+    def cell(figure: Figure, text: str) -> str:
+        if figure in total.missing:
+            return NOT_MEASURED
+        return f"at least {text}" if figure in total.partial else text
+
+    return (
+        f"| {total.role} | {cell(Figure.CPU, f'{total.cpu_share * 100:.3f}')} "
+        f"| {cell(Figure.BYTES, f'{total.bytes_per_s:,.0f}')} "
+        f"| {cell(Figure.MEMORY, f'{total.state_bytes / 1e6:,.2f}')} | {_verdict(total)} "
+        f"| {', '.join(total.unmeasured)} |"
+    )
+
+
+def _units(units: float) -> str:
+    return f"{units:,.0f}" if units >= WHOLE_UNITS_FROM else f"{units:,.4g}"
+
+
+def _line_row(line: Line) -> str:
+    def cell(figure: Figure, text: str) -> str:
+        return NOT_MEASURED if figure in line.unmeasured else text
+
+    cpu = f"{line.cpu_share * 100:.3f}"
+    if line.cpu_share_spread is not None:
+        spread = line.cpu_share_spread
+        cpu += f" ({spread.least * 100:.3f} to {spread.greatest * 100:.3f})"
+    return (
+        f"| {line.role} | {line.name} | {line.driver} | {_units(line.units)} "
+        f"| {cell(Figure.CPU, cpu)} | {cell(Figure.BYTES, f'{line.bytes_per_s:,.0f}')} "
+        f"| {cell(Figure.MESSAGES, f'{line.messages_per_s:,.1f}')} "
+        f"| {cell(Figure.MEMORY, f'{line.state_bytes / 1e6:,.2f}')} "
+        f"| `{line.mechanism}` | {f'`{line.result}`' if line.result else NOT_MEASURED} |"
+    )
+
+
 def _verdict(total: RoleTotal) -> str:
     if total.role != NODE_ROLE:
         return "not held to it"
--- a/src/martenrun/cli/bench.py
+++ b/src/martenrun/cli/bench.py
@@ -22,6 +22,7 @@
     "hollow-host": "martenrun.bench.scale.host:hollow_host",
     "membership": "martenrun.bench.membership:membership",
     "ownership": "martenrun.bench.ownership:ownership",
+    "node-state": "martenrun.bench.node_state:node_state",
 }
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,11 +1,15 @@
 """Tests of the capacity table."""
 
+import json
+import sys
 from pathlib import Path
 
+import measure_capacity
 import pytest
+from click.testing import CliRunner
 
 from martenrun.capacity.fit import fit_slopes
-from martenrun.capacity.model import Driver, Slope, load_target
+from martenrun.capacity.model import Driver, Figure, Slope, Spread, load_target
 from martenrun.capacity.table import (
     TABLE_END,
     TABLE_START,
@@ -52,3 +56,68 @@
 def test_only_nodes_are_held_to_the_allowance():
     agents = Slope("agents, all", "x", Driver.TOKENS_PER_S, "f", "r", "d", cpu_us=400.0)
     assert work_out([agents], load_target()).totals[0].over == []
+
+
+def test_a_figure_that_nobody_measured_is_told_and_never_shown_as_nothing():
+    table = work_out([slope(cpu_us=1.0, unmeasured=[Figure.BYTES])], load_target())
+    row = next(
+        r
+        for r in as_markdown(table, load_target().allowance).splitlines()
+        if "| line | runners" in r
+    )
+    assert row.split("|")[5:8] == [" 0.003 ", " not measured ", " 0.0 "]
+    assert table.totals[0].unmeasured == ["line"]
+    total = as_markdown(table, load_target().allowance).splitlines()[-3]
+    assert total.startswith("| node | 0.003 | not measured | 0.00 |")
+    partly = work_out([slope(unmeasured=[Figure.BYTES]), slope(sent_bytes=1.0)], load_target())
+    assert "| at least 32 |" in as_markdown(partly, load_target().allowance)
+
+
+def test_a_spread_is_scaled_like_its_line():
+    spread = Spread(5.0, 20.0, 3)
+    line = work_out([slope(cpu_us=10.0, cpu_us_spread=spread)], load_target()).lines[0]
+    assert line.cpu_share_spread.least == pytest.approx(line.cpu_share / 2)
+    assert line.cpu_share_spread.greatest == pytest.approx(line.cpu_share * 2)
+
+
+def test_a_real_process_cheaper_than_its_logic_is_no_measurement_of_its_drivers(tmp_path):
+    for file in (DOCS / "measurements").iterdir():
+        (tmp_path / file.name).write_bytes(file.read_bytes())
+    path = json.loads((tmp_path / "path.json").read_bytes())
+    (tmp_path / "path.json").write_text(json.dumps({**path, "node_cpu_ms_per_request": 0.01}))
+    (line,) = [entry for entry in fit_slopes(tmp_path) if entry.name == "sockets, threads, loop"]
+    assert line.unmeasured == [Figure.CPU]
+
+
+def test_feeds_without_a_result_are_lines_that_are_not_measured(tmp_path):
+    for file in (DOCS / "measurements").iterdir():
+        if file.name != "engine-feeds.json":
+            (tmp_path / file.name).write_bytes(file.read_bytes())
+    feeds = [entry for entry in fit_slopes(tmp_path) if entry.name.startswith("engine feeds")]
+    assert feeds and all(entry.unmeasured == [Figure.CPU] for entry in feeds)
+
+
+def test_a_result_replaces_the_one_of_the_same_size_and_seed(tmp_path):
+    file = tmp_path / "scale.jsonl"
+    for nodes, seed, value in ((10, 1, "a"), (10, 2, "b"), (10, 1, "c")):
+        result = {"scenario": {"nodes": nodes, "seed": seed}, "value": value}
+        measure_capacity.replace_line(file, (), json.dumps(result))
+    assert [json.loads(line)["value"] for line in file.read_text().splitlines()] == ["b", "c"]
+
+
+def test_a_measuring_that_was_cut_short_goes_on_where_it_stopped(tmp_path, monkeypatch):
+    ran = []
+
+    def step(name, code):
+        def write(path, command, output):
+            ran.append((name, output))
+
+        return measure_capacity.Step(name, (sys.executable, "-c", code), "f", write, 1.0)
+
+    steps = [step("good", "print(1)"), step("bad", "raise SystemExit(1)")]
+    monkeypatch.setattr(measure_capacity, "steps", lambda: steps)
+    arguments = ["--limit-s", "20", "--out", str(tmp_path), "--state", str(tmp_path / "state")]
+    for _ in range(2):
+        result = CliRunner().invoke(measure_capacity.main, arguments)
+        assert result.exit_code == 1 and "bad" in str(result.exception)
+    assert ran == [("good", "1\n")]
