--- a/src/martenrun/node/core.py
+++ b/src/martenrun/node/core.py
@@ -15,6 +15,7 @@
     PeerMessage,
     Send,
     SendDatagram,
+    StoreList,
     StoreRead,
     StoreWatch,
     StoreWrite,
@@ -30,6 +31,7 @@
     message_carrier,
 )
 from martenrun.settings.model import NodeSettings
+from martenrun.wire.keys import cluster_keys
 from martenrun.wire.transport import PeerTransport
 
 
@@ -49,9 +51,11 @@
         address = settings.peer_address
         self.parts = node_parts(settings, incarnation, rng)
         self.store = ObjectApi(settings.object_api)
+        keys = cluster_keys(settings.cluster_secret, settings.accepted_secrets)
+        self.key_uses = keys.uses
         self.transport = PeerTransport(
             address,
-            settings.cluster_secret.encode(),
+            keys,
             lambda peer, message: self.tell(PeerMessage(peer, message)),
         )
         self.transport.listen(address)
@@ -71,6 +75,7 @@
             SendDatagram: datagram_carrier(self.transport),
             StoreWrite: self._store_workers.carry,
             StoreRead: self._store_workers.carry,
+            StoreList: self._store_workers.carry,
             StoreWatch: self._watch_worker.carry,
         }
         self._loop = LoopActor.start(self.parts.in_order(), {**own, **carriers})
--- a/src/martenrun/ownership/machine_feed.py
+++ b/src/martenrun/ownership/machine_feed.py
@@ -1,5 +1,8 @@
 """Few nodes read the machine list; the others ask those for changes.
 
+A reader that has just started asks the other readers until it knows a list, because the
+platform may not answer it.
+
 The readers are the members of highest rendezvous weight for a fixed key, so every node knows
 them without agreement.  A state of the list is named by a digest of its content.  A node pulls
 what changed since the digest it knows, from one reader at a time, and takes the next reader
@@ -23,12 +26,18 @@
 """Nodes that poll the machine list."""
 
 PULL_INTERVAL_S = 0.75
-"""Time between two questions to a reader, in seconds; each is jittered by a tenth."""
+"""Time from a reader's answer to the next question, in seconds; jittered by a tenth."""
+
+FIRST_PULL_INTERVAL_S = 0.25
+"""The same while no list is known: readers that start know none either."""
+
+ANSWER_TIMEOUT_S = 0.375
+"""Time after which a question counts as unanswered, in seconds; jittered alike."""
 
 SILENT_PULLS = 2
 """Unanswered pulls after which another reader is asked."""
 
-CUT_OFF_PULLS = 12
+CUT_OFF_PULLS = 24
 """Unanswered pulls in a row after which a node reads the list itself."""
 
 MISMATCHES = 2
@@ -98,12 +107,18 @@
             case PeerMessage(peer, MachinesQuery(known_digest)):
                 return [Send(peer, self._changes(known_digest))]
             case PeerMessage(_, MachinesUpdate() as update):
+                if self._unanswered:
+                    interval_s = PULL_INTERVAL_S if update.digest else FIRST_PULL_INTERVAL_S
+                    self._next_pull = now + self._jittered(interval_s)
                 return self._take(update)
             case Tick() if now >= self._next_pull:
-                self._next_pull = now + PULL_INTERVAL_S * self._rng.uniform(0.9, 1.1)
+                self._next_pull = now + self._jittered(ANSWER_TIMEOUT_S)
                 return self._pull()
         return []
 
+    def _jittered(self, seconds: float) -> float:
+        return seconds * self._rng.uniform(0.9, 1.1)
+
     def _note(self, machines: list[Machine]) -> None:
         """Log what differs from the list known before, and name the new state."""
         listed = {machine.name: machine for machine in machines}
@@ -137,7 +152,10 @@
     def _pull(self) -> list[Instruction]:
         readers = self.readers()
         own = self._members.own.address
-        if not readers or own in readers:
+        if own in readers and self._known:
+            return []
+        readers = [reader for reader in readers if reader != own]
+        if not readers:
             return []
         if self._unanswered >= SILENT_PULLS:
             self._turn += 1
