--- a/src/martenrun/node/front.py
+++ b/src/martenrun/node/front.py
@@ -17,8 +17,10 @@
 from martenrun.edge.server import ConnectionLimits, HttpServer
 from martenrun.events import Finish, RunAttempt, StatusReady
 from martenrun.node.core import NodeCore
+from martenrun.node.feeds import FeedFigures
 from martenrun.observability.admission import SharingCollector
 from martenrun.observability.claims import ClaimsCollector
+from martenrun.observability.engine_feeds import EngineFeedsCollector
 from martenrun.observability.keys import KeyCollector
 from martenrun.observability.process_cost import ProcessCostCollector
 from martenrun.platform.weight_store import WeightStore
@@ -35,18 +37,25 @@
     Args:
         settings: the node's settings.
         core: the node's loop, parts and object API client.
+        feeds: returns what is known of the engines' push streams.
 
     Raises:
         OSError: the node's HTTP address cannot be listened on.
     """
 
-    def __init__(self, settings: NodeSettings, core: NodeCore) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        core: NodeCore,
+        feeds: Callable[[], Sequence[FeedFigures]],
+    ) -> None:
         self._parts = core.parts
         self._port = EdgePort(tell=core.tell)
         self._status_port = StatusPort(core.tell)
         caller = CallerApplication(
             self._port, self._parts.view, settings, self._parts.readiness_fault
         )
+        caller.add_metrics(EngineFeedsCollector(feeds))
         caller.add_metrics(KeyCollector(core.key_uses))
         caller.add_metrics(SharingCollector(self._parts.limits.counts, self._policy_statuses))
         caller.add_metrics(ClaimsCollector(self._parts.claim_retention))
