Let a restarted home ask other nodes which prefixes they granted to it

Change: ReserveSlot carries the prompt's first block (8 bytes); owners remember, of each grant, home, first block and run (at most 16,384); with its first question as a home a node asks each live node once (PrefixesQuery) and places what they answer (PrefixesServed: 8 bytes and an age a prefix). The same logic runs in the simulation, which told homes at once before.

--- a/src/martenrun/bench/routing_node.py
+++ b/src/martenrun/bench/routing_node.py
@@ -3,10 +3,12 @@
 from dataclasses import dataclass, field
 
 from martenrun.bench.routing_engine import SimulatedEngine
+from martenrun.events import PeerMessage
 from martenrun.identity.chain import BlockHashes
 from martenrun.routing.policy import RankingPolicy, RunnerState
 from martenrun.routing.prefix_aware import PrefixAwarePolicy
-from martenrun.routing.served_prefixes import ServedPrefix, ServedPrefixes
+from martenrun.routing.served_prefixes import ServedPrefixes, ServedPrefixesLogic
+from martenrun.wire.messages import PrefixesServed
 
 WEIGHTS_VERSION = "v1"
 
@@ -30,6 +32,7 @@
     zone: str
     policy: RankingPolicy
     is_live: bool = True
+    has_asked: bool = False
     started_at: float = 0.0
     runners: dict[str, RunnerState] = field(default_factory=dict)
     served: ServedPrefixes = field(default_factory=ServedPrefixes)
@@ -55,12 +58,11 @@
             if runner.pool == model and runner.is_usable and runner.name not in excluded
         ]
 
-    def take_served(self, prefixes: list[ServedPrefix]) -> None:
-        """Take in where an owner saw prefixes served."""
+    def told_served(self, message: PrefixesServed, now: float) -> None:
+        """Take in which prefixes an owner's runner served."""
         if isinstance(self.policy, PrefixAwarePolicy):
-            for prefix in prefixes:
-                first_block = prefix.key.first_block
-                self.policy.placement.settle(first_block, prefix.runner, prefix.served_at)
+            logic = ServedPrefixesLogic(self.served, self.policy.placement, list)
+            logic.handle(PeerMessage("", message), now)
 
     def take_load(self, runner_name: str, running: int, now: float) -> None:
         """Take in a runner's load."""
--- a/src/martenrun/bench/routing_simulation.py
+++ b/src/martenrun/bench/routing_simulation.py
@@ -21,15 +21,11 @@
 from martenrun.deployments.model import Deployment
 from martenrun.identity.rendezvous import ranked
 from martenrun.routing.policy import RunnerChoice
-from martenrun.routing.served_prefixes import PrefixKey, ServedPrefix
 from martenrun.simulation.scheduler import Scheduler
 from martenrun.standins.engine.model import TimeModel
-from martenrun.wire.messages import AttemptReport, DecideRequest
+from martenrun.wire.messages import AttemptReport, DecideRequest, PrefixesServed
 
 WARM_UP_S = 10.0
-TELL_SERVED_S = 0.1
-"""Time until a node that has come back hears from owners, in seconds."""
-
 _RETRY_S = 0.1
 
 
@@ -98,7 +94,7 @@
         faults, parts = deployment.faults, (self._engines, self._nodes)
         self._events = RoutingFeeds(self._scheduler, faults, seed, *parts, feeds == "all")
         self._faults = RoutingFaults(
-            self._scheduler, faults, seed, *parts, self._crash, self._make_node, self._replaced
+            self._scheduler, faults, seed, *parts, self._crash, self._make_node, self._events.replay
         )
 
     def run(self, duration_s: float) -> RoutingFigures:
@@ -148,10 +144,6 @@
         node.learn_of(list(self._engines.values()))
         return node
 
-    def _replaced(self, number: int) -> None:
-        self._events.replay(number)
-        self._scheduler.after(TELL_SERVED_S, lambda: self._tell_served(number))
-
     def _link_s(self, zone: str, other: str) -> float:
         return 0.0 if zone == other else self._deployment.between_zones_s
 
@@ -174,26 +166,14 @@
             return
         request.attempt += 1
         request.question.attempt = request.attempt
-        home = self._home_of(prefix_key(request.question))
+        question = request.question
+        key = f"{question.tenant}\0{question.model}\0".encode()
+        key += question.chain[:BLOCK_HASH_BYTES]
+        live = {node.name: node for node in self._nodes if node.is_live}
+        home = live[ranked(key, live)[0]]
         delay_s = self._client_link_s(request.plan.zone, home.zone)
         self._scheduler.after(delay_s, lambda: self._decide(request, home))
 
-    def _home_of(self, key: PrefixKey) -> SimulatedNode:
-        name = f"{key.tenant}\0{key.model}\0".encode() + key.first_block
-        live = {node.name: node for node in self._nodes if node.is_live}
-        return live[ranked(name, live)[0]]
-
-    def _tell_served(self, number: int) -> None:
-        """Let owners tell a node that has come back which prefixes it had placed where."""
-        home = self._nodes[number]
-        for owner in self._nodes:
-            if owner.is_live:
-                prefixes = owner.served.of_home(
-                    lambda key: self._home_of(key) is home,
-                    lambda name: incarnation_of(self._engines[name]),
-                )
-                home.take_served(prefixes)
-
     def _is_late(self, request: _Active) -> bool:
         if self._scheduler.now < request.plan.at + self._deployment.deadline_s:
             return False
@@ -208,6 +188,8 @@
             request.excluded.clear()
             self._scheduler.after(_RETRY_S, lambda: self._ask(request))
             return
+        if not home.has_asked:
+            self._ask_served(home)
         ranked_choices = home.policy.rank(request.question, runners, self._scheduler.now)
         choice = ranked_choices[0]
         engine = self._engines[choice.runner.name]
@@ -222,18 +204,24 @@
             self._again(attempt)
             return
         attempt.incarnation = engine.incarnation
-        served = ServedPrefix(
-            prefix_key(attempt.request.question),
-            engine.name,
-            incarnation_of(engine),
-            self._scheduler.now,
-        )
-        self._nodes[engine.owner].served.served(served)
         self._attempts[engine.name].append(attempt)
         engine.take_slot(lambda: self._slot_taken(attempt, hop_s))
         wait_s = attempt.request.plan.at + self._deployment.deadline_s - self._scheduler.now
         self._scheduler.after(max(0.0, wait_s), lambda: self._give_up(attempt))
 
+    def _ask_served(self, home: SimulatedNode) -> None:
+        """Let a home ask all nodes, with its first question, what they granted to it."""
+        home.has_asked = True
+        for owner in self._nodes:
+            if owner.is_live and owner is not home:
+                there_and_back_s = 2 * self._link_s(home.zone, owner.zone)
+                for message in owner.served.of_home(home.name, self._scheduler.now):
+                    told = functools.partial(self._take_served, home, message)
+                    self._scheduler.after(there_and_back_s, told)
+
+    def _take_served(self, home: SimulatedNode, message: PrefixesServed) -> None:
+        home.told_served(message, self._scheduler.now)
+
     def _give_up(self, attempt: _Attempt) -> None:
         """Refuse a question that still waits for its slot at its deadline."""
         if not attempt.is_running and not attempt.is_over:
@@ -247,6 +235,9 @@
         attempt.is_running = True
         attempt.waited_s = self._scheduler.now - attempt.request.plan.at
         engine, request = attempt.engine, attempt.request
+        served = self._nodes[engine.owner].served
+        run, now = incarnation_of(engine), self._scheduler.now
+        served.granted(attempt.home.name, engine.name, run, request.question.chain, now)
         load = engine.slots_used + len(engine.waiting)
         self._scheduler.after(hop_s, lambda: self._take_grant(attempt, load))
         delay_s = hop_s + self._client_link_s(attempt.home.zone, request.plan.zone)
@@ -362,8 +353,3 @@
             self._counts.restarted += 1
         request.excluded.add(attempt.engine.name)
         self._ask(request)
-
-
-def prefix_key(question: DecideRequest) -> PrefixKey:
-    """Return what decides which home a question has."""
-    return PrefixKey(question.tenant, question.model, question.chain[:BLOCK_HASH_BYTES])
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -28,6 +28,7 @@
 from martenrun.ownership.owners import OwnerMap
 from martenrun.routing.beliefs import BeliefBook
 from martenrun.routing.prefix_aware import PrefixAwarePolicy
+from martenrun.routing.served_prefixes import ServedPrefixes, ServedPrefixesLogic
 from martenrun.settings.model import NodeSettings
 from martenrun.sharing.logic import SharingLogic
 from martenrun.sharing.meter import ExchangeMeter
@@ -51,6 +52,7 @@
     sharing: SharingLogic
     limits: AdmissionLimits
     cache_events: CacheEventsLogic
+    served_prefixes: ServedPrefixesLogic
 
     def view(self) -> ConfigurationView:
         """Return the configuration in force."""
@@ -71,6 +73,7 @@
                 lambda: self.membership.own.leaving,
             ),
             self.cache_events,
+            self.served_prefixes,
             self.requests,
             self.sharing,
             self.rolls,
@@ -95,10 +98,12 @@
     meter = ExchangeMeter(exchange)
     limits = AdmissionLimits(meter.limit_share, meter)
     beliefs = BeliefBook()
+    policy = PrefixAwarePolicy(beliefs, rng)
+    served = ServedPrefixes()
     home = HomeLogic(
         owners,
         runners,
-        PrefixAwarePolicy(beliefs, rng),
+        policy,
         lambda: configuration.state.view,
         settings.zone,
         rng,
@@ -111,7 +116,7 @@
         lambda: configuration.state.view,
         limits.active,
     )
-    owner = OwnerLogic(owners, runners, granted=sharing.granted)
+    owner = OwnerLogic(owners, runners, granted=sharing.granted, served=served.granted)
     ownership = OwnershipLogic(own_address, home, owner)
     claims = ClaimsLogic(f"{own_address}/{incarnation}")
     requests = RequestsLogic(lambda: [member.address for member in members.live()], rng)
@@ -134,4 +139,9 @@
         sharing,
         limits,
         CacheEventsLogic(beliefs, runners, owners.owns),
+        ServedPrefixesLogic(
+            served,
+            policy.placement,
+            lambda: [node.address for node in members.live() if node.address != own_address],
+        ),
     )
--- a/src/martenrun/ownership/owner.py
+++ b/src/martenrun/ownership/owner.py
@@ -55,6 +55,10 @@
     return 0
 
 
+def _note_nothing(home: str, runner: str, incarnation: str, chain: bytes, now: float) -> None:
+    """Note no grant."""
+
+
 def _count_nothing(pool: str, tenant: str, tokens: float, now: float) -> None:
     """Count no usage."""
 
@@ -67,6 +71,7 @@
         table: runners by the machine list, with who is leaving.
         cached_blocks: what this node knows of its runners' caches.
         granted: is told the expected tokens of each grant, as (pool, tenant, tokens, now).
+        served: is told of each grant, as (home, runner, incarnation, chain, now).
     """
 
     def __init__(
@@ -75,11 +80,13 @@
         table: RunnerTable,
         cached_blocks: CachedBlocks = no_cached_blocks,
         granted: Callable[[str, str, float, float], None] = _count_nothing,
+        served: Callable[[str, str, str, bytes, float], None] = _note_nothing,
     ) -> None:
         self._owners = owners
         self._table = table
         self._cached_blocks = cached_blocks
         self._count = granted
+        self._served = served
         self.owned: dict[str, RunnerSlots] = {}
         self._pools: dict[str, list[RunnerSlots]] = {}
         self._leased: dict[LeaseKey, RunnerSlots] = {}
@@ -162,6 +169,7 @@
     def _grant(self, key: LeaseKey, runner: RunnerSlots, chain: bytes, now: float) -> Instruction:
         runner.grant(key, now)
         self._leased[key] = runner
+        self._served(key.home, runner.name, runner.incarnation, chain, now)
         return self._granted_message(key, runner, chain)
 
     def _granted(self, runner: str, tenant: str, tokens: float, now: float) -> None:
--- a/src/martenrun/ownership/reservations.py
+++ b/src/martenrun/ownership/reservations.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Iterable, Mapping
 
+from martenrun.constants import BLOCK_HASH_BYTES
 from martenrun.events import Instruction, Send
 from martenrun.limits.cost import expected_tokens
 from martenrun.ownership.owners import OwnerMap
@@ -22,7 +23,8 @@
 
     Args:
         rng: draws the incarnation that makes ids unique over restarts.
-        sends_chain: whether owners are sent the chain, because they know their runners' caches.
+        sends_chain: whether owners are sent the whole chain, because they know their runners'
+            caches; else its first block.
     """
 
     def __init__(self, owners: OwnerMap, rng: random.Random, sends_chain: bool) -> None:
@@ -70,7 +72,7 @@
             int((question.deadline - now) * 1000),
             may_queue,
             "" if question.accept_any_version else asked.weights_version,
-            asked.chain if self._sends_chain else b"",
+            asked.chain if self._sends_chain else asked.chain[:BLOCK_HASH_BYTES],
         )
         return Send(reservation.owner, message)
 
--- a/src/martenrun/routing/placement.py
+++ b/src/martenrun/routing/placement.py
@@ -70,7 +70,10 @@
         return placed.runner
 
     def settle(self, first_block: bytes, runner: str, served_at: float) -> None:
-        """Take in where another node saw a prefix served, unless something newer is known."""
+        """Take in where another node saw a prefix served; the latest place of all counts.
+
+        A prefix that this home has placed itself stays where it is.
+        """
         placed = self._placed.get(first_block)
         if placed is None or (not placed.blocks and placed.used_at < served_at):
             self._placed[first_block] = _Placed(runner, 0, served_at)
--- a/src/martenrun/routing/served_prefixes.py
+++ b/src/martenrun/routing/served_prefixes.py
@@ -1,63 +1,121 @@
 """What an owner remembers of prefixes that its runners served, for homes that restart.
 
 Only a prefix's home knows where it has placed it, and a home that restarts has forgotten.  The
-owner of a runner sees every reservation, so it remembers the first block of each, and tells a
-home that has come back which of its prefixes were served where.
+owner of a runner remembers the first block of each grant.  A node asks all others, with its
+first question as a home, which prefixes they have granted to it; a prefix that it has placed
+anew by then stays there.
 
 See also: :meth:`martenrun.routing.placement.Placement.settle`.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from martenrun.constants import BLOCK_HASH_BYTES
+from martenrun.events import Event, Instruction, PeerMessage, Send
+from martenrun.routing.placement import Placement
+from martenrun.wire.messages import DecideRequest, PrefixesQuery, PrefixesServed
+
 MAXIMUM_SERVED = 16_384
-"""Prefixes that an owner remembers; the one served longest ago is forgotten first."""
+"""Prefixes that an owner remembers; the one granted longest ago is forgotten first."""
+
+MAXIMUM_TOLD = 512
+"""Most prefixes told to one home of one runner; the ones granted last."""
 
-MAXIMUM_TOLD = 1_024
-"""Most prefixes told to one home at a time; the ones served last."""
+ASKING_S = 10.0
+"""Time from a node's first question in which it asks every node it learns of, in seconds."""
 
 
 @dataclass(frozen=True, slots=True)
-class PrefixKey:
-    """What decides which home a prompt has."""
+class ServedPrefix:
+    """A prefix of a home, by its first block."""
 
-    tenant: str
-    model: str
+    home: str
     first_block: bytes
 
 
 @dataclass(frozen=True, slots=True)
-class ServedPrefix:
-    """A prefix, the run that served it last, and when, in this node's time."""
+class LastGrant:
+    """The run of a runner that a prefix was granted last, and when."""
 
-    key: PrefixKey
     runner: str
     incarnation: str
-    served_at: float
+    at: float
 
 
 class ServedPrefixes:
-    """The last runner of each prefix among an owner's runners."""
+    """The last run of each prefix among an owner's runners."""
 
     def __init__(self) -> None:
-        self._served: dict[PrefixKey, ServedPrefix] = {}
-
-    def served(self, prefix: ServedPrefix) -> None:
-        """A runner has been given a prompt with this prefix."""
-        self._served.pop(prefix.key, None)
-        self._served[prefix.key] = prefix
+        self._served: dict[ServedPrefix, LastGrant] = {}
+        self._present: dict[str, str] = {}
+
+    def granted(self, home: str, runner: str, incarnation: str, chain: bytes, now: float) -> None:
+        """A home has been granted a slot for a prompt that begins with this chain."""
+        self._present[runner] = incarnation
+        if not chain:
+            return
+        prefix = ServedPrefix(home, chain[:BLOCK_HASH_BYTES])
+        self._served.pop(prefix, None)
+        self._served[prefix] = LastGrant(runner, incarnation, now)
         if len(self._served) > MAXIMUM_SERVED:
             del self._served[next(iter(self._served))]
 
-    def of_home(
-        self, is_home_of: Callable[[PrefixKey], bool], incarnation_of: Callable[[str], str]
-    ) -> list[ServedPrefix]:
-        """Return the prefixes of one home that a present run may still hold, latest first."""
-        found: list[ServedPrefix] = []
-        for prefix in reversed(self._served.values()):
-            is_present = incarnation_of(prefix.runner) == prefix.incarnation
-            if is_present and is_home_of(prefix.key):
-                found.append(prefix)
-                if len(found) == MAXIMUM_TOLD:
-                    break
-        return found
+    def of_home(self, home: str, now: float) -> list[PrefixesServed]:
+        """Return which prefixes were granted to a home and may still be held."""
+        told: dict[str, PrefixesServed] = {}
+        for prefix, grant in reversed(self._served.items()):
+            if prefix.home != home or self._present.get(grant.runner) != grant.incarnation:
+                continue
+            message = told.setdefault(grant.runner, PrefixesServed(grant.runner))
+            if len(message.ages_ms) < MAXIMUM_TOLD:
+                message.first_blocks += prefix.first_block
+                message.ages_ms.append(int((now - grant.at) * 1000))
+        return list(told.values())
+
+
+class ServedPrefixesLogic:
+    """Asks other nodes once what they granted to this one, and answers them.
+
+    Args:
+        served: what this node has granted as an owner.
+        placement: where this node has placed prefixes as a home.
+        live_nodes: returns the addresses of the other nodes that are alive.
+    """
+
+    handles = frozenset({DecideRequest, PrefixesQuery, PrefixesServed})
+
+    def __init__(
+        self,
+        served: ServedPrefixes,
+        placement: Placement,
+        live_nodes: Callable[[], Sequence[str]],
+    ) -> None:
+        self._served = served
+        self._placement = placement
+        self._live_nodes = live_nodes
+        self._asked: set[str] = set()
+        self._until: float | None = None
+
+    def handle(self, event: Event, now: float) -> list[Instruction]:
+        """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
+        match event:
+            case PeerMessage(_, DecideRequest()):
+                return self._ask(now)
+            case PeerMessage(home, PrefixesQuery()):
+                return [Send(home, message) for message in self._served.of_home(home, now)]
+            case PeerMessage(_, PrefixesServed(runner, first_blocks, ages_ms)):
+                for number, age_ms in enumerate(ages_ms):
+                    start = number * BLOCK_HASH_BYTES
+                    block = first_blocks[start : start + BLOCK_HASH_BYTES]
+                    self._placement.settle(block, runner, now - age_ms / 1000)
+        return []
+
+    def _ask(self, now: float) -> list[Instruction]:
+        if self._until is None:
+            self._until = now + ASKING_S
+        if now >= self._until:
+            return []
+        new = [node for node in self._live_nodes() if node not in self._asked]
+        self._asked.update(new)
+        return [Send(node, PrefixesQuery()) for node in new]
--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -134,6 +134,15 @@
   5: i32 free_slots
 }
 
+struct PrefixesQuery {
+}
+
+struct PrefixesServed {
+  1: string runner
+  2: binary first_blocks
+  3: list<i32> ages_ms
+}
+
 struct SlotsQueued {
   1: list<i64> reservation_ids
   2: list<i32> expected_waits_ms
--- a/src/martenrun/wire/messages/__init__.py
+++ b/src/martenrun/wire/messages/__init__.py
@@ -38,6 +38,8 @@
 from martenrun.wire.messages.slots import (
     LeaseRenewal,
     LeasesVoided,
+    PrefixesQuery,
+    PrefixesServed,
     ReleaseSlots,
     RenewLeases,
     ReserveSlot,
@@ -68,6 +70,8 @@
     "MemberList",
     "Message",
     "NodeStatus",
+    "PrefixesQuery",
+    "PrefixesServed",
     "Probe",
     "ProbeAnswer",
     "ProbeRequest",
@@ -106,6 +110,8 @@
     | UsageTotals
     | ReserveSlot
     | SlotGranted
+    | PrefixesQuery
+    | PrefixesServed
     | SlotsQueued
     | SlotRefused
     | ReleaseSlots
--- a/src/martenrun/wire/messages/slots.py
+++ b/src/martenrun/wire/messages/slots.py
@@ -37,6 +37,23 @@
     free_slots: int = 0
 
 
+@dataclass(slots=True)
+class PrefixesQuery:
+    """Home to owner, once after its start: which prefixes did you grant to me?"""
+
+
+@dataclass(slots=True)
+class PrefixesServed:
+    """Owner to home: first blocks of prompts that a runner served for it.
+
+    Eight bytes each; ``ages_ms`` is the time since each one's last grant.
+    """
+
+    runner: str = ""
+    first_blocks: bytes = b""
+    ages_ms: list[int] = field(default_factory=list)
+
+
 @dataclass(slots=True)
 class SlotsQueued:
     """Owner to home: these reservations wait; repeated while they do."""
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -3,10 +3,13 @@
 import random
 
 import numpy
+import pytest
 
+from martenrun.events import PeerMessage, Send
 from martenrun.routing import served_prefixes
 from martenrun.routing.placement import UNUSED_S, Placement
-from martenrun.routing.served_prefixes import PrefixKey, ServedPrefix, ServedPrefixes
+from martenrun.routing.served_prefixes import ServedPrefixes, ServedPrefixesLogic
+from martenrun.wire.messages import DecideRequest, PrefixesQuery, PrefixesServed
 
 NAMES = [f"r{number}" for number in range(6)]
 
@@ -54,41 +57,67 @@
     assert place(placement, chain) == second
 
 
-def test_a_home_that_has_forgotten_takes_in_what_owners_tell_unless_it_knows_better():
+@pytest.fixture
+def served():
+    return ServedPrefixes()
+
+
+def test_a_home_that_has_restarted_places_prefixes_where_owners_saw_them(served):
     rng, placement = random.Random(6), Placement()
     told, known = make_chain(rng, 9), make_chain(rng, 9)
     first = place(placement, known)
     other = next(name for name in NAMES if name != first)
-    for chain, served_at in ((told, 1.0), (known, 2.0)):
-        placement.settle(chain[:8], other, served_at)
-    placement.settle(told[:8], "r0", 0.5)
+    for chain in (told, known):
+        served.granted("home", other, "1", chain, 1.0)
+    logic = ServedPrefixesLogic(ServedPrefixes(), placement, list)
+    for message in served.of_home("home", 4.0):
+        logic.handle(PeerMessage("owner", message), 0.0)
     assert (place(placement, told), place(placement, known)) == (other, first)
 
 
-def make_served(number, runner="r1", incarnation="1", tenant="a"):
-    key = PrefixKey(tenant, "m", number.to_bytes(8, "little"))
-    return ServedPrefix(key, runner, incarnation, float(number))
-
-
-def test_an_owner_tells_a_home_its_prefixes_that_present_runs_served_last():
-    served = ServedPrefixes()
-    served.served(make_served(1, "r1"))
-    served.served(make_served(2, "r2", incarnation="old"))
-    served.served(make_served(3, tenant="b"))
-    served.served(make_served(4))
-    served.served(make_served(1, "r3"))
-    found = served.of_home(lambda key: key.tenant == "a", lambda runner: "1")
-    assert found == [make_served(1, "r3"), make_served(4)]
-
-
-def test_an_owner_remembers_and_tells_a_bounded_number(monkeypatch):
+def test_an_owner_tells_only_what_the_home_was_granted_by_present_runs(served):
+    for home, runner, incarnation, chain in [
+        ("home", "r1", "old", b"a" * 80),
+        ("home", "r2", "1", b"b" * 80),
+        ("other", "r2", "1", b"c" * 80),
+        ("home", "r1", "new", b"d" * 80),
+        ("home", "r3", "1", b"d" * 80),
+        ("home", "r3", "1", b""),
+    ]:
+        served.granted(home, runner, incarnation, chain, 1.0)
+    answers = [PrefixesServed("r3", b"d" * 8, [3000]), PrefixesServed("r2", b"b" * 8, [3000])]
+    assert served.of_home("home", 4.0) == answers
+    logic = ServedPrefixesLogic(served, Placement(), list)
+    asked = logic.handle(PeerMessage("home", PrefixesQuery()), 4.0)
+    assert asked == [Send("home", answer) for answer in answers]
+
+
+def test_an_owner_remembers_and_tells_a_bounded_number(served, monkeypatch):
     monkeypatch.setattr(served_prefixes, "MAXIMUM_SERVED", 3)
     monkeypatch.setattr(served_prefixes, "MAXIMUM_TOLD", 2)
-    served = ServedPrefixes()
     for number in range(5):
-        served.served(make_served(number))
-    found = served.of_home(lambda key: True, lambda runner: "1")
-    assert found == [make_served(4), make_served(3)]
+        served.granted("home", "r1", "1", bytes([number]) * 8, float(number))
+    assert served.of_home("home", 4.0) == [
+        PrefixesServed("r1", bytes([4]) * 8 + bytes([3]) * 8, [0, 1000])
+    ]
+
+
+def test_the_latest_place_that_owners_tell_counts():
+    placement, chain = Placement(), make_chain(random.Random(7), 9)
+    for runner, served_at in [("r1", 1.0), ("r2", 2.0), ("r3", 0.5)]:
+        placement.settle(chain[:8], runner, served_at)
+    assert place(placement, chain) == "r2"
+
+
+def test_a_home_asks_each_node_once_after_its_first_question(served):
+    live = ["n1"]
+    logic = ServedPrefixesLogic(served, Placement(), lambda: live)
+    question = PeerMessage("agent", DecideRequest("q"))
+    assert logic.handle(question, 0.0) == [Send("n1", PrefixesQuery())]
+    live.append("n2")
+    assert logic.handle(question, 1.0) == [Send("n2", PrefixesQuery())]
+    live.append("n3")
+    assert logic.handle(question, 1.0 + served_prefixes.ASKING_S) == []
 
 
 def test_unused_prefixes_and_forgotten_ones_no_longer_count():
