--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -8,8 +8,10 @@
 
 from martenrun.agent.requests import RequestsLogic
 from martenrun.claims.logic import ClaimsLogic
+from martenrun.claims.retention import ClaimRetentionLogic, retention_of
 from martenrun.configuration.objects import DrainRole
 from martenrun.configuration.view import ConfigurationView
+from martenrun.errors import NotReadyError
 from martenrun.events import DecisionLogic
 from martenrun.limits.admission import AdmissionLimits
 from martenrun.membership.gossip import GossipMembership
@@ -17,7 +19,7 @@
 from martenrun.node.cache_events import CacheEventsLogic
 from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.node.drain import NodeDrainLogic
-from martenrun.node.late_questions import LateQuestions
+from martenrun.node.question_gate import QuestionGate, readiness_fault
 from martenrun.node.runners import RunnerTable
 from martenrun.node.status import StatusLogic
 from martenrun.orders.rolls import RollsLogic
@@ -47,6 +49,7 @@
     machine_feed: MachineFeed
     ownership: OwnershipLogic
     claims: ClaimsLogic
+    claim_retention: ClaimRetentionLogic
     requests: RequestsLogic
     rolls: RollsLogic
     sharing: SharingLogic
@@ -58,6 +61,10 @@
         """Return the configuration in force."""
         return self.configuration.state.view
 
+    def readiness_fault(self) -> NotReadyError | None:
+        """Return why this node can not judge questions yet, or None if it can."""
+        return readiness_fault(self.view().revision, self.runners.is_listed)
+
     def in_order(self) -> list[DecisionLogic]:
         """Return the parts in the order in which they handle an event."""
         return [
@@ -67,11 +74,13 @@
             self.drain,
             self.runners,
             self.machine_feed,
-            LateQuestions(
+            QuestionGate(
                 [self.claims, self.ownership],
                 self.membership.own.address,
                 lambda: self.membership.own.leaving,
+                self.readiness_fault,
             ),
+            self.claim_retention,
             self.cache_events,
             self.served_prefixes,
             self.requests,
@@ -119,6 +128,11 @@
     owner = OwnerLogic(owners, runners, granted=sharing.granted, served=served.granted)
     ownership = OwnershipLogic(own_address, home, owner)
     claims = ClaimsLogic(f"{own_address}/{incarnation}")
+    claim_retention = ClaimRetentionLogic(
+        f"{own_address}/{incarnation}",
+        lambda: configuration.watching.holds_lease,
+        lambda: retention_of(configuration.state.view),
+    )
     requests = RequestsLogic(lambda: [member.address for member in members.live()], rng)
     feed = MachineFeed(members, rng)
     status = StatusLogic(configuration, members)
@@ -134,6 +148,7 @@
         feed,
         ownership,
         claims,
+        claim_retention,
         requests,
         rolls,
         sharing,
--- a/src/martenrun/settings/model.py
+++ b/src/martenrun/settings/model.py
@@ -61,6 +61,13 @@
     max_streams: Annotated[
         int, Meta(ge=1, le=1_000, description="requests carried at a time; more are refused")
     ] = 100
+    max_connections: Annotated[
+        Annotated[int, Meta(ge=1, le=20_000)] | None,
+        Meta(description="connections held; more are refused"),
+    ] = None
+    receive_timeout_s: Annotated[
+        float, Meta(ge=0.2, le=600.0, description="seconds to receive a caller's request")
+    ] = 30.0
     token_gap_timeout_s: Annotated[
         float, Meta(ge=0.2, le=600.0, description="longest silence between tokens, in seconds")
     ] = 5.0
--- a/src/martenrun/wire/messages/__init__.py
+++ b/src/martenrun/wire/messages/__init__.py
@@ -20,8 +20,11 @@
 from martenrun.wire.messages.machines import MachineEntry, MachinesQuery, MachinesUpdate
 from martenrun.wire.messages.membership import (
     MemberClaim,
+    MemberDigests,
     MemberGossip,
     MemberList,
+    MemberStates,
+    MemberUpdate,
     Probe,
     ProbeAnswer,
     ProbeRequest,
@@ -66,8 +69,11 @@
     "MachinesQuery",
     "MachinesUpdate",
     "MemberClaim",
+    "MemberDigests",
     "MemberGossip",
     "MemberList",
+    "MemberStates",
+    "MemberUpdate",
     "Message",
     "NodeStatus",
     "PrefixesQuery",
@@ -105,6 +111,9 @@
     | ProbeRequest
     | MemberGossip
     | MemberList
+    | MemberDigests
+    | MemberStates
+    | MemberUpdate
     | ClaimReport
     | UsageDigest
     | UsageTotals
--- a/tests/test_proof_simulation.py
+++ b/tests/test_proof_simulation.py
@@ -30,18 +30,6 @@
 from martenrun.routing.policy import RunnerChoice
 from martenrun.wire.messages import ConfigurationUpdate
 
-HELD = {
-    "cache_use",
-    "streams",
-    "own_answer",
-    "not_run",
-    "at_most_once",
-    "leaving",
-    "planned_stop",
-    "configuration",
-}
-"""Promises whose mechanisms have landed."""
-
 
 def fault(kind, at_s, duration_s=1.0, target=0):
     return Fault(kind, at_s, duration_s, target)
@@ -63,7 +51,12 @@
 )
 LEAVING = schedule(fault(FaultKind.ENGINE_LEAVES, 1.0), load_s=9.0, requests_per_s=8.0)
 BUSY_LEAVING = schedule(
-    fault(FaultKind.ENGINE_LEAVES, 1.0), engines=1, load_s=9.5, requests_per_s=40.0, copy_share=0.0
+    fault(FaultKind.ENGINE_LEAVES, 1.0),
+    seed=8,
+    engines=1,
+    load_s=9.5,
+    requests_per_s=40.0,
+    copy_share=0.0,
 )
 RESTART_WITHOUT_STORE = schedule(
     fault(FaultKind.STORE_DOWN, 0.5, 9.0), fault(FaultKind.KILL_NODE, 2.0, 0.3)
@@ -94,16 +87,13 @@
     copy_share=0.0,
 )
 RUNNERS_RESTARTED = schedule(
-    fault(FaultKind.CRASH_ENGINE, 6.045461688387382, 1.5, 439),
-    fault(FaultKind.CUT_FROM_STORE, 7.0272112079488345, 0.3, 203),
-    fault(FaultKind.CRASH_ENGINE, 8.075864616302024, 1.5, 620),
-    fault(FaultKind.LOSE_CACHE_EVENTS, 1.07925373205835, 8.0, 983),
-    seed=165,
-    nodes=13,
-    agents=7,
-    engines=6,
-    load_s=11.732786238374247,
-    requests_per_s=24.0,
+    *(fault(FaultKind.CRASH_ENGINE, 1.0 + 0.35 * index, 0.3, index) for index in range(18)),
+    seed=1,
+    nodes=4,
+    agents=2,
+    engines=4,
+    requests_per_s=60.0,
+    copy_share=0.0,
 )
 NODES_RESTARTED = schedule(
     fault(FaultKind.RESTART_ALL_NODES, 2.8842861076872714, 5.0, 547),
@@ -269,7 +259,7 @@
     identify = BeliefBook.identify
 
     def identify_once(self, runner, incarnation, weights_version):
-        if runner not in self._identities:
+        if runner not in self._runs:
             identify(self, runner, incarnation, weights_version)
 
     monkeypatch.setattr(BeliefBook, "identify", identify_once)
@@ -336,8 +326,7 @@
 @settings(derandomize=True, deadline=None, max_examples=12)
 @given(SCHEDULES)
 def test_no_promise_is_broken_whatever_fails(run):
-    violations = run_schedule(run).violations
-    assert [violation for violation in violations if violation.promise in HELD] == []
+    assert run_schedule(run).violations == []
 
 
 def test_restarted_nodes_refuse_nothing_while_an_engine_answers():
