Decide about kept-cache stores and measure them in the routing benchmark

Change: martenrun.kvcache, pure logic. Homes count uses and want the export of what prompts of a prefix share; the owner of the runner orders it once, one at a time, within the pool's rate. A request says what the store keeps of its prefix and from how many missing blocks on an import pays by learned transfer and prefill costs; the runner sees what it misses. Waits are bounded; a store that fails or is late three times is left alone for 1 to 30 s. Hashes cover tenant and weights version, so nothing else can match. New cause of late requests: imported. Not done yet: nodes and agents do not use the package.

--- a/scripts/measure_routing.py
+++ b/scripts/measure_routing.py
@@ -10,13 +10,13 @@
 import click
 import msgspec
 
-from martenrun.bench.routing import DEPLOYMENTS, DURATION_S, run_benchmark
+from martenrun.bench.routing import DEPLOYMENTS, DURATION_S, STORES, run_benchmark
 from martenrun.bench.routing_figures import RoutingFigures
 from martenrun.bench.routing_policies import POLICY_NAMES
 
 WORKERS = 2
 
-Job = tuple[str, str, int, float, str, float]
+Job = tuple[str, str, int, float, str, float, str]
 
 
 def run(job: Job) -> RoutingFigures:
@@ -32,13 +32,14 @@
 def show(results: list[RoutingFigures]) -> None:
     """Print the means of one deployment, policy and load."""
     first = results[0]
-    names = ("hit_rate", "wasted", "ttft_p50_s", "ttft_p95_s", "ttft_p99_s", "refused")
+    names = ("hit_rate", "imported", "wasted", "ttft_p50_s", "ttft_p95_s", "ttft_p99_s", "refused")
     means = " ".join(f"{name} {mean(results, name):.4f}" for name in names)
     causes: collections.Counter[str] = collections.Counter()
     for figures in results:
         causes.update(figures.late)
     late = " ".join(f"{cause} {count}" for cause, count in causes.most_common())
     title = f"{first.deployment} {first.policy} load {first.load} feeds {first.feeds}"
+    title += f" store {first.store}"
     click.echo(f"{title} runs {len(results)}: {means}\n    late {causes.total()}: {late}")
 
 
@@ -48,6 +49,7 @@
 @click.option("--seeds", default="1-10", show_default=True, help="First and last seed.")
 @click.option("--load", "loads", multiple=True, type=float, default=(1.0,))
 @click.option("--feeds", default="owner", show_default=True)
+@click.option("--store", type=click.Choice(STORES), default="off", show_default=True)
 @click.option("--duration-s", default=DURATION_S, show_default=True)
 @click.option("--out", type=click.Path(path_type=Path), help="File for one JSON line a run.")
 def main(
@@ -56,13 +58,14 @@
     seeds: str,
     loads: tuple[float, ...],
     feeds: str,
+    store: str,
     duration_s: float,
     out: Path | None,
 ) -> None:
     """Measure policies over seeds."""
     first, _, last = seeds.partition("-")
     jobs: list[Job] = [
-        (deployment, policy, seed, load, feeds, duration_s)
+        (deployment, policy, seed, load, feeds, duration_s, store)
         for deployment in deployments
         for policy in policies
         for load in loads
--- a/src/martenrun/bench/routing.py
+++ b/src/martenrun/bench/routing.py
@@ -10,13 +10,20 @@
 
 DEPLOYMENTS = ("angurlekha", "souk-fellah")
 DURATION_S = 60.0
+STORES = ("off", "on", "faulty")
 
 
 def run_benchmark(
-    deployment: str, policy: str, seed: int, load: float, feeds: str, duration_s: float
+    deployment: str,
+    policy: str,
+    seed: int,
+    load: float,
+    feeds: str,
+    duration_s: float,
+    store: str = "off",
 ) -> RoutingFigures:
     """Run one policy over one deployment."""
-    simulation = RoutingSimulation(load_deployment(deployment), policy, seed, load, feeds)
+    simulation = RoutingSimulation(load_deployment(deployment), policy, seed, load, feeds, store)
     return simulation.run(duration_s)
 
 
@@ -26,6 +33,7 @@
 @click.option("--seed", default=1, show_default=True)
 @click.option("--load", default=1.0, show_default=True, help="Factor on the request rates.")
 @click.option("--feeds", type=click.Choice(["owner", "all"]), default="owner", show_default=True)
+@click.option("--store", type=click.Choice(STORES), default="off", show_default=True)
 @click.option("--duration-s", default=DURATION_S, show_default=True, help="Virtual seconds.")
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON line.")
 def routing_command(
@@ -34,11 +42,12 @@
     seed: int,
     load: float,
     feeds: str,
+    store: str,
     duration_s: float,
     as_json: bool,
 ) -> None:
     """Measure a routing policy; same seed, same line."""
-    figures = run_benchmark(deployment, policy, seed, load, feeds, duration_s)
+    figures = run_benchmark(deployment, policy, seed, load, feeds, duration_s, store)
     if as_json:
         click.echo(msgspec.json.encode(figures).decode())
     else:
--- a/src/martenrun/bench/routing_causes.py
+++ b/src/martenrun/bench/routing_causes.py
@@ -34,6 +34,8 @@
     """Nobody held the prefix; its last holder had evicted it."""
     CRASHED = "crashed"
     """Nobody held the prefix; its last holder had crashed."""
+    IMPORTED = "imported"
+    """Much of the prefix came from a store, and that took its time."""
     FIRST_USE = "first_use"
     """The prefix had never been computed, or the request is long without one."""
 
@@ -46,6 +48,7 @@
         attempts: how often it was sent.
         waited_share: share of its time that it waited for a slot.
         cached: leading blocks its engine held when it started.
+        imported: blocks that came from a store.
         best: most leading blocks that any live runner of the pool held then.
         best_believed: most leading blocks its home believed of a runner that held ``best``.
         home_forgot: whether its home node has restarted a short time ago.
@@ -55,6 +58,7 @@
     attempts: int
     waited_share: float
     cached: int
+    imported: int
     best: int
     best_believed: int
     home_forgot: bool
@@ -93,6 +97,8 @@
             if late.best_believed > late.cached:
                 return LateCause.HOLDER_PASSED_OVER
             return LateCause.HOME_FORGOT if late.home_forgot else LateCause.NOT_BELIEVED
+        if late.imported >= MISSING_BLOCKS:
+            return LateCause.IMPORTED
         missing = [block for block in late.hashes[late.best :] if block in self._lost]
         if len(missing) >= MISSING_BLOCKS:
             return self._lost[missing[0]]
--- a/src/martenrun/bench/routing_figures.py
+++ b/src/martenrun/bench/routing_figures.py
@@ -15,6 +15,9 @@
         hit_rate: cached tokens over prompt tokens.
         wasted: tokens computed although another live runner had them, over prompt tokens.
         restarted: attempts begun again because an engine crashed or was gone.
+        store: ``off``, ``on`` or ``faulty``.
+        imported: prompt tokens fetched from a store, over prompt tokens; part of the hit rate.
+        exported_blocks: blocks that the stores took in, the warm-up included.
         late: requests whose first token took over 0.1 s, by cause.
     """
 
@@ -32,6 +35,9 @@
     refused: int
     restarted: int
     late: dict[str, int]
+    store: str
+    imported: float
+    exported_blocks: int
 
 
 @dataclass(slots=True)
@@ -43,6 +49,7 @@
     prompt_blocks: float = 0.0
     cached_blocks: int = 0
     wasted_blocks: int = 0
+    imported_blocks: int = 0
     refused: int = 0
     restarted: int = 0
     first_token_s: list[float] = field(default_factory=list)
@@ -55,6 +62,11 @@
             self.cached_blocks += cached
             self.wasted_blocks += max(0, best - cached)
 
+    def count_import(self, arrived_at: float, blocks: int) -> None:
+        """Count blocks that a request fetched from a store."""
+        if arrived_at >= self.warm_up_s:
+            self.imported_blocks += blocks
+
     def count_first_token(self, arrived_at: float, first_token_s: float) -> None:
         """Count the time to one request's first token."""
         if arrived_at >= self.warm_up_s:
--- a/src/martenrun/bench/routing_node.py
+++ b/src/martenrun/bench/routing_node.py
@@ -24,7 +24,7 @@
     gap: bool
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class SimulatedNode:
     """One node; a restart makes a new one under the same name."""
 
--- a/src/martenrun/bench/routing_simulation.py
+++ b/src/martenrun/bench/routing_simulation.py
@@ -16,10 +16,12 @@
 from martenrun.bench.routing_figures import RoutingCounts, RoutingFigures
 from martenrun.bench.routing_node import SimulatedNode, incarnation_of
 from martenrun.bench.routing_policies import make_policy
+from martenrun.bench.routing_store import SimulatedStore, StoreTraffic
 from martenrun.bench.routing_workload import TOKENS_PER_BLOCK, PlannedRequest, Workload
 from martenrun.constants import BLOCK_HASH_BYTES, DEFAULT_BLOCK_BYTES
 from martenrun.deployments.model import Deployment
 from martenrun.identity.rendezvous import ranked
+from martenrun.kvcache.imports import ImportPlan
 from martenrun.routing.policy import RunnerChoice
 from martenrun.simulation.scheduler import Scheduler
 from martenrun.standins.engine.model import TimeModel
@@ -51,9 +53,11 @@
     engine: SimulatedEngine
     incarnation: int
     ranked: list[RunnerChoice]
+    import_plan: ImportPlan | None = None
     is_running: bool = False
     is_over: bool = False
     cached_blocks: int = 0
+    imported_blocks: int = 0
     best_blocks: int = 0
     best_believed: int = 0
     waited_s: float = 0.0
@@ -65,6 +69,7 @@
 
     Args:
         load: factor on the deployment's request rates.
+        store: ``off``, ``on`` or ``faulty``: whether pools use their kept-cache stores.
         feeds: ``owner`` if only a runner's owner reads its cache events, ``all`` if all nodes do.
     """
 
@@ -75,12 +80,14 @@
         seed: int,
         load: float = 1.0,
         feeds: str = "owner",
+        store: str = "off",
     ) -> None:
         self._deployment = deployment
         self._policy = policy
         self._seed = seed
         self._load = load
         self._feeds = feeds
+        self._store = store
         self._scheduler = Scheduler()
         self._counts = RoutingCounts(WARM_UP_S)
         self._engines: dict[str, SimulatedEngine] = {}
@@ -91,6 +98,9 @@
             self._make_node(f"node-{number}", zones[number % len(zones)])
             for number in range(deployment.nodes)
         ]
+        self._stores = StoreTraffic(
+            self._scheduler, self._make_stores(), self._engines, self._nodes
+        )
         faults, parts = deployment.faults, (self._engines, self._nodes)
         self._events = RoutingFeeds(self._scheduler, faults, seed, *parts, feeds == "all")
         self._faults = RoutingFaults(
@@ -123,6 +133,9 @@
             counts.refused,
             counts.restarted,
             counts.causes.counts,
+            self._store,
+            round(counts.imported_blocks / counts.prompt_blocks, 4),
+            self._stores.exported_blocks,
         )
 
     def _make_engines(self) -> None:
@@ -137,6 +150,16 @@
                 self._engines[name] = engine
                 self._attempts[name] = []
 
+    def _make_stores(self) -> dict[str, SimulatedStore]:
+        if self._store == "off":
+            return {}
+        faulty = self._store == "faulty"
+        return {
+            pool.model: SimulatedStore(pool.store, self._scheduler, self._seed, faulty)
+            for pool in self._deployment.pools
+            if pool.store is not None
+        }
+
     def _make_node(self, name: str, zone: str) -> SimulatedNode:
         rng = random.Random(f"{name} {self._seed} {self._scheduler.now}")
         policy = make_policy(self._policy, self._engines, rng)
@@ -247,12 +270,31 @@
     def _take_grant(self, attempt: _Attempt, load: int) -> None:
         home, question = attempt.home, attempt.request.question
         attempt.choice.runner.in_flight += 1
+        attempt.import_plan = self._stores.plan(home, question, attempt.choice)
         home.take_load(attempt.engine.name, load, self._scheduler.now)
         home.policy.granted(question, attempt.choice, self._scheduler.now)
 
     # At the engine.
 
     def _start(self, attempt: _Attempt) -> None:
+        """Let the prompt arrive at its engine, which imports first if it is told to."""
+        plan = attempt.import_plan
+        if attempt.is_over or plan is None:
+            self._prefill(attempt)
+            return
+        hashes = attempt.request.plan.hashes
+        held = attempt.engine.cache.leading(hashes)
+
+        def imported() -> None:
+            if not attempt.is_over:
+                blocks = max(0, attempt.engine.cache.leading(hashes) - held)
+                attempt.imported_blocks = blocks
+                self._counts.count_import(attempt.request.plan.at, blocks)
+            self._prefill(attempt)
+
+        self._stores.fetch(attempt.home, attempt.engine, plan, imported)
+
+    def _prefill(self, attempt: _Attempt) -> None:
         if attempt.is_over:
             return
         engine, plan = attempt.engine, attempt.request.plan
@@ -304,6 +346,7 @@
                 request.attempt,
                 attempt.waited_s / waited_s,
                 attempt.cached_blocks,
+                attempt.imported_blocks,
                 attempt.best_blocks,
                 attempt.best_believed,
                 0.0 < attempt.home.started_at > self._scheduler.now - FORGOTTEN_S,
@@ -317,6 +360,7 @@
         attempt.engine.running -= 1
         attempt.engine.free_slot()
         self._report(attempt, "complete")
+        self._stores.used(attempt.home, attempt.request.question, attempt.engine)
 
     def _report(self, attempt: _Attempt, outcome: str) -> None:
         attempt.is_over = True
--- a/src/martenrun/deployments/model.py
+++ b/src/martenrun/deployments/model.py
@@ -30,6 +30,29 @@
     output_tokens: int = Field(gt=0)
 
 
+class StoreShape(_Strict):
+    """A pool's kept-cache store.
+
+    Attributes:
+        capacity_blocks: blocks that it keeps; the least recently used go first.
+        set_up_s: time of a transfer of no blocks.
+        block_bytes: size of one cached block.
+        link_bytes_per_s: rate of its link, which all transfers share.
+        export_bytes_per_s: most that is exported.
+        fault_every_s: mean time between two faults.
+        fault_s: time that it is down, or ten times slower, in a fault.
+    """
+
+    name: str
+    capacity_blocks: int = Field(gt=0)
+    set_up_s: float = Field(gt=0)
+    block_bytes: int = Field(gt=0)
+    link_bytes_per_s: float = Field(gt=0)
+    export_bytes_per_s: float = Field(gt=0)
+    fault_every_s: float = Field(gt=0)
+    fault_s: float = Field(gt=0)
+
+
 class PoolShape(_Strict):
     """Runners of one model and the load on them."""
 
@@ -39,6 +62,7 @@
     cache_blocks: int = Field(gt=0)
     requests_per_s: float = Field(gt=0)
     prompt: PromptShape
+    store: StoreShape | None = None
 
 
 class Faults(_Strict):
--- a/src/martenrun/routing/prefix_aware.py
+++ b/src/martenrun/routing/prefix_aware.py
@@ -182,6 +182,10 @@
         elif report.outcome == AttemptOutcome.COMPLETE and report.prompt_tokens > 0:
             self._learn(work, report, now)
 
+    def block_prefill_s(self, model: str, runner: RunnerState, now: float) -> float:
+        """Return the expected time to compute one block at a runner, in seconds."""
+        return self._model(model).prefill_s(1.0, load_of(runner, now))
+
     def withdrawn(self, request_id: str, attempt: int) -> None:
         """See :meth:`martenrun.routing.policy.RoutingPolicy.withdrawn`."""
         self._granted.pop((request_id, attempt), None)
--- a/tests/test_bench_routing.py
+++ b/tests/test_bench_routing.py
@@ -22,6 +22,16 @@
     assert 0.0 <= figures.wasted <= 1.0 - figures.hit_rate
 
 
+def test_a_store_saves_computation_and_a_faulty_one_does_no_harm():
+    run = ("angurlekha", "prefix_aware", 3, 1.0, "owner", 25.0)
+    off, on, faulty = (run_benchmark(*run, store) for store in ("off", "on", "faulty"))
+    assert off.imported == off.exported_blocks == 0
+    assert on.imported > 0
+    assert on.hit_rate > off.hit_rate
+    assert faulty.hit_rate > off.hit_rate - 0.01
+    assert faulty.refused == 0
+
+
 def test_another_seed_gives_other_figures():
     assert run_short("angurlekha", "oracle", 3) != run_short("angurlekha", "oracle", 4)
 
@@ -34,9 +44,11 @@
     assert len(deployment.popularity.tenant_shares) == 8
 
 
-def late(cached, best, best_believed, home_forgot=False, attempts=1, waited_share=0.0):
+def late(cached, best, best_believed, home_forgot=False, attempts=1, waited_share=0.0, imported=0):
     hashes = list(range(20))
-    return LateRequest(hashes, attempts, waited_share, cached, best, best_believed, home_forgot)
+    return LateRequest(
+        hashes, attempts, waited_share, cached, imported, best, best_believed, home_forgot
+    )
 
 
 @pytest.mark.parametrize(
@@ -48,6 +60,7 @@
         (late(0, 10, 0, home_forgot=True), LateCause.HOME_FORGOT),
         (late(0, 10, 0), LateCause.NOT_BELIEVED),
         (late(0, 0, 0), LateCause.EVICTED),
+        (late(0, 0, 0, imported=9), LateCause.IMPORTED),
         (late(5, 5, 5), LateCause.CRASHED),
         (late(15, 15, 15), LateCause.FIRST_USE),
     ],
