Export prefixes to kept-cache stores and import them, between real processes

Change: a pool's object may have kept_cache (name, block size, export rate, least blocks and uses, longest wait). A home adds to each grant how many leading blocks the store keeps and from how many missing ones on an import pays; the agent passes it on as the header X-KV-Import; the engine fetches what it misses, for a bounded time, and reports it in usage; the report teaches the home. A home asks the owner for an export (ExportPrefix), the owner orders it from the engine within its share of the rate and tells the home what is kept (PrefixExported). Ruled out: a separate import order before each request: a round trip even when nothing is missing, and only the engine knows what is.

--- a/src/martenrun/agent/requests.py
+++ b/src/martenrun/agent/requests.py
@@ -329,6 +329,9 @@
             result.cached_tokens,
             result.output_tokens,
             request.first_token_s,
+            result.import_held_blocks,
+            result.imported_blocks,
+            result.import_ms,
         )
         return [Send(request.nodes[0], report)]
 
--- a/src/martenrun/bench/routing_store.py
+++ b/src/martenrun/bench/routing_store.py
@@ -211,7 +211,8 @@
             runners = [each for each in self._engines.values() if each.pool is engine.pool]
             share = sum(each.owner == engine.owner for each in runners) / len(runners)
             limits = limits_of(self._stores[engine.pool.model].shape)
-            queue = self._owners[key] = ExportQueue(limits, share)
+            queue = self._owners[key] = ExportQueue()
+            queue.limit(limits, share)
         return queue
 
     def _tick(self) -> None:
--- a/src/martenrun/configuration/objects.py
+++ b/src/martenrun/configuration/objects.py
@@ -9,6 +9,7 @@
 
 from martenrun.constants import DEFAULT_BLOCK_BYTES
 from martenrun.errors import InvalidObjectError
+from martenrun.kvcache.limits import StoreLimits
 from martenrun.schema import faults_of
 
 _NAME_PATTERN = r"^[a-z0-9][a-z0-9.-]{0,62}\Z"
@@ -94,7 +95,8 @@
     """Runners that serve one model with one weights version.
 
     A roll of new weights leaves at least ``floor`` of the runners serving.  Each runner also
-    gets the ``adapters`` and, if it is given, the ``role``.
+    gets the ``adapters`` and, if it is given, the ``role``.  A pool with ``kept_cache`` exports
+    cached prefixes to its engines' store and imports them.
     """
 
     model: Annotated[str, Meta(min_length=1)]
@@ -104,6 +106,7 @@
     floor: Annotated[int, Meta(ge=0)] = 0
     adapters: list[Name] = []
     role: RunnerRole | None = None
+    kept_cache: StoreLimits | None = None
 
 
 class Policy(ConfigurationDocument, frozen=True, kw_only=True):
--- a/src/martenrun/edge/forward.py
+++ b/src/martenrun/edge/forward.py
@@ -24,7 +24,9 @@
 from martenrun.observability.requests import RequestObservation
 from martenrun.platform.attempt import EngineAttempt
 from martenrun.platform.engine import AttemptOutcome, EngineConnections, EngineRequest
+from martenrun.platform.kv_transfers import ImportOffer
 from martenrun.platform.stream_progress import StreamProgress
+from martenrun.wire.messages import Grant
 
 MINIMUM_WAIT_S = 0.05
 """Shortest time an engine is given for its first token, in seconds."""
@@ -204,9 +206,17 @@
             silence_s,
             self._token_gap_timeout_s,
             grant.weights_version,
+            _import_header(grant),
         )
 
 
+def _import_header(grant: Grant) -> str:
+    if not grant.import_blocks:
+        return ""
+    wait_ms = grant.import_wait_ms
+    return ImportOffer(grant.import_blocks, grant.import_least_blocks, wait_ms).header()
+
+
 class CallerLeft(Exception):  # noqa: N818 - it is not an error
     """The caller closed its connection before its request was over."""
 
--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -15,6 +15,7 @@
 from martenrun.platform.cache_events import CacheEvents
 from martenrun.platform.engine import AttemptResult, RunnerDescription
 from martenrun.platform.engine_orders import EngineOrder, OrderOutcome
+from martenrun.platform.kv_transfers import BlockTransfer
 from martenrun.platform.machine_list import Machine
 from martenrun.wire.messages import (
     ConfigurationObject,
@@ -145,6 +146,15 @@
     outcome: OrderOutcome
 
 
+@dataclass(frozen=True, slots=True)
+class ExportEnded:
+    """An export has ended; ``blocks`` leading ones are kept, none if it failed."""
+
+    runner: str
+    transfer: BlockTransfer
+    blocks: int
+
+
 class WatchOutcome(enum.StrEnum):
     """How a StoreWatch ended."""
 
@@ -192,6 +202,7 @@
     | LeaveRequested
     | QuestionCleared
     | OrderAnswered
+    | ExportEnded
     | StoreWatched
     | StatusWanted
     | EventBatch
@@ -286,6 +297,15 @@
     order: EngineOrder
 
 
+@dataclass(frozen=True, slots=True)
+class SendExport:
+    """Tell a runner's engine to export blocks to its store; ExportEnded follows."""
+
+    runner: str
+    address: str
+    transfer: BlockTransfer
+
+
 @dataclass(frozen=True, slots=True)
 class StoreWatch:
     """Wait for configuration changes after a revision; StoreWatched follows.
@@ -316,6 +336,7 @@
     | StoreList
     | StoreWatch
     | SendOrder
+    | SendExport
     | SendDatagram
     | StatusReady
 )
--- a/src/martenrun/kvcache/exports.py
+++ b/src/martenrun/kvcache/exports.py
@@ -93,29 +93,37 @@
 class ExportQueue:
     """An owner's part: exports of its runners, in order and within the rate.
 
-    Args:
-        limits: the pool's store.
-        owner_share: share of the pool's rate that this owner may use.
+    Nothing is due before :meth:`limit` has been called.
     """
 
-    def __init__(self, limits: StoreLimits, owner_share: float) -> None:
-        self._blocks_per_s = limits.export_blocks_per_s * owner_share
+    def __init__(self) -> None:
+        self._blocks_per_s = 0.0
         self._waiting: dict[str, list[ExportWanted]] = {}
         self._running: dict[str, tuple[ExportWanted, float]] = {}
         self._allowed_blocks = 0.0
         self._counted_at = 0.0
 
-    def wanted(self, wanted: ExportWanted) -> None:
-        """Queue an export, unless a waiting or running one covers it."""
+    @property
+    def has_work(self) -> bool:
+        """Whether any export waits or is under way."""
+        return bool(self._running) or any(self._waiting.values())
+
+    def limit(self, limits: StoreLimits, owner_share: float) -> None:
+        """Set the rate; this owner may use ``owner_share`` of the pool's."""
+        self._blocks_per_s = limits.export_blocks_per_s * owner_share
+
+    def wanted(self, wanted: ExportWanted) -> bool:
+        """Queue an export and return True, unless a waiting or running one covers it."""
         waiting = self._waiting.setdefault(wanted.runner, [])
         running = self._running.get(wanted.runner)
         others = [*waiting, running[0]] if running else waiting
         if any(other.chain.startswith(wanted.chain) for other in others):
-            return
+            return False
         waiting[:] = [other for other in waiting if not wanted.chain.startswith(other.chain)]
         waiting.append(wanted)
         waiting.sort(key=lambda each: -each.uses * each.new_blocks)
         del waiting[MAXIMUM_WAITING:]
+        return wanted in waiting
 
     def due(self, now: float) -> list[ExportWanted]:
         """Return the exports to order now; each runner has at most one under way."""
--- a/src/martenrun/kvcache/limits.py
+++ b/src/martenrun/kvcache/limits.py
@@ -1,28 +1,28 @@
 """Limits of one pool's kept-cache store."""
 
-from pydantic import BaseModel, ConfigDict, Field
+from typing import Annotated
 
+from msgspec import Meta, Struct
 
-class StoreLimits(BaseModel):
-    """What a pool may move to and from its store.
+
+class StoreLimits(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What a pool may move to and from its store; part of the pool's object.
 
     Attributes:
         name: the store's name, for status and metrics.
         block_bytes: size of one cached block.
         export_bytes_per_s: most bytes that all owners together export, in bytes a second.
         minimum_blocks: shorter prefixes are neither exported nor imported.
-        minimum_uses: uses of a prefix within a minute from which it is exported.
+        minimum_uses: uses of a prefix within about half a minute from which it is exported.
         import_wait_s: longest time that a request waits for an import, in seconds.
     """
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
-    name: str = Field(min_length=1)
-    block_bytes: int = Field(default=32_000_000, gt=0)
-    export_bytes_per_s: float = Field(default=8e9, gt=0)
-    minimum_blocks: int = Field(default=4, gt=0)
-    minimum_uses: int = Field(default=2, gt=0)
-    import_wait_s: float = Field(default=0.5, gt=0)
+    name: Annotated[str, Meta(min_length=1, max_length=63)]
+    block_bytes: Annotated[int, Meta(gt=0)] = 32_000_000
+    export_bytes_per_s: Annotated[float, Meta(gt=0)] = 2e9
+    minimum_blocks: Annotated[int, Meta(ge=1)] = 4
+    minimum_uses: Annotated[int, Meta(ge=1)] = 2
+    import_wait_s: Annotated[float, Meta(gt=0, le=5)] = 0.5
 
     @property
     def export_blocks_per_s(self) -> float:
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -9,10 +9,13 @@
 from martenrun.agent.requests import RequestsLogic
 from martenrun.claims.logic import ClaimsLogic
 from martenrun.claims.retention import ClaimRetentionLogic, retention_of
-from martenrun.configuration.objects import DrainRole
+from martenrun.configuration.objects import DrainRole, Kind, Pool
 from martenrun.configuration.view import ConfigurationView
 from martenrun.errors import NotReadyError
 from martenrun.events import DecisionLogic
+from martenrun.kvcache.home import KvCacheHome
+from martenrun.kvcache.limits import StoreLimits
+from martenrun.kvcache.owner import KvCacheOwner
 from martenrun.limits.admission import AdmissionLimits
 from martenrun.membership.gossip import GossipMembership
 from martenrun.membership.view import Member
@@ -56,6 +59,8 @@
     limits: AdmissionLimits
     cache_events: CacheEventsLogic
     served_prefixes: ServedPrefixesLogic
+    kv_cache_home: KvCacheHome
+    kv_cache_owner: KvCacheOwner
 
     def view(self) -> ConfigurationView:
         """Return the configuration in force."""
@@ -75,7 +80,7 @@
             self.runners,
             self.machine_feed,
             QuestionGate(
-                [self.claims, self.ownership],
+                [self.claims, self.kv_cache_home],
                 self.membership.own.address,
                 lambda: self.membership.own.leaving,
                 self.readiness_fault,
@@ -83,6 +88,7 @@
             self.claim_retention,
             self.cache_events,
             self.served_prefixes,
+            self.kv_cache_owner,
             self.requests,
             self.sharing,
             self.rolls,
@@ -108,6 +114,11 @@
     limits = AdmissionLimits(meter.limit_share, meter)
     beliefs = BeliefBook()
     policy = PrefixAwarePolicy(beliefs, rng)
+
+    def kept_cache(pool: str) -> StoreLimits | None:
+        document = configuration.state.view.documents.get((Kind.POOL, pool))
+        return document.kept_cache if isinstance(document, Pool) else None
+
     served = ServedPrefixes()
     home = HomeLogic(
         owners,
@@ -159,4 +170,6 @@
             policy.placement,
             lambda: [node.address for node in members.live() if node.address != own_address],
         ),
+        KvCacheHome(ownership, runners.runners, kept_cache, policy.block_prefill_s, owners.owner),
+        KvCacheOwner(runners.runners, owners.owns, kept_cache),
     )
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -7,13 +7,15 @@
 
 from martenrun.edge.drain import wait_while
 from martenrun.errors import SettingsError
-from martenrun.events import Finish, LeaveRequested, RunAttempt, SendOrder, StatusReady
+from martenrun.events import Finish, LeaveRequested, RunAttempt, SendExport, SendOrder, StatusReady
+from martenrun.kvcache.workers import ExportWorkers
 from martenrun.node.core import NodeCore
 from martenrun.node.feeds import EngineFeeds
 from martenrun.node.polls import NodePolls
 from martenrun.orders.workers import OrderWorkers
 from martenrun.platform.engine import EngineConnections
 from martenrun.platform.engine_orders import EngineOrders
+from martenrun.platform.kv_transfers import KvTransfers
 from martenrun.platform.machine_list import MachineList
 from martenrun.process import Poller
 from martenrun.settings.model import NodeSettings
@@ -47,6 +49,7 @@
             core.parts, MachineList(settings.machine_list), self._engines, self._feeds, core.tell
         )
         self._order_workers = OrderWorkers(EngineOrders(self._engines), core.tell)
+        self._export_workers = ExportWorkers(KvTransfers(self._engines), core.tell)
         self._front: NodeFront | None = None
         self._pollers = [
             Poller("machine-list", self._polls.list_machines, MACHINE_POLL_S),
@@ -65,6 +68,7 @@
                 Finish: self._deliver,
                 StatusReady: self._deliver,
                 SendOrder: self._order_workers.carry,
+                SendExport: self._export_workers.carry,
             }
         )
         self._core.start()
@@ -102,6 +106,7 @@
             poller.stop()
         self._feeds.stop()
         self._order_workers.stop()
+        self._export_workers.stop()
         self._core.stop()
 
     def _start_front(self) -> None:
--- a/src/martenrun/platform/attempt.py
+++ b/src/martenrun/platform/attempt.py
@@ -19,6 +19,7 @@
 
 from martenrun.constants import ENGINE_CONNECT_TIMEOUT_S
 from martenrun.platform.engine import AttemptOutcome, AttemptResult, EngineRequest
+from martenrun.platform.kv_transfers import IMPORT_HEADER
 from martenrun.platform.stream_progress import StreamProgress
 
 _DONE = b"data: [DONE]"
@@ -29,6 +30,9 @@
 
 class _PromptDetails(msgspec.Struct):
     cached_tokens: int = 0
+    import_held_blocks: int = 0
+    imported_blocks: int = 0
+    import_ms: int = 0
 
 
 class _Usage(msgspec.Struct):
@@ -114,6 +118,8 @@
         }
         if self._request.weights_version:
             headers["X-Expected-Weights-Version"] = self._request.weights_version
+        if self._request.import_header:
+            headers[IMPORT_HEADER] = self._request.import_header
         self._connection.request(
             "POST",
             self._request.path,
@@ -181,7 +187,11 @@
         if usage is not None:
             self.result.prompt_tokens = usage.prompt_tokens
             self.result.output_tokens = usage.completion_tokens
-            self.result.cached_tokens = usage.prompt_tokens_details.cached_tokens
+            details = usage.prompt_tokens_details
+            self.result.cached_tokens = details.cached_tokens
+            self.result.import_held_blocks = details.import_held_blocks
+            self.result.imported_blocks = details.imported_blocks
+            self.result.import_ms = details.import_ms
 
 
 def _usage_of(event: bytes) -> _Usage | None:
--- a/src/martenrun/platform/engine.py
+++ b/src/martenrun/platform/engine.py
@@ -83,11 +83,18 @@
     first_event_timeout_s: float = ENGINE_READ_TIMEOUT_S
     token_gap_timeout_s: float = ENGINE_READ_TIMEOUT_S
     weights_version: str = ""
+    import_header: str = ""
 
 
 @dataclass
 class AttemptResult:
-    """Outcome of an attempt and the usage the engine reported."""
+    """Outcome of an attempt and the usage the engine reported.
+
+    Attributes:
+        import_held_blocks: blocks the engine held when it began to import.
+        imported_blocks: blocks it fetched; below 0 if the store failed or was late.
+        import_ms: time that took; 0 if it did not import.
+    """
 
     outcome: AttemptOutcome
     message: str = ""
@@ -95,6 +102,9 @@
     prompt_tokens: int = 0
     cached_tokens: int = 0
     output_tokens: int = 0
+    import_held_blocks: int = 0
+    imported_blocks: int = 0
+    import_ms: int = 0
 
 
 class EngineConnections:
--- a/src/martenrun/platform/kv_transfers.py
+++ b/src/martenrun/platform/kv_transfers.py
@@ -1,10 +1,12 @@
 """Adapter for moving cached blocks between engines and their KV store."""
 
 import enum
+from dataclasses import dataclass
 
 import msgspec
 from urllib3.exceptions import HTTPError
 
+from martenrun.constants import BLOCK_HASH_BYTES
 from martenrun.platform.engine import EngineConnections
 
 _TIMEOUT_S = 30.0
@@ -30,6 +32,33 @@
     weights_version: str
     chain: bytes
 
+    def leading(self, blocks: int) -> bytes:
+        """Return the hashes of the first blocks."""
+        return self.chain[: blocks * BLOCK_HASH_BYTES]
+
+
+IMPORT_HEADER = "X-KV-Import"
+"""Header by which a request tells its engine what to fetch before the prefill."""
+
+
+@dataclass(frozen=True, slots=True)
+class ImportOffer:
+    """What the store keeps of a request's prompt.
+
+    Attributes:
+        blocks: leading blocks to fetch, those the engine holds included.
+        least_blocks: the engine computes fewer missing blocks than this.
+        wait_ms: after this time it computes all.
+    """
+
+    blocks: int
+    least_blocks: int
+    wait_ms: int
+
+    def header(self) -> str:
+        """Return the header's value."""
+        return f"blocks={self.blocks}, least={self.least_blocks}, wait-ms={self.wait_ms}"
+
 
 class _Moved(msgspec.Struct):
     blocks: int
--- a/src/martenrun/standins/engine/application.py
+++ b/src/martenrun/standins/engine/application.py
@@ -13,6 +13,7 @@
     report_nothing,
 )
 from martenrun.standins.engine.faults import ConnectionCutError, Faults
+from martenrun.standins.engine.imports import IMPORT_HEADER, parse_offer
 from martenrun.standins.engine.incarnation import Generation, Incarnation
 from martenrun.standins.engine.messages import TERMINATOR, Completion, EngineBody
 from martenrun.standins.engine.orders import FenceGuard, Order
@@ -20,7 +21,12 @@
 from martenrun.standins.engine.refusals import RefusalCode, RefusedError
 from martenrun.standins.engine.settings import EngineSettings
 from martenrun.standins.engine.synthetic import EventRate, SyntheticEvents
-from martenrun.standins.engine.transfers import TransferQuestion, export_blocks, import_blocks
+from martenrun.standins.engine.transfers import (
+    TransferQuestion,
+    export_blocks,
+    import_blocks,
+    import_offered,
+)
 
 FEED_WAIT_S = 0.05
 """How often a waiting feed request looks for entries that have become due, in seconds."""
@@ -153,7 +159,10 @@
         body = msgspec.json.decode(request.get_data(), type=EngineBody)
         completion = Completion(body, request.path.endswith("chat/completions"))
         version = request.headers.get("X-Expected-Weights-Version", "")
+        offer = parse_offer(request.headers.get(IMPORT_HEADER, ""))
         generation = engine.enter(completion, version)
+        if offer is not None:
+            generation.before_prefill = lambda chain: import_offered(engine, chain, offer)
         self._executed.append(body.request_id)
         self._report_execution(
             ExecutionReport(
@@ -171,9 +180,7 @@
             events = self._events(completion, generation)
             return Response(events, mimetype="text/event-stream")
         text = "".join(generation.run())
-        answer = completion.whole(
-            body.resume_text + text, body.max_tokens, generation.cached_tokens
-        )
+        answer = completion.whole(body.resume_text + text, body.max_tokens, generation.details)
         return _json(answer)
 
     def _events(self, completion: Completion, generation: Generation) -> Iterator[bytes]:
@@ -185,7 +192,7 @@
             yield completion.piece(token)
         body = completion.body
         self._cut_if_due(body.max_tokens - body.resume_from)
-        yield completion.finish(body.max_tokens, generation.cached_tokens)
+        yield completion.finish(body.max_tokens, generation.details)
         if not self._faults.omit_terminator:
             yield TERMINATOR
 
--- a/src/martenrun/standins/engine/incarnation.py
+++ b/src/martenrun/standins/engine/incarnation.py
@@ -9,7 +9,8 @@
 from martenrun.standins.engine.cache import PrefixCache
 from martenrun.standins.engine.events import CacheEventFeed
 from martenrun.standins.engine.faults import ConnectionCutError
-from martenrun.standins.engine.messages import Completion
+from martenrun.standins.engine.imports import BeforePrefill, import_nothing
+from martenrun.standins.engine.messages import Completion, PromptDetails
 from martenrun.standins.engine.refusals import RefusalCode, RefusedError
 from martenrun.standins.engine.scheduler import Batch, LoadReport
 from martenrun.standins.engine.settings import EngineSettings
@@ -104,7 +105,8 @@
     """A request that holds a slot; iterate over its tokens, then close it.
 
     Attributes:
-        cached_tokens: tokens of the prompt found in the cache; known after the first token.
+        details: tokens of the prompt found in the cache; known after the first token.
+        before_prefill: imports blocks of the prompt's chain.
     """
 
     def __init__(self, engine: Incarnation, completion: Completion, tokens: TokenSequence) -> None:
@@ -112,7 +114,8 @@
         self._completion = completion
         self._tokens = tokens
         self._version = engine.weights.version
-        self.cached_tokens = 0
+        self.details = PromptDetails(0)
+        self.before_prefill: BeforePrefill = import_nothing
 
     def run(self) -> Iterator[str]:
         """Yield output tokens, paced by the time model; the slot is given back at the end."""
@@ -133,10 +136,15 @@
         body = self._completion.body
         text = self._completion.text
         chain = self._engine.chain(text, body.cache_salt, self._version)
+        imported = self.before_prefill(chain)
         matched = self._engine.match(chain)
         prefilled_bytes = len(text) + len(body.resume_text.encode())
         uncached = prefilled_bytes / settings.block_bytes - matched
         running = self._engine.batch.load.running
         self._engine.pause(settings.times.prefill_s(uncached, running))
         self._engine.store(chain)
-        self.cached_tokens = matched * settings.block_bytes // BYTES_PER_TOKEN
+        self.details.cached_tokens = matched * settings.block_bytes // BYTES_PER_TOKEN
+        if imported is not None:
+            self.details.import_held_blocks = imported.held_blocks
+            self.details.imported_blocks = imported.blocks
+            self.details.import_ms = imported.duration_ms
--- a/src/martenrun/standins/engine/messages.py
+++ b/src/martenrun/standins/engine/messages.py
@@ -34,9 +34,15 @@
 
 
 class PromptDetails(msgspec.Struct):
-    """How many tokens of the prompt came from the prefix cache."""
+    """How many tokens of the prompt came from the prefix cache, and what was imported first.
+
+    ``imported_blocks`` is -1 if the KV store failed; ``import_ms`` is 0 without an import.
+    """
 
     cached_tokens: int
+    import_held_blocks: int = 0
+    imported_blocks: int = 0
+    import_ms: int = 0
 
 
 class Usage(msgspec.Struct):
@@ -93,34 +99,34 @@
         choice = Choice(0, None, delta=Text(text)) if self._is_chat else Choice(0, None, text=text)
         return self._event(self._answer(choice, "chat.completion.chunk"))
 
-    def finish(self, output_tokens: int, cached_tokens: int) -> bytes:
+    def finish(self, output_tokens: int, details: PromptDetails) -> bytes:
         """Return the event with the finish reason and the usage."""
         if self._is_chat:
             choice = Choice(0, "length", delta=Text())
         else:
             choice = Choice(0, "length", text="")
         answer = self._answer(choice, "chat.completion.chunk")
-        answer.usage = self._usage(output_tokens, cached_tokens)
+        answer.usage = self._usage(output_tokens, details)
         return self._event(answer)
 
-    def whole(self, text: str, output_tokens: int, cached_tokens: int) -> Answer:
+    def whole(self, text: str, output_tokens: int, details: PromptDetails) -> Answer:
         """Return the answer of a request that is not streamed."""
         if self._is_chat:
             choice = Choice(0, "length", message=Text(text))
         else:
             choice = Choice(0, "length", text=text)
         answer = self._answer(choice, "chat.completion")
-        answer.usage = self._usage(output_tokens, cached_tokens)
+        answer.usage = self._usage(output_tokens, details)
         return answer
 
     def _answer(self, choice: Choice, chat_object: str) -> Answer:
         kind = chat_object if self._is_chat else "text_completion"
         return Answer(self.body.request_id or "request", kind, 0, self.body.model, [choice])
 
-    def _usage(self, output_tokens: int, cached_tokens: int) -> Usage:
+    def _usage(self, output_tokens: int, details: PromptDetails) -> Usage:
         prompt_tokens = max(1, len(self.text) // BYTES_PER_TOKEN)
         total_tokens = prompt_tokens + output_tokens
-        return Usage(prompt_tokens, output_tokens, total_tokens, PromptDetails(cached_tokens))
+        return Usage(prompt_tokens, output_tokens, total_tokens, details)
 
     @staticmethod
     def _event(answer: Answer) -> bytes:
--- a/src/martenrun/standins/engine/transfers.py
+++ b/src/martenrun/standins/engine/transfers.py
@@ -1,10 +1,13 @@
 """Export and import of the stand-in engine's cached blocks to and from a KV store."""
 
+import time
+
 import msgspec
 import urllib3
 from urllib3.exceptions import HTTPError
 
 from martenrun.constants import BLOCK_HASH_BYTES
+from martenrun.standins.engine.imports import Imported, ImportOffer
 from martenrun.standins.engine.incarnation import Incarnation
 from martenrun.standins.engine.refusals import RefusalCode, RefusedError
 
@@ -56,11 +59,33 @@
         raise refusal
 
 
-def _ask(address: str, action: str, chain: bytes) -> TransferAnswer:
-    body = msgspec.json.encode({"chain": chain})
+def import_offered(engine: Incarnation, chain: bytes, offer: ImportOffer) -> Imported | None:
+    """Fetch what a request's prompt lacks; None if it lacks too little.
+
+    A store that fails or is late costs at most the offered time; the blocks are then computed.
+    """
+    offered = chain[: offer.blocks * BLOCK_HASH_BYTES]
+    held = engine.match(offered)
+    if len(offered) // BLOCK_HASH_BYTES - held < offer.least_blocks:
+        return None
+    began = time.monotonic()
+    try:
+        store = engine.settings.kv_store
+        answer = _ask(store, "fetch", offered, held, offer.wait_ms / 1000)
+        moved = max(0, answer.blocks - held)
+        engine.store(offered[: answer.blocks * BLOCK_HASH_BYTES])
+    except RefusedError:
+        moved = -1
+    return Imported(held, moved, max(1, int((time.monotonic() - began) * 1000)))
+
+
+def _ask(
+    address: str, action: str, chain: bytes, held: int = 0, timeout_s: float = _TIMEOUT_S
+) -> TransferAnswer:
+    body = msgspec.json.encode({"chain": chain, "held_blocks": held})
     url = f"http://{address}/v1/blocks/{action}"
     try:
-        response = urllib3.request("POST", url, body=body, retries=False, timeout=_TIMEOUT_S)
+        response = urllib3.request("POST", url, body=body, retries=False, timeout=timeout_s)
         return msgspec.json.decode(response.data, type=TransferAnswer)
     except (HTTPError, msgspec.MsgspecError) as error:
         message = f"the KV store did not answer: {error}"
--- a/src/martenrun/standins/kv_store.py
+++ b/src/martenrun/standins/kv_store.py
@@ -6,7 +6,10 @@
 * ``POST /v1/blocks/fetch`` -- send the leading blocks of ``chain`` that are kept; answers
   their number in ``blocks``.
 
-Both take time for each block moved.  Memory is limited; the least recently used block goes
+* ``GET /v1/blocks`` -- answers in ``blocks`` how many are kept.
+
+The first two take time for each block moved; ones that the store keeps or, by ``held_blocks``, the
+engine holds are not moved.  Memory is limited; the least recently used block goes
 first.  A hash covers tenant and weights version, so no other tenant's block can match.
 """
 
@@ -21,9 +24,10 @@
 
 
 class BlocksQuestion(msgspec.Struct):
-    """Body of a store or fetch request."""
+    """Body of a store or fetch request; the asker holds ``held_blocks`` leading ones."""
 
     chain: bytes
+    held_blocks: int = 0
 
 
 class BlocksAnswer(msgspec.Struct):
@@ -50,29 +54,36 @@
         return self._serve(Request(environ))(environ, start_response)  # type: ignore[arg-type]
 
     def _serve(self, request: Request) -> Response:
+        if request.path == "/v1/blocks" and request.method == "GET":
+            return _json(BlocksAnswer(len(self._blocks)))
         if request.path not in ("/v1/blocks/store", "/v1/blocks/fetch"):
             return _json({"error": "not found"}, 404)
         try:
-            chain = msgspec.json.decode(request.get_data(), type=BlocksQuestion).chain
+            question = msgspec.json.decode(request.get_data(), type=BlocksQuestion)
         except msgspec.MsgspecError as error:
             return _json({"error": str(error)}, 400)
+        chain = question.chain
         if len(chain) % BLOCK_HASH_BYTES:
             return _json({"error": "chain is not a whole number of hashes"}, 400)
-        moved = self._store(chain) if request.path.endswith("store") else self._fetch(chain)
+        if request.path.endswith("store"):
+            return _json(BlocksAnswer(self._store(chain)))
+        moved = self._fetch(chain, question.held_blocks)
         return _json(BlocksAnswer(moved))
 
     def _store(self, chain: bytes) -> int:
         blocks = block_count(chain)
-        time.sleep(blocks * self._transfer_s_per_block)
+        with self._lock:
+            new_blocks = blocks - self._blocks.match(chain)
+        time.sleep(new_blocks * self._transfer_s_per_block)
         with self._lock:
             self._blocks.insert(chain)
             self._blocks.take_events()
         return blocks
 
-    def _fetch(self, chain: bytes) -> int:
+    def _fetch(self, chain: bytes, held_blocks: int) -> int:
         with self._lock:
             blocks = self._blocks.match(chain)
-        time.sleep(blocks * self._transfer_s_per_block)
+        time.sleep(max(0, blocks - held_blocks) * self._transfer_s_per_block)
         return blocks
 
 
--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -35,6 +35,9 @@
   6: string weights_version
   7: i32 believed_blocks
   8: i32 priority
+  9: i32 import_blocks
+  10: i32 import_least_blocks
+  11: i32 import_wait_ms
 }
 
 struct Queued {
@@ -62,6 +65,9 @@
   6: i32 cached_tokens
   7: i32 output_tokens
   8: double first_token_s
+  9: i32 import_held_blocks
+  10: i32 imported_blocks
+  11: i32 import_ms
 }
 
 struct WithdrawRequest {
@@ -134,6 +140,21 @@
   5: i32 free_slots
 }
 
+struct ExportPrefix {
+  1: string runner
+  2: string incarnation
+  3: string weights_version
+  4: binary chain
+  5: i32 new_blocks
+  6: double uses
+}
+
+struct PrefixExported {
+  1: string runner
+  2: string weights_version
+  3: binary chain
+}
+
 struct PrefixesQuery {
 }
 
--- a/src/martenrun/wire/messages/__init__.py
+++ b/src/martenrun/wire/messages/__init__.py
@@ -51,6 +51,7 @@
     SlotRefused,
     SlotsQueued,
 )
+from martenrun.wire.messages.stores import ExportPrefix, PrefixExported
 from martenrun.wire.messages.usage import UsageDigest, UsageTotals
 
 __all__ = [
@@ -61,6 +62,7 @@
     "ConfigurationQuery",
     "ConfigurationUpdate",
     "DecideRequest",
+    "ExportPrefix",
     "Grant",
     "Hello",
     "LeaseRenewal",
@@ -76,6 +78,7 @@
     "MemberUpdate",
     "Message",
     "NodeStatus",
+    "PrefixExported",
     "PrefixesQuery",
     "PrefixesServed",
     "Probe",
@@ -121,6 +124,8 @@
     | SlotGranted
     | PrefixesQuery
     | PrefixesServed
+    | ExportPrefix
+    | PrefixExported
     | SlotsQueued
     | SlotRefused
     | ReleaseSlots
--- a/src/martenrun/wire/messages/requests.py
+++ b/src/martenrun/wire/messages/requests.py
@@ -31,7 +31,11 @@
 
 @dataclass(slots=True)
 class Grant:
-    """Node to agent: send the attempt to this runner."""
+    """Node to agent: send the attempt to this runner.
+
+    The engine may import ``import_blocks`` leading blocks from its store, 0 for none; see
+    :class:`martenrun.platform.kv_transfers.ImportOffer`.
+    """
 
     request_id: str = ""
     attempt: int = 0
@@ -41,6 +45,9 @@
     weights_version: str = ""
     believed_blocks: int = 0
     priority: int = 0
+    import_blocks: int = 0
+    import_least_blocks: int = 0
+    import_wait_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -67,7 +74,10 @@
 
 @dataclass(slots=True)
 class AttemptReport:
-    """Agent to node: an attempt has ended; ``outcome`` is an :class:`AttemptOutcome` value."""
+    """Agent to node: an attempt has ended; ``outcome`` is an :class:`AttemptOutcome` value.
+
+    ``import_ms`` is 0 if the engine did not import; ``imported_blocks`` is below 0 if it failed.
+    """
 
     request_id: str = ""
     attempt: int = 0
@@ -77,6 +87,9 @@
     cached_tokens: int = 0
     output_tokens: int = 0
     first_token_s: float = 0.0
+    import_held_blocks: int = 0
+    imported_blocks: int = 0
+    import_ms: int = 0
 
 
 @dataclass(slots=True)
--- a/tests/test_kvcache.py
+++ b/tests/test_kvcache.py
@@ -128,8 +128,14 @@
     return ExportWanted(runner, "1", "v1", chain(name, blocks), blocks, uses)
 
 
+def make_queue(share=1.0):
+    queue = ExportQueue()
+    queue.limit(LIMITS, share)
+    return queue
+
+
 def test_an_owner_exports_once_one_at_a_time_the_best_first():
-    queue = ExportQueue(LIMITS, 1.0)
+    queue = make_queue()
     for wanted in [want("a", 5), want("b", 30), want("a", 9), want("a", 9), want("c", 6, "r2")]:
         queue.wanted(wanted)
     assert queue.due(1.0) == [want("b", 30), want("c", 6, "r2")]
@@ -142,7 +148,7 @@
 
 
 def test_exports_keep_to_the_rate_and_an_answer_that_never_comes_does_not_block():
-    queue = ExportQueue(LIMITS, 0.5)
+    queue = make_queue(0.5)
     for number in range(40):
         queue.wanted(want(f"{number:01}" if number < 10 else chr(55 + number), 20))
     ordered = 0
@@ -159,7 +165,7 @@
 
 
 def test_a_runner_that_restarted_exports_nothing_that_waited():
-    queue = ExportQueue(LIMITS, 1.0)
+    queue = make_queue()
     queue.wanted(want("a", 9))
     queue.restarted("r1")
     assert queue.due(1.0) == []
