--- a/scripts/measure_routing.py
+++ b/scripts/measure_routing.py
@@ -32,7 +32,16 @@
 def show(results: list[RoutingFigures]) -> None:
     """Print the means of one deployment, policy and load."""
     first = results[0]
-    names = ("hit_rate", "imported", "wasted", "ttft_p50_s", "ttft_p95_s", "ttft_p99_s", "refused")
+    names = (
+        "hit_rate",
+        "imported",
+        "wasted",
+        "ttft_p50_s",
+        "ttft_p95_s",
+        "ttft_p99_s",
+        "refused",
+        "share_error",
+    )
     means = " ".join(f"{name} {mean(results, name):.4f}" for name in names)
     causes: collections.Counter[str] = collections.Counter()
     for figures in results:
--- a/src/martenrun/bench/routing_simulation.py
+++ b/src/martenrun/bench/routing_simulation.py
@@ -136,6 +136,7 @@
             self._store,
             round(counts.imported_blocks / counts.prompt_blocks, 4),
             self._stores.exported_blocks,
+            round(counts.share_error, 4),
         )
 
     def _make_engines(self) -> None:
@@ -176,8 +177,7 @@
     # From the agent to the grant.
 
     def _arrive(self, plan: PlannedRequest) -> None:
-        if plan.at >= WARM_UP_S:
-            self._counts.requests += 1
+        self._counts.count_arrival(plan.at, plan.tenant, plan.prompt_bytes)
         question = DecideRequest(
             plan.request_id, plan.tenant, plan.model, "v1", plan.chain, plan.prompt_bytes
         )
@@ -339,7 +339,7 @@
         request.has_first_token = True
         link_s = self._client_link_s(attempt.engine.zone, plan.zone)
         waited_s = self._scheduler.now + link_s - plan.at
-        self._counts.count_first_token(plan.at, waited_s)
+        self._counts.count_first_token(plan.at, waited_s, plan.tenant, plan.prompt_bytes)
         if plan.at >= WARM_UP_S and waited_s > LATE_S:
             late = LateRequest(
                 plan.hashes,
--- a/src/martenrun/kvcache/exports.py
+++ b/src/martenrun/kvcache/exports.py
@@ -143,9 +143,9 @@
                 ordered.append(export)
         return ordered
 
-    def ended(self, runner: str) -> None:
-        """A runner's export has ended, well or not."""
-        self._running.pop(runner, None)
+    def ended(self, runner: str) -> bool:
+        """A runner's export has ended, well or not; return whether one was under way."""
+        return self._running.pop(runner, None) is not None
 
     def restarted(self, runner: str) -> None:
         """A runner has lost its cache: nothing that waits can be exported."""
--- a/src/martenrun/kvcache/home.py
+++ b/src/martenrun/kvcache/home.py
@@ -10,7 +10,16 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from martenrun.events import DecisionLogic, Event, Instruction, PeerMessage, QuestionCleared, Send
+from martenrun.events import (
+    DecisionLogic,
+    Event,
+    Instruction,
+    PeerMessage,
+    QuestionCleared,
+    Send,
+    Tell,
+)
+from martenrun.kvcache.counts import CountsByPool, StoreCounts
 from martenrun.kvcache.exports import ExportWanted, ExportWishes
 from martenrun.kvcache.imports import ImportEnd, ImportPlan, ImportPolicy
 from martenrun.kvcache.limits import StoreLimits
@@ -60,6 +69,7 @@
         limits_of: returns the limits of a pool's store, None for a pool without one.
         block_prefill_s: what computing a block is expected to take.
         owner_of: returns the address of a runner's owner.
+        counts: is added to.
     """
 
     def __init__(
@@ -69,6 +79,7 @@
         limits_of: Callable[[str], StoreLimits | None],
         block_prefill_s: BlockPrefill,
         owner_of: Callable[[str], str],
+        counts: CountsByPool,
     ) -> None:
         self._inner = inner
         kinds: frozenset[type] = getattr(inner, "handles", frozenset())
@@ -77,6 +88,7 @@
         self._limits_of = limits_of
         self._block_prefill_s = block_prefill_s
         self._owner_of = owner_of
+        self._counts = counts
         self._questions: dict[str, _Question] = {}
         self._pools: dict[str, _PoolPart] = {}
 
@@ -95,8 +107,9 @@
                 self._questions.pop(request_id, None)
         instructions = self._inner.handle(event, now)
         for instruction in instructions:
-            if isinstance(instruction, Send) and isinstance(instruction.message, Grant):
-                self._granted(instruction.message, now)
+            match instruction:
+                case Send(_, Grant() as grant) | Tell(PeerMessage(_, Grant() as grant)):
+                    self._granted(grant, now)
         return [*instructions, *own]
 
     def _asked(self, asked: DecideRequest) -> None:
@@ -118,6 +131,7 @@
         plan = part.imports.plan(chain, grant.believed_blocks, block_s, now)
         if plan is not None:
             question.plan = plan
+            self._counts.of(runner.pool).offers += 1
             grant.import_blocks = plan.blocks
             grant.import_least_blocks = plan.least_blocks
             grant.import_wait_ms = max(1, int(plan.wait_s * 1000))
@@ -134,10 +148,19 @@
             return []
         if question.plan is not None and report.import_ms:
             part.imports.ended(_import_end(question.plan, report), report.import_held_blocks, now)
+            self._count(self._counts.of(runner.pool), report)
         run, version = grant.incarnation, grant.weights_version
         wanted = part.wishes.used(question.asked.chain, grant.runner, run, version, now)
         return [] if wanted is None else [Send(self._owner_of(grant.runner), _message(wanted))]
 
+    @staticmethod
+    def _count(counts: StoreCounts, report: AttemptReport) -> None:
+        counts.imports += 1
+        if report.imported_blocks < 0:
+            counts.failed_imports += 1
+        else:
+            counts.imported_blocks += report.imported_blocks
+
     def _exported(self, exported: PrefixExported) -> None:
         runner = self._runners.get(exported.runner)
         part = None if runner is None else self._pools.get(runner.pool)
--- a/src/martenrun/kvcache/owner.py
+++ b/src/martenrun/kvcache/owner.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Mapping
 
 from martenrun.events import Event, ExportEnded, Instruction, PeerMessage, Send, SendExport, Tick
+from martenrun.kvcache.counts import CountsByPool
 from martenrun.kvcache.exports import ExportQueue, ExportWanted
 from martenrun.kvcache.limits import StoreLimits
 from martenrun.platform.kv_transfers import BlockTransfer
@@ -20,6 +21,7 @@
         runners: all runners by name.
         owns: whether this node owns a runner.
         limits_of: returns the limits of a pool's store, None for a pool without one.
+        counts: is added to.
     """
 
     handles = frozenset({ExportPrefix, ExportEnded, Tick})
@@ -29,10 +31,12 @@
         runners: Mapping[str, RunnerState],
         owns: Callable[[str], bool],
         limits_of: Callable[[str], StoreLimits | None],
+        counts: CountsByPool,
     ) -> None:
         self._runners = runners
         self._owns = owns
         self._limits_of = limits_of
+        self._counts = counts
         self._queues: dict[str, ExportQueue] = {}
         self._homes: dict[tuple[str, bytes], str] = {}
 
@@ -88,14 +92,18 @@
                     self._homes.pop((export.runner, export.chain), None)
                     continue
                 transfer = BlockTransfer(export.incarnation, export.weights_version, export.chain)
+                self._counts.of(pool).exports += 1
                 instructions.append(SendExport(export.runner, runner.address, transfer))
         if not any(queue.has_work for queue in self._queues.values()):
             self._homes.clear()
         return instructions
 
     def _ended(self, runner: str, transfer: BlockTransfer, blocks: int) -> list[Instruction]:
-        for queue in self._queues.values():
-            queue.ended(runner)
+        for pool, queue in self._queues.items():
+            if queue.ended(runner):
+                counts = self._counts.of(pool)
+                counts.exported_blocks += blocks
+                counts.failed_exports += not blocks
         home = self._homes.pop((runner, transfer.chain), "")
         if not home or not blocks:
             return []
--- a/src/martenrun/node/front.py
+++ b/src/martenrun/node/front.py
@@ -21,6 +21,7 @@
 from martenrun.observability.admission import SharingCollector
 from martenrun.observability.claims import ClaimsCollector
 from martenrun.observability.engine_feeds import EngineFeedsCollector
+from martenrun.observability.kept_cache import KeptCacheCollector
 from martenrun.observability.keys import KeyCollector
 from martenrun.observability.process_cost import ProcessCostCollector
 from martenrun.platform.weight_store import WeightStore
@@ -58,6 +59,7 @@
         caller.add_metrics(EngineFeedsCollector(feeds))
         caller.add_metrics(KeyCollector(core.key_uses))
         caller.add_metrics(SharingCollector(self._parts.limits.counts, self._policy_statuses))
+        caller.add_metrics(KeptCacheCollector(self._parts.kept_cache_counts))
         caller.add_metrics(ClaimsCollector(self._parts.claim_retention))
         caller.add_metrics(ProcessCostCollector(core.transport))
         weights = WeightStore(settings.weight_store) if settings.weight_store else None
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -13,6 +13,7 @@
 from martenrun.configuration.view import ConfigurationView
 from martenrun.errors import NotReadyError
 from martenrun.events import DecisionLogic
+from martenrun.kvcache.counts import CountsByPool
 from martenrun.kvcache.home import KvCacheHome
 from martenrun.kvcache.limits import StoreLimits
 from martenrun.kvcache.owner import KvCacheOwner
@@ -61,6 +62,7 @@
     served_prefixes: ServedPrefixesLogic
     kv_cache_home: KvCacheHome
     kv_cache_owner: KvCacheOwner
+    kept_cache_counts: CountsByPool
 
     def view(self) -> ConfigurationView:
         """Return the configuration in force."""
@@ -115,6 +117,8 @@
     beliefs = BeliefBook()
     policy = PrefixAwarePolicy(beliefs, rng)
 
+    counts = CountsByPool()
+
     def kept_cache(pool: str) -> StoreLimits | None:
         document = configuration.state.view.documents.get((Kind.POOL, pool))
         return document.kept_cache if isinstance(document, Pool) else None
@@ -170,6 +174,9 @@
             policy.placement,
             lambda: [node.address for node in members.live() if node.address != own_address],
         ),
-        KvCacheHome(ownership, runners.runners, kept_cache, policy.block_prefill_s, owners.owner),
-        KvCacheOwner(runners.runners, owners.owns, kept_cache),
+        KvCacheHome(
+            ownership, runners.runners, kept_cache, policy.block_prefill_s, owners.owner, counts
+        ),
+        KvCacheOwner(runners.runners, owners.owns, kept_cache, counts),
+        counts,
     )
--- a/tests/test_kvcache_logic.py
+++ b/tests/test_kvcache_logic.py
@@ -3,6 +3,7 @@
 import pytest
 
 from martenrun.events import ExportEnded, PeerMessage, Send, SendExport, Tick
+from martenrun.kvcache.counts import CountsByPool
 from martenrun.kvcache.home import KvCacheHome
 from martenrun.kvcache.limits import StoreLimits
 from martenrun.kvcache.owner import KvCacheOwner
@@ -47,6 +48,7 @@
             lambda pool: self.limits,
             lambda model, runner, now: 0.02,
             lambda runner: "owner",
+            CountsByPool(),
         )
         self.count = 0
 
@@ -120,7 +122,9 @@
         for name in ("r1", "r2")
     }
     limits = StoreLimits(name="cellar", block_bytes=1_000, export_bytes_per_s=100_000.0)
-    return runners, KvCacheOwner(runners, lambda name: name in owned, lambda pool: limits)
+    return runners, KvCacheOwner(
+        runners, lambda name: name in owned, lambda pool: limits, CountsByPool()
+    )
 
 
 def want(runner="r1", incarnation="run"):
--- a/tests/test_kvcache_processes.py
+++ b/tests/test_kvcache_processes.py
@@ -60,7 +60,11 @@
     wait_until(lambda: kept_blocks(deployment.store) >= BLOCKS - 1, "the export", 10.0)
     engine = deployment.engines[0]
     urllib3.request("POST", f"http://{engine}/faults", body=b'{"crash": true}')
-    assert ask(client, "three") >= (BLOCKS - 1) * 1_000
+    front = CompletionClient(deployment.node_edges[0], "growers-key")
+    assert ask(front, "three") >= (BLOCKS - 1) * 1_000
     urllib3.request("POST", f"http://{engine}/faults", body=b'{"crash": true}')
     deployment.kill("store")
     assert ask(client, "four") == 0
+    shown = urllib3.request("GET", f"http://{deployment.node_edges[0]}/metrics").data.decode()
+    for count in (f'imported_blocks_total{{pool="readers"}} {BLOCKS - 1}.0', "exports_total"):
+        assert f"martenrun:kept_cache_{count}" in shown
