--- a/scripts/measure_routing.py
+++ b/scripts/measure_routing.py
@@ -16,7 +16,7 @@
 
 WORKERS = 2
 
-Job = tuple[str, str, int, float, str, float, str]
+Job = tuple[str, str, int, float, str, float, str, int, int]
 
 
 def run(job: Job) -> RoutingFigures:
@@ -48,7 +48,7 @@
         causes.update(figures.late)
     late = " ".join(f"{cause} {count}" for cause, count in causes.most_common())
     title = f"{first.deployment} {first.policy} load {first.load} feeds {first.feeds}"
-    title += f" store {first.store}"
+    title += f" store {first.store} nodes {first.nodes} runners {first.runners}"
     click.echo(f"{title} runs {len(results)}: {means}\n    late {causes.total()}: {late}")
 
 
@@ -59,6 +59,8 @@
 @click.option("--load", "loads", multiple=True, type=float, default=(1.0,))
 @click.option("--feeds", default="owner", show_default=True)
 @click.option("--store", type=click.Choice(STORES), default="off", show_default=True)
+@click.option("--nodes", default=0, help="Number of nodes; 0 for the deployment's.")
+@click.option("--scale", default=1, show_default=True, help="Factor on runners, load and nodes.")
 @click.option("--duration-s", default=DURATION_S, show_default=True)
 @click.option("--out", type=click.Path(path_type=Path), help="File for one JSON line a run.")
 def main(
@@ -68,13 +70,15 @@
     loads: tuple[float, ...],
     feeds: str,
     store: str,
+    nodes: int,
+    scale: int,
     duration_s: float,
     out: Path | None,
 ) -> None:
     """Measure policies over seeds."""
     first, _, last = seeds.partition("-")
     jobs: list[Job] = [
-        (deployment, policy, seed, load, feeds, duration_s, store)
+        (deployment, policy, seed, load, feeds, duration_s, store, nodes, scale)
         for deployment in deployments
         for policy in policies
         for load in loads
--- a/src/martenrun/bench/routing_figures.py
+++ b/src/martenrun/bench/routing_figures.py
@@ -42,6 +42,8 @@
     imported: float
     exported_blocks: int
     share_error: float
+    nodes: int
+    runners: int
 
 
 @dataclass(slots=True)
--- a/src/martenrun/bench/routing_simulation.py
+++ b/src/martenrun/bench/routing_simulation.py
@@ -16,7 +16,7 @@
 from martenrun.bench.routing_figures import RoutingCounts, RoutingFigures
 from martenrun.bench.routing_node import SimulatedNode, incarnation_of
 from martenrun.bench.routing_policies import make_policy
-from martenrun.bench.routing_store import SimulatedStore, StoreTraffic
+from martenrun.bench.routing_store import StoreTraffic, make_stores
 from martenrun.bench.routing_workload import TOKENS_PER_BLOCK, PlannedRequest, Workload
 from martenrun.constants import BLOCK_HASH_BYTES, DEFAULT_BLOCK_BYTES
 from martenrun.deployments.model import Deployment
@@ -99,7 +99,10 @@
             for number in range(deployment.nodes)
         ]
         self._stores = StoreTraffic(
-            self._scheduler, self._make_stores(), self._engines, self._nodes
+            self._scheduler,
+            make_stores(deployment, store, seed, self._scheduler),
+            self._engines,
+            self._nodes,
         )
         faults, parts = deployment.faults, (self._engines, self._nodes)
         self._events = RoutingFeeds(self._scheduler, faults, seed, *parts, feeds == "all")
@@ -137,6 +140,8 @@
             round(counts.imported_blocks / counts.prompt_blocks, 4),
             self._stores.exported_blocks,
             round(counts.share_error, 4),
+            len(self._nodes),
+            len(self._engines),
         )
 
     def _make_engines(self) -> None:
@@ -151,16 +156,6 @@
                 self._engines[name] = engine
                 self._attempts[name] = []
 
-    def _make_stores(self) -> dict[str, SimulatedStore]:
-        if self._store == "off":
-            return {}
-        faulty = self._store == "faulty"
-        return {
-            pool.model: SimulatedStore(pool.store, self._scheduler, self._seed, faulty)
-            for pool in self._deployment.pools
-            if pool.store is not None
-        }
-
     def _make_node(self, name: str, zone: str) -> SimulatedNode:
         rng = random.Random(f"{name} {self._seed} {self._scheduler.now}")
         policy = make_policy(self._policy, self._engines, rng)
@@ -193,6 +188,9 @@
         key = f"{question.tenant}\0{question.model}\0".encode()
         key += question.chain[:BLOCK_HASH_BYTES]
         live = {node.name: node for node in self._nodes if node.is_live}
+        if not live:
+            self._scheduler.after(_RETRY_S, lambda: self._ask(request))
+            return
         home = live[ranked(key, live)[0]]
         delay_s = self._client_link_s(request.plan.zone, home.zone)
         self._scheduler.after(delay_s, lambda: self._decide(request, home))
--- a/src/martenrun/bench/routing_store.py
+++ b/src/martenrun/bench/routing_store.py
@@ -7,7 +7,7 @@
 from martenrun.bench.routing_engine import LruBlocks, SimulatedEngine
 from martenrun.bench.routing_node import WEIGHTS_VERSION, SimulatedNode, incarnation_of
 from martenrun.constants import BLOCK_HASH_BYTES
-from martenrun.deployments.model import StoreShape
+from martenrun.deployments.model import Deployment, StoreShape
 from martenrun.identity.chain import as_array
 from martenrun.kvcache.exports import ExportQueue, ExportWanted, ExportWishes
 from martenrun.kvcache.imports import ImportEnd, ImportPlan, ImportPolicy
@@ -247,3 +247,16 @@
         block_bytes=shape.block_bytes,
         export_bytes_per_s=shape.export_bytes_per_s,
     )
+
+
+def make_stores(
+    deployment: Deployment, kind: str, seed: int, scheduler: Scheduler
+) -> dict[str, SimulatedStore]:
+    """Return the pools' stores by model; ``kind`` is ``off``, ``on`` or ``faulty``."""
+    if kind == "off":
+        return {}
+    return {
+        pool.model: SimulatedStore(pool.store, scheduler, seed, kind == "faulty")
+        for pool in deployment.pools
+        if pool.store is not None
+    }
--- a/src/martenrun/deployments/model.py
+++ b/src/martenrun/deployments/model.py
@@ -64,6 +64,13 @@
     prompt: PromptShape
     store: StoreShape | None = None
 
+    def scaled(self, scale: int) -> "PoolShape":
+        """Return a pool with so many times the runners, prefixes and requests."""
+        prompt = self.prompt.model_copy(update={"roots": self.prompt.roots * scale})
+        update = {"runners": self.runners * scale, "prompt": prompt}
+        requests_per_s = self.requests_per_s * scale
+        return self.model_copy(update={**update, "requests_per_s": requests_per_s})
+
 
 class Faults(_Strict):
     """What goes wrong during a run.
@@ -116,6 +123,27 @@
     popularity: Popularity
     faults: Faults
 
+    def with_nodes(self, nodes: int) -> "Deployment":
+        """Return the same load and runners under another number of nodes."""
+        return self.model_copy(update={"nodes": nodes})
+
+    def scaled(self, scale: int) -> "Deployment":
+        """Return a deployment with so many times the runners, prefixes, requests and nodes.
+
+        Faults come as much more often; prefixes in demand stay as hot as they were.
+        """
+        pools = [pool.scaled(scale) for pool in self.pools]
+        hot_roots = self.popularity.hot_roots * scale
+        popularity = self.popularity.model_copy(update={"hot_roots": hot_roots})
+        faults = self.faults.model_copy(
+            update={
+                "engine_crash_every_s": self.faults.engine_crash_every_s / scale,
+                "node_restart_every_s": self.faults.node_restart_every_s / scale,
+            }
+        )
+        update = {"nodes": self.nodes * scale, "pools": pools}
+        return self.model_copy(update={**update, "popularity": popularity, "faults": faults})
+
 
 def load_deployment(name: str) -> Deployment:
     """Read a deployment of this package by its name; raises FileNotFoundError."""
--- a/tests/test_bench_routing.py
+++ b/tests/test_bench_routing.py
@@ -32,6 +32,20 @@
     assert faulty.refused == 0
 
 
+def test_requests_wait_while_the_only_node_restarts():
+    figures = run_benchmark("angurlekha", "prefix_aware", 1, 0.4, "owner", 60.0, nodes=1)
+    assert (figures.nodes, figures.refused) == (1, 0)
+
+
+def test_a_scaled_deployment_has_as_many_times_the_runners_and_nodes():
+    one, two = (
+        run_benchmark("angurlekha", "oracle", 1, 0.2, "owner", 12.0, scale=scale)
+        for scale in (1, 2)
+    )
+    assert (two.nodes, two.runners) == (2 * one.nodes, 2 * one.runners)
+    assert two.requests > 1.5 * one.requests
+
+
 def test_another_seed_gives_other_figures():
     assert run_short("angurlekha", "oracle", 3) != run_short("angurlekha", "oracle", 4)
 
