Let no connection begin before a stopping edge closes its listening socket

A loop over HttpServer alone shows a cause that fits: connections which the kernel completes between the last accept and the close are reset, and their callers cannot tell whether they were run.

Ruled out: a second look at the queue (the window stays); listen(0) (one connection may still complete).

Change: a classic BPF filter on the listening socket drops SYN packets for 0.2 s before the last accept. Callers' kernels ask again after a second and are refused, certainly.

Conclusion: of the two windows of a stop, only a kept connection's own is left.

--- a/src/martenrun/edge/server.py
+++ b/src/martenrun/edge/server.py
@@ -13,6 +13,7 @@
 from martenrun.edge.channel import MAXIMUM_HEADER_BYTES, REFUSED_RECEIVE_S, Channel
 from martenrun.edge.dispatcher import OnDemandDispatcher
 from martenrun.edge.drain import wait_while
+from martenrun.edge.listening import stop_new_connections
 from martenrun.errors import TooManyConnectionsError
 from martenrun.wire.transport import parse_address
 
@@ -36,6 +37,9 @@
 STOP_LIMIT_S = 5.0
 """Longest time that stopping waits for the server's thread."""
 
+LAST_CONNECTIONS_S = 0.2
+"""Time for connections that have begun to come about before the socket closes, in seconds."""
+
 RETRY_AFTER_S = 1.0
 """When a caller refused for want of a connection should come back, in seconds."""
 
@@ -162,6 +166,8 @@
             hurry: ends the wait at once.
         """
         self.begin_stop()
+        stop_new_connections(self._server.socket)
+        hurry.wait(LAST_CONNECTIONS_S)
         self._server.trigger.pull_trigger(self._server.stop_accepting)
 
         def has_connections() -> bool:
--- a/tests/test_edge_connections.py
+++ b/tests/test_edge_connections.py
@@ -7,6 +7,7 @@
 import pytest
 from deployment import wait_until
 
+from martenrun.edge.listening import stop_new_connections
 from martenrun.edge.server import ConnectionLimits, HttpServer
 
 TIMEOUT_S = 0.4
@@ -164,6 +165,21 @@
             connect(server)
 
 
+def test_before_the_close_no_connection_begins_and_none_that_has_begun_is_lost():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = listener.getsockname()
+        with socket.create_connection(address) as early:
+            stop_new_connections(listener)
+            with pytest.raises(TimeoutError):
+                socket.create_connection(address, timeout=0.2)
+            early.sendall(b"asked")
+            accepted, _ = listener.accept()
+            with accepted:
+                assert accepted.recv(5) == b"asked"
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(address)
+
+
 def test_a_stop_refuses_half_a_request_instead_of_waiting_for_its_rest():
     with serving() as (application, server), connect(server) as sock:
         sock.sendall(HEAD)
