Let two runners load from each weight store instead of two from all

Cause: two loads at a time for the whole fleet are 100 hours for 12,000 runners.

Ruled out: one permits object for each store (a pool over several stores: two objects may each keep its floor and break it together); the region of a zone's nodes (nodes that know different members would count a runner at two stores).

Change: a pool names the weight store of each zone. A permit records its store; a wish is granted while fewer than two permits are of that store. All permits stay in one object, so floors are still judged over all stores. A runner whose store is not named counts at every store: without the map nothing changes.

Adapters and roles go the same path already.

--- a/src/martenrun/configuration/objects.py
+++ b/src/martenrun/configuration/objects.py
@@ -91,7 +91,8 @@
     """Runners that serve one model with one weights version.
 
     A roll of new weights leaves at least ``floor`` of the runners serving.  Each runner also
-    gets the ``adapters`` and, if it is given, the ``role``.
+    gets the ``adapters`` and, if it is given, the ``role``.  ``weight_stores`` names the weight
+    store that the runners of a zone load from; all other zones may share any of them.
     """
 
     model: str = Field(min_length=1)
@@ -101,6 +102,7 @@
     floor: int = Field(default=0, ge=0)
     adapters: list[Name] = Field(default_factory=list)
     role: RunnerRole | None = None
+    weight_stores: dict[Name, Name] = Field(default_factory=dict)
 
 
 class Policy(ConfigurationDocument):
--- a/src/martenrun/orders/keeper.py
+++ b/src/martenrun/orders/keeper.py
@@ -56,7 +56,7 @@
         serving: counts a pool's serving runners.
         is_settled: whether a lapsed permit protects nothing any more: its runner has gone or
             has done what was ordered.
-        maximum_loads: runners that may load at a time, over all nodes.
+        maximum_loads: runners that may load from one store at a time, over all nodes.
     """
 
     def __init__(
--- a/src/martenrun/orders/permits.py
+++ b/src/martenrun/orders/permits.py
@@ -1,9 +1,9 @@
-"""Load permits: at most a few runners load from the weight store at a time, over all nodes.
+"""Load permits: at most a few runners load from one weight store at a time, over all nodes.
 
 All permits stand in one object of the object API, which is replaced by compare-and-swap.
-Each replacement therefore sees every permit, and neither the number of loads nor a pool's
-floor can be overrun by two nodes at once.  The object's version at the grant is the fencing
-token of the orders given under the permit: it only rises.
+Each replacement therefore sees every permit, and neither a store's number of loads nor a
+pool's floor, which counts over all stores, can be overrun by two nodes at once.  The object's
+version at the grant is the fencing token of the orders given under the permit: it only rises.
 
 Everything here is pure.  See also: :mod:`martenrun.orders.keeper`, docs/design/orders.md.
 """
@@ -22,7 +22,10 @@
 """Name of the permits' object in the object API."""
 
 MAXIMUM_LOADS = 2
-"""Runners that may load at a time, over all nodes."""
+"""Runners that may load from one weight store at a time, over all nodes."""
+
+ANY_STORE = ""
+"""Store of a runner whose store nobody has named: it may be any of them."""
 
 LEASE_S = 30.0
 """A permit that was not renewed for so long, on the observer's clock, may be taken over."""
@@ -43,6 +46,7 @@
         renewal: counts up while the holder is alive.
         action: what is ordered; see :class:`OrderAction`.
         value: the weights version, adapter or role ordered.
+        store: the weight store that is read.
     """
 
     holder: str
@@ -52,6 +56,7 @@
     action: OrderAction
     value: str
     renewal: int = 0
+    store: str = ANY_STORE
 
 
 class PermitTable(msgspec.Struct, frozen=True):
@@ -79,6 +84,7 @@
         pool_revision: revision of the pool object the wish comes from.
         floor: runners of the pool that must go on serving.
         takes_out: whether the runner stops serving while it carries the order out.
+        store: the weight store that the runner loads from.
     """
 
     runner: str
@@ -89,6 +95,7 @@
     change: str
     floor: int = 0
     takes_out: bool = True
+    store: str = ANY_STORE
 
 
 ServingCount = Callable[[str, frozenset[str]], int]
@@ -106,7 +113,7 @@
     """Return the table with a permit for the wish, or the same table if it must wait.
 
     A permit of the same runner is replaced if it is the holder's own or ``expired``: whoever
-    takes it over goes on with the same runner, so the number of loads does not grow.
+    takes it over goes on with the same runner, so a store's number of loads does not grow.
     """
     if table.pool_revisions.get(wish.pool, 0) > wish.pool_revision:
         return table
@@ -116,14 +123,26 @@
             return table
         if present.holder != holder and present.change not in expired:
             return table
-    elif len(table.permits) >= maximum_loads or not _keeps_floor(table, wish, serving):
+    elif not _keeps_floor(table, wish, serving):
+        return table
+    others = [permit for permit in table.permits if permit.runner != wish.runner]
+    stays = present is not None and present.store == wish.store
+    if not stays and _loads(others, wish.store) >= maximum_loads:
         return table
-    others = (permit for permit in table.permits if permit.runner != wish.runner)
-    permit = Permit(holder, wish.change, wish.runner, wish.pool, wish.action, wish.value)
+    permit = Permit(
+        holder, wish.change, wish.runner, wish.pool, wish.action, wish.value, store=wish.store
+    )
     revisions = {**table.pool_revisions, wish.pool: wish.pool_revision}
     return PermitTable((*others, permit), revisions)
 
 
+def _loads(table_permits: Iterable[Permit], store: str) -> int:
+    """Count the permits whose runners may read a store."""
+    if store == ANY_STORE:
+        return sum(1 for _ in table_permits)
+    return sum(permit.store in (store, ANY_STORE) for permit in table_permits)
+
+
 def _keeps_floor(table: PermitTable, wish: PermitWish, serving: ServingCount) -> bool:
     if not wish.takes_out:
         return True
--- a/src/martenrun/orders/rolls.py
+++ b/src/martenrun/orders/rolls.py
@@ -23,7 +23,7 @@
     Tick,
 )
 from martenrun.orders.keeper import PermitKeeper
-from martenrun.orders.permits import MAXIMUM_LOADS, Permit, PermitWish
+from martenrun.orders.permits import ANY_STORE, MAXIMUM_LOADS, Permit, PermitWish
 from martenrun.orders.target import Target, next_target
 from martenrun.platform.engine import RunnerDescription, RunnerServingState
 from martenrun.platform.engine_orders import EngineOrder, OrderAction, OrderOutcome
@@ -75,7 +75,7 @@
         is_owner: whether this node owns a runner; two nodes that both believe so waste
             permits but break nothing.
         rng: for jitter.
-        maximum_loads: runners that may load at a time, over all nodes.
+        maximum_loads: runners that may load from one store at a time, over all nodes.
     """
 
     handles = frozenset({Tick, RunnerDescribed, OrderAnswered, StoreAnswered})
@@ -242,7 +242,8 @@
         assert roll.target is not None
         self._changes += 1
         roll.change = f"{self._holder}/{self._changes}"
-        pool_name = self._runners[roll.runner].pool
+        listed = self._runners[roll.runner]
+        pool_name = listed.pool
         wish = PermitWish(
             roll.runner,
             pool_name,
@@ -252,6 +253,7 @@
             roll.change,
             pool.floor,
             takes_out=roll.target.action is OrderAction.LOAD_WEIGHTS,
+            store=pool.weight_stores.get(listed.zone, ANY_STORE),
         )
         self.keeper.wish(wish)
         return []
--- a/tests/rolls_world.py
+++ b/tests/rolls_world.py
@@ -88,7 +88,7 @@
         self.world, self.name = world, name
         self.is_paused, self.kept = False, []
         self.configuration = ConfigurationState()
-        table = {e: RunnerState(e, e, "zone", POOL) for e in world.engines}
+        table = {e: RunnerState(e, e, world.zone_of(e), POOL) for e in world.engines}
         self.logic = RollsLogic(
             name,
             table,
@@ -123,13 +123,18 @@
 
 
 class World:
-    """``store_faults`` is the share of writes whose answer, or effect too, is lost or late."""
+    """``store_faults`` is the share of writes whose answer, or effect too, is lost or late.
 
-    def __init__(self, seed, engines=6, nodes=3, floor=0, store_faults=0.0):
+    With ``stores``, zones have weight stores of their own, one each; else all have one.
+    """
+
+    def __init__(self, seed, engines=6, nodes=3, floor=0, store_faults=0.0, stores=0):
+        self.stores = stores
         self.clock, self.rng = Scheduler(), random.Random(seed)
         self.floor, self.store_faults = floor, store_faults
         self.version, self.document = 0, None
         self.most_loads, self.fewest_serving, self.failing_loads = 0, engines, 0
+        self.most_loads_of_a_store, self.calls = 0, 0
         self.order_delay_s, self.unpermitted = 0.0, set()
         self.owners = {}
         self.engines = {f"e{i}": VirtualEngine(self, f"e{i}") for i in range(engines)}
@@ -138,9 +143,19 @@
     def owner_of(self, runner):
         return self.owners.get(runner, f"n{int(runner[1:]) % len(self.nodes)}")
 
+    def zone_of(self, runner):
+        return f"zone-{int(runner[1:]) % max(1, self.stores)}"
+
     def publish(self, version, revision, nodes=None):
-        document = b'{"model": "m", "weights_version": "%s", "floor": %d}'
-        document %= (version.encode(), self.floor)
+        stores = {f"zone-{index}": f"store-{index}" for index in range(self.stores)}
+        document = msgspec.json.encode(
+            {
+                "model": "m",
+                "weights_version": version,
+                "floor": self.floor,
+                "weight_stores": stores,
+            }
+        )
         item = ConfigurationObject("pools", POOL, revision, False, document)
         for node in self.nodes if nodes is None else nodes:
             known = node.configuration.revision
@@ -160,6 +175,7 @@
         self.clock.after(self.rng.uniform(0.01, 0.3), lambda: self.call(node, instruction))
 
     def call(self, node, call):
+        self.calls += 1
         if isinstance(call, StoreRead):
             found = ConfigurationObject("", "", self.version, False, self.document or b"")
             answer = StoreAnswered(call.call_id, StoreOutcome.DONE, self.version, found)
@@ -186,6 +202,9 @@
         """Note how many load and serve now; called whenever that may have become worse."""
         states = [engine.state for engine in self.engines.values()]
         self.most_loads = max(self.most_loads, states.count("loading"))
+        zones = [self.zone_of(e.name) for e in self.engines.values() if e.state == "loading"]
+        of_a_store = max((zones.count(zone) for zone in zones), default=0)
+        self.most_loads_of_a_store = max(self.most_loads_of_a_store, of_a_store)
         self.fewest_serving = min(self.fewest_serving, states.count("serving"))
         permitted = {permit.runner for permit in self.permits()}
         loading = {engine.name for engine in self.engines.values() if engine.state == "loading"}
--- a/tests/test_rolls.py
+++ b/tests/test_rolls.py
@@ -28,6 +28,56 @@
     assert world.permits() == ()
 
 
+def roll_over_stores(floor=0, store_faults=0.0):
+    world = World(seed=1, engines=12, floor=floor, store_faults=store_faults, stores=3)
+    world.publish("v2", 7)
+    world.run_until(lambda: world.all_serve("v2"))
+    return world
+
+
+@pytest.mark.parametrize(("floor", "store_faults"), [(0, 0.0), (0, 0.2), (9, 0.0), (9, 0.2)])
+def test_a_roll_keeps_to_the_loads_of_each_store_and_to_the_floor_over_all(floor, store_faults):
+    world = roll_over_stores(floor, store_faults)
+    assert world.most_loads_of_a_store <= permits.MAXIMUM_LOADS
+    assert world.most_loads == (3 if floor else 6)
+    assert world.fewest_serving >= floor
+    assert world.unpermitted == set()
+
+
+def test_without_the_count_of_a_store_too_many_would_load(monkeypatch):
+    monkeypatch.setattr(permits, "_loads", lambda permits, store: 0)
+    assert roll_over_stores().most_loads_of_a_store > permits.MAXIMUM_LOADS
+
+
+def test_a_runner_whose_store_nobody_named_counts_at_every_store():
+    def wish(runner, store):
+        return permits.PermitWish(runner, "p", 1, "load_weights", "v2", runner, store=store)
+
+    def grant(table, runner, store):
+        return permits.granted(table, wish(runner, store), "n", frozenset(), lambda *_: 9)
+
+    table = permits.PermitTable()
+    for runner, store in [("a", "east"), ("b", "west"), ("c", "")]:
+        table = grant(table, runner, store)
+    assert [permit.runner for permit in table.permits] == ["a", "b"]
+    table = grant(permits.without(table, {"a"}), "c", "")
+    assert grant(table, "d", "west") == table
+    assert grant(table, "d", "east").permit_of("d") is not None
+
+
+def test_a_permit_moves_to_another_store_only_if_there_is_room():
+    def grant(table, runner, change, store):
+        wish = permits.PermitWish(runner, "p", 1, "load_weights", "v2", change, store=store)
+        return permits.granted(table, wish, "n", frozenset(), lambda *_: 9)
+
+    table = permits.PermitTable()
+    for runner, store in [("a", "east"), ("b", "east"), ("c", "west")]:
+        table = grant(table, runner, runner, store)
+    assert grant(table, "c", "again", "east") == table
+    moved = grant(permits.without(table, {"a"}), "c", "again", "east")
+    assert moved.permit_of("c").store == "east"
+
+
 def test_without_the_floor_too_few_would_serve(monkeypatch):
     monkeypatch.setattr(permits, "_keeps_floor", lambda *arguments: True)
     world = World(seed=1, floor=5)
