Let operators validate a change, read lists in pages, and know what refused them

Cause: a change could only be tried by making it; a list of 5,100 tenants was one answer; `martenrun admin` against an agent or another server ended in a decoding error.

Ruled out: paging for tenant admins (the name that a page ends with may be another tenant's); a separate path for dry runs (it would drift from what a change checks).

Change: ?dry_run=true runs every check of a change, version included, and writes nothing; `martenrun admin validate`. ?limit and ?after page lists, 1,000 at most, and `martenrun admin list` uses them. An answer that is not the API's gets a typed error.

--- a/src/martenrun/admin/application.py
+++ b/src/martenrun/admin/application.py
@@ -2,7 +2,8 @@
 
 ``GET /admin/v1/KIND``, ``GET|PUT|DELETE /admin/v1/KIND/NAME`` and ``GET /admin/v1/status``.
 A change carries ``If-Match: VERSION`` (0 to create) and is answered only after the object
-API has committed it.
+API has committed it.  With ``?dry_run=true`` it is checked as if it were made, and not made.
+A list with ``?limit=N&after=NAME`` is one page; ``X-Next-After`` names where the next begins.
 
 See also: :mod:`martenrun.admin.access`, :mod:`martenrun.admin.references`.
 """
@@ -47,6 +48,12 @@
 
 ADMIN_PREFIX = "/admin/v1/"
 
+NEXT_AFTER_HEADER = "X-Next-After"
+"""Header of a page that is not the last: the name after which the next one begins."""
+
+MAXIMUM_PAGE_OBJECTS = 1_000
+"""Most objects read for one page."""
+
 
 class NamedObject(msgspec.Struct):
     """One object as the administration API shows it."""
@@ -63,6 +70,17 @@
     version: int
 
 
+class Checked(msgspec.Struct):
+    """Answer to a dry run that nothing speaks against; nothing was changed.
+
+    Attributes:
+        replaces: version that the change would replace, 0 if it would create the object.
+    """
+
+    replaces: int
+    dry_run: bool = True
+
+
 class AdminApplication:
     """Serves the administration API.
 
@@ -107,12 +125,12 @@
             return json_response(self._status())
         kind = _kind(parts[0])
         if len(parts) == 1:
-            return self._list(operator, kind)
+            return self._list(request, operator, kind)
         name = _name("/".join(parts[1:]))
         if request.method == "GET":
             return self._get(operator, kind, name)
         operator.check_change(kind)
-        return json_response(Accepted(self._change(request, operator, kind, name)))
+        return json_response(self._change(request, operator, kind, name))
 
     def _operator(self, request: Request) -> Operator:
         token = bearer_token(request.headers)
@@ -124,13 +142,22 @@
             raise PermissionDeniedError("a caller's key does not open the administration API")
         return Operator(key.role, key.tenant)
 
-    def _list(self, operator: Operator, kind: Kind) -> Response:
-        objects = [
-            _shown(item)
-            for item in self._store.list_all([kind.value]).objects
-            if _may_read(operator, kind, item)
-        ]
-        return json_response(objects)
+    def _list(self, request: Request, operator: Operator, kind: Kind) -> Response:
+        limit = _page_limit(request)
+        if not operator.reads_all:
+            # Few objects; and the name that a page ends with may be another tenant's.
+            limit = None
+        if limit is None:
+            found = self._store.list_all([kind.value]).objects
+        else:
+            after = request.args.get("after", "")
+            found = self._store.list_page(kind.value, _name(after) if after else "", limit)
+        response = json_response(
+            [_shown(item) for item in found if _may_read(operator, kind, item)]
+        )
+        if limit is not None and len(found) >= limit:
+            response.headers[NEXT_AFTER_HEADER] = found[-1].name
+        return response
 
     def _get(self, operator: Operator, kind: Kind, name: str) -> Response:
         item = self._store.get(kind.value, name)
@@ -139,20 +166,37 @@
             raise PermissionDeniedError(f"role {role} may not read {kind.value}/{name}")
         return json_response(_shown(item))
 
-    def _change(self, request: Request, operator: Operator, kind: Kind, name: str) -> int:
+    def _change(
+        self, request: Request, operator: Operator, kind: Kind, name: str
+    ) -> Accepted | Checked:
         expected = _expected_version(request)
         if request.method not in ("PUT", "DELETE"):
             raise InvalidRequestError(f"method {request.method} is not served here")
+        is_dry_run = _is_dry_run(request)
         if expected > 0 or request.method == "DELETE":
             self._check_replaced(operator, kind, name, expected)
+        elif is_dry_run:
+            self._check_absent(kind, name)
+        data = None
         if request.method == "DELETE":
             check_unused(self._store, kind, name)
-            return self._store.write(kind.value, name, expected, None)
-        data = _object_body(request)
-        document = parse_document(kind, data)
-        operator.check_document(document)
-        self._check_content(document)
-        return self._store.write(kind.value, name, expected, data)
+        else:
+            data = _object_body(request)
+            document = parse_document(kind, data)
+            operator.check_document(document)
+            self._check_content(document)
+        if is_dry_run:
+            return Checked(expected)
+        return Accepted(self._store.write(kind.value, name, expected, data))
+
+    def _check_absent(self, kind: Kind, name: str) -> None:
+        """Do for a dry run what compare-and-swap does for a change."""
+        try:
+            present = self._store.get(kind.value, name).revision
+        except ObjectNotFoundError:
+            return
+        message = f"{kind.value}/{name} has version {present}, not 0"
+        raise VersionConflictError(message, present_version=present)
 
     def _check_replaced(self, operator: Operator, kind: Kind, name: str, expected: int) -> None:
         """Check the object that a change replaces; compare-and-swap makes sure it stays so."""
@@ -213,6 +257,22 @@
         raise InvalidObjectError(f"name {text!r}: {error}") from error
 
 
+def _page_limit(request: Request) -> int | None:
+    text = request.args.get("limit")
+    if text is None:
+        return None
+    if not text.isdecimal() or not 1 <= int(text) <= MAXIMUM_PAGE_OBJECTS:
+        raise InvalidRequestError(f"parameter 'limit' must be from 1 to {MAXIMUM_PAGE_OBJECTS}")
+    return int(text)
+
+
+def _is_dry_run(request: Request) -> bool:
+    text = request.args.get("dry_run", "false")
+    if text not in ("true", "false"):
+        raise InvalidRequestError("parameter 'dry_run' must be 'true' or 'false'")
+    return text == "true"
+
+
 def _expected_version(request: Request) -> int:
     text = request.headers.get("If-Match", "0").strip('"')
     if not text.isdigit():
--- a/src/martenrun/admin/client.py
+++ b/src/martenrun/admin/client.py
@@ -1,10 +1,19 @@
 """Client of the administration API, for the command line."""
 
+from collections.abc import Iterator
+
 import msgspec
 import urllib3
 from urllib3.exceptions import HTTPError
 
-from martenrun.admin.application import ADMIN_PREFIX, Accepted, NamedObject
+from martenrun.admin.application import (
+    ADMIN_PREFIX,
+    MAXIMUM_PAGE_OBJECTS,
+    NEXT_AFTER_HEADER,
+    Accepted,
+    Checked,
+    NamedObject,
+)
 from martenrun.admin.status import Status
 from martenrun.edge.responses import ErrorBody
 from martenrun.errors import (
@@ -30,48 +39,71 @@
         """Create (version 0) or replace an object; returns its new version."""
         return self._change("PUT", f"{kind}/{name}", document, version)
 
+    def check(self, kind: str, name: str, document: bytes, version: int) -> Checked:
+        """Check what :meth:`apply` would do, and change nothing."""
+        path = f"{kind}/{name}?dry_run=true"
+        try:
+            response = self._call("PUT", path, document, {"If-Match": str(version)})
+        except HTTPError as error:
+            raise _unanswered(error) from error
+        return msgspec.json.decode(response.data, type=Checked)
+
     def delete(self, kind: str, name: str, version: int) -> int:
         """Delete an object; returns the version of the deletion."""
         return self._change("DELETE", f"{kind}/{name}", None, version)
 
     def get(self, kind: str, name: str) -> NamedObject:
         """Return one object."""
-        return msgspec.json.decode(self._read(f"{kind}/{name}"), type=NamedObject)
+        return msgspec.json.decode(self._read(f"{kind}/{name}").data, type=NamedObject)
 
-    def list(self, kind: str) -> list[NamedObject]:
-        """Return every object of a kind that the key may read."""
-        return msgspec.json.decode(self._read(kind), type=list[NamedObject])
+    def list(self, kind: str) -> Iterator[NamedObject]:
+        """Return every object of a kind that the key may read, in the order of names."""
+        after: str | None = ""
+        while after is not None:
+            page = self._read(f"{kind}?limit={MAXIMUM_PAGE_OBJECTS}&after={after}")
+            yield from msgspec.json.decode(page.data, type=list[NamedObject])
+            after = page.headers.get(NEXT_AFTER_HEADER)
 
     def status(self) -> Status:
         """Return the status of the configuration on all nodes."""
-        return msgspec.json.decode(self._read("status"), type=Status)
+        return msgspec.json.decode(self._read("status").data, type=Status)
 
     def _change(self, method: str, path: str, body: bytes | None, version: int) -> int:
         try:
-            data = self._call(method, path, body, {"If-Match": str(version)})
+            response = self._call(method, path, body, {"If-Match": str(version)})
         except HTTPError as error:
             # The node may have committed the change before its answer got lost.
             message = f"the node did not answer: {error}"
             raise ChangeOutcomeUnknownError(message) from error
-        return msgspec.json.decode(data, type=Accepted).version
+        return msgspec.json.decode(response.data, type=Accepted).version
 
-    def _read(self, path: str) -> bytes:
+    def _read(self, path: str) -> urllib3.BaseHTTPResponse:
         try:
             return self._call("GET", path, None, {})
         except HTTPError as error:
-            message = f"the node did not answer: {error}"
-            raise NodeUnavailableError(message, remedy="Ask another node.") from error
+            raise _unanswered(error) from error
 
-    def _call(self, method: str, path: str, body: bytes | None, headers: dict[str, str]) -> bytes:
+    def _call(
+        self, method: str, path: str, body: bytes | None, headers: dict[str, str]
+    ) -> urllib3.BaseHTTPResponse:
         url = self._base + path
         response = self._http.request(method, url, body=body, headers=self._headers | headers)
         if response.status >= 400:
-            raise _error(response.data)
-        return response.data
+            raise _error(response.status, response.data)
+        return response
+
+
+def _unanswered(error: HTTPError) -> NodeUnavailableError:
+    return NodeUnavailableError(f"the node did not answer: {error}", remedy="Ask another node.")
 
 
-def _error(body: bytes) -> MartenrunError:
-    detail = msgspec.json.decode(body, type=ErrorBody).error
+def _error(status: int, body: bytes) -> MartenrunError:
+    try:
+        detail = msgspec.json.decode(body, type=ErrorBody).error
+    except msgspec.MsgspecError:
+        message = f"what answered, with status {status}, is no node's administration API"
+        remedy = "Give the IP:port of a node's HTTP edge; agents have no administration API."
+        return NodeUnavailableError(message, remedy=remedy)
     kind = error_classes().get(detail.code, MartenrunError)
     if issubclass(kind, VersionConflictError):
         present = detail.present_version or 0
--- a/src/martenrun/cli/admin.py
+++ b/src/martenrun/cli/admin.py
@@ -30,7 +30,7 @@
 @click.option("--key", envvar="MARTENRUN_ADMIN_KEY", required=True, help="Admin key.")
 @click.pass_context
 def admin(context: click.Context, address: str, key: str) -> None:
-    """Administer tenants, keys, pools, policies, routes and drains."""
+    """Administer tenants, keys, pools, policies, routes, drains and retention."""
     context.obj = AdminClient(address, key)
 
 
@@ -65,6 +65,20 @@
     click.echo(f"accepted: {kind}/{name} has version {accepted}")
 
 
+@admin.command("validate")
+@_KIND
+@_NAME
+@click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.option("--version", default=0, show_default=True, help="Expected version, 0 to create.")
+@click.pass_obj
+def validate_object(client: AdminClient, kind: str, name: str, file: Path, version: int) -> None:
+    """Check what apply would do, references and version included, and change nothing."""
+    with _errors_printed():
+        checked = client.check(kind, name, file.read_bytes(), version)
+    deed = f"replace version {checked.replaces}" if checked.replaces else "create it"
+    click.echo(f"valid: {kind}/{name} may be applied and would {deed}; nothing was changed")
+
+
 @admin.command("get")
 @_KIND
 @_NAME
--- a/src/martenrun/proof/object_api.py
+++ b/src/martenrun/proof/object_api.py
@@ -34,6 +34,12 @@
         objects = [_converted(item) for item in found.objects]
         return ConfigurationUpdate(0, found.revision, objects, complete=True)
 
+    def list_page(self, kind: str, after_name: str, limit: int) -> list[ConfigurationObject]:
+        """Return the first objects of a kind whose names come after one, in order."""
+        self._check_up()
+        found = self._simulated.store.list_page(kind, after_name, limit)
+        return [_converted(item) for item in found.objects]
+
     def get(self, kind: str, name: str) -> ConfigurationObject:
         """Return one object; raises ObjectNotFoundError."""
         self._check_up()
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -7,11 +7,13 @@
 import pytest
 from werkzeug.test import Client
 
-from martenrun.admin.application import AdminApplication
+from martenrun.admin import client as client_module
+from martenrun.admin.application import NEXT_AFTER_HEADER, AdminApplication
+from martenrun.admin.client import AdminClient
 from martenrun.configuration.state import ConfigurationState
 from martenrun.constants import MAXIMUM_OBJECT_BYTES
 from martenrun.edge.server import HttpServer
-from martenrun.errors import InvalidKeyError
+from martenrun.errors import InvalidKeyError, NodeUnavailableError
 from martenrun.platform import object_api
 from martenrun.platform.weight_store import WeightStore
 from martenrun.standins.weights import Faults, LoadPace, WeightStoreApplication
@@ -187,3 +189,63 @@
         admin.put("pools/unknown", pool)
     finally:
         server.stop()
+
+
+def test_a_dry_run_says_what_a_change_would_meet_and_changes_nothing(admin):
+    revision = admin.store.application.store.list_all().revision
+    admin.key("boss", "growers", "tenant-admin")
+    dry = "?dry_run=true"
+    assert admin.call("PUT", f"policies/even{dry}", {"expression": "weight"}) == (
+        200,
+        {"replaces": 0, "dry_run": True},
+    )
+    assert admin.call("PUT", f"tenants/growers{dry}", {"weight": 2}, 1)[1]["replaces"] == 1
+    assert admin.call("DELETE", f"tenants/sellers{dry}", None, 2)[1]["dry_run"]
+    for method, path, document, version, token, code in [
+        ("PUT", "tenants/growers", {}, 0, ROOT, "version_conflict"),
+        ("PUT", "tenants/growers", {}, 9, ROOT, "version_conflict"),
+        ("PUT", "tenants/growers", {"wait": 2}, 1, ROOT, "invalid_object"),
+        ("PUT", "routes/r", {"model": "m", "pool": "p"}, 0, ROOT, "invalid_object"),
+        ("PUT", "tenants/growers", {}, 1, "boss", "permission_denied"),
+        ("DELETE", "tenants/growers", None, 1, ROOT, "object_in_use"),
+    ]:
+        refusal = admin.refusal(method, path + dry, document, version, token)
+        assert refusal["code"] == code, (method, path, document)
+    assert admin.refusal("PUT", "tenants/x?dry_run=maybe", {})["code"] == "invalid_request"
+    assert admin.store.application.store.list_all().revision == revision + 1
+
+
+def test_a_list_is_read_in_pages_that_tell_a_tenant_admin_no_foreign_name(admin, monkeypatch):
+    monkeypatch.setattr(client_module, "MAXIMUM_PAGE_OBJECTS", 3)
+    for index in range(7):
+        admin.put(f"tenants/t{index}", {})
+    admin.key("boss", "growers", "tenant-admin")
+    admin.key("foreign", "sellers")
+    server = HttpServer(admin.client.application, "127.0.0.1:0", threads=4)
+    server.start()
+    try:
+        address = f"127.0.0.1:{server.port}"
+        names = [item.name for item in AdminClient(address, ROOT).list("tenants")]
+        assert names == ["growers", "sellers", *(f"t{index}" for index in range(7))]
+        assert [item.name for item in AdminClient(address, "boss").list("keys")] == ["boss"]
+        headers = {"Authorization": "Bearer boss"}
+        page = admin.client.get("/admin/v1/keys?limit=1", headers=headers)
+        assert NEXT_AFTER_HEADER not in page.headers
+    finally:
+        server.stop()
+    assert admin.refusal("GET", "tenants?limit=0")["code"] == "invalid_request"
+
+
+def test_an_answer_of_something_else_is_told_with_a_remedy():
+    def something_else(environ, start_response):
+        start_response("404 Not Found", [])
+        return [b'{"error": {"message": "not found", "code": "not_found"}}']
+
+    server = HttpServer(something_else, "127.0.0.1:0", threads=4)
+    server.start()
+    try:
+        with pytest.raises(NodeUnavailableError, match="no node's administration API") as caught:
+            AdminClient(f"127.0.0.1:{server.port}", ROOT).get("tenants", "growers")
+        assert "agents have no administration API" in caught.value.remedy
+    finally:
+        server.stop()
--- a/tests/test_configuration_processes.py
+++ b/tests/test_configuration_processes.py
@@ -57,6 +57,22 @@
     assert "watcher:" in admin(deployment, "status")
 
 
+def test_a_change_is_validated_and_lists_are_printed_by_the_command(deployment, tmp_path):
+    file = tmp_path / "tenant.json"
+    file.write_text('{"weight": 2}')
+    assert "would create it; nothing was changed" in admin(
+        deployment, "validate", "tenants", "sellers", str(file)
+    )
+    conflict = admin(deployment, "validate", "tenants", "growers", str(file), exit_code=3)
+    assert "present version:" in conflict
+    names = [json.loads(line)["name"] for line in admin(deployment, "list", "tenants").splitlines()]
+    assert names == ["growers"]
+    command = ["admin", "--node", deployment.agent_edges[0], "--key", ADMIN_KEY, "list", "tenants"]
+    result = CliRunner().invoke(main, command)
+    assert result.exit_code == 1
+    assert "agents have no administration API" in result.output
+
+
 def test_a_drained_runner_gets_no_new_work_until_the_drain_ends(deployment):
     admin(deployment, "drain", "engine-0", "--reason", "new cable")
     wait_until(lambda: complete(deployment, "drained").status >= 400, "the drain", 10)
