--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -11,6 +11,7 @@
 from martenrun.claims.retention import ClaimRetentionLogic, retention_of
 from martenrun.configuration.objects import DrainRole
 from martenrun.configuration.view import ConfigurationView
+from martenrun.errors import NotReadyError
 from martenrun.events import DecisionLogic
 from martenrun.limits.admission import AdmissionLimits
 from martenrun.membership.gossip import GossipMembership
@@ -18,7 +19,7 @@
 from martenrun.node.cache_events import CacheEventsLogic
 from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.node.drain import NodeDrainLogic
-from martenrun.node.late_questions import LateQuestions
+from martenrun.node.question_gate import QuestionGate, readiness_fault
 from martenrun.node.runners import RunnerTable
 from martenrun.node.status import StatusLogic
 from martenrun.orders.rolls import RollsLogic
@@ -58,6 +59,10 @@
         """Return the configuration in force."""
         return self.configuration.state.view
 
+    def readiness_fault(self) -> NotReadyError | None:
+        """Return why this node can not judge questions yet, or None if it can."""
+        return readiness_fault(self.view().revision, self.runners.is_listed)
+
     def in_order(self) -> list[DecisionLogic]:
         """Return the parts in the order in which they handle an event."""
         return [
@@ -67,10 +72,11 @@
             self.drain,
             self.runners,
             self.machine_feed,
-            LateQuestions(
+            QuestionGate(
                 [self.claims, self.ownership],
                 self.membership.own.address,
                 lambda: self.membership.own.leaving,
+                self.readiness_fault,
             ),
             self.claim_retention,
             self.cache_events,
--- a/src/martenrun/proof/operators.py
+++ b/src/martenrun/proof/operators.py
@@ -5,14 +5,17 @@
 import msgspec
 from werkzeug.test import Client
 
+from martenrun.errors import ChangeOutcomeUnknownError
 from martenrun.proof.callers import MODEL, TENANTS, key_of, key_sha256
-from martenrun.proof.history import ConfigurationAccepted
+from martenrun.proof.history import ConfigurationAccepted, RemovalUnknown
 from martenrun.proof.processes import SimulatedNode
 from martenrun.proof.recorder import Recorder
 from martenrun.simulation.scheduler import Scheduler
 
 ADMIN_KEY = "admin-key"
 GUEST = "tenants/guest"
+FLOOR = 1
+"""Runners of the pool that go on serving while others load."""
 
 
 class Operators:
@@ -30,6 +33,7 @@
         self._rng = rng
         self._nodes = nodes
         self._versions: dict[str, int] = {}
+        self._weights = 1
 
     def publish_all(self) -> None:
         """Publish tenants, their keys, a pool and a route."""
@@ -37,9 +41,23 @@
             self._apply("tenants", tenant, {"weight": 1.0})
             digest = key_sha256(key_of(tenant))
             self._apply("keys", f"{tenant}-key", {"tenant": tenant, "key_sha256": digest})
-        self._apply("pools", "pool", {"model": MODEL, "weights_version": "v1", "block_bytes": 64})
+        self._publish_pool()
         self._apply("routes", "route", {"model": MODEL, "pool": "pool"})
 
+    def roll(self) -> None:
+        """Publish the pool with the next weights version."""
+        self._weights += 1
+        self._publish_pool()
+
+    def _publish_pool(self) -> None:
+        pool = {
+            "model": MODEL,
+            "weights_version": f"v{self._weights}",
+            "block_bytes": 64,
+            "floor": FLOOR,
+        }
+        self._apply("pools", "pool", pool)
+
     def race(self) -> None:
         """Change one tenant twice at the same time; make or remove another one."""
         self._toggle_guest()
@@ -73,6 +91,7 @@
             headers={"Authorization": f"Bearer {ADMIN_KEY}", "If-Match": str(expected)},
         )
         if response.status_code != 200:
+            self._note_failure(subject, document, msgspec.json.decode(response.data))
             self._learn_version(client, subject)
             return
         version = int(msgspec.json.decode(response.data)["version"])
@@ -87,6 +106,12 @@
             )
         )
 
+    def _note_failure(
+        self, subject: str, document: dict[str, object] | None, failure: dict[str, dict[str, str]]
+    ) -> None:
+        if document is None and failure["error"]["code"] == ChangeOutcomeUnknownError.code:
+            self._recorder.add(RemovalUnknown(time_s=self._scheduler.now, subject=subject))
+
     def _learn_version(self, client: Client, subject: str) -> None:
         """Read back an object whose change was refused or whose answer was lost."""
         headers = {"Authorization": f"Bearer {ADMIN_KEY}"}
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -4,6 +4,7 @@
 import queue
 import socket
 import struct
+import threading
 
 import pytest
 from deployment import free_address, wait_until
@@ -13,10 +14,12 @@
 from martenrun.wire.codec import encode
 from martenrun.wire.connection import Connection
 from martenrun.wire.frames import FrameError, open_datagram, seal_datagram
+from martenrun.wire.keys import ClusterKeys
 from martenrun.wire.messages import ConfigurationObject, Queued
 from martenrun.wire.transport import PeerTransport, parse_address
 
 SECRET = b"0123456789abcdef"
+KEYS = ClusterKeys(SECRET)
 MESSAGE = Queued("r", 1, 0.5)
 
 
@@ -24,7 +27,7 @@
 def server():
     address = free_address()
     received = queue.Queue()
-    running = PeerTransport(address, SECRET, lambda peer, message: received.put((peer, message)))
+    running = PeerTransport(address, KEYS, lambda peer, message: received.put((peer, message)))
     running.listen(address)
     running.start()
     try:
@@ -35,7 +38,7 @@
 
 def assert_serves(running, received):
     """Check that an honest peer is still served."""
-    client = PeerTransport("agent/honest", SECRET, lambda peer, message: None)
+    client = PeerTransport("agent/honest", KEYS, lambda peer, message: None)
     client.start()
     try:
         client.send(running.name, MESSAGE)
@@ -49,7 +52,7 @@
 
 
 def recorded_hello():
-    return bytes(Connection(None, "agent/recorded", SECRET, "x", is_connector=True).outgoing)
+    return bytes(Connection(None, "agent/recorded", KEYS, "x", is_connector=True).outgoing)
 
 
 @pytest.mark.parametrize(
@@ -94,7 +97,7 @@
     with server() as (running, _received), contextlib.closing(socket.socket()) as frozen:
         frozen.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         frozen.connect(parse_address(running.name))
-        handshake = Connection(frozen, "agent/frozen", SECRET, "x", is_connector=True)
+        handshake = Connection(frozen, "agent/frozen", KEYS, "x", is_connector=True)
         frozen.sendall(handshake.outgoing)
         handshake.outgoing.clear()
         handshake.receive(frozen.recv(4096))
@@ -120,6 +123,35 @@
             assert running._connections[address].queued_bytes <= 10_000
 
 
+def test_messages_of_several_threads_arrive_whole_and_in_each_threads_order():
+    sizes = [10, 200_000, 10, 10, 60_000] * 6
+
+    def send_all(sender, name):
+        for number, size in enumerate(sizes):
+            sender.send(running.name, ConfigurationObject(name, "", number, False, b"x" * size))
+
+    with server() as (running, received), server() as (sender, _):
+        names = ("a", "b", "c")
+        threads = [threading.Thread(target=send_all, args=(sender, name)) for name in names]
+        for thread in threads:
+            thread.start()
+        found = [received.get(timeout=10)[1] for _ in range(len(names) * len(sizes))]
+        for thread in threads:
+            thread.join()
+    for name in names:
+        own = [(each.revision, len(each.document)) for each in found if each.kind == name]
+        assert own == list(enumerate(sizes))
+
+
+def test_a_message_sent_after_the_stop_is_dropped():
+    with server() as (running, received), server() as (sender, _):
+        sender.send(running.name, MESSAGE)
+        received.get(timeout=10)
+        sender.stop()
+        sender.send(running.name, MESSAGE)
+    assert received.empty()
+
+
 def test_attempts_to_connect_back_off_and_end_with_success():
     backoffs = limits.Backoffs()
     pauses = []
@@ -141,7 +173,7 @@
         address = free_address()
         for _ in range(2):
             answers = queue.Queue()
-            peer = PeerTransport(address, SECRET, lambda _, m, box=answers: box.put(m))
+            peer = PeerTransport(address, KEYS, lambda _, m, box=answers: box.put(m))
             peer.listen(address)
             peer.start()
 
@@ -167,6 +199,7 @@
 
 
 def test_a_datagram_has_a_size_limit_and_names_its_sender():
-    assert open_datagram(SECRET, seal_datagram(SECRET, "n", b"abc")) == ("n", b"abc")
+    opened = open_datagram([SECRET], seal_datagram(SECRET, "n", b"abc"))
+    assert (opened.sender, opened.payload) == ("n", b"abc")
     with pytest.raises(FrameError):
         seal_datagram(SECRET, "n", b"x" * MAXIMUM_DATAGRAM_BYTES)
