--- a/src/martenrun/cli/admin.py
+++ b/src/martenrun/cli/admin.py
@@ -84,7 +84,7 @@
 @click.pass_obj
 def validate_object(client: AdminClient, kind: str, name: str, file: Path, version: int) -> None:
     """Check what apply would do, references and version included, and change nothing."""
-    with _errors_printed():
+    with errors_printed():
         checked = client.check(kind, name, file.read_bytes(), version)
     deed = f"replace version {checked.replaces}" if checked.replaces else "create it"
     click.echo(f"valid: {kind}/{name} may be applied and would {deed}; nothing was changed")
--- a/src/martenrun/configuration/objects.py
+++ b/src/martenrun/configuration/objects.py
@@ -105,7 +105,7 @@
     floor: Annotated[int, Meta(ge=0)] = 0
     adapters: list[Name] = []
     role: RunnerRole | None = None
-    weight_stores: dict[Name, Name] = Field(default_factory=dict)
+    weight_stores: dict[Name, Name] = {}
 
 
 class Policy(ConfigurationDocument, frozen=True, kw_only=True):
