--- a/src/martenrun/routing/prefix_table.py
+++ b/src/martenrun/routing/prefix_table.py
@@ -13,6 +13,7 @@
 See also: :class:`martenrun.routing.prefix_index.PrefixIndex`, ``docs/design/routing.md``.
 """
 
+import sys
 from dataclasses import dataclass
 
 import numpy
@@ -41,7 +42,7 @@
 _CACHE_LINE_BYTES = 64
 _MAXIMUM_SPLITS = 5
 _MINIMUM_SEGMENT_BYTES = 65_536
-_SPLIT_ABOVE_LOAD = 0.8
+_SPLIT_ABOVE_LOAD = 0.75
 _INSERT_ROUNDS = 8
 _BATCH_HASHES = 8192
 _DROP_ENTRIES = 65_536
@@ -99,8 +100,16 @@
         self._entries = _aligned_zeros(segments * self._segment_buckets * _WAYS)
         self._buckets = self._entries.reshape(-1, _WAYS)
         self._first_buckets = numpy.zeros(1 << prefix_bits, numpy.uint64)
-        self._depths = [0]
-        self._inserted = numpy.zeros(segments, numpy.int64)
+        self._depths: list[int] = [0]
+        # Blocks that are inserted before the next look at whether a segment is nearly full.
+        self._until_look = 0
+        self._groups_and_bits = [
+            (
+                numpy.uint32(slot // _GROUP_SLOTS << _MASK_BITS),
+                numpy.uint32(1 << slot % _GROUP_SLOTS),
+            )
+            for slot in range(slots)
+        ]
         self.overwritten = 0
 
     @property
@@ -126,15 +135,20 @@
     def add(self, hashes: BlockHashes, slot: int) -> None:
         """Believe that a slot holds the blocks; repeated hashes do no harm."""
         for start in range(0, len(hashes), _BATCH_HASHES):
-            self._split_fullest()
+            if self._until_look <= 0:
+                self._grow()
             located = self._locate(hashes[start : start + _BATCH_HASHES])
-            wanted, bit = self._wanted(located, slot)
+            group, bit = self._groups_and_bits[slot]
+            wanted = located.fingerprints | group
             buckets = self._buckets.take(located.buckets, axis=0, mode="clip")
             hits = _hits(buckets, wanted)
+            if not len(hits):
+                self._insert(located.buckets, wanted | bit, buckets)
+                continue
             self._entries[_positions(located.buckets, hits)] |= bit
             is_missing = numpy.ones(len(wanted), numpy.bool_)
             is_missing[hits >> _ENTRIES_OF_BLOCK_BITS] = False
-            missing = numpy.flatnonzero(is_missing)
+            missing = is_missing.nonzero()[0]
             if len(missing):
                 self._insert(located.buckets[missing], wanted[missing] | bit, buckets[missing])
 
@@ -142,7 +156,8 @@
         """No longer believe that a slot holds the blocks."""
         for start in range(0, len(hashes), _BATCH_HASHES):
             located = self._locate(hashes[start : start + _BATCH_HASHES])
-            wanted, bit = self._wanted(located, slot)
+            group, bit = self._groups_and_bits[slot]
+            wanted = located.fingerprints | group
             hits = _hits(self._buckets.take(located.buckets, axis=0, mode="clip"), wanted)
             self._entries[_positions(located.buckets, hits)] &= ~bit
 
@@ -157,7 +172,7 @@
     def clear(self) -> None:
         """Forget everything."""
         self._used.fill(0)
-        self._inserted.fill(0)
+        self._until_look = 0
 
     def count(self, slot: int) -> int:
         """Return how many blocks a slot is believed to hold; walks the whole table."""
@@ -194,17 +209,10 @@
         buckets += self._first_buckets.take(lower >> self._prefix_shift)[:, None]
         return _Located(lower & self._fingerprint, buckets.view(numpy.int64))
 
-    def _wanted(self, located: _Located, slot: int) -> tuple[_Entries, numpy.uint32]:
-        """Return the blocks' entries without masks, and the slot's bit of a mask."""
-        group, bit = divmod(slot, _GROUP_SLOTS)
-        return located.fingerprints | numpy.uint32(group << _MASK_BITS), numpy.uint32(1 << bit)
-
     def _place(self, slot: int) -> tuple[numpy.uint32, numpy.uint32, numpy.uint32]:
         """Return the bits that tell whether an entry means a slot, their values, the slot's bit."""
-        group, number = divmod(slot, _GROUP_SLOTS)
-        bit = numpy.uint32(1 << number)
-        groups = ~self._fingerprint & ~_MASK
-        return groups | bit, numpy.uint32(group << _MASK_BITS) | bit, bit
+        group, bit = self._groups_and_bits[slot]
+        return ~self._fingerprint & ~_MASK | bit, group | bit, bit
 
     def _insert(self, numbers: _Positions, values: _Entries, buckets: _Entries) -> None:
         """Write unknown blocks; where two meet in one entry, one goes on to the next round.
@@ -214,12 +222,11 @@
             values: what to write, shape (blocks,).
             buckets: entries of the buckets, shape (blocks, 2, 8).
         """
-        segments = numbers[:, 0] // self._segment_buckets
-        self._inserted += numpy.bincount(segments, minlength=len(self._inserted))
+        self._until_look -= len(values)
         for _ in range(_INSERT_ROUNDS):
             positions = self._choose(numbers, values, buckets)
             self._entries[positions] = values
-            lost = numpy.flatnonzero(self._entries[positions] != values)
+            lost = (self._entries.take(positions) != values).nonzero()[0]
             if not len(lost):
                 return
             numbers, values = numbers[lost], values[lost]
@@ -229,29 +236,34 @@
     def _choose(self, numbers: _Positions, values: _Entries, buckets: _Entries) -> _Positions:
         """Return the position of a free entry for each block, in the emptier of its buckets."""
         is_free = (buckets & _MASK) == 0
-        free = is_free.sum(axis=2)
-        choices = (free[:, 1] > free[:, 0]).view(numpy.int8)
-        rows = numpy.arange(len(choices))
-        ways = is_free[rows, choices].argmax(axis=1)
-        full = numpy.flatnonzero(free.max(axis=1) == 0)
-        if len(full):
-            ways[full] = (values[full] >> self._place_bits) & (_WAYS - 1)
+        free = numpy.add.reduce(is_free, axis=2, dtype=numpy.uint8)
+        # Free entries count as much as their bucket has free ones, so the emptier bucket wins.
+        scores = (is_free * free[:, :, None]).reshape(len(values), -1)
+        places = scores.argmax(axis=1)
+        is_full = ~numpy.logical_or.reduce(free, axis=1)
+        if numpy.logical_or.reduce(is_full):
+            full = is_full.nonzero()[0]
+            places[full] = (values[full] >> self._place_bits) & (_WAYS - 1)
             self.overwritten += len(full)
-        return (numbers[rows, choices] << _WAY_BITS) + ways
+        rows = numpy.arange(0, _CHOICES * len(values), _CHOICES)
+        chosen = numbers.reshape(-1).take((places >> _WAY_BITS) + rows)
+        return (chosen << _WAY_BITS) + (places & (_WAYS - 1))
 
-    def _split_fullest(self) -> None:
-        """Split the segment that has taken most blocks if it is nearly full and may be split."""
-        number = int(self._inserted.argmax())
-        limit = int(_SPLIT_ABOVE_LOAD * self._segment_entries)
-        if self._inserted[number] <= limit:
+    def _grow(self) -> None:
+        """Split a segment if it is nearly full, and plan the next look.
+
+        Hashes spread evenly, so the segments that were split least fill first, and alike.
+        """
+        depth = min(self._depths)
+        if depth == self._maximum_splits:
+            self._until_look = sys.maxsize
             return
-        segment = self._segment(number)
-        # Blocks were also removed and overwritten since.
-        self._inserted[number] = numpy.count_nonzero(segment & _MASK)
-        if self._inserted[number] > limit and self._depths[number] < self._maximum_splits:
+        number = self._depths.index(depth)
+        held = numpy.count_nonzero(self._segment(number) & _MASK)
+        room = int(_SPLIT_ABOVE_LOAD * self._segment_entries) - int(held)
+        if room <= 0:
             self._split(number)
-        elif self._inserted[number] > limit:
-            self._inserted[number] = 0
+        self._until_look = max(0, room) << depth
 
     def _split(self, number: int) -> None:
         depth = self._depths[number]
@@ -264,14 +276,12 @@
         numpy.multiply(segment, moves, out=upper)
         segment *= numpy.uint32(1) - moves
         self._depths[number] = depth + 1
-        self._inserted[number] = numpy.count_nonzero(segment & _MASK)
-        self._inserted[len(self._depths)] = numpy.count_nonzero(upper & _MASK)
         self._depths.append(depth + 1)
 
 
 def _hits(buckets: _Entries, wanted: _Entries) -> _Positions:
     """Return where among the blocks' entries, shape (blocks, 2, 8), the wanted ones are."""
-    return numpy.flatnonzero((buckets ^ wanted[:, None, None]) <= _MASK)
+    return ((buckets ^ wanted[:, None, None]) <= _MASK).reshape(-1).nonzero()[0]
 
 
 def _positions(buckets: _Positions, hits: _Positions) -> _Positions:
