Keep what start-up has made out of later garbage collections

Cause: a full collection walks every object of the imported libraries, and a node under load makes enough objects to start them.

Change: run_until_signal freezes what start-up has made (gc.freeze), for nodes and agents.

--- a/src/martenrun/cli/run.py
+++ b/src/martenrun/cli/run.py
@@ -1,5 +1,6 @@
 """Running a process until it is asked to stop."""
 
+import gc
 import signal
 import threading
 from collections.abc import Iterator
@@ -43,6 +44,8 @@
     logging.set_verbosity(logging.INFO)
     identify_process(description)
     process.start()
+    # What start-up has made stays: later collections need not walk it.
+    gc.freeze()
     logging.info("%s started", description)
     stopping.wait()
     if isinstance(process, Drainable):
