--- a/src/martenrun/cli/admin.py
+++ b/src/martenrun/cli/admin.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from martenrun.admin.client import AdminClient
+from martenrun.cli.in_force import in_force
 from martenrun.configuration.objects import (
     Drain,
     DrainRole,
@@ -41,8 +42,11 @@
     context.obj = AdminClient(address, key)
 
 
+admin.add_command(in_force)
+
+
 @contextmanager
-def _errors_printed() -> Iterator[None]:
+def errors_printed() -> Iterator[None]:
     """Print a typed error with its remedy and exit with its status."""
     try:
         yield
@@ -67,7 +71,7 @@
 @click.pass_obj
 def apply_object(client: AdminClient, kind: str, name: str, file: Path, version: int) -> None:
     """Create or replace an object from a JSON file."""
-    with _errors_printed():
+    with errors_printed():
         accepted = client.apply(kind, name, file.read_bytes(), version)
     click.echo(f"accepted: {kind}/{name} has version {accepted}")
 
@@ -78,7 +82,7 @@
 @click.pass_obj
 def get_object(client: AdminClient, kind: str, name: str) -> None:
     """Print an object with its version."""
-    with _errors_printed():
+    with errors_printed():
         _echo(client.get(kind, name))
 
 
@@ -87,7 +91,7 @@
 @click.pass_obj
 def list_objects(client: AdminClient, kind: str) -> None:
     """Print every object of a kind, one a line."""
-    with _errors_printed():
+    with errors_printed():
         for item in client.list(kind):
             _echo(item)
 
@@ -99,7 +103,7 @@
 @click.pass_obj
 def delete_object(client: AdminClient, kind: str, name: str, version: int) -> None:
     """Delete an object that nothing refers to."""
-    with _errors_printed():
+    with errors_printed():
         accepted = client.delete(kind, name, version)
     click.echo(f"accepted: {kind}/{name} is deleted in version {accepted}")
 
@@ -114,7 +118,7 @@
     token = secrets.token_urlsafe(32)
     digest = hashlib.sha256(token.encode()).hexdigest()
     document = {"tenant": tenant, "role": role, "key_sha256": digest}
-    with _errors_printed():
+    with errors_printed():
         client.apply(Kind.API_KEY.value, name, msgspec.json.encode(document), 0)
     click.echo(token)
 
@@ -124,7 +128,7 @@
 @click.pass_obj
 def retire_key(client: AdminClient, name: str) -> None:
     """Refuse a key from now on; the end of a rotation."""
-    with _errors_printed():
+    with errors_printed():
         present = client.get(Kind.API_KEY.value, name)
         key = parse_document(Kind.API_KEY, bytes(present.document))
         document = encode_document(msgspec.structs.replace(key, retired=True))
@@ -141,7 +145,7 @@
 def drain(client: AdminClient, name: str, role: str, reason: str, stop: bool) -> None:
     """Give a runner or node no new work; running requests go on."""
     kind = Kind.DRAIN.value
-    with _errors_printed():
+    with errors_printed():
         if stop:
             client.delete(kind, name, client.get(kind, name).version)
         else:
@@ -155,7 +159,7 @@
 @click.pass_obj
 def status(client: AdminClient, as_json: bool) -> None:
     """Print which revision is in force where, the slowest first."""
-    with _errors_printed():
+    with errors_printed():
         found = client.status()
     if as_json:
         _echo(found)
--- a/src/martenrun/configuration/objects.py
+++ b/src/martenrun/configuration/objects.py
@@ -36,6 +36,7 @@
     POLICY = "policies"
     ROUTE = "routes"
     DRAIN = "drains"
+    RETENTION = "retention"
 
 
 REPLICATED_KINDS = tuple(kind.value for kind in Kind)
@@ -133,7 +134,17 @@
     reason: Annotated[str, Meta(max_length=1_000)] = ""
 
 
-Document = Tenant | ApiKey | Pool | Policy | Route | Drain
+class Retention(ConfigurationDocument, frozen=True, kw_only=True):
+    """How long something lasting is kept; the object's name says what (``claims``).
+
+    A key that is used again after its claim was removed runs again.
+    """
+
+    seconds: Annotated[float, Meta(ge=3_600, le=400 * 86_400)] = 7 * 86_400.0
+    removals_per_s: Annotated[float, Meta(gt=0, le=1_000)] = 50.0
+
+
+Document = Tenant | ApiKey | Pool | Policy | Route | Drain | Retention
 
 _MODELS: dict[Kind, type[Document]] = {
     Kind.TENANT: Tenant,
@@ -142,6 +153,7 @@
     Kind.POLICY: Policy,
     Kind.ROUTE: Route,
     Kind.DRAIN: Drain,
+    Kind.RETENTION: Retention,
 }
 
 
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -5,12 +5,11 @@
 import threading
 from typing import TYPE_CHECKING, Any
 
-from absl import logging
-
 from martenrun.edge.drain import wait_while
 from martenrun.errors import SettingsError
 from martenrun.events import Finish, LeaveRequested, RunAttempt, SendOrder, StatusReady
 from martenrun.node.core import NodeCore
+from martenrun.node.feeds import EngineFeeds
 from martenrun.node.polls import NodePolls
 from martenrun.orders.workers import OrderWorkers
 from martenrun.platform.engine import EngineConnections
@@ -30,7 +29,6 @@
 
 MACHINE_POLL_S = 1.0
 RUNNER_POLL_S = 0.5
-CACHE_EVENTS_POLL_S = 0.2
 
 
 class NodeProcess:
@@ -44,15 +42,15 @@
         self._settings = settings
         self._core = core = NodeCore(settings, secrets.token_hex(8), random.Random())
         self._engines = EngineConnections()
+        self._feeds = EngineFeeds(core.tell, random.Random())
         self._polls = NodePolls(
-            core.parts, MachineList(settings.machine_list), self._engines, core.tell
+            core.parts, MachineList(settings.machine_list), self._engines, self._feeds, core.tell
         )
         self._order_workers = OrderWorkers(EngineOrders(self._engines), core.tell)
         self._front: NodeFront | None = None
         self._pollers = [
             Poller("machine-list", self._polls.list_machines, MACHINE_POLL_S),
-            Poller("runners", self._polls.describe_runners, RUNNER_POLL_S),
-            Poller("cache-events", self._polls.read_cache_events, CACHE_EVENTS_POLL_S),
+            Poller("runners", self._polls.follow_engines, RUNNER_POLL_S),
         ]
 
     def start(self) -> None:
@@ -70,6 +68,7 @@
             }
         )
         self._core.start()
+        self._feeds.start()
         for poller in self._pollers:
             poller.start()
         try:
@@ -85,15 +84,15 @@
         ask another node.
         """
         assert self._front is not None
-        slots = self._front.slots
+        planned_stop = self._front.planned_stop
         self._core.tell(LeaveRequested())
-        slots.close()
+        planned_stop.begin()
         membership = self._core.parts.membership
         wait_while(lambda: not membership.leave_is_spread, LEAVE_SPREAD_LIMIT_S, hurry)
-        if not wait_while(lambda: slots.taken > 0, self._settings.drain_timeout_s, hurry):
-            logging.warning("%d streams are cut by the stop", slots.taken)
+        planned_stop.end_requests(hurry)
         if not membership.is_alone:
             hurry.wait(LATE_QUESTIONS_S)
+        planned_stop.close_connections(hurry)
 
     def stop(self) -> None:
         """Stop every driver and the loop."""
@@ -101,6 +100,7 @@
             self._front.stop()
         for poller in self._pollers:
             poller.stop()
+        self._feeds.stop()
         self._order_workers.stop()
         self._core.stop()
 
@@ -110,7 +110,7 @@
 
         address = self._settings.http_address
         try:
-            self._front = NodeFront(self._settings, self._core)
+            self._front = NodeFront(self._settings, self._core, self._feeds.figures)
         except OSError as error:
             remedy = "give http_address an address of this machine with a free port"
             fault = SettingsError(f"cannot listen on {address}: {error}", remedy=remedy)
--- a/src/martenrun/process.py
+++ b/src/martenrun/process.py
@@ -20,11 +20,13 @@
 from martenrun.events import (
     DecisionLogic,
     Event,
+    EventBatch,
     Instruction,
     PeerMessage,
     Send,
     SendDatagram,
     StoreAnswered,
+    StoreList,
     StoreOutcome,
     StoreRead,
     StoreWrite,
@@ -60,8 +62,14 @@
         return queue.SimpleQueue()
 
     def on_receive(self, message: Any) -> None:
-        """Handle one event."""
-        event: Event = message
+        """Handle one event, or each of a batch."""
+        if isinstance(message, EventBatch):
+            for event in message.events:
+                self._handle(event)
+        else:
+            self._handle(message)
+
+    def _handle(self, event: Event) -> None:
         for part in self._dispatcher.parts_for(event):
             try:
                 instructions = part.handle(event, time.monotonic())
@@ -101,14 +109,14 @@
 
 
 class StoreWorkers:
-    """Driver threads that carry out StoreWrite and StoreRead."""
+    """Driver threads that carry out StoreWrite, StoreRead and StoreList."""
 
     def __init__(self, store: ObjectApi, tell: Callable[[Event], None]) -> None:
         self._store = store
         self._tell = tell
         self._threads = ThreadPoolExecutor(STORE_WORKERS, thread_name_prefix="store")
 
-    def carry(self, instruction: StoreWrite | StoreRead) -> None:
+    def carry(self, instruction: StoreWrite | StoreRead | StoreList) -> None:
         """Start a call; its StoreAnswered follows."""
         self._threads.submit(lambda: self._tell(self._answer(instruction)))
 
@@ -116,11 +124,14 @@
         """Wait for no further calls."""
         self._threads.shutdown(wait=False, cancel_futures=True)
 
-    def _answer(self, call: StoreWrite | StoreRead) -> StoreAnswered:
+    def _answer(self, call: StoreWrite | StoreRead | StoreList) -> StoreAnswered:
         try:
             if isinstance(call, StoreRead):
                 found = self._store.get(call.kind, call.name)
                 return StoreAnswered(call.call_id, StoreOutcome.DONE, found.revision, found)
+            if isinstance(call, StoreList):
+                listed = tuple(self._store.list_page(call.kind, call.after_name, call.limit))
+                return StoreAnswered(call.call_id, StoreOutcome.DONE, listed=listed)
             version = self._store.write(call.kind, call.name, call.expected, call.document)
             return StoreAnswered(call.call_id, StoreOutcome.DONE, version)
         except VersionConflictError as error:
--- a/src/martenrun/settings/model.py
+++ b/src/martenrun/settings/model.py
@@ -11,6 +11,10 @@
 """``IP:port``; names are not resolved."""
 
 
+ClusterSecret = Annotated[str, Meta(min_length=16, max_length=64)]
+"""A key of the cluster, as text."""
+
+
 class MembershipSettings(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Times and counts of failure detection between nodes; the same on every node."""
 
@@ -50,15 +54,20 @@
     name: Annotated[str, Meta(min_length=1, description="unique name of the process, used in logs")]
     zone: Annotated[str, Meta(min_length=1, description="zone of the machine")]
     region: Annotated[str, Meta(min_length=1, description="region of the machine")] = "local"
-    cluster_secret: Annotated[
-        str, Meta(min_length=16, max_length=64, description="shared by the cluster")
-    ]
+    cluster_secret: Annotated[ClusterSecret, Meta(description="shared by the cluster")]
     http_address: Annotated[Address, Meta(description="IP:port of the HTTP edge")]
     seed_nodes: Annotated[list[Address], Meta(description="nodes to ask first")] = []
     http_threads: Annotated[int, Meta(ge=4, le=512, description="threads beside streams")] = 16
     max_streams: Annotated[
         int, Meta(ge=1, le=1_000, description="requests carried at a time; more are refused")
     ] = 100
+    max_connections: Annotated[
+        Annotated[int, Meta(ge=1, le=20_000)] | None,
+        Meta(description="connections held; more are refused"),
+    ] = None
+    receive_timeout_s: Annotated[
+        float, Meta(ge=0.2, le=600.0, description="seconds to receive a caller's request")
+    ] = 30.0
     token_gap_timeout_s: Annotated[
         float, Meta(ge=0.2, le=600.0, description="longest silence between tokens, in seconds")
     ] = 5.0
@@ -70,6 +79,10 @@
 class NodeSettings(ProcessSettings, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Settings of ``martenrun node``."""
 
+    accepted_secrets: Annotated[
+        list[ClusterSecret],
+        Meta(max_length=4, description="other cluster secrets accepted for now"),
+    ] = []
     peer_address: Annotated[Address, Meta(description="IP:port of the internal protocol")]
     object_api: Annotated[Address, Meta(description="IP:port of the platform's object API")]
     machine_list: Annotated[Address, Meta(description="IP:port of the platform's machine list")]
--- a/tests/test_cache_events_logic.py
+++ b/tests/test_cache_events_logic.py
@@ -29,7 +29,7 @@
         self.logic.handle(CacheEventsRead("r1", events), 1.0)
 
     def believed(self):
-        return int(self.beliefs.leading(CHAIN, ("r1",))[0])
+        return self.beliefs.leading(CHAIN.tobytes(), ("r1",), 1.0)[0]
 
 
 @pytest.fixture
@@ -79,3 +79,10 @@
     feed.logic.handle(Tick(), 5.0)
     assert feed.believed() == 0
     assert feed.beliefs.fed_runners == []
+
+
+def test_events_on_their_way_when_the_owner_changed_are_dropped(feed):
+    feed.owned.clear()
+    feed.logic.handle(Tick(), 5.0)
+    feed.tell(2, 2, stored=CHAIN)
+    assert feed.beliefs.fed_runners == []
