Look at followed engines only when something is due, and open few streams at a time

Cause: each round asked every engine whether it was silent or due and compared all targets; each keep-alive told the loop the known description again. A node that starts believes for a moment that it owns every runner, and would have opened a stream to each at once. Change: engines carry the time of the next look; targets are compared only when they are new; descriptions are told again after 1.9 s, within the 2 s of leases and the 3 s of homes; eight streams are opened a round, those that wait longest first. An engine that waits for its turn is not taken as silent. Ruled out: longer rounds; 0.2 s would notice a killed engine later than polling did.

--- a/src/martenrun/node/feeds.py
+++ b/src/martenrun/node/feeds.py
@@ -33,6 +33,9 @@
 ROUND_BYTES = 4 * READ_BYTES
 """Bytes read in one round; bounds how long the loop is held by one message."""
 
+OPENINGS_A_ROUND = 8
+"""Streams opened in one round: a node that starts believes for a moment that it owns them all."""
+
 FAULT_PAUSE_S = 1.0
 """Pause after a round that failed for an unknown cause, in seconds."""
 
@@ -98,7 +101,7 @@
         self._streams: dict[str, EngineStream] = {}
         self._targets: Mapping[str, Target] = {}
         self._failed_polls: collections.deque[str] = collections.deque()
-        self._polled: frozenset[str] = frozenset()
+        self._taken: Mapping[str, Target] = self._targets
         self._last_read = ""
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="engine-feeds", daemon=True)
@@ -119,7 +122,8 @@
 
     def polled(self) -> Collection[str]:
         """Return the runners that answer but have no push stream."""
-        return self._polled
+        engines = list(self._engines.values())
+        return {engine.target.runner for engine in engines if engine.state is FeedState.POLLED}
 
     def poll_failed(self, runner: str) -> None:
         """A polled runner did not answer."""
@@ -160,20 +164,32 @@
             engine = self._engines.get(self._failed_polls.popleft())
             if engine is not None:
                 engine.poll_failed(now)
-        for engine in list(self._engines.values()):
+        events += self._look(now)
+        if events:
+            self._tell(EventBatch(tuple(events)))
+
+    def _look(self, now: float) -> list[Event]:
+        """Give up silent engines and open due streams, those first that wait longest."""
+        events: list[Event] = []
+        due: list[FollowedEngine] = []
+        for engine in self._engines.values():
+            if now < engine.look_at:
+                continue
             if engine.is_silent(now):
                 self._close(engine.target.runner)
                 events += engine.silenced(now)
-            if engine.is_due(now):
-                events += self._open(engine, now)
-        self._polled = frozenset(
-            runner for runner, engine in self._engines.items() if engine.state is FeedState.POLLED
-        )
-        if events:
-            self._tell(EventBatch(tuple(events)))
+            elif engine.is_due(now):
+                due.append(engine)
+        due.sort(key=lambda engine: engine.next_try)
+        for engine in due[:OPENINGS_A_ROUND]:
+            events += self._open(engine, now)
+        return events
 
     def _take_targets(self, now: float) -> None:
         targets = self._targets
+        if targets is self._taken:
+            return
+        self._taken = targets
         for runner, engine in list(self._engines.items()):
             if targets.get(runner) != engine.target:
                 self._close(runner)
--- a/src/martenrun/node/followed_engine.py
+++ b/src/martenrun/node/followed_engine.py
@@ -29,10 +29,11 @@
 OLDER_DIALECT_RETRY_S = 30.0
 """Time after which an engine without push streams is asked for one again, in seconds."""
 
-RETELL_S = 0.9
+RETELL_S = 1.9
 """Time after which a keep-alive tells the known description again, in seconds.
 
-Loads age at the node and leases are compared with them, so an unchanged one is news, too.
+Loads older than 3 s are unknown to homes, and leases are compared with reports of the last 2 s,
+so an unchanged one is news, too.
 """
 
 
@@ -62,6 +63,7 @@
         state: see :class:`FeedState`.
         position: how far its cache events are known.
         next_try: when to open the next stream; means nothing while one is open or opening.
+        look_at: nothing is due before; see :meth:`is_due` and :meth:`is_silent`.
         last_word_at: when the engine last said anything.
         reconnects, gaps: counts since it is followed.
     """
@@ -72,6 +74,7 @@
         self.position = FeedPosition()
         self.next_try = now
         self.last_word_at = now
+        self.look_at = now
         self.reconnects = 0
         self.gaps = 0
         self._rng = rng
@@ -79,6 +82,7 @@
         self._description: RunnerDescription | None = None
         self._told_at = now
         self._opened_at = now
+        self._silent_since = now
 
     def is_due(self, now: float) -> bool:
         """Whether a stream is to be opened now."""
@@ -87,9 +91,12 @@
 
     def opening(self, now: float) -> None:
         """A connection is being opened."""
-        self.next_try = now + OLDER_DIALECT_RETRY_S
+        if self._description is None:
+            self._silent_since = now
+        self.next_try = self.look_at = now + OLDER_DIALECT_RETRY_S
         if self.state is FeedState.WAITING:
             self.state = FeedState.OPENING
+            self.look_at = self._silent_since + SILENCE_S
 
     def pushed(self, pushes: list[Push], now: float) -> list[Event]:
         """Take in the events of one read."""
@@ -125,38 +132,39 @@
         self.state = FeedState.WAITING
         self.reconnects += 1
         self._pause_s = FIRST_RETRY_S if is_first else min(2 * self._pause_s, MAXIMUM_RETRY_S)
-        self.next_try = now + self._rng.uniform(0.5, 1.0) * self._pause_s
+        self.next_try = self.look_at = now + self._rng.uniform(0.5, 1.0) * self._pause_s
         # A stream that worked may end for its own reasons: the next attempt tells.
         return [] if was_open else self._unreachable()
 
     def is_polled(self, now: float) -> None:
         """The engine answers, but has no push stream."""
         self.state = FeedState.POLLED
-        self.next_try = now + OLDER_DIALECT_RETRY_S
+        self.next_try = self.look_at = now + OLDER_DIALECT_RETRY_S
 
     def poll_failed(self, now: float) -> None:
         """A polled engine did not answer: find out by a stream that blocks nobody."""
         if self.state is FeedState.POLLED:
             self.state = FeedState.WAITING
-            self.next_try = self.last_word_at = now
+            self.next_try = self.look_at = now
 
     def is_silent(self, now: float) -> bool:
         """Whether an engine that should speak has not for too long."""
-        return self.state is not FeedState.POLLED and now - self.last_word_at > SILENCE_S
+        if self.state not in (FeedState.OPENING, FeedState.OPEN):
+            return False
+        self.look_at = self._silent_since + SILENCE_S
+        return now > self.look_at
 
     def silenced(self, now: float) -> list[Event]:
-        """The engine was silent for too long; its stream, if any, is closed by the driver."""
-        self.last_word_at = now
-        if self.state is not FeedState.WAITING:
-            self.state = FeedState.OPENING
-            return self.broke(now)
-        return self._unreachable()
+        """The engine was silent for too long; its stream is closed by the driver."""
+        self.state = FeedState.OPENING
+        return self.broke(now)
 
     def _heard(self, now: float) -> None:
         if self.state is not FeedState.OPEN:
             self.state = FeedState.OPEN
             self._opened_at = now
-        self.last_word_at = now
+            self.look_at = now + SILENCE_S
+        self.last_word_at = self._silent_since = now
 
     def _retold(self, now: float) -> list[Event]:
         if self._description is None or now - self._told_at < RETELL_S:
--- a/tests/test_engine_feeds.py
+++ b/tests/test_engine_feeds.py
@@ -10,7 +10,7 @@
 
 from engine_server import running_engine
 from martenrun.events import CacheEventsRead, EventBatch, RunnerDescribed
-from martenrun.node.feeds import EngineFeeds
+from martenrun.node.feeds import OPENINGS_A_ROUND, EngineFeeds
 from martenrun.node.followed_engine import (
     MAXIMUM_RETRY_S,
     RETELL_S,
@@ -329,3 +329,21 @@
     loop.tell(EventBatch((*DESCRIBED, *UNREACHABLE)))
     loop.stop(block=True)
     assert handled == DESCRIBED + UNREACHABLE
+
+
+def test_a_node_that_starts_opens_few_streams_at_a_time():
+    started = Following()
+    with contextlib.closing(socket.create_server(("127.0.0.1", 0), backlog=64)) as deaf:
+        address = f"127.0.0.1:{deaf.getsockname()[1]}"
+        started.follow(*[address] * 30)
+        states = []
+        for count in range(4):
+            started.feeds._round(count / 10)
+            states.append([figures.state for figures in started.feeds.figures()])
+        opened = [round_states.count(FeedState.OPENING) for round_states in states]
+        assert opened == [OPENINGS_A_ROUND * (count + 1) for count in range(3)] + [30]
+        assert started.told == []
+        started.follow(address)
+        started.feeds._round(0.5)
+        assert len(started.feeds.figures()) == 1
+        started.feeds.stop()
