Serve a suspected node's runners elsewhere, and ask past silent nodes

Ruled out: agents' knowledge of members alone (the wait of 1 s is over after the first second), homes' beliefs (p95 is back in the second in which an owner is there).

Change: a suspected member owns nothing in the others' maps; one question a second finds out whether a silent owner answers again; silent nodes do not take up places among the nodes asked, a round goes on with what other questions have met, and a question risked on a silent node waits 0.25 s for it instead of 1 s.

--- a/src/martenrun/agent/active.py
+++ b/src/martenrun/agent/active.py
@@ -37,6 +37,7 @@
 
     Attributes:
         nodes: nodes to ask, the present one first.
+        asked: nodes that were silent in the present round.
         deadline: when the request must have begun to answer, on the loop's clock.
         asked_until: when the present node counts as silent.
         resume_at: when a pause before the next question is over.
@@ -61,6 +62,7 @@
     result: AttemptResult | None = None
     first_token_s: float = 0.0
     can_resume: bool = False
+    asked: list[str] = field(default_factory=list)
     excluded: list[str] = field(default_factory=list)
     ran: Ran = Ran.NO
     has_output: bool = False
--- a/src/martenrun/agent/home_nodes.py
+++ b/src/martenrun/agent/home_nodes.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Callable, Sequence
 
-from martenrun.constants import BLOCK_HASH_BYTES
+from martenrun.constants import BLOCK_HASH_BYTES, DECISION_TIMEOUT_S
 from martenrun.identity.hashing import name_hash, name_hashes, top_columns
 from martenrun.wire.messages import DecideRequest
 
@@ -16,6 +16,9 @@
 SILENT_RETRY_S = 2.0
 """Time between two questions that are risked on a silent node, in seconds."""
 
+RISK_TIMEOUT_S = 0.25
+"""How long a question risked on a silent node waits for it, in seconds."""
+
 
 class HomeNodes:
     """Ranks live nodes by rendezvous hashing over a request's tenant, model and first block.
@@ -45,8 +48,17 @@
         """A node has answered a question."""
         self._retry_at.pop(node, None)
 
-    def ranked(self, question: DecideRequest, now: float) -> list[str]:
-        """Return the nodes to ask, the home node first; empty if none is known."""
+    def patience_s(self, nodes: Sequence[str]) -> float:
+        """Return how long to wait for the first of the nodes to ask, in seconds."""
+        is_risked = nodes[0] in self._retry_at and not self._retry_at.keys() >= set(nodes)
+        return RISK_TIMEOUT_S if is_risked else DECISION_TIMEOUT_S
+
+    def ranked(self, question: DecideRequest, now: float, asked: Sequence[str] = ()) -> list[str]:
+        """Return the nodes to ask, the home node first; empty if none is known.
+
+        Args:
+            asked: nodes that were asked already; they count among ``NODES_ASKED``.
+        """
         nodes = list(self._live_nodes())
         if nodes != self._nodes:
             self._nodes = nodes
@@ -54,13 +66,17 @@
             self._retry_at = {node: at for node, at in self._retry_at.items() if node in nodes}
         first_block = question.chain[:BLOCK_HASH_BYTES]
         key = f"{question.tenant}\0{question.model}\0".encode() + first_block
-        top = top_columns(name_hash(key), self._hashes, NODES_ASKED)
-        ranking = [nodes[index] for index in top]
-        return self._silent_last(ranking, now) if self._retry_at else ranking
-
-    def _silent_last(self, ranking: list[str], now: float) -> list[str]:
+        # With so many more, silent nodes do not keep out others that may answer.
+        count = NODES_ASKED + len(self._retry_at)
+        top = top_columns(name_hash(key), self._hashes, count)
+        ranking = [nodes[index] for index in top if nodes[index] not in asked]
+        if self._retry_at:
+            ranking = self._silent_last(ranking, now, may_risk=not asked)
+        return ranking[: max(0, NODES_ASKED - len(asked))]
+
+    def _silent_last(self, ranking: list[str], now: float, may_risk: bool) -> list[str]:
         first = ranking[0] if ranking else ""
-        if now >= self._retry_at.get(first, now + 1.0):
+        if may_risk and now >= self._retry_at.get(first, now + 1.0):
             self._retry_at[first] = now + SILENT_RETRY_S
             return ranking
         return sorted(ranking, key=self._retry_at.__contains__)
--- a/src/martenrun/agent/requests.py
+++ b/src/martenrun/agent/requests.py
@@ -268,7 +268,7 @@
 
     def _ask(self, request: ActiveRequest, now: float) -> list[Instruction]:
         request.attempt += 1
-        request.asked_until = now + DECISION_TIMEOUT_S
+        request.asked_until = now + self._home_nodes.patience_s(request.nodes)
         # A copy: a node's own front hands the object itself to the node's decision logic.
         question = replace(
             request.question,
@@ -282,6 +282,7 @@
         assert request.grant is not None
         request.result = None
         request.search_until = 0.0
+        request.asked.clear()
         return [RunAttempt(request.question.request_id, request.grant)]
 
     def _wait_longer(self, request: ActiveRequest, now: float) -> list[Instruction]:
@@ -296,7 +297,12 @@
         return [Send(request.nodes[0], withdrawal)]
 
     def _ask_next_node(self, request: ActiveRequest, now: float) -> list[Instruction]:
-        self._home_nodes.silent(request.nodes.pop(0), now)
+        silent = request.nodes.pop(0)
+        self._home_nodes.silent(silent, now)
+        request.asked.append(silent)
+        # What other questions have met meanwhile counts.
+        ranked = self._home_nodes.ranked(request.question, now, request.asked)
+        request.nodes = ranked or request.nodes
         return self._ask(request, now)
 
     def _ask_other_node(self, request: ActiveRequest, now: float) -> list[Instruction]:
@@ -305,6 +311,7 @@
 
     def _plan_round(self, request: ActiveRequest, now: float) -> list[Instruction]:
         self._home_nodes.silent(request.nodes[0], now)
+        request.asked.clear()
         request.nodes = self._home_nodes.ranked(request.question, now) or request.nodes
         request.resume_at = now + ROUND_PAUSE_S * self._rng.uniform(0.5, 1.5)
         return []
@@ -349,6 +356,8 @@
         return self._refuse(request, request.refusal_error())
 
     def _answer_node_unavailable(self, request: ActiveRequest, now: float) -> list[Instruction]:
+        if request.nodes:
+            self._home_nodes.silent(request.nodes[0], now)
         if request.refusal is not None and request.refusal.code in _UNABLE_CODES:
             return self._refuse(request, request.refusal_error())
         error = NodeUnavailableError("no node answered in time", retry_after_s=RETRY_AFTER_S)
--- a/src/martenrun/membership/gossip.py
+++ b/src/martenrun/membership/gossip.py
@@ -117,6 +117,10 @@
         """Return members believed alive, this node included, leaving ones excluded."""
         return self._live
 
+    def suspected(self) -> frozenset[str]:
+        """Return the addresses of members that may be dead and have not refuted it yet."""
+        return self._table.suspected
+
     def statuses(self) -> dict[str, MemberStatus]:
         """Return what is believed of every known member, by address."""
         return {record.address: record.status for record in self._table.records.values()}
--- a/src/martenrun/membership/table.py
+++ b/src/martenrun/membership/table.py
@@ -27,6 +27,7 @@
         digest: equal on two nodes that believe in the same members.
         changed_at: when the digest changed last.
         version: raised when the digest changes.
+        suspected: addresses of the members that are suspected; the digest leaves that out.
     """
 
     def __init__(self, own: Member, settings: MembershipSettings) -> None:
@@ -37,6 +38,7 @@
         self.digest = 0
         self.changed_at = 0.0
         self.version = 0
+        self.suspected: frozenset[str] = frozenset()
         self._settings = settings
         self._pending: dict[str, MemberRecord] = {}
         self._actions: dict[str, Callable[[MemberRecord, MemberClaim | None, float], None]] = {
@@ -127,11 +129,14 @@
         transition = _CHART.step(_STATE_OF[record.status], event)
         if transition is None:
             return
+        was_suspected = record.status is MemberStatus.SUSPECTED
         status = _STATUS_OF.get(transition.next_state)
         if status is not None:
             record.status = status
         for action in transition.actions:
             self._actions[action](record, claim, now)
+        if was_suspected != (record.status is MemberStatus.SUSPECTED):
+            self.suspected ^= {record.address}
         self._update_digest(record, now)
 
     def _update_digest(self, record: MemberRecord, now: float) -> None:
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -96,7 +96,7 @@
     members = GossipMembership(own, settings.seed_nodes, settings.membership, rng)
     configuration = NodeConfigurationLogic(own_address, settings.seed_nodes, members, rng)
     runners = RunnerTable(lambda: configuration.state.view.drained(DrainRole.RUNNER))
-    owners = OwnerMap(members)
+    owners = OwnerMap(members, members.suspected)
     exchange = UsageExchange(members, rng)
     meter = ExchangeMeter(exchange)
     limits = AdmissionLimits(meter.limit_share, meter)
--- a/src/martenrun/ownership/owners.py
+++ b/src/martenrun/ownership/owners.py
@@ -1,22 +1,34 @@
 """Which node owns each runner: rendezvous hashing over the live members of its zone.
 
-A runner whose zone has no live member is owned by a member of any zone.  Views that differ for
+A runner whose zone has no live member is owned by a member of any zone.  Members that others
+suspect to be dead own nothing meanwhile, so that runners need not wait until the death is
+certain; a suspected member that lives goes on granting until it has refuted.  Views that differ for
 some seconds may give a runner two owners; that is harmless because engines refuse work beyond
 their slots without running it.
 
 See also: :mod:`martenrun.membership.view`.
 """
 
+from collections.abc import Callable
+
 from martenrun.identity.hashing import best_columns, name_hashes
 from martenrun.membership.view import Member, MemberView
 from martenrun.node.runners import RunnerTable
 
 
 class OwnerMap:
-    """Owners of all runners, computed again only for zones whose members or runners changed."""
+    """Owners of all runners, computed again only for zones whose members or runners changed.
+
+    Args:
+        members: the live members.
+        suspected: returns the addresses of members that may be dead.
+    """
 
-    def __init__(self, members: MemberView) -> None:
+    def __init__(
+        self, members: MemberView, suspected: Callable[[], frozenset[str]] = frozenset
+    ) -> None:
         self._members = members
+        self._suspected = suspected
         self._live: tuple[Member, ...] = ()
         self._table_version = -1
         self._addresses: frozenset[str] = frozenset()
@@ -31,7 +43,9 @@
 
     def refresh(self, table: RunnerTable) -> bool:
         """Take in the present members and runners; returns whether any owner may have moved."""
-        live = tuple(self._members.live())
+        known = self._members.live()
+        suspected = self._suspected() - {self.own_address}
+        live = tuple(member for member in known if member.address not in suspected)
         if live == self._live and table.version == self._table_version:
             return False
         self._live = live
--- a/src/martenrun/ownership/reservations.py
+++ b/src/martenrun/ownership/reservations.py
@@ -61,6 +61,9 @@
             is_redirected=owner is not None,
         )
         self._by_id[identity] = question.reservations[identity] = reservation
+        if reservation.owner in self._suspects:
+            # One question finds out whether it answers again; others pass it over meanwhile.
+            self._suspects[reservation.owner] = now + SUSPECT_S
         message = ReserveSlot(
             identity,
             runner,
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -285,3 +285,19 @@
     cluster.scheduler.run_until(4.0)
     assert [r.refusal.code for r in requests if r.refusal] == []
     assert all(r.finished_at is not None for r in requests)
+
+
+def test_one_question_a_second_finds_out_whether_a_silent_owner_answers_again():
+    cluster = OwnershipCluster(nodes=2, runners=4, seed=5, zones=1, slots=50)
+    cluster.scheduler.run_until(1.6)
+    owner, _home = cluster.nodes.values()
+    cluster.kill_node(owner.member.address, noticed_after_s=60.0)
+    requests = []
+    for number in range(300):
+        cluster.scheduler.run_until(2.0 + 0.02 * number)
+        requests.append(cluster.ask(number, service_s=0.1))
+    cluster.scheduler.run_until(10.0)
+    calm = [r for r in requests if r.started_at > 2.5 and r.question.attempt == 1]
+    slow = [r for r in calm if r.first_grant_s > 0.1]
+    assert len(calm) > 100
+    assert 1 <= len(slow) <= 3
--- a/tests/test_ownership_parts.py
+++ b/tests/test_ownership_parts.py
@@ -188,6 +188,18 @@
     assert moved and set(moved) == {members[-1].address}
 
 
+def test_runners_of_a_suspected_member_have_a_stand_in_until_it_has_refuted():
+    suspected = frozenset({OTHER.address})
+    table = RunnerTable()
+    table.handle(MachinesListed([machine(f"r{n}") for n in range(20)]), 0.0)
+    owners = OwnerMap(StaticMemberView(OWN, [OWN, OTHER]), lambda: suspected)
+    owners.refresh(table)
+    assert all(owners.owns(name) for name in table.runners)
+    suspected = frozenset({OWN.address})
+    assert owners.refresh(table)
+    assert {owners.owner(name) for name in table.runners} == {OWN.address, OTHER.address}
+
+
 def test_candidates_of_a_large_pool_are_few_stable_and_partly_near():
     runners = [RunnerState(f"r{n}", "", "ab"[n % 2], "pool") for n in range(500)]
     index = PoolIndex(runners, "a")
--- a/tests/test_proof_simulation.py
+++ b/tests/test_proof_simulation.py
@@ -20,7 +20,7 @@
 from martenrun.platform.engine import AttemptOutcome
 from martenrun.platform.machine_list import Machine
 from martenrun.proof.checkers.configuration import check_configuration
-from martenrun.proof.history import ConfigurationRemovalSeen, History
+from martenrun.proof.history import ConfigurationRemovalSeen, Executed, History, RequestInvoked
 from martenrun.proof.schedule import Fault, FaultKind, Schedule, draw_schedule
 from martenrun.proof.world import World, run_schedule
 from martenrun.routing.policy import RunnerChoice
@@ -238,6 +238,20 @@
     assert found(draw_schedule(seed), "restart") == []
 
 
+def test_a_killed_nodes_runners_serve_again_before_its_death_is_certain():
+    killed = fault(FaultKind.KILL_NODE, 6.0, 10.0)
+    run = schedule(killed, seed=1, load_s=12.0, requests_per_s=100.0, copy_share=0.0)
+    history = World(run).run()
+    started = {item.request_id: item.time_s for item in reversed(history.of(Executed))}
+    waits = [
+        started[asked.request_id] - asked.time_s
+        for asked in history.of(RequestInvoked)
+        if asked.request_id in started and 13.0 < asked.time_s < 15.0
+    ]
+    assert len(waits) > 100
+    assert sorted(waits)[int(0.95 * len(waits))] < 0.2
+
+
 def test_a_removal_whose_answer_was_lost_does_not_make_the_next_creation_a_lost_update():
     history = World(LOST_ANSWERS).run()
     assert history.of(ConfigurationRemovalSeen)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from martenrun.agent.home_nodes import SILENT_RETRY_S
+from martenrun.agent.home_nodes import NODES_ASKED, RISK_TIMEOUT_S, SILENT_RETRY_S
 from martenrun.agent.requests import MAXIMUM_ATTEMPTS, NODE_SEARCH_S, RequestsLogic
 from martenrun.agent.retry import MAXIMUM_SAVED
 from martenrun.constants import DECISION_TIMEOUT_S
@@ -119,10 +119,25 @@
     agent.wait(SILENT_RETRY_S)
     risked = [asked_by("r3"), asked_by("r4")]
     assert risked == [home, other]
+    agent.wait(RISK_TIMEOUT_S)
+    assert (agent.asked().message.request_id, agent.asked().peer) == ("r3", other)
     agent.tell(PeerMessage(home, Queued("r3", 1, 0.5)))
     assert asked_by("r5") == home
 
 
+def test_silent_nodes_do_not_keep_out_others_that_rank_lower():
+    agent = Agent([f"node-{number}" for number in range(20)])
+    agent.arrive("r1", deadline_s=60.0)
+    silent = set()
+    while agent.logic.active_count:
+        silent.add(agent.asked().peer)
+        agent.wait(0.25)
+    assert len(silent) > NODES_ASKED
+    agent.arrive("r2")  # It may be risked on a silent node.
+    agent.arrive("r3")
+    assert agent.asked().peer not in silent
+
+
 def test_queued_notices_keep_a_question_waiting_until_its_deadline_and_no_longer(agent):
     agent.arrive(deadline_s=2.0)
     for _ in range(4):
