--- a/src/martenrun/process.py
+++ b/src/martenrun/process.py
@@ -4,6 +4,7 @@
 transport, watches, clock) share nothing with it; they only ``tell`` it events.
 """
 
+import queue
 import threading
 import time
 from collections.abc import Callable, Mapping
@@ -19,11 +20,13 @@
 from martenrun.events import (
     DecisionLogic,
     Event,
+    EventBatch,
     Instruction,
     PeerMessage,
     Send,
     SendDatagram,
     StoreAnswered,
+    StoreList,
     StoreOutcome,
     StoreRead,
     StoreWrite,
@@ -53,9 +56,20 @@
         self._dispatcher = Dispatcher(parts)
         self._carriers = carriers
 
+    @staticmethod
+    def _create_actor_inbox() -> Any:
+        """Return the inbox; this queue takes one lock an event, pykka's own takes four."""
+        return queue.SimpleQueue()
+
     def on_receive(self, message: Any) -> None:
-        """Handle one event."""
-        event: Event = message
+        """Handle one event, or each of a batch."""
+        if isinstance(message, EventBatch):
+            for event in message.events:
+                self._handle(event)
+        else:
+            self._handle(message)
+
+    def _handle(self, event: Event) -> None:
         for part in self._dispatcher.parts_for(event):
             try:
                 instructions = part.handle(event, time.monotonic())
@@ -95,14 +109,14 @@
 
 
 class StoreWorkers:
-    """Driver threads that carry out StoreWrite and StoreRead."""
+    """Driver threads that carry out StoreWrite, StoreRead and StoreList."""
 
     def __init__(self, store: ObjectApi, tell: Callable[[Event], None]) -> None:
         self._store = store
         self._tell = tell
         self._threads = ThreadPoolExecutor(STORE_WORKERS, thread_name_prefix="store")
 
-    def carry(self, instruction: StoreWrite | StoreRead) -> None:
+    def carry(self, instruction: StoreWrite | StoreRead | StoreList) -> None:
         """Start a call; its StoreAnswered follows."""
         self._threads.submit(lambda: self._tell(self._answer(instruction)))
 
@@ -110,11 +124,14 @@
         """Wait for no further calls."""
         self._threads.shutdown(wait=False, cancel_futures=True)
 
-    def _answer(self, call: StoreWrite | StoreRead) -> StoreAnswered:
+    def _answer(self, call: StoreWrite | StoreRead | StoreList) -> StoreAnswered:
         try:
             if isinstance(call, StoreRead):
                 found = self._store.get(call.kind, call.name)
                 return StoreAnswered(call.call_id, StoreOutcome.DONE, found.revision, found)
+            if isinstance(call, StoreList):
+                listed = tuple(self._store.list_page(call.kind, call.after_name, call.limit))
+                return StoreAnswered(call.call_id, StoreOutcome.DONE, listed=listed)
             version = self._store.write(call.kind, call.name, call.expected, call.document)
             return StoreAnswered(call.call_id, StoreOutcome.DONE, version)
         except VersionConflictError as error:
@@ -134,7 +151,8 @@
         self._thread = threading.Thread(target=self._run, name="clock", daemon=True)
 
     def start(self) -> None:
-        """Start ticking."""
+        """Start ticking; the first tick comes at once, so that a start waits for none."""
+        self._tell(Tick())
         self._thread.start()
 
     def stop(self) -> None:
--- a/src/martenrun/proof/injector.py
+++ b/src/martenrun/proof/injector.py
@@ -1,11 +1,14 @@
 """Brings the faults of a schedule about in a simulated world."""
 
+import functools
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from martenrun.proof.callers import Callers
 from martenrun.proof.history import (
+    NETWORK,
     OBJECT_API,
+    STOPPED,
     LeavingAnnounced,
     LeavingWithdrawn,
     PlannedStop,
@@ -13,6 +16,7 @@
     ProcessStarted,
 )
 from martenrun.proof.operators import Operators
+from martenrun.proof.place_faults import PlaceFaults
 from martenrun.proof.processes import SimulatedNode, SimulatedProcess, Surroundings
 from martenrun.proof.schedule import Fault, FaultKind
 from martenrun.simulation.engine import SimulatedEngine
@@ -26,6 +30,9 @@
 PROBE_AFTER_S = 1.1
 """A restarted process is sent a request this long after its start, in seconds."""
 
+SECOND_ROLL_S = 2.0
+"""Time from the pause of a permit's holder to the next weights version, in seconds."""
+
 LOSS = 0.2
 DUPLICATES = 0.2
 LOST_ANSWERS = 0.5
@@ -44,6 +51,12 @@
     callers: Callers
     operators: Operators
     _leaving: set[str] = field(default_factory=set)
+    _places: PlaceFaults = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._places = PlaceFaults(
+            self.around, self.nodes, self.agents, self.engines, self._disturb
+        )
 
     def plan(self, faults: Sequence[Fault]) -> None:
         """Schedule every fault."""
@@ -74,6 +87,14 @@
             FaultKind.RESTART_ALL_NODES: lambda: self._kill_all(duration_s),
             FaultKind.RACE_OPERATORS: self.operators.race,
             FaultKind.SHIFT_HOT_PREFIX: self._shift,
+            FaultKind.ROLL_WEIGHTS: self.operators.roll,
+            FaultKind.PAUSE_PERMIT_HOLDER: lambda: self._pause_holder(duration_s),
+            FaultKind.STOP_NODE: lambda: self._stop(node, duration_s),
+            FaultKind.STOP_AGENT: lambda: self._stop(agent, duration_s),
+            FaultKind.LOSE_ZONE: lambda: self._lose_zone(fault),
+            FaultKind.CUT_REGIONS: lambda: self._places.cut_regions(duration_s),
+            FaultKind.MACHINES_DOWN: lambda: self._places.machines_down(duration_s),
+            FaultKind.MACHINES_LATE: lambda: self._places.machines_late(duration_s),
         }
         return actions[fault.kind]
 
@@ -101,16 +122,55 @@
         )
         self._later(PROBE_AFTER_S, lambda: self.callers.probe(process))
 
+    def _stop(self, process: SimulatedProcess, duration_s: float) -> None:
+        """Stop a process as planned; it starts again some time after it has ended."""
+        if not process.is_serving or process.is_draining:
+            return
+        begun_s = self.around.scheduler.now
+
+        def ended() -> None:
+            now = self.around.scheduler.now
+            self.around.recorder.add(PlannedStop(time_s=begun_s, process=process.name, until_s=now))
+            self._disturb(process.name, STOPPED, duration_s)
+            self._later(duration_s, lambda: self._start(process))
+
+        process.drain(ended)
+
     def _kill_all(self, duration_s: float) -> None:
         for node in self.nodes:
             self._kill(node, duration_s)
 
+    def _lose_zone(self, fault: Fault) -> None:
+        """Lose a zone's nodes and engines, and the links of its agents."""
+        zone = self._places.zone_of(fault.target)
+        self._places.cut_zone(zone, fault.duration_s)
+        for node in self._places.nodes_in(zone):
+            self._kill(node, fault.duration_s)
+        for engine in self._places.engines_in(zone):
+            self._crash(engine, fault.duration_s)
+
     def _freeze(self, process: SimulatedProcess, duration_s: float) -> None:
         if process.is_serving:
             self._disturb(process.name, "freeze", duration_s)
             process.freeze()
             self._later(duration_s, process.thaw)
 
+    def _pause_holder(self, duration_s: float) -> None:
+        """Pause the next node that gives an order, with the order on its way out.
+
+        Meanwhile operators publish another version, so that a late order would undo it.
+        """
+
+        def pause(holder: SimulatedNode) -> None:
+            for node in self.nodes:
+                node.on_order = _do_nothing
+            self._freeze(holder, duration_s)
+            self._later(SECOND_ROLL_S, self.operators.roll)
+
+        for node in self.nodes:
+            node.on_order = functools.partial(pause, node)
+        self.operators.roll()
+
     def _crash(self, engine: SimulatedEngine, duration_s: float) -> None:
         if engine.is_up:
             self._disturb(engine.name, "kill", duration_s)
@@ -138,6 +198,7 @@
         faults = self.around.network.faults
         jitter_s = JITTERS_S[fault.target % len(JITTERS_S)]
         faults.loss, faults.duplicate, faults.jitter_s = LOSS, DUPLICATES, jitter_s
+        self._disturb(NETWORK, "loss", fault.duration_s + jitter_s)
         self._later(fault.duration_s, self._heal_messages)
 
     def _heal_messages(self) -> None:
@@ -202,3 +263,7 @@
         self.around.machines.mark(engine.name, "live")
         now = self.around.scheduler.now
         self.around.recorder.add(LeavingWithdrawn(time_s=now, process=engine.name))
+
+
+def _do_nothing() -> None:
+    pass
