--- a/src/martenrun/proof/injector.py
+++ b/src/martenrun/proof/injector.py
@@ -42,7 +42,11 @@
 
 @dataclass
 class FaultInjector:
-    """The machines that faults hit and what is needed to hit them."""
+    """The machines that faults hit and what is needed to hit them.
+
+    Attributes:
+        leaving: names of the engines that are leaving or not yet replaced.
+    """
 
     around: Surroundings
     nodes: Sequence[SimulatedNode]
@@ -50,7 +54,7 @@
     engines: Sequence[SimulatedEngine]
     callers: Callers
     operators: Operators
-    _leaving: set[str] = field(default_factory=set)
+    leaving: set[str] = field(default_factory=set)
     _places: PlaceFaults = field(init=False)
 
     def __post_init__(self) -> None:
@@ -242,9 +246,9 @@
 
     def _leave(self, engine: SimulatedEngine) -> None:
         now = self.around.scheduler.now
-        if not engine.is_up or engine.name in self._leaving:
+        if not engine.is_up or engine.name in self.leaving:
             return
-        self._leaving.add(engine.name)
+        self.leaving.add(engine.name)
         self.around.machines.mark(engine.name, "leaving")
         self.around.recorder.add(LeavingAnnounced(time_s=now, process=engine.name))
         self._later(LEAVING_GRACE_S, lambda: self._end(engine, now))
@@ -259,7 +263,7 @@
     def _return(self, engine: SimulatedEngine) -> None:
         """Replace the machine by a new one under the same name."""
         engine.restart()
-        self._leaving.discard(engine.name)
+        self.leaving.discard(engine.name)
         self.around.machines.mark(engine.name, "live")
         now = self.around.scheduler.now
         self.around.recorder.add(LeavingWithdrawn(time_s=now, process=engine.name))
--- a/src/martenrun/proof/operators.py
+++ b/src/martenrun/proof/operators.py
@@ -19,7 +19,11 @@
 
 
 class Operators:
-    """Publish objects through the administration API of any node."""
+    """Publish objects through the administration API of any node.
+
+    Attributes:
+        newest_accepted: revision of the newest change that was accepted.
+    """
 
     def __init__(
         self,
@@ -34,6 +38,7 @@
         self._nodes = nodes
         self._versions: dict[str, int] = {}
         self._weights = 1
+        self.newest_accepted = 0
 
     def publish_all(self) -> None:
         """Publish tenants, their keys, a pool and a route."""
@@ -52,12 +57,17 @@
     def _publish_pool(self) -> None:
         pool = {
             "model": MODEL,
-            "weights_version": f"v{self._weights}",
+            "weights_version": self.weights_version,
             "block_bytes": 64,
             "floor": FLOOR,
         }
         self._apply("pools", "pool", pool)
 
+    @property
+    def weights_version(self) -> str:
+        """The weights version published last, accepted or not."""
+        return f"v{self._weights}"
+
     def race(self) -> None:
         """Change one tenant twice at the same time; make or remove another one."""
         self._toggle_guest()
@@ -95,6 +105,7 @@
             self._learn_version(client, subject)
             return
         version = int(msgspec.json.decode(response.data)["version"])
+        self.newest_accepted = max(self.newest_accepted, version)
         self._versions[subject] = 0 if document is None else version
         self._recorder.add(
             ConfigurationAccepted(
