Ask a runner with other weights again, for any version

Cause: a question is asked of owners for the weights version of its pool first, and for any after an owner has refused with stale_version. If that runner was the only choice left, it counted as tried, nothing was left, and the question was refused with no_runner while the runner served the version before with free slots. A pool whose other runners load, leave or are dead refused everything until its last runner had loaded.

Ruled out: the table of runners (it had the engine as usable) and the owner (it refused truly).

Change: a runner refused for its weights may be asked again. The owner cannot refuse for that reason twice.

--- a/src/martenrun/ownership/home.py
+++ b/src/martenrun/ownership/home.py
@@ -259,7 +259,6 @@
         reason = Reason(refused.reason)
         question.refused_by_owner(reservation.runner, reason)
         question.waits_s[reservation.runner] = refused.expected_wait_ms / 1000
-        question.accept_any_version |= reason is Reason.STALE_VERSION
         loads = {load.runner: load.free_slots for load in refused.loads}
         if reservation.runner not in loads:
             self._loads.learn(reservation.runner, 0, now)
--- a/src/martenrun/ownership/questions.py
+++ b/src/martenrun/ownership/questions.py
@@ -143,6 +143,10 @@
         self.reasons.add(reason)
         if reason is not Reason.NOT_OWNER:
             self.answered.add(runner)
+        if reason is Reason.STALE_VERSION:
+            # With other weights it may still be the only one left: it is asked for any version.
+            self.accept_any_version = True
+            self.queue_tried.discard(runner)
         if reason in (Reason.LEAVING, Reason.UNKNOWN_RUNNER):
             self.unusable.add(runner)
 
--- a/tests/test_proof_simulation.py
+++ b/tests/test_proof_simulation.py
@@ -24,7 +24,7 @@
 from martenrun.platform.machine_list import Machine
 from martenrun.proof.checkers.restart import check_restart
 from martenrun.proof.drain import DrainStep
-from martenrun.proof.history import EngineListed, History
+from martenrun.proof.history import EngineListed, Executed, History, RequestAnswered
 from martenrun.proof.processes import SimulatedProcess
 from martenrun.proof.schedule import HOLDER_PAUSE_S, Fault, FaultKind, Schedule, draw_schedule
 from martenrun.proof.world import World, run_schedule
@@ -383,6 +383,14 @@
     assert found(NODES_RESTARTED, "restart") == []
 
 
+def test_the_only_runner_left_serves_with_the_weights_it_has():
+    # The floor keeps the pool's only engine from loading the weights that are published.
+    history = World(schedule(fault(FaultKind.ROLL_WEIGHTS, 0.5), engines=1, load_s=3.0)).run()
+    codes = {answer.code for answer in history.of(RequestAnswered)}
+    assert codes <= {"", "duplicate_request"}
+    assert {run.weights_version for run in history.of(Executed)} == {"v1"}
+
+
 def test_a_refusal_for_want_of_a_runner_counts_unless_every_engine_is_out():
     both_out = msgspec.structs.replace(
         NODES_RESTARTED,
