Refuse late questions for as long as an agent may not know of a planned stop

Cause: a node that stops goes on refusing agents' questions for 2.5 s, meant to be longer than the time between two of an agent's configuration queries. That time is 2 s drawn within half of it, 3 s at most, and a query may go to a node that is silent.

Change: 3.5 s, the longest time between two queries and one unanswered query. A planned stop of a node that is not alone takes 1 s longer.

--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -23,8 +23,11 @@
 LEAVE_SPREAD_LIMIT_S = 3.0
 """Longest time that other nodes are given to learn of a planned stop, in seconds."""
 
-LATE_QUESTIONS_S = 2.5
-"""Time for which agents' late questions are refused; longer than agents' query interval."""
+LATE_QUESTIONS_S = 3.5
+"""Time for which agents' late questions are refused.
+
+It is the longest time between two of an agent's configuration queries, and one unanswered query.
+"""
 
 MACHINE_POLL_S = 1.0
 RUNNER_POLL_S = 0.5
