--- a/src/martenrun/proof/checkers/planned_stop.py
+++ b/src/martenrun/proof/checkers/planned_stop.py
@@ -10,6 +10,7 @@
     STOPPED,
     Asked,
     Executed,
+    Granted,
     History,
     PlannedStop,
     ProcessStarted,
@@ -54,6 +55,9 @@
         self._engines: dict[str, list[str]] = {}
         for run in history.of(Executed):
             self._engines.setdefault(run.request_id, []).append(run.engine)
+        self._granted: dict[str, list[str]] = {}
+        for grant in history.of(Granted):
+            self._granted.setdefault(grant.request_id, []).append(grant.runner)
 
     def cut_by(self, stop: PlannedStop) -> list[Violation]:
         """Return the requests that a planned stop cut off."""
@@ -109,6 +113,8 @@
         overlaps = request.time_s <= stop.until_s and end_s >= stop.time_s
         if stop.process not in places or not overlaps or stop.until_s > self._end_s:
             return False
+        # An engine that a fault hit may have been sent the request without running it.
+        places += self._granted.get(request.request_id, [])
         if any(
             self._disturbances.touch(place, request.time_s, end_s, _ABSENCE) for place in places
         ):
--- a/tests/test_proof_checkers.py
+++ b/tests/test_proof_checkers.py
@@ -136,6 +136,12 @@
 AGENT_STOP = PlannedStop(time_s=0.5, process="agent", until_s=1.0)
 HOLDER_DEAD = ProcessDisturbed(time_s=0.0, process="holder", kind="kill", until_s=0.6)
 JUST_STARTED = ProcessDisturbed(time_s=-1.0, process="node", kind="kill", until_s=0.2)
+AGENT = ProcessStarted(time_s=0.0, process="agent", restarted=False, is_node=False)
+UNTOLD = [
+    in_force(0.5, 1, process="agent"),
+    ConfigurationAccepted(time_s=1.0, revision=2),
+]
+FROZEN = ProcessDisturbed(time_s=2.0, process="node", kind="freeze", until_s=25.0)
 NODE_STOP = PlannedStop(time_s=0.5, process="node", until_s=1.0)
 NODE_GONE = ProcessDisturbed(time_s=1.0, process="node", kind="stopped", until_s=9.0)
 RESTARTED_LATER = ProcessStarted(time_s=9.0, process="node", restarted=True)
@@ -199,6 +205,9 @@
     ("planned_stop", [invoked(edge="agent"), ABSENT, AGENT_STOP, broken()]),
     ("planned_stop", [HOLDER, NODE_STOP, NODE_GONE, asked(1.5)]),
     ("planned_stop", [HOLDER, NODE_STOP, NODE_GONE, asked(1.5), RESTARTED_LATER]),
+    ("planned_stop", [invoked(edge="agent"), granted(), AGENT_STOP, broken()]),
+    ("configuration", [NODE, AGENT, *UNTOLD, in_force(20.0, 1, process="agent")]),
+    ("configuration", [NODE, AGENT, *UNTOLD, FROZEN, in_force(37.1, 1, process="agent")]),
     ("weights", [begun("a"), begun("b"), begun("c")]),
     ("weights", [listed("a"), listed("b"), begun("a"), begun("b")]),
     ("weights", [begun("a", fence=7), ended("a"), begun("a", fence=6)]),
@@ -225,6 +234,8 @@
 ]
 
 CLEAN = [
+    ("planned_stop", [invoked(edge="agent"), granted(), AGENT_STOP, ENGINE_DEAD, broken()]),
+    ("configuration", [NODE, AGENT, *UNTOLD, FROZEN, in_force(20.0, 1, process="agent")]),
     ("weights", [listed("a"), listed("b"), begun("a"), ended("a"), begun("b"), ended("b")]),
     ("weights", [begun("a"), ended("a"), begun("a", fence=6)]),
     ("weights", [executed(expected_version="v1"), executed(resume_from=1)]),
