Do not hold a restart or a change to what no process can know

restart: a copy of the configuration counted as held for half a second after its last sighting, also if its process was killed in between. A copy counts no more once its process was killed or stopped.

The bound begins when the object API can be read again, unless some process had the change in force before: then it is due as before.

Five hand-made histories, two with a violation.

--- a/src/martenrun/proof/checkers/configuration.py
+++ b/src/martenrun/proof/checkers/configuration.py
@@ -3,6 +3,7 @@
 from martenrun.proof.checkers.disturbance import Disturbances
 from martenrun.proof.checkers.violation import Violation
 from martenrun.proof.history import (
+    OBJECT_API,
     ConfigurationAccepted,
     ConfigurationInForce,
     History,
@@ -71,24 +72,9 @@
 
 
 def _late(history: History, bound_s: float) -> list[Violation]:
-    """Find processes that ran undisturbed for the bound without an older accepted change.
-
-    An agent learns of changes from nodes only: its bound begins when some node has been
-    undisturbed for as long.
-    """
+    """Find processes that ran undisturbed for the bound without an older accepted change."""
     disturbances = Disturbances(history)
-    starts = history.of(ProcessStarted)
-    nodes = {start.process for start in starts if start.is_node}
-    agents = {start.process for start in starts if not start.is_node}
-
-    def is_due(change: ConfigurationAccepted, seen: ConfigurationInForce) -> bool:
-        due_s = change.time_s + bound_s
-        if seen.process in agents and nodes:
-            calm_s = [disturbances.calm_since(node, change.time_s, bound_s) for node in nodes]
-            due_s = min(calm_s)
-        return due_s <= seen.time_s
-
-    accepted = history.of(ConfigurationAccepted)
+    due_times = _DueTimes(history, disturbances, bound_s)
     first_seen: dict[str, float] = {}
     found: list[Violation] = []
     for seen in history.of(ConfigurationInForce):
@@ -97,8 +83,57 @@
             continue
         if disturbances.touch(seen.process, since_s, seen.time_s):
             continue
-        due = max((item.revision for item in accepted if is_due(item, seen)), default=0)
+        due = due_times.revision_due(seen)
         if seen.revision < due:
             detail = f"revision {due} not in force {bound_s} s after it was accepted"
             found.append(Violation(PROMISE, seen.process, seen.time_s, detail))
     return found
+
+
+class _DueTimes:
+    """When each accepted change must be in force.
+
+    An agent learns of changes from nodes only: its bound begins when some node has been
+    undisturbed for as long.  A change that no process had in force when the object API went
+    down can be learned from nobody: its bound begins when the object API can be read again.
+    """
+
+    def __init__(self, history: History, disturbances: Disturbances, bound_s: float) -> None:
+        starts = history.of(ProcessStarted)
+        self._nodes = {start.process for start in starts if start.is_node}
+        self._agents = {start.process for start in starts if not start.is_node}
+        self._disturbances = disturbances
+        self._bound_s = bound_s
+        self._seen = history.of(ConfigurationInForce)
+        self._due = [
+            (change, self._known_s(change) + bound_s)
+            for change in history.of(ConfigurationAccepted)
+        ]
+
+    def revision_due(self, seen: ConfigurationInForce) -> int:
+        """Return the revision that a process must have reached when it was seen."""
+        is_agent = seen.process in self._agents and bool(self._nodes)
+        return max(
+            (
+                change.revision
+                for change, due_s in self._due
+                if due_s <= seen.time_s
+                and (not is_agent or self._told_by_s(due_s - self._bound_s) <= seen.time_s)
+            ),
+            default=0,
+        )
+
+    def _known_s(self, change: ConfigurationAccepted) -> float:
+        """Return when a change could first be learned."""
+        bound_s = self._bound_s
+        readable_s = self._disturbances.calm_since(OBJECT_API, change.time_s, bound_s) - bound_s
+        if readable_s == change.time_s:
+            return readable_s
+        had_s = (seen.time_s for seen in self._seen if seen.revision >= change.revision)
+        return min(readable_s, max(change.time_s, min(had_s, default=readable_s)))
+
+    def _told_by_s(self, known_s: float) -> float:
+        """Return when some node has had the bound to tell."""
+        return min(
+            self._disturbances.calm_since(node, known_s, self._bound_s) for node in self._nodes
+        )
--- a/src/martenrun/proof/checkers/restart.py
+++ b/src/martenrun/proof/checkers/restart.py
@@ -9,6 +9,7 @@
 from martenrun.proof.history import (
     MACHINE_LIST,
     OBJECT_API,
+    STOPPED,
     ConfigurationInForce,
     History,
     ProcessStarted,
@@ -18,6 +19,8 @@
 
 PROMISE = "restart"
 
+_ENDS = frozenset({"kill", STOPPED})
+
 RESTART_BOUND_S = 1.0
 """Longest time from a process's start until it serves, in seconds."""
 
@@ -95,7 +98,15 @@
         if not self._disturbances.touch(OBJECT_API, since_s, request.time_s):
             return False
         return not any(
-            since_s - SIGHTING_INTERVAL_S <= seen.time_s <= since_s for seen in self._copies
+            since_s - SIGHTING_INTERVAL_S <= seen.time_s <= since_s and self._keeps(seen, since_s)
+            for seen in self._copies
+        )
+
+    def _keeps(self, seen: ConfigurationInForce, until_s: float) -> bool:
+        """Whether a process that was seen with a copy was not ended before a time."""
+        return not any(
+            fault.kind in _ENDS and seen.time_s <= fault.time_s <= until_s
+            for fault in self._disturbances.of(seen.process)
         )
 
     def _has_no_machines(self, request: RequestInvoked) -> bool:
--- a/tests/test_proof_checkers.py
+++ b/tests/test_proof_checkers.py
@@ -142,6 +142,11 @@
     ConfigurationAccepted(time_s=1.0, revision=2),
 ]
 FROZEN = ProcessDisturbed(time_s=2.0, process="node", kind="freeze", until_s=25.0)
+OTHER_COPY = in_force(0.7, 1, process="o")
+O_DEAD = ProcessDisturbed(time_s=0.8, process="o", kind="kill", until_s=9.0)
+CHANGE = ConfigurationAccepted(time_s=1.0, revision=2)
+HAD = in_force(1.1, 2, process="other")
+API_DOWN = ProcessDisturbed(time_s=1.2, process="object-api", kind="down", until_s=9.0)
 NODE_STOP = PlannedStop(time_s=0.5, process="node", until_s=1.0)
 NODE_GONE = ProcessDisturbed(time_s=1.0, process="node", kind="stopped", until_s=9.0)
 RESTARTED_LATER = ProcessStarted(time_s=9.0, process="node", restarted=True)
@@ -208,6 +213,8 @@
     ("planned_stop", [invoked(edge="agent"), granted(), AGENT_STOP, broken()]),
     ("configuration", [NODE, AGENT, *UNTOLD, in_force(20.0, 1, process="agent")]),
     ("configuration", [NODE, AGENT, *UNTOLD, FROZEN, in_force(37.1, 1, process="agent")]),
+    ("configuration", [in_force(0.5, 1), CHANGE, API_DOWN, in_force(21.1, 1)]),
+    ("configuration", [in_force(0.5, 1), CHANGE, HAD, API_DOWN, in_force(13.5, 1)]),
     ("weights", [begun("a"), begun("b"), begun("c")]),
     ("weights", [listed("a"), listed("b"), begun("a"), begun("b")]),
     ("weights", [begun("a", fence=7), ended("a"), begun("a", fence=6)]),
@@ -234,6 +241,8 @@
 ]
 
 CLEAN = [
+    ("configuration", [in_force(0.5, 1), CHANGE, API_DOWN, in_force(13.5, 1)]),
+    ("restart", [KILL, OTHER_COPY, O_DEAD, STORE_DOWN, RESTART, NODE_ASKED, UNSERVED]),
     ("planned_stop", [invoked(edge="agent"), granted(), AGENT_STOP, ENGINE_DEAD, broken()]),
     ("configuration", [NODE, AGENT, *UNTOLD, FROZEN, in_force(20.0, 1, process="agent")]),
     ("weights", [listed("a"), listed("b"), begun("a"), ended("a"), begun("b"), ended("b")]),
