Assign runners to other pools by hand

Cause: a runner's pool came from the machine list alone and never changed, though engines take fenced orders to load other models.

Change: - Objects of kind `assignments` (named like the runner, `pool`) override the machine list; without a pool the runner goes back to the machine list's and the object is removed. The engine drains, goes on as another incarnation that keeps its fencing token, loads and serves. Beliefs, leases and late requests end with the incarnation, also if both versions have one name. - A runner takes work only of the pool it is assigned to and only if its engine has that pool's model, and the pool's weights version until it has arrived once.

Ruled out: floors judged by each owner alone (two owners let two runners go); the runner staying in its old pool until the permit (new work there for as long as permits are busy); the version's name as the identity of the weights (two models may share it: the test without the pool's identity runs old questions on the new model).

--- a/src/martenrun/admin/application.py
+++ b/src/martenrun/admin/application.py
@@ -17,10 +17,12 @@
 from werkzeug.wrappers import Request, Response
 
 from martenrun.admin.access import Operator
+from martenrun.admin.assignments import CheckMove, allow_every_move
 from martenrun.admin.references import check_references, check_unused
 from martenrun.admin.status import Status
 from martenrun.admin.weights import check_weights
 from martenrun.configuration.objects import (
+    Assignment,
     Document,
     Kind,
     Policy,
@@ -91,6 +93,7 @@
             stored key, so that the first objects can be published; empty for none.
         status: returns the status of the configuration on all nodes.
         weights: the weight store, if pools are to be checked against it.
+        check_move: checks that a runner may leave its pool.
     """
 
     def __init__(
@@ -100,12 +103,14 @@
         bootstrap_key_sha256: str,
         status: Callable[[], Status],
         weights: WeightStore | None = None,
+        check_move: CheckMove = allow_every_move,
     ) -> None:
         self._store = store
         self._view = view
         self._bootstrap_key_sha256 = bootstrap_key_sha256
         self._status = status
         self._weights = weights
+        self._check_move = check_move
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         """Serve one request."""
@@ -180,11 +185,15 @@
         data = None
         if request.method == "DELETE":
             check_unused(self._store, kind, name)
+            if kind is Kind.ASSIGNMENT:
+                self._check_move(name, None)
         else:
             data = _object_body(request)
             document = parse_document(kind, data)
             operator.check_document(document)
             self._check_content(document)
+            if isinstance(document, Assignment):
+                self._check_move(name, document.pool)
         if is_dry_run:
             return Checked(expected)
         return Accepted(self._store.write(kind.value, name, expected, data))
--- a/src/martenrun/admin/references.py
+++ b/src/martenrun/admin/references.py
@@ -10,6 +10,7 @@
 
 from martenrun.configuration.objects import (
     ApiKey,
+    Assignment,
     Document,
     Kind,
     Pool,
@@ -19,12 +20,12 @@
 from martenrun.errors import InvalidObjectError, ObjectInUseError, ObjectNotFoundError
 from martenrun.platform.object_api import ObjectApi
 
-_REFERRING: dict[Kind, Kind] = {
-    Kind.POOL: Kind.ROUTE,
-    Kind.POLICY: Kind.POOL,
-    Kind.TENANT: Kind.API_KEY,
+_REFERRING: dict[Kind, tuple[Kind, ...]] = {
+    Kind.POOL: (Kind.ROUTE, Kind.ASSIGNMENT),
+    Kind.POLICY: (Kind.POOL,),
+    Kind.TENANT: (Kind.API_KEY,),
 }
-"""Kinds that can be in use, and the kind that refers to them."""
+"""Kinds that can be in use, and the kinds that refer to them."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +43,8 @@
         yield Reference("tenant", Kind.TENANT, document.tenant)
     if isinstance(document, Pool) and document.policy is not None:
         yield Reference("policy", Kind.POLICY, document.policy)
+    if isinstance(document, Assignment) and document.pool is not None:
+        yield Reference("pool", Kind.POOL, document.pool)
     if isinstance(document, Route):
         yield Reference("pool", Kind.POOL, document.pool)
         for tenant in document.tenants:
@@ -63,11 +66,10 @@
     """Raise ObjectInUseError if other objects refer to the one about to be deleted."""
     if kind not in _REFERRING:
         return
-    referring = _REFERRING[kind]
     users = []
-    for item in store.list_all([referring.value]).objects:
-        if _refers(referring, item.document, kind, name):
-            users.append(f"{referring.value}/{item.name}")
+    for item in store.list_all([referring.value for referring in _REFERRING[kind]]).objects:
+        if _refers(Kind(item.kind), item.document, kind, name):
+            users.append(f"{item.kind}/{item.name}")
     if users:
         shown = ", ".join(users[:10])
         raise ObjectInUseError(f"{kind.value}/{name} is used by {len(users)} objects: {shown}")
--- a/src/martenrun/admin/status.py
+++ b/src/martenrun/admin/status.py
@@ -29,6 +29,15 @@
     lease: str
 
 
+class Move(msgspec.Struct):
+    """A runner on its way to another pool; without ``pool``, back to the machine list's."""
+
+    runner: str
+    pool: str | None
+    made_by: str
+    reason: str
+
+
 class Status(msgspec.Struct):
     """What an operator sees of the configuration.
 
@@ -40,6 +49,7 @@
         silent_nodes: members that did not answer in time.
         faults: objects whose newest document is not in force because it is faulty.
         drains: runners and nodes that operators drain.
+        moves: assigned runners that do not serve their new pool yet.
         policies: sharing policies of the pools whose runners the answering node owns.
     """
 
@@ -54,6 +64,7 @@
     faults: list[str]
     drains: list[str]
     policies: list[PolicyStatus] = []
+    moves: list[Move] = []
 
 
 class StatusPort:
@@ -106,4 +117,9 @@
         faults=sorted({fault for node in ready.nodes.values() for fault in node.faults}),
         drains=sorted(f"{drain.role.value} {name}" for name, drain in view.drains.items()),
         policies=list(policies),
+        moves=[
+            Move(name, item.pool, item.made_by.value, item.reason)
+            for name, item in sorted(view.assignments.items())
+            if not item.arrived
+        ],
     )
--- a/src/martenrun/cli/admin.py
+++ b/src/martenrun/cli/admin.py
@@ -5,14 +5,14 @@
 
 import hashlib
 import secrets
-from collections.abc import Iterator
-from contextlib import contextmanager
 from pathlib import Path
 
 import click
 import msgspec
 
 from martenrun.admin.client import AdminClient
+from martenrun.cli.assign import assign
+from martenrun.cli.errors import errors_printed
 from martenrun.cli.in_force import in_force
 from martenrun.configuration.objects import (
     Drain,
@@ -22,13 +22,9 @@
     encode_document,
     parse_document,
 )
-from martenrun.errors import ChangeOutcomeUnknownError, MartenrunError, VersionConflictError
 
 _KIND = click.argument("kind", type=click.Choice([kind.value for kind in Kind]))
 _NAME = click.argument("name")
-EXIT_REFUSED = 1
-EXIT_CONFLICT = 3
-EXIT_OUTCOME_UNKNOWN = 4
 
 
 @click.group()
@@ -38,25 +34,12 @@
 @click.option("--key", envvar="MARTENRUN_ADMIN_KEY", required=True, help="Admin key.")
 @click.pass_context
 def admin(context: click.Context, address: str, key: str) -> None:
-    """Administer tenants, keys, pools, policies, routes, drains and retention."""
+    """Administer tenants, keys, pools, policies, routes, drains, retention, assignments."""
     context.obj = AdminClient(address, key)
 
 
 admin.add_command(in_force)
-
-
-@contextmanager
-def errors_printed() -> Iterator[None]:
-    """Print a typed error with its remedy and exit with its status."""
-    try:
-        yield
-    except MartenrunError as error:
-        click.echo(f"{error.code}: {error.message}\n  remedy: {error.remedy}", err=True)
-        if isinstance(error, VersionConflictError):
-            click.echo(f"  present version: {error.present_version}", err=True)
-            raise SystemExit(EXIT_CONFLICT) from None
-        unknown = isinstance(error, ChangeOutcomeUnknownError)
-        raise SystemExit(EXIT_OUTCOME_UNKNOWN if unknown else EXIT_REFUSED) from None
+admin.add_command(assign)
 
 
 def _echo(value: object) -> None:
@@ -193,3 +176,7 @@
     ):
         for name in names:
             click.echo(f"{title}: {name}")
+    for move in found.moves:
+        goal = move.pool or "the machine list's pool"
+        why = f": {move.reason}" if move.reason else ""
+        click.echo(f"moving: {move.runner} to {goal}, by {move.made_by}{why}")
--- a/src/martenrun/cli/in_force.py
+++ b/src/martenrun/cli/in_force.py
@@ -9,6 +9,7 @@
 
 from martenrun.admin.client import AdminClient
 from martenrun.admin.status import Status
+from martenrun.cli.errors import errors_printed
 
 LOOK_INTERVAL_S = 0.5
 """Time between two looks at the status, in seconds."""
@@ -24,9 +25,6 @@
 
     Agents that have asked no node for 10 s are not known to the nodes and not waited for.
     """
-    # Imported here: the command group imports this module.
-    from martenrun.cli.admin import errors_printed
-
     until = time.monotonic() + timeout_s
     with errors_printed():
         version = client.get(kind, name).version
--- a/src/martenrun/configuration/objects.py
+++ b/src/martenrun/configuration/objects.py
@@ -38,6 +38,7 @@
     ROUTE = "routes"
     DRAIN = "drains"
     RETENTION = "retention"
+    ASSIGNMENT = "assignments"
 
 
 REPLICATED_KINDS = tuple(kind.value for kind in Kind)
@@ -139,6 +140,27 @@
     reason: Annotated[str, Meta(max_length=1_000)] = ""
 
 
+class AssignmentOrigin(enum.StrEnum):
+    """Who made an assignment; the system never changes an operator's."""
+
+    OPERATOR = "operator"
+    SCALING = "scaling"
+
+
+class Assignment(ConfigurationDocument, frozen=True, kw_only=True):
+    """Puts the runner of the object's name into a pool, whatever the machine list says.
+
+    Without a ``pool`` the runner goes back to the machine list's, and the object is removed once
+    it serves there.  ``arrived`` is set by the runner's owner node when the engine serves with
+    the pool's model and weights; until then other nodes do not count on the runner.
+    """
+
+    pool: Name | None = None
+    made_by: AssignmentOrigin = AssignmentOrigin.OPERATOR
+    reason: Annotated[str, Meta(max_length=1_000)] = ""
+    arrived: bool = False
+
+
 class Retention(ConfigurationDocument, frozen=True, kw_only=True):
     """How long something lasting is kept; the object's name says what (``claims``).
 
@@ -149,7 +171,7 @@
     removals_per_s: Annotated[float, Meta(gt=0, le=1_000)] = 50.0
 
 
-Document = Tenant | ApiKey | Pool | Policy | Route | Drain | Retention
+Document = Tenant | ApiKey | Pool | Policy | Route | Drain | Retention | Assignment
 
 _MODELS: dict[Kind, type[Document]] = {
     Kind.TENANT: Tenant,
@@ -159,6 +181,7 @@
     Kind.ROUTE: Route,
     Kind.DRAIN: Drain,
     Kind.RETENTION: Retention,
+    Kind.ASSIGNMENT: Assignment,
 }
 
 
--- a/src/martenrun/configuration/view.py
+++ b/src/martenrun/configuration/view.py
@@ -8,6 +8,7 @@
 
 from martenrun.configuration.objects import (
     ApiKey,
+    Assignment,
     Document,
     Drain,
     DrainRole,
@@ -44,6 +45,7 @@
     routes_by_name: Mapping[str, Route] = field(default_factory=dict)
     routes_by_model: Mapping[str, tuple[Route, ...]] = field(default_factory=dict)
     drains: Mapping[str, Drain] = field(default_factory=dict)
+    assignments: Mapping[str, Assignment] = field(default_factory=dict)
 
     @classmethod
     def build(
@@ -72,9 +74,12 @@
         drains = self.drains
         if Kind.DRAIN in kinds:
             drains = _documents_of(Kind.DRAIN, Drain, self.drains, changes)
+        assignments = self.assignments
+        if Kind.ASSIGNMENT in kinds:
+            assignments = _documents_of(Kind.ASSIGNMENT, Assignment, assignments, changes)
         by_model = self.routes_by_model if Kind.ROUTE not in kinds else _by_model(routes)
         keys = self.keys if Kind.API_KEY not in kinds else self._changed_keys(documents, changes)
-        return ConfigurationView(revision, documents, keys, routes, by_model, drains)
+        return ConfigurationView(revision, documents, keys, routes, by_model, drains, assignments)
 
     def _changed_keys(
         self,
@@ -114,6 +119,27 @@
             raise InvalidKeyError(f"tenant {name!r} does not exist")
         return found
 
+    def pool(self, name: str) -> Pool | None:
+        """Return a pool, or None if there is none of the name."""
+        found = self.documents.get((Kind.POOL, name))
+        return found if isinstance(found, Pool) else None
+
+    def pool_of_runner(self, runner: str, listed_pool: str) -> str:
+        """Return the name of the pool that a runner belongs to.
+
+        That is the assigned one, else the machine list's.  An assignment to a pool that does not
+        exist selects nothing.
+        """
+        assignment = self.assignments.get(runner)
+        if assignment is None or assignment.pool is None or self.pool(assignment.pool) is None:
+            return listed_pool
+        return assignment.pool
+
+    def is_moving(self, runner: str) -> bool:
+        """Return whether a runner is assigned to a pool that it does not serve yet."""
+        assignment = self.assignments.get(runner)
+        return assignment is not None and not assignment.arrived
+
     def drained(self, role: DrainRole) -> frozenset[str]:
         """Return the names of the machines of a role that operators drain."""
         return frozenset(name for name, drain in self.drains.items() if drain.role is role)
--- a/src/martenrun/node/front.py
+++ b/src/martenrun/node/front.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from martenrun.admin.application import ADMIN_PREFIX, AdminApplication
+from martenrun.admin.assignments import check_move
 from martenrun.admin.status import StatusPort
 from martenrun.edge.application import CallerApplication
 from martenrun.edge.drain import EdgeStop
@@ -69,6 +70,7 @@
             settings.bootstrap_key_sha256,
             lambda: self._status_port.status(self._parts.view(), self._policy_statuses()),
             weights,
+            lambda runner, pool: check_move(self._parts.view(), self._parts.runners, runner, pool),
         )
         application = NodeApplication(caller, admin)
         self._server = HttpServer(
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -35,6 +35,7 @@
 from martenrun.routing.beliefs import BeliefBook
 from martenrun.routing.prefix_aware import PrefixAwarePolicy
 from martenrun.routing.served_prefixes import ServedPrefixes, ServedPrefixesLogic
+from martenrun.scaling.arrivals import ArrivalsLogic
 from martenrun.settings.model import NodeSettings
 from martenrun.sharing.logic import SharingLogic
 from martenrun.sharing.meter import ExchangeMeter
@@ -56,6 +57,7 @@
     claim_retention: ClaimRetentionLogic
     requests: RequestsLogic
     rolls: RollsLogic
+    arrivals: ArrivalsLogic
     sharing: SharingLogic
     limits: AdmissionLimits
     cache_events: CacheEventsLogic
@@ -94,6 +96,7 @@
             self.requests,
             self.sharing,
             self.rolls,
+            self.arrivals,
         ]
 
 
@@ -109,7 +112,10 @@
     own = Member(own_address, settings.zone, settings.region)
     members = GossipMembership(own, settings.seed_nodes, settings.membership, rng)
     configuration = NodeConfigurationLogic(own_address, settings.seed_nodes, members, rng)
-    runners = RunnerTable(lambda: configuration.state.view.drained(DrainRole.RUNNER))
+    runners = RunnerTable(
+        lambda: configuration.state.view.drained(DrainRole.RUNNER),
+        lambda: configuration.state.view,
+    )
     owners = OwnerMap(members, members.suspected)
     exchange = UsageExchange(members, rng)
     meter = ExchangeMeter(exchange)
@@ -166,6 +172,7 @@
         claim_retention,
         requests,
         rolls,
+        ArrivalsLogic(holder, runners, configuration.state, owners.owns, rng),
         sharing,
         limits,
         CacheEventsLogic(beliefs, runners, owners.owns),
--- a/src/martenrun/node/runners.py
+++ b/src/martenrun/node/runners.py
@@ -1,32 +1,44 @@
 """Decision logic that keeps the table of runners current."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 
+from martenrun.configuration.objects import Assignment
+from martenrun.configuration.view import ConfigurationView
 from martenrun.events import Event, Instruction, MachinesListed, RunnerDescribed, Tick
+from martenrun.orders.target import serves_model
 from martenrun.platform.engine import RunnerServingState
 from martenrun.platform.machine_list import Machine
 from martenrun.routing.policy import RunnerState
 
-DRAIN_LOOK_INTERVAL_S = 0.5
-"""Time between two looks at the drained runners, in seconds."""
+LOOK_INTERVAL_S = 0.5
+"""Time between two looks at the drained and the assigned runners, in seconds."""
 
 
 class RunnerTable:
     """Runners by name, from the lagging machine list and the engines' own descriptions.
 
-    ``version`` rises whenever a runner comes, goes or starts or stops leaving.
+    ``version`` rises whenever a runner comes, goes, changes its pool, or starts or stops leaving.
 
     Args:
         drained: returns the names of runners that operators drain; they are leaving too.
+        view: returns the configuration in force, which assigns runners to pools.
     """
 
     handles = frozenset({Tick, MachinesListed, RunnerDescribed})
 
-    def __init__(self, drained: Callable[[], frozenset[str]] = frozenset) -> None:
+    def __init__(
+        self,
+        drained: Callable[[], frozenset[str]] = frozenset,
+        view: Callable[[], ConfigurationView] = ConfigurationView,
+    ) -> None:
         self.runners: dict[str, RunnerState] = {}
         self.version = 0
         self._drained = drained
         self._drained_before: frozenset[str] = frozenset()
+        self._view = view
+        self._listed_pools: dict[str, str] = {}
+        self._assigned_before: Mapping[str, Assignment] = {}
+        self._dangling: frozenset[str] = frozenset()
         self._next_look = 0.0
         self._last_listed: list[Machine] | None = None
         self._listed_leaving: set[str] = set()
@@ -40,8 +52,9 @@
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
         match event:
             case Tick() if now >= self._next_look:
-                self._next_look = now + DRAIN_LOOK_INTERVAL_S
+                self._next_look = now + LOOK_INTERVAL_S
                 self._look_for_drains()
+                self._look_for_assignments()
             case MachinesListed(machines) if machines is not self._last_listed:
                 self._last_listed = machines
                 self._update_machines(machines)
@@ -57,6 +70,23 @@
             if runner.pool == pool and runner.is_usable and runner.name not in excluded
         ]
 
+    def serves_its_pool(self, runner: RunnerState) -> bool:
+        """Whether a runner's engine can serve its pool, as far as is known here.
+
+        It must have the pool's model and, while it has not arrived, the pool's weights version.
+        """
+        view = self._view()
+        pool = view.pool(runner.pool)
+        if pool is None:
+            return True
+        if view.is_moving(runner.name) and runner.weights_version != pool.weights_version:
+            return False
+        return serves_model(pool, runner.model)
+
+    def listed_pool(self, runner: str) -> str:
+        """Return the pool that the machine list names for a runner; empty if none."""
+        return self._listed_pools.get(runner, "")
+
     def _update_machines(self, machines: list[Machine]) -> None:
         listed = {machine.name: machine for machine in machines if machine.role == "engine"}
         for name in self.runners.keys() - listed.keys():
@@ -68,10 +98,37 @@
                 self.runners[machine.name] = runner
                 self.version += 1
             runner.address = machine.address
+        self._listed_pools = {machine.name: machine.pool for machine in listed.values()}
+        self._update_pools(listed.keys())
         self._listed_leaving = {machine.name for machine in machines if machine.is_leaving}
         self._listed_leaving |= self.runners.keys() - listed.keys()
         self._update_leaving()
 
+    def _look_for_assignments(self) -> None:
+        """Pass over the assigned runners only if assignments or what they name have changed."""
+        view = self._view()
+        dangling = frozenset(
+            name
+            for name, assignment in view.assignments.items()
+            if assignment.pool is not None and view.pool(assignment.pool) is None
+        )
+        if view.assignments is self._assigned_before and dangling == self._dangling:
+            return
+        touched = self._assigned_before.keys() | view.assignments.keys()
+        self._assigned_before, self._dangling = view.assignments, dangling
+        self._update_pools(touched)
+
+    def _update_pools(self, names: Iterable[str]) -> None:
+        view = self._view()
+        for name in names:
+            runner = self.runners.get(name)
+            if runner is None or name not in self._listed_pools:
+                continue
+            pool = view.pool_of_runner(name, self._listed_pools[name])
+            if runner.pool != pool:
+                runner.pool = pool
+                self.version += 1
+
     def _look_for_drains(self) -> None:
         """Pass over all runners only if the drains have changed."""
         if self._drained() != self._drained_before:
@@ -105,6 +162,7 @@
         description = event.description
         runner.incarnation = description.incarnation
         runner.weights_version = description.weights_version
+        runner.model = description.model
         runner.accepting = description.state == RunnerServingState.SERVING
         runner.slots = description.slots
         runner.reported_running = description.running
--- a/src/martenrun/orders/permits.py
+++ b/src/martenrun/orders/permits.py
@@ -47,6 +47,7 @@
         action: what is ordered; see :class:`OrderAction`.
         value: the weights version, adapter or role ordered.
         store: the weight store that is read.
+        model: the model that is loaded, if it is another one.
     """
 
     holder: str
@@ -57,6 +58,7 @@
     value: str
     renewal: int = 0
     store: str = ANY_STORE
+    model: str = ""
 
 
 class PermitTable(msgspec.Struct, frozen=True):
@@ -85,6 +87,9 @@
         floor: runners of the pool that must go on serving.
         takes_out: whether the runner stops serving while it carries the order out.
         store: the weight store that the runner loads from.
+        model: the model to load, if it is another one.
+        left_pool: the pool that the runner leaves by that, or empty.
+        left_floor: runners of that pool that must go on serving.
     """
 
     runner: str
@@ -96,6 +101,9 @@
     floor: int = 0
     takes_out: bool = True
     store: str = ANY_STORE
+    model: str = ""
+    left_pool: str = ""
+    left_floor: int = 0
 
 
 ServingCount = Callable[[str, frozenset[str]], int]
@@ -123,14 +131,21 @@
             return table
         if present.holder != holder and present.change not in expired:
             return table
-    elif not _keeps_floor(table, wish, serving):
+    elif not (_keeps_floor(table, wish, serving) and _keeps_left_floor(table, wish, serving)):
         return table
     others = [permit for permit in table.permits if permit.runner != wish.runner]
     stays = present is not None and present.store == wish.store
     if not stays and _loads(others, wish.store) >= maximum_loads:
         return table
     permit = Permit(
-        holder, wish.change, wish.runner, wish.pool, wish.action, wish.value, store=wish.store
+        holder,
+        wish.change,
+        wish.runner,
+        wish.pool,
+        wish.action,
+        wish.value,
+        store=wish.store,
+        model=wish.model,
     )
     revisions = {**table.pool_revisions, wish.pool: wish.pool_revision}
     return PermitTable((*others, permit), revisions)
@@ -153,6 +168,12 @@
     return after == before or after >= wish.floor
 
 
+def _keeps_left_floor(table: PermitTable, wish: PermitWish, serving: ServingCount) -> bool:
+    """Whether the pool that a runner leaves can do without it; it can still be sent back."""
+    loading = frozenset(permit.runner for permit in table.permits)
+    return not wish.left_pool or serving(wish.left_pool, loading) >= wish.left_floor
+
+
 def without(table: PermitTable, changes: Iterable[str]) -> PermitTable:
     """Return the table without the permits of some grants."""
     removed = frozenset(changes)
--- a/src/martenrun/orders/rolls.py
+++ b/src/martenrun/orders/rolls.py
@@ -7,6 +7,7 @@
 See also: ``statecharts/runner.toml``, :mod:`martenrun.orders.keeper`, docs/design/orders.md.
 """
 
+import dataclasses
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -24,9 +25,9 @@
 )
 from martenrun.orders.keeper import PermitKeeper
 from martenrun.orders.permits import ANY_STORE, MAXIMUM_LOADS, Permit, PermitWish
-from martenrun.orders.target import Target, next_target
+from martenrun.orders.target import LOADS, Target, next_target, serves_model
 from martenrun.platform.engine import RunnerDescription, RunnerServingState
-from martenrun.platform.engine_orders import EngineOrder, OrderAction, OrderOutcome
+from martenrun.platform.engine_orders import EngineOrder, OrderOutcome
 from martenrun.routing.policy import RunnerState
 from martenrun.statecharts.compiler import load_chart
 
@@ -187,7 +188,9 @@
         )
         if is_done and _shows_order(description, roll.order):
             return "target_reached"
-        if target is not None and target != roll.target:
+        if target is not None and (
+            roll.target is None or roll.target.is_changed_to(target, description)
+        ):
             return "target_changed"
         return self._event_of_permit_holder(roll, description, now)
 
@@ -222,7 +225,7 @@
             return False
         if description.state == RunnerServingState.FAILED:
             return True
-        is_for_weights = roll.order is not None and roll.order.action is OrderAction.LOAD_WEIGHTS
+        is_for_weights = roll.order is not None and roll.order.action in LOADS
         return is_for_weights and description.state == RunnerServingState.SERVING
 
     @staticmethod
@@ -252,12 +255,25 @@
             roll.target.value,
             roll.change,
             pool.floor,
-            takes_out=roll.target.action is OrderAction.LOAD_WEIGHTS,
+            takes_out=roll.target.action in LOADS,
             store=pool.weight_stores.get(listed.zone, ANY_STORE),
+            model=roll.target.model,
         )
+        if roll.target.model:
+            wish = self._leaving(wish, description)
         self.keeper.wish(wish)
         return []
 
+    def _leaving(self, wish: PermitWish, description: RunnerDescription) -> PermitWish:
+        """Return the wish with the pool whose model the engine gives up, if it is known."""
+        view = self._configuration.view
+        for (kind, name), pool in view.documents.items():
+            if kind is Kind.POOL and isinstance(pool, Pool) and name != wish.pool:
+                held = (description.model, description.weights_version)
+                if (pool.model, pool.weights_version) == held:
+                    return dataclasses.replace(wish, left_pool=name, left_floor=pool.floor)
+        return wish
+
     def _send_order(self, roll: RunnerRoll, now: float) -> list[Instruction]:
         roll.outcome = None
         roll.next_try = now + ORDER_RETRY_S
@@ -266,7 +282,9 @@
         if held is None or description is None or roll.target is None:
             return []
         target = roll.target
-        roll.order = EngineOrder(held.token, description.incarnation, target.action, target.value)
+        roll.order = EngineOrder(
+            held.token, description.incarnation, target.action, target.value, target.model
+        )
         return [SendOrder(roll.runner, self._runners[roll.runner].address, roll.order)]
 
     def _release_permit(self, roll: RunnerRoll, now: float) -> list[Instruction]:
@@ -281,11 +299,13 @@
     def _pool_of(self, runner: str) -> Pool | None:
         known = self._runners.get(runner)
         name = "" if known is None else known.pool
-        found = self._configuration.view.documents.get((Kind.POOL, name))
-        return found if isinstance(found, Pool) else None
+        return self._configuration.view.pool(name)
 
     def _serving_count(self, pool: str, excluded: frozenset[str]) -> int:
-        """Count listed runners; one of another owner serves unless a permit names it."""
+        """Count listed runners of a pool.
+
+        One of another owner serves unless a permit names it or it has not arrived in the pool.
+        """
         return sum(
             1
             for runner in self._runners.values()
@@ -296,10 +316,18 @@
         )
 
     def _may_serve(self, runner: str) -> bool:
+        view = self._configuration.view
         description = self._descriptions.get(runner)
         if description is None:
-            return not self._is_owner(runner)
-        return description.state == RunnerServingState.SERVING
+            return not self._is_owner(runner) and not view.is_moving(runner)
+        if description.state != RunnerServingState.SERVING:
+            return False
+        pool = self._pool_of(runner)
+        if pool is None:
+            return True
+        if view.is_moving(runner) and description.weights_version != pool.weights_version:
+            return False
+        return serves_model(pool, description.model)
 
     def _is_settled(self, permit: Permit) -> bool:
         """Whether a lapsed permit's runner has gone or holds what was ordered."""
@@ -307,7 +335,7 @@
         if runner is None or runner.leaving:
             return True
         description = self._descriptions.get(permit.runner)
-        target = Target(permit.action, permit.value)
+        target = Target(permit.action, permit.value, permit.model)
         return description is not None and target.is_reached(description)
 
 
--- a/src/martenrun/ownership/owner.py
+++ b/src/martenrun/ownership/owner.py
@@ -13,6 +13,7 @@
 from martenrun.node.runners import RunnerTable
 from martenrun.ownership.ended import Ended
 from martenrun.ownership.owners import OwnerMap
+from martenrun.ownership.pool_ids import pool_id
 from martenrun.ownership.reasons import Reason
 from martenrun.ownership.slots import LeaseKey, RunnerSlots
 from martenrun.ownership.stall import MachineListAge
@@ -159,9 +160,12 @@
             return Reason.NOT_OWNER if is_foreign else Reason.UNKNOWN_RUNNER
         if listed is None or listed.leaving:
             return Reason.LEAVING
+        if reservation.pool_id not in (0, pool_id(listed.pool)):
+            # It left the asked pool, or the home knows of its new pool first.
+            return Reason.LEAVING
         if not runner.is_described:
             return None
-        if not runner.takes_work:
+        if not self._takes_work(runner):
             return Reason.UNKNOWN_RUNNER
         wanted = reservation.weights_version
         return Reason.STALE_VERSION if wanted not in ("", runner.weights_version) else None
@@ -228,13 +232,16 @@
 
     def _takes_work(self, runner: RunnerSlots) -> bool:
         listed = self._table.runners.get(runner.name)
-        return runner.takes_work and listed is not None and not listed.leaving
+        if listed is None or listed.leaving:
+            return False
+        return runner.takes_work and self._table.serves_its_pool(listed)
 
     def _may_wait(self, runner: RunnerSlots) -> bool:
         """Whether reservations may stay in a runner's queue."""
         listed = self._table.runners.get(runner.name)
-        is_staying = listed is not None and not listed.leaving
-        return is_staying and (runner.takes_work or not runner.is_described)
+        if listed is None or listed.leaving:
+            return False
+        return not runner.is_described or self._takes_work(runner)
 
     def _release(self, home: str, identities: list[int], now: float) -> list[Instruction]:
         instructions: list[Instruction] = []
@@ -292,7 +299,7 @@
             runner.unreachable()
             return self._flush(runner, Reason.UNKNOWN_RUNNER)
         void = runner.described_as(event.description, now)
-        flushed = [] if runner.takes_work else self._flush(runner, Reason.UNKNOWN_RUNNER)
+        flushed = [] if self._takes_work(runner) else self._flush(runner, Reason.UNKNOWN_RUNNER)
         return self._end_leases(void, now) + flushed + self._serve_queue(runner, now)
 
     def _end_leases(self, keys: Iterable[LeaseKey], now: float) -> list[Instruction]:
@@ -341,7 +348,6 @@
         """Take up and give up runners after a change of members or machines."""
         if not self._owners.refresh(self._table):
             return []
-        table = self._table.runners
         wanted = self._owners.owned()
         instructions: list[Instruction] = []
         for name in self.owned.keys() - wanted:
@@ -351,9 +357,18 @@
                 self._leased.pop(key, None)
         for name in wanted - self.owned.keys():
             self.owned[name] = RunnerSlots(name)
+        return instructions + self._group_by_pool()
+
+    def _group_by_pool(self) -> list[Instruction]:
+        """Note which pools the owned runners are in; what waits for one that moved is refused."""
+        before = {runner.name: pool for pool, runners in self._pools.items() for runner in runners}
         self._pools = {}
+        instructions: list[Instruction] = []
         for name, runner in self.owned.items():
-            self._pools.setdefault(table[name].pool, []).append(runner)
+            pool = self._table.runners[name].pool
+            if before.get(name, pool) != pool:
+                instructions += self._flush(runner, Reason.LEAVING)
+            self._pools.setdefault(pool, []).append(runner)
         return instructions
 
     def _queue_notes(self, now: float) -> list[Instruction]:
--- /dev/null
+++ b/src/martenrun/ownership/pool_ids.py
@@ -0,0 +1,16 @@
+"""Short identities of pools in messages between nodes."""
+
+import functools
+import zlib
+
+_MAXIMUM = 0x7FFFFFFF
+
+
+@functools.lru_cache(maxsize=1_024)
+def pool_id(name: str) -> int:
+    """Return a pool's identity, a positive 31-bit hash of its name.
+
+    Two pools of one deployment share one with a probability below one in 10 million for each
+    pair; then only the weights version tells their questions apart.
+    """
+    return zlib.crc32(name.encode()) & _MAXIMUM or 1
--- a/src/martenrun/ownership/reservations.py
+++ b/src/martenrun/ownership/reservations.py
@@ -7,6 +7,7 @@
 from martenrun.events import Instruction, Send
 from martenrun.limits.cost import expected_tokens
 from martenrun.ownership.owners import OwnerMap
+from martenrun.ownership.pool_ids import pool_id
 from martenrun.ownership.questions import OpenQuestion, Reservation
 from martenrun.routing.policy import RunnerChoice
 from martenrun.wire.messages import ReleaseSlots, ReserveSlot
@@ -76,6 +77,7 @@
             may_queue,
             "" if question.accept_any_version else asked.weights_version,
             asked.chain if self._sends_chain else asked.chain[:BLOCK_HASH_BYTES],
+            pool_id(question.pool),
         )
         return Send(reservation.owner, message)
 
--- a/src/martenrun/platform/engine_orders.py
+++ b/src/martenrun/platform/engine_orders.py
@@ -1,4 +1,4 @@
-"""Adapter for fenced orders to engines: load weights or an adapter, change role.
+"""Adapter for fenced orders to engines: load a model, weights or an adapter, change role.
 
 Each order carries a fencing token.  An engine refuses a token that is lower than one it has
 seen, so that a holder of a lapsed permit cannot undo what its successor ordered.
@@ -20,6 +20,7 @@
     LOAD_WEIGHTS = "load_weights"
     LOAD_ADAPTER = "load_adapter"
     SET_ROLE = "set_role"
+    LOAD_MODEL = "load_model"
 
 
 class OrderOutcome(enum.StrEnum):
@@ -45,12 +46,14 @@
         incarnation: the engine incarnation it is meant for.
         action: see :class:`OrderAction`.
         value: name of the weights version, adapter or role.
+        model: the model to load; empty unless the action is ``LOAD_MODEL``.
     """
 
     fence: int
     incarnation: str
     action: OrderAction
     value: str
+    model: str = ""
 
 
 class _Error(msgspec.Struct):
--- a/src/martenrun/routing/policy.py
+++ b/src/martenrun/routing/policy.py
@@ -20,6 +20,7 @@
         reported_at: this node's time when that count arrived, in seconds.
         in_flight_at_report: ``in_flight`` when that count arrived.
         accepting: false while the engine drains or loads.
+        model: what the engine serves; empty until it described itself.
     """
 
     name: str
@@ -35,6 +36,7 @@
     reported_at: float = 0.0
     in_flight_at_report: int = 0
     accepting: bool = True
+    model: str = ""
 
     @property
     def is_usable(self) -> bool:
--- a/src/martenrun/standins/engine/application.py
+++ b/src/martenrun/standins/engine/application.py
@@ -1,5 +1,6 @@
 """HTTP face of the stand-in engine (the protocol is described in docs/PROTOCOL.md)."""
 
+import dataclasses
 import time
 from collections.abc import Iterator
 
@@ -53,9 +54,19 @@
         self._begin()
 
     def _begin(self) -> None:
-        self._engine = Incarnation(self._settings)
+        self._engine = Incarnation(self._settings, self._begin_model)
         self._guard = FenceGuard(self._engine.name)
 
+    def _begin_model(self, ended: Incarnation, model: str, version: str) -> None:
+        """Go on as another incarnation, with nothing cached, that loads another model."""
+        if self._engine is not ended:
+            return
+        begun = Incarnation(dataclasses.replace(self._settings, model=model), self._begin_model)
+        begun.weights.start_loading(version)
+        ended.is_dead.set()
+        self._guard = self._guard.renamed(begun.name)
+        self._engine = begun
+
     @property
     def incarnation(self) -> str:
         """The present incarnation."""
--- a/src/martenrun/standins/engine/incarnation.py
+++ b/src/martenrun/standins/engine/incarnation.py
@@ -3,7 +3,7 @@
 import secrets
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from martenrun.identity.chain import chain_seed, hash_chain
 from martenrun.standins.engine.cache import PrefixCache
@@ -19,16 +19,29 @@
 
 
 class Incarnation:
-    """State of one run: batch, prefix cache, event feed, weights."""
+    """State of one run: batch, prefix cache, event feed, weights.
 
-    def __init__(self, settings: EngineSettings) -> None:
+    Args:
+        settings: name the model of this run.
+        begin_model: ends this run and begins one with a version of another model.
+    """
+
+    def __init__(
+        self, settings: EngineSettings, begin_model: Callable[["Incarnation", str, str], None]
+    ) -> None:
         self.name = secrets.token_hex(4)
         self.is_dead = threading.Event()
         self.batch = Batch(settings.slots, settings.queue_depth)
         self.load_report = LoadReport(settings.load_lag_s)
         self.feed = CacheEventFeed(self.name, settings.feed)
         self.cached = PrefixCache(settings.cache_blocks)
-        self.weights = Weights(settings, self.batch, self.clear_cache, self.is_dead)
+        self.weights = Weights(
+            settings,
+            self.batch,
+            self.clear_cache,
+            self.is_dead,
+            lambda model, version: begin_model(self, model, version),
+        )
         self.cancelled: set[str] = set()
         self._settings = settings
         self._lock = threading.Lock()
--- a/src/martenrun/standins/engine/orders.py
+++ b/src/martenrun/standins/engine/orders.py
@@ -13,6 +13,7 @@
     LOAD_WEIGHTS = "load_weights"
     LOAD_ADAPTER = "load_adapter"
     SET_ROLE = "set_role"
+    LOAD_MODEL = "load_model"
 
 
 class Role(enum.StrEnum):
@@ -24,12 +25,13 @@
 
 
 class Order(msgspec.Struct, frozen=True):
-    """Body of ``POST /v1/orders``."""
+    """Body of ``POST /v1/orders``; ``model`` belongs to ``load_model``."""
 
     fence: int
     incarnation: str
     action: OrderAction
     value: str
+    model: str = ""
 
 
 class FenceGuard:
@@ -61,6 +63,20 @@
         self._seen = order
         return order != self._accepted
 
+    def renamed(self, incarnation: str) -> "FenceGuard":
+        """Return the guard of the incarnation that an accepted order has led to.
+
+        The fencing token stays, and the same order for the new incarnation is carried out
+        already.
+        """
+        guard = FenceGuard(incarnation)
+        guard.fence = self.fence
+        if self._seen is not None and self._seen == self._accepted:
+            guard._seen = guard._accepted = msgspec.structs.replace(
+                self._seen, incarnation=incarnation
+            )
+        return guard
+
     def accept(self, order: Order) -> None:
         """Remember that an order is being carried out."""
         self._accepted = order
--- a/src/martenrun/standins/engine/weights.py
+++ b/src/martenrun/standins/engine/weights.py
@@ -30,6 +30,10 @@
     FAILED = "failed"
 
 
+def _no_other_model(model: str, version: str) -> None:
+    """Stand for an engine that can change its model; this one can not."""
+
+
 class Weights:
     """What one incarnation holds and which load is under way.
 
@@ -37,7 +41,8 @@
         settings: names the model, the first version and the weight store.
         batch: emptied before weights change.
         clear_cache: forgets the prefix cache.
-        is_dead: set when the engine crashes; ends a load.
+        is_dead: set when the engine crashes or changes its model; ends a load.
+        begin_model: begins another incarnation, which loads a version of another model.
     """
 
     def __init__(
@@ -46,16 +51,19 @@
         batch: Batch,
         clear_cache: Callable[[], None],
         is_dead: threading.Event,
+        begin_model: Callable[[str, str], None] = _no_other_model,
     ) -> None:
         self.version = settings.weights_version
         self.state = ServingState.SERVING
         self.target_version = settings.weights_version
+        self._target_model = settings.model
         self.role = Role.MIXED
         self.adapters: list[str] = []
         self._settings = settings
         self._batch = batch
         self._clear_cache = clear_cache
         self._is_dead = is_dead
+        self._begin_model = begin_model
         self._loads = 0
         self._lock = threading.Lock()
         self._loading = threading.Lock()
@@ -75,27 +83,48 @@
         if order.action is OrderAction.SET_ROLE and order.value not in set(Role):
             raise RefusedError(RefusalCode.INVALID, f"unknown role {order.value!r}")
         with self._lock:
+            self._check_alive()
             if not guard.check(order):
                 return
             if order.action is OrderAction.SET_ROLE:
                 self.role = Role(order.value)
             elif order.action is OrderAction.LOAD_WEIGHTS:
-                self._order_weights(order.value)
+                self._order_weights(self._settings.model, order.value)
+            elif order.action is OrderAction.LOAD_MODEL:
+                self._order_weights(order.model, order.value)
             elif order.value not in self.adapters:
-                self._check_exists(order.value)
+                self._check_exists(self._settings.model, order.value)
                 self._start(self._load_adapter, order.value)
             guard.accept(order)
 
-    def _order_weights(self, version: str) -> None:
+    def start_loading(self, version: str) -> None:
+        """Load a version first, in an incarnation that begins with it."""
+        self.target_version = version
+        self.version = ""
+        self.state = ServingState.LOADING
+        self._start(self._load_weights, version, self._loads)
+
+    def _check_alive(self) -> None:
+        if self._is_dead.is_set():
+            message = "the engine has begun another incarnation"
+            raise RefusedError(RefusalCode.ANOTHER_INCARNATION, message)
+
+    def _order_weights(self, model: str, version: str) -> None:
         is_under_way = self.state in (ServingState.DRAINING, ServingState.LOADING)
+        is_target = (self._target_model, self.target_version) == (model, version)
+        is_same_model = model == self._settings.model
         is_held = self.state is ServingState.SERVING and self.version == version
-        if is_held or (is_under_way and self.target_version == version):
+        if (is_held and is_same_model) or (is_under_way and is_target):
             return
-        self._check_exists(version)
+        self._check_exists(model, version)
+        self._target_model = model
         self.target_version = version
         self.state = ServingState.DRAINING
         self._loads += 1
-        self._start(self._load_weights, version, self._loads)
+        if is_same_model:
+            self._start(self._load_weights, version, self._loads)
+        else:
+            self._start(self._change_model, model, version, self._loads)
 
     @staticmethod
     def _start(target: Callable[..., None], *arguments: object) -> None:
@@ -115,6 +144,17 @@
             state = ServingState.SERVING if is_loaded else ServingState.FAILED
             self._end(load, version if is_loaded else "", state)
 
+    def _change_model(self, model: str, version: str, load: int) -> None:
+        def is_given_up() -> bool:
+            return self._is_dead.is_set() or load != self._loads
+
+        with self._loading:
+            if is_given_up() or not self._batch.wait_empty(is_given_up):
+                return
+            with self._lock:
+                if not is_given_up():
+                    self._begin_model(model, version)
+
     def _end(self, load: int, version: str, state: ServingState) -> None:
         with self._lock:
             if load == self._loads:
@@ -126,13 +166,13 @@
             with self._lock:
                 self.adapters = sorted({*self.adapters, name})
 
-    def _url(self, name: str) -> str:
-        return f"http://{self._settings.weight_store}/v1/weights/{self._settings.model}/{name}"
+    def _url(self, model: str, name: str) -> str:
+        return f"http://{self._settings.weight_store}/v1/weights/{model}/{name}"
 
-    def _check_exists(self, name: str) -> None:
+    def _check_exists(self, model: str, name: str) -> None:
         try:
             response = urllib3.request(
-                "HEAD", self._url(name), retries=False, timeout=_CHECK_TIMEOUT_S
+                "HEAD", self._url(model, name), retries=False, timeout=_CHECK_TIMEOUT_S
             )
         except HTTPError as error:
             message = f"the weight store did not answer: {error}"
@@ -147,7 +187,7 @@
         try:
             response = urllib3.request(
                 "GET",
-                self._url(name),
+                self._url(self._settings.model, name),
                 retries=False,
                 preload_content=False,
                 timeout=_READ_TIMEOUT_S,
--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -130,6 +130,7 @@
   7: bool may_queue
   8: string weights_version
   9: binary chain
+  10: i32 pool_id
 }
 
 struct SlotGranted {
--- a/src/martenrun/wire/messages/slots.py
+++ b/src/martenrun/wire/messages/slots.py
@@ -12,7 +12,8 @@
 
     ``reservation_id`` is unique for the home; its upper 31 bits name the home's incarnation.  It
     is also the lease's identity once the slot is granted.  ``deadline_ms`` is the time left.
-    An empty ``weights_version`` accepts any.
+    An empty ``weights_version`` accepts any.  ``pool_id`` is a hash of the pool's name, so that a
+    runner that has changed its pool serves no question for the pool it left; 0 is not compared.
     """
 
     reservation_id: int = 0
@@ -24,6 +25,7 @@
     may_queue: bool = False
     weights_version: str = ""
     chain: bytes = b""
+    pool_id: int = 0
 
 
 @dataclass(slots=True)
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -8,10 +8,13 @@
 from martenrun.platform.engine_orders import EngineOrder, EngineOrders, OrderAction, OrderOutcome
 from martenrun.standins.weights import Faults, LoadPace, WeightStoreApplication
 
+OTHER_MODEL = "ledger-app"
+
 
 @pytest.fixture
 def store():
     published = [f"{MODEL}/{name}" for name in ("v1", "v2", "v3", "permits-adapter")]
+    published += [f"{OTHER_MODEL}/v1"]
     application = WeightStoreApplication(LoadPace(load_s=0.2), published)
     with served(application) as address:
         application.address = address
@@ -25,8 +28,8 @@
         yield running
 
 
-def send(engine, fence, value, action=OrderAction.LOAD_WEIGHTS, incarnation=None):
-    order = EngineOrder(fence, incarnation or engine.incarnation, action, value)
+def send(engine, fence, value, action=OrderAction.LOAD_WEIGHTS, incarnation=None, model=""):
+    order = EngineOrder(fence, incarnation or engine.incarnation, action, value, model)
     return EngineOrders(engine.connections).send(engine.address, order)
 
 
@@ -109,3 +112,50 @@
 def test_an_order_to_nobody_has_an_unknown_outcome(engine):
     order = EngineOrder(1, "i", OrderAction.LOAD_WEIGHTS, "v2")
     assert EngineOrders(engine.connections).send(free_address(), order) is OrderOutcome.UNKNOWN
+
+
+def load_model(engine, fence, **options):
+    options = {"model": OTHER_MODEL, **options}
+    return send(engine, fence, "v1", OrderAction.LOAD_MODEL, **options)
+
+
+@pytest.mark.parametrize("engine", [SLOW], indirect=True)
+def test_another_model_begins_another_incarnation_and_cuts_off_no_stream(engine, store):
+    first = engine.incarnation
+    attempt = engine.attempt(max_tokens=20)
+    events = attempt.events()
+    next(events)
+    assert load_model(engine, 7) is OrderOutcome.ACCEPTED
+    assert engine.run()[1].outcome is AttemptOutcome.NOT_RUN
+    list(events)
+    assert attempt.result.outcome is AttemptOutcome.COMPLETE
+    wait_until(lambda: describe(engine).model == OTHER_MODEL, "it loads", 5.0)
+    wait_until(lambda: describe(engine).state == "serving", "it serves", 5.0)
+    known = describe(engine)
+    assert (known.weights_version, known.fence, known.cached_blocks) == ("v1", 7, 0)
+    # The version has the same name, but requests and orders for the old model are refused.
+    assert engine.run(incarnation=first, weights_version="v1")[1].outcome is AttemptOutcome.NOT_RUN
+    assert load_model(engine, 9, incarnation=first) is OrderOutcome.RESTARTED
+    assert load_model(engine, 6, model=MODEL) is OrderOutcome.STALE
+    assert load_model(engine, 7) is OrderOutcome.ACCEPTED
+    assert store.counts.finished == 1
+
+
+def test_a_model_that_does_not_exist_is_refused_and_a_crash_brings_the_first_one_back(engine):
+    assert load_model(engine, 7, model="no-such-model") is OrderOutcome.REFUSED
+    assert describe(engine).state == "serving"
+    assert load_model(engine, 8) is OrderOutcome.ACCEPTED
+    wait_until(lambda: describe(engine).model == OTHER_MODEL, "it loads", 5.0)
+    engine.set_faults(crash=True)
+    assert (describe(engine).model, describe(engine).state) == (MODEL, "serving")
+
+
+def test_a_newer_order_stops_the_change_of_the_model(engine):
+    attempt = engine.attempt(max_tokens=200)
+    events = attempt.events()
+    next(events)
+    assert load_model(engine, 7) is OrderOutcome.ACCEPTED
+    assert send(engine, 8, "v2") is OrderOutcome.ACCEPTED
+    list(events)
+    wait_until(lambda: describe(engine).weights_version == "v2", "v2 serves", 5.0)
+    assert (describe(engine).model, engine.incarnation) == (MODEL, attempt._request.incarnation)
