Move runners between pools by demand

Cause: pools could be resized by hand only.

Change: - Demand: every node reports the present slots, waits and cheapest runner of the scaled pools whose runners it owns to its zone's adding node each 5 s, which reports the zone's sums to the deciding node. Figures replace each other; a lost report is healed by the next one. - Pools may have `minimum_runners`, `maximum_runners` and `scaling`; nothing moves without them. A pool whose queues' wait stays above its limit for longer than a load and the lost cache cost gets a runner of a pool that could have spared it all the time; two moves at a time, cool-downs, runners that do not arrive are sent back. - One decision at a time (`statecharts/scaling.toml`): it is recorded in one object by compare-and-swap, then its assignment is written with the version it was decided on. Whoever decides next first makes sure that the decision before can take effect no more. Operators' assignments are never touched.

Found on the way: the account of pressure went on growing while no move was allowed, so a move was made long after the wait had gone ("desk waits 0.0 s"). Pressure must be present now; the test of a move that cannot be loaded covers it.

--- a/src/martenrun/configuration/objects.py
+++ b/src/martenrun/configuration/objects.py
@@ -10,6 +10,7 @@
 from martenrun.constants import DEFAULT_BLOCK_BYTES
 from martenrun.errors import InvalidObjectError
 from martenrun.kvcache.limits import StoreLimits
+from martenrun.scaling.limits import ScalingLimits
 from martenrun.schema import faults_of
 
 _NAME_PATTERN = r"^[a-z0-9][a-z0-9.-]{0,62}\Z"
@@ -98,7 +99,9 @@
     A roll of new weights leaves at least ``floor`` of the runners serving.  Each runner also
     gets the ``adapters`` and, if it is given, the ``role``.  ``weight_stores`` names the weight
     store that the runners of a zone load from; all other zones may share any of them.  A pool
-    with ``kept_cache`` exports cached prefixes to its engines' store and imports them.
+    with ``kept_cache`` exports cached prefixes to its engines' store and imports them.  With
+    ``scaling`` the system moves runners to and from the pool, which keeps from
+    ``minimum_runners`` to ``maximum_runners``.
     """
 
     model: Annotated[str, Meta(min_length=1)]
@@ -110,6 +113,18 @@
     role: RunnerRole | None = None
     kept_cache: StoreLimits | None = None
     weight_stores: dict[Name, Name] = {}
+    minimum_runners: Annotated[int, Meta(ge=1)] | None = None
+    maximum_runners: Annotated[int, Meta(ge=1)] | None = None
+    scaling: ScalingLimits | None = None
+
+    def __post_init__(self) -> None:
+        """Check the fields of scaling against each other; raises ValueError."""
+        if self.scaling is None:
+            return
+        if self.minimum_runners is None or self.maximum_runners is None:
+            raise ValueError("scaling needs minimum_runners and maximum_runners")
+        if not self.floor <= self.minimum_runners <= self.maximum_runners:
+            raise ValueError("floor, minimum_runners and maximum_runners must not fall")
 
 
 class Policy(ConfigurationDocument, frozen=True, kw_only=True):
@@ -150,12 +165,14 @@
 class Assignment(ConfigurationDocument, frozen=True, kw_only=True):
     """Puts the runner of the object's name into a pool, whatever the machine list says.
 
-    Without a ``pool`` the runner goes back to the machine list's, and the object is removed once
-    it serves there.  ``arrived`` is set by the runner's owner node when the engine serves with
-    the pool's model and weights; until then other nodes do not count on the runner.
+    Without a ``pool`` the runner goes back to the machine list's, and the system may move it
+    again once it serves there.  ``left_pool`` tells where it came from.  ``arrived`` is set by
+    the runner's owner node when the engine serves with the pool's model and weights; until then
+    other nodes do not count on the runner.
     """
 
     pool: Name | None = None
+    left_pool: Name | None = None
     made_by: AssignmentOrigin = AssignmentOrigin.OPERATOR
     reason: Annotated[str, Meta(max_length=1_000)] = ""
     arrived: bool = False
--- a/src/martenrun/configuration/view.py
+++ b/src/martenrun/configuration/view.py
@@ -45,6 +45,7 @@
     routes_by_name: Mapping[str, Route] = field(default_factory=dict)
     routes_by_model: Mapping[str, tuple[Route, ...]] = field(default_factory=dict)
     drains: Mapping[str, Drain] = field(default_factory=dict)
+    pools: Mapping[str, Pool] = field(default_factory=dict)
     assignments: Mapping[str, Assignment] = field(default_factory=dict)
 
     @classmethod
@@ -74,12 +75,17 @@
         drains = self.drains
         if Kind.DRAIN in kinds:
             drains = _documents_of(Kind.DRAIN, Drain, self.drains, changes)
+        pools = self.pools
+        if Kind.POOL in kinds:
+            pools = _documents_of(Kind.POOL, Pool, pools, changes)
         assignments = self.assignments
         if Kind.ASSIGNMENT in kinds:
             assignments = _documents_of(Kind.ASSIGNMENT, Assignment, assignments, changes)
         by_model = self.routes_by_model if Kind.ROUTE not in kinds else _by_model(routes)
         keys = self.keys if Kind.API_KEY not in kinds else self._changed_keys(documents, changes)
-        return ConfigurationView(revision, documents, keys, routes, by_model, drains, assignments)
+        return ConfigurationView(
+            revision, documents, keys, routes, by_model, drains, pools, assignments
+        )
 
     def _changed_keys(
         self,
@@ -121,8 +127,7 @@
 
     def pool(self, name: str) -> Pool | None:
         """Return a pool, or None if there is none of the name."""
-        found = self.documents.get((Kind.POOL, name))
-        return found if isinstance(found, Pool) else None
+        return self.pools.get(name)
 
     def pool_of_runner(self, runner: str, listed_pool: str) -> str:
         """Return the name of the pool that a runner belongs to.
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -36,6 +36,8 @@
 from martenrun.routing.prefix_aware import PrefixAwarePolicy
 from martenrun.routing.served_prefixes import ServedPrefixes, ServedPrefixesLogic
 from martenrun.scaling.arrivals import ArrivalsLogic
+from martenrun.scaling.decider import ScalingLogic
+from martenrun.scaling.demand import DemandExchange
 from martenrun.settings.model import NodeSettings
 from martenrun.sharing.logic import SharingLogic
 from martenrun.sharing.meter import ExchangeMeter
@@ -58,6 +60,8 @@
     requests: RequestsLogic
     rolls: RollsLogic
     arrivals: ArrivalsLogic
+    demand: DemandExchange
+    scaling: ScalingLogic
     sharing: SharingLogic
     limits: AdmissionLimits
     cache_events: CacheEventsLogic
@@ -97,6 +101,8 @@
             self.sharing,
             self.rolls,
             self.arrivals,
+            self.demand,
+            self.scaling,
         ]
 
 
@@ -159,6 +165,9 @@
     status = StatusLogic(configuration, members)
     drain = NodeDrainLogic(settings.name, lambda: configuration.state.view)
     holder = f"{own_address}/{incarnation}"
+    demand = DemandExchange(
+        members, runners, lambda: configuration.state.view, lambda: owner.owned, rng
+    )
     rolls = RollsLogic(holder, runners.runners, configuration.state, owners.owns, rng)
     return NodeParts(
         members,
@@ -173,6 +182,8 @@
         requests,
         rolls,
         ArrivalsLogic(holder, runners, configuration.state, owners.owns, rng),
+        demand,
+        ScalingLogic(holder, demand, runners, configuration.state, rng),
         sharing,
         limits,
         CacheEventsLogic(beliefs, runners, owners.owns),
--- a/src/martenrun/orders/rolls.py
+++ b/src/martenrun/orders/rolls.py
@@ -266,12 +266,10 @@
 
     def _leaving(self, wish: PermitWish, description: RunnerDescription) -> PermitWish:
         """Return the wish with the pool whose model the engine gives up, if it is known."""
-        view = self._configuration.view
-        for (kind, name), pool in view.documents.items():
-            if kind is Kind.POOL and isinstance(pool, Pool) and name != wish.pool:
-                held = (description.model, description.weights_version)
-                if (pool.model, pool.weights_version) == held:
-                    return dataclasses.replace(wish, left_pool=name, left_floor=pool.floor)
+        held = (description.model, description.weights_version)
+        for name, pool in self._configuration.view.pools.items():
+            if name != wish.pool and (pool.model, pool.weights_version) == held:
+                return dataclasses.replace(wish, left_pool=name, left_floor=pool.floor)
         return wish
 
     def _send_order(self, roll: RunnerRoll, now: float) -> list[Instruction]:
--- a/src/martenrun/scaling/arrivals.py
+++ b/src/martenrun/scaling/arrivals.py
@@ -1,8 +1,9 @@
 """Decision logic that records when an assigned runner serves its new pool.
 
 The runner's owner node sees the engine's descriptions.  Once one shows the pool's model and
-weights version, it writes ``arrived`` into the assignment by compare-and-swap, or removes an
-assignment that only sent the runner back.  Until then nobody counts on the runner for a floor.
+weights version, it writes ``arrived`` into the assignment by compare-and-swap.  Until then
+nobody counts on the runner for a floor.  The object stays, also of a runner that was sent back:
+its versions only go up, so a late write of an earlier decision always conflicts.
 
 A write that conflicts or whose answer is lost is not repeated blindly: what became of it is
 read from the configuration, and only an assignment that is still unfinished is written again.
@@ -103,9 +104,7 @@
 
     def _write(self, runner: str, assignment: Assignment) -> Instruction:
         self._calls += 1
-        document = None
-        if assignment.pool is not None:
-            document = encode_document(msgspec.structs.replace(assignment, arrived=True))
+        document = encode_document(msgspec.structs.replace(assignment, arrived=True))
         kind = Kind.ASSIGNMENT
         expected = self._configuration.revision_of(kind, runner)
         return StoreWrite(f"{self._prefix}{self._calls}", kind.value, runner, expected, document)
--- a/src/martenrun/sharing/fair_queue.py
+++ b/src/martenrun/sharing/fair_queue.py
@@ -100,6 +100,11 @@
     def __len__(self) -> int:
         return len(self._index)
 
+    @property
+    def waiting_tokens(self) -> float:
+        """Expected tokens of everything that waits."""
+        return self._waiting_tokens
+
     def waiting(self, tenant: str) -> int:
         """Return how many entries of a tenant wait."""
         found = self._tenants.get(tenant)
--- a/src/martenrun/simulation/pool_world.py
+++ b/src/martenrun/simulation/pool_world.py
@@ -28,6 +28,9 @@
 POLL_S = 0.5
 DESCRIBE_S = 1.0
 CALL_DELAY_S = 0.005
+TICK_S = 0.2
+"""Coarser than a process's tick, in seconds; it only adds to times."""
+
 REGIONS = 2
 
 
@@ -93,6 +96,7 @@
                 SendOrder: self._carry_order,
                 **world.store.carriers(self.name, lambda event: hollow.tell(event)),
             },
+            TICK_S,
         )
         self.hollow = hollow
         self._poll(run, POLL_S, self._list_machines)
--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -286,3 +286,19 @@
   4: list<string> faults
   5: list<AgentRevision> agents
 }
+
+struct PoolDemand {
+  1: i32 pool_id
+  2: i32 runners
+  3: i32 slots
+  4: i32 used_slots
+  5: i32 waiting_tokens
+  6: i32 wait_ms
+  7: string spare_runner
+  8: i32 spare_blocks
+}
+
+struct DemandReport {
+  1: string zone
+  2: list<PoolDemand> pools
+}
--- a/src/martenrun/wire/messages/__init__.py
+++ b/src/martenrun/wire/messages/__init__.py
@@ -38,6 +38,7 @@
     Refusal,
     WithdrawRequest,
 )
+from martenrun.wire.messages.scaling import DemandReport, PoolDemand
 from martenrun.wire.messages.slots import (
     LeaseRenewal,
     LeasesVoided,
@@ -62,6 +63,7 @@
     "ConfigurationQuery",
     "ConfigurationUpdate",
     "DecideRequest",
+    "DemandReport",
     "ExportPrefix",
     "Grant",
     "Hello",
@@ -78,6 +80,7 @@
     "MemberUpdate",
     "Message",
     "NodeStatus",
+    "PoolDemand",
     "PrefixExported",
     "PrefixesQuery",
     "PrefixesServed",
@@ -135,5 +138,6 @@
     | MachinesUpdate
     | StatusQuery
     | NodeStatus
+    | DemandReport
 )
 """Messages that travel between processes, each behind a header (see the codec)."""
