--- a/src/martenrun/configuration/objects.py
+++ b/src/martenrun/configuration/objects.py
@@ -95,8 +95,9 @@
     """Runners that serve one model with one weights version.
 
     A roll of new weights leaves at least ``floor`` of the runners serving.  Each runner also
-    gets the ``adapters`` and, if it is given, the ``role``.  A pool with ``kept_cache`` exports
-    cached prefixes to its engines' store and imports them.
+    gets the ``adapters`` and, if it is given, the ``role``.  ``weight_stores`` names the weight
+    store that the runners of a zone load from; all other zones may share any of them.  A pool
+    with ``kept_cache`` exports cached prefixes to its engines' store and imports them.
     """
 
     model: Annotated[str, Meta(min_length=1)]
@@ -107,6 +108,7 @@
     adapters: list[Name] = []
     role: RunnerRole | None = None
     kept_cache: StoreLimits | None = None
+    weight_stores: dict[Name, Name] = {}
 
 
 class Policy(ConfigurationDocument, frozen=True, kw_only=True):
--- a/src/martenrun/membership/gossip.py
+++ b/src/martenrun/membership/gossip.py
@@ -119,6 +119,10 @@
         """Return members believed alive, this node included, leaving ones excluded."""
         return self._live
 
+    def suspected(self) -> frozenset[str]:
+        """Return the addresses of members that may be dead and have not refuted it yet."""
+        return self._table.suspected
+
     def statuses(self) -> dict[str, MemberStatus]:
         """Return what is believed of every known member, by address."""
         return {record.address: record.status for record in self._table.records.values()}
@@ -255,7 +259,7 @@
             passed_on = ProbeAnswer(relay.sequence, self._table.digest, answer.claims)
             return [SendDatagram(relay.asked_by, passed_on)]
         self._prober.open.pop(answer.sequence, None)
-        if answer.digest != self._table.digest and self._exchange.is_due(now):
+        if self._exchange.compare(answer.digest, now) and self._exchange.is_due(now):
             return self._exchange.begin(peer, now)
         return self._greet(peer, now)
 
