Open a stream that ended again at once, and read its answer in the same round

Cause: a killed engine was noticed after 250 to 280 ms (medians), three rounds: the end of its stream, the next attempt, its refusal; polling took 190 to 300 ms. Change: a stream that lasted 5 s is opened again without a pause, and sockets are read once more after streams were opened. Ruled out: shorter rounds, which cost idle time. Conclusion: noticed sooner than by polling.

--- a/src/martenrun/node/feeds.py
+++ b/src/martenrun/node/feeds.py
@@ -183,7 +183,8 @@
         due.sort(key=lambda engine: engine.next_try)
         for engine in due[:OPENINGS_A_ROUND]:
             events += self._open(engine, now)
-        return events
+        # A connection near by is refused or there at once: a round sooner than waiting for it.
+        return events + self._read(now) if due else events
 
     def _take_targets(self, now: float) -> None:
         targets = self._targets
--- a/src/martenrun/node/followed_engine.py
+++ b/src/martenrun/node/followed_engine.py
@@ -18,7 +18,7 @@
 """Time without a word after which an engine is taken as unreachable, in seconds."""
 
 FIRST_RETRY_S = 0.05
-"""Longest pause after a stream that worked has ended, in seconds."""
+"""Half of the longest pause after a first failed attempt, in seconds."""
 
 STABLE_S = 5.0
 """Time after which a stream that ended counts as one that worked, in seconds."""
@@ -128,11 +128,16 @@
         if self.state is FeedState.POLLED:
             return []
         was_open = self.state is FeedState.OPEN
-        is_first = was_open and now - self._opened_at >= STABLE_S
+        has_worked = was_open and now - self._opened_at >= STABLE_S
         self.state = FeedState.WAITING
         self.reconnects += 1
-        self._pause_s = FIRST_RETRY_S if is_first else min(2 * self._pause_s, MAXIMUM_RETRY_S)
-        self.next_try = self.look_at = now + self._rng.uniform(0.5, 1.0) * self._pause_s
+        if has_worked:
+            # At once: only this tells a stream that ended from an engine that is gone.
+            self._pause_s = FIRST_RETRY_S
+            self.next_try = self.look_at = now
+        else:
+            self._pause_s = min(2 * self._pause_s, MAXIMUM_RETRY_S)
+            self.next_try = self.look_at = now + self._rng.uniform(0.5, 1.0) * self._pause_s
         # A stream that worked may end for its own reasons: the next attempt tells.
         return [] if was_open else self._unreachable()
 
