--- a/src/martenrun/agent/active.py
+++ b/src/martenrun/agent/active.py
@@ -37,9 +37,11 @@
 
     Attributes:
         nodes: nodes to ask, the present one first.
+        asked: nodes that were silent in the present round.
         deadline: when the request must have begun to answer, on the loop's clock.
         asked_until: when the present node counts as silent.
         resume_at: when a pause before the next question is over.
+        search_until: when to give up asking nodes in rounds; 0 while some node decides.
         attempts: attempts at engines that have ended.
         ran: whether any attempt ran it, as far as is known.
         has_output: whether the caller has received output.
@@ -52,6 +54,7 @@
     deadline: float
     asked_until: float = 0.0
     resume_at: float = 0.0
+    search_until: float = 0.0
     attempt: int = 0
     attempts: int = 0
     grant: Grant | None = None
@@ -59,6 +62,7 @@
     result: AttemptResult | None = None
     first_token_s: float = 0.0
     can_resume: bool = False
+    asked: list[str] = field(default_factory=list)
     excluded: list[str] = field(default_factory=list)
     ran: Ran = Ran.NO
     has_output: bool = False
--- a/src/martenrun/bench/routing_node.py
+++ b/src/martenrun/bench/routing_node.py
@@ -3,9 +3,12 @@
 from dataclasses import dataclass, field
 
 from martenrun.bench.routing_engine import SimulatedEngine
+from martenrun.events import PeerMessage
 from martenrun.identity.chain import BlockHashes
 from martenrun.routing.policy import RankingPolicy, RunnerState
 from martenrun.routing.prefix_aware import PrefixAwarePolicy
+from martenrun.routing.served_prefixes import ServedPrefixes, ServedPrefixesLogic
+from martenrun.wire.messages import PrefixesServed
 
 WEIGHTS_VERSION = "v1"
 
@@ -21,7 +24,7 @@
     gap: bool
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class SimulatedNode:
     """One node; a restart makes a new one under the same name."""
 
@@ -29,7 +32,10 @@
     zone: str
     policy: RankingPolicy
     is_live: bool = True
+    has_asked: bool = False
+    started_at: float = 0.0
     runners: dict[str, RunnerState] = field(default_factory=dict)
+    served: ServedPrefixes = field(default_factory=ServedPrefixes)
 
     def learn_of(self, engines: list[SimulatedEngine]) -> None:
         """Take in engines as they are."""
@@ -52,6 +58,12 @@
             if runner.pool == model and runner.is_usable and runner.name not in excluded
         ]
 
+    def told_served(self, message: PrefixesServed, now: float) -> None:
+        """Take in which prefixes an owner's runner served."""
+        if isinstance(self.policy, PrefixAwarePolicy):
+            logic = ServedPrefixesLogic(self.served, self.policy.placement, list)
+            logic.handle(PeerMessage("", message), now)
+
     def take_load(self, runner_name: str, running: int, now: float) -> None:
         """Take in a runner's load."""
         runner = self.runners[runner_name]
--- a/src/martenrun/cli/bench.py
+++ b/src/martenrun/cli/bench.py
@@ -10,10 +10,12 @@
 _COMMANDS = {
     "path": "martenrun.bench.path:path",
     "streams": "martenrun.bench.streams:streams",
+    "control": "martenrun.bench.control:control",
     "index": "martenrun.bench.index:index_command",
     "configuration": "martenrun.bench.configuration:configuration",
     "sharing": "martenrun.bench.sharing:sharing",
     "decision": "martenrun.bench.decision:decision_command",
+    "request": "martenrun.bench.request_cost:request_command",
     "routing": "martenrun.bench.routing:routing_command",
     "adapter": "martenrun.bench.adapter:adapter",
     "rolls": "martenrun.bench.rolls:rolls",
@@ -24,6 +26,7 @@
     "hollow-host": "martenrun.bench.scale.host:hollow_host",
     "membership": "martenrun.bench.membership:membership",
     "ownership": "martenrun.bench.ownership:ownership",
+    "node-state": "martenrun.bench.node_state:node_state",
 }
 
 
--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -15,6 +15,7 @@
 from martenrun.platform.cache_events import CacheEvents
 from martenrun.platform.engine import AttemptResult, RunnerDescription
 from martenrun.platform.engine_orders import EngineOrder, OrderOutcome
+from martenrun.platform.kv_transfers import BlockTransfer
 from martenrun.platform.machine_list import Machine
 from martenrun.wire.messages import (
     ConfigurationObject,
@@ -106,12 +107,14 @@
 
     ``UNKNOWN`` means that a write may or may not have taken effect.  ``found`` is the object
     for a read that is DONE; ``version`` is the version present after a write or a conflict.
+    ``listed`` is the answer to a StoreList.
     """
 
     call_id: str
     outcome: StoreOutcome
     version: int = 0
     found: ConfigurationObject | None = None
+    listed: tuple[ConfigurationObject, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,6 +146,15 @@
     outcome: OrderOutcome
 
 
+@dataclass(frozen=True, slots=True)
+class ExportEnded:
+    """An export has ended; ``blocks`` leading ones are kept, none if it failed."""
+
+    runner: str
+    transfer: BlockTransfer
+    blocks: int
+
+
 class WatchOutcome(enum.StrEnum):
     """How a StoreWatch ended."""
 
@@ -190,6 +202,7 @@
     | LeaveRequested
     | QuestionCleared
     | OrderAnswered
+    | ExportEnded
     | StoreWatched
     | StatusWanted
     | EventBatch
@@ -262,6 +275,19 @@
     name: str
 
 
+@dataclass(frozen=True, slots=True)
+class StoreList:
+    """Read the objects of a kind that come after a name, in their names' order.
+
+    StoreAnswered follows; fewer than ``limit`` objects are the last ones.
+    """
+
+    call_id: str
+    kind: str
+    after_name: str
+    limit: int
+
+
 @dataclass(frozen=True, slots=True)
 class SendOrder:
     """Send a fenced order to a runner's engine; OrderAnswered follows."""
@@ -271,6 +297,15 @@
     order: EngineOrder
 
 
+@dataclass(frozen=True, slots=True)
+class SendExport:
+    """Tell a runner's engine to export blocks to its store; ExportEnded follows."""
+
+    runner: str
+    address: str
+    transfer: BlockTransfer
+
+
 @dataclass(frozen=True, slots=True)
 class StoreWatch:
     """Wait for configuration changes after a revision; StoreWatched follows.
@@ -298,8 +333,10 @@
     | Tell
     | StoreWrite
     | StoreRead
+    | StoreList
     | StoreWatch
     | SendOrder
+    | SendExport
     | SendDatagram
     | StatusReady
 )
--- a/src/martenrun/ownership/home.py
+++ b/src/martenrun/ownership/home.py
@@ -257,9 +257,8 @@
         self, question: OpenQuestion, reservation: Reservation, refused: SlotRefused, now: float
     ) -> None:
         reason = Reason(refused.reason)
-        question.reasons.add(reason)
+        question.refused_by_owner(reservation.runner, reason)
         question.waits_s[reservation.runner] = refused.expected_wait_ms / 1000
-        question.accept_any_version |= reason is Reason.STALE_VERSION
         loads = {load.runner: load.free_slots for load in refused.loads}
         if reservation.runner not in loads:
             self._loads.learn(reservation.runner, 0, now)
@@ -344,10 +343,11 @@
         if was_granted and question.lease is not None:
             question.lease.choice.runner.in_flight -= 1
             self._policy.withdrawn(asked.request_id, asked.attempt)
+        question.lease = None  # Question and lease name each other: no cycle is left.
 
     def _reserve_next(self, question: OpenQuestion, now: float) -> list[Instruction]:
         found = question.next_choice(lambda runner: self._reservations.is_reachable(runner, now))
-        if found is None and question.has_silent_owners_only:
+        if found is None and question.awaits_owner(now):
             return self._queue(question, now, "owners_silent")
         if found is None:
             return self._step(question, "no_candidate_left", now)
--- a/src/martenrun/platform/http_stream.py
+++ b/src/martenrun/platform/http_stream.py
@@ -10,10 +10,12 @@
 import http.client
 import io
 import socket
-from typing import cast
+from typing import TYPE_CHECKING, cast
 
 from urllib3.connection import HTTPConnection
-from waitress.receiver import ChunkedReceiver
+
+if TYPE_CHECKING:
+    from waitress.receiver import ChunkedReceiver
 
 MAXIMUM_HEAD_BYTES = 16 * 1024
 """Longest head of a response that is accepted, in bytes."""
@@ -124,6 +126,9 @@
         self.status = response.status
         self.content_type = response.headers.get_content_type()
         if response.chunked:
+            # Imported with the first answer: a starting node joins the others before that.
+            from waitress.receiver import ChunkedReceiver
+
             self._chunks = ChunkedReceiver(self._pieces)
         self._head = b""
         return rest
--- a/src/martenrun/routing/prefix_aware.py
+++ b/src/martenrun/routing/prefix_aware.py
@@ -1,9 +1,9 @@
 """The product's policy: the runner with the least expected time to the first token.
 
 Expected time = wait for a slot + prefill of the blocks believed uncached + zone distance.
-Candidates are the believed holders of any part of the prompt, two runners that rendezvous
-hashing prefers for the prompt's first blocks (so that a node that knows nothing yet finds old
-caches), and two random ones (so that no single idle-looking runner draws everything).
+Candidates are the believed holders of any part of the prompt, the runner on which this home
+has placed the prompt's prefix (:mod:`martenrun.routing.placement`), and two random ones (so
+that no single idle-looking runner draws everything).
 
 A hot prefix widens by itself: once the wait at its holders exceeds the prefill elsewhere, the
 next request goes elsewhere and makes a new holder.  It shrinks by itself: with less load the
@@ -14,13 +14,13 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from martenrun.constants import BLOCK_HASH_BYTES, DEFAULT_BLOCK_BYTES
-from martenrun.identity.chain import BlockHashes, as_array
-from martenrun.identity.rendezvous import weight
+from martenrun.constants import DEFAULT_BLOCK_BYTES
+from martenrun.identity.chain import block_count
 from martenrun.platform.engine import AttemptOutcome
-from martenrun.routing.beliefs import BeliefBook
+from martenrun.routing.beliefs import BeliefBook, RunnerRun
 from martenrun.routing.first_token_model import FirstTokenModel
 from martenrun.routing.hot_prefixes import MINIMUM_COMPUTED_BLOCKS, Computation, HotPrefixes
+from martenrun.routing.placement import Placement
 from martenrun.routing.policy import RankingPolicy, RunnerChoice, RunnerState
 from martenrun.wire.messages import AttemptReport, DecideRequest
 
@@ -30,9 +30,6 @@
 LOAD_HALF_LIFE_S = 1.5
 """Age at which a foreign load counts half, in seconds."""
 
-PREFERRED_BLOCKS = (1,)
-"""Prefix lengths whose rendezvous-preferred runner is a candidate, in blocks."""
-
 RANDOM_CANDIDATES = 2
 
 PRESSURE_S = 10.0
@@ -57,13 +54,8 @@
 """Ranked questions remembered for corrections; the oldest is forgotten first."""
 
 _NOT_CANDIDATE_S = 1e6
-_MAXIMUM_NAME_HASHES = 16_384
 _NOT_PREFERRED = 1.5
-"""Factor on the prefill at runners that hashing does not prefer, so that prefixes settle."""
-
-_MIX = 0x9E3779B97F4A7C15
-_MIX_SHIFT = 16
-_MASK_64 = 0xFFFF_FFFF_FFFF_FFFF
+"""Factor on the prefill at runners where the prefix is not placed, so that prefixes settle."""
 
 
 @dataclass(slots=True)
@@ -72,13 +64,21 @@
 
     runner: str
     model: str
-    chain: BlockHashes
+    chain: bytes
     prompt_blocks: float
     believed_blocks: int
     load: float
     granted_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class _RankedQuestion:
+    """The choices that a question got, and when."""
+
+    choices: list[RunnerChoice]
+    at: float
+
+
 class PrefixAwarePolicy(RankingPolicy):
     """Ranks runners by expected time to the first token; see the module.
 
@@ -97,33 +97,35 @@
         self._hot = HotPrefixes()
         self._models: dict[str, FirstTokenModel] = {}
         self._granted: dict[tuple[str, int], _GrantedWork] = {}
-        self._ranked: dict[tuple[str, int], list[RunnerChoice]] = {}
-        self._name_hashes: dict[str, int] = {}
+        self._ranked: dict[tuple[str, int], _RankedQuestion] = {}
+        self.placement = Placement()
 
     def rank(
         self, question: DecideRequest, runners: Sequence[RunnerState], now: float
     ) -> list[RunnerChoice]:
         """See :meth:`martenrun.routing.policy.RoutingPolicy.rank`."""
-        for runner in runners:
-            self.beliefs.identify(runner.name, runner.incarnation, runner.weights_version)
-        names = [runner.name for runner in runners]
-        believed = self.beliefs.leading(as_array(question.chain), names)
+        identify = self.beliefs.identify
+        runs = [
+            identify(runner.name, runner.incarnation, runner.weights_version) for runner in runners
+        ]
+        believed = self.beliefs.leading_at(runs, question.chain, now)
         computations = self._hot.computations(question.chain, now)
         for computation in computations:
-            if computation.runner in names:
-                index = names.index(computation.runner)
-                believed[index] = min(believed[index], computation.blocks_before)
-        preferred = self._preferred(question.chain, names)
+            for index, run in enumerate(runs):
+                if run.runner == computation.runner:
+                    believed[index] = min(believed[index], computation.blocks_before)
+        loads = [load_of(runner, now) for runner in runners]
         uses = 1.0
-        if not computations and _holders_are_busy(runners, believed, now):
+        if not computations and _holders_are_busy(runners, loads, believed):
             rate = self._hot.rate(question.chain, now)
             uses = max(1.0, min(MAXIMUM_USES, rate * COPY_USE_S))
-        costs = self._costs(question, runners, believed, preferred, uses, now)
-        drawn = self._rng.choices(range(len(names)), k=RANDOM_CANDIDATES) if names else []
+        preferred = self._preferred(question.chain, runs, believed, now)
+        costs = self._costs(question, runners, runs, loads, believed, preferred, uses)
+        drawn = self._rng.choices(range(len(runs)), k=RANDOM_CANDIDATES) if runs else []
         for index, blocks in enumerate(believed):
-            if not blocks and index not in preferred and index not in drawn:
+            if not blocks and index != preferred and index not in drawn:
                 costs[index] += _NOT_CANDIDATE_S
-        order = sorted(range(len(names)), key=costs.__getitem__)
+        order = sorted(range(len(runs)), key=costs.__getitem__)
         choices = [
             RunnerChoice(
                 runners[index],
@@ -134,31 +136,35 @@
             )
             for index in order[:MAXIMUM_CHOICES]
         ]
-        self._remember(question, choices)
+        self._remember(question, _RankedQuestion(choices, now))
         return choices
 
     def corrected(self, question: DecideRequest, runner: str, cached_blocks: int) -> None:
         """See :meth:`martenrun.routing.policy.RoutingPolicy.corrected`."""
-        chain = as_array(question.chain)
-        for choice in self._ranked.get((question.request_id, question.attempt), ()):
+        ranked = self._ranked.get((question.request_id, question.attempt))
+        if ranked is None:
+            return
+        for choice in ranked.choices:
             if choice.runner.name == runner:
-                self.beliefs.corrected(runner, chain, choice.believed_blocks, cached_blocks)
+                believed = choice.believed_blocks
+                self.beliefs.corrected(runner, question.chain, believed, cached_blocks, ranked.at)
 
     def granted(self, question: DecideRequest, choice: RunnerChoice, now: float) -> None:
         """See :meth:`martenrun.routing.policy.RoutingPolicy.granted`."""
-        self.beliefs.age(now)
         self._ranked.pop((question.request_id, question.attempt), None)
         runner = choice.runner
         self.beliefs.identify(runner.name, runner.incarnation, runner.weights_version)
-        chain = as_array(question.chain)
-        self._hot.count(question.chain, now)
-        uncached = len(chain) - choice.believed_blocks
+        chain = question.chain
+        self._hot.count(chain, now)
+        uncached = block_count(chain) - choice.believed_blocks
         if uncached >= MINIMUM_COMPUTED_BLOCKS:
             model = self._model(question.model)
             ready_at = now + model.prefill_s(uncached, load_of(choice.runner, now))
             computation = Computation(choice.runner.name, ready_at, choice.believed_blocks)
-            self._hot.started(question.chain, computation)
-        self.beliefs.routed(choice.runner.name, chain, choice.believed_blocks, now)
+            self._hot.started(chain, computation)
+        if question.weights_version in ("", runner.weights_version):
+            # With other weights the runner caches blocks under other hashes.
+            self.beliefs.routed(runner.name, chain, choice.believed_blocks, now)
         self._granted[(question.request_id, question.attempt)] = _GrantedWork(
             choice.runner.name,
             question.model,
@@ -174,12 +180,16 @@
         work = self._granted.pop((report.request_id, report.attempt), None)
         if work is None or work.runner != report.runner:
             return
-        self._hot.ended(work.chain[:1].tobytes(), work.runner)
+        self._hot.ended(work.chain, work.runner)
         if report.outcome == AttemptOutcome.NOT_RUN:
-            self.beliefs.not_run(work.runner, work.chain[work.believed_blocks :])
+            self.beliefs.not_run(work.runner, work.chain, work.believed_blocks)
         elif report.outcome == AttemptOutcome.COMPLETE and report.prompt_tokens > 0:
             self._learn(work, report, now)
 
+    def block_prefill_s(self, model: str, runner: RunnerState, now: float) -> float:
+        """Return the expected time to compute one block at a runner, in seconds."""
+        return self._model(model).prefill_s(1.0, load_of(runner, now))
+
     def withdrawn(self, request_id: str, attempt: int) -> None:
         """See :meth:`martenrun.routing.policy.RoutingPolicy.withdrawn`."""
         self._granted.pop((request_id, attempt), None)
@@ -196,8 +206,8 @@
         uncached_blocks = work.prompt_blocks - cached_blocks
         model.observe_first_token(uncached_blocks, work.load, report.first_token_s)
 
-    def _remember(self, question: DecideRequest, choices: list[RunnerChoice]) -> None:
-        self._ranked[(question.request_id, question.attempt)] = choices
+    def _remember(self, question: DecideRequest, ranked: _RankedQuestion) -> None:
+        self._ranked[(question.request_id, question.attempt)] = ranked
         if len(self._ranked) > MAXIMUM_RANKED:
             del self._ranked[next(iter(self._ranked))]
 
@@ -207,35 +217,24 @@
             model = self._models[name] = FirstTokenModel()
         return model
 
-    def _preferred(self, chain: bytes, names: list[str]) -> set[int]:
-        """Return the indexes of the runners that hashing prefers for the first blocks."""
-        if not names or not chain:
-            return set()
-        hashes = [self._hash_of(name) for name in names]
-        preferred = set()
-        for blocks in PREFERRED_BLOCKS:
-            end = min(len(chain), blocks * BLOCK_HASH_BYTES)
-            key = int.from_bytes(chain[end - BLOCK_HASH_BYTES : end], "little")
-            weights = [((each ^ key) * _MIX & _MASK_64) >> _MIX_SHIFT for each in hashes]
-            preferred.add(weights.index(max(weights)))
-        return preferred
-
-    def _hash_of(self, name: str) -> int:
-        found = self._name_hashes.get(name)
-        if found is None:
-            if len(self._name_hashes) >= _MAXIMUM_NAME_HASHES:
-                self._name_hashes.clear()
-            found = self._name_hashes[name] = weight(b"", name)
-        return found
+    def _preferred(
+        self, chain: bytes, runs: Sequence[RunnerRun], believed: list[int], now: float
+    ) -> int | None:
+        """Return the index of the runner on which the prefix is placed, if there is one."""
+        if not runs or not chain:
+            return None
+        names = [run.runner for run in runs]
+        return names.index(self.placement.runner_for(chain, names, believed, now))
 
     def _costs(
         self,
         question: DecideRequest,
         runners: Sequence[RunnerState],
+        runs: Sequence[RunnerRun],
+        loads: list[float],
         believed: list[int],
-        preferred: set[int],
+        preferred: int | None,
         uses: float,
-        now: float,
     ) -> list[float]:
         """Return each runner's expected time to the first token, in seconds.
 
@@ -246,14 +245,14 @@
         prompt_blocks = question.prompt_bytes / self._block_bytes
         costs = []
         for index, runner in enumerate(runners):
-            load = load_of(runner, now)
+            load = loads[index]
             uncached = max(0.0, prompt_blocks - believed[index])
             cost = model.prefill_s(uncached, load)
             if uncached > SHARED_BLOCKS:
                 cost /= uses
-            if index not in preferred:
+            if index != preferred:
                 cost *= _NOT_PREFERRED
-            cost *= 1.0 + PRESSURE_S / self.beliefs.lifetime_s(runner.name)
+            cost *= 1.0 + PRESSURE_S / runs[index].lifetime_s
             if load >= runner.slots - 1:
                 cost += model.wait_s(load, runner.slots)
             if runner.zone != question.zone:
@@ -262,13 +261,17 @@
         return costs
 
 
-def _holders_are_busy(runners: Sequence[RunnerState], believed: list[int], now: float) -> bool:
+def _holders_are_busy(
+    runners: Sequence[RunnerState], loads: list[float], believed: list[int]
+) -> bool:
     """Whether every runner that holds nearly the most of a prompt has few slots left."""
     enough = max(believed, default=0) - SHARED_BLOCKS
-    return enough > 0 and all(
-        load_of(runner, now) >= BUSY_SHARE * runner.slots
-        for runner, blocks in zip(runners, believed, strict=True)
-        if blocks >= enough
+    if enough <= 0:
+        return False
+    return all(
+        loads[index] >= BUSY_SHARE * runner.slots
+        for index, runner in enumerate(runners)
+        if believed[index] >= enough
     )
 
 
--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -1,7 +1,7 @@
-// Internal protocol of martenrun, version 1.  One struct per message.
+// Internal protocol of martenrun, version 2: thrift's compact protocol.  One struct per message.
 // On the wire a struct stands behind 3 bytes: the protocol version and, as 16 bits in network
 // order, the BLAKE2b hash (2 bytes) of the struct's name.
-// The classes in martenrun/wire/messages.py carry the same fields; a test compares them.
+// The classes in martenrun/wire/messages/ carry the same fields; a test compares them.
 // Times are seconds unless a name says otherwise.  Chains are 8 bytes a block.
 
 struct Hello {
@@ -35,6 +35,9 @@
   6: string weights_version
   7: i32 believed_blocks
   8: i32 priority
+  9: i32 import_blocks
+  10: i32 import_least_blocks
+  11: i32 import_wait_ms
 }
 
 struct Queued {
@@ -62,6 +65,9 @@
   6: i32 cached_tokens
   7: i32 output_tokens
   8: double first_token_s
+  9: i32 import_held_blocks
+  10: i32 imported_blocks
+  11: i32 import_ms
 }
 
 struct WithdrawRequest {
@@ -134,6 +140,30 @@
   5: i32 free_slots
 }
 
+struct ExportPrefix {
+  1: string runner
+  2: string incarnation
+  3: string weights_version
+  4: binary chain
+  5: i32 new_blocks
+  6: double uses
+}
+
+struct PrefixExported {
+  1: string runner
+  2: string weights_version
+  3: binary chain
+}
+
+struct PrefixesQuery {
+}
+
+struct PrefixesServed {
+  1: string runner
+  2: binary first_blocks
+  3: list<i32> ages_ms
+}
+
 struct SlotsQueued {
   1: list<i64> reservation_ids
   2: list<i32> expected_waits_ms
@@ -224,6 +254,21 @@
   2: list<MemberClaim> members
 }
 
+struct MemberDigests {
+  1: binary buckets
+}
+
+struct MemberStates {
+  1: binary buckets
+  2: binary states
+}
+
+struct MemberUpdate {
+  1: binary states
+  2: list<MemberClaim> members
+  3: binary wanted
+}
+
 struct StatusQuery {
   1: string query_id
 }
