Ask a runner with other weights again where no runner has the asked ones

Ruled out: an unreachable or leaving engine (it was described, free and accepting).

Change: a runner that is refused for its version is not used up. Test: one runner and four, all with other weights; the one failed before and both pass.

--- a/src/martenrun/ownership/questions.py
+++ b/src/martenrun/ownership/questions.py
@@ -145,6 +145,9 @@
             self.answered.add(runner)
         if reason in (Reason.LEAVING, Reason.UNKNOWN_RUNNER):
             self.unusable.add(runner)
+        if reason is Reason.STALE_VERSION:
+            # It is not used up: from now on any version is asked for.
+            self.queue_tried.discard(runner)
 
     def awaits_owner(self, now: float) -> bool:
         """Whether the owner of a runner asked has not told its state, and may still do so."""
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -301,3 +301,15 @@
     slow = [r for r in calm if r.first_grant_s > 0.1]
     assert len(calm) > 100
     assert 1 <= len(slow) <= 3
+
+
+@pytest.mark.parametrize("runners", [1, 4])
+def test_runners_with_other_weights_serve_where_none_has_the_asked_ones(runners):
+    cluster = OwnershipCluster(nodes=2, runners=runners, seed=5, zones=1)
+    for engine in cluster.engines.values():
+        engine.version = "v2"
+    cluster.scheduler.run_until(1.6)
+    requests = [cluster.ask(number, service_s=0.01) for number in range(4)]
+    cluster.scheduler.run_until(4.0)
+    assert [r.refusal.code for r in requests if r.refusal] == []
+    assert all(r.grants == 1 for r in requests)
