--- a/src/martenrun/ownership/questions.py
+++ b/src/martenrun/ownership/questions.py
@@ -143,11 +143,12 @@
         self.reasons.add(reason)
         if reason is not Reason.NOT_OWNER:
             self.answered.add(runner)
-        if reason in (Reason.LEAVING, Reason.UNKNOWN_RUNNER):
-            self.unusable.add(runner)
         if reason is Reason.STALE_VERSION:
-            # It is not used up: from now on any version is asked for.
+            # With other weights it may still be the only one left: it is asked for any version.
+            self.accept_any_version = True
             self.queue_tried.discard(runner)
+        if reason in (Reason.LEAVING, Reason.UNKNOWN_RUNNER):
+            self.unusable.add(runner)
 
     def awaits_owner(self, now: float) -> bool:
         """Whether the owner of a runner asked has not told its state, and may still do so."""
--- a/src/martenrun/routing/prefix_aware.py
+++ b/src/martenrun/routing/prefix_aware.py
@@ -17,7 +17,7 @@
 from martenrun.constants import DEFAULT_BLOCK_BYTES
 from martenrun.identity.chain import block_count
 from martenrun.platform.engine import AttemptOutcome
-from martenrun.routing.beliefs import BeliefBook
+from martenrun.routing.beliefs import BeliefBook, RunnerRun
 from martenrun.routing.first_token_model import FirstTokenModel
 from martenrun.routing.hot_prefixes import MINIMUM_COMPUTED_BLOCKS, Computation, HotPrefixes
 from martenrun.routing.placement import Placement
@@ -104,26 +104,28 @@
         self, question: DecideRequest, runners: Sequence[RunnerState], now: float
     ) -> list[RunnerChoice]:
         """See :meth:`martenrun.routing.policy.RoutingPolicy.rank`."""
-        for runner in runners:
-            self.beliefs.identify(runner.name, runner.incarnation, runner.weights_version)
-        names = [runner.name for runner in runners]
-        believed = self.beliefs.leading(question.chain, names, now)
+        identify = self.beliefs.identify
+        runs = [
+            identify(runner.name, runner.incarnation, runner.weights_version) for runner in runners
+        ]
+        believed = self.beliefs.leading_at(runs, question.chain, now)
         computations = self._hot.computations(question.chain, now)
         for computation in computations:
-            if computation.runner in names:
-                index = names.index(computation.runner)
-                believed[index] = min(believed[index], computation.blocks_before)
-        preferred = self._preferred(question.chain, names, believed, now)
+            for index, run in enumerate(runs):
+                if run.runner == computation.runner:
+                    believed[index] = min(believed[index], computation.blocks_before)
+        loads = [load_of(runner, now) for runner in runners]
         uses = 1.0
-        if not computations and _holders_are_busy(runners, believed, now):
+        if not computations and _holders_are_busy(runners, loads, believed):
             rate = self._hot.rate(question.chain, now)
             uses = max(1.0, min(MAXIMUM_USES, rate * COPY_USE_S))
-        costs = self._costs(question, runners, believed, preferred, uses, now)
-        drawn = self._rng.choices(range(len(names)), k=RANDOM_CANDIDATES) if names else []
+        preferred = self._preferred(question.chain, runs, believed, now)
+        costs = self._costs(question, runners, runs, loads, believed, preferred, uses)
+        drawn = self._rng.choices(range(len(runs)), k=RANDOM_CANDIDATES) if runs else []
         for index, blocks in enumerate(believed):
-            if not blocks and index not in preferred and index not in drawn:
+            if not blocks and index != preferred and index not in drawn:
                 costs[index] += _NOT_CANDIDATE_S
-        order = sorted(range(len(names)), key=costs.__getitem__)
+        order = sorted(range(len(runs)), key=costs.__getitem__)
         choices = [
             RunnerChoice(
                 runners[index],
@@ -184,6 +186,10 @@
         elif report.outcome == AttemptOutcome.COMPLETE and report.prompt_tokens > 0:
             self._learn(work, report, now)
 
+    def block_prefill_s(self, model: str, runner: RunnerState, now: float) -> float:
+        """Return the expected time to compute one block at a runner, in seconds."""
+        return self._model(model).prefill_s(1.0, load_of(runner, now))
+
     def withdrawn(self, request_id: str, attempt: int) -> None:
         """See :meth:`martenrun.routing.policy.RoutingPolicy.withdrawn`."""
         self._granted.pop((request_id, attempt), None)
@@ -212,21 +218,23 @@
         return model
 
     def _preferred(
-        self, chain: bytes, names: list[str], believed: list[int], now: float
-    ) -> set[int]:
+        self, chain: bytes, runs: Sequence[RunnerRun], believed: list[int], now: float
+    ) -> int | None:
         """Return the index of the runner on which the prefix is placed, if there is one."""
-        if not names or not chain:
-            return set()
-        return {names.index(self.placement.runner_for(chain, names, believed, now))}
+        if not runs or not chain:
+            return None
+        names = [run.runner for run in runs]
+        return names.index(self.placement.runner_for(chain, names, believed, now))
 
     def _costs(
         self,
         question: DecideRequest,
         runners: Sequence[RunnerState],
+        runs: Sequence[RunnerRun],
+        loads: list[float],
         believed: list[int],
-        preferred: set[int],
+        preferred: int | None,
         uses: float,
-        now: float,
     ) -> list[float]:
         """Return each runner's expected time to the first token, in seconds.
 
@@ -237,14 +245,14 @@
         prompt_blocks = question.prompt_bytes / self._block_bytes
         costs = []
         for index, runner in enumerate(runners):
-            load = load_of(runner, now)
+            load = loads[index]
             uncached = max(0.0, prompt_blocks - believed[index])
             cost = model.prefill_s(uncached, load)
             if uncached > SHARED_BLOCKS:
                 cost /= uses
-            if index not in preferred:
+            if index != preferred:
                 cost *= _NOT_PREFERRED
-            cost *= 1.0 + PRESSURE_S / self.beliefs.lifetime_s(runner.name)
+            cost *= 1.0 + PRESSURE_S / runs[index].lifetime_s
             if load >= runner.slots - 1:
                 cost += model.wait_s(load, runner.slots)
             if runner.zone != question.zone:
@@ -253,13 +261,17 @@
         return costs
 
 
-def _holders_are_busy(runners: Sequence[RunnerState], believed: list[int], now: float) -> bool:
+def _holders_are_busy(
+    runners: Sequence[RunnerState], loads: list[float], believed: list[int]
+) -> bool:
     """Whether every runner that holds nearly the most of a prompt has few slots left."""
     enough = max(believed, default=0) - SHARED_BLOCKS
-    return enough > 0 and all(
-        load_of(runner, now) >= BUSY_SHARE * runner.slots
-        for runner, blocks in zip(runners, believed, strict=True)
-        if blocks >= enough
+    if enough <= 0:
+        return False
+    return all(
+        loads[index] >= BUSY_SHARE * runner.slots
+        for index, runner in enumerate(runners)
+        if believed[index] >= enough
     )
 
 
