--- a/tests/test_proof_simulation.py
+++ b/tests/test_proof_simulation.py
@@ -28,6 +28,7 @@
     EngineListed,
     Executed,
     History,
+    RequestAnswered,
     RequestInvoked,
 )
 from martenrun.proof.processes import SimulatedProcess
@@ -388,6 +389,14 @@
     assert found(NODES_RESTARTED, "restart") == []
 
 
+def test_the_only_runner_left_serves_with_the_weights_it_has():
+    # The floor keeps the pool's only engine from loading the weights that are published.
+    history = World(schedule(fault(FaultKind.ROLL_WEIGHTS, 0.5), engines=1, load_s=3.0)).run()
+    codes = {answer.code for answer in history.of(RequestAnswered)}
+    assert codes <= {"", "duplicate_request"}
+    assert {run.weights_version for run in history.of(Executed)} == {"v1"}
+
+
 def test_a_refusal_for_want_of_a_runner_counts_unless_every_engine_is_out():
     both_out = msgspec.structs.replace(
         NODES_RESTARTED,
