--- a/src/martenrun/bench/routing_simulation.py
+++ b/src/martenrun/bench/routing_simulation.py
@@ -16,20 +16,18 @@
 from martenrun.bench.routing_figures import RoutingCounts, RoutingFigures
 from martenrun.bench.routing_node import SimulatedNode, incarnation_of
 from martenrun.bench.routing_policies import make_policy
+from martenrun.bench.routing_store import StoreTraffic, make_stores
 from martenrun.bench.routing_workload import TOKENS_PER_BLOCK, PlannedRequest, Workload
 from martenrun.constants import BLOCK_HASH_BYTES, DEFAULT_BLOCK_BYTES
 from martenrun.deployments.model import Deployment
 from martenrun.identity.rendezvous import ranked
+from martenrun.kvcache.imports import ImportPlan
 from martenrun.routing.policy import RunnerChoice
-from martenrun.routing.served_prefixes import PrefixKey, ServedPrefix
 from martenrun.simulation.scheduler import Scheduler
 from martenrun.standins.engine.model import TimeModel
-from martenrun.wire.messages import AttemptReport, DecideRequest
+from martenrun.wire.messages import AttemptReport, DecideRequest, PrefixesServed
 
 WARM_UP_S = 10.0
-TELL_SERVED_S = 0.1
-"""Time until a node that has come back hears from owners, in seconds."""
-
 _RETRY_S = 0.1
 
 
@@ -55,9 +53,11 @@
     engine: SimulatedEngine
     incarnation: int
     ranked: list[RunnerChoice]
+    import_plan: ImportPlan | None = None
     is_running: bool = False
     is_over: bool = False
     cached_blocks: int = 0
+    imported_blocks: int = 0
     best_blocks: int = 0
     best_believed: int = 0
     waited_s: float = 0.0
@@ -69,6 +69,7 @@
 
     Args:
         load: factor on the deployment's request rates.
+        store: ``off``, ``on`` or ``faulty``: whether pools use their kept-cache stores.
         feeds: ``owner`` if only a runner's owner reads its cache events, ``all`` if all nodes do.
     """
 
@@ -79,12 +80,14 @@
         seed: int,
         load: float = 1.0,
         feeds: str = "owner",
+        store: str = "off",
     ) -> None:
         self._deployment = deployment
         self._policy = policy
         self._seed = seed
         self._load = load
         self._feeds = feeds
+        self._store = store
         self._scheduler = Scheduler()
         self._counts = RoutingCounts(WARM_UP_S)
         self._engines: dict[str, SimulatedEngine] = {}
@@ -95,10 +98,16 @@
             self._make_node(f"node-{number}", zones[number % len(zones)])
             for number in range(deployment.nodes)
         ]
+        self._stores = StoreTraffic(
+            self._scheduler,
+            make_stores(deployment, store, seed, self._scheduler),
+            self._engines,
+            self._nodes,
+        )
         faults, parts = deployment.faults, (self._engines, self._nodes)
         self._events = RoutingFeeds(self._scheduler, faults, seed, *parts, feeds == "all")
         self._faults = RoutingFaults(
-            self._scheduler, faults, seed, *parts, self._crash, self._make_node, self._replaced
+            self._scheduler, faults, seed, *parts, self._crash, self._make_node, self._events.replay
         )
 
     def run(self, duration_s: float) -> RoutingFigures:
@@ -127,6 +136,12 @@
             counts.refused,
             counts.restarted,
             counts.causes.counts,
+            self._store,
+            round(counts.imported_blocks / counts.prompt_blocks, 4),
+            self._stores.exported_blocks,
+            round(counts.share_error, 4),
+            len(self._nodes),
+            len(self._engines),
         )
 
     def _make_engines(self) -> None:
@@ -148,10 +163,6 @@
         node.learn_of(list(self._engines.values()))
         return node
 
-    def _replaced(self, number: int) -> None:
-        self._events.replay(number)
-        self._scheduler.after(TELL_SERVED_S, lambda: self._tell_served(number))
-
     def _link_s(self, zone: str, other: str) -> float:
         return 0.0 if zone == other else self._deployment.between_zones_s
 
@@ -161,8 +172,7 @@
     # From the agent to the grant.
 
     def _arrive(self, plan: PlannedRequest) -> None:
-        if plan.at >= WARM_UP_S:
-            self._counts.requests += 1
+        self._counts.count_arrival(plan.at, plan.tenant, plan.prompt_bytes)
         question = DecideRequest(
             plan.request_id, plan.tenant, plan.model, "v1", plan.chain, plan.prompt_bytes
         )
@@ -174,26 +184,17 @@
             return
         request.attempt += 1
         request.question.attempt = request.attempt
-        home = self._home_of(prefix_key(request.question))
+        question = request.question
+        key = f"{question.tenant}\0{question.model}\0".encode()
+        key += question.chain[:BLOCK_HASH_BYTES]
+        live = {node.name: node for node in self._nodes if node.is_live}
+        if not live:
+            self._scheduler.after(_RETRY_S, lambda: self._ask(request))
+            return
+        home = live[ranked(key, live)[0]]
         delay_s = self._client_link_s(request.plan.zone, home.zone)
         self._scheduler.after(delay_s, lambda: self._decide(request, home))
 
-    def _home_of(self, key: PrefixKey) -> SimulatedNode:
-        name = f"{key.tenant}\0{key.model}\0".encode() + key.first_block
-        live = {node.name: node for node in self._nodes if node.is_live}
-        return live[ranked(name, live)[0]]
-
-    def _tell_served(self, number: int) -> None:
-        """Let owners tell a node that has come back which prefixes it had placed where."""
-        home = self._nodes[number]
-        for owner in self._nodes:
-            if owner.is_live:
-                prefixes = owner.served.of_home(
-                    lambda key: self._home_of(key) is home,
-                    lambda name: incarnation_of(self._engines[name]),
-                )
-                home.take_served(prefixes)
-
     def _is_late(self, request: _Active) -> bool:
         if self._scheduler.now < request.plan.at + self._deployment.deadline_s:
             return False
@@ -208,6 +209,8 @@
             request.excluded.clear()
             self._scheduler.after(_RETRY_S, lambda: self._ask(request))
             return
+        if not home.has_asked:
+            self._ask_served(home)
         ranked_choices = home.policy.rank(request.question, runners, self._scheduler.now)
         choice = ranked_choices[0]
         engine = self._engines[choice.runner.name]
@@ -222,18 +225,24 @@
             self._again(attempt)
             return
         attempt.incarnation = engine.incarnation
-        served = ServedPrefix(
-            prefix_key(attempt.request.question),
-            engine.name,
-            incarnation_of(engine),
-            self._scheduler.now,
-        )
-        self._nodes[engine.owner].served.served(served)
         self._attempts[engine.name].append(attempt)
         engine.take_slot(lambda: self._slot_taken(attempt, hop_s))
         wait_s = attempt.request.plan.at + self._deployment.deadline_s - self._scheduler.now
         self._scheduler.after(max(0.0, wait_s), lambda: self._give_up(attempt))
 
+    def _ask_served(self, home: SimulatedNode) -> None:
+        """Let a home ask all nodes, with its first question, what they granted to it."""
+        home.has_asked = True
+        for owner in self._nodes:
+            if owner.is_live and owner is not home:
+                there_and_back_s = 2 * self._link_s(home.zone, owner.zone)
+                for message in owner.served.of_home(home.name, self._scheduler.now):
+                    told = functools.partial(self._take_served, home, message)
+                    self._scheduler.after(there_and_back_s, told)
+
+    def _take_served(self, home: SimulatedNode, message: PrefixesServed) -> None:
+        home.told_served(message, self._scheduler.now)
+
     def _give_up(self, attempt: _Attempt) -> None:
         """Refuse a question that still waits for its slot at its deadline."""
         if not attempt.is_running and not attempt.is_over:
@@ -247,6 +256,9 @@
         attempt.is_running = True
         attempt.waited_s = self._scheduler.now - attempt.request.plan.at
         engine, request = attempt.engine, attempt.request
+        served = self._nodes[engine.owner].served
+        run, now = incarnation_of(engine), self._scheduler.now
+        served.granted(attempt.home.name, engine.name, run, request.question.chain, now)
         load = engine.slots_used + len(engine.waiting)
         self._scheduler.after(hop_s, lambda: self._take_grant(attempt, load))
         delay_s = hop_s + self._client_link_s(attempt.home.zone, request.plan.zone)
@@ -256,12 +268,31 @@
     def _take_grant(self, attempt: _Attempt, load: int) -> None:
         home, question = attempt.home, attempt.request.question
         attempt.choice.runner.in_flight += 1
+        attempt.import_plan = self._stores.plan(home, question, attempt.choice)
         home.take_load(attempt.engine.name, load, self._scheduler.now)
         home.policy.granted(question, attempt.choice, self._scheduler.now)
 
     # At the engine.
 
     def _start(self, attempt: _Attempt) -> None:
+        """Let the prompt arrive at its engine, which imports first if it is told to."""
+        plan = attempt.import_plan
+        if attempt.is_over or plan is None:
+            self._prefill(attempt)
+            return
+        hashes = attempt.request.plan.hashes
+        held = attempt.engine.cache.leading(hashes)
+
+        def imported() -> None:
+            if not attempt.is_over:
+                blocks = max(0, attempt.engine.cache.leading(hashes) - held)
+                attempt.imported_blocks = blocks
+                self._counts.count_import(attempt.request.plan.at, blocks)
+            self._prefill(attempt)
+
+        self._stores.fetch(attempt.home, attempt.engine, plan, imported)
+
+    def _prefill(self, attempt: _Attempt) -> None:
         if attempt.is_over:
             return
         engine, plan = attempt.engine, attempt.request.plan
@@ -306,13 +337,14 @@
         request.has_first_token = True
         link_s = self._client_link_s(attempt.engine.zone, plan.zone)
         waited_s = self._scheduler.now + link_s - plan.at
-        self._counts.count_first_token(plan.at, waited_s)
+        self._counts.count_first_token(plan.at, waited_s, plan.tenant, plan.prompt_bytes)
         if plan.at >= WARM_UP_S and waited_s > LATE_S:
             late = LateRequest(
                 plan.hashes,
                 request.attempt,
                 attempt.waited_s / waited_s,
                 attempt.cached_blocks,
+                attempt.imported_blocks,
                 attempt.best_blocks,
                 attempt.best_believed,
                 0.0 < attempt.home.started_at > self._scheduler.now - FORGOTTEN_S,
@@ -326,6 +358,7 @@
         attempt.engine.running -= 1
         attempt.engine.free_slot()
         self._report(attempt, "complete")
+        self._stores.used(attempt.home, attempt.request.question, attempt.engine)
 
     def _report(self, attempt: _Attempt, outcome: str) -> None:
         attempt.is_over = True
@@ -362,8 +395,3 @@
             self._counts.restarted += 1
         request.excluded.add(attempt.engine.name)
         self._ask(request)
-
-
-def prefix_key(question: DecideRequest) -> PrefixKey:
-    """Return what decides which home a question has."""
-    return PrefixKey(question.tenant, question.model, question.chain[:BLOCK_HASH_BYTES])
