--- a/src/martenrun/agent/requests.py
+++ b/src/martenrun/agent/requests.py
@@ -313,7 +313,8 @@
         self._home_nodes.silent(request.nodes[0], now)
         request.asked.clear()
         request.nodes = self._home_nodes.ranked(request.question, now) or request.nodes
-        request.resume_at = now + ROUND_PAUSE_S * self._rng.uniform(0.5, 1.5)
+        pause_s = ROUND_PAUSE_S * self._rng.uniform(0.5, 1.5)
+        request.resume_at = min(now + pause_s, request.search_until)
         return []
 
     def _ask_again(self, request: ActiveRequest, now: float) -> list[Instruction]:
