Stop on a signal that another thread was given

Cause: tests/test_drain.py failed in 1 of 6 runs: a node got SIGTERM and went on serving. The system may give a signal to any thread; Python runs the handler on the main thread, and a wait for an event there does not end for it.

Ruled out: the drain (it had not begun), a pending signal (none in /proc), a deadlock of the handler (a new signal handler call would not be needed to see it: the process was idle in its wait); blocking signals in other threads (libraries start some on import).

Change: the main thread waits for the byte that Python's C handler writes on whichever thread gets the signal (signal.set_wakeup_fd).

A test gives the signal to another thread: before, the process never ends; after, it stops.

Conclusion: a planned stop begins whichever thread gets the signal.

--- a/src/martenrun/cli/run.py
+++ b/src/martenrun/cli/run.py
@@ -1,6 +1,7 @@
 """Running a process until it is asked to stop."""
 
 import signal
+import socket
 import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -32,7 +33,15 @@
 
 
 def run_until_signal(process: Runnable, description: str) -> None:
-    """Run a process until SIGTERM or SIGINT; a second signal cuts the draining short."""
+    """Run a process until SIGTERM or SIGINT; a second signal cuts the draining short.
+
+    The system may give a signal to any thread, and Python runs handlers on the main thread
+    alone, which a wait for an event would not end for that.  So it waits for the byte that is
+    written by whichever thread got the signal.
+    """
+    woken, waker = socket.socketpair()
+    waker.setblocking(False)
+    signal.set_wakeup_fd(waker.fileno(), warn_on_full_buffer=False)
     stopping, hurry = threading.Event(), threading.Event()
 
     def take_signal(_number: int, _frame: object) -> None:
@@ -44,7 +53,8 @@
     identify_process(description)
     process.start()
     logging.info("%s started", description)
-    stopping.wait()
+    while not stopping.is_set():
+        woken.recv(1)
     if isinstance(process, Drainable):
         logging.info("%s is draining", description)
         process.drain(hurry)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -2,6 +2,8 @@
 
 import json
 import signal
+import subprocess
+import sys
 import threading
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
@@ -87,6 +89,31 @@
         return f"{error['code']}, ran {error['ran']}, again in {answer.headers['Retry-After']}"
 
 
+SIGNALLED_ON_ANOTHER_THREAD = """
+import signal, threading, time
+from martenrun.cli.run import run_until_signal
+
+class Process:
+    def start(self):
+        threading.Thread(target=self.run).start()
+
+    def run(self):
+        time.sleep(0.3)
+        signal.pthread_kill(threading.get_ident(), signal.SIGTERM)
+
+    def stop(self):
+        print("stopped")
+
+run_until_signal(Process(), "test")
+"""
+
+
+def test_a_signal_that_another_thread_gets_stops_the_process():
+    command = [sys.executable, "-c", SIGNALLED_ON_ANOTHER_THREAD]
+    result = subprocess.run(command, capture_output=True, timeout=20, check=True)
+    assert result.stdout == b"stopped\n"
+
+
 def test_a_stream_beyond_the_drain_time_ends_with_a_typed_event(deployment, tmp_path):
     settings = tmp_path / "agent.toml"
     settings.write_text("[agent]\ndrain_timeout_s = 0.3\n")
