--- a/src/martenrun/cli/run.py
+++ b/src/martenrun/cli/run.py
@@ -1,5 +1,6 @@
 """Running a process until it is asked to stop."""
 
+import gc
 import signal
 import socket
 import threading
@@ -52,6 +53,8 @@
     logging.set_verbosity(logging.INFO)
     identify_process(description)
     process.start()
+    # What start-up has made stays: later collections need not walk it.
+    gc.freeze()
     logging.info("%s started", description)
     while not stopping.is_set():
         woken.recv(1)
--- a/src/martenrun/ownership/owners.py
+++ b/src/martenrun/ownership/owners.py
@@ -1,13 +1,15 @@
 """Which node owns each runner: rendezvous hashing over the live members of its zone.
 
-A runner whose zone has no live member is owned by a member of any zone.  Views that differ for
+A runner whose zone has no live member is owned by a member of any zone.  Members that others
+suspect to be dead own nothing meanwhile, so that runners need not wait until the death is
+certain; a suspected member that lives goes on granting until it has refuted.  Views that differ for
 some seconds may give a runner two owners; that is harmless because engines refuse work beyond
 their slots without running it.
 
 See also: :mod:`martenrun.membership.view`.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from martenrun.identity.hashing import HashArray, best_columns, name_hashes
@@ -30,10 +32,17 @@
 
     A change of members costs one pass over the runners of the zones it touches, and hashes no
     runner's name again: members change many times while a large cluster starts.
+
+    Args:
+        members: the live members.
+        suspected: returns the addresses of members that may be dead.
     """
 
-    def __init__(self, members: MemberView) -> None:
+    def __init__(
+        self, members: MemberView, suspected: Callable[[], frozenset[str]] = frozenset
+    ) -> None:
         self._members = members
+        self._suspected = suspected
         self._live: tuple[Member, ...] = ()
         self._table_version = -1
         self._addresses: frozenset[str] = frozenset()
@@ -48,7 +57,9 @@
 
     def refresh(self, table: RunnerTable) -> bool:
         """Take in the present members and runners; returns whether any owner may have moved."""
-        live = tuple(self._members.live())
+        known = self._members.live()
+        suspected = self._suspected() - {self.own_address}
+        live = tuple(member for member in known if member.address not in suspected)
         if live == self._live and table.version == self._table_version:
             return False
         if table.version != self._table_version:
--- a/tests/test_proof_simulation.py
+++ b/tests/test_proof_simulation.py
@@ -24,7 +24,13 @@
 from martenrun.platform.machine_list import Machine
 from martenrun.proof.checkers.restart import check_restart
 from martenrun.proof.drain import DrainStep
-from martenrun.proof.history import EngineListed, History
+from martenrun.proof.history import (
+    EngineListed,
+    Executed,
+    History,
+    RequestAnswered,
+    RequestInvoked,
+)
 from martenrun.proof.processes import SimulatedProcess
 from martenrun.proof.schedule import HOLDER_PAUSE_S, Fault, FaultKind, Schedule, draw_schedule
 from martenrun.proof.world import World, run_schedule
@@ -278,10 +284,10 @@
     known = weakref.WeakKeyDictionary()
 
     def identify_once(self, runner, incarnation, weights_version):
-        runners = known.setdefault(self, set())
-        if incarnation and runner not in runners:
-            runners.add(runner)
-            identify(self, runner, incarnation, weights_version)
+        runs = known.setdefault(self, {})
+        if incarnation and runner not in runs:
+            runs[runner] = identify(self, runner, incarnation, weights_version)
+        return runs.get(runner) or identify(self, runner, incarnation, weights_version)
 
     monkeypatch.setattr(BeliefBook, "identify", identify_once)
 
@@ -383,6 +389,14 @@
     assert found(NODES_RESTARTED, "restart") == []
 
 
+def test_the_only_runner_left_serves_with_the_weights_it_has():
+    # The floor keeps the pool's only engine from loading the weights that are published.
+    history = World(schedule(fault(FaultKind.ROLL_WEIGHTS, 0.5), engines=1, load_s=3.0)).run()
+    codes = {answer.code for answer in history.of(RequestAnswered)}
+    assert codes <= {"", "duplicate_request"}
+    assert {run.weights_version for run in history.of(Executed)} == {"v1"}
+
+
 def test_a_refusal_for_want_of_a_runner_counts_unless_every_engine_is_out():
     both_out = msgspec.structs.replace(
         NODES_RESTARTED,
@@ -393,3 +407,17 @@
     assert check_restart(history) == []
     details = {found.detail for found in check_restart(History(listed, history.end_s))}
     assert details == {"refused with no_runner"}
+
+
+def test_a_killed_nodes_runners_serve_again_before_its_death_is_certain():
+    killed = fault(FaultKind.KILL_NODE, 6.0, 10.0)
+    run = schedule(killed, seed=1, load_s=12.0, requests_per_s=100.0, copy_share=0.0)
+    history = World(run).run()
+    started = {item.request_id: item.time_s for item in reversed(history.of(Executed))}
+    waits = [
+        started[asked.request_id] - asked.time_s
+        for asked in history.of(RequestInvoked)
+        if asked.request_id in started and 13.0 < asked.time_s < 15.0
+    ]
+    assert len(waits) > 100
+    assert sorted(waits)[int(0.95 * len(waits))] < 0.2
