--- a/src/martenrun/cli/bench.py
+++ b/src/martenrun/cli/bench.py
@@ -21,6 +21,7 @@
     "rolls": "martenrun.bench.rolls:rolls",
     "usage-exchange": "martenrun.bench.usage_exchange:usage_exchange",
     "scale": "martenrun.bench.scale.command:scale",
+    "scaling": "martenrun.bench.scaling:scaling",
     "feeds": "martenrun.bench.feeds:feeds",
     "feed-engines": "martenrun.bench.feed_engines:feed_engines",
     "hollow-host": "martenrun.bench.scale.host:hollow_host",
--- a/src/martenrun/scaling/limits.py
+++ b/src/martenrun/scaling/limits.py
@@ -22,7 +22,7 @@
     wait_s: Annotated[float, Meta(gt=0, le=600)] = 2.0
     pressure_s: Annotated[float, Meta(ge=1, le=3_600)] = 30.0
     load_s: Annotated[float, Meta(ge=0, le=3_600)] = 60.0
-    room_s: Annotated[float, Meta(ge=10, le=86_400)] = 120.0
+    room_s: Annotated[float, Meta(ge=1, le=86_400)] = 60.0
     busy_share: Annotated[float, Meta(gt=0, le=1)] = 0.7
     cool_down_s: Annotated[float, Meta(ge=0, le=86_400)] = 300.0
     give_up_s: Annotated[float, Meta(ge=30, le=86_400)] = 900.0
