Keep kept blocks of two models apart

Cause: a block's hash covers tenant and weights version, not the model. Versions of two models may share a name, and an engine that has been given another model goes on using its machine's kept-cache store, so it could import blocks of the model it left.

Ruled out: the model in the hash chain (every agent, node and engine would have to change at the same time); distinct version names as a rule (cannot be checked at the weight store).

Change: engines name their model to the store, which keeps blocks apart by it.

--- a/src/martenrun/standins/engine/transfers.py
+++ b/src/martenrun/standins/engine/transfers.py
@@ -10,6 +10,7 @@
 from martenrun.standins.engine.imports import Imported, ImportOffer
 from martenrun.standins.engine.incarnation import Incarnation
 from martenrun.standins.engine.refusals import RefusalCode, RefusedError
+from martenrun.standins.engine.settings import EngineSettings
 
 _TIMEOUT_S = 30.0
 
@@ -34,7 +35,7 @@
     cached = question.chain[: engine.match(question.chain) * BLOCK_HASH_BYTES]
     if not cached:
         return TransferAnswer(0)
-    return _ask(engine.settings.kv_store, "store", cached)
+    return _ask(engine.settings, "store", cached)
 
 
 def import_blocks(engine: Incarnation, question: TransferQuestion) -> TransferAnswer:
@@ -43,7 +44,7 @@
     Blocks that arrive after a crash or after other weights were ordered are dropped.
     """
     _check(engine, question)
-    answer = _ask(engine.settings.kv_store, "fetch", question.chain)
+    answer = _ask(engine.settings, "fetch", question.chain)
     _check(engine, question)
     engine.store(question.chain[: answer.blocks * BLOCK_HASH_BYTES])
     return answer
@@ -70,8 +71,7 @@
         return None
     began = time.monotonic()
     try:
-        store = engine.settings.kv_store
-        answer = _ask(store, "fetch", offered, held, offer.wait_ms / 1000)
+        answer = _ask(engine.settings, "fetch", offered, held, offer.wait_ms / 1000)
         moved = max(0, answer.blocks - held)
         engine.store(offered[: answer.blocks * BLOCK_HASH_BYTES])
     except RefusedError:
@@ -80,10 +80,15 @@
 
 
 def _ask(
-    address: str, action: str, chain: bytes, held: int = 0, timeout_s: float = _TIMEOUT_S
+    settings: EngineSettings,
+    action: str,
+    chain: bytes,
+    held: int = 0,
+    timeout_s: float = _TIMEOUT_S,
 ) -> TransferAnswer:
-    body = msgspec.json.encode({"chain": chain, "held_blocks": held})
-    url = f"http://{address}/v1/blocks/{action}"
+    # A hash covers the weights version but not the model, and versions of two may share a name.
+    body = msgspec.json.encode({"model": settings.model, "chain": chain, "held_blocks": held})
+    url = f"http://{settings.kv_store}/v1/blocks/{action}"
     try:
         response = urllib3.request("POST", url, body=body, retries=False, timeout=timeout_s)
         return msgspec.json.decode(response.data, type=TransferAnswer)
--- a/src/martenrun/standins/kv_store.py
+++ b/src/martenrun/standins/kv_store.py
@@ -10,16 +10,19 @@
 
 The first two take time for each block moved; ones that the store keeps or, by ``held_blocks``, the
 engine holds are not moved.  Memory is limited; the least recently used block goes
-first.  A hash covers tenant and weights version, so no other tenant's block can match.
+first.  A hash covers tenant and weights version, so no other tenant's block can match; blocks of
+another ``model`` do not match either.
 """
 
+import hashlib
 import threading
 import time
 
 import msgspec
+import numpy
 from werkzeug.wrappers import Request, Response
 
-from martenrun.identity.chain import BLOCK_HASH_BYTES, block_count
+from martenrun.identity.chain import BLOCK_HASH_BYTES, as_array, block_count
 from martenrun.standins.engine.cache import PrefixCache
 
 
@@ -28,6 +31,13 @@
 
     chain: bytes
     held_blocks: int = 0
+    model: str = ""
+
+    @property
+    def keys(self) -> bytes:
+        """What the blocks of the chain are kept under: eight bytes each, other for each model."""
+        seed = hashlib.blake2b(self.model.encode(), digest_size=BLOCK_HASH_BYTES).digest()
+        return (as_array(self.chain) ^ numpy.int64(as_array(seed)[0])).tobytes()
 
 
 class BlocksAnswer(msgspec.Struct):
@@ -62,12 +72,11 @@
             question = msgspec.json.decode(request.get_data(), type=BlocksQuestion)
         except msgspec.MsgspecError as error:
             return _json({"error": str(error)}, 400)
-        chain = question.chain
-        if len(chain) % BLOCK_HASH_BYTES:
+        if len(question.chain) % BLOCK_HASH_BYTES:
             return _json({"error": "chain is not a whole number of hashes"}, 400)
         if request.path.endswith("store"):
-            return _json(BlocksAnswer(self._store(chain)))
-        moved = self._fetch(chain, question.held_blocks)
+            return _json(BlocksAnswer(self._store(question.keys)))
+        moved = self._fetch(question.keys, question.held_blocks)
         return _json(BlocksAnswer(moved))
 
     def _store(self, chain: bytes) -> int:
--- a/tests/test_engine_stores.py
+++ b/tests/test_engine_stores.py
@@ -2,6 +2,7 @@
 
 import threading
 
+import msgspec
 import pytest
 import urllib3
 from deployment import free_address, wait_until
@@ -48,6 +49,19 @@
         assert engine.connections.describe(engine.address).cached_blocks == 0
 
 
+def test_the_kv_store_keeps_the_models_apart_whose_versions_share_a_name():
+    chain = hash_chain(PROMPT.encode(), chain_seed("growers", "v1"), 4_000)
+
+    def ask(action, model):
+        body = msgspec.json.encode({"model": model, "chain": chain})
+        return urllib3.request("POST", f"http://{store}/v1/blocks/{action}", body=body).json()
+
+    with served(KvStoreApplication(100, 0.0)) as store:
+        assert ask("store", MODEL) == {"blocks": 10}
+        assert ask("fetch", "ledger-app") == {"blocks": 0}
+        assert ask("fetch", MODEL) == {"blocks": 10}
+
+
 def test_loading_slows_only_beyond_the_full_rate():
     pace = LoadPace(load_s=6.0, full_rate_loads=3, overload_penalty=0.1)
     assert [pace.seconds(loads) for loads in (1, 3)] == [6.0, 6.0]
