A node that missed a move does not undo it

Cause: an owner whose configuration is some seconds old, as after a change of owners, took a runner that had been given another model for one that lacked its pool's weights and ordered the old model back (60 s of load each way).

Change: the permits' object remembers, for the latest 256 runners that were given another model, the revision of the configuration by which that was done. A node whose configuration is older gets no permit for them. Ruled out: the assignment's own revision (0 once the object is removed, so the runner could never load again). The left pool of a permit goes by the assignment if it names one. Assigned runners are looked through only after a change of assignments or pools. The status names the pool that a runner left.

Figures: `pytest tests/test_assignments.py`: with the memory taken out the stale owner loads the old model again.

--- a/src/martenrun/admin/status.py
+++ b/src/martenrun/admin/status.py
@@ -34,6 +34,7 @@
 
     runner: str
     pool: str | None
+    left_pool: str | None
     made_by: str
     reason: str
 
@@ -118,7 +119,7 @@
         drains=sorted(f"{drain.role.value} {name}" for name, drain in view.drains.items()),
         policies=list(policies),
         moves=[
-            Move(name, item.pool, item.made_by.value, item.reason)
+            Move(name, item.pool, item.left_pool, item.made_by.value, item.reason)
             for name, item in sorted(view.assignments.items())
             if not item.arrived
         ],
--- a/src/martenrun/node/runners.py
+++ b/src/martenrun/node/runners.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterable, Mapping
 
-from martenrun.configuration.objects import Assignment
+from martenrun.configuration.objects import Assignment, Pool
 from martenrun.configuration.view import ConfigurationView
 from martenrun.events import Event, Instruction, MachinesListed, RunnerDescribed, Tick
 from martenrun.orders.target import serves_model
@@ -38,7 +38,7 @@
         self._view = view
         self._listed_pools: dict[str, str] = {}
         self._assigned_before: Mapping[str, Assignment] = {}
-        self._dangling: frozenset[str] = frozenset()
+        self._pools_before: Mapping[str, Pool] = {}
         self._next_look = 0.0
         self._last_listed: list[Machine] | None = None
         self._listed_leaving: set[str] = set()
@@ -105,17 +105,13 @@
         self._update_leaving()
 
     def _look_for_assignments(self) -> None:
-        """Pass over the assigned runners only if assignments or what they name have changed."""
+        """Pass over the assigned runners only if assignments or pools have changed."""
         view = self._view()
-        dangling = frozenset(
-            name
-            for name, assignment in view.assignments.items()
-            if assignment.pool is not None and view.pool(assignment.pool) is None
-        )
-        if view.assignments is self._assigned_before and dangling == self._dangling:
+        before = self._assigned_before
+        if view.assignments is before and view.pools is self._pools_before:
             return
-        touched = self._assigned_before.keys() | view.assignments.keys()
-        self._assigned_before, self._dangling = view.assignments, dangling
+        touched = before.keys() | view.assignments.keys()
+        self._assigned_before, self._pools_before = view.assignments, view.pools
         self._update_pools(touched)
 
     def _update_pools(self, names: Iterable[str]) -> None:
--- a/src/martenrun/orders/permits.py
+++ b/src/martenrun/orders/permits.py
@@ -24,6 +24,9 @@
 MAXIMUM_LOADS = 2
 """Runners that may load from one weight store at a time, over all nodes."""
 
+NOTED_MOVES = 256
+"""Runners whose latest change of the model the permits' object remembers."""
+
 ANY_STORE = ""
 """Store of a runner whose store nobody has named: it may be any of them."""
 
@@ -68,10 +71,13 @@
         permits: at most one for each runner.
         pool_revisions: the newest revision of each pool object that a permit was granted for;
             a node whose configuration is older may not acquire.
+        move_revisions: the revision of the configuration by which a runner was given another
+            model, of the latest ones: a node that missed a move may not undo it.
     """
 
     permits: tuple[Permit, ...] = ()
     pool_revisions: dict[str, int] = {}
+    move_revisions: dict[str, int] = {}
 
     def permit_of(self, runner: str) -> Permit | None:
         """Return the permit of a runner, or None."""
@@ -90,6 +96,7 @@
         model: the model to load, if it is another one.
         left_pool: the pool that the runner leaves by that, or empty.
         left_floor: runners of that pool that must go on serving.
+        configuration_revision: revision of the configuration that the wish comes from.
     """
 
     runner: str
@@ -104,6 +111,7 @@
     model: str = ""
     left_pool: str = ""
     left_floor: int = 0
+    configuration_revision: int = 0
 
 
 ServingCount = Callable[[str, frozenset[str]], int]
@@ -125,6 +133,8 @@
     """
     if table.pool_revisions.get(wish.pool, 0) > wish.pool_revision:
         return table
+    if table.move_revisions.get(wish.runner, 0) > wish.configuration_revision:
+        return table
     present = table.permit_of(wish.runner)
     if present is not None:
         if present.change == wish.change:
@@ -148,7 +158,15 @@
         model=wish.model,
     )
     revisions = {**table.pool_revisions, wish.pool: wish.pool_revision}
-    return PermitTable((*others, permit), revisions)
+    return PermitTable((*others, permit), revisions, _noted_moves(table, wish))
+
+
+def _noted_moves(table: PermitTable, wish: PermitWish) -> dict[str, int]:
+    if not wish.model:
+        return table.move_revisions
+    noted = {name: seen for name, seen in table.move_revisions.items() if name != wish.runner}
+    noted[wish.runner] = wish.configuration_revision
+    return dict(list(noted.items())[-NOTED_MOVES:])
 
 
 def _loads(table_permits: Iterable[Permit], store: str) -> int:
@@ -178,7 +196,7 @@
     """Return the table without the permits of some grants."""
     removed = frozenset(changes)
     kept = tuple(permit for permit in table.permits if permit.change not in removed)
-    return PermitTable(kept, table.pool_revisions)
+    return msgspec.structs.replace(table, permits=kept)
 
 
 def renewed(table: PermitTable, changes: Iterable[str]) -> PermitTable:
@@ -190,7 +208,7 @@
         else permit
         for permit in table.permits
     )
-    return PermitTable(permits, table.pool_revisions)
+    return msgspec.structs.replace(table, permits=permits)
 
 
 class LeaseObserver:
--- a/src/martenrun/orders/rolls.py
+++ b/src/martenrun/orders/rolls.py
@@ -258,6 +258,7 @@
             takes_out=roll.target.action in LOADS,
             store=pool.weight_stores.get(listed.zone, ANY_STORE),
             model=roll.target.model,
+            configuration_revision=self._configuration.revision,
         )
         if roll.target.model:
             wish = self._leaving(wish, description)
@@ -266,9 +267,15 @@
 
     def _leaving(self, wish: PermitWish, description: RunnerDescription) -> PermitWish:
         """Return the wish with the pool whose model the engine gives up, if it is known."""
+        view = self._configuration.view
+        assignment = view.assignments.get(wish.runner)
+        told = assignment.left_pool if assignment is not None else None
         held = (description.model, description.weights_version)
-        for name, pool in self._configuration.view.pools.items():
-            if name != wish.pool and (pool.model, pool.weights_version) == held:
+        for name in [told or "", *view.pools]:
+            pool = view.pool(name)
+            if pool is None or name == wish.pool:
+                continue
+            if (pool.model, pool.weights_version) == held:
                 return dataclasses.replace(wish, left_pool=name, left_floor=pool.floor)
         return wish
 
--- a/tests/test_assignments.py
+++ b/tests/test_assignments.py
@@ -166,19 +166,24 @@
     assert world.assignments()["engine-0"]["arrived"] is True
 
 
-def late_questions(world):
-    """Ask for the left pool at a node that does not know of the assignment."""
-    callers = PoolCallers(world, Service(prefixes=40), seed=3)
+def moved_unseen(world):
+    """Move a runner that another node owns, unseen by the first node; returns both."""
     stale = world.nodes[0]
-    world.store.unreachable.add(stale.name)
     stale.parts.configuration.handle = lambda event, now: []
     owned = stale.parts.ownership.owner.owned
-    world.assign(next(r for r in world.runners_serving("readers") if r not in owned), "desk")
+    runner = next(name for name in world.runners_serving("readers") if name not in owned)
+    world.assign(runner, "desk")
     world.run(60.0)
-    world.nodes, nodes = [stale], world.nodes
+    assert runner in world.runners_serving("desk")
+    return stale, runner
+
+
+def late_questions(world):
+    """Ask for the left pool at a node that does not know of the assignment."""
+    callers = PoolCallers(world, Service(prefixes=40), seed=3)
+    world.nodes = [moved_unseen(world)[0]]
     callers.load("readers", lambda now: 3.0, until_s=world.scheduler.now + 20.0)
     world.run(40.0)
-    world.nodes = nodes
     return list(callers.requests.values())
 
 
@@ -215,3 +220,20 @@
     callers.load("desk", lambda now: 8.0, until_s=world.scheduler.now + 20.0)
     world.run(40.0)
     assert any(r.wrong_weights for r in callers.requests.values()) is not is_guarded
+
+
+def loads_after_a_stale_node_took_over():
+    world = started()
+    stale, runner = moved_unseen(world)
+    for node in world.nodes:
+        if node is not stale:
+            node.hollow.kill()
+    world.run(60.0)
+    assert runner in stale.parts.ownership.owner.owned
+    return world.engines[runner].loads
+
+
+def test_an_owner_that_missed_a_move_does_not_undo_it(monkeypatch):
+    assert loads_after_a_stale_node_took_over() == [Weights("desk", "v1")]
+    monkeypatch.setattr(permits, "_noted_moves", lambda table, wish: {})
+    assert loads_after_a_stale_node_took_over()[1:] == [Weights("readers", "v1")]
