Take real nodes under load and held feeds into the capacity table

Cause: 'sockets, threads, loop' rested on a run of one request after the other, and engine feeds were not measured. Encoding was measured at the end of a scale run, in the heap of all nodes: 27 us a message at 120 nodes against 8 at 10, which no real node has.

Encoding is measured before the heap is there.

--- a/scripts/measure_capacity.py
+++ b/scripts/measure_capacity.py
@@ -124,6 +124,7 @@
         Step("index", bench("index"), "routing-index.json", replace_file, 30),
         *(scale_step(nodes, seed) for seed in SCALE_SEEDS for nodes in SCALE_SIZES),
         Step("path", script("bench.py", "path"), "path.json", replace_file, 30),
+        Step("control", script("bench.py", "control"), "control-node.json", replace_file, 60),
         Step("streams", script("bench.py", "streams"), "streams.json", replace_file, 60),
         Step("restart", script("measure_restart.py"), "restart.json", append_state, 60),
         *(membership_step(flags) for flags in MEMBERSHIP_FLAGS),
--- a/src/martenrun/bench/scale/run.py
+++ b/src/martenrun/bench/scale/run.py
@@ -70,6 +70,8 @@
     def __init__(self, scenario: Scenario, progress: Progress = _tell_nobody) -> None:
         self._scenario = scenario
         self._progress = progress
+        # Before the heap of all nodes together is there, which no real node has.
+        self._codec_us = codec_us_per_message()
         self._cluster = ScaleCluster(
             scenario.nodes, scenario.runners, scenario.agents, scenario.seed
         )
@@ -93,7 +95,7 @@
         return ScaleReport(
             self._scenario,
             round(start_s, 2),
-            codec_us_per_message(),
+            self._codec_us,
             idle_node,
             idle_agent,
             load,
--- a/src/martenrun/capacity/fit.py
+++ b/src/martenrun/capacity/fit.py
@@ -5,10 +5,10 @@
 
 from martenrun.capacity.cache_fit import cache_slopes
 from martenrun.capacity.day_fit import day_slopes
-from martenrun.capacity.model import Driver, Figure, Slope
+from martenrun.capacity.model import Driver, Figure, Slope, load_target
 from martenrun.capacity.results import (
     ConfigurationResult,
-    PathResult,
+    ControlResult,
     RestartResult,
     ScaleResult,
     UsageExchangeResult,
@@ -25,6 +25,10 @@
 FULL_FILE = "scale-full.json"
 """The run at the target's nodes and runners, if there is one."""
 
+CONTROL_FILE = "control-node.json"
+FEED_THREADS = ("cache-events", "runners", "engine-feeds")
+"""Threads of a node that read from engines; engine feeds have lines of their own."""
+
 SHARING_PART = "SharingLogic"
 DESCRIPTION_EVENT = "RunnerDescribed"
 OBJECTS_PER_TENANT = 2
@@ -153,31 +157,47 @@
               f"at {most_nodes} nodes; spread over sizes and seeds"),
         Slope("node", "encoding of messages", Driver.REQUESTS_PER_S,
               "src/martenrun/wire/codec.py", _SCALE_RUN, files, cpu_us=codec_us),
-        _drivers(scale, measurements),
+        *_drivers(scale, measurements),
     ]  # fmt: skip
 
 
-def _drivers(scale: list[ScaleResult], measurements: Path) -> Slope:
-    """What a real process takes beyond logic and encoding.
+def _drivers(scale: list[ScaleResult], measurements: Path) -> list[Slope]:
+    """What a real process takes beyond logic and encoding, under load and idle.
 
-    The path run has one node and few runners, so the smallest scale runs are taken off.  A
+    The run has three nodes and few runners, so the smallest scale runs are taken off.  A
     difference that is not positive shows that the two were measured under unlike conditions: it
     is no figure at all.
     """
-    path = read_result(measurements / "path.json", PathResult)
+    control = read_result(measurements / CONTROL_FILE, ControlResult)
     least_nodes = min(result.scenario.nodes for result in scale)
     small = [result for result in scale if result.scenario.nodes == least_nodes]
+    target = load_target().size
+    rate = target.requests_per_s / target.nodes
+    step = min(control.steps, key=lambda entry: abs(entry.rate - rate))
     logic_us = median_of(small, lambda result: result.load.node_question_cpu_us_per_request)
     messages = median_of(small, lambda result: result.load.messages_per_request)
     codec_us = median_of(small, lambda result: result.codec_us_per_message) * messages
-    drivers_us = path.node_cpu_ms_per_request * MICROSECONDS_PER_MS - logic_us - codec_us
-    is_figure = drivers_us > 0
+    threads = control.idle_thread_cpu_ms_per_s
+    idle_ms = sum(spent for name, spent in threads.items() if name not in FEED_THREADS)
+    idle_us = idle_ms * MICROSECONDS_PER_MS
+    return [
+        _difference("idle, threads and loop", Driver.CONSTANT,
+                    idle_us - median_of(small, lambda result: result.idle_node.cpu_us_per_s),
+                    "real idle nodes without the threads that feed on engines, less the logic"),
+        _difference("sockets, threads, loop", Driver.REQUESTS_PER_S,
+                    step.cpu_us - logic_us - codec_us,
+                    f"real nodes at {step.rate:.0f} requests/s each, less logic and encoding"),
+    ]  # fmt: skip
+
+
+def _difference(name: str, driver: Driver, cpu_us: float, note: str) -> Slope:
+    is_figure = cpu_us > 0
     return Slope(
-        "node", "sockets, threads, loop", Driver.REQUESTS_PER_S, "src/martenrun/wire/transport.py",
-        "scripts/bench.py path", "docs/measurements/path.json",
-        cpu_us=drivers_us if is_figure else 0.0,
+        "node", name, driver, "src/martenrun/wire/transport.py", "scripts/bench.py control",
+        f"docs/measurements/{CONTROL_FILE}",
+        cpu_us=cpu_us if is_figure else 0.0,
         unmeasured=[] if is_figure else [Figure.CPU],
-        note="a real process beyond logic and encoding, one request after the other",
+        note=note,
     )  # fmt: skip
 
 
--- a/src/martenrun/capacity/results.py
+++ b/src/martenrun/capacity/results.py
@@ -61,7 +61,20 @@
     """Result of ``scripts/bench.py path``."""
 
     agent_cpu_ms_per_request: float
-    node_cpu_ms_per_request: float
+
+
+class ControlStep(msgspec.Struct):
+    """One rate of ``scripts/bench.py control``."""
+
+    rate: float
+    cpu_us: float
+
+
+class ControlResult(msgspec.Struct):
+    """Result of ``scripts/bench.py control``: real nodes under load."""
+
+    idle_thread_cpu_ms_per_s: dict[str, float]
+    steps: list[ControlStep]
 
 
 class ConfigurationResult(msgspec.Struct):
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -83,8 +83,9 @@
 def test_a_real_process_cheaper_than_its_logic_is_no_measurement_of_its_drivers(tmp_path):
     for file in (DOCS / "measurements").iterdir():
         (tmp_path / file.name).write_bytes(file.read_bytes())
-    path = json.loads((tmp_path / "path.json").read_bytes())
-    (tmp_path / "path.json").write_text(json.dumps({**path, "node_cpu_ms_per_request": 0.01}))
+    control = json.loads((tmp_path / "control-node.json").read_bytes())
+    cheap = {**control, "steps": [{"rate": 60.0, "cpu_us": 10.0}]}
+    (tmp_path / "control-node.json").write_text(json.dumps(cheap))
     (line,) = [entry for entry in fit_slopes(tmp_path) if entry.name == "sockets, threads, loop"]
     assert line.unmeasured == [Figure.CPU]
 
