Tell suspicions and deaths without zone and region

Cause: with news bounded, the suspicions of a lost zone spread slowly: 66 bytes were counted for each claim, of which whoever takes the member out of use knows 28 already; the compact encoding made the count too high as well.

Change: claims of suspected and dead members carry no zone and region; a node that does not know the member takes no notice of a suspicion without them, lists and differences carry them. The count of a claim's bytes follows the encoding.

--- a/src/martenrun/membership/differences.py
+++ b/src/martenrun/membership/differences.py
@@ -61,7 +61,7 @@
         if state is not None and state < (record.incarnation, record.status):
             newer.append(record)
         elif state is None and record.status is not MemberStatus.DEAD:
-            unknown_there.append(record.claim())
+            unknown_there.append(record.whole_claim())
     wanted = [
         _IDENTITY.pack(identity)
         for identity, (_incarnation, status) in known.items()
@@ -76,7 +76,7 @@
     """Return the claims of the members whose identities were asked for."""
     whole = wanted[: len(wanted) // _IDENTITY.size * _IDENTITY.size]
     records = (table.by_identity.get(identity) for (identity,) in _IDENTITY.iter_unpack(whole))
-    return [record.claim() for record in records if record is not None]
+    return [record.whole_claim() for record in records if record is not None]
 
 
 def _records_in(table: MemberTable, buckets: set[int]) -> list[MemberRecord]:
--- a/src/martenrun/membership/news.py
+++ b/src/martenrun/membership/news.py
@@ -7,7 +7,7 @@
 from martenrun.membership.record import MemberStatus
 from martenrun.wire.messages import MemberClaim
 
-CLAIM_FIXED_BYTES = 37
+CLAIM_FIXED_BYTES = 20
 """Encoded size of a claim without its three texts, in bytes."""
 
 DATAGRAM_FIXED_BYTES = 150
--- a/src/martenrun/membership/record.py
+++ b/src/martenrun/membership/record.py
@@ -47,7 +47,16 @@
         self.identity = _hashed(self.address)
 
     def claim(self) -> MemberClaim:
-        """Return what this node tells others of the member."""
+        """Return what this node tells others of the member.
+
+        Who takes a member out of use knows it already: its zone and region do not travel.
+        """
+        if self.status in (MemberStatus.SUSPECTED, MemberStatus.DEAD):
+            return MemberClaim(self.address, "", "", self.incarnation, int(self.status))
+        return self.whole_claim()
+
+    def whole_claim(self) -> MemberClaim:
+        """Return the claim for a node that may not know the member."""
         return MemberClaim(self.address, self.zone, self.region, self.incarnation, int(self.status))
 
     def member(self) -> Member:
--- a/src/martenrun/membership/table.py
+++ b/src/martenrun/membership/table.py
@@ -81,22 +81,29 @@
             return
         record = self.records.get(claim.address)
         if record is None:
-            if claim.status == MemberStatus.DEAD:
+            if not self._introduces(claim):
                 return
             record = MemberRecord(claim.address, claim.zone, claim.region, incarnation=-1)
             self.records[claim.address] = record
             self.by_identity[record.identity] = record
         if record.is_older_than(claim):
             self._step(record, _CLAIM_EVENT_OF[MemberStatus(claim.status)], claim, now)
-            if spread and record.claim() == claim:
-                self.news.add(claim)
+            is_adopted = (record.incarnation, record.status) == (claim.incarnation, claim.status)
+            if spread and is_adopted:
+                self.news.add(record.claim())
 
     def _is_news(self, claim: MemberClaim) -> bool:
         record = self.records.get(claim.address)
         if record is None:
-            return claim.status != MemberStatus.DEAD
+            return self._introduces(claim)
         return record.is_older_than(claim)
 
+    def _introduces(self, claim: MemberClaim) -> bool:
+        """Return whether a claim is enough to take in a member that was unknown."""
+        if claim.status == MemberStatus.SUSPECTED:
+            return bool(claim.zone)
+        return claim.status != MemberStatus.DEAD
+
     def probe_failed(self, record: MemberRecord, now: float) -> None:
         """Take in that neither this node nor others could reach a member."""
         self._step(record, "probe_failed", None, now)
@@ -125,7 +132,7 @@
 
     def claims(self) -> list[MemberClaim]:
         """Return a claim for every known member."""
-        return [record.claim() for record in self.records.values()]
+        return [record.whole_claim() for record in self.records.values()]
 
     def _refute(self, claim: MemberClaim, now: float) -> None:
         # Also how a restarted node learns of its earlier incarnation.
@@ -163,8 +170,8 @@
     def _adopt(self, record: MemberRecord, claim: MemberClaim | None, now: float) -> None:
         assert claim is not None
         record.incarnation = claim.incarnation
-        record.zone = claim.zone
-        record.region = claim.region
+        record.zone = claim.zone or record.zone
+        record.region = claim.region or record.region
         self._pending.pop(record.address, None)
         self.unverified.pop(record.address, None)
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -239,3 +239,16 @@
     assert len(table.news) == 61
     exchange.compare(table.digest, 2.0)
     assert len(table.news) == 1 and "10.0.1.7:7000" in table.news
+
+
+def test_a_suspicion_without_a_zone_makes_no_member_and_a_known_one_keeps_its_zone():
+    table = MemberTable(Member("10.0.0.1:7000", "a", "r"), MembershipSettings())
+    suspected = int(MemberStatus.SUSPECTED)
+    table.take_in(MemberClaim("10.0.0.2:7000", "", "", 0, suspected), 1.0)
+    assert list(table.records) == ["10.0.0.1:7000"]
+    table.take_in(MemberClaim("10.0.0.2:7000", "b", "r", 0, 0), 1.0)
+    table.take_in(MemberClaim("10.0.0.2:7000", "", "", 0, suspected), 2.0)
+    (told,) = [claim for claim in table.news.take(2) if claim.address == "10.0.0.2:7000"]
+    assert (told.zone, told.status) == ("", suspected)
+    (listed,) = [claim for claim in table.claims() if claim.address == "10.0.0.2:7000"]
+    assert (listed.zone, listed.status) == ("b", suspected)
