--- a/src/martenrun/bench/membership.py
+++ b/src/martenrun/bench/membership.py
@@ -230,6 +230,7 @@
     def _restart(self, idle: Cost) -> Restart:
         """Restart nodes one after another; return what one restart costs each node."""
         cluster = self._cluster
+        cluster.run(SETTLE_S)
         begin_s = cluster.scheduler.now
 
         def restarts() -> None:
