--- a/scripts/measure_capacity.py
+++ b/scripts/measure_capacity.py
@@ -33,7 +33,7 @@
     ("--nodes", "120"),
     ("--nodes", "40", "--loss", "0.05", "--idle-s", "60"),
     ("--nodes", "120", "--loss", "0.05"),
-    ("--nodes", "370", "--deaths", "1", "--idle-s", "15"),
+    ("--nodes", "370"),
 )
 FULL_NODES, FULL_RUNNERS = 370, 12_000
 
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -9,10 +9,14 @@
 from martenrun.agent.requests import RequestsLogic
 from martenrun.claims.logic import ClaimsLogic
 from martenrun.claims.retention import ClaimRetentionLogic, retention_of
-from martenrun.configuration.objects import DrainRole
+from martenrun.configuration.objects import DrainRole, Kind, Pool
 from martenrun.configuration.view import ConfigurationView
 from martenrun.errors import NotReadyError
 from martenrun.events import DecisionLogic
+from martenrun.kvcache.counts import CountsByPool
+from martenrun.kvcache.home import KvCacheHome
+from martenrun.kvcache.limits import StoreLimits
+from martenrun.kvcache.owner import KvCacheOwner
 from martenrun.limits.admission import AdmissionLimits
 from martenrun.membership.gossip import GossipMembership
 from martenrun.membership.view import Member
@@ -30,6 +34,7 @@
 from martenrun.ownership.owners import OwnerMap
 from martenrun.routing.beliefs import BeliefBook
 from martenrun.routing.prefix_aware import PrefixAwarePolicy
+from martenrun.routing.served_prefixes import ServedPrefixes, ServedPrefixesLogic
 from martenrun.settings.model import NodeSettings
 from martenrun.sharing.logic import SharingLogic
 from martenrun.sharing.meter import ExchangeMeter
@@ -54,6 +59,10 @@
     sharing: SharingLogic
     limits: AdmissionLimits
     cache_events: CacheEventsLogic
+    served_prefixes: ServedPrefixesLogic
+    kv_cache_home: KvCacheHome
+    kv_cache_owner: KvCacheOwner
+    kept_cache_counts: CountsByPool
 
     def view(self) -> ConfigurationView:
         """Return the configuration in force."""
@@ -73,13 +82,15 @@
             self.runners,
             self.machine_feed,
             QuestionGate(
-                [self.claims, self.ownership],
+                [self.claims, self.kv_cache_home],
                 self.membership.own.address,
                 lambda: self.membership.own.leaving,
                 self.readiness_fault,
             ),
             self.claim_retention,
             self.cache_events,
+            self.served_prefixes,
+            self.kv_cache_owner,
             self.requests,
             self.sharing,
             self.rolls,
@@ -99,15 +110,24 @@
     members = GossipMembership(own, settings.seed_nodes, settings.membership, rng)
     configuration = NodeConfigurationLogic(own_address, settings.seed_nodes, members, rng)
     runners = RunnerTable(lambda: configuration.state.view.drained(DrainRole.RUNNER))
-    owners = OwnerMap(members)
+    owners = OwnerMap(members, members.suspected)
     exchange = UsageExchange(members, rng)
     meter = ExchangeMeter(exchange)
     limits = AdmissionLimits(meter.limit_share, meter)
     beliefs = BeliefBook()
+    policy = PrefixAwarePolicy(beliefs, rng)
+
+    counts = CountsByPool()
+
+    def kept_cache(pool: str) -> StoreLimits | None:
+        document = configuration.state.view.documents.get((Kind.POOL, pool))
+        return document.kept_cache if isinstance(document, Pool) else None
+
+    served = ServedPrefixes()
     home = HomeLogic(
         owners,
         runners,
-        PrefixAwarePolicy(beliefs, rng),
+        policy,
         lambda: configuration.state.view,
         settings.zone,
         rng,
@@ -120,7 +140,7 @@
         lambda: configuration.state.view,
         limits.active,
     )
-    owner = OwnerLogic(owners, runners, granted=sharing.granted)
+    owner = OwnerLogic(owners, runners, granted=sharing.granted, served=served.granted)
     ownership = OwnershipLogic(own_address, home, owner)
     claims = ClaimsLogic(f"{own_address}/{incarnation}")
     claim_retention = ClaimRetentionLogic(
@@ -149,4 +169,14 @@
         sharing,
         limits,
         CacheEventsLogic(beliefs, runners, owners.owns),
+        ServedPrefixesLogic(
+            served,
+            policy.placement,
+            lambda: [node.address for node in members.live() if node.address != own_address],
+        ),
+        KvCacheHome(
+            ownership, runners.runners, kept_cache, policy.block_prefill_s, owners.owner, counts
+        ),
+        KvCacheOwner(runners.runners, owners.owns, kept_cache, counts),
+        counts,
     )
