--- a/src/martenrun/capacity/day_fit.py
+++ b/src/martenrun/capacity/day_fit.py
@@ -20,10 +20,14 @@
     """Return the lines of failures and restarts; bad days are lines that do not add up."""
     largest = _largest(measurements)
     file = f"docs/measurements/{_FILE}"
+    restart = largest.restart
+    # A difference to the cost without changes: one that is not positive is no figure.
+    differences = {Figure.BYTES: restart.sent_bytes, Figure.MESSAGES: restart.sent_messages}
+    no_figures = [figure for figure, value in differences.items() if value <= 0]
     ordinary = Slope(
         ORDINARY_DAY, "failures and restarts", Driver.MEMBER_CHANGES_PER_S, _MECHANISM, _RUN, file,
-        sent_bytes=largest.restart.sent_bytes, messages=largest.restart.sent_messages,
-        unmeasured=[Figure.CPU],
+        sent_bytes=max(0.0, restart.sent_bytes), messages=max(0.0, restart.sent_messages),
+        unmeasured=[Figure.CPU, *no_figures],
         note="news of members; as if every machine that fails or restarts were a node",
     )  # fmt: skip
     bad_days = (
