--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -7,7 +7,7 @@
 import sys
 from pathlib import Path
 
-from deployment import CLUSTER_SECRET, Deployment
+from deployment import CLUSTER_SECRET, Deployment, ended_on_failure
 
 MODEL = "vine-reader"
 KEY = "growers-key"
@@ -22,7 +22,7 @@
 def start(engines: int, decode_s: float, nodes: int = 1) -> Deployment:
     """Start a platform, engines, nodes and one agent, and publish a route."""
     deployment = Deployment()
-    try:
+    with ended_on_failure(deployment):
         deployment.start_platform()
         flags = [
             *("--slots", str(SLOTS), "--decode-s-per-token", str(decode_s)),
@@ -33,12 +33,7 @@
         deployment.start_nodes(["zone-a"] * nodes)
         deployment.start_agents(["zone-a"], "--max-streams", "1000")
         deployment.apply_tenant("growers", KEY)
-        deployment.apply("pools", "readers", {"model": MODEL, "weights_version": "v1"})
-        route = {"model": MODEL, "pool": "readers"}
-        deployment.wait_ready(deployment.apply("routes", "readers", route))
-    except BaseException:
-        deployment.stop()
-        raise
+        deployment.serve_pool("readers", MODEL)
     return deployment
 
 
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -10,7 +10,8 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import urllib3
@@ -49,6 +50,16 @@
     return response.status == 200
 
 
+@contextmanager
+def ended_on_failure(deployment: "Deployment") -> Iterator[None]:
+    """End a deployment's processes if its set-up fails or is interrupted."""
+    try:
+        yield
+    except BaseException:
+        deployment.stop()
+        raise
+
+
 @dataclass
 class Deployment:
     """Processes by name, and the addresses callers and operators need."""
@@ -154,6 +165,11 @@
         digest = hashlib.sha256(key.encode()).hexdigest()
         self.apply("keys", f"{tenant}-key", {"tenant": tenant, "key_sha256": digest})
 
+    def serve_pool(self, pool: str, model: str, **fields: object) -> None:
+        """Publish a pool and a route of a model for all tenants; wait until both are in force."""
+        self.apply("pools", pool, {"model": model, "weights_version": "v1", **fields})
+        self.wait_ready(self.apply("routes", pool, {"model": model, "pool": pool}))
+
     def wait_ready(self, revision: int) -> None:
         """Wait until every edge has a configuration revision in force."""
 
--- a/scripts/measure_node_kill.py
+++ b/scripts/measure_node_kill.py
@@ -19,7 +19,7 @@
 from pathlib import Path
 
 import urllib3
-from deployment import Deployment, answers
+from deployment import Deployment, answers, ended_on_failure
 
 from martenrun.load.client import CompletionCall, CompletionClient, StreamRecord
 
@@ -108,7 +108,7 @@
 def start() -> Deployment:
     """Start the deployment and publish a tenant, a pool and a route."""
     deployment = Deployment()
-    try:
+    with ended_on_failure(deployment):
         deployment.start_platform()
         flags = ["--slots", str(SLOTS), "--decode-s-per-token", "0.02"]
         flags += ["--prefill-s-per-block", "0.01", "--slowdown-per-stream", "0"]
@@ -117,12 +117,7 @@
         deployment.start_nodes(["zone-a"] * NODES)
         deployment.start_agents(["zone-a"] * AGENTS)
         deployment.apply_tenant(TENANT, KEY)
-        deployment.apply("pools", "readers", {"model": MODEL, "weights_version": "v1"})
-        route = {"model": MODEL, "pool": "readers"}
-        deployment.wait_ready(deployment.apply("routes", "readers", route))
-    except BaseException:
-        deployment.stop()
-        raise
+        deployment.serve_pool("readers", MODEL)
     return deployment
 
 
--- a/scripts/measure_restart.py
+++ b/scripts/measure_restart.py
@@ -19,7 +19,7 @@
 
 import urllib3
 from bench import KEY, MODEL
-from deployment import START_TIMEOUT_S, Deployment, answers
+from deployment import START_TIMEOUT_S, Deployment, answers, ended_on_failure
 
 ROUNDS = 6
 NODES = 3
@@ -34,18 +34,13 @@
 def start() -> Deployment:
     """Start a platform, an engine, three nodes and one agent, and publish a route."""
     deployment = Deployment()
-    try:
+    with ended_on_failure(deployment):
         deployment.start_platform()
         deployment.start_engine("zone-a", "readers", MODEL)
         deployment.start_nodes(["zone-a"] * NODES)
         deployment.start_agents(["zone-a"])
         deployment.apply_tenant("growers", KEY)
-        deployment.apply("pools", "readers", {"model": MODEL, "weights_version": "v1"})
-        route = {"model": MODEL, "pool": "readers"}
-        deployment.wait_ready(deployment.apply("routes", "readers", route))
-    except BaseException:
-        deployment.stop()
-        raise
+        deployment.serve_pool("readers", MODEL)
     return deployment
 
 
--- a/scripts/measure_shares.py
+++ b/scripts/measure_shares.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 
 import urllib3
-from deployment import Deployment
+from deployment import Deployment, ended_on_failure
 
 from martenrun.load.client import CompletionCall, CompletionClient
 
@@ -89,7 +89,7 @@
 def start(case: Case) -> Deployment:
     """Start a deployment with both tenants and one route."""
     deployment = Deployment()
-    try:
+    with ended_on_failure(deployment):
         deployment.start_platform()
         flags = [
             *("--slots", str(SLOTS), "--decode-s-per-token", str(DECODE_S_PER_TOKEN)),
@@ -101,12 +101,7 @@
         deployment.start_agents(["zone-a"])
         for tenant, weight in WEIGHTS.items():
             deployment.apply_tenant(tenant, f"{tenant}-key", weight)
-        deployment.apply("pools", "readers", {"model": MODEL, "weights_version": "v1"})
-        route = {"model": MODEL, "pool": "readers"}
-        deployment.wait_ready(deployment.apply("routes", "readers", route))
-    except BaseException:
-        deployment.stop()
-        raise
+        deployment.serve_pool("readers", MODEL)
     return deployment
 
 
--- a/tests/test_configuration_processes.py
+++ b/tests/test_configuration_processes.py
@@ -22,8 +22,7 @@
         running.start_nodes(["zone-a", "zone-a"])
         running.start_agents(["zone-a"])
         running.apply_tenant("growers", KEY)
-        running.apply("pools", "readers", {"model": MODEL, "weights_version": "v1"})
-        running.wait_ready(running.apply("routes", "readers", {"model": MODEL, "pool": "readers"}))
+        running.serve_pool("readers", MODEL)
         yield running
     finally:
         running.stop()
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -28,8 +28,7 @@
         running.start_nodes(["zone-a", "zone-b"])
         running.start_agents(["zone-a"])
         running.apply_tenant("growers", "growers-key")
-        running.apply("pools", "readers", {"model": MODEL, "weights_version": "v1"})
-        running.wait_ready(running.apply("routes", "readers", {"model": MODEL, "pool": "readers"}))
+        running.serve_pool("readers", MODEL)
         yield running
     finally:
         running.stop()
