A pause of the deciding node is no pressure

Cause: a deciding node that was paused for a minute counted the whole minute as pressure when it woke, because it multiplied the last figures by the time since, and moved a runner although the demand had gone.

Without settling the record, and with no end to a decision's life, the paused node's late write moves a runner.

--- a/src/martenrun/scaling/decider.py
+++ b/src/martenrun/scaling/decider.py
@@ -123,10 +123,10 @@
         if not any(pool.scaling for pool in view.pools.values()) or not self._exchange.is_decider:
             self._resign()
             return []
+        self._watch.observe(view, self._exchange.zones(now), now)
         if self._call is not None:
             is_lost = now - self._call.sent_at >= CALL_TIMEOUT_S
             return self._step("call_failed", now) if is_lost else []
-        self._watch.observe(view, self._exchange.zones(now), now)
         if self.state == "synchronizing":
             return self._synchronize(now)
         if self.state != _CHART.initial or now < self._next_try:
--- a/src/martenrun/scaling/watch.py
+++ b/src/martenrun/scaling/watch.py
@@ -19,6 +19,9 @@
 COVERAGE = 0.7
 """Least part of the scaled pools' runners that must have been reported to decide anything."""
 
+MAXIMUM_GAP_S = 5.0
+"""After a longer time without a look, as in a pause, what was seen before proves nothing."""
+
 _NEVER = float("-inf")
 
 Zones = Mapping[str, Mapping[int, PoolDemand]]
@@ -37,6 +40,7 @@
         self._zones: Zones = {}
         self._demands: dict[int, PoolDemand] = {}
         self._pressures: dict[str, PoolPressure] = {}
+        self._observed_at = _NEVER
         self._first_seen: dict[tuple[str, str], float] = {}
         self._got: dict[str, float] = {}
         self._gave: dict[str, float] = {}
@@ -46,6 +50,9 @@
 
     def observe(self, view: ConfigurationView, zones: Zones, now: float) -> None:
         """Take in the present figures and moves."""
+        if now - self._observed_at > MAXIMUM_GAP_S:
+            self._pressures.clear()
+        self._observed_at = now
         self._zones = zones
         self._demands = total(demand for zone in zones.values() for demand in zone.values())
         scaled = dict(_scaled(view))
