--- a/src/martenrun/node/front.py
+++ b/src/martenrun/node/front.py
@@ -25,6 +25,7 @@
 from martenrun.observability.kept_cache import KeptCacheCollector
 from martenrun.observability.keys import KeyCollector
 from martenrun.observability.process_cost import ProcessCostCollector
+from martenrun.observability.scaling import ScalingCollector
 from martenrun.platform.weight_store import WeightStore
 from martenrun.settings.model import NodeSettings
 from martenrun.sharing.policy_weights import PolicyStatus
@@ -63,6 +64,7 @@
         caller.add_metrics(KeptCacheCollector(self._parts.kept_cache_counts))
         caller.add_metrics(ClaimsCollector(self._parts.claim_retention))
         caller.add_metrics(ProcessCostCollector(core.transport))
+        caller.add_metrics(ScalingCollector(self._parts.scaling))
         weights = WeightStore(settings.weight_store) if settings.weight_store else None
         admin = AdminApplication(
             core.store,
--- a/src/martenrun/scaling/decider.py
+++ b/src/martenrun/scaling/decider.py
@@ -29,7 +29,7 @@
 from martenrun.scaling.choice import Choice
 from martenrun.scaling.demand import DemandExchange
 from martenrun.scaling.record import AS_LISTED, RECORD_KIND, RECORD_NAME, Decision
-from martenrun.scaling.watch import PoolWatch
+from martenrun.scaling.watch import PoolStatus, PoolWatch
 from martenrun.statecharts.compiler import load_chart
 
 LOOK_INTERVAL_S = 1.0
@@ -81,6 +81,8 @@
     ) -> None:
         self.state = _CHART.initial
         self.moves = 0
+        self.statuses: tuple[PoolStatus, ...] = ()
+        """Accounts of the pools; replaced, never changed, so threads may read it."""
         self._holder = holder
         self._exchange = exchange
         self._table = table
@@ -124,6 +126,7 @@
             self._resign()
             return []
         self._watch.observe(view, self._exchange.zones(now), now)
+        self.statuses = self._watch.statuses()
         if self._call is not None:
             is_lost = now - self._call.sent_at >= CALL_TIMEOUT_S
             return self._step("call_failed", now) if is_lost else []
@@ -136,12 +139,12 @@
 
     def _resign(self) -> None:
         """Forget everything; what is on its way is settled by whoever decides next."""
-        if self._must_settle and self.state == _CHART.initial:
-            return
         self.state = _CHART.initial
         self._call = None
         self._must_settle = True
-        self._watch = PoolWatch(self._table)
+        if self.statuses:
+            self._watch = PoolWatch(self._table)
+            self.statuses = ()
 
     def _synchronize(self, now: float) -> list[Instruction]:
         if not self._is_current():
--- a/src/martenrun/scaling/watch.py
+++ b/src/martenrun/scaling/watch.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
 
 from martenrun.configuration.objects import Assignment, AssignmentOrigin, Pool
 from martenrun.configuration.view import ConfigurationView
@@ -28,6 +29,15 @@
 """The zones' figures by pool identity."""
 
 
+@dataclass(frozen=True, slots=True)
+class PoolStatus:
+    """What the deciding node holds of one scaled pool."""
+
+    pool: str
+    wait_s: float
+    pressure_s: float
+
+
 class PoolWatch:
     """Pressure, cool-downs and moves under way, on this node's own clock.
 
@@ -60,15 +70,25 @@
             del self._pressures[name]
         for name, pool in scaled.items():
             pressure = self._pressures.setdefault(name, PoolPressure())
-            demand = self._demands.get(pool_id(name))
-            if demand is None and not zones:
+            if not zones:
                 pressure.lost_sight()
                 continue
             limits = pool.scaling or ScalingLimits()
             least = pool.minimum_runners or 0
-            pressure.observe(demand or PoolDemand(pool_id(name)), limits, least, now)
+            pressure.observe(self._demand(name), limits, least, now)
         self._note_moves(view, now)
 
+    def statuses(self) -> tuple[PoolStatus, ...]:
+        """Return the accounts of all scaled pools."""
+        return tuple(
+            PoolStatus(name, self._demand(name).wait_ms / 1_000, pressure.pressure_s)
+            for name, pressure in sorted(self._pressures.items())
+        )
+
+    def _demand(self, pool: str) -> PoolDemand:
+        identity = pool_id(pool)
+        return self._demands.get(identity) or PoolDemand(identity)
+
     def decided(self, choice: Choice, now: float) -> None:
         """A move has been recorded."""
         self._note(choice.left_pool, choice.pool, now)
@@ -138,7 +158,7 @@
                 PoolFigures(
                     name,
                     pool,
-                    self._demands.get(identity, PoolDemand(identity)),
+                    self._demand(name),
                     {z: known[identity] for z, known in self._zones.items() if identity in known},
                     self._pressures[name],
                     members.get(name, 0),
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -9,6 +9,7 @@
 from martenrun.configuration.objects import Kind, parse_document
 from martenrun.errors import InvalidObjectError
 from martenrun.events import StoreWrite
+from martenrun.observability.scaling import ScalingCollector
 from martenrun.scaling import decider, watch
 from martenrun.scaling.decider import ScalingLogic
 from martenrun.scaling.demand import DemandExchange
@@ -95,7 +96,12 @@
     world, demand = started()
     assert len(deciders(world)) == 1
     demand.rates["desk"] = BUSY
-    world.run(120.0)
+    world.run(20.0)
+    (scaling,) = [node.parts.scaling for node in deciders(world)]
+    metrics = {metric.name: metric for metric in ScalingCollector(scaling).collect()}
+    pressure = metrics["martenrun:pool_pressure_seconds"].samples
+    assert [sample.labels["pool"] for sample in pressure if sample.value > 0] == ["desk"]
+    world.run(100.0)
     assert 4 <= len(world.runners_serving("desk")) <= 5
     assert len(world.runners_serving("readers")) >= 2
     assert all(item["reason"] for item in world.assignments().values())
--- a/tests/test_scaling_processes.py
+++ b/tests/test_scaling_processes.py
@@ -36,10 +36,7 @@
         running.start_agents(["zone-a"])
         running.apply_tenant("growers", "growers-key")
         for pool, model in MODELS.items():
-            weights = {"model": model, "weights_version": "v1"}
-            running.apply("pools", pool, {**weights, **BOUNDS, "scaling": LIMITS})
-            revision = running.apply("routes", pool, {"model": model, "pool": pool})
-        running.wait_ready(revision)
+            running.serve_pool(pool, model, scaling=LIMITS, **BOUNDS)
         yield running
     finally:
         running.stop()
