--- a/src/martenrun/node/front.py
+++ b/src/martenrun/node/front.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from martenrun.admin.application import ADMIN_PREFIX, AdminApplication
+from martenrun.admin.assignments import check_move
 from martenrun.admin.status import StatusPort
 from martenrun.edge.application import CallerApplication
 from martenrun.edge.drain import EdgeStop
@@ -24,6 +25,7 @@
 from martenrun.observability.kept_cache import KeptCacheCollector
 from martenrun.observability.keys import KeyCollector
 from martenrun.observability.process_cost import ProcessCostCollector
+from martenrun.observability.scaling import ScalingCollector
 from martenrun.platform.weight_store import WeightStore
 from martenrun.settings.model import NodeSettings
 from martenrun.sharing.policy_weights import PolicyStatus
@@ -62,6 +64,7 @@
         caller.add_metrics(KeptCacheCollector(self._parts.kept_cache_counts))
         caller.add_metrics(ClaimsCollector(self._parts.claim_retention))
         caller.add_metrics(ProcessCostCollector(core.transport))
+        caller.add_metrics(ScalingCollector(self._parts.scaling))
         weights = WeightStore(settings.weight_store) if settings.weight_store else None
         admin = AdminApplication(
             core.store,
@@ -69,6 +72,7 @@
             settings.bootstrap_key_sha256,
             lambda: self._status_port.status(self._parts.view(), self._policy_statuses()),
             weights,
+            lambda runner, pool: check_move(self._parts.view(), self._parts.runners, runner, pool),
         )
         application = NodeApplication(caller, admin)
         self._server = HttpServer(
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -35,6 +35,9 @@
 from martenrun.routing.beliefs import BeliefBook
 from martenrun.routing.prefix_aware import PrefixAwarePolicy
 from martenrun.routing.served_prefixes import ServedPrefixes, ServedPrefixesLogic
+from martenrun.scaling.arrivals import ArrivalsLogic
+from martenrun.scaling.decider import ScalingLogic
+from martenrun.scaling.demand import DemandExchange
 from martenrun.settings.model import NodeSettings
 from martenrun.sharing.logic import SharingLogic
 from martenrun.sharing.meter import ExchangeMeter
@@ -56,6 +59,9 @@
     claim_retention: ClaimRetentionLogic
     requests: RequestsLogic
     rolls: RollsLogic
+    arrivals: ArrivalsLogic
+    demand: DemandExchange
+    scaling: ScalingLogic
     sharing: SharingLogic
     limits: AdmissionLimits
     cache_events: CacheEventsLogic
@@ -94,6 +100,9 @@
             self.requests,
             self.sharing,
             self.rolls,
+            self.arrivals,
+            self.demand,
+            self.scaling,
         ]
 
 
@@ -109,7 +118,10 @@
     own = Member(own_address, settings.zone, settings.region)
     members = GossipMembership(own, settings.seed_nodes, settings.membership, rng)
     configuration = NodeConfigurationLogic(own_address, settings.seed_nodes, members, rng)
-    runners = RunnerTable(lambda: configuration.state.view.drained(DrainRole.RUNNER))
+    runners = RunnerTable(
+        lambda: configuration.state.view.drained(DrainRole.RUNNER),
+        lambda: configuration.state.view,
+    )
     owners = OwnerMap(members, members.suspected)
     exchange = UsageExchange(members, rng)
     meter = ExchangeMeter(exchange)
@@ -153,6 +165,9 @@
     status = StatusLogic(configuration, members)
     drain = NodeDrainLogic(settings.name, lambda: configuration.state.view)
     holder = f"{own_address}/{incarnation}"
+    demand = DemandExchange(
+        members, runners, lambda: configuration.state.view, lambda: owner.owned, rng
+    )
     rolls = RollsLogic(holder, runners.runners, configuration.state, owners.owns, rng)
     return NodeParts(
         members,
@@ -166,6 +181,9 @@
         claim_retention,
         requests,
         rolls,
+        ArrivalsLogic(holder, runners, configuration.state, owners.owns, rng),
+        demand,
+        ScalingLogic(holder, demand, runners, configuration.state, rng),
         sharing,
         limits,
         CacheEventsLogic(beliefs, runners, owners.owns),
--- a/src/martenrun/orders/permits.py
+++ b/src/martenrun/orders/permits.py
@@ -24,6 +24,9 @@
 MAXIMUM_LOADS = 2
 """Runners that may load from one weight store at a time, over all nodes."""
 
+NOTED_MOVES = 256
+"""Runners whose latest change of the model the permits' object remembers."""
+
 ANY_STORE = ""
 """Store of a runner whose store nobody has named: it may be any of them."""
 
@@ -47,6 +50,7 @@
         action: what is ordered; see :class:`OrderAction`.
         value: the weights version, adapter or role ordered.
         store: the weight store that is read.
+        model: the model that is loaded, if it is another one.
     """
 
     holder: str
@@ -57,6 +61,7 @@
     value: str
     renewal: int = 0
     store: str = ANY_STORE
+    model: str = ""
 
 
 class PermitTable(msgspec.Struct, frozen=True):
@@ -66,10 +71,13 @@
         permits: at most one for each runner.
         pool_revisions: the newest revision of each pool object that a permit was granted for;
             a node whose configuration is older may not acquire.
+        move_revisions: the revision of the configuration by which a runner was given another
+            model, of the latest ones: a node that missed a move may not undo it.
     """
 
     permits: tuple[Permit, ...] = ()
     pool_revisions: dict[str, int] = {}
+    move_revisions: dict[str, int] = {}
 
     def permit_of(self, runner: str) -> Permit | None:
         """Return the permit of a runner, or None."""
@@ -85,6 +93,10 @@
         floor: runners of the pool that must go on serving.
         takes_out: whether the runner stops serving while it carries the order out.
         store: the weight store that the runner loads from.
+        model: the model to load, if it is another one.
+        left_pool: the pool that the runner leaves by that, or empty.
+        left_floor: runners of that pool that must go on serving.
+        configuration_revision: revision of the configuration that the wish comes from.
     """
 
     runner: str
@@ -96,6 +108,10 @@
     floor: int = 0
     takes_out: bool = True
     store: str = ANY_STORE
+    model: str = ""
+    left_pool: str = ""
+    left_floor: int = 0
+    configuration_revision: int = 0
 
 
 ServingCount = Callable[[str, frozenset[str]], int]
@@ -117,23 +133,40 @@
     """
     if table.pool_revisions.get(wish.pool, 0) > wish.pool_revision:
         return table
+    if table.move_revisions.get(wish.runner, 0) > wish.configuration_revision:
+        return table
     present = table.permit_of(wish.runner)
     if present is not None:
         if present.change == wish.change:
             return table
         if present.holder != holder and present.change not in expired:
             return table
-    elif not _keeps_floor(table, wish, serving):
+    elif not (_keeps_floor(table, wish, serving) and _keeps_left_floor(table, wish, serving)):
         return table
     others = [permit for permit in table.permits if permit.runner != wish.runner]
     stays = present is not None and present.store == wish.store
     if not stays and _loads(others, wish.store) >= maximum_loads:
         return table
     permit = Permit(
-        holder, wish.change, wish.runner, wish.pool, wish.action, wish.value, store=wish.store
+        holder,
+        wish.change,
+        wish.runner,
+        wish.pool,
+        wish.action,
+        wish.value,
+        store=wish.store,
+        model=wish.model,
     )
     revisions = {**table.pool_revisions, wish.pool: wish.pool_revision}
-    return PermitTable((*others, permit), revisions)
+    return PermitTable((*others, permit), revisions, _noted_moves(table, wish))
+
+
+def _noted_moves(table: PermitTable, wish: PermitWish) -> dict[str, int]:
+    if not wish.model:
+        return table.move_revisions
+    noted = {name: seen for name, seen in table.move_revisions.items() if name != wish.runner}
+    noted[wish.runner] = wish.configuration_revision
+    return dict(list(noted.items())[-NOTED_MOVES:])
 
 
 def _loads(table_permits: Iterable[Permit], store: str) -> int:
@@ -153,11 +186,17 @@
     return after == before or after >= wish.floor
 
 
+def _keeps_left_floor(table: PermitTable, wish: PermitWish, serving: ServingCount) -> bool:
+    """Whether the pool that a runner leaves can do without it; it can still be sent back."""
+    loading = frozenset(permit.runner for permit in table.permits)
+    return not wish.left_pool or serving(wish.left_pool, loading) >= wish.left_floor
+
+
 def without(table: PermitTable, changes: Iterable[str]) -> PermitTable:
     """Return the table without the permits of some grants."""
     removed = frozenset(changes)
     kept = tuple(permit for permit in table.permits if permit.change not in removed)
-    return PermitTable(kept, table.pool_revisions)
+    return msgspec.structs.replace(table, permits=kept)
 
 
 def renewed(table: PermitTable, changes: Iterable[str]) -> PermitTable:
@@ -169,7 +208,7 @@
         else permit
         for permit in table.permits
     )
-    return PermitTable(permits, table.pool_revisions)
+    return msgspec.structs.replace(table, permits=permits)
 
 
 class LeaseObserver:
