A node owns nothing until it has joined

Cause: a node that has just started knows only itself and took all runners for its own: a queue and slots for each of 12,000, engines followed, reservations granted as their owner.

Change: membership says when it is settled: at once without other seeds, 0.5 s after the start if no seed answers, else when a member has answered and the members known have not changed for 0.25 s, at the latest 2 s after the join. Until then the owner map gives this node nothing, and it leaves reservations unanswered: a refusal would say something of the runner, and homes ask again after silence.

Ruled out: waiting for an answer alone (in a herd the first answers name two or three members), and asking only seeds that have joined themselves (nodes started together would wait for each other). The first read of the machine list is not held back: a lone node with dead seeds would get it 1 s later.

--- a/src/martenrun/membership/gossip.py
+++ b/src/martenrun/membership/gossip.py
@@ -23,6 +23,7 @@
     Tick,
 )
 from martenrun.membership.exchange import JITTER, DifferenceExchange
+from martenrun.membership.joining import Joining
 from martenrun.membership.listed import ListedNodes
 from martenrun.membership.news import NewsBudget
 from martenrun.membership.prober import RELAY_MEMORY_S, OpenProbe, Prober, Relay
@@ -90,7 +91,7 @@
         self._prober = Prober(self._table, settings, rng)
         self._listed = ListedNodes(own.address)
         self._news_budget = NewsBudget()
-        self._joined = not self._seeds
+        self._joining = Joining(bool(self._seeds))
         self._live: tuple[Member, ...] = (own,)
         self._told_version = (0, 0)
         self._last_event_at: float | None = None
@@ -115,6 +116,11 @@
         """Whether no other node is live and staying; may be read from any thread."""
         return all(member.address == self._table.own.address for member in self._live)
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether enough members are known to own anything."""
+        return self._joining.is_settled
+
     def live(self) -> Sequence[Member]:
         """Return members believed alive, this node included, leaving ones excluded."""
         return self._live
@@ -174,6 +180,7 @@
     def _tick(self, now: float) -> list[Instruction]:
         settings = self._settings
         self._table.expire(now)
+        self._joining.update(self._table.changed_at, now)
         instructions = self._check_probes(now)
         if self._is_due("join", settings.join_interval_s, now):
             instructions += self._join(now)
@@ -301,7 +308,7 @@
 
     def _join(self, now: float) -> list[Instruction]:
         known = self._table.records
-        if self._joined:
+        if self._joining.has_joined:
             unknown = [seed for seed in self._seeds if seed not in known]
             is_turn = self._rng.random() < self._settings.join_interval_s / (
                 self._settings.dead_probe_interval_s
@@ -316,11 +323,10 @@
         self, peer: str, wants_answer: bool, members: list[MemberClaim], now: float
     ) -> list[Instruction]:
         self._exchange.take_in(members, now)
-        self._joined = self._joined or not wants_answer
-        instructions: list[Instruction] = []
         if wants_answer:
-            instructions.append(Send(peer, MemberList(False, self._table.claims())))
-        return instructions
+            return [Send(peer, MemberList(False, self._table.claims()))]
+        self._joining.answered(now)
+        return []
 
     def _is_stranger(self, peer: str) -> bool:
         record = self._table.records.get(peer)
--- a/src/martenrun/membership/view.py
+++ b/src/martenrun/membership/view.py
@@ -26,6 +26,11 @@
         """This node."""
         ...
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether enough members are known since the start to own anything."""
+        ...
+
     def live(self) -> Sequence[Member]:
         """Return members believed alive, this node included, leaving ones excluded."""
         ...
@@ -37,6 +42,7 @@
 
     own: Member
     members: Sequence[Member]
+    is_settled: bool = True
 
     def live(self) -> Sequence[Member]:
         """Return the fixed members."""
--- a/src/martenrun/ownership/owner.py
+++ b/src/martenrun/ownership/owner.py
@@ -130,7 +130,8 @@
 
     def _reserve(self, home: str, reservation: ReserveSlot, now: float) -> list[Instruction]:
         key = LeaseKey(home, reservation.reservation_id)
-        if key in self._ended:
+        if key in self._ended or not self._owners.is_settled:
+            # Before this node has joined, only silence says nothing wrong of the runner.
             return []
         if key in self._waiting:
             return [Send(home, SlotsQueued([key.reservation_id], [_NO_WAIT_MS]))]
--- a/src/martenrun/ownership/owners.py
+++ b/src/martenrun/ownership/owners.py
@@ -4,7 +4,7 @@
 suspect to be dead own nothing meanwhile, so that runners need not wait until the death is
 certain; a suspected member that lives goes on granting until it has refuted.  Views that differ for
 some seconds may give a runner two owners; that is harmless because engines refuse work beyond
-their slots without running it.
+their slots without running it.  A node that has not joined yet owns nothing.
 
 See also: :mod:`martenrun.membership.view`.
 """
@@ -44,6 +44,7 @@
         self._members = members
         self._suspected = suspected
         self._live: tuple[Member, ...] = ()
+        self._was_settled = False
         self._table_version = -1
         self._addresses: frozenset[str] = frozenset()
         self._owners: dict[str, str] = {}
@@ -55,16 +56,23 @@
         """This node's address."""
         return self._members.own.address
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether this node may own runners: it knows the members that it shares them with."""
+        return self._members.is_settled
+
     def refresh(self, table: RunnerTable) -> bool:
         """Take in the present members and runners; returns whether any owner may have moved."""
         known = self._members.live()
         suspected = self._suspected() - {self.own_address}
         live = tuple(member for member in known if member.address not in suspected)
-        if live == self._live and table.version == self._table_version:
+        is_unchanged = live == self._live and self.is_settled == self._was_settled
+        if is_unchanged and table.version == self._table_version:
             return False
         if table.version != self._table_version:
             self._take_runners(table)
         self._live = live
+        self._was_settled = self.is_settled
         self._table_version = table.version
         self._addresses = frozenset(member.address for member in live)
         by_zone: dict[str, list[str]] = {}
@@ -81,10 +89,12 @@
 
     def owns(self, runner: str) -> bool:
         """Return whether this node owns a runner."""
-        return self._owners.get(runner) == self.own_address
+        return self._was_settled and self._owners.get(runner) == self.own_address
 
     def owned(self) -> set[str]:
         """Return the names of the runners that this node owned at the last refresh."""
+        if not self._was_settled:
+            return set()
         return {name for zone in self._zones.values() for name in zone.own}
 
     def is_live(self, address: str) -> bool:
