Machines of the list share their texts and take one small object each

Cause: of 842 bytes a runner (12,000 runners, 370 nodes), 545 were the decoded machine list: an object with a dictionary and six texts of its own for each machine; 24 were a log of the first list, which nobody can be sent from.

Change: a machine is a frozen struct that the collector does not track; role, zone, pool and state are interned; a new list keeps the objects and names that have not changed, at readers and at those that pull. The first list is not logged: whoever knows nothing gets the whole list anyway.

--- a/src/martenrun/bench/node_state.py
+++ b/src/martenrun/bench/node_state.py
@@ -14,7 +14,7 @@
 from martenrun.bench.scale.platform import make_runners, region_name, zone_name
 from martenrun.events import Event, MachinesListed, PeerMessage, Tick
 from martenrun.node.parts import NodeParts, node_parts
-from martenrun.platform.machine_list import Machine
+from martenrun.platform.machine_list import Machine, decoded_machines
 from martenrun.settings.model import NodeSettings
 from martenrun.wire.messages import MemberClaim, MemberList
 
@@ -87,7 +87,7 @@
 def _machines(runners: int) -> list[Machine]:
     # Decoded anew, as from the network: no text is shared between machines.
     machines = [runner.machine for runner in make_runners(runners).values()]
-    return msgspec.json.decode(msgspec.json.encode(machines), type=list[Machine])
+    return decoded_machines(msgspec.json.encode(machines), {})
 
 
 def _tell(parts: NodeParts, event: Event, now: float) -> None:
--- a/src/martenrun/ownership/machine_feed.py
+++ b/src/martenrun/ownership/machine_feed.py
@@ -19,7 +19,7 @@
 from martenrun.events import Event, Instruction, MachinesListed, PeerMessage, Send, Tell, Tick
 from martenrun.identity.hashing import name_hash, name_hashes, top_columns
 from martenrun.membership.view import Member, MemberView
-from martenrun.platform.machine_list import Machine
+from martenrun.platform.machine_list import Machine, shared_machine
 from martenrun.wire.messages import MachineEntry, MachinesQuery, MachinesUpdate
 
 READERS = 3
@@ -122,6 +122,13 @@
     def _note(self, machines: list[Machine]) -> None:
         """Log what differs from the list known before, and name the new state."""
         listed = {machine.name: machine for machine in machines}
+        if not self._known:
+            # Whoever knows nothing is sent the whole list: it needs no log.
+            self._log.clear()
+            self._sequence += 1
+            self._known = listed
+            self._name_state()
+            return
         for name in self._known.keys() - listed.keys():
             self._append(self._known[name], REMOVED)
         for machine in listed.values():
@@ -129,11 +136,14 @@
                 self._append(machine, machine.state)
         if self._known != listed:
             self._known = listed
-            self._digest = _digest(listed)
-            self._states.pop(self._digest, None)
-            self._states[self._digest] = self._sequence
-            if len(self._states) > LOG_CHANGES:
-                del self._states[next(iter(self._states))]
+            self._name_state()
+
+    def _name_state(self) -> None:
+        self._digest = _digest(self._known)
+        self._states.pop(self._digest, None)
+        self._states[self._digest] = self._sequence
+        if len(self._states) > LOG_CHANGES:
+            del self._states[next(iter(self._states))]
 
     def _append(self, machine: Machine, state: str) -> None:
         self._sequence += 1
@@ -176,7 +186,7 @@
             if entry.state == REMOVED:
                 machines.pop(entry.name, None)
             else:
-                machines[entry.name] = _machine(entry)
+                machines[entry.name] = _machine(entry, self._known.get(entry.name))
         if _digest(machines) != update.digest:
             self._mismatches += 1
             return []
@@ -199,5 +209,6 @@
     )
 
 
-def _machine(entry: MachineEntry) -> Machine:
-    return Machine(entry.name, entry.role, entry.address, entry.zone, entry.pool, entry.state)
+def _machine(entry: MachineEntry, before: Machine | None) -> Machine:
+    machine = Machine(entry.name, entry.role, entry.address, entry.zone, entry.pool, entry.state)
+    return shared_machine(machine, before)
--- a/src/martenrun/platform/machine_list.py
+++ b/src/martenrun/platform/machine_list.py
@@ -1,6 +1,7 @@
 """Adapter of the platform's machine list."""
 
-from dataclasses import dataclass
+import sys
+from collections.abc import Mapping
 
 import msgspec
 from urllib3.exceptions import HTTPError
@@ -11,8 +12,7 @@
 _READ_TIMEOUT_S = 5.0
 
 
-@dataclass(frozen=True)
-class Machine:
+class Machine(msgspec.Struct, frozen=True, gc=False):
     """A machine that runs an engine (``role`` engine) or a node (``role`` node)."""
 
     name: str
@@ -28,6 +28,38 @@
         return self.state != "live"
 
 
+def shared_machine(machine: Machine, before: Machine | None) -> Machine:
+    """Return an equal machine that takes least memory.
+
+    A node knows some ten thousand machines, and few different zones and pools.
+
+    Args:
+        machine: as it was just decoded, with texts of its own.
+        before: what was known of the machine before, kept if it is equal.
+    """
+    if machine == before:
+        return before
+    return Machine(
+        machine.name if before is None else before.name,
+        sys.intern(machine.role),
+        machine.address,
+        sys.intern(machine.zone),
+        sys.intern(machine.pool),
+        sys.intern(machine.state),
+    )
+
+
+def decoded_machines(data: bytes, before: Mapping[str, Machine]) -> list[Machine]:
+    """Return the machines of the platform's answer.
+
+    Args:
+        data: the answer.
+        before: the machines known before, by name; unchanged ones are the same objects.
+    """
+    machines = msgspec.json.decode(data, type=list[Machine])
+    return [shared_machine(machine, before.get(machine.name)) for machine in machines]
+
+
 class MachineList:
     """Client of the machine list."""
 
@@ -48,6 +80,7 @@
         if response.status != 200:
             raise StoreUnavailableError(f"the machine list answered {response.status}")
         if response.data != self._last_data or not self._last_data:
-            self._last_machines = msgspec.json.decode(response.data, type=list[Machine])
+            before = {machine.name: machine for machine in self._last_machines}
+            self._last_machines = decoded_machines(response.data, before)
             self._last_data = response.data
         return self._last_machines
--- a/tests/test_ownership_parts.py
+++ b/tests/test_ownership_parts.py
@@ -18,6 +18,7 @@
 from martenrun.simulation.hollow import HollowProcess
 from martenrun.simulation.network import LinkFaults, SimulatedNetwork
 from martenrun.simulation.scheduler import Scheduler
+from martenrun.wire.codec import decode, encode
 from martenrun.wire.messages import (
     LeaseRenewal,
     LeasesVoided,
@@ -315,6 +316,22 @@
     assert whole.message.complete and len(whole.message.machines) == 1
 
 
+def test_a_list_that_changes_shares_what_stays_the_same():
+    reader = MachineFeed(StaticMemberView(OWN, [OWN]), random.Random(1))
+    taker = MachineFeed(StaticMemberView(OTHER, [OWN]), random.Random(2))
+    known = []
+    for state in ("live", "leaving"):
+        reader.handle(MachinesListed([machine("r1", state), machine("r2")]), 0.0)
+        (query,) = taker.handle(Tick(), len(known) * 5.0)
+        (answer,) = reader.handle(PeerMessage(OTHER.address, query.message), 0.0)
+        (told,) = taker.handle(PeerMessage(OWN.address, decode(encode(answer.message))), 0.0)
+        taker.handle(told.event, 0.0)
+        known.append({listed.name: listed for listed in told.event.machines})
+    assert known[1]["r2"] is known[0]["r2"]
+    assert known[1]["r1"].state == "leaving" and known[1]["r1"].name is known[0]["r1"].name
+    assert known[0]["r1"].zone is known[0]["r2"].zone, "few texts that many machines have"
+
+
 def test_an_update_that_does_not_lead_to_its_digest_changes_nothing():
     taker = MachineFeed(StaticMemberView(OTHER, [OWN]), random.Random(2))
     wrong = MachinesUpdate(77, False, [MachineEntry("r", "engine", "10.1.0.1:80", "a")])
