The whole machine list is packed once for each state; digests follow changes

Cause: a reader made an entry of each of 12,370 machines and encoded them anew for each node that knew no list. 370 such answers of 770 KB from three readers are also more than a transport holds for sending (32 MB), so a herd would have lost answers. Every change hashed all machines again, at the reader and, twice, at each node.

Change: a node says that it takes a packed list (another field of its question, so that nodes of an earlier build still get entries); the reader packs the list once a state. A digest is carried from change to change; an unchanged machine is known by its object.

Weighed: pages of the list (one packed list is 106 KB, which one frame holds); keeping only the packed list (a node would unpack 12,370 machines at a change).

scripts/scale_joined.py follows the machine's type. A test named the whole question; it now has the field too, and is as strict.

--- a/scripts/scale_joined.py
+++ b/scripts/scale_joined.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass
 
 import click
+import msgspec
 import urllib3
 from deployment import Deployment, free_address, wait_until
 from joined_hosts import Host, Timeline, shares, start_hosts
@@ -180,7 +181,7 @@
         http = urllib3.PoolManager(maxsize=8, retries=False, timeout=10.0)
 
         def register(index: int) -> None:
-            machine = dataclasses.asdict(hollow_machine(index))
+            machine = msgspec.structs.asdict(hollow_machine(index))
             url = f"http://{self.deployment.machines}/v1/machines/{machine['name']}"
             response = http.request("PUT", url, body=json.dumps(machine).encode())
             if response.status != 200:
--- a/src/martenrun/bench/node_state.py
+++ b/src/martenrun/bench/node_state.py
@@ -45,14 +45,14 @@
     tracemalloc.start()
     begin_bytes = _allocated_bytes()
     claims = [
-        MemberClaim(_address(index), zone_name(index), region_name(index), 0, 0)
+        MemberClaim(node_address(index), zone_name(index), region_name(index), 0, 0)
         for index in range(1, nodes)
     ]
-    _tell(parts, PeerMessage(_address(1), MemberList(False, claims)), now)
+    _tell(parts, PeerMessage(node_address(1), MemberList(False, claims)), now)
     del claims
     now = _tick(parts, now)
     members_bytes = _allocated_bytes()
-    _tell(parts, MachinesListed(_machines(runners)), now)
+    _tell(parts, MachinesListed(list_of_machines(runners)), now)
     now = _tick(parts, now)
     runners_bytes = _allocated_bytes()
     tracemalloc.stop()
@@ -72,21 +72,24 @@
         region=region_name(0),
         cluster_secret=SECRET,
         http_address=UNUSED_ADDRESS,
-        seed_nodes=[_address(1)],
-        peer_address=_address(0),
+        seed_nodes=[node_address(1)],
+        peer_address=node_address(0),
         object_api=UNUSED_ADDRESS,
         machine_list=UNUSED_ADDRESS,
     )
     return node_parts(settings, "state", random.Random(1))
 
 
-def _address(index: int) -> str:
+def node_address(index: int) -> str:
+    """Return the internal address of the node of an index."""
     return f"10.0.{index // 250}.{index % 250}:7000"
 
 
-def _machines(runners: int) -> list[Machine]:
-    # Decoded anew, as from the network: no text is shared between machines.
+def list_of_machines(runners: int, nodes: int = 0) -> list[Machine]:
+    """Return a list as it comes from the network: no text is that of another list."""
     machines = [runner.machine for runner in make_runners(runners).values()]
+    for index in range(nodes):
+        machines.append(Machine(f"node-{index}", "node", node_address(index), zone_name(index)))
     return decoded_machines(msgspec.json.encode(machines), {})
 
 
--- a/src/martenrun/cli/bench.py
+++ b/src/martenrun/cli/bench.py
@@ -26,6 +26,7 @@
     "hollow-host": "martenrun.bench.scale.host:hollow_host",
     "membership": "martenrun.bench.membership:membership",
     "ownership": "martenrun.bench.ownership:ownership",
+    "machine-list": "martenrun.bench.machine_list:machine_list",
     "node-state": "martenrun.bench.node_state:node_state",
 }
 
--- a/src/martenrun/ownership/machine_feed.py
+++ b/src/martenrun/ownership/machine_feed.py
@@ -14,11 +14,12 @@
 
 import collections
 import random
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from martenrun.events import Event, Instruction, MachinesListed, PeerMessage, Send, Tell, Tick
 from martenrun.identity.hashing import name_hash, name_hashes, top_columns
 from martenrun.membership.view import Member, MemberView
+from martenrun.ownership.packed_machines import PackedListError, packed, unpacked
 from martenrun.platform.machine_list import Machine, shared_machine
 from martenrun.wire.messages import MachineEntry, MachinesQuery, MachinesUpdate
 
@@ -67,6 +68,9 @@
         self._last_listed: list[Machine] | None = None
         self._known: dict[str, Machine] = {}
         self._digest = 0
+        self._packed = b""
+        self._taken: list[Machine] = []
+        self._taken_digest = 0
         self._sequence = 0
         self._log: collections.deque[tuple[int, MachineEntry]] = collections.deque(
             maxlen=LOG_CHANGES
@@ -104,8 +108,8 @@
             case MachinesListed(machines) if machines is not self._last_listed:
                 self._last_listed = machines
                 self._note(machines)
-            case PeerMessage(peer, MachinesQuery(known_digest)):
-                return [Send(peer, self._changes(known_digest))]
+            case PeerMessage(peer, MachinesQuery() as query):
+                return [Send(peer, self._changes(query))]
             case PeerMessage(_, MachinesUpdate() as update):
                 if self._unanswered:
                     interval_s = PULL_INTERVAL_S if update.digest else FIRST_PULL_INTERVAL_S
@@ -126,20 +130,31 @@
             # Whoever knows nothing is sent the whole list: it needs no log.
             self._log.clear()
             self._sequence += 1
-            self._known = listed
-            self._name_state()
-            return
+            digest = self._taken_digest if machines is self._taken else _digest(listed.values())
+        else:
+            digest = self._digest ^ self._log_differences(listed)
+        self._taken = []
+        self._known = listed
+        if digest != self._digest:
+            self._name_state(digest)
+
+    def _log_differences(self, listed: dict[str, Machine]) -> int:
+        """Log what a list changes; return by what the digest differs."""
+        difference = 0
         for name in self._known.keys() - listed.keys():
+            difference ^= _fingerprint(self._known[name])
             self._append(self._known[name], REMOVED)
-        for machine in listed.values():
-            if self._known.get(machine.name) != machine:
+        for name, machine in listed.items():
+            before = self._known.get(name)
+            if before is not machine and before != machine:
+                difference ^= _fingerprint(machine)
+                difference ^= 0 if before is None else _fingerprint(before)
                 self._append(machine, machine.state)
-        if self._known != listed:
-            self._known = listed
-            self._name_state()
+        return difference
 
-    def _name_state(self) -> None:
-        self._digest = _digest(self._known)
+    def _name_state(self, digest: int) -> None:
+        self._digest = digest
+        self._packed = b""
         self._states.pop(self._digest, None)
         self._states[self._digest] = self._sequence
         if len(self._states) > LOG_CHANGES:
@@ -149,16 +164,23 @@
         self._sequence += 1
         self._log.append((self._sequence, _entry(machine, state)))
 
-    def _changes(self, known_digest: int) -> MachinesUpdate:
-        if known_digest == self._digest:
+    def _changes(self, query: MachinesQuery) -> MachinesUpdate:
+        if query.known_digest == self._digest:
             return MachinesUpdate(self._digest)
-        since = self._states.get(known_digest)
+        since = self._states.get(query.known_digest)
         if since is None or since < self._sequence - len(self._log):
-            entries = [_entry(machine, machine.state) for machine in self._known.values()]
-            return MachinesUpdate(self._digest, True, entries)
+            return self._whole(query.takes_packed)
         changes = {entry.name: entry for sequence, entry in self._log if sequence > since}
         return MachinesUpdate(self._digest, False, list(changes.values()))
 
+    def _whole(self, takes_packed: bool) -> MachinesUpdate:
+        if not takes_packed:
+            entries = [_entry(machine, machine.state) for machine in self._known.values()]
+            return MachinesUpdate(self._digest, True, entries)
+        if not self._packed:
+            self._packed = packed(self._known.values())
+        return MachinesUpdate(self._digest, True, [], self._packed)
+
     def _pull(self) -> list[Instruction]:
         readers = self.readers()
         own = self._members.own.address
@@ -174,33 +196,55 @@
         self._unheard += 1
         reader = readers[(self._turn + name_hash(own.encode())) % len(readers)]
         is_lost = self._mismatches >= MISMATCHES
-        return [Send(reader, MachinesQuery(ASK_FOR_ALL if is_lost else self._digest))]
+        return [Send(reader, MachinesQuery(ASK_FOR_ALL if is_lost else self._digest, True))]
 
     def _take(self, update: MachinesUpdate) -> list[Instruction]:
         self._unanswered = self._unheard = 0
         if update.digest in (0, self._digest):
             # A reader that has not seen the list yet knows nothing better.
             return []
-        machines = {} if update.complete else dict(self._known)
-        for entry in update.machines:
-            if entry.state == REMOVED:
-                machines.pop(entry.name, None)
-            else:
-                machines[entry.name] = _machine(entry, self._known.get(entry.name))
-        if _digest(machines) != update.digest:
+        try:
+            machines, digest = self._whole_of(update) if update.complete else self._with(update)
+        except PackedListError:
+            self._mismatches = MISMATCHES
+            return []
+        if digest != update.digest:
             self._mismatches += 1
             return []
         self._mismatches = 0
-        return [Tell(MachinesListed(list(machines.values())))]
+        self._taken, self._taken_digest = list(machines.values()), digest
+        return [Tell(MachinesListed(self._taken))]
+
+    def _whole_of(self, update: MachinesUpdate) -> tuple[dict[str, Machine], int]:
+        """Return the machines of a whole list and its digest; raises PackedListError."""
+        listed = unpacked(update.packed) if update.packed else map(_machine, update.machines)
+        machines = {each.name: shared_machine(each, self._known.get(each.name)) for each in listed}
+        return machines, _digest(machines.values())
+
+    def _with(self, update: MachinesUpdate) -> tuple[dict[str, Machine], int]:
+        """Return the known machines after some changes, and their digest."""
+        machines, digest = dict(self._known), self._digest
+        for entry in update.machines:
+            before = machines.pop(entry.name, None)
+            digest ^= 0 if before is None else _fingerprint(before)
+            if entry.state != REMOVED:
+                machine = shared_machine(_machine(entry), before)
+                machines[machine.name] = machine
+                digest ^= _fingerprint(machine)
+        return machines, digest
 
 
-def _digest(machines: dict[str, Machine]) -> int:
+def _digest(machines: Iterable[Machine]) -> int:
     """Return the digest of a list, whatever its order."""
     digest = 0
-    for machine in machines.values():
-        fields = (machine.name, machine.role, machine.address, machine.zone, machine.pool)
-        digest ^= name_hash("\0".join((*fields, machine.state)).encode())
-    return digest & _DIGEST_MASK
+    for machine in machines:
+        digest ^= _fingerprint(machine)
+    return digest
+
+
+def _fingerprint(machine: Machine) -> int:
+    fields = (machine.name, machine.role, machine.address, machine.zone, machine.pool)
+    return name_hash("\0".join((*fields, machine.state)).encode()) & _DIGEST_MASK
 
 
 def _entry(machine: Machine, state: str) -> MachineEntry:
@@ -209,6 +253,5 @@
     )
 
 
-def _machine(entry: MachineEntry, before: Machine | None) -> Machine:
-    machine = Machine(entry.name, entry.role, entry.address, entry.zone, entry.pool, entry.state)
-    return shared_machine(machine, before)
+def _machine(entry: MachineEntry) -> Machine:
+    return Machine(entry.name, entry.role, entry.address, entry.zone, entry.pool, entry.state)
--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -202,6 +202,7 @@
 
 struct MachinesQuery {
   1: i64 known_digest
+  2: bool takes_packed
 }
 
 struct MachineEntry {
@@ -217,6 +218,7 @@
   1: i64 digest
   2: bool complete
   3: list<MachineEntry> machines
+  4: binary packed
 }
 
 struct MemberClaim {
--- a/tests/test_ownership_parts.py
+++ b/tests/test_ownership_parts.py
@@ -332,13 +332,53 @@
     assert known[0]["r1"].zone is known[0]["r2"].zone, "few texts that many machines have"
 
 
+def test_a_whole_list_is_packed_once_and_one_that_can_not_be_read_is_asked_for_again():
+    reader = MachineFeed(StaticMemberView(OWN, [OWN]), random.Random(1))
+    reader.handle(MachinesListed([machine("r1"), machine("r2", zone="b")]), 0.0)
+    asked = PeerMessage("node", MachinesQuery(0, True))
+    (first,), (second,) = reader.handle(asked, 0.0), reader.handle(asked, 0.0)
+    assert first.message.packed is second.message.packed and not first.message.machines
+    taker = MachineFeed(StaticMemberView(OTHER, [OWN]), random.Random(2))
+    broken = MachinesUpdate(first.message.digest, True, [], first.message.packed[:-9])
+    assert taker.handle(PeerMessage(OWN.address, broken), 0.0) == []
+    (query,) = taker.handle(Tick(), 5.0)
+    assert query.message == MachinesQuery(ASK_FOR_ALL, True)
+    (told,) = taker.handle(PeerMessage(OWN.address, first.message), 5.0)
+    assert told.event.machines == [machine("r1"), machine("r2", zone="b")]
+    reader.handle(MachinesListed([machine("r1")]), 0.0)
+    (changed,) = reader.handle(asked, 0.0)
+    (told,) = taker.handle(PeerMessage(OWN.address, changed.message), 5.0)
+    assert told.event.machines == [machine("r1")]
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_digests_kept_from_change_to_change_are_those_of_the_lists(seed):
+    rng = random.Random(seed)
+    followed = MachineFeed(StaticMemberView(OWN, [OWN]), random.Random(1))
+    taker = MachineFeed(StaticMemberView(OTHER, [OWN]), random.Random(2))
+    for step in range(40):
+        names = rng.sample(range(12), rng.randrange(1, 12))
+        listed = [machine(f"r{n}", rng.choice(["live", "leaving"])) for n in names]
+        followed.handle(MachinesListed(listed), 0.0)
+        (query,) = taker.handle(Tick(), step * 5.0)
+        (answer,) = followed.handle(PeerMessage(OTHER.address, query.message), 0.0)
+        for told in taker.handle(PeerMessage(OWN.address, answer.message), step * 5.0):
+            taker.handle(told.event, step * 5.0)
+        fresh = MachineFeed(StaticMemberView(OWN, [OWN]), random.Random(1))
+        fresh.handle(MachinesListed(listed), 0.0)
+        (whole,) = fresh.handle(PeerMessage("node", MachinesQuery(ASK_FOR_ALL, True)), 0.0)
+        (known,) = taker.handle(PeerMessage("node", MachinesQuery(ASK_FOR_ALL, True)), 0.0)
+        assert answer.message.digest == known.message.digest == whole.message.digest
+        assert taker._known == {each.name: each for each in listed}
+
+
 def test_an_update_that_does_not_lead_to_its_digest_changes_nothing():
     taker = MachineFeed(StaticMemberView(OTHER, [OWN]), random.Random(2))
     wrong = MachinesUpdate(77, False, [MachineEntry("r", "engine", "10.1.0.1:80", "a")])
     for _time in range(MISMATCHES):
         assert taker.handle(PeerMessage(OWN.address, wrong), 0.0) == []
     (query,) = taker.handle(Tick(), 0.0)
-    assert query.message == MachinesQuery(ASK_FOR_ALL)
+    assert query.message == MachinesQuery(ASK_FOR_ALL, True)
 
 
 def test_a_lease_lives_while_it_is_renewed_and_ends_when_its_home_is_gone():
