The machine feed keeps the list that others keep too, without a dictionary

Cause: the feed held a dictionary of all machines beside the list itself, 35 bytes a machine, which only a change needs.

Ruled out, by reckoning: owners computed when asked for, with a cache (a cache that hits holds as much as the dictionary of owners, 35 bytes); runners' states made when first asked for (a home touches most runners within minutes).

--- a/src/martenrun/ownership/machine_feed.py
+++ b/src/martenrun/ownership/machine_feed.py
@@ -65,8 +65,8 @@
     def __init__(self, members: MemberView, rng: random.Random) -> None:
         self._members = members
         self._rng = rng
-        self._last_listed: list[Machine] | None = None
-        self._known: dict[str, Machine] = {}
+        # Only the list is kept, which others keep too: a dictionary is made when it changes.
+        self._known: list[Machine] = []
         self._digest = 0
         self._packed = b""
         self._taken: list[Machine] = []
@@ -105,8 +105,7 @@
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
         match event:
-            case MachinesListed(machines) if machines is not self._last_listed:
-                self._last_listed = machines
+            case MachinesListed(machines) if machines is not self._known:
                 self._note(machines)
             case PeerMessage(peer, MachinesQuery() as query):
                 return [Send(peer, self._changes(query))]
@@ -125,27 +124,28 @@
 
     def _note(self, machines: list[Machine]) -> None:
         """Log what differs from the list known before, and name the new state."""
-        listed = {machine.name: machine for machine in machines}
         if not self._known:
             # Whoever knows nothing is sent the whole list: it needs no log.
             self._log.clear()
             self._sequence += 1
-            digest = self._taken_digest if machines is self._taken else _digest(listed.values())
+            is_taken = machines is self._taken
+            digest = self._taken_digest if is_taken else _digest(_by_name(machines).values())
         else:
-            digest = self._digest ^ self._log_differences(listed)
+            digest = self._digest ^ self._log_differences(_by_name(machines))
         self._taken = []
-        self._known = listed
+        self._known = machines
         if digest != self._digest:
             self._name_state(digest)
 
     def _log_differences(self, listed: dict[str, Machine]) -> int:
         """Log what a list changes; return by what the digest differs."""
         difference = 0
-        for name in self._known.keys() - listed.keys():
-            difference ^= _fingerprint(self._known[name])
-            self._append(self._known[name], REMOVED)
+        known = _by_name(self._known)
+        for name in known.keys() - listed.keys():
+            difference ^= _fingerprint(known[name])
+            self._append(known[name], REMOVED)
         for name, machine in listed.items():
-            before = self._known.get(name)
+            before = known.get(name)
             if before is not machine and before != machine:
                 difference ^= _fingerprint(machine)
                 difference ^= 0 if before is None else _fingerprint(before)
@@ -175,10 +175,10 @@
 
     def _whole(self, takes_packed: bool) -> MachinesUpdate:
         if not takes_packed:
-            entries = [_entry(machine, machine.state) for machine in self._known.values()]
+            entries = [_entry(machine, machine.state) for machine in self._known]
             return MachinesUpdate(self._digest, True, entries)
         if not self._packed:
-            self._packed = packed(self._known.values())
+            self._packed = packed(self._known)
         return MachinesUpdate(self._digest, True, [], self._packed)
 
     def _pull(self) -> list[Instruction]:
@@ -218,12 +218,13 @@
     def _whole_of(self, update: MachinesUpdate) -> tuple[dict[str, Machine], int]:
         """Return the machines of a whole list and its digest; raises PackedListError."""
         listed = unpacked(update.packed) if update.packed else map(_machine, update.machines)
-        machines = {each.name: shared_machine(each, self._known.get(each.name)) for each in listed}
+        known = _by_name(self._known)
+        machines = {each.name: shared_machine(each, known.get(each.name)) for each in listed}
         return machines, _digest(machines.values())
 
     def _with(self, update: MachinesUpdate) -> tuple[dict[str, Machine], int]:
         """Return the known machines after some changes, and their digest."""
-        machines, digest = dict(self._known), self._digest
+        machines, digest = _by_name(self._known), self._digest
         for entry in update.machines:
             before = machines.pop(entry.name, None)
             digest ^= 0 if before is None else _fingerprint(before)
@@ -234,6 +235,10 @@
         return machines, digest
 
 
+def _by_name(machines: Iterable[Machine]) -> dict[str, Machine]:
+    return {machine.name: machine for machine in machines}
+
+
 def _digest(machines: Iterable[Machine]) -> int:
     """Return the digest of a list, whatever its order."""
     digest = 0
--- a/tests/test_ownership_parts.py
+++ b/tests/test_ownership_parts.py
@@ -359,7 +359,8 @@
     for step in range(40):
         names = rng.sample(range(12), rng.randrange(1, 12))
         listed = [machine(f"r{n}", rng.choice(["live", "leaving"])) for n in names]
-        followed.handle(MachinesListed(listed), 0.0)
+        # A machine that is listed twice counts once.
+        followed.handle(MachinesListed([*listed, listed[0]]), 0.0)
         (query,) = taker.handle(Tick(), step * 5.0)
         (answer,) = followed.handle(PeerMessage(OTHER.address, query.message), 0.0)
         for told in taker.handle(PeerMessage(OWN.address, answer.message), step * 5.0):
@@ -369,7 +370,8 @@
         (whole,) = fresh.handle(PeerMessage("node", MachinesQuery(ASK_FOR_ALL, True)), 0.0)
         (known,) = taker.handle(PeerMessage("node", MachinesQuery(ASK_FOR_ALL, True)), 0.0)
         assert answer.message.digest == known.message.digest == whole.message.digest
-        assert taker._known == {each.name: each for each in listed}
+        by_name = [sorted(known, key=str) for known in (taker._known, listed)]
+        assert by_name[0] == by_name[1]
 
 
 def test_an_update_that_does_not_lead_to_its_digest_changes_nothing():
