Give engines the whole time allowed for their first token

Cause: an attempt's connection is made with ENGINE_CONNECT_TIMEOUT_S (1 s). urllib3 puts a connection's own time-out on the socket again when it sends a request and when it reads an answer's head, so first_event_timeout_s never held: any answer, streamed or plain, that began later than 1 s ended as 'unknown'. Repeatable requests were run again elsewhere, others got outcome_unknown.

Change: the connection's time-out becomes first_event_timeout_s once it is connected.

Test: an answer that begins later than a connection may take is complete, and one later than first_event_timeout_s is not; both cases fail without the change.

--- a/src/martenrun/platform/attempt.py
+++ b/src/martenrun/platform/attempt.py
@@ -107,6 +107,8 @@
         self._connection.connect()
         self._socket = self._connection.sock
         assert self._socket is not None
+        # urllib3 sets this on the socket again when it sends, and when it reads an answer's head.
+        self._connection.timeout = self._request.first_event_timeout_s
         self._socket.settimeout(self._request.first_event_timeout_s)
         if self._aborted:
             raise ConnectionAbortedError("aborted before anything was sent")
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -3,12 +3,14 @@
 import concurrent.futures
 import json
 import threading
+import time
 
 import pytest
 import urllib3
 from deployment import free_address, wait_until
 
 from engine_server import SLOW, running_engine, served, text_of
+from martenrun.platform import attempt as attempt_module
 from martenrun.platform.attempt import EngineAttempt
 from martenrun.platform.engine import AttemptOutcome, EngineRequest
 from martenrun.platform.stream_progress import StreamProgress
@@ -83,6 +85,28 @@
             assert outcome(address, f"/{status}") is AttemptOutcome.UNKNOWN
 
 
+@pytest.mark.parametrize("stream", [True, False])
+def test_an_answer_may_begin_later_than_a_connection_may_take(stream, monkeypatch):
+    monkeypatch.setattr(attempt_module, "ENGINE_CONNECT_TIMEOUT_S", 0.05)
+    late_s = 0.2
+
+    def answer_late(environ, start_response):
+        time.sleep(late_s)
+        start_response("200 OK", [])
+        return iter([b"data: [DONE]\n\n"]) if stream else [b"{}"]
+
+    with served(answer_late) as address:
+        for limit_s, expected in (
+            (late_s / 2, AttemptOutcome.UNKNOWN),
+            (60.0, AttemptOutcome.COMPLETE),
+        ):
+            request = EngineRequest("/", b"{}", "", stream, first_event_timeout_s=limit_s)
+            attempt = EngineAttempt(address, request, StreamProgress())
+            list(attempt.events())
+            attempt.close()
+            assert attempt.result.outcome is expected
+
+
 def test_a_crash_breaks_streams_and_comes_back_empty_under_the_same_address():
     with running_engine(times=SLOW) as engine:
         engine.run(prompt="x" * 8_000, max_tokens=1)
