Hold a request while an edge fetches its first copy of the configuration

Cause: an agent without a copy asked one random node at a time, and answered node_unavailable at once while it had none.

Change: it asks three nodes each 0.25 s, and its edge holds a request for 2 s, at most half the request's time, then refuses with not_ready, ran no, Retry-After. The held time counts towards the deadline. The simulated edge does the same with the same bounds.

The checker counts not_ready as not served as well, so that the new code hides nothing. The test that takes agents' offers out of the nodes also takes the hold out: held requests outlast the agents' own questions, so that the offers alone no longer decide.

--- a/src/martenrun/agent/configuration.py
+++ b/src/martenrun/agent/configuration.py
@@ -10,7 +10,9 @@
 QUERY_INTERVAL_S = 2.0
 """Mean time between two questions for newer configuration, in seconds."""
 FIRST_QUERY_S = 0.25
-"""Time between two questions while the agent has no configuration, in seconds."""
+"""Time between two rounds of questions while the agent has no configuration, in seconds."""
+FIRST_FANOUT = 3
+"""Random nodes asked in each of those rounds: some may be dead, cut off or empty themselves."""
 OFFER_FANOUT = 3
 """Other nodes to which an agent offers its copy after it has met an empty node."""
 OFFER_INTERVAL_S = 0.25
@@ -18,7 +20,7 @@
 
 
 class AgentConfigurationLogic:
-    """Asks a random node for configuration newer than the own copy, and answers nodes.
+    """Asks random nodes for configuration newer than the own copy, and answers nodes.
 
     The copy outlives the nodes: restarted nodes learn from it.
 
@@ -69,8 +71,9 @@
         is_new = self.state.revision == 0
         self._replica.asked(now, FIRST_QUERY_S if is_new else QUERY_INTERVAL_S)
         nodes = sorted({*self.live_nodes(), *self._seed_nodes})
-        if not nodes:
-            return []
+        chosen = self._rng.sample(nodes, min(FIRST_FANOUT if is_new else 1, len(nodes)))
         digest = nodes_digest(self.state.nodes)
-        query = ConfigurationQuery(self.state.revision, nodes_digest=digest)
-        return [Send(self._rng.choice(nodes), query)]
+        return [
+            Send(node, ConfigurationQuery(self.state.revision, nodes_digest=digest))
+            for node in chosen
+        ]
--- a/src/martenrun/edge/application.py
+++ b/src/martenrun/edge/application.py
@@ -7,8 +7,9 @@
 from werkzeug.wrappers import Request, Response
 
 from martenrun.configuration.view import ConfigurationView
+from martenrun.edge.first_copy import wait_for_first_copy
 from martenrun.edge.forward import CallerLeft, EdgePort, Forwarder
-from martenrun.edge.request import bearer_token, parse_request, read_body
+from martenrun.edge.request import bearer_token, deadline_s, parse_request, read_body
 from martenrun.edge.responses import error_response, json_response
 from martenrun.edge.streams import PieceStream, StreamSlot, StreamSlots
 from martenrun.errors import MartenrunError, NodeUnavailableError, StoppingError
@@ -114,17 +115,19 @@
     def _carry(
         self, request: Request, slot: StreamSlot, observation: RequestObservation
     ) -> Response:
+        caller_gone = request.environ.get("waitress.client_disconnected", lambda: False)
+        copy = wait_for_first_copy(self._view, deadline_s(request.headers), caller_gone)
         caller_request = parse_request(
             request.path,
             request.headers,
             read_body(request),
-            self._view(),
+            copy.view,
             self._settings.zone,
         )
+        caller_request.question.deadline_s -= copy.held_s
         observation.identified(
             caller_request.question, caller_request.caller_id, caller_request.pool
         )
-        caller_gone = request.environ.get("waitress.client_disconnected", lambda: False)
         pieces = Forwarder(
             self._port,
             self._engines,
--- a/src/martenrun/edge/request.py
+++ b/src/martenrun/edge/request.py
@@ -14,7 +14,7 @@
     DeadlineExceededError,
     InvalidKeyError,
     InvalidRequestError,
-    NodeUnavailableError,
+    NotReadyError,
 )
 from martenrun.identity.chain import chain_seed, hash_chain
 from martenrun.identity.prompt import (
@@ -102,7 +102,7 @@
         MartenrunError: of the kind that fits the first fault found.
     """
     if view.revision == 0:
-        raise NodeUnavailableError("no configuration has arrived yet", retry_after_s=1.0)
+        raise NotReadyError("no configuration has arrived yet", retry_after_s=1.0)
     tenant = view.key_of(bearer_token(headers)).tenant
     view.tenant(tenant)
     body, fields = _decode(data)
@@ -119,7 +119,7 @@
         prompt_bytes=len(text),
         maximum_output_tokens=_output_tokens(body),
         priority=body.priority,
-        deadline_s=_deadline_s(headers),
+        deadline_s=deadline_s(headers),
         idempotency_key="" if repeatable else _idempotency_key(headers),
         zone=zone,
     )
@@ -164,7 +164,8 @@
     return key
 
 
-def _deadline_s(headers: Headers) -> float:
+def deadline_s(headers: Headers) -> float:
+    """Return how long a request may take, in seconds; raises MartenrunError if it is not told."""
     text = headers.get("X-Deadline-Seconds")
     if text is None:
         return DEFAULT_DEADLINE_S
--- a/src/martenrun/proof/checkers/restart.py
+++ b/src/martenrun/proof/checkers/restart.py
@@ -30,7 +30,9 @@
 SIGHTING_INTERVAL_S = 0.5
 """Longest time between two sightings of a process's configuration, in seconds."""
 
-UNSERVED_CODES = frozenset({"invalid_api_key", "model_not_found", "node_unavailable", "no_runner"})
+UNSERVED_CODES = frozenset(
+    {"invalid_api_key", "model_not_found", "no_runner", "node_unavailable", "not_ready"}
+)
 """Refusals that show that the router does not know its configuration, nodes or runners."""
 
 
--- a/src/martenrun/proof/processes.py
+++ b/src/martenrun/proof/processes.py
@@ -13,7 +13,8 @@
 
 from martenrun.admin.application import AdminApplication
 from martenrun.agent.parts import AgentParts, agent_parts
-from martenrun.edge.request import parse_request
+from martenrun.edge.first_copy import LOOK_INTERVAL_S, longest_hold_s
+from martenrun.edge.request import deadline_s, parse_request
 from martenrun.errors import MartenrunError, NodeUnavailableError, StoppingError
 from martenrun.events import (
     CacheEventsRead,
@@ -84,6 +85,7 @@
         self._around = around
         self._runs = 0
         self._waiting: list[Callable[[], None]] = []
+        self._held = 0
         self.start()
 
     @property
@@ -165,7 +167,10 @@
 
     def drain_steps(self) -> list[DrainStep]:
         """Return what a planned stop waits for: the streams that are running."""
-        return [DrainStep(lambda: self.edge.active_count > 0, self.settings.drain_timeout_s)]
+        return [DrainStep(self._has_requests, self.settings.drain_timeout_s)]
+
+    def _has_requests(self) -> bool:
+        return self.edge.active_count + self._held > 0
 
     def freeze(self) -> None:
         """Pause the process."""
@@ -192,18 +197,38 @@
         else:
             self._serve(headers, body)
 
-    def _serve(self, headers: Mapping[str, str], body: bytes) -> None:
+    def _serve(self, headers: Mapping[str, str], body: bytes, held_s: float = 0.0) -> None:
+        fields = Headers(dict(headers))
+        view = self.parts.view()
         try:
-            parsed = parse_request(
-                COMPLETION_PATH, Headers(dict(headers)), body, self.parts.view(), self.place.zone
-            )
+            if view.revision == 0 and held_s < longest_hold_s(deadline_s(fields)):
+                self._hold(headers, body, held_s)
+                return
+            parsed = parse_request(COMPLETION_PATH, fields, body, view, self.place.zone)
         except MartenrunError as error:
             self.edge.answer(headers["X-Request-Id"], None, error)
             return
         # Ids are drawn at random in the product; here they are the callers', for repeatability.
         parsed.question.request_id = headers["X-Request-Id"]
+        parsed.question.deadline_s -= held_s
         self.edge.begin(parsed)
 
+    def _hold(self, headers: Mapping[str, str], body: bytes, held_s: float) -> None:
+        """Look again later whether the configuration has come, as the product's edge does."""
+        run = self._runs
+        self._held += 1
+
+        def look_again() -> None:
+            self._held -= 1
+            if run != self._runs or not self.hollow.is_alive:
+                self.edge.lose(headers["X-Request-Id"], [])
+            elif self.hollow.is_frozen:
+                self._waiting.append(lambda: self.request(headers, body))
+            else:
+                self._serve(headers, body, held_s + LOOK_INTERVAL_S)
+
+        self._around.scheduler.after(LOOK_INTERVAL_S, look_again)
+
 
 class SimulatedAgent(SimulatedProcess):
     """An agent."""
--- a/tests/test_proof_simulation.py
+++ b/tests/test_proof_simulation.py
@@ -8,6 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from martenrun.agent import configuration as agent_configuration
 from martenrun.agent.active import ActiveRequest
 from martenrun.agent.configuration import AgentConfigurationLogic
 from martenrun.agent.requests import RequestsLogic
@@ -22,6 +23,7 @@
 from martenrun.ownership.stall import MachineListAge
 from martenrun.platform.engine import AttemptOutcome
 from martenrun.platform.machine_list import Machine
+from martenrun.proof import processes
 from martenrun.proof.checkers.restart import check_restart
 from martenrun.proof.drain import DrainStep
 from martenrun.proof.history import (
@@ -117,6 +119,13 @@
     load_s=7.512159991545346,
     requests_per_s=9.454497896720301,
 )
+AGENTS_RESTARTED = schedule(
+    *(fault(FaultKind.KILL_NODE, 1.0, 8.0, index) for index in range(3)),
+    *(fault(FaultKind.KILL_AGENT, 2.0 + 1.6 * index, 0.3, index % 2) for index in range(4)),
+    nodes=4,
+    agents=2,
+    requests_per_s=32.0,
+)
 REGIONS_CUT = schedule(
     fault(FaultKind.CUT_REGIONS, 1.0, 6.0),
     *(fault(FaultKind.RACE_OPERATORS, 1.2 + 0.5 * index) for index in range(12)),
@@ -254,7 +263,18 @@
     monkeypatch.setattr(NodeConfigurationLogic, "_handle", handle_no_update)
 
 
+def hold_no_request(monkeypatch):
+    monkeypatch.setattr(processes, "longest_hold_s", lambda deadline_s: 0.0)
+
+
+def ask_one_node_and_hold_no_request(monkeypatch):
+    hold_no_request(monkeypatch)
+    monkeypatch.setattr(agent_configuration, "FIRST_FANOUT", 1)
+
+
 def ask_no_agent_before_it_asks(monkeypatch):
+    # A request that is held for the first copy would outlast the wait for the agent's question.
+    hold_no_request(monkeypatch)
     monkeypatch.setattr(NodeConfigurationLogic, "_may_have_copy", lambda self, peer: False)
     monkeypatch.setattr(AgentConfigurationLogic, "_offer", lambda self, peer, query, now: [])
 
@@ -329,6 +349,7 @@
     ("leaving", trust_an_old_machine_list, PAUSED_NODE),
     ("leaving", use_grants_from_before_a_pause, PAUSED_AGENT),
     ("restart", ask_no_agent_before_it_asks, RESTART_ALL_WITHOUT_STORE),
+    ("restart", ask_one_node_and_hold_no_request, AGENTS_RESTARTED),
     ("restart", take_no_configuration_from_peers, RESTART_WITHOUT_STORE),
     ("cache_use", share_cache_between_tenants, schedule()),
     ("streams", take_broken_streams_as_whole, CRASHES),
