Let a restarted watcher take up its own lease first

Cause: a node that starts knows few members and is dealt the first slot of its region.

Change: it reads each lease of its region once and takes the one that names it. What was seen of each lease is kept per slot, so that the other look does not restart the time-out. A free second slot is not taken, so that members that are not known yet find theirs.

The test restarts each of two watchers with the other one paused, five times.

--- a/src/martenrun/configuration/watching.py
+++ b/src/martenrun/configuration/watching.py
@@ -12,6 +12,7 @@
 import random
 import re
 from collections.abc import Sequence
+from dataclasses import dataclass
 from math import inf
 
 import msgspec
@@ -66,9 +67,20 @@
     renewals: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Sighting:
+    """The version of a lease, and since when it has been seen unchanged."""
+
+    version: int = 0
+    at: float = 0.0
+
+
 class StoreWatching:
     """Holds or seeks a watcher's lease, and watches while it holds one.
 
+    A node that starts reads each lease of its region once: one may be its own, from before its
+    restart.  Which slot it seeks depends on the members that it knows, and those are few then.
+
     Args:
         state: the configuration in force; updates are applied to it.
         members: the live nodes.
@@ -94,8 +106,9 @@
         self._has_looked = False
         self._next_look: float | None = None
         self._next_renewal = 0.0
-        self._lease_version = 0
-        self._lease_seen_at = 0.0
+        self._sightings: dict[str, _Sighting] = {}
+        self._unread: list[str] | None = None
+        self._seeks_own = False
         self._renewals = 0
         self._calls = 0
         self._is_watching = False
@@ -178,9 +191,8 @@
         # Candidates are dealt out to the slots in turn, so that two nodes fill two slots.
         slots = self.slots()
         slot = slots[place % len(slots)]
-        if slot != self.slot and not self.holds_lease:
+        if not self.holds_lease:
             self.slot = slot
-            self._lease_version = 0
         return place // len(slots)
 
     def _step(self, event: str, now: float) -> list[Instruction]:
@@ -196,12 +208,18 @@
     def _read_lease(self, now: float) -> list[Instruction]:
         rank = self._rank()
         self._next_look = now + LOOK_S * max(1, rank) * (0.75 + 0.5 * self._rng.random())
+        self._seeks_own = bool(self._unread)
+        if self._unread is None:
+            self._unread = [slot for slot in self.slots() if slot != self.slot]
+        elif self._unread:
+            self.slot = self._unread.pop()
         self._calls += 1
         return [StoreRead(self._call_id(), LEASE_KIND, self.slot)]
 
     def _look_soon(self, now: float) -> list[Instruction]:
         """Read the lease again soon: an own write may have taken effect unnoticed."""
         self._next_look = now + LOOK_SOON_S * (0.5 + self._rng.random())
+        self._unread = [self.slot] if self._seeks_own else []
         return []
 
     def _write_lease(self, now: float) -> list[Instruction]:
@@ -209,27 +227,31 @@
         self._renewals += 1
         self._calls += 1
         document = msgspec.json.encode(WatcherLease(self._members.own.address, self._renewals))
-        return [StoreWrite(self._call_id(), LEASE_KIND, self.slot, self._lease_version, document)]
+        seen = self._sightings.get(self.slot, _Sighting())
+        return [StoreWrite(self._call_id(), LEASE_KIND, self.slot, seen.version, document)]
 
     def _lease_answered(self, answer: StoreAnswered, now: float) -> list[Instruction]:
         if self.phase == "reading":
-            return self._step(self._lease_event(answer, now), now)
+            event = self._lease_event(answer, now)
+            if event == "lease_held" and self._unread:
+                self._next_look = now
+            return self._step(event, now)
         if answer.outcome is StoreOutcome.DONE:
-            self._lease_version = answer.version
+            self._sightings[self.slot] = _Sighting(answer.version, now)
         return self._step(_EVENT_OF[answer.outcome], now)
 
     def _lease_event(self, answer: StoreAnswered, now: float) -> str:
         if answer.outcome is StoreOutcome.NOT_FOUND:
-            self._lease_version = 0
-            return "lease_free"
+            self._sightings.pop(self.slot, None)
+            return "lease_held" if self._seeks_own else "lease_free"
         if answer.outcome is not StoreOutcome.DONE or answer.found is None:
             return "read_failed"
-        if answer.version != self._lease_version:
-            self._lease_version = answer.version
-            self._lease_seen_at = now
+        seen = self._sightings.get(self.slot)
+        if seen is None or seen.version != answer.version:
+            seen = self._sightings[self.slot] = _Sighting(answer.version, now)
         lease = msgspec.json.decode(answer.found.document, type=WatcherLease)
         is_own = lease.holder == self._members.own.address
-        is_lapsed = now - self._lease_seen_at >= LEASE_TIMEOUT_S
+        is_lapsed = now - seen.at >= LEASE_TIMEOUT_S
         return "lease_free" if is_own or is_lapsed else "lease_held"
 
     def _start_watch(self, now: float) -> list[Instruction]:
--- a/tests/test_configuration_replication.py
+++ b/tests/test_configuration_replication.py
@@ -50,12 +50,12 @@
                 {},
             )
 
-    def start_node(self, member, run=0):
+    def start_node(self, member, run=0, others_known=True):
         name = member.address
         logic = NodeConfigurationLogic(
             name,
             [other.address for other in self.members],
-            StaticMemberView(member, self.members),
+            StaticMemberView(member, self.members if others_known else [member]),
             random.Random(f"{name}/{run}"),
         )
         self._start(name, logic, self.store.carriers(name, lambda e: self.processes[name].tell(e)))
@@ -241,6 +241,27 @@
     cluster.run_until(lambda: len(cluster.watchers()) == 2, 20)
 
 
+@pytest.mark.parametrize("run", range(1, 6))
+def test_a_restarted_watcher_takes_its_own_lease_while_the_other_one_is_paused(run):
+    cluster = Cluster(nodes=2, agents=1, loss=0.0)
+    cluster.publish(1)
+    cluster.run_until(lambda: len(cluster.watchers()) == 2, 12)
+    for restarted in range(2):
+        member, paused = cluster.members[restarted], cluster.members[1 - restarted].address
+        cluster.processes[member.address].kill()
+        cluster.processes[paused].freeze()
+        cluster.start_node(member, run, others_known=False)
+        cluster.run_until(lambda member=member: member.address in cluster.watchers(), 4)
+        cluster.processes[paused].thaw()
+        cluster.run_until(lambda: len(cluster.watchers()) == 2, 4)
+
+
+def test_an_agent_without_a_copy_asks_several_nodes_at_once():
+    nodes = [f"10.0.0.{index}:1" for index in range(8)]
+    sent = AgentConfigurationLogic(nodes, random.Random(1)).handle(Tick(), 0.0)
+    assert len({query.peer for query in sent}) == 3
+
+
 def test_watchers_outlive_lost_answers_of_the_store(cluster):
     cluster.store.faults.lose_write_probability = 0.5
     cluster.store.faults.lose_read_probability = 0.3
