Ask late nodes once more, and use no runner that the edge knows to leave

Change: an unanswered question is sent once more after half its time, with the same number; the home repeats the grant it has given. Once all nodes have been asked in vain they have twice the time.

Weighed: taking a late grant of a withdrawn question: its claim may be released by then, and a copy of the request may run. Searching for longer than 4 s: refusals would come later for nothing when no node lives.

One that is granted again although it was excluded ends the request as no_runner.

--- a/src/martenrun/agent/active.py
+++ b/src/martenrun/agent/active.py
@@ -4,6 +4,7 @@
 """
 
 from dataclasses import dataclass, field
+from math import inf
 
 from martenrun.errors import (
     DeadlineExceededError,
@@ -40,8 +41,10 @@
         asked: nodes that were silent in the present round.
         deadline: when the request must have begun to answer, on the loop's clock.
         asked_until: when the present node counts as silent.
+        repeat_at: when to send the present question once more.
         resume_at: when a pause before the next question is over.
         search_until: when to give up asking nodes in rounds; 0 while some node decides.
+        rounds: rounds over all nodes since one of them has decided.
         attempts: attempts at engines that have ended.
         ran: whether any attempt ran it, as far as is known.
         has_output: whether the caller has received output.
@@ -53,8 +56,10 @@
     nodes: list[str]
     deadline: float
     asked_until: float = 0.0
+    repeat_at: float = inf
     resume_at: float = 0.0
     search_until: float = 0.0
+    rounds: int = 0
     attempt: int = 0
     attempts: int = 0
     grant: Grant | None = None
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -148,7 +148,9 @@
         lambda: configuration.watching.holds_lease,
         lambda: retention_of(configuration.state.view),
     )
-    requests = RequestsLogic(lambda: [member.address for member in members.live()], rng)
+    requests = RequestsLogic(
+        lambda: [member.address for member in members.live()], rng, runners.is_leaving
+    )
     feed = MachineFeed(members, rng)
     status = StatusLogic(configuration, members)
     drain = NodeDrainLogic(settings.name, lambda: configuration.state.view)
--- a/src/martenrun/node/runners.py
+++ b/src/martenrun/node/runners.py
@@ -49,6 +49,11 @@
                 self._update_runner(event, now)
         return []
 
+    def is_leaving(self, name: str) -> bool:
+        """Return whether a runner is known to be leaving; one that is not known is not."""
+        runner = self.runners.get(name)
+        return runner is not None and runner.leaving
+
     def usable(self, pool: str, excluded: list[str]) -> list[RunnerState]:
         """Return the pool's runners that may get new work, without the excluded ones."""
         return [
--- a/src/martenrun/ownership/home.py
+++ b/src/martenrun/ownership/home.py
@@ -22,7 +22,7 @@
 from martenrun.ownership.owner_answers import OwnerAnswers
 from martenrun.ownership.owners import OwnerMap
 from martenrun.ownership.question_steps import QuestionSteps
-from martenrun.ownership.questions import OpenQuestion
+from martenrun.ownership.questions import OpenQuestion, granted_message
 from martenrun.ownership.reservations import ReservationTable
 from martenrun.platform.engine import AttemptOutcome
 from martenrun.routing.policy import RoutingPolicy
@@ -125,7 +125,7 @@
         instructions: list[Instruction] = []
         if present is not None:
             if question.attempt <= present.question.attempt:
-                return []
+                return self._repeated(present, question)
             instructions += self._steps.step(present, "withdrawn", now)
         try:
             opened = self._opener.open(agent, question, self._steps.initial_state, now)
@@ -134,6 +134,14 @@
             return [*instructions, Send(agent, refusal_of(question, error))]
         return instructions + self._steps.begin(opened, now)
 
+    @staticmethod
+    def _repeated(present: OpenQuestion, question: DecideRequest) -> list[Instruction]:
+        """Give a repeated question the grant that it has got already; it may have been lost."""
+        is_same = question.attempt == present.question.attempt
+        if not is_same or present.state != "granted" or present.lease is None:
+            return []
+        return [Send(present.agent, granted_message(present.question, present.lease))]
+
     def _reported(self, report: AttemptReport, now: float) -> list[Instruction]:
         question = self._steps.by_request.get(report.request_id)
         if question is None or question.question.attempt != report.attempt:
