Send no work to runners that the home knows to leave, and ask all readers after silence

Change: a home gives back a granted slot of a runner that leaves by its own list and tries the next. A pull without an answer goes to all other readers.

--- a/src/martenrun/ownership/machine_feed.py
+++ b/src/martenrun/ownership/machine_feed.py
@@ -5,8 +5,8 @@
 
 The readers are the members of highest rendezvous weight for a fixed key, so every node knows
 them without agreement.  A state of the list is named by a digest of its content.  A node pulls
-what changed since the digest it knows, from one reader at a time, and takes the next reader
-when that is silent; because digests do not depend on the reader, the next one usually knows
+what changed since the digest it knows, from one reader, and from all of them when that is
+silent; because digests do not depend on the reader, the next one usually knows
 the state and need not send the whole list.
 
 See also: :class:`martenrun.events.MachinesListed`.
@@ -34,9 +34,6 @@
 ANSWER_TIMEOUT_S = 0.375
 """Time after which a question counts as unanswered, in seconds; jittered alike."""
 
-SILENT_PULLS = 2
-"""Unanswered pulls after which another reader is asked."""
-
 CUT_OFF_PULLS = 24
 """Unanswered pulls in a row after which a node reads the list itself."""
 
@@ -157,14 +154,16 @@
         readers = [reader for reader in readers if reader != own]
         if not readers:
             return []
-        if self._unanswered >= SILENT_PULLS:
+        is_silent = self._unanswered > 0
+        if is_silent:
             self._turn += 1
-            self._unanswered = 0
         self._unanswered += 1
         self._unheard += 1
         reader = readers[(self._turn + name_hash(own.encode())) % len(readers)]
         is_lost = self._mismatches >= MISMATCHES
-        return [Send(reader, MachinesQuery(ASK_FOR_ALL if is_lost else self._digest))]
+        query = MachinesQuery(ASK_FOR_ALL if is_lost else self._digest)
+        # A cut may have left one of them: its answer must not wait for the others' silence.
+        return [Send(asked, query) for asked in (readers if is_silent else [reader])]
 
     def _take(self, update: MachinesUpdate) -> list[Instruction]:
         self._unanswered = self._unheard = 0
--- a/src/martenrun/ownership/owner_answers.py
+++ b/src/martenrun/ownership/owner_answers.py
@@ -45,6 +45,8 @@
         question = reservation.question
         if question.lease is not None:
             return []
+        if reservation.choice.runner.leaving:
+            return self._decline(reservation, now)
         reservation.choice = reservation.choice.granted_at(
             granted.incarnation, granted.weights_version
         )
@@ -59,6 +61,13 @@
             self._policy.corrected(question.question, runner.name, granted.cached_blocks)
         return self._steps.step(question, "slot_granted", now)
 
+    def _decline(self, reservation: Reservation, now: float) -> list[Instruction]:
+        """Give back a slot of a runner that leaves by this node's list; its owner's is older."""
+        instructions = self._steps.reservations.give_back([reservation])
+        question = reservation.question
+        question.refused_by_owner(reservation.runner, Reason.LEAVING)
+        return instructions + self._steps.failed(question, now)
+
     def slots_queued(self, owner: str, queued: SlotsQueued, now: float) -> list[Instruction]:
         """Reservations wait in an owner's queues."""
         self._steps.reservations.heard(owner)
--- a/tests/test_ownership_parts.py
+++ b/tests/test_ownership_parts.py
@@ -294,6 +294,15 @@
     assert new.handle(Tick(), 5.0) == [] and new.must_poll()
 
 
+def test_all_other_readers_are_asked_once_one_of_them_is_silent():
+    members = [Member(f"10.0.0.{index}:7000", "a") for index in range(1, 5)]
+    feeds = [MachineFeed(StaticMemberView(own, members), random.Random(1)) for own in members]
+    (feed,) = [feed for feed in feeds if not feed.is_reader()]
+    (first,) = feed.handle(Tick(), 0.0)
+    assert first.peer in feed.readers()
+    assert {query.peer for query in feed.handle(Tick(), 0.5)} == set(feed.readers())
+
+
 def test_another_reader_continues_without_the_whole_list_and_a_stranger_state_gets_it():
     feeds = [MachineFeed(StaticMemberView(OWN, [OWN]), random.Random(n)) for n in range(2)]
     for feed in feeds:
--- a/tests/test_proof_checkers.py
+++ b/tests/test_proof_checkers.py
@@ -114,6 +114,7 @@
 NODE = ProcessStarted(time_s=0.0, process="node", restarted=False)
 AGENT_RESTART = ProcessStarted(time_s=1.0, process="agent", restarted=True, is_node=False)
 UNSERVED = answered((), time_s=2.6, code="node_unavailable", ran="no")
+NOT_READY = answered((), time_s=4.6, code="not_ready", ran="no")
 STORE_DOWN = ProcessDisturbed(time_s=0.0, process="object-api", kind="down", until_s=9.0)
 NODE_ASKED = invoked(time_s=2.0, edge="node")
 STOP = PlannedStop(time_s=0.7, process="engine", until_s=3.0)
@@ -126,6 +127,8 @@
 LIST_DOWN = ProcessDisturbed(time_s=0.5, process="machine-list", kind="down", until_s=2.0)
 LIST_LATE = ProcessDisturbed(time_s=0.5, process="machine-list", kind="late", until_s=2.0)
 ISOLATED = ProcessDisturbed(time_s=0.5, process="agent", kind="isolated", until_s=2.0)
+HOME_ISOLATED = ProcessDisturbed(time_s=0.5, process="node", kind="isolated", until_s=2.0)
+ASKED_HOLDER = invoked(edge="holder")
 ENGINE = EngineListed(time_s=0.0, process="engine")
 OTHER = EngineListed(time_s=0.0, process="other")
 ENGINE_DEAD = ProcessDisturbed(time_s=0.5, process="engine", kind="kill", until_s=1.5)
@@ -177,6 +180,9 @@
     ("leaving", [LEAVING, LIST_DOWN, executed(time_s=5.1)]),
     ("leaving", [invoked(), ISOLATED, LEAVING, executed(time_s=5.1)]),
     ("leaving", [invoked(edge="other"), ISOLATED, LEAVING, executed(time_s=4.1)]),
+    ("leaving", [invoked(), HOME_ISOLATED, LEAVING, granted(), executed(time_s=5.1)]),
+    ("leaving", [invoked(), HOME_ISOLATED, LEAVING, executed(time_s=4.1)]),
+    ("leaving", [HOLDER, ASKED_HOLDER, HOME_ISOLATED, LEAVING, granted(), executed(time_s=4.1)]),
     ("cache_use", [executed(reused=[origin(tenant="u")])]),
     ("cache_use", [executed(reused=[origin(weights_version="v0")])]),
     ("cache_use", [executed(reused=[origin(incarnation="h")])]),
@@ -197,6 +203,7 @@
     ("restart", [KILL, RESTART, invoked(time_s=2.5, edge="node")]),
     ("restart", [KILL, in_force(0.7, 1, process="o"), STORE_DOWN, RESTART, NODE_ASKED, UNSERVED]),
     ("restart", [NODE, AGENT_RESTART, invoked(time_s=2.5), UNSERVED]),
+    ("restart", [NODE, AGENT_RESTART, invoked(time_s=2.5), NOT_READY]),
     ("restart", [LIST_LATE, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
     ("restart", [HOLDER, LIST_DOWN, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
     ("restart", [ENGINE, ENGINE_CUT, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
@@ -262,6 +269,7 @@
     ),
     ("leaving", [LEAVING, LIST_DOWN, executed(time_s=4.9)]),
     ("leaving", [invoked(), ISOLATED, LEAVING, executed(time_s=4.9)]),
+    ("leaving", [invoked(), HOME_ISOLATED, LEAVING, granted(), executed(time_s=4.9)]),
     ("cache_use", [executed(reused=[origin()]), granted()]),
     ("restart", [LIST_DOWN, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
     ("restart", [KILL, RESTART, invoked(time_s=2.5, edge="node"), answered(time_s=2.6)]),
