Ask a runner again after a failed attempt when no other takes work

The next question excluded the only engine that lived, and was refused with no_runner.

Change: excluded runners are considered once every other one is out; not while others are only full, for there the request waits.

--- a/src/martenrun/ownership/opening.py
+++ b/src/martenrun/ownership/opening.py
@@ -8,7 +8,7 @@
 from martenrun.limits.admission import AdmissionLimits
 from martenrun.ownership.loads import LoadBook
 from martenrun.ownership.questions import NO_RUNNER_RETRY_AFTER_S, OpenQuestion
-from martenrun.routing.policy import RoutingPolicy
+from martenrun.routing.policy import RoutingPolicy, RunnerChoice
 from martenrun.wire.messages import DecideRequest
 
 
@@ -34,14 +34,22 @@
         pool = self._route(question.tenant, question.model)
         self._limits.check(question, self._view().tenant(question.tenant), now)
         key = question.tenant.encode() + question.chain[:BLOCK_HASH_BYTES]
-        candidates = self._loads.candidates(pool.name, key, question.excluded_runners, now)
-        if not candidates:
+        excluded = question.excluded_runners
+        candidates = self._loads.candidates(pool.name, key, excluded, now)
+        spare = self._spare(pool.name, key, excluded, now) if excluded else []
+        if not candidates and not spare:
             self._limits.ended(question.request_id, now, 0.0)
             raise NoRunnerError(
                 f"pool {pool.name!r} has no usable runner", retry_after_s=NO_RUNNER_RETRY_AFTER_S
             )
-        choices = self._policy.rank(question, candidates, now)
-        return OpenQuestion(question, agent, pool.name, state, now + question.deadline_s, choices)
+        choices = self._policy.rank(question, candidates, now) if candidates else []
+        deadline = now + question.deadline_s
+        return OpenQuestion(question, agent, pool.name, state, deadline, choices, spare)
+
+    def _spare(self, pool: str, key: bytes, excluded: list[str], now: float) -> list[RunnerChoice]:
+        """Return the excluded runners, for the case that no other one takes work."""
+        candidates = self._loads.candidates(pool, key, (), now)
+        return [RunnerChoice(runner) for runner in candidates if runner.name in excluded]
 
     def _route(self, tenant: str, model: str) -> RoutedPool:
         """Return the pool of a model; looked up once per tenant, model and revision."""
--- a/src/martenrun/ownership/question_steps.py
+++ b/src/martenrun/ownership/question_steps.py
@@ -152,6 +152,8 @@
         found = question.next_choice(lambda runner: self.reservations.is_reachable(runner, now))
         if found is None and question.awaits_owner(now):
             return self.queue(question, now, "owners_silent")
+        if found is None and question.readmit():
+            return self._reserve_next(question, now)
         if found is None:
             return self.step(question, "no_candidate_left", now)
         choice, may_queue = found
--- a/src/martenrun/ownership/questions.py
+++ b/src/martenrun/ownership/questions.py
@@ -52,7 +52,10 @@
 
 @dataclass(slots=True)
 class OpenQuestion:
-    """A question without its end; ``lease`` is set once it is granted."""
+    """A question without its end; ``lease`` is set once it is granted.
+
+    ``spare`` are runners at which an attempt of the request failed before.
+    """
 
     question: DecideRequest
     agent: str
@@ -60,6 +63,7 @@
     state: str
     deadline: float
     choices: list[RunnerChoice]
+    spare: list[RunnerChoice] = field(default_factory=list)
     tell_at: float = 0.0
     probe_at: float = 0.0
     expected_wait_s: float = 0.0
@@ -80,6 +84,18 @@
         if not is_known and name not in self.question.excluded_runners:
             self.choices.insert(len(self.tried), choice)
 
+    def readmit(self) -> bool:
+        """Consider the spare runners once nothing else takes work; returns whether there are any.
+
+        An attempt also fails because a connection breaks, so the runner may well be usable.
+        """
+        is_for_load = bool(self.reasons & {Reason.FULL, Reason.DEADLINE})
+        if is_for_load or not self.spare:
+            return False
+        self.choices += self.spare
+        self.spare = []
+        return True
+
     def forget_tries(self) -> None:
         """Start over, after a place in a queue was lost or owners were silent."""
         self.reasons.clear()
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -9,10 +9,11 @@
 from martenrun.errors import error_classes
 from martenrun.events import PeerMessage
 from martenrun.ownership.home import HomeLogic
+from martenrun.ownership.reasons import Reason
 from martenrun.simulation.network import LinkFaults
-from martenrun.simulation.ownership_cluster import OwnershipCluster
+from martenrun.simulation.ownership_cluster import MODEL, TENANT, VERSION, OwnershipCluster
 from martenrun.statecharts.compiler import load_chart
-from martenrun.wire.messages import ReleaseSlots, SlotGranted
+from martenrun.wire.messages import DecideRequest, ReleaseSlots, SlotGranted, SlotRefused
 
 FAULTY = LinkFaults(delay_s=0.001, jitter_s=0.02, loss=0.02, duplicate=0.05)
 RECOVERY_S = 75.0
@@ -164,6 +165,60 @@
     assert (sent.peer, sent.message) == ("owner", ReleaseSlots([77]))
 
 
+class Home:
+    """A node as the home of one question; the test answers for the owners."""
+
+    def __init__(self):
+        cluster = OwnershipCluster(nodes=1, runners=2, seed=8)
+        cluster.scheduler.run_until(1.0)
+        self.node = next(iter(cluster.nodes.values()))
+        self.runners = self.node.table.runners
+
+    def tell(self, peer, message):
+        return self.node.ownership.home.handle(PeerMessage(peer, message), 1.0)
+
+    def ask(self, attempt=1, excluded=()):
+        question = DecideRequest("r", TENANT, MODEL, VERSION, b"0" * 8, attempt=attempt)
+        question.deadline_s, question.excluded_runners = 10.0, list(excluded)
+        return self.tell("agent", question)
+
+    def grant(self, reserved):
+        return self.tell(reserved.peer, SlotGranted(reserved.message.reservation_id, "i", VERSION))
+
+    def refuse(self, reserved):
+        refused = SlotRefused(reserved.message.reservation_id, Reason.UNKNOWN_RUNNER.value)
+        return self.tell(reserved.peer, refused)
+
+
+def test_a_home_gives_back_the_slot_of_a_runner_that_leaves_by_its_own_list():
+    home = Home()
+    (reserved,) = home.ask()
+    home.runners[reserved.message.runner].leaving = True
+    released, other = home.grant(reserved)
+    assert released.message == ReleaseSlots([reserved.message.reservation_id])
+    assert other.message.runner not in ("", reserved.message.runner)
+
+
+def test_a_repeated_question_gets_the_grant_that_it_has_got():
+    home = Home()
+    (reserved,) = home.ask()
+    assert home.ask() == []
+    (granted,) = home.grant(reserved)
+    assert home.ask() == [granted]
+
+
+def test_an_excluded_runner_is_asked_again_once_no_other_takes_work():
+    home = Home()
+    excluded, _ = home.runners
+    (reserved,) = home.ask(excluded=[excluded])
+    while reserved.message.runner != excluded:
+        (reserved,) = home.refuse(reserved)
+    (granted,) = home.grant(reserved)
+    assert granted.message.runner == excluded
+    _, reserved = home.ask(2, excluded=home.runners)
+    assert reserved.message.runner in home.runners
+
+
 def test_an_owner_whose_death_nobody_has_noticed_delays_questions_by_little():
     cluster = OwnershipCluster(nodes=4, runners=16, seed=9)
     cluster.scheduler.run_until(1.0)
