Let a node that is stopped at its start leave the others in order

Change: such a node is not alone until it has heard its seeds, or LEAVE_SPREAD_LIMIT_S is over. It then tells the others and refuses late questions as any node that stops. Weighed: sending the seeds a leave at once: not heard if that message is lost, and agents' late questions would still meet nobody.

Checker: the excuse for a node that had just started is taken out; a planted history that was clean by it is now a violation, and one with a node that has just thawed is clean. One line in membership/gossip.py remembers that the view holds the seeds' answer.

--- a/src/martenrun/membership/gossip.py
+++ b/src/martenrun/membership/gossip.py
@@ -91,6 +91,7 @@
         self._listed = ListedNodes(own.address)
         self._news_budget = NewsBudget()
         self._joined = not self._seeds
+        self._knows_members = self._joined
         self._live: tuple[Member, ...] = (own,)
         self._told_version = (0, 0)
         self._last_event_at: float | None = None
@@ -112,8 +113,13 @@
 
     @property
     def is_alone(self) -> bool:
-        """Whether no other node is live and staying; may be read from any thread."""
-        return all(member.address == self._table.own.address for member in self._live)
+        """Whether no other node is live and staying; may be read from any thread.
+
+        Nor is a node that has asked its seeds and waits for their answers: they know of it.
+        """
+        return self._knows_members and all(
+            member.address == self._table.own.address for member in self._live
+        )
 
     def live(self) -> Sequence[Member]:
         """Return members believed alive, this node included, leaving ones excluded."""
@@ -134,6 +140,7 @@
         if isinstance(event, Tick):
             # Once a tick: a list that brings many changes is one change for the others.
             instructions += self._told_changes()
+            self._knows_members = self._joined
         return instructions
 
     def _handled(self, event: Event, now: float) -> list[Instruction]:
--- a/src/martenrun/proof/checkers/planned_stop.py
+++ b/src/martenrun/proof/checkers/planned_stop.py
@@ -21,9 +21,10 @@
 PROMISE = "planned_stop"
 
 JOIN_BOUND_S = 1.0
-"""Longest time until a node that has started or thawed knows the others, in seconds."""
+"""Longest time until a node that has thawed knows the others, in seconds."""
 
 _ABSENCE = frozenset({STOPPED})
+_ENDS = frozenset({"kill", STOPPED})
 
 
 def check_planned_stop(history: History) -> list[Violation]:
@@ -34,8 +35,9 @@
     cut it, and ``ran`` tells of the other copy.
 
     Also found: questions to a node that has ended by a planned stop, from an edge and over a
-    network that no fault hit since the stop began, unless the node had no time to join the
-    others, or no other node stayed that could tell the edge.
+    network that no fault hit since the stop began, unless the node had only just thawed, or no
+    other node stayed that could tell the edge.  A node that has only just started has to join
+    the others before it leaves them.
     """
     checker = _PlannedStopChecker(history)
     found = [violation for stop in history.of(PlannedStop) for violation in checker.cut_by(stop)]
@@ -89,10 +91,7 @@
     def _may_not_know(self, asked: Asked, stop: PlannedStop) -> bool:
         """Whether a fault may have kept the edge from learning of a stop."""
         joined_s = stop.time_s - JOIN_BOUND_S
-        starts = [start.time_s for start in self._starts if start.process == stop.process]
-        if any(joined_s < start_s <= stop.until_s for start_s in starts):
-            return True
-        if self._disturbances.touch(stop.process, joined_s, stop.until_s, _ABSENCE):
+        if self._disturbances.touch(stop.process, joined_s, stop.until_s, _ENDS):
             return True
         parties = (asked.edge, NETWORK)
         if any(self._disturbances.touch(party, stop.time_s, asked.time_s) for party in parties):
--- a/tests/test_proof_checkers.py
+++ b/tests/test_proof_checkers.py
@@ -138,7 +138,11 @@
 ABSENT = ProcessDisturbed(time_s=1.0, process="agent", kind="stopped", until_s=9.0)
 AGENT_STOP = PlannedStop(time_s=0.5, process="agent", until_s=1.0)
 HOLDER_DEAD = ProcessDisturbed(time_s=0.0, process="holder", kind="kill", until_s=0.6)
-JUST_STARTED = ProcessDisturbed(time_s=-1.0, process="node", kind="kill", until_s=0.2)
+JUST_STARTED = [
+    ProcessDisturbed(time_s=-1.0, process="node", kind="kill", until_s=0.2),
+    ProcessStarted(time_s=0.2, process="node", restarted=True),
+]
+JUST_THAWED = ProcessDisturbed(time_s=-1.0, process="node", kind="freeze", until_s=0.2)
 AGENT = ProcessStarted(time_s=0.0, process="agent", restarted=False, is_node=False)
 UNTOLD = [
     in_force(0.5, 1, process="agent"),
@@ -217,6 +221,7 @@
     ("planned_stop", [invoked(edge="agent"), ABSENT, AGENT_STOP, broken()]),
     ("planned_stop", [HOLDER, NODE_STOP, NODE_GONE, asked(1.5)]),
     ("planned_stop", [HOLDER, NODE_STOP, NODE_GONE, asked(1.5), RESTARTED_LATER]),
+    ("planned_stop", [HOLDER, *JUST_STARTED, NODE_STOP, NODE_GONE, asked(1.5)]),
     ("planned_stop", [invoked(edge="agent"), granted(), AGENT_STOP, broken()]),
     ("configuration", [NODE, AGENT, *UNTOLD, in_force(20.0, 1, process="agent")]),
     ("configuration", [NODE, AGENT, *UNTOLD, FROZEN, in_force(37.1, 1, process="agent")]),
@@ -290,7 +295,7 @@
     ("planned_stop", [HOLDER, NODE_STOP, NODE_GONE, asked(0.9), RESTARTED_LATER, asked(9.5)]),
     ("planned_stop", [HOLDER, NODE_STOP, NODE_GONE, ISOLATED, asked(1.5)]),
     ("planned_stop", [HOLDER, HOLDER_DEAD, NODE_STOP, NODE_GONE, asked(1.5)]),
-    ("planned_stop", [HOLDER, JUST_STARTED, NODE_STOP, NODE_GONE, asked(1.5)]),
+    ("planned_stop", [HOLDER, JUST_THAWED, NODE_STOP, NODE_GONE, asked(1.5)]),
     ("planned_stop", [invoked(edge="engine"), STOP, REFUSED_COPY]),
     (
         "configuration",
--- a/tests/test_proof_simulation.py
+++ b/tests/test_proof_simulation.py
@@ -17,6 +17,7 @@
 from martenrun.edge.request import CallerRequest
 from martenrun.errors import Ran
 from martenrun.events import PeerMessage, QuestionCleared, Tell
+from martenrun.membership.gossip import GossipMembership
 from martenrun.membership.table import MemberTable
 from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.orders import permits
@@ -183,6 +184,12 @@
     agents=3,
     requests_per_s=32.0,
 )
+STOP_AT_START = schedule(
+    fault(FaultKind.KILL_NODE, 1.0, 0.3),
+    fault(FaultKind.STOP_NODE, 1.32, 8.0),
+    agents=1,
+    load_s=4.0,
+)
 LATE_MESSAGES = schedule(
     fault(FaultKind.LOSE_MESSAGES, 0.5, 9.0, target=1),
     *(fault(FaultKind.RACE_OPERATORS, 1.0 + 0.2 * index) for index in range(30)),
@@ -295,6 +302,12 @@
     monkeypatch.setattr(MemberTable, "leave", lambda self, now: None)
 
 
+def leave_before_joining(monkeypatch):
+    # The setting of this attribute at each tick is what the guard rests on.
+    always = property(lambda self: True, lambda self, value: None)
+    monkeypatch.setattr(GossipMembership, "_knows_members", always, raising=False)
+
+
 def stop_without_waiting_for_streams(monkeypatch):
     monkeypatch.setattr(SimulatedProcess, "drain_steps", lambda self: [DrainStep(bool, 0.0)])
 
@@ -344,6 +357,7 @@
     ("weights", go_on_with_other_weights, ROLL),
     ("cache_use", keep_beliefs_about_an_incarnation_that_ended, FEEDS_LOST),
     ("planned_stop", leave_without_a_word, STOPS),
+    ("planned_stop", leave_before_joining, STOP_AT_START),
     ("planned_stop", stop_without_waiting_for_streams, STOPS),
     ("cache_use", credit_the_run_before, RUNNERS_RESTARTED),
     ("leaving", trust_an_old_machine_list, PAUSED_NODE),
