--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -203,6 +203,7 @@
 
 struct MachinesQuery {
   1: i64 known_digest
+  2: bool takes_packed
 }
 
 struct MachineEntry {
@@ -218,6 +219,7 @@
   1: i64 digest
   2: bool complete
   3: list<MachineEntry> machines
+  4: binary packed
 }
 
 struct MemberClaim {
--- a/tests/test_ownership_parts.py
+++ b/tests/test_ownership_parts.py
@@ -18,6 +18,7 @@
 from martenrun.simulation.hollow import HollowProcess
 from martenrun.simulation.network import LinkFaults, SimulatedNetwork
 from martenrun.simulation.scheduler import Scheduler
+from martenrun.wire.codec import decode, encode
 from martenrun.wire.messages import (
     LeaseRenewal,
     LeasesVoided,
@@ -294,6 +295,15 @@
     assert new.handle(Tick(), 5.0) == [] and new.must_poll()
 
 
+def test_all_other_readers_are_asked_once_one_of_them_is_silent():
+    members = [Member(f"10.0.0.{index}:7000", "a") for index in range(1, 5)]
+    feeds = [MachineFeed(StaticMemberView(own, members), random.Random(1)) for own in members]
+    (feed,) = [feed for feed in feeds if not feed.is_reader()]
+    (first,) = feed.handle(Tick(), 0.0)
+    assert first.peer in feed.readers()
+    assert {query.peer for query in feed.handle(Tick(), 0.5)} == set(feed.readers())
+
+
 def test_another_reader_continues_without_the_whole_list_and_a_stranger_state_gets_it():
     feeds = [MachineFeed(StaticMemberView(OWN, [OWN]), random.Random(n)) for n in range(2)]
     for feed in feeds:
@@ -315,13 +325,71 @@
     assert whole.message.complete and len(whole.message.machines) == 1
 
 
+def test_a_list_that_changes_shares_what_stays_the_same():
+    reader = MachineFeed(StaticMemberView(OWN, [OWN]), random.Random(1))
+    taker = MachineFeed(StaticMemberView(OTHER, [OWN]), random.Random(2))
+    known = []
+    for state in ("live", "leaving"):
+        reader.handle(MachinesListed([machine("r1", state), machine("r2")]), 0.0)
+        (query,) = taker.handle(Tick(), len(known) * 5.0)
+        (answer,) = reader.handle(PeerMessage(OTHER.address, query.message), 0.0)
+        (told,) = taker.handle(PeerMessage(OWN.address, decode(encode(answer.message))), 0.0)
+        taker.handle(told.event, 0.0)
+        known.append({listed.name: listed for listed in told.event.machines})
+    assert known[1]["r2"] is known[0]["r2"]
+    assert known[1]["r1"].state == "leaving" and known[1]["r1"].name is known[0]["r1"].name
+    assert known[0]["r1"].zone is known[0]["r2"].zone, "few texts that many machines have"
+
+
+def test_a_whole_list_is_packed_once_and_one_that_can_not_be_read_is_asked_for_again():
+    reader = MachineFeed(StaticMemberView(OWN, [OWN]), random.Random(1))
+    reader.handle(MachinesListed([machine("r1"), machine("r2", zone="b")]), 0.0)
+    asked = PeerMessage("node", MachinesQuery(0, True))
+    (first,), (second,) = reader.handle(asked, 0.0), reader.handle(asked, 0.0)
+    assert first.message.packed is second.message.packed and not first.message.machines
+    taker = MachineFeed(StaticMemberView(OTHER, [OWN]), random.Random(2))
+    broken = MachinesUpdate(first.message.digest, True, [], first.message.packed[:-9])
+    assert taker.handle(PeerMessage(OWN.address, broken), 0.0) == []
+    (query,) = taker.handle(Tick(), 5.0)
+    assert query.message == MachinesQuery(ASK_FOR_ALL, True)
+    (told,) = taker.handle(PeerMessage(OWN.address, first.message), 5.0)
+    assert told.event.machines == [machine("r1"), machine("r2", zone="b")]
+    reader.handle(MachinesListed([machine("r1")]), 0.0)
+    (changed,) = reader.handle(asked, 0.0)
+    (told,) = taker.handle(PeerMessage(OWN.address, changed.message), 5.0)
+    assert told.event.machines == [machine("r1")]
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_digests_kept_from_change_to_change_are_those_of_the_lists(seed):
+    rng = random.Random(seed)
+    followed = MachineFeed(StaticMemberView(OWN, [OWN]), random.Random(1))
+    taker = MachineFeed(StaticMemberView(OTHER, [OWN]), random.Random(2))
+    for step in range(40):
+        names = rng.sample(range(12), rng.randrange(1, 12))
+        listed = [machine(f"r{n}", rng.choice(["live", "leaving"])) for n in names]
+        # A machine that is listed twice counts once.
+        followed.handle(MachinesListed([*listed, listed[0]]), 0.0)
+        (query,) = taker.handle(Tick(), step * 5.0)
+        (answer,) = followed.handle(PeerMessage(OTHER.address, query.message), 0.0)
+        for told in taker.handle(PeerMessage(OWN.address, answer.message), step * 5.0):
+            taker.handle(told.event, step * 5.0)
+        fresh = MachineFeed(StaticMemberView(OWN, [OWN]), random.Random(1))
+        fresh.handle(MachinesListed(listed), 0.0)
+        (whole,) = fresh.handle(PeerMessage("node", MachinesQuery(ASK_FOR_ALL, True)), 0.0)
+        (known,) = taker.handle(PeerMessage("node", MachinesQuery(ASK_FOR_ALL, True)), 0.0)
+        assert answer.message.digest == known.message.digest == whole.message.digest
+        by_name = [sorted(known, key=str) for known in (taker._known, listed)]
+        assert by_name[0] == by_name[1]
+
+
 def test_an_update_that_does_not_lead_to_its_digest_changes_nothing():
     taker = MachineFeed(StaticMemberView(OTHER, [OWN]), random.Random(2))
     wrong = MachinesUpdate(77, False, [MachineEntry("r", "engine", "10.1.0.1:80", "a")])
     for _time in range(MISMATCHES):
         assert taker.handle(PeerMessage(OWN.address, wrong), 0.0) == []
     (query,) = taker.handle(Tick(), 0.0)
-    assert query.message == MachinesQuery(ASK_FOR_ALL)
+    assert query.message == MachinesQuery(ASK_FOR_ALL, True)
 
 
 def test_a_lease_lives_while_it_is_renewed_and_ends_when_its_home_is_gone():
