--- a/src/martenrun/simulation/machines.py
+++ b/src/martenrun/simulation/machines.py
@@ -1,6 +1,6 @@
 """A simulated machine list: what the platform decides shows some time later."""
 
-from dataclasses import replace
+from msgspec.structs import replace
 
 from martenrun.platform.machine_list import Machine
 from martenrun.simulation.scheduler import Scheduler
