--- a/src/martenrun/bench/membership.py
+++ b/src/martenrun/bench/membership.py
@@ -42,14 +42,22 @@
     sent_messages: float
     cpu_us: float
     busiest_bytes: float
+    worst_second_bytes: float
+    worst_second_busiest_bytes: float
 
 
 @dataclass(frozen=True)
 class Restart:
-    """What the restart of one node costs each node, above the cost without changes."""
+    """What the restart of one node costs each node, above the cost without changes.
 
+    Attributes:
+        restarts: nodes that were restarted one after another; the figures are their mean.
+    """
+
+    restarts: int
     sent_bytes: float
     sent_messages: float
+    cpu_us: float
 
 
 @dataclass(frozen=True)
@@ -91,13 +99,53 @@
 Removal = Callable[[str], None]
 
 
+@dataclass
+class WorstSecond:
+    """The greatest bytes of any virtual second: of the mean and of the busiest node."""
+
+    mean_bytes: float = 0.0
+    busiest_bytes: int = 0
+
+
+class SecondMeter:
+    """Looks at what nodes send in each virtual second, until it is stopped."""
+
+    def __init__(self, cluster: MemberCluster) -> None:
+        self._cluster = cluster
+        self._worst = WorstSecond()
+        self._is_running = True
+        self._before = self._sent()
+        cluster.scheduler.after(1.0, self._look)
+
+    def stop(self) -> WorstSecond:
+        """Return the worst whole second so far."""
+        self._is_running = False
+        return self._worst
+
+    def _look(self) -> None:
+        if not self._is_running:
+            return
+        now = self._sent()
+        sent = [total - self._before.get(name, 0) for name, total in now.items()]
+        self._before = now
+        self._worst.mean_bytes = max(self._worst.mean_bytes, statistics.fmean(sent))
+        self._worst.busiest_bytes = max(self._worst.busiest_bytes, max(sent))
+        self._cluster.scheduler.after(1.0, self._look)
+
+    def _sent(self) -> dict[str, int]:
+        return {name: t.sent_bytes for name, t in self._cluster.network.traffic.items()}
+
+
 class MembershipBench:
     """One run over a cluster of ``nodes`` hollow nodes."""
 
-    def __init__(self, nodes: int, seed: int, loss: float, deaths: int, idle_s: float) -> None:
+    def __init__(
+        self, nodes: int, seed: int, loss: float, deaths: int, restarts: int, idle_s: float
+    ) -> None:
         self._seed = seed
         self._loss = loss
         self._deaths = deaths
+        self._restarts = restarts
         self._idle_s = idle_s
         self._cluster = MemberCluster(nodes, seed, LinkFaults(loss=loss))
 
@@ -173,9 +221,11 @@
         """Return an action's own result, and each node's mean cost per virtual second."""
         traffic = self._cluster.network.traffic
         before = {name: (t.sent_bytes, t.sent_messages) for name, t in traffic.items()}
+        seconds = SecondMeter(self._cluster)
         virtual, cpu = self._cluster.scheduler.now, time.process_time()
         result = action()
         cpu_s = time.process_time() - cpu
+        worst = seconds.stop()
         node_s = (self._cluster.scheduler.now - virtual) * len(before)
         sent_bytes = sum(t.sent_bytes - before[name][0] for name, t in traffic.items())
         messages = sum(t.sent_messages - before[name][1] for name, t in traffic.items())
@@ -188,6 +238,8 @@
                 / (self._cluster.scheduler.now - virtual),
                 1,
             ),
+            round(worst.mean_bytes, 1),
+            worst.busiest_bytes,
         )
         return result or 0.0, cost
 
@@ -234,17 +286,19 @@
         begin_s = cluster.scheduler.now
 
         def restarts() -> None:
-            for address in cluster.rng.sample(cluster.addresses[ZONES:], self._deaths):
+            for address in cluster.rng.sample(cluster.addresses[ZONES:], self._restarts):
                 cluster.kill(address)
                 cluster.run(HERD_DOWN_S)
                 cluster.start(address)
                 cluster.run(RESTART_SETTLE_S)
 
         _none, cost = self._costed(restarts)
-        seconds = (cluster.scheduler.now - begin_s) / self._deaths
+        seconds = (cluster.scheduler.now - begin_s) / self._restarts
         return Restart(
+            self._restarts,
             round((cost.sent_bytes - idle.sent_bytes) * seconds, 1),
             round((cost.sent_messages - idle.sent_messages) * seconds, 2),
+            round((cost.cpu_us - idle.cpu_us) * seconds, 1),
         )
 
     def _lose_zone(self) -> float:
@@ -287,13 +341,14 @@
 @click.option("--seed", default=1, show_default=True, help="Of all random choices.")
 @click.option("--loss", default=0.0, show_default=True, help="Probability of a lost message.")
 @click.option("--deaths", default=3, show_default=True, help="Nodes killed, and nodes that leave.")
+@click.option("--restarts", default=6, show_default=True, help="Nodes restarted one after another.")
 @click.option("--idle-s", default=30.0, show_default=True, help="Virtual seconds without change.")
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON line.")
 def membership(
-    nodes: int, seed: int, loss: float, deaths: int, idle_s: float, as_json: bool
+    nodes: int, seed: int, loss: float, deaths: int, restarts: int, idle_s: float, as_json: bool
 ) -> None:
     """Measure failure detection between nodes: its cost and how fast it notices."""
-    result = asdict(MembershipBench(nodes, seed, loss, deaths, idle_s).run())
+    result = asdict(MembershipBench(nodes, seed, loss, deaths, restarts, idle_s).run())
     if as_json:
         click.echo(json.dumps(result))
         return
--- a/src/martenrun/membership/differences.py
+++ b/src/martenrun/membership/differences.py
@@ -8,6 +8,7 @@
 See also: :mod:`martenrun.membership.gossip`, docs/design/membership.md.
 """
 
+import random
 import struct
 from collections.abc import Iterable
 
@@ -15,6 +16,9 @@
 from martenrun.membership.table import BUCKETS, MemberTable, bucket_of
 from martenrun.wire.messages import MemberClaim, MemberDigests, MemberStates, MemberUpdate
 
+MAXIMUM_STATES = 150
+"""States sent at a time, about: bounds what a node sends at once while two sides merge."""
+
 _DIGESTS = struct.Struct(f"!{BUCKETS}q")
 _STATE = struct.Struct("!qqb")
 _IDENTITY = struct.Struct("!q")
@@ -25,15 +29,22 @@
     return MemberDigests(_DIGESTS.pack(*table.bucket_digests))
 
 
-def states_that_differ(table: MemberTable, digests: MemberDigests) -> MemberStates | None:
-    """Return the states of the buckets that differ, None if none does."""
+def states_that_differ(
+    table: MemberTable, digests: MemberDigests, rng: random.Random
+) -> MemberStates | None:
+    """Return the states of buckets that differ, None if none does.
+
+    If that were many states, buckets are drawn: other exchanges bring the others.
+    """
     if len(digests.buckets) != _DIGESTS.size:
         return None
     theirs = _DIGESTS.unpack(digests.buckets)
-    differing = {i for i in range(BUCKETS) if theirs[i] != table.bucket_digests[i]}
+    differing = [i for i in range(BUCKETS) if theirs[i] != table.bucket_digests[i]]
     if not differing:
         return None
-    return MemberStates(bytes(sorted(differing)), _packed(_records_in(table, differing)))
+    most = max(1, MAXIMUM_STATES * BUCKETS // len(table.records))
+    drawn = set(rng.sample(differing, min(most, len(differing))))
+    return MemberStates(bytes(sorted(drawn)), _packed(_records_in(table, drawn)))
 
 
 def claims_in(table: MemberTable, states: bytes) -> list[MemberClaim]:
--- a/src/martenrun/membership/exchange.py
+++ b/src/martenrun/membership/exchange.py
@@ -14,6 +14,7 @@
     states_that_differ,
     update_for,
 )
+from martenrun.membership.news import claim_bytes
 from martenrun.membership.table import MemberTable
 from martenrun.settings.model import MembershipSettings
 from martenrun.wire.messages import MemberClaim, MemberDigests, MemberStates, MemberUpdate
@@ -27,6 +28,12 @@
 ANSWER_INTERVAL_S = 0.5
 """Shortest time between two answers that hold states, in seconds: bounds what many askers cost."""
 
+STATES_BYTES_PER_S = 5_000
+"""Bytes of states and updates that a node sends per second when there are many changes.
+
+Together with the bytes of news it stays under what a node may send.
+"""
+
 EQUAL_ANSWERS = 3
 """Answers in a row with this node's own digest after which news of live members are dropped."""
 
@@ -47,6 +54,7 @@
         self._jitter = 1.0
         self._is_awaiting = False
         self._next_answer = 0.0
+        self._paid_at = 0.0
         self._bulk_until = 0.0
         self._equal_answers = 0
 
@@ -80,7 +88,7 @@
         interval_s = self._repair_interval_s
         if self._is_awaiting or self.is_bulk(now):
             interval_s /= BULK_REPAIRS
-        if now < self._begun_at + interval_s * self._jitter:
+        if now < self._begun_at + interval_s * self._jitter or now < self._paid_at:
             return []
         self._begun_at = now
         self._jitter = self._rng.uniform(1 - JITTER, 1 + JITTER)
@@ -98,11 +106,11 @@
                 self._is_awaiting = False
                 self.take_in(claims_in(self._table, message.states), now)
                 update = update_for(self._table, message)
-                return [] if update is None else [Send(peer, update)]
+                return [] if update is None else [self._sent(peer, update, now)]
             case MemberUpdate(states, members, wanted):
                 self.take_in(claims_in(self._table, states) + members, now)
                 claims = claims_wanted(self._table, wanted)
-                return [Send(peer, MemberUpdate(b"", claims))] if claims else []
+                return [self._sent(peer, MemberUpdate(b"", claims), now)] if claims else []
 
     def take_in(self, claims: list[MemberClaim], now: float) -> None:
         """Take in the claims of a list or an exchange; few of them are told on as news."""
@@ -114,11 +122,19 @@
             self._table.take_in(claim, now, spread=not is_bulk)
 
     def _answer(self, peer: str, digests: MemberDigests, now: float) -> list[Instruction]:
-        if now < self._next_answer:
+        if now < max(self._next_answer, self._paid_at):
             # Whoever asked asks another node at its next turn.
             return []
-        states = states_that_differ(self._table, digests)
+        states = states_that_differ(self._table, digests, self._rng)
         if states is None:
             return []
         self._next_answer = now + ANSWER_INTERVAL_S
-        return [Send(peer, states)]
+        return [self._sent(peer, states, now)]
+
+    def _sent(self, peer: str, message: MemberStates | MemberUpdate, now: float) -> Instruction:
+        """Return the message to send, and put off the next exchange for as long as it costs."""
+        size_bytes = len(message.states)
+        if isinstance(message, MemberUpdate):
+            size_bytes += len(message.wanted) + sum(map(claim_bytes, message.members))
+        self._paid_at = max(now, self._paid_at) + size_bytes / STATES_BYTES_PER_S
+        return Send(peer, message)
--- a/src/martenrun/membership/prober.py
+++ b/src/martenrun/membership/prober.py
@@ -112,9 +112,14 @@
         return [r for r in others if r.zone in zones and r.status in usable]
 
     def doubted(self, count: int) -> list[tuple[MemberRecord, MemberClaim]]:
-        """Take out members that others claim to be dead, each with that claim."""
+        """Take out some members that others claim to be dead, each with that claim.
+
+        Which ones is drawn: after a cut, all nodes hear the same claims in the same order, and
+        would probe the same members at once.
+        """
         taken: list[tuple[MemberRecord, MemberClaim]] = []
-        for address in list(self._table.unverified)[:count]:
+        waiting = list(self._table.unverified)
+        for address in self._rng.sample(waiting, min(count, len(waiting))):
             claim = self._table.unverified.pop(address)
             record = self._table.records.get(address)
             if record is not None and not self._is_probed(address):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,15 +6,17 @@
 
 from martenrun.events import LeaveRequested, MachinesListed
 from martenrun.membership.differences import (
+    MAXIMUM_STATES,
     claims_in,
     claims_wanted,
     digests_of,
     states_that_differ,
     update_for,
 )
-from martenrun.membership.exchange import DifferenceExchange
+from martenrun.membership.exchange import STATES_BYTES_PER_S, DifferenceExchange
+from martenrun.membership.prober import Prober
 from martenrun.membership.record import MemberStatus
-from martenrun.membership.table import MemberTable
+from martenrun.membership.table import BUCKETS, MemberTable
 from martenrun.membership.view import Member
 from martenrun.platform.machine_list import Machine
 from martenrun.settings.model import MembershipSettings
@@ -185,7 +187,7 @@
     other = MemberTable(Member("10.0.0.2:7000", "b", "r"), MembershipSettings())
     for number in range(3, 40):
         other.take_in(MemberClaim(f"10.0.0.{number}:7000", "b", "r", number, 0), 0.0)
-    states = states_that_differ(other, digests_of(table))
+    states = states_that_differ(other, digests_of(table), random.Random(1))
     update = update_for(table, states)
     assert [claim.address for claim in update.members] == ["10.0.0.1:7000"]
     for claim in claims_wanted(other, update.wanted):
@@ -193,7 +195,7 @@
     for claim in update.members:
         other.take_in(claim, 0.0)
     assert table.digest == other.digest
-    assert states_that_differ(other, digests_of(table)) is None
+    assert states_that_differ(other, digests_of(table), random.Random(1)) is None
 
 
 def test_only_newer_states_travel_between_nodes_that_know_the_same_members():
@@ -208,7 +210,7 @@
     first, second = tables
     first.take_in(MemberClaim("10.0.1.7:7000", "a", "r", 5, 0), 0.0)
     second.take_in(MemberClaim("10.0.1.8:7000", "a", "r", 6, 0), 0.0)
-    states = states_that_differ(second, digests_of(first))
+    states = states_that_differ(second, digests_of(first), random.Random(1))
     assert len(states.buckets) == 2
     for claim in claims_in(first, states.states):
         first.take_in(claim, 0.0)
@@ -218,6 +220,36 @@
     assert (newer.address, newer.incarnation) == ("10.0.1.7:7000", 5)
 
 
+def test_what_a_node_spends_on_exchanges_is_bounded_however_many_ask_and_differ():
+    table = MemberTable(Member("10.0.0.1:7000", "a", "r"), MembershipSettings())
+    exchange = DifferenceExchange(table, MembershipSettings(), random.Random(1))
+    for number in range(400):
+        table.take_in(MemberClaim(f"10.1.{number}.1:7000", "a", "r", 0, 0), 0.0)
+    stranger = MemberTable(Member("10.0.0.2:7000", "a", "r"), MembershipSettings())
+    states, buckets = [], set()
+    for step in range(200):
+        for sent in exchange.handle("10.0.0.2:7000", digests_of(stranger), 10.0 + step * 0.1):
+            states.append(len(sent.message.states))
+            buckets.update(sent.message.buckets)
+    assert max(states) < 2 * 17 * MAXIMUM_STATES
+    assert sum(states) < 21 * STATES_BYTES_PER_S
+    assert len(buckets) == BUCKETS, "one exchange or another brings each bucket"
+
+
+def test_nodes_that_hear_the_same_claims_do_not_verify_the_same_members():
+    claims = [MemberClaim(f"10.0.1.{n}:7000", "a", "r", 0, 0) for n in range(100)]
+    asked = []
+    for seed in range(20):
+        table = MemberTable(Member("10.0.0.1:7000", "a", "r"), MembershipSettings())
+        for claim in claims:
+            table.take_in(claim, 0.0)
+            dead = MemberClaim(claim.address, "", "", 0, int(MemberStatus.DEAD))
+            table.take_in(dead, 0.0)
+        prober = Prober(table, MembershipSettings(), random.Random(seed))
+        asked += [record.address for record, _claim in prober.doubted(5)]
+    assert len(asked) == 100 and len(set(asked)) > 50
+
+
 def test_an_exchange_that_nobody_answered_is_begun_again_soon_and_an_answered_one_is_not():
     table = MemberTable(Member("10.0.0.1:7000", "a", "r"), MembershipSettings())
     exchange = DifferenceExchange(table, MembershipSettings(), random.Random(1))
