--- a/scripts/measure_restart.py
+++ b/scripts/measure_restart.py
@@ -97,7 +97,8 @@
 def measure(deployment: Deployment, rounds: int) -> dict[str, list[float]]:
     """Restart nodes in turn with the object API down; return the samples by name."""
     deployment.kill("objects")
-    samples: dict[str, list[float]] = {"ready_s": [], "first_answer_s": [], "rss_mib": []}
+    names = ("ready_s", "first_answer_s", "rss_mib", "agent_rss_mib")
+    samples: dict[str, list[float]] = {name: [] for name in names}
     for index in range(rounds):
         node = index % NODES
         edge = deployment.node_edges[node]
@@ -110,6 +111,8 @@
         samples["first_answer_s"].append(answer_s)
         process = deployment.processes[f"node-{node}"].pid
         samples["rss_mib"].append(resident_bytes(process) / 2**20)
+        agent = deployment.processes["agent-0"].pid
+        samples["agent_rss_mib"].append(resident_bytes(agent) / 2**20)
     return samples
 
 
--- a/src/martenrun/bench/scale/report.py
+++ b/src/martenrun/bench/scale/report.py
@@ -96,7 +96,11 @@
 
 
 class ScaleReport(msgspec.Struct, frozen=True):
-    """The result of a run."""
+    """The result of a run.
+
+    ``watcher_cpu_us_per_change`` is what a node that watches the object API spends on each
+    change that it hears of.
+    """
 
     scenario: Scenario
     start_s: float
@@ -105,6 +109,7 @@
     idle_agent: Usage
     load: LoadResult
     change_in_force: Spread
+    watcher_cpu_us_per_change: float
     faults: list[FaultResult]
     peak_memory_bytes: int
     elapsed_s: float
--- a/src/martenrun/bench/scale/run.py
+++ b/src/martenrun/bench/scale/run.py
@@ -22,6 +22,7 @@
     Usage,
     spread,
 )
+from martenrun.bench.scale.timing import MICROSECONDS_PER_S
 
 START_LIMIT_S = 60.0
 CHANGE_LIMIT_S = 30.0
@@ -33,6 +34,7 @@
 DRAIN_S = 12.0
 FAULT_LOAD_PER_NODE_S = 1.0
 DEAREST_COUNT = 12
+WATCHED_EVENT = "StoreWatched"
 KIBIBYTE = 1024
 BYTES_PER_GIGABYTE = 1_000_000_000
 
@@ -89,6 +91,7 @@
             load = self._load(idle_node, idle_agent)
         with self._phase("changes"):
             changes = self._changes()
+            watcher_us = self._watcher_cpu_us()
         faults = self._faults() if self._scenario.with_faults else []
         gc.unfreeze()
         peak = _peak_memory_bytes()
@@ -100,6 +103,7 @@
             idle_agent,
             load,
             spread(changes),
+            watcher_us,
             faults,
             peak,
             round(time.monotonic() - started, 1),
@@ -168,6 +172,7 @@
     def _changes(self) -> list[float]:
         """Publish changes over a lossy network; return when each was in force at each node."""
         self._cluster.network.faults.loss = self._scenario.loss
+        self._cluster.node_meter.reset()
         times: list[float] = []
         for _ in range(self._scenario.changes):
             self._revision = self._publisher.publish_change()
@@ -175,6 +180,14 @@
             self._advance(CHANGE_PAUSE_S)
         return times
 
+    def _watcher_cpu_us(self) -> float:
+        """Return what one watcher spent on each change since the meter was reset."""
+        nodes = self._cluster.nodes.values()
+        watchers = sum(node.parts.configuration.watching.holds_lease for node in nodes)
+        spent_s = self._cluster.node_meter.by_event().get(WATCHED_EVENT, 0.0)
+        told = watchers * self._scenario.changes
+        return round(spent_s * MICROSECONDS_PER_S / told, 1) if told else 0.0
+
     def _faults(self) -> list[FaultResult]:
         return [self._herd_with_store_down(), self._zone_lost(), self._region_cut()]
 
--- a/src/martenrun/capacity/fit.py
+++ b/src/martenrun/capacity/fit.py
@@ -19,7 +19,7 @@
     read_result,
     spread_of,
 )
-from martenrun.capacity.role_fit import other_role_slopes, state_slopes
+from martenrun.capacity.role_fit import BYTES_PER_MIB, other_role_slopes, state_slopes
 
 SCALE_FILE = "scale.jsonl"
 FULL_FILE = "scale-full.json"
@@ -33,7 +33,6 @@
 DESCRIPTION_EVENT = "RunnerDescribed"
 OBJECTS_PER_TENANT = 2
 MICROSECONDS_PER_MS = 1_000
-BYTES_PER_MIB = 1_048_576
 
 _SCALE_RUN = "martenrun bench scale --nodes 10|40|120|370 --json"
 
--- a/src/martenrun/capacity/results.py
+++ b/src/martenrun/capacity/results.py
@@ -55,6 +55,7 @@
     idle_node: ScaleUsage
     idle_agent: ScaleUsage
     load: ScaleLoad
+    watcher_cpu_us_per_change: float | None = None
 
 
 class PathResult(msgspec.Struct):
@@ -103,6 +104,22 @@
     bytes_per_runner: float
 
 
+class PullCost(msgspec.Struct):
+    """One question for the machine list."""
+
+    reader_us: float
+    asker_us: float
+    answer_bytes: float
+
+
+class MachineListResult(msgspec.Struct):
+    """Result of ``martenrun bench machine-list``."""
+
+    whole: PullCost
+    change: PullCost
+    unchanged: PullCost
+
+
 class FeedResult(msgspec.Struct):
     """One entry of ``scripts/measure_feeds.py``: following all engines of a node."""
 
@@ -122,10 +139,12 @@
 
 
 class MembershipRestart(msgspec.Struct):
-    """What one node's restart cost each node."""
+    """What one node's restart cost each node, as the mean of so many."""
 
     sent_bytes: float
     sent_messages: float
+    restarts: int = 0
+    cpu_us: float | None = None
 
 
 class MembershipResult(msgspec.Struct):
@@ -170,6 +189,7 @@
     """One state of ``scripts/measure_restart.py``."""
 
     rss_mib: RestartSpread
+    agent_rss_mib: RestartSpread | None = None
 
 
 class StreamStep(msgspec.Struct):
--- a/src/martenrun/capacity/role_fit.py
+++ b/src/martenrun/capacity/role_fit.py
@@ -1,20 +1,25 @@
 """Slopes of a node's beliefs, of roles that few nodes have, and of agents."""
 
+import statistics
 from pathlib import Path
 
-from martenrun.capacity.model import Driver, Figure, Slope
+from martenrun.capacity.model import Driver, Figure, Slope, load_target, units_at
 from martenrun.capacity.results import (
     ConfigurationResult,
+    MachineListResult,
     NodeStateResult,
     PathResult,
+    RestartResult,
     ScaleResult,
     StreamsResult,
     median_of,
     read_result,
 )
+from martenrun.ownership.machine_feed import PULL_INTERVAL_S, READERS
 
 MICROSECONDS_PER_MS = 1_000
 MICROSECONDS_PER_S = 1_000_000
+BYTES_PER_MIB = 1_048_576
 AGENTS = "agents, all"
 _SCALE_RUN = "martenrun bench scale --nodes 10|40|120|370 --json"
 _SCALE_FILE = "docs/measurements/scale.jsonl"
@@ -38,8 +43,8 @@
 def other_role_slopes(scale: list[ScaleResult], measurements: Path) -> list[Slope]:
     """Return the roles beside that of every node."""
     return [
-        _machine_list_reader(scale),
-        _watcher(measurements),
+        _machine_list_reader(scale, measurements),
+        _watcher(scale, measurements),
         Slope("front on a node", "streams carried", Driver.CONSTANT,
               "src/martenrun/edge/forward.py", "", "",
               unmeasured=[Figure.CPU, Figure.BYTES, Figure.MEMORY],
@@ -48,40 +53,51 @@
     ]  # fmt: skip
 
 
-def _machine_list_reader(scale: list[ScaleResult]) -> Slope:
+def _machine_list_reader(scale: list[ScaleResult], measurements: Path) -> Slope:
     """The busiest idle node is one of the three readers, whom all others ask."""
 
     def above(result: ScaleResult, busiest: float, mean: float) -> float:
         return max(0.0, busiest - mean) / result.scenario.nodes
 
+    path = measurements / "machine-list.json"
+    is_measured = path.exists()
+    # Each node asks one of the readers in each interval; nearly always there is nothing new.
+    answer_us = read_result(path, MachineListResult).unchanged.reader_us if is_measured else 0.0
     return Slope(
         "machine list reader, three", "answers to the others", Driver.NODES,
         "src/martenrun/ownership/machine_feed.py", _SCALE_RUN, _SCALE_FILE,
+        cpu_us=answer_us / (PULL_INTERVAL_S * READERS),
         sent_bytes=median_of(scale, lambda r: above(
             r, r.idle_node.busiest_sent_bytes_per_s, r.idle_node.sent_bytes_per_s)),
         messages=median_of(scale, lambda r: above(
             r, r.idle_node.busiest_sent_messages_per_s, r.idle_node.sent_messages_per_s)),
-        unmeasured=[Figure.CPU],
-        note="what the busiest idle node sends above the mean; its processor time is in the mean",
+        unmeasured=[] if is_measured else [Figure.CPU],
+        note="what the busiest idle node sends above the mean; processor time of unchanged "
+        "answers and their encoding from martenrun bench machine-list",
     )  # fmt: skip
 
 
-def _watcher(measurements: Path) -> Slope:
+def _watcher(scale: list[ScaleResult], measurements: Path) -> Slope:
     result = read_result(measurements / _CONFIGURATION_FILE, ConfigurationResult)
+    per_change = [found for run in scale if (found := run.watcher_cpu_us_per_change)]
+    changes_per_s = units_at(Driver.CHANGES_PER_S, load_target().size)
     return Slope(
         "configuration watcher, one a region", "pushes of changes", Driver.CONSTANT,
         "src/martenrun/configuration/watching.py",
         "martenrun bench configuration --nodes 370 --json",
         f"docs/measurements/{_CONFIGURATION_FILE}",
+        cpu_us=statistics.median(per_change or [0.0]) * changes_per_s,
         sent_bytes=max(0.0, result.node_bytes_per_s_max - result.node_bytes_per_s) / 2,
-        unmeasured=[Figure.CPU, Figure.MESSAGES],
-        note="what the busiest node moves above the mean; half of both directions",
+        unmeasured=[Figure.MESSAGES] if per_change else [Figure.CPU, Figure.MESSAGES],
+        note="what the busiest node moves above the mean; half of both directions; processor "
+        "time of taking in a change, from the scale run",
     )  # fmt: skip
 
 
 def _agents(scale: list[ScaleResult], measurements: Path) -> list[Slope]:
     """The agents' side: not control of a node, but the path that carries the tokens."""
     path = read_result(measurements / "path.json", PathResult)
+    resident = read_result(measurements / "restart.json", list[RestartResult])[-1].agent_rss_mib
     streams = read_result(measurements / "streams.json", StreamsResult)
     good = [step for step in streams.steps if step.is_good]
     best = max(good, key=lambda step: step.events_per_s)
@@ -99,5 +115,7 @@
               _SCALE_FILE, cpu_us=median_of(scale, lambda r: r.idle_agent.cpu_us_per_s),
               sent_bytes=median_of(scale, lambda r: r.idle_agent.sent_bytes_per_s),
               messages=median_of(scale, lambda r: r.idle_agent.sent_messages_per_s),
-              unmeasured=[Figure.MEMORY], note="logic only"),
+              state_bytes=0.0 if resident is None else resident.median * BYTES_PER_MIB,
+              unmeasured=[Figure.MEMORY] if resident is None else [],
+              note="logic only; memory of a process that carried few requests"),
     ]  # fmt: skip
--- a/src/martenrun/membership/gossip.py
+++ b/src/martenrun/membership/gossip.py
@@ -325,7 +325,7 @@
         self._exchange.take_in(members, now)
         if wants_answer:
             return [Send(peer, MemberList(False, self._table.claims()))]
-        self._joining.answered(now)
+        self._joining.answered(self._table.own.incarnation > 0, now)
         return []
 
     def _is_stranger(self, peer: str) -> bool:
--- a/src/martenrun/membership/joining.py
+++ b/src/martenrun/membership/joining.py
@@ -2,7 +2,8 @@
 
 A node that has just started knows only itself, and would take every runner for its own.  It
 therefore owns nothing until a member has answered it and the members it knows have stopped to
-change, each for a bounded time: a node whose seeds do not answer goes on by itself.
+change, each for a bounded time: a node whose seeds do not answer goes on by itself.  A member that
+remembers an earlier run of the node has been up for longer and knows the others: that is enough.
 
 See also: :mod:`martenrun.membership.gossip`, :mod:`martenrun.ownership.owners`.
 """
@@ -32,11 +33,18 @@
         self._alone_from = math.inf
         self._settled_from = math.inf
 
-    def answered(self, now: float) -> None:
-        """Take in that a member has answered with the members it knows."""
+    def answered(self, is_remembered: bool, now: float) -> None:
+        """Take in that a member has answered with the members it knows.
+
+        Args:
+            is_remembered: whether it knew an earlier run of this node.
+            now: the present time.
+        """
         if not self.has_joined:
             self.has_joined = True
             self._settled_from = now + SETTLE_LIMIT_S
+        if is_remembered:
+            self._settled_from = now
 
     def update(self, members_changed_at: float, now: float) -> None:
         """Look at the time; ``members_changed_at`` is when the known members last changed."""
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,6 +1,7 @@
 """Tests of the capacity table."""
 
 import json
+import subprocess
 import sys
 from pathlib import Path
 
@@ -122,3 +123,52 @@
         result = CliRunner().invoke(measure_capacity.main, arguments)
         assert result.exit_code == 1 and "bad" in str(result.exception)
     assert ran == [("good", "1\n")]
+
+
+def test_a_small_trial_adds_its_arguments_leaves_steps_out_and_keeps_no_result(
+    tmp_path, monkeypatch
+):
+    ran = []
+
+    def step(name):
+        def write(path, command, output):
+            ran.append((name, output))
+            assert path.parent != measure_capacity.RESULTS
+
+        code = "import sys; print(sys.argv[1:])"
+        command = (sys.executable, "-c", code, "--nodes", "370")
+        return measure_capacity.Step(name, command, "trial.json", write, 1.0, ("--nodes", "6"))
+
+    monkeypatch.setattr(measure_capacity, "steps", lambda: [step("one"), step("scale full")])
+    state = tmp_path / "state"
+    arguments = ["--small", "--skip", "full", "--state", str(state)]
+    result = CliRunner().invoke(measure_capacity.main, arguments)
+    assert result.exit_code == 0, result.output
+    assert ran == [("one", "['--nodes', '370', '--nodes', '6']\n")]
+    assert not state.exists()
+
+
+def test_a_run_out_of_time_may_end_what_it_has_started(tmp_path):
+    ended = tmp_path / "ended"
+    code = (
+        "import pathlib, time\n"
+        "try:\n    time.sleep(60)\n"
+        f"finally:\n    pathlib.Path({str(ended)!r}).touch()"
+    )
+    with pytest.raises(subprocess.TimeoutExpired):
+        measure_capacity.output_of((sys.executable, "-c", code), 1.0)
+    assert ended.exists()
+
+
+def test_whole_lists_of_a_herd_are_shared_by_the_readers(tmp_path):
+    for file in (DOCS / "measurements").iterdir():
+        (tmp_path / file.name).write_bytes(file.read_bytes())
+    cost = {"reader_us": 60.0, "asker_us": 9_000.0, "answer_bytes": 30_000}
+    result = {"whole": cost, "change": cost, "unchanged": {**cost, "reader_us": 9.0}}
+    (tmp_path / "machine-list.json").write_text(json.dumps(result))
+    lines = {line.role: line for line in work_out(fit_slopes(tmp_path), load_target()).lines}
+    assert lines["bad day, all restarted"].bytes_per_s == pytest.approx(370 / 3 * 30_000)
+    assert lines["bad day, a tenth restarted"].cpu_share == pytest.approx(37 / 3 * 60e-6)
+    assert lines["bad day, a restarted node"].cpu_share == pytest.approx(9e-3)
+    reader = lines["machine list reader, three"]
+    assert reader.cpu_share == pytest.approx(370 / 3 / 0.75 * 9e-6) and not reader.unmeasured
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -8,6 +8,7 @@
 from martenrun.events import MachinesListed, PeerMessage, Tick
 from martenrun.membership.gossip import GossipMembership
 from martenrun.membership.joining import JOIN_WAIT_S, QUIET_S, SETTLE_LIMIT_S, Joining
+from martenrun.membership.record import MemberStatus
 from martenrun.membership.view import Member, StaticMemberView
 from martenrun.node.runners import RunnerTable
 from martenrun.ownership.owner import OwnerLogic
@@ -20,11 +21,11 @@
 TICK_S = 0.05
 
 
-def settled_after_s(seeds, answer_at_s=None):
+def settled_after_s(seeds, answer_at_s=None, remembered=()):
     view = GossipMembership(OWN, seeds, MembershipSettings(), random.Random(1))
     for step in range(200):
         if step * TICK_S == answer_at_s:
-            claims = [MemberClaim("b:1", "zone", "", 0, 0)]
+            claims = [MemberClaim("b:1", "zone", "", 0, 0), *remembered]
             view.handle(PeerMessage("b:1", MemberList(False, claims)), answer_at_s)
         view.handle(Tick(), step * TICK_S)
         if view.is_settled:
@@ -45,9 +46,14 @@
     assert settled_after_s(["b:1"], answer_at_s=2 * TICK_S) == 2 * TICK_S + QUIET_S
 
 
+def test_a_restarted_node_is_settled_with_the_answer_of_a_member_that_remembers_it():
+    earlier = MemberClaim(OWN.address, OWN.zone, "", 0, int(MemberStatus.SUSPECTED))
+    assert settled_after_s(["b:1"], 2 * TICK_S, [earlier]) == 2 * TICK_S
+
+
 def test_members_that_never_stop_to_change_delay_a_node_for_a_bounded_time():
     joining = Joining(has_seeds=True)
-    joining.answered(1.0)
+    joining.answered(False, 1.0)
     joining.update(members_changed_at=2.9, now=2.9)
     assert not joining.is_settled
     joining.update(members_changed_at=1.0 + SETTLE_LIMIT_S, now=1.0 + SETTLE_LIMIT_S)
