Serve a node's sockets and clock on its loop's own thread

Change: the loop's inbox waits in the transport's selector, makes its clock ticks, and hands the loop what was read as one batch. Other threads' events wake it. What the loop sends is written at the next poll, one write a peer. Threads peer-transport and clock are gone from nodes; agents keep theirs. Datagrams moved to a module of their own.

At low rates most of the cost is the cold cache at each wake-up, which this does not cure.

--- a/src/martenrun/node/core.py
+++ b/src/martenrun/node/core.py
@@ -12,7 +12,6 @@
 from martenrun.configuration.driver import WatchWorker
 from martenrun.events import (
     Event,
-    PeerMessage,
     Send,
     SendDatagram,
     StoreList,
@@ -20,11 +19,11 @@
     StoreWatch,
     StoreWrite,
 )
+from martenrun.loop_inbox import LoopInbox
 from martenrun.node.parts import node_parts
 from martenrun.platform.object_api import ObjectApi
 from martenrun.process import (
     Carrier,
-    Clock,
     LoopActor,
     StoreWorkers,
     datagram_carrier,
@@ -36,7 +35,7 @@
 
 
 class NodeCore:
-    """Parts, loop, clock, transport and object API client of one node.
+    """Parts, loop, transport and object API client of one node.
 
     Args:
         settings: the node's settings.
@@ -53,15 +52,16 @@
         self.store = ObjectApi(settings.object_api)
         keys = cluster_keys(settings.cluster_secret, settings.accepted_secrets)
         self.key_uses = keys.uses
+        self._inbox = LoopInbox()
         self.transport = PeerTransport(
             address,
             keys,
-            lambda peer, message: self.tell(PeerMessage(peer, message)),
+            self._inbox.receive,
         )
+        self._inbox.attach(self.transport)
         self.transport.listen(address)
         self._store_workers = StoreWorkers(self.store, self.tell)
         self._watch_worker = WatchWorker(self.store, self.tell)
-        self._clock = Clock(self.tell)
         self._loop: Any = None
 
     def tell(self, event: Event) -> None:
@@ -78,16 +78,15 @@
             StoreList: self._store_workers.carry,
             StoreWatch: self._watch_worker.carry,
         }
-        self._loop = LoopActor.start(self.parts.in_order(), {**own, **carriers})
+        self._loop = LoopActor.start(self.parts.in_order(), {**own, **carriers}, self._inbox)
 
     def start(self) -> None:
-        """Start the transport and the clock."""
-        self.transport.start()
-        self._clock.start()
+        """Let the loop begin, with its transport and its clock."""
+        self._inbox.start()
 
     def stop(self) -> None:
         """Stop every driver and the loop."""
-        self._clock.stop()
-        self.transport.stop()
+        self._inbox.start()
         self._store_workers.stop()
         self._loop.stop()
+        self.transport.close()
--- a/src/martenrun/process.py
+++ b/src/martenrun/process.py
@@ -1,7 +1,7 @@
 """The one loop of a process: a pykka actor that runs decision logic and its instructions.
 
 Every decision of a process is made on this actor's thread.  Driver threads (waitress,
-transport, watches, clock) share nothing with it; they only ``tell`` it events.
+watches, an agent's transport and clock) share nothing with it; they only ``tell`` it events.
 """
 
 import queue
@@ -33,6 +33,7 @@
     Tell,
     Tick,
 )
+from martenrun.loop_inbox import LoopInbox
 from martenrun.platform.object_api import ObjectApi
 from martenrun.wire.transport import PeerTransport
 
@@ -49,17 +50,24 @@
     Args:
         parts: decision logic; each event goes to those that handle it, in order.
         carriers: what carries out each type of instruction; Tell needs none.
+        inbox: where events wait; by default a queue that others fill, which takes one lock an
+            event where pykka's own takes four.
     """
 
-    def __init__(self, parts: list[DecisionLogic], carriers: Mapping[type[Any], Carrier]) -> None:
+    def __init__(
+        self,
+        parts: list[DecisionLogic],
+        carriers: Mapping[type[Any], Carrier],
+        inbox: LoopInbox | None = None,
+    ) -> None:
+        self._inbox: Any = queue.SimpleQueue() if inbox is None else inbox
         super().__init__()
         self._dispatcher = Dispatcher(parts)
         self._carriers = carriers
 
-    @staticmethod
-    def _create_actor_inbox() -> Any:
-        """Return the inbox; this queue takes one lock an event, pykka's own takes four."""
-        return queue.SimpleQueue()
+    def _create_actor_inbox(self) -> Any:  # type: ignore[override]
+        """Return the inbox; pykka asks for it while the actor is made."""
+        return self._inbox
 
     def on_receive(self, message: Any) -> None:
         """Handle one event, or each of a batch."""
--- a/src/martenrun/wire/connection.py
+++ b/src/martenrun/wire/connection.py
@@ -1,6 +1,7 @@
 """One authenticated internal TCP connection, driven by the transport's selector thread."""
 
 import secrets
+import selectors
 import socket
 
 from martenrun.constants import MAXIMUM_FRAME_BYTES
@@ -74,6 +75,16 @@
         """Whether a message can be written at once: nothing waits, the handshake is complete."""
         return self.established and not self.outgoing
 
+    @property
+    def wanted_events(self) -> int:
+        """Events of the socket that the connection waits for."""
+        return selectors.EVENT_READ | (selectors.EVENT_WRITE if self.outgoing else 0)
+
+    @property
+    def takes_more(self) -> bool:
+        """Whether messages can be queued for one write: the socket took all that it was given."""
+        return self.established and self.stuck_since is None
+
     @property
     def queued_bytes(self) -> int:
         """Bytes that wait to be sent."""
--- a/src/martenrun/wire/transport.py
+++ b/src/martenrun/wire/transport.py
@@ -1,10 +1,12 @@
-"""Transport of internal messages over TCP and UDP: one selector thread per process.
-
-The transport is a driver: it holds no decisions.  Received messages are handed to a callback
-(an actor's ``tell``), and sends may come from any thread.  A message for an open connection with
-nothing waiting is written by the sending thread itself, which never blocks; everything else is
-left to the selector thread.  Delivery is at most once and unacknowledged; the decision logic
-repeats what must arrive.
+"""Transport of internal messages over TCP and UDP, served by one thread.
+
+The transport is a driver: it holds no decisions.  One thread serves its sockets: a node's loop,
+which calls :meth:`PeerTransport.poll`, or a thread of its own.  Received messages are handed to
+a callback on that thread, and sends may come from any thread.  What the serving thread sends is
+written when it polls next, so that messages to one peer share a write.  Another thread writes
+a message for an open connection with nothing waiting itself, without blocking, and leaves
+everything else to the serving thread.  Delivery is at most once and unacknowledged; the decision
+logic repeats what must arrive.
 """
 
 import collections
@@ -18,11 +20,11 @@
 
 from absl import logging
 
-from martenrun.constants import MAXIMUM_DATAGRAM_BYTES
 from martenrun.wire.addresses import parse_address
 from martenrun.wire.codec import CodecError, decode, encode
 from martenrun.wire.connection import Connection
-from martenrun.wire.frames import FrameError, open_datagram, seal_datagram
+from martenrun.wire.datagrams import DatagramSocket
+from martenrun.wire.frames import FrameError
 from martenrun.wire.keys import ClusterKeys
 from martenrun.wire.limits import (
     HANDSHAKE_TIMEOUT_S,
@@ -38,12 +40,8 @@
 from martenrun.wire.messages import Message
 
 _READ_BYTES = 256 * 1024
-
-_DATAGRAMS_AT_ONCE = 64
-"""Datagrams read before connections get their turn again."""
-
 Receive = Callable[[str, Message], Any]
-"""Called with the peer's name and the message, on the transport's thread."""
+"""Called with the peer's name and the message, on the thread that serves the sockets."""
 
 
 class PeerTransport:
@@ -54,13 +52,11 @@
 
     Attributes:
         sent_stream_bytes: bytes given to TCP so far, handshakes and frames included.
-        sent_datagram_bytes: bytes given to UDP so far.
     """
 
     def __init__(self, name: str, keys: ClusterKeys, receive: Receive) -> None:
         self.name = name
         self.sent_stream_bytes = 0
-        self.sent_datagram_bytes = 0
         self._keys = keys
         self._receive = receive
         self._selector = selectors.DefaultSelector()
@@ -76,69 +72,88 @@
         self._backoffs = Backoffs()
         self._next_sweep = 0.0
         self._listener: socket.socket | None = None
-        self._datagrams: socket.socket | None = None
+        self._datagrams: DatagramSocket | None = None
         self._is_woken = False
+        self._serving_thread = 0
         self._wake_reader, self._wake_writer = socket.socketpair()
         self._wake_reader.setblocking(False)
         self._selector.register(self._wake_reader, selectors.EVENT_READ, self._drain_wake)
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="peer-transport", daemon=True)
 
+    @property
+    def sent_datagram_bytes(self) -> int:
+        """Bytes given to UDP so far."""
+        return 0 if self._datagrams is None else self._datagrams.sent_bytes
+
     def listen(self, address: str) -> None:
         """Accept connections and datagrams on ``IP:port``; call it before :meth:`start`."""
-        self._datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._datagrams.bind(parse_address(address))
-        self._datagrams.setblocking(False)
-        self._selector.register(self._datagrams, selectors.EVENT_READ, self._read_datagrams)
+        datagrams = DatagramSocket(address, self.name, self._keys, self._receive)
+        self._datagrams = datagrams
+        self._selector.register(datagrams.sock, selectors.EVENT_READ, datagrams.read)
         listener = socket.create_server(parse_address(address), backlog=512)
         listener.setblocking(False)
         self._listener = listener
         self._selector.register(listener, selectors.EVENT_READ, lambda: self._accept(listener))
 
     def start(self) -> None:
-        """Start the selector thread."""
+        """Start a thread that serves the sockets, where no loop polls."""
         self._thread.start()
 
     def stop(self) -> None:
-        """Stop the thread and close every connection."""
+        """Stop that thread and close every connection."""
         self._stopping.set()
-        self._wake()
+        self.wake()
         self._thread.join(timeout=5)
 
+    def poll(self, timeout_s: float) -> None:
+        """Write what waits, then wait for sockets and serve them; always on the same thread."""
+        self._serving_thread = threading.get_ident()
+        with self._lock:
+            self._send_queued()
+            self._sweep()
+        for key, _events in self._selector.select(min(timeout_s, SWEEP_INTERVAL_S)):
+            self._dispatch(key.data)
+
+    def close(self) -> None:
+        """Write what the sockets take, and close them; nothing polls any more."""
+        with self._lock:
+            self._send_queued()
+            for connection in list(self._open):
+                connection.sock.close()
+            self._connections.clear()
+        for sock in (self._listener, self._wake_reader, self._wake_writer):
+            if sock is not None:
+                sock.close()
+        if self._datagrams is not None:
+            self._datagrams.sock.close()
+        self._selector.close()
+
     def send(self, peer: str, message: Message) -> None:
         """Send a message to a peer, or queue it; it is dropped if the peer cannot be reached."""
         payload = encode(message)
+        if threading.get_ident() == self._serving_thread:
+            with self._lock:
+                self._write_later(peer, payload)
+            return
         with self._lock:
             if self._write_now(peer, payload):
                 return
-        self._wake()
+        self.wake()
 
     def send_datagram(self, peer: str, message: Message) -> None:
         """Send a message to a node in one datagram; it is dropped if it cannot go at once."""
-        if self._datagrams is None:
+        if self._datagrams is not None:
+            self._datagrams.send(peer, message)
+
+    def _write_later(self, peer: str, payload: bytes) -> None:
+        """Queue a message of the serving thread; the next poll writes it with others."""
+        connection = self._connections.get(peer)
+        if connection is None or not connection.takes_more or self._commands:
+            self._commands.append((peer, payload))
             return
-        try:
-            datagram = seal_datagram(self._keys.sealing, self.name, encode(message))
-            self.sent_datagram_bytes += self._datagrams.sendto(datagram, parse_address(peer))
-        except (OSError, ValueError) as error:
-            logging.log_every_n_seconds(
-                logging.WARNING, "datagram to %s was not sent: %s", 5, peer, error
-            )
-
-    def _read_datagrams(self) -> None:
-        assert self._datagrams is not None
-        for _ in range(_DATAGRAMS_AT_ONCE):
-            try:
-                datagram = self._datagrams.recv(MAXIMUM_DATAGRAM_BYTES + 1)
-                opened = open_datagram(self._keys.accepted, datagram)
-                message = decode(opened.payload)
-            except BlockingIOError:
-                return
-            except (OSError, ValueError, IndexError):
-                # A stranger's datagram, or the echo of one that met no listener.
-                continue
-            self._keys.note_use(opened.key)
-            self._receive(opened.sender, message)
+        connection.queue(payload)
+        self._unfinished[connection] = None
 
     def _write_now(self, peer: str, payload: bytes) -> bool:
         """Write a message if it need not wait, else queue it; returns whether all is written."""
@@ -148,7 +163,7 @@
             self._commands.append((peer, payload))
             return False
         connection.queue(payload)
-        # An error is met again by the selector thread, which then closes the connection.
+        # An error is met again by the serving thread, which then closes the connection.
         with contextlib.suppress(OSError):
             self._write(connection)
         if connection.outgoing:
@@ -163,8 +178,8 @@
             self.sent_stream_bytes += sent
             connection.stuck_since = None
 
-    def _wake(self) -> None:
-        """Have the selector thread look at what is queued; it is woken once for many."""
+    def wake(self) -> None:
+        """End the serving thread's wait, from any thread; it is woken once for many."""
         if not self._is_woken:
             self._is_woken = True
             with contextlib.suppress(OSError):
@@ -178,20 +193,8 @@
 
     def _run(self) -> None:
         while not self._stopping.is_set():
-            for key, _events in self._selector.select(timeout=SWEEP_INTERVAL_S):
-                self._dispatch(key.data)
-            with self._lock:
-                self._send_queued()
-                self._sweep()
-        with self._lock:
-            self._send_queued()
-            for connection in list(self._open):
-                connection.sock.close()
-            self._connections.clear()
-        for sock in (self._listener, self._datagrams, self._wake_reader, self._wake_writer):
-            if sock is not None:
-                sock.close()
-        self._selector.close()
+            self.poll(SWEEP_INTERVAL_S)
+        self.close()
 
     def _dispatch(self, target: Connection | Callable[[], None]) -> None:
         try:
@@ -266,7 +269,7 @@
         connection.opened_at = connection.heard_at = now
         self._open[connection] = None
         self._unestablished[connection] = None
-        connection.watched_events = _events_of(connection)
+        connection.watched_events = connection.wanted_events
         self._selector.register(connection.sock, connection.watched_events, connection)
 
     def _close_oldest_unestablished(self) -> None:
@@ -370,7 +373,7 @@
             connection.stuck_since = time.monotonic()
 
     def _watch(self, connection: Connection) -> None:
-        events = _events_of(connection)
+        events = connection.wanted_events
         if events == connection.watched_events:
             return
         connection.watched_events = events
@@ -387,16 +390,10 @@
         self._unestablished.pop(connection, None)
         self._stuck.pop(connection, None)
         self._unfinished.pop(connection, None)
-        if self._connections.get(connection.peer) is connection:
-            del self._connections[connection.peer]
+        peer = connection.peer
+        if self._connections.get(peer) is connection:
+            del self._connections[peer]
             if not connection.established:
-                self._backoffs.failed(connection.peer, time.monotonic())
-        if connection.peer:
-            logging.log_every_n_seconds(
-                logging.INFO, "connection to %s ended: %s", 5, connection.peer, reason
-            )
-
-
-def _events_of(connection: Connection) -> int:
-    """Return the events that a connection waits for."""
-    return selectors.EVENT_READ | (selectors.EVENT_WRITE if connection.outgoing else 0)
+                self._backoffs.failed(peer, time.monotonic())
+        if peer:
+            logging.log_every_n_seconds(logging.INFO, "connection to %s ended: %s", 5, peer, reason)
