--- a/src/martenrun/edge/watch.py
+++ b/src/martenrun/edge/watch.py
@@ -1,7 +1,8 @@
 """A driver thread that notices callers who have gone.
 
 A thread that waits for the loop or for an engine's next token cannot look at its caller.
-This one thread looks at all of them, and breaks the wait of those whose caller has gone.
+This one thread looks at all of them, and breaks the wait of those whose caller has gone.  It
+sleeps while no request is in progress.
 
 See also: :mod:`martenrun.edge.forward`.
 """
@@ -35,6 +36,7 @@
     def __init__(self) -> None:
         self._watched: dict[str, WatchedCaller] = {}
         self._stopping = threading.Event()
+        self._has_callers = threading.Event()
         self._thread = threading.Thread(target=self._run, name="caller-watch", daemon=True)
 
     def start(self) -> None:
@@ -44,10 +46,14 @@
     def stop(self) -> None:
         """Stop watching."""
         self._stopping.set()
+        self._has_callers.set()
 
     def add(self, request_id: str, caller: WatchedCaller) -> None:
         """Watch a request's caller."""
         self._watched[request_id] = caller
+        # After the caller is known: the thread clears it before it looks whether there is one.
+        if not self._has_callers.is_set():
+            self._has_callers.set()
 
     def remove(self, request_id: str) -> None:
         """Stop watching a request's caller."""
@@ -62,6 +68,13 @@
     def _run(self) -> None:
         while not self._stopping.wait(CHECK_INTERVAL_S):
             self.look()
+            self._wait_for_callers()
+
+    def _wait_for_callers(self) -> None:
+        """Sleep while no request is in progress."""
+        self._has_callers.clear()
+        if not self._watched and not self._stopping.is_set():
+            self._has_callers.wait()
 
     def look(self) -> None:
         """Look at every caller once."""
