Take fewer steps for each internal message

All whole frames of a connection are now cut in one pass without an object each, a message's values are read in one call, and a poll takes the lock only if something waits.

--- a/src/martenrun/wire/codec.py
+++ b/src/martenrun/wire/codec.py
@@ -12,7 +12,9 @@
 import dataclasses
 import hashlib
 import inspect
+import operator
 import struct
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -79,22 +81,45 @@
 
 
 _coder = best_coder()
-_sparse_classes = {cls: _sparse_class(cls) for cls in _classes.values()}
-_names = {cls: [each.name for each in dataclasses.fields(cls)] for cls in _classes.values()}
-_defaults = {
-    cls: [_default_of(field) for field in dataclasses.fields(cls)] for cls in _classes.values()
-}
+
+
+class _Fields:
+    """A message class's fields, prepared for encoding.
+
+    Attributes:
+        sparse: class of what is encoded.
+        values: returns the values of all fields of a message.
+        names: names of the fields, in the same order.
+        defaults: default values of the fields, in the same order.
+    """
+
+    def __init__(self, cls: type[Any]) -> None:
+        fields = dataclasses.fields(cls)
+        self.sparse = _sparse_class(cls)
+        self.names = [field.name for field in fields]
+        self.defaults = [_default_of(field) for field in fields]
+        # attrgetter returns a tuple for two names and more.
+        several = len(self.names) > 1
+        self.values: Callable[[Any], tuple[Any, ...]]
+        self.values = operator.attrgetter(*self.names) if several else self._few_values
+
+    def _few_values(self, message: Any) -> tuple[Any, ...]:
+        return tuple(getattr(message, name) for name in self.names)
+
+
+_fields = {cls: _Fields(cls) for cls in _classes.values()}
 
 
 def encode_struct(value: Any) -> bytes:
     """Encode one message dataclass; fields with their default values take no bytes."""
     cls = type(value)
-    sparse = _sparse_classes[cls]()
-    fields = sparse.__dict__
-    for name, default in zip(_names[cls], _defaults[cls], strict=True):
-        present = getattr(value, name)
+    prepared = _fields[cls]
+    sparse = prepared.sparse()
+    written = sparse.__dict__
+    values = prepared.values(value)
+    for name, present, default in zip(prepared.names, values, prepared.defaults, strict=True):
         if present is not default and present != default:
-            fields[name] = present
+            written[name] = present
     return _coder.write(cls, sparse)
 
 
--- a/src/martenrun/wire/connection.py
+++ b/src/martenrun/wire/connection.py
@@ -106,17 +106,23 @@
             CodecError: the first frame is not a Hello.
         """
         self._reader.feed(data)
-        payloads: list[bytes] = []
+        if self.established:
+            return self._reader.payloads(self._key)
+        return self._shake_hands()
+
+    def _shake_hands(self) -> list[bytes]:
+        """Go on with the handshake, and return the payloads that come after it."""
         if not self._has_hello and not self._is_connector:
             self._take_connectors_hello()
-        while self._may_read and (payload := self._reader.next_payload(self._key)) is not None:
+        while not self.established and self._may_read:
+            payload = self._reader.next_payload(self._key)
+            if payload is None:
+                return []
             if not self._has_hello:
                 self._take_hello(payload)
-            elif not self.established:
-                self._establish()
             else:
-                payloads.append(payload)
-        return payloads
+                self._establish()
+        return self._reader.payloads(self._key) if self.established else []
 
     @property
     def _may_read(self) -> bool:
--- a/src/martenrun/wire/frames.py
+++ b/src/martenrun/wire/frames.py
@@ -21,6 +21,9 @@
 """Covered by a datagram's tag, so that a Hello's frame is never taken for one."""
 
 
+_WRONG_TAG = "frame tag does not match; check cluster_secret on both sides"
+
+
 class FrameError(ValueError):
     """A frame that is too long or whose tag does not match."""
 
@@ -126,6 +129,20 @@
         """Add received bytes."""
         self._buffer += data
 
+    def payloads(self, key: bytes) -> list[bytes]:
+        """Return the payloads of all whole frames, sealed with one key.
+
+        Raises:
+            FrameError: a frame is too long, or its tag does not match.
+        """
+        payloads = []
+        while (body := self._next_body()) is not None:
+            payload = body[TAG_BYTES:]
+            if not hmac.compare_digest(body[:TAG_BYTES], tag(key, self._covered(payload))):
+                raise FrameError(_WRONG_TAG)
+            payloads.append(payload)
+        return payloads
+
     def next_payload(self, key: bytes) -> bytes | None:
         """Return the next whole payload, or None until more bytes arrive."""
         frame = self.next_frame((key,))
@@ -137,20 +154,32 @@
         Raises:
             FrameError: the frame is too long, or no key's tag matches.
         """
-        if len(self._buffer) < _LENGTH.size:
+        body = self._next_body()
+        if body is None:
+            return None
+        payload = body[TAG_BYTES:]
+        key = _matching_key(keys, body[:TAG_BYTES], self._covered(payload))
+        if key is None:
+            raise FrameError(_WRONG_TAG)
+        return OpenedFrame(payload, key)
+
+    def _next_body(self) -> bytes | None:
+        """Cut the next frame's tag and payload from the buffer, None if it is not whole."""
+        buffered = len(self._buffer)
+        if buffered < _LENGTH.size:
             return None
         (length,) = _LENGTH.unpack_from(self._buffer)
         if not TAG_BYTES <= length <= self.maximum_bytes:
             raise FrameError(f"frame of {length} bytes is outside the limits")
         end = _LENGTH.size + length
-        if len(self._buffer) < end:
+        if buffered < end:
             return None
         body = bytes(self._buffer[_LENGTH.size : end])
         del self._buffer[:end]
-        payload = body[TAG_BYTES:]
+        return body
+
+    def _covered(self, payload: bytes) -> bytes:
+        """Return what the tag of the next frame covers."""
         covered = self._direction + _COUNTER.pack(self._counter) + payload
         self._counter += 1
-        key = _matching_key(keys, body[:TAG_BYTES], covered)
-        if key is None:
-            raise FrameError("frame tag does not match; check cluster_secret on both sides")
-        return OpenedFrame(payload, key)
+        return covered
--- a/src/martenrun/wire/transport.py
+++ b/src/martenrun/wire/transport.py
@@ -40,6 +40,7 @@
 from martenrun.wire.messages import Message
 
 _READ_BYTES = 256 * 1024
+
 Receive = Callable[[str, Message], Any]
 """Called with the peer's name and the message, on the thread that serves the sockets."""
 
@@ -109,9 +110,10 @@
     def poll(self, timeout_s: float) -> None:
         """Write what waits, then wait for sockets and serve them; always on the same thread."""
         self._serving_thread = threading.get_ident()
-        with self._lock:
-            self._send_queued()
-            self._sweep()
+        if self._commands or self._unfinished or time.monotonic() >= self._next_sweep:
+            with self._lock:
+                self._send_queued()
+                self._sweep()
         for key, _events in self._selector.select(min(timeout_s, SWEEP_INTERVAL_S)):
             self._dispatch(key.data)
 
@@ -142,7 +144,7 @@
         self.wake()
 
     def send_datagram(self, peer: str, message: Message) -> None:
-        """Send a message to a node in one datagram; it is dropped if it cannot go at once."""
+        """Send a message to a node in one datagram, or drop it."""
         if self._datagrams is not None:
             self._datagrams.send(peer, message)
 
@@ -238,19 +240,17 @@
             return None
         try:
             address = parse_address(peer)
-        except ValueError:
-            return None
-        try:
             sock = socket.socket(socket.AF_INET)
             tune(sock)
+        except ValueError:
+            return None
         except OSError as error:
             logging.log_every_n_seconds(logging.WARNING, "no socket for %s: %s", 5, peer, error)
             return None
         sock.connect_ex(address)
         connection = Connection(sock, self.name, self._keys, peer, is_connector=True)
         self._connections[peer] = connection
-        self._add(connection, now)
-        return connection
+        return self._add(connection, now)
 
     def _accept(self, listener: socket.socket) -> None:
         try:
@@ -260,17 +260,18 @@
             logging.log_every_n_seconds(logging.WARNING, "cannot accept: %s", 5, error)
             self._close_oldest_unestablished()
             return
-        connection = Connection(sock, self.name, self._keys, "", is_connector=False)
-        self._add(connection, time.monotonic())
+        accepted = Connection(sock, self.name, self._keys, "", is_connector=False)
+        self._add(accepted, time.monotonic())
         if len(self._unestablished) > MAXIMUM_UNESTABLISHED:
             self._close_oldest_unestablished()
 
-    def _add(self, connection: Connection, now: float) -> None:
+    def _add(self, connection: Connection, now: float) -> Connection:
         connection.opened_at = connection.heard_at = now
         self._open[connection] = None
         self._unestablished[connection] = None
         connection.watched_events = connection.wanted_events
         self._selector.register(connection.sock, connection.watched_events, connection)
+        return connection
 
     def _close_oldest_unestablished(self) -> None:
         oldest = next(iter(self._unestablished), None)
