Commit the IDL's specifications instead of parsing it at each start

Every process imported thriftpy2 with its parser and parsed the IDL. The specifications are now one committed module, written by a script; a test holds it to the IDL. thriftpy2 is imported only where Apache's compiled module can not be had. Weighed: generated code against a parse at each start; 200 lines of data that a test checks are the smaller cost.

The test that compared classes with codec.idl_struct compares them with the script's reading of the IDL, as strictly.

--- a/src/martenrun/wire/codec.py
+++ b/src/martenrun/wire/codec.py
@@ -1,12 +1,11 @@
 """Encoding of internal messages with thrift's compact protocol.
 
-thriftpy2 reads the IDL at import time; no generated code and no generator are needed.  The
-specification of each struct is attached to the dataclass of the same name, so that the
-dataclass itself is read.  A field that has its default value is not written; the reader's
-dataclass gives it the same value, so defaults are part of the protocol and must not change
-within a protocol version.
+The specification of each struct, read from the IDL by thriftpy2 when the IDL changes, is
+attached to the dataclass of the same name, so that the dataclass itself is read.  A field that
+has its default value is not written; the reader's dataclass gives it the same value, so defaults
+are part of the protocol and must not change within a protocol version.
 
-See also: :mod:`martenrun.wire.compact`.
+See also: :mod:`martenrun.wire.compact`, :mod:`martenrun.wire.specifications`.
 """
 
 import dataclasses
@@ -15,19 +14,15 @@
 import operator
 import struct
 from collections.abc import Callable
-from pathlib import Path
 from typing import Any
 
-import thriftpy2
-
 from martenrun.wire import messages
 from martenrun.wire.compact import best_coder
 from martenrun.wire.messages import Message
+from martenrun.wire.specifications import SPECIFICATIONS
 
 PROTOCOL_VERSION = 2
 _HEADER = struct.Struct("!BH")
-_IDL_PATH = Path(__file__).with_name("martenrun.thrift")
-_idl = thriftpy2.load(str(_IDL_PATH), module_name="martenrun_thrift")
 
 
 class CodecError(ValueError):
@@ -40,25 +35,19 @@
     return {name: cls for name, cls in members if cls.__module__.startswith(messages.__name__)}
 
 
-def idl_struct(name: str) -> Any:
-    """Return thriftpy2's class for the struct ``name`` of the IDL."""
-    return getattr(_idl, name)
-
-
 def _attach_specifications() -> dict[str, type[Any]]:
     classes = message_classes()
-    replacement = {idl_struct(name): cls for name, cls in classes.items()}
 
-    def replaced(entry: Any) -> Any:
-        if isinstance(entry, tuple):
-            return tuple(replaced(part) for part in entry)
-        if inspect.isclass(entry):
-            return replacement.get(entry, entry)
-        return entry
+    def resolved(part: Any) -> Any:
+        if isinstance(part, tuple):
+            return tuple(resolved(each) for each in part)
+        return classes[part] if isinstance(part, str) else part
 
     for name, cls in classes.items():
-        original = idl_struct(name).thrift_spec
-        cls.thrift_spec = {key: replaced(value) for key, value in original.items()}
+        cls.thrift_spec = {
+            number: (kind, field, *map(resolved, parts))
+            for number, (kind, field, *parts) in SPECIFICATIONS[name].items()
+        }
     return classes
 
 
--- a/src/martenrun/wire/compact.py
+++ b/src/martenrun/wire/compact.py
@@ -7,13 +7,10 @@
 See also: :mod:`martenrun.wire.codec`.
 """
 
+import enum
 from io import BytesIO
 from typing import Any, Protocol
 
-from thriftpy2.protocol.compact import TCompactProtocol
-from thriftpy2.thrift import TType
-from thriftpy2.transport.memory import TMemoryBuffer
-
 try:
     from thrift.protocol import fastbinary
 except ImportError:  # No wheel for this machine, and no compiler.
@@ -25,6 +22,15 @@
 _MAXIMUM_TEXT_BYTES = 1 << 26
 
 
+class FieldType(enum.IntEnum):
+    """Numbers of the types of a specification that need more than their number."""
+
+    STRING = 11
+    STRUCT = 12
+    LIST = 15
+    BINARY = 18
+
+
 class StructCoder(Protocol):
     """Writes and reads the fields of one struct."""
 
@@ -40,15 +46,23 @@
 class PlainCoder:
     """Writes and reads with thriftpy2."""
 
+    def __init__(self) -> None:
+        # Imported where it is needed: with its parser it takes 2 MiB and 10 ms of a start.
+        from thriftpy2.protocol.compact import TCompactProtocol
+        from thriftpy2.transport.memory import TMemoryBuffer
+
+        self._protocol = TCompactProtocol
+        self._buffer = TMemoryBuffer
+
     def write(self, cls: type[Any], fields: Any) -> bytes:
         """See :meth:`StructCoder.write`."""
-        buffer = TMemoryBuffer()
-        TCompactProtocol(buffer).write_struct(fields)
+        buffer = self._buffer()
+        self._protocol(buffer).write_struct(fields)
         return bytes(buffer.getvalue())
 
     def read(self, value: Any, data: bytes) -> None:
         """See :meth:`StructCoder.read`."""
-        TCompactProtocol(TMemoryBuffer(data)).read_struct(value)
+        self._protocol(self._buffer(data)).read_struct(value)
 
 
 class _Input:
@@ -94,13 +108,13 @@
         return found
 
     def _type_arguments(self, kind: int, part: Any) -> Any:
-        if kind == TType.STRING:
+        if kind == FieldType.STRING:
             return "UTF8"
-        if kind == TType.BINARY:
+        if kind == FieldType.BINARY:
             return "BINARY"
-        if kind == TType.STRUCT:
+        if kind == FieldType.STRUCT:
             return self._specification(part)
-        if kind == TType.LIST:
+        if kind == FieldType.LIST:
             item, of = part if isinstance(part, tuple) else (part, None)
             return (_apache_type(item), self._type_arguments(item, of), False)
         return None
@@ -108,7 +122,7 @@
 
 def _apache_type(kind: int) -> int:
     """Return a type's number; only thriftpy2 numbers binary fields apart from text."""
-    return int(TType.STRING if kind == TType.BINARY else kind)
+    return int(FieldType.STRING if kind == FieldType.BINARY else kind)
 
 
 def best_coder() -> StructCoder:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -4,12 +4,13 @@
 import dataclasses
 import queue
 
+import generate_specifications
 import pytest
 from deployment import free_address
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from martenrun.wire import codec
+from martenrun.wire import codec, specifications
 from martenrun.wire.compact import MAXIMUM_ITEMS, CompiledCoder, PlainCoder
 from martenrun.wire.frames import FrameError, FrameReader, FrameWriter
 from martenrun.wire.keys import ClusterKeys
@@ -37,10 +38,17 @@
 )
 
 
+IDL_STRUCTS = generate_specifications.specifications()
+
+
+def test_the_committed_specifications_are_those_of_the_idl():
+    assert specifications.SPECIFICATIONS == IDL_STRUCTS
+
+
 @pytest.mark.parametrize("name", sorted(codec.message_classes()))
 def test_message_class_has_the_fields_of_its_struct(name):
     cls = codec.message_classes()[name]
-    spec = codec.idl_struct(name).thrift_spec
+    spec = IDL_STRUCTS[name]
     assert [entry[1] for entry in spec.values()] == [f.name for f in dataclasses.fields(cls)]
 
 
