--- a/src/martenrun/wire/codec.py
+++ b/src/martenrun/wire/codec.py
@@ -1,31 +1,28 @@
 """Encoding of internal messages with thrift's compact protocol.
 
-thriftpy2 reads the IDL at import time; no generated code and no generator are needed.  The
-specification of each struct is attached to the dataclass of the same name, so that the
-dataclass itself is read.  A field that has its default value is not written; the reader's
-dataclass gives it the same value, so defaults are part of the protocol and must not change
-within a protocol version.
+The specification of each struct, read from the IDL by thriftpy2 when the IDL changes, is
+attached to the dataclass of the same name, so that the dataclass itself is read.  A field that
+has its default value is not written; the reader's dataclass gives it the same value, so defaults
+are part of the protocol and must not change within a protocol version.
 
-See also: :mod:`martenrun.wire.compact`.
+See also: :mod:`martenrun.wire.compact`, :mod:`martenrun.wire.specifications`.
 """
 
 import dataclasses
 import hashlib
 import inspect
+import operator
 import struct
-from pathlib import Path
+from collections.abc import Callable
 from typing import Any
 
-import thriftpy2
-
 from martenrun.wire import messages
 from martenrun.wire.compact import best_coder
 from martenrun.wire.messages import Message
+from martenrun.wire.specifications import SPECIFICATIONS
 
 PROTOCOL_VERSION = 2
 _HEADER = struct.Struct("!BH")
-_IDL_PATH = Path(__file__).with_name("martenrun.thrift")
-_idl = thriftpy2.load(str(_IDL_PATH), module_name="martenrun_thrift")
 
 
 class CodecError(ValueError):
@@ -38,25 +35,19 @@
     return {name: cls for name, cls in members if cls.__module__.startswith(messages.__name__)}
 
 
-def idl_struct(name: str) -> Any:
-    """Return thriftpy2's class for the struct ``name`` of the IDL."""
-    return getattr(_idl, name)
-
-
 def _attach_specifications() -> dict[str, type[Any]]:
     classes = message_classes()
-    replacement = {idl_struct(name): cls for name, cls in classes.items()}
 
-    def replaced(entry: Any) -> Any:
-        if isinstance(entry, tuple):
-            return tuple(replaced(part) for part in entry)
-        if inspect.isclass(entry):
-            return replacement.get(entry, entry)
-        return entry
+    def resolved(part: Any) -> Any:
+        if isinstance(part, tuple):
+            return tuple(resolved(each) for each in part)
+        return classes[part] if isinstance(part, str) else part
 
     for name, cls in classes.items():
-        original = idl_struct(name).thrift_spec
-        cls.thrift_spec = {key: replaced(value) for key, value in original.items()}
+        cls.thrift_spec = {
+            number: (kind, field, *map(resolved, parts))
+            for number, (kind, field, *parts) in SPECIFICATIONS[name].items()
+        }
     return classes
 
 
@@ -79,22 +70,45 @@
 
 
 _coder = best_coder()
-_sparse_classes = {cls: _sparse_class(cls) for cls in _classes.values()}
-_names = {cls: [each.name for each in dataclasses.fields(cls)] for cls in _classes.values()}
-_defaults = {
-    cls: [_default_of(field) for field in dataclasses.fields(cls)] for cls in _classes.values()
-}
+
+
+class _Fields:
+    """A message class's fields, prepared for encoding.
+
+    Attributes:
+        sparse: class of what is encoded.
+        values: returns the values of all fields of a message.
+        names: names of the fields, in the same order.
+        defaults: default values of the fields, in the same order.
+    """
+
+    def __init__(self, cls: type[Any]) -> None:
+        fields = dataclasses.fields(cls)
+        self.sparse = _sparse_class(cls)
+        self.names = [field.name for field in fields]
+        self.defaults = [_default_of(field) for field in fields]
+        # attrgetter returns a tuple for two names and more.
+        several = len(self.names) > 1
+        self.values: Callable[[Any], tuple[Any, ...]]
+        self.values = operator.attrgetter(*self.names) if several else self._few_values
+
+    def _few_values(self, message: Any) -> tuple[Any, ...]:
+        return tuple(getattr(message, name) for name in self.names)
+
+
+_fields = {cls: _Fields(cls) for cls in _classes.values()}
 
 
 def encode_struct(value: Any) -> bytes:
     """Encode one message dataclass; fields with their default values take no bytes."""
     cls = type(value)
-    sparse = _sparse_classes[cls]()
-    fields = sparse.__dict__
-    for name, default in zip(_names[cls], _defaults[cls], strict=True):
-        present = getattr(value, name)
+    prepared = _fields[cls]
+    sparse = prepared.sparse()
+    written = sparse.__dict__
+    values = prepared.values(value)
+    for name, present, default in zip(prepared.names, values, prepared.defaults, strict=True):
         if present is not default and present != default:
-            fields[name] = present
+            written[name] = present
     return _coder.write(cls, sparse)
 
 
--- a/src/martenrun/wire/connection.py
+++ b/src/martenrun/wire/connection.py
@@ -1,6 +1,7 @@
 """One authenticated internal TCP connection, driven by the transport's selector thread."""
 
 import secrets
+import selectors
 import socket
 
 from martenrun.constants import MAXIMUM_FRAME_BYTES
@@ -74,6 +75,16 @@
         """Whether a message can be written at once: nothing waits, the handshake is complete."""
         return self.established and not self.outgoing
 
+    @property
+    def wanted_events(self) -> int:
+        """Events of the socket that the connection waits for."""
+        return selectors.EVENT_READ | (selectors.EVENT_WRITE if self.outgoing else 0)
+
+    @property
+    def takes_more(self) -> bool:
+        """Whether messages can be queued for one write: the socket took all that it was given."""
+        return self.established and self.stuck_since is None
+
     @property
     def queued_bytes(self) -> int:
         """Bytes that wait to be sent."""
@@ -95,17 +106,23 @@
             CodecError: the first frame is not a Hello.
         """
         self._reader.feed(data)
-        payloads: list[bytes] = []
+        if self.established:
+            return self._reader.payloads(self._key)
+        return self._shake_hands()
+
+    def _shake_hands(self) -> list[bytes]:
+        """Go on with the handshake, and return the payloads that come after it."""
         if not self._has_hello and not self._is_connector:
             self._take_connectors_hello()
-        while self._may_read and (payload := self._reader.next_payload(self._key)) is not None:
+        while not self.established and self._may_read:
+            payload = self._reader.next_payload(self._key)
+            if payload is None:
+                return []
             if not self._has_hello:
                 self._take_hello(payload)
-            elif not self.established:
-                self._establish()
             else:
-                payloads.append(payload)
-        return payloads
+                self._establish()
+        return self._reader.payloads(self._key) if self.established else []
 
     @property
     def _may_read(self) -> bool:
