Generate the wire specifications anew after the merges

Change: scripts/generate_specifications.py run again; the test takes each message's specification from the committed module, the one the codec uses.

--- a/src/martenrun/wire/specifications.py
+++ b/src/martenrun/wire/specifications.py
@@ -64,6 +64,7 @@
         12: (15, "excluded_runners", 11, False),
         13: (8, "attempt", False),
     },
+    "DemandReport": {1: (11, "zone", False), 2: (15, "pools", (12, "PoolDemand"), False)},
     "ExportPrefix": {
         1: (11, "runner", False),
         2: (11, "incarnation", False),
@@ -100,11 +101,12 @@
         5: (11, "pool", False),
         6: (11, "state", False),
     },
-    "MachinesQuery": {1: (10, "known_digest", False)},
+    "MachinesQuery": {1: (10, "known_digest", False), 2: (2, "takes_packed", False)},
     "MachinesUpdate": {
         1: (10, "digest", False),
         2: (2, "complete", False),
         3: (15, "machines", (12, "MachineEntry"), False),
+        4: (18, "packed", False),
     },
     "MemberClaim": {
         1: (11, "address", False),
@@ -129,6 +131,16 @@
         4: (15, "faults", 11, False),
         5: (15, "agents", (12, "AgentRevision"), False),
     },
+    "PoolDemand": {
+        1: (8, "pool_id", False),
+        2: (8, "runners", False),
+        3: (8, "slots", False),
+        4: (8, "used_slots", False),
+        5: (8, "waiting_tokens", False),
+        6: (8, "wait_ms", False),
+        7: (11, "spare_runner", False),
+        8: (8, "spare_blocks", False),
+    },
     "PrefixExported": {
         1: (11, "runner", False),
         2: (11, "weights_version", False),
@@ -181,6 +193,7 @@
         7: (2, "may_queue", False),
         8: (11, "weights_version", False),
         9: (18, "chain", False),
+        10: (8, "pool_id", False),
     },
     "RunnerLoad": {1: (11, "runner", False), 2: (8, "free_slots", False)},
     "SlotGranted": {
--- a/tests/test_proof_parsing.py
+++ b/tests/test_proof_parsing.py
@@ -18,6 +18,7 @@
 from martenrun.wire import codec
 from martenrun.wire.frames import FrameError, FrameReader, FrameWriter
 from martenrun.wire.messages import ConfigurationObject, ConfigurationUpdate
+from martenrun.wire.specifications import SPECIFICATIONS
 
 KEY = b"0123456789abcdef"
 ALLOCATED_BYTES = 1 << 20
@@ -49,7 +50,7 @@
 
 def messages_of(cls):
     hints = typing.get_type_hints(cls)
-    specification = codec.idl_struct(cls.__name__).thrift_spec
+    specification = SPECIFICATIONS[cls.__name__]
     fields = {}
     for wire_type, name, *item_type in specification.values():
         fields[name] = values_of(hints[name], wire_type, item_type[0])
