Carry all flowing streams of a process on one thread

Cause: a thread for each stream was woken for every token and fought hundreds of others for the interpreter's lock: 14 voluntary context switches a token at 1,000 streams; parsing by urllib3 and sends were half of the rest.

Change: after the first events, edge/relay.py waits for the sockets of all engines with one epoll and writes whole events through waitress's own task; platform/streamed_answer.py takes the bytes apart without waiting. A worker waits for the end and handles retries and resumption as before. The capacity page is fitted again: its line of fronts, "not measured" before, now is.

--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -1,19 +1,21 @@
 """Runs the benchmarks that need real processes, and writes their figures.
 
-Usage: ``bench.py path|streams|control [FILE]``; without a file the figures are only printed.
+Usage: ``bench.py path|streams|front|control [FILE]``; without a file the figures are only printed.
 """
 
 import subprocess
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 from deployment import CLUSTER_SECRET, Deployment, ended_on_failure
 
 MODEL = "vine-reader"
 KEY = "growers-key"
-ENGINE_GAP_MS = 50
-STREAM_STEPS = (50, 100, 200, 300, 400)
-STREAM_ENGINES = 4
+ENGINE_GAP_MS = 68
+STREAM_STEPS = (100, 300, 600, 1_000)
+STREAM_ENGINES = 6
+MAXIMUM_STREAMS = ("--max-streams", "1000")
 SLOTS = 1_000
 CONTROL_ENGINES = 6
 CONTROL_NODES = 3
@@ -30,8 +32,8 @@
         ]
         for _ in range(engines):
             deployment.start_engine("zone-a", "readers", MODEL, *flags)
-        deployment.start_nodes(["zone-a"] * nodes)
-        deployment.start_agents(["zone-a"], "--max-streams", "1000")
+        deployment.start_nodes(["zone-a"] * nodes, *MAXIMUM_STREAMS)
+        deployment.start_agents(["zone-a"], *MAXIMUM_STREAMS)
         deployment.apply_tenant("growers", KEY)
         deployment.serve_pool("readers", MODEL)
     return deployment
@@ -56,10 +58,19 @@
 
 def streams() -> bytes:
     """Measure how many streams one agent carries well."""
+    return _streams_of(lambda deployment: deployment.agent_edges[0])
+
+
+def front() -> bytes:
+    """Measure how many streams one node's front carries well."""
+    return _streams_of(lambda deployment: deployment.node_edges[0])
+
+
+def _streams_of(edge_of: Callable[[Deployment], str]) -> bytes:
     deployment = start(STREAM_ENGINES, ENGINE_GAP_MS / 1_000)
     try:
         steps = [flag for step in STREAM_STEPS for flag in ("--step", str(step))]
-        edge = ("--edge", deployment.agent_edges[0], "--key", KEY)
+        edge = ("--edge", edge_of(deployment), "--key", KEY)
         return measured("streams", *edge, *steps, "--engine-gap-ms", str(ENGINE_GAP_MS))
     finally:
         deployment.stop()
@@ -84,7 +95,7 @@
 
 def main() -> int:
     """Run the named benchmark."""
-    benchmarks = {"path": path, "streams": streams, "control": control}
+    benchmarks = {"path": path, "streams": streams, "front": front, "control": control}
     if len(sys.argv) not in (2, 3) or sys.argv[1] not in benchmarks:
         print(__doc__, file=sys.stderr)
         return 2
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -100,17 +100,17 @@
         """Put an engine into the machine list."""
         put_machine(self.machines, Machine(name, "engine", address, zone, pool, state))
 
-    def start_nodes(self, zones: list[str]) -> None:
+    def start_nodes(self, zones: list[str], *flags: str) -> None:
         """Start one node in each of the zones, all knowing each other."""
         first = len(self.node_peers)
         self.node_peers += [free_address() for _ in zones]
         self.node_edges += [free_address() for _ in zones]
         for index, zone in enumerate(zones, start=first):
-            self.start_node(index, zone)
+            self.start_node(index, zone, *flags)
         for edge in self.node_edges[first:]:
             wait_until(lambda edge=edge: answers(edge, "/healthz"), "node", START_TIMEOUT_S)
 
-    def start_node(self, index: int, zone: str) -> None:
+    def start_node(self, index: int, zone: str, *flags: str) -> None:
         """Start the node of an index at its addresses; it does not wait for it."""
         seeds = [flag for peer in self.node_peers for flag in ("--seed-nodes", peer)]
         self.run(
@@ -122,6 +122,7 @@
             *("--object-api", self.objects_of(index), "--machine-list", self.machines),
             *("--bootstrap-key-sha256", _ADMIN_DIGEST),
             *seeds,
+            *flags,
         )
 
     def objects_of(self, index: int) -> str:
--- a/scripts/measure_capacity.py
+++ b/scripts/measure_capacity.py
@@ -163,7 +163,8 @@
         *(scale_step(nodes, seed) for seed in SCALE_SEEDS for nodes in SCALE_SIZES),
         Step("path", script("bench.py", "path"), "path.json", replace_file, 30),
         Step("control", script("bench.py", "control"), "control-node.json", replace_file, 60),
-        Step("streams", script("bench.py", "streams"), "streams.json", replace_file, 60),
+        Step("streams", script("bench.py", "streams"), "streams.json", replace_file, 130),
+        Step("front", script("bench.py", "front"), "streams-front.json", replace_file, 130),
         Step("restart", script("measure_restart.py"), "restart.json", append_state, 60, ("1",)),
         *(membership_step(flags) for flags in MEMBERSHIP_FLAGS),
         Step(
--- a/src/martenrun/capacity/results.py
+++ b/src/martenrun/capacity/results.py
@@ -193,16 +193,17 @@
 
 
 class StreamStep(msgspec.Struct):
-    """One load of ``scripts/bench.py streams``."""
+    """One number of streams of ``scripts/bench.py streams`` or ``front``."""
 
     streams: int
     events_per_s: float
     cpu_part: float
+    memory_kib_per_stream: float
     is_good: bool
 
 
 class StreamsResult(msgspec.Struct):
-    """Result of ``scripts/bench.py streams``."""
+    """Result of ``scripts/bench.py streams`` and ``scripts/bench.py front``."""
 
     steps: list[StreamStep]
 
--- a/src/martenrun/capacity/role_fit.py
+++ b/src/martenrun/capacity/role_fit.py
@@ -21,6 +21,7 @@
 MICROSECONDS_PER_S = 1_000_000
 BYTES_PER_MIB = 1_048_576
 AGENTS = "agents, all"
+FRONTS = "fronts, if no caller had an agent"
 _SCALE_RUN = "martenrun bench scale --nodes 10|40|120|370 --json"
 _SCALE_FILE = "docs/measurements/scale.jsonl"
 _CONFIGURATION_FILE = "configuration-370.json"
@@ -45,10 +46,7 @@
     return [
         _machine_list_reader(scale, measurements),
         _watcher(scale, measurements),
-        Slope("front on a node", "streams carried", Driver.CONSTANT,
-              "src/martenrun/edge/forward.py", "", "",
-              unmeasured=[Figure.CPU, Figure.BYTES, Figure.MEMORY],
-              note="the same code as an agent's, in the process of a node"),
+        _tokens_carried(FRONTS, "front", "streams-front.json", measurements),
         *_agents(scale, measurements),
     ]  # fmt: skip
 
@@ -98,19 +96,13 @@
     """The agents' side: not control of a node, but the path that carries the tokens."""
     path = read_result(measurements / "path.json", PathResult)
     resident = read_result(measurements / "restart.json", list[RestartResult])[-1].agent_rss_mib
-    streams = read_result(measurements / "streams.json", StreamsResult)
-    good = [step for step in streams.steps if step.is_good]
-    best = max(good, key=lambda step: step.events_per_s)
-    cpu_us = best.cpu_part * MICROSECONDS_PER_S / best.events_per_s
     return [
         Slope(AGENTS, "requests", Driver.REQUESTS_IN_ALL_PER_S, "src/martenrun/agent/requests.py",
               "scripts/bench.py path", "docs/measurements/path.json",
               cpu_us=path.agent_cpu_ms_per_request * MICROSECONDS_PER_MS,
               sent_bytes=median_of(scale, lambda r: r.load.agent_bytes_per_request),
               note="whole process, prompts of 40,000 bytes; bytes of control from the scale run"),
-        Slope(AGENTS, "tokens carried", Driver.TOKENS_PER_S, "src/martenrun/edge/forward.py",
-              "scripts/bench.py streams", "docs/measurements/streams.json", cpu_us=cpu_us,
-              note=f"{best.events_per_s:.0f} tokens/s a process before quality falls"),
+        _tokens_carried(AGENTS, "streams", "streams.json", measurements),
         Slope("agent, one", "idle", Driver.CONSTANT, "src/martenrun/agent/parts.py", _SCALE_RUN,
               _SCALE_FILE, cpu_us=median_of(scale, lambda r: r.idle_agent.cpu_us_per_s),
               sent_bytes=median_of(scale, lambda r: r.idle_agent.sent_bytes_per_s),
@@ -119,3 +111,17 @@
               unmeasured=[Figure.MEMORY] if resident is None else [],
               note="logic only; memory of a process that carried few requests"),
     ]  # fmt: skip
+
+
+def _tokens_carried(role: str, benchmark: str, name: str, measurements: Path) -> Slope:
+    """Return what a token costs at the highest rate that one process was seen to carry well."""
+    result = read_result(measurements / name, StreamsResult)
+    good = [step for step in result.steps if step.is_good]
+    best = max(good, key=lambda step: step.events_per_s)
+    cpu_us = best.cpu_part * MICROSECONDS_PER_S / best.events_per_s
+    return Slope(
+        role, "tokens carried", Driver.TOKENS_PER_S, "src/martenrun/edge/relay.py",
+        f"scripts/bench.py {benchmark}", f"docs/measurements/{name}", cpu_us=cpu_us,
+        note=f"{best.events_per_s:.0f} tokens/s and {best.streams} streams a process, "
+        f"{best.memory_kib_per_stream:.0f} KiB a stream; more was not tried",
+    )  # fmt: skip
--- a/src/martenrun/edge/application.py
+++ b/src/martenrun/edge/application.py
@@ -7,6 +7,7 @@
 from werkzeug.wrappers import Request, Response
 
 from martenrun.configuration.view import ConfigurationView
+from martenrun.edge.channel import OUTPUT_KEY
 from martenrun.edge.first_copy import wait_for_first_copy
 from martenrun.edge.forward import CallerLeft, EdgePort, Forwarder
 from martenrun.edge.request import bearer_token, deadline_s, parse_request, read_body
@@ -135,6 +136,7 @@
             caller_gone,
             observation,
             self._settings.token_gap_timeout_s,
+            request.environ.get(OUTPUT_KEY),
         ).run()
         # The first piece decides the status: errors before any output become a typed body.
         first = next(pieces, b"")
--- a/src/martenrun/edge/channel.py
+++ b/src/martenrun/edge/channel.py
@@ -13,7 +13,7 @@
 from http import HTTPStatus
 from typing import Any
 
-from waitress.channel import HTTPChannel
+from waitress.channel import ClientDisconnected, HTTPChannel
 from waitress.task import ErrorTask, WSGITask
 from waitress.utilities import Error, RequestEntityTooLarge, RequestHeaderFieldsTooLarge
 
@@ -46,6 +46,9 @@
 RETRY_AFTER_S = 1.0
 """When a caller whose request was not received in time should come back, in seconds."""
 
+OUTPUT_KEY = "martenrun.output"
+"""Key of the WSGI environment under which a :class:`TaskOutput` is found."""
+
 _READ_BYTES = 65_536
 
 
@@ -76,9 +79,40 @@
         self.write(body)
 
 
+class TaskOutput:
+    """The body of an answer that has begun, written from another thread than the worker's.
+
+    The worker writes nothing meanwhile.
+    """
+
+    def __init__(self, task: WSGITask) -> None:
+        self._task = task
+
+    def write(self, data: bytes) -> bool:
+        """Send or buffer a part of the body; returns False if the caller has gone.
+
+        Never waits while the backlog is below waitress's high-water mark of 16 MB.
+        """
+        try:
+            self._task.write(data)
+        except ClientDisconnected:
+            return False
+        return True
+
+    @property
+    def backlog_bytes(self) -> int:
+        """Bytes that wait for the caller to read."""
+        return int(self._task.channel.total_outbufs_len)
+
+
 class _Task(WSGITask):
     """Runs the application; tells the caller to leave the connection if the server stops."""
 
+    def get_environment(self) -> dict[str, Any]:
+        environ: dict[str, Any] = super().get_environment()
+        environ[OUTPUT_KEY] = TaskOutput(self)
+        return environ
+
     def build_response_header(self) -> bytes:
         if self.channel.server.is_stopping:
             self.set_close_on_finish()
--- a/src/martenrun/edge/forward.py
+++ b/src/martenrun/edge/forward.py
@@ -1,9 +1,10 @@
 """Carrying one request's bytes between the caller and an engine.
 
 The code runs on the HTTP server's thread.  It decides nothing: it tells the loop what
-happened and does what the loop's instructions say.
+happened and does what the loop's instructions say.  Once a stream flows, the relay's thread moves
+its bytes, and the server's thread waits.
 
-See also: :mod:`martenrun.agent.requests`, which decides.
+See also: :mod:`martenrun.agent.requests`, which decides, :mod:`martenrun.edge.relay`.
 """
 
 import queue
@@ -12,6 +13,7 @@
 from dataclasses import dataclass, field
 
 from martenrun.constants import ENGINE_READ_TIMEOUT_S, RESUME_WINDOW_S
+from martenrun.edge.relay import CallerOutput, StreamRelay
 from martenrun.edge.request import CallerRequest
 from martenrun.edge.watch import CallerWatch, WatchedCaller
 from martenrun.errors import (
@@ -57,11 +59,13 @@
         tell: gives an event to the loop.
         mailboxes: where each request's instructions are put, by request id.
         watch: notices callers who have gone.
+        relay: moves the bytes of streams that flow.
     """
 
     tell: Callable[[Event], None]
     mailboxes: dict[str, Mailbox] = field(default_factory=dict)
     watch: CallerWatch = field(default_factory=CallerWatch)
+    relay: StreamRelay = field(default_factory=StreamRelay)
 
     def deliver(self, instruction: RunAttempt | Finish) -> None:
         """Hand an instruction of the loop to the thread that carries the request."""
@@ -71,7 +75,10 @@
 
 
 class Forwarder:
-    """Carries one request; use it as an iterator of output pieces, then close it."""
+    """Carries one request; use it as an iterator of output pieces, then close it.
+
+    With an ``output``, everything after an attempt's first events goes there.
+    """
 
     def __init__(
         self,
@@ -81,6 +88,7 @@
         caller_gone: Callable[[], bool],
         observation: RequestObservation,
         token_gap_timeout_s: float,
+        output: CallerOutput | None = None,
     ) -> None:
         self._port = port
         self._engines = engines
@@ -88,6 +96,7 @@
         self._caller_gone = caller_gone
         self._observation = observation
         self._token_gap_timeout_s = token_gap_timeout_s
+        self._output = output
         self._mailbox: Mailbox = queue.SimpleQueue()
         self._request_id = request.question.request_id
         self._progress = StreamProgress()
@@ -168,10 +177,15 @@
         self._observation.attempt_started(not self._attempts, has_resumed)
         self._attempts += 1
         try:
-            for piece in attempt.events():
+            for event in attempt.first_events():
                 first_token_s = first_token_s or time.monotonic() - started
-                self._observation.output(self._progress.tokens)
-                yield piece
+                self._passing_on()
+                yield event
+            if self._output is not None and not attempt.is_over:
+                self._port.relay.carry(attempt, self._output, self._passing_on)
+            for event in attempt.further_events():
+                self._passing_on()
+                yield event
         finally:
             self._attempt = None
             if attempt.result.outcome is AttemptOutcome.CALLER_GONE:
@@ -192,6 +206,10 @@
             )
         )
 
+    def _passing_on(self) -> None:
+        """Count an event that the caller gets."""
+        self._observation.output(self._progress.tokens)
+
     def _engine_request(self, instruction: RunAttempt) -> EngineRequest:
         grant = instruction.grant
         least_s = RESUME_WINDOW_S if self._progress.has_events else MINIMUM_WAIT_S
--- a/src/martenrun/platform/attempt.py
+++ b/src/martenrun/platform/attempt.py
@@ -4,7 +4,11 @@
 the request is on its way cannot be told from a request that ran, which would cost a
 non-repeatable request its answer.
 
-See also: :mod:`martenrun.platform.engine`, :mod:`martenrun.platform.stream_progress`.
+A streamed answer is read by whoever has its socket: :meth:`EngineAttempt.first_events` and
+:meth:`EngineAttempt.further_events` wait for it, and one that follows many streams waits for all
+of them and calls :meth:`EngineAttempt.read_ready`.
+
+See also: :mod:`martenrun.platform.engine`, :mod:`martenrun.platform.streamed_answer`.
 """
 
 import contextlib
@@ -13,36 +17,23 @@
 from collections.abc import Iterator
 
 import msgspec
-import urllib3
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import HTTPError, NewConnectionError
+from urllib3.exceptions import HTTPError
 
 from martenrun.constants import ENGINE_CONNECT_TIMEOUT_S
 from martenrun.platform.engine import AttemptOutcome, AttemptResult, EngineRequest
+from martenrun.platform.http_stream import HttpStreamError
 from martenrun.platform.kv_transfers import IMPORT_HEADER
 from martenrun.platform.stream_progress import StreamProgress
+from martenrun.platform.streamed_answer import StreamedAnswer, UsageHolder, take_usage
 
-_DONE = b"data: [DONE]"
-_EVENT_END = b"\n\n"
-_DATA = b"data: "
-_FAILURES = (HTTPError, http.client.HTTPException, OSError)
-
-
-class _PromptDetails(msgspec.Struct):
-    cached_tokens: int = 0
-    import_held_blocks: int = 0
-    imported_blocks: int = 0
-    import_ms: int = 0
-
-
-class _Usage(msgspec.Struct):
-    prompt_tokens: int = 0
-    completion_tokens: int = 0
-    prompt_tokens_details: _PromptDetails = msgspec.field(default_factory=_PromptDetails)
+READ_BYTES = 64 * 1024
+"""Most bytes read of a stream at a time."""
 
+OK_STATUS = 200
+"""Status of an answer that holds output."""
 
-class _UsageHolder(msgspec.Struct):
-    usage: _Usage | None = None
+_FAILURES = (HTTPError, http.client.HTTPException, HttpStreamError, OSError)
 
 
 class _ErrorDetail(msgspec.Struct):
@@ -54,7 +45,11 @@
 
 
 class EngineAttempt:
-    """One attempt at an engine; ``result`` is final once :meth:`events` is exhausted.
+    """One attempt at an engine.
+
+    Attributes:
+        is_over: whether it has ended; ``result`` is final then.
+        result: how it ended.
 
     Args:
         address: ``IP:port`` of the engine.
@@ -69,26 +64,71 @@
         self._progress = progress
         self._socket: socket.socket | None = None
         self._aborted = False
+        self.is_over = False
         self.result = AttemptResult(AttemptOutcome.CALLER_GONE)
+        self._answer = StreamedAnswer(progress, self.result)
+
+    @property
+    def silence_s(self) -> float:
+        """Longest time between two reads of a stream, in seconds."""
+        return self._request.token_gap_timeout_s
 
     def events(self) -> Iterator[bytes]:
         """Send the request and yield each whole server-sent event that the caller lacks.
 
         Failures do not raise; they end the iteration and show in ``result``.
         """
+        yield from self.first_events()
+        yield from self.further_events()
+
+    def first_events(self) -> Iterator[bytes]:
+        """Send the request; yield the events of the first read that has any."""
         try:
             self._connect()
         except _FAILURES as error:
             self._end(AttemptOutcome.NOT_RUN, f"no connection: {error}")
             return
         try:
-            response = self._send()
-        except NewConnectionError as error:
-            self._end(AttemptOutcome.NOT_RUN, f"no connection: {error}")
+            self._send()
         except _FAILURES as error:
             self._end(AttemptOutcome.UNKNOWN, f"no answer: {error!r}")
-        else:
-            yield from self._answer(response)
+            return
+        if not self._request.stream:
+            self._read_whole()
+        has_event = False
+        while not self.is_over and not has_event:
+            for event in self._wait_and_read():
+                has_event = True
+                yield event
+
+    def further_events(self) -> Iterator[bytes]:
+        """Wait for the rest of the stream and yield its events."""
+        while not self.is_over:
+            yield from self._wait_and_read()
+
+    def follow(self) -> int:
+        """Let :meth:`read_ready` never wait; returns the descriptor to wait on."""
+        assert self._socket is not None
+        self._socket.setblocking(False)
+        return self._socket.fileno()
+
+    def read_ready(self) -> Iterator[bytes]:
+        """Read what has arrived, once, and yield the events that it completes."""
+        assert self._socket is not None
+        try:
+            data = self._socket.recv(READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self.broke(repr(error))
+            return
+        yield from self._received(data)
+
+    def broke(self, reason: str) -> None:
+        """End the attempt: its stream cannot be read on."""
+        is_broken = self._progress.has_events and self._answer.status
+        outcome = AttemptOutcome.BROKEN if is_broken else AttemptOutcome.UNKNOWN
+        self._end(outcome, f"the stream broke: {reason}")
 
     def abort(self) -> None:
         """Break the connection, from any thread; a blocked read ends at once."""
@@ -97,6 +137,11 @@
             with contextlib.suppress(OSError):
                 self._socket.shutdown(socket.SHUT_RDWR)
 
+    def leave(self) -> None:
+        """End the attempt: the caller cannot be written to."""
+        self.abort()
+        self._end(AttemptOutcome.CALLER_GONE, "")
+
     def close(self) -> None:
         """Close the connection; the engine stops what it has not finished."""
         if self.result.outcome is not AttemptOutcome.COMPLETE:
@@ -113,7 +158,7 @@
         if self._aborted:
             raise ConnectionAbortedError("aborted before anything was sent")
 
-    def _send(self) -> urllib3.BaseHTTPResponse:
+    def _send(self) -> None:
         headers = {
             "Content-Type": "application/json",
             "X-Expected-Incarnation": self._request.incarnation,
@@ -129,84 +174,66 @@
             headers=headers,
             preload_content=False,
         )
-        return self._connection.getresponse()
 
-    def _answer(self, response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
-        if response.status != 200:
-            self._refused(response)
-        elif self._request.stream:
-            assert self._socket is not None
+    def _wait_and_read(self) -> Iterator[bytes]:
+        assert self._socket is not None
+        had_head = self._answer.status != 0
+        try:
+            data = self._socket.recv(READ_BYTES)
+        except OSError as error:
+            self.broke(repr(error))
+            return
+        yield from self._received(data)
+        if not had_head and self._answer.status:
             self._socket.settimeout(self._request.token_gap_timeout_s)
-            yield from self._stream(response)
+
+    def _received(self, data: bytes) -> Iterator[bytes]:
+        """Take in what a read returned; an end without the terminator is not whole."""
+        try:
+            yield from self._answer.received(data)
+        except HttpStreamError as error:
+            self.broke(repr(error))
+            return
+        if self._answer.is_done:
+            self._end(AttemptOutcome.COMPLETE, "")
+        elif data and not self._answer.has_ended:
+            return
+        elif self._answer.status not in (0, OK_STATUS):
+            self._refused(self._answer.status, self._answer.refusal)
         else:
-            self._read_whole(response)
+            self.broke("it ended without its terminator")
 
     def _end(self, outcome: AttemptOutcome, message: str) -> None:
         if self._aborted:
             outcome = AttemptOutcome.CALLER_GONE
+        self.is_over = True
         self.result.outcome = outcome
         self.result.message = message
 
-    def _refused(self, response: urllib3.BaseHTTPResponse) -> None:
+    def _refused(self, status: int, body: bytes) -> None:
         """Take in an answer other than 200; only one that says so was certainly not run."""
-        message = f"the engine answered {response.status}"
         not_run = False
-        with contextlib.suppress(msgspec.MsgspecError, *_FAILURES):
-            error = msgspec.json.decode(response.read(), type=_ErrorHolder).error
-            not_run = error.ran == "no"
-        self._end(AttemptOutcome.NOT_RUN if not_run else AttemptOutcome.UNKNOWN, message)
+        with contextlib.suppress(msgspec.MsgspecError):
+            not_run = msgspec.json.decode(body, type=_ErrorHolder).error.ran == "no"
+        outcome = AttemptOutcome.NOT_RUN if not_run else AttemptOutcome.UNKNOWN
+        self._end(outcome, f"the engine answered {status}")
 
-    def _read_whole(self, response: urllib3.BaseHTTPResponse) -> None:
+    def _read_whole(self) -> None:
+        """Read an answer that is not streamed."""
         try:
+            response = self._connection.getresponse()
             body = response.read()
-            usage = msgspec.json.decode(body, type=_UsageHolder).usage
-        except (*_FAILURES, msgspec.MsgspecError) as error:
-            self._end(AttemptOutcome.UNKNOWN, f"the answer was not whole: {error!r}")
+        except _FAILURES as error:
+            self._end(AttemptOutcome.UNKNOWN, f"no whole answer: {error!r}")
+            return
+        if response.status != OK_STATUS:
+            self._refused(response.status, body)
+            return
+        try:
+            usage = msgspec.json.decode(body, type=UsageHolder).usage
+        except msgspec.MsgspecError as error:
+            self._end(AttemptOutcome.UNKNOWN, f"the answer cannot be read: {error}")
             return
         self.result.body = body
-        self._take_usage(usage)
+        take_usage(self.result, usage)
         self._end(AttemptOutcome.COMPLETE, "")
-
-    def _stream(self, response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
-        """Pass events on until the terminator; a stream without one is not whole."""
-        message = "the stream ended without its terminator"
-        try:
-            for event in _events(response):
-                if event.startswith(_DONE):
-                    yield event
-                    self._end(AttemptOutcome.COMPLETE, "")
-                    return
-                if b'"usage"' in event:
-                    self._take_usage(_usage_of(event))
-                if self._progress.take(event):
-                    yield event
-        except _FAILURES as error:
-            message = f"the stream broke: {error!r}"
-        broken = self._progress.has_events
-        self._end(AttemptOutcome.BROKEN if broken else AttemptOutcome.UNKNOWN, message)
-
-    def _take_usage(self, usage: _Usage | None) -> None:
-        if usage is not None:
-            self.result.prompt_tokens = usage.prompt_tokens
-            self.result.output_tokens = usage.completion_tokens
-            details = usage.prompt_tokens_details
-            self.result.cached_tokens = details.cached_tokens
-            self.result.import_held_blocks = details.import_held_blocks
-            self.result.imported_blocks = details.imported_blocks
-            self.result.import_ms = details.import_ms
-
-
-def _usage_of(event: bytes) -> _Usage | None:
-    try:
-        return msgspec.json.decode(event.removeprefix(_DATA).strip(), type=_UsageHolder).usage
-    except msgspec.MsgspecError:
-        return None
-
-
-def _events(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
-    buffer = b""
-    for data in response.stream(amt=None):
-        buffer += data
-        while _EVENT_END in buffer:
-            event, buffer = buffer.split(_EVENT_END, 1)
-            yield event + _EVENT_END
--- a/src/martenrun/platform/http_stream.py
+++ b/src/martenrun/platform/http_stream.py
@@ -1,10 +1,11 @@
 """The body of one long HTTP response, read without blocking.
 
 The request's bytes are made and the response's head is read by :mod:`http.client`; chunks are
-taken apart by waitress's incremental receiver.  Whatever arrives is taken in at once, so that
-one thread can follow many responses of which any may be slow, silent or broken.
+taken apart, and a stated length is counted, by waitress's incremental receivers.  Whatever arrives
+is taken in at once, so that one thread can follow many responses of which any may be slow, silent
+or broken.
 
-See also: :mod:`martenrun.platform.engine_stream`.
+See also: :mod:`martenrun.platform.engine_stream`, :mod:`martenrun.platform.streamed_answer`.
 """
 
 import http.client
@@ -15,7 +16,7 @@
 from urllib3.connection import HTTPConnection
 
 if TYPE_CHECKING:
-    from waitress.receiver import ChunkedReceiver
+    from waitress.receiver import ChunkedReceiver, FixedStreamReceiver
 
 MAXIMUM_HEAD_BYTES = 16 * 1024
 """Longest head of a response that is accepted, in bytes."""
@@ -86,7 +87,7 @@
         self.content_type = ""
         self._head = b""
         self._pieces = _Pieces()
-        self._chunks: ChunkedReceiver | None = None
+        self._receiver: ChunkedReceiver | FixedStreamReceiver | None = None
 
     def received(self, data: bytes) -> bytes:
         """Take in received bytes and return what they add to the body.
@@ -98,17 +99,17 @@
             data = self._take_head(data)
             if not self.status:
                 return b""
-        if self._chunks is None:
+        if self._receiver is None:
             return data
-        self._chunks.received(data)
-        if self._chunks.error is not None:
-            raise HttpStreamError(f"the chunks cannot be read: {self._chunks.error.body}")
+        self._receiver.received(data)
+        if self._receiver.error is not None:
+            raise HttpStreamError(f"the chunks cannot be read: {self._receiver.error.body}")
         return self._pieces.take()
 
     @property
     def is_complete(self) -> bool:
-        """Whether the last chunk has been received."""
-        return self._chunks is not None and bool(self._chunks.completed)
+        """Whether the last chunk, or all of the stated length, has been received."""
+        return self._receiver is not None and bool(self._receiver.completed)
 
     def _take_head(self, data: bytes) -> bytes:
         """Add to the head; returns what follows it once it is whole."""
@@ -125,10 +126,12 @@
             raise HttpStreamError(f"the head cannot be read: {error!r}") from error
         self.status = response.status
         self.content_type = response.headers.get_content_type()
-        if response.chunked:
-            # Imported with the first answer: a starting node joins the others before that.
-            from waitress.receiver import ChunkedReceiver
+        # Imported with the first answer: a starting node joins the others before that.
+        from waitress.receiver import ChunkedReceiver, FixedStreamReceiver
 
-            self._chunks = ChunkedReceiver(self._pieces)
+        if response.chunked:
+            self._receiver = ChunkedReceiver(self._pieces)
+        elif response.length is not None:
+            self._receiver = FixedStreamReceiver(response.length, self._pieces)
         self._head = b""
         return rest
