Judge a pool's floor again before the order

An engine without a description counted as one that does not serve, which needs no floor, so it got its permit. It served again half a second later and was ordered out of service.

Change: before the order the same judgement is made again with the present descriptions, on the keeper's table without the runner's own permit. If the floor would break, the permit goes back and is asked for again after a pause.

Weighed: no permit for engines that are not described. It leaves out engines that restart between grant and order, and those that fail and are described so.

Test: the same pause in the world of rolls (fails before with no engine serving).

--- a/src/martenrun/orders/keeper.py
+++ b/src/martenrun/orders/keeper.py
@@ -104,6 +104,11 @@
         held = self.held.get(runner)
         return held if held is not None and now < held.valid_until else None
 
+    def keeps_floor(self, runner: str) -> bool:
+        """Return whether a wish, granted or not, leaves its pool the floor as things are now."""
+        wish = self._wishes.get(runner)
+        return wish is None or permits.still_keeps_floor(self._table, wish, self._serving)
+
     def lapsed_runners(self, now: float) -> set[str]:
         """Return the runners whose permit has lapsed, as far as the last read shows."""
         expired = self._observer.expired(now)
--- a/src/martenrun/orders/permits.py
+++ b/src/martenrun/orders/permits.py
@@ -186,6 +186,11 @@
     return after == before or after >= wish.floor
 
 
+def still_keeps_floor(table: PermitTable, wish: PermitWish, serving: ServingCount) -> bool:
+    """Return whether a pool keeps its floor while a wish is carried out, granted or not."""
+    return _keeps_floor(without(table, {wish.change}), wish, serving)
+
+
 def _keeps_left_floor(table: PermitTable, wish: PermitWish, serving: ServingCount) -> bool:
     """Whether the pool that a runner leaves can do without it; it can still be sent back."""
     loading = frozenset(permit.runner for permit in table.permits)
--- a/src/martenrun/orders/rolls.py
+++ b/src/martenrun/orders/rolls.py
@@ -208,8 +208,10 @@
     ) -> str | None:
         is_held = roll.runner in self.keeper.held
         if roll.state == "acquiring":
-            may_order = self.keeper.may_order(roll.runner, now) is not None
-            return "permit_granted" if may_order and now >= roll.next_try else None
+            if self.keeper.may_order(roll.runner, now) is None or now < roll.next_try:
+                return None
+            # A runner that did not answer at the grant got its permit whatever the floor.
+            return "permit_granted" if self.keeper.keeps_floor(roll.runner) else "floor_broken"
         if not is_held:
             return "permit_lost"
         if roll.order is not None and roll.order.incarnation != description.incarnation:
--- a/tests/test_rolls.py
+++ b/tests/test_rolls.py
@@ -86,6 +86,19 @@
     assert world.fewest_serving < 5
 
 
+def test_a_runner_that_did_not_answer_at_the_grant_is_not_ordered_below_the_floor():
+    world = World(seed=1, engines=2, nodes=2, floor=1)
+    world.publish("v2", 7)
+    world.run_until(lambda: world.permits())
+    (loading,) = (permit.runner for permit in world.permits())
+    (paused,) = (engine for engine in world.engines.values() if engine.name != loading)
+    paused.describe = lambda: None
+    world.run_until(lambda: len(world.permits()) == 2)
+    del paused.describe
+    world.run_until(lambda: world.all_serve("v2"))
+    assert world.fewest_serving == 1
+
+
 def test_a_floor_that_allows_no_roll_stops_none_of_the_serving():
     world = World(seed=1, floor=6)
     world.publish("v2", 7)
