Fit the memory of a node from results of the present code

Three lines rested on results from before the mechanism changed: believed blocks (14.88 bytes, the index before fingerprints), configuration state (1,009 bytes an object, before documents became structs) and the process, which was measured while it compiled its modules at each start.

Memory for tenants' usage is said to be not measured.

Ruled out: naming the class in the result, as the index kept its class name over the change.

--- a/scripts/measure_restart.py
+++ b/scripts/measure_restart.py
@@ -3,8 +3,9 @@
 Usage: ``measure_restart.py [ROUNDS]``; prints one JSON line.  Three nodes and one agent are up,
 the object API is killed, then one node after the other is killed and started again.  Times run
 from just before the process is started: to the first 200 of ``/readyz`` and to the end of the
-first request answered with 200 by the node's own front.  ``bytecode_is_cached`` tells whether the
-product's own modules were compiled before, or are at each start.
+first request answered with 200 by the node's own front.  Bytecode is kept in a directory of its
+own, as in an installation that compiles what it installs: compiling at each start takes time, and
+leaves memory that is not given back.  ``bytecode_is_cached`` tells whether that was so.
 """
 
 import importlib.util
@@ -13,6 +14,7 @@
 import statistics
 import subprocess
 import sys
+import tempfile
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -69,13 +71,19 @@
     return response.status == 200
 
 
-def resident_bytes(process: int) -> int:
-    """Return the memory of a process that is resident, in bytes."""
+def resident_bytes(process: int, field: str = "VmRSS") -> int:
+    """Return the memory of a process that is resident, in bytes; ``RssFile`` is that of files."""
     status = Path(f"/proc/{process}/status").read_text(encoding="ascii")
-    line = next(line for line in status.splitlines() if line.startswith("VmRSS:"))
+    line = next(line for line in status.splitlines() if line.startswith(f"{field}:"))
     return int(line.split()[1]) * 1024
 
 
+def keep_bytecode_in(directory: str) -> None:
+    """Have this process and those it starts keep their bytecode in a directory."""
+    os.environ["PYTHONPYCACHEPREFIX"] = sys.pycache_prefix = directory
+    os.environ.pop("PYTHONDONTWRITEBYTECODE", None)
+
+
 def bytecode_is_cached() -> bool:
     """Return whether a start finds the node's modules compiled."""
     spec = importlib.util.find_spec("martenrun.process")
@@ -92,7 +100,7 @@
 def measure(deployment: Deployment, rounds: int) -> dict[str, list[float]]:
     """Restart nodes in turn with the object API down; return the samples by name."""
     deployment.kill("objects")
-    names = ("ready_s", "first_answer_s", "rss_mib", "agent_rss_mib")
+    names = ("ready_s", "first_answer_s", "rss_mib", "file_rss_mib", "agent_rss_mib")
     samples: dict[str, list[float]] = {name: [] for name in names}
     for index in range(rounds):
         node = index % NODES
@@ -106,6 +114,7 @@
         samples["first_answer_s"].append(answer_s)
         process = deployment.processes[f"node-{node}"].pid
         samples["rss_mib"].append(resident_bytes(process) / 2**20)
+        samples["file_rss_mib"].append(resident_bytes(process, "RssFile") / 2**20)
         agent = deployment.processes["agent-0"].pid
         samples["agent_rss_mib"].append(resident_bytes(agent) / 2**20)
     return samples
@@ -120,22 +129,30 @@
     }
 
 
-def main() -> None:
-    """Measure and print."""
-    rounds = int(sys.argv[1]) if len(sys.argv) > 1 else ROUNDS
+def measured(rounds: int) -> dict[str, object]:
+    """Start a deployment, measure it and return the result."""
+    import_cpu_s()  # Compiles.
     imports = [import_cpu_s() for _ in range(5)]
     deployment = start()
     try:
         samples = measure(deployment, rounds)
     finally:
         deployment.stop()
-    result = {name: spread(values) for name, values in samples.items()}
-    conditions = {
+    return {
         "rounds": rounds,
         "bytecode_is_cached": bytecode_is_cached(),
         "load_average": [round(value, 1) for value in os.getloadavg()[:2]],
+        "import_cpu_s": spread(imports),
+        **{name: spread(values) for name, values in samples.items()},
     }
-    print(json.dumps({**conditions, "import_cpu_s": spread(imports), **result}))
+
+
+def main() -> None:
+    """Measure and print."""
+    rounds = int(sys.argv[1]) if len(sys.argv) > 1 else ROUNDS
+    with tempfile.TemporaryDirectory(prefix="martenrun-bytecode-") as directory:
+        keep_bytecode_in(directory)
+        print(json.dumps(measured(rounds)))
 
 
 if __name__ == "__main__":
--- a/src/martenrun/bench/configuration.py
+++ b/src/martenrun/bench/configuration.py
@@ -239,7 +239,7 @@
     world.scheduler.run_until(world.scheduler.now + SETTLING_S)
     simulated_s = world.scheduler.now
     cpu_s = time.process_time() - cpu_before
-    bytes_per_object, change_cpu_ms = _state_costs()
+    bytes_per_object, change_cpu_ms = state_costs()
     direct, healed, never = _times(world, cut, cut_from, cut_until)
     restart_copy, first_calls, restart_calls = _restart_all(world)
     return SpreadResult(
@@ -315,7 +315,7 @@
     return Spread(round(at[0], 3), round(at[1], 3), round(ordered[-1], 3), len(times))
 
 
-def _state_costs() -> tuple[float, float]:
+def state_costs() -> tuple[float, float]:
     """Return memory per object and CPU (ms, median) per change of a state with many objects."""
     tracemalloc.start()
     before, _peak = tracemalloc.get_traced_memory()
--- a/src/martenrun/capacity/fit.py
+++ b/src/martenrun/capacity/fit.py
@@ -9,12 +9,12 @@
 from martenrun.capacity.results import (
     ConfigurationResult,
     ControlResult,
-    RestartResult,
     ScaleResult,
     UsageExchangeResult,
     by_seed,
     fit_line,
     median_of,
+    read_last_restart,
     read_lines,
     read_result,
     spread_of,
@@ -58,7 +58,8 @@
 def _process(measurements: Path) -> list[Slope]:
     """Memory of a node process that serves nothing, from the last state measured."""
     name = "restart.json"
-    last = read_result(measurements / name, list[RestartResult])[-1]
+    last = read_last_restart(measurements / name)
+    file_pages = f"of it {last.file_rss_mib.median:.1f} MiB of files" if last.file_rss_mib else ""
     return [
         Slope(
             "node",
@@ -68,6 +69,7 @@
             "scripts/measure_restart.py",
             f"docs/measurements/{name}",
             state_bytes=last.rss_mib.median * BYTES_PER_MIB,
+            note=file_pages,
         )
     ]
 
@@ -133,6 +135,7 @@
             cpu_us=result.cpu_ms_per_s_mean * MICROSECONDS_PER_MS / result.tenants,
             sent_bytes=result.sent_bytes_per_s_mean / result.tenants,
             messages=result.messages_per_s_mean / result.tenants,
+            unmeasured=[Figure.MEMORY],
             note="mean node at 370 nodes; the busiest sends three times as much",
         )
     ]
--- a/src/martenrun/capacity/results.py
+++ b/src/martenrun/capacity/results.py
@@ -16,6 +16,10 @@
 Result = TypeVar("Result")
 
 
+class UnlikeResultError(ValueError):
+    """A result was measured under other conditions than the table is for."""
+
+
 class ScaleScenario(msgspec.Struct):
     """Size of a scale run."""
 
@@ -186,10 +190,12 @@
 
 
 class RestartResult(msgspec.Struct):
-    """One state of ``scripts/measure_restart.py``."""
+    """One state of ``scripts/measure_restart.py``; ``file_rss_mib`` is part of ``rss_mib``."""
 
     rss_mib: RestartSpread
+    file_rss_mib: RestartSpread | None = None
     agent_rss_mib: RestartSpread | None = None
+    bytecode_is_cached: bool = False
 
 
 class StreamStep(msgspec.Struct):
@@ -213,6 +219,14 @@
     return msgspec.json.decode(path.read_bytes(), type=kind)
 
 
+def read_last_restart(path: Path) -> RestartResult:
+    """Return the state measured last; raises UnlikeResultError if it compiled at each start."""
+    last = read_result(path, list[RestartResult])[-1]
+    if not last.bytecode_is_cached:
+        raise UnlikeResultError(f"{path.name}: measured without cached bytecode; measure again")
+    return last
+
+
 def read_lines(path: Path, kind: type[Result]) -> list[Result]:
     """Read a file that holds one JSON object a line."""
     lines = path.read_bytes().splitlines()
--- a/src/martenrun/capacity/role_fit.py
+++ b/src/martenrun/capacity/role_fit.py
@@ -9,10 +9,10 @@
     MachineListResult,
     NodeStateResult,
     PathResult,
-    RestartResult,
     ScaleResult,
     StreamsResult,
     median_of,
+    read_last_restart,
     read_result,
 )
 from martenrun.ownership.machine_feed import PULL_INTERVAL_S, READERS
@@ -95,7 +95,7 @@
 def _agents(scale: list[ScaleResult], measurements: Path) -> list[Slope]:
     """The agents' side: not control of a node, but the path that carries the tokens."""
     path = read_result(measurements / "path.json", PathResult)
-    resident = read_result(measurements / "restart.json", list[RestartResult])[-1].agent_rss_mib
+    resident = read_last_restart(measurements / "restart.json").agent_rss_mib
     return [
         Slope(AGENTS, "requests", Driver.REQUESTS_IN_ALL_PER_S, "src/martenrun/agent/requests.py",
               "scripts/bench.py path", "docs/measurements/path.json",
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -9,8 +9,10 @@
 import pytest
 from click.testing import CliRunner
 
+from martenrun.bench import configuration, index, node_state
 from martenrun.capacity.fit import fit_slopes
 from martenrun.capacity.model import Driver, Figure, Slope, Spread, load_target
+from martenrun.capacity.results import UnlikeResultError
 from martenrun.capacity.table import (
     TABLE_END,
     TABLE_START,
@@ -19,6 +21,8 @@
     replace_table,
     work_out,
 )
+from martenrun.routing.beliefs import FED_MEMORY_BYTES
+from martenrun.routing.prefix_index import PrefixIndex
 
 DOCS = Path(__file__).parent.parent / "docs"
 
@@ -54,6 +58,34 @@
     assert table in (DOCS / "CAPACITY.md").read_text(encoding="utf-8")
 
 
+def test_memory_results_are_those_of_the_present_code():
+    """Memory that is counted hardly differs from run to run; what differs is to be measured again.
+
+    The whole process is left out: what is resident depends on the machine.
+    """
+    held = {slope.name: slope.state_bytes for slope in fit_slopes(DOCS / "measurements")}
+    blocks = index.measure("arrays", lambda: PrefixIndex(FED_MEMORY_BYTES), 4_300_000, seed=1)
+    state = node_state.run(nodes=370, runners=12_000)
+    per_object, _cpu_ms = configuration.state_costs()
+    found = {
+        "believed blocks": blocks.bytes_per_block,
+        "members known": state.bytes_per_member,
+        "runners known": state.bytes_per_runner,
+        "configuration state": 2 * per_object,
+    }
+    assert {name: held[name] for name in found} == pytest.approx(found, rel=0.03)
+
+
+def test_a_process_that_compiled_at_each_start_is_no_measurement_of_its_memory(tmp_path):
+    for file in (DOCS / "measurements").iterdir():
+        (tmp_path / file.name).write_bytes(file.read_bytes())
+    states = json.loads((tmp_path / "restart.json").read_bytes())
+    states.append({**states[-1], "bytecode_is_cached": False})
+    (tmp_path / "restart.json").write_text(json.dumps(states))
+    with pytest.raises(UnlikeResultError):
+        fit_slopes(tmp_path)
+
+
 def test_only_nodes_are_held_to_the_allowance():
     agents = Slope("agents, all", "x", Driver.TOKENS_PER_S, "f", "r", "d", cpu_us=400.0)
     assert work_out([agents], load_target()).totals[0].over == []
