Keep the loop running when an instruction cannot be carried out

Cause: an instruction was carried out outside the guard that keeps a fault in one event from ending the loop. A message that cannot be encoded (max_tokens over 32 bits, found by trying it on a running deployment) ended the loop of an agent or node: every later completion failed, while /healthz went on with 200.

Change: a failed instruction is logged with its type and the loop goes on; the request that it belonged to ends at its deadline.

Test: the first of three messages cannot be sent, the later two are; before, the loop had ended after the first.

--- a/src/martenrun/process.py
+++ b/src/martenrun/process.py
@@ -79,10 +79,10 @@
 
     def _handle(self, event: Event) -> None:
         for part in self._dispatcher.parts_for(event):
+            # A fault in one event or instruction must not stop the loop for all others.
             try:
                 instructions = part.handle(event, time.monotonic())
             except Exception:
-                # A fault in one event must not stop the loop for all others.
                 logging.exception("event %s failed", type(event).__name__)
                 continue
             for instruction in instructions:
@@ -91,8 +91,11 @@
     def _carry_out(self, instruction: Instruction) -> None:
         if isinstance(instruction, Tell):
             self.actor_ref.tell(instruction.event)
-        else:
+            return
+        try:
             self._carriers[type(instruction)](instruction)
+        except Exception:
+            logging.exception("instruction %s failed", type(instruction).__name__)
 
 
 def message_carrier(transport: PeerTransport, tell: Callable[[Event], None]) -> Carrier:
--- a/tests/test_loop_inbox.py
+++ b/tests/test_loop_inbox.py
@@ -5,7 +5,7 @@
 
 from deployment import free_address, wait_until
 
-from martenrun.events import LeaveRequested, MembersChanged, PeerMessage, Tell, Tick
+from martenrun.events import LeaveRequested, MembersChanged, PeerMessage, Send, Tell, Tick
 from martenrun.loop_inbox import LoopInbox
 from martenrun.process import LoopActor
 from martenrun.wire.keys import ClusterKeys
@@ -54,6 +54,13 @@
         return [event for event in self.seen if not isinstance(event, Tick)]
 
 
+class Echo:
+    """Sends each message back."""
+
+    def handle(self, event, now):
+        return [Send(event.peer, event.message)]
+
+
 def message(number):
     return "peer", Queued(str(number), 1, 0.5)
 
@@ -143,3 +150,21 @@
         server.stop()
     # The handshake's own write, and one for the ten answers.
     assert len(writes) <= 3
+
+
+def test_an_instruction_that_cannot_be_carried_out_does_not_end_the_loop():
+    carried = []
+
+    def carry(instruction):
+        carried.append(instruction.message.request_id)
+        if len(carried) == 1:
+            raise ValueError("a number is too large for the wire")
+
+    loop = LoopActor.start([Echo()], {Send: carry})
+    try:
+        for number in range(3):
+            loop.tell(PeerMessage(*message(number)))
+        wait_until(lambda: len(carried) == 3, "the later instructions", 10)
+    finally:
+        loop.stop()
+    assert carried == ["0", "1", "2"]
