--- a/tests/test_proof_simulation.py
+++ b/tests/test_proof_simulation.py
@@ -14,6 +14,7 @@
 from martenrun.agent.requests import RequestsLogic
 from martenrun.claims.logic import ClaimsLogic
 from martenrun.configuration.state import ConfigurationState
+from martenrun.configuration.watching import StoreWatching
 from martenrun.edge.request import CallerRequest
 from martenrun.errors import Ran
 from martenrun.events import PeerMessage, QuestionCleared, Tell
@@ -195,6 +196,14 @@
     *(fault(FaultKind.RACE_OPERATORS, 1.0 + 0.2 * index) for index in range(30)),
 )
 
+WATCHERS_PAUSED = schedule(
+    *(fault(FaultKind.FREEZE_NODE, 4.0, 25.0, index) for index in (1, 2)),
+    fault(FaultKind.RACE_OPERATORS, 4.3),
+    seed=2,
+    load_s=22.0,
+    requests_per_s=3.0,
+)
+
 
 def found(run, promise):
     return [violation for violation in run_schedule(run).violations if violation.promise == promise]
@@ -350,7 +359,12 @@
     monkeypatch.setattr(ActiveRequest, "weights_differ", lambda self, grant: False)
 
 
+def wait_for_every_lease_to_lapse(monkeypatch):
+    monkeypatch.setattr(StoreWatching, "_is_lost", lambda self, slot, now: False)
+
+
 GUARDS = [
+    ("configuration", wait_for_every_lease_to_lapse, WATCHERS_PAUSED),
     ("weights", ignore_the_fence, HOLDER_PAUSED),
     ("weights", load_any_number_at_a_time, ROLL),
     ("weights", keep_no_floor, ROLL_OF_TWO),
