Repeat a grant with the weights version that it was given for

It named the version that the runner has by now, and the runner had begun to load. The same grant once named v1 and once nothing, with the same blocks credited; an attempt without a version is also not refused by an engine that has others.

Change: the grant names the version of the lease.

The test of repeated questions now changes the runner's version in between (fails before).

--- a/src/martenrun/ownership/questions.py
+++ b/src/martenrun/ownership/questions.py
@@ -198,7 +198,7 @@
         runner.name,
         runner.address,
         lease.incarnation,
-        runner.weights_version,
+        lease.choice.weights_version,
         lease.choice.believed_blocks,
         question.priority,
     )
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -204,6 +204,7 @@
     (reserved,) = home.ask()
     assert home.ask() == []
     (granted,) = home.grant(reserved)
+    home.runners[granted.message.runner].weights_version = ""  # It loads others by now.
     assert home.ask() == [granted]
 
 
