Give nodes that answer late more time, and ask until the deadline once one has answered

An answer needs up to 3 s and more, a question gets 1 s, in later rounds 2 s. Every grant came after its question had been withdrawn, and after 4 s the search ended, with half of the request's time left, although each node had shown by its late grants that it lived.

Change: an answer to a question withdrawn before marks its node for this request. It then gets four times the time-out, and the search goes on to the request's deadline. An unanswered question is sent every half second, not once. When the deadline ends such a search, the answer is node_unavailable, not deadline_exceeded ('passed in the queue'): no node had queued it.

--- a/src/martenrun/agent/active.py
+++ b/src/martenrun/agent/active.py
@@ -45,6 +45,7 @@
         resume_at: when a pause before the next question is over.
         search_until: when to give up asking nodes in rounds; 0 while some node decides.
         rounds: rounds over all nodes since one of them has decided.
+        late_nodes: nodes that have answered a question after it was withdrawn.
         attempts: attempts at engines that have ended.
         ran: whether any attempt ran it, as far as is known.
         has_output: whether the caller has received output.
@@ -68,6 +69,7 @@
     first_token_s: float = 0.0
     can_resume: bool = False
     asked: list[str] = field(default_factory=list)
+    late_nodes: set[str] = field(default_factory=set)
     excluded: list[str] = field(default_factory=list)
     ran: Ran = Ran.NO
     has_output: bool = False
@@ -79,6 +81,25 @@
         self.ran = later_ran(self.ran, _RAN_BY_OUTCOME[result.outcome])
         self.has_output = self.has_output or result.outcome is AttemptOutcome.BROKEN
 
+    def may_run_again(self) -> bool:
+        """Whether another attempt is right.
+
+        A request that certainly was not run may always be tried again.  One that may have
+        run must be repeatable, and one whose caller has output must be resumable.
+        """
+        if self.has_output and not self.can_resume:
+            return False
+        return self.ran is Ran.NO or self.repeatable
+
+    def note_late(self, node: str, attempt: int) -> None:
+        """Take note of an answer to an earlier question, unless it is the grant used last."""
+        if self.grant is None or attempt > self.grant.attempt:
+            self.late_nodes.add(node)
+
+    def search_end(self) -> float:
+        """Return when to give up asking nodes; where one has answered late, nodes live."""
+        return self.deadline if self.late_nodes else min(self.search_until, self.deadline)
+
     def weights_differ(self, grant: Grant) -> bool:
         """Whether going on there would mix the output of two weights versions."""
         if not self.has_output or self.grant is None:
--- a/src/martenrun/agent/requests.py
+++ b/src/martenrun/agent/requests.py
@@ -8,7 +8,6 @@
 
 import random
 from collections.abc import Callable
-from math import inf
 
 from martenrun.agent.active import RETRY_AFTER_S, ActiveRequest, later_ran
 from martenrun.agent.home_nodes import HomeNodes
@@ -68,8 +67,11 @@
 A network that delays every answer past the first time-out would else let no answer count.
 """
 
+LATE_PATIENCE = 4
+"""How many times longer a node may take that has answered the same request too late before."""
+
 REPEAT_SHARE = 0.5
-"""Part of the time for an answer after which an unanswered question is sent once more."""
+"""Part of the first time-out after which an unanswered question is sent again, and again."""
 
 _UNABLE_CODES = frozenset({StoppingError.code, NotReadyError.code})
 """Refusals of a node that can not judge the question."""
@@ -176,6 +178,8 @@
         self._home_nodes.heard(peer)
         request = self._active.get(answer.request_id)
         if request is None or answer.attempt != request.attempt:
+            if request is not None:
+                request.note_late(peer, answer.attempt)
             return declined(peer, answer)
         if request.state == "pausing":
             return declined(peer, answer)
@@ -215,7 +219,7 @@
         """Return the chart event when no node is left to ask in this round."""
         if request.search_until == 0.0:
             request.search_until = now + NODE_SEARCH_S
-        is_over = now + ROUND_PAUSE_S >= min(request.search_until, request.deadline)
+        is_over = now + ROUND_PAUSE_S >= request.search_end()
         return "no_node_left" if is_over else "round_over"
 
     def _attempt_ended(self, event: AttemptEnded, now: float) -> list[Instruction]:
@@ -239,7 +243,7 @@
         outcome = request.result.outcome
         if outcome is AttemptOutcome.COMPLETE:
             return "completed"
-        if request.attempts >= MAXIMUM_ATTEMPTS or not self._may_run_again(request):
+        if request.attempts >= MAXIMUM_ATTEMPTS or not request.may_run_again():
             return "failed"
         if outcome is AttemptOutcome.BROKEN:
             request.deadline = max(request.deadline, now + RESUME_WINDOW_S)
@@ -248,17 +252,6 @@
             return "failed"
         return "may_retry"
 
-    @staticmethod
-    def _may_run_again(request: ActiveRequest) -> bool:
-        """Whether another attempt is right.
-
-        A request that certainly was not run may always be tried again.  One that may have
-        run must be repeatable, and one whose caller has output must be resumable.
-        """
-        if request.has_output and not request.can_resume:
-            return False
-        return request.ran is Ran.NO or request.repeatable
-
     def _check_times(self, now: float) -> list[Instruction]:
         instructions: list[Instruction] = []
         for request_id, request in list(self._active.items()):
@@ -297,18 +290,19 @@
 
     def _ask(self, request: ActiveRequest, now: float) -> list[Instruction]:
         request.attempt += 1
-        patience_s = self._home_nodes.patience_s(request.nodes)
-        self._await_answer(request, now, patience_s * (LATER_PATIENCE if request.rounds else 1))
+        self._await_answer(request, now, self._home_nodes.patience_s(request.nodes))
         return [question_message(request, now)]
 
     @staticmethod
     def _await_answer(request: ActiveRequest, now: float, patience_s: float) -> None:
-        request.asked_until = now + patience_s
+        later = LATER_PATIENCE if request.rounds else 1
+        is_late = request.nodes[0] in request.late_nodes
+        request.asked_until = now + patience_s * (LATE_PATIENCE if is_late else later)
         request.repeat_at = now + REPEAT_SHARE * patience_s
 
     def _repeat_question(self, request: ActiveRequest, now: float) -> list[Instruction]:
         """Send the same question once more: it or its answer may have been lost."""
-        request.repeat_at = inf
+        request.repeat_at = now + REPEAT_SHARE * DECISION_TIMEOUT_S
         return [question_message(request, now)]
 
     def _run_attempt(self, request: ActiveRequest, now: float) -> list[Instruction]:
@@ -316,6 +310,7 @@
         request.result = None
         request.search_until = 0.0
         request.rounds = 0
+        request.late_nodes.clear()
         request.asked.clear()
         return [RunAttempt(request.question.request_id, request.grant)]
 
@@ -346,7 +341,7 @@
         request.rounds += 1
         request.nodes = self._home_nodes.ranked(request.question, now) or request.nodes
         pause_s = ROUND_PAUSE_S * self._rng.uniform(0.5, 1.5)
-        request.resume_at = min(now + pause_s, request.search_until)
+        request.resume_at = min(now + pause_s, request.search_end())
         return []
 
     def _ask_again(self, request: ActiveRequest, now: float) -> list[Instruction]:
@@ -385,6 +380,8 @@
         return self._refuse(request, error)
 
     def _answer_deadline(self, request: ActiveRequest, now: float) -> list[Instruction]:
+        if request.search_until > 0.0:
+            return self._answer_node_unavailable(request, now)
         error = DeadlineExceededError("the deadline passed in the queue")
         return self._refuse(request, error)
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -5,7 +5,14 @@
 import pytest
 
 from martenrun.agent.home_nodes import NODES_ASKED, RISK_TIMEOUT_S, SILENT_RETRY_S
-from martenrun.agent.requests import MAXIMUM_ATTEMPTS, NODE_SEARCH_S, ROUND_PAUSE_S, RequestsLogic
+from martenrun.agent.requests import (
+    LATE_PATIENCE,
+    MAXIMUM_ATTEMPTS,
+    NODE_SEARCH_S,
+    REPEAT_SHARE,
+    ROUND_PAUSE_S,
+    RequestsLogic,
+)
 from martenrun.agent.retry import MAXIMUM_SAVED
 from martenrun.constants import DECISION_TIMEOUT_S
 from martenrun.events import (
@@ -125,6 +132,22 @@
     assert len(agent.runs()) == 1
 
 
+def test_nodes_that_answer_late_are_asked_until_the_deadline_and_waited_for_longer(agent):
+    agent.arrive(deadline_s=20.0)
+    for _ in range(int(19.0 / 0.1)):
+        asked = agent.asked()
+        is_withdrawn = asked.message.attempt > 2
+        if is_withdrawn:  # An answer to the question before the present one.
+            late = Grant("r", asked.message.attempt - 2, "engine-0")
+            agent.tell(PeerMessage(asked.peer, late))
+        agent.wait(0.1)
+    times = [item.message.attempt for item in agent.sent(DecideRequest)]
+    assert max(map(times.count, times)) == LATE_PATIENCE / REPEAT_SHARE
+    assert agent.runs() == [] and agent.logic.active_count == 1
+    agent.wait(1.0)
+    assert (agent.error().code, agent.error().ran) == ("node_unavailable", "no")
+
+
 def test_a_runner_that_leaves_by_the_edges_own_list_is_not_used():
     agent = Agent(leaving={"engine-0"})
     agent.arrive()
