Keep a runner's listed pool in its state, outside the collector

Change: RunnerState is a msgspec.Struct without that header, with the listed pool as a field.

Ruled out: the owners' dictionary of the same size, which a question reads by name.

--- a/src/martenrun/node/runners.py
+++ b/src/martenrun/node/runners.py
@@ -36,7 +36,6 @@
         self._drained = drained
         self._drained_before: frozenset[str] = frozenset()
         self._view = view
-        self._listed_pools: dict[str, str] = {}
         self._assigned_before: Mapping[str, Assignment] = {}
         self._pools_before: Mapping[str, Pool] = {}
         self._next_look = 0.0
@@ -90,7 +89,8 @@
 
     def listed_pool(self, runner: str) -> str:
         """Return the pool that the machine list names for a runner; empty if none."""
-        return self._listed_pools.get(runner, "")
+        found = self.runners.get(runner)
+        return "" if found is None else found.listed_pool or ""
 
     def _update_machines(self, machines: list[Machine]) -> None:
         listed = {machine.name: machine for machine in machines if machine.role == "engine"}
@@ -103,7 +103,7 @@
                 self.runners[machine.name] = runner
                 self.version += 1
             runner.address = machine.address
-        self._listed_pools = {machine.name: machine.pool for machine in listed.values()}
+            runner.listed_pool = machine.pool
         self._update_pools(listed.keys())
         self._listed_leaving = {machine.name for machine in machines if machine.is_leaving}
         self._listed_leaving |= self.runners.keys() - listed.keys()
@@ -123,9 +123,9 @@
         view = self._view()
         for name in names:
             runner = self.runners.get(name)
-            if runner is None or name not in self._listed_pools:
+            if runner is None or runner.listed_pool is None:
                 continue
-            pool = view.pool_of_runner(name, self._listed_pools[name])
+            pool = view.pool_of_runner(name, runner.listed_pool)
             if runner.pool != pool:
                 runner.pool = pool
                 self.version += 1
@@ -146,6 +146,7 @@
     def _remove(self, name: str) -> None:
         """Forget a runner that is no longer listed once its requests have ended."""
         runner = self.runners[name]
+        runner.listed_pool = None
         if not runner.leaving:
             runner.leaving = True
             self.version += 1
--- a/src/martenrun/routing/policy.py
+++ b/src/martenrun/routing/policy.py
@@ -4,13 +4,17 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
+
 from martenrun.wire.messages import AttemptReport, DecideRequest
 
 
-@dataclass(slots=True)
-class RunnerState:
+class RunnerState(msgspec.Struct, gc=False):
     """What a node knows about one runner.
 
+    A node knows thousands of them, so they are structs of texts and numbers that the interpreter's
+    collector passes by.
+
     Attributes:
         name: the machine's name.
         address: ``IP:port`` of the engine.
@@ -21,6 +25,7 @@
         in_flight_at_report: ``in_flight`` when that count arrived.
         accepting: false while the engine drains or loads.
         model: what the engine serves; empty until it described itself.
+        listed_pool: the pool that the machine list names; None if the runner is not listed.
     """
 
     name: str
@@ -37,6 +42,7 @@
     in_flight_at_report: int = 0
     accepting: bool = True
     model: str = ""
+    listed_pool: str | None = None
 
     @property
     def is_usable(self) -> bool:
