--- a/src/martenrun/bench/node_state.py
+++ b/src/martenrun/bench/node_state.py
@@ -12,14 +12,21 @@
 
 from martenrun.bench.scale.cluster import SECRET, UNUSED_ADDRESS
 from martenrun.bench.scale.platform import make_runners, region_name, zone_name
+from martenrun.constants import BLOCK_HASH_BYTES
 from martenrun.events import Event, MachinesListed, PeerMessage, Tick
+from martenrun.identity.chain import as_array
 from martenrun.node.parts import NodeParts, node_parts
 from martenrun.platform.machine_list import Machine, decoded_machines
+from martenrun.routing.beliefs import BeliefBook
 from martenrun.settings.model import NodeSettings
 from martenrun.wire.messages import MemberClaim, MemberList
 
 SETTLING_TICKS = 40
 TICK_S = 0.1
+POOL_RUNNERS = 64
+SENT_CHAINS = 20_000
+CHAIN_BYTES = 10 * BLOCK_HASH_BYTES
+"""Hashes of a prompt of 40,000 bytes."""
 
 
 class NodeStateResult(msgspec.Struct, frozen=True):
@@ -29,6 +36,7 @@
         bytes_per_member: for each other node.
         bytes_per_runner: for each runner on the machine list, with the list itself and the
             slots of the runners that the node owns.
+        routed_bytes: of what is believed of chains sent, when as much is kept as may be.
     """
 
     nodes: int
@@ -36,6 +44,7 @@
     own_runners: int
     bytes_per_member: float
     bytes_per_runner: float
+    routed_bytes: int
 
 
 def run(nodes: int, runners: int) -> NodeStateResult:
@@ -62,9 +71,28 @@
         len(parts.ownership.owner.owned),
         round((members_bytes - begin_bytes) / max(1, nodes - 1), 1),
         round((runners_bytes - members_bytes) / runners, 1),
+        _routed_bytes(),
     )
 
 
+def _routed_bytes() -> int:
+    """Send chains to runners whose events are read and to others until the oldest are forgotten."""
+    rng = random.Random(1)
+    book = BeliefBook()
+    for index in range(POOL_RUNNERS):
+        book.identify(f"runner-{index}", "run", "v1")
+    # The index of blocks is a line of its own: it is there before the chains.
+    book.feed("runner-0", as_array(rng.randbytes(CHAIN_BYTES)), as_array(b""))
+    tracemalloc.start()
+    begin_bytes = _allocated_bytes()
+    for number in range(SENT_CHAINS):
+        runner = f"runner-{0 if number % 2 else 1 + number % (POOL_RUNNERS - 1)}"
+        book.routed(runner, rng.randbytes(CHAIN_BYTES), 0, float(number))
+    routed_bytes = _allocated_bytes() - begin_bytes
+    tracemalloc.stop()
+    return routed_bytes
+
+
 def _node() -> NodeParts:
     settings = NodeSettings(
         name="node-0",
--- a/src/martenrun/bench/usage_exchange.py
+++ b/src/martenrun/bench/usage_exchange.py
@@ -6,12 +6,15 @@
 See also: :mod:`martenrun.bench.sharing`.
 """
 
+import gc
 import random
+import resource
 import statistics
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import accumulate
+from pathlib import Path
 
 import click
 import msgspec
@@ -40,7 +43,8 @@
     """Cost per node and error of the sums of the largest tenants.
 
     ``cpu_ms_per_s`` is process time of the exchange's own handling, without encoding;
-    ``error`` is the relative difference from the true decayed sum, over nodes and tenants.
+    ``error`` is the relative difference from the true decayed sum, over nodes and tenants;
+    ``state_bytes_mean`` is what the process grew by in the warm-up, for each node.
     """
 
     nodes: int
@@ -55,6 +59,7 @@
     cpu_ms_per_s_mean: float
     error_p50: float
     error_p95: float
+    state_bytes_mean: float
 
 
 class _ExchangeRun:
@@ -133,8 +138,11 @@
 ) -> ExchangeResult:
     """Run the exchange, the warm-up unmeasured, and return its cost and accuracy."""
     run = _ExchangeRun(nodes, tenants, zones, loss, random.Random(seed))
+    begin_bytes = _resident_bytes()
     run.work(requests_per_node_s)
     run.scheduler.run_until(warm_up_s)
+    gc.collect()
+    state_bytes = _resident_bytes() - begin_bytes
     before = {name: _bytes(run.network, name) for name in run.network.traffic}
     run.cpu_s = 0.0
     run.scheduler.run_until(warm_up_s + measured_s)
@@ -156,9 +164,15 @@
         round(run.cpu_s * 1_000 / nodes / measured_s, 3),
         round(errors[len(errors) // 2], 4),
         round(errors[int(len(errors) * 0.95)], 4),
+        round(state_bytes / nodes),
     )
 
 
+def _resident_bytes() -> int:
+    pages = Path("/proc/self/statm").read_text(encoding="ascii").split()[1]
+    return int(pages) * resource.getpagesize()
+
+
 def _bytes(network: SimulatedNetwork, name: str) -> tuple[int, int, int]:
     traffic = network.traffic[name]
     sent = traffic.sent_bytes + FRAME_OVERHEAD_BYTES * traffic.sent_messages
--- a/src/martenrun/capacity/fit.py
+++ b/src/martenrun/capacity/fit.py
@@ -135,7 +135,8 @@
             cpu_us=result.cpu_ms_per_s_mean * MICROSECONDS_PER_MS / result.tenants,
             sent_bytes=result.sent_bytes_per_s_mean / result.tenants,
             messages=result.messages_per_s_mean / result.tenants,
-            unmeasured=[Figure.MEMORY],
+            state_bytes=(result.state_bytes_mean or 0.0) / result.tenants,
+            unmeasured=[Figure.MEMORY] if result.state_bytes_mean is None else [],
             note="mean node at 370 nodes; the busiest sends three times as much",
         )
     ]
--- a/src/martenrun/capacity/results.py
+++ b/src/martenrun/capacity/results.py
@@ -99,6 +99,7 @@
     sent_bytes_per_s_mean: float
     messages_per_s_mean: float
     cpu_ms_per_s_mean: float
+    state_bytes_mean: float | None = None
 
 
 class NodeStateResult(msgspec.Struct):
@@ -106,6 +107,7 @@
 
     bytes_per_member: float
     bytes_per_runner: float
+    routed_bytes: int
 
 
 class PullCost(msgspec.Struct):
--- a/src/martenrun/capacity/role_fit.py
+++ b/src/martenrun/capacity/role_fit.py
@@ -38,6 +38,8 @@
         Slope("node", "runners known", Driver.RUNNERS_IN_ALL, "src/martenrun/node/runners.py",
               run, file, state_bytes=result.bytes_per_runner,
               note="machine list, table, owners, index of pools"),
+        Slope("node", "chains sent", Driver.CONSTANT, "src/martenrun/routing/beliefs.py",
+              run, file, state_bytes=float(result.routed_bytes), note="at the bounds of the code"),
     ]  # fmt: skip
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -71,6 +71,7 @@
         "believed blocks": blocks.bytes_per_block,
         "members known": state.bytes_per_member,
         "runners known": state.bytes_per_runner,
+        "chains sent": state.routed_bytes,
         "configuration state": 2 * per_object,
     }
     assert {name: held[name] for name in found} == pytest.approx(found, rel=0.03)
