Bound the output tokens and the nesting of a request at the edge

Cause: max_tokens of 2**63 was read at the edge and could not be encoded for a node (i32 on the wire). The encoding failed on the loop's thread while a Send was carried out, outside the loop's own guard, and the loop ended: on a running deployment one such request on an agent, and one on a node's front, made each answer 500 internal_error, ran unknown, to every later completion, while /healthz and /readyz went on to answer 200. A body with 100,000 nested lists gave 500 through RecursionError; max_completion_tokens 0 was passed over in silence.

Change: both token fields are from 1 to 1,000,000; too deep a nesting is invalid_request. The test of arbitrary requests draws large token counts and compares the question after the wire. Not changed here: the loop itself (process.py) still ends if carrying out an instruction raises.

--- a/src/martenrun/edge/request.py
+++ b/src/martenrun/edge/request.py
@@ -27,6 +27,9 @@
 
 DEFAULT_DEADLINE_S = 60.0
 DEFAULT_OUTPUT_TOKENS = 16
+MAXIMUM_OUTPUT_TOKENS = 1_000_000
+"""Most output tokens that a request may ask for; the internal protocol holds 32 bits."""
+
 MAXIMUM_PRIORITY = 10
 MAXIMUM_KEY_BYTES = 256
 REQUEST_ID_BYTES = 8
@@ -133,6 +136,8 @@
         body = msgspec.convert(fields, type=_Body)
     except msgspec.MsgspecError as error:
         raise InvalidRequestError(f"the body is not a valid request: {error}") from error
+    except RecursionError as error:
+        raise InvalidRequestError("the body's lists or objects are nested too deeply") from error
     if not 0 <= body.priority <= MAXIMUM_PRIORITY:
         raise InvalidRequestError(f"field 'priority' must be from 0 to {MAXIMUM_PRIORITY}")
     return body, fields
@@ -149,11 +154,14 @@
 
 
 def _output_tokens(body: _Body) -> int:
-    given = body.max_completion_tokens or body.max_tokens
-    if given is None:
+    if body.max_completion_tokens is not None:
+        field, given = "max_completion_tokens", body.max_completion_tokens
+    elif body.max_tokens is not None:
+        field, given = "max_tokens", body.max_tokens
+    else:
         return DEFAULT_OUTPUT_TOKENS
-    if given < 1:
-        raise InvalidRequestError("field 'max_tokens' must be positive")
+    if not 1 <= given <= MAXIMUM_OUTPUT_TOKENS:
+        raise InvalidRequestError(f"field {field!r} must be from 1 to {MAXIMUM_OUTPUT_TOKENS}")
     return given
 
 
--- a/tests/test_proof_parsing.py
+++ b/tests/test_proof_parsing.py
@@ -13,7 +13,7 @@
 from martenrun.configuration.objects import Kind, encode_document, parse_document
 from martenrun.configuration.state import ConfigurationState
 from martenrun.edge.request import CallerRequest, parse_request
-from martenrun.errors import InvalidObjectError, MartenrunError
+from martenrun.errors import InvalidObjectError, InvalidRequestError, MartenrunError
 from martenrun.proof.callers import key_of, key_sha256
 from martenrun.wire import codec
 from martenrun.wire.frames import FrameError, FrameReader, FrameWriter
@@ -145,7 +145,8 @@
         "model": st.just("model") | JSON,
         "prompt": st.text() | JSON,
         "messages": JSON | st.just([{"role": "user", "content": "grapes"}]),
-        "max_tokens": JSON,
+        "max_tokens": JSON | st.integers(0, 2**63),
+        "max_completion_tokens": JSON | st.integers(0, 2**63),
         "stream": JSON,
         "priority": JSON,
     },
@@ -178,5 +179,19 @@
     assert 0 < request.question.deadline_s < float("inf")
     assert request.question.maximum_output_tokens > 0
     assert request.repeatable or request.question.idempotency_key
-    codec.decode(codec.encode(request.question))
+    assert codec.decode(codec.encode(request.question)) == request.question
     msgspec.json.decode(request.engine_body(0, None))
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"model": "model", "prompt": "x", "max_tokens": 9223372036854775808}',
+        b'{"model": "model", "prompt": "x", "max_completion_tokens": 0}',
+        b'{"model": "model", "prompt": "x", "user": ' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+    ],
+)
+def test_too_much_of_anything_is_refused_before_it_reaches_the_loop(body):
+    headers = Headers({"Authorization": f"Bearer {key_of('growers')}"})
+    with pytest.raises(InvalidRequestError):
+        parse_request("/v1/completions", headers, body, VIEW, "zone")
