Refuse an unknown transfer encoding as invalid and not run

Cause: waitress marks it 501 and the typed answer took any code of 500 and more for a failure of the application: 'HTTP/1.1 500 Not Implemented', internal_error, ran unknown, though nothing had run. Change: it is 400 invalid_request, ran no, and the status line has the phrase of its own code. The new test failed before and passes now.

--- a/src/martenrun/edge/channel.py
+++ b/src/martenrun/edge/channel.py
@@ -15,7 +15,12 @@
 
 from waitress.channel import ClientDisconnected, HTTPChannel
 from waitress.task import ErrorTask, WSGITask
-from waitress.utilities import Error, RequestEntityTooLarge, RequestHeaderFieldsTooLarge
+from waitress.utilities import (
+    Error,
+    RequestEntityTooLarge,
+    RequestHeaderFieldsTooLarge,
+    ServerNotImplemented,
+)
 
 from martenrun.constants import MAXIMUM_BODY_BYTES
 from martenrun.edge.responses import error_body
@@ -68,7 +73,7 @@
     def execute(self) -> None:
         error = _typed(self.request.error)
         body = error_body(error)
-        self.status = f"{error.http_status} {self.request.error.reason}"
+        self.status = f"{error.http_status} {HTTPStatus(error.http_status).phrase}"
         self.response_headers.append(("Content-Type", "application/json"))
         if error.retry_after_s is not None:
             seconds = max(1, math.ceil(error.retry_after_s))
@@ -242,7 +247,7 @@
         return BodyTooLargeError(f"the body is over {MAXIMUM_BODY_BYTES} bytes")
     if isinstance(error, RequestHeaderFieldsTooLarge):
         return HeadersTooLargeError(f"the headers are over {MAXIMUM_HEADER_BYTES} bytes")
-    if error.code >= 500:
+    if error.code >= 500 and not isinstance(error, ServerNotImplemented):
         # The application failed anywhere on its way: the request may have been run.
         return MartenrunError(str(error.body), ran=Ran.UNKNOWN)
     return InvalidRequestError(f"the request cannot be read: {error.body}")
--- a/tests/test_edge_connections.py
+++ b/tests/test_edge_connections.py
@@ -80,6 +80,15 @@
         assert application.calls == 1
 
 
+def test_an_encoding_that_is_not_served_is_refused_as_not_run():
+    with serving() as (application, server), connect(server) as sock:
+        sock.sendall(HEAD.replace(b"Content-Length: 1000", b"Transfer-Encoding: gzip") + b"\r\n")
+        answer = read_all(sock)
+    assert answer.startswith(b"HTTP/1.1 400 ")
+    assert b'"code":"invalid_request","ran":"no"' in answer
+    assert application.calls == 0
+
+
 def test_a_request_that_trickles_in_gets_no_more_time():
     with serving(receive_timeout_s=TIMEOUT_S) as (application, server), connect(server) as sock:
         sock.sendall(HEAD + b"\r\n")
