Answer unserved paths and methods with typed errors, and odd numbers with 400

Seen on a running deployment: an unknown path, and GET /v1/completions, gave an error body without type, ran and remedy; POST /v1/models and DELETE /healthz were served like GET; PUT /admin/v1/tenants answered 200 with a list, as if something had been accepted; If-Match with a superscript two or with 5,000 digits, and such a limit, gave 500 internal_error, ran unknown. Change: not_found (404) and method_not_allowed (405, with Allow) are typed errors; numbers in If-Match and limit are at most 19 ASCII digits.

--- a/src/martenrun/admin/application.py
+++ b/src/martenrun/admin/application.py
@@ -33,7 +33,7 @@
 from martenrun.configuration.view import ConfigurationView
 from martenrun.constants import MAXIMUM_OBJECT_BYTES
 from martenrun.edge.request import bearer_token
-from martenrun.edge.responses import error_response, json_response
+from martenrun.edge.responses import check_method, error_response, json_response
 from martenrun.errors import (
     InvalidObjectError,
     InvalidRequestError,
@@ -56,6 +56,9 @@
 MAXIMUM_PAGE_OBJECTS = 1_000
 """Most objects read for one page."""
 
+_MAXIMUM_DIGITS = 19
+"""Digits of the largest version or number of objects that can be meant."""
+
 
 class NamedObject(msgspec.Struct):
     """One object as the administration API shows it."""
@@ -125,13 +128,16 @@
         operator = self._operator(request)
         parts = request.path.removeprefix(ADMIN_PREFIX).split("/")
         if parts == ["status"]:
+            check_method(request, "GET")
             if not operator.reads_all:
                 raise PermissionDeniedError(f"role {operator.role.value} may not read the status")
             return json_response(self._status())
         kind = _kind(parts[0])
         if len(parts) == 1:
+            check_method(request, "GET")
             return self._list(request, operator, kind)
         name = _name("/".join(parts[1:]))
+        check_method(request, "GET", "PUT", "DELETE")
         if request.method == "GET":
             return self._get(operator, kind, name)
         operator.check_change(kind)
@@ -175,8 +181,6 @@
         self, request: Request, operator: Operator, kind: Kind, name: str
     ) -> Accepted | Checked:
         expected = _expected_version(request)
-        if request.method not in ("PUT", "DELETE"):
-            raise InvalidRequestError(f"method {request.method} is not served here")
         is_dry_run = _is_dry_run(request)
         if expected > 0 or request.method == "DELETE":
             self._check_replaced(operator, kind, name, expected)
@@ -270,9 +274,16 @@
     text = request.args.get("limit")
     if text is None:
         return None
-    if not text.isdecimal() or not 1 <= int(text) <= MAXIMUM_PAGE_OBJECTS:
+    limit = _number(text)
+    if limit is None or not 1 <= limit <= MAXIMUM_PAGE_OBJECTS:
         raise InvalidRequestError(f"parameter 'limit' must be from 1 to {MAXIMUM_PAGE_OBJECTS}")
-    return int(text)
+    return limit
+
+
+def _number(text: str) -> int | None:
+    """Return a number written in digits alone, None for anything else."""
+    is_number = text.isascii() and text.isdecimal() and len(text) <= _MAXIMUM_DIGITS
+    return int(text) if is_number else None
 
 
 def _is_dry_run(request: Request) -> bool:
@@ -283,7 +294,7 @@
 
 
 def _expected_version(request: Request) -> int:
-    text = request.headers.get("If-Match", "0").strip('"')
-    if not text.isdigit():
+    version = _number(request.headers.get("If-Match", "0").strip('"'))
+    if version is None:
         raise InvalidRequestError("header If-Match must be the object's version, 0 to create")
-    return int(text)
+    return version
--- a/src/martenrun/edge/application.py
+++ b/src/martenrun/edge/application.py
@@ -11,9 +11,9 @@
 from martenrun.edge.first_copy import wait_for_first_copy
 from martenrun.edge.forward import CallerLeft, EdgePort, Forwarder
 from martenrun.edge.request import bearer_token, deadline_s, parse_request, read_body
-from martenrun.edge.responses import error_response, json_response
+from martenrun.edge.responses import check_method, error_response, json_response
 from martenrun.edge.streams import PieceStream, StreamSlot, StreamSlots
-from martenrun.errors import MartenrunError, NodeUnavailableError, StoppingError
+from martenrun.errors import MartenrunError, NodeUnavailableError, NotFoundError, StoppingError
 from martenrun.observability.metrics import EdgeMetrics
 from martenrun.observability.requests import RequestObservation
 from martenrun.platform.engine import EngineConnections
@@ -23,6 +23,7 @@
 """Status in the logs of a request whose caller left; nobody receives it."""
 
 _COMPLETION_PATHS = ("/v1/completions", "/v1/chat/completions")
+_READ_PATHS = ("/v1/models", "/healthz", "/readyz", "/metrics")
 
 
 class CallerApplication:
@@ -66,17 +67,19 @@
         return response(environ, start_response)
 
     def _serve(self, request: Request) -> Response:
-        if request.path in _COMPLETION_PATHS and request.method == "POST":
+        if request.path in _COMPLETION_PATHS:
+            check_method(request, "POST")
             return self._complete(request)
+        if request.path not in _READ_PATHS:
+            raise NotFoundError(f"nothing is served at {request.path}")
+        check_method(request, "GET", "HEAD")
         if request.path == "/v1/models":
             return self._models(request)
         if request.path == "/healthz":
             return json_response({"status": "ok"})
         if request.path == "/readyz":
             return self._ready()
-        if request.path == "/metrics":
-            return Response(self._metrics.exposition(), mimetype="text/plain")
-        return json_response({"error": {"message": "not found", "code": "not_found"}}, 404)
+        return Response(self._metrics.exposition(), mimetype="text/plain")
 
     def _ready(self) -> Response:
         if self.slots.closed:
--- a/src/martenrun/edge/responses.py
+++ b/src/martenrun/edge/responses.py
@@ -3,9 +3,9 @@
 import math
 
 import msgspec
-from werkzeug.wrappers import Response
+from werkzeug.wrappers import Request, Response
 
-from martenrun.errors import MartenrunError, VersionConflictError
+from martenrun.errors import MartenrunError, MethodNotAllowedError, VersionConflictError
 
 
 class ErrorDetail(msgspec.Struct, omit_defaults=True):
@@ -38,9 +38,22 @@
     response = Response(error_body(error), status=error.http_status, mimetype="application/json")
     if error.retry_after_s is not None:
         response.headers["Retry-After"] = str(max(1, math.ceil(error.retry_after_s)))
+    if isinstance(error, MethodNotAllowedError):
+        response.headers["Allow"] = ", ".join(error.allowed)
     return response
 
 
+def check_method(request: Request, *allowed: str) -> None:
+    """Check that a request has one of the methods served at its path.
+
+    Raises:
+        MethodNotAllowedError: if it has not.
+    """
+    if request.method not in allowed:
+        message = f"method {request.method} is not served at {request.path}"
+        raise MethodNotAllowedError(message, allowed=allowed)
+
+
 def json_response(value: object, status: int = 200) -> Response:
     """Return a JSON response of any value that msgspec encodes."""
     return Response(msgspec.json.encode(value), status=status, mimetype="application/json")
--- a/src/martenrun/errors.py
+++ b/src/martenrun/errors.py
@@ -86,6 +86,30 @@
     remedy = "List the models you may use with GET /v1/models."
 
 
+class NotFoundError(MartenrunError):
+    """The path is not served."""
+
+    code = "not_found"
+    http_status = 404
+    remedy = "Check the path and the address; docs/PROTOCOL.md lists what is served where."
+
+
+class MethodNotAllowedError(MartenrunError):
+    """The path is served, but not with this method.
+
+    Attributes:
+        allowed: the methods that are served.
+    """
+
+    code = "method_not_allowed"
+    http_status = 405
+    remedy = "Use a method that the Allow header names."
+
+    def __init__(self, message: str, *, allowed: tuple[str, ...] = ()) -> None:
+        super().__init__(message)
+        self.allowed = allowed
+
+
 class ObjectNotFoundError(MartenrunError):
     """The named configuration object does not exist."""
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -164,6 +164,20 @@
     assert admin.refusal("PUT", "policies/long", document)["code"] == "object_too_large"
 
 
+@pytest.mark.parametrize("version", ["\xb2", "9" * 5000, "-1", "*"])
+def test_a_version_that_is_no_number_is_refused(admin, version):
+    status, body = admin.call("PUT", "tenants/growers", {}, version)
+    assert (status, body["error"]["code"]) == (400, "invalid_request")
+
+
+def test_what_is_not_served_is_refused_and_not_taken_for_a_list(admin):
+    for method, path in (("PUT", "tenants"), ("POST", "status"), ("POST", "tenants/growers")):
+        status, body = admin.call(method, path, {})
+        assert (status, body["error"]["code"]) == (405, "method_not_allowed")
+    status, body = admin.call("GET", f"tenants?limit={'9' * 5000}")
+    assert (status, body["error"]["code"]) == (400, "invalid_request")
+
+
 def test_a_key_is_rotated_with_an_overlap(admin):
     old = admin.key("old", "growers")
     admin.key("new", "growers")
--- a/tests/test_request_failures.py
+++ b/tests/test_request_failures.py
@@ -202,6 +202,26 @@
     assert code is None or error["code"] == code
 
 
+@pytest.mark.parametrize("edge", ["agent", "node"])
+@pytest.mark.parametrize(
+    ("method", "path", "status", "code", "allow"),
+    [
+        ("GET", "/v1/nothing", 404, "not_found", None),
+        ("GET", "/v1/completions", 405, "method_not_allowed", "POST"),
+        ("DELETE", "/v1/models", 405, "method_not_allowed", "GET, HEAD"),
+    ],
+)
+def test_what_is_not_served_is_told_like_any_error(
+    deployment, edge, method, path, status, code, allow
+):
+    address = (deployment.agent_edges if edge == "agent" else deployment.node_edges)[0]
+    response = urllib3.request(method, f"http://{address}{path}", retries=False)
+    error = response.json()["error"]
+    assert (response.status, error["code"], error["ran"]) == (status, code, "no")
+    assert error["type"] and error["remedy"]
+    assert response.headers.get("Allow") == allow
+
+
 def test_content_parts_are_read_as_text(deployment):
     parts = [{"type": "text", "text": "is it "}, {"type": "text", "text": "ripe?"}]
     answers = []
