Tell the remedy of a fault inside a settings table from that table

Seen with check-settings: an unknown key in [node.membership] was told the known keys of [node], a value out of range there the description of the whole table, and 'node = "x"' seven missing fields instead of the missing table. Two changed or new tests failed before and pass now.

--- a/src/martenrun/schema.py
+++ b/src/martenrun/schema.py
@@ -41,6 +41,16 @@
     return next((text for text in texts if text), "")
 
 
+def field_owner(model: type[msgspec.Struct], path: str) -> tuple[type[msgspec.Struct], str]:
+    """Return the record in a record that has the field of a path with dots, and its name."""
+    outer, _, rest = path.partition(".")
+    for field in msgspec.structs.fields(model):
+        inner = _record_type(field.type)
+        if rest and field.name == outer and inner is not None:
+            return field_owner(inner, rest)
+    return model, outer
+
+
 def faults_of(model: type[msgspec.Struct], values: object, path: str = "") -> list[Fault]:
     """Return every fault of a record of plain values; none if it fits.
 
--- a/src/martenrun/settings/load.py
+++ b/src/martenrun/settings/load.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from martenrun.errors import SettingsError
-from martenrun.schema import Fault, FaultKind, description_of, faults_of
+from martenrun.schema import Fault, FaultKind, description_of, faults_of, field_owner
 from martenrun.settings.model import AgentSettings, NodeSettings, ProcessSettings
 
 Settings = TypeVar("Settings", bound=ProcessSettings)
@@ -49,8 +49,11 @@
             known = ", ".join(sorted(_MODELS))
             faults.append(SettingsError(f"unknown table [{table}]", remedy=f"use one of: {known}"))
             continue
+        if not isinstance(values, dict):
+            faults.append(_no_table(path, table))
+            continue
         try:
-            _validated(model, values if isinstance(values, dict) else {})
+            _validated(model, values)
         except ExceptionGroup as group:
             faults.extend(error for error in group.exceptions if isinstance(error, SettingsError))
     if faults:
@@ -68,11 +71,14 @@
 def _read_table(path: Path, table: str) -> dict[str, object]:
     values = _read_document(path).get(table)
     if not isinstance(values, dict):
-        fault = SettingsError(f"{path} has no [{table}] table", remedy=f"add a [{table}] table")
-        raise ExceptionGroup(f"{path} has 1 fault", [fault])
+        raise ExceptionGroup(f"{path} has 1 fault", [_no_table(path, table)])
     return values
 
 
+def _no_table(path: Path, table: str) -> SettingsError:
+    return SettingsError(f"{path} has no [{table}] table", remedy=f"add a [{table}] table")
+
+
 def _validated(model: type[Settings], values: Mapping[str, object]) -> Settings:
     try:
         return msgspec.convert(dict(values), model)
@@ -85,8 +91,8 @@
 
 
 def _remedy(model: type[ProcessSettings], fault: Fault) -> str:
-    field = fault.field.partition(".")[0]
+    record, field = field_owner(model, fault.field)
     if fault.kind is FaultKind.UNKNOWN:
-        return f"remove it; known keys are {', '.join(sorted(model.__struct_fields__))}"
+        return f"remove it; known keys are {', '.join(sorted(record.__struct_fields__))}"
     verb = "add it" if fault.kind is FaultKind.MISSING else "correct it"
-    return f"{verb}: {description_of(model, field) or 'see docs/OPERATIONS.md'}"
+    return f"{verb}: {description_of(record, field) or 'see docs/OPERATIONS.md'}"
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -4,7 +4,7 @@
 
 from martenrun.configuration.objects import Kind, encode_document, parse_document
 from martenrun.errors import InvalidObjectError
-from martenrun.settings.load import read_settings
+from martenrun.settings.load import check_file, read_settings
 from martenrun.settings.model import NodeSettings
 
 FITTING = {
@@ -37,14 +37,29 @@
 
 
 def test_every_fault_of_settings_is_told_with_its_remedy():
-    values = {**FITTING, "max_streams": 0, "colour": "red", "membership": {"gossip_fanout": 0}}
+    membership = {"gossip_fanout": 0, "fanout": 1}
+    values = {**FITTING, "max_streams": 0, "colour": "red", "membership": membership}
     del values["zone"]
     with pytest.raises(ExceptionGroup) as caught:
         read_settings(NodeSettings, None, values)
     told = {fault.message.split(":")[0]: fault.remedy for fault in caught.value.exceptions}
-    assert told.keys() == {"max_streams", "colour", "membership.gossip_fanout", "zone"}
+    assert told.keys() == {
+        *("max_streams", "colour", "membership.gossip_fanout", "membership.fanout", "zone")
+    }
     assert told["zone"] == "add it: zone of the machine"
-    assert told["colour"].startswith("remove it; known keys are ")
+    assert told["colour"].startswith("remove it; known keys are accepted_secrets, ")
+    assert told["membership.fanout"].startswith("remove it; known keys are dead_probe_interval_s, ")
+    assert told["membership.gossip_fanout"] == "correct it: nodes told in one round"
+
+
+def test_a_value_in_the_place_of_a_table_is_told_as_such(tmp_path):
+    file = tmp_path / "settings.toml"
+    file.write_text('node = "node-1"')
+    for read in (check_file, lambda path: read_settings(NodeSettings, path, {})):
+        with pytest.raises(ExceptionGroup) as caught:
+            read(file)
+        (fault,) = caught.value.exceptions
+        assert "node" in fault.message and "[node]" in fault.remedy
 
 
 @pytest.mark.parametrize(
