Tell a scale run's bytes by kind of message, with frames

Cause: the bytes of a request were one figure without frames, in which the exchange of usage during 12 s after a short load is divided by the requests of that load.

--- a/src/martenrun/bench/scale/cluster.py
+++ b/src/martenrun/bench/scale/cluster.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from martenrun.agent.parts import AgentParts, agent_parts
+from martenrun.bench.scale.kinds import KindCountingNetwork
 from martenrun.bench.scale.platform import (
     MODELS,
     VERSION,
@@ -35,7 +36,7 @@
 from martenrun.process import Carrier
 from martenrun.settings.model import AgentSettings, NodeSettings
 from martenrun.simulation.hollow import HollowProcess
-from martenrun.simulation.network import LinkFaults, SimulatedNetwork
+from martenrun.simulation.network import LinkFaults
 from martenrun.simulation.scheduler import Scheduler
 from martenrun.simulation.store import SimulatedStore, StoreFaults
 from martenrun.wire.messages import DecideRequest
@@ -86,7 +87,8 @@
         self.rng = random.Random(seed)
         self.scheduler = Scheduler()
         faults = LinkFaults(delay_s=0.001, jitter_s=0.002)
-        self.network = SimulatedNetwork(self.scheduler, self.rng, faults)
+        self.network = KindCountingNetwork(self.scheduler, self.rng, faults)
+        self.network.forget_kinds()
         self.store = SimulatedStore(self.scheduler, self.rng, StoreFaults())
         self.runners: dict[str, HollowRunner] = make_runners(runners)
         self._by_name = {runner.machine.name: runner for runner in self.runners.values()}
--- a/src/martenrun/bench/scale/observe.py
+++ b/src/martenrun/bench/scale/observe.py
@@ -33,13 +33,13 @@
         """Return an agent's average usage."""
         return self._usage(self._cluster.agent_meter, len(self._cluster.agents), "agent")
 
-    def _usage(self, meter: CostMeter, processes: int, role: str) -> Usage:
+    def _usage(self, meter: CostMeter, processes: int, wanted: str) -> Usage:
         elapsed_s = self._cluster.scheduler.now - self._begin_s
         process_seconds = processes * elapsed_s
         sent = [
             after.minus(self._sent.get(name, _Traffic()))
             for name, after in self._by_process().items()
-            if _role(name) == role
+            if role(name) == wanted
         ]
 
         def per_second(costs: Mapping[str, float]) -> dict[str, float]:
@@ -83,7 +83,8 @@
         )
 
 
-def _role(name: str) -> str:
+def role(name: str) -> str:
+    """Return the role of the process of a name: agent or node."""
     return "agent" if name.startswith(_AGENT_PREFIX) else "node"
 
 
--- a/src/martenrun/bench/scale/report.py
+++ b/src/martenrun/bench/scale/report.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from martenrun.bench.scale.kinds import KindUsage
+
 
 class Scenario(msgspec.Struct, frozen=True):
     """Size and faults of a run; times are virtual.
@@ -63,6 +65,8 @@
 
     ``node_question_cpu_us_per_request`` counts only the events that requests cause at homes and
     owners; it does not hold the difference of two phases, and so scatters less.
+    ``node_kinds`` are all messages of nodes while the load ran and ended, with frames; the
+    exchange of usage and other messages that go with time weigh less the longer the phase is.
     """
 
     asked: int
@@ -77,6 +81,7 @@
     agent_bytes_per_request: float
     messages_per_request: float
     dearest: list[PartCost]
+    node_kinds: list[KindUsage] = []
 
 
 class FaultResult(msgspec.Struct, frozen=True):
--- a/src/martenrun/bench/scale/run.py
+++ b/src/martenrun/bench/scale/run.py
@@ -11,6 +11,7 @@
     PhaseMeter,
     codec_us_per_message,
     dearest,
+    role,
     times_until,
 )
 from martenrun.bench.scale.platform import Publisher, region_name, zone_name
@@ -146,6 +147,7 @@
         cluster = self._cluster
         outcomes = cluster.outcomes = Outcomes()
         meter = PhaseMeter(cluster)
+        cluster.network.forget_kinds()
         begin_s = cluster.scheduler.now
         rate = self._scenario.requests_per_node_s * self._scenario.nodes
         cluster.load(rate, begin_s + self._scenario.phase_s, self._publisher.tenants)
@@ -167,6 +169,7 @@
             round((agent.sent_bytes_per_s - idle_agent.sent_bytes_per_s) * per_agent, 1),
             round((node.sent_messages_per_s - idle_node.sent_messages_per_s) * per_node, 2),
             dearest(cluster.node_meter, DEAREST_COUNT),
+            cluster.network.kinds(lambda name: role(name) == "node", max(1, outcomes.asked)),
         )
 
     def _changes(self) -> list[float]:
--- a/src/martenrun/simulation/network.py
+++ b/src/martenrun/simulation/network.py
@@ -7,7 +7,7 @@
 from martenrun.simulation.places import Places
 from martenrun.simulation.scheduler import Scheduler
 from martenrun.wire.codec import decode, encode
-from martenrun.wire.frames import TAG_BYTES, checked_datagram
+from martenrun.wire.frames import TAG_BYTES, checked_datagram, frame_bytes
 from martenrun.wire.messages import Message
 
 
@@ -85,7 +85,9 @@
 
     def send(self, sender: str, receiver: str, message: Message) -> None:
         """Send a message; it may arrive late, twice or never."""
-        self._send(sender, receiver, encode(message))
+        data = encode(message)
+        self._count(sender, message, len(data), frame_bytes(len(data)))
+        self._send(sender, receiver, data)
 
     def send_datagram(self, sender: str, receiver: str, message: Message) -> None:
         """Send a message in one datagram; the same faults as for :meth:`send`.
@@ -96,11 +98,15 @@
         data = encode(message)
         overhead_bytes = TAG_BYTES + 1 + len(sender)
         checked_datagram(data, overhead_bytes)
-        self._send(sender, receiver, data, overhead_bytes)
+        self._count(sender, message, len(data) + overhead_bytes, 0)
+        self._send(sender, receiver, data)
 
-    def _send(self, sender: str, receiver: str, data: bytes, overhead_bytes: int = 0) -> None:
+    def _count(self, sender: str, message: Message, size: int, frame_bytes: int) -> None:
+        """Count a sent message; ``frame_bytes`` more would pass a TCP connection."""
         self.traffic[sender].sent_messages += 1
-        self.traffic[sender].sent_bytes += len(data) + overhead_bytes
+        self.traffic[sender].sent_bytes += size
+
+    def _send(self, sender: str, receiver: str, data: bytes) -> None:
         copies = 2 if self._rng.random() < self.faults.duplicate else 1
         for _ in range(copies):
             if self._rng.random() < self.faults.loss:
--- a/src/martenrun/wire/frames.py
+++ b/src/martenrun/wire/frames.py
@@ -33,6 +33,11 @@
     return hashlib.blake2b(payload, key=key, digest_size=TAG_BYTES).digest()
 
 
+def frame_bytes(payload_bytes: int) -> int:
+    """Return what a frame adds to a payload of so many bytes."""
+    return _LENGTH.size + TAG_BYTES
+
+
 def session_key(secret: bytes, connector_nonce: bytes, acceptor_nonce: bytes) -> bytes:
     """Derive the key of one connection from the cluster secret."""
     nonces = connector_nonce + acceptor_nonce
