Use short frames after the handshake: 9 bytes instead of 20

Weighed: short tags in datagrams too (16 bytes/s a node; a stranger may send them without end, so they keep 16); no tag length below 8. Change: after the handshake the length is a variable-length integer and the tag 8 bytes. A forger that can write into the connection has one guess in 2^64, since a wrong tag ends it. Handshake and datagrams as before, so a peer of version 2 is told apart and refused. PROTOCOL_VERSION is 3. The benchmarks take what frames add from wire/frames.py (that of the usage exchange had counted 24).

--- a/src/martenrun/bench/ownership.py
+++ b/src/martenrun/bench/ownership.py
@@ -24,6 +24,7 @@
 from martenrun.simulation.network import SimulatedNetwork
 from martenrun.simulation.ownership_cluster import OwnershipCluster
 from martenrun.wire.codec import decode, encode
+from martenrun.wire.frames import frame_bytes
 from martenrun.wire.messages import (
     AttemptReport,
     DecideRequest,
@@ -41,9 +42,6 @@
 SLOTS = 4
 SERVICE_S = 2.0
 WARM_UP_S = 3.0
-FRAME_BYTES = 20
-"""Length and tag that the transport adds to a message, in bytes."""
-
 CODEC_REPETITIONS = 300
 NOTICED_AFTER_S = 2.0
 """When the others see a killed owner go in the recovery run, in seconds."""
@@ -192,6 +190,7 @@
     sizes = {kind: len(encode(message)) for kind, message in network.samples.items()}
     messages = sum(network.sent.values())
     sent_bytes = _node_bytes(cluster) - before
+    frames = sum(frame_bytes(sizes[kind]) * n for kind, n in network.sent.items())
     background_us = home.background_us() + owner.background_us()
     return OwnershipResult(
         "local counts" if baseline else "owners",
@@ -206,7 +205,7 @@
         round(waits[len(waits) * 99 // 100], 4),
         round(messages / count, 2),
         round(sent_bytes / count, 1),
-        round((sent_bytes + FRAME_BYTES * messages) / count, 1),
+        round((sent_bytes + frames) / count, 1),
         {kind: round(sizes[kind] * n / count, 1) for kind, n in network.sent.items() if n},
         round(home.request_us() / count, 1),
         round(owner.request_us() / count, 1),
--- a/src/martenrun/bench/scaling_demand.py
+++ b/src/martenrun/bench/scaling_demand.py
@@ -22,6 +22,7 @@
 from martenrun.scaling.limits import ScalingLimits
 from martenrun.simulation.network import LinkFaults, SimulatedNetwork
 from martenrun.simulation.scheduler import Scheduler
+from martenrun.wire.frames import frame_bytes
 from martenrun.wire.messages import Message
 
 POOLS = 13
@@ -31,7 +32,7 @@
 TICK_S = 0.25
 WARM_UP_S = 15.0
 MEASURED_S = 60.0
-FRAME_OVERHEAD_BYTES = 24
+FRAME_OVERHEAD_BYTES = frame_bytes(1_000)
 """Length prefix and authenticator that the transport adds to each message."""
 
 
--- a/src/martenrun/bench/usage_exchange.py
+++ b/src/martenrun/bench/usage_exchange.py
@@ -21,6 +21,7 @@
 from martenrun.sharing.usage import UsageExchange
 from martenrun.simulation.network import LinkFaults, SimulatedNetwork
 from martenrun.simulation.scheduler import Scheduler
+from martenrun.wire.frames import frame_bytes
 from martenrun.wire.messages import Message
 
 WORK_INTERVAL_S = 0.5
@@ -28,8 +29,8 @@
 """Coarser than a process's tick; the exchange only compares times on a tick."""
 
 TOKENS_PER_REQUEST = 300.0
-FRAME_OVERHEAD_BYTES = 24
-"""Length prefix and authenticator that the transport adds to each message."""
+FRAME_OVERHEAD_BYTES = frame_bytes(1_000)
+"""Length and tag that the transport adds to each message, taken as one of 128 bytes or more."""
 
 COMPARED_TENANTS = 20
 """Largest tenants whose sums are compared with the truth."""
--- a/src/martenrun/wire/codec.py
+++ b/src/martenrun/wire/codec.py
@@ -21,7 +21,7 @@
 from martenrun.wire.messages import Message
 from martenrun.wire.specifications import SPECIFICATIONS
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 _HEADER = struct.Struct("!BH")
 
 
--- a/src/martenrun/wire/connection.py
+++ b/src/martenrun/wire/connection.py
@@ -156,6 +156,7 @@
 
     def _establish(self) -> None:
         self.established = True
+        self._writer.is_short = self._reader.is_short = True
         self._reader.maximum_bytes = MAXIMUM_FRAME_BYTES
         for waiting in self._waiting:
             self.outgoing += self._writer.seal(self._key, waiting)
--- a/src/martenrun/wire/frames.py
+++ b/src/martenrun/wire/frames.py
@@ -1,8 +1,13 @@
 """Framing and authentication of internal messages on a TCP connection or in a datagram.
 
-A TCP frame is a 4-byte big-endian length, a 16-byte keyed BLAKE2b tag and the payload.  The tag
-key of a connection derives from the cluster secret and both sides' nonces, and every tag
-covers a frame counter, so a stranger's, repeated or reordered frame ends the connection.
+A frame of the handshake is a 4-byte big-endian length, a 16-byte keyed BLAKE2b tag and the
+payload.  The tag key of a connection derives from the cluster secret and both sides' nonces, and
+every tag covers a frame counter, so a stranger's, repeated or reordered frame ends the connection.
+
+A later frame is short: its length is a variable-length integer as in thrift's compact protocol,
+its tag 8 bytes.  Whoever can write into an established connection forges a frame with a
+probability of 2**-64, and has one try, since a wrong tag ends the connection.  The handshake and
+datagrams, which a stranger may try as often as he likes, keep 16 bytes.
 """
 
 import hashlib
@@ -14,7 +19,10 @@
 from martenrun.constants import MAXIMUM_DATAGRAM_BYTES, MAXIMUM_FRAME_BYTES
 
 TAG_BYTES = 16
+SHORT_TAG_BYTES = 8
 NONCE_BYTES = 16
+_MAXIMUM_SHORT_LENGTH_BYTES = 4
+_CONTINUES = 0x80
 _LENGTH = struct.Struct("!I")
 _COUNTER = struct.Struct("!Q")
 _DATAGRAM = b"d"
@@ -28,14 +36,26 @@
     """A frame that is too long or whose tag does not match."""
 
 
-def tag(key: bytes, payload: bytes) -> bytes:
+def tag(key: bytes, payload: bytes, tag_bytes: int = TAG_BYTES) -> bytes:
     """Return the authentication tag of ``payload``."""
-    return hashlib.blake2b(payload, key=key, digest_size=TAG_BYTES).digest()
+    return hashlib.blake2b(payload, key=key, digest_size=tag_bytes).digest()
+
+
+def _short_length(length: int) -> bytes:
+    """Return a length as a variable-length integer: 7 bits a byte, the low ones first."""
+    if length < _CONTINUES:
+        return bytes((length,))
+    encoded = bytearray()
+    while length >= _CONTINUES:
+        encoded.append(length % _CONTINUES | _CONTINUES)
+        length //= _CONTINUES
+    encoded.append(length)
+    return bytes(encoded)
 
 
 def frame_bytes(payload_bytes: int) -> int:
-    """Return what a frame adds to a payload of so many bytes."""
-    return _LENGTH.size + TAG_BYTES
+    """Return what a short frame adds to a payload of so many bytes."""
+    return len(_short_length(SHORT_TAG_BYTES + payload_bytes)) + SHORT_TAG_BYTES
 
 
 def session_key(secret: bytes, connector_nonce: bytes, acceptor_nonce: bytes) -> bytes:
@@ -89,7 +109,7 @@
 def _matching_key(keys: Sequence[bytes], present: bytes, covered: bytes) -> bytes | None:
     """Return the key under which a tag covers some bytes, None if there is none."""
     for key in keys:
-        if hmac.compare_digest(present, tag(key, covered)):
+        if hmac.compare_digest(present, tag(key, covered, len(present))):
             return key
     return None
 
@@ -103,9 +123,14 @@
 
 
 class FrameWriter:
-    """Seals the frames of one direction of a connection."""
+    """Seals the frames of one direction of a connection.
+
+    Attributes:
+        is_short: whether the handshake is over and frames are short.
+    """
 
     def __init__(self, direction: bytes) -> None:
+        self.is_short = False
         self._direction = direction
         self._counter = 0
 
@@ -113,6 +138,9 @@
         """Return the frame that carries ``payload``."""
         covered = self._direction + _COUNTER.pack(self._counter) + payload
         self._counter += 1
+        if self.is_short:
+            length = _short_length(SHORT_TAG_BYTES + len(payload))
+            return length + tag(key, covered, SHORT_TAG_BYTES) + payload
         body = tag(key, covered) + payload
         return _LENGTH.pack(len(body)) + body
 
@@ -122,10 +150,12 @@
 
     Attributes:
         maximum_bytes: a longer frame is refused as soon as its length is read.
+        is_short: whether the handshake is over and frames are short.
     """
 
     def __init__(self, direction: bytes, maximum_bytes: int = MAXIMUM_FRAME_BYTES) -> None:
         self.maximum_bytes = maximum_bytes
+        self.is_short = False
         self._direction = direction
         self._counter = 0
         self._buffer = bytearray()
@@ -141,11 +171,8 @@
             FrameError: a frame is too long, or its tag does not match.
         """
         payloads = []
-        while (body := self._next_body()) is not None:
-            payload = body[TAG_BYTES:]
-            if not hmac.compare_digest(body[:TAG_BYTES], tag(key, self._covered(payload))):
-                raise FrameError(_WRONG_TAG)
-            payloads.append(payload)
+        while (frame := self.next_frame((key,))) is not None:
+            payloads.append(frame.payload)
         return payloads
 
     def next_payload(self, key: bytes) -> bytes | None:
@@ -162,27 +189,49 @@
         body = self._next_body()
         if body is None:
             return None
-        payload = body[TAG_BYTES:]
-        key = _matching_key(keys, body[:TAG_BYTES], self._covered(payload))
+        tag_bytes = self._tag_bytes
+        payload = body[tag_bytes:]
+        key = _matching_key(keys, body[:tag_bytes], self._covered(payload))
         if key is None:
             raise FrameError(_WRONG_TAG)
         return OpenedFrame(payload, key)
 
+    @property
+    def _tag_bytes(self) -> int:
+        return SHORT_TAG_BYTES if self.is_short else TAG_BYTES
+
     def _next_body(self) -> bytes | None:
         """Cut the next frame's tag and payload from the buffer, None if it is not whole."""
-        buffered = len(self._buffer)
-        if buffered < _LENGTH.size:
+        found = self._short_prefix() if self.is_short else self._long_prefix()
+        if found is None:
             return None
-        (length,) = _LENGTH.unpack_from(self._buffer)
-        if not TAG_BYTES <= length <= self.maximum_bytes:
+        start, length = found
+        if not self._tag_bytes <= length <= self.maximum_bytes:
             raise FrameError(f"frame of {length} bytes is outside the limits")
-        end = _LENGTH.size + length
-        if buffered < end:
+        end = start + length
+        if len(self._buffer) < end:
             return None
-        body = bytes(self._buffer[_LENGTH.size : end])
+        body = bytes(self._buffer[start:end])
         del self._buffer[:end]
         return body
 
+    def _long_prefix(self) -> tuple[int, int] | None:
+        """Return where the next frame's tag begins and its length, None if that is not whole."""
+        if len(self._buffer) < _LENGTH.size:
+            return None
+        return _LENGTH.size, _LENGTH.unpack_from(self._buffer)[0]
+
+    def _short_prefix(self) -> tuple[int, int] | None:
+        """See :meth:`_long_prefix`."""
+        length = 0
+        for index, octet in enumerate(self._buffer[:_MAXIMUM_SHORT_LENGTH_BYTES]):
+            length |= octet % _CONTINUES << 7 * index
+            if octet < _CONTINUES:
+                return index + 1, length
+        if len(self._buffer) >= _MAXIMUM_SHORT_LENGTH_BYTES:
+            raise FrameError("a frame's length does not end")
+        return None
+
     def _covered(self, payload: bytes) -> bytes:
         """Return what the tag of the next frame covers."""
         covered = self._direction + _COUNTER.pack(self._counter) + payload
--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -1,4 +1,4 @@
-// Internal protocol of martenrun, version 2: thrift's compact protocol.  One struct per message.
+// Internal protocol of martenrun, version 3: thrift's compact protocol.  One struct per message.
 // On the wire a struct stands behind 3 bytes: the protocol version and, as 16 bits in network
 // order, the BLAKE2b hash (2 bytes) of the struct's name.
 // The classes in martenrun/wire/messages/ carry the same fields; a test compares them.
--- a/tests/test_proof_parsing.py
+++ b/tests/test_proof_parsing.py
@@ -67,10 +67,16 @@
     survives()
 
 
-@given(st.lists(st.binary(max_size=40), max_size=6), st.data())
+@pytest.mark.parametrize("is_short", [False, True], ids=["handshake", "short"])
+@given(
+    payloads=st.lists(st.binary(max_size=40) | st.just(b"x" * 20_000), max_size=6), data=st.data()
+)
 @settings(derandomize=True, deadline=None)
-def test_frames_come_whole_and_in_order_however_they_are_cut_and_forged_ones_never(payloads, data):
+def test_frames_come_whole_and_in_order_however_they_are_cut_and_forged_ones_never(
+    is_short, payloads, data
+):
     writer, reader = FrameWriter(b"c"), FrameReader(b"c")
+    writer.is_short = reader.is_short = is_short
     sent = bytearray(b"".join(writer.seal(KEY, payload) for payload in payloads))
     flipped = data.draw(st.none() | st.integers(0, max(0, len(sent) - 1)))
     if flipped is not None and sent:
@@ -89,11 +95,13 @@
     assert flipped is not None or len(received) == len(payloads)
 
 
-@given(st.binary(max_size=200))
+@pytest.mark.parametrize("is_short", [False, True], ids=["handshake", "short"])
+@given(octets=st.binary(max_size=200))
 @settings(derandomize=True, deadline=None)
-def test_bytes_of_a_stranger_are_no_frame_and_take_no_room(octets):
+def test_bytes_of_a_stranger_are_no_frame_and_take_no_room(is_short, octets):
     tracemalloc.start()
     reader = FrameReader(b"c")
+    reader.is_short = is_short
     reader.feed(octets)
     try:
         assert reader.next_payload(KEY) is None
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -10,8 +10,8 @@
 from deployment import free_address, wait_until
 
 from martenrun.constants import MAXIMUM_DATAGRAM_BYTES
-from martenrun.wire import limits, transport
-from martenrun.wire.codec import encode
+from martenrun.wire import connection, limits, transport
+from martenrun.wire.codec import PROTOCOL_VERSION, encode
 from martenrun.wire.connection import Connection
 from martenrun.wire.frames import FrameError, open_datagram, seal_datagram
 from martenrun.wire.keys import ClusterKeys
@@ -75,6 +75,18 @@
         assert stranger.recv(4096) == b""
 
 
+def test_a_member_of_the_protocol_version_before_is_closed_unanswered(monkeypatch):
+    with monkeypatch.context() as before:
+        before.setattr(connection, "PROTOCOL_VERSION", PROTOCOL_VERSION - 1)
+        hello = recorded_hello()
+    with server() as (running, received):
+        with stranger_of(running) as older:
+            older.sendall(hello)
+            with contextlib.suppress(ConnectionResetError):
+                assert older.recv(4096) == b""
+        assert_serves(running, received)
+
+
 def test_a_repeated_hello_does_not_take_over_the_peers_name():
     with server() as (running, _received), stranger_of(running) as stranger:
         stranger.sendall(recorded_hello())
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -108,9 +108,11 @@
         assert value == message
 
 
+@pytest.mark.parametrize("is_short", [False, True], ids=["handshake", "short"])
 @pytest.mark.parametrize("fault", ["flipped", "repeated"])
-def test_a_forged_or_repeated_frame_is_refused(fault):
+def test_a_forged_or_repeated_frame_is_refused(fault, is_short):
     writer, reader = FrameWriter(b"c"), FrameReader(b"c")
+    writer.is_short = reader.is_short = is_short
     frame = writer.seal(SECRET, b"payload")
     reader.feed(frame)
     assert reader.next_payload(SECRET) == b"payload"
@@ -120,6 +122,15 @@
         reader.next_payload(SECRET)
 
 
+@pytest.mark.parametrize("length", [b"\x07", b"\xff\xff\xff\x7f", b"\x80\x80\x80\x80"])
+def test_a_short_frame_of_a_length_outside_the_limits_is_refused_before_it_has_come(length):
+    reader = FrameReader(b"c")
+    reader.is_short = True
+    reader.feed(length)
+    with pytest.raises(FrameError):
+        reader.next_payload(SECRET)
+
+
 def test_transport_answers_over_the_callers_connection_and_shuts_out_strangers():
     address = free_address()
     server = PeerTransport(address, KEYS, lambda peer, m: server.send(peer, m))
