Leave out of SlotGranted what the home knows

Cause: each grant repeated the engine's incarnation, which a home knows after its first grant of the runner, and the weights version that it had asked for. Weighed: the owner remembering what it told whom (an answer may be lost); 16 bits of hash (a restarted engine would pass for the old one once in 65,536 times). Change: ReserveSlot carries a 31-bit hash of the incarnation that the home knows; the grant leaves out both where they agree. The home takes what it knew when it asked, not what it has learnt meanwhile. A grant from a queue carries both.

--- a/src/martenrun/ownership/owner.py
+++ b/src/martenrun/ownership/owner.py
@@ -13,7 +13,7 @@
 from martenrun.node.runners import RunnerTable
 from martenrun.ownership.ended import Ended
 from martenrun.ownership.owners import OwnerMap
-from martenrun.ownership.pool_ids import pool_id
+from martenrun.ownership.pool_ids import incarnation_id, pool_id
 from martenrun.ownership.reasons import Reason
 from martenrun.ownership.slots import LeaseKey, RunnerSlots
 from martenrun.ownership.stall import MachineListAge
@@ -64,6 +64,15 @@
     """Count no usage."""
 
 
+def _without_what_is_known(granted: SlotGranted, asked: ReserveSlot) -> SlotGranted:
+    """Leave out of a grant what its reservation has shown to be known."""
+    if incarnation_id(granted.incarnation) == asked.known_incarnation:
+        granted.incarnation = ""
+    if granted.weights_version == asked.weights_version:
+        granted.weights_version = ""
+    return granted
+
+
 class OwnerLogic:
     """Slots of all runners that this node owns.
 
@@ -138,7 +147,8 @@
             return [Send(home, SlotsQueued([key.reservation_id], [_NO_WAIT_MS]))]
         leased = self._leased.get(key)
         if leased is not None:
-            return [self._granted_message(key, leased, reservation.chain)]
+            repeated = self._granted_message(key, leased, reservation.chain)
+            return [Send(home, _without_what_is_known(repeated, reservation))]
         # A change of owners may have reached the home before this node's next sweep.
         changes = [] if reservation.runner in self.owned else self._update_owned()
         return [*changes, self._answer(key, reservation, now)]
@@ -150,7 +160,8 @@
             return self._refusal(key, reservation.runner, reason or Reason.UNKNOWN_RUNNER)
         if runner.free > 0 and not len(runner.queue) and self._list_age.is_trusted(now):
             self._granted(runner.name, reservation.tenant, reservation.cost_tokens, now)
-            return self._grant(key, runner, reservation.chain, now)
+            granted = self._grant(key, runner, reservation.chain, now)
+            return Send(key.home, _without_what_is_known(granted, reservation))
         return self._enqueue(key, runner, reservation, now)
 
     def _fault(self, reservation: ReserveSlot, runner: RunnerSlots | None) -> Reason | None:
@@ -171,7 +182,7 @@
         wanted = reservation.weights_version
         return Reason.STALE_VERSION if wanted not in ("", runner.weights_version) else None
 
-    def _grant(self, key: LeaseKey, runner: RunnerSlots, chain: bytes, now: float) -> Instruction:
+    def _grant(self, key: LeaseKey, runner: RunnerSlots, chain: bytes, now: float) -> SlotGranted:
         runner.grant(key, now)
         self._leased[key] = runner
         self._served(key.home, runner.name, runner.incarnation, chain, now)
@@ -182,15 +193,14 @@
         if listed is not None:
             self._count(listed.pool, tenant, tokens, now)
 
-    def _granted_message(self, key: LeaseKey, runner: RunnerSlots, chain: bytes) -> Instruction:
-        granted = SlotGranted(
+    def _granted_message(self, key: LeaseKey, runner: RunnerSlots, chain: bytes) -> SlotGranted:
+        return SlotGranted(
             key.reservation_id,
             runner.incarnation,
             runner.weights_version,
             self._cached_blocks(runner.name, runner.incarnation, chain) if chain else 0,
             runner.free,
         )
-        return Send(key.home, granted)
 
     def _enqueue(
         self, key: LeaseKey, runner: RunnerSlots, reservation: ReserveSlot, now: float
@@ -271,7 +281,7 @@
             del self._waiting[key]
             self._granted(runner.name, entry.tenant, entry.cost_tokens, now)
             chain = entry.payload if isinstance(entry.payload, bytes) else b""
-            instructions.append(self._grant(key, runner, chain, now))
+            instructions.append(Send(key.home, self._grant(key, runner, chain, now)))
         return instructions
 
     def _renew(self, home: str, renewal: RenewLeases, now: float) -> list[Instruction]:
--- a/src/martenrun/ownership/owner_answers.py
+++ b/src/martenrun/ownership/owner_answers.py
@@ -47,15 +47,15 @@
             return []
         if reservation.choice.runner.leaving:
             return self._decline(reservation, now)
-        reservation.choice = reservation.choice.granted_at(
-            granted.incarnation, granted.weights_version
-        )
+        incarnation = granted.incarnation or reservation.known_incarnation
+        version = granted.weights_version or reservation.asked_version
+        reservation.choice = reservation.choice.granted_at(incarnation, version)
         runner = reservation.choice.runner
-        runner.incarnation = granted.incarnation
-        runner.weights_version = granted.weights_version
+        runner.incarnation = incarnation
+        runner.weights_version = version
         self._loads.learn(runner.name, granted.free_slots, now)
         reservation.owner = owner
-        reservation.incarnation = granted.incarnation
+        reservation.incarnation = incarnation
         question.lease = reservation
         if granted.cached_blocks:
             self._policy.corrected(question.question, runner.name, granted.cached_blocks)
--- a/src/martenrun/ownership/questions.py
+++ b/src/martenrun/ownership/questions.py
@@ -32,7 +32,12 @@
 
 @dataclass(slots=True)
 class Reservation:
-    """One reservation asked of one owner; its id is also the lease's."""
+    """One reservation asked of one owner; its id is also the lease's.
+
+    Attributes:
+        known_incarnation, asked_version: what the owner need not repeat in its grant.
+        incarnation: the runner's, once the slot is granted.
+    """
 
     reservation_id: int
     question: "OpenQuestion"
@@ -42,6 +47,8 @@
     answer_until: float
     is_queued: bool = False
     is_redirected: bool = False
+    known_incarnation: str = ""
+    asked_version: str = ""
     incarnation: str = ""
 
     @property
--- a/src/martenrun/ownership/reservations.py
+++ b/src/martenrun/ownership/reservations.py
@@ -7,7 +7,7 @@
 from martenrun.events import Instruction, Send
 from martenrun.limits.cost import expected_tokens
 from martenrun.ownership.owners import OwnerMap
-from martenrun.ownership.pool_ids import pool_id
+from martenrun.ownership.pool_ids import incarnation_id, pool_id
 from martenrun.ownership.questions import OpenQuestion, Reservation
 from martenrun.routing.policy import RunnerChoice
 from martenrun.wire.messages import ReleaseSlots, ReserveSlot
@@ -59,6 +59,7 @@
         """Return the message that asks a runner's owner, or ``owner``, for a slot."""
         asked = question.question
         runner = choice.runner.name
+        version = "" if question.accept_any_version else asked.weights_version
         self._last_id += 1
         identity = self._last_id
         reservation = Reservation(
@@ -69,6 +70,8 @@
             may_queue,
             now + OWNER_TIMEOUT_S,
             is_redirected=owner is not None,
+            known_incarnation=choice.runner.incarnation,
+            asked_version=version,
         )
         self._by_id[identity] = question.reservations[identity] = reservation
         if reservation.owner in self._suspects:
@@ -82,9 +85,10 @@
             int(expected_tokens(asked)),
             int((question.deadline - now) * 1000),
             may_queue,
-            "" if question.accept_any_version else asked.weights_version,
+            version,
             asked.chain if self._sends_chain else asked.chain[:BLOCK_HASH_BYTES],
             pool_id(question.pool),
+            incarnation_id(choice.runner.incarnation),
         )
         return Send(reservation.owner, message)
 
--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -131,6 +131,7 @@
   8: string weights_version
   9: binary chain
   10: i32 pool_id
+  11: i32 known_incarnation
 }
 
 struct SlotGranted {
--- a/src/martenrun/wire/messages/slots.py
+++ b/src/martenrun/wire/messages/slots.py
@@ -14,6 +14,7 @@
     identity once the slot is granted.  ``deadline_ms`` is the time left.
     An empty ``weights_version`` accepts any.  ``pool_id`` is a hash of the pool's name, so that a
     runner that has changed its pool serves no question for the pool it left; 0 is not compared.
+    ``known_incarnation`` is a hash of the incarnation that the home knows of the runner.
     """
 
     reservation_id: int = 0
@@ -26,11 +27,16 @@
     weights_version: str = ""
     chain: bytes = b""
     pool_id: int = 0
+    known_incarnation: int = 0
 
 
 @dataclass(slots=True)
 class SlotGranted:
-    """Owner to home: the slot is leased; ``free_slots`` are left after it."""
+    """Owner to home: the slot is leased; ``free_slots`` are left after it.
+
+    An empty ``incarnation`` is the one that the home knew, an empty ``weights_version`` the one
+    that it asked for.
+    """
 
     reservation_id: int = 0
     incarnation: str = ""
--- a/src/martenrun/wire/specifications.py
+++ b/src/martenrun/wire/specifications.py
@@ -194,6 +194,7 @@
         8: (11, "weights_version", False),
         9: (18, "chain", False),
         10: (8, "pool_id", False),
+        11: (8, "known_incarnation", False),
     },
     "RunnerLoad": {1: (11, "runner", False), 2: (8, "free_slots", False)},
     "SlotGranted": {
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -9,11 +9,18 @@
 from martenrun.errors import error_classes
 from martenrun.events import PeerMessage
 from martenrun.ownership.home import HomeLogic
+from martenrun.ownership.pool_ids import incarnation_id
 from martenrun.ownership.reasons import Reason
 from martenrun.simulation.network import LinkFaults
 from martenrun.simulation.ownership_cluster import MODEL, TENANT, VERSION, OwnershipCluster
 from martenrun.statecharts.compiler import load_chart
-from martenrun.wire.messages import DecideRequest, ReleaseSlots, SlotGranted, SlotRefused
+from martenrun.wire.messages import (
+    DecideRequest,
+    ReleaseSlots,
+    ReserveSlot,
+    SlotGranted,
+    SlotRefused,
+)
 
 FAULTY = LinkFaults(delay_s=0.001, jitter_s=0.02, loss=0.02, duplicate=0.05)
 RECOVERY_S = 75.0
@@ -199,6 +206,29 @@
     assert other.message.runner not in ("", reserved.message.runner)
 
 
+def test_a_grant_leaves_out_what_the_home_knew_when_it_asked():
+    home = Home()
+    (reserved,) = home.ask()
+    asked, runner = reserved.message, home.runners[reserved.message.runner]
+    known = runner.incarnation
+    assert asked.known_incarnation == incarnation_id(known) != 0
+    runner.incarnation = "told by another grant meanwhile"
+    (granted,) = home.tell(reserved.peer, SlotGranted(asked.reservation_id))
+    assert (granted.message.incarnation, granted.message.weights_version) == (known, VERSION)
+    owner = home.node.ownership.owner
+    for number, (hashed, version, told) in enumerate(
+        [
+            (incarnation_id(known), VERSION, ("", "")),
+            (incarnation_id("before"), VERSION, (known, "")),
+            (0, "", (known, VERSION)),
+        ]
+    ):
+        asked = ReserveSlot(number, runner.name, weights_version=version, known_incarnation=hashed)
+        for _repeated in range(2):
+            (sent,) = owner.handle(PeerMessage("home", asked), 1.0)
+            assert (sent.message.incarnation, sent.message.weights_version) == told
+
+
 def test_a_repeated_question_gets_the_grant_that_it_has_got():
     home = Home()
     (reserved,) = home.ask()
