Send usage records of 10 bytes, and answers of 4

Change: 48-bit hashes (the low bits of those before, so that shards stay where they were), rates as bfloat16, answers in the order of the records; an answer of another length or with a figure that is no rate is dropped whole. What a node counts as reported is the rounded rate, so that a tenant that nobody else uses keeps its whole limits. The number of a run has 34 bits, 62 before. Tests: the two that built or read answers use their new form; malformed answers and rounding added.

--- a/src/martenrun/sharing/usage.py
+++ b/src/martenrun/sharing/usage.py
@@ -29,10 +29,13 @@
 from martenrun.sharing.records import (
     SHARDS,
     UsageRecord,
+    as_told,
     pack,
+    pack_rates,
     shard_of,
     tenant_id,
     unpack,
+    unpack_rates,
 )
 from martenrun.wire.messages import UsageDigest, UsageTotals
 
@@ -54,6 +57,9 @@
 UNASKED_SHARE = 0.25
 """Part of an even share of its limits that a tenant has at a node it has not used yet."""
 
+_INCARNATION_BITS = 34
+"""Width of the number that tells a node's runs apart: 5 bytes on the wire."""
+
 
 @dataclass(frozen=True, slots=True)
 class TenantUsage:
@@ -99,8 +105,10 @@
     def __init__(self, members: MemberView, rng: random.Random) -> None:
         self._members = members
         self._rng = rng
-        self._incarnation = rng.getrandbits(62)
+        self._incarnation = rng.getrandbits(_INCARNATION_BITS)
         self._sequence = 0
+        # Tenants reported last, by the node that was told, in the order of the records.
+        self._asked: dict[str, list[int]] = {}
         self._tenants: dict[str, _OwnTenant] = {}
         self._names: dict[int, str] = {}
         self._touched: set[str] = set()
@@ -203,10 +211,14 @@
         by_adder: dict[str, list[UsageRecord]] = {}
         for name in self._urgent(now):
             tenant = self._tenants[name]
-            tenant.reported = Reported(tenant.here.usage, tenant.here.demand, now)
+            usage, demand = as_told(tenant.here.usage), as_told(tenant.here.demand)
+            tenant.reported = Reported(usage, demand, now)
             self._unanswered.add(name)
-            record = UsageRecord(tenant_id(name), tenant.here.usage, tenant.here.demand)
+            record = UsageRecord(tenant_id(name), usage, demand)
             by_adder.setdefault(self._adder(zone, record.tenant_id), []).append(record)
+        self._asked = {
+            adder: [record.tenant_id for record in records] for adder, records in by_adder.items()
+        }
         return [Send(adder, self._digest("", records)) for adder, records in by_adder.items()]
 
     def _urgent(self, now: float) -> list[str]:
@@ -259,7 +271,7 @@
             self._aggregator.take_zone(digest.zone, records, now)
             return []
         self._aggregator.take_node(peer, records, now)
-        totals = pack(self._aggregator.total(record.tenant_id) for record in records)
+        totals = pack_rates(self._aggregator.total(record.tenant_id) for record in records)
         answer = UsageTotals(digest.incarnation, digest.sequence, self._added, totals)
         return [Send(peer, answer)]
 
@@ -275,7 +287,7 @@
         if totals.incarnation != self._incarnation or totals.sequence != self._sequence:
             return
         self._added_usage[peer] = Reported(totals.added_usage, 0.0, now)
-        for record in unpack(totals.records):
+        for record in unpack_rates(self._asked.get(peer, ()), totals.records):
             name = self._names.get(record.tenant_id, "")
             tenant = self._tenants.get(name)
             if tenant is None:
--- a/src/martenrun/wire/messages/usage.py
+++ b/src/martenrun/wire/messages/usage.py
@@ -10,7 +10,7 @@
 class UsageDigest:
     """Node to node: tenants' present rates at a node, or in a zone if ``zone`` is named.
 
-    ``records`` are 16 bytes a tenant, see :mod:`martenrun.sharing.records`.  ``incarnation``
+    ``records`` are 10 bytes a tenant, see :mod:`martenrun.sharing.records`.  ``incarnation``
     and ``sequence`` show repeated and overtaken digests.
     """
 
@@ -22,7 +22,7 @@
 
 @dataclass(slots=True)
 class UsageTotals:
-    """Answer to a node's UsageDigest: the same tenants' rates over all nodes.
+    """Answer to a node's UsageDigest: the same tenants' rates over all nodes, in their order.
 
     ``added_usage`` is the usage of all tenants that the sender adds up, in tokens per second.
     """
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -8,7 +8,15 @@
 from martenrun.membership.view import Member, StaticMemberView
 from martenrun.sharing.aggregation import REPORT_INTERVAL_S
 from martenrun.sharing.decay import kept
-from martenrun.sharing.records import UsageRecord, pack, tenant_id, unpack
+from martenrun.sharing.records import (
+    UsageRecord,
+    as_told,
+    pack,
+    pack_rates,
+    tenant_id,
+    unpack,
+    unpack_rates,
+)
 from martenrun.sharing.usage import RECORDS_PER_REPORT, UsageExchange
 from martenrun.simulation.hollow import HollowProcess
 from martenrun.simulation.network import LinkFaults, SimulatedNetwork
@@ -156,7 +164,7 @@
     newer = UsageDigest(7, 2, "", pack([UsageRecord(5, 100.0, 0.0)]))
     (answer,) = node.handle(PeerMessage("peer", newer), 0.0)
     assert isinstance(answer, Send)
-    (total,) = unpack(answer.message.records)
+    (total,) = unpack_rates([5], answer.message.records)
     assert total.usage == pytest.approx(100.0)
 
 
@@ -175,11 +183,32 @@
     first, repeated = reports(1), reports(2)
     assert len(first) == len(repeated) == 1
     asked = repeated[0].message
-    answer = UsageTotals(asked.incarnation, asked.sequence, 0.0, asked.records)
+    totals = pack_rates(unpack(asked.records))
+    for malformed in (totals + b"\0" * 4, b"\xff" * 4):
+        broken = UsageTotals(asked.incarnation, asked.sequence, 0.0, malformed)
+        node.handle(PeerMessage(repeated[0].peer, broken), 2.1 * step_s)
+        assert "t" in node._unanswered
+    answer = UsageTotals(asked.incarnation, asked.sequence, 0.0, totals)
     node.handle(PeerMessage(repeated[0].peer, answer), 2.1 * step_s)
     assert reports(3) == []
 
 
+def test_a_tenant_that_no_other_node_uses_has_its_whole_limits_whatever_its_rates():
+    cluster = Cluster(ZONES)
+    cluster.rates = {(0, f"t{number}"): 10.0 + 7.7**number for number in range(5)}
+    cluster.run(30.0)
+    assert [cluster.share(0, f"t{number}") for number in range(5)] == [1.0] * 5
+
+
+@pytest.mark.parametrize("rate", [0.0, 1.0, -3.3, 257.0, 1e9 + 1])
+def test_a_rate_is_told_within_two_to_the_minus_eight(rate):
+    assert as_told(rate) == pytest.approx(rate, rel=2**-8)
+    assert as_told(as_told(rate)) == as_told(rate)
+    assert unpack(pack([UsageRecord(2**48 - 1, rate, 1.0)])) == [
+        UsageRecord(2**48 - 1, as_told(rate), 1.0)
+    ]
+
+
 def test_malformed_records_are_dropped():
     bad = [
         UsageRecord(1, float("nan"), 0.0),
