--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -1,4 +1,4 @@
-// Internal protocol of martenrun, version 2: thrift's compact protocol.  One struct per message.
+// Internal protocol of martenrun, version 3: thrift's compact protocol.  One struct per message.
 // On the wire a struct stands behind 3 bytes: the protocol version and, as 16 bits in network
 // order, the BLAKE2b hash (2 bytes) of the struct's name.
 // The classes in martenrun/wire/messages/ carry the same fields; a test compares them.
@@ -131,6 +131,7 @@
   8: string weights_version
   9: binary chain
   10: i32 pool_id
+  11: i32 known_incarnation
 }
 
 struct SlotGranted {
