Tell homes how many reservations wait for a runner

A home never learned how many reservations wait for a runner: a grant told the free slots only, the answer to a queued reservation told a wait that nobody kept as the runner's load, and a refusal was taken for a load of just all slots. So homes sent on to the longest queues, waits made copies of prefixes, and copies evicted others.

Change: grants, queue notes and refusals carry free slots less waiting reservations (one small integer each), and homes learn them. Attempts moved to a module of their own.

The collapse came from queues that homes could not see.

--- a/src/martenrun/bench/routing_engine.py
+++ b/src/martenrun/bench/routing_engine.py
@@ -66,6 +66,11 @@
     lost_events: bool = False
     waiting: collections.deque[Start] = field(default_factory=collections.deque)
 
+    @property
+    def load(self) -> int:
+        """Slots in use and questions that wait for one."""
+        return self.slots_used + len(self.waiting)
+
     def take_slot(self, start: Start) -> None:
         """Call ``start`` once a slot is free."""
         if self.slots_used < self.pool.slots:
--- a/src/martenrun/bench/routing_policies.py
+++ b/src/martenrun/bench/routing_policies.py
@@ -36,7 +36,7 @@
             engine = self._engines[runner.name]
             cached = engine.cache.leading(hashes)
             uncached = question.prompt_bytes / DEFAULT_BLOCK_BYTES - cached
-            load = engine.slots_used + len(engine.waiting)
+            load = engine.load
             expected_s = engine.times.prefill_s(uncached, min(load, engine.pool.slots) + 1)
             expected_s += self._model.wait_s(load, engine.pool.slots)
             if engine.zone != question.zone:
--- a/src/martenrun/bench/routing_simulation.py
+++ b/src/martenrun/bench/routing_simulation.py
@@ -7,8 +7,8 @@
 
 import functools
 import random
-from dataclasses import dataclass, field
 
+from martenrun.bench.routing_attempts import ActiveRequest, RoutedAttempt
 from martenrun.bench.routing_causes import FORGOTTEN_S, LATE_S, LateCause, LateRequest
 from martenrun.bench.routing_engine import LruBlocks, SimulatedEngine
 from martenrun.bench.routing_faults import RoutingFaults
@@ -21,8 +21,6 @@
 from martenrun.constants import BLOCK_HASH_BYTES, DEFAULT_BLOCK_BYTES
 from martenrun.deployments.model import Deployment
 from martenrun.identity.rendezvous import ranked
-from martenrun.kvcache.imports import ImportPlan
-from martenrun.routing.policy import RunnerChoice
 from martenrun.simulation.scheduler import Scheduler
 from martenrun.standins.engine.model import TimeModel
 from martenrun.wire.messages import AttemptReport, DecideRequest, PrefixesServed
@@ -31,39 +29,6 @@
 _RETRY_S = 0.1
 
 
-@dataclass(slots=True, eq=False)
-class _Active:
-    """A request on its way; ``attempt`` makes calls that come too late find out."""
-
-    plan: PlannedRequest
-    question: DecideRequest
-    attempt: int = 0
-    excluded: set[str] = field(default_factory=set)
-    has_first_token: bool = False
-    is_over: bool = False
-
-
-@dataclass(slots=True, eq=False)
-class _Attempt:
-    """One try at an engine."""
-
-    request: _Active
-    home: SimulatedNode
-    choice: RunnerChoice
-    engine: SimulatedEngine
-    incarnation: int
-    ranked: list[RunnerChoice]
-    import_plan: ImportPlan | None = None
-    is_running: bool = False
-    is_over: bool = False
-    cached_blocks: int = 0
-    imported_blocks: int = 0
-    best_blocks: int = 0
-    best_believed: int = 0
-    waited_s: float = 0.0
-    first_token_s: float = 0.0
-
-
 class RoutingSimulation:
     """One run of the benchmark.
 
@@ -91,7 +56,7 @@
         self._scheduler = Scheduler()
         self._counts = RoutingCounts(WARM_UP_S)
         self._engines: dict[str, SimulatedEngine] = {}
-        self._attempts: dict[str, list[_Attempt]] = {}
+        self._attempts: dict[str, list[RoutedAttempt]] = {}
         self._make_engines()
         zones = deployment.zones
         self._nodes = [
@@ -177,9 +142,9 @@
             plan.request_id, plan.tenant, plan.model, "v1", plan.chain, plan.prompt_bytes
         )
         question.zone = plan.zone
-        self._ask(_Active(plan, question))
+        self._ask(ActiveRequest(plan, question))
 
-    def _ask(self, request: _Active) -> None:
+    def _ask(self, request: ActiveRequest) -> None:
         if self._is_late(request):
             return
         request.attempt += 1
@@ -195,7 +160,7 @@
         delay_s = self._client_link_s(request.plan.zone, home.zone)
         self._scheduler.after(delay_s, lambda: self._decide(request, home))
 
-    def _is_late(self, request: _Active) -> bool:
+    def _is_late(self, request: ActiveRequest) -> bool:
         if self._scheduler.now < request.plan.at + self._deployment.deadline_s:
             return False
         if not request.is_over and not request.has_first_token:
@@ -203,7 +168,7 @@
         request.is_over = True
         return True
 
-    def _decide(self, request: _Active, home: SimulatedNode) -> None:
+    def _decide(self, request: ActiveRequest, home: SimulatedNode) -> None:
         runners = home.usable(request.plan.model, request.excluded)
         if not home.is_live or not runners:
             request.excluded.clear()
@@ -214,12 +179,12 @@
         ranked_choices = home.policy.rank(request.question, runners, self._scheduler.now)
         choice = ranked_choices[0]
         engine = self._engines[choice.runner.name]
-        attempt = _Attempt(request, home, choice, engine, engine.incarnation, ranked_choices)
+        attempt = RoutedAttempt(request, home, choice, engine, engine.incarnation, ranked_choices)
         owner = self._nodes[engine.owner]
         hop_s = self._link_s(home.zone, owner.zone)
         self._scheduler.after(hop_s, lambda: self._reserve(attempt, hop_s))
 
-    def _reserve(self, attempt: _Attempt, hop_s: float) -> None:
+    def _reserve(self, attempt: RoutedAttempt, hop_s: float) -> None:
         engine = attempt.engine
         if incarnation_of(engine) != attempt.choice.runner.incarnation:
             self._again(attempt)
@@ -227,6 +192,9 @@
         attempt.incarnation = engine.incarnation
         self._attempts[engine.name].append(attempt)
         engine.take_slot(lambda: self._slot_taken(attempt, hop_s))
+        if not attempt.is_running:
+            load = engine.load
+            self._scheduler.after(hop_s, lambda: self._take_load(attempt, load))
         wait_s = attempt.request.plan.at + self._deployment.deadline_s - self._scheduler.now
         self._scheduler.after(max(0.0, wait_s), lambda: self._give_up(attempt))
 
@@ -243,13 +211,13 @@
     def _take_served(self, home: SimulatedNode, message: PrefixesServed) -> None:
         home.told_served(message, self._scheduler.now)
 
-    def _give_up(self, attempt: _Attempt) -> None:
+    def _give_up(self, attempt: RoutedAttempt) -> None:
         """Refuse a question that still waits for its slot at its deadline."""
         if not attempt.is_running and not attempt.is_over:
             attempt.is_over = True
             self._is_late(attempt.request)
 
-    def _slot_taken(self, attempt: _Attempt, hop_s: float) -> None:
+    def _slot_taken(self, attempt: RoutedAttempt, hop_s: float) -> None:
         if attempt.is_over:
             attempt.engine.free_slot()
             return
@@ -259,22 +227,26 @@
         served = self._nodes[engine.owner].served
         run, now = incarnation_of(engine), self._scheduler.now
         served.granted(attempt.home.name, engine.name, run, request.question.chain, now)
-        load = engine.slots_used + len(engine.waiting)
+        load = engine.load
         self._scheduler.after(hop_s, lambda: self._take_grant(attempt, load))
         delay_s = hop_s + self._client_link_s(attempt.home.zone, request.plan.zone)
         delay_s += self._client_link_s(request.plan.zone, engine.zone)
         self._scheduler.after(delay_s, lambda: self._start(attempt))
 
-    def _take_grant(self, attempt: _Attempt, load: int) -> None:
+    def _take_grant(self, attempt: RoutedAttempt, load: int) -> None:
         home, question = attempt.home, attempt.request.question
         attempt.choice.runner.in_flight += 1
         attempt.import_plan = self._stores.plan(home, question, attempt.choice)
-        home.take_load(attempt.engine.name, load, self._scheduler.now)
+        self._take_load(attempt, load)
         home.policy.granted(question, attempt.choice, self._scheduler.now)
 
+    def _take_load(self, attempt: RoutedAttempt, load: int) -> None:
+        """Let a home learn the load of a runner from its owner's answer."""
+        attempt.home.take_load(attempt.engine.name, load, self._scheduler.now)
+
     # At the engine.
 
-    def _start(self, attempt: _Attempt) -> None:
+    def _start(self, attempt: RoutedAttempt) -> None:
         """Let the prompt arrive at its engine, which imports first if it is told to."""
         plan = attempt.import_plan
         if attempt.is_over or plan is None:
@@ -292,7 +264,7 @@
 
         self._stores.fetch(attempt.home, attempt.engine, plan, imported)
 
-    def _prefill(self, attempt: _Attempt) -> None:
+    def _prefill(self, attempt: RoutedAttempt) -> None:
         if attempt.is_over:
             return
         engine, plan = attempt.engine, attempt.request.plan
@@ -306,7 +278,7 @@
         attempt.first_token_s = prefill_s
         self._scheduler.after(prefill_s, lambda: self._first_token(attempt))
 
-    def _find_best(self, attempt: _Attempt) -> None:
+    def _find_best(self, attempt: RoutedAttempt) -> None:
         """Take down the most leading blocks at any live runner, and what the home believed."""
         plan = attempt.request.plan
         leading = {
@@ -320,7 +292,7 @@
             for choice in attempt.ranked
         )
 
-    def _first_token(self, attempt: _Attempt) -> None:
+    def _first_token(self, attempt: RoutedAttempt) -> None:
         if attempt.is_over:
             return
         engine, request = attempt.engine, attempt.request
@@ -332,7 +304,7 @@
         decode_s = request.plan.output_tokens * engine.times.decode_s(engine.running)
         self._scheduler.after(decode_s, lambda: self._end(attempt))
 
-    def _count_first_token(self, attempt: _Attempt) -> None:
+    def _count_first_token(self, attempt: RoutedAttempt) -> None:
         request, plan = attempt.request, attempt.request.plan
         request.has_first_token = True
         link_s = self._client_link_s(attempt.engine.zone, plan.zone)
@@ -351,7 +323,7 @@
             )
             self._counts.causes.count(late)
 
-    def _end(self, attempt: _Attempt) -> None:
+    def _end(self, attempt: RoutedAttempt) -> None:
         if attempt.is_over:
             return
         self._attempts[attempt.engine.name].remove(attempt)
@@ -360,7 +332,7 @@
         self._report(attempt, "complete")
         self._stores.used(attempt.home, attempt.request.question, attempt.engine)
 
-    def _report(self, attempt: _Attempt, outcome: str) -> None:
+    def _report(self, attempt: RoutedAttempt, outcome: str) -> None:
         attempt.is_over = True
         attempt.choice.runner.in_flight -= 1
         plan = attempt.request.plan
@@ -387,7 +359,7 @@
             self._again(attempt)
         self._attempts[engine.name].clear()
 
-    def _again(self, attempt: _Attempt) -> None:
+    def _again(self, attempt: RoutedAttempt) -> None:
         """Ask once more after an attempt that an engine's end took away."""
         attempt.is_over = True
         request = attempt.request
--- a/src/martenrun/ownership/owner.py
+++ b/src/martenrun/ownership/owner.py
@@ -135,7 +135,7 @@
             # Before this node has joined, only silence says nothing wrong of the runner.
             return []
         if key in self._waiting:
-            return [Send(home, SlotsQueued([key.reservation_id], [_NO_WAIT_MS]))]
+            return [_queued(key, self._waiting[key], _NO_WAIT_MS)]
         leased = self._leased.get(key)
         if leased is not None:
             return [self._granted_message(key, leased, reservation.chain)]
@@ -188,7 +188,7 @@
             runner.incarnation,
             runner.weights_version,
             self._cached_blocks(runner.name, runner.incarnation, chain) if chain else 0,
-            runner.free,
+            runner.free_less_waiting,
         )
         return Send(key.home, granted)
 
@@ -212,7 +212,7 @@
         )
         runner.queue.push(entry, now)
         self._waiting[key] = runner
-        return Send(key.home, SlotsQueued([key.reservation_id], [int(wait_s * 1000)]))
+        return _queued(key, runner, int(wait_s * 1000))
 
     def _refusal(
         self, key: LeaseKey, runner: str, reason: Reason, wait_s: float = 0.0
@@ -221,6 +221,8 @@
         refused = SlotRefused(
             key.reservation_id, reason.value, owner, int(wait_s * 1000), self._hints(runner)
         )
+        if reason in (Reason.FULL, Reason.DEADLINE):
+            refused.free_slots = min(0, self.owned[runner].free_less_waiting)
         return Send(key.home, refused)
 
     def _hints(self, runner: str) -> list[RunnerLoad]:
@@ -228,8 +230,8 @@
         listed = self._table.runners.get(runner)
         pool = self._pools.get(listed.pool, []) if listed is not None else []
         usable = [slots for slots in pool if self._takes_work(slots)]
-        best = heapq.nlargest(HINTS, usable, key=lambda slots: slots.free - len(slots.queue))
-        return [RunnerLoad(slots.name, slots.free - len(slots.queue)) for slots in best]
+        best = heapq.nlargest(HINTS, usable, key=lambda slots: slots.free_less_waiting)
+        return [RunnerLoad(slots.name, slots.free_less_waiting) for slots in best]
 
     def _takes_work(self, runner: RunnerSlots) -> bool:
         listed = self._table.runners.get(runner.name)
@@ -376,7 +378,14 @@
         """Tell homes that their reservations still wait, one message for each home."""
         notes: dict[str, SlotsQueued] = {}
         for key, runner in self._waiting.items():
-            note = notes.setdefault(key.home, SlotsQueued([], []))
+            note = notes.setdefault(key.home, SlotsQueued())
             note.reservation_ids.append(key.reservation_id)
             note.expected_waits_ms.append(int(runner.queue.expected_wait_s(now) * 1000))
+            note.free_slots.append(runner.free_less_waiting)
         return [Send(home, note) for home, note in notes.items()]
+
+
+def _queued(key: LeaseKey, runner: RunnerSlots, wait_ms: int) -> Instruction:
+    """Tell a home that its reservation waits."""
+    queued = SlotsQueued([key.reservation_id], [wait_ms], [runner.free_less_waiting])
+    return Send(key.home, queued)
--- a/src/martenrun/ownership/owner_answers.py
+++ b/src/martenrun/ownership/owner_answers.py
@@ -72,12 +72,14 @@
         """Reservations wait in an owner's queues."""
         self._steps.reservations.heard(owner)
         instructions: list[Instruction] = []
-        waits = zip(queued.reservation_ids, queued.expected_waits_ms, strict=False)
-        for identity, wait_ms in waits:
+        free = queued.free_slots or [0] * len(queued.reservation_ids)
+        waits = zip(queued.reservation_ids, queued.expected_waits_ms, free, strict=False)
+        for identity, wait_ms, free_slots in waits:
             reservation = self._steps.reservations.by_id.get(identity)
             if reservation is None:
                 instructions.append(Send(owner, ReleaseSlots([identity])))
                 continue
+            self._loads.learn(reservation.runner, free_slots, now)
             question = reservation.question
             reservation.is_queued = True
             reservation.answer_until = now + OWNER_SILENCE_S
@@ -108,7 +110,7 @@
         question.waits_s[reservation.runner] = refused.expected_wait_ms / 1000
         loads = {load.runner: load.free_slots for load in refused.loads}
         if reservation.runner not in loads:
-            self._loads.learn(reservation.runner, 0, now)
+            self._loads.learn(reservation.runner, min(0, refused.free_slots), now)
         for name, free_slots in loads.items():
             runner = self._table.runners.get(name)
             if free_slots > 0 and runner is not None and runner.pool == question.pool:
--- a/src/martenrun/ownership/slots.py
+++ b/src/martenrun/ownership/slots.py
@@ -64,6 +64,11 @@
         """Slots that may be leased now."""
         return self.slots - self.foreign - len(self.leases) if self.takes_work else 0
 
+    @property
+    def free_less_waiting(self) -> int:
+        """Slots that may be leased now less the reservations that wait for one."""
+        return self.free - len(self.queue)
+
     @property
     def takes_work(self) -> bool:
         """Whether the engine is reachable and neither drains nor loads."""
--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -168,6 +168,7 @@
 struct SlotsQueued {
   1: list<i64> reservation_ids
   2: list<i32> expected_waits_ms
+  3: list<i32> free_slots
 }
 
 struct RunnerLoad {
@@ -181,6 +182,7 @@
   3: string owner
   4: i32 expected_wait_ms
   5: list<RunnerLoad> loads
+  6: i32 free_slots
 }
 
 struct ReleaseSlots {
--- a/src/martenrun/wire/messages/slots.py
+++ b/src/martenrun/wire/messages/slots.py
@@ -30,7 +30,7 @@
 
 @dataclass(slots=True)
 class SlotGranted:
-    """Owner to home: the slot is leased; ``free_slots`` are left after it."""
+    """Owner to home: the slot is leased; ``free_slots`` as in :class:`RunnerLoad`, after it."""
 
     reservation_id: int = 0
     incarnation: str = ""
@@ -58,10 +58,14 @@
 
 @dataclass(slots=True)
 class SlotsQueued:
-    """Owner to home: these reservations wait; repeated while they do."""
+    """Owner to home: these reservations wait; repeated while they do.
+
+    ``free_slots`` of each one's runner as in :class:`RunnerLoad`.
+    """
 
     reservation_ids: list[int] = field(default_factory=list)
     expected_waits_ms: list[int] = field(default_factory=list)
+    free_slots: list[int] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -74,13 +78,17 @@
 
 @dataclass(slots=True)
 class SlotRefused:
-    """Owner to home: no slot; ``reason`` is a :class:`martenrun.ownership.reasons.Reason`."""
+    """Owner to home: no slot; ``reason`` is a :class:`martenrun.ownership.reasons.Reason`.
+
+    ``free_slots`` of the asked runner as in :class:`RunnerLoad`, 0 if it may take no work.
+    """
 
     reservation_id: int = 0
     reason: str = ""
     owner: str = ""
     expected_wait_ms: int = 0
     loads: list[RunnerLoad] = field(default_factory=list)
+    free_slots: int = 0
 
 
 @dataclass(slots=True)
--- a/src/martenrun/wire/specifications.py
+++ b/src/martenrun/wire/specifications.py
@@ -209,8 +209,13 @@
         3: (11, "owner", False),
         4: (8, "expected_wait_ms", False),
         5: (15, "loads", (12, "RunnerLoad"), False),
+        6: (8, "free_slots", False),
+    },
+    "SlotsQueued": {
+        1: (15, "reservation_ids", 10, False),
+        2: (15, "expected_waits_ms", 8, False),
+        3: (15, "free_slots", 8, False),
     },
-    "SlotsQueued": {1: (15, "reservation_ids", 10, False), 2: (15, "expected_waits_ms", 8, False)},
     "StatusQuery": {1: (11, "query_id", False)},
     "UsageDigest": {
         1: (10, "incarnation", False),
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -13,7 +13,13 @@
 from martenrun.simulation.network import LinkFaults
 from martenrun.simulation.ownership_cluster import MODEL, TENANT, VERSION, OwnershipCluster
 from martenrun.statecharts.compiler import load_chart
-from martenrun.wire.messages import DecideRequest, ReleaseSlots, SlotGranted, SlotRefused
+from martenrun.wire.messages import (
+    DecideRequest,
+    ReleaseSlots,
+    SlotGranted,
+    SlotRefused,
+    SlotsQueued,
+)
 
 FAULTY = LinkFaults(delay_s=0.001, jitter_s=0.02, loss=0.02, duplicate=0.05)
 RECOVERY_S = 75.0
@@ -190,6 +196,18 @@
         return self.tell(reserved.peer, refused)
 
 
+def test_a_home_learns_how_many_wait_for_a_runner_from_every_answer():
+    home = Home()
+    (reserved,) = home.ask()
+    runner, identity = home.runners[reserved.message.runner], reserved.message.reservation_id
+    home.tell(reserved.peer, SlotsQueued([identity], [100], [-3]))
+    assert runner.free_slots == -3
+    home.tell(reserved.peer, SlotsQueued([identity], [100]))  # of an older node
+    assert runner.free_slots == 0
+    home.tell(reserved.peer, SlotRefused(identity, Reason.FULL.value, free_slots=-5))
+    assert runner.free_slots == -5
+
+
 def test_a_home_gives_back_the_slot_of_a_runner_that_leaves_by_its_own_list():
     home = Home()
     (reserved,) = home.ask()
--- a/tests/test_ownership_parts.py
+++ b/tests/test_ownership_parts.py
@@ -94,11 +94,14 @@
 def test_waiting_reservations_get_slots_in_turn_and_can_be_cancelled():
     owner = Owner()
     owner.reserve(1), owner.reserve(2)
-    assert isinstance(owner.reserve(3)[0], SlotsQueued)
-    assert isinstance(owner.reserve(4)[0], SlotsQueued)
-    assert owner.release(3) == []
+    assert owner.reserve(3) == [SlotsQueued([3], [0], [-1])]
+    assert owner.reserve(4) == [SlotsQueued([4], [0], [-2])]
+    assert owner.reserve(5, may_queue=False)[0].free_slots == -2
+    (note,) = owner.tell(Tick(), after_s=0.5)
+    assert (note.reservation_ids, note.free_slots) == ([3, 4], [-2, -2])
     granted = owner.release(1)
-    assert [(type(m), m.reservation_id) for m in granted] == [(SlotGranted, 4)]
+    assert [(m.reservation_id, m.free_slots) for m in granted] == [(3, -1)]
+    assert owner.release(4) == []
 
 
 @pytest.mark.parametrize(
