Place new prefixes by what all homes have placed on a runner

A home fills runners evenly with its own prefixes but does not see those of the others.

Change: the owner counts the blocks of the prefixes whose last grant was at a runner within a minute (it remembers these prefixes already), and each grant carries the count of its runner. A home places a new prefix by the counts it was told, plus what it placed since; a runner of which it was told nothing is taken for a mean one. The owner forgets prefixes after a minute, like homes.

--- a/src/martenrun/bench/routing_simulation.py
+++ b/src/martenrun/bench/routing_simulation.py
@@ -226,18 +226,20 @@
         engine, request = attempt.engine, attempt.request
         served = self._nodes[engine.owner].served
         run, now = incarnation_of(engine), self._scheduler.now
-        served.granted(attempt.home.name, engine.name, run, request.question.chain, now)
-        load = engine.load
-        self._scheduler.after(hop_s, lambda: self._take_grant(attempt, load))
+        chain, blocks = request.question.chain, len(request.plan.hashes)
+        served.granted(attempt.home.name, engine.name, run, chain, blocks, now)
+        load, placed = engine.load, served.blocks_on(engine.name, now)
+        self._scheduler.after(hop_s, lambda: self._take_grant(attempt, load, placed))
         delay_s = hop_s + self._client_link_s(attempt.home.zone, request.plan.zone)
         delay_s += self._client_link_s(request.plan.zone, engine.zone)
         self._scheduler.after(delay_s, lambda: self._start(attempt))
 
-    def _take_grant(self, attempt: RoutedAttempt, load: int) -> None:
+    def _take_grant(self, attempt: RoutedAttempt, load: int, placed: int) -> None:
         home, question = attempt.home, attempt.request.question
         attempt.choice.runner.in_flight += 1
         attempt.import_plan = self._stores.plan(home, question, attempt.choice)
         self._take_load(attempt, load)
+        home.policy.told_placed(attempt.engine.name, placed, self._scheduler.now)
         home.policy.granted(question, attempt.choice, self._scheduler.now)
 
     def _take_load(self, attempt: RoutedAttempt, load: int) -> None:
--- a/src/martenrun/node/parts.py
+++ b/src/martenrun/node/parts.py
@@ -152,7 +152,7 @@
         lambda: configuration.state.view,
         limits.active,
     )
-    owner = OwnerLogic(owners, runners, granted=sharing.granted, served=served.granted)
+    owner = OwnerLogic(owners, runners, granted=sharing.granted, served=served)
     ownership = OwnershipLogic(own_address, home, owner)
     claims = ClaimsLogic(f"{own_address}/{incarnation}")
     claim_retention = ClaimRetentionLogic(
--- a/src/martenrun/ownership/owner.py
+++ b/src/martenrun/ownership/owner.py
@@ -9,7 +9,9 @@
 import heapq
 from collections.abc import Callable, Iterable
 
+from martenrun.constants import DEFAULT_BLOCK_BYTES
 from martenrun.events import Event, Instruction, PeerMessage, RunnerDescribed, Send, Tick
+from martenrun.limits.cost import BYTES_PER_TOKEN
 from martenrun.node.runners import RunnerTable
 from martenrun.ownership.ended import Ended
 from martenrun.ownership.owners import OwnerMap
@@ -17,6 +19,7 @@
 from martenrun.ownership.reasons import Reason
 from martenrun.ownership.slots import LeaseKey, RunnerSlots
 from martenrun.ownership.stall import MachineListAge
+from martenrun.routing.served_prefixes import ServedPrefixes
 from martenrun.sharing.fair_queue import QueueEntry
 from martenrun.sharing.logic import PoolQueues
 from martenrun.wire.messages import (
@@ -56,10 +59,6 @@
     return 0
 
 
-def _note_nothing(home: str, runner: str, incarnation: str, chain: bytes, now: float) -> None:
-    """Note no grant."""
-
-
 def _count_nothing(pool: str, tenant: str, tokens: float, now: float) -> None:
     """Count no usage."""
 
@@ -72,7 +71,7 @@
         table: runners by the machine list, with who is leaving.
         cached_blocks: what this node knows of its runners' caches.
         granted: is told the expected tokens of each grant, as (pool, tenant, tokens, now).
-        served: is told of each grant, as (home, runner, incarnation, chain, now).
+        served: remembers each grant's prefix.
     """
 
     def __init__(
@@ -81,13 +80,13 @@
         table: RunnerTable,
         cached_blocks: CachedBlocks = no_cached_blocks,
         granted: Callable[[str, str, float, float], None] = _count_nothing,
-        served: Callable[[str, str, str, bytes, float], None] = _note_nothing,
+        served: ServedPrefixes | None = None,
     ) -> None:
         self._owners = owners
         self._table = table
         self._cached_blocks = cached_blocks
         self._count = granted
-        self._served = served
+        self._served = served or ServedPrefixes()
         self.owned: dict[str, RunnerSlots] = {}
         self._pools: dict[str, list[RunnerSlots]] = {}
         self._leased: dict[LeaseKey, RunnerSlots] = {}
@@ -138,7 +137,7 @@
             return [_queued(key, self._waiting[key], _NO_WAIT_MS)]
         leased = self._leased.get(key)
         if leased is not None:
-            return [self._granted_message(key, leased, reservation.chain)]
+            return [self._granted_message(key, leased, reservation.chain, now)]
         # A change of owners may have reached the home before this node's next sweep.
         changes = [] if reservation.runner in self.owned else self._update_owned()
         return [*changes, self._answer(key, reservation, now)]
@@ -150,7 +149,7 @@
             return self._refusal(key, reservation.runner, reason or Reason.UNKNOWN_RUNNER)
         if runner.free > 0 and not len(runner.queue) and self._list_age.is_trusted(now):
             self._granted(runner.name, reservation.tenant, reservation.cost_tokens, now)
-            return self._grant(key, runner, reservation.chain, now)
+            return self._grant(key, runner, reservation.chain, reservation.cost_tokens, now)
         return self._enqueue(key, runner, reservation, now)
 
     def _fault(self, reservation: ReserveSlot, runner: RunnerSlots | None) -> Reason | None:
@@ -171,24 +170,30 @@
         wanted = reservation.weights_version
         return Reason.STALE_VERSION if wanted not in ("", runner.weights_version) else None
 
-    def _grant(self, key: LeaseKey, runner: RunnerSlots, chain: bytes, now: float) -> Instruction:
+    def _grant(
+        self, key: LeaseKey, runner: RunnerSlots, chain: bytes, tokens: float, now: float
+    ) -> Instruction:
         runner.grant(key, now)
         self._leased[key] = runner
-        self._served(key.home, runner.name, runner.incarnation, chain, now)
-        return self._granted_message(key, runner, chain)
+        blocks = int(tokens * BYTES_PER_TOKEN / DEFAULT_BLOCK_BYTES)
+        self._served.granted(key.home, runner.name, runner.incarnation, chain, blocks, now)
+        return self._granted_message(key, runner, chain, now)
 
     def _granted(self, runner: str, tenant: str, tokens: float, now: float) -> None:
         listed = self._table.runners.get(runner)
         if listed is not None:
             self._count(listed.pool, tenant, tokens, now)
 
-    def _granted_message(self, key: LeaseKey, runner: RunnerSlots, chain: bytes) -> Instruction:
+    def _granted_message(
+        self, key: LeaseKey, runner: RunnerSlots, chain: bytes, now: float
+    ) -> Instruction:
         granted = SlotGranted(
             key.reservation_id,
             runner.incarnation,
             runner.weights_version,
             self._cached_blocks(runner.name, runner.incarnation, chain) if chain else 0,
             runner.free_less_waiting,
+            self._served.blocks_on(runner.name, now),
         )
         return Send(key.home, granted)
 
@@ -273,7 +278,7 @@
             del self._waiting[key]
             self._granted(runner.name, entry.tenant, entry.cost_tokens, now)
             chain = entry.payload if isinstance(entry.payload, bytes) else b""
-            instructions.append(self._grant(key, runner, chain, now))
+            instructions.append(self._grant(key, runner, chain, entry.cost_tokens, now))
         return instructions
 
     def _renew(self, home: str, renewal: RenewLeases, now: float) -> list[Instruction]:
--- a/src/martenrun/ownership/owner_answers.py
+++ b/src/martenrun/ownership/owner_answers.py
@@ -57,6 +57,8 @@
         reservation.owner = owner
         reservation.incarnation = granted.incarnation
         question.lease = reservation
+        if granted.placed_blocks:
+            self._policy.told_placed(runner.name, granted.placed_blocks, now)
         if granted.cached_blocks:
             self._policy.corrected(question.question, runner.name, granted.cached_blocks)
         return self._steps.step(question, "slot_granted", now)
--- a/src/martenrun/routing/placement.py
+++ b/src/martenrun/routing/placement.py
@@ -1,9 +1,10 @@
 """Where a home places prefixes that it believes nobody holds.
 
 A home is asked about the same prefixes again and again, so it remembers where it placed them.
-A new prefix goes to the first runner in rendezvous order on which this home has placed no more
+A new prefix goes to the first runner in rendezvous order on which all homes have placed no more
 blocks than on the mean runner: prefixes then fill all caches evenly, and a home that has forgotten
-everything finds more of them than by chance.  Owners tell such a home the rest.
+everything finds more of them than by chance.  Owners tell such a home the rest, and with each
+grant what all homes have placed on its runner.
 
 See also: :class:`martenrun.routing.prefix_aware.PrefixAwarePolicy`,
 :mod:`martenrun.routing.served_prefixes`.
@@ -36,12 +37,22 @@
     used_at: float
 
 
+@dataclass(slots=True)
+class _Told:
+    """What an owner told of a runner, and the blocks that this home had placed there by then."""
+
+    blocks: int
+    own_blocks: int
+    at: float
+
+
 class Placement:
     """Prefixes that one home has placed, by first block."""
 
     def __init__(self) -> None:
         self._placed: dict[bytes, _Placed] = {}
         self._blocks: dict[str, int] = {}
+        self._told: dict[str, _Told] = {}
         self._name_hashes: dict[str, int] = {}
 
     def runner_for(
@@ -59,7 +70,7 @@
             placed = None
         if placed is None:
             most = max(believed)
-            runner = names[believed.index(most)] if most else self._choose(key, names)
+            runner = names[believed.index(most)] if most else self._choose(key, names, now)
             placed = _Placed(runner, 0, now)
         self._placed[key] = placed
         placed.used_at = now
@@ -78,6 +89,13 @@
         if placed is None or (not placed.blocks and placed.used_at < served_at):
             self._placed[first_block] = _Placed(runner, 0, served_at)
 
+    def told(self, runner: str, blocks: int, now: float) -> None:
+        """Take in how many blocks all homes have placed on a runner, as its owner counts."""
+        self._told.pop(runner, None)
+        self._told[runner] = _Told(blocks, self._blocks.get(runner, 0), now)
+        if len(self._told) > MAXIMUM_PREFIXES:
+            del self._told[next(iter(self._told))]
+
     def blocks_on(self, names: Sequence[str]) -> int:
         """Return the blocks placed on these runners."""
         return sum(self._blocks.get(name, 0) for name in names)
@@ -88,8 +106,8 @@
         if placed is not None:
             self._add(placed.runner, -placed.blocks)
 
-    def _choose(self, key: bytes, names: Sequence[str]) -> str:
-        held = [self._blocks.get(name, 0) for name in names]
+    def _choose(self, key: bytes, names: Sequence[str], now: float) -> str:
+        held = self._held(names, now)
         mean = sum(held) / len(names)
         number = int.from_bytes(key, "little")
         best, best_weight = "", -1
@@ -100,6 +118,24 @@
                     best, best_weight = name, weighed
         return best
 
+    def _held(self, names: Sequence[str], now: float) -> list[float]:
+        """Return the blocks that all homes are believed to have placed on each runner.
+
+        A runner of which nothing was told lately is taken for a mean one, plus this home's own.
+        """
+        own = [self._blocks.get(name, 0) for name in names]
+        told = [self._told_lately(name, now) for name in names]
+        known = [each.blocks for each in told if each is not None]
+        mean = sum(known) / len(known) if known else 0.0
+        return [
+            mean + blocks if each is None else each.blocks + max(0, blocks - each.own_blocks)
+            for blocks, each in zip(own, told, strict=True)
+        ]
+
+    def _told_lately(self, runner: str, now: float) -> _Told | None:
+        told = self._told.get(runner)
+        return told if told is not None and now - told.at < UNUSED_S else None
+
     def _add(self, runner: str, blocks: int) -> None:
         left = self._blocks.get(runner, 0) + blocks
         if left > 0:
--- a/src/martenrun/routing/policy.py
+++ b/src/martenrun/routing/policy.py
@@ -100,6 +100,10 @@
         """Take in how many leading blocks the runner's owner node knows to be cached."""
         ...
 
+    def told_placed(self, runner: str, blocks: int, now: float) -> None:
+        """Take in how many blocks all homes have placed on a runner, as its owner counts."""
+        ...
+
     def granted(self, question: DecideRequest, choice: RunnerChoice, now: float) -> None:
         """Count the work of an attempt that has been granted."""
         ...
@@ -131,6 +135,9 @@
     def corrected(self, question: DecideRequest, runner: str, cached_blocks: int) -> None:
         """See :meth:`RoutingPolicy.corrected`."""
 
+    def told_placed(self, runner: str, blocks: int, now: float) -> None:
+        """See :meth:`RoutingPolicy.told_placed`."""
+
     def granted(self, question: DecideRequest, choice: RunnerChoice, now: float) -> None:
         """See :meth:`RoutingPolicy.granted`."""
 
--- a/src/martenrun/routing/prefix_aware.py
+++ b/src/martenrun/routing/prefix_aware.py
@@ -149,6 +149,10 @@
                 believed = choice.believed_blocks
                 self.beliefs.corrected(runner, question.chain, believed, cached_blocks, ranked.at)
 
+    def told_placed(self, runner: str, blocks: int, now: float) -> None:
+        """See :meth:`martenrun.routing.policy.RoutingPolicy.told_placed`."""
+        self.placement.told(runner, blocks, now)
+
     def granted(self, question: DecideRequest, choice: RunnerChoice, now: float) -> None:
         """See :meth:`martenrun.routing.policy.RoutingPolicy.granted`."""
         self._ranked.pop((question.request_id, question.attempt), None)
--- a/src/martenrun/routing/served_prefixes.py
+++ b/src/martenrun/routing/served_prefixes.py
@@ -1,10 +1,13 @@
-"""What an owner remembers of prefixes that its runners served, for homes that restart.
+"""What an owner remembers of prefixes that its runners served, for homes.
 
 Only a prefix's home knows where it has placed it, and a home that restarts has forgotten.  The
 owner of a runner remembers the first block of each grant.  A node asks all others, with its
 first question as a home, which prefixes they have granted to it; a prefix that it has placed
 anew by then stays there.
 
+A home knows only its own prefixes, and those of the others fill the same caches.  So each
+grant tells how many blocks all homes have placed on its runner.
+
 See also: :meth:`martenrun.routing.placement.Placement.settle`.
 """
 
@@ -13,7 +16,7 @@
 
 from martenrun.constants import BLOCK_HASH_BYTES
 from martenrun.events import Event, Instruction, PeerMessage, Send
-from martenrun.routing.placement import Placement
+from martenrun.routing.placement import UNUSED_S, Placement
 from martenrun.wire.messages import DecideRequest, PrefixesQuery, PrefixesServed
 
 MAXIMUM_SERVED = 16_384
@@ -36,11 +39,12 @@
 
 @dataclass(frozen=True, slots=True)
 class LastGrant:
-    """The run of a runner that a prefix was granted last, and when."""
+    """The run of a runner that a prefix was granted last, when, and its longest prompt."""
 
     runner: str
     incarnation: str
     at: float
+    blocks: int
 
 
 class ServedPrefixes:
@@ -49,17 +53,41 @@
     def __init__(self) -> None:
         self._served: dict[ServedPrefix, LastGrant] = {}
         self._present: dict[str, str] = {}
+        self._blocks: dict[str, int] = {}
 
-    def granted(self, home: str, runner: str, incarnation: str, chain: bytes, now: float) -> None:
-        """A home has been granted a slot for a prompt that begins with this chain."""
+    def granted(
+        self, home: str, runner: str, incarnation: str, chain: bytes, blocks: int, now: float
+    ) -> None:
+        """A home has been granted a slot for a prompt of ``blocks`` that begins with this chain."""
         self._present[runner] = incarnation
         if not chain:
             return
         prefix = ServedPrefix(home, chain[:BLOCK_HASH_BYTES])
-        self._served.pop(prefix, None)
-        self._served[prefix] = LastGrant(runner, incarnation, now)
+        before = self._served.pop(prefix, None)
+        if before is not None:
+            self._count(before.runner, -before.blocks)
+            blocks = max(blocks, before.blocks)
+        self._served[prefix] = LastGrant(runner, incarnation, now, blocks)
+        self._count(runner, blocks)
         if len(self._served) > MAXIMUM_SERVED:
-            del self._served[next(iter(self._served))]
+            self._forget_oldest()
+
+    def blocks_on(self, runner: str, now: float) -> int:
+        """Return the blocks of the prefixes whose last grant was at a runner, and not long ago."""
+        while self._served and now - next(iter(self._served.values())).at >= UNUSED_S:
+            self._forget_oldest()
+        return self._blocks.get(runner, 0)
+
+    def _forget_oldest(self) -> None:
+        grant = self._served.pop(next(iter(self._served)))
+        self._count(grant.runner, -grant.blocks)
+
+    def _count(self, runner: str, blocks: int) -> None:
+        left = self._blocks.get(runner, 0) + blocks
+        if left > 0:
+            self._blocks[runner] = left
+        else:
+            self._blocks.pop(runner, None)
 
     def of_home(self, home: str, now: float) -> list[PrefixesServed]:
         """Return which prefixes were granted to a home and may still be held."""
--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -139,6 +139,7 @@
   3: string weights_version
   4: i32 cached_blocks
   5: i32 free_slots
+  6: i32 placed_blocks
 }
 
 struct ExportPrefix {
--- a/src/martenrun/wire/messages/slots.py
+++ b/src/martenrun/wire/messages/slots.py
@@ -30,13 +30,18 @@
 
 @dataclass(slots=True)
 class SlotGranted:
-    """Owner to home: the slot is leased; ``free_slots`` as in :class:`RunnerLoad`, after it."""
+    """Owner to home: the slot is leased; ``free_slots`` as in :class:`RunnerLoad`, after it.
+
+    ``placed_blocks`` counts the prefixes that all homes were granted at the runner lately, in
+    blocks; 0 if the owner does not tell.
+    """
 
     reservation_id: int = 0
     incarnation: str = ""
     weights_version: str = ""
     cached_blocks: int = 0
     free_slots: int = 0
+    placed_blocks: int = 0
 
 
 @dataclass(slots=True)
--- a/src/martenrun/wire/specifications.py
+++ b/src/martenrun/wire/specifications.py
@@ -202,6 +202,7 @@
         3: (11, "weights_version", False),
         4: (8, "cached_blocks", False),
         5: (8, "free_slots", False),
+        6: (8, "placed_blocks", False),
     },
     "SlotRefused": {
         1: (10, "reservation_id", False),
--- a/tests/test_ownership_parts.py
+++ b/tests/test_ownership_parts.py
@@ -104,6 +104,15 @@
     assert owner.release(4) == []
 
 
+def test_a_grant_tells_what_all_homes_have_placed_on_its_runner():
+    owner = Owner()
+    for number, home in enumerate(["h1", "h2"], 1):
+        message = ReserveSlot(number, "r", "t", 0, 9_500, 5_000, True, "v1", b"c" * 8)
+        granted = owner.tell(PeerMessage(home, message))
+        assert [answer.placed_blocks for answer in granted] == [9 * number]
+        assert owner.tell(PeerMessage(home, message)) == granted
+
+
 @pytest.mark.parametrize(
     ("spoil", "reason"),
     [
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -68,7 +68,7 @@
     first = place(placement, known)
     other = next(name for name in NAMES if name != first)
     for chain in (told, known):
-        served.granted("home", other, "1", chain, 1.0)
+        served.granted("home", other, "1", chain, 9, 1.0)
     logic = ServedPrefixesLogic(ServedPrefixes(), placement, list)
     for message in served.of_home("home", 4.0):
         logic.handle(PeerMessage("owner", message), 0.0)
@@ -84,7 +84,7 @@
         ("home", "r3", "1", b"d" * 80),
         ("home", "r3", "1", b""),
     ]:
-        served.granted(home, runner, incarnation, chain, 1.0)
+        served.granted(home, runner, incarnation, chain, 9, 1.0)
     answers = [PrefixesServed("r3", b"d" * 8, [3000]), PrefixesServed("r2", b"b" * 8, [3000])]
     assert served.of_home("home", 4.0) == answers
     logic = ServedPrefixesLogic(served, Placement(), list)
@@ -96,7 +96,7 @@
     monkeypatch.setattr(served_prefixes, "MAXIMUM_SERVED", 3)
     monkeypatch.setattr(served_prefixes, "MAXIMUM_TOLD", 2)
     for number in range(5):
-        served.granted("home", "r1", "1", bytes([number]) * 8, float(number))
+        served.granted("home", "r1", "1", bytes([number]) * 8, 1, float(number))
     assert served.of_home("home", 4.0) == [
         PrefixesServed("r1", bytes([4]) * 8 + bytes([3]) * 8, [0, 1000])
     ]
@@ -120,6 +120,27 @@
     assert logic.handle(question, 1.0 + served_prefixes.ASKING_S) == []
 
 
+def test_new_prefixes_go_where_all_homes_have_placed_least():
+    rng, placement = random.Random(8), Placement()
+    for name in NAMES[:4]:
+        placement.told(name, 400, 0.0)
+    placement.told("r4", 40, 0.0)
+    placed = [place(placement, make_chain(rng, 40), now=1.0) for _ in range(6)]
+    assert set(placed) <= {"r4", "r5"}  # r5, of which nothing was told, is taken for a mean one
+    rest = [place(placement, make_chain(rng, 40), now=UNUSED_S) for _ in range(30)]
+    assert max(rest.count(name) for name in NAMES) < 9  # What was told is too old to count.
+
+
+def test_an_owner_counts_the_longest_prompt_of_each_prefix_at_its_last_runner(served):
+    served.granted("home", "r1", "1", b"a" * 80, 10, 0.0)
+    served.granted("home", "r1", "1", b"a" * 80, 4, 1.0)
+    served.granted("other", "r1", "1", b"b" * 8, 5, 2.0)
+    assert (served.blocks_on("r1", 2.0), served.blocks_on("r2", 2.0)) == (15, 0)
+    served.granted("home", "r2", "1", b"a" * 80, 1, 3.0)
+    assert (served.blocks_on("r1", 3.0), served.blocks_on("r2", 3.0)) == (5, 10)
+    assert (served.blocks_on("r1", UNUSED_S + 2.0), served.blocks_on("r2", UNUSED_S)) == (0, 10)
+
+
 def test_unused_prefixes_and_forgotten_ones_no_longer_count():
     rng, placement = random.Random(5), Placement()
     for _ in range(20):
