--- a/src/martenrun/ownership/owner.py
+++ b/src/martenrun/ownership/owner.py
@@ -9,7 +9,9 @@
 import heapq
 from collections.abc import Callable, Iterable
 
+from martenrun.constants import DEFAULT_BLOCK_BYTES
 from martenrun.events import Event, Instruction, PeerMessage, RunnerDescribed, Send, Tick
+from martenrun.limits.cost import BYTES_PER_TOKEN
 from martenrun.node.runners import RunnerTable
 from martenrun.ownership.ended import Ended
 from martenrun.ownership.owners import OwnerMap
@@ -17,6 +19,7 @@
 from martenrun.ownership.reasons import Reason
 from martenrun.ownership.slots import LeaseKey, RunnerSlots
 from martenrun.ownership.stall import MachineListAge
+from martenrun.routing.served_prefixes import ServedPrefixes
 from martenrun.sharing.fair_queue import QueueEntry
 from martenrun.sharing.logic import PoolQueues
 from martenrun.wire.messages import (
@@ -56,10 +59,6 @@
     return 0
 
 
-def _note_nothing(home: str, runner: str, incarnation: str, chain: bytes, now: float) -> None:
-    """Note no grant."""
-
-
 def _count_nothing(pool: str, tenant: str, tokens: float, now: float) -> None:
     """Count no usage."""
 
@@ -81,7 +80,7 @@
         table: runners by the machine list, with who is leaving.
         cached_blocks: what this node knows of its runners' caches.
         granted: is told the expected tokens of each grant, as (pool, tenant, tokens, now).
-        served: is told of each grant, as (home, runner, incarnation, chain, now).
+        served: remembers each grant's prefix.
     """
 
     def __init__(
@@ -90,13 +89,13 @@
         table: RunnerTable,
         cached_blocks: CachedBlocks = no_cached_blocks,
         granted: Callable[[str, str, float, float], None] = _count_nothing,
-        served: Callable[[str, str, str, bytes, float], None] = _note_nothing,
+        served: ServedPrefixes | None = None,
     ) -> None:
         self._owners = owners
         self._table = table
         self._cached_blocks = cached_blocks
         self._count = granted
-        self._served = served
+        self._served = served or ServedPrefixes()
         self.owned: dict[str, RunnerSlots] = {}
         self._pools: dict[str, list[RunnerSlots]] = {}
         self._leased: dict[LeaseKey, RunnerSlots] = {}
@@ -144,10 +143,10 @@
             # Before this node has joined, only silence says nothing wrong of the runner.
             return []
         if key in self._waiting:
-            return [Send(home, SlotsQueued([key.reservation_id], [_NO_WAIT_MS]))]
+            return [_queued(key, self._waiting[key], _NO_WAIT_MS)]
         leased = self._leased.get(key)
         if leased is not None:
-            repeated = self._granted_message(key, leased, reservation.chain)
+            repeated = self._granted_message(key, leased, reservation.chain, now)
             return [Send(home, _without_what_is_known(repeated, reservation))]
         # A change of owners may have reached the home before this node's next sweep.
         changes = [] if reservation.runner in self.owned else self._update_owned()
@@ -160,7 +159,7 @@
             return self._refusal(key, reservation.runner, reason or Reason.UNKNOWN_RUNNER)
         if runner.free > 0 and not len(runner.queue) and self._list_age.is_trusted(now):
             self._granted(runner.name, reservation.tenant, reservation.cost_tokens, now)
-            granted = self._grant(key, runner, reservation.chain, now)
+            granted = self._grant(key, runner, reservation.chain, reservation.cost_tokens, now)
             return Send(key.home, _without_what_is_known(granted, reservation))
         return self._enqueue(key, runner, reservation, now)
 
@@ -182,24 +181,30 @@
         wanted = reservation.weights_version
         return Reason.STALE_VERSION if wanted not in ("", runner.weights_version) else None
 
-    def _grant(self, key: LeaseKey, runner: RunnerSlots, chain: bytes, now: float) -> SlotGranted:
+    def _grant(
+        self, key: LeaseKey, runner: RunnerSlots, chain: bytes, tokens: float, now: float
+    ) -> SlotGranted:
         runner.grant(key, now)
         self._leased[key] = runner
-        self._served(key.home, runner.name, runner.incarnation, chain, now)
-        return self._granted_message(key, runner, chain)
+        blocks = int(tokens * BYTES_PER_TOKEN / DEFAULT_BLOCK_BYTES)
+        self._served.granted(key.home, runner.name, runner.incarnation, chain, blocks, now)
+        return self._granted_message(key, runner, chain, now)
 
     def _granted(self, runner: str, tenant: str, tokens: float, now: float) -> None:
         listed = self._table.runners.get(runner)
         if listed is not None:
             self._count(listed.pool, tenant, tokens, now)
 
-    def _granted_message(self, key: LeaseKey, runner: RunnerSlots, chain: bytes) -> SlotGranted:
+    def _granted_message(
+        self, key: LeaseKey, runner: RunnerSlots, chain: bytes, now: float
+    ) -> SlotGranted:
         return SlotGranted(
             key.reservation_id,
             runner.incarnation,
             runner.weights_version,
             self._cached_blocks(runner.name, runner.incarnation, chain) if chain else 0,
-            runner.free,
+            runner.free_less_waiting,
+            self._served.blocks_on(runner.name, now),
         )
 
     def _enqueue(
@@ -222,7 +227,7 @@
         )
         runner.queue.push(entry, now)
         self._waiting[key] = runner
-        return Send(key.home, SlotsQueued([key.reservation_id], [int(wait_s * 1000)]))
+        return _queued(key, runner, int(wait_s * 1000))
 
     def _refusal(
         self, key: LeaseKey, runner: str, reason: Reason, wait_s: float = 0.0
@@ -231,6 +236,8 @@
         refused = SlotRefused(
             key.reservation_id, reason.value, owner, int(wait_s * 1000), self._hints(runner)
         )
+        if reason in (Reason.FULL, Reason.DEADLINE):
+            refused.free_slots = min(0, self.owned[runner].free_less_waiting)
         return Send(key.home, refused)
 
     def _hints(self, runner: str) -> list[RunnerLoad]:
@@ -238,8 +245,8 @@
         listed = self._table.runners.get(runner)
         pool = self._pools.get(listed.pool, []) if listed is not None else []
         usable = [slots for slots in pool if self._takes_work(slots)]
-        best = heapq.nlargest(HINTS, usable, key=lambda slots: slots.free - len(slots.queue))
-        return [RunnerLoad(slots.name, slots.free - len(slots.queue)) for slots in best]
+        best = heapq.nlargest(HINTS, usable, key=lambda slots: slots.free_less_waiting)
+        return [RunnerLoad(slots.name, slots.free_less_waiting) for slots in best]
 
     def _takes_work(self, runner: RunnerSlots) -> bool:
         listed = self._table.runners.get(runner.name)
@@ -281,7 +288,8 @@
             del self._waiting[key]
             self._granted(runner.name, entry.tenant, entry.cost_tokens, now)
             chain = entry.payload if isinstance(entry.payload, bytes) else b""
-            instructions.append(Send(key.home, self._grant(key, runner, chain, now)))
+            granted = self._grant(key, runner, chain, entry.cost_tokens, now)
+            instructions.append(Send(key.home, granted))
         return instructions
 
     def _renew(self, home: str, renewal: RenewLeases, now: float) -> list[Instruction]:
@@ -386,7 +394,14 @@
         """Tell homes that their reservations still wait, one message for each home."""
         notes: dict[str, SlotsQueued] = {}
         for key, runner in self._waiting.items():
-            note = notes.setdefault(key.home, SlotsQueued([], []))
+            note = notes.setdefault(key.home, SlotsQueued())
             note.reservation_ids.append(key.reservation_id)
             note.expected_waits_ms.append(int(runner.queue.expected_wait_s(now) * 1000))
+            note.free_slots.append(runner.free_less_waiting)
         return [Send(home, note) for home, note in notes.items()]
+
+
+def _queued(key: LeaseKey, runner: RunnerSlots, wait_ms: int) -> Instruction:
+    """Tell a home that its reservation waits."""
+    queued = SlotsQueued([key.reservation_id], [wait_ms], [runner.free_less_waiting])
+    return Send(key.home, queued)
--- a/src/martenrun/wire/martenrun.thrift
+++ b/src/martenrun/wire/martenrun.thrift
@@ -140,6 +140,7 @@
   3: string weights_version
   4: i32 cached_blocks
   5: i32 free_slots
+  6: i32 placed_blocks
 }
 
 struct ExportPrefix {
@@ -169,6 +170,7 @@
 struct SlotsQueued {
   1: list<i64> reservation_ids
   2: list<i32> expected_waits_ms
+  3: list<i32> free_slots
 }
 
 struct RunnerLoad {
@@ -182,6 +184,7 @@
   3: string owner
   4: i32 expected_wait_ms
   5: list<RunnerLoad> loads
+  6: i32 free_slots
 }
 
 struct ReleaseSlots {
