Let a starting node ask for the machine list as soon as it has met another

Cause of a restart violation (not_ready; trial schedule with the machine list down, node-0 restarted at 9.35 s, the only other node paused at 9.60 s): the first pull, on the first tick, met no other member and sent nothing, but put the next one off by 0.375 s. The other member was known after 8 ms and alive for 0.25 s, and was asked after 0.40 s, when it was paused. Each node that starts loses these 0.4 s of the second in which it must serve, not only this one.

Change: a pull that nobody could be sent is tried again at the next tick while the node has no list. The new test fails without it.

--- a/src/martenrun/ownership/machine_feed.py
+++ b/src/martenrun/ownership/machine_feed.py
@@ -112,8 +112,11 @@
                     self._next_pull = now + self._jittered(interval_s)
                 return self._take(update)
             case Tick() if now >= self._next_pull:
-                self._next_pull = now + self._jittered(ANSWER_TIMEOUT_S)
-                return self._pull()
+                pulls = self._pull()
+                # A node that has just started asks as soon as it has met somebody to ask.
+                if pulls or self._known:
+                    self._next_pull = now + self._jittered(ANSWER_TIMEOUT_S)
+                return pulls
         return []
 
     def _jittered(self, seconds: float) -> float:
--- a/tests/test_ownership_parts.py
+++ b/tests/test_ownership_parts.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from martenrun.constants import TICK_INTERVAL_S
 from martenrun.events import MachinesListed, PeerMessage, RunnerDescribed, Send, Tick
 from martenrun.membership.view import Member, StaticMemberView
 from martenrun.node.runners import RunnerTable
@@ -295,6 +296,16 @@
     assert new.handle(Tick(), 5.0) == [] and new.must_poll()
 
 
+def test_a_starting_node_asks_for_the_list_as_soon_as_it_has_met_another():
+    view = StaticMemberView(OWN, [OWN])
+    feed = MachineFeed(view, random.Random(1))
+    assert feed.handle(Tick(), 0.0) == []
+    view.members = [OWN, OTHER]
+    (query,) = feed.handle(Tick(), TICK_INTERVAL_S)
+    assert query == Send(OTHER.address, MachinesQuery(0, True))
+    assert feed.handle(Tick(), 2 * TICK_INTERVAL_S) == []
+
+
 def test_all_other_readers_are_asked_once_one_of_them_is_silent():
     members = [Member(f"10.0.0.{index}:7000", "a") for index in range(1, 5)]
     feeds = [MachineFeed(StaticMemberView(own, members), random.Random(1)) for own in members]
