Tell the restart checker of nodes that are cut from the object API

Change: the fault is recorded as CutFromObjectApi. A node is excused only while it is cut off for the whole second before the request, no process that can reach it throughout holds a copy, and no other node reads the object API; one that comes back within that second counts as able to tell. A copy at a process paused or cut off for the whole span no longer counts as one. All else is as before; five planted histories are found (another node reads, another process holds a copy, the cut ends before, the cut of the other node ends before, the node itself is not cut), two are clean.

A second cut while one lasts is not brought about any more: the first one's end healed both.

--- a/src/martenrun/proof/checkers/restart.py
+++ b/src/martenrun/proof/checkers/restart.py
@@ -5,12 +5,10 @@
 from martenrun.errors import NoRunnerError
 from martenrun.proof.checkers.disturbance import Disturbances
 from martenrun.proof.checkers.engines import EngineAvailability
+from martenrun.proof.checkers.sources import ConfigurationSources
 from martenrun.proof.checkers.violation import Violation
 from martenrun.proof.history import (
     MACHINE_LIST,
-    OBJECT_API,
-    STOPPED,
-    ConfigurationInForce,
     History,
     ProcessStarted,
     RequestAnswered,
@@ -19,17 +17,12 @@
 
 PROMISE = "restart"
 
-_ENDS = frozenset({"kill", STOPPED})
-
 RESTART_BOUND_S = 1.0
 """Longest time from a process's start until it serves, in seconds."""
 
 ANSWER_BOUND_S = 5.0
 """Longest time to an answer that counts as served, in seconds."""
 
-SIGHTING_INTERVAL_S = 0.5
-"""Longest time between two sightings of a process's configuration, in seconds."""
-
 UNSERVED_CODES = frozenset(
     {"invalid_api_key", "model_not_found", "no_runner", "node_unavailable", "not_ready"}
 )
@@ -41,9 +34,9 @@
 
     Refusals for want of capacity count as served.  Four cases are not counted, because nothing
     could serve: an agent without any node that has had the bound since its own start, a router
-    for which no process holds a copy of the configuration while the object API is down, one
-    for which no node holds a copy of the machine list while that is down, and ``no_runner``
-    while each engine was dead, silent, cut off or leaving.
+    which is cut off from the object API, or for which that is down, and to which nobody can
+    tell the configuration, one for which no node holds a copy of the machine list while that
+    is down, and ``no_runner`` while each engine was dead, silent, cut off or leaving.
     """
     return _RestartChecker(history).violations()
 
@@ -56,7 +49,7 @@
         self._nodes = {start.process for start in history.of(ProcessStarted) if start.is_node}
         self._starts = history.of(ProcessStarted)
         self._engines = EngineAvailability(history, self._disturbances)
-        self._copies = [seen for seen in history.of(ConfigurationInForce) if seen.revision > 0]
+        self._sources = ConfigurationSources(history, self._disturbances)
 
     def violations(self) -> list[Violation]:
         """Return every request that was not served."""
@@ -97,19 +90,7 @@
 
     def _has_no_source(self, request: RequestInvoked) -> bool:
         since_s = request.time_s - RESTART_BOUND_S
-        if not self._disturbances.touch(OBJECT_API, since_s, request.time_s):
-            return False
-        return not any(
-            since_s - SIGHTING_INTERVAL_S <= seen.time_s <= since_s and self._keeps(seen, since_s)
-            for seen in self._copies
-        )
-
-    def _keeps(self, seen: ConfigurationInForce, until_s: float) -> bool:
-        """Whether a process that was seen with a copy was not ended before a time."""
-        return not any(
-            fault.kind in _ENDS and seen.time_s <= fault.time_s <= until_s
-            for fault in self._disturbances.of(seen.process)
-        )
+        return self._sources.none_for(request.edge, since_s, request.time_s)
 
     def _has_no_machines(self, request: RequestInvoked) -> bool:
         """Whether the machine list is down and every node has started anew, or is dead, since."""
--- a/src/martenrun/proof/history.py
+++ b/src/martenrun/proof/history.py
@@ -196,6 +196,13 @@
     until_s: float
 
 
+class CutFromObjectApi(Record, frozen=True, tag=True):
+    """A node could not reach the object API for some time, and everybody else."""
+
+    process: str
+    until_s: float
+
+
 class LeavingAnnounced(Record, frozen=True, tag=True):
     """The platform marked a machine as leaving."""
 
@@ -229,6 +236,7 @@
     | ProcessStarted
     | EngineListed
     | ProcessDisturbed
+    | CutFromObjectApi
     | LeavingAnnounced
     | LeavingWithdrawn
     | PlannedStop
--- a/src/martenrun/proof/injector.py
+++ b/src/martenrun/proof/injector.py
@@ -9,6 +9,7 @@
     NETWORK,
     OBJECT_API,
     STOPPED,
+    CutFromObjectApi,
     LeavingAnnounced,
     LeavingWithdrawn,
     PlannedStop,
@@ -219,7 +220,13 @@
 
     def _cut_from_store(self, node: SimulatedNode, duration_s: float) -> None:
         unreachable = self.around.store.unreachable
+        if node.name in unreachable:
+            return
         unreachable.add(node.name)
+        now = self.around.scheduler.now
+        self.around.recorder.add(
+            CutFromObjectApi(time_s=now, process=node.name, until_s=now + duration_s)
+        )
         self._later(duration_s, lambda: unreachable.discard(node.name))
 
     def _lose_answers(self, duration_s: float) -> None:
--- a/tests/test_proof_checkers.py
+++ b/tests/test_proof_checkers.py
@@ -8,6 +8,7 @@
     CacheOrigin,
     ConfigurationAccepted,
     ConfigurationInForce,
+    CutFromObjectApi,
     EngineListed,
     Executed,
     Granted,
@@ -117,6 +118,11 @@
 NOT_READY = answered((), time_s=4.6, code="not_ready", ran="no")
 STORE_DOWN = ProcessDisturbed(time_s=0.0, process="object-api", kind="down", until_s=9.0)
 NODE_ASKED = invoked(time_s=2.0, edge="node")
+API_CUT = CutFromObjectApi(time_s=0.5, process="node", until_s=9.0)
+API_CUT_AT_FIRST = CutFromObjectApi(time_s=0.5, process="node", until_s=1.9)
+HOLDER_ISOLATED = ProcessDisturbed(time_s=0.5, process="holder", kind="isolated", until_s=9.0)
+HOLDER_BACK = ProcessDisturbed(time_s=0.5, process="holder", kind="isolated", until_s=1.9)
+HOLDER_COPY = in_force(0.7, 1, process="holder")
 STOP = PlannedStop(time_s=0.7, process="engine", until_s=3.0)
 REFUSED_COPY = answered((), code="duplicate_request", ran="unknown")
 KILL = ProcessDisturbed(time_s=0.0, process="node", kind="kill", until_s=1.0)
@@ -206,6 +212,11 @@
     ),
     ("restart", [KILL, RESTART, invoked(time_s=2.5, edge="node")]),
     ("restart", [KILL, in_force(0.7, 1, process="o"), STORE_DOWN, RESTART, NODE_ASKED, UNSERVED]),
+    ("restart", [HOLDER, API_CUT, KILL, RESTART, NODE_ASKED, UNSERVED]),
+    ("restart", [API_CUT, KILL, HOLDER_COPY, RESTART, NODE_ASKED, UNSERVED]),
+    ("restart", [API_CUT_AT_FIRST, KILL, RESTART, NODE_ASKED, UNSERVED]),
+    ("restart", [HOLDER, API_CUT, HOLDER_BACK, KILL, RESTART, NODE_ASKED, UNSERVED]),
+    ("restart", [HOLDER, HOLDER_ISOLATED, KILL, RESTART, NODE_ASKED, UNSERVED]),
     ("restart", [NODE, AGENT_RESTART, invoked(time_s=2.5), UNSERVED]),
     ("restart", [NODE, AGENT_RESTART, invoked(time_s=2.5), NOT_READY]),
     ("restart", [LIST_LATE, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
@@ -289,6 +300,11 @@
         ],
     ),
     ("restart", [KILL, STORE_DOWN, RESTART, NODE_ASKED, UNSERVED]),
+    ("restart", [API_CUT, KILL, RESTART, NODE_ASKED, UNSERVED]),
+    (
+        "restart",
+        [HOLDER, API_CUT, HOLDER_ISOLATED, KILL, HOLDER_COPY, RESTART, NODE_ASKED, UNSERVED],
+    ),
     ("restart", [ENGINE, ENGINE_DEAD, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
     ("restart", [ENGINE, LEAVING, KILL, RESTART, NODE_ASKED, NO_RUNNER]),
     ("planned_stop", [invoked(), executed(), STOP, answered()]),
