End the demo whole on any signal, and run it with a weight store

Change: SIGINT, SIGTERM and SIGHUP end it once, later ones are ignored, requests not begun are given up; a deployment's process start holds signals back; the demo starts a weight store, which its engines and nodes use.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -1,14 +1,17 @@
 """The demo: a whole deployment on loopback, a mixed load with long shared prompts, a table.
 
-Exits with 0 only if every stream was whole.
+Exits with 0 only if every stream was whole.  SIGINT (Ctrl-C), SIGTERM and SIGHUP end the demo
+and everything it has started.
 """
 
 import concurrent.futures
 import random
+import signal
 import statistics
 import sys
+from typing import NoReturn
 
-from deployment import Deployment
+from deployment import STOP_SIGNALS, Deployment
 
 from martenrun.load.client import CompletionCall, CompletionClient, StreamRecord
 
@@ -18,6 +21,9 @@
 PREFIX_BYTES = 40_000
 TENANTS = {"growers": "growers-key", "stallholders": "stallholders-key"}
 MODEL = "vine-reader"
+WEIGHTS_VERSION = "v1"
+STOPPED_STATUS = 130
+"""Exit status after a signal, as of a command that Ctrl-C ends."""
 
 
 def publish(deployment: Deployment) -> None:
@@ -26,7 +32,7 @@
         deployment.apply_tenant(tenant, key)
     deployment.apply("policies", "equal", {"expression": "weight"})
     deployment.apply(
-        "pools", "readers", {"model": MODEL, "weights_version": "v1", "policy": "equal"}
+        "pools", "readers", {"model": MODEL, "weights_version": WEIGHTS_VERSION, "policy": "equal"}
     )
     revision = deployment.apply("routes", "readers", {"model": MODEL, "pool": "readers"})
     deployment.wait_ready(revision)
@@ -51,17 +57,16 @@
         for tenant, key in TENANTS.items()
         for edge in deployment.agent_edges
     }
-    with concurrent.futures.ThreadPoolExecutor(CALLERS) as callers:
-        futures = [
-            callers.submit(
-                clients[
-                    (tenant, deployment.agent_edges[index % len(deployment.agent_edges)])
-                ].stream,
-                call,
-            )
-            for index, (tenant, call) in enumerate(make_calls(SEED))
-        ]
+    callers = concurrent.futures.ThreadPoolExecutor(CALLERS)
+    try:
+        futures = []
+        for index, (tenant, call) in enumerate(make_calls(SEED)):
+            edge = deployment.agent_edges[index % len(deployment.agent_edges)]
+            futures.append(callers.submit(clients[(tenant, edge)].stream, call))
         return [future.result() for future in futures]
+    finally:
+        # After a signal, the requests that have not begun are given up.
+        callers.shutdown(wait=False, cancel_futures=True)
 
 
 def print_table(records: list[StreamRecord]) -> None:
@@ -82,20 +87,35 @@
         print(f"{name:<20}{value:>12}")
 
 
+def interrupt(_number: int, _frame: object) -> NoReturn:
+    """End the demo on the first signal; further ones must not cut the ending short."""
+    for number in STOP_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
+    raise KeyboardInterrupt
+
+
+def run(deployment: Deployment) -> list[StreamRecord]:
+    """Start everything, send the load and return what the callers saw."""
+    deployment.start_platform()
+    store = deployment.start_weight_store(f"{MODEL}/{WEIGHTS_VERSION}")
+    for zone in ("zone-a", "zone-a", "zone-b"):
+        deployment.start_engine(zone, "readers", MODEL, "--weight-store", store)
+    deployment.start_nodes(["zone-a", "zone-a", "zone-b"], "--weight-store", store)
+    deployment.start_agents(["zone-a", "zone-b"])
+    publish(deployment)
+    return run_load(deployment)
+
+
 def main() -> int:
     """Run the demo."""
+    for number in STOP_SIGNALS:
+        signal.signal(number, interrupt)
     deployment = Deployment()
     try:
-        deployment.start_platform()
-        for zone in ("zone-a", "zone-a", "zone-b"):
-            deployment.start_engine(zone, "readers", MODEL)
-        deployment.start_nodes(["zone-a", "zone-a", "zone-b"])
-        deployment.start_agents(["zone-a", "zone-b"])
-        publish(deployment)
-        records = run_load(deployment)
+        records = run(deployment)
     except KeyboardInterrupt:
         print("stopped")
-        return 130
+        return STOPPED_STATUS
     finally:
         deployment.stop()
     print_table(records)
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -9,6 +9,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -22,6 +23,7 @@
 CLUSTER_SECRET = "demo-cluster-secret-0123456789"
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 10.0
+STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
 _ADMIN_DIGEST = hashlib.sha256(ADMIN_KEY.encode()).hexdigest()
 
 
@@ -50,6 +52,30 @@
     return response.status == 200
 
 
+@contextmanager
+def signals_held() -> Iterator[None]:
+    """Hold a signal to stop back until the block's end; it is then raised again.
+
+    A signal between a process's start and its entry in the deployment would leave it running.
+    """
+    if threading.current_thread() is not threading.main_thread():
+        # Signals are handled on the main thread only, so none comes between here.
+        yield
+        return
+    held: list[int] = []
+    handlers = {
+        number: signal.signal(number, lambda came, _frame: held.append(came)) or signal.SIG_DFL
+        for number in STOP_SIGNALS
+    }
+    try:
+        yield
+    finally:
+        for number, handler in handlers.items():
+            signal.signal(number, handler)
+        for number in held[:1]:
+            signal.raise_signal(number)
+
+
 @contextmanager
 def ended_on_failure(deployment: "Deployment") -> Iterator[None]:
     """End a deployment's processes if its set-up fails or is interrupted."""
@@ -77,7 +103,8 @@
         """Start ``martenrun`` with arguments as a process called ``name``."""
         output = subprocess.DEVNULL if self.quiet else None
         command = [sys.executable, "-m", "martenrun.cli", *arguments]
-        self.processes[name] = subprocess.Popen(command, stdout=output, stderr=output)
+        with signals_held():
+            self.processes[name] = subprocess.Popen(command, stdout=output, stderr=output)
 
     def start_platform(self) -> None:
         """Start the object API and the machine list."""
@@ -86,6 +113,14 @@
         wait_until(lambda: answers(self.objects, "/v1/objects"), "object API", START_TIMEOUT_S)
         wait_until(lambda: answers(self.machines, "/v1/machines"), "machines", START_TIMEOUT_S)
 
+    def start_weight_store(self, *published: str) -> str:
+        """Start a weight store that has some ``MODEL/VERSION`` and return its address."""
+        address = free_address()
+        flags = [flag for weights in published for flag in ("--publish", weights)]
+        self.run("weights", "standin", "weights", "--address", address, *flags)
+        wait_until(lambda: answers(address, "/v1/loads"), "weight store", START_TIMEOUT_S)
+        return address
+
     def start_engine(self, zone: str, pool: str, model: str, *flags: str) -> str:
         """Start an engine, register it in the machine list and return its name."""
         address = free_address()
