Tell every address that cannot be listened on, and end

Seen: an agent whose HTTP address was taken printed a traceback and hung (its loop's thread had begun), a node whose peer address was taken and a stand-in ended with a traceback; only a node's HTTP address had a fault with a remedy. Now each is checked before anything is started; exit 2. Before: the cases of agent, node and stand-in failed. After: all of tests/test_start_up.py pass.

--- a/src/martenrun/cli/processes.py
+++ b/src/martenrun/cli/processes.py
@@ -6,6 +6,7 @@
 
 from martenrun.cli.collector import collect_seldom
 from martenrun.cli.libraries import limit_native_threads
+from martenrun.cli.listening import check_can_listen
 from martenrun.cli.run import faults_printed, run_until_signal
 from martenrun.settings.load import check_file, read_settings
 from martenrun.settings.model import AgentSettings, NodeSettings
@@ -47,6 +48,7 @@
 
     with faults_printed():
         values = read_settings(NodeSettings, settings, flags)
+        check_can_listen({"http_address": values.http_address, "peer_address": values.peer_address})
         run_until_signal(NodeProcess(values), f"node {values.name}")
 
 
@@ -59,6 +61,7 @@
 
     with faults_printed():
         values = read_settings(AgentSettings, settings, flags)
+        check_can_listen({"http_address": values.http_address})
         run_until_signal(AgentProcess(values), f"agent {values.name}")
 
 
--- a/src/martenrun/cli/standin.py
+++ b/src/martenrun/cli/standin.py
@@ -5,7 +5,8 @@
 
 import click
 
-from martenrun.cli.run import run_until_signal
+from martenrun.cli.listening import check_can_listen
+from martenrun.cli.run import faults_printed, run_until_signal
 from martenrun.edge.server import HttpServer
 from martenrun.standins.engine.application import EngineApplication
 from martenrun.standins.engine.events import FeedFaults
@@ -30,7 +31,9 @@
 
 
 def _serve(application: Any, address: str, description: str, threads: int = _THREADS) -> None:
-    run_until_signal(HttpServer(application, address, threads), description)
+    with faults_printed():
+        check_can_listen({"--address": address})
+        run_until_signal(HttpServer(application, address, threads), description)
 
 
 @standin.command()
--- a/tests/test_start_up.py
+++ b/tests/test_start_up.py
@@ -73,6 +73,33 @@
     assert "remedy: give http_address" in done.stderr.decode()
 
 
+NODE = "node --name n --zone z --http-address {free} --peer-address {taken} --object-api {free}"
+
+
+@pytest.mark.parametrize(
+    ("command", "setting"),
+    [
+        ("agent --name a --zone z --http-address {taken}", "http_address"),
+        (NODE + " --machine-list {free}", "peer_address"),
+        ("standin objects --address {taken}", "--address"),
+    ],
+    ids=["agent", "node", "standin"],
+)
+def test_a_process_whose_address_is_taken_says_so_and_ends(command: str, setting: str) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        taken = f"127.0.0.1:{server.getsockname()[1]}"
+        arguments = command.format(taken=taken, free=free_address()).split()
+        done = subprocess.run(
+            [sys.executable, "-m", "martenrun.cli", *arguments],
+            capture_output=True,
+            timeout=30,
+            env={**os.environ, "MARTENRUN_CLUSTER_SECRET": "0123456789abcdef"},
+        )
+    assert done.returncode == 2
+    assert f"fault: cannot listen on {taken}" in done.stderr.decode()
+    assert f"remedy: give {setting}" in done.stderr.decode()
+
+
 @pytest.mark.parametrize("group", [main, bench])
 def test_every_listed_command_can_be_imported(group: click.Group) -> None:
     context = click.Context(group)
