Let arbitrary requests reach what the parser accepts, and state what it promises

The test of arbitrary requests drew 600 of which 1 was accepted (counted), and none not repeatable: its assertions about accepted requests were as good as unchecked. One of them was wrong: a request that is not repeatable and has no idempotency key is accepted by design (docs/design/requests.md), never tried twice, while docs/PROTOCOL.md said that it needs a key. The assertion is now stricter: the key in the question is the caller's exactly if the request is not repeatable, else empty.

--- a/tests/test_proof_parsing.py
+++ b/tests/test_proof_parsing.py
@@ -138,22 +138,28 @@
     return state.view
 
 
+def mostly(usual, other):
+    """Return a strategy that draws from ``usual`` four times in five."""
+    return st.integers(0, 4).flatmap(lambda number: usual if number else other)
+
+
 VIEW = served_view()
 BODIES = st.fixed_dictionaries(
-    {},
+    {
+        "model": mostly(st.just("model"), JSON),
+        "prompt": mostly(st.text(), JSON),
+        "messages": mostly(st.just([{"role": "user", "content": "grapes"}]), JSON),
+    },
     optional={
-        "model": st.just("model") | JSON,
-        "prompt": st.text() | JSON,
-        "messages": JSON | st.just([{"role": "user", "content": "grapes"}]),
         "max_tokens": JSON | st.integers(0, 2**63),
         "max_completion_tokens": JSON | st.integers(0, 2**63),
-        "stream": JSON,
-        "priority": JSON,
+        "stream": mostly(st.booleans(), JSON),
+        "priority": mostly(st.integers(0, 10), JSON),
     },
 )
 LINES = st.text(st.characters(exclude_characters="\r\n"), max_size=20)
 HEADERS = st.fixed_dictionaries(
-    {"Authorization": st.just(f"Bearer {key_of('growers')}") | LINES},
+    {"Authorization": mostly(st.just(f"Bearer {key_of('growers')}"), LINES)},
     optional={
         "X-Repeatable": st.sampled_from(["true", "false"]) | LINES,
         "X-Deadline-Seconds": st.sampled_from(["nan", "inf", "-1", "1e400", "5"]) | LINES,
@@ -166,7 +172,7 @@
 @given(
     st.sampled_from(["/v1/completions", "/v1/chat/completions"]),
     HEADERS,
-    BODIES.map(msgspec.json.encode) | st.binary(max_size=60),
+    mostly(BODIES.map(msgspec.json.encode), st.binary(max_size=60)),
 )
 @settings(derandomize=True, deadline=None, max_examples=600)
 def test_any_request_is_a_question_or_a_typed_refusal(path, headers, body):
@@ -178,7 +184,8 @@
     assert isinstance(request, CallerRequest)
     assert 0 < request.question.deadline_s < float("inf")
     assert request.question.maximum_output_tokens > 0
-    assert request.repeatable or request.question.idempotency_key
+    key = headers.get("Idempotency-Key", "")
+    assert request.question.idempotency_key == ("" if request.repeatable else key)
     assert codec.decode(codec.encode(request.question)) == request.question
     msgspec.json.decode(request.engine_body(0, None))
 
