Run both exchanges' benchmarks on one simulated run of hollow nodes

bench/scaling_demand.py and bench/usage_exchange.py had the same network, clock, handling and traffic counts; bench/exchange_run.py has them now.

--- a/src/martenrun/bench/scaling_demand.py
+++ b/src/martenrun/bench/scaling_demand.py
@@ -6,33 +6,28 @@
 
 import random
 import statistics
-import time
-from collections.abc import Callable
 from dataclasses import dataclass
 
+from martenrun.bench.exchange_run import ExchangeRun
 from martenrun.configuration.objects import Document, Kind, Pool
 from martenrun.configuration.view import ConfigurationView
-from martenrun.events import MachinesListed, PeerMessage, RunnerDescribed, Send, Tick
-from martenrun.membership.view import Member, StaticMemberView
+from martenrun.events import MachinesListed, RunnerDescribed
+from martenrun.membership.view import StaticMemberView
 from martenrun.node.runners import RunnerTable
 from martenrun.ownership.slots import RunnerSlots
 from martenrun.platform.engine import RunnerDescription
 from martenrun.platform.machine_list import Machine
 from martenrun.scaling.demand import DemandExchange
 from martenrun.scaling.limits import ScalingLimits
-from martenrun.simulation.network import LinkFaults, SimulatedNetwork
-from martenrun.simulation.scheduler import Scheduler
-from martenrun.wire.messages import Message
 
 POOLS = 13
 ZONES = 6
 RUNNERS_PER_NODE = 32
 SLOTS = 16
-TICK_S = 0.25
 WARM_UP_S = 15.0
 MEASURED_S = 60.0
-FRAME_OVERHEAD_BYTES = 24
-"""Length prefix and authenticator that the transport adds to each message."""
+LOSS = 0.01
+"""Probability that a message is lost."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,14 +47,9 @@
     reported_runners: int
 
 
-class _Run:
+class _DemandRun(ExchangeRun[DemandExchange]):
     def __init__(self, nodes: int, rng: random.Random) -> None:
-        self.scheduler = Scheduler()
-        self.network = SimulatedNetwork(self.scheduler, rng, LinkFaults(loss=0.01))
-        self.rng = rng
-        self.members = [
-            Member(f"10.{i // 250}.{i % 250}.1:7000", f"zone-{i % ZONES}") for i in range(nodes)
-        ]
+        super().__init__(nodes, ZONES, LOSS, rng)
         pool = Pool(
             model="model",
             weights_version="v1",
@@ -71,11 +61,7 @@
             (Kind.POOL, f"pool-{index}"): pool for index in range(POOLS)
         }
         self.view = ConfigurationView.build(1, documents)
-        self.cpu_s = [0.0] * nodes
-        self.nodes = [self._exchange(index) for index in range(nodes)]
-        for index, member in enumerate(self.members):
-            self.network.attach(member.address, self._receiver(index))
-            self.scheduler.after(rng.random() * TICK_S, self._ticker(index))
+        self.start([self._exchange(index) for index in range(nodes)])
 
     def _exchange(self, index: int) -> DemandExchange:
         member = self.members[index]
@@ -98,41 +84,11 @@
             exchange.handle(event, 0.0)
         return exchange
 
-    def _receiver(self, index: int) -> Callable[[str, Message], None]:
-        return lambda peer, message: self._handle(index, PeerMessage(peer, message))
-
-    def _ticker(self, index: int) -> Callable[[], None]:
-        def tick() -> None:
-            self._handle(index, Tick())
-            self.scheduler.after(TICK_S, tick)
-
-        return tick
-
-    def _handle(self, index: int, event: Tick | PeerMessage) -> None:
-        started = time.process_time()
-        instructions = self.nodes[index].handle(event, self.scheduler.now)
-        self.cpu_s[index] += time.process_time() - started
-        own = self.members[index].address
-        for instruction in instructions:
-            assert isinstance(instruction, Send)
-            if instruction.peer == own:
-                # A process's messages to itself skip the network.
-                self._handle(index, PeerMessage(own, instruction.message))
-            else:
-                self.network.send(own, instruction.peer, instruction.message)
-
 
 def measure_demand(nodes: int, seed: int = 1) -> DemandCost:
     """Run the exchange, the warm-up unmeasured, and return its cost."""
-    run = _Run(nodes, random.Random(seed))
-    run.scheduler.run_until(WARM_UP_S)
-    before = {name: _counts(run.network, name) for name in run.network.traffic}
-    run.cpu_s = [0.0] * nodes
-    run.scheduler.run_until(WARM_UP_S + MEASURED_S)
-    spent = [
-        [(now - then) / MEASURED_S for now, then in zip(counts, before[name], strict=True)]
-        for name, counts in ((name, _counts(run.network, name)) for name in run.network.traffic)
-    ]
+    run = _DemandRun(nodes, random.Random(seed))
+    rates = run.measure(WARM_UP_S, MEASURED_S)
     decider = next(node for node in run.nodes if node.is_decider)
     zones = decider.zones(run.scheduler.now).values()
     return DemandCost(
@@ -140,18 +96,11 @@
         nodes * RUNNERS_PER_NODE,
         POOLS,
         ZONES,
-        round(statistics.mean(sent for sent, _received, _messages in spent), 1),
-        round(max(sent for sent, _received, _messages in spent), 1),
-        round(max(received for _sent, received, _messages in spent), 1),
-        round(statistics.mean(messages for _sent, _received, messages in spent), 2),
+        round(statistics.mean(rate.sent_bytes for rate in rates), 1),
+        round(max(rate.sent_bytes for rate in rates), 1),
+        round(max(rate.received_bytes for rate in rates), 1),
+        round(statistics.mean(rate.messages for rate in rates), 2),
         round(1_000 * statistics.mean(run.cpu_s) / MEASURED_S, 4),
         round(1_000 * max(run.cpu_s) / MEASURED_S, 4),
         sum(demand.runners for zone in zones for demand in zone.values()),
     )
-
-
-def _counts(network: SimulatedNetwork, name: str) -> tuple[int, int, int]:
-    traffic = network.traffic[name]
-    sent = traffic.sent_bytes + FRAME_OVERHEAD_BYTES * traffic.sent_messages
-    received = traffic.received_bytes + FRAME_OVERHEAD_BYTES * traffic.received_messages
-    return sent, received, traffic.sent_messages
--- a/src/martenrun/bench/usage_exchange.py
+++ b/src/martenrun/bench/usage_exchange.py
@@ -8,28 +8,18 @@
 
 import random
 import statistics
-import time
-from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import accumulate
 
 import click
 import msgspec
 
-from martenrun.events import PeerMessage, Send, Tick
-from martenrun.membership.view import Member, StaticMemberView
+from martenrun.bench.exchange_run import ExchangeRun
+from martenrun.membership.view import StaticMemberView
 from martenrun.sharing.usage import UsageExchange
-from martenrun.simulation.network import LinkFaults, SimulatedNetwork
-from martenrun.simulation.scheduler import Scheduler
-from martenrun.wire.messages import Message
 
 WORK_INTERVAL_S = 0.5
-TICK_S = 0.25
-"""Coarser than a process's tick; the exchange only compares times on a tick."""
-
 TOKENS_PER_REQUEST = 300.0
-FRAME_OVERHEAD_BYTES = 24
-"""Length prefix and authenticator that the transport adds to each message."""
 
 COMPARED_TENANTS = 20
 """Largest tenants whose sums are compared with the truth."""
@@ -57,26 +47,19 @@
     error_p95: float
 
 
-class _ExchangeRun:
+class _UsageRun(ExchangeRun[UsageExchange]):
     def __init__(
         self, nodes: int, tenants: int, zones: int, loss: float, rng: random.Random
     ) -> None:
-        self.scheduler = Scheduler()
-        self.network = SimulatedNetwork(self.scheduler, rng, LinkFaults(loss=loss))
-        self.members = [
-            Member(f"10.{i // 250}.{i % 250}.1:7000", f"zone-{i % zones}") for i in range(nodes)
-        ]
-        self.nodes = [
-            UsageExchange(StaticMemberView(member, self.members), random.Random(rng.random()))
-            for member in self.members
-        ]
+        super().__init__(nodes, zones, loss, rng)
         self.names = [f"tenant-{number}" for number in range(tenants)]
         self.cumulative = list(accumulate(1.0 / (rank + 1) for rank in range(tenants)))
-        self.rng = rng
-        self.cpu_s = 0.0
-        for index, member in enumerate(self.members):
-            self.network.attach(member.address, self._receiver(index))
-            self.scheduler.after(rng.random() * TICK_S, self._ticker(index))
+        self.start(
+            [
+                UsageExchange(StaticMemberView(member, self.members), random.Random(rng.random()))
+                for member in self.members
+            ]
+        )
 
     def work(self, requests_per_node_s: float) -> None:
         """Let every node serve requests of tenants drawn by a Zipf law."""
@@ -97,29 +80,6 @@
             found += [abs(usage.all_usage - truth) / truth for usage in usages if truth > 0]
         return found
 
-    def _receiver(self, index: int) -> Callable[[str, Message], None]:
-        return lambda peer, message: self._handle(index, PeerMessage(peer, message))
-
-    def _ticker(self, index: int) -> Callable[[], None]:
-        def tick() -> None:
-            self._handle(index, Tick())
-            self.scheduler.after(TICK_S, tick)
-
-        return tick
-
-    def _handle(self, index: int, event: Tick | PeerMessage) -> None:
-        started = time.process_time()
-        instructions = self.nodes[index].handle(event, self.scheduler.now)
-        self.cpu_s += time.process_time() - started
-        own = self.members[index].address
-        for instruction in instructions:
-            assert isinstance(instruction, Send)
-            if instruction.peer == own:
-                # A process's messages to itself skip the network.
-                self._handle(index, PeerMessage(own, instruction.message))
-            else:
-                self.network.send(own, instruction.peer, instruction.message)
-
 
 def run_exchange(
     nodes: int,
@@ -132,16 +92,9 @@
     seed: int = 0,
 ) -> ExchangeResult:
     """Run the exchange, the warm-up unmeasured, and return its cost and accuracy."""
-    run = _ExchangeRun(nodes, tenants, zones, loss, random.Random(seed))
+    run = _UsageRun(nodes, tenants, zones, loss, random.Random(seed))
     run.work(requests_per_node_s)
-    run.scheduler.run_until(warm_up_s)
-    before = {name: _bytes(run.network, name) for name in run.network.traffic}
-    run.cpu_s = 0.0
-    run.scheduler.run_until(warm_up_s + measured_s)
-    after = {name: _bytes(run.network, name) for name in run.network.traffic}
-    sent = [(after[name][0] - before[name][0]) / measured_s for name in after]
-    received = [(after[name][1] - before[name][1]) / measured_s for name in after]
-    messages = [(after[name][2] - before[name][2]) / measured_s for name in after]
+    rates = run.measure(warm_up_s, measured_s)
     errors = sorted(run.errors())
     return ExchangeResult(
         nodes,
@@ -149,23 +102,16 @@
         zones,
         loss,
         seed,
-        round(statistics.mean(sent), 1),
-        round(max(sent), 1),
-        round(max(received), 1),
-        round(statistics.mean(messages), 2),
-        round(run.cpu_s * 1_000 / nodes / measured_s, 3),
+        round(statistics.mean(rate.sent_bytes for rate in rates), 1),
+        round(max(rate.sent_bytes for rate in rates), 1),
+        round(max(rate.received_bytes for rate in rates), 1),
+        round(statistics.mean(rate.messages for rate in rates), 2),
+        round(sum(run.cpu_s) * 1_000 / nodes / measured_s, 3),
         round(errors[len(errors) // 2], 4),
         round(errors[int(len(errors) * 0.95)], 4),
     )
 
 
-def _bytes(network: SimulatedNetwork, name: str) -> tuple[int, int, int]:
-    traffic = network.traffic[name]
-    sent = traffic.sent_bytes + FRAME_OVERHEAD_BYTES * traffic.sent_messages
-    received = traffic.received_bytes + FRAME_OVERHEAD_BYTES * traffic.received_messages
-    return sent, received, traffic.sent_messages
-
-
 @click.command("usage-exchange")
 @click.option("--nodes", default=370, show_default=True, type=click.IntRange(1, 1_000))
 @click.option("--tenants", default=5_100, show_default=True, type=click.IntRange(1, 20_000))
