--- a/tests/test_proof_simulation.py
+++ b/tests/test_proof_simulation.py
@@ -1,32 +1,11 @@
 """Simulated histories: every checker fails without its guard and passes with it."""
 
-import dataclasses
-import weakref
-
 import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from martenrun.agent import configuration as agent_configuration
-from martenrun.agent.active import ActiveRequest
-from martenrun.agent.configuration import AgentConfigurationLogic
-from martenrun.agent.requests import RequestsLogic
-from martenrun.claims.logic import ClaimsLogic
-from martenrun.configuration.state import ConfigurationState
-from martenrun.edge.request import CallerRequest
-from martenrun.errors import Ran
-from martenrun.events import PeerMessage, QuestionCleared, Tell
-from martenrun.membership.gossip import GossipMembership
-from martenrun.membership.table import MemberTable
-from martenrun.node.configuration import NodeConfigurationLogic
-from martenrun.orders import permits
-from martenrun.ownership.stall import MachineListAge
-from martenrun.platform.engine import AttemptOutcome
-from martenrun.platform.machine_list import Machine
-from martenrun.proof import processes
 from martenrun.proof.checkers.restart import check_restart
-from martenrun.proof.drain import DrainStep
 from martenrun.proof.history import (
     EngineListed,
     Executed,
@@ -34,165 +13,56 @@
     RequestAnswered,
     RequestInvoked,
 )
-from martenrun.proof.processes import SimulatedProcess
-from martenrun.proof.schedule import HOLDER_PAUSE_S, Fault, FaultKind, Schedule, draw_schedule
+from martenrun.proof.schedule import Fault, FaultKind, Schedule, draw_schedule
 from martenrun.proof.world import World, run_schedule
-from martenrun.routing.beliefs import BeliefBook
-from martenrun.routing.policy import RunnerChoice
-from martenrun.standins.engine.orders import FenceGuard
-from martenrun.wire.messages import ConfigurationUpdate
-
-
-def fault(kind, at_s, duration_s=1.0, target=0):
-    return Fault(kind, at_s, duration_s, target)
-
-
-def schedule(*faults, **fields):
-    return Schedule(**{"seed": 7, "faults": faults, **fields})
-
-
-CRASHES = schedule(
-    *(fault(FaultKind.CRASH_ENGINE, 1.0 + index, 0.3, index) for index in range(8)),
-    requests_per_s=16.0,
-    copy_share=0.0,
-)
-CUTS = schedule(
-    *(fault(FaultKind.CUT_CONNECTIONS, 0.5 + 0.25 * index, 0.0, index) for index in range(36)),
-    requests_per_s=16.0,
-    copy_share=0.0,
-)
-LEAVING = schedule(fault(FaultKind.ENGINE_LEAVES, 1.0), load_s=9.0, requests_per_s=8.0)
-BUSY_LEAVING = schedule(
-    fault(FaultKind.ENGINE_LEAVES, 1.0),
-    seed=8,
-    engines=1,
-    load_s=9.5,
-    requests_per_s=40.0,
-    copy_share=0.0,
-)
-RESTART_WITHOUT_STORE = schedule(
-    fault(FaultKind.STORE_DOWN, 0.5, 9.0), fault(FaultKind.KILL_NODE, 2.0, 0.3)
-)
-RESTART_ALL_WITHOUT_STORE = schedule(
-    fault(FaultKind.STORE_DOWN, 0.5, 9.0),
-    fault(FaultKind.RESTART_ALL_NODES, 2.0, 0.3),
-    nodes=4,
-    agents=1,
-    requests_per_s=16.0,
-)
-PAUSED_NODE = schedule(
-    fault(FaultKind.FREEZE_NODE, 2.0, 5.0),
-    fault(FaultKind.ENGINE_LEAVES, 2.2),
-    nodes=1,
-    engines=2,
-    requests_per_s=16.0,
-)
-PAUSED_AGENT = schedule(
-    fault(FaultKind.FREEZE_AGENT, 2.0, 5.0),
-    fault(FaultKind.ENGINE_LEAVES, 2.2),
-    seed=2,
-    nodes=2,
-    agents=1,
-    engines=1,
-    load_s=4.0,
-    requests_per_s=80.0,
-    copy_share=0.0,
-)
-RUNNERS_RESTARTED = schedule(
-    *(fault(FaultKind.CRASH_ENGINE, 1.0 + 0.35 * index, 0.3, index) for index in range(18)),
-    seed=1,
-    nodes=4,
-    agents=2,
-    engines=4,
-    requests_per_s=60.0,
-    copy_share=0.0,
-)
-NODES_RESTARTED = schedule(
-    fault(FaultKind.RESTART_ALL_NODES, 2.8842861076872714, 5.0, 547),
-    fault(FaultKind.FREEZE_ENGINE, 3.282518932346762, 0.3, 243),
-    fault(FaultKind.CUT_CONNECTIONS, 2.9975614068653877, 1.5, 527),
-    fault(FaultKind.CUT_NETWORK, 5.0535837432115, 1.5, 483),
-    fault(FaultKind.CRASH_ENGINE, 3.783243103856903, 8.0, 206),
-    seed=272,
-    nodes=2,
-    agents=3,
-    engines=2,
-    load_s=7.512159991545346,
-    requests_per_s=9.454497896720301,
-)
-AGENTS_RESTARTED = schedule(
-    *(fault(FaultKind.KILL_NODE, 1.0, 8.0, index) for index in range(3)),
-    *(fault(FaultKind.KILL_AGENT, 2.0 + 1.6 * index, 0.3, index % 2) for index in range(4)),
-    nodes=4,
-    agents=2,
-    requests_per_s=32.0,
-)
-REGIONS_CUT = schedule(
-    fault(FaultKind.CUT_REGIONS, 1.0, 6.0),
-    *(fault(FaultKind.RACE_OPERATORS, 1.2 + 0.5 * index) for index in range(12)),
-    seed=6,
-    nodes=4,
-    agents=4,
-    engines=4,
-    zones=4,
-    load_s=3.0,
-    requests_per_s=160.0,
-    copy_share=0.0,
-)
-ZONE_LOST = schedule(
-    *(fault(FaultKind.LOSE_ZONE, 1.0 + 2.0 * index, 1.5, index) for index in range(4)),
-    nodes=4,
-    agents=4,
-    engines=4,
-    zones=4,
-    requests_per_s=16.0,
-    copy_share=0.0,
-)
-LEAVING_UNSEEN = schedule(
-    fault(FaultKind.MACHINES_LATE, 0.5, 0.3),
-    fault(FaultKind.ENGINE_LEAVES, 0.6),
-    fault(FaultKind.MACHINES_DOWN, 2.0, 0.3),
-    nodes=2,
-    zones=2,
-    load_s=9.5,
-    requests_per_s=16.0,
-)
-FEEDS_LOST = schedule(
-    *(fault(FaultKind.CRASH_ENGINE, 1.0 + index, 0.3, index) for index in range(8)),
-    *(fault(FaultKind.LOSE_CACHE_EVENTS, 0.5 + 2.0 * index, 1.5, index) for index in range(4)),
-    requests_per_s=16.0,
-)
-ROLL = schedule(
-    fault(FaultKind.ROLL_WEIGHTS, 1.0),
-    *(fault(FaultKind.CUT_CONNECTIONS, 0.8 + 0.25 * index, 0.0, index) for index in range(36)),
-    engines=4,
-    load_s=10.0,
-    requests_per_s=40.0,
-    copy_share=0.0,
-)
-ROLL_OF_TWO = schedule(fault(FaultKind.ROLL_WEIGHTS, 1.0), engines=2, load_s=2.0)
-HOLDER_PAUSED = schedule(
-    fault(FaultKind.PAUSE_PERMIT_HOLDER, 1.0, HOLDER_PAUSE_S),
-    fault(FaultKind.STORE_DOWN, 5.0, 5.0),
-    engines=4,
-    load_s=4.0,
-)
-STOPS = schedule(
-    *(fault(FaultKind.STOP_NODE, 1.0 + 4.0 * index, 5.0, index) for index in range(2)),
-    *(fault(FaultKind.STOP_AGENT, 0.8 + 1.5 * index, 0.3, index) for index in range(6)),
-    nodes=3,
-    agents=3,
-    requests_per_s=32.0,
-)
-STOP_AT_START = schedule(
-    fault(FaultKind.KILL_NODE, 1.0, 0.3),
-    fault(FaultKind.STOP_NODE, 1.32, 8.0),
-    agents=1,
-    load_s=4.0,
-)
-LATE_MESSAGES = schedule(
-    fault(FaultKind.LOSE_MESSAGES, 0.5, 9.0, target=1),
-    *(fault(FaultKind.RACE_OPERATORS, 1.0 + 0.2 * index) for index in range(30)),
+from proof_guards import (
+    ask_no_agent_before_it_asks,
+    ask_one_node_and_hold_no_request,
+    call_unknown_outcomes_not_run,
+    clear_without_a_claim,
+    credit_the_run_before,
+    go_on_with_other_weights,
+    ignore_the_fence,
+    keep_beliefs_about_an_incarnation_that_ended,
+    keep_no_floor,
+    leave_before_joining,
+    leave_without_a_word,
+    load_any_number_at_a_time,
+    never_time_out,
+    repeat_what_may_have_run,
+    share_cache_between_tenants,
+    stop_without_waiting_for_streams,
+    take_broken_streams_as_whole,
+    take_no_configuration_from_peers,
+    take_older_updates,
+    trust_an_old_machine_list,
+    use_grants_from_before_a_pause,
+    use_leaving_runners,
+)
+from proof_schedules import (
+    AGENTS_RESTARTED,
+    BUSY_LEAVING,
+    CRASHES,
+    CUTS,
+    FEEDS_LOST,
+    HOLDER_PAUSED,
+    LATE_MESSAGES,
+    LEAVING,
+    LEAVING_UNSEEN,
+    NODES_RESTARTED,
+    PAUSED_AGENT,
+    PAUSED_NODE,
+    REGIONS_CUT,
+    RESTART_ALL_WITHOUT_STORE,
+    RESTART_WITHOUT_STORE,
+    ROLL,
+    ROLL_OF_TWO,
+    RUNNERS_RESTARTED,
+    STOP_AT_START,
+    STOPS,
+    ZONE_LOST,
+    fault,
+    schedule,
 )
 
 
@@ -200,156 +70,6 @@
     return [violation for violation in run_schedule(run).violations if violation.promise == promise]
 
 
-def share_cache_between_tenants(monkeypatch):
-    with_salt = CallerRequest.engine_body
-
-    def without_salt(self, *arguments):
-        question = dataclasses.replace(self.question, tenant="same")
-        return with_salt(dataclasses.replace(self, question=question), *arguments)
-
-    monkeypatch.setattr(CallerRequest, "engine_body", without_salt)
-
-
-def take_broken_streams_as_whole(monkeypatch):
-    classified = RequestsLogic._classified
-
-    def classify(self, request, now):
-        is_broken = request.result.outcome is AttemptOutcome.BROKEN
-        return "completed" if is_broken else classified(self, request, now)
-
-    monkeypatch.setattr(RequestsLogic, "_classified", classify)
-
-
-def never_time_out(monkeypatch):
-    monkeypatch.setattr(RequestsLogic, "_check_times", lambda self, now: [])
-
-
-def call_unknown_outcomes_not_run(monkeypatch):
-    def told(self, error):
-        error.ran = Ran.NO
-        return error
-
-    monkeypatch.setattr(ActiveRequest, "told", told)
-
-
-def repeat_what_may_have_run(monkeypatch):
-    monkeypatch.setattr(RequestsLogic, "_may_run_again", staticmethod(lambda request: True))
-
-
-def clear_without_a_claim(monkeypatch):
-    def asked(self, peer, question, now):
-        return [Tell(QuestionCleared(peer, question))]
-
-    monkeypatch.setattr(ClaimsLogic, "_asked", asked)
-
-
-def use_leaving_runners(monkeypatch):
-    monkeypatch.setattr(Machine, "is_leaving", property(lambda self: False))
-
-
-def take_older_updates(monkeypatch):
-    apply = ConfigurationState.apply
-
-    def apply_any(self, update):
-        self.revision = min(self.revision, update.from_revision)
-        self._objects.clear()
-        return apply(self, update)
-
-    monkeypatch.setattr(ConfigurationState, "apply", apply_any)
-
-
-def take_no_configuration_from_peers(monkeypatch):
-    handle = NodeConfigurationLogic._handle
-
-    def handle_no_update(self, event, now):
-        is_update = isinstance(event, PeerMessage) and isinstance(
-            event.message, ConfigurationUpdate
-        )
-        return [] if is_update else handle(self, event, now)
-
-    monkeypatch.setattr(NodeConfigurationLogic, "_handle", handle_no_update)
-
-
-def hold_no_request(monkeypatch):
-    monkeypatch.setattr(processes, "longest_hold_s", lambda deadline_s: 0.0)
-
-
-def ask_one_node_and_hold_no_request(monkeypatch):
-    hold_no_request(monkeypatch)
-    monkeypatch.setattr(agent_configuration, "FIRST_FANOUT", 1)
-
-
-def ask_no_agent_before_it_asks(monkeypatch):
-    # A request that is held for the first copy would outlast the wait for the agent's question.
-    hold_no_request(monkeypatch)
-    monkeypatch.setattr(NodeConfigurationLogic, "_may_have_copy", lambda self, peer: False)
-    monkeypatch.setattr(AgentConfigurationLogic, "_offer", lambda self, peer, query, now: [])
-
-
-def trust_an_old_machine_list(monkeypatch):
-    monkeypatch.setattr(MachineListAge, "is_trusted", lambda self, now: True)
-
-
-def use_grants_from_before_a_pause(monkeypatch):
-    monkeypatch.setattr(RequestsLogic, "_ask_anew", lambda self, now: [])
-
-
-def credit_the_run_before(monkeypatch):
-    monkeypatch.setattr(RunnerChoice, "granted_at", lambda choice, *_identity: choice)
-
-
-def leave_without_a_word(monkeypatch):
-    monkeypatch.setattr(MemberTable, "leave", lambda self, now: None)
-
-
-def leave_before_joining(monkeypatch):
-    # The setting of this attribute at each tick is what the guard rests on.
-    always = property(lambda self: True, lambda self, value: None)
-    monkeypatch.setattr(GossipMembership, "_knows_members", always, raising=False)
-
-
-def stop_without_waiting_for_streams(monkeypatch):
-    monkeypatch.setattr(SimulatedProcess, "drain_steps", lambda self: [DrainStep(bool, 0.0)])
-
-
-def keep_beliefs_about_an_incarnation_that_ended(monkeypatch):
-    identify = BeliefBook.identify
-    known = weakref.WeakKeyDictionary()
-
-    def identify_once(self, runner, incarnation, weights_version):
-        runs = known.setdefault(self, {})
-        if incarnation and runner not in runs:
-            runs[runner] = identify(self, runner, incarnation, weights_version)
-        return runs.get(runner) or identify(self, runner, incarnation, weights_version)
-
-    monkeypatch.setattr(BeliefBook, "identify", identify_once)
-
-
-def ignore_the_fence(monkeypatch):
-    def check(self, order):
-        self.fence = max(self.fence, order.fence)
-        return order != self._accepted
-
-    monkeypatch.setattr(FenceGuard, "check", check)
-
-
-def load_any_number_at_a_time(monkeypatch):
-    granted = permits.granted
-
-    def grant(table, wish, holder, expired, serving, _maximum_loads):
-        return granted(table, wish, holder, expired, serving, 99)
-
-    monkeypatch.setattr(permits, "granted", grant)
-
-
-def keep_no_floor(monkeypatch):
-    monkeypatch.setattr(permits, "_keeps_floor", lambda table, wish, serving: True)
-
-
-def go_on_with_other_weights(monkeypatch):
-    monkeypatch.setattr(ActiveRequest, "weights_differ", lambda self, grant: False)
-
-
 GUARDS = [
     ("weights", ignore_the_fence, HOLDER_PAUSED),
     ("weights", load_any_number_at_a_time, ROLL),
