Name a refused request in its answer and in the log

Seen: X-Request-Id was shown back in whole answers only, and the log lines of refused requests had neither it nor any other name, though PROTOCOL.md says shown back and logged, and remedies ask for the request id. Now every answer of the two completion paths that comes from the application has it, X-Martenrun-Request-Id too once the request was read, and the log line has the caller's id. What the HTTP server itself refuses (413, 431, 408, unreadable) is still answered without it.

--- a/src/martenrun/edge/application.py
+++ b/src/martenrun/edge/application.py
@@ -10,7 +10,13 @@
 from martenrun.edge.channel import OUTPUT_KEY
 from martenrun.edge.first_copy import wait_for_first_copy
 from martenrun.edge.forward import CallerLeft, EdgePort, Forwarder
-from martenrun.edge.request import bearer_token, deadline_s, parse_request, read_body
+from martenrun.edge.request import (
+    CALLER_ID_HEADER,
+    bearer_token,
+    deadline_s,
+    parse_request,
+    read_body,
+)
 from martenrun.edge.responses import check_method, error_response, json_response
 from martenrun.edge.streams import PieceStream, StreamSlot, StreamSlots
 from martenrun.errors import MartenrunError, NodeUnavailableError, NotFoundError, StoppingError
@@ -22,6 +28,9 @@
 CALLER_LEFT_STATUS = 499
 """Status in the logs of a request whose caller left; nobody receives it."""
 
+REQUEST_ID_HEADER = "X-Martenrun-Request-Id"
+"""Header of an answer with the request's unique id inside the system."""
+
 _COMPLETION_PATHS = ("/v1/completions", "/v1/chat/completions")
 _READ_PATHS = ("/v1/models", "/healthz", "/readyz", "/metrics")
 
@@ -103,22 +112,33 @@
 
     def _complete(self, request: Request) -> Response:
         observation = RequestObservation(self._metrics)
+        ids: dict[str, str] = {}
+        if caller_id := request.headers.get(CALLER_ID_HEADER, ""):
+            ids[CALLER_ID_HEADER] = caller_id
+            observation.named(caller_id)
         slot = StreamSlot(None)
         try:
             slot = self.slots.take()
-            return self._carry(request, slot, observation)
+            return self._carry(request, slot, observation, ids)
         except MartenrunError as error:
             slot.give_back()
             observation.failed(error)
-            raise
+            response = error_response(error)
+            response.headers.update(ids)
+            return response
         except BaseException:
             slot.give_back()
             observation.caller_gone()
             raise
 
     def _carry(
-        self, request: Request, slot: StreamSlot, observation: RequestObservation
+        self,
+        request: Request,
+        slot: StreamSlot,
+        observation: RequestObservation,
+        ids: dict[str, str],
     ) -> Response:
+        """Serve one request; puts the headers that name it into ``ids`` as soon as it has them."""
         caller_gone = request.environ.get("waitress.client_disconnected", lambda: False)
         copy = wait_for_first_copy(self._view, deadline_s(request.headers), caller_gone)
         caller_request = parse_request(
@@ -128,6 +148,8 @@
             copy.view,
             self._settings.zone,
         )
+        ids[CALLER_ID_HEADER] = caller_request.caller_id
+        ids[REQUEST_ID_HEADER] = caller_request.question.request_id
         caller_request.question.deadline_s -= copy.held_s
         observation.identified(
             caller_request.question, caller_request.caller_id, caller_request.pool
@@ -144,10 +166,6 @@
         # The first piece decides the status: errors before any output become a typed body.
         first = next(pieces, b"")
         observation.first_output(caller_request.stream)
-        headers = {
-            "X-Request-Id": caller_request.caller_id,
-            "X-Martenrun-Request-Id": caller_request.question.request_id,
-        }
         mimetype = "text/event-stream" if caller_request.stream else "application/json"
         content = PieceStream(first, pieces, slot, observation)
-        return Response(content, headers=headers, mimetype=mimetype)
+        return Response(content, headers=ids, mimetype=mimetype)
--- a/src/martenrun/edge/request.py
+++ b/src/martenrun/edge/request.py
@@ -25,6 +25,9 @@
 from martenrun.platform.stream_progress import ResumeFields
 from martenrun.wire.messages import DecideRequest
 
+CALLER_ID_HEADER = "X-Request-Id"
+"""Header of a request and its answer with the caller's own name for the request."""
+
 DEFAULT_DEADLINE_S = 60.0
 DEFAULT_OUTPUT_TOKENS = 16
 MAXIMUM_OUTPUT_TOKENS = 1_000_000
@@ -126,7 +129,7 @@
         idempotency_key="" if repeatable else _idempotency_key(headers),
         zone=zone,
     )
-    caller_id = headers.get("X-Request-Id") or question.request_id
+    caller_id = headers.get(CALLER_ID_HEADER) or question.request_id
     return CallerRequest(path, question, caller_id, repeatable, body.stream, routed.name, fields)
 
 
--- a/src/martenrun/observability/requests.py
+++ b/src/martenrun/observability/requests.py
@@ -34,6 +34,10 @@
         self._known_share = 0.0
         metrics.running.inc()
 
+    def named(self, caller_id: str) -> None:
+        """Take in the caller's own name for the request, which may still be refused."""
+        self._fields = {Field.CALLER_ID: caller_id}
+
     def identified(self, question: DecideRequest, caller_id: str, pool: str) -> None:
         """Take in who asks for what."""
         self._fields = {
--- a/tests/test_observability.py
+++ b/tests/test_observability.py
@@ -21,6 +21,7 @@
 
 KEY = "growers-secret-key"
 PROMPT = "the pickers' secret tally"
+NAMES = ["X-Request-Id", "X-Martenrun-Request-Id"]
 HEADERS = {"Authorization": f"Bearer {KEY}", "X-Request-Id": "from caller event=forged"}
 
 
@@ -84,6 +85,17 @@
         assert secret not in text
 
 
+def test_a_refused_request_is_named_in_its_answer_and_in_the_log(log):
+    client = Client(application(lambda request_id: Finish(request_id, StreamBrokenError("broken"))))
+    for body, names in (({}, ["X-Request-Id"]), ({"model": "reader", "prompt": "p"}, NAMES)):
+        answer = client.post("/v1/completions", headers=HEADERS, json=body)
+        assert answer.status_code >= 400
+        assert [name for name in NAMES if name in answer.headers] == names
+        assert answer.headers["X-Request-Id"] == HEADERS["X-Request-Id"]
+    for line in log.getvalue().splitlines():
+        assert 'caller_request_id="from caller event=forged"' in line
+
+
 def test_metrics_count_each_end_once_and_slots_come_back(log):
     edge = application(lambda request_id: Finish(request_id, None))
     client = Client(edge)
--- a/tests/test_request_failures.py
+++ b/tests/test_request_failures.py
@@ -193,11 +193,13 @@
         "POST",
         f"http://{deployment.agent_edges[0]}/v1/completions",
         body=body.encode(),
-        headers={"Authorization": f"Bearer {KEY}"} | headers,
+        headers={"Authorization": f"Bearer {KEY}", "X-Request-Id": "mine"} | headers,
         retries=False,
     )
     error = response.json()["error"]
     assert (response.status, error["ran"]) == (status, "no")
+    # The HTTP server refuses what is too large before it reads a request.
+    assert response.headers.get("X-Request-Id") == (None if status in (413, 431) else "mine")
     assert error["remedy"]
     assert code is None or error["code"] == code
 
