Decode a machine list one machine at a time

A whole list was decoded, six texts a machine, of which four were then given up for shared ones: the process kept the holes.

Change: each machine is decoded and its texts shared before the next, of the platform's JSON as of the packed list. What is resident above what is in use has a line of its own.

--- a/src/martenrun/bench/node_state.py
+++ b/src/martenrun/bench/node_state.py
@@ -5,7 +5,9 @@
 
 import gc
 import random
+import resource
 import tracemalloc
+from pathlib import Path
 
 import click
 import msgspec
@@ -23,6 +25,8 @@
 
 SETTLING_TICKS = 40
 TICK_S = 0.1
+LIST_CHANGES = 10
+POOLS = 13
 POOL_RUNNERS = 64
 SENT_CHAINS = 20_000
 CHAIN_BYTES = 10 * BLOCK_HASH_BYTES
@@ -36,6 +40,8 @@
         bytes_per_member: for each other node.
         bytes_per_runner: for each runner on the machine list, with the list itself and the
             slots of the runners that the node owns.
+        resident_bytes_per_runner: what the process grows by for each runner as the list arrives and
+            changes, with memory that was freed and is not given back.
         routed_bytes: of what is believed of chains sent, when as much is kept as may be.
     """
 
@@ -44,22 +50,18 @@
     own_runners: int
     bytes_per_member: float
     bytes_per_runner: float
+    resident_bytes_per_runner: float
     routed_bytes: int
 
 
 def run(nodes: int, runners: int) -> NodeStateResult:
     """Let one node learn of members, then of runners."""
+    resident_bytes = _resident_growth(nodes, runners)
     parts = _node()
     now = _tick(parts, 0.0)
     tracemalloc.start()
     begin_bytes = _allocated_bytes()
-    claims = [
-        MemberClaim(node_address(index), zone_name(index), region_name(index), 0, 0)
-        for index in range(1, nodes)
-    ]
-    _tell(parts, PeerMessage(node_address(1), MemberList(False, claims)), now)
-    del claims
-    now = _tick(parts, now)
+    now = _tell_members(parts, nodes, now)
     members_bytes = _allocated_bytes()
     _tell(parts, MachinesListed(list_of_machines(runners)), now)
     now = _tick(parts, now)
@@ -71,10 +73,55 @@
         len(parts.ownership.owner.owned),
         round((members_bytes - begin_bytes) / max(1, nodes - 1), 1),
         round((runners_bytes - members_bytes) / runners, 1),
+        round(resident_bytes / runners, 1),
         _routed_bytes(),
     )
 
 
+def _resident_growth(nodes: int, runners: int) -> int:
+    """Return what this process grows by as a node reads a list that changes some times."""
+    parts = _node()
+    now = _tell_members(parts, nodes, _tick(parts, 0.0))
+    data = _encoded_list(runners)
+    known: list[Machine] = []
+    begin_bytes = _resident_bytes()
+    for change in range(LIST_CHANGES):
+        changed = data.replace(b'"live"', b'"left"', change)
+        known = decoded_machines(changed, {machine.name: machine for machine in known})
+        del changed
+        _tell(parts, MachinesListed(known), now)
+        now = _tick(parts, now)
+    return _resident_bytes() - begin_bytes
+
+
+def _encoded_list(runners: int) -> bytes:
+    """Return a list as the platform sends it, made so that it leaves no freed memory behind."""
+    data = bytearray(b"[")
+    for index in range(runners):
+        address = f"10.1{index // 250:02}.0.{index % 250}:8000"
+        pool = f"pool-{index % POOLS}"
+        data += msgspec.json.encode(
+            Machine(f"runner-{index}", "engine", address, zone_name(index), pool)
+        )
+        data += b","
+    data[-1:] = b"]"
+    return bytes(data)
+
+
+def _tell_members(parts: NodeParts, nodes: int, now: float) -> float:
+    claims = [
+        MemberClaim(node_address(index), zone_name(index), region_name(index), 0, 0)
+        for index in range(1, nodes)
+    ]
+    _tell(parts, PeerMessage(node_address(1), MemberList(False, claims)), now)
+    return _tick(parts, now)
+
+
+def _resident_bytes() -> int:
+    pages = Path("/proc/self/statm").read_text(encoding="ascii").split()[1]
+    return int(pages) * resource.getpagesize()
+
+
 def _routed_bytes() -> int:
     """Send chains to runners whose events are read and to others until the oldest are forgotten."""
     rng = random.Random(1)
--- a/src/martenrun/capacity/results.py
+++ b/src/martenrun/capacity/results.py
@@ -107,6 +107,7 @@
 
     bytes_per_member: float
     bytes_per_runner: float
+    resident_bytes_per_runner: float
     routed_bytes: int
 
 
--- a/src/martenrun/ownership/packed_machines.py
+++ b/src/martenrun/ownership/packed_machines.py
@@ -7,7 +7,7 @@
 """
 
 import zlib
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 
 import msgspec
 
@@ -32,17 +32,25 @@
     state: str
 
 
+_decoder = msgspec.msgpack.Decoder(_Row)
+
+
 def packed(machines: Collection[Machine]) -> bytes:
     """Return a list as bytes."""
     rows = [_Row(m.name, m.role, m.address, m.zone, m.pool, m.state) for m in machines]
     return zlib.compress(msgspec.msgpack.encode(rows), _LEVEL)
 
 
-def unpacked(data: bytes) -> list[Machine]:
-    """Return the machines of a packed list; raises PackedListError for anything else."""
+def unpacked(data: bytes) -> Iterator[Machine]:
+    """Return the machines of a packed list, one at a time so that few texts are given up at once.
+
+    Raises:
+        PackedListError: for anything else, with the first machine or a later one.
+    """
     try:
         encoded = zlib.decompressobj().decompress(data, _MAXIMUM_BYTES)
-        rows = msgspec.msgpack.decode(encoded, type=list[_Row])
+        for entry in msgspec.msgpack.decode(encoded, type=list[msgspec.Raw]):
+            row = _decoder.decode(entry)
+            yield Machine(row.name, row.role, row.address, row.zone, row.pool, row.state)
     except (zlib.error, msgspec.DecodeError) as error:
         raise PackedListError(f"not a machine list, ask again for all: {error}") from error
-    return [Machine(r.name, r.role, r.address, r.zone, r.pool, r.state) for r in rows]
--- a/src/martenrun/platform/machine_list.py
+++ b/src/martenrun/platform/machine_list.py
@@ -28,6 +28,9 @@
         return self.state != "live"
 
 
+_decoder = msgspec.json.Decoder(Machine)
+
+
 def shared_machine(machine: Machine, before: Machine | None) -> Machine:
     """Return an equal machine that takes least memory.
 
@@ -52,11 +55,15 @@
 def decoded_machines(data: bytes, before: Mapping[str, Machine]) -> list[Machine]:
     """Return the machines of the platform's answer.
 
+    Each is decoded by itself: a whole list of texts that are then given up would leave memory
+    with holes, which a process does not give back.
+
     Args:
         data: the answer.
         before: the machines known before, by name; unchanged ones are the same objects.
     """
-    machines = msgspec.json.decode(data, type=list[Machine])
+    entries = msgspec.json.decode(data, type=list[msgspec.Raw])
+    machines = map(_decoder.decode, entries)
     return [shared_machine(machine, before.get(machine.name)) for machine in machines]
 
 
