Map large blocks on their own in a running process

Cause: the C library raises its threshold for mapped blocks to the largest that was freed, so lists and dictionaries of 12,000 entries, made anew with each change, came from the heap and left holes between small blocks.

Change: a node and an agent keep the threshold at 288 KiB, and 2 MiB of free memory at the heap's end; an operator's MALLOC_MMAP_THRESHOLD_ is kept. bench node-state does the same.

Ruled out: the library's first 128 KiB (forgetting a runner took 29 ms for 5 to 7, as each step of the walk over the index was mapped anew); 288 KiB alone (12 to 16 ms: the heap's end was given back at once).

--- a/src/martenrun/bench/node_state.py
+++ b/src/martenrun/bench/node_state.py
@@ -14,6 +14,7 @@
 
 from martenrun.bench.scale.cluster import SECRET, UNUSED_ADDRESS
 from martenrun.bench.scale.platform import make_runners, region_name, zone_name
+from martenrun.cli.libraries import give_back_large_blocks
 from martenrun.constants import BLOCK_HASH_BYTES
 from martenrun.events import Event, MachinesListed, PeerMessage, Tick
 from martenrun.identity.chain import as_array
@@ -192,5 +193,6 @@
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON line.")
 def node_state(nodes: int, runners: int, as_json: bool) -> None:
     """Measure the memory a node takes for members and runners."""
+    give_back_large_blocks()
     encoded = msgspec.json.encode(run(nodes, runners))
     click.echo((encoded if as_json else msgspec.json.format(encoded)).decode())
--- a/src/martenrun/cli/processes.py
+++ b/src/martenrun/cli/processes.py
@@ -5,7 +5,7 @@
 import click
 
 from martenrun.cli.collector import collect_seldom
-from martenrun.cli.libraries import limit_native_threads
+from martenrun.cli.libraries import give_back_large_blocks, limit_native_threads
 from martenrun.cli.run import faults_printed, run_until_signal
 from martenrun.settings.load import check_file, read_settings
 from martenrun.settings.model import AgentSettings, NodeSettings
@@ -41,6 +41,7 @@
 def node(settings: Path | None, **flags: object) -> None:
     """Run a node."""
     limit_native_threads()
+    give_back_large_blocks()
     collect_seldom()
     # Imported here so that neither process loads the other's modules.
     from martenrun.node.process import NodeProcess
@@ -55,6 +56,7 @@
 def agent(settings: Path | None, **flags: object) -> None:
     """Run an agent."""
     limit_native_threads()
+    give_back_large_blocks()
     from martenrun.agent.process import AgentProcess
 
     with faults_printed():
--- a/tests/test_start_up.py
+++ b/tests/test_start_up.py
@@ -53,6 +53,25 @@
     assert done.stdout.decode().split() == ["1"]
 
 
+@pytest.mark.parametrize(("own_value", "is_mapped"), [(None, True), ("33554432", False)])
+def test_large_blocks_are_mapped_also_after_a_larger_one_was_freed(own_value, is_mapped) -> None:
+    code = (
+        "import ctypes; from martenrun.cli.libraries import give_back_large_blocks as wanted;"
+        "wanted(); c = ctypes.CDLL(None); c.malloc.restype = ctypes.c_void_p;"
+        "c.free.argtypes = [ctypes.c_void_p]; c.free(c.malloc(8_000_000));"
+        "maps = open('/proc/self/maps'); heap = [l for l in maps if '[heap]' in l][0].split()[0];"
+        "first, last = [int(end, 16) for end in heap.split('-')];"
+        "print(not first <= c.malloc(1_000_000) < last + 2_000_000)"
+    )
+    environment = {k: v for k, v in os.environ.items() if k != "MALLOC_MMAP_THRESHOLD_"}
+    if own_value is not None:
+        environment["MALLOC_MMAP_THRESHOLD_"] = own_value
+    done = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, check=True, env=environment
+    )
+    assert done.stdout.decode().split() == [str(is_mapped)]
+
+
 def test_a_node_joins_the_others_before_its_http_front_is_imported() -> None:
     code = "import sys, martenrun.cli.processes, martenrun.node.process; print(*sys.modules)"
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True)
