--- a/src/martenrun/agent/active.py
+++ b/src/martenrun/agent/active.py
@@ -21,6 +21,9 @@
 RETRY_AFTER_S = 1.0
 """When to come back after a failure that may pass, in seconds."""
 
+REPEAT_SHARE = 0.5
+"""Part of the time for an answer after which an unanswered question is sent once more."""
+
 _ERRORS = error_classes()
 _RAN_BY_OUTCOME = {
     AttemptOutcome.COMPLETE: Ran.YES,
@@ -79,6 +82,11 @@
         self.ran = later_ran(self.ran, _RAN_BY_OUTCOME[result.outcome])
         self.has_output = self.has_output or result.outcome is AttemptOutcome.BROKEN
 
+    def await_answer(self, now: float, patience_s: float) -> None:
+        """Wait for the present node's answer, for a time in seconds."""
+        self.asked_until = now + patience_s
+        self.repeat_at = now + REPEAT_SHARE * patience_s
+
     def weights_differ(self, grant: Grant) -> bool:
         """Whether going on there would mix the output of two weights versions."""
         if not self.has_output or self.grant is None:
--- a/src/martenrun/agent/process.py
+++ b/src/martenrun/agent/process.py
@@ -10,7 +10,7 @@
 from martenrun.edge.drain import EdgeStop
 from martenrun.edge.forward import EdgePort
 from martenrun.edge.server import ConnectionLimits, HttpServer
-from martenrun.events import Finish, PeerMessage, RunAttempt, Send
+from martenrun.events import Finish, PeerDisconnected, PeerMessage, RunAttempt, Send
 from martenrun.process import Clock, LoopActor, message_carrier
 from martenrun.settings.model import AgentSettings
 from martenrun.wire.keys import cluster_keys
@@ -28,6 +28,7 @@
             f"agent/{settings.name}",
             cluster_keys(settings.cluster_secret),
             lambda peer, message: self._loop.tell(PeerMessage(peer, message)),
+            lambda peer: self._loop.tell(PeerDisconnected(peer)),
         )
         self._loop = LoopActor.start(
             self._parts.in_order(),
--- a/src/martenrun/agent/requests.py
+++ b/src/martenrun/agent/requests.py
@@ -39,6 +39,7 @@
     Event,
     Finish,
     Instruction,
+    PeerDisconnected,
     PeerMessage,
     RequestArrived,
     RunAttempt,
@@ -47,11 +48,7 @@
 from martenrun.ownership.stall import StallDetector
 from martenrun.platform.engine import AttemptOutcome
 from martenrun.statecharts.compiler import load_chart
-from martenrun.wire.messages import (
-    Grant,
-    Queued,
-    Refusal,
-)
+from martenrun.wire.messages import Grant, Queued, Refusal
 
 MAXIMUM_ATTEMPTS = 4
 """Attempts at engines for one request, the first included."""
@@ -68,9 +65,6 @@
 A network that delays every answer past the first time-out would else let no answer count.
 """
 
-REPEAT_SHARE = 0.5
-"""Part of the time for an answer after which an unanswered question is sent once more."""
-
 _UNABLE_CODES = frozenset({StoppingError.code, NotReadyError.code})
 """Refusals of a node that can not judge the question."""
 
@@ -90,7 +84,10 @@
             leaving; the list of the node that granted it may be older.
     """
 
-    handles = frozenset({Tick, RequestArrived, AttemptEnded, CallerGone, Grant, Refusal, Queued})
+    handles = frozenset(
+        {Tick, RequestArrived, AttemptEnded, CallerGone, PeerDisconnected}
+        | {Grant, Refusal, Queued}
+    )
 
     def __init__(
         self,
@@ -130,16 +127,29 @@
 
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
-        if self._stall.is_stalled(now):
-            return self._ask_anew(now) + self._handled(event, now)
-        return self._handled(event, now)
+        anew = self._ask_anew(now) if self._stall.is_stalled(now) else []
+        return anew + self._handled(event, now)
 
     def _ask_anew(self, now: float) -> list[Instruction]:
         """After a pause, replace every open question; answers to the old ones are declined."""
-        waiting = [name for name, held in self._active.items() if held.state == "deciding"]
-        steps = [self._step(request_id, "stalled", now) for request_id in waiting]
+        steps = [self._step(name, "stalled", now) for name, _ in self._deciding()]
         return [instruction for step in steps for instruction in step]
 
+    def _deciding(self) -> list[tuple[str, ActiveRequest]]:
+        return [(name, held) for name, held in self._active.items() if held.state == "deciding"]
+
+    def _disconnected(self, peer: str, now: float) -> list[Instruction]:
+        """Ask the next node what was asked over a connection that has ended."""
+        instructions: list[Instruction] = []
+        for name, request in self._deciding():
+            if request.nodes[:1] == [peer]:
+                instructions += self._step(name, self._unanswered_event(request, now), now)
+        return instructions
+
+    def _unanswered_event(self, request: ActiveRequest, now: float) -> str:
+        """Return the chart event when the node asked can not be expected to answer."""
+        return "node_silent" if len(request.nodes) > 1 else self._search_event(request, now)
+
     def _handled(self, event: Event, now: float) -> list[Instruction]:
         match event:
             case RequestArrived():
@@ -150,6 +160,8 @@
                 return self._attempt_ended(event, now)
             case CallerGone():
                 return self._caller_gone(event.request_id, now)
+            case PeerDisconnected(peer):
+                return self._disconnected(peer, now)
             case Tick():
                 return self._check_times(now)
             case _:
@@ -277,7 +289,7 @@
             return "pause_over" if now >= request.resume_at else ""
         if now < request.asked_until:
             return "answer_late" if now >= request.repeat_at else ""
-        return "node_silent" if len(request.nodes) > 1 else self._search_event(request, now)
+        return self._unanswered_event(request, now)
 
     def _step(self, request_id: str, event: str, now: float) -> list[Instruction]:
         request = self._active.get(request_id)
@@ -298,14 +310,9 @@
     def _ask(self, request: ActiveRequest, now: float) -> list[Instruction]:
         request.attempt += 1
         patience_s = self._home_nodes.patience_s(request.nodes)
-        self._await_answer(request, now, patience_s * (LATER_PATIENCE if request.rounds else 1))
+        request.await_answer(now, patience_s * (LATER_PATIENCE if request.rounds else 1))
         return [question_message(request, now)]
 
-    @staticmethod
-    def _await_answer(request: ActiveRequest, now: float, patience_s: float) -> None:
-        request.asked_until = now + patience_s
-        request.repeat_at = now + REPEAT_SHARE * patience_s
-
     def _repeat_question(self, request: ActiveRequest, now: float) -> list[Instruction]:
         """Send the same question once more: it or its answer may have been lost."""
         request.repeat_at = inf
@@ -321,7 +328,7 @@
 
     def _wait_longer(self, request: ActiveRequest, now: float) -> list[Instruction]:
         request.search_until = 0.0
-        self._await_answer(request, now, DECISION_TIMEOUT_S)
+        request.await_answer(now, DECISION_TIMEOUT_S)
         return []
 
     def _withdraw(self, request: ActiveRequest, now: float) -> list[Instruction]:
--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -40,6 +40,17 @@
     message: Message
 
 
+@dataclass(frozen=True, slots=True)
+class PeerDisconnected:
+    """The connection to a peer has ended, or none could be opened.
+
+    What was sent over it may not have arrived, and its answers may not come.  The peer itself
+    may be alive: only its connection is known to be gone.
+    """
+
+    peer: str
+
+
 @dataclass(frozen=True, slots=True)
 class MachinesListed:
     """The machine list has answered."""
@@ -191,6 +202,7 @@
 Event = (
     Tick
     | PeerMessage
+    | PeerDisconnected
     | MachinesListed
     | RunnerDescribed
     | CacheEventsRead
--- a/src/martenrun/loop_inbox.py
+++ b/src/martenrun/loop_inbox.py
@@ -16,7 +16,7 @@
 from pykka._envelope import Envelope
 
 from martenrun.constants import TICK_INTERVAL_S
-from martenrun.events import EventBatch, PeerMessage, Tick
+from martenrun.events import EventBatch, PeerDisconnected, PeerMessage, Tick
 from martenrun.wire.messages import Message
 
 _TICK = Tick()
@@ -45,14 +45,14 @@
         self._transport: PolledTransport | None = None
         self._told: collections.deque[Any] = collections.deque()
         self._taken: collections.deque[Any] = collections.deque()
-        self._received: list[PeerMessage] = []
+        self._received: list[PeerMessage | PeerDisconnected] = []
         self._started = threading.Event()
         self._loop_thread = 0
         self._is_waiting = False
         self._next_tick = 0.0
 
     def attach(self, transport: PolledTransport) -> None:
-        """Name the transport that calls :meth:`receive`; call it before the loop starts."""
+        """Name the transport, which calls :meth:`receive`; call it before the loop starts."""
         self._transport = transport
 
     def start(self) -> None:
@@ -63,6 +63,10 @@
         """Take a message that the transport has read while it was polled."""
         self._received.append(PeerMessage(peer, message))
 
+    def disconnected(self, peer: str) -> None:
+        """Take that a connection has ended, as the transport found while it was polled."""
+        self._received.append(PeerDisconnected(peer))
+
     def put(self, envelope: Any) -> None:
         """Take an event from any thread; the loop's own need not wake it."""
         if threading.get_ident() == self._loop_thread:
--- a/src/martenrun/node/core.py
+++ b/src/martenrun/node/core.py
@@ -57,6 +57,7 @@
             address,
             keys,
             self._inbox.receive,
+            self._inbox.disconnected,
         )
         self._inbox.attach(self.transport)
         self.transport.listen(address)
--- a/src/martenrun/ownership/home.py
+++ b/src/martenrun/ownership/home.py
@@ -13,7 +13,15 @@
 
 from martenrun.configuration.view import ConfigurationView
 from martenrun.errors import MartenrunError
-from martenrun.events import Event, Instruction, PeerMessage, QuestionCleared, Send, Tick
+from martenrun.events import (
+    Event,
+    Instruction,
+    PeerDisconnected,
+    PeerMessage,
+    QuestionCleared,
+    Send,
+    Tick,
+)
 from martenrun.limits.admission import AdmissionLimits
 from martenrun.node.runners import RunnerTable
 from martenrun.ownership.leases import LeaseKeeper
@@ -22,7 +30,7 @@
 from martenrun.ownership.owner_answers import OwnerAnswers
 from martenrun.ownership.owners import OwnerMap
 from martenrun.ownership.question_steps import QuestionSteps
-from martenrun.ownership.questions import OpenQuestion, granted_message
+from martenrun.ownership.questions import OpenQuestion, Reservation, granted_message
 from martenrun.ownership.reservations import ReservationTable
 from martenrun.platform.engine import AttemptOutcome
 from martenrun.routing.policy import RoutingPolicy
@@ -97,6 +105,8 @@
                 return self._answers.slot_refused(owner, refused, now)
             case PeerMessage(_, LeasesVoided(identities)):
                 return self._answers.leases_voided(identities, now)
+            case PeerDisconnected(peer):
+                return self._disconnected(peer, now)
             case Tick():
                 return self._tick(now)
         return self._agents_message(event, now)
@@ -168,6 +178,21 @@
             return self._steps.step(question, "withdrawn", now)
         return []
 
+    def _disconnected(self, peer: str, now: float) -> list[Instruction]:
+        """Ask others for what an owner was asked over a connection that has ended."""
+        instructions: list[Instruction] = []
+        for question in list(self._steps.undecided.values()):
+            for reservation in list(question.reservations.values()):
+                if reservation.owner == peer:
+                    self._steps.reservations.disconnected(peer, now)
+                    instructions += self._lost(reservation, now)
+        return instructions
+
+    def _lost(self, reservation: Reservation, now: float) -> list[Instruction]:
+        """Go on without a reservation whose answer is overdue or can not come."""
+        released = self._steps.reservations.give_back([reservation])
+        return released + self._steps.failed(reservation.question, now)
+
     # The clock.
 
     def _tick(self, now: float) -> list[Instruction]:
@@ -195,6 +220,5 @@
         instructions: list[Instruction] = []
         for reservation in list(question.reservations.values()):
             if self._steps.reservations.is_overdue(reservation, now):
-                instructions += self._steps.reservations.give_back([reservation])
-                instructions += self._steps.failed(question, now)
+                instructions += self._lost(reservation, now)
         return instructions
--- a/src/martenrun/ownership/logic.py
+++ b/src/martenrun/ownership/logic.py
@@ -5,6 +5,7 @@
     Event,
     Instruction,
     MachinesListed,
+    PeerDisconnected,
     PeerMessage,
     QuestionCleared,
     RunnerDescribed,
@@ -39,6 +40,7 @@
     handles = frozenset(
         {
             Tick,
+            PeerDisconnected,
             QuestionCleared,
             DecideRequest,
             AttemptReport,
--- a/src/martenrun/ownership/reservations.py
+++ b/src/martenrun/ownership/reservations.py
@@ -108,9 +108,13 @@
             return True
         if now < reservation.answer_until:
             return False
-        self._suspects[reservation.owner] = now + SUSPECT_S
+        self.disconnected(reservation.owner, now)
         return True
 
+    def disconnected(self, owner: str, now: float) -> None:
+        """An owner has not answered in time, or the connection to it has ended."""
+        self._suspects[owner] = now + SUSPECT_S
+
     def heard(self, owner: str) -> None:
         """An owner has answered."""
         self._suspects.pop(owner, None)
--- a/src/martenrun/simulation/hollow.py
+++ b/src/martenrun/simulation/hollow.py
@@ -9,6 +9,7 @@
     DecisionLogic,
     Event,
     Instruction,
+    PeerDisconnected,
     PeerMessage,
     Send,
     SendDatagram,
@@ -55,7 +56,11 @@
         self._observe = observe
         self._alive = True
         self._frozen_events: list[Event] | None = None
-        network.attach(name, lambda peer, message: self.tell(PeerMessage(peer, message)))
+        network.attach(
+            name,
+            lambda peer, message: self.tell(PeerMessage(peer, message)),
+            lambda peer: self.tell(PeerDisconnected(peer)),
+        )
         scheduler.after(0.0, self._tick)
 
     def tell(self, event: Event) -> None:
--- a/src/martenrun/wire/limits.py
+++ b/src/martenrun/wire/limits.py
@@ -4,6 +4,10 @@
 import socket
 from dataclasses import dataclass
 
+from absl import logging
+
+from martenrun.wire.addresses import parse_address
+
 HANDSHAKE_TIMEOUT_S = 3.0
 """Time until a connection must be established, in seconds."""
 
@@ -50,6 +54,21 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
 
 
+def connecting_socket(peer: str) -> socket.socket | None:
+    """Begin to connect to ``IP:port``; None if it is no address or no socket is left."""
+    try:
+        address = parse_address(peer)
+        sock = socket.socket(socket.AF_INET)
+        tune(sock)
+    except ValueError:
+        return None
+    except OSError as error:
+        logging.log_every_n_seconds(logging.WARNING, "no socket for %s: %s", 5, peer, error)
+        return None
+    sock.connect_ex(address)
+    return sock
+
+
 @dataclass(slots=True)
 class _Backoff:
     pause_s: float
--- a/src/martenrun/wire/transport.py
+++ b/src/martenrun/wire/transport.py
@@ -35,6 +35,7 @@
     SUPERSEDED_IDLE_S,
     SWEEP_INTERVAL_S,
     Backoffs,
+    connecting_socket,
     tune,
 )
 from martenrun.wire.messages import Message
@@ -44,6 +45,9 @@
 Receive = Callable[[str, Message], Any]
 """Called with the peer's name and the message, on the thread that serves the sockets."""
 
+Told = Callable[[str], Any]
+"""Called on that thread with a peer whose connection ended or could not be opened."""
+
 
 class PeerTransport:
     """Sends and receives internal messages between named peers.
@@ -55,11 +59,14 @@
         sent_stream_bytes: bytes given to TCP so far, handshakes and frames included.
     """
 
-    def __init__(self, name: str, keys: ClusterKeys, receive: Receive) -> None:
+    def __init__(
+        self, name: str, keys: ClusterKeys, receive: Receive, disconnected: Told = lambda _: None
+    ) -> None:
         self.name = name
         self.sent_stream_bytes = 0
         self._keys = keys
         self._receive = receive
+        self._disconnected = disconnected
         self._selector = selectors.DefaultSelector()
         # Held while connections are looked up, sealed for, written to or closed.
         self._lock = threading.RLock()
@@ -236,18 +243,10 @@
 
     def _connect(self, peer: str) -> Connection | None:
         now = time.monotonic()
-        if not self._backoffs.may_connect(peer, now):
-            return None
-        try:
-            address = parse_address(peer)
-            sock = socket.socket(socket.AF_INET)
-            tune(sock)
-        except ValueError:
-            return None
-        except OSError as error:
-            logging.log_every_n_seconds(logging.WARNING, "no socket for %s: %s", 5, peer, error)
+        sock = connecting_socket(peer) if self._backoffs.may_connect(peer, now) else None
+        if sock is None:
+            self._disconnected(peer)
             return None
-        sock.connect_ex(address)
         connection = Connection(sock, self.name, self._keys, peer, is_connector=True)
         self._connections[peer] = connection
         return self._add(connection, now)
@@ -396,5 +395,6 @@
             del self._connections[peer]
             if not connection.established:
                 self._backoffs.failed(peer, time.monotonic())
+            self._disconnected(peer)
         if peer:
             logging.log_every_n_seconds(logging.INFO, "connection to %s ended: %s", 5, peer, reason)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -7,13 +7,13 @@
 from hypothesis import strategies as st
 
 from martenrun.errors import error_classes
-from martenrun.events import PeerMessage
+from martenrun.events import PeerDisconnected, PeerMessage
 from martenrun.ownership.home import HomeLogic
 from martenrun.ownership.reasons import Reason
 from martenrun.simulation.network import LinkFaults
 from martenrun.simulation.ownership_cluster import MODEL, TENANT, VERSION, OwnershipCluster
 from martenrun.statecharts.compiler import load_chart
-from martenrun.wire.messages import DecideRequest, ReleaseSlots, SlotGranted, SlotRefused
+from martenrun.wire.messages import DecideRequest, Grant, ReleaseSlots, SlotGranted, SlotRefused
 
 FAULTY = LinkFaults(delay_s=0.001, jitter_s=0.02, loss=0.02, duplicate=0.05)
 RECOVERY_S = 75.0
@@ -199,6 +199,21 @@
     assert other.message.runner not in ("", reserved.message.runner)
 
 
+def test_what_was_asked_over_an_ended_connection_is_asked_anew_and_leases_stay():
+    home = Home()
+    (reserved,) = home.ask()
+    owner = home.node.ownership.home
+    released, other = owner.handle(PeerDisconnected(reserved.peer), 1.0)
+    assert released.message == ReleaseSlots([reserved.message.reservation_id])
+    assert other.message.reservation_id != reserved.message.reservation_id
+    (late,) = home.grant(reserved)
+    assert late.message == ReleaseSlots([reserved.message.reservation_id])
+    (answer,) = home.grant(other)
+    assert isinstance(answer.message, Grant)
+    assert owner.handle(PeerDisconnected(other.peer), 1.0) == []
+    assert owner.open_count == 1
+
+
 def test_a_repeated_question_gets_the_grant_that_it_has_got():
     home = Home()
     (reserved,) = home.ask()
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -12,6 +12,7 @@
     AttemptEnded,
     CallerGone,
     Finish,
+    PeerDisconnected,
     PeerMessage,
     RequestArrived,
     RunAttempt,
@@ -109,6 +110,23 @@
     assert agent.logic.active_count == 0
 
 
+def test_what_was_asked_over_an_ended_connection_is_asked_elsewhere_at_once(agent):
+    agent.arrive()
+    first = agent.asked()
+    agent.tell(PeerDisconnected("node-x"))
+    assert agent.asked() is first
+    agent.tell(PeerDisconnected(first.peer))
+    second = agent.asked()
+    assert second.peer != first.peer
+    assert (second.message.request_id, second.message.attempt) == ("r", 2)
+    agent.tell(PeerMessage(first.peer, Grant("r", 1, "engine-0")))
+    assert agent.runs() == [] and agent.sent(WithdrawRequest)[-1].peer == first.peer
+    agent.grant("engine-1")
+    agent.tell(PeerDisconnected(second.peer))
+    assert [run.grant.runner for run in agent.runs()] == ["engine-1"]
+    assert agent.asked() is second
+
+
 def test_a_late_answer_is_asked_for_once_more_and_waited_for_longer_in_later_rounds(agent):
     agent.arrive(deadline_s=30.0)
     agent.wait(DECISION_TIMEOUT_S / 2)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -69,6 +69,24 @@
         assert_serves(running, received)
 
 
+def test_the_sender_is_told_of_an_ended_connection_and_of_one_that_can_not_be_opened():
+    ended = queue.Queue()
+    client = PeerTransport("agent/honest", KEYS, lambda peer, message: None, ended.put)
+    client.start()
+    try:
+        with server() as (running, received):
+            client.send(running.name, MESSAGE)
+            received.get(timeout=10)
+            assert ended.empty()
+        assert ended.get(timeout=10) == running.name
+        # Refused by the machine; then not even tried, because another try is not due yet.
+        for _ in range(2):
+            client.send(running.name, MESSAGE)
+            assert ended.get(timeout=10) == running.name
+    finally:
+        client.stop()
+
+
 def test_a_silent_stranger_is_closed_after_the_handshake_time(monkeypatch):
     monkeypatch.setattr(transport, "HANDSHAKE_TIMEOUT_S", 0.2)
     with server() as (running, _received), stranger_of(running) as stranger:
