--- a/src/martenrun/membership/gossip.py
+++ b/src/martenrun/membership/gossip.py
@@ -16,6 +16,7 @@
     LeaveRequested,
     MachinesListed,
     MembersChanged,
+    PeerDisconnected,
     PeerMessage,
     Send,
     SendDatagram,
@@ -52,6 +53,9 @@
 VERIFIED_AT_ONCE = 5
 """Members claimed dead that are probed in one round of news."""
 
+DOUBT_INTERVAL_S = 0.2
+"""Shortest time between two probes because a connection has ended, in seconds."""
+
 BULK_FANOUT = 1
 """Nodes told in one round of news while there are so many changes."""
 
@@ -70,6 +74,7 @@
             Tick,
             MachinesListed,
             LeaveRequested,
+            PeerDisconnected,
             Probe,
             ProbeAnswer,
             ProbeRequest,
@@ -97,7 +102,7 @@
         self._told_version = (0, 0)
         self._last_event_at: float | None = None
         self._exchange = DifferenceExchange(self._table, settings, rng)
-        self._due = {"probe": 0.0, "gossip": 0.0, "dead": 0.0, "join": 0.0}
+        self._due = {"probe": 0.0, "gossip": 0.0, "dead": 0.0, "join": 0.0, "doubt": 0.0}
 
     @property
     def own(self) -> Member:
@@ -155,6 +160,8 @@
                 return self._tick(now)
             case PeerMessage(peer, message):
                 return self._message(peer, message, now)
+            case PeerDisconnected(peer):
+                return self._doubt(peer, now)
             case MachinesListed(machines):
                 if self._listed.update(machines):
                     self._table.leave(now)
@@ -246,12 +253,30 @@
             probe.indirect_at = now + 2 * self._settings.probe_timeout_s
             claims = [] if probe.is_corroborated else self._claims_for(probe.target)
             instructions.append(SendDatagram(probe.target, Probe(sequence, "", claims)))
-            relays = [] if probe.is_corroborated else self._prober.relays_for(record)
-            for relay in relays:
-                request = ProbeRequest(sequence, probe.target, self._claims_for(relay))
-                instructions.append(SendDatagram(relay, request))
+            if not probe.is_corroborated:
+                instructions += self._ask_others(sequence, record)
         return instructions
 
+    def _ask_others(self, sequence: int, target: MemberRecord) -> list[Instruction]:
+        return [
+            SendDatagram(relay, ProbeRequest(sequence, target.address, self._claims_for(relay)))
+            for relay in self._prober.relays_for(target)
+        ]
+
+    def _doubt(self, peer: str, now: float) -> list[Instruction]:
+        """Probe a member whose connection has ended, directly and through others at once."""
+        record = self._table.records.get(peer)
+        if record is None or record.status is not MemberStatus.LIVE:
+            return []
+        if self._prober.is_probed(peer) or not self._is_due("doubt", DOUBT_INTERVAL_S, now):
+            return []
+        sequence = self._prober.next_sequence()
+        until = now + self._settings.probe_timeout_s
+        probe = OpenProbe(peer, record.incarnation, until, asked_others=True)
+        self._prober.open[sequence] = probe
+        direct = SendDatagram(peer, self._probe_message(sequence, peer))
+        return [direct, *self._ask_others(sequence, record)]
+
     def _fail(self, record: MemberRecord | None, probe: OpenProbe, now: float) -> None:
         if record is None or record.incarnation != probe.incarnation:
             return
--- a/src/martenrun/membership/prober.py
+++ b/src/martenrun/membership/prober.py
@@ -122,7 +122,7 @@
         for address in self._rng.sample(waiting, min(count, len(waiting))):
             claim = self._table.unverified.pop(address)
             record = self._table.records.get(address)
-            if record is not None and not self._is_probed(address):
+            if record is not None and not self.is_probed(address):
                 taken.append((record, claim))
         return taken
 
@@ -159,5 +159,6 @@
             if record.status is not MemberStatus.DEAD and record is not own
         ]
 
-    def _is_probed(self, address: str) -> bool:
+    def is_probed(self, address: str) -> bool:
+        """Return whether an answer of a member is awaited."""
         return any(probe.target == address for probe in self.open.values())
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -56,7 +56,7 @@
         self._front: NodeFront | None = None
         self._pollers = [
             Poller("machine-list", self._polls.list_machines, MACHINE_POLL_S),
-            Poller("runners", self._polls.follow_engines, RUNNER_POLL_S),
+            Poller("runners", self._polls.follow_engines, RUNNER_POLL_S, starts_quickly=True),
         ]
 
     def start(self) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from martenrun.events import LeaveRequested, MachinesListed
+from martenrun.events import LeaveRequested, MachinesListed, PeerDisconnected
 from martenrun.membership.differences import (
     MAXIMUM_STATES,
     claims_in,
@@ -52,6 +52,17 @@
     cluster.run_until(cluster.agrees, 10)
 
 
+@pytest.mark.parametrize("is_dead", [True, False])
+def test_a_member_whose_connection_ended_is_probed_at_once(is_dead):
+    cluster = joined(3)
+    victim, witness, _other = cluster.addresses
+    if is_dead:
+        cluster.kill(victim)
+    cluster.processes[witness].tell(PeerDisconnected(victim))
+    cluster.run(cluster.settings.probe_timeout_s + 0.1)
+    assert (victim in cluster.views[witness].suspected()) == is_dead
+
+
 def test_a_node_restarted_before_its_death_was_noticed_is_never_dead():
     cluster = joined()
     victim = cluster.addresses[-1]
