--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -10,7 +10,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -100,10 +100,10 @@
         """Put an engine into the machine list."""
         put_machine(self.machines, Machine(name, "engine", address, zone, pool, state))
 
-    def start_nodes(self, zones: list[str], *flags: str) -> None:
-        """Start one node in each of the zones, all knowing each other."""
+    def start_nodes(self, zones: list[str], *flags: str, peers: Sequence[str] = ()) -> None:
+        """Start one node in each of the zones, all knowing each other, at ``peers`` if given."""
         first = len(self.node_peers)
-        self.node_peers += [free_address() for _ in zones]
+        self.node_peers += peers or [free_address() for _ in zones]
         self.node_edges += [free_address() for _ in zones]
         for index, zone in enumerate(zones, start=first):
             self.start_node(index, zone, *flags)
--- a/scripts/measure_node_kill.py
+++ b/scripts/measure_node_kill.py
@@ -1,6 +1,8 @@
 """Measures what callers see when one node of three is killed under load, in real processes.
 
-Usage: ``measure_node_kill.py [--runs N] [FILE]``; without a file the figures are only printed.
+Usage: ``measure_node_kill.py [--runs N] [--owned N] [FILE]``; without a file the figures are only
+printed.  With ``--owned`` the killed node owns so many of the three engines; else it is left to
+the ports, and told.
 
 Closed-loop callers keep three engines busy through two agents.  Three in ten requests are not
 repeatable and carry an idempotency key; a keyed request without a whole stream is sent again
@@ -19,8 +21,9 @@
 from pathlib import Path
 
 import urllib3
-from deployment import Deployment, answers, ended_on_failure
+from deployment import Deployment, answers, ended_on_failure, free_address
 
+from martenrun.identity.hashing import best_columns, name_hashes
 from martenrun.load.client import CompletionCall, CompletionClient, StreamRecord
 
 MODEL = "vine-reader"
@@ -74,6 +77,7 @@
     """Figures of one run; times in seconds, windows of one second from the load's start.
 
     Attributes:
+        owned_by_killed: engines whose owner the killed node was.
         lost: streams that were not whole, by what the caller saw.
         lost_after_repeat: keyed requests still without an answer after their one repetition.
         doubled_keyed: keyed requests that engines executed more than once.
@@ -85,6 +89,7 @@
         calm_windows_over_aim: part of the windows before the kill that are themselves over it.
     """
 
+    owned_by_killed: int
     calls: int
     whole: int
     lost: dict[str, int]
@@ -105,7 +110,23 @@
     restart_at_s: int = WARM_UP_S + BEFORE_S + DOWN_S
 
 
-def start() -> Deployment:
+def owned_by_killed(peers: list[str]) -> int:
+    """Return how many engines the node that is killed owns, by rendezvous hashing."""
+    members = sorted(peers)
+    engines = name_hashes([f"engine-{index}" for index in range(ENGINES)])
+    owners = best_columns(engines, name_hashes(members)).tolist()
+    return sum(members[owner] == peers[KILLED] for owner in owners)
+
+
+def drawn_peers(owned: int | None) -> list[str]:
+    """Return nodes' addresses by which the killed one owns so many engines, if that is said."""
+    while True:
+        peers = [free_address() for _ in range(NODES)]
+        if owned is None or owned_by_killed(peers) == owned:
+            return peers
+
+
+def start(owned: int | None) -> Deployment:
     """Start the deployment and publish a tenant, a pool and a route."""
     deployment = Deployment()
     with ended_on_failure(deployment):
@@ -114,7 +135,7 @@
         flags += ["--prefill-s-per-block", "0.01", "--slowdown-per-stream", "0"]
         for _ in range(ENGINES):
             deployment.start_engine("zone-a", "readers", MODEL, *flags)
-        deployment.start_nodes(["zone-a"] * NODES)
+        deployment.start_nodes(["zone-a"] * NODES, peers=drawn_peers(owned))
         deployment.start_agents(["zone-a"] * AGENTS)
         deployment.apply_tenant(TENANT, KEY)
         deployment.serve_pool("readers", MODEL)
@@ -180,9 +201,9 @@
     return counts
 
 
-def run() -> Result:
+def run(owned: int | None) -> Result:
     """Run once."""
-    deployment = start()
+    deployment = start(owned)
     log, stop = Log(), threading.Event()
     callers: list[threading.Thread] = []
     try:
@@ -200,14 +221,18 @@
         stop.set()
         for caller in callers:
             caller.join(2 * DEADLINE_S)
-        return judged(log.calls, executions(deployment), times)
+        owned = owned_by_killed(deployment.node_peers)
+        return judged(log.calls, executions(deployment), times, owned)
     finally:
         stop.set()
         deployment.stop()
 
 
 def judged(
-    calls: list[Call], executed: Counter[str], restart_s: tuple[float, float, float]
+    calls: list[Call],
+    executed: Counter[str],
+    restart_s: tuple[float, float, float],
+    owned: int,
 ) -> Result:
     """Return the figures of a run."""
     keyed, repeatable = Counter[str](), Counter[str]()
@@ -223,6 +248,7 @@
     median = statistics.median(before)
     lost = [call for call in calls if not call.record.whole]
     return Result(
+        owned_by_killed=owned,
         calls=len(calls),
         whole=len(calls) - len(lost),
         lost=dict(Counter(seen(call.record) for call in lost)),
@@ -278,10 +304,11 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("file", nargs="?")
     parser.add_argument("--runs", type=int, default=1)
+    parser.add_argument("--owned", type=int, choices=range(ENGINES + 1))
     options = parser.parse_args()
     lines = []
     for _ in range(options.runs):
-        lines.append(json.dumps(asdict(run())))
+        lines.append(json.dumps(asdict(run(options.owned))))
         print(lines[-1], flush=True)
     if options.file:
         Path(options.file).write_text("[\n" + ",\n".join(lines) + "\n]\n")
