Check runs over a replaced deployment as a history of their own

The check is as strict as before for each deployment: each history is closed with its own late executions; nothing of one process or store spans two.

--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -3,15 +3,16 @@
 The product itself starts no processes; this script does, and ends exactly those it started.
 """
 
+import contextlib
 import hashlib
 import json
+import random
 import signal
 import socket
 import subprocess
 import sys
 import time
 from collections.abc import Callable, Iterator, Sequence
-from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import urllib3
@@ -25,11 +26,21 @@
 _ADMIN_DIGEST = hashlib.sha256(ADMIN_KEY.encode()).hexdigest()
 
 
+_SERVER_PORTS = range(20_000, 32_768)
+"""Ports below those that Linux gives to outgoing connections.
+
+Such a connection, also one that has ended a minute ago, would keep a server from its port while
+it is stopped and started again.
+"""
+
+
 def free_address() -> str:
     """Return a loopback address whose port is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    while True:
+        address = ("127.0.0.1", random.SystemRandom().choice(_SERVER_PORTS))
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(address)
+            return f"{address[0]}:{address[1]}"
 
 
 def wait_until(condition: Callable[[], bool], what: str, timeout_s: float) -> None:
@@ -50,7 +61,7 @@
     return response.status == 200
 
 
-@contextmanager
+@contextlib.contextmanager
 def ended_on_failure(deployment: "Deployment") -> Iterator[None]:
     """End a deployment's processes if its set-up fails or is interrupted."""
     try:
--- a/scripts/prove_processes.py
+++ b/scripts/prove_processes.py
@@ -14,6 +14,7 @@
 from process_run import ProcessRun
 from proved_deployment import ProvedDeployment
 
+from martenrun.proof.history import AnyRecord
 from martenrun.proof.process_campaign import ProcessCampaign, ProcessSummary
 from martenrun.proof.process_schedule import ProcessSchedule, draw_process_schedule
 
@@ -35,7 +36,6 @@
     until = time.monotonic() + limit_s
     campaign = ProcessCampaign(first_seed)
     deployment: ProvedDeployment | None = None
-    executions = []
     try:
         for schedule in schedules:
             if time.monotonic() > until:
@@ -43,7 +43,6 @@
                 break
             if deployment is None:
                 deployment = ProvedDeployment(entries=entries or {})
-                executions.append(deployment.executions)
                 deployment.start()
             try:
                 history = ProcessRun(deployment, schedule).run()
@@ -51,12 +50,17 @@
             except Exception as error:
                 campaign.crashed(schedule.seed, error)
                 deployment.stop()
+                campaign.finish(executions_of(deployment))
                 deployment = None
     finally:
         if deployment is not None:
             deployment.stop()
-    late = [record for reports in executions for record in reports if record.request_id != "probe"]
-    return campaign.finish(late)
+    return campaign.finish([] if deployment is None else executions_of(deployment))
+
+
+def executions_of(deployment: ProvedDeployment) -> list[AnyRecord]:
+    """Return all executions that a deployment's engines have reported."""
+    return [record for record in deployment.executions if record.request_id != "probe"]
 
 
 def show(summary: ProcessSummary, as_json: bool) -> None:
--- a/src/martenrun/proof/process_campaign.py
+++ b/src/martenrun/proof/process_campaign.py
@@ -45,10 +45,11 @@
 
 
 class ProcessCampaign:
-    """Checks each run, and in the end all of them as one history.
+    """Checks each run, and in the end all runs over one deployment as one history.
 
     The whole history also shows what came after a run's end: late executions, and changes of
-    configuration that take longer than a run.
+    configuration that take longer than a run.  Another deployment begins another history: its
+    processes have the same names, but its object API counts its revisions anew.
     """
 
     def __init__(self, first_seed: int) -> None:
@@ -72,13 +73,17 @@
         self.summary.crashes[seed] = f"{type(error).__name__}: {error}"
 
     def finish(self, late_records: list[AnyRecord]) -> ProcessSummary:
-        """Check all runs as one history, with records that came after their runs."""
+        """Check the runs over one deployment as one history, with what came after their runs.
+
+        Runs that are added afterwards are those of another deployment.
+        """
         if self._ends:
             known = {id(record) for record in self._records}
             self._records += [record for record in late_records if id(record) not in known]
             ordered = sorted(self._records, key=lambda record: record.time_s)
             for violation in check_processes(History(ordered, self._ends[-1][1])):
                 self._found(self._seed_at(violation.time_s), violation)
+        self._records, self._ends = [], []
         return self.summary
 
     def _seed_at(self, time_s: float) -> int:
--- a/tests/test_proof_processes.py
+++ b/tests/test_proof_processes.py
@@ -7,7 +7,15 @@
 from proved_deployment import ProvedDeployment
 
 from martenrun.load.client import StreamRecord
-from martenrun.proof.history import History, RequestAnswered, RequestInvoked, Token
+from martenrun.proof.history import (
+    ConfigurationAccepted,
+    ConfigurationInForce,
+    History,
+    ProcessStarted,
+    RequestAnswered,
+    RequestInvoked,
+    Token,
+)
 from martenrun.proof.process_campaign import ProcessCampaign, check_processes
 from martenrun.proof.process_records import (
     CONNECTION_LOST,
@@ -109,6 +117,29 @@
     assert summary.is_clean, summary.violations
 
 
+def changed(revision, at_s):
+    """A change that every check of one deployment finds in force, and its process's last sight."""
+    process = {"process": "node-0", "incarnation": "1", "digest": "d"}
+    return [
+        ProcessStarted(time_s=at_s, process="node-0", restarted=False, is_node=True),
+        ConfigurationAccepted(time_s=at_s + 1.0, revision=revision, subject="tenants/a"),
+        *(
+            ConfigurationInForce(time_s=at_s + second, revision=revision, **process)
+            for second in range(2, 20)
+        ),
+    ]
+
+
+@pytest.mark.parametrize("is_replaced", [True, False])
+def test_another_deployments_revisions_are_not_held_against_the_one_before(is_replaced):
+    campaign = ProcessCampaign(1)
+    campaign.add(1, [], History(changed(650, 0.0), 5.0))
+    if is_replaced:
+        campaign.finish([])
+    campaign.add(2, [], History(changed(7, 30.0), 60.0))
+    assert ("configuration" in campaign.finish([]).violations_by_promise) != is_replaced
+
+
 def text(source, count):
     return TokenSequence(f"{prompt_of(source)}".encode(), WEIGHTS_VERSION).text(count)
 
