--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -3,16 +3,17 @@
 The product itself starts no processes; this script does, and ends exactly those it started.
 """
 
+import contextlib
 import hashlib
 import json
+import random
 import signal
 import socket
 import subprocess
 import sys
 import threading
 import time
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 import urllib3
@@ -27,11 +28,21 @@
 _ADMIN_DIGEST = hashlib.sha256(ADMIN_KEY.encode()).hexdigest()
 
 
+_SERVER_PORTS = range(20_000, 32_768)
+"""Ports below those that Linux gives to outgoing connections.
+
+Such a connection, also one that has ended a minute ago, would keep a server from its port while
+it is stopped and started again.
+"""
+
+
 def free_address() -> str:
     """Return a loopback address whose port is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    while True:
+        address = ("127.0.0.1", random.SystemRandom().choice(_SERVER_PORTS))
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(address)
+            return f"{address[0]}:{address[1]}"
 
 
 def wait_until(condition: Callable[[], bool], what: str, timeout_s: float) -> None:
@@ -52,7 +63,7 @@
     return response.status == 200
 
 
-@contextmanager
+@contextlib.contextmanager
 def signals_held() -> Iterator[None]:
     """Hold a signal to stop back until the block's end; it is then raised again.
 
@@ -76,7 +87,7 @@
             signal.raise_signal(number)
 
 
-@contextmanager
+@contextlib.contextmanager
 def ended_on_failure(deployment: "Deployment") -> Iterator[None]:
     """End a deployment's processes if its set-up fails or is interrupted."""
     try:
@@ -135,10 +146,10 @@
         """Put an engine into the machine list."""
         put_machine(self.machines, Machine(name, "engine", address, zone, pool, state))
 
-    def start_nodes(self, zones: list[str], *flags: str) -> None:
-        """Start one node in each of the zones, all knowing each other."""
+    def start_nodes(self, zones: list[str], *flags: str, peers: Sequence[str] = ()) -> None:
+        """Start one node in each of the zones, all knowing each other, at ``peers`` if given."""
         first = len(self.node_peers)
-        self.node_peers += [free_address() for _ in zones]
+        self.node_peers += peers or [free_address() for _ in zones]
         self.node_edges += [free_address() for _ in zones]
         for index, zone in enumerate(zones, start=first):
             self.start_node(index, zone, *flags)
--- a/src/martenrun/agent/active.py
+++ b/src/martenrun/agent/active.py
@@ -21,6 +21,9 @@
 RETRY_AFTER_S = 1.0
 """When to come back after a failure that may pass, in seconds."""
 
+REPEAT_SHARE = 0.5
+"""Part of the time for an answer after which an unanswered question is sent once more."""
+
 _ERRORS = error_classes()
 _RAN_BY_OUTCOME = {
     AttemptOutcome.COMPLETE: Ran.YES,
@@ -100,6 +103,14 @@
         """Return when to give up asking nodes; where one has answered late, nodes live."""
         return self.deadline if self.late_nodes else min(self.search_until, self.deadline)
 
+    def await_answer(self, now: float, patience_s: float, times: int) -> None:
+        """Wait for the present node's answer, so many times as long as at first.
+
+        The question is sent again within the first time, in which most answers come.
+        """
+        self.asked_until = now + times * patience_s
+        self.repeat_at = now + REPEAT_SHARE * patience_s
+
     def weights_differ(self, grant: Grant) -> bool:
         """Whether going on there would mix the output of two weights versions."""
         if not self.has_output or self.grant is None:
--- a/src/martenrun/agent/configuration.py
+++ b/src/martenrun/agent/configuration.py
@@ -78,6 +78,7 @@
         left = sorted(nodes - self._silent) or sorted(nodes)
         chosen = self._rng.sample(left, min(FIRST_FANOUT if is_new else 1, len(left)))
         self._silent = (self._silent if len(left) < len(nodes) else set()).union(chosen)
+        self._replica.awaits(chosen)
         digest = nodes_digest(self.state.nodes)
         return [
             Send(node, ConfigurationQuery(self.state.revision, nodes_digest=digest))
--- a/src/martenrun/agent/requests.py
+++ b/src/martenrun/agent/requests.py
@@ -9,7 +9,7 @@
 import random
 from collections.abc import Callable
 
-from martenrun.agent.active import RETRY_AFTER_S, ActiveRequest, later_ran
+from martenrun.agent.active import REPEAT_SHARE, RETRY_AFTER_S, ActiveRequest, later_ran
 from martenrun.agent.home_nodes import HomeNodes
 from martenrun.agent.messages import (
     attempt_report,
@@ -38,6 +38,7 @@
     Event,
     Finish,
     Instruction,
+    PeerDisconnected,
     PeerMessage,
     RequestArrived,
     RunAttempt,
@@ -46,11 +47,7 @@
 from martenrun.ownership.stall import StallDetector
 from martenrun.platform.engine import AttemptOutcome
 from martenrun.statecharts.compiler import load_chart
-from martenrun.wire.messages import (
-    Grant,
-    Queued,
-    Refusal,
-)
+from martenrun.wire.messages import Grant, Queued, Refusal
 
 MAXIMUM_ATTEMPTS = 4
 """Attempts at engines for one request, the first included."""
@@ -70,9 +67,6 @@
 LATE_PATIENCE = 4
 """How many times longer a node may take that has answered the same request too late before."""
 
-REPEAT_SHARE = 0.5
-"""Part of the first time-out after which an unanswered question is sent again, and again."""
-
 _UNABLE_CODES = frozenset({StoppingError.code, NotReadyError.code})
 """Refusals of a node that can not judge the question."""
 
@@ -92,7 +86,10 @@
             leaving; the list of the node that granted it may be older.
     """
 
-    handles = frozenset({Tick, RequestArrived, AttemptEnded, CallerGone, Grant, Refusal, Queued})
+    handles = frozenset(
+        {Tick, RequestArrived, AttemptEnded, CallerGone, PeerDisconnected}
+        | {Grant, Refusal, Queued}
+    )
 
     def __init__(
         self,
@@ -132,16 +129,29 @@
 
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
-        if self._stall.is_stalled(now):
-            return self._ask_anew(now) + self._handled(event, now)
-        return self._handled(event, now)
+        anew = self._ask_anew(now) if self._stall.is_stalled(now) else []
+        return anew + self._handled(event, now)
 
     def _ask_anew(self, now: float) -> list[Instruction]:
         """After a pause, replace every open question; answers to the old ones are declined."""
-        waiting = [name for name, held in self._active.items() if held.state == "deciding"]
-        steps = [self._step(request_id, "stalled", now) for request_id in waiting]
+        steps = [self._step(name, "stalled", now) for name, _ in self._deciding()]
         return [instruction for step in steps for instruction in step]
 
+    def _deciding(self) -> list[tuple[str, ActiveRequest]]:
+        return [(name, held) for name, held in self._active.items() if held.state == "deciding"]
+
+    def _disconnected(self, peer: str, now: float) -> list[Instruction]:
+        """Ask the next node what was asked over a connection that has ended."""
+        instructions: list[Instruction] = []
+        for name, request in self._deciding():
+            if request.nodes[:1] == [peer]:
+                instructions += self._step(name, self._unanswered_event(request, now), now)
+        return instructions
+
+    def _unanswered_event(self, request: ActiveRequest, now: float) -> str:
+        """Return the chart event when the node asked can not be expected to answer."""
+        return "node_silent" if len(request.nodes) > 1 else self._search_event(request, now)
+
     def _handled(self, event: Event, now: float) -> list[Instruction]:
         match event:
             case RequestArrived():
@@ -152,6 +162,8 @@
                 return self._attempt_ended(event, now)
             case CallerGone():
                 return self._caller_gone(event.request_id, now)
+            case PeerDisconnected(peer):
+                return self._disconnected(peer, now)
             case Tick():
                 return self._check_times(now)
             case _:
@@ -270,7 +282,7 @@
             return "pause_over" if now >= request.resume_at else ""
         if now < request.asked_until:
             return "answer_late" if now >= request.repeat_at else ""
-        return "node_silent" if len(request.nodes) > 1 else self._search_event(request, now)
+        return self._unanswered_event(request, now)
 
     def _step(self, request_id: str, event: str, now: float) -> list[Instruction]:
         request = self._active.get(request_id)
@@ -297,8 +309,7 @@
     def _await_answer(request: ActiveRequest, now: float, patience_s: float) -> None:
         later = LATER_PATIENCE if request.rounds else 1
         is_late = request.nodes[0] in request.late_nodes
-        request.asked_until = now + patience_s * (LATE_PATIENCE if is_late else later)
-        request.repeat_at = now + REPEAT_SHARE * patience_s
+        request.await_answer(now, patience_s, LATE_PATIENCE if is_late else later)
 
     def _repeat_question(self, request: ActiveRequest, now: float) -> list[Instruction]:
         """Send the same question once more: it or its answer may have been lost."""
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from martenrun.errors import error_classes
-from martenrun.events import PeerMessage
+from martenrun.events import PeerDisconnected, PeerMessage
 from martenrun.ownership.home import HomeLogic
 from martenrun.ownership.pool_ids import incarnation_id
 from martenrun.ownership.reasons import Reason
@@ -16,6 +16,7 @@
 from martenrun.statecharts.compiler import load_chart
 from martenrun.wire.messages import (
     DecideRequest,
+    Grant,
     ReleaseSlots,
     ReserveSlot,
     SlotGranted,
@@ -242,6 +243,21 @@
             assert (sent.message.incarnation, sent.message.weights_version) == told
 
 
+def test_what_was_asked_over_an_ended_connection_is_asked_anew_and_leases_stay():
+    home = Home()
+    (reserved,) = home.ask()
+    owner = home.node.ownership.home
+    released, other = owner.handle(PeerDisconnected(reserved.peer), 1.0)
+    assert released.message == ReleaseSlots([reserved.message.reservation_id])
+    assert other.message.reservation_id != reserved.message.reservation_id
+    (late,) = home.grant(reserved)
+    assert late.message == ReleaseSlots([reserved.message.reservation_id])
+    (answer,) = home.grant(other)
+    assert isinstance(answer.message, Grant)
+    assert owner.handle(PeerDisconnected(other.peer), 1.0) == []
+    assert owner.open_count == 1
+
+
 def test_a_repeated_question_gets_the_grant_that_it_has_got():
     home = Home()
     (reserved,) = home.ask()
