--- a/src/martenrun/process.py
+++ b/src/martenrun/process.py
@@ -84,7 +84,9 @@
             self._handle(message)
 
     def _handle(self, event: Event) -> None:
-        for part in self._dispatcher.parts_for(event):
+        is_tick = type(event) is Tick
+        dispatcher = self._dispatcher
+        for part in dispatcher.ticked(time.monotonic()) if is_tick else dispatcher.parts_for(event):
             # A fault in one event or instruction must not stop the loop for all others.
             try:
                 instructions = part.handle(event, time.monotonic())
