Name a question's sender where its type is matched

Change: a match on the message and its sender. After: make lint clean; tests of configuration, first copy, dispatch and inbox pass.

--- a/src/martenrun/node/configuration.py
+++ b/src/martenrun/node/configuration.py
@@ -114,9 +114,10 @@
 
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
+        match event:
+            case PeerMessage(sender, DecideRequest() | AttemptReport()):
+                return self._ask_early(sender)
         sender = event.peer if isinstance(event, PeerMessage) else ""
-        if sender and isinstance(event.message, (DecideRequest, AttemptReport)):
-            return self._ask_early(sender)
         instructions = self._handle(event, now)
         instructions += self.watching.handle(event, now)
         return instructions + self._push(sender)
