--- a/src/martenrun/ownership/owner.py
+++ b/src/martenrun/ownership/owner.py
@@ -9,13 +9,12 @@
 import heapq
 from collections.abc import Callable, Iterable
 
-from martenrun.constants import DEFAULT_BLOCK_BYTES
 from martenrun.events import Event, Instruction, PeerMessage, RunnerDescribed, Send, Tick
-from martenrun.limits.cost import BYTES_PER_TOKEN
 from martenrun.node.runners import RunnerTable
 from martenrun.ownership.ended import Ended
+from martenrun.ownership.owner_messages import placed_blocks, queued, without_what_is_known
 from martenrun.ownership.owners import OwnerMap
-from martenrun.ownership.pool_ids import incarnation_id, pool_id
+from martenrun.ownership.pool_ids import pool_id
 from martenrun.ownership.reasons import Reason
 from martenrun.ownership.slots import LeaseKey, RunnerSlots
 from martenrun.ownership.stall import MachineListAge
@@ -63,15 +62,6 @@
     """Count no usage."""
 
 
-def _without_what_is_known(granted: SlotGranted, asked: ReserveSlot) -> SlotGranted:
-    """Leave out of a grant what its reservation has shown to be known."""
-    if incarnation_id(granted.incarnation) == asked.known_incarnation:
-        granted.incarnation = ""
-    if granted.weights_version == asked.weights_version:
-        granted.weights_version = ""
-    return granted
-
-
 class OwnerLogic:
     """Slots of all runners that this node owns.
 
@@ -143,11 +133,11 @@
             # Before this node has joined, only silence says nothing wrong of the runner.
             return []
         if key in self._waiting:
-            return [_queued(key, self._waiting[key], _NO_WAIT_MS)]
+            return [queued(key, self._waiting[key], _NO_WAIT_MS)]
         leased = self._leased.get(key)
         if leased is not None:
             repeated = self._granted_message(key, leased, reservation.chain, now)
-            return [Send(home, _without_what_is_known(repeated, reservation))]
+            return [Send(home, without_what_is_known(repeated, reservation))]
         # A change of owners may have reached the home before this node's next sweep.
         changes = [] if reservation.runner in self.owned else self._update_owned()
         return [*changes, self._answer(key, reservation, now)]
@@ -160,7 +150,7 @@
         if runner.free > 0 and not len(runner.queue) and self._list_age.is_trusted(now):
             self._granted(runner.name, reservation.tenant, reservation.cost_tokens, now)
             granted = self._grant(key, runner, reservation.chain, reservation.cost_tokens, now)
-            return Send(key.home, _without_what_is_known(granted, reservation))
+            return Send(key.home, without_what_is_known(granted, reservation))
         return self._enqueue(key, runner, reservation, now)
 
     def _fault(self, reservation: ReserveSlot, runner: RunnerSlots | None) -> Reason | None:
@@ -186,7 +176,7 @@
     ) -> SlotGranted:
         runner.grant(key, now)
         self._leased[key] = runner
-        blocks = int(tokens * BYTES_PER_TOKEN / DEFAULT_BLOCK_BYTES)
+        blocks = placed_blocks(tokens)
         self._served.granted(key.home, runner.name, runner.incarnation, chain, blocks, now)
         return self._granted_message(key, runner, chain, now)
 
@@ -227,7 +217,7 @@
         )
         runner.queue.push(entry, now)
         self._waiting[key] = runner
-        return _queued(key, runner, int(wait_s * 1000))
+        return queued(key, runner, int(wait_s * 1000))
 
     def _refusal(
         self, key: LeaseKey, runner: str, reason: Reason, wait_s: float = 0.0
@@ -399,9 +389,3 @@
             note.expected_waits_ms.append(int(runner.queue.expected_wait_s(now) * 1000))
             note.free_slots.append(runner.free_less_waiting)
         return [Send(home, note) for home, note in notes.items()]
-
-
-def _queued(key: LeaseKey, runner: RunnerSlots, wait_ms: int) -> Instruction:
-    """Tell a home that its reservation waits."""
-    queued = SlotsQueued([key.reservation_id], [wait_ms], [runner.free_less_waiting])
-    return Send(key.home, queued)
