--- a/src/martenrun/wire/frames.py
+++ b/src/martenrun/wire/frames.py
@@ -171,8 +171,13 @@
             FrameError: a frame is too long, or its tag does not match.
         """
         payloads = []
-        while (frame := self.next_frame((key,))) is not None:
-            payloads.append(frame.payload)
+        tag_bytes = self._tag_bytes
+        while (body := self._next_body()) is not None:
+            payload = body[tag_bytes:]
+            expected = tag(key, self._covered(payload), tag_bytes)
+            if not hmac.compare_digest(body[:tag_bytes], expected):
+                raise FrameError(_WRONG_TAG)
+            payloads.append(payload)
         return payloads
 
     def next_payload(self, key: bytes) -> bytes | None:
@@ -202,6 +207,8 @@
 
     def _next_body(self) -> bytes | None:
         """Cut the next frame's tag and payload from the buffer, None if it is not whole."""
+        if not self._buffer:
+            return None
         found = self._short_prefix() if self.is_short else self._long_prefix()
         if found is None:
             return None
@@ -223,6 +230,8 @@
 
     def _short_prefix(self) -> tuple[int, int] | None:
         """See :meth:`_long_prefix`."""
+        if self._buffer[0] < _CONTINUES:
+            return 1, self._buffer[0]
         length = 0
         for index, octet in enumerate(self._buffer[:_MAXIMUM_SHORT_LENGTH_BYTES]):
             length |= octet % _CONTINUES << 7 * index
