Compute a prefix anew only where that is faster than waiting

Cause: a question asked up to three candidates believed to have a free slot before it waited for any, whatever they would have to compute.

Change: a free runner is asked only if its expected time to the first token is no more than the least of the others with their waits; one that refused for another reason than being full is not waited for. A runner that an owner names as free counts as slow as the slowest candidate (it counted as taking no time). The benchmark drives the product's OpenQuestion.next_choice.

--- a/src/martenrun/bench/routing_attempts.py
+++ b/src/martenrun/bench/routing_attempts.py
@@ -6,7 +6,9 @@
 from martenrun.bench.routing_node import SimulatedNode
 from martenrun.bench.routing_workload import PlannedRequest
 from martenrun.kvcache.imports import ImportPlan
+from martenrun.ownership.questions import OpenQuestion
 from martenrun.routing.policy import RunnerChoice
+from martenrun.routing.prefix_aware import PrefixAwarePolicy
 from martenrun.wire.messages import DecideRequest
 
 
@@ -24,7 +26,7 @@
 
 @dataclass(slots=True, eq=False)
 class RoutedAttempt:
-    """One try at an engine."""
+    """One try at an engine; ``opened`` is what its home goes on with if no slot is free."""
 
     request: ActiveRequest
     home: SimulatedNode
@@ -32,6 +34,7 @@
     engine: SimulatedEngine
     incarnation: int
     ranked: list[RunnerChoice]
+    opened: OpenQuestion | None = None
     import_plan: ImportPlan | None = None
     is_running: bool = False
     is_over: bool = False
@@ -41,3 +44,16 @@
     best_believed: int = 0
     waited_s: float = 0.0
     first_token_s: float = 0.0
+
+
+def open_question(
+    request: ActiveRequest, home: SimulatedNode, choices: list[RunnerChoice], deadline_s: float
+) -> OpenQuestion | None:
+    """Return a question as the product's home holds it.
+
+    None for the baselines and the oracle, whose questions wait at their first choice.
+    """
+    if not isinstance(home.policy, PrefixAwarePolicy):
+        return None
+    plan, deadline = request.plan, request.plan.at + deadline_s
+    return OpenQuestion(request.question, "", plan.model, "reserving", deadline, list(choices))
--- a/src/martenrun/bench/routing_simulation.py
+++ b/src/martenrun/bench/routing_simulation.py
@@ -8,7 +8,7 @@
 import functools
 import random
 
-from martenrun.bench.routing_attempts import ActiveRequest, RoutedAttempt
+from martenrun.bench.routing_attempts import ActiveRequest, RoutedAttempt, open_question
 from martenrun.bench.routing_causes import FORGOTTEN_S, LATE_S, LateCause, LateRequest
 from martenrun.bench.routing_engine import LruBlocks, SimulatedEngine
 from martenrun.bench.routing_faults import RoutingFaults
@@ -21,6 +21,9 @@
 from martenrun.constants import BLOCK_HASH_BYTES, DEFAULT_BLOCK_BYTES
 from martenrun.deployments.model import Deployment
 from martenrun.identity.rendezvous import ranked
+from martenrun.ownership.questions import OpenQuestion
+from martenrun.ownership.reasons import Reason
+from martenrun.routing.policy import RunnerChoice
 from martenrun.simulation.scheduler import Scheduler
 from martenrun.standins.engine.model import TimeModel
 from martenrun.wire.messages import AttemptReport, DecideRequest, PrefixesServed
@@ -177,18 +180,44 @@
         if not home.has_asked:
             self._ask_served(home)
         ranked_choices = home.policy.rank(request.question, runners, self._scheduler.now)
-        choice = ranked_choices[0]
+        opened = open_question(request, home, ranked_choices, self._deployment.deadline_s)
+        self._ask_owner(request, home, ranked_choices, opened)
+
+    def _ask_owner(
+        self,
+        request: ActiveRequest,
+        home: SimulatedNode,
+        ranked_choices: list[RunnerChoice],
+        opened: OpenQuestion | None,
+    ) -> None:
+        """Ask an owner for a slot."""
+        found = opened.next_choice(lambda runner: True) if opened is not None else None
+        choice, may_queue = found or (ranked_choices[0], True)
         engine = self._engines[choice.runner.name]
         attempt = RoutedAttempt(request, home, choice, engine, engine.incarnation, ranked_choices)
+        attempt.opened = None if may_queue else opened
         owner = self._nodes[engine.owner]
         hop_s = self._link_s(home.zone, owner.zone)
         self._scheduler.after(hop_s, lambda: self._reserve(attempt, hop_s))
 
+    def _refused(self, attempt: RoutedAttempt, opened: OpenQuestion, load: int) -> None:
+        """Let a home go on after a runner without a free slot."""
+        if not attempt.home.is_live:
+            self._again(attempt)
+            return
+        self._take_load(attempt, load)
+        opened.refused_by_owner(attempt.engine.name, Reason.FULL)
+        self._ask_owner(attempt.request, attempt.home, attempt.ranked, opened)
+
     def _reserve(self, attempt: RoutedAttempt, hop_s: float) -> None:
-        engine = attempt.engine
+        engine, opened = attempt.engine, attempt.opened
         if incarnation_of(engine) != attempt.choice.runner.incarnation:
             self._again(attempt)
             return
+        if opened is not None and engine.slots_used >= engine.pool.slots:
+            load = engine.load
+            self._scheduler.after(hop_s, lambda: self._refused(attempt, opened, load))
+            return
         attempt.incarnation = engine.incarnation
         self._attempts[engine.name].append(attempt)
         engine.take_slot(lambda: self._slot_taken(attempt, hop_s))
--- a/src/martenrun/ownership/owner_answers.py
+++ b/src/martenrun/ownership/owner_answers.py
@@ -11,7 +11,7 @@
 from martenrun.ownership.question_steps import QuestionSteps
 from martenrun.ownership.questions import OpenQuestion, Reservation
 from martenrun.ownership.reasons import Reason
-from martenrun.routing.policy import RoutingPolicy, RunnerChoice
+from martenrun.routing.policy import RoutingPolicy
 from martenrun.wire.messages import ReleaseSlots, SlotGranted, SlotRefused, SlotsQueued
 
 OWNER_SILENCE_S = 1.5
@@ -116,7 +116,7 @@
         for name, free_slots in loads.items():
             runner = self._table.runners.get(name)
             if free_slots > 0 and runner is not None and runner.pool == question.pool:
-                question.hinted(RunnerChoice(runner))
+                question.hinted(runner)
 
     def leases_voided(self, identities: list[int], now: float) -> list[Instruction]:
         """Leases have ended at their owner."""
--- a/src/martenrun/ownership/questions.py
+++ b/src/martenrun/ownership/questions.py
@@ -10,7 +10,7 @@
     NoRunnerError,
 )
 from martenrun.ownership.reasons import Reason
-from martenrun.routing.policy import RunnerChoice
+from martenrun.routing.policy import NOT_CANDIDATE_S, RunnerChoice, RunnerState
 from martenrun.wire.messages import DecideRequest, Grant
 
 MAXIMUM_DIRECT_TRIES = 3
@@ -69,6 +69,7 @@
     expected_wait_s: float = 0.0
     accept_any_version: bool = False
     tried: set[str] = field(default_factory=set)
+    full: set[str] = field(default_factory=set)
     queue_tried: set[str] = field(default_factory=set)
     waits_s: dict[str, float] = field(default_factory=dict)
     reasons: set[Reason] = field(default_factory=set)
@@ -77,12 +78,18 @@
     reservations: dict[int, Reservation] = field(default_factory=dict)
     lease: Reservation | None = None
 
-    def hinted(self, choice: RunnerChoice) -> None:
-        """Consider a runner that an owner has told to be free, after the next best."""
-        name = choice.runner.name
-        is_known = any(known.runner.name == name for known in self.choices)
-        if not is_known and name not in self.question.excluded_runners:
-            self.choices.insert(len(self.tried), choice)
+    def hinted(self, runner: RunnerState) -> None:
+        """Consider a runner that an owner has told to be free, after the next best.
+
+        It is taken for as slow as the slowest candidate: little of the prompt is cached there.
+        """
+        is_known = any(known.runner.name == runner.name for known in self.choices)
+        if is_known or runner.name in self.question.excluded_runners:
+            return
+        expected = [choice.expected_first_token_s for choice in self.choices]
+        slowest_s = max((each for each in expected if each < NOT_CANDIDATE_S), default=0.0)
+        hint = RunnerChoice(runner, expected_first_token_s=slowest_s)
+        self.choices.insert(len(self.tried), hint)
 
     def readmit(self) -> bool:
         """Consider the spare runners once nothing else takes work; returns whether there are any.
@@ -102,22 +109,30 @@
         self.answered.clear()
         self.unusable.clear()
         self.tried.clear()
+        self.full.clear()
         self.queue_tried.clear()
 
     def next_choice(self, is_reachable: Callable[[str], bool]) -> tuple[RunnerChoice, bool] | None:
         """Return the runner to ask and whether to queue there; None when none is left.
 
+        A runner that is believed free is asked first, unless waiting for another takes less time
+        than computing more of the prompt.
+
         Args:
             is_reachable: whether the runner's owner is believed to answer.
         """
+        reachable = [choice for choice in self.choices if is_reachable(choice.runner.name)]
         if len(self.tried - self.unusable) < MAXIMUM_DIRECT_TRIES and len(self.choices) > 1:
-            for choice in self.choices:
+            # Who has refused, but for being full, is not to be waited for.
+            gone = (self.tried - self.full) | self.queue_tried
+            left = [choice for choice in reachable if choice.runner.name not in gone]
+            shortest_s = min(map(self._expected_s, left), default=0.0)
+            for choice in left:
                 name = choice.runner.name
                 is_free = name not in self.tried and choice.runner.free_slots > 0
-                if is_free and is_reachable(name):
+                if is_free and choice.expected_first_token_s <= shortest_s:
                     self.tried.add(name)
                     return choice, False
-        reachable = [choice for choice in self.choices if is_reachable(choice.runner.name)]
         return self._next_queue(reachable) or self._next_queue(self.choices)
 
     def _next_queue(self, choices: list[RunnerChoice]) -> tuple[RunnerChoice, bool] | None:
@@ -159,6 +174,8 @@
         self.reasons.add(reason)
         if reason is not Reason.NOT_OWNER:
             self.answered.add(runner)
+        if reason is Reason.FULL:
+            self.full.add(runner)
         if reason is Reason.STALE_VERSION:
             # With other weights it may still be the only one left: it is asked for any version.
             self.accept_any_version = True
--- a/src/martenrun/routing/policy.py
+++ b/src/martenrun/routing/policy.py
@@ -74,6 +74,10 @@
         )
 
 
+NOT_CANDIDATE_S = 1e6
+"""Added to the expected time at runners that are only for the case that all others fail."""
+
+
 class RoutingPolicy(Protocol):
     """Ranks the runners that could take a request, and learns from what became of it.
 
--- a/src/martenrun/routing/prefix_aware.py
+++ b/src/martenrun/routing/prefix_aware.py
@@ -21,7 +21,7 @@
 from martenrun.routing.first_token_model import FirstTokenModel
 from martenrun.routing.hot_prefixes import MINIMUM_COMPUTED_BLOCKS, Computation, HotPrefixes
 from martenrun.routing.placement import Placement
-from martenrun.routing.policy import RankingPolicy, RunnerChoice, RunnerState
+from martenrun.routing.policy import NOT_CANDIDATE_S, RankingPolicy, RunnerChoice, RunnerState
 from martenrun.wire.messages import AttemptReport, DecideRequest
 
 OTHER_ZONE_S = 0.004
@@ -53,7 +53,6 @@
 MAXIMUM_RANKED = 4_096
 """Ranked questions remembered for corrections; the oldest is forgotten first."""
 
-_NOT_CANDIDATE_S = 1e6
 _NOT_PREFERRED = 1.5
 """Factor on the prefill at runners where the prefix is not placed, so that prefixes settle."""
 
@@ -124,7 +123,7 @@
         drawn = self._rng.choices(range(len(runs)), k=RANDOM_CANDIDATES) if runs else []
         for index, blocks in enumerate(believed):
             if not blocks and index != preferred and index not in drawn:
-                costs[index] += _NOT_CANDIDATE_S
+                costs[index] += NOT_CANDIDATE_S
         order = sorted(range(len(runs)), key=costs.__getitem__)
         choices = [
             RunnerChoice(
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -9,7 +9,9 @@
 from martenrun.errors import error_classes
 from martenrun.events import PeerMessage
 from martenrun.ownership.home import HomeLogic
+from martenrun.ownership.questions import OpenQuestion
 from martenrun.ownership.reasons import Reason
+from martenrun.routing.policy import RunnerChoice, RunnerState
 from martenrun.simulation.network import LinkFaults
 from martenrun.simulation.ownership_cluster import MODEL, TENANT, VERSION, OwnershipCluster
 from martenrun.statecharts.compiler import load_chart
@@ -196,6 +198,25 @@
         return self.tell(reserved.peer, refused)
 
 
+def test_a_question_waits_for_its_prefix_unless_computing_it_anew_is_faster():
+    prompt = RunnerState("near", "", "a", "p", slots=4), RunnerState("far", "", "a", "p", slots=4)
+    for wait_s, reason, expected in [
+        (0.1, Reason.FULL, ("near", True)),
+        (2.0, Reason.FULL, ("far", False)),
+        (0.0, Reason.STALE_VERSION, ("far", False)),
+    ]:
+        choices = [RunnerChoice(prompt[0], 9, 0.01), RunnerChoice(prompt[1], 0, 1.0)]
+        question = OpenQuestion(DecideRequest("r"), "agent", "p", "reserving", 10.0, choices)
+        first, _ = question.next_choice(lambda name: True)
+        assert first.runner.name == "near"
+        question.refused_by_owner("near", reason)
+        question.waits_s["near"] = wait_s
+        question.hinted(RunnerState("told", "", "a", "p", slots=4))
+        choice, may_queue = question.next_choice(lambda name: True)
+        name = "far" if choice.runner.name == "told" else choice.runner.name  # Equally slow.
+        assert (name, may_queue) == expected
+
+
 def test_a_home_learns_how_many_wait_for_a_runner_from_every_answer():
     home = Home()
     (reserved,) = home.ask()
