Leave the baselines of the routing benchmark as they were measured

Cause: since homes are told when a question is queued, the baselines' homes learned it as well, and their load reports counted waiting questions; their recorded lines no longer came out again.

Change: only homes with the product's policy learn from the answer to a queued question; the baselines' load reports count running streams again.

--- a/src/martenrun/bench/routing_attempts.py
+++ b/src/martenrun/bench/routing_attempts.py
@@ -8,7 +8,6 @@
 from martenrun.kvcache.imports import ImportPlan
 from martenrun.ownership.questions import OpenQuestion
 from martenrun.routing.policy import RunnerChoice
-from martenrun.routing.prefix_aware import PrefixAwarePolicy
 from martenrun.wire.messages import DecideRequest
 
 
@@ -53,7 +52,7 @@
 
     None for the baselines and the oracle, whose questions wait at their first choice.
     """
-    if not isinstance(home.policy, PrefixAwarePolicy):
+    if not home.is_product:
         return None
     plan, deadline = request.plan, request.plan.at + deadline_s
     return OpenQuestion(request.question, "", plan.model, "reserving", deadline, list(choices))
--- a/src/martenrun/bench/routing_node.py
+++ b/src/martenrun/bench/routing_node.py
@@ -37,6 +37,11 @@
     runners: dict[str, RunnerState] = field(default_factory=dict)
     served: ServedPrefixes = field(default_factory=ServedPrefixes)
 
+    @property
+    def is_product(self) -> bool:
+        """Whether the node routes as the product does: it learns loads from owners' answers."""
+        return isinstance(self.policy, PrefixAwarePolicy)
+
     def learn_of(self, engines: list[SimulatedEngine]) -> None:
         """Take in engines as they are."""
         for engine in engines:
--- a/src/martenrun/bench/routing_simulation.py
+++ b/src/martenrun/bench/routing_simulation.py
@@ -221,7 +221,7 @@
         attempt.incarnation = engine.incarnation
         self._attempts[engine.name].append(attempt)
         engine.take_slot(lambda: self._slot_taken(attempt, hop_s))
-        if not attempt.is_running:
+        if not attempt.is_running and attempt.home.is_product:
             load = engine.load
             self._scheduler.after(hop_s, lambda: self._take_load(attempt, load))
         wait_s = attempt.request.plan.at + self._deployment.deadline_s - self._scheduler.now
