--- a/scripts/relayed_agent.py
+++ b/scripts/relayed_agent.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Mapping
 
 from martenrun.cli.main import main
-from martenrun.wire import transport
+from martenrun.wire import limits
 
 
 def translated(
@@ -22,5 +22,5 @@
 
 if __name__ == "__main__":
     relays = json.loads(sys.argv.pop(1))
-    transport.parse_address = functools.partial(translated, transport.parse_address, relays)
+    limits.parse_address = functools.partial(translated, limits.parse_address, relays)
     main()
--- a/tests/test_proof_simulation.py
+++ b/tests/test_proof_simulation.py
@@ -189,6 +189,7 @@
     fault(FaultKind.STOP_NODE, 1.32, 8.0),
     agents=1,
     load_s=4.0,
+    seed=20,
 )
 LATE_MESSAGES = schedule(
     fault(FaultKind.LOSE_MESSAGES, 0.5, 9.0, target=1),
