--- a/tests/proof_guards.py
+++ b/tests/proof_guards.py
@@ -111,7 +111,7 @@
 def ask_no_agent_before_it_asks(monkeypatch):
     # A request that is held for the first copy would outlast the wait for the agent's question.
     hold_no_request(monkeypatch)
-    monkeypatch.setattr(NodeConfigurationLogic, "_may_have_copy", lambda self, peer: False)
+    monkeypatch.setattr(NodeConfigurationLogic, "_ask_early", lambda self, peer: [])
     monkeypatch.setattr(AgentConfigurationLogic, "_offer", lambda self, peer, query, now: [])
 
 
