Find unhandled events of every state chart when it is compiled

Only the request chart had a test that no event is left unhandled in a state; the other five had none.

--- a/src/martenrun/statecharts/compiler.py
+++ b/src/martenrun/statecharts/compiler.py
@@ -1,8 +1,9 @@
 """Compiling a state chart file into a transition table.
 
 A chart file names its initial state, its final states and one ``[[transition]]`` table for
-each (state, event) pair.  Compiling checks that every state can be reached and that nothing
-leaves a final state.
+each (state, event) pair; its ``[ignored]`` table lists, for each state, the events that have none
+there.  Compiling checks that every state can be reached, that nothing leaves a final state, and
+that no event is left unhandled: each has a transition in every other state, or is ignored there.
 """
 
 import tomllib
@@ -31,6 +32,7 @@
     initial: str
     final: list[str]
     transition: list[TransitionRow]
+    ignored: dict[str, list[str]] = msgspec.field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -77,6 +79,7 @@
             raise ChartError(f"{name}: final state {row.state} has a transition")
         table[(row.state, row.event)] = Transition(row.next, tuple(row.actions))
     _check_reachable(name, source)
+    _check_handled(name, source)
     return Chart(name, source.initial, frozenset(source.final), table)
 
 
@@ -93,3 +96,14 @@
     leaving = {row.state for row in source.transition} | set(source.final)
     if reached - leaving:
         raise ChartError(f"{name}: states without a way out {sorted(reached - leaving)}")
+
+
+def _check_handled(name: str, source: ChartFile) -> None:
+    handled = {(row.state, row.event) for row in source.transition}
+    states, events = ({pair[index] for pair in handled} for index in (0, 1))
+    ignored = {(state, event) for state, found in source.ignored.items() for event in found}
+    pairs = {(state, event) for state in states for event in events}
+    if unhandled := pairs - handled - ignored:
+        raise ChartError(f"{name}: unhandled events {sorted(unhandled)}")
+    if needless := (ignored & handled) | (ignored - pairs):
+        raise ChartError(f"{name}: ignored events that are handled or unknown {sorted(needless)}")
