Tell an operator who asks an agent that agents have no administration API

The client takes not_found, typed or not, for an address without the administration API, and all error classes are made in one way again, with a test.

--- a/src/martenrun/admin/client.py
+++ b/src/martenrun/admin/client.py
@@ -20,6 +20,7 @@
     ChangeOutcomeUnknownError,
     MartenrunError,
     NodeUnavailableError,
+    NotFoundError,
     VersionConflictError,
     error_classes,
 )
@@ -101,11 +102,17 @@
     try:
         detail = msgspec.json.decode(body, type=ErrorBody).error
     except msgspec.MsgspecError:
-        message = f"what answered, with status {status}, is no node's administration API"
-        remedy = "Give the IP:port of a node's HTTP edge; agents have no administration API."
-        return NodeUnavailableError(message, remedy=remedy)
+        return _no_administration(status)
+    if detail.code == NotFoundError.code:
+        return _no_administration(status)
     kind = error_classes().get(detail.code, MartenrunError)
     if issubclass(kind, VersionConflictError):
         present = detail.present_version or 0
         return VersionConflictError(detail.message, present_version=present)
     return kind(detail.message, remedy=detail.remedy)
+
+
+def _no_administration(status: int) -> NodeUnavailableError:
+    message = f"what answered, with status {status}, is no node's administration API"
+    remedy = "Give the IP:port of a node's HTTP edge; agents have no administration API."
+    return NodeUnavailableError(message, remedy=remedy)
--- a/src/martenrun/edge/responses.py
+++ b/src/martenrun/edge/responses.py
@@ -50,8 +50,9 @@
         MethodNotAllowedError: if it has not.
     """
     if request.method not in allowed:
-        message = f"method {request.method} is not served at {request.path}"
-        raise MethodNotAllowedError(message, allowed=allowed)
+        error = MethodNotAllowedError(f"method {request.method} is not served at {request.path}")
+        error.allowed = allowed
+        raise error
 
 
 def json_response(value: object, status: int = 200) -> Response:
--- a/src/martenrun/errors.py
+++ b/src/martenrun/errors.py
@@ -104,10 +104,7 @@
     code = "method_not_allowed"
     http_status = 405
     remedy = "Use a method that the Allow header names."
-
-    def __init__(self, message: str, *, allowed: tuple[str, ...] = ()) -> None:
-        super().__init__(message)
-        self.allowed = allowed
+    allowed: tuple[str, ...] = ()
 
 
 class ObjectNotFoundError(MartenrunError):
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -12,8 +12,16 @@
 from martenrun.admin.client import AdminClient
 from martenrun.configuration.state import ConfigurationState
 from martenrun.constants import MAXIMUM_OBJECT_BYTES
+from martenrun.edge.responses import error_body
 from martenrun.edge.server import HttpServer
-from martenrun.errors import InvalidKeyError, NodeUnavailableError
+from martenrun.errors import (
+    InvalidKeyError,
+    NodeUnavailableError,
+    NotFoundError,
+    Ran,
+    VersionConflictError,
+    error_classes,
+)
 from martenrun.platform import object_api
 from martenrun.platform.weight_store import WeightStore
 from martenrun.standins.weights import Faults, LoadPace, WeightStoreApplication
@@ -250,10 +258,18 @@
     assert admin.refusal("GET", "tenants?limit=0")["code"] == "invalid_request"
 
 
-def test_an_answer_of_something_else_is_told_with_a_remedy():
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"error": {"message": "not found", "code": "not_found"}}',
+        error_body(NotFoundError("nothing is served at /admin/v1/tenants/growers")),
+    ],
+    ids=["stranger", "agent"],
+)
+def test_an_answer_of_something_else_is_told_with_a_remedy(body):
     def something_else(environ, start_response):
         start_response("404 Not Found", [])
-        return [b'{"error": {"message": "not found", "code": "not_found"}}']
+        return [body]
 
     server = HttpServer(something_else, "127.0.0.1:0", threads=4)
     server.start()
@@ -263,3 +279,10 @@
         assert "agents have no administration API" in caught.value.remedy
     finally:
         server.stop()
+
+
+def test_every_error_with_a_message_can_be_made_anew_by_who_reads_it():
+    for code, kind in error_classes().items():
+        if kind is not VersionConflictError:
+            error = kind("told", remedy="do", ran=Ran.UNKNOWN, retry_after_s=1.0)
+            assert (error.code, error.message, error.remedy) == (code, "told", "do")
