--- a/src/martenrun/admin/application.py
+++ b/src/martenrun/admin/application.py
@@ -18,8 +18,16 @@
 
 from martenrun.admin.access import Operator
 from martenrun.admin.assignments import CheckMove, allow_every_move
+from martenrun.admin.messages import (
+    ADMIN_PREFIX,
+    MAXIMUM_PAGE_OBJECTS,
+    NEXT_AFTER_HEADER,
+    Accepted,
+    Checked,
+    NamedObject,
+    Status,
+)
 from martenrun.admin.references import check_references, check_unused
-from martenrun.admin.status import Status
 from martenrun.admin.weights import check_weights
 from martenrun.configuration.objects import (
     Assignment,
@@ -48,44 +56,10 @@
 from martenrun.sharing.policy import check_policy
 from martenrun.wire.messages import ConfigurationObject
 
-ADMIN_PREFIX = "/admin/v1/"
-
-NEXT_AFTER_HEADER = "X-Next-After"
-"""Header of a page that is not the last: the name after which the next one begins."""
-
-MAXIMUM_PAGE_OBJECTS = 1_000
-"""Most objects read for one page."""
-
 _MAXIMUM_DIGITS = 19
 """Digits of the largest version or number of objects that can be meant."""
 
 
-class NamedObject(msgspec.Struct):
-    """One object as the administration API shows it."""
-
-    kind: str
-    name: str
-    version: int
-    document: msgspec.Raw
-
-
-class Accepted(msgspec.Struct):
-    """Answer to a change that is committed; in force everywhere within seconds."""
-
-    version: int
-
-
-class Checked(msgspec.Struct):
-    """Answer to a dry run that nothing speaks against; nothing was changed.
-
-    Attributes:
-        replaces: version that the change would replace, 0 if it would create the object.
-    """
-
-    replaces: int
-    dry_run: bool = True
-
-
 class AdminApplication:
     """Serves the administration API.
 
--- a/src/martenrun/admin/client.py
+++ b/src/martenrun/admin/client.py
@@ -6,16 +6,16 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
-from martenrun.admin.application import (
+from martenrun.admin.messages import (
     ADMIN_PREFIX,
     MAXIMUM_PAGE_OBJECTS,
     NEXT_AFTER_HEADER,
     Accepted,
     Checked,
     NamedObject,
+    Status,
 )
-from martenrun.admin.status import Status
-from martenrun.edge.responses import ErrorBody
+from martenrun.edge.error_bodies import ErrorBody
 from martenrun.errors import (
     ChangeOutcomeUnknownError,
     MartenrunError,
--- a/src/martenrun/admin/status.py
+++ b/src/martenrun/admin/status.py
@@ -4,70 +4,16 @@
 import secrets
 from collections.abc import Callable, Sequence
 
-import msgspec
-
+from martenrun.admin.messages import InForce, Move, Status, Watcher
 from martenrun.configuration.view import ConfigurationView
 from martenrun.errors import NodeUnavailableError
 from martenrun.events import Event, StatusReady, StatusWanted
 from martenrun.node.status import STATUS_TIMEOUT_S, newest_agent_revisions
-from martenrun.sharing.policy_weights import PolicyStatus
+from martenrun.sharing.policy_status import PolicyStatus
 
 _LOOP_TIMEOUT_S = STATUS_TIMEOUT_S + 2.0
 
 
-class InForce(msgspec.Struct):
-    """A node or agent and the revision it has in force."""
-
-    name: str
-    revision: int
-
-
-class Watcher(msgspec.Struct):
-    """A node that reads the object API for the others, and its lease."""
-
-    node: str
-    lease: str
-
-
-class Move(msgspec.Struct):
-    """A runner on its way to another pool; without ``pool``, back to the machine list's."""
-
-    runner: str
-    pool: str | None
-    left_pool: str | None
-    made_by: str
-    reason: str
-
-
-class Status(msgspec.Struct):
-    """What an operator sees of the configuration.
-
-    Attributes:
-        node: the node that answered.
-        revision: in force on that node.
-        newest_revision, slowest_revision: over all nodes and agents that answered.
-        nodes, agents: slowest first.
-        silent_nodes: members that did not answer in time.
-        faults: objects whose newest document is not in force because it is faulty.
-        drains: runners and nodes that operators drain.
-        moves: assigned runners that do not serve their new pool yet.
-        policies: sharing policies of the pools whose runners the answering node owns.
-    """
-
-    node: str
-    revision: int
-    newest_revision: int
-    slowest_revision: int
-    nodes: list[InForce]
-    agents: list[InForce]
-    silent_nodes: list[str]
-    watchers: list[Watcher]
-    faults: list[str]
-    drains: list[str]
-    policies: list[PolicyStatus] = []
-    moves: list[Move] = []
-
-
 class StatusPort:
     """Connects the administration API's threads with the loop."""
 
--- a/src/martenrun/cli/in_force.py
+++ b/src/martenrun/cli/in_force.py
@@ -8,7 +8,7 @@
 import click
 
 from martenrun.admin.client import AdminClient
-from martenrun.admin.status import Status
+from martenrun.admin.messages import Status
 from martenrun.cli.errors import errors_printed
 
 LOOK_INTERVAL_S = 0.5
--- a/src/martenrun/edge/responses.py
+++ b/src/martenrun/edge/responses.py
@@ -5,26 +5,10 @@
 import msgspec
 from werkzeug.wrappers import Request, Response
 
+from martenrun.edge.error_bodies import ErrorBody, ErrorDetail
 from martenrun.errors import MartenrunError, MethodNotAllowedError, VersionConflictError
 
 
-class ErrorDetail(msgspec.Struct, omit_defaults=True):
-    """The ``error`` member of an error body."""
-
-    message: str
-    type: str
-    code: str
-    ran: str
-    remedy: str
-    present_version: int | None = None
-
-
-class ErrorBody(msgspec.Struct):
-    """An error body."""
-
-    error: ErrorDetail
-
-
 def error_body(error: MartenrunError) -> bytes:
     """Encode an error as JSON."""
     kind = "invalid_request_error" if error.http_status < 500 else "server_error"
--- a/src/martenrun/node/front.py
+++ b/src/martenrun/node/front.py
@@ -9,8 +9,9 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
-from martenrun.admin.application import ADMIN_PREFIX, AdminApplication
+from martenrun.admin.application import AdminApplication
 from martenrun.admin.assignments import check_move
+from martenrun.admin.messages import ADMIN_PREFIX
 from martenrun.admin.status import StatusPort
 from martenrun.edge.application import CallerApplication
 from martenrun.edge.drain import EdgeStop
@@ -28,7 +29,7 @@
 from martenrun.observability.scaling import ScalingCollector
 from martenrun.platform.weight_store import WeightStore
 from martenrun.settings.model import NodeSettings
-from martenrun.sharing.policy_weights import PolicyStatus
+from martenrun.sharing.policy_status import PolicyStatus
 
 
 class NodeFront:
--- a/src/martenrun/observability/admission.py
+++ b/src/martenrun/observability/admission.py
@@ -9,7 +9,7 @@
 from prometheus_client.registry import Collector
 
 from martenrun.limits.counts import AdmissionCounts
-from martenrun.sharing.policy_weights import PolicyStatus
+from martenrun.sharing.policy_status import PolicyStatus
 
 
 class SharingCollector(Collector):
--- a/src/martenrun/sharing/logic.py
+++ b/src/martenrun/sharing/logic.py
@@ -17,7 +17,8 @@
 from martenrun.sharing.fair_queue import FairQueue
 from martenrun.sharing.meter import ExchangeMeter
 from martenrun.sharing.policy import PolicyInputs
-from martenrun.sharing.policy_weights import PolicyStatus, PolicyWeights
+from martenrun.sharing.policy_status import PolicyStatus
+from martenrun.sharing.policy_weights import PolicyWeights
 from martenrun.sharing.shares import CONTROL_INTERVAL_S, ShareController
 from martenrun.sharing.usage import UsageExchange
 from martenrun.wire.messages import UsageDigest, UsageTotals
--- a/src/martenrun/sharing/policy_weights.py
+++ b/src/martenrun/sharing/policy_weights.py
@@ -4,10 +4,10 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 from martenrun.errors import InvalidObjectError
 from martenrun.sharing.policy import CompiledPolicy, PolicyEvaluationError, PolicyInputs
+from martenrun.sharing.policy_status import PolicyStatus
 
 EVALUATIONS_PER_TICK = 64
 """Tenants evaluated in one tick; the others keep their weights until their turn."""
@@ -16,34 +16,6 @@
 """Tenants whose last good weight is kept."""
 
 
-@dataclass(frozen=True, slots=True)
-class PolicyStatus:
-    """What an operator sees of a policy at one node.
-
-    Attributes:
-        pool: the pool whose weights the policy gives.
-        name: the policy's name; empty if the pool has none.
-        published: the expression last published.
-        in_force: the expression evaluated now; differs from ``published`` if that does not
-            compile.
-        is_failing: whether the last evaluation of any tenant failed, or the published
-            expression does not compile.
-        last_error: the latest failure; kept after recovery until the next publish.
-        failing_tenants: tenants that keep an older weight because their evaluation failed.
-        evaluations, failures: counts since the process started.
-    """
-
-    pool: str = ""
-    name: str = ""
-    published: str = ""
-    in_force: str = ""
-    is_failing: bool = False
-    last_error: str = ""
-    failing_tenants: int = 0
-    evaluations: int = 0
-    failures: int = 0
-
-
 class PolicyWeights:
     """Weights of the tenants of one pool under its policy."""
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -8,8 +8,9 @@
 from werkzeug.test import Client
 
 from martenrun.admin import client as client_module
-from martenrun.admin.application import NEXT_AFTER_HEADER, AdminApplication
+from martenrun.admin.application import AdminApplication
 from martenrun.admin.client import AdminClient
+from martenrun.admin.messages import NEXT_AFTER_HEADER
 from martenrun.configuration.state import ConfigurationState
 from martenrun.constants import MAXIMUM_OBJECT_BYTES
 from martenrun.edge.responses import error_body
--- a/tests/test_start_up.py
+++ b/tests/test_start_up.py
@@ -40,6 +40,14 @@
     assert imported.isdisjoint(NOT_FOR_NODES)
 
 
+def test_an_operators_command_imports_no_part_of_a_node() -> None:
+    code = "import sys, martenrun.cli.admin; print(*sys.modules)"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True)
+    imported = set(done.stdout.decode().split())
+    assert "martenrun.admin.client" in imported
+    assert imported.isdisjoint(["numpy", "werkzeug", "thriftpy2", "martenrun.admin.application"])
+
+
 def test_native_libraries_start_no_threads_in_a_node() -> None:
     code = (
         "import os; from click.testing import CliRunner; from martenrun.cli.main import main;"
