--- a/src/martenrun/admin/client.py
+++ b/src/martenrun/admin/client.py
@@ -6,16 +6,16 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
-from martenrun.admin.application import (
+from martenrun.admin.messages import (
     ADMIN_PREFIX,
     MAXIMUM_PAGE_OBJECTS,
     NEXT_AFTER_HEADER,
     Accepted,
     Checked,
     NamedObject,
+    Status,
 )
-from martenrun.admin.status import Status
-from martenrun.edge.responses import ErrorBody
+from martenrun.edge.error_bodies import ErrorBody
 from martenrun.errors import (
     ChangeOutcomeUnknownError,
     MartenrunError,
@@ -102,17 +102,17 @@
     try:
         detail = msgspec.json.decode(body, type=ErrorBody).error
     except msgspec.MsgspecError:
-        return _no_administration_api(status)
+        return _no_administration(status)
+    if detail.code == NotFoundError.code:
+        return _no_administration(status)
     kind = error_classes().get(detail.code, MartenrunError)
-    if kind is NotFoundError:
-        return _no_administration_api(status)
     if issubclass(kind, VersionConflictError):
         present = detail.present_version or 0
         return VersionConflictError(detail.message, present_version=present)
     return kind(detail.message, remedy=detail.remedy)
 
 
-def _no_administration_api(status: int) -> NodeUnavailableError:
+def _no_administration(status: int) -> NodeUnavailableError:
     message = f"what answered, with status {status}, is no node's administration API"
     remedy = "Give the IP:port of a node's HTTP edge; agents have no administration API."
     return NodeUnavailableError(message, remedy=remedy)
--- a/src/martenrun/edge/responses.py
+++ b/src/martenrun/edge/responses.py
@@ -5,26 +5,10 @@
 import msgspec
 from werkzeug.wrappers import Request, Response
 
+from martenrun.edge.error_bodies import ErrorBody, ErrorDetail
 from martenrun.errors import MartenrunError, MethodNotAllowedError, VersionConflictError
 
 
-class ErrorDetail(msgspec.Struct, omit_defaults=True):
-    """The ``error`` member of an error body."""
-
-    message: str
-    type: str
-    code: str
-    ran: str
-    remedy: str
-    present_version: int | None = None
-
-
-class ErrorBody(msgspec.Struct):
-    """An error body."""
-
-    error: ErrorDetail
-
-
 def error_body(error: MartenrunError) -> bytes:
     """Encode an error as JSON."""
     kind = "invalid_request_error" if error.http_status < 500 else "server_error"
@@ -50,8 +34,9 @@
         MethodNotAllowedError: if it has not.
     """
     if request.method not in allowed:
-        message = f"method {request.method} is not served at {request.path}"
-        raise MethodNotAllowedError(message, allowed=allowed)
+        error = MethodNotAllowedError(f"method {request.method} is not served at {request.path}")
+        error.allowed = allowed
+        raise error
 
 
 def json_response(value: object, status: int = 200) -> Response:
