Keep every tick for parts that draw random numbers, and the name of the guard

The mutation of NodeConfigurationLogic._may_have_copy changed nothing, because questions no longer came through it; they do again. Change: only drain, status, runner table and cache events keep coarse ticks; no test is changed. Ran: test_proof_simulation, test_dispatch, test_first_copy, test_configuration_replication, test_drain, test_loop_inbox: passed.

--- a/src/martenrun/claims/retention.py
+++ b/src/martenrun/claims/retention.py
@@ -71,7 +71,6 @@
     """
 
     handles = frozenset({Tick, StoreAnswered})
-    has_coarse_ticks = True
 
     def __init__(
         self, own_name: str, may_clean: Callable[[], bool], retention: Callable[[], Retention]
--- a/src/martenrun/dispatch.py
+++ b/src/martenrun/dispatch.py
@@ -3,7 +3,8 @@
 A process has about ten parts, and most events mean something to one or two of them.  A part
 that names what it handles is not called for anything else.  Most parts act each half second or
 more rarely, and to be called and to find that nothing is due costs a tick more than what is due:
-such a part names ``has_coarse_ticks`` and is told the time more rarely.
+such a part names ``has_coarse_ticks`` and is told the time more rarely.  Parts that draw from the
+process's random source keep every tick, so that seeded histories stay what they are.
 
 See also: :class:`martenrun.events.DecisionLogic`, :mod:`martenrun.process`.
 """
--- a/src/martenrun/node/configuration.py
+++ b/src/martenrun/node/configuration.py
@@ -48,6 +48,8 @@
 AGENT_MEMORY_S = 10.0
 """How long an agent's revision is told in the status after it was heard, in seconds."""
 
+_QUESTIONS_AND_REPORTS = (DecideRequest, AttemptReport)
+
 
 @dataclass(frozen=True, slots=True)
 class AgentHeard:
@@ -114,9 +116,11 @@
 
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
-        sender = event.peer if isinstance(event, PeerMessage) else ""
-        if sender and isinstance(event.message, (DecideRequest, AttemptReport)):
-            return self._ask_early(sender)
+        sender = ""
+        if isinstance(event, PeerMessage):
+            sender = event.peer
+            if isinstance(event.message, _QUESTIONS_AND_REPORTS):
+                return self._ask_early(sender)
         instructions = self._handle(event, now)
         instructions += self.watching.handle(event, now)
         return instructions + self._push(sender)
@@ -136,12 +140,15 @@
 
     def _ask_early(self, peer: str) -> list[Instruction]:
         """Ask an agent at once that has sent anything to this node, if the node is empty."""
-        if self.state.revision or not peer.startswith(AGENT_PREFIX):
-            return []
-        if peer in self._asked_early or len(self._asked_early) >= PUSH_FANOUT:
+        if not self._may_have_copy(peer):
             return []
         self._asked_early.add(peer)
-        return [Send(peer, ConfigurationQuery(0))]
+        return [Send(peer, ConfigurationQuery(self.state.revision))]
+
+    def _may_have_copy(self, peer: str) -> bool:
+        """Whether to ask an agent at once that has sent anything to this empty node."""
+        is_new = self.state.revision == 0 and peer.startswith(AGENT_PREFIX)
+        return is_new and peer not in self._asked_early and len(self._asked_early) < PUSH_FANOUT
 
     def _tick(self, now: float) -> list[Instruction]:
         instructions = self._replica.settle(now)
--- a/src/martenrun/orders/rolls.py
+++ b/src/martenrun/orders/rolls.py
@@ -80,7 +80,6 @@
     """
 
     handles = frozenset({Tick, RunnerDescribed, OrderAnswered, StoreAnswered})
-    has_coarse_ticks = True
 
     def __init__(
         self,
--- a/src/martenrun/scaling/arrivals.py
+++ b/src/martenrun/scaling/arrivals.py
@@ -42,7 +42,6 @@
     """
 
     handles = frozenset({Tick, RunnerDescribed})
-    has_coarse_ticks = True
 
     def __init__(
         self,
--- a/src/martenrun/scaling/decider.py
+++ b/src/martenrun/scaling/decider.py
@@ -70,7 +70,6 @@
     """
 
     handles = frozenset({Tick, StoreAnswered})
-    has_coarse_ticks = True
 
     def __init__(
         self,
--- a/src/martenrun/scaling/demand.py
+++ b/src/martenrun/scaling/demand.py
@@ -79,7 +79,6 @@
     """
 
     handles = frozenset({Tick, RunnerDescribed, DemandReport})
-    has_coarse_ticks = True
 
     def __init__(
         self,
