Start feeds after the front's import, and take back what showed no gain at the start

Cause: in a loop of restarts (trial, load 17), one of 15 starts ended with a deadlock of module locks: the feeds' thread imports waitress.receiver (platform/http_stream.py) while the main thread imports the front, which imports waitress too. Change: feeds start once the front is imported.

Reverted, as without gain at this load (docs/design/node-cost.md): the early end of gathering copies, and quick looks for runners. They made the race more likely.

--- a/src/martenrun/agent/configuration.py
+++ b/src/martenrun/agent/configuration.py
@@ -72,7 +72,6 @@
         self._replica.asked(now, FIRST_QUERY_S if is_new else QUERY_INTERVAL_S)
         nodes = sorted({*self.live_nodes(), *self._seed_nodes})
         chosen = self._rng.sample(nodes, min(FIRST_FANOUT if is_new else 1, len(nodes)))
-        self._replica.awaits(chosen)
         digest = nodes_digest(self.state.nodes)
         return [
             Send(node, ConfigurationQuery(self.state.revision, nodes_digest=digest))
--- a/src/martenrun/configuration/replica.py
+++ b/src/martenrun/configuration/replica.py
@@ -66,8 +66,6 @@
         self.state = ConfigurationState(nodes=list(nodes))
         self._rng = rng
         self._offers: list[_Offer] = []
-        self._awaited: set[str] = set()
-        self._is_agreed = True
         self._settled_at: float | None = None
         self._pages: _Pages | None = None
         self._next_question = 0.0
@@ -86,11 +84,6 @@
         self._regular_question = now + self.jittered(interval_s)
         self._next_question = min(self._regular_question, now + ANSWER_TIMEOUT_S)
 
-    def awaits(self, peers: Sequence[str]) -> None:
-        """Note who was asked while there is no copy; a first copy that all have may be taken."""
-        if self.state.revision == 0 and not self._offers:
-            self._awaited, self._is_agreed = set(peers), True
-
     def answer(self, peer: str, query: ConfigurationQuery) -> list[Instruction]:
         """Answer a query, and ask back if the other side has a newer copy."""
         if query.known_revision > self.state.revision:
@@ -109,32 +102,14 @@
             return self._take_page(peer, update, now)
         if self.state.leaves_gap(update):
             return [Send(peer, ConfigurationQuery(self.state.revision))]
-        if self.state.revision == 0:
-            return self._gather(peer, update, now)
+        if self.state.revision == 0 and update.to_revision > 0:
+            # Another peer may offer a newer copy; an older one must not be in force before it.
+            self._offers.append(_Offer(peer, update))
+            if self._settled_at is None:
+                self._settled_at = now + SETTLE_S
+            return []
         return self._accept(peer, update, now)
 
-    def _gather(self, peer: str, update: ConfigurationUpdate, now: float) -> list[Instruction]:
-        """Keep the offer of a first copy until enough have been heard."""
-        self._awaited.discard(peer)
-        if update.to_revision == 0:
-            # It has no copy itself, so that several may have restarted: all offers are waited for.
-            self._is_agreed = False
-            return self._accept(peer, update, now)
-        # Another peer may offer a newer copy; an older one must not be in force before it.
-        self._offers.append(_Offer(peer, update))
-        if self._settled_at is None:
-            self._settled_at = now + SETTLE_S
-        if self._all_agree:
-            self._settled_at = now
-        return self.settle(now)
-
-    @property
-    def _all_agree(self) -> bool:
-        """Whether several were asked, and all have offered a copy of one revision."""
-        revisions = {offer.update.to_revision for offer in self._offers}
-        peers = {offer.peer for offer in self._offers}
-        return self._is_agreed and not self._awaited and len(peers) > 1 and len(revisions) == 1
-
     def settle(self, now: float) -> list[Instruction]:
         """Take the newest of the copies gathered since the start, once it is time."""
         if self._settled_at is None or now < self._settled_at:
--- a/src/martenrun/node/configuration.py
+++ b/src/martenrun/node/configuration.py
@@ -149,7 +149,6 @@
         self._asked_early.clear()
         self.state.nodes = sorted(member.address for member in self._members.live())
         peers = self._first_peers() if is_new else self._random_nodes(1, "")
-        self._replica.awaits(peers)
         query = ConfigurationQuery(self.state.revision)
         return instructions + [Send(peer, query) for peer in peers]
 
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -56,7 +56,7 @@
         self._front: NodeFront | None = None
         self._pollers = [
             Poller("machine-list", self._polls.list_machines, MACHINE_POLL_S),
-            Poller("runners", self._polls.follow_engines, RUNNER_POLL_S, starts_quickly=True),
+            Poller("runners", self._polls.follow_engines, RUNNER_POLL_S),
         ]
 
     def start(self) -> None:
@@ -75,7 +75,6 @@
             }
         )
         self._core.start()
-        self._feeds.start()
         for poller in self._pollers:
             poller.start()
         try:
@@ -116,6 +115,8 @@
         # Imported here so that the node joins the others meanwhile.
         from martenrun.node.front import NodeFront
 
+        # Feeds import parts of waitress: two threads that do so at once may not both succeed.
+        self._feeds.start()
         address = self._settings.http_address
         try:
             self._front = NodeFront(self._settings, self._core, self._feeds.figures)
--- a/src/martenrun/process.py
+++ b/src/martenrun/process.py
@@ -40,12 +40,6 @@
 STORE_WORKERS = 4
 """Calls of the object API in progress at a time, per process."""
 
-QUICK_PAUSE_S = 0.05
-"""Pause of a poller that starts quickly, while it does, in seconds."""
-
-QUICK_START_S = 3.0
-"""How long such a poller makes only that pause, in seconds."""
-
 Carrier = Callable[[Any], None]
 """Carries out instructions of one type; must not block."""
 
@@ -183,23 +177,14 @@
 
     ``poll`` does blocking input and tells the loop what it found.  A failure is logged and
     the pause doubles up to a limit, so that a platform outage is not met with a storm.
-
-    Args:
-        starts_quickly: whether the first pauses are short, for what is waited for at a start.
     """
 
     def __init__(
-        self,
-        name: str,
-        poll: Callable[[], None],
-        pause_s: float,
-        maximum_pause_s: float = 5.0,
-        starts_quickly: bool = False,
+        self, name: str, poll: Callable[[], None], pause_s: float, maximum_pause_s: float = 5.0
     ) -> None:
         self._poll = poll
         self._pause_s = pause_s
         self._maximum_pause_s = maximum_pause_s
-        self._starts_quickly = starts_quickly
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name=name, daemon=True)
 
@@ -213,11 +198,10 @@
 
     def _run(self) -> None:
         pause_s = self._pause_s
-        quick_until = time.monotonic() + (QUICK_START_S if self._starts_quickly else 0.0)
         while not self._stopping.is_set():
             try:
                 self._poll()
-                pause_s = QUICK_PAUSE_S if time.monotonic() < quick_until else self._pause_s
+                pause_s = self._pause_s
             except Exception as error:
                 pause_s = min(max(2 * pause_s, 0.1), self._maximum_pause_s)
                 logging.log_every_n_seconds(
