--- a/src/martenrun/bench/scale/timing.py
+++ b/src/martenrun/bench/scale/timing.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from martenrun.dispatch import handled_kinds, has_coarse_ticks
+from martenrun.dispatch import handled_kinds
 from martenrun.events import DecisionLogic, Event, Instruction, PeerMessage
 
 MICROSECONDS_PER_S = 1_000_000
@@ -61,7 +61,6 @@
         self._meter = meter
         self._name = type(part).__name__
         self.handles = handled_kinds(part)
-        self.has_coarse_ticks = has_coarse_ticks(part)
 
     def handle(self, event: Event, now: float) -> list[Instruction]:
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
--- a/src/martenrun/constants.py
+++ b/src/martenrun/constants.py
@@ -9,9 +9,6 @@
 TICK_INTERVAL_S = 0.05
 """Time between two clock events given to the decision logic of a process, in seconds."""
 
-COARSE_TICK_INTERVAL_S = 0.2
-"""Shortest time between two clock events of a part that needs no finer ones, in seconds."""
-
 MAXIMUM_FRAME_BYTES = 4 * 1024 * 1024
 """Largest internal message accepted, in bytes; a longer frame closes the connection."""
 
--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -346,8 +346,7 @@
     """A pure state machine that a process runs on its one loop.
 
     It may name the events and messages it handles in an attribute ``handles``; without it, it
-    is given every event.  A part whose times are long names ``has_coarse_ticks = True`` and is
-    given a Tick each COARSE_TICK_INTERVAL_S only.  See also: :mod:`martenrun.dispatch`.
+    is given every event.  See also: :mod:`martenrun.dispatch`.
     """
 
     def handle(self, event: Event, now: float) -> list[Instruction]:
--- a/src/martenrun/node/cache_events.py
+++ b/src/martenrun/node/cache_events.py
@@ -35,7 +35,6 @@
     """
 
     handles = frozenset({Tick, CacheEventsRead})
-    has_coarse_ticks = True
 
     def __init__(
         self, beliefs: BeliefBook, table: RunnerTable, owns: Callable[[str], bool]
--- a/src/martenrun/node/drain.py
+++ b/src/martenrun/node/drain.py
@@ -19,7 +19,6 @@
     """
 
     handles = frozenset({Tick})
-    has_coarse_ticks = True
 
     def __init__(self, name: str, view: Callable[[], ConfigurationView]) -> None:
         self._name = name
--- a/src/martenrun/node/runners.py
+++ b/src/martenrun/node/runners.py
@@ -25,7 +25,6 @@
     """
 
     handles = frozenset({Tick, MachinesListed, RunnerDescribed})
-    has_coarse_ticks = True
 
     def __init__(
         self,
--- a/src/martenrun/node/status.py
+++ b/src/martenrun/node/status.py
@@ -41,7 +41,6 @@
     """Answers other nodes' status queries and gathers answers for operators."""
 
     handles = frozenset({Tick, StatusWanted, StatusQuery, NodeStatus})
-    has_coarse_ticks = True
 
     def __init__(self, configuration: NodeConfigurationLogic, members: MemberView) -> None:
         self._configuration = configuration
--- a/src/martenrun/process.py
+++ b/src/martenrun/process.py
@@ -78,9 +78,7 @@
             self._handle(message)
 
     def _handle(self, event: Event) -> None:
-        is_tick = type(event) is Tick
-        dispatcher = self._dispatcher
-        for part in dispatcher.ticked(time.monotonic()) if is_tick else dispatcher.parts_for(event):
+        for part in self._dispatcher.parts_for(event):
             try:
                 instructions = part.handle(event, time.monotonic())
             except Exception:
--- a/src/martenrun/simulation/hollow.py
+++ b/src/martenrun/simulation/hollow.py
@@ -47,6 +47,7 @@
     ) -> None:
         self.name = name
         self._dispatcher = Dispatcher(parts)
+        self._tick_handlers = [part.handle for part in self._dispatcher.parts_for(_TICK)]
         self._scheduler = scheduler
         self._network = network
         self._carriers = carriers
@@ -121,8 +122,9 @@
     def _tick(self) -> None:
         if self._alive:
             if self._frozen_events is None:
+                # Most events are ticks that change nothing: no look-up for each.
                 now = self._scheduler.now
-                for part in self._dispatcher.ticked(now):
-                    for instruction in part.handle(_TICK, now):
+                for handle in self._tick_handlers:
+                    for instruction in handle(_TICK, now):
                         self._carry_out(instruction)
             self._scheduler.after(self._tick_interval_s, self._tick)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -7,7 +7,6 @@
 
 import martenrun
 from martenrun import events
-from martenrun.constants import COARSE_TICK_INTERVAL_S, TICK_INTERVAL_S
 from martenrun.dispatch import Dispatcher, handled_kinds
 from martenrun.events import PeerMessage, Tick
 from martenrun.node.parts import node_parts
@@ -91,15 +90,3 @@
     assert dispatcher.parts_for(Tick()) == (everything, ticks)
     assert dispatcher.parts_for(PeerMessage("peer", StatusQuery("query"))) == (everything,)
     assert dispatcher.parts_for(status) == (statuses, everything)
-
-
-def test_a_part_without_short_times_is_told_the_time_more_rarely():
-    fine, coarse = Recorder([Tick]), Recorder([Tick])
-    coarse.has_coarse_ticks = True
-    dispatcher = Dispatcher([coarse, fine])
-    ticks = [dispatcher.ticked(100.0 + TICK_INTERVAL_S * number) for number in range(40)]
-    assert ticks[0] == (coarse, fine), "the first tick goes to all"
-    assert all(parts[-1] is fine for parts in ticks)
-    most = COARSE_TICK_INTERVAL_S / TICK_INTERVAL_S
-    assert 40 / (most + 1) <= sum(coarse in parts for parts in ticks) <= 40 / most
-    assert dispatcher.ticked(200.0) == (coarse, fine), "after a pause too"
