Test that a node's feeds start after its front is imported

Cause: the deadlock of import locks at a node's start was mended without a test. Change: the test starts a node in a process of its own and looks, when the feeds start, whether the front is imported. No product code is changed.

--- a/tests/test_start_up.py
+++ b/tests/test_start_up.py
@@ -87,6 +87,23 @@
     assert imported.isdisjoint(["waitress", "werkzeug", "prometheus_client", "martenrun.admin"])
 
 
+def test_feeds_of_a_node_start_once_its_http_front_is_imported() -> None:
+    """Both import waitress; two threads that import it at once may find each other's locks."""
+    code = (
+        "import sys; from martenrun.node.feeds import EngineFeeds;"
+        "from martenrun.node.process import NodeProcess; from martenrun.settings.load import "
+        "read_settings; from martenrun.settings.model import NodeSettings;"
+        "EngineFeeds.start = lambda self: print('martenrun.node.front' in sys.modules);"
+        "address = iter(sys.argv[1:]); node = NodeProcess(read_settings(NodeSettings, None, dict("
+        "name='n', zone='z', cluster_secret='0123456789abcdef', http_address=next(address),"
+        "peer_address=next(address), object_api=next(address), machine_list=next(address))));"
+        "node.start(); node.stop()"
+    )
+    command = [sys.executable, "-c", code, *(free_address() for _ in range(4))]
+    done = subprocess.run(command, capture_output=True, check=True, timeout=30)
+    assert done.stdout.decode().split() == ["True"]
+
+
 def test_a_node_whose_http_address_is_taken_says_so_and_ends() -> None:
     with socket.create_server(("127.0.0.1", 0)) as taken:
         address = f"127.0.0.1:{taken.getsockname()[1]}"
