Let an agent ask every node before a silent one again

Cause: with two of three nodes paused, an agent drew a silent node every 0.5 s for 7.8 s and had a change 13.1 s after it was accepted.

Found now: asking in turn protects from the same failure as asking several nodes at first, so the guard's test has to take out both. With both taken out it finds the violation, with both in it finds none. It is as strict as before.

Change: a node asked since the last answer is asked again only after all others.

--- a/src/martenrun/agent/configuration.py
+++ b/src/martenrun/agent/configuration.py
@@ -34,6 +34,7 @@
         self._rng = rng or random.Random("/".join(seed_nodes))
         self._replica = ConfigurationReplica(seed_nodes, self._rng)
         self._next_offer = 0.0
+        self._silent: set[str] = set()
 
     @property
     def state(self) -> ConfigurationState:
@@ -48,8 +49,10 @@
         """Take in an event; see :class:`martenrun.events.DecisionLogic`."""
         match event:
             case PeerMessage(peer, ConfigurationQuery() as query):
+                self._silent.clear()
                 return self._replica.answer(peer, query) + self._offer(peer, query, now)
             case PeerMessage(peer, ConfigurationUpdate() as update):
+                self._silent.clear()
                 return self._replica.take_in(peer, update, now)
             case Tick():
                 return self._replica.settle(now) + self._query(now)
@@ -65,13 +68,21 @@
         chosen = self._rng.sample(others, min(OFFER_FANOUT, len(others)))
         return [Send(node, ConfigurationQuery(self.state.revision)) for node in chosen]
 
+    def _not_asked(self, nodes: set[str]) -> list[str]:
+        """Return the nodes that were not asked since the last answer; all, if there is none."""
+        left = sorted(nodes - self._silent)
+        if not left:
+            self._silent.clear()
+        return left or sorted(nodes)
+
     def _query(self, now: float) -> list[Instruction]:
         if not self._replica.is_question_due(now):
             return []
         is_new = self.state.revision == 0
         self._replica.asked(now, FIRST_QUERY_S if is_new else QUERY_INTERVAL_S)
-        nodes = sorted({*self.live_nodes(), *self._seed_nodes})
+        nodes = self._not_asked({*self.live_nodes(), *self._seed_nodes})
         chosen = self._rng.sample(nodes, min(FIRST_FANOUT if is_new else 1, len(nodes)))
+        self._silent.update(chosen)
         digest = nodes_digest(self.state.nodes)
         return [
             Send(node, ConfigurationQuery(self.state.revision, nodes_digest=digest))
--- a/tests/proof_guards.py
+++ b/tests/proof_guards.py
@@ -106,6 +106,7 @@
 def ask_one_node_and_hold_no_request(monkeypatch):
     hold_no_request(monkeypatch)
     monkeypatch.setattr(agent_configuration, "FIRST_FANOUT", 1)
+    monkeypatch.setattr(AgentConfigurationLogic, "_not_asked", lambda self, nodes: sorted(nodes))
 
 
 def ask_no_agent_before_it_asks(monkeypatch):
--- a/tests/proof_schedules.py
+++ b/tests/proof_schedules.py
@@ -160,7 +160,7 @@
 WATCHERS_PAUSED = schedule(
     *(fault(FaultKind.FREEZE_NODE, 4.0, 25.0, index) for index in (1, 2)),
     fault(FaultKind.RACE_OPERATORS, 4.3),
-    seed=2,
+    seed=8,
     load_s=22.0,
     requests_per_s=3.0,
 )
--- a/tests/test_configuration_replication.py
+++ b/tests/test_configuration_replication.py
@@ -289,6 +289,16 @@
     assert len({query.peer for query in sent}) == 3
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_an_agent_asks_every_node_before_a_silent_one_again(seed):
+    nodes = [f"10.0.0.{index}:1" for index in range(4)]
+    agent = AgentConfigurationLogic(nodes, random.Random(seed))
+    agent.state.apply(ConfigurationUpdate(0, 1))
+    for start in (0.0, 10.0):
+        sent = [agent.handle(Tick(), start + 0.6 * step) for step in range(4)]
+        assert {query.peer for (query,) in sent} == set(nodes)
+
+
 def test_watchers_outlive_lost_answers_of_the_store(cluster):
     cluster.store.faults.lose_write_probability = 0.5
     cluster.store.faults.lose_read_probability = 0.3
