Repeat no grant of a runner that has begun to leave

Cause: a question that an agent sends again, because no answer came, gets the grant that it had got. Agents now repeat a question for up to 4 s where nodes answer late, so that a repetition could name a runner marked as leaving more than the promised 3 s before.

Change: such a repetition gets no answer, and the agent asks the next node. Weighed: a new reservation under the same attempt, which an agent that did get the first grant would leave unused until its report.

The test of repeated questions asks once more with the runner leaving: fails before, passes now; 48 tests of ownership pass.

--- a/src/martenrun/ownership/home.py
+++ b/src/martenrun/ownership/home.py
@@ -146,10 +146,15 @@
 
     @staticmethod
     def _repeated(present: OpenQuestion, question: DecideRequest) -> list[Instruction]:
-        """Give a repeated question the grant that it has got already; it may have been lost."""
+        """Give a repeated question the grant that it has got already; it may have been lost.
+
+        A runner that has begun to leave since gets no new work: the agent then asks another node.
+        """
         is_same = question.attempt == present.question.attempt
         if not is_same or present.state != "granted" or present.lease is None:
             return []
+        if present.lease.choice.runner.leaving:
+            return []
         return [Send(present.agent, granted_message(present.question, present.lease))]
 
     def _reported(self, report: AttemptReport, now: float) -> list[Instruction]:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -286,6 +286,8 @@
     (granted,) = home.grant(reserved)
     home.runners[granted.message.runner].weights_version = ""  # It loads others by now.
     assert home.ask() == [granted]
+    home.runners[granted.message.runner].leaving = True
+    assert home.ask() == []
 
 
 def test_an_excluded_runner_is_asked_again_once_no_other_takes_work():
