--- a/src/martenrun/capacity/fit.py
+++ b/src/martenrun/capacity/fit.py
@@ -148,15 +148,17 @@
     largest = [result for result in scale if result.scenario.nodes == most_nodes]
     messages = median_of(largest, lambda result: result.load.messages_per_request)
     codec_us = median_of(scale, lambda result: result.codec_us_per_message) * messages
-    sent_bytes = median_of(largest, lambda result: result.load.node_bytes_per_request)
+    sent = [result.load.decision_messages() for result in largest]
+    sent_bytes = [sum(kind.bytes_per_request for kind in kinds) for kinds in sent]
+    sent_messages = [sum(kind.messages_per_request for kind in kinds) for kinds in sent]
     logic_us = median_of(largest, lambda result: result.load.node_question_cpu_us_per_request)
     files = f"docs/measurements/{SCALE_FILE}"
     return [
         Slope("node", "decisions and leases", Driver.REQUESTS_PER_S,
               "src/martenrun/ownership/home.py", _SCALE_RUN, files,
-              cpu_us=logic_us, sent_bytes=sent_bytes, messages=messages,
-              cpu_us_spread=spread_of(logic),
-              note="home and owner; bytes with the exchange of usage that goes with load; "
+              cpu_us=logic_us, sent_bytes=statistics.median(sent_bytes),
+              messages=statistics.median(sent_messages), cpu_us_spread=spread_of(logic),
+              note="home and owner; bytes with frames, without queues; "
               f"at {most_nodes} nodes; spread over sizes and seeds"),
         Slope("node", "encoding of messages", Driver.REQUESTS_PER_S,
               "src/martenrun/wire/codec.py", _SCALE_RUN, files, cpu_us=codec_us),
--- a/src/martenrun/capacity/results.py
+++ b/src/martenrun/capacity/results.py
@@ -12,9 +12,31 @@
 import msgspec
 
 from martenrun.capacity.model import Spread
+from martenrun.wire.messages import (
+    Grant,
+    LeasesVoided,
+    Queued,
+    Refusal,
+    ReleaseSlots,
+    RenewLeases,
+    ReserveSlot,
+    SlotGranted,
+    SlotRefused,
+    SlotsQueued,
+)
 
 Result = TypeVar("Result")
 
+DECISION_KINDS = frozenset(
+    cls.__name__
+    for cls in (
+        *(Grant, Queued, Refusal),
+        *(ReserveSlot, SlotGranted, SlotRefused, SlotsQueued),
+        *(ReleaseSlots, RenewLeases, LeasesVoided),
+    )
+)
+"""Kinds of messages that nodes send because a request is decided or ends."""
+
 
 class UnlikeResultError(ValueError):
     """A result was measured under other conditions than the table is for."""
@@ -40,8 +62,16 @@
     busiest_sent_messages_per_s: float
 
 
+class MessageKind(msgspec.Struct):
+    """What one kind of message cost its senders, with frames."""
+
+    kind: str
+    messages_per_request: float
+    bytes_per_request: float
+
+
 class ScaleLoad(msgspec.Struct):
-    """What a request cost."""
+    """What a request cost; ``node_kinds`` are all messages that nodes sent meanwhile."""
 
     node_cpu_us_per_request: float
     node_question_cpu_us_per_request: float
@@ -49,6 +79,11 @@
     node_bytes_per_request: float
     agent_bytes_per_request: float
     messages_per_request: float
+    node_kinds: list[MessageKind]
+
+    def decision_messages(self) -> list[MessageKind]:
+        """Return the messages that a decision causes; the others go with time."""
+        return [found for found in self.node_kinds if found.kind in DECISION_KINDS]
 
 
 class ScaleResult(msgspec.Struct):
