Refuse a configuration document that is nested too deeply

Cause: a document with thousands of nested lists raised RecursionError, not InvalidObjectError: 500 at the administration API, and, written past it into the object API, a failed update at every process, whose other objects were lost with it.

Change: it is an invalid object; the last good document stays in force. Two new cases fail before and pass now; tests of admin and configuration pass.

--- a/src/martenrun/configuration/objects.py
+++ b/src/martenrun/configuration/objects.py
@@ -215,6 +215,8 @@
     """
     try:
         return msgspec.json.decode(data, type=_MODELS[kind])
+    except RecursionError as error:
+        raise InvalidObjectError(f"{kind.value}: nested too deeply") from error
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         faults = _faults(kind, data)
         raise InvalidObjectError(f"{kind.value}: {faults or error}") from error
@@ -224,7 +226,7 @@
     """Return every faulty field with what is wrong; empty if the data is no JSON at all."""
     try:
         values = msgspec.json.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return ""
     found = faults_of(_MODELS[kind], values)
     return "; ".join(f"{fault.field or 'document'}: {fault.message}" for fault in found)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -89,3 +89,10 @@
         with pytest.raises(InvalidObjectError) as caught:
             parse_document(Kind.ROUTE, b'{"model": "m", "pool": "%s"}' % name)
         assert "pool" in caught.value.message and "1 to 63" in caught.value.message
+
+
+@pytest.mark.parametrize("field", ["weight", "unknown"])
+def test_a_document_nested_too_deeply_is_an_invalid_object(field):
+    nested = b"[" * 100_000 + b"]" * 100_000
+    with pytest.raises(InvalidObjectError):
+        parse_document(Kind.TENANT, b'{"%s": %s}' % (field.encode(), nested))
