--- a/tests/test_proof_checkers.py
+++ b/tests/test_proof_checkers.py
@@ -163,6 +163,10 @@
 NODE_STOP = PlannedStop(time_s=0.5, process="node", until_s=1.0)
 NODE_GONE = ProcessDisturbed(time_s=1.0, process="node", kind="stopped", until_s=9.0)
 RESTARTED_LATER = ProcessStarted(time_s=9.0, process="node", restarted=True)
+AGENT_BACK = ProcessStarted(time_s=20.0, process="agent", restarted=True, is_node=False)
+FROZEN_LATER = ProcessDisturbed(time_s=15.0, process="node", kind="freeze", until_s=20.5)
+FROZEN_FOR_LONG = ProcessDisturbed(time_s=15.0, process="node", kind="freeze", until_s=60.0)
+UNTOLD_YET = in_force(34.0, 0, incarnation="j", process="agent")
 
 PLANTED = [
     ("streams", [invoked(), answered((0,))]),
@@ -236,6 +240,7 @@
     ("planned_stop", [invoked(edge="agent"), granted(), AGENT_STOP, broken()]),
     ("configuration", [NODE, AGENT, *UNTOLD, in_force(20.0, 1, process="agent")]),
     ("configuration", [NODE, AGENT, *UNTOLD, FROZEN, in_force(37.1, 1, process="agent")]),
+    ("configuration", [NODE, AGENT, *UNTOLD, FROZEN_LATER, AGENT_BACK, UNTOLD_YET]),
     ("configuration", [in_force(0.5, 1), CHANGE, API_DOWN, in_force(21.1, 1)]),
     ("configuration", [in_force(0.5, 1), CHANGE, HAD, API_DOWN, in_force(13.5, 1)]),
     ("weights", [begun("a"), begun("b"), begun("c")]),
@@ -268,6 +273,7 @@
     ("restart", [KILL, OTHER_COPY, O_DEAD, STORE_DOWN, RESTART, NODE_ASKED, UNSERVED]),
     ("planned_stop", [invoked(edge="agent"), granted(), AGENT_STOP, ENGINE_DEAD, broken()]),
     ("configuration", [NODE, AGENT, *UNTOLD, FROZEN, in_force(20.0, 1, process="agent")]),
+    ("configuration", [NODE, AGENT, *UNTOLD, FROZEN_FOR_LONG, AGENT_BACK, UNTOLD_YET]),
     ("weights", [listed("a"), listed("b"), begun("a"), ended("a"), begun("b"), ended("b")]),
     ("weights", [begun("a"), ended("a"), begun("a", fence=6)]),
     ("weights", [executed(expected_version="v1"), executed(resume_from=1)]),
