--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -36,13 +36,19 @@
 """
 
 
+_given_ports: set[int] = set()
+
+
 def free_address() -> str:
-    """Return a loopback address whose port is free now."""
+    """Return a loopback address whose port is free now, another one at each call."""
     while True:
-        address = ("127.0.0.1", random.SystemRandom().choice(_SERVER_PORTS))
+        port = random.SystemRandom().choice(_SERVER_PORTS)
+        if port in _given_ports:
+            continue
         with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(address)
-            return f"{address[0]}:{address[1]}"
+            probe.bind(("127.0.0.1", port))
+            _given_ports.add(port)
+            return f"127.0.0.1:{port}"
 
 
 def wait_until(condition: Callable[[], bool], what: str, timeout_s: float) -> None:
