--- /dev/null
+++ b/deploy/router.py
@@ -0,0 +1,14 @@
+"""Starts a router on the users' platform, from a checkout and its installed libraries."""
+
+import gc
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+
+from martenrun.platform import DIALECT, load_settings
+from martenrun.router.process import run_router
+
+if __name__ == "__main__":
+    gc.freeze()
+    run_router(load_settings(), DIALECT)
--- a/src/martenrun/admin/application.py
+++ b/src/martenrun/admin/application.py
@@ -29,6 +29,8 @@
 )
 from martenrun.admin.references import check_references, check_unused
 from martenrun.admin.weights import check_weights
+from martenrun.backends.object_api import ObjectApi
+from martenrun.backends.weight_store import WeightStore
 from martenrun.configuration.objects import (
     Assignment,
     Document,
@@ -51,8 +53,6 @@
     PermissionDeniedError,
     VersionConflictError,
 )
-from martenrun.platform.object_api import ObjectApi
-from martenrun.platform.weight_store import WeightStore
 from martenrun.sharing.policy import check_policy
 from martenrun.wire.messages import ConfigurationObject
 
--- a/src/martenrun/admin/references.py
+++ b/src/martenrun/admin/references.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from martenrun.backends.object_api import ObjectApi
 from martenrun.configuration.objects import (
     ApiKey,
     Assignment,
@@ -18,7 +19,6 @@
     parse_document,
 )
 from martenrun.errors import InvalidObjectError, ObjectInUseError, ObjectNotFoundError
-from martenrun.platform.object_api import ObjectApi
 
 _REFERRING: dict[Kind, tuple[Kind, ...]] = {
     Kind.POOL: (Kind.ROUTE, Kind.ASSIGNMENT),
--- a/src/martenrun/admin/weights.py
+++ b/src/martenrun/admin/weights.py
@@ -2,9 +2,9 @@
 
 from absl import logging
 
+from martenrun.backends.weight_store import WeightStore
 from martenrun.configuration.objects import Document, Pool
 from martenrun.errors import InvalidObjectError, StoreUnavailableError
-from martenrun.platform.weight_store import WeightStore
 
 
 def check_weights(store: WeightStore, document: Document) -> None:
--- a/src/martenrun/agent/active.py
+++ b/src/martenrun/agent/active.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from math import inf
 
+from martenrun.backends.engine import AttemptOutcome, AttemptResult
 from martenrun.errors import (
     DeadlineExceededError,
     EngineError,
@@ -15,7 +16,6 @@
     StreamBrokenError,
     error_classes,
 )
-from martenrun.platform.engine import AttemptOutcome, AttemptResult
 from martenrun.wire.messages import DecideRequest, Grant, Refusal
 
 RETRY_AFTER_S = 1.0
--- a/src/martenrun/agent/messages.py
+++ b/src/martenrun/agent/messages.py
@@ -6,10 +6,10 @@
 from dataclasses import replace
 
 from martenrun.agent.active import RETRY_AFTER_S, ActiveRequest
+from martenrun.backends.engine import AttemptOutcome, AttemptResult
 from martenrun.claims.record import ClaimState
 from martenrun.errors import NoRunnerError, Ran, StreamBrokenError
 from martenrun.events import Instruction, Send
-from martenrun.platform.engine import AttemptOutcome, AttemptResult
 from martenrun.wire.messages import (
     AttemptReport,
     ClaimReport,
--- a/src/martenrun/agent/requests.py
+++ b/src/martenrun/agent/requests.py
@@ -21,6 +21,7 @@
     withdrawal,
 )
 from martenrun.agent.retry import RetryBudget, pause_s
+from martenrun.backends.engine import AttemptOutcome
 from martenrun.constants import DECISION_TIMEOUT_S, RESUME_WINDOW_S
 from martenrun.errors import (
     DeadlineExceededError,
@@ -45,7 +46,6 @@
     Tick,
 )
 from martenrun.ownership.stall import StallDetector
-from martenrun.platform.engine import AttemptOutcome
 from martenrun.statecharts.compiler import load_chart
 from martenrun.wire.messages import Grant, Queued, Refusal
 
--- /dev/null
+++ b/src/martenrun/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters of outside systems; nothing else knows their field names."""
--- a/src/martenrun/platform/attempt.py
+++ b/src/martenrun/backends/attempt.py
@@ -8,7 +8,7 @@
 :meth:`EngineAttempt.further_events` wait for it, and one that follows many streams waits for all
 of them and calls :meth:`EngineAttempt.read_ready`.
 
-See also: :mod:`martenrun.platform.engine`, :mod:`martenrun.platform.streamed_answer`.
+See also: :mod:`martenrun.backends.engine`, :mod:`martenrun.backends.streamed_answer`.
 """
 
 import contextlib
@@ -20,12 +20,12 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
+from martenrun.backends.engine import AttemptOutcome, AttemptResult, EngineRequest
+from martenrun.backends.http_stream import HttpStreamError
+from martenrun.backends.kv_transfers import IMPORT_HEADER
+from martenrun.backends.stream_progress import StreamProgress
+from martenrun.backends.streamed_answer import StreamedAnswer, UsageHolder, take_usage
 from martenrun.constants import ENGINE_CONNECT_TIMEOUT_S
-from martenrun.platform.engine import AttemptOutcome, AttemptResult, EngineRequest
-from martenrun.platform.http_stream import HttpStreamError
-from martenrun.platform.kv_transfers import IMPORT_HEADER
-from martenrun.platform.stream_progress import StreamProgress
-from martenrun.platform.streamed_answer import StreamedAnswer, UsageHolder, take_usage
 
 READ_BYTES = 64 * 1024
 """Most bytes read of a stream at a time."""
--- a/src/martenrun/platform/cache_events.py
+++ b/src/martenrun/backends/cache_events.py
@@ -12,8 +12,8 @@
 import msgspec
 import numpy
 
+from martenrun.backends.engine import EngineConnections
 from martenrun.identity.chain import BlockHashes, as_array
-from martenrun.platform.engine import EngineConnections
 
 READ_TIMEOUT_S = 2.0
 """Longest wait for a feed's answer beyond the time the engine was asked to wait, in seconds."""
--- a/src/martenrun/platform/engine.py
+++ b/src/martenrun/backends/engine.py
@@ -1,6 +1,6 @@
 """Adapter of model engines: describing a runner, cancelling a request.
 
-See also: :mod:`martenrun.platform.attempt`, which runs a request.
+See also: :mod:`martenrun.backends.attempt`, which runs a request.
 """
 
 import contextlib
@@ -11,8 +11,8 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
+from martenrun.backends.http import connection_pool
 from martenrun.constants import ENGINE_READ_TIMEOUT_S
-from martenrun.platform.http import connection_pool
 
 _CONTROL_TIMEOUT_S = 2.0
 
--- a/src/martenrun/platform/engine_orders.py
+++ b/src/martenrun/backends/engine_orders.py
@@ -9,7 +9,7 @@
 import msgspec
 from urllib3.exceptions import HTTPError
 
-from martenrun.platform.engine import EngineConnections
+from martenrun.backends.engine import EngineConnections
 
 _TIMEOUT_S = 10.0
 
--- a/src/martenrun/platform/engine_stream.py
+++ b/src/martenrun/backends/engine_stream.py
@@ -13,10 +13,10 @@
 
 import msgspec
 
+from martenrun.backends.cache_events import CacheEvents, FeedPosition
+from martenrun.backends.engine import RunnerDescription
+from martenrun.backends.http_stream import HttpStreamError, StreamedResponse, request_bytes
 from martenrun.identity.chain import as_array
-from martenrun.platform.cache_events import CacheEvents, FeedPosition
-from martenrun.platform.engine import RunnerDescription
-from martenrun.platform.http_stream import HttpStreamError, StreamedResponse, request_bytes
 
 PACE_S = 0.5
 """Time between two pushes of load that an engine is asked for, in seconds."""
--- a/src/martenrun/platform/http_stream.py
+++ b/src/martenrun/backends/http_stream.py
@@ -5,7 +5,7 @@
 is taken in at once, so that one thread can follow many responses of which any may be slow, silent
 or broken.
 
-See also: :mod:`martenrun.platform.engine_stream`, :mod:`martenrun.platform.streamed_answer`.
+See also: :mod:`martenrun.backends.engine_stream`, :mod:`martenrun.backends.streamed_answer`.
 """
 
 import http.client
--- a/src/martenrun/platform/kv_transfers.py
+++ b/src/martenrun/backends/kv_transfers.py
@@ -6,8 +6,8 @@
 import msgspec
 from urllib3.exceptions import HTTPError
 
+from martenrun.backends.engine import EngineConnections
 from martenrun.constants import BLOCK_HASH_BYTES
-from martenrun.platform.engine import EngineConnections
 
 _TIMEOUT_S = 30.0
 
--- a/src/martenrun/platform/machine_list.py
+++ b/src/martenrun/backends/machine_list.py
@@ -6,8 +6,8 @@
 import msgspec
 from urllib3.exceptions import HTTPError
 
+from martenrun.backends.http import connection_pool
 from martenrun.errors import StoreUnavailableError
-from martenrun.platform.http import connection_pool
 
 _READ_TIMEOUT_S = 5.0
 
--- a/src/martenrun/platform/object_api.py
+++ b/src/martenrun/backends/object_api.py
@@ -13,6 +13,7 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
+from martenrun.backends.http import connection_pool
 from martenrun.errors import (
     ChangeOutcomeUnknownError,
     ObjectNotFoundError,
@@ -20,7 +21,6 @@
     VersionConflictError,
     WatchCompactedError,
 )
-from martenrun.platform.http import connection_pool
 from martenrun.wire.messages import ConfigurationObject, ConfigurationUpdate
 
 _READ_TIMEOUT_S = 10.0
--- a/src/martenrun/platform/stream_progress.py
+++ b/src/martenrun/backends/stream_progress.py
@@ -3,7 +3,7 @@
 Engines resume by two fields of a request: ``resume_from``, the number of output tokens that
 exist, and ``resume_text``, their text.  Each event with text is one token in this dialect.
 
-See also: :mod:`martenrun.platform.attempt`.
+See also: :mod:`martenrun.backends.attempt`.
 """
 
 import msgspec
--- a/src/martenrun/platform/streamed_answer.py
+++ b/src/martenrun/backends/streamed_answer.py
@@ -1,16 +1,16 @@
 """An engine's streamed answer, taken apart as its bytes arrive; reads no socket and never waits.
 
-See also: :mod:`martenrun.platform.attempt`, which reads the socket,
-:mod:`martenrun.platform.http_stream`, :mod:`martenrun.platform.stream_progress`.
+See also: :mod:`martenrun.backends.attempt`, which reads the socket,
+:mod:`martenrun.backends.http_stream`, :mod:`martenrun.backends.stream_progress`.
 """
 
 from collections.abc import Iterator
 
 import msgspec
 
-from martenrun.platform.engine import AttemptResult
-from martenrun.platform.http_stream import StreamedResponse
-from martenrun.platform.stream_progress import StreamProgress
+from martenrun.backends.engine import AttemptResult
+from martenrun.backends.http_stream import StreamedResponse
+from martenrun.backends.stream_progress import StreamProgress
 
 _DONE = b"data: [DONE]"
 _EVENT_END = b"\n\n"
--- a/src/martenrun/platform/weight_store.py
+++ b/src/martenrun/backends/weight_store.py
@@ -6,8 +6,8 @@
 
 from urllib3.exceptions import HTTPError
 
+from martenrun.backends.http import connection_pool
 from martenrun.errors import StoreUnavailableError
-from martenrun.platform.http import connection_pool
 
 _READ_TIMEOUT_S = 5.0
 
--- a/src/martenrun/bench/adapter.py
+++ b/src/martenrun/bench/adapter.py
@@ -13,10 +13,10 @@
 
 import click
 
+from martenrun.backends.attempt import EngineAttempt
+from martenrun.backends.engine import AttemptOutcome, EngineRequest
+from martenrun.backends.stream_progress import StreamProgress
 from martenrun.edge.server import HttpServer
-from martenrun.platform.attempt import EngineAttempt
-from martenrun.platform.engine import AttemptOutcome, EngineRequest
-from martenrun.platform.stream_progress import StreamProgress
 
 _PIECE = (
     b'data: {"id":"r","object":"chat.completion.chunk","created":0,"model":"m","choices":'
--- a/src/martenrun/bench/control.py
+++ b/src/martenrun/bench/control.py
@@ -16,10 +16,10 @@
 import click
 import msgspec
 
+from martenrun.backends.engine import AttemptOutcome
 from martenrun.bench.path import print_result
 from martenrun.bench.process_cost import ProcessCost, quantile, read_cost
 from martenrun.constants import BLOCK_HASH_BYTES, DEFAULT_BLOCK_BYTES
-from martenrun.platform.engine import AttemptOutcome
 from martenrun.wire.keys import cluster_keys
 from martenrun.wire.messages import AttemptReport, DecideRequest, Grant, Message, Queued
 from martenrun.wire.transport import PeerTransport
--- a/src/martenrun/bench/feed_threads.py
+++ b/src/martenrun/bench/feed_threads.py
@@ -10,10 +10,10 @@
 
 from urllib3.exceptions import HTTPError
 
+from martenrun.backends.engine_stream import PushReader, StreamBrokenError, StreamQuestion
+from martenrun.backends.http import connection_pool
 from martenrun.events import Event, EventBatch
 from martenrun.node.followed_engine import SILENCE_S, FollowedEngine, Target
-from martenrun.platform.engine_stream import PushReader, StreamBrokenError, StreamQuestion
-from martenrun.platform.http import connection_pool
 
 _HEAD = b"HTTP/1.0 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 
--- a/src/martenrun/bench/feed_ways.py
+++ b/src/martenrun/bench/feed_ways.py
@@ -6,15 +6,15 @@
 
 from urllib3.exceptions import HTTPError
 
+from martenrun.backends.cache_events import CacheEventReader
+from martenrun.backends.engine import EngineConnections
+from martenrun.backends.machine_list import MachineList
 from martenrun.bench.feed_threads import ThreadedFeeds
 from martenrun.events import CacheEventsRead, Event, EventBatch, RunnerDescribed
 from martenrun.node.feeds import EngineFeeds
 from martenrun.node.followed_engine import Target
 from martenrun.node.parts import NodeParts
 from martenrun.node.polls import NodePolls
-from martenrun.platform.cache_events import CacheEventReader
-from martenrun.platform.engine import EngineConnections
-from martenrun.platform.machine_list import MachineList
 from martenrun.process import Poller
 
 DESCRIBE_S = 0.5
--- a/src/martenrun/bench/feeds.py
+++ b/src/martenrun/bench/feeds.py
@@ -23,11 +23,11 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
+from martenrun.backends.machine_list import Machine
 from martenrun.bench.feed_engines import CLOSE_PATH, engine_address
 from martenrun.bench.feed_ways import FeedWay, ways
 from martenrun.events import MachinesListed, Send, SendDatagram, StoreRead, StoreWatch, StoreWrite
 from martenrun.node.parts import node_parts
-from martenrun.platform.machine_list import Machine
 from martenrun.process import Clock, LoopActor
 from martenrun.routing.policy import RunnerState
 from martenrun.settings.model import NodeSettings
--- a/src/martenrun/bench/machine_list.py
+++ b/src/martenrun/bench/machine_list.py
@@ -15,11 +15,11 @@
 import click
 import msgspec
 
+from martenrun.backends.machine_list import Machine
 from martenrun.bench.node_state import list_of_machines, node_address
 from martenrun.events import Event, MachinesListed, PeerMessage, Send, Tell, Tick
 from martenrun.membership.view import Member, StaticMemberView
 from martenrun.ownership.machine_feed import MachineFeed
-from martenrun.platform.machine_list import Machine
 from martenrun.wire.codec import decode, encode
 
 PULL_S = 5.0
--- a/src/martenrun/bench/node_state.py
+++ b/src/martenrun/bench/node_state.py
@@ -12,6 +12,7 @@
 import click
 import msgspec
 
+from martenrun.backends.machine_list import Machine, decoded_machines
 from martenrun.bench.scale.cluster import SECRET, UNUSED_ADDRESS
 from martenrun.bench.scale.platform import make_runners, region_name, zone_name
 from martenrun.cli.libraries import give_back_large_blocks
@@ -19,7 +20,6 @@
 from martenrun.events import Event, MachinesListed, PeerMessage, Tick
 from martenrun.identity.chain import as_array
 from martenrun.node.parts import NodeParts, node_parts
-from martenrun.platform.machine_list import Machine, decoded_machines
 from martenrun.routing.beliefs import BeliefBook
 from martenrun.settings.model import NodeSettings
 from martenrun.wire.messages import MemberClaim, MemberList
--- a/src/martenrun/bench/rolls.py
+++ b/src/martenrun/bench/rolls.py
@@ -15,14 +15,14 @@
 
 import click
 
+from martenrun.backends.engine import EngineConnections
+from martenrun.backends.engine_orders import EngineOrders
+from martenrun.backends.object_api import ObjectApi
 from martenrun.configuration.state import ConfigurationState
 from martenrun.edge.server import HttpServer
 from martenrun.events import RunnerDescribed, SendOrder, StoreRead, StoreWrite
 from martenrun.orders.rolls import RollsLogic
 from martenrun.orders.workers import OrderWorkers
-from martenrun.platform.engine import EngineConnections
-from martenrun.platform.engine_orders import EngineOrders
-from martenrun.platform.object_api import ObjectApi
 from martenrun.process import Clock, LoopActor, Poller, StoreWorkers
 from martenrun.routing.policy import RunnerState
 from martenrun.standins.engine.application import EngineApplication
--- a/src/martenrun/bench/routing_feeds.py
+++ b/src/martenrun/bench/routing_feeds.py
@@ -112,7 +112,7 @@
 def net_change(batches: Sequence[FeedBatch]) -> FeedBatch:
     """Return events of one run as the adapter of feeds gives them in one read.
 
-    See also: :func:`martenrun.platform.cache_events.take_in`.
+    See also: :func:`martenrun.backends.cache_events.take_in`.
     """
     is_stored: dict[int, bool] = {}
     for batch in batches:
--- a/src/martenrun/bench/scale/cluster.py
+++ b/src/martenrun/bench/scale/cluster.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from martenrun.agent.parts import AgentParts, agent_parts
+from martenrun.backends.engine import AttemptOutcome, AttemptResult
 from martenrun.bench.scale.kinds import KindCountingNetwork
 from martenrun.bench.scale.platform import (
     MODELS,
@@ -32,7 +33,6 @@
     SendOrder,
 )
 from martenrun.node.parts import NodeParts, node_parts
-from martenrun.platform.engine import AttemptOutcome, AttemptResult
 from martenrun.process import Carrier
 from martenrun.settings.model import AgentSettings, NodeSettings
 from martenrun.simulation.hollow import HollowProcess
--- a/src/martenrun/bench/scale/host.py
+++ b/src/martenrun/bench/scale/host.py
@@ -24,6 +24,8 @@
 from absl import logging
 from urllib3.exceptions import HTTPError
 
+from martenrun.backends.engine import EngineConnections, RunnerDescription
+from martenrun.backends.machine_list import Machine, MachineList
 from martenrun.bench.scale.platform import (
     MODELS,
     SLOTS,
@@ -38,8 +40,6 @@
 from martenrun.node.core import NodeCore
 from martenrun.node.feeds import PolledEngines
 from martenrun.node.polls import NodePolls
-from martenrun.platform.engine import EngineConnections, RunnerDescription
-from martenrun.platform.machine_list import Machine, MachineList
 from martenrun.process import Poller
 from martenrun.settings.model import NodeSettings
 
--- a/src/martenrun/bench/scale/platform.py
+++ b/src/martenrun/bench/scale/platform.py
@@ -5,8 +5,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from martenrun.platform.engine import RunnerDescription
-from martenrun.platform.machine_list import Machine
+from martenrun.backends.engine import RunnerDescription
+from martenrun.backends.machine_list import Machine
 from martenrun.simulation.store import SimulatedStore
 
 ZONES = 6
--- a/src/martenrun/bench/scaling_demand.py
+++ b/src/martenrun/bench/scaling_demand.py
@@ -8,6 +8,8 @@
 import statistics
 from dataclasses import dataclass
 
+from martenrun.backends.engine import RunnerDescription
+from martenrun.backends.machine_list import Machine
 from martenrun.bench.exchange_run import ExchangeRun
 from martenrun.configuration.objects import Document, Kind, Pool
 from martenrun.configuration.view import ConfigurationView
@@ -15,8 +17,6 @@
 from martenrun.membership.view import StaticMemberView
 from martenrun.node.runners import RunnerTable
 from martenrun.ownership.slots import RunnerSlots
-from martenrun.platform.engine import RunnerDescription
-from martenrun.platform.machine_list import Machine
 from martenrun.scaling.demand import DemandExchange
 from martenrun.scaling.limits import ScalingLimits
 
--- a/src/martenrun/capacity/role_fit.py
+++ b/src/martenrun/capacity/role_fit.py
@@ -39,7 +39,7 @@
               run, file, state_bytes=result.bytes_per_runner,
               note="machine list, table, owners, index of pools"),
         Slope("node", "runners, freed and not given back", Driver.RUNNERS_IN_ALL,
-              "src/martenrun/platform/machine_list.py", run, file,
+              "src/martenrun/backends/machine_list.py", run, file,
               state_bytes=max(0.0, result.resident_bytes_per_runner - result.bytes_per_runner),
               note="what the process grew by as the list came and changed, above what is in use"),
         Slope("node", "chains sent", Driver.CONSTANT, "src/martenrun/routing/beliefs.py",
--- a/src/martenrun/configuration/driver.py
+++ b/src/martenrun/configuration/driver.py
@@ -5,10 +5,10 @@
 
 from absl import logging
 
+from martenrun.backends.object_api import ObjectApi
 from martenrun.configuration.objects import REPLICATED_KINDS
 from martenrun.errors import WatchCompactedError
 from martenrun.events import Event, StoreWatch, StoreWatched, WatchOutcome
-from martenrun.platform.object_api import ObjectApi
 from martenrun.wire.messages import ConfigurationUpdate
 
 WATCH_WAIT_S = 5.0
--- a/src/martenrun/edge/application.py
+++ b/src/martenrun/edge/application.py
@@ -6,6 +6,7 @@
 from prometheus_client.registry import Collector
 from werkzeug.wrappers import Request, Response
 
+from martenrun.backends.engine import EngineConnections
 from martenrun.configuration.view import ConfigurationView
 from martenrun.edge.channel import OUTPUT_KEY
 from martenrun.edge.first_copy import wait_for_first_copy
@@ -22,7 +23,6 @@
 from martenrun.errors import MartenrunError, NodeUnavailableError, NotFoundError, StoppingError
 from martenrun.observability.metrics import EdgeMetrics
 from martenrun.observability.requests import RequestObservation
-from martenrun.platform.engine import EngineConnections
 from martenrun.settings.model import ProcessSettings
 
 CALLER_LEFT_STATUS = 499
--- a/src/martenrun/edge/forward.py
+++ b/src/martenrun/edge/forward.py
@@ -12,6 +12,10 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
+from martenrun.backends.attempt import EngineAttempt
+from martenrun.backends.engine import AttemptOutcome, EngineConnections, EngineRequest
+from martenrun.backends.kv_transfers import ImportOffer
+from martenrun.backends.stream_progress import StreamProgress
 from martenrun.constants import ENGINE_READ_TIMEOUT_S, RESUME_WINDOW_S
 from martenrun.edge.relay import CallerOutput, StreamRelay
 from martenrun.edge.request import CallerRequest
@@ -24,10 +28,6 @@
 )
 from martenrun.events import AttemptEnded, CallerGone, Event, Finish, RequestArrived, RunAttempt
 from martenrun.observability.requests import RequestObservation
-from martenrun.platform.attempt import EngineAttempt
-from martenrun.platform.engine import AttemptOutcome, EngineConnections, EngineRequest
-from martenrun.platform.kv_transfers import ImportOffer
-from martenrun.platform.stream_progress import StreamProgress
 from martenrun.wire.messages import Grant
 
 MINIMUM_WAIT_S = 0.05
--- a/src/martenrun/edge/request.py
+++ b/src/martenrun/edge/request.py
@@ -7,6 +7,7 @@
 from werkzeug.datastructures import Headers
 from werkzeug.wrappers import Request
 
+from martenrun.backends.stream_progress import ResumeFields
 from martenrun.configuration.view import ConfigurationView
 from martenrun.constants import MAXIMUM_BODY_BYTES
 from martenrun.errors import (
@@ -22,7 +23,6 @@
     canonical_chat_text,
     canonical_completion_text,
 )
-from martenrun.platform.stream_progress import ResumeFields
 from martenrun.wire.messages import DecideRequest
 
 CALLER_ID_HEADER = "X-Request-Id"
--- a/src/martenrun/events.py
+++ b/src/martenrun/events.py
@@ -10,13 +10,13 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from martenrun.backends.cache_events import CacheEvents
+from martenrun.backends.engine import AttemptResult, RunnerDescription
+from martenrun.backends.engine_orders import EngineOrder, OrderOutcome
+from martenrun.backends.kv_transfers import BlockTransfer
+from martenrun.backends.machine_list import Machine
 from martenrun.errors import MartenrunError
 from martenrun.membership.view import Member
-from martenrun.platform.cache_events import CacheEvents
-from martenrun.platform.engine import AttemptResult, RunnerDescription
-from martenrun.platform.engine_orders import EngineOrder, OrderOutcome
-from martenrun.platform.kv_transfers import BlockTransfer
-from martenrun.platform.machine_list import Machine
 from martenrun.wire.messages import (
     ConfigurationObject,
     ConfigurationUpdate,
--- a/src/martenrun/kvcache/home.py
+++ b/src/martenrun/kvcache/home.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
+from martenrun.backends.engine import AttemptOutcome
 from martenrun.events import (
     DecisionLogic,
     Event,
@@ -23,7 +24,6 @@
 from martenrun.kvcache.exports import ExportWanted, ExportWishes
 from martenrun.kvcache.imports import ImportEnd, ImportPlan, ImportPolicy
 from martenrun.kvcache.limits import StoreLimits
-from martenrun.platform.engine import AttemptOutcome
 from martenrun.routing.policy import RunnerState
 from martenrun.wire.messages import (
     AttemptReport,
--- a/src/martenrun/kvcache/owner.py
+++ b/src/martenrun/kvcache/owner.py
@@ -5,11 +5,11 @@
 
 from collections.abc import Callable, Mapping
 
+from martenrun.backends.kv_transfers import BlockTransfer
 from martenrun.events import Event, ExportEnded, Instruction, PeerMessage, Send, SendExport, Tick
 from martenrun.kvcache.counts import CountsByPool
 from martenrun.kvcache.exports import ExportQueue, ExportWanted
 from martenrun.kvcache.limits import StoreLimits
-from martenrun.platform.kv_transfers import BlockTransfer
 from martenrun.routing.policy import RunnerState
 from martenrun.wire.messages import ExportPrefix, PrefixExported
 
--- a/src/martenrun/kvcache/workers.py
+++ b/src/martenrun/kvcache/workers.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
+from martenrun.backends.kv_transfers import KvTransfers, TransferDirection
 from martenrun.events import Event, ExportEnded, SendExport
-from martenrun.platform.kv_transfers import KvTransfers, TransferDirection
 
 EXPORT_WORKERS = 4
 """Exports on their way at a time, per process."""
--- a/src/martenrun/membership/listed.py
+++ b/src/martenrun/membership/listed.py
@@ -1,6 +1,6 @@
 """What the platform's lagging machine list says of nodes."""
 
-from martenrun.platform.machine_list import Machine
+from martenrun.backends.machine_list import Machine
 
 NODE_ROLE = "node"
 
--- /dev/null
+++ b/src/martenrun/net/__init__.py
@@ -0,0 +1,1 @@
+"""One selector loop on one thread, with TCP connections and HTTP/1.1 on both sides of it."""
--- /dev/null
+++ b/src/martenrun/net/http.py
@@ -0,0 +1,113 @@
+"""Typed HTTP/1.1 messages and what both sides of the router share about them."""
+
+import attrs
+
+Headers = list[tuple[bytes, bytes]]
+"""Header fields in the order received; names as sent."""
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+"""Fields that concern one connection or the framing on it; never passed on (RFC 9110, 7.6.1)."""
+
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    421: b"Misdirected Request",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+"""Reason phrases of the statuses that the router answers with itself."""
+
+
+@attrs.define(slots=True)
+class HttpRequest:
+    """A whole request.
+
+    Attributes:
+        method: as sent.
+        target: path and query, as sent.
+        headers: all header fields.
+        body: the decoded body.
+        received_at: steady time at which its head was complete, in seconds.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    received_at: float
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a field, whose name is given in lower case."""
+        return find_header(self.headers, name)
+
+
+@attrs.define(slots=True)
+class HttpAnswer:
+    """A whole answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a field, whose name is given in lower case."""
+        return find_header(self.headers, name)
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a field, whose name is given in lower case."""
+    for field, value in headers:
+        if field.lower() == name:
+            return value
+    return None
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Return the fields that travel on, without those that concern one connection."""
+    named: set[bytes] = set()
+    for field, value in headers:
+        if field.lower() == b"connection":
+            named.update(token.strip().lower() for token in value.split(b","))
+    dropped = HOP_BY_HOP | named
+    return [(field, value) for field, value in headers if field.lower() not in dropped]
+
+
+def request_bytes(method: bytes, target: bytes, headers: Headers, body: bytes) -> bytes:
+    """Return a request with its length, ready to be sent."""
+    lines = [method + b" " + target + b" HTTP/1.1"]
+    lines += [field + b": " + value for field, value in headers]
+    if body or method not in (b"GET", b"HEAD", b"DELETE"):
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def answer_head(status: int, headers: Headers, framing: bytes, is_closing: bool) -> bytes:
+    """Return the head of an answer; ``framing`` is its length or transfer coding."""
+    lines = [b"HTTP/1.1 %d %s" % (status, REASONS.get(status, b"Status"))]
+    lines += [field + b": " + value for field, value in headers]
+    lines.append(framing)
+    if is_closing:
+        lines.append(b"Connection: close")
+    return b"\r\n".join(line for line in lines if line) + b"\r\n\r\n"
--- /dev/null
+++ b/src/martenrun/net/stream.py
@@ -0,0 +1,237 @@
+"""A non-blocking TCP connection on the loop, with buffered writes and back-pressure."""
+
+import contextlib
+import socket
+from collections.abc import Callable
+from typing import Protocol
+
+from martenrun.net.loop import READ, WRITE, Loop
+
+READ_BYTES = 65536
+"""Most bytes read at a time."""
+
+HIGH_WATER_BYTES = 262_144
+"""Unsent bytes from which a writer is told to pause."""
+
+SILENT_PEER_MS = 1_500
+"""How long bytes to an opened connection may stay unacknowledged until it is broken, in ms."""
+
+SLOW_READER_MS = 15_000
+"""The same for an accepted connection, whose peer may also read slowly, in ms."""
+
+KEEP_ALIVE_IDLE_S = 1
+KEEP_ALIVE_INTERVAL_S = 1
+KEEP_ALIVE_PROBES = 2
+"""When a quiet connection is probed, and after how many lost probes it counts as broken."""
+
+
+class StreamOwner(Protocol):
+    """What a :class:`Stream` reports to."""
+
+    def on_connected(self) -> None:
+        """The connection that was opened is up."""
+
+    def on_data(self, data: bytes) -> None:
+        """Bytes have arrived."""
+
+    def on_closed(self, is_clean: bool) -> None:
+        """The peer has ended the connection, or it broke; comes once, not after :meth:`close`."""
+
+    def on_drained(self) -> None:
+        """Fewer unsent bytes than the high-water mark are left."""
+
+
+class Stream:
+    """One TCP connection.
+
+    Args:
+        loop: the loop it is served on.
+        sock: its socket, already non-blocking.
+        owner: told of everything that happens to it.
+        is_connecting: whether the connection is still being opened.
+    """
+
+    def __init__(
+        self, loop: Loop, sock: socket.socket, owner: StreamOwner, is_connecting: bool = False
+    ) -> None:
+        self._loop = loop
+        self._sock = sock
+        self._owner = owner
+        self._unsent = bytearray()
+        self._is_connecting = is_connecting
+        self._is_paused = False
+        self._closes_when_sent = False
+        self._was_high = False
+        self.is_closed = False
+        self._watch()
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait for the peer to read."""
+        return len(self._unsent)
+
+    @property
+    def is_congested(self) -> bool:
+        """Whether a writer had better pause."""
+        return len(self._unsent) > HIGH_WATER_BYTES
+
+    def write(self, data: bytes) -> None:
+        """Send bytes as soon as the peer takes them."""
+        if self.is_closed or not data:
+            return
+        if self._unsent or self._is_connecting:
+            self._unsent += data
+        else:
+            self._unsent += data[self._send(data) :]
+        if self._unsent and not self.is_closed:
+            self._was_high = self._was_high or self.is_congested
+            self._watch()
+
+    def pause(self, is_paused: bool) -> None:
+        """Stop or resume reading."""
+        if self._is_paused != is_paused and not self.is_closed:
+            self._is_paused = is_paused
+            self._watch()
+
+    def close(self) -> None:
+        """Close at once; unsent bytes are dropped."""
+        if self.is_closed:
+            return
+        self.is_closed = True
+        self._loop.watch(self._sock, 0, self._on_ready)
+        self._sock.close()
+
+    def reset(self) -> None:
+        """Close at once so that the peer sees a reset."""
+        if self.is_closed:
+            return
+        with contextlib.suppress(OSError):
+            self._sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00"
+            )
+        self.close()
+
+    def finish(self) -> None:
+        """Send what is left, then end the sending side; the peer's end closes the rest."""
+        self._closes_when_sent = True
+        if not self._unsent:
+            self._end_sending()
+
+    def _end_sending(self) -> None:
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_WR)
+
+    def _watch(self) -> None:
+        events = 0 if self._is_paused or self._is_connecting else READ
+        if self._unsent or self._is_connecting:
+            events |= WRITE
+        self._loop.watch(self._sock, events, self._on_ready)
+
+    def _on_ready(self, ready: int) -> None:
+        if self._is_connecting:
+            self._finish_connecting()
+            return
+        if ready & WRITE:
+            self._flush()
+        if ready & READ and not self.is_closed:
+            self._read()
+
+    def _finish_connecting(self) -> None:
+        error = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            self._break(False)
+            return
+        self._is_connecting = False
+        self._watch()
+        self._owner.on_connected()
+
+    def _read(self) -> None:
+        try:
+            data = self._sock.recv(READ_BYTES)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            self._break(False)
+            return
+        if data:
+            self._owner.on_data(data)
+        else:
+            self._break(True)
+
+    def _flush(self) -> None:
+        del self._unsent[: self._send(self._unsent)]
+        if self.is_closed:
+            return
+        if not self._unsent:
+            self._watch()
+            if self._closes_when_sent:
+                self._end_sending()
+        if self._was_high and not self.is_congested:
+            self._was_high = False
+            self._owner.on_drained()
+
+    def _send(self, data: bytes | bytearray) -> int:
+        try:
+            return self._sock.send(data)
+        except (BlockingIOError, InterruptedError):
+            return 0
+        except OSError:
+            # Reading tells of the end, after what the peer may have sent before it.
+            self._is_paused = False
+            self._loop.watch(self._sock, READ, self._on_ready)
+            return len(data)
+
+    def _break(self, is_clean: bool) -> None:
+        if not self.is_closed:
+            self.close()
+            self._owner.on_closed(is_clean)
+
+
+def open_stream(loop: Loop, address: str, owner: StreamOwner) -> Stream:
+    """Open a connection to ``IP:port``; raises OSError if that fails at once."""
+    host, _, port = address.rpartition(":")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    _tune(sock, SILENT_PEER_MS)
+    try:
+        sock.connect((host, int(port)))
+    except BlockingIOError:
+        pass
+    except OSError:
+        sock.close()
+        raise
+    return Stream(loop, sock, owner, is_connecting=True)
+
+
+def listen(loop: Loop, address: str, accepted: Callable[[socket.socket], None]) -> socket.socket:
+    """Listen on ``IP:port`` and hand each accepted socket, non-blocking, to ``accepted``."""
+    host, _, port = address.rpartition(":")
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setblocking(False)
+    listener.bind((host, int(port)))
+    listener.listen(512)
+
+    def accept_all(_ready: int) -> None:
+        for _ in range(64):
+            try:
+                sock, _peer = listener.accept()
+            except OSError:
+                return
+            sock.setblocking(False)
+            _tune(sock, SLOW_READER_MS)
+            accepted(sock)
+
+    loop.watch(listener, READ, accept_all)
+    return listener
+
+
+def _tune(sock: socket.socket, unacknowledged_ms: int) -> None:
+    """Send without delay, and notice a peer that has gone silent."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
--- a/src/martenrun/node/cache_events.py
+++ b/src/martenrun/node/cache_events.py
@@ -4,15 +4,15 @@
 gap drops what may have been removed in it, another incarnation drops everything.  Feeds are
 read by a runner's owner; when a runner gets another owner, what its feed told here ends.
 
-See also: :mod:`martenrun.routing.beliefs`, :mod:`martenrun.platform.cache_events`.
+See also: :mod:`martenrun.routing.beliefs`, :mod:`martenrun.backends.cache_events`.
 """
 
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from martenrun.backends.cache_events import CacheEvents
 from martenrun.events import CacheEventsRead, Event, Instruction, Tick
 from martenrun.node.runners import RunnerTable
-from martenrun.platform.cache_events import CacheEvents
 from martenrun.routing.beliefs import BeliefBook
 
 OWNERSHIP_CHECK_S = 1.0
--- a/src/martenrun/node/core.py
+++ b/src/martenrun/node/core.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 from typing import Any
 
+from martenrun.backends.object_api import ObjectApi
 from martenrun.configuration.driver import WatchWorker
 from martenrun.events import (
     Event,
@@ -21,7 +22,6 @@
 )
 from martenrun.loop_inbox import LoopInbox
 from martenrun.node.parts import node_parts
-from martenrun.platform.object_api import ObjectApi
 from martenrun.process import (
     Carrier,
     LoopActor,
--- a/src/martenrun/node/feeds.py
+++ b/src/martenrun/node/feeds.py
@@ -17,15 +17,15 @@
 
 from absl import logging
 
-from martenrun.events import Event, EventBatch
-from martenrun.node.followed_engine import FeedState, FollowedEngine, Target
-from martenrun.platform.engine_stream import (
+from martenrun.backends.engine_stream import (
     READ_BYTES,
     EngineStream,
     NoPushStreamError,
     StreamBrokenError,
     StreamQuestion,
 )
+from martenrun.events import Event, EventBatch
+from martenrun.node.followed_engine import FeedState, FollowedEngine, Target
 
 ROUND_S = 0.1
 """Pause between two rounds of reading, in seconds."""
--- a/src/martenrun/node/followed_engine.py
+++ b/src/martenrun/node/followed_engine.py
@@ -2,17 +2,17 @@
 
 Everything that may have changed is told to the loop as events; nothing here touches a socket.
 
-See also: :mod:`martenrun.node.feeds`, the driver; :mod:`martenrun.platform.engine_stream`.
+See also: :mod:`martenrun.node.feeds`, the driver; :mod:`martenrun.backends.engine_stream`.
 """
 
 import enum
 import random
 from dataclasses import dataclass
 
+from martenrun.backends.cache_events import FeedPosition
+from martenrun.backends.engine import RunnerDescription
+from martenrun.backends.engine_stream import Push, pushed_events
 from martenrun.events import CacheEventsRead, Event, RunnerDescribed
-from martenrun.platform.cache_events import FeedPosition
-from martenrun.platform.engine import RunnerDescription
-from martenrun.platform.engine_stream import Push, pushed_events
 
 SILENCE_S = 2.0
 """Time without a word after which an engine is taken as unreachable, in seconds."""
--- a/src/martenrun/node/front.py
+++ b/src/martenrun/node/front.py
@@ -13,6 +13,7 @@
 from martenrun.admin.assignments import check_move
 from martenrun.admin.messages import ADMIN_PREFIX
 from martenrun.admin.status import StatusPort
+from martenrun.backends.weight_store import WeightStore
 from martenrun.edge.application import CallerApplication
 from martenrun.edge.drain import EdgeStop
 from martenrun.edge.forward import EdgePort
@@ -27,7 +28,6 @@
 from martenrun.observability.keys import KeyCollector
 from martenrun.observability.process_cost import ProcessCostCollector
 from martenrun.observability.scaling import ScalingCollector
-from martenrun.platform.weight_store import WeightStore
 from martenrun.settings.model import NodeSettings
 from martenrun.sharing.policy_status import PolicyStatus
 
--- a/src/martenrun/node/polls.py
+++ b/src/martenrun/node/polls.py
@@ -10,13 +10,13 @@
 
 from urllib3.exceptions import HTTPError
 
+from martenrun.backends.cache_events import CacheEventReader
+from martenrun.backends.engine import EngineConnections
+from martenrun.backends.machine_list import MachineList
 from martenrun.events import CacheEventsRead, Event, MachinesListed, RunnerDescribed
 from martenrun.node.feeds import EngineFollower
 from martenrun.node.followed_engine import Target
 from martenrun.node.parts import NodeParts
-from martenrun.platform.cache_events import CacheEventReader
-from martenrun.platform.engine import EngineConnections
-from martenrun.platform.machine_list import MachineList
 
 
 class NodePolls:
--- a/src/martenrun/node/process.py
+++ b/src/martenrun/node/process.py
@@ -5,6 +5,10 @@
 import threading
 from typing import TYPE_CHECKING, Any
 
+from martenrun.backends.engine import EngineConnections
+from martenrun.backends.engine_orders import EngineOrders
+from martenrun.backends.kv_transfers import KvTransfers
+from martenrun.backends.machine_list import MachineList
 from martenrun.edge.drain import wait_while
 from martenrun.errors import SettingsError
 from martenrun.events import Finish, LeaveRequested, RunAttempt, SendExport, SendOrder, StatusReady
@@ -13,10 +17,6 @@
 from martenrun.node.feeds import EngineFeeds
 from martenrun.node.polls import NodePolls
 from martenrun.orders.workers import OrderWorkers
-from martenrun.platform.engine import EngineConnections
-from martenrun.platform.engine_orders import EngineOrders
-from martenrun.platform.kv_transfers import KvTransfers
-from martenrun.platform.machine_list import MachineList
 from martenrun.process import Poller
 from martenrun.settings.model import NodeSettings
 
--- a/src/martenrun/node/runners.py
+++ b/src/martenrun/node/runners.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Callable, Iterable, Mapping
 
+from martenrun.backends.engine import RunnerServingState
+from martenrun.backends.machine_list import Machine
 from martenrun.configuration.objects import Assignment, Pool
 from martenrun.configuration.view import ConfigurationView
 from martenrun.events import Event, Instruction, MachinesListed, RunnerDescribed, Tick
 from martenrun.orders.target import serves_model
-from martenrun.platform.engine import RunnerServingState
-from martenrun.platform.machine_list import Machine
 from martenrun.routing.policy import RunnerState
 
 LOOK_INTERVAL_S = 0.5
--- a/src/martenrun/observability/requests.py
+++ b/src/martenrun/observability/requests.py
@@ -7,11 +7,11 @@
 
 from absl import logging
 
+from martenrun.backends.engine import AttemptOutcome, AttemptResult
 from martenrun.constants import BLOCK_HASH_BYTES
 from martenrun.errors import MartenrunError
 from martenrun.observability.logs import Field, Value, log_event
 from martenrun.observability.metrics import EdgeMetrics, PairSeries
-from martenrun.platform.engine import AttemptOutcome, AttemptResult
 from martenrun.wire.messages import DecideRequest
 
 CODE_OK = "ok"
--- a/src/martenrun/orders/permits.py
+++ b/src/martenrun/orders/permits.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from martenrun.platform.engine_orders import OrderAction
+from martenrun.backends.engine_orders import OrderAction
 
 PERMITS_KIND = "load-permits"
 """Kind of the permits' object in the object API."""
--- a/src/martenrun/orders/rolls.py
+++ b/src/martenrun/orders/rolls.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
+from martenrun.backends.engine import RunnerDescription, RunnerServingState
+from martenrun.backends.engine_orders import EngineOrder, OrderOutcome
 from martenrun.configuration.objects import Kind, Pool
 from martenrun.configuration.state import ConfigurationState
 from martenrun.events import (
@@ -26,8 +28,6 @@
 from martenrun.orders.keeper import PermitKeeper
 from martenrun.orders.permits import ANY_STORE, MAXIMUM_LOADS, Permit, PermitWish
 from martenrun.orders.target import LOADS, Target, next_target, serves_model
-from martenrun.platform.engine import RunnerDescription, RunnerServingState
-from martenrun.platform.engine_orders import EngineOrder, OrderOutcome
 from martenrun.routing.policy import RunnerState
 from martenrun.statecharts.compiler import load_chart
 
--- a/src/martenrun/orders/target.py
+++ b/src/martenrun/orders/target.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
+from martenrun.backends.engine import RunnerDescription, RunnerServingState
+from martenrun.backends.engine_orders import OrderAction
 from martenrun.configuration.objects import Pool
-from martenrun.platform.engine import RunnerDescription, RunnerServingState
-from martenrun.platform.engine_orders import OrderAction
 
 LOADS = frozenset({OrderAction.LOAD_WEIGHTS, OrderAction.LOAD_MODEL})
 """Actions during which a runner does not serve."""
--- a/src/martenrun/orders/workers.py
+++ b/src/martenrun/orders/workers.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
+from martenrun.backends.engine_orders import EngineOrders
 from martenrun.events import Event, OrderAnswered, SendOrder
-from martenrun.platform.engine_orders import EngineOrders
 
 ORDER_WORKERS = 4
 """Orders on their way at a time, per process."""
--- a/src/martenrun/ownership/home.py
+++ b/src/martenrun/ownership/home.py
@@ -11,6 +11,7 @@
 import random
 from collections.abc import Callable
 
+from martenrun.backends.engine import AttemptOutcome
 from martenrun.configuration.view import ConfigurationView
 from martenrun.errors import MartenrunError
 from martenrun.events import (
@@ -32,7 +33,6 @@
 from martenrun.ownership.question_steps import QuestionSteps
 from martenrun.ownership.questions import OpenQuestion, Reservation, granted_message
 from martenrun.ownership.reservations import ReservationTable
-from martenrun.platform.engine import AttemptOutcome
 from martenrun.routing.policy import RoutingPolicy
 from martenrun.wire.messages import (
     AttemptReport,
--- a/src/martenrun/ownership/machine_feed.py
+++ b/src/martenrun/ownership/machine_feed.py
@@ -16,11 +16,11 @@
 import random
 from collections.abc import Iterable, Sequence
 
+from martenrun.backends.machine_list import Machine, shared_machine
 from martenrun.events import Event, Instruction, MachinesListed, PeerMessage, Send, Tell, Tick
 from martenrun.identity.hashing import name_hash, name_hashes, top_columns
 from martenrun.membership.view import Member, MemberView
 from martenrun.ownership.packed_machines import PackedListError, packed, unpacked
-from martenrun.platform.machine_list import Machine, shared_machine
 from martenrun.wire.messages import MachineEntry, MachinesQuery, MachinesUpdate
 
 READERS = 3
--- a/src/martenrun/ownership/packed_machines.py
+++ b/src/martenrun/ownership/packed_machines.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from martenrun.platform.machine_list import Machine
+from martenrun.backends.machine_list import Machine
 
 _LEVEL = 1
 _MAXIMUM_BYTES = 1 << 26
--- a/src/martenrun/ownership/slots.py
+++ b/src/martenrun/ownership/slots.py
@@ -8,7 +8,7 @@
 import collections
 from dataclasses import dataclass, field
 
-from martenrun.platform.engine import RunnerDescription, RunnerServingState
+from martenrun.backends.engine import RunnerDescription, RunnerServingState
 from martenrun.sharing.fair_queue import FairQueue
 
 LOAD_LAG_S = 2.0
--- a/src/martenrun/platform/__init__.py
+++ b/src/martenrun/platform/__init__.py
@@ -1,1 +1,36 @@
-"""Adapters of outside systems; nothing else knows their field names."""
+"""Adapter of the users' platform: its names, formats and calls, and nothing that decides."""
+
+from martenrun.platform import entry, headers, objects, orders, settings
+from martenrun.router.dialect import Dialect
+
+SETTINGS_VARIABLE = settings.SETTINGS_VARIABLE
+load_settings = settings.load_settings
+
+DIALECT = Dialect(
+    read_call=headers.read_call,
+    runner_headers=headers.runner_headers,
+    request_id_field=headers.REQUEST_ID,
+    read_marks=headers.read_marks,
+    answering_instance=headers.answering_instance,
+    list_objects=objects.list_objects,
+    watch_objects=objects.watch_objects,
+    read_object=objects.read_object,
+    create_object=objects.create_object,
+    replace_object=objects.replace_object,
+    read_page=objects.read_page,
+    read_changes=objects.read_changes,
+    read_stored=objects.read_stored,
+    read_configuration=objects.read_configuration,
+    read_runner=objects.read_runner,
+    read_weights=objects.read_weights,
+    read_lease=objects.read_lease,
+    lease_spec=objects.lease_spec,
+    order_weights=orders.order_weights,
+    read_order_outcome=orders.read_order_outcome,
+    ask_report=orders.ask_report,
+    read_report=orders.read_report,
+    directory_zone=entry.directory_zone,
+    directory_answer=entry.directory_answer,
+    is_ready_question=entry.is_ready_question,
+)
+"""The platform's manner of speaking, handed to the router."""
--- /dev/null
+++ b/src/martenrun/platform/headers.py
@@ -0,0 +1,90 @@
+"""Header fields of callers' requests, of requests to runners, and of runners' answers."""
+
+from martenrun.net.http import Headers, HttpRequest, end_to_end, find_header
+from martenrun.router.messages import AnswerMarks, Call, Dispatch, PromptPart
+
+REQUEST_ID = b"x-request-id"
+"""Field that carries a request's id, in lower case."""
+
+_SET_BY_ROUTER = frozenset(
+    {
+        b"x-key",
+        b"x-deadline-ms",
+        b"x-expect-instance",
+        b"x-tenant-id",
+        b"x-request-priority",
+        b"x-expect-version",
+        b"x-cache-salt",
+        b"x-kv-fetch-from",
+        b"x-kv-save-to",
+        b"x-kv-backup",
+        b"kv-from",
+        b"x-pin-ms",
+        b"x-hold",
+        b"last-event-id",
+    }
+)
+"""Fields that a caller's request does not carry on; the router sets them or leaves them out."""
+
+
+def read_call(request: HttpRequest) -> Call:
+    """Read a caller's request; raises ValueError if a field cannot be understood."""
+    fields = {name.lower(): value for name, value in request.headers}
+    deadline = fields.get(b"x-deadline-ms")
+    model = fields.get(b"x-model-id")
+    tokens_in = fields.get(b"x-token-usage", b"0,0").partition(b",")[0]
+    return Call(
+        request_id=fields.get(REQUEST_ID, b""),
+        host=fields.get(b"host", b"").decode("latin-1").partition(":")[0].lower(),
+        path=request.target.partition(b"?")[0].decode("latin-1"),
+        key=fields.get(b"x-key"),
+        deadline_s=None if deadline is None else max(0.0, float(deadline) / 1000.0),
+        model=None if model is None else model.decode("latin-1"),
+        parts=_parts(fields.get(b"x-prefix-hash", b"")),
+        prompt_tokens=int(tokens_in),
+        last_event_id=int(fields.get(b"last-event-id", b"0") or b"0"),
+    )
+
+
+def _parts(text: bytes) -> tuple[PromptPart, ...]:
+    parts = []
+    for part in text.split(b",") if text else ():
+        part_id, _, tokens = part.strip().rpartition(b":")
+        parts.append(PromptPart(part_id, int(tokens)))
+    return tuple(parts)
+
+
+def runner_headers(headers: Headers, dispatch: Dispatch) -> Headers:
+    """Return the fields of a request as it goes to a runner."""
+    sent = [
+        (name, value) for name, value in end_to_end(headers) if name.lower() not in _SET_BY_ROUTER
+    ]
+    sent.append((b"X-Deadline-Ms", b"%d" % max(1, int(dispatch.deadline_s * 1000))))
+    sent.append((b"X-Expect-Instance", dispatch.instance.encode()))
+    optional = (
+        (b"X-Tenant-Id", dispatch.tenant),
+        (b"X-Request-Priority", dispatch.priority),
+        (b"X-Expect-Version", dispatch.weights_version),
+        (b"X-Cache-Salt", dispatch.cache_salt),
+        (b"X-Kv-Fetch-From", dispatch.fetch_from),
+        (b"X-Kv-Save-To", dispatch.save_to),
+        (b"Last-Event-Id", dispatch.last_event_id),
+    )
+    sent += [(name, str(value).encode()) for name, value in optional if value is not None]
+    return sent
+
+
+def read_marks(status: int, headers: Headers) -> AnswerMarks:
+    """Read what a runner's answer says of itself."""
+    is_not_executed = status == 421 or find_header(headers, b"x-not-executed") is not None
+    return AnswerMarks(
+        is_signed=find_header(headers, b"x-response-stamp") is not None,
+        is_not_executed=is_not_executed,
+        is_encoded=find_header(headers, b"content-encoding") is not None,
+    )
+
+
+def answering_instance(headers: Headers) -> str | None:
+    """Return the instance that an answer names as its sender."""
+    value = find_header(headers, b"x-instance-id")
+    return None if value is None else value.decode("latin-1")
--- /dev/null
+++ b/src/martenrun/platform/settings.py
@@ -0,0 +1,83 @@
+"""The platform's settings file, read into the router's own settings."""
+
+import os
+import tomllib
+from typing import Any
+
+from martenrun.errors import SettingsError
+from martenrun.router.messages import Bounds, RouterSettings
+
+SETTINGS_VARIABLE = "MARTENRUN_SETTINGS"
+"""Environment variable that names the settings file."""
+
+_MS = 1000.0
+
+
+def load_settings(path: str | None = None) -> RouterSettings:
+    """Read the settings file; raises SettingsError that names the field."""
+    path = path or os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise SettingsError(
+            "no settings file is named", remedy=f"Set {SETTINGS_VARIABLE} to its path."
+        )
+    try:
+        with open(path, "rb") as file:
+            return read_settings(tomllib.load(file))
+    except (OSError, tomllib.TOMLDecodeError) as exc:
+        raise SettingsError(
+            f"the settings file cannot be read: {exc}",
+            remedy=f"Mend the file that {SETTINGS_VARIABLE} names.",
+        ) from exc
+
+
+def read_settings(table: dict[str, Any]) -> RouterSettings:
+    """Translate the settings; raises SettingsError that names the field."""
+    try:
+        return _settings(table)
+    except KeyError as exc:
+        raise SettingsError(
+            f"field {exc.args[0]!r} is missing", remedy="Add the field to the settings file."
+        ) from exc
+    except (TypeError, ValueError, AttributeError) as exc:
+        raise SettingsError(
+            f"a field has the wrong type: {exc}", remedy="Correct the field in the settings file."
+        ) from exc
+
+
+def _settings(table: dict[str, Any]) -> RouterSettings:
+    addresses = table["listen_addrs"]
+    internal_port = int(table["internal_ports"][0])
+    return RouterSettings(
+        name=str(table["node_name"]),
+        zone=str(table["zone"]),
+        front_address=str(addresses["front"]),
+        ready_address=str(addresses["ready"]),
+        directory_address=str(addresses["directory"]),
+        metrics_address=_metrics_address(table, internal_port),
+        internal_address=f"{table['ip']}:{internal_port}",
+        seeds=tuple(f"{seed.rpartition(':')[0]}:{internal_port}" for seed in table["seeds"]),
+        store_address=str(table["platform"]["address"]),
+        bounds=_bounds(table["bounds"]),
+        maximum_descriptors=int(table["limits"]["max_fds"]),
+        is_log_detailed=bool(table.get("log_detail", False)),
+    )
+
+
+def _metrics_address(table: dict[str, Any], internal_port: int) -> str | None:
+    return f"{table['ip']}:{internal_port + 1}"
+
+
+def _bounds(bounds: dict[str, Any]) -> Bounds:
+    return Bounds(
+        drain_s=float(bounds["drain_ms"]) / _MS,
+        grace_s=float(bounds["grace_s"]),
+        configuration_s=float(bounds["config_apply_ms"]) / _MS,
+        revoke_s=float(bounds.get("revoke_ms", 5000)) / _MS,
+        is_revocation_strict=bool(bounds.get("revoke_strict", False)),
+        budget_ratio=float(bounds["budget_ratio"]),
+        budget_window_s=float(bounds["budget_window_s"]),
+        budget_slack=float(bounds["budget_slack"]),
+        lease_s=float(bounds.get("lease_ms", 3000)) / _MS,
+        weights_s=float(bounds.get("version_ms", 8000)) / _MS,
+        directory_ttl_s=float(bounds.get("ttl_max_s", 5)),
+    )
--- a/src/martenrun/process.py
+++ b/src/martenrun/process.py
@@ -14,6 +14,7 @@
 import pykka
 from absl import logging
 
+from martenrun.backends.object_api import ObjectApi
 from martenrun.constants import TICK_INTERVAL_S
 from martenrun.dispatch import Dispatcher
 from martenrun.errors import MartenrunError, ObjectNotFoundError, VersionConflictError
@@ -34,7 +35,6 @@
     Tick,
 )
 from martenrun.loop_inbox import LoopInbox
-from martenrun.platform.object_api import ObjectApi
 from martenrun.wire.transport import PeerTransport
 
 STORE_WORKERS = 4
--- a/src/martenrun/proof/edges.py
+++ b/src/martenrun/proof/edges.py
@@ -8,13 +8,13 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
+from martenrun.backends.engine import AttemptOutcome, AttemptResult
+from martenrun.backends.stream_progress import ResumeFields
 from martenrun.constants import ENGINE_READ_TIMEOUT_S, RESUME_WINDOW_S
 from martenrun.edge.forward import MINIMUM_WAIT_S
 from martenrun.edge.request import CallerRequest
 from martenrun.errors import MartenrunError
 from martenrun.events import AttemptEnded, Event, Finish, RequestArrived, RunAttempt
-from martenrun.platform.engine import AttemptOutcome, AttemptResult
-from martenrun.platform.stream_progress import ResumeFields
 from martenrun.proof.history import RequestAnswered, Token
 from martenrun.proof.recorder import Recorder
 from martenrun.routing.prefix_index import RunnerIdentity
--- a/src/martenrun/proof/object_api.py
+++ b/src/martenrun/proof/object_api.py
@@ -5,13 +5,13 @@
 
 import msgspec
 
+from martenrun.backends.object_api import ObjectApi
 from martenrun.errors import (
     ChangeOutcomeUnknownError,
     ObjectNotFoundError,
     StoreUnavailableError,
     VersionConflictError,
 )
-from martenrun.platform.object_api import ObjectApi
 from martenrun.simulation.store import SimulatedStore
 from martenrun.standins.object_store import StoredObject
 from martenrun.wire.messages import ConfigurationObject, ConfigurationUpdate
--- a/src/martenrun/proof/processes.py
+++ b/src/martenrun/proof/processes.py
@@ -13,6 +13,7 @@
 
 from martenrun.admin.application import AdminApplication
 from martenrun.agent.parts import AgentParts, agent_parts
+from martenrun.backends.engine_orders import OrderOutcome
 from martenrun.edge.first_copy import LOOK_INTERVAL_S, longest_hold_s
 from martenrun.edge.request import deadline_s, parse_request
 from martenrun.errors import MartenrunError, NodeUnavailableError, StoppingError
@@ -29,7 +30,6 @@
 )
 from martenrun.node.parts import NodeParts, node_parts
 from martenrun.node.process import LATE_QUESTIONS_S, LEAVE_SPREAD_LIMIT_S
-from martenrun.platform.engine_orders import OrderOutcome
 from martenrun.process import Carrier
 from martenrun.proof.drain import Drain, DrainStep
 from martenrun.proof.edges import SimulatedEdge
--- a/src/martenrun/proof/world.py
+++ b/src/martenrun/proof/world.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from martenrun.platform.machine_list import Machine
+from martenrun.backends.machine_list import Machine
 from martenrun.proof.callers import Callers
 from martenrun.proof.checkers import Violation, check_all
 from martenrun.proof.history import EngineListed, History, ProcessStarted
--- /dev/null
+++ b/src/martenrun/router/__init__.py
@@ -0,0 +1,1 @@
+"""The router process: takes callers' requests, decides, and carries them to runners."""
--- /dev/null
+++ b/src/martenrun/router/admission.py
@@ -0,0 +1,96 @@
+"""Whether a caller's request may be served, decided from what is known and how old that is."""
+
+import attrs
+
+from martenrun.net.server import Exchange
+from martenrun.router.forwarding import RETRY_AFTER_S, Admitted
+from martenrun.router.log import log_trouble
+from martenrun.router.messages import Call
+from martenrun.router.route_table import RouteTable, SplitCounter
+from martenrun.router.world import World
+
+KEY_AGE_MARGIN_S = 0.3
+"""How long before the bound on revoked keys knowledge counts as too old, in seconds."""
+
+STALE_AGE_S = 3.0
+"""Age from which configuration is too old to deny anything by it without a new read."""
+
+CONFIRM_TIMEOUT_S = 0.8
+"""How long a denial waits for a new read of the configuration, in seconds."""
+
+NO_DEADLINE_S = 30.0
+"""Deadline of callers that name none, in seconds."""
+
+
+@attrs.frozen
+class Refusal:
+    """A final answer in place of a forwarded request; 503 tells when to come back."""
+
+    status: int
+    reason: str
+
+
+class Admission:
+    """Admits requests; what would be denied is looked at again with fresh knowledge."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._splits = SplitCounter()
+
+    def read(self, exchange: Exchange) -> Call | Refusal:
+        """Read a request; what cannot be understood is refused with 400."""
+        try:
+            call = self._world.dialect.read_call(exchange.request)
+        except (ValueError, UnicodeError):
+            return Refusal(400, "unreadable")
+        return call if call.request_id else Refusal(400, "no_request_id")
+
+    def decide(self, exchange: Exchange, call: Call) -> Admitted | Refusal:
+        """Admit a request by what is known now."""
+        now = self._world.loop.now()
+        table = self._world.configuration.table
+        if table is None or not self._world.runners.is_known:
+            return Refusal(503, "nothing_known")
+        route = table.route(call)
+        if route is None:
+            return Refusal(404, "no_route")
+        tenant = None
+        if table.needs_key(route):
+            if self._are_keys_too_old(now):
+                return Refusal(503, "keys_too_old")
+            tenant = table.tenant(call)
+            if tenant is None:
+                return Refusal(401, "unknown_key")
+        received_at = exchange.request.received_at
+        deadline_s = NO_DEADLINE_S if call.deadline_s is None else call.deadline_s
+        deadline_at = received_at + deadline_s
+        return Admitted(
+            call=call,
+            route=route,
+            tenant=tenant,
+            service=self._splits.next_service(route),
+            deadline_at=deadline_at,
+            give_up_at=min(deadline_at, received_at + route.timeout_s),
+        )
+
+    def _are_keys_too_old(self, now: float) -> bool:
+        bounds = self._world.settings.bounds
+        age_s = self._world.configuration.age_s(now)
+        return bounds.is_revocation_strict and age_s > bounds.revoke_s - KEY_AGE_MARGIN_S
+
+    @property
+    def table(self) -> RouteTable | None:
+        """The configuration in force."""
+        return self._world.configuration.table
+
+
+def refuse(exchange: Exchange, refusal: Refusal, call: Call | None) -> None:
+    """Give the final answer of a request that is not forwarded."""
+    headers = [(b"Retry-After", b"%.2f" % RETRY_AFTER_S)] if refusal.status == 503 else []
+    exchange.respond(refusal.status, headers)
+    log_trouble(
+        "refused",
+        request=None if call is None else call.request_id.decode("latin-1"),
+        reason=refusal.reason,
+        status=refusal.status,
+    )
--- /dev/null
+++ b/src/martenrun/router/forwarding.py
@@ -0,0 +1,457 @@
+"""One caller's request on its way: sent to runners, its answer carried back."""
+
+from collections.abc import Callable
+
+import attrs
+
+from martenrun.net.client import ClientConnection
+from martenrun.net.http import Headers, end_to_end, request_bytes
+from martenrun.net.loop import Timer
+from martenrun.net.server import Exchange
+from martenrun.router.event_stream import BrokenStreamError, EventSplitter
+from martenrun.router.log import EVENT_LOG, log_event, log_trouble
+from martenrun.router.messages import AnswerMarks, Call, Dispatch, Route, RouteKind, Tenant
+from martenrun.router.placement import PlacementQuestion
+from martenrun.router.retry import Failure, NextStep, TryState, next_step
+from martenrun.router.runner_state import LOADING_MEMORY_S, RunnerState
+from martenrun.router.world import World
+
+BUFFERED_ANSWER_BYTES = 262_144
+"""Answers up to this size are passed on once they are whole, so that a broken one can be redone."""
+
+FULL_MEMORY_S = 0.15
+"""How long a runner that had no room is passed over, in seconds."""
+
+RETRY_AFTER_S = 0.25
+"""When a refused caller is told to come back, in seconds."""
+
+STATUS_MISDIRECTED = 421
+STATUS_SERVER_ERROR = 500
+
+
+@attrs.frozen
+class Admitted:
+    """A request that may be served.
+
+    Attributes:
+        call: what was read from it.
+        route: its route.
+        tenant: who sent it, or None on open routes.
+        service: the service that the route's split chose for it.
+        deadline_at: steady time at which the caller leaves.
+        give_up_at: steady time at which it gets its final answer.
+    """
+
+    call: Call
+    route: Route
+    tenant: Tenant | None
+    service: str
+    deadline_at: float
+    give_up_at: float
+
+
+class Forwarding:
+    """Carries one request.
+
+    Args:
+        world: everything that the router knows and uses.
+        exchange: the caller's side.
+        admitted: the request.
+        on_end: called once when the request is over.
+    """
+
+    def __init__(
+        self,
+        world: World,
+        exchange: Exchange,
+        admitted: Admitted,
+        on_end: Callable[["Forwarding"], None],
+    ) -> None:
+        self._world = world
+        self._exchange = exchange
+        self._admitted = admitted
+        self._on_end = on_end
+        self._began_at = exchange.request.received_at
+        self._tried: list[str] = []
+        self._runs = 0
+        self._was_sent = False
+        self._try: Try | None = None
+        self._pinned_head: tuple[int, Headers] | None = None
+        self._splitter = EventSplitter(admitted.call.last_event_id)
+        self._first_event_at: float | None = None
+        self.is_over = False
+        exchange.on_gone = self._on_gone
+        exchange.on_drained = lambda: self._pause(False)
+        left_s = admitted.give_up_at - world.loop.now()
+        self._timer: Timer = world.loop.call_later(max(0.0, left_s), self._on_timeout)
+
+    @property
+    def admitted(self) -> Admitted:
+        """The request."""
+        return self._admitted
+
+    def start(self) -> None:
+        """Send the request to its first runner."""
+        state = self._choose()
+        if state is None:
+            self._refuse("no_runner")
+        else:
+            self._send(state)
+
+    # Sending
+
+    def _choose(self) -> RunnerState | None:
+        world = self._world
+        admitted = self._admitted
+        now = world.loop.now()
+        model = admitted.call.model
+        wanted = world.weights.wanted.get(model) if model else None
+        question = PlacementQuestion(
+            prefix=self._prefix(),
+            model=model,
+            wanted_version=None if wanted is None else wanted.version,
+            is_old_refused=model is not None and world.is_old_refused(model, now),
+            tried=self._tried,
+            zone=world.settings.zone,
+            now=now,
+        )
+        return world.placement.choose(question, world.pool.states(admitted.service))
+
+    def _prefix(self) -> bytes:
+        parts = self._admitted.call.parts
+        if not parts:
+            return b""
+        shared = parts[-2] if len(parts) > 1 else parts[-1]
+        tenant = self._admitted.tenant
+        wall = tenant.name.encode() if tenant is not None and tenant.is_isolated else b""
+        return shared.part_id + b"/" + wall
+
+    def _send(self, state: RunnerState) -> None:
+        world = self._world
+        now = world.loop.now()
+        if self._tried:
+            world.budget(self._admitted.service).note_repeat(now)
+        self._tried.append(state.runner.instance)
+        request = self._exchange.request
+        headers = world.dialect.runner_headers(request.headers, self._dispatch(state, now))
+        data = request_bytes(request.method, request.target, headers, request.body)
+        self._try = Try(self, state)
+        state.note_sent(now)
+        self._log("sent", instance=state.runner.instance, load=state.load, tries=len(self._tried))
+        expected_id = (world.dialect.request_id_field, self._admitted.call.request_id)
+        try:
+            self._try.connection = world.pool.send(
+                state, data, self._try, expected_id, self._admitted.route.may_repeat
+            )
+        except OSError:
+            self._try.on_broken(False)
+
+    def _dispatch(self, state: RunnerState, now: float) -> Dispatch:
+        admitted = self._admitted
+        call = admitted.call
+        version = None if call.model is None else state.weights_version(call.model)
+        tenant = admitted.tenant
+        has_shared = len(call.parts) > 1
+        store = self._world.cache_store(now) if has_shared else None
+        last = self._splitter.last_event_id
+        return Dispatch(
+            instance=state.runner.instance,
+            deadline_s=max(0.001, min(admitted.deadline_at, admitted.give_up_at) - now),
+            tenant=None if tenant is None else tenant.name,
+            priority=_engine_priority(admitted) if call.model is not None else None,
+            weights_version=version,
+            cache_salt=None if call.model is None else _salt(call.model, version, tenant),
+            fetch_from=store,
+            save_to=store,
+            last_event_id=last if last > 0 else None,
+        )
+
+    # What a try reports
+
+    def on_answer_head(self, attempt: "Try") -> None:
+        """A sound answer has begun: decide how its body is carried."""
+        if attempt.is_streamed:
+            self._log("answering", instance=attempt.state.runner.instance, status=attempt.status)
+
+    def on_stream_data(self, data: bytes) -> None:
+        """Pass on the events that are whole; raises BrokenStreamError."""
+        for event in self._splitter.feed(data):
+            if self._first_event_at is None:
+                self._first_event_at = self._world.loop.now()
+                self._begin_stream()
+            self._exchange.send(event.data)
+        if self._exchange.is_congested:
+            self._pause(True)
+
+    def _begin_stream(self) -> None:
+        if self._try is None or self._exchange.has_started:
+            return
+        self._exchange.start(self._try.status, end_to_end(self._try.headers), None)
+
+    def on_stream_whole(self, attempt: "Try") -> None:
+        """The stream has ended whole."""
+        if self._splitter.has_rest:
+            self.on_failure(Failure.BROKEN, attempt)
+            return
+        self._begin_stream()
+        self._exchange.end()
+        self._end("served", attempt)
+
+    def on_whole(self, attempt: "Try") -> None:
+        """A buffered answer is whole."""
+        state = attempt.state
+        if attempt.status >= STATUS_SERVER_ERROR and self._admitted.route.may_repeat:
+            self.on_failure(Failure.RUN_FAILED, attempt)
+            return
+        state.note_success(self._world.loop.now())
+        self._pass_on(attempt)
+
+    def _pass_on(self, attempt: "Try") -> None:
+        if self._exchange.has_started:
+            self._break_off(attempt)
+            return
+        self._exchange.respond(attempt.status, end_to_end(attempt.headers), bytes(attempt.body))
+        self._end("served", attempt)
+
+    def on_failure(self, failure: Failure, attempt: "Try") -> None:
+        """A try has failed: go on as :func:`next_step` says."""
+        if self.is_over:
+            return
+        self._try = None
+        now = self._world.loop.now()
+        if failure in (Failure.BROKEN, Failure.RUN_FAILED):
+            self._runs += 1
+        self._splitter.restart()
+        state = self._choose()
+        step = next_step(failure, self._try_state(state is not None, now))
+        self._log(
+            "try_failed",
+            is_failure=True,
+            instance=attempt.state.runner.instance,
+            failure=failure.value,
+            status=attempt.status,
+            step=step.value,
+            runs=self._runs,
+        )
+        if step is NextStep.SEND_AGAIN and state is not None:
+            self._send(state)
+        elif step is NextStep.PASS_ON:
+            self._pass_on(attempt)
+        elif step is NextStep.REFUSE:
+            self._refuse(failure.value)
+        elif step is NextStep.BREAK_OFF:
+            self._break_off(attempt)
+        else:
+            self._answer(502, "unknown", attempt)
+
+    def _try_state(self, has_other_runner: bool, now: float) -> TryState:
+        admitted = self._admitted
+        budget = self._world.budget(admitted.service)
+        return TryState(
+            may_repeat=admitted.route.may_repeat,
+            maximum_attempts=admitted.route.maximum_attempts,
+            runs=self._runs,
+            sends=len(self._tried),
+            has_answer_begun=self._exchange.has_started,
+            left_s=admitted.give_up_at - now,
+            is_within_budget=budget.may_repeat(now, self._world.node_count()),
+            has_other_runner=has_other_runner,
+        )
+
+    # Ends
+
+    def _refuse(self, reason: str) -> None:
+        """Say that the request has not run and when to come back."""
+        retry_after = b"%.2f" % RETRY_AFTER_S
+        self._exchange.respond(503, [(b"Retry-After", retry_after)])
+        self._end("refused", None, reason=reason)
+
+    def _answer(self, status: int, outcome: str, attempt: "Try | None") -> None:
+        self._exchange.respond(status, [])
+        self._end(outcome, attempt)
+
+    def _break_off(self, attempt: "Try | None") -> None:
+        self._exchange.abort()
+        self._end("broken_off", attempt)
+
+    def _on_gone(self) -> None:
+        self._end("caller_left", self._try)
+
+    def _on_timeout(self) -> None:
+        if self._exchange.has_started:
+            self._break_off(self._try)
+        elif self._runs or (self._try is not None and self._try.was_sent):
+            self._answer(504, "timed_out", self._try)
+        else:
+            self._refuse("timed_out")
+
+    def shut_down(self) -> None:
+        """Break the request off because the process ends."""
+        self._on_timeout()
+
+    def _end(self, outcome: str, attempt: "Try | None", reason: str | None = None) -> None:
+        if self.is_over:
+            return
+        self.is_over = True
+        self._timer.cancel()
+        if self._try is not None:
+            self._try.cancel()
+            self._try = None
+        now = self._world.loop.now()
+        is_failure = outcome not in ("served", "caller_left")
+        self._world.count(outcome, self._admitted.route, now - self._began_at)
+        self._log(
+            outcome,
+            is_failure=is_failure,
+            reason=reason,
+            instance=None if attempt is None else attempt.state.runner.instance,
+            status=None if attempt is None else attempt.status,
+            tries=len(self._tried),
+            events=self._splitter.last_event_id,
+            total_ms=round((now - self._began_at) * 1000, 1),
+            first_ms=None
+            if self._first_event_at is None
+            else round((self._first_event_at - self._began_at) * 1000, 1),
+        )
+        self._on_end(self)
+
+    def _pause(self, is_paused: bool) -> None:
+        if self._try is not None and self._try.connection is not None:
+            self._try.connection.pause(is_paused)
+
+    def _log(self, event: str, is_failure: bool = False, **fields: object) -> None:
+        if not is_failure and not EVENT_LOG.is_detailed:
+            return
+        call = self._admitted.call
+        write = log_trouble if is_failure else log_event
+        write(
+            event,
+            request=call.request_id.decode("latin-1"),
+            route=self._admitted.route.name,
+            **{name: value for name, value in fields.items() if value is not None},  # type: ignore[arg-type]
+        )
+
+
+class Try:
+    """One try of a request at one runner; see :class:`martenrun.net.client.AnswerReader`."""
+
+    def __init__(self, forwarding: Forwarding, state: RunnerState) -> None:
+        self._forwarding = forwarding
+        self.state = state
+        self.connection: ClientConnection | None = None
+        self.was_sent = False
+        self.status = 0
+        self.headers: Headers = []
+        self.body = bytearray()
+        self.is_streamed = False
+        self._marks: AnswerMarks | None = None
+        self._is_over = False
+
+    @property
+    def _world(self) -> World:
+        return self._forwarding._world
+
+    def on_sent(self) -> None:
+        """The request leaves."""
+        self.was_sent = True
+
+    def on_head(self, status: int, headers: Headers, length: int | None) -> None:
+        """An answer has begun; one that cannot be the runner's ends the try."""
+        now = self._world.loop.now()
+        self.state.note_bytes(now)
+        self.status = status
+        self.headers = headers
+        marks = self._world.dialect.read_marks(status, headers)
+        self._marks = marks
+        if marks.is_not_executed:
+            return
+        if marks.is_encoded or (status < 300 and not marks.is_signed):
+            self._fail(Failure.BROKEN)
+            return
+        is_stream = self._forwarding.admitted.route.kind is RouteKind.STREAM
+        self.is_streamed = is_stream and status < 300
+        if self.is_streamed:
+            self._forwarding.on_answer_head(self)
+
+    def on_body(self, data: bytes) -> None:
+        """A part of the body."""
+        if self._is_over:
+            return
+        self.state.note_bytes(self._world.loop.now())
+        if not self.is_streamed:
+            self.body += data
+            return
+        try:
+            self._forwarding.on_stream_data(data)
+        except BrokenStreamError as exc:
+            log_trouble("stream_amiss", fault=str(exc), instance=self.state.runner.instance)
+            self._fail(Failure.BROKEN)
+
+    def on_complete(self) -> None:
+        """The answer is whole."""
+        if self._is_over:
+            return
+        if self._marks is not None and self._marks.is_not_executed:
+            self._learn_refusal()
+            self._finish()
+            self._forwarding.on_failure(Failure.NOT_EXECUTED, self)
+            return
+        self._finish()
+        if self.is_streamed:
+            self.state.note_success(self._world.loop.now())
+            self._forwarding.on_stream_whole(self)
+        else:
+            if self.status >= STATUS_SERVER_ERROR:
+                self.state.note_failure(self._world.loop.now())
+            self._forwarding.on_whole(self)
+
+    def on_broken(self, was_sent: bool) -> None:
+        """The connection ended before the answer did."""
+        self._fail(Failure.BROKEN if was_sent else Failure.NOT_SENT)
+
+    def cancel(self) -> None:
+        """Give the try up: the runner sees the connection close."""
+        if not self._is_over:
+            self._finish()
+            if self.connection is not None:
+                self.connection.close()
+
+    def _fail(self, failure: Failure) -> None:
+        if self._is_over:
+            return
+        self.cancel()
+        self.state.note_failure(self._world.loop.now())
+        self._forwarding.on_failure(failure, self)
+
+    def _finish(self) -> None:
+        self._is_over = True
+        self.state.note_ended()
+
+    def _learn_refusal(self) -> None:
+        now = self._world.loop.now()
+        if self.status != STATUS_MISDIRECTED:
+            self.state.full_until = now + FULL_MEMORY_S
+            return
+        model = self._forwarding.admitted.call.model
+        instance = self._world.dialect.answering_instance(self.headers)
+        wanted = None if model is None else self._world.weights.wanted.get(model)
+        if instance != self.state.runner.instance or model is None or wanted is None:
+            # Another runner has the address now.
+            self.state.loading_until = now + LOADING_MEMORY_S
+        elif wanted.version > (self.state.weights_version(model) or 0):
+            self.state.learn_weights(model, wanted.version)
+        else:
+            self.state.full_until = now + FULL_MEMORY_S
+
+
+def _salt(model: str, version: int | None, tenant: Tenant | None) -> str:
+    """Return the text that keeps cached parts of versions and isolated tenants apart."""
+    wall = tenant.name if tenant is not None and tenant.is_isolated else ""
+    return f"{model}/{version}/{wall}"
+
+
+def _engine_priority(admitted: Admitted) -> int:
+    """Return the engine's priority, 0 (first) to 9: the tenant's goes before the route's."""
+    tenant = admitted.tenant
+    by_tenant = 1 if tenant is None or tenant.priority is None else tenant.priority
+    return max(0, min(9, by_tenant * 3 + min(2, admitted.route.priority)))
--- /dev/null
+++ b/src/martenrun/router/knowledge.py
@@ -0,0 +1,139 @@
+"""What a router knows from the platform's store, and how old that knowledge is.
+
+Versions only rise.  The age of the configuration counts from the sending of the read that
+confirmed it, on the steady clock, never from its answer.
+"""
+
+from collections.abc import Callable
+
+from martenrun.router.log import log_event, log_trouble
+from martenrun.router.messages import Configuration, Runner, StoredObject, WantedWeights
+from martenrun.router.route_table import RouteTable
+
+RETURN_GRACE_S = 2.0
+"""How long after an outage of the store an entry may still be missing without being gone."""
+
+
+class ConfigurationKnowledge:
+    """The newest configuration seen, and when it was last known to be the newest."""
+
+    def __init__(self) -> None:
+        self.table: RouteTable | None = None
+        self.confirmed_at: float | None = None
+        self._waiting: list[tuple[float, Callable[[], None]]] = []
+        self.on_changed: list[Callable[[Configuration], None]] = []
+
+    def age_s(self, now: float) -> float:
+        """Return how old the knowledge is, in seconds; infinite before the first."""
+        return float("inf") if self.confirmed_at is None else now - self.confirmed_at
+
+    def take(self, configuration: Configuration) -> None:
+        """Take in a configuration unless a newer one is known."""
+        if self.table is not None and configuration.version <= self.table.configuration.version:
+            return
+        self.table = RouteTable(configuration)
+        log_event("configuration_taken", version=configuration.version)
+        for call in self.on_changed:
+            call(configuration)
+
+    def confirm(self, asked_at: float) -> None:
+        """Note that a read sent at ``asked_at`` showed nothing newer."""
+        if self.confirmed_at is None or asked_at > self.confirmed_at:
+            self.confirmed_at = asked_at
+        due = [call for since, call in self._waiting if since <= asked_at]
+        self._waiting = [entry for entry in self._waiting if entry[0] > asked_at]
+        for call in due:
+            call()
+
+    def once_confirmed(self, since: float, call: Callable[[], None]) -> None:
+        """Make ``call`` once the knowledge is confirmed by a read sent at ``since`` or later."""
+        self._waiting.append((since, call))
+
+
+class RunnerDirectory:
+    """The runners listed, with entries that are missing after an outage kept for a while."""
+
+    def __init__(self) -> None:
+        self._runners: dict[str, Runner] = {}
+        self._missing_since: dict[str, float] = {}
+        self.is_known = False
+        self.on_changed: Callable[[], None] = _nothing
+
+    @property
+    def runners(self) -> dict[str, Runner]:
+        """The runners by instance."""
+        return self._runners
+
+    def replace(self, runners: list[Runner], is_after_outage: bool, now: float) -> None:
+        """Take in a whole list; after an outage, missing entries are only doubted at first."""
+        listed = {runner.instance: runner for runner in runners}
+        for instance, runner in self._runners.items():
+            if instance not in listed and is_after_outage:
+                listed[instance] = runner
+                self._missing_since.setdefault(instance, now)
+        for runner in runners:
+            self._missing_since.pop(runner.instance, None)
+        self._runners = listed
+        self.is_known = True
+        self.on_changed()
+
+    def put(self, runner: Runner) -> None:
+        """Take in one entry."""
+        self._missing_since.pop(runner.instance, None)
+        known = self._runners.get(runner.instance)
+        if known is not None and known.is_draining and not runner.is_draining:
+            return
+        self._runners[runner.instance] = runner
+        self.on_changed()
+
+    def remove(self, instance: str, is_after_outage: bool, now: float) -> None:
+        """Take in that an entry is gone."""
+        if is_after_outage and instance in self._runners:
+            self._missing_since.setdefault(instance, now)
+        elif self._runners.pop(instance, None) is not None:
+            self._missing_since.pop(instance, None)
+            self.on_changed()
+
+    def drop_missing(self, now: float) -> None:
+        """Drop entries that have stayed missing for the whole time of grace."""
+        late = [key for key, since in self._missing_since.items() if now - since > RETURN_GRACE_S]
+        for instance in late:
+            del self._missing_since[instance]
+            self._runners.pop(instance, None)
+        if late:
+            log_trouble("runners_lapsed", count=len(late))
+            self.on_changed()
+
+
+class WeightsKnowledge:
+    """The versions of weights that the operator has named, and since when they are known."""
+
+    def __init__(self) -> None:
+        self.wanted: dict[str, WantedWeights] = {}
+        self.known_since: dict[str, float] = {}
+        self.on_changed: Callable[[], None] = _nothing
+
+    def take(self, wanted: WantedWeights, now: float) -> None:
+        """Take in a named version unless a newer one is known."""
+        known = self.wanted.get(wanted.model)
+        if known is not None and known.version >= wanted.version:
+            return
+        self.wanted[wanted.model] = wanted
+        self.known_since[wanted.model] = now
+        log_event("weights_named", model=wanted.model, version=wanted.version)
+        self.on_changed()
+
+
+def decoded(objects: tuple[StoredObject, ...], read: Callable[[StoredObject], object]) -> list:
+    """Decode objects, leaving out those that cannot be understood."""
+    results = []
+    for stored in objects:
+        try:
+            results.append(read(stored))
+        except (KeyError, TypeError, ValueError, AttributeError) as exc:
+            log_trouble("object_unreadable", name=stored.name, fault=str(exc)[:100])
+    return results
+
+
+def _nothing() -> None:
+    return None
--- /dev/null
+++ b/src/martenrun/router/log.py
@@ -0,0 +1,125 @@
+"""Structured log lines of a router process: one JSON object a line on standard output.
+
+Writing never blocks: lines wait in a bounded buffer while the reader has stopped, and what does
+not fit is counted.  Each kind of event has a budget of lines a second; lines about a failing
+request have one of their own, so that routine lines cannot push them out.  Neither keys nor
+prompts are ever passed in.
+"""
+
+import collections
+import os
+import time
+import traceback
+
+import msgspec
+
+LINES_PER_KIND_PER_S = 20
+"""Lines of one kind of event written in one second."""
+
+FAILURE_LINES_PER_S = 200
+"""Lines about failing requests and changed beliefs written in one second, over all kinds."""
+
+BUFFERED_BYTES = 262_144
+"""Most bytes that wait for a reader that has stopped."""
+
+Value = str | int | float | bool | None
+
+_ENCODE = msgspec.json.Encoder().encode
+
+
+class EventLog:
+    """Writes the lines of one process.
+
+    Args:
+        output: file descriptor written to; made non-blocking.
+        clock: wall clock, used for the time in each line only.
+    """
+
+    def __init__(self, output: int = 1) -> None:
+        self._output = output
+        self._node = ""
+        self._second = 0
+        self._lines: collections.Counter[str] = collections.Counter()
+        self._left_out: collections.Counter[str] = collections.Counter()
+        self._dropped = 0
+        self._buffer = bytearray()
+        self.is_detailed = False
+
+    def open(self, node: str, is_detailed: bool) -> None:
+        """Begin with the node's name; ``is_detailed`` writes lines of whole requests too."""
+        self._node = node
+        self.is_detailed = is_detailed
+        try:
+            os.set_blocking(self._output, False)
+        except OSError:
+            self._output = -1
+
+    def write(self, event: str, is_failure: bool, fields: dict[str, Value]) -> None:
+        """Write one line, unless the budget of its kind is spent."""
+        second = int(time.monotonic())
+        if second != self._second:
+            self._begin_second(second)
+        kind = "failure" if is_failure else event
+        limit = FAILURE_LINES_PER_S if is_failure else LINES_PER_KIND_PER_S
+        self._lines[kind] += 1
+        if self._lines[kind] > limit:
+            self._left_out[event] += 1
+            return
+        self._append(event, fields)
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what waits, as far as the reader takes it."""
+        if not self._buffer or self._output < 0:
+            return
+        try:
+            written = os.write(self._output, self._buffer)
+        except BlockingIOError:
+            return
+        except OSError:
+            self._output = -1
+            return
+        del self._buffer[:written]
+
+    def _begin_second(self, second: int) -> None:
+        self._second = second
+        self._lines.clear()
+        for event, count in self._left_out.items():
+            self._append("lines_left_out", {"kind": event, "count": count})
+        self._left_out.clear()
+        if self._dropped and len(self._buffer) < BUFFERED_BYTES // 2:
+            self._append("lines_dropped", {"count": self._dropped})
+            self._dropped = 0
+
+    def _append(self, event: str, fields: dict[str, Value]) -> None:
+        if len(self._buffer) > BUFFERED_BYTES:
+            self._dropped += 1
+            return
+        head = {
+            "at": round(time.time(), 4),
+            "steady": round(time.monotonic(), 4),
+            "node": self._node,
+            "event": event,
+        }
+        self._buffer += _ENCODE({**head, **fields}) + b"\n"
+
+
+EVENT_LOG = EventLog()
+"""The log of this process."""
+
+
+def log_event(event: str, **fields: Value) -> None:
+    """Write one routine line."""
+    EVENT_LOG.write(event, False, fields)
+
+
+def log_trouble(event: str, **fields: Value) -> None:
+    """Write one line about a failing request or a lost dependency."""
+    EVENT_LOG.write(event, True, fields)
+
+
+def log_failure(event: str, exc: BaseException) -> None:
+    """Write one line about a fault of the program."""
+    place = traceback.extract_tb(exc.__traceback__)[-4:]
+    where = " < ".join(f"{frame.name}:{frame.lineno}" for frame in reversed(place))
+    log_trouble(event, fault=type(exc).__name__, text=str(exc)[:200], where=where)
--- /dev/null
+++ b/src/martenrun/router/messages.py
@@ -0,0 +1,296 @@
+"""Typed messages between the router's parts and the adapter of the platform it runs on.
+
+Times are seconds unless a name says otherwise; ``*_at`` is a time of the steady clock.
+"""
+
+import enum
+from collections.abc import Mapping
+
+import attrs
+
+from martenrun.net.http import Headers
+from martenrun.net.server import ServerLimits
+
+
+class RouteKind(enum.StrEnum):
+    """How often a request of a route may run, and how it is answered."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+
+
+@attrs.frozen
+class WeightedService:
+    """A service that takes a share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@attrs.frozen
+class Route:
+    """Where requests of a host and path go, and what they are promised."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    timeout_s: float
+    objective_s: float
+    priority: int
+    split: tuple[WeightedService, ...]
+    maximum_attempts: int
+    is_open: bool
+    is_resumable: bool
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether a request that may have run can be sent again."""
+        if self.kind is RouteKind.STREAM:
+            return self.is_resumable
+        return self.kind is RouteKind.SAFE
+
+
+@attrs.frozen
+class EngineLimits:
+    """What one model engine of a service can carry."""
+
+    slots: int
+    cache_tokens: int
+    models: tuple[str, ...]
+
+
+@attrs.frozen
+class Service:
+    """A group of runners; one with an engine serves models."""
+
+    name: str
+    maximum_connections: int
+    engine: EngineLimits | None
+
+
+@attrs.frozen
+class KeptCacheStore:
+    """A store that engines save KV cache to and fetch it from."""
+
+    address: str
+    zone: str
+
+
+@attrs.frozen
+class Tenant:
+    """Who holds a key."""
+
+    name: str
+    priority: int | None
+    is_isolated: bool
+
+
+@attrs.frozen
+class Configuration:
+    """Everything that the operator configures, as one version."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[str, Service]
+    stores: tuple[KeptCacheStore, ...]
+    limits: ServerLimits
+    tenants_by_key: Mapping[bytes, Tenant]
+    has_tenants: bool
+
+
+@attrs.frozen
+class Runner:
+    """One incarnation of a runner, as the runner list tells it."""
+
+    instance: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    is_draining: bool
+    weights: Mapping[str, int]
+
+
+@attrs.frozen
+class WantedWeights:
+    """The version of a model's weights that the operator has named."""
+
+    model: str
+    version: int
+
+
+@attrs.frozen
+class PromptPart:
+    """A part of a prompt, shared between requests that begin alike."""
+
+    part_id: bytes
+    tokens: int
+
+
+@attrs.frozen
+class Call:
+    """What the router reads from a caller's request."""
+
+    request_id: bytes
+    host: str
+    path: str
+    key: bytes | None
+    deadline_s: float | None
+    model: str | None
+    parts: tuple[PromptPart, ...]
+    prompt_tokens: int
+    last_event_id: int
+
+
+@attrs.frozen
+class Dispatch:
+    """What the router adds to a request that it sends to a runner."""
+
+    instance: str
+    deadline_s: float
+    tenant: str | None
+    priority: int | None
+    weights_version: int | None
+    cache_salt: str | None
+    fetch_from: str | None
+    save_to: str | None
+    last_event_id: int | None
+
+
+@attrs.frozen
+class AnswerMarks:
+    """What a runner's answer says of itself beside its status and body."""
+
+    is_signed: bool
+    is_not_executed: bool
+    is_encoded: bool
+
+
+class Dataset(enum.Enum):
+    """What a router follows in the platform's store."""
+
+    CONFIGURATION = "configuration"
+    RUNNERS = "runners"
+    WEIGHTS = "weights"
+    LEASES = "leases"
+
+
+@attrs.frozen
+class StoredObject:
+    """One object of the store; ``spec`` is its content as decoded."""
+
+    name: str
+    revision: int
+    spec: object
+
+
+@attrs.frozen
+class StoreEvent:
+    """A change of one object."""
+
+    stored: StoredObject
+    is_gone: bool
+
+
+@attrs.frozen
+class StorePage:
+    """A page of a list; ``next_after`` is where the next one begins, or None at the end."""
+
+    objects: tuple[StoredObject, ...]
+    revision: int
+    next_after: str | None
+
+
+@attrs.frozen
+class StoreChanges:
+    """What a watch answers."""
+
+    events: tuple[StoreEvent, ...]
+    revision: int
+
+
+@attrs.frozen
+class HttpCall:
+    """A request to the platform or to a runner's control interface."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes = b""
+
+
+@attrs.frozen
+class LeaseRecord:
+    """Content of a lease object: who holds it and with which fencing token."""
+
+    holder: str
+    fencing_token: int
+
+
+@attrs.frozen
+class WeightsOrder:
+    """An order to a runner to load a version of a model's weights."""
+
+    instance: str
+    model: str
+    version: int
+    holder: str
+    fencing_token: int
+    expected_orders: int | None
+
+
+class OrderOutcome(enum.Enum):
+    """What a runner says of an order."""
+
+    ACCEPTED = "accepted"
+    HOLDS_ALREADY = "holds already"
+    BUSY = "busy"
+    FENCED = "fenced"
+    OTHER_INSTANCE = "other instance"
+    REFUSED = "refused"
+
+
+@attrs.frozen
+class RunnerReport:
+    """What a runner tells of itself, some hundred milliseconds old."""
+
+    weights: Mapping[str, int]
+    is_loading: bool
+    orders_taken: int
+
+
+@attrs.frozen
+class Bounds:
+    """The times and shares that the deployment demands."""
+
+    drain_s: float
+    grace_s: float
+    configuration_s: float
+    revoke_s: float
+    is_revocation_strict: bool
+    budget_ratio: float
+    budget_window_s: float
+    budget_slack: float
+    lease_s: float
+    weights_s: float
+    directory_ttl_s: float
+
+
+@attrs.frozen
+class RouterSettings:
+    """Settings of one router process."""
+
+    name: str
+    zone: str
+    front_address: str
+    ready_address: str
+    directory_address: str
+    metrics_address: str | None
+    internal_address: str
+    seeds: tuple[str, ...]
+    store_address: str
+    bounds: Bounds
+    maximum_descriptors: int
+    is_log_detailed: bool
--- /dev/null
+++ b/src/martenrun/router/process.py
@@ -0,0 +1,350 @@
+"""The router process: builds its parts, serves, and ends without cutting a request off."""
+
+import collections
+import signal
+
+from martenrun.net.http import HttpAnswer
+from martenrun.net.loop import Loop
+from martenrun.net.server import Exchange, Server
+from martenrun.router.admission import CONFIRM_TIMEOUT_S, Admission, Refusal, refuse
+from martenrun.router.dialect import Dialect
+from martenrun.router.forwarding import Admitted, Forwarding
+from martenrun.router.knowledge import (
+    ConfigurationKnowledge,
+    RunnerDirectory,
+    WeightsKnowledge,
+    decoded,
+)
+from martenrun.router.lease import Lease
+from martenrun.router.log import EVENT_LOG, log_event, log_trouble
+from martenrun.router.messages import (
+    Call,
+    Configuration,
+    Dataset,
+    LeaseRecord,
+    Route,
+    RouterSettings,
+    Runner,
+    StoredObject,
+    StoreEvent,
+    WantedWeights,
+)
+from martenrun.router.peers import LoadNews, Peers, RouterRecord, first_incarnation
+from martenrun.router.placement import Placement
+from martenrun.router.runner_pool import RunnerPool
+from martenrun.router.store_client import HttpCaller
+from martenrun.router.store_watch import FollowListener, FollowSettings, StoreFollower
+from martenrun.router.weights_roll import WeightsRoller, take_load_news
+from martenrun.router.world import World
+
+CONFIGURATION_WAIT_S = 1.4
+RUNNERS_WAIT_S = 2.0
+WEIGHTS_WAIT_S = 3.0
+"""How long one watch of each dataset waits; what it tells is as old as its sending."""
+
+DIRECTORY_TTL_S = 1.0
+"""How long callers may use an answer of the directory, in seconds."""
+
+LINGER_AFTER_STOP_S = 3.6
+"""How long new requests are still taken after a stop was ordered: others must learn of it."""
+
+END_MARGIN_S = 0.8
+"""How long before the end of the grace period what is left is broken off, in seconds."""
+
+HOUSEKEEPING_S = 0.25
+"""How often slow matters are looked at, in seconds."""
+
+CURRENT_SHARE = 0.6
+"""Share of the bound on revoked keys up to which the configuration counts as current."""
+
+
+class RouterProcess:
+    """All parts of one router."""
+
+    def __init__(self, settings: RouterSettings, dialect: Dialect) -> None:
+        self._settings = settings
+        self._loop = Loop()
+        self._store = HttpCaller(self._loop, settings.store_address)
+        self._outcomes: collections.Counter[tuple[str, str]] = collections.Counter()
+        self._forwardings: set[Forwarding] = set()
+        self._stopped_at: float | None = None
+        self._world = World(
+            loop=self._loop,
+            settings=settings,
+            dialect=dialect,
+            configuration=ConfigurationKnowledge(),
+            runners=RunnerDirectory(),
+            weights=WeightsKnowledge(),
+            pool=RunnerPool(self._loop),
+            placement=Placement(),
+            node_count=lambda: self._peers.budget_count(),
+            count=self._count,
+            store_works=lambda _store: True,
+        )
+        self._admission = Admission(self._world)
+        own = RouterRecord(
+            address=settings.internal_address,
+            incarnation=first_incarnation(),
+            beat=0,
+            front=settings.front_address,
+            zone=settings.zone,
+            is_leaving=False,
+            is_current=False,
+            lease_revision=0,
+            lease_token=0,
+            loads={},
+        )
+        self._peers = Peers(
+            self._loop, own, settings.seeds, self._refresh, self._on_news, self._on_records
+        )
+        holder = f"{own.address}#{own.incarnation}"
+        self._lease = Lease(
+            self._loop, self._store, dialect, "weights", holder, settings.bounds.lease_s
+        )
+        self._roller = WeightsRoller(self._world, self._peers, self._lease)
+        self._followers = self._build_followers()
+        self._front = Server(self._loop, settings.front_address, self._serve)
+        self._others = [
+            Server(self._loop, settings.ready_address, self._serve_ready),
+            Server(self._loop, settings.directory_address, self._serve_directory),
+        ]
+        self._world.configuration.on_changed.append(self._on_configuration)
+        self._world.runners.on_changed = self._on_runners
+        self._world.weights.on_changed = self._roller.check
+
+    def run(self) -> None:
+        """Serve until a signal has ended the process."""
+        self._loop.on_signal(signal.SIGTERM, self._stop)
+        self._loop.on_signal(signal.SIGINT, self._stop)
+        self._loop.on_signal(signal.SIGHUP, self._reload)
+        log_event("started", name=self._settings.name, zone=self._settings.zone)
+        for follower in self._followers:
+            follower.start()
+        self._peers.start()
+        self._keep_house()
+        self._loop.run()
+        log_event("stopped")
+        EVENT_LOG.flush()
+
+    # Knowledge
+
+    def _build_followers(self) -> list[StoreFollower]:
+        def follow(dataset: Dataset, wait_s: float, listener: FollowListener) -> StoreFollower:
+            cfg = FollowSettings(dataset, wait_s)
+            return StoreFollower(self._loop, self._store, self._world.dialect, cfg, listener)
+
+        return [
+            follow(
+                Dataset.CONFIGURATION,
+                CONFIGURATION_WAIT_S,
+                FollowListener(
+                    on_list=lambda objects, _late: self._take_configuration(objects),
+                    on_event=self._on_configuration_event,
+                    on_confirmed=self._world.configuration.confirm,
+                ),
+            ),
+            follow(
+                Dataset.RUNNERS,
+                RUNNERS_WAIT_S,
+                FollowListener(
+                    on_list=self._take_runners,
+                    on_event=self._on_runner_event,
+                    on_confirmed=lambda _at: None,
+                ),
+            ),
+            follow(
+                Dataset.WEIGHTS,
+                WEIGHTS_WAIT_S,
+                FollowListener(
+                    on_list=lambda objects, _late: self._take_weights(objects),
+                    on_event=lambda event, _late: self._take_weights([event.stored]),
+                    on_confirmed=lambda _at: None,
+                ),
+            ),
+        ]
+
+    def _take_configuration(self, objects: list[StoredObject]) -> None:
+        for configuration in decoded(tuple(objects), self._world.dialect.read_configuration):
+            self._world.configuration.take(configuration)
+
+    def _on_configuration_event(self, event: StoreEvent, _is_after_outage: bool) -> None:
+        if not event.is_gone:
+            self._take_configuration([event.stored])
+
+    def _on_configuration(self, configuration: Configuration) -> None:
+        self._front.limits = configuration.limits
+
+    def _take_runners(self, objects: list[StoredObject], is_after_outage: bool) -> None:
+        runners: list[Runner] = decoded(tuple(objects), self._world.dialect.read_runner)
+        self._world.runners.replace(runners, is_after_outage, self._loop.now())
+
+    def _on_runner_event(self, event: StoreEvent, is_after_outage: bool) -> None:
+        if event.is_gone:
+            name = event.stored.name
+            self._world.runners.remove(name, is_after_outage, self._loop.now())
+            return
+        for runner in decoded((event.stored,), self._world.dialect.read_runner):
+            self._world.runners.put(runner)
+
+    def _on_runners(self) -> None:
+        self._world.pool.update(self._world.runners.runners)
+        self._roller.check()
+
+    def _take_weights(self, objects: list[StoredObject]) -> None:
+        named: list[WantedWeights] = decoded(tuple(objects), self._world.dialect.read_weights)
+        for wanted in named:
+            self._world.weights.take(wanted, self._loop.now())
+
+    # Peers
+
+    def _refresh(self, own: RouterRecord) -> None:
+        own.is_leaving = self._stopped_at is not None
+        own.is_current = self._is_current()
+        own.lease_revision = self._lease.revision
+        own.lease_token = self._lease.fencing_token if own.lease_revision else 0
+        own.loads = {
+            state.runner.instance: state.in_flight
+            for state in self._world.pool.all_states()
+            if state.in_flight
+        }
+
+    def _on_news(self, news: LoadNews) -> None:
+        take_load_news(self._world, news)
+
+    def _on_records(self) -> None:
+        elsewhere: collections.Counter[str] = collections.Counter()
+        for record in self._peers.live():
+            elsewhere.update(record.loads)
+            if record.lease_revision:
+                holder = f"{record.address}#{record.incarnation}"
+                self._lease.note_revision(
+                    LeaseRecord(holder, record.lease_token), record.lease_revision
+                )
+        for state in self._world.pool.all_states():
+            state.elsewhere = elsewhere[state.runner.instance]
+
+    # Requests
+
+    def _serve(self, exchange: Exchange) -> None:
+        call = self._admission.read(exchange)
+        if isinstance(call, Refusal):
+            refuse(exchange, call, None)
+            return
+        decision = self._admission.decide(exchange, call)
+        if isinstance(decision, Admitted):
+            self._forward(exchange, decision)
+        elif decision.status in (401, 404):
+            self._look_again(exchange, call)
+        else:
+            refuse(exchange, decision, call)
+
+    def _forward(self, exchange: Exchange, admitted: Admitted) -> None:
+        self._world.budget(admitted.service).note_request(self._loop.now())
+        forwarding = Forwarding(self._world, exchange, admitted, self._forwardings.discard)
+        self._forwardings.add(forwarding)
+        forwarding.start()
+
+    def _look_again(self, exchange: Exchange, call: Call) -> None:
+        """Deny a request only by a configuration that was read after it came."""
+        asked_at = self._loop.now()
+
+        def decide() -> None:
+            if exchange.is_over:
+                return
+            decision = self._admission.decide(exchange, call)
+            if isinstance(decision, Admitted):
+                self._forward(exchange, decision)
+            else:
+                refuse(exchange, decision, call)
+
+        def answered(answer: HttpAnswer | None) -> None:
+            if answer is not None and answer.status == 200:
+                self._take_configuration([self._world.dialect.read_stored(answer.body)])
+                self._world.configuration.confirm(asked_at)
+                decide()
+            elif not exchange.is_over:
+                refuse(exchange, Refusal(503, "not_confirmed"), call)
+
+        read = self._world.dialect.read_object(Dataset.CONFIGURATION, "main")
+        self._store.call(read, CONFIRM_TIMEOUT_S, answered)
+
+    def _count(self, outcome: str, route: Route, _seconds: float) -> None:
+        self._outcomes[(outcome, route.kind.value)] += 1
+
+    # Entry
+
+    def _is_current(self) -> bool:
+        age_s = self._world.configuration.age_s(self._loop.now())
+        return age_s < self._settings.bounds.revoke_s * CURRENT_SHARE
+
+    def _is_ready(self) -> bool:
+        is_known = self._world.configuration.table is not None and self._world.runners.is_known
+        return is_known and self._stopped_at is None
+
+    def _serve_ready(self, exchange: Exchange) -> None:
+        if not self._world.dialect.is_ready_question(exchange.request):
+            exchange.respond(404, [])
+        else:
+            exchange.respond(200 if self._is_ready() else 503, [])
+
+    def _serve_directory(self, exchange: Exchange) -> None:
+        zone = self._world.dialect.directory_zone(exchange.request)
+        if zone is None:
+            exchange.respond(404, [])
+            return
+        addresses = self._addresses(zone)
+        if not addresses:
+            exchange.respond(503, [(b"Retry-After", b"0.2")])
+            return
+        body = self._world.dialect.directory_answer(addresses, DIRECTORY_TTL_S)
+        exchange.respond(200, [(b"Content-Type", b"application/json")], body)
+
+    def _addresses(self, zone: str) -> list[str]:
+        own = self._peers.own
+        self._refresh(own)
+        records = [record for record in [own, *self._peers.live()] if not record.is_leaving]
+        current = [record for record in records if record.is_current] or records
+        near = [record for record in current if record.zone == zone]
+        chosen = near if len(near) > 1 else current
+        return [record.front for record in chosen][:64]
+
+    # Ends
+
+    def _reload(self) -> None:
+        log_event("settings_signal")
+
+    def _stop(self) -> None:
+        if self._stopped_at is not None:
+            return
+        self._stopped_at = self._loop.now()
+        log_event("stopping", requests=len(self._forwardings))
+        self._front.is_draining = True
+        self._roller.is_stopped = True
+        self._peers.tell_now()
+
+    def _keep_house(self) -> None:
+        now = self._loop.now()
+        self._world.runners.drop_missing(now)
+        if self._lease.is_held() or any(not f.is_failing for f in self._followers):
+            self._roller.check()
+        EVENT_LOG.flush()
+        if self._stopped_at is not None:
+            self._go_on_stopping(now - self._stopped_at)
+        self._loop.call_later(HOUSEKEEPING_S, self._keep_house)
+
+    def _go_on_stopping(self, since_s: float) -> None:
+        if since_s > self._settings.bounds.grace_s - END_MARGIN_S:
+            log_trouble("grace_over", requests=len(self._forwardings))
+            for forwarding in list(self._forwardings):
+                forwarding.shut_down()
+            self._loop.call_later(0.2, self._loop.stop)
+        elif since_s > LINGER_AFTER_STOP_S:
+            self._front.end_idle()
+            if not self._forwardings and self._front.connections == 0:
+                self._loop.stop()
+
+
+def run_router(settings: RouterSettings, dialect: Dialect) -> None:
+    """Run a router until it is stopped."""
+    EVENT_LOG.open(settings.name, settings.is_log_detailed)
+    RouterProcess(settings, dialect).run()
--- /dev/null
+++ b/src/martenrun/router/retry_budget.py
@@ -0,0 +1,43 @@
+"""A node's share of the retries that all nodes together may send to a service."""
+
+import collections
+
+from martenrun.router.messages import Bounds
+
+STEP_S = 0.25
+"""Length of the steps in which arrivals are counted, in seconds."""
+
+SAFETY = 0.7
+"""Part of the allowance that is used; others may know of fewer nodes than there are."""
+
+
+class RetryBudget:
+    """Counts requests and repeats for one service over a sliding window."""
+
+    def __init__(self, bounds: Bounds) -> None:
+        self._bounds = bounds
+        self._steps: collections.deque[list[float]] = collections.deque()
+
+    def note_request(self, now: float) -> None:
+        """Count a request that callers sent."""
+        self._step(now)[1] += 1
+
+    def may_repeat(self, now: float, nodes: int) -> bool:
+        """Return whether one more repeat stays within this node's share."""
+        self._step(now)
+        requests = sum(step[1] for step in self._steps)
+        repeats = sum(step[2] for step in self._steps)
+        slack = self._bounds.budget_slack / max(1, nodes)
+        return repeats + 1 <= SAFETY * (self._bounds.budget_ratio * requests + slack)
+
+    def note_repeat(self, now: float) -> None:
+        """Count a repeat that is sent."""
+        self._step(now)[2] += 1
+
+    def _step(self, now: float) -> list[float]:
+        start = now - now % STEP_S
+        if not self._steps or self._steps[-1][0] != start:
+            self._steps.append([start, 0, 0])
+        while self._steps[0][0] < now - self._bounds.budget_window_s:
+            self._steps.popleft()
+        return self._steps[-1]
--- /dev/null
+++ b/src/martenrun/router/route_table.py
@@ -0,0 +1,49 @@
+"""Which route, tenant and service a call belongs to, under one version of the configuration."""
+
+from martenrun.router.messages import Call, Configuration, Route, Tenant
+
+
+class RouteTable:
+    """Look-ups in one configuration, prepared once for each version."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        self.configuration = configuration
+        self._by_host: dict[str, list[Route]] = {}
+        for route in configuration.routes:
+            self._by_host.setdefault(route.host, []).append(route)
+        for routes in self._by_host.values():
+            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+
+    def route(self, call: Call) -> Route | None:
+        """Return the route with the longest prefix that begins the call's path."""
+        for route in self._by_host.get(call.host, ()):
+            if call.path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def tenant(self, call: Call) -> Tenant | None:
+        """Return who holds the call's key."""
+        return None if call.key is None else self.configuration.tenants_by_key.get(call.key)
+
+    def needs_key(self, route: Route) -> bool:
+        """Return whether calls of a route are served to known keys only."""
+        return self.configuration.has_tenants and not route.is_open
+
+
+class SplitCounter:
+    """Deals a route's requests out to its services by weight, evenly over any stretch."""
+
+    def __init__(self) -> None:
+        self._credits: dict[tuple[str, str], float] = {}
+
+    def next_service(self, route: Route) -> str:
+        """Return the service of the route's next request (smooth weighted round robin)."""
+        if len(route.split) == 1:
+            return route.split[0].service
+        total = sum(part.weight for part in route.split)
+        for part in route.split:
+            key = (route.name, part.service)
+            self._credits[key] = self._credits.get(key, 0.0) + part.weight
+        chosen = max(route.split, key=lambda part: self._credits[(route.name, part.service)])
+        self._credits[(route.name, chosen.service)] -= total
+        return chosen.service
--- /dev/null
+++ b/src/martenrun/router/weights_roll.py
@@ -0,0 +1,303 @@
+"""Bringing runners to the weights that the operator has named: one lease holder, few at a time.
+
+The plan is pure (:func:`runners_to_order`); :class:`WeightsRoller` carries it out.  Versions that
+have been overtaken are never ordered.
+"""
+
+from collections.abc import Collection, Sequence
+
+import attrs
+
+from martenrun.identity.rendezvous import weight
+from martenrun.net.http import HttpAnswer
+from martenrun.router.lease import Lease
+from martenrun.router.log import log_event, log_trouble
+from martenrun.router.messages import HttpCall, OrderOutcome, RunnerReport, WeightsOrder
+from martenrun.router.peers import LoadNews, Peers
+from martenrun.router.runner_state import LOADING_MEMORY_S, RunnerState
+from martenrun.router.store_client import HttpCaller
+from martenrun.router.world import World
+
+TICK_S = 0.1
+"""How often the roll is looked at while runners lack weights, in seconds."""
+
+RANK_DELAY_S = 0.7
+"""How much later each next router tries to take the lease, in seconds."""
+
+REPORT_TIMEOUT_S = 0.4
+ORDER_TIMEOUT_S = 0.6
+"""How long a runner's answer to the control interface is waited for, in seconds."""
+
+REPORT_INTERVAL_S = 0.2
+"""How often a loading runner is asked for its report, in seconds."""
+
+ORDER_AGAIN_S = 1.0
+"""Time after an order without effect until it is given again, in seconds."""
+
+PARALLEL_SHARE = 1 / 3
+"""Share of a model's runners that load at the same time; at least one does."""
+
+STATUS_OK = 200
+
+
+@attrs.define
+class RunnerLoad:
+    """A load of weights under way at a runner.
+
+    Attributes:
+        version: the version ordered.
+        since: steady time of the last step.
+        is_ordered: whether an order may have reached the runner.
+    """
+
+    version: int
+    since: float
+    is_ordered: bool = False
+
+
+@attrs.frozen
+class RollQuestion:
+    """What a plan is made from.
+
+    Attributes:
+        model: the model.
+        version: the version named.
+        loading: instances whose load is under way.
+        not_before: times before which failed runners are not tried again.
+        now: steady time.
+    """
+
+    model: str
+    version: int
+    loading: Collection[str]
+    not_before: dict[str, float]
+    now: float
+
+
+def lacking(states: Sequence[RunnerState], model: str, version: int) -> list[RunnerState]:
+    """Return the staying runners of a model that have older weights than named."""
+    found = []
+    for state in states:
+        has = state.weights_version(model)
+        if has is not None and has < version and not state.runner.is_draining:
+            found.append(state)
+    return found
+
+
+def runners_to_order(question: RollQuestion, states: Sequence[RunnerState]) -> list[RunnerState]:
+    """Return the runners that are to load now, the least busy first."""
+    of_model = [s for s in states if s.weights_version(question.model) is not None]
+    limit = max(1, int(len(of_model) * PARALLEL_SHARE + 0.01))
+    free = limit - len(question.loading)
+    candidates = [
+        state
+        for state in lacking(of_model, question.model, question.version)
+        if state.runner.instance not in question.loading
+        and question.now >= question.not_before.get(state.runner.instance, 0.0)
+    ]
+    candidates.sort(key=lambda state: state.load)
+    return candidates[: max(0, free)]
+
+
+class WeightsRoller:
+    """Gives the orders of this router while it holds the lease."""
+
+    def __init__(self, world: World, peers: Peers, lease: Lease) -> None:
+        self._world = world
+        self._peers = peers
+        self._lease = lease
+        self._loads: dict[str, RunnerLoad] = {}
+        self._not_before: dict[str, float] = {}
+        self._needed_since: float | None = None
+        self._callers: dict[str, HttpCaller] = {}
+        self._is_ticking = False
+        self.is_stopped = False
+
+    def check(self) -> None:
+        """Look whether runners lack weights; called after every change of what is known."""
+        if not self._is_ticking and not self.is_stopped:
+            self._is_ticking = True
+            self._world.loop.call_later(0, self._tick)
+
+    def _tick(self) -> None:
+        self._is_ticking = False
+        if self.is_stopped:
+            return
+        now = self._world.loop.now()
+        models = self._models_lacking()
+        if not models:
+            self._needed_since = None
+            self._loads.clear()
+            return
+        if self._needed_since is None:
+            self._needed_since = now
+        if self._is_my_turn(now):
+            self._lease.pursue()
+        if self._lease.is_held():
+            for model in models:
+                self._order_model(model, now)
+        self._is_ticking = True
+        self._world.loop.call_later(TICK_S, self._tick)
+
+    def _models_lacking(self) -> list[str]:
+        states = self._world.pool.all_states()
+        wanted = self._world.weights.wanted
+        return [name for name, item in wanted.items() if lacking(states, name, item.version)]
+
+    def _is_my_turn(self, now: float) -> bool:
+        if self._lease.is_held() or self._needed_since is None:
+            return True
+        return now - self._needed_since >= RANK_DELAY_S * self._rank()
+
+    def _rank(self) -> int:
+        """Return this router's place among the living: the last holder, then by hashing."""
+        own = self._peers.own
+        living = [own.address]
+        living += [
+            record.address
+            for record in self._peers.live()
+            if record.is_current and not record.is_leaving
+        ]
+        living.sort(key=lambda address: weight(b"weights", address), reverse=True)
+        last = (self._lease.last_holder() or "").partition("#")[0]
+        if last in living:
+            living.remove(last)
+            living.insert(0, last)
+        return living.index(own.address)
+
+    def _order_model(self, model: str, now: float) -> None:
+        version = self._world.weights.wanted[model].version
+        self._check_loads(model, version, now)
+        question = RollQuestion(model, version, set(self._loads), self._not_before, now)
+        for state in runners_to_order(question, self._world.pool.all_states()):
+            self._loads[state.runner.instance] = RunnerLoad(version, now)
+            self._tell(state, model, version, is_loaded=False)
+            self._ask_report(state, model)
+
+    def _check_loads(self, model: str, version: int, now: float) -> None:
+        for instance, load in list(self._loads.items()):
+            state = self._world.pool.state(instance)
+            has = None if state is None else state.weights_version(model)
+            if state is None or (has is not None and has >= version):
+                del self._loads[instance]
+            elif now - load.since >= REPORT_INTERVAL_S:
+                load.since = now
+                self._ask_report(state, model)
+
+    def _tell(self, state: RunnerState, model: str, version: int, is_loaded: bool) -> None:
+        news = LoadNews(state.runner.instance, model, version, is_loaded)
+        take_load_news(self._world, news)
+        self._peers.tell_all(news)
+
+    def _ask_report(self, state: RunnerState, model: str) -> None:
+        self._call(
+            state,
+            self._world.dialect.ask_report(),
+            REPORT_TIMEOUT_S,
+            lambda answer: self._on_report(answer, state, model),
+        )
+
+    def _on_report(self, answer: HttpAnswer | None, state: RunnerState, model: str) -> None:
+        instance = state.runner.instance
+        load = self._loads.get(instance)
+        wanted = self._world.weights.wanted[model].version
+        if load is None:
+            return
+        if answer is None or answer.status != STATUS_OK:
+            self._drop(state, "no_report")
+            return
+        try:
+            report = self._world.dialect.read_report(answer.body)
+        except (ValueError, KeyError, TypeError, AttributeError):
+            self._drop(state, "report_unreadable")
+            return
+        if report.weights.get(model, 0) >= wanted:
+            self._loads.pop(instance, None)
+            self._tell(state, model, report.weights[model], is_loaded=True)
+            self.check()
+        elif not report.is_loading and not load.is_ordered:
+            self._order(state, model, wanted, report)
+
+    def _order(self, state: RunnerState, model: str, version: int, report: RunnerReport) -> None:
+        if not self._lease.is_held() or self.is_stopped:
+            self._loads.pop(state.runner.instance, None)
+            return
+        load = self._loads[state.runner.instance]
+        load.is_ordered = True
+        load.since = self._world.loop.now() + REPORT_INTERVAL_S
+        order = WeightsOrder(
+            instance=state.runner.instance,
+            model=model,
+            version=version,
+            holder=self._peers.own.address,
+            fencing_token=self._lease.fencing_token,
+            expected_orders=report.orders_taken,
+        )
+        log_event(
+            "weights_ordered",
+            instance=order.instance,
+            model=model,
+            version=version,
+            token=order.fencing_token,
+        )
+        self._call(
+            state,
+            self._world.dialect.order_weights(order),
+            ORDER_TIMEOUT_S,
+            lambda answer: self._on_ordered(answer, state, model, version),
+        )
+
+    def _on_ordered(
+        self, answer: HttpAnswer | None, state: RunnerState, model: str, version: int
+    ) -> None:
+        instance = state.runner.instance
+        if instance not in self._loads:
+            return
+        outcome = None if answer is None else self._world.dialect.read_order_outcome(answer.status)
+        if outcome is OrderOutcome.ACCEPTED:
+            return
+        if outcome is OrderOutcome.HOLDS_ALREADY:
+            self._loads.pop(instance)
+            self._tell(state, model, version, is_loaded=True)
+            self.check()
+            return
+        log_trouble(
+            "order_failed", instance=instance, outcome=None if outcome is None else outcome.value
+        )
+        if outcome is None:
+            # It may have been taken, or be carried out later: reports tell, then it is repeated.
+            self._world.loop.call_later(ORDER_AGAIN_S, lambda: self._allow_again(instance))
+        else:
+            self._drop(state, outcome.value)
+
+    def _allow_again(self, instance: str) -> None:
+        load = self._loads.get(instance)
+        if load is not None:
+            load.is_ordered = False
+
+    def _drop(self, state: RunnerState, reason: str) -> None:
+        """Give a runner's place to another for a moment."""
+        now = self._world.loop.now()
+        self._loads.pop(state.runner.instance, None)
+        self._not_before[state.runner.instance] = now + 2 * REPORT_INTERVAL_S
+        state.loading_until = 0.0
+        log_trouble("load_put_off", instance=state.runner.instance, reason=reason)
+
+    def _call(self, state, call: HttpCall, timeout_s: float, on_answer) -> None:  # type: ignore[no-untyped-def]
+        address = state.runner.address
+        caller = self._callers.get(address)
+        if caller is None:
+            caller = self._callers[address] = HttpCaller(self._world.loop, address)
+        caller.call(call, timeout_s, on_answer)
+
+
+def take_load_news(world: World, news: LoadNews) -> None:
+    """Take in that a runner loads weights or has them now."""
+    state = world.pool.state(news.instance)
+    if state is None:
+        return
+    if news.is_loaded:
+        state.learn_weights(news.model, news.version)
+        state.loading_until = 0.0
+    elif news.version > (state.weights_version(news.model) or 0):
+        state.loading_until = world.loop.now() + LOADING_MEMORY_S
--- /dev/null
+++ b/src/martenrun/router/world.py
@@ -0,0 +1,64 @@
+"""Everything that the parts of one router share."""
+
+from collections.abc import Callable
+
+import attrs
+
+from martenrun.net.loop import Loop
+from martenrun.router.dialect import Dialect
+from martenrun.router.knowledge import ConfigurationKnowledge, RunnerDirectory, WeightsKnowledge
+from martenrun.router.messages import KeptCacheStore, Route, RouterSettings
+from martenrun.router.placement import Placement
+from martenrun.router.retry_budget import RetryBudget
+from martenrun.router.runner_pool import RunnerPool
+
+OLD_WEIGHTS_MARGIN_S = 0.7
+"""How long before the bound no request begins on older weights any more, in seconds."""
+
+
+@attrs.define
+class World:
+    """What a router knows and uses.
+
+    Attributes:
+        node_count: returns among how many routers the retry budget is shared.
+        count: takes in how a request ended: outcome, route, seconds.
+        store_works: whether the kept-cache store at an address answers.
+    """
+
+    loop: Loop
+    settings: RouterSettings
+    dialect: Dialect
+    configuration: ConfigurationKnowledge
+    runners: RunnerDirectory
+    weights: WeightsKnowledge
+    pool: RunnerPool
+    placement: Placement
+    node_count: Callable[[], int]
+    count: Callable[[str, Route, float], None]
+    store_works: Callable[[KeptCacheStore], bool]
+    _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return this router's retry budget for a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget(self.settings.bounds)
+        return budget
+
+    def is_old_refused(self, model: str, now: float) -> bool:
+        """Return whether older weights may no longer begin requests of a model."""
+        since = self.weights.known_since.get(model)
+        bound_s = self.settings.bounds.weights_s - OLD_WEIGHTS_MARGIN_S
+        return since is not None and now - since > bound_s
+
+    def cache_store(self, now: float) -> str | None:
+        """Return the address of a kept-cache store that answers, nearest first."""
+        table = self.configuration.table
+        if table is None:
+            return None
+        stores = sorted(
+            (store for store in table.configuration.stores if self.store_works(store)),
+            key=lambda store: store.zone != self.settings.zone,
+        )
+        return stores[0].address if stores else None
--- a/src/martenrun/routing/prefix_aware.py
+++ b/src/martenrun/routing/prefix_aware.py
@@ -14,9 +14,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from martenrun.backends.engine import AttemptOutcome
 from martenrun.constants import DEFAULT_BLOCK_BYTES
 from martenrun.identity.chain import block_count
-from martenrun.platform.engine import AttemptOutcome
 from martenrun.routing.beliefs import BeliefBook, RunnerRun
 from martenrun.routing.first_token_model import FirstTokenModel
 from martenrun.routing.hot_prefixes import MINIMUM_COMPUTED_BLOCKS, Computation, HotPrefixes
--- a/src/martenrun/scaling/arrivals.py
+++ b/src/martenrun/scaling/arrivals.py
@@ -14,11 +14,11 @@
 
 import msgspec
 
+from martenrun.backends.engine import RunnerDescription, RunnerServingState
 from martenrun.configuration.objects import Assignment, Kind, Pool, encode_document
 from martenrun.configuration.state import ConfigurationState
 from martenrun.events import Event, Instruction, RunnerDescribed, StoreWrite, Tick
 from martenrun.node.runners import RunnerTable
-from martenrun.platform.engine import RunnerDescription, RunnerServingState
 
 LOOK_INTERVAL_S = 0.5
 """Time between two looks at the unfinished assignments, in seconds."""
--- a/src/martenrun/simulation/engine.py
+++ b/src/martenrun/simulation/engine.py
@@ -9,11 +9,11 @@
 
 import msgspec
 
+from martenrun.backends.engine import RunnerDescription
+from martenrun.backends.engine_orders import EngineOrder, OrderOutcome
 from martenrun.constants import BLOCK_HASH_BYTES, ENGINE_CONNECT_TIMEOUT_S
 from martenrun.identity.chain import chain_seed, hash_chain
 from martenrun.identity.prompt import canonical_completion_text
-from martenrun.platform.engine import RunnerDescription
-from martenrun.platform.engine_orders import EngineOrder, OrderOutcome
 from martenrun.routing.prefix_index import RunnerIdentity
 from martenrun.simulation.feed import SimulatedFeed
 from martenrun.simulation.scheduler import Scheduler
--- a/src/martenrun/simulation/feed.py
+++ b/src/martenrun/simulation/feed.py
@@ -1,6 +1,6 @@
 """The cache-event feed of a simulated engine: numbered entries, late and with losses."""
 
-from martenrun.platform.cache_events import (
+from martenrun.backends.cache_events import (
     CacheEvents,
     FeedAnswer,
     FeedEntry,
--- a/src/martenrun/simulation/machines.py
+++ b/src/martenrun/simulation/machines.py
@@ -2,7 +2,7 @@
 
 from msgspec.structs import replace
 
-from martenrun.platform.machine_list import Machine
+from martenrun.backends.machine_list import Machine
 from martenrun.simulation.scheduler import Scheduler
 
 
--- a/src/martenrun/simulation/ownership_cluster.py
+++ b/src/martenrun/simulation/ownership_cluster.py
@@ -13,6 +13,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from martenrun.backends.engine import AttemptOutcome, RunnerDescription
+from martenrun.backends.machine_list import Machine
 from martenrun.configuration.objects import Document, Kind, Pool, Route, Tenant
 from martenrun.configuration.view import ConfigurationView
 from martenrun.events import DecisionLogic, MachinesListed, RunnerDescribed
@@ -23,8 +25,6 @@
 from martenrun.ownership.logic import OwnershipLogic
 from martenrun.ownership.owner import OwnerLogic
 from martenrun.ownership.owners import OwnerMap
-from martenrun.platform.engine import AttemptOutcome, RunnerDescription
-from martenrun.platform.machine_list import Machine
 from martenrun.routing.baselines import ConsistentHashPolicy
 from martenrun.simulation.hollow import HollowProcess
 from martenrun.simulation.network import LinkFaults, SimulatedNetwork
--- a/src/martenrun/simulation/pool_callers.py
+++ b/src/martenrun/simulation/pool_callers.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from martenrun.backends.engine import AttemptOutcome
 from martenrun.identity.chain import chain_seed, hash_chain
-from martenrun.platform.engine import AttemptOutcome
 from martenrun.simulation.pool_world import PoolWorld
 from martenrun.wire.messages import (
     AttemptReport,
--- a/src/martenrun/simulation/pool_world.py
+++ b/src/martenrun/simulation/pool_world.py
@@ -12,11 +12,11 @@
 
 import msgspec
 
+from martenrun.backends.engine_orders import OrderOutcome
+from martenrun.backends.machine_list import Machine
 from martenrun.events import MachinesListed, OrderAnswered, RunnerDescribed, SendOrder
 from martenrun.node.parts import NodeParts, node_parts
 from martenrun.orders.permits import PERMITS_KIND, PERMITS_NAME, PermitTable
-from martenrun.platform.engine_orders import OrderOutcome
-from martenrun.platform.machine_list import Machine
 from martenrun.settings.model import NodeSettings
 from martenrun.simulation.hollow import HollowProcess
 from martenrun.simulation.network import LinkFaults, SimulatedNetwork
--- a/src/martenrun/simulation/pooled_engine.py
+++ b/src/martenrun/simulation/pooled_engine.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from martenrun.platform.engine import RunnerDescription, RunnerServingState
-from martenrun.platform.engine_orders import EngineOrder, OrderAction, OrderOutcome
+from martenrun.backends.engine import RunnerDescription, RunnerServingState
+from martenrun.backends.engine_orders import EngineOrder, OrderAction, OrderOutcome
 from martenrun.simulation.scheduler import Scheduler
 from martenrun.standins.engine.orders import FenceGuard, Order
 from martenrun.standins.engine.orders import OrderAction as StandinAction
--- a/src/martenrun/simulation/weights.py
+++ b/src/martenrun/simulation/weights.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from martenrun.platform.engine import RunnerServingState
-from martenrun.platform.engine_orders import EngineOrder, OrderAction, OrderOutcome
+from martenrun.backends.engine import RunnerServingState
+from martenrun.backends.engine_orders import EngineOrder, OrderAction, OrderOutcome
 from martenrun.standins.engine.orders import FenceGuard, Order
 from martenrun.standins.engine.orders import OrderAction as StandinAction
 from martenrun.standins.engine.refusals import RefusalCode, RefusedError
--- a/src/martenrun/standins/engine/push_stream.py
+++ b/src/martenrun/standins/engine/push_stream.py
@@ -3,7 +3,7 @@
 Cache-event entries that follow each other are merged to their net change, so that a push holds
 one merged entry unless entries between were lost.
 
-See also: docs/PROTOCOL.md, :mod:`martenrun.platform.engine_stream`, the reader.
+See also: docs/PROTOCOL.md, :mod:`martenrun.backends.engine_stream`, the reader.
 """
 
 import time
--- a/src/martenrun/wire/messages/requests.py
+++ b/src/martenrun/wire/messages/requests.py
@@ -34,7 +34,7 @@
     """Node to agent: send the attempt to this runner.
 
     The engine may import ``import_blocks`` leading blocks from its store, 0 for none; see
-    :class:`martenrun.platform.kv_transfers.ImportOffer`.
+    :class:`martenrun.backends.kv_transfers.ImportOffer`.
     """
 
     request_id: str = ""
--- a/tests/engine_server.py
+++ b/tests/engine_server.py
@@ -6,10 +6,10 @@
 import urllib3
 from deployment import free_address
 
+from martenrun.backends.attempt import EngineAttempt
+from martenrun.backends.engine import EngineConnections, EngineRequest
+from martenrun.backends.stream_progress import StreamProgress
 from martenrun.edge.server import HttpServer
-from martenrun.platform.attempt import EngineAttempt
-from martenrun.platform.engine import EngineConnections, EngineRequest
-from martenrun.platform.stream_progress import StreamProgress
 from martenrun.standins.engine.application import EngineApplication
 from martenrun.standins.engine.model import TimeModel
 from martenrun.standins.engine.settings import EngineSettings
--- a/tests/object_api_server.py
+++ b/tests/object_api_server.py
@@ -3,8 +3,8 @@
 import msgspec
 import urllib3
 
+from martenrun.backends.object_api import ObjectApi
 from martenrun.edge.server import HttpServer
-from martenrun.platform.object_api import ObjectApi
 from martenrun.standins.objects import Faults, ObjectApiApplication
 
 
--- a/tests/owned_machines.py
+++ b/tests/owned_machines.py
@@ -1,7 +1,7 @@
 """Two nodes and the machines of one pool, for tests of slot ownership."""
 
+from martenrun.backends.machine_list import Machine
 from martenrun.membership.view import Member
-from martenrun.platform.machine_list import Machine
 
 OWN = Member("10.0.0.1:7000", "a")
 OTHER = Member("10.0.0.2:7000", "a")
--- a/tests/proof_guards.py
+++ b/tests/proof_guards.py
@@ -7,6 +7,8 @@
 from martenrun.agent.active import ActiveRequest
 from martenrun.agent.configuration import AgentConfigurationLogic
 from martenrun.agent.requests import RequestsLogic
+from martenrun.backends.engine import AttemptOutcome
+from martenrun.backends.machine_list import Machine
 from martenrun.claims.logic import ClaimsLogic
 from martenrun.configuration.state import ConfigurationState
 from martenrun.configuration.watching import StoreWatching
@@ -18,8 +20,6 @@
 from martenrun.node.configuration import NodeConfigurationLogic
 from martenrun.orders import permits
 from martenrun.ownership.stall import MachineListAge
-from martenrun.platform.engine import AttemptOutcome
-from martenrun.platform.machine_list import Machine
 from martenrun.proof import processes
 from martenrun.proof.drain import DrainStep
 from martenrun.proof.processes import SimulatedProcess
--- a/tests/rolls_world.py
+++ b/tests/rolls_world.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from martenrun.backends.engine import RunnerDescription
+from martenrun.backends.engine_orders import OrderOutcome
 from martenrun.configuration.state import ConfigurationState
 from martenrun.events import (
     OrderAnswered,
@@ -16,8 +18,6 @@
 )
 from martenrun.orders.permits import PermitTable
 from martenrun.orders.rolls import RollsLogic
-from martenrun.platform.engine import RunnerDescription
-from martenrun.platform.engine_orders import OrderOutcome
 from martenrun.routing.policy import RunnerState
 from martenrun.simulation.scheduler import Scheduler
 from martenrun.standins.engine.orders import FenceGuard, Order
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -11,6 +11,8 @@
 from martenrun.admin.application import AdminApplication
 from martenrun.admin.client import AdminClient
 from martenrun.admin.messages import NEXT_AFTER_HEADER
+from martenrun.backends import object_api
+from martenrun.backends.weight_store import WeightStore
 from martenrun.configuration.state import ConfigurationState
 from martenrun.constants import MAXIMUM_OBJECT_BYTES
 from martenrun.edge.responses import error_body
@@ -23,8 +25,6 @@
     VersionConflictError,
     error_classes,
 )
-from martenrun.platform import object_api
-from martenrun.platform.weight_store import WeightStore
 from martenrun.standins.weights import Faults, LoadPace, WeightStoreApplication
 from object_api_server import Store
 
--- a/tests/test_cache_events.py
+++ b/tests/test_cache_events.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from martenrun.platform.cache_events import FeedAnswer, FeedPosition, take_in
+from martenrun.backends.cache_events import FeedAnswer, FeedPosition, take_in
 from martenrun.standins.engine.cache import PrefixCache
 from martenrun.standins.engine.events import CacheEventFeed, FeedFaults
 
--- a/tests/test_cache_events_logic.py
+++ b/tests/test_cache_events_logic.py
@@ -3,10 +3,10 @@
 import numpy
 import pytest
 
+from martenrun.backends.cache_events import CacheEvents
 from martenrun.events import CacheEventsRead, Tick
 from martenrun.node.cache_events import CacheEventsLogic
 from martenrun.node.runners import RunnerTable
-from martenrun.platform.cache_events import CacheEvents
 from martenrun.routing.beliefs import BeliefBook
 from martenrun.routing.policy import RunnerState
 
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -2,6 +2,8 @@
 
 import random
 
+from martenrun.backends.engine import RunnerDescription
+from martenrun.backends.machine_list import Machine
 from martenrun.configuration.objects import Kind, Pool
 from martenrun.configuration.view import ConfigurationView
 from martenrun.events import MachinesListed, PeerMessage, RunnerDescribed, Tick
@@ -9,8 +11,6 @@
 from martenrun.node.runners import RunnerTable
 from martenrun.ownership.pool_ids import pool_id
 from martenrun.ownership.slots import RunnerSlots
-from martenrun.platform.engine import RunnerDescription
-from martenrun.platform.machine_list import Machine
 from martenrun.scaling.demand import HOLD_S, DemandExchange, total
 from martenrun.scaling.limits import ScalingLimits
 from martenrun.wire.messages import PoolDemand
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -10,10 +10,10 @@
 from deployment import free_address, wait_until
 
 from engine_server import SLOW, running_engine, served, text_of
-from martenrun.platform import attempt as attempt_module
-from martenrun.platform.attempt import EngineAttempt
-from martenrun.platform.engine import AttemptOutcome, EngineRequest
-from martenrun.platform.stream_progress import StreamProgress
+from martenrun.backends import attempt as attempt_module
+from martenrun.backends.attempt import EngineAttempt
+from martenrun.backends.engine import AttemptOutcome, EngineRequest
+from martenrun.backends.stream_progress import StreamProgress
 from martenrun.standins.engine.refusals import RefusedError
 from martenrun.standins.engine.scheduler import Batch, Load, LoadReport
 
--- a/tests/test_engine_feeds.py
+++ b/tests/test_engine_feeds.py
@@ -9,6 +9,8 @@
 from deployment import wait_until
 
 from engine_server import running_engine
+from martenrun.backends.engine import RunnerDescription
+from martenrun.backends.engine_stream import Push
 from martenrun.events import CacheEventsRead, EventBatch, RunnerDescribed
 from martenrun.node.feeds import OPENINGS_A_ROUND, EngineFeeds
 from martenrun.node.followed_engine import (
@@ -21,8 +23,6 @@
     Target,
 )
 from martenrun.observability.engine_feeds import EngineFeedsCollector
-from martenrun.platform.engine import RunnerDescription
-from martenrun.platform.engine_stream import Push
 from martenrun.process import LoopActor
 
 WAIT_S = 10.0
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -4,8 +4,8 @@
 from deployment import free_address, wait_until
 
 from engine_server import FAST, MODEL, SLOW, running_engine, served
-from martenrun.platform.engine import AttemptOutcome
-from martenrun.platform.engine_orders import EngineOrder, EngineOrders, OrderAction, OrderOutcome
+from martenrun.backends.engine import AttemptOutcome
+from martenrun.backends.engine_orders import EngineOrder, EngineOrders, OrderAction, OrderOutcome
 from martenrun.standins.weights import Faults, LoadPace, WeightStoreApplication
 
 OTHER_MODEL = "ledger-app"
--- a/tests/test_engine_stores.py
+++ b/tests/test_engine_stores.py
@@ -8,10 +8,10 @@
 from deployment import free_address, wait_until
 
 from engine_server import MODEL, running_engine, served
+from martenrun.backends.kv_transfers import BlockTransfer, KvTransfers, TransferDirection
+from martenrun.backends.weight_store import WeightStore
 from martenrun.errors import StoreUnavailableError
 from martenrun.identity.chain import chain_seed, hash_chain
-from martenrun.platform.kv_transfers import BlockTransfer, KvTransfers, TransferDirection
-from martenrun.platform.weight_store import WeightStore
 from martenrun.standins.kv_store import KvStoreApplication
 from martenrun.standins.weights import LoadPace, WeightStoreApplication
 
--- a/tests/test_engine_stream.py
+++ b/tests/test_engine_stream.py
@@ -8,8 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from martenrun.platform.cache_events import FeedPosition
-from martenrun.platform.engine_stream import (
+from martenrun.backends.cache_events import FeedPosition
+from martenrun.backends.engine_stream import (
     NoPushStreamError,
     Push,
     PushedEntry,
@@ -17,7 +17,7 @@
     StreamBrokenError,
     pushed_events,
 )
-from martenrun.platform.http_stream import HttpStreamError, StreamedResponse
+from martenrun.backends.http_stream import HttpStreamError, StreamedResponse
 from martenrun.standins.engine import push_stream
 from martenrun.standins.engine.events import FeedEntry
 from martenrun.standins.engine.push_stream import merge
@@ -102,7 +102,7 @@
 
 
 def test_an_endless_event_is_refused(monkeypatch):
-    monkeypatch.setattr("martenrun.platform.engine_stream.MAXIMUM_EVENT_BYTES", 100)
+    monkeypatch.setattr("martenrun.backends.engine_stream.MAXIMUM_EVENT_BYTES", 100)
     with pytest.raises(StreamBrokenError):
         PushReader().received(HEAD + chunk(b"data: " + b"a" * 200))
 
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from martenrun.backends.machine_list import Machine
 from martenrun.bench.scale.cluster import ScaleCluster
 from martenrun.events import MachinesListed, PeerMessage, Tick
 from martenrun.membership.gossip import GossipMembership
@@ -13,7 +14,6 @@
 from martenrun.node.runners import RunnerTable
 from martenrun.ownership.owner import OwnerLogic
 from martenrun.ownership.owners import OwnerMap
-from martenrun.platform.machine_list import Machine
 from martenrun.settings.model import MembershipSettings
 from martenrun.wire.messages import MemberClaim, MemberList, ReserveSlot
 
--- a/tests/test_kvcache_logic.py
+++ b/tests/test_kvcache_logic.py
@@ -2,12 +2,12 @@
 
 import pytest
 
+from martenrun.backends.kv_transfers import BlockTransfer
 from martenrun.events import ExportEnded, PeerMessage, Send, SendExport, Tick
 from martenrun.kvcache.counts import CountsByPool
 from martenrun.kvcache.home import KvCacheHome
 from martenrun.kvcache.limits import StoreLimits
 from martenrun.kvcache.owner import KvCacheOwner
-from martenrun.platform.kv_transfers import BlockTransfer
 from martenrun.routing.policy import RunnerState
 from martenrun.wire.messages import (
     AttemptReport,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from martenrun.backends.machine_list import Machine
 from martenrun.events import LeaveRequested, MachinesListed, PeerDisconnected
 from martenrun.membership.differences import (
     MAXIMUM_STATES,
@@ -18,7 +19,6 @@
 from martenrun.membership.record import MemberStatus
 from martenrun.membership.table import BUCKETS, MemberTable
 from martenrun.membership.view import Member
-from martenrun.platform.machine_list import Machine
 from martenrun.settings.model import MembershipSettings
 from martenrun.simulation.members import MemberCluster
 from martenrun.simulation.network import LinkFaults
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -4,12 +4,12 @@
 
 from prometheus_client.parser import text_string_to_metric_families
 
+from martenrun.backends.engine import AttemptOutcome, AttemptResult
 from martenrun.identity.chain import chain_seed, hash_chain
 from martenrun.observability.labels import OTHER, OTHER_PAIR, BusiestLabels, LabelPair
 from martenrun.observability.metrics import MAXIMUM_NAMED_PAIRS, EdgeMetrics
 from martenrun.observability.recent_blocks import RecentBlocks
 from martenrun.observability.requests import RequestObservation
-from martenrun.platform.engine import AttemptOutcome, AttemptResult
 from martenrun.wire.messages import DecideRequest
 
 TENANTS = 5_100
--- a/tests/test_object_api.py
+++ b/tests/test_object_api.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from martenrun.backends import object_api
 from martenrun.errors import (
     ChangeOutcomeUnknownError,
     ObjectNotFoundError,
@@ -11,7 +12,6 @@
     VersionConflictError,
     WatchCompactedError,
 )
-from martenrun.platform import object_api
 from object_api_server import Store
 
 
--- a/tests/test_owner_map.py
+++ b/tests/test_owner_map.py
@@ -2,11 +2,11 @@
 
 import random
 
+from martenrun.backends.machine_list import Machine
 from martenrun.events import MachinesListed
 from martenrun.membership.view import Member, StaticMemberView
 from martenrun.node.runners import RunnerTable
 from martenrun.ownership.owners import OwnerMap
-from martenrun.platform.machine_list import Machine
 
 ZONES = "abc"
 
--- a/tests/test_ownership_parts.py
+++ b/tests/test_ownership_parts.py
@@ -2,12 +2,12 @@
 
 import pytest
 
+from martenrun.backends.engine import RunnerDescription
 from martenrun.events import MachinesListed, PeerMessage, RunnerDescribed, Send, Tick
 from martenrun.membership.view import StaticMemberView
 from martenrun.node.runners import RunnerTable
 from martenrun.ownership.owner import OwnerLogic
 from martenrun.ownership.owners import OwnerMap
-from martenrun.platform.engine import RunnerDescription
 from martenrun.wire.messages import (
     LeaseRenewal,
     LeasesVoided,
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -8,12 +8,12 @@
 from deployment import wait_until
 
 from engine_server import served
+from martenrun.backends.attempt import EngineAttempt
+from martenrun.backends.engine import AttemptOutcome, EngineRequest
+from martenrun.backends.stream_progress import StreamProgress
 from martenrun.edge import relay as relay_module
 from martenrun.edge.channel import OUTPUT_KEY
 from martenrun.edge.relay import MAXIMUM_BACKLOG_BYTES, StreamRelay
-from martenrun.platform.attempt import EngineAttempt
-from martenrun.platform.engine import AttemptOutcome, EngineRequest
-from martenrun.platform.stream_progress import StreamProgress
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 DONE = b"data: [DONE]\n\n"
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -14,6 +14,7 @@
     RequestsLogic,
 )
 from martenrun.agent.retry import MAXIMUM_SAVED
+from martenrun.backends.engine import AttemptOutcome, AttemptResult
 from martenrun.constants import DECISION_TIMEOUT_S
 from martenrun.events import (
     AttemptEnded,
@@ -27,7 +28,6 @@
     Tick,
 )
 from martenrun.ownership.stall import STALL_S
-from martenrun.platform.engine import AttemptOutcome, AttemptResult
 from martenrun.statecharts.compiler import load_chart
 from martenrun.wire.messages import (
     AttemptReport,
--- a/tests/test_stream_progress.py
+++ b/tests/test_stream_progress.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from martenrun.platform.stream_progress import ResumeFields, StreamProgress
+from martenrun.backends.stream_progress import ResumeFields, StreamProgress
 
 
 def event(text="", finish=None, **choice):
