Order the oldest weights first; judge each version by its own time

Change: renewals are counted in the object; loads end with the version ordered; oldest first; ages per version. Next: ages of versions known before a restart, and margin for requests that queue at a runner.

--- a/src/martenrun/platform/objects.py
+++ b/src/martenrun/platform/objects.py
@@ -212,9 +212,15 @@
 def read_lease(stored: StoredObject) -> LeaseRecord:
     """Translate a lease object of the routers' own."""
     spec = _table(stored.spec)
-    return LeaseRecord(str(spec["holder"]), int(spec["fence_token"]))
+    return LeaseRecord(
+        str(spec["holder"]), int(spec["fence_token"]), int(spec.get("renewals", 0))
+    )
 
 
 def lease_spec(lease: LeaseRecord) -> object:
     """Return the content of a lease object."""
-    return {"holder": lease.holder, "fence_token": lease.fencing_token}
+    return {
+        "holder": lease.holder,
+        "fence_token": lease.fencing_token,
+        "renewals": lease.renewals,
+    }
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -110,7 +110,7 @@
             prefix=self._prefix(),
             model=model,
             wanted_version=None if wanted is None else wanted.version,
-            is_old_refused=model is not None and world.is_old_refused(model, now),
+            oldest_version=world.oldest_weights(model, now) if model else 0,
             tried=self._tried,
             zone=world.settings.zone,
             now=now,
--- a/src/martenrun/router/knowledge.py
+++ b/src/martenrun/router/knowledge.py
@@ -14,6 +14,10 @@
 """How long after an outage of the store an entry may still be missing without being gone."""
 
 
+REMEMBERED_VERSIONS = 16
+"""Versions of one model's weights of which the time is remembered."""
+
+
 class ConfigurationKnowledge:
     """The newest configuration seen, and when it was last known to be the newest."""
 
@@ -110,7 +114,7 @@
 
     def __init__(self) -> None:
         self.wanted: dict[str, WantedWeights] = {}
-        self.known_since: dict[str, float] = {}
+        self._known_since: dict[str, list[tuple[float, int]]] = {}
         self.on_changed: Callable[[], None] = _nothing
 
     def take(self, wanted: WantedWeights, now: float) -> None:
@@ -119,10 +123,20 @@
         if known is not None and known.version >= wanted.version:
             return
         self.wanted[wanted.model] = wanted
-        self.known_since[wanted.model] = now
+        history = self._known_since.setdefault(wanted.model, [])
+        history.append((now, wanted.version))
+        del history[:-REMEMBERED_VERSIONS]
         log_event("weights_named", model=wanted.model, version=wanted.version)
         self.on_changed()
 
+    def oldest_allowed(self, model: str, bound_s: float, now: float) -> int:
+        """Return the newest version known for longer than ``bound_s``, or 0.
+
+        Older ones may no longer begin requests.
+        """
+        due = [v for since, v in self._known_since.get(model, ()) if now - since > bound_s]
+        return max(due, default=0)
+
 
 def decoded(objects: tuple[StoredObject, ...], read: Callable[[StoredObject], object]) -> list:
     """Decode objects, leaving out those that cannot be understood."""
--- a/src/martenrun/router/lease.py
+++ b/src/martenrun/router/lease.py
@@ -56,6 +56,7 @@
         self._held_until = 0.0
         self._is_calling = False
         self._not_before = 0.0
+        self._renewals = 0
         self.fencing_token = 0
 
     @property
@@ -98,7 +99,8 @@
             self._write(max(token, self.fencing_token) + 1)
 
     def _write(self, token: int) -> None:
-        record = LeaseRecord(self._holder, token)
+        self._renewals += 1
+        record = LeaseRecord(self._holder, token, self._renewals)
         spec = self._dialect.lease_spec(record)
         if self._seen is None:
             call = self._dialect.create_object(Dataset.LEASES, self._name, spec)
@@ -141,6 +143,8 @@
             self._seen = None
             if status == 409 and answer is not None:
                 self._see(answer)
+                if self._seen_record is None or self._seen_record.holder != self._holder:
+                    self._held_until = 0.0
 
     def _see(self, answer: HttpAnswer) -> None:
         stored = self._dialect.read_stored(answer.body)
--- a/src/martenrun/router/messages.py
+++ b/src/martenrun/router/messages.py
@@ -223,10 +223,14 @@
 
 @attrs.frozen
 class LeaseRecord:
-    """Content of a lease object: who holds it and with which fencing token."""
+    """Content of a lease object: who holds it and with which fencing token.
+
+    ``renewals`` only rises, so that each renewal gives the object a new revision.
+    """
 
     holder: str
     fencing_token: int
+    renewals: int = 0
 
 
 @attrs.frozen
--- a/src/martenrun/router/placement.py
+++ b/src/martenrun/router/placement.py
@@ -31,7 +31,7 @@
         prefix: identity of the last shared part of the prompt with its isolation, or empty.
         model: the model, or None where the service serves none.
         wanted_version: version of its weights that the operator named, or None.
-        is_old_refused: whether runners with older weights may no longer begin requests.
+        oldest_version: oldest version of the weights that may still begin requests.
         tried: instances that this request has been sent to.
         zone: the asking router's zone.
         now: steady time.
@@ -40,7 +40,7 @@
     prefix: bytes
     model: str | None
     wanted_version: int | None
-    is_old_refused: bool
+    oldest_version: int
     tried: Collection[str]
     zone: str
     now: float
@@ -95,11 +95,11 @@
     if question.model is None or question.wanted_version is None:
         return states
     wanted = question.wanted_version
-    new = [state for state in states if (state.weights_version(question.model) or wanted) >= wanted]
-    if question.is_old_refused:
-        return new
+    versions = [(state.weights_version(question.model) or wanted, state) for state in states]
+    allowed = [state for version, state in versions if version >= question.oldest_version]
+    new = [state for version, state in versions if version >= wanted]
     ready = [state for state in new if not state.is_avoided(question.now)]
-    return new if ready and len(ready) * 2 >= len(states) else states
+    return new if ready and len(ready) * 2 >= len(states) else allowed
 
 
 def _least_bad(question: PlacementQuestion, states: list[RunnerState]) -> RunnerState | None:
--- a/src/martenrun/router/weights_roll.py
+++ b/src/martenrun/router/weights_roll.py
@@ -85,7 +85,7 @@
 
 
 def runners_to_order(question: RollQuestion, states: Sequence[RunnerState]) -> list[RunnerState]:
-    """Return the runners that are to load now, the least busy first."""
+    """Return the runners that are to load now: the oldest weights first, then the least busy."""
     of_model = [s for s in states if s.weights_version(question.model) is not None]
     limit = max(1, int(len(of_model) * PARALLEL_SHARE + 0.01))
     free = limit - len(question.loading)
@@ -95,7 +95,7 @@
         if state.runner.instance not in question.loading
         and question.now >= question.not_before.get(state.runner.instance, 0.0)
     ]
-    candidates.sort(key=lambda state: state.load)
+    candidates.sort(key=lambda state: (state.weights_version(question.model) or 0, state.load))
     return candidates[: max(0, free)]
 
 
@@ -211,10 +211,10 @@
         except (ValueError, KeyError, TypeError, AttributeError):
             self._drop(state, "report_unreadable")
             return
-        if report.weights.get(model, 0) >= wanted:
-            self._loads.pop(instance, None)
-            self._tell(state, model, report.weights[model], is_loaded=True)
-            self.check()
+        has = report.weights.get(model, 0)
+        if has >= load.version:
+            del self._loads[instance]
+            self._tell(state, model, has, is_loaded=has >= wanted)
         elif not report.is_loading and not load.is_ordered:
             self._order(state, model, wanted, report)
 
@@ -223,6 +223,7 @@
             self._loads.pop(state.runner.instance, None)
             return
         load = self._loads[state.runner.instance]
+        load.version = version
         load.is_ordered = True
         load.since = self._world.loop.now() + REPORT_INTERVAL_S
         order = WeightsOrder(
@@ -259,7 +260,6 @@
         if outcome is OrderOutcome.HOLDS_ALREADY:
             self._loads.pop(instance)
             self._tell(state, model, version, is_loaded=True)
-            self.check()
             return
         log_trouble(
             "order_failed", instance=instance, outcome=None if outcome is None else outcome.value
--- a/src/martenrun/router/world.py
+++ b/src/martenrun/router/world.py
@@ -46,11 +46,10 @@
             budget = self._budgets[service] = RetryBudget(self.settings.bounds)
         return budget
 
-    def is_old_refused(self, model: str, now: float) -> bool:
-        """Return whether older weights may no longer begin requests of a model."""
-        since = self.weights.known_since.get(model)
+    def oldest_weights(self, model: str, now: float) -> int:
+        """Return the oldest version of a model's weights that may still begin requests."""
         bound_s = self.settings.bounds.weights_s - OLD_WEIGHTS_MARGIN_S
-        return since is not None and now - since > bound_s
+        return self.weights.oldest_allowed(model, bound_s, now)
 
     def cache_store(self, now: float) -> str | None:
         """Return the address of a kept-cache store that answers, nearest first."""
