--- a/src/martenrun/router/knowledge.py
+++ b/src/martenrun/router/knowledge.py
@@ -14,6 +14,9 @@
 """How long after an outage of the store an entry may still be missing without being gone."""
 
 
+TOLD = 3
+"""Versions of a model's weights of which the age is told to other routers."""
+
 REMEMBERED_VERSIONS = 16
 """Versions of one model's weights of which the time is remembered."""
 
@@ -129,6 +132,23 @@
         log_event("weights_named", model=wanted.model, version=wanted.version)
         self.on_changed()
 
+    def ages_ms(self, now: float) -> dict[str, list[tuple[int, int]]]:
+        """Return for each model how long its last versions have been known, in milliseconds."""
+        return {
+            model: [(version, int((now - since) * 1000)) for since, version in history[-TOLD:]]
+            for model, history in self._known_since.items()
+        }
+
+    def learn_ages(self, ages_ms: dict[str, list[tuple[int, int]]], now: float) -> None:
+        """Take in since when another router has known of versions."""
+        for model, ages in ages_ms.items():
+            history = dict((version, since) for since, version in self._known_since.get(model, ()))
+            for version, age_ms in ages:
+                since = now - age_ms / 1000.0
+                history[version] = min(since, history.get(version, since))
+            ordered = sorted((since, version) for version, since in history.items())
+            self._known_since[model] = ordered[-REMEMBERED_VERSIONS:]
+
     def oldest_allowed(self, model: str, bound_s: float, now: float) -> int:
         """Return the newest version known for longer than ``bound_s``, or 0.
 
--- a/src/martenrun/router/peers.py
+++ b/src/martenrun/router/peers.py
@@ -40,7 +40,8 @@
     """What a router tells of itself.
 
     ``lease_revision`` and ``lease_token`` tell of the lease on orders while it holds that, else 0;
-    ``loads`` counts its requests at each runner.
+    ``loads`` counts its requests at each runner; ``weights`` tells for each model how long the
+    router has known of its last versions, as (version, milliseconds).
     """
 
     address: str
@@ -53,6 +54,7 @@
     lease_revision: int
     lease_token: int
     loads: dict[str, int]
+    weights: dict[str, list[tuple[int, int]]]
 
 
 class Gossip(msgspec.Struct, array_like=True, tag="gossip"):
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -93,6 +93,7 @@
             lease_revision=0,
             lease_token=0,
             loads={},
+            weights={},
         )
         self._peers = Peers(
             self._loop, own, settings.seeds, self._refresh, self._on_news, self._on_records
@@ -202,6 +203,7 @@
         own.is_current = self._is_current()
         own.lease_revision = self._lease.revision
         own.lease_token = self._lease.fencing_token if own.lease_revision else 0
+        own.weights = self._world.weights.ages_ms(self._loop.now())
         own.loads = {
             state.runner.instance: state.in_flight
             for state in self._world.pool.all_states()
@@ -215,6 +217,7 @@
         elsewhere: collections.Counter[str] = collections.Counter()
         for record in self._peers.live():
             elsewhere.update(record.loads)
+            self._world.weights.learn_ages(record.weights, self._loop.now())
             if record.lease_revision:
                 holder = f"{record.address}#{record.incarnation}"
                 self._lease.note_revision(
--- a/src/martenrun/router/world.py
+++ b/src/martenrun/router/world.py
@@ -12,8 +12,11 @@
 from martenrun.router.retry_budget import RetryBudget
 from martenrun.router.runner_pool import RunnerPool
 
-OLD_WEIGHTS_MARGIN_S = 0.7
-"""How long before the bound no request begins on older weights any more, in seconds."""
+OLD_WEIGHTS_MARGIN_S = 1.6
+"""How long before the bound no request is sent to older weights any more, in seconds.
+
+It may still wait in the runner's queue before it begins.
+"""
 
 
 @attrs.define
