--- a/src/martenrun/router/weights_roll.py
+++ b/src/martenrun/router/weights_roll.py
@@ -34,7 +34,7 @@
 ORDER_AGAIN_S = 1.0
 """Time after an order without effect until it is given again, in seconds."""
 
-RUNS_END_S = 1.8
+RUNS_END_S = 2.6
 """How long a runner's runs may take to end before it is ordered to load, in seconds."""
 
 PARALLEL_SHARE = 1 / 3
