Place by what runners have still to read

Ruled out: late weights (the roll was over). Change: routers share backlog tokens; a runner costs its backlog plus what it must read or fetch of the prompt; the runner first by hashing is presumed to keep it.

--- a/src/martenrun/platform/objects.py
+++ b/src/martenrun/platform/objects.py
@@ -212,9 +212,7 @@
 def read_lease(stored: StoredObject) -> LeaseRecord:
     """Translate a lease object of the routers' own."""
     spec = _table(stored.spec)
-    return LeaseRecord(
-        str(spec["holder"]), int(spec["fence_token"]), int(spec.get("renewals", 0))
-    )
+    return LeaseRecord(str(spec["holder"]), int(spec["fence_token"]), int(spec.get("renewals", 0)))
 
 
 def lease_spec(lease: LeaseRecord) -> object:
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -100,14 +100,16 @@
 
     # Sending
 
-    def _choose(self) -> RunnerState | None:
+    def _question(self) -> PlacementQuestion:
         world = self._world
         admitted = self._admitted
         now = world.loop.now()
         model = admitted.call.model
         wanted = world.weights.wanted.get(model) if model else None
-        question = PlacementQuestion(
-            prefix=self._prefix(),
+        tenant = admitted.tenant
+        return PlacementQuestion(
+            parts=admitted.call.parts,
+            wall=tenant.name.encode() if tenant is not None and tenant.is_isolated else b"",
             model=model,
             wanted_version=None if wanted is None else wanted.version,
             oldest_version=world.oldest_weights(model, now) if model else 0,
@@ -115,16 +117,10 @@
             zone=world.settings.zone,
             now=now,
         )
-        return world.placement.choose(question, world.pool.states(admitted.service))
 
-    def _prefix(self) -> bytes:
-        parts = self._admitted.call.parts
-        if not parts:
-            return b""
-        shared = parts[-2] if len(parts) > 1 else parts[-1]
-        tenant = self._admitted.tenant
-        wall = tenant.name.encode() if tenant is not None and tenant.is_isolated else b""
-        return shared.part_id + b"/" + wall
+    def _choose(self) -> RunnerState | None:
+        states = self._world.pool.states(self._admitted.service)
+        return self._world.placement.choose(self._question(), states)
 
     def _send(self, state: RunnerState) -> None:
         world = self._world
@@ -135,7 +131,10 @@
         request = self._exchange.request
         headers = world.dialect.runner_headers(request.headers, self._dispatch(state, now))
         data = request_bytes(request.method, request.target, headers, request.body)
-        self._try = Try(self, state)
+        placement = self._world.placement
+        question = self._question()
+        self._try = Try(self, state, placement.tokens_to_read(question, state))
+        placement.note_read(question, state)
         state.note_sent(now)
         self._log("sent", instance=state.runner.instance, load=state.load, tries=len(self._tried))
         expected_id = (world.dialect.request_id_field, self._admitted.call.request_id)
@@ -335,9 +334,11 @@
 class Try:
     """One try of a request at one runner; see :class:`martenrun.net.client.AnswerReader`."""
 
-    def __init__(self, forwarding: Forwarding, state: RunnerState) -> None:
+    def __init__(self, forwarding: Forwarding, state: RunnerState, to_read: float) -> None:
         self._forwarding = forwarding
         self.state = state
+        self._to_read = to_read
+        state.reading += to_read
         self.connection: ClientConnection | None = None
         self.was_sent = False
         self.status = 0
@@ -378,6 +379,7 @@
         if self._is_over:
             return
         self.state.note_bytes(self._world.loop.now())
+        self._has_read()
         if not self.is_streamed:
             self.body += data
             return
@@ -423,8 +425,14 @@
         self.state.note_failure(self._world.loop.now())
         self._forwarding.on_failure(failure, self)
 
+    def _has_read(self) -> None:
+        """The prompt is read once the first token comes."""
+        self.state.reading -= self._to_read
+        self._to_read = 0.0
+
     def _finish(self) -> None:
         self._is_over = True
+        self._has_read()
         self.state.note_ended()
 
     def _learn_refusal(self) -> None:
--- a/src/martenrun/router/peers.py
+++ b/src/martenrun/router/peers.py
@@ -40,8 +40,9 @@
     """What a router tells of itself.
 
     ``lease_revision`` and ``lease_token`` tell of the lease on orders while it holds that, else 0;
-    ``loads`` counts its requests at each runner; ``weights`` tells for each model how long the
-    router has known of its last versions, as (version, milliseconds).
+    ``loads`` tells its requests at each runner and the tokens these have still to read;
+    ``weights`` tells for each model how long the router has known of its last versions, as
+    (version, milliseconds).
     """
 
     address: str
@@ -53,7 +54,7 @@
     is_current: bool
     lease_revision: int
     lease_token: int
-    loads: dict[str, int]
+    loads: dict[str, tuple[int, int]]
     weights: dict[str, list[tuple[int, int]]]
 
 
--- a/src/martenrun/router/placement.py
+++ b/src/martenrun/router/placement.py
@@ -1,8 +1,9 @@
-"""Which runner serves a request: by kept prefix, load, weights, zone and past failures.
+"""Which runner serves a request: by what it must still read, kept prefix, weights and failures.
 
-Every router places by itself.  Rendezvous hashing of the last shared part of a prompt lets all of
-them choose the same runner for it; a bound on the load moves the rest of a hot part on to the
-next runners of the same order.
+Every router places by itself.  A runner costs what it has still to read before a new request plus
+what it would have to read of that one, in prompt tokens.  Rendezvous hashing of the last shared
+part of a prompt names the runner that all routers presume to keep it; others cost more, by what
+is believed of them and of the kept-cache store.
 """
 
 from collections.abc import Collection, Sequence
@@ -10,14 +11,24 @@
 import attrs
 
 from martenrun.identity.rendezvous import weight
+from martenrun.router.messages import PromptPart
 from martenrun.router.runner_state import RunnerState
+from martenrun.router.seen_parts import SeenParts
 
-LOAD_FACTOR = 1.5
-LOAD_ALLOWANCE = 2
-"""A runner takes a request by its prefix up to LOAD_FACTOR x mean load + LOAD_ALLOWANCE."""
+FETCHED_SHARE = 0.35
+"""What a token costs that is fetched from the kept-cache store instead of read."""
+
+OTHER_ZONE_TOKENS = 60
+"""What a runner of another zone costs more, in tokens."""
+
+REQUEST_TOKENS = 40
+"""What each request that a runner works on costs, in tokens: it shares the steps."""
+
+FAILURE_TOKENS = 2_000
+"""What each remembered failure costs, in tokens."""
 
 OTHER_ZONE_LOAD = 0.5
-"""Requests that a runner of another zone counts as having more, where the prefix says nothing."""
+"""Requests that a runner of another zone counts as having more, where no prompt is read."""
 
 REMEMBERED_ORDERS = 2048
 """Orders of runners kept, by prefix."""
@@ -28,7 +39,8 @@
     """What is asked of a placement.
 
     Attributes:
-        prefix: identity of the last shared part of the prompt with its isolation, or empty.
+        parts: the parts of the prompt, the last one not shared; empty without a prompt.
+        wall: the tenant if it shares no parts with others, else empty.
         model: the model, or None where the service serves none.
         wanted_version: version of its weights that the operator named, or None.
         oldest_version: oldest version of the weights that may still begin requests.
@@ -37,7 +49,8 @@
         now: steady time.
     """
 
-    prefix: bytes
+    parts: tuple[PromptPart, ...]
+    wall: bytes
     model: str | None
     wanted_version: int | None
     oldest_version: int
@@ -51,6 +64,7 @@
 
     def __init__(self) -> None:
         self._orders: dict[tuple[bytes, tuple[str, ...]], list[str]] = {}
+        self.seen = SeenParts()
 
     def choose(
         self, question: PlacementQuestion, states: Sequence[RunnerState]
@@ -65,17 +79,54 @@
         sound = [state for state in usable if not state.is_avoided(question.now)]
         if not sound:
             return _least_bad(question, usable)
-        if question.prefix:
-            return self._by_prefix(question.prefix, sound)
-        return min(sound, key=lambda state: _cost(question, state))
-
-    def _by_prefix(self, prefix: bytes, sound: list[RunnerState]) -> RunnerState:
-        bound = LOAD_FACTOR * sum(state.load for state in sound) / len(sound) + LOAD_ALLOWANCE
-        by_instance = {state.runner.instance: state for state in sound}
-        for instance in self._order(prefix, tuple(sorted(by_instance))):
-            if by_instance[instance].load <= bound:
-                return by_instance[instance]
-        return min(sound, key=lambda state: state.load)
+        if question.parts:
+            return self._by_reading(question, sound)
+        return min(sound, key=lambda state: _cost_without_prompt(question, state))
+
+    def tokens_to_read(self, question: PlacementQuestion, state: RunnerState) -> float:
+        """Return what a runner is believed to have to read for a request, in tokens."""
+        own_tokens = question.parts[-1].tokens if question.parts else 0
+        return own_tokens + self._shared_cost(question, state)
+
+    def _by_reading(self, question: PlacementQuestion, sound: list[RunnerState]) -> RunnerState:
+        prefix = shared_prefix(question.parts) + question.wall
+        order = self._order(prefix, tuple(sorted(state.runner.instance for state in sound)))
+        ranks = {instance: rank for rank, instance in enumerate(order)}
+
+        def cost(state: RunnerState) -> tuple[float, int]:
+            rank = ranks[state.runner.instance]
+            shared = 0.0 if rank == 0 else self._shared_cost(question, state)
+            distance = 0 if state.runner.zone == question.zone else OTHER_ZONE_TOKENS
+            return (
+                state.backlog_tokens
+                + shared
+                + distance
+                + REQUEST_TOKENS * state.load
+                + FAILURE_TOKENS * state.remembered_failures(question.now),
+                rank,
+            )
+
+        return min(sound, key=cost)
+
+    def _shared_cost(self, question: PlacementQuestion, state: RunnerState) -> float:
+        version = state.weights_version(question.model or "")
+        kept_as = b"%d/" % (version or 0) + question.wall
+        cost = 0.0
+        for part in question.parts[:-1]:
+            key = part.part_id + b"/" + kept_as
+            if self.seen.is_at(state.runner.instance, key, question.now):
+                continue
+            is_stored = self.seen.is_anywhere(key, question.now)
+            cost += part.tokens * (FETCHED_SHARE if is_stored else 1.0)
+        return cost
+
+    def note_read(self, question: PlacementQuestion, state: RunnerState) -> None:
+        """Take in that a runner has read a prompt."""
+        version = state.weights_version(question.model or "")
+        kept_as = b"%d/" % (version or 0) + question.wall
+        for part in question.parts[:-1]:
+            key = part.part_id + b"/" + kept_as
+            self.seen.note(state.runner.instance, key, question.now)
 
     def _order(self, prefix: bytes, instances: tuple[str, ...]) -> list[str]:
         key = (prefix, instances)
@@ -88,6 +139,11 @@
         return order
 
 
+def shared_prefix(parts: tuple[PromptPart, ...]) -> bytes:
+    """Return the identity of the last shared part of a prompt."""
+    return parts[-2].part_id if len(parts) > 1 else parts[-1].part_id
+
+
 def _with_preferred_weights(
     question: PlacementQuestion, states: list[RunnerState]
 ) -> list[RunnerState]:
@@ -111,7 +167,7 @@
     return min(usable, key=lambda state: (state.remembered_failures(now), state.load))
 
 
-def _cost(question: PlacementQuestion, state: RunnerState) -> tuple[float, float]:
+def _cost_without_prompt(question: PlacementQuestion, state: RunnerState) -> tuple[float, float]:
     distance = 0.0 if state.runner.zone == question.zone else OTHER_ZONE_LOAD
     failures = state.remembered_failures(question.now)
     per_slot = (state.load + distance) / max(1, state.runner.slots)
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -205,7 +205,7 @@
         own.lease_token = self._lease.fencing_token if own.lease_revision else 0
         own.weights = self._world.weights.ages_ms(self._loop.now())
         own.loads = {
-            state.runner.instance: state.in_flight
+            state.runner.instance: (state.in_flight, int(state.reading))
             for state in self._world.pool.all_states()
             if state.in_flight
         }
@@ -214,9 +214,12 @@
         take_load_news(self._world, news)
 
     def _on_records(self) -> None:
-        elsewhere: collections.Counter[str] = collections.Counter()
+        requests: collections.Counter[str] = collections.Counter()
+        tokens: collections.Counter[str] = collections.Counter()
         for record in self._peers.live():
-            elsewhere.update(record.loads)
+            for instance, (in_flight, reading) in record.loads.items():
+                requests[instance] += in_flight
+                tokens[instance] += reading
             self._world.weights.learn_ages(record.weights, self._loop.now())
             if record.lease_revision:
                 holder = f"{record.address}#{record.incarnation}"
@@ -224,7 +227,8 @@
                     LeaseRecord(holder, record.lease_token), record.lease_revision
                 )
         for state in self._world.pool.all_states():
-            state.elsewhere = elsewhere[state.runner.instance]
+            state.elsewhere = requests[state.runner.instance]
+            state.reading_elsewhere = tokens[state.runner.instance]
 
     # Requests
 
--- a/src/martenrun/router/runner_state.py
+++ b/src/martenrun/router/runner_state.py
@@ -27,6 +27,8 @@
         runner: its entry.
         in_flight: requests of this router that it works on.
         elsewhere: the same of all other routers, as they last told.
+        reading: tokens that it is believed to have still to read for this router's requests.
+        reading_elsewhere: the same for all other routers.
         learned: versions of weights that its answers or other routers told of.
         loading_until: until when it is believed to be loading weights.
         full_until: until when it is believed to have no room.
@@ -35,6 +37,8 @@
     runner: Runner
     in_flight: int = 0
     elsewhere: int = 0
+    reading: float = 0.0
+    reading_elsewhere: float = 0.0
     learned: dict[str, int] = attrs.field(factory=dict)
     loading_until: float = 0.0
     full_until: float = 0.0
@@ -47,6 +51,11 @@
         """Requests that it works on, as far as is known."""
         return self.in_flight + self.elsewhere
 
+    @property
+    def backlog_tokens(self) -> float:
+        """Tokens that it has still to read, as far as is known."""
+        return self.reading + self.reading_elsewhere
+
     def weights_version(self, model: str) -> int | None:
         """Return the version of a model's weights that it is believed to have."""
         listed = self.runner.weights.get(model)
