--- a/src/martenrun/router/placement.py
+++ b/src/martenrun/router/placement.py
@@ -27,6 +27,9 @@
 FAILURE_TOKENS = 2_000
 """What each remembered failure costs, in tokens."""
 
+OLD_WEIGHTS_TOKENS = 2_000
+"""What a runner with older weights than named costs more, in tokens."""
+
 OTHER_ZONE_LOAD = 0.5
 """Requests that a runner of another zone counts as having more, where no prompt is read."""
 
@@ -75,7 +78,7 @@
             for state in states
             if not state.runner.is_draining and state.runner.instance not in question.tried
         ]
-        usable = _with_preferred_weights(question, usable)
+        usable = _with_allowed_weights(question, usable)
         sound = [state for state in usable if not state.is_avoided(question.now)]
         if not sound:
             return _least_bad(question, usable)
@@ -101,6 +104,7 @@
                 state.backlog_tokens
                 + shared
                 + distance
+                + (OLD_WEIGHTS_TOKENS if _is_old(question, state) else 0)
                 + REQUEST_TOKENS * state.load
                 + FAILURE_TOKENS * state.remembered_failures(question.now),
                 rank,
@@ -144,18 +148,25 @@
     return parts[-2].part_id if len(parts) > 1 else parts[-1].part_id
 
 
-def _with_preferred_weights(
+def _with_allowed_weights(
     question: PlacementQuestion, states: list[RunnerState]
 ) -> list[RunnerState]:
-    """Return the runners with the named weights once half have them, else all."""
-    if question.model is None or question.wanted_version is None:
+    """Return the runners whose weights may still begin requests."""
+    if question.model is None or not question.oldest_version:
         return states
+    oldest = question.oldest_version
+    return [state for state in states if (_version(question, state) or oldest) >= oldest]
+
+
+def _is_old(question: PlacementQuestion, state: RunnerState) -> bool:
+    """Whether a runner has older weights than the operator has named."""
+    version = _version(question, state)
     wanted = question.wanted_version
-    versions = [(state.weights_version(question.model) or wanted, state) for state in states]
-    allowed = [state for version, state in versions if version >= question.oldest_version]
-    new = [state for version, state in versions if version >= wanted]
-    ready = [state for state in new if not state.is_avoided(question.now)]
-    return new if ready and len(ready) * 2 >= len(states) else allowed
+    return version is not None and wanted is not None and version < wanted
+
+
+def _version(question: PlacementQuestion, state: RunnerState) -> int | None:
+    return None if question.model is None else state.weights_version(question.model)
 
 
 def _least_bad(question: PlacementQuestion, states: list[RunnerState]) -> RunnerState | None:
