Count runners' memory in placement; take waiting requests from overdue weights

Ruled out: orders given late. Change: tokens held at a runner are shared; over 85% of its memory another is preferred; what has not begun 0.6 s before the bound is sent elsewhere.

--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -16,8 +16,8 @@
 from martenrun.router.runner_state import LOADING_MEMORY_S, RunnerState
 from martenrun.router.world import World
 
-BUFFERED_ANSWER_BYTES = 262_144
-"""Answers up to this size are passed on once they are whole, so that a broken one can be redone."""
+EXPECTED_ANSWER_TOKENS = 200
+"""Tokens of memory that an answer is reckoned to take."""
 
 FULL_MEMORY_S = 0.15
 """How long a runner that had no room is passed over, in seconds."""
@@ -109,6 +109,8 @@
         tenant = admitted.tenant
         return PlacementQuestion(
             parts=admitted.call.parts,
+            needed_tokens=admitted.call.prompt_tokens + EXPECTED_ANSWER_TOKENS,
+            memory_tokens=world.memory_tokens(admitted.service),
             wall=tenant.name.encode() if tenant is not None and tenant.is_isolated else b"",
             model=model,
             wanted_version=None if wanted is None else wanted.version,
@@ -133,7 +135,9 @@
         data = request_bytes(request.method, request.target, headers, request.body)
         placement = self._world.placement
         question = self._question()
-        self._try = Try(self, state, placement.tokens_to_read(question, state))
+        to_read = placement.tokens_to_read(question, state)
+        held = question.needed_tokens if question.parts else 0
+        self._try = Try(self, state, to_read, held)
         placement.note_read(question, state)
         state.note_sent(now)
         self._log("sent", instance=state.runner.instance, load=state.load, tries=len(self._tried))
@@ -284,6 +288,17 @@
         else:
             self._refuse("timed_out")
 
+    def leave_old_weights(self, now: float) -> None:
+        """Take the request from a runner whose weights are too old for it to begin there."""
+        attempt = self._try
+        model = self._admitted.call.model
+        if attempt is None or model is None or attempt.has_begun:
+            return
+        version = attempt.state.weights_version(model)
+        if version is not None and version < self._world.overdue_weights(model, now):
+            attempt.cancel()
+            self.on_failure(Failure.BROKEN, attempt)
+
     def shut_down(self) -> None:
         """Break the request off because the process ends."""
         self._on_timeout()
@@ -334,11 +349,16 @@
 class Try:
     """One try of a request at one runner; see :class:`martenrun.net.client.AnswerReader`."""
 
-    def __init__(self, forwarding: Forwarding, state: RunnerState, to_read: float) -> None:
+    def __init__(
+        self, forwarding: Forwarding, state: RunnerState, to_read: float, held: int
+    ) -> None:
         self._forwarding = forwarding
         self.state = state
         self._to_read = to_read
+        self._held = held
+        self.has_begun = False
         state.reading += to_read
+        state.held += held
         self.connection: ClientConnection | None = None
         self.was_sent = False
         self.status = 0
@@ -380,6 +400,7 @@
             return
         self.state.note_bytes(self._world.loop.now())
         self._has_read()
+        self.has_begun = True
         if not self.is_streamed:
             self.body += data
             return
@@ -433,6 +454,7 @@
     def _finish(self) -> None:
         self._is_over = True
         self._has_read()
+        self.state.held -= self._held
         self.state.note_ended()
 
     def _learn_refusal(self) -> None:
--- a/src/martenrun/router/peers.py
+++ b/src/martenrun/router/peers.py
@@ -40,7 +40,8 @@
     """What a router tells of itself.
 
     ``lease_revision`` and ``lease_token`` tell of the lease on orders while it holds that, else 0;
-    ``loads`` tells its requests at each runner and the tokens these have still to read;
+    ``loads`` tells its requests at each runner, the tokens these have still to read and those
+    that they hold in memory;
     ``weights`` tells for each model how long the router has known of its last versions, as
     (version, milliseconds).
     """
@@ -54,7 +55,7 @@
     is_current: bool
     lease_revision: int
     lease_token: int
-    loads: dict[str, tuple[int, int]]
+    loads: dict[str, tuple[int, int, int]]
     weights: dict[str, list[tuple[int, int]]]
 
 
--- a/src/martenrun/router/placement.py
+++ b/src/martenrun/router/placement.py
@@ -27,6 +27,12 @@
 FAILURE_TOKENS = 2_000
 """What each remembered failure costs, in tokens."""
 
+USABLE_MEMORY = 0.85
+"""Share of a runner's memory that running requests may take before another is preferred."""
+
+CROWDING_FACTOR = 2.0
+"""What each token costs that finds no room in a runner's memory, in tokens."""
+
 OLD_WEIGHTS_TOKENS = 2_000
 """What a runner with older weights than named costs more, in tokens."""
 
@@ -43,6 +49,8 @@
 
     Attributes:
         parts: the parts of the prompt, the last one not shared; empty without a prompt.
+        needed_tokens: memory that the request takes at a runner, in tokens.
+        memory_tokens: memory of one runner of the service, in tokens; 0 if unknown.
         wall: the tenant if it shares no parts with others, else empty.
         model: the model, or None where the service serves none.
         wanted_version: version of its weights that the operator named, or None.
@@ -53,6 +61,8 @@
     """
 
     parts: tuple[PromptPart, ...]
+    needed_tokens: int
+    memory_tokens: int
     wall: bytes
     model: str | None
     wanted_version: int | None
@@ -104,6 +114,7 @@
                 state.backlog_tokens
                 + shared
                 + distance
+                + _crowding_cost(question, state)
                 + (OLD_WEIGHTS_TOKENS if _is_old(question, state) else 0)
                 + REQUEST_TOKENS * state.load
                 + FAILURE_TOKENS * state.remembered_failures(question.now),
@@ -148,6 +159,12 @@
     return parts[-2].part_id if len(parts) > 1 else parts[-1].part_id
 
 
+def _crowding_cost(question: PlacementQuestion, state: RunnerState) -> float:
+    """Return what a runner costs whose memory does not hold one more request, in tokens."""
+    over = state.held_tokens + question.needed_tokens - USABLE_MEMORY * question.memory_tokens
+    return max(0.0, over) * CROWDING_FACTOR if question.memory_tokens else 0.0
+
+
 def _with_allowed_weights(
     question: PlacementQuestion, states: list[RunnerState]
 ) -> list[RunnerState]:
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -205,7 +205,7 @@
         own.lease_token = self._lease.fencing_token if own.lease_revision else 0
         own.weights = self._world.weights.ages_ms(self._loop.now())
         own.loads = {
-            state.runner.instance: (state.in_flight, int(state.reading))
+            state.runner.instance: (state.in_flight, int(state.reading), state.held)
             for state in self._world.pool.all_states()
             if state.in_flight
         }
@@ -215,11 +215,13 @@
 
     def _on_records(self) -> None:
         requests: collections.Counter[str] = collections.Counter()
-        tokens: collections.Counter[str] = collections.Counter()
+        reading: collections.Counter[str] = collections.Counter()
+        held: collections.Counter[str] = collections.Counter()
         for record in self._peers.live():
-            for instance, (in_flight, reading) in record.loads.items():
-                requests[instance] += in_flight
-                tokens[instance] += reading
+            for instance, load in record.loads.items():
+                requests[instance] += load[0]
+                reading[instance] += load[1]
+                held[instance] += load[2]
             self._world.weights.learn_ages(record.weights, self._loop.now())
             if record.lease_revision:
                 holder = f"{record.address}#{record.incarnation}"
@@ -228,7 +230,8 @@
                 )
         for state in self._world.pool.all_states():
             state.elsewhere = requests[state.runner.instance]
-            state.reading_elsewhere = tokens[state.runner.instance]
+            state.reading_elsewhere = reading[state.runner.instance]
+            state.held_elsewhere = held[state.runner.instance]
 
     # Requests
 
@@ -332,6 +335,8 @@
     def _keep_house(self) -> None:
         now = self._loop.now()
         self._world.runners.drop_missing(now)
+        for forwarding in list(self._forwardings):
+            forwarding.leave_old_weights(now)
         if self._lease.is_held() or any(not f.is_failing for f in self._followers):
             self._roller.check()
         EVENT_LOG.flush()
--- a/src/martenrun/router/runner_state.py
+++ b/src/martenrun/router/runner_state.py
@@ -29,6 +29,8 @@
         elsewhere: the same of all other routers, as they last told.
         reading: tokens that it is believed to have still to read for this router's requests.
         reading_elsewhere: the same for all other routers.
+        held: tokens of memory that this router's requests take there, cached parts left out.
+        held_elsewhere: the same for all other routers.
         learned: versions of weights that its answers or other routers told of.
         loading_until: until when it is believed to be loading weights.
         full_until: until when it is believed to have no room.
@@ -39,6 +41,8 @@
     elsewhere: int = 0
     reading: float = 0.0
     reading_elsewhere: float = 0.0
+    held: int = 0
+    held_elsewhere: int = 0
     learned: dict[str, int] = attrs.field(factory=dict)
     loading_until: float = 0.0
     full_until: float = 0.0
@@ -56,6 +60,11 @@
         """Tokens that it has still to read, as far as is known."""
         return self.reading + self.reading_elsewhere
 
+    @property
+    def held_tokens(self) -> int:
+        """Tokens of memory that running requests take, as far as is known."""
+        return self.held + self.held_elsewhere
+
     def weights_version(self, model: str) -> int | None:
         """Return the version of a model's weights that it is believed to have."""
         listed = self.runner.weights.get(model)
--- a/src/martenrun/router/world.py
+++ b/src/martenrun/router/world.py
@@ -12,12 +12,15 @@
 from martenrun.router.retry_budget import RetryBudget
 from martenrun.router.runner_pool import RunnerPool
 
-OLD_WEIGHTS_MARGIN_S = 1.6
+OLD_WEIGHTS_MARGIN_S = 0.9
 """How long before the bound no request is sent to older weights any more, in seconds.
 
 It may still wait in the runner's queue before it begins.
 """
 
+OVERDUE_MARGIN_S = 0.6
+"""How long before the bound waiting requests are taken from older weights, in seconds."""
+
 
 @attrs.define
 class World:
@@ -54,6 +57,17 @@
         bound_s = self.settings.bounds.weights_s - OLD_WEIGHTS_MARGIN_S
         return self.weights.oldest_allowed(model, bound_s, now)
 
+    def overdue_weights(self, model: str, now: float) -> int:
+        """Return the version of which older ones may not even begin requests sent before."""
+        bound_s = self.settings.bounds.weights_s - OVERDUE_MARGIN_S
+        return self.weights.oldest_allowed(model, bound_s, now)
+
+    def memory_tokens(self, service: str) -> int:
+        """Return the memory of one runner of a service in tokens, or 0 if it serves no model."""
+        table = self.configuration.table
+        found = None if table is None else table.configuration.services.get(service)
+        return 0 if found is None or found.engine is None else found.engine.cache_tokens
+
     def cache_store(self, now: float) -> str | None:
         """Return the address of a kept-cache store that answers, nearest first."""
         table = self.configuration.table
