--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -12,7 +12,7 @@
 from martenrun.router.log import EVENT_LOG, log_event, log_trouble
 from martenrun.router.messages import AnswerMarks, Call, Dispatch, Route, RouteKind, Tenant
 from martenrun.router.placement import PlacementQuestion
-from martenrun.router.retry import Failure, NextStep, TryState, next_step
+from martenrun.router.retry import MAXIMUM_SENDS, Failure, NextStep, TryState, next_step
 from martenrun.router.runner_state import LOADING_MEMORY_S, RunnerState
 from martenrun.router.world import World
 
@@ -22,6 +22,12 @@
 FULL_MEMORY_S = 0.15
 """How long a runner that had no room is passed over, in seconds."""
 
+WAITING_SHARE = 0.2
+"""Share of a route's objective for which a request may wait for a runner before it is refused."""
+
+LOOK_AGAIN_S = 0.025
+"""How long a request waits until runners are looked at again, in seconds."""
+
 RETRY_AFTER_S = 0.25
 """When a refused caller is told to come back, in seconds."""
 
@@ -73,6 +79,7 @@
         self._on_end = on_end
         self._began_at = exchange.request.received_at
         self._tried: list[str] = []
+        self._sent_to: list[str] = []
         self._runs = 0
         self._was_sent = False
         self._try: Try | None = None
@@ -92,9 +99,11 @@
 
     def start(self) -> None:
         """Send the request to its first runner."""
+        if self.is_over:
+            return
         state = self._choose()
         if state is None:
-            self._refuse("no_runner")
+            self._wait_or_refuse("no_runner")
         else:
             self._send(state)
 
@@ -127,9 +136,10 @@
     def _send(self, state: RunnerState) -> None:
         world = self._world
         now = world.loop.now()
-        if self._tried:
+        if self._sent_to:
             world.budget(self._admitted.service).note_repeat(now)
         self._tried.append(state.runner.instance)
+        self._sent_to.append(state.runner.instance)
         request = self._exchange.request
         headers = world.dialect.runner_headers(request.headers, self._dispatch(state, now))
         data = request_bytes(request.method, request.target, headers, request.body)
@@ -140,7 +150,7 @@
         self._try = Try(self, state, to_read, held)
         placement.note_read(question, state)
         state.note_sent(now)
-        self._log("sent", instance=state.runner.instance, load=state.load, tries=len(self._tried))
+        self._log("sent", instance=state.runner.instance, load=state.load, tries=len(self._sent_to))
         expected_id = (world.dialect.request_id_field, self._admitted.call.request_id)
         try:
             self._try.connection = world.pool.send(
@@ -241,7 +251,7 @@
         elif step is NextStep.PASS_ON:
             self._pass_on(attempt)
         elif step is NextStep.REFUSE:
-            self._refuse(failure.value)
+            self._wait_or_refuse(failure.value)
         elif step is NextStep.BREAK_OFF:
             self._break_off(attempt)
         else:
@@ -254,7 +264,7 @@
             may_repeat=admitted.route.may_repeat,
             maximum_attempts=admitted.route.maximum_attempts,
             runs=self._runs,
-            sends=len(self._tried),
+            sends=len(self._sent_to),
             has_answer_begun=self._exchange.has_started,
             left_s=admitted.give_up_at - now,
             is_within_budget=budget.may_repeat(now, self._world.node_count()),
@@ -263,6 +273,16 @@
 
     # Ends
 
+    def _wait_or_refuse(self, reason: str) -> None:
+        """Look again in a moment, or refuse while the caller can still be served in time."""
+        waited_s = self._world.loop.now() - self._began_at
+        limit_s = self._admitted.route.objective_s * WAITING_SHARE
+        if waited_s + LOOK_AGAIN_S > limit_s or len(self._sent_to) >= MAXIMUM_SENDS:
+            self._refuse(reason)
+            return
+        self._tried.clear()
+        self._world.loop.call_later(LOOK_AGAIN_S, self.start)
+
     def _refuse(self, reason: str) -> None:
         """Say that the request has not run and when to come back."""
         retry_after = b"%.2f" % RETRY_AFTER_S
@@ -320,7 +340,7 @@
             reason=reason,
             instance=None if attempt is None else attempt.state.runner.instance,
             status=None if attempt is None else attempt.status,
-            tries=len(self._tried),
+            tries=len(self._sent_to),
             events=self._splitter.last_event_id,
             total_ms=round((now - self._began_at) * 1000, 1),
             first_ms=None
--- a/src/martenrun/router/lease.py
+++ b/src/martenrun/router/lease.py
@@ -22,6 +22,9 @@
 TAKER_MARGIN_S = 0.15
 """How long after its end another takes it over, in seconds."""
 
+RANK_DELAY_S = 0.25
+"""How much later each next router takes over an expired lease, in seconds."""
+
 PAUSE_S = 0.15
 """Pause after a call that failed or found the lease held, in seconds."""
 
@@ -80,8 +83,11 @@
         self._seen_record = record
         self._seen_at = self._loop.now()
 
-    def pursue(self) -> None:
-        """Take the lease or renew it, as far as it is time for that."""
+    def pursue(self, rank: int) -> None:
+        """Take the lease or renew it, as far as it is time for that.
+
+        A router takes an expired lease the later, the higher its ``rank``.
+        """
         now = self._loop.now()
         if self._is_calling or now < self._not_before:
             return
@@ -94,7 +100,7 @@
         elif self._seen_record is not None and self._seen_record.holder == self._holder:
             # Nobody has taken it since: it is still this router's under its own token.
             self._write(self._seen_record.fencing_token)
-        elif now - self._seen_at >= self._lease_s + TAKER_MARGIN_S:
+        elif now - self._seen_at >= self._lease_s + TAKER_MARGIN_S + rank * RANK_DELAY_S:
             token = self._seen_record.fencing_token if self._seen_record is not None else 0
             self._write(max(token, self.fencing_token) + 1)
 
--- a/src/martenrun/router/store_watch.py
+++ b/src/martenrun/router/store_watch.py
@@ -116,8 +116,10 @@
         if self.is_stopped or self._revision is None:
             return
         sent_at = self._loop.now()
-        call = self._dialect.watch_objects(self._cfg.dataset, self._revision, self._cfg.wait_s)
-        timeout_s = self._cfg.wait_s + ANSWER_TIMEOUT_S
+        # After a failure the store is asked for a quick answer, so that its return is seen at once.
+        wait_s = 0.0 if self._failures else self._cfg.wait_s
+        call = self._dialect.watch_objects(self._cfg.dataset, self._revision, wait_s)
+        timeout_s = wait_s + ANSWER_TIMEOUT_S
         self._store.call(call, timeout_s, lambda answer: self._on_changes(answer, sent_at))
 
     def _on_changes(self, answer: HttpAnswer | None, sent_at: float) -> None:
--- a/src/martenrun/router/weights_roll.py
+++ b/src/martenrun/router/weights_roll.py
@@ -22,7 +22,7 @@
 """How often the roll is looked at while runners lack weights, in seconds."""
 
 RANK_DELAY_S = 0.7
-"""How much later each next router tries to take the lease, in seconds."""
+"""How much later each next router looks at the lease at all, in seconds."""
 
 REPORT_TIMEOUT_S = 0.4
 ORDER_TIMEOUT_S = 0.6
@@ -136,8 +136,9 @@
             return
         if self._needed_since is None:
             self._needed_since = now
-        if self._is_my_turn(now):
-            self._lease.pursue()
+        rank = 0 if self._lease.is_held() else self._rank()
+        if now - self._needed_since >= RANK_DELAY_S * rank:
+            self._lease.pursue(rank)
         if self._lease.is_held():
             for model in models:
                 self._order_model(model, now)
@@ -149,11 +150,6 @@
         wanted = self._world.weights.wanted
         return [name for name, item in wanted.items() if lacking(states, name, item.version)]
 
-    def _is_my_turn(self, now: float) -> bool:
-        if self._lease.is_held() or self._needed_since is None:
-            return True
-        return now - self._needed_since >= RANK_DELAY_S * self._rank()
-
     def _rank(self) -> int:
         """Return this router's place among the living: the last holder, then by hashing."""
         own = self._peers.own
