--- a/src/martenrun/net/loop.py
+++ b/src/martenrun/net/loop.py
@@ -55,7 +55,6 @@
         self._timers: list[Timer] = []
         self._cancelled = 0
         self._is_running = False
-        self._wake_up = self._open_wake_up()
         self._signals: list[int] = []
         self._on_signal: dict[int, Callable[[], None]] = {}
 
@@ -90,7 +89,9 @@
             self._selector.modify(sock, events, call)
 
     def on_signal(self, number: int, call: Callable[[], None]) -> None:
-        """Make ``call`` on the loop each time the signal has come."""
+        """Make ``call`` on the loop each time the signal has come; main thread only."""
+        if not self._on_signal:
+            self._open_wake_up()
         self._on_signal[number] = call
         signal.signal(number, lambda received, _frame: self._signals.append(received))
 
@@ -129,14 +130,13 @@
             timer.is_cancelled = True
             _guarded(timer.call)
 
-    def _open_wake_up(self) -> int:
+    def _open_wake_up(self) -> None:
         """Open the pipe that a signal writes to, so that a wait ends at once."""
         reader, writer = os.pipe()
         os.set_blocking(reader, False)
         os.set_blocking(writer, False)
         signal.set_wakeup_fd(writer, warn_on_full_buffer=False)
         self._selector.register(reader, READ, lambda _ready: _drain(reader))
-        return reader
 
 
 def _drain(reader: int) -> None:
--- /dev/null
+++ b/tests/router/fakes.py
@@ -0,0 +1,91 @@
+"""A loop with a clock of its own and a store in memory, for tests of timed logic."""
+
+import heapq
+import itertools
+
+from martenrun.net.http import HttpAnswer
+from martenrun.platform import DIALECT
+from martenrun.platform.objects import _DECODE, _ENCODE
+
+
+class FakeTimer:
+    def __init__(self, call):
+        self.call = call
+        self.is_cancelled = False
+
+    def cancel(self):
+        self.is_cancelled = True
+
+
+class FakeLoop:
+    """Runs timers in virtual time."""
+
+    def __init__(self):
+        self.time = 100.0
+        self._queue = []
+        self._order = itertools.count()
+
+    def now(self):
+        return self.time
+
+    def call_later(self, delay_s, call):
+        timer = FakeTimer(call)
+        heapq.heappush(self._queue, (self.time + delay_s, next(self._order), timer))
+        return timer
+
+    def run_until(self, until):
+        while self._queue and self._queue[0][0] <= until:
+            due, _, timer = heapq.heappop(self._queue)
+            self.time = max(self.time, due)
+            if not timer.is_cancelled:
+                timer.call()
+        self.time = until
+
+
+class FakeStore:
+    """Objects with revisions; answers after a moment, or not at all while ``is_silent``."""
+
+    def __init__(self, loop):
+        self.loop = loop
+        self.objects = {}
+        self.revision = 0
+        self.is_silent = False
+        self.loses_answers = False
+        self.writes = []
+
+    def call(self, call, timeout_s, on_answer):
+        if self.is_silent:
+            self.loop.call_later(timeout_s, lambda: on_answer(None))
+            return
+        answer = self._serve(call)
+        if self.loses_answers:
+            self.loop.call_later(timeout_s, lambda: on_answer(None))
+        else:
+            self.loop.call_later(0.004, lambda: on_answer(answer))
+
+    def _serve(self, call):
+        path = call.target.decode().partition("?")[0]
+        name = path.rsplit("/", 1)[-1]
+        if call.method == b"GET":
+            return self._answer(200, name) if name in self.objects else HttpAnswer(404, [], b"")
+        body = _DECODE(call.body)
+        name = body["metadata"]["name"]
+        known = self.objects.get(name)
+        if call.method == b"POST" and known is not None:
+            return self._answer(409, name)
+        if call.method == b"PUT" and known["metadata"]["revision"] != body["metadata"]["revision"]:
+            return self._answer(409, name)
+        if known is None or known["spec"] != body["spec"]:
+            self.revision += 1
+            metadata = {"name": name, "revision": self.revision}
+            self.objects[name] = {"metadata": metadata, "spec": body["spec"]}
+            self.writes.append((self.loop.now(), body["spec"]))
+        return self._answer(200, name)
+
+    def _answer(self, status, name):
+        return HttpAnswer(status, [], _ENCODE(self.objects[name]))
+
+
+def read_lease(store, name):
+    """Return the record of a lease object."""
+    return DIALECT.read_lease(DIALECT.read_stored(_ENCODE(store.objects[name])))
--- /dev/null
+++ b/tests/router/loopback.py
@@ -0,0 +1,86 @@
+"""Helpers that serve a loop and talk to it over real sockets in the same thread."""
+
+import socket
+import time
+
+from martenrun.net.loop import Loop
+
+LIMIT_S = 10.0
+
+
+def free_address():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+def serve_until(loop: Loop, condition):
+    """Serve the loop until a condition holds; fails after some seconds."""
+    end = time.monotonic() + LIMIT_S
+    while not condition():
+        assert time.monotonic() < end, "the condition never held"
+        loop.call_later(0.01, lambda: None)
+        loop.run_once()
+
+
+class Peer:
+    """One side of a connection, read whenever the loop has been served."""
+
+    def __init__(self, sock):
+        self.sock = sock
+        self.sock.setblocking(False)
+        self.received = b""
+        self.is_ended = False
+        self.is_reset = False
+
+    @classmethod
+    def connected(cls, address):
+        host, _, port = address.rpartition(":")
+        return cls(socket.create_connection((host, int(port))))
+
+    def send(self, data):
+        self.sock.setblocking(True)
+        self.sock.sendall(data)
+        self.sock.setblocking(False)
+
+    def read(self):
+        while not self.is_ended:
+            try:
+                data = self.sock.recv(65536)
+            except BlockingIOError:
+                break
+            except OSError:
+                self.is_ended = self.is_reset = True
+                break
+            if not data:
+                self.is_ended = True
+            self.received += data
+        return self.received
+
+    def close(self):
+        self.sock.close()
+
+
+class RunnerPeer:
+    """A listener that plays a runner by hand."""
+
+    def __init__(self):
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(16)
+        self.listener.setblocking(False)
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.peers = []
+
+    def accept(self):
+        try:
+            sock, _ = self.listener.accept()
+        except BlockingIOError:
+            return self.peers
+        self.peers.append(Peer(sock))
+        return self.peers
+
+    def close(self):
+        self.listener.close()
+        for peer in self.peers:
+            peer.close()
--- /dev/null
+++ b/tests/router/test_placement.py
@@ -0,0 +1,119 @@
+"""Placement: kept prefixes, what is still to be read, memory, weights, failures and draining."""
+
+from martenrun.router.messages import PromptPart
+from martenrun.router.placement import Placement
+
+from .builders import question, state
+
+PARTS = (PromptPart(b"aa", 2_000), PromptPart(b"bb", 4_000), PromptPart(b"cc", 1_000))
+
+
+def ask(**changes):
+    return question(
+        parts=PARTS,
+        model="m",
+        wanted_version=1,
+        needed_tokens=7_000,
+        memory_tokens=100_000,
+        **changes,
+    )
+
+
+def states(count=6):
+    return [state(f"i-{number}") for number in range(count)]
+
+
+def test_every_router_chooses_the_same_runner_for_a_prefix():
+    chosen = {Placement().choose(ask(), states()).runner.instance for _ in range(5)}
+    assert len(chosen) == 1
+
+
+def test_a_runner_that_leaves_moves_only_its_own_prefixes():
+    everything = states()
+    first = Placement().choose(ask(), everything)
+    others = [item for item in everything if item is not everything[0]]
+    if first is not everything[0]:
+        assert Placement().choose(ask(), others) is first
+
+
+def test_a_backlog_moves_a_prefix_on():
+    everything = states()
+    first = Placement().choose(ask(), everything)
+    first.reading_elsewhere = 50_000
+    assert Placement().choose(ask(), everything) is not first
+
+
+def test_a_runner_without_room_in_memory_is_passed_over():
+    everything = states()
+    first = Placement().choose(ask(), everything)
+    first.held_elsewhere = 95_000
+    assert Placement().choose(ask(), everything) is not first
+
+
+def test_draining_tried_loading_and_failing_runners_are_passed_over():
+    everything = states(5)
+    everything[0].runner = state("i-0", is_draining=True).runner
+    everything[1].loading_until = 200.0
+    everything[2].note_failure(100.0, weight=9.0)
+    for _ in range(3):
+        chosen = Placement().choose(ask(tried=("i-3",)), everything)
+        assert chosen is everything[4]
+
+
+def test_a_failing_runner_is_used_when_there_is_no_other():
+    only = states(1)
+    only[0].note_failure(100.0, weight=9.0)
+    assert Placement().choose(ask(), only) is only[0]
+
+
+def test_nothing_is_sent_to_a_draining_or_loading_runner_even_if_there_is_no_other():
+    draining = [state("i-0", is_draining=True)]
+    loading = states(1)
+    loading[0].loading_until = 200.0
+    assert Placement().choose(ask(), draining) is None
+    assert Placement().choose(ask(), loading) is None
+
+
+def test_overdue_weights_are_never_chosen():
+    old = [state("i-0", weights={"m": 1}), state("i-1", weights={"m": 1})]
+    assert Placement().choose(ask(oldest_version=2), old) is None
+
+
+def test_new_weights_are_preferred():
+    mixed = [state(f"i-{number}", weights={"m": 1}) for number in range(5)]
+    mixed.append(state("i-5", weights={"m": 2}))
+    chosen = Placement().choose(question(parts=PARTS[-1:], model="m", wanted_version=2), mixed)
+    assert chosen is mixed[5]
+
+
+def test_a_silent_runner_is_avoided_while_it_owes_answers():
+    everything = states(2)
+    first = Placement().choose(ask(), everything)
+    first.note_sent(99.0)
+    assert Placement().choose(ask(), everything) is not first
+    first.note_bytes(99.9)
+    assert not first.is_avoided(100.0)
+
+
+def test_without_a_prompt_the_least_loaded_runner_of_the_zone_serves():
+    near, far = state("i-0"), state("i-1", zone="z2")
+    assert Placement().choose(question(), [near, far]) is near
+    near.in_flight = 3
+    assert Placement().choose(question(), [near, far]) is far
+
+
+def test_failures_fade():
+    item = state("i-0")
+    item.note_failure(0.0, weight=4.0)
+    assert item.is_avoided(0.1)
+    assert not item.is_avoided(10.0)
+
+
+def test_isolated_tenants_share_no_parts():
+    placement = Placement()
+    everything = states()
+    placement.note_read(ask(wall=b"t1"), everything[0])
+    shared = placement.tokens_to_read(ask(wall=b"t1"), everything[0])
+    walled = placement.tokens_to_read(ask(wall=b"t2"), everything[0])
+    assert shared == 1_000
+    assert walled == 7_000
--- /dev/null
+++ b/tests/router/test_platform_adapter.py
@@ -0,0 +1,209 @@
+"""The adapter translates and nothing else; its names stand nowhere but in its folder."""
+
+import ast
+import re
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from martenrun.errors import SettingsError
+from martenrun.net.http import HttpRequest
+from martenrun.platform import DIALECT
+from martenrun.platform.settings import load_settings, read_settings
+from martenrun.router.messages import Dispatch, OrderOutcome, RouteKind
+
+SOURCE = Path(__file__).parents[2] / "src" / "martenrun"
+PLATFORM = SOURCE / "platform"
+WORDS = re.compile(
+    r"martenrun/(resolve|readyz|report|order|objects|kv-)|x-not-executed|x-response-stamp"
+    r"|x-expect-instance|x-kv-fetch-from|x-kv-save-to|x-cache-salt|x-prefix-hash|x-token-usage|kv_store_addr"
+    r"|fence_token|call_seq|traffic_split|target_latency_ms",
+    re.IGNORECASE,
+)
+
+SETTINGS = {
+    "node_name": "n1",
+    "zone": "z1",
+    "ip": "10.0.0.1",
+    "internal_ports": [7340, 7355],
+    "seeds": ["10.0.0.1:8783", "10.0.0.2:8783"],
+    "listen_addrs": {"front": "10.0.0.1:1", "ready": "10.0.0.1:2", "directory": "10.0.0.1:3"},
+    "limits": {"max_fds": 4100},
+    "platform": {"address": "10.9.9.9:8784"},
+    "bounds": {
+        "drain_ms": 2000,
+        "grace_s": 8,
+        "config_apply_ms": 2000,
+        "budget_ratio": 0.2,
+        "budget_window_s": 10,
+        "budget_slack": 54,
+        "revoke_strict": True,
+        "revoke_ms": 5000,
+        "lease_ms": 3000,
+        "version_ms": 8000,
+    },
+}
+
+
+def modules(folder):
+    return [path for path in folder.rglob("*.py")]
+
+
+def test_the_platforms_words_stand_in_its_folder_only():
+    found = {
+        str(path.relative_to(SOURCE)): WORDS.findall(path.read_text())
+        for path in modules(SOURCE)
+        if PLATFORM not in path.parents and WORDS.search(path.read_text())
+    }
+    assert not found
+
+
+def imported(path):
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.module:
+            yield node.module
+        elif isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+
+
+@pytest.mark.parametrize("package", ["router", "net"])
+def test_decisions_import_neither_adapter(package):
+    for path in modules(SOURCE / package):
+        for name in imported(path):
+            assert not name.startswith(("martenrun.platform", "martenrun.backends")), path
+
+
+def test_settings_are_translated():
+    settings = read_settings(SETTINGS)
+    assert settings.internal_address == "10.0.0.1:7340"
+    assert settings.seeds == ("10.0.0.1:7340", "10.0.0.2:7340")
+    assert settings.bounds.drain_s == 2.0
+    assert settings.bounds.is_revocation_strict
+
+
+@pytest.mark.parametrize("field", ["node_name", "zone", "listen_addrs", "bounds", "platform"])
+def test_a_missing_setting_is_named(field):
+    table = {name: value for name, value in SETTINGS.items() if name != field}
+    with pytest.raises(SettingsError, match=field):
+        read_settings(table)
+
+
+def test_unknown_settings_are_ignored_and_unreadable_files_named(tmp_path):
+    assert read_settings({**SETTINGS, "something": "new"}).name == "n1"
+    broken = tmp_path / "node.toml"
+    broken.write_text("a = [")
+    with pytest.raises(SettingsError, match="cannot be read"):
+        load_settings(str(broken))
+    with pytest.raises(SettingsError, match="no settings file"):
+        load_settings("")
+
+
+def request(*headers):
+    return HttpRequest(b"POST", b"/p/x?q=1", list(headers), b"", 0.0)
+
+
+def test_a_callers_request_is_read():
+    call = DIALECT.read_call(
+        request(
+            (b"Host", b"A.example:80"),
+            (b"X-Request-Id", b"id1"),
+            (b"X-Prefix-Hash", b"5c1e07a2:800,91bd3f06:410"),
+            (b"X-Token-Usage", b"1460,80"),
+            (b"X-Deadline-Ms", b"1500"),
+            (b"X-Model-Id", b"m"),
+            (b"X-Key", b"k"),
+            (b"Last-Event-Id", b"12"),
+        )
+    )
+    assert (call.host, call.path, call.deadline_s, call.key) == ("a.example", "/p/x", 1.5, b"k")
+    assert [(part.part_id, part.tokens) for part in call.parts] == [
+        (b"5c1e07a2", 800),
+        (b"91bd3f06", 410),
+    ]
+    assert (call.prompt_tokens, call.last_event_id) == (1460, 12)
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        (b"X-Prefix-Hash", b"5c1e"),
+        (b"X-Deadline-Ms", b"soon"),
+        (b"X-Token-Usage", b"many,1"),
+        (b"Last-Event-Id", b"x"),
+    ],
+)
+def test_fields_that_cannot_be_understood_raise_value_error(header):
+    with pytest.raises(ValueError):
+        DIALECT.read_call(request((b"X-Request-Id", b"id1"), header))
+
+
+def test_what_a_caller_must_not_set_does_not_travel_on():
+    headers = [
+        (b"Host", b"a"),
+        (b"X-Key", b"secret"),
+        (b"X-Tenant-Id", b"other"),
+        (b"x-cache-salt", b"other"),
+        (b"X-Kv-Fetch-From", b"1.2.3.4:5"),
+        (b"X-Request-Priority", b"0"),
+        (b"Connection", b"keep-alive, X-Private"),
+        (b"X-Private", b"1"),
+        (b"X-Other", b"kept"),
+    ]
+    dispatch = Dispatch("i-1", 1.25, "t", 3, 2, "salt", "s:1", "s:1", None)
+    sent = DIALECT.runner_headers(headers, dispatch)
+    names = [name.lower() for name, _ in sent]
+    assert len(names) == len(set(names))
+    fields = {name.lower(): value for name, value in sent}
+    assert b"x-key" not in fields and b"x-private" not in fields
+    assert fields[b"x-tenant-id"] == b"t"
+    assert fields[b"x-cache-salt"] == b"salt"
+    assert fields[b"x-deadline-ms"] == b"1250"
+    assert fields[b"x-other"] == b"kept"
+    assert fields[b"x-expect-instance"] == b"i-1"
+
+
+def test_a_configuration_is_translated():
+    spec = {
+        "version": 7,
+        "routes": [
+            {
+                "name": "r",
+                "hostname": "A.example",
+                "path_prefix": "/p/",
+                "kind": "stream",
+                "timeout_ms": 6000,
+                "target_latency_ms": 800,
+                "priority": 1,
+                "traffic_split": [{"service": "s", "weight": 90}, {"service": "u", "weight": 10}],
+                "max_attempts": 2,
+                "no_auth": False,
+                "sticky": True,
+                "resumable": True,
+            }
+        ],
+        "services": [
+            {"name": "s", "max_connections": 3, "engine": {"slots": 4, "kv_capacity_tokens": 9}},
+            {"name": "k", "kv_store_addr": "1.2.3.4:5", "zone": "z"},
+        ],
+        "limits": {"max_header_bytes": 10, "idle_timeout_ms": 500},
+        "tenants": [{"name": "t", "api_keys": ["a", "b"], "priority": 1, "isolated": True}],
+    }
+    body = msgspec.json.encode({"metadata": {"name": "main", "revision": 3}, "spec": spec})
+    configuration = DIALECT.read_configuration(DIALECT.read_stored(body))
+    route = configuration.routes[0]
+    assert (route.kind, route.host, route.may_repeat) == (RouteKind.STREAM, "a.example", True)
+    assert [part.service for part in route.split] == ["s", "u"]
+    assert configuration.services["s"].engine.cache_tokens == 9
+    assert configuration.stores[0].address == "1.2.3.4:5"
+    assert configuration.tenants_by_key[b"b"].is_isolated
+    assert configuration.limits.idle_timeout_s == 0.5
+
+
+def test_answers_of_runners_are_told_apart():
+    assert DIALECT.read_marks(503, [(b"X-Not-Executed", b"1")]).is_not_executed
+    assert DIALECT.read_marks(421, []).is_not_executed
+    assert not DIALECT.read_marks(503, []).is_not_executed
+    assert DIALECT.read_marks(200, [(b"x-response-stamp", b"1")]).is_signed
+    assert DIALECT.read_order_outcome(412) is OrderOutcome.FENCED
+    assert DIALECT.read_order_outcome(400) is OrderOutcome.REFUSED
--- /dev/null
+++ b/tests/router/test_weights_roll.py
@@ -0,0 +1,54 @@
+"""Which runners are ordered to load weights, and when."""
+
+from martenrun.router.weights_roll import RollQuestion, lacking, runners_to_order
+
+from .builders import state
+
+
+def ask(version=2, loading=(), not_before=None):
+    return RollQuestion("m", version, set(loading), not_before or {}, 100.0)
+
+
+def test_a_third_of_the_runners_load_at_a_time_and_at_least_one():
+    six = [state(f"i-{number}") for number in range(6)]
+    assert len(runners_to_order(ask(), six)) == 2
+    assert len(runners_to_order(ask(), six[:1])) == 1
+
+
+def test_loads_under_way_take_places():
+    six = [state(f"i-{number}") for number in range(6)]
+    assert len(runners_to_order(ask(loading=["i-0"]), six)) == 1
+    assert runners_to_order(ask(loading=["i-0", "i-1"]), six) == []
+
+
+def test_the_oldest_weights_go_first():
+    """A runner moved to an overtaken version must not keep others waiting past their time."""
+    some = [state(f"i-{number}", weights={"m": 2}) for number in range(5)]
+    some.append(state("i-5", weights={"m": 1}))
+    some[0].in_flight = 0
+    some[5].in_flight = 9
+    assert runners_to_order(ask(version=3), some)[0].runner.instance == "i-5"
+
+
+def test_runners_with_the_weights_that_leave_or_serve_other_models_are_left_alone():
+    some = [
+        state("i-0", weights={"m": 2}),
+        state("i-1", is_draining=True),
+        state("i-2", weights={"other": 1}),
+        state("i-3"),
+    ]
+    assert [item.runner.instance for item in lacking(some, "m", 2)] == ["i-3"]
+
+
+def test_learned_weights_count():
+    item = state("i-0")
+    item.learn_weights("m", 2)
+    assert lacking([item], "m", 2) == []
+    item.learn_weights("m", 1)
+    assert item.weights_version("m") == 2
+
+
+def test_a_runner_that_failed_is_tried_again_only_after_a_pause():
+    some = [state("i-0")]
+    assert runners_to_order(ask(not_before={"i-0": 100.5}), some) == []
+    assert len(runners_to_order(ask(not_before={"i-0": 99.5}), some)) == 1
