Let two routers read the store and tell the others

Change: copies of datasets with numbered changes; two readers by hashing; the others ask them over the internal port and get ages as durations; a reader that loses the store says so at once; who reaches no reader reads by itself.

--- a/src/martenrun/router/admission.py
+++ b/src/martenrun/router/admission.py
@@ -49,7 +49,7 @@
         """Admit a request by what is known now."""
         now = self._world.loop.now()
         table = self._world.configuration.table
-        if table is None or not self._world.runners.is_known:
+        if table is None:
             return Refusal(503, "nothing_known")
         route = table.route(call)
         if route is None:
--- /dev/null
+++ b/src/martenrun/router/dataset_copy.py
@@ -0,0 +1,151 @@
+"""A router's copy of one dataset of the platform's store.
+
+It is fed by the store or by another router, and in turn feeds other routers.  Every change gets
+a number of this copy's own, so that a follower can ask for what came after the last one it has.
+"""
+
+import collections
+from collections.abc import Callable
+
+import attrs
+
+from martenrun.router.log import log_trouble
+from martenrun.router.messages import Dataset, StoredObject
+
+RETURN_GRACE_S = 2.0
+"""How long after an outage of the store an object may still be missing without being gone."""
+
+REMEMBERED_CHANGES = 512
+"""Changes kept for followers; who asks for older ones gets the whole copy."""
+
+
+@attrs.frozen
+class Change:
+    """One change of a copy; ``stored`` is None where the object is gone."""
+
+    number: int
+    name: str
+    stored: StoredObject | None
+
+
+@attrs.frozen
+class CopyListener:
+    """What is told of a copy's changes.
+
+    Attributes:
+        on_put: an object is new or has changed.
+        on_gone: an object is gone.
+        on_settled: a whole answer has been taken in.
+    """
+
+    on_put: Callable[[StoredObject], None]
+    on_gone: Callable[[str], None]
+    on_settled: Callable[[], None]
+
+
+class DatasetCopy:
+    """Objects of one dataset, the newest revision seen, and when that was last confirmed.
+
+    Args:
+        dataset: what is copied.
+        listener: told of the changes.
+    """
+
+    def __init__(self, dataset: Dataset, listener: CopyListener) -> None:
+        self.dataset = dataset
+        self._listener = listener
+        self._objects: dict[str, StoredObject] = {}
+        self._missing_since: dict[str, float] = {}
+        self._changes: collections.deque[Change] = collections.deque(maxlen=REMEMBERED_CHANGES)
+        self.number = 0
+        self.revision: int | None = None
+        self.confirmed_at: float | None = None
+
+    @property
+    def is_known(self) -> bool:
+        """Whether a whole list has been taken in."""
+        return self.revision is not None
+
+    @property
+    def objects(self) -> list[StoredObject]:
+        """All objects, those missing only since an outage included."""
+        return list(self._objects.values())
+
+    def replace(
+        self, objects: list[StoredObject], revision: int, is_after_outage: bool, now: float
+    ) -> None:
+        """Take in a whole list, unless it is older than what is known."""
+        if self.revision is not None and revision < self.revision:
+            return
+        listed = {stored.name for stored in objects}
+        for stored in objects:
+            self._put(stored)
+        for name in [name for name in self._objects if name not in listed]:
+            self._remove(name, is_after_outage, now)
+        self.revision = revision
+        self._listener.on_settled()
+
+    def apply(
+        self,
+        changed: list[StoredObject],
+        gone: list[str],
+        revision: int,
+        is_after_outage: bool,
+        now: float,
+    ) -> None:
+        """Take in changes in order of their kind: objects first, then those that are gone."""
+        for stored in changed:
+            self._put(stored)
+        for name in gone:
+            self._remove(name, is_after_outage, now)
+        self.revision = max(revision, self.revision or 0)
+        self._listener.on_settled()
+
+    def confirm(self, asked_at: float) -> None:
+        """Note that a read sent at ``asked_at`` is taken in whole; the time only rises."""
+        if self.confirmed_at is None or asked_at > self.confirmed_at:
+            self.confirmed_at = asked_at
+
+    def drop_missing(self, now: float) -> None:
+        """Drop objects that have stayed missing for the whole time of grace."""
+        late = [key for key, since in self._missing_since.items() if now - since > RETURN_GRACE_S]
+        for name in late:
+            log_trouble("object_lapsed", dataset=self.dataset.value, name=name)
+            self._drop(name)
+        if late:
+            self._listener.on_settled()
+
+    def changes_after(self, number: int) -> list[Change] | None:
+        """Return the changes after a number, or None if they are no longer all known."""
+        if number == self.number:
+            return []
+        if number > self.number or not self._changes or self._changes[0].number > number + 1:
+            return None
+        return [change for change in self._changes if change.number > number]
+
+    def _put(self, stored: StoredObject) -> None:
+        self._missing_since.pop(stored.name, None)
+        known = self._objects.get(stored.name)
+        if known is not None and known.revision >= stored.revision:
+            return
+        self._objects[stored.name] = stored
+        self._note(stored.name, stored)
+        self._listener.on_put(stored)
+
+    def _remove(self, name: str, is_after_outage: bool, now: float) -> None:
+        if name not in self._objects:
+            return
+        if is_after_outage:
+            self._missing_since.setdefault(name, now)
+        else:
+            self._drop(name)
+
+    def _drop(self, name: str) -> None:
+        self._missing_since.pop(name, None)
+        if self._objects.pop(name, None) is not None:
+            self._note(name, None)
+            self._listener.on_gone(name)
+
+    def _note(self, name: str, stored: StoredObject | None) -> None:
+        self.number += 1
+        self._changes.append(Change(self.number, name, stored))
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -104,6 +104,8 @@
         state = self._choose()
         if state is None:
             self._wait_or_refuse("no_runner")
+        elif self._sent_to and not self._is_within_budget():
+            self._refuse("retry_budget")
         else:
             self._send(state)
 
@@ -259,7 +261,6 @@
 
     def _try_state(self, has_other_runner: bool, now: float) -> TryState:
         admitted = self._admitted
-        budget = self._world.budget(admitted.service)
         return TryState(
             may_repeat=admitted.route.may_repeat,
             maximum_attempts=admitted.route.maximum_attempts,
@@ -267,10 +268,15 @@
             sends=len(self._sent_to),
             has_answer_begun=self._exchange.has_started,
             left_s=admitted.give_up_at - now,
-            is_within_budget=budget.may_repeat(now, self._world.node_count()),
+            is_within_budget=self._is_within_budget(),
             has_other_runner=has_other_runner,
         )
 
+    def _is_within_budget(self) -> bool:
+        world = self._world
+        budget = world.budget(self._admitted.service)
+        return budget.may_repeat(world.loop.now(), world.node_count())
+
     # Ends
 
     def _wait_or_refuse(self, reason: str) -> None:
--- /dev/null
+++ b/src/martenrun/router/keeper.py
@@ -0,0 +1,161 @@
+"""Keeps a router's copies of the store's datasets current, from the store or from a reader."""
+
+from collections.abc import Callable, Mapping
+
+import attrs
+
+from martenrun.net.loop import Loop
+from martenrun.router.dataset_copy import DatasetCopy
+from martenrun.router.dialect import Dialect
+from martenrun.router.log import log_event
+from martenrun.router.messages import Dataset
+from martenrun.router.peers import Peers
+from martenrun.router.readers import Candidate, ReaderChoice, ReadingPlan
+from martenrun.router.relay import OLDEST_RELAYED_S, RelayFollower, RelaySource
+from martenrun.router.store_client import HttpCaller
+from martenrun.router.store_watch import FollowSettings, StoreFollower
+
+CHECK_S = 0.2
+"""How often the way of reading is planned anew, in seconds."""
+
+LOST_MEMORY_S = 5.0
+"""How long a router that lost the store is not chosen as a reader, in seconds."""
+
+WAITS_S = {Dataset.CONFIGURATION: 0.8, Dataset.RUNNERS: 2.0, Dataset.WEIGHTS: 2.5}
+"""How long one watch of each dataset waits.
+
+What it tells is as old as its sending, so that knowledge grows as old as two waits.
+"""
+
+
+@attrs.frozen
+class KeeperParts:
+    """What a keeper works with."""
+
+    loop: Loop
+    store: HttpCaller
+    dialect: Dialect
+    copies: Mapping[Dataset, DatasetCopy]
+    peers: Peers
+
+
+class Keeper:
+    """Runs the followers of the store and of other routers.
+
+    Args:
+        on_confirmed: called after each answer that was taken in.
+    """
+
+    def __init__(self, parts: KeeperParts, on_confirmed: Callable[[], None]) -> None:
+        self._loop = parts.loop
+        self._peers = parts.peers
+        self._copies = parts.copies
+        self._on_confirmed = on_confirmed
+        own = parts.peers.own
+        self._choice = ReaderChoice(own.address, self._loop.now())
+        self._lost_at: float | None = None
+        self._source_address: str | None = None
+        self._reads_store = True
+        self.relay = RelaySource(self._loop, parts.copies, own.incarnation, self._may_relay)
+        self._relay_follower = RelayFollower(
+            self._loop,
+            parts.copies,
+            lambda: self._source_address,
+            self._on_relayed,
+            self._on_relay_failed,
+        )
+        self._followers = [
+            StoreFollower(
+                self._loop,
+                parts.store,
+                parts.dialect,
+                FollowSettings(wait_s),
+                parts.copies[dataset],
+                self._on_read,
+            )
+            for dataset, wait_s in WAITS_S.items()
+        ]
+
+    @property
+    def has_lost_store(self) -> bool:
+        """Whether this router had no good answer of the store lately."""
+        return self._lost_at is not None and self._loop.now() - self._lost_at < LOST_MEMORY_S
+
+    def note_store_lost(self) -> None:
+        """Take in that another call to the store had no answer."""
+        self._lost_at = self._loop.now()
+
+    def start(self) -> None:
+        """Read the store, and plan from then on."""
+        for follower in self._followers:
+            follower.start()
+        self._check()
+
+    def _check(self) -> None:
+        now = self._loop.now()
+        if any(item.is_failing or item.is_overdue(now) for item in self._followers):
+            self._lose_store(now)
+        for copy in self._copies.values():
+            copy.drop_missing(now)
+        self._plan(now)
+        self._loop.call_later(CHECK_S, self._check)
+
+    def _lose_store(self, now: float) -> None:
+        """Tell others at once that this router cannot read for them."""
+        is_news = not self.has_lost_store
+        self._lost_at = now
+        if is_news:
+            self._peers.tell_now()
+            self.relay.drop_held()
+
+    def _plan_source(self, now: float) -> ReadingPlan:
+        own = self._peers.own.address
+        candidates = [Candidate(own, not self.has_lost_store)]
+        candidates += [
+            Candidate(record.address, not record.has_lost_store)
+            for record in self._peers.live()
+            if not record.is_leaving
+        ]
+        plan = self._choice.plan(candidates, now)
+        self._source_address = plan.source
+        return plan
+
+    def _plan(self, now: float) -> None:
+        plan = self._plan_source(now)
+        if plan.reads_store != self._reads_store:
+            log_event("reading_changed", reads_store=plan.reads_store, source=plan.source)
+            self._reads_store = plan.reads_store
+        if plan.reads_store:
+            for follower in self._followers:
+                follower.start()
+        if plan.source is None:
+            self._relay_follower.stop()
+        elif all(copy.is_known for copy in self._copies.values()):
+            self._relay_follower.start()
+
+    def _may_relay(self) -> bool:
+        if self.has_lost_store or not all(item.is_current for item in self._followers):
+            return False
+        confirmed_at = self._copies[Dataset.CONFIGURATION].confirmed_at
+        return confirmed_at is not None and self._loop.now() - confirmed_at < OLDEST_RELAYED_S
+
+    def _on_read(self) -> None:
+        self._lost_at = None
+        self.relay.copies_changed()
+        self._on_confirmed()
+
+    def _on_relayed(self) -> None:
+        self._choice.note_reached(self._loop.now())
+        if not self._reads_store:
+            for follower in self._followers:
+                follower.stop()
+        self._on_confirmed()
+
+    def _on_relay_failed(self, address: str, was_reached: bool) -> None:
+        now = self._loop.now()
+        self._choice.note_failed(address, now)
+        if was_reached:
+            self._choice.note_reached(now)
+        self._plan_source(now)
+        if self._source_address != address:
+            self._relay_follower.start()
--- a/src/martenrun/router/knowledge.py
+++ b/src/martenrun/router/knowledge.py
@@ -5,15 +5,12 @@
 """
 
 from collections.abc import Callable
+from typing import TypeVar
 
 from martenrun.router.log import log_event, log_trouble
 from martenrun.router.messages import Configuration, Runner, StoredObject, WantedWeights
 from martenrun.router.route_table import RouteTable
 
-RETURN_GRACE_S = 2.0
-"""How long after an outage of the store an entry may still be missing without being gone."""
-
-
 TOLD = 3
 """Versions of a model's weights of which the age is told to other routers."""
 
@@ -27,7 +24,6 @@
     def __init__(self) -> None:
         self.table: RouteTable | None = None
         self.confirmed_at: float | None = None
-        self._waiting: list[tuple[float, Callable[[], None]]] = []
         self.on_changed: list[Callable[[Configuration], None]] = []
 
     def age_s(self, now: float) -> float:
@@ -44,72 +40,26 @@
             call(configuration)
 
     def confirm(self, asked_at: float) -> None:
-        """Note that a read sent at ``asked_at`` showed nothing newer."""
+        """Note that a read sent at ``asked_at`` showed nothing newer; the time only rises."""
         if self.confirmed_at is None or asked_at > self.confirmed_at:
             self.confirmed_at = asked_at
-        due = [call for since, call in self._waiting if since <= asked_at]
-        self._waiting = [entry for entry in self._waiting if entry[0] > asked_at]
-        for call in due:
-            call()
-
-    def once_confirmed(self, since: float, call: Callable[[], None]) -> None:
-        """Make ``call`` once the knowledge is confirmed by a read sent at ``since`` or later."""
-        self._waiting.append((since, call))
 
 
 class RunnerDirectory:
-    """The runners listed, with entries that are missing after an outage kept for a while."""
+    """The runners listed."""
 
     def __init__(self) -> None:
-        self._runners: dict[str, Runner] = {}
-        self._missing_since: dict[str, float] = {}
-        self.is_known = False
-        self.on_changed: Callable[[], None] = _nothing
-
-    @property
-    def runners(self) -> dict[str, Runner]:
-        """The runners by instance."""
-        return self._runners
-
-    def replace(self, runners: list[Runner], is_after_outage: bool, now: float) -> None:
-        """Take in a whole list; after an outage, missing entries are only doubted at first."""
-        listed = {runner.instance: runner for runner in runners}
-        for instance, runner in self._runners.items():
-            if instance not in listed and is_after_outage:
-                listed[instance] = runner
-                self._missing_since.setdefault(instance, now)
-        for runner in runners:
-            self._missing_since.pop(runner.instance, None)
-        self._runners = listed
-        self.is_known = True
-        self.on_changed()
+        self.runners: dict[str, Runner] = {}
 
     def put(self, runner: Runner) -> None:
-        """Take in one entry."""
-        self._missing_since.pop(runner.instance, None)
-        known = self._runners.get(runner.instance)
-        if known is not None and known.is_draining and not runner.is_draining:
-            return
-        self._runners[runner.instance] = runner
-        self.on_changed()
+        """Take in an entry; a runner that drains never becomes ready again."""
+        known = self.runners.get(runner.instance)
+        if known is None or runner.is_draining or not known.is_draining:
+            self.runners[runner.instance] = runner
 
-    def remove(self, instance: str, is_after_outage: bool, now: float) -> None:
+    def remove(self, instance: str) -> None:
         """Take in that an entry is gone."""
-        if is_after_outage and instance in self._runners:
-            self._missing_since.setdefault(instance, now)
-        elif self._runners.pop(instance, None) is not None:
-            self._missing_since.pop(instance, None)
-            self.on_changed()
-
-    def drop_missing(self, now: float) -> None:
-        """Drop entries that have stayed missing for the whole time of grace."""
-        late = [key for key, since in self._missing_since.items() if now - since > RETURN_GRACE_S]
-        for instance in late:
-            del self._missing_since[instance]
-            self._runners.pop(instance, None)
-        if late:
-            log_trouble("runners_lapsed", count=len(late))
-            self.on_changed()
+        self.runners.pop(instance, None)
 
 
 class WeightsKnowledge:
@@ -158,15 +108,16 @@
         return max(due, default=0)
 
 
-def decoded(objects: tuple[StoredObject, ...], read: Callable[[StoredObject], object]) -> list:
-    """Decode objects, leaving out those that cannot be understood."""
-    results = []
-    for stored in objects:
-        try:
-            results.append(read(stored))
-        except (KeyError, TypeError, ValueError, AttributeError) as exc:
-            log_trouble("object_unreadable", name=stored.name, fault=str(exc)[:100])
-    return results
+Read = TypeVar("Read")
+
+
+def decoded(stored: StoredObject, read: Callable[[StoredObject], Read]) -> Read | None:
+    """Decode an object; one that cannot be understood is logged and left out."""
+    try:
+        return read(stored)
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        log_trouble("object_unreadable", name=stored.name, fault=str(exc)[:100])
+        return None
 
 
 def _nothing() -> None:
--- a/src/martenrun/router/peers.py
+++ b/src/martenrun/router/peers.py
@@ -53,6 +53,7 @@
     zone: str
     is_leaving: bool
     is_current: bool
+    has_lost_store: bool
     lease_revision: int
     lease_token: int
     loads: dict[str, tuple[int, int, int]]
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -7,8 +7,10 @@
 from martenrun.net.loop import Loop
 from martenrun.net.server import Exchange, Server
 from martenrun.router.admission import CONFIRM_TIMEOUT_S, Admission, Refusal, refuse
+from martenrun.router.dataset_copy import CopyListener, DatasetCopy
 from martenrun.router.dialect import Dialect
 from martenrun.router.forwarding import Admitted, Forwarding
+from martenrun.router.keeper import Keeper, KeeperParts
 from martenrun.router.knowledge import (
     ConfigurationKnowledge,
     RunnerDirectory,
@@ -24,24 +26,15 @@
     LeaseRecord,
     Route,
     RouterSettings,
-    Runner,
     StoredObject,
-    StoreEvent,
-    WantedWeights,
 )
 from martenrun.router.peers import LoadNews, Peers, RouterRecord, first_incarnation
 from martenrun.router.placement import Placement
 from martenrun.router.runner_pool import RunnerPool
 from martenrun.router.store_client import HttpCaller
-from martenrun.router.store_watch import FollowListener, FollowSettings, StoreFollower
 from martenrun.router.weights_roll import WeightsRoller, take_load_news
 from martenrun.router.world import World
 
-CONFIGURATION_WAIT_S = 1.4
-RUNNERS_WAIT_S = 2.0
-WEIGHTS_WAIT_S = 3.0
-"""How long one watch of each dataset waits; what it tells is as old as its sending."""
-
 DIRECTORY_TTL_S = 1.0
 """How long callers may use an answer of the directory, in seconds."""
 
@@ -90,6 +83,7 @@
             zone=settings.zone,
             is_leaving=False,
             is_current=False,
+            has_lost_store=False,
             lease_revision=0,
             lease_token=0,
             loads={},
@@ -103,14 +97,18 @@
             self._loop, self._store, dialect, "weights", holder, settings.bounds.lease_s
         )
         self._roller = WeightsRoller(self._world, self._peers, self._lease)
-        self._followers = self._build_followers()
+        self._copies = self._build_copies()
+        self._keeper = Keeper(
+            KeeperParts(self._loop, self._store, dialect, self._copies, self._peers),
+            self._on_confirmed,
+        )
         self._front = Server(self._loop, settings.front_address, self._serve)
         self._others = [
             Server(self._loop, settings.ready_address, self._serve_ready),
             Server(self._loop, settings.directory_address, self._serve_directory),
+            Server(self._loop, settings.internal_address, self._keeper.relay.serve),
         ]
         self._world.configuration.on_changed.append(self._on_configuration)
-        self._world.runners.on_changed = self._on_runners
         self._world.weights.on_changed = self._roller.check
 
     def run(self) -> None:
@@ -119,8 +117,7 @@
         self._loop.on_signal(signal.SIGINT, self._stop)
         self._loop.on_signal(signal.SIGHUP, self._reload)
         log_event("started", name=self._settings.name, zone=self._settings.zone)
-        for follower in self._followers:
-            follower.start()
+        self._keeper.start()
         self._peers.start()
         self._keep_house()
         self._loop.run()
@@ -129,78 +126,51 @@
 
     # Knowledge
 
-    def _build_followers(self) -> list[StoreFollower]:
-        def follow(dataset: Dataset, wait_s: float, listener: FollowListener) -> StoreFollower:
-            cfg = FollowSettings(dataset, wait_s)
-            return StoreFollower(self._loop, self._store, self._world.dialect, cfg, listener)
-
-        return [
-            follow(
-                Dataset.CONFIGURATION,
-                CONFIGURATION_WAIT_S,
-                FollowListener(
-                    on_list=lambda objects, _late: self._take_configuration(objects),
-                    on_event=self._on_configuration_event,
-                    on_confirmed=self._world.configuration.confirm,
-                ),
-            ),
-            follow(
-                Dataset.RUNNERS,
-                RUNNERS_WAIT_S,
-                FollowListener(
-                    on_list=self._take_runners,
-                    on_event=self._on_runner_event,
-                    on_confirmed=lambda _at: None,
-                ),
-            ),
-            follow(
-                Dataset.WEIGHTS,
-                WEIGHTS_WAIT_S,
-                FollowListener(
-                    on_list=lambda objects, _late: self._take_weights(objects),
-                    on_event=lambda event, _late: self._take_weights([event.stored]),
-                    on_confirmed=lambda _at: None,
-                ),
-            ),
-        ]
+    def _build_copies(self) -> dict[Dataset, DatasetCopy]:
+        configuration = CopyListener(self._on_configuration_put, _ignored, _nothing)
+        runners = CopyListener(
+            self._on_runner_put, self._world.runners.remove, self._on_runners_settled
+        )
+        weights = CopyListener(self._on_weights_put, _ignored, _nothing)
+        return {
+            Dataset.CONFIGURATION: DatasetCopy(Dataset.CONFIGURATION, configuration),
+            Dataset.RUNNERS: DatasetCopy(Dataset.RUNNERS, runners),
+            Dataset.WEIGHTS: DatasetCopy(Dataset.WEIGHTS, weights),
+        }
 
-    def _take_configuration(self, objects: list[StoredObject]) -> None:
-        for configuration in decoded(tuple(objects), self._world.dialect.read_configuration):
+    def _on_configuration_put(self, stored: StoredObject) -> None:
+        configuration = decoded(stored, self._world.dialect.read_configuration)
+        if configuration is not None:
             self._world.configuration.take(configuration)
 
-    def _on_configuration_event(self, event: StoreEvent, _is_after_outage: bool) -> None:
-        if not event.is_gone:
-            self._take_configuration([event.stored])
-
     def _on_configuration(self, configuration: Configuration) -> None:
         self._front.limits = configuration.limits
 
-    def _take_runners(self, objects: list[StoredObject], is_after_outage: bool) -> None:
-        runners: list[Runner] = decoded(tuple(objects), self._world.dialect.read_runner)
-        self._world.runners.replace(runners, is_after_outage, self._loop.now())
-
-    def _on_runner_event(self, event: StoreEvent, is_after_outage: bool) -> None:
-        if event.is_gone:
-            name = event.stored.name
-            self._world.runners.remove(name, is_after_outage, self._loop.now())
-            return
-        for runner in decoded((event.stored,), self._world.dialect.read_runner):
+    def _on_runner_put(self, stored: StoredObject) -> None:
+        runner = decoded(stored, self._world.dialect.read_runner)
+        if runner is not None:
             self._world.runners.put(runner)
 
-    def _on_runners(self) -> None:
+    def _on_runners_settled(self) -> None:
         self._world.pool.update(self._world.runners.runners)
         self._roller.check()
 
-    def _take_weights(self, objects: list[StoredObject]) -> None:
-        named: list[WantedWeights] = decoded(tuple(objects), self._world.dialect.read_weights)
-        for wanted in named:
+    def _on_weights_put(self, stored: StoredObject) -> None:
+        wanted = decoded(stored, self._world.dialect.read_weights)
+        if wanted is not None:
             self._world.weights.take(wanted, self._loop.now())
 
+    def _on_confirmed(self) -> None:
+        confirmed_at = self._copies[Dataset.CONFIGURATION].confirmed_at
+        if confirmed_at is not None:
+            self._world.configuration.confirm(confirmed_at)
+
     # Peers
 
     def _refresh(self, own: RouterRecord) -> None:
         own.is_leaving = self._stopped_at is not None
         own.is_current = self._is_current()
+        own.has_lost_store = self._keeper.has_lost_store
         own.lease_revision = self._lease.revision
         own.lease_token = self._lease.fencing_token if own.lease_revision else 0
         own.weights = self._world.weights.ages_ms(self._loop.now())
@@ -269,7 +239,7 @@
 
         def answered(answer: HttpAnswer | None) -> None:
             if answer is not None and answer.status == 200:
-                self._take_configuration([self._world.dialect.read_stored(answer.body)])
+                self._on_configuration_put(self._world.dialect.read_stored(answer.body))
                 self._world.configuration.confirm(asked_at)
                 decide()
             elif not exchange.is_over:
@@ -288,8 +258,9 @@
         return age_s < self._settings.bounds.revoke_s * CURRENT_SHARE
 
     def _is_ready(self) -> bool:
-        is_known = self._world.configuration.table is not None and self._world.runners.is_known
-        return is_known and self._stopped_at is None
+        if self._world.configuration.table is None or self._stopped_at is not None:
+            return False
+        return self._copies[Dataset.RUNNERS].is_known
 
     def _serve_ready(self, exchange: Exchange) -> None:
         if not self._world.dialect.is_ready_question(exchange.request):
@@ -334,11 +305,9 @@
 
     def _keep_house(self) -> None:
         now = self._loop.now()
-        self._world.runners.drop_missing(now)
         for forwarding in list(self._forwardings):
             forwarding.leave_old_weights(now)
-        if self._lease.is_held() or any(not f.is_failing for f in self._followers):
-            self._roller.check()
+        self._roller.check()
         EVENT_LOG.flush()
         if self._stopped_at is not None:
             self._go_on_stopping(now - self._stopped_at)
@@ -356,6 +325,14 @@
                 self._loop.stop()
 
 
+def _ignored(_name: str) -> None:
+    return None
+
+
+def _nothing() -> None:
+    return None
+
+
 def run_router(settings: RouterSettings, dialect: Dialect) -> None:
     """Run a router until it is stopped."""
     EVENT_LOG.open(settings.name, settings.is_log_detailed)
--- /dev/null
+++ b/src/martenrun/router/relay.py
@@ -0,0 +1,274 @@
+"""Knowledge passed between routers, so that few of them read the platform's store.
+
+A router that does not read the store asks one that does for what has changed since a number of
+that router's copy; the answer is held back until there is something, and tells how old the
+knowledge is.  Ages count durations only, never times of another machine's clock.
+"""
+
+from collections.abc import Callable, Mapping
+
+import msgspec
+
+from martenrun.net.http import HttpAnswer
+from martenrun.net.loop import Loop
+from martenrun.net.server import Exchange
+from martenrun.router.dataset_copy import DatasetCopy
+from martenrun.router.log import log_trouble
+from martenrun.router.messages import Dataset, HttpCall, StoredObject
+from martenrun.router.store_client import HttpCaller
+
+FOLLOW_PATH = b"/follow"
+"""Path of the question on the internal interface."""
+
+HOLD_S = 0.8
+"""How long an answer is held back while nothing has changed, in seconds."""
+
+ANSWER_TIMEOUT_S = 0.6
+"""How long an answer may take beyond that, in seconds."""
+
+OLDEST_RELAYED_S = 3.0
+"""Age from which knowledge is not passed on any more, in seconds."""
+
+
+class FollowQuestion(msgspec.Struct, array_like=True):
+    """Asks for what has changed; ``numbers`` are those of the answering router's copies."""
+
+    life: int
+    numbers: dict[str, int]
+    hold_ms: int
+
+
+class RelayedObject(msgspec.Struct, array_like=True):
+    """One object; ``revision`` 0 says that it is gone."""
+
+    name: str
+    revision: int
+    spec: object
+
+
+class RelayedDataset(msgspec.Struct, array_like=True):
+    """Changes of one dataset, or all of it if ``is_whole``."""
+
+    number: int
+    revision: int
+    age_ms: int
+    is_whole: bool
+    objects: list[RelayedObject]
+
+
+class FollowAnswer(msgspec.Struct, array_like=True):
+    """What has changed; ``held_ms`` is how long the answer was held back."""
+
+    life: int
+    held_ms: int
+    datasets: dict[str, RelayedDataset]
+
+
+_QUESTION = msgspec.msgpack.Decoder(FollowQuestion)
+_ANSWER = msgspec.msgpack.Decoder(FollowAnswer)
+_ENCODE = msgspec.msgpack.Encoder().encode
+
+Copies = Mapping[Dataset, DatasetCopy]
+
+
+class HeldQuestion:
+    """A question whose answer is held back."""
+
+    def __init__(self, exchange: Exchange, question: FollowQuestion, asked_at: float) -> None:
+        self.exchange = exchange
+        self.question = question
+        self.asked_at = asked_at
+
+
+class RelaySource:
+    """Answers other routers' questions from this router's copies.
+
+    Args:
+        life: number of this life of the router; numbers of other lives mean nothing.
+        may_relay: whether this router reads the store itself and is current.
+    """
+
+    def __init__(
+        self, loop: Loop, copies: Copies, life: int, may_relay: Callable[[], bool]
+    ) -> None:
+        self._loop = loop
+        self._copies = copies
+        self._life = life
+        self._may_relay = may_relay
+        self._held: set[HeldQuestion] = set()
+
+    def serve(self, exchange: Exchange) -> None:
+        """Answer a question now or later."""
+        try:
+            question = _QUESTION.decode(exchange.request.body)
+        except msgspec.MsgspecError:
+            exchange.respond(400, [])
+            return
+        if exchange.request.target != FOLLOW_PATH or not self._may_relay():
+            exchange.respond(503, [])
+            return
+        held = HeldQuestion(exchange, question, self._loop.now())
+        if question.life != self._life or self._has_changed(question):
+            self._answer(held)
+            return
+        self._held.add(held)
+        exchange.on_gone = lambda: self._held.discard(held)
+        self._loop.call_later(question.hold_ms / 1000.0, lambda: self._answer(held))
+
+    def drop_held(self) -> None:
+        """Send the questions that wait to another router: this one has lost the store."""
+        for held in list(self._held):
+            self._answer(held)
+
+    def copies_changed(self) -> None:
+        """Answer the questions that wait for what has changed."""
+        for held in [held for held in self._held if self._has_changed(held.question)]:
+            self._answer(held)
+
+    def _has_changed(self, question: FollowQuestion) -> bool:
+        return any(
+            question.numbers.get(dataset.value) != copy.number
+            for dataset, copy in self._copies.items()
+        )
+
+    def _answer(self, held: HeldQuestion) -> None:
+        self._held.discard(held)
+        if held.exchange.is_over:
+            return
+        if not self._may_relay():
+            held.exchange.respond(503, [])
+            return
+        now = self._loop.now()
+        question = held.question
+        numbers = question.numbers if question.life == self._life else {}
+        datasets = {
+            dataset.value: _relayed(copy, numbers.get(dataset.value), now)
+            for dataset, copy in self._copies.items()
+        }
+        held_ms = int((now - held.asked_at) * 1000)
+        held.exchange.respond(200, [], _ENCODE(FollowAnswer(self._life, held_ms, datasets)))
+
+
+def _relayed(copy: DatasetCopy, number: int | None, now: float) -> RelayedDataset:
+    changes = None if number is None else copy.changes_after(number)
+    if changes is None:
+        objects = [RelayedObject(item.name, item.revision, item.spec) for item in copy.objects]
+    else:
+        newest = {change.name: change.stored for change in changes}
+        objects = [
+            RelayedObject(name, 0 if stored is None else stored.revision, _spec(stored))
+            for name, stored in newest.items()
+        ]
+    confirmed_at = now if copy.confirmed_at is None else copy.confirmed_at
+    return RelayedDataset(
+        number=copy.number,
+        revision=copy.revision or 0,
+        age_ms=int((now - confirmed_at) * 1000) + 1,
+        is_whole=changes is None,
+        objects=objects,
+    )
+
+
+def _spec(stored: StoredObject | None) -> object:
+    return None if stored is None else stored.spec
+
+
+class RelayFollower:
+    """Keeps copies current from another router, while it is wanted.
+
+    Args:
+        source: returns the address of the router to ask now, or None.
+        on_taken: called after each answer that was taken in whole.
+        on_failed: called with the address of a router that gave no good answer, and whether it
+            gave any.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        copies: Copies,
+        source: Callable[[], str | None],
+        on_taken: Callable[[], None],
+        on_failed: Callable[[str, bool], None],
+    ) -> None:
+        self._loop = loop
+        self._copies = copies
+        self._source = source
+        self._on_taken = on_taken
+        self._on_failed = on_failed
+        self._callers: dict[str, HttpCaller] = {}
+        self._address = ""
+        self._life = 0
+        self._numbers: dict[str, int] = {}
+        self._is_asking = False
+        self.is_running = False
+
+    def start(self) -> None:
+        """Begin to follow, unless it does already."""
+        self.is_running = True
+        if not self._is_asking:
+            self._ask()
+
+    def stop(self) -> None:
+        """Stop; the answer under way is still taken in."""
+        self.is_running = False
+
+    def _ask(self) -> None:
+        address = self._source()
+        if not self.is_running or address is None:
+            self._is_asking = False
+            return
+        if address != self._address:
+            self._address = address
+            self._life = 0
+            self._numbers = {}
+        self._is_asking = True
+        question = FollowQuestion(self._life, self._numbers, int(HOLD_S * 1000))
+        call = HttpCall(b"POST", FOLLOW_PATH, [], _ENCODE(question))
+        sent_at = self._loop.now()
+        caller = self._callers.get(address)
+        if caller is None:
+            caller = self._callers[address] = HttpCaller(self._loop, address)
+        caller.call(
+            call,
+            HOLD_S + ANSWER_TIMEOUT_S,
+            lambda answer: self._on_answer(answer, address, sent_at),
+        )
+
+    def _on_answer(self, answer: HttpAnswer | None, address: str, sent_at: float) -> None:
+        self._is_asking = False
+        if answer is None or answer.status != 200:
+            status = None if answer is None else answer.status
+            log_trouble("relay_lost", address=address, status=status)
+            self._on_failed(address, answer is not None)
+            return
+        try:
+            news = _ANSWER.decode(answer.body)
+        except msgspec.MsgspecError:
+            log_trouble("relay_unreadable", address=address)
+            self._on_failed(address, False)
+            return
+        self._life = news.life
+        for name, dataset in news.datasets.items():
+            self._take(self._copies[Dataset(name)], dataset, sent_at + news.held_ms / 1000.0)
+            self._numbers[name] = dataset.number
+        self._on_taken()
+        self._ask()
+
+    def _take(self, copy: DatasetCopy, news: RelayedDataset, not_before: float) -> None:
+        """Take in one dataset; it was answered at ``not_before`` or later."""
+        if copy.revision is not None and news.revision < copy.revision:
+            # That router is behind: what it tells, its age included, says nothing new.
+            return
+        now = self._loop.now()
+        changed = [
+            StoredObject(item.name, item.revision, item.spec)
+            for item in news.objects
+            if item.revision
+        ]
+        if news.is_whole:
+            copy.replace(changed, news.revision, False, now)
+        else:
+            gone = [item.name for item in news.objects if not item.revision]
+            copy.apply(changed, gone, news.revision, False, now)
+        copy.confirm(not_before - news.age_ms / 1000.0)
--- a/src/martenrun/router/store_watch.py
+++ b/src/martenrun/router/store_watch.py
@@ -7,9 +7,10 @@
 
 from martenrun.net.http import HttpAnswer
 from martenrun.net.loop import Loop
+from martenrun.router.dataset_copy import DatasetCopy
 from martenrun.router.dialect import Dialect
 from martenrun.router.log import log_event, log_trouble
-from martenrun.router.messages import Dataset, StoredObject, StoreEvent
+from martenrun.router.messages import StoredObject
 from martenrun.router.store_client import HttpCaller
 
 ANSWER_TIMEOUT_S = 0.9
@@ -19,79 +20,118 @@
 LONGEST_PAUSE_S = 0.6
 """Pauses between failed calls; they double, and each is drawn from half of it to all."""
 
+OVERDUE_S = 0.3
+"""How much later than usual an answer may come before the store counts as lost, in seconds."""
+
+DELAY_WEIGHT = 0.3
+"""Weight of the newest delay in the mean delay of answers."""
+
+OUTAGE_MEMORY_S = 2.0
+"""How long after its return the store may miss objects that are not gone, in seconds."""
+
 HTTP_OK = 200
 HTTP_GONE = 410
 
 
 @attrs.frozen
 class FollowSettings:
-    """How one dataset is followed.
+    """How one dataset is followed; ``wait_s`` is how long one watch waits for changes."""
 
-    Attributes:
-        dataset: what is followed.
-        wait_s: how long one watch waits for changes, in seconds.
-    """
-
-    dataset: Dataset
     wait_s: float
 
 
-@attrs.frozen
-class FollowListener:
-    """What is told of a followed dataset.
+class StoreFollower:
+    """Keeps a copy of one dataset current from the store, while it is wanted.
 
-    Attributes:
-        on_list: all objects; after an outage, the second argument is True.
-        on_event: one change; the second argument as above.
-        on_confirmed: the sending time of a read that is now taken in whole.
+    Args:
+        on_taken: called after each answer that was taken in whole.
     """
 
-    on_list: Callable[[list[StoredObject], bool], None]
-    on_event: Callable[[StoreEvent, bool], None]
-    on_confirmed: Callable[[float], None]
-
-
-class StoreFollower:
-    """Keeps one dataset current."""
-
     def __init__(
         self,
         loop: Loop,
         store: HttpCaller,
         dialect: Dialect,
         cfg: FollowSettings,
-        listener: FollowListener,
+        copy: DatasetCopy,
+        on_taken: Callable[[], None],
     ) -> None:
         self._loop = loop
         self._store = store
         self._dialect = dialect
         self._cfg = cfg
-        self._listener = listener
-        self._revision: int | None = None
+        self._copy = copy
+        self._on_taken = on_taken
         self._listed: list[StoredObject] = []
         self._list_revision: int | None = None
         self._pause_s = FIRST_PAUSE_S
         self._failures = 0
         self._returned_at: float | None = None
-        self.is_stopped = False
+        self._round = 0
+        self._due_at: float | None = None
+        self._delay_s = 0.0
+        self.is_running = False
+        self.is_current = False
 
     @property
     def is_failing(self) -> bool:
-        """Whether the last call had no good answer."""
-        return self._failures > 0
+        """Whether the last calls had no good answer."""
+        return self.is_running and self._failures > 1
+
+    def is_overdue(self, now: float) -> bool:
+        """Whether an answer is late, measured by how late answers have been."""
+        if not self.is_running or self._due_at is None:
+            return False
+        return now > self._due_at + OVERDUE_S + 2 * self._delay_s
 
     def start(self) -> None:
-        """Begin with a list."""
-        self._list(None, self._loop.now())
+        """Begin with a list, or with a watch where the copy has been kept by another way."""
+        if self.is_running:
+            return
+        self.is_running = True
+        self._round += 1
+        if self._copy.is_known:
+            self._watch()
+        else:
+            self._list(None, self._loop.now())
+
+    def stop(self) -> None:
+        """Stop; answers to calls under way are dropped."""
+        self.is_running = False
+        self.is_current = False
+        self._round += 1
+        self._failures = 0
+
+    def _when_wanted(
+        self, due_at: float, call: Callable[[HttpAnswer | None], None]
+    ) -> Callable[[HttpAnswer | None], None]:
+        """Return a call that is left out if the follower has been stopped in between.
+
+        ``due_at`` is when a store that answers at once would answer.
+        """
+        asked_in = self._round
+        self._due_at = due_at
+
+        def answered(answer: HttpAnswer | None) -> None:
+            if self.is_running and asked_in == self._round:
+                self._due_at = None
+                delay_s = max(0.0, self._loop.now() - due_at)
+                self._delay_s += DELAY_WEIGHT * (delay_s - self._delay_s)
+                call(answer)
+
+        return answered
 
     def _list(self, after: str | None, began_at: float) -> None:
-        if self.is_stopped:
+        if not self.is_running:
             return
         if after is None:
             self._listed = []
             self._list_revision = None
-        call = self._dialect.list_objects(self._cfg.dataset, after)
-        self._store.call(call, ANSWER_TIMEOUT_S, lambda answer: self._on_page(answer, began_at))
+        call = self._dialect.list_objects(self._copy.dataset, after)
+        on_page = self._when_wanted(
+            self._loop.now(), lambda answer: self._on_page(answer, began_at)
+        )
+        self._store.call(call, ANSWER_TIMEOUT_S, on_page)
 
     def _on_page(self, answer: HttpAnswer | None, began_at: float) -> None:
         if answer is None or answer.status != HTTP_OK:
@@ -106,25 +146,26 @@
             self._list(page.next_after, began_at)
             return
         self._succeed()
-        self._revision = self._list_revision
-        self._listener.on_list(self._listed, self._is_after_outage())
+        now = self._loop.now()
+        self._copy.replace(self._listed, self._list_revision, self._is_after_outage(), now)
         self._listed = []
-        self._listener.on_confirmed(began_at)
-        self._watch()
+        self._taken(began_at)
 
     def _watch(self) -> None:
-        if self.is_stopped or self._revision is None:
+        if not self.is_running or self._copy.revision is None:
             return
         sent_at = self._loop.now()
         # After a failure the store is asked for a quick answer, so that its return is seen at once.
-        wait_s = 0.0 if self._failures else self._cfg.wait_s
-        call = self._dialect.watch_objects(self._cfg.dataset, self._revision, wait_s)
-        timeout_s = wait_s + ANSWER_TIMEOUT_S
-        self._store.call(call, timeout_s, lambda answer: self._on_changes(answer, sent_at))
+        wait_s = 0.0 if self._failures or not self.is_current else self._cfg.wait_s
+        call = self._dialect.watch_objects(self._copy.dataset, self._copy.revision, wait_s)
+        on_changes = self._when_wanted(
+            sent_at + wait_s, lambda answer: self._on_changes(answer, sent_at)
+        )
+        self._store.call(call, wait_s + ANSWER_TIMEOUT_S, on_changes)
 
     def _on_changes(self, answer: HttpAnswer | None, sent_at: float) -> None:
         if answer is not None and answer.status == HTTP_GONE:
-            log_event("history_gone", dataset=self._cfg.dataset.value)
+            log_event("history_gone", dataset=self._copy.dataset.value)
             self._list(None, self._loop.now())
             return
         if answer is None or answer.status != HTTP_OK:
@@ -132,30 +173,40 @@
             return
         self._succeed()
         changes = self._dialect.read_changes(answer.body)
+        is_after_outage = self._is_after_outage()
         for event in changes.events:
-            self._listener.on_event(event, self._is_after_outage())
-        self._revision = max(self._revision or 0, changes.revision)
-        self._listener.on_confirmed(sent_at)
+            changed = [] if event.is_gone else [event.stored]
+            gone = [event.stored.name] if event.is_gone else []
+            self._copy.apply(changed, gone, changes.revision, is_after_outage, self._loop.now())
+        self._copy.revision = max(self._copy.revision or 0, changes.revision)
+        self._taken(sent_at)
+
+    def _taken(self, asked_at: float) -> None:
+        self.is_current = True
+        self._copy.confirm(asked_at)
+        self._on_taken()
         self._watch()
 
     def _fail(self, answer: HttpAnswer | None, again: Callable[[], None]) -> None:
         self._failures += 1
+        self.is_current = self._failures <= 1
         if self._failures == 1:
             status = None if answer is None else answer.status
-            log_trouble("store_lost", dataset=self._cfg.dataset.value, status=status)
+            log_trouble("store_lost", dataset=self._copy.dataset.value, status=status)
         pause_s = self._pause_s * random.uniform(0.5, 1.0)
         self._pause_s = min(LONGEST_PAUSE_S, self._pause_s * 2)
-        self._loop.call_later(pause_s, again)
+        asked_in = self._round
+        self._loop.call_later(pause_s, lambda: again() if asked_in == self._round else None)
 
     def _succeed(self) -> None:
         if self._failures:
-            log_trouble("store_regained", dataset=self._cfg.dataset.value, failures=self._failures)
+            log_trouble("store_regained", dataset=self._copy.dataset.value, failures=self._failures)
             self._failures = 0
             self._returned_at = self._loop.now()
         self._pause_s = FIRST_PAUSE_S
 
     def _is_after_outage(self) -> bool:
-        """Whether the store has only just returned: entries may be missing for a moment."""
+        """Whether the store has only just returned: objects may be missing for a moment."""
         if self._returned_at is None:
             return False
-        return self._loop.now() - self._returned_at < 2.0
+        return self._loop.now() - self._returned_at < OUTAGE_MEMORY_S
