--- /dev/null
+++ b/tests/router/test_dataset_copy.py
@@ -0,0 +1,114 @@
+"""Copies of datasets: newest revisions win, an outage's gaps are not deletions, numbers match."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from martenrun.router.dataset_copy import (
+    REMEMBERED_CHANGES,
+    RETURN_GRACE_S,
+    CopyListener,
+    DatasetCopy,
+)
+from martenrun.router.messages import Dataset, StoredObject
+
+
+def made(seen=None):
+    events = [] if seen is None else seen
+    listener = CopyListener(
+        on_put=lambda stored: events.append(("put", stored.name, stored.revision)),
+        on_gone=lambda name: events.append(("gone", name)),
+        on_settled=lambda: None,
+    )
+    return DatasetCopy(Dataset.RUNNERS, listener)
+
+
+def stored(name, revision):
+    return StoredObject(name, revision, {"r": revision})
+
+
+def names(copy):
+    return {item.name for item in copy.objects}
+
+
+def test_an_older_list_is_not_taken_in():
+    copy = made()
+    copy.replace([stored("a", 5)], 5, False, 0.0)
+    copy.replace([], 4, False, 1.0)
+    assert names(copy) == {"a"}
+
+
+def test_an_older_revision_of_an_object_is_not_taken_in():
+    seen = []
+    copy = made(seen)
+    copy.apply([stored("a", 5)], [], 5, False, 0.0)
+    copy.apply([stored("a", 4)], [], 6, False, 0.0)
+    assert seen == [("put", "a", 5)]
+
+
+def test_objects_missing_after_an_outage_stay_for_the_time_of_grace():
+    copy = made()
+    copy.replace([stored("a", 1), stored("b", 2)], 2, False, 0.0)
+    copy.replace([stored("a", 1)], 3, True, 10.0)
+    copy.drop_missing(10.0 + RETURN_GRACE_S / 2)
+    assert names(copy) == {"a", "b"}
+    copy.drop_missing(10.1 + RETURN_GRACE_S)
+    assert names(copy) == {"a"}
+
+
+def test_an_object_that_returns_after_an_outage_is_not_dropped():
+    copy = made()
+    copy.replace([stored("a", 1)], 1, False, 0.0)
+    copy.apply([], ["a"], 2, True, 10.0)
+    copy.apply([stored("a", 3)], [], 3, True, 10.5)
+    copy.drop_missing(20.0)
+    assert names(copy) == {"a"}
+
+
+def test_an_object_that_goes_in_quiet_times_is_gone_at_once():
+    copy = made()
+    copy.replace([stored("a", 1)], 1, False, 0.0)
+    copy.apply([], ["a"], 2, False, 1.0)
+    assert names(copy) == set()
+
+
+changes = st.lists(
+    st.tuples(st.sampled_from("abcd"), st.booleans(), st.booleans()), min_size=1, max_size=40
+)
+
+
+@given(changes)
+def test_a_follower_that_asks_for_changes_ends_with_the_same_objects(steps):
+    copy, follower = made(), made()
+    number = 0
+    for revision, (name, is_gone, asks) in enumerate(steps, start=1):
+        if is_gone:
+            copy.apply([], [name], revision, False, 0.0)
+        else:
+            copy.apply([stored(name, revision)], [], revision, False, 0.0)
+        if not asks:
+            continue
+        for change in copy.changes_after(number):
+            put = [] if change.stored is None else [change.stored]
+            gone = [change.name] if change.stored is None else []
+            follower.apply(put, gone, revision, False, 0.0)
+        number = copy.number
+    for change in copy.changes_after(number):
+        put = [] if change.stored is None else [change.stored]
+        follower.apply(put, [] if put else [change.name], len(steps), False, 0.0)
+    assert names(follower) == names(copy)
+
+
+def test_who_asks_for_what_is_no_longer_remembered_gets_the_whole_copy():
+    copy = made()
+    for revision in range(1, REMEMBERED_CHANGES + 10):
+        copy.apply([stored("a", revision)], [], revision, False, 0.0)
+    assert copy.changes_after(2) is None
+    assert copy.changes_after(copy.number + 1) is None
+    assert len(copy.changes_after(copy.number - 3)) == 3
+
+
+def test_confirmations_only_rise():
+    copy = made()
+    copy.confirm(5.0)
+    copy.confirm(3.0)
+    assert copy.confirmed_at == 5.0
--- a/tests/router/test_peers.py
+++ b/tests/router/test_peers.py
@@ -9,6 +9,7 @@
         "zone": "z",
         "is_leaving": False,
         "is_current": True,
+        "has_lost_store": False,
         "lease_revision": 0,
         "lease_token": 0,
         "loads": {},
--- /dev/null
+++ b/tests/router/test_relay.py
@@ -0,0 +1,126 @@
+"""Knowledge passed between routers: whole, in time, with its age, and never back."""
+
+import pytest
+
+from martenrun.net.loop import Loop
+from martenrun.net.server import Server
+from martenrun.router.dataset_copy import CopyListener, DatasetCopy
+from martenrun.router.messages import Dataset, StoredObject
+from martenrun.router.relay import RelayFollower, RelaySource
+
+from .loopback import free_address, serve_until
+
+
+def nothing(*_arguments):
+    return None
+
+
+def copies():
+    listener = CopyListener(nothing, nothing, nothing)
+    return {Dataset.CONFIGURATION: DatasetCopy(Dataset.CONFIGURATION, listener)}
+
+
+class Pair:
+    """A reader with its copies, and a follower of it, on one loop."""
+
+    def __init__(self, life=1):
+        self.loop = Loop()
+        self.address = free_address()
+        self.read = copies()
+        self.may_relay = True
+        self.source = RelaySource(self.loop, self.read, life, lambda: self.may_relay)
+        self.server = Server(self.loop, self.address, self.source.serve)
+        self.followed = copies()
+        self.failed = []
+        self.taken = 0
+        self.follower = RelayFollower(
+            self.loop,
+            self.followed,
+            lambda: self.address,
+            self._on_taken,
+            lambda address, was_reached: self.failed.append(was_reached),
+        )
+
+    def _on_taken(self):
+        self.taken += 1
+
+    def put(self, name, revision, gone=False):
+        copy = self.read[Dataset.CONFIGURATION]
+        changed = [] if gone else [StoredObject(name, revision, {"v": revision})]
+        copy.apply(changed, [name] if gone else [], revision, False, self.loop.now())
+        copy.confirm(self.loop.now())
+        self.source.copies_changed()
+
+    def names(self):
+        return {item.name for item in self.followed[Dataset.CONFIGURATION].objects}
+
+
+@pytest.fixture
+def pair():
+    return Pair()
+
+
+def test_a_follower_gets_all_and_then_each_change(pair):
+    pair.put("a", 1)
+    pair.put("b", 2)
+    pair.follower.start()
+    serve_until(pair.loop, lambda: pair.names() == {"a", "b"})
+    pair.put("a", 3, gone=True)
+    serve_until(pair.loop, lambda: pair.names() == {"b"})
+
+
+def test_a_held_answer_comes_as_soon_as_there_is_a_change(pair):
+    pair.put("a", 1)
+    pair.follower.start()
+    serve_until(pair.loop, lambda: pair.taken == 1)
+    began = pair.loop.now()
+    pair.put("b", 2)
+    serve_until(pair.loop, lambda: pair.names() == {"a", "b"})
+    assert pair.taken == 2, "no answer came in between: it was held back until the change"
+    assert pair.loop.now() >= began
+
+
+def test_knowledge_is_never_told_younger_than_it_is(pair):
+    pair.put("a", 1)
+    confirmed_at = pair.loop.now() - 2.0
+    pair.read[Dataset.CONFIGURATION].confirmed_at = confirmed_at
+    pair.follower.start()
+    serve_until(pair.loop, lambda: pair.taken >= 2)
+    assert pair.followed[Dataset.CONFIGURATION].confirmed_at <= confirmed_at
+
+
+def test_a_reader_that_is_behind_changes_nothing(pair):
+    pair.put("a", 1)
+    followed = pair.followed[Dataset.CONFIGURATION]
+    followed.replace([StoredObject("z", 9, {})], 9, False, 0.0)
+    pair.follower.start()
+    serve_until(pair.loop, lambda: pair.taken == 1)
+    assert pair.names() == {"z"}
+    assert followed.confirmed_at is None
+
+
+def test_a_reader_that_loses_the_store_sends_its_followers_away_at_once(pair):
+    pair.put("a", 1)
+    pair.follower.start()
+    serve_until(pair.loop, lambda: pair.taken == 1)
+    pair.may_relay = False
+    pair.source.drop_held()
+    serve_until(pair.loop, lambda: pair.failed)
+    assert pair.failed == [True]
+
+
+def test_a_reader_that_cannot_be_reached_is_told_apart(pair):
+    pair.address = free_address()
+    pair.follower.start()
+    serve_until(pair.loop, lambda: pair.failed)
+    assert pair.failed == [False]
+
+
+def test_numbers_of_another_life_mean_nothing(pair):
+    pair.put("a", 1)
+    pair.follower.start()
+    serve_until(pair.loop, lambda: pair.taken == 1)
+    pair.source._life = 2
+    pair.read[Dataset.CONFIGURATION]._changes.clear()
+    pair.put("b", 2)
+    serve_until(pair.loop, lambda: pair.names() == {"a", "b"})
