Deny by recent knowledge; keep each prefix in one store

Change: a denial waits 60 ms for news and reads only if knowledge is older than 2.6 s; the store is chosen by prefix.

--- a/src/martenrun/router/admission.py
+++ b/src/martenrun/router/admission.py
@@ -12,9 +12,12 @@
 KEY_AGE_MARGIN_S = 0.3
 """How long before the bound on revoked keys knowledge counts as too old, in seconds."""
 
-STALE_AGE_S = 3.0
+DENIAL_AGE_S = 2.6
 """Age from which configuration is too old to deny anything by it without a new read."""
 
+DENIAL_WAIT_S = 0.06
+"""How long a denial waits for news that may be under way, in seconds."""
+
 CONFIRM_TIMEOUT_S = 0.8
 """How long a denial waits for a new read of the configuration, in seconds."""
 
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -11,7 +11,7 @@
 from martenrun.router.event_stream import BrokenStreamError, EventSplitter
 from martenrun.router.log import EVENT_LOG, log_event, log_trouble
 from martenrun.router.messages import AnswerMarks, Call, Dispatch, Route, RouteKind, Tenant
-from martenrun.router.placement import PlacementQuestion
+from martenrun.router.placement import PlacementQuestion, shared_prefix
 from martenrun.router.retry import MAXIMUM_SENDS, Failure, NextStep, TryState, next_step
 from martenrun.router.runner_state import LOADING_MEMORY_S, RunnerState
 from martenrun.router.world import World
@@ -167,7 +167,7 @@
         version = None if call.model is None else state.weights_version(call.model)
         tenant = admitted.tenant
         has_shared = len(call.parts) > 1
-        store = self._world.cache_store(now) if has_shared else None
+        store = self._world.cache_store(shared_prefix(call.parts)) if has_shared else None
         last = self._splitter.last_event_id
         return Dispatch(
             instance=state.runner.instance,
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -6,7 +6,14 @@
 from martenrun.net.http import HttpAnswer
 from martenrun.net.loop import Loop
 from martenrun.net.server import Exchange, Server
-from martenrun.router.admission import CONFIRM_TIMEOUT_S, Admission, Refusal, refuse
+from martenrun.router.admission import (
+    CONFIRM_TIMEOUT_S,
+    DENIAL_AGE_S,
+    DENIAL_WAIT_S,
+    Admission,
+    Refusal,
+    refuse,
+)
 from martenrun.router.dataset_copy import CopyListener, DatasetCopy
 from martenrun.router.dialect import Dialect
 from martenrun.router.forwarding import Admitted, Forwarding
@@ -225,28 +232,37 @@
         forwarding.start()
 
     def _look_again(self, exchange: Exchange, call: Call) -> None:
-        """Deny a request only by a configuration that was read after it came."""
+        """Deny a request only by recent knowledge, after news had time to come."""
         asked_at = self._loop.now()
 
         def decide() -> None:
-            if exchange.is_over:
-                return
             decision = self._admission.decide(exchange, call)
             if isinstance(decision, Admitted):
                 self._forward(exchange, decision)
             else:
                 refuse(exchange, decision, call)
 
+        def decide_or_read() -> None:
+            if exchange.is_over:
+                return
+            age_s = self._world.configuration.age_s(self._loop.now())
+            if age_s <= DENIAL_AGE_S:
+                decide()
+            else:
+                read = self._world.dialect.read_object(Dataset.CONFIGURATION, "main")
+                self._store.call(read, CONFIRM_TIMEOUT_S, answered)
+
         def answered(answer: HttpAnswer | None) -> None:
+            if exchange.is_over:
+                return
             if answer is not None and answer.status == 200:
                 self._on_configuration_put(self._world.dialect.read_stored(answer.body))
                 self._world.configuration.confirm(asked_at)
                 decide()
-            elif not exchange.is_over:
+            else:
                 refuse(exchange, Refusal(503, "not_confirmed"), call)
 
-        read = self._world.dialect.read_object(Dataset.CONFIGURATION, "main")
-        self._store.call(read, CONFIRM_TIMEOUT_S, answered)
+        self._loop.call_later(DENIAL_WAIT_S, decide_or_read)
 
     def _count(self, outcome: str, route: Route, _seconds: float) -> None:
         self._outcomes[(outcome, route.kind.value)] += 1
--- a/src/martenrun/router/world.py
+++ b/src/martenrun/router/world.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from martenrun.identity.rendezvous import weight
 from martenrun.net.loop import Loop
 from martenrun.router.dialect import Dialect
 from martenrun.router.knowledge import ConfigurationKnowledge, RunnerDirectory, WeightsKnowledge
@@ -68,13 +69,12 @@
         found = None if table is None else table.configuration.services.get(service)
         return 0 if found is None or found.engine is None else found.engine.cache_tokens
 
-    def cache_store(self, now: float) -> str | None:
-        """Return the address of a kept-cache store that answers, nearest first."""
+    def cache_store(self, prefix: bytes) -> str | None:
+        """Return the address of the kept-cache store that keeps a prefix for all runners."""
         table = self.configuration.table
         if table is None:
             return None
-        stores = sorted(
-            (store for store in table.configuration.stores if self.store_works(store)),
-            key=lambda store: store.zone != self.settings.zone,
-        )
-        return stores[0].address if stores else None
+        works = [store for store in table.configuration.stores if self.store_works(store)]
+        if len(works) < 2:
+            return works[0].address if works else None
+        return max(works, key=lambda store: weight(prefix, store.address)).address
