Send gossip to one near router and any other, more slowly among many

Change: one target of the own zone and one of all; above 16 routers the interval grows up to four times, the time to death twice.

--- a/src/martenrun/router/peers.py
+++ b/src/martenrun/router/peers.py
@@ -16,11 +16,17 @@
 from martenrun.router.log import log_event, log_trouble
 
 GOSSIP_INTERVAL_S = 0.3
-FANOUT = 2
-"""Every router sends its records to FANOUT others each GOSSIP_INTERVAL_S seconds."""
+"""How often a router of a small deployment sends its records, in seconds."""
+
+FULL_RATE_ROUTERS = 16
+SLOWEST_RATE = 4.0
+"""Above so many routers the interval grows with their number, up to SLOWEST_RATE times.
+
+What a router receives then stays the same; at most the news of others gets older.
+"""
 
 DEAD_AFTER_S = 2.0
-"""Time without a newer record until a router counts as dead, in seconds."""
+"""Time without a newer record until a router of a small deployment counts as dead, in seconds."""
 
 FORGOTTEN_AFTER_S = 20.0
 """Time until a dead router is no longer counted among those that may spend retries."""
@@ -116,7 +122,9 @@
     def live(self, now: float) -> list[RouterRecord]:
         """Return the records of the other routers that are alive."""
         return [
-            known.record for known in self._known.values() if now - known.risen_at <= DEAD_AFTER_S
+            known.record
+            for known in self._known.values()
+            if now - known.risen_at <= DEAD_AFTER_S * min(2.0, self.slowness())
         ]
 
     def newest(self, count: int) -> list[RouterRecord]:
@@ -135,6 +143,10 @@
                 del self._known[address]
                 log_trouble("router_forgotten", address=address)
 
+    def slowness(self) -> float:
+        """Return how much longer intervals are than in a small deployment."""
+        return min(SLOWEST_RATE, max(1.0, self.count() / FULL_RATE_ROUTERS))
+
     def count(self) -> int:
         """Return how many routers there may be, this one included."""
         return 1 + len(self._known)
@@ -216,18 +228,21 @@
         for address in self._targets(now):
             self._send(address, data)
         self._on_records()
-        self._loop.call_later(GOSSIP_INTERVAL_S * self._rng.uniform(0.8, 1.2), self._tick)
+        interval_s = GOSSIP_INTERVAL_S * self.table.slowness() * self._rng.uniform(0.8, 1.2)
+        self._loop.call_later(interval_s, self._tick)
 
     def _raise_own(self) -> None:
         self.own.beat += 1
         self._refresh(self.own)
 
     def _targets(self, now: float) -> list[str]:
-        live = [record.address for record in self.table.live(now)]
-        targets = self._rng.sample(live, min(FANOUT, len(live)))
+        records = self.table.live(now)
+        live = [record.address for record in records]
+        near = [record.address for record in records if record.zone == self.own.zone]
+        targets = [self._rng.choice(group) for group in (near, live) if group]
         others = [address for address in {*self._seeds, *self.table.addresses()}]
         silent = [address for address in others if address not in live]
-        if silent and (len(live) < FANOUT or self._rng.random() < 0.2):
+        if silent and (len(live) < 2 or self._rng.random() < 0.2):
             targets.append(self._rng.choice(silent))
         return targets
 
