--- /dev/null
+++ b/scripts/platform_deployment.py
@@ -0,0 +1,246 @@
+"""A deployment of routers as real processes on loopback, with stand-ins of the platform.
+
+Everything that was started is ended by id on the way out.
+"""
+
+import contextlib
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import attrs
+import urllib3
+
+from martenrun.platform.standins.runner import RunnerStandin
+from martenrun.platform.standins.store import StoreStandin
+
+ROOT = Path(__file__).resolve().parent.parent
+MODEL = "m"
+HOST = "api.example"
+KEY = "key-1"
+LIMIT_S = 15.0
+
+SETTINGS = """
+node_name = "{name}"
+zone = "z1"
+ip = "{ip}"
+internal_ports = [{internal}, {internal}]
+seeds = {seeds}
+[listen_addrs]
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+directory = "{ip}:{directory}"
+[limits]
+max_fds = 1024
+[bounds]
+drain_ms = 2000
+grace_s = 8
+config_apply_ms = 2000
+revoke_strict = true
+revoke_ms = 5000
+budget_ratio = 0.2
+budget_window_s = 10
+budget_slack = 54
+lease_ms = 3000
+version_ms = 8000
+[platform]
+address = "{store}"
+"""
+
+
+@attrs.define
+class RouterRun:
+    """One router process and its addresses."""
+
+    name: str
+    ip: str
+    ports: dict[str, int]
+    settings: Path
+    log: Path
+    process: subprocess.Popen[bytes] | None = None
+
+    def url(self, port: str, path: str) -> str:
+        """Return an address of the router."""
+        return f"http://{self.ip}:{self.ports[port]}{path}"
+
+
+def free_ports(ip: str, count: int) -> list[int]:
+    """Return ports that are free now; all are held while they are drawn."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in sockets:
+            sock.bind((ip, 0))
+        return [sock.getsockname()[1] for sock in sockets]
+
+
+class PlatformDeployment:
+    """Routers, the store and runners; use it as a context manager.
+
+    Every router has a loopback address of its own, since the internal port is one for all.
+    """
+
+    def __init__(self, routers: int = 2, model_runners: int = 2, plain_runners: int = 2) -> None:
+        self.folder = tempfile.TemporaryDirectory(prefix="martenrun-")
+        self.store = StoreStandin()
+        self.runners = [RunnerStandin("llm", MODEL) for _ in range(model_runners)]
+        self.runners += [RunnerStandin("ledger", None) for _ in range(plain_runners)]
+        self.http = urllib3.PoolManager(retries=False)
+        self.routers = self._routers(routers)
+
+    def __enter__(self) -> "PlatformDeployment":
+        """Start everything and wait until it serves."""
+        self.publish(1)
+        for runner in self.runners:
+            self.list_runner(runner)
+        for router in self.routers:
+            self.start(router)
+        self.wait(lambda: all(self.is_ready(router) for router in self.routers))
+        self.wait(lambda: len(self.addresses()) == len(self.routers))
+        return self
+
+    def __exit__(self, *_exc: object) -> None:
+        """End what was started."""
+        for router in self.routers:
+            if router.process is not None and router.process.poll() is None:
+                router.process.kill()
+                router.process.wait()
+        for runner in self.runners:
+            runner.close()
+        self.store.close()
+        self.folder.cleanup()
+
+    def publish(self, version: int, keys: tuple[str, ...] = (KEY,)) -> None:
+        """Write a configuration."""
+        routes = [
+            self._route("ask", "/ask/", "stream", "llm", resumable=True),
+            self._route("once", "/once/", "stream", "llm", resumable=False),
+            self._route("pay", "/pay/", "unsafe", "ledger"),
+            self._route("slip", "/slip/", "safe", "ledger"),
+        ]
+        services = [
+            {"name": "llm", "engine": {"slots": 8, "kv_capacity_tokens": 100_000}},
+            {"name": "ledger"},
+        ]
+        tenants = [{"name": "growers", "api_keys": list(keys), "priority": 1}]
+        spec = {"version": version, "routes": routes, "services": services, "tenants": tenants}
+        self.store.put("config", "main", spec)
+
+    @staticmethod
+    def _route(name: str, path: str, kind: str, service: str, resumable: bool = False) -> object:
+        return {
+            "name": name,
+            "hostname": HOST,
+            "path_prefix": path,
+            "kind": kind,
+            "timeout_ms": 4000,
+            "target_latency_ms": 800,
+            "service": service,
+            "max_attempts": 2,
+            "resumable": resumable,
+        }
+
+    def list_runner(self, runner: RunnerStandin) -> None:
+        """Write a runner's entry."""
+        self.store.put("servers", runner.instance, runner.entry())
+
+    def start(self, router: RouterRun) -> None:
+        """Start a router process; its log is added to."""
+        with router.log.open("ab") as log:
+            router.process = subprocess.Popen(
+                [sys.executable, str(ROOT / "deploy" / "router.py")],
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "MARTENRUN_SETTINGS": str(router.settings)},
+            )
+
+    def stop(self, router: RouterRun, number: int = signal.SIGTERM) -> None:
+        """Send a signal to a router that this deployment started."""
+        assert router.process is not None
+        router.process.send_signal(number)
+
+    def is_ready(self, router: RouterRun) -> bool:
+        """Whether a router says that it is ready."""
+        try:
+            answer = self.http.request("GET", router.url("ready", "/martenrun/readyz"), timeout=1)
+        except urllib3.exceptions.HTTPError:
+            return False
+        return answer.status == 200
+
+    def addresses(self, router: RouterRun | None = None) -> list[str]:
+        """Return the addresses that a router's directory tells."""
+        asked = router or self.routers[0]
+        url = asked.url("directory", "/martenrun/resolve?name=a&region=r&zone=z1")
+        try:
+            return list(self.http.request("GET", url, timeout=1).json()["addresses"])
+        except (urllib3.exceptions.HTTPError, ValueError, KeyError):
+            return []
+
+    def ask(
+        self,
+        path: str,
+        request_id: str,
+        router: RouterRun | None = None,
+        key: str = KEY,
+        **changes: str,
+    ) -> urllib3.BaseHTTPResponse:
+        """Send a request through a router and return the whole answer."""
+        headers = {
+            "Host": HOST,
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": "4000",
+            "X-Key": key,
+        }
+        if path.startswith(("/ask/", "/once/")):
+            headers |= {
+                "X-Model-Id": MODEL,
+                "X-Token-Usage": "1000,20",
+                "X-Prefix-Hash": "aa:600,bb:300,cc:100",
+            }
+        headers |= {name.replace("_", "-"): value for name, value in changes.items()}
+        method = "GET" if path.startswith("/slip/") else "POST"
+        body = None if method == "GET" else b"body of " + request_id.encode()
+        url = (router or self.routers[0]).url("front", path)
+        return self.http.request(method, url, headers=headers, body=body, timeout=6)
+
+    def runs_of(self, request_id: str) -> list[object]:
+        """Return every run of a request."""
+        return [
+            run for runner in self.runners for run in runner.runs if run.request_id == request_id
+        ]
+
+    @staticmethod
+    def wait(condition: object, limit_s: float = LIMIT_S) -> None:
+        """Wait until a condition holds."""
+        end = time.monotonic() + limit_s
+        while not condition():  # type: ignore[operator]
+            if time.monotonic() > end:
+                raise TimeoutError("the condition never held")
+            time.sleep(0.02)
+
+    def _routers(self, count: int) -> list[RouterRun]:
+        ips = [f"127.0.{os.getpid() % 200 + 1}.{number + 1}" for number in range(count)]
+        internal = free_ports(ips[0], 1)[0]
+        seeds = [f"{ip}:1" for ip in ips[:3]]
+        return [self._router(number, ip, internal, seeds) for number, ip in enumerate(ips)]
+
+    def _router(self, number: int, ip: str, internal: int, seeds: list[str]) -> RouterRun:
+        front, ready, directory = free_ports(ip, 3)
+        ports = {"front": front, "ready": ready, "directory": directory, "internal": internal}
+        folder = Path(self.folder.name)
+        settings = folder / f"r{number}.toml"
+        name = f"r{number}"
+        settings.write_text(
+            SETTINGS.format(
+                name=name,
+                ip=ip,
+                seeds=str(seeds).replace("'", '"'),
+                store=self.store.address,
+                **ports,
+            )
+        )
+        return RouterRun(name, ip, ports, settings, folder / f"{name}.log")
--- a/src/martenrun/platform/settings.py
+++ b/src/martenrun/platform/settings.py
@@ -53,20 +53,14 @@
         front_address=str(addresses["front"]),
         ready_address=str(addresses["ready"]),
         directory_address=str(addresses["directory"]),
-        metrics_address=_metrics_address(table, internal_port),
         internal_address=f"{table['ip']}:{internal_port}",
         seeds=tuple(f"{seed.rpartition(':')[0]}:{internal_port}" for seed in table["seeds"]),
         store_address=str(table["platform"]["address"]),
         bounds=_bounds(table["bounds"]),
         maximum_descriptors=int(table["limits"]["max_fds"]),
-        is_log_detailed=bool(table.get("log_detail", False)),
     )
 
 
-def _metrics_address(table: dict[str, Any], internal_port: int) -> str | None:
-    return f"{table['ip']}:{internal_port + 1}"
-
-
 def _bounds(bounds: dict[str, Any]) -> Bounds:
     return Bounds(
         drain_s=float(bounds["drain_ms"]) / _MS,
--- /dev/null
+++ b/src/martenrun/platform/standins/runner.py
@@ -0,0 +1,205 @@
+"""Stand-in of a runner: runs requests, streams events, takes orders, and notes what it has run.
+
+Faults can be set by ``fault``: each request that comes asks it what to do.
+"""
+
+import enum
+import itertools
+import threading
+import time
+from collections.abc import Callable
+from http.server import BaseHTTPRequestHandler
+
+import attrs
+import msgspec
+
+from martenrun.platform.standins.serving import QuietServer
+
+_INSTANCES = itertools.count(1)
+
+
+class Fault(enum.Enum):
+    """What a runner may do to a request."""
+
+    NONE = "none"
+    FULL = "full"
+    ERROR = "error"
+    LOST_ANSWER = "lost answer"
+    CUT_MIDWAY = "cut midway"
+    NO_SIGNATURE = "no signature"
+    SILENT = "silent"
+
+
+@attrs.frozen
+class Run:
+    """One request that was begun, as the runner saw it."""
+
+    request_id: str
+    instance: str
+    method: str
+    path: str
+    body: bytes
+    tenant: str | None
+    has_key: bool
+    salt: str | None
+    weights: int
+    at: float
+
+
+class RunnerStandin:
+    """A runner of one service; ``events`` is how many events a stream has."""
+
+    def __init__(self, service: str, model: str | None, events: int = 6) -> None:
+        self.instance = f"i-{next(_INSTANCES):04d}"
+        self.service = service
+        self.model = model
+        self.weights = 1
+        self.events = events
+        self.event_pause_s = 0.005
+        self.is_draining = False
+        self.orders: list[dict[str, object]] = []
+        self.runs: list[Run] = []
+        self.fault: Callable[[], Fault] = lambda: Fault.NONE
+        handler = type("Handler", (_Handler,), {"runner": self})
+        self._server = QuietServer(("127.0.0.1", 0), handler)
+        self.address = f"127.0.0.1:{self._server.server_address[1]}"
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def close(self) -> None:
+        """Stop serving: connections to it are refused from now on."""
+        self._server.shutdown()
+        self._server.server_close()
+
+    def entry(self) -> dict[str, object]:
+        """Return the runner's entry in the store."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": 8,
+            "state": "draining" if self.is_draining else "ready",
+            "models": self._models(),
+            "call_seq": len(self.orders),
+        }
+
+    def report(self) -> dict[str, object]:
+        """Return the runner's report."""
+        return {"models": self._models(), "busy": False, "call_seq": len(self.orders), "active": 0}
+
+    def _models(self) -> list[dict[str, object]]:
+        return [] if self.model is None else [{"name": self.model, "version": self.weights}]
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    runner: RunnerStandin
+
+    def log_message(self, format: str, *args: object) -> None:
+        """Write nothing."""
+
+    def do_GET(self) -> None:
+        """Report, or run a request."""
+        if self.path == "/martenrun/report":
+            self._send(200, msgspec.json.encode(self.runner.report()), {})
+        else:
+            self._run(b"")
+
+    def do_POST(self) -> None:
+        """Take an order, or run a request."""
+        body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        if self.path == "/martenrun/order":
+            self._order(msgspec.json.decode(body))
+        else:
+            self._run(body)
+
+    def _order(self, order: dict[str, object]) -> None:
+        if self.headers.get("X-Expect-Instance") != self.runner.instance:
+            self._send(421, b"", {})
+            return
+        tokens = [int(str(taken["fence_token"])) for taken in self.runner.orders]
+        if tokens and int(str(order["fence_token"])) < max(tokens):
+            self._send(412, b"", {})
+            return
+        self.runner.orders.append(order)
+        self.runner.weights = int(str(order["version"]))
+        self._send(202, b"", {})
+
+    def _run(self, body: bytes) -> None:
+        if not self._is_meant():
+            self._send(421, b"", {"X-Instance-Id": self.runner.instance})
+            return
+        fault = self.runner.fault()
+        if fault is Fault.FULL:
+            self._send(503, b"", {"X-Not-Executed": "1"})
+            return
+        self.runner.runs.append(self._noted(body))
+        if fault is Fault.LOST_ANSWER:
+            self.close_connection = True
+        elif fault is Fault.SILENT:
+            self.close_connection = True
+            time.sleep(2.0)
+        elif fault is Fault.ERROR:
+            self._send(500, b"failed", self._signature())
+        elif "X-Prefix-Hash" in self.headers:
+            self._stream(fault)
+        elif fault is Fault.NO_SIGNATURE:
+            self._send(200, b"forged", {})
+        else:
+            self._send(200, b"answer to " + self._request_id().encode(), self._signature())
+
+    def _is_meant(self) -> bool:
+        if self.headers.get("X-Expect-Instance", self.runner.instance) != self.runner.instance:
+            return False
+        return self.headers.get("X-Expect-Version", str(self.runner.weights)) == str(
+            self.runner.weights
+        )
+
+    def _noted(self, body: bytes) -> Run:
+        return Run(
+            self._request_id(),
+            self.runner.instance,
+            self.command,
+            self.path,
+            body,
+            self.headers.get("X-Tenant-Id"),
+            "X-Key" in self.headers,
+            self.headers.get("X-Cache-Salt"),
+            self.runner.weights,
+            time.monotonic(),
+        )
+
+    def _stream(self, fault: Fault) -> None:
+        first = int(self.headers.get("Last-Event-Id") or 0) + 1
+        self.send_response(200)
+        self.send_header("X-Request-Id", self._request_id())
+        for name, value in self._signature().items():
+            self.send_header(name, value)
+        self.send_header("Content-Type", "text/event-stream")
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        for number in range(first, self.runner.events + 1):
+            data = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            if fault is Fault.CUT_MIDWAY and number == first + 2:
+                self.wfile.write(b"%x\r\n%b" % (len(data), data[:5]))
+                self.close_connection = True
+                return
+            self.wfile.write(b"%x\r\n%b\r\n" % (len(data), data))
+            self.wfile.flush()
+            time.sleep(self.runner.event_pause_s)
+        self.wfile.write(b"0\r\n\r\n")
+
+    def _send(self, status: int, body: bytes, headers: dict[str, str]) -> None:
+        self.send_response(status)
+        self.send_header("X-Request-Id", self._request_id())
+        for name, value in headers.items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def _request_id(self) -> str:
+        return str(self.headers.get("X-Request-Id", ""))
+
+    def _signature(self) -> dict[str, str]:
+        return {"X-Response-Stamp": self.runner.instance}
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -9,7 +9,7 @@
 from martenrun.net.loop import Timer
 from martenrun.net.server import Exchange
 from martenrun.router.event_stream import BrokenStreamError, EventSplitter
-from martenrun.router.log import EVENT_LOG, log_event, log_trouble
+from martenrun.router.log import Value, log_event, log_trouble
 from martenrun.router.messages import AnswerMarks, Call, Dispatch, Route, RouteKind, Tenant
 from martenrun.router.placement import PlacementQuestion, shared_prefix
 from martenrun.router.retry import MAXIMUM_SENDS, Failure, NextStep, TryState, next_step
@@ -86,6 +86,7 @@
         self._pinned_head: tuple[int, Headers] | None = None
         self._splitter = EventSplitter(admitted.call.last_event_id)
         self._first_event_at: float | None = None
+        self._trail: list[tuple[float, str, dict[str, Value]]] = []
         self.is_over = False
         exchange.on_gone = self._on_gone
         exchange.on_drained = lambda: self._pause(False)
@@ -98,7 +99,19 @@
         return self._admitted
 
     def start(self) -> None:
-        """Send the request to its first runner."""
+        """Take the request up: it is sent to its first runner."""
+        table = self._world.configuration.table
+        age_s = self._world.configuration.age_s(self._world.loop.now())
+        self._note(
+            "admitted",
+            service=self._admitted.service,
+            tenant=None if self._admitted.tenant is None else self._admitted.tenant.name,
+            configuration=None if table is None else table.configuration.version,
+            configuration_age_ms=round(age_s * 1000),
+        )
+        self._look_for_runner()
+
+    def _look_for_runner(self) -> None:
         if self.is_over:
             return
         state = self._choose()
@@ -152,7 +165,14 @@
         self._try = Try(self, state, to_read, held)
         placement.note_read(question, state)
         state.note_sent(now)
-        self._log("sent", instance=state.runner.instance, load=state.load, tries=len(self._sent_to))
+        self._note(
+            "sent",
+            instance=state.runner.instance,
+            load=state.load,
+            backlog=int(state.backlog_tokens),
+            weights=state.weights_version(self._admitted.call.model or ""),
+            tries=len(self._sent_to),
+        )
         expected_id = (world.dialect.request_id_field, self._admitted.call.request_id)
         try:
             self._try.connection = world.pool.send(
@@ -184,9 +204,8 @@
     # What a try reports
 
     def on_answer_head(self, attempt: "Try") -> None:
-        """A sound answer has begun: decide how its body is carried."""
-        if attempt.is_streamed:
-            self._log("answering", instance=attempt.state.runner.instance, status=attempt.status)
+        """A stream has begun."""
+        self._note("answering", instance=attempt.state.runner.instance, status=attempt.status)
 
     def on_stream_data(self, data: bytes) -> None:
         """Pass on the events that are whole; raises BrokenStreamError."""
@@ -239,9 +258,8 @@
         self._splitter.restart()
         state = self._choose()
         step = next_step(failure, self._try_state(state is not None, now))
-        self._log(
+        self._note(
             "try_failed",
-            is_failure=True,
             instance=attempt.state.runner.instance,
             failure=failure.value,
             status=attempt.status,
@@ -287,7 +305,7 @@
             self._refuse(reason)
             return
         self._tried.clear()
-        self._world.loop.call_later(LOOK_AGAIN_S, self.start)
+        self._world.loop.call_later(LOOK_AGAIN_S, self._look_for_runner)
 
     def _refuse(self, reason: str) -> None:
         """Say that the request has not run and when to come back."""
@@ -340,9 +358,9 @@
         now = self._world.loop.now()
         is_failure = outcome not in ("served", "caller_left")
         self._world.count(outcome, self._admitted.route, now - self._began_at)
-        self._log(
+        self._write_trail(
             outcome,
-            is_failure=is_failure,
+            is_failure,
             reason=reason,
             instance=None if attempt is None else attempt.state.runner.instance,
             status=None if attempt is None else attempt.status,
@@ -359,17 +377,23 @@
         if self._try is not None and self._try.connection is not None:
             self._try.connection.pause(is_paused)
 
-    def _log(self, event: str, is_failure: bool = False, **fields: object) -> None:
-        if not is_failure and not EVENT_LOG.is_detailed:
-            return
+    def _note(self, event: str, **fields: Value) -> None:
+        """Remember a step; the steps of a request that fails are written with its outcome."""
+        self._trail.append((self._world.loop.now(), event, fields))
+
+    def _write_trail(self, outcome: str, is_failure: bool, **fields: Value) -> None:
         call = self._admitted.call
-        write = log_trouble if is_failure else log_event
-        write(
-            event,
-            request=call.request_id.decode("latin-1"),
-            route=self._admitted.route.name,
-            **{name: value for name, value in fields.items() if value is not None},  # type: ignore[arg-type]
-        )
+        known = {
+            "request": call.request_id.decode("latin-1"),
+            "route": self._admitted.route.name,
+        }
+        if is_failure:
+            for at, event, step in self._trail:
+                log_trouble(event, **known, at_steady=round(at, 4), **step)
+        if is_failure:
+            log_trouble(outcome, **known, **fields)
+        else:
+            log_event(outcome, **known, **fields)
 
 
 class Try:
--- a/src/martenrun/router/keeper.py
+++ b/src/martenrun/router/keeper.py
@@ -1,5 +1,6 @@
 """Keeps a router's copies of the store's datasets current, from the store or from a reader."""
 
+import random
 from collections.abc import Callable, Mapping
 
 import attrs
@@ -76,6 +77,10 @@
             for dataset, wait_s in WAITS_S.items()
         ]
 
+    @property
+    def _is_all_known(self) -> bool:
+        return all(copy.is_known for copy in self._copies.values())
+
     @property
     def has_lost_store(self) -> bool:
         """Whether this router had no good answer of the store lately."""
@@ -118,6 +123,9 @@
         ]
         plan = self._choice.plan(candidates, now)
         self._source_address = plan.source
+        if not self._is_all_known and len(candidates) > 1:
+            # While nothing is known, any router may help out, also one that has lost the store.
+            self._source_address = random.choice(candidates[1:]).address
         return plan
 
     def _plan(self, now: float) -> None:
@@ -128,9 +136,9 @@
         if plan.reads_store:
             for follower in self._followers:
                 follower.start()
-        if plan.source is None:
+        if self._source_address is None:
             self._relay_follower.stop()
-        elif all(copy.is_known for copy in self._copies.values()):
+        else:
             self._relay_follower.start()
 
     def _may_relay(self) -> bool:
--- a/src/martenrun/router/lease.py
+++ b/src/martenrun/router/lease.py
@@ -36,6 +36,10 @@
         name: name of the lease object.
         holder: what this life of this router calls itself.
         lease_s: length of the lease, in seconds.
+
+    Attributes:
+        fencing_token: token to be used while it is held.
+        orders_from: steady time before which a new holder gives no orders.
     """
 
     def __init__(
@@ -61,6 +65,7 @@
         self._not_before = 0.0
         self._renewals = 0
         self.fencing_token = 0
+        self.orders_from = 0.0
 
     @property
     def revision(self) -> int:
@@ -115,6 +120,15 @@
         sent_at = self._loop.now()
         self._call(call, lambda answer: self._on_written(answer, record, sent_at))
 
+    def _order_pause_s(self, record: LeaseRecord) -> float:
+        """Return how long a new holder gives no orders, in seconds.
+
+        The last order of the one before may have come shortly before its lease ended; orders of
+        two holders must lie the whole length of the lease apart.
+        """
+        is_first = record.fencing_token == 1
+        return 0.0 if is_first else self._lease_s - HOLDER_MARGIN_S - TAKER_MARGIN_S
+
     def _call(self, call: HttpCall, on_answer: Callable[[HttpAnswer | None], None]) -> None:
         self._is_calling = True
 
@@ -138,6 +152,7 @@
             self._held_until = sent_at + self._lease_s
             if record.fencing_token != self.fencing_token:
                 log_event("lease_taken", token=record.fencing_token)
+                self.orders_from = self._loop.now() + self._order_pause_s(record)
             self.fencing_token = record.fencing_token
             return
         status = None if answer is None else answer.status
--- a/src/martenrun/router/log.py
+++ b/src/martenrun/router/log.py
@@ -43,12 +43,10 @@
         self._left_out: collections.Counter[str] = collections.Counter()
         self._dropped = 0
         self._buffer = bytearray()
-        self.is_detailed = False
 
-    def open(self, node: str, is_detailed: bool) -> None:
-        """Begin with the node's name; ``is_detailed`` writes lines of whole requests too."""
+    def open(self, node: str) -> None:
+        """Begin with the node's name."""
         self._node = node
-        self.is_detailed = is_detailed
         try:
             os.set_blocking(self._output, False)
         except OSError:
@@ -95,6 +93,7 @@
         if len(self._buffer) > BUFFERED_BYTES:
             self._dropped += 1
             return
+        fields = {name: value for name, value in fields.items() if value is not None}
         head = {
             "at": round(time.time(), 4),
             "steady": round(time.monotonic(), 4),
--- a/src/martenrun/router/messages.py
+++ b/src/martenrun/router/messages.py
@@ -297,10 +297,8 @@
     front_address: str
     ready_address: str
     directory_address: str
-    metrics_address: str | None
     internal_address: str
     seeds: tuple[str, ...]
     store_address: str
     bounds: Bounds
     maximum_descriptors: int
-    is_log_detailed: bool
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -35,6 +35,7 @@
     RouterSettings,
     StoredObject,
 )
+from martenrun.router.metrics import Metrics, Sample
 from martenrun.router.peers import LoadNews, Peers, RouterRecord, first_incarnation
 from martenrun.router.placement import Placement
 from martenrun.router.runner_pool import RunnerPool
@@ -51,6 +52,9 @@
 END_MARGIN_S = 0.8
 """How long before the end of the grace period what is left is broken off, in seconds."""
 
+METRICS_PATH = b"/metrics"
+"""Path of the figures on the internal interface."""
+
 HOUSEKEEPING_S = 0.25
 """How often slow matters are looked at, in seconds."""
 
@@ -65,7 +69,7 @@
         self._settings = settings
         self._loop = Loop()
         self._store = HttpCaller(self._loop, settings.store_address)
-        self._outcomes: collections.Counter[tuple[str, str]] = collections.Counter()
+        self._metrics = Metrics(self._samples)
         self._forwardings: set[Forwarding] = set()
         self._stopped_at: float | None = None
         self._world = World(
@@ -113,7 +117,7 @@
         self._others = [
             Server(self._loop, settings.ready_address, self._serve_ready),
             Server(self._loop, settings.directory_address, self._serve_directory),
-            Server(self._loop, settings.internal_address, self._keeper.relay.serve),
+            Server(self._loop, settings.internal_address, self._serve_internal),
         ]
         self._world.configuration.on_changed.append(self._on_configuration)
         self._world.weights.on_changed = self._roller.check
@@ -264,8 +268,25 @@
 
         self._loop.call_later(DENIAL_WAIT_S, decide_or_read)
 
-    def _count(self, outcome: str, route: Route, _seconds: float) -> None:
-        self._outcomes[(outcome, route.kind.value)] += 1
+    def _count(self, outcome: str, route: Route, seconds: float) -> None:
+        self._metrics.count("requests", outcome=outcome, kind=route.kind.value)
+        self._metrics.time("request", seconds, kind=route.kind.value)
+
+    def _samples(self) -> list[Sample]:
+        now = self._loop.now()
+        states = self._world.pool.all_states()
+        return [
+            Sample("requests_in_flight", len(self._forwardings)),
+            Sample("caller_connections", self._front.connections),
+            Sample("runners", len(states)),
+            Sample("runners_avoided", sum(state.is_avoided(now) for state in states)),
+            Sample("runner_requests", sum(state.load for state in states)),
+            Sample("runner_backlog_tokens", sum(state.backlog_tokens for state in states)),
+            Sample("configuration_age_seconds", self._world.configuration.age_s(now)),
+            Sample("routers_alive", 1 + len(self._peers.live())),
+            Sample("store_lost", self._keeper.has_lost_store),
+            Sample("lease_held", self._lease.is_held()),
+        ]
 
     # Entry
 
@@ -273,6 +294,13 @@
         age_s = self._world.configuration.age_s(self._loop.now())
         return age_s < self._settings.bounds.revoke_s * CURRENT_SHARE
 
+    def _serve_internal(self, exchange: Exchange) -> None:
+        """Serve other routers and whoever reads the figures; nobody outside reaches this."""
+        if exchange.request.target == METRICS_PATH:
+            exchange.respond(200, [(b"Content-Type", b"text/plain")], self._metrics.text())
+        else:
+            self._keeper.relay.serve(exchange)
+
     def _is_ready(self) -> bool:
         if self._world.configuration.table is None or self._stopped_at is not None:
             return False
@@ -316,7 +344,6 @@
         self._stopped_at = self._loop.now()
         log_event("stopping", requests=len(self._forwardings))
         self._front.is_draining = True
-        self._roller.is_stopped = True
         self._peers.tell_now()
 
     def _keep_house(self) -> None:
@@ -336,6 +363,8 @@
                 forwarding.shut_down()
             self._loop.call_later(0.2, self._loop.stop)
         elif since_s > LINGER_AFTER_STOP_S:
+            # Until here this router went on with a roll of weights that it had begun.
+            self._roller.is_stopped = True
             self._front.end_idle()
             if not self._forwardings and self._front.connections == 0:
                 self._loop.stop()
@@ -351,5 +380,5 @@
 
 def run_router(settings: RouterSettings, dialect: Dialect) -> None:
     """Run a router until it is stopped."""
-    EVENT_LOG.open(settings.name, settings.is_log_detailed)
+    EVENT_LOG.open(settings.name)
     RouterProcess(settings, dialect).run()
--- a/src/martenrun/router/relay.py
+++ b/src/martenrun/router/relay.py
@@ -31,11 +31,15 @@
 
 
 class FollowQuestion(msgspec.Struct, array_like=True):
-    """Asks for what has changed; ``numbers`` are those of the answering router's copies."""
+    """Asks for what has changed; ``numbers`` are those of the answering router's copies.
+
+    A router that knows nothing yet ``accepts_old`` knowledge: its age is told in any case.
+    """
 
     life: int
     numbers: dict[str, int]
     hold_ms: int
+    accepts_old: bool
 
 
 class RelayedObject(msgspec.Struct, array_like=True):
@@ -104,7 +108,7 @@
         except msgspec.MsgspecError:
             exchange.respond(400, [])
             return
-        if exchange.request.target != FOLLOW_PATH or not self._may_relay():
+        if exchange.request.target != FOLLOW_PATH or not self._may_answer(question):
             exchange.respond(503, [])
             return
         held = HeldQuestion(exchange, question, self._loop.now())
@@ -125,6 +129,11 @@
         for held in [held for held in self._held if self._has_changed(held.question)]:
             self._answer(held)
 
+    def _may_answer(self, question: FollowQuestion) -> bool:
+        if self._may_relay():
+            return True
+        return question.accepts_old and all(copy.is_known for copy in self._copies.values())
+
     def _has_changed(self, question: FollowQuestion) -> bool:
         return any(
             question.numbers.get(dataset.value) != copy.number
@@ -135,7 +144,7 @@
         self._held.discard(held)
         if held.exchange.is_over:
             return
-        if not self._may_relay():
+        if not self._may_answer(held.question):
             held.exchange.respond(503, [])
             return
         now = self._loop.now()
@@ -223,7 +232,8 @@
             self._life = 0
             self._numbers = {}
         self._is_asking = True
-        question = FollowQuestion(self._life, self._numbers, int(HOLD_S * 1000))
+        is_new = not all(copy.is_known for copy in self._copies.values())
+        question = FollowQuestion(self._life, self._numbers, int(HOLD_S * 1000), is_new)
         call = HttpCall(b"POST", FOLLOW_PATH, [], _ENCODE(question))
         sent_at = self._loop.now()
         caller = self._callers.get(address)
--- a/src/martenrun/router/weights_roll.py
+++ b/src/martenrun/router/weights_roll.py
@@ -221,7 +221,10 @@
 
     def _may_order(self, load: RunnerLoad, report: RunnerReport) -> bool:
         """Whether the runner's runs have ended, or have had their time to end."""
-        return report.active == 0 or self._world.loop.now() - load.began_at >= RUNS_END_S
+        now = self._world.loop.now()
+        if now < self._lease.orders_from:
+            return False
+        return report.active == 0 or now - load.began_at >= RUNS_END_S
 
     def _order(self, state: RunnerState, model: str, version: int, report: RunnerReport) -> None:
         if not self._lease.is_held() or self.is_stopped:
