--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -156,10 +156,11 @@
         self._tried.append(state.runner.instance)
         self._sent_to.append(state.runner.instance)
         request = self._exchange.request
-        headers = world.dialect.runner_headers(request.headers, self._dispatch(state, now))
-        data = request_bytes(request.method, request.target, headers, request.body)
         placement = self._world.placement
         question = self._question()
+        dispatch = self._dispatch(state, question)
+        headers = world.dialect.runner_headers(request.headers, dispatch)
+        data = request_bytes(request.method, request.target, headers, request.body)
         to_read = placement.tokens_to_read(question, state)
         held = question.needed_tokens if question.parts else 0
         self._try = Try(self, state, to_read, held)
@@ -181,7 +182,15 @@
         except OSError:
             self._try.on_broken(False)
 
-    def _dispatch(self, state: RunnerState, now: float) -> Dispatch:
+    def _cache_source(self, state: RunnerState, question: PlacementQuestion) -> str | None:
+        """Return the address of a runner to fetch kept parts from where there is no store."""
+        instance = self._world.placement.last_reader(question, state)
+        source = None if instance is None else self._world.pool.state(instance)
+        if source is None or source.is_avoided(question.now):
+            return None
+        return source.runner.address
+
+    def _dispatch(self, state: RunnerState, question: PlacementQuestion) -> Dispatch:
         admitted = self._admitted
         call = admitted.call
         version = None if call.model is None else state.weights_version(call.model)
@@ -191,12 +200,12 @@
         last = self._splitter.last_event_id
         return Dispatch(
             instance=state.runner.instance,
-            deadline_s=max(0.001, min(admitted.deadline_at, admitted.give_up_at) - now),
+            deadline_s=max(0.001, min(admitted.deadline_at, admitted.give_up_at) - question.now),
             tenant=None if tenant is None else tenant.name,
             priority=_engine_priority(admitted) if call.model is not None else None,
             weights_version=version,
             cache_salt=None if call.model is None else _salt(call.model, version, tenant),
-            fetch_from=store,
+            fetch_from=store or self._cache_source(state, question),
             save_to=store,
             last_event_id=last if last > 0 else None,
         )
--- a/src/martenrun/router/placement.py
+++ b/src/martenrun/router/placement.py
@@ -135,6 +135,15 @@
             cost += part.tokens * (FETCHED_SHARE if is_stored else 1.0)
         return cost
 
+    def last_reader(self, question: PlacementQuestion, state: RunnerState) -> str | None:
+        """Return the instance that read the last shared part last, if it is another than this."""
+        if len(question.parts) < 2:
+            return None
+        version = state.weights_version(question.model or "")
+        key = question.parts[-2].part_id + b"/%d/" % (version or 0) + question.wall
+        instance = self.seen.last_reader(key, question.now)
+        return None if instance == state.runner.instance else instance
+
     def note_read(self, question: PlacementQuestion, state: RunnerState) -> None:
         """Take in that a runner has read a prompt."""
         version = state.weights_version(question.model or "")
--- a/src/martenrun/router/seen_parts.py
+++ b/src/martenrun/router/seen_parts.py
@@ -3,6 +3,7 @@
 from typing import TypeVar
 
 _Key = TypeVar("_Key")
+_Value = TypeVar("_Value")
 
 KEPT_S = 20.0
 """How long a part is believed to be kept after it was last used, in seconds."""
@@ -16,12 +17,12 @@
 
     def __init__(self) -> None:
         self._at: dict[tuple[str, bytes], float] = {}
-        self._anywhere: dict[bytes, float] = {}
+        self._anywhere: dict[bytes, tuple[float, str]] = {}
 
     def note(self, instance: str, key: bytes, now: float) -> None:
         """Take in that a runner has read a part."""
         _put(self._at, (instance, key), now)
-        _put(self._anywhere, key, now)
+        _put(self._anywhere, key, (now, instance))
 
     def is_at(self, instance: str, key: bytes, now: float) -> bool:
         """Whether a runner is believed to keep a part."""
@@ -29,12 +30,17 @@
 
     def is_anywhere(self, key: bytes, now: float) -> bool:
         """Whether any runner has read a part, so that the kept-cache store should have it."""
-        return now - self._anywhere.get(key, -KEPT_S) < KEPT_S
+        return self.last_reader(key, now) is not None
 
+    def last_reader(self, key: bytes, now: float) -> str | None:
+        """Return the instance of the runner that read a part last."""
+        at, instance = self._anywhere.get(key, (-KEPT_S, ""))
+        return instance if now - at < KEPT_S else None
 
-def _put(times: dict[_Key, float], key: _Key, now: float) -> None:
-    """Note a time; the entries noted longest ago give way."""
-    times.pop(key, None)
-    times[key] = now
-    while len(times) > MAXIMUM_PARTS:
-        del times[next(iter(times))]
+
+def _put(entries: dict[_Key, _Value], key: _Key, value: _Value) -> None:
+    """Note an entry; those noted longest ago give way."""
+    entries.pop(key, None)
+    entries[key] = value
+    while len(entries) > MAXIMUM_PARTS:
+        del entries[next(iter(entries))]
--- a/tests/router/test_placement.py
+++ b/tests/router/test_placement.py
@@ -117,3 +117,13 @@
     walled = placement.tokens_to_read(ask(wall=b"t2"), everything[0])
     assert shared == 1_000
     assert walled == 7_000
+
+
+def test_the_last_reader_of_a_prefix_is_remembered_for_other_runners():
+    placement = Placement()
+    everything = states()
+    assert placement.last_reader(ask(), everything[1]) is None
+    placement.note_read(ask(), everything[0])
+    assert placement.last_reader(ask(), everything[1]) == "i-0"
+    assert placement.last_reader(ask(), everything[0]) is None
+    assert placement.last_reader(ask(now=200.0), everything[1]) is None
