--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3.11
 BIN := .venv/bin
 
-.PHONY: demo test lint format bench prove
+.PHONY: demo test lint format bench prove soak
 
 .venv/.installed: pyproject.toml requirements.lock
 	$(PYTHON) -m venv .venv
@@ -29,6 +29,9 @@
 	$(BIN)/python scripts/bench.py path
 	$(BIN)/python scripts/bench.py streams
 
+soak: .venv/.installed
+	$(BIN)/python scripts/soak.py --minutes 5 --seed $$(date +%j%H%M)
+
 prove: .venv/.installed
 	status=0; \
 	$(BIN)/python scripts/prove.py || status=1; \
--- a/src/martenrun/platform/standins/runner.py
+++ b/src/martenrun/platform/standins/runner.py
@@ -121,7 +121,7 @@
         if tokens and int(str(order["fence_token"])) < max(tokens):
             self._send(412, b"", {})
             return
-        self.runner.orders.append(order)
+        self.runner.orders.append({**order, "taken_at": time.monotonic()})
         self.runner.weights = int(str(order["version"]))
         self._send(202, b"", {})
 
