--- a/src/martenrun/platform/settings.py
+++ b/src/martenrun/platform/settings.py
@@ -12,6 +12,28 @@
 
 _MS = 1000.0
 
+_NUMBER = (int, float)
+
+_REQUIRED: dict[str, type | tuple[type, ...]] = {
+    "node_name": str,
+    "zone": str,
+    "ip": str,
+    "internal_ports": list,
+    "seeds": list,
+    "listen_addrs.front": str,
+    "listen_addrs.ready": str,
+    "listen_addrs.directory": str,
+    "limits.max_fds": int,
+    "platform.address": str,
+    "bounds.drain_ms": _NUMBER,
+    "bounds.grace_s": _NUMBER,
+    "bounds.config_apply_ms": _NUMBER,
+    "bounds.budget_ratio": _NUMBER,
+    "bounds.budget_window_s": _NUMBER,
+    "bounds.budget_slack": _NUMBER,
+}
+"""Fields that a router needs, and their types; the other bounds have defaults."""
+
 
 def load_settings(path: str | None = None) -> RouterSettings:
     """Read the settings file; raises SettingsError that names the field."""
@@ -31,17 +53,36 @@
 
 
 def read_settings(table: dict[str, Any]) -> RouterSettings:
-    """Translate the settings; raises SettingsError that names the field."""
+    """Translate the settings; raises SettingsError that names every fault."""
+    faults = settings_faults(table)
+    if faults:
+        raise SettingsError("; ".join(faults), remedy="Correct these fields in the settings file.")
+    return _settings(table)
+
+
+def is_router_file(path: str) -> bool:
+    """Return whether a file holds the settings that the platform lays for a router."""
     try:
-        return _settings(table)
-    except KeyError as exc:
-        raise SettingsError(
-            f"field {exc.args[0]!r} is missing", remedy="Add the field to the settings file."
-        ) from exc
-    except (TypeError, ValueError, AttributeError) as exc:
-        raise SettingsError(
-            f"a field has the wrong type: {exc}", remedy="Correct the field in the settings file."
-        ) from exc
+        with open(path, "rb") as file:
+            return "listen_addrs" in tomllib.load(file)
+    except (OSError, tomllib.TOMLDecodeError):
+        return False
+
+
+def settings_faults(table: dict[str, Any]) -> list[str]:
+    """Return a line for each field that is missing or has the wrong type."""
+    faults = []
+    for path, expected in _REQUIRED.items():
+        value: Any = table
+        for name in path.split("."):
+            value = value.get(name) if isinstance(value, dict) else None
+        if value is None:
+            faults.append(f"field {path!r} is missing")
+        elif isinstance(value, bool) or not isinstance(value, expected):
+            faults.append(f"field {path!r} has the wrong type: {type(value).__name__}")
+        elif value == [] and path != "seeds":
+            faults.append(f"field {path!r} is empty")
+    return faults
 
 
 def _settings(table: dict[str, Any]) -> RouterSettings:
--- a/tests/router/test_platform_adapter.py
+++ b/tests/router/test_platform_adapter.py
@@ -1,12 +1,15 @@
 """The adapter translates and nothing else; its names stand nowhere but in its folder."""
 
 import ast
+import json
 import re
 from pathlib import Path
 
 import msgspec
 import pytest
+from click.testing import CliRunner
 
+from martenrun.cli.main import main
 from martenrun.errors import SettingsError
 from martenrun.net.http import HttpRequest
 from martenrun.platform import DIALECT
@@ -89,6 +92,34 @@
         read_settings(table)
 
 
+def test_every_fault_of_the_settings_is_named_and_the_command_line_tells_them(tmp_path):
+    file = tmp_path / "node.toml"
+    file.write_text(
+        'node_name = 7\nzone = "z"\nip = "10.0.0.1"\ninternal_ports = []\nseeds = []\n'
+        "[listen_addrs]\n[limits]\nmax_fds = 10\n"
+    )
+    result = CliRunner().invoke(main, ["check-settings", str(file)])
+    assert result.exit_code != 0
+    for field in ("node_name", "internal_ports", "listen_addrs.front", "bounds.grace_s"):
+        assert field in result.output
+
+
+def test_good_settings_of_a_router_have_no_faults(tmp_path):
+    file = tmp_path / "node.toml"
+    file.write_text(as_toml(SETTINGS))
+    result = CliRunner().invoke(main, ["check-settings", str(file)])
+    assert result.exit_code == 0, result.output
+
+
+def as_toml(table):
+    plain = {name: value for name, value in table.items() if not isinstance(value, dict)}
+    text = "".join(f"{name} = {json.dumps(value)}\n" for name, value in plain.items())
+    for name, value in table.items():
+        if isinstance(value, dict):
+            text += f"[{name}]\n{as_toml(value)}"
+    return text
+
+
 def test_unknown_settings_are_ignored_and_unreadable_files_named(tmp_path):
     assert read_settings({**SETTINGS, "something": "new"}).name == "n1"
     broken = tmp_path / "node.toml"
