--- a/src/martenrun/net/server.py
+++ b/src/martenrun/net/server.py
@@ -22,6 +22,9 @@
 LINGER_S = 1.0
 """How long a connection that was ended here may still be read from, in seconds."""
 
+MAXIMUM_CONNECTIONS = 1_000
+"""Most connections of a server that is not told otherwise."""
+
 QUEUED_REQUESTS = 4
 """Requests that may wait on one connection before it is no longer read."""
 
@@ -320,13 +323,21 @@
         loop: the loop it is served on.
         address: ``IP:port`` to listen on.
         handler: called with each whole request.
+        maximum_connections: connections beyond these are closed as they come.
     """
 
-    def __init__(self, loop: Loop, address: str, handler: Callable[[Exchange], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        address: str,
+        handler: Callable[[Exchange], None],
+        maximum_connections: int = MAXIMUM_CONNECTIONS,
+    ) -> None:
         self.loop = loop
         self.handler = handler
         self.limits = ServerLimits()
         self.is_draining = False
+        self._maximum_connections = maximum_connections
         self._connections: set[ServerConnection] = set()
         self._listener = listen(loop, address, self._accepted)
         loop.call_later(SWEEP_INTERVAL_S, self._sweep)
@@ -352,6 +363,9 @@
                 connection.end()
 
     def _accepted(self, sock: socket.socket) -> None:
+        if len(self._connections) >= self._maximum_connections:
+            sock.close()
+            return
         self._connections.add(ServerConnection(self, sock))
 
     def _sweep(self) -> None:
--- a/src/martenrun/router/admission.py
+++ b/src/martenrun/router/admission.py
@@ -3,9 +3,9 @@
 import attrs
 
 from martenrun.net.server import Exchange
-from martenrun.router.forwarding import RETRY_AFTER_S, Admitted
+from martenrun.router.forwarding import RETRY_AFTER_S
 from martenrun.router.log import log_trouble
-from martenrun.router.messages import Call
+from martenrun.router.messages import Admitted, Call
 from martenrun.router.route_table import RouteTable, SplitCounter
 from martenrun.router.world import World
 
--- a/src/martenrun/router/messages.py
+++ b/src/martenrun/router/messages.py
@@ -144,6 +144,27 @@
     last_event_id: int
 
 
+@attrs.frozen
+class Admitted:
+    """A request that may be served.
+
+    Attributes:
+        call: what was read from it.
+        route: its route.
+        tenant: who sent it, or None on open routes.
+        service: the service that the route's split chose for it.
+        deadline_at: steady time at which the caller leaves.
+        give_up_at: steady time at which it gets its final answer.
+    """
+
+    call: Call
+    route: Route
+    tenant: Tenant | None
+    service: str
+    deadline_at: float
+    give_up_at: float
+
+
 @attrs.frozen
 class Dispatch:
     """What the router adds to a request that it sends to a runner."""
--- a/src/martenrun/router/placement.py
+++ b/src/martenrun/router/placement.py
@@ -39,7 +39,7 @@
 OTHER_ZONE_LOAD = 0.5
 """Requests that a runner of another zone counts as having more, where no prompt is read."""
 
-REMEMBERED_ORDERS = 2048
+REMEMBERED_ORDERS = 512
 """Orders of runners kept, by prefix."""
 
 
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -16,7 +16,7 @@
 )
 from martenrun.router.dataset_copy import CopyListener, DatasetCopy
 from martenrun.router.dialect import Dialect
-from martenrun.router.forwarding import Admitted, Forwarding
+from martenrun.router.forwarding import Forwarding
 from martenrun.router.keeper import Keeper, KeeperParts
 from martenrun.router.knowledge import (
     ConfigurationKnowledge,
@@ -27,6 +27,7 @@
 from martenrun.router.lease import Lease
 from martenrun.router.log import EVENT_LOG, log_event, log_trouble
 from martenrun.router.messages import (
+    Admitted,
     Call,
     Configuration,
     Dataset,
@@ -52,6 +53,9 @@
 END_MARGIN_S = 0.8
 """How long before the end of the grace period what is left is broken off, in seconds."""
 
+CALLERS_SHARE = 0.6
+"""Share of the process's descriptors that callers' connections may take."""
+
 METRICS_PATH = b"/metrics"
 """Path of the figures on the internal interface."""
 
@@ -113,7 +117,12 @@
             KeeperParts(self._loop, self._store, dialect, self._copies, self._peers),
             self._on_confirmed,
         )
-        self._front = Server(self._loop, settings.front_address, self._serve)
+        self._front = Server(
+            self._loop,
+            settings.front_address,
+            self._serve,
+            int(settings.maximum_descriptors * CALLERS_SHARE),
+        )
         self._others = [
             Server(self._loop, settings.ready_address, self._serve_ready),
             Server(self._loop, settings.directory_address, self._serve_directory),
--- /dev/null
+++ b/src/martenrun/router/trail.py
@@ -0,0 +1,30 @@
+"""The steps of one request, remembered until it is known whether they are worth writing."""
+
+from martenrun.net.loop import Loop
+from martenrun.router.log import Value, log_event, log_trouble
+from martenrun.router.messages import Admitted
+
+
+class RequestTrail:
+    """Steps of a request; all of them are written if it fails, else only its outcome."""
+
+    def __init__(self, loop: Loop, admitted: Admitted) -> None:
+        self._loop = loop
+        self._steps: list[tuple[float, str, dict[str, Value]]] = []
+        self._known: dict[str, Value] = {
+            "request": admitted.call.request_id.decode("latin-1"),
+            "route": admitted.route.name,
+        }
+
+    def note(self, event: str, **fields: Value) -> None:
+        """Remember a step."""
+        self._steps.append((self._loop.now(), event, fields))
+
+    def end(self, outcome: str, is_failure: bool, **fields: Value) -> None:
+        """Write the outcome, and the steps before it if it is a failure."""
+        if not is_failure:
+            log_event(outcome, **self._known, **fields)
+            return
+        for at, event, step in self._steps:
+            log_trouble(event, **self._known, at_steady=round(at, 4), **step)
+        log_trouble(outcome, **self._known, **fields)
--- a/tests/router/test_server.py
+++ b/tests/router/test_server.py
@@ -195,3 +195,18 @@
     for peer in peers:
         peer.close()
     served.until(lambda: served.server.connections == 0)
+
+
+def test_connections_beyond_the_most_are_closed_and_the_rest_served(served):
+    served.server._maximum_connections = 3
+    first = [served.connect() for _ in range(3)]
+    served.until(lambda: served.server.connections == 3)
+    beyond = served.connect()
+    served.until(lambda: beyond.read() == b"" and beyond.is_ended)
+    first[0].send(GET)
+    served.until(lambda: served.exchanges)
+    first[1].close()
+    served.until(lambda: served.server.connections == 2)
+    again = served.connect()
+    served.until(lambda: served.server.connections == 3)
+    again.close()
