Allow a runner with much to read to be silent for longer

Cause: an audit that waits 0.7 s behind others made its runner count as silent, and the prefix moved to another that read it again. Ruled out: failures (none noted at those runners). Change: patience grows with the backlog.

--- a/src/martenrun/router/runner_state.py
+++ b/src/martenrun/router/runner_state.py
@@ -18,6 +18,9 @@
 SILENT_AFTER_S = 0.7
 """Time without a byte from a runner that owes answers until it counts as silent, in seconds."""
 
+SLOW_TOKENS_PER_S = 12_000.0
+"""How fast a runner reads at least: one that has much to read may be silent for longer."""
+
 
 @attrs.define
 class RunnerState:
@@ -112,7 +115,10 @@
 
     def is_silent(self, now: float) -> bool:
         """Whether it owes answers and has sent nothing for a while."""
-        return self.waiting_since is not None and now - self.waiting_since > SILENT_AFTER_S
+        if self.waiting_since is None:
+            return False
+        patience_s = SILENT_AFTER_S + self.backlog_tokens / SLOW_TOKENS_PER_S
+        return now - self.waiting_since > patience_s
 
     def is_avoided(self, now: float) -> bool:
         """Whether others are to be preferred whatever they cost."""
--- a/tests/router/test_placement.py
+++ b/tests/router/test_placement.py
@@ -127,3 +127,11 @@
     assert placement.last_reader(ask(), everything[1]) == "i-0"
     assert placement.last_reader(ask(), everything[0]) is None
     assert placement.last_reader(ask(now=200.0), everything[1]) is None
+
+
+def test_a_runner_with_much_to_read_may_be_silent_for_longer():
+    busy = state("i-0")
+    busy.note_sent(99.0)
+    busy.reading = 24_000
+    assert not busy.is_silent(100.0)
+    assert busy.is_silent(102.0)
