--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 
 demo: .venv/.installed
 	$(BIN)/python scripts/demo.py
+	$(BIN)/python scripts/platform_demo.py
 
 test: .venv/.installed
 	$(BIN)/python -m pytest
