Test one request on its way in virtual time

Eleven cases; the one of the retry budget fails without the check in the wait (9 sends instead of 1), that of overdue weights without leave_old_weights.

--- /dev/null
+++ b/tests/router/test_forwarding.py
@@ -0,0 +1,218 @@
+"""One request on its way, against runners that answer as told, in virtual time."""
+
+import attrs
+import pytest
+
+from martenrun.net.http import HttpRequest
+from martenrun.platform import DIALECT
+from martenrun.router.forwarding import WAITING_SHARE, Forwarding
+from martenrun.router.knowledge import ConfigurationKnowledge, RunnerDirectory, WeightsKnowledge
+from martenrun.router.messages import Admitted, Call, PromptPart, RouteKind, WantedWeights
+from martenrun.router.placement import Placement
+from martenrun.router.world import World
+
+from .builders import bounds, configuration, route, state
+from .fakes import FakeLoop
+
+PARTS = (PromptPart(b"aa", 100), PromptPart(b"bb", 10))
+FULL = (503, [(b"X-Not-Executed", b"1")], b"")
+GOOD = (200, [(b"X-Response-Stamp", b"s")], b"ok")
+
+
+@attrs.define
+class FakeExchange:
+    """The caller's side."""
+
+    request: HttpRequest
+    answers: list = attrs.field(factory=list)
+    has_started: bool = False
+    is_over: bool = False
+    is_congested: bool = False
+    is_aborted: bool = False
+    on_gone: object = None
+    on_drained: object = None
+
+    def respond(self, status, headers, body=b"", is_closing=False):
+        self.answers.append((status, dict(headers), body))
+        self.is_over = True
+
+    def start(self, status, headers, length):
+        self.has_started = True
+
+    def send(self, data):
+        self.answers.append(data)
+
+    def end(self):
+        self.is_over = True
+
+    def abort(self):
+        self.is_aborted = self.is_over = True
+
+
+class FakeConnection:
+    def __init__(self):
+        self.is_closed = False
+
+    def close(self):
+        self.is_closed = True
+
+    def pause(self, is_paused):
+        pass
+
+
+class FakePool:
+    """Runners that answer from a script, or stay silent at its end."""
+
+    def __init__(self, loop, states, script=()):
+        self._loop = loop
+        self._states = states
+        self.script = list(script)
+        self.sent = []
+        self.connections = []
+
+    def states(self, service):
+        return self._states
+
+    def state(self, instance):
+        return next((s for s in self._states if s.runner.instance == instance), None)
+
+    def send(self, chosen, data, reader, expected_id, may_repeat):
+        self.sent.append(chosen.runner.instance)
+        connection = FakeConnection()
+        self.connections.append(connection)
+        reader.on_sent()
+        if self.script:
+            answer = self.script.pop(0)
+            self._loop.call_later(0.001, lambda: self._answer(reader, answer))
+        return connection
+
+    @staticmethod
+    def _answer(reader, answer):
+        if answer is None:
+            reader.on_broken(True)
+            return
+        status, headers, body = answer
+        reader.on_head(status, headers, len(body))
+        reader.on_body(body)
+        reader.on_complete()
+
+
+class Played:
+    def __init__(self, script=(), budget_slack=54.0, the_route=None, states=None, model=None):
+        self.loop = FakeLoop()
+        self.states = [state(f"i-{n}") for n in range(3)] if states is None else states
+        self.pool = FakePool(self.loop, self.states, script)
+        limits = bounds(budget_slack=budget_slack, budget_ratio=0.0)
+        settings = type("Settings", (), {"bounds": limits, "zone": "z1"})()
+        self.weights = WeightsKnowledge()
+        knowledge = ConfigurationKnowledge()
+        knowledge.take(configuration(1))
+        knowledge.confirm(self.loop.now())
+        self.ends = []
+        self.world = World(
+            loop=self.loop,
+            settings=settings,
+            dialect=DIALECT,
+            configuration=knowledge,
+            runners=RunnerDirectory(),
+            weights=self.weights,
+            pool=self.pool,
+            placement=Placement(),
+            node_count=lambda: 1,
+            count=lambda outcome, _route, _seconds: self.ends.append(outcome),
+            store_works=lambda _store: True,
+        )
+        now = self.loop.now()
+        self.exchange = FakeExchange(HttpRequest(b"POST", b"/a/x", [], b"b", now))
+        parts = PARTS if model else ()
+        call = Call(b"r1", "a.example", "/a/x", b"k1", 3.0, model, parts, 110, 0)
+        self.route = the_route or route()
+        admitted = Admitted(call, self.route, None, "s", now + 3.0, now + self.route.timeout_s)
+        self.forwarding = Forwarding(self.world, self.exchange, admitted, lambda _f: None)
+        self.forwarding.start()
+
+    def run(self, seconds):
+        self.loop.run_until(self.loop.now() + seconds)
+        return self
+
+
+def test_a_good_answer_is_passed_on():
+    played = Played([GOOD]).run(0.1)
+    assert played.exchange.answers[0][0] == 200
+    assert played.ends == ["served"]
+    assert all(item.in_flight == 0 and item.reading == 0 for item in played.states)
+
+
+def test_a_request_that_waits_for_a_runner_keeps_within_the_retry_budget():
+    """It was sent again after each wait without asking the budget: BUDGET on the bench."""
+    played = Played([FULL] * 9, budget_slack=0.0).run(1.0)
+    assert len(played.pool.sent) == 1
+    assert played.exchange.answers[0][0] == 503
+
+
+def test_a_refusal_names_a_time_and_comes_within_a_fifth_of_the_objective():
+    nobody = [state("i-0", is_draining=True)]
+    played = Played(states=nobody)
+    played.run(WAITING_SHARE * played.route.objective_s + 0.01)
+    status, headers, _ = played.exchange.answers[0]
+    assert status == 503 and float(headers[b"Retry-After"]) > 0
+    assert played.pool.sent == []
+
+
+def test_a_request_finds_the_runner_that_becomes_free_while_it_waits():
+    only = [state("i-0")]
+    only[0].loading_until = FakeLoop().now() + 0.03
+    played = Played([GOOD], states=only).run(0.2)
+    assert played.exchange.answers[0][0] == 200
+
+
+@pytest.mark.parametrize("kind", [RouteKind.UNSAFE, RouteKind.STREAM])
+def test_what_must_not_repeat_ends_as_unknown_once_it_may_have_run(kind):
+    played = Played([None, GOOD], the_route=route(kind=kind)).run(0.1)
+    assert len(played.pool.sent) == 1
+    assert played.exchange.answers[0][0] == 502
+
+
+def test_a_failed_run_of_a_safe_request_goes_to_another_runner():
+    failed = (500, [(b"X-Response-Stamp", b"s")], b"no")
+    played = Played([failed, GOOD]).run(0.1)
+    assert len(set(played.pool.sent)) == 2
+    assert played.exchange.answers[0][0] == 200
+
+
+def test_the_last_failed_run_is_passed_on_as_it_is():
+    failed = (500, [(b"X-Response-Stamp", b"s")], b"no")
+    played = Played([failed, failed]).run(0.1)
+    assert played.exchange.answers[0][0] == 500 and played.exchange.answers[0][2] == b"no"
+
+
+def test_a_caller_that_leaves_closes_the_runners_connection_at_once():
+    played = Played().run(0.01)
+    played.exchange.on_gone()
+    assert played.pool.connections[0].is_closed
+    assert played.states[0].in_flight + played.states[1].in_flight == 0
+
+
+def test_a_silent_runners_request_is_answered_at_the_routes_timeout():
+    played = Played(the_route=route(kind=RouteKind.UNSAFE, timeout_s=0.5))
+    played.run(0.49)
+    assert played.exchange.answers == []
+    played.run(0.02)
+    assert played.exchange.answers[0][0] == 504
+    assert played.pool.connections[0].is_closed
+
+
+def test_a_request_that_waits_at_overdue_weights_is_sent_elsewhere():
+    old, new = state("i-0", weights={"m": 1}), state("i-1", weights={"m": 1})
+    resumable = route(kind=RouteKind.STREAM, is_resumable=True, timeout_s=20.0)
+    played = Played(the_route=resumable, states=[old, new], model="m").run(0.01)
+    first = played.pool.sent[0]
+    other = new if first == "i-0" else old
+    other.learn_weights("m", 2)
+    played.weights.take(WantedWeights("m", 2), played.loop.now())
+    played.forwarding.leave_old_weights(played.loop.now() + 7.0)
+    assert len(played.pool.sent) == 1
+    played.loop.time += 7.5
+    played.forwarding.leave_old_weights(played.loop.now())
+    assert played.pool.sent == [first, other.runner.instance]
+    assert played.pool.connections[0].is_closed
