--- a/deploy/router.py
+++ b/deploy/router.py
@@ -6,9 +6,9 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
-from martenrun.platform import DIALECT, load_settings
+from martenrun.platform import DIALECT, SETTINGS_SOURCE
 from martenrun.router.process import run_router
 
 if __name__ == "__main__":
     gc.freeze()
-    run_router(load_settings(), DIALECT)
+    run_router(SETTINGS_SOURCE, DIALECT)
--- a/src/martenrun/platform/__init__.py
+++ b/src/martenrun/platform/__init__.py
@@ -1,10 +1,11 @@
 """Adapter of the users' platform: its names, formats and calls, and nothing that decides."""
 
 from martenrun.platform import entry, headers, objects, orders, settings
-from martenrun.router.dialect import Dialect
+from martenrun.router.dialect import Dialect, SettingsSource
 
 SETTINGS_VARIABLE = settings.SETTINGS_VARIABLE
-load_settings = settings.load_settings
+SETTINGS_SOURCE = SettingsSource(settings.load_settings, settings.settings_stamp)
+"""Where a router reads its settings from, at its start and whenever they change."""
 
 DIALECT = Dialect(
     read_call=headers.read_call,
--- a/src/martenrun/platform/settings.py
+++ b/src/martenrun/platform/settings.py
@@ -35,6 +35,14 @@
 """Fields that a router needs, and their types; the other bounds have defaults."""
 
 
+def settings_stamp() -> int:
+    """Return a number that changes whenever the settings file does, or 0 if there is none."""
+    try:
+        return os.stat(os.environ.get(SETTINGS_VARIABLE, "")).st_mtime_ns
+    except OSError:
+        return 0
+
+
 def load_settings(path: str | None = None) -> RouterSettings:
     """Read the settings file; raises SettingsError that names the field."""
     path = path or os.environ.get(SETTINGS_VARIABLE)
--- a/src/martenrun/router/dialect.py
+++ b/src/martenrun/router/dialect.py
@@ -18,6 +18,7 @@
     HttpCall,
     LeaseRecord,
     OrderOutcome,
+    RouterSettings,
     Runner,
     RunnerReport,
     StoreChanges,
@@ -28,6 +29,19 @@
 )
 
 
+@attrs.frozen
+class SettingsSource:
+    """Where settings come from.
+
+    Attributes:
+        load: reads them; raises SettingsError that names every fault.
+        stamp: returns a number that changes whenever they may have changed.
+    """
+
+    load: Callable[[], RouterSettings]
+    stamp: Callable[[], int]
+
+
 @attrs.frozen
 class Dialect:
     """The platform's manner of speaking, as functions.
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -3,6 +3,7 @@
 import collections
 import signal
 
+from martenrun.errors import SettingsError
 from martenrun.net.http import HttpAnswer
 from martenrun.net.loop import Loop
 from martenrun.net.server import Exchange, Server
@@ -15,7 +16,7 @@
     refuse,
 )
 from martenrun.router.dataset_copy import CopyListener, DatasetCopy
-from martenrun.router.dialect import Dialect
+from martenrun.router.dialect import Dialect, SettingsSource
 from martenrun.router.forwarding import Forwarding
 from martenrun.router.keeper import Keeper, KeeperParts
 from martenrun.router.knowledge import (
@@ -33,7 +34,6 @@
     Dataset,
     LeaseRecord,
     Route,
-    RouterSettings,
     StoredObject,
 )
 from martenrun.router.metrics import Metrics, Sample
@@ -69,8 +69,11 @@
 class RouterProcess:
     """All parts of one router."""
 
-    def __init__(self, settings: RouterSettings, dialect: Dialect) -> None:
-        self._settings = settings
+    def __init__(self, source: SettingsSource, dialect: Dialect) -> None:
+        self._source = source
+        self._stamp = source.stamp()
+        settings = source.load()
+        EVENT_LOG.open(settings.name)
         self._loop = Loop()
         self._store = HttpCaller(self._loop, settings.store_address)
         self._metrics = Metrics(self._samples)
@@ -136,7 +139,7 @@
         self._loop.on_signal(signal.SIGTERM, self._stop)
         self._loop.on_signal(signal.SIGINT, self._stop)
         self._loop.on_signal(signal.SIGHUP, self._reload)
-        log_event("started", name=self._settings.name, zone=self._settings.zone)
+        log_event("started", zone=self._world.settings.zone)
         self._keeper.start()
         self._peers.start()
         self._keep_house()
@@ -301,7 +304,7 @@
 
     def _is_current(self) -> bool:
         age_s = self._world.configuration.age_s(self._loop.now())
-        return age_s < self._settings.bounds.revoke_s * CURRENT_SHARE
+        return age_s < self._world.settings.bounds.revoke_s * CURRENT_SHARE
 
     def _serve_internal(self, exchange: Exchange) -> None:
         """Serve other routers and whoever reads the figures; nobody outside reaches this."""
@@ -345,7 +348,15 @@
     # Ends
 
     def _reload(self) -> None:
-        log_event("settings_signal")
+        """Put changed settings in force; faulty ones are logged and the last good ones stay."""
+        self._stamp = self._source.stamp()
+        try:
+            settings = self._source.load()
+        except SettingsError as exc:
+            log_trouble("settings_faulty", fault=exc.message[:200], remedy=exc.remedy)
+            return
+        self._world.replace_settings(settings)
+        log_event("settings_read")
 
     def _stop(self) -> None:
         if self._stopped_at is not None:
@@ -360,13 +371,15 @@
         for forwarding in list(self._forwardings):
             forwarding.leave_old_weights(now)
         self._roller.check()
+        if self._source.stamp() != self._stamp:
+            self._reload()
         EVENT_LOG.flush()
         if self._stopped_at is not None:
             self._go_on_stopping(now - self._stopped_at)
         self._loop.call_later(HOUSEKEEPING_S, self._keep_house)
 
     def _go_on_stopping(self, since_s: float) -> None:
-        if since_s > self._settings.bounds.grace_s - END_MARGIN_S:
+        if since_s > self._world.settings.bounds.grace_s - END_MARGIN_S:
             log_trouble("grace_over", requests=len(self._forwardings))
             for forwarding in list(self._forwardings):
                 forwarding.shut_down()
@@ -387,7 +400,6 @@
     return None
 
 
-def run_router(settings: RouterSettings, dialect: Dialect) -> None:
-    """Run a router until it is stopped."""
-    EVENT_LOG.open(settings.name)
-    RouterProcess(settings, dialect).run()
+def run_router(source: SettingsSource, dialect: Dialect) -> None:
+    """Run a router until it is stopped; raises SettingsError if it cannot begin."""
+    RouterProcess(source, dialect).run()
--- a/src/martenrun/router/retry_budget.py
+++ b/src/martenrun/router/retry_budget.py
@@ -15,7 +15,7 @@
     """Counts requests and repeats for one service over a sliding window."""
 
     def __init__(self, bounds: Bounds) -> None:
-        self._bounds = bounds
+        self.bounds = bounds
         self._steps: collections.deque[list[float]] = collections.deque()
 
     def note_request(self, now: float) -> None:
@@ -27,8 +27,8 @@
         self._step(now)
         requests = sum(step[1] for step in self._steps)
         repeats = sum(step[2] for step in self._steps)
-        slack = self._bounds.budget_slack / max(1, nodes)
-        return repeats + 1 <= SAFETY * (self._bounds.budget_ratio * requests + slack)
+        slack = self.bounds.budget_slack / max(1, nodes)
+        return repeats + 1 <= SAFETY * (self.bounds.budget_ratio * requests + slack)
 
     def note_repeat(self, now: float) -> None:
         """Count a repeat that is sent."""
@@ -38,6 +38,6 @@
         start = now - now % STEP_S
         if not self._steps or self._steps[-1][0] != start:
             self._steps.append([start, 0, 0])
-        while self._steps[0][0] < now - self._bounds.budget_window_s:
+        while self._steps[0][0] < now - self.bounds.budget_window_s:
             self._steps.popleft()
         return self._steps[-1]
--- a/src/martenrun/router/world.py
+++ b/src/martenrun/router/world.py
@@ -53,6 +53,12 @@
             budget = self._budgets[service] = RetryBudget(self.settings.bounds)
         return budget
 
+    def replace_settings(self, settings: RouterSettings) -> None:
+        """Put other bounds in force; addresses stay those of the start."""
+        self.settings = settings
+        for budget in self._budgets.values():
+            budget.bounds = settings.bounds
+
     def oldest_weights(self, model: str, now: float) -> int:
         """Return the oldest version of a model's weights that may still begin requests."""
         bound_s = self.settings.bounds.weights_s - OLD_WEIGHTS_MARGIN_S
--- a/tests/router/test_whole_path.py
+++ b/tests/router/test_whole_path.py
@@ -145,6 +145,19 @@
     assert "martenrun_configuration_age_seconds" in text
 
 
+def test_changed_settings_come_into_force_and_faulty_ones_are_told(deployment):
+    router = deployment.routers[0]
+    good = router.settings.read_text()
+    router.settings.write_text(good.replace("grace_s = 8", 'grace_s = "long"'))
+    deployment.stop(router, 1)
+    deployment.wait(lambda: "settings_faulty" in router.log.read_text())
+    assert "bounds.grace_s" in router.log.read_text()
+    router.settings.write_text(good.replace("grace_s = 8", "grace_s = 9"))
+    deployment.wait(lambda: "settings_read" in router.log.read_text())
+    assert deployment.ask("/slip/x", "settings-1").status == 200
+    router.settings.write_text(good)
+
+
 def test_logs_are_json_lines_without_keys(deployment):
     for router in deployment.routers:
         text = router.log.read_text()
