--- /dev/null
+++ b/src/martenrun/router/entry.py
@@ -0,0 +1,64 @@
+"""What a router answers for itself: whether it is ready, and the addresses of live routers."""
+
+from collections.abc import Callable
+
+from martenrun.net.server import Exchange
+from martenrun.router.dialect import Dialect
+from martenrun.router.peers import Peers, RouterRecord
+
+DIRECTORY_TTL_S = 1.0
+"""How long callers may use an answer of the directory, in seconds."""
+
+MOST_ADDRESSES = 64
+"""Most addresses in one answer of the directory."""
+
+
+class Entry:
+    """Serves the questions of callers and platform about the routers.
+
+    Args:
+        refresh: brings this router's record up to date.
+        is_ready: whether this router serves requests.
+    """
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        peers: Peers,
+        refresh: Callable[[RouterRecord], None],
+        is_ready: Callable[[], bool],
+    ) -> None:
+        self._dialect = dialect
+        self._peers = peers
+        self._refresh = refresh
+        self._is_ready = is_ready
+
+    def serve_ready(self, exchange: Exchange) -> None:
+        """Answer whether this router is ready."""
+        if not self._dialect.is_ready_question(exchange.request):
+            exchange.respond(404, [])
+        else:
+            exchange.respond(200 if self._is_ready() else 503, [])
+
+    def serve_directory(self, exchange: Exchange) -> None:
+        """Answer with the addresses of routers for a caller's zone."""
+        zone = self._dialect.directory_zone(exchange.request)
+        if zone is None:
+            exchange.respond(404, [])
+            return
+        addresses = self._addresses(zone)
+        if not addresses:
+            exchange.respond(503, [(b"Retry-After", b"0.2")])
+            return
+        body = self._dialect.directory_answer(addresses, DIRECTORY_TTL_S)
+        exchange.respond(200, [(b"Content-Type", b"application/json")], body)
+
+    def _addresses(self, zone: str) -> list[str]:
+        """Return staying routers with recent knowledge, those of the zone if there are two."""
+        own = self._peers.own
+        self._refresh(own)
+        records = [record for record in [own, *self._peers.live()] if not record.is_leaving]
+        current = [record for record in records if record.is_current] or records
+        near = [record for record in current if record.zone == zone]
+        chosen = near if len(near) > 1 else current
+        return [record.front for record in chosen][:MOST_ADDRESSES]
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -17,6 +17,7 @@
 )
 from martenrun.router.dataset_copy import CopyListener, DatasetCopy
 from martenrun.router.dialect import Dialect, SettingsSource
+from martenrun.router.entry import Entry
 from martenrun.router.forwarding import Forwarding
 from martenrun.router.keeper import Keeper, KeeperParts
 from martenrun.router.knowledge import (
@@ -44,9 +45,6 @@
 from martenrun.router.weights_roll import WeightsRoller, take_load_news
 from martenrun.router.world import World
 
-DIRECTORY_TTL_S = 1.0
-"""How long callers may use an answer of the directory, in seconds."""
-
 LINGER_AFTER_STOP_S = 3.6
 """How long new requests are still taken after a stop was ordered: others must learn of it."""
 
@@ -120,6 +118,7 @@
             KeeperParts(self._loop, self._store, dialect, self._copies, self._peers),
             self._on_confirmed,
         )
+        entry = Entry(dialect, self._peers, self._refresh, self._is_ready)
         self._front = Server(
             self._loop,
             settings.front_address,
@@ -127,8 +126,8 @@
             int(settings.maximum_descriptors * CALLERS_SHARE),
         )
         self._others = [
-            Server(self._loop, settings.ready_address, self._serve_ready),
-            Server(self._loop, settings.directory_address, self._serve_directory),
+            Server(self._loop, settings.ready_address, entry.serve_ready),
+            Server(self._loop, settings.directory_address, entry.serve_directory),
             Server(self._loop, settings.internal_address, self._serve_internal),
         ]
         self._world.configuration.on_changed.append(self._on_configuration)
@@ -318,33 +317,6 @@
             return False
         return self._copies[Dataset.RUNNERS].is_known
 
-    def _serve_ready(self, exchange: Exchange) -> None:
-        if not self._world.dialect.is_ready_question(exchange.request):
-            exchange.respond(404, [])
-        else:
-            exchange.respond(200 if self._is_ready() else 503, [])
-
-    def _serve_directory(self, exchange: Exchange) -> None:
-        zone = self._world.dialect.directory_zone(exchange.request)
-        if zone is None:
-            exchange.respond(404, [])
-            return
-        addresses = self._addresses(zone)
-        if not addresses:
-            exchange.respond(503, [(b"Retry-After", b"0.2")])
-            return
-        body = self._world.dialect.directory_answer(addresses, DIRECTORY_TTL_S)
-        exchange.respond(200, [(b"Content-Type", b"application/json")], body)
-
-    def _addresses(self, zone: str) -> list[str]:
-        own = self._peers.own
-        self._refresh(own)
-        records = [record for record in [own, *self._peers.live()] if not record.is_leaving]
-        current = [record for record in records if record.is_current] or records
-        near = [record for record in current if record.zone == zone]
-        chosen = near if len(near) > 1 else current
-        return [record.front for record in chosen][:64]
-
     # Ends
 
     def _reload(self) -> None:
