Tell other routers at once what a runner has been given to read

With every placement logged on a copy, routers believed a backlog of 0 where 17,000 to 23,000 tokens waited: prompts are read within 0.2 s, records come each 0.3 s.

--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -75,6 +75,7 @@
         self.has_begun = False
         state.reading += load.tokens_to_read
         state.held += load.tokens_held
+        world.note_reading(state)
         self.connection: ClientConnection | None = None
         self.was_sent = False
         self.status = 0
@@ -162,8 +163,11 @@
 
     def _has_read(self) -> None:
         """The prompt is read once the first token comes."""
+        if not self._to_read:
+            return
         self.state.reading -= self._to_read
         self._to_read = 0.0
+        self._world.note_reading(self.state)
 
     def _finish(self) -> None:
         self._is_over = True
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -53,6 +53,8 @@
         self._attempt: Attempt | None = None
         self._splitter = EventSplitter(admitted.call.last_event_id)
         self._first_event_at: float | None = None
+        self._last_event_at = 0.0
+        self._longest_gap_s = 0.0
         self._trail = RequestTrail(world.loop, admitted)
         self.is_over = False
         exchange.on_gone = self._on_gone
@@ -144,10 +146,14 @@
 
     def on_stream_data(self, data: bytes) -> None:
         """Pass on the events that are whole; raises BrokenStreamError."""
+        now = self._world.loop.now()
         for event in self._splitter.feed(data):
             if self._first_event_at is None:
-                self._first_event_at = self._world.loop.now()
+                self._first_event_at = now
                 self._begin_stream()
+            else:
+                self._longest_gap_s = max(self._longest_gap_s, now - self._last_event_at)
+            self._last_event_at = now
             self._exchange.send(event.data)
         if self._exchange.is_congested:
             self._pause(True)
@@ -303,6 +309,7 @@
             first_ms=None
             if self._first_event_at is None
             else round((self._first_event_at - self._began_at) * 1000, 1),
+            longest_gap_ms=round(self._longest_gap_s * 1000, 1),
         )
         self._on_end(self)
 
--- a/src/martenrun/router/peers.py
+++ b/src/martenrun/router/peers.py
@@ -42,12 +42,25 @@
 LONGEST_DATAGRAM = 60_000
 
 
+class RunnerLoad(msgspec.Struct, array_like=True, frozen=True):
+    """What one router has given a runner to do.
+
+    Attributes:
+        requests: requests under way there.
+        tokens_to_read: tokens of their prompts that are still to be read.
+        tokens_held: tokens of memory that they take.
+    """
+
+    requests: int
+    tokens_to_read: int
+    tokens_held: int
+
+
 class RouterRecord(msgspec.Struct, array_like=True):
     """What a router tells of itself.
 
     ``lease_revision`` and ``lease_token`` tell of the lease on orders while it holds that, else 0;
-    ``loads`` tells its requests at each runner, the tokens these have still to read and those
-    that they hold in memory;
+    ``loads`` tells what it has given each runner to do;
     ``weights`` tells for each model how long the router has known of its last versions, as
     (version, milliseconds).
     """
@@ -62,7 +75,7 @@
     has_lost_store: bool
     lease_revision: int
     lease_token: int
-    loads: dict[str, tuple[int, int, int]]
+    loads: dict[str, RunnerLoad]
     weights: dict[str, list[tuple[int, int]]]
 
 
@@ -81,7 +94,17 @@
     is_loaded: bool
 
 
-Message = Gossip | LoadNews
+class ReadingNews(msgspec.Struct, array_like=True, tag="reading"):
+    """What a router has given one runner to do by now: a part of its next record, sent ahead."""
+
+    address: str
+    incarnation: int
+    beat: int
+    instance: str
+    load: RunnerLoad
+
+
+Message = Gossip | LoadNews | ReadingNews
 
 _DECODER = msgspec.msgpack.Decoder(Message)
 _ENCODER = msgspec.msgpack.Encoder()
@@ -119,6 +142,18 @@
                 known.record = record
                 known.risen_at = now
 
+    def take_reading(self, news: ReadingNews, now: float) -> bool:
+        """Take in another router's load at one runner; return whether it was newer."""
+        known = self._known.get(news.address)
+        if known is None or news.incarnation != known.record.incarnation:
+            return False
+        if news.beat <= known.record.beat:
+            return False
+        known.record.beat = news.beat
+        known.record.loads[news.instance] = news.load
+        known.risen_at = now
+        return True
+
     def live(self, now: float) -> list[RouterRecord]:
         """Return the records of the other routers that are alive."""
         return [
@@ -166,6 +201,7 @@
         refresh: fills in what changes in the own record before it is sent.
         on_news: called with each piece of news.
         on_records: called after records were taken in.
+        on_reading: called with a runner's instance once a router's load there has been taken in.
     """
 
     def __init__(
@@ -176,6 +212,7 @@
         refresh: Callable[[RouterRecord], None],
         on_news: Callable[[LoadNews], None],
         on_records: Callable[[], None],
+        on_reading: Callable[[str], None],
     ) -> None:
         self._loop = loop
         self.table = RouterTable(own)
@@ -183,6 +220,7 @@
         self._refresh = refresh
         self._on_news = on_news
         self._on_records = on_records
+        self._on_reading = on_reading
         self._heard_since: float | None = None
         self._rng = random.Random()
         self._socket = self._open(own.address)
@@ -208,14 +246,21 @@
 
     def tell_all(self, news: LoadNews) -> None:
         """Send news to every router known."""
-        data = _ENCODER.encode(news)
-        for address in self.table.addresses():
-            self._send(address, data)
+        self._send_all(news)
+
+    def tell_reading(self, instance: str, load: RunnerLoad) -> None:
+        """Tell every router known of this router's load at one runner, at once."""
+        own = self.own
+        own.beat += 1
+        self._send_all(ReadingNews(own.address, own.incarnation, own.beat, instance, load))
 
     def tell_now(self) -> None:
         """Send the own record to every router known, at once."""
         self._raise_own()
-        data = _ENCODER.encode(Gossip([self.own]))
+        self._send_all(Gossip([self.own]))
+
+    def _send_all(self, message: Message) -> None:
+        data = _ENCODER.encode(message)
         for address in self.table.addresses():
             self._send(address, data)
 
@@ -279,6 +324,10 @@
             self._on_news(message)
             return
         now = self._loop.now()
+        if isinstance(message, ReadingNews):
+            if self.table.take_reading(message, now):
+                self._on_reading(message.instance)
+            return
         if self._heard_since is None:
             self._heard_since = now
         self.table.merge(message.records, now)
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -1,6 +1,5 @@
 """The router process: builds its parts, serves, and ends without cutting a request off."""
 
-import collections
 import signal
 
 from martenrun.errors import SettingsError
@@ -27,6 +26,7 @@
     decoded,
 )
 from martenrun.router.lease import Lease
+from martenrun.router.loads import LoadExchange
 from martenrun.router.log import EVENT_LOG, log_event, log_trouble
 from martenrun.router.messages import (
     Admitted,
@@ -89,6 +89,7 @@
             node_count=lambda: self._peers.budget_count(),
             count=self._count,
             store_works=lambda _store: True,
+            note_reading=lambda state: self._loads.note_reading(state),
         )
         self._admission = Admission(self._world)
         own = RouterRecord(
@@ -106,8 +107,15 @@
             weights={},
         )
         self._peers = Peers(
-            self._loop, own, settings.seeds, self._refresh, self._on_news, self._on_records
+            self._loop,
+            own,
+            settings.seeds,
+            self._refresh,
+            self._on_news,
+            self._on_records,
+            lambda instance: self._loads.take_reading(instance),
         )
+        self._loads = LoadExchange(self._world.pool, self._peers)
         holder = f"{own.address}#{own.incarnation}"
         self._lease = Lease(
             self._loop, self._store, dialect, "weights", holder, settings.bounds.lease_s
@@ -196,34 +204,20 @@
         own.lease_revision = self._lease.revision
         own.lease_token = self._lease.fencing_token if own.lease_revision else 0
         own.weights = self._world.weights.ages_ms(self._loop.now())
-        own.loads = {
-            state.runner.instance: (state.in_flight, int(state.reading), state.held)
-            for state in self._world.pool.all_states()
-            if state.in_flight
-        }
+        own.loads = self._loads.own_loads()
 
     def _on_news(self, news: LoadNews) -> None:
         take_load_news(self._world, news)
 
     def _on_records(self) -> None:
-        requests: collections.Counter[str] = collections.Counter()
-        reading: collections.Counter[str] = collections.Counter()
-        held: collections.Counter[str] = collections.Counter()
+        self._loads.take_records()
         for record in self._peers.live():
-            for instance, load in record.loads.items():
-                requests[instance] += load[0]
-                reading[instance] += load[1]
-                held[instance] += load[2]
             self._world.weights.learn_ages(record.weights, self._loop.now())
             if record.lease_revision:
                 holder = f"{record.address}#{record.incarnation}"
                 self._lease.note_revision(
                     LeaseRecord(holder, record.lease_token), record.lease_revision
                 )
-        for state in self._world.pool.all_states():
-            state.elsewhere = requests[state.runner.instance]
-            state.reading_elsewhere = reading[state.runner.instance]
-            state.held_elsewhere = held[state.runner.instance]
 
     # Requests
 
--- a/src/martenrun/router/runner_state.py
+++ b/src/martenrun/router/runner_state.py
@@ -32,6 +32,7 @@
         elsewhere: the same of all other routers, as they last told.
         reading: tokens that it is believed to have still to read for this router's requests.
         reading_elsewhere: the same for all other routers.
+        reading_told: what the other routers were last told of ``reading`` at once.
         held: tokens of memory that this router's requests take there, cached parts left out.
         held_elsewhere: the same for all other routers.
         learned: versions of weights that its answers or other routers told of.
@@ -44,6 +45,7 @@
     elsewhere: int = 0
     reading: float = 0.0
     reading_elsewhere: float = 0.0
+    reading_told: float = 0.0
     held: int = 0
     held_elsewhere: int = 0
     learned: dict[str, int] = attrs.field(factory=dict)
--- a/src/martenrun/router/world.py
+++ b/src/martenrun/router/world.py
@@ -12,6 +12,7 @@
 from martenrun.router.placement import Placement
 from martenrun.router.retry_budget import RetryBudget
 from martenrun.router.runner_pool import RunnerPool
+from martenrun.router.runner_state import RunnerState
 
 OLD_WEIGHTS_MARGIN_S = 0.9
 """How long before the bound no request is sent to older weights any more, in seconds.
@@ -31,6 +32,7 @@
         node_count: returns among how many routers the retry budget is shared.
         count: takes in how a request ended: outcome, route, seconds.
         store_works: whether the kept-cache store at an address answers.
+        note_reading: takes in that a runner has more or less to read for this router.
     """
 
     loop: Loop
@@ -44,6 +46,7 @@
     node_count: Callable[[], int]
     count: Callable[[str, Route, float], None]
     store_works: Callable[[KeptCacheStore], bool]
+    note_reading: Callable[[RunnerState], None]
     _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
 
     def budget(self, service: str) -> RetryBudget:
--- a/tests/router/fakes.py
+++ b/tests/router/fakes.py
@@ -89,3 +89,17 @@
 def read_lease(store, name):
     """Return the record of a lease object."""
     return DIALECT.read_lease(DIALECT.read_stored(_ENCODE(store.objects[name])))
+
+
+class FakePeers:
+    """Other routers as a list of records; what is told at once is kept."""
+
+    def __init__(self):
+        self.records = []
+        self.readings = []
+
+    def live(self):
+        return self.records
+
+    def tell_reading(self, instance, load):
+        self.readings.append((instance, load))
--- a/tests/router/test_forwarding.py
+++ b/tests/router/test_forwarding.py
@@ -121,6 +121,7 @@
             node_count=lambda: 1,
             count=lambda outcome, _route, _seconds: self.ends.append(outcome),
             store_works=lambda _store: True,
+            note_reading=lambda _state: None,
         )
         now = self.loop.now()
         self.exchange = FakeExchange(HttpRequest(b"POST", b"/a/x", [], b"b", now))
--- /dev/null
+++ b/tests/router/test_loads.py
@@ -0,0 +1,60 @@
+"""Loads of runners: long prompts are told at once, the rest with the records."""
+
+from martenrun.router.loads import TOLD_AT_ONCE_TOKENS, LoadExchange
+from martenrun.router.peers import RunnerLoad
+from martenrun.router.runner_pool import RunnerPool
+
+from .builders import runner
+from .fakes import FakeLoop, FakePeers
+from .test_peers import record
+
+
+def exchange():
+    """Return an exchange over one runner, its peers and the runner's state."""
+    pool = RunnerPool(FakeLoop())
+    pool.update({"i-0": runner("i-0")})
+    peers = FakePeers()
+    return LoadExchange(pool, peers), peers, pool.state("i-0")
+
+
+def test_a_long_prompt_is_told_at_once_when_it_is_sent_and_when_it_is_read():
+    loads, peers, state = exchange()
+    state.note_sent(0.0)
+    state.reading, state.held = 9_000.0, 9_200
+    loads.note_reading(state)
+    state.reading = 0.0
+    loads.note_reading(state)
+    assert peers.readings == [
+        ("i-0", RunnerLoad(1, 9_000, 9_200)),
+        ("i-0", RunnerLoad(1, 0, 9_200)),
+    ]
+
+
+def test_short_prompts_are_told_once_they_add_up():
+    loads, peers, state = exchange()
+    step = TOLD_AT_ONCE_TOKENS * 0.4
+    for _ in range(6):
+        state.reading += step
+        loads.note_reading(state)
+    assert len(peers.readings) == 2
+
+
+def test_what_others_tell_is_added_up_and_what_the_dead_told_is_not():
+    loads, peers, state = exchange()
+    peers.records = [
+        record("b", loads={"i-0": RunnerLoad(2, 3_000, 4_000)}),
+        record("c", loads={"i-0": RunnerLoad(1, 500, 600), "i-9": RunnerLoad(1, 1, 1)}),
+    ]
+    loads.take_records()
+    assert (state.elsewhere, state.reading_elsewhere, state.held_elsewhere) == (3, 3_500, 4_600)
+    peers.records = peers.records[1:]
+    loads.take_reading("i-0")
+    assert (state.elsewhere, state.reading_elsewhere, state.held_elsewhere) == (1, 500, 600)
+    loads.take_reading("i-9")
+
+
+def test_a_router_tells_only_of_runners_that_work_for_it():
+    loads, _peers, state = exchange()
+    assert loads.own_loads() == {}
+    state.note_sent(0.0)
+    assert loads.own_loads() == {"i-0": RunnerLoad(1, 0, 0)}
--- a/tests/router/test_peers.py
+++ b/tests/router/test_peers.py
@@ -1,6 +1,13 @@
 """The table of routers: newer records win, dead ones are noticed, old lives are refuted."""
 
-from martenrun.router.peers import DEAD_AFTER_S, FORGOTTEN_AFTER_S, RouterRecord, RouterTable
+from martenrun.router.peers import (
+    DEAD_AFTER_S,
+    FORGOTTEN_AFTER_S,
+    ReadingNews,
+    RouterRecord,
+    RouterTable,
+    RunnerLoad,
+)
 
 
 def record(address, incarnation=1, beat=1, **changes):
@@ -45,3 +52,25 @@
     assert table.own.incarnation == 10
     table.merge([record("a", incarnation=3)], 0.0)
     assert table.own.incarnation == 10
+
+
+def test_a_load_sent_ahead_of_its_record_is_taken_in_once_and_in_order():
+    table = RouterTable(record("a"))
+    table.merge([record("b", beat=5)], 0.0)
+    newer = ReadingNews("b", 1, 7, "i-0", RunnerLoad(2, 9_000, 9_500))
+    older = ReadingNews("b", 1, 6, "i-0", RunnerLoad(1, 3_000, 3_000))
+    assert table.take_reading(newer, 0.1)
+    assert not table.take_reading(newer, 0.1)
+    assert not table.take_reading(older, 0.1)
+    assert table.live(0.2)[0].loads == {"i-0": RunnerLoad(2, 9_000, 9_500)}
+    table.merge([record("b", beat=6)], 0.3)
+    assert table.live(0.4)[0].loads["i-0"].tokens_to_read == 9_000
+
+
+def test_a_load_of_another_life_or_of_an_unknown_router_is_left_out():
+    table = RouterTable(record("a"))
+    table.merge([record("b", incarnation=3)], 0.0)
+    load = RunnerLoad(1, 1_000, 1_000)
+    assert not table.take_reading(ReadingNews("b", 2, 9, "i-0", load), 0.1)
+    assert not table.take_reading(ReadingNews("c", 1, 9, "i-0", load), 0.1)
+    assert table.live(0.2)[0].loads == {}
