--- a/src/martenrun/router/placement.py
+++ b/src/martenrun/router/placement.py
@@ -76,7 +76,7 @@
     """Chooses runners; remembers the order of runners for the prefixes asked for last."""
 
     def __init__(self) -> None:
-        self._orders: dict[tuple[bytes, tuple[str, ...]], list[str]] = {}
+        self._known_ranks: dict[tuple[bytes, tuple[str, ...]], dict[str, int]] = {}
         self.seen = SeenParts()
 
     def choose(
@@ -102,9 +102,8 @@
         return own_tokens + self._shared_cost(question, state)
 
     def _by_reading(self, question: PlacementQuestion, sound: list[RunnerState]) -> RunnerState:
-        prefix = shared_prefix(question.parts) + question.wall
-        order = self._order(prefix, tuple(sorted(state.runner.instance for state in sound)))
-        ranks = {instance: rank for rank, instance in enumerate(order)}
+        instances = tuple(sorted(state.runner.instance for state in sound))
+        ranks = self._ranks(shared_prefix(question.parts) + question.wall, instances)
 
         def cost(state: RunnerState) -> tuple[float, int]:
             rank = ranks[state.runner.instance]
@@ -114,9 +113,9 @@
                 state.backlog_tokens
                 + shared
                 + distance
+                + REQUEST_TOKENS * state.load
                 + _crowding_cost(question, state)
                 + (OLD_WEIGHTS_TOKENS if _is_old(question, state) else 0)
-                + REQUEST_TOKENS * state.load
                 + FAILURE_TOKENS * state.remembered_failures(question.now),
                 rank,
             )
@@ -152,15 +151,17 @@
             key = part.part_id + b"/" + kept_as
             self.seen.note(state.runner.instance, key, question.now)
 
-    def _order(self, prefix: bytes, instances: tuple[str, ...]) -> list[str]:
+    def _ranks(self, prefix: bytes, instances: tuple[str, ...]) -> dict[str, int]:
+        """Return each instance's place in the order that a prefix is hashed to."""
         key = (prefix, instances)
-        order = self._orders.get(key)
-        if order is None:
+        ranks = self._known_ranks.get(key)
+        if ranks is None:
             order = sorted(instances, key=lambda instance: weight(prefix, instance), reverse=True)
-            if len(self._orders) >= REMEMBERED_ORDERS:
-                self._orders.clear()
-            self._orders[key] = order
-        return order
+            ranks = {instance: rank for rank, instance in enumerate(order)}
+            if len(self._known_ranks) >= REMEMBERED_ORDERS:
+                self._known_ranks.clear()
+            self._known_ranks[key] = ranks
+        return ranks
 
 
 def shared_prefix(parts: tuple[PromptPart, ...]) -> bytes:
