Add other routers' loads up when a request is placed, not at each message

Change: a message marks its runner; sums are made anew before a placement. Tests: one sum for fifty messages; a placement that skips the sum fails test_a_request_is_placed_by_the_loads_that_other_routers_told_last (shown with the call taken out). The longest pause of a stream in its log line has a test.

--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -97,7 +97,7 @@
         return placement_question(self._world, self._admitted, self._tried)
 
     def _choose(self) -> RunnerState | None:
-        states = self._world.pool.states(self._admitted.service)
+        states = self._world.runner_states(self._admitted.service)
         return self._world.placement.choose(self._question(), states)
 
     def _send(self, state: RunnerState) -> None:
--- a/src/martenrun/router/loads.py
+++ b/src/martenrun/router/loads.py
@@ -21,6 +21,7 @@
     def __init__(self, pool: RunnerPool, peers: Peers) -> None:
         self._pool = pool
         self._peers = peers
+        self._outdated: set[str] = set()
 
     def own_loads(self) -> dict[str, RunnerLoad]:
         """Return what this router has given each runner to do."""
@@ -39,15 +40,28 @@
 
     def take_records(self) -> None:
         """Take in the loads of all live routers."""
+        self._outdated.clear()
         records = self._peers.live()
         for state in self._pool.all_states():
             _add_up(state, records)
 
     def take_reading(self, instance: str) -> None:
-        """Take in that another router's load at one runner has changed."""
-        state = self._pool.state(instance)
-        if state is not None:
-            _add_up(state, self._peers.live())
+        """Take in that another router's load at one runner has changed.
+
+        Sums are made anew by :meth:`refresh`: among many routers far more is told than placed.
+        """
+        self._outdated.add(instance)
+
+    def refresh(self) -> None:
+        """Make the sums current; called before a request is placed."""
+        if not self._outdated:
+            return
+        records = self._peers.live()
+        for instance in self._outdated:
+            state = self._pool.state(instance)
+            if state is not None:
+                _add_up(state, records)
+        self._outdated.clear()
 
 
 def _own_load(state: RunnerState) -> RunnerLoad:
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -90,6 +90,7 @@
             count=self._count,
             store_works=lambda _store: True,
             note_reading=lambda state: self._loads.note_reading(state),
+            refresh_loads=lambda: self._loads.refresh(),
         )
         self._admission = Admission(self._world)
         own = RouterRecord(
--- a/src/martenrun/router/world.py
+++ b/src/martenrun/router/world.py
@@ -33,6 +33,7 @@
         count: takes in how a request ended: outcome, route, seconds.
         store_works: whether the kept-cache store at an address answers.
         note_reading: takes in that a runner has more or less to read for this router.
+        refresh_loads: makes what is known of other routers' loads current.
     """
 
     loop: Loop
@@ -47,6 +48,7 @@
     count: Callable[[str, Route, float], None]
     store_works: Callable[[KeptCacheStore], bool]
     note_reading: Callable[[RunnerState], None]
+    refresh_loads: Callable[[], None]
     _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
 
     def budget(self, service: str) -> RetryBudget:
@@ -56,6 +58,11 @@
             budget = self._budgets[service] = RetryBudget(self.settings.bounds)
         return budget
 
+    def runner_states(self, service: str) -> list[RunnerState]:
+        """Return what is believed now of a service's runners."""
+        self.refresh_loads()
+        return self.pool.states(service)
+
     def replace_settings(self, settings: RouterSettings) -> None:
         """Put other bounds in force; addresses stay those of the start."""
         self.settings = settings
--- a/tests/router/test_forwarding.py
+++ b/tests/router/test_forwarding.py
@@ -5,6 +5,7 @@
 
 from martenrun.net.http import HttpRequest
 from martenrun.platform import DIALECT
+from martenrun.router import trail
 from martenrun.router.forwarding import WAITING_SHARE, Forwarding
 from martenrun.router.knowledge import ConfigurationKnowledge, RunnerDirectory, WeightsKnowledge
 from martenrun.router.messages import Admitted, Call, PromptPart, RouteKind, WantedWeights
@@ -69,6 +70,7 @@
         self.script = list(script)
         self.sent = []
         self.connections = []
+        self.readers = []
 
     def states(self, service):
         return self._states
@@ -80,6 +82,7 @@
         self.sent.append(chosen.runner.instance)
         connection = FakeConnection()
         self.connections.append(connection)
+        self.readers.append(reader)
         reader.on_sent()
         if self.script:
             answer = self.script.pop(0)
@@ -98,7 +101,15 @@
 
 
 class Played:
-    def __init__(self, script=(), budget_slack=54.0, the_route=None, states=None, model=None):
+    def __init__(
+        self,
+        script=(),
+        budget_slack=54.0,
+        the_route=None,
+        states=None,
+        model=None,
+        refresh_loads=lambda: None,
+    ):
         self.loop = FakeLoop()
         self.states = [state(f"i-{n}") for n in range(3)] if states is None else states
         self.pool = FakePool(self.loop, self.states, script)
@@ -122,6 +133,7 @@
             count=lambda outcome, _route, _seconds: self.ends.append(outcome),
             store_works=lambda _store: True,
             note_reading=lambda _state: None,
+            refresh_loads=refresh_loads,
         )
         now = self.loop.now()
         self.exchange = FakeExchange(HttpRequest(b"POST", b"/a/x", [], b"b", now))
@@ -203,6 +215,33 @@
     assert played.pool.connections[0].is_closed
 
 
+def test_a_request_is_placed_by_the_loads_that_other_routers_told_last():
+    states = [state("i-0"), state("i-1")]
+
+    def told():
+        states[0].elsewhere = 6
+
+    played = Played([GOOD], states=states, refresh_loads=told).run(0.1)
+    assert played.pool.sent == ["i-1"]
+
+
+def test_the_longest_pause_of_a_stream_is_told_when_it_ends(monkeypatch):
+    lines = []
+    monkeypatch.setattr(trail, "log_event", lambda event, **fields: lines.append((event, fields)))
+    stream = route(kind=RouteKind.STREAM, timeout_s=20.0)
+    played = Played(the_route=stream)
+    reader = played.pool.readers[0]
+    head = [(b"X-Response-Stamp", b"s"), (b"Content-Type", b"text/event-stream")]
+    reader.on_head(200, head, None)
+    for number, pause_s in enumerate((0.3, 0.1, 0.6, 0.2), start=1):
+        played.loop.time += pause_s
+        reader.on_body(b"id: %d\ndata: x\n\n" % number)
+    reader.on_complete()
+    event, fields = lines[-1]
+    assert event == "served"
+    assert fields["first_ms"] == 300 and fields["longest_gap_ms"] == 600
+
+
 def test_a_request_that_waits_at_overdue_weights_is_sent_elsewhere():
     old, new = state("i-0", weights={"m": 1}), state("i-1", weights={"m": 1})
     resumable = route(kind=RouteKind.STREAM, is_resumable=True, timeout_s=20.0)
--- a/tests/router/test_loads.py
+++ b/tests/router/test_loads.py
@@ -49,8 +49,9 @@
     assert (state.elsewhere, state.reading_elsewhere, state.held_elsewhere) == (3, 3_500, 4_600)
     peers.records = peers.records[1:]
     loads.take_reading("i-0")
-    assert (state.elsewhere, state.reading_elsewhere, state.held_elsewhere) == (1, 500, 600)
     loads.take_reading("i-9")
+    loads.refresh()
+    assert (state.elsewhere, state.reading_elsewhere, state.held_elsewhere) == (1, 500, 600)
 
 
 def test_a_router_tells_only_of_runners_that_work_for_it():
@@ -58,3 +59,20 @@
     assert loads.own_loads() == {}
     state.note_sent(0.0)
     assert loads.own_loads() == {"i-0": RunnerLoad(1, 0, 0)}
+
+
+def test_sums_are_made_once_for_many_readings_told():
+    loads, peers, _state = exchange()
+    peers.asked = 0
+    live = peers.live
+
+    def counted():
+        peers.asked += 1
+        return live()
+
+    peers.live = counted
+    for _ in range(50):
+        loads.take_reading("i-0")
+    loads.refresh()
+    loads.refresh()
+    assert peers.asked == 1
