Split what routers tell, the table of routers and the sending apart

Change: peer_messages.py (the datagrams), router_table.py (pure), peers.py (sockets and timers); LoadNews is WeightsNews. Tags on the wire and behaviour stay: moved lines and names only. tests/router pass (tests' imports follow).

--- a/src/martenrun/router/entry.py
+++ b/src/martenrun/router/entry.py
@@ -4,7 +4,8 @@
 
 from martenrun.net.server import Exchange
 from martenrun.router.dialect import Dialect
-from martenrun.router.peers import Peers, RouterRecord
+from martenrun.router.peer_messages import RouterRecord
+from martenrun.router.peers import Peers
 
 DIRECTORY_TTL_S = 1.0
 """How long callers may use an answer of the directory, in seconds."""
--- a/src/martenrun/router/loads.py
+++ b/src/martenrun/router/loads.py
@@ -7,7 +7,8 @@
 
 from collections.abc import Iterable
 
-from martenrun.router.peers import Peers, RouterRecord, RunnerLoad
+from martenrun.router.peer_messages import RouterRecord, RunnerLoad
+from martenrun.router.peers import Peers
 from martenrun.router.runner_pool import RunnerPool
 from martenrun.router.runner_state import RunnerState
 
--- /dev/null
+++ b/src/martenrun/router/peer_messages.py
@@ -0,0 +1,76 @@
+"""What routers tell each other in datagrams, as MessagePack arrays."""
+
+from collections.abc import Callable
+
+import msgspec
+
+
+class RunnerLoad(msgspec.Struct, array_like=True, frozen=True):
+    """What one router has given a runner to do.
+
+    Attributes:
+        requests: requests under way there.
+        tokens_to_read: tokens of their prompts that are still to be read.
+        tokens_held: tokens of memory that they take.
+    """
+
+    requests: int
+    tokens_to_read: int
+    tokens_held: int
+
+
+class RouterRecord(msgspec.Struct, array_like=True):
+    """What a router tells of itself.
+
+    ``lease_revision`` and ``lease_token`` tell of the lease on orders while it holds that, else 0;
+    ``loads`` tells what it has given each runner to do;
+    ``weights`` tells for each model how long the router has known of its last versions, as
+    (version, milliseconds).
+    """
+
+    address: str
+    incarnation: int
+    beat: int
+    front: str
+    zone: str
+    is_leaving: bool
+    is_current: bool
+    has_lost_store: bool
+    lease_revision: int
+    lease_token: int
+    loads: dict[str, RunnerLoad]
+    weights: dict[str, list[tuple[int, int]]]
+
+
+class Gossip(msgspec.Struct, array_like=True, tag="gossip"):
+    """Records, the sender's first."""
+
+    records: list[RouterRecord]
+
+
+class WeightsNews(msgspec.Struct, array_like=True, tag="load"):
+    """A runner begins to load a version of a model's weights, or has it now."""
+
+    instance: str
+    model: str
+    version: int
+    is_loaded: bool
+
+
+class ReadingNews(msgspec.Struct, array_like=True, tag="reading"):
+    """What a router has given one runner to do by now: a part of its next record, sent ahead."""
+
+    address: str
+    incarnation: int
+    beat: int
+    instance: str
+    load: RunnerLoad
+
+
+Message = Gossip | WeightsNews | ReadingNews
+
+decode: Callable[[bytes], Message] = msgspec.msgpack.Decoder(Message).decode
+"""Read a datagram; raises msgspec.MsgspecError if it is no message."""
+
+encode: Callable[[Message], bytes] = msgspec.msgpack.Encoder().encode
+"""Return a message as a datagram."""
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -38,11 +38,12 @@
     StoredObject,
 )
 from martenrun.router.metrics import Metrics, Sample
-from martenrun.router.peers import LoadNews, Peers, RouterRecord, first_incarnation
+from martenrun.router.peer_messages import RouterRecord, WeightsNews
+from martenrun.router.peers import Peers, first_incarnation
 from martenrun.router.placement import Placement
 from martenrun.router.runner_pool import RunnerPool
 from martenrun.router.store_client import HttpCaller
-from martenrun.router.weights_roll import WeightsRoller, take_load_news
+from martenrun.router.weights_roll import WeightsRoller, take_weights_news
 from martenrun.router.world import World
 
 LINGER_AFTER_STOP_S = 3.6
@@ -112,7 +113,7 @@
             own,
             settings.seeds,
             self._refresh,
-            self._on_news,
+            self._on_weights_news,
             self._on_records,
             lambda instance: self._loads.take_reading(instance),
         )
@@ -207,8 +208,8 @@
         own.weights = self._world.weights.ages_ms(self._loop.now())
         own.loads = self._loads.own_loads()
 
-    def _on_news(self, news: LoadNews) -> None:
-        take_load_news(self._world, news)
+    def _on_weights_news(self, news: WeightsNews) -> None:
+        take_weights_news(self._world, news)
 
     def _on_records(self) -> None:
         self._loads.take_records()
--- a/src/martenrun/router/weights_roll.py
+++ b/src/martenrun/router/weights_roll.py
@@ -13,7 +13,8 @@
 from martenrun.router.lease import Lease
 from martenrun.router.log import log_event, log_trouble
 from martenrun.router.messages import HttpCall, OrderOutcome, RunnerReport, WeightsOrder
-from martenrun.router.peers import LoadNews, Peers
+from martenrun.router.peer_messages import WeightsNews
+from martenrun.router.peers import Peers
 from martenrun.router.runner_state import LOADING_MEMORY_S, RunnerState
 from martenrun.router.store_client import HttpCaller
 from martenrun.router.world import World
@@ -186,8 +187,8 @@
                 self._ask_report(state, model)
 
     def _tell(self, state: RunnerState, model: str, version: int, is_loaded: bool) -> None:
-        news = LoadNews(state.runner.instance, model, version, is_loaded)
-        take_load_news(self._world, news)
+        news = WeightsNews(state.runner.instance, model, version, is_loaded)
+        take_weights_news(self._world, news)
         self._peers.tell_all(news)
 
     def _ask_report(self, state: RunnerState, model: str) -> None:
@@ -300,7 +301,7 @@
         caller.call(call, timeout_s, on_answer)
 
 
-def take_load_news(world: World, news: LoadNews) -> None:
+def take_weights_news(world: World, news: WeightsNews) -> None:
     """Take in that a runner loads weights or has them now."""
     state = world.pool.state(news.instance)
     if state is None:
--- a/tests/router/test_loads.py
+++ b/tests/router/test_loads.py
@@ -1,7 +1,7 @@
 """Loads of runners: long prompts are told at once, the rest with the records."""
 
 from martenrun.router.loads import TOLD_AT_ONCE_TOKENS, LoadExchange
-from martenrun.router.peers import RunnerLoad
+from martenrun.router.peer_messages import RunnerLoad
 from martenrun.router.runner_pool import RunnerPool
 
 from .builders import runner
--- a/tests/router/test_peers.py
+++ b/tests/router/test_peers.py
@@ -1,13 +1,7 @@
 """The table of routers: newer records win, dead ones are noticed, old lives are refuted."""
 
-from martenrun.router.peers import (
-    DEAD_AFTER_S,
-    FORGOTTEN_AFTER_S,
-    ReadingNews,
-    RouterRecord,
-    RouterTable,
-    RunnerLoad,
-)
+from martenrun.router.peer_messages import ReadingNews, RouterRecord, RunnerLoad
+from martenrun.router.router_table import DEAD_AFTER_S, FORGOTTEN_AFTER_S, RouterTable
 
 
 def record(address, incarnation=1, beat=1, **changes):
