Test a reading told over real datagrams

Cause: the table of routers was tested, the way over sockets was not. The test lets a stranger, a spoiled datagram and a known router tell the same receiver; only the last is taken in.

--- a/tests/router/test_peers.py
+++ b/tests/router/test_peers.py
@@ -1,8 +1,12 @@
 """The table of routers: newer records win, dead ones are noticed, old lives are refuted."""
 
+from martenrun.net.loop import Loop
 from martenrun.router.peer_messages import ReadingNews, RouterRecord, RunnerLoad
+from martenrun.router.peers import Peers
 from martenrun.router.router_table import DEAD_AFTER_S, FORGOTTEN_AFTER_S, RouterTable
 
+from .loopback import free_address, serve_until
+
 
 def record(address, incarnation=1, beat=1, **changes):
     fields = {
@@ -68,3 +72,23 @@
     assert not table.take_reading(ReadingNews("b", 2, 9, "i-0", load), 0.1)
     assert not table.take_reading(ReadingNews("c", 1, 9, "i-0", load), 0.1)
     assert table.live(0.2)[0].loads == {}
+
+
+def test_a_reading_and_what_cannot_be_understood_come_over_real_datagrams():
+    loop = Loop()
+    heard = []
+
+    def peers():
+        own = record(free_address())
+        return Peers(loop, own, (), lambda _: None, lambda _: None, lambda: None, heard.append)
+
+    sender, receiver, stranger = peers(), peers(), peers()
+    sender.table.merge([record(receiver.own.address)], loop.now())
+    receiver.table.merge([record(sender.own.address)], loop.now())
+    stranger.table.merge([record(receiver.own.address)], loop.now())
+    stranger.tell_reading("i-9", RunnerLoad(1, 5_000, 5_000))
+    stranger._send(receiver.own.address, b"\xff no message")
+    sender.tell_reading("i-0", RunnerLoad(1, 9_000, 9_200))
+    serve_until(loop, lambda: heard)
+    assert heard == ["i-0"]
+    assert receiver.live()[0].loads == {"i-0": RunnerLoad(1, 9_000, 9_200)}
