Tell readings in the own zone only above 100 routers

Cause: what a router hears of readings grows with the long prompts of the whole deployment: 155 messages a second at 79 machines (worked out), 600 and more at 300. Change: router_table.told_at_once; a bound of 100 routers.

--- a/src/martenrun/router/peers.py
+++ b/src/martenrun/router/peers.py
@@ -95,22 +95,23 @@
 
     def tell_all(self, news: WeightsNews) -> None:
         """Send news to every router known."""
-        self._send_all(news)
+        self._send_to(self.table.addresses(), news)
 
     def tell_reading(self, instance: str, load: RunnerLoad) -> None:
-        """Tell every router known of this router's load at one runner, at once."""
+        """Tell other routers of this router's load at one runner, at once."""
         own = self.own
         own.beat += 1
-        self._send_all(ReadingNews(own.address, own.incarnation, own.beat, instance, load))
+        news = ReadingNews(own.address, own.incarnation, own.beat, instance, load)
+        self._send_to(self.table.told_at_once(), news)
 
     def tell_now(self) -> None:
         """Send the own record to every router known, at once."""
         self._raise_own()
-        self._send_all(Gossip([self.own]))
+        self._send_to(self.table.addresses(), Gossip([self.own]))
 
-    def _send_all(self, message: Message) -> None:
+    def _send_to(self, addresses: list[str], message: Message) -> None:
         data = encode(message)
-        for address in self.table.addresses():
+        for address in addresses:
             self._send(address, data)
 
     def _tick(self) -> None:
--- a/src/martenrun/router/router_table.py
+++ b/src/martenrun/router/router_table.py
@@ -13,6 +13,9 @@
 What a router receives then stays the same; at most the news of others gets older.
 """
 
+MOST_TOLD_ROUTERS = 100
+"""Up to so many routers all of them are told of a reading at once; then those of the own zone."""
+
 DEAD_AFTER_S = 2.0
 """Time without a newer record until a router of a small deployment counts as dead, in seconds."""
 
@@ -81,6 +84,16 @@
         """Return the addresses of all routers ever heard of and not forgotten."""
         return list(self._known)
 
+    def told_at_once(self) -> list[str]:
+        """Return the addresses of the routers that hear of each reading at once.
+
+        Those of the own zone only where there are very many: what each hears stays bounded.
+        """
+        if self.count() <= MOST_TOLD_ROUTERS:
+            return self.addresses()
+        zone = self.own.zone
+        return [address for address, known in self._known.items() if known.record.zone == zone]
+
     def forget_dead(self, now: float) -> None:
         """Drop routers that have been dead for long."""
         for address, known in list(self._known.items()):
--- a/tests/router/test_peers.py
+++ b/tests/router/test_peers.py
@@ -3,7 +3,12 @@
 from martenrun.net.loop import Loop
 from martenrun.router.peer_messages import ReadingNews, RouterRecord, RunnerLoad
 from martenrun.router.peers import Peers
-from martenrun.router.router_table import DEAD_AFTER_S, FORGOTTEN_AFTER_S, RouterTable
+from martenrun.router.router_table import (
+    DEAD_AFTER_S,
+    FORGOTTEN_AFTER_S,
+    MOST_TOLD_ROUTERS,
+    RouterTable,
+)
 
 from .loopback import free_address, serve_until
 
@@ -74,6 +79,15 @@
     assert table.live(0.2)[0].loads == {}
 
 
+def test_among_very_many_routers_only_those_of_the_zone_are_told_at_once():
+    table = RouterTable(record("a"))
+    others = [record(f"b{n}", zone="z" if n % 4 == 0 else "y") for n in range(MOST_TOLD_ROUTERS)]
+    table.merge(others[:-1], 0.0)
+    assert len(table.told_at_once()) == MOST_TOLD_ROUTERS - 1
+    table.merge(others, 0.0)
+    assert set(table.told_at_once()) == {r.address for r in others if r.zone == "z"}
+
+
 def test_a_reading_and_what_cannot_be_understood_come_over_real_datagrams():
     loop = Loop()
     heard = []
