Read threads' times one reading at a time

Cause, seen on reading the change: two scrapes at the same time share the open files; one could close a file, or change the table, while the other reads. Change: a lock around a reading.

--- a/src/martenrun/observability/process_cost.py
+++ b/src/martenrun/observability/process_cost.py
@@ -35,12 +35,18 @@
 
     def __init__(self) -> None:
         self._files: dict[int, FileIO] = {}
+        self._lock = threading.Lock()
 
     def read(self) -> dict[str, float]:
         """Return the processor time so far by name, in seconds.
 
         Threads that differ by a number only are added up; the resolution is 0.01 s a thread.
+        Readings at the same time wait for each other: they share the files.
         """
+        with self._lock:
+            return self._read()
+
+    def _read(self) -> dict[str, float]:
         spent: dict[str, float] = {}
         threads = {thread.native_id: thread.name for thread in threading.enumerate()}
         for ended in self._files.keys() - threads.keys():
--- a/tests/test_process_cost.py
+++ b/tests/test_process_cost.py
@@ -83,3 +83,36 @@
         for thread in waiting:
             thread.join()
     assert "idle" not in times.read()
+
+
+def test_readings_at_the_same_time_share_the_files_one_after_the_other(monkeypatch):
+    times = ThreadTimes()
+    inside = []
+    overlaps = []
+    pread = os.pread
+
+    def watched(*arguments):
+        inside.append(threading.get_ident())
+        overlaps.append(len(set(inside)) > 1)
+        try:
+            return pread(*arguments)
+        finally:
+            inside.remove(threading.get_ident())
+
+    monkeypatch.setattr(os, "pread", watched)
+    failures = []
+
+    def read_often():
+        try:
+            for _ in range(200):
+                times.read()
+        except Exception as exc:
+            failures.append(exc)
+
+    readers = [threading.Thread(target=read_often, name=f"reader-{n}") for n in range(4)]
+    for reader in readers:
+        reader.start()
+    for reader in readers:
+        reader.join()
+    assert failures == []
+    assert not any(overlaps)
