Call a load of weights WeightsLoad

Cause, seen on reading the change as a newcomer: RunnerLoad in weights_roll.py was a load of weights, RunnerLoad in peer_messages.py (new today) is the work of a runner; one package, two meanings. Ruled out: any use outside the module (grep). Change: four names in one file, no behaviour.

--- a/src/martenrun/router/weights_roll.py
+++ b/src/martenrun/router/weights_roll.py
@@ -45,7 +45,7 @@
 
 
 @attrs.define
-class RunnerLoad:
+class WeightsLoad:
     """A load of weights under way at a runner.
 
     Attributes:
@@ -112,7 +112,7 @@
         self._world = world
         self._peers = peers
         self._lease = lease
-        self._loads: dict[str, RunnerLoad] = {}
+        self._loads: dict[str, WeightsLoad] = {}
         self._not_before: dict[str, float] = {}
         self._needed_since: float | None = None
         self._callers: dict[str, HttpCaller] = {}
@@ -172,7 +172,7 @@
         self._check_loads(model, version, now)
         question = RollQuestion(model, version, set(self._loads), self._not_before, now)
         for state in runners_to_order(question, self._world.pool.all_states()):
-            self._loads[state.runner.instance] = RunnerLoad(version, now, now)
+            self._loads[state.runner.instance] = WeightsLoad(version, now, now)
             self._tell(state, model, version, is_loaded=False)
             self._ask_report(state, model)
 
@@ -220,7 +220,7 @@
         elif not report.is_loading and not load.is_ordered and self._may_order(load, report):
             self._order(state, model, wanted, report)
 
-    def _may_order(self, load: RunnerLoad, report: RunnerReport) -> bool:
+    def _may_order(self, load: WeightsLoad, report: RunnerReport) -> bool:
         """Whether the runner's runs have ended, or have had their time to end."""
         now = self._world.loop.now()
         if now < self._lease.orders_from:
