Hand the lease on orders over at a stop; pause no longer than needed

Ruled out: refused orders and a lost store (none there). Found while reading: a taker whose write lost its answer kept no pause at all.

Change: a stopping holder begins only what it can order, writes into the lease how long its last order lies back, and tells all; the next takes it at once and waits the rest. A holder restarted takes its own lease at once (one machine is one holder) and keeps the pause it may be in, which the object carries. The pause is counted from when the lease was last seen renewed. Loads are counted by model.

--- a/src/martenrun/platform/objects.py
+++ b/src/martenrun/platform/objects.py
@@ -212,13 +212,23 @@
 def read_lease(stored: StoredObject) -> LeaseRecord:
     """Translate a lease object of the routers' own."""
     spec = _table(stored.spec)
-    return LeaseRecord(str(spec["holder"]), int(spec["fence_token"]), int(spec.get("renewals", 0)))
+    idle_ms = spec.get("released_idle_ms")
+    return LeaseRecord(
+        holder=str(spec["holder"]),
+        fencing_token=int(spec["fence_token"]),
+        renewals=int(spec.get("renewals", 0)),
+        pause_s=float(spec.get("pause_ms", 0)) / _MS,
+        released_idle_s=None if idle_ms is None else float(idle_ms) / _MS,
+    )
 
 
 def lease_spec(lease: LeaseRecord) -> object:
     """Return the content of a lease object."""
+    idle_s = lease.released_idle_s
     return {
         "holder": lease.holder,
         "fence_token": lease.fencing_token,
         "renewals": lease.renewals,
+        "pause_ms": round(lease.pause_s * _MS),
+        "released_idle_ms": None if idle_s is None else round(idle_s * _MS),
     }
--- a/src/martenrun/router/lease.py
+++ b/src/martenrun/router/lease.py
@@ -1,11 +1,15 @@
 """A lease in the platform's store, taken and renewed under its revision.
 
 The holder counts from the sending of its last successful write; others wait for the whole lease
-from when they first saw the revision that they replace.  Each take-over raises the fencing token.
+from when they first saw the revision that they replace, unless its holder gave it up or was an
+earlier life of the same router.  Each take-over raises the fencing token.
 """
 
+import math
 from collections.abc import Callable
 
+import attrs
+
 from martenrun.net.http import HttpAnswer
 from martenrun.net.loop import Loop
 from martenrun.router.dialect import Dialect
@@ -23,23 +27,58 @@
 """How long after its end another takes it over, in seconds."""
 
 RANK_DELAY_S = 0.25
-"""How much later each next router takes over an expired lease, in seconds."""
+"""How much later each next router takes over a free lease, in seconds."""
 
 PAUSE_S = 0.15
 """Pause after a call that failed or found the lease held, in seconds."""
 
 
+@attrs.frozen
+class SeenLease:
+    """A lease object as last seen; ``seen_at`` is when its revision was first seen."""
+
+    stored: StoredObject
+    record: LeaseRecord
+    seen_at: float
+
+
+def free_at(seen: SeenLease, router: str, rank: int, lease_s: float) -> float:
+    """Return when a router may take the lease over; the higher its rank, the later."""
+    if seen.record.router == router:
+        # An earlier life of this router, which has ended.
+        return seen.seen_at
+    delay_s = rank * RANK_DELAY_S
+    if seen.record.released_idle_s is not None:
+        return seen.seen_at + delay_s
+    return seen.seen_at + lease_s + TAKER_MARGIN_S + delay_s
+
+
+def orders_from(seen: SeenLease, router: str, lease_s: float) -> float:
+    """Return when a router that takes the lease over may give its first order.
+
+    Orders of two routers must lie the whole length of the lease apart; all lives of one router
+    count as one.
+    """
+    record = seen.record
+    if record.router == router:
+        return seen.seen_at + record.pause_s
+    if record.released_idle_s is not None:
+        return seen.seen_at - record.released_idle_s + lease_s + TAKER_MARGIN_S
+    last_order_at = seen.seen_at + lease_s - HOLDER_MARGIN_S
+    return last_order_at + lease_s
+
+
 class Lease:
     """One lease, as one router sees it.
 
     Args:
         name: name of the lease object.
-        holder: what this life of this router calls itself.
+        holder: what this life of this router calls itself: its address, ``#``, its incarnation.
         lease_s: length of the lease, in seconds.
 
     Attributes:
         fencing_token: token to be used while it is held.
-        orders_from: steady time before which a new holder gives no orders.
+        orders_from: steady time before which the holder gives no orders.
     """
 
     def __init__(
@@ -56,78 +95,102 @@
         self._dialect = dialect
         self._name = name
         self._holder = holder
+        self._router = LeaseRecord(holder, 0).router
         self._lease_s = lease_s
-        self._seen: StoredObject | None = None
-        self._seen_at = 0.0
-        self._seen_record: LeaseRecord | None = None
+        self._seen: SeenLease | None = None
         self._held_until = 0.0
         self._is_calling = False
         self._not_before = 0.0
         self._renewals = 0
+        self._last_order_at = -math.inf
         self.fencing_token = 0
-        self.orders_from = 0.0
+        self.orders_from = -math.inf
 
     @property
     def revision(self) -> int:
         """Revision last written by this router while it holds the lease, else 0."""
-        return 0 if self._seen is None or not self.is_held() else self._seen.revision
+        return 0 if self._seen is None or not self.is_held() else self._seen.stored.revision
 
     def is_held(self) -> bool:
         """Return whether this router may act on the lease now."""
         return self._loop.now() < self._held_until - HOLDER_MARGIN_S
 
-    def last_holder(self) -> str | None:
-        """Return who was last seen to hold it."""
-        return None if self._seen_record is None else self._seen_record.holder
+    def last_router(self) -> str | None:
+        """Return the address of the router that was last seen to hold it."""
+        return None if self._seen is None else self._seen.record.router
+
+    def note_order(self) -> None:
+        """Take in that an order is given under it."""
+        self._last_order_at = self._loop.now()
 
     def note_revision(self, record: LeaseRecord, revision: int) -> None:
         """Take in that another router tells of a revision that it has written."""
-        if self.is_held() or (self._seen is not None and revision <= self._seen.revision):
+        if self.is_held() or (self._seen is not None and revision <= self._seen.stored.revision):
             return
-        self._seen = StoredObject(self._name, revision, None)
-        self._seen_record = record
-        self._seen_at = self._loop.now()
+        self._seen = SeenLease(StoredObject(self._name, revision, None), record, self._loop.now())
 
     def pursue(self, rank: int) -> None:
         """Take the lease or renew it, as far as it is time for that.
 
-        A router takes an expired lease the later, the higher its ``rank``.
+        A router takes a free lease the later, the higher its ``rank``.
         """
         now = self._loop.now()
+        seen = self._seen
         if self._is_calling or now < self._not_before:
             return
         if now < self._held_until:
             if now > self._held_until - self._lease_s / 2:
                 self._write(self.fencing_token)
-            return
-        if self._seen is None:
+        elif seen is None:
             self._call(self._dialect.read_object(Dataset.LEASES, self._name), self._on_read)
-        elif self._seen_record is not None and self._seen_record.holder == self._holder:
+        elif seen.record.holder == self._holder:
             # Nobody has taken it since: it is still this router's under its own token.
-            self._write(self._seen_record.fencing_token)
-        elif now - self._seen_at >= self._lease_s + TAKER_MARGIN_S + rank * RANK_DELAY_S:
-            token = self._seen_record.fencing_token if self._seen_record is not None else 0
-            self._write(max(token, self.fencing_token) + 1)
+            self._write(seen.record.fencing_token)
+        elif now >= free_at(seen, self._router, rank, self._lease_s):
+            # It holds whether or not the write is answered.
+            first_order_at = orders_from(seen, self._router, self._lease_s)
+            self.orders_from = max(self.orders_from, first_order_at)
+            self._write(max(seen.record.fencing_token, self.fencing_token) + 1)
+
+    def release(self, on_released: Callable[[LeaseRecord, int], None]) -> None:
+        """Give the lease up if it is held; ``on_released`` gets what others need to take it.
+
+        No order may be given after this.  A write that fails is not repeated: the lease then ends
+        by itself.
+        """
+        if not self.is_held() or self._is_calling:
+            return
+        # Before its own first order, the last one was that of the holder before.
+        last_order_at = max(self._last_order_at, self.orders_from - self._lease_s)
+        idle_s = min(self._lease_s, self._loop.now() - last_order_at)
+        record = attrs.evolve(self._own_record(self.fencing_token), released_idle_s=idle_s)
+        self._held_until = 0.0
+        self._not_before = math.inf
 
-    def _write(self, token: int) -> None:
+        def answered(answer: HttpAnswer | None) -> None:
+            if answer is not None and answer.status == 200:
+                log_event("lease_released", token=record.fencing_token)
+                on_released(record, self._dialect.read_stored(answer.body).revision)
+
+        self._call(self._write_call(record), answered)
+
+    def _own_record(self, token: int) -> LeaseRecord:
         self._renewals += 1
-        record = LeaseRecord(self._holder, token, self._renewals)
-        spec = self._dialect.lease_spec(record)
-        if self._seen is None:
-            call = self._dialect.create_object(Dataset.LEASES, self._name, spec)
-        else:
-            call = self._dialect.replace_object(Dataset.LEASES, self._seen, spec)
-        sent_at = self._loop.now()
-        self._call(call, lambda answer: self._on_written(answer, record, sent_at))
+        pause_s = max(0.0, self.orders_from - self._loop.now())
+        return LeaseRecord(self._holder, token, self._renewals, pause_s)
 
-    def _order_pause_s(self, record: LeaseRecord) -> float:
-        """Return how long a new holder gives no orders, in seconds.
+    def _write(self, token: int) -> None:
+        record = self._own_record(token)
+        sent_at = self._loop.now()
+        self._call(
+            self._write_call(record), lambda answer: self._on_written(answer, record, sent_at)
+        )
 
-        The last order of the one before may have come shortly before its lease ended; orders of
-        two holders must lie the whole length of the lease apart.
-        """
-        is_first = record.fencing_token == 1
-        return 0.0 if is_first else self._lease_s - HOLDER_MARGIN_S - TAKER_MARGIN_S
+    def _write_call(self, record: LeaseRecord) -> HttpCall:
+        spec = self._dialect.lease_spec(record)
+        if self._seen is None:
+            return self._dialect.create_object(Dataset.LEASES, self._name, spec)
+        return self._dialect.replace_object(Dataset.LEASES, self._seen.stored, spec)
 
     def _call(self, call: HttpCall, on_answer: Callable[[HttpAnswer | None], None]) -> None:
         self._is_calling = True
@@ -151,8 +214,8 @@
             self._see(answer)
             self._held_until = sent_at + self._lease_s
             if record.fencing_token != self.fencing_token:
-                log_event("lease_taken", token=record.fencing_token)
-                self.orders_from = self._loop.now() + self._order_pause_s(record)
+                pause_ms = round(record.pause_s * 1000)
+                log_event("lease_taken", token=record.fencing_token, pause_ms=pause_ms)
             self.fencing_token = record.fencing_token
             return
         status = None if answer is None else answer.status
@@ -164,15 +227,16 @@
             self._seen = None
             if status == 409 and answer is not None:
                 self._see(answer)
-                if self._seen_record is None or self._seen_record.holder != self._holder:
+                if self._seen is None or self._seen.record.holder != self._holder:
                     self._held_until = 0.0
 
     def _see(self, answer: HttpAnswer) -> None:
         stored = self._dialect.read_stored(answer.body)
-        if self._seen is None or stored.revision != self._seen.revision:
-            self._seen_at = self._loop.now()
-        self._seen = stored
+        seen_at = self._loop.now()
+        if self._seen is not None and stored.revision == self._seen.stored.revision:
+            seen_at = self._seen.seen_at
         try:
-            self._seen_record = self._dialect.read_lease(stored)
+            record = self._dialect.read_lease(stored)
         except (KeyError, TypeError, ValueError):
-            self._seen_record = LeaseRecord("", self.fencing_token)
+            record = LeaseRecord("", self.fencing_token)
+        self._seen = SeenLease(stored, record, seen_at)
--- a/src/martenrun/router/messages.py
+++ b/src/martenrun/router/messages.py
@@ -246,12 +246,25 @@
 class LeaseRecord:
     """Content of a lease object: who holds it and with which fencing token.
 
-    ``renewals`` only rises, so that each renewal gives the object a new revision.
+    Attributes:
+        holder: one life of a router, as its address and its incarnation.
+        fencing_token: token of the holder's orders.
+        renewals: only rises, so that each renewal gives the object a new revision.
+        pause_s: how long after this write the holder gives no orders yet, in seconds.
+        released_idle_s: None while it is held; once given up, how long before this write the last
+            order lies back, in seconds.
     """
 
     holder: str
     fencing_token: int
     renewals: int = 0
+    pause_s: float = 0.0
+    released_idle_s: float | None = None
+
+    @property
+    def router(self) -> str:
+        """Address of the router that holds it, whichever of its lives."""
+        return self.holder.partition("#")[0]
 
 
 @attrs.frozen
--- a/src/martenrun/router/peer_messages.py
+++ b/src/martenrun/router/peer_messages.py
@@ -57,6 +57,15 @@
     is_loaded: bool
 
 
+class LeaseNews(msgspec.Struct, array_like=True, tag="lease"):
+    """A router has given the lease on orders up, ``idle_ms`` after its last order."""
+
+    holder: str
+    fencing_token: int
+    revision: int
+    idle_ms: int
+
+
 class ReadingNews(msgspec.Struct, array_like=True, tag="reading"):
     """What a router has given one runner to do by now: a part of its next record, sent ahead."""
 
@@ -67,7 +76,7 @@
     load: RunnerLoad
 
 
-Message = Gossip | WeightsNews | ReadingNews
+Message = Gossip | WeightsNews | LeaseNews | ReadingNews
 
 decode: Callable[[bytes], Message] = msgspec.msgpack.Decoder(Message).decode
 """Read a datagram; raises msgspec.MsgspecError if it is no message."""
--- a/src/martenrun/router/peers.py
+++ b/src/martenrun/router/peers.py
@@ -16,6 +16,7 @@
 from martenrun.router.log import log_trouble
 from martenrun.router.peer_messages import (
     Gossip,
+    LeaseNews,
     Message,
     ReadingNews,
     RouterRecord,
@@ -48,7 +49,7 @@
         own: this router's record; its beat rises here.
         seeds: addresses to send to while no other router is known.
         refresh: fills in what changes in the own record before it is sent.
-        on_weights: called with news of a runner's weights.
+        on_news: called with news of a runner's weights or of the lease on orders.
         on_records: called after records were taken in.
         on_reading: called with a runner's instance once a router's load there has been taken in.
     """
@@ -59,7 +60,7 @@
         own: RouterRecord,
         seeds: tuple[str, ...],
         refresh: Callable[[RouterRecord], None],
-        on_weights: Callable[[WeightsNews], None],
+        on_news: Callable[[WeightsNews | LeaseNews], None],
         on_records: Callable[[], None],
         on_reading: Callable[[str], None],
     ) -> None:
@@ -67,7 +68,7 @@
         self.table = RouterTable(own)
         self._seeds = [seed for seed in seeds if seed != own.address]
         self._refresh = refresh
-        self._on_weights = on_weights
+        self._on_news = on_news
         self._on_records = on_records
         self._on_reading = on_reading
         self._heard_since: float | None = None
@@ -93,7 +94,7 @@
         is_settled = since is not None and self._loop.now() - since > SETTLING_S
         return self.table.count() if is_settled else max(UNKNOWN_COUNT, self.table.count())
 
-    def tell_all(self, news: WeightsNews) -> None:
+    def tell_all(self, news: WeightsNews | LeaseNews) -> None:
         """Send news to every router known."""
         self._send_to(self.table.addresses(), news)
 
@@ -170,8 +171,8 @@
             self._take(message)
 
     def _take(self, message: Message) -> None:
-        if isinstance(message, WeightsNews):
-            self._on_weights(message)
+        if isinstance(message, WeightsNews | LeaseNews):
+            self._on_news(message)
             return
         now = self._loop.now()
         if isinstance(message, ReadingNews):
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -38,7 +38,7 @@
     StoredObject,
 )
 from martenrun.router.metrics import Metrics, Sample
-from martenrun.router.peer_messages import RouterRecord, WeightsNews
+from martenrun.router.peer_messages import LeaseNews, RouterRecord, WeightsNews
 from martenrun.router.peers import Peers, first_incarnation
 from martenrun.router.placement import Placement
 from martenrun.router.runner_pool import RunnerPool
@@ -113,7 +113,7 @@
             own,
             settings.seeds,
             self._refresh,
-            self._on_weights_news,
+            self._on_news,
             self._on_records,
             lambda instance: self._loads.take_reading(instance),
         )
@@ -208,8 +208,11 @@
         own.weights = self._world.weights.ages_ms(self._loop.now())
         own.loads = self._loads.own_loads()
 
-    def _on_weights_news(self, news: WeightsNews) -> None:
-        take_weights_news(self._world, news)
+    def _on_news(self, news: WeightsNews | LeaseNews) -> None:
+        if isinstance(news, LeaseNews):
+            self._roller.take_release(news)
+        else:
+            take_weights_news(self._world, news)
 
     def _on_records(self) -> None:
         self._loads.take_records()
@@ -332,6 +335,7 @@
         self._stopped_at = self._loop.now()
         log_event("stopping", requests=len(self._forwardings))
         self._front.is_draining = True
+        self._roller.end_by(self._stopped_at + LINGER_AFTER_STOP_S)
         self._peers.tell_now()
 
     def _keep_house(self) -> None:
@@ -353,8 +357,6 @@
                 forwarding.shut_down()
             self._loop.call_later(0.2, self._loop.stop)
         elif since_s > LINGER_AFTER_STOP_S:
-            # Until here this router went on with a roll of weights that it had begun.
-            self._roller.is_stopped = True
             self._front.end_idle()
             if not self._forwardings and self._front.connections == 0:
                 self._loop.stop()
--- a/src/martenrun/router/weights_roll.py
+++ b/src/martenrun/router/weights_roll.py
@@ -4,6 +4,7 @@
 have been overtaken are never ordered.
 """
 
+import math
 from collections.abc import Collection, Sequence
 
 import attrs
@@ -12,8 +13,14 @@
 from martenrun.net.http import HttpAnswer
 from martenrun.router.lease import Lease
 from martenrun.router.log import log_event, log_trouble
-from martenrun.router.messages import HttpCall, OrderOutcome, RunnerReport, WeightsOrder
-from martenrun.router.peer_messages import WeightsNews
+from martenrun.router.messages import (
+    HttpCall,
+    LeaseRecord,
+    OrderOutcome,
+    RunnerReport,
+    WeightsOrder,
+)
+from martenrun.router.peer_messages import LeaseNews, WeightsNews
 from martenrun.router.peers import Peers
 from martenrun.router.runner_state import LOADING_MEMORY_S, RunnerState
 from martenrun.router.store_client import HttpCaller
@@ -42,6 +49,7 @@
 """Share of a model's runners that load at the same time; at least one does."""
 
 STATUS_OK = 200
+MS_PER_S = 1000
 
 
 @attrs.define
@@ -49,12 +57,14 @@
     """A load of weights under way at a runner.
 
     Attributes:
+        model: the model.
         version: the version ordered.
         began_at: steady time from which no new requests are sent to the runner.
         since: steady time of the last step.
         is_ordered: whether an order may have reached the runner.
     """
 
+    model: str
     version: int
     began_at: float
     since: float
@@ -71,6 +81,7 @@
         loading: instances whose load is under way.
         not_before: times before which failed runners are not tried again.
         now: steady time.
+        ends_at: when this router gives no more orders: runs must end before.
     """
 
     model: str
@@ -78,6 +89,7 @@
     loading: Collection[str]
     not_before: dict[str, float]
     now: float
+    ends_at: float = math.inf
 
 
 def lacking(states: Sequence[RunnerState], model: str, version: int) -> list[RunnerState]:
@@ -92,9 +104,11 @@
 
 def runners_to_order(question: RollQuestion, states: Sequence[RunnerState]) -> list[RunnerState]:
     """Return the runners that are to load now: the oldest weights first, then the least busy."""
+    if question.now + RUNS_END_S > question.ends_at:
+        return []
     of_model = [s for s in states if s.weights_version(question.model) is not None]
     limit = max(1, int(len(of_model) * PARALLEL_SHARE + 0.01))
-    free = limit - len(question.loading)
+    free = limit - sum(state.runner.instance in question.loading for state in of_model)
     candidates = [
         state
         for state in lacking(of_model, question.model, question.version)
@@ -117,35 +131,66 @@
         self._needed_since: float | None = None
         self._callers: dict[str, HttpCaller] = {}
         self._is_ticking = False
-        self.is_stopped = False
+        self._ends_at = math.inf
 
     def check(self) -> None:
         """Look whether runners lack weights; called after every change of what is known."""
-        if not self._is_ticking and not self.is_stopped:
+        if not self._is_ticking:
             self._is_ticking = True
             self._world.loop.call_later(0, self._tick)
 
+    def end_by(self, ends_at: float) -> None:
+        """Begin no load that cannot be ordered before a time; give the lease up by then."""
+        self._ends_at = ends_at
+        self.check()
+
+    def take_release(self, news: LeaseNews) -> None:
+        """Take in that another router has given the lease up."""
+        record = LeaseRecord(
+            news.holder, news.fencing_token, released_idle_s=news.idle_ms / MS_PER_S
+        )
+        self._lease.note_revision(record, news.revision)
+        self.check()
+
     def _tick(self) -> None:
         self._is_ticking = False
-        if self.is_stopped:
-            return
         now = self._world.loop.now()
         models = self._models_lacking()
+        if self._is_at_its_end(models, now):
+            self._lease.release(self._tell_release)
         if not models:
             self._needed_since = None
             self._loads.clear()
             return
         if self._needed_since is None:
             self._needed_since = now
-        rank = 0 if self._lease.is_held() else self._rank()
-        if now - self._needed_since >= RANK_DELAY_S * rank:
-            self._lease.pursue(rank)
-        if self._lease.is_held():
-            for model in models:
+        self._pursue_lease(now)
+        for model in models:
+            self._check_loads(model, self._world.weights.wanted[model].version, now)
+            if self._lease.is_held():
                 self._order_model(model, now)
         self._is_ticking = True
         self._world.loop.call_later(TICK_S, self._tick)
 
+    def _pursue_lease(self, now: float) -> None:
+        is_held = self._lease.is_held()
+        if self._ends_at < math.inf and not is_held:
+            return
+        rank = 0 if is_held else self._rank()
+        if now - (self._needed_since or now) >= RANK_DELAY_S * rank:
+            self._lease.pursue(rank)
+
+    def _is_at_its_end(self, models: list[str], now: float) -> bool:
+        """Whether this router ends and has nothing more to order."""
+        if now >= self._ends_at or self._ends_at == math.inf:
+            return now >= self._ends_at
+        may_begin = bool(models) and now + RUNS_END_S <= self._ends_at
+        return not may_begin and all(load.is_ordered for load in self._loads.values())
+
+    def _tell_release(self, record: LeaseRecord, revision: int) -> None:
+        idle_ms = round((record.released_idle_s or 0.0) * MS_PER_S)
+        self._peers.tell_all(LeaseNews(record.holder, record.fencing_token, revision, idle_ms))
+
     def _models_lacking(self) -> list[str]:
         states = self._world.pool.all_states()
         wanted = self._world.weights.wanted
@@ -161,23 +206,26 @@
             if record.is_current and not record.is_leaving
         ]
         living.sort(key=lambda address: weight(b"weights", address), reverse=True)
-        last = (self._lease.last_holder() or "").partition("#")[0]
-        if last in living:
+        last = self._lease.last_router()
+        if last is not None and last in living:
             living.remove(last)
             living.insert(0, last)
         return living.index(own.address)
 
     def _order_model(self, model: str, now: float) -> None:
         version = self._world.weights.wanted[model].version
-        self._check_loads(model, version, now)
-        question = RollQuestion(model, version, set(self._loads), self._not_before, now)
+        question = RollQuestion(
+            model, version, set(self._loads), self._not_before, now, self._ends_at
+        )
         for state in runners_to_order(question, self._world.pool.all_states()):
-            self._loads[state.runner.instance] = WeightsLoad(version, now, now)
+            self._loads[state.runner.instance] = WeightsLoad(model, version, now, now)
             self._tell(state, model, version, is_loaded=False)
             self._ask_report(state, model)
 
     def _check_loads(self, model: str, version: int, now: float) -> None:
         for instance, load in list(self._loads.items()):
+            if load.model != model:
+                continue
             state = self._world.pool.state(instance)
             has = None if state is None else state.weights_version(model)
             if state is None or (has is not None and has >= version):
@@ -228,7 +276,7 @@
         return report.active == 0 or now - load.began_at >= RUNS_END_S
 
     def _order(self, state: RunnerState, model: str, version: int, report: RunnerReport) -> None:
-        if not self._lease.is_held() or self.is_stopped:
+        if not self._lease.is_held():
             self._loads.pop(state.runner.instance, None)
             return
         load = self._loads[state.runner.instance]
@@ -244,6 +292,7 @@
             expected_orders=report.orders_taken,
             lets_runs_finish=False,
         )
+        self._lease.note_order()
         log_event(
             "weights_ordered",
             instance=order.instance,
@@ -261,6 +310,8 @@
     def _on_ordered(
         self, answer: HttpAnswer | None, state: RunnerState, model: str, version: int
     ) -> None:
+        # It may have arrived as late as this.
+        self._lease.note_order()
         instance = state.runner.instance
         if instance not in self._loads:
             return
--- a/tests/router/test_lease.py
+++ b/tests/router/test_lease.py
@@ -1,5 +1,8 @@
 """The lease on orders: one holder at a time, tokens that only rise, no turns within its length."""
 
+import itertools
+import random
+
 import pytest
 
 from martenrun.platform import DIALECT
@@ -120,3 +123,179 @@
     assert not first.is_held()
     pursue_for(loop, [second], 4.0)
     assert second.fencing_token == 8
+
+
+def test_a_lease_given_up_is_taken_at_once_and_orders_wait_for_the_last_one(loop, store):
+    first, second = made(loop, store, "n1#1"), made(loop, store, "n2#1")
+    pursue_for(loop, [first, second], 2.0)
+    first.note_order()
+    ordered_at = loop.now()
+    loop.run_until(loop.now() + 1.0)
+    first.release(lambda record, revision: second.note_revision(record, revision))
+    held = pursue_for(loop, [second], 1.0)
+    assert held[0][0] < ordered_at + 1.3
+    assert ordered_at + LEASE_S <= second.orders_from < ordered_at + LEASE_S + 0.3
+    assert second.fencing_token > first.fencing_token
+    assert not first.is_held()
+
+
+def test_whoever_reads_a_lease_that_was_given_up_takes_it_at_once(loop, store):
+    """The news that it was given up may be lost."""
+    first, second = made(loop, store, "n1#1"), made(loop, store, "n2#1")
+    pursue_for(loop, [first], 1.0)
+    first.release(lambda *_: None)
+    held = pursue_for(loop, [second], 1.0)
+    assert held
+    assert second.orders_from <= loop.now()
+
+
+def test_a_lease_given_up_is_not_taken_again_by_that_life(loop, store):
+    first = made(loop, store, "n1#1")
+    pursue_for(loop, [first], 1.0)
+    first.release(lambda *_: None)
+    assert pursue_for(loop, [first], 8.0) == []
+
+
+def test_a_restarted_holder_goes_on_at_once_under_a_higher_token(loop, store):
+    first = made(loop, store, "n1#1")
+    pursue_for(loop, [first], 1.0)
+    first.note_order()
+    again = made(loop, store, "n1#2")
+    began = loop.now()
+    held = pursue_for(loop, [again], 1.0, rank=3)
+    assert held[0][0] - began < 0.5
+    assert again.orders_from <= loop.now()
+    assert again.fencing_token > first.fencing_token
+
+
+def test_a_restarted_holder_keeps_the_pause_of_its_life_before(loop, store):
+    dead, first = made(loop, store, "n0#1"), made(loop, store, "n1#1")
+    pursue_for(loop, [dead, first], 1.0)
+    held = pursue_for(loop, [first], 4.0)
+    assert held[-1][0] < first.orders_from
+    again = made(loop, store, "n1#2")
+    pursue_for(loop, [again], 0.5)
+    assert again.is_held()
+    assert again.orders_from >= first.orders_from - 0.01
+
+
+def test_a_lease_that_ended_long_ago_brings_no_pause(loop, store):
+    first, second = made(loop, store, "n1#1"), made(loop, store, "n2#1")
+    pursue_for(loop, [first, second], 1.0)
+    loop.run_until(loop.now() + 10.0)
+    pursue_for(loop, [second], 0.5)
+    assert second.is_held()
+    assert second.orders_from <= loop.now()
+
+
+def test_a_lost_answer_to_a_takeover_takes_no_pause_away(loop, store):
+    first, second = made(loop, store, "n1#1"), made(loop, store, "n2#1")
+    pursue_for(loop, [first, second], 1.0)
+    last_order_at = loop.now()
+    store.loses_answers = True
+    pursue_for(loop, [second], 3.9)
+    assert read_lease(store, "weights").holder == "n2#1"
+    store.loses_answers = False
+    pursue_for(loop, [second], 1.5)
+    assert second.is_held()
+    assert second.orders_from >= last_order_at + LEASE_S
+
+
+ACTIONS = (
+    "die",
+    "die",
+    "restart",
+    "release",
+    "silence",
+    "lose answers",
+    "heal",
+    "heal",
+    "heal",
+    "pause",
+)
+
+
+class Crowd:
+    """Routers that pursue one lease while they are restarted, stopped and cut from the store."""
+
+    def __init__(self, loop, store, rng):
+        self.loop = loop
+        self.store = store
+        self.rng = rng
+        self.lives = itertools.count(1)
+        self.orders = []
+        self.routers = {name: self.new_life(name) for name in ("n1", "n2", "n3")}
+
+    def start(self, name):
+        self.routers[name] = self.new_life(name)
+
+    def new_life(self, name):
+        return made(self.loop, self.store, f"{name}#{next(self.lives)}")
+
+    def tell(self, name):
+        def told(record, revision):
+            for other, lease in self.routers.items():
+                if other != name and self.rng.random() < 0.7:
+                    lease.note_revision(record, revision)
+
+        return told
+
+    def act(self):
+        name = self.rng.choice(list(self.routers))
+        action = self.rng.choice(ACTIONS)
+        if action == "restart":
+            self.routers[name] = self.new_life(name)
+        elif action == "die" and len(self.routers) > 1:
+            del self.routers[name]
+            self.loop.call_later(self.rng.uniform(0.5, 12.0), lambda: self.start(name))
+        elif action == "release":
+            self.routers[name].release(self.tell(name))
+            self.loop.run_until(self.loop.now() + 0.05)
+            self.routers[name] = self.new_life(name)
+        elif action == "pause":
+            self.loop.run_until(self.loop.now() + self.rng.choice((0.5, 4.0)))
+        elif action in ("silence", "lose answers", "heal"):
+            self.store.is_silent = action == "silence"
+            self.store.loses_answers = action == "lose answers"
+
+    def order(self):
+        for name, lease in self.routers.items():
+            if lease.is_held() and self.loop.now() >= lease.orders_from:
+                lease.note_order()
+                self.orders.append((self.loop.now(), name, lease.fencing_token))
+
+    def run(self, seconds):
+        end = self.loop.now() + seconds
+        while self.loop.now() < end:
+            if self.rng.random() < 0.08:
+                self.act()
+            for rank, lease in enumerate(self.routers.values()):
+                lease.pursue(rank)
+            self.loop.run_until(self.loop.now() + 0.1)
+            self.order()
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_orders_of_two_routers_always_lie_a_lease_apart(loop, store, seed):
+    crowd = Crowd(loop, store, random.Random(seed))
+    crowd.run(400.0)
+    for (earlier_at, earlier, low), (later_at, later, high) in itertools.pairwise(crowd.orders):
+        assert low <= high
+        if earlier != later:
+            assert low < high
+            assert later_at - earlier_at >= LEASE_S - 1e-6
+    assert len({name for _, name, _ in crowd.orders}) > 1
+
+
+def test_a_lease_given_up_within_its_pause_keeps_the_next_one_waiting(loop, store):
+    names = ("n1#1", "n2#1", "n3#1")
+    first, second, third = (made(loop, store, name) for name in names)
+    pursue_for(loop, [first, second], 1.0)
+    first.note_order()
+    ordered_at = loop.now()
+    first.release(lambda record, revision: second.note_revision(record, revision))
+    pursue_for(loop, [second], 0.5)
+    second.release(lambda record, revision: third.note_revision(record, revision))
+    pursue_for(loop, [third], 0.5)
+    assert third.is_held()
+    assert third.orders_from >= ordered_at + LEASE_S
--- a/tests/router/test_weights_roll.py
+++ b/tests/router/test_weights_roll.py
@@ -1,12 +1,12 @@
 """Which runners are ordered to load weights, and when."""
 
-from martenrun.router.weights_roll import RollQuestion, lacking, runners_to_order
+from martenrun.router.weights_roll import RUNS_END_S, RollQuestion, lacking, runners_to_order
 
 from .builders import state
 
 
-def ask(version=2, loading=(), not_before=None):
-    return RollQuestion("m", version, set(loading), not_before or {}, 100.0)
+def ask(version=2, loading=(), not_before=None, **changes):
+    return RollQuestion("m", version, set(loading), not_before or {}, 100.0, **changes)
 
 
 def test_a_third_of_the_runners_load_at_a_time_and_at_least_one():
@@ -52,3 +52,14 @@
     some = [state("i-0")]
     assert runners_to_order(ask(not_before={"i-0": 100.5}), some) == []
     assert len(runners_to_order(ask(not_before={"i-0": 99.5}), some)) == 1
+
+
+def test_a_router_that_ends_begins_no_load_that_it_could_not_order():
+    some = [state("i-0")]
+    assert runners_to_order(ask(ends_at=100.0 + RUNS_END_S - 0.1), some) == []
+    assert len(runners_to_order(ask(ends_at=100.0 + RUNS_END_S + 0.1), some)) == 1
+
+
+def test_loads_of_another_models_runners_take_no_places():
+    some = [state("i-0"), state("i-1", weights={"other": 1})]
+    assert len(runners_to_order(ask(loading=["i-1"]), some)) == 1
