Let three turns bring any number of runners to new weights

Ruled out: failed orders (none).

Change: the third is rounded up and taken of the staying runners; those that no request may begin on any more load all at once. load_begun and load_done are logged. Tests: test_weights_roll.py (four new, failed first).

--- a/src/martenrun/router/weights_roll.py
+++ b/src/martenrun/router/weights_roll.py
@@ -46,7 +46,7 @@
 """How long a runner's runs may take to end before it is ordered to load, in seconds."""
 
 PARALLEL_SHARE = 1 / 3
-"""Share of a model's runners that load at the same time; at least one does."""
+"""Share of a model's runners that load at the same time, rounded up."""
 
 STATUS_OK = 200
 MS_PER_S = 1000
@@ -82,6 +82,7 @@
         not_before: times before which failed runners are not tried again.
         now: steady time.
         ends_at: when this router gives no more orders: runs must end before.
+        oldest_version: oldest version that may still begin requests.
     """
 
     model: str
@@ -90,6 +91,7 @@
     not_before: dict[str, float]
     now: float
     ends_at: float = math.inf
+    oldest_version: int = 0
 
 
 def lacking(states: Sequence[RunnerState], model: str, version: int) -> list[RunnerState]:
@@ -106,17 +108,32 @@
     """Return the runners that are to load now: the oldest weights first, then the least busy."""
     if question.now + RUNS_END_S > question.ends_at:
         return []
-    of_model = [s for s in states if s.weights_version(question.model) is not None]
-    limit = max(1, int(len(of_model) * PARALLEL_SHARE + 0.01))
-    free = limit - sum(state.runner.instance in question.loading for state in of_model)
     candidates = [
         state
-        for state in lacking(of_model, question.model, question.version)
+        for state in lacking(states, question.model, question.version)
         if state.runner.instance not in question.loading
         and question.now >= question.not_before.get(state.runner.instance, 0.0)
     ]
     candidates.sort(key=lambda state: (state.weights_version(question.model) or 0, state.load))
-    return candidates[: max(0, free)]
+    # Those too old to serve lose nothing by loading at once; others stay in service meanwhile.
+    idle = sum(_is_too_old(question, state) for state in candidates)
+    return candidates[: max(idle, _free_places(question, states))]
+
+
+def _is_too_old(question: RollQuestion, state: RunnerState) -> bool:
+    """Whether no request may begin at a runner until it has loaded."""
+    return (state.weights_version(question.model) or 0) < question.oldest_version
+
+
+def _free_places(question: RollQuestion, states: Sequence[RunnerState]) -> int:
+    """Return how many more runners may load: three turns bring all of them to the version."""
+    staying = [
+        state
+        for state in states
+        if state.weights_version(question.model) is not None and not state.runner.is_draining
+    ]
+    loading = sum(state.runner.instance in question.loading for state in staying)
+    return math.ceil(len(staying) * PARALLEL_SHARE) - loading
 
 
 class WeightsRoller:
@@ -215,10 +232,17 @@
     def _order_model(self, model: str, now: float) -> None:
         version = self._world.weights.wanted[model].version
         question = RollQuestion(
-            model, version, set(self._loads), self._not_before, now, self._ends_at
+            model=model,
+            version=version,
+            loading=set(self._loads),
+            not_before=self._not_before,
+            now=now,
+            ends_at=self._ends_at,
+            oldest_version=self._world.oldest_weights(model, now),
         )
         for state in runners_to_order(question, self._world.pool.all_states()):
             self._loads[state.runner.instance] = WeightsLoad(model, version, now, now)
+            log_event("load_begun", instance=state.runner.instance, model=model, version=version)
             self._tell(state, model, version, is_loaded=False)
             self._ask_report(state, model)
 
@@ -264,6 +288,7 @@
         has = report.weights.get(model, 0)
         if has >= load.version:
             del self._loads[instance]
+            log_event("load_done", instance=instance, model=model, version=has)
             self._tell(state, model, has, is_loaded=has >= wanted)
         elif not report.is_loading and not load.is_ordered and self._may_order(load, report):
             self._order(state, model, wanted, report)
--- a/tests/router/test_weights_roll.py
+++ b/tests/router/test_weights_roll.py
@@ -1,5 +1,7 @@
 """Which runners are ordered to load weights, and when."""
 
+import pytest
+
 from martenrun.router.weights_roll import RUNS_END_S, RollQuestion, lacking, runners_to_order
 
 from .builders import state
@@ -63,3 +65,32 @@
 def test_loads_of_another_models_runners_take_no_places():
     some = [state("i-0"), state("i-1", weights={"other": 1})]
     assert len(runners_to_order(ask(loading=["i-1"]), some)) == 1
+
+
+def test_runners_too_old_to_serve_load_all_at_once():
+    """They serve nobody until they have loaded: waiting for each other only costs time."""
+    some = [state(f"i-{number}") for number in range(6)]
+    some += [state(f"i-{number}", weights={"m": 2}) for number in range(6, 9)]
+    ordered = runners_to_order(ask(version=3, oldest_version=2), some)
+    assert {item.runner.instance for item in ordered} == {f"i-{number}" for number in range(6)}
+    assert len(runners_to_order(ask(version=3, oldest_version=3), some)) == 9
+
+
+def test_runners_that_still_serve_wait_for_those_too_old():
+    some = [state("i-0"), state("i-1"), *(state(f"j-{n}", weights={"m": 2}) for n in range(4))]
+    ordered = runners_to_order(ask(version=3, oldest_version=2), some)
+    assert [item.runner.instance for item in ordered] == ["i-0", "i-1"]
+    loading = runners_to_order(ask(version=3, oldest_version=2, loading=["i-0", "i-1"]), some)
+    assert loading == []
+
+
+@pytest.mark.parametrize("count", range(1, 80))
+def test_three_turns_are_enough_for_any_number_of_runners(count):
+    some = [state(f"i-{number}") for number in range(count)]
+    assert 3 * len(runners_to_order(ask(), some)) >= count
+
+
+def test_leaving_runners_give_no_places():
+    some = [state("i-0"), state("i-1"), state("i-2")]
+    some += [state(f"j-{number}", is_draining=True) for number in range(6)]
+    assert len(runners_to_order(ask(), some)) == 1
