--- a/src/martenrun/net/loop.py
+++ b/src/martenrun/net/loop.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from martenrun.net.pacing import Pacer
 from martenrun.router.log import log_failure
 
 READ = selectors.EVENT_READ
@@ -48,7 +49,11 @@
 
 
 class Loop:
-    """Waits for sockets, timers and signals and calls what was registered for them."""
+    """Waits for sockets, timers and signals and calls what was registered for them.
+
+    Attributes:
+        pacer: deals the machine's link out to the large writes of all streams.
+    """
 
     def __init__(self) -> None:
         self._selector = selectors.DefaultSelector()
@@ -57,6 +62,7 @@
         self._is_running = False
         self._signals: list[int] = []
         self._on_signal: dict[int, Callable[[], None]] = {}
+        self.pacer = Pacer(self.call_later)
 
     @staticmethod
     def now() -> float:
--- a/src/martenrun/net/stream.py
+++ b/src/martenrun/net/stream.py
@@ -62,6 +62,7 @@
         self._is_paused = False
         self._closes_when_sent = False
         self._was_high = False
+        self._awaits_turn = False
         self.is_closed = False
         self._watch()
 
@@ -82,7 +83,7 @@
         if self._unsent or self._is_connecting:
             self._unsent += data
         else:
-            self._unsent += data[self._send(data) :]
+            self._unsent += data[self._send_paced(data) :]
         if self._unsent and not self.is_closed:
             self._was_high = self._was_high or self.is_congested
             self._watch()
@@ -123,7 +124,7 @@
 
     def _watch(self) -> None:
         events = 0 if self._is_paused or self._is_connecting else READ
-        if self._unsent or self._is_connecting:
+        if self._is_connecting or (self._unsent and not self._awaits_turn):
             events |= WRITE
         self._loop.watch(self._sock, events, self._on_ready)
 
@@ -159,9 +160,11 @@
             self._break(True)
 
     def _flush(self) -> None:
-        del self._unsent[: self._send(self._unsent)]
+        del self._unsent[: self._send_paced(self._unsent)]
         if self.is_closed:
             return
+        if self._awaits_turn:
+            self._watch()
         if not self._unsent:
             self._watch()
             if self._closes_when_sent:
@@ -170,6 +173,23 @@
             self._was_high = False
             self._owner.on_drained()
 
+    def _send_paced(self, data: bytes | bytearray) -> int:
+        """Send as much as the link has room for beside others; return how many bytes left."""
+        allowed = self._loop.pacer.take(len(data))
+        if allowed < len(data):
+            self._awaits_turn = True
+            self._loop.pacer.wait(self._on_turn)
+        if not allowed:
+            return 0
+        return self._send(data if allowed == len(data) else data[:allowed])
+
+    def _on_turn(self) -> None:
+        self._awaits_turn = False
+        if self.is_closed:
+            return
+        self._watch()
+        self._flush()
+
     def _send(self, data: bytes | bytearray) -> int:
         try:
             return self._sock.send(data)
--- a/src/martenrun/platform/settings.py
+++ b/src/martenrun/platform/settings.py
@@ -1,5 +1,6 @@
 """The platform's settings file, read into the router's own settings."""
 
+import math
 import os
 import tomllib
 from typing import Any
@@ -11,6 +12,7 @@
 """Environment variable that names the settings file."""
 
 _MS = 1000.0
+_BYTES_PER_MBIT = 125_000.0
 
 _NUMBER = (int, float)
 
@@ -32,7 +34,16 @@
     "bounds.budget_window_s": _NUMBER,
     "bounds.budget_slack": _NUMBER,
 }
-"""Fields that a router needs, and their types; the other bounds have defaults."""
+"""Fields that a router needs, and their types."""
+
+_OPTIONAL: dict[str, type | tuple[type, ...]] = {
+    "limits.link_mbps": _NUMBER,
+    "bounds.revoke_ms": _NUMBER,
+    "bounds.lease_ms": _NUMBER,
+    "bounds.version_ms": _NUMBER,
+    "bounds.ttl_max_s": _NUMBER,
+}
+"""Fields that may be left out, and their types."""
 
 
 def settings_stamp() -> int:
@@ -80,12 +91,11 @@
 def settings_faults(table: dict[str, Any]) -> list[str]:
     """Return a line for each field that is missing or has the wrong type."""
     faults = []
-    for path, expected in _REQUIRED.items():
-        value: Any = table
-        for name in path.split("."):
-            value = value.get(name) if isinstance(value, dict) else None
+    for path, expected in (_REQUIRED | _OPTIONAL).items():
+        value = _field(table, path)
         if value is None:
-            faults.append(f"field {path!r} is missing")
+            if path in _REQUIRED:
+                faults.append(f"field {path!r} is missing")
         elif isinstance(value, bool) or not isinstance(value, expected):
             faults.append(f"field {path!r} has the wrong type: {type(value).__name__}")
         elif value == [] and path != "seeds":
@@ -93,6 +103,14 @@
     return faults
 
 
+def _field(table: dict[str, Any], path: str) -> Any:
+    """Return the value at a dotted path, or None if there is none."""
+    value: Any = table
+    for name in path.split("."):
+        value = value.get(name) if isinstance(value, dict) else None
+    return value
+
+
 def _settings(table: dict[str, Any]) -> RouterSettings:
     addresses = table["listen_addrs"]
     internal_port = int(table["internal_ports"][0])
@@ -107,6 +125,7 @@
         store_address=str(table["platform"]["address"]),
         bounds=_bounds(table["bounds"]),
         maximum_descriptors=int(table["limits"]["max_fds"]),
+        link_bytes_per_s=float(table["limits"].get("link_mbps") or math.inf) * _BYTES_PER_MBIT,
     )
 
 
--- a/src/martenrun/router/messages.py
+++ b/src/martenrun/router/messages.py
@@ -336,3 +336,4 @@
     store_address: str
     bounds: Bounds
     maximum_descriptors: int
+    link_bytes_per_s: float
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -74,6 +74,7 @@
         settings = source.load()
         EVENT_LOG.open(settings.name)
         self._loop = Loop()
+        self._loop.pacer.set_link(settings.link_bytes_per_s)
         self._store = HttpCaller(self._loop, settings.store_address)
         self._metrics = Metrics(self._samples)
         self._forwardings: set[Forwarding] = set()
@@ -327,6 +328,7 @@
             log_trouble("settings_faulty", fault=exc.message[:200], remedy=exc.remedy)
             return
         self._world.replace_settings(settings)
+        self._loop.pacer.set_link(settings.link_bytes_per_s)
         log_event("settings_read")
 
     def _stop(self) -> None:
--- /dev/null
+++ b/tests/router/test_pacing.py
@@ -0,0 +1,146 @@
+"""Large writes leave a slow link in slices; small ones pass between them."""
+
+import itertools
+
+import pytest
+
+from martenrun.net.loop import Loop
+from martenrun.net.pacing import LINK_SHARE, SMALL_WRITE_BYTES, Pacer
+from martenrun.net.stream import listen, open_stream
+
+from .fakes import FakeLoop
+from .loopback import Peer, free_address, serve_until
+
+SLOW_LINK = 625_000.0
+"""5 Mbit/s in bytes a second."""
+
+
+@pytest.fixture
+def loop():
+    return FakeLoop()
+
+
+def made(loop, bytes_per_s=SLOW_LINK):
+    pacer = Pacer(loop.call_later, loop.now)
+    pacer.set_link(bytes_per_s)
+    return pacer
+
+
+class Writer:
+    """Sends so many bytes as the pacer lets it."""
+
+    def __init__(self, loop, pacer, size):
+        self.loop = loop
+        self.pacer = pacer
+        self.left = size
+        self.sent = []
+        self.go_on()
+
+    def go_on(self):
+        allowed = self.pacer.take(self.left)
+        if allowed:
+            self.sent.append((self.loop.now(), allowed))
+            self.left -= allowed
+        if self.left:
+            self.pacer.wait(self.go_on)
+
+
+def test_without_a_known_link_all_leaves_at_once(loop):
+    pacer = Pacer(loop.call_later, loop.now)
+    assert pacer.take(10_000_000) == 10_000_000
+
+
+def test_a_fast_link_takes_a_long_prompt_at_once(loop):
+    loop.time += 1.0
+    pacer = made(loop, 125_000_000.0)
+    loop.run_until(loop.now() + 1.0)
+    assert pacer.take(110_000) == 110_000
+
+
+def test_a_slow_link_is_never_filled_for_longer_than_a_slice(loop):
+    writer = Writer(loop, made(loop), 110_000)
+    began = loop.now()
+    loop.run_until(began + 1.0)
+    assert writer.left == 0
+    for (earlier, size), (later, _) in itertools.pairwise(writer.sent):
+        assert size / SLOW_LINK < 0.01
+        assert later - earlier >= size / SLOW_LINK
+    took_s = writer.sent[-1][0] - began
+    assert 110_000 / SLOW_LINK <= took_s < 1.3 * 110_000 / (SLOW_LINK * LINK_SHARE)
+
+
+def test_small_writes_pass_between_slices_and_slow_large_ones_down(loop):
+    pacer = made(loop)
+    writer = Writer(loop, pacer, 40_000)
+    alone = Writer(loop, made(loop), 40_000)
+    for _ in range(40):
+        assert pacer.take(SMALL_WRITE_BYTES) == SMALL_WRITE_BYTES
+        loop.run_until(loop.now() + 0.005)
+    loop.run_until(loop.now() + 1.0)
+    assert writer.left == 0
+    assert writer.sent[-1][0] > alone.sent[-1][0]
+
+
+def test_large_writes_take_turns(loop):
+    pacer = made(loop)
+    first, second = Writer(loop, pacer, 60_000), Writer(loop, pacer, 60_000)
+    loop.run_until(loop.now() + 0.15)
+    assert first.left and second.left
+    assert abs(first.left - second.left) <= 8_192
+    loop.run_until(loop.now() + 1.0)
+    assert first.left == second.left == 0
+
+
+def test_a_newcomer_does_not_pass_those_that_wait(loop):
+    pacer = made(loop)
+    Writer(loop, pacer, 60_000)
+    assert pacer.take(60_000) == 0
+
+
+class Owner:
+    def on_connected(self):
+        pass
+
+    def on_data(self, data):
+        pass
+
+    def on_closed(self, is_clean):
+        pass
+
+    def on_drained(self):
+        pass
+
+
+def test_a_paced_write_arrives_whole_and_ends_its_side():
+    loop = Loop()
+    loop.pacer.set_link(2_000_000.0)
+    address = free_address()
+    accepted = []
+    listen(loop, address, accepted.append)
+    stream = open_stream(loop, address, Owner())
+    data = bytes(range(256)) * 400
+    stream.write(data[:50_000])
+    stream.write(data[50_000:])
+    stream.finish()
+    serve_until(loop, lambda: accepted)
+    peer = Peer(accepted[0])
+    serve_until(loop, lambda: peer.read() is not None and peer.is_ended)
+    assert peer.received == data
+
+
+def test_a_small_write_of_another_stream_arrives_before_the_end_of_a_large_one():
+    loop = Loop()
+    loop.pacer.set_link(200_000.0)
+    address = free_address()
+    accepted = []
+    listen(loop, address, accepted.append)
+    large, small = open_stream(loop, address, Owner()), open_stream(loop, address, Owner())
+    serve_until(loop, lambda: len(accepted) == 2)
+    peers = [Peer(sock) for sock in accepted]
+    large.write(b"x" * 100_000)
+    small.write(b"event")
+    serve_until(loop, lambda: any(peer.read() == b"event" for peer in peers))
+    assert large.unsent_bytes > 0
+    large.close()
+    small.write(b"!" * 50_000)
+    serve_until(loop, lambda: any(peer.read().endswith(b"!" * 50_000) for peer in peers))
--- a/tests/router/test_platform_adapter.py
+++ b/tests/router/test_platform_adapter.py
@@ -2,6 +2,7 @@
 
 import ast
 import json
+import math
 import re
 from pathlib import Path
 
@@ -13,7 +14,7 @@
 from martenrun.errors import SettingsError
 from martenrun.net.http import HttpRequest
 from martenrun.platform import DIALECT
-from martenrun.platform.settings import load_settings, read_settings
+from martenrun.platform.settings import load_settings, read_settings, settings_faults
 from martenrun.router.messages import Dispatch, OrderOutcome, RouteKind
 
 SOURCE = Path(__file__).parents[2] / "src" / "martenrun"
@@ -120,6 +121,22 @@
     return text
 
 
+@pytest.mark.parametrize(
+    ("link", "bytes_per_s"),
+    [({"link_mbps": 5.0}, 625_000.0), ({"link_mbps": 0}, math.inf), ({}, math.inf)],
+)
+def test_a_link_that_is_left_out_or_none_counts_as_unlimited(link, bytes_per_s):
+    limits = {"max_fds": SETTINGS["limits"]["max_fds"], **link}
+    assert read_settings({**SETTINGS, "limits": limits}).link_bytes_per_s == bytes_per_s
+
+
+def test_optional_settings_of_the_wrong_type_are_named():
+    limits = {**SETTINGS["limits"], "link_mbps": "fast"}
+    bounds = {**SETTINGS["bounds"], "lease_ms": "long"}
+    faults = settings_faults({**SETTINGS, "limits": limits, "bounds": bounds})
+    assert [fault.split("'")[1] for fault in faults] == ["limits.link_mbps", "bounds.lease_ms"]
+
+
 def test_unknown_settings_are_ignored_and_unreadable_files_named(tmp_path):
     assert read_settings({**SETTINGS, "something": "new"}).name == "n1"
     broken = tmp_path / "node.toml"
