Refuse late requests that may outlast a planned stop

Ruled out: a directory that still named a stopping router (it answered 503).

Change: times of a stop are a class of their own; 2.8 s after the order only requests whose time-out lies before the end are taken, others get 503 before they run. Tests: test_planned_stop.py (failed first: there was no such rule).

--- a/scripts/site_variants.py
+++ b/scripts/site_variants.py
@@ -65,6 +65,11 @@
     _scale_traffic(site, 1 / 3)
 
 
+def heavy_traffic(site: Site) -> None:
+    """Twice the traffic: more than the runners can serve."""
+    _scale_traffic(site, 2.0)
+
+
 def no_kept_cache(site: Site) -> None:
     """No store of kept cache."""
     names = {service["name"] for service in site["services"] if service.get("model") == "kvstore"}
@@ -108,6 +113,7 @@
     three_machines,
     many_machines,
     few_runners,
+    heavy_traffic,
     no_kept_cache,
     walls_without_resumption,
     many_tenants,
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -41,17 +41,12 @@
 from martenrun.router.peer_messages import LeaseNews, RouterRecord, WeightsNews
 from martenrun.router.peers import Peers, first_incarnation
 from martenrun.router.placement import Placement
+from martenrun.router.planned_stop import PlannedStop
 from martenrun.router.runner_pool import RunnerPool
 from martenrun.router.store_client import HttpCaller
 from martenrun.router.weights_roll import WeightsRoller, take_weights_news
 from martenrun.router.world import World
 
-LINGER_AFTER_STOP_S = 3.6
-"""How long new requests are still taken after a stop was ordered: others must learn of it."""
-
-END_MARGIN_S = 0.8
-"""How long before the end of the grace period what is left is broken off, in seconds."""
-
 CALLERS_SHARE = 0.6
 """Share of the process's descriptors that callers' connections may take."""
 
@@ -78,7 +73,7 @@
         self._store = HttpCaller(self._loop, settings.store_address)
         self._metrics = Metrics(self._samples)
         self._forwardings: set[Forwarding] = set()
-        self._stopped_at: float | None = None
+        self._stop: PlannedStop | None = None
         self._world = World(
             loop=self._loop,
             settings=settings,
@@ -146,8 +141,8 @@
 
     def run(self) -> None:
         """Serve until a signal has ended the process."""
-        self._loop.on_signal(signal.SIGTERM, self._stop)
-        self._loop.on_signal(signal.SIGINT, self._stop)
+        self._loop.on_signal(signal.SIGTERM, self._begin_stop)
+        self._loop.on_signal(signal.SIGINT, self._begin_stop)
         self._loop.on_signal(signal.SIGHUP, self._reload)
         log_event("started", zone=self._world.settings.zone)
         self._keeper.start()
@@ -201,7 +196,7 @@
     # Peers
 
     def _refresh(self, own: RouterRecord) -> None:
-        own.is_leaving = self._stopped_at is not None
+        own.is_leaving = self._stop is not None
         own.is_current = self._is_current()
         own.has_lost_store = self._keeper.has_lost_store
         own.lease_revision = self._lease.revision
@@ -241,6 +236,10 @@
             refuse(exchange, decision, call)
 
     def _forward(self, exchange: Exchange, admitted: Admitted) -> None:
+        received_at = exchange.request.received_at
+        if self._stop is not None and not self._stop.may_take(admitted, received_at):
+            refuse(exchange, Refusal(503, "stopping"), admitted.call)
+            return
         self._world.budget(admitted.service).note_request(self._loop.now())
         forwarding = Forwarding(self._world, exchange, admitted, self._forwardings.discard)
         self._forwardings.add(forwarding)
@@ -313,7 +312,7 @@
             self._keeper.relay.serve(exchange)
 
     def _is_ready(self) -> bool:
-        if self._world.configuration.table is None or self._stopped_at is not None:
+        if self._world.configuration.table is None or self._stop is not None:
             return False
         return self._copies[Dataset.RUNNERS].is_known
 
@@ -331,13 +330,13 @@
         self._loop.pacer.set_link(settings.link_bytes_per_s)
         log_event("settings_read")
 
-    def _stop(self) -> None:
-        if self._stopped_at is not None:
+    def _begin_stop(self) -> None:
+        if self._stop is not None:
             return
-        self._stopped_at = self._loop.now()
+        self._stop = PlannedStop(self._loop.now(), self._world.settings.bounds.grace_s)
         log_event("stopping", requests=len(self._forwardings))
         self._front.is_draining = True
-        self._roller.end_by(self._stopped_at + LINGER_AFTER_STOP_S)
+        self._roller.end_by(self._stop.lingers_until)
         self._peers.tell_now()
 
     def _keep_house(self) -> None:
@@ -348,17 +347,17 @@
         if self._source.stamp() != self._stamp:
             self._reload()
         EVENT_LOG.flush()
-        if self._stopped_at is not None:
-            self._go_on_stopping(now - self._stopped_at)
+        if self._stop is not None:
+            self._go_on_stopping(self._stop, now)
         self._loop.call_later(HOUSEKEEPING_S, self._keep_house)
 
-    def _go_on_stopping(self, since_s: float) -> None:
-        if since_s > self._world.settings.bounds.grace_s - END_MARGIN_S:
+    def _go_on_stopping(self, stop: PlannedStop, now: float) -> None:
+        if now > stop.ends_at:
             log_trouble("grace_over", requests=len(self._forwardings))
             for forwarding in list(self._forwardings):
                 forwarding.shut_down()
             self._loop.call_later(0.2, self._loop.stop)
-        elif since_s > LINGER_AFTER_STOP_S:
+        elif now > stop.lingers_until:
             self._front.end_idle()
             if not self._forwardings and self._front.connections == 0:
                 self._loop.stop()
--- /dev/null
+++ b/tests/router/test_planned_stop.py
@@ -0,0 +1,42 @@
+"""What a router that was told to stop still takes."""
+
+import attrs
+import pytest
+
+from martenrun.router.messages import Admitted, Call
+from martenrun.router.planned_stop import CARRIED_ANYWAY_S, PlannedStop
+
+from .builders import route
+
+STOP = PlannedStop(ordered_at=100.0, grace_s=8.0)
+
+
+def admitted(received_at, timeout_s):
+    call = Call(b"1", "a.example", "/a/", None, 15.0, None, (), 0, 0)
+    give_up_at = received_at + timeout_s
+    return Admitted(call, route(timeout_s=timeout_s), None, "s", received_at + 15.0, give_up_at)
+
+
+@pytest.mark.parametrize("timeout_s", [2.0, 15.0])
+def test_while_callers_may_not_know_of_the_stop_everything_is_taken(timeout_s):
+    received_at = STOP.ordered_at + CARRIED_ANYWAY_S - 0.01
+    assert STOP.may_take(admitted(received_at, timeout_s), received_at)
+
+
+def test_a_late_stream_that_may_run_past_the_end_is_refused_before_it_runs():
+    """Three machines told to stop within four seconds: callers had nowhere else to go."""
+    received_at = STOP.ordered_at + 5.2
+    assert not STOP.may_take(admitted(received_at, 15.0), received_at)
+
+
+def test_a_late_request_that_is_answered_in_time_whatever_happens_is_taken():
+    received_at = STOP.ordered_at + 5.1
+    assert STOP.may_take(admitted(received_at, 2.0), received_at)
+    received_at = STOP.ordered_at + 5.3
+    assert not STOP.may_take(admitted(received_at, 2.0), received_at)
+
+
+def test_the_process_ends_within_the_grace_period():
+    shorter = attrs.evolve(STOP, grace_s=5.0)
+    assert STOP.lingers_until < STOP.ends_at < STOP.ordered_at + STOP.grace_s
+    assert shorter.ends_at < shorter.ordered_at + 5.0
