Fetch shared parts from their presumed keeper where no reader is known

Cause: a router fetched only from runners to which it had itself sent that prefix, and of seven routers six had not. Ruled out: lost copies (4 to 30 requests put back).

Change: else from the first runner by hashing that has the same weights and is sound: all routers send the prefix there while it has room. Tests: test_placement.py (failed first: no source was named).

With a store nothing changes: it is asked first.

--- a/src/martenrun/router/placement.py
+++ b/src/martenrun/router/placement.py
@@ -89,7 +89,7 @@
             if not state.runner.is_draining and state.runner.instance not in question.tried
         ]
         usable = _with_allowed_weights(question, usable)
-        sound = [state for state in usable if not state.is_avoided(question.now)]
+        sound = _sound(question, usable)
         if not sound:
             return _least_bad(question, usable)
         if question.parts:
@@ -134,14 +134,34 @@
             cost += part.tokens * (FETCHED_SHARE if is_stored else 1.0)
         return cost
 
-    def last_reader(self, question: PlacementQuestion, state: RunnerState) -> str | None:
-        """Return the instance that read the last shared part last, if it is another than this."""
+    def cache_source(
+        self, question: PlacementQuestion, state: RunnerState, states: Sequence[RunnerState]
+    ) -> RunnerState | None:
+        """Return the runner that most likely keeps a prompt's shared parts beside the chosen one.
+
+        It is the one that read the last shared part last, as far as this router knows, else the
+        first by hashing, which all routers send that prefix to while it has room.
+        """
         if len(question.parts) < 2:
             return None
-        version = state.weights_version(question.model or "")
+        version = _version(question, state)
+        sound = _sound(question, states)
+        others = [
+            other for other in sound if other is not state and _version(question, other) == version
+        ]
+        if not others:
+            return None
         key = question.parts[-2].part_id + b"/%d/" % (version or 0) + question.wall
-        instance = self.seen.last_reader(key, question.now)
-        return None if instance == state.runner.instance else instance
+        reader = self.seen.last_reader(key, question.now)
+        if reader == state.runner.instance:
+            return None
+        instances = tuple(sorted(item.runner.instance for item in sound))
+        ranks = self._ranks(shared_prefix(question.parts) + question.wall, instances)
+
+        def distance(other: RunnerState) -> tuple[bool, int]:
+            return other.runner.instance != reader, ranks[other.runner.instance]
+
+        return min(others, key=distance)
 
     def note_read(self, question: PlacementQuestion, state: RunnerState) -> None:
         """Take in that a runner has read a prompt."""
@@ -169,6 +189,15 @@
     return parts[-2].part_id if len(parts) > 1 else parts[-1].part_id
 
 
+def _sound(question: PlacementQuestion, states: Sequence[RunnerState]) -> list[RunnerState]:
+    """Return the staying runners that are not to be avoided."""
+    return [
+        state
+        for state in states
+        if not state.runner.is_draining and not state.is_avoided(question.now)
+    ]
+
+
 def _crowding_cost(question: PlacementQuestion, state: RunnerState) -> float:
     """Return what a runner costs whose memory does not hold one more request, in tokens."""
     over = state.held_tokens + question.needed_tokens - USABLE_MEMORY * question.memory_tokens
--- a/src/martenrun/router/runner_request.py
+++ b/src/martenrun/router/runner_request.py
@@ -79,19 +79,19 @@
         priority=None if call.model is None else _engine_priority(admitted),
         weights_version=version,
         cache_salt=None if call.model is None else f"{call.model}/{version}/{_wall(tenant)}",
-        fetch_from=store or _cache_source(world, state, question),
+        fetch_from=store or _cache_source(world, admitted, state, question),
         save_to=store,
         last_event_id=last_event_id if last_event_id > 0 else None,
     )
 
 
-def _cache_source(world: World, state: RunnerState, question: PlacementQuestion) -> str | None:
+def _cache_source(
+    world: World, admitted: Admitted, state: RunnerState, question: PlacementQuestion
+) -> str | None:
     """Return the address of a runner to fetch kept parts from where there is no store."""
-    instance = world.placement.last_reader(question, state)
-    source = None if instance is None else world.pool.state(instance)
-    if source is None or source.is_avoided(question.now):
-        return None
-    return source.runner.address
+    states = world.pool.states(admitted.service)
+    source = world.placement.cache_source(question, state, states)
+    return None if source is None else source.runner.address
 
 
 def _wall(tenant: Tenant | None) -> str:
--- a/tests/router/test_placement.py
+++ b/tests/router/test_placement.py
@@ -119,14 +119,44 @@
     assert walled == 7_000
 
 
-def test_the_last_reader_of_a_prefix_is_remembered_for_other_runners():
+def test_the_last_reader_of_a_prefix_is_where_its_parts_are_fetched_from():
     placement = Placement()
     everything = states()
-    assert placement.last_reader(ask(), everything[1]) is None
-    placement.note_read(ask(), everything[0])
-    assert placement.last_reader(ask(), everything[1]) == "i-0"
-    assert placement.last_reader(ask(), everything[0]) is None
-    assert placement.last_reader(ask(now=200.0), everything[1]) is None
+    keeper = placement.choose(ask(), everything)
+    reader, chosen = [item for item in everything if item is not keeper][:2]
+    placement.note_read(ask(), reader)
+    assert placement.cache_source(ask(), chosen, everything) is reader
+    assert placement.cache_source(ask(), reader, everything) is None
+
+
+def test_without_a_known_reader_parts_are_fetched_from_the_runner_all_presume_to_keep_them():
+    """Each router sees its own requests only; what others sent there was read again elsewhere."""
+    placement = Placement()
+    everything = states()
+    keeper = placement.choose(ask(), everything)
+    chosen = next(item for item in everything if item is not keeper)
+    assert placement.cache_source(ask(), chosen, everything) is keeper
+    placement.note_read(ask(), chosen)
+    assert placement.cache_source(ask(now=200.0), chosen, everything) is keeper
+
+
+def test_parts_are_not_fetched_from_runners_of_other_weights_or_that_are_avoided():
+    everything = states()
+    placement = Placement()
+    chosen, *others = everything
+    for item in others:
+        item.learn_weights("m", 2)
+    assert placement.cache_source(ask(), chosen, everything) is None
+    chosen.learn_weights("m", 2)
+    assert placement.cache_source(ask(), chosen, everything) in others
+    for item in others:
+        item.loading_until = 1_000.0
+    assert placement.cache_source(ask(), chosen, everything) is None
+
+
+def test_a_prompt_without_shared_parts_is_fetched_from_nowhere():
+    alone = question(parts=(PromptPart(b"own", 500),), model="m")
+    assert Placement().cache_source(alone, states()[0], states()) is None
 
 
 def test_a_runner_with_much_to_read_may_be_silent_for_longer():
