Refuse at once for overload instead of waiting beside it

Change: held back means refused at once, with the time that the backlog takes; held_back tells what was seen.

--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -95,12 +95,23 @@
         if state is None:
             self._wait_or_refuse("no_runner")
         elif not self._sent_to and not self._may_wait_at(state):
-            self._wait_or_refuse("overload", self._guard.wait_s(state.backlog_tokens))
+            self._refuse_for_overload(state)
         elif self._sent_to and not self._is_within_budget():
             self._refuse("retry_budget")
         else:
             self._send(state)
 
+    def _refuse_for_overload(self, state: RunnerState) -> None:
+        """Refuse at once: prompts that waited here would all follow when the backlog is read."""
+        wait_s = self._guard.wait_s(state.backlog_tokens)
+        self._trail.note(
+            "held_back",
+            instance=state.runner.instance,
+            backlog=int(state.backlog_tokens),
+            wait_ms=round(wait_s * 1000),
+        )
+        self._refuse("overload", wait_s)
+
     def _may_wait_at(self, state: RunnerState) -> bool:
         """Whether the best runner can begin with this request soon enough."""
         if not self._admitted.call.parts:
@@ -255,12 +266,12 @@
 
     # Ends
 
-    def _wait_or_refuse(self, reason: str, back_in_s: float = RETRY_AFTER_S) -> None:
+    def _wait_or_refuse(self, reason: str) -> None:
         """Look again in a moment, or refuse while the caller can still be served in time."""
         waited_s = self._world.loop.now() - self._began_at
         limit_s = self._admitted.route.objective_s * WAITING_SHARE
         if waited_s + LOOK_AGAIN_S > limit_s or len(self._sent_to) >= MAXIMUM_SENDS:
-            self._refuse(reason, back_in_s)
+            self._refuse(reason)
             return
         self._tried.clear()
         self._world.loop.call_later(LOOK_AGAIN_S, self._look_for_runner)
