--- a/src/martenrun/net/pacing.py
+++ b/src/martenrun/net/pacing.py
@@ -48,6 +48,11 @@
         self._budget = 0.0
         self._filled_at = now()
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether writes wait for their turn."""
+        return bool(self._waiting)
+
     def set_link(self, bytes_per_s: float) -> None:
         """Take in how much the machine's link carries, in bytes a second."""
         self._rate = bytes_per_s * LINK_SHARE
--- a/src/martenrun/net/stream.py
+++ b/src/martenrun/net/stream.py
@@ -48,17 +48,19 @@
         loop: the loop it is served on.
         sock: its socket, already non-blocking.
         owner: told of everything that happens to it.
-        is_connecting: whether the connection is still being opened.
+        is_opened: whether this side opens the connection; only such streams are paced.  What they
+            send are prompts, which can wait; answers on accepted ones carry news to routers.
     """
 
     def __init__(
-        self, loop: Loop, sock: socket.socket, owner: StreamOwner, is_connecting: bool = False
+        self, loop: Loop, sock: socket.socket, owner: StreamOwner, is_opened: bool = False
     ) -> None:
         self._loop = loop
         self._sock = sock
         self._owner = owner
         self._unsent = bytearray()
-        self._is_connecting = is_connecting
+        self._is_connecting = is_opened
+        self._is_paced = is_opened
         self._is_paused = False
         self._closes_when_sent = False
         self._was_high = False
@@ -175,6 +177,8 @@
 
     def _send_paced(self, data: bytes | bytearray) -> int:
         """Send as much as the link has room for beside others; return how many bytes left."""
+        if not self._is_paced:
+            return self._send(data)
         allowed = self._loop.pacer.take(len(data))
         if allowed < len(data):
             self._awaits_turn = True
@@ -220,7 +224,7 @@
     except OSError:
         sock.close()
         raise
-    return Stream(loop, sock, owner, is_connecting=True)
+    return Stream(loop, sock, owner, is_opened=True)
 
 
 def listen(loop: Loop, address: str, accepted: Callable[[socket.socket], None]) -> socket.socket:
--- a/tests/router/test_pacing.py
+++ b/tests/router/test_pacing.py
@@ -6,7 +6,7 @@
 
 from martenrun.net.loop import Loop
 from martenrun.net.pacing import LINK_SHARE, SMALL_WRITE_BYTES, Pacer
-from martenrun.net.stream import listen, open_stream
+from martenrun.net.stream import Stream, listen, open_stream
 
 from .fakes import FakeLoop
 from .loopback import Peer, free_address, serve_until
@@ -144,3 +144,19 @@
     large.close()
     small.write(b"!" * 50_000)
     serve_until(loop, lambda: any(peer.read().endswith(b"!" * 50_000) for peer in peers))
+
+
+def test_answers_on_accepted_connections_are_not_paced():
+    """They carry the configuration to other routers, which must have it within seconds."""
+    loop = Loop()
+    loop.pacer.set_link(20_000.0)
+    address = free_address()
+    accepted = []
+    listen(loop, address, accepted.append)
+    peer = Peer.connected(address)
+    serve_until(loop, lambda: accepted)
+    answer = b"x" * 100_000
+    Stream(loop, accepted[0], Owner()).write(answer)
+    serve_until(loop, lambda: len(peer.read()) > 0)
+    assert not loop.pacer.has_waiting
+    serve_until(loop, lambda: peer.read() == answer)
