Tell records of routers with their age; remember departed ones

Cause: a router forgot another 20 s after it last heard of it; a neighbour that forgot it a little later told the record once more, and a record of an unknown address counted as risen now. Ruled out: a router that really sent the record (it was off), another life (same beat).

Changed: a record tells for how long its teller has not seen it rise, and is dated back where that is longer than the time from which a router counts as dead; last records of forgotten routers are kept (512), so that copies held up anywhere bring none back; a router whose wall clock went back hears of its last life, since nobody would take its records in.

--- a/src/martenrun/router/peers.py
+++ b/src/martenrun/router/peers.py
@@ -119,7 +119,7 @@
         now = self._loop.now()
         self.table.forget_dead(now)
         self._raise_own()
-        records = [self.own, *self.table.newest(RECORDS_PER_DATAGRAM - 1)]
+        records = [self.own, *self.table.newest(RECORDS_PER_DATAGRAM - 1, now)]
         data = encode(Gossip(records))
         for address in self._targets(now):
             self._send(address, data)
@@ -182,6 +182,10 @@
         if self._heard_since is None:
             self._heard_since = now
         self.table.merge(message.records, now)
+        for sender in message.records[:1]:
+            later = self.table.later_life(sender)
+            if later is not None:
+                self._send(sender.address, encode(Gossip([later])))
 
 
 def first_incarnation() -> int:
--- a/src/martenrun/router/router_table.py
+++ b/src/martenrun/router/router_table.py
@@ -20,11 +20,20 @@
 """Time without a newer record until a router of a small deployment counts as dead, in seconds."""
 
 FORGOTTEN_AFTER_S = 20.0
-"""Time until a dead router is no longer counted among those that may spend retries."""
+"""Time until a dead router is no longer counted among those that may spend retries, nor told of."""
+
+MOST_DEPARTED = 512
+"""Most forgotten routers whose last records are kept; the oldest give way.
+
+A copy of a record may still be on its way long after its router was forgotten, in the buffer of a
+machine that stood still, say.  Who did not know it any more would take it for a new router.
+"""
+
+MS_PER_S = 1000.0
 
 
 class KnownRouter:
-    """A record and when it was last seen to rise."""
+    """A record and when it was last seen to rise, or told to have risen."""
 
     __slots__ = ("record", "risen_at")
 
@@ -39,6 +48,7 @@
     def __init__(self, own: RouterRecord) -> None:
         self.own = own
         self._known: dict[str, KnownRouter] = {}
+        self._departed: dict[str, RouterRecord] = {}
 
     def merge(self, records: list[RouterRecord], now: float) -> None:
         """Take in records; a record of this router's address from another life is refuted."""
@@ -49,11 +59,33 @@
                 continue
             known = self._known.get(record.address)
             if known is None:
-                self._known[record.address] = KnownRouter(record, now)
-                log_event("router_heard", address=record.address, zone=record.zone)
+                self._take_unknown(record, now)
             elif _order(record) > _order(known.record):
                 known.record = record
-                known.risen_at = now
+                known.risen_at = max(known.risen_at, _risen_at(record, now))
+
+    def _take_unknown(self, record: RouterRecord, now: float) -> None:
+        """Take in a router not counted so far, unless it is known to have been dead for long."""
+        departed = self._departed.get(record.address)
+        if departed is not None and _order(record) <= _order(departed):
+            return
+        risen_at = _risen_at(record, now)
+        if now - risen_at > FORGOTTEN_AFTER_S:
+            return
+        self._departed.pop(record.address, None)
+        self._known[record.address] = KnownRouter(record, risen_at)
+        log_event("router_heard", address=record.address, zone=record.zone)
+
+    def later_life(self, record: RouterRecord) -> RouterRecord | None:
+        """Return what is known of a later life at a record's address, or None.
+
+        A router whose wall clock went back begins below its last life and has to hear of that.
+        """
+        known = self._known.get(record.address)
+        newest = self._departed.get(record.address) if known is None else known.record
+        if newest is None or newest.incarnation <= record.incarnation:
+            return None
+        return newest
 
     def take_reading(self, news: ReadingNews, now: float) -> bool:
         """Take in another router's load at one runner; return whether it was newer."""
@@ -75,9 +107,11 @@
             if now - known.risen_at <= DEAD_AFTER_S * min(2.0, self.slowness())
         ]
 
-    def newest(self, count: int) -> list[RouterRecord]:
-        """Return the records that rose last."""
+    def newest(self, count: int, now: float) -> list[RouterRecord]:
+        """Return the records that rose last, with their ages."""
         ordered = sorted(self._known.values(), key=lambda known: known.risen_at, reverse=True)
+        for known in ordered[:count]:
+            known.record.age_ms = max(0, int((now - known.risen_at) * MS_PER_S))
         return [known.record for known in ordered[:count]]
 
     def addresses(self) -> list[str]:
@@ -99,7 +133,10 @@
         for address, known in list(self._known.items()):
             if now - known.risen_at > FORGOTTEN_AFTER_S:
                 del self._known[address]
+                self._departed[address] = known.record
                 log_trouble("router_forgotten", address=address)
+        while len(self._departed) > MOST_DEPARTED:
+            del self._departed[next(iter(self._departed))]
 
     def slowness(self) -> float:
         """Return how much longer intervals are than in a small deployment."""
@@ -110,5 +147,15 @@
         return 1 + len(self._known)
 
 
+def _risen_at(record: RouterRecord, now: float) -> float:
+    """Return when a record counts as risen.
+
+    What passes from router to router is some time on its way: only ages from which a router counts
+    as dead are reckoned, so that many hops do not make a living one look dead.
+    """
+    age_s = record.age_ms / MS_PER_S
+    return now if age_s <= DEAD_AFTER_S else now - age_s
+
+
 def _order(record: RouterRecord) -> tuple[int, int]:
     return record.incarnation, record.beat
--- a/tests/router/test_peers.py
+++ b/tests/router/test_peers.py
@@ -1,17 +1,34 @@
 """The table of routers: newer records win, dead ones are noticed, old lives are refuted."""
 
+import random
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
 from martenrun.net.loop import Loop
-from martenrun.router.peer_messages import ReadingNews, RouterRecord, RunnerLoad
+from martenrun.router.peer_messages import (
+    Gossip,
+    ReadingNews,
+    RouterRecord,
+    RunnerLoad,
+    decode,
+    encode,
+)
 from martenrun.router.peers import Peers
 from martenrun.router.router_table import (
     DEAD_AFTER_S,
     FORGOTTEN_AFTER_S,
+    MOST_DEPARTED,
     MOST_TOLD_ROUTERS,
     RouterTable,
 )
 
 from .loopback import free_address, serve_until
 
+LONGEST_DELAY_S = 25.0
+"""How late a copy of a record may come in these tests, in seconds: longer than it is told of."""
+
 
 def record(address, incarnation=1, beat=1, **changes):
     fields = {
@@ -106,3 +123,98 @@
     serve_until(loop, lambda: heard)
     assert heard == ["i-0"]
     assert receiver.live()[0].loads == {"i-0": RunnerLoad(1, 9_000, 9_200)}
+
+
+def tell(teller, listener, now):
+    """Let one table hear what another one would send it."""
+    own = msgspec.structs.replace(teller.own, beat=teller.own.beat)
+    records = decode(encode(Gossip([own, *teller.newest(100, now)]))).records
+    listener.merge(records, now)
+
+
+def test_a_neighbour_that_forgets_later_does_not_bring_a_departed_router_back():
+    """The hunted DRAIN: the directory named a machine 20 s after it had left for good."""
+    first, second = RouterTable(record("a")), RouterTable(record("b"))
+    first.merge([record("gone", beat=9)], 0.0)
+    second.merge([record("gone", beat=9)], 0.8)
+    forgotten_at = FORGOTTEN_AFTER_S + 0.1
+    first.forget_dead(forgotten_at)
+    tell(second, first, forgotten_at + 0.1)
+    assert "gone" not in [item.address for item in first.live(forgotten_at + 0.2)]
+    assert "gone" not in first.addresses()
+
+
+def test_a_router_that_has_just_started_hears_of_a_dead_one_as_dead():
+    old, new = RouterTable(record("a")), RouterTable(record("b"))
+    old.merge([record("gone", beat=9)], 0.0)
+    tell(old, new, 10.0)
+    assert [item.address for item in new.live(10.0)] == ["a"]
+    assert new.count() == 3
+    new.forget_dead(FORGOTTEN_AFTER_S + 0.1)
+    assert "gone" not in new.addresses()
+
+
+def test_a_copy_that_was_held_up_does_not_bring_a_forgotten_router_back():
+    table = RouterTable(record("a"))
+    table.merge([record("gone", beat=9)], 0.0)
+    table.forget_dead(FORGOTTEN_AFTER_S + 0.1)
+    table.merge([record("gone", beat=9)], FORGOTTEN_AFTER_S + 1.0)
+    assert table.count() == 1
+
+
+def test_a_router_that_comes_back_at_the_address_of_a_forgotten_one_counts():
+    table = RouterTable(record("a"))
+    table.merge([record("b", incarnation=5, beat=9)], 0.0)
+    table.forget_dead(FORGOTTEN_AFTER_S + 0.1)
+    table.merge([record("b", incarnation=6)], FORGOTTEN_AFTER_S + 1.0)
+    assert [item.address for item in table.live(FORGOTTEN_AFTER_S + 1.1)] == ["b"]
+
+
+def test_a_router_whose_clock_went_back_hears_of_its_last_life():
+    """Its first number is below that of its last life: nobody would take its records in."""
+    table = RouterTable(record("a"))
+    table.merge([record("b", incarnation=50, beat=9)], 0.0)
+    table.forget_dead(FORGOTTEN_AFTER_S + 0.1)
+    restarted = RouterTable(record("b", incarnation=20))
+    table.merge([restarted.own], 30.0)
+    restarted.merge([table.later_life(restarted.own)], 30.0)
+    table.merge([restarted.own], 30.1)
+    assert [item.address for item in table.live(30.1)] == ["b"]
+    assert table.later_life(restarted.own) is None
+
+
+def test_the_table_of_forgotten_routers_is_bounded():
+    table = RouterTable(record("a"))
+    table.merge([record(f"b{n}") for n in range(MOST_DEPARTED + 50)], 0.0)
+    table.forget_dead(FORGOTTEN_AFTER_S + 0.1)
+    table.merge([record("b49")], FORGOTTEN_AFTER_S + 1.0)
+    table.merge([record("b50")], FORGOTTEN_AFTER_S + 1.0)
+    assert table.addresses() == ["b49"]
+
+
+@given(st.integers())
+def test_no_order_loss_doubling_or_delay_of_records_keeps_a_departed_router_alive(seed):
+    """Tables tell each other for a minute after one router has left; copies are lost and late."""
+    rng = random.Random(seed)
+    tables = [RouterTable(record(f"t{n}")) for n in range(4)]
+    for table in tables:
+        if rng.random() < 0.7:
+            table.merge([record("gone", beat=rng.randint(1, 5))], rng.uniform(0.0, 1.0))
+    under_way = []
+    for step in range(120):
+        now = 1.0 + step * 0.5
+        for table in tables:
+            table.own.beat += 1
+            table.forget_dead(now)
+        teller, listener = rng.sample(tables, 2)
+        message = encode(Gossip([teller.own, *teller.newest(100, now)]))
+        copies = rng.choice([0, 1, 1, 2])
+        delay_s = rng.choice([0.0, 0.1, 1.5, 8.0, LONGEST_DELAY_S])
+        under_way += [(now + delay_s, listener, message)] * copies
+        due = [item for item in under_way if item[0] <= now]
+        under_way = [item for item in under_way if item[0] > now]
+        for _, receiver, late in due:
+            receiver.merge(decode(late).records, now)
+        if now > 1.0 + LONGEST_DELAY_S + 2 * DEAD_AFTER_S:
+            for table in tables:
+                assert "gone" not in [item.address for item in table.live(now)]
