Read the store where those asked for its contents do not read it

A router that is asked but does not read answered 503, and the asker counted it as a reader that was reached, so it never read by itself and kept asking.

Changed: the refusal says whether the router has lost the store; only then it counts as reached. The existing test of a reader that loses the store now says so; a new one tells the two apart, and test_keeper.py (a router whose readers do not read) fails without the change.

--- a/src/martenrun/router/keeper.py
+++ b/src/martenrun/router/keeper.py
@@ -57,7 +57,13 @@
         self._lost_at: float | None = None
         self._source_address: str | None = None
         self._reads_store = True
-        self.relay = RelaySource(self._loop, parts.copies, own.incarnation, self._may_relay)
+        self.relay = RelaySource(
+            self._loop,
+            parts.copies,
+            own.incarnation,
+            self._may_relay,
+            lambda: self.has_lost_store,
+        )
         self._relay_follower = RelayFollower(
             self._loop,
             parts.copies,
@@ -159,10 +165,11 @@
                 follower.stop()
         self._on_confirmed()
 
-    def _on_relay_failed(self, address: str, was_reached: bool) -> None:
+    def _on_relay_failed(self, address: str, has_lost_store: bool) -> None:
         now = self._loop.now()
         self._choice.note_failed(address, now)
-        if was_reached:
+        if has_lost_store:
+            # It reads, as well as anybody can: no reason to ask the store from here too.
             self._choice.note_reached(now)
         self._plan_source(now)
         if self._source_address != address:
--- a/src/martenrun/router/relay.py
+++ b/src/martenrun/router/relay.py
@@ -68,8 +68,15 @@
     datasets: dict[str, RelayedDataset]
 
 
+class FollowRefusal(msgspec.Struct, array_like=True):
+    """Says that a router does not pass knowledge on: it has lost the store, or does not read it."""
+
+    has_lost_store: bool
+
+
 _QUESTION = msgspec.msgpack.Decoder(FollowQuestion)
 _ANSWER = msgspec.msgpack.Decoder(FollowAnswer)
+_REFUSAL = msgspec.msgpack.Decoder(FollowRefusal)
 _ENCODE = msgspec.msgpack.Encoder().encode
 
 Copies = Mapping[Dataset, DatasetCopy]
@@ -90,15 +97,22 @@
     Args:
         life: number of this life of the router; numbers of other lives mean nothing.
         may_relay: whether this router reads the store itself and is current.
+        has_lost_store: whether it had no good answer of the store lately.
     """
 
     def __init__(
-        self, loop: Loop, copies: Copies, life: int, may_relay: Callable[[], bool]
+        self,
+        loop: Loop,
+        copies: Copies,
+        life: int,
+        may_relay: Callable[[], bool],
+        has_lost_store: Callable[[], bool],
     ) -> None:
         self._loop = loop
         self._copies = copies
         self._life = life
         self._may_relay = may_relay
+        self._has_lost_store = has_lost_store
         self._held: set[HeldQuestion] = set()
 
     def serve(self, exchange: Exchange) -> None:
@@ -109,7 +123,7 @@
             exchange.respond(400, [])
             return
         if exchange.request.target != FOLLOW_PATH or not self._may_answer(question):
-            exchange.respond(503, [])
+            self._refuse(exchange)
             return
         held = HeldQuestion(exchange, question, self._loop.now())
         if question.life != self._life or self._has_changed(question):
@@ -129,6 +143,9 @@
         for held in [held for held in self._held if self._has_changed(held.question)]:
             self._answer(held)
 
+    def _refuse(self, exchange: Exchange) -> None:
+        exchange.respond(503, [], _ENCODE(FollowRefusal(self._has_lost_store())))
+
     def _may_answer(self, question: FollowQuestion) -> bool:
         if self._may_relay():
             return True
@@ -145,7 +162,7 @@
         if held.exchange.is_over:
             return
         if not self._may_answer(held.question):
-            held.exchange.respond(503, [])
+            self._refuse(held.exchange)
             return
         now = self._loop.now()
         question = held.question
@@ -158,6 +175,13 @@
         held.exchange.respond(200, [], _ENCODE(FollowAnswer(self._life, held_ms, datasets)))
 
 
+def _says_store_is_lost(answer: HttpAnswer) -> bool:
+    try:
+        return _REFUSAL.decode(answer.body).has_lost_store
+    except msgspec.MsgspecError:
+        return False
+
+
 def _relayed(copy: DatasetCopy, number: int | None, now: float) -> RelayedDataset:
     changes = None if number is None else copy.changes_after(number)
     if changes is None:
@@ -189,7 +213,7 @@
         source: returns the address of the router to ask now, or None.
         on_taken: called after each answer that was taken in whole.
         on_failed: called with the address of a router that gave no good answer, and whether it
-            gave any.
+            said that it has lost the store.
     """
 
     def __init__(
@@ -250,7 +274,7 @@
         if answer is None or answer.status != 200:
             status = None if answer is None else answer.status
             log_trouble("relay_lost", address=address, status=status)
-            self._on_failed(address, answer is not None)
+            self._on_failed(address, answer is not None and _says_store_is_lost(answer))
             return
         try:
             news = _ANSWER.decode(answer.body)
--- /dev/null
+++ b/tests/router/test_keeper.py
@@ -0,0 +1,65 @@
+"""A router finds a way to the store's knowledge, whoever it takes for the readers."""
+
+from martenrun.net.loop import Loop
+from martenrun.net.server import Server
+from martenrun.platform import DIALECT
+from martenrun.router.dataset_copy import CopyListener, DatasetCopy
+from martenrun.router.keeper import Keeper, KeeperParts
+from martenrun.router.messages import Dataset
+from martenrun.router.readers import Candidate, chosen_readers
+from martenrun.router.relay import RelaySource
+
+from .loopback import free_address, serve_until
+from .test_peers import record
+
+
+class FewPeers:
+    """The routers that one router knows; ``own`` is its own record."""
+
+    def __init__(self, own, others):
+        self.own = own
+        self.others = others
+
+    def live(self):
+        return self.others
+
+    def tell_now(self):
+        return None
+
+
+class SilentStore:
+    """Counts the calls and answers none."""
+
+    def __init__(self):
+        self.calls = 0
+
+    def call(self, _call, _timeout_s, _on_answer):
+        self.calls += 1
+
+
+def known_copies(loop):
+    listener = CopyListener(lambda _: None, lambda _: None, lambda: None)
+    copies = {dataset: DatasetCopy(dataset, listener) for dataset in Dataset}
+    del copies[Dataset.LEASES]
+    for copy in copies.values():
+        copy.replace([], 1, False, loop.now())
+        copy.confirm(loop.now())
+    return copies
+
+
+def test_a_router_reads_by_itself_if_those_it_asks_do_not_read():
+    """The finding of hunt-2cb3-3: tables differed, and nobody whom it asked was a reader."""
+    loop = Loop()
+    addresses = [free_address() for _ in range(3)]
+    readers = chosen_readers([Candidate(address, True) for address in addresses])
+    own = next(address for address in addresses if address not in readers)
+    for address in readers:
+        other = RelaySource(loop, known_copies(loop), 1, lambda: False, lambda: False)
+        Server(loop, address, other.serve)
+    store = SilentStore()
+    peers = FewPeers(record(own), [record(address) for address in readers])
+    keeper = Keeper(KeeperParts(loop, store, DIALECT, known_copies(loop), peers), lambda: None)
+    for follower in keeper._followers:
+        follower.stop()
+    keeper._check()
+    serve_until(loop, lambda: store.calls)
--- a/tests/router/test_relay.py
+++ b/tests/router/test_relay.py
@@ -28,7 +28,10 @@
         self.address = free_address()
         self.read = copies()
         self.may_relay = True
-        self.source = RelaySource(self.loop, self.read, life, lambda: self.may_relay)
+        self.has_lost_store = False
+        self.source = RelaySource(
+            self.loop, self.read, life, lambda: self.may_relay, lambda: self.has_lost_store
+        )
         self.server = Server(self.loop, self.address, self.source.serve)
         self.followed = copies()
         self.failed = []
@@ -38,7 +41,7 @@
             self.followed,
             lambda: self.address,
             self._on_taken,
-            lambda address, was_reached: self.failed.append(was_reached),
+            lambda address, has_lost_store: self.failed.append(has_lost_store),
         )
 
     def _on_taken(self):
@@ -104,11 +107,19 @@
     pair.follower.start()
     serve_until(pair.loop, lambda: pair.taken == 1)
     pair.may_relay = False
+    pair.has_lost_store = True
     pair.source.drop_held()
     serve_until(pair.loop, lambda: pair.failed)
     assert pair.failed == [True]
 
 
+def test_a_router_that_does_not_read_the_store_is_no_reader_that_lost_it(pair):
+    pair.may_relay = False
+    pair.follower.start()
+    serve_until(pair.loop, lambda: pair.failed)
+    assert pair.failed == [False]
+
+
 def test_a_reader_that_cannot_be_reached_is_told_apart(pair):
     pair.address = free_address()
     pair.follower.start()
