--- a/deploy/router.py
+++ b/deploy/router.py
@@ -11,4 +11,4 @@
 
 if __name__ == "__main__":
     gc.freeze()
-    run_router(SETTINGS_SOURCE, DIALECT)
+    run_router(SETTINGS_SOURCE, DIALECT, Path(__file__).with_name("decisions.toml"))
--- a/src/martenrun/router/admission.py
+++ b/src/martenrun/router/admission.py
@@ -3,7 +3,7 @@
 import attrs
 
 from martenrun.net.server import Exchange
-from martenrun.router.forwarding import RETRY_AFTER_S
+from martenrun.router.decisions import DEFAULTS
 from martenrun.router.log import log_trouble
 from martenrun.router.messages import Admitted, Call
 from martenrun.router.route_table import RouteTable, SplitCounter
@@ -89,7 +89,11 @@
 
 def refuse(exchange: Exchange, refusal: Refusal, call: Call | None) -> None:
     """Give the final answer of a request that is not forwarded."""
-    headers = [(b"Retry-After", b"%.2f" % RETRY_AFTER_S)] if refusal.status == 503 else []
+    headers = (
+        [(b"Retry-After", b"%.2f" % DEFAULTS.forwarding.retry_after_s)]
+        if refusal.status == 503
+        else []
+    )
     exchange.respond(refusal.status, headers)
     log_trouble(
         "refused",
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -20,15 +20,9 @@
 from martenrun.router.trail import RequestTrail
 from martenrun.router.world import World
 
-WAITING_SHARE = 0.2
-"""Share of a route's objective for which a request may wait for a runner before it is refused."""
-
 LOOK_AGAIN_S = 0.025
 """How long a request waits until runners are looked at again, in seconds."""
 
-RETRY_AFTER_S = 0.25
-"""When a refused caller is told to come back at the earliest, in seconds."""
-
 
 class Forwarding:
     """Carries one request.
@@ -61,6 +55,7 @@
         self._last_event_at = 0.0
         self._longest_gap_s = 0.0
         self._trail = RequestTrail(world.loop, admitted)
+        self._figures = world.decisions.forwarding
         self._guard = world.guard(admitted.service)
         self._groups = request_groups(admitted)
         self.is_over = False
@@ -269,16 +264,16 @@
     def _wait_or_refuse(self, reason: str) -> None:
         """Look again in a moment, or refuse while the caller can still be served in time."""
         waited_s = self._world.loop.now() - self._began_at
-        limit_s = self._admitted.route.objective_s * WAITING_SHARE
+        limit_s = self._admitted.route.objective_s * self._figures.waiting_share
         if waited_s + LOOK_AGAIN_S > limit_s or len(self._sent_to) >= MAXIMUM_SENDS:
             self._refuse(reason)
             return
         self._tried.clear()
         self._world.loop.call_later(LOOK_AGAIN_S, self._look_for_runner)
 
-    def _refuse(self, reason: str, back_in_s: float = RETRY_AFTER_S) -> None:
+    def _refuse(self, reason: str, back_in_s: float = 0.0) -> None:
         """Say that the request has not run and when to come back."""
-        retry_after = b"%.2f" % max(RETRY_AFTER_S, back_in_s)
+        retry_after = b"%.2f" % max(self._figures.retry_after_s, back_in_s)
         self._exchange.respond(503, [(b"Retry-After", retry_after)])
         self._end("refused", None, reason=reason)
 
--- a/src/martenrun/router/overload.py
+++ b/src/martenrun/router/overload.py
@@ -12,26 +12,9 @@
 
 import attrs
 
+from martenrun.router.decisions import DEFAULTS, OverloadFigures
 from martenrun.router.reading_speed import ReadingSpeed
 
-URGENT_SHARE = 1.0
-"""Share of its route's objective that a prompt of the most urgent routes may wait to be read."""
-
-OTHERS_SHARE = 0.25
-"""The same for all other routes of a service."""
-
-BEHIND_WAIT_SHARE = 1.25
-"""The same for kinds and tenants that are behind: they go before the urgent ones."""
-
-FADING_S = 4.0
-"""Time constant in which what was counted fades, in seconds."""
-
-BEHIND_SHARE = 0.4
-"""A kind or tenant is behind if less than this part of the common share of it is taken."""
-
-LEAST_ASKED = 3.0
-"""Requests, faded, of a kind or tenant before anything is concluded."""
-
 
 @attrs.define
 class TakenCount:
@@ -41,9 +24,9 @@
     taken: float = 0.0
     counted_at: float = 0.0
 
-    def fade(self, now: float) -> None:
+    def fade(self, now: float, time_constant_s: float) -> None:
         """Let what was counted fade until now."""
-        kept = math.exp((self.counted_at - now) / FADING_S)
+        kept = math.exp((self.counted_at - now) / time_constant_s)
         self.asked *= kept
         self.taken *= kept
         self.counted_at = now
@@ -74,7 +57,8 @@
 class OverloadGuard:
     """Decides for one service; learns from what is asked, taken and read."""
 
-    def __init__(self) -> None:
+    def __init__(self, figures: OverloadFigures = DEFAULTS.overload) -> None:
+        self._figures = figures
         self.speed = ReadingSpeed()
         self._all = TakenCount()
         self._groups: dict[str, TakenCount] = {}
@@ -96,10 +80,11 @@
     def takes(self, prompt: WaitingPrompt, now: float) -> bool:
         """Whether a prompt may be sent to the best runner now."""
         wait_s = self.wait_s(prompt.tokens_ahead)
-        share = URGENT_SHARE if prompt.is_urgent else OTHERS_SHARE
+        figures = self._figures
+        share = figures.urgent_share if prompt.is_urgent else figures.others_share
         if wait_s <= prompt.objective_s * share:
             return True
-        if wait_s > prompt.objective_s * BEHIND_WAIT_SHARE:
+        if wait_s > prompt.objective_s * figures.behind_wait_share:
             return False
         return self._is_behind(prompt.groups, now)
 
@@ -107,7 +92,8 @@
         """Whether far fewer requests of a group were taken lately than of all."""
         common = self._all.share
         return any(
-            count.asked >= LEAST_ASKED and count.share < BEHIND_SHARE * common
+            count.asked >= self._figures.least_asked
+            and count.share < self._figures.behind_share * common
             for count in self._counts(groups, now)
         )
 
@@ -115,5 +101,5 @@
         counts = [self._all]
         counts += [self._groups.setdefault(group, TakenCount()) for group in groups]
         for count in counts:
-            count.fade(now)
+            count.fade(now, self._figures.fading_s)
         return counts
--- a/src/martenrun/router/placement.py
+++ b/src/martenrun/router/placement.py
@@ -11,34 +11,11 @@
 import attrs
 
 from martenrun.identity.rendezvous import weight
+from martenrun.router.decisions import DEFAULTS, PlacementFigures
 from martenrun.router.messages import PromptPart
 from martenrun.router.runner_state import RunnerState
 from martenrun.router.seen_parts import SeenParts
 
-FETCHED_SHARE = 0.35
-"""What a token costs that is fetched from the kept-cache store instead of read."""
-
-OTHER_ZONE_TOKENS = 60
-"""What a runner of another zone costs more, in tokens."""
-
-REQUEST_TOKENS = 40
-"""What each request that a runner works on costs, in tokens: it shares the steps."""
-
-FAILURE_TOKENS = 2_000
-"""What each remembered failure costs, in tokens."""
-
-USABLE_MEMORY = 0.85
-"""Share of a runner's memory that running requests may take before another is preferred."""
-
-CROWDING_FACTOR = 2.0
-"""What each token costs that finds no room in a runner's memory, in tokens."""
-
-OLD_WEIGHTS_TOKENS = 2_000
-"""What a runner with older weights than named costs more, in tokens."""
-
-OTHER_ZONE_LOAD = 0.5
-"""Requests that a runner of another zone counts as having more, where no prompt is read."""
-
 REMEMBERED_ORDERS = 512
 """Orders of runners kept, by prefix."""
 
@@ -75,7 +52,8 @@
 class Placement:
     """Chooses runners; remembers the order of runners for the prefixes asked for last."""
 
-    def __init__(self) -> None:
+    def __init__(self, figures: PlacementFigures = DEFAULTS.placement) -> None:
+        self._figures = figures
         self._known_ranks: dict[tuple[bytes, tuple[str, ...]], dict[str, int]] = {}
         self.seen = SeenParts()
 
@@ -94,7 +72,7 @@
             return _least_bad(question, usable)
         if question.parts:
             return self._by_reading(question, sound)
-        return min(sound, key=lambda state: _cost_without_prompt(question, state))
+        return min(sound, key=lambda state: self._cost_without_prompt(question, state))
 
     def tokens_to_read(self, question: PlacementQuestion, state: RunnerState) -> float:
         """Return what a runner is believed to have to read for a request, in tokens."""
@@ -104,19 +82,20 @@
     def _by_reading(self, question: PlacementQuestion, sound: list[RunnerState]) -> RunnerState:
         instances = tuple(sorted(state.runner.instance for state in sound))
         ranks = self._ranks(shared_prefix(question.parts) + question.wall, instances)
+        figures = self._figures
 
         def cost(state: RunnerState) -> tuple[float, int]:
             rank = ranks[state.runner.instance]
             shared = 0.0 if rank == 0 else self._shared_cost(question, state)
-            distance = 0 if state.runner.zone == question.zone else OTHER_ZONE_TOKENS
+            distance = 0 if state.runner.zone == question.zone else figures.other_zone_tokens
             return (
                 state.backlog_tokens
                 + shared
                 + distance
-                + REQUEST_TOKENS * state.load
-                + _crowding_cost(question, state)
-                + (OLD_WEIGHTS_TOKENS if _is_old(question, state) else 0)
-                + FAILURE_TOKENS * state.remembered_failures(question.now),
+                + figures.request_tokens * state.load
+                + self._crowding_cost(question, state)
+                + (figures.old_weights_tokens if _is_old(question, state) else 0)
+                + figures.failure_tokens * state.remembered_failures(question.now),
                 rank,
             )
 
@@ -131,7 +110,7 @@
             if self.seen.is_at(state.runner.instance, key, question.now):
                 continue
             is_stored = self.seen.is_anywhere(key, question.now)
-            cost += part.tokens * (FETCHED_SHARE if is_stored else 1.0)
+            cost += part.tokens * (self._figures.fetched_share if is_stored else 1.0)
         return cost
 
     def cache_source(
@@ -163,6 +142,23 @@
 
         return min(others, key=distance)
 
+    def _crowding_cost(self, question: PlacementQuestion, state: RunnerState) -> float:
+        """Return what a runner costs whose memory does not hold one more request, in tokens."""
+        if not question.memory_tokens:
+            return 0.0
+        usable = self._figures.usable_memory * question.memory_tokens
+        over = state.held_tokens + question.needed_tokens - usable
+        return max(0.0, over) * self._figures.crowding_factor
+
+    def _cost_without_prompt(
+        self, question: PlacementQuestion, state: RunnerState
+    ) -> tuple[float, float]:
+        is_near = state.runner.zone == question.zone
+        distance = 0.0 if is_near else self._figures.other_zone_load
+        failures = state.remembered_failures(question.now)
+        per_slot = (state.load + distance) / max(1, state.runner.slots)
+        return per_slot + 0.2 * failures, weight(question.zone.encode(), state.runner.instance)
+
     def note_read(self, question: PlacementQuestion, state: RunnerState) -> None:
         """Take in that a runner has read a prompt."""
         version = state.weights_version(question.model or "")
@@ -198,12 +194,6 @@
     ]
 
 
-def _crowding_cost(question: PlacementQuestion, state: RunnerState) -> float:
-    """Return what a runner costs whose memory does not hold one more request, in tokens."""
-    over = state.held_tokens + question.needed_tokens - USABLE_MEMORY * question.memory_tokens
-    return max(0.0, over) * CROWDING_FACTOR if question.memory_tokens else 0.0
-
-
 def _with_allowed_weights(
     question: PlacementQuestion, states: list[RunnerState]
 ) -> list[RunnerState]:
@@ -232,10 +222,3 @@
     if not usable:
         return None
     return min(usable, key=lambda state: (state.remembered_failures(now), state.load))
-
-
-def _cost_without_prompt(question: PlacementQuestion, state: RunnerState) -> tuple[float, float]:
-    distance = 0.0 if state.runner.zone == question.zone else OTHER_ZONE_LOAD
-    failures = state.remembered_failures(question.now)
-    per_slot = (state.load + distance) / max(1, state.runner.slots)
-    return per_slot + 0.2 * failures, weight(question.zone.encode(), state.runner.instance)
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -1,6 +1,7 @@
 """The router process: builds its parts, serves, and ends without cutting a request off."""
 
 import signal
+from pathlib import Path
 
 from martenrun.errors import SettingsError
 from martenrun.net.http import HttpAnswer
@@ -15,6 +16,7 @@
     refuse,
 )
 from martenrun.router.dataset_copy import CopyListener, DatasetCopy
+from martenrun.router.decisions import DEFAULTS, Decisions, load_decisions
 from martenrun.router.dialect import Dialect, SettingsSource
 from martenrun.router.entry import Entry
 from martenrun.router.forwarding import Forwarding
@@ -63,7 +65,9 @@
 class RouterProcess:
     """All parts of one router."""
 
-    def __init__(self, source: SettingsSource, dialect: Dialect) -> None:
+    def __init__(
+        self, source: SettingsSource, dialect: Dialect, decisions: Decisions = DEFAULTS
+    ) -> None:
         self._source = source
         self._stamp = source.stamp()
         settings = source.load()
@@ -82,7 +86,8 @@
             runners=RunnerDirectory(),
             weights=WeightsKnowledge(),
             pool=RunnerPool(self._loop),
-            placement=Placement(),
+            placement=Placement(decisions.placement),
+            decisions=decisions,
             node_count=lambda: self._peers.budget_count(),
             count=self._count,
             store_works=lambda _store: True,
@@ -371,6 +376,11 @@
     return None
 
 
-def run_router(source: SettingsSource, dialect: Dialect) -> None:
-    """Run a router until it is stopped; raises SettingsError if it cannot begin."""
-    RouterProcess(source, dialect).run()
+def run_router(source: SettingsSource, dialect: Dialect, decisions: Path) -> None:
+    """Run a router until it is stopped; raises SettingsError if it cannot begin.
+
+    Args:
+        decisions: a file of figures that override those of :mod:`martenrun.router.decisions`; it
+            may be missing.
+    """
+    RouterProcess(source, dialect, load_decisions(decisions)).run()
--- a/src/martenrun/router/weights_roll.py
+++ b/src/martenrun/router/weights_roll.py
@@ -11,6 +11,7 @@
 
 from martenrun.identity.rendezvous import weight
 from martenrun.net.http import HttpAnswer
+from martenrun.router.decisions import RollFigures
 from martenrun.router.lease import Lease
 from martenrun.router.log import log_event, log_trouble
 from martenrun.router.messages import (
@@ -42,12 +43,6 @@
 ORDER_AGAIN_S = 1.0
 """Time after an order without effect until it is given again, in seconds."""
 
-RUNS_END_S = 2.6
-"""How long a runner's runs may take to end before it is ordered to load, in seconds."""
-
-PARALLEL_SHARE = 1 / 3
-"""Share of a model's runners that load at the same time, rounded up."""
-
 STATUS_OK = 200
 MS_PER_S = 1000
 
@@ -81,6 +76,7 @@
         loading: instances whose load is under way.
         not_before: times before which failed runners are not tried again.
         now: steady time.
+        figures: how runners are brought to new weights.
         ends_at: when this router gives no more orders: runs must end before.
         oldest_version: oldest version that may still begin requests.
     """
@@ -90,6 +86,7 @@
     loading: Collection[str]
     not_before: dict[str, float]
     now: float
+    figures: RollFigures
     ends_at: float = math.inf
     oldest_version: int = 0
 
@@ -106,7 +103,7 @@
 
 def runners_to_order(question: RollQuestion, states: Sequence[RunnerState]) -> list[RunnerState]:
     """Return the runners that are to load now: the oldest weights first, then the least busy."""
-    if question.now + RUNS_END_S > question.ends_at:
+    if question.now + question.figures.runs_end_s > question.ends_at:
         return []
     candidates = [
         state
@@ -133,7 +130,7 @@
         if state.weights_version(question.model) is not None and not state.runner.is_draining
     ]
     loading = sum(state.runner.instance in question.loading for state in staying)
-    return math.ceil(len(staying) * PARALLEL_SHARE) - loading
+    return math.ceil(len(staying) * question.figures.parallel_share) - loading
 
 
 class WeightsRoller:
@@ -150,6 +147,10 @@
         self._is_ticking = False
         self._ends_at = math.inf
 
+    @property
+    def _runs_end_s(self) -> float:
+        return self._world.decisions.roll.runs_end_s
+
     def check(self) -> None:
         """Look whether runners lack weights; called after every change of what is known."""
         if not self._is_ticking:
@@ -201,7 +202,7 @@
         """Whether this router ends and has nothing more to order."""
         if now >= self._ends_at or self._ends_at == math.inf:
             return now >= self._ends_at
-        may_begin = bool(models) and now + RUNS_END_S <= self._ends_at
+        may_begin = bool(models) and now + self._runs_end_s <= self._ends_at
         return not may_begin and all(load.is_ordered for load in self._loads.values())
 
     def _tell_release(self, record: LeaseRecord, revision: int) -> None:
@@ -237,6 +238,7 @@
             loading=set(self._loads),
             not_before=self._not_before,
             now=now,
+            figures=self._world.decisions.roll,
             ends_at=self._ends_at,
             oldest_version=self._world.oldest_weights(model, now),
         )
@@ -298,7 +300,7 @@
         now = self._world.loop.now()
         if now < self._lease.orders_from:
             return False
-        return report.active == 0 or now - load.began_at >= RUNS_END_S
+        return report.active == 0 or now - load.began_at >= self._runs_end_s
 
     def _order(self, state: RunnerState, model: str, version: int, report: RunnerReport) -> None:
         if not self._lease.is_held():
--- a/src/martenrun/router/world.py
+++ b/src/martenrun/router/world.py
@@ -6,6 +6,7 @@
 
 from martenrun.identity.rendezvous import weight
 from martenrun.net.loop import Loop
+from martenrun.router.decisions import Decisions
 from martenrun.router.dialect import Dialect
 from martenrun.router.knowledge import ConfigurationKnowledge, RunnerDirectory, WeightsKnowledge
 from martenrun.router.messages import KeptCacheStore, Route, RouterSettings
@@ -30,6 +31,7 @@
     """What a router knows and uses.
 
     Attributes:
+        decisions: the figures that decisions depend on.
         node_count: returns among how many routers the retry budget is shared.
         count: takes in how a request ended: outcome, route, seconds.
         store_works: whether the kept-cache store at an address answers.
@@ -50,6 +52,7 @@
     store_works: Callable[[KeptCacheStore], bool]
     note_reading: Callable[[RunnerState], None]
     refresh_loads: Callable[[], None]
+    decisions: Decisions = attrs.field(factory=Decisions)
     _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _guards: dict[str, OverloadGuard] = attrs.field(factory=dict)
 
@@ -64,7 +67,7 @@
         """Return what decides whether a service is too busy for one more prompt."""
         guard = self._guards.get(service)
         if guard is None:
-            guard = self._guards[service] = OverloadGuard()
+            guard = self._guards[service] = OverloadGuard(self.decisions.overload)
         return guard
 
     def runner_states(self, service: str) -> list[RunnerState]:
--- a/tests/router/test_forwarding.py
+++ b/tests/router/test_forwarding.py
@@ -6,7 +6,8 @@
 from martenrun.net.http import HttpRequest
 from martenrun.platform import DIALECT
 from martenrun.router import trail
-from martenrun.router.forwarding import WAITING_SHARE, Forwarding
+from martenrun.router.decisions import DEFAULTS
+from martenrun.router.forwarding import Forwarding
 from martenrun.router.knowledge import ConfigurationKnowledge, RunnerDirectory, WeightsKnowledge
 from martenrun.router.messages import Admitted, Call, PromptPart, RouteKind, WantedWeights
 from martenrun.router.placement import Placement
@@ -170,7 +171,7 @@
 def test_a_refusal_names_a_time_and_comes_within_a_fifth_of_the_objective():
     nobody = [state("i-0", is_draining=True)]
     played = Played(states=nobody)
-    played.run(WAITING_SHARE * played.route.objective_s + 0.01)
+    played.run(DEFAULTS.forwarding.waiting_share * played.route.objective_s + 0.01)
     status, headers, _ = played.exchange.answers[0]
     assert status == 503 and float(headers[b"Retry-After"]) > 0
     assert played.pool.sent == []
--- a/tests/router/test_overload.py
+++ b/tests/router/test_overload.py
@@ -2,18 +2,17 @@
 
 import pytest
 
-from martenrun.router.overload import (
-    BEHIND_WAIT_SHARE,
-    OTHERS_SHARE,
-    URGENT_SHARE,
-    OverloadGuard,
-    WaitingPrompt,
-)
+from martenrun.router.decisions import DEFAULTS
+from martenrun.router.overload import OverloadGuard, WaitingPrompt
 from martenrun.router.reading_speed import LEAST_SAMPLES, LEAST_TOKENS, ReadingSpeed
 from martenrun.router.route_table import RouteTable
 
 from .builders import configuration, route
 
+URGENT_SHARE = DEFAULTS.overload.urgent_share
+OTHERS_SHARE = DEFAULTS.overload.others_share
+BEHIND_WAIT_SHARE = DEFAULTS.overload.behind_wait_share
+
 SPEED = 40_000.0
 """Tokens a second that the runners of these tests read."""
 
--- a/tests/router/test_weights_roll.py
+++ b/tests/router/test_weights_roll.py
@@ -2,13 +2,18 @@
 
 import pytest
 
-from martenrun.router.weights_roll import RUNS_END_S, RollQuestion, lacking, runners_to_order
+from martenrun.router.decisions import DEFAULTS
+from martenrun.router.weights_roll import RollQuestion, lacking, runners_to_order
 
 from .builders import state
 
+RUNS_END_S = DEFAULTS.roll.runs_end_s
+
 
 def ask(version=2, loading=(), not_before=None, **changes):
-    return RollQuestion("m", version, set(loading), not_before or {}, 100.0, **changes)
+    return RollQuestion(
+        "m", version, set(loading), not_before or {}, 100.0, DEFAULTS.roll, **changes
+    )
 
 
 def test_a_third_of_the_runners_load_at_a_time_and_at_least_one():
