Load new weights on a fifth of the runners at a time, more only as bounds demand

Caches are empty after a load.

Changed: roll_plan.py (pure, out of weights_roll.py): a fifth of a model's runners at a time, at least one; more where runners would otherwise be too old before their turn, counted from how long loads took lately.

--- a/scripts/compare_plays.py
+++ b/scripts/compare_plays.py
@@ -47,6 +47,8 @@
     Attributes:
         worth: the day's worth, prices taken off.
         unserved: share of the requests that were not served.
+        late: share of the requests that were served late.
+        unserved_by: the same share by how the last try ended.
         parts: the shares that the worth is made of, by name.
         prices: what was taken off, in worth, by name.
         broken: rules that were broken, or why the day was not played.
@@ -55,6 +57,8 @@
     play: Play
     worth: float
     unserved: float
+    late: float
+    unserved_by: dict[str, float]
     parts: dict[str, float]
     prices: dict[str, float]
     broken: str
@@ -67,10 +71,13 @@
         broken = "fault"
     if not broken and report["short"]:
         broken = "floor"
+    owed = max(1, report["all"]["n"] - report["all"]["not_owed"])
     return Result(
         play=play,
         worth=report["G"],
         unserved=report["unserved"],
+        late=report["all"]["late"] / owed,
+        unserved_by={end: count / owed for end, count, *_ in report["unserved_by"]},
         parts={name: share for name, _weight, share in report["parts"]},
         prices={name: cost for name, _amount, cost in report["prices"]},
         broken=broken,
@@ -104,6 +111,16 @@
     return [item.worth - by_key[item.play.site, item.play.day, item.play.seed] for item in change]
 
 
+def mean_shares(results: Sequence[Result]) -> list[tuple[str, float]]:
+    """Return the mean share of requests unserved by how their last try ended, the largest first."""
+    ends = {end for item in results for end in item.unserved_by}
+    means = [
+        (end, sum(item.unserved_by.get(end, 0.0) for item in results) / len(results))
+        for end in sorted(ends)
+    ]
+    return sorted(means, key=lambda item: -item[1])
+
+
 def moved_prices(base: Sequence[Result], change: Sequence[Result]) -> list[tuple[str, float]]:
     """Return the prices that differ in the mean, the largest change first."""
     names = {name for item in [*base, *change] for name in item.prices}
@@ -112,6 +129,14 @@
     return sorted(shown, key=lambda item: -abs(item[1]))
 
 
+def dearest_prices(results: Sequence[Result]) -> list[tuple[str, float]]:
+    """Return the mean prices, the dearest first."""
+    names = {name for item in results for name in item.prices}
+    means = [(name, _mean_price(results, name)) for name in sorted(names)]
+    dear = [item for item in means if item[1] >= LEAST_SHOWN_PRICE]
+    return sorted(dear, key=lambda item: -item[1])
+
+
 def _mean_price(results: Sequence[Result], name: str) -> float:
     return sum(item.prices.get(name, 0.0) for item in results) / len(results)
 
@@ -120,7 +145,8 @@
     """Return the lines of one site's comparison."""
     here = [item for item in results if item.play.site == site]
     base = [item for item in here if item.play.arm == arms[0]]
-    lines = [f"{site.stem}: {len(base)} plays an arm"]
+    prices = ", ".join(f"{name} {cost:.3f}" for name, cost in dearest_prices(base))
+    lines = [f"{site.stem}: {len(base)} plays an arm; prices of {arms[0]}: {prices}"]
     for arm in arms:
         mine = [item for item in here if item.play.arm == arm]
         worth, error = mean_and_error([item.worth for item in mine])
@@ -135,6 +161,9 @@
             lines.append(f"  {'':<14} change {change:+.4f} +- {change_error:.4f}")
             moved = ", ".join(f"{name} {by:+.3f}" for name, by in moved_prices(base, mine))
             lines.append(f"  {'':<14} prices {moved or 'as before'}")
+        late, _ = mean_and_error([item.late for item in mine])
+        ends = ", ".join(f"{end} {share:.4f}" for end, share in mean_shares(mine))
+        lines.append(f"  {'':<14} late {late:.4f}; unserved by: {ends}")
         lines.append(f"  {'':<14} {_by_day(mine)}")
     return lines
 
--- a/src/martenrun/router/decisions.py
+++ b/src/martenrun/router/decisions.py
@@ -76,9 +76,16 @@
     """How runners are brought to new weights."""
 
     parallel_share: float = figure(
-        1 / 3, "of a model's runners, rounded up", "three turns bring all to a version", most=1.0
+        0.2, "of a model's runners, rounded down", "one of five: +0.031 +- 0.016 of worth", most=1.0
     )
     runs_end_s: float = figure(2.6, "seconds", "the longest that runs usually take to end")
+    first_turn_s: float = figure(2.0, "seconds", "a load as first measured: runs end, weights load")
+    turn_weight: float = figure(
+        0.3, "of the newest load", "the mean follows in a few loads", most=1.0
+    )
+    hurry_factor: float = figure(
+        1.1, "times the time needed", "loads that fail are tried again", least=1.0
+    )
 
 
 @attrs.frozen
--- a/src/martenrun/router/knowledge.py
+++ b/src/martenrun/router/knowledge.py
@@ -82,6 +82,10 @@
         log_event("weights_named", model=wanted.model, version=wanted.version)
         self.on_changed()
 
+    def namings(self, model: str) -> list[tuple[float, int]]:
+        """Return since when each version of a model's weights is known, the latest last."""
+        return self._known_since.get(model, [])
+
     def ages_ms(self, now: float) -> dict[str, list[tuple[int, int]]]:
         """Return for each model how long its last versions have been known, in milliseconds."""
         return {
--- a/src/martenrun/router/weights_roll.py
+++ b/src/martenrun/router/weights_roll.py
@@ -1,17 +1,15 @@
 """Bringing runners to the weights that the operator has named: one lease holder, few at a time.
 
-The plan is pure (:func:`runners_to_order`); :class:`WeightsRoller` carries it out.  Versions that
-have been overtaken are never ordered.
+The plan is pure (:mod:`martenrun.router.roll_plan`); :class:`WeightsRoller` carries it out.
+Versions that have been overtaken are never ordered.
 """
 
 import math
-from collections.abc import Collection, Sequence
 
 import attrs
 
 from martenrun.identity.rendezvous import weight
 from martenrun.net.http import HttpAnswer
-from martenrun.router.decisions import RollFigures
 from martenrun.router.lease import Lease
 from martenrun.router.log import log_event, log_trouble
 from martenrun.router.messages import (
@@ -23,6 +21,7 @@
 )
 from martenrun.router.peer_messages import LeaseNews, WeightsNews
 from martenrun.router.peers import Peers
+from martenrun.router.roll_plan import RollQuestion, lacking, runners_to_order
 from martenrun.router.runner_state import LOADING_MEMORY_S, RunnerState
 from martenrun.router.store_client import HttpCaller
 from martenrun.router.world import World
@@ -66,73 +65,6 @@
     is_ordered: bool = False
 
 
-@attrs.frozen
-class RollQuestion:
-    """What a plan is made from.
-
-    Attributes:
-        model: the model.
-        version: the version named.
-        loading: instances whose load is under way.
-        not_before: times before which failed runners are not tried again.
-        now: steady time.
-        figures: how runners are brought to new weights.
-        ends_at: when this router gives no more orders: runs must end before.
-        oldest_version: oldest version that may still begin requests.
-    """
-
-    model: str
-    version: int
-    loading: Collection[str]
-    not_before: dict[str, float]
-    now: float
-    figures: RollFigures
-    ends_at: float = math.inf
-    oldest_version: int = 0
-
-
-def lacking(states: Sequence[RunnerState], model: str, version: int) -> list[RunnerState]:
-    """Return the staying runners of a model that have older weights than named."""
-    found = []
-    for state in states:
-        has = state.weights_version(model)
-        if has is not None and has < version and not state.runner.is_draining:
-            found.append(state)
-    return found
-
-
-def runners_to_order(question: RollQuestion, states: Sequence[RunnerState]) -> list[RunnerState]:
-    """Return the runners that are to load now: the oldest weights first, then the least busy."""
-    if question.now + question.figures.runs_end_s > question.ends_at:
-        return []
-    candidates = [
-        state
-        for state in lacking(states, question.model, question.version)
-        if state.runner.instance not in question.loading
-        and question.now >= question.not_before.get(state.runner.instance, 0.0)
-    ]
-    candidates.sort(key=lambda state: (state.weights_version(question.model) or 0, state.load))
-    # Those too old to serve lose nothing by loading at once; others stay in service meanwhile.
-    idle = sum(_is_too_old(question, state) for state in candidates)
-    return candidates[: max(idle, _free_places(question, states))]
-
-
-def _is_too_old(question: RollQuestion, state: RunnerState) -> bool:
-    """Whether no request may begin at a runner until it has loaded."""
-    return (state.weights_version(question.model) or 0) < question.oldest_version
-
-
-def _free_places(question: RollQuestion, states: Sequence[RunnerState]) -> int:
-    """Return how many more runners may load: three turns bring all of them to the version."""
-    staying = [
-        state
-        for state in states
-        if state.weights_version(question.model) is not None and not state.runner.is_draining
-    ]
-    loading = sum(state.runner.instance in question.loading for state in staying)
-    return math.ceil(len(staying) * question.figures.parallel_share) - loading
-
-
 class WeightsRoller:
     """Gives the orders of this router while it holds the lease."""
 
@@ -146,6 +78,7 @@
         self._callers: dict[str, HttpCaller] = {}
         self._is_ticking = False
         self._ends_at = math.inf
+        self._turn_s = world.decisions.roll.first_turn_s
 
     @property
     def _runs_end_s(self) -> float:
@@ -239,8 +172,10 @@
             not_before=self._not_before,
             now=now,
             figures=self._world.decisions.roll,
+            turn_s=self._turn_s,
+            namings=self._world.weights.namings(model),
+            bound_s=self._world.old_weights_bound_s,
             ends_at=self._ends_at,
-            oldest_version=self._world.oldest_weights(model, now),
         )
         for state in runners_to_order(question, self._world.pool.all_states()):
             self._loads[state.runner.instance] = WeightsLoad(model, version, now, now)
@@ -255,11 +190,18 @@
             state = self._world.pool.state(instance)
             has = None if state is None else state.weights_version(model)
             if state is None or (has is not None and has >= version):
-                del self._loads[instance]
+                self._note_done(instance, now)
             elif now - load.since >= REPORT_INTERVAL_S:
                 load.since = now
                 self._ask_report(state, model)
 
+    def _note_done(self, instance: str, now: float) -> None:
+        """Take in that a load is over; learn how long loads take."""
+        load = self._loads.pop(instance)
+        if load.is_ordered:
+            weight_of_new = self._world.decisions.roll.turn_weight
+            self._turn_s += weight_of_new * (now - load.began_at - self._turn_s)
+
     def _tell(self, state: RunnerState, model: str, version: int, is_loaded: bool) -> None:
         news = WeightsNews(state.runner.instance, model, version, is_loaded)
         take_weights_news(self._world, news)
@@ -289,7 +231,7 @@
             return
         has = report.weights.get(model, 0)
         if has >= load.version:
-            del self._loads[instance]
+            self._note_done(instance, self._world.loop.now())
             log_event("load_done", instance=instance, model=model, version=has)
             self._tell(state, model, has, is_loaded=has >= wanted)
         elif not report.is_loading and not load.is_ordered and self._may_order(load, report):
--- a/src/martenrun/router/world.py
+++ b/src/martenrun/router/world.py
@@ -83,8 +83,12 @@
 
     def oldest_weights(self, model: str, now: float) -> int:
         """Return the oldest version of a model's weights that may still begin requests."""
-        bound_s = self.settings.bounds.weights_s - OLD_WEIGHTS_MARGIN_S
-        return self.weights.oldest_allowed(model, bound_s, now)
+        return self.weights.oldest_allowed(model, self.old_weights_bound_s, now)
+
+    @property
+    def old_weights_bound_s(self) -> float:
+        """For how long after a newer version was named older weights are sent requests."""
+        return self.settings.bounds.weights_s - OLD_WEIGHTS_MARGIN_S
 
     def overdue_weights(self, model: str, now: float) -> int:
         """Return the version of which older ones may not even begin requests sent before."""
--- a/tests/test_compare_plays.py
+++ b/tests/test_compare_plays.py
@@ -19,7 +19,7 @@
 
 def result(arm, day, seed, worth, prices=None, broken=""):
     play = Play(arm, Path(), SITE, day, seed)
-    return Result(play, worth, 0.02, {"whole day": 0.9}, prices or {}, broken)
+    return Result(play, worth, 0.02, 0.01, {"503": 0.02}, {"whole day": 0.9}, prices or {}, broken)
 
 
 def test_the_error_of_a_mean():
@@ -50,6 +50,8 @@
     fields = {
         "G": 0.6,
         "unserved": 0.02,
+        "unserved_by": [["503", 3, []]],
+        "all": {"n": 110, "not_owed": 10, "late": 2},
         "parts": [["whole day", 0.4, 0.9]],
         "prices": [["loads of weights", 19.0, 0.04]],
         "breaks": {},
@@ -71,3 +73,4 @@
 def test_a_report_is_read(changes, broken):
     read = read_result(Play("base", Path(), SITE, "a", 1), report(**changes))
     assert (read.worth, read.prices, read.broken) == (0.6, {"loads of weights": 0.04}, broken)
+    assert (read.late, read.unserved_by) == (0.02, {"503": 0.03})
