Let routers that follow a reader pass its knowledge on

Cause: since a router whose chosen readers do not read asks the store itself.

Changed: a router that now follows a reader answers those that take it for one, and says that it is none; its followers do not pass on, so that none follow in a ring. Ages travel as before. It sends held questions away when it loses its reader.

Tests: one that follows a reader serves a stranger, who then does not pass on; follows_reader() ends with a reader that stopped reading or refused.

--- a/src/martenrun/router/keeper.py
+++ b/src/martenrun/router/keeper.py
@@ -63,6 +63,7 @@
             own.incarnation,
             self._may_relay,
             lambda: self.has_lost_store,
+            lambda: self._is_reading(),
         )
         self._relay_follower = RelayFollower(
             self._loop,
@@ -147,8 +148,18 @@
         else:
             self._relay_follower.start()
 
+    def _is_reading(self) -> bool:
+        return all(item.is_current for item in self._followers)
+
     def _may_relay(self) -> bool:
-        if self.has_lost_store or not all(item.is_current for item in self._followers):
+        """Whether this router passes knowledge on: one that reads, or that follows a reader.
+
+        Tables differ for moments, most among many routers: who asks a router that is no reader is
+        served all the same.  Followers of such a one do not pass on, so that none follow in a ring.
+        """
+        if self.has_lost_store:
+            return False
+        if not self._is_reading() and not self._relay_follower.follows_reader():
             return False
         confirmed_at = self._copies[Dataset.CONFIGURATION].confirmed_at
         return confirmed_at is not None and self._loop.now() - confirmed_at < OLDEST_RELAYED_S
@@ -160,6 +171,7 @@
 
     def _on_relayed(self) -> None:
         self._choice.note_reached(self._loop.now())
+        self.relay.copies_changed()
         if not self._reads_store:
             for follower in self._followers:
                 follower.stop()
@@ -167,6 +179,7 @@
 
     def _on_relay_failed(self, address: str, has_lost_store: bool) -> None:
         now = self._loop.now()
+        self.relay.drop_held()
         self._choice.note_failed(address, now)
         if has_lost_store:
             # It reads, as well as anybody can: no reason to ask the store from here too.
--- a/src/martenrun/router/relay.py
+++ b/src/martenrun/router/relay.py
@@ -61,11 +61,19 @@
 
 
 class FollowAnswer(msgspec.Struct, array_like=True):
-    """What has changed; ``held_ms`` is how long the answer was held back."""
+    """What has changed.
+
+    Attributes:
+        life: number of this life of the answering router.
+        held_ms: how long the answer was held back, in milliseconds.
+        datasets: the changes.
+        is_reader: whether the answering router reads the store itself.
+    """
 
     life: int
     held_ms: int
     datasets: dict[str, RelayedDataset]
+    is_reader: bool = True
 
 
 class FollowRefusal(msgspec.Struct, array_like=True):
@@ -96,8 +104,9 @@
 
     Args:
         life: number of this life of the router; numbers of other lives mean nothing.
-        may_relay: whether this router reads the store itself and is current.
+        may_relay: whether this router is current, by reading the store or following who does.
         has_lost_store: whether it had no good answer of the store lately.
+        reads_store: whether it reads the store itself.
     """
 
     def __init__(
@@ -107,12 +116,14 @@
         life: int,
         may_relay: Callable[[], bool],
         has_lost_store: Callable[[], bool],
+        reads_store: Callable[[], bool],
     ) -> None:
         self._loop = loop
         self._copies = copies
         self._life = life
         self._may_relay = may_relay
         self._has_lost_store = has_lost_store
+        self._reads_store = reads_store
         self._held: set[HeldQuestion] = set()
 
     def serve(self, exchange: Exchange) -> None:
@@ -172,7 +183,8 @@
             for dataset, copy in self._copies.items()
         }
         held_ms = int((now - held.asked_at) * 1000)
-        held.exchange.respond(200, [], _ENCODE(FollowAnswer(self._life, held_ms, datasets)))
+        answer = FollowAnswer(self._life, held_ms, datasets, self._reads_store())
+        held.exchange.respond(200, [], _ENCODE(answer))
 
 
 def _says_store_is_lost(answer: HttpAnswer) -> bool:
@@ -234,8 +246,16 @@
         self._life = 0
         self._numbers: dict[str, int] = {}
         self._is_asking = False
+        self._reader_heard_at: float | None = None
         self.is_running = False
 
+    def follows_reader(self) -> bool:
+        """Whether this router now follows one that reads the store itself, and hears from it."""
+        heard_at = self._reader_heard_at
+        if not self.is_running or heard_at is None:
+            return False
+        return self._loop.now() - heard_at <= HOLD_S + ANSWER_TIMEOUT_S
+
     def start(self) -> None:
         """Begin to follow, unless it does already."""
         self.is_running = True
@@ -274,15 +294,18 @@
         if answer is None or answer.status != 200:
             status = None if answer is None else answer.status
             log_trouble("relay_lost", address=address, status=status)
+            self._reader_heard_at = None
             self._on_failed(address, answer is not None and _says_store_is_lost(answer))
             return
         try:
             news = _ANSWER.decode(answer.body)
         except msgspec.MsgspecError:
             log_trouble("relay_unreadable", address=address)
+            self._reader_heard_at = None
             self._on_failed(address, False)
             return
         self._life = news.life
+        self._reader_heard_at = self._loop.now() if news.is_reader else None
         for name, dataset in news.datasets.items():
             self._take(self._copies[Dataset(name)], dataset, sent_at + news.held_ms / 1000.0)
             self._numbers[name] = dataset.number
--- a/tests/router/test_keeper.py
+++ b/tests/router/test_keeper.py
@@ -7,7 +7,7 @@
 from martenrun.router.keeper import Keeper, KeeperParts
 from martenrun.router.messages import Dataset
 from martenrun.router.readers import Candidate, chosen_readers
-from martenrun.router.relay import RelaySource
+from martenrun.router.relay import RelayFollower, RelaySource
 
 from .loopback import free_address, serve_until
 from .test_peers import record
@@ -47,6 +47,41 @@
     return copies
 
 
+def started_keeper(loop, own, others, copies):
+    """Return the keeper of a router that follows, at its address, and its store."""
+    store = SilentStore()
+    peers = FewPeers(record(own), [record(address) for address in others])
+    keeper = Keeper(KeeperParts(loop, store, DIALECT, copies, peers), lambda: None)
+    Server(loop, own, keeper.relay.serve)
+    for follower in keeper._followers:
+        follower.stop()
+    keeper._check()
+    return keeper, store
+
+
+def test_a_router_that_follows_a_reader_serves_those_that_take_it_for_one():
+    """Among many routers tables differ for moments; asking the store instead costs calls."""
+    loop = Loop()
+    addresses = [free_address() for _ in range(3)]
+    everyone = [Candidate(address, True) for address in addresses]
+    readers = chosen_readers(everyone)
+    own = next(address for address in addresses if address not in readers)
+    read = known_copies(loop)
+    for address in readers:
+        reader = RelaySource(loop, read, 1, lambda: True, lambda: False, lambda: True)
+        Server(loop, address, reader.serve)
+    keeper, _ = started_keeper(loop, own, readers, known_copies(loop))
+    serve_until(loop, keeper._relay_follower.follows_reader)
+    followed = known_copies(loop)
+    taken = []
+    stranger = RelayFollower(
+        loop, followed, lambda: own, lambda: taken.append(True), lambda *_: None
+    )
+    stranger.start()
+    serve_until(loop, lambda: taken)
+    assert not stranger.follows_reader()
+
+
 def test_a_router_reads_by_itself_if_those_it_asks_do_not_read():
     """The finding of hunt-2cb3-3: tables differed, and nobody whom it asked was a reader."""
     loop = Loop()
@@ -54,12 +89,9 @@
     readers = chosen_readers([Candidate(address, True) for address in addresses])
     own = next(address for address in addresses if address not in readers)
     for address in readers:
-        other = RelaySource(loop, known_copies(loop), 1, lambda: False, lambda: False)
+        other = RelaySource(
+            loop, known_copies(loop), 1, lambda: False, lambda: False, lambda: False
+        )
         Server(loop, address, other.serve)
-    store = SilentStore()
-    peers = FewPeers(record(own), [record(address) for address in readers])
-    keeper = Keeper(KeeperParts(loop, store, DIALECT, known_copies(loop), peers), lambda: None)
-    for follower in keeper._followers:
-        follower.stop()
-    keeper._check()
+    _, store = started_keeper(loop, own, readers, known_copies(loop))
     serve_until(loop, lambda: store.calls)
--- a/tests/router/test_relay.py
+++ b/tests/router/test_relay.py
@@ -29,8 +29,14 @@
         self.read = copies()
         self.may_relay = True
         self.has_lost_store = False
+        self.reads_store = True
         self.source = RelaySource(
-            self.loop, self.read, life, lambda: self.may_relay, lambda: self.has_lost_store
+            self.loop,
+            self.read,
+            life,
+            lambda: self.may_relay,
+            lambda: self.has_lost_store,
+            lambda: self.reads_store,
         )
         self.server = Server(self.loop, self.address, self.source.serve)
         self.followed = copies()
@@ -127,6 +133,26 @@
     assert pair.failed == [False]
 
 
+def test_a_router_knows_whether_it_follows_one_that_reads(pair):
+    """Only then it passes knowledge on itself: none must follow in a ring."""
+    pair.put("a", 1)
+    pair.follower.start()
+    serve_until(pair.loop, lambda: pair.taken == 1)
+    assert pair.follower.follows_reader()
+    pair.reads_store = False
+    pair.put("b", 2)
+    serve_until(pair.loop, lambda: pair.taken == 2)
+    assert not pair.follower.follows_reader()
+    pair.reads_store = True
+    pair.put("c", 3)
+    serve_until(pair.loop, lambda: pair.taken == 3)
+    assert pair.follower.follows_reader()
+    pair.may_relay = False
+    pair.source.drop_held()
+    serve_until(pair.loop, lambda: pair.failed)
+    assert not pair.follower.follows_reader()
+
+
 def test_numbers_of_another_life_mean_nothing(pair):
     pair.put("a", 1)
     pair.follower.start()
