--- a/scripts/compare_plays.py
+++ b/scripts/compare_plays.py
@@ -51,7 +51,7 @@
         unserved_by: the same share by how the last try ended.
         parts: the shares that the worth is made of, by name.
         prices: what was taken off, in worth, by name.
-        broken: rules that were broken, or why the day was not played.
+        broken: rules that were broken with what the bench saw first, or why it does not count.
     """
 
     play: Play
@@ -66,7 +66,9 @@
 
 def read_result(play: Play, report: dict[str, Any]) -> Result:
     """Return a play's result from the bench's report."""
-    broken = ", ".join(report["breaks"]) if report["breaks"] else ""
+    broken = ""
+    if report["breaks"]:
+        broken = f"{', '.join(report['breaks'])}: {report['first']}"
     if report["fault"]:
         broken = "fault"
     if not broken and report["short"]:
--- a/tests/test_compare_plays.py
+++ b/tests/test_compare_plays.py
@@ -55,6 +55,7 @@
         "parts": [["whole day", 0.4, 0.9]],
         "prices": [["loads of weights", 19.0, 0.04]],
         "breaks": {},
+        "first": [],
         "fault": None,
         "short": [],
     }
@@ -65,7 +66,7 @@
     ("changes", "broken"),
     [
         ({}, ""),
-        ({"breaks": {"DRAIN": 1, "ONE": 2}}, "DRAIN, ONE"),
+        ({"breaks": {"DRAIN": 1, "ONE": 2}, "first": ["at 3.0 s"]}, "DRAIN, ONE: ['at 3.0 s']"),
         ({"fault": "does not start"}, "fault"),
         ({"short": ["whole day"]}, "floor"),
     ],
