--- a/src/martenrun/net/client.py
+++ b/src/martenrun/net/client.py
@@ -40,6 +40,11 @@
         address: ``IP:port``.
         on_idle: called when a whole answer leaves the connection fit for another request.
         on_end: called once when the connection can no longer be used.
+
+    Attributes:
+        was_kept: whether it has carried a whole answer and rested since.
+        idle_since: steady time from which it rests.
+        keep_alive_s: how long the other side lets it rest, in seconds, or None if not told.
     """
 
     def __init__(
--- a/src/martenrun/router/runner_pool.py
+++ b/src/martenrun/router/runner_pool.py
@@ -20,6 +20,7 @@
 """The same after a runner has forgotten a kept connection, for FORGETFUL_S seconds."""
 
 FORGETFUL_S = 10.0
+"""How long a forgotten connection is held against kept ones, in seconds."""
 
 REST_MARGIN_S = 0.6
 """A connection is not used for so long before the end of the time that the runner names."""
