News of loads told together; a reading whose end was lost ends by itself

(2) Readings whose end was lost stay believed until the next record, 10 s later: from 16 s on prompts are refused as overload with backlogs of 6,000 to 56,000 tokens believed while hardly any prompt runs.

Ruled out: the learned reading speed (held_back lines give 15,000 to 28,000 tokens a second).

--- a/src/martenrun/router/loads.py
+++ b/src/martenrun/router/loads.py
@@ -24,6 +24,12 @@
 TOLD_AT_ONCE_TOKENS = 1_000
 """Change of the tokens to be read at a runner that all other routers are told at once."""
 
+READING_TOLD_AGAIN_S = 1.2
+"""Time after which a prompt that is still read is told of again, in seconds.
+
+Twice within the time for which others believe it, so that one datagram may be lost.
+"""
+
 
 class LoadExchange:
     """Tells other routers of this one's loads, and takes in theirs."""
@@ -49,7 +55,18 @@
         """Take in that this router's tokens to be read at a runner have changed."""
         if abs(state.reading - state.reading_told) < TOLD_AT_ONCE_TOKENS:
             return
+        self._tell_reading(state)
+
+    def tell_again(self) -> None:
+        """Tell again of prompts that are read for long: others believe it for a while only."""
+        long_ago = self._peers.now() - READING_TOLD_AGAIN_S
+        for state in self._pool.all_states():
+            if state.reading >= TOLD_AT_ONCE_TOKENS and state.reading_told_at < long_ago:
+                self._tell_reading(state)
+
+    def _tell_reading(self, state: RunnerState) -> None:
         state.reading_told = state.reading
+        state.reading_told_at = self._peers.now()
         self._peers.tell_reading(state.runner.instance, _own_load(state))
 
     def take_records(self) -> None:
--- a/src/martenrun/router/peer_messages.py
+++ b/src/martenrun/router/peer_messages.py
@@ -85,9 +85,9 @@
 
 
 class WeightsNews(msgspec.Struct, array_like=True, tag="load"):
-    """A runner begins to load a version of a model's weights, or has it now."""
+    """Runners begin to load a version of a model's weights, or have it now."""
 
-    instance: str
+    instances: list[str]
     model: str
     version: int
     is_loaded: bool
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -368,6 +368,7 @@
         now = self._loop.now()
         for forwarding in list(self._forwardings):
             forwarding.leave_old_weights(now)
+        self._loads.tell_again()
         for instance in newly_silent(self._world, now):
             news = SilenceNews(self._peers.own.address, instance)
             take_silence(self._world, news, now)
--- a/src/martenrun/router/readers.py
+++ b/src/martenrun/router/readers.py
@@ -7,7 +7,7 @@
 
 import math
 import random
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import attrs
 
@@ -47,6 +47,20 @@
 """Share of the strongest router's capacity from which a router counts as strong."""
 
 
+def strong_first(duty: bytes, capacities: Mapping[str, float]) -> list[str]:
+    """Return routers in the order in which they take a duty on: the strong ones, then by hashing.
+
+    Args:
+        capacities: processor that each router may use, by its address, in cores.
+    """
+    strongest = max(capacities.values(), default=0.0)
+
+    def order(address: str) -> tuple[bool, int]:
+        return capacities[address] >= STRONG_SHARE * strongest, weight(duty, address)
+
+    return sorted(capacities, key=order, reverse=True)
+
+
 @attrs.frozen
 class Candidate:
     """A router that may read.
@@ -84,13 +98,9 @@
 
 
 def _by_weight(candidates: Sequence[Candidate]) -> list[str]:
-    strongest = max((candidate.capacity for candidate in candidates), default=0.0)
-
-    def order(candidate: Candidate) -> tuple[bool, bool, int]:
-        is_strong = candidate.capacity >= STRONG_SHARE * strongest
-        return candidate.reads, is_strong, weight(b"readers", candidate.address)
-
-    return [candidate.address for candidate in sorted(candidates, key=order, reverse=True)]
+    ordered = strong_first(b"readers", {item.address: item.capacity for item in candidates})
+    reading = {item.address for item in candidates if item.reads}
+    return sorted(ordered, key=lambda address: address not in reading)
 
 
 class ReaderChoice:
--- a/src/martenrun/router/router_table.py
+++ b/src/martenrun/router/router_table.py
@@ -13,6 +13,7 @@
     ReadingNews,
     RouterBeat,
     RouterRecord,
+    RunnerLoad,
     life_number,
 )
 
@@ -51,6 +52,14 @@
 OVERTAKEN = sys.maxsize
 """Last beat of a life that a later one at its address has followed."""
 
+READING_BELIEVED_S = 3.0
+"""For how long a prompt is believed to be still read of which nothing more is told, in seconds.
+
+A datagram that says that it has been read may be lost, many where a link is full: the next record
+comes some 10 s later among 195 routers, and meanwhile runners that have nothing to do would count
+as too busy for one more prompt.  Routers tell again of prompts that are read for longer.
+"""
+
 MS_PER_S = 1000.0
 
 
@@ -63,9 +72,19 @@
         beat, beaten_at: the last beat, and when it was raised.
         risen_at: when that was noticed here: whether the router counts as alive goes by it.
         was_alive: whether it counted as alive when that was last looked at.
+        readings_at: when its load at each runner was told, for those told since the record.
     """
 
-    __slots__ = ("beat", "beaten_at", "life", "record", "risen_at", "told_at", "was_alive")
+    __slots__ = (
+        "beat",
+        "beaten_at",
+        "life",
+        "readings_at",
+        "record",
+        "risen_at",
+        "told_at",
+        "was_alive",
+    )
 
     def __init__(self, record: RouterRecord, beaten_at: float, risen_at: float) -> None:
         self.record = record
@@ -75,11 +94,20 @@
         self.beaten_at = beaten_at
         self.risen_at = risen_at
         self.was_alive = True
+        self.readings_at: dict[str, float] = {}
 
     def take_record(self, record: RouterRecord, beaten_at: float) -> None:
         """Replace the record by a newer one."""
         self.record = record
         self.told_at = beaten_at
+        self.readings_at.clear()
+
+    def end_readings(self, now: float) -> None:
+        """Believe no longer that prompts are still read of which nothing was told for long."""
+        for instance, load in self.record.loads.items():
+            told_at = self.readings_at.get(instance, self.told_at)
+            if load.tokens_to_read and now - told_at > READING_BELIEVED_S:
+                self.record.loads[instance] = RunnerLoad(load.requests, 0, load.tokens_held)
 
     def hear(self, beat: int, beaten_at: float, risen_at: float) -> None:
         """Take in a beat of the life that is known; of one beat the oldest age is the true one."""
@@ -230,7 +258,10 @@
             return False
         beaten_at = now - late_s
         known.record.beat = news.beat
+        for instance in known.record.loads:
+            known.readings_at.setdefault(instance, known.told_at)
         known.record.loads[news.instance] = news.load
+        known.readings_at[news.instance] = beaten_at
         known.told_at = beaten_at
         known.hear(news.beat, beaten_at, self._risen_at(beaten_at, now))
         return True
@@ -246,7 +277,9 @@
         return DEAD_AFTER_S * min(MOST_SLOWNESS_OF_DEATH, self.slowness())
 
     def note_changes(self, now: float) -> None:
-        """Count the living, and log who has come to count as dead, or as alive again."""
+        """Count the living, end old readings, log who counts as dead now, or as alive again."""
+        for known in self._known.values():
+            known.end_readings(now)
         longest_s = DEAD_AFTER_S * MOST_SLOWNESS_OF_DEATH
         living = sum(now - known.risen_at <= longest_s for known in self._known.values())
         self._slowness = _slowness(1 + living)
--- a/src/martenrun/router/runner_state.py
+++ b/src/martenrun/router/runner_state.py
@@ -33,7 +33,7 @@
         elsewhere: the same of all other routers, as they last told.
         reading: tokens that it is believed to have still to read for this router's requests.
         reading_elsewhere: the same for all other routers.
-        reading_told: what the other routers were last told of ``reading`` at once.
+        reading_told, reading_told_at: what others were last told of ``reading`` at once, and when.
         held: tokens of memory that this router's requests take there, cached parts left out.
         held_elsewhere: the same for all other routers.
         learned: versions of weights that its answers or other routers told of.
@@ -52,6 +52,7 @@
     reading: float = 0.0
     reading_elsewhere: float = 0.0
     reading_told: float = 0.0
+    reading_told_at: float = -math.inf
     held: int = 0
     held_elsewhere: int = 0
     learned: dict[str, int] = attrs.field(factory=dict)
--- a/src/martenrun/router/zone_loads.py
+++ b/src/martenrun/router/zone_loads.py
@@ -9,9 +9,8 @@
 
 from collections.abc import Iterable, Mapping
 
-from martenrun.identity.rendezvous import weight
 from martenrun.router.peer_messages import RouterRecord, RunnerLoad
-from martenrun.router.readers import STRONG_SHARE
+from martenrun.router.readers import strong_first
 
 TELL_S = 0.05
 """How often a zone's teller tells what has changed, in seconds.
@@ -41,17 +40,10 @@
     for record in records:
         if not record.is_leaving:
             by_zone.setdefault(record.zone, []).append(record)
-    return {zone: _teller(members) for zone, members in by_zone.items()}
-
-
-def _teller(members: list[RouterRecord]) -> str:
-    strongest = max(member.capacity for member in members)
-
-    def order(member: RouterRecord) -> tuple[bool, int]:
-        is_strong = member.capacity >= STRONG_SHARE * strongest
-        return is_strong, weight(b"teller", member.address)
-
-    return max(members, key=order).address
+    return {
+        zone: strong_first(b"teller", {item.address: item.capacity for item in members})[0]
+        for zone, members in by_zone.items()
+    }
 
 
 def added_up(loads: Iterable[Mapping[str, RunnerLoad]]) -> dict[str, RunnerLoad]:
--- a/tests/router/fakes.py
+++ b/tests/router/fakes.py
@@ -99,13 +99,14 @@
         self.records = []
         self.readings = []
         self.sums = []
+        self.time = 0.0
         self.is_large = False
 
     def live(self):
         return self.records
 
     def now(self):
-        return 0.0
+        return self.time
 
     def tells_own_zone_only(self):
         return self.is_large
--- a/tests/router/test_loads.py
+++ b/tests/router/test_loads.py
@@ -1,6 +1,6 @@
 """Loads of runners: long prompts are told at once, the rest with the records."""
 
-from martenrun.router.loads import TOLD_AT_ONCE_TOKENS, LoadExchange
+from martenrun.router.loads import READING_TOLD_AGAIN_S, TOLD_AT_ONCE_TOKENS, LoadExchange
 from martenrun.router.peer_messages import RunnerLoad
 from martenrun.router.runner_pool import RunnerPool
 
@@ -30,6 +30,24 @@
     ]
 
 
+def test_a_prompt_that_is_read_for_long_is_told_of_again():
+    loads, peers, state = exchange()
+    state.note_sent(0.0)
+    state.reading = 9_000.0
+    loads.note_reading(state)
+    peers.time = READING_TOLD_AGAIN_S / 2
+    loads.tell_again()
+    assert len(peers.readings) == 1
+    peers.time = READING_TOLD_AGAIN_S * 1.1
+    loads.tell_again()
+    assert peers.readings == [("i-0", RunnerLoad(1, 9_000, 0))] * 2
+    state.reading = 0.0
+    loads.note_reading(state)
+    peers.time *= 3
+    loads.tell_again()
+    assert len(peers.readings) == 3
+
+
 def test_short_prompts_are_told_once_they_add_up():
     loads, peers, state = exchange()
     step = TOLD_AT_ONCE_TOKENS * 0.4
--- a/tests/router/test_peers.py
+++ b/tests/router/test_peers.py
@@ -22,6 +22,7 @@
     FORGOTTEN_AFTER_S,
     MOST_DEPARTED,
     MOST_TOLD_ROUTERS,
+    READING_BELIEVED_S,
     RouterTable,
 )
 
@@ -76,6 +77,18 @@
     assert table.live(0.4)[0].loads["i-0"].tokens_to_read == 9_000
 
 
+def test_a_reading_whose_end_was_lost_ends_by_itself():
+    """Else runners that have nothing to do count as too busy until the next record comes."""
+    table = RouterTable(record("a"))
+    table.merge([record("b", beat=5, loads={"i-1": RunnerLoad(1, 7_000, 7_000)})], 0.0)
+    table.take_reading(ReadingNews("b", 1, 7, "i-0", RunnerLoad(1, 9_000, 9_500)), 1.0)
+    table.note_changes(READING_BELIEVED_S + 0.5)
+    loads = table.records_of([life_number("b", 1)], 1.0)[0].loads
+    assert loads == {"i-0": RunnerLoad(1, 9_000, 9_500), "i-1": RunnerLoad(1, 0, 7_000)}
+    table.note_changes(READING_BELIEVED_S + 1.5)
+    assert loads["i-0"] == RunnerLoad(1, 0, 9_500)
+
+
 def test_a_load_of_another_life_or_of_an_unknown_router_is_left_out():
     table = RouterTable(record("a"))
     table.merge([record("b", incarnation=3)], 0.0)
