--- a/tests/router/test_soak.py
+++ b/tests/router/test_soak.py
@@ -2,12 +2,15 @@
 
 import itertools
 import socket
+import subprocess
+import sys
 
 import faulty_relay
 import platform_deployment
 import pytest
 from click.testing import CliRunner
 from soak import soak
+from soak_faults import hears_hang_up
 
 from martenrun.proof.soak_schedule import (
     LASTING,
@@ -66,6 +69,36 @@
         from_text(to_text(draw_schedule(1, 5.0)[:1]) + "{}\n")
 
 
+def started(lines):
+    """A process that runs some lines of Python; it has printed a line by then."""
+    # Whoever started the tests may have SIGHUP ignored for all that they start.
+    lines = "import signal; signal.signal(signal.SIGHUP, signal.SIG_DFL)\n" + lines
+    command = [sys.executable, "-S", "-c", lines + "\nprint(flush=True)\nsignal.pause()"]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE)
+    process.stdout.readline()
+    return process
+
+
+@pytest.mark.parametrize(
+    ("lines", "expected"),
+    [
+        ("import signal", False),
+        ("import signal; signal.signal(signal.SIGHUP, signal.SIG_IGN)", True),
+        ("import signal; signal.signal(signal.SIGHUP, lambda *_: None)", True),
+        ("import signal, sys; sys.path[:0] = PATH; import msgspec", True),
+    ],
+)
+def test_a_process_minds_a_hang_up_from_its_first_line_on(lines, expected):
+    """An end by SIGHUP is excused only before: later ones are faults of the router."""
+    process = started(lines.replace("PATH", repr(sys.path)))
+    try:
+        assert hears_hang_up(process.pid) == expected
+    finally:
+        process.kill()
+        process.wait()
+        process.stdout.close()
+
+
 def test_a_relay_is_not_made_at_an_address_drawn_before(monkeypatch):
     """Another had taken it by then in one whole run of the tests beside others."""
     with socket.create_server(("127.0.0.1", 0)) as other:
