Failing tests of the incident: a large configuration, a router that is behind, repeats over restarts

Cause: see the heads of the tests. Ruled out: the number of routers alone (the same fleet with small objects keeps all its bounds, test_fleet.py), the store's link (1 Gbit/s, nearly idle).

--- a/tests/router/fleet_world.py
+++ b/tests/router/fleet_world.py
@@ -26,6 +26,7 @@
         self.loop = loop
         self.calls = []
         self.is_down = False
+        self.configuration = {}
         self.revision = RUNNERS
         self._changed_at = {"servers": RUNNERS}
         self._watches = []
@@ -76,7 +77,8 @@
             self.loop.call_later(wait_s, answer)
 
     def _item(self, name):
-        return {"metadata": {"name": name, "revision": self.revision}, "spec": {}}
+        spec = self.configuration if name == "main" else {}
+        return {"metadata": {"name": name, "revision": self.revision}, "spec": spec}
 
     def _answer(self, on_answer, status, body):
         answer = HttpAnswer(status, [], msgspec.json.encode(body))
@@ -165,18 +167,23 @@
         self.keeper = Keeper(
             KeeperParts(
                 fleet.loop,
-                fleet.store.caller(address),
+                fleet.store_caller(address),
                 DIALECT,
                 self.copies,
                 peers,
                 seeds,
-                lambda _loop, other: PeerCaller(fleet, other),
+                lambda _loop, other: fleet.peer_caller(address, other),
                 random.Random(fleet.world.rng.random()),
             ),
             lambda: None,
         )
         self.keeper.start()
 
+    @property
+    def configuration(self):
+        """This router's copy of the configuration."""
+        return self.copies[Dataset.CONFIGURATION]
+
     def _refresh(self, own):
         own.reads_store = self.keeper.reads_store
         own.has_lost_store = self.keeper.has_lost_store
@@ -199,6 +206,14 @@
         self.zones = {f"10.{n % zones}.0.{n // zones}:7": f"z{n % zones}" for n in range(count)}
         self.addresses = list(self.zones)
 
+    def store_caller(self, address):
+        """Return what a router calls the store by."""
+        return self.store.caller(address)
+
+    def peer_caller(self, _asker, address):
+        """Return what a router asks another by."""
+        return PeerCaller(self, address)
+
     def start(self, address):
         """Start a router, in place of an earlier life at its address."""
         seeds = tuple(self.addresses[:3])
--- /dev/null
+++ b/tests/router/link_world.py
@@ -0,0 +1,251 @@
+"""A fleet of routers whose links carry only so many bytes a second, in virtual time.
+
+Calls go through the router's own :class:`CallReader`, so that its time-outs are the real ones.
+A sender deals its link out in turns, as the router's pacing does; a receiver's link is a queue.
+"""
+
+import collections
+
+import msgspec
+
+from martenrun.net.http import HttpAnswer
+from martenrun.router.store_client import CallReader
+
+from .fleet_world import LINK_DELAY_S, Fleet, Question
+
+STRONG_BYTES_PER_S = 25e6
+WEAK_BYTES_PER_S = 1.25e6
+STORE_BYTES_PER_S = 125e6
+"""Links of strong and weak machines and of the store: 200 Mbit/s, 10 Mbit/s and 1 Gbit/s."""
+
+CARRIED_SHARE = 0.5
+"""Part of a link that answers of other routers get, beside requests and by pacing.
+
+Measured: 12.6 of 25 MB a second left a strong machine, 0.7 of 1.25 came to a weak one.
+"""
+
+STRONG_ROUTERS = 8
+"""The first addresses, the seeds among them, are those of strong machines."""
+
+SLICE_BYTES = 16_384
+
+
+class Receiver:
+    """A link that carries what arrives, in order."""
+
+    def __init__(self, loop, bytes_per_s):
+        self._loop = loop
+        self._rate = bytes_per_s
+        self._free_at = 0.0
+        self.received = 0
+
+    def carry(self, size, call):
+        now = self._loop.now()
+        self._free_at = max(now, self._free_at) + size / self._rate
+        self.received += size
+        self._loop.call_later(self._free_at - now, call)
+
+
+class Sender:
+    """A link that is dealt out in turns to the transfers under way."""
+
+    def __init__(self, loop, bytes_per_s):
+        self._loop = loop
+        self._rate = bytes_per_s
+        self._flows = collections.deque()
+        self._is_busy = False
+        self.sent = 0
+
+    def add(self, flow):
+        self._flows.append(flow)
+        if not self._is_busy:
+            self._serve()
+
+    def _serve(self):
+        while self._flows and self._flows[0].is_cut:
+            self._flows.popleft()
+        self._is_busy = bool(self._flows)
+        if not self._is_busy:
+            return
+        flow = self._flows.popleft()
+        part = flow.next_part()
+        self.sent += len(part)
+        if flow.has_more:
+            self._flows.append(flow)
+        self._loop.call_later(len(part) / self._rate, lambda: self._passed(flow, part))
+
+    def _passed(self, flow, part):
+        flow.receiver.carry(len(part), lambda: flow.arrive(part))
+        self._serve()
+
+
+class Flow:
+    """One answer on its way to the reader of a call."""
+
+    def __init__(self, answer, reader, receiver):
+        self._answer = answer
+        self._reader = reader
+        self.receiver = receiver
+        self._rest = memoryview(answer.body or b" ")
+        self._left = len(self._rest)
+        self._has_begun = False
+        self.is_cut = False
+
+    @property
+    def has_more(self):
+        return bool(self._rest)
+
+    def next_part(self):
+        part, self._rest = self._rest[:SLICE_BYTES], self._rest[SLICE_BYTES:]
+        return part
+
+    def arrive(self, part):
+        if self.is_cut:
+            return
+        if not self._has_begun:
+            self._has_begun = True
+            self._reader.on_head(self._answer.status, self._answer.headers, None)
+        if self._answer.body:
+            self._reader.on_body(bytes(part))
+        self._left -= len(part)
+        if not self._left:
+            self._reader.on_complete()
+
+
+class Connection:
+    """The asker's end of one call."""
+
+    def __init__(self):
+        self.flow = None
+        self.exchange = None
+
+    def close(self):
+        if self.flow is not None:
+            self.flow.is_cut = True
+        if self.exchange is not None and not self.exchange.is_over:
+            self.exchange.is_over = True
+            if self.exchange.on_gone is not None:
+                self.exchange.on_gone()
+
+
+class LinkedExchange:
+    """One question of another router, answered over both routers' links."""
+
+    def __init__(self, call, reply):
+        self.request = Question(call.target, call.body)
+        self.is_over = False
+        self.on_gone = None
+        self._reply = reply
+
+    def respond(self, status, headers, body=b""):
+        self.is_over = True
+        self._reply(HttpAnswer(status, headers, body))
+
+
+class LinkedCaller:
+    """Calls another router, or the store, over the links in between."""
+
+    def __init__(self, fleet, asker, serve, sender):
+        self._fleet = fleet
+        self._asker = asker
+        self._serve = serve
+        self._sender = sender
+
+    def call(self, call, timeout_s, on_answer):
+        loop = self._fleet.loop
+        connection = Connection()
+        reader = CallReader(loop, timeout_s, on_answer)
+        reader.connection = connection
+
+        def reply(answer):
+            flow = connection.flow = Flow(answer, reader, self._fleet.receivers[self._asker])
+            self._sender().add(flow)
+
+        loop.call_later(LINK_DELAY_S, lambda: self._serve(call, connection, reply))
+
+
+class LinkedFleet(Fleet):
+    """Routers of two kinds of machines, whose answers take time on links."""
+
+    def __init__(self, seed, count, zones=4):
+        super().__init__(seed, count, zones)
+        rates = {
+            address: STRONG_BYTES_PER_S if number < STRONG_ROUTERS else WEAK_BYTES_PER_S
+            for number, address in enumerate(self.addresses)
+        }
+        self.capacities = {
+            address: 2.15 if rate == STRONG_BYTES_PER_S else 0.5 for address, rate in rates.items()
+        }
+        self.senders = {
+            address: Sender(self.loop, rate * CARRIED_SHARE) for address, rate in rates.items()
+        }
+        self.receivers = {
+            address: Receiver(self.loop, rate * CARRIED_SHARE) for address, rate in rates.items()
+        }
+        self.store_link = Sender(self.loop, STORE_BYTES_PER_S)
+
+    def start(self, address):
+        super().start(address)
+        self.members[address].keeper._peers.own.capacity = self.capacities[address]
+
+    def store_caller(self, address):
+        def serve(call, _connection, reply):
+            self.store.calls.append((self.loop.now(), address, call.target))
+            self.store.serve(call, reply)
+
+        return LinkedCaller(self, address, serve, lambda: self.store_link)
+
+    def peer_caller(self, asker, address):
+        def serve(call, connection, reply):
+            router = self.members.get(address)
+            if router is not None:
+                connection.exchange = LinkedExchange(call, reply)
+                router.keeper.relay.serve(connection.exchange)
+
+        return LinkedCaller(self, asker, serve, lambda: self.senders[address])
+
+    def change_configuration(self, routes):
+        """Put a configuration of so many routes into the store."""
+        self.store.configuration = large_configuration(routes, self.store.revision)
+        self.store.change("config")
+
+    def behind(self):
+        """Return the routers that do not know the store's newest configuration."""
+        revision = self.store._changed_at["config"]
+        return [
+            address
+            for address, router in self.members.items()
+            if all(item.revision < revision for item in router.configuration.objects)
+        ]
+
+
+def large_configuration(routes, version):
+    """Return a configuration like the operator's, some 250 bytes a route."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": f"r-{number * 7919 % 1_000_003:x}",
+                "hostname": f"host{number % 9}.example",
+                "path_prefix": f"/p{number * 104_729 % 999_983:x}/",
+                "kind": "stream",
+                "timeout_ms": 12_000,
+                "target_latency_ms": 515,
+                "priority": number % 3,
+                "service": f"service-{number % 2}",
+                "max_attempts": 2,
+                "no_auth": False,
+                "sticky": True,
+                "resumable": True,
+                "gap_target_ms": 500,
+            }
+            for number in range(routes)
+        ],
+        "services": [],
+        "tenants": [{"name": "growers", "api_keys": ["key"], "priority": 1}],
+    }
+
+
+def size_of(spec):
+    """Return the bytes of a configuration on the wire."""
+    return len(msgspec.json.encode(spec))
--- a/tests/router/test_budget.py
+++ b/tests/router/test_budget.py
@@ -27,3 +27,64 @@
         budget.note_repeat(100.0)
     assert not budget.may_repeat(109.0, 16)
     assert budget.may_repeat(111.0, 16)
+
+
+class Fleet:
+    """Routers that repeat as often as their budgets let them; some are restarted at times.
+
+    A life counts its own requests and repeats only: what an earlier one spent is lost with it.
+    """
+
+    def __init__(self, nodes, requests_per_s):
+        self.nodes = nodes
+        self.requests_per_s = requests_per_s
+        self.budgets = [RetryBudget(bounds()) for _ in range(nodes)]
+        self.sent = []
+        self.asked = []
+
+    def play(self, restarts, seconds):
+        """Let time pass in steps of 0.1 s; ``restarts`` tells who starts anew at each."""
+        for step in range(int(seconds * 10)):
+            now = step / 10
+            for node in restarts(step):
+                self.budgets[node] = RetryBudget(bounds())
+            for budget in self.budgets:
+                if step % max(1, round(10 / self.requests_per_s)) == 0:
+                    budget.note_request(now)
+                    self.asked.append(now)
+                while budget.may_repeat(now, self.nodes):
+                    budget.note_repeat(now)
+                    self.sent.append(now)
+
+    def worst_share(self):
+        """Return the largest part of the allowance that any ten seconds have used."""
+        worst = 0.0
+        for begin in range(60):
+            repeats = sum(begin <= at < begin + 10 for at in self.sent)
+            requests = sum(begin <= at < begin + 10 for at in self.asked)
+            worst = max(worst, repeats / (0.2 * requests + 54))
+        return worst
+
+
+RESTARTS = {
+    "none": lambda step: [],
+    "herds": lambda step: range(7) if step in (250, 300) else [],
+    "in turn": lambda step: [(step // 10) % 7] if step % 10 == 0 else [],
+    "all, each 4 s": lambda step: range(7) if step % 40 == 0 else [],
+}
+"""Which of seven routers start anew at each step of 0.1 s."""
+
+
+def test_restarts_spend_no_share_twice():
+    """Repeats of all lives together, counted where they arrive, stay within the allowance.
+
+    Seen: more repeats than allowed in ten seconds, with troubles of routers and runners together.
+    How it can come about: a share that was spent is lost with its process; the next life has it
+    anew within the same window.  Not shown by a trace of the day itself.
+    """
+    shares = {}
+    for name, restarts in RESTARTS.items():
+        fleet = Fleet(7, 2)
+        fleet.play(restarts, 70)
+        shares[name] = fleet.worst_share()
+    assert max(shares.values()) <= 1.0, shares
--- /dev/null
+++ b/tests/router/test_configuration_told.py
@@ -0,0 +1,53 @@
+"""A router that has been told of a newer configuration does not serve by the old one for long.
+
+Seen: two routers that had asked for news in vain for four seconds went on serving by a version that
+the others had replaced, beyond the time within which a change must be in force everywhere.
+Cause: a request was decided by whatever configuration was known; routers did not tell each other
+which version is in force, so that one that was behind could not know it.
+What proved it: the trail of such a request names the old version and an age of seconds.
+"""
+
+from types import SimpleNamespace
+
+import pytest
+
+from martenrun.net.http import HttpRequest
+from martenrun.router.admission import Admission, Refusal
+from martenrun.router.knowledge import ConfigurationKnowledge
+from martenrun.router.messages import Admitted, Call
+
+from .builders import bounds, configuration
+from .fakes import FakeLoop
+
+
+def take(behind, version, now):
+    behind.configuration.take(configuration(version))
+    behind.configuration.hear([(version, 0)], now)
+
+
+@pytest.fixture
+def behind():
+    """A router with version 8, bound to 2 s, that hears of version 12 at 100.0 s."""
+    known = ConfigurationKnowledge()
+    world = SimpleNamespace(
+        loop=FakeLoop(),
+        configuration=known,
+        settings=SimpleNamespace(bounds=bounds(configuration_s=2.0)),
+    )
+    take(world, 8, 90.0)
+    known.confirm(100.0)
+    known.hear([(12, 0)], 100.0)
+    return world
+
+
+def decide_at(behind, now):
+    behind.loop.time = now
+    call = Call(b"r1", "a.example", "/a/x", b"k1", 3.0, None, (), 0, 0)
+    exchange = SimpleNamespace(request=HttpRequest(b"GET", b"/a/x", [], b"", now))
+    return Admission(behind).decide(exchange, call)
+
+
+def test_it_serves_until_shortly_before_the_bound_and_then_refuses(behind):
+    assert isinstance(decide_at(behind, 101.5), Admitted)
+    refusal = decide_at(behind, 101.9)
+    assert isinstance(refusal, Refusal) and refusal.status == 503
