Tell once, not twice, where a telling that waited is due

Cause: a call in the very moment at which a telling that waited was due told at once, and the waiting one came after it.

--- a/src/martenrun/router/peers.py
+++ b/src/martenrun/router/peers.py
@@ -167,9 +167,11 @@
     def tell_soon(self) -> None:
         """The same, at once unless that was done a moment ago: then a moment later."""
         left_s = self._told_at + TOLD_AGAIN_S - self._loop.now()
+        if self._tells_later:
+            return
         if left_s <= 0:
             self.tell_now()
-        elif not self._tells_later:
+        else:
             self._tells_later = True
             self._loop.call_later(left_s, self._tell_later)
 
