One start of a runner; strict entries; no answer ends who reads it; process and relay split by job

Ruled out: telling starts by their milliseconds (clocks step back): the store's order of entries decides.

--- a/src/martenrun/platform/__init__.py
+++ b/src/martenrun/platform/__init__.py
@@ -1,6 +1,6 @@
 """Adapter of the users' platform: its names, formats and calls, and nothing that decides."""
 
-from martenrun.platform import entry, headers, objects, orders, settings
+from martenrun.platform import contents, entry, headers, objects, orders, settings
 from martenrun.router.dialect import Dialect, SettingsSource
 
 SETTINGS_VARIABLE = settings.SETTINGS_VARIABLE
@@ -21,15 +21,15 @@
     read_page=objects.read_page,
     read_changes=objects.read_changes,
     read_stored=objects.read_stored,
-    read_configuration=objects.read_configuration,
-    read_runner=objects.read_runner,
-    read_weights=objects.read_weights,
-    read_lease=objects.read_lease,
-    lease_spec=objects.lease_spec,
+    read_configuration=contents.read_configuration,
+    read_runner=contents.read_runner,
+    read_weights=contents.read_weights,
+    read_lease=contents.read_lease,
+    lease_spec=contents.lease_spec,
     order_weights=orders.order_weights,
     read_order_outcome=orders.read_order_outcome,
     ask_report=orders.ask_report,
-    read_report=orders.read_report,
+    read_report=contents.read_report,
     directory_zone=entry.directory_zone,
     directory_answer=entry.directory_answer,
     is_ready_question=entry.is_ready_question,
--- /dev/null
+++ b/src/martenrun/platform/contents.py
@@ -0,0 +1,281 @@
+"""What the platform's objects hold, read into the router's own types.
+
+Decoding is strict: a field that is missing, of another type or out of its bounds makes the whole
+object unreadable, and what it would have named is not used.
+"""
+
+from collections.abc import Mapping
+from typing import Annotated, Any, Literal, TypeVar
+
+import msgspec
+
+from martenrun.net.server import ServerLimits
+from martenrun.platform.objects import FAULTS
+from martenrun.router.messages import (
+    Configuration,
+    EngineLimits,
+    KeptCacheStore,
+    LeaseRecord,
+    Route,
+    RouteKind,
+    Runner,
+    RunnerReport,
+    Service,
+    StoredObject,
+    Tenant,
+    UnreadableError,
+    WantedWeights,
+    WeightedService,
+)
+from martenrun.router.runner_life import life_key
+
+_MS = 1000.0
+
+_Text = Annotated[str, msgspec.Meta(min_length=1)]
+_Address = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+_Positive = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+_Version = Annotated[int, msgspec.Meta(ge=1)]
+_Amount = Annotated[float, msgspec.Meta(ge=0)]
+
+
+class _ModelWeights(msgspec.Struct):
+    name: _Text
+    version: _Count
+
+
+class _RunnerEntry(msgspec.Struct):
+    service: _Text
+    address: _Address
+    zone: _Text
+    version: str
+    slots: _Positive
+    state: Literal["ready", "draining"]
+    cold_left_ms: _Amount
+    call_seq: _Count
+    born: _Count | None = None
+    models: list[_ModelWeights] = []
+
+
+class _Report(msgspec.Struct):
+    busy: bool
+    call_seq: _Count
+    active: _Count = 0
+    born: _Count | None = None
+    models: list[_ModelWeights] = []
+
+
+class _NamedWeights(msgspec.Struct):
+    model: _Text
+    version: _Version
+
+
+class _Part(msgspec.Struct):
+    service: _Text
+    weight: _Amount
+
+
+class _Route(msgspec.Struct):
+    hostname: _Text
+    path_prefix: _Text
+    kind: RouteKind
+    timeout_ms: _Amount
+    name: str = ""
+    service: str | None = None
+    traffic_split: list[_Part] | None = None
+    target_latency_ms: _Amount = 1000.0
+    priority: int = 0
+    max_attempts: _Count = 1
+    no_auth: bool = False
+    resumable: bool = False
+
+
+class _Model(msgspec.Struct):
+    name: _Text
+
+
+class _Engine(msgspec.Struct):
+    slots: _Count = 1
+    kv_capacity_tokens: _Count = 0
+    models: list[_Model] = []
+
+
+class _Service(msgspec.Struct):
+    name: _Text
+    max_connections: _Count = 100
+    engine: _Engine | None = None
+    kv_store_addr: _Address | None = None
+    zone: str = ""
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: _Count = ServerLimits().maximum_header_bytes
+    max_body_bytes: _Count = ServerLimits().maximum_body_bytes
+    header_timeout_ms: _Amount = 3000.0
+    idle_timeout_ms: _Amount = 15000.0
+
+
+class _Tenant(msgspec.Struct):
+    name: _Text
+    api_keys: list[str] = []
+    priority: int | None = None
+    isolated: bool = False
+
+
+class _Configuration(msgspec.Struct):
+    version: _Version
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
+
+
+class _Lease(msgspec.Struct):
+    holder: str
+    fence_token: _Count
+    renewals: _Count = 0
+    pause_ms: _Amount = 0.0
+    released_idle_ms: _Amount | None = None
+    ages_ms: dict[str, list[tuple[int, int]]] = {}
+
+
+Wire = TypeVar("Wire")
+
+
+def _read(content: Any, form: type[Wire], what: str) -> Wire:
+    """Check a content against its form; raises UnreadableError that names the field."""
+    try:
+        return msgspec.convert(content, form)
+    except FAULTS as exc:
+        raise UnreadableError(f"no {what}: {exc}") from exc
+
+
+def read_configuration(stored: StoredObject) -> Configuration:
+    """Translate the operator's configuration; raises UnreadableError."""
+    spec = _read(stored.spec, _Configuration, "configuration")
+    return Configuration(
+        version=spec.version,
+        routes=tuple(_route(route) for route in spec.routes),
+        services={
+            item.name: Service(item.name, item.max_connections, _engine(item.engine))
+            for item in spec.services
+            if item.kv_store_addr is None
+        },
+        stores=tuple(
+            KeptCacheStore(item.kv_store_addr, item.zone)
+            for item in spec.services
+            if item.kv_store_addr is not None
+        ),
+        limits=ServerLimits(
+            maximum_header_bytes=spec.limits.max_header_bytes,
+            maximum_body_bytes=spec.limits.max_body_bytes,
+            header_timeout_s=spec.limits.header_timeout_ms / _MS,
+            idle_timeout_s=spec.limits.idle_timeout_ms / _MS,
+        ),
+        tenants_by_key=_tenants_by_key(spec.tenants or []),
+        has_tenants=spec.tenants is not None,
+    )
+
+
+def _route(route: _Route) -> Route:
+    split = tuple(WeightedService(part.service, part.weight) for part in route.traffic_split or [])
+    if not split and route.service:
+        split = (WeightedService(route.service, 1.0),)
+    if not split:
+        raise UnreadableError(f"route {route.name!r} names no service")
+    return Route(
+        name=route.name,
+        host=route.hostname.lower(),
+        path_prefix=route.path_prefix,
+        kind=route.kind,
+        timeout_s=route.timeout_ms / _MS,
+        objective_s=route.target_latency_ms / _MS,
+        priority=route.priority,
+        split=split,
+        maximum_attempts=route.max_attempts,
+        is_open=route.no_auth,
+        is_resumable=route.resumable,
+    )
+
+
+def _engine(engine: _Engine | None) -> EngineLimits | None:
+    if engine is None:
+        return None
+    models = tuple(model.name for model in engine.models)
+    return EngineLimits(engine.slots, engine.kv_capacity_tokens, models)
+
+
+def _tenants_by_key(tenants: list[_Tenant]) -> Mapping[bytes, Tenant]:
+    by_key = {}
+    for item in tenants:
+        tenant = Tenant(item.name, item.priority, item.isolated)
+        by_key.update({key.encode(): tenant for key in item.api_keys})
+    return by_key
+
+
+def read_runner(stored: StoredObject) -> Runner:
+    """Translate a runner's entry; raises UnreadableError."""
+    entry = _read(stored.spec, _RunnerEntry, "entry of a runner")
+    return Runner(
+        instance=life_key(stored.name, entry.born),
+        service=entry.service,
+        address=entry.address,
+        zone=entry.zone,
+        slots=entry.slots,
+        is_draining=entry.state != "ready",
+        weights=_weights(entry.models),
+        name=stored.name,
+        born_ms=entry.born,
+    )
+
+
+def read_report(body: bytes) -> RunnerReport:
+    """Translate a runner's report; raises UnreadableError."""
+    try:
+        report = msgspec.json.decode(body, type=_Report)
+    except FAULTS as exc:
+        raise UnreadableError(f"no report of a runner: {exc}") from exc
+    return RunnerReport(
+        weights=_weights(report.models),
+        is_loading=report.busy,
+        orders_taken=report.call_seq,
+        active=report.active,
+        born_ms=report.born,
+    )
+
+
+def _weights(models: list[_ModelWeights]) -> Mapping[str, int]:
+    return {model.name: model.version for model in models}
+
+
+def read_weights(stored: StoredObject) -> WantedWeights:
+    """Translate a named version of a model's weights; raises UnreadableError."""
+    spec = _read(stored.spec, _NamedWeights, "named weights")
+    return WantedWeights(spec.model, spec.version)
+
+
+def read_lease(stored: StoredObject) -> LeaseRecord:
+    """Translate a lease object of the routers' own; raises UnreadableError."""
+    spec = _read(stored.spec, _Lease, "lease")
+    idle_ms = spec.released_idle_ms
+    return LeaseRecord(
+        holder=spec.holder,
+        fencing_token=spec.fence_token,
+        renewals=spec.renewals,
+        pause_s=spec.pause_ms / _MS,
+        released_idle_s=None if idle_ms is None else idle_ms / _MS,
+        ages_ms=spec.ages_ms,
+    )
+
+
+def lease_spec(lease: LeaseRecord) -> object:
+    """Return the content of a lease object."""
+    idle_s = lease.released_idle_s
+    return {
+        "holder": lease.holder,
+        "fence_token": lease.fencing_token,
+        "renewals": lease.renewals,
+        "pause_ms": round(lease.pause_s * _MS),
+        "released_idle_ms": None if idle_s is None else round(idle_s * _MS),
+        "ages_ms": lease.ages_ms,
+    }
--- a/src/martenrun/platform/headers.py
+++ b/src/martenrun/platform/headers.py
@@ -60,7 +60,7 @@
         (name, value) for name, value in end_to_end(headers) if name.lower() not in _SET_BY_ROUTER
     ]
     sent.append((b"X-Deadline-Ms", b"%d" % max(1, int(dispatch.deadline_s * 1000))))
-    sent.append((b"X-Expect-Instance", dispatch.instance.encode()))
+    sent.append((b"X-Expect-Instance", dispatch.runner.encode()))
     optional = (
         (b"X-Tenant-Id", dispatch.tenant),
         (b"X-Request-Priority", dispatch.priority),
--- a/src/martenrun/platform/orders.py
+++ b/src/martenrun/platform/orders.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from martenrun.router.messages import HttpCall, OrderOutcome, RunnerReport, WeightsOrder
+from martenrun.router.messages import HttpCall, OrderOutcome, WeightsOrder
 
 _OUTCOMES = {
     200: OrderOutcome.HOLDS_ALREADY,
@@ -27,7 +27,7 @@
         body["expected_rev"] = order.expected_orders
     headers = [
         (b"Content-Type", b"application/json"),
-        (b"X-Expect-Instance", order.instance.encode()),
+        (b"X-Expect-Instance", order.runner.encode()),
     ]
     return HttpCall(b"POST", b"/martenrun/order", headers, msgspec.json.encode(body))
 
@@ -40,14 +40,3 @@
 def ask_report() -> HttpCall:
     """Return the call for a runner's report."""
     return HttpCall(b"GET", b"/martenrun/report", [])
-
-
-def read_report(body: bytes) -> RunnerReport:
-    """Translate a runner's report; raises ValueError if it cannot be understood."""
-    table = msgspec.json.decode(body)
-    return RunnerReport(
-        weights={model["name"]: int(model["version"]) for model in table.get("models") or []},
-        is_loading=bool(table.get("busy", False)),
-        orders_taken=int(table.get("call_seq", 0)),
-        active=int(table.get("active", 0)),
-    )
--- a/src/martenrun/platform/standins/runner.py
+++ b/src/martenrun/platform/standins/runner.py
@@ -72,6 +72,7 @@
         self.pause_of: Callable[[str], float] = lambda _request_id: self.event_pause_s
         self.listed_address: str | None = None
         self.is_draining = False
+        self.born_ms = int(time.time() * 1000)
         self.orders: list[dict[str, object]] = []
         self.runs: list[Run] = []
         self.ends: list[RunEnd] = []
@@ -95,13 +96,21 @@
             "version": "v1",
             "slots": 8,
             "state": "draining" if self.is_draining else "ready",
+            "cold_left_ms": 0,
+            "born": self.born_ms,
             "models": self._models(),
             "call_seq": len(self.orders),
         }
 
     def report(self) -> dict[str, object]:
         """Return the runner's report."""
-        return {"models": self._models(), "busy": False, "call_seq": len(self.orders), "active": 0}
+        return {
+            "models": self._models(),
+            "busy": False,
+            "call_seq": len(self.orders),
+            "active": 0,
+            "born": self.born_ms,
+        }
 
     def _models(self) -> list[dict[str, object]]:
         return [] if self.model is None else [{"name": self.model, "version": self.weights}]
--- a/src/martenrun/router/admission.py
+++ b/src/martenrun/router/admission.py
@@ -19,15 +19,6 @@
 may wait as long before it is sent on.
 """
 
-DENIAL_AGE_S = 2.6
-"""Age from which configuration is too old to deny anything by it without a new read."""
-
-DENIAL_WAIT_S = 0.06
-"""How long a denial waits for news that may be under way, in seconds."""
-
-CONFIRM_TIMEOUT_S = 0.8
-"""How long a denial waits for a new read of the configuration, in seconds."""
-
 NO_DEADLINE_S = 30.0
 """Deadline of callers that name none, in seconds."""
 
--- /dev/null
+++ b/src/martenrun/router/denials.py
@@ -0,0 +1,88 @@
+"""Denies a request only by recent knowledge, after news had time to come."""
+
+from collections.abc import Callable
+
+from martenrun.net.http import HttpAnswer
+from martenrun.net.server import Exchange
+from martenrun.router.admission import Admission, Refusal, refuse
+from martenrun.router.knowledge import decoded
+from martenrun.router.knowledge_feed import KnowledgeFeed
+from martenrun.router.messages import Admitted, Call, Dataset
+from martenrun.router.store_client import HttpCaller
+from martenrun.router.world import World
+
+DENIAL_AGE_S = 2.6
+"""Age from which configuration is too old to deny anything by it without a new read."""
+
+DENIAL_WAIT_S = 0.06
+"""How long a denial waits for news that may be under way, in seconds."""
+
+CONFIRM_TIMEOUT_S = 0.8
+"""How long a denial waits for a new read of the configuration to be whole, in seconds."""
+
+
+class Denials:
+    """Looks again at requests that would be denied.
+
+    Args:
+        forward: takes up a request that may be served after all.
+    """
+
+    def __init__(
+        self,
+        world: World,
+        admission: Admission,
+        store: HttpCaller,
+        feed: KnowledgeFeed,
+        forward: Callable[[Exchange, Admitted], None],
+    ) -> None:
+        self._world = world
+        self._admission = admission
+        self._store = store
+        self._feed = feed
+        self._forward = forward
+
+    def look_again(self, exchange: Exchange, call: Call) -> None:
+        """Decide a request anew in a moment, by a new read where what is known is old."""
+        self._world.loop.call_later(DENIAL_WAIT_S, lambda: self._decide_or_read(exchange, call))
+
+    def _decide_or_read(self, exchange: Exchange, call: Call) -> None:
+        if exchange.is_over:
+            return
+        now = self._world.loop.now()
+        if self._world.configuration.age_s(now) <= DENIAL_AGE_S:
+            self._decide(exchange, call)
+            return
+        self._store.call(
+            self._world.dialect.read_object(Dataset.CONFIGURATION, "main"),
+            CONFIRM_TIMEOUT_S,
+            lambda answer: self._on_read(answer, exchange, call, now),
+            longest_s=CONFIRM_TIMEOUT_S,
+        )
+
+    def _on_read(
+        self, answer: HttpAnswer | None, exchange: Exchange, call: Call, asked_at: float
+    ) -> None:
+        if exchange.is_over:
+            return
+        if self._is_confirmed(answer, asked_at):
+            self._decide(exchange, call)
+        else:
+            refuse(exchange, Refusal(503, "not_confirmed"), call)
+
+    def _is_confirmed(self, answer: HttpAnswer | None, asked_at: float) -> bool:
+        """Take a read of the configuration in; return whether that is what is in force here."""
+        if answer is None or answer.status != 200:
+            return False
+        stored = decoded(answer.body, self._world.dialect.read_stored)
+        if stored is None:
+            return False
+        self._feed.put_configuration(stored)
+        return self._world.configuration.confirm(asked_at)
+
+    def _decide(self, exchange: Exchange, call: Call) -> None:
+        decision = self._admission.decide(exchange, call)
+        if isinstance(decision, Admitted):
+            self._forward(exchange, decision)
+        else:
+            refuse(exchange, decision, call)
--- a/src/martenrun/router/dialect.py
+++ b/src/martenrun/router/dialect.py
@@ -46,7 +46,9 @@
 class Dialect:
     """The platform's manner of speaking, as functions.
 
-    Functions that read raise ValueError for what they cannot understand.
+    Functions that read raise ValueError for what they cannot understand, and UnreadableError, which
+    is one, for the store's answers, the contents of objects and reports of runners.  A page, or an
+    answer of a watch, leaves out what cannot be read and keeps the rest.
 
     Attributes:
         read_call: a caller's request.
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -307,6 +307,13 @@
             attempt.cancel()
             self.on_failure(Failure.BROKEN, attempt)
 
+    def leave_ended_runner(self) -> None:
+        """Go on elsewhere if the runner has started anew: this run has ended, told or not."""
+        attempt = self._attempt
+        if attempt is not None and self._world.runners.has_ended(attempt.state.runner):
+            attempt.cancel()
+            self.on_failure(Failure.BROKEN, attempt)
+
     def shut_down(self) -> None:
         """Break the request off because the process ends."""
         self._on_timeout()
--- a/src/martenrun/router/keeper.py
+++ b/src/martenrun/router/keeper.py
@@ -12,7 +12,8 @@
 from martenrun.router.messages import Dataset
 from martenrun.router.peers import Peers
 from martenrun.router.readers import Candidate, ReaderChoice, ReadingPlan
-from martenrun.router.relay import OLDEST_RELAYED_S, RelayFollower, RelaySource
+from martenrun.router.relay import OLDEST_RELAYED_S, RelaySource
+from martenrun.router.relay_follower import RelayFollower
 from martenrun.router.store_client import HttpCaller
 from martenrun.router.store_watch import FollowSettings, StoreFollower
 
--- a/src/martenrun/router/knowledge.py
+++ b/src/martenrun/router/knowledge.py
@@ -8,7 +8,13 @@
 from typing import TypeVar
 
 from martenrun.router.log import log_event, log_trouble
-from martenrun.router.messages import Configuration, Runner, StoredObject, WantedWeights
+from martenrun.router.messages import (
+    Configuration,
+    Runner,
+    StoredObject,
+    UnreadableError,
+    WantedWeights,
+)
 from martenrun.router.route_table import RouteTable
 
 TOLD = 3
@@ -99,20 +105,33 @@
 
 
 class RunnerDirectory:
-    """The runners listed."""
+    """The runners listed, each by the key of its last start.
+
+    The entry of another start under the same id ends the one before at once, drained or not.
+    """
 
     def __init__(self) -> None:
         self.runners: dict[str, Runner] = {}
+        self._lives: dict[str, str] = {}
 
     def put(self, runner: Runner) -> None:
-        """Take in an entry; a runner that drains never becomes ready again."""
+        """Take in an entry; a runner that drains never becomes ready again in this life."""
+        last = self._lives.get(runner.name)
+        if last is not None and last != runner.instance:
+            log_event("runner_started_again", instance=runner.instance, before=last)
+            del self.runners[last]
         known = self.runners.get(runner.instance)
+        self._lives[runner.name] = runner.instance
         if known is None or runner.is_draining or not known.is_draining:
             self.runners[runner.instance] = runner
 
-    def remove(self, instance: str) -> None:
-        """Take in that an entry is gone."""
-        self.runners.pop(instance, None)
+    def remove(self, name: str) -> None:
+        """Take in that the entry of a runner is gone, or that it cannot be read any more."""
+        self.runners.pop(self._lives.pop(name, ""), None)
+
+    def has_ended(self, runner: Runner) -> bool:
+        """Whether a later start under the same id is known: this one works on nothing any more."""
+        return self._lives.get(runner.name, runner.instance) != runner.instance
 
 
 class WeightsKnowledge:
@@ -165,15 +184,17 @@
         return max(due, default=0)
 
 
+Raw = TypeVar("Raw", StoredObject, bytes)
 Read = TypeVar("Read")
 
 
-def decoded(stored: StoredObject, read: Callable[[StoredObject], Read]) -> Read | None:
+def decoded(stored: Raw, read: Callable[[Raw], Read]) -> Read | None:
     """Decode an object; one that cannot be understood is logged and left out."""
     try:
         return read(stored)
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
-        log_trouble("object_unreadable", name=stored.name, fault=str(exc)[:100])
+    except UnreadableError as exc:
+        name = stored.name if isinstance(stored, StoredObject) else None
+        log_trouble("object_unreadable", name=name, fault=str(exc)[:100])
         return None
 
 
--- a/src/martenrun/router/lease.py
+++ b/src/martenrun/router/lease.py
@@ -13,6 +13,7 @@
 from martenrun.net.http import HttpAnswer
 from martenrun.net.loop import Loop
 from martenrun.router.dialect import Dialect
+from martenrun.router.knowledge import decoded
 from martenrun.router.log import log_event, log_trouble
 from martenrun.router.messages import (
     Dataset,
@@ -182,7 +183,9 @@
         def answered(answer: HttpAnswer | None) -> None:
             if answer is not None and answer.status == 200:
                 log_event("lease_released", token=record.fencing_token)
-                on_released(record, self._dialect.read_stored(answer.body).revision)
+                stored = decoded(answer.body, self._dialect.read_stored)
+                if stored is not None:
+                    on_released(record, stored.revision)
 
         self._call(self._write_call(record), answered)
 
@@ -243,13 +246,13 @@
                     self._held_until = 0.0
 
     def _see(self, answer: HttpAnswer) -> None:
-        stored = self._dialect.read_stored(answer.body)
+        stored = decoded(answer.body, self._dialect.read_stored)
+        if stored is None:
+            self._not_before = self._loop.now() + PAUSE_S
+            return
         seen_at = self._loop.now()
         if self._seen is not None and stored.revision == self._seen.stored.revision:
             seen_at = self._seen.seen_at
-        try:
-            record = self._dialect.read_lease(stored)
-        except (KeyError, TypeError, ValueError):
-            record = LeaseRecord("", self.fencing_token)
+        record = decoded(stored, self._dialect.read_lease) or LeaseRecord("", self.fencing_token)
         self._seen = SeenLease(stored, record, seen_at)
         self._on_ages(record.ages_ms)
--- a/src/martenrun/router/messages.py
+++ b/src/martenrun/router/messages.py
@@ -12,6 +12,12 @@
 from martenrun.net.server import ServerLimits
 
 
+class UnreadableError(ValueError):
+    """Bytes or an object that are not what the platform should hold there."""
+
+    remedy = "Look at the object in the platform's store and at who has written it."
+
+
 class RouteKind(enum.StrEnum):
     """How often a request of a route may run, and how it is answered."""
 
@@ -102,7 +108,13 @@
 
 @attrs.frozen
 class Runner:
-    """One incarnation of a runner, as the runner list tells it."""
+    """One start of a runner, as the runner list tells it.
+
+    Attributes:
+        instance: the key of this start, see :mod:`martenrun.router.runner_life`.
+        name: its id on the platform, which later starts may have as well.
+        born_ms: when it started by its own clock, in milliseconds, or None if it does not tell.
+    """
 
     instance: str
     service: str
@@ -111,6 +123,8 @@
     slots: int
     is_draining: bool
     weights: Mapping[str, int]
+    name: str = attrs.field(default=attrs.Factory(lambda self: self.instance, takes_self=True))
+    born_ms: int | None = None
 
 
 @attrs.frozen
@@ -167,9 +181,9 @@
 
 @attrs.frozen
 class Dispatch:
-    """What the router adds to a request that it sends to a runner."""
+    """What the router adds to a request that it sends to a runner, which is named by its id."""
 
-    instance: str
+    runner: str
     deadline_s: float
     tenant: str | None
     priority: int | None
@@ -217,19 +231,25 @@
 
 @attrs.frozen
 class StorePage:
-    """A page of a list; ``next_after`` is where the next one begins, or None at the end."""
+    """A page of a list.
+
+    ``next_after`` is where the next one begins, or None at the end; ``unreadable`` counts objects
+    that are left out because not even their names can be read.
+    """
 
     objects: tuple[StoredObject, ...]
     revision: int
     next_after: str | None
+    unreadable: int = 0
 
 
 @attrs.frozen
 class StoreChanges:
-    """What a watch answers."""
+    """What a watch answers; ``unreadable`` counts events that are left out, as in a page."""
 
     events: tuple[StoreEvent, ...]
     revision: int
+    unreadable: int = 0
 
 
 @attrs.frozen
@@ -276,13 +296,13 @@
 
 @attrs.frozen
 class WeightsOrder:
-    """An order to a runner to load a version of a model's weights.
+    """An order to a runner, named by its id, to load a version of a model's weights.
 
     ``lets_runs_finish``: the load begins once the runs in progress have ended; otherwise they go
     on under the new weights, and what they make from then on is worth nothing.
     """
 
-    instance: str
+    runner: str
     model: str
     version: int
     holder: str
@@ -310,6 +330,7 @@
     is_loading: bool
     orders_taken: int
     active: int = 0
+    born_ms: int | None = None
 
 
 @attrs.frozen
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -4,19 +4,11 @@
 from pathlib import Path
 
 from martenrun.errors import SettingsError
-from martenrun.net.http import HttpAnswer
 from martenrun.net.loop import Loop
 from martenrun.net.server import Exchange, Server
-from martenrun.router.admission import (
-    CONFIRM_TIMEOUT_S,
-    DENIAL_AGE_S,
-    DENIAL_WAIT_S,
-    Admission,
-    Refusal,
-    refuse,
-)
-from martenrun.router.dataset_copy import CopyListener, DatasetCopy
+from martenrun.router.admission import Admission, Refusal, refuse
 from martenrun.router.decisions import DEFAULTS, Decisions, load_decisions
+from martenrun.router.denials import Denials
 from martenrun.router.dialect import Dialect, SettingsSource
 from martenrun.router.entry import Entry
 from martenrun.router.forwarding import Forwarding
@@ -25,20 +17,18 @@
     ConfigurationKnowledge,
     RunnerDirectory,
     WeightsKnowledge,
-    decoded,
 )
+from martenrun.router.knowledge_feed import KnowledgeFeed
 from martenrun.router.lease import Lease
 from martenrun.router.loads import LoadExchange
 from martenrun.router.log import EVENT_LOG, log_event, log_trouble
 from martenrun.router.messages import (
     Admitted,
-    Call,
     Configuration,
     Dataset,
     LeaseRecord,
     Route,
     RouterSettings,
-    StoredObject,
 )
 from martenrun.router.metrics import Metrics, Sample
 from martenrun.router.peer_messages import LeaseNews, RouterRecord, SilenceNews
@@ -136,12 +126,15 @@
             lambda ages_ms: self._world.weights.learn_ages(ages_ms, self._loop.now()),
         )
         self._roller = WeightsRoller(self._world, self._peers, self._lease)
-        self._copies = self._build_copies()
+        self._feed = KnowledgeFeed(self._world, self._metrics, self._on_runners_settled)
         self._keeper = Keeper(
             KeeperParts(
-                self._loop, self._store, dialect, self._copies, self._peers, settings.seeds
+                self._loop, self._store, dialect, self._feed.copies, self._peers, settings.seeds
             ),
-            self._on_confirmed,
+            self._feed.confirm,
+        )
+        self._denials = Denials(
+            self._world, self._admission, self._store, self._feed, self._forward
         )
         entry = Entry(dialect, self._peers, self._refresh, self._is_ready)
         self._front = Server(
@@ -180,25 +173,6 @@
 
     # Knowledge
 
-    def _build_copies(self) -> dict[Dataset, DatasetCopy]:
-        configuration = CopyListener(self._on_configuration_put, _ignored, _nothing)
-        runners = CopyListener(
-            self._on_runner_put, self._world.runners.remove, self._on_runners_settled
-        )
-        weights = CopyListener(self._on_weights_put, _ignored, _nothing)
-        return {
-            Dataset.CONFIGURATION: DatasetCopy(Dataset.CONFIGURATION, configuration),
-            Dataset.RUNNERS: DatasetCopy(Dataset.RUNNERS, runners),
-            Dataset.WEIGHTS: DatasetCopy(Dataset.WEIGHTS, weights),
-        }
-
-    def _on_configuration_put(self, stored: StoredObject) -> None:
-        configuration = decoded(stored, self._world.dialect.read_configuration)
-        if configuration is None:
-            self._world.configuration.note_unreadable()
-        else:
-            self._world.configuration.take(configuration)
-
     def _on_configuration(self, configuration: Configuration) -> None:
         self._front.limits = configuration.limits
         self._world.configuration.hear([(configuration.version, 0)], self._loop.now())
@@ -206,25 +180,10 @@
             # Who is behind must know it, also if it cannot get the configuration itself.
             self._peers.tell_soon()
 
-    def _on_runner_put(self, stored: StoredObject) -> None:
-        runner = decoded(stored, self._world.dialect.read_runner)
-        if runner is not None:
-            self._world.runners.put(runner)
-
     def _on_runners_settled(self) -> None:
         self._world.pool.update(self._world.runners.runners)
         self._roller.check()
 
-    def _on_weights_put(self, stored: StoredObject) -> None:
-        wanted = decoded(stored, self._world.dialect.read_weights)
-        if wanted is not None:
-            self._world.weights.take(wanted, self._loop.now())
-
-    def _on_confirmed(self) -> None:
-        confirmed_at = self._copies[Dataset.CONFIGURATION].confirmed_at
-        if confirmed_at is not None:
-            self._world.configuration.confirm(confirmed_at)
-
     # Peers
 
     def _refresh(self, own: RouterRecord) -> None:
@@ -272,7 +231,7 @@
         if isinstance(decision, Admitted):
             self._forward(exchange, decision)
         elif decision.status in (401, 404):
-            self._look_again(exchange, call)
+            self._denials.look_again(exchange, call)
         else:
             refuse(exchange, decision, call)
 
@@ -286,39 +245,6 @@
         self._forwardings.add(forwarding)
         forwarding.start()
 
-    def _look_again(self, exchange: Exchange, call: Call) -> None:
-        """Deny a request only by recent knowledge, after news had time to come."""
-        asked_at = self._loop.now()
-
-        def decide() -> None:
-            decision = self._admission.decide(exchange, call)
-            if isinstance(decision, Admitted):
-                self._forward(exchange, decision)
-            else:
-                refuse(exchange, decision, call)
-
-        def decide_or_read() -> None:
-            if exchange.is_over:
-                return
-            age_s = self._world.configuration.age_s(self._loop.now())
-            if age_s <= DENIAL_AGE_S:
-                decide()
-            else:
-                read = self._world.dialect.read_object(Dataset.CONFIGURATION, "main")
-                self._store.call(read, CONFIRM_TIMEOUT_S, answered, longest_s=CONFIRM_TIMEOUT_S)
-
-        def answered(answer: HttpAnswer | None) -> None:
-            if exchange.is_over:
-                return
-            if answer is not None and answer.status == 200:
-                self._on_configuration_put(self._world.dialect.read_stored(answer.body))
-                if self._world.configuration.confirm(asked_at):
-                    decide()
-                    return
-            refuse(exchange, Refusal(503, "not_confirmed"), call)
-
-        self._loop.call_later(DENIAL_WAIT_S, decide_or_read)
-
     def _count(self, outcome: str, route: Route, seconds: float) -> None:
         self._metrics.count("requests", outcome=outcome, kind=route.kind.value)
         self._metrics.time("request", seconds, kind=route.kind.value)
@@ -358,7 +284,7 @@
     def _is_ready(self) -> bool:
         if self._world.configuration.table is None or self._stop is not None:
             return False
-        return self._copies[Dataset.RUNNERS].is_known
+        return self._feed.copies[Dataset.RUNNERS].is_known
 
     # Ends
 
@@ -387,6 +313,7 @@
         now = self._loop.now()
         for forwarding in list(self._forwardings):
             forwarding.leave_old_weights(now)
+            forwarding.leave_ended_runner()
         self._loads.tell_again()
         for instance in newly_silent(self._world, now):
             news = SilenceNews(self._peers.own.address, instance)
@@ -412,14 +339,6 @@
                 self._loop.stop()
 
 
-def _ignored(_name: str) -> None:
-    return None
-
-
-def _nothing() -> None:
-    return None
-
-
 def run_router(source: SettingsSource, dialect: Dialect, decisions: Path) -> None:
     """Run a router until it is stopped; raises SettingsError if it cannot begin.
 
--- a/src/martenrun/router/relay.py
+++ b/src/martenrun/router/relay.py
@@ -2,139 +2,34 @@
 
 A router that does not read the store asks one that does for what has changed since a number of
 that router's copy; the answer is held back until there is something, and tells how old the
-knowledge is.  Ages count durations only, never times of another machine's clock.
+knowledge is.  This is the side that answers; :mod:`martenrun.router.relay_follower` asks.
 """
 
-import zlib
 from collections.abc import Callable, Mapping
 
 import msgspec
 
-from martenrun.net.http import HttpAnswer
 from martenrun.net.loop import Loop
 from martenrun.net.server import Exchange
 from martenrun.router.dataset_copy import Change, DatasetCopy
-from martenrun.router.log import log_trouble
-from martenrun.router.messages import Dataset, HttpCall, StoredObject
-from martenrun.router.store_client import HttpCaller
-
-FOLLOW_PATH = b"/follow"
-"""Path of the question on the internal interface."""
-
-HOLD_S = 0.8
-"""How long an answer is held back while nothing has changed, in seconds."""
-
-ANSWER_TIMEOUT_S = 0.6
-"""How long an answer may not even begin beyond that, in seconds."""
-
-NEW_TIMEOUT_S = 0.4
-"""How long an answer to a router that knows nothing yet may not even begin, in seconds."""
+from martenrun.router.messages import Dataset, StoredObject
+from martenrun.router.relay_messages import (
+    ENCODE,
+    FOLLOW_PATH,
+    QUESTION,
+    FollowAnswer,
+    FollowQuestion,
+    FollowRefusal,
+    RelayedDataset,
+    RelayedObject,
+    packed,
+)
 
 OLDEST_RELAYED_S = 3.0
 """Age from which knowledge is not passed on any more, in seconds."""
 
-
-PACKED_FROM_BYTES = 2_048
-"""Size from which objects are compressed on their way.
-
-A configuration of 4,200 routes takes a tenth; 69 routers have it 0.4 s after their two readers
-began to tell it instead of 2.6 s (virtual time, links of 10 and 200 Mbit/s, half of each free).
-"""
-
-PACKING_LEVEL = 1
-"""Level of compression: the fastest; the usual one takes a fifth less for twice the time."""
-
-MOST_UNPACKED_BYTES = 256_000_000
-"""Most bytes that objects take unpacked: more is no answer of a router."""
-
-
-class FollowQuestion(msgspec.Struct, array_like=True):
-    """Asks for what has changed; ``numbers`` are those of the answering router's copies.
-
-    A router that knows nothing yet ``accepts_old`` knowledge: its age is told in any case.
-    """
-
-    life: int
-    numbers: dict[str, int]
-    hold_ms: int
-    accepts_old: bool
-
-
-class RelayedObject(msgspec.Struct, array_like=True):
-    """One object; ``revision`` 0 says that it is gone.
-
-    ``missing_ms`` is for how long the store has no longer listed it, in milliseconds, where it is
-    kept for a time of grace after an outage; None for all others.
-    """
-
-    name: str
-    revision: int
-    spec: object
-    missing_ms: int | None = None
-
-
-class RelayedDataset(msgspec.Struct, array_like=True):
-    """Changes of one dataset, or all of it if ``is_whole``.
-
-    ``objects`` is a list of :class:`RelayedObject`, packed by :func:`packed`.
-    """
-
-    number: int
-    revision: int
-    age_ms: int
-    is_whole: bool
-    objects: bytes
-
-
-class FollowAnswer(msgspec.Struct, array_like=True):
-    """What has changed.
-
-    Attributes:
-        life: number of this life of the answering router.
-        held_ms: how long the answer was held back, in milliseconds.
-        datasets: the changes.
-        is_reader: whether the answering router reads the store itself.
-    """
-
-    life: int
-    held_ms: int
-    datasets: dict[str, RelayedDataset]
-    is_reader: bool = True
-
-
-class FollowRefusal(msgspec.Struct, array_like=True):
-    """Says that a router does not pass knowledge on: it has lost the store, or does not read it."""
-
-    has_lost_store: bool
-
-
-_QUESTION = msgspec.msgpack.Decoder(FollowQuestion)
-_ANSWER = msgspec.msgpack.Decoder(FollowAnswer)
-_OBJECTS = msgspec.msgpack.Decoder(list[RelayedObject])
-_REFUSAL = msgspec.msgpack.Decoder(FollowRefusal)
-_ENCODE = msgspec.msgpack.Encoder().encode
-
 Copies = Mapping[Dataset, DatasetCopy]
 
-_PLAIN, _COMPRESSED = b"\0", b"\1"
-"""First byte of packed objects: how the rest is to be read."""
-
-
-def packed(objects: list[RelayedObject]) -> bytes:
-    """Return objects as bytes, many of them compressed."""
-    data = _ENCODE(objects)
-    if len(data) < PACKED_FROM_BYTES:
-        return _PLAIN + data
-    return _COMPRESSED + zlib.compress(data, PACKING_LEVEL)
-
-
-def unpacked(data: bytes) -> list[RelayedObject]:
-    """Read packed objects; raises msgspec.MsgspecError or zlib.error if they are none."""
-    rest = data[1:]
-    if data[:1] == _COMPRESSED:
-        rest = zlib.decompressobj().decompress(rest, MOST_UNPACKED_BYTES)
-    return _OBJECTS.decode(rest)
-
 
 class HeldQuestion:
     """A question whose answer is held back."""
@@ -176,7 +71,7 @@
     def serve(self, exchange: Exchange) -> None:
         """Answer a question now or later."""
         try:
-            question = _QUESTION.decode(exchange.request.body)
+            question = QUESTION.decode(exchange.request.body)
         except msgspec.MsgspecError:
             exchange.respond(400, [])
             return
@@ -202,7 +97,7 @@
             self._answer(held)
 
     def _refuse(self, exchange: Exchange) -> None:
-        exchange.respond(503, [], _ENCODE(FollowRefusal(self._has_lost_store())))
+        exchange.respond(503, [], ENCODE(FollowRefusal(self._has_lost_store())))
 
     def _may_answer(self, question: FollowQuestion) -> bool:
         if self._may_relay():
@@ -231,7 +126,7 @@
         }
         held_ms = int((now - held.asked_at) * 1000)
         answer = FollowAnswer(self._life, held_ms, datasets, self._reads_store())
-        held.exchange.respond(200, [], _ENCODE(answer))
+        held.exchange.respond(200, [], ENCODE(answer))
 
     def _relayed(self, dataset: Dataset, number: int | None, now: float) -> RelayedDataset:
         copy = self._copies[dataset]
@@ -246,13 +141,6 @@
         )
 
 
-def _says_store_is_lost(answer: HttpAnswer) -> bool:
-    try:
-        return _REFUSAL.decode(answer.body).has_lost_store
-    except msgspec.MsgspecError:
-        return False
-
-
 class PackedChanges:
     """Packs each change of a copy once for all followers that lack the same."""
 
@@ -293,141 +181,3 @@
     since = copy.missing_since(stored.name)
     missing_ms = None if since is None else int((now - since) * 1000)
     return RelayedObject(stored.name, stored.revision, stored.spec, missing_ms)
-
-
-class RelayFollower:
-    """Keeps copies current from another router, while it is wanted.
-
-    Args:
-        source: returns the address of the router to ask now, or None.
-        on_taken: called after each answer that was taken in whole.
-        on_failed: called with the address of a router that gave no good answer, and whether it
-            said that it has lost the store.
-        on_heard: called whenever a part of an answer has come.
-        caller: makes what calls one address.
-    """
-
-    def __init__(
-        self,
-        loop: Loop,
-        copies: Copies,
-        source: Callable[[], str | None],
-        on_taken: Callable[[], None],
-        on_failed: Callable[[str, bool], None],
-        on_heard: Callable[[], None] = lambda: None,
-        caller: Callable[[Loop, str], HttpCaller] = HttpCaller,
-    ) -> None:
-        self._loop = loop
-        self._on_heard = on_heard
-        self._copies = copies
-        self._source = source
-        self._caller = caller
-        self._on_taken = on_taken
-        self._on_failed = on_failed
-        self._callers: dict[str, HttpCaller] = {}
-        self._address = ""
-        self._life = 0
-        self._numbers: dict[str, int] = {}
-        self._is_asking = False
-        self._reader_heard_at: float | None = None
-        self.is_running = False
-
-    def follows_reader(self) -> bool:
-        """Whether this router now follows one that reads the store itself, and hears from it."""
-        heard_at = self._reader_heard_at
-        if not self.is_running or heard_at is None:
-            return False
-        return self._loop.now() - heard_at <= HOLD_S + ANSWER_TIMEOUT_S
-
-    def start(self) -> None:
-        """Begin to follow, unless it does already."""
-        self.is_running = True
-        if not self._is_asking:
-            self._ask()
-
-    def stop(self) -> None:
-        """Stop; the answer under way is still taken in."""
-        self.is_running = False
-
-    def _ask(self) -> None:
-        address = self._source()
-        if not self.is_running or address is None:
-            self._is_asking = False
-            return
-        if address != self._address:
-            self._address = address
-            self._life = 0
-            self._numbers = {}
-        self._is_asking = True
-        is_new = not all(copy.is_known for copy in self._copies.values())
-        question = FollowQuestion(self._life, self._numbers, int(HOLD_S * 1000), is_new)
-        call = HttpCall(b"POST", FOLLOW_PATH, [], _ENCODE(question))
-        sent_at = self._loop.now()
-        caller = self._callers.get(address)
-        if caller is None:
-            caller = self._callers[address] = self._caller(self._loop, address)
-        # Who knows nothing is answered at once or not at all.
-        caller.call(
-            call,
-            NEW_TIMEOUT_S if is_new else HOLD_S + ANSWER_TIMEOUT_S,
-            lambda answer: self._on_answer(answer, address, sent_at),
-            self._hear,
-        )
-
-    def _hear(self) -> None:
-        """A large answer is on its way: whoever sends it lives."""
-        if self._reader_heard_at is not None:
-            self._reader_heard_at = self._loop.now()
-        self._on_heard()
-
-    def _on_answer(self, answer: HttpAnswer | None, address: str, sent_at: float) -> None:
-        self._is_asking = False
-        if answer is None or answer.status != 200:
-            status = None if answer is None else answer.status
-            log_trouble("relay_lost", address=address, status=status)
-            self._reader_heard_at = None
-            self._on_failed(address, answer is not None and _says_store_is_lost(answer))
-            return
-        try:
-            news = _ANSWER.decode(answer.body)
-            objects = {name: unpacked(item.objects) for name, item in news.datasets.items()}
-        except (msgspec.MsgspecError, zlib.error):
-            log_trouble("relay_unreadable", address=address)
-            self._reader_heard_at = None
-            self._on_failed(address, False)
-            return
-        self._life = news.life
-        self._reader_heard_at = self._loop.now() if news.is_reader else None
-        for name, dataset in news.datasets.items():
-            not_before = sent_at + news.held_ms / 1000.0
-            self._take(self._copies[Dataset(name)], dataset, objects[name], not_before)
-            self._numbers[name] = dataset.number
-        self._on_taken()
-        self._ask()
-
-    def _take(
-        self,
-        copy: DatasetCopy,
-        news: RelayedDataset,
-        objects: list[RelayedObject],
-        not_before: float,
-    ) -> None:
-        """Take in one dataset; it was answered at ``not_before`` or later."""
-        if copy.revision is not None and news.revision < copy.revision:
-            # That router is behind: what it tells, its age included, says nothing new.
-            return
-        now = self._loop.now()
-        changed = [
-            StoredObject(item.name, item.revision, item.spec) for item in objects if item.revision
-        ]
-        missing = {
-            item.name: now - item.missing_ms / 1000.0
-            for item in objects
-            if item.missing_ms is not None
-        }
-        if news.is_whole:
-            copy.replace(changed, news.revision, False, now, missing)
-        else:
-            gone = [item.name for item in objects if not item.revision]
-            copy.apply(changed, gone, news.revision, False, now, missing)
-        copy.confirm(not_before - news.age_ms / 1000.0)
--- a/src/martenrun/router/runner_request.py
+++ b/src/martenrun/router/runner_request.py
@@ -73,7 +73,7 @@
     store = world.cache_store(shared_prefix(call.parts)) if has_shared else None
     left_s = min(admitted.deadline_at, admitted.give_up_at) - question.now
     return Dispatch(
-        instance=state.runner.instance,
+        runner=state.runner.name,
         deadline_s=max(LEAST_DEADLINE_S, left_s),
         tenant=None if tenant is None else tenant.name,
         priority=None if call.model is None else _engine_priority(admitted),
--- a/src/martenrun/router/store_watch.py
+++ b/src/martenrun/router/store_watch.py
@@ -10,7 +10,7 @@
 from martenrun.router.dataset_copy import DatasetCopy
 from martenrun.router.dialect import Dialect
 from martenrun.router.log import log_event, log_trouble
-from martenrun.router.messages import StoredObject
+from martenrun.router.messages import StoredObject, UnreadableError
 from martenrun.router.store_client import HttpCaller
 
 ANSWER_TIMEOUT_S = 0.9
@@ -157,7 +157,12 @@
         if answer is None or answer.status != HTTP_OK:
             self._fail(answer, lambda: self._list(None, self._loop.now()))
             return
-        page = self._dialect.read_page(answer.body)
+        try:
+            page = self._dialect.read_page(answer.body)
+        except UnreadableError as exc:
+            self._fail_unreadable(answer, exc)
+            return
+        self._note_left_out(page.unreadable)
         self._listed += page.objects
         if self._list_revision is None:
             # Later pages may already hold what the watch will tell again; that does no harm.
@@ -191,8 +196,13 @@
         if answer is None or answer.status != HTTP_OK:
             self._fail(answer, self._watch)
             return
+        try:
+            changes = self._dialect.read_changes(answer.body)
+        except UnreadableError as exc:
+            self._fail_unreadable(answer, exc)
+            return
         self._succeed()
-        changes = self._dialect.read_changes(answer.body)
+        self._note_left_out(changes.unreadable)
         is_after_outage = self._is_after_outage()
         for event in changes.events:
             changed = [] if event.is_gone else [event.stored]
@@ -220,6 +230,15 @@
         self._pause_s = min(LONGEST_PAUSE_S, self._pause_s * 2)
         self._again_in(pause_s, again)
 
+    def _fail_unreadable(self, answer: HttpAnswer, exc: UnreadableError) -> None:
+        """Go on from a whole list: what the answer would have told is not known."""
+        log_trouble("answer_unreadable", dataset=self._copy.dataset.value, fault=str(exc)[:100])
+        self._fail(answer, lambda: self._list(None, self._loop.now()))
+
+    def _note_left_out(self, count: int) -> None:
+        if count:
+            log_trouble("objects_left_out", dataset=self._copy.dataset.value, count=count)
+
     def _again_in(self, pause_s: float, again: Callable[[], None]) -> None:
         """Make the next call after a pause, unless the follower is stopped meanwhile."""
         asked_in = self._round
--- a/src/martenrun/router/weights_roll.py
+++ b/src/martenrun/router/weights_roll.py
@@ -9,6 +9,7 @@
 import attrs
 
 from martenrun.net.http import HttpAnswer
+from martenrun.router.knowledge import decoded
 from martenrun.router.lease import Lease
 from martenrun.router.log import log_event, log_trouble
 from martenrun.router.messages import (
@@ -238,11 +239,14 @@
         if answer is None or answer.status != STATUS_OK:
             self._drop(state, "no_report")
             return
-        try:
-            report = self._world.dialect.read_report(answer.body)
-        except (ValueError, KeyError, TypeError, AttributeError):
+        report = decoded(answer.body, self._world.dialect.read_report)
+        if report is None:
             self._drop(state, "report_unreadable")
             return
+        if report.born_ms != state.runner.born_ms and report.born_ms is not None:
+            # It has started anew and its entry does not tell yet: its orders are counted anew.
+            self._drop(state, "started_again")
+            return
         has = report.weights.get(model, 0)
         if has >= load.version:
             self._note_done(instance, self._world.loop.now())
@@ -267,7 +271,7 @@
         load.is_ordered = True
         load.since = self._world.loop.now() + REPORT_INTERVAL_S
         order = WeightsOrder(
-            instance=state.runner.instance,
+            runner=state.runner.name,
             model=model,
             version=version,
             holder=self._peers.own.address,
@@ -278,7 +282,7 @@
         self._lease.note_order()
         log_event(
             "weights_ordered",
-            instance=order.instance,
+            instance=state.runner.instance,
             model=model,
             version=version,
             token=order.fencing_token,
--- a/tests/router/test_keeper.py
+++ b/tests/router/test_keeper.py
@@ -7,7 +7,8 @@
 from martenrun.router.keeper import Keeper, KeeperParts
 from martenrun.router.messages import Dataset
 from martenrun.router.readers import Candidate, chosen_readers
-from martenrun.router.relay import RelayFollower, RelaySource
+from martenrun.router.relay import RelaySource
+from martenrun.router.relay_follower import RelayFollower
 
 from .loopback import free_address, serve_until
 from .test_peers import record
--- a/tests/router/test_relay.py
+++ b/tests/router/test_relay.py
@@ -6,14 +6,9 @@
 from martenrun.net.server import Server
 from martenrun.router.dataset_copy import RETURN_GRACE_S, CopyListener, DatasetCopy
 from martenrun.router.messages import Dataset, StoredObject
-from martenrun.router.relay import (
-    PackedChanges,
-    RelayedObject,
-    RelayFollower,
-    RelaySource,
-    packed,
-    unpacked,
-)
+from martenrun.router.relay import PackedChanges, RelaySource
+from martenrun.router.relay_follower import RelayFollower
+from martenrun.router.relay_messages import RelayedObject, packed, unpacked
 
 from .loopback import free_address, serve_until
 
