--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -38,7 +38,8 @@
 from martenrun.router.runner_pool import RunnerPool
 from martenrun.router.silence import newly_silent, take_silence
 from martenrun.router.store_client import HttpCaller
-from martenrun.router.weights_roll import WeightsRoller, take_weights_news
+from martenrun.router.weights_news import take_weights_news
+from martenrun.router.weights_roll import WeightsRoller
 from martenrun.router.world import World
 
 CALLERS_SHARE = 0.6
--- a/src/martenrun/router/weights_roll.py
+++ b/src/martenrun/router/weights_roll.py
@@ -23,8 +23,9 @@
 from martenrun.router.peers import Peers
 from martenrun.router.readers import strong_first
 from martenrun.router.roll_plan import RollQuestion, lacking, runners_to_order
-from martenrun.router.runner_state import LOADING_MEMORY_S, RunnerState
+from martenrun.router.runner_state import RunnerState
 from martenrun.router.store_client import HttpCaller
+from martenrun.router.weights_news import WeightsTeller, take_weights_news
 from martenrun.router.world import World
 
 TICK_S = 0.1
@@ -43,13 +44,6 @@
 ORDER_AGAIN_S = 1.0
 """Time after an order without effect until it is given again, in seconds."""
 
-TOLD_TOGETHER_S = 0.02
-"""For how long news of runners are put together, in seconds.
-
-59 runners that load at once, told one by one to 195 routers, are 11,500 datagrams in a moment: at
-10 Mbit/s they hold the reports up, loads are put off for want of them and begun, and told, again.
-"""
-
 STATUS_OK = 200
 MS_PER_S = 1000
 
@@ -85,7 +79,7 @@
         self._needed_since: float | None = None
         self._callers: dict[str, HttpCaller] = {}
         self._is_ticking = False
-        self._to_tell: dict[tuple[str, int, bool], list[str]] = {}
+        self._teller = WeightsTeller(world.loop, peers)
         self._ends_at = math.inf
         self._turn_s = world.decisions.roll.first_turn_s
 
@@ -213,14 +207,7 @@
         """Take in what a runner does now, and tell it to all routers in a moment."""
         instance = state.runner.instance
         take_weights_news(self._world, WeightsNews([instance], model, version, is_loaded))
-        if not self._to_tell:
-            self._world.loop.call_later(TOLD_TOGETHER_S, self._tell_together)
-        self._to_tell.setdefault((model, version, is_loaded), []).append(instance)
-
-    def _tell_together(self) -> None:
-        together, self._to_tell = self._to_tell, {}
-        for (model, version, is_loaded), instances in together.items():
-            self._peers.tell_all(WeightsNews(instances, model, version, is_loaded))
+        self._teller.tell(instance, model, version, is_loaded)
 
     def _ask_report(self, state: RunnerState, model: str) -> None:
         self._call(
@@ -337,19 +324,3 @@
         if caller is None:
             caller = self._callers[address] = HttpCaller(self._world.loop, address)
         caller.call(call, timeout_s, on_answer)
-
-
-def take_weights_news(world: World, news: WeightsNews) -> None:
-    """Take in that runners load weights or have them now."""
-    for instance in news.instances:
-        state = world.pool.state(instance)
-        if state is not None:
-            _take_of_runner(state, news, world.loop.now())
-
-
-def _take_of_runner(state: RunnerState, news: WeightsNews, now: float) -> None:
-    if news.is_loaded:
-        state.learn_weights(news.model, news.version)
-        state.loading_until = 0.0
-    elif news.version > (state.weights_version(news.model) or 0):
-        state.loading_until = now + LOADING_MEMORY_S
--- a/tests/router/test_peers.py
+++ b/tests/router/test_peers.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from martenrun.net.loop import Loop
+from martenrun.router.known_router import READING_BELIEVED_S
 from martenrun.router.peer_messages import (
     Gossip,
     ReadingNews,
@@ -22,7 +23,6 @@
     FORGOTTEN_AFTER_S,
     MOST_DEPARTED,
     MOST_TOLD_ROUTERS,
-    READING_BELIEVED_S,
     RouterTable,
 )
 
--- a/tests/router/test_runner_lives.py
+++ b/tests/router/test_runner_lives.py
@@ -10,7 +10,7 @@
 from martenrun.router.runner_pool import RunnerPool
 from martenrun.router.seen_parts import SeenParts
 from martenrun.router.silence import take_silence
-from martenrun.router.weights_roll import take_weights_news
+from martenrun.router.weights_news import take_weights_news
 
 from .builders import route, state
 from .fakes import FakeLoop
--- a/tests/router/test_weights_roll.py
+++ b/tests/router/test_weights_roll.py
@@ -4,7 +4,8 @@
 
 from martenrun.router.decisions import Decisions
 from martenrun.router.runner_state import RunnerState
-from martenrun.router.weights_roll import TOLD_TOGETHER_S, WeightsRoller, take_weights_news
+from martenrun.router.weights_news import TOLD_TOGETHER_S, take_weights_news
+from martenrun.router.weights_roll import WeightsRoller
 
 from .builders import runner
 from .fakes import FakeLoop
