Soak: runners start again under their id, entries are broken by another writer

Ruled out: a check that each listed runner gets requests: with little load one may rightly serve all.

--- a/scripts/platform_deployment.py
+++ b/scripts/platform_deployment.py
@@ -123,6 +123,7 @@
         self._environment = environment
         self._has_relays = has_relays
         self.relays: dict[str, FaultyRelay] = {}
+        self.broken_entries: dict[str, object] = {}
         self.folder = tempfile.TemporaryDirectory(prefix="martenrun-")
         self.store = StoreStandin()
         self.runners = [RunnerStandin("llm", MODEL) for _ in range(model_runners)]
@@ -200,11 +201,12 @@
         }
 
     def list_runner(self, runner: RunnerStandin) -> None:
-        """Write a runner's entry."""
+        """Write a runner's entry, or what another writer has put in its place."""
         if self._has_relays and runner.instance not in self.relays:
             relay = self.relays[runner.instance] = FaultyRelay(runner.address)
             runner.listed_address = relay.address
-        self.store.put("servers", runner.instance, runner.entry())
+        entry = self.broken_entries.get(runner.instance, runner.entry())
+        self.store.put("servers", runner.instance, entry)
 
     def start(self, router: RouterRun) -> None:
         """Start a router process; its log is added to, and its settings say if it had others."""
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -189,7 +189,7 @@
                 float(str(order["taken_at"])),
             )
             for runner in runners
-            for order in runner.orders
+            for order in [*runner.earlier_orders, *runner.orders]
         ],
         revocations=faults.revocations,
         departures=faults.departures,
@@ -217,6 +217,7 @@
 @click.option("--seed", default=1, show_default=True, help="choice of faults and requests")
 @click.option("--seeds", default=1, show_default=True, help="seeds in turn, from --seed on")
 @click.option("--routers", default=3, show_default=True, help="router processes at a time")
+@click.option("--runner-starts", is_flag=True, help="runners start again, entries are broken")
 @click.option("--schedule", type=click.Path(path_type=Path, exists=True), help="play this one")
 @click.option("--keep-logs", type=click.Path(path_type=Path), help="folder for logs of violations")
 def soak(
@@ -224,6 +225,7 @@
     seed: int,
     seeds: int,
     routers: int,
+    runner_starts: bool,
     schedule: Path | None,
     keep_logs: Path | None,
 ) -> None:
@@ -232,7 +234,7 @@
     click.echo(HEAD)
     for number in range(seed, seed + seeds):
         if schedule is None:
-            steps = draw_schedule(number, minutes * 60)
+            steps = draw_schedule(number, minutes * 60, runner_starts)
         else:
             steps = from_text(schedule.read_text())
         deployment = PlatformDeployment(routers, 3, 3, has_relays=True)
--- a/scripts/soak_runner_faults.py
+++ b/scripts/soak_runner_faults.py
@@ -24,6 +24,9 @@
 ANSWERS_OVER_S = 5.0
 """How long a harmed link to a runner counts as harmed at the least: requests on it take as long."""
 
+RUNNER_RESTART_S = 0.3
+"""Pause between a runner's end and its next start under the same id, in seconds."""
+
 SETTLED_S = 1.0
 """How long a router that was started anew counts as in trouble once it says that it is ready."""
 
@@ -82,6 +85,75 @@
             self._unlist(old)
             self.departures.append(Departure(old.instance, time.monotonic()))
 
+    def _restart_runner(self, step: Step) -> None:
+        """A runner starts again under its id: killed, behind silent connections, or in a drain."""
+        ways = (self._kill_runner, self._kill_behind_cut, self._restart_in_drain)
+        way = ways[step.targets[0] // len(self._deployment.runners) % len(ways)]
+        for runner in self._runners(step):
+            way(runner)
+
+    def _start_again(self, runner: RunnerStandin, began_at: float) -> None:
+        runner.start_again()
+        if runner in self._deployment.runners:
+            self._deployment.list_runner(runner)
+        self._note(runner.instance, began_at, time.monotonic() + ANSWERS_OVER_S)
+
+    def _kill_runner(self, runner: RunnerStandin) -> None:
+        began_at = time.monotonic()
+        relay = self._deployment.relays[runner.instance]
+        relay.cut()
+
+        def start() -> None:
+            relay.restore()
+            self._start_again(runner, began_at)
+
+        self._later(RUNNER_RESTART_S, start)
+
+    def _kill_behind_cut(self, runner: RunnerStandin) -> None:
+        self._deployment.relays[runner.instance].silence_open()
+        self._start_again(runner, time.monotonic())
+
+    def _restart_in_drain(self, runner: RunnerStandin) -> None:
+        runner.is_draining = True
+        self._deployment.list_runner(runner)
+        began_at = time.monotonic()
+        self.departures.append(Departure(runner.instance, began_at))
+
+        def start() -> None:
+            self._depart_until(runner, began_at)
+            self._start_again(runner, time.monotonic())
+
+        self._later(SERVES_ON_S, start)
+
+    def _depart_until(self, runner: RunnerStandin, began_at: float) -> None:
+        """Note that a runner whose entry was no good has a good one from now on."""
+        now = time.monotonic()
+        self.departures = [
+            attrs.evolve(gone, until=now)
+            if (gone.instance, gone.at) == (runner.instance, began_at)
+            else gone
+            for gone in self.departures
+        ]
+
+    def _break_entries(self, step: Step) -> None:
+        """Another writer puts something else in the place of some entries."""
+        for number, runner in enumerate(self._runners(step)):
+            if runner.instance in self._deployment.broken_entries:
+                continue
+            broken = _broken(runner.entry(), step.targets[0] + number)
+            self._deployment.broken_entries[runner.instance] = broken
+            self._deployment.list_runner(runner)
+            began_at = time.monotonic()
+            self.departures.append(Departure(runner.instance, began_at))
+
+            def mend(runner: RunnerStandin = runner, began_at: float = began_at) -> None:
+                del self._deployment.broken_entries[runner.instance]
+                if runner in self._deployment.runners:
+                    self._depart_until(runner, began_at)
+                    self._deployment.list_runner(runner)
+
+            self._later(step.lasts_s, mend)
+
     def _unlist(self, runner: RunnerStandin) -> None:
         self._deployment.store.remove("servers", runner.instance)
 
@@ -144,6 +216,15 @@
         self._deployment.store.put("versions", MODEL, spec)
 
 
+def _broken(entry: dict[str, object], number: int) -> object:
+    """Return what another writer leaves of an entry."""
+    fields = sorted(set(entry) - {"models", "born"})
+    field = fields[number % len(fields)]
+    without = {name: value for name, value in entry.items() if name != field}
+    ways: list[object] = [without, {**entry, field: None}, {**entry, "slots": "8"}, "text", None]
+    return ways[number // len(fields) % len(ways)]
+
+
 def mute(relay: FaultyRelay) -> None:
     """Hold back what comes from the far end, until it is restored."""
     relay.is_mute = True
--- a/src/martenrun/platform/standins/runner.py
+++ b/src/martenrun/platform/standins/runner.py
@@ -74,6 +74,7 @@
         self.is_draining = False
         self.born_ms = int(time.time() * 1000)
         self.orders: list[dict[str, object]] = []
+        self.earlier_orders: list[dict[str, object]] = []
         self.runs: list[Run] = []
         self.ends: list[RunEnd] = []
         self.fault: Callable[[], Fault] = lambda: Fault.NONE
@@ -87,6 +88,13 @@
         self._server.shutdown()
         self._server.server_close()
 
+    def start_again(self) -> None:
+        """Start anew under the same id: streams under way break off, counts and fences are gone."""
+        self.born_ms = max(self.born_ms + 1, int(time.time() * 1000))
+        self.earlier_orders += self.orders
+        self.orders = []
+        self.is_draining = False
+
     def entry(self) -> dict[str, object]:
         """Return the runner's entry in the store."""
         return {
@@ -170,7 +178,7 @@
             is_whole = False
             try:
                 self._stream(fault)
-                is_whole = fault is not Fault.CUT_MIDWAY
+                is_whole = not self.close_connection
             finally:
                 end = RunEnd(self._request_id(), time.monotonic(), is_whole)
                 self.runner.ends.append(end)
@@ -202,6 +210,7 @@
 
     def _stream(self, fault: Fault) -> None:
         first = int(self.headers.get("Last-Event-Id") or 0) + 1
+        born_ms = self.runner.born_ms
         self.send_response(200)
         self.send_header("X-Request-Id", self._request_id())
         for name, value in self._signature().items():
@@ -211,6 +220,9 @@
         self.end_headers()
         for number in range(first, self.runner.events + 1):
             data = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            if self.runner.born_ms != born_ms:
+                self.close_connection = True
+                return
             if fault is Fault.CUT_MIDWAY and number == first + 2:
                 self.wfile.write(b"%x\r\n%b" % (len(data), data[:5]))
                 self.close_connection = True
--- a/tests/router/test_soak.py
+++ b/tests/router/test_soak.py
@@ -14,6 +14,7 @@
 
 from martenrun.proof.soak_schedule import (
     LASTING,
+    RUNNER_KINDS,
     STRUCK_AT_ONCE,
     draw_schedule,
     from_text,
@@ -43,6 +44,22 @@
     assert " 0 violations" in result.output
 
 
+def test_promises_hold_while_runners_start_again_and_entries_are_broken(tmp_path):
+    options = ["--minutes", "0.25", "--seed", "5001", "--runner-starts"]
+    result = CliRunner().invoke(soak, [*options, "--keep-logs", str(tmp_path / "logs")])
+    assert result.exit_code == 0, result.output
+    assert " 0 violations" in result.output
+
+
+def test_series_of_runners_come_on_top_of_a_seeds_schedule():
+    """Seeds that broke a promise once stay as they were."""
+    for seed in range(20):
+        steps, more = draw_schedule(seed, 60.0), draw_schedule(seed, 60.0, True)
+        added = [step for step in more if step.kind in RUNNER_KINDS]
+        assert {step.kind for step in added} == set(RUNNER_KINDS)
+        assert [step for step in more if step not in added] == steps
+
+
 def test_a_schedule_is_drawn_from_its_seed_and_can_be_written_and_read():
     steps = draw_schedule(7, 60.0)
     assert steps == draw_schedule(7, 60.0) != draw_schedule(8, 60.0)
--- a/tests/router/test_whole_path.py
+++ b/tests/router/test_whole_path.py
@@ -237,6 +237,21 @@
         return False
 
 
+def test_runners_that_drained_and_start_again_under_their_id_are_used(deployment):
+    runners = [runner for runner in deployment.runners if runner.model is None]
+    for runner in runners:
+        runner.is_draining = True
+        deployment.list_runner(runner)
+    deployment.wait(lambda: deployment.ask("/slip/x", "drained").status == 503)
+    runners[0].start_again()
+    deployment.list_runner(runners[0])
+    deployment.wait(lambda: deployment.ask("/slip/x", "started").status == 200)
+    assert {run.instance for run in deployment.runs_of("started")} == {runners[0].instance}
+    for runner in runners[1:]:
+        runner.start_again()
+        deployment.list_runner(runner)
+
+
 def test_a_planned_stop_cuts_nothing_off(deployment):
     """Runs last: it ends one of the routers."""
     router = deployment.routers[1]
--- a/tests/router/unguarded_router.py
+++ b/tests/router/unguarded_router.py
@@ -36,6 +36,20 @@
     RunnerDirectory.remove = lambda self, instance: None
 
 
+def keep_unreadable_entries():
+    """Go on using a runner whose entry can no longer be read, or is gone."""
+    from martenrun.router.knowledge import RunnerDirectory
+
+    RunnerDirectory.remove = lambda self, name: None
+
+
+def tell_no_starts_apart():
+    """Take a runner that starts again under its id for the one before."""
+    from martenrun.platform import contents
+
+    contents.life_key = lambda name, _born_ms: name
+
+
 def serve_no_new_connection():
     """Leave callers' new connections unserved after the first seconds."""
     import time
@@ -74,6 +88,8 @@
 GUARDS = {
     "directory": name_everybody,
     "leaving": send_to_leaving_runners,
+    "entries": keep_unreadable_entries,
+    "served again": tell_no_starts_apart,
     "connections": serve_no_new_connection,
     "left": work_on_for_callers_that_left,
     "own end": end_at_a_hang_up,
