--- a/src/martenrun/router/knowledge.py
+++ b/src/martenrun/router/knowledge.py
@@ -85,11 +85,16 @@
         """
         for version, age_ms in versions:
             since = told_at - age_ms / 1000.0
-            self._since[version] = min(since, self._since.get(version, since))
+            known = self._since.get(version)
+            if known is not None and known <= since:
+                continue
+            self._since[version] = since
             if version > self.version:
-                self._behind_since = min(since, self._behind_since or since)
-        for version in sorted(self._since)[:-REMEMBERED_VERSIONS]:
-            del self._since[version]
+                behind_since = self._behind_since
+                self._behind_since = since if behind_since is None else min(since, behind_since)
+        if len(self._since) > REMEMBERED_VERSIONS:
+            for version in sorted(self._since)[:-REMEMBERED_VERSIONS]:
+                del self._since[version]
 
     def told(self, now: float) -> list[tuple[int, int]]:
         """Return the last versions that are in force somewhere, and for how long, as in hear()."""
--- a/src/martenrun/router/knowledge_feed.py
+++ b/src/martenrun/router/knowledge_feed.py
@@ -23,6 +23,7 @@
     ) -> None:
         self._world = world
         self._metrics = metrics
+        self._newest_revision = 0
         listeners = {
             Dataset.CONFIGURATION: CopyListener(self.put_configuration, _ignored, _nothing),
             Dataset.RUNNERS: CopyListener(
@@ -41,7 +42,10 @@
             self._world.configuration.confirm(confirmed_at)
 
     def put_configuration(self, stored: StoredObject) -> None:
-        """Put a configuration in force, unless it cannot be read."""
+        """Put a configuration in force, unless it cannot be read or a newer one has come."""
+        if stored.revision < self._newest_revision:
+            return
+        self._newest_revision = stored.revision
         configuration = decoded(stored, self._world.dialect.read_configuration)
         if configuration is None:
             self._count_unreadable(Dataset.CONFIGURATION)
--- a/tests/router/test_broken_entries.py
+++ b/tests/router/test_broken_entries.py
@@ -148,6 +148,16 @@
     assert fed.configuration.age_s(102.0) == 2.0
 
 
+def test_an_older_good_configuration_that_comes_late_confirms_nothing():
+    """A caller's denial reads it once more by itself, while the watch tells of a broken one."""
+    fed = Fed()
+    good = {"version": 2, "routes": [], "services": []}
+    fed.put(Dataset.CONFIGURATION, "main", good)
+    fed.put(Dataset.CONFIGURATION, "main", {"version": "3"})
+    fed.feed.put_configuration(StoredObject("main", 1, good))
+    assert not fed.configuration.confirm(101.0)
+
+
 @pytest.mark.parametrize("content", [*OTHERS, {"model": "m"}, {"model": "m", "version": "4"}])
 def test_broken_weights_name_no_version(content):
     fed = Fed()
