A refusal that arrives is no reader that was reached

Ruled out: seeds alone (they read at once, but only while they are among the chosen; here they hash last). Change: only parts of good answers are heard of.

--- a/src/martenrun/router/store_client.py
+++ b/src/martenrun/router/store_client.py
@@ -19,6 +19,8 @@
 KEPT_CONNECTIONS = 4
 """Idle connections kept to one address."""
 
+HTTP_OK = 200
+
 SILENCE_S = 0.6
 """How long an answer that has begun may stand still, in seconds."""
 
@@ -39,7 +41,8 @@
 
     Args:
         timeout_s: how long nothing at all may come, in seconds.
-        on_heard: called whenever a part of the answer has come.
+        on_heard: called whenever a part of a good answer has come: a refusal is none, however
+            quickly it arrives.
         longest_s: by when the answer must be whole, in seconds.
     """
 
@@ -89,7 +92,8 @@
 
     def _hear(self) -> None:
         self._heard_at = self._loop.now()
-        self._on_heard()
+        if self._status == HTTP_OK:
+            self._on_heard()
 
     def _look(self) -> None:
         """Give the call up unless its answer is arriving; then look again later."""
--- a/tests/router/test_fleet.py
+++ b/tests/router/test_fleet.py
@@ -7,9 +7,10 @@
 
 import pytest
 
-from martenrun.router.readers import READERS
+from martenrun.router.readers import READERS, strong_first
 
 from .fleet_world import DATASETS, Fleet
+from .link_world import LinkedFleet
 
 CALLS_PER_S = 6
 """Calls of all readers a second while nothing changes: three watches of 0.8 to 2.5 s each."""
@@ -100,3 +101,22 @@
         fleet.loop.call_later(number * 0.1, fleet.store.change)
     calls, _ = watch(fleet, 5.0)
     assert calls <= 5 * (CALLS_PER_S + READERS * 5)
+
+
+@pytest.mark.parametrize("count", [7, 60])
+def test_all_that_start_while_the_store_is_down_know_of_its_return(count):
+    """A hunted day: all lost power during an outage, and nobody read the store for 27 s after it.
+
+    Each asked the others, who knew nothing; their refusals arrived, and counted as readers reached.
+    """
+    fleet = LinkedFleet(1, count)
+    # Seeds read at once; here they are the last to be chosen.
+    fleet.addresses = strong_first(b"readers", dict.fromkeys(fleet.addresses, 1.0))[::-1]
+    fleet.capacities = dict.fromkeys(fleet.addresses, 1.0)
+    fleet.change_configuration(10)
+    fleet.store.is_down = True
+    fleet.start_all()
+    fleet.world.run(8.0)
+    fleet.store.is_down = False
+    fleet.world.run(6.0)
+    assert fleet.oldest_s() < OLDEST_S
--- a/tests/router/test_store_client.py
+++ b/tests/router/test_store_client.py
@@ -43,6 +43,14 @@
     assert call.heard == 11
 
 
+def test_a_refusal_that_arrives_is_not_heard_of_as_an_answer():
+    call = Call()
+    call.reader.on_head(503, [], None)
+    call.reader.on_body(b"x")
+    call.reader.on_complete()
+    assert call.heard == 0 and call.answers[0].status == 503
+
+
 def test_a_call_that_hears_nothing_is_given_up_in_time():
     call = Call()
     call.run(TIMEOUT_S + 0.01)
