--- a/tests/router/test_gossip_world.py
+++ b/tests/router/test_gossip_world.py
@@ -214,3 +214,36 @@
     ((record, told_at),) = hearer.table.told()
     assert record.configurations == [(8, 1_500)]
     assert told_at == pytest.approx(hearer.now() - 0.1, abs=0.01)
+
+
+class StandingStill:
+    """A socket whose router stands still for 6 s between two datagrams that it reads in one go."""
+
+    def __init__(self, loop, datagrams):
+        self._loop = loop
+        self._datagrams = list(datagrams)
+
+    def recvfrom(self, _size):
+        if not self._datagrams:
+            raise BlockingIOError
+        if len(self._datagrams) == 1:
+            self._loop.time += 6.0
+        return self._datagrams.pop(0), None
+
+
+def test_what_waited_while_a_router_stood_still_in_the_middle_of_reading_is_old():
+    """How late a round is served is taken before its datagrams are read: a stop in between is lost.
+
+    Found while the soak's seed 3004 was traced, where three routers that had left were named for
+    3.6 s more; there the lateness was lost in another way, see docs/findings.md.
+    """
+    world = GossipWorld(1)
+    world.start("10.0.0.1:7")
+    world.run(1.0)
+    peers = world.routers["10.0.0.1:7"]
+    gossip = [
+        encode(Gossip([router_record(address, beat=5)])) for address in ("10.0.0.2:7", "10.0.0.3:7")
+    ]
+    peers._socket = StandingStill(world.loop, gossip)
+    peers._receive()
+    assert "10.0.0.3:7" not in peers.named()
