--- a/src/martenrun/net/loop.py
+++ b/src/martenrun/net/loop.py
@@ -1,7 +1,8 @@
 """The selector loop of a router process: readiness of sockets, timers, signals.
 
 Everything of the process runs on the thread that calls :meth:`Loop.run`.  Times are seconds of
-the steady clock.
+:mod:`martenrun.net.clock`.  The waits themselves do not count suspended time: a wait may end long
+after it was due, with or without events.
 """
 
 import heapq
@@ -9,10 +10,10 @@
 import selectors
 import signal
 import socket
-import time
 from collections.abc import Callable
 from typing import Any
 
+from martenrun.net import clock
 from martenrun.net.pacing import Pacer
 from martenrun.router.log import log_failure
 
@@ -22,6 +23,9 @@
 LONGEST_WAIT_S = 1.0
 """Longest time that the loop waits without any event, in seconds."""
 
+OVERSLEPT_S = 0.05
+"""How much later than asked for a wait may end without a second look at the sockets, in seconds."""
+
 COMPACT_TIMERS_AT = 512
 """Number of cancelled timers from which the heap is built anew."""
 
@@ -53,8 +57,6 @@
 
     Attributes:
         pacer: deals the machine's link out to the large writes of all streams.
-        late_s: how long what is served in this round may have been ready already, in seconds: much
-            after a long call, or after the process stood still.
     """
 
     def __init__(self) -> None:
@@ -65,17 +67,25 @@
         self._signals: list[int] = []
         self._on_signal: dict[int, Callable[[], None]] = {}
         self.pacer = Pacer(self.call_later)
-        self.late_s = 0.0
-        self._polled_at = time.monotonic()
+        self._polled_at = clock.now()
+        self._ready_since = self._polled_at
 
     @staticmethod
     def now() -> float:
-        """Return the steady clock, in seconds."""
-        return time.monotonic()
+        """Return the time, in seconds."""
+        return clock.now()
+
+    @property
+    def late_s(self) -> float:
+        """How long what is served now may have been ready already, in seconds.
+
+        That is much after a long call, or after the process or its machine stood still.
+        """
+        return clock.now() - self._ready_since
 
     def call_later(self, delay_s: float, call: Callable[[], None]) -> Timer:
         """Make ``call`` once, ``delay_s`` seconds from now."""
-        timer = Timer(self, time.monotonic() + delay_s, call)
+        timer = Timer(self, clock.now() + delay_s, call)
         heapq.heappush(self._timers, timer)
         return timer
 
@@ -117,12 +127,16 @@
 
     def run_once(self) -> None:
         """Wait for the next event or timer and serve what is due."""
-        waits_from = time.monotonic()
+        waits_from = clock.now()
         wait_s = self._wait_s(waits_from)
         events = self._selector.select(wait_s)
-        polled_at = time.monotonic()
+        if clock.now() - waits_from - wait_s > OVERSLEPT_S:
+            # A wait that was over before the process stood still tells nothing of what came then:
+            # looked at in the next round only, it would count as new.
+            events = self._selector.select(0.0)
+        polled_at = clock.now()
         overslept_s = max(0.0, polled_at - waits_from - wait_s)
-        self.late_s = waits_from - self._polled_at + overslept_s
+        self._ready_since = self._polled_at + (polled_at - waits_from) - overslept_s
         self._polled_at = polled_at
         for key, ready in events:
             _guarded(key.data, ready)
@@ -138,7 +152,7 @@
         return min(LONGEST_WAIT_S, max(0.0, self._timers[0].due_at - now))
 
     def _run_timers(self) -> None:
-        now = time.monotonic()
+        now = clock.now()
         while self._timers and self._timers[0].due_at <= now:
             timer = heapq.heappop(self._timers)
             if timer.is_cancelled:
--- a/src/martenrun/net/pacing.py
+++ b/src/martenrun/net/pacing.py
@@ -7,9 +7,10 @@
 
 import collections
 import math
-import time
 from collections.abc import Callable
 
+from martenrun.net import clock
+
 SMALL_WRITE_BYTES = 2_048
 """Writes up to this size leave at once."""
 
@@ -37,7 +38,7 @@
     def __init__(
         self,
         call_later: Callable[[float, Callable[[], None]], object],
-        now: Callable[[], float] = time.monotonic,
+        now: Callable[[], float] = clock.now,
     ) -> None:
         self._call_later = call_later
         self._now = now
--- a/src/martenrun/router/log.py
+++ b/src/martenrun/router/log.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from martenrun.net import clock
+
 LINES_PER_KIND_PER_S = 20
 """Lines of one kind of event written in one second."""
 
@@ -54,7 +56,7 @@
 
     def write(self, event: str, is_failure: bool, fields: dict[str, Value]) -> None:
         """Write one line, unless the budget of its kind is spent."""
-        second = int(time.monotonic())
+        second = int(clock.now())
         if second != self._second:
             self._begin_second(second)
         kind = "failure" if is_failure else event
@@ -96,7 +98,7 @@
         fields = {name: value for name, value in fields.items() if value is not None}
         head = {
             "at": round(time.time(), 4),
-            "steady": round(time.monotonic(), 4),
+            "steady": round(clock.now(), 4),
             "node": self._node,
             "event": event,
         }
--- a/src/martenrun/router/peers.py
+++ b/src/martenrun/router/peers.py
@@ -244,9 +244,11 @@
             return
 
     def _receive(self) -> None:
-        """Read what has come, with how long it may have waited in the socket."""
+        """Read what has come, with the earliest time at which it may have arrived."""
         late_s = self._loop.late_s + self._unread_late_s
-        self._unread_late_s = late_s
+        # Fixed before the first read: however long the process stands still between two of them,
+        # what it reads after that may have waited since then.
+        arrived_at = self._loop.now() - late_s
         for _ in range(DATAGRAMS_PER_ROUND):
             try:
                 data, _sender = self._socket.recvfrom(LONGEST_DATAGRAM)
@@ -258,13 +260,15 @@
             except msgspec.MsgspecError:
                 log_trouble("datagram_unreadable", length=len(data))
                 continue
-            self._take(message, late_s)
+            self._take(message, arrived_at)
+        self._unread_late_s = late_s
 
-    def _take(self, message: Message, late_s: float) -> None:
+    def _take(self, message: Message, arrived_at: float) -> None:
         if isinstance(message, News):
             self._on_news(message)
             return
         now = self._loop.now()
+        late_s = now - arrived_at
         if isinstance(message, ZoneLoads):
             self._on_sums(message)
             return
--- a/tests/router/gossip_world.py
+++ b/tests/router/gossip_world.py
@@ -77,7 +77,7 @@
         if self.is_still:
             self.waiting.append(data)
         elif not self.is_off:
-            self._take(decode(data), self._loop.late_s)
+            self._take(decode(data), self._loop.now() - self._loop.late_s)
 
     def named(self):
         """Return the addresses of the routers that this one counts as alive."""
--- a/tests/router/test_log.py
+++ b/tests/router/test_log.py
@@ -40,7 +40,7 @@
 def test_routine_lines_are_bounded_and_failures_still_written(pipe, monkeypatch):
     reader, writer = pipe
     clock = [100.0]
-    monkeypatch.setattr("martenrun.router.log.time.monotonic", lambda: clock[0])
+    monkeypatch.setattr("martenrun.router.log.clock.now", lambda: clock[0])
     log = opened(writer)
     for number in range(LINES_PER_KIND_PER_S * 3):
         log.write("served", False, {"request": f"r{number}"})
@@ -58,7 +58,7 @@
 def test_a_reader_that_has_stopped_costs_neither_time_nor_memory(pipe, monkeypatch):
     reader, writer = pipe
     clock = [100.0]
-    monkeypatch.setattr("martenrun.router.log.time.monotonic", lambda: clock[0])
+    monkeypatch.setattr("martenrun.router.log.clock.now", lambda: clock[0])
     log = opened(writer)
     for number in range(20_000):
         clock[0] += 0.01
