A request under which three starts of runners ended is held back by all routers, over restarts

Cause: nothing connected the end of a runner with the request that it ran; each coming of the same body under a new request id, at any router, was a new request. Ruled out: repeats of one attempt (each arrival had an id of its own); a counter in each router (an end is seen by 1 to 6 of 7 routers, the request by one: three would never be known at one router). Change: evidence is a start of a runner that ended under a request (fingerprint of caller, target, method, body), proved by a refused connection or a later start; told to all at once as sets, again until the store holds it, written by those that read the store, followed by all as a fourth dataset. Three starts hold a request back (503 before it was sent, at once; 502 where it ran); success clears; beliefs end after 1 h, 2 h, ... 7 days, a single further end renews them. Suspects go to a runner of their own by hashing. A retry waits the milliseconds until the proof is there.

--- a/src/martenrun/net/stream.py
+++ b/src/martenrun/net/stream.py
@@ -50,6 +50,9 @@
         owner: told of everything that happens to it.
         is_opened: whether this side opens the connection; only such streams are paced.  What they
             send are prompts, which can wait; answers on accepted ones carry news to routers.
+
+    Attributes:
+        error: number of the system's error that kept the connection from coming up, or 0.
     """
 
     def __init__(
@@ -66,6 +69,7 @@
         self._was_high = False
         self._awaits_turn = False
         self.is_closed = False
+        self.error = 0
         self._watch()
 
     @property
@@ -140,8 +144,8 @@
             self._read()
 
     def _finish_connecting(self) -> None:
-        error = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if error:
+        self.error = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if self.error:
             self._break(False)
             return
         self._is_connecting = False
--- a/src/martenrun/platform/contents.py
+++ b/src/martenrun/platform/contents.py
@@ -11,6 +11,7 @@
 
 from martenrun.net.server import ServerLimits
 from martenrun.platform.objects import FAULTS
+from martenrun.router.blame_messages import BlameRecord
 from martenrun.router.messages import (
     Configuration,
     EngineLimits,
@@ -139,6 +140,21 @@
     ages_ms: dict[str, list[tuple[int, int]]] = {}
 
 
+class _EndedStart(msgspec.Struct):
+    start: _Text
+    age_ms: _Count
+
+
+class _Blamed(msgspec.Struct):
+    fingerprint: Annotated[str, msgspec.Meta(pattern="^([0-9a-f]{2})+$")]
+    ended: list[_EndedStart]
+    whole_ms: _Count | None = None
+
+
+class _Blame(msgspec.Struct):
+    requests: list[_Blamed] = []
+
+
 Wire = TypeVar("Wire")
 
 
@@ -279,3 +295,29 @@
         "released_idle_ms": None if idle_s is None else round(idle_s * _MS),
         "ages_ms": lease.ages_ms,
     }
+
+
+def read_blame(stored: StoredObject) -> list[BlameRecord]:
+    """Translate what routers keep of requests that end runners; raises UnreadableError."""
+    spec = _read(stored.spec, _Blame, "blame")
+    return [
+        BlameRecord(
+            bytes.fromhex(item.fingerprint),
+            [(each.start, each.age_ms) for each in item.ended],
+            item.whole_ms,
+        )
+        for item in spec.requests
+    ]
+
+
+def blame_spec(records: list[BlameRecord]) -> object:
+    """Return the content of the object that holds that."""
+    requests = [
+        {
+            "fingerprint": record.fingerprint.hex(),
+            "ended": [{"start": start, "age_ms": age_ms} for start, age_ms in record.ended],
+            "whole_ms": record.whole_ms,
+        }
+        for record in records
+    ]
+    return {"requests": requests}
--- a/src/martenrun/platform/objects.py
+++ b/src/martenrun/platform/objects.py
@@ -23,6 +23,7 @@
     Dataset.RUNNERS: "servers",
     Dataset.WEIGHTS: "versions",
     Dataset.LEASES: "router-leases",
+    Dataset.BLAME: "router-blame",
 }
 _ROOT = "/martenrun/objects/"
 _JSON = [(b"Content-Type", b"application/json")]
--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -80,6 +80,7 @@
         world.note_reading(state)
         self.connection: ClientConnection | None = None
         self.was_sent = False
+        self.was_cut_off = False
         self.status = 0
         self.headers: Headers = []
         self.body = bytearray()
@@ -156,6 +157,7 @@
             self.state.unanswered_since = self._began_at
         if was_sent and not self.status and self.connection is not None:
             self._world.pool.note_broken(self.connection)
+        self.was_cut_off = was_sent
         self._fail(Failure.BROKEN if was_sent else Failure.NOT_SENT)
 
     def cancel(self) -> None:
--- /dev/null
+++ b/src/martenrun/router/blame_table.py
@@ -0,0 +1,218 @@
+"""Which requests end the runners that run them: evidence, merged as sets, and what follows from it.
+
+A request is blamed for a *start* of a runner that ended while it ran there.  Every run beside it
+ends with it, so that one end says little; but whoever has run whole since is not to blame.  What
+routers tell each other are starts, never counts: what two routers saw of the same end is one.
+
+A request under which DEADLY_AFTER starts have ended is held back.  That belief ends by itself, the
+later the more starts have ended; then a single further end renews it, so that all routers together
+send such a request to one or two runners more each time.  Pure, apart from the times handed in.
+"""
+
+import collections
+import math
+
+import attrs
+
+from martenrun.router.blame_messages import BlameRecord
+from martenrun.router.fingerprint import CALLER_BYTES, OUTLINE_BYTES
+
+DEADLY_AFTER = 3
+"""Starts that must have ended under a request until it is held back.
+
+By chance three in a row are met by a few requests in a thousand where runners end once a second
+(measured, docs/design/deadly-requests.md); two would be met by ten times as many.
+"""
+
+DEADLY_AFTER_SUCCESS = 6
+"""The same for a request that is known to have run whole: a deadly one never does."""
+
+FIRST_HELD_S = 3_600.0
+LONGEST_HELD_S = 7 * 86_400.0
+"""How long a request is held back after the last start ended under it; twice as long each time."""
+
+SUSPECTED_S = 86_400.0
+"""How long fewer ends, or that a request ran whole, are remembered, in seconds."""
+
+MOST_BLAMED = 512
+"""Requests remembered, of 100 bytes or so each; those blamed least and longest ago give way."""
+
+MOST_OF_ONE_CALLER = MOST_BLAMED // 4
+"""The same for one caller, so that its many deadly requests push out nobody else's."""
+
+MOST_STARTS = 12
+"""Starts remembered of one request: with so many it is held back for the longest time."""
+
+MS_PER_S = 1000.0
+
+
+@attrs.define
+class Blame:
+    """What is known of one request: the starts that ended under it, and when it last ran whole."""
+
+    ended: dict[str, float] = attrs.field(factory=dict)
+    whole_at: float = -math.inf
+
+    @property
+    def last_at(self) -> float:
+        """When something was last learned of it."""
+        return max([self.whole_at, *self.ended.values()])
+
+    @property
+    def count(self) -> int:
+        """Starts that ended under it and that no success since has cleared it of."""
+        return sum(at > self.whole_at for at in self.ended.values())
+
+    @property
+    def limit(self) -> int:
+        """How many of them make it deadly."""
+        return DEADLY_AFTER if self.whole_at == -math.inf else DEADLY_AFTER_SUCCESS
+
+    def held_until(self) -> float:
+        """Return until when it is held back; minus infinity if it is not."""
+        excess = self.count - self.limit
+        if excess < 0:
+            return -math.inf
+        last_at = max(self.ended.values())
+        return last_at + min(LONGEST_HELD_S, FIRST_HELD_S * 2**excess)
+
+    def is_told(self, record: BlameRecord | None) -> bool:
+        """Whether a record tells all that is known."""
+        if record is None or (record.whole_ms is None and self.whole_at != -math.inf):
+            return False
+        return self.ended.keys() <= {start for start, _ in record.ended}
+
+    def forgotten_at(self) -> float:
+        """Return when nothing of it matters any more."""
+        return max(self.last_at + SUSPECTED_S, self.held_until() + SUSPECTED_S)
+
+
+class BlameTable:
+    """What is known of all blamed requests, by fingerprint."""
+
+    def __init__(self) -> None:
+        self._blamed: dict[bytes, Blame] = {}
+        self._outlines: collections.Counter[bytes] = collections.Counter()
+
+    def __len__(self) -> int:
+        return len(self._blamed)
+
+    def knows_outline(self, outline: bytes) -> bool:
+        """Whether a request of that outline may be known."""
+        return outline in self._outlines
+
+    def knows(self, fingerprint: bytes) -> bool:
+        """Whether anything is known of a request."""
+        return fingerprint in self._blamed
+
+    def starts(self, fingerprint: bytes) -> int:
+        """Return how many starts ended under a request since it last ran whole."""
+        blame = self._blamed.get(fingerprint)
+        return 0 if blame is None else blame.count
+
+    def held_for_s(self, fingerprint: bytes, now: float) -> float:
+        """Return for how long a request is still held back, in seconds; 0 if it is not."""
+        blame = self._blamed.get(fingerprint)
+        return 0.0 if blame is None else max(0.0, blame.held_until() - now)
+
+    def held(self, now: float) -> list[bytes]:
+        """Return the requests that are held back."""
+        return [key for key, blame in self._blamed.items() if blame.held_until() > now]
+
+    def note_ended(self, fingerprint: bytes, start: str, at: float) -> bool:
+        """Take in that a start ended under a request; return whether that is news."""
+        blame = self._blamed.get(fingerprint)
+        if blame is None:
+            blame = self._add(fingerprint)
+        known_at = blame.ended.get(start)
+        blame.ended[start] = at if known_at is None else min(at, known_at)
+        if len(blame.ended) > MOST_STARTS:
+            del blame.ended[min(blame.ended, key=blame.ended.__getitem__)]
+        if known_at is None:
+            self._make_room()
+        return known_at is None
+
+    def note_whole(self, fingerprint: bytes, at: float) -> bool:
+        """Take in that a request of which something is known ran whole; return whether it helps.
+
+        One that is clear is not told of again and again.
+        """
+        blame = self._blamed.get(fingerprint)
+        if blame is None:
+            return False
+        was_blamed = blame.count > 0 or blame.whole_at == -math.inf
+        blame.whole_at = max(blame.whole_at, at)
+        return was_blamed
+
+    def clear(self, fingerprint: bytes, now: float) -> bool:
+        """Take in that an operator holds a request to be harmless."""
+        return self.note_whole(fingerprint, now)
+
+    def records(self, now: float, only: set[bytes] | None = None) -> list[BlameRecord]:
+        """Return what is known of some requests, or of all, with ages in milliseconds."""
+        return [
+            BlameRecord(
+                key,
+                [(start, _age_ms(at, now)) for start, at in blame.ended.items()],
+                None if blame.whole_at == -math.inf else _age_ms(blame.whole_at, now),
+            )
+            for key, blame in self._blamed.items()
+            if only is None or key in only
+        ]
+
+    def merge(self, records: list[BlameRecord], now: float) -> set[bytes]:
+        """Take in what another router, or the store, tells; return what is news."""
+        news = set()
+        for record in records:
+            if len(record.fingerprint) <= OUTLINE_BYTES:
+                continue
+            for start, age_ms in record.ended[-MOST_STARTS:]:
+                if self.note_ended(record.fingerprint, start, now - age_ms / MS_PER_S):
+                    news.add(record.fingerprint)
+            if record.whole_ms is not None and self.note_whole(
+                record.fingerprint, now - record.whole_ms / MS_PER_S
+            ):
+                news.add(record.fingerprint)
+        return news
+
+    def lacking(self, records: list[BlameRecord]) -> set[bytes]:
+        """Return the requests of which the records do not tell all that is known here."""
+        told = {record.fingerprint: record for record in records}
+        return {key for key, blame in self._blamed.items() if not blame.is_told(told.get(key))}
+
+    def forget(self, now: float) -> None:
+        """Drop what does not matter any more."""
+        for key in [k for k, blame in self._blamed.items() if blame.forgotten_at() < now]:
+            self._drop(key)
+
+    def _add(self, fingerprint: bytes) -> Blame:
+        blame = self._blamed[fingerprint] = Blame()
+        self._outlines[fingerprint[:OUTLINE_BYTES]] += 1
+        return blame
+
+    def _drop(self, fingerprint: bytes) -> None:
+        del self._blamed[fingerprint]
+        outline = fingerprint[:OUTLINE_BYTES]
+        self._outlines[outline] -= 1
+        if not self._outlines[outline]:
+            del self._outlines[outline]
+
+    def _make_room(self) -> None:
+        """Let those blamed least and longest ago give way: first of a caller that has too many."""
+        callers = collections.Counter(key[:CALLER_BYTES] for key in self._blamed)
+        caller, count = callers.most_common(1)[0]
+        if count > MOST_OF_ONE_CALLER:
+            keys = [key for key in self._blamed if key[:CALLER_BYTES] == caller]
+        elif len(self._blamed) > MOST_BLAMED:
+            keys = list(self._blamed)
+        else:
+            return
+        self._drop(min(keys, key=self._weight))
+
+    def _weight(self, fingerprint: bytes) -> tuple[int, float]:
+        blame = self._blamed[fingerprint]
+        return blame.count, blame.last_at
+
+
+def _age_ms(at: float, now: float) -> int:
+    return max(0, int((now - at) * MS_PER_S))
--- a/src/martenrun/router/dialect.py
+++ b/src/martenrun/router/dialect.py
@@ -9,6 +9,7 @@
 import attrs
 
 from martenrun.net.http import Headers, HttpRequest
+from martenrun.router.blame_messages import BlameRecord
 from martenrun.router.messages import (
     AnswerMarks,
     Call,
@@ -63,6 +64,7 @@
         read_page, read_changes, read_stored: bodies of the store's answers.
         read_configuration, read_runner, read_weights, read_lease: contents of objects.
         lease_spec: content of a lease object.
+        read_blame, blame_spec: what routers keep of requests that end runners.
         order_weights, read_order_outcome: an order and the status it is answered with.
         ask_report, read_report: a runner's report.
         directory_zone: the asker's zone if a request asks for addresses, else None.
@@ -87,6 +89,8 @@
     read_runner: Callable[[StoredObject], Runner]
     read_weights: Callable[[StoredObject], WantedWeights]
     read_lease: Callable[[StoredObject], LeaseRecord]
+    read_blame: Callable[[StoredObject], list[BlameRecord]]
+    blame_spec: Callable[[list[BlameRecord]], object]
     lease_spec: Callable[[LeaseRecord], object]
     order_weights: Callable[[WeightsOrder], HttpCall]
     read_order_outcome: Callable[[int], OrderOutcome]
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -58,6 +58,7 @@
         self._figures = world.decisions.forwarding
         self._guard = world.guard(admitted.service)
         self._groups = request_groups(admitted)
+        self._run: bytes | None = None
         self.is_over = False
         exchange.on_gone = self._on_gone
         exchange.on_drained = lambda: self._pause(False)
@@ -86,6 +87,11 @@
     def _look_for_runner(self) -> None:
         if self.is_over:
             return
+        held_s = self._world.suspects.held_for_s(self._known_run())
+        if held_s:
+            # It has ended all runners that ran it: refused here it ends no more of them.
+            self._refuse("ends_runners", held_s)
+            return
         state = self._choose()
         if state is None:
             self._wait_or_refuse("no_runner")
@@ -117,7 +123,15 @@
     # Sending
 
     def _question(self) -> PlacementQuestion:
-        return placement_question(self._world, self._admitted, self._tried)
+        run = self._known_run()
+        apart_by = run if self._world.suspects.is_suspect(run) else None
+        return placement_question(self._world, self._admitted, self._tried, apart_by)
+
+    def _known_run(self) -> bytes | None:
+        """Return this request's fingerprint if something is known of requests like it."""
+        if self._run is None:
+            self._run = self._world.suspects.fingerprint(self._exchange.request, self._admitted)
+        return self._run
 
     def _choose(self) -> RunnerState | None:
         states = self._world.runner_states(self._admitted.service)
@@ -193,12 +207,14 @@
         if self._splitter.has_rest:
             self.on_failure(Failure.BROKEN, attempt)
             return
+        self._world.suspects.note_whole(self._known_run())
         self._begin_stream()
         self._exchange.end()
         self._end("served", attempt)
 
     def on_whole(self, attempt: Attempt) -> None:
         """A buffered answer is whole."""
+        self._world.suspects.note_whole(self._known_run())
         if attempt.status >= STATUS_SERVER_ERROR and self._admitted.route.may_repeat:
             self.on_failure(Failure.RUN_FAILED, attempt)
         else:
@@ -216,10 +232,26 @@
         if self.is_over:
             return
         self._attempt = None
-        now = self._world.loop.now()
         if failure in (Failure.BROKEN, Failure.RUN_FAILED):
             self._runs += 1
         self._splitter.restart()
+        if not attempt.was_cut_off:
+            self._go_on(failure, attempt)
+            return
+        suspects = self._world.suspects
+        suspects.note_broken(attempt.state, self._exchange.request, self._admitted)
+        if self._admitted.route.may_repeat:
+            # Milliseconds later it is known whether the runner has ended under this request.
+            instance = attempt.state.runner.instance
+            suspects.watch.when_known(instance, lambda: self._go_on(failure, attempt))
+        else:
+            self._go_on(failure, attempt)
+
+    def _go_on(self, failure: Failure, attempt: Attempt) -> None:
+        """Send the request again or end it."""
+        if self.is_over:
+            return
+        now = self._world.loop.now()
         state = self._choose()
         step = next_step(failure, self._try_state(state is not None, now))
         self._trail.note(
@@ -252,6 +284,7 @@
             left_s=admitted.give_up_at - now,
             is_within_budget=self._is_within_budget(),
             has_other_runner=has_other_runner,
+            is_held_back=self._world.suspects.held_for_s(self._known_run()) > 0,
         )
 
     def _is_within_budget(self) -> bool:
@@ -312,6 +345,8 @@
         attempt = self._attempt
         if attempt is not None and self._world.runners.has_ended(attempt.state.runner):
             attempt.cancel()
+            request = self._exchange.request
+            self._world.suspects.note_left(attempt.state, request, self._admitted)
             self.on_failure(Failure.BROKEN, attempt)
 
     def shut_down(self) -> None:
--- a/src/martenrun/router/keeper.py
+++ b/src/martenrun/router/keeper.py
@@ -31,10 +31,16 @@
 others in turn.
 """
 
-WAITS_S = {Dataset.CONFIGURATION: 0.8, Dataset.RUNNERS: 2.0, Dataset.WEIGHTS: 2.5}
+WAITS_S = {
+    Dataset.CONFIGURATION: 0.8,
+    Dataset.RUNNERS: 2.0,
+    Dataset.WEIGHTS: 2.5,
+    Dataset.BLAME: 10.0,
+}
 """How long one watch of each dataset waits.
 
-What it tells is as old as its sending, so that knowledge grows as old as two waits.
+What it tells is as old as its sending, so that knowledge grows as old as two waits.  Of requests
+that end runners routers tell each other at once: that watch serves those that come later.
 """
 
 RESTS_S = {Dataset.RUNNERS: 0.2}
--- a/src/martenrun/router/knowledge.py
+++ b/src/martenrun/router/knowledge.py
@@ -134,6 +134,10 @@
         """Take in that the entry of a runner is gone, or that it cannot be read any more."""
         self.runners.pop(self._lives.pop(name, ""), None)
 
+    def listed_at(self, address: str) -> list[str]:
+        """Return the instances listed at an address."""
+        return [key for key, runner in self.runners.items() if runner.address == address]
+
     def has_ended(self, runner: Runner) -> bool:
         """Whether a later start under the same id is known: this one works on nothing any more."""
         return self._lives.get(runner.name, runner.instance) != runner.instance
--- a/src/martenrun/router/knowledge_feed.py
+++ b/src/martenrun/router/knowledge_feed.py
@@ -30,6 +30,7 @@
                 self._put_runner, world.runners.remove, on_runners_settled
             ),
             Dataset.WEIGHTS: CopyListener(self._put_weights, _ignored, _nothing),
+            Dataset.BLAME: CopyListener(self._put_blame, _ignored, _nothing),
         }
         self.copies: Mapping[Dataset, DatasetCopy] = {
             dataset: DatasetCopy(dataset, listener) for dataset, listener in listeners.items()
@@ -69,6 +70,13 @@
         else:
             self._world.weights.take(wanted, self._world.loop.now())
 
+    def _put_blame(self, stored: StoredObject) -> None:
+        records = decoded(stored, self._world.dialect.read_blame)
+        if records is None:
+            self._count_unreadable(Dataset.BLAME)
+        else:
+            self._world.suspects.take_stored(records)
+
     def _count_unreadable(self, dataset: Dataset) -> None:
         self._metrics.count("objects_unreadable", dataset=dataset.value)
 
--- a/src/martenrun/router/messages.py
+++ b/src/martenrun/router/messages.py
@@ -210,6 +210,7 @@
     RUNNERS = "runners"
     WEIGHTS = "weights"
     LEASES = "leases"
+    BLAME = "blame"
 
 
 @attrs.frozen
--- a/src/martenrun/router/peer_messages.py
+++ b/src/martenrun/router/peer_messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from martenrun.identity.rendezvous import weight
+from martenrun.router.blame_messages import BlameNews
 
 
 class RunnerLoad(msgspec.Struct, array_like=True, frozen=True):
@@ -133,7 +134,16 @@
     is_passed_on: bool = False
 
 
-Message = Gossip | RecordsWanted | WeightsNews | LeaseNews | SilenceNews | ReadingNews | ZoneLoads
+Message = (
+    Gossip
+    | RecordsWanted
+    | WeightsNews
+    | LeaseNews
+    | SilenceNews
+    | ReadingNews
+    | ZoneLoads
+    | BlameNews
+)
 
 decode: Callable[[bytes], Message] = msgspec.msgpack.Decoder(Message).decode
 """Read a datagram; raises msgspec.MsgspecError if it is no message."""
--- a/src/martenrun/router/peers.py
+++ b/src/martenrun/router/peers.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from martenrun.net.loop import READ, Loop
+from martenrun.router.blame_messages import BlameNews
 from martenrun.router.log import log_trouble
 from martenrun.router.peer_messages import (
     Gossip,
@@ -68,7 +69,7 @@
 
 LONGEST_DATAGRAM = 60_000
 
-News = WeightsNews | LeaseNews | SilenceNews
+News = WeightsNews | LeaseNews | SilenceNews | BlameNews
 """What is told to all routers at once."""
 
 DATAGRAMS_PER_ROUND = 64
@@ -83,10 +84,11 @@
         own: this router's record; its beat rises here.
         seeds: addresses to send to while no other router is known.
         refresh: fills in what changes in the own record before it is sent.
-        on_news: called with news of a runner's weights or silence, or of the lease on orders.
+        on_news: called with news that went to all routers at once.
         on_records: called after records were taken in.
         on_reading: called with a runner's instance once a router's load there has been taken in.
         on_sums: called with sums of loads over other zones.
+        newcomer_news: returns what a router heard of for the first time is told, of so many.
     """
 
     def __init__(
@@ -99,6 +101,7 @@
         on_records: Callable[[], None],
         on_reading: Callable[[str], None],
         on_sums: Callable[[ZoneLoads], None] = lambda _sums: None,
+        newcomer_news: Callable[[int], News | None] = lambda _routers: None,
     ) -> None:
         self._loop = loop
         self.table = RouterTable(own)
@@ -108,6 +111,7 @@
         self._on_records = on_records
         self._on_reading = on_reading
         self._on_sums = on_sums
+        self._newcomer_news = newcomer_news
         self._told_at = -math.inf
         self._tells_later = False
         self._heard_since: float | None = None
@@ -279,6 +283,9 @@
             if self.table.take_reading(message, now, late_s):
                 self._on_reading(message.instance)
             return
+        self._take_gossip(message, now, late_s)
+
+    def _take_gossip(self, message: Gossip, now: float, late_s: float) -> None:
         if self._heard_since is None:
             self._heard_since = now
         is_stranger = bool(message.records) and not self.table.knows(message.records[0])
@@ -290,6 +297,9 @@
                 self._send(sender.address, encode(Gossip([later])))
             elif is_stranger and self.table.knows(sender):
                 self._send(sender.address, encode(self._gossip(self._beats(now), now)))
+                news = self._newcomer_news(self.table.count())
+                if news is not None:
+                    self._send(sender.address, encode(news))
             self._ask_for(lacking, sender.address, now)
 
     def _ask_for(self, lacking: list[int], teller: str, now: float) -> None:
--- a/src/martenrun/router/placement.py
+++ b/src/martenrun/router/placement.py
@@ -35,6 +35,7 @@
         tried: instances that this request has been sent to.
         zone: the asking router's zone.
         now: steady time.
+        apart_by: the fingerprint of a request that may have ended a runner, else None.
     """
 
     parts: tuple[PromptPart, ...]
@@ -47,6 +48,7 @@
     tried: Collection[str]
     zone: str
     now: float
+    apart_by: bytes | None = None
 
 
 class Placement:
@@ -70,6 +72,8 @@
         sound = _sound(question, usable)
         if not sound:
             return _least_bad(question, usable)
+        if question.apart_by is not None:
+            return _apart(question.apart_by, sound)
         if question.parts:
             return self._by_reading(question, sound)
         return min(sound, key=lambda state: self._cost_without_prompt(question, state))
@@ -204,6 +208,15 @@
     ]
 
 
+def _apart(fingerprint: bytes, states: Sequence[RunnerState]) -> RunnerState:
+    """Return the runner that all routers give a suspected request.
+
+    Each has one of its own, as far as there are runners: two suspects do not meet, so that the end
+    of a runner blames one of them, and all comings of one end one runner at a time.
+    """
+    return max(states, key=lambda state: weight(fingerprint, state.runner.instance))
+
+
 def _with_allowed_weights(
     question: PlacementQuestion, states: list[RunnerState]
 ) -> list[RunnerState]:
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -7,6 +7,9 @@
 from martenrun.net.loop import Loop
 from martenrun.net.server import Exchange, Server
 from martenrun.router.admission import Admission, Refusal, refuse
+from martenrun.router.blame_messages import BlameNews
+from martenrun.router.blame_store import BlameStore
+from martenrun.router.crash_watch import RunnerKnowledge
 from martenrun.router.decisions import DEFAULTS, Decisions, load_decisions
 from martenrun.router.denials import Denials
 from martenrun.router.dialect import Dialect, SettingsSource
@@ -38,6 +41,7 @@
 from martenrun.router.runner_pool import RunnerPool
 from martenrun.router.silence import newly_silent, take_silence
 from martenrun.router.store_client import HttpCaller
+from martenrun.router.suspects import Suspects
 from martenrun.router.weights_news import take_weights_news
 from martenrun.router.weights_roll import WeightsRoller
 from martenrun.router.world import World
@@ -80,6 +84,9 @@
             weights=WeightsKnowledge(),
             pool=RunnerPool(self._loop),
             placement=Placement(decisions.placement),
+            suspects=Suspects(
+                self._loop, self._runner_knowledge(), lambda news: self._peers.tell_all(news)
+            ),
             decisions=decisions,
             spends_from=self._spends_from(settings),
             node_count=lambda: self._peers.budget_count(),
@@ -113,6 +120,7 @@
             self._on_records,
             lambda instance: self._loads.take_reading(instance),
             lambda sums: self._loads.take_sums(sums),
+            self._world.suspects.newcomer_news,
         )
         self._loads = LoadExchange(self._world.pool, self._peers)
         holder = f"{own.address}#{own.incarnation}"
@@ -134,6 +142,14 @@
             ),
             self._feed.confirm,
         )
+        self._blame_store = BlameStore(
+            self._loop,
+            self._store,
+            dialect,
+            self._feed.copies[Dataset.BLAME],
+            self._world.suspects,
+            lambda: self._keeper.reads_store,
+        )
         self._denials = Denials(
             self._world, self._admission, self._store, self._feed, self._forward
         )
@@ -158,6 +174,15 @@
             0.0 if settings.is_first_start else settings.bounds.budget_window_s
         )
 
+    def _runner_knowledge(self) -> RunnerKnowledge:
+        """Return what the watch for runners that end asks of the parts made after it."""
+        return RunnerKnowledge(
+            is_listed=lambda state: self._world.pool.state(state.runner.instance) is state,
+            has_ended=lambda runner: self._world.runners.has_ended(runner),
+            others_at=lambda address: self._world.runners.listed_at(address),
+            has_connection=lambda instance: self._world.pool.has_kept(instance),
+        )
+
     def run(self) -> None:
         """Serve until a signal has ended the process."""
         self._loop.on_signal(signal.SIGTERM, self._begin_stop)
@@ -183,6 +208,7 @@
 
     def _on_runners_settled(self) -> None:
         self._world.pool.update(self._world.runners.runners)
+        self._world.suspects.watch.look_again()
         self._roller.check()
 
     # Peers
@@ -203,6 +229,8 @@
             self._roller.take_release(news)
         elif isinstance(news, SilenceNews):
             take_silence(self._world, news, self._loop.now())
+        elif isinstance(news, BlameNews):
+            self._world.suspects.take(news)
         else:
             take_weights_news(self._world, news)
 
@@ -267,6 +295,8 @@
             Sample("oldest_router_alive_seconds", self._peers.table.oldest_alive_s(now)),
             Sample("store_lost", self._keeper.has_lost_store),
             Sample("lease_held", self._lease.is_held()),
+            Sample("requests_blamed", len(self._world.suspects.table)),
+            Sample("requests_held_back", len(self._world.suspects.table.held(now))),
         ]
 
     # Entry
@@ -320,6 +350,8 @@
             news = SilenceNews(self._peers.own.address, instance)
             take_silence(self._world, news, now)
             self._peers.tell_all(news)
+        self._world.suspects.keep_house()
+        self._blame_store.check()
         self._roller.check()
         if self._source.stamp() != self._stamp:
             self._reload()
--- a/src/martenrun/router/retry.py
+++ b/src/martenrun/router/retry.py
@@ -47,6 +47,7 @@
         left_s: time to the end of the deadline or the route's time-out, in seconds.
         is_within_budget: whether the retry budget allows another arrival at the service.
         has_other_runner: whether there is another runner to send it to.
+        is_held_back: whether it has ended too many runners to be sent to another.
     """
 
     may_repeat: bool
@@ -57,6 +58,7 @@
     left_s: float
     is_within_budget: bool
     has_other_runner: bool
+    is_held_back: bool = False
 
 
 def next_step(failure: Failure, state: TryState) -> NextStep:
@@ -73,7 +75,7 @@
 
 
 def _may_send_again(failure: Failure, state: TryState) -> bool:
-    if state.left_s < LEAST_LEFT_S or not state.has_other_runner:
+    if state.left_s < LEAST_LEFT_S or not state.has_other_runner or state.is_held_back:
         return False
     if state.sends >= MAXIMUM_SENDS:
         return False
--- a/src/martenrun/router/runner_pool.py
+++ b/src/martenrun/router/runner_pool.py
@@ -74,6 +74,11 @@
         entry = self._entries.get(instance)
         return None if entry is None else entry.state
 
+    def has_kept(self, instance: str) -> bool:
+        """Whether a connection kept to a runner is still open."""
+        entry = self._entries.get(instance)
+        return entry is not None and any(connection.is_open for connection in entry.idle)
+
     def send(
         self,
         state: RunnerState,
--- a/src/martenrun/router/runner_request.py
+++ b/src/martenrun/router/runner_request.py
@@ -21,7 +21,7 @@
 
 
 def placement_question(
-    world: World, admitted: Admitted, tried: Collection[str]
+    world: World, admitted: Admitted, tried: Collection[str], apart_by: bytes | None = None
 ) -> PlacementQuestion:
     """Return what a placement is asked for a request."""
     now = world.loop.now()
@@ -38,6 +38,7 @@
         tried=tried,
         zone=world.settings.zone,
         now=now,
+        apart_by=apart_by,
     )
 
 
--- a/src/martenrun/router/world.py
+++ b/src/martenrun/router/world.py
@@ -15,6 +15,7 @@
 from martenrun.router.retry_budget import RetryBudget
 from martenrun.router.runner_pool import RunnerPool
 from martenrun.router.runner_state import RunnerState
+from martenrun.router.suspects import Suspects
 
 OLD_WEIGHTS_MARGIN_S = 0.9
 """How long before the bound no request is sent to older weights any more, in seconds.
@@ -33,6 +34,7 @@
     Attributes:
         decisions: the figures that decisions depend on.
         node_count: returns among how many routers the retry budget is shared.
+        suspects: what is known of requests that end runners.
         count: takes in how a request ended: outcome, route, seconds.
         store_works: whether the kept-cache store at an address answers.
         note_reading: takes in that a runner has more or less to read for this router.
@@ -48,6 +50,7 @@
     weights: WeightsKnowledge
     pool: RunnerPool
     placement: Placement
+    suspects: Suspects
     node_count: Callable[[], int]
     count: Callable[[str, Route, float], None]
     store_works: Callable[[KeptCacheStore], bool]
--- /dev/null
+++ b/tests/router/blame_world.py
@@ -0,0 +1,61 @@
+"""For tests of the blame of requests: probes by hand, requests, one router's knowledge."""
+
+from martenrun.net.http import HttpRequest
+from martenrun.router.crash_watch import RunnerKnowledge
+from martenrun.router.messages import Admitted, Call, Tenant
+from martenrun.router.suspects import Suspects
+
+from .builders import route
+
+PROBE_S = 0.003
+
+
+class Probes:
+    """Answers probes of addresses: refused, accepted, or nothing in time."""
+
+    def __init__(self):
+        self.refused = set()
+        self.silent = set()
+        self.asked = []
+
+    def __call__(self, loop, address, on_answer):
+        self.asked.append(address)
+        if address in self.silent:
+            loop.call_later(0.4, lambda: on_answer(None))
+        else:
+            loop.call_later(PROBE_S, lambda: on_answer(address in self.refused))
+
+
+class Runners:
+    """What is known of runners, by hand."""
+
+    def __init__(self):
+        self.unlisted = set()
+        self.ended = set()
+        self.at = {}
+        self.connected = set()
+
+    def knowledge(self):
+        return RunnerKnowledge(
+            is_listed=lambda state: state.runner.instance not in self.unlisted,
+            has_ended=lambda runner: runner.instance in self.ended,
+            others_at=lambda address: self.at.get(address, []),
+            has_connection=lambda instance: instance in self.connected,
+        )
+
+
+def suspects(loop, probes=None, runners=None, tell=lambda _news: None):
+    """Return one router's blame of requests."""
+    return Suspects(loop, (runners or Runners()).knowledge(), tell, probes or Probes())
+
+
+def request(body=b"b", method=b"POST", target=b"/a/x"):
+    """Return a caller's request."""
+    return HttpRequest(method, target, [], body, 0.0)
+
+
+def admitted(tenant="t", host="a.example", **changes):
+    """Return what admission makes of one."""
+    call = Call(b"r1", host, "/a/x", b"k1", 3.0, None, (), 0, 0)
+    who = None if tenant is None else Tenant(tenant, 1, False)
+    return Admitted(call, route(**changes), who, "s", 103.0, 102.0)
--- a/tests/router/test_forwarding.py
+++ b/tests/router/test_forwarding.py
@@ -7,6 +7,7 @@
 from martenrun.platform import DIALECT
 from martenrun.router import trail
 from martenrun.router.decisions import DEFAULTS
+from martenrun.router.fingerprint import fingerprint
 from martenrun.router.forwarding import Forwarding
 from martenrun.router.knowledge import ConfigurationKnowledge, RunnerDirectory, WeightsKnowledge
 from martenrun.router.messages import Admitted, Call, PromptPart, RouteKind, WantedWeights
@@ -14,6 +15,7 @@
 from martenrun.router.reading_speed import LEAST_SAMPLES
 from martenrun.router.world import World
 
+from .blame_world import Probes, suspects
 from .builders import bounds, configuration, route, state
 from .fakes import FakeLoop
 
@@ -115,6 +117,7 @@
         model=None,
         refresh_loads=lambda: None,
         tokens_per_s=0,
+        before=lambda _played: None,
     ):
         self.loop = FakeLoop()
         self.states = [state(f"i-{n}") for n in range(3)] if states is None else states
@@ -126,6 +129,7 @@
         knowledge.take(configuration(1))
         knowledge.confirm(self.loop.now())
         self.ends = []
+        self.probes = Probes()
         self.world = World(
             loop=self.loop,
             settings=settings,
@@ -135,6 +139,7 @@
             weights=self.weights,
             pool=self.pool,
             placement=Placement(),
+            suspects=suspects(self.loop, self.probes),
             node_count=lambda: 1,
             count=lambda outcome, _route, _seconds: self.ends.append(outcome),
             store_works=lambda _store: True,
@@ -150,6 +155,7 @@
         for _ in range(tokens_per_s and LEAST_SAMPLES):
             self.world.guard("s").speed.note(tokens_per_s, 1.0)
         self.forwarding = Forwarding(self.world, self.exchange, admitted, lambda _f: None)
+        before(self)
         self.forwarding.start()
 
     def run(self, seconds):
@@ -311,3 +317,67 @@
     speed = played.world.guard("s").speed
     assert speed.samples == 1
     assert speed.tokens / speed.seconds == pytest.approx(4_110 / 0.25)
+
+
+LOST = None
+"""An answer that never comes: its connection ends."""
+
+
+def blamed_for(starts, runners_end=False):
+    """Let some starts have ended under the request before it comes."""
+
+    def blame(played):
+        run = fingerprint(played.exchange.request, played.forwarding.admitted)
+        for number in range(starts):
+            played.world.suspects.table.note_ended(run, f"gone-{number}", played.loop.now())
+        if runners_end:
+            played.probes.refused.add(played.states[0].runner.address)
+
+    return blame
+
+
+def test_a_request_that_has_ended_three_runners_is_refused_at_once_and_not_sent():
+    played = Played([GOOD], before=blamed_for(3))
+    assert played.pool.sent == [] and played.ends == ["refused"]
+    status, headers, _ = played.exchange.answers[0]
+    assert status == 503
+    assert float(headers[b"Retry-After"]) > 3_000
+
+
+def test_a_request_that_ends_a_third_runner_is_not_sent_to_a_fourth():
+    thrice = route(maximum_attempts=3)
+    played = Played([LOST, GOOD], the_route=thrice, before=blamed_for(2, True)).run(0.1)
+    assert len(played.pool.sent) == 1
+    assert played.exchange.answers[0][0] == 502
+
+
+def test_a_request_whose_connection_was_reset_goes_on_elsewhere():
+    played = Played([LOST, GOOD], before=blamed_for(2)).run(0.1)
+    assert len(played.pool.sent) == 2 and played.ends == ["served"]
+
+
+def test_a_suspect_that_runs_whole_is_cleared():
+    played = Played([GOOD], before=blamed_for(2)).run(0.1)
+    run = fingerprint(played.exchange.request, played.forwarding.admitted)
+    assert played.ends == ["served"]
+    assert played.world.suspects.table.starts(run) == 0
+
+
+def test_all_routers_give_a_suspect_to_one_runner():
+    loads = [(0, 5, 9), (9, 0, 5), (5, 9, 0)]
+    chosen = set()
+    for load in loads:
+        states = [state(f"i-{n}") for n in range(3)]
+        for each, in_flight in zip(states, load, strict=True):
+            each.elsewhere = in_flight
+        chosen.update(Played([GOOD], states=states, before=blamed_for(1)).run(0.1).pool.sent)
+    assert len(chosen) == 1
+
+
+def test_a_runner_that_started_anew_under_a_request_blames_it():
+    played = Played(states=[state("i-0~1", name="i-0")])
+    played.world.runners.put(played.states[0].runner)
+    played.world.runners.put(state("i-0~2", name="i-0").runner)
+    played.forwarding.leave_ended_runner()
+    run = fingerprint(played.exchange.request, played.forwarding.admitted)
+    assert played.world.suspects.table.starts(run) == 1
