--- /dev/null
+++ b/scripts/measure_blame.py
@@ -0,0 +1,133 @@
+"""How often requests that end no runner are held back where runners end by chance, in virtual time.
+
+One table stands for all routers, as if every router heard of everything at once.  Runners end at
+random and are back after some seconds; each end is told of under all that ran there.  A request of
+many bodies is run up to four times until it runs whole; one of few bodies comes again and again.
+"""
+
+import heapq
+import random
+
+import click
+
+from martenrun.identity.rendezvous import weight
+from martenrun.router.blame_table import BlameTable
+
+AWAY_S = 2.0
+"""How long a runner is away, in seconds."""
+
+RUNS_OF_ONE = 4
+"""Most runs of one body out of many: two attempts of a caller, two runners each."""
+
+
+class ChanceWorld:
+    """Runners, requests in flight, and the blame of them."""
+
+    def __init__(self, seed: int, runners: int, ends_per_s: float, run_s: float) -> None:
+        self.rng = random.Random(seed)
+        self.table = BlameTable()
+        self.table.runners = runners
+        self.now = 0.0
+        self.lives = [0] * runners
+        self.back_at = [0.0] * runners
+        self.running: list[dict[int, bytes]] = [{} for _ in range(runners)]
+        self.events: list[tuple[float, int, int, int]] = []
+        self.ends_per_s = ends_per_s
+        self.run_s = run_s
+        self.shut_out: set[bytes] = set()
+        self.requests = self.served = self.runs = self.ends = 0
+        self.tries: dict[bytes, int] = {}
+
+    def key(self, number: int) -> bytes:
+        """Return the fingerprint of a body."""
+        return (number % 64).to_bytes(4) + number.to_bytes(4) + number.to_bytes(16)
+
+    def living(self) -> list[int]:
+        """Return the runners that are up."""
+        return [n for n, at in enumerate(self.back_at) if at <= self.now]
+
+    def send(self, key: bytes) -> None:
+        """Run a request at a runner, unless it is held back."""
+        if self.table.held_for_s(key, self.now) > 0:
+            self.shut_out.add(key)
+            return
+        living = self.living()
+        if not living:
+            return
+        if self.table.starts(key):
+            chosen = max(living, key=lambda n: weight(key, f"{n}"))
+        else:
+            chosen = self.rng.choice(living)
+        self.runs += 1
+        self.running[chosen][self.runs] = key
+        due = self.now + self.rng.expovariate(1 / self.run_s)
+        heapq.heappush(self.events, (due, self.runs, chosen, self.lives[chosen]))
+
+    def end_runs(self, until: float) -> None:
+        """Let runs come to their ends."""
+        while self.events and self.events[0][0] <= until:
+            at, run, chosen, life = heapq.heappop(self.events)
+            if life == self.lives[chosen]:
+                key = self.running[chosen].pop(run)
+                self.table.note_whole(key, at)
+                self.tries.pop(key, None)
+                self.served += 1
+
+    def end_runner(self, again: bool) -> None:
+        """Let a runner end by chance; what ran there is sent again."""
+        living = self.living()
+        if not living:
+            return
+        chosen = self.rng.choice(living)
+        self.ends += 1
+        start = f"{chosen}#{self.lives[chosen]}"
+        self.lives[chosen] += 1
+        self.back_at[chosen] = self.now + AWAY_S
+        lost, self.running[chosen] = self.running[chosen], {}
+        for key in lost.values():
+            self.table.note_ended(key, start, self.now)
+        for key in lost.values():
+            self.tries[key] = self.tries.get(key, 1) + 1
+            if again and self.tries[key] <= RUNS_OF_ONE:
+                self.send(key)
+
+    def play(self, requests: int, rate: float, bodies: int | None) -> None:
+        """Let requests come at a rate a second, each with a body of its own or one of some."""
+        while self.requests < requests:
+            to_request = self.rng.expovariate(rate)
+            to_end = self.rng.expovariate(self.ends_per_s)
+            is_request = to_request < to_end
+            self.now += min(to_request, to_end)
+            self.end_runs(self.now)
+            if not is_request:
+                self.end_runner(bodies is None)
+                continue
+            self.requests += 1
+            number = self.requests if bodies is None else self.rng.randrange(bodies)
+            self.send(self.key(number))
+            if self.requests % 2_000 == 0:
+                self.table.forget(self.now)
+
+
+@click.command()
+@click.option("--requests", default=1_000_000, show_default=True, help="Requests for each line.")
+@click.option("--rate", default=100.0, show_default=True, help="Requests a second.")
+@click.option("--run-s", default=0.3, show_default=True, help="Mean length of a run, in seconds.")
+@click.option("--seed", default=1, show_default=True, help="Seed of the draws.")
+def main(requests: int, rate: float, run_s: float, seed: int) -> None:
+    """Print a table: how many requests were ever held back."""
+    click.echo("| runners | ends a second | bodies | ends | held back | of requests | served |")
+    click.echo("| --- | --- | --- | --- | --- | --- | --- |")
+    for runners, ends_per_s in ((8, 0.1), (8, 1.0), (8, 5.0), (59, 5.0)):
+        for bodies in (5, None):
+            world = ChanceWorld(seed, runners, ends_per_s, run_s)
+            world.play(requests, rate, bodies)
+            named = "each its own" if bodies is None else str(bodies)
+            click.echo(
+                f"| {runners} | {ends_per_s} | {named} | {world.ends} | {len(world.shut_out)} "
+                f"| {world.requests} | {world.served / world.requests:.3f} |"
+            )
+
+
+if __name__ == "__main__":
+    main()
--- a/src/martenrun/router/blame_table.py
+++ b/src/martenrun/router/blame_table.py
@@ -4,9 +4,10 @@
 ends with it, so that one end says little; but whoever has run whole since is not to blame.  What
 routers tell each other are starts, never counts: what two routers saw of the same end is one.
 
-A request under which DEADLY_AFTER starts have ended is held back.  That belief ends by itself, the
-later the more starts have ended; then a single further end renews it, so that all routers together
-send such a request to one or two runners more each time.  Pure, apart from the times handed in.
+A request under which DEADLY_AFTER starts have ended is held back; more are asked for where runners
+end without it as well, so that chance would do.  That belief ends by itself, the later the more
+starts have ended; then a single further end renews it, so that all routers together send such a
+request to one or two runners more each time.  Pure, apart from the times handed in.
 """
 
 import collections
@@ -18,14 +19,26 @@
 from martenrun.router.fingerprint import CALLER_BYTES, OUTLINE_BYTES
 
 DEADLY_AFTER = 3
-"""Starts that must have ended under a request until it is held back.
+"""Starts that must have ended under a request, at least, until it is held back."""
 
-By chance three in a row are met by a few requests in a thousand where runners end once a second
-(measured, docs/design/deadly-requests.md); two would be met by ten times as many.
-"""
+MOST_ASKED_FOR = 5
+"""The same at most, however often runners end by chance: users allow few more than three."""
 
 DEADLY_AFTER_SUCCESS = 6
-"""The same for a request that is known to have run whole: a deadly one never does."""
+"""The same, at least, of a request that is known to have run whole: a deadly one never does."""
+
+CHANCE = 1e-6
+"""How likely chance alone may end so many starts in a row under a request.
+
+With three in any case 350 of a million requests are held back where one of eight runners ends each
+second; with this none (docs/design/deadly-requests.md).
+"""
+
+CHANCE_WINDOW_S = 30.0
+"""For how long an end counts for how often runners end by chance, in seconds."""
+
+RUN_S = 0.5
+"""How long a run is reckoned to take, in seconds: a short stream takes 0.1, a long one 1."""
 
 FIRST_HELD_S = 3_600.0
 LONGEST_HELD_S = 7 * 86_400.0
@@ -64,33 +77,41 @@
         return sum(at > self.whole_at for at in self.ended.values())
 
     @property
-    def limit(self) -> int:
-        """How many of them make it deadly."""
-        return DEADLY_AFTER if self.whole_at == -math.inf else DEADLY_AFTER_SUCCESS
+    def has_run_whole(self) -> bool:
+        """Whether it is known to have run whole."""
+        return self.whole_at != -math.inf
+
+    @property
+    def least_asked_for(self) -> int:
+        """How many of them make it deadly where runners never end by chance."""
+        return DEADLY_AFTER_SUCCESS if self.has_run_whole else DEADLY_AFTER
 
     def held_until(self) -> float:
-        """Return until when it is held back; minus infinity if it is not."""
-        excess = self.count - self.limit
-        if excess < 0:
-            return -math.inf
+        """Return until when it is held back, if the starts that ended under it are enough."""
         last_at = max(self.ended.values())
-        return last_at + min(LONGEST_HELD_S, FIRST_HELD_S * 2**excess)
+        return last_at + min(LONGEST_HELD_S, FIRST_HELD_S * 2 ** (self.count - DEADLY_AFTER))
 
     def is_told(self, record: BlameRecord | None) -> bool:
         """Whether a record tells all that is known."""
-        if record is None or (record.whole_ms is None and self.whole_at != -math.inf):
+        if record is None or (record.whole_ms is None and self.has_run_whole):
             return False
         return self.ended.keys() <= {start for start, _ in record.ended}
 
     def forgotten_at(self) -> float:
         """Return when nothing of it matters any more."""
-        return max(self.last_at + SUSPECTED_S, self.held_until() + SUSPECTED_S)
+        held_until = self.held_until() if self.count >= self.least_asked_for else -math.inf
+        return max(self.last_at, held_until) + SUSPECTED_S
 
 
 class BlameTable:
-    """What is known of all blamed requests, by fingerprint."""
+    """What is known of all blamed requests, by fingerprint.
+
+    Attributes:
+        runners: how many runners are listed.
+    """
 
     def __init__(self) -> None:
+        self.runners = 1
         self._blamed: dict[bytes, Blame] = {}
         self._outlines: collections.Counter[bytes] = collections.Counter()
 
@@ -113,11 +134,14 @@
     def held_for_s(self, fingerprint: bytes, now: float) -> float:
         """Return for how long a request is still held back, in seconds; 0 if it is not."""
         blame = self._blamed.get(fingerprint)
-        return 0.0 if blame is None else max(0.0, blame.held_until() - now)
+        if blame is None or blame.count < blame.least_asked_for:
+            return 0.0
+        left_s = max(0.0, blame.held_until() - now)
+        return left_s if left_s and blame.count >= self._asked_for(blame, now) else 0.0
 
     def held(self, now: float) -> list[bytes]:
         """Return the requests that are held back."""
-        return [key for key, blame in self._blamed.items() if blame.held_until() > now]
+        return [key for key in self._blamed if self.held_for_s(key, now) > 0]
 
     def note_ended(self, fingerprint: bytes, start: str, at: float) -> bool:
         """Take in that a start ended under a request; return whether that is news."""
@@ -140,7 +164,7 @@
         blame = self._blamed.get(fingerprint)
         if blame is None:
             return False
-        was_blamed = blame.count > 0 or blame.whole_at == -math.inf
+        was_blamed = blame.count > 0 or not blame.has_run_whole
         blame.whole_at = max(blame.whole_at, at)
         return was_blamed
 
@@ -154,7 +178,7 @@
             BlameRecord(
                 key,
                 [(start, _age_ms(at, now)) for start, at in blame.ended.items()],
-                None if blame.whole_at == -math.inf else _age_ms(blame.whole_at, now),
+                _age_ms(blame.whole_at, now) if blame.has_run_whole else None,
             )
             for key, blame in self._blamed.items()
             if only is None or key in only
@@ -185,6 +209,30 @@
         for key in [k for k, blame in self._blamed.items() if blame.forgotten_at() < now]:
             self._drop(key)
 
+    def _asked_for(self, blame: Blame, now: float) -> int:
+        """Return under how many starts in a row nobody comes by chance, as runners end now."""
+        chance = RUN_S * self._chance_ends(blame, now) / CHANCE_WINDOW_S / max(1, self.runners)
+        asked_for = blame.least_asked_for
+        if chance > 0:
+            in_a_row = math.log(CHANCE) / math.log(min(0.99, chance))
+            asked_for = max(asked_for, math.ceil(in_a_row))
+        return asked_for if blame.has_run_whole else min(MOST_ASKED_FOR, asked_for)
+
+    def _chance_ends(self, blame: Blame, now: float) -> int:
+        """Return how many starts ended lately under nothing that may be deadly.
+
+        What has ended three starts itself explains them: beside it others are met by its ends.
+        """
+        recent: set[str] = set()
+        explained = set(blame.ended)
+        for other in self._blamed.values():
+            if other.count >= DEADLY_AFTER:
+                explained |= other.ended.keys()
+            else:
+                lately = now - CHANCE_WINDOW_S
+                recent.update(start for start, at in other.ended.items() if at > lately)
+        return len(recent - explained)
+
     def _add(self, fingerprint: bytes) -> Blame:
         blame = self._blamed[fingerprint] = Blame()
         self._outlines[fingerprint[:OUTLINE_BYTES]] += 1
--- a/src/martenrun/router/crash_watch.py
+++ b/src/martenrun/router/crash_watch.py
@@ -92,6 +92,7 @@
         is_listed: whether the state of a runner is the listed one's.
         has_ended: whether a later start under the same id is known.
         others_at: the instances listed at an address.
+        count: how many runners are listed.
         has_connection: whether a connection kept to a runner is still open.
     """
 
@@ -99,6 +100,7 @@
     has_ended: Callable[[Runner], bool]
     others_at: Callable[[str], list[str]]
     has_connection: Callable[[str], bool]
+    count: Callable[[], int]
 
 
 class CrashWatch:
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -181,6 +181,7 @@
             has_ended=lambda runner: self._world.runners.has_ended(runner),
             others_at=lambda address: self._world.runners.listed_at(address),
             has_connection=lambda instance: self._world.pool.has_kept(instance),
+            count=lambda: len(self._world.runners.runners),
         )
 
     def run(self) -> None:
--- a/src/martenrun/router/suspects.py
+++ b/src/martenrun/router/suspects.py
@@ -48,6 +48,7 @@
         rng: random.Random | None = None,
     ) -> None:
         self._loop = loop
+        self._runners = runners
         self._tell = tell
         self._rng = rng or random.Random()
         self._untold: dict[bytes, float] = {}
@@ -115,6 +116,7 @@
     def keep_house(self) -> None:
         """Tell again what may not have arrived, and forget what is over."""
         now = self._loop.now()
+        self.table.runners = self._runners.count()
         self.table.forget(now)
         self._log_held()
         if not self._untold or now - self._told_at < TOLD_AGAIN_S:
--- a/tests/router/blame_world.py
+++ b/tests/router/blame_world.py
@@ -41,6 +41,7 @@
             has_ended=lambda runner: runner.instance in self.ended,
             others_at=lambda address: self.at.get(address, []),
             has_connection=lambda instance: instance in self.connected,
+            count=lambda: 8,
         )
 
 
--- a/tests/router/test_blame_table.py
+++ b/tests/router/test_blame_table.py
@@ -2,11 +2,13 @@
 
 import random
 
+import pytest
 from hypothesis import given, seed
 from hypothesis import strategies as st
 
 from martenrun.router.blame_messages import BlameRecord
 from martenrun.router.blame_table import (
+    CHANCE_WINDOW_S,
     DEADLY_AFTER,
     DEADLY_AFTER_SUCCESS,
     FIRST_HELD_S,
@@ -22,16 +24,23 @@
 from .blame_world import admitted, request
 
 DEADLY = fingerprint(request(b"deadly"), admitted())
-HOUR_S = 3_600.0
+RUNNERS = 8
 
 
 def blamed(count, key=DEADLY, at=100.0):
     table = BlameTable()
+    table.runners = RUNNERS
     for number in range(count):
         table.note_ended(key, f"i-{number}", at)
     return table
 
 
+def end_by_chance(table, ends, at):
+    """Let starts end, each under a request of its own."""
+    for number in range(ends):
+        table.note_ended(key_of(number, number), f"chance-{number}", at)
+
+
 def test_a_request_is_held_back_after_the_third_start_that_ended_under_it():
     assert blamed(DEADLY_AFTER - 1).held_for_s(DEADLY, 100.0) == 0.0
     assert blamed(DEADLY_AFTER).held_for_s(DEADLY, 100.0) == FIRST_HELD_S
@@ -147,6 +156,39 @@
     assert len(table) == 0
 
 
+@pytest.mark.parametrize(("ends", "asked_for"), [(0, 3), (3, 3), (8, 4), (30, 5), (500, 5)])
+def test_where_runners_end_by_chance_more_ends_are_asked_for(ends, asked_for):
+    for count in range(1, 8):
+        table = blamed(count)
+        end_by_chance(table, ends, 100.0)
+        assert (table.held_for_s(DEADLY, 100.0) > 0) == (count >= asked_for)
+
+
+def test_one_that_ran_whole_is_not_held_back_where_chance_would_do():
+    table = blamed(0)
+    table.note_ended(DEADLY, "first", 90.0)
+    table.note_whole(DEADLY, 91.0)
+    end_by_chance(table, 150, 100.0)
+    for number in range(MOST_STARTS - 1):
+        table.note_ended(DEADLY, f"i-{number}", 100.0)
+    assert table.held_for_s(DEADLY, 100.0) == 0.0
+
+
+def test_what_has_ended_three_starts_explains_them():
+    """Several deadly requests at a time are no chance: none of them gets a fourth runner for it."""
+    table = blamed(DEADLY_AFTER)
+    for number in range(1, 20):
+        for start in range(DEADLY_AFTER):
+            table.note_ended(key_of(number, number), f"s-{number}-{start}", 100.0)
+    assert len(table.held(100.0)) == 20
+
+
+def test_ends_of_long_ago_are_no_chance_now():
+    table = blamed(DEADLY_AFTER, at=200.0)
+    end_by_chance(table, 30, 200.0 - CHANCE_WINDOW_S - 1.0)
+    assert table.held_for_s(DEADLY, 200.0) > 0
+
+
 ENDS = st.lists(st.tuples(st.integers(0, 3), st.integers(0, 5), st.floats(0, 50)), max_size=24)
 
 
