After a suspension nothing is sent by a deadline of before; few bodies that come again are held back for seconds

Cause: (1) a request that waited in its socket had its deadline reckoned from its reading, one that waited for a runner was sent after its deadline where the look was due first, one whose connection came up after the suspension named the deadline of before. (2) Where all runners end in turn, a body that is asked for often and has run whole was held back for hours. Change: (1) received_at counts the time a stood-still process was late; the look for a runner and the sending check the clock. (2) Ten seconds, doubling to an hour, for what is known to have run whole. Ruled out: no hold at all for what has run whole (a popular request may become deadly with a new version).

--- a/src/martenrun/net/server.py
+++ b/src/martenrun/net/server.py
@@ -119,6 +119,14 @@
         self._connection.answered(is_closing)
 
 
+STOOD_STILL_S = 0.5
+"""How late a request must be read for its waiting time to count, in seconds.
+
+Its deadline runs from when it came: a machine that was suspended, or a process that stood still,
+must not give a runner time that its caller no longer has.  Shorter delays are those of a busy loop.
+"""
+
+
 class ServerConnection:
     """A caller's connection: parses its requests and serves them in order."""
 
@@ -201,7 +209,9 @@
 
     def on_headers_complete(self) -> None:
         """The head is complete."""
-        self._head_at = self._server.loop.now()
+        late_s = self._server.loop.late_s
+        stood_still_s = late_s if late_s > STOOD_STILL_S else 0.0
+        self._head_at = self._server.loop.now() - stood_still_s
         self._header_bytes = 0
         if self._announced_length() > self._server.limits.maximum_body_bytes:
             self._refuse(413)
--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -16,6 +16,9 @@
 FULL_MEMORY_S = 0.15
 """How long a runner that had no room is passed over, in seconds."""
 
+STOOD_STILL_S = 0.2
+"""How much longer than it may take a connection must have taken to come up, in seconds."""
+
 STATUS_MISDIRECTED = 421
 STATUS_SERVER_ERROR = 500
 
@@ -89,7 +92,13 @@
         self._is_over = False
 
     def on_sent(self) -> None:
-        """The request leaves."""
+        """The request leaves, unless the machine stood still while its connection came up.
+
+        The deadline that it names was reckoned before that.
+        """
+        if self._world.loop.now() - self._began_at > CONNECT_TIMEOUT_S + STOOD_STILL_S:
+            self._fail(Failure.NOT_SENT)
+            return
         self.was_sent = True
 
     def on_head(self, status: int, headers: Headers, length: int | None) -> None:
--- a/src/martenrun/router/blame_table.py
+++ b/src/martenrun/router/blame_table.py
@@ -44,6 +44,13 @@
 LONGEST_HELD_S = 7 * 86_400.0
 """How long a request is held back after the last start ended under it; twice as long each time."""
 
+HELD_AFTER_SUCCESS_S = 10.0
+"""The same, at first, for a request that is known to have run whole; twice as long each time.
+
+Where all runners end in turn everything that is asked for often ends with them, and must be served
+again when they stay; only an hour without a success makes it as bad as one that never had any.
+"""
+
 SUSPECTED_S = 86_400.0
 """How long fewer ends, or that a request ran whole, are remembered, in seconds."""
 
@@ -89,7 +96,10 @@
     def held_until(self) -> float:
         """Return until when it is held back, if the starts that ended under it are enough."""
         last_at = max(self.ended.values())
-        return last_at + min(LONGEST_HELD_S, FIRST_HELD_S * 2 ** (self.count - DEADLY_AFTER))
+        doubled = 2 ** max(0, self.count - self.least_asked_for)
+        if self.has_run_whole:
+            return last_at + min(FIRST_HELD_S, HELD_AFTER_SUCCESS_S * doubled)
+        return last_at + min(LONGEST_HELD_S, FIRST_HELD_S * doubled)
 
     def is_told(self, record: BlameRecord | None) -> bool:
         """Whether a record tells all that is known."""
@@ -223,13 +233,13 @@
 
         What has ended three starts itself explains them: beside it others are met by its ends.
         """
+        lately = now - CHANCE_WINDOW_S
         recent: set[str] = set()
-        explained = set(blame.ended)
+        explained = set() if blame.has_run_whole else set(blame.ended)
         for other in self._blamed.values():
-            if other.count >= DEADLY_AFTER:
+            if other.count >= DEADLY_AFTER and not other.has_run_whole:
                 explained |= other.ended.keys()
             else:
-                lately = now - CHANCE_WINDOW_S
                 recent.update(start for start, at in other.ended.items() if at > lately)
         return len(recent - explained)
 
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -87,6 +87,10 @@
     def _look_for_runner(self) -> None:
         if self.is_over:
             return
+        if self._world.loop.now() >= self._admitted.give_up_at:
+            # The machine stood still: this look was due before the end of the deadline.
+            self._on_timeout()
+            return
         held_s = self._world.suspects.held_for_s(self._known_run())
         if held_s:
             # It has ended all runners that ran it: refused here it ends no more of them.
--- /dev/null
+++ b/tests/router/blame_fleet.py
@@ -0,0 +1,252 @@
+"""Routers that tell each other of a deadly request, in virtual time: gossip, relays and the store.
+
+``python -m router.blame_fleet`` in ``tests/`` prints how long it takes until all know, and how many
+more runners the request reaches, by size and trouble.
+"""
+
+import math
+import statistics
+import sys
+from urllib.parse import urlsplit
+
+import msgspec
+
+from martenrun.platform import DIALECT
+from martenrun.router.blame_store import BlameStore
+from martenrun.router.dataset_copy import CopyListener
+from martenrun.router.fingerprint import fingerprint
+from martenrun.router.log import EVENT_LOG
+from martenrun.router.messages import Dataset
+
+from .blame_world import admitted, request, suspects
+from .fleet_world import CountingStore, Fleet, KeptRouter
+
+RUN = fingerprint(request(b"deadly"), admitted())
+KIND = "router-blame"
+CRASH_S = 0.1
+"""How long a run lasts until its runner ends, in seconds."""
+
+SETTLED_S = 8.0
+KNOWN_WITHIN_S = 3.0
+RESTART_S = 0.4
+
+
+class BlameKeepingStore(CountingStore):
+    """A store that also keeps the routers' own object."""
+
+    def __init__(self, loop):
+        super().__init__(loop)
+        self.kept = None
+        self.writes = 0
+
+    def serve(self, call, on_answer):
+        kind = urlsplit(call.target.decode()).path.removeprefix("/martenrun/objects/")
+        if not kind.startswith(KIND) or self.is_down:
+            super().serve(call, on_answer)
+        elif call.method == b"GET" and b"watch" not in call.target:
+            items = [] if self.kept is None else [self.kept]
+            self._answer(on_answer, 200, {"items": items, "more": False, "at": self.revision})
+        elif call.method == b"GET":
+            super().serve(call, on_answer)
+        else:
+            self._write(msgspec.json.decode(call.body), call.method == b"POST", on_answer)
+
+    def _write(self, body, creates, on_answer):
+        wanted = body["metadata"].get("revision")
+        revision = None if self.kept is None else self.kept["metadata"]["revision"]
+        if (creates and revision is not None) or (not creates and wanted != revision):
+            self._answer(on_answer, 409, self.kept)
+            return
+        self.writes += 1
+        metadata = {"name": "main", "revision": self.revision + 1}
+        self.kept = {"metadata": metadata, "spec": body["spec"]}
+        self.change(KIND)
+        self._answer(on_answer, 200, self.kept)
+
+    def _watch(self, kind, after, wait_s, on_answer):
+        if kind != KIND:
+            super()._watch(kind, after, wait_s, on_answer)
+            return
+        is_answered = []
+
+        def answer():
+            if not is_answered:
+                is_answered.append(True)
+                has_news = self._changed_at.get(kind, 0) > after
+                events = [{"object": self.kept, "gone": False}] if has_news else []
+                self._answer(on_answer, 200, {"events": events, "at": self.revision})
+
+        if self._changed_at.get(kind, 0) > after:
+            answer()
+        else:
+            self._watches.append((kind, answer))
+            self.loop.call_later(wait_s, answer)
+
+
+class BlamingRouter(KeptRouter):
+    """A router that follows, tells and stores blame."""
+
+    def __init__(self, fleet, address, seeds):
+        super().__init__(fleet, address, seeds)
+        self.born_at = fleet.loop.now()
+        self.is_off = False
+        peers = fleet.world.routers[address]
+        self.suspects = suspects(fleet.loop, tell=peers.tell_all)
+        peers._on_news = self.suspects.take
+        peers._newcomer_news = self.suspects.newcomer_news
+        copy = self.copies[Dataset.BLAME]
+        copy._listener = CopyListener(
+            lambda stored: self.suspects.take_stored(DIALECT.read_blame(stored)),
+            lambda _name: None,
+            lambda: None,
+        )
+        self.writer = BlameStore(
+            fleet.loop,
+            fleet.store_caller(address),
+            DIALECT,
+            copy,
+            self.suspects,
+            lambda: self.keeper.reads_store,
+        )
+        self._loop = fleet.loop
+        self._keep_house()
+
+    def _keep_house(self):
+        if not self.is_off:
+            self.suspects.keep_house()
+            self.writer.check()
+            self._loop.call_later(0.25, self._keep_house)
+
+    def knows(self):
+        return self.suspects.held_for_s(RUN) > 0
+
+
+class BlamingFleet(Fleet):
+    """Routers, the store, and one deadly request that comes again and again at any router."""
+
+    def __init__(self, seed, count, lost_share=0.0, zones=5):
+        super().__init__(seed, count, zones)
+        self.store = BlameKeepingStore(self.loop)
+        self.rng = self.world.rng
+        if lost_share:
+            of = 20
+            lost = round(lost_share * of)
+            self.world._copies = (0,) * lost + (1,) * (of - lost)
+        self.arrivals = []
+        self.crashes = []
+        self.datagrams = 0
+        self.bytes = 0
+        send = self.world.send
+
+        def counted(address, data):
+            if b"blame" in data[:8]:
+                self.datagrams += 1
+                self.bytes += len(data)
+            send(address, data)
+
+        self.world.send = counted
+
+    def start(self, address):
+        seeds = tuple(self.addresses[:3])
+        self.world.start(address, seeds, self.zones[address])
+        self.members[address] = BlamingRouter(self, address, seeds)
+
+    def stop(self, address):
+        self.members[address].is_off = True
+        super().stop(address)
+
+    def restart(self, addresses):
+        """Kill routers at the same moment; they are back shortly."""
+        for address in addresses:
+            self.stop(address)
+            self.loop.call_later(RESTART_S, lambda address=address: self.start(address))
+
+    def request_on(self, pause_s):
+        """Send the deadly request to some router, again and again."""
+        if self.members:
+            router = self.rng.choice(list(self.members.values()))
+            if not router.knows():
+                self.arrivals.append((self.loop.now(), router.born_at))
+                self.loop.call_later(CRASH_S, lambda: self._crash(router))
+        pause = self.rng.expovariate(1 / pause_s)
+        self.loop.call_later(pause, lambda: self.request_on(pause_s))
+
+    def _crash(self, router):
+        start = f"i-{len(self.crashes)}"
+        self.crashes.append(self.loop.now())
+        if not router.is_off:
+            router.suspects._on_ended(start, [RUN])
+
+    def late_arrivals(self):
+        """Arrivals by routers in touch later than all must know of the third end."""
+        known_from = self.crashes[2] + KNOWN_WITHIN_S
+        return sum(at > known_from and at - born > KNOWN_WITHIN_S for at, born in self.arrivals)
+
+
+def herd_of_half(fleet):
+    fleet.restart(fleet.rng.sample(list(fleet.members), len(fleet.members) // 2))
+
+
+def loss_of_all(fleet):
+    fleet.restart(list(fleet.members))
+
+
+def store_down(fleet):
+    fleet.store.is_down = True
+    herd_of_half(fleet)
+
+
+TROUBLES = {
+    "none": lambda _fleet: None,
+    "half restart": herd_of_half,
+    "all lose power": loss_of_all,
+    "store down, half restart": store_down,
+}
+
+
+def play(seed, count, trouble, lost_share=0.1, pause_s=0.5, trouble_after=3, lasts_s=14.0):
+    """Play one fleet; trouble strikes half a second after so many ends."""
+    fleet = BlamingFleet(seed, count, lost_share)
+    fleet.start_all()
+    fleet.world.run(SETTLED_S)
+    fleet.request_on(pause_s)
+    while len(fleet.crashes) < trouble_after:
+        fleet.world.run(0.05)
+    fleet.world.run(0.5)
+    TROUBLES[trouble](fleet)
+    known_after_s = math.inf
+    for _ in range(int(lasts_s / 0.05)):
+        fleet.world.run(0.05)
+        is_known = len(fleet.members) == count and all(r.knows() for r in fleet.members.values())
+        if is_known and known_after_s == math.inf and len(fleet.crashes) > 2:
+            known_after_s = fleet.loop.now() - fleet.crashes[2]
+    return fleet, known_after_s
+
+
+def main():
+    EVENT_LOG._output = -1
+    print(
+        "| routers | trouble | after ends | plays | all know after s, most "
+        "| ends, most | late, most | datagrams | bytes each |"
+    )
+    print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+    sizes = [int(size) for size in sys.argv[1].split(",")]
+    plays = int(sys.argv[2])
+    for count in sizes:
+        for trouble in TROUBLES:
+            for after in (1, 3):
+                rows = [play(seed, count, trouble, trouble_after=after) for seed in range(plays)]
+                fleets = [fleet for fleet, _ in rows]
+                datagrams = statistics.mean(fleet.datagrams for fleet in fleets)
+                size = statistics.mean(fleet.bytes / max(1, fleet.datagrams) for fleet in fleets)
+                print(
+                    f"| {count} | {trouble} | {after} | {plays} | {max(s for _, s in rows):.2f} "
+                    f"| {max(len(fleet.crashes) for fleet in fleets)} "
+                    f"| {max(fleet.late_arrivals() for fleet in fleets)} "
+                    f"| {datagrams:.0f} | {size:.0f} |",
+                    flush=True,
+                )
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/router/test_blame_table.py
+++ b/tests/router/test_blame_table.py
@@ -12,6 +12,7 @@
     DEADLY_AFTER,
     DEADLY_AFTER_SUCCESS,
     FIRST_HELD_S,
+    HELD_AFTER_SUCCESS_S,
     LONGEST_HELD_S,
     MOST_BLAMED,
     MOST_OF_ONE_CALLER,
@@ -174,6 +175,16 @@
     assert table.held_for_s(DEADLY, 100.0) == 0.0
 
 
+def test_one_that_ran_whole_is_held_back_for_seconds_not_hours():
+    table = blamed(1)
+    table.note_whole(DEADLY, 101.0)
+    for number in range(DEADLY_AFTER_SUCCESS):
+        table.note_ended(DEADLY, f"j-{number}", 102.0)
+    assert table.held_for_s(DEADLY, 102.0) == HELD_AFTER_SUCCESS_S
+    table.note_whole(DEADLY, 103.0)
+    assert table.held_for_s(DEADLY, 103.0) == 0.0
+
+
 def test_what_has_ended_three_starts_explains_them():
     """Several deadly requests at a time are no chance: none of them gets a fourth runner for it."""
     table = blamed(DEADLY_AFTER)
