Operators list and clear what ends runners; streams to callers and figures in modules of their own

Cause: nothing showed operators which requests are held back, nor let them say that one is harmless. Ruled out: an object that operators write in the store (they call no node there, and it would be polled). Tests: test_blame_page over two real routers; test_blame_fleet: 7 and 30 routers in virtual time, datagrams lost.

--- a/src/martenrun/cli/main.py
+++ b/src/martenrun/cli/main.py
@@ -11,6 +11,7 @@
     "admin": "martenrun.cli.admin:admin",
     "ask": "martenrun.cli.ask:ask",
     "wait": "martenrun.cli.ask:wait",
+    "blame": "martenrun.cli.blame:blame",
     "explain": "martenrun.cli.explain:explain",
     "hash-key": "martenrun.cli.ask:hash_key",
     "standin": "martenrun.cli.standin:standin",
--- a/src/martenrun/net/http.py
+++ b/src/martenrun/net/http.py
@@ -22,6 +22,9 @@
 )
 """Fields that concern one connection or the framing on it; never passed on (RFC 9110, 7.6.1)."""
 
+STATUS_OK = 200
+"""Status of a good answer."""
+
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
--- a/src/martenrun/router/blame_table.py
+++ b/src/martenrun/router/blame_table.py
@@ -14,6 +14,7 @@
 import math
 
 import attrs
+import msgspec
 
 from martenrun.router.blame_messages import BlameRecord
 from martenrun.router.fingerprint import CALLER_BYTES, OUTLINE_BYTES
@@ -113,6 +114,20 @@
         return max(self.last_at, held_until) + SUSPECTED_S
 
 
+class BlamedRequest(msgspec.Struct):
+    """What operators are told of one request.
+
+    Attributes:
+        starts: starts that ended under it since it last ran whole.
+        held_for_s: for how long it is still held back, in seconds; 0 if it is not.
+    """
+
+    fingerprint: str
+    starts: int
+    held_for_s: float
+    has_run_whole: bool
+
+
 class BlameTable:
     """What is known of all blamed requests, by fingerprint.
 
@@ -178,9 +193,15 @@
         blame.whole_at = max(blame.whole_at, at)
         return was_blamed
 
-    def clear(self, fingerprint: bytes, now: float) -> bool:
-        """Take in that an operator holds a request to be harmless."""
-        return self.note_whole(fingerprint, now)
+    def listed(self, now: float) -> list[BlamedRequest]:
+        """Return what is known of all requests, those held back first."""
+        known = [
+            BlamedRequest(
+                key.hex(), blame.count, round(self.held_for_s(key, now), 1), blame.has_run_whole
+            )
+            for key, blame in self._blamed.items()
+        ]
+        return sorted(known, key=lambda item: (-item.held_for_s, -item.starts))
 
     def records(self, now: float, only: set[bytes] | None = None) -> list[BlameRecord]:
         """Return what is known of some requests, or of all, with ages in milliseconds."""
--- /dev/null
+++ b/src/martenrun/router/caller_stream.py
@@ -0,0 +1,64 @@
+"""The caller's side of a streamed answer: whole events only, and how long its pauses were."""
+
+from martenrun.net.http import end_to_end
+from martenrun.net.loop import Loop
+from martenrun.net.server import Exchange
+from martenrun.router.attempt import Attempt
+from martenrun.router.event_stream import EventSplitter
+
+
+class CallerStream:
+    """Passes events on to one caller, over all runners that make them.
+
+    Args:
+        last_event_id: the last event that the caller has from an earlier request.
+
+    Attributes:
+        first_event_at: when the first event was passed on, or None.
+        longest_gap_s: the longest pause between two events, in seconds.
+    """
+
+    def __init__(self, loop: Loop, exchange: Exchange, last_event_id: int) -> None:
+        self._loop = loop
+        self._exchange = exchange
+        self._splitter = EventSplitter(last_event_id)
+        self._last_event_at = 0.0
+        self.first_event_at: float | None = None
+        self.longest_gap_s = 0.0
+
+    @property
+    def last_event_id(self) -> int:
+        """The last event that the caller has."""
+        return self._splitter.last_event_id
+
+    @property
+    def has_rest(self) -> bool:
+        """Whether a part of an event has come without its end."""
+        return self._splitter.has_rest
+
+    def restart(self) -> None:
+        """Drop the part of an event that a runner broke off in."""
+        self._splitter.restart()
+
+    def pass_on(self, attempt: Attempt, data: bytes) -> None:
+        """Pass on the events that are whole; raises BrokenStreamError."""
+        now = self._loop.now()
+        for event in self._splitter.feed(data):
+            if self.first_event_at is None:
+                self.first_event_at = now
+                self.begin(attempt)
+            else:
+                self.longest_gap_s = max(self.longest_gap_s, now - self._last_event_at)
+            self._last_event_at = now
+            self._exchange.send(event.data)
+
+    def begin(self, attempt: Attempt) -> None:
+        """Send the head of the first runner's answer, once."""
+        if not self._exchange.has_started:
+            self._exchange.start(attempt.status, end_to_end(attempt.headers), None)
+
+    def first_ms(self, began_at: float) -> float | None:
+        """Return how long after a time the first event was passed on, in milliseconds."""
+        if self.first_event_at is None:
+            return None
+        return round((self.first_event_at - began_at) * 1000, 1)
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -6,7 +6,7 @@
 from martenrun.net.loop import Timer
 from martenrun.net.server import Exchange
 from martenrun.router.attempt import STATUS_SERVER_ERROR, Attempt, AttemptLoad
-from martenrun.router.event_stream import EventSplitter
+from martenrun.router.caller_stream import CallerStream
 from martenrun.router.messages import Admitted
 from martenrun.router.placement import PlacementQuestion
 from martenrun.router.retry import MAXIMUM_SENDS, Failure, NextStep, TryState, next_step
@@ -50,10 +50,7 @@
         self._sent_to: list[str] = []
         self._runs = 0
         self._attempt: Attempt | None = None
-        self._splitter = EventSplitter(admitted.call.last_event_id)
-        self._first_event_at: float | None = None
-        self._last_event_at = 0.0
-        self._longest_gap_s = 0.0
+        self._stream = CallerStream(world.loop, exchange, admitted.call.last_event_id)
         self._trail = RequestTrail(world.loop, admitted)
         self._figures = world.decisions.forwarding
         self._guard = world.guard(admitted.service)
@@ -94,6 +91,7 @@
         held_s = self._world.suspects.held_for_s(self._known_run())
         if held_s:
             # It has ended all runners that ran it: refused here it ends no more of them.
+            self._trail.note("ends_runners", fingerprint=(self._run or b"").hex())
             self._refuse("ends_runners", held_s)
             return
         state = self._choose()
@@ -153,7 +151,7 @@
         request = self._exchange.request
         placement = world.placement
         question = self._question()
-        last_event_id = self._splitter.last_event_id
+        last_event_id = self._stream.last_event_id
         dispatch = runner_dispatch(world, self._admitted, state, question, last_event_id)
         headers = world.dialect.runner_headers(request.headers, dispatch)
         data = request_bytes(request.method, request.target, headers, request.body)
@@ -189,30 +187,18 @@
 
     def on_stream_data(self, data: bytes) -> None:
         """Pass on the events that are whole; raises BrokenStreamError."""
-        now = self._world.loop.now()
-        for event in self._splitter.feed(data):
-            if self._first_event_at is None:
-                self._first_event_at = now
-                self._begin_stream()
-            else:
-                self._longest_gap_s = max(self._longest_gap_s, now - self._last_event_at)
-            self._last_event_at = now
-            self._exchange.send(event.data)
+        if self._attempt is not None:
+            self._stream.pass_on(self._attempt, data)
         if self._exchange.is_congested:
             self._pause(True)
 
-    def _begin_stream(self) -> None:
-        if self._attempt is None or self._exchange.has_started:
-            return
-        self._exchange.start(self._attempt.status, end_to_end(self._attempt.headers), None)
-
     def on_stream_whole(self, attempt: Attempt) -> None:
         """The stream has ended whole."""
-        if self._splitter.has_rest:
+        if self._stream.has_rest:
             self.on_failure(Failure.BROKEN, attempt)
             return
         self._world.suspects.note_whole(self._known_run())
-        self._begin_stream()
+        self._stream.begin(attempt)
         self._exchange.end()
         self._end("served", attempt)
 
@@ -238,7 +224,7 @@
         self._attempt = None
         if failure in (Failure.BROKEN, Failure.RUN_FAILED):
             self._runs += 1
-        self._splitter.restart()
+        self._stream.restart()
         if not attempt.was_cut_off:
             self._go_on(failure, attempt)
             return
@@ -375,12 +361,10 @@
             instance=None if attempt is None else attempt.state.runner.instance,
             status=None if attempt is None else attempt.status,
             tries=len(self._sent_to),
-            events=self._splitter.last_event_id,
+            events=self._stream.last_event_id,
             total_ms=round((now - self._began_at) * 1000, 1),
-            first_ms=None
-            if self._first_event_at is None
-            else round((self._first_event_at - self._began_at) * 1000, 1),
-            longest_gap_ms=round(self._longest_gap_s * 1000, 1),
+            first_ms=self._stream.first_ms(self._began_at),
+            longest_gap_ms=round(self._stream.longest_gap_s * 1000, 1),
         )
         self._on_end(self)
 
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -8,12 +8,14 @@
 from martenrun.net.server import Exchange, Server
 from martenrun.router.admission import Admission, Refusal, refuse
 from martenrun.router.blame_messages import BlameNews
+from martenrun.router.blame_page import BLAME_PATH, serve_blame
 from martenrun.router.blame_store import BlameStore
 from martenrun.router.crash_watch import RunnerKnowledge
 from martenrun.router.decisions import DEFAULTS, Decisions, load_decisions
 from martenrun.router.denials import Denials
 from martenrun.router.dialect import Dialect, SettingsSource
 from martenrun.router.entry import Entry
+from martenrun.router.figures import FigureSources, read_samples
 from martenrun.router.forwarding import Forwarding
 from martenrun.router.keeper import Keeper, KeeperParts
 from martenrun.router.knowledge import (
@@ -33,7 +35,7 @@
     Route,
     RouterSettings,
 )
-from martenrun.router.metrics import Metrics, Sample
+from martenrun.router.metrics import Metrics
 from martenrun.router.peer_messages import LeaseNews, RouterRecord, SilenceNews
 from martenrun.router.peers import News, Peers, first_incarnation
 from martenrun.router.placement import Placement
@@ -72,7 +74,7 @@
         self._loop = Loop()
         self._loop.pacer.set_link(settings.link_bytes_per_s)
         self._store = HttpCaller(self._loop, settings.store_address)
-        self._metrics = Metrics(self._samples)
+        self._metrics = Metrics(lambda: read_samples(self._figures))
         self._forwardings: set[Forwarding] = set()
         self._stop: PlannedStop | None = None
         self._world = World(
@@ -165,6 +167,14 @@
             Server(self._loop, settings.directory_address, entry.serve_directory),
             Server(self._loop, settings.internal_address, self._serve_internal),
         ]
+        self._figures = FigureSources(
+            self._world,
+            self._peers,
+            self._keeper,
+            self._lease,
+            requests=lambda: len(self._forwardings),
+            connections=lambda: self._front.connections,
+        )
         self._world.configuration.on_changed.append(self._on_configuration)
         self._world.weights.on_changed = self._roller.check
 
@@ -279,27 +289,6 @@
         self._metrics.count("requests", outcome=outcome, kind=route.kind.value)
         self._metrics.time("request", seconds, kind=route.kind.value)
 
-    def _samples(self) -> list[Sample]:
-        now = self._loop.now()
-        states = self._world.pool.all_states()
-        return [
-            Sample("requests_in_flight", len(self._forwardings)),
-            Sample("caller_connections", self._front.connections),
-            Sample("runners", len(states)),
-            Sample("runners_avoided", sum(state.is_avoided(now) for state in states)),
-            Sample("runner_requests", sum(state.load for state in states)),
-            Sample("runner_backlog_tokens", sum(state.backlog_tokens for state in states)),
-            Sample("configuration_age_seconds", self._world.configuration.age_s(now)),
-            Sample("configuration_version", self._world.configuration.version),
-            Sample("configuration_behind_seconds", self._world.configuration.behind_s(now)),
-            Sample("routers_alive", 1 + len(self._peers.live())),
-            Sample("oldest_router_alive_seconds", self._peers.table.oldest_alive_s(now)),
-            Sample("store_lost", self._keeper.has_lost_store),
-            Sample("lease_held", self._lease.is_held()),
-            Sample("requests_blamed", len(self._world.suspects.table)),
-            Sample("requests_held_back", len(self._world.suspects.table.held(now))),
-        ]
-
     # Entry
 
     def _is_current(self) -> bool:
@@ -310,6 +299,8 @@
         """Serve other routers and whoever reads the figures; nobody outside reaches this."""
         if exchange.request.target == METRICS_PATH:
             exchange.respond(200, [(b"Content-Type", b"text/plain")], self._metrics.text())
+        elif exchange.request.target == BLAME_PATH:
+            serve_blame(exchange, self._world.suspects)
         else:
             self._keeper.relay.serve(exchange)
 
--- a/src/martenrun/router/store_client.py
+++ b/src/martenrun/router/store_client.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from martenrun.net.client import ClientConnection
-from martenrun.net.http import Headers, HttpAnswer, request_bytes
+from martenrun.net.http import STATUS_OK, Headers, HttpAnswer, request_bytes
 from martenrun.net.loop import Loop, Timer
 from martenrun.router.log import log_trouble
 from martenrun.router.messages import HttpCall
@@ -19,7 +19,6 @@
 KEPT_CONNECTIONS = 4
 """Idle connections kept to one address."""
 
-HTTP_OK = 200
 
 SILENCE_S = 0.6
 """How long an answer that has begun may stand still, in seconds."""
@@ -92,7 +91,7 @@
 
     def _hear(self) -> None:
         self._heard_at = self._loop.now()
-        if self._status == HTTP_OK:
+        if self._status == STATUS_OK:
             self._on_heard()
 
     def _look(self) -> None:
--- a/src/martenrun/router/store_watch.py
+++ b/src/martenrun/router/store_watch.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from martenrun.net.http import HttpAnswer
+from martenrun.net.http import STATUS_OK, HttpAnswer
 from martenrun.net.loop import Loop
 from martenrun.router.dataset_copy import DatasetCopy
 from martenrun.router.dialect import Dialect
@@ -29,7 +29,6 @@
 OUTAGE_MEMORY_S = 2.0
 """How long after its return the store may miss objects that are not gone, in seconds."""
 
-HTTP_OK = 200
 HTTP_GONE = 410
 
 
@@ -154,7 +153,7 @@
         self._store.call(call, ANSWER_TIMEOUT_S, on_page, on_heard)
 
     def _on_page(self, answer: HttpAnswer | None, began_at: float) -> None:
-        if answer is None or answer.status != HTTP_OK:
+        if answer is None or answer.status != STATUS_OK:
             self._fail(answer, lambda: self._list(None, self._loop.now()))
             return
         try:
@@ -193,7 +192,7 @@
             log_event("history_gone", dataset=self._copy.dataset.value)
             self._list(None, self._loop.now())
             return
-        if answer is None or answer.status != HTTP_OK:
+        if answer is None or answer.status != STATUS_OK:
             self._fail(answer, self._watch)
             return
         try:
--- a/src/martenrun/router/suspects.py
+++ b/src/martenrun/router/suspects.py
@@ -11,7 +11,7 @@
 from martenrun.net.http import HttpRequest
 from martenrun.net.loop import Loop
 from martenrun.router.blame_messages import BlameNews, BlameRecord
-from martenrun.router.blame_table import BlameTable
+from martenrun.router.blame_table import BlamedRequest, BlameTable
 from martenrun.router.crash_watch import CrashWatch, Probe, RunnerKnowledge
 from martenrun.router.fingerprint import fingerprint, outline
 from martenrun.router.log import log_event, log_trouble
@@ -84,6 +84,17 @@
         if not state.runner.is_draining:
             self._on_ended(state.runner.instance, [fingerprint(request, admitted)])
 
+    def list_blamed(self) -> list[BlamedRequest]:
+        """Return what operators are told."""
+        return self.table.listed(self._loop.now())
+
+    def clear(self, run: bytes) -> bool:
+        """Take in an operator's word that a request is harmless; return whether it is known."""
+        if not self.table.knows(run):
+            return False
+        self.note_whole(run)
+        return True
+
     def note_whole(self, run: bytes | None) -> None:
         """Take in that a request came to an end of its own at a runner."""
         if run is not None and self.table.note_whole(run, self._loop.now()):
--- /dev/null
+++ b/tests/router/test_blame_fleet.py
@@ -0,0 +1,27 @@
+"""Fleets in virtual time: all know a deadly request in time, whatever strikes after its ends."""
+
+import pytest
+
+from .blame_fleet import KNOWN_WITHIN_S, TROUBLES, play
+
+LATE_ARRIVALS = 3
+
+
+@pytest.mark.parametrize("after_ends", [1, 3])
+@pytest.mark.parametrize("trouble", TROUBLES)
+def test_all_know_in_time_and_few_more_runners_end(trouble, after_ends):
+    for seed in range(4):
+        fleet, known_after_s = play(seed, 7, trouble, trouble_after=after_ends)
+        assert known_after_s < KNOWN_WITHIN_S, seed
+        assert fleet.late_arrivals() <= LATE_ARRIVALS, seed
+
+
+def test_many_routers_know_in_time_after_half_of_them_started_anew():
+    fleet, known_after_s = play(1, 30, "half restart")
+    assert known_after_s < KNOWN_WITHIN_S
+    assert fleet.late_arrivals() <= LATE_ARRIVALS
+
+
+def test_the_store_is_written_rarely():
+    fleet, _ = play(1, 7, "none")
+    assert fleet.store.writes <= 2 * len(fleet.crashes)
--- /dev/null
+++ b/tests/router/test_blame_page.py
@@ -0,0 +1,57 @@
+"""Operators list what ends runners and clear a request, at the internal interface."""
+
+import pytest
+from click.testing import CliRunner
+from platform_deployment import PlatformDeployment
+
+from martenrun.cli.main import main
+
+DEADLY = b"ends who runs it"
+
+
+@pytest.fixture(scope="module")
+def deployment():
+    with PlatformDeployment(routers=2, model_runners=3) as running:
+        running.let_crash(lambda body: body == DEADLY, 1.0)
+        yield running
+
+
+def blame(router, *options):
+    address = router.url("internal", "").removeprefix("http://")
+    return CliRunner().invoke(main, ["blame", address, *options])
+
+
+def test_a_deadly_request_is_listed_explained_and_cleared_everywhere(deployment):
+    first, second = deployment.routers
+    statuses = []
+
+    def is_held_back():
+        number = len(statuses)
+        statuses.append(deployment.ask("/once/x", f"d-{number}", first, body=DEADLY).status)
+        return "held back" in blame(second).output
+
+    deployment.wait(is_held_back)
+    answer = deployment.ask("/once/x", "d-last", second, body=DEADLY)
+    assert answer.status == 503 and float(answer.headers["Retry-After"]) > 60
+    fingerprint = blame(first).output.split()[0]
+    assert "3 starts ended" in blame(first).output
+    metrics = deployment.http.request("GET", first.url("internal", "/metrics")).data
+    assert b"requests_held_back 1" in metrics
+    logs = [str(router.log) for router in deployment.routers]
+
+    def explained():
+        return CliRunner().invoke(main, ["explain", "d-last", *logs]).output
+
+    deployment.wait(lambda: "ends_runners" in explained() and fingerprint in explained())
+
+    assert blame(first, "--clear", fingerprint).output == f"cleared {fingerprint}\n"
+    deployment.wait(lambda: "has run whole" in blame(second).output)
+    assert "held back" not in blame(second).output
+
+
+def test_what_is_not_known_cannot_be_cleared(deployment):
+    router = deployment.routers[0]
+    assert "List what it knows first" in blame(router, "--clear", "00" * 24).output
+    assert "Give a listed fingerprint" in blame(router, "--clear", "no hex").output
+    none = CliRunner().invoke(main, ["blame", "127.0.0.1:1"])
+    assert none.exit_code == 1 and "internal ports" in none.output
