How often runners end by chance is counted by itself, not by what is still blamed

Cause: in a million requests 104 were held back at one end a second, all later than 5,600 s: requests blamed once when the last runner ended, which never came again, had pushed out those that showed how often runners end. Change: ends of the last 30 s are kept by themselves; where memory is short an end keeps a request ten minutes longer than one without, only those held back stay whatever else. Ruled out: a larger table (the same, later). Tests: one that fails without it.

--- a/src/martenrun/router/blame_table.py
+++ b/src/martenrun/router/blame_table.py
@@ -61,6 +61,9 @@
 MOST_OF_ONE_CALLER = MOST_BLAMED // 4
 """The same for one caller, so that its many deadly requests push out nobody else's."""
 
+KEPT_LONGER_S = 600.0
+"""How much longer a request is kept for each end, where memory is short, in seconds."""
+
 MOST_STARTS = 12
 """Starts remembered of one request: with so many it is held back for the longest time."""
 
@@ -139,6 +142,7 @@
         self.runners = 1
         self._blamed: dict[bytes, Blame] = {}
         self._outlines: collections.Counter[bytes] = collections.Counter()
+        self._ends: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._blamed)
@@ -173,6 +177,7 @@
         blame = self._blamed.get(fingerprint)
         if blame is None:
             blame = self._add(fingerprint)
+        self._ends[start] = min(at, self._ends.get(start, at))
         known_at = blame.ended.get(start)
         blame.ended[start] = at if known_at is None else min(at, known_at)
         if len(blame.ended) > MOST_STARTS:
@@ -237,6 +242,8 @@
 
     def forget(self, now: float) -> None:
         """Drop what does not matter any more."""
+        lately = now - CHANCE_WINDOW_S
+        self._ends = {start: at for start, at in self._ends.items() if at > lately}
         for key in [k for k, blame in self._blamed.items() if blame.forgotten_at() < now]:
             self._drop(key)
 
@@ -255,14 +262,11 @@
         What has ended three starts itself explains them: beside it others are met by its ends.
         """
         lately = now - CHANCE_WINDOW_S
-        recent: set[str] = set()
         explained = set() if blame.has_run_whole else set(blame.ended)
         for other in self._blamed.values():
             if other.count >= DEADLY_AFTER and not other.has_run_whole:
                 explained |= other.ended.keys()
-            else:
-                recent.update(start for start, at in other.ended.items() if at > lately)
-        return len(recent - explained)
+        return sum(at > lately and start not in explained for start, at in self._ends.items())
 
     def _add(self, fingerprint: bytes) -> Blame:
         blame = self._blamed[fingerprint] = Blame()
@@ -288,9 +292,10 @@
             return
         self._drop(min(keys, key=self._weight))
 
-    def _weight(self, fingerprint: bytes) -> tuple[int, float]:
+    def _weight(self, fingerprint: bytes) -> tuple[bool, float]:
         blame = self._blamed[fingerprint]
-        return blame.count, blame.last_at
+        is_enough = blame.count >= blame.least_asked_for
+        return is_enough, blame.last_at + KEPT_LONGER_S * blame.count
 
 
 def _age_ms(at: float, now: float) -> int:
--- a/tests/router/test_blame_table.py
+++ b/tests/router/test_blame_table.py
@@ -235,3 +235,18 @@
     assert len(set(prints)) == len(prints)
     assert fingerprint(request(b"a"), admitted()) == prints[0]
     assert outline(request(b"a"), admitted()) == prints[0][:OUTLINE_BYTES]
+
+
+def test_requests_that_never_came_again_do_not_hide_how_often_runners_end():
+    """One runner carried all when it ended: 500 requests are blamed once and never clear."""
+    table = BlameTable()
+    table.runners = RUNNERS
+    for number in range(MOST_BLAMED):
+        table.note_ended(key_of(number, number), "the last one", 100.0)
+    for number in range(30):
+        key = key_of(1_000 + number, 1_000 + number)
+        table.note_ended(key, f"chance-{number}", 200.0)
+        table.note_whole(key, 200.5)
+    for number in range(DEADLY_AFTER):
+        table.note_ended(DEADLY, f"i-{number}", 201.0)
+    assert table.held_for_s(DEADLY, 201.0) == 0.0
