Test of three losses of power in a row: what the store keeps outlasts them

Cause: without the stored object no test failed: after one loss three more runners end, which is just allowed.

--- a/tests/router/test_blame_fleet.py
+++ b/tests/router/test_blame_fleet.py
@@ -25,3 +25,13 @@
 def test_the_store_is_written_rarely():
     fleet, _ = play(1, 7, "none")
     assert fleet.store.writes <= 2 * len(fleet.crashes)
+
+
+def test_what_the_store_keeps_outlasts_one_loss_of_power_after_another():
+    """Each loss would else let three more runners end: with two of them six."""
+    fleet, _ = play(1, 7, "none")
+    for _ in range(3):
+        TROUBLES["all lose power"](fleet)
+        fleet.world.run(6.0)
+    assert fleet.late_arrivals() <= LATE_ARRIVALS
+    assert all(router.knows() for router in fleet.members.values())
