Soak with requests that end runners, beside all other faults; an accepted connection that closes proves nothing

The stand-in reset its connections before its relay refused new ones, so that the probe was accepted and closed, which counted as a sign of life. What stands in between in a real deployment does the same. Change: a probe is a sign of life only if it stays open for 30 ms; closed sooner it says nothing, and a later start proves the end. Stand-ins refuse first, and hold their port while they are away (another process's connection took it once). Ruled out: the store, restarts of routers (the arrivals came from routers in touch).

--- a/scripts/faulty_relay.py
+++ b/scripts/faulty_relay.py
@@ -5,6 +5,8 @@
 import threading
 import time
 
+from martenrun.platform.standins.serving import held_port
+
 _READ_BYTES = 65_536
 _CONNECT_TIMEOUT_S = 2.0
 _LOOK_S = 0.02
@@ -26,6 +28,7 @@
         self.delay_s = 0.0
         self.is_mute = False
         self.connections = 0
+        self._held: socket.socket | None = None
         self._silent: set[socket.socket] = set()
         self._target = _parsed(target)
         self._is_cut = False
@@ -41,8 +44,19 @@
         for sock in broken:
             _shut(sock)
 
+    def refuse(self) -> None:
+        """Break every connection and refuse new ones, as a machine does whose process has ended."""
+        self.cut()
+        _shut(self._listener)
+        self._listener.close()
+        self._held = held_port(_parsed(self.address))
+
     def restore(self) -> None:
         """Relay again, without delay."""
+        if self._held is not None:
+            self._listener, self._held = self._held, None
+            self._listener.listen()
+            threading.Thread(target=self._accept, daemon=True).start()
         self._is_cut = False
         self.delay_s = 0.0
         self.is_mute = False
@@ -57,6 +71,8 @@
         self.cut()
         _shut(self._listener)
         self._listener.close()
+        if self._held is not None:
+            self._held.close()
 
     def _accept(self) -> None:
         while True:
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -11,6 +11,7 @@
 
 import gc
 import itertools
+import re
 import shutil
 import sys
 import time
@@ -20,10 +21,11 @@
 import attrs
 import click
 from platform_deployment import PlatformDeployment
-from soak_callers import Callers, DelayMeter, Lookers
+from soak_callers import Callers, DelayMeter, Lookers, is_deadly
 from soak_faults import Faults
 
 from martenrun.proof.router_checkers import (
+    CrashRecord,
     OrderRecord,
     PromiseBounds,
     RouterHistory,
@@ -57,6 +59,9 @@
 
 LOOK_S = 0.02
 
+HELD_BACK = re.compile(rb'"request_held_back","fingerprint":"([0-9a-f]+)"')
+"""Finds in a log which requests its router held back."""
+
 
 @attrs.frozen
 class Outcome:
@@ -116,6 +121,7 @@
     with deployment:
         faults = Faults(deployment)
         callers, lookers, meter = Callers(deployment, seed), Lookers(deployment), DelayMeter()
+        faults.send_deadly = callers.send_deadly
         meter.start()
         callers.start(CALLERS)
         lookers.start()
@@ -127,6 +133,7 @@
             meter.stop()
         history = _history(deployment, faults, callers, lookers)
         violations = check_all(history, bounds_of(most_at_once(history.lives)))
+        violations += _shut_out(deployment, history)
         violations += [f"own end: {text}" for text in faults.own_ends]
         outcome = Outcome(
             seed=seed,
@@ -177,6 +184,7 @@
                 run.tenant,
                 ends.get((run.instance, run.request_id)),
                 f"{run.method} {run.path}",
+                run.body.decode() if is_deadly(run.body) else "",
             )
             for runner in runners
             for run in runner.runs
@@ -198,9 +206,27 @@
         lives=faults.all_lives(),
         directory=lookers.answers,
         tries=lookers.tries,
+        crashes=[
+            CrashRecord(crash.request_id, crash.at)
+            for runner in runners
+            for crash in runner.crashes
+        ],
     )
 
 
+def _shut_out(deployment: PlatformDeployment, history: RouterHistory) -> list[str]:
+    """Return a violation if routers held back more requests than there were deadly ones."""
+    held = {
+        fingerprint.decode()
+        for router in deployment.routers
+        for fingerprint in HELD_BACK.findall(router.log.read_bytes())
+    }
+    deadly = {run.deadly for run in history.runs if run.deadly}
+    if len(held) <= len(deadly):
+        return []
+    return [f"shut out: {len(held)} requests held back, {len(deadly)} deadly ones: {held}"]
+
+
 def _record_text(history: RouterHistory) -> str:
     """Return what was done to routers and runners, for whoever traces a violation."""
     records = [*history.lives, *history.troubles, *history.departures, *history.revocations]
@@ -218,6 +244,7 @@
 @click.option("--seeds", default=1, show_default=True, help="seeds in turn, from --seed on")
 @click.option("--routers", default=3, show_default=True, help="router processes at a time")
 @click.option("--runner-starts", is_flag=True, help="runners start again, entries are broken")
+@click.option("--deadly", is_flag=True, help="some requests end each runner that runs them")
 @click.option("--schedule", type=click.Path(path_type=Path, exists=True), help="play this one")
 @click.option("--keep-logs", type=click.Path(path_type=Path), help="folder for logs of violations")
 def soak(
@@ -226,6 +253,7 @@
     seeds: int,
     routers: int,
     runner_starts: bool,
+    deadly: bool,
     schedule: Path | None,
     keep_logs: Path | None,
 ) -> None:
@@ -234,7 +262,7 @@
     click.echo(HEAD)
     for number in range(seed, seed + seeds):
         if schedule is None:
-            steps = draw_schedule(number, minutes * 60, runner_starts)
+            steps = draw_schedule(number, minutes * 60, runner_starts, deadly)
         else:
             steps = from_text(schedule.read_text())
         deployment = PlatformDeployment(routers, 3, 3, has_relays=True)
--- a/scripts/soak_callers.py
+++ b/scripts/soak_callers.py
@@ -48,6 +48,18 @@
     return SLOW_PAUSE_S if request_id.endswith(SLOW_MARK) else 0.005
 
 
+DEADLY_PAUSE_S = 0.3
+"""Pause between two comings of one deadly request, in seconds."""
+
+DEADLY = b"deadly "
+"""Begins the bodies under which runners end."""
+
+
+def is_deadly(body: bytes) -> bool:
+    """Whether runners end under a body."""
+    return body.startswith(DEADLY)
+
+
 class Callers:
     """Callers on threads, and all that they saw."""
 
@@ -69,6 +81,34 @@
             self._threads.append(thread)
             thread.start()
 
+    def send_deadly(self) -> None:
+        """Let one more deadly request come again and again, at any router, until the end."""
+        number = len(self._threads)
+        rng = random.Random(f"{self._seed} {number}")
+        body = DEADLY + b"%d" % number
+        thread = threading.Thread(target=self._send_deadly_on, args=(rng, body), daemon=True)
+        self._threads.append(thread)
+        thread.start()
+
+    def _send_deadly_on(self, rng: random.Random, body: bytes) -> None:
+        while not self._is_over.wait(DEADLY_PAUSE_S * rng.uniform(0.5, 1.5)):
+            router = rng.choice(list(self._deployment.routers)).front
+            host, _, port = router.rpartition(":")
+            connection = http.client.HTTPConnection(host, int(port), timeout=ANSWER_TIMEOUT_S)
+            with self._lock:
+                self._number += 1
+                request_id = f"s{self._number:06d}d"
+            sent_at = time.monotonic()
+            status = None
+            try:
+                self._send(connection, "once", request_id, KEY, body)
+                status = connection.getresponse().status
+            except (http.client.HTTPException, OSError):
+                pass
+            connection.close()
+            record = CallRecord(request_id, "once", KEY, sent_at, status, b"", router)
+            self.calls.append(record)
+
     def stop(self) -> None:
         """Let the callers end what they do, and wait for that."""
         self._is_over.set()
@@ -133,7 +173,13 @@
         return is_kept
 
     @staticmethod
-    def _send(connection: http.client.HTTPConnection, kind: str, request_id: str, key: str) -> None:
+    def _send(
+        connection: http.client.HTTPConnection,
+        kind: str,
+        request_id: str,
+        key: str,
+        body: bytes | None = None,
+    ) -> None:
         headers = {
             "Host": HOST,
             "X-Request-Id": request_id,
@@ -145,7 +191,8 @@
             headers["X-Token-Usage"] = "1000,20"
             headers["X-Prefix-Hash"] = "aa:600,bb:300,cc:100"
         method = "GET" if kind == "slip" else "POST"
-        body = None if method == "GET" else b"body of " + request_id.encode()
+        if body is None and method != "GET":
+            body = b"body of " + request_id.encode()
         connection.request(method, KINDS[kind], body, headers)
 
 
--- a/scripts/soak_faults.py
+++ b/scripts/soak_faults.py
@@ -82,6 +82,7 @@
     def go_on(self) -> None:
         """Do what has become due, and look after processes that have ended or have started."""
         now = time.monotonic()
+        self.take_crashes()
         while self._due and self._due[0][0] <= now:
             heapq.heappop(self._due)[2]()
         for name, router in list(self._ending.items()):
--- a/scripts/soak_runner_faults.py
+++ b/scripts/soak_runner_faults.py
@@ -3,6 +3,7 @@
 Nothing here waits: what lasts is ended later, by whoever calls what has become due.
 """
 
+import collections
 import heapq
 import itertools
 import random
@@ -12,7 +13,7 @@
 import attrs
 from faulty_relay import FaultyRelay
 from platform_deployment import KEY, MODEL, PlatformDeployment
-from soak_callers import SPARE_KEY, pause_of
+from soak_callers import SPARE_KEY, is_deadly, pause_of
 
 from martenrun.platform.standins.runner import Fault, RunnerStandin
 from martenrun.proof.router_checkers import Departure, Revocation, Trouble
@@ -27,6 +28,9 @@
 RUNNER_RESTART_S = 0.3
 """Pause between a runner's end and its next start under the same id, in seconds."""
 
+CRASHED_AWAY_S = 2.0
+"""The same for one that a request has ended."""
+
 SETTLED_S = 1.0
 """How long a router that was started anew counts as in trouble once it says that it is ready."""
 
@@ -45,8 +49,15 @@
         self.departures: list[Departure] = []
         self.revocations: list[Revocation] = []
         self.retired: list[RunnerStandin] = []
+        self.send_deadly: Callable[[], None] = lambda: None
+        self._crashed: collections.deque[RunnerStandin] = collections.deque()
         for runner in deployment.runners:
-            runner.pause_of = pause_of
+            self._prepare(runner)
+
+    def _prepare(self, runner: RunnerStandin) -> None:
+        runner.pause_of = pause_of
+        runner.is_deadly = is_deadly
+        runner.on_crash = self._on_crash
 
     def _later(self, delay_s: float, call: Callable[[], None]) -> None:
         heapq.heappush(self._due, (time.monotonic() + delay_s, next(self._numbers), call))
@@ -63,7 +74,7 @@
     def _joined(self, old: RunnerStandin) -> None:
         """Let a new runner join for one that leaves."""
         new = RunnerStandin(old.service, old.model)
-        new.pause_of = pause_of
+        self._prepare(new)
         new.weights = old.weights
         self._deployment.runners.append(new)
         self._deployment.list_runner(new)
@@ -109,6 +120,27 @@
 
         self._later(RUNNER_RESTART_S, start)
 
+    def _on_crash(self, runner: RunnerStandin) -> None:
+        """Refuse connections to a runner that has ended; comes on the runner's own thread."""
+        self._deployment.relays[runner.instance].refuse()
+        self._crashed.append(runner)
+
+    def take_crashes(self) -> None:
+        """Let runners that have ended under a request start again in a while."""
+        while self._crashed:
+            runner = self._crashed.popleft()
+            began_at = time.monotonic()
+
+            def start(runner: RunnerStandin = runner, began_at: float = began_at) -> None:
+                runner.come_back(keeps_id=True)
+                self._deployment.relays[runner.instance].restore()
+                self._start_again(runner, began_at)
+
+            self._later(CRASHED_AWAY_S, start)
+
+    def _deadly_request(self, _step: Step) -> None:
+        self.send_deadly()
+
     def _kill_behind_cut(self, runner: RunnerStandin) -> None:
         self._deployment.relays[runner.instance].silence_open()
         self._start_again(runner, time.monotonic())
--- a/src/martenrun/platform/standins/runner.py
+++ b/src/martenrun/platform/standins/runner.py
@@ -5,6 +5,7 @@
 
 import enum
 import itertools
+import socket
 import threading
 import time
 from collections.abc import Callable
@@ -94,34 +95,36 @@
         self.on_crash: Callable[[RunnerStandin], None] = lambda _runner: None
         self.crashes: list[Crash] = []
         self._crashing = threading.Lock()
-        self._server = self._listen(0)
+        self._held: socket.socket | None = None
+        self._handler = type("Handler", (_Handler,), {"runner": self})
+        self._server = QuietServer(("127.0.0.1", 0), self._handler)
+        self._server.start()
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
 
-    def _listen(self, port: int) -> QuietServer:
-        handler = type("Handler", (_Handler,), {"runner": self})
-        server = QuietServer(("127.0.0.1", port), handler)
-        server.start()
-        return server
-
     def close(self) -> None:
         """Stop serving: connections to it are refused from now on."""
         self._server.shutdown()
         self._server.server_close()
+        if self._held is not None:
+            self._held.close()
 
     def crash(self, request_id: str) -> None:
         """End at once under a request; :meth:`come_back` starts it anew."""
         with self._crashing:
             self.crashes.append(Crash(request_id, self.instance, time.monotonic()))
-            self._server.crash()
-            self.on_crash(self)
+            if self._held is None:
+                self.on_crash(self)
+                self._held = self._server.crash()
 
     def come_back(self, keeps_id: bool) -> None:
         """Start anew at the same address after a crash, under another id or the same."""
-        port = int(self.address.rpartition(":")[2])
+        assert self._held is not None
         if not keeps_id:
             self.instance = f"i-{next(_INSTANCES):04d}"
         self.start_again()
-        self._server = self._listen(port)
+        self._server = QuietServer.at(self._held, self._handler)
+        self._held = None
+        self._server.start()
 
     def start_again(self) -> None:
         """Start anew under the same id: streams under way break off, counts and fences are gone."""
--- a/src/martenrun/proof/router_checkers.py
+++ b/src/martenrun/proof/router_checkers.py
@@ -32,7 +32,8 @@
 class RunRecord:
     """One run as a runner saw it; ``ended_at`` None where the runner does not tell.
 
-    ``target`` is the path, for whoever traces a violation.
+    ``target`` is the path, for whoever traces a violation; ``deadly`` names the body of a request
+    that ends each runner which runs it.
     """
 
     request_id: str
@@ -41,6 +42,7 @@
     tenant: str | None
     ended_at: float | None = None
     target: str = ""
+    deadly: str = ""
 
 
 @attrs.frozen
@@ -115,6 +117,14 @@
     was_taken: bool
 
 
+@attrs.frozen
+class CrashRecord:
+    """The end of one start of a runner under a request."""
+
+    request_id: str
+    at: float
+
+
 @attrs.frozen
 class PromiseBounds:
     """Within what the promises hold, in seconds.
@@ -150,6 +160,7 @@
     lives: Sequence[RouterLife] = ()
     directory: Sequence[DirectoryAnswer] = ()
     tries: Sequence[ConnectionTry] = ()
+    crashes: Sequence[CrashRecord] = ()
 
 
 SAFE_KINDS = frozenset({"slip", "ask"})
@@ -371,6 +382,39 @@
     return found
 
 
+LATE_ARRIVALS = 3
+"""Arrivals of a deadly request that are allowed once all routers must know of it."""
+
+DEADLY_AFTER = 3
+"""Ends of runners under a request after which they must know."""
+
+
+def deadly_requests_rest(history: RouterHistory, bounds: PromiseBounds) -> list[str]:
+    """A request under which three runners ended reaches few more, by routers in touch."""
+    found = []
+    bodies = {run.request_id: run.deadly for run in history.runs if run.deadly}
+    for body in sorted(set(bodies.values())):
+        ends = sorted(item.at for item in history.crashes if bodies[item.request_id] == body)
+        if len(ends) < DEADLY_AFTER:
+            continue
+        known_from = ends[DEADLY_AFTER - 1] + bounds.contact_s
+        late = [run for run in history.runs if run.deadly == body and run.at > known_from]
+        in_touch = [run for run in late if _is_from_one_in_touch(history, run, bounds.contact_s)]
+        if len(in_touch) > LATE_ARRIVALS:
+            times = ", ".join(f"{run.at - known_from:.1f}" for run in in_touch[:8])
+            found.append(f"{body}: {len(in_touch)} arrivals too late, by {times} s")
+    return found
+
+
+def _is_from_one_in_touch(history: RouterHistory, run: RunRecord, contact_s: float) -> bool:
+    call = next((call for call in history.calls if call.request_id == run.request_id), None)
+    if call is None:
+        return False
+    begin = run.at - contact_s
+    is_new = any(life.router == call.router and life.started_at > begin for life in history.lives)
+    return not is_new and not _was_in_trouble(history, (call.router, None), begin, run.at)
+
+
 def check_all(history: RouterHistory, bounds: PromiseBounds) -> list[str]:
     """Return every violation, each with the promise that it breaks."""
     results = {
@@ -386,5 +430,6 @@
         "served again": callers_are_served_again(history, bounds),
         "left": left_requests_do_not_run(history, bounds),
         "one holder": orders_have_one_holder(history),
+        "deadly": deadly_requests_rest(history, bounds),
     }
     return [f"{promise}: {text}" for promise, texts in results.items() for text in texts]
--- a/src/martenrun/proof/soak_schedule.py
+++ b/src/martenrun/proof/soak_schedule.py
@@ -68,7 +68,13 @@
 )
 """Kinds whose steps end after a while."""
 
-ALL_KINDS = {**STRUCK_AT_ONCE, **RUNNER_KINDS}
+DEADLY_KINDS = {"deadly_request": 0}
+"""The same of requests that end each runner which runs them, and come again until the end."""
+
+ALL_KINDS = {**STRUCK_AT_ONCE, **RUNNER_KINDS, **DEADLY_KINDS}
+
+MOST_DEADLY = 3
+"""Most of them in one schedule: some come at the same time, beside restarts and cuts."""
 
 OFTEN = ("terminate", "kill", "leave", "vanish")
 """One series of these is in every schedule: routers that end while others restart."""
@@ -93,11 +99,14 @@
     series: int
 
 
-def draw_schedule(seed: int, seconds: float, has_runner_kinds: bool = False) -> list[Step]:
+def draw_schedule(
+    seed: int, seconds: float, has_runner_kinds: bool = False, has_deadly: bool = False
+) -> list[Step]:
     """Return a schedule of so many seconds.
 
     Args:
         has_runner_kinds: adds a series of each of RUNNER_KINDS; the other steps stay the same.
+        has_deadly: adds MOST_DEADLY requests that end runners, at most; the others stay the same.
     """
     rng = random.Random(seed)
     kinds = [rng.choice(OFTEN)]
@@ -111,6 +120,11 @@
         rng = random.Random(f"{seed} runners")
         for number, kind in enumerate(RUNNER_KINDS, len(kinds)):
             steps += _draw_series(rng, kind, number, seconds)
+    if has_deadly:
+        rng = random.Random(f"{seed} deadly")
+        number = len(kinds) + len(RUNNER_KINDS)
+        times = sorted(rng.uniform(0.0, seconds) for _ in range(rng.randint(1, MOST_DEADLY)))
+        steps += [Step(round(at, 3), "deadly_request", (0,), 0.0, number) for at in times]
     return sorted(steps, key=lambda step: step.at_s)
 
 
--- a/src/martenrun/router/crash_watch.py
+++ b/src/martenrun/router/crash_watch.py
@@ -3,7 +3,8 @@
 A connection that ends proves nothing: it may have been reset, cut, or closed by a runner that goes
 on.  So a router whose runs break opens a connection to the runner's address.  Where a process has
 ended the machine refuses it at once, and it is refused for seconds, until the next start; whoever
-accepts it lives.  Without an answer, an entry of a later start proves the end as well.
+accepts it and keeps it lives.  One that is accepted and closed at once, by something in between or
+by a runner that has too many, says nothing.  Then an entry of a later start proves the end as well.
 
 A runner that is leaving ends by a plan: what it breaks off then is no sign of a crash.
 """
@@ -22,6 +23,9 @@
 ANSWER_S = 0.4
 """How long a connection may take to be refused or to come up, in seconds."""
 
+KEPT_S = 0.03
+"""How long an accepted connection must stay open to be a sign of life, in seconds."""
+
 REMEMBERED_S = 8.0
 """How long runs that broke wait for a proof that their runner ended, in seconds.
 
@@ -49,6 +53,7 @@
     """
 
     def __init__(self, loop: Loop, address: str, on_answer: Callable[[bool | None], None]) -> None:
+        self._loop = loop
         self._on_answer = on_answer
         self._is_over = False
         self._stream: Stream | None = None
@@ -60,14 +65,15 @@
             loop.call_later(0.0, lambda: self._end(refused))
 
     def on_connected(self) -> None:
-        """Somebody listens there."""
-        self._end(False)
+        """Somebody listens there, and lives if the connection stays."""
+        self._timer.cancel()
+        self._timer = self._loop.call_later(KEPT_S, lambda: self._end(False))
 
     def on_data(self, data: bytes) -> None:
         """Nothing is expected."""
 
     def on_closed(self, is_clean: bool) -> None:
-        """The connection did not come up."""
+        """The connection did not come up, or was closed at once."""
         refused = self._stream is not None and self._stream.error == errno.ECONNREFUSED
         self._end(True if refused else None)
 
@@ -164,7 +170,10 @@
 
     def _answered(self, case: Case, refused: bool | None) -> None:
         case.is_asking = False
-        if refused and not self._runners.has_connection(case.runner.instance):
+        if case.has_ended:
+            # A later start proved it first.
+            pass
+        elif refused and not self._runners.has_connection(case.runner.instance):
             self._end(case)
         elif refused is not None:
             # It lives: what broke there was a connection.
--- a/tests/router/test_crash_watch.py
+++ b/tests/router/test_crash_watch.py
@@ -126,3 +126,20 @@
     serve_until(loop, lambda: len(answers) == 2)
     peer.close()
     assert answers == {"listens": False, "dead": True}
+
+
+def test_a_connection_that_is_accepted_and_closed_at_once_says_nothing():
+    """Something in between accepts it for a runner that has ended, or the runner has too many."""
+    loop = Loop()
+    answers = []
+    peer = RunnerPeer()
+    Probe(loop, peer.address, answers.append)
+
+    def closed():
+        for each in peer.accept():
+            each.close()
+        return answers
+
+    serve_until(loop, closed)
+    peer.close()
+    assert answers == [None]
--- a/tests/router/test_soak.py
+++ b/tests/router/test_soak.py
@@ -13,7 +13,9 @@
 from soak_faults import hears_hang_up
 
 from martenrun.proof.soak_schedule import (
+    DEADLY_KINDS,
     LASTING,
+    MOST_DEADLY,
     RUNNER_KINDS,
     STRUCK_AT_ONCE,
     draw_schedule,
@@ -51,6 +53,13 @@
     assert " 0 violations" in result.output
 
 
+def test_requests_that_end_runners_are_held_back_beside_other_faults(tmp_path):
+    options = ["--minutes", "0.25", "--seed", "7001", "--runner-starts", "--deadly"]
+    result = CliRunner().invoke(soak, [*options, "--keep-logs", str(tmp_path / "logs")])
+    assert result.exit_code == 0, result.output
+    assert " 0 violations" in result.output
+
+
 def test_series_of_runners_come_on_top_of_a_seeds_schedule():
     """Seeds that broke a promise once stay as they were."""
     for seed in range(20):
@@ -58,6 +67,9 @@
         added = [step for step in more if step.kind in RUNNER_KINDS]
         assert {step.kind for step in added} == set(RUNNER_KINDS)
         assert [step for step in more if step not in added] == steps
+        deadly = draw_schedule(seed, 60.0, has_deadly=True)
+        assert [step for step in deadly if step.kind not in DEADLY_KINDS] == steps
+        assert 0 < len(deadly) - len(steps) <= MOST_DEADLY
 
 
 def test_a_schedule_is_drawn_from_its_seed_and_can_be_written_and_read():
--- a/tests/router/test_soak_guards.py
+++ b/tests/router/test_soak_guards.py
@@ -27,6 +27,10 @@
     "connections": [Step(1.0, "configure", (0,), 0.0, 0)],
     "left": [Step(1.0, "configure", (0,), 0.0, 0)],
     "own end": [Step(1.0, "hang_up", (0,), 0.0, 0)],
+    "deadly": [
+        Step(1.0, "deadly_request", (0,), 0.0, 0),
+        Step(9.0, "configure", (0,), 0.0, 1),
+    ],
 }
 
 
--- a/tests/router/unguarded_router.py
+++ b/tests/router/unguarded_router.py
@@ -85,6 +85,13 @@
     return lambda number, handler: None if number == signal.SIGHUP else register(number, handler)
 
 
+def hold_nothing_back():
+    """Send whatever comes to runners, however many have ended under it."""
+    from martenrun.router.blame_table import BlameTable
+
+    BlameTable.held_for_s = lambda self, fingerprint, now: 0.0
+
+
 GUARDS = {
     "directory": name_everybody,
     "leaving": send_to_leaving_runners,
@@ -93,6 +100,7 @@
     "connections": serve_no_new_connection,
     "left": work_on_for_callers_that_left,
     "own end": end_at_a_hang_up,
+    "deadly": hold_nothing_back,
 }
 """What takes each guard out, by the checker that must then find a violation."""
 
