Stand-in runners do not come back after their deployment has ended

Cause: a runner that had crashed shortly before the end of a test came back to a closed port (a warning of an unhandled exception in a thread). Change: what is due later is cancelled with the deployment.

--- a/scripts/platform_deployment.py
+++ b/scripts/platform_deployment.py
@@ -128,6 +128,7 @@
         self._has_relays = has_relays
         self.relays: dict[str, FaultyRelay] = {}
         self.broken_entries: dict[str, object] = {}
+        self._timers: list[threading.Timer] = []
         self.folder = tempfile.TemporaryDirectory(prefix="martenrun-")
         self.store = StoreStandin()
         self.runners = [RunnerStandin("llm", MODEL) for _ in range(model_runners)]
@@ -163,6 +164,8 @@
 
     def __exit__(self, *_exc: object) -> None:
         """End what was started."""
+        for timer in self._timers:
+            timer.cancel()
         for router in self.routers:
             if router.process is not None and router.process.poll() is None:
                 router.process.kill()
@@ -221,20 +224,22 @@
             runner.come_back(keeps_id)
             self.list_runner(runner)
             if not keeps_id:
-                later = threading.Timer(LAPSE_S, self.store.remove, ["servers", before])
-                later.daemon = True
-                later.start()
+                self._later(LAPSE_S, self.store.remove, "servers", before)
 
         def crashed(runner: RunnerStandin) -> None:
-            timer = threading.Timer(away_s, come_back, [runner, runner.instance])
-            timer.daemon = True
-            timer.start()
+            self._later(away_s, come_back, runner, runner.instance)
 
         for runner in self.runners:
             if runner.model is not None:
                 runner.is_deadly = is_deadly
                 runner.on_crash = crashed
 
+    def _later(self, delay_s: float, call: Callable[..., None], *arguments: object) -> None:
+        timer = threading.Timer(delay_s, call, arguments)
+        timer.daemon = True
+        self._timers.append(timer)
+        timer.start()
+
     def start(self, router: RouterRun) -> None:
         """Start a router process; its log is added to, and its settings say if it had others."""
         if router.process is not None:
