--- a/scripts/measure_blame.py
+++ b/scripts/measure_blame.py
@@ -1,4 +1,7 @@
-"""How often requests that end no runner are held back where runners end by chance, in virtual time.
+"""What it costs to know which requests end runners, and how often others are held back for it.
+
+    scripts/measure_blame.py chance     requests that end no runner, in virtual time
+    scripts/measure_blame.py costs      processor time for each request
 
 One table stands for all routers, as if every router heard of everything at once.  Runners end at
 random and are back after some seconds; each end is told of under all that ran there.  A request of
@@ -7,11 +10,20 @@
 
 import heapq
 import random
+import time
+from collections.abc import Callable
+from functools import partial
 
 import click
 
 from martenrun.identity.rendezvous import weight
+from martenrun.net.http import HttpRequest
+from martenrun.net.loop import Loop
 from martenrun.router.blame_table import BlameTable
+from martenrun.router.crash_watch import RunnerKnowledge
+from martenrun.router.fingerprint import fingerprint
+from martenrun.router.messages import Admitted, Call, Route, RouteKind, Tenant, WeightedService
+from martenrun.router.suspects import Suspects
 
 AWAY_S = 2.0
 """How long a runner is away, in seconds."""
@@ -109,12 +121,17 @@
                 self.table.forget(self.now)
 
 
-@click.command()
+@click.group()
+def main() -> None:
+    """Measure the blame of requests."""
+
+
+@main.command()
 @click.option("--requests", default=1_000_000, show_default=True, help="Requests for each line.")
 @click.option("--rate", default=100.0, show_default=True, help="Requests a second.")
 @click.option("--run-s", default=0.3, show_default=True, help="Mean length of a run, in seconds.")
 @click.option("--seed", default=1, show_default=True, help="Seed of the draws.")
-def main(requests: int, rate: float, run_s: float, seed: int) -> None:
+def chance(requests: int, rate: float, run_s: float, seed: int) -> None:
     """Print a table: how many requests were ever held back."""
     click.echo("| runners | ends a second | bodies | ends | held back | of requests | served |")
     click.echo("| --- | --- | --- | --- | --- | --- | --- |")
@@ -129,5 +146,50 @@
             )
 
 
+@main.command()
+@click.option("--body-bytes", default=74_000, show_default=True, help="Length of the body.")
+@click.option("--rounds", default=2_000, show_default=True, help="Requests for each line.")
+def costs(body_bytes: int, rounds: int) -> None:
+    """Print the time that looking a request up takes, by how many are known."""
+    admitted = _admitted()
+    one = HttpRequest(b"POST", b"/a/x", [], b"x" * body_bytes, 0.0)
+    other = HttpRequest(b"POST", b"/a/x", [], b"y" * body_bytes, 0.0)
+    click.echo("| known requests | of another outline, us | of its outline: digest made, us |")
+    click.echo("| --- | --- | --- |")
+    for known in (0, 10, 500):
+        suspects = Suspects(Loop(), _no_runners(), lambda _news: None)
+        for number in range(known):
+            key = number.to_bytes(8) + number.to_bytes(16)
+            suspects.table.note_ended(key, f"i-{number}", 0.0)
+        without_us = _each_us(partial(suspects.fingerprint, one, admitted), rounds)
+        suspects.table.note_ended(fingerprint(other, admitted), "i", 0.0)
+        with_us = _each_us(partial(suspects.fingerprint, one, admitted), rounds)
+        click.echo(f"| {known} | {without_us:.1f} | {with_us:.1f} |")
+
+
+def _each_us(call: Callable[[], object], rounds: int) -> float:
+    began_at = time.process_time()
+    for _ in range(rounds):
+        call()
+    return (time.process_time() - began_at) / rounds * 1e6
+
+
+def _no_runners() -> RunnerKnowledge:
+    return RunnerKnowledge(
+        is_listed=lambda _state: True,
+        has_ended=lambda _runner: False,
+        others_at=lambda _address: [],
+        has_connection=lambda _instance: False,
+        count=lambda: 8,
+    )
+
+
+def _admitted() -> Admitted:
+    call = Call(b"r", "a.example", "/a/x", b"k", 3.0, None, (), 0, 0)
+    split = (WeightedService("s", 1.0),)
+    route = Route("r", "a.example", "/a/", RouteKind.SAFE, 2.0, 0.3, 0, split, 2, False, False)
+    return Admitted(call, route, Tenant("t", 1, False), "s", 103.0, 102.0)
+
+
 if __name__ == "__main__":
     main()
