The store of test fleets keeps its watch in one place

Cause: blame_fleet repeated CountingStore's watch for one more kind. Change: the kind's changed object is asked for. Figures: test_blame_fleet and test_fleet: pass.

--- a/tests/router/blame_fleet.py
+++ b/tests/router/blame_fleet.py
@@ -63,24 +63,8 @@
         self.change(KIND)
         self._answer(on_answer, 200, self.kept)
 
-    def _watch(self, kind, after, wait_s, on_answer):
-        if kind != KIND:
-            super()._watch(kind, after, wait_s, on_answer)
-            return
-        is_answered = []
-
-        def answer():
-            if not is_answered:
-                is_answered.append(True)
-                has_news = self._changed_at.get(kind, 0) > after
-                events = [{"object": self.kept, "gone": False}] if has_news else []
-                self._answer(on_answer, 200, {"events": events, "at": self.revision})
-
-        if self._changed_at.get(kind, 0) > after:
-            answer()
-        else:
-            self._watches.append((kind, answer))
-            self.loop.call_later(wait_s, answer)
+    def _changed_item(self, kind):
+        return self.kept if kind == KIND else super()._changed_item(kind)
 
 
 class BlamingRouter(KeptRouter):
--- a/tests/router/fleet_world.py
+++ b/tests/router/fleet_world.py
@@ -66,8 +66,7 @@
                 return
             is_answered.append(True)
             has_news = self._changed_at.get(kind, 0) > after
-            item = self._item("i-0" if kind == "servers" else "main")
-            events = [{"object": item, "gone": False}] if has_news else []
+            events = [{"object": self._changed_item(kind), "gone": False}] if has_news else []
             self._answer(on_answer, 200, {"events": events, "at": self.revision})
 
         if self._changed_at.get(kind, 0) > after:
@@ -76,6 +75,9 @@
             self._watches.append((kind, answer))
             self.loop.call_later(wait_s, answer)
 
+    def _changed_item(self, kind):
+        return self._item("i-0" if kind == "servers" else "main")
+
     def _item(self, name):
         spec = self.configuration if name == "main" else {}
         return {"metadata": {"name": name, "revision": self.revision}, "spec": spec}
