A request that is held back is not let go for what ends later

A router that had just started reckoned with one runner and asked for five ends. Change: how often runners end by chance is taken up to the request's own last end, and ends are remembered for that; eight runners are reckoned with while none are listed. Tests: three, the first and the third fail without it.

--- a/src/martenrun/router/blame_table.py
+++ b/src/martenrun/router/blame_table.py
@@ -38,6 +38,12 @@
 CHANCE_WINDOW_S = 30.0
 """For how long an end counts for how often runners end by chance, in seconds."""
 
+UNKNOWN_RUNNERS = 8
+"""Runners reckoned with until a list of them is known: a router that starts must hold back too."""
+
+MOST_ENDS = 4_096
+"""Ends remembered for that, at most: an hour of one a second, in 300 KB."""
+
 RUN_S = 0.5
 """How long a run is reckoned to take, in seconds: a short stream takes 0.1, a long one 1."""
 
@@ -135,11 +141,11 @@
     """What is known of all blamed requests, by fingerprint.
 
     Attributes:
-        runners: how many runners are listed.
+        runners: how many runners are listed; 0 while that is not known.
     """
 
     def __init__(self) -> None:
-        self.runners = 1
+        self.runners = 0
         self._blamed: dict[bytes, Blame] = {}
         self._outlines: collections.Counter[bytes] = collections.Counter()
         self._ends: dict[str, float] = {}
@@ -166,7 +172,7 @@
         if blame is None or blame.count < blame.least_asked_for:
             return 0.0
         left_s = max(0.0, blame.held_until() - now)
-        return left_s if left_s and blame.count >= self._asked_for(blame, now) else 0.0
+        return left_s if left_s and blame.count >= self._asked_for(blame) else 0.0
 
     def held(self, now: float) -> list[bytes]:
         """Return the requests that are held back."""
@@ -242,31 +248,40 @@
 
     def forget(self, now: float) -> None:
         """Drop what does not matter any more."""
-        lately = now - CHANCE_WINDOW_S
-        self._ends = {start: at for start, at in self._ends.items() if at > lately}
+        if len(self._ends) > MOST_ENDS:
+            newest = sorted(self._ends.items(), key=lambda item: item[1])[-MOST_ENDS // 2 :]
+            self._ends = dict(newest)
         for key in [k for k, blame in self._blamed.items() if blame.forgotten_at() < now]:
             self._drop(key)
 
-    def _asked_for(self, blame: Blame, now: float) -> int:
-        """Return under how many starts in a row nobody comes by chance, as runners end now."""
-        chance = RUN_S * self._chance_ends(blame, now) / CHANCE_WINDOW_S / max(1, self.runners)
+    def _asked_for(self, blame: Blame) -> int:
+        """Return under how many starts in a row nobody comes by chance, as runners ended then.
+
+        What ends after the last of them changes nothing: a request is not let go for it.
+        """
+        chance = (
+            RUN_S * self._chance_ends(blame) / CHANCE_WINDOW_S / (self.runners or UNKNOWN_RUNNERS)
+        )
         asked_for = blame.least_asked_for
         if chance > 0:
             in_a_row = math.log(CHANCE) / math.log(min(0.99, chance))
             asked_for = max(asked_for, math.ceil(in_a_row))
         return asked_for if blame.has_run_whole else min(MOST_ASKED_FOR, asked_for)
 
-    def _chance_ends(self, blame: Blame, now: float) -> int:
-        """Return how many starts ended lately under nothing that may be deadly.
+    def _chance_ends(self, blame: Blame) -> int:
+        """Return how many starts ended before a request's last one under nothing that is deadly.
 
         What has ended three starts itself explains them: beside it others are met by its ends.
         """
-        lately = now - CHANCE_WINDOW_S
+        last_at = max(blame.ended.values())
         explained = set() if blame.has_run_whole else set(blame.ended)
         for other in self._blamed.values():
             if other.count >= DEADLY_AFTER and not other.has_run_whole:
                 explained |= other.ended.keys()
-        return sum(at > lately and start not in explained for start, at in self._ends.items())
+        return sum(
+            last_at - CHANCE_WINDOW_S < at <= last_at and start not in explained
+            for start, at in self._ends.items()
+        )
 
     def _add(self, fingerprint: bytes) -> Blame:
         blame = self._blamed[fingerprint] = Blame()
--- a/tests/router/test_blame_table.py
+++ b/tests/router/test_blame_table.py
@@ -194,6 +194,27 @@
     assert len(table.held(100.0)) == 20
 
 
+def test_a_request_that_is_held_back_is_not_let_go_for_what_ends_later():
+    """In the soak it was, 3 s after it was held back, and ended one more runner."""
+    table = blamed(DEADLY_AFTER)
+    end_by_chance(table, 100, 101.0)
+    assert table.held_for_s(DEADLY, 101.0) > 0
+
+
+def test_one_that_is_not_held_back_stays_so_when_runners_end_no_longer():
+    table = blamed(DEADLY_AFTER)
+    end_by_chance(table, 30, 99.0)
+    table.forget(100.0 + 2 * CHANCE_WINDOW_S)
+    assert table.held_for_s(DEADLY, 100.0 + 2 * CHANCE_WINDOW_S) == 0.0
+
+
+def test_a_router_that_knows_no_runners_yet_holds_back_what_others_do():
+    table = blamed(DEADLY_AFTER)
+    table.runners = 0
+    end_by_chance(table, 3, 100.0)
+    assert table.held_for_s(DEADLY, 100.0) > 0
+
+
 def test_ends_of_long_ago_are_no_chance_now():
     table = blamed(DEADLY_AFTER, at=200.0)
     end_by_chance(table, 30, 200.0 - CHANCE_WINDOW_S - 1.0)
