The soak goes on until runners that a request ended are back

Change: callers go on for six seconds after the last such end, twelve more at most; the check is unchanged.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -45,6 +45,9 @@
 SETTLE_S = 6.0
 """How long callers go on after the last fault has ended, in seconds."""
 
+MOST_SETTLE_S = 12.0
+"""How much longer they go on, at most, for runners that a request still ends, in seconds."""
+
 MARGIN_S = 1.0
 """Added to bounds for what the looking itself takes, in seconds."""
 
@@ -163,9 +166,12 @@
             time.sleep(min(LOOK_S, left_s))
         faults.strike(step)
     faults.end_all()
-    settled_at = time.monotonic() + SETTLE_S
-    while time.monotonic() < settled_at:
+    ends_at = time.monotonic() + SETTLE_S
+    latest_at = ends_at + MOST_SETTLE_S
+    while time.monotonic() < ends_at:
         faults.go_on()
+        # A request that first came at the end may still have had runners to end.
+        ends_at = min(latest_at, max(ends_at, faults.crashed_at + SETTLE_S))
         time.sleep(LOOK_S)
 
 
--- a/scripts/soak_runner_faults.py
+++ b/scripts/soak_runner_faults.py
@@ -50,6 +50,7 @@
         self.revocations: list[Revocation] = []
         self.retired: list[RunnerStandin] = []
         self.send_deadly: Callable[[], None] = lambda: None
+        self.crashed_at = 0.0
         self._crashed: collections.deque[RunnerStandin] = collections.deque()
         for runner in deployment.runners:
             self._prepare(runner)
@@ -129,7 +130,7 @@
         """Let runners that have ended under a request start again in a while."""
         while self._crashed:
             runner = self._crashed.popleft()
-            began_at = time.monotonic()
+            began_at = self.crashed_at = time.monotonic()
 
             def start(runner: RunnerStandin = runner, began_at: float = began_at) -> None:
                 runner.come_back(keeps_id=True)
