Tests of deadly requests wait for answers, not for times

Change: they wait until the deadly request has come 15 times later than all must know of it, as long as before.

--- a/tests/router/test_deadly_requests.py
+++ b/tests/router/test_deadly_requests.py
@@ -25,6 +25,10 @@
 """Arrivals allowed later than KNOWN_WITHIN_S after the third crash."""
 
 DEADLY_PAUSE_S = 0.25
+
+LATE_COMINGS = 15
+"""How often the deadly request comes after that: for some four seconds."""
+
 INNOCENT_CALLERS = 4
 
 
@@ -72,6 +76,15 @@
     return [at - third_at for at in sorted(arrivals) if at > third_at + KNOWN_WITHIN_S]
 
 
+def wait_for_answers(deployment, callers, after, count):
+    """Wait until the deadly request has been answered so often, asked later than a time."""
+
+    def has_come():
+        return sum(at > after for at, _ in list(callers.statuses["deadly"])) >= count
+
+    deployment.wait(has_come)
+
+
 def served_share(callers, since):
     statuses = [status for at, status in callers.statuses["innocent"] if at > since]
     return sum(status == 200 for status in statuses) / len(statuses)
@@ -83,7 +96,8 @@
         deployment.let_crash(lambda body: body == DEADLY, AWAY_S, keeps_id)
         callers = Callers(deployment, 1)
         deployment.wait(lambda: third_crash_at(deployment) is not None)
-        time.sleep(KNOWN_WITHIN_S + 4.0)
+        known_from = third_crash_at(deployment) + KNOWN_WITHIN_S
+        wait_for_answers(deployment, callers, known_from, LATE_COMINGS)
         callers.stop()
     assert len(late_arrivals(deployment)) <= ARRIVALS_LEFT
     # What it crashed is back by then, so that innocent callers are served again.
@@ -95,12 +109,13 @@
         deployment.let_crash(lambda body: body == DEADLY, AWAY_S)
         callers = Callers(deployment, 2)
         deployment.wait(lambda: third_crash_at(deployment) is not None)
-        time.sleep(KNOWN_WITHIN_S)
+        known_from = third_crash_at(deployment) + KNOWN_WITHIN_S
+        wait_for_answers(deployment, callers, known_from, 1)
         for router in deployment.routers:
             router.process.kill()
             router.process.wait()
             deployment.start(router)
         deployment.wait(lambda: all(deployment.is_ready(r) for r in deployment.routers))
-        time.sleep(4.0)
+        wait_for_answers(deployment, callers, time.monotonic(), LATE_COMINGS)
         callers.stop()
     assert len(late_arrivals(deployment)) <= ARRIVALS_LEFT
