--- a/src/martenrun/router/blame_table.py
+++ b/src/martenrun/router/blame_table.py
@@ -31,8 +31,8 @@
 CHANCE = 1e-6
 """How likely chance alone may end so many starts in a row under a request.
 
-With three in any case 350 of a million requests are held back where one of eight runners ends each
-second; with this none (docs/design/deadly-requests.md).
+With three in any case 70 of 200,000 requests are held back where one of eight runners ends each
+second; with this none of a million (docs/design/deadly-requests.md).
 """
 
 CHANCE_WINDOW_S = 30.0
