Tenants' rates are held by all routers together

Cause: nothing of the router read a tenant's rate. Change: two keepers of each account by rendezvous hashing; each run asks one of them first; token buckets; what is granted is passed on; half pace while the other keeper does not answer; 429 with a turn, 503 where the router sees too few others to be sure.

--- a/scripts/platform_deployment.py
+++ b/scripts/platform_deployment.py
@@ -65,6 +65,9 @@
 budget_ratio = 0.2
 budget_window_s = 10
 budget_slack = 54
+quota_window_s = 8
+quota_over = 0.1
+quota_slack = 4000
 lease_ms = 3000
 version_ms = 8000
 [platform]
@@ -83,6 +86,7 @@
     log: Path
     store: FaultyRelay | None = None
     process: subprocess.Popen[bytes] | None = None
+    program: Path | None = None
 
     @property
     def front(self) -> str:
@@ -111,6 +115,7 @@
     Args:
         has_relays: whether routers reach the store and runners through relays that can be harmed.
         program: what is started as a router.
+        later_program: what routers come back as, or join as, once all have begun.
         environment: variables that it gets beside this process's own.
     """
 
@@ -122,12 +127,15 @@
         has_relays: bool = False,
         program: Path = ROOT / "deploy" / "router.py",
         environment: Mapping[str, str] = NOTHING_MORE,
+        later_program: Path | None = None,
     ) -> None:
         self._program = program
+        self._later_program = later_program or program
         self._environment = environment
         self._has_relays = has_relays
         self.relays: dict[str, FaultyRelay] = {}
         self.broken_entries: dict[str, object] = {}
+        self.more_tenants: list[object] = []
         self._timers: list[threading.Timer] = []
         self.folder = tempfile.TemporaryDirectory(prefix="martenrun-")
         self.store = StoreStandin()
@@ -161,6 +169,7 @@
         self.wait(lambda: all(self.is_ready(router) for router in self.routers), limit_s)
         most = min(len(self.routers), MOST_NAMED)
         self.wait(lambda: len(self.addresses()) >= most, limit_s)
+        self._program = self._later_program
 
     def __exit__(self, *_exc: object) -> None:
         """End what was started."""
@@ -178,7 +187,7 @@
         self.folder.cleanup()
 
     def publish(self, version: int, keys: tuple[str, ...] = (KEY,)) -> None:
-        """Write a configuration."""
+        """Write a configuration, with ``more_tenants`` beside the first one."""
         routes = [
             self._route("ask", "/ask/", "stream", "llm", resumable=True),
             self._route("once", "/once/", "stream", "llm", resumable=False),
@@ -189,7 +198,7 @@
             {"name": "llm", "engine": {"slots": 8, "kv_capacity_tokens": 100_000}},
             {"name": "ledger"},
         ]
-        tenants = [{"name": "growers", "api_keys": list(keys), "priority": 1}]
+        tenants = [{"name": "growers", "api_keys": list(keys), "priority": 1}, *self.more_tenants]
         spec = {"version": version, "routes": routes, "services": services, "tenants": tenants}
         self.store.put("config", "main", spec)
 
@@ -245,9 +254,10 @@
         if router.process is not None:
             text = router.settings.read_text()
             router.settings.write_text(text.replace("bootstrap = true", "bootstrap = false"))
+        router.program = self._program
         with router.log.open("ab") as log:
             router.process = subprocess.Popen(
-                [sys.executable, str(self._program)],
+                [sys.executable, str(router.program)],
                 stdout=log,
                 stderr=log,
                 env={
--- a/src/martenrun/cli/main.py
+++ b/src/martenrun/cli/main.py
@@ -18,6 +18,7 @@
     "bench": "martenrun.cli.bench:bench",
     "capacity": "martenrun.cli.capacity:capacity",
     "prove": "martenrun.cli.prove:prove",
+    "quotas": "martenrun.cli.quotas:quotas",
 }
 
 
--- a/src/martenrun/limits/token_bucket.py
+++ b/src/martenrun/limits/token_bucket.py
@@ -21,6 +21,11 @@
         self.burst = burst
         self._level = min(self._level, burst)
 
+    def level(self, now: float) -> float:
+        """Return the units that are left; below zero there is a debt."""
+        self._refill(now)
+        return self._level
+
     def wait_s(self, units: float, now: float) -> float:
         """Return the seconds until ``units`` may be taken; 0 means now."""
         self._refill(now)
--- a/src/martenrun/platform/contents.py
+++ b/src/martenrun/platform/contents.py
@@ -28,6 +28,7 @@
     WantedWeights,
     WeightedService,
 )
+from martenrun.router.quotas.limit import RateLimit
 from martenrun.router.runner_life import life_key
 
 _MS = 1000.0
@@ -38,6 +39,7 @@
 _Positive = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 _Version = Annotated[int, msgspec.Meta(ge=1)]
 _Amount = Annotated[float, msgspec.Meta(ge=0)]
+_Units = Annotated[float, msgspec.Meta(ge=0, le=1e15)]
 
 
 class _ModelWeights(msgspec.Struct):
@@ -121,6 +123,10 @@
     api_keys: list[str] = []
     priority: int | None = None
     isolated: bool = False
+    rate_per_s: _Units = 0.0
+    burst: _Units = 0.0
+    unit: Literal["token_count"] | None = None
+    plain_tokens: _Count = 1
 
 
 class _Configuration(msgspec.Struct):
@@ -224,11 +230,23 @@
 def _tenants_by_key(tenants: list[_Tenant]) -> Mapping[bytes, Tenant]:
     by_key = {}
     for item in tenants:
-        tenant = Tenant(item.name, item.priority, item.isolated)
+        tenant = Tenant(item.name, item.priority, item.isolated, _rate_limit(item))
         by_key.update({key.encode(): tenant for key in item.api_keys})
     return by_key
 
 
+def _rate_limit(tenant: _Tenant) -> RateLimit | None:
+    """Return a tenant's limit; a rate of 0 or none is no limit."""
+    if tenant.rate_per_s == 0:
+        return None
+    return RateLimit(
+        units_per_s=tenant.rate_per_s,
+        burst_units=tenant.burst,
+        counts_tokens=tenant.unit is not None,
+        plain_tokens=tenant.plain_tokens,
+    )
+
+
 def read_runner(stored: StoredObject) -> Runner:
     """Translate a runner's entry; raises UnreadableError."""
     entry = _read(stored.spec, _RunnerEntry, "entry of a runner")
--- a/src/martenrun/platform/headers.py
+++ b/src/martenrun/platform/headers.py
@@ -32,7 +32,7 @@
     fields = {name.lower(): value for name, value in request.headers}
     deadline = fields.get(b"x-deadline-ms")
     model = fields.get(b"x-model-id")
-    tokens_in = fields.get(b"x-token-usage", b"0,0").partition(b",")[0]
+    prompt_tokens, counted_tokens = _usage(fields.get(b"x-token-usage"))
     return Call(
         request_id=fields.get(REQUEST_ID, b""),
         host=fields.get(b"host", b"").decode("latin-1").partition(":")[0].lower(),
@@ -41,11 +41,31 @@
         deadline_s=None if deadline is None else max(0.0, float(deadline) / 1000.0),
         model=None if model is None else model.decode("latin-1"),
         parts=_parts(fields.get(b"x-prefix-hash", b"")),
-        prompt_tokens=int(tokens_in),
+        prompt_tokens=prompt_tokens,
         last_event_id=int(fields.get(b"last-event-id", b"0") or b"0"),
+        counted_tokens=counted_tokens,
     )
 
 
+MOST_TOKENS = 10**9
+"""Most tokens that a request may tell of; more are a fault of its caller."""
+
+
+def _usage(text: bytes | None) -> tuple[int, int | None]:
+    """Return tokens of the prompt, and of prompt and longest answer together if they are told.
+
+    A missing second number counts as 0.  One below zero, which would give units of the tenant's
+    rate back, is an error.
+    """
+    if text is None:
+        return 0, None
+    prompt, _, answer = text.partition(b",")
+    numbers = int(prompt), int(answer or b"0")
+    if min(numbers) < 0 or max(numbers) > MOST_TOKENS:
+        raise ValueError(f"tokens of a request are not from 0 to {MOST_TOKENS}")
+    return numbers[0], sum(numbers)
+
+
 def _parts(text: bytes) -> tuple[PromptPart, ...]:
     parts = []
     for part in text.split(b",") if text else ():
--- a/src/martenrun/platform/settings.py
+++ b/src/martenrun/platform/settings.py
@@ -7,6 +7,7 @@
 
 from martenrun.errors import SettingsError
 from martenrun.router.messages import Bounds, RouterSettings
+from martenrun.router.quotas.limit import QuotaBounds
 
 SETTINGS_VARIABLE = "MARTENRUN_SETTINGS"
 """Environment variable that names the settings file."""
@@ -45,6 +46,9 @@
     "bounds.lease_ms": _NUMBER,
     "bounds.version_ms": _NUMBER,
     "bounds.ttl_max_s": _NUMBER,
+    "bounds.quota_window_s": _NUMBER,
+    "bounds.quota_over": _NUMBER,
+    "bounds.quota_slack": _NUMBER,
 }
 """Fields that may be left out, and their types."""
 
@@ -147,4 +151,9 @@
         lease_s=float(bounds.get("lease_ms", 3000)) / _MS,
         weights_s=float(bounds.get("version_ms", 8000)) / _MS,
         directory_ttl_s=float(bounds.get("ttl_max_s", 5)),
+        quota=QuotaBounds(
+            window_s=float(bounds.get("quota_window_s", QuotaBounds().window_s)),
+            over_share=float(bounds.get("quota_over", 0)),
+            slack_units=float(bounds.get("quota_slack", 0)),
+        ),
     )
--- a/src/martenrun/router/figures.py
+++ b/src/martenrun/router/figures.py
@@ -49,4 +49,5 @@
         Sample("lease_held", sources.lease.is_held()),
         Sample("requests_blamed", len(blame)),
         Sample("requests_held_back", len(blame.held(now))),
+        Sample("quota_accounts", 0 if world.quotas is None else len(world.quotas)),
     ]
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -9,6 +9,8 @@
 from martenrun.router.caller_stream import CallerStream
 from martenrun.router.messages import Admitted
 from martenrun.router.placement import PlacementQuestion
+from martenrun.router.quotas.gate import Grant
+from martenrun.router.request_quota import RequestQuota
 from martenrun.router.retry import MAXIMUM_SENDS, Failure, NextStep, TryState, next_step
 from martenrun.router.runner_request import (
     placement_question,
@@ -20,6 +22,9 @@
 from martenrun.router.trail import RequestTrail
 from martenrun.router.world import World
 
+STATUS_TOO_MANY = 429
+STATUS_UNAVAILABLE = 503
+
 LOOK_AGAIN_S = 0.025
 """How long a request waits until runners are looked at again, in seconds."""
 
@@ -56,6 +61,8 @@
         self._guard = world.guard(admitted.service)
         self._groups = request_groups(admitted)
         self._run: bytes | None = None
+        self._quota = RequestQuota(world.quotas, admitted)
+        self._is_over_limit = False
         self.is_over = False
         exchange.on_gone = self._on_gone
         exchange.on_drained = lambda: self._pause(False)
@@ -78,6 +85,34 @@
             configuration=None if table is None else table.configuration.version,
             configuration_age_ms=round(age_s * 1000),
         )
+        if self._quota.needs_grant:
+            self._quota.obtain(self._on_grant)
+        else:
+            self._take_up()
+
+    def _on_grant(self, grant: Grant) -> None:
+        self._note_grant(grant)
+        if self.is_over:
+            return
+        if grant.is_granted:
+            self._take_up()
+        else:
+            # What is over its tenant's limit takes no part in the demand that others wait behind.
+            reason = "over_limit" if grant.is_sure else "limit_unsure"
+            status = STATUS_TOO_MANY if grant.is_sure else STATUS_UNAVAILABLE
+            self._refuse(reason, grant.wait_s if grant.is_sure else 0.0, status)
+
+    def _note_grant(self, grant: Grant) -> None:
+        self._trail.note(
+            "quota_asked",
+            units=grant.use.units,
+            is_granted=grant.is_granted,
+            routers=",".join(grant.asked),
+            is_alone=grant.is_alone,
+            wait_ms=round(grant.wait_s * 1000),
+        )
+
+    def _take_up(self) -> None:
         self._guard.note_asked(self._groups, self._world.loop.now())
         self._look_for_runner()
 
@@ -148,6 +183,7 @@
             self._guard.note_taken(self._groups, now)
         self._tried.append(state.runner.instance)
         self._sent_to.append(state.runner.instance)
+        self._quota.note_sent()
         request = self._exchange.request
         placement = world.placement
         question = self._question()
@@ -222,8 +258,9 @@
         if self.is_over:
             return
         self._attempt = None
-        if failure in (Failure.BROKEN, Failure.RUN_FAILED):
-            self._runs += 1
+        may_have_run = failure in (Failure.BROKEN, Failure.RUN_FAILED)
+        self._runs += may_have_run
+        self._quota.note_failed(may_have_run)
         self._stream.restart()
         if not attempt.was_cut_off:
             self._go_on(failure, attempt)
@@ -253,7 +290,7 @@
             runs=self._runs,
         )
         if step is NextStep.SEND_AGAIN and state is not None:
-            self._send(state)
+            self._send_again(state, failure, attempt)
         elif step is NextStep.PASS_ON:
             self._pass_on(attempt)
         elif step is NextStep.REFUSE:
@@ -263,6 +300,19 @@
         else:
             self._answer(502, "unknown", attempt)
 
+    def _send_again(self, state: RunnerState, failure: Failure, attempt: Attempt) -> None:
+        """Send it to another runner; another run counts against its tenant's limit as well."""
+        if not self._quota.needs_grant:
+            self._send(state)
+            return
+
+        def go_on(grant: Grant) -> None:
+            self._note_grant(grant)
+            self._is_over_limit = not grant.is_granted
+            self._go_on(failure, attempt)
+
+        self._quota.obtain(go_on)
+
     def _try_state(self, has_other_runner: bool, now: float) -> TryState:
         admitted = self._admitted
         return TryState(
@@ -272,7 +322,7 @@
             sends=len(self._sent_to),
             has_answer_begun=self._exchange.has_started,
             left_s=admitted.give_up_at - now,
-            is_within_budget=self._is_within_budget(),
+            is_within_budget=self._is_within_budget() and not self._is_over_limit,
             has_other_runner=has_other_runner,
             is_held_back=self._world.suspects.held_for_s(self._known_run()) > 0,
         )
@@ -294,10 +344,12 @@
         self._tried.clear()
         self._world.loop.call_later(LOOK_AGAIN_S, self._look_for_runner)
 
-    def _refuse(self, reason: str, back_in_s: float = 0.0) -> None:
+    def _refuse(
+        self, reason: str, back_in_s: float = 0.0, status: int = STATUS_UNAVAILABLE
+    ) -> None:
         """Say that the request has not run and when to come back."""
         retry_after = b"%.2f" % max(self._figures.retry_after_s, back_in_s)
-        self._exchange.respond(503, [(b"Retry-After", retry_after)])
+        self._exchange.respond(status, [(b"Retry-After", retry_after)])
         self._end("refused", None, reason=reason)
 
     def _answer(self, status: int, outcome: str, attempt: Attempt | None) -> None:
@@ -347,6 +399,7 @@
         if self.is_over:
             return
         self.is_over = True
+        self._quota.close()
         self._timer.cancel()
         if self._attempt is not None:
             self._attempt.cancel()
--- a/src/martenrun/router/messages.py
+++ b/src/martenrun/router/messages.py
@@ -10,6 +10,7 @@
 
 from martenrun.net.http import Headers
 from martenrun.net.server import ServerLimits
+from martenrun.router.quotas.limit import QuotaBounds, RateLimit
 
 
 class UnreadableError(ValueError):
@@ -86,11 +87,12 @@
 
 @attrs.frozen
 class Tenant:
-    """Who holds a key."""
+    """Who holds a key; ``limit`` is None where it may use what it asks for."""
 
     name: str
     priority: int | None
     is_isolated: bool
+    limit: RateLimit | None = None
 
 
 @attrs.frozen
@@ -145,7 +147,11 @@
 
 @attrs.frozen
 class Call:
-    """What the router reads from a caller's request."""
+    """What the router reads from a caller's request.
+
+    ``counted_tokens`` are those of its prompt and of its longest answer together, or None if it
+    tells of none.
+    """
 
     request_id: bytes
     host: str
@@ -156,6 +162,7 @@
     parts: tuple[PromptPart, ...]
     prompt_tokens: int
     last_event_id: int
+    counted_tokens: int | None = None
 
 
 @attrs.frozen
@@ -349,6 +356,7 @@
     lease_s: float
     weights_s: float
     directory_ttl_s: float
+    quota: QuotaBounds = attrs.field(factory=QuotaBounds)
 
 
 @attrs.frozen
--- a/src/martenrun/router/peer_messages.py
+++ b/src/martenrun/router/peer_messages.py
@@ -6,6 +6,13 @@
 
 from martenrun.identity.rendezvous import weight
 from martenrun.router.blame_messages import BlameNews
+from martenrun.router.quotas.messages import (
+    QuotaAnswer,
+    QuotaAsk,
+    QuotaSeen,
+    QuotaStage,
+    QuotaUse,
+)
 
 
 class RunnerLoad(msgspec.Struct, array_like=True, frozen=True):
@@ -35,6 +42,7 @@
     may use, in cores.
     ``configurations`` tells which versions of the configuration are in force somewhere, as far as
     the router knows, as (version, milliseconds since then).
+    ``quota_stage`` is a :class:`QuotaStage`.
     """
 
     address: str
@@ -53,6 +61,7 @@
     reads_store: bool = False
     capacity: float = 0.0
     configurations: list[tuple[int, int]] = []
+    quota_stage: int = QuotaStage.NONE.value
 
 
 class RouterBeat(msgspec.Struct, array_like=True, frozen=True):
@@ -143,6 +152,10 @@
     | ReadingNews
     | ZoneLoads
     | BlameNews
+    | QuotaAsk
+    | QuotaAnswer
+    | QuotaUse
+    | QuotaSeen
 )
 
 decode: Callable[[bytes], Message] = msgspec.msgpack.Decoder(Message).decode
--- a/src/martenrun/router/peers.py
+++ b/src/martenrun/router/peers.py
@@ -31,6 +31,7 @@
     decode,
     encode,
 )
+from martenrun.router.quotas.messages import QuotaMessage
 from martenrun.router.router_table import RouterTable
 
 GOSSIP_INTERVAL_S = 0.3
@@ -89,6 +90,7 @@
         on_reading: called with a runner's instance once a router's load there has been taken in.
         on_sums: called with sums of loads over other zones.
         newcomer_news: returns what a router heard of for the first time is told, of so many.
+        on_quota: called with what is asked or told of tenants' rates.
     """
 
     def __init__(
@@ -102,6 +104,7 @@
         on_reading: Callable[[str], None],
         on_sums: Callable[[ZoneLoads], None] = lambda _sums: None,
         newcomer_news: Callable[[int], News | None] = lambda _routers: None,
+        on_quota: Callable[[QuotaMessage], None] = lambda _message: None,
     ) -> None:
         self._loop = loop
         self.table = RouterTable(own)
@@ -112,6 +115,7 @@
         self._on_reading = on_reading
         self._on_sums = on_sums
         self._newcomer_news = newcomer_news
+        self._on_quota = on_quota
         self._told_at = -math.inf
         self._tells_later = False
         self._heard_since: float | None = None
@@ -135,9 +139,13 @@
 
     def budget_count(self) -> int:
         """Return among how many routers a common budget is to be shared."""
+        known = self.table.count()
+        return known if self.is_settled() else max(UNKNOWN_COUNT, known)
+
+    def is_settled(self) -> bool:
+        """Whether other routers have been heard for long enough to know most of them."""
         since = self._heard_since
-        is_settled = since is not None and self._loop.now() - since > SETTLING_S
-        return self.table.count() if is_settled else max(UNKNOWN_COUNT, self.table.count())
+        return since is not None and self._loop.now() - since > SETTLING_S
 
     def tell_all(self, news: News) -> None:
         """Send news to every router known."""
@@ -154,6 +162,10 @@
         """Send sums of loads to some routers."""
         self._send_to(addresses, sums)
 
+    def tell(self, addresses: list[str], message: QuotaMessage) -> None:
+        """Send what is asked or told of tenants' rates to some routers."""
+        self._send_to(addresses, message)
+
     def tells_own_zone_only(self) -> bool:
         """Whether routers of other zones are too many to be told of each reading."""
         return self.table.is_large()
@@ -271,6 +283,9 @@
         if isinstance(message, News):
             self._on_news(message)
             return
+        if isinstance(message, QuotaMessage):
+            self._on_quota(message)
+            return
         now = self._loop.now()
         late_s = now - arrived_at
         if isinstance(message, ZoneLoads):
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -40,6 +40,9 @@
 from martenrun.router.peers import News, Peers, first_incarnation
 from martenrun.router.placement import Placement
 from martenrun.router.planned_stop import PlannedStop
+from martenrun.router.quotas.gate import QuotaGate
+from martenrun.router.quotas.homes import Homes
+from martenrun.router.quotas.page import QUOTAS_PATH, serve_quotas
 from martenrun.router.runner_pool import RunnerPool
 from martenrun.router.silence import newly_silent, take_silence
 from martenrun.router.store_client import HttpCaller
@@ -123,7 +126,9 @@
             lambda instance: self._loads.take_reading(instance),
             lambda sums: self._loads.take_sums(sums),
             self._world.suspects.newcomer_news,
+            lambda message: self._quotas.take(message),
         )
+        self._quotas = self._world.quotas = self._quota_gate(settings)
         self._loads = LoadExchange(self._world.pool, self._peers)
         holder = f"{own.address}#{own.incarnation}"
         self._lease = Lease(
@@ -178,6 +183,28 @@
         self._world.configuration.on_changed.append(self._on_configuration)
         self._world.weights.on_changed = self._roller.check
 
+    def _quota_gate(self, settings: RouterSettings) -> QuotaGate:
+        """Return what asks the routers that keep tenants' accounts, and answers for its own."""
+        peers = self._peers
+        homes = Homes(
+            self._loop.now,
+            peers.own,
+            peers.live,
+            peers.table.count,
+            peers.is_settled,
+            lambda: self._quotas.is_young(),
+            settings.seeds,
+        )
+        return QuotaGate(
+            self._loop,
+            peers,
+            settings.internal_address,
+            homes,
+            lambda: self._world.configuration.version,
+            lambda: self._world.settings,
+            lambda word: self._metrics.count("quota_questions", outcome=word),
+        )
+
     def _spends_from(self, settings: RouterSettings) -> float:
         """Return when nothing spent by an earlier process of this router counts any more."""
         return self._loop.now() + (
@@ -234,6 +261,7 @@
         own.weights = self._world.weights.ages_ms(self._loop.now())
         own.configurations = self._world.configuration.told(self._loop.now())
         own.loads = self._loads.own_loads()
+        own.quota_stage = self._quotas.stage().value
 
     def _on_news(self, news: News) -> None:
         if isinstance(news, LeaseNews):
@@ -301,6 +329,8 @@
             exchange.respond(200, [(b"Content-Type", b"text/plain")], self._metrics.text())
         elif exchange.request.target == BLAME_PATH:
             serve_blame(exchange, self._world.suspects)
+        elif exchange.request.target == QUOTAS_PATH:
+            serve_quotas(exchange, self._quotas)
         else:
             self._keeper.relay.serve(exchange)
 
@@ -344,6 +374,7 @@
             self._peers.tell_all(news)
         self._world.suspects.keep_house()
         self._blame_store.check()
+        self._quotas.keep_house()
         self._roller.check()
         if self._source.stamp() != self._stamp:
             self._reload()
--- /dev/null
+++ b/src/martenrun/router/quotas/page.py
@@ -0,0 +1,21 @@
+"""What operators see of tenants' accounts at one router (internal address)."""
+
+import attrs
+import msgspec
+
+from martenrun.net.http import STATUS_OK
+from martenrun.net.server import Exchange
+from martenrun.router.quotas.gate import QuotaGate
+
+QUOTAS_PATH = b"/quotas"
+"""GET lists the accounts that this router keeps."""
+
+JSON_TYPE = [(b"Content-Type", b"application/json")]
+
+_ENCODE = msgspec.json.Encoder().encode
+
+
+def serve_quotas(exchange: Exchange, gate: QuotaGate) -> None:
+    """List the accounts kept here, tenants with least left first."""
+    accounts = [attrs.asdict(view) for view in gate.views()]
+    exchange.respond(STATUS_OK, JSON_TYPE, _ENCODE({"accounts": accounts}))
--- a/src/martenrun/router/world.py
+++ b/src/martenrun/router/world.py
@@ -12,6 +12,7 @@
 from martenrun.router.messages import KeptCacheStore, Route, RouterSettings
 from martenrun.router.overload import OverloadGuard
 from martenrun.router.placement import Placement
+from martenrun.router.quotas.gate import QuotaGate
 from martenrun.router.retry_budget import RetryBudget
 from martenrun.router.runner_pool import RunnerPool
 from martenrun.router.runner_state import RunnerState
@@ -39,6 +40,7 @@
         store_works: whether the kept-cache store at an address answers.
         note_reading: takes in that a runner has more or less to read for this router.
         refresh_loads: makes what is known of other routers' loads current.
+        quotas: asks whether tenants may use more; None where nobody keeps accounts.
         spends_from: from when on this router may use its part of the common slack of retries.
     """
 
@@ -58,6 +60,7 @@
     refresh_loads: Callable[[], None]
     decisions: Decisions = attrs.field(factory=Decisions)
     spends_from: float = 0.0
+    quotas: QuotaGate | None = None
     _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _guards: dict[str, OverloadGuard] = attrs.field(factory=dict)
 
--- a/tests/router/gossip_world.py
+++ b/tests/router/gossip_world.py
@@ -105,12 +105,12 @@
         """Return the seconds since the world began."""
         return self.loop.time - self.began
 
-    def start(self, address, seeds=(), zone="z"):
-        """Start a router, in place of an earlier one at the address."""
+    def start(self, address, seeds=(), zone="z", **changes):
+        """Start a router, in place of an earlier one at the address; ``changes`` of its record."""
         if address in self.routers:
             self.stop(address)
         self.lives += 1
-        own = router_record(address, incarnation=self.lives, zone=zone)
+        own = router_record(address, incarnation=self.lives, zone=zone, **changes)
         self.routers[address] = PlayedPeers(self, own, tuple(seeds))
         self.routers[address].start()
 
--- /dev/null
+++ b/tests/router/quota_world.py
@@ -0,0 +1,213 @@
+"""Routers that hold tenants' rates, in virtual time: real gossip and accounts, links that fail."""
+
+import bisect
+import random
+
+from martenrun.router.messages import RouterSettings
+from martenrun.router.peer_messages import encode
+from martenrun.router.quotas.gate import QuotaGate
+from martenrun.router.quotas.homes import Homes
+from martenrun.router.quotas.limit import QuotaBounds, RateLimit
+from martenrun.router.quotas.messages import QuotaStage
+
+from .builders import bounds
+from .gossip_world import GossipWorld
+
+BOUNDS = QuotaBounds(window_s=8.0, over_share=0.1, slack_units=110_000.0)
+
+UDP_HEAD_BYTES = 28
+
+PROMPT_TOKENS = (9_190, 9_190, 875, 875, 875, 200)
+"""Units of the requests that callers send in turn: long prompts, short questions, plain ones."""
+
+
+class LinkedWorld(GossipWorld):
+    """A world in which some routers cannot reach others.
+
+    ``groups`` names the side of each router that is cut off; the others are on one side.
+    """
+
+    def __init__(self, seed, **arguments):
+        super().__init__(seed, **arguments)
+        self.groups = {}
+        self.bytes_sent = 0
+        self.datagrams = 0
+
+    def carry(self, sender, address, data):
+        """Send a datagram unless a cut lies between."""
+        if self.groups.get(sender) == self.groups.get(address):
+            self.send(address, data)
+
+
+class QuotaFleet:
+    """Some routers with accounts, their callers, and what reached runners.
+
+    Args:
+        seed: of what is drawn.
+        count: routers.
+        loss: share of the datagrams of accounts that is lost.
+    """
+
+    def __init__(self, seed, count, zones=3, loss=0.0, limit=None, is_first_start=True):
+        self.rng = random.Random(seed)
+        self.world = LinkedWorld(seed, delays_s=(0.001, 0.002))
+        self.loop = self.world.loop
+        self.loss = loss
+        self.limit = limit or RateLimit(333_366.0, 333_366.0, True, 200)
+        self.addresses = [f"10.{n % zones}.0.{n // zones + 1}:7" for n in range(count)]
+        self.gates = {}
+        self.configuration = 1
+        self.arrived = []
+        self.refused = []
+        self.waits_s = []
+        self.quota_bytes = 0
+        self.quota_datagrams = 0
+        self.in_force = [(0.0, self.limit)]
+        for address in self.addresses:
+            self.start(address, is_first_start)
+
+    def start(self, address, is_first_start=False):
+        """Start a router, in place of an earlier life at its address."""
+        seeds = tuple(self.addresses[:3])
+        stage = QuotaStage.WARM if is_first_start else QuotaStage.BEGUN
+        self.world.start(address, seeds, address.split(".")[1], quota_stage=stage.value)
+        peers = self.world.routers[address]
+        peers._send = lambda to, data: self.world.carry(address, to, data)
+        peers.tell = lambda to, message: self._tell(address, peers, to, message)
+        settings = RouterSettings(
+            name=address,
+            zone="z",
+            front_address="",
+            ready_address="",
+            directory_address="",
+            internal_address=address,
+            seeds=seeds,
+            store_address="",
+            bounds=bounds(quota=BOUNDS),
+            maximum_descriptors=1,
+            link_bytes_per_s=1.0,
+            capacity=1.0,
+            is_first_start=is_first_start,
+        )
+        homes = Homes(
+            self.loop.now,
+            peers.own,
+            peers.live,
+            peers.table.count,
+            peers.is_settled,
+            lambda: gate.is_young(),
+            seeds,
+        )
+        gate = QuotaGate(
+            self.loop, peers, address, homes, lambda: self.configuration, lambda: settings
+        )
+        peers._on_quota = gate.take
+        peers._refresh = lambda own: setattr(own, "quota_stage", gate.stage().value)
+        self.gates[address] = gate
+        self._keep_house(address, gate)
+
+    def _keep_house(self, address, gate):
+        if self.gates.get(address) is gate:
+            if not self.world.routers[address].is_still:
+                gate.keep_house()
+            self.loop.call_later(0.25, lambda: self._keep_house(address, gate))
+
+    def stop(self, address):
+        """Kill a router; its callers are refused until it is back."""
+        self.world.stop(address)
+        del self.gates[address]
+
+    def restart(self, addresses, after_s):
+        """Kill some routers and start them again."""
+        for address in addresses:
+            self.stop(address)
+        self.loop.call_later(after_s, lambda: [self.start(address) for address in addresses])
+
+    def cut(self, addresses, group, for_s=None):
+        """Cut routers off from the others, not from each other."""
+        self.world.groups.update(dict.fromkeys(addresses, group))
+        if for_s is not None:
+            self.loop.call_later(for_s, lambda: [self.world.groups.pop(a, None) for a in addresses])
+
+    def change_limit(self, limit):
+        """Put a later configuration in force at all routers."""
+        self.configuration += 1
+        self.limit = limit
+        self.in_force.append((self.now(), limit))
+
+    def _tell(self, sender, peers, addresses, message):
+        for address in addresses:
+            self.quota_bytes += len(encode(message)) + UDP_HEAD_BYTES
+            self.quota_datagrams += 1
+            if self.rng.random() >= self.loss:
+                type(peers)._send_to(peers, [address], message)
+
+    def now(self):
+        return self.world.now()
+
+    def run(self, seconds):
+        self.world.run(seconds)
+
+    # Callers
+
+    def ask(self, tenant, units, address=None):
+        """Let one caller come to a router; what is granted reaches a runner at once."""
+        router = address or self.rng.choice(self.addresses)
+        gate = self.gates.get(router)
+        if gate is None or self.world.routers[router].is_still:
+            return
+        began = self.loop.now()
+
+        def decided(grant):
+            if self.gates.get(router) is not gate:
+                return
+            self.waits_s.append(self.loop.now() - began)
+            if grant.is_granted:
+                self.arrived.append((self.now(), tenant, units))
+            else:
+                self.refused.append((self.now(), tenant, units, grant.wait_s))
+
+        gate.ask(tenant, self.limit, units, decided)
+
+    def load(self, tenant, units_per_s, for_s, routers=None):
+        """Let a tenant's callers ask for so many units a second, at random times and routers."""
+        mean = sum(PROMPT_TOKENS) / len(PROMPT_TOKENS)
+        at_s = 0.0
+        while True:
+            at_s += self.rng.expovariate(units_per_s / mean)
+            if at_s > for_s:
+                return
+            units = self.rng.choice(PROMPT_TOKENS)
+            address = self.rng.choice(routers) if routers else None
+            self.loop.call_later(at_s, lambda u=units, a=address: self.ask(tenant, u, a))
+
+    # What runners saw
+
+    def worst_window(self, tenant="t", since=0.0):
+        """Return the most units that reached runners within a window, as a part of what may."""
+        limit = self.limit
+        allowed = BOUNDS.window_units(limit.units_per_s, limit.burst_units)
+        return self.most_in_window(tenant, since) / (
+            allowed + BOUNDS.slack(limit.units_per_s, limit.burst_units)
+        )
+
+    def most_in_window(self, tenant="t", since=0.0):
+        """Return the most units that reached runners within a window."""
+        runs = [(at, units) for at, who, units in self.arrived if who == tenant and at >= since]
+        times = [at for at, _ in runs]
+        sums = [0]
+        for _, units in runs:
+            sums.append(sums[-1] + units)
+        return max(
+            (
+                sums[bisect.bisect_right(times, at + BOUNDS.window_s)] - sums[i]
+                for i, at in enumerate(times)
+            ),
+            default=0,
+        )
+
+    def refused_share(self, tenant="t", since=0.0):
+        """Return the part of a tenant's requests that was refused."""
+        refused = sum(who == tenant and at >= since for at, who, *_ in self.refused)
+        served = sum(who == tenant and at >= since for at, who, _ in self.arrived)
+        return refused / max(1, refused + served)
--- /dev/null
+++ b/tests/router/test_quota_fleet.py
@@ -0,0 +1,256 @@
+"""Tenants' rates over a whole fleet: greedy tenants under every kind of fault, and honest ones.
+
+Pattern: one tenant asks for several times its limit at all routers, each of which sees a request
+of it every few seconds only.  Without accounts that all routers share, 3.6 of its limit passed six
+routers.  Bounds: what may reach runners in any window, over all routers, in touch or not; and
+nobody within its limit is refused.
+"""
+
+import msgspec
+import pytest
+
+from martenrun.router.peer_messages import Gossip, RouterRecord, decode, encode
+from martenrun.router.quotas.limit import RateLimit
+from martenrun.router.quotas.messages import QuotaStage
+
+from .gossip_world import router_record
+from .quota_world import BOUNDS, PROMPT_TOKENS, QuotaFleet
+
+SMALL = RateLimit(29_000.0, 29_000.0, True, 200)
+LARGE = RateLimit(333_366.0, 333_366.0, True, 200)
+LIMITS = pytest.mark.parametrize("limit", [SMALL, LARGE], ids=["small", "large"])
+SIZES = pytest.mark.parametrize("routers", [8, 40])
+
+SETTLED_S = 16.0
+"""Time from the start of the routers to the first request, in seconds."""
+
+
+def greedy(routers, limit, seed=1, for_s=24.0, **more):
+    """Return a settled fleet to which one tenant comes with five times its limit."""
+    fleet = QuotaFleet(seed, routers, limit=limit, **more)
+    fleet.run(SETTLED_S)
+    fleet.load("t", 5 * limit.units_per_s, for_s)
+    return fleet
+
+
+def assert_bound_holds(fleet):
+    assert fleet.worst_window() <= 1.0, f"{fleet.worst_window():.3f} of what may pass"
+
+
+@SIZES
+@LIMITS
+def test_a_greedy_tenant_gets_its_limit_and_not_more(routers, limit):
+    fleet = greedy(routers, limit)
+    fleet.run(26)
+    assert_bound_holds(fleet)
+    served = sum(units for _, _, units in fleet.arrived)
+    assert served >= 24 * limit.units_per_s
+
+
+@SIZES
+@LIMITS
+@pytest.mark.parametrize("share", [0.5, 1.0])
+def test_restarts_of_many_forget_nothing(routers, limit, share):
+    fleet = greedy(routers, limit)
+    for at_s in (6.0, 9.0):
+        some = fleet.rng.sample(fleet.addresses, int(share * routers))
+        fleet.loop.call_later(at_s, lambda some=some: fleet.restart(some, 1.0))
+    fleet.run(26)
+    assert_bound_holds(fleet)
+
+
+@SIZES
+@LIMITS
+def test_routers_that_are_cut_off_one_by_one_stay_within_the_bound(routers, limit):
+    fleet = greedy(routers, limit)
+    fleet.run(8.0)
+    for number, address in enumerate(fleet.addresses[: routers // 3]):
+        fleet.cut([address], number + 1, 10.0)
+    fleet.run(18)
+    assert_bound_holds(fleet)
+
+
+@SIZES
+@LIMITS
+@pytest.mark.parametrize("seed", range(6))
+def test_two_halves_that_are_cut_off_from_each_other_stay_within_the_bound(routers, limit, seed):
+    """Either half may hold both keepers of the account, one, or none."""
+    fleet = greedy(routers, limit, seed)
+    fleet.run(8.0)
+    fleet.cut(fleet.rng.sample(fleet.addresses, routers // 2), 1, 10.0)
+    fleet.run(18)
+    assert_bound_holds(fleet)
+
+
+@SIZES
+@LIMITS
+def test_keepers_that_are_killed_one_after_the_other_change_nothing(routers, limit):
+    fleet = greedy(routers, limit)
+    for turn in range(4):
+        fleet.run(3.0)
+        keeper = next(iter(fleet.gates.values()))._homes.keepers("t")[0]
+        if keeper in fleet.gates:
+            fleet.restart([keeper], 2.0 + turn)
+    fleet.run(14)
+    assert_bound_holds(fleet)
+
+
+@SIZES
+@LIMITS
+@pytest.mark.parametrize("still_s", [0.5, 5.0])
+def test_a_keeper_that_stands_still_and_wakes_does_not_grant_twice(routers, limit, still_s):
+    fleet = greedy(routers, limit)
+    fleet.run(6.0)
+    keeper = next(iter(fleet.gates.values()))._homes.keepers("t")[0]
+    fleet.world.stand_still(keeper)
+    fleet.run(still_s)
+    fleet.world.go_on(keeper, still_s)
+    fleet.run(20.0 - still_s)
+    assert_bound_holds(fleet)
+
+
+@LIMITS
+@pytest.mark.parametrize("loss", [0.04, 0.1])
+def test_lost_datagrams_let_nothing_more_pass(limit, loss):
+    fleet = greedy(8, limit, loss=loss)
+    fleet.run(26)
+    assert_bound_holds(fleet)
+
+
+@SIZES
+@LIMITS
+def test_routers_that_join_take_accounts_over_as_they_stand(routers, limit):
+    fleet = greedy(routers, limit)
+    for number in range(routers // 2):
+        address = f"10.9.0.{number + 1}:7"
+        fleet.addresses.append(address)
+        fleet.loop.call_later(4.0 + number * 0.2, lambda a=address: fleet.start(a))
+    fleet.run(26)
+    assert_bound_holds(fleet)
+
+
+def test_a_lower_limit_binds_within_a_window():
+    fleet = greedy(8, LARGE)
+    fleet.run(6.0)
+    fleet.change_limit(SMALL)
+    changed_at = fleet.now()
+    fleet.run(20.0)
+    assert fleet.worst_window(since=changed_at) <= 1.0
+
+
+def test_a_raised_limit_may_be_used_at_once():
+    fleet = greedy(8, SMALL)
+    fleet.run(8.0)
+    fleet.change_limit(LARGE)
+    changed_at = fleet.now()
+    fleet.run(4.0)
+    # Five times the small limit is less than the raised one: all that comes from now on is served.
+    assert fleet.refused_share(since=changed_at + 0.01) == 0.0
+    served = sum(units for at, _, units in fleet.arrived if at >= changed_at)
+    assert served >= 3 * 4.0 * SMALL.units_per_s
+
+
+# Who keeps within its limit is not refused
+
+
+def conforming(fleet, tenant, limit, for_s, part=0.9, routers=None):
+    """Let callers use a part of the rate in bursts that the burst allows; return how many come."""
+    left, at_s, count = limit.burst_units, 0.0, 0
+    rng = fleet.rng
+    while at_s < for_s:
+        units = rng.choice(PROMPT_TOKENS)
+        if left < units or rng.random() < 0.05:
+            pause_s = rng.uniform(0.2, 1.5)
+            left = min(limit.burst_units, left + pause_s * part * limit.units_per_s)
+            at_s += pause_s
+            continue
+        left -= units
+        count += 1
+        at_s += 0.001
+        left = min(limit.burst_units, left + 0.001 * part * limit.units_per_s)
+        address = rng.choice(routers) if routers else None
+        fleet.loop.call_later(at_s, lambda u=units, a=address: fleet.ask(tenant, u, a))
+    return count
+
+
+@pytest.mark.parametrize("few", [False, True], ids=["all routers", "two routers"])
+@LIMITS
+def test_who_keeps_within_rate_and_burst_is_never_refused(limit, few):
+    fleet = QuotaFleet(3, 16, limit=limit)
+    fleet.run(SETTLED_S)
+    routers = fleet.addresses[:2] if few else None
+    count = sum(conforming(fleet, f"t{n}", limit, 20.0, routers=routers) for n in range(8))
+    fleet.run(23.0)
+    assert count > 500
+    assert fleet.refused == []
+    assert max(fleet.waits_s) < 0.01
+
+
+@LIMITS
+def test_as_a_keeper_ends_nobody_within_its_limit_is_refused(limit):
+    fleet = QuotaFleet(4, 16, limit=limit)
+    fleet.run(SETTLED_S)
+    conforming(fleet, "t", limit, 20.0)
+    fleet.run(6.0)
+    fleet.restart([fleet.gates[fleet.addresses[0]]._homes.keepers("t")[0]], 3.0)
+    fleet.run(16.0)
+    assert fleet.refused == []
+    assert max(fleet.waits_s) < 0.08
+
+
+def test_a_restart_of_all_refuses_those_within_their_usual_for_no_window():
+    fleet = QuotaFleet(5, 16, limit=LARGE)
+    fleet.run(SETTLED_S)
+    fleet.load("t", 0.55 * LARGE.units_per_s, 20.0)
+    fleet.run(6.0)
+    fleet.restart(list(fleet.addresses), 1.0)
+    fleet.run(16.0)
+    assert fleet.refused_share(since=SETTLED_S + 7.0) < 0.03
+    assert fleet.refused_share(since=SETTLED_S + 9.0) == 0.0
+
+
+def test_a_greedy_tenant_takes_nothing_from_others():
+    fleet = greedy(8, SMALL)
+    fleet.load("other", 0.3 * SMALL.units_per_s, 20.0)
+    fleet.run(24.0)
+    assert [who for _, who, *_ in fleet.refused if who == "other"] == []
+
+
+def test_refused_callers_are_told_when_tokens_are_there_and_spread():
+    fleet = greedy(8, LARGE)
+    fleet.run(10.0)
+    waits = [wait_s for *_, wait_s in fleet.refused]
+    assert min(waits) > 0 and max(waits) <= BOUNDS.window_s
+    tenths = {round(wait_s, 1) for wait_s in waits}
+    assert len(tenths) > 30
+
+
+# Routers of another version
+
+
+def test_routers_of_before_rates_are_not_asked():
+    fleet = QuotaFleet(6, 8, limit=LARGE)
+    old = fleet.addresses[:4]
+    for address in old:
+        peers = fleet.world.routers[address]
+        peers._refresh = lambda own: setattr(own, "quota_stage", QuotaStage.NONE.value)
+        del fleet.gates[address]
+    fleet.run(SETTLED_S)
+    fleet.load("t", 0.5 * LARGE.units_per_s, 5.0, routers=fleet.addresses[4:])
+    fleet.run(8.0)
+    assert fleet.refused == [] and max(fleet.waits_s) < 0.01
+    for gate in fleet.gates.values():
+        assert not set(gate._homes.keepers("t")) & set(old)
+
+
+def test_a_record_of_an_older_router_names_no_keeper():
+    new = router_record("a", quota_stage=2)
+    assert decode(encode(Gossip([new]))).records[0].quota_stage == 2
+    of_before = msgspec.msgpack.decode(msgspec.msgpack.encode(new))[:-1]
+    assert msgspec.convert(of_before, RouterRecord).quota_stage == 0
+
+
+def test_a_record_with_more_fields_than_are_known_can_be_read():
+    """Routers of a later version add fields at the end."""
+    later = [*msgspec.msgpack.decode(msgspec.msgpack.encode(router_record("a"))), "more", 7]
+    assert msgspec.convert(later, RouterRecord).address == "a"
--- /dev/null
+++ b/tests/router/test_tenant_rates.py
@@ -0,0 +1,154 @@
+"""A tenant that asks for several times its rate at all routers gets its rate; others lose nothing.
+
+Pattern: each router sees little of a tenant, all together see four times its limit.  Real routers
+before stand-in runners; arrivals are counted at the runners, over all routers and over a kill of
+all of them.
+"""
+
+import itertools
+import random
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+import urllib3
+from click.testing import CliRunner
+from platform_deployment import PlatformDeployment
+
+from martenrun.cli.main import main
+
+TOKENS = 1_020
+"""What one prompt of these callers counts for, its longest answer included."""
+
+RATE = 10 * TOKENS
+WINDOW_S = 8.0
+ALLOWED = (RATE * WINDOW_S + RATE) * 1.1 + 4_000
+ROUTERS = 6
+
+
+def tenant(name):
+    limit = {"rate_per_s": RATE, "burst": RATE, "unit": "token_count", "plain_tokens": 200}
+    return {"name": name, "api_keys": [f"key-{name}"], **limit}
+
+
+class Tenants:
+    """Callers of tenants, each tenant so many requests a second, at any router."""
+
+    def __init__(self, deployment, per_s_of):
+        self._deployment = deployment
+        self._rng = random.Random(7)
+        self._numbers = itertools.count()
+        self._ends = threading.Event()
+        self.answers = {name: [] for name in per_s_of}
+        self._pool = ThreadPoolExecutor(32)
+        self._threads = [
+            threading.Thread(target=self._come, args=item, daemon=True) for item in per_s_of.items()
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def _come(self, name, per_s):
+        while not self._ends.wait(1.0 / per_s):
+            self._pool.submit(self._call, name, next(self._numbers))
+
+    def _call(self, name, number):
+        router = self._rng.choice(self._deployment.routers)
+        began = time.monotonic()
+        try:
+            answer = self._deployment.ask("/once/x", f"{name}-{number}", router, f"key-{name}")
+            taken_s = time.monotonic() - began
+            retry_after = answer.headers.get("Retry-After")
+            self.answers[name].append((answer.status, taken_s, retry_after, number))
+        except (urllib3.exceptions.HTTPError, OSError):
+            self.answers[name].append((0, time.monotonic() - began, None, number))
+
+    def stop(self):
+        self._ends.set()
+        for thread in self._threads:
+            thread.join()
+        self._pool.shutdown()
+
+    def statuses(self, name):
+        return [status for status, *_ in self.answers[name]]
+
+    def numbered(self, name):
+        return [(f"{name}-{number}", status) for status, _, _, number in self.answers[name]]
+
+
+def most_in_window(deployment, name):
+    """Return the most tokens of a tenant that runners began to run within a window."""
+    runs = [run for runner in deployment.runners for run in runner.runs]
+    times = sorted(run.at for run in runs if run.request_id.startswith(f"{name}-"))
+    return TOKENS * max(sum(at <= t <= at + WINDOW_S for t in times) for at in times)
+
+
+def trails(deployment, request_ids):
+    """Return what the routers logged of some requests."""
+    lines = [line for r in deployment.routers for line in r.log.read_text().splitlines()]
+    return [line for line in lines if any(f'"{name}"' in line for name in request_ids)]
+
+
+@pytest.fixture(scope="module")
+def deployment():
+    with PlatformDeployment(routers=ROUTERS, model_runners=4) as running:
+        running.more_tenants = [tenant("greedy"), tenant("modest"), tenant("restarted")]
+        running.publish(2)
+        running.wait(lambda: knows(running, "restarted"))
+        yield running
+
+
+def knows(deployment, name):
+    """Whether all routers know a tenant's key."""
+    return all(
+        deployment.ask("/once/x", f"first-{name}-{n}", router, f"key-{name}").status != 401
+        for n, router in enumerate(deployment.routers)
+    )
+
+
+def test_a_greedy_tenant_gets_its_rate_and_a_modest_one_all_that_it_asks(deployment):
+    callers = Tenants(deployment, {"greedy": 40, "modest": 6})
+    deployment.wait(lambda: len(callers.answers["greedy"]) >= 40 * 10)
+    callers.stop()
+    assert most_in_window(deployment, "greedy") <= ALLOWED
+    assert most_in_window(deployment, "greedy") >= 0.9 * RATE * WINDOW_S
+    refused = [number for number, status in callers.numbered("modest") if status != 200]
+    assert refused == [], trails(deployment, refused)
+    assert set(callers.statuses("greedy")) == {200, 429}
+    refused = [answer for answer in callers.answers["greedy"] if answer[0] == 429]
+    assert all(0 < float(retry_after) <= WINDOW_S for _, _, retry_after, _ in refused)
+    assert sorted(taken_s for _, taken_s, *_ in refused)[len(refused) // 2] < 0.1
+
+
+def test_operators_see_accounts_and_why_a_request_was_refused(deployment):
+    addresses = [r.url("internal", "").removeprefix("http://") for r in deployment.routers]
+    listed = CliRunner().invoke(main, ["quotas", *addresses, "--tenant", "greedy"]).output
+    assert len(listed.splitlines()) >= 2 and f"{RATE} a second" in listed
+    logs = [str(router.log) for router in deployment.routers]
+
+    def refused():
+        lines = [
+            line for router in deployment.routers for line in router.log.read_text().split("\n")
+        ]
+        return next((line for line in lines if "over_limit" in line), None)
+
+    deployment.wait(refused)
+    number = refused().split('"request":"')[1].split('"')[0]
+    explained = CliRunner().invoke(main, ["explain", number, *logs]).output
+    assert "quota_asked" in explained and "is_granted=False" in explained
+    none = CliRunner().invoke(main, ["quotas", "127.0.0.1:1"])
+    assert none.exit_code == 1 and "internal ports" in none.output
+
+
+def test_routers_that_all_start_anew_forget_nothing(deployment):
+    callers = Tenants(deployment, {"restarted": 40})
+    deployment.wait(lambda: len(callers.answers["restarted"]) >= 40 * 6)
+    for router in deployment.routers:
+        router.process.kill()
+        router.process.wait()
+        deployment.start(router)
+    deployment.wait(lambda: all(deployment.is_ready(r) for r in deployment.routers))
+    count = len(callers.answers["restarted"])
+    deployment.wait(lambda: len(callers.answers["restarted"]) >= count + 40 * 5)
+    callers.stop()
+    assert most_in_window(deployment, "restarted") <= ALLOWED
