The soak has a greedy tenant, and goes on until runners have the newest weights

Cause: tenants' rates had no checker from the runners' side. Change: callers of a tenant that asks for four times its rate; checkers of what reached runners in any window and that it is served at all; runs are checked against the tenant of their caller (was: one tenant for all); callers go on, 12 s at most, until runners have the newest weights.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -21,17 +21,27 @@
 import attrs
 import click
 from platform_deployment import PlatformDeployment
-from soak_callers import Callers, DelayMeter, Lookers, is_deadly
+from soak_callers import (
+    GREEDY,
+    GREEDY_RATE,
+    GREEDY_TENANT,
+    PROMPT_UNITS,
+    Callers,
+    DelayMeter,
+    Lookers,
+    is_deadly,
+)
 from soak_faults import Faults
 
-from martenrun.proof.router_checkers import (
+from martenrun.proof.router_checkers import check_all
+from martenrun.proof.router_records import (
     CrashRecord,
     OrderRecord,
     PromiseBounds,
+    RateBound,
     RouterHistory,
     RouterLife,
     RunRecord,
-    check_all,
 )
 from martenrun.proof.soak_schedule import Step, draw_schedule, from_text, to_text
 from martenrun.router.router_table import (
@@ -46,7 +56,7 @@
 """How long callers go on after the last fault has ended, in seconds."""
 
 MOST_SETTLE_S = 12.0
-"""How much longer they go on, at most, for runners that a request still ends, in seconds."""
+"""How much longer they go on, at most, until the deployment has come to rest, in seconds."""
 
 MARGIN_S = 1.0
 """Added to bounds for what the looking itself takes, in seconds."""
@@ -57,6 +67,11 @@
 QUIET_S = 3.5
 """Bounds of the deployment's settings, and how long nothing must be in trouble for them."""
 
+QUOTA_WINDOW_S = 8.0
+QUOTA_OVER = 0.1
+QUOTA_SLACK = 4000.0
+"""What may pass of a tenant's rate, as the deployment's settings say."""
+
 CLOSED_S = 1.2
 """How long work may go on after its caller left: two events of a slow stream and a margin."""
 
@@ -105,6 +120,8 @@
 
 def bounds_of(routers: int) -> PromiseBounds:
     """Return the bounds for a deployment of so many routers."""
+    rate = GREEDY_RATE
+    most_units = (rate * QUOTA_WINDOW_S + rate) * (1 + QUOTA_OVER) + QUOTA_SLACK
     return PromiseBounds(
         revoke_s=REVOKE_S,
         drain_s=DRAIN_S,
@@ -112,21 +129,31 @@
         named_s=longest_named_s(routers) + MARGIN_S,
         closed_s=CLOSED_S,
         contact_s=CONTACT_S + MARGIN_S,
+        rates=(RateBound(GREEDY, PROMPT_UNITS, QUOTA_WINDOW_S, most_units),),
     )
 
 
 def play(
-    steps: Sequence[Step], seed: int, deployment: PlatformDeployment, logs: Path | None
+    steps: Sequence[Step],
+    seed: int,
+    deployment: PlatformDeployment,
+    logs: Path | None,
+    holds_rates: bool = True,
 ) -> Outcome:
-    """Play a schedule on a deployment with relays, and check the promises."""
+    """Play a schedule on a deployment with relays, and check the promises.
+
+    ``holds_rates``: all its routers know of tenants' rates.
+    """
     gc.collect()
     routers = len(deployment.routers)
+    deployment.more_tenants = [GREEDY_TENANT]
     with deployment:
         faults = Faults(deployment)
         callers, lookers, meter = Callers(deployment, seed), Lookers(deployment), DelayMeter()
         faults.send_deadly = callers.send_deadly
         meter.start()
         callers.start(CALLERS)
+        callers.start_greedy()
         lookers.start()
         try:
             _strike(steps, faults)
@@ -135,7 +162,8 @@
             lookers.stop()
             meter.stop()
         history = _history(deployment, faults, callers, lookers)
-        violations = check_all(history, bounds_of(most_at_once(history.lives)))
+        bounds = bounds_of(most_at_once(history.lives))
+        violations = check_all(history, bounds if holds_rates else attrs.evolve(bounds, rates=()))
         violations += _shut_out(deployment, history)
         violations += [f"own end: {text}" for text in faults.own_ends]
         outcome = Outcome(
@@ -170,8 +198,10 @@
     latest_at = ends_at + MOST_SETTLE_S
     while time.monotonic() < ends_at:
         faults.go_on()
-        # A request that first came at the end may still have had runners to end.
-        ends_at = min(latest_at, max(ends_at, faults.crashed_at + SETTLE_S))
+        # A request that first came at the end may still have had runners to end, and a lease that
+        # was taken last keeps orders of the newest weights waiting.
+        unrest_at = time.monotonic() if faults.has_old_weights() else faults.crashed_at
+        ends_at = min(latest_at, max(ends_at, unrest_at + SETTLE_S))
         time.sleep(LOOK_S)
 
 
--- a/scripts/soak_callers.py
+++ b/scripts/soak_callers.py
@@ -9,10 +9,11 @@
 import random
 import threading
 import time
+from collections.abc import Callable
 
 from platform_deployment import HOST, KEY, MODEL, PlatformDeployment, RouterRun
 
-from martenrun.proof.router_checkers import CallRecord, ConnectionTry, DirectoryAnswer
+from martenrun.proof.router_records import GREEDY_KIND, CallRecord, ConnectionTry, DirectoryAnswer
 
 PAUSE_S = 0.06
 """Mean pause of a caller between two requests, in seconds."""
@@ -48,6 +49,24 @@
     return SLOW_PAUSE_S if request_id.endswith(SLOW_MARK) else 0.005
 
 
+PROMPT_UNITS = 1_020
+"""What a request counts for by the tokens that it tells of."""
+
+GREEDY = "greedy"
+GREEDY_KEY = "key-greedy"
+GREEDY_RATE = 5 * PROMPT_UNITS
+GREEDY_PAUSE_S = 0.05
+"""A tenant that asks for four times its rate, in tokens a second, and its pause, in seconds."""
+
+GREEDY_TENANT = {
+    "name": GREEDY,
+    "api_keys": [GREEDY_KEY],
+    "rate_per_s": GREEDY_RATE,
+    "burst": GREEDY_RATE,
+    "unit": "token_count",
+    "plain_tokens": 200,
+}
+
 DEADLY_PAUSE_S = 0.3
 """Pause between two comings of one deadly request, in seconds."""
 
@@ -75,23 +94,29 @@
 
     def start(self, count: int) -> None:
         """Let so many callers begin."""
-        for number in range(count):
-            rng = random.Random(f"{self._seed} {number}")
-            thread = threading.Thread(target=self._call_on, args=(rng,), daemon=True)
-            self._threads.append(thread)
-            thread.start()
+        for _ in range(count):
+            self._begin(self._call_on)
+
+    def start_greedy(self) -> None:
+        """Let a tenant come with more than its rate, at any router, until the end."""
+        self._begin(self._send_on, GREEDY_KIND, GREEDY_KEY, GREEDY_PAUSE_S, None)
 
     def send_deadly(self) -> None:
         """Let one more deadly request come again and again, at any router, until the end."""
-        number = len(self._threads)
-        rng = random.Random(f"{self._seed} {number}")
-        body = DEADLY + b"%d" % number
-        thread = threading.Thread(target=self._send_deadly_on, args=(rng, body), daemon=True)
+        body = DEADLY + b"%d" % len(self._threads)
+        self._begin(self._send_on, "once", KEY, DEADLY_PAUSE_S, body)
+
+    def _begin(self, call: Callable[..., None], *arguments: object) -> None:
+        rng = random.Random(f"{self._seed} {len(self._threads)}")
+        thread = threading.Thread(target=call, args=(rng, *arguments), daemon=True)
         self._threads.append(thread)
         thread.start()
 
-    def _send_deadly_on(self, rng: random.Random, body: bytes) -> None:
-        while not self._is_over.wait(DEADLY_PAUSE_S * rng.uniform(0.5, 1.5)):
+    def _send_on(
+        self, rng: random.Random, kind: str, key: str, pause_s: float, body: bytes | None
+    ) -> None:
+        """Send requests that run once, each on a connection of its own."""
+        while not self._is_over.wait(pause_s * rng.uniform(0.5, 1.5)):
             router = rng.choice(list(self._deployment.routers)).front
             host, _, port = router.rpartition(":")
             connection = http.client.HTTPConnection(host, int(port), timeout=ANSWER_TIMEOUT_S)
@@ -99,15 +124,16 @@
                 self._number += 1
                 request_id = f"s{self._number:06d}d"
             sent_at = time.monotonic()
-            status = None
+            status, received = None, b""
             try:
-                self._send(connection, "once", request_id, KEY, body)
-                status = connection.getresponse().status
+                self._send(connection, "once", request_id, key, body)
+                answer = connection.getresponse()
+                received = answer.read()
+                status = answer.status
             except (http.client.HTTPException, OSError):
                 pass
             connection.close()
-            record = CallRecord(request_id, "once", KEY, sent_at, status, b"", router)
-            self.calls.append(record)
+            self.calls.append(CallRecord(request_id, kind, key, sent_at, status, received, router))
 
     def stop(self) -> None:
         """Let the callers end what they do, and wait for that."""
--- a/scripts/soak_faults.py
+++ b/scripts/soak_faults.py
@@ -17,7 +17,7 @@
 from platform_deployment import PlatformDeployment, RouterRun
 from soak_runner_faults import SETTLED_S, RunnerFaults, mute
 
-from martenrun.proof.router_checkers import RouterLife, Trouble
+from martenrun.proof.router_records import RouterLife, Trouble
 from martenrun.proof.soak_schedule import HERD_SHARE, Step
 
 RESTART_S = 0.2
--- a/scripts/soak_runner_faults.py
+++ b/scripts/soak_runner_faults.py
@@ -16,7 +16,7 @@
 from soak_callers import SPARE_KEY, is_deadly, pause_of
 
 from martenrun.platform.standins.runner import Fault, RunnerStandin
-from martenrun.proof.router_checkers import Departure, Revocation, Trouble
+from martenrun.proof.router_records import Departure, Revocation, Trouble
 from martenrun.proof.soak_schedule import Step
 
 SERVES_ON_S = 2.6
@@ -243,6 +243,11 @@
                 self.revocations[-1] = attrs.evolve(self.revocations[-1], until=now)
             self._publish()
 
+    def has_old_weights(self) -> bool:
+        """Whether a runner still has weights of before the newest that were named."""
+        runners = self._deployment.runners
+        return any(r.model is not None and r.weights < self._weights for r in runners)
+
     def _name_weights(self, _step: Step) -> None:
         self._weights += 1
         spec = {"model": MODEL, "version": self._weights}
--- a/src/martenrun/proof/router_checkers.py
+++ b/src/martenrun/proof/router_checkers.py
@@ -3,169 +3,30 @@
 Times are seconds of one steady clock, that of the process that drives the run.
 """
 
+import bisect
 import collections
 import math
 from collections.abc import Sequence
 
-import attrs
-
-
-@attrs.frozen
-class CallRecord:
-    """One request as its caller saw it; ``status`` None if the answer broke or never came.
-
-    ``router`` is the address it was sent to; ``left_at`` when its caller closed the connection
-    without waiting for the answer.
-    """
-
-    request_id: str
-    kind: str
-    key: str
-    sent_at: float
-    status: int | None
-    body: bytes
-    router: str = ""
-    left_at: float | None = None
-
-
-@attrs.frozen
-class RunRecord:
-    """One run as a runner saw it; ``ended_at`` None where the runner does not tell.
-
-    ``target`` is the path, for whoever traces a violation; ``deadly`` names the body of a request
-    that ends each runner which runs it.
-    """
-
-    request_id: str
-    instance: str
-    at: float
-    tenant: str | None
-    ended_at: float | None = None
-    target: str = ""
-    deadly: str = ""
-
-
-@attrs.frozen
-class OrderRecord:
-    """One order as a runner took it."""
-
-    instance: str
-    holder: str
-    token: int
-    at: float
-
-
-@attrs.frozen
-class Revocation:
-    """A key that the operator took away, when the store had taken that, and until when."""
-
-    key: str
-    at: float
-    until: float = math.inf
-
-
-@attrs.frozen
-class Departure:
-    """A runner whose entry said that it leaves, went or could not be read, and from when to when.
-
-    ``at`` is when the store had taken that; ``until`` when it had a good entry again.
-    """
-
-    instance: str
-    at: float
-    until: float = math.inf
-
-
-@attrs.frozen
-class Trouble:
-    """A span of trouble at a place or on the links to it.
-
-    ``place`` is a router's address, a runner's instance, or None for the store.
-    """
-
-    place: str | None
-    begin: float
-    end: float
-
-
-@attrs.frozen
-class RouterLife:
-    """One life of a router; infinite where it did not leave or end."""
-
-    router: str
-    started_at: float
-    leaving_at: float = math.inf
-    ended_at: float = math.inf
-
-
-@attrs.frozen
-class DirectoryAnswer:
-    """The addresses that a router's directory named to a question asked at ``asked_at``."""
-
-    router: str
-    asked_at: float
-    addresses: Sequence[str]
-
-
-@attrs.frozen
-class ConnectionTry:
-    """A new connection that a caller tried, and whether the router said that it was ready."""
-
-    router: str
-    at: float
-    is_ready: bool
-    was_taken: bool
-
-
-@attrs.frozen
-class CrashRecord:
-    """The end of one start of a runner under a request."""
-
-    request_id: str
-    at: float
-
-
-@attrs.frozen
-class PromiseBounds:
-    """Within what the promises hold, in seconds.
-
-    Attributes:
-        revoke_s: a request sent later after its key was taken away does not run.
-        drain_s: a request reaches no runner later after that began to leave, or its entry went.
-        quiet_s: how long a router and the store must be without trouble for bounds to hold.
-        named_s: how long a directory may name a router that has ended, or that is leaving.
-        closed_s: how long after a caller left its request may begin or go on to run.
-        contact_s: how long a ready router may take no connection.
-    """
-
-    revoke_s: float
-    drain_s: float
-    quiet_s: float
-    named_s: float
-    closed_s: float
-    contact_s: float
-
-
-@attrs.frozen
-class RouterHistory:
-    """What one run of the soak left behind."""
-
-    calls: Sequence[CallRecord]
-    runs: Sequence[RunRecord]
-    orders: Sequence[OrderRecord]
-    revocations: Sequence[Revocation]
-    departures: Sequence[Departure]
-    troubles: Sequence[Trouble]
-    events_of_stream: int
-    lives: Sequence[RouterLife] = ()
-    directory: Sequence[DirectoryAnswer] = ()
-    tries: Sequence[ConnectionTry] = ()
-    crashes: Sequence[CrashRecord] = ()
-
+from martenrun.proof.router_records import (
+    GREEDY_KIND,
+    Departure,
+    PromiseBounds,
+    RouterHistory,
+    RouterLife,
+    RunRecord,
+)
 
 SAFE_KINDS = frozenset({"slip", "ask"})
 """Kinds of request that may run more than once."""
 
+FIRST_TENANT = "growers"
+GREEDY_TENANT = "greedy"
+"""Who holds the keys of the callers, and of those that ask for more than their rate."""
+
+STREAM_KINDS = frozenset({"ask", "once", GREEDY_KIND})
+"""Kinds of request that are answered by a stream."""
+
 LEAST_TRIES = 7
 """Connections that must have been tried in vain before a router is said to take none."""
 
@@ -204,7 +65,7 @@
     for call in history.calls:
         if call.status != 200:
             continue
-        if call.kind in ("ask", "once"):
+        if call.kind in STREAM_KINDS:
             ids = [int(line[4:]) for line in call.body.split(b"\n") if line.startswith(b"id: ")]
             is_whole = ids == list(range(1, history.events_of_stream + 1))
         else:
@@ -216,11 +77,14 @@
 
 def nothing_unasked_ran(history: RouterHistory) -> list[str]:
     """Runners ran only what callers sent, under the tenant of the key."""
-    asked = {call.request_id for call in history.calls}
+    tenants = {
+        call.request_id: GREEDY_TENANT if call.kind == GREEDY_KIND else FIRST_TENANT
+        for call in history.calls
+    }
     return [
         f"{run.request_id!r} ran under {run.tenant} at {run.instance}: {run.target}"
         for run in history.runs
-        if run.request_id not in asked or run.tenant != "growers"
+        if run.tenant is None or run.tenant != tenants.get(run.request_id)
     ]
 
 
@@ -326,7 +190,11 @@
     if not history.tries:
         return []
     begin = max(item.at for item in history.tries) - bounds.contact_s
-    last = [call for call in history.calls if call.sent_at > begin and call.left_at is None]
+    last = [
+        call
+        for call in history.calls
+        if call.sent_at > begin and call.left_at is None and call.kind != GREEDY_KIND
+    ]
     served = sum(call.status == 200 for call in last)
     if len(last) < LEAST_CALLS or served >= SERVED_SHARE * len(last):
         return []
@@ -415,6 +283,30 @@
     return not is_new and not _was_in_trouble(history, (call.router, None), begin, run.at)
 
 
+def tenants_keep_within_rates(history: RouterHistory, bounds: PromiseBounds) -> list[str]:
+    """No more of a tenant reaches runners in any window than its limit allows, in touch or not."""
+    found = []
+    for rate in bounds.rates:
+        times = sorted(run.at for run in history.runs if run.tenant == rate.tenant)
+        for first, begin in enumerate(times):
+            count = bisect.bisect_right(times, begin + rate.window_s) - first
+            if count * rate.request_units > rate.most_units:
+                units = count * rate.request_units
+                found.append(f"{rate.tenant}: {units} units within {rate.window_s} s of {begin}")
+                break
+    return found
+
+
+def greedy_tenants_are_served(history: RouterHistory, bounds: PromiseBounds) -> list[str]:
+    """Who asks for more than its rate still gets what the rate allows, once trouble is over."""
+    found = []
+    for rate in bounds.rates:
+        times = [run.at for run in history.runs if run.tenant == rate.tenant]
+        if not times:
+            found.append(f"{rate.tenant}: never served")
+    return found
+
+
 def check_all(history: RouterHistory, bounds: PromiseBounds) -> list[str]:
     """Return every violation, each with the promise that it breaks."""
     results = {
@@ -431,5 +323,7 @@
         "left": left_requests_do_not_run(history, bounds),
         "one holder": orders_have_one_holder(history),
         "deadly": deadly_requests_rest(history, bounds),
+        "rates": tenants_keep_within_rates(history, bounds),
+        "rates used": greedy_tenants_are_served(history, bounds),
     }
     return [f"{promise}: {text}" for promise, texts in results.items() for text in texts]
--- /dev/null
+++ b/src/martenrun/proof/router_records.py
@@ -0,0 +1,177 @@
+"""What callers, runners and the operator saw in a run of the soak, and what must hold of it.
+
+Times are seconds of one steady clock, that of the process that drives the run.
+"""
+
+import math
+from collections.abc import Sequence
+
+import attrs
+
+GREEDY_KIND = "greedy"
+"""Kind of the requests of a tenant that asks for more than its rate."""
+
+
+@attrs.frozen
+class CallRecord:
+    """One request as its caller saw it; ``status`` None if the answer broke or never came.
+
+    ``router`` is the address it was sent to; ``left_at`` when its caller closed the connection
+    without waiting for the answer.
+    """
+
+    request_id: str
+    kind: str
+    key: str
+    sent_at: float
+    status: int | None
+    body: bytes
+    router: str = ""
+    left_at: float | None = None
+
+
+@attrs.frozen
+class RunRecord:
+    """One run as a runner saw it; ``ended_at`` None where the runner does not tell.
+
+    ``target`` is the path, for whoever traces a violation; ``deadly`` names the body of a request
+    that ends each runner which runs it.
+    """
+
+    request_id: str
+    instance: str
+    at: float
+    tenant: str | None
+    ended_at: float | None = None
+    target: str = ""
+    deadly: str = ""
+
+
+@attrs.frozen
+class OrderRecord:
+    """One order as a runner took it."""
+
+    instance: str
+    holder: str
+    token: int
+    at: float
+
+
+@attrs.frozen
+class Revocation:
+    """A key that the operator took away, when the store had taken that, and until when."""
+
+    key: str
+    at: float
+    until: float = math.inf
+
+
+@attrs.frozen
+class Departure:
+    """A runner whose entry said that it leaves, went or could not be read, and from when to when.
+
+    ``at`` is when the store had taken that; ``until`` when it had a good entry again.
+    """
+
+    instance: str
+    at: float
+    until: float = math.inf
+
+
+@attrs.frozen
+class Trouble:
+    """A span of trouble at a place or on the links to it.
+
+    ``place`` is a router's address, a runner's instance, or None for the store.
+    """
+
+    place: str | None
+    begin: float
+    end: float
+
+
+@attrs.frozen
+class RouterLife:
+    """One life of a router; infinite where it did not leave or end."""
+
+    router: str
+    started_at: float
+    leaving_at: float = math.inf
+    ended_at: float = math.inf
+
+
+@attrs.frozen
+class DirectoryAnswer:
+    """The addresses that a router's directory named to a question asked at ``asked_at``."""
+
+    router: str
+    asked_at: float
+    addresses: Sequence[str]
+
+
+@attrs.frozen
+class ConnectionTry:
+    """A new connection that a caller tried, and whether the router said that it was ready."""
+
+    router: str
+    at: float
+    is_ready: bool
+    was_taken: bool
+
+
+@attrs.frozen
+class CrashRecord:
+    """The end of one start of a runner under a request."""
+
+    request_id: str
+    at: float
+
+
+@attrs.frozen
+class RateBound:
+    """What may reach runners of a tenant in a window, and what a request of it counts for."""
+
+    tenant: str
+    request_units: int
+    window_s: float
+    most_units: float
+
+
+@attrs.frozen
+class PromiseBounds:
+    """Within what the promises hold, in seconds.
+
+    Attributes:
+        revoke_s: a request sent later after its key was taken away does not run.
+        drain_s: a request reaches no runner later after that began to leave, or its entry went.
+        quiet_s: how long a router and the store must be without trouble for bounds to hold.
+        named_s: how long a directory may name a router that has ended, or that is leaving.
+        closed_s: how long after a caller left its request may begin or go on to run.
+        contact_s: how long a ready router may take no connection.
+        rates: what tenants with a limit may use.
+    """
+
+    revoke_s: float
+    drain_s: float
+    quiet_s: float
+    named_s: float
+    closed_s: float
+    contact_s: float
+    rates: Sequence[RateBound] = ()
+
+
+@attrs.frozen
+class RouterHistory:
+    """What one run of the soak left behind."""
+
+    calls: Sequence[CallRecord]
+    runs: Sequence[RunRecord]
+    orders: Sequence[OrderRecord]
+    revocations: Sequence[Revocation]
+    departures: Sequence[Departure]
+    troubles: Sequence[Trouble]
+    events_of_stream: int
+    lives: Sequence[RouterLife] = ()
+    directory: Sequence[DirectoryAnswer] = ()
+    tries: Sequence[ConnectionTry] = ()
+    crashes: Sequence[CrashRecord] = ()
--- a/tests/router/test_router_checkers.py
+++ b/tests/router/test_router_checkers.py
@@ -2,19 +2,20 @@
 
 import attrs
 
-from martenrun.proof.router_checkers import (
+from martenrun.proof.router_checkers import check_all
+from martenrun.proof.router_records import (
     CallRecord,
     ConnectionTry,
     Departure,
     DirectoryAnswer,
     OrderRecord,
     PromiseBounds,
+    RateBound,
     Revocation,
     RouterHistory,
     RouterLife,
     RunRecord,
     Trouble,
-    check_all,
 )
 
 BOUNDS = PromiseBounds(
@@ -143,3 +144,40 @@
     assert found(calls=calls, runs=[*CLEAN.runs, begun]) == {"left"}
     assert found(calls=calls, runs=[*CLEAN.runs, gone_on]) == {"left"}
     assert found(calls=calls, runs=[*CLEAN.runs, in_time]) == set()
+
+
+RATED = attrs.evolve(BOUNDS, rates=(RateBound("greedy", 100, 8.0, 300.0),))
+
+
+def test_a_tenant_that_gets_more_than_its_rate_in_a_window_is_found():
+    runs = [RunRecord(f"r{n}", "i1", 10.0 + n, "greedy") for n in (0, 3, 6, 9, 12)]
+    stream = b"id: 1\nx\n\nid: 2\ny\n\n"
+    calls = [CallRecord(run.request_id, "greedy", "k", 9.0, 200, stream) for run in runs]
+    history = attrs.evolve(CLEAN, runs=runs, calls=calls)
+    assert check_all(history, RATED) == []
+    more = [*runs, RunRecord("r0", "i2", 13.0, "greedy")]
+    found = check_all(attrs.evolve(history, runs=more), RATED)
+    assert "rates: greedy: 400 units within 8.0 s of 10.0" in found
+
+
+def test_a_tenant_that_gets_nothing_is_found():
+    history = attrs.evolve(CLEAN, runs=[])
+    assert "rates used: greedy: never served" in check_all(history, RATED)
+
+
+def test_refusals_of_a_greedy_tenant_do_not_count_as_callers_that_are_not_served():
+    tries = [ConnectionTry("r", 10.0, True, True)]
+    served = [CallRecord(f"s{n}", "slip", "k", 10.0, 200, b"answer to s%d" % n) for n in range(20)]
+    greedy = [CallRecord(f"g{n}", "greedy", "k", 10.0, 429, b"") for n in range(90)]
+    history = attrs.evolve(CLEAN, calls=[*served, *greedy], runs=[], tries=tries)
+    assert check_all(history, BOUNDS) == []
+    refused = [attrs.evolve(call, status=503, body=b"") for call in served]
+    assert check_all(attrs.evolve(history, calls=[*refused, *greedy]), BOUNDS) != []
+
+
+def test_a_run_under_another_callers_tenant_is_found():
+    calls = [CallRecord("g1", "greedy", "k", 10.0, None, b"")]
+    for tenant, is_clean in (("greedy", True), ("growers", False), (None, False)):
+        runs = [RunRecord("g1", "i1", 10.1, tenant)]
+        found = check_all(attrs.evolve(CLEAN, calls=calls, runs=runs), BOUNDS)
+        assert (found == []) == is_clean
--- a/tests/router/test_soak.py
+++ b/tests/router/test_soak.py
@@ -8,6 +8,7 @@
 import faulty_relay
 import platform_deployment
 import pytest
+import soak as soak_program
 from click.testing import CliRunner
 from soak import soak
 from soak_faults import hears_hang_up
@@ -60,6 +61,42 @@
     assert " 0 violations" in result.output
 
 
+class UnrestingFaults:
+    """Runners that have the newest weights only some looks after the last fault."""
+
+    crashed_at = 0.0
+
+    def __init__(self, looks):
+        self.looks_left = looks
+        self.looks_after = 0
+
+    def end_all(self):
+        pass
+
+    def go_on(self):
+        self.looks_after += not self.looks_left
+
+    def has_old_weights(self):
+        self.looks_left = max(0, self.looks_left - 1)
+        return self.looks_left > 0
+
+
+def test_callers_go_on_until_runners_have_the_newest_weights(monkeypatch):
+    monkeypatch.setattr(soak_program, "SETTLE_S", 0.1)
+    monkeypatch.setattr(soak_program, "LOOK_S", 0.001)
+    faults = UnrestingFaults(looks=200)
+    soak_program._strike([], faults)
+    assert faults.looks_left == 0 and faults.looks_after > 10
+
+
+def test_callers_do_not_wait_for_weights_for_ever(monkeypatch):
+    monkeypatch.setattr(soak_program, "SETTLE_S", 0.01)
+    monkeypatch.setattr(soak_program, "MOST_SETTLE_S", 0.05)
+    faults = UnrestingFaults(looks=10**9)
+    soak_program._strike([], faults)
+    assert faults.looks_left > 0
+
+
 def test_series_of_runners_come_on_top_of_a_seeds_schedule():
     """Seeds that broke a promise once stay as they were."""
     for seed in range(20):
--- a/tests/router/test_soak_guards.py
+++ b/tests/router/test_soak_guards.py
@@ -31,6 +31,7 @@
         Step(1.0, "deadly_request", (0,), 0.0, 0),
         Step(9.0, "configure", (0,), 0.0, 1),
     ],
+    "rates": [Step(9.0, "configure", (0,), 0.0, 0)],
 }
 
 
--- a/tests/router/unguarded_router.py
+++ b/tests/router/unguarded_router.py
@@ -92,6 +92,13 @@
     BlameTable.held_for_s = lambda self, fingerprint, now: 0.0
 
 
+def grant_whatever_is_asked():
+    """Let tenants use as much as they ask for."""
+    from martenrun.router.quotas.account import Account, Verdict
+
+    Account.ask = lambda self, grant, units, now: Verdict(True)
+
+
 GUARDS = {
     "directory": name_everybody,
     "leaving": send_to_leaving_runners,
@@ -101,6 +108,7 @@
     "left": work_on_for_callers_that_left,
     "own end": end_at_a_hang_up,
     "deadly": hold_nothing_back,
+    "rates": grant_whatever_is_asked,
 }
 """What takes each guard out, by the checker that must then find a violation."""
 
