--- a/src/martenrun/router/quotas/account.py
+++ b/src/martenrun/router/quotas/account.py
@@ -1,6 +1,7 @@
 """One tenant's account: what it may still use, at one router.  Pure, with the times handed in."""
 
 import collections
+import enum
 
 import attrs
 
@@ -23,6 +24,12 @@
 anew, by two that do not know of each other for a moment, by grants told late or lost.
 """
 
+RESTARTED_SHARE = 1 / 4
+"""Part of the slack that an account holds at first which a restarted router keeps.
+
+Callers come back together then; a tenant that had used all before gets so much beyond its limit.
+"""
+
 WHOLE_SHARE = 0.5
 """Part of a limit from which on a request may pass that is larger than the account can hold.
 
@@ -55,23 +62,42 @@
     wait_s: float = 0.0
 
 
+class Beginning(enum.Enum):
+    """What an account begins with, by what others may have granted before."""
+
+    FULL = "full"
+    """Nothing was granted that still counts: the whole burst is left."""
+
+    RESTARTED = "restarted"
+    """This router has restarted: the burst counts as used."""
+
+    SUBSTITUTE = "substitute"
+    """The account's keepers may go on elsewhere: the burst counts as used, and little is spare."""
+
+
 class Account:
     """What a tenant has left.
 
     Args:
-        is_new: nothing was used before, so that the whole burst is left; else it counts as used.
         part: what this account may grant of the limit.
     """
 
     def __init__(
-        self, limit: ToldLimit, bounds: QuotaBounds, is_new: bool, part: Part, now: float
+        self,
+        limit: ToldLimit,
+        bounds: QuotaBounds,
+        beginning: Beginning,
+        part: Part,
+        now: float,
     ) -> None:
         self._limit = limit
         self._bounds = bounds
         self._part = part
         self._bucket = TokenBucket(*self._figures(), now)
-        if not is_new:
-            self._bucket.take(self._bucket.burst - self._spare_units, now)
+        if beginning is not Beginning.FULL:
+            is_restarted = beginning is Beginning.RESTARTED
+            left = self._slack * RESTARTED_SHARE if is_restarted else self._spare_units
+            self._bucket.take(max(0.0, self._bucket.burst - left), now)
         self._grants: collections.OrderedDict[tuple[str, int], tuple[int, float]] = (
             collections.OrderedDict()
         )
@@ -123,13 +149,18 @@
 
     def _figures(self) -> tuple[float, float]:
         """Return the bucket's rate and how much it holds."""
-        limit, bounds = self._limit, self._bounds
-        slack = bounds.slack(limit.units_per_s, limit.burst_units)
-        per_s = limit.units_per_s + RATE_SHARE * slack / bounds.window_s
-        per_s *= self._part.share * self._part.pace
+        per_s = self._limit.units_per_s * self._part.share
+        per_s += self._slack * RATE_SHARE / self._bounds.window_s
+        per_s *= self._part.pace
         held = self._limit.burst_units * self._part.share + self._spare_units
         return max(LEAST_UNITS_PER_S, per_s), held
 
+    @property
+    def _slack(self) -> float:
+        """The units above the limit that this account may grant in a window."""
+        limit = self._limit
+        return self._bounds.slack(limit.units_per_s, limit.burst_units) * self._part.share
+
     @property
     def _spare_units(self) -> float:
         """The units that are held beside the burst, and may be owed."""
--- a/src/martenrun/router/quotas/ledger.py
+++ b/src/martenrun/router/quotas/ledger.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from martenrun.router.quotas.account import Account, Part, Verdict
+from martenrun.router.quotas.account import Account, Beginning, Part, Verdict
 from martenrun.router.quotas.limit import QuotaBounds
 from martenrun.router.quotas.messages import QuotaAsk, QuotaUse, ToldLimit
 
@@ -113,8 +113,11 @@
             return account
         while len(self._accounts) >= MOST_ACCOUNTS:
             del self._accounts[min(self._accounts, key=lambda name: self._accounts[name].used_at)]
-        is_new = self._is_untouched(now) and not is_substitute
-        account = Account(limit, self._bounds(), is_new, self._part(tenant), now)
+        if is_substitute:
+            beginning = Beginning.SUBSTITUTE
+        else:
+            beginning = Beginning.FULL if self._is_untouched(now) else Beginning.RESTARTED
+        account = Account(limit, self._bounds(), beginning, self._part(tenant), now)
         self._accounts[tenant] = account
         return account
 
--- a/tests/router/test_quota_account.py
+++ b/tests/router/test_quota_account.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from martenrun.router.quotas.account import Account, Part
+from martenrun.router.quotas.account import Account, Beginning, Part
 from martenrun.router.quotas.limit import QuotaBounds, RateLimit
 from martenrun.router.quotas.messages import ToldLimit
 
@@ -18,8 +18,8 @@
 NUMBERS = itertools.count()
 
 
-def account(limit=LIMIT, bounds=BOUNDS, is_new=True, part=WHOLE, now=0.0):
-    return Account(limit, bounds, is_new, part, now)
+def account(limit=LIMIT, bounds=BOUNDS, beginning=Beginning.FULL, part=WHOLE, now=0.0):
+    return Account(limit, bounds, beginning, part, now)
 
 
 def spend(made, units, now):
@@ -124,10 +124,14 @@
 
 
 def test_an_account_that_begins_anew_has_used_its_burst():
-    fresh, anew = account(), account(is_new=False)
-    assert fresh.level(0.0) - anew.level(0.0) == 30_000
-    assert spend(anew, 9_190, 0.0).is_granted
-    assert anew.level(30.0) == fresh.level(30.0)
+    slack = BOUNDS.slack(LIMIT.units_per_s, LIMIT.burst_units)
+    full = account()
+    restarted = account(beginning=Beginning.RESTARTED)
+    substitute = account(beginning=Beginning.SUBSTITUTE)
+    assert full.level(0.0) - substitute.level(0.0) == LIMIT.burst_units
+    assert substitute.level(0.0) < restarted.level(0.0) <= slack / 4 < full.level(0.0)
+    assert spend(substitute, 9_190, 0.0).is_granted
+    assert restarted.level(30.0) == full.level(30.0)
 
 
 def test_a_lower_limit_binds_at_once_and_a_raised_one_too():
