Restarted routers' accounts begin with up to 0.6 of the slack; seeds are asked for 4 s only

Change: what a restarted router's account holds at first; asked by an own view after 4 s. Measured: test_quota_fleet.py within the bound, restarts of half and of all twice included.

--- a/src/martenrun/router/quotas/account.py
+++ b/src/martenrun/router/quotas/account.py
@@ -24,10 +24,11 @@
 anew, by two that do not know of each other for a moment, by grants told late or lost.
 """
 
-RESTARTED_SHARE = 1 / 4
-"""Part of the slack that an account holds at first which a restarted router keeps.
+RESTARTED_SHARE = 0.6
+"""Part of the slack that an account holds at first which a restarted router keeps, at most.
 
-Callers come back together then; a tenant that had used all before gets so much beyond its limit.
+Callers come back together then.  A tenant that had used all before gets so much beyond its limit,
+less what it could not use while the routers were down.
 """
 
 WHOLE_SHARE = 0.5
--- a/src/martenrun/router/quotas/gate.py
+++ b/src/martenrun/router/quotas/gate.py
@@ -35,6 +35,9 @@
 DOUBTED_FOR_S = 1.0
 """For how long a router that has not answered is asked last, in seconds."""
 
+YOUNG_S = 4.0
+"""Time from a router's start until it chooses keepers by its own view, in seconds."""
+
 STOOD_STILL_S = 1.0
 """Time without a look at the clock after which this process has stood still, in seconds."""
 
@@ -131,12 +134,13 @@
 
     def stage(self) -> QuotaStage:
         """Return what this router tells of the accounts that it keeps."""
-        is_warm = self._is_first_start or not self.is_young()
+        up_s = self._loop.now() - self._began_at
+        is_warm = self._is_first_start or up_s > self._bounds().window_s
         return QuotaStage.WARM if is_warm else QuotaStage.BEGUN
 
     def is_young(self) -> bool:
-        """Whether accounts have been kept here for less than a window."""
-        return self._loop.now() - self._began_at <= self._bounds().window_s
+        """Whether this router started so shortly ago that its view of the others may differ."""
+        return self._loop.now() - self._began_at <= YOUNG_S
 
     def views(self) -> list[AccountView]:
         """Return the accounts kept here."""
