--- a/src/martenrun/router/quotas/gate.py
+++ b/src/martenrun/router/quotas/gate.py
@@ -277,7 +277,7 @@
             self._peers.tell([ask.asker], answer)
 
     def _answer(self, ask: QuotaAsk) -> Verdict | None:
-        is_substitute = self._own not in self._homes.keepers(ask.tenant)
+        is_substitute = self._homes.is_substitute(ask.tenant)
         verdict = self._ledger.ask(ask, self._loop.now(), is_substitute)
         if verdict is not None and verdict.is_granted:
             self._pass_on(QuotaUse(ask.tenant, ask.asker, ask.number, ask.units, ask.limit))
@@ -319,7 +319,7 @@
         """
         now = self._loop.now()
         keepers = self._homes.keepers(tenant)
-        if self._own not in keepers:
+        if self._homes.is_substitute(tenant):
             pace = SUBSTITUTE_PACE
         elif any(self._watch.is_lost(keeper, now) for keeper in keepers):
             pace = UNSURE_PACE
--- a/src/martenrun/router/quotas/homes.py
+++ b/src/martenrun/router/quotas/homes.py
@@ -63,6 +63,16 @@
         """Return the addresses of the routers that keep a tenant's account."""
         return self._ranking(tenant)[:KEEPERS]
 
+    def is_substitute(self, tenant: str) -> bool:
+        """Whether this router, asked for a tenant's units, stands in for others that keep them.
+
+        While all routers have just started, whoever is asked is as good as any.
+        """
+        if self._own_at in self.keepers(tenant):
+            return False
+        others = (stage for at, stage in self._stages.items() if at != self._own_at)
+        return not self._is_young() or QuotaStage.WARM in others
+
     def told(self, tenant: str) -> list[str]:
         """Return who is told of what is granted: the keepers.
 
