Accounts keep to the bare rate; a second keeper's account begins with its burst used

Change: told accounts begin as after a restart; the rate is the tenant's; 3/16 of the slack after a restart.

--- a/src/martenrun/router/quotas/account.py
+++ b/src/martenrun/router/quotas/account.py
@@ -16,19 +16,11 @@
 lets one pass that is larger than what is left, so that large and small ones pass alike.
 """
 
-RATE_SHARE = 0.3
-"""Part of the slack that is spread over the window as rate.
+RESTARTED_SHARE = 3 / 16
+"""Part of the slack that an account holds at first which a restarted router keeps.
 
-A tenant that uses more than its rate all the time, as its burst allows once a window, is not
-refused for that.  The rest of the slack is for what is granted twice: by an account that begins
-anew, by two that do not know of each other for a moment, by grants told late or lost.
-"""
-
-RESTARTED_SHARE = 0.6
-"""Part of the slack that an account holds at first which a restarted router keeps, at most.
-
-Callers come back together then.  A tenant that had used all before gets so much beyond its limit,
-less what it could not use while the routers were down.
+Callers come back together then.  A tenant that had used all before gets so much beyond its limit
+with each restart of its keepers.
 """
 
 WHOLE_SHARE = 0.5
@@ -150,9 +142,7 @@
 
     def _figures(self) -> tuple[float, float]:
         """Return the bucket's rate and how much it holds."""
-        per_s = self._limit.units_per_s * self._part.share
-        per_s += self._slack * RATE_SHARE / self._bounds.window_s
-        per_s *= self._part.pace
+        per_s = self._limit.units_per_s * self._part.share * self._part.pace
         held = self._limit.burst_units * self._part.share + self._spare_units
         return max(LEAST_UNITS_PER_S, per_s), held
 
--- a/src/martenrun/router/quotas/ledger.py
+++ b/src/martenrun/router/quotas/ledger.py
@@ -66,12 +66,18 @@
 
         An account that a substitute for its keepers has to make begins with none left.
         """
-        account = self._account(message.tenant, message.limit, now, is_substitute)
+        if is_substitute:
+            beginning = Beginning.SUBSTITUTE
+        else:
+            beginning = Beginning.FULL if self._is_untouched(now) else Beginning.RESTARTED
+        account = self._account(message.tenant, message.limit, now, beginning)
         return account.ask((message.asker, message.number), message.units, now)
 
     def note_use(self, message: QuotaUse, now: float) -> None:
         """Count what was used elsewhere, or not used after all."""
-        account = self._account(message.tenant, message.limit, now)
+        # Who tells has granted before as well.
+        beginning = Beginning.FULL if self._is_first(now) else Beginning.RESTARTED
+        account = self._account(message.tenant, message.limit, now, beginning)
         account.note_use((message.asker, message.number), message.units, now)
 
     def views(self, now: float) -> list[AccountView]:
@@ -104,23 +110,22 @@
         self._is_first_start = False
         self._accounts.clear()
 
-    def _account(
-        self, tenant: str, limit: ToldLimit, now: float, is_substitute: bool = False
-    ) -> Account:
+    def _account(self, tenant: str, limit: ToldLimit, now: float, beginning: Beginning) -> Account:
+        """Return a tenant's account; one that has to be made begins as told."""
         account = self._accounts.get(tenant)
         if account is not None:
             account.learn(limit, self._bounds(), self._part(tenant), now)
             return account
         while len(self._accounts) >= MOST_ACCOUNTS:
             del self._accounts[min(self._accounts, key=lambda name: self._accounts[name].used_at)]
-        if is_substitute:
-            beginning = Beginning.SUBSTITUTE
-        else:
-            beginning = Beginning.FULL if self._is_untouched(now) else Beginning.RESTARTED
         account = Account(limit, self._bounds(), beginning, self._part(tenant), now)
         self._accounts[tenant] = account
         return account
 
+    def _is_first(self, now: float) -> bool:
+        """Whether the whole deployment has started for the first time, within this window."""
+        return self._is_first_start and now - self._began_at <= self._bounds().window_s
+
     def _is_untouched(self, now: float) -> bool:
         """Whether nothing can have been granted elsewhere that still counts.
 
