--- /dev/null
+++ b/tests/router/test_peer_versions.py
@@ -0,0 +1,71 @@
+"""Datagrams of routers of the last landing are read as they were meant; unknown ones end nothing."""
+
+import msgspec
+import pytest
+
+from martenrun.router.peer_messages import (
+    Gossip,
+    LeaseNews,
+    ReadingNews,
+    RecordsWanted,
+    RunnerLoad,
+    SilenceNews,
+    WeightsNews,
+    ZoneLoads,
+    decode,
+    encode,
+)
+from martenrun.router.quotas.messages import QuotaStage
+
+LAST_LANDING = {
+    "gossip": (
+        "93a6676f7373697091dc0010ae31302e312e302e33303a373334300507ae31302e312e302e33303a"
+        "38373832a27a31c2c3c2030481a3692d319302cd0384cd04b081a16d919202cd05dc28c3cb3ff800"
+        "0000000000919207ccfa9193ce075bcd15091e"
+    ),
+    "wanted": ("93a677616e746564ae31302e312e302e33303a37333430920102"),
+    "load": ("95a46c6f616491a3692d31a16d02c3"),
+    "lease": ("95a56c65617365b031302e312e302e33303a3733343023350409ccc8"),
+    "reading": ("96a772656164696e67ae31302e312e302e33303a373334300508a3692d3193010203"),
+    "silence": ("93a773696c656e6365ae31302e312e302e33303a37333430a3692d31"),
+    "zone": ("93a47a6f6e6581a27a3281a3692d3193010203c3"),
+}
+"""Datagrams as routers of the landing before tenants' rates sent them."""
+
+
+def last(name):
+    return decode(bytes.fromhex(LAST_LANDING[name]))
+
+
+def test_records_of_the_last_landing_are_read_and_keep_no_accounts():
+    message = last("gossip")
+    assert isinstance(message, Gossip)
+    record = message.records[0]
+    assert (record.address, record.incarnation, record.beat) == ("10.1.0.30:7340", 5, 7)
+    assert record.loads == {"i-1": RunnerLoad(2, 900, 1200)}
+    assert (record.weights, record.configurations) == ({"m": [(2, 1500)]}, [(7, 250)])
+    assert (record.age_ms, record.reads_store, record.capacity) == (40, True, 1.5)
+    assert record.quota_stage == QuotaStage.NONE
+    assert message.beats[0].beat == 9
+
+
+@pytest.mark.parametrize(
+    ("name", "meant"),
+    [
+        ("wanted", RecordsWanted("10.1.0.30:7340", [1, 2])),
+        ("load", WeightsNews(["i-1"], "m", 2, True)),
+        ("lease", LeaseNews("10.1.0.30:7340#5", 4, 9, 200)),
+        ("reading", ReadingNews("10.1.0.30:7340", 5, 8, "i-1", RunnerLoad(1, 2, 3))),
+        ("silence", SilenceNews("10.1.0.30:7340", "i-1")),
+        ("zone", ZoneLoads({"z2": {"i-1": RunnerLoad(1, 2, 3)}}, True)),
+    ],
+)
+def test_messages_of_the_last_landing_mean_what_they_meant(name, meant):
+    assert last(name) == meant
+    assert encode(meant).hex() == LAST_LANDING[name]
+
+
+def test_a_message_of_a_later_version_is_told_from_broken_ones_by_its_error_only():
+    later = msgspec.msgpack.encode(["a message of later", 1, 2])
+    with pytest.raises(msgspec.MsgspecError):
+        decode(later)
