--- a/tests/router/test_peer_versions.py
+++ b/tests/router/test_peer_versions.py
@@ -1,4 +1,4 @@
-"""Datagrams of routers of the last landing are read as they were meant; unknown ones end nothing."""
+"""Datagrams of routers of the last landing mean what they meant; unknown ones are errors only."""
 
 import msgspec
 import pytest
