--- a/src/martenrun/router/decisions.py
+++ b/src/martenrun/router/decisions.py
@@ -24,7 +24,7 @@
     Args:
         default: its value unless overridden.
         unit: what it is counted in.
-        origin: what it was chosen by: a measurement, or the reason.
+        origin: the reason for it.
         least, most: bounds that an override has to keep.
     """
     return attrs.field(
@@ -42,7 +42,7 @@
     fetched_share: float = figure(
         0.35,
         "of a token read",
-        "0.15: +0.006 +- 0.003 of worth, measured on one site only",
+        "a fetch takes less of a runner than reading, and waits behind others on its link",
         most=1.0,
     )
     other_zone_tokens: float = figure(60, "tokens", "a few milliseconds of reading")
@@ -56,7 +56,7 @@
     )
     old_weights_tokens: float = figure(2_000, "tokens", "answers of old weights are worth less")
     save_again_s: float = figure(
-        5.0, "seconds", "5 against 0: +0.012 +- 0.004 of worth; 15 like 5; stores forget"
+        5.0, "seconds", "stores forget; each saving takes a part of the runner's link"
     )
     other_zone_load: float = figure(0.5, "requests", "where no prompt is read")
 
@@ -66,11 +66,11 @@
     """When a service is too busy for one more prompt."""
 
     urgent_share: float = figure(
-        1.0, "of the route's objective", "trials 0.6 and 2.0: means 0.666, 0.676 against 0.703"
-    )
-    others_share: float = figure(
-        0.4, "of the route's objective", "paired with 0.25 and 0.6 on three sites: fewest unserved"
+        1.0,
+        "of the route's objective",
+        "later than that the first event would be late whatever follows",
     )
+    others_share: float = figure(0.4, "of the route's objective", "leaves room for urgent prompts")
     behind_wait_share: float = figure(1.25, "of the route's objective", "so that none starves")
     behind_share: float = figure(0.4, "of the common share", "users' floor is a quarter", most=1.0)
     fading_s: float = figure(4.0, "seconds", "about the length of a herd of loads", least=0.1)
@@ -82,10 +82,12 @@
     """How runners are brought to new weights."""
 
     parallel_share: float = figure(
-        0.2, "of a model's runners, rounded down", "one of five: +0.031 +- 0.016 of worth", most=1.0
+        0.2, "of a model's runners, rounded down", "the others serve meanwhile", most=1.0
     )
     runs_end_s: float = figure(2.6, "seconds", "the longest that runs usually take to end")
-    first_turn_s: float = figure(2.0, "seconds", "a load as first measured: runs end, weights load")
+    first_turn_s: float = figure(
+        2.0, "seconds", "runs end, then weights load; the mean of loads follows"
+    )
     turn_weight: float = figure(
         0.3, "of the newest load", "the mean follows in a few loads", most=1.0
     )
