Log how tenants' accounts begin and which owner granted each request

Change: `quota_account_opened` tells tenant, initial balance, units, owners now and before, uptime; answers carry their owner and its balance, which `served` lines and `quota_asked` steps (`martenrun explain`) show. Older routers read answers without the two fields and send none.

--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -108,6 +108,8 @@
             units=grant.use.units,
             is_granted=grant.is_granted,
             routers=",".join(grant.asked),
+            owner=grant.owner,
+            balance=round(grant.balance),
             is_alone=grant.is_alone,
             wait_ms=round(grant.wait_s * 1000),
         )
@@ -399,6 +401,7 @@
         if self.is_over:
             return
         self.is_over = True
+        grant = self._quota.last
         self._quota.close()
         self._timer.cancel()
         if self._attempt is not None:
@@ -418,6 +421,8 @@
             total_ms=round((now - self._began_at) * 1000, 1),
             first_ms=self._stream.first_ms(self._began_at),
             longest_gap_ms=round(self._stream.longest_gap_s * 1000, 1),
+            quota_owner=None if grant is None else grant.owner,
+            quota_balance=None if grant is None else round(grant.balance),
         )
         self._on_end(self)
 
--- a/src/martenrun/router/quotas/account.py
+++ b/src/martenrun/router/quotas/account.py
@@ -49,10 +49,17 @@
 
 @attrs.frozen
 class Verdict:
-    """Whether units may be used, or after how many seconds the caller should come back."""
+    """Whether units may be used, or after how many seconds the caller should come back.
+
+    Attributes:
+        owner: internal address of the router that decided.
+        balance: units left in its account afterwards; below zero there is a debt.
+    """
 
     is_granted: bool
     wait_s: float = 0.0
+    owner: str = ""
+    balance: float = 0.0
 
 
 class Beginning(enum.Enum):
--- a/src/martenrun/router/quotas/gate.py
+++ b/src/martenrun/router/quotas/gate.py
@@ -17,7 +17,7 @@
 from martenrun.router.quotas.account import WHOLE_SHARE, Part, Verdict
 from martenrun.router.quotas.homes import Homes
 from martenrun.router.quotas.keepers_watch import KeepersWatch
-from martenrun.router.quotas.ledger import KEPT_FOR_S, AccountView, Ledger
+from martenrun.router.quotas.ledger import KEPT_FOR_S, AccountView, Ledger, OpenedAccount
 from martenrun.router.quotas.limit import QuotaBounds, RateLimit
 from martenrun.router.quotas.messages import (
     QuotaAnswer,
@@ -76,6 +76,7 @@
         is_alone: no other router has answered.
         is_sure: whoever has decided sees most routers, so that a refused tenant is over its limit.
         wait_s: after how many seconds to come back if it was not granted.
+        owner, balance: the router that decided, and the units left in its account.
     """
 
     use: QuotaUse
@@ -88,6 +89,8 @@
     is_alone: bool = False
     is_sure: bool = True
     wait_s: float = 0.0
+    owner: str = ""
+    balance: float = 0.0
 
 
 class QuotaGate:
@@ -122,7 +125,9 @@
         self._began_at = loop.now()
         self._looked_at = loop.now()
         self._watch = KeepersWatch()
-        self._ledger = Ledger(self._bounds, self._keepers_part, loop.now(), is_first)
+        self._ledger = Ledger(
+            self._bounds, self._keepers_part, loop.now(), is_first, self._log_opened
+        )
         self._alone = Ledger(self._bounds, self._even_part, loop.now(), is_first)
         self._pending: dict[int, Grant] = {}
         self._doubted: dict[str, float] = {}
@@ -216,6 +221,7 @@
     def _take_verdict(self, grant: Grant, verdict: Verdict) -> None:
         self._decide(grant, verdict.is_granted)
         grant.wait_s = verdict.wait_s
+        grant.owner, grant.balance = verdict.owner, verdict.balance
         grant.is_sure = not grant.is_alone and self._homes.seen_share() >= WHOLE_SHARE
         if grant.is_alone or (len(grant.asked) > 1 and not verdict.is_granted):
             # Who stayed silent may read the question late and count what it asked for.
@@ -273,15 +279,21 @@
             return
         verdict = self._answer(ask)
         if verdict is not None:
-            answer = QuotaAnswer(ask.number, verdict.is_granted, round(verdict.wait_s * MS_PER_S))
+            wait_ms = round(verdict.wait_s * MS_PER_S)
+            answer = QuotaAnswer(
+                ask.number, verdict.is_granted, wait_ms, self._own, round(verdict.balance)
+            )
             self._peers.tell([ask.asker], answer)
 
     def _answer(self, ask: QuotaAsk) -> Verdict | None:
         is_substitute = self._homes.is_substitute(ask.tenant)
         verdict = self._ledger.ask(ask, self._loop.now(), is_substitute)
-        if verdict is not None and verdict.is_granted:
+        if verdict is None:
+            return None
+        if verdict.is_granted:
             self._pass_on(QuotaUse(ask.tenant, ask.asker, ask.number, ask.units, ask.limit))
-        return verdict
+        balance = self._ledger.balance(ask.tenant, self._loop.now())
+        return attrs.evolve(verdict, owner=self._own, balance=balance)
 
     def _note_use(self, use: QuotaUse) -> None:
         is_keeper = self._own in self._homes.keepers(use.tenant)
@@ -304,7 +316,21 @@
     def _take_answer(self, answer: QuotaAnswer) -> None:
         grant = self._pending.get(answer.number)
         if grant is not None:
-            self._take_verdict(grant, Verdict(answer.is_granted, answer.wait_ms / MS_PER_S))
+            wait_s = answer.wait_ms / MS_PER_S
+            verdict = Verdict(answer.is_granted, wait_s, answer.owner, answer.balance)
+            self._take_verdict(grant, verdict)
+
+    def _log_opened(self, opened: OpenedAccount) -> None:
+        """Log how an account begins, and who else holds it in this router's view."""
+        log_event(
+            "quota_account_opened",
+            tenant=opened.tenant,
+            initial_balance=opened.beginning.value,
+            units=round(opened.units),
+            owners=",".join(self._homes.keepers(opened.tenant)),
+            previous_owners=",".join(self._homes.previous_keepers(opened.tenant)),
+            up_s=round(self._loop.now() - self._began_at, 2),
+        )
 
     # Shares
 
--- a/src/martenrun/router/quotas/homes.py
+++ b/src/martenrun/router/quotas/homes.py
@@ -58,11 +58,16 @@
         self._members: list[str] = []
         self._stages: dict[str, int] = {}
         self._ranked: dict[str, list[str]] = {}
+        self._previous: list[str] = []
 
     def keepers(self, tenant: str) -> list[str]:
         """Return the addresses of the routers that keep a tenant's account."""
         return self._ranking(tenant)[:KEEPERS]
 
+    def previous_keepers(self, tenant: str) -> list[str]:
+        """Return who kept a tenant's account before routers last came or went in this view."""
+        return ranked(tenant.encode(), self._previous)[:KEEPERS]
+
     def is_substitute(self, tenant: str) -> bool:
         """Whether this router, asked for a tenant's units, stands in for others that keep them.
 
@@ -140,5 +145,5 @@
         }
         members = sorted(self._stages)
         if members != self._members:
-            self._members = members
+            self._previous, self._members = self._members, members
             self._ranked.clear()
--- a/src/martenrun/router/quotas/ledger.py
+++ b/src/martenrun/router/quotas/ledger.py
@@ -31,6 +31,15 @@
     idle_s: float
 
 
+@attrs.frozen
+class OpenedAccount:
+    """An account that was made just now, and the units it was given."""
+
+    tenant: str
+    beginning: Beginning
+    units: float
+
+
 class Ledger:
     """Accounts by tenant.
 
@@ -39,6 +48,7 @@
         part: returns the part of each limit that accounts here may grant, by tenant.
         began_at: when this process began to keep accounts.
         is_first_start: no earlier process has granted anything.
+        on_opened: called with each account that is made.
     """
 
     def __init__(
@@ -47,11 +57,13 @@
         part: Callable[[str], Part],
         began_at: float,
         is_first_start: bool,
+        on_opened: Callable[[OpenedAccount], None] = lambda _opened: None,
     ) -> None:
         self._bounds = bounds
         self._part = part
         self._began_at = began_at
         self._is_first_start = is_first_start
+        self._on_opened = on_opened
         self._accounts: dict[str, Account] = {}
 
     def __len__(self) -> int:
@@ -80,6 +92,11 @@
         account = self._account(message.tenant, message.limit, now, beginning)
         account.note_use((message.asker, message.number), message.units, now)
 
+    def balance(self, tenant: str, now: float) -> float:
+        """Return the units that a tenant has left here, 0 without an account."""
+        account = self._accounts.get(tenant)
+        return 0.0 if account is None else account.level(now)
+
     def views(self, now: float) -> list[AccountView]:
         """Return what operators see, tenants with least left first."""
         views = [
@@ -120,6 +137,7 @@
             del self._accounts[min(self._accounts, key=lambda name: self._accounts[name].used_at)]
         account = Account(limit, self._bounds(), beginning, self._part(tenant), now)
         self._accounts[tenant] = account
+        self._on_opened(OpenedAccount(tenant, beginning, account.level(now)))
         return account
 
     def _is_first(self, now: float) -> bool:
--- a/src/martenrun/router/quotas/messages.py
+++ b/src/martenrun/router/quotas/messages.py
@@ -44,11 +44,18 @@
 
 
 class QuotaAnswer(msgspec.Struct, array_like=True, frozen=True, tag="granted"):
-    """Whether they may be used, or in how many milliseconds it may be asked again."""
+    """Whether they may be used, or in how many milliseconds it may be asked again.
+
+    Attributes:
+        owner: internal address of the router that decided.
+        balance: units left in its account afterwards; below zero there is a debt.
+    """
 
     number: int
     is_granted: bool
     wait_ms: int = 0
+    owner: str = ""
+    balance: int = 0
 
 
 class QuotaUse(msgspec.Struct, array_like=True, frozen=True, tag="used"):
--- a/src/martenrun/router/request_quota.py
+++ b/src/martenrun/router/request_quota.py
@@ -17,6 +17,8 @@
         self._asked: Grant | None = None
         self._grant: Grant | None = None
         self._is_used = False
+        self.last: Grant | None = None
+        """What was decided last, for the log."""
 
     @property
     def needs_grant(self) -> bool:
@@ -29,6 +31,7 @@
 
         def decided(grant: Grant) -> None:
             self._asked = None
+            self.last = grant
             self._grant = grant if grant.is_granted else None
             on_decided(grant)
 
