Routers without a living seed find the others by addresses kept in the store

All three seeds had left for good 7 s after the start; whoever started later heard from nobody, and after 4 s counted as the only router. Change: a router that reads the store keeps up to eight living addresses in an object of the routers' own; who is isolated reads it and introduces itself. Groups that have lost sight of each other merge by it. Until the object or another router has answered, a router does not count as the only one: it grants by an unknown number of routers, as in its first seconds. Conclusion: membership no longer depends on seeds outliving all others.

--- a/src/martenrun/platform/contents.py
+++ b/src/martenrun/platform/contents.py
@@ -4,7 +4,7 @@
 object unreadable, and what it would have named is not used.
 """
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Annotated, Any, Literal, TypeVar
 
 import msgspec
@@ -161,6 +161,10 @@
     requests: list[_Blamed] = []
 
 
+class _Contacts(msgspec.Struct):
+    addresses: list[_Text] = []
+
+
 Wire = TypeVar("Wire")
 
 
@@ -339,3 +343,13 @@
         for record in records
     ]
     return {"requests": requests}
+
+
+def read_contacts(stored: StoredObject) -> list[str]:
+    """Translate the addresses of some living routers; raises UnreadableError."""
+    return _read(stored.spec, _Contacts, "contacts").addresses
+
+
+def contacts_spec(addresses: Sequence[str]) -> object:
+    """Return the content of the object that holds them."""
+    return {"addresses": list(addresses)}
--- a/src/martenrun/platform/objects.py
+++ b/src/martenrun/platform/objects.py
@@ -24,6 +24,7 @@
     Dataset.WEIGHTS: "versions",
     Dataset.LEASES: "router-leases",
     Dataset.BLAME: "router-blame",
+    Dataset.CONTACTS: "router-contacts",
 }
 _ROOT = "/martenrun/objects/"
 _JSON = [(b"Content-Type", b"application/json")]
--- a/src/martenrun/router/dialect.py
+++ b/src/martenrun/router/dialect.py
@@ -65,6 +65,7 @@
         read_configuration, read_runner, read_weights, read_lease: contents of objects.
         lease_spec: content of a lease object.
         read_blame, blame_spec: what routers keep of requests that end runners.
+        read_contacts, contacts_spec: addresses of some living routers.
         order_weights, read_order_outcome: an order and the status it is answered with.
         ask_report, read_report: a runner's report.
         directory_zone: the asker's zone if a request asks for addresses, else None.
@@ -91,6 +92,8 @@
     read_lease: Callable[[StoredObject], LeaseRecord]
     read_blame: Callable[[StoredObject], list[BlameRecord]]
     blame_spec: Callable[[list[BlameRecord]], object]
+    read_contacts: Callable[[StoredObject], list[str]]
+    contacts_spec: Callable[[Sequence[str]], object]
     lease_spec: Callable[[LeaseRecord], object]
     order_weights: Callable[[WeightsOrder], HttpCall]
     read_order_outcome: Callable[[int], OrderOutcome]
--- a/src/martenrun/router/messages.py
+++ b/src/martenrun/router/messages.py
@@ -218,6 +218,7 @@
     WEIGHTS = "weights"
     LEASES = "leases"
     BLAME = "blame"
+    CONTACTS = "contacts"
 
 
 @attrs.frozen
--- a/src/martenrun/router/peers.py
+++ b/src/martenrun/router/peers.py
@@ -174,6 +174,11 @@
         """Return the steady clock, in seconds."""
         return self._loop.now()
 
+    def introduce(self, addresses: list[str]) -> None:
+        """Send the own record to routers that may not know this one."""
+        self._raise_own()
+        self._send_to(addresses, Gossip([self.own]))
+
     def tell_now(self) -> None:
         """Send the own record to every router known, at once."""
         self._raise_own()
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -10,6 +10,7 @@
 from martenrun.router.blame_messages import BlameNews
 from martenrun.router.blame_page import BLAME_PATH, serve_blame
 from martenrun.router.blame_store import BlameStore
+from martenrun.router.contacts import ContactDirectory
 from martenrun.router.crash_watch import RunnerKnowledge
 from martenrun.router.decisions import DEFAULTS, Decisions, load_decisions
 from martenrun.router.denials import Denials
@@ -157,6 +158,9 @@
             self._world.suspects,
             lambda: self._keeper.reads_store,
         )
+        self._contacts = ContactDirectory(
+            self._loop, self._store, dialect, self._peers, lambda: self._keeper.reads_store
+        )
         self._denials = Denials(
             self._world, self._admission, self._store, self._feed, self._forward
         )
@@ -192,7 +196,7 @@
             peers.live,
             peers.table.count,
             peers.is_settled,
-            lambda: self._quotas.is_young(),
+            lambda: self._quotas.is_young() or not self._contacts.is_resolved,
             settings.seeds,
         )
         return QuotaGate(
@@ -229,6 +233,7 @@
         log_event("started", zone=self._world.settings.zone)
         self._keeper.start()
         self._peers.start()
+        self._contacts.start()
         self._keep_house()
         self._tell_sums()
         self._loop.run()
--- /dev/null
+++ b/tests/router/test_contacts.py
@@ -0,0 +1,170 @@
+"""Routers without a living seed find the others by addresses that are kept in the store."""
+
+import random
+
+import pytest
+
+from martenrun.platform import DIALECT
+from martenrun.router.contacts import STORED_CONTACTS, ContactDirectory, choose_contacts
+
+from .fakes import FakeStore
+from .gossip_world import GossipWorld
+
+SEEDS = ("s1", "s2", "s3")
+
+
+class ContactWorld(GossipWorld):
+    """Routers with gossip and contacts before one store; the first two alive read it."""
+
+    def __init__(self, seed=1):
+        super().__init__(seed)
+        self.store = FakeStore(self.loop)
+        self.contacts = {}
+
+    def join(self, address):
+        self.start(address, SEEDS)
+        peers = self.routers[address]
+        self.contacts[address] = ContactDirectory(
+            self.loop,
+            ReadersStore(self, peers),
+            DIALECT,
+            peers,
+            lambda: peers.own.reads_store,
+            random.Random(address),
+        )
+        peers._refresh = lambda own: setattr(own, "reads_store", self.reads(peers))
+        self.contacts[address].start()
+
+    def reads(self, peers):
+        """Whether a router reads the store: it knows no two others that do."""
+        others = [record for record in peers.live() if record.reads_store]
+        return peers.own.reads_store or len(others) < 2
+
+    def sees(self, address):
+        return set(self.routers[address].named())
+
+    def stored(self):
+        return self.store.objects["main"]["spec"]["addresses"]
+
+
+class ReadersStore:
+    """The store as one router calls it; a router that has ended takes no answer."""
+
+    def __init__(self, world, peers):
+        self.world = world
+        self.peers = peers
+
+    def call(self, call, timeout_s, on_answer):
+        if not self.peers.is_off:
+            self.world.store.call(call, timeout_s, on_answer)
+
+
+def replaced(world, count=6):
+    """Replace all routers one by one by others at new addresses, also all seeds."""
+    first = [*SEEDS, *(f"a{number}" for number in range(count - len(SEEDS)))]
+    for address in first:
+        world.join(address)
+    world.run(6.0)
+    for number, address in enumerate(first):
+        world.stop(address)
+        world.run(0.5)
+        world.join(f"b{number}")
+        world.run(0.5)
+    return [f"b{number}" for number in range(count)]
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_routers_that_start_after_all_seeds_have_gone_find_the_others(seed):
+    """Newcomers that heard from nobody each counted as the only router (soak seed 3004)."""
+    world = ContactWorld(seed)
+    later = replaced(world)
+    world.run(4.0)
+    for address in later:
+        assert world.sees(address) == set(later) - {address}
+
+
+def test_two_groups_that_do_not_know_each_other_merge():
+    world = ContactWorld()
+    for address in ("a1", "a2", "b1", "b2"):
+        world.join(address)
+    for group in (("a1", "a2"), ("b1", "b2")):
+        one, other = (world.routers[address] for address in group)
+        one.introduce([other.own.address])
+    # The store is down while they start, so that neither group reads of the other.
+    world.store.is_silent = True
+    world.run(3.0)
+    world.store.is_silent = False
+    world.run(12.0)
+    assert world.sees("a1") == {"a2", "b1", "b2"}
+
+
+def test_a_router_that_hears_from_nobody_asks_the_store_once_in_a_while():
+    world = ContactWorld()
+    world.join("a1")
+    calls = []
+    serve = world.store.call
+    world.store.call = lambda call, *rest: (calls.append(call.method), serve(call, *rest))
+    world.run(30.0)
+    assert world.stored() == ["a1"]
+    assert calls.count(b"GET") <= 8 and calls.count(b"POST") + calls.count(b"PUT") <= 2
+
+
+def test_one_router_writes_and_seldom():
+    world = ContactWorld()
+    for number in range(20):
+        world.join(f"s{number + 1}")
+    world.run(40.0)
+    assert len(world.stored()) == STORED_CONTACTS
+    assert len(world.store.writes) <= 8
+
+
+def test_whether_there_are_others_is_open_until_the_store_or_another_router_has_answered():
+    world = ContactWorld()
+    world.store.is_silent = True
+    world.join("a1")
+    world.run(10.0)
+    assert not world.contacts["a1"].is_resolved
+    world.store.is_silent = False
+    world.run(5.0)
+    assert world.contacts["a1"].is_resolved
+
+
+def test_whether_there_are_others_is_open_while_those_named_may_still_answer():
+    world = ContactWorld()
+    world.join("gone")
+    world.run(5.0)
+    world.stop("gone")
+    world.join("a1")
+    world.run(1.2)
+    assert not world.contacts["a1"].is_resolved
+    world.run(4.0)
+    assert world.contacts["a1"].is_resolved
+    assert world.stored() == ["a1"]
+
+
+def test_a_lost_answer_to_a_write_is_read_again():
+    world = ContactWorld()
+    world.store.loses_answers = True
+    world.join("a1")
+    world.run(4.0)
+    world.store.loses_answers = False
+    world.run(4.0)
+    assert world.stored() == ["a1"]
+
+
+def test_contacts_that_live_stay_stored():
+    stored = ("a", "b", "gone")
+    assert choose_contacts(stored, ["c", "b", "a"], ()) == ("a", "b", "c")
+    assert choose_contacts(stored, ["c", "b", "a"], ("gone",)) == ("a", "b", "gone", "c")
+    many = [f"n{number}" for number in range(30)]
+    assert len(choose_contacts((), many, ())) == STORED_CONTACTS
+
+
+def test_an_object_that_cannot_be_read_is_replaced():
+    world = ContactWorld()
+    metadata = {"name": "main", "revision": 1}
+    world.store.revision = 1
+    world.store.objects["main"] = {"metadata": metadata, "spec": {"addresses": 5}}
+    world.join("a1")
+    world.run(5.0)
+    assert world.stored() == ["a1"]
