--- a/src/martenrun/router/peer_messages.py
+++ b/src/martenrun/router/peer_messages.py
@@ -7,9 +7,11 @@
 from martenrun.identity.rendezvous import weight
 from martenrun.router.blame_messages import BlameNews
 from martenrun.router.quotas.messages import (
+    QuotaAck,
     QuotaAnswer,
     QuotaAsk,
-    QuotaSeen,
+    QuotaMemory,
+    QuotaRecall,
     QuotaStage,
     QuotaUse,
 )
@@ -155,7 +157,9 @@
     | QuotaAsk
     | QuotaAnswer
     | QuotaUse
-    | QuotaSeen
+    | QuotaAck
+    | QuotaRecall
+    | QuotaMemory
 )
 
 decode: Callable[[bytes], Message] = msgspec.msgpack.Decoder(Message).decode
--- a/src/martenrun/router/peers.py
+++ b/src/martenrun/router/peers.py
@@ -137,6 +137,10 @@
         """Return the records of the other routers that are alive."""
         return self.table.live(self._loop.now())
 
+    def silent_since(self) -> list[float]:
+        """Return when each router that counts as dead was last heard of, in steady seconds."""
+        return self.table.silent_since(self._loop.now())
+
     def budget_count(self) -> int:
         """Return among how many routers a common budget is to be shared."""
         known = self.table.count()
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -42,7 +42,7 @@
 from martenrun.router.placement import Placement
 from martenrun.router.planned_stop import PlannedStop
 from martenrun.router.quotas.gate import QuotaGate
-from martenrun.router.quotas.homes import Homes
+from martenrun.router.quotas.owners import AccountOwners
 from martenrun.router.quotas.page import QUOTAS_PATH, serve_quotas
 from martenrun.router.runner_pool import RunnerPool
 from martenrun.router.silence import newly_silent, take_silence
@@ -190,20 +190,17 @@
     def _quota_gate(self, settings: RouterSettings) -> QuotaGate:
         """Return what asks the routers that keep tenants' accounts, and answers for its own."""
         peers = self._peers
-        homes = Homes(
+        owners = AccountOwners(
             self._loop.now,
-            peers.own,
-            peers.live,
-            peers.table.count,
-            peers.is_settled,
-            lambda: self._quotas.is_young() or not self._contacts.is_resolved,
+            peers,
+            lambda: self._quotas.is_starting() or not self._contacts.is_resolved,
             settings.seeds,
         )
         return QuotaGate(
             self._loop,
             peers,
             settings.internal_address,
-            homes,
+            owners,
             lambda: self._world.configuration.version,
             lambda: self._world.settings,
             lambda word: self._metrics.count("quota_questions", outcome=word),
--- a/src/martenrun/router/quotas/account.py
+++ b/src/martenrun/router/quotas/account.py
@@ -2,12 +2,14 @@
 
 import collections
 import enum
+import math
+from collections.abc import Sequence
 
 import attrs
 
 from martenrun.limits.token_bucket import TokenBucket
 from martenrun.router.quotas.limit import QuotaBounds
-from martenrun.router.quotas.messages import ToldLimit
+from martenrun.router.quotas.messages import VersionedLimit
 
 SPARE_SHARE = 1 / 8
 """Part of the fixed slack that a full account holds beside the burst, and that it may owe.
@@ -17,23 +19,36 @@
 """
 
 RESTARTED_SHARE = 3 / 16
-"""Part of the slack that an account holds at first which a restarted router keeps.
+"""Part of the slack that an account holds at first whose earlier grants are lost.
 
 Callers come back together then.  A tenant that had used all before gets so much beyond its limit
-with each restart of its keepers.
+each time that all routers which knew of its grants are gone.
 """
 
-WHOLE_SHARE = 0.5
+MAJORITY_SHARE = 0.5
 """Part of a limit from which on a request may pass that is larger than the account can hold.
 
 Many routers that are cut off one by one have small parts each: one such request at every one of
 them would be more than all parts together.
 """
 
-LEAST_UNITS_PER_S = 1e-6
+MINIMUM_UNITS_PER_S = 1e-6
 """Least rate reckoned with, so that every wait is finite."""
 
 
+GrantKey = tuple[str, int]
+"""Names a grant: the internal address of its asker, and its number there."""
+
+
+@attrs.frozen
+class PastUse:
+    """Units of one grant, used at a steady time in seconds; 0 if nothing was used after all."""
+
+    key: GrantKey
+    units: int
+    at: float
+
+
 @attrs.frozen
 class Part:
     """The part of a limit that one account may grant.
@@ -62,17 +77,20 @@
     balance: float = 0.0
 
 
-class Beginning(enum.Enum):
+class InitialBalance(enum.Enum):
     """What an account begins with, by what others may have granted before."""
 
     FULL = "full"
-    """Nothing was granted that still counts: the whole burst is left."""
+    """All earlier grants that still count are known: the whole burst, less those."""
 
     RESTARTED = "restarted"
-    """This router has restarted: the burst counts as used."""
+    """Earlier grants are lost with the routers that knew them: the burst counts as used."""
 
     SUBSTITUTE = "substitute"
-    """The account's keepers may go on elsewhere: the burst counts as used, and little is spare."""
+    """The owners may go on granting elsewhere: the burst counts as used, and little is spare."""
+
+    TRANSFERRED = "transferred"
+    """The balance of another owner's account."""
 
 
 class Account:
@@ -80,13 +98,17 @@
 
     Args:
         part: what this account may grant of the limit.
+
+    Attributes:
+        covered_since: steady time since which the account counts every grant, in seconds.
+        used_at: steady time of the last grant or question.
     """
 
     def __init__(
         self,
-        limit: ToldLimit,
+        limit: VersionedLimit,
         bounds: QuotaBounds,
-        beginning: Beginning,
+        beginning: InitialBalance,
         part: Part,
         now: float,
     ) -> None:
@@ -94,18 +116,48 @@
         self._bounds = bounds
         self._part = part
         self._bucket = TokenBucket(*self._figures(), now)
-        if beginning is not Beginning.FULL:
-            is_restarted = beginning is Beginning.RESTARTED
+        if beginning in (InitialBalance.RESTARTED, InitialBalance.SUBSTITUTE):
+            is_restarted = beginning is InitialBalance.RESTARTED
             left = self._slack * RESTARTED_SHARE if is_restarted else self._spare_units
             self._bucket.take(max(0.0, self._bucket.burst - left), now)
-        self._grants: collections.OrderedDict[tuple[str, int], tuple[int, float]] = (
+        self._grants: collections.OrderedDict[GrantKey, tuple[int, float]] = (
             collections.OrderedDict()
         )
         self._promised_until = now
+        self.covered_since = now if beginning is not InitialBalance.FULL else -math.inf
         self.used_at = now
 
+    def adopt(self, balance: float, uses: Sequence[PastUse], covered_since: float) -> None:
+        """Go on with another account's balance, which contains some uses already.
+
+        Args:
+            covered_since: steady time since which that account counted every grant, in seconds.
+        """
+        now = self.used_at
+        self._bucket.take(self._bucket.level(now) - balance, now)
+        for use in sorted(uses, key=lambda use: use.at):
+            self.remember(use)
+        self.covered_since = covered_since
+
+    def lower_to(self, balance: float, now: float) -> None:
+        """Reduce the balance to what another count leaves, if that is less."""
+        self._bucket.take(max(0.0, self._bucket.level(now) - balance), now)
+
+    def remember(self, use: PastUse) -> None:
+        """Note a use that the balance contains already."""
+        self._grants[use.key] = (use.units, use.at)
+
+    def covered_s(self, now: float) -> float:
+        """Return for how long every grant has been counted, a window at most, in seconds."""
+        return min(self._bounds.window_s, now - self.covered_since)
+
+    def recent_uses(self, now: float) -> list[PastUse]:
+        """Return the uses of the last window."""
+        self._forget_grants(now)
+        return [PastUse(key, units, at) for key, (units, at) in self._grants.items()]
+
     @property
-    def limit(self) -> ToldLimit:
+    def limit(self) -> VersionedLimit:
         """The limit in force."""
         return self._limit
 
@@ -113,7 +165,7 @@
         """Return the units that are left; below zero there is a debt."""
         return self._bucket.level(now)
 
-    def learn(self, limit: ToldLimit, bounds: QuotaBounds, part: Part, now: float) -> None:
+    def learn(self, limit: VersionedLimit, bounds: QuotaBounds, part: Part, now: float) -> None:
         """Put a later configuration's limit in force, and the part of it that may be granted."""
         newest = limit if limit.configuration > self._limit.configuration else self._limit
         if (newest, bounds, part) == (self._limit, self._bounds, self._part):
@@ -125,7 +177,7 @@
             # What a raised limit adds to the burst may be used at once.
             self._bucket.take(-added * part.share, now)
 
-    def ask(self, grant: tuple[str, int], units: int, now: float) -> Verdict | None:
+    def ask(self, grant: GrantKey, units: int, now: float) -> Verdict | None:
         """Grant units if they are left; None if the asker has given this grant up."""
         self.used_at = now
         known = self._grants.get(grant)
@@ -133,14 +185,14 @@
             return Verdict(True) if known[0] else None
         needed = max(0.0, units - self._spare_units)
         wait_s = self._bucket.wait_s(needed, now)
-        is_too_large = needed > self._bucket.burst and self._part.share < WHOLE_SHARE
+        is_too_large = needed > self._bucket.burst and self._part.share < MAJORITY_SHARE
         if wait_s > 0 or is_too_large:
             return Verdict(False, self._turn_s(units, wait_s, now))
         self.note_use(grant, units, now)
         return Verdict(True)
 
-    def note_use(self, grant: tuple[str, int], units: int, now: float) -> None:
-        """Count what a grant is worth, however often that is told."""
+    def note_use(self, grant: GrantKey, units: int, now: float) -> None:
+        """Count what a grant is use_now, however often that is told."""
         self.used_at = now
         self._forget_grants(now)
         before, _ = self._grants.pop(grant, (0, now))
@@ -151,7 +203,7 @@
         """Return the bucket's rate and how much it holds."""
         per_s = self._limit.units_per_s * self._part.share * self._part.pace
         held = self._limit.burst_units * self._part.share + self._spare_units
-        return max(LEAST_UNITS_PER_S, per_s), held
+        return max(MINIMUM_UNITS_PER_S, per_s), held
 
     @property
     def _slack(self) -> float:
@@ -165,7 +217,7 @@
         return self._bounds.slack_units * self._part.share * SPARE_SHARE
 
     def _bounded(self, units: int) -> int:
-        """Return units up to a window's worth: no single request closes an account for longer."""
+        """Return units up to a window's use_now: no single request closes an account for longer."""
         limit = self._limit
         most = self._bounds.window_units(limit.units_per_s, limit.burst_units)
         return int(min(units, most + 1))
--- a/src/martenrun/router/quotas/gate.py
+++ b/src/martenrun/router/quotas/gate.py
@@ -1,69 +1,62 @@
 """Asks for each request of a tenant with a limit whether it may use its units now.
 
-The keepers of the tenant's account are asked one after the other.  Where none answers, this router
+The owners of the tenant's account are asked one after the other.  Where none answers, this router
 grants its own even part of the limit: what all routers that are cut off grant so stays within what
-the keepers, which see that routers are missing, leave to them.
+the owners, which see that routers are missing, leave to them.
 """
 
+import collections
+import math
 import random
 from collections.abc import Callable
-from typing import Protocol
 
 import attrs
 
 from martenrun.net.loop import Loop, Timer
 from martenrun.router.log import log_event
 from martenrun.router.messages import RouterSettings
-from martenrun.router.quotas.account import WHOLE_SHARE, Part, Verdict
-from martenrun.router.quotas.homes import Homes
-from martenrun.router.quotas.keepers_watch import KeepersWatch
-from martenrun.router.quotas.ledger import KEPT_FOR_S, AccountView, Ledger, OpenedAccount
+from martenrun.router.quotas.account import (
+    MAJORITY_SHARE,
+    Account,
+    InitialBalance,
+    Part,
+    PastUse,
+    Verdict,
+)
+from martenrun.router.quotas.ledger import AccountView, Ledger
 from martenrun.router.quotas.limit import QuotaBounds, RateLimit
 from martenrun.router.quotas.messages import (
+    QuotaAck,
     QuotaAnswer,
     QuotaAsk,
+    QuotaMemory,
     QuotaMessage,
-    QuotaSeen,
+    QuotaRecall,
     QuotaStage,
     QuotaUse,
-    ToldLimit,
+    VersionedLimit,
 )
+from martenrun.router.quotas.owners import AccountOwners
+from martenrun.router.quotas.recovery import MS_PER_S
+from martenrun.router.quotas.service import AccountService, QuotaPeers
 
-ANSWER_WITHIN_S = 0.06
-"""How long a keeper may take to answer before the next is asked, in seconds."""
+ANSWER_TIMEOUT_S = 0.06
+"""How long an owner may take to answer before the next is asked, in seconds."""
 
-DOUBTED_FOR_S = 1.0
+SUSPECTED_FOR_S = 1.0
 """For how long a router that has not answered is asked last, in seconds."""
 
-YOUNG_S = 4.0
-"""Time from a router's start until it chooses keepers by its own view, in seconds."""
-
-STOOD_STILL_S = 1.0
-"""Time without a look at the clock after which this process has stood still, in seconds."""
-
-UNSURE_PACE = 0.5
-"""Part of the rate that is granted while another keeper does not answer."""
+START_UP_S = 4.0
+"""Time from a router's start until it chooses owners by its own view, in seconds."""
 
-SUBSTITUTE_PACE = 0.25
-"""Part of the rate that a router grants which is asked since neither keeper answers."""
+PAUSE_S = 1.0
+"""Time without a look at the clock after which this process was paused, in seconds."""
 
 ALONE_SHARE = 0.5
 """Part of its even share of a limit that a router grants which reaches no other."""
 
 UNKNOWN_ROUTERS = 100
-"""Routers reckoned with by one that has just started and reaches no other."""
-
-MS_PER_S = 1000.0
-
-
-class QuotaPeers(Protocol):
-    """What is needed of the other routers."""
-
-    def tell(self, addresses: list[str], message: QuotaMessage) -> None:
-        """Send a message to some routers."""
-
-    def budget_count(self) -> int:
-        """Return among how many routers something common is to be shared."""
+"""Routers reckoned with by one that is starting and reaches no other."""
 
 
 @attrs.define(eq=False)
@@ -93,11 +86,38 @@
     balance: float = 0.0
 
 
+class GrantMemory:
+    """The grants that this router got for its own requests within the last window."""
+
+    def __init__(self, own_address: str) -> None:
+        self._own = own_address
+        self._uses: dict[str, collections.OrderedDict[int, PastUse]] = {}
+
+    def note(self, tenant: str, number: int, units: int, now: float) -> None:
+        """Remember what a grant is worth from now on; a grant keeps its time."""
+        uses = self._uses.setdefault(tenant, collections.OrderedDict())
+        earlier = uses.get(number)
+        at = now if earlier is None else earlier.at
+        uses[number] = PastUse((self._own, number), units, at)
+
+    def uses(self, tenant: str, since: float) -> list[PastUse]:
+        """Return the grants of a tenant since a steady time."""
+        return [use for use in self._uses.get(tenant, {}).values() if use.at >= since]
+
+    def forget_before(self, since: float) -> None:
+        """Drop grants of before a steady time."""
+        for tenant, uses in list(self._uses.items()):
+            while uses and next(iter(uses.values())).at < since:
+                uses.popitem(last=False)
+            if not uses:
+                del self._uses[tenant]
+
+
 class QuotaGate:
-    """Grants of one router: asks for its own, and answers for the accounts that it keeps.
+    """Grants for the requests of one router, and its part in owning accounts.
 
     Args:
-        homes: who keeps an account.
+        owners: who owns an account.
         configuration: returns the version of the configuration in force here.
         settings: returns the settings in force.
         count: counts how a question ended, by a word.
@@ -108,7 +128,7 @@
         loop: Loop,
         peers: QuotaPeers,
         own_address: str,
-        homes: Homes,
+        owners: AccountOwners,
         configuration: Callable[[], int],
         settings: Callable[[], RouterSettings],
         count: Callable[[str], None] = lambda _word: None,
@@ -116,49 +136,50 @@
         self._loop = loop
         self._peers = peers
         self._own = own_address
-        self._homes = homes
+        self._owners = owners
         self._configuration = configuration
         self._settings = settings
         self._count = count
+        now = loop.now()
         is_first = settings().is_first_start
-        self._is_first_start = is_first
-        self._began_at = loop.now()
-        self._looked_at = loop.now()
-        self._watch = KeepersWatch()
-        self._ledger = Ledger(
-            self._bounds, self._keepers_part, loop.now(), is_first, self._log_opened
-        )
-        self._alone = Ledger(self._bounds, self._even_part, loop.now(), is_first)
+        # Nothing was granted anywhere before the first start of all routers.
+        self._remembers_since = -math.inf if is_first else now
+        self._established_since = -math.inf if is_first else now
+        self._started_at = now
+        self._checked_at = now
+        self._memory = GrantMemory(own_address)
+        self._service = AccountService(loop, peers, own_address, owners, settings, self._own_memory)
+        self._alone = Ledger(self._bounds, self._even_part)
         self._pending: dict[int, Grant] = {}
-        self._doubted: dict[str, float] = {}
+        self._suspected: dict[str, float] = {}
         # Numbers of an earlier life of this router must not be met again.
         self._number = random.SystemRandom().getrandbits(48)
 
     def __len__(self) -> int:
-        return len(self._ledger)
+        return len(self._service)
 
     def stage(self) -> QuotaStage:
-        """Return what this router tells of the accounts that it keeps."""
-        up_s = self._loop.now() - self._began_at
-        is_warm = self._is_first_start or up_s > self._bounds().window_s
-        return QuotaStage.WARM if is_warm else QuotaStage.BEGUN
+        """Return what this router tells of the accounts that it owns."""
+        up_s = self._loop.now() - self._established_since
+        is_established = up_s > self._bounds().window_s
+        return QuotaStage.ESTABLISHED if is_established else QuotaStage.JOINING
 
-    def is_young(self) -> bool:
+    def is_starting(self) -> bool:
         """Whether this router started so shortly ago that its view of the others may differ."""
-        return self._loop.now() - self._began_at <= YOUNG_S
+        return self._loop.now() - self._started_at <= START_UP_S
 
     def views(self) -> list[AccountView]:
         """Return the accounts kept here."""
-        return self._ledger.views(self._loop.now())
+        return self._service.views()
 
     def keep_house(self) -> None:
         """Drop what is not needed any more."""
         now = self._loop.now()
-        self._look_at_clock(now)
-        self._watch.forget_old(now, KEPT_FOR_S)
-        self._ledger.forget_idle(now)
+        self._detect_pause(now)
+        self._service.keep_house()
         self._alone.forget_idle(now)
-        self._doubted = {name: until for name, until in self._doubted.items() if until > now}
+        self._memory.forget_before(now - self._bounds().window_s)
+        self._suspected = {name: until for name, until in self._suspected.items() if until > now}
 
     # Asking
 
@@ -167,11 +188,11 @@
     ) -> Grant:
         """Ask for units; it may be decided before this returns."""
         self._number += 1
-        told = ToldLimit(self._configuration(), limit.units_per_s, limit.burst_units)
-        use = QuotaUse(tenant, self._own, self._number, units, told)
+        known = VersionedLimit(self._configuration(), limit.units_per_s, limit.burst_units)
+        use = QuotaUse(tenant, self._own, self._number, units, known)
         now = self._loop.now()
-        asked = self._homes.asked(tenant)
-        asked.sort(key=lambda address: self._doubted.get(address, 0.0) > now)
+        asked = self._owners.asked(tenant)
+        asked.sort(key=lambda address: self._suspected.get(address, 0.0) > now)
         grant = Grant(use, on_decided, asked)
         self._pending[use.number] = grant
         self._ask_next(grant)
@@ -181,8 +202,10 @@
         """Nothing was used of a grant, and nothing will be."""
         if grant.is_decided and not grant.is_granted:
             return
+        if grant.is_granted:
+            self._memory.note(grant.use.tenant, grant.use.number, 0, self._loop.now())
         self._decide(grant, False)
-        self._tell_worth(grant, 0)
+        self._announce_use(grant, 0)
 
     def _ask_next(self, grant: Grant) -> None:
         if not grant.remaining:
@@ -194,38 +217,53 @@
         is_final = len(grant.asked) > 1 and not grant.remaining
         ask = QuotaAsk(use.tenant, use.asker, use.number, use.units, use.limit, is_final)
         if address == self._own:
-            verdict = self._answer(ask)
-            if verdict is not None:
-                self._take_verdict(grant, verdict)
+            self._service.decide(ask, lambda verdict: self._take_own_verdict(grant, verdict))
             return
-        grant.timer = self._loop.call_later(ANSWER_WITHIN_S, lambda: self._on_silence(grant))
+        grant.timer = self._loop.call_later(ANSWER_TIMEOUT_S, lambda: self._on_silence(grant))
         self._peers.tell([address], ask)
 
+    def _take_own_verdict(self, grant: Grant, verdict: Verdict) -> None:
+        if not grant.is_decided:
+            self._take_verdict(grant, verdict)
+
     def _on_silence(self, grant: Grant) -> None:
         if grant.is_decided:
             return
         self._count("unanswered")
-        self._doubted[grant.asked[-1]] = self._loop.now() + DOUBTED_FOR_S
+        self._suspected[grant.asked[-1]] = self._loop.now() + SUSPECTED_FOR_S
         self._ask_next(grant)
 
     def _grant_alone(self, grant: Grant) -> None:
         """Decide by this router's even part of the limit."""
         use = grant.use
+        now = self._loop.now()
         ask = QuotaAsk(use.tenant, use.asker, use.number, use.units, use.limit)
-        verdict = self._alone.ask(ask, self._loop.now())
+        if not self._alone.has(use.tenant):
+            self._open_alone(use, now)
+        verdict = self._alone.ask(ask, now)
         self._count("alone")
         grant.is_alone = True
         if verdict is not None:
             self._take_verdict(grant, verdict)
 
+    def _open_alone(self, use: QuotaUse, now: float) -> None:
+        remembers_all = now - self._remembers_since > self._bounds().window_s
+        beginning = InitialBalance.FULL if remembers_all else InitialBalance.RESTARTED
+        part = self._even_part(use.tenant)
+        account = Account(use.limit, self._bounds(), beginning, part, now)
+        self._alone.put(use.tenant, account, now)
+
     def _take_verdict(self, grant: Grant, verdict: Verdict) -> None:
+        use = grant.use
+        if verdict.is_granted:
+            self._memory.note(use.tenant, use.number, use.units, self._loop.now())
         self._decide(grant, verdict.is_granted)
         grant.wait_s = verdict.wait_s
         grant.owner, grant.balance = verdict.owner, verdict.balance
-        grant.is_sure = not grant.is_alone and self._homes.seen_share() >= WHOLE_SHARE
+        grant.is_sure = not grant.is_alone and self._owners.seen_share() >= MAJORITY_SHARE
         if grant.is_alone or (len(grant.asked) > 1 and not verdict.is_granted):
             # Who stayed silent may read the question late and count what it asked for.
-            self._tell_worth(grant, grant.use.units if verdict.is_granted else 0)
+            self._announce_use(grant, use.units if verdict.is_granted else 0)
         self._count("granted" if verdict.is_granted else "refused")
         grant.on_decided(grant)
 
@@ -236,128 +274,63 @@
         if grant.timer is not None:
             grant.timer.cancel()
 
-    def _tell_worth(self, grant: Grant, units: int) -> None:
+    def _announce_use(self, grant: Grant, units: int) -> None:
         """Tell all that were asked what a grant is worth."""
         use = grant.use
-        worth = QuotaUse(use.tenant, use.asker, use.number, units, use.limit)
+        use_now = QuotaUse(use.tenant, use.asker, use.number, units, use.limit)
         if grant.is_alone:
-            self._alone.note_use(worth, self._loop.now())
+            self._alone.note_use(use_now, self._loop.now())
         others = [address for address in grant.asked if address != self._own]
         if others:
-            self._peers.tell(others, worth)
+            self._peers.tell(others, use_now)
         if len(others) < len(grant.asked):
-            self._note_use(worth)
+            self._service.note_use(use_now)
 
-    # Answering
+    def _take_answer(self, answer: QuotaAnswer) -> None:
+        grant = self._pending.get(answer.number)
+        if grant is not None:
+            wait_s = answer.wait_ms / MS_PER_S
+            verdict = Verdict(answer.is_granted, wait_s, answer.owner, answer.balance)
+            self._take_verdict(grant, verdict)
+
+    # Messages
 
     def take(self, message: QuotaMessage) -> None:
         """Take in what another router asks or tells."""
-        now = self._loop.now()
-        self._look_at_clock(now)
+        self._detect_pause(self._loop.now())
         if isinstance(message, QuotaAsk):
-            self._serve(message)
+            self._service.serve(message)
         elif isinstance(message, QuotaUse):
-            self._note_use(message)
-        elif isinstance(message, QuotaSeen):
-            self._watch.note_seen(message.keeper, now)
+            self._service.note_use(message)
+        elif isinstance(message, QuotaAck):
+            self._service.note_acknowledged(message)
+        elif isinstance(message, QuotaRecall):
+            self._service.answer_recall(message)
+        elif isinstance(message, QuotaMemory):
+            self._service.take_memory(message)
         else:
             self._take_answer(message)
 
-    def _look_at_clock(self, now: float) -> None:
-        """Begin anew after a stand-still: the other keeper has granted meanwhile."""
-        if now - self._looked_at > STOOD_STILL_S:
-            log_event("quota_accounts_begun_anew", stood_still_s=round(now - self._looked_at, 1))
-            self._began_at = now
-            self._is_first_start = False
-            self._ledger.begin_anew(now)
-        self._looked_at = now
-
-    def _serve(self, ask: QuotaAsk) -> None:
-        keeper = None if ask.is_final else self._homes.passes_on_to(ask.tenant)
-        if keeper is not None:
-            self._peers.tell([keeper], _final(ask))
-            return
-        verdict = self._answer(ask)
-        if verdict is not None:
-            wait_ms = round(verdict.wait_s * MS_PER_S)
-            answer = QuotaAnswer(
-                ask.number, verdict.is_granted, wait_ms, self._own, round(verdict.balance)
-            )
-            self._peers.tell([ask.asker], answer)
-
-    def _answer(self, ask: QuotaAsk) -> Verdict | None:
-        is_substitute = self._homes.is_substitute(ask.tenant)
-        verdict = self._ledger.ask(ask, self._loop.now(), is_substitute)
-        if verdict is None:
-            return None
-        if verdict.is_granted:
-            self._pass_on(QuotaUse(ask.tenant, ask.asker, ask.number, ask.units, ask.limit))
-        balance = self._ledger.balance(ask.tenant, self._loop.now())
-        return attrs.evolve(verdict, owner=self._own, balance=balance)
-
-    def _note_use(self, use: QuotaUse) -> None:
-        is_keeper = self._own in self._homes.keepers(use.tenant)
-        if is_keeper or self._ledger.keeps(use.tenant):
-            self._ledger.note_use(use, self._loop.now())
-        if not use.teller:
-            self._pass_on(use)
-        elif self._watch.answers(use.teller, self._loop.now()):
-            self._peers.tell([use.teller], QuotaSeen(self._own))
-
-    def _pass_on(self, use: QuotaUse) -> None:
-        """Tell the others that keep the account."""
-        others = [a for a in self._homes.told(use.tenant) if a != self._own]
-        if others:
-            told = QuotaUse(use.tenant, use.asker, use.number, use.units, use.limit, self._own)
-            self._peers.tell(others, told)
-        for keeper in others:
-            self._watch.note_passed_on(keeper, self._loop.now())
+    def _detect_pause(self, now: float) -> None:
+        """Drop all accounts after a pause: the other owner has granted meanwhile."""
+        if now - self._checked_at > PAUSE_S:
+            log_event("quota_accounts_reset", paused_s=round(now - self._checked_at, 1))
+            self._started_at = self._established_since = now
+            self._service.reset()
+        self._checked_at = now
 
-    def _take_answer(self, answer: QuotaAnswer) -> None:
-        grant = self._pending.get(answer.number)
-        if grant is not None:
-            wait_s = answer.wait_ms / MS_PER_S
-            verdict = Verdict(answer.is_granted, wait_s, answer.owner, answer.balance)
-            self._take_verdict(grant, verdict)
-
-    def _log_opened(self, opened: OpenedAccount) -> None:
-        """Log how an account begins, and who else holds it in this router's view."""
-        log_event(
-            "quota_account_opened",
-            tenant=opened.tenant,
-            initial_balance=opened.beginning.value,
-            units=round(opened.units),
-            owners=",".join(self._homes.keepers(opened.tenant)),
-            previous_owners=",".join(self._homes.previous_keepers(opened.tenant)),
-            up_s=round(self._loop.now() - self._began_at, 2),
-        )
+    def _own_memory(self, tenant: str) -> tuple[list[PastUse], float]:
+        """Return this router's grants of the last window, and how far back it remembers them."""
+        now = self._loop.now()
+        uses = self._memory.uses(tenant, now - self._bounds().window_s)
+        return uses, now - self._remembers_since
 
     # Shares
 
     def _bounds(self) -> QuotaBounds:
         return self._settings().bounds.quota
 
-    def _keepers_part(self, tenant: str) -> Part:
-        """Return what this router may grant as a keeper.
-
-        Another keeper that does not answer may be cut off with half of the routers, and grants
-        as well, until it is known how many routers are out of sight.
-        """
-        now = self._loop.now()
-        keepers = self._homes.keepers(tenant)
-        if self._homes.is_substitute(tenant):
-            pace = SUBSTITUTE_PACE
-        elif any(self._watch.is_lost(keeper, now) for keeper in keepers):
-            pace = UNSURE_PACE
-        else:
-            pace = 1.0
-        return Part(self._homes.seen_share(), pace)
-
     def _even_part(self, _tenant: str) -> Part:
         known = self._peers.budget_count()
-        routers = max(known, UNKNOWN_ROUTERS) if self.is_young() else known
+        routers = max(known, UNKNOWN_ROUTERS) if self.is_starting() else known
         return Part(ALONE_SHARE / max(1, routers))
-
-
-def _final(ask: QuotaAsk) -> QuotaAsk:
-    return QuotaAsk(ask.tenant, ask.asker, ask.number, ask.units, ask.limit, True)
--- a/src/martenrun/router/quotas/ledger.py
+++ b/src/martenrun/router/quotas/ledger.py
@@ -1,17 +1,12 @@
-"""The accounts that one router keeps.  Pure, with the times handed in.
+"""The accounts of one router.  Pure, with the times handed in."""
 
-An account that has to be made because other routers kept it before begins with its burst used: a
-token bucket that begins empty keeps any window's bound whatever was granted elsewhere until then,
-and refuses nobody for longer than the burst takes to come back.
-"""
-
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import attrs
 
-from martenrun.router.quotas.account import Account, Beginning, Part, Verdict
+from martenrun.router.quotas.account import Account, Part, PastUse, Verdict
 from martenrun.router.quotas.limit import QuotaBounds
-from martenrun.router.quotas.messages import QuotaAsk, QuotaUse, ToldLimit
+from martenrun.router.quotas.messages import QuotaAsk, QuotaUse
 
 KEPT_FOR_S = 120.0
 """For how long an account is kept that nobody asks for, in seconds: it is full again by then."""
@@ -31,72 +26,83 @@
     idle_s: float
 
 
-@attrs.frozen
-class OpenedAccount:
-    """An account that was made just now, and the units it was given."""
-
-    tenant: str
-    beginning: Beginning
-    units: float
-
-
 class Ledger:
     """Accounts by tenant.
 
     Args:
         bounds: returns how exactly limits are to be kept.
         part: returns the part of each limit that accounts here may grant, by tenant.
-        began_at: when this process began to keep accounts.
-        is_first_start: no earlier process has granted anything.
-        on_opened: called with each account that is made.
     """
 
-    def __init__(
-        self,
-        bounds: Callable[[], QuotaBounds],
-        part: Callable[[str], Part],
-        began_at: float,
-        is_first_start: bool,
-        on_opened: Callable[[OpenedAccount], None] = lambda _opened: None,
-    ) -> None:
+    def __init__(self, bounds: Callable[[], QuotaBounds], part: Callable[[str], Part]) -> None:
         self._bounds = bounds
         self._part = part
-        self._began_at = began_at
-        self._is_first_start = is_first_start
-        self._on_opened = on_opened
         self._accounts: dict[str, Account] = {}
+        self._stale: set[str] = set()
 
     def __len__(self) -> int:
         return len(self._accounts)
 
-    def keeps(self, tenant: str) -> bool:
-        """Whether there is an account of a tenant here."""
+    def has(self, tenant: str) -> bool:
+        """Whether there is an account of a tenant here, current or not."""
         return tenant in self._accounts
 
-    def ask(self, message: QuotaAsk, now: float, is_substitute: bool = False) -> Verdict | None:
-        """Grant units of a tenant's account, or not; None if the asker has given up.
+    def is_current(self, tenant: str) -> bool:
+        """Whether there is an account here that counts every grant."""
+        return tenant in self._accounts and tenant not in self._stale
 
-        An account that a substitute for its keepers has to make begins with none left.
+    def put(self, tenant: str, account: Account, now: float) -> None:
+        """Take a current account in, in place of an earlier one.
+
+        The earlier one counted at least what was granted here, which the new one may not.
         """
-        if is_substitute:
-            beginning = Beginning.SUBSTITUTE
-        else:
-            beginning = Beginning.FULL if self._is_untouched(now) else Beginning.RESTARTED
-        account = self._account(message.tenant, message.limit, now, beginning)
-        return account.ask((message.asker, message.number), message.units, now)
-
-    def note_use(self, message: QuotaUse, now: float) -> None:
+        earlier = self._accounts.get(tenant)
+        if earlier is not None and account.covered_s(now) < self._bounds().window_s:
+            account.lower_to(earlier.level(now), now)
+        while len(self._accounts) >= MOST_ACCOUNTS and tenant not in self._accounts:
+            self._drop(min(self._accounts, key=lambda name: self._accounts[name].used_at))
+        self._accounts[tenant] = account
+        self._stale.discard(tenant)
+
+    def mark_stale(self, is_informed: Callable[[str], bool]) -> None:
+        """Note which accounts miss grants, since the owners do not replicate them to here."""
+        self._stale.update(tenant for tenant in self._accounts if not is_informed(tenant))
+
+    def ask(self, ask: QuotaAsk, now: float) -> Verdict | None:
+        """Grant units of a tenant's account, or not; None if the asker has given up."""
+        account = self._accounts[ask.tenant]
+        account.learn(ask.limit, self._bounds(), self._part(ask.tenant), now)
+        return account.ask((ask.asker, ask.number), ask.units, now)
+
+    def note_use(self, use: QuotaUse, now: float) -> None:
         """Count what was used elsewhere, or not used after all."""
-        # Who tells has granted before as well.
-        beginning = Beginning.FULL if self._is_first(now) else Beginning.RESTARTED
-        account = self._account(message.tenant, message.limit, now, beginning)
-        account.note_use((message.asker, message.number), message.units, now)
+        account = self._accounts[use.tenant]
+        account.learn(use.limit, self._bounds(), self._part(use.tenant), now)
+        account.note_use((use.asker, use.number), use.units, now)
+
+    def count_late(self, tenant: str, uses: Sequence[PastUse], now: float) -> None:
+        """Count uses of the last window that are heard of late, if there is an account here."""
+        account = self._accounts.get(tenant)
+        if account is not None:
+            known = {use.key for use in account.recent_uses(now)}
+            for use in uses:
+                if use.key not in known and use.at >= account.covered_since:
+                    account.note_use(use.key, use.units, now)
+
+    def recent_uses(self, tenant: str, now: float) -> list[PastUse]:
+        """Return the uses of a tenant that are known here, none without an account."""
+        account = self._accounts.get(tenant)
+        return [] if account is None else account.recent_uses(now)
 
     def balance(self, tenant: str, now: float) -> float:
         """Return the units that a tenant has left here, 0 without an account."""
         account = self._accounts.get(tenant)
         return 0.0 if account is None else account.level(now)
 
+    def covered_s(self, tenant: str, now: float) -> float:
+        """Return for how long an account has counted every grant, in seconds."""
+        return self._accounts[tenant].covered_s(now)
+
     def views(self, now: float) -> list[AccountView]:
         """Return what operators see, tenants with least left first."""
         views = [
@@ -119,34 +125,13 @@
             if now - account.used_at > KEPT_FOR_S
         ]
         for tenant in idle:
-            del self._accounts[tenant]
+            self._drop(tenant)
 
-    def begin_anew(self, now: float) -> None:
-        """Forget all accounts: what was granted elsewhere meanwhile is not known."""
-        self._began_at = now
-        self._is_first_start = False
+    def clear(self) -> None:
+        """Drop all accounts."""
         self._accounts.clear()
+        self._stale.clear()
 
-    def _account(self, tenant: str, limit: ToldLimit, now: float, beginning: Beginning) -> Account:
-        """Return a tenant's account; one that has to be made begins as told."""
-        account = self._accounts.get(tenant)
-        if account is not None:
-            account.learn(limit, self._bounds(), self._part(tenant), now)
-            return account
-        while len(self._accounts) >= MOST_ACCOUNTS:
-            del self._accounts[min(self._accounts, key=lambda name: self._accounts[name].used_at)]
-        account = Account(limit, self._bounds(), beginning, self._part(tenant), now)
-        self._accounts[tenant] = account
-        self._on_opened(OpenedAccount(tenant, beginning, account.level(now)))
-        return account
-
-    def _is_first(self, now: float) -> bool:
-        """Whether the whole deployment has started for the first time, within this window."""
-        return self._is_first_start and now - self._began_at <= self._bounds().window_s
-
-    def _is_untouched(self, now: float) -> bool:
-        """Whether nothing can have been granted elsewhere that still counts.
-
-        A router that has run for a whole window would have been told of it.
-        """
-        return self._is_first_start or now - self._began_at > self._bounds().window_s
+    def _drop(self, tenant: str) -> None:
+        del self._accounts[tenant]
+        self._stale.discard(tenant)
--- a/src/martenrun/router/quotas/messages.py
+++ b/src/martenrun/router/quotas/messages.py
@@ -6,19 +6,19 @@
 
 
 class QuotaStage(enum.IntEnum):
-    """What a router tells of its part in keeping accounts."""
+    """What a router tells of its part in owning accounts."""
 
     NONE = 0
-    """It keeps none and asks nobody: a program of before rates."""
+    """It owns none and asks nobody: a version without rates."""
 
-    BEGUN = 1
-    """It keeps accounts, and may not know of all that others granted before it began."""
+    JOINING = 1
+    """It owns accounts and has run for less than a window."""
 
-    WARM = 2
-    """It has kept accounts for a whole window."""
+    ESTABLISHED = 2
+    """It has run for a whole window."""
 
 
-class ToldLimit(msgspec.Struct, array_like=True, frozen=True):
+class VersionedLimit(msgspec.Struct, array_like=True, frozen=True):
     """A tenant's limit as the asker knows it: of two, that of the later configuration holds."""
 
     configuration: int
@@ -39,7 +39,7 @@
     asker: str
     number: int
     units: int
-    limit: ToldLimit
+    limit: VersionedLimit
     is_final: bool = False
 
 
@@ -59,24 +59,81 @@
 
 
 class QuotaUse(msgspec.Struct, array_like=True, frozen=True, tag="used"):
-    """What a grant is worth from now on: 0 units if nothing was used of it.
+    """What a grant is use_now from now on: 0 units if nothing was used of it.
 
     Attributes:
-        teller: the router that keeps the account as well and passes the asker's word on, if one.
+        forwarder: the other owner that replicates the use, empty where the asker itself tells it.
     """
 
     tenant: str
     asker: str
     number: int
     units: int
-    limit: ToldLimit
-    teller: str = ""
+    limit: VersionedLimit
+    forwarder: str = ""
 
 
-class QuotaSeen(msgspec.Struct, array_like=True, frozen=True, tag="seen"):
-    """Answers one that passes uses on: the other keeper is there."""
+class QuotaAck(msgspec.Struct, array_like=True, frozen=True, tag="seen"):
+    """Acknowledges replicated uses: the other owner is in touch."""
 
-    keeper: str
+    replica: str
 
 
-QuotaMessage = QuotaAsk | QuotaAnswer | QuotaUse | QuotaSeen
+class QuotaRecall(msgspec.Struct, array_like=True, frozen=True, tag="recall"):
+    """Asks every router what it knows of a tenant's grants within the last window.
+
+    Attributes:
+        asker: internal address that the answer goes to.
+    """
+
+    tenant: str
+    asker: str
+
+
+class RecalledUse(msgspec.Struct, array_like=True, frozen=True):
+    """A grant as a router remembers it.
+
+    Attributes:
+        asker, number: name the grant.
+        units: what was used of it.
+        age_ms: how long ago it was granted, in milliseconds.
+    """
+
+    asker: str
+    number: int
+    units: int
+    age_ms: int
+
+
+class RecalledAccount(msgspec.Struct, array_like=True, frozen=True):
+    """A router's account of a tenant.
+
+    Attributes:
+        balance: units left; below zero there is a debt.
+        covered_ms: for how long it has counted every grant, a window at most, in milliseconds.
+        uses: the grants of the last window that the balance contains.
+    """
+
+    balance: int
+    covered_ms: int
+    uses: list[RecalledUse]
+
+
+class QuotaMemory(msgspec.Struct, array_like=True, frozen=True, tag="memory"):
+    """Answers a recall.
+
+    Attributes:
+        sender: internal address of the router that answers.
+        remembered_ms: how far back it remembers its own grants, a window at most.
+        uses: its own grants.
+        account: its account, if that is current.
+    """
+
+    tenant: str
+    sender: str
+    remembered_ms: int
+    uses: list[RecalledUse]
+    account: RecalledAccount | None = None
+
+
+QuotaMessage = QuotaAsk | QuotaAnswer | QuotaUse | QuotaAck | QuotaRecall | QuotaMemory
--- /dev/null
+++ b/src/martenrun/router/quotas/service.py
@@ -0,0 +1,299 @@
+"""Answers other routers for the accounts that this one owns, and recovers those it comes to own."""
+
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+import attrs
+
+from martenrun.net.loop import Loop, Timer
+from martenrun.router.log import log_event
+from martenrun.router.messages import RouterSettings
+from martenrun.router.quotas.account import Part, PastUse, Verdict
+from martenrun.router.quotas.ledger import KEPT_FOR_S, AccountView, Ledger
+from martenrun.router.quotas.limit import QuotaBounds
+from martenrun.router.quotas.messages import (
+    QuotaAck,
+    QuotaAnswer,
+    QuotaAsk,
+    QuotaMemory,
+    QuotaMessage,
+    QuotaRecall,
+    QuotaUse,
+    RecalledAccount,
+    VersionedLimit,
+)
+from martenrun.router.quotas.owners import AccountOwners
+from martenrun.router.quotas.recovery import (
+    MS_PER_S,
+    AccountRecovery,
+    Situation,
+    past_uses,
+    recalled_uses,
+)
+from martenrun.router.quotas.replica_monitor import ReplicaMonitor
+
+RECALL_TIMEOUT_S = 0.03
+"""How long answers to a recall are waited for, in seconds: less than an asker waits."""
+
+REPLICATED_FOR_S = 4.0
+"""For how long uses are replicated to a router that recalled an account or forwards uses of it.
+
+It owns the account in some router's view; until all views agree, this router's differs.
+"""
+
+UNCONFIRMED_PACE = 0.5
+"""Part of the rate that is granted while another owner does not acknowledge."""
+
+SUBSTITUTE_PACE = 0.25
+"""Part of the rate that a router grants which is asked since no owner answers."""
+
+Respond = Callable[[Verdict], None]
+
+
+class QuotaPeers(Protocol):
+    """What is needed of the other routers."""
+
+    def tell(self, addresses: list[str], message: QuotaMessage) -> None:
+        """Send a message to some routers."""
+
+    def budget_count(self) -> int:
+        """Return among how many routers something common is to be shared."""
+
+
+@attrs.define(eq=False)
+class PendingRecovery:
+    """An account that is being recovered, and the questions that wait for it."""
+
+    recovery: AccountRecovery
+    waiting: list[tuple[QuotaAsk, Respond]] = attrs.field(factory=list)
+    timer: Timer | None = None
+
+
+class AccountService:
+    """The accounts of this router.
+
+    Args:
+        owners: who owns an account.
+        own_memory: returns what this router remembers of its own grants of a tenant, and for how
+            long it has remembered, in seconds.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        peers: QuotaPeers,
+        own_address: str,
+        owners: AccountOwners,
+        settings: Callable[[], RouterSettings],
+        own_memory: Callable[[str], tuple[Sequence[PastUse], float]],
+    ) -> None:
+        self._loop = loop
+        self._peers = peers
+        self._own = own_address
+        self._owners = owners
+        self._settings = settings
+        self._own_memory = own_memory
+        self._monitor = ReplicaMonitor()
+        self._ledger = Ledger(self._bounds, self._part)
+        self._pending: dict[str, PendingRecovery] = {}
+        self._replicas: dict[tuple[str, str], float] = {}
+
+    def __len__(self) -> int:
+        return len(self._ledger)
+
+    def views(self) -> list[AccountView]:
+        """Return the accounts kept here."""
+        return self._ledger.views(self._loop.now())
+
+    def keep_house(self) -> None:
+        """Drop what is not needed any more, and note which accounts miss grants."""
+        now = self._loop.now()
+        self._monitor.forget_old(now, KEPT_FOR_S)
+        self._ledger.forget_idle(now)
+        self._ledger.mark_stale(lambda tenant: self._own in self._owners.notified(tenant))
+        self._replicas = {key: until for key, until in self._replicas.items() if until > now}
+
+    def reset(self) -> None:
+        """Drop all accounts: others have granted without telling this router."""
+        self._ledger.clear()
+
+    # Questions
+
+    def serve(self, ask: QuotaAsk) -> None:
+        """Answer another router's question, or forward it to an owner."""
+        owner = None if ask.is_final else self._owners.forwards_to(ask.tenant)
+        if owner is not None:
+            self._peers.tell([owner], as_final(ask))
+            return
+
+        def respond(verdict: Verdict) -> None:
+            wait_ms = round(verdict.wait_s * MS_PER_S)
+            balance = round(verdict.balance)
+            answer = QuotaAnswer(ask.number, verdict.is_granted, wait_ms, self._own, balance)
+            self._peers.tell([ask.asker], answer)
+
+        self.decide(ask, respond)
+
+    def decide(self, ask: QuotaAsk, respond: Respond) -> None:
+        """Decide by this router's account, once that is current."""
+        if self._ledger.is_current(ask.tenant):
+            self._decide_now(ask, respond)
+            return
+        pending = self._pending.get(ask.tenant)
+        if pending is None:
+            pending = self._recall(ask.tenant, ask.limit)
+        pending.recovery.learn_limit(ask.limit)
+        pending.waiting.append((ask, respond))
+        if pending.recovery.is_answered:
+            self._open(ask.tenant)
+
+    def _decide_now(self, ask: QuotaAsk, respond: Respond) -> None:
+        now = self._loop.now()
+        verdict = self._ledger.ask(ask, now)
+        if verdict is None:
+            return
+        if verdict.is_granted:
+            use = QuotaUse(ask.tenant, ask.asker, ask.number, ask.units, ask.limit)
+            self._replicate(use)
+        balance = self._ledger.balance(ask.tenant, now)
+        respond(attrs.evolve(verdict, owner=self._own, balance=balance))
+
+    # Uses
+
+    def note_use(self, use: QuotaUse) -> None:
+        """Take in what a grant is worth, from its asker or from another owner."""
+        now = self._loop.now()
+        pending = self._pending.get(use.tenant)
+        if self._ledger.has(use.tenant):
+            self._ledger.note_use(use, now)
+        elif pending is None and self._own in self._owners.owners(use.tenant):
+            pending = self._recall(use.tenant, use.limit)
+        if pending is not None:
+            pending.recovery.learn_limit(use.limit)
+            pending.recovery.add_use(PastUse((use.asker, use.number), use.units, now))
+            if pending.recovery.is_answered:
+                self._open(use.tenant)
+        if not use.forwarder:
+            self._replicate(use)
+            return
+        self._replicas[use.tenant, use.forwarder] = now + REPLICATED_FOR_S
+        if self._monitor.may_acknowledge(use.forwarder, now):
+            self._peers.tell([use.forwarder], QuotaAck(self._own))
+
+    def note_acknowledged(self, ack: QuotaAck) -> None:
+        """Another owner has acknowledged uses."""
+        self._monitor.note_acknowledged(ack.replica, self._loop.now())
+
+    def _replicate(self, use: QuotaUse) -> None:
+        """Send a use to the others that own the account, in this router's view or their own."""
+        now = self._loop.now()
+        replicas = set(self._owners.notified(use.tenant))
+        replicas.update(at for tenant, at in self._replicas if tenant == use.tenant)
+        replicas.discard(self._own)
+        if replicas:
+            self._peers.tell(sorted(replicas), _forwarded(use, self._own))
+        for replica in replicas:
+            self._monitor.note_replicated(replica, now)
+
+    # Recovery
+
+    def answer_recall(self, recall: QuotaRecall) -> None:
+        """Tell another router what this one remembers, and replicate to it from now on."""
+        now = self._loop.now()
+        if self._ledger.is_current(recall.tenant):
+            self._replicas[recall.tenant, recall.asker] = now + REPLICATED_FOR_S
+        self._peers.tell([recall.asker], self._memory(recall.tenant, now))
+
+    def take_memory(self, memory: QuotaMemory) -> None:
+        """Take in an answer to a recall; one that comes late still counts."""
+        now = self._loop.now()
+        pending = self._pending.get(memory.tenant)
+        if pending is not None:
+            pending.recovery.add(memory, now)
+            if pending.recovery.is_answered:
+                self._open(memory.tenant)
+            return
+        uses = [*memory.uses, *(memory.account.uses if memory.account is not None else ())]
+        self._ledger.count_late(memory.tenant, past_uses(uses, now), now)
+
+    def _memory(self, tenant: str, now: float) -> QuotaMemory:
+        uses, remembered_s = self._own_memory(tenant)
+        account = None
+        if self._ledger.is_current(tenant):
+            account = RecalledAccount(
+                round(self._ledger.balance(tenant, now)),
+                round(self._ledger.covered_s(tenant, now) * MS_PER_S),
+                recalled_uses(self._ledger.recent_uses(tenant, now), now),
+            )
+        remembered_ms = round(min(remembered_s, self._bounds().window_s) * MS_PER_S)
+        return QuotaMemory(tenant, self._own, remembered_ms, recalled_uses(uses, now), account)
+
+    def _recall(self, tenant: str, limit: VersionedLimit) -> PendingRecovery:
+        now = self._loop.now()
+        others = self._owners.participants()
+        recovery = AccountRecovery(limit, [*others, self._own], self._bounds())
+        recovery.add(self._memory(tenant, now), now)
+        for use in self._ledger.recent_uses(tenant, now):
+            recovery.add_use(use)
+        pending = self._pending[tenant] = PendingRecovery(recovery)
+        if others:
+            self._peers.tell(others, QuotaRecall(tenant, self._own))
+            pending.timer = self._loop.call_later(RECALL_TIMEOUT_S, lambda: self._open(tenant))
+        return pending
+
+    def _open(self, tenant: str) -> None:
+        """Open an account by what was recalled, and decide the questions that waited for it."""
+        pending = self._pending.pop(tenant, None)
+        if pending is None:
+            return
+        if pending.timer is not None:
+            pending.timer.cancel()
+        now = self._loop.now()
+        situation = Situation(
+            departed_at=self._owners.departed_at(),
+            knows_all=self._owners.knows_all(),
+            is_substitute=self._owners.is_substitute(tenant),
+        )
+        opening = pending.recovery.open(self._part(tenant), situation, now)
+        self._ledger.put(tenant, opening.account, now)
+        log_event(
+            "quota_account_opened",
+            tenant=tenant,
+            initial_balance=opening.beginning.value,
+            units=round(opening.account.level(now)),
+            covered_s=round(opening.account.covered_s(now), 2),
+            unanswered=pending.recovery.unanswered,
+            owners=",".join(self._owners.owners(tenant)),
+            previous_owners=",".join(self._owners.previous_owners(tenant)),
+        )
+        for ask, respond in pending.waiting:
+            self._decide_now(ask, respond)
+
+    # Shares
+
+    def _bounds(self) -> QuotaBounds:
+        return self._settings().bounds.quota
+
+    def _part(self, tenant: str) -> Part:
+        """Return what this router may grant of a limit.
+
+        Another owner that does not acknowledge may be cut off with half of the routers, and grants
+        as well, until it is known how many routers are out of sight.
+        """
+        now = self._loop.now()
+        if self._owners.is_substitute(tenant):
+            pace = SUBSTITUTE_PACE
+        elif any(self._monitor.is_lost(owner, now) for owner in self._owners.owners(tenant)):
+            pace = UNCONFIRMED_PACE
+        else:
+            pace = 1.0
+        return Part(self._owners.seen_share(), pace)
+
+
+def as_final(ask: QuotaAsk) -> QuotaAsk:
+    """Return a question that its listener answers, whoever it believes to own the account."""
+    return QuotaAsk(ask.tenant, ask.asker, ask.number, ask.units, ask.limit, True)
+
+
+def _forwarded(use: QuotaUse, forwarder: str) -> QuotaUse:
+    return QuotaUse(use.tenant, use.asker, use.number, use.units, use.limit, forwarder)
--- a/src/martenrun/router/router_table.py
+++ b/src/martenrun/router/router_table.py
@@ -204,6 +204,13 @@
             known.record for known in self._known.values() if now - known.risen_at <= dead_after_s
         ]
 
+    def silent_since(self, now: float) -> list[float]:
+        """Return when each router that counts as dead was last heard of, in steady seconds."""
+        dead_after_s = self._dead_after_s()
+        return [
+            known.risen_at for known in self._known.values() if now - known.risen_at > dead_after_s
+        ]
+
     def told(self) -> list[tuple[RouterRecord, float]]:
         """Return the records of all routers known, each with when its router told it."""
         return [(known.record, known.told_at) for known in self._known.values()]
--- a/tests/router/quota_world.py
+++ b/tests/router/quota_world.py
@@ -6,9 +6,9 @@
 from martenrun.router.messages import RouterSettings
 from martenrun.router.peer_messages import encode
 from martenrun.router.quotas.gate import QuotaGate
-from martenrun.router.quotas.homes import Homes
 from martenrun.router.quotas.limit import QuotaBounds, RateLimit
 from martenrun.router.quotas.messages import QuotaStage
+from martenrun.router.quotas.owners import AccountOwners
 
 from .builders import bounds
 from .gossip_world import GossipWorld
@@ -48,8 +48,11 @@
         loss: share of the datagrams of accounts that is lost.
     """
 
-    def __init__(self, seed, count, zones=3, loss=0.0, limit=None, is_first_start=True):
+    def __init__(
+        self, seed, count, zones=3, loss=0.0, limit=None, is_first_start=True, bounds=BOUNDS
+    ):
         self.rng = random.Random(seed)
+        self.bounds = bounds
         self.world = LinkedWorld(seed, delays_s=(0.001, 0.002))
         self.loop = self.world.loop
         self.loss = loss
@@ -69,7 +72,7 @@
     def start(self, address, is_first_start=False):
         """Start a router, in place of an earlier life at its address."""
         seeds = tuple(self.addresses[:3])
-        stage = QuotaStage.WARM if is_first_start else QuotaStage.BEGUN
+        stage = QuotaStage.ESTABLISHED if is_first_start else QuotaStage.JOINING
         self.world.start(address, seeds, address.split(".")[1], quota_stage=stage.value)
         peers = self.world.routers[address]
         peers._send = lambda to, data: self.world.carry(address, to, data)
@@ -83,23 +86,20 @@
             internal_address=address,
             seeds=seeds,
             store_address="",
-            bounds=bounds(quota=BOUNDS),
+            bounds=bounds(quota=self.bounds),
             maximum_descriptors=1,
             link_bytes_per_s=1.0,
             capacity=1.0,
             is_first_start=is_first_start,
         )
-        homes = Homes(
+        owners = AccountOwners(
             self.loop.now,
-            peers.own,
-            peers.live,
-            peers.table.count,
-            peers.is_settled,
-            lambda: gate.is_young(),
+            peers,
+            lambda: gate.is_starting(),
             seeds,
         )
         gate = QuotaGate(
-            self.loop, peers, address, homes, lambda: self.configuration, lambda: settings
+            self.loop, peers, address, owners, lambda: self.configuration, lambda: settings
         )
         peers._on_quota = gate.take
         peers._refresh = lambda own: setattr(own, "quota_stage", gate.stage().value)
@@ -117,6 +117,19 @@
         self.world.stop(address)
         del self.gates[address]
 
+    def leave(self, address, grace_s=3.0):
+        """Let a router leave as told: it says so, serves on for a while, and ends for good."""
+        self.addresses.remove(address)
+        peers = self.world.routers[address]
+        peers.own.is_leaving = True
+        peers.tell_now()
+        self.loop.call_later(grace_s, lambda: self.stop(address))
+
+    def vanish(self, address):
+        """End a router for good without a word."""
+        self.addresses.remove(address)
+        self.stop(address)
+
     def restart(self, addresses, after_s):
         """Kill some routers and start them again."""
         for address in addresses:
@@ -186,9 +199,9 @@
     def worst_window(self, tenant="t", since=0.0):
         """Return the most units that reached runners within a window, as a part of what may."""
         limit = self.limit
-        allowed = BOUNDS.window_units(limit.units_per_s, limit.burst_units)
+        allowed = self.bounds.window_units(limit.units_per_s, limit.burst_units)
         return self.most_in_window(tenant, since) / (
-            allowed + BOUNDS.slack(limit.units_per_s, limit.burst_units)
+            allowed + self.bounds.slack(limit.units_per_s, limit.burst_units)
         )
 
     def most_in_window(self, tenant="t", since=0.0):
@@ -200,7 +213,7 @@
             sums.append(sums[-1] + units)
         return max(
             (
-                sums[bisect.bisect_right(times, at + BOUNDS.window_s)] - sums[i]
+                sums[bisect.bisect_right(times, at + self.bounds.window_s)] - sums[i]
                 for i, at in enumerate(times)
             ),
             default=0,
--- a/tests/router/test_quota_account.py
+++ b/tests/router/test_quota_account.py
@@ -5,11 +5,11 @@
 
 import pytest
 
-from martenrun.router.quotas.account import Account, Beginning, Part
+from martenrun.router.quotas.account import Account, InitialBalance, Part
 from martenrun.router.quotas.limit import QuotaBounds, RateLimit
-from martenrun.router.quotas.messages import ToldLimit
+from martenrun.router.quotas.messages import VersionedLimit
 
-LIMIT = ToldLimit(1, 30_000.0, 30_000.0)
+LIMIT = VersionedLimit(1, 30_000.0, 30_000.0)
 BOUNDS = QuotaBounds(window_s=8.0, over_share=0.1, slack_units=110_000.0)
 EXACT = QuotaBounds(window_s=8.0)
 
@@ -18,7 +18,7 @@
 NUMBERS = itertools.count()
 
 
-def account(limit=LIMIT, bounds=BOUNDS, beginning=Beginning.FULL, part=WHOLE, now=0.0):
+def account(limit=LIMIT, bounds=BOUNDS, beginning=InitialBalance.FULL, part=WHOLE, now=0.0):
     return Account(limit, bounds, beginning, part, now)
 
 
@@ -124,11 +124,11 @@
 
 
 def test_an_account_that_begins_anew_has_used_its_burst():
-    large = ToldLimit(1, 333_366.0, 333_366.0)
+    large = VersionedLimit(1, 333_366.0, 333_366.0)
     slack = BOUNDS.slack(large.units_per_s, large.burst_units)
     full = account(large)
-    restarted = account(large, beginning=Beginning.RESTARTED)
-    substitute = account(large, beginning=Beginning.SUBSTITUTE)
+    restarted = account(large, beginning=InitialBalance.RESTARTED)
+    substitute = account(large, beginning=InitialBalance.SUBSTITUTE)
     assert full.level(0.0) - substitute.level(0.0) == large.burst_units
     assert substitute.level(0.0) < restarted.level(0.0) < min(slack, full.level(0.0))
     assert spend(substitute, 9_190, 0.0).is_granted
@@ -137,9 +137,9 @@
 
 def test_a_lower_limit_binds_at_once_and_a_raised_one_too():
     made = account(bounds=EXACT)
-    made.learn(ToldLimit(2, 3_000.0, 3_000.0), EXACT, WHOLE, 0.0)
+    made.learn(VersionedLimit(2, 3_000.0, 3_000.0), EXACT, WHOLE, 0.0)
     assert made.level(0.0) == 3_000
-    made.learn(ToldLimit(3, 60_000.0, 60_000.0), EXACT, WHOLE, 0.0)
+    made.learn(VersionedLimit(3, 60_000.0, 60_000.0), EXACT, WHOLE, 0.0)
     assert made.level(0.0) == 60_000
     spend(made, 60_000, 0.0)
     assert made.level(1.0) == 60_000
@@ -147,7 +147,7 @@
 
 def test_a_router_that_is_behind_does_not_bring_an_old_limit_back():
     made = account(bounds=EXACT)
-    made.learn(ToldLimit(2, 3_000.0, 3_000.0), EXACT, WHOLE, 0.0)
+    made.learn(VersionedLimit(2, 3_000.0, 3_000.0), EXACT, WHOLE, 0.0)
     made.learn(LIMIT, EXACT, WHOLE, 0.0)
     assert made.limit.units_per_s == 3_000.0
 
@@ -167,7 +167,7 @@
 
 @pytest.mark.parametrize("burst", [0.0, 1e-9])
 def test_a_limit_without_a_burst_lets_requests_pass_one_by_one(burst):
-    made = account(ToldLimit(1, 1_000.0, burst), EXACT)
+    made = account(VersionedLimit(1, 1_000.0, burst), EXACT)
     granted = granted_over(made, 10, 500, 100)
     assert 18 <= len(granted) <= 22
 
--- a/tests/router/test_quota_fleet.py
+++ b/tests/router/test_quota_fleet.py
@@ -88,7 +88,7 @@
     fleet = greedy(routers, limit)
     for turn in range(4):
         fleet.run(3.0)
-        keeper = next(iter(fleet.gates.values()))._homes.keepers("t")[0]
+        keeper = next(iter(fleet.gates.values()))._owners.owners("t")[0]
         if keeper in fleet.gates:
             fleet.restart([keeper], 2.0 + turn)
     fleet.run(14)
@@ -101,7 +101,7 @@
 def test_a_keeper_that_stands_still_and_wakes_does_not_grant_twice(routers, limit, still_s):
     fleet = greedy(routers, limit)
     fleet.run(6.0)
-    keeper = next(iter(fleet.gates.values()))._homes.keepers("t")[0]
+    keeper = next(iter(fleet.gates.values()))._owners.owners("t")[0]
     fleet.world.stand_still(keeper)
     fleet.run(still_s)
     fleet.world.go_on(keeper, still_s)
@@ -192,7 +192,7 @@
     fleet.run(SETTLED_S)
     conforming(fleet, "t", limit, 20.0)
     fleet.run(6.0)
-    fleet.restart([fleet.gates[fleet.addresses[0]]._homes.keepers("t")[0]], 3.0)
+    fleet.restart([fleet.gates[fleet.addresses[0]]._owners.owners("t")[0]], 3.0)
     fleet.run(16.0)
     assert fleet.refused == []
     assert max(fleet.waits_s) < 0.08
@@ -256,7 +256,7 @@
     fleet.run(8.0)
     assert fleet.refused == [] and max(fleet.waits_s) < 0.01
     for gate in fleet.gates.values():
-        assert not set(gate._homes.keepers("t")) & set(old)
+        assert not set(gate._owners.owners("t")) & set(old)
 
 
 def test_a_record_of_an_older_router_names_no_keeper():
--- a/tests/router/test_request_quota.py
+++ b/tests/router/test_request_quota.py
@@ -10,7 +10,7 @@
 from martenrun.router.overload import OverloadGuard
 from martenrun.router.quotas.gate import Grant
 from martenrun.router.quotas.limit import RateLimit
-from martenrun.router.quotas.messages import QuotaUse, ToldLimit
+from martenrun.router.quotas.messages import QuotaUse, VersionedLimit
 
 from .builders import route
 from .test_forwarding import FULL, GOOD, Played
@@ -31,7 +31,7 @@
         self.given_back = []
 
     def ask(self, tenant, limit, units, on_decided):
-        use = QuotaUse(tenant, "own", len(self.asked), units, ToldLimit(1, 1.0, 1.0))
+        use = QuotaUse(tenant, "own", len(self.asked), units, VersionedLimit(1, 1.0, 1.0))
         grant = Grant(use, on_decided, [])
         self.asked.append((tenant, units))
         wait_s, is_sure = self._verdicts.pop(0)
