A new holder of the lease orders runners at once that its predecessor had not reserved

Each successor waited for the lease's end and then for its length again before its first order. Cause of the second wait: turns are judged at one runner, but a successor knew only that its predecessor may have ordered some runner until shortly before its lease ended, not which. Change: a holder writes into the lease object which runners it is about to order, and orders none before that is stored; runners ordered within the lease's length stand there with the age of that order. A successor reads the object before it takes the lease over: it waits at those runners only, and leaves them in service until then. Records of older routers do not tell: all runners wait, as before. One more write for each group of loads that begins together. Tests: orders of two routers to one runner lie a lease apart in 40 random series with one runner (the former test) and 40 with three; test_lease.py's others now go by runner, with a reservation before an order.

--- a/src/martenrun/platform/contents.py
+++ b/src/martenrun/platform/contents.py
@@ -144,6 +144,7 @@
     pause_ms: _Amount = 0.0
     released_idle_ms: _Amount | None = None
     ages_ms: dict[str, list[tuple[int, int]]] = {}
+    ordered_ms: dict[str, _Count] | None = None
 
 
 class _EndedStart(msgspec.Struct):
@@ -303,6 +304,7 @@
         pause_s=spec.pause_ms / _MS,
         released_idle_s=None if idle_ms is None else idle_ms / _MS,
         ages_ms=spec.ages_ms,
+        ordered_ms=spec.ordered_ms,
     )
 
 
@@ -316,6 +318,7 @@
         "pause_ms": round(lease.pause_s * _MS),
         "released_idle_ms": None if idle_s is None else round(idle_s * _MS),
         "ages_ms": lease.ages_ms,
+        "ordered_ms": None if lease.ordered_ms is None else dict(lease.ordered_ms),
     }
 
 
--- a/src/martenrun/router/lease.py
+++ b/src/martenrun/router/lease.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import attrs
 
@@ -22,6 +22,7 @@
     StoredObject,
     VersionAges,
 )
+from martenrun.router.order_turns import OrderTurns
 from martenrun.router.store_client import HttpCaller
 
 CALL_TIMEOUT_S = 0.7
@@ -42,11 +43,17 @@
 
 @attrs.frozen
 class SeenLease:
-    """A lease object as last seen; ``seen_at`` is when its revision was first seen."""
+    """A lease object as last seen.
+
+    Attributes:
+        seen_at: when its revision was first seen.
+        is_read: whether the record was read from the store; what other routers tell of it is less.
+    """
 
     stored: StoredObject
     record: LeaseRecord
     seen_at: float
+    is_read: bool = True
 
 
 def free_at(seen: SeenLease, router: str, rank: int, lease_s: float) -> float:
@@ -60,19 +67,26 @@
     return seen.seen_at + lease_s + TAKER_MARGIN_S + delay_s
 
 
-def orders_from(seen: SeenLease, router: str, lease_s: float) -> float:
-    """Return when a router that takes the lease over may give its first order.
+def last_order_at(seen: SeenLease, lease_s: float) -> float:
+    """Return until when the holder of a lease may have given orders under it."""
+    if seen.record.released_idle_s is not None:
+        return seen.seen_at - seen.record.released_idle_s + TAKER_MARGIN_S
+    return seen.seen_at + lease_s - HOLDER_MARGIN_S
+
+
+def note_earlier_orders(turns: OrderTurns, seen: SeenLease, router: str, lease_s: float) -> None:
+    """Take in which runners may not be ordered yet by a router that takes a lease over.
 
-    Orders of two routers must lie the whole length of the lease apart; all lives of one router
-    count as one.
+    All lives of one router count as one.
     """
     record = seen.record
+    ordered_until = last_order_at(seen, lease_s)
     if record.router == router:
-        return seen.seen_at + record.pause_s
-    if record.released_idle_s is not None:
-        return seen.seen_at - record.released_idle_s + lease_s + TAKER_MARGIN_S
-    last_order_at = seen.seen_at + lease_s - HOLDER_MARGIN_S
-    return last_order_at + lease_s
+        turns.resume(record.ordered_ms, seen.seen_at, ordered_until, record.pause_s)
+    elif record.ordered_ms is None:
+        turns.block_all(ordered_until)
+    else:
+        turns.block(record.ordered_ms, seen.seen_at, ordered_until)
 
 
 class Lease:
@@ -87,7 +101,7 @@
 
     Attributes:
         fencing_token: token to be used while it is held.
-        orders_from: steady time before which the holder gives no orders.
+        turns: which runners may be ordered from when, once they are reserved.
     """
 
     def __init__(
@@ -116,8 +130,9 @@
         self._not_before = 0.0
         self._renewals = 0
         self._last_order_at = -math.inf
+        self._on_reserved: list[tuple[Collection[str], Callable[[bool], None]]] = []
         self.fencing_token = 0
-        self.orders_from = -math.inf
+        self.turns = OrderTurns(lease_s)
 
     @property
     def revision(self) -> int:
@@ -132,15 +147,34 @@
         """Return the address of the router that was last seen to hold it."""
         return None if self._seen is None else self._seen.record.router
 
-    def note_order(self) -> None:
-        """Take in that an order is given under it."""
+    def may_order(self, instance: str) -> bool:
+        """Return whether an order may be given to a runner now."""
+        now = self._loop.now()
+        is_turn = now >= self.turns.orders_from(instance)
+        return self.is_held() and is_turn and self.turns.is_confirmed(instance)
+
+    def reserve(self, instances: Collection[str], on_done: Callable[[bool], None]) -> None:
+        """Write into the lease object that runners are to be ordered.
+
+        Args:
+            on_done: called with whether that is stored.
+        """
+        self.turns.reserve(instances)
+        self._on_reserved.append((instances, on_done))
+        if not self._is_calling and self.is_held():
+            self._write(self.fencing_token)
+
+    def note_order(self, instance: str) -> None:
+        """Take in that an order to a runner is given under it, or may arrive as late as now."""
         self._last_order_at = self._loop.now()
+        self.turns.note_order(instance, self._last_order_at)
 
     def note_revision(self, record: LeaseRecord, revision: int) -> None:
         """Take in that another router tells of a revision that it has written."""
         if self.is_held() or (self._seen is not None and revision <= self._seen.stored.revision):
             return
-        self._seen = SeenLease(StoredObject(self._name, revision, None), record, self._loop.now())
+        stored = StoredObject(self._name, revision, None)
+        self._seen = SeenLease(stored, record, self._loop.now(), is_read=False)
 
     def pursue(self, rank: int) -> None:
         """Take the lease or renew it, as far as it is time for that.
@@ -152,17 +186,21 @@
         if self._is_calling or now < self._not_before:
             return
         if now < self._held_until:
-            if now > self._held_until - self._lease_s / 2:
+            if now > self._held_until - self._lease_s / 2 or self._on_reserved:
                 self._write(self.fencing_token)
         elif seen is None:
-            self._call(self._dialect.read_object(Dataset.LEASES, self._name), self._on_read)
+            self._read()
         elif seen.record.holder == self._holder:
             # Nobody has taken it since: it is still this router's under its own token.
             self._write(seen.record.fencing_token)
         elif now >= free_at(seen, self._router, rank, self._lease_s):
+            if not seen.is_read:
+                self._read()
+                return
             # It holds whether or not the write is answered.
-            first_order_at = orders_from(seen, self._router, self._lease_s)
-            self.orders_from = max(self.orders_from, first_order_at)
+            note_earlier_orders(self.turns, seen, self._router, self._lease_s)
+            self.turns.finish_all()
+            self._end_reservations(None)
             self._write(max(seen.record.fencing_token, self.fencing_token) + 1)
 
     def release(self, on_released: Callable[[LeaseRecord, int], None]) -> None:
@@ -173,9 +211,10 @@
         """
         if not self.is_held() or self._is_calling:
             return
-        # Before its own first order, the last one was that of the holder before.
-        last_order_at = max(self._last_order_at, self.orders_from - self._lease_s)
-        idle_s = min(self._lease_s, self._loop.now() - last_order_at)
+        # Before its own first order, the last one was that of a holder before.
+        ordered_at = max(self._last_order_at, self.turns.latest_block() - self._lease_s)
+        idle_s = min(self._lease_s, self._loop.now() - ordered_at)
+        self.turns.finish_all()
         record = attrs.evolve(self._own_record(self.fencing_token), released_idle_s=idle_s)
         self._held_until = 0.0
         self._not_before = math.inf
@@ -191,8 +230,18 @@
 
     def _own_record(self, token: int) -> LeaseRecord:
         self._renewals += 1
-        pause_s = max(0.0, self.orders_from - self._loop.now())
-        return LeaseRecord(self._holder, token, self._renewals, pause_s, ages_ms=self._ages_ms())
+        now = self._loop.now()
+        return LeaseRecord(
+            self._holder,
+            token,
+            self._renewals,
+            pause_s=max(0.0, self.turns.latest_block() - now),
+            ages_ms=self._ages_ms(),
+            ordered_ms=self.turns.ages_ms(now),
+        )
+
+    def _read(self) -> None:
+        self._call(self._dialect.read_object(Dataset.LEASES, self._name), self._on_read)
 
     def _write(self, token: int) -> None:
         record = self._own_record(token)
@@ -232,10 +281,13 @@
                 pause_ms = round(record.pause_s * 1000)
                 log_event("lease_taken", token=record.fencing_token, pause_ms=pause_ms)
             self.fencing_token = record.fencing_token
+            self.turns.confirm(record.ordered_ms)
+            self._end_reservations(record)
             return
         status = None if answer is None else answer.status
         log_trouble("lease_write_failed", status=status, token=record.fencing_token)
         self._not_before = self._loop.now() + PAUSE_S
+        self._end_reservations(None)
         # What the object holds now is not known: read it again, and never use that token again.
         self.fencing_token = max(self.fencing_token, record.fencing_token)
         if status not in (429, 503):
@@ -245,6 +297,16 @@
                 if self._seen is None or self._seen.record.holder != self._holder:
                     self._held_until = 0.0
 
+    def _end_reservations(self, record: LeaseRecord | None) -> None:
+        """Tell those that wait for reservations what has become of them."""
+        stored = {} if record is None else record.ordered_ms or {}
+        waiting, self._on_reserved = self._on_reserved, []
+        for instances, on_done in waiting:
+            if record is not None and not stored.keys() >= set(instances):
+                self._on_reserved.append((instances, on_done))
+            else:
+                on_done(record is not None)
+
     def _see(self, answer: HttpAnswer) -> None:
         stored = decoded(answer.body, self._dialect.read_stored)
         if stored is None:
--- a/src/martenrun/router/messages.py
+++ b/src/martenrun/router/messages.py
@@ -288,6 +288,9 @@
             order lies back, in seconds.
         ages_ms: for each model how long its last versions had been known when this was written, as
             (version, milliseconds): what all routers know is gone when all lose power at once.
+        ordered_ms: for each runner how long before this write it may have been ordered, in
+            milliseconds; 0 where the holder may order it from now on.  None where nobody tells:
+            any runner may have been ordered.
     """
 
     holder: str
@@ -296,6 +299,7 @@
     pause_s: float = 0.0
     released_idle_s: float | None = None
     ages_ms: VersionAges = attrs.field(factory=dict)
+    ordered_ms: Mapping[str, int] | None = None
 
     @property
     def router(self) -> str:
--- /dev/null
+++ b/src/martenrun/router/order_turns.py
@@ -0,0 +1,154 @@
+"""When each runner was last ordered under a lease, by whichever holder.  Pure.
+
+Orders of two routers to one runner must lie the length of the lease apart.  A holder reserves a
+runner in the lease object before it orders it, so that its successor knows which runners it may
+order at once and which may still have been ordered shortly before the lease ended.
+"""
+
+from collections.abc import Collection, Iterator, Mapping
+
+RESERVED_MS = 0
+"""Age told of a runner that the holder may order at any time while it holds the lease."""
+
+MS_PER_S = 1000.0
+
+
+class OrderTurns:
+    """What one router knows of orders to runners; times are steady seconds.
+
+    Args:
+        lease_s: length of the lease, and shortest time between orders of two routers to a runner.
+    """
+
+    def __init__(self, lease_s: float) -> None:
+        self._lease_s = lease_s
+        self._blocked_until: dict[str, float] = {}
+        self._all_blocked_until = 0.0
+        self._paused_until = 0.0
+        self._unknown_until = 0.0
+        self._reserved: set[str] = set()
+        self._confirmed: set[str] = set()
+        self._ordered_at: dict[str, float] = {}
+
+    # Earlier holders
+
+    def block_all(self, last_order_at: float) -> None:
+        """Take in that an earlier holder may have ordered any runner until a time."""
+        until = last_order_at + self._lease_s
+        self._all_blocked_until = max(self._all_blocked_until, until)
+        self._unknown_until = max(self._unknown_until, until)
+
+    def resume(
+        self,
+        ages_ms: Mapping[str, int] | None,
+        told_at: float,
+        last_order_at: float,
+        pause_s: float,
+    ) -> None:
+        """Go on for an earlier life of this router, whose orders are its own.
+
+        Args:
+            ages_ms, told_at, last_order_at: as for :meth:`block`; None where nobody tells.
+            pause_s: for how long that life had orders of others to wait for, in seconds.
+        """
+        self._paused_until = max(self._paused_until, told_at + pause_s)
+        if ages_ms is None:
+            self._unknown_until = max(self._unknown_until, last_order_at + self._lease_s)
+            return
+        for instance, ordered_at in _order_times(ages_ms, told_at, last_order_at):
+            self._ordered_at[instance] = max(ordered_at, self._ordered_at.get(instance, 0.0))
+
+    def block(self, ages_ms: Mapping[str, int], told_at: float, last_order_at: float) -> None:
+        """Take in what an earlier holder's record tells of orders.
+
+        Args:
+            ages_ms: for each runner how long ago the last order may have been given.
+            told_at: when the record was first seen.
+            last_order_at: until when that holder may have ordered the runners it had reserved.
+        """
+        for instance, ordered_at in _order_times(ages_ms, told_at, last_order_at):
+            until = ordered_at + self._lease_s
+            self._blocked_until[instance] = max(until, self._blocked_until.get(instance, 0.0))
+
+    def orders_from(self, instance: str) -> float:
+        """Return the time from which this router may order a runner while it holds the lease."""
+        blocked_until = self._blocked_until.get(instance, 0.0)
+        return max(self._all_blocked_until, self._paused_until, blocked_until)
+
+    def latest_block(self) -> float:
+        """Return the time from which any runner may be ordered."""
+        blocked_until = self._blocked_until.values()
+        return max([self._all_blocked_until, self._paused_until, *blocked_until])
+
+    # Own orders
+
+    def reserve(self, instances: Collection[str]) -> None:
+        """Name runners in the next write of the lease object."""
+        self._reserved.update(instances)
+
+    def is_reserved(self, instance: str) -> bool:
+        """Whether a runner is named in this router's writes of the lease object."""
+        return instance in self._reserved
+
+    def is_confirmed(self, instance: str) -> bool:
+        """Whether the lease object names a runner as reserved by this router."""
+        return instance in self._confirmed
+
+    def confirm(self, ages_ms: Mapping[str, int] | None) -> None:
+        """Take in that a record of this router with these ages is stored."""
+        ages_ms = ages_ms or {}
+        stored = {instance for instance, age_ms in ages_ms.items() if age_ms <= RESERVED_MS}
+        self._confirmed = stored & self._reserved
+
+    def note_order(self, instance: str, now: float) -> None:
+        """Take in that an order is given, or may arrive as late as now."""
+        self._ordered_at[instance] = now
+
+    def finish(self, instance: str) -> None:
+        """Give no more orders to a runner unless it is reserved anew; none is on its way."""
+        self._reserved.discard(instance)
+        self._confirmed.discard(instance)
+
+    def finish_all(self) -> None:
+        """Give no more orders."""
+        self._reserved.clear()
+        self._confirmed.clear()
+
+    def ages_ms(self, now: float) -> dict[str, int] | None:
+        """Return for each runner how long ago it may have been ordered, by anybody.
+
+        Runners whose last order lies longer back than the length of the lease are left out.  None
+        while any may have been ordered within that time.
+        """
+        if now < self._unknown_until:
+            return None
+        self._forget_before(now - self._lease_s)
+        ordered_at = {
+            instance: until - self._lease_s for instance, until in self._blocked_until.items()
+        }
+        for instance, at in self._ordered_at.items():
+            ordered_at[instance] = max(at, ordered_at.get(instance, at))
+        ages = {
+            instance: max(RESERVED_MS + 1, int((now - at) * MS_PER_S))
+            for instance, at in ordered_at.items()
+            if now - at < self._lease_s
+        }
+        return ages | dict.fromkeys(self._reserved, RESERVED_MS)
+
+    def _forget_before(self, at: float) -> None:
+        """Drop orders of before a time."""
+        self._ordered_at = {name: was for name, was in self._ordered_at.items() if was >= at}
+        self._blocked_until = {
+            name: until
+            for name, until in self._blocked_until.items()
+            if until - self._lease_s >= at
+        }
+
+
+def _order_times(
+    ages_ms: Mapping[str, int], told_at: float, last_order_at: float
+) -> Iterator[tuple[str, float]]:
+    """Yield for each runner until when the holder that tells of it may have ordered it."""
+    for instance, age_ms in ages_ms.items():
+        is_reserved = age_ms <= RESERVED_MS
+        yield instance, last_order_at if is_reserved else told_at - age_ms / MS_PER_S
--- a/src/martenrun/router/weights_roll.py
+++ b/src/martenrun/router/weights_roll.py
@@ -53,6 +53,7 @@
     """A load of weights under way at a runner.
 
     Attributes:
+        instance: the runner's instance.
         model: the model.
         version: the version ordered.
         began_at: steady time from which no new requests are sent to the runner.
@@ -60,6 +61,7 @@
         is_ordered: whether an order may have reached the runner.
     """
 
+    instance: str
     model: str
     version: int
     began_at: float
@@ -75,6 +77,7 @@
         self._peers = peers
         self._lease = lease
         self._loads: dict[str, WeightsLoad] = {}
+        self._unanswered_orders: set[str] = set()
         self._not_before: dict[str, float] = {}
         self._needed_since: float | None = None
         self._callers: dict[str, HttpCaller] = {}
@@ -114,7 +117,8 @@
             self._lease.release(self._tell_release)
         if not models:
             self._needed_since = None
-            self._loads.clear()
+            for instance in list(self._loads):
+                self._end_load(instance)
             return
         if self._needed_since is None:
             self._needed_since = now
@@ -123,6 +127,8 @@
             self._check_loads(model, self._world.weights.wanted[model].version, now)
             if self._lease.is_held():
                 self._order_model(model, now)
+            else:
+                self._drop_unordered(model)
         self._is_ticking = True
         self._world.loop.call_later(TICK_S, self._tick)
 
@@ -170,7 +176,7 @@
             model=model,
             version=version,
             loading=set(self._loads),
-            not_before=self._not_before,
+            not_before=self._earliest_loads(model),
             now=now,
             figures=self._world.decisions.roll,
             turn_s=self._turn_s,
@@ -178,11 +184,51 @@
             bound_s=self._world.old_weights_bound_s,
             ends_at=self._ends_at,
         )
-        for state in runners_to_order(question, self._world.pool.all_states()):
-            self._loads[state.runner.instance] = WeightsLoad(model, version, now, now)
-            log_event("load_begun", instance=state.runner.instance, model=model, version=version)
+        states = runners_to_order(question, self._world.pool.all_states())
+        instances = [state.runner.instance for state in states]
+        for instance, state in zip(instances, states, strict=True):
+            self._loads[instance] = WeightsLoad(instance, model, version, now, now)
+            log_event("load_begun", instance=instance, model=model, version=version)
             self._tell(state, model, version, is_loaded=False)
-            self._ask_report(state, model)
+        if states:
+            self._lease.reserve(instances, lambda done: self._on_reserved(states, model, done))
+
+    def _earliest_loads(self, model: str) -> dict[str, float]:
+        """Return the times before which loads at runners are not begun.
+
+        A runner that an earlier holder may have ordered stays in service until its runs have to end
+        for this router's order.
+        """
+        earliest = dict(self._not_before)
+        for state in lacking(
+            self._world.pool.all_states(), model, self._world.weights.wanted[model].version
+        ):
+            instance = state.runner.instance
+            from_turn = self._lease.turns.orders_from(instance) - self._runs_end_s
+            earliest[instance] = max(from_turn, earliest.get(instance, 0.0))
+        return earliest
+
+    def _on_reserved(self, states: list[RunnerState], model: str, is_done: bool) -> None:
+        """Go on with loads once the lease object names their runners."""
+        for state in states:
+            if state.runner.instance not in self._loads:
+                continue
+            if is_done:
+                self._ask_report(state, model)
+            else:
+                self._drop(state, "not_reserved")
+
+    def _drop_unordered(self, model: str) -> None:
+        """Give up loads that this router may not order any more."""
+        for instance, load in list(self._loads.items()):
+            if load.model == model and not load.is_ordered:
+                self._end_load(instance)
+
+    def _end_load(self, instance: str) -> WeightsLoad | None:
+        """Forget a load; its runner is ordered again only after it is reserved anew."""
+        if instance not in self._unanswered_orders:
+            self._lease.turns.finish(instance)
+        return self._loads.pop(instance, None)
 
     def _check_loads(self, model: str, version: int, now: float) -> None:
         for instance, load in list(self._loads.items()):
@@ -192,14 +238,16 @@
             has = None if state is None else state.weights_version(model)
             if state is None or (has is not None and has >= version):
                 self._note_done(instance, now)
+            elif not load.is_ordered and not self._lease.turns.is_reserved(instance):
+                self._drop(state, "not_reserved")
             elif now - load.since >= REPORT_INTERVAL_S:
                 load.since = now
                 self._ask_report(state, model)
 
     def _note_done(self, instance: str, now: float) -> None:
         """Take in that a load is over; learn how long loads take."""
-        load = self._loads.pop(instance)
-        if load.is_ordered:
+        load = self._end_load(instance)
+        if load is not None and load.is_ordered:
             weight_of_new = self._world.decisions.roll.turn_weight
             self._turn_s += weight_of_new * (now - load.began_at - self._turn_s)
 
@@ -245,13 +293,13 @@
     def _may_order(self, load: WeightsLoad, report: RunnerReport) -> bool:
         """Whether the runner's runs have ended, or have had their time to end."""
         now = self._world.loop.now()
-        if now < self._lease.orders_from:
+        if not self._lease.may_order(load.instance):
             return False
         return report.active == 0 or now - load.began_at >= self._runs_end_s
 
     def _order(self, state: RunnerState, model: str, version: int, report: RunnerReport) -> None:
-        if not self._lease.is_held():
-            self._loads.pop(state.runner.instance, None)
+        if not self._lease.may_order(state.runner.instance):
+            self._end_load(state.runner.instance)
             return
         load = self._loads[state.runner.instance]
         load.version = version
@@ -266,7 +314,8 @@
             expected_orders=report.orders_taken,
             lets_runs_finish=False,
         )
-        self._lease.note_order()
+        self._lease.note_order(state.runner.instance)
+        self._unanswered_orders.add(state.runner.instance)
         log_event(
             "weights_ordered",
             instance=state.runner.instance,
@@ -285,15 +334,17 @@
         self, answer: HttpAnswer | None, state: RunnerState, model: str, version: int
     ) -> None:
         # It may have arrived as late as this.
-        self._lease.note_order()
         instance = state.runner.instance
+        self._lease.note_order(instance)
+        self._unanswered_orders.discard(instance)
         if instance not in self._loads:
+            self._lease.turns.finish(instance)
             return
         outcome = None if answer is None else self._world.dialect.read_order_outcome(answer.status)
         if outcome is OrderOutcome.ACCEPTED:
             return
         if outcome is OrderOutcome.HOLDS_ALREADY:
-            self._loads.pop(instance)
+            self._end_load(instance)
             self._tell(state, model, version, is_loaded=True)
             return
         log_trouble(
@@ -313,7 +364,7 @@
     def _drop(self, state: RunnerState, reason: str) -> None:
         """Give a runner's place to another for a moment."""
         now = self._world.loop.now()
-        self._loads.pop(state.runner.instance, None)
+        self._end_load(state.runner.instance)
         self._not_before[state.runner.instance] = now + 2 * REPORT_INTERVAL_S
         state.loading_until = 0.0
         log_trouble("load_put_off", instance=state.runner.instance, reason=reason)
--- a/tests/router/test_lease.py
+++ b/tests/router/test_lease.py
@@ -28,6 +28,19 @@
     return Lease(loop, store, DIALECT, "weights", holder, LEASE_S)
 
 
+RUNNER = "r1"
+
+
+def order(loop, lease, runner=RUNNER):
+    """Reserve a runner and order it; return when."""
+    done = []
+    lease.reserve([runner], done.append)
+    loop.run_until(loop.now() + 0.01)
+    assert done == [True] and lease.may_order(runner)
+    lease.note_order(runner)
+    return loop.now()
+
+
 def pursue_for(loop, leases, seconds, rank=0):
     """Let leases pursue every tenth of a second; return who held it when."""
     held = []
@@ -128,13 +141,12 @@
 def test_a_lease_given_up_is_taken_at_once_and_orders_wait_for_the_last_one(loop, store):
     first, second = made(loop, store, "n1#1"), made(loop, store, "n2#1")
     pursue_for(loop, [first, second], 2.0)
-    first.note_order()
-    ordered_at = loop.now()
+    ordered_at = order(loop, first)
     loop.run_until(loop.now() + 1.0)
     first.release(lambda record, revision: second.note_revision(record, revision))
     held = pursue_for(loop, [second], 1.0)
     assert held[0][0] < ordered_at + 1.3
-    assert ordered_at + LEASE_S <= second.orders_from < ordered_at + LEASE_S + 0.3
+    assert ordered_at + LEASE_S <= second.turns.orders_from(RUNNER) < ordered_at + LEASE_S + 0.3
     assert second.fencing_token > first.fencing_token
     assert not first.is_held()
 
@@ -146,7 +158,7 @@
     first.release(lambda *_: None)
     held = pursue_for(loop, [second], 1.0)
     assert held
-    assert second.orders_from <= loop.now()
+    assert second.turns.orders_from(RUNNER) <= loop.now()
 
 
 def test_a_lease_given_up_is_not_taken_again_by_that_life(loop, store):
@@ -159,24 +171,26 @@
 def test_a_restarted_holder_goes_on_at_once_under_a_higher_token(loop, store):
     first = made(loop, store, "n1#1")
     pursue_for(loop, [first], 1.0)
-    first.note_order()
+    order(loop, first)
     again = made(loop, store, "n1#2")
     began = loop.now()
     held = pursue_for(loop, [again], 1.0, rank=3)
     assert held[0][0] - began < 0.5
-    assert again.orders_from <= loop.now()
+    assert again.turns.orders_from(RUNNER) <= loop.now()
     assert again.fencing_token > first.fencing_token
 
 
 def test_a_restarted_holder_keeps_the_pause_of_its_life_before(loop, store):
     dead, first = made(loop, store, "n0#1"), made(loop, store, "n1#1")
     pursue_for(loop, [dead, first], 1.0)
+    order(loop, dead)
+    first.note_revision(LeaseRecord("n0#1", dead.fencing_token), dead.revision)
     held = pursue_for(loop, [first], 4.0)
-    assert held[-1][0] < first.orders_from
+    assert held[-1][0] < first.turns.orders_from(RUNNER)
     again = made(loop, store, "n1#2")
     pursue_for(loop, [again], 0.5)
     assert again.is_held()
-    assert again.orders_from >= first.orders_from - 0.01
+    assert again.turns.orders_from(RUNNER) >= first.turns.orders_from(RUNNER) - 0.01
 
 
 def test_a_lease_that_ended_long_ago_brings_no_pause(loop, store):
@@ -185,20 +199,21 @@
     loop.run_until(loop.now() + 10.0)
     pursue_for(loop, [second], 0.5)
     assert second.is_held()
-    assert second.orders_from <= loop.now()
+    assert second.turns.orders_from(RUNNER) <= loop.now()
 
 
 def test_a_lost_answer_to_a_takeover_takes_no_pause_away(loop, store):
     first, second = made(loop, store, "n1#1"), made(loop, store, "n2#1")
-    pursue_for(loop, [first, second], 1.0)
-    last_order_at = loop.now()
+    pursue_for(loop, [first], 1.0)
+    last_order_at = order(loop, first)
+    pursue_for(loop, [second], 0.1)
     store.loses_answers = True
     pursue_for(loop, [second], 3.9)
     assert read_lease(store, "weights").holder == "n2#1"
     store.loses_answers = False
     pursue_for(loop, [second], 1.5)
     assert second.is_held()
-    assert second.orders_from >= last_order_at + LEASE_S
+    assert second.turns.orders_from(RUNNER) >= last_order_at + LEASE_S
 
 
 ACTIONS = (
@@ -218,7 +233,8 @@
 class Crowd:
     """Routers that pursue one lease while they are restarted, stopped and cut from the store."""
 
-    def __init__(self, loop, store, rng):
+    def __init__(self, loop, store, rng, runners=(RUNNER,)):
+        self.runners = runners
         self.loop = loop
         self.store = store
         self.rng = rng
@@ -259,10 +275,16 @@
             self.store.loses_answers = action == "lose answers"
 
     def order(self):
+        """Let every holder order the runners that it may, and reserve some that it has not."""
         for name, lease in self.routers.items():
-            if lease.is_held() and self.loop.now() >= lease.orders_from:
-                lease.note_order()
-                self.orders.append((self.loop.now(), name, lease.fencing_token))
+            for runner in self.runners:
+                if lease.may_order(runner):
+                    lease.note_order(runner)
+                    self.orders.append((self.loop.now(), name, lease.fencing_token, runner))
+                    if self.rng.random() < 0.1:
+                        lease.turns.finish(runner)
+                elif lease.is_held() and not lease.turns.is_reserved(runner):
+                    lease.reserve([runner], lambda _done: None)
 
     def run(self, seconds):
         end = self.loop.now() + seconds
@@ -276,29 +298,85 @@
 
 
 @pytest.mark.parametrize("seed", range(40))
-def test_orders_of_two_routers_always_lie_a_lease_apart(loop, store, seed):
-    crowd = Crowd(loop, store, random.Random(seed))
+@pytest.mark.parametrize("runners", [("r1",), ("r1", "r2", "r3")], ids=["one", "three"])
+def test_orders_of_two_routers_to_a_runner_always_lie_a_lease_apart(loop, store, seed, runners):
+    """Orders are judged at each runner; with one runner, over all orders."""
+    crowd = Crowd(loop, store, random.Random(seed), runners)
     crowd.run(400.0)
-    for (earlier_at, earlier, low), (later_at, later, high) in itertools.pairwise(crowd.orders):
-        assert low <= high
-        if earlier != later:
-            assert low < high
-            assert later_at - earlier_at >= LEASE_S - 1e-6
-    assert len({name for _, name, _ in crowd.orders}) > 1
+    for runner in runners:
+        orders = [order for order in crowd.orders if order[3] == runner]
+        for (earlier_at, earlier, low, _), (later_at, later, high, _) in itertools.pairwise(orders):
+            assert low <= high
+            if earlier != later:
+                assert low < high
+                assert later_at - earlier_at >= LEASE_S - 1e-6
+        assert len({name for _, name, *_ in orders}) > 1
+    tokens = [token for _, _, token, _ in crowd.orders]
+    assert tokens == sorted(tokens)
+
+
+def test_a_successor_orders_at_once_whom_the_dead_holder_had_not_reserved(loop, store):
+    """Callers had no runner with weights in time while three holders ended in turn (seed 1008)."""
+    first, second = made(loop, store, "n1#1"), made(loop, store, "n2#1")
+    pursue_for(loop, [first, second], 1.0)
+    order(loop, first, "r1")
+    second.note_revision(LeaseRecord("n1#1", first.fencing_token), first.revision)
+    died_at = loop.now()
+    pursue_for(loop, [second], 3.6)
+    order(loop, second, "r2")
+    assert loop.now() - died_at < 2 * LEASE_S - 2.0
+    assert second.turns.orders_from("r1") >= died_at + LEASE_S
+
+
+def test_reservations_and_orders_outlast_a_restart_of_the_holder(loop, store):
+    first, again = made(loop, store, "n1#1"), made(loop, store, "n1#2")
+    pursue_for(loop, [first], 1.0)
+    ordered_at = order(loop, first)
+    pursue_for(loop, [again], 0.5)
+    third = made(loop, store, "n3#1")
+    again.release(lambda record, revision: third.note_revision(record, revision))
+    pursue_for(loop, [third], 0.5)
+    assert third.is_held()
+    assert third.turns.orders_from(RUNNER) >= ordered_at + LEASE_S
+
+
+def test_a_runner_is_not_ordered_before_its_reservation_is_stored(loop, store):
+    lease = made(loop, store, "n1#1")
+    pursue_for(loop, [lease], 1.0)
+    store.loses_answers = True
+    done = []
+    lease.reserve([RUNNER], done.append)
+    loop.run_until(loop.now() + 1.0)
+    assert done == [False] and not lease.may_order(RUNNER)
+
+
+def test_after_a_holder_of_an_older_version_every_runner_waits(loop, store):
+    """Its record does not tell whom it has ordered."""
+    old, second = made(loop, store, "n1#1"), made(loop, store, "n2#1")
+    pursue_for(loop, [old, second], 1.0)
+    del store.objects["weights"]["spec"]["ordered_ms"]
+    died_at = loop.now()
+    second._seen = None
+    pursue_for(loop, [second], 4.0)
+    assert second.is_held()
+    assert second.turns.orders_from("r9") >= died_at + LEASE_S
+    third = made(loop, store, "n3#1")
+    second.release(lambda record, revision: third.note_revision(record, revision))
+    pursue_for(loop, [third], 0.5)
+    assert third.turns.orders_from("r9") >= died_at + LEASE_S
 
 
 def test_a_lease_given_up_within_its_pause_keeps_the_next_one_waiting(loop, store):
     names = ("n1#1", "n2#1", "n3#1")
     first, second, third = (made(loop, store, name) for name in names)
     pursue_for(loop, [first, second], 1.0)
-    first.note_order()
-    ordered_at = loop.now()
+    ordered_at = order(loop, first)
     first.release(lambda record, revision: second.note_revision(record, revision))
     pursue_for(loop, [second], 0.5)
     second.release(lambda record, revision: third.note_revision(record, revision))
     pursue_for(loop, [third], 0.5)
     assert third.is_held()
-    assert third.orders_from >= ordered_at + LEASE_S
+    assert third.turns.orders_from(RUNNER) >= ordered_at + LEASE_S
 
 
 def test_how_long_versions_have_been_known_outlasts_a_loss_of_power(loop, store):
