The guards' test of rates asks for more than the bound also where answers are slow

Cause: the greedy tenant is one caller that sends one request at a time. Change: this guard's deployment has four such callers; check, bound and schedule are as before, and soaks play with one, as before.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -139,10 +139,13 @@
     deployment: PlatformDeployment,
     logs: Path | None,
     holds_rates: bool = True,
+    greedy_callers: int = 1,
 ) -> Outcome:
     """Play a schedule on a deployment with relays, and check the promises.
 
-    ``holds_rates``: all its routers know of tenants' rates.
+    Args:
+        holds_rates: all its routers know of tenants' rates.
+        greedy_callers: how many callers of the greedy tenant come, one request at a time each.
     """
     gc.collect()
     routers = len(deployment.routers)
@@ -153,7 +156,8 @@
         faults.send_deadly = callers.send_deadly
         meter.start()
         callers.start(CALLERS)
-        callers.start_greedy()
+        for _ in range(greedy_callers):
+            callers.start_greedy()
         lookers.start()
         try:
             _strike(steps, faults)
--- a/tests/router/test_soak_guards.py
+++ b/tests/router/test_soak_guards.py
@@ -39,12 +39,17 @@
 """The checker that finds what a guard keeps away, where it has another name."""
 
 
+GREEDY_CALLERS = {"rates": 4}
+"""Callers of the greedy tenant: one alone asks for less than the bound where answers are slow."""
+
+
 def unguarded(guard):
     """Return the violations of a deployment without a guard."""
     deployment = PlatformDeployment(
         3, 3, 3, has_relays=True, program=PROGRAM, environment={"UNGUARDED": guard}
     )
-    return play(SCHEDULES[guard], 1, deployment, None).violations
+    callers = GREEDY_CALLERS.get(guard, 1)
+    return play(SCHEDULES[guard], 1, deployment, None, greedy_callers=callers).violations
 
 
 @pytest.fixture(scope="module")
