The guards' test of served again lets its drains last: what a follower of a router sees is no chance

It found nothing once. Cause, by six plays with logs: the schedule's only step restarts six runners in a drain of 2.6 s, but the soak ends all faults after the last step, so that each drain lasted 0 s. Routers that read the store saw draining and ready in turn and stuck, as they should without the guard; a router that followed another by then got the newest entry only and served on (in three of six plays one router of three, the very one that had stopped reading; none in the others). Two such routers are more than half. Ruled out: orders of weights, which the log does not show. Change: a second step at 6 s, as other guards have one; the drains last, and all routers see them. Check and bound are as before, the fault is harder.

--- a/tests/router/test_soak_guards.py
+++ b/tests/router/test_soak_guards.py
@@ -23,7 +23,12 @@
         Step(1.0, "break_entries", (0, 1, 2, 3, 4, 5), 7.0, 0),
         Step(6.5, "configure", (0,), 0.0, 1),
     ],
-    "served again": [Step(1.0, "restart_runner", (12, 13, 14, 15, 16, 17), 0.0, 0)],
+    # The second step keeps the drains from being cut short: who follows another router would miss
+    # them.
+    "served again": [
+        Step(1.0, "restart_runner", (12, 13, 14, 15, 16, 17), 0.0, 0),
+        Step(6.0, "configure", (0,), 0.0, 1),
+    ],
     "connections": [Step(1.0, "configure", (0,), 0.0, 0)],
     "left": [Step(1.0, "configure", (0,), 0.0, 0)],
     "own end": [Step(1.0, "hang_up", (0,), 0.0, 0)],
