Each grant of a tenant's units no longer walks over all routers and all replicas

Change: the part is counted with the ranking, each 0.1 s; replicas are kept by tenant. No behaviour changes but that a part is up to 0.1 s old, as the ranking is. Measured: the quota tests at 5 to 16 routers pass; time not measured.

--- a/src/martenrun/router/quotas/gate.py
+++ b/src/martenrun/router/quotas/gate.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 import attrs
+import msgspec
 
 from martenrun.net.loop import Loop, Timer
 from martenrun.router.log import log_event
@@ -277,7 +278,7 @@
     def _announce_use(self, grant: Grant, units: int) -> None:
         """Tell all that were asked what a grant is worth."""
         use = grant.use
-        use_now = QuotaUse(use.tenant, use.asker, use.number, units, use.limit)
+        use_now = msgspec.structs.replace(use, units=units)
         if grant.is_alone:
             self._alone.note_use(use_now, self._loop.now())
         others = [address for address in grant.asked if address != self._own]
--- a/src/martenrun/router/quotas/owners.py
+++ b/src/martenrun/router/quotas/owners.py
@@ -63,7 +63,7 @@
         self._is_starting = is_starting
         self._seeds = [seed for seed in seeds if seed != self._own]
         self._refreshed_at = -math.inf
-        self._seen = 1
+        self._seen_share = 1.0
         self._candidates: list[str] = []
         self._participants: list[str] = []
         self._stages: dict[str, int] = {}
@@ -148,7 +148,7 @@
         tells the two apart.
         """
         self._refresh()
-        return min(1.0, self._seen / max(1, self._seen + len(self._members.silent_since())))
+        return self._seen_share
 
     def _ranking(self, tenant: str) -> list[str]:
         self._refresh()
@@ -165,7 +165,7 @@
         self._refreshed_at = now
         others = self._members.live()
         records = [self._members.own, *others]
-        self._seen = len(records)
+        self._seen_share = len(records) / (len(records) + len(self._members.silent_since()))
         self._participants = [
             record.address for record in others if record.quota_stage > QuotaStage.NONE
         ]
--- a/src/martenrun/router/quotas/service.py
+++ b/src/martenrun/router/quotas/service.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 import attrs
+import msgspec
 
 from martenrun.net.loop import Loop, Timer
 from martenrun.router.log import log_event
@@ -96,7 +97,7 @@
         self._monitor = ReplicaMonitor()
         self._ledger = Ledger(self._bounds, self._part)
         self._pending: dict[str, PendingRecovery] = {}
-        self._replicas: dict[tuple[str, str], float] = {}
+        self._replicas: dict[str, dict[str, float]] = {}
 
     def __len__(self) -> int:
         return len(self._ledger)
@@ -111,7 +112,7 @@
         self._monitor.forget_old(now, KEPT_FOR_S)
         self._ledger.forget_idle(now)
         self._ledger.mark_stale(lambda tenant: self._own in self._owners.notified(tenant))
-        self._replicas = {key: until for key, until in self._replicas.items() if until > now}
+        self._forget_replicas(now)
 
     def reset(self) -> None:
         """Drop all accounts: others have granted without telling this router."""
@@ -123,7 +124,7 @@
         """Answer another router's question, or forward it to an owner."""
         owner = None if ask.is_final else self._owners.forwards_to(ask.tenant)
         if owner is not None:
-            self._peers.tell([owner], as_final(ask))
+            self._peers.tell([owner], msgspec.structs.replace(ask, is_final=True))
             return
 
         def respond(verdict: Verdict) -> None:
@@ -176,7 +177,7 @@
         if not use.forwarder:
             self._replicate(use)
             return
-        self._replicas[use.tenant, use.forwarder] = now + REPLICATED_FOR_S
+        self._add_replica(use.tenant, use.forwarder, now)
         if self._monitor.may_acknowledge(use.forwarder, now):
             self._peers.tell([use.forwarder], QuotaAck(self._own))
 
@@ -187,21 +188,34 @@
     def _replicate(self, use: QuotaUse) -> None:
         """Send a use to the others that own the account, in this router's view or their own."""
         now = self._loop.now()
-        replicas = set(self._owners.notified(use.tenant))
-        replicas.update(at for tenant, at in self._replicas if tenant == use.tenant)
+        replicas = {*self._owners.notified(use.tenant), *self._replicas.get(use.tenant, ())}
         replicas.discard(self._own)
         if replicas:
-            self._peers.tell(sorted(replicas), _forwarded(use, self._own))
+            forwarded = msgspec.structs.replace(use, forwarder=self._own)
+            self._peers.tell(sorted(replicas), forwarded)
         for replica in replicas:
             self._monitor.note_replicated(replica, now)
 
+    def _add_replica(self, tenant: str, address: str, now: float) -> None:
+        """Replicate uses to a router that owns the account in some router's view."""
+        self._replicas.setdefault(tenant, {})[address] = now + REPLICATED_FOR_S
+
+    def _forget_replicas(self, now: float) -> None:
+        """Replicate to nobody that has not shown for a while that it owns the account."""
+        for tenant, replicas in list(self._replicas.items()):
+            kept = {address: until for address, until in replicas.items() if until > now}
+            if kept:
+                self._replicas[tenant] = kept
+            else:
+                del self._replicas[tenant]
+
     # Recovery
 
     def answer_recall(self, recall: QuotaRecall) -> None:
         """Tell another router what this one remembers, and replicate to it from now on."""
         now = self._loop.now()
         if self._ledger.is_current(recall.tenant):
-            self._replicas[recall.tenant, recall.asker] = now + REPLICATED_FOR_S
+            self._add_replica(recall.tenant, recall.asker, now)
         self._peers.tell([recall.asker], self._memory(recall.tenant, now))
 
     def take_memory(self, memory: QuotaMemory) -> None:
@@ -288,12 +302,3 @@
         else:
             pace = 1.0
         return Part(self._owners.seen_share(), pace)
-
-
-def as_final(ask: QuotaAsk) -> QuotaAsk:
-    """Return a question that its listener answers, whoever it believes to own the account."""
-    return QuotaAsk(ask.tenant, ask.asker, ask.number, ask.units, ask.limit, True)
-
-
-def _forwarded(use: QuotaUse, forwarder: str) -> QuotaUse:
-    return QuotaUse(use.tenant, use.asker, use.number, use.units, use.limit, forwarder)
--- a/src/martenrun/router/store_watch.py
+++ b/src/martenrun/router/store_watch.py
@@ -85,7 +85,7 @@
         return self.is_running and self._failures > 1
 
     def is_overdue(self, now: float) -> bool:
-        """Whether an answer is late, measured by how late answers have been."""
+        """Whether an answer is later than the usual delay of answers allows."""
         if not self.is_running or self._due_at is None:
             return False
         return now > self._due_at + OVERDUE_S + 2 * self._delay_s
