Tests wait on conditions instead of sleeping; hypothesis leaves no path in the checkout

test_drain.py's thread waits until the main thread waits for the signal, where it slept 0.3 s. test_process_cost.py's polls have a limit of 10 s; one sleep of 0 s stays: it hands the interpreter over, which is what that test counts. Hypothesis keeps its files in the temporary folder: git ignored them, but they named files of this machine.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,13 @@
 """Passes over the tests that KNOWN-RED.txt lists, and prints them."""
 
+import tempfile
 from pathlib import Path
 
 import pytest
+from hypothesis import configuration
+
+# What hypothesis keeps names files of this machine: none of it is left in the checkout.
+configuration.set_hypothesis_home_dir(Path(tempfile.gettempdir()) / "martenrun-hypothesis")
 
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -89,15 +89,20 @@
 
 
 SIGNALLED_ON_ANOTHER_THREAD = """
-import signal, threading, time
+import linecache, signal, sys, threading
 from martenrun.cli.run import run_until_signal
 
+def main_thread_waits():
+    frame = sys._current_frames()[threading.main_thread().ident]
+    return "recv" in linecache.getline(frame.f_code.co_filename, frame.f_lineno)
+
 class Process:
     def start(self):
         threading.Thread(target=self.run).start()
 
     def run(self):
-        time.sleep(0.3)
+        while not main_thread_waits():
+            threading.Event().wait(0.005)
         signal.pthread_kill(threading.get_ident(), signal.SIGTERM)
 
     def stop(self):
--- a/tests/test_process_cost.py
+++ b/tests/test_process_cost.py
@@ -6,7 +6,7 @@
 import time
 
 import pytest
-from deployment import free_address
+from deployment import free_address, wait_until
 
 from martenrun.bench.process_cost import ProcessCost, read_cost
 from martenrun.edge.server import HttpServer
@@ -92,7 +92,7 @@
         while not self.is_stopped:
             self.count += 1
             os.getppid()
-            time.sleep(0)
+            time.sleep(0)  # hands the interpreter over
 
 
 def test_no_reading_hands_the_interpreter_over(idle_threads, interpreter_kept_until_handed_over):
@@ -102,8 +102,7 @@
     other.start()
     times = ThreadTimes()
     try:
-        while turns.count == 0:
-            time.sleep(0)
+        wait_until(lambda: turns.count > 0, "the other thread's first turn", 10)
         for _ in range(3):
             before = turns.count
             spent = times.read()
@@ -117,8 +116,7 @@
 def test_the_time_of_threads_with_one_name_is_added_up(busy_thread):
     times = ThreadTimes()
     first = times.read()["busy"]
-    while times.read()["busy"] <= first:
-        time.sleep(0)
+    wait_until(lambda: times.read()["busy"] > first, "the threads' time", 10)
     assert "busy-3" not in times.read()
 
 
@@ -126,8 +124,8 @@
     ended = threading.Thread(target=lambda: None, name="ended")
     ended.start()
     ended.join()
-    while os.path.exists(f"/proc/self/task/{ended.native_id}"):
-        time.sleep(0)
+    task = f"/proc/self/task/{ended.native_id}"
+    wait_until(lambda: not os.path.exists(task), "the thread's end", 10)
     monkeypatch.setattr(threading, "enumerate", lambda: [threading.main_thread(), ended])
     spent = ThreadTimes().read()
     assert "ended" not in spent
