Reservations of runners wait for that very runner to be stored, and end when it is given up

What callers could see: loads put off or up to 1.5 s late, with their runner out of service; the lease object written ten times a second. Cause: a reservation counted as stored when the object named the runner at all, also for an order of before; and one whose runner was given up before the write never ended, nor did those beside it. Change: it waits until each runner that is still reserved is confirmed as reserved. Tests: two in test_lease.py, both fail before.

--- a/src/martenrun/router/lease.py
+++ b/src/martenrun/router/lease.py
@@ -200,7 +200,7 @@
             # It holds whether or not the write is answered.
             note_earlier_orders(self.turns, seen, self._router, self._lease_s)
             self.turns.finish_all()
-            self._end_reservations(None)
+            self._end_reservations(False)
             self._write(max(seen.record.fencing_token, self.fencing_token) + 1)
 
     def release(self, on_released: Callable[[LeaseRecord, int], None]) -> None:
@@ -282,12 +282,12 @@
                 log_event("lease_taken", token=record.fencing_token, pause_ms=pause_ms)
             self.fencing_token = record.fencing_token
             self.turns.confirm(record.ordered_ms)
-            self._end_reservations(record)
+            self._end_reservations(True)
             return
         status = None if answer is None else answer.status
         log_trouble("lease_write_failed", status=status, token=record.fencing_token)
         self._not_before = self._loop.now() + PAUSE_S
-        self._end_reservations(None)
+        self._end_reservations(False)
         # What the object holds now is not known: read it again, and never use that token again.
         self.fencing_token = max(self.fencing_token, record.fencing_token)
         if status not in (429, 503):
@@ -297,15 +297,14 @@
                 if self._seen is None or self._seen.record.holder != self._holder:
                     self._held_until = 0.0
 
-    def _end_reservations(self, record: LeaseRecord | None) -> None:
+    def _end_reservations(self, is_stored: bool) -> None:
         """Tell those that wait for reservations what has become of them."""
-        stored = {} if record is None else record.ordered_ms or {}
         waiting, self._on_reserved = self._on_reserved, []
         for instances, on_done in waiting:
-            if record is not None and not stored.keys() >= set(instances):
+            if is_stored and any(self.turns.is_unconfirmed(instance) for instance in instances):
                 self._on_reserved.append((instances, on_done))
             else:
-                on_done(record is not None)
+                on_done(is_stored)
 
     def _see(self, answer: HttpAnswer) -> None:
         stored = decoded(answer.body, self._dialect.read_stored)
--- a/src/martenrun/router/order_turns.py
+++ b/src/martenrun/router/order_turns.py
@@ -90,6 +90,10 @@
         """Whether a runner is named in this router's writes of the lease object."""
         return instance in self._reserved
 
+    def is_unconfirmed(self, instance: str) -> bool:
+        """Whether a runner is reserved, but not yet in the lease object."""
+        return instance in self._reserved and instance not in self._confirmed
+
     def is_confirmed(self, instance: str) -> bool:
         """Whether the lease object names a runner as reserved by this router."""
         return instance in self._confirmed
--- a/tests/router/test_lease.py
+++ b/tests/router/test_lease.py
@@ -390,3 +390,30 @@
     assert learned[0] == known
     held = pursue_for(loop, [restarted], 6.0)
     assert held
+
+
+def test_a_reservation_that_is_given_up_meanwhile_keeps_no_other_waiting(loop, store):
+    """Its runner is gone: the lease object was written anew ten times a second for it."""
+    lease = made(loop, store, "n1#1")
+    pursue_for(loop, [lease], 1.0)
+    done = []
+    lease.reserve(["r1"], lambda _stored: None)
+    lease.reserve(["r2", "r3"], done.append)
+    lease.turns.finish("r2")
+    writes = len(store.writes)
+    pursue_for(loop, [lease], 1.0)
+    assert done == [True] and lease.may_order("r3")
+    assert len(store.writes) - writes <= 4
+
+
+def test_a_runner_ordered_before_is_not_taken_for_reserved(loop, store):
+    """The write under way tells of its last order only."""
+    lease = made(loop, store, "n1#1")
+    pursue_for(loop, [lease], 1.0)
+    order(loop, lease)
+    lease.turns.finish(RUNNER)
+    done = []
+    lease.reserve(["r2"], lambda _stored: None)
+    lease.reserve([RUNNER], lambda stored: done.append((stored, lease.may_order(RUNNER))))
+    pursue_for(loop, [lease], 0.5)
+    assert done == [(True, True)]
