Parse, log and count the rate limits that runners advertise

Cause: a runner may advertise in its answers the number of requests per second that it accepts from all routers together. No product code read that field, so neither logs nor metrics could show whether routers respect a limit, or whether each router applies it separately.

Change: platform/ parses the field into a typed value. If there are several values, the lowest valid one applies. Empty, negative, nan, infinite, 1e400 and non-numeric values are invalid: they are logged and change nothing. An answer without the field ends a limit only if its request was sent after the limit was advertised. Routing does not use the limits yet.

--- a/src/martenrun/platform/headers.py
+++ b/src/martenrun/platform/headers.py
@@ -1,7 +1,10 @@
 """Header fields of callers' requests, of requests to runners, and of runners' answers."""
 
+import math
+import re
+
 from martenrun.net.http import Headers, HttpRequest, end_to_end, find_header
-from martenrun.router.messages import AnswerMarks, Call, Dispatch, PromptPart
+from martenrun.router.messages import AdvertisedLimit, AnswerMarks, Call, Dispatch, PromptPart
 
 REQUEST_ID = b"x-request-id"
 """Field that carries a request's id, in lower case."""
@@ -101,9 +104,39 @@
         is_signed=find_header(headers, b"x-response-stamp") is not None,
         is_not_executed=is_not_executed,
         is_encoded=find_header(headers, b"content-encoding") is not None,
+        rate_limit=_advertised_limit(headers),
     )
 
 
+SERVER_LIMIT = b"server-limit"
+"""Field in which a runner advertises its limit in requests per second, in lower case."""
+
+MAXIMUM_LOGGED_CHARACTERS = 40
+"""Length to which the field's text is truncated for logs."""
+
+_DECIMAL = re.compile(rb"\s*\d+(\.\d*)?(e[+-]?\d+)?\s*", re.IGNORECASE)
+"""Stricter than ``float``, which also accepts a sign, underscores, nan and infinity."""
+
+
+def _advertised_limit(headers: Headers) -> AdvertisedLimit | None:
+    """Return the rate limit of an answer: the lowest valid value if there are several."""
+    fields = [value for name, value in headers if name.lower() == SERVER_LIMIT]
+    if not fields:
+        return None
+    values = [value for field in fields for value in field.split(b",")]
+    rates = [rate for rate in map(_parse_rate, values) if rate is not None]
+    text = b", ".join(fields)[:MAXIMUM_LOGGED_CHARACTERS].decode("latin-1")
+    return AdvertisedLimit(min(rates, default=None), text)
+
+
+def _parse_rate(text: bytes) -> float | None:
+    """Parse a finite, non-negative decimal number; return None if the text is not one."""
+    if _DECIMAL.fullmatch(text) is None:
+        return None
+    rate = float(text)
+    return rate if math.isfinite(rate) else None
+
+
 def answering_instance(headers: Headers) -> str | None:
     """Return the instance that an answer names as its sender."""
     value = find_header(headers, b"x-instance-id")
--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -109,6 +109,7 @@
         self.headers = headers
         marks = self._world.dialect.read_marks(status, headers)
         self._marks = marks
+        self._learn_limit(marks, now)
         if marks.is_not_executed:
             return
         if marks.is_encoded or (status < 300 and not marks.is_signed):
@@ -197,6 +198,17 @@
         self.state.held -= self._held
         self.state.note_ended()
 
+    def _learn_limit(self, marks: AnswerMarks, now: float) -> None:
+        """Record the rate limit that the answer advertises, or that it advertises none.
+
+        An answer without a limit counts only if signed: others may not come from the runner.
+        """
+        limits = self._world.runner_limits
+        if marks.rate_limit is not None:
+            limits.note_advertised(self.state.runner.instance, marks.rate_limit, now)
+        elif marks.is_signed:
+            limits.note_absent(self.state.runner.instance, self._began_at, now)
+
     def _learn_refusal(self) -> None:
         now = self._world.loop.now()
         if self.status != STATUS_MISDIRECTED:
--- a/src/martenrun/router/figures.py
+++ b/src/martenrun/router/figures.py
@@ -38,6 +38,7 @@
         Sample("caller_connections", sources.connections()),
         Sample("runners", len(states)),
         Sample("runners_avoided", sum(state.is_avoided(now) for state in states)),
+        Sample("runners_limited", len(world.runner_limits)),
         Sample("runner_requests", sum(state.load for state in states)),
         Sample("runner_backlog_tokens", sum(state.backlog_tokens for state in states)),
         Sample("configuration_age_seconds", world.configuration.age_s(now)),
--- a/src/martenrun/router/messages.py
+++ b/src/martenrun/router/messages.py
@@ -201,13 +201,31 @@
     last_event_id: int | None
 
 
+@attrs.frozen
+class AdvertisedLimit:
+    """A runner's rate limit, as advertised in an answer; all routers together share it.
+
+    Attributes:
+        requests_per_s: 0 or more; None if the advertised value is not a valid rate.
+        text: the advertised value, truncated for logs.
+    """
+
+    requests_per_s: float | None
+    text: str
+
+
 @attrs.frozen
 class AnswerMarks:
-    """What a runner's answer says of itself beside its status and body."""
+    """What a runner's answer says of itself beside its status and body.
+
+    Attributes:
+        rate_limit: the limit that the answer advertises; None if it advertises none.
+    """
 
     is_signed: bool
     is_not_executed: bool
     is_encoded: bool
+    rate_limit: AdvertisedLimit | None = None
 
 
 class Dataset(enum.Enum):
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -43,6 +43,7 @@
 from martenrun.router.planned_stop import PlannedStop
 from martenrun.router.quotas.gate import QuotaGate
 from martenrun.router.quotas.owners import AccountOwners
+from martenrun.router.runner_limits import RunnerLimits
 from martenrun.router.runner_pool import RunnerPool
 from martenrun.router.silence import newly_silent, take_silence
 from martenrun.router.store_client import HttpCaller
@@ -96,6 +97,9 @@
             store_works=lambda _store: True,
             note_reading=lambda state: self._loads.note_reading(state),
             refresh_loads=lambda: self._loads.refresh(),
+            runner_limits=RunnerLimits(
+                lambda outcome: self._metrics.count("runner_limits", outcome=outcome)
+            ),
         )
         self._admission = Admission(self._world)
         own = RouterRecord(
@@ -247,6 +251,7 @@
 
     def _on_runners_settled(self) -> None:
         self._world.pool.update(self._world.runners.runners)
+        self._world.runner_limits.forget_unlisted(self._world.runners.runners, self._loop.now())
         self._world.suspects.watch.look_again()
         self._roller.check()
 
--- a/src/martenrun/router/world.py
+++ b/src/martenrun/router/world.py
@@ -14,6 +14,7 @@
 from martenrun.router.placement import Placement
 from martenrun.router.quotas.gate import QuotaGate
 from martenrun.router.retry_budget import RetryBudget
+from martenrun.router.runner_limits import RunnerLimits
 from martenrun.router.runner_pool import RunnerPool
 from martenrun.router.runner_state import RunnerState
 from martenrun.router.suspects import Suspects
@@ -41,6 +42,7 @@
         note_reading: takes in that a runner has more or less to read for this router.
         refresh_loads: makes what is known of other routers' loads current.
         quotas: asks whether tenants may use more; None where nobody keeps accounts.
+        runner_limits: the rate limits that runners advertise.
         spends_from: from when on this router may use its part of the common slack of retries.
     """
 
@@ -61,6 +63,7 @@
     decisions: Decisions = attrs.field(factory=Decisions)
     spends_from: float = 0.0
     quotas: QuotaGate | None = None
+    runner_limits: RunnerLimits = attrs.field(factory=RunnerLimits)
     _budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _guards: dict[str, OverloadGuard] = attrs.field(factory=dict)
 
--- a/tests/router/test_platform_adapter.py
+++ b/tests/router/test_platform_adapter.py
@@ -22,7 +22,7 @@
 WORDS = re.compile(
     r"martenrun/(resolve|readyz|report|order|objects|kv-)|x-not-executed|x-response-stamp"
     r"|x-expect-instance|x-kv-fetch-from|x-kv-save-to|x-cache-salt|x-prefix-hash|x-token-usage|kv_store_addr"
-    r"|fence_token|call_seq|traffic_split|target_latency_ms",
+    r"|server-limit|fence_token|call_seq|traffic_split|target_latency_ms",
     re.IGNORECASE,
 )
 
@@ -255,3 +255,33 @@
     assert DIALECT.read_marks(200, [(b"x-response-stamp", b"1")]).is_signed
     assert DIALECT.read_order_outcome(412) is OrderOutcome.FENCED
     assert DIALECT.read_order_outcome(400) is OrderOutcome.REFUSED
+
+
+@pytest.mark.parametrize(
+    ("values", "requests_per_s"),
+    [
+        ([b"1.1"], 1.1),
+        ([b" 20 "], 20.0),
+        ([b"0"], 0.0),
+        ([b"1e-9"], 1e-9),
+        ([b"3, 2"], 2.0),
+        ([b"3", b"2.5"], 2.5),
+        ([b"3, many"], 3.0),
+        ([b""], None),
+        ([b"-1"], None),
+        ([b"nan"], None),
+        ([b"inf"], None),
+        ([b"1e400"], None),
+        ([b"1_0"], None),
+        ([b"many"], None),
+        ([b"\xff" * 300], None),
+    ],
+)
+def test_advertised_rate_limit_is_parsed(values, requests_per_s):
+    headers = [(b"Server-Limit", value) for value in values]
+    limit = DIALECT.read_marks(200, headers).rate_limit
+    assert limit is not None and limit.requests_per_s == requests_per_s and len(limit.text) <= 40
+
+
+def test_answer_without_limit_field_has_no_rate_limit():
+    assert DIALECT.read_marks(200, [(b"X-Response-Stamp", b"s")]).rate_limit is None
