--- a/src/martenrun/platform/standins/runner.py
+++ b/src/martenrun/platform/standins/runner.py
@@ -47,6 +47,19 @@
     at: float
 
 
+@attrs.frozen
+class Arrival:
+    """One request that reached the runner, whether it was run or refused.
+
+    ``limit`` is the rate that its answer named, None without one.
+    """
+
+    request_id: str
+    instance: str
+    at: float
+    limit: str | None
+
+
 @attrs.frozen
 class RunEnd:
     """When a runner stopped working on a request, and whether it had come to its end."""
@@ -71,6 +84,7 @@
     It crashes under requests whose body ``is_deadly``, as it sends the head of their answer, and
     tells ``on_crash``.
 
+    ``limit`` is the rate that its answers name, in requests a second, None for none;
     ``events`` is how many events a stream has, ``pause_of`` the pause between them by request;
     ``listed_address`` is told in the entry where others reach the runner by a relay.
     """
@@ -88,6 +102,8 @@
         self.born_ms = int(time.time() * 1000)
         self.orders: list[dict[str, object]] = []
         self.earlier_orders: list[dict[str, object]] = []
+        self.limit: str | None = None
+        self.arrivals: list[Arrival] = []
         self.runs: list[Run] = []
         self.ends: list[RunEnd] = []
         self.fault: Callable[[], Fault] = lambda: Fault.NONE
@@ -165,6 +181,7 @@
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     runner: RunnerStandin
+    _limit: str | None = None
 
     def log_message(self, format: str, *args: object) -> None:
         """Write nothing."""
@@ -197,6 +214,11 @@
         self._send(202, b"", {})
 
     def _run(self, body: bytes) -> None:
+        runner = self.runner
+        self._limit = runner.limit
+        runner.arrivals.append(
+            Arrival(self._request_id(), runner.instance, time.monotonic(), self._limit)
+        )
         if not self._is_meant():
             self._send(421, b"", {"X-Instance-Id": self.runner.instance})
             return
@@ -254,7 +276,7 @@
         born_ms = self.runner.born_ms
         self.send_response(200)
         self.send_header("X-Request-Id", self._request_id())
-        for name, value in self._signature().items():
+        for name, value in (self._signature() | self._named_limit()).items():
             self.send_header(name, value)
         self.send_header("Content-Type", "text/event-stream")
         self.send_header("Transfer-Encoding", "chunked")
@@ -276,7 +298,7 @@
     def _send(self, status: int, body: bytes, headers: dict[str, str]) -> None:
         self.send_response(status)
         self.send_header("X-Request-Id", self._request_id())
-        for name, value in headers.items():
+        for name, value in (headers | self._named_limit()).items():
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
@@ -285,5 +307,8 @@
     def _request_id(self) -> str:
         return str(self.headers.get("X-Request-Id", ""))
 
+    def _named_limit(self) -> dict[str, str]:
+        return {} if self._limit is None else {"Server-Limit": self._limit}
+
     def _signature(self) -> dict[str, str]:
         return {"X-Response-Stamp": self.runner.instance}
