Enforce the rate limits that runners advertise across all routers

User-visible effect: none for callers; overloaded runners used to receive more requests than they allow.

Cause: no code honored the limit. No component owned a limit that a runner sets for all of its callers together: each router chose runners from its own view and from what it had learned itself.

Evidence: the request rate at both runners was the same before and after they advertised their limits (2.9 requests per second), and the same as at the four others. All logged requests were first attempts, and they came from all seven routers.

Change: a runner's limit is now a fleet-wide account like a tenant's rate (router/quotas, generalized rather than duplicated). The account is named after the start of the runner and uses a 4 s window with half of the limit plus 5 requests as slack.

- Each request to a rate-limited runner needs a grant.
It is obtained at the single point that first sends, retries, resumed streams and moved runs pass through.
A limit learned while a connection is being established is checked once more before any bytes are sent.
- Limits are learned from the head of any answer and sent to all routers at once with a version and ages.
Routers whose answers confirm a limit repeat it, and newly discovered routers are told of it.
- A limit is lifted by answers to later requests, in three steps that each multiply the rate by four.
- A router that gets no answer from any account owner sends one request every 20 to 40 s.
- Runners that refuse a grant are skipped until their next turn.
If all runners are rate-limited, callers are refused at once with spread retry times.
For 2 s after an urgent request was refused, less urgent requests leave rate-limited runners to urgent ones, unless their group is behind.

--- a/src/martenrun/cli/quotas.py
+++ b/src/martenrun/cli/quotas.py
@@ -1,4 +1,4 @@
-"""``martenrun quotas``: what tenants have left of their rates, at the routers that keep that."""
+"""``martenrun quotas``: what tenants and runners with a rate limit have left, by router."""
 
 import click
 import urllib3
@@ -13,7 +13,8 @@
 def quotas(addresses: tuple[str, ...], tenant: str | None) -> None:
     """List accounts at the routers at ADDRESSES (IP:PORT of their internal interfaces).
 
-    Each tenant's account is kept by two of all routers; name them all to find a tenant's.
+    Each tenant's account is kept by two of all routers; name them all to find a tenant's.  Accounts
+    of rate-limited runners are listed as "runner INSTANCE".
     """
     http = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
     for address in addresses:
@@ -31,5 +32,5 @@
             if tenant in (None, item["tenant"]):
                 click.echo(
                     f"{address} {item['tenant']} left {item['left']:.0f} of {item['burst']:.0f}, "
-                    f"{item['per_s']:.0f} a second, last used {item['idle_s']:.1f} s ago"
+                    f"{item['per_s']:.10g} a second, last used {item['idle_s']:.1f} s ago"
                 )
--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -59,6 +59,7 @@
         owner: told how the attempt goes.
         state: the runner.
         load: what the runner has to read and to hold for it.
+        has_grant: whether the request may be sent even if the runner is rate-limited.
     """
 
     def __init__(
@@ -68,6 +69,7 @@
         owner: AttemptOwner,
         state: RunnerState,
         load: AttemptLoad,
+        has_grant: bool = False,
     ) -> None:
         self._world = world
         self._admitted = admitted
@@ -75,6 +77,7 @@
         self.state = state
         self._to_read = load.tokens_to_read
         self._held = load.tokens_held
+        self._has_grant = has_grant
         self.has_begun = False
         self._began_at = world.loop.now()
         self._tokens_ahead = state.backlog_tokens + load.tokens_to_read
@@ -99,6 +102,13 @@
         if self._world.loop.now() - self._began_at > CONNECT_TIMEOUT_S + STOOD_STILL_S:
             self._fail(Failure.NOT_SENT)
             return
+        limits = self._world.runner_limits
+        if not self._has_grant and limits.limit(self.state.runner.instance) is not None:
+            # The limit was learned while connecting; this is not a failure of the runner.
+            limits.count("withheld")
+            self.cancel()
+            self._owner.on_failure(Failure.NOT_SENT, self)
+            return
         self.was_sent = True
 
     def on_head(self, status: int, headers: Headers, length: int | None) -> None:
@@ -203,6 +213,9 @@
 
         An answer without a limit counts only if signed: others may not come from the runner.
         """
+        instance = self._world.dialect.answering_instance(self.headers)
+        if self.status == STATUS_MISDIRECTED and instance not in (None, self.state.runner.name):
+            return
         limits = self._world.runner_limits
         if marks.rate_limit is not None:
             limits.note_advertised(self.state.runner.instance, marks.rate_limit, now)
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -11,6 +11,7 @@
 from martenrun.router.quotas.gate import Grant
 from martenrun.router.request_quota import RequestQuota
 from martenrun.router.retry import MAXIMUM_SENDS, Failure, NextStep, TryState, next_step
+from martenrun.router.runner_access import RunnerAccess
 from martenrun.router.runner_choice import RunnerChoice
 from martenrun.router.runner_request import runner_dispatch
 from martenrun.router.runner_state import RunnerState
@@ -54,6 +55,7 @@
         self._figures = world.decisions.forwarding
         self._choice = RunnerChoice(world, exchange.request, admitted)
         self._quota = RequestQuota(world.quotas, admitted)
+        self._access = RunnerAccess(world)
         self._is_over_limit = False
         self.is_over = False
         exchange.on_gone = self._on_gone
@@ -120,7 +122,7 @@
         elif self._sent_to and not self._is_within_budget():
             self._refuse("retry_budget")
         else:
-            self._send(state)
+            self._send(state, self._look_for_runner)
 
     def _refuse_for_overload(self, state: RunnerState) -> None:
         """Refuse at once: prompts that waited here would all follow when the backlog is read."""
@@ -135,7 +137,19 @@
 
     # Sending
 
-    def _send(self, state: RunnerState) -> None:
+    def _send(self, state: RunnerState, choose_again: Callable[[], None]) -> None:
+        """Send the request to a runner, after obtaining a grant if the runner is rate-limited."""
+        if self._access.may_send(state):
+            self._dispatch(state)
+            return
+
+        def decided(grant: Grant) -> None:
+            self._trail.note_grant(grant, "runner_grant_asked")
+            self._world.loop.call_later(0.0, choose_again)
+
+        self._access.obtain(state, decided)
+
+    def _dispatch(self, state: RunnerState) -> None:
         world = self._world
         now = world.loop.now()
         if self._sent_to:
@@ -156,18 +170,12 @@
             tokens_to_read=placement.tokens_to_read(question, state),
             tokens_held=question.needed_tokens if question.parts else 0,
         )
-        attempt = Attempt(world, self._admitted, self, state, load)
+        attempt = Attempt(world, self._admitted, self, state, load, self._access.has_grant(state))
+        self._access.note_sent(state)
         self._attempt = attempt
         placement.note_read(question, state)
         state.note_sent(now)
-        self._trail.note(
-            "sent",
-            instance=state.runner.instance,
-            load=state.load,
-            backlog=int(state.backlog_tokens),
-            weights=state.weights_version(self._admitted.call.model or ""),
-            tries=len(self._sent_to),
-        )
+        self._trail.note_sent(state, self._admitted.call.model, len(self._sent_to))
         expected_id = (world.dialect.request_id_field, self._admitted.call.request_id)
         try:
             attempt.connection = world.pool.send(
@@ -242,14 +250,8 @@
         now = self._world.loop.now()
         state = self._choice.choose()
         step = next_step(failure, self._try_state(state is not None, now))
-        self._trail.note(
-            "try_failed",
-            instance=attempt.state.runner.instance,
-            failure=failure.value,
-            status=attempt.status,
-            step=step.value,
-            runs=self._runs,
-        )
+        instance = attempt.state.runner.instance
+        self._trail.note_failed(instance, attempt.status, failure, step, self._runs)
         if step is NextStep.SEND_AGAIN and state is not None:
             self._send_again(state, failure, attempt)
         elif step is NextStep.PASS_ON:
@@ -264,7 +266,7 @@
     def _send_again(self, state: RunnerState, failure: Failure, attempt: Attempt) -> None:
         """Send it to another runner; another run counts against its tenant's limit as well."""
         if not self._quota.needs_grant:
-            self._send(state)
+            self._send(state, lambda: self._go_on(failure, attempt))
             return
 
         def go_on(grant: Grant) -> None:
@@ -299,8 +301,13 @@
         """Look again in a moment, or refuse while the caller can still be served in time."""
         waited_s = self._world.loop.now() - self._began_at
         limit_s = self._admitted.route.objective_s * self._figures.waiting_share
-        if waited_s + LOOK_AGAIN_S > limit_s or len(self._sent_to) >= MAXIMUM_SENDS:
-            self._refuse(reason)
+        limited_s = self._choice.limited_for_s()
+        look_again_s = max(LOOK_AGAIN_S, limited_s or 0.0)
+        if waited_s + look_again_s > limit_s or len(self._sent_to) >= MAXIMUM_SENDS:
+            if limited_s is None:
+                self._refuse(reason)
+            else:
+                self._refuse("runner_limits", self._choice.retry_delay_s(limited_s))
             return
         self._choice.tried.clear()
         self._world.loop.call_later(LOOK_AGAIN_S, self._look_for_runner)
@@ -362,6 +369,7 @@
         self.is_over = True
         grant = self._quota.last
         self._quota.close()
+        self._access.close()
         self._timer.cancel()
         if self._attempt is not None:
             self._attempt.cancel()
--- a/src/martenrun/router/messages.py
+++ b/src/martenrun/router/messages.py
@@ -10,7 +10,12 @@
 
 from martenrun.net.http import Headers
 from martenrun.net.server import ServerLimits
-from martenrun.router.quotas.limit import QuotaBounds, RateLimit
+from martenrun.router.quotas.limit import (
+    RUNNER_LIMIT_BOUNDS,
+    QuotaBounds,
+    RateLimit,
+    is_runner_account,
+)
 
 
 class UnreadableError(ValueError):
@@ -380,6 +385,16 @@
     weights_s: float
     directory_ttl_s: float
     quota: QuotaBounds = attrs.field(factory=QuotaBounds)
+    runner_limit: QuotaBounds = RUNNER_LIMIT_BOUNDS
+
+    def for_account(self, account: str) -> QuotaBounds:
+        """Return the enforcement bounds for a tenant's or a runner's account."""
+        return self.runner_limit if is_runner_account(account) else self.quota
+
+    @property
+    def longest_window_s(self) -> float:
+        """The longest window over which any account's usage is counted, in seconds."""
+        return max(self.quota.window_s, self.runner_limit.window_s)
 
 
 @attrs.frozen
--- a/src/martenrun/router/overload.py
+++ b/src/martenrun/router/overload.py
@@ -14,6 +14,11 @@
 
 from martenrun.router.decisions import DEFAULTS, OverloadFigures
 from martenrun.router.reading_speed import ReadingSpeed
+from martenrun.router.retry_turns import RetryTurns
+
+URGENT_PRIORITY_S = 2.0
+"""Time after an urgent request was refused in which rate-limited runners are reserved for urgent
+requests, in seconds."""
 
 
 @attrs.define
@@ -62,6 +67,8 @@
         self.speed = ReadingSpeed()
         self._all = TakenCount()
         self._groups: dict[str, TakenCount] = {}
+        self._urgent_refused_at = -math.inf
+        self.retry_turns = RetryTurns()
 
     def note_asked(self, groups: Collection[str], now: float) -> None:
         """Count a request that callers sent."""
@@ -86,9 +93,17 @@
             return True
         if wait_s > prompt.objective_s * figures.behind_wait_share:
             return False
-        return self._is_behind(prompt.groups, now)
+        return self.is_behind(prompt.groups, now)
+
+    def note_urgent_refused(self, now: float) -> None:
+        """Record that a most urgent request was refused because of runners' rate limits."""
+        self._urgent_refused_at = now
+
+    def has_refused_urgent(self, now: float) -> bool:
+        """Whether a most urgent request was refused recently because of runners' rate limits."""
+        return now - self._urgent_refused_at < URGENT_PRIORITY_S
 
-    def _is_behind(self, groups: Collection[str], now: float) -> bool:
+    def is_behind(self, groups: Collection[str], now: float) -> bool:
         """Whether far fewer requests of a group were taken lately than of all."""
         common = self._all.share
         return any(
--- a/src/martenrun/router/peers.py
+++ b/src/martenrun/router/peers.py
@@ -9,12 +9,13 @@
 import random
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 
 from martenrun.net.loop import READ, Loop
 from martenrun.router.blame_messages import BlameNews
+from martenrun.router.limit_messages import LimitNews
 from martenrun.router.log import log_trouble
 from martenrun.router.peer_messages import (
     Gossip,
@@ -70,7 +71,7 @@
 
 LONGEST_DATAGRAM = 60_000
 
-News = WeightsNews | LeaseNews | SilenceNews | BlameNews
+News = WeightsNews | LeaseNews | SilenceNews | BlameNews | LimitNews
 """What is told to all routers at once."""
 
 DATAGRAMS_PER_ROUND = 64
@@ -103,7 +104,7 @@
         on_records: Callable[[], None],
         on_reading: Callable[[str], None],
         on_sums: Callable[[ZoneLoads], None] = lambda _sums: None,
-        newcomer_news: Callable[[int], News | None] = lambda _routers: None,
+        newcomer_news: Callable[[int], Sequence[News]] = lambda _routers: (),
         on_quota: Callable[[QuotaMessage], None] = lambda _message: None,
     ) -> None:
         self._loop = loop
@@ -321,8 +322,7 @@
                 self._send(sender.address, encode(Gossip([later])))
             elif is_stranger and self.table.knows(sender):
                 self._send(sender.address, encode(self._gossip(self._beats(now), now)))
-                news = self._newcomer_news(self.table.count())
-                if news is not None:
+                for news in self._newcomer_news(self.table.count()):
                     self._send(sender.address, encode(news))
             self._ask_for(lacking, sender.address, now)
 
--- a/src/martenrun/router/placement.py
+++ b/src/martenrun/router/placement.py
@@ -69,6 +69,7 @@
             if not state.runner.is_draining and state.runner.instance not in question.tried
         ]
         usable = _with_allowed_weights(question, usable)
+        usable = [state for state in usable if not state.is_limited(question.now)]
         sound = _sound(question, usable)
         if not sound:
             return _least_bad(question, usable)
@@ -78,6 +79,19 @@
             return self._by_reading(question, sound)
         return min(sound, key=lambda state: self._cost_without_prompt(question, state))
 
+    def limited_for_s(
+        self, question: PlacementQuestion, states: Sequence[RunnerState]
+    ) -> float | None:
+        """Return the time until the first rate-limited runner may be sent a request, in seconds.
+
+        None if the request is not blocked by rate limits alone.
+        """
+        sound = _with_allowed_weights(question, _sound(question, states))
+        now = question.now
+        if not sound or not all(state.is_limited(now) for state in sound):
+            return None
+        return max(0.0, min(state.limited_until for state in sound) - now)
+
     def tokens_to_read(self, question: PlacementQuestion, state: RunnerState) -> float:
         """Return what a runner is believed to have to read for a request, in tokens."""
         own_tokens = question.parts[-1].tokens if question.parts else 0
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -7,7 +7,6 @@
 from martenrun.net.loop import Loop
 from martenrun.net.server import Exchange, Server
 from martenrun.router.admission import Admission, Refusal, refuse
-from martenrun.router.blame_messages import BlameNews
 from martenrun.router.blame_store import BlameStore
 from martenrun.router.contacts import ContactDirectory
 from martenrun.router.crash_watch import RunnerKnowledge
@@ -37,8 +36,9 @@
     RouterSettings,
 )
 from martenrun.router.metrics import Metrics
-from martenrun.router.peer_messages import LeaseNews, RouterRecord, SilenceNews
-from martenrun.router.peers import News, Peers, first_incarnation
+from martenrun.router.news import newcomer_news, take_news
+from martenrun.router.peer_messages import RouterRecord, SilenceNews
+from martenrun.router.peers import Peers, first_incarnation
 from martenrun.router.placement import Placement
 from martenrun.router.planned_stop import PlannedStop
 from martenrun.router.quotas.gate import QuotaGate
@@ -48,7 +48,6 @@
 from martenrun.router.silence import newly_silent, take_silence
 from martenrun.router.store_client import HttpCaller
 from martenrun.router.suspects import Suspects
-from martenrun.router.weights_news import take_weights_news
 from martenrun.router.weights_roll import WeightsRoller
 from martenrun.router.world import World
 
@@ -98,7 +97,9 @@
             note_reading=lambda state: self._loads.note_reading(state),
             refresh_loads=lambda: self._loads.refresh(),
             runner_limits=RunnerLimits(
-                lambda outcome: self._metrics.count("runner_limits", outcome=outcome)
+                lambda news: self._peers.tell_all(news),
+                self._on_limit_changed,
+                lambda outcome: self._metrics.count("runner_limits", outcome=outcome),
             ),
         )
         self._admission = Admission(self._world)
@@ -122,11 +123,11 @@
             own,
             settings.seeds,
             self._refresh,
-            self._on_news,
+            lambda news: take_news(self._world, self._roller, news),
             self._on_records,
             lambda instance: self._loads.take_reading(instance),
             lambda sums: self._loads.take_sums(sums),
-            self._world.suspects.newcomer_news,
+            lambda routers: newcomer_news(self._world, routers),
             lambda message: self._quotas.take(message),
         )
         self._quotas = self._world.quotas = self._quota_gate(settings)
@@ -269,15 +270,11 @@
         own.loads = self._loads.own_loads()
         own.quota_stage = self._quotas.stage().value
 
-    def _on_news(self, news: News) -> None:
-        if isinstance(news, LeaseNews):
-            self._roller.take_release(news)
-        elif isinstance(news, SilenceNews):
-            take_silence(self._world, news, self._loop.now())
-        elif isinstance(news, BlameNews):
-            self._world.suspects.take(news)
-        else:
-            take_weights_news(self._world, news)
+    def _on_limit_changed(self, instance: str) -> None:
+        """Make a runner whose rate limit has changed eligible for grants again."""
+        state = self._world.pool.state(instance)
+        if state is not None:
+            state.limited_until = 0.0
 
     def _on_records(self) -> None:
         self._loads.take_records()
@@ -368,6 +365,7 @@
             take_silence(self._world, news, now)
             self._peers.tell_all(news)
         self._world.suspects.keep_house()
+        self._world.runner_limits.tell_again(now)
         self._blame_store.check()
         self._quotas.keep_house()
         self._roller.check()
--- a/src/martenrun/router/quotas/gate.py
+++ b/src/martenrun/router/quotas/gate.py
@@ -162,7 +162,7 @@
     def stage(self) -> QuotaStage:
         """Return what this router tells of the accounts that it owns."""
         up_s = self._loop.now() - self._established_since
-        is_established = up_s > self._bounds().window_s
+        is_established = up_s > self._settings().bounds.longest_window_s
         return QuotaStage.ESTABLISHED if is_established else QuotaStage.JOINING
 
     def is_starting(self) -> bool:
@@ -179,17 +179,31 @@
         self._detect_pause(now)
         self._service.keep_house()
         self._alone.forget_idle(now)
-        self._memory.forget_before(now - self._bounds().window_s)
+        self._memory.forget_before(now - self._settings().bounds.longest_window_s)
         self._suspected = {name: until for name, until in self._suspected.items() if until > now}
 
     # Asking
 
     def ask(
-        self, tenant: str, limit: RateLimit, units: int, on_decided: Callable[[Grant], None]
+        self,
+        tenant: str,
+        limit: RateLimit,
+        units: int,
+        on_decided: Callable[[Grant], None],
+        version: int | None = None,
     ) -> Grant:
-        """Ask for units; it may be decided before this returns."""
+        """Ask for units; it may be decided before this returns.
+
+        Args:
+            version: version of the limit, the highest of which takes precedence; None for the
+                version of the current configuration.
+        """
         self._number += 1
-        known = VersionedLimit(self._configuration(), limit.units_per_s, limit.burst_units)
+        known = VersionedLimit(
+            self._configuration() if version is None else version,
+            limit.units_per_s,
+            limit.burst_units,
+        )
         use = QuotaUse(tenant, self._own, self._number, units, known)
         now = self._loop.now()
         asked = self._owners.asked(tenant)
@@ -248,10 +262,10 @@
             self._take_verdict(grant, verdict)
 
     def _open_alone(self, use: QuotaUse, now: float) -> None:
-        remembers_all = now - self._remembers_since > self._bounds().window_s
+        remembers_all = now - self._remembers_since > self._bounds(use.tenant).window_s
         beginning = InitialBalance.FULL if remembers_all else InitialBalance.RESTARTED
         part = self._even_part(use.tenant)
-        account = Account(use.limit, self._bounds(), beginning, part, now)
+        account = Account(use.limit, self._bounds(use.tenant), beginning, part, now)
         self._alone.put(use.tenant, account, now)
 
     def _take_verdict(self, grant: Grant, verdict: Verdict) -> None:
@@ -323,13 +337,13 @@
     def _own_memory(self, tenant: str) -> tuple[list[PastUse], float]:
         """Return this router's grants of the last window, and how far back it remembers them."""
         now = self._loop.now()
-        uses = self._memory.uses(tenant, now - self._bounds().window_s)
+        uses = self._memory.uses(tenant, now - self._bounds(tenant).window_s)
         return uses, now - self._remembers_since
 
     # Shares
 
-    def _bounds(self) -> QuotaBounds:
-        return self._settings().bounds.quota
+    def _bounds(self, account: str) -> QuotaBounds:
+        return self._settings().bounds.for_account(account)
 
     def _even_part(self, _tenant: str) -> Part:
         known = self._peers.budget_count()
--- a/src/martenrun/router/quotas/ledger.py
+++ b/src/martenrun/router/quotas/ledger.py
@@ -5,7 +5,7 @@
 import attrs
 
 from martenrun.router.quotas.account import Account, Part, PastUse, Verdict
-from martenrun.router.quotas.limit import QuotaBounds
+from martenrun.router.quotas.limit import QuotaBounds, display_name
 from martenrun.router.quotas.messages import QuotaAsk, QuotaUse
 
 KEPT_FOR_S = 120.0
@@ -30,11 +30,11 @@
     """Accounts by tenant.
 
     Args:
-        bounds: returns how exactly limits are to be kept.
+        bounds: returns the enforcement bounds for an account.
         part: returns the part of each limit that accounts here may grant, by tenant.
     """
 
-    def __init__(self, bounds: Callable[[], QuotaBounds], part: Callable[[str], Part]) -> None:
+    def __init__(self, bounds: Callable[[str], QuotaBounds], part: Callable[[str], Part]) -> None:
         self._bounds = bounds
         self._part = part
         self._accounts: dict[str, Account] = {}
@@ -57,7 +57,7 @@
         The earlier one counted at least what was granted here, which the new one may not.
         """
         earlier = self._accounts.get(tenant)
-        if earlier is not None and account.covered_s(now) < self._bounds().window_s:
+        if earlier is not None and account.covered_s(now) < self._bounds(tenant).window_s:
             account.lower_to(earlier.level(now), now)
         while len(self._accounts) >= MOST_ACCOUNTS and tenant not in self._accounts:
             self._drop(min(self._accounts, key=lambda name: self._accounts[name].used_at))
@@ -71,13 +71,13 @@
     def ask(self, ask: QuotaAsk, now: float) -> Verdict | None:
         """Grant units of a tenant's account, or not; None if the asker has given up."""
         account = self._accounts[ask.tenant]
-        account.learn(ask.limit, self._bounds(), self._part(ask.tenant), now)
+        account.learn(ask.limit, self._bounds(ask.tenant), self._part(ask.tenant), now)
         return account.ask((ask.asker, ask.number), ask.units, now)
 
     def note_use(self, use: QuotaUse, now: float) -> None:
         """Count what was used elsewhere, or not used after all."""
         account = self._accounts[use.tenant]
-        account.learn(use.limit, self._bounds(), self._part(use.tenant), now)
+        account.learn(use.limit, self._bounds(use.tenant), self._part(use.tenant), now)
         account.note_use((use.asker, use.number), use.units, now)
 
     def count_late(self, tenant: str, uses: Sequence[PastUse], now: float) -> None:
@@ -107,7 +107,7 @@
         """Return what operators see, tenants with least left first."""
         views = [
             AccountView(
-                tenant=tenant,
+                tenant=display_name(tenant),
                 left=round(account.level(now)),
                 burst=account.limit.burst_units,
                 per_s=account.limit.units_per_s,
--- a/src/martenrun/router/quotas/limit.py
+++ b/src/martenrun/router/quotas/limit.py
@@ -1,11 +1,32 @@
-"""What a tenant may use, as the operator configures it."""
+"""Rate limits that all routers share, and the bounds within which they are enforced.
+
+A tenant's limit is configured by the operator; a runner's is advertised by the runner itself.
+"""
 
 import attrs
 
+_RUNNER_PREFIX = "runner\x00"
+"""Prefix of runners' account names; a tenant's account has the name of the tenant."""
+
+
+def runner_account(instance: str) -> str:
+    """Return the account name of a runner instance."""
+    return _RUNNER_PREFIX + instance
+
+
+def is_runner_account(account: str) -> bool:
+    """Whether an account belongs to a runner rather than a tenant."""
+    return account.startswith(_RUNNER_PREFIX)
+
+
+def display_name(account: str) -> str:
+    """Return the name of an account as displayed to operators."""
+    return account.replace("\x00", " ")
+
 
 @attrs.frozen
 class RateLimit:
-    """A tenant's limit over all routers together.
+    """A rate limit shared by all routers.
 
     Attributes:
         units_per_s: units that may be used a second.
@@ -50,3 +71,7 @@
     def slack(self, units_per_s: float, burst_units: float) -> float:
         """Return the units that may pass in a window beyond a limit."""
         return self.window_units(units_per_s, burst_units) * self.over_share + self.slack_units
+
+
+RUNNER_LIMIT_BOUNDS = QuotaBounds(window_s=4.0, over_share=0.5, slack_units=5.0)
+"""Enforcement bounds for the limits that runners advertise."""
--- a/src/martenrun/router/quotas/service.py
+++ b/src/martenrun/router/quotas/service.py
@@ -11,7 +11,7 @@
 from martenrun.router.messages import RouterSettings
 from martenrun.router.quotas.account import Part, PastUse, Verdict
 from martenrun.router.quotas.ledger import KEPT_FOR_S, AccountView, Ledger
-from martenrun.router.quotas.limit import QuotaBounds
+from martenrun.router.quotas.limit import QuotaBounds, display_name
 from martenrun.router.quotas.messages import (
     QuotaAck,
     QuotaAnswer,
@@ -239,13 +239,13 @@
                 round(self._ledger.covered_s(tenant, now) * MS_PER_S),
                 recalled_uses(self._ledger.recent_uses(tenant, now), now),
             )
-        remembered_ms = round(min(remembered_s, self._bounds().window_s) * MS_PER_S)
+        remembered_ms = round(min(remembered_s, self._bounds(tenant).window_s) * MS_PER_S)
         return QuotaMemory(tenant, self._own, remembered_ms, recalled_uses(uses, now), account)
 
     def _recall(self, tenant: str, limit: VersionedLimit) -> PendingRecovery:
         now = self._loop.now()
         others = self._owners.participants()
-        recovery = AccountRecovery(limit, [*others, self._own], self._bounds())
+        recovery = AccountRecovery(limit, [*others, self._own], self._bounds(tenant))
         recovery.add(self._memory(tenant, now), now)
         for use in self._ledger.recent_uses(tenant, now):
             recovery.add_use(use)
@@ -272,7 +272,7 @@
         self._ledger.put(tenant, opening.account, now)
         log_event(
             "quota_account_opened",
-            tenant=tenant,
+            tenant=display_name(tenant),
             initial_balance=opening.beginning.value,
             units=round(opening.account.level(now)),
             covered_s=round(opening.account.covered_s(now), 2),
@@ -285,8 +285,8 @@
 
     # Shares
 
-    def _bounds(self) -> QuotaBounds:
-        return self._settings().bounds.quota
+    def _bounds(self, account: str) -> QuotaBounds:
+        return self._settings().bounds.for_account(account)
 
     def _part(self, tenant: str) -> Part:
         """Return what this router may grant of a limit.
--- a/src/martenrun/router/runner_limits.py
+++ b/src/martenrun/router/runner_limits.py
@@ -1,11 +1,19 @@
-"""Rate limits that runners advertise in their answers.  No I/O; callers pass in the time."""
+"""Rate limits that runners advertise in their answers, shared among all routers.
 
+Routers tell each other of every change, with a monotonically increasing version and with ages.  A
+limit is lifted in steps so that a recovering runner does not receive the full load at once.  No
+I/O; callers pass in the time.
+"""
+
+import random
 from collections.abc import Callable, Container
 
 import attrs
 
+from martenrun.router.limit_messages import LimitNews, LimitRecord
 from martenrun.router.log import log_event, log_trouble
 from martenrun.router.messages import AdvertisedLimit
+from martenrun.router.quotas.limit import RateLimit
 
 UNLISTED_RETENTION_S = 60.0
 """How long the limit of an unlisted runner is kept after its last confirmation, in seconds.
@@ -13,83 +21,255 @@
 Entries of live runners expire while the store is unavailable.
 """
 
+MINIMUM_REQUESTS_PER_S = 0.1
+"""Lower bound of the enforced rate, so that answers can still show that a runner has recovered."""
+
+MAXIMUM_REQUESTS_PER_S = 1e6
+
+BURST_S = 0.25
+"""Burst size in seconds of the rate; a burst is always at least one request."""
+
+RECOVERY_STEPS = 3
+"""Number of rate increases after which the limit of a recovering runner is lifted."""
+
+RECOVERY_FACTOR = 4.0
+"""Factor by which each recovery step raises the rate."""
+
+RECOVERY_STEP_S = 0.5
+"""Minimum time between two recovery steps, in seconds."""
+
+TOLD_AGAIN_S = 1.0
+"""Minimum interval at which a confirmed limit is told again, in seconds."""
+
+CHANGE_TOLD_AGAIN_S = 0.5
+"""Interval at which a change is told again, in seconds."""
+
+CHANGE_REPEATS = 3
+"""Number of times a change is told again, in case datagrams are lost."""
+
+PROBE_AFTER_S = (20.0, 40.0)
+"""Range of the time without an answer after which a router that reaches no account owner sends a
+probe, in seconds."""
+
+RECOVERY_PROBE_S = 1.0
+"""Time without an answer before a probe while the limit is being lifted, in seconds."""
+
 
 @attrs.define
 class RunnerLimit:
-    """The limit that a runner instance advertised last.
+    """The rate limit of a runner instance.
 
     Attributes:
-        requests_per_s: rate that the instance accepts from all routers together.
-        advertised_at: monotonic time of the first answer with this rate, in seconds.
-        confirmed_at: monotonic time of the latest answer with this rate, in seconds.
+        version: the limit with the higher version takes precedence.
+        requests_per_s: rate limit shared by all routers.
+        changed_at: monotonic time at which the limit last changed, in seconds.
+        confirmed_at: monotonic time of the latest answer that confirms it, in seconds.
+        recovery_steps: number of increases since the runner stopped advertising a limit.
+        observed_at: monotonic time of the latest confirming answer to this router, in seconds.
+        told_at: monotonic time at which all routers were last told, in seconds.
+        repeats_left: number of times a change is still to be told again.
+        probed_at: monotonic time of the last request sent without a grant, in seconds.
+        probe_after_s: time without an answer after which a probe may be sent, in seconds.
     """
 
+    version: int
     requests_per_s: float
-    advertised_at: float
+    changed_at: float
     confirmed_at: float
+    recovery_steps: int = 0
+    observed_at: float = 0.0
+    told_at: float = 0.0
+    repeats_left: int = 0
+    probed_at: float = 0.0
+    probe_after_s: float = 0.0
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the limit has been lifted."""
+        return self.recovery_steps >= RECOVERY_STEPS
+
+    @property
+    def rate_limit(self) -> RateLimit:
+        """The limit as enforced over all routers, within the minimum and maximum rates."""
+        rate = min(MAXIMUM_REQUESTS_PER_S, max(MINIMUM_REQUESTS_PER_S, self.requests_per_s))
+        return RateLimit(rate, max(1.0, rate * BURST_S))
+
+    def record(self, instance: str, now: float) -> LimitRecord:
+        """Return the record sent to other routers."""
+        return LimitRecord(
+            instance,
+            self.version,
+            self.requests_per_s,
+            self.recovery_steps,
+            round((now - self.changed_at) * 1000),
+            round((now - self.confirmed_at) * 1000),
+        )
 
 
 class RunnerLimits:
-    """Limits by runner instance, as advertised in the answers to this router.
+    """Rate limits by runner instance.
 
     Args:
-        count: counts a change or an invalid value, by outcome.
+        tell: sends news to all routers.
+        on_changed: called with the instance whose limit has changed.
+        count: counts an event, by outcome.
     """
 
-    def __init__(self, count: Callable[[str], None] = lambda _outcome: None) -> None:
-        self._count = count
+    def __init__(
+        self,
+        tell: Callable[[LimitNews], None] = lambda _news: None,
+        on_changed: Callable[[str], None] = lambda _instance: None,
+        count: Callable[[str], None] = lambda _outcome: None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._tell = tell
+        self._on_changed = on_changed
+        self.count = count
+        self._rng = rng or random.Random()
         self._limits: dict[str, RunnerLimit] = {}
 
     def __len__(self) -> int:
-        return len(self._limits)
+        return sum(not limit.is_over for limit in self._limits.values())
 
     def limit(self, instance: str) -> RunnerLimit | None:
-        """Return the limit of a runner instance, or None if none is known."""
-        return self._limits.get(instance)
+        """Return the limit of a runner instance, or None if it has none."""
+        found = self._limits.get(instance)
+        return None if found is None or found.is_over else found
+
+    # Answers
 
     def note_advertised(self, instance: str, advertised: AdvertisedLimit, now: float) -> None:
         """Record the limit that an answer advertises; an invalid one changes nothing."""
-        if advertised.requests_per_s is None:
-            self._count("unreadable")
+        rate = advertised.requests_per_s
+        if rate is None:
+            self.count("unreadable")
             log_trouble("runner_limit_unreadable", instance=instance, value=advertised.text)
             return
         known = self._limits.get(instance)
-        if known is not None and known.requests_per_s == advertised.requests_per_s:
-            known.confirmed_at = now
+        if known is not None and not known.recovery_steps and known.requests_per_s == rate:
+            known.confirmed_at = known.observed_at = now
             return
-        self._limits[instance] = RunnerLimit(advertised.requests_per_s, now, now)
-        self._count("named")
-        log_event(
-            "runner_limit_named",
-            instance=instance,
-            requests_per_s=advertised.requests_per_s,
-            before=None if known is None else known.requests_per_s,
-        )
+        version = 1 if known is None else known.version + 1
+        self._change(instance, RunnerLimit(version, rate, now, now), "named", now)
 
     def note_absent(self, instance: str, sent_at: float, now: float) -> None:
-        """Record that an answer advertises no limit.
+        """Record that an answer advertises no limit, which may start the next recovery step.
 
         Args:
             sent_at: monotonic time at which the request was sent, in seconds.  The answer to a
                 request sent before the limit was advertised may predate the limit.
         """
-        known = self._limits.get(instance)
-        if known is not None and sent_at > known.advertised_at:
-            self._drop(instance, "no_longer_named", now)
+        known = self.limit(instance)
+        if known is None or sent_at <= known.changed_at:
+            return
+        if known.recovery_steps and now - known.changed_at < RECOVERY_STEP_S:
+            return
+        rate = known.rate_limit.units_per_s * RECOVERY_FACTOR
+        steps = known.recovery_steps + 1
+        raised = RunnerLimit(known.version + 1, rate, now, now, steps)
+        self._change(instance, raised, "ended" if raised.is_over else "raised", now)
+
+    def _change(self, instance: str, limit: RunnerLimit, outcome: str, now: float) -> None:
+        limit.observed_at = limit.told_at = now
+        limit.repeats_left = CHANGE_REPEATS
+        self._put(instance, limit, outcome, "answer", now)
+        self._tell(LimitNews([limit.record(instance, now)]))
+
+    # Other routers
+
+    def take(self, news: LimitNews, now: float) -> None:
+        """Merge news from another router."""
+        for record in news.records:
+            self._merge(record, now)
+
+    def _merge(self, record: LimitRecord, now: float) -> None:
+        known = self._limits.get(record.instance)
+        confirmed_at = now - record.confirmed_ago_ms / 1000
+        if known is not None and _precedence(known) == _precedence(record):
+            known.confirmed_at = max(known.confirmed_at, confirmed_at)
+            known.told_at = now
+        elif known is None or _precedence(known) < _precedence(record):
+            received = RunnerLimit(
+                record.version,
+                record.requests_per_s,
+                now - record.changed_ago_ms / 1000,
+                confirmed_at,
+                record.recovery_steps,
+                told_at=now,
+            )
+            if known is not None or not received.is_over:
+                self._put(record.instance, received, "heard", "router", now)
+
+    def newcomer_news(self, now: float) -> LimitNews | None:
+        """Return the news for a newly discovered router; None if there are no limits."""
+        if not len(self):
+            return None
+        active = self._limits.items()
+        return LimitNews([item.record(name, now) for name, item in active if not item.is_over])
+
+    def tell_again(self, now: float) -> None:
+        """Tell again of recent changes and of limits confirmed by answers to this router."""
+        due = []
+        for instance, limit in self._limits.items():
+            is_change = limit.repeats_left > 0
+            interval_s = CHANGE_TOLD_AGAIN_S if is_change else TOLD_AGAIN_S
+            is_confirmed = not limit.is_over and limit.observed_at > limit.told_at
+            if now - limit.told_at >= interval_s and (is_change or is_confirmed):
+                limit.told_at = now
+                limit.repeats_left = max(0, limit.repeats_left - 1)
+                due.append(limit.record(instance, now))
+        if due:
+            self._tell(LimitNews(due))
+
+    # Probes
+
+    def allow_probe(self, instance: str, now: float) -> bool:
+        """Whether one request may be sent although no account owner answers.
+
+        Without probes a partitioned router could not detect that a limit was lifted.
+        """
+        limit = self.limit(instance)
+        if limit is None or now - max(limit.confirmed_at, limit.probed_at) < limit.probe_after_s:
+            return False
+        limit.probed_at = now
+        self.count("probed")
+        return True
 
     def forget_unlisted(self, listed: Container[str], now: float) -> None:
         """Remove limits of unlisted runners not confirmed for ``UNLISTED_RETENTION_S``."""
         for instance, limit in list(self._limits.items()):
             if instance not in listed and now - limit.confirmed_at > UNLISTED_RETENTION_S:
-                self._drop(instance, "runner_left", now)
+                del self._limits[instance]
+                self._log("runner_limit_ended", instance, limit, "runner_left", now)
 
-    def _drop(self, instance: str, reason: str, now: float) -> None:
-        limit = self._limits.pop(instance)
-        self._count("ended")
+    def _put(
+        self, instance: str, limit: RunnerLimit, outcome: str, source: str, now: float
+    ) -> None:
+        is_recovering = limit.recovery_steps > 0
+        limit.probed_at = now
+        limit.probe_after_s = (
+            RECOVERY_PROBE_S if is_recovering else self._rng.uniform(*PROBE_AFTER_S)
+        )
+        self._limits[instance] = limit
+        self.count(outcome)
+        event = "runner_limit_ended" if limit.is_over else "runner_limit_advertised"
+        if is_recovering and not limit.is_over:
+            event = "runner_limit_raised"
+        self._log(event, instance, limit, source, now)
+        self._on_changed(instance)
+
+    @staticmethod
+    def _log(event: str, instance: str, limit: RunnerLimit, source: str, now: float) -> None:
         log_event(
-            "runner_limit_ended",
+            event,
             instance=instance,
             requests_per_s=limit.requests_per_s,
-            reason=reason,
-            age_s=round(now - limit.advertised_at, 1),
+            version=limit.version,
+            source=source,
+            age_s=round(now - limit.changed_at, 2),
         )
+
+
+def _precedence(limit: RunnerLimit | LimitRecord) -> tuple[int, int, float]:
+    """Return the sort key for conflicts: the higher version wins, then the stricter limit."""
+    return limit.version, -limit.recovery_steps, -limit.requests_per_s
--- a/src/martenrun/router/runner_state.py
+++ b/src/martenrun/router/runner_state.py
@@ -42,6 +42,8 @@
         waiting_since: since when it has owed this router answers and sent nothing, or None.
         heard_at: when it last sent this router something.
         unanswered_since: when a connection to it was begun that has not come up in time, or None.
+        limited_until: until when this router sends it nothing because of its rate limit.
+        is_grant_pending: whether a request of this router is waiting for a grant to be sent to it.
         doubts: what routers doubt of it.
         doubt_told_at: when this router last told others that it hears nothing from it.
     """
@@ -65,6 +67,8 @@
     doubt_told_at: float = -math.inf
     heard_at: float = -math.inf
     unanswered_since: float | None = None
+    limited_until: float = 0.0
+    is_grant_pending: bool = False
 
     @property
     def load(self) -> int:
@@ -136,6 +140,10 @@
         patience_s = SILENT_AFTER_S + self.backlog_tokens / SLOW_TOKENS_PER_S
         return now - self.waiting_since > patience_s
 
+    def is_limited(self, now: float) -> bool:
+        """Whether its rate limit prevents this router from sending it a request now."""
+        return self.is_grant_pending or now < self.limited_until
+
     def is_avoided(self, now: float) -> bool:
         """Whether others are to be preferred whatever they cost."""
         return (
--- a/src/martenrun/router/trail.py
+++ b/src/martenrun/router/trail.py
@@ -4,6 +4,8 @@
 from martenrun.router.log import Value, log_event, log_trouble
 from martenrun.router.messages import Admitted
 from martenrun.router.quotas.gate import Grant
+from martenrun.router.retry import Failure, NextStep
+from martenrun.router.runner_state import RunnerState
 
 
 class RequestTrail:
@@ -21,10 +23,10 @@
         """Remember a step."""
         self._steps.append((self._loop.now(), event, fields))
 
-    def note_grant(self, grant: Grant) -> None:
-        """Remember what became of a question for the tenant's units."""
+    def note_grant(self, grant: Grant, event: str = "quota_asked") -> None:
+        """Remember the outcome of a request for units of a tenant's or a runner's limit."""
         self.note(
-            "quota_asked",
+            event,
             units=grant.use.units,
             is_granted=grant.is_granted,
             routers=",".join(grant.asked),
@@ -34,6 +36,30 @@
             wait_ms=round(grant.wait_s * 1000),
         )
 
+    def note_sent(self, state: RunnerState, model: str | None, tries: int) -> None:
+        """Remember that the request was sent to a runner."""
+        self.note(
+            "sent",
+            instance=state.runner.instance,
+            load=state.load,
+            backlog=int(state.backlog_tokens),
+            weights=state.weights_version(model or ""),
+            tries=tries,
+        )
+
+    def note_failed(
+        self, instance: str, status: int, failure: Failure, step: NextStep, runs: int
+    ) -> None:
+        """Remember a failed try and the next step."""
+        self.note(
+            "try_failed",
+            instance=instance,
+            failure=failure.value,
+            status=status,
+            step=step.value,
+            runs=runs,
+        )
+
     def end(self, outcome: str, is_failure: bool, **fields: Value) -> None:
         """Write the outcome, and the steps before it if it is a failure."""
         if not is_failure:
