--- a/src/martenrun/platform/settings.py
+++ b/src/martenrun/platform/settings.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 from martenrun.errors import SettingsError
-from martenrun.router.messages import Bounds, RouterSettings
 from martenrun.router.quotas.limit import QuotaBounds
+from martenrun.router.settings import Bounds, RouterSettings
 
 SETTINGS_VARIABLE = "MARTENRUN_SETTINGS"
 """Environment variable that names the settings file."""
--- a/src/martenrun/router/dialect.py
+++ b/src/martenrun/router/dialect.py
@@ -19,7 +19,6 @@
     HttpCall,
     LeaseRecord,
     OrderOutcome,
-    RouterSettings,
     Runner,
     RunnerReport,
     StoreChanges,
@@ -28,6 +27,7 @@
     WantedWeights,
     WeightsOrder,
 )
+from martenrun.router.settings import RouterSettings
 
 
 @attrs.frozen
--- a/src/martenrun/router/messages.py
+++ b/src/martenrun/router/messages.py
@@ -10,12 +10,7 @@
 
 from martenrun.net.http import Headers
 from martenrun.net.server import ServerLimits
-from martenrun.router.quotas.limit import (
-    RUNNER_LIMIT_BOUNDS,
-    QuotaBounds,
-    RateLimit,
-    is_runner_account,
-)
+from martenrun.router.quotas.limit import RateLimit
 
 
 class UnreadableError(ValueError):
@@ -367,54 +362,3 @@
     orders_taken: int
     active: int = 0
     born_ms: int | None = None
-
-
-@attrs.frozen
-class Bounds:
-    """The times and shares that the deployment demands."""
-
-    drain_s: float
-    grace_s: float
-    configuration_s: float
-    revoke_s: float
-    is_revocation_strict: bool
-    budget_ratio: float
-    budget_window_s: float
-    budget_slack: float
-    lease_s: float
-    weights_s: float
-    directory_ttl_s: float
-    quota: QuotaBounds = attrs.field(factory=QuotaBounds)
-    runner_limit: QuotaBounds = RUNNER_LIMIT_BOUNDS
-
-    def for_account(self, account: str) -> QuotaBounds:
-        """Return the enforcement bounds for a tenant's or a runner's account."""
-        return self.runner_limit if is_runner_account(account) else self.quota
-
-    @property
-    def longest_window_s(self) -> float:
-        """The longest window over which any account's usage is counted, in seconds."""
-        return max(self.quota.window_s, self.runner_limit.window_s)
-
-
-@attrs.frozen
-class RouterSettings:
-    """Settings of one router process.
-
-    ``capacity`` is the processor it may use, in cores; ``is_first_start`` says that the whole
-    deployment starts for the first time, so that no earlier process has done anything.
-    """
-
-    name: str
-    zone: str
-    front_address: str
-    ready_address: str
-    directory_address: str
-    internal_address: str
-    seeds: tuple[str, ...]
-    store_address: str
-    bounds: Bounds
-    maximum_descriptors: int
-    link_bytes_per_s: float
-    capacity: float
-    is_first_start: bool = False
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -27,14 +27,7 @@
 from martenrun.router.lease import Lease
 from martenrun.router.loads import LoadExchange
 from martenrun.router.log import EVENT_LOG, log_event, log_trouble
-from martenrun.router.messages import (
-    Admitted,
-    Configuration,
-    Dataset,
-    LeaseRecord,
-    Route,
-    RouterSettings,
-)
+from martenrun.router.messages import Admitted, Configuration, Dataset, LeaseRecord, Route
 from martenrun.router.metrics import Metrics
 from martenrun.router.news import newcomer_news, take_news
 from martenrun.router.peer_messages import RouterRecord, SilenceNews
@@ -45,6 +38,7 @@
 from martenrun.router.quotas.owners import AccountOwners
 from martenrun.router.runner_limits import RunnerLimits
 from martenrun.router.runner_pool import RunnerPool
+from martenrun.router.settings import RouterSettings
 from martenrun.router.silence import newly_silent, take_silence
 from martenrun.router.store_client import HttpCaller
 from martenrun.router.suspects import Suspects
--- a/src/martenrun/router/quotas/gate.py
+++ b/src/martenrun/router/quotas/gate.py
@@ -15,7 +15,6 @@
 
 from martenrun.net.loop import Loop, Timer
 from martenrun.router.log import log_event
-from martenrun.router.messages import RouterSettings
 from martenrun.router.quotas.account import (
     MAJORITY_SHARE,
     Account,
@@ -40,6 +39,7 @@
 from martenrun.router.quotas.owners import AccountOwners
 from martenrun.router.quotas.recovery import MS_PER_S
 from martenrun.router.quotas.service import AccountService, QuotaPeers
+from martenrun.router.settings import RouterSettings
 
 ANSWER_TIMEOUT_S = 0.06
 """How long an owner may take to answer before the next is asked, in seconds."""
--- a/src/martenrun/router/quotas/service.py
+++ b/src/martenrun/router/quotas/service.py
@@ -8,7 +8,6 @@
 
 from martenrun.net.loop import Loop, Timer
 from martenrun.router.log import log_event
-from martenrun.router.messages import RouterSettings
 from martenrun.router.quotas.account import Part, PastUse, Verdict
 from martenrun.router.quotas.ledger import KEPT_FOR_S, AccountView, Ledger
 from martenrun.router.quotas.limit import QuotaBounds, display_name
@@ -32,6 +31,7 @@
     recalled_uses,
 )
 from martenrun.router.quotas.replica_monitor import ReplicaMonitor
+from martenrun.router.settings import RouterSettings
 
 RECALL_TIMEOUT_S = 0.03
 """How long answers to a recall are waited for, in seconds: less than an asker waits."""
--- a/src/martenrun/router/retry_budget.py
+++ b/src/martenrun/router/retry_budget.py
@@ -7,7 +7,7 @@
 
 import collections
 
-from martenrun.router.messages import Bounds
+from martenrun.router.settings import Bounds
 
 STEP_S = 0.25
 """Length of the steps in which arrivals are counted, in seconds."""
--- a/src/martenrun/router/world.py
+++ b/src/martenrun/router/world.py
@@ -9,7 +9,7 @@
 from martenrun.router.decisions import Decisions
 from martenrun.router.dialect import Dialect
 from martenrun.router.knowledge import ConfigurationKnowledge, RunnerDirectory, WeightsKnowledge
-from martenrun.router.messages import KeptCacheStore, Route, RouterSettings
+from martenrun.router.messages import KeptCacheStore, Route
 from martenrun.router.overload import OverloadGuard
 from martenrun.router.placement import Placement
 from martenrun.router.quotas.gate import QuotaGate
@@ -17,6 +17,7 @@
 from martenrun.router.runner_limits import RunnerLimits
 from martenrun.router.runner_pool import RunnerPool
 from martenrun.router.runner_state import RunnerState
+from martenrun.router.settings import RouterSettings
 from martenrun.router.suspects import Suspects
 
 OLD_WEIGHTS_MARGIN_S = 0.9
--- a/tests/router/builders.py
+++ b/tests/router/builders.py
@@ -2,7 +2,6 @@
 
 from martenrun.net.server import ServerLimits
 from martenrun.router.messages import (
-    Bounds,
     Configuration,
     Route,
     RouteKind,
@@ -13,6 +12,7 @@
 )
 from martenrun.router.placement import PlacementQuestion
 from martenrun.router.runner_state import RunnerState
+from martenrun.router.settings import Bounds
 
 
 def bounds(**changes):
--- a/tests/router/quota_world.py
+++ b/tests/router/quota_world.py
@@ -3,12 +3,12 @@
 import bisect
 import random
 
-from martenrun.router.messages import RouterSettings
 from martenrun.router.peer_messages import encode
 from martenrun.router.quotas.gate import QuotaGate
 from martenrun.router.quotas.limit import QuotaBounds, RateLimit
 from martenrun.router.quotas.messages import QuotaStage
 from martenrun.router.quotas.owners import AccountOwners
+from martenrun.router.settings import RouterSettings
 
 from .builders import bounds
 from .gossip_world import GossipWorld
