Add runner rate limits to the soak and check that they are enforced

A checker counts arrivals at the runners, by runner start and limit, from 3 s after the first answer with the limit. A request counts if its router received an answer with the limit at least half a second earlier. Routers in trouble within the last 3 s are excused; others are not. Repeated news of many limits is split into datagrams of at most 500 records, because 2,000 records do not fit into one; a newly discovered router is told of the 500 active limits added last.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -36,6 +36,8 @@
 from martenrun.proof.router_checkers import check_all
 from martenrun.proof.router_records import (
     CrashRecord,
+    LimitArrival,
+    LimitBound,
     OrderRecord,
     PromiseBounds,
     RateBound,
@@ -67,6 +69,11 @@
 QUIET_S = 3.5
 """Bounds of the deployment's settings, and how long nothing must be in trouble for them."""
 
+LIMIT_BOUND = LimitBound(
+    window_s=4.0, rate_factor=1.5, extra_requests=5, propagation_s=CONTACT_S, reaction_s=0.5
+)
+"""Bound on the requests that a runner receives while it advertises a rate limit."""
+
 QUOTA_WINDOW_S = 8.0
 QUOTA_OVER = 0.1
 QUOTA_SLACK = 4000.0
@@ -130,6 +137,7 @@
         closed_s=CLOSED_S,
         contact_s=CONTACT_S + MARGIN_S,
         rates=(RateBound(GREEDY, PROMPT_UNITS, QUOTA_WINDOW_S, most_units),),
+        limit=LIMIT_BOUND,
     )
 
 
@@ -251,6 +259,18 @@
             for runner in runners
             for crash in runner.crashes
         ],
+        limit_arrivals=[
+            LimitArrival(
+                arrival.request_id,
+                arrival.instance,
+                arrival.born_ms,
+                arrival.at,
+                float(arrival.limit),
+            )
+            for runner in runners
+            for arrival in runner.arrivals
+            if arrival.limit is not None
+        ],
     )
 
 
@@ -285,6 +305,7 @@
 @click.option("--routers", default=3, show_default=True, help="router processes at a time")
 @click.option("--runner-starts", is_flag=True, help="runners start again, entries are broken")
 @click.option("--deadly", is_flag=True, help="some requests end each runner that runs them")
+@click.option("--limits", is_flag=True, help="runners temporarily advertise rate limits")
 @click.option("--schedule", type=click.Path(path_type=Path, exists=True), help="play this one")
 @click.option("--keep-logs", type=click.Path(path_type=Path), help="folder for logs of violations")
 def soak(
@@ -294,6 +315,7 @@
     routers: int,
     runner_starts: bool,
     deadly: bool,
+    limits: bool,
     schedule: Path | None,
     keep_logs: Path | None,
 ) -> None:
@@ -302,7 +324,7 @@
     click.echo(HEAD)
     for number in range(seed, seed + seeds):
         if schedule is None:
-            steps = draw_schedule(number, minutes * 60, runner_starts, deadly)
+            steps = draw_schedule(number, minutes * 60, runner_starts, deadly, limits)
         else:
             steps = from_text(schedule.read_text())
         deployment = PlatformDeployment(routers, 3, 3, has_relays=True)
--- a/scripts/soak_runner_faults.py
+++ b/scripts/soak_runner_faults.py
@@ -31,6 +31,9 @@
 CRASHED_AWAY_S = 2.0
 """The same for one that a request has ended."""
 
+ADVERTISED_LIMITS = ("1", "0.5", "2.5", "0", "1.1")
+"""Rate limits that runners advertise, in requests per second."""
+
 SETTLED_S = 1.0
 """How long a router that was started anew counts as in trouble once it says that it is ready."""
 
@@ -199,6 +202,15 @@
             runner.fault = lambda: fault if rng.random() < share else Fault.NONE
         self._later(step.lasts_s, lambda: _heal(runners))
 
+    def _limit_runners(self, step: Step) -> None:
+        """Make one model runner advertise a rate limit, or all of them in one case of three."""
+        runners = [runner for runner in self._deployment.runners if runner.model is not None]
+        number = step.targets[0]
+        limited = runners if number % 3 == 0 else [runners[number % len(runners)]]
+        for runner in limited:
+            runner.limit = ADVERTISED_LIMITS[number % len(ADVERTISED_LIMITS)]
+        self._later(step.lasts_s, lambda: _clear_limits(limited))
+
     def _harm_runner_link(self, step: Step, harm: Callable[[FaultyRelay], None]) -> None:
         for runner in self._runners(step):
             began_at = time.monotonic()
@@ -263,6 +275,11 @@
     return ways[number // len(fields) % len(ways)]
 
 
+def _clear_limits(runners: list[RunnerStandin]) -> None:
+    for runner in runners:
+        runner.limit = None
+
+
 def mute(relay: FaultyRelay) -> None:
     """Hold back what comes from the far end, until it is restored."""
     relay.is_mute = True
--- a/src/martenrun/platform/standins/runner.py
+++ b/src/martenrun/platform/standins/runner.py
@@ -56,6 +56,7 @@
 
     request_id: str
     instance: str
+    born_ms: int
     at: float
     limit: str | None
 
@@ -217,7 +218,13 @@
         runner = self.runner
         self._limit = runner.limit
         runner.arrivals.append(
-            Arrival(self._request_id(), runner.instance, time.monotonic(), self._limit)
+            Arrival(
+                self._request_id(),
+                runner.instance,
+                runner.born_ms,
+                time.monotonic(),
+                self._limit,
+            )
         )
         if not self._is_meant():
             self._send(421, b"", {"X-Instance-Id": self.runner.instance})
--- a/src/martenrun/proof/router_checkers.py
+++ b/src/martenrun/proof/router_checkers.py
@@ -8,6 +8,7 @@
 import math
 from collections.abc import Sequence
 
+from martenrun.proof.limit_checker import runner_limits_are_respected
 from martenrun.proof.router_records import (
     GREEDY_KIND,
     Departure,
@@ -324,6 +325,7 @@
         "one holder": orders_have_one_holder(history),
         "deadly": deadly_requests_rest(history, bounds),
         "rates": tenants_keep_within_rates(history, bounds),
+        "limits": runner_limits_are_respected(history, bounds),
         "rates used": greedy_tenants_are_served(history, bounds),
     }
     return [f"{promise}: {text}" for promise, texts in results.items() for text in texts]
--- a/src/martenrun/proof/router_records.py
+++ b/src/martenrun/proof/router_records.py
@@ -137,6 +137,45 @@
     most_units: float
 
 
+@attrs.frozen
+class LimitArrival:
+    """A request that reached a runner advertising a rate limit, whether it was run or refused.
+
+    Attributes:
+        born_ms: start time of the runner in milliseconds, which identifies the start.
+        at: monotonic arrival time, in seconds.
+        requests_per_s: the advertised limit.
+    """
+
+    request_id: str
+    instance: str
+    born_ms: int
+    at: float
+    requests_per_s: float
+
+
+@attrs.frozen
+class LimitBound:
+    """Bound on the requests that a runner receives while it advertises a rate limit.
+
+    At most ``rate_factor * limit * window_s + extra_requests`` may arrive in any window.
+
+    Attributes:
+        window_s: length of the sliding window, in seconds.
+        rate_factor: tolerated multiple of the advertised limit.
+        extra_requests: requests tolerated in a window regardless of the limit.
+        propagation_s: time from the first answer with the limit until the bound applies; also how
+            long requests of a router are excluded after a fault or start of it, in seconds.
+        reaction_s: time from a router's first such answer until its requests count, in seconds.
+    """
+
+    window_s: float
+    rate_factor: float
+    extra_requests: float
+    propagation_s: float
+    reaction_s: float
+
+
 @attrs.frozen
 class PromiseBounds:
     """Within what the promises hold, in seconds.
@@ -149,6 +188,7 @@
         closed_s: how long after a caller left its request may begin or go on to run.
         contact_s: how long a ready router may take no connection.
         rates: what tenants with a limit may use.
+        limit: bound on the requests to runners that advertise a rate limit; unchecked if None.
     """
 
     revoke_s: float
@@ -158,6 +198,7 @@
     closed_s: float
     contact_s: float
     rates: Sequence[RateBound] = ()
+    limit: LimitBound | None = None
 
 
 @attrs.frozen
@@ -175,3 +216,4 @@
     directory: Sequence[DirectoryAnswer] = ()
     tries: Sequence[ConnectionTry] = ()
     crashes: Sequence[CrashRecord] = ()
+    limit_arrivals: Sequence[LimitArrival] = ()
--- a/src/martenrun/proof/soak_schedule.py
+++ b/src/martenrun/proof/soak_schedule.py
@@ -64,6 +64,7 @@
         "mute_store",
         "spoil_runners",
         "mute_runner",
+        "limit_runners",
     }
 )
 """Kinds whose steps end after a while."""
@@ -71,7 +72,16 @@
 DEADLY_KINDS = {"deadly_request": 0}
 """The same of requests that end each runner which runs them, and come again until the end."""
 
-ALL_KINDS = {**STRUCK_AT_ONCE, **RUNNER_KINDS, **DEADLY_KINDS}
+EXTRA_LIMIT_DURATION_S = 6.0
+"""Time added to the duration of advertised limits, in seconds.
+
+Keeps a limit in force for a whole window of the checker after it has propagated to all routers.
+"""
+
+LIMIT_KINDS = {"limit_runners": 2}
+"""Kinds, added on request, in which runners temporarily advertise a rate limit."""
+
+ALL_KINDS = {**STRUCK_AT_ONCE, **RUNNER_KINDS, **DEADLY_KINDS, **LIMIT_KINDS}
 
 MOST_DEADLY = 3
 """Most of them in one schedule: some come at the same time, beside restarts and cuts."""
@@ -100,13 +110,18 @@
 
 
 def draw_schedule(
-    seed: int, seconds: float, has_runner_kinds: bool = False, has_deadly: bool = False
+    seed: int,
+    seconds: float,
+    has_runner_kinds: bool = False,
+    has_deadly: bool = False,
+    has_limits: bool = False,
 ) -> list[Step]:
     """Return a schedule of so many seconds.
 
     Args:
         has_runner_kinds: adds a series of each of RUNNER_KINDS; the other steps stay the same.
         has_deadly: adds MOST_DEADLY requests that end runners, at most; the others stay the same.
+        has_limits: adds a series of each of LIMIT_KINDS; the other steps stay the same.
     """
     rng = random.Random(seed)
     kinds = [rng.choice(OFTEN)]
@@ -125,6 +140,14 @@
         number = len(kinds) + len(RUNNER_KINDS)
         times = sorted(rng.uniform(0.0, seconds) for _ in range(rng.randint(1, MOST_DEADLY)))
         steps += [Step(round(at, 3), "deadly_request", (0,), 0.0, number) for at in times]
+    if has_limits:
+        rng = random.Random(f"{seed} limits")
+        number = len(kinds) + len(RUNNER_KINDS) + 1
+        for kind in LIMIT_KINDS:
+            limits = _draw_series(rng, kind, number, seconds)
+            steps += [
+                attrs.evolve(step, lasts_s=step.lasts_s + EXTRA_LIMIT_DURATION_S) for step in limits
+            ]
     return sorted(steps, key=lambda step: step.at_s)
 
 
--- a/src/martenrun/router/runner_limits.py
+++ b/src/martenrun/router/runner_limits.py
@@ -47,6 +47,9 @@
 CHANGE_REPEATS = 3
 """Number of times a change is told again, in case datagrams are lost."""
 
+RECORDS_PER_DATAGRAM = 500
+"""Maximum number of limits in one datagram."""
+
 PROBE_AFTER_S = (20.0, 40.0)
 """Range of the time without an answer after which a router that reaches no account owner sends a
 probe, in seconds."""
@@ -204,8 +207,9 @@
         """Return the news for a newly discovered router; None if there are no limits."""
         if not len(self):
             return None
-        active = self._limits.items()
-        return LimitNews([item.record(name, now) for name, item in active if not item.is_over])
+        active = [item for item in self._limits.items() if not item[1].is_over]
+        records = [limit.record(name, now) for name, limit in active[-RECORDS_PER_DATAGRAM:]]
+        return LimitNews(records)
 
     def tell_again(self, now: float) -> None:
         """Tell again of recent changes and of limits confirmed by answers to this router."""
@@ -218,8 +222,8 @@
                 limit.told_at = now
                 limit.repeats_left = max(0, limit.repeats_left - 1)
                 due.append(limit.record(instance, now))
-        if due:
-            self._tell(LimitNews(due))
+        for first in range(0, len(due), RECORDS_PER_DATAGRAM):
+            self._tell(LimitNews(due[first : first + RECORDS_PER_DATAGRAM]))
 
     # Probes
 
--- a/tests/router/test_router_checkers.py
+++ b/tests/router/test_router_checkers.py
@@ -8,6 +8,8 @@
     ConnectionTry,
     Departure,
     DirectoryAnswer,
+    LimitArrival,
+    LimitBound,
     OrderRecord,
     PromiseBounds,
     RateBound,
@@ -181,3 +183,49 @@
         runs = [RunRecord("g1", "i1", 10.1, tenant)]
         found = check_all(attrs.evolve(CLEAN, calls=calls, runs=runs), BOUNDS)
         assert (found == []) == is_clean
+
+
+LIMIT_BOUND = LimitBound(
+    window_s=4.0, rate_factor=1.5, extra_requests=5, propagation_s=3.0, reaction_s=0.5
+)
+
+
+def limit_violations(times, router_of=lambda _number: "r1", **changes):
+    """Return the violations found for a runner that advertises 1 request per second."""
+    calls = [
+        CallRecord(f"l{number}", "once", "k", at, 503, b"", router_of(number))
+        for number, at in enumerate(times)
+    ]
+    arrivals = [LimitArrival(f"l{number}", "i1", 1, at, 1.0) for number, at in enumerate(times)]
+    history = attrs.evolve(CLEAN, calls=calls, runs=[], limit_arrivals=arrivals, **changes)
+    found = check_all(history, attrs.evolve(BOUNDS, limit=LIMIT_BOUND))
+    return [text for text in found if text.startswith("limits: ")]
+
+
+FIRST_ARRIVAL = [10.0]
+EXCESS_ARRIVALS = [15.0 + number / 4 for number in range(12)]
+
+
+def test_requests_above_a_runner_limit_are_found():
+    assert limit_violations([*FIRST_ARRIVAL, *EXCESS_ARRIVALS]) != []
+    assert limit_violations([*FIRST_ARRIVAL, *EXCESS_ARRIVALS[:11]]) == []
+
+
+def test_requests_before_a_limit_has_propagated_do_not_count():
+    early = [10.2 + number / 5 for number in range(12)]
+    assert limit_violations([*FIRST_ARRIVAL, *early]) == []
+
+
+def test_requests_count_only_after_the_routers_own_first_limited_answer():
+    times = [*FIRST_ARRIVAL, *EXCESS_ARRIVALS]
+    assert limit_violations(times, lambda number: f"r{number}") == []
+
+
+def test_only_routers_in_recent_trouble_are_excused():
+    times = [*FIRST_ARRIVAL, *EXCESS_ARRIVALS]
+    trouble = [Trouble("r1", 12.0, 13.0)]
+    assert limit_violations(times, troubles=trouble) == []
+    other = [Trouble("r2", 12.0, 13.0)]
+    assert limit_violations(times, troubles=other) != []
+    started = [RouterLife("r1", 14.0)]
+    assert limit_violations(times, lives=started) == []
--- a/tests/router/test_runner_limit_table.py
+++ b/tests/router/test_runner_limit_table.py
@@ -152,6 +152,18 @@
     assert 4 <= len(probes) <= 10 and probes[0] >= PROBE_AFTER_S[0]
 
 
+def test_news_of_many_limits_fits_in_datagrams():
+    """Guards against news that exceeds the maximum datagram size when there are many limits."""
+    sent = []
+    limits = RunnerLimits(sent.append)
+    for number in range(2_000):
+        limits.note_advertised(f"i-{number:012x}~01234", AdvertisedLimit(1.0, "1"), 1.0)
+    del sent[:]
+    limits.tell_again(2.0)
+    assert sum(len(news.records) for news in sent) == 2_000
+    assert all(len(encode(news)) < 60_000 for news in [*sent, limits.newcomer_news(2.0)])
+
+
 def test_newly_discovered_router_is_told_of_limits():
     limits = limits_with(1.0)
     assert RunnerLimits().newcomer_news(1.0) is None
--- a/tests/router/test_soak.py
+++ b/tests/router/test_soak.py
@@ -61,6 +61,13 @@
     assert " 0 violations" in result.output
 
 
+def test_runner_limits_are_enforced_under_other_faults(tmp_path):
+    options = ["--minutes", "0.25", "--seed", "9001", "--runner-starts", "--limits"]
+    result = CliRunner().invoke(soak, [*options, "--keep-logs", str(tmp_path / "logs")])
+    assert result.exit_code == 0, result.output
+    assert " 0 violations" in result.output
+
+
 class UnrestingFaults:
     """Runners that have the newest weights only some looks after the last fault."""
 
--- a/tests/router/test_soak_guards.py
+++ b/tests/router/test_soak_guards.py
@@ -37,6 +37,7 @@
         Step(9.0, "configure", (0,), 0.0, 1),
     ],
     "rates": [Step(9.0, "configure", (0,), 0.0, 0)],
+    "limits": [Step(0.5, "limit_runners", (0,), 12.0, 0), Step(9.0, "configure", (0,), 0.0, 1)],
 }
 
 
--- a/tests/router/unguarded_router.py
+++ b/tests/router/unguarded_router.py
@@ -99,6 +99,13 @@
     Account.ask = lambda self, grant, units, now: Verdict(True)
 
 
+def ignore_runner_limits():
+    """Ignore the rate limits that runners advertise."""
+    from martenrun.router.runner_limits import RunnerLimits
+
+    RunnerLimits.limit = lambda self, instance: None
+
+
 GUARDS = {
     "directory": name_everybody,
     "leaving": send_to_leaving_runners,
@@ -109,6 +116,7 @@
     "own end": end_at_a_hang_up,
     "deadly": hold_nothing_back,
     "rates": grant_whatever_is_asked,
+    "limits": ignore_runner_limits,
 }
 """What takes each guard out, by the checker that must then find a violation."""
 
