Send a request once to a rate-limited runner without a quota gate

On a router that keeps no quota accounts, the check before a send let the request pass, but the check once the connection was up withdrew it. This repeated until the request's deadline. Both checks now use the same answer.

Rate-limited runners are now filtered in the same pass over the states as the other exclusions.

--- a/src/martenrun/router/placement.py
+++ b/src/martenrun/router/placement.py
@@ -66,10 +66,11 @@
         usable = [
             state
             for state in states
-            if not state.runner.is_draining and state.runner.instance not in question.tried
+            if not state.runner.is_draining
+            and not state.is_limited(question.now)
+            and state.runner.instance not in question.tried
         ]
         usable = _with_allowed_weights(question, usable)
-        usable = [state for state in usable if not state.is_limited(question.now)]
         sound = _sound(question, usable)
         if not sound:
             return _least_bad(question, usable)
--- a/src/martenrun/router/runner_access.py
+++ b/src/martenrun/router/runner_access.py
@@ -28,10 +28,15 @@
 
     def may_send(self, state: RunnerState) -> bool:
         """Whether the request may be sent to a runner without obtaining a grant first."""
-        return self.has_grant(state) or self._world.quotas is None or not self._is_limited(state)
+        return self.has_grant(state) or not self._is_limited(state)
 
     def has_grant(self, state: RunnerState) -> bool:
-        """Whether a grant for a runner, or permission to probe it, is held."""
+        """Whether a grant for a runner, or permission to probe it, is held.
+
+        Always true without a quota gate, since no grant can be obtained.
+        """
+        if self._world.quotas is None:
+            return True
         return self._granted is not None and self._granted[0] is state
 
     def obtain(self, state: RunnerState, on_decided: Callable[[Grant], None]) -> None:
--- a/tests/router/test_runner_access.py
+++ b/tests/router/test_runner_access.py
@@ -96,6 +96,17 @@
     assert status == 503 and WAIT_S - 0.1 <= retry_after <= WAIT_S + JITTER_SHARE * MAXIMUM_DELAY_S
 
 
+def test_request_is_sent_once_without_a_quota_gate():
+    """Guards against placing a request again and again until its deadline without sending it."""
+    limit = AdvertisedLimit(1.0, "1")
+
+    def before(played):
+        played.world.runner_limits.note_advertised("i-0", limit, played.loop.now())
+
+    played = Played([GOOD], before=before, states=[state("i-0")]).run(0.1)
+    assert played.pool.sent == ["i-0"] and played.exchange.answers[0][0] == 200
+
+
 def test_runner_is_skipped_until_its_grant_wait_has_passed():
     played = play().run(0.02)
     assert all(item.is_limited(played.loop.now() + WAIT_S - 0.1) for item in played.states)
