--- a/scripts/platform_deployment.py
+++ b/scripts/platform_deployment.py
@@ -6,6 +6,7 @@
 import contextlib
 import itertools
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -154,11 +155,20 @@
         """Start everything and wait until it serves; what was started is ended if it does not."""
         try:
             self._begin()
-        except BaseException:
-            self.__exit__()
+        except BaseException as exc:
+            try:
+                exc.add_note(f"Router settings and logs were copied to {self._copy_logs()}.")
+            finally:
+                self.__exit__()
             raise
         return self
 
+    def _copy_logs(self) -> Path:
+        """Copy router settings and logs to a folder that is not removed on exit."""
+        folder = Path(tempfile.mkdtemp(prefix="martenrun-failed-"))
+        shutil.copytree(self.folder.name, folder, dirs_exist_ok=True)
+        return folder
+
     def _begin(self) -> None:
         self.publish(1)
         for runner in self.runners:
