Shut down both directions in FaultyRelay when a router closes

The cause is the test relay between routers and stand-in runners. When a router closed its connection, the relay shut down only its write side towards the runner and kept reading from it. The runner's stream then detected the close after four writes instead of two. With the 0.25 s pause of a slow stream this takes 1.0 s of the 1.2 s that the check allows, so a delay of 0.2 s caused by load was a violation.

The relay now shuts down both directions towards its target. The check, its bound and its pause are unchanged.

--- a/scripts/faulty_relay.py
+++ b/scripts/faulty_relay.py
@@ -103,7 +103,7 @@
             self._silent -= {near, far}
 
     def _carry(self, source: socket.socket, sink: socket.socket, is_back: bool = False) -> None:
-        """Pass bytes on until the source ends, then end the sink's input as well."""
+        """Forward bytes until the source reaches end of stream, then shut down the sink."""
         with contextlib.suppress(OSError):
             while data := source.recv(_READ_BYTES):
                 if self.delay_s:
@@ -115,8 +115,10 @@
                 if source not in self._silent:
                     sink.sendall(data)
         if source not in self._silent:
+            # Routers do not half-close towards targets: later writes of the target must fail.
+            how = socket.SHUT_WR if is_back else socket.SHUT_RDWR
             with contextlib.suppress(OSError):
-                sink.shutdown(socket.SHUT_WR)
+                sink.shutdown(how)
 
 
 def _parsed(address: str) -> tuple[str, int]:
