--- a/scripts/soak_faults.py
+++ b/scripts/soak_faults.py
@@ -10,7 +10,6 @@
 import subprocess
 import time
 from collections.abc import Callable
-from pathlib import Path
 
 import attrs
 from faulty_relay import FaultyRelay
@@ -33,30 +32,6 @@
 """How long after the store's return entries that lapsed are back, in seconds."""
 
 
-MINDED = ("SigIgn:", "SigCgt:")
-"""Lines of a process's status that tell which signals it ignores or handles."""
-
-LIBRARIES = "site-packages"
-"""Folder of the libraries that a router loads after its first line."""
-
-
-def hears_hang_up(pid: int) -> bool:
-    """Return whether a process can mind SIGHUP: it does already, or has run its first line.
-
-    While the interpreter itself starts, some hundredths of a second, the signal's default ends any
-    program, whatever its lines say; a platform that sends it then ends a process that it is
-    starting.  A process that has loaded a library runs lines of its own.
-    """
-    try:
-        status = Path(f"/proc/{pid}/status").read_text()
-        maps = Path(f"/proc/{pid}/maps").read_text()
-    except OSError:
-        return True
-    masks = [line.split()[1] for line in status.splitlines() if line.startswith(MINDED)]
-    bit = 1 << (signal.SIGHUP - 1)
-    return LIBRARIES in maps or any(int(mask, 16) & bit for mask in masks)
-
-
 class Faults(RunnerFaults):
     """What strikes, and the record of it; routers and the store here, the rest in the base."""
 
@@ -66,7 +41,6 @@
         self._stays: set[str] = {router.name for router in deployment.routers}
         self._still: dict[str, int] = {}
         self._starting: dict[str, float] = {}
-        self._unheard: set[int] = set()
         self._ending: dict[str, RouterRun] = {}
         self.lives = {router.name: [self._born(router)] for router in deployment.routers}
         self.done: list[str] = []
@@ -127,10 +101,7 @@
             return
         if self.lives[router.name][-1].ended_at == math.inf:
             now = time.monotonic()
-            is_ended_by_us = process.returncode == -signal.SIGHUP and process.pid in self._unheard
-            if not is_ended_by_us:
-                text = f"{router.name} {router.front} ended with {process.returncode}"
-                self.own_ends.append(text)
+            self.own_ends.append(f"{router.name} {router.front} ended with {process.returncode}")
             self.lives[router.name][-1] = attrs.evolve(self.lives[router.name][-1], ended_at=now)
             self._starting.pop(router.name, None)
             self._note(router.front, now, now + SETTLED_S)
@@ -219,9 +190,6 @@
     def _hang_up(self, step: Step) -> None:
         for router in self._chosen(step):
             os.utime(router.settings)
-            assert router.process is not None
-            if not hears_hang_up(router.process.pid):
-                self._unheard.add(router.process.pid)
             self._deployment.stop(router, signal.SIGHUP)
 
     def _stand_still(self, step: Step) -> None:
--- a/tests/router/test_soak.py
+++ b/tests/router/test_soak.py
@@ -2,8 +2,6 @@
 
 import itertools
 import socket
-import subprocess
-import sys
 
 import faulty_relay
 import platform_deployment
@@ -11,7 +9,6 @@
 import soak as soak_program
 from click.testing import CliRunner
 from soak import soak
-from soak_faults import hears_hang_up
 
 from martenrun.proof.soak_schedule import (
     DEADLY_KINDS,
@@ -68,6 +65,13 @@
     assert " 0 violations" in result.output
 
 
+def test_callers_that_leave_are_noticed_while_runners_are_limited(tmp_path):
+    options = ["--minutes", "0.25", "--seed", "9116", "--runner-starts", "--limits"]
+    result = CliRunner().invoke(soak, [*options, "--keep-logs", str(tmp_path / "logs")])
+    assert result.exit_code == 0, result.output
+    assert " 0 violations" in result.output
+
+
 class UnrestingFaults:
     """Runners that have the newest weights only some looks after the last fault."""
 
@@ -142,36 +146,6 @@
         from_text(to_text(draw_schedule(1, 5.0)[:1]) + "{}\n")
 
 
-def started(lines):
-    """A process that runs some lines of Python; it has printed a line by then."""
-    # Whoever started the tests may have SIGHUP ignored for all that they start.
-    lines = "import signal; signal.signal(signal.SIGHUP, signal.SIG_DFL)\n" + lines
-    command = [sys.executable, "-S", "-c", lines + "\nprint(flush=True)\nsignal.pause()"]
-    process = subprocess.Popen(command, stdout=subprocess.PIPE)
-    process.stdout.readline()
-    return process
-
-
-@pytest.mark.parametrize(
-    ("lines", "expected"),
-    [
-        ("import signal", False),
-        ("import signal; signal.signal(signal.SIGHUP, signal.SIG_IGN)", True),
-        ("import signal; signal.signal(signal.SIGHUP, lambda *_: None)", True),
-        ("import signal, sys; sys.path[:0] = PATH; import msgspec", True),
-    ],
-)
-def test_a_process_minds_a_hang_up_from_its_first_line_on(lines, expected):
-    """An end by SIGHUP is excused only before: later ones are faults of the router."""
-    process = started(lines.replace("PATH", repr(sys.path)))
-    try:
-        assert hears_hang_up(process.pid) == expected
-    finally:
-        process.kill()
-        process.wait()
-        process.stdout.close()
-
-
 def test_a_relay_is_not_made_at_an_address_drawn_before(monkeypatch):
     """Another had taken it by then in one whole run of the tests beside others."""
     with socket.create_server(("127.0.0.1", 0)) as other:
