--- a/src/martenrun/cli/run.py
+++ b/src/martenrun/cli/run.py
@@ -34,7 +34,9 @@
 
 
 def run_until_signal(process: Runnable, description: str) -> None:
-    """Run a process until SIGTERM or SIGINT; a second signal cuts the draining short.
+    """Run a process until SIGTERM, SIGINT or SIGHUP; a second signal cuts the draining short.
+
+    SIGHUP stays ignored where it was ignored at the start, as ``nohup`` does.
 
     The system may give a signal to any thread, and Python runs handlers on the main thread
     alone, which a wait for an event would not end for that.  So it waits for the byte that is
@@ -48,7 +50,10 @@
     def take_signal(_number: int, _frame: object) -> None:
         (hurry if stopping.is_set() else stopping).set()
 
-    for number in (signal.SIGTERM, signal.SIGINT):
+    numbers = [signal.SIGTERM, signal.SIGINT]
+    if signal.getsignal(signal.SIGHUP) != signal.SIG_IGN:
+        numbers.append(signal.SIGHUP)
+    for number in numbers:
         signal.signal(number, take_signal)
     logging.set_verbosity(logging.INFO)
     identify_process(description)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -103,7 +103,7 @@
     def run(self):
         while not main_thread_waits():
             threading.Event().wait(0.005)
-        signal.pthread_kill(threading.get_ident(), signal.SIGTERM)
+        signal.pthread_kill(threading.get_ident(), int(sys.argv[1]))
 
     def stop(self):
         print("stopped")
@@ -112,12 +112,38 @@
 """
 
 
-def test_a_signal_that_another_thread_gets_stops_the_process():
-    command = [sys.executable, "-c", SIGNALLED_ON_ANOTHER_THREAD]
+# Guards against streams that a hang-up cut off: its default action ends a process at once.
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])
+def test_a_signal_that_another_thread_gets_stops_the_process(number):
+    command = [sys.executable, "-c", SIGNALLED_ON_ANOTHER_THREAD, str(int(number))]
     result = subprocess.run(command, capture_output=True, timeout=20, check=True)
     assert result.stdout == b"stopped\n"
 
 
+IGNORES_HANG_UP = """
+import os, signal
+from martenrun.cli.run import run_until_signal
+
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+class Process:
+    def start(self):
+        print(signal.getsignal(signal.SIGHUP) == signal.SIG_IGN, flush=True)
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    def stop(self):
+        pass
+
+run_until_signal(Process(), "test")
+"""
+
+
+def test_a_hang_up_that_is_ignored_at_the_start_stays_ignored():
+    command = [sys.executable, "-c", IGNORES_HANG_UP]
+    result = subprocess.run(command, capture_output=True, timeout=20, check=True)
+    assert result.stdout == b"True\n"
+
+
 def test_a_stream_beyond_the_drain_time_ends_with_a_typed_event(deployment, tmp_path):
     settings = tmp_path / "agent.toml"
     settings.write_text("[agent]\ndrain_timeout_s = 0.3\n")
