Tests restore SIGINT and SIGHUP where whoever starts them has them ignored

Cause: a job in the background of a shell starts with SIGINT ignored, one under nohup with SIGHUP ignored, and so does whatever the tests start: interrupt tests then wait for nothing, and soaks see no end by SIGHUP. Measured with both ignored: test_scale_joined.py's two interrupt tests fail (30 s each) before, 33 tests of test_capacity.py, test_scale_joined.py and test_drain.py pass after.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """Passes over the tests that KNOWN-RED.txt lists, and prints them."""
 
+import signal
 import tempfile
 from pathlib import Path
 
@@ -20,6 +21,19 @@
     return {line.split(" | ")[0]: line for line in lines}
 
 
+def pytest_configure():
+    """Restore the actions that tests rely on: jobs in the background start with some ignored.
+
+    Processes that tests start inherit what is ignored here.
+    """
+    for number, action in (
+        (signal.SIGINT, signal.default_int_handler),
+        (signal.SIGHUP, signal.SIG_DFL),
+    ):
+        if signal.getsignal(number) == signal.SIG_IGN:
+            signal.signal(number, action)
+
+
 def pytest_collection_modifyitems(items):
     listed = known_red()
     for item in items:
