Probes of runners whose runs broke are repeated until they say something

Cause: one probe decided. Accepted and closed at once (a process that is just ending, or a relay before it) it said nothing, and the end was known 2 s later from the next start's entry; accepted and kept for 30 ms by a relay that was slow beside load, or refused while the reset of a kept connection was still to come, it counted as a sign of life and the evidence was dropped. Evidence: runner_probed, a new log line. Change: an inconclusive probe is repeated five times within 1.6 s; a runner lives only if it accepts twice, 0.25 s apart; a refusal counts once no kept connection is open. The soak's program restores SIGHUP where it was ignored at its start.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -14,6 +14,7 @@
 import random
 import re
 import shutil
+import signal
 import sys
 import time
 from collections.abc import Sequence
@@ -325,6 +326,9 @@
     keep_logs: Path | None,
 ) -> None:
     """Play faults against real routers and check the promises."""
+    # Routers would inherit it: under nohup no SIGHUP of a schedule would reach them.
+    if signal.getsignal(signal.SIGHUP) == signal.SIG_IGN:
+        signal.signal(signal.SIGHUP, signal.SIG_DFL)
     outcomes = []
     click.echo(HEAD)
     for number in range(seed, seed + seeds):
--- a/src/martenrun/router/crash_watch.py
+++ b/src/martenrun/router/crash_watch.py
@@ -3,8 +3,10 @@
 A connection that ends proves nothing: it may have been reset, cut, or closed by a runner that goes
 on.  So a router whose runs break opens a connection to the runner's address.  Where a process has
 ended the machine refuses it at once, and it is refused for seconds, until the next start; whoever
-accepts it and keeps it lives.  One that is accepted and closed at once, by something in between or
-by a runner that has too many, says nothing.  Then an entry of a later start proves the end as well.
+accepts it and keeps it, twice, lives: something in between may be slow to notice the end.  One that
+is accepted and closed at once, by something in between, by a process that is just ending or by a
+runner that has too many, says nothing, and neither does a refusal while a kept connection is still
+open: the probe is repeated a few times.  An entry of a later start proves the end as well.
 
 A runner that is leaving ends by a plan: what it breaks off then is no sign of a crash.
 """
@@ -16,7 +18,7 @@
 
 from martenrun.net.loop import Loop, Timer
 from martenrun.net.stream import Stream, open_stream
-from martenrun.router.log import log_trouble
+from martenrun.router.log import log_event, log_trouble
 from martenrun.router.messages import Runner
 from martenrun.router.runner_state import RunnerState
 
@@ -26,6 +28,12 @@
 KEPT_S = 0.03
 """How long an accepted connection must stay open to be a sign of life, in seconds."""
 
+CONFIRMED_S = 0.25
+"""Pause before an accepted probe is repeated, in seconds."""
+
+PAUSES_S = (0.05, 0.1, 0.2, 0.4, 0.8)
+"""Pauses before an inconclusive probe is repeated, in seconds."""
+
 REMEMBERED_S = 8.0
 """How long runs that broke wait for a proof that their runner ended, in seconds.
 
@@ -41,6 +49,9 @@
         self.began_at = now
         self.has_ended = False
         self.is_asking = False
+        self.probes = 0
+        self.was_accepted = False
+        self.next_probe: Timer | None = None
         self.runs: list[bytes] = []
         self.waiting: list[Callable[[], None]] = []
 
@@ -136,15 +147,15 @@
         if runner.is_draining or not self._runners.is_listed(state):
             return
         case = self._cases.get(runner.instance)
-        if case is None:
-            case = self._cases[runner.instance] = Case(runner, self._loop.now())
+        now = self._loop.now()
+        if case is None or (now - case.began_at > REMEMBERED_S and not case.has_ended):
+            case = self._cases[runner.instance] = Case(runner, now)
         if case.has_ended:
             self._on_ended(runner.instance, [run])
             return
         case.runs.append(run)
-        if not case.is_asking:
-            case.is_asking = True
-            self._probe(self._loop, runner.address, lambda refused: self._answered(case, refused))
+        if not case.is_asking and case.next_probe is None:
+            self._ask(case)
 
     def when_known(self, instance: str, call: Callable[[], None]) -> None:
         """Make a call as soon as it is known whether a runner has ended, or cannot be known."""
@@ -168,16 +179,49 @@
             return True
         return any(other != runner.instance for other in self._runners.others_at(runner.address))
 
+    def has_open_cases(self) -> bool:
+        """Whether it may soon be known of some runner whether it has ended."""
+        return any(case.is_asking or case.next_probe is not None for case in self._cases.values())
+
+    def _ask(self, case: Case) -> None:
+        case.is_asking = True
+        case.probes += 1
+        address = case.runner.address
+        self._probe(self._loop, address, lambda refused: self._answered(case, refused))
+
+    def _ask_later(self, case: Case, pause_s: float) -> None:
+        case.next_probe = self._loop.call_later(pause_s, lambda: self._ask_again(case))
+
+    def _ask_again(self, case: Case) -> None:
+        case.next_probe = None
+        if self._cases.get(case.runner.instance) is case and not case.has_ended:
+            self._ask(case)
+
     def _answered(self, case: Case, refused: bool | None) -> None:
         case.is_asking = False
+        log_event(
+            "runner_probed",
+            instance=case.runner.instance,
+            answer={True: "refused", False: "accepted", None: "inconclusive"}[refused],
+            has_connection=self._runners.has_connection(case.runner.instance),
+            runs=len(case.runs),
+        )
         if case.has_ended:
             # A later start proved it first.
             pass
         elif refused and not self._runners.has_connection(case.runner.instance):
             self._end(case)
-        elif refused is not None:
+        elif refused is False and case.was_accepted:
             # It lives: what broke there was a connection.
             self._cases.pop(case.runner.instance, None)
+        elif refused is False and case.probes == 1:
+            case.was_accepted = True
+            self._ask_later(case, CONFIRMED_S)
+        elif refused is False:
+            # A later start may have accepted it: only its entry tells.
+            case.probes = len(PAUSES_S) + 1
+        elif case.probes <= len(PAUSES_S):
+            self._ask_later(case, PAUSES_S[case.probes - 1])
         waiting, case.waiting = case.waiting, []
         for call in waiting:
             call()
--- a/tests/router/blame_world.py
+++ b/tests/router/blame_world.py
@@ -11,10 +11,11 @@
 
 
 class Probes:
-    """Answers probes of addresses: refused, accepted, or nothing in time."""
+    """Answers probes of addresses: refused, accepted, closed at once, or nothing in time."""
 
     def __init__(self):
         self.refused = set()
+        self.unclear = set()
         self.silent = set()
         self.asked = []
 
@@ -23,7 +24,8 @@
         if address in self.silent:
             loop.call_later(0.4, lambda: on_answer(None))
         else:
-            loop.call_later(PROBE_S, lambda: on_answer(address in self.refused))
+            answer = None if address in self.unclear else address in self.refused
+            loop.call_later(PROBE_S, lambda: on_answer(answer))
 
 
 class Runners:
--- a/tests/router/test_crash_watch.py
+++ b/tests/router/test_crash_watch.py
@@ -3,7 +3,14 @@
 import pytest
 
 from martenrun.net.loop import Loop
-from martenrun.router.crash_watch import ANSWER_S, REMEMBERED_S, CrashWatch, Probe
+from martenrun.router.crash_watch import (
+    ANSWER_S,
+    CONFIRMED_S,
+    PAUSES_S,
+    REMEMBERED_S,
+    CrashWatch,
+    Probe,
+)
 
 from .blame_world import Probes, Runners
 from .builders import state
@@ -92,6 +99,84 @@
     assert watched.ended == [("i-1", [RUN])]
 
 
+# Guards against ends that were learned seconds late, or never: what is just ending, or stands
+# before a runner, accepts a connection and closes it at once.
+def test_an_inconclusive_probe_is_repeated_until_the_end_is_proved(watched):
+    watched.probes.unclear.add("127.0.0.1:1")
+    watched.watch.note_broken(state("i-1"), RUN)
+    watched.run(0.02)
+    assert watched.ended == [] and watched.watch.has_open_cases()
+    watched.probes.refused.add("127.0.0.1:1")
+    watched.probes.unclear.clear()
+    watched.run(0.1)
+    assert watched.ended == [("i-1", [RUN])]
+    assert not watched.watch.has_open_cases()
+
+
+# Guards against ends that were never learned: a refusal counted as a sign of life while the reset
+# of a kept connection had not arrived.
+def test_a_refusal_counts_once_no_kept_connection_is_open(watched):
+    watched.probes.refused.add("127.0.0.1:1")
+    watched.runners.connected.add("i-1")
+    watched.watch.note_broken(state("i-1"), RUN)
+    watched.run(0.02)
+    watched.runners.connected.clear()
+    watched.run(0.1)
+    assert watched.ended == [("i-1", [RUN])]
+
+
+# Guards against ends that were never learned: one accepted probe counted as a sign of life, though
+# only something in between had not noticed the end yet.
+def test_a_runner_lives_only_if_it_accepts_twice(watched):
+    watched.watch.note_broken(state("i-1"), RUN)
+    watched.run(0.05)
+    assert watched.ended == []
+    watched.probes.refused.add("127.0.0.1:1")
+    watched.run(CONFIRMED_S)
+    assert watched.ended == [("i-1", [RUN])]
+
+
+def test_a_repeated_probe_that_is_accepted_leaves_the_proof_to_a_later_start(watched):
+    watched.probes.unclear.add("127.0.0.1:1")
+    watched.watch.note_broken(state("i-1"), RUN)
+    watched.run(0.02)
+    watched.probes.unclear.clear()
+    watched.run(0.5)
+    assert watched.ended == [] and not watched.watch.has_open_cases()
+    watched.runners.ended.add("i-1")
+    watched.watch.look_again()
+    assert watched.ended == [("i-1", [RUN])]
+
+
+def test_probes_of_a_runner_that_stays_unclear_are_few(watched):
+    watched.probes.unclear.add("127.0.0.1:1")
+    watched.watch.note_broken(state("i-1"), RUN)
+    watched.run(REMEMBERED_S)
+    assert len(watched.probes.asked) == 1 + len(PAUSES_S)
+    assert watched.ended == [] and not watched.watch.has_open_cases()
+
+
+def test_a_run_that_breaks_long_after_an_unclear_case_is_a_case_of_its_own(watched):
+    watched.probes.unclear.add("127.0.0.1:1")
+    watched.watch.note_broken(state("i-1"), RUN)
+    watched.run(REMEMBERED_S + 0.1)
+    watched.watch.note_broken(state("i-1"), b"run 2")
+    watched.probes.unclear.clear()
+    watched.probes.refused.add("127.0.0.1:1")
+    watched.run(0.2)
+    assert watched.ended == [("i-1", [b"run 2"])]
+
+
+def test_runs_that_break_one_after_the_other_do_not_confirm_a_sign_of_life(watched):
+    for _ in range(3):
+        watched.watch.note_broken(state("i-1"), RUN)
+        watched.run(0.02)
+    assert len(watched.probes.asked) == 1
+    watched.probes.refused.add("127.0.0.1:1")
+    watched.run(CONFIRMED_S)
+    assert watched.ended == [("i-1", [RUN] * 3)]
+
+
 def test_a_proof_that_comes_too_late_blames_nobody(watched):
     watched.probes.silent.add("127.0.0.1:1")
     watched.watch.note_broken(state("i-1"), RUN)
