A router that stops waits for the proof that a runner has ended

A router told to stop that had sent a request under which a runner ended went away before the end was proved, and the evidence with it: others let the request run again. Change: a router that is idle after its lingering time ends only once no probe is under way or due, within its grace period. Measured: test_a_router_that_stops_tells_of_a_runners_end_first fails before, passes after.

--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -378,7 +378,8 @@
             self._loop.call_later(0.2, self._loop.stop)
         elif now > stop.lingers_until:
             self._front.end_idle()
-            if not self._forwardings and self._front.connections == 0:
+            is_idle = not self._forwardings and self._front.connections == 0
+            if is_idle and not self._world.suspects.watch.has_open_cases():
                 self._loop.stop()
 
 
--- a/tests/router/test_deadly_requests.py
+++ b/tests/router/test_deadly_requests.py
@@ -16,8 +16,11 @@
 
 import pytest
 import urllib3
+from click.testing import CliRunner
 from platform_deployment import PlatformDeployment
 
+from martenrun.cli.main import main
+
 DEADLY = b"a body that crashes who runs it"
 AWAY_S = 2.0
 KNOWN_WITHIN_S = 3.0
@@ -119,3 +122,25 @@
         wait_for_answers(deployment, callers, time.monotonic(), LATE_COMINGS)
         callers.stop()
     assert len(late_arrivals(deployment)) <= ARRIVALS_LEFT
+
+
+# Guards against evidence that was lost with its only witness: a router that stopped within seconds
+# of the end, before the end was proved.
+def test_a_router_that_stops_tells_of_a_runners_end_first():
+    with PlatformDeployment(2, 1, 1, has_relays=True) as deployment:
+        stopping, staying = deployment.routers
+        runner = deployment.runners[0]
+        relay = deployment.relays[runner.instance]
+        runner.is_deadly = lambda body: body == DEADLY
+        # New connections are accepted and closed at once for a while, then refused.
+        runner.on_crash = lambda _runner: relay.cut()
+        ordered_at = time.monotonic()
+        deployment.stop(stopping)
+        deployment.wait(lambda: time.monotonic() > ordered_at + 2.5)
+        assert deployment.ask("/once/x", "d-1", stopping, body=DEADLY).status == 502
+        deployment.wait(lambda: time.monotonic() > ordered_at + 3.7)
+        relay.refuse()
+        assert stopping.process.wait(timeout=10) == 0
+        address = staying.url("internal", "").removeprefix("http://")
+        listed = CliRunner().invoke(main, ["blame", address]).output
+        assert "1 start" in listed
