--- a/tests/router/test_runner_limits.py
+++ b/tests/router/test_runner_limits.py
@@ -120,6 +120,7 @@
         len(arrival_times(limited, first_advertised_at(limited))) >= 0.8 * LIMIT_PER_S * MEASURED_S
     )
     assert [status for _, status, *_ in calls if status != 200] == []
+    assert all(runner.arrivals for runner in deployment.runners if runner is not limited)
 
 
 def test_calls_that_limited_runners_cannot_take_are_refused_at_once(deployment):
