--- a/scripts/soak_faults.py
+++ b/scripts/soak_faults.py
@@ -210,8 +210,7 @@
 
     def _hang_up(self, step: Step) -> None:
         for router in self._chosen(step):
-            os.utime(router.settings)
-            self._deployment.stop(router, signal.SIGHUP)
+            self._hang_up_process(router, router.process)
 
     def _stand_still(self, step: Step) -> None:
         for router in self._chosen(step):
