Denials are refused at once while the store does not answer, and share one read

Cause: each denial by a configuration older than 2.6 s waited for a read of its own, 0.8 s at most, also right after one had failed. Change: one read serves all that wait; once it has failed, and until the configuration is confirmed, 503 at once and a read behind it.

--- a/src/martenrun/router/denials.py
+++ b/src/martenrun/router/denials.py
@@ -24,6 +24,9 @@
 class Denials:
     """Looks again at requests that would be denied.
 
+    Only requests that come before a read has failed wait for one: while the store does not answer,
+    others are refused at once, and reads go on behind them.
+
     Args:
         forward: takes up a request that may be served after all.
     """
@@ -41,6 +44,9 @@
         self._store = store
         self._feed = feed
         self._forward = forward
+        self._waiting: list[tuple[Exchange, Call]] = []
+        self._is_reading = False
+        self._failed_at: float | None = None
 
     def look_again(self, exchange: Exchange, call: Call) -> None:
         """Decide a request anew in a moment, by a new read where what is known is old."""
@@ -49,26 +55,47 @@
     def _decide_or_read(self, exchange: Exchange, call: Call) -> None:
         if exchange.is_over:
             return
-        now = self._world.loop.now()
-        if self._world.configuration.age_s(now) <= DENIAL_AGE_S:
+        if self._world.configuration.age_s(self._world.loop.now()) <= DENIAL_AGE_S:
             self._decide(exchange, call)
+        elif self._has_failed_since_confirmed():
+            refuse(exchange, Refusal(503, "not_confirmed"), call)
+            self._read()
+        else:
+            self._waiting.append((exchange, call))
+            self._read()
+
+    def _has_failed_since_confirmed(self) -> bool:
+        """Whether the last read failed, and nothing has confirmed the configuration since."""
+        confirmed_at = self._world.configuration.confirmed_at
+        if self._failed_at is None:
+            return False
+        return confirmed_at is None or confirmed_at < self._failed_at
+
+    def _read(self) -> None:
+        """Read the configuration, unless a read is under way: one serves all that wait."""
+        if self._is_reading:
             return
+        self._is_reading = True
+        asked_at = self._world.loop.now()
         self._store.call(
             self._world.dialect.read_object(Dataset.CONFIGURATION, "main"),
             CONFIRM_TIMEOUT_S,
-            lambda answer: self._on_read(answer, exchange, call, now),
+            lambda answer: self._on_read(answer, asked_at),
             longest_s=CONFIRM_TIMEOUT_S,
         )
 
-    def _on_read(
-        self, answer: HttpAnswer | None, exchange: Exchange, call: Call, asked_at: float
-    ) -> None:
-        if exchange.is_over:
-            return
-        if self._is_confirmed(answer, asked_at):
-            self._decide(exchange, call)
-        else:
-            refuse(exchange, Refusal(503, "not_confirmed"), call)
+    def _on_read(self, answer: HttpAnswer | None, asked_at: float) -> None:
+        self._is_reading = False
+        is_confirmed = self._is_confirmed(answer, asked_at)
+        self._failed_at = None if is_confirmed else self._world.loop.now()
+        waiting, self._waiting = self._waiting, []
+        for exchange, call in waiting:
+            if exchange.is_over:
+                continue
+            if is_confirmed:
+                self._decide(exchange, call)
+            else:
+                refuse(exchange, Refusal(503, "not_confirmed"), call)
 
     def _is_confirmed(self, answer: HttpAnswer | None, asked_at: float) -> bool:
         """Take a read of the configuration in; return whether that is what is in force here."""
--- /dev/null
+++ b/tests/router/test_denials.py
@@ -0,0 +1,137 @@
+"""Requests that would be denied while the store does not answer."""
+
+import time
+from types import SimpleNamespace
+
+from platform_deployment import PlatformDeployment
+
+from martenrun.net.http import HttpAnswer
+from martenrun.platform import DIALECT
+from martenrun.platform.objects import _ENCODE
+from martenrun.router.denials import CONFIRM_TIMEOUT_S, DENIAL_AGE_S, DENIAL_WAIT_S, Denials
+from martenrun.router.knowledge import ConfigurationKnowledge
+
+from .builders import configuration
+from .fakes import FakeLoop
+
+UNCONFIRMED_S = 3.0
+MOST_ANSWER_S = 0.3
+
+
+class ReadStore:
+    """Answers reads of one object after a moment, or not at all while ``is_silent``."""
+
+    def __init__(self, loop):
+        self.loop = loop
+        self.is_silent = True
+        self.reads = 0
+
+    def call(self, call, timeout_s, on_answer, longest_s):
+        self.reads += 1
+        if self.is_silent:
+            self.loop.call_later(timeout_s, lambda: on_answer(None))
+        else:
+            body = _ENCODE({"metadata": {"name": "main", "revision": 1}, "spec": {}})
+            self.loop.call_later(0.004, lambda: on_answer(HttpAnswer(200, [], body)))
+
+
+class FakeExchange:
+    def __init__(self, loop):
+        self.loop = loop
+        self.is_over = False
+        self.answers = []
+
+    def respond(self, status, headers):
+        self.answers.append((self.loop.now(), status))
+        self.is_over = True
+
+
+class DenialWorld:
+    def __init__(self):
+        self.loop = FakeLoop()
+        self.store = ReadStore(self.loop)
+        self.knowledge = ConfigurationKnowledge()
+        self.knowledge.take(configuration(1))
+        self.knowledge.confirm(self.loop.now())
+        world = SimpleNamespace(loop=self.loop, configuration=self.knowledge, dialect=DIALECT)
+        admission = SimpleNamespace(
+            decide=lambda exchange, call: SimpleNamespace(status=404, reason="no_route")
+        )
+        feed = SimpleNamespace(put_configuration=lambda stored: None)
+        self.denials = Denials(world, admission, self.store, feed, lambda *_: None)
+
+    def ask(self):
+        exchange = FakeExchange(self.loop)
+        self.denials.look_again(exchange, SimpleNamespace(request_id=b"r"))
+        return exchange
+
+    def go_on(self, seconds):
+        self.loop.run_until(self.loop.now() + seconds)
+
+    def let_a_read_fail(self):
+        self.go_on(DENIAL_AGE_S + 0.1)
+        first = self.ask()
+        self.go_on(DENIAL_WAIT_S + CONFIRM_TIMEOUT_S + 0.01)
+        assert [status for _, status in first.answers] == [503]
+
+
+# Guards against each denial waiting for a store that does not answer.
+def test_denials_are_refused_at_once_after_a_read_has_failed():
+    world = DenialWorld()
+    world.let_a_read_fail()
+    later = world.ask()
+    world.go_on(DENIAL_WAIT_S + 0.01)
+    assert [status for _, status in later.answers] == [503]
+
+
+# Guards against one call to the store for each denial.
+def test_denials_share_one_read():
+    world = DenialWorld()
+    world.go_on(DENIAL_AGE_S + 0.1)
+    asked = [world.ask() for _ in range(20)]
+    world.go_on(DENIAL_WAIT_S + 0.01)
+    assert world.store.reads == 1
+    world.go_on(CONFIRM_TIMEOUT_S)
+    assert [len(exchange.answers) for exchange in asked] == [1] * 20
+
+
+def test_denials_are_decided_once_a_read_behind_a_refusal_succeeds():
+    world = DenialWorld()
+    world.let_a_read_fail()
+    world.store.is_silent = False
+    refused = world.ask()
+    world.go_on(DENIAL_WAIT_S + 0.02)
+    decided = world.ask()
+    world.go_on(DENIAL_WAIT_S + 0.02)
+    assert [status for _, status in refused.answers + decided.answers] == [503, 404]
+
+
+def test_a_failed_read_is_forgotten_once_the_configuration_was_confirmed():
+    world = DenialWorld()
+    world.let_a_read_fail()
+    world.go_on(1.0)
+    world.knowledge.confirm(world.loop.now())
+    world.go_on(DENIAL_AGE_S + 0.1)
+    waits = world.ask()
+    world.go_on(DENIAL_WAIT_S + 0.02)
+    assert not waits.answers
+    world.go_on(CONFIRM_TIMEOUT_S)
+    assert [status for _, status in waits.answers] == [503]
+
+
+# Guards against a ready router that answers no unknown route while the store is silent (soak seed
+# 9001 with --limits).
+def test_unknown_routes_are_answered_in_time_while_the_store_is_silent():
+    with PlatformDeployment(routers=1) as deployment:
+        deployment.store.is_silent = True
+        deadline = time.monotonic() + UNCONFIRMED_S
+        while time.monotonic() < deadline:
+            time.sleep(0.05)
+        deployment.ask("/nowhere/", "first")
+        took_s = []
+        for number in range(3):
+            began_at = time.monotonic()
+            assert deployment.ask("/nowhere/", f"later-{number}").status == 503
+            took_s.append(time.monotonic() - began_at)
+        deployment.store.is_silent = False
+    assert max(took_s) < MOST_ANSWER_S, took_s
--- a/tests/router/test_soak.py
+++ b/tests/router/test_soak.py
@@ -87,6 +87,14 @@
     assert " 0 violations" in result.output
 
 
+# Guards against ready routers that answer no unknown route while the store is silent.
+def test_ready_routers_answer_while_the_store_is_silent(tmp_path):
+    options = ["--schedule", str(SCHEDULES / "store-silent.jsonl")]
+    result = CliRunner().invoke(soak, [*options, "--keep-logs", str(tmp_path / "logs")])
+    assert result.exit_code == 0, result.output
+    assert " 0 violations" in result.output
+
+
 def test_callers_that_leave_are_noticed_while_runners_are_limited(tmp_path):
     options = ["--minutes", "0.25", "--seed", "9116", "--runner-starts", "--limits"]
     result = CliRunner().invoke(soak, [*options, "--keep-logs", str(tmp_path / "logs")])
