Routers run on an interpreter that ignores SIGHUP before it starts

Callers saw: a router that had just been started ends with status -1 and is missing for one more start; beside load the window is long, since the interpreter waits for its turn there. Cause: the default action stands until the first line of deploy/router.py, after 8 to 15 ms of the interpreter's own start. Change: build compiles target/python, which ignores the signal, opens libpython and becomes the interpreter: one process, no other program started. The soak's deployment and the strict probe start routers by the deployment's own command (before: the virtual environment's interpreter); checks, bounds and delays are as they were. Not gone: from execve to the first instruction the default action holds.

--- a/Makefile
+++ b/Makefile
@@ -10,11 +10,16 @@
 	$(BIN)/pip install -q --disable-pip-version-check --no-deps -e .
 	touch $@
 
-demo: .venv/.installed
+# The program that routers run on; the deployment builds the same.
+target/python: .venv/.installed deploy/build.py deploy/interpreter.c
+	$(BIN)/python deploy/build.py --interpreter-only
+	touch -h $@
+
+demo: .venv/.installed target/python
 	$(BIN)/python scripts/demo.py
 	$(BIN)/python scripts/platform_demo.py
 
-test: .venv/.installed
+test: .venv/.installed target/python
 	$(BIN)/python -m pytest
 
 lint: .venv/.installed
@@ -30,7 +35,7 @@
 	$(BIN)/python scripts/bench.py path
 	$(BIN)/python scripts/bench.py streams
 
-soak: .venv/.installed
+soak: .venv/.installed target/python
 	$(BIN)/python scripts/soak.py --minutes 5 --seed $$(date +%j%H%M)
 
 prove: .venv/.installed
--- a/scripts/platform_deployment.py
+++ b/scripts/platform_deployment.py
@@ -6,14 +6,16 @@
 import contextlib
 import itertools
 import os
+import shlex
 import shutil
 import signal
 import socket
 import subprocess
-import sys
+import sysconfig
 import tempfile
 import threading
 import time
+import tomllib
 from collections.abc import Callable, Mapping
 from pathlib import Path
 
@@ -25,6 +27,7 @@
 from martenrun.platform.standins.store import StoreStandin
 
 ROOT = Path(__file__).resolve().parent.parent
+ROUTER = ROOT / "deploy" / "router.py"
 MODEL = "m"
 HOST = "api.example"
 KEY = "key-1"
@@ -108,6 +111,20 @@
         return [sock.getsockname()[1] for sock in sockets]
 
 
+def router_command(program: Path = ROUTER) -> list[str]:
+    """Return the deployment's command that runs a router, with another program in its place.
+
+    Raises:
+        FileNotFoundError: the interpreter's program has not been built.
+    """
+    roles = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]
+    interpreter, *arguments = shlex.split(roles["router"]["run"])
+    if not (ROOT / interpreter).exists():
+        raise FileNotFoundError(f"{interpreter} is missing: make {interpreter}")
+    assert arguments[-1] == str(ROUTER.relative_to(ROOT))
+    return [str(ROOT / interpreter), *arguments[:-1], str(program)]
+
+
 class PlatformDeployment:
     """Routers, the store and runners; use it as a context manager.
 
@@ -126,7 +143,7 @@
         model_runners: int = 2,
         plain_runners: int = 2,
         has_relays: bool = False,
-        program: Path = ROOT / "deploy" / "router.py",
+        program: Path = ROUTER,
         environment: Mapping[str, str] = NOTHING_MORE,
         later_program: Path | None = None,
     ) -> None:
@@ -267,11 +284,12 @@
         router.program = self._program
         with router.log.open("ab") as log:
             router.process = subprocess.Popen(
-                [sys.executable, str(router.program)],
+                router_command(router.program),
                 stdout=log,
                 stderr=log,
                 env={
                     **os.environ,
+                    "PYTHONPATH": sysconfig.get_path("purelib"),
                     **self._environment,
                     "MARTENRUN_SETTINGS": str(router.settings),
                 },
--- a/tests/router/test_start_signals.py
+++ b/tests/router/test_start_signals.py
@@ -1,15 +1,13 @@
 """Signals that reach a router at any moment of its start."""
 
-import shlex
 import signal
 import subprocess
 import sys
 import sysconfig
 import threading
-import tomllib
 from pathlib import Path
 
-from platform_deployment import PlatformDeployment
+from platform_deployment import PlatformDeployment, router_command
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 DELAYS_MS = range(0, 60, 2)
@@ -19,11 +17,8 @@
 
 def start_router(settings):
     """Start a router by its deployment's command, with the default action for every signal."""
-    roles = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]
-    program, *arguments = shlex.split(roles["router"]["run"])
-    assert program == "python3"
     return subprocess.Popen(
-        [sys.executable, *arguments],
+        router_command(),
         cwd=ROOT,
         env={
             "PYTHONPATH": sysconfig.get_path("purelib"),
