FaultyRelay delivers no request whose sender left before the target took the connection

Cause that fits: the relay accepts for a runner before it is connected to it. Where the runner's queue of connections is full the relay's connect waits a second for the next packet, and then passes on what its sender sent and gave up meanwhile. A router without a relay in between sends nothing before its connection is up, and closes it. Ruled out by reading: each way by which the router sends on a grant, a repeat or a read of the store asks first whether the caller is there.

--- a/scripts/faulty_relay.py
+++ b/scripts/faulty_relay.py
@@ -1,6 +1,7 @@
 """A TCP relay whose connections can be cut and slowed, for trials with real processes."""
 
 import contextlib
+import select
 import socket
 import threading
 import time
@@ -87,6 +88,9 @@
             if self._is_cut:
                 return
             with socket.create_connection(self._target, timeout=_CONNECT_TIMEOUT_S) as far:
+                if _has_left(near):
+                    # Without a relay its connection would not have come up, nor sent anything.
+                    return
                 far.settimeout(None)
                 self._carry_both(near, far)
 
@@ -126,6 +130,13 @@
     return host, int(port)
 
 
+def _has_left(sock: socket.socket) -> bool:
+    """Whether the peer has closed its side, whatever it sent before."""
+    poll = select.poll()
+    poll.register(sock, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def _shut(sock: socket.socket) -> None:
     with contextlib.suppress(OSError):
         sock.shutdown(socket.SHUT_RDWR)
--- a/tests/router/test_faulty_relay.py
+++ b/tests/router/test_faulty_relay.py
@@ -1,5 +1,6 @@
 """Tests of how FaultyRelay propagates the close of a connection."""
 
+import contextlib
 import socket
 import threading
 import time
@@ -41,3 +42,35 @@
         writer.join()
         relay.close()
     assert end_times[0] - closed_at < (WRITES_UNTIL_ERROR + 1) * WRITE_INTERVAL_S
+
+
+def fill_queue(listener):
+    """Connect until the listener's queue is full: the next one is let in by a later packet."""
+    held = []
+    while True:
+        sock = socket.socket()
+        sock.settimeout(0.2)
+        try:
+            sock.connect(listener.getsockname())
+        except TimeoutError:
+            sock.close()
+            return held
+        held.append(sock)
+
+
+# Guards against requests that begin at a runner long after their sender has closed.
+def test_a_request_is_not_delivered_if_its_sender_left_before_the_target_took_it():
+    with socket.socket() as listener, contextlib.ExitStack() as stack:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        listener.settimeout(5.0)
+        held = [stack.enter_context(sock) for sock in fill_queue(listener)]
+        relay = FaultyRelay(f"127.0.0.1:{listener.getsockname()[1]}")
+        stack.callback(relay.close)
+        host, _, relay_port = relay.address.rpartition(":")
+        with socket.create_connection((host, int(relay_port)), 5.0) as client:
+            client.sendall(b"request")
+        for _ in held:
+            stack.enter_context(listener.accept()[0])
+        relayed = stack.enter_context(listener.accept()[0])
+        assert relayed.recv(7) == b""
