A run that breaks once its runner's next start is listed counts as evidence

Callers saw: a request that ends runners may reach one more of them; each costs its runs and seconds without that runner. Cause: CrashWatch took evidence only at listed starts. Where the entry of the next start came before the run broke, the run's start was no longer listed, and what had ended under it was dropped; only runs still under way 0.25 s later were counted. Change: a run at a start that is known to have ended counts for that start at once, as the regular check does for runs under way. Measured: the new test fails before and passes after; tests of blame pass.

--- a/src/martenrun/router/crash_watch.py
+++ b/src/martenrun/router/crash_watch.py
@@ -144,7 +144,13 @@
     def note_broken(self, state: RunnerState, run: bytes) -> None:
         """Take in that the connection of a run ended before its answer did."""
         runner = state.runner
-        if runner.is_draining or not self._runners.is_listed(state):
+        if runner.is_draining:
+            return
+        if self._runners.has_ended(runner):
+            # The entry of a later start came before this run broke.
+            self._on_ended(runner.instance, [run])
+            return
+        if not self._runners.is_listed(state):
             return
         case = self._cases.get(runner.instance)
         now = self._loop.now()
--- a/tests/router/test_crash_watch.py
+++ b/tests/router/test_crash_watch.py
@@ -75,6 +75,16 @@
     assert watched.ended == [] and watched.probes.asked == []
 
 
+# Guards against ends of runners that count for no request: the next start was listed as the run
+# broke.
+def test_a_run_that_breaks_once_a_later_start_is_listed_counts_for_the_one_that_ended(watched):
+    watched.runners.unlisted.add("i-1")
+    watched.runners.ended.add("i-1")
+    watched.watch.note_broken(state("i-1"), RUN)
+    watched.run(1.0)
+    assert watched.ended == [("i-1", [RUN])] and watched.probes.asked == []
+
+
 def test_a_refusal_proves_nothing_while_a_kept_connection_is_open(watched):
     watched.probes.refused.add("127.0.0.1:1")
     watched.runners.connected.add("i-1")
