Test deployments draw no port for a router that is the internal port of all

Cause, from its log and settings: ready was drawn as 127.12.38.7:36821, and 36821 is the internal port of that deployment, so that the router's second bind failed (address already in use). Ports were drawn without regard to the one that all share: 3 in some 28,000 for each router. Change: one port more is drawn and the internal one passed over.

--- a/scripts/platform_deployment.py
+++ b/scripts/platform_deployment.py
@@ -102,13 +102,14 @@
         return f"http://{self.ip}:{self.ports[port]}{path}"
 
 
-def free_ports(ip: str, count: int) -> list[int]:
-    """Return ports that are free now; all are held while they are drawn."""
+def free_ports(ip: str, count: int, taken: int | None = None) -> list[int]:
+    """Return ports that are free now, other than ``taken``; all are held while they are drawn."""
     with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count + 1)]
         for sock in sockets:
             sock.bind((ip, 0))
-        return [sock.getsockname()[1] for sock in sockets]
+        ports = [sock.getsockname()[1] for sock in sockets]
+    return [port for port in ports if port != taken][:count]
 
 
 def router_command(program: Path = ROUTER) -> list[str]:
@@ -375,7 +376,7 @@
         return router
 
     def _router(self, number: int, ip: str, internal: int, seeds: list[str]) -> RouterRun:
-        front, ready, directory = free_ports(ip, 3)
+        front, ready, directory = free_ports(ip, 3, taken=internal)
         ports = {"front": front, "ready": ready, "directory": directory, "internal": internal}
         relay = None
         if self._has_relays:
--- a/tests/router/test_soak.py
+++ b/tests/router/test_soak.py
@@ -1,5 +1,6 @@
 """Short, fixed soaks of real routers: faults overlap and every promise holds."""
 
+import contextlib
 import itertools
 import socket
 from pathlib import Path
@@ -184,6 +185,24 @@
         faulty_relay.FaultyRelay("127.0.0.1:1").close()
 
 
+# Guards against routers that cannot start: a port drawn for one was the internal port of all.
+def test_the_internal_port_is_not_drawn_again(monkeypatch):
+    drawn = iter([7001, 7002, 7003, 7004])
+
+    class DrawnSocket(contextlib.nullcontext):
+        def bind(self, _address):
+            self.port = next(drawn)
+
+        def getsockname(self):
+            return "127.0.0.1", self.port
+
+        def __enter__(self):
+            return self
+
+    monkeypatch.setattr(platform_deployment.socket, "socket", DrawnSocket)
+    assert platform_deployment.free_ports("127.0.0.1", 3, taken=7002) == [7001, 7003, 7004]
+
+
 def test_a_deployment_that_does_not_come_up_leaves_no_process_behind(monkeypatch, tmp_path):
     """A first run of the guards' test left three routers running for an hour."""
     program = tmp_path / "never_ready.py"
