--- /dev/null
+++ b/tests/router/lease_world.py
@@ -0,0 +1,118 @@
+"""Routers that pursue one lease on orders, in virtual time."""
+
+import itertools
+
+from martenrun.platform import DIALECT
+from martenrun.router.lease import Lease
+
+LEASE_S = 3.0
+
+
+def made(loop, store, holder):
+    return Lease(loop, store, DIALECT, "weights", holder, LEASE_S)
+
+
+RUNNER = "r1"
+
+
+def order(loop, lease, runner=RUNNER):
+    """Reserve a runner and order it; return when."""
+    done = []
+    lease.reserve([runner], done.append)
+    loop.run_until(loop.now() + 0.01)
+    assert done == [True] and lease.may_order(runner)
+    lease.note_order(runner)
+    return loop.now()
+
+
+def pursue_for(loop, leases, seconds, rank=0):
+    """Let leases pursue every tenth of a second; return who held it when."""
+    held = []
+    end = loop.now() + seconds
+    while loop.now() < end:
+        for lease in leases:
+            lease.pursue(rank)
+        loop.run_until(loop.now() + 0.1)
+        held += [(loop.now(), lease) for lease in leases if lease.is_held()]
+    return held
+
+
+ACTIONS = (
+    "die",
+    "die",
+    "restart",
+    "release",
+    "silence",
+    "lose answers",
+    "heal",
+    "heal",
+    "heal",
+    "pause",
+)
+
+
+class Crowd:
+    """Routers that pursue one lease while they are restarted, stopped and cut from the store."""
+
+    def __init__(self, loop, store, rng, runners=(RUNNER,)):
+        self.runners = runners
+        self.loop = loop
+        self.store = store
+        self.rng = rng
+        self.lives = itertools.count(1)
+        self.orders = []
+        self.routers = {name: self.new_life(name) for name in ("n1", "n2", "n3")}
+
+    def start(self, name):
+        self.routers[name] = self.new_life(name)
+
+    def new_life(self, name):
+        return made(self.loop, self.store, f"{name}#{next(self.lives)}")
+
+    def tell(self, name):
+        def told(record, revision):
+            for other, lease in self.routers.items():
+                if other != name and self.rng.random() < 0.7:
+                    lease.note_revision(record, revision)
+
+        return told
+
+    def act(self):
+        name = self.rng.choice(list(self.routers))
+        action = self.rng.choice(ACTIONS)
+        if action == "restart":
+            self.routers[name] = self.new_life(name)
+        elif action == "die" and len(self.routers) > 1:
+            del self.routers[name]
+            self.loop.call_later(self.rng.uniform(0.5, 12.0), lambda: self.start(name))
+        elif action == "release":
+            self.routers[name].release(self.tell(name))
+            self.loop.run_until(self.loop.now() + 0.05)
+            self.routers[name] = self.new_life(name)
+        elif action == "pause":
+            self.loop.run_until(self.loop.now() + self.rng.choice((0.5, 4.0)))
+        elif action in ("silence", "lose answers", "heal"):
+            self.store.is_silent = action == "silence"
+            self.store.loses_answers = action == "lose answers"
+
+    def order(self):
+        """Let every holder order the runners that it may, and reserve some that it has not."""
+        for name, lease in self.routers.items():
+            for runner in self.runners:
+                if lease.may_order(runner):
+                    lease.note_order(runner)
+                    self.orders.append((self.loop.now(), name, lease.fencing_token, runner))
+                    if self.rng.random() < 0.1:
+                        lease.turns.finish(runner)
+                elif lease.is_held() and not lease.turns.is_reserved(runner):
+                    lease.reserve([runner], lambda _done: None)
+
+    def run(self, seconds):
+        end = self.loop.now() + seconds
+        while self.loop.now() < end:
+            if self.rng.random() < 0.08:
+                self.act()
+            for rank, lease in enumerate(self.routers.values()):
+                lease.pursue(rank)
+            self.loop.run_until(self.loop.now() + 0.1)
+            self.order()
