--- a/src/martenrun/ownership/machine_feed.py
+++ b/src/martenrun/ownership/machine_feed.py
@@ -74,7 +74,7 @@
         )
         self._states: dict[int, int] = {0: 0}
         self._unanswered = 0
-        self._unheard = 0
+        self._pulls_since_answer = 0
         self._mismatches = 0
         self._turn = 0
         self._next_pull = 0.0
@@ -93,7 +93,7 @@
 
     def must_poll(self) -> bool:
         """Return whether to poll the list: as a reader, or because no reader has answered."""
-        return self.is_reader() or self._unheard >= CUT_OFF_PULLS
+        return self.is_reader() or self._pulls_since_answer >= CUT_OFF_PULLS
 
     def is_reader(self) -> bool:
         """Return whether this node is one of the readers."""
@@ -193,7 +193,7 @@
         if is_silent:
             self._turn += 1
         self._unanswered += 1
-        self._unheard += 1
+        self._pulls_since_answer += 1
         reader = readers[(self._turn + name_hash(own.encode())) % len(readers)]
         is_lost = self._mismatches >= MISMATCHES
         query = MachinesQuery(ASK_FOR_ALL if is_lost else self._digest, True)
@@ -201,7 +201,7 @@
         return [Send(asked, query) for asked in (readers if is_silent else [reader])]
 
     def _take(self, update: MachinesUpdate) -> list[Instruction]:
-        self._unanswered = self._unheard = 0
+        self._unanswered = self._pulls_since_answer = 0
         if update.digest in (0, self._digest):
             # A reader that has not seen the list yet knows nothing better.
             return []
