--- a/src/martenrun/net/client.py
+++ b/src/martenrun/net/client.py
@@ -1,5 +1,6 @@
 """An HTTP/1.1 client connection that serves one request at a time."""
 
+import errno
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -43,6 +44,8 @@
 
     Attributes:
         was_kept_alive: whether the connection was kept open after an earlier response.
+        opened_at: monotonic time at which it was opened.
+        failure: how it failed, or an empty string.
         idle_since: monotonic time since which the connection is idle.
         keep_alive_s: keep-alive timeout that the peer announced, in seconds, or None.
     """
@@ -69,7 +72,9 @@
         self._is_connected = False
         self._is_response_complete = False
         self.was_kept_alive = False
-        self.idle_since = loop.now()
+        self.opened_at = loop.now()
+        self.failure = ""
+        self.idle_since = self.opened_at
         self.keep_alive_s: float | None = None
         self._connect_timer: Timer | None = loop.call_later(
             CONNECT_TIMEOUT_S, self._on_connect_timeout
@@ -127,7 +132,7 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._fail()
+            self._fail("invalid response")
             return
         if self._is_response_complete:
             self._finish()
@@ -140,7 +145,7 @@
             self._is_response_complete = True
             self._finish()
         else:
-            self._fail()
+            self._fail(self._close_reason(is_clean))
 
     def on_drained(self) -> None:
         """Do nothing: a request is written in one piece."""
@@ -225,7 +230,14 @@
         if reader is not None:
             reader.on_complete()
 
-    def _fail(self) -> None:
+    def _close_reason(self, is_clean: bool) -> str:
+        if self._is_connected:
+            return "closed" if is_clean else "reset"
+        error = 0 if self._stream is None else self._stream.error
+        return f"connect failed: {errno.errorcode.get(error, str(error))}"
+
+    def _fail(self, failure: str) -> None:
+        self.failure = failure
         reader = self._reader
         was_sent = self._is_connected
         self._reader = None
@@ -235,7 +247,7 @@
 
     def _on_connect_timeout(self) -> None:
         self._connect_timer = None
-        self._fail()
+        self._fail("connect timed out")
 
     def _close_stream(self) -> None:
         self._stop_connect_timer()
--- a/src/martenrun/net/server.py
+++ b/src/martenrun/net/server.py
@@ -49,6 +49,7 @@
         request: the complete request.
         on_disconnect: set by the handler; called if the caller disconnects before the end.
         on_drained: set by the handler; called when the caller has caught up with the response.
+        earlier_requests: number of earlier requests on the same connection.
     """
 
     def __init__(self, connection: "ServerConnection", request: HttpRequest) -> None:
@@ -56,6 +57,7 @@
         self.request = request
         self.on_disconnect: Callable[[], None] | None = None
         self.on_drained: Callable[[], None] | None = None
+        self.earlier_requests = connection.served_requests
         self.has_started = False
         self.is_over = False
         self._is_chunked = False
@@ -144,6 +146,7 @@
         self._is_rejected = False
         self._ends_after_queue = False
         self.announced_close = False
+        self.served_requests = 0
         self.phase_started_at = server.loop.now()
         self.shut_down_at: float | None = None
         self.stream = Stream(server.loop, sock, self)
@@ -302,6 +305,7 @@
     def _serve_next(self) -> None:
         if self._current is None and self._queue and not self.stream.is_closed:
             self._current = Exchange(self, self._queue.popleft())
+            self.served_requests += 1
             self._server.handler(self._current)
         self.stream.pause(len(self._queue) >= MAXIMUM_QUEUED_REQUESTS)
 
--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -94,6 +94,11 @@
         self._metadata: ResponseMetadata | None = None
         self._is_over = False
 
+    @property
+    def connection_failure(self) -> str:
+        """How the connection failed, or an empty string."""
+        return "" if self.connection is None else self.connection.failure
+
     def on_sent(self) -> None:
         """Mark the request as sent, unless it must be withdrawn.
 
@@ -116,6 +121,10 @@
         """Process the response head; an encoded or unsigned response fails the attempt."""
         now = self._services.loop.now()
         self.state.record_data(now)
+        if self.connection is not None:
+            self._services.reachability.record_response(
+                self._admitted.service, self.connection.opened_at, now
+            )
         self.status = status
         self.headers = headers
         metadata = self._services.adapter.read_response_metadata(status, headers)
@@ -176,8 +185,8 @@
         now = self._services.loop.now()
         if not was_sent and now - self._started_at >= CONNECT_TIMEOUT_S:
             self.state.connecting_since = self._started_at
-        if was_sent and not self.status and self.connection is not None:
-            self._services.pool.record_broken_connection(self.connection)
+        if not self.status and self.connection is not None:
+            self._record_failed_connection(self.connection, was_sent)
         self.was_interrupted = was_sent
         self._fail(Failure.BROKEN if was_sent else Failure.NOT_SENT)
 
@@ -209,6 +218,21 @@
         self.state.kv_cache_tokens -= self._kv_cache_tokens
         self.state.record_finished()
 
+    def _record_failed_connection(self, connection: ClientConnection, was_sent: bool) -> None:
+        """Record a connection that failed before any response.
+
+        A reused connection may only have been stale, and one whose timeout fired late may have
+        been established while the process was suspended.
+        """
+        now = self._services.loop.now()
+        if was_sent:
+            self._services.pool.record_broken_connection(connection)
+        is_late = not was_sent and now - self._started_at > CONNECT_TIMEOUT_S + SUSPENSION_MARGIN_S
+        if not connection.was_kept_alive and not is_late:
+            self._services.reachability.record_failure(
+                self._admitted.service, self.state.runner.instance, now
+            )
+
     def _record_rate_limit(self, metadata: ResponseMetadata, now: float) -> None:
         """Record the rate limit that the response advertises, or its absence.
 
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -76,6 +76,7 @@
             tenant=None if self._admitted.tenant is None else self._admitted.tenant.name,
             configuration=None if table is None else table.configuration.version,
             configuration_age_ms=round(age_s * 1000),
+            earlier_requests=self._exchange.earlier_requests,
         )
         if self._quota.needs_grant:
             self._quota.obtain(self._on_grant)
@@ -255,7 +256,12 @@
         step = next_step(failure, self._attempt_state(state is not None, now))
         instance = attempt.state.runner.instance
         self._trace.record_failed_attempt(
-            instance, attempt.status, failure, step, self._possible_runs
+            instance,
+            attempt.status,
+            failure,
+            attempt.connection_failure,
+            step,
+            self._possible_runs,
         )
         if step is NextStep.SEND_AGAIN and state is not None:
             self._send_again(state, failure, attempt)
--- a/src/martenrun/router/request_services.py
+++ b/src/martenrun/router/request_services.py
@@ -12,6 +12,7 @@
 from martenrun.router.placement import Placement
 from martenrun.router.platform_adapter import PlatformAdapter
 from martenrun.router.quotas.gate import QuotaGate
+from martenrun.router.reachability import Reachability
 from martenrun.router.retry_budget import RetryBudget
 from martenrun.router.runner_limits import RunnerLimits
 from martenrun.router.runner_pool import RunnerPool
@@ -44,6 +45,7 @@
         refresh_loads: updates runners' states with the loads that other routers report.
         quotas: grants quota units to tenants; None where no quota accounts are kept.
         runner_limits: the rate limits that runners advertise.
+        reachability: services whose runners this router cannot reach.
         retry_slack_from: when this router may start to use its share of the retry slack.
     """
 
@@ -65,6 +67,9 @@
     retry_slack_from: float = 0.0
     quotas: QuotaGate | None = None
     runner_limits: RunnerLimits = attrs.field(factory=RunnerLimits)
+    reachability: Reachability = attrs.field(
+        default=attrs.Factory(lambda self: Reachability(self.pool.states), takes_self=True)
+    )
     _retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _overload_guards: dict[str, OverloadGuard] = attrs.field(factory=dict)
 
--- a/src/martenrun/router/request_trace.py
+++ b/src/martenrun/router/request_trace.py
@@ -48,13 +48,18 @@
         )
 
     def record_failed_attempt(
-        self, instance: str, status: int, failure: Failure, step: NextStep, runs: int
+        self, instance: str, status: int, failure: Failure, cause: str, step: NextStep, runs: int
     ) -> None:
-        """Record a failed attempt and the next step."""
+        """Record a failed attempt and the next step.
+
+        Args:
+            cause: how the connection failed; empty if it did not.
+        """
         self.record(
             "try_failed",
             instance=instance,
             failure=failure.value,
+            cause=cause,
             status=status,
             step=step.value,
             runs=runs,
--- a/tests/router/test_forwarding.py
+++ b/tests/router/test_forwarding.py
@@ -36,6 +36,7 @@
     is_aborted: bool = False
     on_disconnect: object = None
     on_drained: object = None
+    earlier_requests: int = 0
 
     def respond(self, status, headers, body=b"", is_closing=False):
         self.responses.append((status, dict(headers), body))
@@ -57,6 +58,9 @@
 class FakeConnection:
     def __init__(self):
         self.is_closed = False
+        self.was_kept_alive = False
+        self.opened_at = 0.0
+        self.failure = ""
 
     def close(self):
         self.is_closed = True
