--- a/scripts/faulty_relay.py
+++ b/scripts/faulty_relay.py
@@ -11,6 +11,8 @@
 _READ_BYTES = 65_536
 _CONNECT_TIMEOUT_S = 2.0
 _LOOK_S = 0.02
+_FILLERS = 3
+"""Connections that fill the queue of a listener with a backlog of 0."""
 
 
 class FaultyRelay:
@@ -29,7 +31,9 @@
         self.delay_s = 0.0
         self.is_mute = False
         self.connections = 0
+        self._is_stalled = False
         self._held: socket.socket | None = None
+        self._fillers: list[socket.socket] = []
         self._silent: set[socket.socket] = set()
         self._target = _parsed(target)
         self._is_cut = False
@@ -48,12 +52,36 @@
     def refuse(self) -> None:
         """Break every connection and refuse new ones, as a machine does whose process has ended."""
         self.cut()
+        self.refuse_new()
+
+    def refuse_new(self) -> None:
+        """Refuse new connections; open ones are relayed on."""
         _shut(self._listener)
         self._listener.close()
         self._held = reserve_port(_parsed(self.address))
 
+    def stall(self) -> None:
+        """Drop all packets, as a partition does: open connections stop and new ones hang.
+
+        What open connections hold up is passed on once the relay is restored.
+        """
+        self._is_stalled = True
+        self.refuse_new()
+        assert self._held is not None
+        # Linux drops connection requests while the queue of accepted connections is full.
+        self._held.listen(0)
+        for _ in range(_FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(_parsed(self.address))
+            self._fillers.append(filler)
+
     def restore(self) -> None:
         """Relay again, without delay."""
+        self._is_stalled = False
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
         if self._held is not None:
             self._listener, self._held = self._held, None
             self._listener.listen()
@@ -72,6 +100,8 @@
         self.cut()
         _shut(self._listener)
         self._listener.close()
+        for filler in self._fillers:
+            filler.close()
         if self._held is not None:
             self._held.close()
 
@@ -112,7 +142,7 @@
             while data := source.recv(_READ_BYTES):
                 if self.delay_s:
                     time.sleep(self.delay_s)
-                while self.is_mute and is_back and not self._is_cut:
+                while (self._is_stalled or (self.is_mute and is_back)) and not self._is_cut:
                     time.sleep(_LOOK_S)
                 if self._is_cut:
                     break
--- a/scripts/platform_deployment.py
+++ b/scripts/platform_deployment.py
@@ -5,6 +5,7 @@
 
 import contextlib
 import itertools
+import json
 import os
 import shlex
 import shutil
@@ -28,11 +29,15 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 ROUTER = ROOT / "deploy" / "router.py"
+LINKED_ROUTER = ROOT / "scripts" / "linked_router.py"
 MODEL = "m"
 HOST = "api.example"
 KEY = "key-1"
 LIMIT_S = 15.0
 
+LINKS_SUFFIX = ".links"
+"""Suffix of the file beside a router's settings that maps runners to its relays."""
+
 _BLOCKS = itertools.count()
 """Numbers of the deployments of this process: their addresses must not meet."""
 
@@ -81,7 +86,12 @@
 
 @attrs.define
 class RouterRun:
-    """One router process and its addresses; ``store`` relays its calls to the store, if any."""
+    """One router process and its addresses.
+
+    Attributes:
+        store: relays its calls to the store, if any.
+        links: relays its connections to each runner, by the runner's listed address.
+    """
 
     name: str
     ip: str
@@ -89,6 +99,7 @@
     settings: Path
     log: Path
     store: FaultyRelay | None = None
+    links: dict[str, FaultyRelay] = attrs.field(factory=dict)
     process: subprocess.Popen[bytes] | None = None
     program: Path | None = None
 
@@ -133,6 +144,8 @@
 
     Args:
         has_relays: whether routers reach the store and runners through relays that can be harmed.
+        has_links: whether each router also has relays of its own to the runners; its program must
+            then be LINKED_ROUTER or follow the links as that does.
         program: what is started as a router.
         later_program: what routers come back as, or join as, once all have begun.
         environment: variables that it gets beside this process's own.
@@ -147,7 +160,9 @@
         program: Path = ROUTER,
         environment: Mapping[str, str] = NOTHING_MORE,
         later_program: Path | None = None,
+        has_links: bool = False,
     ) -> None:
+        self._has_links = has_links
         self._program = program
         self._later_program = later_program or program
         self._environment = environment
@@ -161,6 +176,7 @@
         self.runners = [RunnerStandin("llm", MODEL) for _ in range(model_runners)]
         self.runners += [RunnerStandin("ledger", None) for _ in range(plain_runners)]
         self.http = urllib3.PoolManager(retries=False)
+        self._has_begun = False
         self._block = next(_BLOCKS) % 200
         self._made = 0
         self._internal = 0
@@ -191,6 +207,7 @@
         self.publish(1)
         for runner in self.runners:
             self.list_runner(runner)
+        self._has_begun = True
         for router in self.routers:
             self.start(router)
         limit_s = LIMIT_S + START_S * len(self.routers)
@@ -209,6 +226,9 @@
                 router.process.wait()
         for relay in self.relays.values():
             relay.close()
+        for router in self.routers:
+            for link in router.links.values():
+                link.close()
         for runner in self.runners:
             runner.close()
         self.store.close()
@@ -249,9 +269,22 @@
         if self._has_relays and runner.instance not in self.relays:
             relay = self.relays[runner.instance] = FaultyRelay(runner.address)
             runner.listed_address = relay.address
+        for router in self.routers:
+            self._link(router, runner)
         entry = self.broken_entries.get(runner.instance, runner.entry())
         self.store.put("servers", runner.instance, entry)
 
+    def _link(self, router: RouterRun, runner: RunnerStandin) -> None:
+        """Give a router a relay of its own to a runner."""
+        address = runner.listed_address or runner.address
+        if not self._has_links or address in router.links:
+            return
+        router.links[address] = FaultyRelay(address)
+        links = {listed: relay.address for listed, relay in router.links.items()}
+        written = router.settings.with_suffix(".new")
+        written.write_text(json.dumps(links))
+        written.replace(router.settings.with_suffix(LINKS_SUFFIX))
+
     def let_crash(
         self, is_deadly: Callable[[bytes], bool], away_s: float, keeps_id: bool = False
     ) -> None:
@@ -373,6 +406,9 @@
             self._seeds = [f"{first}.{seed + 2}:1" for seed in range(3)]
         router = self._router(number - 1, ip, self._internal, self._seeds)
         self.routers.append(router)
+        if self._has_begun:
+            for runner in self.runners:
+                self._link(router, runner)
         return router
 
     def _router(self, number: int, ip: str, internal: int, seeds: list[str]) -> RouterRun:
