Forward requests through other routers while the runners are unreachable from here

Cause: a router treated its own lost connection as the loss of every runner. It stayed in the directory, kept its callers' connections and spent each request's attempts on runners that it could not reach, though other routers reached them.

Change: while new connections to two runners of a service (or to all, of a service with fewer) fail and none works, requests for it are forwarded over the internal interface to a router that does not report the same; that router admits, places, charges and repeats them, and never forwards them on. The time of receipt, possible runs and last event id travel along, so that deadline, attempts and streams hold as at one router. If no other router is left, the request is refused at once with a spread Retry-After. A router that reaches no runner of any service also tells the others, which leave it out of the directory (unless all are cut off), and closes its callers' connections after a response. Probes each 0.5 s, or one new connection that works, end it. Requests that may repeat leave an unreachable runner after 1.6 s of silence; others stay.

The serving of requests moved from process.py to request_server.py. test_quota_fleet.py dropped the last field of a record to get an older one; it now drops all from that field on, which checks the same with newer fields behind it.

--- a/src/martenrun/net/server.py
+++ b/src/martenrun/net/server.py
@@ -257,6 +257,7 @@
         self.announced_close = (
             self.announced_close
             or self._server.is_draining
+            or self._server.sheds_connections
             or (self._ends_after_queue and not self._queue)
         )
         return self.announced_close
@@ -340,6 +341,10 @@
         address: ``IP:port`` to listen on.
         handler: called with each complete request.
         maximum_connections: connections beyond these are closed at once.
+
+    Attributes:
+        is_draining: whether connections close after their next response because the process stops.
+        sheds_connections: whether they close so that callers connect to other routers.
     """
 
     def __init__(
@@ -353,6 +358,7 @@
         self.handler = handler
         self.limits = ServerLimits()
         self.is_draining = False
+        self.sheds_connections = False
         self._maximum_connections = maximum_connections
         self._connections: set[ServerConnection] = set()
         self._listener = listen(loop, address, self._on_accept)
--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -33,22 +33,51 @@
     kv_cache_tokens: int
 
 
+class SentRequest(Protocol):
+    """An attempt at a runner or at another router.
+
+    Attributes:
+        target: the runner's instance or the router's address.
+        was_sent: whether bytes of the request may have been sent.
+        was_interrupted: whether a runner's connection broke after that.
+        connection_failure: how the connection failed, or an empty string.
+    """
+
+    target: str
+    was_sent: bool
+    was_interrupted: bool
+    status: int
+    headers: Headers
+    body: bytearray
+    connection: ClientConnection | None
+
+    @property
+    def connection_failure(self) -> str:
+        """How the connection failed, or an empty string."""
+
+    def cancel(self) -> None:
+        """Cancel the attempt by closing its connection."""
+
+
 class AttemptListener(Protocol):
     """Callbacks for the events of an attempt."""
 
-    def on_response_head(self, attempt: "Attempt") -> None:
+    def on_response_head(self, attempt: SentRequest) -> None:
         """Handle the response head of a stream."""
 
     def on_stream_data(self, data: bytes) -> None:
         """Handle received stream bytes; raises BrokenStreamError if they are invalid."""
 
-    def on_stream_complete(self, attempt: "Attempt") -> None:
+    def on_stream_complete(self, attempt: SentRequest) -> None:
         """Handle the regular end of a stream."""
 
     def on_response_complete(self, attempt: "Attempt") -> None:
-        """Handle a complete buffered response."""
+        """Handle a runner's complete buffered response."""
+
+    def on_peer_response(self, attempt: SentRequest) -> None:
+        """Handle the complete buffered response of another router."""
 
-    def on_failure(self, failure: Failure, attempt: "Attempt") -> None:
+    def on_failure(self, failure: Failure, attempt: SentRequest) -> None:
         """Handle an attempt that failed without a usable response."""
 
 
@@ -75,11 +104,12 @@
         self._admitted = admitted
         self._listener = listener
         self.state = state
+        self.target = state.runner.instance
         self._prefill_tokens = load.prefill_tokens
         self._kv_cache_tokens = load.kv_cache_tokens
         self._has_grant = has_grant
         self.has_body_started = False
-        self._started_at = services.loop.now()
+        self._started_at = self._data_at = services.loop.now()
         self._tokens_ahead = state.backlog_tokens + load.prefill_tokens
         state.pending_prefill_tokens += load.prefill_tokens
         state.kv_cache_tokens += load.kv_cache_tokens
@@ -99,6 +129,10 @@
         """How the connection failed, or an empty string."""
         return "" if self.connection is None else self.connection.failure
 
+    def silent_s(self, now: float) -> float:
+        """Return the time without data from the runner since the attempt began, in seconds."""
+        return now - max(self._started_at, self._data_at)
+
     def on_sent(self) -> None:
         """Mark the request as sent, unless it must be withdrawn.
 
@@ -121,6 +155,7 @@
         """Process the response head; an encoded or unsigned response fails the attempt."""
         now = self._services.loop.now()
         self.state.record_data(now)
+        self._data_at = now
         if self.connection is not None:
             self._services.reachability.record_response(
                 self._admitted.service, self.connection.opened_at, now
@@ -146,6 +181,7 @@
             return
         now = self._services.loop.now()
         self.state.record_data(now)
+        self._data_at = now
         if self.is_streamed and not self.has_body_started:
             prefill_rate = self._services.overload_guard(self._admitted.service).prefill_rate
             prefill_rate.add_sample(self._tokens_ahead, now - self._started_at)
--- a/src/martenrun/router/caller_stream.py
+++ b/src/martenrun/router/caller_stream.py
@@ -3,7 +3,7 @@
 from martenrun.net.http import end_to_end
 from martenrun.net.loop import Loop
 from martenrun.net.server import Exchange
-from martenrun.router.attempt import Attempt
+from martenrun.router.attempt import SentRequest
 from martenrun.router.event_stream import EventSplitter
 
 
@@ -40,7 +40,7 @@
         """Discard the incomplete event of a runner whose stream broke."""
         self._splitter.discard_partial_event()
 
-    def forward(self, attempt: Attempt, data: bytes) -> None:
+    def forward(self, attempt: SentRequest, data: bytes) -> None:
         """Forward the complete events to the caller; raises BrokenStreamError."""
         now = self._loop.now()
         for event in self._splitter.feed(data):
@@ -52,7 +52,7 @@
             self._last_event_at = now
             self._exchange.send(event.data)
 
-    def start_response(self, attempt: Attempt) -> None:
+    def start_response(self, attempt: SentRequest) -> None:
         """Send the response head of the first runner, once."""
         if not self._exchange.has_started:
             self._exchange.start(attempt.status, end_to_end(attempt.headers), None)
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -5,9 +5,10 @@
 from martenrun.net.http import end_to_end, request_bytes
 from martenrun.net.loop import Timer
 from martenrun.net.server import Exchange
-from martenrun.router.attempt import STATUS_SERVER_ERROR, Attempt, AttemptLoad
+from martenrun.router.attempt import STATUS_SERVER_ERROR, Attempt, AttemptLoad, SentRequest
 from martenrun.router.caller_stream import CallerStream
 from martenrun.router.messages import AdmittedRequest
+from martenrun.router.peer_route import PeerRoute
 from martenrun.router.quotas.gate import Grant
 from martenrun.router.request_quota import RequestQuota
 from martenrun.router.request_services import RequestServices
@@ -24,6 +25,12 @@
 RUNNER_POLL_INTERVAL_S = 0.025
 """Delay before a waiting request tries again to choose a runner, in seconds."""
 
+UNREACHABLE_SILENCE_S = 1.6
+"""Silence after which a request leaves a runner that its router cannot reach, in seconds.
+
+Longer than the pauses of a sound runner.
+"""
+
 
 class RequestForwarder:
     """Forwards one admitted request: chooses runners, repeats failed attempts, responds.
@@ -46,14 +53,17 @@
         self._on_end = on_end
         self._started_at = exchange.request.received_at
         self._attempted_instances: list[str] = []
-        self._possible_runs = 0
-        self._attempt: Attempt | None = None
+        forwarded = admitted.call.forwarded
+        self._possible_runs = 0 if forwarded is None else forwarded.runs
+        self._may_have_arrived = False
+        self._attempt: SentRequest | None = None
         self._caller_stream = CallerStream(services.loop, exchange, admitted.call.last_event_id)
         self._trace = RequestTrace(services.loop, admitted)
         self._parameters = services.decisions.forwarding
         self._runner_choice = RunnerChoice(services, exchange.request, admitted)
         self._quota = RequestQuota(services.quotas, admitted)
         self._runner_access = RunnerAccess(services)
+        self._peer_route = PeerRoute(services, exchange.request, admitted)
         self._is_over_limit = False
         self.is_over = False
         exchange.on_disconnect = self._on_caller_disconnected
@@ -78,7 +88,10 @@
             configuration_age_ms=round(age_s * 1000),
             earlier_requests=self._exchange.earlier_requests,
         )
-        if self._quota.needs_grant:
+        peer = self._next_peer()
+        if peer is not None:
+            self._forward_to(peer)
+        elif self._quota.needs_grant:
             self._quota.obtain(self._on_grant)
         else:
             self._start_routing()
@@ -113,6 +126,10 @@
             self._trace.record("ends_runners", fingerprint=fingerprint.hex())
             self._refuse("ends_runners", blocked_s)
             return
+        peer = self._next_peer()
+        if peer is not None:
+            self._forward_to(peer)
+            return
         state = self._runner_choice.choose()
         if state is None:
             self._wait_or_refuse("no_runner")
@@ -136,6 +153,21 @@
 
     # Sending
 
+    def _next_peer(self) -> str | None:
+        """Return the router to forward the request to, or None; repeats need the retry budget."""
+        if self._may_have_arrived and not self._is_within_budget():
+            return None
+        return self._peer_route.next_peer()
+
+    def _forward_to(self, peer: str) -> None:
+        if self._may_have_arrived:
+            budget = self._services.retry_budget(self._admitted.service)
+            budget.record_retry(self._services.loop.now())
+        self._trace.record("forwarded", router=peer, runs=self._possible_runs)
+        self._attempt = self._peer_route.send(
+            peer, self, self._possible_runs, self._caller_stream.last_event_id
+        )
+
     def _send(self, state: RunnerState, choose_again: Callable[[], None]) -> None:
         """Send the request to a runner, after obtaining a grant if the runner is rate-limited."""
         if self._runner_access.may_send(state):
@@ -187,11 +219,9 @@
 
     # Callbacks of an attempt
 
-    def on_response_head(self, attempt: Attempt) -> None:
+    def on_response_head(self, attempt: SentRequest) -> None:
         """Record that a stream's response head has arrived."""
-        self._trace.record(
-            "answering", instance=attempt.state.runner.instance, status=attempt.status
-        )
+        self._trace.record("answering", instance=attempt.target, status=attempt.status)
 
     def on_stream_data(self, data: bytes) -> None:
         """Forward the complete events to the caller; raises BrokenStreamError."""
@@ -200,7 +230,7 @@
         if self._exchange.is_congested:
             self._pause(True)
 
-    def on_stream_complete(self, attempt: Attempt) -> None:
+    def on_stream_complete(self, attempt: SentRequest) -> None:
         """End the response if the stream ended after a complete event, else fail the attempt."""
         if self._caller_stream.has_partial_event:
             self.on_failure(Failure.BROKEN, attempt)
@@ -218,23 +248,29 @@
         else:
             self._return_response(attempt)
 
-    def _return_response(self, attempt: Attempt) -> None:
+    def on_peer_response(self, attempt: SentRequest) -> None:
+        """Return the response of another router, which is final."""
+        metadata = self._services.adapter.read_response_metadata(attempt.status, attempt.headers)
+        self._return_response(attempt, "served" if metadata.is_signed else "failed_at_peer")
+
+    def _return_response(self, attempt: SentRequest, outcome: str = "served") -> None:
         if self._exchange.has_started:
             self._abort(attempt)
             return
         self._exchange.respond(attempt.status, end_to_end(attempt.headers), bytes(attempt.body))
-        self._end("served", attempt)
+        self._end(outcome, attempt)
 
-    def on_failure(self, failure: Failure, attempt: Attempt) -> None:
+    def on_failure(self, failure: Failure, attempt: SentRequest) -> None:
         """Handle a failed attempt by the step that :func:`next_step` returns."""
         if self.is_over:
             return
         self._attempt = None
         may_have_run = failure in (Failure.BROKEN, Failure.RUN_FAILED)
         self._possible_runs += may_have_run
+        self._may_have_arrived = self._may_have_arrived or failure is not Failure.NOT_SENT
         self._quota.record_failure(may_have_run)
         self._caller_stream.discard_partial_event()
-        if not attempt.was_interrupted:
+        if not (isinstance(attempt, Attempt) and attempt.was_interrupted):
             self._continue(failure, attempt)
             return
         suspects = self._services.suspects
@@ -247,26 +283,32 @@
         else:
             self._continue(failure, attempt)
 
-    def _continue(self, failure: Failure, attempt: Attempt) -> None:
-        """Retry the request at another runner or end it."""
+    def _continue(self, failure: Failure, attempt: SentRequest) -> None:
+        """Retry the request at another runner or router, or end it."""
         if self.is_over:
             return
         now = self._services.loop.now()
-        state = self._runner_choice.choose()
-        step = next_step(failure, self._attempt_state(state is not None, now))
-        instance = attempt.state.runner.instance
+        peer = self._next_peer()
+        is_unreachable = self._peer_route.is_needed()
+        state = None if is_unreachable else self._runner_choice.choose()
+        has_other = peer is not None or state is not None
+        step = next_step(failure, self._attempt_state(has_other, now))
         self._trace.record_failed_attempt(
-            instance,
+            attempt.target,
             attempt.status,
             failure,
             attempt.connection_failure,
             step,
             self._possible_runs,
         )
-        if step is NextStep.SEND_AGAIN and state is not None:
+        if step is NextStep.SEND_AGAIN and peer is not None:
+            self._forward_to(peer)
+        elif step is NextStep.SEND_AGAIN and state is not None:
             self._send_again(state, failure, attempt)
         elif step is NextStep.FORWARD_RESPONSE:
             self._return_response(attempt)
+        elif step is NextStep.REFUSE and is_unreachable:
+            self._refuse("runners_unreachable", self._peer_route.refusal_delay_s())
         elif step is NextStep.REFUSE:
             self._wait_or_refuse(failure.value)
         elif step is NextStep.ABORT_RESPONSE:
@@ -274,7 +316,7 @@
         else:
             self._respond(502, "unknown", attempt)
 
-    def _send_again(self, state: RunnerState, failure: Failure, attempt: Attempt) -> None:
+    def _send_again(self, state: RunnerState, failure: Failure, attempt: SentRequest) -> None:
         """Send the request to another runner; a repeated run also counts against the quota."""
         if not self._quota.needs_grant:
             self._send(state, lambda: self._continue(failure, attempt))
@@ -331,11 +373,11 @@
         self._exchange.respond(status, [(b"Retry-After", retry_after)])
         self._end("refused", None, reason=reason)
 
-    def _respond(self, status: int, outcome: str, attempt: Attempt | None) -> None:
+    def _respond(self, status: int, outcome: str, attempt: SentRequest | None) -> None:
         self._exchange.respond(status, [])
         self._end(outcome, attempt)
 
-    def _abort(self, attempt: Attempt | None) -> None:
+    def _abort(self, attempt: SentRequest | None) -> None:
         self._exchange.abort()
         self._end("broken_off", attempt)
 
@@ -354,7 +396,7 @@
         """Move the request off a runner whose weights are too old to start it."""
         attempt = self._attempt
         model = self._admitted.call.model
-        if attempt is None or model is None or attempt.has_body_started:
+        if not isinstance(attempt, Attempt) or model is None or attempt.has_body_started:
             return
         version = attempt.state.weights_version(model)
         if version is not None and version < self._services.oldest_startable_weights(model, now):
@@ -367,17 +409,28 @@
         The run on the old instance is lost even if its connection has not been closed.
         """
         attempt = self._attempt
-        if attempt is not None and self._services.runners.is_replaced(attempt.state.runner):
+        if not isinstance(attempt, Attempt):
+            return
+        if self._services.runners.is_replaced(attempt.state.runner):
             attempt.cancel()
             request = self._exchange.request
             self._services.suspects.record_restart(attempt.state, request, self._admitted)
             self.on_failure(Failure.BROKEN, attempt)
 
+    def move_off_unreachable_runner(self, now: float) -> None:
+        """Move the request to another router if its runner is silent and unreachable from here."""
+        attempt = self._attempt
+        if not isinstance(attempt, Attempt) or not self._admitted.route.may_repeat:
+            return
+        if attempt.silent_s(now) > UNREACHABLE_SILENCE_S and self._next_peer() is not None:
+            attempt.cancel()
+            self.on_failure(Failure.BROKEN, attempt)
+
     def shut_down(self) -> None:
         """End the request because the process stops."""
         self._on_timeout()
 
-    def _end(self, outcome: str, attempt: Attempt | None, reason: str | None = None) -> None:
+    def _end(self, outcome: str, attempt: SentRequest | None, reason: str | None = None) -> None:
         if self.is_over:
             return
         self.is_over = True
@@ -395,7 +448,7 @@
             outcome,
             is_failure,
             reason=reason,
-            instance=None if attempt is None else attempt.state.runner.instance,
+            instance=None if attempt is None else attempt.target,
             status=None if attempt is None else attempt.status,
             tries=len(self._attempted_instances),
             events=self._caller_stream.last_event_id,
--- a/src/martenrun/router/internal_interface.py
+++ b/src/martenrun/router/internal_interface.py
@@ -1,12 +1,15 @@
 """HTTP interface on a router's internal address, which is not reachable from outside.
 
-It serves metrics and status pages, and relays store data to other routers.
+It serves metrics and status pages, and relays store data and callers' requests for other routers.
 """
 
+from collections.abc import Callable
+
 from martenrun.net.http import STATUS_OK
 from martenrun.net.server import Exchange
 from martenrun.router.crash_page import BLAME_PATH, serve_crash_records
 from martenrun.router.crash_tracker import CrashTracker
+from martenrun.router.forwarded_request import is_forwarded
 from martenrun.router.metrics import Metrics
 from martenrun.router.quotas.gate import QuotaGate
 from martenrun.router.quotas.page import QUOTAS_PATH, serve_quotas
@@ -17,20 +20,32 @@
 
 
 class InternalInterface:
-    """Serves metrics, blocked requests, tenants' quota accounts, and cached store data."""
+    """Serves metrics, blocked requests, tenants' quota accounts, and cached store data.
+
+    Args:
+        serve_forwarded: serves a caller's request that another router forwarded.
+    """
 
     def __init__(
-        self, metrics: Metrics, suspects: CrashTracker, quotas: QuotaGate, relay: RelayServer
+        self,
+        metrics: Metrics,
+        suspects: CrashTracker,
+        quotas: QuotaGate,
+        relay: RelayServer,
+        serve_forwarded: Callable[[Exchange], None],
     ) -> None:
         self._metrics = metrics
         self._suspects = suspects
         self._quotas = quotas
         self._relay = relay
+        self._serve_forwarded = serve_forwarded
 
     def serve(self, exchange: Exchange) -> None:
         """Serve a request of another router, an operator or a metrics collector."""
         target = exchange.request.target
-        if target == METRICS_PATH:
+        if is_forwarded(exchange.request):
+            self._serve_forwarded(exchange)
+        elif target == METRICS_PATH:
             content = [(b"Content-Type", b"text/plain")]
             exchange.respond(STATUS_OK, content, self._metrics.text())
         elif target == BLAME_PATH:
--- a/src/martenrun/router/messages.py
+++ b/src/martenrun/router/messages.py
@@ -10,6 +10,7 @@
 
 from martenrun.net.http import Headers
 from martenrun.net.server import ServerLimits
+from martenrun.router.forwarded_request import ForwardedState
 from martenrun.router.quotas.limit import RateLimit
 
 
@@ -150,7 +151,8 @@
     """Values parsed from a caller's request.
 
     ``counted_tokens`` is the number of prompt tokens plus the maximum number of output tokens, or
-    None if the request does not state them.
+    None if the request does not state them.  ``forwarded`` is set if another router received the
+    request and forwarded it.
     """
 
     request_id: bytes
@@ -163,6 +165,7 @@
     prompt_tokens: int
     last_event_id: int
     counted_tokens: int | None = None
+    forwarded: ForwardedState | None = None
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/martenrun/router/peer_attempt.py
@@ -0,0 +1,119 @@
+"""One attempt to forward a request through another router that reaches the runners."""
+
+from martenrun.net.client import ClientConnection
+from martenrun.net.http import Headers
+from martenrun.router.attempt import AttemptListener
+from martenrun.router.event_stream import BrokenStreamError
+from martenrun.router.log import log_warning
+from martenrun.router.messages import AdmittedRequest, RouteKind
+from martenrun.router.request_services import RequestServices
+from martenrun.router.retry import Failure
+
+STATUS_MULTIPLE_CHOICES = 300
+
+
+class PeerAttempt:
+    """An attempt at another router; see :class:`martenrun.net.client.ResponseReader`.
+
+    The other router places the request and repeats failed attempts, so its response is final.
+
+    Args:
+        address: internal address of the other router.
+    """
+
+    was_interrupted = False
+    """A broken connection to a router does not show that a runner crashed."""
+
+    def __init__(
+        self,
+        services: RequestServices,
+        admitted: AdmittedRequest,
+        listener: AttemptListener,
+        address: str,
+    ) -> None:
+        self._services = services
+        self._admitted = admitted
+        self._listener = listener
+        self.target = address
+        self.was_sent = False
+        self.status = 0
+        self.headers: Headers = []
+        self.body = bytearray()
+        self._is_streamed = False
+        self._is_over = False
+        self.connection: ClientConnection | None = None
+
+    @property
+    def connection_failure(self) -> str:
+        """How the connection failed, or an empty string."""
+        return "" if self.connection is None else self.connection.failure
+
+    def send(self, data: bytes) -> None:
+        """Send the request on a new connection, which cannot be stale."""
+        try:
+            self.connection = ClientConnection(
+                self._services.loop, self.target, ClientConnection.close, _ignore
+            )
+        except OSError:
+            self._services.loop.call_later(0.0, lambda: self.on_broken(False))
+            return
+        self.connection.send(data, self)
+
+    def on_sent(self) -> None:
+        """Record that the request may reach the other router."""
+        self.was_sent = True
+
+    def on_head(self, status: int, headers: Headers, length: int | None) -> None:
+        """Record the response head; only a runner's success is streamed."""
+        self.status = status
+        self.headers = headers
+        metadata = self._services.adapter.read_response_metadata(status, headers)
+        if status < STATUS_MULTIPLE_CHOICES and not metadata.is_signed:
+            self._fail(Failure.BROKEN)
+            return
+        is_stream = self._admitted.route.kind is RouteKind.STREAM
+        self._is_streamed = is_stream and status < STATUS_MULTIPLE_CHOICES
+        if self._is_streamed:
+            self._listener.on_response_head(self)
+
+    def on_body(self, data: bytes) -> None:
+        """Process received bytes of the body."""
+        if self._is_over:
+            return
+        if not self._is_streamed:
+            self.body += data
+            return
+        try:
+            self._listener.on_stream_data(data)
+        except BrokenStreamError as exc:
+            log_warning("stream_amiss", fault=str(exc), instance=self.target)
+            self._fail(Failure.BROKEN)
+
+    def on_complete(self) -> None:
+        """Process the end of a complete response."""
+        if self._is_over:
+            return
+        self._is_over = True
+        if self._is_streamed:
+            self._listener.on_stream_complete(self)
+        else:
+            self._listener.on_peer_response(self)
+
+    def on_broken(self, was_sent: bool) -> None:
+        """Process a connection that closed before the end of the response."""
+        self._fail(Failure.BROKEN if was_sent else Failure.NOT_SENT)
+
+    def cancel(self) -> None:
+        """Cancel the attempt; the other router notices the closed connection."""
+        self._is_over = True
+        if self.connection is not None:
+            self.connection.close()
+
+    def _fail(self, failure: Failure) -> None:
+        if not self._is_over:
+            self.cancel()
+            self._listener.on_failure(failure, self)
+
+
+def _ignore(_connection: ClientConnection) -> None:
+    return None
--- a/src/martenrun/router/peer_messages.py
+++ b/src/martenrun/router/peer_messages.py
@@ -46,6 +46,8 @@
     ``configurations`` lists the configuration versions in force on some router, as far as this
     router knows, as (version, milliseconds since then).
     ``quota_stage`` is a :class:`QuotaStage`.
+    ``unreachable_services`` lists the services whose runners it cannot reach; ``is_cut_off`` is set
+    if it reaches no runners at all.
     """
 
     address: str
@@ -65,6 +67,8 @@
     capacity: float = 0.0
     configurations: list[tuple[int, int]] = []
     quota_stage: int = QuotaStage.NONE.value
+    unreachable_services: list[str] = []
+    is_cut_off: bool = False
 
 
 class RouterHeartbeat(msgspec.Struct, array_like=True, frozen=True):
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -1,24 +1,27 @@
 """The router process: wires up its components, serves requests and stops gracefully."""
 
 import signal
+from collections.abc import Callable
 from pathlib import Path
 
+import attrs
+
 from martenrun.errors import SettingsError
+from martenrun.net.http import HttpResponse
 from martenrun.net.loop import Loop
-from martenrun.net.server import Exchange, Server
-from martenrun.router.admission import Admission, Refusal, send_refusal
+from martenrun.net.server import Server
 from martenrun.router.crash_detector import RunnerView
 from martenrun.router.crash_record_writer import CrashRecordWriter
 from martenrun.router.crash_tracker import CrashTracker
-from martenrun.router.denials import DenialRecheck
-from martenrun.router.forwarding import RequestForwarder
+from martenrun.router.forwarded_request import with_room_for_forwarding
 from martenrun.router.gauges import GaugeSources, read_gauges
 from martenrun.router.internal_interface import InternalInterface
 from martenrun.router.lease import Lease
 from martenrun.router.load_exchange import LoadExchange
 from martenrun.router.log import EVENT_LOG, log_event, log_warning
-from martenrun.router.messages import AdmittedRequest, Configuration, Dataset, LeaseRecord, Route
+from martenrun.router.messages import Configuration, Dataset, HttpCall, LeaseRecord, Route
 from martenrun.router.metrics import Metrics
+from martenrun.router.partition_monitor import PROBE_TIMEOUT_S, PartitionMonitor
 from martenrun.router.peer_addresses import PeerAddressDirectory
 from martenrun.router.peer_messages import RouterRecord, UnresponsiveRunnerUpdate
 from martenrun.router.peer_updates import dispatch_update, updates_for_new_router
@@ -28,6 +31,7 @@
 from martenrun.router.platform_adapter import PlatformAdapter, SettingsSource
 from martenrun.router.quotas.gate import QuotaGate
 from martenrun.router.quotas.owners import AccountOwners
+from martenrun.router.request_server import RequestServer
 from martenrun.router.request_services import RequestServices
 from martenrun.router.router_discovery import RouterDiscovery
 from martenrun.router.runner_limits import RunnerLimits
@@ -68,7 +72,6 @@
         self._loop.pacer.set_link_rate(settings.link_bytes_per_s)
         self._store = HttpClient(self._loop, settings.store_address)
         self._metrics = Metrics(lambda: read_gauges(self._gauge_sources))
-        self._forwarders: set[RequestForwarder] = set()
         self._stop: PlannedStop | None = None
         self._services = RequestServices(
             loop=self._loop,
@@ -97,7 +100,6 @@
                 lambda outcome: self._metrics.count("runner_limits", outcome=outcome),
             ),
         )
-        self._admission = Admission(self._services)
         own = RouterRecord(
             address=settings.internal_address,
             incarnation=first_incarnation(),
@@ -157,30 +159,35 @@
         self._peer_addresses = PeerAddressDirectory(
             self._loop, self._store, adapter, self._peers, lambda: self._keeper.reads_store
         )
-        self._denials = DenialRecheck(
-            self._services, self._admission, self._store, self._feed, self._forward
-        )
+        self._requests = RequestServer(self._services, self._store, self._feed)
         internal = InternalInterface(
-            self._metrics, self._services.suspects, self._quotas, self._keeper.relay
+            self._metrics,
+            self._services.suspects,
+            self._quotas,
+            self._keeper.relay,
+            self._requests.serve_forwarded,
         )
         discovery = RouterDiscovery(adapter, self._peers, self._refresh, self._is_ready)
         self._front = Server(
             self._loop,
             settings.front_address,
-            self._serve,
+            self._requests.serve,
             int(settings.maximum_descriptors * CALLER_CONNECTIONS_SHARE),
         )
+        self._internal = Server(self._loop, settings.internal_address, internal.serve)
         self._other_servers = [
             Server(self._loop, settings.ready_address, discovery.serve_ready),
             Server(self._loop, settings.directory_address, discovery.serve_directory),
-            Server(self._loop, settings.internal_address, internal.serve),
         ]
+        self._partitions = PartitionMonitor(
+            self._services, self._peers, self._front, self._probe_runner
+        )
         self._gauge_sources = GaugeSources(
             self._services,
             self._peers,
             self._keeper,
             self._lease,
-            request_count=lambda: len(self._forwarders),
+            request_count=lambda: len(self._requests.forwarders),
             connection_count=lambda: self._front.connections,
         )
         self._services.configuration.on_changed.append(self._on_configuration)
@@ -240,6 +247,7 @@
 
     def _on_configuration(self, configuration: Configuration) -> None:
         self._front.limits = configuration.limits
+        self._internal.limits = with_room_for_forwarding(configuration.limits)
         self._services.configuration.merge_versions([(configuration.version, 0)], self._loop.now())
         if self._keeper.reads_store:
             # Routers that are behind must learn this even if they cannot fetch the configuration.
@@ -266,6 +274,7 @@
         own.configurations = self._services.configuration.versions_in_force(self._loop.now())
         own.loads = self._loads.own_loads()
         own.quota_stage = self._quotas.stage().value
+        self._partitions.update_record(own)
 
     def _on_limit_changed(self, instance: str) -> None:
         """Make a runner whose rate limit has changed eligible for grants again."""
@@ -290,33 +299,16 @@
 
     # Requests
 
-    def _serve(self, exchange: Exchange) -> None:
-        call = self._admission.read_call(exchange)
-        if isinstance(call, Refusal):
-            send_refusal(exchange, call, None)
-            return
-        decision = self._admission.admit(exchange, call)
-        if isinstance(decision, AdmittedRequest):
-            self._forward(exchange, decision)
-        elif decision.status in (401, 404):
-            self._denials.recheck(exchange, call)
-        else:
-            send_refusal(exchange, decision, call)
-
-    def _forward(self, exchange: Exchange, admitted: AdmittedRequest) -> None:
-        received_at = exchange.request.received_at
-        if self._stop is not None and not self._stop.may_accept(admitted, received_at):
-            send_refusal(exchange, Refusal(503, "stopping"), admitted.call)
-            return
-        self._services.retry_budget(admitted.service).record_request(self._loop.now())
-        forwarder = RequestForwarder(self._services, exchange, admitted, self._forwarders.discard)
-        self._forwarders.add(forwarder)
-        forwarder.start()
-
     def _record_outcome(self, outcome: str, route: Route, seconds: float) -> None:
         self._metrics.count("requests", outcome=outcome, kind=route.kind.value)
         self._metrics.time("request", seconds, kind=route.kind.value)
 
+    def _probe_runner(
+        self, address: str, call: HttpCall, on_response: Callable[[HttpResponse | None], None]
+    ) -> None:
+        closing = attrs.evolve(call, headers=[*call.headers, (b"Connection", b"close")])
+        HttpClient(self._loop, address).call(closing, PROBE_TIMEOUT_S, on_response)
+
     # Readiness
 
     def _is_current(self) -> bool:
@@ -346,16 +338,16 @@
         if self._stop is not None:
             return
         self._stop = PlannedStop(self._loop.now(), self._services.settings.bounds.grace_s)
-        log_event("stopping", requests=len(self._forwarders))
+        self._requests.stop = self._stop
+        log_event("stopping", requests=len(self._requests.forwarders))
         self._front.is_draining = True
         self._rollout.stop_by(self._stop.closes_idle_at)
         self._peers.broadcast_record()
 
     def _run_maintenance(self) -> None:
         now = self._loop.now()
-        for forwarder in list(self._forwarders):
-            forwarder.move_off_old_weights(now)
-            forwarder.move_off_replaced_runner()
+        self._partitions.run_maintenance(now)
+        self._requests.run_maintenance(now)
         self._loads.repeat_reports()
         for instance in newly_unresponsive(self._services, now):
             update = UnresponsiveRunnerUpdate(self._peers.own.address, instance)
@@ -375,13 +367,13 @@
 
     def _continue_stop(self, stop: PlannedStop, now: float) -> None:
         if now > stop.aborts_at:
-            log_warning("grace_over", requests=len(self._forwarders))
-            for forwarder in list(self._forwarders):
+            log_warning("grace_over", requests=len(self._requests.forwarders))
+            for forwarder in list(self._requests.forwarders):
                 forwarder.shut_down()
             self._loop.call_later(0.2, self._loop.stop)
         elif now > stop.closes_idle_at:
             self._front.shut_down_idle()
-            is_idle = not self._forwarders and self._front.connections == 0
+            is_idle = not self._requests.forwarders and self._front.connections == 0
             if is_idle and not self._services.suspects.detector.is_investigating():
                 self._loop.stop()
 
--- a/src/martenrun/router/request_services.py
+++ b/src/martenrun/router/request_services.py
@@ -46,6 +46,8 @@
         quotas: grants quota units to tenants; None where no quota accounts are kept.
         runner_limits: the rate limits that runners advertise.
         reachability: services whose runners this router cannot reach.
+        peers_reaching: returns the internal addresses of live routers that reach the runners of a
+            service, in the order in which to try them.
         retry_slack_from: when this router may start to use its share of the retry slack.
     """
 
@@ -70,6 +72,7 @@
     reachability: Reachability = attrs.field(
         default=attrs.Factory(lambda self: Reachability(self.pool.states), takes_self=True)
     )
+    peers_reaching: Callable[[str], list[str]] = lambda _service: []
     _retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _overload_guards: dict[str, OverloadGuard] = attrs.field(factory=dict)
 
--- a/src/martenrun/router/router_discovery.py
+++ b/src/martenrun/router/router_discovery.py
@@ -55,13 +55,14 @@
         exchange.respond(200, [(b"Content-Type", b"application/json")], body)
 
     def _addresses(self, zone: str) -> list[str]:
-        """Return routers that are not stopping and have a recent configuration.
+        """Return routers that are not stopping, reach runners and have a recent configuration.
 
         Only those of the zone are returned if the zone has at least two.
         """
         own = self._peers.own
         self._refresh(own)
         records = [record for record in [own, *self._peers.live()] if not record.is_leaving]
+        records = [record for record in records if not record.is_cut_off] or records
         current = [record for record in records if record.is_current] or records
         in_zone = [record for record in current if record.zone == zone]
         chosen = in_zone if len(in_zone) > 1 else current
--- a/src/martenrun/router/runner_pool.py
+++ b/src/martenrun/router/runner_pool.py
@@ -62,6 +62,10 @@
         for entry in self._entries.values():
             self._by_service.setdefault(entry.state.runner.service, []).append(entry.state)
 
+    def services(self) -> list[str]:
+        """Return the services that have listed runners."""
+        return list(self._by_service)
+
     def states(self, service: str) -> list[RunnerState]:
         """Return the states of a service's runners."""
         return self._by_service.get(service, [])
--- a/tests/router/test_quota_fleet.py
+++ b/tests/router/test_quota_fleet.py
@@ -262,7 +262,8 @@
 def test_record_of_an_older_router_has_no_quota_stage():
     new = router_record("a", quota_stage=2)
     assert decode(encode(Gossip([new]))).records[0].quota_stage == 2
-    without_stage = msgspec.msgpack.decode(msgspec.msgpack.encode(new))[:-1]
+    position = RouterRecord.__struct_fields__.index("quota_stage")
+    without_stage = msgspec.msgpack.decode(msgspec.msgpack.encode(new))[:position]
     assert msgspec.convert(without_stage, RouterRecord).quota_stage == 0
 
 
