A router that is cut off from all runners blames no request for crashes

A cut may refuse new connections and reset the open ones. The crash detector takes a refusal for proof that the runner's process has exited, so such a router held the requests in flight at three runners for deadly, and all routers would have refused them for an hour. A refusal now proves an exit only if another runner has sent data since, or accepts a connection when probed; otherwise the probe is repeated as for other inconclusive ones.

--- a/scripts/measure_blame.py
+++ b/scripts/measure_blame.py
@@ -188,6 +188,8 @@
         instances_at=lambda _address: [],
         has_connection=lambda _instance: False,
         count=lambda: 8,
+        has_other_data=lambda _instance, _since: True,
+        other_addresses=lambda _instance: [],
     )
 
 
--- a/src/martenrun/router/crash_detector.py
+++ b/src/martenrun/router/crash_detector.py
@@ -4,7 +4,8 @@
 running.  The router therefore probes the runner's address with a new connection:
 
 - Refused: the process has exited.  The machine refuses connections at once, and for seconds, until
-  the next instance listens.
+  the next instance listens.  A partition may refuse connections to all runners as well, so another
+  runner must be reachable from here.
 - Accepted and kept open, twice: the runner is alive.  One acceptance is not enough because a proxy
   in between may be slow to notice the exit.
 - Anything else is inconclusive, and the probe is repeated a few times.  A connection that is closed
@@ -115,6 +116,8 @@
         instances_at: returns the instances listed at an address.
         count: returns the number of listed runners.
         has_connection: returns whether a kept-alive connection to an instance is still open.
+        has_other_data: returns whether another runner has sent data since a time.
+        other_addresses: returns the addresses of the other runners, in the order to probe them.
     """
 
     is_listed: Callable[[RunnerState], bool]
@@ -122,6 +125,8 @@
     instances_at: Callable[[str], list[str]]
     has_connection: Callable[[str], bool]
     count: Callable[[], int]
+    has_other_data: Callable[[str, float], bool]
+    other_addresses: Callable[[str], list[str]]
 
 
 class CrashDetector:
@@ -232,10 +237,34 @@
             has_connection=self._runners.has_connection(investigation.runner.instance),
             runs=len(investigation.fingerprints),
         )
+        if not refused:
+            self._apply_result(investigation, refused)
+        elif self._runners.has_connection(investigation.runner.instance):
+            self._apply_result(investigation, None)
+        else:
+            self._check_other_runner(investigation)
+
+    def _check_other_runner(self, investigation: Investigation) -> None:
+        """Confirm a crash if this router still reaches another runner."""
+        instance = investigation.runner.instance
+        addresses = self._runners.other_addresses(instance)
+        if not addresses or self._runners.has_other_data(instance, investigation.began_at):
+            self._apply_result(investigation, True)
+            return
+
+        def on_result(refused: bool | None) -> None:
+            self._apply_result(investigation, True if refused is False else None)
+
+        investigation.is_probing = True
+        self._probe(self._loop, addresses[0], on_result)
+
+    def _apply_result(self, investigation: Investigation, refused: bool | None) -> None:
+        """Apply the result of a probe; True only if the refusal proves the crash."""
+        investigation.is_probing = False
         if investigation.has_crashed:
             # The entry of a later instance proved the crash first.
             pass
-        elif refused and not self._runners.has_connection(investigation.runner.instance):
+        elif refused:
             self._confirm_crash(investigation)
         elif refused is False and investigation.was_accepted:
             # The runner is alive; only a connection broke.
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -226,6 +226,11 @@
             instances_at=lambda address: self._services.runners.instances_at(address),
             has_connection=lambda instance: self._services.pool.has_idle_connection(instance),
             count=lambda: len(self._services.runners.runners),
+            has_other_data=lambda instance, since: any(
+                state.last_data_at > since and state.runner.instance != instance
+                for state in self._services.pool.all_states()
+            ),
+            other_addresses=lambda instance: self._services.pool.other_addresses(instance),
         )
 
     def run(self) -> None:
--- a/src/martenrun/router/runner_pool.py
+++ b/src/martenrun/router/runner_pool.py
@@ -1,5 +1,7 @@
 """States of the listed runners, and a pool of idle connections to them."""
 
+import random
+
 import attrs
 
 from martenrun.net.client import ClientConnection, ResponseReader
@@ -74,6 +76,16 @@
         """Return the states of all runners."""
         return [entry.state for entry in self._entries.values()]
 
+    def other_addresses(self, instance: str) -> list[str]:
+        """Return the addresses of runners other than an instance, in random order."""
+        addresses = [
+            state.runner.address
+            for state in self.all_states()
+            if state.runner.instance != instance and not state.runner.is_draining
+        ]
+        random.shuffle(addresses)
+        return addresses
+
     def state(self, instance: str) -> RunnerState | None:
         """Return the state of a listed runner instance, or None."""
         entry = self._entries.get(instance)
--- a/tests/router/crash_world.py
+++ b/tests/router/crash_world.py
@@ -36,6 +36,8 @@
         self.restarted = set()
         self.listed_at = {}
         self.connected = set()
+        self.has_data = True
+        self.others = []
 
     def view(self):
         return RunnerView(
@@ -44,6 +46,8 @@
             instances_at=lambda address: self.listed_at.get(address, []),
             has_connection=lambda instance: instance in self.connected,
             count=lambda: 8,
+            has_other_data=lambda _instance, _since: self.has_data,
+            other_addresses=lambda _instance: self.others,
         )
 
 
--- a/tests/router/test_crash_detector.py
+++ b/tests/router/test_crash_detector.py
@@ -238,3 +238,48 @@
     serve_until(loop, closed)
     peer.close()
     assert results == [None]
+
+
+# Guards against requests blamed for crashes by a router that is cut off from all runners.
+def test_refusals_prove_no_crash_if_no_other_runner_can_be_reached(harness):
+    harness.runners.has_data = False
+    harness.runners.others = ["127.0.0.1:2", "127.0.0.1:3"]
+    harness.probes.refused |= {"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"}
+    harness.detector.handle_disconnect(state("i-1"), FINGERPRINT)
+    harness.run(INVESTIGATION_S)
+    assert harness.crashes == []
+
+
+def test_a_refusal_proves_a_crash_once_another_runner_accepts_a_connection(harness):
+    harness.runners.has_data = False
+    harness.runners.others = ["127.0.0.1:2"]
+    harness.probes.refused |= {"127.0.0.1:1", "127.0.0.1:2"}
+    harness.detector.handle_disconnect(state("i-1"), FINGERPRINT)
+    resolved = []
+    harness.detector.call_when_resolved("i-1", lambda: resolved.append(harness.loop.time))
+    harness.run(0.02)
+    assert harness.crashes == [] and len(resolved) == 1
+    harness.probes.refused.discard("127.0.0.1:2")
+    harness.run(0.1)
+    assert harness.crashes == [("i-1", [FINGERPRINT])]
+
+
+def test_a_refusal_is_checked_against_another_runner_before_the_request_continues(harness):
+    harness.runners.has_data = False
+    harness.runners.others = ["127.0.0.1:2"]
+    harness.probes.refused.add("127.0.0.1:1")
+    harness.detector.handle_disconnect(state("i-1"), FINGERPRINT)
+    crashes_when_resolved = []
+    harness.detector.call_when_resolved(
+        "i-1", lambda: crashes_when_resolved.append(len(harness.crashes))
+    )
+    harness.run(0.02)
+    assert crashes_when_resolved == [1]
+
+
+def test_a_refusal_by_the_only_runner_proves_its_crash(harness):
+    harness.runners.has_data = False
+    harness.probes.refused.add("127.0.0.1:1")
+    harness.detector.handle_disconnect(state("i-1"), FINGERPRINT)
+    harness.run(0.01)
+    assert harness.crashes == [("i-1", [FINGERPRINT])]
