Lease holders that reach no runner let the lease on orders expire

While the runners to be ordered are unreachable a router neither renews nor acquires the lease and starts no load, and the others leave it out of the ranking. It is not released: a released lease is final for a process, which still needs it after the cut. Failed reports count as evidence of reach. Three tests of test_weights_rollout.py fail before.

--- a/src/martenrun/router/reachability.py
+++ b/src/martenrun/router/reachability.py
@@ -70,6 +70,13 @@
         connections.failed_at[instance] = now
         self._check(service, connections, now)
 
+    def record_call(self, state: RunnerState, has_responded: bool, now: float) -> None:
+        """Record the result of a call to a runner on a connection of unknown age."""
+        if has_responded:
+            self.record_response(state.runner.service, -math.inf, now)
+        else:
+            self.record_failure(state.runner.service, state.runner.instance, now)
+
     def is_unreachable(self, service: str, now: float) -> bool:
         """Return whether this router has lost its connection to a service's runners."""
         connections = self._services.get(service)
--- a/src/martenrun/router/weights_rollout.py
+++ b/src/martenrun/router/weights_rollout.py
@@ -122,10 +122,13 @@
             return
         if self._needed_since is None:
             self._needed_since = now
-        self._acquire_lease(now)
+        may_order = not self._is_unreachable(models, now)
+        if may_order:
+            # Otherwise the lease expires, and a router that reaches the runners acquires it.
+            self._acquire_lease(now)
         for model in models:
             self._check_loads(model, self._world.weights.targets[model].version, now)
-            if self._lease.is_held():
+            if may_order and self._lease.is_held():
                 self._start_loads(model, now)
             else:
                 self._cancel_unordered_loads(model)
@@ -151,6 +154,15 @@
         idle_ms = round((record.released_idle_s or 0.0) * MS_PER_S)
         self._peers.broadcast(LeaseUpdate(record.holder, record.fencing_token, revision, idle_ms))
 
+    def _is_unreachable(self, models: list[str], now: float) -> bool:
+        """Return whether this router cannot reach the runners of a service that needs orders."""
+        states, targets = self._world.pool.all_states(), self._world.weights.targets
+        return any(
+            self._world.reachability.is_unreachable(state.runner.service, now)
+            for model in models
+            for state in outdated_runners(states, model, targets[model].version)
+        )
+
     def _outdated_models(self) -> list[str]:
         states = self._world.pool.all_states()
         targets = self._world.weights.targets
@@ -163,7 +175,9 @@
         own = self._peers.own
         candidates = [own]
         candidates += [
-            record for record in self._peers.live() if record.is_current and not record.is_leaving
+            record
+            for record in self._peers.live()
+            if record.is_current and not record.is_leaving and not record.unreachable_services
         ]
         ranking = order_by_strength(
             b"weights", {item.address: item.capacity for item in candidates}
@@ -275,6 +289,8 @@
 
     def _on_report(self, response: HttpResponse | None, state: RunnerState, model: str) -> None:
         instance = state.runner.instance
+        now = self._world.loop.now()
+        self._world.reachability.record_call(state, response is not None, now)
         load = self._loads.get(instance)
         target = self._world.weights.targets[model].version
         if load is None:
--- a/tests/router/test_weights_rollout.py
+++ b/tests/router/test_weights_rollout.py
@@ -2,6 +2,8 @@
 
 from types import SimpleNamespace
 
+from martenrun.router.messages import TargetWeights
+from martenrun.router.reachability import Reachability
 from martenrun.router.runner_state import RunnerState
 from martenrun.router.tuning import TuningParameters
 from martenrun.router.weights_rollout import WeightsRollout
@@ -9,6 +11,7 @@
 
 from .builders import runner
 from .fakes import FakeLoop
+from .test_partition_monitor import record
 
 RUNNERS = 59
 
@@ -41,3 +44,55 @@
     receiver = services_with([RunnerState(runner(f"i-{n}")) for n in range(RUNNERS)])
     apply_weights_update(receiver, broadcasts[0])
     assert all(state.is_avoided(receiver.loop.now()) for state in receiver.pool.all_states())
+
+
+class FakeLease:
+    """Records whether the lease is acquired or renewed."""
+
+    def __init__(self, is_held):
+        self.calls = []
+        self._is_held = is_held
+
+    def is_held(self):
+        return self._is_held
+
+    def acquire_or_renew(self, rank):
+        self.calls.append(("acquire", rank))
+
+    def last_holder_address(self):
+        return None
+
+
+def rollout_at(is_held, others=(), unreachable=False):
+    """Return the calls to the lease in the first step of a rollout to two runners."""
+    states = [RunnerState(runner(f"i-{n}")) for n in range(2)]
+    services = services_with(states)
+    services.weights = SimpleNamespace(targets={"m": TargetWeights("m", 2)})
+    services.reachability = Reachability(lambda _service: states)
+    if unreachable:
+        for state in states:
+            services.reachability.record_failure("s", state.runner.instance, services.loop.now())
+    own = record("own", capacity=1.0)
+    peers = SimpleNamespace(own=own, live=lambda: list(others))
+    lease = FakeLease(is_held)
+    rollout = WeightsRollout(services, peers, lease)
+    rollout._start_loads = lambda _model, _now: lease.calls.append("start loads")
+    rollout.schedule_step()
+    services.loop.run_until(services.loop.now() + 0.001)
+    return lease.calls
+
+
+# Guards against a rollout that stands still while its lease holder reaches no runner.
+def test_a_lease_holder_that_reaches_no_runner_lets_the_lease_expire():
+    assert rollout_at(is_held=True) == [("acquire", 0), "start loads"]
+    assert rollout_at(is_held=True, unreachable=True) == []
+
+
+def test_a_router_that_reaches_no_runner_does_not_acquire_the_lease():
+    assert rollout_at(is_held=False) == [("acquire", 0)]
+    assert rollout_at(is_held=False, unreachable=True) == []
+
+
+def test_routers_that_reach_no_runner_have_no_rank():
+    stronger = record("a", capacity=8.0, unreachable_services=["s"])
+    assert rollout_at(is_held=False, others=[stronger]) == [("acquire", 0)]
