A runner may be silent for a second: its connections outlast that

What callers would see: a sound runner that does not read, or whose packets are lost, for 1.5 s lost its connections and every run on them; unsafe requests ended as unknown. Cause: TCP_USER_TIMEOUT of 1.5 s on opened connections. It ends zero-window and keep-alive probes as well, whatever TCP_KEEPCNT says, so the keep-alive settings beside it (two probes) had no effect. Two tests of test_runner_silence.py fail before: a peer that does not read 8 MB for 2.2 s loses the connection, and 1.5 s is shorter than the retransmission at 3.0 s that ends a pause of 1.5 s. The third, one runner of real routers stalled for 1.0 to 1.5 s at a time, passed before and passes now: the relay's kernel acknowledges what the relay holds up.

Opened connections have 4 s now; accepted ones keep 15 s, which a silence of a second never reached. wire/limits.py probes after 4 s instead of 10 s, so that its bound of 10 s leaves two probes unanswered instead of none; TCP_KEEPCNT goes from both. A runner without power is no longer noticed by TCP after 1.5 s: requests that may repeat, silent for 1.5 s, have their runner probed by a connection and leave it if that fails (test_silent_runners.py); others wait as before.

--- a/src/martenrun/net/stream.py
+++ b/src/martenrun/net/stream.py
@@ -13,17 +13,22 @@
 HIGH_WATER_BYTES = 262_144
 """Number of unsent bytes above which a writer should pause."""
 
-OPENED_ACK_TIMEOUT_MS = 1_500
-"""How long sent bytes may stay unacknowledged before an opened connection fails, in ms."""
+OPENED_ACK_TIMEOUT_MS = 4_000
+"""How long sent bytes may stay unacknowledged before an opened connection fails, in ms.
+
+A peer may be silent for 1.5 s, and Linux retransmits 1.4 s and 3.0 s after the first transmission.
+"""
 
 ACCEPTED_ACK_TIMEOUT_MS = 15_000
 """The same for an accepted connection, whose peer may also be reading slowly, in ms."""
 
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
-KEEP_ALIVE_PROBES = 2
-"""Keep-alive probes of an idle connection: delay of the first one, interval between them, and the
-number of unanswered ones after which the connection fails."""
+"""Keep-alive probes of an idle connection: delay of the first one and interval between them.
+
+The timeouts above also end connections whose probes are unanswered for so long: TCP_KEEPCNT has no
+effect beside TCP_USER_TIMEOUT (Linux, tcp(7)).
+"""
 
 
 class StreamOwner(Protocol):
@@ -266,4 +271,3 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import attrs
+
 from martenrun.net.http import end_to_end, request_bytes
 from martenrun.net.loop import Timer
 from martenrun.net.server import Exchange
@@ -25,10 +27,10 @@
 RUNNER_POLL_INTERVAL_S = 0.025
 """Delay before a waiting request tries again to choose a runner, in seconds."""
 
-UNREACHABLE_SILENCE_S = 1.6
-"""Silence after which a request leaves a runner that its router cannot reach, in seconds.
+RUNNER_SILENCE_S = 1.5
+"""Silence after which a runner that accepts no connections is given up, in seconds.
 
-Longer than the pauses of a sound runner.
+Sound runners may be silent for about a second.
 """
 
 
@@ -417,15 +419,22 @@
             self._services.suspects.record_restart(attempt.state, request, self._admitted)
             self.on_failure(Failure.BROKEN, attempt)
 
-    def move_off_unreachable_runner(self, now: float) -> None:
-        """Move the request to another router if its runner is silent and unreachable from here."""
+    def move_off_silent_runner(self, now: float) -> None:
+        """Repeat the request elsewhere if its runner has been silent for long and is down."""
         attempt = self._attempt
-        if not isinstance(attempt, Attempt) or not self._admitted.route.may_repeat:
+        if not isinstance(attempt, Attempt) or attempt.silent_s(now) <= RUNNER_SILENCE_S:
             return
-        if attempt.silent_s(now) > UNREACHABLE_SILENCE_S and self._next_peer() is not None:
+        is_down = self._services.silent_runners.is_down(attempt.state, now)
+        if is_down and self._may_repeat_elsewhere(now):
             attempt.cancel()
             self.on_failure(Failure.BROKEN, attempt)
 
+    def _may_repeat_elsewhere(self, now: float) -> bool:
+        has_other = self._next_peer() is not None or self._runner_choice.choose() is not None
+        state = self._attempt_state(has_other, now)
+        failed = attrs.evolve(state, runs=state.runs + 1)
+        return next_step(Failure.BROKEN, failed) is NextStep.SEND_AGAIN
+
     def shut_down(self) -> None:
         """End the request because the process stops."""
         self._on_timeout()
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -263,6 +263,7 @@
         self._services.runner_limits.forget_unlisted(
             self._services.runners.runners, self._loop.now()
         )
+        self._services.silent_runners.forget_unlisted(set(self._services.runners.runners))
         self._services.suspects.detector.check_replaced()
         self._rollout.schedule_step()
 
--- a/src/martenrun/router/request_server.py
+++ b/src/martenrun/router/request_server.py
@@ -78,4 +78,4 @@
         for forwarder in list(self.forwarders):
             forwarder.move_off_old_weights(now)
             forwarder.move_off_replaced_runner()
-            forwarder.move_off_unreachable_runner(now)
+            forwarder.move_off_silent_runner(now)
--- a/src/martenrun/router/request_services.py
+++ b/src/martenrun/router/request_services.py
@@ -18,6 +18,7 @@
 from martenrun.router.runner_pool import RunnerPool
 from martenrun.router.runner_state import RunnerState
 from martenrun.router.settings import RouterSettings
+from martenrun.router.silent_runners import SilentRunners
 from martenrun.router.store_state import ConfigurationState, RunnerDirectory, WeightsState
 from martenrun.router.tuning import TuningParameters
 
@@ -46,6 +47,7 @@
         quotas: grants quota units to tenants; None where no quota accounts are kept.
         runner_limits: the rate limits that runners advertise.
         reachability: services whose runners this router cannot reach.
+        silent_runners: probes of runners that have been silent for long.
         peers_reaching: returns the internal addresses of live routers that reach the runners of a
             service, in the order in which to try them.
         retry_slack_from: when this router may start to use its share of the retry slack.
@@ -72,6 +74,9 @@
     reachability: Reachability = attrs.field(
         default=attrs.Factory(lambda self: Reachability(self.pool.states), takes_self=True)
     )
+    silent_runners: SilentRunners = attrs.field(
+        default=attrs.Factory(lambda self: SilentRunners(self.loop), takes_self=True)
+    )
     peers_reaching: Callable[[str], list[str]] = lambda _service: []
     _retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _overload_guards: dict[str, OverloadGuard] = attrs.field(factory=dict)
--- a/src/martenrun/wire/limits.py
+++ b/src/martenrun/wire/limits.py
@@ -33,23 +33,23 @@
 LAST_BACKOFF_S = 2.0
 """Shortest and longest time between two attempts to connect to a peer, in seconds."""
 
-_KEEPALIVE_IDLE_S = 10
+_KEEPALIVE_IDLE_S = 4
 _KEEPALIVE_INTERVAL_S = 3
-_KEEPALIVE_PROBES = 3
 
 
 def tune(sock: socket.socket) -> None:
     """Send small messages at once and have the kernel notice a peer that is gone.
 
-    Unacknowledged data ends the connection after ``STUCK_TIMEOUT_S``; an idle connection to
-    a vanished machine ends after about 20 seconds.
+    ``STUCK_TIMEOUT_S`` bounds both the time that data stays unacknowledged and, for an idle
+    connection, the time since the peer was last heard: TCP_KEEPCNT has no effect beside
+    TCP_USER_TIMEOUT.  By then two keep-alive probes are unanswered, so that a peer may be silent
+    for a few seconds.
     """
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
     user_timeout_ms = int(STUCK_TIMEOUT_S * 1000)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
 
