--- a/scripts/platform_deployment.py
+++ b/scripts/platform_deployment.py
@@ -289,7 +289,19 @@
         self, is_deadly: Callable[[bytes], bool], away_s: float, keeps_id: bool = False
     ) -> None:
         """Let model runners crash under some bodies; each is back after some time."""
-
+        model_runners = [runner for runner in self.runners if runner.model is not None]
+        for runner in model_runners:
+            runner.crashes_on = is_deadly
+        self._return_after_crashes(model_runners, away_s, keeps_id)
+
+    def let_plain_runners_return(self, away_s: float) -> None:
+        """Let plain runners that crash return with a new id after some time."""
+        plain_runners = [runner for runner in self.runners if runner.model is None]
+        self._return_after_crashes(plain_runners, away_s, keeps_id=False)
+
+    def _return_after_crashes(
+        self, runners: list[RunnerStandin], away_s: float, keeps_id: bool
+    ) -> None:
         def come_back(runner: RunnerStandin, before: str) -> None:
             runner.restart_after_crash(keeps_id)
             self.list_runner(runner)
@@ -299,10 +311,8 @@
         def crashed(runner: RunnerStandin) -> None:
             self._later(away_s, come_back, runner, runner.instance)
 
-        for runner in self.runners:
-            if runner.model is not None:
-                runner.crashes_on = is_deadly
-                runner.on_crash = crashed
+        for runner in runners:
+            runner.on_crash = crashed
 
     def _later(self, delay_s: float, call: Callable[..., None], *arguments: object) -> None:
         timer = threading.Timer(delay_s, call, arguments)
--- a/src/martenrun/platform/standins/runner.py
+++ b/src/martenrun/platform/standins/runner.py
@@ -83,6 +83,12 @@
     """A runner of one service.
 
     Attributes:
+        slots: number of requests that it serves at a time; further ones wait.
+        queue: number of requests that may wait; further ones are turned away.
+        work_s: time that a request without a stream occupies a slot, in seconds.
+        brittleness: the rejections per second that it tolerates, as its responses advertise, or
+            None; it crashes on more.
+        rejected_at: times at which it turned requests away for want of room.
         limit: rate limit that its responses advertise, in requests per second, or None.
         events: number of events in a stream.
         event_pause_of: returns the pause between two events of a request, in seconds.
@@ -104,6 +110,14 @@
         self.born_ms = int(time.time() * 1000)
         self.orders: list[dict[str, object]] = []
         self.previous_orders: list[dict[str, object]] = []
+        self.slots = 8
+        self.queue = 1_000
+        self.work_s = 0.0
+        self.brittleness: str | None = None
+        self.rejected_at: list[float] = []
+        self._free_slots = threading.Condition()
+        self._in_service = 0
+        self._waiting = 0
         self.limit: str | None = None
         self.arrivals: list[Arrival] = []
         self.runs: list[Run] = []
@@ -134,6 +148,32 @@
                 self.on_crash(self)
                 self._reserved_port = self._server.crash()
 
+    def occupy_slot(self) -> bool:
+        """Wait for a slot and occupy it; return False if too many requests wait already."""
+        with self._free_slots:
+            if self._in_service >= self.slots and self._waiting >= self.queue:
+                self.rejected_at.append(time.monotonic())
+                return False
+            self._waiting += 1
+            self._free_slots.wait_for(lambda: self._in_service < self.slots)
+            self._waiting -= 1
+            self._in_service += 1
+            return True
+
+    def free_slot(self) -> None:
+        """Free a slot for the next request that waits."""
+        with self._free_slots:
+            self._in_service -= 1
+            self._free_slots.notify()
+
+    def is_overwhelmed(self) -> bool:
+        """Return whether it has turned away more requests within a second than it tolerates."""
+        if self.brittleness is None:
+            return False
+        now = time.monotonic()
+        recent = sum(now - at <= 1.0 for at in self.rejected_at)
+        return recent > float(self.brittleness)
+
     def restart_after_crash(self, keeps_id: bool) -> None:
         """Restart at the same address after a crash, with a new id or the same one."""
         assert self._reserved_port is not None
@@ -158,7 +198,7 @@
             "address": self.listed_address or self.address,
             "zone": "z1",
             "version": "v1",
-            "slots": 8,
+            "slots": self.slots,
             "state": "draining" if self.is_draining else "ready",
             "cold_left_ms": 0,
             "born": self.born_ms,
@@ -230,6 +270,18 @@
         if not self._matches_expectations():
             self._send(421, b"", {"X-Instance-Id": self.runner.instance})
             return
+        if not runner.occupy_slot():
+            self._send(503, b"", {"X-Not-Executed": "1"})
+            if runner.is_overwhelmed():
+                runner.crash(self._request_id())
+                self.close_connection = True
+            return
+        try:
+            self._execute(body)
+        finally:
+            runner.free_slot()
+
+    def _execute(self, body: bytes) -> None:
         fault = self.runner.fault()
         if fault is Fault.FULL:
             self._send(503, b"", {"X-Not-Executed": "1"})
@@ -256,6 +308,7 @@
         elif fault is Fault.NO_SIGNATURE:
             self._send(200, b"forged", {})
         else:
+            time.sleep(self.runner.work_s)
             self._send(200, b"answer to " + self._request_id().encode(), self._signature())
 
     def _matches_expectations(self) -> bool:
@@ -316,7 +369,9 @@
         return str(self.headers.get("X-Request-Id", ""))
 
     def _limit_header(self) -> dict[str, str]:
-        return {} if self._limit is None else {"Server-Limit": self._limit}
+        brittleness = self.runner.brittleness
+        headers = {} if self._limit is None else {"Server-Limit": self._limit}
+        return headers if brittleness is None else {**headers, "Server-Brittle": brittleness}
 
     def _signature(self) -> dict[str, str]:
         return {"X-Response-Stamp": self.runner.instance}
