Brittle runners: requests need a permit for a part of their capacity

Cause: nobody read Server-Brittle; each router sent by its own view of the load, and each fall sent its load to the next runner.

Now the header, in any answer, makes the whole service count as brittle for 6 s from its latest answer that says so (a returning runner has said nothing yet), told to all routers with its age. While it does, a request needs a permit for the share of a runner that it occupies, one slot or its share of the memory, from an account that all routers share (those of quotas/). It is returned when the request ends, but not if the runner had no room: the account then falls short of the slots, and lost permits come back at a quarter of the rejections that the runner tolerates. Without a permit at any runner, a request waits for the usual fifth of its objective and is refused with a time to come back. A rate limit takes precedence.

Not handled: rejections that have other causes than room count against the account; orders of weights make a runner reject what waits.

--- a/src/martenrun/platform/headers.py
+++ b/src/martenrun/platform/headers.py
@@ -105,12 +105,16 @@
         is_not_executed=is_not_executed,
         is_encoded=find_header(headers, b"content-encoding") is not None,
         rate_limit=_advertised_limit(headers),
+        tolerated_rejections_per_s=_advertised_brittleness(headers),
     )
 
 
 SERVER_LIMIT = b"server-limit"
 """Field in which a runner advertises its limit in requests per second, in lower case."""
 
+SERVER_BRITTLE = b"server-brittle"
+"""Field in which a runner advertises how many rejections per second it tolerates, in lower case."""
+
 MAXIMUM_LOGGED_CHARACTERS = 40
 """Length to which the field's text is truncated for logs."""
 
@@ -123,10 +127,19 @@
     fields = [value for name, value in headers if name.lower() == SERVER_LIMIT]
     if not fields:
         return None
+    text = b", ".join(fields)[:MAXIMUM_LOGGED_CHARACTERS].decode("latin-1")
+    return AdvertisedLimit(_lowest_rate(fields), text)
+
+
+def _advertised_brittleness(headers: Headers) -> float | None:
+    """Return the rejections per second that a runner tolerates: the lowest valid value."""
+    return _lowest_rate([value for name, value in headers if name.lower() == SERVER_BRITTLE])
+
+
+def _lowest_rate(fields: list[bytes]) -> float | None:
     values = [value for field in fields for value in field.split(b",")]
     rates = [rate for rate in map(_parse_rate, values) if rate is not None]
-    text = b", ".join(fields)[:MAXIMUM_LOGGED_CHARACTERS].decode("latin-1")
-    return AdvertisedLimit(min(rates, default=None), text)
+    return min(rates, default=None)
 
 
 def _parse_rate(text: bytes) -> float | None:
--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -9,6 +9,7 @@
 from martenrun.router.event_stream import BrokenStreamError
 from martenrun.router.log import log_warning
 from martenrun.router.messages import AdmittedRequest, ResponseMetadata, RouteKind
+from martenrun.router.quotas.gate import Grant
 from martenrun.router.request_services import RequestServices
 from martenrun.router.retry import Failure
 from martenrun.router.runner_state import LOADING_TIMEOUT_S, RunnerState
@@ -89,6 +90,10 @@
         state: state of the runner.
         load: load that the request adds to the runner.
         has_grant: whether the request may be sent even if the runner is rate-limited.
+
+    Attributes:
+        permit: grant for a part of the runner's capacity, returned at the end; None if none is
+            needed.
     """
 
     def __init__(
@@ -117,6 +122,7 @@
         self.connection: ClientConnection | None = None
         self.was_sent = False
         self.was_interrupted = False
+        self.permit: Grant | None = None
         self.status = 0
         self.headers: Headers = []
         self.body = bytearray()
@@ -165,6 +171,10 @@
         metadata = self._services.adapter.read_response_metadata(status, headers)
         self._metadata = metadata
         self._record_rate_limit(metadata, now)
+        if metadata.tolerated_rejections_per_s is not None:
+            self._services.brittle.record_advertised(
+                self.state.runner.service, metadata.tolerated_rejections_per_s, now
+            )
         if metadata.is_not_executed:
             return
         if metadata.is_encoded or (status < 300 and not metadata.is_signed):
@@ -253,6 +263,18 @@
         self._finish_prefill()
         self.state.kv_cache_tokens -= self._kv_cache_tokens
         self.state.record_finished()
+        self._return_permit()
+
+    def _return_permit(self) -> None:
+        """Return the permit for a part of the runner's capacity.
+
+        It is kept if the runner had no room, so that fewer requests are sent to it for a while.
+        """
+        permit, self.permit = self.permit, None
+        was_rejected = self._metadata is not None and self._metadata.is_not_executed
+        had_no_room = was_rejected and self.status != STATUS_MISDIRECTED
+        if permit is not None and not had_no_room and self._services.quotas is not None:
+            self._services.quotas.give_back(permit)
 
     def _record_failed_connection(self, connection: ClientConnection, was_sent: bool) -> None:
         """Record a connection that failed before any response.
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -64,7 +64,7 @@
         self._parameters = services.decisions.forwarding
         self._runner_choice = RunnerChoice(services, exchange.request, admitted)
         self._quota = RequestQuota(services.quotas, admitted)
-        self._runner_access = RunnerAccess(services)
+        self._runner_access = RunnerAccess(services, self._runner_choice.placement_query)
         self._peer_route = PeerRoute(services, exchange.request, admitted)
         self._is_over_limit = False
         self.is_over = False
@@ -206,7 +206,7 @@
         attempt = Attempt(
             services, self._admitted, self, state, load, self._runner_access.has_grant(state)
         )
-        self._runner_access.record_sent(state)
+        attempt.permit = self._runner_access.record_sent(state)
         self._attempt = attempt
         placement.record_prefill(query, state)
         state.record_sent(now)
--- a/src/martenrun/router/gauges.py
+++ b/src/martenrun/router/gauges.py
@@ -40,6 +40,7 @@
         Sample("runners", len(states)),
         Sample("runners_avoided", sum(state.is_avoided(now) for state in states)),
         Sample("runners_limited", len(services.runner_limits)),
+        Sample("services_brittle", len(services.brittle)),
         Sample("services_unreachable", len(services.reachability.unreachable_services(now))),
         Sample("runner_requests", sum(state.load for state in states)),
         Sample("runner_backlog_tokens", sum(state.backlog_tokens for state in states)),
--- a/src/martenrun/router/messages.py
+++ b/src/martenrun/router/messages.py
@@ -225,12 +225,15 @@
         is_not_executed: whether the runner states that it has not run the request.
         is_encoded: whether the body has a content encoding.
         rate_limit: the limit that the response advertises; None if it advertises none.
+        tolerated_rejections_per_s: rejections per second on more of which the runner crashes, as
+            the response advertises; None if it advertises none, or no valid number.
     """
 
     is_signed: bool
     is_not_executed: bool
     is_encoded: bool
     rate_limit: AdvertisedLimit | None = None
+    tolerated_rejections_per_s: float | None = None
 
 
 class Dataset(enum.Enum):
--- a/src/martenrun/router/peer_messages.py
+++ b/src/martenrun/router/peer_messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from martenrun.identity.rendezvous import weight
+from martenrun.router.brittle_messages import BrittleUpdate
 from martenrun.router.crash_messages import CrashUpdate
 from martenrun.router.limit_messages import LimitUpdate
 from martenrun.router.quotas.messages import (
@@ -160,6 +161,7 @@
     | ZoneLoads
     | CrashUpdate
     | LimitUpdate
+    | BrittleUpdate
     | QuotaRequest
     | QuotaResponse
     | QuotaUse
--- a/src/martenrun/router/peer_updates.py
+++ b/src/martenrun/router/peer_updates.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 
+from martenrun.router.brittle_messages import BrittleUpdate
 from martenrun.router.crash_messages import CrashUpdate
 from martenrun.router.limit_messages import LimitUpdate
 from martenrun.router.peer_messages import LeaseUpdate, UnresponsiveRunnerUpdate
@@ -23,6 +24,8 @@
         world.suspects.handle_update(update)
     elif isinstance(update, LimitUpdate):
         world.runner_limits.merge(update, now)
+    elif isinstance(update, BrittleUpdate):
+        world.brittle.merge(update, now)
     else:
         apply_weights_update(world, update)
 
@@ -35,4 +38,5 @@
     """
     blame = world.suspects.update_for_joining_router(routers)
     limits = world.runner_limits.new_router_update(world.loop.now())
-    return [update for update in (blame, limits) if update is not None]
+    brittle = world.brittle.new_router_update(world.loop.now())
+    return [update for update in (blame, limits, brittle) if update is not None]
--- a/src/martenrun/router/peers.py
+++ b/src/martenrun/router/peers.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from martenrun.net.loop import READ, Loop
+from martenrun.router.brittle_messages import BrittleUpdate
 from martenrun.router.crash_messages import CrashUpdate
 from martenrun.router.limit_messages import LimitUpdate
 from martenrun.router.log import log_warning
@@ -72,7 +73,14 @@
 
 MAX_DATAGRAM_BYTES = 60_000
 
-Update = WeightsUpdate | LeaseUpdate | UnresponsiveRunnerUpdate | CrashUpdate | LimitUpdate
+Update = (
+    WeightsUpdate
+    | LeaseUpdate
+    | UnresponsiveRunnerUpdate
+    | CrashUpdate
+    | LimitUpdate
+    | BrittleUpdate
+)
 """Messages that are broadcast to all routers at once."""
 
 DATAGRAMS_PER_ROUND = 64
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -10,6 +10,7 @@
 from martenrun.net.http import HttpResponse
 from martenrun.net.loop import Loop
 from martenrun.net.server import Server
+from martenrun.router.brittle_services import BrittleServices
 from martenrun.router.crash_detector import RunnerView
 from martenrun.router.crash_record_writer import CrashRecordWriter
 from martenrun.router.crash_tracker import CrashTracker
@@ -99,6 +100,7 @@
                 self._on_limit_changed,
                 lambda outcome: self._metrics.count("runner_limits", outcome=outcome),
             ),
+            brittle=BrittleServices(lambda update: self._peers.broadcast(update)),
         )
         own = RouterRecord(
             address=settings.internal_address,
--- a/src/martenrun/router/quotas/limit.py
+++ b/src/martenrun/router/quotas/limit.py
@@ -14,6 +14,20 @@
     return _RUNNER_PREFIX + instance
 
 
+_CAPACITY_PREFIX = "capacity\x00"
+"""Prefix of the accounts of runners' capacity; their units are returned after use."""
+
+
+def capacity_account(instance: str) -> str:
+    """Return the account name of the capacity of a runner instance."""
+    return _CAPACITY_PREFIX + instance
+
+
+def is_capacity_account(account: str) -> bool:
+    """Whether an account is that of a runner's capacity."""
+    return account.startswith(_CAPACITY_PREFIX)
+
+
 def is_runner_account(account: str) -> bool:
     """Whether an account belongs to a runner rather than a tenant."""
     return account.startswith(_RUNNER_PREFIX)
@@ -78,3 +92,6 @@
 
 RUNNER_LIMIT_BOUNDS = QuotaBounds(window_s=4.0, over_share=0.5, slack_units=5.0)
 """Enforcement bounds for the limits that runners advertise."""
+
+RUNNER_CAPACITY_BOUNDS = QuotaBounds(window_s=8.0)
+"""Enforcement bounds for runners' capacity: units that are returned within the window count."""
--- a/src/martenrun/router/request_services.py
+++ b/src/martenrun/router/request_services.py
@@ -6,6 +6,7 @@
 
 from martenrun.identity.rendezvous import weight
 from martenrun.net.loop import Loop
+from martenrun.router.brittle_services import BrittleServices
 from martenrun.router.crash_tracker import CrashTracker
 from martenrun.router.messages import KvCacheStore, Route
 from martenrun.router.overload import OverloadGuard
@@ -46,6 +47,7 @@
         refresh_loads: updates runners' states with the loads that other routers report.
         quotas: grants quota units to tenants; None where no quota accounts are kept.
         runner_limits: the rate limits that runners advertise.
+        brittle: services whose runners crash if they turn away too many requests.
         reachability: services whose runners this router cannot reach.
         silent_runners: probes of runners that have been silent for long.
         peers_reaching: returns the internal addresses of live routers that reach the runners of a
@@ -71,6 +73,7 @@
     retry_slack_from: float = 0.0
     quotas: QuotaGate | None = None
     runner_limits: RunnerLimits = attrs.field(factory=RunnerLimits)
+    brittle: BrittleServices = attrs.field(factory=BrittleServices)
     reachability: Reachability = attrs.field(
         default=attrs.Factory(lambda self: Reachability(self.pool.states), takes_self=True)
     )
--- a/src/martenrun/router/runner_choice.py
+++ b/src/martenrun/router/runner_choice.py
@@ -6,7 +6,7 @@
 from martenrun.router.messages import AdmittedRequest
 from martenrun.router.placement import PlacementQuery
 from martenrun.router.request_services import RequestServices
-from martenrun.router.runner_limits import MINIMUM_REQUESTS_PER_S, RunnerLimit
+from martenrun.router.runner_limits import MINIMUM_REQUESTS_PER_S
 from martenrun.router.runner_request import placement_query, request_groups, waiting_prompt
 from martenrun.router.runner_state import RunnerState
 
@@ -75,17 +75,25 @@
         now = self._world.loop.now()
         if self._is_urgent():
             self._guard.record_urgent_refused(now)
-        per_s = sum(limit.rate_limit.units_per_s for _, limit in self._limited_runners())
+        per_s = sum(rate for _, rate in self._limited_runners())
         per_router = max(MINIMUM_REQUESTS_PER_S, per_s) / max(1, self._world.router_count())
         return self._guard.retry_schedule.next_delay_s(limited_s, per_router, now)
 
-    def _limited_runners(self) -> list[tuple[RunnerState, RunnerLimit]]:
-        limits = self._world.runner_limits
-        found = [
-            (state, limits.limit(state.runner.instance))
-            for state in self._world.pool.states(self._admitted.service)
-        ]
-        return [(state, limit) for state, limit in found if limit is not None]
+    def _limited_runners(self) -> list[tuple[RunnerState, float]]:
+        """Return the limited and brittle runners, with the requests per second that they take.
+
+        For a brittle runner the rate is an estimate: a request a second in each slot.
+        """
+        limits, service = self._world.runner_limits, self._admitted.service
+        is_brittle = self._world.brittle.rejections_per_s(service, self._world.loop.now())
+        found = []
+        for state in self._world.pool.states(service):
+            limit = limits.limit(state.runner.instance)
+            if limit is not None:
+                found.append((state, limit.rate_limit.units_per_s))
+            elif is_brittle is not None:
+                found.append((state, float(max(1, state.runner.slots))))
+        return found
 
     def _yields_to_urgent(self) -> bool:
         """Return whether rate-limited runners are reserved for more urgent requests.
--- a/src/martenrun/router/settings.py
+++ b/src/martenrun/router/settings.py
@@ -2,7 +2,13 @@
 
 import attrs
 
-from martenrun.router.quotas.limit import RUNNER_LIMIT_BOUNDS, QuotaBounds, is_runner_account
+from martenrun.router.quotas.limit import (
+    RUNNER_CAPACITY_BOUNDS,
+    RUNNER_LIMIT_BOUNDS,
+    QuotaBounds,
+    is_capacity_account,
+    is_runner_account,
+)
 
 
 @attrs.frozen
@@ -22,15 +28,19 @@
     directory_ttl_s: float
     quota: QuotaBounds = attrs.field(factory=QuotaBounds)
     runner_limit: QuotaBounds = RUNNER_LIMIT_BOUNDS
+    runner_capacity: QuotaBounds = RUNNER_CAPACITY_BOUNDS
 
     def for_account(self, account: str) -> QuotaBounds:
         """Return the enforcement bounds for a tenant's or a runner's account."""
+        if is_capacity_account(account):
+            return self.runner_capacity
         return self.runner_limit if is_runner_account(account) else self.quota
 
     @property
     def longest_window_s(self) -> float:
         """The longest window over which any account's usage is counted, in seconds."""
-        return max(self.quota.window_s, self.runner_limit.window_s)
+        bounds = (self.quota, self.runner_limit, self.runner_capacity)
+        return max(item.window_s for item in bounds)
 
 
 @attrs.frozen
--- a/tests/router/limit_world.py
+++ b/tests/router/limit_world.py
@@ -2,6 +2,7 @@
 
 import bisect
 
+from martenrun.router.brittle_services import BrittleServices
 from martenrun.router.messages import AdvertisedLimit
 from martenrun.router.quotas.limit import RUNNER_LIMIT_BOUNDS, RateLimit
 from martenrun.router.runner_access import RunnerAccess
@@ -31,6 +32,7 @@
         self.loop = peers._loop
         self.quotas = fleet.gates[address]
         self.state = state(INSTANCE)
+        self.brittle = BrittleServices()
         self.runner_limits = RunnerLimits(peers.broadcast, self._on_changed, rng=fleet.rng)
         peers._on_update = lambda news: self.runner_limits.merge(news, self.loop.now())
         peers._updates_for_new_router = self._new_router_updates
