--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -27,12 +27,6 @@
 RUNNER_POLL_INTERVAL_S = 0.025
 """Delay before a waiting request tries again to choose a runner, in seconds."""
 
-RUNNER_SILENCE_S = 1.5
-"""Silence after which a runner that accepts no connections is given up, in seconds.
-
-Sound runners may be silent for about a second.
-"""
-
 
 class RequestForwarder:
     """Forwards one admitted request: chooses runners, repeats failed attempts, responds.
@@ -394,47 +388,28 @@
         else:
             self._refuse("timed_out")
 
-    def move_off_old_weights(self, now: float) -> None:
-        """Move the request off a runner whose weights are too old to start it."""
-        attempt = self._attempt
-        model = self._admitted.call.model
-        if not isinstance(attempt, Attempt) or model is None or attempt.has_body_started:
-            return
-        version = attempt.state.weights_version(model)
-        if version is not None and version < self._services.oldest_startable_weights(model, now):
-            attempt.cancel()
-            self.on_failure(Failure.BROKEN, attempt)
-
-    def move_off_replaced_runner(self) -> None:
-        """Move the request to another runner if its runner instance has been replaced.
-
-        The run on the old instance is lost even if its connection has not been closed.
-        """
-        attempt = self._attempt
-        if not isinstance(attempt, Attempt):
-            return
-        if self._services.runners.is_replaced(attempt.state.runner):
-            attempt.cancel()
-            request = self._exchange.request
-            self._services.suspects.record_restart(attempt.state, request, self._admitted)
-            self.on_failure(Failure.BROKEN, attempt)
-
-    def move_off_silent_runner(self, now: float) -> None:
-        """Repeat the request elsewhere if its runner has been silent for long and is down."""
-        attempt = self._attempt
-        if not isinstance(attempt, Attempt) or attempt.silent_s(now) <= RUNNER_SILENCE_S:
-            return
-        is_down = self._services.silent_runners.is_down(attempt.state, now)
-        if is_down and self._may_repeat_elsewhere(now):
-            attempt.cancel()
-            self.on_failure(Failure.BROKEN, attempt)
+    @property
+    def runner_attempt(self) -> Attempt | None:
+        """The attempt in progress at a runner, if there is one."""
+        return self._attempt if isinstance(self._attempt, Attempt) else None
 
-    def _may_repeat_elsewhere(self, now: float) -> bool:
+    def may_repeat(self, now: float) -> bool:
+        """Return whether the request may be sent elsewhere if the attempt in progress breaks."""
         has_other = self._next_peer() is not None or self._runner_choice.choose() is not None
         state = self._attempt_state(has_other, now)
         failed = attrs.evolve(state, runs=state.runs + 1)
         return next_step(Failure.BROKEN, failed) is NextStep.SEND_AGAIN
 
+    def break_attempt(self, attempt: Attempt) -> None:
+        """Give up an attempt at a runner, which may have executed the request."""
+        attempt.cancel()
+        self.on_failure(Failure.BROKEN, attempt)
+
+    def record_restart(self, attempt: Attempt) -> None:
+        """Record that the runner of an attempt has restarted while it served the request."""
+        request = self._exchange.request
+        self._services.suspects.record_restart(attempt.state, request, self._admitted)
+
     def shut_down(self) -> None:
         """End the request because the process stops."""
         self._on_timeout()
--- a/src/martenrun/router/request_server.py
+++ b/src/martenrun/router/request_server.py
@@ -9,6 +9,7 @@
 from martenrun.router.forwarding import RequestForwarder
 from martenrun.router.messages import AdmittedRequest, Call
 from martenrun.router.planned_stop import PlannedStop
+from martenrun.router.request_moves import move_off_runners
 from martenrun.router.request_services import RequestServices
 from martenrun.router.store_client import HttpClient
 from martenrun.router.store_state_feed import StoreStateFeed
@@ -76,6 +77,4 @@
     def run_maintenance(self, now: float) -> None:
         """Move requests off runners that can no longer serve them."""
         for forwarder in list(self.forwarders):
-            forwarder.move_off_old_weights(now)
-            forwarder.move_off_replaced_runner()
-            forwarder.move_off_silent_runner(now)
+            move_off_runners(self._services, forwarder, now)
--- a/tests/router/test_forwarding.py
+++ b/tests/router/test_forwarding.py
@@ -11,6 +11,7 @@
 from martenrun.router.messages import AdmittedRequest, Call, PromptPart, RouteKind, TargetWeights
 from martenrun.router.placement import Placement
 from martenrun.router.prefill_rate import MINIMUM_SAMPLES
+from martenrun.router.request_moves import move_off_old_weights, move_off_replaced_runner
 from martenrun.router.request_services import RequestServices
 from martenrun.router.store_state import ConfigurationState, RunnerDirectory, WeightsState
 from martenrun.router.tuning import DEFAULTS
@@ -272,10 +273,10 @@
     other = new if first == "i-0" else old
     other.record_weights("m", 2)
     case.weights.put(TargetWeights("m", 2), case.loop.now())
-    case.forwarder.move_off_old_weights(case.loop.now() + 7.0)
+    move_off_old_weights(case.services, case.forwarder, case.loop.now() + 7.0)
     assert len(case.pool.sent) == 1
     case.loop.time += 7.5
-    case.forwarder.move_off_old_weights(case.loop.now())
+    move_off_old_weights(case.services, case.forwarder, case.loop.now())
     assert case.pool.sent == [first, other.runner.instance]
     assert case.pool.connections[0].is_closed
 
@@ -394,6 +395,6 @@
     case = ForwardingCase(states=[state("i-0~1", name="i-0")])
     case.services.runners.put(case.states[0].runner)
     case.services.runners.put(state("i-0~2", name="i-0").runner)
-    case.forwarder.move_off_replaced_runner()
+    move_off_replaced_runner(case.services, case.forwarder)
     fingerprint = request_fingerprint(case.exchange.request, case.forwarder.admitted)
     assert case.services.suspects.table.crash_count(fingerprint) == 1
--- a/tests/router/test_peer_forwarding.py
+++ b/tests/router/test_peer_forwarding.py
@@ -9,6 +9,7 @@
 from martenrun.router.forwarded_request import ForwardedState
 from martenrun.router.messages import RouteKind
 from martenrun.router.peer_route import MAXIMUM_PEERS
+from martenrun.router.request_moves import move_off_silent_runner
 from martenrun.router.retry import MAXIMUM_SENDS
 
 from .builders import route
@@ -195,9 +196,9 @@
     case.services.peers_reaching = lambda _service: ["p-1"]
     case.services.silent_runners = SimpleNamespace(is_down=lambda _state, _now: True)
     lose_runners(case)
-    case.forwarder.move_off_silent_runner(case.loop.now() + 1.4)
+    move_off_silent_runner(case.services, case.forwarder, case.loop.now() + 1.4)
     assert peers.addresses == []
-    case.forwarder.move_off_silent_runner(case.loop.now() + 1.6)
+    move_off_silent_runner(case.services, case.forwarder, case.loop.now() + 1.6)
     assert peers.addresses == ["p-1"] and case.pool.connections[0].is_closed
 
 
@@ -206,5 +207,5 @@
     case.services.peers_reaching = lambda _service: ["p-1"]
     case.services.silent_runners = SimpleNamespace(is_down=lambda _state, _now: True)
     lose_runners(case)
-    case.forwarder.move_off_silent_runner(case.loop.now() + 1.9)
+    move_off_silent_runner(case.services, case.forwarder, case.loop.now() + 1.9)
     assert peers.addresses == [] and not case.pool.connections[0].is_closed
--- a/tests/router/test_runner_restarts.py
+++ b/tests/router/test_runner_restarts.py
@@ -6,6 +6,7 @@
 from martenrun.router.messages import RouteKind, StoredObject
 from martenrun.router.peer_messages import UnresponsiveRunnerUpdate, WeightsUpdate
 from martenrun.router.prefilled_parts import PrefilledParts
+from martenrun.router.request_moves import move_off_replaced_runner
 from martenrun.router.runner_instance import instance_key
 from martenrun.router.runner_pool import RunnerPool
 from martenrun.router.store_state import RunnerDirectory
@@ -104,7 +105,7 @@
     played.states[:] = [state("i-0~2", name="i-0")]
     played.services.runners.put(played.states[0].runner)
     played.pool.script = [GOOD_RESPONSE]
-    played.forwarder.move_off_replaced_runner()
+    move_off_replaced_runner(played.services, played.forwarder)
     played.run(0.1)
     assert played.pool.sent == ["i-0~1", "i-0~2"]
     assert played.exchange.responses[0][0] == 200
@@ -117,7 +118,7 @@
     played.services.runners.put(played.states[0].runner)
     played.states[:] = [state("i-0~2", name="i-0")]
     played.services.runners.put(played.states[0].runner)
-    played.forwarder.move_off_replaced_runner()
+    move_off_replaced_runner(played.services, played.forwarder)
     played.run(0.1)
     assert played.pool.sent == ["i-0~1"]
     assert played.exchange.responses[0][0] == 502
@@ -126,6 +127,6 @@
 def test_full_runner_does_not_count_as_restarted():
     played = ForwardingCase([FULL], states=[state("i-0~1", name="i-0")])
     played.services.runners.put(played.states[0].runner)
-    played.forwarder.move_off_replaced_runner()
+    move_off_replaced_runner(played.services, played.forwarder)
     played.run(0.001)
     assert played.pool.sent == ["i-0~1"]
--- a/tests/router/test_silent_runners.py
+++ b/tests/router/test_silent_runners.py
@@ -5,6 +5,7 @@
 import pytest
 
 from martenrun.router.messages import RouteKind
+from martenrun.router.request_moves import move_off_silent_runner
 from martenrun.router.silent_runners import PROBE_VALIDITY_S, SilentRunners
 
 from .builders import route, state
@@ -59,7 +60,7 @@
     case.services.silent_runners = SimpleNamespace(is_down=lambda _state, _now: is_down)
     case.pool.script = [GOOD]
     case.run(1.6)
-    case.forwarder.move_off_silent_runner(case.loop.now())
+    move_off_silent_runner(case.services, case.forwarder, case.loop.now())
     case.run(0.1)
     return case
 
