--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -22,7 +22,7 @@
 
 import attrs
 import click
-from platform_deployment import PlatformDeployment
+from platform_deployment import LINKED_ROUTER, ROUTER, PlatformDeployment
 from soak_callers import (
     GREEDY,
     GREEDY_RATE,
@@ -47,7 +47,13 @@
     RouterLife,
     RunRecord,
 )
-from martenrun.proof.soak_schedule import Step, draw_schedule, from_text, to_text
+from martenrun.proof.soak_schedule import (
+    PARTITION_KINDS,
+    Step,
+    draw_schedule,
+    from_text,
+    to_text,
+)
 from martenrun.router.router_table import DEAD_AFTER_S, MAX_DEAD_AFTER_SLOWDOWN, max_detection_s
 
 CALLERS = 12
@@ -271,6 +277,7 @@
             for arrival in runner.arrivals
             if arrival.limit is not None
         ],
+        partitions=faults.partitions,
     )
 
 
@@ -306,6 +313,7 @@
 @click.option("--runner-starts", is_flag=True, help="runners start again, entries are broken")
 @click.option("--deadly", is_flag=True, help="some requests end each runner that runs them")
 @click.option("--limits", is_flag=True, help="runners temporarily advertise rate limits")
+@click.option("--partitions", is_flag=True, help="routers are cut off from all runners")
 @click.option("--hang-up-starts", is_flag=True, help="each router that starts gets a SIGHUP")
 @click.option("--schedule", type=click.Path(path_type=Path, exists=True), help="play this one")
 @click.option("--keep-logs", type=click.Path(path_type=Path), help="folder for logs of violations")
@@ -317,6 +325,7 @@
     runner_starts: bool,
     deadly: bool,
     limits: bool,
+    partitions: bool,
     hang_up_starts: bool,
     schedule: Path | None,
     keep_logs: Path | None,
@@ -329,10 +338,18 @@
     click.echo(HEAD)
     for number in range(seed, seed + seeds):
         if schedule is None:
-            steps = draw_schedule(number, minutes * 60, runner_starts, deadly, limits)
+            steps = draw_schedule(number, minutes * 60, runner_starts, deadly, limits, partitions)
         else:
             steps = from_text(schedule.read_text())
-        deployment = PlatformDeployment(routers, 3, 3, has_relays=True)
+        has_links = any(step.kind in PARTITION_KINDS for step in steps)
+        deployment = PlatformDeployment(
+            routers,
+            3,
+            3,
+            has_relays=True,
+            program=LINKED_ROUTER if has_links else ROUTER,
+            has_links=has_links,
+        )
         outcome = play(steps, number, deployment, keep_logs, hangs_up_starts=hang_up_starts)
         outcomes.append(outcome)
         click.echo(outcome.row())
--- a/scripts/soak_faults.py
+++ b/scripts/soak_faults.py
@@ -17,7 +17,7 @@
 from platform_deployment import PlatformDeployment, RouterRun
 from soak_runner_faults import SETTLED_S, RunnerFaults, mute
 
-from martenrun.proof.router_records import RouterLife, Trouble
+from martenrun.proof.router_records import Partition, RouterLife, Trouble
 from martenrun.proof.soak_schedule import HERD_SHARE, Step
 
 RESTART_S = 0.2
@@ -56,6 +56,8 @@
         self.lives = {router.name: [self._born(router)] for router in deployment.routers}
         self.done: list[str] = []
         self.own_ends: list[str] = []
+        self.partitions: list[Partition] = []
+        self._partitioned: dict[str, int] = {}
 
     # What is asked from outside
 
@@ -305,3 +307,37 @@
 
     def _silence_store(self, step: Step) -> None:
         self._harm_link(step, lambda relay: relay.silence_open(), lambda _relay: None)
+
+    # Routers and all runners
+
+    def _partition(self, step: Step, harm: Callable[[FaultyRelay], None]) -> None:
+        """Cut routers off from all runners; several partitions of a router end with the last."""
+        for router in self._chosen(step):
+            began_at = time.monotonic()
+            links = list(router.links.values())
+            self._partitioned[router.name] = self._partitioned.get(router.name, 0) + 1
+            if self._partitioned[router.name] == 1:
+                for link in links:
+                    harm(link)
+
+            def end(
+                router: RouterRun = router,
+                links: list[FaultyRelay] = links,
+                began_at: float = began_at,
+            ) -> None:
+                self._partitioned[router.name] -= 1
+                if not self._partitioned[router.name]:
+                    for link in links:
+                        link.restore()
+                self.partitions.append(Partition(router.front, began_at, time.monotonic()))
+
+            self._later(step.lasts_s, end)
+
+    def _stall_links(self, step: Step) -> None:
+        self._partition(step, lambda link: link.stall())
+
+    def _reset_links(self, step: Step) -> None:
+        self._partition(step, lambda link: link.cut())
+
+    def _refuse_new_links(self, step: Step) -> None:
+        self._partition(step, lambda link: link.refuse_new())
--- a/src/martenrun/proof/router_checkers.py
+++ b/src/martenrun/proof/router_checkers.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 
 from martenrun.proof.limit_checker import runner_limits_are_respected
+from martenrun.proof.partition_checker import partitioned_routers_serve
 from martenrun.proof.router_records import (
     GREEDY_KIND,
     Departure,
@@ -326,6 +327,7 @@
         "deadly": deadly_requests_rest(history, bounds),
         "rates": tenants_keep_within_rates(history, bounds),
         "limits": runner_limits_are_respected(history, bounds),
+        "partitions": partitioned_routers_serve(history, bounds),
         "rates used": greedy_tenants_are_served(history, bounds),
     }
     return [f"{promise}: {text}" for promise, texts in results.items() for text in texts]
--- a/src/martenrun/proof/router_records.py
+++ b/src/martenrun/proof/router_records.py
@@ -90,6 +90,15 @@
     end: float
 
 
+@attrs.frozen
+class Partition:
+    """A span in which a router is cut off from all runners, but not from callers and routers."""
+
+    router: str
+    begin: float
+    end: float
+
+
 @attrs.frozen
 class RouterLife:
     """One life of a router; infinite where it did not leave or end."""
@@ -217,3 +226,4 @@
     tries: Sequence[ConnectionTry] = ()
     crashes: Sequence[CrashRecord] = ()
     limit_arrivals: Sequence[LimitArrival] = ()
+    partitions: Sequence[Partition] = ()
--- a/src/martenrun/proof/soak_schedule.py
+++ b/src/martenrun/proof/soak_schedule.py
@@ -65,6 +65,7 @@
         "spoil_runners",
         "mute_runner",
         "limit_runners",
+        *("stall_links", "reset_links", "refuse_new_links"),
     }
 )
 """Kinds whose steps end after a while."""
@@ -81,7 +82,19 @@
 LIMIT_KINDS = {"limit_runners": 2}
 """Kinds, added on request, in which runners temporarily advertise a rate limit."""
 
-ALL_KINDS = {**STRUCK_AT_ONCE, **RUNNER_KINDS, **DEADLY_KINDS, **LIMIT_KINDS}
+PARTITION_KINDS = {"stall_links": 2, "reset_links": 2, "refuse_new_links": 2}
+"""Kinds, added on request, in which routers are partitioned from all runners."""
+
+EXTRA_PARTITION_DURATION_S = 4.0
+"""Time added to the duration of partitions, in seconds, so that requests of a while count."""
+
+ALL_KINDS = {
+    **STRUCK_AT_ONCE,
+    **RUNNER_KINDS,
+    **DEADLY_KINDS,
+    **LIMIT_KINDS,
+    **PARTITION_KINDS,
+}
 
 MOST_DEADLY = 3
 """Most of them in one schedule: some come at the same time, beside restarts and cuts."""
@@ -115,6 +128,7 @@
     has_runner_kinds: bool = False,
     has_deadly: bool = False,
     has_limits: bool = False,
+    has_partitions: bool = False,
 ) -> list[Step]:
     """Return a schedule of so many seconds.
 
@@ -122,6 +136,7 @@
         has_runner_kinds: adds a series of each of RUNNER_KINDS; the other steps stay the same.
         has_deadly: adds MOST_DEADLY requests that end runners, at most; the others stay the same.
         has_limits: adds a series of each of LIMIT_KINDS; the other steps stay the same.
+        has_partitions: adds a series of one of PARTITION_KINDS; the other steps stay the same.
     """
     rng = random.Random(seed)
     kinds = [rng.choice(OFTEN)]
@@ -148,6 +163,14 @@
             steps += [
                 attrs.evolve(step, lasts_s=step.lasts_s + EXTRA_LIMIT_DURATION_S) for step in limits
             ]
+    if has_partitions:
+        rng = random.Random(f"{seed} partitions")
+        number = len(kinds) + len(RUNNER_KINDS) + 1 + len(LIMIT_KINDS)
+        kind = rng.choice(list(PARTITION_KINDS))
+        steps += [
+            attrs.evolve(step, lasts_s=step.lasts_s + EXTRA_PARTITION_DURATION_S)
+            for step in _draw_series(rng, kind, number, seconds)
+        ]
     return sorted(steps, key=lambda step: step.at_s)
 
 
--- a/tests/router/test_router_checkers.py
+++ b/tests/router/test_router_checkers.py
@@ -11,6 +11,7 @@
     LimitArrival,
     LimitBound,
     OrderRecord,
+    Partition,
     PromiseBounds,
     RateBound,
     Revocation,
@@ -244,3 +245,42 @@
     assert limit_violations(times, troubles=other) != []
     started = [RouterLife("r1", 14.0)]
     assert limit_violations(times, lives=started) == []
+
+
+def partition_calls(served_there, count=20):
+    there = [
+        CallRecord(f"t{n}", "slip", "k", 14.0 + n / 10, 200 if n < served_there else 503, b"", "a")
+        for n in range(count)
+    ]
+    elsewhere = [
+        CallRecord(f"e{n}", "slip", "k", 14.0 + n / 10, 200, b"", "b") for n in range(count)
+    ]
+    answered = [
+        attrs.evolve(call, body=b"answer to " + call.request_id.encode())
+        for call in [*there, *elsewhere]
+    ]
+    return answered
+
+
+def partition_violations(calls, partition=("a", 10.0, 20.0), **changes):
+    history = attrs.evolve(
+        CLEAN, calls=calls, runs=[], partitions=[Partition(*partition)], **changes
+    )
+    return [text for text in check_all(history, BOUNDS) if text.startswith("partitions")]
+
+
+def test_a_partitioned_router_that_fails_its_callers_is_found():
+    assert len(partition_violations(partition_calls(served_there=5))) == 1
+    assert partition_violations(partition_calls(served_there=18)) == []
+    assert partition_violations(partition_calls(served_there=10)) == []
+
+
+def test_calls_soon_after_the_begin_of_a_partition_do_not_count():
+    assert partition_violations(partition_calls(served_there=5), ("a", 13.0, 20.0)) == []
+
+
+def test_a_partitioned_router_with_other_faults_is_excused():
+    calls = partition_calls(served_there=5)
+    assert partition_violations(calls, troubles=[Trouble("a", 15.0, 16.0)]) == []
+    assert partition_violations(calls, lives=[RouterLife("a", 12.0)]) == []
+    assert len(partition_violations(calls, troubles=[Trouble("b", 15.0, 16.0)])) == 1
--- a/tests/router/test_soak.py
+++ b/tests/router/test_soak.py
@@ -16,6 +16,7 @@
     DEADLY_KINDS,
     LASTING,
     MOST_DEADLY,
+    PARTITION_KINDS,
     RUNNER_KINDS,
     STRUCK_AT_ONCE,
     draw_schedule,
@@ -88,6 +89,15 @@
     assert " 0 violations" in result.output
 
 
+# Guards against promises that are broken by requests forwarded between routers.
+@pytest.mark.parametrize("seed", [11000, 11001])
+def test_promises_hold_while_routers_are_partitioned_from_runners(seed, tmp_path):
+    options = ["--minutes", "0.25", "--seed", str(seed), "--routers", "5", "--partitions"]
+    result = CliRunner().invoke(soak, [*options, "--keep-logs", str(tmp_path / "logs")])
+    assert result.exit_code == 0, result.output
+    assert " 0 violations" in result.output
+
+
 # Guards against ready routers that do not respond on unknown routes while the store hangs.
 def test_ready_routers_respond_while_the_store_hangs(tmp_path):
     options = ["--schedule", str(SCHEDULES / "store-silent.jsonl")]
@@ -150,6 +160,9 @@
         deadly = draw_schedule(seed, 60.0, has_deadly=True)
         assert [step for step in deadly if step.kind not in DEADLY_KINDS] == steps
         assert 0 < len(deadly) - len(steps) <= MOST_DEADLY
+        partitioned = draw_schedule(seed, 60.0, has_partitions=True)
+        assert [step for step in partitioned if step.kind not in PARTITION_KINDS] == steps
+        assert len(partitioned) > len(steps)
 
 
 def test_a_schedule_depends_on_its_seed_only_and_survives_serialization():
--- a/tests/router/test_soak_guards.py
+++ b/tests/router/test_soak_guards.py
@@ -37,6 +37,10 @@
         Step(9.0, "configure", (0,), 0.0, 1),
     ],
     "rates": [Step(9.0, "configure", (0,), 0.0, 0)],
+    "partitions": [
+        Step(1.0, "reset_links", (0,), 10.0, 0),
+        Step(11.5, "configure", (0,), 0.0, 1),
+    ],
     "limits": [Step(0.5, "limit_runners", (0,), 12.0, 0), Step(9.0, "configure", (0,), 0.0, 1)],
 }
 
@@ -52,7 +56,13 @@
 def run_unguarded(guard):
     """Return the violations of a deployment whose routers run without a guard."""
     deployment = PlatformDeployment(
-        3, 3, 3, has_relays=True, program=PROGRAM, environment={"UNGUARDED": guard}
+        3,
+        3,
+        3,
+        has_relays=True,
+        program=PROGRAM,
+        environment={"UNGUARDED": guard},
+        has_links=guard == "partitions",
     )
     callers = GREEDY_CALLERS.get(guard, 1)
     return play(SCHEDULES[guard], 1, deployment, None, greedy_callers=callers).violations
--- a/tests/router/unguarded_router.py
+++ b/tests/router/unguarded_router.py
@@ -15,6 +15,7 @@
 ENTRY = Path(__file__).resolve().parent.parent.parent / "deploy" / "router.py"
 
 sys.path.insert(0, str(ENTRY.parent.parent / "src"))
+sys.path.insert(0, str(ENTRY.parent.parent / "scripts"))
 
 
 def treat_all_routers_as_alive():
@@ -108,6 +109,16 @@
     RunnerLimits.limit = lambda self, instance: None
 
 
+def keep_requests_while_partitioned():
+    """Try unreachable runners only, and stay in the directory."""
+    from martenrun.router.partition_monitor import PartitionMonitor
+    from martenrun.router.peer_route import PeerRoute
+
+    PeerRoute.next_peer = lambda self: None
+    PartitionMonitor.update_record = lambda self, own: None
+    PartitionMonitor._has_better_peer = lambda self: False
+
+
 GUARDS = {
     "directory": treat_all_routers_as_alive,
     "leaving": ignore_draining_and_removed_runners,
@@ -119,9 +130,13 @@
     "deadly": block_no_requests,
     "rates": grant_all_requests,
     "limits": ignore_runner_limits,
+    "partitions": keep_requests_while_partitioned,
 }
 """Functions that remove a safeguard, by the checker that must then find a violation."""
 
 if __name__ == "__main__":
+    from linked_router import LINKS_SUFFIX, Links, follow_links
+
+    follow_links(Links(Path(os.environ["MARTENRUN_SETTINGS"]).with_suffix(LINKS_SUFFIX)))
     GUARDS[os.environ["UNGUARDED"]]()
     runpy.run_path(str(ENTRY), run_name="__main__")
