--- a/src/martenrun/router/partition_monitor.py
+++ b/src/martenrun/router/partition_monitor.py
@@ -23,8 +23,14 @@
 PROBE_TIMEOUT_S = 0.5
 """Timeout of a probe, in seconds."""
 
+PROBE_JITTER_SHARE = 1.0
+"""Maximum random extension of that time as a share of it.
+
+It spreads the probes of all routers over a service whose runners return.
+"""
+
 PROBED_RUNNERS = 2
-"""Number of runners that are probed at a time."""
+"""Number of runners that are probed at a time, until the service is known to be unreachable."""
 
 
 class PartitionMonitor:
@@ -46,7 +52,7 @@
         self._peers = peers
         self._front = front
         self._probe = probe
-        self._probed_at: dict[str, float] = {}
+        self._next_probe_at: dict[str, float] = {}
         self._unreachable: list[str] = []
         self._is_cut_off = False
         services.peers_reaching = self._peers_reaching
@@ -55,6 +61,7 @@
         """Set what other routers need to know about this router's reach."""
         own.unreachable_services = list(self._unreachable)
         own.is_cut_off = self._is_cut_off
+        own.accepts_forwarded = True
 
     def run_maintenance(self, now: float) -> None:
         """Probe runners that may be unreachable, and publish changes."""
@@ -81,7 +88,8 @@
         records = [
             record
             for record in self._peers.live()
-            if record.is_current
+            if record.accepts_forwarded
+            and record.is_current
             and not record.is_leaving
             and service not in record.unreachable_services
         ]
@@ -97,13 +105,15 @@
         )
 
     def _probe_service(self, service: str, now: float) -> None:
-        if now - self._probed_at.get(service, -PROBE_INTERVAL_S) < PROBE_INTERVAL_S:
+        if now < self._next_probe_at.get(service, 0.0):
             return
-        self._probed_at[service] = now
+        jitter = random.uniform(1.0, 1.0 + PROBE_JITTER_SHARE)
+        self._next_probe_at[service] = now + PROBE_INTERVAL_S * jitter
         states = [
             state for state in self._services.pool.states(service) if not state.runner.is_draining
         ]
-        for state in random.sample(states, min(PROBED_RUNNERS, len(states))):
+        count = 1 if service in self._unreachable else PROBED_RUNNERS
+        for state in random.sample(states, min(count, len(states))):
             self._probe_runner(service, state, now)
 
     def _probe_runner(self, service: str, state: RunnerState, sent_at: float) -> None:
--- a/src/martenrun/router/peer_messages.py
+++ b/src/martenrun/router/peer_messages.py
@@ -48,7 +48,8 @@
     router knows, as (version, milliseconds since then).
     ``quota_stage`` is a :class:`QuotaStage`.
     ``unreachable_services`` lists the services whose runners it cannot reach; ``is_cut_off`` is set
-    if it reaches no runners at all.
+    if it reaches no runners at all.  ``accepts_forwarded`` is set if it serves requests that other
+    routers forward.
     """
 
     address: str
@@ -70,6 +71,7 @@
     quota_stage: int = QuotaStage.NONE.value
     unreachable_services: list[str] = []
     is_cut_off: bool = False
+    accepts_forwarded: bool = False
 
 
 class RouterHeartbeat(msgspec.Struct, array_like=True, frozen=True):
--- a/src/martenrun/router/peer_route.py
+++ b/src/martenrun/router/peer_route.py
@@ -32,16 +32,19 @@
         self._may_forward = admitted.call.forwarded is None
         self._tried: set[str] = set()
 
-    def is_needed(self) -> bool:
-        """Return whether this router cannot reach the runners of the request's service."""
+    def is_hopeless(self) -> bool:
+        """Return whether no runner of the service could be reached from this router."""
         now = self._services.loop.now()
-        return self._services.reachability.is_unreachable(self._admitted.service, now)
+        return self._services.reachability.has_lost_all(self._admitted.service, now)
 
     def next_peer(self) -> str | None:
         """Return the router to forward the request to, or None if there is none or no need."""
-        if not self._may_forward or len(self._tried) >= MAXIMUM_PEERS or not self.is_needed():
+        if not self._may_forward or len(self._tried) >= MAXIMUM_PEERS:
             return None
-        peers = self._services.peers_reaching(self._admitted.service)
+        service, now = self._admitted.service, self._services.loop.now()
+        if not self._services.reachability.is_unreachable(service, now):
+            return None
+        peers = self._services.peers_reaching(service)
         return next((peer for peer in peers if peer not in self._tried), None)
 
     def send(
--- a/src/martenrun/router/reachability.py
+++ b/src/martenrun/router/reachability.py
@@ -82,6 +82,14 @@
         connections = self._services.get(service)
         return connections is not None and self._check(service, connections, now)
 
+    def has_lost_all(self, service: str, now: float) -> bool:
+        """Return whether connections to every listed runner of a service have failed."""
+        connections = self._services.get(service)
+        if connections is None:
+            return False
+        count = len(self._runner_states(service))
+        return 0 < count == self._failed_count(service, connections.failed_at, now)
+
     def unreachable_services(self, now: float) -> list[str]:
         """Return the services whose runners this router cannot reach."""
         return [
@@ -122,12 +130,15 @@
         return is_unreachable
 
     def _has_failed(self, service: str, failed_at: dict[str, float], now: float) -> bool:
-        listed = self._runner_states(service)
-        failed = sum(
+        count = len(self._runner_states(service))
+        failed = self._failed_count(service, failed_at, now)
+        return failed >= max(1, min(MINIMUM_FAILED_RUNNERS, count))
+
+    def _failed_count(self, service: str, failed_at: dict[str, float], now: float) -> int:
+        return sum(
             now - failed_at.get(state.runner.instance, -math.inf) <= FAILURE_VALIDITY_S
-            for state in listed
+            for state in self._runner_states(service)
         )
-        return failed >= max(1, min(MINIMUM_FAILED_RUNNERS, len(listed)))
 
 
 def _age_ms(at: float, now: float) -> int | None:
--- a/src/martenrun/router/router_discovery.py
+++ b/src/martenrun/router/router_discovery.py
@@ -13,6 +13,9 @@
 MAX_ADDRESSES = 64
 """Maximum number of addresses in one response of the directory."""
 
+LEAST_ZONE_SHARE = 0.5
+"""Least share of a zone's routers that serve all of its callers."""
+
 
 class RouterDiscovery:
     """Serves readiness checks and the directory of routers.
@@ -57,13 +60,16 @@
     def _addresses(self, zone: str) -> list[str]:
         """Return routers that are not stopping, reach runners and have a recent configuration.
 
-        Only those of the zone are returned if the zone has at least two.
+        Only those of the zone are returned if the zone has at least two, and most of it reaches
+        runners: a few routers could not serve the callers of all others.
         """
         own = self._peers.own
         self._refresh(own)
         records = [record for record in [own, *self._peers.live()] if not record.is_leaving]
-        records = [record for record in records if not record.is_cut_off] or records
-        current = [record for record in records if record.is_current] or records
+        reaching = [record for record in records if not record.is_cut_off] or records
+        current = [record for record in reaching if record.is_current] or reaching
         in_zone = [record for record in current if record.zone == zone]
-        chosen = in_zone if len(in_zone) > 1 else current
+        zone_size = sum(record.zone == zone for record in records)
+        is_enough = len(in_zone) > 1 and len(in_zone) >= LEAST_ZONE_SHARE * zone_size
+        chosen = in_zone if is_enough else current
         return [record.front for record in chosen][:MAX_ADDRESSES]
--- a/tests/router/test_router_discovery.py
+++ b/tests/router/test_router_discovery.py
@@ -39,3 +39,11 @@
 def test_all_routers_stay_if_all_are_cut_off(count):
     records = [record(name, is_cut_off=True) for name in "abc"[:count]]
     assert addresses(*records) == sorted("abc"[:count])
+
+
+# Guards against a few routers that get the callers of a whole zone.
+def test_a_zone_whose_routers_are_mostly_cut_off_is_served_by_all_zones():
+    own = record("a")
+    zone = [record(name, is_cut_off=True) for name in ("e", "f", "g")]
+    assert addresses(own, record("b"), *zone, record("c", zone="z2")) == ["a", "b", "c"]
+    assert addresses(own, record("b"), zone[0], zone[1], record("c", zone="z2")) == ["a", "b"]
