A partition is dated from its own failures

A failed connection whose time had run out still dated the failures of a service, so that responses of other services since then hid that a router is cut off from all runners (found by reading; the test fails before). Failures that have expired are dropped when the next one comes. has_lost_all_runners replaces a vague name; the tests share one builder of records.

--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -285,8 +285,8 @@
             return
         now = self._services.loop.now()
         peer = self._next_peer()
-        is_hopeless = self._peer_route.is_hopeless()
-        state = None if is_hopeless else self._runner_choice.choose()
+        has_lost_all_runners = self._peer_route.has_lost_all_runners()
+        state = None if has_lost_all_runners else self._runner_choice.choose()
         has_other = peer is not None or state is not None
         step = next_step(failure, self._attempt_state(has_other, now))
         self._trace.record_failed_attempt(
@@ -303,7 +303,7 @@
             self._send_again(state, failure, attempt)
         elif step is NextStep.FORWARD_RESPONSE:
             self._return_response(attempt)
-        elif step is NextStep.REFUSE and is_hopeless:
+        elif step is NextStep.REFUSE and has_lost_all_runners:
             self._refuse("runners_unreachable", self._peer_route.refusal_delay_s())
         elif step is NextStep.REFUSE:
             self._wait_or_refuse(failure.value)
--- a/src/martenrun/router/peer_route.py
+++ b/src/martenrun/router/peer_route.py
@@ -32,8 +32,8 @@
         self._may_forward = admitted.call.forwarded is None
         self._tried: set[str] = set()
 
-    def is_hopeless(self) -> bool:
-        """Return whether no runner of the service could be reached from this router."""
+    def has_lost_all_runners(self) -> bool:
+        """Return whether connections to every runner of the service have failed lately."""
         now = self._services.loop.now()
         return self._services.reachability.has_lost_all(self._admitted.service, now)
 
--- a/src/martenrun/router/reachability.py
+++ b/src/martenrun/router/reachability.py
@@ -65,7 +65,10 @@
     def record_failure(self, service: str, instance: str, now: float) -> None:
         """Record a new connection to a runner that failed before any response."""
         connections = self._connections(service)
-        if connections.failing_since is None:
+        connections.failed_at = {
+            name: at for name, at in connections.failed_at.items() if now - at <= FAILURE_VALIDITY_S
+        }
+        if not connections.failed_at:
             connections.failing_since = now
         connections.failed_at[instance] = now
         self._check(service, connections, now)
--- a/tests/router/test_partition_monitor.py
+++ b/tests/router/test_partition_monitor.py
@@ -11,25 +11,12 @@
 
 from .builders import state
 from .fakes import FakeLoop
+from .gossip_world import router_record
 
 
 def record(name, **changes):
-    fields = {
-        "address": name,
-        "incarnation": 1,
-        "heartbeat": 1,
-        "front": f"{name}-front",
-        "zone": "z1",
-        "is_leaving": False,
-        "is_current": True,
-        "has_lost_store": False,
-        "lease_revision": 0,
-        "lease_token": 0,
-        "loads": {},
-        "weights": {},
-        "accepts_forwarded": True,
-    }
-    return RouterRecord(**{**fields, **changes})
+    fields = {"front": f"{name}-front", "zone": "z1", "accepts_forwarded": True}
+    return router_record(name, **{**fields, **changes})
 
 
 @attrs.define
--- a/tests/router/test_reachability.py
+++ b/tests/router/test_reachability.py
@@ -82,3 +82,13 @@
     assert not found.is_cut_off(10.0)
     found.record_response("llm", 1.0, 10.0)
     assert not found.is_cut_off(10.1)
+
+
+# Guards against a cut that goes unnoticed because of a failure long before it.
+def test_a_failure_that_has_expired_does_not_date_a_later_partition():
+    found = reachability(llm=6, ledger=2)
+    found.record_failure("llm", "llm0", 10.0)
+    found.record_response("ledger", 1.0, 30.0)
+    found.record_failure("llm", "llm1", 40.0)
+    found.record_failure("llm", "llm2", 40.1)
+    assert found.is_cut_off(40.2)
