Some dead runners are not taken for a partition while others respond

A service is unreachable only if two runners (all, if it has fewer) have failed since the last response on any connection, or if new connections to all of its runners have failed; a router is cut off only if no service has responded since.

--- a/src/martenrun/router/reachability.py
+++ b/src/martenrun/router/reachability.py
@@ -1,8 +1,8 @@
 """Detects services whose runners this router cannot reach.  No I/O or clock.
 
 A failed connection to one runner does not show which end has failed.  If new connections to
-several runners of a service fail and none works in between, this router has most likely lost its
-own connection to them, and other routers may still reach them.
+several runners of a service fail and nothing responds in between, this router has most likely lost
+its own connection to them, and other routers may still reach them.
 """
 
 import math
@@ -91,7 +91,7 @@
         if connections is None:
             return False
         count = len(self._runner_states(service))
-        return 0 < count == self._failed_count(service, connections.failed_at, now)
+        return 0 < count == len(self._failures(service, connections, now))
 
     def unreachable_services(self, now: float) -> list[str]:
         """Return the services whose runners this router cannot reach."""
@@ -102,13 +102,15 @@
         ]
 
     def is_cut_off(self, now: float) -> bool:
-        """Return whether a service is unreachable and no other has responded since it failed."""
-        unreachable = self.unreachable_services(now)
-        since = [self._services[service].failing_since or now for service in unreachable]
-        return bool(since) and not any(
-            connections.responded_at >= min(since)
-            for service, connections in self._services.items()
-            if service not in unreachable
+        """Return whether a service is unreachable and none has responded since it failed."""
+        failures = [
+            at
+            for service in self.unreachable_services(now)
+            for at in self._failures(service, self._services[service], now)
+            if at > self._services[service].responded_at
+        ]
+        return bool(failures) and all(
+            connections.responded_at < min(failures) for connections in self._services.values()
         )
 
     def _connections(self, service: str) -> ServiceConnections:
@@ -116,9 +118,7 @@
 
     def _check(self, service: str, connections: ServiceConnections, now: float) -> bool:
         """Return whether a service is unreachable; log the change if there is one."""
-        is_unreachable = bool(connections.failed_at) and self._has_failed(
-            service, connections.failed_at, now
-        )
+        is_unreachable = bool(connections.failed_at) and self._has_failed(service, connections, now)
         if is_unreachable != connections.is_unreachable:
             connections.is_unreachable = is_unreachable
             if is_unreachable:
@@ -132,16 +132,24 @@
                 log_event("runners_reachable", service=service)
         return is_unreachable
 
-    def _has_failed(self, service: str, failed_at: dict[str, float], now: float) -> bool:
-        count = len(self._runner_states(service))
-        failed = self._failed_count(service, failed_at, now)
-        return failed >= max(1, min(MINIMUM_FAILED_RUNNERS, count))
+    def _has_failed(self, service: str, connections: ServiceConnections, now: float) -> bool:
+        """Return whether several runners failed after the last response, or all did at all.
 
-    def _failed_count(self, service: str, failed_at: dict[str, float], now: float) -> int:
-        return sum(
-            now - failed_at.get(state.runner.instance, -math.inf) <= FAILURE_VALIDITY_S
+        While responses arrive on open connections, some runners may be down and the others sound.
+        """
+        count = len(self._runner_states(service))
+        failures = self._failures(service, connections, now)
+        since_response = sum(at > connections.responded_at for at in failures)
+        is_silent = since_response >= max(1, min(MINIMUM_FAILED_RUNNERS, count))
+        return is_silent or 0 < count == len(failures)
+
+    def _failures(self, service: str, connections: ServiceConnections, now: float) -> list[float]:
+        """Return the times of the recent failures of a service's listed runners."""
+        times = [
+            connections.failed_at.get(state.runner.instance, -math.inf)
             for state in self._runner_states(service)
-        )
+        ]
+        return [at for at in times if now - at <= FAILURE_VALIDITY_S]
 
 
 def _age_ms(at: float, now: float) -> int | None:
