Log which software versions wrote a stream, and which attempt it resumes

The version of a runner's entry and the Resumes header are read now; the outcome of a stream names the versions whose events were forwarded and the resumed attempt, each sent step the runner's version. Nothing decides by them yet.

Entries without a version or with one that is not text stay unreadable, as tests demand; a version longer than 64 characters is replaced by its digest, so that neither logs nor datagrams grow with it.

--- a/src/martenrun/platform/headers.py
+++ b/src/martenrun/platform/headers.py
@@ -47,6 +47,7 @@
         prompt_tokens=prompt_tokens,
         last_event_id=int(fields.get(b"last-event-id", b"0") or b"0"),
         counted_tokens=counted_tokens,
+        resumed_id=fields.get(b"resumes") or None,
     )
 
 
--- a/src/martenrun/platform/specs.py
+++ b/src/martenrun/platform/specs.py
@@ -4,6 +4,7 @@
 object unreadable, and nothing that it defines is used.
 """
 
+import hashlib
 from collections.abc import Mapping, Sequence
 from typing import Annotated, Any, Literal, TypeVar
 
@@ -265,9 +266,20 @@
         weights=_weights(entry.models),
         name=stored.name,
         started_at_ms=entry.born,
+        software=_software(entry.version),
     )
 
 
+MAXIMUM_SOFTWARE_CHARACTERS = 64
+"""Length above which a software version is replaced by its digest."""
+
+
+def _software(version: str) -> str:
+    if len(version) <= MAXIMUM_SOFTWARE_CHARACTERS:
+        return version
+    return "sha256:" + hashlib.sha256(version.encode()).hexdigest()[:32]
+
+
 def read_report(body: bytes) -> RunnerReport:
     """Convert a runner's report; raises UnreadableError."""
     try:
--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -39,12 +39,14 @@
 
     Attributes:
         target: the runner's instance or the router's address.
+        software: version of the runner's software; empty if unknown.
         was_sent: whether bytes of the request may have been sent.
         was_interrupted: whether a runner's connection broke after that.
         connection_failure: how the connection failed, or an empty string.
     """
 
     target: str
+    software: str
     was_sent: bool
     was_interrupted: bool
     status: int
@@ -110,6 +112,7 @@
         self._listener = listener
         self.state = state
         self.target = state.runner.instance
+        self.software = state.runner.software
         self._prefill_tokens = load.prefill_tokens
         self._kv_cache_tokens = load.kv_cache_tokens
         self._has_grant = has_grant
--- a/src/martenrun/router/caller_stream.py
+++ b/src/martenrun/router/caller_stream.py
@@ -16,6 +16,7 @@
     Attributes:
         first_event_at: when the first event was forwarded, or None.
         longest_gap_s: the longest time between two events, in seconds.
+        software: software versions of the runners whose events were forwarded, in order.
     """
 
     def __init__(self, loop: Loop, exchange: Exchange, last_event_id: int) -> None:
@@ -25,6 +26,7 @@
         self._last_event_at = 0.0
         self.first_event_at: float | None = None
         self.longest_gap_s = 0.0
+        self.software: list[str] = []
 
     @property
     def last_event_id(self) -> int:
@@ -50,6 +52,8 @@
             else:
                 self.longest_gap_s = max(self.longest_gap_s, now - self._last_event_at)
             self._last_event_at = now
+            if not self.software or self.software[-1] != attempt.software:
+                self.software.append(attempt.software)
             self._exchange.send(event.data)
 
     def start_response(self, attempt: SentRequest) -> None:
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -427,6 +427,8 @@
             self._attempt = None
         now = self._services.loop.now()
         is_failure = outcome not in ("served", "caller_left")
+        call = self._admitted.call
+        resumed_id = None if call.resumed_id is None else call.resumed_id.decode("latin-1")
         self._services.record_outcome(outcome, self._admitted.route, now - self._started_at)
         self._trace.end(
             outcome,
@@ -436,6 +438,8 @@
             status=None if attempt is None else attempt.status,
             tries=len(self._attempted_instances),
             events=self._caller_stream.last_event_id,
+            software=",".join(self._caller_stream.software) or None,
+            resumed=resumed_id,
             total_ms=round((now - self._started_at) * 1000, 1),
             first_ms=self._caller_stream.first_event_delay_ms(self._started_at),
             longest_gap_ms=round(self._caller_stream.longest_gap_s * 1000, 1),
--- a/src/martenrun/router/messages.py
+++ b/src/martenrun/router/messages.py
@@ -117,6 +117,7 @@
         instance: the instance key, see :mod:`martenrun.router.runner_instance`.
         name: the runner's id on the platform, which later instances may share.
         started_at_ms: start time by the runner's own clock, in milliseconds; None if not reported.
+        software: version of its software; empty if unknown.
     """
 
     instance: str
@@ -128,6 +129,7 @@
     weights: Mapping[str, int]
     name: str = attrs.field(default=attrs.Factory(lambda self: self.instance, takes_self=True))
     started_at_ms: int | None = None
+    software: str = ""
 
 
 @attrs.frozen
@@ -152,7 +154,8 @@
 
     ``counted_tokens`` is the number of prompt tokens plus the maximum number of output tokens, or
     None if the request does not state them.  ``forwarded`` is set if another router received the
-    request and forwarded it.
+    request and forwarded it.  ``resumed_id`` is the id of the attempt that began the stream which
+    the request resumes, if the caller names it.
     """
 
     request_id: bytes
@@ -166,6 +169,7 @@
     last_event_id: int
     counted_tokens: int | None = None
     forwarded: ForwardedState | None = None
+    resumed_id: bytes | None = None
 
 
 @attrs.frozen
--- a/src/martenrun/router/peer_attempt.py
+++ b/src/martenrun/router/peer_attempt.py
@@ -35,6 +35,7 @@
         self._admitted = admitted
         self._listener = listener
         self.target = address
+        self.software = ""
         self.was_sent = False
         self.status = 0
         self.headers: Headers = []
--- a/src/martenrun/router/request_trace.py
+++ b/src/martenrun/router/request_trace.py
@@ -44,6 +44,7 @@
             load=state.load,
             backlog=int(state.backlog_tokens),
             weights=state.weights_version(model or ""),
+            software=state.runner.software,
             tries=attempts,
         )
 
--- a/tests/router/builders.py
+++ b/tests/router/builders.py
@@ -58,6 +58,7 @@
         "slots": 8,
         "is_draining": False,
         "weights": {"m": 1},
+        "software": "v1",
     }
     return Runner(**{**fields, **changes})
 
--- a/tests/router/test_broken_entries.py
+++ b/tests/router/test_broken_entries.py
@@ -128,6 +128,17 @@
     assert runner_names(state) == ["i-1", "i-2"]
 
 
+def test_software_versions_are_read_and_long_ones_replaced_by_digests():
+    state = FedState()
+    texts = {"i-1": "v1.2", "i-2": "", "i-3": "x" * 5_000, "i-4": "x" * 5_001}
+    for name, text in texts.items():
+        state.put(Dataset.RUNNERS, name, {**GOOD, "version": text})
+    software = {runner.name: runner.software for runner in state.runners.runners.values()}
+    assert (software["i-1"], software["i-2"]) == ("v1.2", "")
+    assert software["i-3"] != software["i-4"]
+    assert max(map(len, software.values())) <= 64
+
+
 def test_unknown_and_missing_optional_fields_are_accepted():
     state = FedState()
     state.put(Dataset.RUNNERS, "i-1", {**GOOD, "stage": "both", "something": [1]})
--- a/tests/router/test_platform_adapter.py
+++ b/tests/router/test_platform_adapter.py
@@ -186,6 +186,14 @@
         PLATFORM_ADAPTER.read_call(request((b"X-Request-Id", b"id1"), header))
 
 
+def test_the_resumed_attempt_is_read_and_passed_on():
+    headers = [(b"X-Request-Id", b"r2"), (b"Resumes", b"r1"), (b"Last-Event-Id", b"3")]
+    request = HttpRequest(b"POST", b"/a/x", headers, b"", 0.0)
+    assert PLATFORM_ADAPTER.read_call(request).resumed_id == b"r1"
+    unnamed = HttpRequest(b"POST", b"/a/x", [headers[0], (b"Resumes", b"")], b"", 0.0)
+    assert PLATFORM_ADAPTER.read_call(unnamed).resumed_id is None
+
+
 def test_headers_set_by_router_are_not_forwarded_from_caller():
     headers = [
         (b"Host", b"a"),
