Failing tests: streams hold events of two software versions

Each 0.7 s a runner cuts its streams partway through an event; callers break three attempts in ten off after some events and resume them at any router with Resumes and Last-Event-Id, the id always that of the attempt that brought the first event.

--- /dev/null
+++ b/scripts/resuming_callers.py
@@ -0,0 +1,144 @@
+"""Callers that break streams off and resume them at any router."""
+
+import http.client
+import itertools
+import random
+import re
+import threading
+import time
+from collections.abc import Callable
+
+from platform_deployment import HOST, KEY, MODEL, PlatformDeployment
+
+from martenrun.proof.stream_checker import StreamRecord, StreamTry
+
+PAUSE_S = 0.08
+"""Mean pause of a caller between two streams, in seconds."""
+
+DEADLINE_S = 5.0
+MAXIMUM_TRIES = 8
+BREAK_SHARE = 0.3
+"""Share of attempts that callers break off after some events."""
+
+EVENT = re.compile(rb"id: (\d+)\ndata: piece \d+ by ([^\n]*)\n\n")
+
+
+def event_lines(data: bytes) -> list[tuple[int, str]]:
+    """Return id and software version of the complete events in a stream."""
+    return [(int(number), software.decode()) for number, software in EVENT.findall(data)]
+
+
+class ResumingCallers:
+    """Callers on threads, each with one stream at a time.
+
+    Args:
+        breaks_off: whether callers also break streams off themselves.
+        is_counted: whether an attempt counts, by router, time, and the software version that began
+            the stream, if any.
+    """
+
+    def __init__(
+        self,
+        deployment: PlatformDeployment,
+        count: int,
+        seed: int = 1,
+        breaks_off: bool = True,
+        is_counted: Callable[[str, float, str | None], bool] = lambda _r, _at, _software: True,
+    ) -> None:
+        self._deployment = deployment
+        self._breaks_off = breaks_off
+        self._is_counted = is_counted
+        self._numbers = itertools.count()
+        self._stopped = threading.Event()
+        self.streams: list[StreamRecord] = []
+        self._threads = [
+            threading.Thread(target=self._run, args=(random.Random(f"{seed} {n}"),), daemon=True)
+            for n in range(count)
+        ]
+
+    def start(self) -> None:
+        """Start all callers."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Let the callers end their streams, and wait for that."""
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join(2 * DEADLINE_S)
+
+    def _run(self, rng: random.Random) -> None:
+        while not self._stopped.wait(rng.expovariate(1.0 / PAUSE_S)):
+            tries = self._stream(rng)
+            if tries:
+                self.streams.append(StreamRecord(tries))
+
+    def _stream(self, rng: random.Random) -> list[StreamTry]:
+        ends_at = time.monotonic() + DEADLINE_S
+        tries: list[StreamTry] = []
+        first_id = None
+        last_event_id = 0
+        software = None
+        for _ in range(MAXIMUM_TRIES):
+            left_s = ends_at - time.monotonic()
+            if left_s < 0.1:
+                break
+            request_id = f"u{next(self._numbers):06d}"
+            headers = {"X-Request-Id": request_id, "X-Deadline-Ms": str(int(left_s * 1000))}
+            if first_id is not None:
+                headers |= {"Resumes": first_id, "Last-Event-Id": str(last_event_id)}
+            router = rng.choice(list(self._deployment.routers)).front
+            sent_at = time.monotonic()
+            most = rng.randint(1, 9) if self._breaks_off and rng.random() < BREAK_SHARE else None
+            status, retry_after_s, data, is_whole = self._attempt(router, headers, left_s, most)
+            events = event_lines(data)
+            is_counted = self._is_counted(router, sent_at, software)
+            tries.append(
+                StreamTry(
+                    request_id, router, sent_at, status, events, first_id is not None, is_counted
+                )
+            )
+            if events:
+                first_id = first_id or request_id
+                software = software or events[0][1]
+                last_event_id = events[-1][0]
+            if is_whole:
+                break
+            if status == 503:
+                self._stopped.wait(min(retry_after_s, (ends_at - time.monotonic()) / 3))
+        return tries
+
+    @staticmethod
+    def _attempt(
+        router: str, headers: dict[str, str], left_s: float, most_events: int | None
+    ) -> tuple[int | None, float, bytes, bool]:
+        """Return status, Retry-After, the events received, and whether the stream is whole."""
+        host, _, port = router.rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=min(2.0, left_s))
+        fixed = {
+            "Host": HOST,
+            "X-Key": KEY,
+            "X-Model-Id": MODEL,
+            "X-Token-Usage": "1000,20",
+            "X-Prefix-Hash": "aa:600,bb:300,cc:100",
+        }
+        status, retry_after_s, data = None, 0.0, bytearray()
+        try:
+            connection.request("POST", "/ask/x", b"b", fixed | headers)
+            response = connection.getresponse()
+            status = response.status
+            retry_after_s = float(response.getheader("Retry-After") or 0.0)
+            if status != 200:
+                response.read()
+                return status, retry_after_s, b"", False
+            while True:
+                part = response.read1(65536)
+                if not part:
+                    return status, retry_after_s, bytes(data), True
+                data += part
+                if most_events is not None and len(event_lines(data)) >= most_events:
+                    return status, retry_after_s, bytes(data), False
+        except (OSError, http.client.HTTPException):
+            return status, retry_after_s, bytes(data), False
+        finally:
+            connection.close()
--- a/src/martenrun/platform/standins/runner.py
+++ b/src/martenrun/platform/standins/runner.py
@@ -93,6 +93,8 @@
         events: number of events in a stream.
         event_pause_of: returns the pause between two events of a request, in seconds.
         listed_address: address in the runner's entry, if others reach it by a relay.
+        software: version of its software; its entry and each of its events tell it.
+        stream_cuts: how often it has cut all streams in progress.
         crashes_on: whether a request with a given body crashes the runner before it responds.
         on_crash: called when the runner crashes.
     """
@@ -106,6 +108,8 @@
         self.event_pause_s = 0.005
         self.event_pause_of: Callable[[str], float] = lambda _request_id: self.event_pause_s
         self.listed_address: str | None = None
+        self.software = "v1"
+        self.stream_cuts = 0
         self.is_draining = False
         self.born_ms = int(time.time() * 1000)
         self.orders: list[dict[str, object]] = []
@@ -191,13 +195,17 @@
         self.orders = []
         self.is_draining = False
 
+    def cut_streams(self) -> None:
+        """Break all streams in progress off, each partway through its next event."""
+        self.stream_cuts += 1
+
     def entry(self) -> dict[str, object]:
         """Return the runner's entry in the store."""
         return {
             "service": self.service,
             "address": self.listed_address or self.address,
             "zone": "z1",
-            "version": "v1",
+            "version": self.software,
             "slots": self.slots,
             "state": "draining" if self.is_draining else "ready",
             "cold_left_ms": 0,
@@ -335,6 +343,8 @@
     def _stream(self, fault: Fault) -> None:
         first = int(self.headers.get("Last-Event-Id") or 0) + 1
         born_ms = self.runner.born_ms
+        software = self.runner.software
+        cuts = self.runner.stream_cuts
         self.send_response(200)
         self.send_header("X-Request-Id", self._request_id())
         for name, value in (self._signature() | self._limit_header()).items():
@@ -343,11 +353,12 @@
         self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
         for number in range(first, self.runner.events + 1):
-            data = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            data = b"id: %d\ndata: piece %d by %b\n\n" % (number, number, software.encode())
             if self.runner.born_ms != born_ms:
                 self.close_connection = True
                 return
-            if fault is Fault.CUT_MIDWAY and number == first + 2:
+            is_cut = self.runner.stream_cuts != cuts
+            if is_cut or (fault is Fault.CUT_MIDWAY and number == first + 2):
                 self.wfile.write(b"%x\r\n%b" % (len(data), data[:5]))
                 self.close_connection = True
                 return
--- /dev/null
+++ b/tests/router/test_stream_software.py
@@ -0,0 +1,132 @@
+"""Tests that a stream holds events of runners of one software version only.
+
+Runs real routers with stand-in runners of two software versions, whose events tell the version.
+Runners cut their streams partway through an event; callers break streams off and resume them at
+any router.
+"""
+
+import itertools
+import random
+import time
+
+import pytest
+from platform_deployment import PlatformDeployment
+from resuming_callers import ResumingCallers
+
+from martenrun.proof.stream_checker import (
+    events_are_consecutive,
+    resumed_streams_continue,
+    streams_keep_their_software,
+    success_share,
+)
+
+CALLERS = 12
+PLAY_S = 10.0
+CUT_EACH_S = 0.7
+LOOK_S = 0.02
+EVENTS = 12
+EVENT_PAUSE_S = 0.025
+OLD, NEW = "v1.1", "v1.2"
+
+
+def deployment_of(routers, old, new):
+    deployment = PlatformDeployment(routers=routers, model_runners=old + new, plain_runners=0)
+    for number, runner in enumerate(deployment.runners):
+        runner.software = OLD if number < old else NEW
+        runner.events, runner.event_pause_s = EVENTS, EVENT_PAUSE_S
+    return deployment
+
+
+def play(deployment, steps=(), cuts=True, breaks_off=True, is_counted=None):
+    """Play streams for a while; return them.
+
+    Args:
+        steps: (interval in seconds, action) of what else happens, repeatedly.
+    """
+    options = {} if is_counted is None else {"is_counted": is_counted}
+    callers = ResumingCallers(deployment, CALLERS, breaks_off=breaks_off, **options)
+    turns = itertools.cycle(range(len(deployment.runners)))
+    rhythms = list(steps)
+    if cuts:
+        rhythms.append((CUT_EACH_S, lambda: deployment.runners[next(turns)].cut_streams()))
+    ends_at = time.monotonic() + PLAY_S
+    due_at = [time.monotonic() + interval_s for interval_s, _ in rhythms]
+    callers.start()
+    while time.monotonic() < ends_at:
+        for number, (interval_s, action) in enumerate(rhythms):
+            if time.monotonic() >= due_at[number]:
+                action()
+                due_at[number] += interval_s
+        next_look_at = min(ends_at, time.monotonic() + LOOK_S)
+        deployment.wait(lambda at=next_look_at: time.monotonic() >= at)
+    callers.stop()
+    print(summary(callers.streams))
+    return callers.streams
+
+
+def summary(streams):
+    mixed = sum(len(stream.software()) > 1 for stream in streams)
+    tries = [item for stream in streams for item in stream.tries]
+    resumed = [item for item in tries if item.is_resumption]
+    begun = [item for item in tries if not item.is_resumption]
+    return (
+        f"{mixed} of {len(streams)} streams mixed; {success_share(resumed):.2f} of {len(resumed)} "
+        f"resumptions go on, {success_share(begun):.2f} of {len(begun)} begin"
+    )
+
+
+def assert_promises(streams):
+    assert len(streams) > 50
+    assert streams_keep_their_software(streams) == []
+    assert events_are_consecutive(streams) == []
+    assert resumed_streams_continue(streams) == []
+
+
+# Guards against streams that go on at another software version than the one that began them.
+@pytest.mark.parametrize(
+    ("cuts", "breaks_off"),
+    [
+        pytest.param(True, True, id="runners cut, callers break off"),
+        pytest.param(True, False, id="runners cut"),
+        pytest.param(False, True, id="callers break off"),
+    ],
+)
+def test_streams_keep_the_software_that_began_them(cuts, breaks_off):
+    with deployment_of(6, 3, 3) as deployment:
+        assert_promises(play(deployment, cuts=cuts, breaks_off=breaks_off))
+
+
+# Guards against the loss of what began a stream with the router that served it.
+def test_streams_keep_their_software_while_routers_are_killed():
+    rng = random.Random(5)
+    with deployment_of(6, 3, 3) as deployment:
+
+        def kill_one():
+            router = rng.choice(deployment.routers)
+            if router.process.poll() is None:
+                deployment.stop(router, 9)
+                router.process.wait()
+            deployment.start(router)
+
+        assert_promises(play(deployment, [(2.0, kill_one)]))
+
+
+# Guards against streams that move to the new version as the old one is taken out of service.
+def test_streams_keep_their_software_while_a_version_is_rolled_out():
+    with deployment_of(6, 4, 2) as deployment:
+
+        def replace_one():
+            old = [runner for runner in deployment.runners if runner.software == OLD]
+            if len(old) > 2:
+                old[0].is_draining = True
+                deployment.list_runner(old[0])
+
+        assert_promises(play(deployment, [(2.0, replace_one)]))
+
+
+# Guards against streams of a version with a single runner, which alone can resume them.
+def test_streams_of_a_version_with_one_runner_keep_it():
+    with deployment_of(6, 1, 5) as deployment:
+        streams = play(deployment)
+        assert streams_keep_their_software(streams) == []
+        assert events_are_consecutive(streams) == []
