A stream that has begun goes on only at the software version that began it

Cause: the query that chooses a runner for a repeat knew tried instances and weights, but nothing of what began the stream.

From the first event that was forwarded on, only runners of that version are chosen; before it, any. All that asks whether the request could be repeated uses the same query: a stream is no longer moved off a silent runner with nowhere to go. If none of the version is listed, the response is broken off at once; while one is, the stream waits up to 1.5 s (callers bear 2 s) and may return to the runner that cut it. A draining runner still takes such a stream for 0.4 of the drain time if nobody else can. Unknown software is the same as that of its own instance only.

Between routers: a forwarded stream carries its version in a header of its own, since routers of the version before accept three numbers exactly in the other one; the response names the version that began it. Begun streams are forwarded only to routers whose record says that they keep it; what an earlier router does not tell is unknown.

--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -39,7 +39,7 @@
 
     Attributes:
         target: the runner's instance or the router's address.
-        software: version of the runner's software; empty if unknown.
+        software: software version of the runner; see :attr:`Runner.software_id`.
         was_sent: whether bytes of the request may have been sent.
         was_interrupted: whether a runner's connection broke after that.
         connection_failure: how the connection failed, or an empty string.
@@ -112,7 +112,7 @@
         self._listener = listener
         self.state = state
         self.target = state.runner.instance
-        self.software = state.runner.software
+        self.software = state.runner.software_id
         self._prefill_tokens = load.prefill_tokens
         self._kv_cache_tokens = load.kv_cache_tokens
         self._has_grant = has_grant
--- a/src/martenrun/router/caller_stream.py
+++ b/src/martenrun/router/caller_stream.py
@@ -5,6 +5,7 @@
 from martenrun.net.server import Exchange
 from martenrun.router.attempt import SentRequest
 from martenrun.router.event_stream import EventSplitter
+from martenrun.router.forwarded_request import software_field, without_internal_fields
 
 
 class CallerStream:
@@ -12,17 +13,30 @@
 
     Args:
         last_event_id: id of the last event that the caller has received before this request.
+        required_software: software version that wrote these events; None if there are none.
+        tells_software: whether the response head names the software version, for the router that
+            forwarded the request.
 
     Attributes:
+        required_software: software version that may write further events; None for any.
         first_event_at: when the first event was forwarded, or None.
         longest_gap_s: the longest time between two events, in seconds.
         software: software versions of the runners whose events were forwarded, in order.
     """
 
-    def __init__(self, loop: Loop, exchange: Exchange, last_event_id: int) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        exchange: Exchange,
+        last_event_id: int,
+        required_software: str | None = None,
+        tells_software: bool = False,
+    ) -> None:
         self._loop = loop
         self._exchange = exchange
         self._splitter = EventSplitter(last_event_id)
+        self.required_software = required_software
+        self._tells_software = tells_software
         self._last_event_at = 0.0
         self.first_event_at: float | None = None
         self.longest_gap_s = 0.0
@@ -52,14 +66,24 @@
             else:
                 self.longest_gap_s = max(self.longest_gap_s, now - self._last_event_at)
             self._last_event_at = now
+            if self.required_software is None:
+                self.required_software = attempt.software
             if not self.software or self.software[-1] != attempt.software:
                 self.software.append(attempt.software)
             self._exchange.send(event.data)
 
     def start_response(self, attempt: SentRequest) -> None:
         """Send the response head of the first runner, once."""
-        if not self._exchange.has_started:
-            self._exchange.start(attempt.status, end_to_end(attempt.headers), None)
+        if self._exchange.has_started:
+            return
+        headers = end_to_end(attempt.headers)
+        if self._tells_software:
+            headers = [*without_internal_fields(headers), software_field(attempt.software)]
+        self._exchange.start(attempt.status, headers, None)
+
+    def gap_s(self, now: float) -> float:
+        """Return the time since the last forwarded event in seconds; 0 before the first."""
+        return 0.0 if self.first_event_at is None else now - self._last_event_at
 
     def first_event_delay_ms(self, started_at: float) -> float | None:
         """Return the milliseconds from a start time to the first event, or None without one."""
--- a/src/martenrun/router/forwarded_request.py
+++ b/src/martenrun/router/forwarded_request.py
@@ -4,16 +4,29 @@
 ``FORWARD_PREFIX``, and one header field carries what the first router knows about it.
 """
 
+from urllib.parse import quote, unquote
+
 import attrs
 
-from martenrun.net.http import HttpRequest, end_to_end, find_header, request_bytes
+from martenrun.net.http import Headers, HttpRequest, end_to_end, find_header, request_bytes
 from martenrun.net.server import ServerLimits
 
 FORWARD_PREFIX = b"/forwarded"
 """Prefix of the target of a forwarded request."""
 
 STATE_FIELD = b"Martenrun-Forwarded"
-"""Header field with the three numbers of :class:`ForwardedState`, separated by commas."""
+"""Header field with the three numbers of :class:`ForwardedState`, separated by commas.
+
+Routers of earlier versions accept exactly three.
+"""
+
+SOFTWARE_FIELD = b"Martenrun-Software"
+"""Header field with the percent-encoded software version that writes a stream's events.
+
+In a forwarded request it is required of runners, in the response it is that of the first runner.
+"""
+
+_INTERNAL_FIELDS = frozenset({STATE_FIELD.lower(), SOFTWARE_FIELD.lower()})
 
 
 @attrs.frozen
@@ -24,14 +37,16 @@
         elapsed_ms: time since the first router received it, in milliseconds.
         runs: number of runners that may have executed it.
         last_event_id: id of the last event that the caller has received.
+        software: software version that wrote the events so far; None if there are none.
     """
 
     elapsed_ms: int
     runs: int
     last_event_id: int
+    software: str | None = None
 
 
-MAXIMUM_STATE_BYTES = 256
+MAXIMUM_STATE_BYTES = 1_280
 """Room for the prefix and the state in the head of a forwarded request."""
 
 
@@ -53,13 +68,11 @@
 
 def forwarded_bytes(request: HttpRequest, state: ForwardedState) -> bytes:
     """Return the bytes of a request that is forwarded to another router."""
-    numbers = b"%d,%d,%d" % (state.elapsed_ms, state.runs, state.last_event_id)
-    headers = [
-        (name, value)
-        for name, value in end_to_end(request.headers)
-        if name.lower() != STATE_FIELD.lower()
-    ]
-    headers += [(STATE_FIELD, numbers), (b"Connection", b"close")]
+    progress = b"%d,%d,%d" % (state.elapsed_ms, state.runs, state.last_event_id)
+    headers = without_internal_fields(end_to_end(request.headers))
+    headers += [(STATE_FIELD, progress), (b"Connection", b"close")]
+    if state.software is not None:
+        headers.append(software_field(state.software))
     return request_bytes(request.method, FORWARD_PREFIX + request.target, headers, request.body)
 
 
@@ -72,7 +85,8 @@
     elapsed_ms, runs, last_event_id = (int(number) for number in numbers)
     if min(elapsed_ms, runs, last_event_id) < 0:
         raise ValueError("the state of a forwarded request has a negative number")
-    headers = [item for item in request.headers if item[0].lower() != STATE_FIELD.lower()]
+    software = read_software(request.headers)
+    headers = without_internal_fields(request.headers)
     original = HttpRequest(
         request.method,
         request.target[len(FORWARD_PREFIX) :],
@@ -80,4 +94,20 @@
         request.body,
         request.received_at - elapsed_ms / 1000.0,
     )
-    return original, ForwardedState(elapsed_ms, runs, last_event_id)
+    return original, ForwardedState(elapsed_ms, runs, last_event_id, software)
+
+
+def software_field(software: str) -> tuple[bytes, bytes]:
+    """Return the header field that names a software version."""
+    return SOFTWARE_FIELD, quote(software, safe="").encode()
+
+
+def read_software(headers: Headers) -> str | None:
+    """Return the software version that a header field names, or None."""
+    value = find_header(headers, SOFTWARE_FIELD.lower())
+    return None if value is None else unquote(value.decode("latin-1"))
+
+
+def without_internal_fields(headers: Headers) -> Headers:
+    """Return header fields without those that routers add for each other."""
+    return [item for item in headers if item[0].lower() not in _INTERNAL_FIELDS]
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -27,6 +27,15 @@
 RUNNER_POLL_INTERVAL_S = 0.025
 """Delay before a waiting request tries again to choose a runner, in seconds."""
 
+MAXIMUM_GAP_S = 1.5
+"""Gap in a stream until which it waits for a runner that can go on, in seconds.
+
+Callers give a stream up after two seconds without an event.
+"""
+
+MAXIMUM_RESUME_POLL_S = 0.2
+"""Longest delay before such a stream tries again to choose a runner, in seconds."""
+
 
 class RequestForwarder:
     """Forwards one admitted request: chooses runners, repeats failed attempts, responds.
@@ -53,10 +62,22 @@
         self._possible_runs = 0 if forwarded is None else forwarded.runs
         self._may_have_arrived = False
         self._attempt: SentRequest | None = None
-        self._caller_stream = CallerStream(services.loop, exchange, admitted.call.last_event_id)
+        self._caller_stream = CallerStream(
+            services.loop,
+            exchange,
+            admitted.call.last_event_id,
+            None if forwarded is None else forwarded.software,
+            tells_software=forwarded is not None,
+        )
         self._trace = RequestTrace(services.loop, admitted)
         self._parameters = services.decisions.forwarding
-        self._runner_choice = RunnerChoice(services, exchange.request, admitted)
+        self._runner_choice = RunnerChoice(
+            services,
+            exchange.request,
+            admitted,
+            lambda: self._caller_stream.required_software,
+        )
+        self._resume_polls = 0
         self._quota = RequestQuota(services.quotas, admitted)
         self._runner_access = RunnerAccess(services, self._runner_choice.placement_query)
         self._peer_route = PeerRoute(services, exchange.request, admitted)
@@ -153,7 +174,7 @@
         """Return the router to forward the request to, or None; repeats need the retry budget."""
         if self._may_have_arrived and not self._is_within_budget():
             return None
-        return self._peer_route.next_peer()
+        return self._peer_route.next_peer(self._caller_stream.required_software is not None)
 
     def _forward_to(self, peer: str) -> None:
         if self._may_have_arrived:
@@ -161,7 +182,11 @@
             budget.record_retry(self._services.loop.now())
         self._trace.record("forwarded", router=peer, runs=self._possible_runs)
         self._attempt = self._peer_route.send(
-            peer, self, self._possible_runs, self._caller_stream.last_event_id
+            peer,
+            self,
+            self._possible_runs,
+            self._caller_stream.last_event_id,
+            self._caller_stream.required_software,
         )
 
     def _send(self, state: RunnerState, choose_again: Callable[[], None]) -> None:
@@ -288,7 +313,11 @@
         has_lost_all_runners = self._peer_route.has_lost_all_runners()
         state = None if has_lost_all_runners else self._runner_choice.choose()
         has_other = peer is not None or state is not None
-        step = next_step(failure, self._attempt_state(has_other, now))
+        attempt_state = self._attempt_state(has_other, now)
+        step = next_step(failure, attempt_state)
+        if step is NextStep.ABORT_RESPONSE and self._may_resume_later(failure, attempt_state, now):
+            self._resume_later(failure, attempt)
+            return
         self._trace.record_failed_attempt(
             attempt.target,
             attempt.status,
@@ -312,6 +341,23 @@
         else:
             self._respond(502, "unknown", attempt)
 
+    def _may_resume_later(self, failure: Failure, state: AttemptState, now: float) -> bool:
+        """Return whether a runner of the stream's software version may soon be usable again."""
+        if state.has_other_runner or self._caller_stream.gap_s(now) > MAXIMUM_GAP_S:
+            return False
+        would_resume = attrs.evolve(state, has_other_runner=True)
+        return (
+            next_step(failure, would_resume) is NextStep.SEND_AGAIN
+            and self._runner_choice.has_listed_runner()
+        )
+
+    def _resume_later(self, failure: Failure, attempt: SentRequest) -> None:
+        """Choose again after a pause that doubles; runners that broke the stream may resume it."""
+        self._runner_choice.tried_instances.clear()
+        delay_s = min(MAXIMUM_RESUME_POLL_S, RUNNER_POLL_INTERVAL_S * 2**self._resume_polls)
+        self._resume_polls += 1
+        self._services.loop.call_later(delay_s, lambda: self._continue(failure, attempt))
+
     def _send_again(self, state: RunnerState, failure: Failure, attempt: SentRequest) -> None:
         """Send the request to another runner; a repeated run also counts against the quota."""
         if not self._quota.needs_grant:
--- a/src/martenrun/router/messages.py
+++ b/src/martenrun/router/messages.py
@@ -131,6 +131,11 @@
     started_at_ms: int | None = None
     software: str = ""
 
+    @property
+    def software_id(self) -> str:
+        """Its software version; unknown software is the same as that of this instance only."""
+        return self.software or f"unknown at {self.instance}"
+
 
 @attrs.frozen
 class TargetWeights:
--- a/src/martenrun/router/partition_monitor.py
+++ b/src/martenrun/router/partition_monitor.py
@@ -56,12 +56,14 @@
         self._unreachable: list[str] = []
         self._is_cut_off = False
         services.peers_reaching = self._peers_reaching
+        services.peer_keeps_software = self._keeps_software
 
     def update_record(self, own: RouterRecord) -> None:
         """Set what other routers need to know about this router's reach."""
         own.unreachable_services = list(self._unreachable)
         own.is_cut_off = self._is_cut_off
         own.accepts_forwarded = True
+        own.keeps_stream_software = True
 
     def run_maintenance(self, now: float) -> None:
         """Probe runners that may be unreachable, and publish changes."""
@@ -97,6 +99,13 @@
         records.sort(key=lambda record: record.zone != self._peers.own.zone)
         return [record.address for record in records]
 
+    def _keeps_software(self, address: str) -> bool:
+        return any(
+            record.keeps_stream_software
+            for record in self._peers.live()
+            if record.address == address
+        )
+
     def _is_silent(self, service: str, now: float) -> bool:
         """Return whether requests wait at a service's runners and none has sent data lately."""
         states = self._services.pool.states(service)
--- a/src/martenrun/router/peer_attempt.py
+++ b/src/martenrun/router/peer_attempt.py
@@ -4,6 +4,7 @@
 from martenrun.net.http import Headers
 from martenrun.router.attempt import AttemptListener
 from martenrun.router.event_stream import BrokenStreamError
+from martenrun.router.forwarded_request import read_software, without_internal_fields
 from martenrun.router.log import log_warning
 from martenrun.router.messages import AdmittedRequest, RouteKind
 from martenrun.router.request_services import RequestServices
@@ -35,7 +36,7 @@
         self._admitted = admitted
         self._listener = listener
         self.target = address
-        self.software = ""
+        self.software = f"unknown at {address}"
         self.was_sent = False
         self.status = 0
         self.headers: Headers = []
@@ -67,7 +68,8 @@
     def on_head(self, status: int, headers: Headers, length: int | None) -> None:
         """Record the response head; only a runner's success is streamed."""
         self.status = status
-        self.headers = headers
+        self.headers = without_internal_fields(headers)
+        self.software = read_software(headers) or self.software
         metadata = self._services.adapter.read_response_metadata(status, headers)
         if status < STATUS_MULTIPLE_CHOICES and not metadata.is_signed:
             self._fail(Failure.BROKEN)
--- a/src/martenrun/router/peer_messages.py
+++ b/src/martenrun/router/peer_messages.py
@@ -49,7 +49,8 @@
     ``quota_stage`` is a :class:`QuotaStage`.
     ``unreachable_services`` lists the services whose runners it cannot reach; ``is_cut_off`` is set
     if it reaches no runners at all.  ``accepts_forwarded`` is set if it serves requests that other
-    routers forward.
+    routers forward; ``keeps_stream_software`` if it keeps streams at the software version of the
+    runner that began them.
     """
 
     address: str
@@ -72,6 +73,7 @@
     unreachable_services: list[str] = []
     is_cut_off: bool = False
     accepts_forwarded: bool = False
+    keeps_stream_software: bool = False
 
 
 class RouterHeartbeat(msgspec.Struct, array_like=True, frozen=True):
--- a/src/martenrun/router/peer_route.py
+++ b/src/martenrun/router/peer_route.py
@@ -37,28 +37,41 @@
         now = self._services.loop.now()
         return self._services.reachability.has_lost_all(self._admitted.service, now)
 
-    def next_peer(self) -> str | None:
-        """Return the router to forward the request to, or None if there is none or no need."""
+    def next_peer(self, keeps_software: bool = False) -> str | None:
+        """Return the router to forward the request to, or None if there is none or no need.
+
+        Args:
+            keeps_software: whether the router must keep the stream at its software version.
+        """
         if not self._may_forward or len(self._tried) >= MAXIMUM_PEERS:
             return None
         service, now = self._admitted.service, self._services.loop.now()
         if not self._services.reachability.is_unreachable(service, now):
             return None
         peers = self._services.peers_reaching(service)
+        if keeps_software:
+            peers = [peer for peer in peers if self._services.peer_keeps_software(peer)]
         return next((peer for peer in peers if peer not in self._tried), None)
 
     def send(
-        self, peer: str, listener: AttemptListener, runs: int, last_event_id: int
+        self,
+        peer: str,
+        listener: AttemptListener,
+        runs: int,
+        last_event_id: int,
+        software: str | None = None,
     ) -> PeerAttempt:
         """Forward the request to another router.
 
         Args:
             runs: number of runners that may have executed the request.
             last_event_id: id of the last event that the caller has received.
+            software: software version that wrote the events so far; None if there are none.
         """
         self._tried.add(peer)
         elapsed_s = self._services.loop.now() - self._request.received_at
-        state = ForwardedState(max(0, round(elapsed_s * 1000)), runs, last_event_id)
+        elapsed_ms = max(0, round(elapsed_s * 1000))
+        state = ForwardedState(elapsed_ms, runs, last_event_id, software)
         attempt = PeerAttempt(self._services, self._admitted, listener, peer)
         attempt.send(forwarded_bytes(self._request, state))
         return attempt
--- a/src/martenrun/router/placement.py
+++ b/src/martenrun/router/placement.py
@@ -36,6 +36,9 @@
         zone: zone of this router.
         now: monotonic time, in seconds.
         suspect_fingerprint: fingerprint of a request suspected of crashing a runner, else None.
+        software: software version that the runner must have, or None for any.
+        longest_drain_s: how long a draining runner may still be chosen if no other runner can
+            serve the request, in seconds.
     """
 
     parts: tuple[PromptPart, ...]
@@ -49,6 +52,8 @@
     zone: str
     now: float
     suspect_fingerprint: bytes | None = None
+    software: str | None = None
+    longest_drain_s: float = 0.0
 
 
 class Placement:
@@ -61,17 +66,16 @@
 
     def choose(self, query: PlacementQuery, states: Sequence[RunnerState]) -> RunnerState | None:
         """Return the runner to send a request to, or None if no runner is usable."""
-        usable = [
+        allowed = [
             state
-            for state in states
-            if not state.runner.is_draining
-            and not state.is_limited(query.now)
+            for state in _with_usable_weights(query, _with_software(query, states))
+            if not state.is_limited(query.now)
             and state.runner.instance not in query.tried_instances
         ]
-        usable = _with_usable_weights(query, usable)
+        usable = [state for state in allowed if not state.runner.is_draining]
         healthy = _healthy(query, usable)
         if not healthy:
-            return _least_failing(query, usable)
+            return _least_failing(query, usable) or _latest_draining(query, allowed)
         if query.suspect_fingerprint is not None:
             return _assigned_by_fingerprint(query.suspect_fingerprint, healthy)
         if query.parts:
@@ -83,7 +87,7 @@
 
         None if the request is not blocked by rate limits alone.
         """
-        healthy = _with_usable_weights(query, _healthy(query, states))
+        healthy = _with_usable_weights(query, _healthy(query, _with_software(query, states)))
         now = query.now
         if not healthy or not all(state.is_limited(now) for state in healthy):
             return None
@@ -242,6 +246,24 @@
     return [state for state in states if (_weights_version(query, state) or oldest) >= oldest]
 
 
+def _with_software(query: PlacementQuery, states: Sequence[RunnerState]) -> list[RunnerState]:
+    """Return the runners of the required software version."""
+    required = query.software
+    return [state for state in states if required in (None, state.runner.software_id)]
+
+
+def _latest_draining(query: PlacementQuery, states: Sequence[RunnerState]) -> RunnerState | None:
+    """Return the runner that began to drain last, if it may still be sent requests."""
+    draining = [
+        state
+        for state in states
+        if state.draining_since is not None
+        and query.now - state.draining_since < query.longest_drain_s
+        and not state.is_avoided(query.now)
+    ]
+    return max(draining, key=lambda state: state.draining_since or 0.0, default=None)
+
+
 def _has_old_weights(query: PlacementQuery, state: RunnerState) -> bool:
     """Return whether a runner has older weights than the target version."""
     version = _weights_version(query, state)
--- a/src/martenrun/router/request_services.py
+++ b/src/martenrun/router/request_services.py
@@ -52,6 +52,8 @@
         silent_runners: probes of runners that have been silent for long.
         peers_reaching: returns the internal addresses of live routers that reach the runners of a
             service, in the order in which to try them.
+        peer_keeps_software: returns whether the router at an internal address keeps a forwarded
+            stream at the software version that began it.
         retry_slack_from: when this router may start to use its share of the retry slack.
     """
 
@@ -81,6 +83,7 @@
         default=attrs.Factory(lambda self: SilentRunners(self.loop), takes_self=True)
     )
     peers_reaching: Callable[[str], list[str]] = lambda _service: []
+    peer_keeps_software: Callable[[str], bool] = lambda _address: True
     _retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _overload_guards: dict[str, OverloadGuard] = attrs.field(factory=dict)
 
--- a/src/martenrun/router/runner_choice.py
+++ b/src/martenrun/router/runner_choice.py
@@ -1,5 +1,7 @@
 """Chooses the runner for a request and checks whether it can start there soon enough."""
 
+from collections.abc import Callable
+
 import attrs
 
 from martenrun.net.http import HttpRequest
@@ -10,6 +12,12 @@
 from martenrun.router.runner_request import placement_query, request_groups, waiting_prompt
 from martenrun.router.runner_state import RunnerState
 
+DRAINING_SHARE = 0.4
+"""Share of the drain time in which a draining runner still resumes streams of its software.
+
+The rest covers the time until this router learned of the drain.
+"""
+
 MINIMUM_YIELD_DELAY_S = 1.0
 """Minimum retry delay of a request refused in favour of more urgent ones, in seconds."""
 
@@ -17,16 +25,24 @@
 class RunnerChoice:
     """Chooses runners for one request.
 
+    Args:
+        software: returns the software version that runners must have, or None for any.
+
     Attributes:
         tried_instances: instances to which the request was sent, which are not chosen again.
     """
 
     def __init__(
-        self, world: RequestServices, request: HttpRequest, admitted: AdmittedRequest
+        self,
+        world: RequestServices,
+        request: HttpRequest,
+        admitted: AdmittedRequest,
+        software: Callable[[], str | None] = lambda: None,
     ) -> None:
         self._world = world
         self._request = request
         self._admitted = admitted
+        self._software = software
         self._guard = world.overload_guard(admitted.service)
         self._groups = request_groups(admitted)
         self._fingerprint: bytes | None = None
@@ -45,9 +61,20 @@
         """Return the query for the placement."""
         fingerprint = self.known_fingerprint()
         suspect_fingerprint = fingerprint if self._world.suspects.is_suspect(fingerprint) else None
-        return placement_query(
+        query = placement_query(
             self._world, self._admitted, self.tried_instances, suspect_fingerprint
         )
+        software = self._software()
+        if software is None:
+            return query
+        drain_s = self._world.settings.bounds.drain_s * DRAINING_SHARE
+        return attrs.evolve(query, software=software, longest_drain_s=drain_s)
+
+    def has_listed_runner(self) -> bool:
+        """Return whether a runner of the required software version is listed."""
+        software = self._software()
+        states = self._world.pool.states(self._admitted.service)
+        return any(software in (None, state.runner.software_id) for state in states)
 
     def known_fingerprint(self) -> bytes | None:
         """Return the request's fingerprint if there are crash records to compare it with."""
--- a/src/martenrun/router/runner_pool.py
+++ b/src/martenrun/router/runner_pool.py
@@ -55,11 +55,12 @@
         for instance, runner in runners.items():
             entry = self._entries.get(instance)
             if entry is None:
-                self._entries[instance] = _PooledRunner(RunnerState(runner))
-            else:
-                entry.state.runner = runner
-                if runner.is_draining:
-                    self._close_idle(entry)
+                entry = self._entries[instance] = _PooledRunner(RunnerState(runner))
+            entry.state.runner = runner
+            if runner.is_draining:
+                self._close_idle(entry)
+                if entry.state.draining_since is None:
+                    entry.state.draining_since = self._loop.now()
         self._by_service = {}
         for entry in self._entries.values():
             self._by_service.setdefault(entry.state.runner.service, []).append(entry.state)
--- a/src/martenrun/router/runner_state.py
+++ b/src/martenrun/router/runner_state.py
@@ -47,6 +47,7 @@
         connecting_since: start of a connection attempt that has taken too long, or None.
         limited_until: time until which this router sends it no requests because of its rate limit.
         is_grant_pending: whether a request of this router is waiting for a grant to be sent to it.
+        draining_since: time at which this router learned that it is draining, or None.
         unresponsive_reports: reports of routers that find it unresponsive.
         unresponsive_reported_at: time at which this router last reported it as unresponsive.
     """
@@ -72,6 +73,7 @@
     connecting_since: float | None = None
     limited_until: float = 0.0
     is_grant_pending: bool = False
+    draining_since: float | None = None
 
     @property
     def load(self) -> int:
--- a/tests/router/test_forwarding.py
+++ b/tests/router/test_forwarding.py
@@ -35,6 +35,7 @@
     is_over: bool = False
     is_congested: bool = False
     is_aborted: bool = False
+    started_headers: list = attrs.field(factory=list)
     on_disconnect: object = None
     on_drained: object = None
     earlier_requests: int = 0
@@ -45,6 +46,7 @@
 
     def start(self, status, headers, length):
         self.has_started = True
+        self.started_headers = headers
 
     def send(self, data):
         self.responses.append(data)
--- a/tests/router/test_partition_monitor.py
+++ b/tests/router/test_partition_monitor.py
@@ -50,6 +50,7 @@
     reachability: Reachability
     adapter: object = PLATFORM_ADAPTER
     peers_reaching: object = None
+    peer_keeps_software: object = None
 
 
 class FakeServer:
--- /dev/null
+++ b/tests/router/test_stream_forwarding.py
@@ -0,0 +1,259 @@
+"""A stream that has begun goes on only at runners of the software version that began it."""
+
+import attrs
+import pytest
+
+from martenrun.net.http import HttpRequest
+from martenrun.router import peer_attempt
+from martenrun.router.forwarded_request import (
+    SOFTWARE_FIELD,
+    ForwardedState,
+    forwarded_bytes,
+    read_forwarded,
+    read_software,
+)
+from martenrun.router.forwarding import MAXIMUM_GAP_S
+from martenrun.router.messages import RouteKind
+from martenrun.router.request_moves import move_off_silent_runner
+
+from .builders import route, state
+from .crash_world import PROBE_S
+from .test_forwarded_request import received
+from .test_forwarding import FakeConnection, ForwardingCase
+
+SIGNED = [(b"X-Response-Stamp", b"s"), (b"Content-Type", b"text/event-stream")]
+
+
+def event(number):
+    return b"id: %d\ndata: x\n\n" % number
+
+
+def stream_case(software, setup=lambda _case: None, **options):
+    """Return a stream sent to the first of some runners, whose software versions are given."""
+    resumable = route(
+        kind=RouteKind.STREAM, is_resumable=True, maximum_attempts=4, timeout_s=6.0, objective_s=0.8
+    )
+    states = [state(f"i-{n}", software=version) for n, version in enumerate(software)]
+    for other in states[1:]:
+        other.in_flight = 4
+    return ForwardingCase(custom_route=resumable, states=states, setup=setup, **options)
+
+
+def begin(case, number=1):
+    case.pool.readers[-1].on_head(200, SIGNED, None)
+    case.pool.readers[-1].on_body(event(number))
+
+
+def runner_break(case, partial=b"id: 2\nda"):
+    case.pool.readers[-1].on_body(partial)
+    case.pool.readers[-1].on_broken(True)
+    case.run(PROBE_S)
+
+
+def is_broken_off(case):
+    return case.exchange.is_aborted and case.outcomes == ["broken_off"]
+
+
+# Guards against events of two software versions in one response.
+def test_a_begun_stream_goes_on_at_its_software_version():
+    case = stream_case(["v1", "v2", "v2", "v1"])
+    begin(case)
+    runner_break(case)
+    assert case.pool.sent == ["i-0", "i-3"]
+    begin(case, 2)
+    case.pool.readers[-1].on_complete()
+    assert case.exchange.responses == [event(1), event(2)] and case.outcomes == ["served"]
+
+
+def test_a_stream_without_events_begins_at_any_version():
+    case = stream_case(["v1", "v2"])
+    case.pool.readers[-1].on_head(200, SIGNED, None)
+    runner_break(case, b"id: 1\nda")
+    assert case.pool.sent == ["i-0", "i-1"]
+
+
+# Guards against unknown versions that are taken for one and the same.
+def test_a_stream_of_unknown_software_does_not_go_on_at_another_runner():
+    case = stream_case(["", "", "v1"])
+    begin(case)
+    case.states[0].runner = attrs.evolve(case.states[0].runner, is_draining=True)
+    runner_break(case)
+    case.run(MAXIMUM_GAP_S + 0.5)
+    assert case.pool.sent == ["i-0"] and is_broken_off(case)
+
+
+# Guards against streams that are held until their deadline though nothing can resume them.
+def test_a_stream_is_broken_off_at_once_if_its_version_is_not_listed():
+    case = stream_case(["v1", "v2"])
+    begin(case)
+    case.states.pop(0)
+    runner_break(case)
+    assert is_broken_off(case) and not case.exchange.responses[1:]
+
+
+def test_a_stream_waits_for_a_runner_of_its_version_while_callers_bear_the_gap():
+    case = stream_case(["v1", "v2", "v1"])
+    case.states[2].full_until = case.loop.now() + 0.6
+    case.states[0].loading_until = case.loop.now() + 60.0
+    begin(case)
+    runner_break(case)
+    assert case.pool.sent == ["i-0"] and not case.exchange.is_aborted
+    case.run(0.9)
+    assert case.pool.sent == ["i-0", "i-2"]
+
+
+def test_a_stream_is_broken_off_when_the_gap_is_too_long():
+    case = stream_case(["v1", "v2", "v1"])
+    for item in (case.states[0], case.states[2]):
+        item.full_until = case.loop.now() + 60.0
+    begin(case)
+    runner_break(case)
+    case.run(MAXIMUM_GAP_S - 0.3)
+    assert not case.exchange.is_aborted
+    case.run(0.6)
+    assert case.pool.sent == ["i-0"] and is_broken_off(case)
+
+
+# Guards against streams that break off because the only runner of their version cut them.
+def test_the_only_runner_of_a_version_resumes_the_stream_that_it_cut():
+    case = stream_case(["v1", "v2"])
+    begin(case)
+    runner_break(case)
+    case.run(0.1)
+    assert case.pool.sent == ["i-0", "i-0"]
+
+
+# Guards against streams taken off a sound runner though no other runner may resume them.
+def test_a_stream_stays_at_a_silent_runner_without_another_of_its_version():
+    case = stream_case(["v1", "v2"])
+    begin(case)
+    now = case.loop.now()
+    assert not case.forwarder.may_repeat(now)
+    case.services.silent_runners.is_down = lambda _state, _now: True
+    move_off_silent_runner(case.services, case.forwarder, now + 5.0)
+    assert case.pool.sent == ["i-0"] and not case.exchange.is_aborted
+
+
+def test_a_draining_runner_resumes_a_stream_that_no_other_can_for_a_while():
+    case = stream_case(["v1", "v2", "v1"])
+    case.states[2].runner = attrs.evolve(case.states[2].runner, is_draining=True)
+    case.states[2].draining_since = case.loop.now()
+    begin(case)
+    case.states[0].loading_until = case.loop.now() + 60.0
+    runner_break(case)
+    assert case.pool.sent == ["i-0", "i-2"]
+
+
+def test_a_runner_that_has_drained_for_long_gets_no_stream():
+    case = stream_case(["v1", "v2", "v1"])
+    case.states[2].runner = attrs.evolve(case.states[2].runner, is_draining=True)
+    case.states[2].draining_since = case.loop.now() - 0.8
+    case.states[0].full_until = case.loop.now() + 60.0
+    begin(case)
+    runner_break(case)
+    case.run(2.0)
+    assert case.pool.sent == ["i-0"] and is_broken_off(case)
+
+
+# Streams through other routers
+
+
+class PeerConnections:
+    """Replaces connections to other routers and records what is sent on them."""
+
+    def __init__(self, monkeypatch):
+        self.addresses, self.sent, self.readers = [], [], []
+        monkeypatch.setattr(peer_attempt, "ClientConnection", self)
+
+    def __call__(self, loop, address, on_idle, on_end):
+        self.addresses.append(address)
+        connection = FakeConnection()
+        connection.send = self.send
+        return connection
+
+    def send(self, data, reader):
+        self.sent.append(data)
+        self.readers.append(reader)
+
+    def close(self, connection):
+        connection.close()
+
+
+@pytest.fixture
+def peers(monkeypatch):
+    return PeerConnections(monkeypatch)
+
+
+def partitioned(case, keeping=("p-1", "p-2")):
+    now = case.loop.now()
+    for item in case.states:
+        case.services.reachability.record_failure("s", item.runner.instance, now)
+    case.services.peers_reaching = lambda _service: ["p-1", "p-2"]
+    case.services.peer_keeps_software = lambda address: address in keeping
+
+
+# Guards against forwarded streams that go on at the other router's choice of version.
+def test_a_begun_stream_is_forwarded_with_its_software_version(peers):
+    case = stream_case(["v1 ü", "v2"])
+    begin(case)
+    partitioned(case, keeping=["p-2"])
+    runner_break(case)
+    assert peers.addresses == ["p-2"]
+    _, forwarded = read_forwarded(received(peers.sent[0], 50.0))
+    assert (forwarded.last_event_id, forwarded.software) == (1, "v1 ü")
+
+
+def test_a_begun_stream_is_not_forwarded_through_routers_of_earlier_versions(peers):
+    case = stream_case(["v1", "v2"])
+    begin(case)
+    partitioned(case, keeping=[])
+    runner_break(case)
+    case.run(2.0)
+    assert peers.addresses == []
+
+
+def test_the_software_version_of_a_forwarded_stream_is_learned_and_kept(peers):
+    stream_case(["v1", "v2"], partitioned)
+    assert peers.addresses == ["p-1"]
+    reader = peers.readers[0]
+    reader.on_sent()
+    reader.on_head(200, [*SIGNED, (SOFTWARE_FIELD, b"v2")], None)
+    reader.on_body(event(1))
+    reader.on_broken(True)
+    assert peers.addresses == ["p-1", "p-2"]
+    assert read_forwarded(received(peers.sent[1], 50.0))[1].software == "v2"
+
+
+# Guards against a version that an earlier router does not tell and that counts as any.
+def test_a_stream_begun_through_an_earlier_router_goes_on_nowhere(peers):
+    case = stream_case(["v1", "v2"], lambda case: partitioned(case, keeping=["p-2"]))
+    reader = peers.readers[0]
+    reader.on_sent()
+    reader.on_head(200, SIGNED, None)
+    reader.on_body(event(1))
+    case.services.reachability.record_response("s", 200.0, case.loop.now())
+    case.services.peers_reaching = lambda _service: []
+    reader.on_broken(True)
+    assert case.pool.sent == [] and is_broken_off(case)
+
+
+def test_a_forwarded_stream_is_bound_and_tells_its_software_version():
+    def forwarded(case):
+        admitted = case.forwarder.admitted
+        call = attrs.evolve(
+            admitted.call, last_event_id=3, forwarded=ForwardedState(10, 1, 3, "v2")
+        )
+        admitted = attrs.evolve(admitted, call=call)
+        case.forwarder.__init__(case.services, case.exchange, admitted, lambda _forwarder: None)
+
+    case = stream_case(["v1", "v2"], forwarded)
+    assert case.pool.sent == ["i-1"]
+    begin(case, 4)
+    assert read_software(case.exchange.started_headers) == "v2"
+
+
+def test_a_callers_software_field_is_not_forwarded():
+    headers = [(b"Host", b"a"), (b"martenrun-software", b"v9")]
+    request = HttpRequest(b"GET", b"/a/x", headers, b"", 10.0)
+    arrived = received(forwarded_bytes(request, ForwardedState(0, 0, 0)), 50.0)
+    assert read_forwarded(arrived)[1].software is None
