Streams that callers resume go on at the software version that began them

Cause: a resumed stream was placed as a new one; Resumes was read nowhere, and the router that is asked is mostly not the one that served the first attempt, which may be dead.

The router that sends a stream to a runner now records the runner's service and version under the tenant and the attempt's id, before the first event, and tells three other routers chosen by rendezvous hashing (router/origins). A router that is asked to resume a stream looks it up: its own records, then the owners, then up to 32 others, 80 ms each. Owners that change or restart are sent what the others hold, so records outlive kills in turn and leaving routers hand theirs over. Only one that nobody knows while several versions have served lately is refused, at once and truly (not run), with a Retry-After of 0.3 to 1.2 s; while one version has served alone for a minute nothing is told or asked. Routers tell each other which versions have been listed lately, with ages that are not renewed by being told, so that one that has just started knows of versions that left.

A forwarded request now names the service that the first router chose: on a split route the other router drew again, and a stream could go on at another service. A resumed stream may wait a little longer than a new one at an overloaded runner.

--- a/scripts/resuming_callers.py
+++ b/scripts/resuming_callers.py
@@ -93,9 +93,10 @@
             status, retry_after_s, data, is_whole = self._attempt(router, headers, left_s, most)
             events = event_lines(data)
             is_counted = self._is_counted(router, sent_at, software)
+            is_resumption = first_id is not None
             tries.append(
                 StreamTry(
-                    request_id, router, sent_at, status, events, first_id is not None, is_counted
+                    request_id, router, sent_at, status, events, is_whole, is_resumption, is_counted
                 )
             )
             if events:
--- a/src/martenrun/router/admission.py
+++ b/src/martenrun/router/admission.py
@@ -29,6 +29,7 @@
 
     status: int
     reason: str
+    retry_after_s: float = DEFAULTS.forwarding.retry_after_s
 
 
 class Admission:
@@ -97,11 +98,7 @@
 
 def send_refusal(exchange: Exchange, refusal: Refusal, call: Call | None) -> None:
     """Send the final response to a request that is not forwarded."""
-    headers = (
-        [(b"Retry-After", b"%.2f" % DEFAULTS.forwarding.retry_after_s)]
-        if refusal.status == 503
-        else []
-    )
+    headers = [(b"Retry-After", b"%.2f" % refusal.retry_after_s)] if refusal.status == 503 else []
     exchange.respond(refusal.status, headers)
     log_warning(
         "refused",
--- a/src/martenrun/router/forwarded_request.py
+++ b/src/martenrun/router/forwarded_request.py
@@ -26,7 +26,10 @@
 In a forwarded request it is required of runners, in the response it is that of the first runner.
 """
 
-_INTERNAL_FIELDS = frozenset({STATE_FIELD.lower(), SOFTWARE_FIELD.lower()})
+SERVICE_FIELD = b"Martenrun-Service"
+"""Header field with the percent-encoded service that the first router chose."""
+
+_INTERNAL_FIELDS = frozenset({STATE_FIELD.lower(), SOFTWARE_FIELD.lower(), SERVICE_FIELD.lower()})
 
 
 @attrs.frozen
@@ -38,12 +41,14 @@
         runs: number of runners that may have executed it.
         last_event_id: id of the last event that the caller has received.
         software: software version that wrote the events so far; None if there are none.
+        service: service that the first router chose; None if that is of an earlier version.
     """
 
     elapsed_ms: int
     runs: int
     last_event_id: int
     software: str | None = None
+    service: str | None = None
 
 
 MAXIMUM_STATE_BYTES = 1_280
@@ -73,6 +78,8 @@
     headers += [(STATE_FIELD, progress), (b"Connection", b"close")]
     if state.software is not None:
         headers.append(software_field(state.software))
+    if state.service is not None:
+        headers.append((SERVICE_FIELD, _encode(state.service)))
     return request_bytes(request.method, FORWARD_PREFIX + request.target, headers, request.body)
 
 
@@ -86,6 +93,7 @@
     if min(elapsed_ms, runs, last_event_id) < 0:
         raise ValueError("the state of a forwarded request has a negative number")
     software = read_software(request.headers)
+    service = _read_text(request.headers, SERVICE_FIELD)
     headers = without_internal_fields(request.headers)
     original = HttpRequest(
         request.method,
@@ -94,17 +102,25 @@
         request.body,
         request.received_at - elapsed_ms / 1000.0,
     )
-    return original, ForwardedState(elapsed_ms, runs, last_event_id, software)
+    return original, ForwardedState(elapsed_ms, runs, last_event_id, software, service)
 
 
 def software_field(software: str) -> tuple[bytes, bytes]:
     """Return the header field that names a software version."""
-    return SOFTWARE_FIELD, quote(software, safe="").encode()
+    return SOFTWARE_FIELD, _encode(software)
 
 
 def read_software(headers: Headers) -> str | None:
     """Return the software version that a header field names, or None."""
-    value = find_header(headers, SOFTWARE_FIELD.lower())
+    return _read_text(headers, SOFTWARE_FIELD)
+
+
+def _encode(text: str) -> bytes:
+    return quote(text, safe="").encode()
+
+
+def _read_text(headers: Headers, field: bytes) -> str | None:
+    value = find_header(headers, field.lower())
     return None if value is None else unquote(value.decode("latin-1"))
 
 
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -66,8 +66,8 @@
             services.loop,
             exchange,
             admitted.call.last_event_id,
-            None if forwarded is None else forwarded.software,
-            tells_software=forwarded is not None,
+            admitted.software,
+            tells_software=forwarded is not None and forwarded.service == admitted.service,
         )
         self._trace = RequestTrace(services.loop, admitted)
         self._parameters = services.decisions.forwarding
@@ -148,7 +148,9 @@
             self._forward_to(peer)
             return
         state = self._runner_choice.choose()
-        if state is None:
+        if state is None and self._is_software_gone():
+            self._refuse("software_not_listed")
+        elif state is None:
             self._wait_or_refuse("no_runner")
         elif not self._attempted_instances and not self._runner_choice.can_start_soon(state):
             self._refuse_for_overload(state)
@@ -157,6 +159,11 @@
         else:
             self._send(state, self._choose_runner)
 
+    def _is_software_gone(self) -> bool:
+        """Return whether no listed runner may resume the stream."""
+        is_bound = self._caller_stream.required_software is not None
+        return is_bound and not self._runner_choice.has_listed_runner()
+
     def _refuse_for_overload(self, state: RunnerState) -> None:
         """Refuse at once: prompts waiting here would all be sent when the backlog is prefilled."""
         wait_s = self._runner_choice.wait_s(state)
@@ -228,6 +235,8 @@
         attempt.permit = self._runner_access.record_sent(state)
         self._attempt = attempt
         placement.record_prefill(query, state)
+        if self._caller_stream.first_event_at is None:
+            services.record_stream(self._admitted, state.runner, self._started_at)
         state.record_sent(now)
         self._trace.record_sent(state, self._admitted.call.model, len(self._attempted_instances))
         expected_id = (services.adapter.request_id_field, self._admitted.call.request_id)
--- a/src/martenrun/router/gauges.py
+++ b/src/martenrun/router/gauges.py
@@ -18,6 +18,7 @@
     Attributes:
         requests: returns the number of requests in progress.
         connections: returns the number of callers' connections.
+        stream_origins: returns the number of streams whose origins are kept.
     """
 
     services: RequestServices
@@ -26,6 +27,7 @@
     lease: Lease
     request_count: Callable[[], int]
     connection_count: Callable[[], int]
+    stream_origin_count: Callable[[], int]
 
 
 def read_gauges(sources: GaugeSources) -> list[Sample]:
@@ -37,6 +39,7 @@
     return [
         Sample("requests_in_flight", sources.request_count()),
         Sample("caller_connections", sources.connection_count()),
+        Sample("stream_origins", sources.stream_origin_count()),
         Sample("runners", len(states)),
         Sample("runners_avoided", sum(state.is_avoided(now) for state in states)),
         Sample("runners_limited", len(services.runner_limits)),
--- a/src/martenrun/router/messages.py
+++ b/src/martenrun/router/messages.py
@@ -187,6 +187,8 @@
         service: the service that the route's traffic split chose.
         deadline_at: monotonic time at which the caller stops waiting.
         give_up_at: monotonic time by which the caller gets a final response.
+        software: software version that began the stream which the request resumes; None if it
+            resumes none.
     """
 
     call: Call
@@ -195,6 +197,7 @@
     service: str
     deadline_at: float
     give_up_at: float
+    software: str | None = None
 
 
 @attrs.frozen
--- a/src/martenrun/router/overload.py
+++ b/src/martenrun/router/overload.py
@@ -95,6 +95,12 @@
             return False
         return self.is_underserved(prompt.groups, now)
 
+    def admits_resumed(self, backlog_tokens: float, objective_s: float) -> bool:
+        """Return whether a resumed stream may be sent now to a runner with this backlog."""
+        return (
+            self.prefill_wait_s(backlog_tokens) <= objective_s * self._parameters.behind_wait_share
+        )
+
     def record_urgent_refused(self, now: float) -> None:
         """Record that a request of the most urgent routes was refused because of rate limits."""
         self._urgent_refused_at = now
--- a/src/martenrun/router/partition_monitor.py
+++ b/src/martenrun/router/partition_monitor.py
@@ -63,7 +63,6 @@
         own.unreachable_services = list(self._unreachable)
         own.is_cut_off = self._is_cut_off
         own.accepts_forwarded = True
-        own.keeps_stream_software = True
 
     def run_maintenance(self, now: float) -> None:
         """Probe runners that may be unreachable, and publish changes."""
--- a/src/martenrun/router/peer_messages.py
+++ b/src/martenrun/router/peer_messages.py
@@ -8,6 +8,7 @@
 from martenrun.router.brittle_messages import BrittleUpdate
 from martenrun.router.crash_messages import CrashUpdate
 from martenrun.router.limit_messages import LimitUpdate
+from martenrun.router.origins.messages import OriginQuery, OriginResponse, OriginUpdate
 from martenrun.router.quotas.messages import (
     QuotaAck,
     QuotaRequest,
@@ -50,7 +51,9 @@
     ``unreachable_services`` lists the services whose runners it cannot reach; ``is_cut_off`` is set
     if it reaches no runners at all.  ``accepts_forwarded`` is set if it serves requests that other
     routers forward; ``keeps_stream_software`` if it keeps streams at the software version of the
-    runner that began them.
+    runner that began them and keeps the origins of other routers' streams.  ``software_versions``
+    lists for each service with several software versions lately when a runner of each was last
+    listed, as (version, milliseconds since then).
     """
 
     address: str
@@ -74,6 +77,7 @@
     is_cut_off: bool = False
     accepts_forwarded: bool = False
     keeps_stream_software: bool = False
+    software_versions: dict[str, list[tuple[str, int]]] = {}
 
 
 class RouterHeartbeat(msgspec.Struct, array_like=True, frozen=True):
@@ -172,6 +176,9 @@
     | QuotaAck
     | RecallRequest
     | RecallResponse
+    | OriginUpdate
+    | OriginQuery
+    | OriginResponse
 )
 
 decode: Callable[[bytes], Message] = msgspec.msgpack.Decoder(Message).decode
--- a/src/martenrun/router/peer_route.py
+++ b/src/martenrun/router/peer_route.py
@@ -71,7 +71,8 @@
         self._tried.add(peer)
         elapsed_s = self._services.loop.now() - self._request.received_at
         elapsed_ms = max(0, round(elapsed_s * 1000))
-        state = ForwardedState(elapsed_ms, runs, last_event_id, software)
+        service = self._admitted.service
+        state = ForwardedState(elapsed_ms, runs, last_event_id, software, service)
         attempt = PeerAttempt(self._services, self._admitted, listener, peer)
         attempt.send(forwarded_bytes(self._request, state))
         return attempt
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -42,6 +42,7 @@
 from martenrun.router.store_state import ConfigurationState, RunnerDirectory, WeightsState
 from martenrun.router.store_state_feed import StoreStateFeed
 from martenrun.router.store_sync import StoreSync, StoreSyncParts
+from martenrun.router.stream_software import StreamSoftware
 from martenrun.router.tuning import DEFAULTS, TuningParameters, load_tuning_parameters
 from martenrun.router.unresponsive_runners import newly_unresponsive, record_unresponsive
 from martenrun.router.weights_rollout import WeightsRollout
@@ -116,6 +117,7 @@
             loads={},
             weights={},
             capacity=settings.capacity,
+            keeps_stream_software=True,
         )
         self._peers = Peers(
             self._loop,
@@ -128,7 +130,15 @@
             lambda sums: self._loads.merge_zone_loads(sums),
             lambda routers: updates_for_new_router(self._services, routers),
             lambda message: self._quotas.handle_message(message),
+            lambda message: self._streams.handle_message(message),
         )
+        self._streams = StreamSoftware(
+            self._loop,
+            self._peers,
+            lambda: self._services.runners.runners.values(),
+            lambda outcome: self._metrics.count("stream_resumptions", origin=outcome),
+        )
+        self._services.record_stream = self._streams.resumption.record_sent
         self._quotas = self._services.quotas = self._create_quota_gate(settings)
         self._loads = LoadExchange(self._services.pool, self._peers)
         holder = f"{own.address}#{own.incarnation}"
@@ -161,7 +171,9 @@
         self._peer_addresses = PeerAddressDirectory(
             self._loop, self._store, adapter, self._peers, lambda: self._keeper.reads_store
         )
-        self._requests = RequestServer(self._services, self._store, self._feed)
+        self._requests = RequestServer(
+            self._services, self._store, self._feed, self._streams.resumption
+        )
         internal = InternalInterface(
             self._metrics,
             self._services.suspects,
@@ -191,6 +203,7 @@
             self._lease,
             request_count=lambda: len(self._requests.forwarders),
             connection_count=lambda: self._front.connections,
+            stream_origin_count=lambda: self._streams.origin_count,
         )
         self._services.configuration.on_changed.append(self._on_configuration)
         self._services.weights.on_changed = self._rollout.schedule_step
@@ -267,6 +280,7 @@
         )
         self._services.silent_runners.forget_unlisted(set(self._services.runners.runners))
         self._services.suspects.detector.check_replaced()
+        self._streams.record_listed()
         self._rollout.schedule_step()
 
     # Other routers
@@ -282,6 +296,7 @@
         own.configurations = self._services.configuration.versions_in_force(self._loop.now())
         own.loads = self._loads.own_loads()
         own.quota_stage = self._quotas.stage().value
+        self._streams.update_record(own)
         self._partitions.update_record(own)
 
     def _on_limit_changed(self, instance: str) -> None:
@@ -294,6 +309,7 @@
         self._loads.update_from_records()
         for record, received_at in self._peers.table.timed_records():
             self._services.configuration.merge_versions(record.configurations, received_at)
+            self._streams.merge_record(record, received_at)
         for record in self._peers.live():
             self._services.weights.merge_ages(record.weights, self._loop.now())
             if record.lease_revision:
@@ -365,6 +381,7 @@
         self._services.runner_limits.repeat_broadcasts(now)
         self._blame_store.write_if_due()
         self._quotas.run_maintenance()
+        self._streams.run_maintenance()
         self._rollout.schedule_step()
         if self._settings_source.stamp() != self._settings_stamp:
             self._reload()
--- a/src/martenrun/router/request_server.py
+++ b/src/martenrun/router/request_server.py
@@ -1,5 +1,7 @@
 """Serves callers' requests: those of this router's callers and those that others forward."""
 
+import random
+
 import attrs
 
 from martenrun.net.server import Exchange
@@ -13,6 +15,13 @@
 from martenrun.router.request_services import RequestServices
 from martenrun.router.store_client import HttpClient
 from martenrun.router.store_state_feed import StoreStateFeed
+from martenrun.router.stream_resumption import StreamResumption
+
+UNKNOWN_ORIGIN_RETRY_S = (0.3, 1.2)
+"""Range of the random delay after which a caller should try to resume a stream again, in seconds.
+
+A router that knows its origin may be reached again by then.
+"""
 
 
 class RequestServer:
@@ -23,8 +32,15 @@
         stop: the planned stop of the process, or None.
     """
 
-    def __init__(self, services: RequestServices, store: HttpClient, feed: StoreStateFeed) -> None:
+    def __init__(
+        self,
+        services: RequestServices,
+        store: HttpClient,
+        feed: StoreStateFeed,
+        resumption: StreamResumption,
+    ) -> None:
         self._services = services
+        self._resumption = resumption
         self._admission = Admission(services)
         self._denials = DenialRecheck(services, self._admission, store, feed, self._forward)
         self.forwarders: set[RequestForwarder] = set()
@@ -62,6 +78,23 @@
             send_refusal(exchange, decision, call)
 
     def _forward(self, exchange: Exchange, admitted: AdmittedRequest) -> None:
+        forwarded = admitted.call.forwarded
+        if forwarded is not None and forwarded.service in _services_of(admitted):
+            admitted = attrs.evolve(admitted, service=forwarded.service)
+
+        def on_resolved(resolved: AdmittedRequest | None) -> None:
+            if exchange.is_over:
+                return
+            if resolved is None:
+                retry_after_s = random.uniform(*UNKNOWN_ORIGIN_RETRY_S)
+                refusal = Refusal(503, "origin_unknown", retry_after_s)
+                send_refusal(exchange, refusal, admitted.call)
+                return
+            self._start(exchange, resolved)
+
+        self._resumption.resolve(admitted, on_resolved)
+
+    def _start(self, exchange: Exchange, admitted: AdmittedRequest) -> None:
         received_at = exchange.request.received_at
         if self.stop is not None and not self.stop.may_accept(admitted, received_at):
             send_refusal(exchange, Refusal(503, "stopping"), admitted.call)
@@ -78,3 +111,7 @@
         """Move requests off runners that can no longer serve them."""
         for forwarder in list(self.forwarders):
             move_off_runners(self._services, forwarder, now)
+
+
+def _services_of(admitted: AdmittedRequest) -> list[str]:
+    return [part.service for part in admitted.route.split]
--- a/src/martenrun/router/runner_choice.py
+++ b/src/martenrun/router/runner_choice.py
@@ -148,9 +148,16 @@
         self._guard.record_admitted(self._groups, self._world.loop.now())
 
     def can_start_soon(self, state: RunnerState) -> bool:
-        """Return whether a runner can start on the request soon enough."""
+        """Return whether a runner can start on the request soon enough.
+
+        A resumed stream, which has fewer runners to choose from, may wait longer than a new one.
+        """
         if not self._admitted.call.parts:
             return True
+        if self._software() is not None:
+            return self._guard.admits_resumed(
+                state.backlog_tokens, self._admitted.route.objective_s
+            )
         prompt = waiting_prompt(self._world, self._admitted, state)
         return self._guard.admits(prompt, self._world.loop.now())
 
--- /dev/null
+++ b/src/martenrun/router/stream_software.py
@@ -0,0 +1,75 @@
+"""One router's part in keeping streams at the software version that began them."""
+
+from collections.abc import Callable, Iterable
+
+from martenrun.net.loop import Loop
+from martenrun.router.messages import Runner
+from martenrun.router.origins.exchange import OriginExchange
+from martenrun.router.origins.messages import OriginMessage
+from martenrun.router.origins.owners import OriginOwners
+from martenrun.router.peer_messages import RouterRecord
+from martenrun.router.peers import Peers
+from martenrun.router.software_history import SoftwareHistory
+from martenrun.router.stream_resumption import StreamResumption
+
+
+class StreamSoftware:
+    """The software versions of runners, the origins of streams, and their use for resumed streams.
+
+    Args:
+        runners: returns the listed runners.
+        count: counts how the software version of a resumed stream was found.
+
+    Attributes:
+        resumption: finds the software version of resumed streams.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        peers: Peers,
+        runners: Callable[[], Iterable[Runner]],
+        count: Callable[[str], None],
+    ) -> None:
+        self._loop = loop
+        self._peers = peers
+        self._runners = runners
+        self._history = SoftwareHistory()
+        owners = OriginOwners(loop.now, peers)
+        self._origins = OriginExchange(loop, peers, peers.own.address, owners, self._may_be_mixed)
+        self.resumption = StreamResumption(
+            loop, self._history, self._origins, self._may_be_mixed, count
+        )
+
+    @property
+    def origin_count(self) -> int:
+        """Number of streams whose origins this router keeps."""
+        return len(self._origins)
+
+    def handle_message(self, message: OriginMessage) -> None:
+        """Handle a message from another router."""
+        self._origins.handle_message(message)
+
+    def update_record(self, own: RouterRecord) -> None:
+        """Set what other routers need to know about software versions."""
+        own.software_versions = self._history.ages(self._loop.now())
+
+    def merge_record(self, record: RouterRecord, received_at: float) -> None:
+        """Merge what another router knows about software versions."""
+        self._history.merge(record.software_versions, received_at)
+
+    def record_listed(self) -> None:
+        """Record the software versions of the listed runners."""
+        self._history.record_listed(self._runners(), self._loop.now())
+
+    def run_maintenance(self) -> None:
+        """Forget old versions and expired origins; share origins with new owners."""
+        self.record_listed()
+        self._origins.run_maintenance()
+
+    def _may_be_mixed(self, service: str) -> bool:
+        """Return whether several software versions of a service may have served lately.
+
+        A router that has just started does not know those that have left.
+        """
+        return not self._peers.is_settled() or len(self._history.versions(service)) > 1
--- a/tests/router/test_stream_software.py
+++ b/tests/router/test_stream_software.py
@@ -130,3 +130,49 @@
         streams = play(deployment)
         assert streams_keep_their_software(streams) == []
         assert events_are_consecutive(streams) == []
+
+
+def ask(deployment, request_id, **headers):
+    """Return the response to a request at the second router, and how long it took."""
+    began_at = time.monotonic()
+    response = deployment.ask("/ask/x", request_id, deployment.routers[1], **headers)
+    return response, time.monotonic() - began_at
+
+
+# Guards against resumed streams whose version is guessed, or that are held until their deadline.
+def test_streams_of_unknown_versions_are_refused_at_once():
+    with deployment_of(3, 2, 2) as deployment:
+        deployment.ask("/ask/x", "first", deployment.routers[0])
+        named = {"Resumes": "first", "Last_Event_Id": "4"}
+        response, _ = ask(deployment, "second", **named)
+        assert response.status == 200
+        begun_by = next(run.instance for run in deployment.runs_of("first"))
+        software = {runner.instance: runner.software for runner in deployment.runners}
+        assert {software[run.instance] for run in deployment.runs_of("second")} == {
+            software[begun_by]
+        }
+        for number, headers in enumerate(({}, {"Resumes": "never"})):
+            response, took_s = ask(deployment, f"u{number}", Last_Event_Id="4", **headers)
+            assert response.status == 503 and took_s < 0.5
+            assert 0.3 <= float(response.headers["Retry-After"]) <= 1.2
+            assert deployment.runs_of(f"u{number}") == []
+        for runner in deployment.runners:
+            if runner.software == software[begun_by]:
+                deployment.store.remove("servers", runner.instance)
+        deployment.wait(lambda: ask(deployment, "x", **named)[0].status == 503)
+        response, took_s = ask(deployment, "gone", **named)
+        assert response.status == 503 and took_s < 0.5 and deployment.runs_of("gone") == []
+
+
+# Guards against streams that are refused though all runners have the same version.
+def test_streams_of_a_sole_version_are_resumed_by_routers_that_restarted():
+    with deployment_of(2, 3, 0) as deployment:
+        deployment.ask("/ask/x", "first", deployment.routers[0])
+        for router in deployment.routers:
+            deployment.stop(router, 9)
+            router.process.wait()
+            deployment.start(router)
+        deployment.wait(lambda: all(deployment.is_ready(it) for it in deployment.routers))
+        for number, headers in enumerate(({}, {"Resumes": "first"})):
+            response, _ = ask(deployment, f"u{number}", Last_Event_Id="4", **headers)
+            assert response.status == 200 and response.data.startswith(b"id: 5")
