--- a/tests/router/test_stream_software.py
+++ b/tests/router/test_stream_software.py
@@ -37,14 +37,13 @@
     return deployment
 
 
-def play(deployment, steps=(), cuts=True, breaks_off=True, is_counted=None):
+def play(deployment, steps=(), cuts=True, breaks_off=True, callers=CALLERS):
     """Play streams for a while; return them.
 
     Args:
         steps: (interval in seconds, action) of what else happens, repeatedly.
     """
-    options = {} if is_counted is None else {"is_counted": is_counted}
-    callers = ResumingCallers(deployment, CALLERS, breaks_off=breaks_off, **options)
+    callers = ResumingCallers(deployment, callers, breaks_off=breaks_off)
     turns = itertools.cycle(range(len(deployment.runners)))
     rhythms = list(steps)
     if cuts:
@@ -176,3 +175,30 @@
         for number, headers in enumerate(({}, {"Resumes": "first"})):
             response, _ = ask(deployment, f"u{number}", Last_Event_Id="4", **headers)
             assert response.status == 200 and response.data.startswith(b"id: 5")
+
+
+# Guards against streams that are lost because new ones take the places of their version.
+def test_resumed_streams_find_room_at_a_version_that_shrinks():
+    deployment = deployment_of(4, 6, 6)
+    for runner in deployment.runners:
+        runner.slots, runner.queue = 3, 0
+    with deployment:
+
+        def leave_one():
+            old = [
+                runner
+                for runner in deployment.runners
+                if runner.software == OLD and not runner.is_draining
+            ]
+            if len(old) > 2:
+                old[0].is_draining = True
+                deployment.list_runner(old[0])
+                old[0].cut_streams()
+
+        def cut_old():
+            for runner in deployment.runners:
+                if runner.software == OLD:
+                    runner.cut_streams()
+
+        streams = play(deployment, [(1.0, leave_one), (0.5, cut_old)], cuts=False, callers=24)
+        assert_promises(streams)
