Streams of a runner that restarted with other software go on nowhere else

A runner that comes back under its id with another version gets requests under the former entry; what it streams would count as the former version's, and the router even moved such streams to another runner once the new entry arrived, which joins two versions.

A stream that was sent within 3 s before its runner's entry shows other software is left where it is, and is recorded as of unknown software, so that it goes on nowhere else; one without events is sent again; an older one goes on at its version. Not covered: a stream resumed at such a runner before the entry arrives. Five tests, of which those of streams that began fail before (the request was repeated at i-1).

--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -94,6 +94,7 @@
         has_grant: whether the request may be sent even if the runner is rate-limited.
 
     Attributes:
+        started_at: monotonic time at which it was started, in seconds.
         permit: grant for a part of the runner's capacity, returned at the end; None if none is
             needed.
     """
@@ -117,7 +118,7 @@
         self._kv_cache_tokens = load.kv_cache_tokens
         self._has_grant = has_grant
         self.has_body_started = False
-        self._started_at = self._data_at = services.loop.now()
+        self.started_at = self._data_at = services.loop.now()
         self._tokens_ahead = state.backlog_tokens + load.prefill_tokens
         state.pending_prefill_tokens += load.prefill_tokens
         state.kv_cache_tokens += load.kv_cache_tokens
@@ -140,7 +141,7 @@
 
     def silent_s(self, now: float) -> float:
         """Return the time without data from the runner since the attempt began, in seconds."""
-        return now - max(self._started_at, self._data_at)
+        return now - max(self.started_at, self._data_at)
 
     def on_sent(self) -> None:
         """Mark the request as sent, unless it must be withdrawn.
@@ -148,7 +149,7 @@
         It fails if the process was suspended during the connect, because its deadline header was
         computed before.
         """
-        if self._services.loop.now() - self._started_at > CONNECT_TIMEOUT_S + SUSPENSION_MARGIN_S:
+        if self._services.loop.now() - self.started_at > CONNECT_TIMEOUT_S + SUSPENSION_MARGIN_S:
             self._fail(Failure.NOT_SENT)
             return
         limits = self._services.runner_limits
@@ -197,7 +198,7 @@
         self._data_at = now
         if self.is_streamed and not self.has_body_started:
             prefill_rate = self._services.overload_guard(self._admitted.service).prefill_rate
-            prefill_rate.add_sample(self._tokens_ahead, now - self._started_at)
+            prefill_rate.add_sample(self._tokens_ahead, now - self.started_at)
         self._finish_prefill()
         self.has_body_started = True
         if not self.is_streamed:
@@ -232,8 +233,8 @@
     def on_broken(self, was_sent: bool) -> None:
         """Process a connection that closed before the end of the response."""
         now = self._services.loop.now()
-        if not was_sent and now - self._started_at >= CONNECT_TIMEOUT_S:
-            self.state.connecting_since = self._started_at
+        if not was_sent and now - self.started_at >= CONNECT_TIMEOUT_S:
+            self.state.connecting_since = self.started_at
         if not self.status and self.connection is not None:
             self._record_failed_connection(self.connection, was_sent)
         self.was_interrupted = was_sent
@@ -288,7 +289,7 @@
         now = self._services.loop.now()
         if was_sent:
             self._services.pool.record_broken_connection(connection)
-        is_late = not was_sent and now - self._started_at > CONNECT_TIMEOUT_S + SUSPENSION_MARGIN_S
+        is_late = not was_sent and now - self.started_at > CONNECT_TIMEOUT_S + SUSPENSION_MARGIN_S
         if not connection.was_kept_alive and not is_late:
             self._services.reachability.record_failure(
                 self._admitted.service, self.state.runner.instance, now
@@ -307,7 +308,7 @@
         if metadata.rate_limit is not None:
             limits.record_advertised(self.state.runner.instance, metadata.rate_limit, now)
         elif metadata.is_signed:
-            limits.record_absent(self.state.runner.instance, self._started_at, now)
+            limits.record_absent(self.state.runner.instance, self.started_at, now)
 
     def _handle_refusal(self) -> None:
         now = self._services.loop.now()
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -78,6 +78,7 @@
             lambda: self._caller_stream.required_software,
         )
         self._resume_polls = 0
+        self._is_software_unknown = False
         self._quota = RequestQuota(services.quotas, admitted)
         self._runner_access = RunnerAccess(services, self._runner_choice.placement_query)
         self._peer_route = PeerRoute(services, exchange.request, admitted)
@@ -460,6 +461,19 @@
         attempt.cancel()
         self.on_failure(Failure.BROKEN, attempt)
 
+    @property
+    def is_software_unknown(self) -> bool:
+        """Whether it is unknown which software version wrote the stream's events."""
+        return self._is_software_unknown
+
+    def mark_software_unknown(self, attempt: Attempt) -> None:
+        """Let the stream go on only at its runner, also if the caller resumes it."""
+        self._is_software_unknown = True
+        unknown = attrs.evolve(attempt.state.runner, software="")
+        self._caller_stream.required_software = unknown.software_id
+        self._services.record_stream(self._admitted, unknown, self._started_at)
+        self._trace.record("software_unknown", instance=attempt.target)
+
     def record_restart(self, attempt: Attempt) -> None:
         """Record that the runner of an attempt has restarted while it served the request."""
         request = self._exchange.request
--- a/src/martenrun/router/request_moves.py
+++ b/src/martenrun/router/request_moves.py
@@ -9,6 +9,9 @@
 Sound runners may be silent for about a second.
 """
 
+RESTART_NOTICE_S = 3.0
+"""Time within which a runner's restart is known to all routers, in seconds."""
+
 
 def move_off_runners(services: RequestServices, forwarder: RequestForwarder, now: float) -> None:
     """Move a request off its runner if that has old weights, was replaced or is down."""
@@ -32,11 +35,25 @@
 def move_off_replaced_runner(services: RequestServices, forwarder: RequestForwarder) -> None:
     """Move a request to another runner if its runner instance has been replaced.
 
-    The run on the old instance is lost even if its connection has not been closed.
+    The run on the old instance is lost even if its connection has not been closed.  If the new one
+    has other software and the request was sent shortly before that became known, either may have
+    received it: its stream is left where it is.
     """
     attempt = forwarder.runner_attempt
-    if attempt is not None and services.runners.is_replaced(attempt.state.runner):
+    if attempt is None or forwarder.is_software_unknown:
+        return
+    runner = attempt.state.runner
+    is_replaced = services.runners.is_replaced(runner)
+    is_upgraded = forwarder.admitted.route.is_resumable and services.runners.has_other_software(
+        runner, attempt.software
+    )
+    if is_replaced:
         forwarder.record_restart(attempt)
+    is_recent = services.loop.now() - attempt.started_at < RESTART_NOTICE_S
+    if is_upgraded and attempt.has_body_started and is_recent:
+        forwarder.mark_software_unknown(attempt)
+        return
+    if is_replaced or (is_upgraded and not attempt.has_body_started):
         forwarder.break_attempt(attempt)
 
 
--- a/src/martenrun/router/store_state.py
+++ b/src/martenrun/router/store_state.py
@@ -142,6 +142,11 @@
         """Return the instances that are listed with an address."""
         return [key for key, runner in self.runners.items() if runner.address == address]
 
+    def has_other_software(self, runner: Runner, software: str) -> bool:
+        """Return whether the listed runner with the same ID has another software version."""
+        listed = self.runners.get(self._instances.get(runner.name, ""))
+        return listed is not None and listed.software_id != software
+
     def is_replaced(self, runner: Runner) -> bool:
         """Return whether a later instance with the same ID has replaced this one."""
         return self._instances.get(runner.name, runner.instance) != runner.instance
--- a/tests/router/test_stream_forwarding.py
+++ b/tests/router/test_stream_forwarding.py
@@ -14,7 +14,11 @@
 )
 from martenrun.router.forwarding import MAXIMUM_GAP_S
 from martenrun.router.messages import RouteKind
-from martenrun.router.request_moves import move_off_silent_runner
+from martenrun.router.request_moves import (
+    RESTART_NOTICE_S,
+    move_off_replaced_runner,
+    move_off_silent_runner,
+)
 
 from .builders import route, state
 from .crash_world import PROBE_S
@@ -155,6 +159,56 @@
     assert case.pool.sent == ["i-0"] and is_broken_off(case)
 
 
+# Runners that restart under their id
+
+
+def restart(case, number, software, key=None):
+    """List another instance under a runner's id, with its own key or that of the former one."""
+    former = case.states[number].runner
+    case.services.runners.put(former)
+    listed = attrs.evolve(former, instance=key or former.instance, software=software)
+    case.services.runners.put(listed)
+    if key is None:
+        case.states[number].runner = listed
+
+
+def move(case):
+    move_off_replaced_runner(case.services, case.forwarder)
+
+
+# Guards against events of a restarted runner that count as those of its former version.
+@pytest.mark.parametrize("key", [None, "i-0~2"])
+def test_a_stream_that_a_restarted_runner_may_have_begun_goes_on_nowhere_else(key):
+    recorded = []
+    case = stream_case(["v1", "v1", "v2"])
+    case.services.record_stream = lambda _admitted, runner, _at: recorded.append(runner)
+    begin(case)
+    restart(case, 0, "v2", key)
+    move(case)
+    move(case)
+    assert case.pool.sent == ["i-0"] and not case.exchange.is_aborted
+    assert [runner.software_id for runner in recorded] == ["unknown at i-0"]
+    runner_break(case)
+    assert case.pool.sent == ["i-0"] and is_broken_off(case)
+
+
+def test_a_stream_that_a_runner_began_long_before_its_restart_goes_on_at_its_version():
+    case = stream_case(["v1", "v1", "v2"])
+    begin(case)
+    case.run(RESTART_NOTICE_S + 0.1)
+    restart(case, 0, "v2", "i-0~2")
+    move(case)
+    assert case.pool.sent == ["i-0", "i-1"]
+
+
+@pytest.mark.parametrize("key", [None, "i-0~2"])
+def test_a_request_without_events_leaves_a_runner_that_has_other_software(key):
+    case = stream_case(["v1", "v2"])
+    restart(case, 0, "v2", key)
+    move(case)
+    assert case.pool.sent == ["i-0", "i-1"]
+
+
 # Streams through other routers
 
 
