Soak: runners change their software version, and callers resume streams

Checked: no more than two streams hold events of two versions, events are consecutive, and resumptions at routers in touch, while two runners of the version serve, succeed at half of the share of new streams. A guard (placement without the version) shows that the check finds the fault.

The guard of partitions replaces a method that takes an argument now, and takes it too.

--- a/scripts/resuming_callers.py
+++ b/scripts/resuming_callers.py
@@ -6,11 +6,10 @@
 import re
 import threading
 import time
-from collections.abc import Callable
 
 from platform_deployment import HOST, KEY, MODEL, PlatformDeployment
 
-from martenrun.proof.stream_checker import StreamRecord, StreamTry
+from martenrun.proof.router_records import CallRecord, StreamRecord, StreamTry
 
 PAUSE_S = 0.08
 """Mean pause of a caller between two streams, in seconds."""
@@ -33,8 +32,11 @@
 
     Args:
         breaks_off: whether callers also break streams off themselves.
-        is_counted: whether an attempt counts, by router, time, and the software version that began
-            the stream, if any.
+        suffix: ends the ids of their requests.
+
+    Attributes:
+        streams: the streams that have ended.
+        calls: their attempts.
     """
 
     def __init__(
@@ -43,14 +45,15 @@
         count: int,
         seed: int = 1,
         breaks_off: bool = True,
-        is_counted: Callable[[str, float, str | None], bool] = lambda _r, _at, _software: True,
+        suffix: str = "",
     ) -> None:
         self._deployment = deployment
         self._breaks_off = breaks_off
-        self._is_counted = is_counted
+        self._suffix = suffix
         self._numbers = itertools.count()
         self._stopped = threading.Event()
         self.streams: list[StreamRecord] = []
+        self.calls: list[CallRecord] = []
         self._threads = [
             threading.Thread(target=self._run, args=(random.Random(f"{seed} {n}"),), daemon=True)
             for n in range(count)
@@ -78,12 +81,11 @@
         tries: list[StreamTry] = []
         first_id = None
         last_event_id = 0
-        software = None
         for _ in range(MAXIMUM_TRIES):
             left_s = ends_at - time.monotonic()
             if left_s < 0.1:
                 break
-            request_id = f"u{next(self._numbers):06d}"
+            request_id = f"u{next(self._numbers):06d}{self._suffix}"
             headers = {"X-Request-Id": request_id, "X-Deadline-Ms": str(int(left_s * 1000))}
             if first_id is not None:
                 headers |= {"Resumes": first_id, "Last-Event-Id": str(last_event_id)}
@@ -92,16 +94,16 @@
             most = rng.randint(1, 9) if self._breaks_off and rng.random() < BREAK_SHARE else None
             status, retry_after_s, data, is_whole = self._attempt(router, headers, left_s, most)
             events = event_lines(data)
-            is_counted = self._is_counted(router, sent_at, software)
+            # The stream may be part of one, so that its body is not to be checked as a whole.
+            self.calls.append(
+                CallRecord(request_id, "ask", KEY, sent_at, None, b"", router, time.monotonic())
+            )
             is_resumption = first_id is not None
             tries.append(
-                StreamTry(
-                    request_id, router, sent_at, status, events, is_whole, is_resumption, is_counted
-                )
+                StreamTry(request_id, router, sent_at, status, events, is_whole, is_resumption)
             )
             if events:
                 first_id = first_id or request_id
-                software = software or events[0][1]
                 last_event_id = events[-1][0]
             if is_whole:
                 break
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -23,11 +23,13 @@
 import attrs
 import click
 from platform_deployment import LINKED_ROUTER, ROUTER, PlatformDeployment
+from resuming_callers import ResumingCallers
 from soak_callers import (
     GREEDY,
     GREEDY_RATE,
     GREEDY_TENANT,
     PROMPT_UNITS,
+    SLOW_MARK,
     Callers,
     DelayMeter,
     Lookers,
@@ -49,6 +51,7 @@
 )
 from martenrun.proof.soak_schedule import (
     PARTITION_KINDS,
+    SOFTWARE_KINDS,
     Step,
     draw_schedule,
     from_text,
@@ -58,6 +61,13 @@
 
 CALLERS = 12
 
+RESUMING_CALLERS = 10
+"""Callers that resume streams, while runners have several software versions."""
+
+MODEL_RUNNERS = 3
+MODEL_RUNNERS_WITH_VERSIONS = 6
+"""Model runners of a deployment, without and with several software versions."""
+
 SETTLE_S = 6.0
 """How long callers go on after the last fault has ended, in seconds."""
 
@@ -167,19 +177,30 @@
     with deployment:
         faults = Faults(deployment, random.Random(seed) if hangs_up_starts else None)
         callers, lookers, meter = Callers(deployment, seed), Lookers(deployment), DelayMeter()
+        has_versions = any(step.kind in SOFTWARE_KINDS for step in steps)
+        resuming = ResumingCallers(deployment, RESUMING_CALLERS, seed, suffix=SLOW_MARK)
         faults.send_deadly = callers.send_deadly
         meter.start()
         callers.start(CALLERS)
         for _ in range(greedy_callers):
             callers.start_greedy()
         lookers.start()
+        if has_versions:
+            resuming.start()
         try:
             _strike(steps, faults)
         finally:
+            if has_versions:
+                resuming.stop()
             callers.stop()
             lookers.stop()
             meter.stop()
-        history = _history(deployment, faults, callers, lookers)
+        history = attrs.evolve(
+            _history(deployment, faults, callers, lookers),
+            calls=[*callers.calls, *resuming.calls],
+            streams=resuming.streams,
+            software_spans=faults.software_spans(),
+        )
         bounds = bounds_of(most_at_once(history.lives))
         violations = check_all(history, bounds if holds_rates else attrs.evolve(bounds, rates=()))
         violations += _shut_out(deployment, history)
@@ -314,6 +335,7 @@
 @click.option("--deadly", is_flag=True, help="some requests end each runner that runs them")
 @click.option("--limits", is_flag=True, help="runners temporarily advertise rate limits")
 @click.option("--partitions", is_flag=True, help="routers are cut off from all runners")
+@click.option("--software", is_flag=True, help="runners change their software version")
 @click.option("--hang-up-starts", is_flag=True, help="each router that starts gets a SIGHUP")
 @click.option("--schedule", type=click.Path(path_type=Path, exists=True), help="play this one")
 @click.option("--keep-logs", type=click.Path(path_type=Path), help="folder for logs of violations")
@@ -326,6 +348,7 @@
     deadly: bool,
     limits: bool,
     partitions: bool,
+    software: bool,
     hang_up_starts: bool,
     schedule: Path | None,
     keep_logs: Path | None,
@@ -338,13 +361,16 @@
     click.echo(HEAD)
     for number in range(seed, seed + seeds):
         if schedule is None:
-            steps = draw_schedule(number, minutes * 60, runner_starts, deadly, limits, partitions)
+            steps = draw_schedule(
+                number, minutes * 60, runner_starts, deadly, limits, partitions, software
+            )
         else:
             steps = from_text(schedule.read_text())
         has_links = any(step.kind in PARTITION_KINDS for step in steps)
+        has_versions = any(step.kind in SOFTWARE_KINDS for step in steps)
         deployment = PlatformDeployment(
             routers,
-            3,
+            MODEL_RUNNERS_WITH_VERSIONS if has_versions else MODEL_RUNNERS,
             3,
             has_relays=True,
             program=LINKED_ROUTER if has_links else ROUTER,
--- a/scripts/soak_runner_faults.py
+++ b/scripts/soak_runner_faults.py
@@ -16,7 +16,7 @@
 from soak_callers import SPARE_KEY, is_deadly, pause_of
 
 from martenrun.platform.standins.runner import Fault, RunnerStandin
-from martenrun.proof.router_records import Departure, Revocation, Trouble
+from martenrun.proof.router_records import Departure, Revocation, SoftwareSpan, Trouble
 from martenrun.proof.soak_schedule import Step
 
 SERVES_ON_S = 2.6
@@ -34,6 +34,9 @@
 ADVERTISED_LIMITS = ("1", "0.5", "2.5", "0", "1.1")
 """Rate limits that runners advertise, in requests per second."""
 
+SOFTWARE = ("v1", "v1.1", "v1.2")
+"""Software versions between which runners change, in both directions."""
+
 SETTLED_S = 1.0
 """How long a router that was started anew counts as in trouble once it says that it is ready."""
 
@@ -55,14 +58,31 @@
         self.send_deadly: Callable[[], None] = lambda: None
         self.crashed_at = 0.0
         self._crashed: collections.deque[RunnerStandin] = collections.deque()
+        self._software_spans: dict[str, SoftwareSpan] = {}
+        self._past_software: list[SoftwareSpan] = []
         for runner in deployment.runners:
             self._prepare(runner)
+            self._begin_software(runner)
 
     def _prepare(self, runner: RunnerStandin) -> None:
         runner.event_pause_of = pause_of
         runner.crashes_on = is_deadly
         runner.on_crash = self._on_crash
 
+    def _begin_software(self, runner: RunnerStandin) -> None:
+        now = time.monotonic()
+        self._end_software(runner)
+        self._software_spans[runner.instance] = SoftwareSpan(runner.software, now)
+
+    def _end_software(self, runner: RunnerStandin) -> None:
+        span = self._software_spans.pop(runner.instance, None)
+        if span is not None:
+            self._past_software.append(attrs.evolve(span, end=time.monotonic()))
+
+    def software_spans(self) -> list[SoftwareSpan]:
+        """Return which software versions runners had, and when."""
+        return [*self._past_software, *self._software_spans.values()]
+
     def _later(self, delay_s: float, call: Callable[[], None]) -> None:
         heapq.heappush(self._due, (time.monotonic() + delay_s, next(self._numbers), call))
 
@@ -75,10 +95,13 @@
         runners = self._deployment.runners
         return [runners[number] for number in sorted({t % len(runners) for t in step.targets})]
 
-    def _joined(self, old: RunnerStandin) -> None:
+    def _joined(self, old: RunnerStandin, software: str | None = None) -> None:
         """Let a new runner join for one that leaves."""
         new = RunnerStandin(old.service, old.model)
+        new.software = software or old.software
         self._prepare(new)
+        self._begin_software(new)
+        self._end_software(old)
         new.weights_version = old.weights_version
         self._deployment.runners.append(new)
         self._deployment.list_runner(new)
@@ -87,11 +110,31 @@
 
     def _replace_runner(self, step: Step) -> None:
         for old in self._runners(step):
-            self._joined(old)
-            old.is_draining = True
-            self._deployment.list_runner(old)
-            self.departures.append(Departure(old.instance, time.monotonic()))
-            self._later(SERVES_ON_S, lambda old=old: self._unlist(old))  # type: ignore[misc]
+            self._replace(old)
+
+    def _replace(self, old: RunnerStandin, software: str | None = None) -> None:
+        self._joined(old, software)
+        old.is_draining = True
+        self._deployment.list_runner(old)
+        self.departures.append(Departure(old.instance, time.monotonic()))
+        self._later(SERVES_ON_S, lambda: self._unlist(old))
+
+    def _model_runners(self, step: Step) -> list[RunnerStandin]:
+        runners = [runner for runner in self._deployment.runners if runner.model is not None]
+        return [runners[number] for number in sorted({t % len(runners) for t in step.targets})]
+
+    def _roll_software(self, step: Step) -> None:
+        """A runner is replaced by one of another software version, or returns with it."""
+        for runner in self._model_runners(step):
+            software = SOFTWARE[step.targets[0] // 2 % len(SOFTWARE)]
+            if step.targets[0] % 4:
+                self._replace(runner, software)
+            else:
+                self._kill_runner(runner, software)
+
+    def _cut_streams(self, step: Step) -> None:
+        for runner in self._model_runners(step):
+            runner.cut_streams()
 
     def _vanish_runner(self, step: Step) -> None:
         """A runner's entry goes without a word; it serves on for as long as another."""
@@ -113,13 +156,16 @@
             self._deployment.list_runner(runner)
         self._note(runner.instance, began_at, time.monotonic() + ANSWERS_OVER_S)
 
-    def _kill_runner(self, runner: RunnerStandin) -> None:
+    def _kill_runner(self, runner: RunnerStandin, software: str | None = None) -> None:
         began_at = time.monotonic()
         relay = self._deployment.relays[runner.instance]
         relay.cut()
 
         def start() -> None:
             relay.restore()
+            runner.software = software or runner.software
+            if runner in self._deployment.runners:
+                self._begin_software(runner)
             self._start_again(runner, began_at)
 
         self._later(RUNNER_RESTART_S, start)
--- a/src/martenrun/proof/router_checkers.py
+++ b/src/martenrun/proof/router_checkers.py
@@ -18,6 +18,11 @@
     RouterLife,
     RunRecord,
 )
+from martenrun.proof.stream_checker import (
+    events_are_consecutive,
+    resumed_streams_continue,
+    streams_keep_their_software,
+)
 
 SAFE_KINDS = frozenset({"slip", "ask"})
 """Kinds of request that may run more than once."""
@@ -328,6 +333,9 @@
         "rates": tenants_keep_within_rates(history, bounds),
         "limits": runner_limits_are_respected(history, bounds),
         "partitions": partitioned_routers_serve(history, bounds),
+        "software": streams_keep_their_software(history.streams),
+        "resumed events": events_are_consecutive(history.streams),
+        "resumed": resumed_streams_continue(history, bounds),
         "rates used": greedy_tenants_are_served(history, bounds),
     }
     return [f"{promise}: {text}" for promise, texts in results.items() for text in texts]
--- a/src/martenrun/proof/router_records.py
+++ b/src/martenrun/proof/router_records.py
@@ -185,6 +185,50 @@
     reaction_s: float
 
 
+@attrs.frozen
+class StreamTry:
+    """One attempt of a caller at a stream.
+
+    Attributes:
+        status: None if no response arrived.
+        events: id and software version of the events that it brought.
+        is_whole: whether the stream ended as complete.
+        is_resumption: whether it resumed the stream after events of an earlier attempt.
+    """
+
+    request_id: str
+    router: str
+    sent_at: float
+    status: int | None
+    events: Sequence[tuple[int, str]]
+    is_whole: bool
+    is_resumption: bool
+
+
+@attrs.frozen
+class StreamRecord:
+    """One stream as its caller saw it, over all attempts."""
+
+    tries: Sequence[StreamTry]
+
+    def software(self) -> list[str]:
+        """Return the software versions that wrote its events."""
+        return sorted({software for item in self.tries for _, software in item.events})
+
+    def event_ids(self) -> list[int]:
+        """Return the ids of its events in the order received."""
+        return [number for item in self.tries for number, _ in item.events]
+
+
+@attrs.frozen
+class SoftwareSpan:
+    """A span in which a runner was listed with a software version."""
+
+    software: str
+    begin: float
+    end: float = math.inf
+
+
 @attrs.frozen
 class PromiseBounds:
     """Within what the promises hold, in seconds.
@@ -227,3 +271,5 @@
     crashes: Sequence[CrashRecord] = ()
     limit_arrivals: Sequence[LimitArrival] = ()
     partitions: Sequence[Partition] = ()
+    streams: Sequence[StreamRecord] = ()
+    software_spans: Sequence[SoftwareSpan] = ()
--- a/src/martenrun/proof/soak_schedule.py
+++ b/src/martenrun/proof/soak_schedule.py
@@ -85,6 +85,9 @@
 PARTITION_KINDS = {"stall_links": 2, "reset_links": 2, "refuse_new_links": 2}
 """Kinds, added on request, in which routers are partitioned from all runners."""
 
+SOFTWARE_KINDS = {"roll_software": 1, "cut_streams": 2}
+"""Kinds, added on request, in which runners change their software version and break streams."""
+
 EXTRA_PARTITION_DURATION_S = 4.0
 """Time added to the duration of partitions, in seconds, so that requests of a while count."""
 
@@ -94,6 +97,7 @@
     **DEADLY_KINDS,
     **LIMIT_KINDS,
     **PARTITION_KINDS,
+    **SOFTWARE_KINDS,
 }
 
 MOST_DEADLY = 3
@@ -129,6 +133,7 @@
     has_deadly: bool = False,
     has_limits: bool = False,
     has_partitions: bool = False,
+    has_software: bool = False,
 ) -> list[Step]:
     """Return a schedule of so many seconds.
 
@@ -137,6 +142,7 @@
         has_deadly: adds MOST_DEADLY requests that end runners, at most; the others stay the same.
         has_limits: adds a series of each of LIMIT_KINDS; the other steps stay the same.
         has_partitions: adds a series of one of PARTITION_KINDS; the other steps stay the same.
+        has_software: adds a series of each of SOFTWARE_KINDS; the other steps stay the same.
     """
     rng = random.Random(seed)
     kinds = [rng.choice(OFTEN)]
@@ -171,6 +177,11 @@
             attrs.evolve(step, lasts_s=step.lasts_s + EXTRA_PARTITION_DURATION_S)
             for step in _draw_series(rng, kind, number, seconds)
         ]
+    if has_software:
+        rng = random.Random(f"{seed} software")
+        number = len(kinds) + len(RUNNER_KINDS) + 2 + len(LIMIT_KINDS)
+        for more, kind in enumerate(SOFTWARE_KINDS):
+            steps += _draw_series(rng, kind, number + more, seconds)
     return sorted(steps, key=lambda step: step.at_s)
 
 
--- a/src/martenrun/proof/stream_checker.py
+++ b/src/martenrun/proof/stream_checker.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-import attrs
+from martenrun.proof.router_records import PromiseBounds, RouterHistory, StreamRecord, StreamTry
 
 ALLOWED_MIXED = 2
 """Streams of one run that may hold events of two software versions."""
@@ -13,43 +13,8 @@
 LEAST_RESUMED_SHARE = 0.5
 """Least share of resumptions that go on, relative to the share of new streams that begin."""
 
-
-@attrs.frozen
-class StreamTry:
-    """One attempt of a caller at a stream.
-
-    Attributes:
-        status: None if no response arrived.
-        events: id and software version of the events that it brought.
-        is_whole: whether the stream ended as complete.
-        is_resumption: whether it resumed the stream after events of an earlier attempt.
-        is_counted: whether it was sent to a router in touch, for a resumption also while at least
-            two runners of its software version served.
-    """
-
-    request_id: str
-    router: str
-    sent_at: float
-    status: int | None
-    events: Sequence[tuple[int, str]]
-    is_whole: bool
-    is_resumption: bool
-    is_counted: bool = True
-
-
-@attrs.frozen
-class StreamRecord:
-    """One stream as its caller saw it, over all attempts."""
-
-    tries: Sequence[StreamTry]
-
-    def software(self) -> list[str]:
-        """Return the software versions that wrote its events."""
-        return sorted({software for item in self.tries for _, software in item.events})
-
-    def event_ids(self) -> list[int]:
-        """Return the ids of its events in the order received."""
-        return [number for item in self.tries for number, _ in item.events]
+LEAST_RUNNERS = 2
+"""Runners of a stream's software version that must serve for its resumptions to count."""
 
 
 def streams_keep_their_software(streams: Sequence[StreamRecord]) -> list[str]:
@@ -70,11 +35,26 @@
     ]
 
 
-def resumed_streams_continue(streams: Sequence[StreamRecord]) -> list[str]:
-    """Resumptions succeed at over half of the share of new streams."""
-    tries = [item for stream in streams for item in stream.tries if item.is_counted]
-    resumptions = [item for item in tries if item.is_resumption]
-    first_tries = [item for item in tries if not item.is_resumption]
+def resumed_streams_continue(history: RouterHistory, bounds: PromiseBounds) -> list[str]:
+    """Resumptions succeed at over half of the share of new streams.
+
+    Counted are attempts at routers in touch, and resumptions while two runners of the stream's
+    software version serve.
+    """
+    resumptions, first_tries = [], []
+    for stream in history.streams:
+        for item in stream.tries:
+            if not _is_in_touch(history, item, bounds.contact_s):
+                continue
+            if not item.is_resumption:
+                first_tries.append(item)
+            elif _is_served(history, item, stream.software()):
+                resumptions.append(item)
+    return compare_shares(resumptions, first_tries)
+
+
+def compare_shares(resumptions: Sequence[StreamTry], first_tries: Sequence[StreamTry]) -> list[str]:
+    """Return a violation if far fewer resumptions than first attempts succeed."""
     if len(resumptions) < LEAST_RESUMPTIONS:
         return []
     resumed, begun = success_share(resumptions), success_share(first_tries)
@@ -83,6 +63,25 @@
     return [f"{resumed:.2f} of {len(resumptions)} resumptions go on, {begun:.2f} of new begin"]
 
 
+def _is_in_touch(history: RouterHistory, item: StreamTry, contact_s: float) -> bool:
+    begin = item.sent_at - contact_s
+    is_new = any(life.router == item.router and life.started_at > begin for life in history.lives)
+    return not is_new and not any(
+        trouble.begin < item.sent_at and trouble.end > begin
+        for trouble in history.troubles
+        if trouble.place in (item.router, None)
+    )
+
+
+def _is_served(history: RouterHistory, item: StreamTry, software: Sequence[str]) -> bool:
+    runners = [
+        span
+        for span in history.software_spans
+        if span.software in software and span.begin < item.sent_at < span.end
+    ]
+    return len(runners) >= LEAST_RUNNERS
+
+
 def success_share(tries: Sequence[StreamTry]) -> float:
     """Return the share of attempts that brought an event or the end of the stream."""
     succeeded = sum(bool(item.events) or item.is_whole for item in tries)
--- a/tests/router/test_soak.py
+++ b/tests/router/test_soak.py
@@ -18,6 +18,7 @@
     MOST_DEADLY,
     PARTITION_KINDS,
     RUNNER_KINDS,
+    SOFTWARE_KINDS,
     STRUCK_AT_ONCE,
     draw_schedule,
     from_text,
@@ -98,6 +99,15 @@
     assert " 0 violations" in result.output
 
 
+# Guards against streams that hold events of two software versions, or that are not resumed.
+@pytest.mark.parametrize("seed", [12000, 12001])
+def test_promises_hold_while_runners_change_their_software(seed, tmp_path):
+    options = ["--minutes", "0.25", "--seed", str(seed), "--routers", "5", "--software"]
+    result = CliRunner().invoke(soak, [*options, "--keep-logs", str(tmp_path / "logs")])
+    assert result.exit_code == 0, result.output
+    assert " 0 violations" in result.output
+
+
 # Guards against requests whose callers have left that run once a partition has healed.
 def test_withdrawn_requests_do_not_run_after_a_partition(tmp_path):
     schedule = SCHEDULES / "withdrawn-in-a-partition-11104.jsonl"
@@ -172,6 +182,9 @@
         partitioned = draw_schedule(seed, 60.0, has_partitions=True)
         assert [step for step in partitioned if step.kind not in PARTITION_KINDS] == steps
         assert len(partitioned) > len(steps)
+        upgraded = draw_schedule(seed, 60.0, has_software=True)
+        assert [step for step in upgraded if step.kind not in SOFTWARE_KINDS] == steps
+        assert {step.kind for step in upgraded if step not in steps} == set(SOFTWARE_KINDS)
 
 
 def test_a_schedule_depends_on_its_seed_only_and_survives_serialization():
--- a/tests/router/test_soak_guards.py
+++ b/tests/router/test_soak_guards.py
@@ -41,6 +41,10 @@
         Step(1.0, "reset_links", (0,), 10.0, 0),
         Step(11.5, "configure", (0,), 0.0, 1),
     ],
+    "software": [
+        Step(1.0, "roll_software", (2,), 0.0, 0),
+        *(Step(3.0 + 0.5 * n, "cut_streams", (0, 1, 2), 0.0, 1) for n in range(12)),
+    ],
     "limits": [Step(0.5, "limit_runners", (0,), 12.0, 0), Step(9.0, "configure", (0,), 0.0, 1)],
 }
 
--- a/tests/router/test_stream_software.py
+++ b/tests/router/test_stream_software.py
@@ -14,8 +14,8 @@
 from resuming_callers import ResumingCallers
 
 from martenrun.proof.stream_checker import (
+    compare_shares,
     events_are_consecutive,
-    resumed_streams_continue,
     streams_keep_their_software,
     success_share,
 )
@@ -63,11 +63,16 @@
     return callers.streams
 
 
-def summary(streams):
-    mixed = sum(len(stream.software()) > 1 for stream in streams)
+def attempts(streams):
+    """Return the attempts that resume streams, and those that begin one."""
     tries = [item for stream in streams for item in stream.tries]
     resumed = [item for item in tries if item.is_resumption]
-    begun = [item for item in tries if not item.is_resumption]
+    return resumed, [item for item in tries if not item.is_resumption]
+
+
+def summary(streams):
+    mixed = sum(len(stream.software()) > 1 for stream in streams)
+    resumed, begun = attempts(streams)
     return (
         f"{mixed} of {len(streams)} streams mixed; {success_share(resumed):.2f} of {len(resumed)} "
         f"resumptions go on, {success_share(begun):.2f} of {len(begun)} begin"
@@ -78,7 +83,7 @@
     assert len(streams) > 50
     assert streams_keep_their_software(streams) == []
     assert events_are_consecutive(streams) == []
-    assert resumed_streams_continue(streams) == []
+    assert compare_shares(*attempts(streams)) == []
 
 
 # Guards against streams that go on at another software version than the one that began them.
--- a/tests/router/unguarded_router.py
+++ b/tests/router/unguarded_router.py
@@ -114,12 +114,20 @@
     from martenrun.router.partition_monitor import PartitionMonitor
     from martenrun.router.peer_route import PeerRoute
 
-    PeerRoute.next_peer = lambda self: None
+    PeerRoute.next_peer = lambda self, keeps_software=False: None
     PartitionMonitor.update_record = lambda self, own: None
     PartitionMonitor._has_better_peer = lambda self: False
 
 
+def ignore_software_versions():
+    """Send streams that have begun to runners of any software version."""
+    from martenrun.router import placement
+
+    placement._with_software = lambda query, states: list(states)
+
+
 GUARDS = {
+    "software": ignore_software_versions,
     "directory": treat_all_routers_as_alive,
     "leaving": ignore_draining_and_removed_runners,
     "entries": keep_undecodable_runners,
