Begun streams are only sent to runners whose report confirms their entry

Traced: the store is away for six seconds (store_lapse); meanwhile a runner is killed and returns under its id with v1.1. Routers that joined during the outage have its former entry (v1) from other routers, send begun streams of v1 there, and record new ones as of v1 (logs say v1 for streams whose events say v1.1).

Cause and class as in the incident: what a runner is was taken from what began to describe it. Its report names the start time, as its entry does: a begun stream is only sent to a runner whose report confirmed that lately, and a new connection's first stream asks for one beside. An unlisted restart makes the runner's software unlike any other's; streams that either start may have written go on nowhere else, also not at that runner.

--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -8,7 +8,7 @@
 from martenrun.net.http import Headers
 from martenrun.router.event_stream import BrokenStreamError
 from martenrun.router.log import log_warning
-from martenrun.router.messages import AdmittedRequest, ResponseMetadata, RouteKind
+from martenrun.router.messages import AdmittedRequest, ResponseMetadata, RouteKind, unknown_software
 from martenrun.router.quotas.gate import Grant
 from martenrun.router.request_services import RequestServices
 from martenrun.router.retry import Failure
@@ -17,6 +17,9 @@
 FULL_RUNNER_BACKOFF_S = 0.15
 """How long a runner that refused a request as full is not chosen, in seconds."""
 
+RESTART_NOTICE_S = 3.0
+"""Time within which a router learns of a runner's restart, in seconds."""
+
 SUSPENSION_MARGIN_S = 0.2
 """A connect that exceeds CONNECT_TIMEOUT_S by more than this many seconds means the process was
 suspended meanwhile.
@@ -113,7 +116,7 @@
         self._listener = listener
         self.state = state
         self.target = state.runner.instance
-        self.software = state.runner.software_id
+        self.software = state.software_id
         self._prefill_tokens = load.prefill_tokens
         self._kv_cache_tokens = load.kv_cache_tokens
         self._has_grant = has_grant
@@ -139,6 +142,20 @@
         """How the connection failed, or an empty string."""
         return "" if self.connection is None else self.connection.failure
 
+    def is_at_upgraded_runner(self) -> bool:
+        """Return whether its runner has restarted with other software, as became known lately.
+
+        The request may have reached the runner before or after that.
+        """
+        runner = self.state.runner
+        if self.software == unknown_software(runner):
+            return False
+        is_upgraded = self.state.has_restarted or self._services.runners.has_other_software(
+            runner, self.software
+        )
+        is_recent = self._services.loop.now() - self.started_at < RESTART_NOTICE_S
+        return is_upgraded and is_recent
+
     def silent_s(self, now: float) -> float:
         """Return the time without data from the runner since the attempt began, in seconds."""
         return now - max(self.started_at, self._data_at)
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -9,7 +9,7 @@
 from martenrun.net.server import Exchange
 from martenrun.router.attempt import STATUS_SERVER_ERROR, Attempt, AttemptLoad, SentRequest
 from martenrun.router.caller_stream import CallerStream
-from martenrun.router.messages import AdmittedRequest
+from martenrun.router.messages import AMBIGUOUS_SOFTWARE, AdmittedRequest
 from martenrun.router.peer_route import PeerRoute
 from martenrun.router.quotas.gate import Grant
 from martenrun.router.request_quota import RequestQuota
@@ -198,7 +198,15 @@
         )
 
     def _send(self, state: RunnerState, choose_again: Callable[[], None]) -> None:
-        """Send the request to a runner, after obtaining a grant if the runner is rate-limited."""
+        """Send the request to a runner, after obtaining a grant if the runner is rate-limited.
+
+        A stream that has begun is only sent to a runner whose instance was checked just before.
+        """
+        check = self._services.instance_check
+        is_bound = self._caller_stream.required_software is not None
+        if check is not None and is_bound and check.is_due(state):
+            check.run(state, choose_again)
+            return
         if self._runner_access.may_send(state):
             self._dispatch(state)
             return
@@ -237,7 +245,7 @@
         self._attempt = attempt
         placement.record_prefill(query, state)
         if self._caller_stream.first_event_at is None:
-            services.record_stream(self._admitted, state.runner, self._started_at)
+            services.record_stream(self._admitted, attempt.software, self._started_at)
         state.record_sent(now)
         self._trace.record_sent(state, self._admitted.call.model, len(self._attempted_instances))
         expected_id = (services.adapter.request_id_field, self._admitted.call.request_id)
@@ -247,6 +255,9 @@
             )
         except OSError:
             attempt.on_broken(False)
+            return
+        if services.instance_check is not None and self._admitted.route.is_resumable:
+            services.instance_check.run_for_connection(state, attempt.connection.opened_at)
 
     # Callbacks of an attempt
 
@@ -301,6 +312,9 @@
         self._may_have_arrived = self._may_have_arrived or failure is not Failure.NOT_SENT
         self._quota.record_failure(may_have_run)
         self._caller_stream.discard_partial_event()
+        has_events = self._caller_stream.first_event_at is not None
+        if has_events and isinstance(attempt, Attempt) and attempt.is_at_upgraded_runner():
+            self.mark_software_unknown(attempt)
         if not (isinstance(attempt, Attempt) and attempt.was_interrupted):
             self._continue(failure, attempt)
             return
@@ -469,9 +483,8 @@
     def mark_software_unknown(self, attempt: Attempt) -> None:
         """Let the stream go on only at its runner, also if the caller resumes it."""
         self._is_software_unknown = True
-        unknown = attrs.evolve(attempt.state.runner, software="")
-        self._caller_stream.required_software = unknown.software_id
-        self._services.record_stream(self._admitted, unknown, self._started_at)
+        self._caller_stream.required_software = AMBIGUOUS_SOFTWARE
+        self._services.record_stream(self._admitted, AMBIGUOUS_SOFTWARE, self._started_at)
         self._trace.record("software_unknown", instance=attempt.target)
 
     def record_restart(self, attempt: Attempt) -> None:
--- a/src/martenrun/router/messages.py
+++ b/src/martenrun/router/messages.py
@@ -134,7 +134,16 @@
     @property
     def software_id(self) -> str:
         """Its software version; unknown software is the same as that of this instance only."""
-        return self.software or f"unknown at {self.instance}"
+        return self.software or unknown_software(self)
+
+
+AMBIGUOUS_SOFTWARE = "ambiguous"
+"""Software version of a stream that either of two versions may have written; no runner has it."""
+
+
+def unknown_software(runner: Runner) -> str:
+    """Return a software version that no other runner instance has."""
+    return f"unknown at {runner.instance}"
 
 
 @attrs.frozen
--- a/src/martenrun/router/placement.py
+++ b/src/martenrun/router/placement.py
@@ -249,7 +249,7 @@
 def _with_software(query: PlacementQuery, states: Sequence[RunnerState]) -> list[RunnerState]:
     """Return the runners of the required software version."""
     required = query.software
-    return [state for state in states if required in (None, state.runner.software_id)]
+    return [state for state in states if required in (None, state.software_id)]
 
 
 def _latest_draining(query: PlacementQuery, states: Sequence[RunnerState]) -> RunnerState | None:
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -16,6 +16,7 @@
 from martenrun.router.crash_tracker import CrashTracker
 from martenrun.router.forwarded_request import with_room_for_forwarding
 from martenrun.router.gauges import GaugeSources, read_gauges
+from martenrun.router.instance_check import InstanceCheck
 from martenrun.router.internal_interface import InternalInterface
 from martenrun.router.lease import Lease
 from martenrun.router.load_exchange import LoadExchange
@@ -138,6 +139,14 @@
             lambda: self._services.runners.runners.values(),
             lambda outcome: self._metrics.count("stream_resumptions", origin=outcome),
         )
+        self._services.instance_check = InstanceCheck(
+            self._loop,
+            self._probe_runner,
+            adapter.report_request,
+            adapter.read_report,
+            self._streams.may_be_mixed,
+            lambda: self._requests.run_maintenance(self._loop.now()),
+        )
         self._services.record_stream = self._streams.resumption.record_sent
         self._quotas = self._services.quotas = self._create_quota_gate(settings)
         self._loads = LoadExchange(self._services.pool, self._peers)
--- a/src/martenrun/router/request_moves.py
+++ b/src/martenrun/router/request_moves.py
@@ -9,9 +9,6 @@
 Sound runners may be silent for about a second.
 """
 
-RESTART_NOTICE_S = 3.0
-"""Time within which a runner's restart is known to all routers, in seconds."""
-
 
 def move_off_runners(services: RequestServices, forwarder: RequestForwarder, now: float) -> None:
     """Move a request off its runner if that has old weights, was replaced or is down."""
@@ -42,18 +39,13 @@
     attempt = forwarder.runner_attempt
     if attempt is None or forwarder.is_software_unknown:
         return
-    runner = attempt.state.runner
-    is_replaced = services.runners.is_replaced(runner)
-    is_upgraded = forwarder.admitted.route.is_resumable and services.runners.has_other_software(
-        runner, attempt.software
-    )
+    is_replaced = services.runners.is_replaced(attempt.state.runner)
+    is_upgraded = forwarder.admitted.route.is_resumable and attempt.is_at_upgraded_runner()
     if is_replaced:
         forwarder.record_restart(attempt)
-    is_recent = services.loop.now() - attempt.started_at < RESTART_NOTICE_S
-    if is_upgraded and attempt.has_body_started and is_recent:
+    if is_upgraded and attempt.has_body_started:
         forwarder.mark_software_unknown(attempt)
-        return
-    if is_replaced or (is_upgraded and not attempt.has_body_started):
+    elif is_replaced or is_upgraded:
         forwarder.break_attempt(attempt)
 
 
--- a/src/martenrun/router/request_services.py
+++ b/src/martenrun/router/request_services.py
@@ -8,7 +8,8 @@
 from martenrun.net.loop import Loop
 from martenrun.router.brittle_services import BrittleServices
 from martenrun.router.crash_tracker import CrashTracker
-from martenrun.router.messages import AdmittedRequest, KvCacheStore, Route, Runner
+from martenrun.router.instance_check import InstanceCheck
+from martenrun.router.messages import AdmittedRequest, KvCacheStore, Route
 from martenrun.router.overload import OverloadGuard
 from martenrun.router.placement import Placement
 from martenrun.router.platform_adapter import PlatformAdapter
@@ -54,8 +55,11 @@
             service, in the order in which to try them.
         peer_keeps_software: returns whether the router at an internal address keeps a forwarded
             stream at the software version that began it.
-        record_stream: records the runner that a request is sent to, with the time of the request's
-            receipt, in case it begins a stream that is resumed at another router.
+        record_stream: records the software version of the runner that a request is sent to, with
+            the time of the request's receipt, in case it begins a stream that is resumed at
+            another router.
+        instance_check: checks that runners are the instances that their entries describe; None if
+            entries are trusted.
         retry_slack_from: when this router may start to use its share of the retry slack.
     """
 
@@ -86,9 +90,10 @@
     )
     peers_reaching: Callable[[str], list[str]] = lambda _service: []
     peer_keeps_software: Callable[[str], bool] = lambda _address: True
-    record_stream: Callable[[AdmittedRequest, Runner, float], None] = (
-        lambda _admitted, _runner, _received_at: None
+    record_stream: Callable[[AdmittedRequest, str, float], None] = (
+        lambda _admitted, _software, _received_at: None
     )
+    instance_check: InstanceCheck | None = None
     _retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _overload_guards: dict[str, OverloadGuard] = attrs.field(factory=dict)
 
--- a/src/martenrun/router/runner_choice.py
+++ b/src/martenrun/router/runner_choice.py
@@ -74,7 +74,7 @@
         """Return whether a runner of the required software version is listed."""
         software = self._software()
         states = self._world.pool.states(self._admitted.service)
-        return any(software in (None, state.runner.software_id) for state in states)
+        return any(software in (None, state.software_id) for state in states)
 
     def known_fingerprint(self) -> bytes | None:
         """Return the request's fingerprint if there are crash records to compare it with."""
--- a/src/martenrun/router/runner_state.py
+++ b/src/martenrun/router/runner_state.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from martenrun.router.messages import Runner
+from martenrun.router.messages import Runner, unknown_software
 from martenrun.router.unresponsive_reports import UnresponsiveReports
 
 FAILURE_HALF_LIFE_S = 2.0
@@ -48,6 +48,9 @@
         limited_until: time until which this router sends it no requests because of its rate limit.
         is_grant_pending: whether a request of this router is waiting for a grant to be sent to it.
         draining_since: time at which this router learned that it is draining, or None.
+        instance_checked_at: time of the last request for its report, see
+            :class:`martenrun.router.instance_check.InstanceCheck`.
+        has_restarted: whether its report shows a later start than its entry.
         unresponsive_reports: reports of routers that find it unresponsive.
         unresponsive_reported_at: time at which this router last reported it as unresponsive.
     """
@@ -74,6 +77,13 @@
     limited_until: float = 0.0
     is_grant_pending: bool = False
     draining_since: float | None = None
+    instance_checked_at: float = -math.inf
+    has_restarted: bool = False
+
+    @property
+    def software_id(self) -> str:
+        """Software version, see :attr:`Runner.software_id`; unknown after an unlisted restart."""
+        return unknown_software(self.runner) if self.has_restarted else self.runner.software_id
 
     @property
     def load(self) -> int:
--- a/src/martenrun/router/stream_resumption.py
+++ b/src/martenrun/router/stream_resumption.py
@@ -10,7 +10,7 @@
 
 from martenrun.net.loop import Loop
 from martenrun.router.log import log_event, log_warning
-from martenrun.router.messages import AdmittedRequest, RouteKind, Runner
+from martenrun.router.messages import AdmittedRequest, RouteKind
 from martenrun.router.origins.exchange import OriginExchange
 from martenrun.router.origins.table import StreamOrigin, stream_key
 from martenrun.router.software_history import RETENTION_S, SoftwareHistory
@@ -42,14 +42,14 @@
         self._may_be_mixed = may_be_mixed
         self._count = count
 
-    def record_sent(self, admitted: AdmittedRequest, runner: Runner, received_at: float) -> None:
-        """Record the runner that a stream is sent to, before its first event."""
+    def record_sent(self, admitted: AdmittedRequest, software: str, received_at: float) -> None:
+        """Record the software version of the runner that a stream is sent to."""
         if not _is_resumable(admitted):
             return
         now = self._loop.now()
         expires_at = min(admitted.deadline_at + EXPIRY_MARGIN_S, now + RETENTION_S)
         sent_after_ms = max(0, round((now - received_at) * 1000))
-        origin = StreamOrigin(runner.service, runner.software_id, sent_after_ms, expires_at)
+        origin = StreamOrigin(admitted.service, software, sent_after_ms, expires_at)
         key = _key(admitted, admitted.call.request_id)
         self._origins.record(key, origin, must_share=len(admitted.route.split) > 1)
 
--- a/src/martenrun/router/stream_software.py
+++ b/src/martenrun/router/stream_software.py
@@ -36,9 +36,9 @@
         self._runners = runners
         self._history = SoftwareHistory()
         owners = OriginOwners(loop.now, peers)
-        self._origins = OriginExchange(loop, peers, peers.own.address, owners, self._may_be_mixed)
+        self._origins = OriginExchange(loop, peers, peers.own.address, owners, self.may_be_mixed)
         self.resumption = StreamResumption(
-            loop, self._history, self._origins, self._may_be_mixed, count
+            loop, self._history, self._origins, self.may_be_mixed, count
         )
 
     @property
@@ -67,7 +67,7 @@
         self.record_listed()
         self._origins.run_maintenance()
 
-    def _may_be_mixed(self, service: str) -> bool:
+    def may_be_mixed(self, service: str) -> bool:
         """Return whether several software versions of a service may have served lately.
 
         A router that has just started does not know those that have left.
--- /dev/null
+++ b/tests/router/test_instance_check.py
@@ -0,0 +1,124 @@
+"""A runner that has restarted under its id is recognized by its report while its entry is old."""
+
+import msgspec
+import pytest
+
+from martenrun.net.http import HttpResponse
+from martenrun.platform import PLATFORM_ADAPTER
+from martenrun.router.instance_check import CHECK_VALIDITY_S, InstanceCheck
+
+from .builders import state
+from .fakes import FakeLoop
+from .test_stream_forwarding import begin, is_broken_off, runner_break, stream_case
+
+BORN_MS = 1_000
+RTT_S = 0.003
+
+
+class Reports:
+    """Answers requests for reports with the start times by address; None does not respond."""
+
+    def __init__(self, loop):
+        self._loop = loop
+        self.born_ms = {}
+        self.asked = []
+
+    def __call__(self, address, call, on_response):
+        self.asked.append(address)
+        born_ms = self.born_ms.get(address)
+        body = {"busy": False, "call_seq": 0, "active": 0, "models": [], "born": born_ms}
+        response = HttpResponse(200, [], msgspec.json.encode(body))
+        if born_ms is None:
+            self._loop.call_later(0.5, lambda: on_response(None))
+        else:
+            self._loop.call_later(RTT_S, lambda: on_response(response))
+
+
+def instance_check(loop, reports, is_mixed=True, on_restarted=lambda: None):
+    adapter = PLATFORM_ADAPTER
+    return InstanceCheck(
+        loop,
+        reports,
+        adapter.report_request,
+        adapter.read_report,
+        lambda _service: is_mixed,
+        on_restarted,
+    )
+
+
+def checked_case(software, born_ms):
+    """Return a stream case whose runners have addresses of their own and report start times."""
+
+    def setup(case):
+        case.reports = Reports(case.loop)
+        for number, item in enumerate(case.states):
+            item.runner = state(
+                item.runner.instance,
+                software=item.runner.software,
+                address=f"10.0.0.{number}:1",
+                started_at_ms=BORN_MS,
+            ).runner
+            case.reports.born_ms[item.runner.address] = born_ms[number]
+        case.services.instance_check = instance_check(case.loop, case.reports)
+
+    return stream_case(software, setup)
+
+
+# Guards against a begun stream that reaches a restarted runner by its old entry.
+def test_a_begun_stream_is_not_sent_to_a_runner_that_has_restarted():
+    case = checked_case(["v1", "v1", "v1"], [BORN_MS, 2_000, BORN_MS])
+    case.states[2].in_flight = 6
+    begin(case)
+    runner_break(case)
+    case.run(0.05)
+    assert case.pool.sent == ["i-0", "i-2"]
+    assert case.states[1].software_id == "unknown at i-1"
+
+
+# Guards against a new stream whose origin is recorded by an old entry.
+def test_a_stream_begun_at_a_runner_that_has_restarted_goes_on_nowhere_else():
+    case = checked_case(["v1", "v1"], [2_000, BORN_MS])
+    begin(case)
+    case.run(0.01)
+    runner_break(case)
+    assert case.pool.sent == ["i-0"] and is_broken_off(case)
+
+
+def test_a_runner_that_sends_no_report_is_not_taken_as_restarted():
+    case = checked_case(["v1", "v1"], [BORN_MS, None])
+    begin(case)
+    runner_break(case)
+    case.run(0.6)
+    assert case.pool.sent == ["i-0", "i-1"]
+
+
+def test_a_runner_is_checked_once_for_connections_opened_before():
+    loop = FakeLoop()
+    reports = Reports(loop)
+    check = instance_check(loop, reports)
+    runner = state("i-0", started_at_ms=BORN_MS)
+    reports.born_ms[runner.runner.address] = BORN_MS
+    opened_at = loop.now()
+    check.run_for_connection(runner, opened_at)
+    check.run_for_connection(runner, opened_at)
+    loop.run_until(loop.now() + 0.1)
+    assert len(reports.asked) == 1 and not check.is_due(runner)
+    check.run_for_connection(runner, opened_at - 1.0)
+    assert len(reports.asked) == 1
+    check.run_for_connection(runner, loop.now())
+    assert len(reports.asked) == 2
+    loop.run_until(loop.now() + CHECK_VALIDITY_S + 0.1)
+    assert check.is_due(runner)
+
+
+@pytest.mark.parametrize(
+    ("is_mixed", "started_at_ms"),
+    [pytest.param(False, BORN_MS, id="one version"), pytest.param(True, None, id="no start time")],
+)
+def test_no_report_is_requested_without_need(is_mixed, started_at_ms):
+    loop = FakeLoop()
+    reports = Reports(loop)
+    check = instance_check(loop, reports, is_mixed)
+    runner = state("i-0", started_at_ms=started_at_ms)
+    check.run_for_connection(runner, loop.now())
+    assert not check.is_due(runner) and reports.asked == []
--- a/tests/router/test_soak.py
+++ b/tests/router/test_soak.py
@@ -100,7 +100,7 @@
 
 
 # Guards against streams that hold events of two software versions, or that are not resumed.
-@pytest.mark.parametrize("seed", [12000, 12001])
+@pytest.mark.parametrize("seed", [12000, 12001, 12002])
 def test_promises_hold_while_runners_change_their_software(seed, tmp_path):
     options = ["--minutes", "0.25", "--seed", str(seed), "--routers", "5", "--software"]
     result = CliRunner().invoke(soak, [*options, "--keep-logs", str(tmp_path / "logs")])
--- a/tests/router/test_stream_forwarding.py
+++ b/tests/router/test_stream_forwarding.py
@@ -5,6 +5,7 @@
 
 from martenrun.net.http import HttpRequest
 from martenrun.router import peer_attempt
+from martenrun.router.attempt import RESTART_NOTICE_S
 from martenrun.router.forwarded_request import (
     SOFTWARE_FIELD,
     ForwardedState,
@@ -13,9 +14,8 @@
     read_software,
 )
 from martenrun.router.forwarding import MAXIMUM_GAP_S
-from martenrun.router.messages import RouteKind
+from martenrun.router.messages import AMBIGUOUS_SOFTWARE, RouteKind
 from martenrun.router.request_moves import (
-    RESTART_NOTICE_S,
     move_off_replaced_runner,
     move_off_silent_runner,
 )
@@ -181,13 +181,13 @@
 def test_a_stream_that_a_restarted_runner_may_have_begun_goes_on_nowhere_else(key):
     recorded = []
     case = stream_case(["v1", "v1", "v2"])
-    case.services.record_stream = lambda _admitted, runner, _at: recorded.append(runner)
+    case.services.record_stream = lambda _admitted, software, _at: recorded.append(software)
     begin(case)
     restart(case, 0, "v2", key)
     move(case)
     move(case)
     assert case.pool.sent == ["i-0"] and not case.exchange.is_aborted
-    assert [runner.software_id for runner in recorded] == ["unknown at i-0"]
+    assert recorded == [AMBIGUOUS_SOFTWARE]
     runner_break(case)
     assert case.pool.sent == ["i-0"] and is_broken_off(case)
 
--- a/tests/router/test_stream_resumption.py
+++ b/tests/router/test_stream_resumption.py
@@ -53,9 +53,9 @@
         self.history.record_listed(runners, self.loop.now())
 
     def begin(self, request_id, software, tenant=TENANT, on_route=STREAM, service="s"):
-        sent_to = runner("i-1", software=software, service=service)
         admitted = request(self.loop, request_id, tenant=tenant, on_route=on_route)
-        self.resumption.record_sent(admitted, sent_to, self.loop.now())
+        admitted = attrs.evolve(admitted, service=service)
+        self.resumption.record_sent(admitted, software, self.loop.now())
 
     def resolve(self, **changes):
         resolved = []
