Two sends of a stream within a millisecond do not contradict each other

Found by reading: origins of streams are ordered by the whole milliseconds from a request's receipt until it was sent. A runner that refuses connections fails in less than one; the stream's next send to a runner of another version then had the same number, which reads as a contradiction, and the stream could not be resumed. A router's later record of a stream is now numbered above its earlier one. The new test fails before. Expired records are dropped once a second, and whether a service is mixed is asked once a round.

--- a/src/martenrun/router/origins/exchange.py
+++ b/src/martenrun/router/origins/exchange.py
@@ -1,5 +1,6 @@
 """Shares the origins of streams with the routers that keep them, and finds those of others."""
 
+import functools
 import itertools
 from collections.abc import Callable
 from typing import Protocol
@@ -30,6 +31,9 @@
 only knows nothing.
 """
 
+EXPIRY_INTERVAL_S = 1.0
+"""How often expired origins are dropped, in seconds."""
+
 RECORDS_PER_DATAGRAM = 200
 """Maximum number of origins in one datagram, about 50 bytes each."""
 
@@ -99,6 +103,7 @@
         self._outgoing: dict[str, dict[int, StreamOrigin]] = {}
         self._numbers = itertools.count(1)
         self._queries: dict[int, Query] = {}
+        self._expired_at = 0.0
         self._wide_second = 0
         self._wide_count = 0
 
@@ -113,6 +118,9 @@
         """
         known = self._table.get(key, self._loop.now())
         is_changed = known is not None and known.software != origin.software
+        if known is not None and is_changed:
+            # Two sends may fall into the same millisecond.
+            origin.sent_after_ms = max(origin.sent_after_ms, known.sent_after_ms + 1)
         kept = self._table.put(key, origin)
         if not must_share and not self._needs_sharing(kept.service):
             return
@@ -131,17 +139,23 @@
 
     def run_maintenance(self) -> None:
         """Drop expired origins; share those that new owners, or all owners, do not have yet."""
-        self._table.drop_expired(self._loop.now())
+        now = self._loop.now()
+        if now - self._expired_at >= EXPIRY_INTERVAL_S:
+            self._expired_at = now
+            self._table.drop_expired(now)
         has_changed = self._owners.take_change()
+        needs_sharing = functools.cache(self._needs_sharing)
         for slot in self._table.slots():
             new_owners = self._owners.new_owners(slot) if has_changed else []
             for key, origin in self._table.items(slot):
-                if not self._needs_sharing(origin.service):
+                if origin.is_shared and not new_owners:
                     continue
-                if not origin.is_shared:
-                    self._share(key, origin)
-                elif new_owners:
+                if not needs_sharing(origin.service):
+                    continue
+                if origin.is_shared:
                     self._send_later(new_owners, key, origin)
+                else:
+                    self._share(key, origin)
 
     # Messages
 
--- a/tests/router/test_stream_origins.py
+++ b/tests/router/test_stream_origins.py
@@ -153,6 +153,16 @@
     assert (wrong, missing) == (0, 0)
 
 
+# Guards against origins that contradict each other because two sends took less than a millisecond.
+def test_the_later_of_two_sends_in_a_millisecond_takes_precedence():
+    world = OriginWorld(5)
+    world.begin("r0", "a", software="v1", sent_after_ms=0)
+    world.begin("r0", "a", software="v2", sent_after_ms=0)
+    world.run(0.1)
+    world.kill("r0")
+    assert world.find("r1", "a")[0] == "v2"
+
+
 # Guards against routers of earlier versions that cannot read the messages.
 def test_routers_of_earlier_versions_are_sent_nothing():
     world = OriginWorld(0)
