--- a/tests/router/test_stream_forwarding.py
+++ b/tests/router/test_stream_forwarding.py
@@ -4,7 +4,6 @@
 import pytest
 
 from martenrun.net.http import HttpRequest
-from martenrun.router import peer_attempt
 from martenrun.router.attempt import RESTART_NOTICE_S
 from martenrun.router.forwarded_request import (
     SOFTWARE_FIELD,
@@ -23,7 +22,8 @@
 from .builders import route, state
 from .crash_world import PROBE_S
 from .test_forwarded_request import received
-from .test_forwarding import FakeConnection, ForwardingCase
+from .test_forwarding import ForwardingCase
+from .test_peer_forwarding import PeerConnections
 
 SIGNED = [(b"X-Response-Stamp", b"s"), (b"Content-Type", b"text/event-stream")]
 
@@ -212,27 +212,6 @@
 # Streams through other routers
 
 
-class PeerConnections:
-    """Replaces connections to other routers and records what is sent on them."""
-
-    def __init__(self, monkeypatch):
-        self.addresses, self.sent, self.readers = [], [], []
-        monkeypatch.setattr(peer_attempt, "ClientConnection", self)
-
-    def __call__(self, loop, address, on_idle, on_end):
-        self.addresses.append(address)
-        connection = FakeConnection()
-        connection.send = self.send
-        return connection
-
-    def send(self, data, reader):
-        self.sent.append(data)
-        self.readers.append(reader)
-
-    def close(self, connection):
-        connection.close()
-
-
 @pytest.fixture
 def peers(monkeypatch):
     return PeerConnections(monkeypatch)
