--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -4,10 +4,10 @@
 
 import attrs
 
-from martenrun.net.http import end_to_end, request_bytes
+from martenrun.net.http import end_to_end
 from martenrun.net.loop import Timer
 from martenrun.net.server import Exchange
-from martenrun.router.attempt import STATUS_SERVER_ERROR, Attempt, AttemptLoad, SentRequest
+from martenrun.router.attempt import STATUS_SERVER_ERROR, Attempt, SentRequest
 from martenrun.router.caller_stream import CallerStream
 from martenrun.router.messages import AMBIGUOUS_SOFTWARE, AdmittedRequest
 from martenrun.router.peer_route import PeerRoute
@@ -16,9 +16,8 @@
 from martenrun.router.request_services import RequestServices
 from martenrun.router.request_trace import RequestTrace
 from martenrun.router.retry import MAXIMUM_SENDS, AttemptState, Failure, NextStep, next_step
-from martenrun.router.runner_access import RunnerAccess
 from martenrun.router.runner_choice import RunnerChoice
-from martenrun.router.runner_request import runner_dispatch
+from martenrun.router.runner_sender import RunnerSender
 from martenrun.router.runner_state import RunnerState
 
 STATUS_TOO_MANY_REQUESTS = 429
@@ -57,7 +56,6 @@
         self._admitted = admitted
         self._on_end = on_end
         self._started_at = exchange.request.received_at
-        self._attempted_instances: list[str] = []
         forwarded = admitted.call.forwarded
         self._possible_runs = 0 if forwarded is None else forwarded.runs
         self._may_have_arrived = False
@@ -80,7 +78,17 @@
         self._resume_polls = 0
         self._is_software_unknown = False
         self._quota = RequestQuota(services.quotas, admitted)
-        self._runner_access = RunnerAccess(services, self._runner_choice.placement_query)
+        self._sender = RunnerSender(
+            services,
+            exchange.request,
+            admitted,
+            self._caller_stream,
+            self._runner_choice,
+            self._quota,
+            self._trace,
+            self,
+            self._set_attempt,
+        )
         self._peer_route = PeerRoute(services, exchange.request, admitted)
         self._is_over_limit = False
         self.is_over = False
@@ -153,12 +161,12 @@
             self._refuse("software_not_listed")
         elif state is None:
             self._wait_or_refuse("no_runner")
-        elif not self._attempted_instances and not self._runner_choice.can_start_soon(state):
+        elif not self._sender.attempted_instances and not self._runner_choice.can_start_soon(state):
             self._refuse_for_overload(state)
-        elif self._attempted_instances and not self._is_within_budget():
+        elif self._sender.attempted_instances and not self._is_within_budget():
             self._refuse("retry_budget")
         else:
-            self._send(state, self._choose_runner)
+            self._sender.send(state, self._choose_runner)
 
     def _is_software_gone(self) -> bool:
         """Return whether no listed runner may resume the stream."""
@@ -197,67 +205,8 @@
             self._caller_stream.required_software,
         )
 
-    def _send(self, state: RunnerState, choose_again: Callable[[], None]) -> None:
-        """Send the request to a runner, after obtaining a grant if the runner is rate-limited.
-
-        A stream that has begun is only sent to a runner whose instance was checked just before.
-        """
-        check = self._services.instance_check
-        is_bound = self._caller_stream.required_software is not None
-        if check is not None and is_bound and check.is_due(state):
-            check.run(state, choose_again)
-            return
-        if self._runner_access.may_send(state):
-            self._dispatch(state)
-            return
-
-        def on_runner_grant(grant: Grant) -> None:
-            self._trace.record_grant(grant, "runner_grant_asked")
-            self._services.loop.call_later(0.0, choose_again)
-
-        self._runner_access.obtain(state, on_runner_grant)
-
-    def _dispatch(self, state: RunnerState) -> None:
-        services = self._services
-        now = services.loop.now()
-        if self._attempted_instances:
-            services.retry_budget(self._admitted.service).record_retry(now)
-        else:
-            self._runner_choice.record_admitted()
-        self._runner_choice.tried_instances.append(state.runner.instance)
-        self._attempted_instances.append(state.runner.instance)
-        self._quota.record_sent()
-        request = self._exchange.request
-        placement = services.placement
-        query = self._runner_choice.placement_query()
-        last_event_id = self._caller_stream.last_event_id
-        dispatch = runner_dispatch(services, self._admitted, state, query, last_event_id)
-        headers = services.adapter.runner_headers(request.headers, dispatch)
-        data = request_bytes(request.method, request.target, headers, request.body)
-        load = AttemptLoad(
-            prefill_tokens=placement.prefill_tokens(query, state),
-            kv_cache_tokens=query.needed_tokens if query.parts else 0,
-        )
-        attempt = Attempt(
-            services, self._admitted, self, state, load, self._runner_access.has_grant(state)
-        )
-        attempt.permit = self._runner_access.record_sent(state)
+    def _set_attempt(self, attempt: Attempt) -> None:
         self._attempt = attempt
-        placement.record_prefill(query, state)
-        if self._caller_stream.first_event_at is None:
-            services.record_stream(self._admitted, attempt.software, self._started_at)
-        state.record_sent(now)
-        self._trace.record_sent(state, self._admitted.call.model, len(self._attempted_instances))
-        expected_id = (services.adapter.request_id_field, self._admitted.call.request_id)
-        try:
-            attempt.connection = services.pool.send(
-                state, data, attempt, expected_id, self._admitted.route.may_repeat
-            )
-        except OSError:
-            attempt.on_broken(False)
-            return
-        if services.instance_check is not None and self._admitted.route.is_resumable:
-            services.instance_check.run_for_connection(state, attempt.connection.opened_at)
 
     # Callbacks of an attempt
 
@@ -385,7 +334,7 @@
     def _send_again(self, state: RunnerState, failure: Failure, attempt: SentRequest) -> None:
         """Send the request to another runner; a repeated run also counts against the quota."""
         if not self._quota.needs_grant:
-            self._send(state, lambda: self._continue(failure, attempt))
+            self._sender.send(state, lambda: self._continue(failure, attempt))
             return
 
         def continue_with_grant(grant: Grant) -> None:
@@ -401,7 +350,7 @@
             may_repeat=admitted.route.may_repeat,
             maximum_attempts=admitted.route.maximum_attempts,
             runs=self._possible_runs,
-            sends=len(self._attempted_instances),
+            sends=len(self._sender.attempted_instances),
             has_response_started=self._exchange.has_started,
             left_s=admitted.give_up_at - now,
             is_within_budget=self._is_within_budget() and not self._is_over_limit,
@@ -422,7 +371,10 @@
         limit_s = self._admitted.route.objective_s * self._parameters.waiting_share
         limited_s = self._runner_choice.limited_for_s()
         next_choice_s = max(RUNNER_POLL_INTERVAL_S, limited_s or 0.0)
-        if waited_s + next_choice_s > limit_s or len(self._attempted_instances) >= MAXIMUM_SENDS:
+        if (
+            waited_s + next_choice_s > limit_s
+            or len(self._sender.attempted_instances) >= MAXIMUM_SENDS
+        ):
             if limited_s is None:
                 self._refuse(reason)
             else:
@@ -502,7 +454,7 @@
         self.is_over = True
         grant = self._quota.last_grant
         self._quota.close()
-        self._runner_access.close()
+        self._sender.close()
         self._timer.cancel()
         if self._attempt is not None:
             self._attempt.cancel()
@@ -518,7 +470,7 @@
             reason=reason,
             instance=None if attempt is None else attempt.target,
             status=None if attempt is None else attempt.status,
-            tries=len(self._attempted_instances),
+            tries=len(self._sender.attempted_instances),
             events=self._caller_stream.last_event_id,
             software=",".join(self._caller_stream.software) or None,
             resumed=resumed_id,
