--- a/src/martenrun/router/origins/table.py
+++ b/src/martenrun/router/origins/table.py
@@ -9,7 +9,7 @@
 """Number of groups of streams; all streams of a group are kept by the same routers."""
 
 MAXIMUM_RECORDS = 100_000
-"""Number of records above which those that end first are dropped; about 30 MB."""
+"""Number of records above which those that end first are dropped; 22 MB."""
 
 
 def stream_key(tenant: str | None, request_id: bytes) -> int:
