Read from responses of runners that they drain or request a backoff; log and count it

Change: both are decoded in platform/headers.py and recorded on the runner's state; events runner_draining, runner_backoff, gauges and a counter that also counts requests sent in spite of them. What a response says of its runner stands in runner_responses.py (moved from attempt.py). No decision uses it yet.

--- a/src/martenrun/platform/headers.py
+++ b/src/martenrun/platform/headers.py
@@ -4,7 +4,14 @@
 import re
 
 from martenrun.net.http import Headers, HttpRequest, end_to_end, find_header
-from martenrun.router.messages import AdvertisedLimit, Call, Dispatch, PromptPart, ResponseMetadata
+from martenrun.router.messages import (
+    AdvertisedLimit,
+    Call,
+    Dispatch,
+    PromptPart,
+    RequestedBackoff,
+    ResponseMetadata,
+)
 
 REQUEST_ID = b"x-request-id"
 """Field that carries a request's id, in lower case."""
@@ -98,6 +105,19 @@
     return sent
 
 
+SERVER_LEAVING = b"server-leaving"
+"""Field in which a runner announces with the value 1 that it will stop, in lower case."""
+
+RETRY_AFTER = b"retry-after"
+"""Field in which a runner that refuses a request requests a backoff in seconds, in lower case."""
+
+MAXIMUM_BACKOFF_S = 3_600.0
+"""Longest backoff that is granted, in seconds: a mistaken value must not exclude a runner forever.
+"""
+
+STATUS_UNAVAILABLE = 503
+
+
 def read_response_metadata(status: int, headers: Headers) -> ResponseMetadata:
     """Read the metadata in the status and header fields of a runner's response."""
     is_not_executed = status == 421 or find_header(headers, b"x-not-executed") is not None
@@ -107,6 +127,8 @@
         is_encoded=find_header(headers, b"content-encoding") is not None,
         rate_limit=_advertised_limit(headers),
         tolerated_rejections_per_s=_advertised_brittleness(headers),
+        is_draining=b"1" in _values(headers, SERVER_LEAVING),
+        backoff=_requested_backoff(headers) if status == STATUS_UNAVAILABLE else None,
     )
 
 
@@ -117,28 +139,44 @@
 """Field in which a runner advertises how many rejections per second it tolerates, in lower case."""
 
 MAXIMUM_LOGGED_CHARACTERS = 40
-"""Length to which the field's text is truncated for logs."""
+"""Length to which a field's text is truncated for logs."""
 
 _DECIMAL = re.compile(rb"\s*\d+(\.\d*)?(e[+-]?\d+)?\s*", re.IGNORECASE)
 """Stricter than ``float``, which also accepts a sign, underscores, nan and infinity."""
 
 
+def _requested_backoff(headers: Headers) -> RequestedBackoff | None:
+    """Return the backoff that a refusal requests: the longest valid value if there are several."""
+    values = _values(headers, RETRY_AFTER)
+    if not values:
+        return None
+    seconds = [float(value) for value in values if _DECIMAL.fullmatch(value)]
+    longest_s = min(max(seconds), MAXIMUM_BACKOFF_S) if seconds else None
+    return RequestedBackoff(longest_s, _logged(values))
+
+
 def _advertised_limit(headers: Headers) -> AdvertisedLimit | None:
     """Return the rate limit of a response: the lowest valid value if there are several."""
-    fields = [value for name, value in headers if name.lower() == SERVER_LIMIT]
-    if not fields:
-        return None
-    text = b", ".join(fields)[:MAXIMUM_LOGGED_CHARACTERS].decode("latin-1")
-    return AdvertisedLimit(_lowest_rate(fields), text)
+    values = _values(headers, SERVER_LIMIT)
+    return AdvertisedLimit(_lowest_rate(values), _logged(values)) if values else None
 
 
 def _advertised_brittleness(headers: Headers) -> float | None:
     """Return the rejections per second that a runner tolerates: the lowest valid value."""
-    return _lowest_rate([value for name, value in headers if name.lower() == SERVER_BRITTLE])
+    return _lowest_rate(_values(headers, SERVER_BRITTLE))
+
+
+def _values(headers: Headers, field: bytes) -> list[bytes]:
+    """Return the values of all fields of a name, which is in lower case."""
+    fields = [value for name, value in headers if name.lower() == field]
+    return [value.strip() for listed in fields for value in listed.split(b",")]
+
+
+def _logged(values: list[bytes]) -> str:
+    return b", ".join(values)[:MAXIMUM_LOGGED_CHARACTERS].decode("latin-1")
 
 
-def _lowest_rate(fields: list[bytes]) -> float | None:
-    values = [value for field in fields for value in field.split(b",")]
+def _lowest_rate(values: list[bytes]) -> float | None:
     rates = [rate for rate in map(_parse_rate, values) if rate is not None]
     return min(rates, default=None)
 
--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -12,6 +12,7 @@
 from martenrun.router.quotas.gate import Grant
 from martenrun.router.request_services import RequestServices
 from martenrun.router.retry import Failure
+from martenrun.router.runner_responses import RunnerResponse, record_response
 from martenrun.router.runner_state import LOADING_TIMEOUT_S, RunnerState
 
 FULL_RUNNER_BACKOFF_S = 0.15
@@ -191,11 +192,8 @@
         self.headers = headers
         metadata = self._services.adapter.read_response_metadata(status, headers)
         self._metadata = metadata
-        self._record_rate_limit(metadata, now)
-        if metadata.tolerated_rejections_per_s is not None:
-            self._services.brittle.record_advertised(
-                self.state.runner.service, metadata.tolerated_rejections_per_s, now
-            )
+        head = RunnerResponse(headers, metadata, self.started_at)
+        record_response(self._services, self.state, head)
         if metadata.is_not_executed:
             return
         if metadata.is_encoded or (status < 300 and not metadata.is_signed):
@@ -312,21 +310,6 @@
                 self._admitted.service, self.state.runner.instance, now
             )
 
-    def _record_rate_limit(self, metadata: ResponseMetadata, now: float) -> None:
-        """Record the rate limit that the response advertises, or its absence.
-
-        The absence of a limit counts only in signed responses: unsigned ones may not come from
-        the runner.
-        """
-        instance = self._services.adapter.responding_instance(self.headers)
-        if self.status == STATUS_MISDIRECTED and instance not in (None, self.state.runner.name):
-            return
-        limits = self._services.runner_limits
-        if metadata.rate_limit is not None:
-            limits.record_advertised(self.state.runner.instance, metadata.rate_limit, now)
-        elif metadata.is_signed:
-            limits.record_absent(self.state.runner.instance, self.started_at, now)
-
     def _handle_refusal(self) -> None:
         now = self._services.loop.now()
         if self.status != STATUS_MISDIRECTED:
--- a/src/martenrun/router/gauges.py
+++ b/src/martenrun/router/gauges.py
@@ -42,6 +42,8 @@
         Sample("stream_origins", sources.stream_origin_count()),
         Sample("runners", len(states)),
         Sample("runners_avoided", sum(state.is_avoided(now) for state in states)),
+        Sample("runners_draining", sum(state.is_draining for state in states)),
+        Sample("runners_backing_off", sum(state.is_backing_off(now) for state in states)),
         Sample("runners_limited", len(services.runner_limits)),
         Sample("services_brittle", len(services.brittle)),
         Sample("services_unreachable", len(services.reachability.unreachable_services(now))),
--- a/src/martenrun/router/messages.py
+++ b/src/martenrun/router/messages.py
@@ -237,6 +237,19 @@
     text: str
 
 
+@attrs.frozen
+class RequestedBackoff:
+    """The time for which a runner that refused a request asks its sender for no further ones.
+
+    Attributes:
+        seconds: 0 or more; None if the advertised value is not a valid time.
+        text: the advertised value, truncated for logs.
+    """
+
+    seconds: float | None
+    text: str
+
+
 @attrs.frozen
 class ResponseMetadata:
     """Metadata of a runner's response, parsed from its status and headers.
@@ -248,6 +261,8 @@
         rate_limit: the limit that the response advertises; None if it advertises none.
         tolerated_rejections_per_s: rejections per second on more of which the runner crashes, as
             the response advertises; None if it advertises none, or no valid number.
+        is_draining: whether the runner announces that it will stop.
+        backoff: the backoff that the runner requests; None if it requests none.
     """
 
     is_signed: bool
@@ -255,6 +270,8 @@
     is_encoded: bool
     rate_limit: AdvertisedLimit | None = None
     tolerated_rejections_per_s: float | None = None
+    is_draining: bool = False
+    backoff: RequestedBackoff | None = None
 
 
 class Dataset(enum.Enum):
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -103,6 +103,7 @@
                 lambda outcome: self._metrics.count("runner_limits", outcome=outcome),
             ),
             brittle=BrittleServices(lambda update: self._peers.broadcast(update)),
+            count_notice=lambda notice: self._metrics.count("runner_notices", notice=notice),
         )
         own = RouterRecord(
             address=settings.internal_address,
--- a/src/martenrun/router/request_services.py
+++ b/src/martenrun/router/request_services.py
@@ -43,6 +43,8 @@
         router_count: returns how many routers share the retry budget.
         suspects: crash records of requests, and the blocking of crash-causing ones.
         record_outcome: records how a request ended: outcome, route, seconds.
+        count_notice: counts what a runner's response announces about it, by kind, and requests sent
+            to it in spite of that.
         is_store_available: returns whether a KV cache store responds.
         on_prefill_changed: called when a runner's pending prefill for this router changes.
         refresh_loads: updates runners' states with the loads that other routers report.
@@ -94,6 +96,7 @@
         lambda _admitted, _software, _received_at: None
     )
     instance_check: InstanceCheck | None = None
+    count_notice: Callable[[str], None] = lambda _notice: None
     _retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _overload_guards: dict[str, OverloadGuard] = attrs.field(factory=dict)
 
--- a/src/martenrun/router/request_trace.py
+++ b/src/martenrun/router/request_trace.py
@@ -45,6 +45,8 @@
             backlog=int(state.backlog_tokens),
             weights=state.weights_version(model or ""),
             software=state.runner.software,
+            is_draining=state.is_draining,
+            is_backing_off=state.is_backing_off(self._loop.now()),
             tries=attempts,
         )
 
--- a/src/martenrun/router/runner_sender.py
+++ b/src/martenrun/router/runner_sender.py
@@ -79,6 +79,10 @@
     def _dispatch(self, state: RunnerState) -> None:
         services = self._services
         now = services.loop.now()
+        if state.is_draining:
+            services.count_notice("sent_while_draining")
+        if state.is_backing_off(now):
+            services.count_notice("sent_during_backoff")
         if self.attempted_instances:
             services.retry_budget(self._admitted.service).record_retry(now)
         else:
--- a/src/martenrun/router/runner_state.py
+++ b/src/martenrun/router/runner_state.py
@@ -48,6 +48,7 @@
         limited_until: time until which this router sends it no requests because of its rate limit.
         is_grant_pending: whether a request of this router is waiting for a grant to be sent to it.
         draining_since: time at which this router learned that it is draining, or None.
+        backoff_until: time until which it has asked this router for no requests.
         instance_checked_at: time of the last request for its report, see
             :class:`martenrun.router.instance_check.InstanceCheck`.
         has_restarted: whether its report shows a later start than its entry.
@@ -77,6 +78,7 @@
     limited_until: float = 0.0
     is_grant_pending: bool = False
     draining_since: float | None = None
+    backoff_until: float = -math.inf
     instance_checked_at: float = -math.inf
     has_restarted: bool = False
 
@@ -85,6 +87,24 @@
         """Software version, see :attr:`Runner.software_id`; unknown after an unlisted restart."""
         return unknown_software(self.runner) if self.has_restarted else self.runner.software_id
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether its entry or a response of it announces that it will stop."""
+        return self.runner.is_draining or self.draining_since is not None
+
+    def record_draining(self, now: float) -> None:
+        """Record that it announces that it will stop, which an instance never takes back."""
+        if self.draining_since is None:
+            self.draining_since = now
+
+    def record_backoff(self, until: float) -> None:
+        """Record that it asks for no requests until a time; a longer backoff is kept."""
+        self.backoff_until = max(self.backoff_until, until)
+
+    def is_backing_off(self, now: float) -> bool:
+        """Return whether it has asked this router for no requests now."""
+        return now < self.backoff_until
+
     @property
     def load(self) -> int:
         """Known number of requests that it is serving."""
--- a/tests/router/test_platform_adapter.py
+++ b/tests/router/test_platform_adapter.py
@@ -296,3 +296,50 @@
         PLATFORM_ADAPTER.read_response_metadata(200, [(b"X-Response-Stamp", b"s")]).rate_limit
         is None
     )
+
+
+@pytest.mark.parametrize(
+    ("fields", "is_draining"),
+    [
+        ([(b"Server-Leaving", b"1")], True),
+        ([(b"server-leaving", b" 1 ")], True),
+        ([(b"Server-Leaving", b"0"), (b"Server-Leaving", b"1")], True),
+        ([(b"Server-Leaving", b"0")], False),
+        ([(b"Server-Leaving", b"")], False),
+        ([(b"Server-Leaving", b"yes")], False),
+        ([], False),
+    ],
+)
+@pytest.mark.parametrize("status", [200, 421, 500, 503])
+def test_announced_drain_is_read_from_responses_of_any_status(status, fields, is_draining):
+    assert PLATFORM_ADAPTER.read_response_metadata(status, fields).is_draining == is_draining
+
+
+@pytest.mark.parametrize(
+    ("values", "seconds"),
+    [
+        ([b"3"], 3.0),
+        ([b"0.9"], 0.9),
+        ([b" 2.5 "], 2.5),
+        ([b"0"], 0.0),
+        ([b"1", b"4"], 4.0),
+        ([b"soon", b"2"], 2.0),
+        ([b"1000000000"], 3_600.0),
+        ([b"1e400"], 3_600.0),
+        ([b"-3"], None),
+        ([b""], None),
+        ([b"nan"], None),
+        ([b"inf"], None),
+        ([b"Fri, 04 Dec 2026 10:00:00 GMT"], None),
+        ([b"x" * 1_000], None),
+    ],
+)
+def test_requested_backoff_is_parsed(values, seconds):
+    headers = [(b"Retry-After", value) for value in values]
+    backoff = PLATFORM_ADAPTER.read_response_metadata(503, headers).backoff
+    assert backoff is not None and backoff.seconds == seconds and len(backoff.text) <= 40
+
+
+@pytest.mark.parametrize("status", [200, 408, 421, 429, 500])
+def test_only_an_unavailable_runner_requests_a_backoff(status):
+    assert PLATFORM_ADAPTER.read_response_metadata(status, [(b"Retry-After", b"3")]).backoff is None
