Failing tests: requests to runners that announced a drain or requested a backoff

Before six real routers and twelve stand-in runners, four of the runners announce a drain by Server-Leaving while their entries stay ready, or refuse all requests with 503 and Retry-After: 3. Measured on the code before any mend: 288 requests sent by callers over 2 s after the router had returned the announcement reached their runners (0 allowed), 187 beside a lapsed entry; 383 backoffs of 3 s with over two requests, 79 beside a lapsed entry, 201 with all runners backing off. A runner that starts anew under its id gets requests again: passes, a guard for the mends. Change: stand-ins announce both; arrivals know the address they came from, relays keep it; a checker of both rules (proof/notice_checker.py), also part of the soak's checks.

--- a/scripts/faulty_relay.py
+++ b/scripts/faulty_relay.py
@@ -11,6 +11,7 @@
 _READ_BYTES = 65_536
 _CONNECT_TIMEOUT_S = 2.0
 _LOOK_S = 0.02
+_LOOPBACK_IP = "127.0.0.1"
 _FILLERS = 3
 """Connections that fill the queue of a listener with a backlog of 0."""
 
@@ -18,13 +19,17 @@
 class FaultyRelay:
     """Relays connections at ``address`` to ``target``, both ``IP:port``.
 
+    Args:
+        source_ip: address that the target sees connections come from; that of the peer if empty.
+
     Attributes:
         delay_s: waited before each piece is passed on, in seconds.
         is_mute: whether what the target sends is held back, while what it is sent passes.
         connections: connections relayed so far.
     """
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, source_ip: str = "") -> None:
+        self._source_ip = source_ip
         # The port is bound as it is drawn: one that is drawn first may be another's by then.
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
@@ -117,7 +122,9 @@
         with contextlib.suppress(OSError), near:
             if self._is_cut:
                 return
-            with socket.create_connection(self._target, timeout=_CONNECT_TIMEOUT_S) as far:
+            source_ip = self._source_ip or near.getpeername()[0]
+            source = None if source_ip == _LOOPBACK_IP else (source_ip, 0)
+            with socket.create_connection(self._target, _CONNECT_TIMEOUT_S, source) as far:
                 if _has_left(near):
                     # Without a relay its connection would not have come up, nor sent anything.
                     return
--- a/scripts/platform_deployment.py
+++ b/scripts/platform_deployment.py
@@ -279,7 +279,7 @@
         address = runner.listed_address or runner.address
         if not self._has_links or address in router.links:
             return
-        router.links[address] = FaultyRelay(address)
+        router.links[address] = FaultyRelay(address, router.ip)
         links = {listed: relay.address for listed, relay in router.links.items()}
         written = router.settings.with_suffix(".new")
         written.write_text(json.dumps(links))
--- a/src/martenrun/platform/standins/runner.py
+++ b/src/martenrun/platform/standins/runner.py
@@ -51,7 +51,11 @@
 class Arrival:
     """A request that reached the runner, whether it was executed or refused.
 
-    ``limit`` is the rate limit that its response advertises, or None.
+    Attributes:
+        limit: rate limit that its response advertises, or None.
+        source: IP address that it came from.
+        announces_drain: whether its response announces that the runner will stop.
+        retry_after: the backoff that its refusal requests, in seconds, or None.
     """
 
     request_id: str
@@ -59,6 +63,9 @@
     born_ms: int
     at: float
     limit: str | None
+    source: str = ""
+    announces_drain: bool = False
+    retry_after: str | None = None
 
 
 @attrs.frozen
@@ -90,6 +97,9 @@
             None; it crashes on more.
         rejected_at: times at which it turned requests away for want of room.
         limit: rate limit that its responses advertise, in requests per second, or None.
+        announces_drain: whether its responses announce that it will stop, whatever its entry says.
+        retry_after: if set, it refuses all requests and requests this backoff, in seconds.
+        control_arrivals: orders and requests for its report, with the time of each.
         events: number of events in a stream.
         event_pause_of: returns the pause between two events of a request, in seconds.
         listed_address: address in the runner's entry, if others reach it by a relay.
@@ -123,6 +133,9 @@
         self._in_service = 0
         self._waiting = 0
         self.limit: str | None = None
+        self.announces_drain = False
+        self.retry_after: str | None = None
+        self.control_arrivals: list[Arrival] = []
         self.arrivals: list[Arrival] = []
         self.runs: list[Run] = []
         self.ends: list[RunEnd] = []
@@ -194,6 +207,8 @@
         self.previous_orders += self.orders
         self.orders = []
         self.is_draining = False
+        self.announces_drain = False
+        self.retry_after = None
 
     def cut_streams(self) -> None:
         """Break all streams in progress off, each partway through its next event."""
@@ -232,19 +247,23 @@
     protocol_version = "HTTP/1.1"
     runner: RunnerStandin
     _limit: str | None = None
+    _announces_drain = False
 
     def log_message(self, format: str, *args: object) -> None:
         """Suppress the access log."""
 
     def do_GET(self) -> None:
         """Return the report, or execute a request."""
+        self._announces_drain = self.runner.announces_drain
         if self.path == "/martenrun/report":
+            self.runner.control_arrivals.append(self._new_arrival(None))
             self._send(200, msgspec.json.encode(self.runner.report()), {})
         else:
             self._run(b"")
 
     def do_POST(self) -> None:
         """Accept an order, or execute a request."""
+        self._announces_drain = self.runner.announces_drain
         body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
         if self.path == "/martenrun/order":
             self._order(msgspec.json.decode(body))
@@ -252,6 +271,7 @@
             self._run(body)
 
     def _order(self, order: dict[str, object]) -> None:
+        self.runner.control_arrivals.append(self._new_arrival(None))
         if self.headers.get("X-Expect-Instance") != self.runner.instance:
             self._send(421, b"", {})
             return
@@ -266,18 +286,15 @@
     def _run(self, body: bytes) -> None:
         runner = self.runner
         self._limit = runner.limit
-        runner.arrivals.append(
-            Arrival(
-                self._request_id(),
-                runner.instance,
-                runner.born_ms,
-                time.monotonic(),
-                self._limit,
-            )
-        )
-        if not self._matches_expectations():
+        is_expected = self._matches_expectations()
+        retry_after = runner.retry_after if is_expected else None
+        runner.arrivals.append(self._new_arrival(retry_after))
+        if not is_expected:
             self._send(421, b"", {"X-Instance-Id": self.runner.instance})
             return
+        if retry_after is not None:
+            self._send(503, b"", {"X-Not-Executed": "1", "Retry-After": retry_after})
+            return
         if not runner.occupy_slot():
             self._send(503, b"", {"X-Not-Executed": "1"})
             if runner.is_overwhelmed():
@@ -289,6 +306,18 @@
         finally:
             runner.free_slot()
 
+    def _new_arrival(self, retry_after: str | None) -> Arrival:
+        return Arrival(
+            self._request_id(),
+            self.runner.instance,
+            self.runner.born_ms,
+            time.monotonic(),
+            self._limit,
+            self.client_address[0],
+            self._announces_drain,
+            retry_after,
+        )
+
     def _execute(self, body: bytes) -> None:
         fault = self.runner.fault()
         if fault is Fault.FULL:
@@ -347,7 +376,7 @@
         cuts = self.runner.stream_cuts
         self.send_response(200)
         self.send_header("X-Request-Id", self._request_id())
-        for name, value in (self._signature() | self._limit_header()).items():
+        for name, value in (self._signature() | self._notices()).items():
             self.send_header(name, value)
         self.send_header("Content-Type", "text/event-stream")
         self.send_header("Transfer-Encoding", "chunked")
@@ -370,7 +399,7 @@
     def _send(self, status: int, body: bytes, headers: dict[str, str]) -> None:
         self.send_response(status)
         self.send_header("X-Request-Id", self._request_id())
-        for name, value in (headers | self._limit_header()).items():
+        for name, value in (headers | self._notices()).items():
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
@@ -379,10 +408,14 @@
     def _request_id(self) -> str:
         return str(self.headers.get("X-Request-Id", ""))
 
-    def _limit_header(self) -> dict[str, str]:
-        brittleness = self.runner.brittleness
-        headers = {} if self._limit is None else {"Server-Limit": self._limit}
-        return headers if brittleness is None else {**headers, "Server-Brittle": brittleness}
+    def _notices(self) -> dict[str, str]:
+        """Return the header fields that say something about the runner itself."""
+        fields = {
+            "Server-Limit": self._limit,
+            "Server-Brittle": self.runner.brittleness,
+            "Server-Leaving": "1" if self._announces_drain else None,
+        }
+        return {name: value for name, value in fields.items() if value is not None}
 
     def _signature(self) -> dict[str, str]:
         return {"X-Response-Stamp": self.runner.instance}
--- a/src/martenrun/proof/router_checkers.py
+++ b/src/martenrun/proof/router_checkers.py
@@ -9,6 +9,10 @@
 from collections.abc import Sequence
 
 from martenrun.proof.limit_checker import runner_limits_are_respected
+from martenrun.proof.notice_checker import (
+    announced_drains_are_respected,
+    requested_backoffs_are_respected,
+)
 from martenrun.proof.partition_checker import partitioned_routers_serve
 from martenrun.proof.router_records import (
     GREEDY_KIND,
@@ -332,6 +336,8 @@
         "deadly": deadly_requests_rest(history, bounds),
         "rates": tenants_keep_within_rates(history, bounds),
         "limits": runner_limits_are_respected(history, bounds),
+        "drains": announced_drains_are_respected(history, bounds),
+        "backoffs": requested_backoffs_are_respected(history),
         "partitions": partitioned_routers_serve(history, bounds),
         "software": streams_keep_their_software(history.streams),
         "resumed events": events_are_consecutive(history.streams),
--- a/src/martenrun/proof/router_records.py
+++ b/src/martenrun/proof/router_records.py
@@ -17,7 +17,8 @@
     """One request as its caller saw it; ``status`` None if the answer broke or never came.
 
     ``router`` is the address it was sent to; ``left_at`` when its caller closed the connection
-    without waiting for the answer.
+    without waiting for the answer; ``drain_noticed_at`` when it received a response that announces
+    the drain of a runner.
     """
 
     request_id: str
@@ -28,6 +29,7 @@
     body: bytes
     router: str = ""
     left_at: float | None = None
+    drain_noticed_at: float | None = None
 
 
 @attrs.frozen
@@ -163,6 +165,26 @@
     requests_per_s: float
 
 
+@attrs.frozen
+class NoticeArrival:
+    """A request that reached a runner, by whichever router sent it there.
+
+    Attributes:
+        router: address at which the router that sent it serves callers.
+        born_ms: start time of the runner in milliseconds, which identifies the start.
+        announces_drain: whether the response announces that the runner will stop.
+        backoff_s: the backoff that the runner's refusal requested, in seconds, or None.
+    """
+
+    request_id: str
+    router: str
+    instance: str
+    born_ms: int
+    at: float
+    announces_drain: bool = False
+    backoff_s: float | None = None
+
+
 @attrs.frozen
 class LimitBound:
     """Bound on the requests that a runner receives while it advertises a rate limit.
@@ -273,3 +295,5 @@
     partitions: Sequence[Partition] = ()
     streams: Sequence[StreamRecord] = ()
     software_spans: Sequence[SoftwareSpan] = ()
+    notice_arrivals: Sequence[NoticeArrival] = ()
+    suspensions: Sequence[Trouble] = ()
