A drain announced by a response counts like that of the runner's entry

Callers saw: requests reached a runner up to 13 s after the same router had returned a response with Server-Leaving (DRAIN); runners about to stop break what they still run. Cause: whether a runner drains was asked of its entry in eleven places, and the entry cannot change while the store is away. What a response said was taken as a result of one request. Change: one property of the runner's state, set by entry or response and never taken back, which placement, pool, crash detection, rollouts and probes ask. Idle connections are closed. A runner that began to drain within 0.4 of the bound is the last choice for all requests, so far for resumed streams only; when all runners drain longer, requests are refused at once. A test of mine about restarted runners is replaced: it expected requests at one of six idle runners.

--- a/src/martenrun/router/crash_detector.py
+++ b/src/martenrun/router/crash_detector.py
@@ -153,7 +153,7 @@
     def handle_disconnect(self, state: RunnerState, fingerprint: bytes) -> None:
         """Handle a request whose connection closed before its response was complete."""
         runner = state.runner
-        if runner.is_draining:
+        if state.is_draining:
             return
         if self._runners.has_restarted(runner):
             # The entry of a later instance arrived before this connection broke.
--- a/src/martenrun/router/crash_tracker.py
+++ b/src/martenrun/router/crash_tracker.py
@@ -90,7 +90,7 @@
         self, state: RunnerState, request: HttpRequest, admitted: AdmittedRequest
     ) -> None:
         """Record that a runner restarted while serving a request."""
-        if not state.runner.is_draining:
+        if not state.is_draining:
             self._record_crashes(state.runner.instance, [request_fingerprint(request, admitted)])
 
     def summaries(self) -> list[CrashSummary]:
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -367,6 +367,9 @@
 
     def _wait_or_refuse(self, reason: str) -> None:
         """Try again shortly, or refuse early enough for the caller to be served elsewhere."""
+        if self._runner_choice.are_all_draining():
+            self._refuse("runners_draining", self._peer_route.refusal_delay_s())
+            return
         waited_s = self._services.loop.now() - self._started_at
         limit_s = self._admitted.route.objective_s * self._parameters.waiting_share
         limited_s = self._runner_choice.limited_for_s()
--- a/src/martenrun/router/placement.py
+++ b/src/martenrun/router/placement.py
@@ -37,8 +37,8 @@
         now: monotonic time, in seconds.
         suspect_fingerprint: fingerprint of a request suspected of crashing a runner, else None.
         software: software version that the runner must have, or None for any.
-        longest_drain_s: how long a draining runner may still be chosen if no other runner can
-            serve the request, in seconds.
+        longest_drain_s: how long after its drain became known a runner may still be chosen if no
+            other runner can serve the request, in seconds.
     """
 
     parts: tuple[PromptPart, ...]
@@ -72,7 +72,7 @@
             if not state.is_limited(query.now)
             and state.runner.instance not in query.tried_instances
         ]
-        usable = [state for state in allowed if not state.runner.is_draining]
+        usable = [state for state in allowed if not state.is_draining]
         healthy = _healthy(query, usable)
         if not healthy:
             return _least_failing(query, usable) or _latest_draining(query, allowed)
@@ -221,11 +221,7 @@
 
 def _healthy(query: PlacementQuery, states: Sequence[RunnerState]) -> list[RunnerState]:
     """Return the runners that are neither draining nor to be avoided."""
-    return [
-        state
-        for state in states
-        if not state.runner.is_draining and not state.is_avoided(query.now)
-    ]
+    return [state for state in states if not state.is_draining and not state.is_avoided(query.now)]
 
 
 def _assigned_by_fingerprint(fingerprint: bytes, states: Sequence[RunnerState]) -> RunnerState:
--- a/src/martenrun/router/rollout_plan.py
+++ b/src/martenrun/router/rollout_plan.py
@@ -50,7 +50,7 @@
     found = []
     for state in states:
         current = state.weights_version(model)
-        if current is not None and current < version and not state.runner.is_draining:
+        if current is not None and current < version and not state.is_draining:
             found.append(state)
     return found
 
@@ -109,5 +109,5 @@
     return [
         state
         for state in states
-        if state.weights_version(query.model) is not None and not state.runner.is_draining
+        if state.weights_version(query.model) is not None and not state.is_draining
     ]
--- a/src/martenrun/router/runner_choice.py
+++ b/src/martenrun/router/runner_choice.py
@@ -1,5 +1,6 @@
 """Chooses the runner for a request and checks whether it can start there soon enough."""
 
+import math
 from collections.abc import Callable
 
 import attrs
@@ -13,7 +14,7 @@
 from martenrun.router.runner_state import RunnerState
 
 DRAINING_SHARE = 0.4
-"""Share of the drain time in which a draining runner still resumes streams of its software.
+"""Share of the drain time in which a draining runner is still chosen if no other runner is left.
 
 The rest covers the time until this router learned of the drain.
 """
@@ -64,17 +65,30 @@
         query = placement_query(
             self._world, self._admitted, self.tried_instances, suspect_fingerprint
         )
-        software = self._software()
-        if software is None:
-            return query
-        drain_s = self._world.settings.bounds.drain_s * DRAINING_SHARE
-        return attrs.evolve(query, software=software, longest_drain_s=drain_s)
+        return attrs.evolve(query, software=self._software(), longest_drain_s=self._longest_drain_s)
+
+    @property
+    def _longest_drain_s(self) -> float:
+        return self._world.settings.bounds.drain_s * DRAINING_SHARE
 
     def has_listed_runner(self) -> bool:
-        """Return whether a runner of the required software version is listed."""
+        """Return whether a listed runner of the required software version may serve requests."""
         software = self._software()
-        states = self._world.pool.states(self._admitted.service)
-        return any(software in (None, state.software_id) for state in states)
+        return any(software in (None, state.software_id) for state in self._staying_runners())
+
+    def are_all_draining(self) -> bool:
+        """Return whether the service has runners and none of them may serve further requests."""
+        has_runners = bool(self._world.pool.states(self._admitted.service))
+        return has_runners and not self._staying_runners()
+
+    def _staying_runners(self) -> list[RunnerState]:
+        """Return the runners that do not drain, or have begun to do so lately."""
+        recent = self._world.loop.now() - self._longest_drain_s
+        return [
+            state
+            for state in self._world.pool.states(self._admitted.service)
+            if not state.is_draining or (state.draining_since or -math.inf) > recent
+        ]
 
     def known_fingerprint(self) -> bytes | None:
         """Return the request's fingerprint if there are crash records to compare it with."""
--- a/src/martenrun/router/runner_pool.py
+++ b/src/martenrun/router/runner_pool.py
@@ -6,6 +6,7 @@
 
 from martenrun.net.client import ClientConnection, ResponseReader
 from martenrun.net.loop import Loop
+from martenrun.router.log import log_event
 from martenrun.router.messages import Runner
 from martenrun.router.runner_state import RunnerState
 
@@ -58,13 +59,24 @@
                 entry = self._entries[instance] = _PooledRunner(RunnerState(runner))
             entry.state.runner = runner
             if runner.is_draining:
-                self._close_idle(entry)
-                if entry.state.draining_since is None:
-                    entry.state.draining_since = self._loop.now()
+                self.record_draining(entry.state, "entry")
         self._by_service = {}
         for entry in self._entries.values():
             self._by_service.setdefault(entry.state.runner.service, []).append(entry.state)
 
+    def record_draining(self, state: RunnerState, source: str) -> None:
+        """Record that a runner announces that it will stop, and close idle connections to it.
+
+        Args:
+            source: where that became known, for the log.
+        """
+        if not state.record_draining(self._loop.now()):
+            return
+        log_event("runner_draining", instance=state.runner.instance, source=source)
+        entry = self._entries.get(state.runner.instance)
+        if entry is not None:
+            self._close_idle(entry)
+
     def services(self) -> list[str]:
         """Return the services that have listed runners."""
         return list(self._by_service)
@@ -82,7 +94,7 @@
         addresses = [
             state.runner.address
             for state in self.all_states()
-            if state.runner.instance != instance and not state.runner.is_draining
+            if state.runner.instance != instance and not state.is_draining
         ]
         random.shuffle(addresses)
         return addresses
@@ -146,7 +158,7 @@
 
     def _reuse_handler(self, entry: _PooledRunner | None):  # type: ignore[no-untyped-def]
         def on_reusable(connection: ClientConnection) -> None:
-            if entry is None or entry.state.runner.is_draining:
+            if entry is None or entry.state.is_draining:
                 connection.close()
             elif self._entries.get(entry.state.runner.instance) is not entry:
                 # The runner was removed during the request, so its idle list is never closed.
--- a/src/martenrun/router/runner_responses.py
+++ b/src/martenrun/router/runner_responses.py
@@ -70,10 +70,9 @@
 ) -> None:
     """Record the announcement of a stop and the request for a backoff."""
     instance = state.runner.instance
-    if metadata.is_draining and not state.is_draining:
-        state.record_draining(now)
+    if metadata.is_draining and state.draining_since is None:
+        services.pool.record_draining(state, "response")
         services.count_notice("draining")
-        log_event("runner_draining", instance=instance, source="response")
     if metadata.backoff is None:
         return
     if metadata.backoff.seconds is None:
--- a/src/martenrun/router/runner_state.py
+++ b/src/martenrun/router/runner_state.py
@@ -92,10 +92,16 @@
         """Whether its entry or a response of it announces that it will stop."""
         return self.runner.is_draining or self.draining_since is not None
 
-    def record_draining(self, now: float) -> None:
-        """Record that it announces that it will stop, which an instance never takes back."""
-        if self.draining_since is None:
+    def record_draining(self, now: float) -> bool:
+        """Record that it announces that it will stop, which an instance never takes back.
+
+        Returns:
+            whether that was not known before.
+        """
+        is_news = self.draining_since is None
+        if is_news:
             self.draining_since = now
+        return is_news
 
     def record_backoff(self, until: float) -> None:
         """Record that it asks for no requests until a time; a longer backoff is kept."""
--- a/tests/router/test_forwarding.py
+++ b/tests/router/test_forwarding.py
@@ -92,6 +92,9 @@
     def record_broken_connection(self, connection):
         pass
 
+    def record_draining(self, state, source):
+        state.record_draining(self._loop.now())
+
     def send(self, chosen, data, reader, expected_id, may_repeat):
         self.sent.append(chosen.runner.instance)
         connection = FakeConnection()
--- a/tests/router/test_runner_notices.py
+++ b/tests/router/test_runner_notices.py
@@ -71,17 +71,21 @@
 
 
 # Guards against a drain of one start of a runner that is attributed to its next start.
-def test_a_restarted_runner_receives_requests_after_an_announced_drain(deployment):
-    callers = SteadyCallers(deployment, CALLS_PER_S)
+def test_restarted_runners_receive_requests_after_announced_drains(deployment):
+    callers = SteadyCallers(deployment, CALLS_PER_S, ["/slip/x", "/pay/x"])
     callers.run_for(1.0)
-    (runner,) = some_of_each_kind(deployment, 1)[:1]
-    runner.announces_drain = True
+    plain = [runner for runner in deployment.runners if runner.model is None]
+    for runner in plain:
+        runner.announces_drain = True
     callers.run_for(DRAIN_S)
-    runner.start_new_instance()
-    deployment.list_runner(runner)
+    for runner in plain:
+        runner.start_new_instance()
+        deployment.list_runner(runner)
+    callers.run_for(1.0)
+    served_from = time.monotonic()
     callers.run_for(2.0)
     callers.stop()
-    assert any(item.born_ms == runner.born_ms for item in runner.arrivals)
+    assert callers.served_share(served_from) == 1.0
     assert late_requests(callers, deployment.runners) == []
 
 
