What a router knows of a runner outlasts a lapsed entry

Callers saw: a runner that had announced its drain got requests again as soon as its entry was back after the store's absence. Cause: RunnerPool dropped the state with the entry, and with it the announced drain, learned weights and failures; the entry back a second later began with a clean state. A new start of a runner has another instance key and a state of its own.

--- a/src/martenrun/router/runner_pool.py
+++ b/src/martenrun/router/runner_pool.py
@@ -29,6 +29,12 @@
 IDLE_LIMIT_MARGIN_S = 0.6
 """Connections are not reused this many seconds before the advertised keep-alive time ends."""
 
+UNLISTED_RETENTION_S = 60.0
+"""How long the state of an unlisted runner is kept, in seconds.
+
+Entries of live runners expire while the store is unavailable.
+"""
+
 MAX_IDLE_CONNECTIONS = 32
 """Maximum number of idle connections per runner."""
 
@@ -45,6 +51,7 @@
     def __init__(self, loop: Loop) -> None:
         self._loop = loop
         self._entries: dict[str, _PooledRunner] = {}
+        self._unlisted: dict[str, tuple[RunnerState, float]] = {}
         self._by_service: dict[str, list[RunnerState]] = {}
         self._stale_seen_at = -STALE_MEMORY_S
 
@@ -56,10 +63,12 @@
         for instance, runner in runners.items():
             entry = self._entries.get(instance)
             if entry is None:
-                entry = self._entries[instance] = _PooledRunner(RunnerState(runner))
+                state, _ = self._unlisted.pop(instance, (RunnerState(runner), 0.0))
+                entry = self._entries[instance] = _PooledRunner(state)
             entry.state.runner = runner
             if runner.is_draining:
                 self.record_draining(entry.state, "entry")
+        self._forget_unlisted()
         self._by_service = {}
         for entry in self._entries.values():
             self._by_service.setdefault(entry.state.runner.service, []).append(entry.state)
@@ -104,6 +113,12 @@
         entry = self._entries.get(instance)
         return None if entry is None else entry.state
 
+    def recent_state(self, instance: str) -> RunnerState | None:
+        """Return the state of a runner instance that is listed or was so lately, or None."""
+        if instance in self._unlisted:
+            return self._unlisted[instance][0]
+        return self.state(instance)
+
     def has_idle_connection(self, instance: str) -> bool:
         """Return whether an idle connection to a runner is still open."""
         entry = self._entries.get(instance)
@@ -185,4 +200,12 @@
             connection.close()
 
     def _remove(self, instance: str) -> None:
-        self._close_idle(self._entries.pop(instance))
+        entry = self._entries.pop(instance)
+        self._close_idle(entry)
+        self._unlisted[instance] = entry.state, self._loop.now()
+
+    def _forget_unlisted(self) -> None:
+        now = self._loop.now()
+        for instance, (_, removed_at) in list(self._unlisted.items()):
+            if now - removed_at > UNLISTED_RETENTION_S:
+                del self._unlisted[instance]
--- a/tests/router/test_runner_pool.py
+++ b/tests/router/test_runner_pool.py
@@ -7,6 +7,7 @@
     SAFE_IDLE_LIMIT_S,
     STALE_MEMORY_S,
     SUSPECT_IDLE_LIMIT_S,
+    UNLISTED_RETENTION_S,
     RunnerPool,
 )
 
@@ -91,3 +92,34 @@
     pool.update({})
     connection.release()
     assert not connection.is_open
+
+
+# Guards against drains, weights and failures that are forgotten while an entry is missing.
+def test_what_is_known_of_a_runner_outlasts_a_lapsed_entry(pool):
+    known = pool.state("i-0")
+    pool.record_draining(known, "response")
+    known.record_weights("m", 3)
+    pool.update({})
+    assert pool.state("i-0") is None and pool.states("s") == []
+    assert pool.recent_state("i-0") is known
+    pool._loop.time += UNLISTED_RETENTION_S - 1
+    pool.update({"i-0": runner("i-0")})
+    assert pool.state("i-0") is known
+    assert known.is_draining and known.weights_version("m") == 3
+
+
+def test_the_state_of_an_unlisted_runner_is_forgotten_after_a_while(pool):
+    known = pool.state("i-0")
+    pool.update({})
+    pool._loop.time += UNLISTED_RETENTION_S + 1
+    pool.update({})
+    assert pool.recent_state("i-0") is None
+    pool.update({"i-0": runner("i-0")})
+    assert pool.state("i-0") is not known
+
+
+# Guards against a drain of one start of a runner that is attributed to its next start.
+def test_a_new_start_of_a_runner_has_a_state_of_its_own(pool):
+    pool.record_draining(pool.state("i-0"), "response")
+    pool.update({"i-0~00001": runner("i-0~00001", name="i-0", started_at_ms=1)})
+    assert not pool.state("i-0~00001").is_draining
