Runners that requested a backoff are sent no requests until it ends

A refusal marked it as full for 0.15 s; after that it was chosen like any other, also as a last resort. Change: backoff_until on the runner's state, which placement excludes without exception; the latest end counts, and neither successes, changed rate limits, lapsed entries nor broken values shorten it. It is asked again when the connection is up. After it the runner gets one request at a time until it accepts one. If all runners are blocked by rate limits or backoffs, or full for a moment, the first end decides between a short wait and a refusal at once, whose Retry-After is that end and a turn. Begun streams that would wait too long are broken off at once. Probes prefer other runners, rollouts take these last.

--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -172,12 +172,21 @@
             return
         limits = self._services.runner_limits
         if not self._has_grant and limits.limit(self.state.runner.instance) is not None:
-            # The limit was received while connecting; this is not a failure of the runner.
             limits.count("withheld")
-            self.cancel()
-            self._listener.on_failure(Failure.NOT_SENT, self)
-            return
-        self.was_sent = True
+            self._withdraw()
+        elif self.state.is_backing_off(self._services.loop.now()):
+            self._services.count_notice("withheld")
+            self._withdraw()
+        else:
+            self.was_sent = True
+
+    def _withdraw(self) -> None:
+        """Send the request elsewhere: what forbids it became known while connecting.
+
+        Not a failure of the runner.
+        """
+        self.cancel()
+        self._listener.on_failure(Failure.NOT_SENT, self)
 
     def on_head(self, status: int, headers: Headers, length: int | None) -> None:
         """Process the response head; an encoded or unsigned response fails the attempt."""
@@ -196,6 +205,7 @@
         record_response(self._services, self.state, head)
         if metadata.is_not_executed:
             return
+        self.state.record_accepted(self.started_at)
         if metadata.is_encoded or (status < 300 and not metadata.is_signed):
             self._fail(Failure.BROKEN)
             return
@@ -312,6 +322,8 @@
 
     def _handle_refusal(self) -> None:
         now = self._services.loop.now()
+        if self.state.is_backing_off(now):
+            return
         if self.status != STATUS_MISDIRECTED:
             self.state.full_until = now + FULL_RUNNER_BACKOFF_S
             return
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -316,7 +316,8 @@
 
     def _may_resume_later(self, failure: Failure, state: AttemptState, now: float) -> bool:
         """Return whether a runner of the stream's software version may soon be usable again."""
-        if state.has_other_runner or self._caller_stream.gap_s(now) > MAXIMUM_GAP_S:
+        blocked_s = self._runner_choice.all_blocked_for_s() or 0.0
+        if state.has_other_runner or self._caller_stream.gap_s(now) + blocked_s > MAXIMUM_GAP_S:
             return False
         would_resume = attrs.evolve(state, has_other_runner=True)
         return (
@@ -372,16 +373,17 @@
             return
         waited_s = self._services.loop.now() - self._started_at
         limit_s = self._admitted.route.objective_s * self._parameters.waiting_share
-        limited_s = self._runner_choice.limited_for_s()
-        next_choice_s = max(RUNNER_POLL_INTERVAL_S, limited_s or 0.0)
+        blocked_s = self._runner_choice.all_blocked_for_s()
+        next_choice_s = max(RUNNER_POLL_INTERVAL_S, blocked_s or 0.0)
         if (
             waited_s + next_choice_s > limit_s
             or len(self._sender.attempted_instances) >= MAXIMUM_SENDS
         ):
-            if limited_s is None:
+            if blocked_s is None:
                 self._refuse(reason)
             else:
-                self._refuse("runner_limits", self._runner_choice.retry_delay_s(limited_s))
+                reason = self._runner_choice.blocking_reason()
+                self._refuse(reason, self._runner_choice.retry_delay_s(blocked_s))
             return
         self._runner_choice.tried_instances.clear()
         self._services.loop.call_later(RUNNER_POLL_INTERVAL_S, self._choose_runner)
--- a/src/martenrun/router/partition_monitor.py
+++ b/src/martenrun/router/partition_monitor.py
@@ -117,7 +117,8 @@
             return
         jitter = random.uniform(1.0, 1.0 + PROBE_JITTER_SHARE)
         self._next_probe_at[service] = now + PROBE_INTERVAL_S * jitter
-        states = [state for state in self._services.pool.states(service) if not state.is_draining]
+        staying = [state for state in self._services.pool.states(service) if not state.is_draining]
+        states = [state for state in staying if not state.is_backing_off(now)] or staying
         count = 1 if service in self._unreachable else PROBED_RUNNERS
         for state in random.sample(states, min(count, len(states))):
             self._probe_runner(service, state, now)
--- a/src/martenrun/router/placement.py
+++ b/src/martenrun/router/placement.py
@@ -69,7 +69,7 @@
         allowed = [
             state
             for state in _with_usable_weights(query, _with_software(query, states))
-            if not state.is_limited(query.now)
+            if not state.is_blocked(query.now)
             and state.runner.instance not in query.tried_instances
         ]
         usable = [state for state in allowed if not state.is_draining]
@@ -82,16 +82,24 @@
             return self._cheapest(query, healthy)
         return min(healthy, key=lambda state: self._cost_without_prompt(query, state))
 
-    def limited_for_s(self, query: PlacementQuery, states: Sequence[RunnerState]) -> float | None:
-        """Return the time until the first rate limit of a runner allows the request, in seconds.
+    def blocked_for_s(self, query: PlacementQuery, states: Sequence[RunnerState]) -> float | None:
+        """Return the time until a rate limit or backoff first allows the request, in seconds.
 
-        None if the request is not blocked by rate limits alone.
+        None if the request is not blocked by rate limits and backoffs alone.
         """
-        healthy = _with_usable_weights(query, _healthy(query, _with_software(query, states)))
         now = query.now
-        if not healthy or not all(state.is_limited(now) for state in healthy):
+        reliable = [
+            state
+            for state in _with_usable_weights(query, _with_software(query, states))
+            if not state.is_draining and not state.is_unreliable(now)
+        ]
+        blocked = [state for state in reliable if state.is_blocked(now)]
+        busy = [state for state in reliable if state.is_avoided(now) and state not in blocked]
+        if not blocked or len(blocked) + len(busy) < len(reliable):
             return None
-        return max(0.0, min(state.limited_until for state in healthy) - now)
+        ends = [state.blocked_until for state in blocked]
+        ends += [max(state.full_until, state.loading_until) for state in busy]
+        return max(0.0, min(ends) - now)
 
     def prefill_tokens(self, query: PlacementQuery, state: RunnerState) -> float:
         """Return the estimated prefill of a request at a runner, in tokens."""
--- a/src/martenrun/router/rollout_plan.py
+++ b/src/martenrun/router/rollout_plan.py
@@ -56,7 +56,10 @@
 
 
 def runners_to_load(query: RolloutQuery, states: Sequence[RunnerState]) -> list[RunnerState]:
-    """Return the runners to load now: those with the oldest weights first, then the least busy."""
+    """Return the runners to load now: those with the oldest weights first, then the least busy.
+
+    Runners that have asked this router for no requests come last.
+    """
     if query.now + query.parameters.runs_end_s > query.stops_at:
         return []
     candidates = [
@@ -65,7 +68,12 @@
         if state.runner.instance not in query.loading
         and query.now >= query.not_before.get(state.runner.instance, 0.0)
     ]
-    candidates.sort(key=lambda state: (state.weights_version(query.model) or 0, state.load))
+
+    def order(state: RunnerState) -> tuple[bool, int, int]:
+        version = state.weights_version(query.model) or 0
+        return state.is_backing_off(query.now), version, state.load
+
+    candidates.sort(key=order)
     limit = max(_default_parallel_loads(query, states), _required_parallel_loads(query, candidates))
     # Runners whose weights are too old to serve load at once, as they get no requests anyway.
     expired = sum(_serves_until(query, state) <= query.now for state in candidates)
--- a/src/martenrun/router/runner_choice.py
+++ b/src/martenrun/router/runner_choice.py
@@ -101,24 +101,37 @@
         """Return for how long requests like this one are blocked, in seconds; 0 if they are not."""
         return self._world.suspects.blocked_for_s(self.known_fingerprint())
 
-    # Rate limits of runners
+    # Rate limits and backoffs of runners
 
-    def limited_for_s(self) -> float | None:
-        """Return for how long rate limits block the request at all runners; None if they do not."""
+    def all_blocked_for_s(self) -> float | None:
+        """Return for how long rate limits and backoffs block the request; None if they do not."""
         states = self._world.runner_states(self._admitted.service)
-        limited_s = self._world.placement.limited_for_s(self.placement_query(), states)
+        blocked_s = self._world.placement.blocked_for_s(self.placement_query(), states)
         if self._yields_to_urgent() and len(self._limited_runners()) == len(states):
-            return max(limited_s or 0.0, MINIMUM_YIELD_DELAY_S)
-        return limited_s
+            return max(blocked_s or 0.0, MINIMUM_YIELD_DELAY_S)
+        return blocked_s
 
-    def retry_delay_s(self, limited_s: float) -> float:
-        """Return the retry delay for a caller refused because of rate limits, in seconds."""
+    def blocking_reason(self) -> str:
+        """Return for the log what blocks the request."""
+        return "runner_limits" if self._limited_runners() else "runner_backoffs"
+
+    def retry_delay_s(self, blocked_s: float) -> float:
+        """Return the retry delay for a caller refused because all runners are blocked, in seconds.
+
+        A runner whose backoff ends is expected to take a request a second in each slot.
+        """
         now = self._world.loop.now()
-        if self._is_urgent():
+        limited = self._limited_runners()
+        if limited and self._is_urgent():
             self._guard.record_urgent_refused(now)
-        per_s = sum(rate for _, rate in self._limited_runners())
+        per_s = sum(rate for _, rate in limited)
+        per_s += sum(
+            max(1, state.runner.slots)
+            for state in self._world.pool.states(self._admitted.service)
+            if state.is_backing_off(now)
+        )
         per_router = max(MINIMUM_REQUESTS_PER_S, per_s) / max(1, self._world.router_count())
-        return self._guard.retry_schedule.next_delay_s(limited_s, per_router, now)
+        return self._guard.retry_schedule.next_delay_s(blocked_s, per_router, now)
 
     def _limited_runners(self) -> list[tuple[RunnerState, float]]:
         """Return the limited and brittle runners, with the requests per second that they take.
--- a/src/martenrun/router/runner_pool.py
+++ b/src/martenrun/router/runner_pool.py
@@ -30,7 +30,7 @@
 """Connections are not reused this many seconds before the advertised keep-alive time ends."""
 
 UNLISTED_RETENTION_S = 60.0
-"""How long the state of an unlisted runner is kept, in seconds.
+"""How long the state of an unlisted runner is kept at least, in seconds.
 
 Entries of live runners expire while the store is unavailable.
 """
@@ -206,6 +206,6 @@
 
     def _forget_unlisted(self) -> None:
         now = self._loop.now()
-        for instance, (_, removed_at) in list(self._unlisted.items()):
-            if now - removed_at > UNLISTED_RETENTION_S:
+        for instance, (state, removed_at) in list(self._unlisted.items()):
+            if now - removed_at > UNLISTED_RETENTION_S and not state.is_backing_off(now):
                 del self._unlisted[instance]
--- a/src/martenrun/router/runner_state.py
+++ b/src/martenrun/router/runner_state.py
@@ -16,6 +16,9 @@
 LOADING_TIMEOUT_S = 4.0
 """Time for which a runner counts as loading without a further update, in seconds."""
 
+TRIAL_INTERVAL_S = 1.0
+"""Minimum time between requests to a runner after a backoff until it accepts one, in seconds."""
+
 UNRESPONSIVE_AFTER_S = 0.7
 """Time without a byte after which a runner with pending requests is unresponsive, in seconds."""
 
@@ -49,6 +52,8 @@
         is_grant_pending: whether a request of this router is waiting for a grant to be sent to it.
         draining_since: time at which this router learned that it is draining, or None.
         backoff_until: time until which it has asked this router for no requests.
+        has_accepted: whether it has accepted a request since the latest backoff.
+        sent_at: time at which a request was last sent to it.
         instance_checked_at: time of the last request for its report, see
             :class:`martenrun.router.instance_check.InstanceCheck`.
         has_restarted: whether its report shows a later start than its entry.
@@ -79,6 +84,8 @@
     is_grant_pending: bool = False
     draining_since: float | None = None
     backoff_until: float = -math.inf
+    has_accepted: bool = True
+    sent_at: float = -math.inf
     instance_checked_at: float = -math.inf
     has_restarted: bool = False
 
@@ -106,6 +113,12 @@
     def record_backoff(self, until: float) -> None:
         """Record that it asks for no requests until a time; a longer backoff is kept."""
         self.backoff_until = max(self.backoff_until, until)
+        self.has_accepted = False
+
+    def record_accepted(self, sent_at: float) -> None:
+        """Record that it has accepted a request that was sent to it at a time."""
+        if sent_at >= self.backoff_until:
+            self.has_accepted = True
 
     def is_backing_off(self, now: float) -> bool:
         """Return whether it has asked this router for no requests now."""
@@ -157,6 +170,7 @@
 
     def record_sent(self, now: float) -> None:
         """Count a request that is sent to it."""
+        self.sent_at = now
         if self.in_flight == 0:
             self.waiting_since = now
         self.in_flight += 1
@@ -185,12 +199,31 @@
         """Return whether its rate limit prevents this router from sending it a request now."""
         return self.is_grant_pending or now < self.limited_until
 
+    def is_on_trial(self, now: float) -> bool:
+        """Return whether a first request after a backoff shows whether it accepts further ones.
+
+        If it still refuses, that costs one request and not all that arrive meanwhile.
+        """
+        is_sent = self.sent_at >= self.backoff_until and now < self.sent_at + TRIAL_INTERVAL_S
+        return is_sent and not self.has_accepted
+
+    @property
+    def blocked_until(self) -> float:
+        """Time until which its rate limit or a backoff excludes it."""
+        return max(self.limited_until, self.backoff_until)
+
+    def is_blocked(self, now: float) -> bool:
+        """Return whether its rate limit or a backoff excludes it now."""
+        return self.is_limited(now) or self.is_backing_off(now) or self.is_on_trial(now)
+
     def is_avoided(self, now: float) -> bool:
         """Return whether any other usable runner is preferred, regardless of cost."""
+        return now < self.loading_until or now < self.full_until or self.is_unreliable(now)
+
+    def is_unreliable(self, now: float) -> bool:
+        """Return whether it has failed too often lately, or sends no data."""
         return (
-            now < self.loading_until
-            or now < self.full_until
-            or self.failure_score(now) >= AVOIDED_FAILURE_SCORE
+            self.failure_score(now) >= AVOIDED_FAILURE_SCORE
             or self.is_unresponsive(now)
             or self.unresponsive_reports.is_suspected(now)
         )
--- a/tests/router/test_runner_responses.py
+++ b/tests/router/test_runner_responses.py
@@ -107,3 +107,106 @@
     status, headers, _ = case.exchange.responses[0]
     assert status == 503 and float(headers[b"Retry-After"]) > 0
     assert case.pool.sent == []
+
+
+# Requested backoffs
+
+
+def refusal(retry_after):
+    return 503, [NOT_EXECUTED, (b"Retry-After", retry_after)], b""
+
+
+def sends_to(case, instance):
+    return case.pool.sent.count(instance)
+
+
+def test_a_runner_that_requested_a_backoff_is_not_the_last_choice_either():
+    case = ForwardingCase([refusal(b"3")] * 5, states=[state("i-0")]).run(1.0)
+    assert case.pool.sent == ["i-0"]
+    assert case.exchange.responses[0][0] == 503
+
+
+def test_a_request_is_refused_at_once_when_all_runners_back_off():
+    """Guards against requests that wait for a runner whose backoff outlasts their patience."""
+    runners = [state("i-0"), state("i-1")]
+    runners[0].record_backoff(103.0)
+    runners[1].record_backoff(107.0)
+    case = ForwardingCase(states=runners).run(0.001)
+    status, headers, _ = case.exchange.responses[0]
+    assert status == 503 and 3.0 <= float(headers[b"Retry-After"]) <= 5.0
+    assert case.pool.sent == []
+
+
+@pytest.mark.parametrize("later", [b"1", b"0", b"soon", b"-5", b""])
+def test_a_later_response_does_not_shorten_a_backoff(later):
+    case = ForwardingCase(states=[state("i-0")])
+    for value in (b"3", later):
+        response = HttpResponse(503, [(b"Retry-After", value)], b"")
+        record_control_response(case.services, case.states[0], response)
+    assert case.states[0].is_backing_off(102.9) and not case.states[0].is_backing_off(103.1)
+
+
+def test_a_success_does_not_end_a_backoff():
+    """Guards against a response to an earlier request that lifts the backoff."""
+    case = ForwardingCase(states=[state("i-0")]).run(0.01)
+    case.states[0].record_backoff(103.0)
+    reader = case.pool.readers[0]
+    reader.on_head(200, [STAMP], 2)
+    reader.on_body(b"ok")
+    reader.on_complete()
+    assert case.exchange.responses[0][0] == 200
+    assert case.states[0].is_blocked(102.9)
+
+
+def test_a_request_is_withdrawn_if_its_runner_requests_a_backoff_while_connecting():
+    case = ForwardingCase([], states=[state("i-0"), state("i-1")]).run(0.01)
+    first = case.pool.state(case.pool.sent[0])
+    first.record_backoff(103.0)
+    failures_before = first.failure_score(100.0)
+    case.pool.readers[0].on_sent()
+    assert case.pool.connections[0].is_closed
+    assert len(case.pool.sent) == 2 and case.pool.sent[0] != case.pool.sent[1]
+    assert first.failure_score(100.0) == failures_before
+
+
+def test_after_a_backoff_a_runner_gets_a_single_request_until_it_accepts_one():
+    """Guards against a burst of refused requests when a backoff ends."""
+    known = state("i-0")
+    known.record_backoff(103.0)
+    assert not known.is_blocked(103.1)
+    known.record_sent(103.1)
+    assert known.is_blocked(103.2)
+    known.record_accepted(102.0)
+    assert known.is_blocked(103.2)
+    known.record_accepted(103.1)
+    assert not known.is_blocked(103.2)
+
+
+def test_a_runner_that_is_silent_after_its_backoff_is_tried_again():
+    known = state("i-0")
+    known.record_backoff(103.0)
+    known.record_sent(103.1)
+    assert not known.is_blocked(104.2)
+
+
+def test_a_waiting_request_is_sent_once_a_runner_has_accepted_another_after_its_backoff():
+    known = state("i-0")
+    known.record_backoff(100.0)
+    known.record_sent(100.0)
+    case = ForwardingCase([GOOD], states=[known]).run(0.03)
+    assert case.pool.sent == []
+    known.record_accepted(100.0)
+    case.run(0.05)
+    assert case.exchange.responses[0][0] == 200
+
+
+def test_a_runner_that_is_full_for_a_moment_bounds_the_wait_for_one_that_backs_off():
+    backing_off, full = state("i-0"), state("i-1")
+    backing_off.record_backoff(130.0)
+    full.full_until = 100.15
+    waited_s = Placement().blocked_for_s(placement_query(), [backing_off, full])
+    assert waited_s == pytest.approx(0.15)
+    unreliable = state("i-2")
+    unreliable.record_failure(100.0, 5.0)
+    assert Placement().blocked_for_s(placement_query(), [backing_off, unreliable]) == 30.0
+    assert Placement().blocked_for_s(placement_query(), [backing_off, state("i-3")]) is None
