Responses to reports, probes and orders announce drains and backoffs, too

Cause: only responses to callers' requests were read for what they say of their runner. A lease holder or a router that probes learned of a drain later than it could. Change: record_control_response is called for reports of instance checks, partition probes and weights rollouts, and for orders.

--- a/src/martenrun/router/instance_check.py
+++ b/src/martenrun/router/instance_check.py
@@ -26,6 +26,7 @@
     Args:
         may_be_mixed: returns whether several software versions of a service may serve.
         on_restarted: called when a runner is found to have restarted.
+        record_response: records what a response announces about a runner.
     """
 
     def __init__(
@@ -36,6 +37,9 @@
         read_report: Callable[[bytes], RunnerReport],
         may_be_mixed: Callable[[str], bool],
         on_restarted: Callable[[], None] = lambda: None,
+        record_response: Callable[[RunnerState, HttpResponse | None], None] = (
+            lambda _state, _response: None
+        ),
     ) -> None:
         self._loop = loop
         self._probe = probe
@@ -43,6 +47,7 @@
         self._read_report = read_report
         self._may_be_mixed = may_be_mixed
         self._on_restarted = on_restarted
+        self._record_response = record_response
         self._waiting: dict[str, list[Callable[[], None]]] = {}
 
     def is_due(self, state: RunnerState) -> bool:
@@ -63,6 +68,7 @@
         sent_at = self._loop.now()
 
         def on_response(response: HttpResponse | None) -> None:
+            self._record_response(state, response)
             self._apply(state, response, sent_at)
             for call in self._waiting.pop(instance, ()):
                 call()
--- a/src/martenrun/router/partition_monitor.py
+++ b/src/martenrun/router/partition_monitor.py
@@ -15,6 +15,7 @@
 from martenrun.router.peer_messages import RouterRecord
 from martenrun.router.peers import Peers
 from martenrun.router.request_services import RequestServices
+from martenrun.router.runner_responses import record_control_response
 from martenrun.router.runner_state import UNRESPONSIVE_AFTER_S, RunnerState
 
 PROBE_INTERVAL_S = 0.5
@@ -125,6 +126,7 @@
 
     def _probe_runner(self, service: str, state: RunnerState, sent_at: float) -> None:
         def on_response(response: HttpResponse | None) -> None:
+            record_control_response(self._services, state, response)
             now = self._services.loop.now()
             reachability = self._services.reachability
             if response is not None:
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -38,6 +38,7 @@
 from martenrun.router.router_discovery import RouterDiscovery
 from martenrun.router.runner_limits import RunnerLimits
 from martenrun.router.runner_pool import RunnerPool
+from martenrun.router.runner_responses import record_control_response
 from martenrun.router.settings import RouterSettings
 from martenrun.router.store_client import HttpClient
 from martenrun.router.store_state import ConfigurationState, RunnerDirectory, WeightsState
@@ -147,6 +148,7 @@
             adapter.read_report,
             self._streams.may_be_mixed,
             lambda: self._requests.run_maintenance(self._loop.now()),
+            lambda state, response: record_control_response(self._services, state, response),
         )
         self._services.record_stream = self._streams.resumption.record_sent
         self._quotas = self._services.quotas = self._create_quota_gate(settings)
--- a/src/martenrun/router/weights_rollout.py
+++ b/src/martenrun/router/weights_rollout.py
@@ -22,6 +22,7 @@
 from martenrun.router.peers import Peers
 from martenrun.router.request_services import RequestServices
 from martenrun.router.rollout_plan import RolloutQuery, outdated_runners, runners_to_load
+from martenrun.router.runner_responses import record_control_response
 from martenrun.router.runner_state import RunnerState
 from martenrun.router.store_client import HttpClient
 from martenrun.router.store_readers import order_by_strength
@@ -403,4 +404,9 @@
         caller = self._callers.get(address)
         if caller is None:
             caller = self._callers[address] = HttpClient(self._world.loop, address)
-        caller.call(call, timeout_s, on_response)
+
+        def on_control_response(response: HttpResponse | None) -> None:
+            record_control_response(self._world, state, response)
+            on_response(response)
+
+        caller.call(call, timeout_s, on_control_response)
