A drain announced in a response that another router fetched binds this one, too

Cause: a router that is cut off from the runners forwards requests and returns the response of another router. It knew nothing of the runner behind it, so an announced drain it had passed on itself was forgotten by the time it reached the runner again. Change: the response to a forwarded request names the runner's instance if that announces a drain; the first router records it and removes the field. Fields of runners under that name are removed. Measured: the new tests of test_peer_forwarding.py fail without the change and pass with it.

--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -7,6 +7,7 @@
 from martenrun.net.client import CONNECT_TIMEOUT_S, ClientConnection
 from martenrun.net.http import Headers
 from martenrun.router.event_stream import BrokenStreamError
+from martenrun.router.forwarded_request import with_instance, without_internal_fields
 from martenrun.router.log import log_warning
 from martenrun.router.messages import AdmittedRequest, ResponseMetadata, RouteKind, unknown_software
 from martenrun.router.quotas.gate import Grant
@@ -198,9 +199,14 @@
                 self._admitted.service, self.connection.opened_at, now
             )
         self.status = status
-        self.headers = headers
         metadata = self._services.adapter.read_response_metadata(status, headers)
         self._metadata = metadata
+        self.headers = headers
+        if self._admitted.call.forwarded is not None:
+            # Fields of the runner must not be taken for those that routers add for each other.
+            self.headers = without_internal_fields(headers)
+            if metadata.is_draining:
+                self.headers = with_instance(headers, self.state.runner.instance)
         head = RunnerResponse(headers, metadata, self.started_at)
         record_response(self._services, self.state, head)
         if metadata.is_not_executed:
--- a/src/martenrun/router/caller_stream.py
+++ b/src/martenrun/router/caller_stream.py
@@ -5,7 +5,7 @@
 from martenrun.net.server import Exchange
 from martenrun.router.attempt import SentRequest
 from martenrun.router.event_stream import EventSplitter
-from martenrun.router.forwarded_request import software_field, without_internal_fields
+from martenrun.router.forwarded_request import software_field
 
 
 class CallerStream:
@@ -78,7 +78,7 @@
             return
         headers = end_to_end(attempt.headers)
         if self._tells_software:
-            headers = [*without_internal_fields(headers), software_field(attempt.software)]
+            headers = [*headers, software_field(attempt.software)]
         self._exchange.start(attempt.status, headers, None)
 
     def gap_s(self, now: float) -> float:
--- a/src/martenrun/router/forwarded_request.py
+++ b/src/martenrun/router/forwarded_request.py
@@ -29,7 +29,15 @@
 SERVICE_FIELD = b"Martenrun-Service"
 """Header field with the percent-encoded service that the first router chose."""
 
-_INTERNAL_FIELDS = frozenset({STATE_FIELD.lower(), SOFTWARE_FIELD.lower(), SERVICE_FIELD.lower()})
+INSTANCE_FIELD = b"Martenrun-Instance"
+"""Header field of a response with the percent-encoded instance of the runner that sent it.
+
+Only responses in which the runner announces that it will stop carry it.
+"""
+
+_INTERNAL_FIELDS = frozenset(
+    field.lower() for field in (STATE_FIELD, SOFTWARE_FIELD, SERVICE_FIELD, INSTANCE_FIELD)
+)
 
 
 @attrs.frozen
@@ -115,6 +123,16 @@
     return _read_text(headers, SOFTWARE_FIELD)
 
 
+def with_instance(headers: Headers, instance: str) -> Headers:
+    """Return a runner's response headers with the field that names its instance."""
+    return [*without_internal_fields(headers), (INSTANCE_FIELD, _encode(instance))]
+
+
+def read_instance(headers: Headers) -> str | None:
+    """Return the runner instance that a forwarded response names, or None."""
+    return _read_text(headers, INSTANCE_FIELD)
+
+
 def _encode(text: str) -> bytes:
     return quote(text, safe="").encode()
 
--- a/src/martenrun/router/peer_attempt.py
+++ b/src/martenrun/router/peer_attempt.py
@@ -4,11 +4,16 @@
 from martenrun.net.http import Headers
 from martenrun.router.attempt import AttemptListener
 from martenrun.router.event_stream import BrokenStreamError
-from martenrun.router.forwarded_request import read_software, without_internal_fields
+from martenrun.router.forwarded_request import (
+    read_instance,
+    read_software,
+    without_internal_fields,
+)
 from martenrun.router.log import log_warning
 from martenrun.router.messages import AdmittedRequest, RouteKind
 from martenrun.router.request_services import RequestServices
 from martenrun.router.retry import Failure
+from martenrun.router.runner_responses import record_drain
 
 STATUS_MULTIPLE_CHOICES = 300
 
@@ -71,6 +76,9 @@
         self.headers = without_internal_fields(headers)
         self.software = read_software(headers) or self.software
         metadata = self._services.adapter.read_response_metadata(status, headers)
+        instance = read_instance(headers)
+        if metadata.is_draining and instance is not None:
+            record_drain(self._services, instance, "forwarded response")
         if status < STATUS_MULTIPLE_CHOICES and not metadata.is_signed:
             self._fail(Failure.BROKEN)
             return
--- a/src/martenrun/router/runner_responses.py
+++ b/src/martenrun/router/runner_responses.py
@@ -50,6 +50,17 @@
     _record_notices(services, state, metadata, services.loop.now())
 
 
+def record_drain(services: RequestServices, instance: str, source: str) -> None:
+    """Record that another router told of the drain of a runner instance.
+
+    Args:
+        source: how it told, for the log.
+    """
+    state = services.pool.recent_state(instance)
+    if state is not None:
+        services.pool.record_draining(state, source)
+
+
 def _record_rate_limit(
     services: RequestServices, state: RunnerState, head: RunnerResponse, now: float
 ) -> None:
--- a/tests/router/test_forwarding.py
+++ b/tests/router/test_forwarding.py
@@ -89,6 +89,9 @@
     def state(self, instance):
         return next((s for s in self._states if s.runner.instance == instance), None)
 
+    def recent_state(self, instance):
+        return self.state(instance)
+
     def record_broken_connection(self, connection):
         pass
 
--- a/tests/router/test_peer_forwarding.py
+++ b/tests/router/test_peer_forwarding.py
@@ -16,6 +16,7 @@
 from .test_forwarding import FakeConnection, ForwardingCase
 
 SIGNED = [(b"X-Response-Stamp", b"s")]
+LEAVING = (b"Server-Leaving", b"1")
 EVENT_STREAM = [*SIGNED, (b"Content-Type", b"text/event-stream")]
 
 
@@ -70,6 +71,24 @@
     return ForwardingCase(setup=setup, **options)
 
 
+def forwarded_case(script=(), **options):
+    """Return the case of a request that another router has forwarded."""
+
+    def setup(case):
+        lose_runners(case)
+        case.services.peers_reaching = lambda _service: ["p-1"]
+        admitted = case.forwarder.admitted
+        call = attrs.evolve(admitted.call, forwarded=ForwardedState(100, 0, 0))
+        case.forwarder.__init__(
+            case.services,
+            case.exchange,
+            attrs.evolve(admitted, call=call),
+            lambda _forwarder: None,
+        )
+
+    return ForwardingCase(script, setup=setup, **options)
+
+
 def test_a_request_is_forwarded_at_once_and_its_response_returned(peers):
     case = partitioned_case()
     assert peers.addresses == ["p-1"] and case.pool.sent == []
@@ -88,22 +107,32 @@
 
 # Guards against requests that circulate between partitioned routers.
 def test_a_forwarded_request_is_not_forwarded_again(peers):
-    def setup(case):
-        lose_runners(case)
-        case.services.peers_reaching = lambda _service: ["p-1"]
-        admitted = case.forwarder.admitted
-        call = attrs.evolve(admitted.call, forwarded=ForwardedState(100, 0, 0))
-        case.forwarder.__init__(
-            case.services,
-            case.exchange,
-            attrs.evolve(admitted, call=call),
-            lambda _forwarder: None,
-        )
-
-    case = ForwardingCase(setup=setup)
+    case = forwarded_case()
     assert peers.addresses == [] and len(case.pool.sent) == 1
 
 
+# Guards against requests to a runner whose drain was announced while another router reached it.
+def test_a_drain_announced_in_a_forwarded_response_is_recorded(peers):
+    case = partitioned_case()
+    peers.respond(headers=[*SIGNED, LEAVING, (b"Martenrun-Instance", b"i-2")])
+    assert [item.is_draining for item in case.states] == [False, False, True]
+    assert case.exchange.responses == [(200, dict([*SIGNED, LEAVING]), b"ok")]
+
+
+@pytest.mark.parametrize("status", [200, 500])
+def test_a_response_to_a_forwarded_request_names_a_draining_instance(peers, status):
+    spoofed = (b"Martenrun-Instance", b"i-9")
+    response = (status, [*SIGNED, LEAVING, spoofed], b"ok")
+    case = forwarded_case([response], custom_route=route(kind=RouteKind.UNSAFE)).run(0.1)
+    _, headers, _ = case.exchange.responses[0]
+    assert headers[b"Martenrun-Instance"].decode() == case.pool.sent[0]
+
+
+def test_a_response_to_a_forwarded_request_names_no_instance_that_stays(peers):
+    case = forwarded_case([(200, SIGNED, b"ok")]).run(0.1)
+    assert case.exchange.responses == [(200, dict(SIGNED), b"ok")]
+
+
 # Guards against a service of which some runners are down and no router knows the others.
 def test_other_runners_are_tried_if_no_other_router_reaches_the_service(peers):
     case = partitioned_case(addresses=(), states=[state(f"i-{n}") for n in range(5)])
