Routers tell each other of drains that responses announce

Cause: each router learned of a drain by a request of its own to the runner, which may break what it still runs; with 400 routers that is 400 requests a runner. Change: the first router to see an announcement broadcasts the instance; others record it like an own observation, without passing it on. New routers are told of drains that the store does not show. The key of the instance includes its start, so it says nothing of a later one. Weighed: letting each router learn alone costs no message; one datagram of some 40 bytes a router and leaving runner is less than one request.

--- a/src/martenrun/router/peer_messages.py
+++ b/src/martenrun/router/peer_messages.py
@@ -7,6 +7,7 @@
 from martenrun.identity.rendezvous import weight
 from martenrun.router.brittle_messages import BrittleUpdate
 from martenrun.router.crash_messages import CrashUpdate
+from martenrun.router.drain_messages import DrainUpdate
 from martenrun.router.limit_messages import LimitUpdate
 from martenrun.router.origins.messages import OriginQuery, OriginResponse, OriginUpdate
 from martenrun.router.quotas.messages import (
@@ -170,6 +171,7 @@
     | CrashUpdate
     | LimitUpdate
     | BrittleUpdate
+    | DrainUpdate
     | QuotaRequest
     | QuotaResponse
     | QuotaUse
--- a/src/martenrun/router/peer_updates.py
+++ b/src/martenrun/router/peer_updates.py
@@ -4,10 +4,12 @@
 
 from martenrun.router.brittle_messages import BrittleUpdate
 from martenrun.router.crash_messages import CrashUpdate
+from martenrun.router.drain_messages import DrainUpdate
 from martenrun.router.limit_messages import LimitUpdate
 from martenrun.router.peer_messages import LeaseUpdate, UnresponsiveRunnerUpdate
 from martenrun.router.peers import Update
 from martenrun.router.request_services import RequestServices
+from martenrun.router.runner_responses import drains_for_new_router, record_drain
 from martenrun.router.unresponsive_runners import record_unresponsive
 from martenrun.router.weights_rollout import WeightsRollout
 from martenrun.router.weights_updates import apply_weights_update
@@ -26,6 +28,9 @@
         world.runner_limits.merge(update, now)
     elif isinstance(update, BrittleUpdate):
         world.brittle.merge(update, now)
+    elif isinstance(update, DrainUpdate):
+        for instance in update.instances:
+            record_drain(world, instance, "router")
     else:
         apply_weights_update(world, update)
 
@@ -39,4 +44,5 @@
     blame = world.suspects.update_for_joining_router(routers)
     limits = world.runner_limits.new_router_update(world.loop.now())
     brittle = world.brittle.new_router_update(world.loop.now())
-    return [update for update in (blame, limits, brittle) if update is not None]
+    drains = drains_for_new_router(world)
+    return [update for update in (blame, limits, brittle, drains) if update is not None]
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -104,6 +104,7 @@
                 lambda outcome: self._metrics.count("runner_limits", outcome=outcome),
             ),
             brittle=BrittleServices(lambda update: self._peers.broadcast(update)),
+            broadcast_drains=lambda update: self._peers.broadcast(update),
             count_notice=lambda notice: self._metrics.count("runner_notices", notice=notice),
         )
         own = RouterRecord(
--- a/src/martenrun/router/request_services.py
+++ b/src/martenrun/router/request_services.py
@@ -8,6 +8,7 @@
 from martenrun.net.loop import Loop
 from martenrun.router.brittle_services import BrittleServices
 from martenrun.router.crash_tracker import CrashTracker
+from martenrun.router.drain_messages import DrainUpdate
 from martenrun.router.instance_check import InstanceCheck
 from martenrun.router.messages import AdmittedRequest, KvCacheStore, Route
 from martenrun.router.overload import OverloadGuard
@@ -43,6 +44,7 @@
         router_count: returns how many routers share the retry budget.
         suspects: crash records of requests, and the blocking of crash-causing ones.
         record_outcome: records how a request ended: outcome, route, seconds.
+        broadcast_drains: tells other routers of runners that have announced a drain.
         count_notice: counts what a runner's response announces about it, by kind, and requests sent
             to it in spite of that.
         is_store_available: returns whether a KV cache store responds.
@@ -97,6 +99,7 @@
     )
     instance_check: InstanceCheck | None = None
     count_notice: Callable[[str], None] = lambda _notice: None
+    broadcast_drains: Callable[[DrainUpdate], None] = lambda _update: None
     _retry_budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
     _overload_guards: dict[str, OverloadGuard] = attrs.field(factory=dict)
 
--- a/src/martenrun/router/runner_responses.py
+++ b/src/martenrun/router/runner_responses.py
@@ -3,11 +3,15 @@
 import attrs
 
 from martenrun.net.http import Headers, HttpResponse
+from martenrun.router.drain_messages import DrainUpdate
 from martenrun.router.log import log_event, log_warning
 from martenrun.router.messages import ResponseMetadata
 from martenrun.router.request_services import RequestServices
 from martenrun.router.runner_state import RunnerState
 
+INSTANCES_PER_DATAGRAM = 1_000
+"""Maximum number of instances in one datagram."""
+
 
 @attrs.frozen
 class RunnerResponse:
@@ -61,6 +65,16 @@
         services.pool.record_draining(state, source)
 
 
+def drains_for_new_router(services: RequestServices) -> DrainUpdate | None:
+    """Return the drains that a new router may not know of from the store, or None."""
+    instances = [
+        state.runner.instance
+        for state in services.pool.all_states()
+        if state.is_draining and not state.runner.is_draining
+    ]
+    return DrainUpdate(instances[:INSTANCES_PER_DATAGRAM]) if instances else None
+
+
 def _record_rate_limit(
     services: RequestServices, state: RunnerState, head: RunnerResponse, now: float
 ) -> None:
@@ -84,6 +98,7 @@
     if metadata.is_draining and state.draining_since is None:
         services.pool.record_draining(state, "response")
         services.count_notice("draining")
+        services.broadcast_drains(DrainUpdate([instance]))
     if metadata.backoff is None:
         return
     if metadata.backoff.seconds is None:
