Soak: runners announce drains and request backoffs beside other faults

Both checkers are proved by guards that ignore drains and backoffs, and by histories; only a restart or suspension of the router (for backoffs also a partition) excuses. Schedules of other seeds stay as they were.

--- a/scripts/platform_deployment.py
+++ b/scripts/platform_deployment.py
@@ -162,7 +162,8 @@
         later_program: Path | None = None,
         has_links: bool = False,
     ) -> None:
-        self._has_links = has_links
+        self.has_links = has_links
+        self.front_by_ip: dict[str, str] = {}
         self._program = program
         self._later_program = later_program or program
         self._environment = environment
@@ -277,7 +278,7 @@
     def _link(self, router: RouterRun, runner: RunnerStandin) -> None:
         """Give a router a relay of its own to a runner."""
         address = runner.listed_address or runner.address
-        if not self._has_links or address in router.links:
+        if not self.has_links or address in router.links:
             return
         router.links[address] = FaultyRelay(address, router.ip)
         links = {listed: relay.address for listed, relay in router.links.items()}
@@ -416,6 +417,7 @@
             self._seeds = [f"{first}.{seed + 2}:1" for seed in range(3)]
         router = self._router(number - 1, ip, self._internal, self._seeds)
         self.routers.append(router)
+        self.front_by_ip[ip] = router.front
         if self._has_begun:
             for runner in self.runners:
                 self._link(router, runner)
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -37,11 +37,13 @@
 )
 from soak_faults import Faults
 
+from martenrun.platform.standins.runner import RunnerStandin
 from martenrun.proof.router_checkers import check_all
 from martenrun.proof.router_records import (
     CrashRecord,
     LimitArrival,
     LimitBound,
+    NoticeArrival,
     OrderRecord,
     PromiseBounds,
     RateBound,
@@ -50,6 +52,7 @@
     RunRecord,
 )
 from martenrun.proof.soak_schedule import (
+    NOTICE_KINDS,
     PARTITION_KINDS,
     SOFTWARE_KINDS,
     Step,
@@ -64,6 +67,9 @@
 RESUMING_CALLERS = 10
 """Callers that resume streams, while runners have several software versions."""
 
+LINKED_KINDS = {**PARTITION_KINDS, **NOTICE_KINDS}
+"""Kinds for which each router needs links of its own to the runners."""
+
 MODEL_RUNNERS = 3
 MODEL_RUNNERS_WITH_VERSIONS = 6
 """Model runners of a deployment, without and with several software versions."""
@@ -299,9 +305,32 @@
             if arrival.limit is not None
         ],
         partitions=faults.partitions,
+        notice_arrivals=_notice_arrivals(deployment, runners),
+        suspensions=faults.suspensions,
     )
 
 
+def _notice_arrivals(
+    deployment: PlatformDeployment, runners: Sequence[RunnerStandin]
+) -> list[NoticeArrival]:
+    """Return all arrivals at runners, if relays show which router sent each of them."""
+    if not deployment.has_links:
+        return []
+    return [
+        NoticeArrival(
+            arrival.request_id,
+            deployment.front_by_ip.get(arrival.source, ""),
+            arrival.instance,
+            arrival.born_ms,
+            arrival.at,
+            arrival.announces_drain,
+            None if arrival.retry_after is None else float(arrival.retry_after),
+        )
+        for runner in runners
+        for arrival in runner.arrivals
+    ]
+
+
 def _shut_out(deployment: PlatformDeployment, history: RouterHistory) -> list[str]:
     """Return a violation if routers held back more requests than there were deadly ones."""
     held = {
@@ -336,6 +365,7 @@
 @click.option("--limits", is_flag=True, help="runners temporarily advertise rate limits")
 @click.option("--partitions", is_flag=True, help="routers are cut off from all runners")
 @click.option("--software", is_flag=True, help="runners change their software version")
+@click.option("--notices", is_flag=True, help="runners announce drains and request backoffs")
 @click.option("--hang-up-starts", is_flag=True, help="each router that starts gets a SIGHUP")
 @click.option("--schedule", type=click.Path(path_type=Path, exists=True), help="play this one")
 @click.option("--keep-logs", type=click.Path(path_type=Path), help="folder for logs of violations")
@@ -349,6 +379,7 @@
     limits: bool,
     partitions: bool,
     software: bool,
+    notices: bool,
     hang_up_starts: bool,
     schedule: Path | None,
     keep_logs: Path | None,
@@ -362,11 +393,11 @@
     for number in range(seed, seed + seeds):
         if schedule is None:
             steps = draw_schedule(
-                number, minutes * 60, runner_starts, deadly, limits, partitions, software
+                number, minutes * 60, runner_starts, deadly, limits, partitions, software, notices
             )
         else:
             steps = from_text(schedule.read_text())
-        has_links = any(step.kind in PARTITION_KINDS for step in steps)
+        has_links = any(step.kind in LINKED_KINDS for step in steps)
         has_versions = any(step.kind in SOFTWARE_KINDS for step in steps)
         deployment = PlatformDeployment(
             routers,
--- a/scripts/soak_callers.py
+++ b/scripts/soak_callers.py
@@ -179,7 +179,7 @@
             self._number += 1
             request_id = f"s{self._number:06d}{SLOW_MARK if is_slow else 'n'}"
         sent_at = time.monotonic()
-        status, body, left_at, is_kept = None, b"", None, False
+        status, body, left_at, is_kept, noticed_at = None, b"", None, False, None
         try:
             self._send(connection, kind, request_id, key)
             if leaves:
@@ -188,12 +188,15 @@
                 left_at = time.monotonic()
             else:
                 answer = connection.getresponse()
+                if answer.getheader("Server-Leaving") == "1":
+                    noticed_at = time.monotonic()
                 body = answer.read()
                 status = answer.status
                 is_kept = not answer.will_close
         except (http.client.HTTPException, OSError):
             pass
-        self.calls.append(CallRecord(request_id, kind, key, sent_at, status, body, router, left_at))
+        call = CallRecord(request_id, kind, key, sent_at, status, body, router, left_at, noticed_at)
+        self.calls.append(call)
         if status == 200:
             self.served_at.append(time.monotonic())
         return is_kept
--- a/scripts/soak_faults.py
+++ b/scripts/soak_faults.py
@@ -57,6 +57,7 @@
         self.done: list[str] = []
         self.own_ends: list[str] = []
         self.partitions: list[Partition] = []
+        self.suspensions: list[Trouble] = []
         self._partitioned: dict[str, int] = {}
 
     # What is asked from outside
@@ -231,6 +232,7 @@
                     if not self._still[router.name]:
                         self._deployment.stop(router, signal.SIGCONT)
                 self._note(router.front, began_at, time.monotonic())
+                self.suspensions.append(self.troubles[-1])
 
             self._later(step.lasts_s, go_on)
 
--- a/scripts/soak_runner_faults.py
+++ b/scripts/soak_runner_faults.py
@@ -34,6 +34,15 @@
 ADVERTISED_LIMITS = ("1", "0.5", "2.5", "0", "1.1")
 """Rate limits that runners advertise, in requests per second."""
 
+BACKOFFS_S = ("3", "1.5", "0.9", "4", "3")
+"""Backoffs that refusing runners request, in seconds."""
+
+ANNOUNCED_S = 3.0
+"""How much longer than its step a runner announces its drain before it restarts, in seconds."""
+
+LAPSED_S = 1.0
+"""How long entries of runners are missing, in seconds."""
+
 SOFTWARE = ("v1", "v1.1", "v1.2")
 """Software versions between which runners change, in both directions."""
 
@@ -257,6 +266,47 @@
             runner.limit = ADVERTISED_LIMITS[number % len(ADVERTISED_LIMITS)]
         self._later(step.lasts_s, lambda: _clear_limits(limited))
 
+    def _announce_drain(self, step: Step) -> None:
+        """A runner announces a drain by responses while its entry stays as it is, and restarts."""
+        for runner in self._runners(step):
+            if runner.announces_drain:
+                continue
+            runner.announces_drain = True
+
+            def restart(runner: RunnerStandin = runner) -> None:
+                self._kill_runner(runner)
+
+            self._later(step.lasts_s + ANNOUNCED_S, restart)
+
+    def _request_backoff(self, step: Step) -> None:
+        """Some runners refuse all requests and request a backoff, all of a kind at times."""
+        runners = self._runners(step)
+        if step.targets[0] % 4 == 0:
+            runners = [runner for runner in self._deployment.runners if runner.model is not None]
+        for runner in runners:
+            runner.retry_after = BACKOFFS_S[step.targets[0] % len(BACKOFFS_S)]
+
+        def end() -> None:
+            for runner in runners:
+                runner.retry_after = None
+
+        self._later(step.lasts_s, end)
+
+    def _lapse_entries(self, step: Step) -> None:
+        """Entries of live runners are missing for a moment."""
+        lapsed = self._runners(step)
+        began_at = time.monotonic()
+        for runner in lapsed:
+            self._unlist(runner)
+
+        def list_again() -> None:
+            for runner in lapsed:
+                if runner in self._deployment.runners:
+                    self._deployment.list_runner(runner)
+                self._note(runner.instance, began_at, time.monotonic() + SETTLED_S)
+
+        self._later(LAPSED_S, list_again)
+
     def _harm_runner_link(self, step: Step, harm: Callable[[FaultyRelay], None]) -> None:
         for runner in self._runners(step):
             began_at = time.monotonic()
--- a/src/martenrun/proof/soak_schedule.py
+++ b/src/martenrun/proof/soak_schedule.py
@@ -65,6 +65,9 @@
         "spoil_runners",
         "mute_runner",
         "limit_runners",
+        "announce_drain",
+        "request_backoff",
+        "lapse_entries",
         *("stall_links", "reset_links", "refuse_new_links"),
     }
 )
@@ -88,6 +91,10 @@
 SOFTWARE_KINDS = {"roll_software": 1, "cut_streams": 2}
 """Kinds, added on request, in which runners change their software version and break streams."""
 
+NOTICE_KINDS = {"announce_drain": 1, "request_backoff": 2, "lapse_entries": 2}
+"""Kinds, added on request, in which runners announce drains and request backoffs by responses,
+and entries of runners are missing for a moment."""
+
 EXTRA_PARTITION_DURATION_S = 4.0
 """Time added to the duration of partitions, in seconds, so that requests of a while count."""
 
@@ -98,6 +105,7 @@
     **LIMIT_KINDS,
     **PARTITION_KINDS,
     **SOFTWARE_KINDS,
+    **NOTICE_KINDS,
 }
 
 MOST_DEADLY = 3
@@ -134,6 +142,7 @@
     has_limits: bool = False,
     has_partitions: bool = False,
     has_software: bool = False,
+    has_notices: bool = False,
 ) -> list[Step]:
     """Return a schedule of so many seconds.
 
@@ -143,6 +152,7 @@
         has_limits: adds a series of each of LIMIT_KINDS; the other steps stay the same.
         has_partitions: adds a series of one of PARTITION_KINDS; the other steps stay the same.
         has_software: adds a series of each of SOFTWARE_KINDS; the other steps stay the same.
+        has_notices: adds a series of each of NOTICE_KINDS; the other steps stay the same.
     """
     rng = random.Random(seed)
     kinds = [rng.choice(OFTEN)]
@@ -177,14 +187,25 @@
             attrs.evolve(step, lasts_s=step.lasts_s + EXTRA_PARTITION_DURATION_S)
             for step in _draw_series(rng, kind, number, seconds)
         ]
+    first = len(kinds) + len(RUNNER_KINDS) + 2 + len(LIMIT_KINDS)
     if has_software:
-        rng = random.Random(f"{seed} software")
-        number = len(kinds) + len(RUNNER_KINDS) + 2 + len(LIMIT_KINDS)
-        for more, kind in enumerate(SOFTWARE_KINDS):
-            steps += _draw_series(rng, kind, number + more, seconds)
+        steps += _draw_added(f"{seed} software", SOFTWARE_KINDS, first, seconds)
+    if has_notices:
+        first += len(SOFTWARE_KINDS)
+        steps += _draw_added(f"{seed} notices", NOTICE_KINDS, first, seconds)
     return sorted(steps, key=lambda step: step.at_s)
 
 
+def _draw_added(seed: str, kinds: Iterable[str], first: int, seconds: float) -> list[Step]:
+    """Return a series of each kind, numbered from ``first`` on."""
+    rng = random.Random(seed)
+    return [
+        step
+        for number, kind in enumerate(kinds, first)
+        for step in _draw_series(rng, kind, number, seconds)
+    ]
+
+
 def _draw_series(rng: random.Random, kind: str, number: int, seconds: float) -> Iterable[Step]:
     pause_s = rng.uniform(*PAUSES_S)
     at_s = rng.uniform(0.0, seconds * 0.5)
--- a/tests/router/test_router_checkers.py
+++ b/tests/router/test_router_checkers.py
@@ -10,6 +10,7 @@
     DirectoryAnswer,
     LimitArrival,
     LimitBound,
+    NoticeArrival,
     OrderRecord,
     Partition,
     PromiseBounds,
@@ -284,3 +285,50 @@
     assert partition_violations(calls, troubles=[Trouble("a", 15.0, 16.0)]) == []
     assert partition_violations(calls, lives=[RouterLife("a", 12.0)]) == []
     assert len(partition_violations(calls, troubles=[Trouble("b", 15.0, 16.0)])) == 1
+
+
+def notice_history(arrivals, **changes):
+    """Return a history in which router r0 returned an announced drain of i1 at 10.0."""
+    calls = [
+        CallRecord("n0", "slip", "k", 9.9, 200, b"answer to n0", "r0", None, 10.0),
+        *(CallRecord(item.request_id, "slip", "k", item.at, 503, b"", "r0") for item in arrivals),
+    ]
+    first = NoticeArrival("n0", "r0", "i1", 1, 9.95, announces_drain=True)
+    fields = {"calls": calls, "runs": [], "notice_arrivals": [first, *arrivals]}
+    return {**fields, **changes}
+
+
+def test_a_late_request_to_a_runner_that_announced_its_drain_is_found():
+    late = NoticeArrival("n1", "r0", "i1", 1, 12.1)
+    assert violated_checks(**notice_history([late])) == {"drains"}
+    in_time = attrs.evolve(late, at=11.9)
+    other_router = attrs.evolve(late, router="r1")
+    other_start = attrs.evolve(late, born_ms=2)
+    for allowed in (in_time, other_router, other_start):
+        assert violated_checks(**notice_history([allowed])) == set()
+
+
+def test_a_restart_or_suspension_of_the_router_excuses_a_late_request():
+    late = NoticeArrival("n1", "r0", "i1", 1, 12.1)
+    restarted = [RouterLife("r0", 1.0, ended_at=11.0), RouterLife("r0", 11.2)]
+    assert violated_checks(**notice_history([late], lives=restarted)) == set()
+    suspended = [Trouble("r0", 10.5, 11.0)]
+    assert violated_checks(**notice_history([late], suspensions=suspended)) == set()
+    # What harms the store or the router's links to it excuses nothing.
+    assert violated_checks(**notice_history([late], troubles=suspended)) == {"drains"}
+    cut_off = [Partition("r0", 10.5, 11.0)]
+    assert violated_checks(**notice_history([late], partitions=cut_off)) == {"drains"}
+
+
+def test_a_third_request_within_a_requested_backoff_is_found():
+    refusal = NoticeArrival("n1", "r0", "i2", 1, 10.0, backoff_s=3.0)
+    further = [NoticeArrival(f"n{n}", "r0", "i2", 1, 10.0 + 0.6 * n) for n in (2, 3, 4)]
+    assert violated_checks(**notice_history([refusal, *further])) == {"backoffs"}
+    assert violated_checks(**notice_history([refusal, *further[:2]])) == set()
+    in_flight = attrs.evolve(further[0], at=10.4)
+    afterwards = attrs.evolve(further[0], at=13.1)
+    others = attrs.evolve(further[0], router="r1")
+    for allowed in (in_flight, afterwards, others):
+        assert violated_checks(**notice_history([refusal, allowed, *further[1:]])) == set()
+    cut_off = [Partition("r0", 10.5, 11.0)]
+    assert violated_checks(**notice_history([refusal, *further], partitions=cut_off)) == set()
--- a/tests/router/test_soak.py
+++ b/tests/router/test_soak.py
@@ -16,6 +16,7 @@
     DEADLY_KINDS,
     LASTING,
     MOST_DEADLY,
+    NOTICE_KINDS,
     PARTITION_KINDS,
     RUNNER_KINDS,
     SOFTWARE_KINDS,
@@ -108,6 +109,15 @@
     assert " 0 violations" in result.output
 
 
+# Guards against requests to runners that announced a drain or requested a backoff.
+@pytest.mark.parametrize(("seed", "more"), [(15000, ()), (15001, ("--partitions",))])
+def test_promises_hold_while_runners_announce_drains_and_backoffs(seed, more, tmp_path):
+    options = ["--minutes", "0.25", "--seed", str(seed), "--routers", "5", "--notices", *more]
+    result = CliRunner().invoke(soak, [*options, "--keep-logs", str(tmp_path / "logs")])
+    assert result.exit_code == 0, result.output
+    assert " 0 violations" in result.output
+
+
 # Guards against requests whose callers have left that run once a partition has healed.
 def test_withdrawn_requests_do_not_run_after_a_partition(tmp_path):
     schedule = SCHEDULES / "withdrawn-in-a-partition-11104.jsonl"
@@ -185,6 +195,9 @@
         upgraded = draw_schedule(seed, 60.0, has_software=True)
         assert [step for step in upgraded if step.kind not in SOFTWARE_KINDS] == steps
         assert {step.kind for step in upgraded if step not in steps} == set(SOFTWARE_KINDS)
+        noticed = draw_schedule(seed, 60.0, has_notices=True)
+        assert [step for step in noticed if step.kind not in NOTICE_KINDS] == steps
+        assert {step.kind for step in noticed if step not in steps} == set(NOTICE_KINDS)
 
 
 def test_a_schedule_depends_on_its_seed_only_and_survives_serialization():
--- a/tests/router/test_soak_guards.py
+++ b/tests/router/test_soak_guards.py
@@ -45,6 +45,14 @@
         Step(1.0, "roll_software", (2,), 0.0, 0),
         *(Step(3.0 + 0.5 * n, "cut_streams", (0, 1, 2), 0.0, 1) for n in range(12)),
     ],
+    "drains": [
+        Step(1.0, "announce_drain", (0, 1, 2, 3), 4.0, 0),
+        Step(9.0, "configure", (0,), 0.0, 1),
+    ],
+    "backoffs": [
+        Step(1.0, "request_backoff", (1, 2, 3), 6.0, 0),
+        Step(9.0, "configure", (0,), 0.0, 1),
+    ],
     "limits": [Step(0.5, "limit_runners", (0,), 12.0, 0), Step(9.0, "configure", (0,), 0.0, 1)],
 }
 
@@ -53,6 +61,9 @@
 """The checker that finds the violation of a removed guard, where their names differ."""
 
 
+LINKED = {"partitions", "drains", "backoffs"}
+"""Guards whose checkers need links of each router to the runners."""
+
 GREEDY_CALLERS = {"rates": 4}
 """Callers of the greedy tenant: a single one stays below the bound if responses are slow."""
 
@@ -66,7 +77,7 @@
         has_relays=True,
         program=PROGRAM,
         environment={"UNGUARDED": guard},
-        has_links=guard == "partitions",
+        has_links=guard in LINKED,
     )
     callers = GREEDY_CALLERS.get(guard, 1)
     return play(SCHEDULES[guard], 1, deployment, None, greedy_callers=callers).violations
--- a/tests/router/unguarded_router.py
+++ b/tests/router/unguarded_router.py
@@ -126,7 +126,23 @@
     placement._with_software = lambda query, states: list(states)
 
 
+def ignore_announced_drains():
+    """Ignore drains that responses announce."""
+    from martenrun.router.runner_pool import RunnerPool
+
+    RunnerPool.record_draining = lambda self, state, source: None
+
+
+def ignore_requested_backoffs():
+    """Ignore the backoffs that refusing runners request."""
+    from martenrun.router.runner_state import RunnerState
+
+    RunnerState.record_backoff = lambda self, until: None
+
+
 GUARDS = {
+    "drains": ignore_announced_drains,
+    "backoffs": ignore_requested_backoffs,
     "software": ignore_software_versions,
     "directory": treat_all_routers_as_alive,
     "leaving": ignore_draining_and_removed_runners,
