--- a/src/martenrun/router/caller_stream.py
+++ b/src/martenrun/router/caller_stream.py
@@ -6,6 +6,7 @@
 from martenrun.router.attempt import SentRequest
 from martenrun.router.event_stream import EventSplitter
 from martenrun.router.forwarded_request import software_field
+from martenrun.router.log import Value
 
 
 class CallerStream:
@@ -85,8 +86,12 @@
         """Return the time since the last forwarded event in seconds; 0 before the first."""
         return 0.0 if self.first_event_at is None else now - self._last_event_at
 
-    def first_event_delay_ms(self, started_at: float) -> float | None:
-        """Return the milliseconds from a start time to the first event, or None without one."""
-        if self.first_event_at is None:
-            return None
-        return round((self.first_event_at - started_at) * 1000, 1)
+    def summary(self, started_at: float) -> dict[str, Value]:
+        """Return the log fields of the stream; its first event is timed from a start time."""
+        first_at = self.first_event_at
+        return {
+            "events": self.last_event_id,
+            "software": ",".join(self.software) or None,
+            "first_ms": None if first_at is None else round((first_at - started_at) * 1000, 1),
+            "longest_gap_ms": round(self.longest_gap_s * 1000, 1),
+        }
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -464,24 +464,16 @@
         if self._attempt is not None:
             self._attempt.cancel()
             self._attempt = None
-        now = self._services.loop.now()
-        is_failure = outcome not in ("served", "caller_left")
-        call = self._admitted.call
-        resumed_id = None if call.resumed_id is None else call.resumed_id.decode("latin-1")
-        self._services.record_outcome(outcome, self._admitted.route, now - self._started_at)
+        duration_s = self._services.loop.now() - self._started_at
+        self._services.record_outcome(outcome, self._admitted.route, duration_s)
         self._trace.end(
             outcome,
-            is_failure,
             reason=reason,
             instance=None if attempt is None else attempt.target,
             status=None if attempt is None else attempt.status,
             tries=len(self._sender.attempted_instances),
-            events=self._caller_stream.last_event_id,
-            software=",".join(self._caller_stream.software) or None,
-            resumed=resumed_id,
-            total_ms=round((now - self._started_at) * 1000, 1),
-            first_ms=self._caller_stream.first_event_delay_ms(self._started_at),
-            longest_gap_ms=round(self._caller_stream.longest_gap_s * 1000, 1),
+            total_ms=round(duration_s * 1000, 1),
+            **self._caller_stream.summary(self._started_at),
             quota_owner=None if grant is None else grant.owner,
             quota_balance=None if grant is None else round(grant.balance),
         )
--- a/src/martenrun/router/request_trace.py
+++ b/src/martenrun/router/request_trace.py
@@ -7,6 +7,9 @@
 from martenrun.router.retry import Failure, NextStep
 from martenrun.router.runner_state import RunnerState
 
+SUCCESSES = ("served", "caller_left")
+"""Outcomes that are no failure of the router."""
+
 
 class RequestTrace:
     """Steps of a request; all of them are logged if it fails, else only its outcome."""
@@ -14,6 +17,8 @@
     def __init__(self, loop: Loop, admitted: AdmittedRequest) -> None:
         self._loop = loop
         self._steps: list[tuple[float, str, dict[str, Value]]] = []
+        resumed = admitted.call.resumed_id
+        self._resumed = None if resumed is None else resumed.decode("latin-1")
         self._common_fields: dict[str, Value] = {
             "request": admitted.call.request_id.decode("latin-1"),
             "route": admitted.route.name,
@@ -68,9 +73,10 @@
             runs=runs,
         )
 
-    def end(self, outcome: str, is_failure: bool, **fields: Value) -> None:
+    def end(self, outcome: str, **fields: Value) -> None:
         """Log the outcome, preceded by the recorded steps if it is a failure."""
-        if not is_failure:
+        fields["resumed"] = self._resumed
+        if outcome in SUCCESSES:
             log_event(outcome, **self._common_fields, **fields)
             return
         for at, event, step in self._steps:
