Metadata of runners' responses stand in a module of their own

Change: AdvertisedLimit, RequestedBackoff and ResponseMetadata move to response_metadata.py, nothing else changes. Measured: tests of the adapter, limits and responses pass.

--- a/src/martenrun/platform/headers.py
+++ b/src/martenrun/platform/headers.py
@@ -4,14 +4,8 @@
 import re
 
 from martenrun.net.http import Headers, HttpRequest, end_to_end, find_header
-from martenrun.router.messages import (
-    AdvertisedLimit,
-    Call,
-    Dispatch,
-    PromptPart,
-    RequestedBackoff,
-    ResponseMetadata,
-)
+from martenrun.router.messages import Call, Dispatch, PromptPart
+from martenrun.router.response_metadata import AdvertisedLimit, RequestedBackoff, ResponseMetadata
 
 REQUEST_ID = b"x-request-id"
 """Field that carries a request's id, in lower case."""
--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -9,9 +9,10 @@
 from martenrun.router.event_stream import BrokenStreamError
 from martenrun.router.forwarded_request import with_instance, without_internal_fields
 from martenrun.router.log import log_warning
-from martenrun.router.messages import AdmittedRequest, ResponseMetadata, RouteKind, unknown_software
+from martenrun.router.messages import AdmittedRequest, RouteKind, unknown_software
 from martenrun.router.quotas.gate import Grant
 from martenrun.router.request_services import RequestServices
+from martenrun.router.response_metadata import ResponseMetadata
 from martenrun.router.retry import Failure
 from martenrun.router.runner_responses import RunnerResponse, record_response
 from martenrun.router.runner_state import LOADING_TIMEOUT_S, RunnerState
--- a/src/martenrun/router/platform_adapter.py
+++ b/src/martenrun/router/platform_adapter.py
@@ -18,7 +18,6 @@
     HttpCall,
     LeaseRecord,
     OrderOutcome,
-    ResponseMetadata,
     Runner,
     RunnerReport,
     StoreChanges,
@@ -27,6 +26,7 @@
     TargetWeights,
     WeightsOrder,
 )
+from martenrun.router.response_metadata import ResponseMetadata
 from martenrun.router.settings import RouterSettings
 
 
--- a/src/martenrun/router/runner_limits.py
+++ b/src/martenrun/router/runner_limits.py
@@ -12,8 +12,8 @@
 
 from martenrun.router.limit_messages import LimitRecord, LimitUpdate
 from martenrun.router.log import log_event, log_warning
-from martenrun.router.messages import AdvertisedLimit
 from martenrun.router.quotas.limit import RateLimit
+from martenrun.router.response_metadata import AdvertisedLimit
 
 UNLISTED_RETENTION_S = 60.0
 """How long the limit of an unlisted runner is kept after its last confirmation, in seconds.
--- a/src/martenrun/router/runner_responses.py
+++ b/src/martenrun/router/runner_responses.py
@@ -5,8 +5,8 @@
 from martenrun.net.http import Headers, HttpResponse
 from martenrun.router.drain_messages import DrainUpdate
 from martenrun.router.log import log_event, log_warning
-from martenrun.router.messages import ResponseMetadata
 from martenrun.router.request_services import RequestServices
+from martenrun.router.response_metadata import ResponseMetadata
 from martenrun.router.runner_state import RunnerState
 
 INSTANCES_PER_DATAGRAM = 1_000
--- a/tests/router/limit_world.py
+++ b/tests/router/limit_world.py
@@ -3,8 +3,8 @@
 import bisect
 
 from martenrun.router.brittle_services import BrittleServices
-from martenrun.router.messages import AdvertisedLimit
 from martenrun.router.quotas.limit import RUNNER_LIMIT_BOUNDS, RateLimit
+from martenrun.router.response_metadata import AdvertisedLimit
 from martenrun.router.runner_access import RunnerAccess
 from martenrun.router.runner_limits import RunnerLimits
 
--- a/tests/router/test_runner_access.py
+++ b/tests/router/test_runner_access.py
@@ -3,8 +3,9 @@
 import attrs
 import pytest
 
-from martenrun.router.messages import AdvertisedLimit, RouteKind
+from martenrun.router.messages import RouteKind
 from martenrun.router.quotas.limit import runner_account
+from martenrun.router.response_metadata import AdvertisedLimit
 from martenrun.router.retry_schedule import JITTER_SHARE, MAXIMUM_DELAY_S, RetrySchedule
 
 from .builders import route, state
--- a/tests/router/test_runner_limit_table.py
+++ b/tests/router/test_runner_limit_table.py
@@ -5,8 +5,8 @@
 import pytest
 
 from martenrun.router.limit_messages import LimitRecord, LimitUpdate
-from martenrun.router.messages import AdvertisedLimit
 from martenrun.router.peer_messages import decode, encode
+from martenrun.router.response_metadata import AdvertisedLimit
 from martenrun.router.runner_limits import (
     CHANGE_REPEATS,
     MAXIMUM_REQUESTS_PER_S,
