Soak: a refusal held back on a harmed link starts no backoff for the router

Trace: the runner's link was muted from 1562.18 to 1567.66; it refused s000311n at 1565.277, and the log of the router shows that answer at 1567.6903, with its backoff kept from then on. The three requests were sent at 1566.34, 1566.46 and 1567.54, while nothing of the runner could arrive. Change: refusals within a span in which the runner's link was muted or silenced do not count; other troubles of the runner or the store excuse nothing (tests of the checker). Lapsed entries are no longer noted as trouble of their runners, which would have excused other promises.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -307,6 +307,7 @@
         partitions=faults.partitions,
         notice_arrivals=_notice_arrivals(deployment, runners),
         suspensions=faults.suspensions,
+        harmed_links=faults.harmed_links,
     )
 
 
--- a/scripts/soak_runner_faults.py
+++ b/scripts/soak_runner_faults.py
@@ -61,6 +61,7 @@
         self._weights = 1
         self._keys: tuple[str, ...] = (KEY,)
         self.troubles: list[Trouble] = []
+        self.harmed_links: list[Trouble] = []
         self.departures: list[Departure] = []
         self.revocations: list[Revocation] = []
         self.retired: list[RunnerStandin] = []
@@ -295,7 +296,6 @@
     def _lapse_entries(self, step: Step) -> None:
         """Entries of live runners are missing for a moment."""
         lapsed = self._runners(step)
-        began_at = time.monotonic()
         for runner in lapsed:
             self._unlist(runner)
 
@@ -303,7 +303,6 @@
             for runner in lapsed:
                 if runner in self._deployment.runners:
                     self._deployment.list_runner(runner)
-                self._note(runner.instance, began_at, time.monotonic() + SETTLED_S)
 
         self._later(LAPSED_S, list_again)
 
@@ -319,6 +318,7 @@
                 began_at: float = began_at,
             ) -> None:
                 relay.is_mute = False
+                self.harmed_links.append(Trouble(runner.instance, began_at, time.monotonic()))
                 self._note(runner.instance, began_at, time.monotonic() + SETTLED_S)
 
             self._later(max(step.lasts_s, ANSWERS_OVER_S), end)
--- a/src/martenrun/proof/router_records.py
+++ b/src/martenrun/proof/router_records.py
@@ -278,7 +278,12 @@
 
 @attrs.frozen
 class RouterHistory:
-    """What one run of the soak left behind."""
+    """What one run of the soak left behind.
+
+    Attributes:
+        suspensions: spans in which routers were suspended.
+        harmed_links: spans in which responses of runners were held back or lost.
+    """
 
     calls: Sequence[CallRecord]
     runs: Sequence[RunRecord]
@@ -297,3 +302,4 @@
     software_spans: Sequence[SoftwareSpan] = ()
     notice_arrivals: Sequence[NoticeArrival] = ()
     suspensions: Sequence[Trouble] = ()
+    harmed_links: Sequence[Trouble] = ()
--- a/tests/router/test_router_checkers.py
+++ b/tests/router/test_router_checkers.py
@@ -332,3 +332,17 @@
         assert violated_checks(**notice_history([refusal, allowed, *further[1:]])) == set()
     cut_off = [Partition("r0", 10.5, 11.0)]
     assert violated_checks(**notice_history([refusal, *further], partitions=cut_off)) == set()
+
+
+def test_only_a_link_that_was_harmed_at_the_refusal_excuses_requests_within_the_backoff():
+    refusal = NoticeArrival("n1", "r0", "i2", 1, 10.0, backoff_s=3.0)
+    history = notice_history(
+        [refusal, *(NoticeArrival(f"n{n}", "r0", "i2", 1, 10.0 + 0.6 * n) for n in (2, 3, 4))]
+    )
+    for harmed, violated in (
+        (Trouble("i2", 9.0, 10.2), set()),
+        (Trouble("i2", 9.0, 9.9), {"backoffs"}),
+        (Trouble("i2", 10.1, 12.0), {"backoffs"}),
+        (Trouble("i1", 9.0, 12.0), {"backoffs"}),
+    ):
+        assert violated_checks(**history, harmed_links=[harmed]) == violated
