A misdirected request shows newer weights of a runner within its backoff, too

Cause: found by reading the diff: a refusal with 421 was skipped while the runner backs off, so that its newer weights stayed unknown. Measured: the new test fails before and passes after.

--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -329,10 +329,9 @@
 
     def _handle_refusal(self) -> None:
         now = self._services.loop.now()
-        if self.state.is_backing_off(now):
-            return
         if self.status != STATUS_MISDIRECTED:
-            self.state.full_until = now + FULL_RUNNER_BACKOFF_S
+            if not self.state.is_backing_off(now):
+                self.state.full_until = now + FULL_RUNNER_BACKOFF_S
             return
         model = self._admitted.call.model
         instance = self._services.adapter.responding_instance(self.headers)
--- a/tests/router/test_runner_responses.py
+++ b/tests/router/test_runner_responses.py
@@ -3,6 +3,7 @@
 import pytest
 
 from martenrun.net.http import HttpResponse
+from martenrun.router.messages import TargetWeights
 from martenrun.router.placement import Placement
 from martenrun.router.rollout_plan import outdated_runners
 from martenrun.router.runner_pool import RunnerPool
@@ -189,6 +190,19 @@
     assert not known.is_blocked(104.2)
 
 
+# Guards against newer weights of a runner that stay unknown because it backs off.
+def test_a_misdirected_request_shows_newer_weights_within_a_backoff():
+    def setup(case):
+        case.services.weights.put(TargetWeights("m", 2), case.loop.now())
+
+    case = ForwardingCase(model="m", states=[state("i-0")], setup=setup).run(0.01)
+    case.states[0].record_backoff(103.0)
+    reader = case.pool.readers[0]
+    reader.on_head(421, [(b"X-Instance-Id", b"i-0")], 0)
+    reader.on_complete()
+    assert case.states[0].weights_version("m") == 2
+
+
 def test_a_waiting_request_is_sent_once_a_runner_has_accepted_another_after_its_backoff():
     known = state("i-0")
     known.record_backoff(100.0)
