--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -255,6 +255,8 @@
 ) -> RouterHistory:
     runners = [*deployment.runners, *faults.retired]
     ends = {(runner.instance, end.request_id): end.at for runner in runners for end in runner.ends}
+    arrivals = _notice_arrivals(deployment, runners)
+    senders = {(item.instance, item.request_id): item.router for item in arrivals}
     return RouterHistory(
         calls=callers.calls,
         runs=[
@@ -266,6 +268,7 @@
                 ends.get((run.instance, run.request_id)),
                 f"{run.method} {run.path}",
                 run.body.decode() if is_deadly(run.body) else "",
+                senders.get((run.instance, run.request_id), ""),
             )
             for runner in runners
             for run in runner.runs
@@ -305,7 +308,7 @@
             if arrival.limit is not None
         ],
         partitions=faults.partitions,
-        notice_arrivals=_notice_arrivals(deployment, runners),
+        notice_arrivals=arrivals,
         suspensions=faults.suspensions,
         harmed_links=faults.harmed_links,
     )
--- a/src/martenrun/proof/router_checkers.py
+++ b/src/martenrun/proof/router_checkers.py
@@ -215,7 +215,8 @@
 def left_requests_do_not_run(history: RouterHistory, bounds: PromiseBounds) -> list[str]:
     """What its caller has left neither begins to run later than the bound nor goes on for it.
 
-    Streams only go on: nobody hears of a close before it writes.
+    Streams only go on: nobody hears of a close before it writes.  A router that sent it to the
+    runner for another one and was suspended is not held to it either.
     """
     found = []
     calls = {call.request_id: call for call in history.calls if call.left_at is not None}
@@ -231,7 +232,11 @@
         else:
             continue
         places = (call.router, run.instance)
-        if not _was_in_trouble(history, places, call.left_at - bounds.closed_s, limit):
+        since = call.left_at - bounds.closed_s
+        if not (
+            _was_in_trouble(history, places, since, limit)
+            or _was_suspended(history, run.sent_by, since, limit)
+        ):
             found.append(f"{run.request_id} {what} {late_s:.2f} s after its caller left")
     return found
 
@@ -247,6 +252,13 @@
     )
 
 
+def _was_suspended(history: RouterHistory, router: str, begin: float, end: float) -> bool:
+    return any(
+        span.place == router and span.begin < end and span.end > begin
+        for span in history.suspensions
+    )
+
+
 def orders_have_one_holder(history: RouterHistory) -> list[str]:
     """No two holders use one fencing token, and a runner's tokens never fall."""
     found = []
--- a/src/martenrun/proof/router_records.py
+++ b/src/martenrun/proof/router_records.py
@@ -37,7 +37,7 @@
     """One run as a runner saw it; ``ended_at`` None where the runner does not tell.
 
     ``target`` is the path, for whoever traces a violation; ``deadly`` names the body of a request
-    that ends each runner which runs it.
+    that ends each runner which runs it; ``sent_by`` is the router that sent it there, if known.
     """
 
     request_id: str
@@ -47,6 +47,7 @@
     ended_at: float | None = None
     target: str = ""
     deadly: str = ""
+    sent_by: str = ""
 
 
 @attrs.frozen
--- a/tests/router/test_router_checkers.py
+++ b/tests/router/test_router_checkers.py
@@ -163,6 +163,11 @@
     assert violated_checks(calls=calls, runs=[*CLEAN.runs, started]) == {"left"}
     assert violated_checks(calls=calls, runs=[*CLEAN.runs, continued]) == {"left"}
     assert violated_checks(calls=calls, runs=[*CLEAN.runs, in_time]) == set()
+    forwarded = attrs.evolve(continued, sent_by="r2")
+    for place, violated in (("r2", set()), ("r3", {"left"})):
+        suspended = [Trouble(place, 10.4, 12.0)]
+        runs = [*CLEAN.runs, forwarded]
+        assert violated_checks(calls=calls, runs=runs, suspensions=suspended) == violated
 
 
 RATED = attrs.evolve(BOUNDS, rates=(RateBound("greedy", 100, 8.0, 300.0),))
