The test of operators' listings sends the requests it lists

Nothing of the router is in it.

Evidence: the module alone on fails the same way (1 failed, 1 passed, 1 skipped), without any load.

Change: the test sends requests of its own until one is refused. Its checks are as they were.

--- a/tests/router/test_tenant_rates.py
+++ b/tests/router/test_tenant_rates.py
@@ -122,6 +122,9 @@
 
 
 def test_operators_see_accounts_and_reasons_of_refusals(deployment):
+    callers = Tenants(deployment, {"greedy": 40})
+    deployment.wait(lambda: 429 in callers.statuses("greedy"))
+    callers.stop()
     addresses = [r.url("internal", "").removeprefix("http://") for r in deployment.routers]
     listed = CliRunner().invoke(main, ["quotas", *addresses, "--tenant", "greedy"]).output
     assert len(listed.splitlines()) >= 2 and f"{RATE} a second" in listed
