Avoid runners that refuse in a row for longer each time

Cause: a refusal without a readable backoff marked its runner as full for 0.15 s and was then forgotten. A runner that refuses has no load, so the next requests chose it first, and their repeats used up the retry budget.

Ruled out: the wait for a free runner (refusals took 0.04 s at most) and the limit of sends per request (most refusals were "retry_budget" after one to three).

Change: refusals in a row are counted; each makes the runner avoided four times as long (0.15 s to 4.8 s) while another is usable. It stays the last choice, so that no room is left unused when all are full. Refusals of requests that were on their way together count once, and an accepted request ends it.

--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -15,10 +15,11 @@
 from martenrun.router.response_metadata import ResponseMetadata
 from martenrun.router.retry import Failure
 from martenrun.router.runner_responses import RunnerResponse, record_response
-from martenrun.router.runner_state import LOADING_TIMEOUT_S, RunnerState
-
-FULL_RUNNER_BACKOFF_S = 0.15
-"""How long a runner that refused a request as full is not chosen, in seconds."""
+from martenrun.router.runner_state import (
+    FULL_RUNNER_INTERVAL_S,
+    LOADING_TIMEOUT_S,
+    RunnerState,
+)
 
 RESTART_NOTICE_S = 3.0
 """Time within which a router learns of a runner's restart, in seconds."""
@@ -331,7 +332,7 @@
         now = self._services.loop.now()
         if self.status != STATUS_MISDIRECTED:
             if not self.state.is_backing_off(now):
-                self.state.full_until = now + FULL_RUNNER_BACKOFF_S
+                self.state.record_refusal(self.started_at, now)
             return
         model = self._admitted.call.model
         instance = self._services.adapter.responding_instance(self.headers)
@@ -342,4 +343,4 @@
         elif target.version > (self.state.weights_version(model) or 0):
             self.state.record_weights(model, target.version)
         else:
-            self.state.full_until = now + FULL_RUNNER_BACKOFF_S
+            self.state.full_until = now + FULL_RUNNER_INTERVAL_S
--- a/src/martenrun/router/runner_state.py
+++ b/src/martenrun/router/runner_state.py
@@ -19,6 +19,15 @@
 TRIAL_INTERVAL_S = 1.0
 """Minimum time between requests to a runner after a backoff until it accepts one, in seconds."""
 
+FULL_RUNNER_INTERVAL_S = 0.15
+"""How long a runner that refused a request as full is not chosen, in seconds."""
+
+REFUSAL_GROWTH = 4.0
+"""Factor by which the time that a refusing runner is avoided grows with each refusal in a row."""
+
+MAXIMUM_REFUSAL_INTERVAL_S = 4.8
+"""Maximum time that a refusing runner is avoided while other runners are usable, in seconds."""
+
 UNRESPONSIVE_AFTER_S = 0.7
 """Time without a byte after which a runner with pending requests is unresponsive, in seconds."""
 
@@ -53,6 +62,8 @@
         draining_since: time at which this router learned that it is draining, or None.
         backoff_until: time until which it has asked this router for no requests.
         has_accepted: whether it has accepted a request since the latest backoff.
+        refusals: number of refusals in a row, without a requested backoff.
+        refused_at: time of the last one counted.
         sent_at: time at which a request was last sent to it.
         instance_checked_at: time of the last request for its report, see
             :class:`martenrun.router.instance_check.InstanceCheck`.
@@ -85,6 +96,8 @@
     draining_since: float | None = None
     backoff_until: float = -math.inf
     has_accepted: bool = True
+    refusals: int = 0
+    refused_at: float = -math.inf
     sent_at: float = -math.inf
     instance_checked_at: float = -math.inf
     has_restarted: bool = False
@@ -115,10 +128,22 @@
         self.backoff_until = max(self.backoff_until, until)
         self.has_accepted = False
 
+    def record_refusal(self, sent_at: float, now: float) -> None:
+        """Record that it refused a request as full, without a backoff.
+
+        Requests that were on their way when it refused another one do not count again.
+        """
+        self.full_until = now + FULL_RUNNER_INTERVAL_S
+        if sent_at >= self.refused_at:
+            self.refusals += 1
+            self.refused_at = now
+
     def record_accepted(self, sent_at: float) -> None:
         """Record that it has accepted a request that was sent to it at a time."""
         if sent_at >= self.backoff_until:
             self.has_accepted = True
+        if sent_at >= self.refused_at:
+            self.refusals = 0
 
     def is_backing_off(self, now: float) -> bool:
         """Return whether it has asked this router for no requests now."""
@@ -218,7 +243,15 @@
 
     def is_avoided(self, now: float) -> bool:
         """Return whether any other usable runner is preferred, regardless of cost."""
-        return now < self.loading_until or now < self.full_until or self.is_unreliable(now)
+        is_busy = now < self.loading_until or now < self.full_until
+        return is_busy or self.is_refusing(now) or self.is_unreliable(now)
+
+    def is_refusing(self, now: float) -> bool:
+        """Return whether it most likely refuses a request, as it has refused the last ones."""
+        if not self.refusals:
+            return False
+        interval_s = FULL_RUNNER_INTERVAL_S * REFUSAL_GROWTH ** (self.refusals - 1)
+        return now < self.refused_at + min(interval_s, MAXIMUM_REFUSAL_INTERVAL_S)
 
     def is_unreliable(self, now: float) -> bool:
         """Return whether it has failed too often lately, or sends no data."""
--- a/tests/router/test_runner_notices.py
+++ b/tests/router/test_runner_notices.py
@@ -16,6 +16,8 @@
 BACKOFF_S = 3.0
 LAPSE_S = 1.0
 REFUSED_WITHIN_S = 0.2
+ALERT_SHARE = 0.9
+"""Served share below which operators are alerted."""
 
 
 @pytest.fixture
@@ -136,3 +138,16 @@
     assert max(taken_s for _, taken_s, _ in refused) < REFUSED_WITHIN_S
     assert all(retry_after > 0.0 for _, _, retry_after in refused)
     assert callers.served_share(ended_at + BACKOFF_S + 0.5) >= 0.98
+
+
+# Guards against requests that routers refuse although runners that accept them are free.
+def test_requests_are_served_while_most_runners_refuse_without_a_readable_backoff(deployment):
+    callers = SteadyCallers(deployment, CALLS_PER_S)
+    callers.run_for(1.5)
+    for runner in some_of_each_kind(deployment, 4):
+        runner.retry_after = "soon"
+    callers.run_for(1.0)
+    known_from = time.monotonic()
+    callers.run_for(6.0)
+    callers.stop()
+    assert callers.served_share(known_from) >= ALERT_SHARE
--- a/tests/router/test_runner_responses.py
+++ b/tests/router/test_runner_responses.py
@@ -224,3 +224,51 @@
     unreliable.record_failure(100.0, 5.0)
     assert Placement().blocked_for_s(placement_query(), [backing_off, unreliable]) == 30.0
     assert Placement().blocked_for_s(placement_query(), [backing_off, state("i-3")]) is None
+
+
+# Refusals without a backoff
+
+FULL = 503, [NOT_EXECUTED], b""
+
+
+# Guards against requests that are tried at runners which refuse everything while others are free.
+def test_a_runner_is_avoided_longer_with_each_refusal_in_a_row():
+    known = state("i-0")
+    avoided_s = []
+    now = 100.0
+    for _ in range(6):
+        known.record_refusal(now, now)
+        since = now
+        while known.is_avoided(now):
+            now += 0.01
+        avoided_s.append(now - since)
+    assert avoided_s == pytest.approx([0.15, 0.6, 2.4, 4.8, 4.8, 4.8], abs=0.02)
+    known.record_accepted(now)
+    known.record_refusal(now, now)
+    assert known.is_avoided(now + 0.1) and not known.is_avoided(now + 0.2)
+
+
+def test_requests_refused_at_the_same_time_count_as_one_refusal():
+    """Guards against a runner that is full for a moment and avoided for seconds."""
+    known = state("i-0")
+    for at in (100.0, 100.001, 100.002):
+        known.record_refusal(99.9, at)
+    assert not known.is_avoided(100.2)
+
+
+def test_a_refusing_runner_is_chosen_if_no_other_is_left():
+    """Guards against refusals of callers although a runner may have room again."""
+    refusing, other = state("i-0"), state("i-1")
+    for at in (99.0, 99.5, 99.8):
+        refusing.record_refusal(at, at)
+    query = placement_query(now=100.0)
+    assert Placement().choose(query, [refusing, other]) is other
+    assert Placement().choose(query, [refusing]) is refusing
+
+
+def test_a_request_goes_to_a_runner_that_accepts_once_others_refuse_in_a_row():
+    runners = [state("i-0"), state("i-1")]
+    case = ForwardingCase([FULL, GOOD], states=runners).run(0.1)
+    assert case.exchange.responses[0][0] == 200
+    first = case.pool.state(case.pool.sent[0])
+    assert first.refusals == 1 and not first.is_avoided(case.loop.now() + 0.2)
