Check the runner of each begun stream, also while one version is known

Cause: reports of runners were only asked for while several versions were known. A runner that restarts with the first other version is known by its old entry only, so that a router resumed streams there as those of the only version.

Ruled out: telling other routers what one has learned from a report. Nobody may have asked for one, and a second version told to all routers makes every stream begun before it unknown, so that its resumption is refused.

Change: a begun stream is sent to a runner whose entry has a start time only after a check of its report, whichever versions are known. New streams are checked as before.

Tests: a case of test_instance_check.py and the schedule software-while-store-away.jsonl, both fail before. The parameters of test_no_report_is_requested_without_need said that no check is due while one version is known; that was the fault. What it said of new streams and of entries without a start time stands in two tests.

--- a/src/martenrun/router/instance_check.py
+++ b/src/martenrun/router/instance_check.py
@@ -21,7 +21,10 @@
 
 
 class InstanceCheck:
-    """Checks runners while several software versions of their service may serve.
+    """Checks runners before begun streams are sent to them, and when connections are opened.
+
+    New streams need no check while a single software version serves.  Begun ones do: only the
+    report of a runner that has restarted may show its new version.
 
     Args:
         may_be_mixed: returns whether several software versions of a service may serve.
@@ -53,7 +56,7 @@
     def is_due(self, state: RunnerState) -> bool:
         """Return whether a runner must be checked before a begun stream is sent to it."""
         return (
-            self._is_applicable(state)
+            self._may_be_stale(state)
             and self._loop.now() - state.instance_checked_at > CHECK_VALIDITY_S
         )
 
@@ -77,15 +80,13 @@
 
     def run_for_connection(self, state: RunnerState, opened_at: float) -> None:
         """Check a runner unless a check since its connection was opened has succeeded."""
-        if self._is_applicable(state) and opened_at >= state.instance_checked_at:
+        is_unchecked = opened_at >= state.instance_checked_at
+        if is_unchecked and self._may_be_stale(state) and self._may_be_mixed(state.runner.service):
             self.run(state, lambda: None)
 
-    def _is_applicable(self, state: RunnerState) -> bool:
-        return (
-            state.runner.started_at_ms is not None
-            and not state.has_restarted
-            and self._may_be_mixed(state.runner.service)
-        )
+    @staticmethod
+    def _may_be_stale(state: RunnerState) -> bool:
+        return state.runner.started_at_ms is not None and not state.has_restarted
 
     def _apply(self, state: RunnerState, response: HttpResponse | None, sent_at: float) -> None:
         state.instance_checked_at = sent_at
--- a/tests/router/test_instance_check.py
+++ b/tests/router/test_instance_check.py
@@ -46,7 +46,7 @@
     )
 
 
-def checked_case(software, born_ms):
+def checked_case(software, born_ms, is_mixed=True):
     """Return a stream case whose runners have addresses of their own and report start times."""
 
     def setup(case):
@@ -59,14 +59,16 @@
                 started_at_ms=BORN_MS,
             ).runner
             case.reports.born_ms[item.runner.address] = born_ms[number]
-        case.services.instance_check = instance_check(case.loop, case.reports)
+        case.services.instance_check = instance_check(case.loop, case.reports, is_mixed)
 
     return stream_case(software, setup)
 
 
-# Guards against a begun stream that reaches a restarted runner by its old entry.
-def test_a_begun_stream_is_not_sent_to_a_runner_that_has_restarted():
-    case = checked_case(["v1", "v1", "v1"], [BORN_MS, 2_000, BORN_MS])
+# Guards against a begun stream that reaches a restarted runner by its old entry, also if no second
+# version is known yet.
+@pytest.mark.parametrize("is_mixed", [True, False], ids=["several versions", "one known version"])
+def test_a_begun_stream_is_not_sent_to_a_runner_that_has_restarted(is_mixed):
+    case = checked_case(["v1", "v1", "v1"], [BORN_MS, 2_000, BORN_MS], is_mixed)
     case.states[2].in_flight = 6
     begin(case)
     runner_break(case)
@@ -111,14 +113,19 @@
     assert check.is_due(runner)
 
 
-@pytest.mark.parametrize(
-    ("is_mixed", "started_at_ms"),
-    [pytest.param(False, BORN_MS, id="one version"), pytest.param(True, None, id="no start time")],
-)
-def test_no_report_is_requested_without_need(is_mixed, started_at_ms):
+def test_no_report_is_requested_for_new_streams_while_one_version_serves():
+    loop = FakeLoop()
+    reports = Reports(loop)
+    check = instance_check(loop, reports, is_mixed=False)
+    check.run_for_connection(state("i-0", started_at_ms=BORN_MS), loop.now())
+    assert reports.asked == []
+
+
+@pytest.mark.parametrize("is_mixed", [True, False])
+def test_no_report_is_requested_of_runners_without_a_start_time(is_mixed):
     loop = FakeLoop()
     reports = Reports(loop)
     check = instance_check(loop, reports, is_mixed)
-    runner = state("i-0", started_at_ms=started_at_ms)
+    runner = state("i-0", started_at_ms=None)
     check.run_for_connection(runner, loop.now())
     assert not check.is_due(runner) and reports.asked == []
--- a/tests/router/test_soak.py
+++ b/tests/router/test_soak.py
@@ -109,6 +109,15 @@
     assert " 0 violations" in result.output
 
 
+# Guards against streams resumed at a runner whose new software version no entry shows yet.
+def test_streams_stay_at_their_software_version_while_entries_are_old(tmp_path):
+    schedule = SCHEDULES / "software-while-store-away.jsonl"
+    options = ["--routers", "5", "--software", "--schedule", str(schedule)]
+    result = CliRunner().invoke(soak, [*options, "--keep-logs", str(tmp_path / "logs")])
+    assert result.exit_code == 0, result.output
+    assert " 0 violations" in result.output
+
+
 # Guards against requests to runners that announced a drain or requested a backoff.
 @pytest.mark.parametrize(("seed", "more"), [(15000, ()), (15001, ("--partitions",))])
 def test_promises_hold_while_runners_announce_drains_and_backoffs(seed, more, tmp_path):
