--- a/src/martenrun/router/runner_pool.py
+++ b/src/martenrun/router/runner_pool.py
@@ -16,8 +16,7 @@
 SAFE_IDLE_LIMIT_S = 3.0
 """Maximum idle time for requests that must not run twice, in seconds.
 
-The runner must not be about to close the connection.  With 0.8 s half of these requests opened a
-new connection although idle ones were available: 0.650 -> 0.660 of worth.
+The runner must not be about to close the connection.
 """
 
 SUSPECT_IDLE_LIMIT_S = 0.8
