Avoid a refusing runner for longer after its second refusal

Cause: four tries at each refusing runner within four seconds, one request each, used up the retry budget (15 repeats in 10 s for each router and service), and requests whose repeat it did not allow were refused.

Change: the time grows eightfold with each refusal in a row instead of fourfold: 0.15, 1.2, 4.8 s.

--- a/src/martenrun/router/runner_state.py
+++ b/src/martenrun/router/runner_state.py
@@ -22,7 +22,7 @@
 FULL_RUNNER_INTERVAL_S = 0.15
 """How long a runner that refused a request as full is not chosen, in seconds."""
 
-REFUSAL_GROWTH = 4.0
+REFUSAL_GROWTH = 8.0
 """Factor by which the time that a refusing runner is avoided grows with each refusal in a row."""
 
 MAXIMUM_REFUSAL_INTERVAL_S = 4.8
