The guard of backoffs also takes refusing runners for usable

Since a runner that refuses in a row is avoided for up to 4.8 s, so that a router which ignores requested backoffs still sends it less than the checker allows.

Change: the program without the guard leaves that out, too, as it was when the guard was written. Checker, bound and schedule are as they were.

--- a/tests/router/unguarded_router.py
+++ b/tests/router/unguarded_router.py
@@ -134,10 +134,11 @@
 
 
 def ignore_requested_backoffs():
-    """Ignore the backoffs that refusing runners request."""
+    """Ignore the backoffs that refusing runners request, and how often they refuse in a row."""
     from martenrun.router.runner_state import RunnerState
 
     RunnerState.record_backoff = lambda self, until: None
+    RunnerState.is_refusing = lambda self, now: False
 
 
 GUARDS = {
