--- a/scripts/measure_blame.py
+++ b/scripts/measure_blame.py
@@ -19,10 +19,10 @@
 from martenrun.identity.rendezvous import weight
 from martenrun.net.http import HttpRequest
 from martenrun.net.loop import Loop
-from martenrun.router.crash_detector import RunnerView
-from martenrun.router.crash_table import CrashTable
-from martenrun.router.crash_tracker import CrashTracker
-from martenrun.router.fingerprint import request_fingerprint
+from martenrun.router.crashes.detector import RunnerView
+from martenrun.router.crashes.fingerprint import request_fingerprint
+from martenrun.router.crashes.table import CrashTable
+from martenrun.router.crashes.tracker import CrashTracker
 from martenrun.router.messages import (
     AdmittedRequest,
     Call,
--- a/src/martenrun/platform/specs.py
+++ b/src/martenrun/platform/specs.py
@@ -12,7 +12,7 @@
 
 from martenrun.net.server import ServerLimits
 from martenrun.platform.objects import DECODE_ERRORS
-from martenrun.router.crash_messages import CrashRecord
+from martenrun.router.crashes.messages import CrashRecord
 from martenrun.router.messages import (
     Configuration,
     EngineLimits,
--- /dev/null
+++ b/src/martenrun/router/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Attributes runner crashes to requests and blocks crash-causing ones."""
--- a/src/martenrun/router/crash_messages.py
+++ b/src/martenrun/router/crashes/messages.py
@@ -7,7 +7,7 @@
     """The crash record of one request.
 
     Attributes:
-        fingerprint: identifies the request, see :mod:`martenrun.router.fingerprint`.
+        fingerprint: identifies the request, see :mod:`martenrun.router.crashes.fingerprint`.
         crashes: runner instances that crashed while serving it, and how long ago, in milliseconds.
         completed_ms: time since it last completed, in milliseconds, or None if it never did.
     """
--- a/src/martenrun/router/crash_page.py
+++ b/src/martenrun/router/crashes/page.py
@@ -4,8 +4,8 @@
 
 from martenrun.net.http import STATUS_OK
 from martenrun.net.server import Exchange
-from martenrun.router.crash_table import CrashSummary
-from martenrun.router.crash_tracker import CrashTracker
+from martenrun.router.crashes.table import CrashSummary
+from martenrun.router.crashes.tracker import CrashTracker
 from martenrun.router.log import log_event
 
 BLAME_PATH = b"/blame"
--- a/src/martenrun/router/crash_record_writer.py
+++ b/src/martenrun/router/crashes/record_writer.py
@@ -8,7 +8,7 @@
 
 from martenrun.net.http import HttpResponse
 from martenrun.net.loop import Loop
-from martenrun.router.crash_tracker import CrashTracker
+from martenrun.router.crashes.tracker import CrashTracker
 from martenrun.router.dataset_replica import DatasetReplica
 from martenrun.router.log import log_warning
 from martenrun.router.messages import Dataset, HttpCall, StoredObject
--- a/src/martenrun/router/crash_table.py
+++ b/src/martenrun/router/crashes/table.py
@@ -18,8 +18,8 @@
 import attrs
 import msgspec
 
-from martenrun.router.crash_messages import CrashRecord
-from martenrun.router.fingerprint import CALLER_BYTES, PREFIX_BYTES
+from martenrun.router.crashes.fingerprint import CALLER_BYTES, PREFIX_BYTES
+from martenrun.router.crashes.messages import CrashRecord
 
 CRASH_THRESHOLD = 3
 """Minimum number of crashed instances before a request is blocked."""
--- a/src/martenrun/router/crash_tracker.py
+++ b/src/martenrun/router/crashes/tracker.py
@@ -10,10 +10,10 @@
 
 from martenrun.net.http import HttpRequest
 from martenrun.net.loop import Loop
-from martenrun.router.crash_detector import ConnectionProbe, CrashDetector, RunnerView
-from martenrun.router.crash_messages import CrashRecord, CrashUpdate
-from martenrun.router.crash_table import CrashSummary, CrashTable
-from martenrun.router.fingerprint import fingerprint_prefix, request_fingerprint
+from martenrun.router.crashes.detector import ConnectionProbe, CrashDetector, RunnerView
+from martenrun.router.crashes.fingerprint import fingerprint_prefix, request_fingerprint
+from martenrun.router.crashes.messages import CrashRecord, CrashUpdate
+from martenrun.router.crashes.table import CrashSummary, CrashTable
 from martenrun.router.log import log_event, log_warning
 from martenrun.router.messages import AdmittedRequest
 from martenrun.router.runner_state import RunnerState
--- a/src/martenrun/router/internal_interface.py
+++ b/src/martenrun/router/internal_interface.py
@@ -7,8 +7,8 @@
 
 from martenrun.net.http import STATUS_OK
 from martenrun.net.server import Exchange
-from martenrun.router.crash_page import BLAME_PATH, serve_crash_records
-from martenrun.router.crash_tracker import CrashTracker
+from martenrun.router.crashes.page import BLAME_PATH, serve_crash_records
+from martenrun.router.crashes.tracker import CrashTracker
 from martenrun.router.forwarded_request import is_forwarded
 from martenrun.router.metrics import Metrics
 from martenrun.router.quotas.gate import QuotaGate
--- a/src/martenrun/router/peer_messages.py
+++ b/src/martenrun/router/peer_messages.py
@@ -6,7 +6,7 @@
 
 from martenrun.identity.rendezvous import weight
 from martenrun.router.brittle_messages import BrittleUpdate
-from martenrun.router.crash_messages import CrashUpdate
+from martenrun.router.crashes.messages import CrashUpdate
 from martenrun.router.drain_messages import DrainUpdate
 from martenrun.router.limit_messages import LimitUpdate
 from martenrun.router.origins.messages import OriginQuery, OriginResponse, OriginUpdate
--- a/src/martenrun/router/peer_updates.py
+++ b/src/martenrun/router/peer_updates.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 
 from martenrun.router.brittle_messages import BrittleUpdate
-from martenrun.router.crash_messages import CrashUpdate
+from martenrun.router.crashes.messages import CrashUpdate
 from martenrun.router.drain_messages import DrainUpdate
 from martenrun.router.limit_messages import LimitUpdate
 from martenrun.router.peer_messages import LeaseUpdate, UnresponsiveRunnerUpdate
--- a/src/martenrun/router/peers.py
+++ b/src/martenrun/router/peers.py
@@ -15,7 +15,7 @@
 
 from martenrun.net.loop import READ, Loop
 from martenrun.router.brittle_messages import BrittleUpdate
-from martenrun.router.crash_messages import CrashUpdate
+from martenrun.router.crashes.messages import CrashUpdate
 from martenrun.router.drain_messages import DrainUpdate
 from martenrun.router.limit_messages import LimitUpdate
 from martenrun.router.log import log_warning
--- a/src/martenrun/router/platform_adapter.py
+++ b/src/martenrun/router/platform_adapter.py
@@ -9,7 +9,7 @@
 import attrs
 
 from martenrun.net.http import Headers, HttpRequest
-from martenrun.router.crash_messages import CrashRecord
+from martenrun.router.crashes.messages import CrashRecord
 from martenrun.router.messages import (
     Call,
     Configuration,
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -11,9 +11,9 @@
 from martenrun.net.loop import Loop
 from martenrun.net.server import Server
 from martenrun.router.brittle_services import BrittleServices
-from martenrun.router.crash_detector import RunnerView
-from martenrun.router.crash_record_writer import CrashRecordWriter
-from martenrun.router.crash_tracker import CrashTracker
+from martenrun.router.crashes.detector import RunnerView
+from martenrun.router.crashes.record_writer import CrashRecordWriter
+from martenrun.router.crashes.tracker import CrashTracker
 from martenrun.router.forwarded_request import with_room_for_forwarding
 from martenrun.router.gauges import GaugeSources, read_gauges
 from martenrun.router.instance_check import InstanceCheck
--- a/src/martenrun/router/request_services.py
+++ b/src/martenrun/router/request_services.py
@@ -7,7 +7,7 @@
 from martenrun.identity.rendezvous import weight
 from martenrun.net.loop import Loop
 from martenrun.router.brittle_services import BrittleServices
-from martenrun.router.crash_tracker import CrashTracker
+from martenrun.router.crashes.tracker import CrashTracker
 from martenrun.router.drain_messages import DrainUpdate
 from martenrun.router.instance_check import InstanceCheck
 from martenrun.router.messages import AdmittedRequest, KvCacheStore, Route
--- a/src/martenrun/router/silent_runners.py
+++ b/src/martenrun/router/silent_runners.py
@@ -5,7 +5,7 @@
 import attrs
 
 from martenrun.net.loop import Loop
-from martenrun.router.crash_detector import ConnectionProbe
+from martenrun.router.crashes.detector import ConnectionProbe
 from martenrun.router.runner_state import RunnerState
 
 PROBE_VALIDITY_S = 2.0
--- a/tests/router/crash_fleet.py
+++ b/tests/router/crash_fleet.py
@@ -12,9 +12,9 @@
 import msgspec
 
 from martenrun.platform import PLATFORM_ADAPTER
-from martenrun.router.crash_record_writer import CrashRecordWriter
+from martenrun.router.crashes.fingerprint import request_fingerprint
+from martenrun.router.crashes.record_writer import CrashRecordWriter
 from martenrun.router.dataset_replica import ReplicaListener
-from martenrun.router.fingerprint import request_fingerprint
 from martenrun.router.log import EVENT_LOG
 from martenrun.router.messages import Dataset
 
--- a/tests/router/crash_world.py
+++ b/tests/router/crash_world.py
@@ -1,8 +1,8 @@
 """Helpers for tests of crash records: scripted probes and runners, requests, a tracker."""
 
 from martenrun.net.http import HttpRequest
-from martenrun.router.crash_detector import RunnerView
-from martenrun.router.crash_tracker import CrashTracker
+from martenrun.router.crashes.detector import RunnerView
+from martenrun.router.crashes.tracker import CrashTracker
 from martenrun.router.messages import AdmittedRequest, Call, Tenant
 
 from .builders import route
--- a/tests/router/test_crash_detector.py
+++ b/tests/router/test_crash_detector.py
@@ -3,7 +3,7 @@
 import pytest
 
 from martenrun.net.loop import Loop
-from martenrun.router.crash_detector import (
+from martenrun.router.crashes.detector import (
     CONFIRMATION_DELAY_S,
     INVESTIGATION_S,
     PROBE_TIMEOUT_S,
--- a/tests/router/test_crash_table.py
+++ b/tests/router/test_crash_table.py
@@ -6,8 +6,14 @@
 from hypothesis import given, seed
 from hypothesis import strategies as st
 
-from martenrun.router.crash_messages import CrashRecord
-from martenrun.router.crash_table import (
+from martenrun.router.crashes.fingerprint import (
+    CALLER_BYTES,
+    PREFIX_BYTES,
+    fingerprint_prefix,
+    request_fingerprint,
+)
+from martenrun.router.crashes.messages import CrashRecord
+from martenrun.router.crashes.table import (
     CRASH_RATE_WINDOW_S,
     CRASH_THRESHOLD,
     CRASH_THRESHOLD_AFTER_SUCCESS,
@@ -20,12 +26,6 @@
     RETENTION_S,
     CrashTable,
 )
-from martenrun.router.fingerprint import (
-    CALLER_BYTES,
-    PREFIX_BYTES,
-    fingerprint_prefix,
-    request_fingerprint,
-)
 
 from .crash_world import admitted, request
 
--- a/tests/router/test_crash_tracker.py
+++ b/tests/router/test_crash_tracker.py
@@ -5,17 +5,17 @@
 import pytest
 
 from martenrun.platform import PLATFORM_ADAPTER
-from martenrun.router.crash_messages import CrashUpdate
-from martenrun.router.crash_record_writer import (
+from martenrun.router.crashes.fingerprint import request_fingerprint
+from martenrun.router.crashes.messages import CrashUpdate
+from martenrun.router.crashes.record_writer import (
     REFRESH_INTERVAL_S,
     RETRY_INTERVAL_S,
     WRITE_INTERVAL_S,
     CrashRecordWriter,
 )
-from martenrun.router.crash_table import CRASH_THRESHOLD
-from martenrun.router.crash_tracker import REBROADCAST_INTERVAL_S, REBROADCAST_PERIOD_S
+from martenrun.router.crashes.table import CRASH_THRESHOLD
+from martenrun.router.crashes.tracker import REBROADCAST_INTERVAL_S, REBROADCAST_PERIOD_S
 from martenrun.router.dataset_replica import DatasetReplica, ReplicaListener
-from martenrun.router.fingerprint import request_fingerprint
 from martenrun.router.messages import Dataset, StoredObject, UnreadableError
 from martenrun.router.peer_messages import decode, encode
 
--- a/tests/router/test_forwarding.py
+++ b/tests/router/test_forwarding.py
@@ -6,7 +6,7 @@
 from martenrun.net.http import HttpRequest
 from martenrun.platform import PLATFORM_ADAPTER
 from martenrun.router import request_trace
-from martenrun.router.fingerprint import request_fingerprint
+from martenrun.router.crashes.fingerprint import request_fingerprint
 from martenrun.router.forwarding import RequestForwarder
 from martenrun.router.messages import AdmittedRequest, Call, PromptPart, RouteKind, TargetWeights
 from martenrun.router.placement import Placement
--- a/tests/router/unguarded_router.py
+++ b/tests/router/unguarded_router.py
@@ -90,7 +90,7 @@
 
 def block_no_requests():
     """Send requests to runners however many have crashed while serving them."""
-    from martenrun.router.crash_table import CrashTable
+    from martenrun.router.crashes.table import CrashTable
 
     CrashTable.blocked_for_s = lambda self, fingerprint, now: 0.0
 
