Logs of a crash name the parts of the prompts on the runner

Whether crashes have a part of their prompts in common could not be told from the logs: they named one fingerprint for each whole request. runner_ended_under_requests now lists, for each request, the ids of the parts that others may share. No decision changes; a test reads the log's fields.

--- a/src/martenrun/router/crashes/detector.py
+++ b/src/martenrun/router/crashes/detector.py
@@ -23,6 +23,7 @@
 
 from martenrun.net.loop import Loop, Timer
 from martenrun.net.stream import Stream, open_stream
+from martenrun.router.crashes.features import RequestFeatures, part_name
 from martenrun.router.log import log_event, log_warning
 from martenrun.router.messages import Runner
 from martenrun.router.runner_state import RunnerState
@@ -39,6 +40,9 @@
 RETRY_DELAYS_S = (0.05, 0.1, 0.2, 0.4, 0.8)
 """Delays before an inconclusive probe is repeated, in seconds."""
 
+MAX_LOGGED = 8
+"""Maximum number of requests that the log of a crash names."""
+
 INVESTIGATION_S = 8.0
 """How long disconnects are kept while it is unknown whether the runner crashed, in seconds.
 
@@ -57,7 +61,7 @@
         self.probe_count = 0
         self.was_accepted = False
         self.next_probe: Timer | None = None
-        self.fingerprints: list[bytes] = []
+        self.requests: list[RequestFeatures] = []
         self.callbacks: list[Callable[[], None]] = []
 
 
@@ -133,7 +137,7 @@
     """Investigates the runner instances whose connections broke recently.
 
     Args:
-        on_crashed: called with a crashed instance and the fingerprints of its requests.
+        on_crashed: called with a crashed instance and the features of its requests.
         probe: opens a connection to an address and reports the result.
     """
 
@@ -141,7 +145,7 @@
         self,
         loop: Loop,
         runners: RunnerView,
-        on_crashed: Callable[[str, list[bytes]], None],
+        on_crashed: Callable[[str, list[RequestFeatures]], None],
         probe: Callable[[Loop, str, Callable[[bool | None], None]], object] = ConnectionProbe,
     ) -> None:
         self._loop = loop
@@ -150,14 +154,14 @@
         self._probe = probe
         self._investigations: dict[str, Investigation] = {}
 
-    def handle_disconnect(self, state: RunnerState, fingerprint: bytes) -> None:
+    def handle_disconnect(self, state: RunnerState, features: RequestFeatures) -> None:
         """Handle a request whose connection closed before its response was complete."""
         runner = state.runner
         if state.is_draining:
             return
         if self._runners.has_restarted(runner):
             # The entry of a later instance arrived before this connection broke.
-            self._on_crashed(runner.instance, [fingerprint])
+            self._on_crashed(runner.instance, [features])
             return
         if not self._runners.is_listed(state):
             return
@@ -168,9 +172,9 @@
         ):
             investigation = self._investigations[runner.instance] = Investigation(runner, now)
         if investigation.has_crashed:
-            self._on_crashed(runner.instance, [fingerprint])
+            self._on_crashed(runner.instance, [features])
             return
-        investigation.fingerprints.append(fingerprint)
+        investigation.requests.append(features)
         if not investigation.is_probing and investigation.next_probe is None:
             self._start_probe(investigation)
 
@@ -190,7 +194,7 @@
                 del self._investigations[instance]
             elif (
                 not investigation.has_crashed
-                and investigation.fingerprints
+                and investigation.requests
                 and self._is_replaced(investigation.runner)
             ):
                 self._confirm_crash(investigation)
@@ -235,7 +239,7 @@
             instance=investigation.runner.instance,
             answer={True: "refused", False: "accepted", None: "inconclusive"}[refused],
             has_connection=self._runners.has_connection(investigation.runner.instance),
-            runs=len(investigation.fingerprints),
+            runs=len(investigation.requests),
         )
         if not refused:
             self._apply_result(investigation, refused)
@@ -283,11 +287,17 @@
 
     def _confirm_crash(self, investigation: Investigation) -> None:
         investigation.has_crashed = True
-        fingerprints, investigation.fingerprints = investigation.fingerprints, []
+        requests, investigation.requests = investigation.requests, []
         log_warning(
             "runner_ended_under_requests",
             instance=investigation.runner.instance,
-            runs=len(fingerprints),
-            fingerprints=" ".join(fingerprint.hex() for fingerprint in fingerprints[:8]),
+            runs=len(requests),
+            fingerprints=" ".join(each.fingerprint.hex() for each in requests[:MAX_LOGGED]),
+            parts=" ".join(_part_names(each) for each in requests[:MAX_LOGGED]),
         )
-        self._on_crashed(investigation.runner.instance, fingerprints)
+        self._on_crashed(investigation.runner.instance, requests)
+
+
+def _part_names(features: RequestFeatures) -> str:
+    """Return the ids of a request's shared parts, separated by commas."""
+    return ",".join(part_name(key) or "" for key in features.parts) or "-"
--- a/src/martenrun/router/crashes/tracker.py
+++ b/src/martenrun/router/crashes/tracker.py
@@ -11,6 +11,7 @@
 from martenrun.net.http import HttpRequest
 from martenrun.net.loop import Loop
 from martenrun.router.crashes.detector import ConnectionProbe, CrashDetector, RunnerView
+from martenrun.router.crashes.features import RequestFeatures, request_features
 from martenrun.router.crashes.fingerprint import fingerprint_prefix, request_fingerprint
 from martenrun.router.crashes.messages import CrashRecord, CrashUpdate
 from martenrun.router.crashes.table import CrashSummary, CrashTable
@@ -84,14 +85,14 @@
         self, state: RunnerState, request: HttpRequest, admitted: AdmittedRequest
     ) -> None:
         """Handle a request whose connection closed before its response was complete."""
-        self.detector.handle_disconnect(state, request_fingerprint(request, admitted))
+        self.detector.handle_disconnect(state, request_features(request, admitted))
 
     def record_restart(
         self, state: RunnerState, request: HttpRequest, admitted: AdmittedRequest
     ) -> None:
         """Record that a runner restarted while serving a request."""
         if not state.is_draining:
-            self._record_crashes(state.runner.instance, [request_fingerprint(request, admitted)])
+            self._record_crashes(state.runner.instance, [request_features(request, admitted)])
 
     def summaries(self) -> list[CrashSummary]:
         """Return the crash records as shown to operators."""
@@ -150,12 +151,12 @@
         if self._unstored:
             self._broadcast_records(set(self._unstored))
 
-    def _record_crashes(self, instance: str, fingerprints: list[bytes]) -> None:
+    def _record_crashes(self, instance: str, requests: list[RequestFeatures]) -> None:
         now = self._loop.now()
         new = {
-            fingerprint
-            for fingerprint in fingerprints
-            if self.table.record_crash(fingerprint, instance, now)
+            features.fingerprint
+            for features in requests
+            if self.table.record_crash(features.fingerprint, instance, now)
         }
         if new:
             self._broadcast_new(new)
--- a/tests/router/crash_fleet.py
+++ b/tests/router/crash_fleet.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from martenrun.platform import PLATFORM_ADAPTER
+from martenrun.router.crashes.features import RequestFeatures
 from martenrun.router.crashes.fingerprint import request_fingerprint
 from martenrun.router.crashes.record_writer import CrashRecordWriter
 from martenrun.router.dataset_replica import ReplicaListener
@@ -161,7 +162,7 @@
         instance = f"i-{len(self.crashes)}"
         self.crashes.append(self.loop.now())
         if not router.is_off:
-            router.tracker._record_crashes(instance, [FINGERPRINT])
+            router.tracker._record_crashes(instance, [RequestFeatures(FINGERPRINT)])
 
     def late_arrivals(self):
         """Count arrivals after the time by which the router should know of the third crash."""
--- a/tests/router/test_crash_detector.py
+++ b/tests/router/test_crash_detector.py
@@ -3,6 +3,7 @@
 import pytest
 
 from martenrun.net.loop import Loop
+from martenrun.router.crashes import detector
 from martenrun.router.crashes.detector import (
     CONFIRMATION_DELAY_S,
     INVESTIGATION_S,
@@ -11,13 +12,14 @@
     ConnectionProbe,
     CrashDetector,
 )
+from martenrun.router.crashes.features import RequestFeatures, part_key
 
 from .builders import state
 from .crash_world import Probes, Runners
 from .fakes import FakeLoop
 from .loopback import RunnerPeer, free_address, serve_until
 
-FINGERPRINT = b"run 1"
+FINGERPRINT = RequestFeatures(b"run 1")
 
 
 class Harness:
@@ -44,10 +46,10 @@
 
 def test_refused_connection_proves_the_crash_for_all_requests(harness):
     harness.probes.refused.add("127.0.0.1:1")
-    for fingerprint in (FINGERPRINT, b"run 2"):
+    for fingerprint in (FINGERPRINT, RequestFeatures(b"run 2")):
         harness.detector.handle_disconnect(state("i-1"), fingerprint)
     harness.run(0.01)
-    assert harness.crashes == [("i-1", [FINGERPRINT, b"run 2"])]
+    assert harness.crashes == [("i-1", [FINGERPRINT, RequestFeatures(b"run 2")])]
     assert len(harness.probes.probed) == 1
 
 
@@ -55,8 +57,8 @@
     harness.probes.refused.add("127.0.0.1:1")
     harness.detector.handle_disconnect(state("i-1"), FINGERPRINT)
     harness.run(0.01)
-    harness.detector.handle_disconnect(state("i-1"), b"run 2")
-    assert harness.crashes[1:] == [("i-1", [b"run 2"])]
+    harness.detector.handle_disconnect(state("i-1"), RequestFeatures(b"run 2"))
+    assert harness.crashes[1:] == [("i-1", [RequestFeatures(b"run 2")])]
 
 
 def test_connection_reset_by_a_live_runner_records_no_crash(harness):
@@ -170,11 +172,11 @@
     harness.probes.inconclusive.add("127.0.0.1:1")
     harness.detector.handle_disconnect(state("i-1"), FINGERPRINT)
     harness.run(INVESTIGATION_S + 0.1)
-    harness.detector.handle_disconnect(state("i-1"), b"run 2")
+    harness.detector.handle_disconnect(state("i-1"), RequestFeatures(b"run 2"))
     harness.probes.inconclusive.clear()
     harness.probes.refused.add("127.0.0.1:1")
     harness.run(0.2)
-    assert harness.crashes == [("i-1", [b"run 2"])]
+    assert harness.crashes == [("i-1", [RequestFeatures(b"run 2")])]
 
 
 def test_successive_disconnects_do_not_confirm_an_accepted_probe(harness):
@@ -283,3 +285,17 @@
     harness.detector.handle_disconnect(state("i-1"), FINGERPRINT)
     harness.run(0.01)
     assert harness.crashes == [("i-1", [FINGERPRINT])]
+
+
+def test_the_log_of_a_crash_names_the_parts_of_the_prompts(harness, monkeypatch):
+    logged = []
+    monkeypatch.setattr(
+        detector, "log_warning", lambda event, **fields: logged.append((event, fields))
+    )
+    harness.probes.refused.add("127.0.0.1:1")
+    features = RequestFeatures(b"run 1", (part_key(b"aa"), part_key(b"bb")))
+    for each in (features, FINGERPRINT):
+        harness.detector.handle_disconnect(state("i-1"), each)
+    harness.run(0.01)
+    assert logged[0][0] == "runner_ended_under_requests"
+    assert logged[0][1]["parts"] == "aa,bb -"
