--- a/scripts/soak_runner_faults.py
+++ b/scripts/soak_runner_faults.py
@@ -15,7 +15,8 @@
 from platform_deployment import KEY, MODEL, PlatformDeployment
 from soak_callers import SPARE_KEY, is_deadly, pause_of
 
-from martenrun.platform.standins.runner import Fault, RunnerStandin
+from martenrun.platform.standins.runner import RunnerStandin
+from martenrun.platform.standins.runner_records import Fault
 from martenrun.proof.router_records import Departure, Revocation, SoftwareSpan, Trouble
 from martenrun.proof.soak_schedule import Step
 
--- a/src/martenrun/platform/standins/http_server.py
+++ b/src/martenrun/platform/standins/http_server.py
@@ -59,14 +59,15 @@
         server.server_activate()
         return server
 
-    def crash(self) -> socket.socket:
-        """Stop at once: reset every connection, refuse new ones, and return the reserved port."""
+    def crash(self, resets: bool = True) -> socket.socket:
+        """Stop at once: reset or close every connection, refuse new ones, return the port."""
         self.shutdown()
         self.server_close()
         reserved = reserve_port(self.server_address[:2])  # type: ignore[arg-type]
         for sock in list(self._connections):
             with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01" + bytes(7))
+                if resets:
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01" + bytes(7))
                 # The handler still holds the socket: the reset is sent when the handler closes it.
                 sock.shutdown(socket.SHUT_RDWR)
         return reserved
--- a/src/martenrun/platform/standins/runner.py
+++ b/src/martenrun/platform/standins/runner.py
@@ -3,7 +3,6 @@
 Faults are injected by :attr:`RunnerStandin.fault`, which is called for each request.
 """
 
-import enum
 import itertools
 import socket
 import threading
@@ -11,81 +10,21 @@
 from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler
 
-import attrs
 import msgspec
 
 from martenrun.platform.standins.http_server import QuietServer
+from martenrun.platform.standins.runner_records import (
+    Arrival,
+    Crash,
+    CrashPoint,
+    Fault,
+    Run,
+    RunEnd,
+)
 
 _INSTANCES = itertools.count(1)
 
 
-class Fault(enum.Enum):
-    """A fault that a runner injects into its handling of a request."""
-
-    NONE = "none"
-    FULL = "full"
-    ERROR = "error"
-    LOST_ANSWER = "lost answer"
-    CUT_MIDWAY = "cut midway"
-    NO_SIGNATURE = "no signature"
-    SILENT = "silent"
-
-
-@attrs.frozen
-class Run:
-    """A request that the runner began to execute."""
-
-    request_id: str
-    instance: str
-    method: str
-    path: str
-    body: bytes
-    tenant: str | None
-    has_key: bool
-    cache_salt: str | None
-    weights_version: int
-    at: float
-
-
-@attrs.frozen
-class Arrival:
-    """A request that reached the runner, whether it was executed or refused.
-
-    Attributes:
-        limit: rate limit that its response advertises, or None.
-        source: IP address that it came from.
-        announces_drain: whether its response announces that the runner will stop.
-        retry_after: the backoff that its refusal requests, in seconds, or None.
-    """
-
-    request_id: str
-    instance: str
-    born_ms: int
-    at: float
-    limit: str | None
-    source: str = ""
-    announces_drain: bool = False
-    retry_after: str | None = None
-
-
-@attrs.frozen
-class RunEnd:
-    """When a runner stopped executing a request, and whether it completed it."""
-
-    request_id: str
-    at: float
-    is_complete: bool
-
-
-@attrs.frozen
-class Crash:
-    """A crash of a runner instance while it served a request."""
-
-    request_id: str
-    instance: str
-    at: float
-
-
 class RunnerStandin:
     """A runner of one service.
 
@@ -106,6 +45,12 @@
         software: version of its software; its entry and each of its events tell it.
         stream_cuts: how often it has cut all streams in progress.
         crashes_on: whether a request with a given body crashes the runner before it responds.
+        crashing_parts: ids of parts of a prompt, never the last one, that crash the runner.
+        crash_point: how far the response to a crash-causing request gets.
+        crash_delay_s: how long such a request runs before that, in seconds.
+        crashes_by_reset: whether its connections are reset when it crashes, or closed.
+        ends_by_connection: whether the response to a request has neither a length nor chunks and
+            ends with its connection.
         on_crash: called when the runner crashes.
     """
 
@@ -141,6 +86,11 @@
         self.ends: list[RunEnd] = []
         self.fault: Callable[[], Fault] = lambda: Fault.NONE
         self.crashes_on: Callable[[bytes], bool] = lambda _body: False
+        self.crashing_parts: frozenset[str] = frozenset()
+        self.crash_point = CrashPoint.BEFORE_HEAD
+        self.crash_delay_s = 0.0
+        self.crashes_by_reset = True
+        self.ends_by_connection: Callable[[str], bool] = lambda _request_id: False
         self.on_crash: Callable[[RunnerStandin], None] = lambda _runner: None
         self.crashes: list[Crash] = []
         self._crash_lock = threading.Lock()
@@ -163,7 +113,7 @@
             self.crashes.append(Crash(request_id, self.instance, time.monotonic()))
             if self._reserved_port is None:
                 self.on_crash(self)
-                self._reserved_port = self._server.crash()
+                self._reserved_port = self._server.crash(self.crashes_by_reset)
 
     def occupy_slot(self) -> bool:
         """Wait for a slot and occupy it; return False if too many requests wait already."""
@@ -248,6 +198,8 @@
     runner: RunnerStandin
     _limit: str | None = None
     _announces_drain = False
+    _is_chunked = True
+    _software = ""
 
     def log_message(self, format: str, *args: object) -> None:
         """Suppress the access log."""
@@ -324,9 +276,8 @@
             self._send(503, b"", {"X-Not-Executed": "1"})
             return
         self.runner.runs.append(self._new_run(body))
-        if self.runner.crashes_on(body):
-            self.runner.crash(self._request_id())
-            self.close_connection = True
+        if self.runner.crashes_on(body) or self._has_crashing_part():
+            self._crash()
         elif fault is Fault.LOST_ANSWER:
             self.close_connection = True
         elif fault is Fault.SILENT:
@@ -337,8 +288,7 @@
         elif "X-Prefix-Hash" in self.headers:
             is_complete = False
             try:
-                self._stream(fault)
-                is_complete = not self.close_connection
+                is_complete = self._stream(fault)
             finally:
                 end = RunEnd(self._request_id(), time.monotonic(), is_complete)
                 self.runner.ends.append(end)
@@ -367,41 +317,90 @@
             self.headers.get("X-Cache-Salt"),
             self.runner.weights_version,
             time.monotonic(),
+            self._parts(),
         )
 
-    def _stream(self, fault: Fault) -> None:
+    def _parts(self) -> tuple[str, ...]:
+        """Return the ids of the parts of the prompt, the last one not shared."""
+        value = self.headers.get("X-Prefix-Hash", "")
+        return tuple(part.partition(":")[0] for part in value.split(",") if part)
+
+    def _has_crashing_part(self) -> bool:
+        return not self.runner.crashing_parts.isdisjoint(self._parts()[:-1])
+
+    def _crash(self) -> None:
+        """Crash, possibly after the response has begun."""
+        runner = self.runner
+        time.sleep(runner.crash_delay_s)
+        if runner.crash_point is not CrashPoint.BEFORE_HEAD:
+            self._begin_stream()
+        if runner.crash_point is CrashPoint.AFTER_EVENT:
+            self._write_part(self._event(int(self.headers.get("Last-Event-Id") or 0) + 1))
+        runner.crash(self._request_id())
+        self.close_connection = True
+
+    def _stream(self, fault: Fault) -> bool:
+        """Write a stream; return whether it is complete."""
         first = int(self.headers.get("Last-Event-Id") or 0) + 1
         born_ms = self.runner.born_ms
-        software = self.runner.software
         cuts = self.runner.stream_cuts
-        self.send_response(200)
-        self.send_header("X-Request-Id", self._request_id())
-        for name, value in (self._signature() | self._notices()).items():
-            self.send_header(name, value)
-        self.send_header("Content-Type", "text/event-stream")
-        self.send_header("Transfer-Encoding", "chunked")
-        self.end_headers()
+        self._begin_stream()
         for number in range(first, self.runner.events + 1):
-            data = b"id: %d\ndata: piece %d by %b\n\n" % (number, number, software.encode())
+            data = self._event(number)
             if self.runner.born_ms != born_ms:
                 self.close_connection = True
-                return
+                return False
             is_cut = self.runner.stream_cuts != cuts
             if is_cut or (fault is Fault.CUT_MIDWAY and number == first + 2):
-                self.wfile.write(b"%x\r\n%b" % (len(data), data[:5]))
+                self._write_part(data, 5)
                 self.close_connection = True
-                return
-            self.wfile.write(b"%x\r\n%b\r\n" % (len(data), data))
-            self.wfile.flush()
+                return False
+            self._write_part(data)
             time.sleep(self.runner.event_pause_of(self._request_id()))
-        self.wfile.write(b"0\r\n\r\n")
+        if self._is_chunked:
+            self.wfile.write(b"0\r\n\r\n")
+        return True
+
+    def _begin_stream(self) -> None:
+        """Send the head of a stream."""
+        self._is_chunked = not self.runner.ends_by_connection(self._request_id())
+        self._software = self.runner.software
+        self._send_head(200, self._signature())
+        self.send_header("Content-Type", "text/event-stream")
+        if self._is_chunked:
+            self.send_header("Transfer-Encoding", "chunked")
+        else:
+            self._close_with_response()
+        self.end_headers()
 
-    def _send(self, status: int, body: bytes, headers: dict[str, str]) -> None:
+    def _event(self, number: int) -> bytes:
+        return b"id: %d\ndata: piece %d by %b\n\n" % (number, number, self._software.encode())
+
+    def _write_part(self, data: bytes, limit: int | None = None) -> None:
+        """Write an event, or only its first bytes."""
+        if self._is_chunked:
+            end = b"\r\n" if limit is None else b""
+            data, limit = b"%x\r\n%b%b" % (len(data), data[:limit], end), None
+        self.wfile.write(data[:limit])
+        self.wfile.flush()
+
+    def _close_with_response(self) -> None:
+        """Let the close of the connection be the end of the response."""
+        self.send_header("Connection", "close")
+        self.close_connection = True
+
+    def _send_head(self, status: int, headers: dict[str, str]) -> None:
         self.send_response(status)
         self.send_header("X-Request-Id", self._request_id())
         for name, value in (headers | self._notices()).items():
             self.send_header(name, value)
-        self.send_header("Content-Length", str(len(body)))
+
+    def _send(self, status: int, body: bytes, headers: dict[str, str]) -> None:
+        self._send_head(status, headers)
+        if status == 200 and self.runner.ends_by_connection(self._request_id()):
+            self._close_with_response()
+        else:
+            self.send_header("Content-Length", str(len(body)))
         self.end_headers()
         self.wfile.write(body)
 
--- a/tests/router/test_whole_path.py
+++ b/tests/router/test_whole_path.py
@@ -10,7 +10,7 @@
 from platform_deployment import MODEL, PlatformDeployment
 
 from martenrun.cli.main import main
-from martenrun.platform.standins.runner import Fault
+from martenrun.platform.standins.runner_records import Fault
 
 
 @pytest.fixture(scope="module")
