Crashes are evidence against each part of a prompt, not only against whole requests

Cause: a crash record's key was the fingerprint of a whole request. Requests that only have a part in common each had a record of their own with one crash (two with the router's repeat), so that none was ever blocked.

A record is now kept for each feature of a request: the whole and every shared part. A request that completes clears its parts everywhere; routers that have just seen a part complete say so, a few of them. What a part was only met beside is kept with it: a prompt that lacks some of it is a trial, one a second per router, and clears or narrows. A suspected part decides the runner and forbids repeats; bytes are not sent for what has become blocked while connecting.

Why it works: a sound part completes somewhere, a part that crashes every runner never does. The wait of a stream for a runner moved to resume_polling.py.

--- a/src/martenrun/platform/specs.py
+++ b/src/martenrun/platform/specs.py
@@ -157,6 +157,7 @@
     fingerprint: Annotated[str, msgspec.Meta(pattern="^([0-9a-f]{2})+$")]
     ended: list[_CrashedInstance]
     whole_ms: _Count | None = None
+    beside: list[Annotated[str, msgspec.Meta(pattern="^([0-9a-f]{2})+$")]] = []
 
 
 class _CrashRecords(msgspec.Struct):
@@ -342,6 +343,7 @@
             bytes.fromhex(item.fingerprint),
             [(each.start, each.age_ms) for each in item.ended],
             item.whole_ms,
+            [bytes.fromhex(other) for other in item.beside],
         )
         for item in spec.requests
     ]
@@ -354,6 +356,7 @@
             "fingerprint": record.fingerprint.hex(),
             "ended": [{"start": start, "age_ms": age_ms} for start, age_ms in record.crashes],
             "whole_ms": record.completed_ms,
+            "beside": [other.hex() for other in record.companions],
         }
         for record in records
     ]
--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -1,5 +1,6 @@
 """One attempt of a request at one runner, and the runner state learned from its response."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 import attrs
@@ -99,6 +100,7 @@
         state: state of the runner.
         load: load that the request adds to the runner.
         has_grant: whether the request may be sent even if the runner is rate-limited.
+        is_blocked: returns whether the request has become known to crash runners.
 
     Attributes:
         started_at: monotonic time at which it was started, in seconds.
@@ -114,6 +116,7 @@
         state: RunnerState,
         load: AttemptLoad,
         has_grant: bool = False,
+        is_blocked: Callable[[], bool] = lambda: False,
     ) -> None:
         self._services = services
         self._admitted = admitted
@@ -124,6 +127,7 @@
         self._prefill_tokens = load.prefill_tokens
         self._kv_cache_tokens = load.kv_cache_tokens
         self._has_grant = has_grant
+        self._is_blocked = is_blocked
         self.has_body_started = False
         self.started_at = self._data_at = services.loop.now()
         self._tokens_ahead = state.backlog_tokens + load.prefill_tokens
@@ -180,6 +184,8 @@
         elif self.state.is_backing_off(self._services.loop.now()):
             self._services.count_notice("withheld")
             self._withdraw()
+        elif self._is_blocked():
+            self._withdraw()
         else:
             self.was_sent = True
 
--- a/src/martenrun/router/crashes/messages.py
+++ b/src/martenrun/router/crashes/messages.py
@@ -1,20 +1,22 @@
-"""Crash records of requests, as exchanged between routers and written to the store."""
+"""Crash records, as exchanged between routers and written to the store."""
 
 import msgspec
 
 
 class CrashRecord(msgspec.Struct, array_like=True, frozen=True):
-    """The crash record of one request.
+    """The crash record of one feature of requests.
 
     Attributes:
-        fingerprint: identifies the request, see :mod:`martenrun.router.crashes.fingerprint`.
+        fingerprint: key of the feature, see :mod:`martenrun.router.crashes.features`.
         crashes: runner instances that crashed while serving it, and how long ago, in milliseconds.
         completed_ms: time since it last completed, in milliseconds, or None if it never did.
+        companions: keys of other parts that each of the crashed requests had as well.
     """
 
     fingerprint: bytes
     crashes: list[tuple[str, int]]
     completed_ms: int | None = None
+    companions: list[bytes] = []
 
 
 class CrashUpdate(msgspec.Struct, array_like=True, tag="blame", frozen=True):
--- a/src/martenrun/router/crashes/record_writer.py
+++ b/src/martenrun/router/crashes/record_writer.py
@@ -85,7 +85,7 @@
         return now - seen_at > REFRESH_INTERVAL_S
 
     def _write_call(self, stored: StoredObject | None, now: float) -> HttpCall:
-        spec = self._adapter.crash_records_spec(self._tracker.table.records(now))
+        spec = self._adapter.crash_records_spec(self._tracker.records_to_store(now))
         if stored is None:
             return self._adapter.create_object(Dataset.CRASH_RECORDS, OBJECT_NAME, spec)
         return self._adapter.replace_object(Dataset.CRASH_RECORDS, stored, spec)
--- a/src/martenrun/router/crashes/table.py
+++ b/src/martenrun/router/crashes/table.py
@@ -1,7 +1,8 @@
 """Attributes runner crashes to requests and decides which requests are blocked.
 
 All requests that a runner serves when it crashes are recorded with that runner instance.  A single
-crash is weak evidence, and a request that has completed since is not the cause.  Routers exchange
+crash is weak evidence, and a request that has completed since is not the cause.  The same holds for
+each part of a prompt: any request that completes with it clears it.  Routers exchange
 the crashed instances rather than counts, so that a crash seen by two routers counts once.
 
 A request is blocked after CRASH_THRESHOLD instances have crashed while serving it.  More are
@@ -9,27 +10,30 @@
 block expires, later with each crash.  One further crash then renews it, so that all routers
 together lose one or two runners each time.
 
+A part may have been met only beside the one that causes the crashes.  A prompt that has a part with
+enough crashes, but lacks others which would explain all of them, is therefore not blocked: it may
+be tried, one request at a time, and either clears the part or is evidence against it alone.
+
 Callers pass in the time; nothing here reads a clock.
 """
 
 import collections
 import math
 
-import attrs
 import msgspec
 
+from martenrun.router.crashes.features import PART_TAG, part_name
 from martenrun.router.crashes.fingerprint import CALLER_BYTES, PREFIX_BYTES
+from martenrun.router.crashes.history import (
+    CRASH_THRESHOLD,
+    MAX_CRASHES_PER_RECORD,
+    CrashHistory,
+)
 from martenrun.router.crashes.messages import CrashRecord
 
-CRASH_THRESHOLD = 3
-"""Minimum number of crashed instances before a request is blocked."""
-
 MAX_CRASH_THRESHOLD = 5
 """Upper bound of the threshold at any crash rate; users accept few more than three crashes."""
 
-CRASH_THRESHOLD_AFTER_SUCCESS = 6
-"""Minimum for a request that has completed before, which a crash-causing request never does."""
-
 COINCIDENCE_PROBABILITY = 1e-6
 """Accepted probability that a run of crashes is a coincidence.
 
@@ -49,85 +53,24 @@
 ASSUMED_RUN_S = 0.5
 """Assumed duration of a run, in seconds; a short stream takes 0.1, a long one 1."""
 
-INITIAL_BLOCK_S = 3_600.0
-MAX_BLOCK_S = 7 * 86_400.0
-"""Initial and maximum block duration after the last crash, in seconds; each crash doubles it."""
-
-INITIAL_BLOCK_AFTER_SUCCESS_S = 10.0
-"""Initial block duration for a request that has completed before, in seconds; doubles as well.
-
-When all runners crash in turn, frequent requests are affected by many of the crashes and must be
-served again once the runners are stable.  The duration is capped at INITIAL_BLOCK_S, the initial
-one of a request that has never completed.
-"""
-
-RETENTION_S = 86_400.0
-"""How long a record is kept after its last update or the end of its block, in seconds."""
-
 MAX_RECORDS = 512
 """Maximum number of records, about 100 bytes each; those with the least evidence are evicted."""
 
 MAX_RECORDS_PER_CALLER = MAX_RECORDS // 4
 """Maximum per caller, so that one caller's requests cannot evict those of all others."""
 
+MAX_PART_RECORDS = 512
+"""Maximum number of records of parts, which no caller owns; 100 to 400 bytes each."""
+
 RETENTION_PER_CRASH_S = 600.0
 """How much longer a record is kept per crash when records are evicted, in seconds."""
 
-MAX_CRASHES_PER_RECORD = 12
-"""Maximum number of crashes per record; with this many the block duration is at its maximum."""
+MAX_UNEXPLAINED = 1
+"""Crashes of a part that others may leave unexplained: a runner may crash by chance as well."""
 
 MS_PER_S = 1000.0
 
 
-@attrs.define
-class CrashHistory:
-    """The runner instances that crashed while serving one request, and its last completion."""
-
-    crashes: dict[str, float] = attrs.field(factory=dict)
-    completed_at: float = -math.inf
-
-    @property
-    def updated_at(self) -> float:
-        """The time of the last crash or completion."""
-        return max([self.completed_at, *self.crashes.values()])
-
-    @property
-    def crash_count(self) -> int:
-        """The number of instances that crashed while serving it since it last completed."""
-        return sum(at > self.completed_at for at in self.crashes.values())
-
-    @property
-    def has_completed(self) -> bool:
-        """Whether the request is known to have completed."""
-        return self.completed_at != -math.inf
-
-    @property
-    def min_threshold(self) -> int:
-        """The number of crashes required if no unrelated crashes occur."""
-        return CRASH_THRESHOLD_AFTER_SUCCESS if self.has_completed else CRASH_THRESHOLD
-
-    def blocked_until(self) -> float:
-        """Return when the block ends, provided that there are enough crashes for one."""
-        last_at = max(self.crashes.values())
-        factor = 2 ** max(0, self.crash_count - self.min_threshold)
-        if self.has_completed:
-            return last_at + min(INITIAL_BLOCK_S, INITIAL_BLOCK_AFTER_SUCCESS_S * factor)
-        return last_at + min(MAX_BLOCK_S, INITIAL_BLOCK_S * factor)
-
-    def is_contained_in(self, record: CrashRecord | None) -> bool:
-        """Whether a record contains everything that is known here."""
-        if record is None or (record.completed_ms is None and self.has_completed):
-            return False
-        return self.crashes.keys() <= {instance for instance, _ in record.crashes}
-
-    def expires_at(self) -> float:
-        """Return when the record can be dropped."""
-        blocked_until = (
-            self.blocked_until() if self.crash_count >= self.min_threshold else -math.inf
-        )
-        return max(self.updated_at, blocked_until) + RETENTION_S
-
-
 class CrashSummary(msgspec.Struct):
     """A crash record as shown to operators.
 
@@ -135,16 +78,20 @@
         starts: runner instances that crashed while serving it since it last completed.
         held_for_s: remaining block duration in seconds; 0 if it is not blocked.
         has_run_whole: whether it is known to have completed.
+        part: id of the part of prompts that it is about; None for a whole request.
+        met_beside: other parts that all crashed requests had and no completed one.
     """
 
     fingerprint: str
     starts: int
     held_for_s: float
     has_run_whole: bool
+    part: str | None = None
+    met_beside: list[str] = []
 
 
 class CrashTable:
-    """The crash records of all requests, by fingerprint.
+    """The crash records of whole requests and of parts of prompts, by key.
 
     Attributes:
         runners: the number of listed runners; 0 while it is not known.
@@ -186,21 +133,77 @@
 
     def blocked(self, now: float) -> list[bytes]:
         """Return the fingerprints of the blocked requests."""
-        return [key for key in self._histories if self.blocked_for_s(key, now) > 0]
+        return [
+            key
+            for key in self._histories
+            if self.blocked_for_s(key, now) > 0 and not self._is_covered(key, ())
+        ]
 
-    def record_crash(self, fingerprint: bytes, instance: str, at: float) -> bool:
-        """Record that an instance crashed while serving a request; return whether that is new."""
+    def may_be_innocent(self, key: bytes, parts: tuple[bytes, ...]) -> bool:
+        """Whether the crashes of a blocked part are explained by others that a prompt lacks.
+
+        Args:
+            key: the blocked feature.
+            parts: keys of all shared parts of the prompt.
+        """
+        history = self._histories[key]
+        if not history.is_part:
+            return False
+        others = self._uncleared(history.companions)
+        return not others.issubset(parts) or self._is_covered(key, parts)
+
+    def suspected_part(self, parts: tuple[bytes, ...]) -> bytes | None:
+        """Return the part of a prompt that most likely crashes runners, or None."""
+        suspected = [
+            key for key in parts if key in self._histories and self._histories[key].is_suspected
+        ]
+        return max(suspected, key=self.crash_count, default=None)
+
+    def _uncleared(self, parts: frozenset[bytes]) -> set[bytes]:
+        """Return the parts with a crash record that never completed."""
+        return {
+            key
+            for key in parts
+            if key in self._histories and not self._histories[key].has_completed
+        }
+
+    def _is_covered(self, key: bytes, parts: tuple[bytes, ...]) -> bool:
+        """Whether parts that a prompt lacks explain nearly all crashes of one that it has.
+
+        They must have at least as many crashes; those of the true cause then increase with each
+        further trial, and no other part covers them any more.
+        """
+        history = self._histories[key]
+        if not history.is_part:
+            return False
+        left = history.active_crashes
+        count = len(left)
+        for other_key, other in self._histories.items():
+            is_other = other_key != key and other_key not in parts
+            if is_other and not other.has_completed and len(other.crashes) >= count:
+                left -= other.crashes.keys()
+        return len(left) <= MAX_UNEXPLAINED
+
+    def record_crash(
+        self,
+        fingerprint: bytes,
+        instance: str,
+        at: float,
+        companions: frozenset[bytes] = frozenset(),
+    ) -> bool:
+        """Record that an instance crashed while serving a feature; return whether that is new.
+
+        Args:
+            companions: keys of the other parts of the request's prompt, if the feature is a part.
+        """
         history = self._histories.get(fingerprint)
         if history is None:
             history = self._add(fingerprint)
         self._recent_crashes[instance] = min(at, self._recent_crashes.get(instance, at))
-        recorded_at = history.crashes.get(instance)
-        history.crashes[instance] = at if recorded_at is None else min(at, recorded_at)
-        if len(history.crashes) > MAX_CRASHES_PER_RECORD:
-            del history.crashes[min(history.crashes, key=history.crashes.__getitem__)]
-        if recorded_at is None:
+        is_new = history.add_crash(instance, at, companions)
+        if is_new:
             self._evict()
-        return recorded_at is None
+        return is_new
 
     def record_completion(self, fingerprint: bytes, at: float) -> bool:
         """Record that a request completed; return whether that changes its record materially.
@@ -222,6 +225,8 @@
                 history.crash_count,
                 round(self.blocked_for_s(key, now), 1),
                 history.has_completed,
+                part_name(key),
+                sorted(part_name(other) or "" for other in self._uncleared(history.companions)),
             )
             for key, history in self._histories.items()
         ]
@@ -234,6 +239,7 @@
                 key,
                 [(instance, _age_ms(at, now)) for instance, at in history.crashes.items()],
                 _age_ms(history.completed_at, now) if history.has_completed else None,
+                sorted(history.companions),
             )
             for key, history in self._histories.items()
             if only is None or key in only
@@ -245,8 +251,10 @@
         for record in records:
             if len(record.fingerprint) <= PREFIX_BYTES:
                 continue
+            companions = frozenset(record.companions)
             for instance, age_ms in record.crashes[-MAX_CRASHES_PER_RECORD:]:
-                if self.record_crash(record.fingerprint, instance, now - age_ms / MS_PER_S):
+                at = now - age_ms / MS_PER_S
+                if self.record_crash(record.fingerprint, instance, at, companions):
                     changed.add(record.fingerprint)
             if record.completed_ms is not None and self.record_completion(
                 record.fingerprint, now - record.completed_ms / MS_PER_S
@@ -258,10 +266,18 @@
         """Return the requests whose records here contain more than the given records."""
         given = {record.fingerprint: record for record in records}
         return {
+            key for key, history in self._histories.items() if history.needs_storing(given.get(key))
+        }
+
+    def records_to_store(self, stored: list[CrashRecord], now: float) -> list[CrashRecord]:
+        """Return the records to write in place of the stored ones."""
+        keys = {record.fingerprint for record in stored}
+        only = {
             key
             for key, history in self._histories.items()
-            if not history.is_contained_in(given.get(key))
+            if key in keys or history.needs_storing(None)
         }
+        return self.records(now, only)
 
     def drop_expired(self, now: float) -> None:
         """Drop expired records."""
@@ -308,7 +324,8 @@
         )
 
     def _add(self, fingerprint: bytes) -> CrashHistory:
-        history = self._histories[fingerprint] = CrashHistory()
+        is_part = fingerprint.startswith(PART_TAG)
+        history = self._histories[fingerprint] = CrashHistory(is_part)
         self._prefix_counts[fingerprint[:PREFIX_BYTES]] += 1
         return history
 
@@ -322,11 +339,14 @@
     def _evict(self) -> None:
         """Evict the record with the least evidence, first of a caller that has too many."""
         callers = collections.Counter(key[:CALLER_BYTES] for key in self._histories)
-        caller, count = callers.most_common(1)[0]
-        if count > MAX_RECORDS_PER_CALLER:
+        parts = callers.pop(PART_TAG[:CALLER_BYTES], 0)
+        caller, count = max(callers.items(), key=lambda item: item[1], default=(b"", 0))
+        if parts > MAX_PART_RECORDS:
+            keys = [key for key, history in self._histories.items() if history.is_part]
+        elif count > MAX_RECORDS_PER_CALLER:
             keys = [key for key in self._histories if key[:CALLER_BYTES] == caller]
-        elif len(self._histories) > MAX_RECORDS:
-            keys = list(self._histories)
+        elif len(self._histories) - parts > MAX_RECORDS:
+            keys = [key for key, history in self._histories.items() if not history.is_part]
         else:
             return
         self._drop(min(keys, key=self._eviction_rank))
--- a/src/martenrun/router/crashes/tracker.py
+++ b/src/martenrun/router/crashes/tracker.py
@@ -1,18 +1,24 @@
-"""Tracks requests that crash the runners serving them, and shares the crash records.
+"""Tracks requests and parts of prompts that crash runners, and shares the crash records.
 
 New records are broadcast to all routers, and again until the store holds them.  A store reader
 writes them to the store, which all routers follow.  Routers that joined, restarted, were suspended
 or were cut off therefore receive them too, and a restart of all routers loses no records.
 """
 
+import collections
 import random
 from collections.abc import Callable
 
 from martenrun.net.http import HttpRequest
 from martenrun.net.loop import Loop
-from martenrun.router.crashes.detector import ConnectionProbe, CrashDetector, RunnerView
-from martenrun.router.crashes.features import RequestFeatures, request_features
+from martenrun.router.crashes.detector import (
+    ConnectionProbe,
+    CrashDetector,
+    RunnerView,
+)
+from martenrun.router.crashes.features import RequestFeatures, part_name, request_features
 from martenrun.router.crashes.fingerprint import fingerprint_prefix, request_fingerprint
+from martenrun.router.crashes.history import COMPLETION_GRACE_S
 from martenrun.router.crashes.messages import CrashRecord, CrashUpdate
 from martenrun.router.crashes.table import CrashSummary, CrashTable
 from martenrun.router.log import log_event, log_warning
@@ -28,21 +34,36 @@
 During a longer outage of the store, other routers receive them when they join or when it ends.
 """
 
-RECORDS_PER_DATAGRAM = 100
-"""Records per datagram, about 100 bytes each."""
+RECORDS_PER_DATAGRAM = 50
+"""Records per datagram, 100 to 400 bytes each."""
 
 SENDERS_PER_JOINING_ROUTER = 8
 """Approximate number of routers that send their records to a joining router."""
 
+SENDERS_PER_COMPLETION = 8
+"""Approximate number of routers that report that a part completed just before a crash."""
+
+MAX_COMPLETED_PARTS = 4_096
+"""Maximum number of parts whose last completion at this router is kept, about 150 bytes each."""
+
+COMPLETED_PART_PERIOD_S = 60.0
+"""How long such a completion speaks for a part, in seconds."""
+
+TRIAL_INTERVAL_S = 1.0
+"""Minimum time between two trials of a part by one router, in seconds."""
+
 
 class CrashTracker:
     """The crash records of one router and the investigation of runner crashes.
 
     Args:
         broadcast: sends an update to all routers.
-        rng: decides whether this router sends its records to a joining router.
+        rng: decides whether this router is one of those that send what many know.
+        router_count: returns how many routers there are.
     """
 
+    trial_interval_s = TRIAL_INTERVAL_S
+
     def __init__(
         self,
         loop: Loop,
@@ -50,11 +71,15 @@
         broadcast: Callable[[CrashUpdate], None],
         probe: Callable[[Loop, str, Callable[[bool | None], None]], object] = ConnectionProbe,
         rng: random.Random | None = None,
+        router_count: Callable[[], int] = lambda: 1,
     ) -> None:
         self._loop = loop
         self._runners = runners
         self._broadcast = broadcast
         self._rng = rng or random.Random()
+        self._router_count = router_count
+        self._completed_parts: collections.OrderedDict[bytes, float] = collections.OrderedDict()
+        self._trials: dict[bytes, float] = {}
         self._unstored: dict[bytes, float] = {}
         self._sent_at = 0.0
         self._blocked: set[bytes] = set()
@@ -110,23 +135,52 @@
         if fingerprint is not None and self.table.record_completion(fingerprint, self._loop.now()):
             self._broadcast_new({fingerprint})
 
+    def record_part_completions(self, parts: tuple[bytes, ...]) -> None:
+        """Record that a request with these parts completed at a runner."""
+        now = self._loop.now()
+        for key in parts:
+            self._completed_parts[key] = now
+            self._completed_parts.move_to_end(key)
+            if self.table.has_record(key):
+                self.record_completion(key)
+        while len(self._completed_parts) > MAX_COMPLETED_PARTS:
+            self._completed_parts.popitem(last=False)
+
+    def begin_trial(self, key: bytes) -> bool:
+        """Return whether a request may be sent to learn whether a part crashes runners."""
+        now = self._loop.now()
+        self._trials = {
+            each: at for each, at in self._trials.items() if now - at < TRIAL_INTERVAL_S
+        }
+        if key in self._trials:
+            return False
+        self._trials[key] = now
+        log_event("part_trial", part=part_name(key))
+        return True
+
     # Other routers and the store
 
     def handle_update(self, update: CrashUpdate) -> None:
         """Merge the records sent by another router."""
         self.table.merge(update.records, self._loop.now())
+        self._report_completed({record.fingerprint for record in update.records})
         self._log_blocked()
 
     def merge_stored(self, records: list[CrashRecord]) -> None:
         """Merge the records held by the store."""
         self.stored_records = records
         self.table.merge(records, self._loop.now())
+        self._report_completed({record.fingerprint for record in records})
         self._log_blocked()
 
     def missing_from_store(self) -> set[bytes]:
         """Return the requests whose records here contain more than the store's."""
         return self.table.missing_from(self.stored_records) if len(self.table) else set()
 
+    def records_to_store(self, now: float) -> list[CrashRecord]:
+        """Return the records to write to the store."""
+        return self.table.records_to_store(self.stored_records, now)
+
     def update_for_joining_router(self, routers: int) -> CrashUpdate | None:
         """Return the records for a joining router; among many routers only a few send them."""
         if not len(self.table) or self._rng.random() > SENDERS_PER_JOINING_ROUTER / max(1, routers):
@@ -153,15 +207,38 @@
 
     def _record_crashes(self, instance: str, requests: list[RequestFeatures]) -> None:
         now = self._loop.now()
-        new = {
-            features.fingerprint
-            for features in requests
-            if self.table.record_crash(features.fingerprint, instance, now)
-        }
+        new = set()
+        for features in requests:
+            if self.table.record_crash(features.fingerprint, instance, now):
+                new.add(features.fingerprint)
+            for key in features.parts:
+                if self._has_just_completed(key, now):
+                    continue
+                companions = frozenset(features.parts) - {key}
+                if self.table.record_crash(key, instance, now, companions):
+                    new.add(key)
         if new:
             self._broadcast_new(new)
+            self._report_completed(new)
             self._log_blocked()
 
+    def _has_just_completed(self, key: bytes, now: float) -> bool:
+        """Whether a completion here is so recent that a crash now is no evidence against a part."""
+        completed_at = self._completed_parts.get(key)
+        return completed_at is not None and now - completed_at < COMPLETION_GRACE_S
+
+    def _report_completed(self, keys: set[bytes]) -> None:
+        """Report that parts with new evidence have lately completed here; a few routers do so."""
+        now = self._loop.now()
+        cleared = set()
+        for key in keys:
+            at = self._completed_parts.get(key)
+            is_recent = at is not None and now - at < COMPLETED_PART_PERIOD_S
+            if at is not None and is_recent and self.table.record_completion(key, at):
+                cleared.add(key)
+        if cleared and self._rng.random() < SENDERS_PER_COMPLETION / max(1, self._router_count()):
+            self._broadcast_new(cleared)
+
     def _broadcast_new(self, fingerprints: set[bytes]) -> None:
         now = self._loop.now()
         self._unstored.update(dict.fromkeys(fingerprints, now))
@@ -180,8 +257,9 @@
             log_warning(
                 "request_held_back",
                 fingerprint=fingerprint.hex(),
+                part=part_name(fingerprint),
                 starts=self.table.crash_count(fingerprint),
             )
         for fingerprint in self._blocked - blocked:
-            log_event("request_let_go", fingerprint=fingerprint.hex())
+            log_event("request_let_go", fingerprint=fingerprint.hex(), part=part_name(fingerprint))
         self._blocked = blocked
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -15,6 +15,7 @@
 from martenrun.router.request_quota import RequestQuota
 from martenrun.router.request_services import RequestServices
 from martenrun.router.request_trace import RequestTrace
+from martenrun.router.resume_polling import ResumePolling
 from martenrun.router.retry import MAXIMUM_SENDS, AttemptState, Failure, NextStep, next_step
 from martenrun.router.runner_choice import RunnerChoice
 from martenrun.router.runner_sender import RunnerSender
@@ -26,15 +27,6 @@
 RUNNER_POLL_INTERVAL_S = 0.025
 """Delay before a waiting request tries again to choose a runner, in seconds."""
 
-MAXIMUM_GAP_S = 1.5
-"""Gap in a stream until which it waits for a runner that can go on, in seconds.
-
-Callers give a stream up after two seconds without an event.
-"""
-
-MAXIMUM_RESUME_POLL_S = 0.2
-"""Longest delay before such a stream tries again to choose a runner, in seconds."""
-
 
 class RequestForwarder:
     """Forwards one admitted request: chooses runners, repeats failed attempts, responds.
@@ -75,7 +67,8 @@
             admitted,
             lambda: self._caller_stream.required_software,
         )
-        self._resume_polls = 0
+        self._crash_check = self._runner_choice.crash_check
+        self._resume_polling = ResumePolling(self._runner_choice, self._caller_stream)
         self._is_software_unknown = False
         self._quota = RequestQuota(services.quotas, admitted)
         self._sender = RunnerSender(
@@ -145,12 +138,11 @@
             # The process was suspended: this call was scheduled before the deadline.
             self._on_timeout()
             return
-        blocked_s = self._runner_choice.blocked_for_s()
-        if blocked_s:
-            # All runners that ran this request crashed; refusing it prevents further crashes.
-            fingerprint = self._runner_choice.known_fingerprint() or b""
-            self._trace.record("ends_runners", fingerprint=fingerprint.hex())
-            self._refuse("ends_runners", blocked_s)
+        block = self._crash_check.block()
+        if block is not None:
+            # All runners that ran requests like it crashed; refusing it prevents further crashes.
+            self._trace.record("ends_runners", fingerprint=block.key.hex(), part=block.part)
+            self._refuse("ends_runners", block.left_s)
             return
         peer = self._next_peer()
         if peer is not None:
@@ -226,14 +218,14 @@
         if self._caller_stream.has_partial_event:
             self.on_failure(Failure.BROKEN, attempt)
             return
-        self._services.suspects.record_completion(self._runner_choice.known_fingerprint())
+        self._crash_check.record_completion(is_success=True)
         self._caller_stream.start_response(attempt)
         self._exchange.end()
         self._end("served", attempt)
 
     def on_response_complete(self, attempt: Attempt) -> None:
         """Return a complete buffered response, or retry a server error of a repeatable request."""
-        self._services.suspects.record_completion(self._runner_choice.known_fingerprint())
+        self._crash_check.record_completion(attempt.status < STATUS_SERVER_ERROR)
         if attempt.status >= STATUS_SERVER_ERROR and self._admitted.route.may_repeat:
             self.on_failure(Failure.RUN_FAILED, attempt)
         else:
@@ -267,13 +259,13 @@
         if not (isinstance(attempt, Attempt) and attempt.was_interrupted):
             self._continue(failure, attempt)
             return
-        suspects = self._services.suspects
-        suspects.handle_disconnect(attempt.state, self._exchange.request, self._admitted)
+        self._crash_check.handle_disconnect(attempt.state)
         if self._admitted.route.may_repeat:
             # Wait for the crash check: it finds within milliseconds whether the runner crashed
             # while serving this request.
             instance = attempt.state.runner.instance
-            suspects.detector.call_when_resolved(instance, lambda: self._continue(failure, attempt))
+            detector = self._services.suspects.detector
+            detector.call_when_resolved(instance, lambda: self._continue(failure, attempt))
         else:
             self._continue(failure, attempt)
 
@@ -288,8 +280,11 @@
         has_other = peer is not None or state is not None
         attempt_state = self._attempt_state(has_other, now)
         step = next_step(failure, attempt_state)
-        if step is NextStep.ABORT_RESPONSE and self._may_resume_later(failure, attempt_state, now):
-            self._resume_later(failure, attempt)
+        if step is NextStep.ABORT_RESPONSE and self._resume_polling.may_wait(
+            failure, attempt_state, now
+        ):
+            delay_s = self._resume_polling.next_delay_s()
+            self._services.loop.call_later(delay_s, lambda: self._continue(failure, attempt))
             return
         self._trace.record_failed_attempt(
             attempt.target,
@@ -314,24 +309,6 @@
         else:
             self._respond(502, "unknown", attempt)
 
-    def _may_resume_later(self, failure: Failure, state: AttemptState, now: float) -> bool:
-        """Return whether a runner of the stream's software version may soon be usable again."""
-        blocked_s = self._runner_choice.all_blocked_for_s() or 0.0
-        if state.has_other_runner or self._caller_stream.gap_s(now) + blocked_s > MAXIMUM_GAP_S:
-            return False
-        would_resume = attrs.evolve(state, has_other_runner=True)
-        return (
-            next_step(failure, would_resume) is NextStep.SEND_AGAIN
-            and self._runner_choice.has_listed_runner()
-        )
-
-    def _resume_later(self, failure: Failure, attempt: SentRequest) -> None:
-        """Choose again after a pause that doubles; runners that broke the stream may resume it."""
-        self._runner_choice.tried_instances.clear()
-        delay_s = min(MAXIMUM_RESUME_POLL_S, RUNNER_POLL_INTERVAL_S * 2**self._resume_polls)
-        self._resume_polls += 1
-        self._services.loop.call_later(delay_s, lambda: self._continue(failure, attempt))
-
     def _send_again(self, state: RunnerState, failure: Failure, attempt: SentRequest) -> None:
         """Send the request to another runner; a repeated run also counts against the quota."""
         if not self._quota.needs_grant:
@@ -356,7 +333,7 @@
             left_s=admitted.give_up_at - now,
             is_within_budget=self._is_within_budget() and not self._is_over_limit,
             has_other_runner=has_other_runner,
-            is_blocked=self._runner_choice.blocked_for_s() > 0,
+            is_blocked=self._crash_check.forbids_sending(self._possible_runs),
         )
 
     def _is_within_budget(self) -> bool:
@@ -446,8 +423,7 @@
 
     def record_restart(self, attempt: Attempt) -> None:
         """Record that the runner of an attempt has restarted while it served the request."""
-        request = self._exchange.request
-        self._services.suspects.record_restart(attempt.state, request, self._admitted)
+        self._crash_check.record_restart(attempt.state)
 
     def shut_down(self) -> None:
         """End the request because the process stops."""
--- a/src/martenrun/router/placement.py
+++ b/src/martenrun/router/placement.py
@@ -35,7 +35,7 @@
         tried_instances: instances to which the request has been sent.
         zone: zone of this router.
         now: monotonic time, in seconds.
-        suspect_fingerprint: fingerprint of a request suspected of crashing a runner, else None.
+        suspect_key: key of the feature for which the request may crash a runner, else None.
         software: software version that the runner must have, or None for any.
         longest_drain_s: how long after its drain became known a runner may still be chosen if no
             other runner can serve the request, in seconds.
@@ -51,7 +51,7 @@
     tried_instances: Collection[str]
     zone: str
     now: float
-    suspect_fingerprint: bytes | None = None
+    suspect_key: bytes | None = None
     software: str | None = None
     longest_drain_s: float = 0.0
 
@@ -76,8 +76,8 @@
         healthy = _healthy(query, usable)
         if not healthy:
             return _least_failing(query, usable) or _latest_draining(query, allowed)
-        if query.suspect_fingerprint is not None:
-            return _assigned_by_fingerprint(query.suspect_fingerprint, healthy)
+        if query.suspect_key is not None:
+            return _assigned_by_key(query.suspect_key, healthy)
         if query.parts:
             return self._cheapest(query, healthy)
         return min(healthy, key=lambda state: self._cost_without_prompt(query, state))
@@ -232,14 +232,14 @@
     return [state for state in states if not state.is_draining and not state.is_avoided(query.now)]
 
 
-def _assigned_by_fingerprint(fingerprint: bytes, states: Sequence[RunnerState]) -> RunnerState:
+def _assigned_by_key(key: bytes, states: Sequence[RunnerState]) -> RunnerState:
     """Return the runner to which all routers send a request suspected of causing crashes.
 
-    Suspected requests are spread over the runners by fingerprint.  Two of them rarely share a
-    runner, so that a crash can be attributed to one of them, and all repeats of one request crash
-    only one runner at a time.
+    Suspected requests are spread over the runners by what they are suspected for.  Two suspects
+    rarely share a runner, so that a crash can be attributed to one of them, and all requests with
+    the same suspect crash only one runner at a time.
     """
-    return max(states, key=lambda state: weight(fingerprint, state.runner.instance))
+    return max(states, key=lambda state: weight(key, state.runner.instance))
 
 
 def _with_usable_weights(query: PlacementQuery, states: list[RunnerState]) -> list[RunnerState]:
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -90,6 +90,7 @@
                 self._loop,
                 self._crash_watch_queries(),
                 lambda update: self._peers.broadcast(update),
+                router_count=lambda: self._peers.budget_count(),
             ),
             decisions=decisions,
             retry_slack_from=self._retry_slack_from(settings),
--- a/src/martenrun/router/runner_choice.py
+++ b/src/martenrun/router/runner_choice.py
@@ -6,6 +6,7 @@
 import attrs
 
 from martenrun.net.http import HttpRequest
+from martenrun.router.crashes.request_check import RequestCrashCheck
 from martenrun.router.messages import AdmittedRequest
 from martenrun.router.placement import PlacementQuery
 from martenrun.router.request_services import RequestServices
@@ -30,6 +31,7 @@
         software: returns the software version that runners must have, or None for any.
 
     Attributes:
+        crash_check: the crash records that concern the request.
         tried_instances: instances to which the request was sent, which are not chosen again.
     """
 
@@ -46,7 +48,7 @@
         self._software = software
         self._guard = world.overload_guard(admitted.service)
         self._groups = request_groups(admitted)
-        self._fingerprint: bytes | None = None
+        self.crash_check = RequestCrashCheck(world.suspects, request, admitted)
         self.tried_instances: list[str] = []
 
     def choose(self) -> RunnerState | None:
@@ -60,11 +62,8 @@
 
     def placement_query(self) -> PlacementQuery:
         """Return the query for the placement."""
-        fingerprint = self.known_fingerprint()
-        suspect_fingerprint = fingerprint if self._world.suspects.is_suspect(fingerprint) else None
-        query = placement_query(
-            self._world, self._admitted, self.tried_instances, suspect_fingerprint
-        )
+        suspect_key = self.crash_check.placement_key()
+        query = placement_query(self._world, self._admitted, self.tried_instances, suspect_key)
         return attrs.evolve(query, software=self._software(), longest_drain_s=self._longest_drain_s)
 
     @property
@@ -90,17 +89,6 @@
             if not state.is_draining or (state.draining_since or -math.inf) > recent
         ]
 
-    def known_fingerprint(self) -> bytes | None:
-        """Return the request's fingerprint if there are crash records to compare it with."""
-        if self._fingerprint is None:
-            suspects = self._world.suspects
-            self._fingerprint = suspects.known_fingerprint(self._request, self._admitted)
-        return self._fingerprint
-
-    def blocked_for_s(self) -> float:
-        """Return for how long requests like this one are blocked, in seconds; 0 if they are not."""
-        return self._world.suspects.blocked_for_s(self.known_fingerprint())
-
     # Rate limits and backoffs of runners
 
     def all_blocked_for_s(self) -> float | None:
--- a/src/martenrun/router/runner_request.py
+++ b/src/martenrun/router/runner_request.py
@@ -41,7 +41,7 @@
         tried_instances=tried,
         zone=services.settings.zone,
         now=now,
-        suspect_fingerprint=apart_by,
+        suspect_key=apart_by,
     )
 
 
--- a/src/martenrun/router/runner_sender.py
+++ b/src/martenrun/router/runner_sender.py
@@ -102,7 +102,15 @@
             kv_cache_tokens=query.needed_tokens if query.parts else 0,
         )
         has_grant = self._access.has_grant(state)
-        attempt = Attempt(services, self._admitted, self._listener, state, load, has_grant)
+        attempt = Attempt(
+            services,
+            self._admitted,
+            self._listener,
+            state,
+            load,
+            has_grant,
+            lambda: self._runner_choice.crash_check.block() is not None,
+        )
         attempt.permit = self._access.record_sent(state)
         self._on_started(attempt)
         placement.record_prefill(query, state)
--- a/tests/router/part_callers.py
+++ b/tests/router/part_callers.py
@@ -42,9 +42,12 @@
         rate: crash-causing requests per second.
         path: of all requests.
         sound: returns the shared parts of the next sound prompt.
+        begins_after_s: when the crash-causing requests begin, in seconds.
     """
 
-    def __init__(self, deployment, seed, crashing, rate=4.0, path="/ask/x", sound=None):
+    def __init__(
+        self, deployment, seed, crashing, rate=4.0, path="/ask/x", sound=None, begins_after_s=0.0
+    ):
         self._deployment = deployment
         self._rng = random.Random(seed)
         self._lock = threading.Lock()
@@ -56,7 +59,7 @@
         self._pool = ThreadPoolExecutor(SOUND_CALLERS + 8)
         for _ in range(SOUND_CALLERS):
             self._pool.submit(self._call_repeatedly, self._sound, SOUND_PAUSE_S)
-        self._pool.submit(self._send_crashing, crashing, rate)
+        self._pool.submit(self._send_crashing, crashing, rate, begins_after_s)
 
     def sound_parts(self):
         """Return the shared parts of a sound prompt, six of ten with the same first part."""
@@ -68,7 +71,8 @@
         while not self._stopped.wait(pause_s):
             self._send("sound", parts_of())
 
-    def _send_crashing(self, parts_of, rate):
+    def _send_crashing(self, parts_of, rate, begins_after_s):
+        self._stopped.wait(begins_after_s)
         while not self._stopped.wait(self._rng.expovariate(rate)):
             self._pool.submit(self._send, "crashing", parts_of())
 
--- a/tests/router/test_crash_table.py
+++ b/tests/router/test_crash_table.py
@@ -12,18 +12,20 @@
     fingerprint_prefix,
     request_fingerprint,
 )
-from martenrun.router.crashes.messages import CrashRecord
-from martenrun.router.crashes.table import (
-    CRASH_RATE_WINDOW_S,
+from martenrun.router.crashes.history import (
     CRASH_THRESHOLD,
     CRASH_THRESHOLD_AFTER_SUCCESS,
     INITIAL_BLOCK_AFTER_SUCCESS_S,
     INITIAL_BLOCK_S,
     MAX_BLOCK_S,
     MAX_CRASHES_PER_RECORD,
+    RETENTION_S,
+)
+from martenrun.router.crashes.messages import CrashRecord
+from martenrun.router.crashes.table import (
+    CRASH_RATE_WINDOW_S,
     MAX_RECORDS,
     MAX_RECORDS_PER_CALLER,
-    RETENTION_S,
     CrashTable,
 )
 
--- a/tests/router/test_crash_tracker.py
+++ b/tests/router/test_crash_tracker.py
@@ -6,6 +6,7 @@
 
 from martenrun.platform import PLATFORM_ADAPTER
 from martenrun.router.crashes.fingerprint import request_fingerprint
+from martenrun.router.crashes.history import CRASH_THRESHOLD
 from martenrun.router.crashes.messages import CrashUpdate
 from martenrun.router.crashes.record_writer import (
     REFRESH_INTERVAL_S,
@@ -13,7 +14,6 @@
     WRITE_INTERVAL_S,
     CrashRecordWriter,
 )
-from martenrun.router.crashes.table import CRASH_THRESHOLD
 from martenrun.router.crashes.tracker import REBROADCAST_INTERVAL_S, REBROADCAST_PERIOD_S
 from martenrun.router.dataset_replica import DatasetReplica, ReplicaListener
 from martenrun.router.messages import Dataset, StoredObject, UnreadableError
--- a/tests/router/test_forwarding.py
+++ b/tests/router/test_forwarding.py
@@ -64,6 +64,7 @@
         self.was_kept_alive = False
         self.opened_at = 0.0
         self.failure = ""
+        self.is_close_delimited = False
 
     def close(self):
         self.is_closed = True
--- a/tests/router/test_stream_forwarding.py
+++ b/tests/router/test_stream_forwarding.py
@@ -12,12 +12,12 @@
     read_forwarded,
     read_software,
 )
-from martenrun.router.forwarding import MAXIMUM_GAP_S
 from martenrun.router.messages import AMBIGUOUS_SOFTWARE, RouteKind
 from martenrun.router.request_moves import (
     move_off_replaced_runner,
     move_off_silent_runner,
 )
+from martenrun.router.resume_polling import MAXIMUM_GAP_S
 
 from .builders import route, state
 from .crash_world import PROBE_S
