A response that ends with its connection counts once its runner is known to live

Each such end also cleared the crash records of its request.

Cause: the end of a connection was taken for a completion, whatever became of the runner. Framed responses are not delayed.

--- a/src/martenrun/net/client.py
+++ b/src/martenrun/net/client.py
@@ -46,6 +46,7 @@
         was_kept_alive: whether the connection was kept open after an earlier response.
         opened_at: monotonic time at which it was opened.
         failure: how it failed, or an empty string.
+        is_close_delimited: whether the end of the last response is that of the connection.
         idle_since: monotonic time since which the connection is idle.
         keep_alive_s: keep-alive timeout that the peer announced, in seconds, or None.
     """
@@ -67,7 +68,7 @@
         self._parser: Any = None
         self._headers: Headers = []
         self._skips_response = False
-        self._is_close_delimited = False
+        self.is_close_delimited = False
         self._may_keep_alive = True
         self._is_connected = False
         self._is_response_complete = False
@@ -146,7 +147,7 @@
 
     def on_closed(self, is_clean: bool) -> None:
         """Complete a response that the close delimits; otherwise fail the request."""
-        completes_response = is_clean and self._is_close_delimited and not self._skips_response
+        completes_response = is_clean and self.is_close_delimited and not self._skips_response
         if completes_response and self._reader is not None:
             self._may_keep_alive = False
             self._is_response_complete = True
@@ -206,7 +207,7 @@
         if length is not None:
             return int(length)
         is_chunked = b"chunked" in (find_header(self._headers, b"transfer-encoding") or b"").lower()
-        self._is_close_delimited = not is_chunked and status not in (204, 304)
+        self.is_close_delimited = not is_chunked and status not in (204, 304)
         return None
 
     def _read_keep_alive(self) -> None:
--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -51,6 +51,8 @@
         was_sent: whether bytes of the request may have been sent.
         was_interrupted: whether a runner's connection broke after that.
         connection_failure: how the connection failed, or an empty string.
+        ends_by_connection: whether the response's end is that of the connection to a runner, as if
+            the runner had crashed.
     """
 
     target: str
@@ -66,6 +68,10 @@
     def connection_failure(self) -> str:
         """How the connection failed, or an empty string."""
 
+    @property
+    def ends_by_connection(self) -> bool:
+        """Whether the response's end is that of the connection to a runner."""
+
     def cancel(self) -> None:
         """Cancel the attempt by closing its connection."""
 
@@ -150,6 +156,11 @@
         """How the connection failed, or an empty string."""
         return "" if self.connection is None else self.connection.failure
 
+    @property
+    def ends_by_connection(self) -> bool:
+        """Whether the response's end is that of the connection to a runner."""
+        return self.connection is not None and self.connection.is_close_delimited
+
     def is_at_upgraded_runner(self) -> bool:
         """Return whether its runner has restarted with other software, as became known lately.
 
--- a/src/martenrun/router/caller_stream.py
+++ b/src/martenrun/router/caller_stream.py
@@ -48,6 +48,11 @@
         """Id of the last event that the caller has."""
         return self._splitter.last_event_id
 
+    @property
+    def has_events(self) -> bool:
+        """Whether the caller has received an event, possibly before this request."""
+        return self.first_event_at is not None or self.last_event_id > 0
+
     @property
     def has_partial_event(self) -> bool:
         """Whether an incomplete event is buffered."""
--- a/src/martenrun/router/crashes/detector.py
+++ b/src/martenrun/router/crashes/detector.py
@@ -12,10 +12,14 @@
   at once may come from a proxy, from a process that is exiting, or from a runner with too many
   connections.  A refusal is inconclusive while a kept-alive connection is still open.
 
+A response that ends with its connection looks complete if the runner crashes, too.  It counts as
+complete once a connection is accepted.
+
 A listed entry of a later instance also proves the exit.  Disconnects by a draining runner are
 expected and are not counted as a crash.
 """
 
+import enum
 import errno
 from collections.abc import Callable
 
@@ -50,6 +54,14 @@
 """
 
 
+class RunnerOutcome(enum.Enum):
+    """What became of a runner whose response ended with its connection."""
+
+    ALIVE = "alive"
+    CRASHED = "crashed"
+    UNKNOWN = "unknown"
+
+
 class Investigation:
     """The requests whose connections to a runner instance broke, and whether it crashed."""
 
@@ -178,6 +190,34 @@
         if not investigation.is_probing and investigation.next_probe is None:
             self._start_probe(investigation)
 
+    def check_outcome(
+        self,
+        state: RunnerState,
+        features: RequestFeatures,
+        on_outcome: Callable[[RunnerOutcome], None],
+    ) -> None:
+        """Find out whether a runner crashed or ended a response by closing its connection."""
+        if state.is_draining:
+            on_outcome(RunnerOutcome.UNKNOWN)
+            return
+
+        def on_resolved() -> None:
+            investigation = self._investigations.get(state.runner.instance)
+            has_crashed = investigation is not None and investigation.has_crashed
+            on_outcome(RunnerOutcome.CRASHED if has_crashed else RunnerOutcome.UNKNOWN)
+
+        def on_result(refused: bool | None) -> None:
+            if refused is False:
+                on_outcome(RunnerOutcome.ALIVE)
+                return
+            self.handle_disconnect(state, features)
+            if refused:
+                on_outcome(RunnerOutcome.CRASHED)
+            else:
+                self.call_when_resolved(state.runner.instance, on_resolved)
+
+        self._probe(self._loop, state.runner.address, on_result)
+
     def call_when_resolved(self, instance: str, callback: Callable[[], None]) -> None:
         """Call back once it is known whether an instance crashed, or if that stays unknown."""
         investigation = self._investigations.get(instance)
--- a/src/martenrun/router/crashes/request_check.py
+++ b/src/martenrun/router/crashes/request_check.py
@@ -1,8 +1,12 @@
 """The crash records that concern one request, and what they allow."""
 
+from collections.abc import Callable
+
 import attrs
 
 from martenrun.net.http import HttpRequest
+from martenrun.router.attempt import STATUS_SERVER_ERROR, Attempt, SentRequest
+from martenrun.router.crashes.detector import RunnerOutcome
 from martenrun.router.crashes.features import part_keys, part_name
 from martenrun.router.crashes.tracker import CrashTracker
 from martenrun.router.messages import AdmittedRequest
@@ -102,6 +106,23 @@
         if is_success:
             self._tracker.record_part_completions(self._part_keys())
 
+    def check_end(self, attempt: SentRequest, on_checked: Callable[[bool], None]) -> None:
+        """Call back with whether a response that looks complete ended by a crash of its runner.
+
+        A completion is recorded if the runner is known to have outlived the response.
+        """
+        is_success = attempt.status < STATUS_SERVER_ERROR
+
+        def on_outcome(outcome: RunnerOutcome) -> None:
+            if outcome is RunnerOutcome.ALIVE:
+                self.record_completion(is_success)
+            on_checked(outcome is RunnerOutcome.CRASHED)
+
+        if isinstance(attempt, Attempt) and attempt.ends_by_connection:
+            self._tracker.check_outcome(attempt.state, self._request, self._admitted, on_outcome)
+        else:
+            on_outcome(RunnerOutcome.ALIVE)
+
     def _part_keys(self) -> tuple[bytes, ...]:
         if self._parts is None:
             self._parts = part_keys(self._admitted.call)
--- a/src/martenrun/router/crashes/tracker.py
+++ b/src/martenrun/router/crashes/tracker.py
@@ -14,6 +14,7 @@
 from martenrun.router.crashes.detector import (
     ConnectionProbe,
     CrashDetector,
+    RunnerOutcome,
     RunnerView,
 )
 from martenrun.router.crashes.features import RequestFeatures, part_name, request_features
@@ -112,6 +113,16 @@
         """Handle a request whose connection closed before its response was complete."""
         self.detector.handle_disconnect(state, request_features(request, admitted))
 
+    def check_outcome(
+        self,
+        state: RunnerState,
+        request: HttpRequest,
+        admitted: AdmittedRequest,
+        on_outcome: Callable[[RunnerOutcome], None],
+    ) -> None:
+        """Find out whether the runner outlived a response that ended with its connection."""
+        self.detector.check_outcome(state, request_features(request, admitted), on_outcome)
+
     def record_restart(
         self, state: RunnerState, request: HttpRequest, admitted: AdmittedRequest
     ) -> None:
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -214,23 +214,47 @@
             self._pause(True)
 
     def on_stream_complete(self, attempt: SentRequest) -> None:
-        """End the response if the stream ended after a complete event, else fail the attempt."""
-        if self._caller_stream.has_partial_event:
-            self.on_failure(Failure.BROKEN, attempt)
-            return
-        self._crash_check.record_completion(is_success=True)
+        """End the response if the stream is complete, else fail the attempt."""
+        is_empty = not self._caller_stream.has_events
+        if self._caller_stream.has_partial_event or (is_empty and attempt.ends_by_connection):
+            self._break_off(attempt)
+        else:
+            self._check_end(attempt, lambda: self._end_stream(attempt))
+
+    def _end_stream(self, attempt: SentRequest) -> None:
         self._caller_stream.start_response(attempt)
         self._exchange.end()
         self._end("served", attempt)
 
     def on_response_complete(self, attempt: Attempt) -> None:
         """Return a complete buffered response, or retry a server error of a repeatable request."""
-        self._crash_check.record_completion(attempt.status < STATUS_SERVER_ERROR)
+        self._check_end(attempt, lambda: self._end_buffered(attempt))
+
+    def _end_buffered(self, attempt: Attempt) -> None:
         if attempt.status >= STATUS_SERVER_ERROR and self._admitted.route.may_repeat:
             self.on_failure(Failure.RUN_FAILED, attempt)
         else:
             self._return_response(attempt)
 
+    def _check_end(self, attempt: SentRequest, end: Callable[[], None]) -> None:
+        """End a complete response, unless it only ended because its runner crashed."""
+
+        def on_checked(has_crashed: bool) -> None:
+            if self.is_over:
+                return
+            if has_crashed:
+                self._break_off(attempt)
+            else:
+                end()
+
+        self._crash_check.check_end(attempt, on_checked)
+
+    def _break_off(self, attempt: SentRequest) -> None:
+        """Fail an attempt whose response ended too early."""
+        if isinstance(attempt, Attempt):
+            attempt.was_interrupted = True
+        self.on_failure(Failure.BROKEN, attempt)
+
     def on_peer_response(self, attempt: SentRequest) -> None:
         """Return the response of another router, which is final."""
         metadata = self._services.adapter.read_response_metadata(attempt.status, attempt.headers)
--- a/src/martenrun/router/peer_attempt.py
+++ b/src/martenrun/router/peer_attempt.py
@@ -30,6 +30,9 @@
     was_interrupted = False
     """A broken connection to a router does not show that a runner crashed."""
 
+    ends_by_connection = False
+    """Routers frame every response; the one that received it from a runner has checked its end."""
+
     def __init__(
         self,
         services: RequestServices,
--- /dev/null
+++ b/tests/router/test_closed_responses.py
@@ -0,0 +1,168 @@
+"""Tests of responses that end with their connection, as they also do if their runner crashes.
+
+Guards against such responses that were returned as complete: 36 of 70 crash-causing requests got
+an empty response with status 200, and each of them cleared the crash records.
+"""
+
+import pytest
+
+from martenrun.router.crashes.detector import RunnerOutcome
+from martenrun.router.crashes.features import RequestFeatures
+from martenrun.router.messages import RouteKind
+
+from .builders import route, state
+from .crash_world import PROBE_S
+from .test_crash_detector import Harness
+from .test_forwarding import ForwardingCase, with_crash_records
+from .test_stream_forwarding import SIGNED, begin, event, stream_case
+
+ADDRESS = "127.0.0.1:1"
+FEATURES = RequestFeatures(b"run 1")
+
+
+def close(case, is_close_delimited=True):
+    """End the response of the last attempt."""
+    case.pool.connections[-1].is_close_delimited = is_close_delimited
+    case.pool.readers[-1].on_complete()
+
+
+def outcomes_of(harness, runner=None):
+    found = []
+    harness.detector.check_outcome(runner or state("i-1"), FEATURES, found.append)
+    harness.run(3.0)
+    return found
+
+
+@pytest.mark.parametrize(
+    ("probe", "outcome"),
+    [
+        ("refused", RunnerOutcome.CRASHED),
+        ("accepted", RunnerOutcome.ALIVE),
+        ("inconclusive", RunnerOutcome.UNKNOWN),
+    ],
+)
+def test_a_probe_tells_a_crash_from_the_end_of_a_response(probe, outcome):
+    harness = Harness()
+    if probe != "accepted":
+        getattr(harness.probes, probe).add(ADDRESS)
+    assert outcomes_of(harness) == [outcome]
+    assert harness.crashes == ([("i-1", [FEATURES])] if probe == "refused" else [])
+
+
+def test_a_runner_that_closes_probes_before_it_refuses_them_has_crashed():
+    harness = Harness()
+    harness.probes.inconclusive.add(ADDRESS)
+    found = []
+    harness.detector.check_outcome(state("i-1"), FEATURES, found.append)
+    harness.run(PROBE_S + 0.001)
+    harness.probes.inconclusive.clear()
+    harness.probes.refused.add(ADDRESS)
+    harness.run(3.0)
+    assert harness.crashes == [("i-1", [FEATURES])]
+    assert found != [RunnerOutcome.ALIVE]
+
+
+def test_draining_runners_may_exit_after_their_last_response():
+    harness = Harness()
+    harness.probes.refused.add(ADDRESS)
+    assert outcomes_of(harness, state("i-1", is_draining=True)) == [RunnerOutcome.UNKNOWN]
+    assert harness.crashes == []
+
+
+def respond_unframed(case):
+    reader = case.pool.readers[-1]
+    reader.on_head(200, SIGNED, None)
+    reader.on_body(b"answer")
+    close(case)
+
+
+def test_a_closed_response_of_a_living_runner_is_returned():
+    case = ForwardingCase()
+    respond_unframed(case)
+    assert case.exchange.responses == []
+    case.run(0.1)
+    assert case.exchange.responses[0][0] == 200 and case.outcomes == ["served"]
+
+
+def test_a_closed_response_of_a_crashed_runner_is_repeated():
+    case = ForwardingCase()
+    case.probes.refused.add(case.states[0].runner.address)
+    respond_unframed(case)
+    case.run(0.1)
+    assert len(set(case.pool.sent)) == 2 and case.exchange.responses == []
+
+
+def test_a_closed_response_of_a_crashed_runner_has_an_unknown_outcome_if_it_runs_once():
+    case = ForwardingCase(custom_route=route(kind=RouteKind.UNSAFE))
+    case.probes.refused.add(case.states[0].runner.address)
+    respond_unframed(case)
+    case.run(0.1)
+    assert case.exchange.responses[0][0] == 502
+
+
+def test_a_framed_response_is_returned_at_once():
+    case = ForwardingCase()
+    case.pool.readers[-1].on_head(200, SIGNED, 6)
+    case.pool.readers[-1].on_body(b"answer")
+    close(case, is_close_delimited=False)
+    assert case.outcomes == ["served"] and case.probes.probed == []
+
+
+def test_a_closed_stream_ends_once_its_runner_is_known_to_live():
+    case = stream_case(["v1", "v1"])
+    begin(case)
+    close(case)
+    assert case.exchange.responses == [event(1)] and case.outcomes == []
+    case.run(0.1)
+    assert case.outcomes == ["served"]
+
+
+def test_a_closed_stream_of_a_crashed_runner_goes_on_elsewhere():
+    case = stream_case(["v1", "v1"])
+    case.probes.refused.add(case.states[0].runner.address)
+    begin(case)
+    close(case)
+    case.run(0.1)
+    assert case.pool.sent == ["i-0", "i-1"]
+    begin(case, 2)
+    close(case, is_close_delimited=False)
+    assert case.exchange.responses == [event(1), event(2)] and case.outcomes == ["served"]
+
+
+def test_a_closed_stream_without_events_is_broken():
+    case = stream_case(["v1", "v1"])
+    case.pool.readers[-1].on_head(200, SIGNED, None)
+    close(case)
+    case.run(0.1)
+    assert case.pool.sent == ["i-0", "i-1"]
+
+
+def test_a_stream_that_ends_inside_an_event_goes_on_elsewhere():
+    case = stream_case(["v1", "v1"])
+    begin(case)
+    case.pool.readers[-1].on_body(b"id: 2\nda")
+    close(case, is_close_delimited=False)
+    case.run(0.1)
+    assert case.pool.sent == ["i-0", "i-1"]
+
+
+def test_a_caller_that_leaves_during_the_check_ends_the_request():
+    case = stream_case(["v1", "v1"])
+    begin(case)
+    close(case)
+    case.exchange.on_disconnect()
+    case.run(0.1)
+    assert case.outcomes == ["caller_left"]
+
+
+@pytest.mark.parametrize("probe", ["accepted", "inconclusive"])
+def test_a_closed_response_clears_records_only_if_the_runner_lives(probe):
+    case = ForwardingCase(setup=with_crash_records(2))
+    chosen = next(each for each in case.states if each.runner.instance == case.pool.sent[0])
+    if probe == "inconclusive":
+        case.probes.inconclusive.add(chosen.runner.address)
+    respond_unframed(case)
+    case.run(3.0)
+    assert case.outcomes == ["served"]
+    [record] = case.services.suspects.summaries()
+    assert record.has_run_whole == (probe == "accepted")
