Soak with parts of prompts that end runners, checked by part and for lost sound requests

Two guards show that the checks find routers without crash records of parts, and routers that take every close for an end.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -33,23 +33,17 @@
     Callers,
     DelayMeter,
     Lookers,
-    is_deadly,
 )
 from soak_faults import Faults
+from soak_history import history_of
 
-from martenrun.platform.standins.runner import RunnerStandin
 from martenrun.proof.router_checkers import check_all
 from martenrun.proof.router_records import (
-    CrashRecord,
-    LimitArrival,
     LimitBound,
-    NoticeArrival,
-    OrderRecord,
     PromiseBounds,
     RateBound,
     RouterHistory,
     RouterLife,
-    RunRecord,
 )
 from martenrun.proof.soak_schedule import (
     NOTICE_KINDS,
@@ -186,6 +180,7 @@
         has_versions = any(step.kind in SOFTWARE_KINDS for step in steps)
         resuming = ResumingCallers(deployment, RESUMING_CALLERS, seed, suffix=SLOW_MARK)
         faults.send_deadly = callers.send_deadly
+        faults.send_deadly_part = callers.send_deadly_part
         meter.start()
         callers.start(CALLERS)
         for _ in range(greedy_callers):
@@ -202,7 +197,7 @@
             lookers.stop()
             meter.stop()
         history = attrs.evolve(
-            _history(deployment, faults, callers, lookers),
+            history_of(deployment, faults, callers, lookers),
             calls=[*callers.calls, *resuming.calls],
             streams=resuming.streams,
             software_spans=faults.software_spans(),
@@ -250,91 +245,6 @@
         time.sleep(LOOK_S)
 
 
-def _history(
-    deployment: PlatformDeployment, faults: Faults, callers: Callers, lookers: Lookers
-) -> RouterHistory:
-    runners = [*deployment.runners, *faults.retired]
-    ends = {(runner.instance, end.request_id): end.at for runner in runners for end in runner.ends}
-    arrivals = _notice_arrivals(deployment, runners)
-    senders = {(item.instance, item.request_id): item.router for item in arrivals}
-    return RouterHistory(
-        calls=callers.calls,
-        runs=[
-            RunRecord(
-                run.request_id,
-                run.instance,
-                run.at,
-                run.tenant,
-                ends.get((run.instance, run.request_id)),
-                f"{run.method} {run.path}",
-                run.body.decode() if is_deadly(run.body) else "",
-                senders.get((run.instance, run.request_id), ""),
-            )
-            for runner in runners
-            for run in runner.runs
-        ],
-        orders=[
-            OrderRecord(
-                runner.instance,
-                str(order["holder"]),
-                int(str(order["fence_token"])),
-                float(str(order["taken_at"])),
-            )
-            for runner in runners
-            for order in [*runner.previous_orders, *runner.orders]
-        ],
-        revocations=faults.revocations,
-        departures=faults.departures,
-        troubles=faults.open_troubles(),
-        events_of_stream=runners[0].events,
-        lives=faults.all_lives(),
-        directory=lookers.answers,
-        tries=lookers.tries,
-        crashes=[
-            CrashRecord(crash.request_id, crash.at)
-            for runner in runners
-            for crash in runner.crashes
-        ],
-        limit_arrivals=[
-            LimitArrival(
-                arrival.request_id,
-                arrival.instance,
-                arrival.born_ms,
-                arrival.at,
-                float(arrival.limit),
-            )
-            for runner in runners
-            for arrival in runner.arrivals
-            if arrival.limit is not None
-        ],
-        partitions=faults.partitions,
-        notice_arrivals=arrivals,
-        suspensions=faults.suspensions,
-        harmed_links=faults.harmed_links,
-    )
-
-
-def _notice_arrivals(
-    deployment: PlatformDeployment, runners: Sequence[RunnerStandin]
-) -> list[NoticeArrival]:
-    """Return all arrivals at runners, if relays show which router sent each of them."""
-    if not deployment.has_links:
-        return []
-    return [
-        NoticeArrival(
-            arrival.request_id,
-            deployment.front_by_ip.get(arrival.source, ""),
-            arrival.instance,
-            arrival.born_ms,
-            arrival.at,
-            arrival.announces_drain,
-            None if arrival.retry_after is None else float(arrival.retry_after),
-        )
-        for runner in runners
-        for arrival in runner.arrivals
-    ]
-
-
 def _shut_out(deployment: PlatformDeployment, history: RouterHistory) -> list[str]:
     """Return a violation if routers held back more requests than there were deadly ones."""
     held = {
@@ -342,7 +252,7 @@
         for router in deployment.routers
         for fingerprint in HELD_BACK.findall(router.log.read_bytes())
     }
-    deadly = {run.deadly for run in history.runs if run.deadly}
+    deadly = {run.deadly or run.deadly_part for run in history.runs} - {""}
     if len(held) <= len(deadly):
         return []
     return [f"shut out: {len(held)} requests held back, {len(deadly)} deadly ones: {held}"]
@@ -366,6 +276,7 @@
 @click.option("--routers", default=3, show_default=True, help="router processes at a time")
 @click.option("--runner-starts", is_flag=True, help="runners start again, entries are broken")
 @click.option("--deadly", is_flag=True, help="some requests end each runner that runs them")
+@click.option("--deadly-parts", is_flag=True, help="parts of prompts end runners")
 @click.option("--limits", is_flag=True, help="runners temporarily advertise rate limits")
 @click.option("--partitions", is_flag=True, help="routers are cut off from all runners")
 @click.option("--software", is_flag=True, help="runners change their software version")
@@ -380,6 +291,7 @@
     routers: int,
     runner_starts: bool,
     deadly: bool,
+    deadly_parts: bool,
     limits: bool,
     partitions: bool,
     software: bool,
@@ -397,7 +309,15 @@
     for number in range(seed, seed + seeds):
         if schedule is None:
             steps = draw_schedule(
-                number, minutes * 60, runner_starts, deadly, limits, partitions, software, notices
+                number,
+                minutes * 60,
+                runner_starts,
+                deadly,
+                limits,
+                partitions,
+                software,
+                notices,
+                deadly_parts,
             )
         else:
             steps = from_text(schedule.read_text())
--- a/scripts/soak_callers.py
+++ b/scripts/soak_callers.py
@@ -70,6 +70,12 @@
 DEADLY_PAUSE_S = 0.3
 """Pause between two comings of one deadly request, in seconds."""
 
+DEADLY_PART = "dead"
+"""Begins the ids of parts of prompts under which runners end."""
+
+SHARED_PARTS = ("aa", "bb")
+"""Parts of the prompts of sound requests."""
+
 DEADLY = b"deadly "
 """Begins the bodies under which runners end."""
 
@@ -106,6 +112,10 @@
         body = DEADLY + b"%d" % len(self._threads)
         self._begin(self._send_on, "once", KEY, DEADLY_PAUSE_S, body)
 
+    def send_deadly_part(self, part: str) -> None:
+        """Let requests with a deadly part come at any router until the end, no two alike."""
+        self._begin(self._send_on, "ask", KEY, DEADLY_PAUSE_S, None, (SHARED_PARTS[0], part))
+
     def _begin(self, call: Callable[..., None], *arguments: object) -> None:
         rng = random.Random(f"{self._seed} {len(self._threads)}")
         thread = threading.Thread(target=call, args=(rng, *arguments), daemon=True)
@@ -113,9 +123,15 @@
         thread.start()
 
     def _send_on(
-        self, rng: random.Random, kind: str, key: str, pause_s: float, body: bytes | None
+        self,
+        rng: random.Random,
+        kind: str,
+        key: str,
+        pause_s: float,
+        body: bytes | None,
+        parts: tuple[str, ...] = SHARED_PARTS,
     ) -> None:
-        """Send requests that run once, each on a connection of its own."""
+        """Send requests, each on a connection of its own."""
         while not self._is_over.wait(pause_s * rng.uniform(0.5, 1.5)):
             router = rng.choice(list(self._deployment.routers)).front
             host, _, port = router.rpartition(":")
@@ -126,7 +142,8 @@
             sent_at = time.monotonic()
             status, received = None, b""
             try:
-                self._send(connection, "once", request_id, key, body)
+                route = "ask" if kind == "ask" else "once"
+                self._send(connection, route, request_id, key, body, parts)
                 answer = connection.getresponse()
                 received = answer.read()
                 status = answer.status
@@ -208,6 +225,7 @@
         request_id: str,
         key: str,
         body: bytes | None = None,
+        parts: tuple[str, ...] = SHARED_PARTS,
     ) -> None:
         headers = {
             "Host": HOST,
@@ -218,7 +236,8 @@
         if kind in ("ask", "once"):
             headers["X-Model-Id"] = MODEL
             headers["X-Token-Usage"] = "1000,20"
-            headers["X-Prefix-Hash"] = "aa:600,bb:300,cc:100"
+            own = "cc" if parts == SHARED_PARTS else request_id
+            headers["X-Prefix-Hash"] = f"{parts[0]}:600,{parts[1]}:300,{own}:100"
         method = "GET" if kind == "slip" else "POST"
         if body is None and method != "GET":
             body = b"body of " + request_id.encode()
--- a/scripts/soak_runner_faults.py
+++ b/scripts/soak_runner_faults.py
@@ -13,7 +13,8 @@
 import attrs
 from faulty_relay import FaultyRelay
 from platform_deployment import KEY, MODEL, PlatformDeployment
-from soak_callers import SPARE_KEY, is_deadly, pause_of
+from soak_callers import DEADLY_PART, SPARE_KEY, is_deadly, pause_of
+from soak_crashes import CRASH_WAYS, set_deadly_parts
 
 from martenrun.platform.standins.runner import RunnerStandin
 from martenrun.platform.standins.runner_records import Fault
@@ -67,6 +68,9 @@
         self.revocations: list[Revocation] = []
         self.retired: list[RunnerStandin] = []
         self.send_deadly: Callable[[], None] = lambda: None
+        self.send_deadly_part: Callable[[str], None] = lambda _part: None
+        self._deadly_parts: frozenset[str] = frozenset()
+        self._crash_way = CRASH_WAYS[0]
         self.crashed_at = 0.0
         self._crashed: collections.deque[RunnerStandin] = collections.deque()
         self._software_spans: dict[str, SoftwareSpan] = {}
@@ -79,6 +83,7 @@
         runner.event_pause_of = pause_of
         runner.crashes_on = is_deadly
         runner.on_crash = self._on_crash
+        set_deadly_parts(runner, self._deadly_parts, self._crash_way)
 
     def _begin_software(self, runner: RunnerStandin) -> None:
         now = time.monotonic()
@@ -202,6 +207,15 @@
     def _deadly_request(self, _step: Step) -> None:
         self.send_deadly()
 
+    def _deadly_part(self, step: Step) -> None:
+        """Requests with a part of their prompts that ends runners come until the end."""
+        part = f"{DEADLY_PART}{len(self._deadly_parts)}"
+        self._deadly_parts |= {part}
+        self._crash_way = CRASH_WAYS[step.targets[0] % len(CRASH_WAYS)]
+        for runner in self._deployment.runners:
+            set_deadly_parts(runner, self._deadly_parts, self._crash_way)
+        self.send_deadly_part(part)
+
     def _kill_behind_cut(self, runner: RunnerStandin) -> None:
         self._deployment.relays[runner.instance].silence_open()
         self._start_again(runner, time.monotonic())
--- a/src/martenrun/proof/router_checkers.py
+++ b/src/martenrun/proof/router_checkers.py
@@ -6,8 +6,12 @@
 import bisect
 import collections
 import math
-from collections.abc import Sequence
 
+from martenrun.proof.crash_checker import (
+    deadly_parts_rest,
+    deadly_requests_rest,
+    sound_requests_are_served_beside_deadly_parts,
+)
 from martenrun.proof.limit_checker import runner_limits_are_respected
 from martenrun.proof.notice_checker import (
     announced_drains_are_respected,
@@ -20,7 +24,6 @@
     PromiseBounds,
     RouterHistory,
     RouterLife,
-    RunRecord,
 )
 from martenrun.proof.stream_checker import (
     events_are_consecutive,
@@ -125,7 +128,7 @@
                 continue
             router = routers.get(run.request_id, "")
             places = (None, router, run.instance)
-            if not _was_in_trouble(history, places, gone.at - bounds.quiet_s, run.at):
+            if not history.was_in_trouble(places, gone.at - bounds.quiet_s, run.at):
                 late_s = run.at - gone.at
                 found.append(
                     f"{run.request_id} ran at {run.instance} {late_s:.2f} s late by {router}"
@@ -144,7 +147,7 @@
         lives.setdefault(life.router, []).append(life)
     for answer in history.directory:
         well_from = answer.asked_at - bounds.quiet_s
-        if _was_in_trouble(history, (answer.router,), well_from, answer.asked_at):
+        if history.was_in_trouble((answer.router,), well_from, answer.asked_at):
             continue
         for address in answer.addresses:
             last = max(
@@ -175,7 +178,7 @@
         counts[item.router] += 1
         if item.at - began_at <= bounds.contact_s or counts[item.router] < LEAST_TRIES:
             continue
-        if not _was_in_trouble(history, (item.router,), began_at, item.at):
+        if not history.was_in_trouble((item.router,), began_at, item.at):
             found.append(f"{item.router} took no connection for {item.at - began_at:.2f} s")
             since.pop(item.router)
             counts[item.router] = 0
@@ -234,24 +237,13 @@
         places = (call.router, run.instance)
         since = call.left_at - bounds.closed_s
         if not (
-            _was_in_trouble(history, places, since, limit)
+            history.was_in_trouble(places, since, limit)
             or _was_suspended(history, run.sent_by, since, limit)
         ):
             found.append(f"{run.request_id} {what} {late_s:.2f} s after its caller left")
     return found
 
 
-def _was_in_trouble(
-    history: RouterHistory, places: Sequence[str | None], begin: float, end: float
-) -> bool:
-    """Whether one of the places was in trouble at any time between; see :class:`Trouble`."""
-    return any(
-        trouble.begin < end and trouble.end > begin
-        for trouble in history.troubles
-        if trouble.place in places
-    )
-
-
 def _was_suspended(history: RouterHistory, router: str, begin: float, end: float) -> bool:
     return any(
         span.place == router and span.begin < end and span.end > begin
@@ -273,39 +265,6 @@
     return found
 
 
-LATE_ARRIVALS = 3
-"""Arrivals of a deadly request that are allowed once all routers must know of it."""
-
-DEADLY_AFTER = 3
-"""Ends of runners under a request after which they must know."""
-
-
-def deadly_requests_rest(history: RouterHistory, bounds: PromiseBounds) -> list[str]:
-    """A request under which three runners ended reaches few more, by routers in touch."""
-    found = []
-    bodies = {run.request_id: run.deadly for run in history.runs if run.deadly}
-    for body in sorted(set(bodies.values())):
-        ends = sorted(item.at for item in history.crashes if bodies[item.request_id] == body)
-        if len(ends) < DEADLY_AFTER:
-            continue
-        known_from = ends[DEADLY_AFTER - 1] + bounds.contact_s
-        late = [run for run in history.runs if run.deadly == body and run.at > known_from]
-        in_touch = [run for run in late if _is_from_one_in_touch(history, run, bounds.contact_s)]
-        if len(in_touch) > LATE_ARRIVALS:
-            times = ", ".join(f"{run.at - known_from:.1f}" for run in in_touch[:8])
-            found.append(f"{body}: {len(in_touch)} arrivals too late, by {times} s")
-    return found
-
-
-def _is_from_one_in_touch(history: RouterHistory, run: RunRecord, contact_s: float) -> bool:
-    call = next((call for call in history.calls if call.request_id == run.request_id), None)
-    if call is None:
-        return False
-    begin = run.at - contact_s
-    is_new = any(life.router == call.router and life.started_at > begin for life in history.lives)
-    return not is_new and not _was_in_trouble(history, (call.router, None), begin, run.at)
-
-
 def tenants_keep_within_rates(history: RouterHistory, bounds: PromiseBounds) -> list[str]:
     """No more of a tenant reaches runners in any window than its limit allows, in touch or not."""
     found = []
@@ -346,6 +305,8 @@
         "left": left_requests_do_not_run(history, bounds),
         "one holder": orders_have_one_holder(history),
         "deadly": deadly_requests_rest(history, bounds),
+        "deadly parts": deadly_parts_rest(history, bounds),
+        "lost": sound_requests_are_served_beside_deadly_parts(history, bounds),
         "rates": tenants_keep_within_rates(history, bounds),
         "limits": runner_limits_are_respected(history, bounds),
         "drains": announced_drains_are_respected(history, bounds),
--- a/src/martenrun/proof/router_records.py
+++ b/src/martenrun/proof/router_records.py
@@ -37,7 +37,8 @@
     """One run as a runner saw it; ``ended_at`` None where the runner does not tell.
 
     ``target`` is the path, for whoever traces a violation; ``deadly`` names the body of a request
-    that ends each runner which runs it; ``sent_by`` is the router that sent it there, if known.
+    that ends each runner which runs it, ``deadly_part`` the part of its prompt that does so;
+    ``sent_by`` is the router that sent it there, if known.
     """
 
     request_id: str
@@ -48,6 +49,7 @@
     target: str = ""
     deadly: str = ""
     sent_by: str = ""
+    deadly_part: str = ""
 
 
 @attrs.frozen
@@ -304,3 +306,11 @@
     notice_arrivals: Sequence[NoticeArrival] = ()
     suspensions: Sequence[Trouble] = ()
     harmed_links: Sequence[Trouble] = ()
+
+    def was_in_trouble(self, places: Sequence[str | None], begin: float, end: float) -> bool:
+        """Whether one of the places was in trouble at any time between; see :class:`Trouble`."""
+        return any(
+            trouble.begin < end and trouble.end > begin
+            for trouble in self.troubles
+            if trouble.place in places
+        )
--- a/src/martenrun/proof/soak_schedule.py
+++ b/src/martenrun/proof/soak_schedule.py
@@ -76,6 +76,12 @@
 DEADLY_KINDS = {"deadly_request": 0}
 """The same of requests that end each runner which runs them, and come again until the end."""
 
+DEADLY_PART_KINDS = {"deadly_part": 0}
+"""The same of requests that are all different but for a part of their prompts."""
+
+MOST_DEADLY_PARTS = 2
+"""Maximum number of such parts in a schedule."""
+
 EXTRA_LIMIT_DURATION_S = 6.0
 """Time added to the duration of advertised limits, in seconds.
 
@@ -102,6 +108,7 @@
     **STRUCK_AT_ONCE,
     **RUNNER_KINDS,
     **DEADLY_KINDS,
+    **DEADLY_PART_KINDS,
     **LIMIT_KINDS,
     **PARTITION_KINDS,
     **SOFTWARE_KINDS,
@@ -143,6 +150,7 @@
     has_partitions: bool = False,
     has_software: bool = False,
     has_notices: bool = False,
+    has_deadly_parts: bool = False,
 ) -> list[Step]:
     """Return a schedule of so many seconds.
 
@@ -153,6 +161,7 @@
         has_partitions: adds a series of one of PARTITION_KINDS; the other steps stay the same.
         has_software: adds a series of each of SOFTWARE_KINDS; the other steps stay the same.
         has_notices: adds a series of each of NOTICE_KINDS; the other steps stay the same.
+        has_deadly_parts: adds parts of prompts that end runners; the other steps stay the same.
     """
     rng = random.Random(seed)
     kinds = [rng.choice(OFTEN)]
@@ -193,6 +202,13 @@
     if has_notices:
         first += len(SOFTWARE_KINDS)
         steps += _draw_added(f"{seed} notices", NOTICE_KINDS, first, seconds)
+    if has_deadly_parts:
+        rng = random.Random(f"{seed} deadly parts")
+        times = sorted(rng.uniform(0.0, seconds) for _ in range(rng.randint(1, MOST_DEADLY_PARTS)))
+        number = first + len(SOFTWARE_KINDS) + len(NOTICE_KINDS)
+        steps += [
+            Step(round(at, 3), "deadly_part", (rng.randrange(60),), 0.0, number) for at in times
+        ]
     return sorted(steps, key=lambda step: step.at_s)
 
 
--- a/tests/router/test_soak.py
+++ b/tests/router/test_soak.py
@@ -14,8 +14,10 @@
 
 from martenrun.proof.soak_schedule import (
     DEADLY_KINDS,
+    DEADLY_PART_KINDS,
     LASTING,
     MOST_DEADLY,
+    MOST_DEADLY_PARTS,
     NOTICE_KINDS,
     PARTITION_KINDS,
     RUNNER_KINDS,
@@ -84,6 +86,15 @@
     assert " 0 violations" in result.output
 
 
+# Guards against parts of prompts that crash runner after runner, and sound requests lost for it.
+@pytest.mark.parametrize("seed", [15000, 15001])
+def test_parts_that_end_runners_are_held_back_beside_other_faults(seed, tmp_path):
+    options = ["--minutes", "0.25", "--seed", str(seed), "--routers", "5", "--deadly-parts"]
+    result = CliRunner().invoke(soak, [*options, "--keep-logs", str(tmp_path / "logs")])
+    assert result.exit_code == 0, result.output
+    assert " 0 violations" in result.output
+
+
 def test_runner_limits_are_enforced_under_other_faults(tmp_path):
     options = ["--minutes", "0.25", "--seed", "9001", "--runner-starts", "--limits"]
     result = CliRunner().invoke(soak, [*options, "--keep-logs", str(tmp_path / "logs")])
@@ -204,6 +215,9 @@
         upgraded = draw_schedule(seed, 60.0, has_software=True)
         assert [step for step in upgraded if step.kind not in SOFTWARE_KINDS] == steps
         assert {step.kind for step in upgraded if step not in steps} == set(SOFTWARE_KINDS)
+        with_parts = draw_schedule(seed, 60.0, has_deadly_parts=True)
+        assert [step for step in with_parts if step.kind not in DEADLY_PART_KINDS] == steps
+        assert 0 < len(with_parts) - len(steps) <= MOST_DEADLY_PARTS
         noticed = draw_schedule(seed, 60.0, has_notices=True)
         assert [step for step in noticed if step.kind not in NOTICE_KINDS] == steps
         assert {step.kind for step in noticed if step not in steps} == set(NOTICE_KINDS)
--- a/tests/router/test_soak_guards.py
+++ b/tests/router/test_soak_guards.py
@@ -36,6 +36,14 @@
         Step(1.0, "deadly_request", (0,), 0.0, 0),
         Step(9.0, "configure", (0,), 0.0, 1),
     ],
+    "deadly parts": [
+        Step(1.0, "deadly_part", (0,), 0.0, 0),
+        Step(9.0, "configure", (0,), 0.0, 1),
+    ],
+    "closed ends": [
+        Step(1.0, "deadly_part", (2,), 0.0, 0),
+        Step(9.0, "configure", (0,), 0.0, 1),
+    ],
     "rates": [Step(9.0, "configure", (0,), 0.0, 0)],
     "partitions": [
         Step(1.0, "reset_links", (0,), 10.0, 0),
@@ -57,7 +65,7 @@
 }
 
 
-CHECKER_NAMES = {"entries": "leaving"}
+CHECKER_NAMES = {"entries": "leaving", "closed ends": "own answer"}
 """The checker that finds the violation of a removed guard, where their names differ."""
 
 
--- a/tests/router/unguarded_router.py
+++ b/tests/router/unguarded_router.py
@@ -95,6 +95,24 @@
     CrashTable.blocked_for_s = lambda self, fingerprint, now: 0.0
 
 
+def record_whole_requests_only():
+    """Attribute crashes to whole requests, not to parts of their prompts."""
+    from martenrun.router.crashes import features, request_check
+
+    features.part_keys = request_check.part_keys = lambda call: ()
+
+
+def trust_closed_responses():
+    """Take responses that end with their connection for complete."""
+    from martenrun.router.crashes.request_check import RequestCrashCheck
+
+    def check_end(self, attempt, on_checked):
+        self.record_completion(True)
+        on_checked(False)
+
+    RequestCrashCheck.check_end = check_end
+
+
 def grant_all_requests():
     """Grant tenants everything that they request."""
     from martenrun.router.quotas.account import Account, QuotaDecision
@@ -153,6 +171,8 @@
     "left": ignore_caller_disconnects,
     "own end": terminate_on_sighup,
     "deadly": block_no_requests,
+    "deadly parts": record_whole_requests_only,
+    "closed ends": trust_closed_responses,
     "rates": grant_all_requests,
     "limits": ignore_runner_limits,
     "partitions": keep_requests_while_partitioned,
