martenrun blame names parts of prompts; plays of crash-causing parts as a program

An operator could not see that a part was held back, nor what it was met beside; the list, explain and the log now say so, and clearing a part works like clearing a request (tested at two routers).

Names only: is_ambiguous, record_earlier_completion.

--- a/scripts/measure_blame.py
+++ b/scripts/measure_blame.py
@@ -154,7 +154,7 @@
         self.asked_parts += len(parts)
         if len(self.table):
             held = [part for part in parts if self.table.blocked_for_s(part, self.now) > 0]
-            if any(not self.table.may_be_innocent(part, parts) for part in held):
+            if any(not self.table.is_ambiguous(part, parts) for part in held):
                 self.held_parts.update(held)
                 self.held_requests += 1
                 return
--- a/src/martenrun/cli/blame.py
+++ b/src/martenrun/cli/blame.py
@@ -1,4 +1,4 @@
-"""``martenrun blame``: requests that end the runners which run them, at one router."""
+"""``martenrun blame``: requests and parts of prompts that crash runners, at one router."""
 
 import click
 import urllib3
@@ -33,4 +33,9 @@
     for item in answer.json()["requests"]:
         held = f"held back for {item['held_for_s']:.0f} s" if item["held_for_s"] else "served"
         whole = ", has run whole" if item["has_run_whole"] else ""
-        click.echo(f"{item['fingerprint']} {held}, {item['starts']} starts ended{whole}")
+        part = f", part {item['part']} of prompts" if item.get("part") else ""
+        beside = ", ".join(item.get("met_beside", ()))
+        others = f", met only beside {beside}" if beside else ""
+        click.echo(
+            f"{item['fingerprint']} {held}, {item['starts']} starts ended{whole}{part}{others}"
+        )
--- a/src/martenrun/router/crashes/request_check.py
+++ b/src/martenrun/router/crashes/request_check.py
@@ -59,7 +59,7 @@
         for key, left_s in blocked.items():
             if not left_s:
                 continue
-            if not table.may_be_innocent(key, parts):
+            if not table.is_ambiguous(key, parts):
                 return Block(key, left_s)
             undecided.append(key)
         if not undecided or self._trial in undecided:
--- a/src/martenrun/router/crashes/table.py
+++ b/src/martenrun/router/crashes/table.py
@@ -2,8 +2,8 @@
 
 All requests that a runner serves when it crashes are recorded with that runner instance.  A single
 crash is weak evidence, and a request that has completed since is not the cause.  The same holds for
-each part of a prompt: any request that completes with it clears it.  Routers exchange
-the crashed instances rather than counts, so that a crash seen by two routers counts once.
+each part of a prompt: any request that completes with it clears it.  Routers
+exchange the crashed instances rather than counts, so that a crash seen by two routers counts once.
 
 A request is blocked after CRASH_THRESHOLD instances have crashed while serving it.  More are
 required where runners also crash for other reasons, so that coincidence could explain them.  The
@@ -19,6 +19,7 @@
 
 import collections
 import math
+from collections.abc import Collection
 
 import msgspec
 
@@ -134,14 +135,15 @@
         )
 
     def blocked(self, now: float) -> list[bytes]:
-        """Return the fingerprints of the blocked requests."""
+        """Return the keys of the blocked requests and parts, without those only met beside them."""
         return [
             key
-            for key in self._histories
-            if self.blocked_for_s(key, now) > 0 and not self._is_covered(key, ())
+            for key, history in self._histories.items()
+            if self.blocked_for_s(key, now) > 0
+            and not self._is_explained_by_others(key, history.companions)
         ]
 
-    def may_be_innocent(self, key: bytes, parts: tuple[bytes, ...]) -> bool:
+    def is_ambiguous(self, key: bytes, parts: tuple[bytes, ...]) -> bool:
         """Whether the crashes of a blocked part are explained by others that a prompt lacks.
 
         Args:
@@ -151,8 +153,8 @@
         history = self._histories[key]
         if not history.is_part:
             return False
-        others = self._uncleared(history.companions)
-        return not others.issubset(parts) or self._is_covered(key, parts)
+        others = self._never_completed(history.companions)
+        return not others.issubset(parts) or self._is_explained_by_others(key, parts)
 
     def suspected_part(self, parts: tuple[bytes, ...]) -> bytes | None:
         """Return the part of a prompt that most likely crashes runners, or None."""
@@ -161,7 +163,7 @@
         ]
         return max(suspected, key=self.crash_count, default=None)
 
-    def _uncleared(self, parts: frozenset[bytes]) -> set[bytes]:
+    def _never_completed(self, parts: frozenset[bytes]) -> set[bytes]:
         """Return the parts with a crash record that never completed."""
         return {
             key
@@ -169,11 +171,11 @@
             if key in self._histories and not self._histories[key].has_completed
         }
 
-    def _is_covered(self, key: bytes, parts: tuple[bytes, ...]) -> bool:
+    def _is_explained_by_others(self, key: bytes, parts: Collection[bytes]) -> bool:
         """Whether parts that a prompt lacks explain nearly all crashes of one that it has.
 
         They must have at least as many crashes; those of the true cause then increase with each
-        further trial, and no other part covers them any more.
+        further trial, and others no longer explain them.
         """
         history = self._histories[key]
         if not history.is_part:
@@ -219,7 +221,7 @@
         history.completed_at = max(history.completed_at, at)
         return was_suspected
 
-    def report_completion(self, fingerprint: bytes, at: float) -> bool:
+    def record_earlier_completion(self, fingerprint: bytes, at: float) -> bool:
         """Record an earlier completion; return whether none as late was known."""
         history = self._histories.get(fingerprint)
         if history is None or history.completed_at >= at:
@@ -236,7 +238,9 @@
                 round(self.blocked_for_s(key, now), 1),
                 history.has_completed,
                 part_name(key),
-                sorted(part_name(other) or "" for other in self._uncleared(history.companions)),
+                sorted(
+                    part_name(other) or "" for other in self._never_completed(history.companions)
+                ),
             )
             for key, history in self._histories.items()
         ]
--- a/src/martenrun/router/crashes/tracker.py
+++ b/src/martenrun/router/crashes/tracker.py
@@ -245,7 +245,7 @@
         for key in keys:
             at = self._completed_parts.get(key)
             is_recent = at is not None and now - at < COMPLETED_PART_PERIOD_S
-            if at is not None and is_recent and self.table.report_completion(key, at):
+            if at is not None and is_recent and self.table.record_earlier_completion(key, at):
                 cleared.add(key)
         if cleared and self._rng.random() < SENDERS_PER_COMPLETION / max(1, self._router_count()):
             self._broadcast_new(cleared)
--- a/tests/router/part_plays.py
+++ b/tests/router/part_plays.py
@@ -25,10 +25,6 @@
 DOWN_S = 3.0
 PLAY_S = 30.0
 RUN_S = 0.1
-BEFORE_S = 6.0
-"""How long only sound requests come first, in seconds."""
-
-EVENT_PAUSE_S = 0.03
 
 
 @attrs.frozen
@@ -39,6 +35,8 @@
         prompts: shared parts of crash-causing prompts, which come in turn; None is a new part.
         crashing: the parts that crash runners.
         chance_s: mean time between crashes by chance, in seconds; 0 for none.
+        event_pause_s: pause between two of the six events of a stream, in seconds.
+        before_s: how long only sound requests come first, in seconds.
         kill_s: time between kills of a router, in seconds; 0 for none.
         companion: a part that comes without a crashing one in the second half; None for none.
     """
@@ -54,6 +52,8 @@
     keeps_id: bool = False
     chance_s: float = 0.0
     kill_s: float = 0.0
+    event_pause_s: float = 0.03
+    before_s: float = 6.0
     companion: str | None = None
     path: str = "/ask/x"
 
@@ -81,6 +81,23 @@
     "closed after an event": Play(
         SECOND, ("dead1",), point=CrashPoint.AFTER_EVENT, by_reset=False, framed=False
     ),
+    "long streams": Play(SECOND, ("dead1",), event_pause_s=0.4, path="/once/x"),
+    "long streams from the start": Play(
+        SECOND, ("dead1",), event_pause_s=0.4, before_s=0.0, path="/once/x"
+    ),
+    "long streams, first part": Play(
+        (("dead1", SHARED_PARTS[0]),), ("dead1",), event_pause_s=0.4, path="/once/x"
+    ),
+    "long streams, three parts": Play(
+        tuple((FIRST_PART, f"dead{n}") for n in (1, 2, 3)),
+        ("dead1", "dead2", "dead3"),
+        rate=6.0,
+        event_pause_s=0.4,
+    ),
+    "long streams, chance": Play(
+        SECOND, ("dead1",), runners=8, chance_s=2.0, event_pause_s=0.4, path="/once/x"
+    ),
+    "only chance, long streams": Play((), (), chance_s=0.7, event_pause_s=0.4),
     "only chance": Play((), (), chance_s=0.7),
 }
 
@@ -96,10 +113,10 @@
             runner.crash_delay_s = RUN_S
             runner.crash_point = play.point
             runner.crashes_by_reset = play.by_reset
-            runner.event_pause_s = EVENT_PAUSE_S
+            runner.event_pause_s = play.event_pause_s
             runner.ends_by_connection = lambda _request_id: not play.framed
         turns = itertools.cycle(play.prompts or ((),))
-        half_at = time.monotonic() + BEFORE_S + PLAY_S / 2
+        half_at = time.monotonic() + play.before_s + PLAY_S / 2
 
         def crashing():
             return tuple(part or f"new{next(numbers)}" for part in next(turns))
@@ -109,10 +126,10 @@
                 return (FIRST_PART, play.companion)
             return callers.sound_parts()
 
-        began_at = time.monotonic() + BEFORE_S
+        began_at = time.monotonic() + play.before_s
         callers = PartCallers(
             deployment, seed, crashing, play.rate if play.prompts else 0.001, play.path, sound,
-            begins_after_s=BEFORE_S,
+            begins_after_s=play.before_s,
         )  # fmt: skip
         _disturb(deployment, play, rng, began_at)
         callers.stop()
--- a/tests/router/test_crash_parts.py
+++ b/tests/router/test_crash_parts.py
@@ -86,18 +86,19 @@
     assert table.blocked_for_s(FIRST, 102.0) > 0.0
 
 
-def test_prompt_without_a_companion_of_a_blocked_part_may_be_innocent():
+def test_prompt_without_a_companion_of_a_blocked_part_is_ambiguous():
     table = table_with_crashes(PART_CRASH_THRESHOLD, DEAD, COMPANION)
-    assert not table.may_be_innocent(DEAD, (DEAD, COMPANION))
-    assert table.may_be_innocent(COMPANION, (COMPANION, SOUND))
-    assert table.may_be_innocent(DEAD, (DEAD, SOUND))
+    assert not table.is_ambiguous(DEAD, (DEAD, COMPANION))
+    assert table.is_ambiguous(COMPANION, (COMPANION, SOUND))
+    assert table.is_ambiguous(DEAD, (DEAD, SOUND))
+    assert set(table.blocked(100.0)) == {DEAD, COMPANION}
 
 
 def test_crash_without_the_companion_is_evidence_against_one_part_alone():
     table = table_with_crashes(PART_CRASH_THRESHOLD, DEAD, COMPANION)
     crash(table, "i-trial", DEAD, SOUND)
-    assert not table.may_be_innocent(DEAD, (DEAD, SOUND))
-    assert table.may_be_innocent(COMPANION, (COMPANION,))
+    assert not table.is_ambiguous(DEAD, (DEAD, SOUND))
+    assert table.is_ambiguous(COMPANION, (COMPANION,))
     table.record_completion(COMPANION, 101.0)
     assert table.blocked_for_s(COMPANION, 101.0) == 0.0
     assert table.blocked_for_s(DEAD, 101.0) > 0.0
@@ -106,16 +107,16 @@
 def test_cleared_companion_does_not_make_a_part_innocent():
     table = table_with_crashes(PART_CRASH_THRESHOLD, DEAD, FIRST)
     table.record_completion(FIRST, 101.0)
-    assert not table.may_be_innocent(DEAD, (DEAD,))
+    assert not table.is_ambiguous(DEAD, (DEAD,))
 
 
-def test_part_on_runners_that_another_part_crashed_may_be_innocent():
+def test_part_on_runners_that_another_part_crashed_is_ambiguous():
     table = table_with_crashes(PART_CRASH_THRESHOLD + 1, DEAD)
     for number in range(PART_CRASH_THRESHOLD):
         crash(table, f"i-{number}", SOUND)
-    assert table.may_be_innocent(SOUND, (SOUND,))
-    assert not table.may_be_innocent(SOUND, (SOUND, DEAD))
-    assert not table.may_be_innocent(DEAD, (DEAD,))
+    assert table.is_ambiguous(SOUND, (SOUND,))
+    assert not table.is_ambiguous(SOUND, (SOUND, DEAD))
+    assert not table.is_ambiguous(DEAD, (DEAD,))
     assert table.blocked(100.0) == [DEAD]
 
 
@@ -127,7 +128,7 @@
         crash(table, f"i-{number}", FIRST, keys[number % 3])
         table.record_completion(FIRST, 100.0)
     assert set(table.blocked(100.0)) == set(keys)
-    assert not any(table.may_be_innocent(key, (FIRST, key)) for key in keys)
+    assert not any(table.is_ambiguous(key, (FIRST, key)) for key in keys)
 
 
 def test_merged_companions_do_not_depend_on_the_order():
