A check of a closed response gives way to an attempt that began meanwhile

A stream whose closed response is being checked may be moved off its runner in the same moment (its entry replaced). The end of the check then broke the new attempt off: the request was sent a third time, beside the second. Found by reading; the test sees two sends now and three before. A crash found by such a check was reported twice, which doubled the runs that the log names; its record counts it once as before.

--- a/src/martenrun/router/crashes/detector.py
+++ b/src/martenrun/router/crashes/detector.py
@@ -196,7 +196,10 @@
         features: RequestFeatures,
         on_outcome: Callable[[RunnerOutcome], None],
     ) -> None:
-        """Find out whether a runner crashed or ended a response by closing its connection."""
+        """Find out whether a runner crashed or ended a response by closing its connection.
+
+        If it crashed, the caller reports the disconnect by :meth:`handle_disconnect`.
+        """
         if state.is_draining:
             on_outcome(RunnerOutcome.UNKNOWN)
             return
@@ -207,14 +210,11 @@
             on_outcome(RunnerOutcome.CRASHED if has_crashed else RunnerOutcome.UNKNOWN)
 
         def on_result(refused: bool | None) -> None:
-            if refused is False:
-                on_outcome(RunnerOutcome.ALIVE)
-                return
-            self.handle_disconnect(state, features)
-            if refused:
-                on_outcome(RunnerOutcome.CRASHED)
-            else:
+            if refused is None:
+                self.handle_disconnect(state, features)
                 self.call_when_resolved(state.runner.instance, on_resolved)
+            else:
+                on_outcome(RunnerOutcome.CRASHED if refused else RunnerOutcome.ALIVE)
 
         self._probe(self._loop, state.runner.address, on_result)
 
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -240,7 +240,7 @@
         """End a complete response, unless it only ended because its runner crashed."""
 
         def on_checked(has_crashed: bool) -> None:
-            if self.is_over:
+            if self.is_over or self._attempt is not attempt:
                 return
             if has_crashed:
                 self._break_off(attempt)
