--- a/scripts/measure_blame.py
+++ b/scripts/measure_blame.py
@@ -95,17 +95,22 @@
                 self.tries.pop(key, None)
                 self.served += 1
 
-    def end_runner(self, again: bool) -> None:
-        """Let a runner end by chance; what ran there is sent again."""
+    def crash_one(self) -> tuple[str, dict[int, bytes]]:
+        """Let a runner end by chance; return its start and what ran there, if one is up."""
         living = self.living()
         if not living:
-            return
+            return "", {}
         chosen = self.rng.choice(living)
         self.ends += 1
         start = f"{chosen}#{self.lives[chosen]}"
         self.lives[chosen] += 1
         self.back_at[chosen] = self.now + AWAY_S
         lost, self.running[chosen] = self.running[chosen], {}
+        return start, lost
+
+    def end_runner(self, again: bool) -> None:
+        """Let a runner end by chance; what ran there is sent again."""
+        start, lost = self.crash_one()
         for key in lost.values():
             self.table.record_crash(key, start, self.now)
         for key in lost.values():
@@ -181,15 +186,7 @@
 
     def end_runner(self, again: bool) -> None:
         """Let a runner end by chance."""
-        living = self.living()
-        if not living:
-            return
-        chosen = self.rng.choice(living)
-        self.ends += 1
-        start = f"{chosen}#{self.lives[chosen]}"
-        self.lives[chosen] += 1
-        self.back_at[chosen] = self.now + AWAY_S
-        lost, self.running[chosen] = self.running[chosen], {}
+        start, lost = self.crash_one()
         requests = [RequestFeatures(key, self.parts[run]) for run, key in lost.items()]
         self.tracker._record_crashes(start, requests)
 
