--- a/tests/router/part_plays.py
+++ b/tests/router/part_plays.py
@@ -139,7 +139,10 @@
 def _disturb(deployment, play, rng, began_at):
     chance_at = began_at + rng.expovariate(1 / play.chance_s) if play.chance_s else float("inf")
     kill_at = began_at + play.kill_s if play.kill_s else float("inf")
-    while time.monotonic() < began_at + PLAY_S:
+    ends_at = began_at + PLAY_S
+
+    def disturb_until_the_end():
+        nonlocal chance_at, kill_at
         now = time.monotonic()
         if now > chance_at:
             rng.choice(deployment.runners).crash("")
@@ -150,7 +153,9 @@
             router.process.wait()
             deployment.start(router)
             kill_at += play.kill_s
-        time.sleep(0.01)
+        return now >= ends_at
+
+    deployment.wait(disturb_until_the_end, 2 * PLAY_S)
 
 
 def _line(deployment, callers, play, began_at):
