--- a/src/martenrun/router/crashes/history.py
+++ b/src/martenrun/router/crashes/history.py
@@ -42,8 +42,8 @@
 MAX_CRASHES_PER_RECORD = 12
 """Maximum number of crashes per record; with this many the block duration is at its maximum."""
 
-MIN_STORED_PART_CRASHES = 2
-"""Crashes from which the record of a part that never completed is stored.
+SUSPECTED_CRASHES = 2
+"""Crashes from which a part that never completed is suspected, and its record stored.
 
 Each crash leaves a record of every part on the runner, nearly all of which are soon cleared.
 """
@@ -95,8 +95,8 @@
 
     @property
     def is_suspected(self) -> bool:
-        """Whether it never completed and at least two instances crashed while serving it."""
-        return not self.has_completed and len(self.crashes) >= MIN_STORED_PART_CRASHES
+        """Whether it never completed and SUSPECTED_CRASHES instances crashed while serving it."""
+        return not self.has_completed and len(self.crashes) >= SUSPECTED_CRASHES
 
     def add_crash(self, instance: str, at: float, companions: frozenset[bytes]) -> bool:
         """Add a crash of a request that had these other parts; return whether that is new."""
