--- a/src/martenrun/router/crashes/record_writer.py
+++ b/src/martenrun/router/crashes/record_writer.py
@@ -9,11 +9,11 @@
 from martenrun.net.http import HttpResponse
 from martenrun.net.loop import Loop
 from martenrun.router.crashes.tracker import CrashTracker
-from martenrun.router.dataset_replica import DatasetReplica
 from martenrun.router.log import log_warning
 from martenrun.router.messages import Dataset, HttpCall, StoredObject
 from martenrun.router.platform_adapter import PlatformAdapter
-from martenrun.router.store_client import HttpClient
+from martenrun.router.store.client import HttpClient
+from martenrun.router.store.replica import DatasetReplica
 
 OBJECT_NAME = "main"
 
--- a/src/martenrun/router/denials.py
+++ b/src/martenrun/router/denials.py
@@ -7,9 +7,9 @@
 from martenrun.router.admission import Admission, Refusal, send_refusal
 from martenrun.router.messages import AdmittedRequest, Call, Dataset
 from martenrun.router.request_services import RequestServices
-from martenrun.router.store_client import HttpClient
-from martenrun.router.store_state import decode_or_log
-from martenrun.router.store_state_feed import StoreStateFeed
+from martenrun.router.store.client import HttpClient
+from martenrun.router.store.feed import StoreStateFeed
+from martenrun.router.store.state import decode_or_log
 
 MAX_DENIAL_AGE_S = 2.6
 """Age above which the configuration must be reread before a request is denied, in seconds."""
--- a/src/martenrun/router/gauges.py
+++ b/src/martenrun/router/gauges.py
@@ -8,7 +8,7 @@
 from martenrun.router.metrics import Sample
 from martenrun.router.peers import Peers
 from martenrun.router.request_services import RequestServices
-from martenrun.router.store_sync import StoreSync
+from martenrun.router.store.sync import StoreSync
 
 
 @attrs.frozen
--- a/src/martenrun/router/internal_interface.py
+++ b/src/martenrun/router/internal_interface.py
@@ -13,7 +13,7 @@
 from martenrun.router.metrics import Metrics
 from martenrun.router.quotas.gate import QuotaGate
 from martenrun.router.quotas.page import QUOTAS_PATH, serve_quotas
-from martenrun.router.relay import RelayServer
+from martenrun.router.store.relay import RelayServer
 
 METRICS_PATH = b"/metrics"
 """Path of the metrics page."""
--- a/src/martenrun/router/lease.py
+++ b/src/martenrun/router/lease.py
@@ -17,8 +17,8 @@
 from martenrun.router.messages import Dataset, HttpCall, LeaseRecord, StoredObject, VersionAges
 from martenrun.router.order_schedule import OrderSchedule
 from martenrun.router.platform_adapter import PlatformAdapter
-from martenrun.router.store_client import HttpClient
-from martenrun.router.store_state import decode_or_log
+from martenrun.router.store.client import HttpClient
+from martenrun.router.store.state import decode_or_log
 
 CALL_TIMEOUT_S = 0.7
 """Timeout of a call to the store, in seconds."""
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -40,10 +40,10 @@
 from martenrun.router.runner_pool import RunnerPool
 from martenrun.router.runner_responses import record_control_response
 from martenrun.router.settings import RouterSettings
-from martenrun.router.store_client import HttpClient
-from martenrun.router.store_state import ConfigurationState, RunnerDirectory, WeightsState
-from martenrun.router.store_state_feed import StoreStateFeed
-from martenrun.router.store_sync import StoreSync, StoreSyncParts
+from martenrun.router.store.client import HttpClient
+from martenrun.router.store.feed import StoreStateFeed
+from martenrun.router.store.state import ConfigurationState, RunnerDirectory, WeightsState
+from martenrun.router.store.sync import StoreSync, StoreSyncParts
 from martenrun.router.stream_software import StreamSoftware
 from martenrun.router.tuning import DEFAULTS, TuningParameters, load_tuning_parameters
 from martenrun.router.unresponsive_runners import newly_unresponsive, record_unresponsive
--- a/src/martenrun/router/request_server.py
+++ b/src/martenrun/router/request_server.py
@@ -13,8 +13,8 @@
 from martenrun.router.planned_stop import PlannedStop
 from martenrun.router.request_moves import move_off_runners
 from martenrun.router.request_services import RequestServices
-from martenrun.router.store_client import HttpClient
-from martenrun.router.store_state_feed import StoreStateFeed
+from martenrun.router.store.client import HttpClient
+from martenrun.router.store.feed import StoreStateFeed
 from martenrun.router.stream_resumption import StreamResumption
 
 UNKNOWN_ORIGIN_RETRY_S = (0.3, 1.2)
--- a/src/martenrun/router/request_services.py
+++ b/src/martenrun/router/request_services.py
@@ -22,7 +22,7 @@
 from martenrun.router.runner_state import RunnerState
 from martenrun.router.settings import RouterSettings
 from martenrun.router.silent_runners import SilentRunners
-from martenrun.router.store_state import ConfigurationState, RunnerDirectory, WeightsState
+from martenrun.router.store.state import ConfigurationState, RunnerDirectory, WeightsState
 from martenrun.router.tuning import TuningParameters
 
 OLD_WEIGHTS_MARGIN_S = 0.9
--- a/src/martenrun/router/store_state_feed.py
+++ b/src/martenrun/router/store/feed.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Callable, Mapping
 
-from martenrun.router.dataset_replica import DatasetReplica, ReplicaListener
 from martenrun.router.messages import Dataset, StoredObject
 from martenrun.router.metrics import Metrics
 from martenrun.router.request_services import RequestServices
-from martenrun.router.store_state import decode_or_log
+from martenrun.router.store.replica import DatasetReplica, ReplicaListener
+from martenrun.router.store.state import decode_or_log
 
 
 class StoreStateFeed:
--- a/src/martenrun/router/store_watch.py
+++ b/src/martenrun/router/store/follower.py
@@ -7,11 +7,11 @@
 
 from martenrun.net.http import STATUS_OK, HttpResponse
 from martenrun.net.loop import Loop
-from martenrun.router.dataset_replica import DatasetReplica
 from martenrun.router.log import log_event, log_warning
 from martenrun.router.messages import StoredObject, UnreadableError
 from martenrun.router.platform_adapter import PlatformAdapter
-from martenrun.router.store_client import HttpClient
+from martenrun.router.store.client import HttpClient
+from martenrun.router.store.replica import DatasetReplica
 
 RESPONSE_TIMEOUT_S = 0.9
 """Timeout for the start of a response beyond the requested wait of a watch, in seconds."""
--- a/src/martenrun/router/relay.py
+++ b/src/martenrun/router/store/relay.py
@@ -2,7 +2,7 @@
 
 A router that is no store reader asks a reader for the changes after a sequence number of the
 reader's replica.  The response is delayed until there is a change and contains the age of the
-state.  This module is the serving side; :mod:`martenrun.router.relay_follower` is the client.
+state.  This module is the serving side; :mod:`martenrun.router.store.relay_follower` is the client.
 """
 
 from collections.abc import Callable, Mapping
@@ -11,9 +11,8 @@
 
 from martenrun.net.loop import Loop
 from martenrun.net.server import Exchange
-from martenrun.router.dataset_replica import Change, DatasetReplica
 from martenrun.router.messages import Dataset, StoredObject
-from martenrun.router.relay_messages import (
+from martenrun.router.store.relay_messages import (
     ENCODE,
     FOLLOW_PATH,
     QUERY_DECODER,
@@ -24,6 +23,7 @@
     RelayedObject,
     encode_objects,
 )
+from martenrun.router.store.replica import Change, DatasetReplica
 
 MAX_RELAYED_AGE_S = 3.0
 """Age from which state is no longer relayed, in seconds."""
--- a/src/martenrun/router/relay_follower.py
+++ b/src/martenrun/router/store/relay_follower.py
@@ -7,11 +7,11 @@
 
 from martenrun.net.http import HttpResponse
 from martenrun.net.loop import Loop
-from martenrun.router.dataset_replica import DatasetReplica
 from martenrun.router.log import log_warning
 from martenrun.router.messages import Dataset, HttpCall, StoredObject
-from martenrun.router.relay import Replicas
-from martenrun.router.relay_messages import (
+from martenrun.router.store.client import HttpClient
+from martenrun.router.store.relay import Replicas
+from martenrun.router.store.relay_messages import (
     ENCODE,
     FOLLOW_PATH,
     REFUSAL_DECODER,
@@ -21,7 +21,7 @@
     RelayedObject,
     decode_objects,
 )
-from martenrun.router.store_client import HttpClient
+from martenrun.router.store.replica import DatasetReplica
 
 HOLD_S = 0.8
 """How long the other router may delay a response while nothing has changed, in seconds."""
--- a/src/martenrun/router/store_sync.py
+++ b/src/martenrun/router/store/sync.py
@@ -6,16 +6,16 @@
 import attrs
 
 from martenrun.net.loop import Loop
-from martenrun.router.dataset_replica import DatasetReplica
 from martenrun.router.log import log_event
 from martenrun.router.messages import Dataset
 from martenrun.router.peers import Peers
 from martenrun.router.platform_adapter import PlatformAdapter
-from martenrun.router.relay import MAX_RELAYED_AGE_S, RelayServer
-from martenrun.router.relay_follower import RelayFollower
-from martenrun.router.store_client import HttpClient
-from martenrun.router.store_readers import Candidate, ReadPlan, ReadPlanner
-from martenrun.router.store_watch import FollowSettings, StoreFollower
+from martenrun.router.store.client import HttpClient
+from martenrun.router.store.follower import FollowSettings, StoreFollower
+from martenrun.router.store.planner import Candidate, ReadPlan, ReadPlanner
+from martenrun.router.store.relay import MAX_RELAYED_AGE_S, RelayServer
+from martenrun.router.store.relay_follower import RelayFollower
+from martenrun.router.store.replica import DatasetReplica
 
 CHECK_S = 0.2
 """Interval between two read plans, in seconds."""
--- a/src/martenrun/router/weights_rollout.py
+++ b/src/martenrun/router/weights_rollout.py
@@ -24,9 +24,9 @@
 from martenrun.router.rollout_plan import RolloutQuery, outdated_runners, runners_to_load
 from martenrun.router.runner_responses import record_control_response
 from martenrun.router.runner_state import RunnerState
-from martenrun.router.store_client import HttpClient
-from martenrun.router.store_readers import order_by_strength
-from martenrun.router.store_state import decode_or_log
+from martenrun.router.store.client import HttpClient
+from martenrun.router.store.planner import order_by_strength
+from martenrun.router.store.state import decode_or_log
 from martenrun.router.weights_updates import WeightsUpdateBatcher, apply_weights_update
 
 STEP_INTERVAL_S = 0.1
--- a/src/martenrun/router/zone_loads.py
+++ b/src/martenrun/router/zone_loads.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable, Mapping
 
 from martenrun.router.peer_messages import RouterRecord, RunnerLoad
-from martenrun.router.store_readers import order_by_strength
+from martenrun.router.store.planner import order_by_strength
 
 SEND_INTERVAL_S = 0.05
 """Interval at which a zone reporter sends changed sums, in seconds.
--- a/tests/router/crash_fleet.py
+++ b/tests/router/crash_fleet.py
@@ -15,9 +15,9 @@
 from martenrun.router.crashes.features import RequestFeatures
 from martenrun.router.crashes.fingerprint import request_fingerprint
 from martenrun.router.crashes.record_writer import CrashRecordWriter
-from martenrun.router.dataset_replica import ReplicaListener
 from martenrun.router.log import EVENT_LOG
 from martenrun.router.messages import Dataset
+from martenrun.router.store.replica import ReplicaListener
 
 from .crash_world import admitted, crash_tracker, request
 from .fleet_world import CountingStore, Fleet, SimulatedRouter
--- a/tests/router/fleet_world.py
+++ b/tests/router/fleet_world.py
@@ -7,9 +7,9 @@
 
 from martenrun.net.http import HttpResponse
 from martenrun.platform import PLATFORM_ADAPTER
-from martenrun.router.dataset_replica import DatasetReplica, ReplicaListener
 from martenrun.router.messages import Dataset
-from martenrun.router.store_sync import StoreSync, StoreSyncParts
+from martenrun.router.store.replica import DatasetReplica, ReplicaListener
+from martenrun.router.store.sync import StoreSync, StoreSyncParts
 
 from .gossip_world import GossipWorld
 
--- a/tests/router/link_world.py
+++ b/tests/router/link_world.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from martenrun.net.http import HttpResponse
-from martenrun.router.store_client import ResponseReader
+from martenrun.router.store.client import ResponseReader
 
 from .fleet_world import LINK_DELAY_S, FakeRequest, Fleet
 
--- a/tests/router/test_broken_entries.py
+++ b/tests/router/test_broken_entries.py
@@ -14,12 +14,12 @@
 
 from martenrun.net.http import HttpResponse
 from martenrun.platform import PLATFORM_ADAPTER
-from martenrun.router.dataset_replica import DatasetReplica, ReplicaListener
 from martenrun.router.messages import Dataset, StoredObject, UnreadableError
 from martenrun.router.metrics import Metrics
-from martenrun.router.store_state import ConfigurationState, RunnerDirectory, WeightsState
-from martenrun.router.store_state_feed import StoreStateFeed
-from martenrun.router.store_watch import FollowSettings, StoreFollower
+from martenrun.router.store.feed import StoreStateFeed
+from martenrun.router.store.follower import FollowSettings, StoreFollower
+from martenrun.router.store.replica import DatasetReplica, ReplicaListener
+from martenrun.router.store.state import ConfigurationState, RunnerDirectory, WeightsState
 
 from .fakes import FakeLoop
 
--- a/tests/router/test_configuration_told.py
+++ b/tests/router/test_configuration_told.py
@@ -13,7 +13,7 @@
 from martenrun.net.http import HttpRequest
 from martenrun.router.admission import Admission, Refusal
 from martenrun.router.messages import AdmittedRequest, Call
-from martenrun.router.store_state import ConfigurationState
+from martenrun.router.store.state import ConfigurationState
 
 from .builders import bounds, configuration
 from .fakes import FakeLoop
--- a/tests/router/test_crash_tracker.py
+++ b/tests/router/test_crash_tracker.py
@@ -15,9 +15,9 @@
     CrashRecordWriter,
 )
 from martenrun.router.crashes.tracker import REBROADCAST_INTERVAL_S, REBROADCAST_PERIOD_S
-from martenrun.router.dataset_replica import DatasetReplica, ReplicaListener
 from martenrun.router.messages import Dataset, StoredObject, UnreadableError
 from martenrun.router.peer_messages import decode, encode
+from martenrun.router.store.replica import DatasetReplica, ReplicaListener
 
 from .builders import state
 from .crash_world import Probes, admitted, crash_tracker, request
--- a/tests/router/test_dataset_copy.py
+++ b/tests/router/test_dataset_copy.py
@@ -3,13 +3,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from martenrun.router.dataset_replica import (
+from martenrun.router.messages import Dataset, StoredObject
+from martenrun.router.store.replica import (
     MAX_CHANGES,
     RETURN_GRACE_S,
     DatasetReplica,
     ReplicaListener,
 )
-from martenrun.router.messages import Dataset, StoredObject
 
 
 def make_replica(seen=None):
--- a/tests/router/test_denials.py
+++ b/tests/router/test_denials.py
@@ -14,7 +14,7 @@
     MAX_DENIAL_AGE_S,
     DenialRecheck,
 )
-from martenrun.router.store_state import ConfigurationState
+from martenrun.router.store.state import ConfigurationState
 
 from .builders import configuration
 from .fakes import FakeLoop
--- a/tests/router/test_fleet.py
+++ b/tests/router/test_fleet.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from martenrun.router.store_readers import READERS, order_by_strength
+from martenrun.router.store.planner import READERS, order_by_strength
 
 from .fleet_world import DATASETS, Fleet
 from .link_world import LinkedFleet
--- a/tests/router/test_forwarding.py
+++ b/tests/router/test_forwarding.py
@@ -13,7 +13,7 @@
 from martenrun.router.prefill_rate import MINIMUM_SAMPLES
 from martenrun.router.request_moves import move_off_old_weights, move_off_replaced_runner
 from martenrun.router.request_services import RequestServices
-from martenrun.router.store_state import ConfigurationState, RunnerDirectory, WeightsState
+from martenrun.router.store.state import ConfigurationState, RunnerDirectory, WeightsState
 from martenrun.router.tuning import DEFAULTS
 
 from .builders import bounds, configuration, route, state
--- a/tests/router/test_readers.py
+++ b/tests/router/test_readers.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from martenrun.router.store_readers import (
+from martenrun.router.store.planner import (
     READERS,
     READERS_IN_OUTAGE,
     UNREACHABLE_S,
--- a/tests/router/test_relay.py
+++ b/tests/router/test_relay.py
@@ -4,11 +4,11 @@
 
 from martenrun.net.loop import Loop
 from martenrun.net.server import Server
-from martenrun.router.dataset_replica import RETURN_GRACE_S, DatasetReplica, ReplicaListener
 from martenrun.router.messages import Dataset, StoredObject
-from martenrun.router.relay import EncodedChanges, RelayServer
-from martenrun.router.relay_follower import RelayFollower
-from martenrun.router.relay_messages import RelayedObject, decode_objects, encode_objects
+from martenrun.router.store.relay import EncodedChanges, RelayServer
+from martenrun.router.store.relay_follower import RelayFollower
+from martenrun.router.store.relay_messages import RelayedObject, decode_objects, encode_objects
+from martenrun.router.store.replica import RETURN_GRACE_S, DatasetReplica, ReplicaListener
 
 from .loopback import free_address, serve_until
 
@@ -219,7 +219,7 @@
 
 @pytest.mark.parametrize("body", [b"", b"\x01broken", b"\x00\xc1", b"\x01" + b"\x78\x9c"])
 def test_response_that_cannot_be_decompressed_counts_as_failed(body, monkeypatch):
-    monkeypatch.setattr("martenrun.router.relay.encode_objects", lambda _objects: body)
+    monkeypatch.setattr("martenrun.router.store.relay.encode_objects", lambda _objects: body)
     pair = Pair()
     pair.put("a", 1)
     pair.follower.start()
--- a/tests/router/test_runner_restarts.py
+++ b/tests/router/test_runner_restarts.py
@@ -9,7 +9,7 @@
 from martenrun.router.request_moves import move_off_replaced_runner
 from martenrun.router.runner_instance import instance_key
 from martenrun.router.runner_pool import RunnerPool
-from martenrun.router.store_state import RunnerDirectory
+from martenrun.router.store.state import RunnerDirectory
 from martenrun.router.unresponsive_runners import record_unresponsive
 from martenrun.router.weights_updates import apply_weights_update
 
--- a/tests/router/test_store_client.py
+++ b/tests/router/test_store_client.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from martenrun.router.store_client import MAX_RESPONSE_S, MAX_STALL_S, ResponseReader
+from martenrun.router.store.client import MAX_RESPONSE_S, MAX_STALL_S, ResponseReader
 
 from .fakes import FakeLoop
 
--- a/tests/router/test_store_state.py
+++ b/tests/router/test_store_state.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from martenrun.router.messages import TargetWeights
-from martenrun.router.store_state import ConfigurationState, RunnerDirectory, WeightsState
+from martenrun.router.store.state import ConfigurationState, RunnerDirectory, WeightsState
 
 from .builders import configuration, runner
 
--- a/tests/router/test_store_sync.py
+++ b/tests/router/test_store_sync.py
@@ -3,12 +3,12 @@
 from martenrun.net.loop import Loop
 from martenrun.net.server import Server
 from martenrun.platform import PLATFORM_ADAPTER
-from martenrun.router.dataset_replica import DatasetReplica, ReplicaListener
 from martenrun.router.messages import Dataset
-from martenrun.router.relay import RelayServer
-from martenrun.router.relay_follower import RelayFollower
-from martenrun.router.store_readers import Candidate, select_readers
-from martenrun.router.store_sync import StoreSync, StoreSyncParts
+from martenrun.router.store.planner import Candidate, select_readers
+from martenrun.router.store.relay import RelayServer
+from martenrun.router.store.relay_follower import RelayFollower
+from martenrun.router.store.replica import DatasetReplica, ReplicaListener
+from martenrun.router.store.sync import StoreSync, StoreSyncParts
 
 from .loopback import free_address, serve_until
 from .test_peers import record
--- a/tests/router/test_suspension.py
+++ b/tests/router/test_suspension.py
@@ -11,7 +11,7 @@
 from martenrun.router.lease import Lease
 from martenrun.router.retry_budget import RetryBudget
 from martenrun.router.runner_pool import RunnerPool
-from martenrun.router.store_state import ConfigurationState
+from martenrun.router.store.state import ConfigurationState
 
 from .builders import bounds, configuration, route, runner
 from .fakes import FakeLoop, FakeStore
--- a/tests/router/unguarded_router.py
+++ b/tests/router/unguarded_router.py
@@ -28,7 +28,7 @@
 
 def ignore_draining_and_removed_runners():
     """Ignore draining and removed runners."""
-    from martenrun.router.store_state import RunnerDirectory
+    from martenrun.router.store.state import RunnerDirectory
 
     def put(self, runner):
         if not runner.is_draining:
@@ -40,7 +40,7 @@
 
 def keep_undecodable_runners():
     """Keep using runners whose entry is undecodable or removed."""
-    from martenrun.router.store_state import RunnerDirectory
+    from martenrun.router.store.state import RunnerDirectory
 
     RunnerDirectory.remove = lambda self, name: None
 
