Record the era of the store and lists that are not applied

The store's responses name an era, which was read nowhere. A log line now says when it changes and by which response, a gauge tells it, and a list that is dropped as outdated is logged with both revisions. No decision changes.

--- a/src/martenrun/platform/__init__.py
+++ b/src/martenrun/platform/__init__.py
@@ -13,6 +13,7 @@
     request_id_field=headers.REQUEST_ID,
     read_response_metadata=headers.read_response_metadata,
     responding_instance=headers.responding_instance,
+    read_era=objects.read_era,
     list_objects=objects.list_objects,
     watch_objects=objects.watch_objects,
     read_object=objects.read_object,
--- a/src/martenrun/platform/objects.py
+++ b/src/martenrun/platform/objects.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from martenrun.net.http import Headers, find_header
 from martenrun.router.messages import (
     Dataset,
     HttpCall,
@@ -29,6 +30,8 @@
 _ROOT_PATH = "/martenrun/objects/"
 _JSON_HEADERS = [(b"Content-Type", b"application/json")]
 _MS_PER_S = 1000.0
+_ERA_FIELD = b"store-era"
+_MAX_ERA_DIGITS = 9
 
 _DECODE = msgspec.json.Decoder().decode
 _ENCODE = msgspec.json.Encoder().encode
@@ -38,6 +41,15 @@
     return _ROOT_PATH + _KIND_BY_DATASET[dataset] + (f"/{name}" if name else "")
 
 
+def read_era(headers: Headers) -> int | None:
+    """Return the era that a response of the store names; None if it is missing or invalid."""
+    text = find_header(headers, _ERA_FIELD)
+    text = b"" if text is None else text.strip()
+    if not text.isdigit() or len(text) > _MAX_ERA_DIGITS:
+        return None
+    return int(text) or None
+
+
 def list_objects(dataset: Dataset, after: str | None) -> HttpCall:
     """Return the call that lists a page of a dataset."""
     query = f"?after={after}" if after else ""
--- a/src/martenrun/router/gauges.py
+++ b/src/martenrun/router/gauges.py
@@ -8,6 +8,7 @@
 from martenrun.router.metrics import Sample
 from martenrun.router.peers import Peers
 from martenrun.router.request_services import RequestServices
+from martenrun.router.store.eras import StoreEras
 from martenrun.router.store.sync import StoreSync
 
 
@@ -25,6 +26,7 @@
     peers: Peers
     keeper: StoreSync
     lease: Lease
+    eras: StoreEras
     request_count: Callable[[], int]
     connection_count: Callable[[], int]
     stream_origin_count: Callable[[], int]
@@ -55,6 +57,7 @@
         Sample("routers_alive", 1 + len(sources.peers.live())),
         Sample("oldest_router_alive_seconds", sources.peers.table.max_live_silence_s(now)),
         Sample("store_lost", sources.keeper.has_lost_store),
+        Sample("store_era", sources.eras.current),
         Sample("lease_held", sources.lease.is_held()),
         Sample("requests_blamed", len(crash_records)),
         Sample("requests_held_back", len(crash_records.blocked(now))),
--- a/src/martenrun/router/lease.py
+++ b/src/martenrun/router/lease.py
@@ -17,7 +17,7 @@
 from martenrun.router.messages import Dataset, HttpCall, LeaseRecord, StoredObject, VersionAges
 from martenrun.router.order_schedule import OrderSchedule
 from martenrun.router.platform_adapter import PlatformAdapter
-from martenrun.router.store.client import HttpClient
+from martenrun.router.store.eras import StoreClient
 from martenrun.router.store.state import decode_or_log
 
 CALL_TIMEOUT_S = 0.7
@@ -106,7 +106,7 @@
     def __init__(
         self,
         loop: Loop,
-        store: HttpClient,
+        store: StoreClient,
         dialect: PlatformAdapter,
         name: str,
         holder: str,
--- a/src/martenrun/router/platform_adapter.py
+++ b/src/martenrun/router/platform_adapter.py
@@ -57,6 +57,7 @@
         request_id_field: name of the header that carries a request's id, in lower case.
         read_response_metadata: parses the status and headers of a runner's response.
         responding_instance: returns the runner instance that a response's headers name.
+        read_era: returns the era of the store that a response's headers name, or None.
         list_objects: builds the request for a page of a dataset after a name.
         watch_objects: builds the request for changes of a dataset after a revision, with the
             seconds to wait for them.
@@ -80,6 +81,7 @@
     request_id_field: bytes
     read_response_metadata: Callable[[int, Headers], ResponseMetadata]
     responding_instance: Callable[[Headers], str | None]
+    read_era: Callable[[Headers], int | None]
     list_objects: Callable[[Dataset, str | None], HttpCall]
     watch_objects: Callable[[Dataset, int, float], HttpCall]
     read_object: Callable[[Dataset, str], HttpCall]
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -41,6 +41,7 @@
 from martenrun.router.runner_responses import record_control_response
 from martenrun.router.settings import RouterSettings
 from martenrun.router.store.client import HttpClient
+from martenrun.router.store.eras import StoreClient, StoreEras
 from martenrun.router.store.feed import StoreStateFeed
 from martenrun.router.store.state import ConfigurationState, RunnerDirectory, WeightsState
 from martenrun.router.store.sync import StoreSync, StoreSyncParts
@@ -74,7 +75,10 @@
         EVENT_LOG.open(settings.name)
         self._loop = Loop()
         self._loop.pacer.set_link_rate(settings.link_bytes_per_s)
-        self._store = HttpClient(self._loop, settings.store_address)
+        self._eras = StoreEras()
+        self._store = StoreClient(
+            HttpClient(self._loop, settings.store_address), adapter.read_era, self._eras
+        )
         self._metrics = Metrics(lambda: read_gauges(self._gauge_sources))
         self._stop: PlannedStop | None = None
         self._services = RequestServices(
@@ -215,6 +219,7 @@
             self._peers,
             self._keeper,
             self._lease,
+            self._eras,
             request_count=lambda: len(self._requests.forwarders),
             connection_count=lambda: self._front.connections,
             stream_origin_count=lambda: self._streams.origin_count,
--- a/src/martenrun/router/request_server.py
+++ b/src/martenrun/router/request_server.py
@@ -13,7 +13,7 @@
 from martenrun.router.planned_stop import PlannedStop
 from martenrun.router.request_moves import move_off_runners
 from martenrun.router.request_services import RequestServices
-from martenrun.router.store.client import HttpClient
+from martenrun.router.store.eras import StoreClient
 from martenrun.router.store.feed import StoreStateFeed
 from martenrun.router.stream_resumption import StreamResumption
 
@@ -35,7 +35,7 @@
     def __init__(
         self,
         services: RequestServices,
-        store: HttpClient,
+        store: StoreClient,
         feed: StoreStateFeed,
         resumption: StreamResumption,
     ) -> None:
--- a/src/martenrun/router/store/follower.py
+++ b/src/martenrun/router/store/follower.py
@@ -10,7 +10,7 @@
 from martenrun.router.log import log_event, log_warning
 from martenrun.router.messages import StoredObject, UnreadableError
 from martenrun.router.platform_adapter import PlatformAdapter
-from martenrun.router.store.client import HttpClient
+from martenrun.router.store.eras import StoreClient
 from martenrun.router.store.replica import DatasetReplica
 
 RESPONSE_TIMEOUT_S = 0.9
@@ -55,7 +55,7 @@
     def __init__(
         self,
         loop: Loop,
-        store: HttpClient,
+        store: StoreClient,
         adapter: PlatformAdapter,
         cfg: FollowSettings,
         replica: DatasetReplica,
@@ -170,6 +170,15 @@
             return
         self._succeed()
         now = self._loop.now()
+        known = self._replica.revision
+        if known is not None and self._list_revision < known:
+            log_warning(
+                "list_not_applied",
+                dataset=self._replica.dataset.value,
+                revision=self._list_revision,
+                known=known,
+                era=self._store.eras.current,
+            )
         self._replica.replace(self._listed, self._list_revision, self._is_after_outage(), now)
         self._listed = []
         self._finish_response(began_at)
--- a/src/martenrun/router/store/sync.py
+++ b/src/martenrun/router/store/sync.py
@@ -11,6 +11,7 @@
 from martenrun.router.peers import Peers
 from martenrun.router.platform_adapter import PlatformAdapter
 from martenrun.router.store.client import HttpClient
+from martenrun.router.store.eras import StoreClient
 from martenrun.router.store.follower import FollowSettings, StoreFollower
 from martenrun.router.store.planner import Candidate, ReadPlan, ReadPlanner
 from martenrun.router.store.relay import MAX_RELAYED_AGE_S, RelayServer
@@ -64,7 +65,7 @@
     """
 
     loop: Loop
-    store: HttpClient
+    store: StoreClient
     adapter: PlatformAdapter
     replicas: Mapping[Dataset, DatasetReplica]
     peers: Peers
