--- a/src/martenrun/platform/standins/store.py
+++ b/src/martenrun/platform/standins/store.py
@@ -1,7 +1,9 @@
 """Stand-in for the platform's store: revisions, lists, watches and conditional writes by kind.
 
 Faults are injected by attributes: ``is_down`` responds 503, ``is_silent`` withholds every response,
-``loses`` applies writes but drops their responses.  ``forget_history`` makes watches start over.
+``drops_connections`` closes connections without a response, ``loses`` applies writes but drops
+their responses, ``delays_writes`` also applies them only later.  ``forget_history`` makes watches
+start over; ``return_from_copy`` restores an older state in a new era.
 """
 
 import threading
@@ -13,12 +15,19 @@
 import msgspec
 
 from martenrun.platform.standins.http_server import QuietServer
+from martenrun.platform.standins.store_history import StoreHistory, Write
 
 ROOT = "/martenrun/objects/"
 
 
 class StoreStandin:
-    """The store; serves on threads until it is closed."""
+    """The store; serves on threads until it is closed.
+
+    Attributes:
+        era: rises each time the store returns from a copy.
+        era_text: what responses name as the era instead, or None; empty if they name none.
+        write_calls: each write of the system as (monotonic time, kind, name, body).
+    """
 
     def __init__(self) -> None:
         self._changed = threading.Condition()
@@ -26,10 +35,17 @@
         self._events: list[tuple[int, str, dict[str, Any]]] = []
         self._oldest_revision = 0
         self.revision = 0
+        self.era = 1
+        self.era_text: str | None = None
         self.calls = 0
+        self.write_calls: list[tuple[float, str, str, dict[str, Any]]] = []
         self.is_down = False
         self.is_silent = False
+        self.drops_connections = False
         self.loses = False
+        self.delays_writes = False
+        self._delayed: list[tuple[str, str, dict[str, Any], bool]] = []
+        self._history = StoreHistory()
         handler = type("Handler", (_Handler,), {"store": self})
         self._server = QuietServer(("127.0.0.1", 0), handler)
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
@@ -49,6 +65,7 @@
                 "spec": spec,
             }
             self._objects[(kind, name)] = item
+            self._history.record(self.revision, (kind, name), item)
             self._events.append((self.revision, kind, {"gone": False, "object": item}))
             self._changed.notify_all()
             return self.revision
@@ -60,6 +77,7 @@
             if item is None:
                 return
             self.revision += 1
+            self._history.record(self.revision, (kind, name), None)
             self._events.append((self.revision, kind, {"gone": True, "object": item}))
             self._changed.notify_all()
 
@@ -70,6 +88,28 @@
             self._events.clear()
             self._changed.notify_all()
 
+    def return_from_copy(self, age_s: float, next_revision: int | None = None) -> list[Write]:
+        """Restore the state of ``age_s`` seconds ago in a new era; return the writes that it lacks.
+
+        Args:
+            next_revision: revision of the next change; by default the one after the copy's last.
+        """
+        with self._changed:
+            lost = self._history.return_to(time.monotonic() - age_s)
+            self._objects = self._history.objects()
+            self.revision = self._history.revision if next_revision is None else next_revision - 1
+            self._events = [event for event in self._events if event[0] <= self._history.revision]
+            self.era += 1
+            self._changed.notify_all()
+            return lost
+
+    def apply_delayed_writes(self) -> None:
+        """Apply the writes that ``delays_writes`` held back, if their conditions still hold."""
+        with self._changed:
+            delayed, self._delayed = self._delayed, []
+            for kind, name, body, creates in delayed:
+                self.write(kind, name, body, creates)
+
     def read(self, kind: str, name: str) -> dict[str, Any] | None:
         """Return an object, or None if it does not exist."""
         with self._changed:
@@ -88,7 +128,7 @@
         deadline = time.monotonic() + wait_s
         with self._changed:
             while True:
-                if after + 1 < self._oldest_revision:
+                if after + 1 < self._oldest_revision or after > self.revision:
                     return None
                 events = [
                     event
@@ -96,10 +136,20 @@
                     if item_kind == kind and revision > after
                 ]
                 remaining_s = deadline - time.monotonic()
-                if events or remaining_s <= 0 or self.is_down or self.is_silent:
+                if events or remaining_s <= 0 or not self.is_available:
                     return {"events": events, "at": self.revision}
                 self._changed.wait(remaining_s)
 
+    @property
+    def is_available(self) -> bool:
+        """Whether the store responds."""
+        return not (self.is_down or self.is_silent or self.drops_connections)
+
+    def delay_write(self, kind: str, name: str, body: dict[str, Any], creates: bool) -> None:
+        """Hold a write back until :meth:`apply_delayed_writes`."""
+        with self._changed:
+            self._delayed.append((kind, name, body, creates))
+
     def write(self, kind: str, name: str, body: dict[str, Any], creates: bool) -> tuple[int, Any]:
         """Apply a conditional write; return its status and the object."""
         with self._changed:
@@ -154,7 +204,13 @@
         if not self._is_serving():
             return
         kind = urlsplit(self.path).path.removeprefix(ROOT).partition("/")[0]
-        status, item = self.store.write(kind, body["metadata"]["name"], body, creates)
+        name = body["metadata"]["name"]
+        self.store.write_calls.append((time.monotonic(), kind, name, body))
+        if self.store.delays_writes:
+            self.store.delay_write(kind, name, body, creates)
+            self.close_connection = True
+            return
+        status, item = self.store.write(kind, name, body, creates)
         if self.store.loses:
             self.close_connection = True
             return
@@ -167,6 +223,9 @@
             while self.store.is_silent:
                 time.sleep(0.02)
             return False
+        if self.store.drops_connections:
+            self.close_connection = True
+            return False
         if self.store.is_down:
             self._respond(503, {})
             return False
@@ -177,5 +236,8 @@
         self.send_response(status)
         self.send_header("Content-Type", "application/json")
         self.send_header("Content-Length", str(len(data)))
+        era = str(self.store.era) if self.store.era_text is None else self.store.era_text
+        if era:
+            self.send_header("Store-Era", era)
         self.end_headers()
         self.wfile.write(data)
