Routers write again what the store has lost with an era

After the store returned from a copy, crash records that it had lost were presumed stored, so that a start of all routers would have forgotten them, and the object with the addresses of live routers was replaced by its old revision. Both writers now take for stored only what was read in the current era: the crash record writer compares with the object of that era, or with none, and the address directory reads its object again before the next write. Ages of versions and reservations of orders are part of the lease object, which is written anew by whoever acquires it.

Two tests, which fail without it: records and addresses that a new era lacks are written again.

--- a/src/martenrun/router/crashes/record_writer.py
+++ b/src/martenrun/router/crashes/record_writer.py
@@ -10,7 +10,7 @@
 from martenrun.net.loop import Loop
 from martenrun.router.crashes.tracker import CrashTracker
 from martenrun.router.log import log_warning
-from martenrun.router.messages import Dataset, HttpCall, StoredObject
+from martenrun.router.messages import Dataset, HttpCall, StoredObject, StorePosition
 from martenrun.router.platform_adapter import PlatformAdapter
 from martenrun.router.store.eras import StoreClient
 from martenrun.router.store.replica import DatasetReplica
@@ -61,7 +61,7 @@
         self._tracker = tracker
         self._reads_store = reads_store
         self._not_before = 0.0
-        self._seen_revision: tuple[int, float] = (0, 0.0)
+        self._seen_position: tuple[StorePosition, float] = (StorePosition(0, 0), 0.0)
         self._is_calling = False
 
     def write_if_due(self) -> None:
@@ -69,18 +69,28 @@
         now = self._loop.now()
         if self._is_calling or now < self._not_before or not self._reads_store():
             return
-        stored = next((item for item in self._replica.objects if item.name == OBJECT_NAME), None)
+        stored = self._stored()
+        if stored is None and self._tracker.stored_records:
+            self._tracker.merge_stored([])
         if not self._tracker.missing_from_store() and not self._needs_refresh(stored, now):
             return
         self._is_calling = True
         self._store.call(self._write_call(stored, now), WRITE_TIMEOUT_S, self._on_written)
 
+    def _stored(self) -> StoredObject | None:
+        """Return the object as the store has it, not as it had it before it lost changes."""
+        position = self._replica.position
+        for item in self._replica.objects:
+            if item.name == OBJECT_NAME and position is not None and item.era == position.era:
+                return item
+        return None
+
     def _needs_refresh(self, stored: StoredObject | None, now: float) -> bool:
         if stored is None or not len(self._tracker.table):
             return False
-        revision, seen_at = self._seen_revision
-        if stored.revision != revision:
-            self._seen_revision = (stored.revision, now)
+        position, seen_at = self._seen_position
+        if stored.position != position:
+            self._seen_position = (stored.position, now)
             return False
         return now - seen_at > REFRESH_INTERVAL_S
 
--- a/src/martenrun/router/peer_addresses.py
+++ b/src/martenrun/router/peer_addresses.py
@@ -115,6 +115,10 @@
             self._is_resolved = is_alone or bool(self._peers.live())
         return self._is_resolved
 
+    def begin_era(self, _before: int) -> None:
+        """Read the object again before the next write: the store returned from an older copy."""
+        self._known = None
+
     def start(self) -> None:
         """Start the periodic checks."""
         self._loop.call_later(CHECK_S * self._rng.uniform(0.8, 1.2), self._check)
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -199,6 +199,7 @@
         self._peer_addresses = PeerAddressDirectory(
             self._loop, self._store, adapter, self._peers, lambda: self._keeper.reads_store
         )
+        self._eras.on_changed.append(self._peer_addresses.begin_era)
         self._requests = RequestServer(
             self._services, self._store, self._feed, self._streams.resumption
         )
--- a/tests/router/test_crash_tracker.py
+++ b/tests/router/test_crash_tracker.py
@@ -222,6 +222,19 @@
     assert reader.loop.now() - before >= RETRY_INTERVAL_S
 
 
+# Guards against crash records that are presumed stored after the store returned without them.
+def test_records_are_written_again_when_the_store_has_lost_them():
+    reader = StoreReader()
+    reader.tracker.table.record_crash(FINGERPRINT, "i-1", reader.loop.now())
+    reader.run(5.0)
+    assert len(reader.store.writes) == 1
+    reader.store.objects.clear()
+    reader.replica.replace([], at(1, era=2), False, reader.loop.now())
+    reader.run(0.5)
+    assert len(reader.store.writes) == 2
+    assert "main" in reader.store.objects
+
+
 def test_stored_ages_are_refreshed_periodically():
     reader = StoreReader()
     reader.tracker.table.record_crash(FINGERPRINT, "i-1", reader.loop.now())
--- a/tests/router/test_peer_addresses.py
+++ b/tests/router/test_peer_addresses.py
@@ -158,6 +158,18 @@
     assert world.stored() == ["a1"]
 
 
+# Guards against addresses that are presumed stored after the store returned without them.
+def test_addresses_are_written_again_when_the_store_has_lost_them():
+    world = PeerAddressWorld()
+    world.join("a1")
+    world.run(5.0)
+    assert world.stored() == ["a1"]
+    world.store.objects.clear()
+    world.directories["a1"].begin_era(1)
+    world.run(2.5)
+    assert world.stored() == ["a1"]
+
+
 def test_addresses_of_live_routers_stay_stored():
     stored = ("a", "b", "gone")
     assert choose_addresses(stored, ["c", "b", "a"], ()) == ("a", "b", "c")
