Soak in which the store returns from older copies, beside its other faults

The operator writes again 0.1 s later, runners within a second, and entries of runners that have gone are removed after 3 s. StoreStandin remembers what the operator and runners wrote last.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -50,6 +50,7 @@
     PARTITION_KINDS,
     SOFTWARE_KINDS,
     Step,
+    add_restores,
     draw_schedule,
     from_text,
     to_text,
@@ -281,6 +282,7 @@
 @click.option("--partitions", is_flag=True, help="routers are cut off from all runners")
 @click.option("--software", is_flag=True, help="runners change their software version")
 @click.option("--notices", is_flag=True, help="runners announce drains and request backoffs")
+@click.option("--restores", is_flag=True, help="the store returns from older copies")
 @click.option("--hang-up-starts", is_flag=True, help="each router that starts gets a SIGHUP")
 @click.option("--schedule", type=click.Path(path_type=Path, exists=True), help="play this one")
 @click.option("--keep-logs", type=click.Path(path_type=Path), help="folder for logs of violations")
@@ -296,6 +298,7 @@
     partitions: bool,
     software: bool,
     notices: bool,
+    restores: bool,
     hang_up_starts: bool,
     schedule: Path | None,
     keep_logs: Path | None,
@@ -319,6 +322,8 @@
                 notices,
                 deadly_parts,
             )
+            if restores:
+                steps = add_restores(steps, number, minutes * 60)
         else:
             steps = from_text(schedule.read_text())
         has_links = any(step.kind in LINKED_KINDS for step in steps)
--- a/scripts/soak_faults.py
+++ b/scripts/soak_faults.py
@@ -32,6 +32,17 @@
 START_HANG_UP_S = 0.1
 """Longest time between a router's start and the SIGHUP sent to it as it starts, in seconds."""
 
+REWRITTEN_S = 0.1
+HEARTBEAT_S = 1.0
+"""How long after the store's return the operator and runners write again what it lost, at most."""
+
+REMOVED_S = 3.0
+"""How long after that entries of runners that have gone are removed, in seconds."""
+
+COPY_AGES_S = 0.5
+OLDEST_COPIES = 16
+"""Step of the ages of the store's copies, in seconds, and how many there are."""
+
 REGAINED_S = 1.5
 """How long after the store's return entries that lapsed are back, in seconds."""
 
@@ -279,6 +290,29 @@
         self._later(step.lasts_s * 0.8, lapse)
         self._later(step.lasts_s + REGAINED_S, regain)
 
+    def _restore_store(self, step: Step) -> None:
+        """The store is away and returns from an older copy; others write again what it lost."""
+        number = step.targets[0]
+        self._flag("is_silent" if number % 2 else "is_down", step.lasts_s)
+        age_s = step.lasts_s + COPY_AGES_S * (1 + number % OLDEST_COPIES)
+        self._later(step.lasts_s * 0.9, lambda: self._return_from_copy(age_s, number % 3 == 0))
+        self._later(step.lasts_s + REWRITTEN_S, self._write_operators_again)
+
+    def _return_from_copy(self, age_s: float, is_beyond: bool) -> None:
+        """Return to an older state; revisions continue those of the copy, or the lost ones."""
+        store = self._deployment.store
+        store.return_from_copy(age_s, store.revision + 1 if is_beyond else None)
+
+    def _write_operators_again(self) -> None:
+        store = self._deployment.store
+        for kind in ("config", "versions"):
+            for name in store.lost(kind):
+                store.write_again(kind, name)
+        listed = {runner.instance for runner in self._deployment.runners}
+        for number, name in enumerate(store.lost("servers")):
+            delay_s = number % 8 * HEARTBEAT_S / 8 if name in listed else REMOVED_S
+            self._later(delay_s, lambda name=name: store.write_again("servers", name))
+
     def _forget_history(self, _step: Step) -> None:
         self._deployment.store.forget_history()
         now = time.monotonic()
--- a/src/martenrun/platform/standins/store.py
+++ b/src/martenrun/platform/standins/store.py
@@ -20,6 +20,10 @@
 ROOT = "/martenrun/objects/"
 
 
+WRITTEN_BY_OTHERS = ("config", "versions", "servers")
+"""Kinds that the operator and runners write, the operator's first."""
+
+
 class StoreStandin:
     """The store; serves on threads until it is closed.
 
@@ -46,6 +50,7 @@
         self.delays_writes = False
         self._delayed: list[tuple[str, str, dict[str, Any], bool]] = []
         self._history = StoreHistory()
+        self._newest: dict[tuple[str, str], object] = {}
         handler = type("Handler", (_Handler,), {"store": self})
         self._server = QuietServer(("127.0.0.1", 0), handler)
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
@@ -59,6 +64,8 @@
     def put(self, kind: str, name: str, spec: object) -> int:
         """Write an object as the operator or a runner would; return its revision."""
         with self._changed:
+            if kind in WRITTEN_BY_OTHERS:
+                self._newest[(kind, name)] = spec
             self.revision += 1
             item = {
                 "metadata": {"name": name, "revision": self.revision, "finalizers": []},
@@ -73,6 +80,7 @@
     def remove(self, kind: str, name: str) -> None:
         """Delete an object."""
         with self._changed:
+            self._newest.pop((kind, name), None)
             item = self._objects.pop((kind, name), None)
             if item is None:
                 return
@@ -103,6 +111,27 @@
             self._changed.notify_all()
             return lost
 
+    def lost(self, kind: str) -> list[str]:
+        """Return the names of a kind whose newest content is not in the store any more."""
+        with self._changed:
+            names = {name for of, name in [*self._newest, *self._objects] if of == kind}
+            return sorted(name for name in names if self._is_lost(kind, name))
+
+    def write_again(self, kind: str, name: str) -> None:
+        """Repeat the newest write or removal of an object, if the store has lost it."""
+        with self._changed:
+            if not self._is_lost(kind, name):
+                return
+            if (kind, name) in self._newest:
+                self.put(kind, name, self._newest[(kind, name)])
+            else:
+                self.remove(kind, name)
+
+    def _is_lost(self, kind: str, name: str) -> bool:
+        item = self._objects.get((kind, name))
+        newest = self._newest.get((kind, name), item if item is None else None)
+        return (None if item is None else item["spec"]) != newest
+
     def apply_delayed_writes(self) -> None:
         """Apply the writes that ``delays_writes`` held back, if their conditions still hold."""
         with self._changed:
--- a/src/martenrun/proof/soak_schedule.py
+++ b/src/martenrun/proof/soak_schedule.py
@@ -68,6 +68,7 @@
         "announce_drain",
         "request_backoff",
         "lapse_entries",
+        "restore_store",
         *("stall_links", "reset_links", "refuse_new_links"),
     }
 )
@@ -101,6 +102,9 @@
 """Kinds, added on request, in which runners announce drains and request backoffs by responses,
 and entries of runners are missing for a moment."""
 
+RESTORE_KINDS = {"restore_store": 0}
+"""Kinds, added on request, in which the store returns from an older copy."""
+
 EXTRA_PARTITION_DURATION_S = 4.0
 """Time added to the duration of partitions, in seconds, so that requests of a while count."""
 
@@ -113,6 +117,7 @@
     **PARTITION_KINDS,
     **SOFTWARE_KINDS,
     **NOTICE_KINDS,
+    **RESTORE_KINDS,
 }
 
 MOST_DEADLY = 3
@@ -212,6 +217,13 @@
     return sorted(steps, key=lambda step: step.at_s)
 
 
+def add_restores(steps: Sequence[Step], seed: int, seconds: float) -> list[Step]:
+    """Return a schedule with a series of RESTORE_KINDS beside its steps."""
+    number = 1 + max((step.series for step in steps), default=0)
+    restores = _draw_added(f"{seed} restores", RESTORE_KINDS, number, seconds)
+    return sorted([*steps, *restores], key=lambda step: step.at_s)
+
+
 def _draw_added(seed: str, kinds: Iterable[str], first: int, seconds: float) -> list[Step]:
     """Return a series of each kind, numbered from ``first`` on."""
     rng = random.Random(seed)
--- a/tests/router/test_soak.py
+++ b/tests/router/test_soak.py
@@ -138,6 +138,15 @@
     assert " 0 violations" in result.output
 
 
+# Guards against promises that are broken when the store returns from older copies.
+@pytest.mark.parametrize("seed", [16000, 16001])
+def test_promises_hold_while_the_store_returns_from_copies(seed, tmp_path):
+    options = ["--minutes", "0.25", "--seed", str(seed), "--routers", "5", "--restores"]
+    result = CliRunner().invoke(soak, [*options, "--keep-logs", str(tmp_path / "logs")])
+    assert result.exit_code == 0, result.output
+    assert " 0 violations" in result.output
+
+
 # Guards against requests whose callers have left that run once a partition has healed.
 def test_withdrawn_requests_do_not_run_after_a_partition(tmp_path):
     schedule = SCHEDULES / "withdrawn-in-a-partition-11104.jsonl"
--- a/tests/router/test_soak_guards.py
+++ b/tests/router/test_soak_guards.py
@@ -61,6 +61,14 @@
         Step(1.0, "request_backoff", (1, 2, 3), 6.0, 0),
         Step(9.0, "configure", (0,), 0.0, 1),
     ],
+    # Revisions stay below the lost ones while the key is taken away.
+    "revoked": [
+        Step(0.5, "change_keys", (0,), 0.0, 0),
+        *(Step(1.0 + 0.1 * n, "configure", (0,), 0.0, 1) for n in range(50)),
+        Step(6.0, "restore_store", (14,), 0.5, 2),
+        Step(8.0, "change_keys", (0,), 0.0, 0),
+        Step(17.0, "restart_runner", (0,), 0.0, 3),
+    ],
     "limits": [Step(0.5, "limit_runners", (0,), 12.0, 0), Step(9.0, "configure", (0,), 0.0, 1)],
 }
 
--- a/tests/router/unguarded_router.py
+++ b/tests/router/unguarded_router.py
@@ -159,7 +159,15 @@
     RunnerState.is_refusing = lambda self, now: False
 
 
+def ignore_store_eras():
+    """Compare revisions of the store as if it never returned from an older copy."""
+    from martenrun.router.store.eras import StoreClient
+
+    StoreClient._accept = lambda self, response, call, sent_in: response
+
+
 GUARDS = {
+    "revoked": ignore_store_eras,
     "drains": ignore_announced_drains,
     "backoffs": ignore_requested_backoffs,
     "software": ignore_software_versions,
