The store's client and its eras, and what a lease object says, stand in modules of their own

StoreClient stands beside HttpClient, StoreEras has no I/O, the pure rules of an observed lease moved out of lease.py (418 -> 366 lines). The trace of a request names the era in which its configuration was read, so that martenrun explain shows it. No decision changes.

--- a/src/martenrun/router/crashes/record_writer.py
+++ b/src/martenrun/router/crashes/record_writer.py
@@ -12,7 +12,7 @@
 from martenrun.router.log import log_warning
 from martenrun.router.messages import Dataset, HttpCall, StoredObject, StorePosition
 from martenrun.router.platform_adapter import PlatformAdapter
-from martenrun.router.store.eras import StoreClient
+from martenrun.router.store.client import StoreClient
 from martenrun.router.store.replica import DatasetReplica
 
 OBJECT_NAME = "main"
--- a/src/martenrun/router/denials.py
+++ b/src/martenrun/router/denials.py
@@ -7,7 +7,7 @@
 from martenrun.router.admission import Admission, Refusal, send_refusal
 from martenrun.router.messages import AdmittedRequest, Call, Dataset, StoredObject
 from martenrun.router.request_services import RequestServices
-from martenrun.router.store.eras import StoreClient
+from martenrun.router.store.client import StoreClient
 from martenrun.router.store.feed import StoreStateFeed
 from martenrun.router.store.state import decode_or_log
 
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -97,14 +97,14 @@
 
     def start(self) -> None:
         """Obtain a quota grant if one is needed, then send the request to its first runner."""
-        table = self._services.configuration.table
-        age_s = self._services.configuration.age_s(self._services.loop.now())
+        configuration = self._services.configuration
         self._trace.record(
             "admitted",
             service=self._admitted.service,
             tenant=None if self._admitted.tenant is None else self._admitted.tenant.name,
-            configuration=None if table is None else table.configuration.version,
-            configuration_age_ms=round(age_s * 1000),
+            configuration=configuration.version or None,
+            store_era=configuration.era,
+            configuration_age_ms=round(configuration.age_s(self._services.loop.now()) * 1000),
             earlier_requests=self._exchange.earlier_requests,
         )
         peer = self._next_peer()
--- a/src/martenrun/router/lease.py
+++ b/src/martenrun/router/lease.py
@@ -26,23 +26,23 @@
     StorePosition,
     VersionAges,
 )
+from martenrun.router.observed_lease import (
+    HOLDER_MARGIN_S,
+    RANK_DELAY_S,
+    TAKEOVER_MARGIN_S,
+    ObservedLease,
+    block_earlier_orders,
+    takeover_at,
+)
 from martenrun.router.order_schedule import OrderSchedule
 from martenrun.router.platform_adapter import PlatformAdapter
-from martenrun.router.store.eras import UNKNOWN_ERA, StoreClient, StoreEras
+from martenrun.router.store.client import StoreClient
+from martenrun.router.store.eras import UNKNOWN_ERA, StoreEras
 from martenrun.router.store.state import decode_or_log
 
 CALL_TIMEOUT_S = 0.7
 """Timeout of a call to the store, in seconds."""
 
-HOLDER_MARGIN_S = 0.4
-"""Margin before the end of the lease at which its holder stops acting on it, in seconds."""
-
-TAKEOVER_MARGIN_S = 0.15
-"""Margin after the end of the lease before another router takes it over, in seconds."""
-
-RANK_DELAY_S = 0.25
-"""Additional delay per rank before a router takes over a free lease, in seconds."""
-
 TOKENS_PER_ERA = 1 << 16
 """Range of fencing tokens of one era of the store."""
 
@@ -53,58 +53,6 @@
 """Pause before the next call after a failed one, in seconds."""
 
 
-@attrs.frozen
-class ObservedLease:
-    """A lease object as last observed.
-
-    Attributes:
-        first_seen_at: monotonic time at which its revision was first seen, in seconds.
-        is_from_store: whether the record was read from the store; other routers send a part of it.
-    """
-
-    stored: StoredObject
-    record: LeaseRecord
-    first_seen_at: float
-    is_from_store: bool = True
-
-
-def takeover_at(observed: ObservedLease, router: str, rank: int, lease_s: float) -> float:
-    """Return when a router may take the lease over; a higher rank means later."""
-    if observed.record.router == router:
-        # Held by an earlier incarnation of this router, which has exited.
-        return observed.first_seen_at
-    delay_s = rank * RANK_DELAY_S
-    if observed.record.released_idle_s is not None:
-        return observed.first_seen_at + delay_s
-    return observed.first_seen_at + lease_s + TAKEOVER_MARGIN_S + delay_s
-
-
-def latest_order_at(observed: ObservedLease, lease_s: float) -> float:
-    """Return the latest time at which the holder of a lease may have given an order."""
-    if observed.record.released_idle_s is not None:
-        return observed.first_seen_at - observed.record.released_idle_s + TAKEOVER_MARGIN_S
-    return observed.first_seen_at + lease_s - HOLDER_MARGIN_S
-
-
-def block_earlier_orders(
-    order_schedule: OrderSchedule, observed: ObservedLease, router: str, lease_s: float
-) -> None:
-    """Block orders to runners that the previous holder of a lease may have ordered.
-
-    All incarnations of one router count as the same holder.
-    """
-    record = observed.record
-    ordered_until = latest_order_at(observed, lease_s)
-    if record.router == router:
-        order_schedule.resume(
-            record.ordered_ms, observed.first_seen_at, ordered_until, record.pause_s
-        )
-    elif record.ordered_ms is None:
-        order_schedule.block_all(ordered_until)
-    else:
-        order_schedule.block(record.ordered_ms, observed.first_seen_at, ordered_until)
-
-
 class Lease:
     """A lease from the view of one router.
 
--- a/src/martenrun/router/peer_addresses.py
+++ b/src/martenrun/router/peer_addresses.py
@@ -17,7 +17,7 @@
 from martenrun.router.messages import Dataset, HttpCall, StoredObject
 from martenrun.router.peers import Peers
 from martenrun.router.platform_adapter import PlatformAdapter
-from martenrun.router.store.eras import StoreClient
+from martenrun.router.store.client import StoreClient
 from martenrun.router.store.state import decode_or_log
 
 OBJECT_NAME = "main"
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -47,8 +47,8 @@
 from martenrun.router.runner_pool import RunnerPool
 from martenrun.router.runner_responses import record_control_response
 from martenrun.router.settings import RouterSettings
-from martenrun.router.store.client import HttpClient
-from martenrun.router.store.eras import StoreClient, StoreEras
+from martenrun.router.store.client import HttpClient, StoreClient
+from martenrun.router.store.eras import StoreEras
 from martenrun.router.store.feed import StoreStateFeed
 from martenrun.router.store.state import ConfigurationState, RunnerDirectory, WeightsState
 from martenrun.router.store.sync import StoreSync, StoreSyncParts
--- a/src/martenrun/router/request_server.py
+++ b/src/martenrun/router/request_server.py
@@ -13,7 +13,7 @@
 from martenrun.router.planned_stop import PlannedStop
 from martenrun.router.request_moves import move_off_runners
 from martenrun.router.request_services import RequestServices
-from martenrun.router.store.eras import StoreClient
+from martenrun.router.store.client import StoreClient
 from martenrun.router.store.feed import StoreStateFeed
 from martenrun.router.stream_resumption import StreamResumption
 
--- a/src/martenrun/router/store/eras.py
+++ b/src/martenrun/router/store/eras.py
@@ -9,10 +9,8 @@
 import math
 from collections.abc import Callable, Iterable
 
-from martenrun.net.http import Headers, HttpResponse
 from martenrun.router.log import log_warning
-from martenrun.router.messages import HttpCall, StorePosition
-from martenrun.router.store.client import HttpClient
+from martenrun.router.messages import StorePosition
 
 UNKNOWN_ERA = 0
 """Era before any response has named one."""
@@ -90,61 +88,3 @@
         if first_revision is None or position.revision > first_revision:
             return position
         return StorePosition(COPIED_ERA, position.revision)
-
-
-class StoreClient:
-    """Client of the store that keeps responses of different eras apart.
-
-    A response of an earlier era than the current one counts as lost.  So does the response to a
-    write that was sent in an earlier era: its condition referred to another object.
-
-    Args:
-        read_era: returns the era that a response's headers name, or None.  Such a response counts
-            as one of the era in which its call was sent.
-    """
-
-    def __init__(
-        self, http: HttpClient, read_era: Callable[[Headers], int | None], eras: StoreEras
-    ) -> None:
-        self._http = http
-        self._read_era = read_era
-        self._eras = eras
-
-    @property
-    def era(self) -> int:
-        """The era of the responses that are passed on."""
-        return self._eras.current
-
-    def call(
-        self,
-        call: HttpCall,
-        timeout_s: float,
-        on_response: Callable[[HttpResponse | None], None],
-        on_part: Callable[[], None] = lambda: None,
-        max_response_s: float | None = None,
-    ) -> None:
-        """Make a call and pass its response, or None, on; see :class:`HttpClient`."""
-        sent_in = self._eras.current
-
-        def handle_response(response: HttpResponse | None) -> None:
-            on_response(None if response is None else self._accept(response, call, sent_in))
-
-        self._http.call(call, timeout_s, handle_response, on_part, max_response_s)
-
-    def _accept(self, response: HttpResponse, call: HttpCall, sent_in: int) -> HttpResponse | None:
-        """Record the era of a response; return the response if it may be used."""
-        era = self._read_era(response.headers) or sent_in
-        self._eras.observe(era, f"store:{response.status}")
-        is_write_of_earlier_era = call.method != b"GET" and sent_in not in (UNKNOWN_ERA, era)
-        if era == self._eras.current and not is_write_of_earlier_era:
-            return response
-        if era == UNKNOWN_ERA:
-            return response
-        log_warning(
-            "response_of_other_era",
-            era=era,
-            sent_in=sent_in,
-            current=self._eras.current,
-            status=response.status,
-        )
-        return None
--- a/src/martenrun/router/store/feed.py
+++ b/src/martenrun/router/store/feed.py
@@ -71,7 +71,7 @@
             self._count_unreadable(Dataset.CONFIGURATION)
             self._world.configuration.mark_unreadable()
         else:
-            self._world.configuration.put(configuration)
+            self._world.configuration.put(configuration, stored.era)
 
     def is_in_force(self, stored: StoredObject) -> bool:
         """Return whether a stored configuration is not older than the one in force."""
--- a/src/martenrun/router/store/follower.py
+++ b/src/martenrun/router/store/follower.py
@@ -10,7 +10,7 @@
 from martenrun.router.log import log_event, log_warning
 from martenrun.router.messages import StoredObject, StorePosition, UnreadableError
 from martenrun.router.platform_adapter import PlatformAdapter
-from martenrun.router.store.eras import StoreClient
+from martenrun.router.store.client import StoreClient
 from martenrun.router.store.replica import DatasetReplica
 
 RESPONSE_TIMEOUT_S = 0.9
--- a/src/martenrun/router/store/state.py
+++ b/src/martenrun/router/store/state.py
@@ -35,6 +35,7 @@
 
     def __init__(self) -> None:
         self.table: RouteTable | None = None
+        self.era = 0
         self.confirmed_at: float | None = None
         self.on_changed: list[Callable[[Configuration], None]] = []
         self._is_readable = True
@@ -50,14 +51,19 @@
         """Return the age of the configuration in seconds; infinite before the first one."""
         return float("inf") if self.confirmed_at is None else now - self.confirmed_at
 
-    def put(self, configuration: Configuration) -> None:
-        """Put a configuration in force unless a newer one is known."""
+    def put(self, configuration: Configuration, era: int = 0) -> None:
+        """Put a configuration in force unless a newer one is known.
+
+        Args:
+            era: era of the store in which it was read.
+        """
         self._is_readable = True
         if self.table is not None and configuration.version <= self.version:
             return
+        self.era = era
         self.table = RouteTable(configuration)
         self._behind_since = self._earliest_in_force_after(configuration.version)
-        log_event("configuration_taken", version=configuration.version)
+        log_event("configuration_taken", version=configuration.version, store_era=era or None)
         for call in self.on_changed:
             call(configuration)
 
--- a/src/martenrun/router/store/sync.py
+++ b/src/martenrun/router/store/sync.py
@@ -11,8 +11,8 @@
 from martenrun.router.peer_messages import RouterRecord
 from martenrun.router.peers import Peers
 from martenrun.router.platform_adapter import PlatformAdapter
-from martenrun.router.store.client import HttpClient
-from martenrun.router.store.eras import UNKNOWN_ERA, StoreClient
+from martenrun.router.store.client import HttpClient, StoreClient
+from martenrun.router.store.eras import UNKNOWN_ERA
 from martenrun.router.store.follower import FollowSettings, StoreFollower
 from martenrun.router.store.planner import Candidate, ReadPlan, ReadPlanner
 from martenrun.router.store.relay import MAX_RELAYED_AGE_S, RelayServer
--- a/tests/router/restoring_store.py
+++ b/tests/router/restoring_store.py
@@ -5,7 +5,8 @@
 from martenrun.net.http import HttpResponse
 from martenrun.platform import PLATFORM_ADAPTER
 from martenrun.router.lease import Lease
-from martenrun.router.store.eras import StoreClient, StoreEras
+from martenrun.router.store.client import StoreClient
+from martenrun.router.store.eras import StoreEras
 
 from .fakes import FakeStore
 from .lease_world import LEASE_S, LeaseContenders
--- a/tests/router/unguarded_router.py
+++ b/tests/router/unguarded_router.py
@@ -161,7 +161,7 @@
 
 def ignore_store_eras():
     """Compare revisions of the store as if it never returned from an older copy."""
-    from martenrun.router.store.eras import StoreClient
+    from martenrun.router.store.client import StoreClient
 
     StoreClient._accept = lambda self, response, call, sent_in: response
 
