--- a/scripts/upgrade.py
+++ b/scripts/upgrade.py
@@ -27,6 +27,7 @@
     "weights": [("name_weights", 0.0), ("name_weights", 0.0)],
     "keys": [("change_keys", 0.0)],
     "outage": [("store_down", 4.0)],
+    "restore": [("restore_store", 0.6), ("name_weights", 0.0)],
 }
 """What happens beside, in the middle of the upgrade: kinds of steps, and how long each lasts."""
 
