--- a/src/martenrun/router/store/follower.py
+++ b/src/martenrun/router/store/follower.py
@@ -69,7 +69,7 @@
         self._on_applied = on_applied
         self._listed: list[StoredObject] = []
         self._list_position: StorePosition | None = None
-        self._is_history_gone = False
+        self._gone_pause_s = 0.0
         self._pause_s = FIRST_PAUSE_S
         self._failures = 0
         self._returned_at: float | None = None
@@ -218,11 +218,9 @@
     def _on_changes(self, response: HttpResponse | None, sent_at: float) -> None:
         if response is not None and response.status == HTTP_GONE:
             log_event("history_gone", dataset=self._replica.dataset.value)
-            if self._is_history_gone:
-                self._fail(response, lambda: self._list(None, self._loop.now()))
-                return
-            self._is_history_gone = True
-            self._list(None, self._loop.now())
+            # A list is enough once; a store that goes on to respond so is read with pauses.
+            self._call_after(self._gone_pause_s, lambda: self._list(None, self._loop.now()))
+            self._gone_pause_s = min(LONGEST_PAUSE_S, max(FIRST_PAUSE_S, 2 * self._gone_pause_s))
             return
         if response is None or response.status != STATUS_OK:
             self._fail(response, self._watch)
@@ -232,7 +230,7 @@
         except UnreadableError as exc:
             self._fail_unreadable(response, exc)
             return
-        self._is_history_gone = False
+        self._gone_pause_s = 0.0
         self._succeed()
         self._log_skipped(changes.unreadable)
         is_after_outage = self._is_after_outage()
