A deletion counts against a copy for its whole minute

Deletions are now only outlasted by a write of the new era, or forgotten after a minute, and the latest of several is kept.

--- a/src/martenrun/router/store/replica.py
+++ b/src/martenrun/router/store/replica.py
@@ -214,14 +214,14 @@
         for name in late:
             log_warning("object_lapsed", dataset=self.dataset.value, name=name)
             self._drop(name, now)
+        self._deletions = {
+            name: item
+            for name, item in self._deletions.items()
+            if now - item.at <= DELETED_MEMORY_S
+        }
         before = self.sequence_number
         for stored in list(self._outdated.values()):
             self._put(stored, None)
-        forgotten = [
-            name for name, item in self._deletions.items() if now - item.at > DELETED_MEMORY_S
-        ]
-        for name in forgotten:
-            del self._deletions[name]
         if late or before != self.sequence_number:
             self._listener.on_applied()
 
@@ -277,14 +277,14 @@
             return True
         is_superseding = self._listener.supersedes(later, earlier)
         if is_superseding is None:
-            return self._is_written_since(later, earlier.position)
+            return self.eras.is_settled or self._is_written_since(later, earlier.position)
         return is_superseding
 
     def _is_written_since(self, stored: StoredObject, position: StorePosition) -> bool:
         """Return whether an object was written after a position, perhaps of another era."""
         if stored.era <= position.era:
             return stored.position > position
-        return self.eras.is_settled or self.eras.order(stored.position) > self.eras.order(position)
+        return self.eras.order(stored.position) > self.eras.order(position)
 
     def _merge_deletion(self, name: str, deletion: Deletion, now: float) -> None:
         known = self._objects.get(name)
@@ -292,9 +292,12 @@
             if self._is_written_since(known, deletion.position):
                 return
             self._drop(name, now)
+            del self._deletions[name]
             if known.era > deletion.position.era:
                 self._outdated[name] = known
-        self._deletions[name] = deletion
+        remembered = self._deletions.get(name)
+        if remembered is None or remembered.position < deletion.position:
+            self._deletions[name] = deletion
 
     def _remove(self, name: str, is_after_outage: bool, now: float) -> None:
         known = self._objects.get(name)
--- a/tests/router/test_relay.py
+++ b/tests/router/test_relay.py
@@ -111,6 +111,54 @@
     assert followed.confirmed_at is None
 
 
+def begin_era(replica, era):
+    replica.eras.observe(era, "test")
+
+
+# Guards against a router of an earlier version that relays what it takes for the newest state.
+def test_reader_that_names_no_era_is_not_followed_once_an_era_is_known(pair):
+    pair.put("a", 900)
+    followed = pair.followed_replicas[Dataset.CONFIGURATION]
+    begin_era(followed, 2)
+    followed.replace([StoredObject("z", 5, {}, 2)], at(5, 2), False, 0.0)
+    pair.follower.start()
+    serve_until(pair.loop, lambda: pair.failed)
+    assert pair.names() == {"z"}
+    assert followed.confirmed_at is None
+
+
+# Guards against state of an earlier era that confirms, and against its loss.
+def test_reader_of_an_earlier_era_adds_what_it_knows_and_confirms_nothing(pair):
+    source = pair.source_replicas[Dataset.CONFIGURATION]
+    begin_era(source, 1)
+    source.replace([StoredObject("a", 900, {"v": 9}, 1)], at(900, 1), False, 0.0)
+    source.confirm(0.0)
+    followed = pair.followed_replicas[Dataset.CONFIGURATION]
+    begin_era(followed, 2)
+    followed.eras.record_revision(at(860, 2))
+    followed.replace([StoredObject("a", 850, {"v": 8}, 2)], at(860, 2), False, 0.0)
+    pair.follower.start()
+    serve_until(pair.loop, lambda: pair.applied == 1)
+    assert [item.position for item in followed.objects] == [at(900, 1)]
+    assert followed.position == at(860, 2)
+    assert followed.confirmed_at is None
+
+
+# Guards against followers that do not know which runners have left, or where an era began.
+def test_snapshot_contains_deletions_and_where_eras_began(pair):
+    source = pair.source_replicas[Dataset.CONFIGURATION]
+    begin_era(source, 1)
+    source.replace([StoredObject("a", 4, {}, 1)], at(4, 1), False, pair.loop.now())
+    source.apply([], ["a"], at(9, 1), False, pair.loop.now())
+    source.eras.record_revision(at(3, 1))
+    pair.follower.start()
+    serve_until(pair.loop, lambda: pair.applied == 1)
+    followed = pair.followed_replicas[Dataset.CONFIGURATION]
+    assert followed.eras.current == 1
+    assert followed.eras.first_positions() == [at(3, 1)]
+    assert followed.deletions["a"].position == at(9, 1)
+
+
 def test_reader_that_loses_the_store_refuses_its_followers_at_once(pair):
     pair.put("a", 1)
     pair.follower.start()
--- a/tests/router/test_store_eras.py
+++ b/tests/router/test_store_eras.py
@@ -15,6 +15,7 @@
 from martenrun.router.store.eras import SETTLED_S, StoreEras
 from martenrun.router.store.follower import FollowSettings, StoreFollower
 from martenrun.router.store.replica import (
+    DELETED_MEMORY_S,
     RETURN_GRACE_S,
     DatasetReplica,
     Deletion,
@@ -174,6 +175,20 @@
     assert contents(replica) == {"a": at(870, 2)}
 
 
+def test_a_deletion_is_forgotten_after_a_minute():
+    clock = Clock()
+    replica = make_replica(clock)
+    replica.replace([entry("a", 850, 1)], at(850, 1), False, clock.now)
+    replica.apply([], ["a"], at(900, 1), False, clock.now)
+    begin_era(replica, 2, [entry("a", 850, 2)], 860, clock.now)
+    clock.now += DELETED_MEMORY_S - 1.0
+    replica.update(clock.now)
+    assert contents(replica) == {}
+    clock.now += 2.0
+    replica.update(clock.now)
+    assert contents(replica) == {"a": at(850, 2)}
+
+
 def test_an_object_that_the_copy_lacks_stays_for_the_grace_period():
     replica = make_replica(Clock())
     replica.replace([entry("a", 900, 1)], at(900, 1), False, 0.0)
