Orders after a late write of the last era stay a lease apart

A write of the last era that is applied late may replace the record of a holder of this era. A router that then took the lease relied on the time of the era's beginning, or on its own orders of the last era, and could order a runner that the other holder had just ordered. It now blocks all runners for a length after that state was first seen, if it knows of another holder in this era. Test: fails before.

--- a/src/martenrun/router/lease.py
+++ b/src/martenrun/router/lease.py
@@ -97,6 +97,7 @@
         self._held_until = 0.0
         self._era_free_from = 0.0
         self._held_at_change = False
+        self._other_held_since = False
         self._highest_token = 0
         self._is_call_pending = False
         self._not_before = 0.0
@@ -109,8 +110,9 @@
     @property
     def position(self) -> StorePosition | None:
         """Position last written by this router while it holds the lease, else None."""
-        is_held = self._observed is not None and self.is_held()
-        return self._observed.stored.position if self._observed is not None and is_held else None
+        return (
+            None if self._observed is None or not self.is_held() else self._observed.stored.position
+        )
 
     def _begin_era(self, _before: int) -> None:
         """End the lease: the store returned from a copy, whose holder may be an earlier one.
@@ -119,6 +121,7 @@
         """
         self._era_free_from = self._loop.now() + self._lease_s + TAKEOVER_MARGIN_S
         self._held_at_change = self.is_held()
+        self._other_held_since = False
         if self._held_at_change:
             log_warning("lease_lost_with_store", token=self.fencing_token)
         self._last_router = self.last_holder_address()
@@ -138,15 +141,27 @@
         """Return whether a lease object was written in this era; a copy's may be outdated."""
         return record.fencing_token >= self._first_token_of_era()
 
-    def _block_orders_of_last_era(self) -> None:
+    def _block_unknown_orders(self, seen_at: float) -> None:
         """Block all runners, any of which an unknown holder may have ordered until its lease ended.
 
-        The router that held the lease when the era changed knows all orders.
+        The router that held the lease when the era changed knows all orders of the last era.  If
+        another one has held it since, a late write of the last era has replaced its record.
+
+        Args:
+            seen_at: when the present state of the lease object was first seen.
         """
-        if not self._held_at_change:
+        if self._other_held_since:
+            self.order_schedule.block_all(seen_at + self._lease_s - HOLDER_MARGIN_S)
+        elif not self._held_at_change:
             last_order_at = self._era_free_from - TAKEOVER_MARGIN_S - HOLDER_MARGIN_S
             self.order_schedule.block_all(last_order_at)
 
+    def _record_holder(self, record: LeaseRecord) -> None:
+        """Record the token of a holder, and whether another router holds the lease in this era."""
+        self._highest_token = max(self._highest_token, record.fencing_token)
+        if record.router != self._router and self._is_of_this_era(record):
+            self._other_held_since = True
+
     def is_held(self) -> bool:
         """Return whether this router may act on the lease now."""
         return self._loop.now() < self._held_until - HOLDER_MARGIN_S
@@ -182,7 +197,7 @@
 
         Positions of another era than the current one are ignored: that lease has ended.
         """
-        self._highest_token = max(self._highest_token, record.fencing_token)
+        self._record_holder(record)
         if self.is_held() or position.era != self._eras.current:
             return
         if self._observed is not None and position <= self._observed.stored.position:
@@ -215,7 +230,7 @@
             if self._is_of_this_era(observed.record):
                 block_earlier_orders(self.order_schedule, observed, self._router, self._lease_s)
             else:
-                self._block_orders_of_last_era()
+                self._block_unknown_orders(observed.first_seen_at)
             self.order_schedule.cancel_all()
             self._finish_reservations(False)
             self._write(self._next_token())
@@ -306,7 +321,7 @@
             self._not_before = min(self._era_free_from, now + ABSENT_CHECK_S)
             return
         if self._eras.current != UNKNOWN_ERA:
-            self._block_orders_of_last_era()
+            self._block_unknown_orders(now)
         self._write(self._next_token())
 
     def _on_written(
@@ -358,7 +373,7 @@
             "", self.fencing_token
         )
         self._observed = ObservedLease(stored, record, seen_at)
-        self._highest_token = max(self._highest_token, record.fencing_token)
+        self._record_holder(record)
         self._on_ages(record.ages_ms)
 
     def _decode(self, body: bytes) -> StoredObject | None:
--- a/tests/router/test_lease_orders.py
+++ b/tests/router/test_lease_orders.py
@@ -72,6 +72,27 @@
     assert held and third.fencing_token > second.fencing_token
 
 
+# Guards against orders too soon after those of a holder whose record a late write has replaced.
+def test_orders_after_a_late_write_of_the_last_era_are_a_lease_apart(loop):
+    store = RestoringStore(loop)
+    first, second = make_era_lease(loop, store, "n1#1"), make_era_lease(loop, store, "n2#1")
+    run_leases(loop, [first], 5.0)
+    old_record = store.objects["weights"]
+    store.restore(0.0)
+    first._eras.observe(2, "gossip")
+    second._eras.observe(2, "gossip")
+    run_leases(loop, [second], 5.0)
+    run_leases(loop, [first], 0.1)
+    run_leases(loop, [second], 3.0)
+    ordered_at = order(loop, second)
+    store.revision += 1
+    metadata = {"name": "weights", "revision": store.revision}
+    store.objects["weights"] = {"metadata": metadata, "spec": old_record["spec"]}
+    run_leases(loop, [first], 8.0)
+    assert first.is_held() and first.fencing_token > second.fencing_token
+    assert first.order_schedule.earliest_order_at(RUNNER) >= ordered_at + LEASE_S
+
+
 # Guards against a renewal that replaces another state which has got the same revision.
 def test_renewal_that_meets_a_revision_assigned_again_does_not_hold_the_lease(loop):
     store = RestoringStore(loop)
