Finding of the soak: a backoff of a runner's new start, kept for its former one

Traced to an entry that was read after the runner's response: the backoff is kept for the former start.

--- a/tests/router/test_runner_notices.py
+++ b/tests/router/test_runner_notices.py
@@ -119,6 +119,23 @@
     assert broken_backoffs(callers, deployment.runners) == []
 
 
+# Guards against a backoff of a runner's new start that is attributed to its former one.
+def test_a_backoff_of_a_restarted_runner_outlasts_its_late_entry(deployment):
+    callers = SteadyCallers(deployment, CALLS_PER_S)
+    callers.run_for(1.5)
+    restarted = some_of_each_kind(deployment, 2)
+    for runner in restarted:
+        runner.start_new_instance()
+        runner.retry_after = str(BACKOFF_S)
+    callers.run_for(0.7)
+    for runner in restarted:
+        runner.retry_after = None
+        deployment.list_runner(runner)
+    callers.run_for(2.0)
+    callers.stop()
+    assert broken_backoffs(callers, deployment.runners) == []
+
+
 # Guards against requests that are tried at every runner although all have requested a backoff.
 def test_requests_are_refused_at_once_while_all_runners_back_off(deployment):
     callers = SteadyCallers(deployment, CALLS_PER_S)
