A lapse is no deletion: a runner that a later copy lists is used again

Their entries were missing in a first copy, the store then stayed silent for longer than the grace period, so they were dropped, and that counted as a deletion: the second copy's list, which had them again, was taken for older ("dropped" in store_copy_applied).

What the store lacks tells nothing of a deletion. Only a watch's event, or another router's word of one, is remembered now; a lapse is relayed as such. Three tests; the one of a second copy fails before.

--- a/src/martenrun/router/store/relay.py
+++ b/src/martenrun/router/store/relay.py
@@ -180,10 +180,12 @@
 ) -> list[RelayedObject]:
     if changes is None:
         return [_relayed_object(replica, item, now) for item in replica.objects]
-    newest = {change.name: change.stored for change in changes}
+    newest = {change.name: change for change in changes}
     return [
-        RelayedObject(name, 0, None) if stored is None else _relayed_object(replica, stored, now)
-        for name, stored in newest.items()
+        RelayedObject(change.name, 0, None, is_lapsed=change.is_lapsed)
+        if change.stored is None
+        else _relayed_object(replica, change.stored, now)
+        for change in newest.values()
     ]
 
 
--- a/src/martenrun/router/store/relay_follower.py
+++ b/src/martenrun/router/store/relay_follower.py
@@ -198,8 +198,10 @@
             replica.replace(changed, position, False, now, missing)
             replica.merge_earlier([], deletions, now)
         else:
-            deleted = [item.name for item in objects if not item.revision]
-            replica.apply(changed, deleted, position, False, now, missing)
+            removed = [item for item in objects if not item.revision]
+            deleted = [item.name for item in removed if not item.is_lapsed]
+            lapsed = [item.name for item in removed if item.is_lapsed]
+            replica.apply(changed, deleted, position, False, now, missing, lapsed)
         replica.confirm(not_before - relayed.age_ms / 1000.0)
 
 
--- a/src/martenrun/router/store/relay_messages.py
+++ b/src/martenrun/router/store/relay_messages.py
@@ -37,7 +37,7 @@
 
 
 class RelayedObject(msgspec.Struct, array_like=True):
-    """One object; ``revision`` 0 means that it was deleted.
+    """One object; ``revision`` 0 means that it was deleted, or dropped if ``is_lapsed``.
 
     ``missing_ms`` is set for an object that is missing in the store after an outage and kept for a
     grace period: for how long it has been missing, in milliseconds.  ``era`` is the era of the
@@ -49,6 +49,7 @@
     spec: object
     missing_ms: int | None = None
     era: int = 0
+    is_lapsed: bool = False
 
 
 class RelayedDeletion(msgspec.Struct, array_like=True):
--- a/src/martenrun/router/store/replica.py
+++ b/src/martenrun/router/store/replica.py
@@ -10,7 +10,7 @@
 """
 
 import collections
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 import attrs
 
@@ -32,11 +32,15 @@
 
 @attrs.frozen
 class Change:
-    """One change of a replica; ``stored`` is None if the object was deleted."""
+    """One change of a replica; ``stored`` is None if the object was deleted or has lapsed.
+
+    An object lapses if the store goes on to lack it, without a word of its deletion.
+    """
 
     sequence_number: int
     name: str
     stored: StoredObject | None
+    is_lapsed: bool = False
 
 
 @attrs.frozen
@@ -95,6 +99,7 @@
         self._outdated: dict[str, StoredObject] = {}
         self._deletions: dict[str, Deletion] = {}
         self._missing_since: dict[str, float] = {}
+        self._missing_deleted: set[str] = set()
         self._changes: collections.deque[Change] = collections.deque(maxlen=MAX_CHANGES)
         self.sequence_number = 0
         self.position: StorePosition | None = None
@@ -155,7 +160,7 @@
         for stored in objects:
             self._put(stored, missing.get(stored.name))
         for name in [name for name in self._objects if name not in listed]:
-            self._remove(name, is_after_outage or is_new_era, now)
+            self._remove(name, is_after_outage or is_new_era, now, is_lapsed=True)
         self._listener.on_applied()
         if is_new_era:
             self._log_era(position, listed)
@@ -169,11 +174,13 @@
         is_after_outage: bool,
         now: float,
         missing: Mapping[str, float] = NONE_MISSING,
+        lapsed: Collection[str] = (),
     ) -> None:
         """Apply changes: first changed objects, then deletions.
 
         Args:
             missing: since when changed objects are missing in the store.
+            lapsed: objects that another router dropped since the store lacks them.
         """
         self.position = position if self.position is None else max(position, self.position)
         for stored in changed:
@@ -181,6 +188,8 @@
         for name in deleted:
             self._outdated.pop(name, None)
             self._remove(name, is_after_outage, now)
+        for name in lapsed:
+            self._remove(name, is_after_outage, now, is_lapsed=True)
         self._listener.on_applied()
 
     def merge_earlier(
@@ -213,7 +222,7 @@
         late = [key for key, since in self._missing_since.items() if now - since > RETURN_GRACE_S]
         for name in late:
             log_warning("object_lapsed", dataset=self.dataset.value, name=name)
-            self._drop(name, now)
+            self._drop(name, now, is_lapsed=name not in self._missing_deleted)
         self._deletions = {
             name: item
             for name, item in self._deletions.items()
@@ -246,6 +255,7 @@
             return
         self._outdated.pop(stored.name, None)
         self._deletions.pop(stored.name, None)
+        self._missing_deleted.discard(stored.name)
         if known is not None and stored.era < known.era:
             self._outdated[stored.name] = known
         previous_missing_since = self._missing_since.pop(stored.name, None)
@@ -299,24 +309,32 @@
         if remembered is None or remembered.position < deletion.position:
             self._deletions[name] = deletion
 
-    def _remove(self, name: str, is_after_outage: bool, now: float) -> None:
+    def _remove(
+        self, name: str, is_after_outage: bool, now: float, is_lapsed: bool = False
+    ) -> None:
         known = self._objects.get(name)
         if known is None:
             return
         if self._listener.keeps_lost and self.position and known.era < self.position.era:
             return
         if not is_after_outage:
-            self._drop(name, now)
-        elif name not in self._missing_since:
+            self._drop(name, now, is_lapsed)
+            return
+        if not is_lapsed:
+            self._missing_deleted.add(name)
+        if name not in self._missing_since:
             self._missing_since[name] = now
             self._append_change(name, self._objects[name])
 
-    def _drop(self, name: str, now: float) -> None:
+    def _drop(self, name: str, now: float, is_lapsed: bool = False) -> None:
+        """Drop an object; only a deletion, not a lapse, counts against copies that list it."""
         self._missing_since.pop(name, None)
+        self._missing_deleted.discard(name)
         known = self._objects.pop(name, None)
         if known is not None:
-            self._deletions[name] = Deletion(self.position or known.position, now)
-            self._append_change(name, None)
+            if not is_lapsed:
+                self._deletions[name] = Deletion(self.position or known.position, now)
+            self._append_change(name, None, is_lapsed)
             self._listener.on_deleted(name)
 
     def _log_era(self, position: StorePosition, listed: set[str]) -> None:
@@ -333,6 +351,8 @@
             dropped=",".join(name for name in self._outdated if name not in self._objects)[:200],
         )
 
-    def _append_change(self, name: str, stored: StoredObject | None) -> None:
+    def _append_change(
+        self, name: str, stored: StoredObject | None, is_lapsed: bool = False
+    ) -> None:
         self.sequence_number += 1
-        self._changes.append(Change(self.sequence_number, name, stored))
+        self._changes.append(Change(self.sequence_number, name, stored, is_lapsed))
--- a/tests/router/test_relay.py
+++ b/tests/router/test_relay.py
@@ -144,6 +144,22 @@
     assert followed.confirmed_at is None
 
 
+# Guards against followers that take a lapse, which another router noticed, for a deletion.
+def test_lapse_is_no_deletion_for_followers(pair):
+    source = pair.source_replicas[Dataset.CONFIGURATION]
+    pair.put("a", 1)
+    pair.put("b", 2)
+    pair.follower.start()
+    serve_until(pair.loop, lambda: pair.names() == {"a", "b"})
+    source.apply([], ["a"], at(3), False, pair.loop.now())
+    source.replace([], at(4), True, pair.loop.now() - 2 * RETURN_GRACE_S)
+    source.update(pair.loop.now())
+    pair.relay.respond_with_changes()
+    followed = pair.followed_replicas[Dataset.CONFIGURATION]
+    serve_until(pair.loop, lambda: pair.names() == set())
+    assert set(source.deletions) == set(followed.deletions) == {"a"}
+
+
 # Guards against followers that do not know which runners have left, or where an era began.
 def test_snapshot_contains_deletions_and_where_eras_began(pair):
     source = pair.source_replicas[Dataset.CONFIGURATION]
--- a/tests/router/test_store_eras.py
+++ b/tests/router/test_store_eras.py
@@ -175,6 +175,26 @@
     assert contents(replica) == {"a": at(870, 2)}
 
 
+# Guards against a runner that a second copy lists and that is passed over as deleted.
+def test_an_object_that_lapsed_does_not_count_as_deleted():
+    replica = make_replica(Clock())
+    replica.replace([entry("a", 900, 1)], at(900, 1), False, 0.0)
+    begin_era(replica, 2, [], 860, 1.0)
+    replica.update(1.1 + RETURN_GRACE_S)
+    assert contents(replica) == {}
+    begin_era(replica, 3, [entry("a", 861, 3)], 870, 9.0)
+    assert contents(replica) == {"a": at(861, 3)}
+
+
+def test_an_object_deleted_after_an_outage_stays_deleted():
+    replica = make_replica(Clock())
+    replica.replace([entry("a", 850, 1)], at(850, 1), False, 0.0)
+    replica.apply([], ["a"], at(900, 1), True, 1.0)
+    replica.update(1.1 + RETURN_GRACE_S)
+    begin_era(replica, 2, [entry("a", 850, 2)], 860, 9.0)
+    assert contents(replica) == {}
+
+
 def test_a_deletion_is_forgotten_after_a_minute():
     clock = Clock()
     replica = make_replica(clock)
