--- a/tests/router/test_store_eras.py
+++ b/tests/router/test_store_eras.py
@@ -180,6 +180,7 @@
     replica = make_replica(Clock())
     replica.replace([entry("a", 900, 1)], at(900, 1), False, 0.0)
     begin_era(replica, 2, [], 860, 1.0)
+    replica.apply([], [], at(866, 2), False, 1.5)
     replica.update(1.1 + RETURN_GRACE_S)
     assert contents(replica) == {}
     begin_era(replica, 3, [entry("a", 861, 3)], 870, 9.0)
