Releases of the lease are encoded as before; their token tells the era

The fencing token has the era as its most significant part, so the field is not needed; a release of an earlier version has a token of era 0 and is ignored as before.

--- a/src/martenrun/router/lease.py
+++ b/src/martenrun/router/lease.py
@@ -30,8 +30,10 @@
     HOLDER_MARGIN_S,
     RANK_DELAY_S,
     TAKEOVER_MARGIN_S,
+    TOKENS_PER_ERA,
     ObservedLease,
     block_earlier_orders,
+    era_of_token,
     takeover_at,
 )
 from martenrun.router.order_schedule import OrderSchedule
@@ -43,9 +45,6 @@
 CALL_TIMEOUT_S = 0.7
 """Timeout of a call to the store, in seconds."""
 
-TOKENS_PER_ERA = 1 << 16
-"""Range of fencing tokens of one era of the store."""
-
 ABSENT_CHECK_S = 1.0
 """Interval of reads while the lease object is absent and may not be created yet, in seconds."""
 
@@ -132,14 +131,11 @@
 
     def _next_token(self) -> int:
         """Return a token above all that this router knows and above all of earlier eras."""
-        return max(self._highest_token, self.fencing_token, self._first_token_of_era() - 1) + 1
-
-    def _first_token_of_era(self) -> int:
-        return self._eras.current * TOKENS_PER_ERA + 1
+        return max(self._highest_token, self.fencing_token, self._eras.current * TOKENS_PER_ERA) + 1
 
     def _is_of_this_era(self, record: LeaseRecord) -> bool:
         """Return whether a lease object was written in this era; a copy's may be outdated."""
-        return record.fencing_token >= self._first_token_of_era()
+        return era_of_token(record.fencing_token) >= self._eras.current
 
     def _block_unknown_orders(self, seen_at: float) -> None:
         """Block all runners, any of which an unknown holder may have ordered until its lease ended.
--- a/src/martenrun/router/observed_lease.py
+++ b/src/martenrun/router/observed_lease.py
@@ -15,6 +15,15 @@
 """Additional delay per rank before a router takes over a free lease, in seconds."""
 
 
+TOKENS_PER_ERA = 1 << 16
+"""Range of fencing tokens of one era of the store."""
+
+
+def era_of_token(fencing_token: int) -> int:
+    """Return the era of the store in which a fencing token was given out."""
+    return fencing_token // TOKENS_PER_ERA
+
+
 @attrs.frozen
 class ObservedLease:
     """A lease object as last observed.
--- a/src/martenrun/router/peer_messages.py
+++ b/src/martenrun/router/peer_messages.py
@@ -127,13 +127,15 @@
 
 
 class LeaseUpdate(msgspec.Struct, array_like=True, tag="lease"):
-    """A router released the order lease of an era, ``idle_ms`` after its last order."""
+    """A router released the order lease, ``idle_ms`` after its last order.
+
+    ``revision`` is of the era that the fencing token contains.
+    """
 
     holder: str
     fencing_token: int
     revision: int
     idle_ms: int
-    store_era: int = 0
 
 
 class LoadUpdate(msgspec.Struct, array_like=True, tag="reading"):
--- a/src/martenrun/router/weights_rollout.py
+++ b/src/martenrun/router/weights_rollout.py
@@ -19,6 +19,7 @@
     StorePosition,
     WeightsOrder,
 )
+from martenrun.router.observed_lease import era_of_token
 from martenrun.router.peer_messages import LeaseUpdate, WeightsUpdate
 from martenrun.router.peers import Peers
 from martenrun.router.request_services import RequestServices
@@ -108,7 +109,8 @@
         record = LeaseRecord(
             update.holder, update.fencing_token, released_idle_s=update.idle_ms / MS_PER_S
         )
-        self._lease.record_position(record, StorePosition(update.store_era, update.revision))
+        position = StorePosition(era_of_token(update.fencing_token), update.revision)
+        self._lease.record_position(record, position)
         self.schedule_step()
 
     def _step(self) -> None:
@@ -155,9 +157,7 @@
     def _broadcast_release(self, record: LeaseRecord, position: StorePosition) -> None:
         idle_ms = round((record.released_idle_s or 0.0) * MS_PER_S)
         self._peers.broadcast(
-            LeaseUpdate(
-                record.holder, record.fencing_token, position.revision, idle_ms, position.era
-            )
+            LeaseUpdate(record.holder, record.fencing_token, position.revision, idle_ms)
         )
 
     def _is_unreachable(self, models: list[str], now: float) -> bool:
