A check of a runner counts only with its report and until a connection breaks

Callers could get a stream whose events come from two software versions: a begun stream is sent to a runner only after the runner's report has confirmed its start, but a check that got no report counted for 0.5 s as well, and so did one from before the runner crashed.

Change: a check without a readable report leaves the runner unchecked; a broken connection makes its last check invalid. A request then goes to another runner or waits like one whose runners are all busy.

Two tests failed before. test_a_runner_that_sends_no_report_is_not_taken_as_ restarted demanded that a stream is sent to a runner that gives no report, the fault itself; it now demands that its version stays known and that it gets the stream as soon as its report confirms its start. test_instance_check.py, test_stream_*.py, test_forwarding.py: all passed.

--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -283,6 +283,7 @@
     def on_broken(self, was_sent: bool) -> None:
         """Process a connection that closed before the end of the response."""
         now = self._services.loop.now()
+        self.state.connection_broken_at = now
         if not was_sent and now - self.started_at >= CONNECT_TIMEOUT_S:
             self.state.connecting_since = self.started_at
         if not self.status and self.connection is not None:
--- a/src/martenrun/router/instance_check.py
+++ b/src/martenrun/router/instance_check.py
@@ -5,12 +5,13 @@
 describe runners that get a new id at each start, which the runner itself verifies.
 """
 
+import contextlib
 from collections.abc import Callable
 
 from martenrun.net.http import STATUS_OK, HttpResponse
 from martenrun.net.loop import Loop
 from martenrun.router.log import log_warning
-from martenrun.router.messages import HttpCall, RunnerReport, UnreadableError
+from martenrun.router.messages import HttpCall, Runner, RunnerReport, UnreadableError
 from martenrun.router.runner_state import RunnerState
 
 CHECK_VALIDITY_S = 0.5
@@ -54,14 +55,20 @@
         self._waiting: dict[str, list[Callable[[], None]]] = {}
 
     def is_due(self, state: RunnerState) -> bool:
-        """Return whether a runner must be checked before a begun stream is sent to it."""
-        return (
-            self._may_be_stale(state)
-            and self._loop.now() - state.instance_checked_at > CHECK_VALIDITY_S
-        )
+        """Return whether a runner must be checked before a begun stream is sent to it.
+
+        A connection that broke since the last check may be the sign of a restart.
+        """
+        if not self._may_be_stale(state):
+            return False
+        is_old = self._loop.now() - state.instance_checked_at > CHECK_VALIDITY_S
+        return is_old or state.instance_checked_at < state.connection_broken_at
 
     def run(self, state: RunnerState, on_done: Callable[[], None]) -> None:
-        """Check a runner; the callback is called once the result, if any, is applied."""
+        """Check a runner; the callback is called once the result, if any, is applied.
+
+        A check without a readable report confirms nothing: :meth:`is_due` stays true.
+        """
         instance = state.runner.instance
         waiting = self._waiting.get(instance)
         if waiting is not None:
@@ -70,13 +77,13 @@
         self._waiting[instance] = [on_done]
         sent_at = self._loop.now()
 
-        def on_response(response: HttpResponse | None) -> None:
-            self._record_response(state, response)
-            self._apply(state, response, sent_at)
+        def on_report(report: RunnerReport | None) -> None:
+            if report is not None:
+                self._apply(state, report, sent_at)
             for call in self._waiting.pop(instance, ()):
                 call()
 
-        self._probe(state.runner.address, self._report_request(), on_response)
+        self.request_report(state, on_report)
 
     def run_for_connection(self, state: RunnerState, opened_at: float) -> None:
         """Check a runner unless a check since its connection was opened has succeeded."""
@@ -88,15 +95,30 @@
     def _may_be_stale(state: RunnerState) -> bool:
         return state.runner.started_at_ms is not None and not state.has_restarted
 
-    def _apply(self, state: RunnerState, response: HttpResponse | None, sent_at: float) -> None:
+    def request_report(
+        self, state: RunnerState, on_report: Callable[[RunnerReport | None], None]
+    ) -> None:
+        """Request a runner's report; passes on None if no readable one is received."""
+
+        def on_response(response: HttpResponse | None) -> None:
+            self._record_response(state, response)
+            report = None
+            if response is not None and response.status == STATUS_OK:
+                with contextlib.suppress(UnreadableError):
+                    report = self._read_report(response.body)
+            on_report(report)
+
+        self._probe(state.runner.address, self._report_request(), on_response)
+
+    def _apply(self, state: RunnerState, report: RunnerReport, sent_at: float) -> None:
         state.instance_checked_at = sent_at
-        if response is None or response.status != STATUS_OK:
-            return
-        try:
-            report = self._read_report(response.body)
-        except UnreadableError:
-            return
-        if report.started_at_ms is not None and report.started_at_ms != state.runner.started_at_ms:
+        if is_of_other_start(report, state.runner):
             state.has_restarted = True
             log_warning("runner_restarted_unlisted", instance=state.runner.instance)
             self._on_restarted()
+
+
+def is_of_other_start(report: RunnerReport, runner: Runner) -> bool:
+    """Return whether a report names another start time of the process than its entry."""
+    starts = (report.started_at_ms, runner.started_at_ms)
+    return None not in starts and starts[0] != starts[1]
--- a/src/martenrun/router/runner_sender.py
+++ b/src/martenrun/router/runner_sender.py
@@ -5,6 +5,7 @@
 from martenrun.net.http import HttpRequest, request_bytes
 from martenrun.router.attempt import Attempt, AttemptListener, AttemptLoad
 from martenrun.router.caller_stream import CallerStream
+from martenrun.router.instance_check import InstanceCheck
 from martenrun.router.messages import AdmittedRequest
 from martenrun.router.quotas.gate import Grant
 from martenrun.router.request_quota import RequestQuota
@@ -60,7 +61,7 @@
         check = self._services.instance_check
         is_bound = self._caller_stream.required_software is not None
         if check is not None and is_bound and check.is_due(state):
-            check.run(state, choose_again)
+            self._check_instance(check, state, choose_again)
             return
         if self._access.may_send(state):
             self._dispatch(state)
@@ -72,6 +73,18 @@
 
         self._access.obtain(state, on_runner_grant)
 
+    def _check_instance(
+        self, check: InstanceCheck, state: RunnerState, choose_again: Callable[[], None]
+    ) -> None:
+        def on_checked() -> None:
+            if check.is_due(state):
+                # Without its report the runner may have restarted with another software version.
+                self._trace.record("instance_unconfirmed", instance=state.runner.instance)
+                self._runner_choice.tried_instances.append(state.runner.instance)
+            choose_again()
+
+        check.run(state, on_checked)
+
     def close(self) -> None:
         """Give back unused grants when the request ends."""
         self._access.close()
--- a/src/martenrun/router/runner_state.py
+++ b/src/martenrun/router/runner_state.py
@@ -65,8 +65,9 @@
         refusals: number of refusals in a row, without a requested backoff.
         refused_at: time of the last one counted.
         sent_at: time at which a request was last sent to it.
-        instance_checked_at: time of the last request for its report, see
+        instance_checked_at: time at which the last report that was received was requested, see
             :class:`martenrun.router.instance_check.InstanceCheck`.
+        connection_broken_at: time at which a connection to it last broke.
         has_restarted: whether its report shows a later start than its entry.
         unresponsive_reports: reports of routers that find it unresponsive.
         unresponsive_reported_at: time at which this router last reported it as unresponsive.
@@ -100,6 +101,7 @@
     refused_at: float = -math.inf
     sent_at: float = -math.inf
     instance_checked_at: float = -math.inf
+    connection_broken_at: float = -math.inf
     has_restarted: bool = False
 
     @property
--- a/tests/router/test_instance_check.py
+++ b/tests/router/test_instance_check.py
@@ -86,11 +86,43 @@
     assert case.pool.sent == ["i-0"] and is_broken_off(case)
 
 
+# Guards against a stream that goes on at a runner whose check failed and that has restarted.
+def test_a_begun_stream_is_not_sent_to_a_runner_that_has_not_confirmed_its_start():
+    case = checked_case(["v1", "v1"], [BORN_MS, None])
+    case.states[0].loading_until = case.loop.now() + 60.0
+    begin(case)
+    runner_break(case)
+    case.run(0.6)
+    case.reports.born_ms[case.states[1].runner.address] = 2_000
+    case.run(0.6)
+    assert case.pool.sent == ["i-0"]
+    assert case.states[1].software_id == "unknown at i-1"
+
+
+# Guards against a runner that restarts just after a check and gets the stream that it cut back.
+def test_a_begun_stream_is_checked_again_after_a_broken_connection():
+    case = checked_case(["v1", "v1"], [BORN_MS, BORN_MS])
+    case.states[0].loading_until = case.loop.now() + 60.0
+    begin(case)
+    runner_break(case)
+    case.run(0.05)
+    assert case.pool.sent == ["i-0", "i-1"]
+    case.reports.born_ms[case.states[1].runner.address] = 2_000
+    runner_break(case)
+    case.run(0.3)
+    assert case.pool.sent == ["i-0", "i-1"]
+    assert case.states[1].software_id == "unknown at i-1"
+
+
 def test_a_runner_that_sends_no_report_is_not_taken_as_restarted():
     case = checked_case(["v1", "v1"], [BORN_MS, None])
+    case.states[0].loading_until = case.loop.now() + 60.0
     begin(case)
     runner_break(case)
     case.run(0.6)
+    assert case.states[1].software_id == "v1"
+    case.reports.born_ms[case.states[1].runner.address] = BORN_MS
+    case.run(0.6)
     assert case.pool.sent == ["i-0", "i-1"]
 
 
