A runner's report tells whether it outlived a response that ended by its connection

Cause: a response without length and chunks counted as complete once a new connection to its runner was accepted and stayed open for 30 ms. The kernel accepts connections for a process that is suspended, also between the close of its connections and that of its listener.

Change: the runner's report tells. Of the same start: complete; of another: crashed. Without one a connection that is refused proves the crash, anything else is asked again as before. The end of a response waits for the report, a few ms, and no longer for 30 ms; a probe more is priced.

Ruled out: only two accepted connections, as for broken ones: 80 ms more for every such response, and a longer suspension passes it.

--- a/scripts/measure_blame.py
+++ b/scripts/measure_blame.py
@@ -31,9 +31,11 @@
     Call,
     Route,
     RouteKind,
+    RunnerReport,
     Tenant,
     WeightedService,
 )
+from martenrun.router.runner_state import RunnerState
 
 AWAY_S = 2.0
 """How long a runner is away, in seconds."""
@@ -143,7 +145,9 @@
         self, seed: int, runners: int, ends_per_s: float, run_s: float, seconds: int
     ) -> None:
         super().__init__(seed, runners, ends_per_s, run_s)
-        self.tracker = CrashTracker(VirtualLoop(self), _no_runners(), lambda _news: None)
+        self.tracker = CrashTracker(
+            VirtualLoop(self), _no_runners(), lambda _news: None, _request_no_report
+        )
         self.table = self.tracker.table
         self.table.runners = runners
         self.second_parts = seconds
@@ -263,7 +267,7 @@
     click.echo("| known requests | of another outline, us | of its outline: digest made, us |")
     click.echo("| --- | --- | --- |")
     for known in (0, 10, 500):
-        suspects = CrashTracker(Loop(), _no_runners(), lambda _news: None)
+        suspects = CrashTracker(Loop(), _no_runners(), lambda _news: None, _request_no_report)
         for number in range(known):
             key = number.to_bytes(8) + number.to_bytes(16)
             suspects.table.record_crash(key, f"i-{number}", 0.0)
@@ -292,6 +296,12 @@
     )
 
 
+def _request_no_report(
+    _state: RunnerState, on_report: Callable[[RunnerReport | None], None]
+) -> None:
+    on_report(None)
+
+
 def _admitted() -> AdmittedRequest:
     call = Call(b"r", "a.example", "/a/x", b"k", 3.0, None, (), 0, 0)
     split = (WeightedService("s", 1.0),)
--- a/src/martenrun/router/crashes/detector.py
+++ b/src/martenrun/router/crashes/detector.py
@@ -13,7 +13,8 @@
   connections.  A refusal is inconclusive while a kept-alive connection is still open.
 
 A response that ends with its connection looks complete if the runner crashes, too.  It counts as
-complete once a connection is accepted.
+complete once the runner sends its report: the kernel accepts connections also while the process is
+suspended or exits.
 
 A listed entry of a later instance also proves the exit.  Disconnects by a draining runner are
 expected and are not counted as a crash.
@@ -28,8 +29,9 @@
 from martenrun.net.loop import Loop, Timer
 from martenrun.net.stream import Stream, open_stream
 from martenrun.router.crashes.features import RequestFeatures, part_name
+from martenrun.router.instance_check import is_of_other_start
 from martenrun.router.log import log_event, log_warning
-from martenrun.router.messages import Runner
+from martenrun.router.messages import Runner, RunnerReport
 from martenrun.router.runner_state import RunnerState
 
 PROBE_TIMEOUT_S = 0.4
@@ -57,6 +59,10 @@
 """
 
 
+RequestReport = Callable[[RunnerState, Callable[[RunnerReport | None], None]], None]
+"""Requests a runner's report and passes it on, None if no readable one is received."""
+
+
 class RunnerOutcome(enum.Enum):
     """What became of a runner whose response ended with its connection."""
 
@@ -153,6 +159,7 @@
 
     Args:
         on_crashed: called with a crashed instance and the features of its requests.
+        request_report: requests a runner's report and passes it on, None if there is none.
         probe: opens a connection to an address and reports the result.
     """
 
@@ -161,11 +168,13 @@
         loop: Loop,
         runners: RunnerView,
         on_crashed: Callable[[str, list[RequestFeatures]], None],
+        request_report: RequestReport,
         probe: Callable[[Loop, str, Callable[[bool | None], None]], object] = ConnectionProbe,
     ) -> None:
         self._loop = loop
         self._runners = runners
         self._on_crashed = on_crashed
+        self._request_report = request_report
         self._probe = probe
         self._investigations: dict[str, Investigation] = {}
 
@@ -201,30 +210,36 @@
     ) -> None:
         """Find out whether a runner crashed or ended a response by closing its connection.
 
-        It is called back within OUTCOME_RETRY_DELAYS_S and the time of the probes.  If the runner
-        crashed, the caller reports the disconnect by :meth:`handle_disconnect`.
+        It is called back within OUTCOME_RETRY_DELAYS_S and the time of the reports and probes.  If
+        the runner crashed, the caller reports the disconnect by :meth:`handle_disconnect`.
         """
         if state.is_draining:
             on_outcome(RunnerOutcome.UNKNOWN)
             return
 
-        def on_result(refused: bool | None) -> None:
-            if refused is not None:
-                on_outcome(RunnerOutcome.CRASHED if refused else RunnerOutcome.ALIVE)
+        def on_report(report: RunnerReport | None) -> None:
+            if report is None:
+                self._probe(self._loop, state.runner.address, on_probed)
+                return
+            has_crashed = is_of_other_start(report, state.runner)
+            on_outcome(RunnerOutcome.CRASHED if has_crashed else RunnerOutcome.ALIVE)
+
+        def on_probed(refused: bool | None) -> None:
+            if refused:
+                on_outcome(RunnerOutcome.CRASHED)
                 return
-            # A process that exits may still accept a connection and close it.
             delay_s = next(delays, None)
             if delay_s is not None:
-                self._loop.call_later(delay_s, probe)
+                self._loop.call_later(delay_s, check)
                 return
             self.handle_disconnect(state, features)
             on_outcome(RunnerOutcome.UNKNOWN)
 
-        def probe() -> None:
-            self._probe(self._loop, state.runner.address, on_result)
+        def check() -> None:
+            self._request_report(state, on_report)
 
         delays = iter(OUTCOME_RETRY_DELAYS_S)
-        probe()
+        check()
 
     def call_when_resolved(self, instance: str, callback: Callable[[], None]) -> None:
         """Call back once it is known whether an instance crashed, or if that stays unknown."""
--- a/src/martenrun/router/crashes/tracker.py
+++ b/src/martenrun/router/crashes/tracker.py
@@ -14,6 +14,7 @@
 from martenrun.router.crashes.detector import (
     ConnectionProbe,
     CrashDetector,
+    RequestReport,
     RunnerOutcome,
     RunnerView,
 )
@@ -59,6 +60,7 @@
 
     Args:
         broadcast: sends an update to all routers.
+        request_report, probe: see :class:`martenrun.router.crashes.detector.CrashDetector`.
         rng: decides whether this router is one of those that send what many know.
         router_count: returns how many routers there are.
     """
@@ -70,6 +72,7 @@
         loop: Loop,
         runners: RunnerView,
         broadcast: Callable[[CrashUpdate], None],
+        request_report: RequestReport,
         probe: Callable[[Loop, str, Callable[[bool | None], None]], object] = ConnectionProbe,
         rng: random.Random | None = None,
         router_count: Callable[[], int] = lambda: 1,
@@ -85,7 +88,7 @@
         self._sent_at = 0.0
         self._blocked: set[bytes] = set()
         self.table = CrashTable()
-        self.detector = CrashDetector(loop, runners, self._record_crashes, probe)
+        self.detector = CrashDetector(loop, runners, self._record_crashes, request_report, probe)
         self.stored_records: list[CrashRecord] = []
 
     # Requests
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -101,6 +101,7 @@
                 self._loop,
                 self._crash_watch_queries(),
                 lambda update: self._peers.broadcast(update),
+                lambda state, on_report: self._instance_check.request_report(state, on_report),
                 router_count=lambda: self._peers.budget_count(),
             ),
             decisions=decisions,
@@ -154,7 +155,7 @@
             lambda: self._services.runners.runners.values(),
             lambda outcome: self._metrics.count("stream_resumptions", origin=outcome),
         )
-        self._services.instance_check = InstanceCheck(
+        self._instance_check = self._services.instance_check = InstanceCheck(
             self._loop,
             self._probe_runner,
             adapter.report_request,
--- a/tests/router/crash_world.py
+++ b/tests/router/crash_world.py
@@ -3,7 +3,7 @@
 from martenrun.net.http import HttpRequest
 from martenrun.router.crashes.detector import RunnerView
 from martenrun.router.crashes.tracker import CrashTracker
-from martenrun.router.messages import AdmittedRequest, Call, Tenant
+from martenrun.router.messages import AdmittedRequest, Call, RunnerReport, Tenant
 
 from .builders import route
 
@@ -11,12 +11,17 @@
 
 
 class Probes:
-    """Answers probes by address: refused, accepted, inconclusive, or no result in time."""
+    """Answers probes by address: refused, accepted, inconclusive, or no result in time.
+
+    Runners whose probes are accepted send reports, unless they are suspended.
+    """
 
     def __init__(self):
         self.refused = set()
         self.inconclusive = set()
         self.silent = set()
+        self.suspended = set()
+        self.started_at_ms = {}
         self.probed = []
 
     def __call__(self, loop, address, on_result):
@@ -27,6 +32,20 @@
             result = None if address in self.inconclusive else address in self.refused
             loop.call_later(PROBE_S, lambda: on_result(result))
 
+    def report_request(self, loop):
+        """Return a function that requests the report of a runner."""
+
+        def request_report(runner, on_report):
+            address = runner.runner.address
+            started_at_ms = self.started_at_ms.get(address, runner.runner.started_at_ms)
+            report = RunnerReport({}, False, 0, started_at_ms=started_at_ms)
+            if address in self.refused | self.inconclusive | self.silent | self.suspended:
+                report = None
+            is_late = address in self.silent | self.suspended
+            loop.call_later(0.4 if is_late else PROBE_S, lambda: on_report(report))
+
+        return request_report
+
 
 class Runners:
     """A scripted view of the runners."""
@@ -53,7 +72,9 @@
 
 def crash_tracker(loop, probes=None, runners=None, broadcast=lambda _update: None):
     """Return the crash tracker of one router."""
-    return CrashTracker(loop, (runners or Runners()).view(), broadcast, probes or Probes())
+    probes = probes or Probes()
+    view = (runners or Runners()).view()
+    return CrashTracker(loop, view, broadcast, probes.report_request(loop), probes)
 
 
 def request(body=b"b", method=b"POST", target=b"/a/x"):
--- a/tests/router/test_closed_responses.py
+++ b/tests/router/test_closed_responses.py
@@ -39,6 +39,7 @@
         ("refused", RunnerOutcome.CRASHED),
         ("accepted", RunnerOutcome.ALIVE),
         ("inconclusive", RunnerOutcome.UNKNOWN),
+        ("suspended", RunnerOutcome.UNKNOWN),
     ],
 )
 def test_a_probe_tells_a_crash_from_the_end_of_a_response(probe, outcome):
@@ -63,6 +64,36 @@
     assert found == [RunnerOutcome.CRASHED]
 
 
+# Guards against a cut response passed on as complete: the machine accepted a probe for a process
+# that was suspended while it exited.
+def test_a_suspended_runner_that_accepts_connections_may_have_crashed():
+    harness = Harness()
+    harness.probes.suspended.add(ADDRESS)
+    found = []
+    harness.detector.check_outcome(state("i-1"), FEATURES, found.append)
+    harness.run(0.3)
+    assert found == []
+    harness.probes.refused.add(ADDRESS)
+    harness.run(3.0)
+    assert found == [RunnerOutcome.CRASHED]
+
+
+# Guards against a response cut by a crash whose runner is back before it is looked at.
+@pytest.mark.parametrize(
+    ("listed_ms", "reported_ms", "outcome"),
+    [
+        (1_000, 2_000, RunnerOutcome.CRASHED),
+        (1_000, 1_000, RunnerOutcome.ALIVE),
+        (1_000, None, RunnerOutcome.ALIVE),
+        (None, 2_000, RunnerOutcome.ALIVE),
+    ],
+)
+def test_a_runner_whose_report_names_another_start_has_crashed(listed_ms, reported_ms, outcome):
+    harness = Harness()
+    harness.probes.started_at_ms[ADDRESS] = reported_ms
+    assert outcomes_of(harness, state("i-1", started_at_ms=listed_ms)) == [outcome]
+
+
 def test_draining_runners_may_exit_after_their_last_response():
     harness = Harness()
     harness.probes.refused.add(ADDRESS)
--- a/tests/router/test_crash_detector.py
+++ b/tests/router/test_crash_detector.py
@@ -32,6 +32,7 @@
             self.loop,
             self.runners.view(),
             lambda instance, fingerprints: self.crashes.append((instance, list(fingerprints))),
+            self.probes.report_request(self.loop),
             self.probes,
         )
 
