A requested backoff also holds for the next start of its runner

A runner that had started again and refused requests with a backoff got 12 to 35 requests within it, once routers read its new entry.

Cause: a response belongs to the start whose entry the router knows. A copy of the store has no part in it.

Change: the pool lets a new start take over the backoffs that still hold for starts under the same id. Backoffs are asked for by a runner, and no router can tell which start asked. If it was the former one, the new one gets its first request up to the rest of the backoff later; the other error breaks a promise. Drains stay with the start that announced them.

--- a/src/martenrun/router/runner_pool.py
+++ b/src/martenrun/router/runner_pool.py
@@ -63,6 +63,7 @@
             entry = self._entries.get(instance)
             if entry is None:
                 state, _ = self._unlisted.pop(instance, (RunnerState(runner), 0.0))
+                self._take_over_backoffs(state)
                 entry = self._entries[instance] = _PooledRunner(state)
             entry.state.runner = runner
             if runner.is_draining:
@@ -72,6 +73,16 @@
         for entry in self._entries.values():
             self._by_service.setdefault(entry.state.runner.service, []).append(entry.state)
 
+    def _take_over_backoffs(self, state: RunnerState) -> None:
+        """Keep the backoffs requested by other starts of a runner under the same id.
+
+        The start that requested one may be the new one, whose entry was read later.
+        """
+        now = self._loop.now()
+        for other, _ in self._unlisted.values():
+            if other.runner.name == state.runner.name and other.is_backing_off(now):
+                state.record_backoff(other.backoff_until)
+
     def record_draining(self, state: RunnerState, source: str) -> None:
         """Record that a runner announces that it will stop, and close idle connections to it.
 
--- a/tests/router/test_runner_pool.py
+++ b/tests/router/test_runner_pool.py
@@ -123,3 +123,17 @@
     pool.record_draining(pool.state("i-0"), "response")
     pool.update({"i-0~00001": runner("i-0~00001", name="i-0", started_at_ms=1)})
     assert not pool.state("i-0~00001").is_draining
+
+
+# Guards against a backoff requested by a restarted runner that ends when its new entry is read.
+@pytest.mark.parametrize("lapse_s", [0.0, UNLISTED_RETENTION_S / 2])
+def test_a_backoff_outlasts_the_entry_of_a_new_start(pool, lapse_s):
+    former, other = runner("i-0~1", name="i-0"), runner("i-1")
+    pool.update({"i-0~1": former, "i-1": other})
+    until = pool._loop.now() + UNLISTED_RETENTION_S
+    pool.state("i-0~1").record_backoff(until)
+    pool.update({"i-1": other})
+    pool._loop.time += lapse_s
+    pool.update({"i-0~2": runner("i-0~2", name="i-0"), "i-1": other})
+    assert pool.state("i-0~2").backoff_until == until
+    assert not pool.state("i-1").is_backing_off(pool._loop.now())
