The guard of closed responses is played with four crash-causing parts

Cause: its schedule has one crash-causing part, which routers block after three to eight crashes, and not each crash cuts a response that looks whole.

Change: four such parts, two seconds apart.

--- a/tests/router/test_soak_guards.py
+++ b/tests/router/test_soak_guards.py
@@ -40,9 +40,10 @@
         Step(1.0, "deadly_part", (0,), 0.0, 0),
         Step(9.0, "configure", (0,), 0.0, 1),
     ],
+    # Routers block a part after a few crashes, and not each of them cuts a response.
     "closed ends": [
-        Step(1.0, "deadly_part", (2,), 0.0, 0),
-        Step(9.0, "configure", (0,), 0.0, 1),
+        *(Step(1.0 + 2.0 * n, "deadly_part", (2,), 0.0, n) for n in range(4)),
+        Step(9.0, "configure", (0,), 0.0, 4),
     ],
     "rates": [Step(9.0, "configure", (0,), 0.0, 0)],
     "partitions": [
