--- a/tests/router/test_instance_check.py
+++ b/tests/router/test_instance_check.py
@@ -131,7 +131,7 @@
     reports = Reports(loop)
     check = instance_check(loop, reports)
     runner = state("i-0", started_at_ms=BORN_MS)
-    opened_at = loop.now()
+    opened_at = loop.now() - 0.001
     check.run_for_connection(runner, opened_at)
     loop.run_until(loop.now() + 0.6)
     reports.born_ms[runner.runner.address] = 2_000
