--- a/tests/router/test_instance_check.py
+++ b/tests/router/test_instance_check.py
@@ -125,6 +125,17 @@
     assert case.pool.sent == ["i-0"] and is_broken_off(case)
 
 
+# Guards against a stream begun by a restarted runner, whose new version is the first other one, and
+# resumed by the version of its old entry.
+def test_a_stream_begun_by_the_first_other_version_goes_on_nowhere_else():
+    case = checked_case(["v1", "v1"], [2_000, BORN_MS], is_mixed=False)
+    begin(case)
+    case.run(0.01)
+    runner_break(case)
+    case.run(0.6)
+    assert case.pool.sent == ["i-0"] and is_broken_off(case)
+
+
 # Guards against a failed check of a new connection that is not repeated while it is in use.
 def test_a_failed_check_is_repeated_with_the_next_stream_on_the_connection():
     loop = FakeLoop()
