A router that starts asks the routers that the store lists before it reads the store

Cause, from the logs of a failed run: the three seeds had all started just after the store's return from a copy. Each was refused by the other two within 40 ms, took that for the answer of all other routers and read the copy (relay_lost 386.827, configuration_taken 386.858). The addresses of the other routers were read from the store 0.4 s later (contacts_tried 387.273), and what they knew never came: a reader merges with readers, which had all started.

Change: before it reads the store, a router that starts reads the stored addresses and waits 0.5 s for those that do not respond; while a live router says that it has state (new field of its record), it waits for that, 2 s at most, and asks such routers first.

Ruled out: refusals of routers that have lost the store, as suspected before: they answer a router without state from what they know.

--- a/src/martenrun/router/peer_addresses.py
+++ b/src/martenrun/router/peer_addresses.py
@@ -37,6 +37,9 @@
 REREAD_S = 5.0
 """How often the writer rereads the object, in seconds: routers unknown to it may write as well."""
 
+SEARCH_S = 0.5
+"""How long a router that starts waits for responses from stored addresses, in seconds."""
+
 RESPONSE_GRACE_S = 2.0
 """How long a stored address may stay unresponsive before it is replaced, in seconds."""
 
@@ -115,6 +118,21 @@
             self._is_resolved = is_alone or bool(self._peers.live())
         return self._is_resolved
 
+    def has_found_peers(self) -> bool:
+        """Return whether each stored address is alive or has not responded in time.
+
+        Reads the object if it is unknown.
+        """
+        now = self._loop.now()
+        known = self._known
+        if known is None:
+            if not self._is_calling and now >= self._next_call_at:
+                self._read()
+            return False
+        living = {record.address for record in self._peers.live()}
+        has_found_all = living.issuperset(self._other_addresses(known.addresses))
+        return has_found_all or now - known.read_at >= SEARCH_S
+
     def begin_era(self, _before: int) -> None:
         """Read the object again before the next write: the store returned from an older copy."""
         self._known = None
--- a/src/martenrun/router/peer_messages.py
+++ b/src/martenrun/router/peer_messages.py
@@ -56,7 +56,8 @@
     lists for each service with several software versions lately when a runner of each was last
     listed, as (version, milliseconds since then).
     ``store_era`` is the newest era of the store that the router knows; 0 if the store names none or
-    the router's version reads none.
+    the router's version reads none.  ``has_state`` is set if the router has some state of each of
+    the store's datasets.
     """
 
     address: str
@@ -82,6 +83,7 @@
     keeps_stream_software: bool = False
     software_versions: dict[str, list[tuple[str, int]]] = {}
     store_era: int = 0
+    has_state: bool = False
 
 
 class RouterHeartbeat(msgspec.Struct, array_like=True, frozen=True):
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -185,7 +185,13 @@
         )
         self._keeper = StoreSync(
             StoreSyncParts(
-                self._loop, self._store, adapter, self._feed.replicas, self._peers, settings.seeds
+                self._loop,
+                self._store,
+                adapter,
+                self._feed.replicas,
+                self._peers,
+                settings.seeds,
+                lambda: self._peer_addresses.has_found_peers(),
             ),
             self._feed.confirm,
         )
@@ -321,6 +327,7 @@
         own.is_current = self._is_current()
         own.has_lost_store = self._keeper.has_lost_store
         own.reads_store = self._keeper.reads_store
+        own.has_state = self._keeper.has_state
         position = self._lease.position
         own.lease_revision = 0 if position is None else position.revision
         own.lease_token = 0 if position is None else self._lease.fencing_token
--- a/src/martenrun/router/store/planner.py
+++ b/src/martenrun/router/store/planner.py
@@ -69,12 +69,14 @@
         can_read: it has not lost the store.
         is_reader: it announces that it reads the store.
         capacity: CPU available to it, in cores.
+        has_state: it has some state of every dataset.
     """
 
     address: str
     can_read: bool
     is_reader: bool = False
     capacity: float = 0.0
+    has_state: bool = False
 
 
 @attrs.frozen
@@ -218,14 +220,16 @@
         now: float,
         has_all_datasets: bool,
     ) -> str | None:
-        """Return the router to query: a reader, else a seed while state is missing, else any."""
+        """Return the router to query: a reader, else one with state, else a seed, else any."""
         ordered = readers
         if not has_all_datasets or not ordered:
             # Any router may help with old state, even one that has lost the store.
             reading = {item.address for item in candidates if item.is_reader}
-            others = [item.address for item in candidates if item.address != self._own]
-            ordered = [item for item in ordered if item in reading] + self._shuffled(self._seeds)
-            ordered += self._shuffled(others)
+            others = [item for item in candidates if item.address != self._own]
+            ordered = [item for item in ordered if item in reading]
+            ordered += self._shuffled([item.address for item in others if item.has_state])
+            ordered += self._shuffled(self._seeds)
+            ordered += self._shuffled([item.address for item in others])
         healthy = [address for address in ordered if not self._has_failed(address, now)]
         return next(iter(healthy or ordered), None)
 
--- a/src/martenrun/router/store/sync.py
+++ b/src/martenrun/router/store/sync.py
@@ -22,12 +22,15 @@
 CHECK_S = 0.2
 """Interval between two read plans, in seconds."""
 
-MAX_ASK_S = 0.5
+MAX_ASK_S = 2.0
 """How long a router that starts asks others before it relies on the store alone, in seconds.
 
 The store may just have returned from an older copy; other routers know what it has lost.
 """
 
+MAX_ASK_SEEDS_S = 0.5
+"""How long of that it waits for seeds that nobody has heard from, in seconds."""
+
 MERGE_S = 2.0
 """How long readers also follow another router after the store returned from a copy, in seconds."""
 
@@ -70,6 +73,8 @@
 
     Attributes:
         seeds: addresses of routers to query while no other one is known.
+        has_found_peers: searches for the routers that the store lists; returns whether each is
+            known or has not responded in time.
         make_client: creates the client for one address.
         rng: chooses the routers to query, and when to read if none can be reached.
     """
@@ -80,6 +85,7 @@
     replicas: Mapping[Dataset, DatasetReplica]
     peers: Peers
     seeds: Sequence[str] = ()
+    has_found_peers: Callable[[], bool] = lambda: True
     make_client: Callable[[Loop, str], HttpClient] = HttpClient
     rng: random.Random = attrs.field(factory=random.Random)
 
@@ -104,7 +110,8 @@
         self._is_reading_announced = False
         self._failures = 0
         self._query_from = 0.0
-        self._seeds = [seed for seed in parts.seeds if seed != own.address]
+        self._seeds = {seed for seed in parts.seeds if seed != own.address}
+        self._has_found_peers = parts.has_found_peers
         self._began_at = self._loop.now()
         self._has_followed = False
         self._failed_addresses: set[str] = set()
@@ -139,7 +146,8 @@
         ]
 
     @property
-    def _has_all_datasets(self) -> bool:
+    def has_state(self) -> bool:
+        """Whether this router has some state of every dataset."""
         return all(replica.is_loaded for replica in self._replicas.values())
 
     @property
@@ -189,11 +197,12 @@
                 not record.has_lost_store and self._knows_eras(record),
                 record.reads_store or record.address == followed,
                 record.capacity,
+                record.has_state,
             )
             for record in self._peers.live()
             if not record.is_leaving
         ]
-        plan = self._planner.plan(candidates, now, self._has_all_datasets)
+        plan = self._planner.plan(candidates, now, self.has_state)
         if plan.reads_store and plan.source is None and self._is_merging():
             plan = attrs.evolve(plan, source=self._planner.choose_helper(candidates, now))
         self._source_address = plan.source
@@ -205,14 +214,18 @@
 
     def _is_merging(self) -> bool:
         """Return whether other routers may know changes that the store has lost."""
-        return self._has_all_datasets and self._eras.age_s() < MERGE_S
+        return self.has_state and self._eras.age_s() < MERGE_S
 
     def _has_asked_others(self, now: float) -> bool:
         """Return whether others have been asked for what the store may have lost."""
-        if self._has_followed or now - self._began_at >= MAX_ASK_S:
+        waited_s = now - self._began_at
+        if self._has_followed or waited_s >= MAX_ASK_S:
             return True
-        others = {record.address for record in self._peers.live()}
-        return others.union(self._seeds) <= self._failed_addresses
+        live = self._peers.live()
+        if any(record.has_state for record in live) or not self._has_found_peers():
+            return False
+        unheard = self._seeds.difference(record.address for record in live)
+        return waited_s >= MAX_ASK_SEEDS_S or unheard <= self._failed_addresses
 
     def _plan(self, now: float) -> None:
         plan = self._plan_source(now)
@@ -286,7 +299,7 @@
         if has_lost_store:
             # That router reads as well as any can: no reason to query the store from here too.
             self._planner.record_response(now, is_served=False)
-        if not has_lost_store or not self._has_all_datasets:
+        if not has_lost_store or not self.has_state:
             self._planner.record_failure(address, now)
         self._failures += 1
         is_first_of_address = address not in self._failed_addresses and not self._has_followed
--- a/tests/router/fleet_world.py
+++ b/tests/router/fleet_world.py
@@ -175,8 +175,8 @@
                 self.replicas,
                 peers,
                 seeds,
-                lambda _loop, other: fleet.peer_client(address, other),
-                random.Random(fleet.world.rng.random()),
+                make_client=lambda _loop, other: fleet.peer_client(address, other),
+                rng=random.Random(fleet.world.rng.random()),
             ),
             lambda: None,
         )
@@ -190,6 +190,7 @@
     def _refresh(self, own):
         own.reads_store = self.sync.reads_store
         own.has_lost_store = self.sync.has_lost_store
+        own.has_state = self.sync.has_state
 
     def age_s(self, now):
         """Return the age of this router's configuration; infinite while it has none."""
--- a/tests/router/test_peer_addresses.py
+++ b/tests/router/test_peer_addresses.py
@@ -186,3 +186,29 @@
     world.join("a1")
     world.run(5.0)
     assert world.stored() == ["a1"]
+
+
+# Guards against a router that starts from the store alone although the store lists other routers.
+def test_router_that_starts_finds_the_stored_routers_at_once():
+    world = PeerAddressWorld()
+    later = replace_all_routers(world)
+    world.run(4.0)
+    world.join("c0")
+    assert not world.directories["c0"].has_found_peers()
+    world.run(0.3)
+    assert world.directories["c0"].has_found_peers()
+    assert world.sees("c0") == set(later)
+
+
+# Guards against a start that waits for stored routers that are gone.
+def test_stored_routers_that_do_not_respond_are_awaited_briefly():
+    world = PeerAddressWorld()
+    for address in replace_all_routers(world):
+        world.stop(address)
+    world.run(30.0)
+    world.join("c0")
+    assert not world.directories["c0"].has_found_peers()
+    world.run(0.3)
+    assert not world.directories["c0"].has_found_peers()
+    world.run(0.4)
+    assert world.directories["c0"].has_found_peers()
--- a/tests/router/test_store_sync.py
+++ b/tests/router/test_store_sync.py
@@ -8,7 +8,7 @@
 from martenrun.router.store.relay import RelayServer
 from martenrun.router.store.relay_follower import RelayFollower
 from martenrun.router.store.replica import DatasetReplica, ReplicaListener
-from martenrun.router.store.sync import StoreSync, StoreSyncParts
+from martenrun.router.store.sync import MAX_ASK_S, StoreSync, StoreSyncParts
 
 from .fakes import at
 from .loopback import free_address, serve_until
@@ -40,10 +40,15 @@
         self.calls += 1
 
 
-def loaded_replicas(loop):
+def empty_replicas():
     listener = ReplicaListener(lambda _: None, lambda _: None, lambda: None)
     replicas = {dataset: DatasetReplica(dataset, listener) for dataset in Dataset}
     del replicas[Dataset.LEASES]
+    return replicas
+
+
+def loaded_replicas(loop):
+    replicas = empty_replicas()
     for replica in replicas.values():
         replica.replace([], at(1), False, loop.now())
         replica.confirm(loop.now())
@@ -99,3 +104,52 @@
         Server(loop, address, other.serve)
     _, store = start_sync(loop, own, readers, loaded_replicas(loop))
     serve_until(loop, lambda: store.calls)
+
+
+def start_reader(loop, others, has_found_peers=lambda: True):
+    """Start a reader without state; return its synchronization and its store."""
+    store = SilentStore()
+    peers = KnownPeers(record(free_address()), others)
+    parts = StoreSyncParts(
+        loop, store, PLATFORM_ADAPTER, empty_replicas(), peers, has_found_peers=has_found_peers
+    )
+    sync = StoreSync(parts, lambda: None)
+    sync.start()
+    return sync, store
+
+
+# Guards against a start from an older copy of the store while another router knows what it lost.
+def test_start_waits_for_the_state_of_a_live_router():
+    loop = Loop()
+    address = free_address()
+    sync, store = start_reader(loop, [record(address, has_state=True)])
+    began_at = loop.now()
+    serve_until(loop, lambda: loop.now() - began_at > 0.8)
+    assert not store.calls
+    other = RelayServer(loop, loaded_replicas(loop), 1, lambda: True, lambda: False, lambda: True)
+    Server(loop, address, other.serve)
+    serve_until(loop, lambda: store.calls)
+    assert sync.has_state
+    assert loop.now() - began_at < MAX_ASK_S
+
+
+# Guards against a start that never ends because a router that has state does not respond.
+def test_start_relies_on_the_store_if_no_router_responds():
+    loop = Loop()
+    began_at = loop.now()
+    _, store = start_reader(loop, [record(free_address(), has_state=True)])
+    serve_until(loop, lambda: store.calls)
+    assert loop.now() - began_at >= MAX_ASK_S
+
+
+# Guards against a start that asks only the seeds, which have just started as well.
+def test_start_waits_for_the_routers_that_the_store_lists():
+    loop = Loop()
+    found = []
+    _, store = start_reader(loop, [], lambda: bool(found))
+    began_at = loop.now()
+    serve_until(loop, lambda: loop.now() - began_at > 0.8)
+    assert not store.calls
+    found.append(True)
+    serve_until(loop, lambda: store.calls)
+    assert loop.now() - began_at < MAX_ASK_S
