--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -22,8 +22,9 @@
 
 import attrs
 import click
-from platform_deployment import LINKED_ROUTER, ROUTER, PlatformDeployment
+from platform_deployment import LINKED_ROUTER, PlatformDeployment
 from resuming_callers import ResumingCallers
+from router_run import ROUTER
 from soak_callers import (
     GREEDY,
     GREEDY_RATE,
--- a/scripts/soak_callers.py
+++ b/scripts/soak_callers.py
@@ -11,7 +11,8 @@
 import time
 from collections.abc import Callable
 
-from platform_deployment import HOST, KEY, MODEL, PlatformDeployment, RouterRun
+from platform_deployment import HOST, KEY, MODEL, PlatformDeployment
+from router_run import RouterRun
 
 from martenrun.proof.router_records import GREEDY_KIND, CallRecord, ConnectionTry, DirectoryAnswer
 
--- a/scripts/soak_faults.py
+++ b/scripts/soak_faults.py
@@ -14,7 +14,8 @@
 
 import attrs
 from faulty_relay import FaultyRelay
-from platform_deployment import PlatformDeployment, RouterRun
+from platform_deployment import PlatformDeployment
+from router_run import RouterRun
 from soak_runner_faults import SETTLED_S, RunnerFaults, mute
 
 from martenrun.proof.router_records import Partition, RouterLife, Trouble
--- a/scripts/upgrade.py
+++ b/scripts/upgrade.py
@@ -13,7 +13,8 @@
 from pathlib import Path
 
 import click
-from platform_deployment import ROOT, PlatformDeployment
+from platform_deployment import PlatformDeployment
+from router_run import ROOT
 from soak import HEAD, Outcome, play
 
 from martenrun.proof.soak_schedule import Step
--- a/tests/router/test_interpreter.py
+++ b/tests/router/test_interpreter.py
@@ -7,7 +7,7 @@
 import sysconfig
 
 import pytest
-from platform_deployment import ROOT, router_command
+from router_run import ROOT, router_command
 
 GET_ACTION = "import _signal; print(int(_signal.getsignal(_signal.SIGHUP)))"
 
--- a/tests/router/test_soak.py
+++ b/tests/router/test_soak.py
@@ -8,6 +8,7 @@
 import faulty_relay
 import platform_deployment
 import pytest
+import router_run
 import soak as soak_program
 from click.testing import CliRunner
 from soak import soak
@@ -255,8 +256,8 @@
         def __enter__(self):
             return self
 
-    monkeypatch.setattr(platform_deployment.socket, "socket", DrawnSocket)
-    assert platform_deployment.free_ports("127.0.0.1", 3, taken=7002) == [7001, 7003, 7004]
+    monkeypatch.setattr(router_run.socket, "socket", DrawnSocket)
+    assert router_run.free_ports("127.0.0.1", 3, taken=7002) == [7001, 7003, 7004]
 
 
 def test_a_deployment_that_fails_to_start_leaves_no_process_running(monkeypatch, tmp_path):
--- a/tests/router/test_start_signals.py
+++ b/tests/router/test_start_signals.py
@@ -7,7 +7,8 @@
 import threading
 from pathlib import Path
 
-from platform_deployment import PlatformDeployment, router_command
+from platform_deployment import PlatformDeployment
+from router_run import router_command
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 DELAYS_MS = range(0, 60, 2)
