A begun stream that breaks goes on elsewhere only if its runner has not restarted

Cause: a runner that returns under its id with another version while the store is away is known by its old entry. A router that knows one version asked for no report when a new stream began there, and one that knows several went on also if the report was pending or had failed. What the runner wrote counted as of the version of the entry.

Change: before a begun stream goes on elsewhere, a report asked for since its connection was opened has to confirm the start; it is asked for if there is none. One of another start makes the software unknown, as before. Without a report the stream goes on while one version is known, since a crashed runner sends none, else it goes on nowhere else.

So the router that finds a restart tells all others at once (RunnerRestart), and streams resumed anywhere are looked up.

Open: a stream that its caller breaks off, or whose router ends first.

--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -175,6 +175,22 @@
         is_recent = self._services.loop.now() - self.started_at < RESTART_NOTICE_S
         return is_upgraded and is_recent
 
+    def confirm_software(self, on_confirmed: Callable[[bool], None]) -> None:
+        """Find out whether the response was written by the software that its runner's entry shows.
+
+        Passes on False if that is unknown.
+        """
+
+        def on_started(is_confirmed: bool) -> None:
+            on_confirmed(is_confirmed and not self.is_at_upgraded_runner())
+
+        check = self._services.instance_check
+        if check is None or self.connection is None or not self.has_body_started:
+            on_started(True)
+            return
+        opened_at = self.connection.opened_at
+        check.confirm_start(self.state, opened_at, self.was_interrupted, on_started)
+
     def silent_s(self, now: float) -> float:
         """Return the time without data from the runner since the attempt began, in seconds."""
         return now - max(self.started_at, self._data_at)
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -1,6 +1,7 @@
 """Forwards one caller's request to runners and returns the response."""
 
 from collections.abc import Callable
+from functools import partial
 
 import attrs
 
@@ -97,16 +98,8 @@
 
     def start(self) -> None:
         """Obtain a quota grant if one is needed, then send the request to its first runner."""
-        configuration = self._services.configuration
-        self._trace.record(
-            "admitted",
-            service=self._admitted.service,
-            tenant=None if self._admitted.tenant is None else self._admitted.tenant.name,
-            configuration=configuration.version or None,
-            store_era=configuration.era,
-            configuration_age_ms=round(configuration.age_s(self._services.loop.now()) * 1000),
-            earlier_requests=self._exchange.earlier_requests,
-        )
+        configuration, earlier = self._services.configuration, self._exchange.earlier_requests
+        self._trace.record_admitted(self._admitted, configuration, earlier)
         peer = self._next_peer()
         if peer is not None:
             self._forward_to(peer)
@@ -277,19 +270,26 @@
         self._may_have_arrived = self._may_have_arrived or failure is not Failure.NOT_SENT
         self._quota.record_failure(may_have_run)
         self._caller_stream.discard_partial_event()
-        has_events = self._caller_stream.first_event_at is not None
-        if has_events and isinstance(attempt, Attempt) and attempt.is_at_upgraded_runner():
-            self.mark_software_unknown(attempt)
-        if not (isinstance(attempt, Attempt) and attempt.was_interrupted):
+        go_on = partial(self._confirm_software, failure, attempt)
+        if isinstance(attempt, Attempt) and attempt.was_interrupted:
+            self._crash_check.handle_disconnect(attempt.state)
+            if self._admitted.route.may_repeat:
+                # The crash check finds within milliseconds whether the runner crashed.
+                detector = self._services.suspects.detector
+                detector.call_when_resolved(attempt.state.runner.instance, go_on)
+                return
+        go_on()
+
+    def _confirm_software(self, failure: Failure, attempt: SentRequest) -> None:
+        """Continue once it is known whether the runner's entry shows what wrote a begun stream."""
+
+        def on_confirmed(is_confirmed: bool) -> None:
+            if not is_confirmed and not self.is_over:
+                self.mark_software_unknown(attempt)
             self._continue(failure, attempt)
-            return
-        self._crash_check.handle_disconnect(attempt.state)
-        if self._admitted.route.may_repeat:
-            # Wait for the crash check: it finds within milliseconds whether the runner crashed
-            # while serving this request.
-            instance = attempt.state.runner.instance
-            detector = self._services.suspects.detector
-            detector.call_when_resolved(instance, lambda: self._continue(failure, attempt))
+
+        if self._caller_stream.first_event_at is not None and isinstance(attempt, Attempt):
+            attempt.confirm_software(on_confirmed)
         else:
             self._continue(failure, attempt)
 
@@ -438,7 +438,7 @@
         """Whether it is unknown which software version wrote the stream's events."""
         return self._is_software_unknown
 
-    def mark_software_unknown(self, attempt: Attempt) -> None:
+    def mark_software_unknown(self, attempt: SentRequest) -> None:
         """Let the stream go on only at its runner, also if the caller resumes it."""
         self._is_software_unknown = True
         self._caller_stream.required_software = AMBIGUOUS_SOFTWARE
--- a/src/martenrun/router/instance_check.py
+++ b/src/martenrun/router/instance_check.py
@@ -29,7 +29,7 @@
 
     Args:
         may_be_mixed: returns whether several software versions of a service may serve.
-        on_restarted: called when a runner is found to have restarted.
+        on_restarted: called with a runner that is found to have restarted.
         record_response: records what a response announces about a runner.
     """
 
@@ -40,7 +40,7 @@
         report_request: Callable[[], HttpCall],
         read_report: Callable[[bytes], RunnerReport],
         may_be_mixed: Callable[[str], bool],
-        on_restarted: Callable[[], None] = lambda: None,
+        on_restarted: Callable[[Runner], None] = lambda _runner: None,
         record_response: Callable[[RunnerState, HttpResponse | None], None] = (
             lambda _state, _response: None
         ),
@@ -91,6 +91,34 @@
         if is_unchecked and self._may_be_stale(state) and self._may_be_mixed(state.runner.service):
             self.run(state, lambda: None)
 
+    def confirm_start(
+        self,
+        state: RunnerState,
+        opened_at: float,
+        is_broken: bool,
+        on_confirmed: Callable[[bool], None],
+    ) -> None:
+        """Find out whether a response was written by the start that a runner's entry describes.
+
+        A report since the connection was opened tells; it is requested if there is none.  Without
+        any, the response counts as written by that start while a single software version serves.
+
+        Args:
+            opened_at: when the connection was opened, in seconds.
+            is_broken: whether the connection broke, which may be the sign of a restart.
+            on_confirmed: called with the result.
+        """
+        is_mixed = self._may_be_mixed(state.runner.service)
+        is_unchecked = self._may_be_stale(state) and opened_at >= state.instance_checked_at
+        if not is_unchecked or not (is_mixed or is_broken):
+            on_confirmed(True)
+            return
+
+        def on_checked() -> None:
+            on_confirmed(not is_mixed or state.instance_checked_at > opened_at)
+
+        self.run(state, on_checked)
+
     @staticmethod
     def _may_be_stale(state: RunnerState) -> bool:
         return state.runner.started_at_ms is not None and not state.has_restarted
@@ -115,7 +143,7 @@
         if is_of_other_start(report, state.runner):
             state.has_restarted = True
             log_warning("runner_restarted_unlisted", instance=state.runner.instance)
-            self._on_restarted()
+            self._on_restarted(state.runner)
 
 
 def is_of_other_start(report: RunnerReport, runner: Runner) -> bool:
--- a/src/martenrun/router/origins/messages.py
+++ b/src/martenrun/router/origins/messages.py
@@ -47,4 +47,17 @@
     record: OriginRecord | None = None
 
 
+class RunnerRestart(msgspec.Struct, array_like=True, frozen=True, tag="restarted"):
+    """A runner has restarted, with unknown software until its entry is current.
+
+    Attributes:
+        software: the version as which it counts until then.
+    """
+
+    service: str
+    software: str
+
+
 OriginMessage = OriginUpdate | OriginQuery | OriginResponse
+
+SoftwareMessage = OriginMessage | RunnerRestart
--- a/src/martenrun/router/peer_messages.py
+++ b/src/martenrun/router/peer_messages.py
@@ -9,7 +9,12 @@
 from martenrun.router.crashes.messages import CrashUpdate
 from martenrun.router.drain_messages import DrainUpdate
 from martenrun.router.limit_messages import LimitUpdate
-from martenrun.router.origins.messages import OriginQuery, OriginResponse, OriginUpdate
+from martenrun.router.origins.messages import (
+    OriginQuery,
+    OriginResponse,
+    OriginUpdate,
+    RunnerRestart,
+)
 from martenrun.router.quotas.messages import (
     QuotaAck,
     QuotaRequest,
@@ -189,6 +194,7 @@
     | OriginUpdate
     | OriginQuery
     | OriginResponse
+    | RunnerRestart
 )
 
 decode: Callable[[bytes], Message] = msgspec.msgpack.Decoder(Message).decode
--- a/src/martenrun/router/peers.py
+++ b/src/martenrun/router/peers.py
@@ -19,7 +19,7 @@
 from martenrun.router.drain_messages import DrainUpdate
 from martenrun.router.limit_messages import LimitUpdate
 from martenrun.router.log import log_warning
-from martenrun.router.origins.messages import OriginMessage
+from martenrun.router.origins.messages import SoftwareMessage
 from martenrun.router.peer_messages import (
     Gossip,
     LeaseUpdate,
@@ -105,7 +105,7 @@
         updates_for_new_router: returns the updates for a newly discovered router, given the number
             of known routers.
         on_quota_message: called with messages about tenant rates.
-        on_origin_message: called with messages about the origins of streams.
+        on_software_message: called with messages about software versions and origins of streams.
     """
 
     def __init__(
@@ -120,7 +120,7 @@
         on_zone_loads: Callable[[ZoneLoads], None] = lambda _sums: None,
         updates_for_new_router: Callable[[int], Sequence[Update]] = lambda _routers: (),
         on_quota_message: Callable[[QuotaMessage], None] = lambda _message: None,
-        on_origin_message: Callable[[OriginMessage], None] = lambda _message: None,
+        on_software_message: Callable[[SoftwareMessage], None] = lambda _message: None,
     ) -> None:
         self._loop = loop
         self.table = RouterTable(own)
@@ -132,7 +132,7 @@
         self._on_zone_loads = on_zone_loads
         self._updates_for_new_router = updates_for_new_router
         self._on_quota_message = on_quota_message
-        self._on_origin_message = on_origin_message
+        self._on_software_message = on_software_message
         self._broadcast_at = -math.inf
         self._is_broadcast_scheduled = False
         self._first_gossip_at: float | None = None
@@ -183,8 +183,8 @@
         """Send load totals to some routers."""
         self._send_to(addresses, loads)
 
-    def send(self, addresses: list[str], message: QuotaMessage | OriginMessage) -> None:
-        """Send a message about tenant rates or origins of streams to some routers."""
+    def send(self, addresses: list[str], message: QuotaMessage | SoftwareMessage) -> None:
+        """Send a message about tenant rates, software or origins of streams to some routers."""
         self._send_to(addresses, message)
 
     def sends_loads_to_own_zone_only(self) -> bool:
@@ -312,8 +312,8 @@
         if isinstance(message, QuotaMessage):
             self._on_quota_message(message)
             return
-        if isinstance(message, OriginMessage):
-            self._on_origin_message(message)
+        if isinstance(message, SoftwareMessage):
+            self._on_software_message(message)
             return
         now = self._loop.now()
         late_s = now - arrived_at
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -27,6 +27,7 @@
     HttpCall,
     LeaseRecord,
     Route,
+    Runner,
     StorePosition,
 )
 from martenrun.router.metrics import Metrics
@@ -161,7 +162,7 @@
             adapter.report_request,
             adapter.read_report,
             self._streams.may_be_mixed,
-            lambda: self._requests.run_maintenance(self._loop.now()),
+            self._on_runner_restarted,
             lambda state, response: record_control_response(self._services, state, response),
         )
         self._services.record_stream = self._streams.resumption.record_sent
@@ -363,6 +364,11 @@
     def _broadcast_load_sums(self) -> None:
         self._loop.call_later(self._loads.send_zone_loads(), self._broadcast_load_sums)
 
+    def _on_runner_restarted(self, runner: Runner) -> None:
+        """Handle a runner that has restarted before its entry says so."""
+        self._streams.record_restart(runner)
+        self._requests.run_maintenance(self._loop.now())
+
     # Requests
 
     def _record_outcome(self, outcome: str, route: Route, seconds: float) -> None:
--- a/src/martenrun/router/request_trace.py
+++ b/src/martenrun/router/request_trace.py
@@ -6,6 +6,7 @@
 from martenrun.router.quotas.gate import Grant
 from martenrun.router.retry import Failure, NextStep
 from martenrun.router.runner_state import RunnerState
+from martenrun.router.store.state import ConfigurationState
 
 SUCCESSES = ("served", "caller_left")
 """Outcomes that are no failure of the router."""
@@ -28,6 +29,20 @@
         """Record a step."""
         self._steps.append((self._loop.now(), event, fields))
 
+    def record_admitted(
+        self, admitted: AdmittedRequest, configuration: ConfigurationState, earlier_requests: int
+    ) -> None:
+        """Record that the request was admitted, and the configuration that admitted it."""
+        self.record(
+            "admitted",
+            service=admitted.service,
+            tenant=None if admitted.tenant is None else admitted.tenant.name,
+            configuration=configuration.version or None,
+            store_era=configuration.era,
+            configuration_age_ms=round(configuration.age_s(self._loop.now()) * 1000),
+            earlier_requests=earlier_requests,
+        )
+
     def record_grant(self, grant: Grant, event: str = "quota_asked") -> None:
         """Record the outcome of a request for units of a tenant's or a runner's limit."""
         self.record(
--- a/src/martenrun/router/software_history.py
+++ b/src/martenrun/router/software_history.py
@@ -34,6 +34,13 @@
             else:
                 del self._seen_at[service]
 
+    def record_version(self, service: str, software: str, now: float) -> bool:
+        """Record a version that a runner may have; return whether it was unknown."""
+        seen_at = self._seen_at.setdefault(service, {})
+        is_new = software not in seen_at
+        seen_at[software] = now
+        return is_new
+
     def merge(self, ages: Mapping[str, Iterable[tuple[str, int]]], reported_at: float) -> None:
         """Merge what another router knew at a monotonic time; repeated reports renew nothing."""
         for service, versions in ages.items():
--- a/src/martenrun/router/stream_software.py
+++ b/src/martenrun/router/stream_software.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable, Iterable
 
 from martenrun.net.loop import Loop
-from martenrun.router.messages import Runner
+from martenrun.router.messages import Runner, unknown_software
 from martenrun.router.origins.exchange import OriginExchange
-from martenrun.router.origins.messages import OriginMessage
+from martenrun.router.origins.messages import RunnerRestart, SoftwareMessage
 from martenrun.router.origins.owners import OriginOwners
 from martenrun.router.peer_messages import RouterRecord
 from martenrun.router.peers import Peers
@@ -46,9 +46,12 @@
         """Number of streams whose origins this router keeps."""
         return len(self._origins)
 
-    def handle_message(self, message: OriginMessage) -> None:
+    def handle_message(self, message: SoftwareMessage) -> None:
         """Handle a message from another router."""
-        self._origins.handle_message(message)
+        if isinstance(message, RunnerRestart):
+            self._history.record_version(message.service, message.software, self._loop.now())
+        else:
+            self._origins.handle_message(message)
 
     def update_record(self, own: RouterRecord) -> None:
         """Set what other routers need to know about software versions."""
@@ -62,6 +65,17 @@
         """Record the software versions of the listed runners."""
         self._history.record_listed(self._runners(), self._loop.now())
 
+    def record_restart(self, runner: Runner) -> None:
+        """Record that a runner has restarted while its entry still describes the former start.
+
+        Other routers learn at once that several versions may serve: a stream that the runner began
+        may be resumed at any of them.
+        """
+        software = unknown_software(runner)
+        if self._history.record_version(runner.service, software, self._loop.now()):
+            message = RunnerRestart(runner.service, software)
+            self._peers.send(self._peers.table.addresses(), message)
+
     def run_maintenance(self) -> None:
         """Forget old versions and expired origins; share origins with new owners."""
         self.record_listed()
--- a/tests/router/test_instance_check.py
+++ b/tests/router/test_instance_check.py
@@ -34,7 +34,7 @@
             self._loop.call_later(RTT_S, lambda: on_response(response))
 
 
-def instance_check(loop, reports, is_mixed=True, on_restarted=lambda: None):
+def instance_check(loop, reports, is_mixed=True, on_restarted=lambda _runner: None):
     adapter = PLATFORM_ADAPTER
     return InstanceCheck(
         loop,
--- a/tests/router/test_software_history.py
+++ b/tests/router/test_software_history.py
@@ -1,8 +1,10 @@
 """Software versions of a service's runners count for a while after the last runner has left."""
 
 from martenrun.router.software_history import RETENTION_S, SoftwareHistory
+from martenrun.router.stream_software import StreamSoftware
 
 from .builders import runner
+from .gossip_world import GossipWorld
 
 
 def test_versions_count_until_some_time_after_their_last_runner_was_listed():
@@ -46,3 +48,31 @@
     history = SoftwareHistory()
     history.record_listed([runner("i-1"), runner("i-2")], 0.0)
     assert history.ages(1.0) == {}
+
+
+def test_a_version_that_no_entry_shows_counts():
+    history = SoftwareHistory()
+    history.record_listed([runner("i-1", software="v1")], 0.0)
+    assert history.record_version("s", "unknown at i-1", 1.0)
+    assert not history.record_version("s", "unknown at i-1", 2.0)
+    assert len(history.versions("s")) == 2
+
+
+# Guards against a stream of a restarted runner that another router resumes at the only version that
+# it knows.
+def test_other_routers_learn_at_once_of_a_restart_that_no_entry_shows():
+    world = GossipWorld(1)
+    routers = {}
+    listed = [runner("i-1", software="v1")]
+    for address in ("a", "b", "c"):
+        world.start(address, ("a", "b"))
+        peers = world.routers[address]
+        routers[address] = StreamSoftware(world.loop, peers, lambda: listed, lambda _: None)
+        peers._on_software_message = routers[address].handle_message
+    world.run(6.0)
+    for software in routers.values():
+        software.record_listed()
+        assert not software.may_be_mixed("s")
+    routers["a"].record_restart(listed[0])
+    world.run(0.05)
+    assert all(software.may_be_mixed("s") for software in routers.values())
