--- a/review/1/run.py
+++ b/review/1/run.py
@@ -14,10 +14,10 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from standins.deployment import CannotRunError, Deployment, Record, RouterRun  # noqa: E402
+from standins.deployment import LIMIT_S, CannotRunError, Deployment, Record, RouterRun  # noqa: E402
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-OBJECTIVE_MS = int(os.environ.get("OBJECTIVE_MS", "800"))
+OBJECTIVE_MS = int(os.environ.get("OBJECTIVE_MS", "1000"))
 DEADLINE_MS = 4_000
 FAULTY_S = 5.0
 QUIET_S = 2.0
@@ -107,9 +107,9 @@
     """Play and judge the case; return the exit status."""
     record = Record()
     try:
-        asyncio.run(play(record))
+        asyncio.run(asyncio.wait_for(play(record), LIMIT_S))
         status, faults = verdict(record)
-    except (CannotRunError, OSError) as exc:
+    except (CannotRunError, OSError, asyncio.CancelledError) as exc:
         status, faults = 2, [f"cannot run: {exc!r}"]
     copies, answers = len(record.steps("copy")), len(record.steps("gets"))
     text = "\n".join([f"copies {copies}, answers {answers}", *faults, f"exit {status}"])
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -12,7 +12,7 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from standins.deployment import Answer, CannotRunError, Deployment, Record  # noqa: E402
+from standins.deployment import LIMIT_S, Answer, CannotRunError, Deployment, Record  # noqa: E402
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 DEADLINE_MS = 5_000
@@ -118,9 +118,9 @@
     """Play and judge the case; return the exit status."""
     record = Record()
     try:
-        answers = asyncio.run(play(record))
+        answers = asyncio.run(asyncio.wait_for(play(record), LIMIT_S))
         status, faults = verdict(answers)
-    except (CannotRunError, OSError) as exc:
+    except (CannotRunError, OSError, asyncio.CancelledError) as exc:
         answers, status, faults = {}, 2, [f"cannot run: {exc!r}"]
     complete = sum(answer.is_complete for answer in answers.values())
     text = "\n".join([f"answers {len(answers)}, complete {complete}", *faults, f"exit {status}"])
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -20,6 +20,9 @@
 ROOT = Path(__file__).resolve().parent.parent.parent
 READY_LIMIT_S = 20.0
 
+LIMIT_S = 110.0
+"""Longest time that a case may take, in seconds."""
+
 SETTINGS = """
 node_name = "{name}"
 role = "router"
@@ -180,7 +183,10 @@
         self._count = routers
 
     async def __aenter__(self) -> "Deployment":
-        """Start the store."""
+        """Start the store; SIGTERM ends the case and all that it started."""
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         await self.store.start()
         return self
 
