A stream goes on after the last event that was forwarded

Cause: EventSplitter.feed collected the events of one read and advanced last_event_id with each. A malformed event in the same read raised, so the collected events were dropped, and the next runner was asked to go on behind them. Ruled out: the parser of chunks (hands valid parts on first), the end of a connection (reported after its data), the store's changes and messages between routers (decoded as a whole before anything is applied).

Change: feed yields events one by one and raises after the valid ones. Events without a readable id, or with two, are malformed where events have ids; a first event without one is held until the next shows which kind of stream it is. A begun stream without ids is not resumed.

--- a/src/martenrun/router/caller_stream.py
+++ b/src/martenrun/router/caller_stream.py
@@ -4,7 +4,7 @@
 from martenrun.net.loop import Loop
 from martenrun.net.server import Exchange
 from martenrun.router.attempt import SentRequest
-from martenrun.router.event_stream import EventSplitter
+from martenrun.router.event_stream import EventSplitter, StreamEvent
 from martenrun.router.forwarded_request import software_field
 from martenrun.router.log import Value
 
@@ -58,25 +58,42 @@
         """Whether an incomplete event is buffered."""
         return self._splitter.has_partial_event
 
+    @property
+    def may_resume(self) -> bool:
+        """Whether a runner can go on after the forwarded events, which needs their ids."""
+        return not self._splitter.has_no_ids
+
     def discard_partial_event(self) -> None:
-        """Discard the incomplete event of a runner whose stream broke."""
+        """Discard what was not forwarded of a runner whose stream broke."""
         self._splitter.discard_partial_event()
 
     def forward(self, attempt: SentRequest, data: bytes) -> None:
-        """Forward the complete events to the caller; raises BrokenStreamError."""
-        now = self._loop.now()
+        """Forward the complete events to the caller; raises BrokenStreamError.
+
+        The valid events in front of an invalid one are forwarded before the error is raised.
+        """
         for event in self._splitter.feed(data):
-            if self.first_event_at is None:
-                self.first_event_at = now
-                self.start_response(attempt)
-            else:
-                self.longest_gap_s = max(self.longest_gap_s, now - self._last_event_at)
-            self._last_event_at = now
-            if self.required_software is None:
-                self.required_software = attempt.software
-            if not self.software or self.software[-1] != attempt.software:
-                self.software.append(attempt.software)
-            self._exchange.send(event.data)
+            self._send(event, attempt)
+
+    def finish(self, attempt: SentRequest) -> None:
+        """Forward what is left of a complete stream, and the response head if it had no events."""
+        for event in self._splitter.finish():
+            self._send(event, attempt)
+        self.start_response(attempt)
+
+    def _send(self, event: StreamEvent, attempt: SentRequest) -> None:
+        now = self._loop.now()
+        if self.first_event_at is None:
+            self.first_event_at = now
+            self.start_response(attempt)
+        else:
+            self.longest_gap_s = max(self.longest_gap_s, now - self._last_event_at)
+        self._last_event_at = now
+        if self.required_software is None:
+            self.required_software = attempt.software
+        if not self.software or self.software[-1] != attempt.software:
+            self.software.append(attempt.software)
+        self._exchange.send(event.data)
 
     def start_response(self, attempt: SentRequest) -> None:
         """Send the response head of the first runner, once."""
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -215,7 +215,7 @@
             self._check_end(attempt, lambda: self._end_stream(attempt))
 
     def _end_stream(self, attempt: SentRequest) -> None:
-        self._caller_stream.start_response(attempt)
+        self._caller_stream.finish(attempt)
         self._exchange.end()
         self._end("served", attempt)
 
@@ -349,7 +349,7 @@
     def _attempt_state(self, has_other_runner: bool, now: float) -> AttemptState:
         admitted = self._admitted
         return AttemptState(
-            may_repeat=admitted.route.may_repeat,
+            may_repeat=admitted.route.may_repeat and self._caller_stream.may_resume,
             maximum_attempts=admitted.route.maximum_attempts,
             runs=self._possible_runs,
             sends=len(self._sender.attempted_instances),
--- a/tests/router/test_stream_forwarding.py
+++ b/tests/router/test_stream_forwarding.py
@@ -76,6 +76,28 @@
     assert case.pool.sent == ["i-0", "i-1"]
 
 
+# Guards against events that the caller never gets since a malformed one follows in the same read.
+@pytest.mark.parametrize("malformed", [b"id: 4?\ndata: x\n\n", b"i?: 4\ndata: x\n\n", event(5)])
+def test_a_stream_goes_on_after_the_last_event_before_a_malformed_one(malformed):
+    case = stream_case(["v1", "v1"])
+    begin(case)
+    case.pool.readers[-1].on_body(event(2) + event(3) + malformed)
+    case.run(PROBE_S)
+    assert case.pool.sent == ["i-0", "i-1"]
+    assert case.exchange.responses == [event(1), event(2), event(3)]
+    begin(case, 4)
+    assert case.exchange.responses[3:] == [event(4)]
+
+
+# Guards against events without ids that a second runner repeats.
+def test_a_begun_stream_without_ids_is_broken_off_with_its_runner():
+    case = stream_case(["v1", "v1"])
+    case.pool.readers[-1].on_head(200, SIGNED, None)
+    case.pool.readers[-1].on_body(b"data: a\n\ndata: b\n\n")
+    runner_break(case, b"data: c")
+    assert case.pool.sent == ["i-0"] and is_broken_off(case)
+
+
 # Guards against unknown versions that are taken for one and the same.
 def test_a_stream_of_unknown_software_does_not_go_on_at_another_runner():
     case = stream_case(["", "", "v1"])
@@ -236,6 +258,18 @@
     assert (forwarded.last_event_id, forwarded.software) == (1, "v1 ü")
 
 
+# Guards against the same loss in streams that come through another router.
+def test_events_before_a_malformed_one_are_forwarded_from_another_router(peers):
+    stream = stream_case(["v1", "v1"], partitioned)
+    reader = peers.readers[0]
+    reader.on_sent()
+    reader.on_head(200, [*SIGNED, (SOFTWARE_FIELD, b"v1")], None)
+    reader.on_body(event(1) + event(2) + event(4))
+    assert peers.addresses == ["p-1", "p-2"]
+    assert read_forwarded(received(peers.sent[1], 50.0))[1].last_event_id == 2
+    assert stream.exchange.responses == [event(1), event(2)]
+
+
 def test_a_begun_stream_is_not_forwarded_through_routers_of_earlier_versions(peers):
     case = stream_case(["v1", "v2"])
     begin(case)
