A request is sent again only on connections that have not carried it

Cause: a connection matches responses by the request's id, which all sends of a request share. The pool gave the connection of a refusal to the next send, and a late second copy of the refusal was taken for its response.

Change: a connection remembers hashes of the ids that it has carried, and the pool never repeats a request on such a connection. It carries 200 requests at most, which bounds that memory. Forwarding between routers, reports, orders and probes use a connection for each call and are not affected.

--- a/src/martenrun/net/client.py
+++ b/src/martenrun/net/client.py
@@ -13,6 +13,9 @@
 CONNECT_TIMEOUT_S = 0.4
 """Timeout for establishing a connection, in seconds."""
 
+MAXIMUM_REQUESTS = 200
+"""Number of requests after which a connection is closed; bounds the memory for their ids."""
+
 
 class ResponseReader(Protocol):
     """Receives the response to one request."""
@@ -65,6 +68,7 @@
         self._reader: ResponseReader | None = None
         self._request = b""
         self._expected_id: tuple[bytes, bytes] | None = None
+        self._sent_ids: set[int] = set()
         self._parser: Any = None
         self._headers: Headers = []
         self._skips_response = False
@@ -87,6 +91,13 @@
         """Whether the connection can still be used."""
         return self._stream is not None
 
+    def has_carried(self, request_id: bytes) -> bool:
+        """Return whether a request with this id was sent on this connection, or might have been.
+
+        It must not be sent here again: a late copy of the first response has the same id.
+        """
+        return hash(request_id) in self._sent_ids
+
     def send(
         self, request: bytes, reader: ResponseReader, expected_id: tuple[bytes, bytes] | None = None
     ) -> None:
@@ -96,10 +107,15 @@
             request: its bytes.
             reader: receives the response.
             expected_id: name and value of a header field that the response must carry; a response
-                with another value belongs to an earlier request and is skipped.
+                with another value belongs to an earlier request and is skipped.  The value must be
+                new on this connection; see :meth:`has_carried`.
         """
         self._reader = reader
         self._expected_id = expected_id
+        if expected_id is not None:
+            self._sent_ids.add(hash(expected_id[1]))
+            if len(self._sent_ids) >= MAXIMUM_REQUESTS:
+                self._may_keep_alive = False
         self._request = request
         self._parser = httptools.HttpResponseParser(self)
         self._is_response_complete = False
--- a/src/martenrun/router/runner_pool.py
+++ b/src/martenrun/router/runner_pool.py
@@ -142,9 +142,15 @@
         expected_id: tuple[bytes, bytes],
         may_repeat: bool,
     ) -> ClientConnection:
-        """Send a request to a runner; raises OSError if no connection can be opened."""
+        """Send a request to a runner; raises OSError if no connection can be opened.
+
+        Repeats use connections on which the request was not sent yet, so that a late copy of an
+        earlier response is not taken for theirs.
+        """
         entry = self._entries.get(state.runner.instance)
-        connection = None if entry is None else self._take_idle_connection(entry, may_repeat)
+        connection = None
+        if entry is not None:
+            connection = self._take_idle_connection(entry, may_repeat, expected_id[1])
         if connection is None:
             connection = ClientConnection(
                 self._loop,
@@ -156,22 +162,30 @@
         return connection
 
     def _take_idle_connection(
-        self, entry: _PooledRunner, may_repeat: bool
+        self, entry: _PooledRunner, may_repeat: bool, request_id: bytes
     ) -> ClientConnection | None:
-        now = self._loop.now()
-        while entry.idle:
-            connection = entry.idle[-1]
-            limit_s = (
-                connection.keep_alive_s or DEFAULT_IDLE_LIMIT_S + IDLE_LIMIT_MARGIN_S
-            ) - IDLE_LIMIT_MARGIN_S
-            idle_s = now - connection.idle_since
-            if idle_s < limit_s and connection.is_open:
-                if not may_repeat and idle_s > self._safe_idle_limit_s(now):
-                    return None
-                return entry.idle.pop()
+        """Return the connection used last that may carry the request, or None."""
+        if entry.idle and not self._is_fresh(entry.idle[-1]):
+            # The others have been idle for longer still.
             self._close_idle(entry)
+        for connection in reversed(entry.idle):
+            if not self._is_fresh(connection):
+                return None
+            if not connection.has_carried(request_id):
+                idle_s = self._loop.now() - connection.idle_since
+                if not may_repeat and idle_s > self._safe_idle_limit_s(self._loop.now()):
+                    return None
+                entry.idle.remove(connection)
+                return connection
         return None
 
+    def _is_fresh(self, connection: ClientConnection) -> bool:
+        """Return whether the runner is not about to close an idle connection."""
+        limit_s = (
+            connection.keep_alive_s or DEFAULT_IDLE_LIMIT_S + IDLE_LIMIT_MARGIN_S
+        ) - IDLE_LIMIT_MARGIN_S
+        return connection.is_open and self._loop.now() - connection.idle_since < limit_s
+
     def record_broken_connection(self, connection: ClientConnection) -> None:
         """Record a connection that broke before any response; a reused one was stale."""
         if connection.was_kept_alive:
--- a/tests/router/test_client.py
+++ b/tests/router/test_client.py
@@ -3,9 +3,12 @@
 import attrs
 import pytest
 
+from martenrun.net import client
 from martenrun.net.client import ClientConnection
 from martenrun.net.loop import Loop
+from martenrun.router.runner_pool import RunnerPool
 
+from .builders import runner
 from .loopback import RunnerPeer, free_address, serve_until
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -184,3 +187,69 @@
     client_setup.connection.close()
     client_setup.serve_until(lambda: peer.read() is not None and peer.is_closed)
     assert not peer.is_reset
+
+
+# Guards against a late copy of a response that passes for that of the request's next send.
+def test_a_connection_knows_which_requests_it_has_carried(client_setup):
+    reader = client_setup.send_request(b"1")
+    client_setup.accept_request().send(response(b"1"))
+    client_setup.serve_until(lambda: "complete" in reader.events)
+    assert client_setup.connection.has_carried(b"1")
+    assert not client_setup.connection.has_carried(b"2")
+
+
+def test_a_connection_is_closed_after_its_last_request(client_setup, monkeypatch):
+    monkeypatch.setattr(client, "MAXIMUM_REQUESTS", 2)
+    for request_id in (b"1", b"2"):
+        assert not client_setup.closed
+        reader = client_setup.send_request(request_id)
+        client_setup.accept_request().send(response(request_id))
+        client_setup.serve_until(lambda reader=reader: "complete" in reader.events)
+    assert client_setup.closed
+
+
+# Guards against interim and foreign responses that hide which response is due.
+@pytest.mark.parametrize("first", [b"HTTP/1.1 100 Continue\r\n\r\n", response(b"0", b"late")])
+def test_the_response_after_a_skipped_one_is_due(client_setup, first):
+    reader = client_setup.send_request(b"1")
+    peer = client_setup.accept_request()
+    peer.send(first + first)
+    peer.send(response(b"1", b"own"))
+    client_setup.serve_until(lambda: "complete" in reader.events)
+    assert reader.body == b"own"
+
+
+# Guards against a skipped response whose end by a close completes the one that is due.
+@pytest.mark.parametrize("first", [b"HTTP/1.1 100 Continue\r\n\r\n", response(b"0", b"late")])
+def test_a_close_after_a_skipped_response_breaks_the_request(client_setup, first):
+    reader = client_setup.send_request(b"1")
+    peer = client_setup.accept_request()
+    peer.send(first)
+    peer.close()
+    client_setup.serve_until(lambda: reader.events[1:])
+    assert reader.events == ["sent", ("broken", True)]
+
+
+# Guards against a late copy of a refusal that is taken for the response to the next send.
+def test_a_late_copy_of_a_refusal_does_not_answer_the_next_send_of_a_request():
+    loop, peer = Loop(), RunnerPeer()
+    pool = RunnerPool(loop)
+    pool.update({"i-0": runner("i-0", address=peer.address)})
+    readers = []
+
+    def send():
+        readers.append(RecordingReader())
+        expected_id = (b"x-request-id", b"1")
+        pool.send(pool.state("i-0"), REQUEST, readers[-1], expected_id, False)
+
+    send()
+    serve_until(loop, lambda: peer.accept() and REQUEST in peer.peers[0].read())
+    peer.peers[0].send(response(b"1", b"refused"))
+    serve_until(loop, lambda: pool.has_idle_connection("i-0"))
+    send()
+    peer.peers[0].send(response(b"1", b"refused"))
+    serve_until(loop, lambda: len(peer.accept()) == 2 and REQUEST in peer.peers[1].read())
+    peer.peers[1].send(response(b"1", b"run"))
+    serve_until(loop, lambda: "complete" in readers[1].events)
+    assert readers[1].body == b"run"
+    peer.close()
--- a/tests/router/test_runner_pool.py
+++ b/tests/router/test_runner_pool.py
@@ -1,5 +1,7 @@
 """Reuse of idle connections to runners, and its limit after a stale connection."""
 
+import itertools
+
 import pytest
 
 from martenrun.router import runner_pool
@@ -28,9 +30,13 @@
         self.was_kept_alive = False
         self.keep_alive_s = 10.0
         self.idle_since = loop.now()
+        self.sent_ids = []
+
+    def has_carried(self, request_id):
+        return request_id in self.sent_ids
 
-    def send(self, *_arguments):
-        pass
+    def send(self, _request, _reader, expected_id):
+        self.sent_ids.append(expected_id[1])
 
     def release(self):
         self.idle_since = self.loop.now()
@@ -50,8 +56,24 @@
     return pool
 
 
-def send(pool, may_repeat=False):
-    return pool.send(pool.state("i-0"), b"", None, (b"", b""), may_repeat)
+REQUEST_NUMBERS = itertools.count()
+
+
+def send(pool, may_repeat=False, request_id=None):
+    request_id = request_id or b"%d" % next(REQUEST_NUMBERS)
+    return pool.send(pool.state("i-0"), b"", None, (b"", request_id), may_repeat)
+
+
+# Guards against a late copy of a refusal that is taken for the response to the next send.
+@pytest.mark.parametrize("may_repeat", [True, False])
+def test_a_request_is_not_sent_again_on_a_connection_that_has_carried_it(pool, may_repeat):
+    first = send(pool, request_id=b"1")
+    other = send(pool, request_id=b"2")
+    other.release()
+    first.release()
+    assert send(pool, may_repeat, b"1") is other
+    assert send(pool, may_repeat, b"1") not in (first, other)
+    assert send(pool, may_repeat, b"3") is first
 
 
 def test_an_unrepeatable_request_reuses_only_recently_used_connections(pool):
