Responses without end are broken off before they fill the memory

Callers got 504 at their deadline, and a router grew from 25 to over 900 MB, while one of two runners sent header fields, a header line, trailers or a body without end at 8 MB/s. Machines have 128 to 300 MB and kill a process that exceeds them, which fits the FAULT that the users saw; that it is the same is suspected only.

Cause: only the deadline ended a response; the parser and the readers held all of it.

Change: limits on fields, on bytes besides the body, on one buffered body and on all of them together. A response beyond a limit is broken off, counts against its runner and is repeated elsewhere if its kind allows it. Limits for responses of the store, of routers and for reports.

--- a/src/martenrun/net/client.py
+++ b/src/martenrun/net/client.py
@@ -8,6 +8,7 @@
 
 from martenrun.net.http import Headers, find_header
 from martenrun.net.loop import Loop, Timer
+from martenrun.net.response_limits import ResponseSize
 from martenrun.net.stream import Stream, open_stream
 
 CONNECT_TIMEOUT_S = 0.4
@@ -71,6 +72,7 @@
         self._sent_ids: set[int] = set()
         self._parser: Any = None
         self._headers: Headers = []
+        self._size = ResponseSize()
         self._skips_response = False
         self.is_close_delimited = False
         self._may_keep_alive = True
@@ -118,6 +120,7 @@
                 self._may_keep_alive = False
         self._request = request
         self._parser = httptools.HttpResponseParser(self)
+        self._size = ResponseSize()
         self._is_response_complete = False
         if self._is_connected:
             self._send_now()
@@ -153,11 +156,15 @@
         if self._reader is None:
             self._close_stream()
             return
+        self._size.add_received(len(data))
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail("invalid response")
             return
+        if self._size.is_exceeded:
+            self._fail("response too large")
+            return
         if self._is_response_complete:
             self._finish()
 
@@ -185,8 +192,9 @@
         self._skips_response = self._is_response_complete
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header field."""
-        self._headers.append((name, value))
+        """Store a header or trailer field."""
+        if self._size.accepts_field(name, value):
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Pass the head on; skip interim responses and responses to earlier requests."""
@@ -210,6 +218,7 @@
     def on_body(self, data: bytes) -> None:
         """Pass a part of the body on."""
         if not self._skips_response and not self._is_response_complete and self._reader is not None:
+            self._size.add_body(len(data))
             self._reader.on_body(data)
 
     def on_message_complete(self) -> None:
--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -7,6 +7,7 @@
 
 from martenrun.net.client import CONNECT_TIMEOUT_S, ClientConnection
 from martenrun.net.http import Headers
+from martenrun.net.response_limits import BodyBuffer
 from martenrun.router.event_stream import BrokenStreamError
 from martenrun.router.forwarded_request import with_instance, without_internal_fields
 from martenrun.router.log import log_warning
@@ -61,9 +62,12 @@
     was_interrupted: bool
     status: int
     headers: Headers
-    body: bytearray
     connection: ClientConnection | None
 
+    @property
+    def body(self) -> bytearray:
+        """The buffered body of a response that is not streamed."""
+
     @property
     def connection_failure(self) -> str:
         """How the connection failed, or an empty string."""
@@ -146,7 +150,7 @@
         self.permit: Grant | None = None
         self.status = 0
         self.headers: Headers = []
-        self.body = bytearray()
+        self._buffer = BodyBuffer(services.body_memory)
         self.is_streamed = False
         self._metadata: ResponseMetadata | None = None
         self._is_over = False
@@ -156,6 +160,11 @@
         """How the connection failed, or an empty string."""
         return "" if self.connection is None else self.connection.failure
 
+    @property
+    def body(self) -> bytearray:
+        """The buffered body of a response that is not streamed."""
+        return self._buffer.data
+
     @property
     def ends_by_connection(self) -> bool:
         """Whether the response's end is that of the connection to a runner."""
@@ -254,6 +263,8 @@
         self.is_streamed = is_stream and status < 300
         if self.is_streamed:
             self._listener.on_response_head(self)
+        elif not self._buffer.fits(length or 0):
+            self._fail_too_large()
 
     def on_body(self, data: bytes) -> None:
         """Process received bytes of the body."""
@@ -268,7 +279,8 @@
         self._finish_prefill()
         self.has_body_started = True
         if not self.is_streamed:
-            self.body += data
+            if not self._buffer.append(data):
+                self._fail_too_large()
             return
         try:
             self._listener.on_stream_data(data)
@@ -314,6 +326,10 @@
             if self.connection is not None:
                 self.connection.close()
 
+    def _fail_too_large(self) -> None:
+        log_warning("response_too_large", instance=self.state.runner.instance)
+        self._fail(Failure.BROKEN)
+
     def _fail(self, failure: Failure) -> None:
         if self._is_over:
             return
@@ -331,6 +347,7 @@
 
     def _finish(self) -> None:
         self._is_over = True
+        self._buffer.release()
         self._finish_prefill()
         self.state.kv_cache_tokens -= self._kv_cache_tokens
         self.state.record_finished()
--- a/src/martenrun/router/peer_attempt.py
+++ b/src/martenrun/router/peer_attempt.py
@@ -2,6 +2,7 @@
 
 from martenrun.net.client import ClientConnection
 from martenrun.net.http import Headers
+from martenrun.net.response_limits import BodyBuffer
 from martenrun.router.attempt import AttemptListener
 from martenrun.router.event_stream import BrokenStreamError
 from martenrun.router.forwarded_request import (
@@ -48,11 +49,16 @@
         self.was_sent = False
         self.status = 0
         self.headers: Headers = []
-        self.body = bytearray()
+        self._buffer = BodyBuffer(services.body_memory)
         self._is_streamed = False
         self._is_over = False
         self.connection: ClientConnection | None = None
 
+    @property
+    def body(self) -> bytearray:
+        """The buffered body of a response that is not streamed."""
+        return self._buffer.data
+
     @property
     def connection_failure(self) -> str:
         """How the connection failed, or an empty string."""
@@ -95,7 +101,9 @@
         if self._is_over:
             return
         if not self._is_streamed:
-            self.body += data
+            if not self._buffer.append(data):
+                log_warning("response_too_large", instance=self.target)
+                self._fail(Failure.BROKEN)
             return
         try:
             self._listener.on_stream_data(data)
@@ -108,6 +116,7 @@
         if self._is_over:
             return
         self._is_over = True
+        self._buffer.release()
         if self._is_streamed:
             self._listener.on_stream_complete(self)
         else:
@@ -120,6 +129,7 @@
     def cancel(self) -> None:
         """Cancel the attempt; the other router notices the closed connection."""
         self._is_over = True
+        self._buffer.release()
         if self.connection is not None:
             self.connection.close()
 
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -64,6 +64,9 @@
 MAINTENANCE_INTERVAL_S = 0.25
 """Interval of the periodic maintenance, in seconds."""
 
+MAXIMUM_REPORT_BYTES = 1_048_576
+"""Maximum size of a runner's report."""
+
 CURRENT_CONFIGURATION_SHARE = 0.6
 """The configuration counts as current up to this share of the bound on revoked keys."""
 
@@ -379,7 +382,8 @@
         self, address: str, call: HttpCall, on_response: Callable[[HttpResponse | None], None]
     ) -> None:
         closing = attrs.evolve(call, headers=[*call.headers, (b"Connection", b"close")])
-        HttpClient(self._loop, address).call(closing, PROBE_TIMEOUT_S, on_response)
+        client = HttpClient(self._loop, address, MAXIMUM_REPORT_BYTES)
+        client.call(closing, PROBE_TIMEOUT_S, on_response)
 
     # Readiness
 
--- a/src/martenrun/router/request_services.py
+++ b/src/martenrun/router/request_services.py
@@ -6,6 +6,7 @@
 
 from martenrun.identity.rendezvous import weight
 from martenrun.net.loop import Loop
+from martenrun.net.response_limits import BodyMemory
 from martenrun.router.brittle_services import BrittleServices
 from martenrun.router.crashes.tracker import CrashTracker
 from martenrun.router.drain_messages import DrainUpdate
@@ -64,6 +65,7 @@
             another router.
         instance_check: checks that runners are the instances that their entries describe; None if
             entries are trusted.
+        body_memory: the memory of buffered bodies of responses.
         retry_slack_from: when this router may start to use its share of the retry slack.
     """
 
@@ -83,6 +85,7 @@
     refresh_loads: Callable[[], None]
     decisions: TuningParameters = attrs.field(factory=TuningParameters)
     retry_slack_from: float = 0.0
+    body_memory: BodyMemory = attrs.field(factory=BodyMemory)
     quotas: QuotaGate | None = None
     runner_limits: RunnerLimits = attrs.field(factory=RunnerLimits)
     brittle: BrittleServices = attrs.field(factory=BrittleServices)
--- a/src/martenrun/router/store/client.py
+++ b/src/martenrun/router/store/client.py
@@ -31,6 +31,9 @@
 object in the store.
 """
 
+MAXIMUM_RESPONSE_BYTES = 33_554_432
+"""Maximum size of a response's body: several times that of a large deployment's objects."""
+
 
 def _nothing() -> None:
     return None
@@ -44,6 +47,7 @@
         on_part: called for each part of a successful response; refusals do not count, however
             quickly they arrive.
         max_response_s: maximum time until the response is complete, in seconds.
+        max_bytes: maximum size of the response's body.
     """
 
     def __init__(
@@ -53,10 +57,12 @@
         on_response: Callable[[HttpResponse | None], None],
         on_part: Callable[[], None] = _nothing,
         max_response_s: float | None = None,
+        max_bytes: int = MAXIMUM_RESPONSE_BYTES,
     ) -> None:
         self._loop = loop
         self._on_response = on_response
         self._on_part = on_part
+        self._max_bytes = max_bytes
         self._ends_at = loop.now() + (
             timeout_s + MAX_RESPONSE_S if max_response_s is None else max_response_s
         )
@@ -78,8 +84,13 @@
         self._record_part()
 
     def on_body(self, data: bytes) -> None:
-        """Append a part of the body."""
+        """Append a part of the body; give up the call if it exceeds the limit."""
+        if self._is_over:
+            return
         self._body += data
+        if len(self._body) > self._max_bytes:
+            self._give_up()
+            return
         self._record_part()
 
     def on_complete(self) -> None:
@@ -103,6 +114,9 @@
         if remaining_s > 0:
             self._timer = self._loop.call_later(remaining_s, self._check_timeout)
             return
+        self._give_up()
+
+    def _give_up(self) -> None:
         if self._last_part_at is not None:
             log_warning("answer_given_up", status=self._status, bytes=len(self._body))
         if self.connection is not None:
@@ -117,11 +131,16 @@
 
 
 class HttpClient:
-    """HTTP client for one address."""
+    """HTTP client for one address.
 
-    def __init__(self, loop: Loop, address: str) -> None:
+    Args:
+        max_bytes: maximum size of a response's body.
+    """
+
+    def __init__(self, loop: Loop, address: str, max_bytes: int = MAXIMUM_RESPONSE_BYTES) -> None:
         self._loop = loop
         self._address = address
+        self._max_bytes = max_bytes
         self._idle: list[ClientConnection] = []
 
     def call(
@@ -133,7 +152,9 @@
         max_response_s: float | None = None,
     ) -> None:
         """Make a call and pass its response, or None, on; see :class:`ResponseReader`."""
-        reader = ResponseReader(self._loop, timeout_s, on_response, on_part, max_response_s)
+        reader = ResponseReader(
+            self._loop, timeout_s, on_response, on_part, max_response_s, self._max_bytes
+        )
         headers = [(b"Host", self._address.encode()), *call.headers]
         try:
             connection = self._connection()
