Routers that all start at once know which software versions have served

Cause: a router that has just started took the versions listed now for those of the last 60 s; that no other router knew a stream counted as proof, though all were as young.

Change: one object in the store names the versions of each service that have served in the last 60 s. A service counts as served by one version only if the router has read it, hears from a live router that knows the past, or has run for 60 s. Versions read count as seen at that moment, so no clock crosses a restart. Calls: one read for each start, two writes for each new version.

A sole version's streams are resumed after a kill of all as before.

--- a/scripts/resuming_callers.py
+++ b/scripts/resuming_callers.py
@@ -33,6 +33,7 @@
     Args:
         breaks_off: whether callers also break streams off themselves.
         suffix: ends the ids of their requests.
+        failure_pause_s: how long they wait after an attempt without a response, in seconds.
 
     Attributes:
         streams: the streams that have ended.
@@ -46,10 +47,12 @@
         seed: int = 1,
         breaks_off: bool = True,
         suffix: str = "",
+        failure_pause_s: float = 0.0,
     ) -> None:
         self._deployment = deployment
         self._breaks_off = breaks_off
         self._suffix = suffix
+        self._failure_pause_s = failure_pause_s
         self._numbers = itertools.count()
         self._stopped = threading.Event()
         self.streams: list[StreamRecord] = []
@@ -107,6 +110,8 @@
                 last_event_id = events[-1][0]
             if is_whole:
                 break
+            if status is None:
+                self._stopped.wait(self._failure_pause_s)
             if status == 503:
                 self._stopped.wait(min(retry_after_s, (ends_at - time.monotonic()) / 3))
         return tries
--- a/src/martenrun/platform/objects.py
+++ b/src/martenrun/platform/objects.py
@@ -27,6 +27,7 @@
     Dataset.LEASES: "router-leases",
     Dataset.CRASH_RECORDS: "router-blame",
     Dataset.PEER_ADDRESSES: "router-contacts",
+    Dataset.SOFTWARE_VERSIONS: "router-software",
 }
 _ROOT_PATH = "/martenrun/objects/"
 _JSON_HEADERS = [(b"Content-Type", b"application/json")]
--- a/src/martenrun/platform/specs.py
+++ b/src/martenrun/platform/specs.py
@@ -168,6 +168,10 @@
     addresses: list[_NonEmptyText] = []
 
 
+class _SoftwareVersions(msgspec.Struct):
+    services: dict[str, list[str]]
+
+
 Spec = TypeVar("Spec")
 
 
@@ -383,3 +387,14 @@
 def peer_addresses_spec(addresses: Sequence[str]) -> object:
     """Return the spec of the object that holds peer addresses."""
     return {"addresses": list(addresses)}
+
+
+def read_software_versions(stored: StoredObject) -> dict[str, tuple[str, ...]]:
+    """Convert the stored software versions of each service; raises UnreadableError."""
+    spec = _convert(stored.spec, _SoftwareVersions, "software versions")
+    return {service: tuple(names) for service, names in spec.services.items()}
+
+
+def software_versions_spec(versions: Mapping[str, Sequence[str]]) -> object:
+    """Return the spec of the object that holds software versions."""
+    return {"services": {service: list(names) for service, names in versions.items()}}
--- a/src/martenrun/router/messages.py
+++ b/src/martenrun/router/messages.py
@@ -233,6 +233,7 @@
     LEASES = "leases"
     CRASH_RECORDS = "blame"
     PEER_ADDRESSES = "contacts"
+    SOFTWARE_VERSIONS = "software"
 
 
 @attrs.frozen(order=True)
--- a/src/martenrun/router/peer_addresses.py
+++ b/src/martenrun/router/peer_addresses.py
@@ -80,6 +80,8 @@
 
     Args:
         reads_store: whether this router is a store reader.
+        must_wait: returns whether other objects must be written first.  The addresses tell routers
+            that start that this deployment is not new.
     """
 
     def __init__(
@@ -90,6 +92,7 @@
         peers: Peers,
         reads_store: Callable[[], bool],
         rng: random.Random | None = None,
+        must_wait: Callable[[], bool] = lambda: False,
     ) -> None:
         self._loop = loop
         self._store = store
@@ -97,10 +100,12 @@
         self._peers = peers
         self._reads_store = reads_store
         self._rng = rng or random.Random()
+        self._must_wait = must_wait
         self._known: StoredAddresses | None = None
         self._is_calling = False
         self._next_call_at = 0.0
         self._is_resolved = False
+        self._was_absent: bool | None = None
 
     @property
     def is_resolved(self) -> bool:
@@ -118,6 +123,19 @@
             self._is_resolved = is_alone or bool(self._peers.live())
         return self._is_resolved
 
+    @property
+    def was_absent(self) -> bool | None:
+        """Whether the store had no addresses when this router started; None if unknown."""
+        return self._was_absent
+
+    @property
+    def is_writer(self) -> bool:
+        """Whether this router is the one that writes, as far as it knows."""
+        if not self._reads_store():
+            return False
+        readers = [item.address for item in self._peers.live() if item.reads_store]
+        return self._peers.own.address <= min(readers, default=self._peers.own.address)
+
     def has_found_peers(self) -> bool:
         """Return whether each stored address is alive or has not responded in time.
 
@@ -149,7 +167,7 @@
 
     def _read_or_write(self, now: float) -> None:
         known = self._known
-        is_writer = self._is_writer()
+        is_writer = self.is_writer
         is_isolated = not self._peers.live()
         if (is_writer or is_isolated) and (known is None or now - known.read_at >= REREAD_S):
             self._read()
@@ -157,16 +175,9 @@
         if known is None or not is_writer or self._peers.own.is_leaving:
             return
         target = self._target_addresses(known, now)
-        if set(target) != set(known.addresses):
+        if set(target) != set(known.addresses) and not self._must_wait():
             self._write(known, target)
 
-    def _is_writer(self) -> bool:
-        """Return whether this router is the one that writes, as far as it knows."""
-        if not self._reads_store():
-            return False
-        readers = [item.address for item in self._peers.live() if item.reads_store]
-        return self._peers.own.address <= min(readers, default=self._peers.own.address)
-
     def _target_addresses(self, known: StoredAddresses, now: float) -> tuple[str, ...]:
         records = [item for item in self._peers.live() if not item.is_leaving]
         alive = [self._peers.own.address, *sorted(item.address for item in records)]
@@ -182,6 +193,7 @@
     def _on_read(self, response: HttpResponse | None) -> None:
         if response is not None and response.status == STATUS_NOT_FOUND:
             self._known = StoredAddresses(None, (), self._loop.now())
+            self._was_absent = self._was_absent in (None, True)
         elif response is not None and response.status == STATUS_OK:
             self._apply_stored(response)
         else:
@@ -190,6 +202,7 @@
     def _apply_stored(self, response: HttpResponse) -> None:
         """Merge the stored object and send the own record to the unknown routers it lists."""
         now = self._loop.now()
+        self._was_absent = self._was_absent or False
         read_stored = self._adapter.read_stored
         stored = decode_or_log(response.body, lambda data: read_stored(data, self._store.era))
         if stored is None:
--- a/src/martenrun/router/peer_messages.py
+++ b/src/martenrun/router/peer_messages.py
@@ -62,7 +62,8 @@
     listed, as (version, milliseconds since then).
     ``store_era`` is the newest era of the store that the router knows; 0 if the store names none or
     the router's version reads none.  ``has_state`` is set if the router has some state of each of
-    the store's datasets.
+    the store's datasets.  ``knows_software_history`` is set if the router knows the software
+    versions of all runners that have served lately.
     """
 
     address: str
@@ -89,6 +90,7 @@
     software_versions: dict[str, list[tuple[str, int]]] = {}
     store_era: int = 0
     has_state: bool = False
+    knows_software_history: bool = False
 
 
 class RouterHeartbeat(msgspec.Struct, array_like=True, frozen=True):
--- a/src/martenrun/router/platform_adapter.py
+++ b/src/martenrun/router/platform_adapter.py
@@ -4,7 +4,7 @@
 contains no routing logic.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import attrs
 
@@ -72,6 +72,8 @@
         lease_spec: encodes the content of a lease object.
         read_crash_records, crash_records_spec: decode and encode crash records of requests.
         read_peer_addresses, peer_addresses_spec: decode and encode addresses of live routers.
+        read_software_versions, software_versions_spec: decode and encode the software versions of
+            each service.
         order_weights, read_order_outcome: build an order and decode the status of its response.
         report_request, read_report: build the request for a runner's report and decode it.
         directory_zone: returns the requester's zone for a directory request, else None.
@@ -102,6 +104,8 @@
     crash_records_spec: Callable[[list[CrashRecord]], object]
     read_peer_addresses: Callable[[StoredObject], list[str]]
     peer_addresses_spec: Callable[[Sequence[str]], object]
+    read_software_versions: Callable[[StoredObject], dict[str, tuple[str, ...]]]
+    software_versions_spec: Callable[[Mapping[str, Sequence[str]]], object]
     lease_spec: Callable[[LeaseRecord], object]
     order_weights: Callable[[WeightsOrder], HttpCall]
     read_order_outcome: Callable[[int], OrderOutcome]
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -31,6 +31,7 @@
     StorePosition,
 )
 from martenrun.router.metrics import Metrics
+from martenrun.router.origins.stored_versions import FleetView, VersionStore
 from martenrun.router.partition_monitor import PROBE_TIMEOUT_S, PartitionMonitor
 from martenrun.router.peer_addresses import PeerAddressDirectory
 from martenrun.router.peer_messages import RouterRecord, UnresponsiveRunnerUpdate
@@ -48,6 +49,7 @@
 from martenrun.router.runner_pool import RunnerPool
 from martenrun.router.runner_responses import record_control_response
 from martenrun.router.settings import RouterSettings
+from martenrun.router.software_history import SoftwareHistory
 from martenrun.router.store.client import HttpClient, StoreClient
 from martenrun.router.store.eras import StoreEras
 from martenrun.router.store.feed import StoreStateFeed
@@ -158,6 +160,7 @@
             self._peers,
             lambda: self._services.runners.runners.values(),
             lambda outcome: self._metrics.count("stream_resumptions", origin=outcome),
+            self._create_version_store,
         )
         self._instance_check = self._services.instance_check = InstanceCheck(
             self._loop,
@@ -208,9 +211,14 @@
             lambda: self._keeper.reads_store,
         )
         self._peer_addresses = PeerAddressDirectory(
-            self._loop, self._store, adapter, self._peers, lambda: self._keeper.reads_store
+            self._loop,
+            self._store,
+            adapter,
+            self._peers,
+            lambda: self._keeper.reads_store,
+            must_wait=lambda: self._streams.is_creating_object,
         )
-        self._eras.on_changed.append(self._peer_addresses.begin_era)
+        self._eras.on_changed += [self._peer_addresses.begin_era, self._streams.begin_era]
         self._requests = RequestServer(
             self._services, self._store, self._feed, self._streams.resumption
         )
@@ -249,6 +257,15 @@
         self._services.configuration.on_changed.append(self._on_configuration)
         self._services.weights.on_changed = self._rollout.schedule_step
 
+    def _create_version_store(self, history: SoftwareHistory) -> VersionStore:
+        fleet = FleetView(
+            lambda: self._peer_addresses.is_writer and not self._peers.own.is_leaving,
+            lambda: self._peer_addresses.was_absent,
+            lambda: any(item.knows_software_history for item in self._peers.live()),
+        )
+        adapter = self._services.adapter
+        return VersionStore(self._loop, self._store, adapter, history, fleet)
+
     def _create_quota_gate(self, settings: RouterSettings) -> QuotaGate:
         """Return the gate that queries the owners of quota accounts and serves its own ones."""
         peers = self._peers
--- a/src/martenrun/router/software_history.py
+++ b/src/martenrun/router/software_history.py
@@ -53,6 +53,13 @@
         """Return the versions that the runners of a service have had lately."""
         return list(self._seen_at.get(service, ()))
 
+    def all_versions(self) -> dict[str, tuple[str, ...]]:
+        """Return for each service its versions seen last, sorted by name."""
+        return {
+            service: tuple(sorted(sorted(seen_at, key=seen_at.__getitem__)[-MAXIMUM_SHARED:]))
+            for service, seen_at in self._seen_at.items()
+        }
+
     def ages(self, now: float) -> VersionAges:
         """Return what other routers need to know: services with several versions lately."""
         return {
--- a/src/martenrun/router/stream_resumption.py
+++ b/src/martenrun/router/stream_resumption.py
@@ -4,7 +4,7 @@
 that attempt to a runner has recorded the runner's software version (:mod:`.origins`).
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import attrs
 
@@ -26,6 +26,7 @@
         may_be_mixed: returns whether runners of several software versions of a service may have
             served lately.
         count: counts how the software version of a resumed stream was found.
+        knows_past: returns whether all versions that have served lately are known.
     """
 
     def __init__(
@@ -35,12 +36,14 @@
         origins: OriginExchange,
         may_be_mixed: Callable[[str], bool],
         count: Callable[[str], None] = lambda _outcome: None,
+        knows_past: Callable[[], bool] = lambda: True,
     ) -> None:
         self._loop = loop
         self._history = history
         self._origins = origins
         self._may_be_mixed = may_be_mixed
         self._count = count
+        self._knows_past = knows_past
 
     def record_sent(self, admitted: AdmittedRequest, software: str, received_at: float) -> None:
         """Record the software version of the runner that a stream is sent to."""
@@ -87,7 +90,7 @@
         if origin is not None and origin.service in services:
             outcome = "known"
             resolved = attrs.evolve(admitted, service=origin.service, software=origin.software)
-        elif origin is None and all(len(self._history.versions(name)) <= 1 for name in services):
+        elif origin is None and self._has_single_version(services):
             outcome = "only_version"
             versions = self._history.versions(admitted.service)
             resolved = attrs.evolve(admitted, software=versions[0] if versions else None)
@@ -106,6 +109,12 @@
         )
         on_resolved(resolved)
 
+    def _has_single_version(self, services: Collection[str]) -> bool:
+        """Return whether it is certain that one version alone has served each service lately."""
+        return self._knows_past() and all(
+            len(self._history.versions(name)) <= 1 for name in services
+        )
+
 
 def _is_resumable(admitted: AdmittedRequest) -> bool:
     return admitted.route.kind is RouteKind.STREAM and admitted.route.is_resumable
--- a/src/martenrun/router/stream_software.py
+++ b/src/martenrun/router/stream_software.py
@@ -7,6 +7,7 @@
 from martenrun.router.origins.exchange import OriginExchange
 from martenrun.router.origins.messages import RunnerRestart, SoftwareMessage
 from martenrun.router.origins.owners import OriginOwners
+from martenrun.router.origins.stored_versions import VersionStore
 from martenrun.router.peer_messages import RouterRecord
 from martenrun.router.peers import Peers
 from martenrun.router.software_history import SoftwareHistory
@@ -19,6 +20,7 @@
     Args:
         runners: returns the listed runners.
         count: counts how the software version of a resumed stream was found.
+        make_version_store: returns the access to the stored versions for the history.
 
     Attributes:
         resumption: finds the software version of resumed streams.
@@ -30,15 +32,22 @@
         peers: Peers,
         runners: Callable[[], Iterable[Runner]],
         count: Callable[[str], None],
+        make_version_store: Callable[[SoftwareHistory], VersionStore],
     ) -> None:
         self._loop = loop
         self._peers = peers
         self._runners = runners
         self._history = SoftwareHistory()
+        self._versions = make_version_store(self._history)
         owners = OriginOwners(loop.now, peers)
         self._origins = OriginExchange(loop, peers, peers.own.address, owners, self.may_be_mixed)
         self.resumption = StreamResumption(
-            loop, self._history, self._origins, self.may_be_mixed, count
+            loop,
+            self._history,
+            self._origins,
+            self.may_be_mixed,
+            count,
+            lambda: self._versions.knows_past,
         )
 
     @property
@@ -56,6 +65,7 @@
     def update_record(self, own: RouterRecord) -> None:
         """Set what other routers need to know about software versions."""
         own.software_versions = self._history.ages(self._loop.now())
+        own.knows_software_history = self._versions.is_informed
 
     def merge_record(self, record: RouterRecord, received_at: float) -> None:
         """Merge what another router knows about software versions."""
@@ -79,6 +89,7 @@
     def run_maintenance(self) -> None:
         """Forget old versions and expired origins; share origins with new owners."""
         self.record_listed()
+        self._versions.run_maintenance()
         self._origins.run_maintenance()
 
     def may_be_mixed(self, service: str) -> bool:
@@ -86,4 +97,14 @@
 
         A router that has just started does not know those that have left.
         """
-        return not self._peers.is_settled() or len(self._history.versions(service)) > 1
+        is_known = self._versions.knows_past and self._peers.is_settled()
+        return not is_known or len(self._history.versions(service)) > 1
+
+    @property
+    def is_creating_object(self) -> bool:
+        """Whether this router is about to store the versions of a new deployment."""
+        return self._versions.is_pending
+
+    def begin_era(self, before: int) -> None:
+        """Store the versions again if the store has returned from an older copy."""
+        self._versions.begin_era(before)
--- a/tests/router/test_software_history.py
+++ b/tests/router/test_software_history.py
@@ -58,6 +58,12 @@
     assert len(history.versions("s")) == 2
 
 
+class InformedVersions:
+    """The stored versions of a router that knows the past."""
+
+    is_informed = knows_past = True
+
+
 # Guards against a stream of a restarted runner that another router resumes at the only version that
 # it knows.
 def test_other_routers_learn_at_once_of_a_restart_that_no_entry_shows():
@@ -67,7 +73,9 @@
     for address in ("a", "b", "c"):
         world.start(address, ("a", "b"))
         peers = world.routers[address]
-        routers[address] = StreamSoftware(world.loop, peers, lambda: listed, lambda _: None)
+        routers[address] = StreamSoftware(
+            world.loop, peers, lambda: listed, lambda _: None, lambda _: InformedVersions()
+        )
         peers._on_software_message = routers[address].handle_message
     world.run(6.0)
     for software in routers.values():
--- a/tests/router/test_stream_resumption.py
+++ b/tests/router/test_stream_resumption.py
@@ -39,6 +39,7 @@
         self.history = SoftwareHistory()
         self.origins = Origins()
         self.outcomes = []
+        self.knows_past = True
         self.list_runners(*versions)
         self.resumption = StreamResumption(
             self.loop,
@@ -46,6 +47,7 @@
             self.origins,
             lambda service: len(self.history.versions(service)) > 1,
             self.outcomes.append,
+            lambda: self.knows_past,
         )
 
     def list_runners(self, *versions, service="s"):
@@ -103,6 +105,16 @@
     assert case.origins.searched == []
 
 
+# Guards against a sole listed version taken for that of all streams by a router that just started.
+def test_a_sole_version_counts_only_if_the_past_is_known():
+    case = Case("v1")
+    case.knows_past = False
+    case.resumption._may_be_mixed = lambda _service: True
+    assert case.resolve(last=3, resumed=b"never") is None
+    case.knows_past = True
+    assert case.resolve(last=3, resumed=b"never").software == "v1"
+
+
 def test_a_version_that_has_left_makes_streams_unknown_for_a_while():
     case = Case("v1")
     case.loop.time += 10.0
--- a/tests/router/test_stream_software.py
+++ b/tests/router/test_stream_software.py
@@ -7,12 +7,14 @@
 
 import itertools
 import random
+import threading
 import time
 
 import pytest
 from platform_deployment import PlatformDeployment
 from resuming_callers import ResumingCallers
 
+from martenrun.platform.standins.runner import RunnerStandin
 from martenrun.proof.stream_checker import (
     compare_shares,
     events_are_consecutive,
@@ -24,6 +26,7 @@
 PLAY_S = 10.0
 CUT_EACH_S = 0.7
 LOOK_S = 0.02
+ROLL_OUT_S = 2.0
 EVENTS = 12
 EVENT_PAUSE_S = 0.025
 OLD, NEW = "v1.1", "v1.2"
@@ -37,13 +40,15 @@
     return deployment
 
 
-def play(deployment, steps=(), cuts=True, breaks_off=True, callers=CALLERS):
+def play(deployment, steps=(), cuts=True, breaks_off=True, callers=CALLERS, failure_pause_s=0.0):
     """Play streams for a while; return them.
 
     Args:
         steps: (interval in seconds, action) of what else happens, repeatedly.
     """
-    callers = ResumingCallers(deployment, callers, breaks_off=breaks_off)
+    callers = ResumingCallers(
+        deployment, callers, breaks_off=breaks_off, failure_pause_s=failure_pause_s
+    )
     turns = itertools.cycle(range(len(deployment.runners)))
     rhythms = list(steps)
     if cuts:
@@ -182,6 +187,84 @@
             assert response.status == 200 and response.data.startswith(b"id: 5")
 
 
+def kill_routers(deployment):
+    for router in deployment.routers:
+        deployment.stop(router, 9)
+    for router in deployment.routers:
+        router.process.wait()
+
+
+def start_routers(deployment):
+    for router in deployment.routers:
+        deployment.start(router)
+    deployment.wait(lambda: all(deployment.is_ready(it) for it in deployment.routers))
+
+
+def upgrade(deployment, numbers, software=NEW):
+    """Replace runners by others with a new version; streams at those that leave break off."""
+    for number in numbers:
+        old = deployment.runners[number]
+        new = RunnerStandin(old.service, old.model)
+        new.software, new.events, new.event_pause_s = software, EVENTS, EVENT_PAUSE_S
+        deployment.runners[number] = new
+        deployment.list_runner(new)
+        deployment.store.remove("servers", old.instance)
+        old.cut_streams()
+        threading.Thread(target=old.close, daemon=True).start()
+
+
+# Guards against streams joined from two versions: all routers were killed at once, and the version
+# that began the stream left while they were down.
+def test_streams_of_a_version_that_left_while_no_router_ran_are_not_resumed():
+    with deployment_of(3, 3, 0) as deployment:
+        deployment.ask("/ask/x", "first", deployment.routers[0])
+        deployment.wait(lambda: deployment.store.read("router-contacts", "main"))
+        kill_routers(deployment)
+        upgrade(deployment, range(3))
+        start_routers(deployment)
+        for number in range(6):
+            response, took_s = ask(deployment, f"u{number}", Resumes="first", Last_Event_Id="4")
+            assert response.status == 503 and took_s < 0.5
+            assert deployment.runs_of(f"u{number}") == []
+
+
+# Guards against the same while versions are rolled out and all routers are killed repeatedly.
+def test_streams_keep_their_software_over_kills_of_all_routers():
+    with deployment_of(6, 6, 0) as deployment:
+        versions = itertools.count(2)
+        is_half_upgraded = False
+
+        def roll_out_and_kill():
+            nonlocal is_half_upgraded
+            is_half_upgraded = not is_half_upgraded
+            if is_half_upgraded:
+                upgrade(deployment, range(3), f"v1.{next(versions)}")
+                return
+            kill_routers(deployment)
+            upgrade(deployment, range(3, 6), deployment.runners[0].software)
+            for router in deployment.routers:
+                deployment.start(router)
+
+        steps = [(ROLL_OUT_S, roll_out_and_kill)]
+        streams = play(deployment, steps, breaks_off=False, callers=24, failure_pause_s=0.3)
+    assert len(streams) > 50
+    assert streams_keep_their_software(streams) == []
+    assert events_are_consecutive(streams) == []
+
+
+# Guards against streams that go on nowhere after a kill of all routers though their version serves.
+def test_streams_of_two_versions_go_on_after_kills_of_all_routers():
+    with deployment_of(6, 3, 3) as deployment:
+
+        def kill_all():
+            kill_routers(deployment)
+            for router in deployment.routers:
+                deployment.start(router)
+
+        streams = play(deployment, [(3.0, kill_all)], cuts=False, callers=24, failure_pause_s=0.3)
+        assert_promises(streams)
+
+
 # Guards against streams that are lost because new ones take the places of their version.
 def test_resumed_streams_find_room_at_a_version_that_shrinks():
     deployment = deployment_of(4, 6, 6)
