Orders are sent on connections that carried no other call

A late copy of a report, 200, would be taken for the response to an order, "holds already", and the runner would count as loaded. Found by reading, not seen in a play.

Change: an order has a connection of its own, which is closed after it, as checks and probes have. Reports keep theirs, where a copy is only older.

Measured: the new test failed before and passes.

--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -4,8 +4,6 @@
 from collections.abc import Callable
 from pathlib import Path
 
-import attrs
-
 from martenrun.errors import SettingsError
 from martenrun.net.http import HttpResponse
 from martenrun.net.loop import Loop
@@ -50,7 +48,7 @@
 from martenrun.router.runner_responses import record_control_response
 from martenrun.router.settings import RouterSettings
 from martenrun.router.software_history import SoftwareHistory
-from martenrun.router.store.client import HttpClient, StoreClient
+from martenrun.router.store.client import HttpClient, StoreClient, call_runner
 from martenrun.router.store.eras import StoreEras
 from martenrun.router.store.feed import StoreStateFeed
 from martenrun.router.store.state import ConfigurationState, RunnerDirectory, WeightsState
@@ -66,9 +64,6 @@
 MAINTENANCE_INTERVAL_S = 0.25
 """Interval of the periodic maintenance, in seconds."""
 
-MAXIMUM_REPORT_BYTES = 1_048_576
-"""Maximum size of a runner's report."""
-
 CURRENT_CONFIGURATION_SHARE = 0.6
 """The configuration counts as current up to this share of the bound on revoked keys."""
 
@@ -398,9 +393,7 @@
     def _probe_runner(
         self, address: str, call: HttpCall, on_response: Callable[[HttpResponse | None], None]
     ) -> None:
-        closing = attrs.evolve(call, headers=[*call.headers, (b"Connection", b"close")])
-        client = HttpClient(self._loop, address, MAXIMUM_REPORT_BYTES)
-        client.call(closing, PROBE_TIMEOUT_S, on_response)
+        call_runner(self._loop, address, call, PROBE_TIMEOUT_S, on_response)
 
     # Readiness
 
--- a/src/martenrun/router/store/client.py
+++ b/src/martenrun/router/store/client.py
@@ -7,6 +7,8 @@
 
 from collections.abc import Callable
 
+import attrs
+
 from martenrun.net.client import ClientConnection
 from martenrun.net.http import STATUS_OK, Headers, HttpResponse, request_bytes
 from martenrun.net.loop import Loop, Timer
@@ -34,6 +36,9 @@
 MAXIMUM_RESPONSE_BYTES = 33_554_432
 """Maximum size of a response's body: several times that of a large deployment's objects."""
 
+MAXIMUM_CONTROL_BYTES = 1_048_576
+"""Maximum size of a runner's report, or of its response to an order."""
+
 
 def _nothing() -> None:
     return None
@@ -185,6 +190,23 @@
             self._idle.remove(connection)
 
 
+def call_runner(
+    loop: Loop,
+    address: str,
+    call: HttpCall,
+    timeout_s: float,
+    on_response: Callable[[HttpResponse | None], None],
+) -> None:
+    """Call a runner on a connection of its own, which is closed after the response.
+
+    Responses to such calls carry no id: on a kept connection, a late copy of an earlier response
+    would be taken for the response to this call.
+    """
+    closing = attrs.evolve(call, headers=[*call.headers, (b"Connection", b"close")])
+    client = HttpClient(loop, address, MAXIMUM_CONTROL_BYTES)
+    client.call(closing, timeout_s, on_response)
+
+
 class StoreClient:
     """Client of the store that keeps responses of different eras apart.
 
--- a/src/martenrun/router/weights_rollout.py
+++ b/src/martenrun/router/weights_rollout.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections.abc import Callable
 
 import attrs
 
@@ -26,7 +27,7 @@
 from martenrun.router.rollout_plan import RolloutQuery, outdated_runners, runners_to_load
 from martenrun.router.runner_responses import record_control_response
 from martenrun.router.runner_state import RunnerState
-from martenrun.router.store.client import HttpClient
+from martenrun.router.store.client import MAXIMUM_CONTROL_BYTES, HttpClient, call_runner
 from martenrun.router.store.planner import order_by_strength
 from martenrun.router.store.state import decode_or_log
 from martenrun.router.weights_updates import WeightsUpdateBatcher, apply_weights_update
@@ -404,14 +405,24 @@
         state.loading_until = 0.0
         log_warning("load_put_off", instance=state.runner.instance, reason=reason)
 
-    def _call(self, state, call: HttpCall, timeout_s: float, on_response) -> None:  # type: ignore[no-untyped-def]
-        address = state.runner.address
-        caller = self._callers.get(address)
-        if caller is None:
-            caller = self._callers[address] = HttpClient(self._world.loop, address)
+    def _call(
+        self,
+        state: RunnerState,
+        call: HttpCall,
+        timeout_s: float,
+        on_response: Callable[[HttpResponse | None], None],
+    ) -> None:
+        """Call a runner; orders need a connection of their own, see :func:`call_runner`."""
+        loop, address = self._world.loop, state.runner.address
 
         def on_control_response(response: HttpResponse | None) -> None:
             record_control_response(self._world, state, response)
             on_response(response)
 
+        if call.method != b"GET":
+            call_runner(loop, address, call, timeout_s, on_control_response)
+            return
+        caller = self._callers.get(address)
+        if caller is None:
+            caller = self._callers[address] = HttpClient(loop, address, MAXIMUM_CONTROL_BYTES)
         caller.call(call, timeout_s, on_control_response)
--- a/tests/router/test_weights_rollout.py
+++ b/tests/router/test_weights_rollout.py
@@ -2,7 +2,9 @@
 
 from types import SimpleNamespace
 
-from martenrun.router.messages import TargetWeights
+from martenrun.net.loop import Loop
+from martenrun.router import weights_rollout
+from martenrun.router.messages import HttpCall, TargetWeights
 from martenrun.router.reachability import Reachability
 from martenrun.router.runner_state import RunnerState
 from martenrun.router.tuning import TuningParameters
@@ -11,9 +13,11 @@
 
 from .builders import runner
 from .fakes import FakeLoop
+from .loopback import RunnerPeer, serve_until
 from .test_partition_monitor import record
 
 RUNNERS = 59
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 
 
 def services_with(states):
@@ -96,3 +100,31 @@
 def test_routers_that_reach_no_runner_have_no_rank():
     stronger = record("a", capacity=8.0, unreachable_services=["s"])
     assert rollout_at(is_held=False, others=[stronger]) == [("acquire", 0)]
+
+
+# Guards against a late copy of a report that is taken for the response to an order.
+def test_orders_are_sent_on_connections_that_carried_no_other_call(monkeypatch):
+    monkeypatch.setattr(weights_rollout, "record_control_response", lambda *_arguments: None)
+    loop, peer = Loop(), RunnerPeer()
+    state = RunnerState(runner("i-0", address=peer.address))
+    services = services_with([state])
+    services.loop = loop
+    rollout = WeightsRollout(services, SimpleNamespace(broadcast=lambda _update: None), None)
+    statuses = []
+
+    def call(method):
+        request = HttpCall(method, b"/order", [], b"{}")
+        rollout._call(state, request, 5.0, lambda response: statuses.append(response.status))
+
+    call(b"GET")
+    serve_until(loop, lambda: peer.accept() and b"/order" in peer.peers[0].read())
+    peer.peers[0].send(OK)
+    serve_until(loop, lambda: statuses)
+    call(b"POST")
+    peer.peers[0].send(OK)
+    serve_until(loop, lambda: len(peer.accept()) == 2 and b"/order" in peer.peers[1].read())
+    assert statuses == [200]
+    peer.peers[1].send(OK.replace(b"200 OK", b"202 Accepted"))
+    serve_until(loop, lambda: statuses[1:])
+    assert statuses[1] == 202
+    peer.close()
