A software version that another router stored is not overwritten

It merges versions that it does not know now.

Measured: test_a_version_that_another_router_stored_is_kept passes.

--- a/src/martenrun/router/origins/stored_versions.py
+++ b/src/martenrun/router/origins/stored_versions.py
@@ -71,6 +71,7 @@
 
     Attributes:
         knows_past: whether this router knows all versions that served in the last RETENTION_S.
+        is_informed: whether it knows them by itself, not only from another router.
     """
 
     def __init__(
@@ -180,11 +181,10 @@
             self._known = StoredVersions(stored, {})
             return False
         self._known = StoredVersions(stored, versions)
-        if not self.is_informed:
-            for service, names in versions.items():
-                for name in names:
-                    self._history.record_version(service, name, self._loop.now())
-            self._become_informed("store")
+        for service, names in versions.items():
+            for name in set(names).difference(self._history.versions(service)):
+                self._history.record_version(service, name, self._loop.now())
+        self._become_informed("store")
         return True
 
     def _apply_missing(self) -> bool:
--- a/tests/router/test_stored_versions.py
+++ b/tests/router/test_stored_versions.py
@@ -166,3 +166,17 @@
     assert not router.versions.knows_past
     world.run(RETENTION_S)
     assert router.versions.knows_past and world.stored() == {"s": ["v2"]}
+
+
+# Guards against a version that only another writer knew and that is overwritten.
+def test_a_version_that_another_router_stored_is_kept():
+    world = World("v1")
+    world.start(is_first=True)
+    world.run(2.0)
+    world.store.objects["main"] = {
+        "metadata": {"name": "main", "revision": 7},
+        "spec": {"services": {"s": ["v0", "v1"]}},
+    }
+    world.software = ("v1", "v2")
+    world.run(2.0)
+    assert world.stored() == {"s": ["v0", "v1", "v2"]}
