--- a/tests/router/test_suspension.py
+++ b/tests/router/test_suspension.py
@@ -76,7 +76,7 @@
 
     entry.idle.append(IdleConnection())
     suspend()
-    assert pool._take_idle_connection(entry, True) is None
+    assert pool._take_idle_connection(entry, True, b"1") is None
 
 
 def test_lease_expires_during_suspension():
