--- a/src/martenrun/router/origins/exchange.py
+++ b/src/martenrun/router/origins/exchange.py
@@ -8,6 +8,7 @@
 import attrs
 
 from martenrun.net.loop import Loop, Timer
+from martenrun.router.log import log_event
 from martenrun.router.origins.messages import (
     OriginMessage,
     OriginQuery,
@@ -66,6 +67,9 @@
     Attributes:
         on_found: called once with the origin, or None if no router knows the stream.
         unanswered: the routers whose responses are awaited.
+        asked: all routers that were asked.
+        responses: number of responses.
+        found_at: the router whose response named the origin, or None.
         is_wide: whether more routers than the owners are asked.
     """
 
@@ -75,6 +79,8 @@
     asked: set[str] = attrs.field(factory=set)
     is_wide: bool = False
     timer: Timer | None = None
+    responses: int = 0
+    found_at: str | None = None
 
 
 class OriginExchange:
@@ -179,7 +185,9 @@
         if query is None:
             return
         query.unanswered.discard(response.sender)
+        query.responses += 1
         if response.record is not None and response.record.key == query.key:
+            query.found_at = response.sender
             self._end(response.number, self._known(query.key))
         elif not query.unanswered:
             self._ask_further(response.number)
@@ -231,7 +239,8 @@
             self._end(number, self._known(query.key))
             return
         self._close(number)
-        self._ask(Query(query.key, query.on_found, targets, query.asked, is_wide=True))
+        wide = attrs.evolve(query, unanswered=targets, is_wide=True, timer=None)
+        self._ask(wide)
 
     def _may_ask_widely(self) -> bool:
         second = int(self._loop.now())
@@ -242,8 +251,16 @@
 
     def _end(self, number: int, origin: StreamOrigin | None) -> None:
         query = self._close(number)
-        if query is not None:
-            query.on_found(origin)
+        if query is None:
+            return
+        log_event(
+            "stream_origin_searched",
+            key=f"{query.key:016x}",
+            asked=len(query.asked),
+            responses=query.responses,
+            found_at=query.found_at,
+        )
+        query.on_found(origin)
 
     def _close(self, number: int) -> Query | None:
         query = self._queries.pop(number, None)
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -156,6 +156,7 @@
             lambda: self._services.runners.runners.values(),
             lambda outcome: self._metrics.count("stream_resumptions", origin=outcome),
             self._create_version_store,
+            lambda: self._feed.replicas[Dataset.RUNNERS].age_s(self._loop.now()),
         )
         self._instance_check = self._services.instance_check = InstanceCheck(
             self._loop,
--- a/src/martenrun/router/store/replica.py
+++ b/src/martenrun/router/store/replica.py
@@ -10,6 +10,7 @@
 """
 
 import collections
+import math
 from collections.abc import Callable, Collection, Mapping
 
 import attrs
@@ -111,6 +112,10 @@
         """Whether a complete list has been applied."""
         return self.position is not None
 
+    def age_s(self, now: float) -> float:
+        """Return the age of the replica in seconds; infinite before it is first confirmed."""
+        return math.inf if self.confirmed_at is None else now - self.confirmed_at
+
     @property
     def is_behind(self) -> bool:
         """Whether the store has lost an object that is in force and not written again yet."""
--- a/src/martenrun/router/stream_resumption.py
+++ b/src/martenrun/router/stream_resumption.py
@@ -18,6 +18,9 @@
 EXPIRY_MARGIN_S = 1.0
 """How much longer than its caller waits a stream may be resumed, in seconds."""
 
+MAX_LOGGED_AGE_MS = 600_000
+"""Age of the list of runners above which its exact value is not logged, in milliseconds."""
+
 
 class StreamResumption:
     """Records which software version began each stream, and finds it for resumed streams.
@@ -27,6 +30,7 @@
             served lately.
         count: counts how the software version of a resumed stream was found.
         knows_past: returns whether all versions that have served lately are known.
+        list_age_s: returns the age of the list of runners in seconds.
     """
 
     def __init__(
@@ -37,6 +41,7 @@
         may_be_mixed: Callable[[str], bool],
         count: Callable[[str], None] = lambda _outcome: None,
         knows_past: Callable[[], bool] = lambda: True,
+        list_age_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._loop = loop
         self._history = history
@@ -44,6 +49,7 @@
         self._may_be_mixed = may_be_mixed
         self._count = count
         self._knows_past = knows_past
+        self._list_age_s = list_age_s
 
     def record_sent(self, admitted: AdmittedRequest, software: str, received_at: float) -> None:
         """Record the software version of the runner that a stream is sent to."""
@@ -106,6 +112,8 @@
             last_event=call.last_event_id,
             origin=outcome,
             software=None if origin is None else origin.software,
+            versions=len(self._history.versions(admitted.service)),
+            list_age_ms=min(MAX_LOGGED_AGE_MS, round(self._list_age_s() * 1000)),
         )
         on_resolved(resolved)
 
--- a/src/martenrun/router/stream_software.py
+++ b/src/martenrun/router/stream_software.py
@@ -21,6 +21,7 @@
         runners: returns the listed runners.
         count: counts how the software version of a resumed stream was found.
         make_version_store: returns the access to the stored versions for the history.
+        list_age_s: returns the age of the list of runners in seconds.
 
     Attributes:
         resumption: finds the software version of resumed streams.
@@ -33,6 +34,7 @@
         runners: Callable[[], Iterable[Runner]],
         count: Callable[[str], None],
         make_version_store: Callable[[SoftwareHistory], VersionStore],
+        list_age_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._loop = loop
         self._peers = peers
@@ -48,6 +50,7 @@
             self.may_be_mixed,
             count,
             lambda: self._versions.knows_past,
+            list_age_s,
         )
 
     @property
