Test of streams that routers resume while they miss a new version

Of 6 routers 1 to 3 are cut off from the store and from the other routers while callers and runners still reach them. 0.1 to 0.4 s later two runners of a new version join six of the old one. Streams that began at routers in touch are left by their callers and resumed, mostly at the separated routers, in the last 0.9 to 1.5 s of the cut.

--- a/scripts/platform_deployment.py
+++ b/scripts/platform_deployment.py
@@ -4,7 +4,6 @@
 """
 
 import itertools
-import json
 import os
 import shutil
 import signal
@@ -29,9 +28,6 @@
 KEY = "key-1"
 LIMIT_S = 15.0
 
-LINKS_SUFFIX = ".links"
-"""Suffix of the file beside a router's settings that maps runners to its relays."""
-
 _BLOCKS = itertools.count()
 """Numbers of the deployments of this process: their addresses must not meet."""
 
@@ -140,7 +136,7 @@
         for relay in self.relays.values():
             relay.close()
         for router in self.routers:
-            for link in router.links.values():
+            for link in (*router.links.values(), *router.router_links.values()):
                 link.close()
         for runner in self.runners:
             runner.close()
@@ -193,10 +189,7 @@
         if not self.has_links or address in router.links:
             return
         router.links[address] = FaultyRelay(address, router.ip)
-        links = {listed: relay.address for listed, relay in router.links.items()}
-        written = router.settings.with_suffix(".new")
-        written.write_text(json.dumps(links))
-        written.replace(router.settings.with_suffix(LINKS_SUFFIX))
+        router.write_links()
 
     def let_crash(
         self, is_deadly: Callable[[bytes], bool], away_s: float, keeps_id: bool = False
--- a/scripts/resuming_callers.py
+++ b/scripts/resuming_callers.py
@@ -73,6 +73,18 @@
         for thread in self._threads:
             thread.join(2 * DEADLINE_S)
 
+    def choose_router(self, rng: random.Random, is_resumption: bool) -> str:
+        """Return the address of the router for the next attempt: any, whatever its kind is."""
+        return rng.choice(list(self._deployment.routers)).front
+
+    def prompt_parts(self, _stream_id: str) -> str:
+        """Return ids and lengths of the parts of a stream's prompt: all streams share them."""
+        return "aa:600,bb:300,cc:100"
+
+    def break_share(self) -> float:
+        """Return the share of attempts that callers break off after some events."""
+        return BREAK_SHARE if self._breaks_off else 0.0
+
     def _run(self, rng: random.Random) -> None:
         while not self._stopped.wait(rng.expovariate(1.0 / PAUSE_S)):
             tries = self._stream(rng)
@@ -89,12 +101,16 @@
             if left_s < 0.1:
                 break
             request_id = f"u{next(self._numbers):06d}{self._suffix}"
-            headers = {"X-Request-Id": request_id, "X-Deadline-Ms": str(int(left_s * 1000))}
+            headers = {
+                "X-Request-Id": request_id,
+                "X-Deadline-Ms": str(int(left_s * 1000)),
+                "X-Prefix-Hash": self.prompt_parts(first_id or request_id),
+            }
             if first_id is not None:
                 headers |= {"Resumes": first_id, "Last-Event-Id": str(last_event_id)}
-            router = rng.choice(list(self._deployment.routers)).front
+            router = self.choose_router(rng, first_id is not None)
             sent_at = time.monotonic()
-            most = rng.randint(1, 9) if self._breaks_off and rng.random() < BREAK_SHARE else None
+            most = rng.randint(1, 9) if rng.random() < self.break_share() else None
             status, retry_after_s, data, is_whole = self._attempt(router, headers, left_s, most)
             events = event_lines(data)
             # The stream may be part of one, so that its body is not to be checked as a whole.
@@ -128,7 +144,6 @@
             "X-Key": KEY,
             "X-Model-Id": MODEL,
             "X-Token-Usage": "1000,20",
-            "X-Prefix-Hash": "aa:600,bb:300,cc:100",
         }
         status, retry_after_s, data = None, 0.0, bytearray()
         try:
--- a/scripts/router_run.py
+++ b/scripts/router_run.py
@@ -1,14 +1,17 @@
 """One router process of a deployment on loopback: its settings, ports and command."""
 
 import contextlib
+import json
 import shlex
 import socket
 import subprocess
 import tomllib
+from collections.abc import Mapping
 from pathlib import Path
 
 import attrs
 from faulty_relay import FaultyRelay
+from link_files import DATAGRAMS_SUFFIX, LINKS_SUFFIX
 
 ROOT = Path(__file__).resolve().parent.parent
 ROUTER = ROOT / "deploy" / "router.py"
@@ -52,6 +55,7 @@
     Attributes:
         store: relays its calls to the store, if any.
         links: relays its connections to each runner, by the runner's listed address.
+        router_links: relays its connections to the store and other routers, by their addresses.
     """
 
     name: str
@@ -61,6 +65,7 @@
     log: Path
     store: FaultyRelay | None = None
     links: dict[str, FaultyRelay] = attrs.field(factory=dict)
+    router_links: dict[str, FaultyRelay] = attrs.field(factory=dict)
     process: subprocess.Popen[bytes] | None = None
     program: Path | None = None
 
@@ -70,11 +75,35 @@
         lines = self.log.read_text().splitlines() if self.log.exists() else []
         return f"{self.name}: exit status {status}, last log line {lines[-1:]}"
 
+    def write_links(self) -> None:
+        """Let the process, if its program follows links, connect through its relays."""
+        relays = {**self.links, **self.router_links}
+        links = {address: relay.address for address, relay in relays.items()}
+        self._write(LINKS_SUFFIX, links)
+
+    def write_datagram_faults(self, delays_s: Mapping[str, float | None]) -> None:
+        """Let the process, if its program follows links, send datagrams late or not at all.
+
+        Args:
+            delays_s: delay of datagrams to each IP in seconds, None if they are lost.
+        """
+        self._write(DATAGRAMS_SUFFIX, dict(delays_s))
+
+    def _write(self, suffix: str, content: object) -> None:
+        written = self.settings.with_suffix(".new")
+        written.write_text(json.dumps(content))
+        written.replace(self.settings.with_suffix(suffix))
+
     @property
     def front(self) -> str:
         """Return the address that callers use."""
         return f"{self.ip}:{self.ports['front']}"
 
+    @property
+    def internal(self) -> str:
+        """Return the address that other routers use."""
+        return f"{self.ip}:{self.ports['internal']}"
+
     def url(self, port: str, path: str) -> str:
         """Return an address of the router."""
         return f"http://{self.ip}:{self.ports[port]}{path}"
