A sole software version counts only if the store confirms it after the question

Cause: a router that knows one version asked nobody, however old its view was: absence of news taken for absence of a change. Ruled out: a bound on the age of the list (a new runner's first stream takes 0.1 s), a majority of routers (those that know the version may be on the other side), peers that vouch without asking (they may be cut off together).

Change: a resumption at a router that did not send the stream itself needs evidence newer than the question. Two store readers call the store after it (a watch that does not wait, from where their list ends, and the stored versions, which name those that joined and left meanwhile), or the router itself does; questions share calls, failures are remembered for a second. Without it the stream is looked up, and refused if nobody knows it. While no live router gets timely responses of the store, origins are told as if several versions served. An unknown stream of a split route, or of a service without a known version, is not resumed by a guess any more.

--- a/src/martenrun/router/origins/exchange.py
+++ b/src/martenrun/router/origins/exchange.py
@@ -88,8 +88,8 @@
 
     Args:
         own_address: internal address of this router.
-        needs_sharing: returns whether streams of a service may have to be told apart by their
-            software version.
+        needs_sharing: returns whether a router that resumes a stream of a service may have to know
+            the software version that began it.
     """
 
     def __init__(
@@ -134,6 +134,10 @@
         if is_changed:
             self._loop.call_later(REPEAT_DELAY_S, lambda: self._share(key, kept))
 
+    def lookup(self, key: int) -> StreamOrigin | None:
+        """Return the origin of a stream if this router keeps it, else None."""
+        return self._known(key)
+
     def find(self, key: int, on_found: Callable[[StreamOrigin | None], None]) -> None:
         """Find the origin of a stream; the callback may be called before this returns."""
         origin = self._known(key)
--- a/src/martenrun/router/origins/messages.py
+++ b/src/martenrun/router/origins/messages.py
@@ -58,6 +58,33 @@
     software: str
 
 
+class VersionsQuery(msgspec.Struct, array_like=True, frozen=True, tag="versions_wanted"):
+    """Asks which software versions serve, by a response of the store newer than the query.
+
+    Attributes:
+        requester: internal address that the response is sent to.
+        number: identifies the query at its requester.
+    """
+
+    requester: str
+    number: int
+
+
+class VersionsResponse(msgspec.Struct, array_like=True, frozen=True, tag="versions"):
+    """Responds to a query.
+
+    Attributes:
+        versions: for each service its versions as (version, milliseconds since a runner was last
+            listed); None if the sender could not confirm them.
+    """
+
+    number: int
+    sender: str
+    versions: dict[str, list[tuple[str, int]]] | None = None
+
+
 OriginMessage = OriginUpdate | OriginQuery | OriginResponse
 
-SoftwareMessage = OriginMessage | RunnerRestart
+VersionMessage = VersionsQuery | VersionsResponse
+
+SoftwareMessage = OriginMessage | RunnerRestart | VersionMessage
--- a/src/martenrun/router/peer_messages.py
+++ b/src/martenrun/router/peer_messages.py
@@ -14,6 +14,8 @@
     OriginResponse,
     OriginUpdate,
     RunnerRestart,
+    VersionsQuery,
+    VersionsResponse,
 )
 from martenrun.router.quotas.messages import (
     QuotaAck,
@@ -63,7 +65,8 @@
     ``store_era`` is the newest era of the store that the router knows; 0 if the store names none or
     the router's version reads none.  ``has_state`` is set if the router has some state of each of
     the store's datasets.  ``knows_software_history`` is set if the router knows the software
-    versions of all runners that have served lately.
+    versions of all runners that have served lately.  ``confirms_versions`` is set if it receives
+    responses of the store in time and answers which software versions serve.
     """
 
     address: str
@@ -91,6 +94,7 @@
     store_era: int = 0
     has_state: bool = False
     knows_software_history: bool = False
+    confirms_versions: bool = False
 
 
 class RouterHeartbeat(msgspec.Struct, array_like=True, frozen=True):
@@ -197,6 +201,8 @@
     | OriginQuery
     | OriginResponse
     | RunnerRestart
+    | VersionsQuery
+    | VersionsResponse
 )
 
 decode: Callable[[bytes], Message] = msgspec.msgpack.Decoder(Message).decode
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -29,6 +29,7 @@
     StorePosition,
 )
 from martenrun.router.metrics import Metrics
+from martenrun.router.origins.store_probe import ProbedStore
 from martenrun.router.origins.stored_versions import FleetView, VersionStore
 from martenrun.router.partition_monitor import PROBE_TIMEOUT_S, PartitionMonitor
 from martenrun.router.peer_addresses import PeerAddressDirectory
@@ -52,7 +53,7 @@
 from martenrun.router.store.eras import StoreEras
 from martenrun.router.store.feed import StoreStateFeed
 from martenrun.router.store.state import ConfigurationState, RunnerDirectory, WeightsState
-from martenrun.router.store.sync import StoreSync, StoreSyncParts
+from martenrun.router.store.sync import MERGE_S, StoreSync, StoreSyncParts
 from martenrun.router.stream_software import StreamSoftware
 from martenrun.router.tuning import DEFAULTS, TuningParameters, load_tuning_parameters
 from martenrun.router.unresponsive_runners import newly_unresponsive, record_unresponsive
@@ -64,6 +65,12 @@
 MAINTENANCE_INTERVAL_S = 0.25
 """Interval of the periodic maintenance, in seconds."""
 
+ERA_MERGE_S = 2 * MERGE_S
+"""How long after the store returned from an older copy it may lack runners that serve, in seconds.
+
+Runners write their entries again within it.
+"""
+
 CURRENT_CONFIGURATION_SHARE = 0.6
 """The configuration counts as current up to this share of the bound on revoked keys."""
 
@@ -156,6 +163,12 @@
             lambda: self._services.runners.runners.values(),
             lambda outcome: self._metrics.count("stream_resumptions", origin=outcome),
             self._create_version_store,
+            ProbedStore(
+                self._store,
+                adapter,
+                lambda: self._feed.replicas[Dataset.RUNNERS].position,
+                lambda: self._eras.age_s() < ERA_MERGE_S,
+            ),
             lambda: self._feed.replicas[Dataset.RUNNERS].age_s(self._loop.now()),
         )
         self._instance_check = self._services.instance_check = InstanceCheck(
--- a/src/martenrun/router/software_history.py
+++ b/src/martenrun/router/software_history.py
@@ -62,11 +62,18 @@
 
     def ages(self, now: float) -> VersionAges:
         """Return what other routers need to know: services with several versions lately."""
+        return {
+            service: versions
+            for service, versions in self.all_ages(now).items()
+            if len(versions) > 1
+        }
+
+    def all_ages(self, now: float) -> VersionAges:
+        """Return for each service its versions seen last and their ages."""
         return {
             service: [
                 (software, round((now - at) * 1000))
                 for software, at in sorted(seen_at.items(), key=lambda item: -item[1])
             ][:MAXIMUM_SHARED]
             for service, seen_at in self._seen_at.items()
-            if len(seen_at) > 1
         }
--- a/src/martenrun/router/stream_software.py
+++ b/src/martenrun/router/stream_software.py
@@ -5,9 +5,11 @@
 from martenrun.net.loop import Loop
 from martenrun.router.messages import Runner, unknown_software
 from martenrun.router.origins.exchange import OriginExchange
-from martenrun.router.origins.messages import RunnerRestart, SoftwareMessage
+from martenrun.router.origins.messages import RunnerRestart, SoftwareMessage, VersionMessage
 from martenrun.router.origins.owners import OriginOwners
+from martenrun.router.origins.store_probe import ProbedStore
 from martenrun.router.origins.stored_versions import VersionStore
+from martenrun.router.origins.version_check import VersionCheck
 from martenrun.router.peer_messages import RouterRecord
 from martenrun.router.peers import Peers
 from martenrun.router.software_history import SoftwareHistory
@@ -21,6 +23,7 @@
         runners: returns the listed runners.
         count: counts how the software version of a resumed stream was found.
         make_version_store: returns the access to the stored versions for the history.
+        store: the store as it is asked for versions that this router has missed.
         list_age_s: returns the age of the list of runners in seconds.
 
     Attributes:
@@ -34,6 +37,7 @@
         runners: Callable[[], Iterable[Runner]],
         count: Callable[[str], None],
         make_version_store: Callable[[SoftwareHistory], VersionStore],
+        store: ProbedStore,
         list_age_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._loop = loop
@@ -42,7 +46,10 @@
         self._history = SoftwareHistory()
         self._versions = make_version_store(self._history)
         owners = OriginOwners(loop.now, peers)
-        self._origins = OriginExchange(loop, peers, peers.own.address, owners, self.may_be_mixed)
+        self._check = VersionCheck(
+            loop, peers, self._history, lambda: self._versions.knows_past, store
+        )
+        self._origins = OriginExchange(loop, peers, peers.own.address, owners, self._needs_origins)
         self.resumption = StreamResumption(
             loop,
             self._history,
@@ -51,6 +58,7 @@
             count,
             lambda: self._versions.knows_past,
             list_age_s,
+            self._check.confirm,
         )
 
     @property
@@ -62,6 +70,8 @@
         """Handle a message from another router."""
         if isinstance(message, RunnerRestart):
             self._history.record_version(message.service, message.software, self._loop.now())
+        elif isinstance(message, VersionMessage):
+            self._check.handle_message(message)
         else:
             self._origins.handle_message(message)
 
@@ -69,6 +79,7 @@
         """Set what other routers need to know about software versions."""
         own.software_versions = self._history.ages(self._loop.now())
         own.knows_software_history = self._versions.is_informed
+        self._check.update_record(own)
 
     def merge_record(self, record: RouterRecord, received_at: float) -> None:
         """Merge what another router knows about software versions."""
@@ -92,6 +103,7 @@
     def run_maintenance(self) -> None:
         """Forget old versions and expired origins; share origins with new owners."""
         self.record_listed()
+        self._check.run_maintenance()
         self._versions.run_maintenance()
         self._origins.run_maintenance()
 
@@ -103,6 +115,13 @@
         is_known = self._versions.knows_past and self._peers.is_settled()
         return not is_known or len(self._history.versions(service)) > 1
 
+    def _needs_origins(self, service: str) -> bool:
+        """Return whether a stream's version may have to be known to resume it.
+
+        While the store does not respond, no router can confirm that a sole version serves.
+        """
+        return not self._check.is_available or self.may_be_mixed(service)
+
     @property
     def is_creating_object(self) -> bool:
         """Whether this router is about to store the versions of a new deployment."""
--- a/tests/router/test_software_history.py
+++ b/tests/router/test_software_history.py
@@ -74,7 +74,12 @@
         world.start(address, ("a", "b"))
         peers = world.routers[address]
         routers[address] = StreamSoftware(
-            world.loop, peers, lambda: listed, lambda _: None, lambda _: InformedVersions()
+            world.loop,
+            peers,
+            lambda: listed,
+            lambda _: None,
+            lambda _: InformedVersions(),
+            None,
         )
         peers._on_software_message = routers[address].handle_message
     world.run(6.0)
--- a/tests/router/test_stream_resumption.py
+++ b/tests/router/test_stream_resumption.py
@@ -28,6 +28,9 @@
         self.known[key] = origin
         self.shared.append(must_share)
 
+    def lookup(self, key):
+        return self.known.get(key)
+
     def find(self, key, on_found):
         self.searched.append(key)
         on_found(self.known.get(key))
@@ -40,6 +43,8 @@
         self.origins = Origins()
         self.outcomes = []
         self.knows_past = True
+        self.confirmations = 0
+        self.confirm = lambda: True
         self.list_runners(*versions)
         self.resumption = StreamResumption(
             self.loop,
@@ -48,8 +53,13 @@
             lambda service: len(self.history.versions(service)) > 1,
             self.outcomes.append,
             lambda: self.knows_past,
+            confirm_versions=self.confirm_versions,
         )
 
+    def confirm_versions(self, on_confirmed):
+        self.confirmations += 1
+        on_confirmed(self.confirm())
+
     def list_runners(self, *versions, service="s"):
         runners = [runner(f"{v}", software=v, service=service) for v in versions]
         self.history.record_listed(runners, self.loop.now())
@@ -105,6 +115,54 @@
     assert case.origins.searched == []
 
 
+# Guards against streams joined from two versions by a router that is cut off from the others.
+def test_a_sole_version_counts_only_if_it_is_confirmed():
+    case = Case("v1")
+    case.confirm = lambda: False
+    assert case.resolve(last=3, resumed=b"never") is None
+    assert len(case.origins.searched) == 1 and case.outcomes == ["unknown"]
+
+
+# Guards against the same at a router that learns of the other version by asking.
+def test_a_stream_is_looked_up_if_the_confirmation_finds_another_version():
+    case = Case("v1")
+
+    def confirm():
+        case.list_runners("v2")
+        return True
+
+    case.confirm = confirm
+    assert case.resolve(last=3, resumed=b"never") is None
+    assert len(case.origins.searched) == 1 and case.outcomes == ["unknown"]
+
+
+# Guards against the same at a router that has heard from no other for a while.
+def test_an_unknown_stream_of_a_router_without_peers_needs_the_confirmation():
+    case = Case("v1")
+    case.resumption._may_be_mixed = lambda _service: True
+    assert case.resolve(last=3, resumed=b"never").software == "v1"
+    case.confirm = lambda: False
+    assert case.resolve(last=3, resumed=b"never") is None
+    assert case.confirmations == 2
+
+
+def test_a_stream_whose_origin_is_kept_here_needs_no_confirmation():
+    case = Case("v1")
+    case.begin(b"r1", "v1")
+    case.confirm = lambda: False
+    assert case.resolve(last=3, resumed=b"r1").software == "v1"
+    assert case.confirmations == 0 and case.origins.searched == []
+
+
+# Guards against a stream that goes on at any service of a split route.
+def test_an_unknown_stream_of_a_split_route_is_not_resumed():
+    split = (WeightedService("s", 9.0), WeightedService("other", 1.0))
+    case = Case("v1")
+    case.list_runners("v1", service="other")
+    split_route = attrs.evolve(STREAM, split=split)
+    assert case.resolve(last=3, resumed=b"never", on_route=split_route) is None
+
+
 # Guards against a sole listed version taken for that of all streams by a router that just started.
 def test_a_sole_version_counts_only_if_the_past_is_known():
     case = Case("v1")
