A router that resumes a stream asks all routers that keep its origin

Cause: a router that keeps the origin of a stream may have missed that it was sent again, before its first event, to a runner of another version; the first response, or the own record, was taken. The router that sent a stream itself may have missed it as well, if it forwarded the stream afterwards (found by the review).

Only the router that sent the stream, and has not forwarded it since, relies on its own record. Queries are numbered from a random number.

Open: an origin kept by one cut router alone, which nobody else answers for.

--- a/src/martenrun/router/origins/exchange.py
+++ b/src/martenrun/router/origins/exchange.py
@@ -2,6 +2,7 @@
 
 import functools
 import itertools
+import random
 from collections.abc import Callable
 from typing import Protocol
 
@@ -50,6 +51,9 @@
 Callers can name streams that never existed.
 """
 
+NUMBER_BITS = 48
+"""Queries are numbered from a random number, so that responses to a former process fit none."""
+
 MS_PER_S = 1000.0
 
 
@@ -107,7 +111,7 @@
         self._needs_sharing = needs_sharing
         self._table = OriginTable()
         self._outgoing: dict[str, dict[int, StreamOrigin]] = {}
-        self._numbers = itertools.count(1)
+        self._numbers = itertools.count(random.getrandbits(NUMBER_BITS))
         self._queries: dict[int, Query] = {}
         self._expired_at = 0.0
         self._wide_second = 0
@@ -127,6 +131,7 @@
         if known is not None and is_changed:
             # Two sends may fall into the same millisecond.
             origin.sent_after_ms = max(origin.sent_after_ms, known.sent_after_ms + 1)
+        origin.is_own = True
         kept = self._table.put(key, origin)
         if not must_share and not self._needs_sharing(kept.service):
             return
@@ -135,12 +140,22 @@
             self._loop.call_later(REPEAT_DELAY_S, lambda: self._share(key, kept))
 
     def lookup(self, key: int) -> StreamOrigin | None:
-        """Return the origin of a stream if this router keeps it, else None."""
-        return self._known(key)
+        """Return the origin of a stream that this router sent to a runner itself, else None."""
+        origin = self._known(key)
+        return origin if origin is not None and origin.is_own else None
 
-    def find(self, key: int, on_found: Callable[[StreamOrigin | None], None]) -> None:
-        """Find the origin of a stream; the callback may be called before this returns."""
+    def disown(self, key: int) -> None:
+        """Record that another router may send a stream again that this one sent."""
         origin = self._known(key)
+        if origin is not None:
+            origin.is_own = False
+
+    def find(self, key: int, on_found: Callable[[StreamOrigin | None], None]) -> None:
+        """Find the origin of a stream; the callback may be called before this returns.
+
+        All routers that keep it are asked, as one of them may have missed a later send.
+        """
+        origin = self.lookup(key)
         if origin is not None:
             on_found(origin)
             return
@@ -192,8 +207,7 @@
         query.responses += 1
         if response.record is not None and response.record.key == query.key:
             query.found_at = response.sender
-            self._end(response.number, self._known(query.key))
-        elif not query.unanswered:
+        if not query.unanswered:
             self._ask_further(response.number)
 
     # Sharing
@@ -230,17 +244,18 @@
         self._peers.send(sorted(query.unanswered), OriginQuery(self._own, number, query.key))
 
     def _ask_further(self, number: int) -> None:
-        """Ask routers beside the owners, and owners that did not respond, once."""
+        """If no origin is known, ask routers beside the owners, and silent owners, once."""
         query = self._queries.get(number)
         if query is None:
             return
-        if query.is_wide or not self._may_ask_widely():
-            self._end(number, self._known(query.key))
+        origin = self._known(query.key)
+        if origin is not None or query.is_wide or not self._may_ask_widely():
+            self._end(number, origin)
             return
         others = [address for address in self._owners.others() if address not in query.asked]
         targets = query.unanswered | set(others[:MAXIMUM_ASKED])
         if not targets:
-            self._end(number, self._known(query.key))
+            self._end(number, None)
             return
         self._close(number)
         wide = attrs.evolve(query, unanswered=targets, is_wide=True, timer=None)
--- a/src/martenrun/router/origins/table.py
+++ b/src/martenrun/router/origins/table.py
@@ -30,6 +30,7 @@
         sent_after_ms: time from the receipt of the request until it was sent, in milliseconds.
         expires_at: monotonic time from which the stream cannot be resumed any more.
         is_shared: whether the routers that keep it have been told.
+        is_own: whether this router sent the stream itself; others may have missed a later send.
     """
 
     service: str
@@ -37,6 +38,7 @@
     sent_after_ms: int
     expires_at: float
     is_shared: bool = False
+    is_own: bool = False
 
 
 class OriginTable:
@@ -61,7 +63,7 @@
         if origin.sent_after_ms > known.sent_after_ms:
             known.service, known.software = origin.service, origin.software
             known.sent_after_ms = origin.sent_after_ms
-            known.is_shared = origin.is_shared
+            known.is_shared, known.is_own = origin.is_shared, origin.is_own
         elif origin.sent_after_ms == known.sent_after_ms and (
             (known.service, known.software) != (origin.service, origin.software)
         ):
--- a/src/martenrun/router/peer_route.py
+++ b/src/martenrun/router/peer_route.py
@@ -69,6 +69,8 @@
             software: software version that wrote the events so far; None if there are none.
         """
         self._tried.add(peer)
+        if software is None:
+            self._services.record_forwarded(self._admitted)
         elapsed_s = self._services.loop.now() - self._request.received_at
         elapsed_ms = max(0, round(elapsed_s * 1000))
         service = self._admitted.service
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -181,6 +181,7 @@
             lambda state, response: record_control_response(self._services, state, response),
         )
         self._services.record_stream = self._streams.resumption.record_sent
+        self._services.record_forwarded = self._streams.resumption.record_forwarded
         self._quotas = self._services.quotas = self._create_quota_gate(settings)
         self._loads = LoadExchange(self._services.pool, self._peers)
         holder = f"{own.address}#{own.incarnation}"
--- a/src/martenrun/router/request_services.py
+++ b/src/martenrun/router/request_services.py
@@ -63,6 +63,7 @@
         record_stream: records the software version of the runner that a request is sent to, with
             the time of the request's receipt, in case it begins a stream that is resumed at
             another router.
+        record_forwarded: records that another router sends a request to a runner instead.
         instance_check: checks that runners are the instances that their entries describe; None if
             entries are trusted.
         body_memory: the memory of buffered bodies of responses.
@@ -100,6 +101,7 @@
     record_stream: Callable[[AdmittedRequest, str, float], None] = (
         lambda _admitted, _software, _received_at: None
     )
+    record_forwarded: Callable[[AdmittedRequest], None] = lambda _admitted: None
     instance_check: InstanceCheck | None = None
     count_notice: Callable[[str], None] = lambda _notice: None
     broadcast_drains: Callable[[DrainUpdate], None] = lambda _update: None
--- a/src/martenrun/router/stream_resumption.py
+++ b/src/martenrun/router/stream_resumption.py
@@ -73,6 +73,11 @@
         key = _key(admitted, admitted.call.request_id)
         self._origins.record(key, origin, must_share=len(admitted.route.split) > 1)
 
+    def record_forwarded(self, admitted: AdmittedRequest) -> None:
+        """Record that a stream without events is sent on by another router, to any runner."""
+        if _is_resumable(admitted):
+            self._origins.disown(_key(admitted, admitted.call.request_id))
+
     def resolve(self, admitted: AdmittedRequest, on_resolved: OnResolved) -> None:
         """Find the service and software version that a request needs.
 
--- a/tests/router/test_stream_origins.py
+++ b/tests/router/test_stream_origins.py
@@ -163,6 +163,40 @@
     assert world.find("r1", "a")[0] == "v2"
 
 
+# Guards against a stream that goes on at the version of an earlier send: a router that keeps its
+# origin missed the later one.
+@pytest.mark.parametrize("asker", ["an owner that missed it", "another router"])
+def test_an_outdated_origin_gives_way_to_those_of_other_owners(asker):
+    wrong = 0
+    for seed in range(20):
+        world = OriginWorld(7, seed=seed)
+        world.begin("r0", "a", software="v1", sent_after_ms=2)
+        world.run(0.05)
+        outdated = next(address for address in holders(world, "a") if address != "r0")
+        world.cut_off([outdated])
+        world.begin("r0", "a", software="v2", sent_after_ms=50)
+        world.run(0.2)
+        world.cut_off([])
+        world.kill("r0")
+        others = [address for address in world.addresses if address not in holders(world, "a")]
+        found_at = outdated if asker == "an owner that missed it" else others[0]
+        wrong += world.find(found_at, "a")[0] != "v2"
+    assert wrong == 0
+
+
+# Guards against the version of a failed send, after which another router sent the stream on.
+def test_the_router_that_forwarded_a_stream_asks_where_it_was_sent():
+    world = OriginWorld(7)
+    world.begin("r0", "a", software="v1", sent_after_ms=2)
+    world.run(0.05)
+    world.cut_off(["r0"])
+    world.begin("r1", "a", software="v2", sent_after_ms=50)
+    world.run(0.2)
+    world.cut_off([])
+    world.routers["r0"].exchange.disown(stream_key("t", b"a"))
+    assert world.find("r0", "a")[0] == "v2"
+
+
 # Guards against routers of earlier versions that cannot read the messages.
 def test_routers_of_earlier_versions_are_sent_nothing():
     world = OriginWorld(0)
--- a/tests/router/test_stream_resumption.py
+++ b/tests/router/test_stream_resumption.py
@@ -31,6 +31,9 @@
     def lookup(self, key):
         return self.known.get(key)
 
+    def disown(self, key):
+        self.known.pop(key, None)
+
     def find(self, key, on_found):
         self.searched.append(key)
         on_found(self.known.get(key))
@@ -154,6 +157,15 @@
     assert case.confirmations == 0 and case.origins.searched == []
 
 
+# Guards against the version of a failed send, after which another router sent the stream on.
+def test_a_stream_that_was_forwarded_is_looked_up():
+    case = Case("v1", "v2")
+    case.begin(b"r1", "v1")
+    case.resumption.record_forwarded(request(case.loop, b"r1"))
+    assert case.resolve(last=3, resumed=b"r1") is None
+    assert len(case.origins.searched) == 1
+
+
 # Guards against a stream that goes on at any service of a split route.
 def test_an_unknown_stream_of_a_split_route_is_not_resumed():
     split = (WeightedService("s", 9.0), WeightedService("other", 1.0))
