A check of a response that ended with its connection is logged and counted

No line or figure said that a response had neither length nor chunks, or what the check of its runner had found; a cut response that passed as complete left nothing but `served`.

Change: log `closed_response_checked` (request, instance, outcome, whether the runner drains, time of the check), figure `martenrun_closed_responses_total`. No change of logic. Without it the new test fails (no such argument).

--- a/src/martenrun/router/crashes/tracker.py
+++ b/src/martenrun/router/crashes/tracker.py
@@ -63,6 +63,8 @@
         request_report, probe: see :class:`martenrun.router.crashes.detector.CrashDetector`.
         rng: decides whether this router is one of those that send what many know.
         router_count: returns how many routers there are.
+        count_closed_response: counts a response that ended with its connection, by the outcome
+            of the check of its runner.
     """
 
     trial_interval_s = TRIAL_INTERVAL_S
@@ -76,12 +78,14 @@
         probe: Callable[[Loop, str, Callable[[bool | None], None]], object] = ConnectionProbe,
         rng: random.Random | None = None,
         router_count: Callable[[], int] = lambda: 1,
+        count_closed_response: Callable[[str], None] = lambda _outcome: None,
     ) -> None:
         self._loop = loop
         self._runners = runners
         self._broadcast = broadcast
         self._rng = rng or random.Random()
         self._router_count = router_count
+        self._count_closed_response = count_closed_response
         self._completed_parts: collections.OrderedDict[bytes, float] = collections.OrderedDict()
         self._trials: dict[bytes, float] = {}
         self._unstored: dict[bytes, float] = {}
@@ -124,7 +128,21 @@
         on_outcome: Callable[[RunnerOutcome], None],
     ) -> None:
         """Find out whether the runner outlived a response that ended with its connection."""
-        self.detector.check_outcome(state, request_features(request, admitted), on_outcome)
+        closed_at = self._loop.now()
+
+        def on_checked(outcome: RunnerOutcome) -> None:
+            self._count_closed_response(outcome.value)
+            log_event(
+                "closed_response_checked",
+                request=admitted.call.request_id.decode("latin-1"),
+                instance=state.runner.instance,
+                outcome=outcome.value,
+                is_draining=state.is_draining,
+                wait_ms=round((self._loop.now() - closed_at) * 1000, 1),
+            )
+            on_outcome(outcome)
+
+        self.detector.check_outcome(state, request_features(request, admitted), on_checked)
 
     def record_restart(
         self, state: RunnerState, request: HttpRequest, admitted: AdmittedRequest
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -111,6 +111,9 @@
                 lambda update: self._peers.broadcast(update),
                 lambda state, on_report: self._instance_check.request_report(state, on_report),
                 router_count=lambda: self._peers.budget_count(),
+                count_closed_response=lambda outcome: self._metrics.count(
+                    "closed_responses", outcome=outcome
+                ),
             ),
             decisions=decisions,
             retry_slack_from=self._retry_slack_from(settings),
--- a/tests/router/crash_world.py
+++ b/tests/router/crash_world.py
@@ -70,11 +70,11 @@
         )
 
 
-def crash_tracker(loop, probes=None, runners=None, broadcast=lambda _update: None):
+def crash_tracker(loop, probes=None, runners=None, broadcast=lambda _update: None, **options):
     """Return the crash tracker of one router."""
     probes = probes or Probes()
     view = (runners or Runners()).view()
-    return CrashTracker(loop, view, broadcast, probes.report_request(loop), probes)
+    return CrashTracker(loop, view, broadcast, probes.report_request(loop), probes, **options)
 
 
 def request(body=b"b", method=b"POST", target=b"/a/x"):
--- a/tests/router/test_closed_responses.py
+++ b/tests/router/test_closed_responses.py
@@ -6,12 +6,14 @@
 
 import pytest
 
+from martenrun.router.crashes import tracker
 from martenrun.router.crashes.detector import RunnerOutcome
 from martenrun.router.crashes.features import RequestFeatures
 from martenrun.router.messages import RouteKind
 
 from .builders import route, state
-from .crash_world import PROBE_S
+from .crash_world import PROBE_S, Probes, admitted, crash_tracker, request
+from .fakes import FakeLoop
 from .test_crash_detector import Harness
 from .test_forwarding import ForwardingCase, with_crash_records
 from .test_stream_forwarding import SIGNED, begin, event, stream_case
@@ -222,3 +224,20 @@
     assert case.outcomes == ["served"]
     [record] = case.services.suspects.summaries()
     assert record.has_run_whole == (probe == "accepted")
+
+
+# Guards against closed responses that no log line or figure tells from framed ones.
+@pytest.mark.parametrize(("probe", "outcome"), [("accepted", "alive"), ("refused", "crashed")])
+def test_the_check_of_a_closed_response_is_logged_and_counted(monkeypatch, probe, outcome):
+    lines, counted = [], []
+    monkeypatch.setattr(tracker, "log_event", lambda event, **fields: lines.append((event, fields)))
+    probes = Probes()
+    getattr(probes, probe, set()).add(ADDRESS)
+    loop = FakeLoop()
+    suspects = crash_tracker(loop, probes, count_closed_response=counted.append)
+    suspects.check_outcome(state("i-1"), request(), admitted(), lambda _outcome: None)
+    loop.run_until(loop.time + 3.0)
+    [(event, fields)] = lines
+    assert event == "closed_response_checked" and counted == [outcome]
+    assert fields["request"] == "r1" and fields["instance"] == "i-1"
+    assert fields["outcome"] == outcome and fields["wait_ms"] > 0
