A response that ends with its connection is complete only on later evidence

Cause: absence of news was taken for proof. check_outcome answered UNKNOWN for a draining runner at once and after four probes without news, and UNKNOWN counted as complete. Since one report of the same start, requested as the response ended, proved that the runner lived on.

Change: crashes/outcome_check.py. Complete is what a report of the same start confirms, requested 0.25 s after the end of a stream, 0.075 s after that of a buffered response; draining runners are asked just the same; lost reports are requested again, three times. UNKNOWN is not complete: the stream goes on elsewhere or is broken off after its last event, a buffered response is repeated or answered with 502. The disconnect is reported by the request in all cases; the detector did it a second time.

Tests changed: three waited 0.1 s for the end of a response; they now check that it does not come before the wait and comes within two probes after it. One took a response without evidence for "served", which is the fault itself; it now asks for "unknown" of an unsafe request, and its check of the crash record is unchanged.

Cost: a report more for each such response, and the wait.

--- a/src/martenrun/platform/standins/http_server.py
+++ b/src/martenrun/platform/standins/http_server.py
@@ -64,13 +64,17 @@
         self.shutdown()
         self.server_close()
         reserved = reserve_port(self.server_address[:2])  # type: ignore[arg-type]
+        self.close_connections(resets)
+        return reserved
+
+    def close_connections(self, resets: bool = False) -> None:
+        """Reset or close every connection."""
         for sock in list(self._connections):
             with contextlib.suppress(OSError):
                 if resets:
                     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01" + bytes(7))
                 # The handler still holds the socket: the reset is sent when the handler closes it.
                 sock.shutdown(socket.SHUT_RDWR)
-        return reserved
 
     def process_request(self, request: Any, client_address: Any) -> None:
         """Serve a connection on a thread."""
--- a/src/martenrun/platform/standins/runner.py
+++ b/src/martenrun/platform/standins/runner.py
@@ -48,6 +48,8 @@
         crashing_parts: ids of parts of a prompt, never the last one, that crash the runner.
         crash_point: how far the response to a crash-causing request gets.
         crash_delay_s: how long such a request runs before that, in seconds.
+        front_lead_s: how long before it crashes its front closes all connections, in seconds; it
+            accepts new ones until the crash.
         crashes_by_reset: whether its connections are reset when it crashes, or closed.
         ends_by_connection: whether the response to a request has neither a length nor chunks and
             ends with its connection.
@@ -89,6 +91,7 @@
         self.crashing_parts: frozenset[str] = frozenset()
         self.crash_point = CrashPoint.BEFORE_HEAD
         self.crash_delay_s = 0.0
+        self.front_lead_s = 0.0
         self.crashes_by_reset = True
         self.ends_by_connection: Callable[[str], bool] = lambda _request_id: False
         self.on_crash: Callable[[RunnerStandin], None] = lambda _runner: None
@@ -115,6 +118,10 @@
                 self.on_crash(self)
                 self._reserved_port = self._server.crash(self.crashes_by_reset)
 
+    def close_connections(self) -> None:
+        """Close all connections and accept new ones, as a front in the same process does."""
+        self._server.close_connections()
+
     def occupy_slot(self) -> bool:
         """Wait for a slot and occupy it; return False if too many requests wait already."""
         with self._free_slots:
@@ -336,6 +343,9 @@
             self._begin_stream()
         if runner.crash_point is CrashPoint.AFTER_EVENT:
             self._write_part(self._event(int(self.headers.get("Last-Event-Id") or 0) + 1))
+        if runner.front_lead_s:
+            runner.close_connections()
+            time.sleep(runner.front_lead_s)
         runner.crash(self._request_id())
         self.close_connection = True
 
--- a/src/martenrun/router/crashes/detector.py
+++ b/src/martenrun/router/crashes/detector.py
@@ -12,15 +12,13 @@
   at once may come from a proxy, from a process that is exiting, or from a runner with too many
   connections.  A refusal is inconclusive while a kept-alive connection is still open.
 
-A response that ends with its connection looks complete if the runner crashes, too.  It counts as
-complete once the runner sends its report: the kernel accepts connections also while the process is
-suspended or exits.
+A response that ends with its connection looks complete if the runner crashes, too; see
+:mod:`martenrun.router.crashes.outcome_check`.
 
 A listed entry of a later instance also proves the exit.  Disconnects by a draining runner are
 expected and are not counted as a crash.
 """
 
-import enum
 import errno
 from collections.abc import Callable
 
@@ -29,9 +27,14 @@
 from martenrun.net.loop import Loop, Timer
 from martenrun.net.stream import Stream, open_stream
 from martenrun.router.crashes.features import RequestFeatures, part_name
-from martenrun.router.instance_check import is_of_other_start
+from martenrun.router.crashes.outcome_check import (
+    OutcomeCheck,
+    Probe,
+    RequestReport,
+    RunnerOutcome,
+)
 from martenrun.router.log import log_event, log_warning
-from martenrun.router.messages import Runner, RunnerReport
+from martenrun.router.messages import Runner
 from martenrun.router.runner_state import RunnerState
 
 PROBE_TIMEOUT_S = 0.4
@@ -46,9 +49,6 @@
 RETRY_DELAYS_S = (0.05, 0.1, 0.2, 0.4, 0.8)
 """Delays before an inconclusive probe is repeated, in seconds."""
 
-OUTCOME_RETRY_DELAYS_S = RETRY_DELAYS_S[:3]
-"""The same while a caller waits for the end of its response."""
-
 MAX_LOGGED = 8
 """Maximum number of requests that the log of a crash names."""
 
@@ -59,18 +59,6 @@
 """
 
 
-RequestReport = Callable[[RunnerState, Callable[[RunnerReport | None], None]], None]
-"""Requests a runner's report and passes it on, None if no readable one is received."""
-
-
-class RunnerOutcome(enum.Enum):
-    """What became of a runner whose response ended with its connection."""
-
-    ALIVE = "alive"
-    CRASHED = "crashed"
-    UNKNOWN = "unknown"
-
-
 class Investigation:
     """The requests whose connections to a runner instance broke, and whether it crashed."""
 
@@ -169,7 +157,7 @@
         runners: RunnerView,
         on_crashed: Callable[[str, list[RequestFeatures]], None],
         request_report: RequestReport,
-        probe: Callable[[Loop, str, Callable[[bool | None], None]], object] = ConnectionProbe,
+        probe: Probe = ConnectionProbe,
     ) -> None:
         self._loop = loop
         self._runners = runners
@@ -205,41 +193,20 @@
     def check_outcome(
         self,
         state: RunnerState,
-        features: RequestFeatures,
+        confirmation_s: float,
         on_outcome: Callable[[RunnerOutcome], None],
     ) -> None:
-        """Find out whether a runner crashed or ended a response by closing its connection.
+        """Find out whether a runner outlived a response that has just ended with its connection.
 
-        It is called back within OUTCOME_RETRY_DELAYS_S and the time of the reports and probes.  If
-        the runner crashed, the caller reports the disconnect by :meth:`handle_disconnect`.
-        """
-        if state.is_draining:
-            on_outcome(RunnerOutcome.UNKNOWN)
-            return
+        If it is not known to have, the caller reports the disconnect by :meth:`handle_disconnect`.
 
-        def on_report(report: RunnerReport | None) -> None:
-            if report is None:
-                self._probe(self._loop, state.runner.address, on_probed)
-                return
-            has_crashed = is_of_other_start(report, state.runner)
-            on_outcome(RunnerOutcome.CRASHED if has_crashed else RunnerOutcome.ALIVE)
-
-        def on_probed(refused: bool | None) -> None:
-            if refused:
-                on_outcome(RunnerOutcome.CRASHED)
-                return
-            delay_s = next(delays, None)
-            if delay_s is not None:
-                self._loop.call_later(delay_s, check)
-                return
-            self.handle_disconnect(state, features)
-            on_outcome(RunnerOutcome.UNKNOWN)
-
-        def check() -> None:
-            self._request_report(state, on_report)
-
-        delays = iter(OUTCOME_RETRY_DELAYS_S)
-        check()
+        Args:
+            confirmation_s, on_outcome: see
+                :class:`martenrun.router.crashes.outcome_check.OutcomeCheck`.
+        """
+        OutcomeCheck(
+            self._loop, state, self._request_report, self._probe, confirmation_s, on_outcome
+        ).start()
 
     def call_when_resolved(self, instance: str, callback: Callable[[], None]) -> None:
         """Call back once it is known whether an instance crashed, or if that stays unknown."""
--- a/src/martenrun/router/crashes/request_check.py
+++ b/src/martenrun/router/crashes/request_check.py
@@ -6,8 +6,12 @@
 
 from martenrun.net.http import HttpRequest
 from martenrun.router.attempt import STATUS_SERVER_ERROR, Attempt, SentRequest
-from martenrun.router.crashes.detector import RunnerOutcome
 from martenrun.router.crashes.features import part_keys, part_name
+from martenrun.router.crashes.outcome_check import (
+    BUFFERED_CONFIRMATION_S,
+    STREAM_CONFIRMATION_S,
+    RunnerOutcome,
+)
 from martenrun.router.crashes.tracker import CrashTracker
 from martenrun.router.messages import AdmittedRequest
 from martenrun.router.runner_state import RunnerState
@@ -107,19 +111,23 @@
             self._tracker.record_part_completions(self._part_keys())
 
     def check_end(self, attempt: SentRequest, on_checked: Callable[[bool], None]) -> None:
-        """Call back with whether a response that looks complete ended by a crash of its runner.
+        """Call back with whether a response that looks complete may have been cut.
 
-        A completion is recorded if the runner is known to have outlived the response.
+        One that ended with its connection may have been, unless its runner is known to have
+        outlived it; a completion is recorded only then.
         """
         is_success = attempt.status < STATUS_SERVER_ERROR
 
         def on_outcome(outcome: RunnerOutcome) -> None:
             if outcome is RunnerOutcome.ALIVE:
                 self.record_completion(is_success)
-            on_checked(outcome is RunnerOutcome.CRASHED)
+            on_checked(outcome is not RunnerOutcome.ALIVE)
 
         if isinstance(attempt, Attempt) and attempt.ends_by_connection:
-            self._tracker.check_outcome(attempt.state, self._request, self._admitted, on_outcome)
+            confirmation_s = (
+                STREAM_CONFIRMATION_S if attempt.is_streamed else BUFFERED_CONFIRMATION_S
+            )
+            self._tracker.check_outcome(attempt.state, self._admitted, confirmation_s, on_outcome)
         else:
             on_outcome(RunnerOutcome.ALIVE)
 
--- a/src/martenrun/router/crashes/tracker.py
+++ b/src/martenrun/router/crashes/tracker.py
@@ -14,14 +14,13 @@
 from martenrun.router.crashes.detector import (
     ConnectionProbe,
     CrashDetector,
-    RequestReport,
-    RunnerOutcome,
     RunnerView,
 )
 from martenrun.router.crashes.features import RequestFeatures, part_name, request_features
 from martenrun.router.crashes.fingerprint import fingerprint_prefix, request_fingerprint
 from martenrun.router.crashes.history import COMPLETION_GRACE_S
 from martenrun.router.crashes.messages import CrashRecord, CrashUpdate
+from martenrun.router.crashes.outcome_check import Probe, RequestReport, RunnerOutcome
 from martenrun.router.crashes.table import CrashSummary, CrashTable
 from martenrun.router.log import log_event, log_warning
 from martenrun.router.messages import AdmittedRequest
@@ -75,7 +74,7 @@
         runners: RunnerView,
         broadcast: Callable[[CrashUpdate], None],
         request_report: RequestReport,
-        probe: Callable[[Loop, str, Callable[[bool | None], None]], object] = ConnectionProbe,
+        probe: Probe = ConnectionProbe,
         rng: random.Random | None = None,
         router_count: Callable[[], int] = lambda: 1,
         count_closed_response: Callable[[str], None] = lambda _outcome: None,
@@ -123,8 +122,8 @@
     def check_outcome(
         self,
         state: RunnerState,
-        request: HttpRequest,
         admitted: AdmittedRequest,
+        confirmation_s: float,
         on_outcome: Callable[[RunnerOutcome], None],
     ) -> None:
         """Find out whether the runner outlived a response that ended with its connection."""
@@ -142,7 +141,7 @@
             )
             on_outcome(outcome)
 
-        self.detector.check_outcome(state, request_features(request, admitted), on_checked)
+        self.detector.check_outcome(state, confirmation_s, on_checked)
 
     def record_restart(
         self, state: RunnerState, request: HttpRequest, admitted: AdmittedRequest
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -230,12 +230,12 @@
             self._return_response(attempt)
 
     def _check_end(self, attempt: SentRequest, end: Callable[[], None]) -> None:
-        """End a complete response, unless it only ended because its runner crashed."""
+        """End a complete response, unless the end of its runner may have cut it."""
 
-        def on_checked(has_crashed: bool) -> None:
+        def on_checked(may_be_cut: bool) -> None:
             if self.is_over or self._attempt is not attempt:
                 return
-            if has_crashed:
+            if may_be_cut:
                 self._break_off(attempt)
             else:
                 end()
--- a/tests/router/crash_world.py
+++ b/tests/router/crash_world.py
@@ -22,8 +22,13 @@
         self.silent = set()
         self.suspended = set()
         self.started_at_ms = {}
+        self.lost_reports = {}
         self.probed = []
 
+    def lose_reports(self, address, count):
+        """Lose the next reports of a runner, whose connections are accepted."""
+        self.lost_reports[address] = count
+
     def __call__(self, loop, address, on_result):
         self.probed.append(address)
         if address in self.silent:
@@ -41,6 +46,9 @@
             report = RunnerReport({}, False, 0, started_at_ms=started_at_ms)
             if address in self.refused | self.inconclusive | self.silent | self.suspended:
                 report = None
+            if self.lost_reports.get(address, 0):
+                self.lost_reports[address] -= 1
+                report = None
             is_late = address in self.silent | self.suspended
             loop.call_later(0.4 if is_late else PROBE_S, lambda: on_report(report))
 
--- a/tests/router/part_plays.py
+++ b/tests/router/part_plays.py
@@ -35,6 +35,7 @@
         prompts: shared parts of crash-causing prompts, which come in turn; None is a new part.
         crashing: the parts that crash runners.
         chance_s: mean time between crashes by chance, in seconds; 0 for none.
+        front_lead_s: how long before a crash the runner closes its connections, in seconds.
         event_pause_s: pause between two of the six events of a stream, in seconds.
         before_s: how long only sound requests come first, in seconds.
         kill_s: time between kills of a router, in seconds; 0 for none.
@@ -49,6 +50,7 @@
     point: CrashPoint = CrashPoint.BEFORE_HEAD
     by_reset: bool = True
     framed: bool = True
+    front_lead_s: float = 0.0
     keeps_id: bool = False
     chance_s: float = 0.0
     kill_s: float = 0.0
@@ -81,6 +83,14 @@
     "closed after an event": Play(
         SECOND, ("dead1",), point=CrashPoint.AFTER_EVENT, by_reset=False, framed=False
     ),
+    "front closes first": Play(
+        SECOND,
+        ("dead1",),
+        point=CrashPoint.AFTER_EVENT,
+        by_reset=False,
+        framed=False,
+        front_lead_s=0.05,
+    ),
     "long streams": Play(SECOND, ("dead1",), event_pause_s=0.4, path="/once/x"),
     "long streams from the start": Play(
         SECOND, ("dead1",), event_pause_s=0.4, before_s=0.0, path="/once/x"
@@ -113,6 +123,7 @@
             runner.crash_delay_s = RUN_S
             runner.crash_point = play.point
             runner.crashes_by_reset = play.by_reset
+            runner.front_lead_s = play.front_lead_s
             runner.event_pause_s = play.event_pause_s
             runner.ends_by_connection = lambda _request_id: not play.framed
         turns = itertools.cycle(play.prompts or ((),))
--- a/tests/router/test_closed_responses.py
+++ b/tests/router/test_closed_responses.py
@@ -7,19 +7,22 @@
 import pytest
 
 from martenrun.router.crashes import tracker
-from martenrun.router.crashes.detector import RunnerOutcome
-from martenrun.router.crashes.features import RequestFeatures
+from martenrun.router.crashes.outcome_check import (
+    BUFFERED_CONFIRMATION_S,
+    STREAM_CONFIRMATION_S,
+    RunnerOutcome,
+)
 from martenrun.router.messages import RouteKind
 
 from .builders import route, state
-from .crash_world import PROBE_S, Probes, admitted, crash_tracker, request
+from .crash_world import PROBE_S, Probes, admitted, crash_tracker
 from .fakes import FakeLoop
 from .test_crash_detector import Harness
 from .test_forwarding import ForwardingCase, with_crash_records
 from .test_stream_forwarding import SIGNED, begin, event, stream_case
 
 ADDRESS = "127.0.0.1:1"
-FEATURES = RequestFeatures(b"run 1")
+CONFIRMATION_S = 0.1
 
 
 def close(case, is_close_delimited=True):
@@ -30,7 +33,7 @@
 
 def outcomes_of(harness, runner=None):
     found = []
-    harness.detector.check_outcome(runner or state("i-1"), FEATURES, found.append)
+    harness.detector.check_outcome(runner or state("i-1"), CONFIRMATION_S, found.append)
     harness.run(3.0)
     return found
 
@@ -57,7 +60,7 @@
     harness = Harness()
     harness.probes.inconclusive.add(ADDRESS)
     found = []
-    harness.detector.check_outcome(state("i-1"), FEATURES, found.append)
+    harness.detector.check_outcome(state("i-1"), CONFIRMATION_S, found.append)
     harness.run(PROBE_S + 0.001)
     assert found == []
     harness.probes.inconclusive.clear()
@@ -72,7 +75,7 @@
     harness = Harness()
     harness.probes.suspended.add(ADDRESS)
     found = []
-    harness.detector.check_outcome(state("i-1"), FEATURES, found.append)
+    harness.detector.check_outcome(state("i-1"), CONFIRMATION_S, found.append)
     harness.run(0.3)
     assert found == []
     harness.probes.refused.add(ADDRESS)
@@ -113,8 +116,9 @@
 def test_a_closed_response_of_a_living_runner_is_returned():
     case = ForwardingCase()
     respond_unframed(case)
+    case.run(BUFFERED_CONFIRMATION_S)
     assert case.exchange.responses == []
-    case.run(0.1)
+    case.run(2 * PROBE_S)
     assert case.exchange.responses[0][0] == 200 and case.outcomes == ["served"]
 
 
@@ -146,8 +150,9 @@
     case = stream_case(["v1", "v1"])
     begin(case)
     close(case)
+    case.run(STREAM_CONFIRMATION_S)
     assert case.exchange.responses == [event(1)] and case.outcomes == []
-    case.run(0.1)
+    case.run(2 * PROBE_S)
     assert case.outcomes == ["served"]
 
 
@@ -215,13 +220,15 @@
 
 @pytest.mark.parametrize("probe", ["accepted", "inconclusive"])
 def test_a_closed_response_clears_records_only_if_the_runner_lives(probe):
-    case = ForwardingCase(setup=with_crash_records(2))
+    case = ForwardingCase(
+        setup=with_crash_records(2), custom_route=route(kind=RouteKind.UNSAFE, timeout_s=6.0)
+    )
     chosen = next(each for each in case.states if each.runner.instance == case.pool.sent[0])
     if probe == "inconclusive":
         case.probes.inconclusive.add(chosen.runner.address)
     respond_unframed(case)
     case.run(3.0)
-    assert case.outcomes == ["served"]
+    assert case.outcomes == ["served" if probe == "accepted" else "unknown"]
     [record] = case.services.suspects.summaries()
     assert record.has_run_whole == (probe == "accepted")
 
@@ -235,9 +242,97 @@
     getattr(probes, probe, set()).add(ADDRESS)
     loop = FakeLoop()
     suspects = crash_tracker(loop, probes, count_closed_response=counted.append)
-    suspects.check_outcome(state("i-1"), request(), admitted(), lambda _outcome: None)
+    suspects.check_outcome(state("i-1"), admitted(), CONFIRMATION_S, lambda _outcome: None)
     loop.run_until(loop.time + 3.0)
     [(event, fields)] = lines
     assert event == "closed_response_checked" and counted == [outcome]
     assert fields["request"] == "r1" and fields["instance"] == "i-1"
     assert fields["outcome"] == outcome and fields["wait_ms"] > 0
+
+
+PROBED_S = 4.0
+"""Longer than a check of a runner that says nothing, in seconds."""
+
+
+def chosen_address(case):
+    return next(s for s in case.states if s.runner.instance == case.pool.sent[0]).runner.address
+
+
+# Guards against a response cut by its runner's end that passes as complete as no probe says so.
+@pytest.mark.parametrize("probe", ["inconclusive", "suspended", "silent"])
+@pytest.mark.parametrize("kind", [RouteKind.SAFE, RouteKind.UNSAFE])
+def test_a_closed_response_without_evidence_is_not_returned(probe, kind):
+    case = ForwardingCase(custom_route=route(kind=kind, timeout_s=6.0))
+    getattr(case.probes, probe).add(chosen_address(case))
+    respond_unframed(case)
+    case.run(PROBED_S)
+    assert all(status != 200 for status, _, _ in case.exchange.responses)
+    if kind is RouteKind.SAFE:
+        assert len(set(case.pool.sent)) == 2
+    else:
+        assert case.exchange.responses[0][0] == 502 and len(case.pool.sent) == 1
+
+
+# Guards against a stream that a leaving runner left unfinished and that looks complete.
+@pytest.mark.parametrize("probe", ["refused", "inconclusive", "suspended", "silent"])
+@pytest.mark.parametrize("is_draining", [False, True], ids=["staying", "draining"])
+def test_a_closed_stream_without_evidence_is_broken_off(probe, is_draining):
+    once = route(kind=RouteKind.STREAM, timeout_s=6.0)
+    case = ForwardingCase(custom_route=once)
+    if is_draining:
+        for each in case.states:
+            each.record_draining(case.loop.now())
+    getattr(case.probes, probe).add(chosen_address(case))
+    begin(case)
+    close(case)
+    case.run(PROBED_S)
+    assert case.exchange.responses == [event(1)] and case.exchange.is_aborted
+    assert case.outcomes == ["broken_off"]
+
+
+def test_a_closed_stream_of_a_leaving_runner_goes_on_elsewhere():
+    case = stream_case(["v1", "v1"])
+    case.states[0].record_draining(case.loop.now())
+    case.probes.refused.add(chosen_address(case))
+    begin(case)
+    close(case)
+    case.run(0.1)
+    assert case.pool.sent == ["i-0", "i-1"]
+
+
+# Guards against complete responses of draining runners that are lost, although these serve on.
+def test_a_closed_stream_of_a_runner_that_serves_on_while_it_drains_is_complete():
+    case = ForwardingCase(custom_route=route(kind=RouteKind.STREAM, timeout_s=6.0))
+    for each in case.states:
+        each.record_draining(case.loop.now())
+    begin(case)
+    close(case)
+    case.run(1.0)
+    assert case.outcomes == ["served"] and not case.exchange.is_aborted
+
+
+# Guards against a cut response that passes as complete as its runner, which closes its responses
+# first and ends a moment later, sends its report in between.
+@pytest.mark.parametrize("ends_after_s", [0.01, 0.03, 0.06])
+def test_a_runner_that_ends_shortly_after_its_report_has_cut_its_response(ends_after_s):
+    case = stream_case(["v1", "v1"])
+    begin(case)
+    close(case)
+    case.run(ends_after_s)
+    assert case.pool.sent == ["i-0"] and case.exchange.responses == [event(1)]
+    case.probes.refused.add(chosen_address(case))
+    case.run(1.0)
+    assert case.pool.sent == ["i-0", "i-1"]
+    [record] = case.services.suspects.summaries()
+    assert record.starts == 1
+
+
+# Guards against a complete response that is lost because one report was.
+@pytest.mark.parametrize("lost", [1, 2, 3])
+def test_a_closed_response_outlasts_lost_reports(lost):
+    case = ForwardingCase(custom_route=route(kind=RouteKind.UNSAFE))
+    address = chosen_address(case)
+    case.probes.lose_reports(address, lost)
+    respond_unframed(case)
+    case.run(1.0)
+    assert case.exchange.responses[0][0] == 200 and case.outcomes == ["served"]
--- a/tests/router/test_deadly_parts.py
+++ b/tests/router/test_deadly_parts.py
@@ -38,7 +38,13 @@
 
 
 def let_crash(
-    deployment, *parts, keeps_id=False, point=CrashPoint.BEFORE_HEAD, by_reset=True, framed=True
+    deployment,
+    *parts,
+    keeps_id=False,
+    point=CrashPoint.BEFORE_HEAD,
+    by_reset=True,
+    framed=True,
+    front_lead_s=0.0,
 ):
     deployment.let_crash(lambda _body: False, DOWN_S, keeps_id)
     for runner in deployment.runners:
@@ -46,6 +52,7 @@
         runner.crash_delay_s = RUN_S
         runner.crash_point = point
         runner.crashes_by_reset = by_reset
+        runner.front_lead_s = front_lead_s
         runner.ends_by_connection = lambda _request_id: not framed
 
 
@@ -110,6 +117,23 @@
     assert not complete
 
 
+# Guards against crashes of runners that close responses first, report, and end a moment later.
+@pytest.mark.parametrize("front_lead_s", [0.01, 0.05])
+def test_crash_that_follows_a_report_counts(deployment, front_lead_s):
+    let_crash(
+        deployment,
+        CRASHING,
+        point=CrashPoint.AFTER_EVENT,
+        by_reset=False,
+        framed=False,
+        front_lead_s=front_lead_s,
+    )
+    callers = PartCallers(deployment, 7, lambda: (FIRST_PART, CRASHING))
+    blocked_from = play(deployment, callers, CRASHING)
+    check(deployment, callers, blocked_from, CRASHING)
+    assert all(each.status != 200 for each in callers.responses["crashing"])
+
+
 # Guards against sound prompts held back for a part that was only ever met beside a crashing one.
 def test_part_met_only_beside_a_crashing_one_is_served_without_it(deployment):
     companion = "c0ffee"
