A cut head on a kept connection is no complete response

By test: a response without a status or body was passed on as complete, if its head was cut by a close on a connection whose earlier response counted as ending with its connection and was complete all the same (two Transfer-Encoding fields, the last one "chunked").

Cause: ClientConnection.is_close_delimited was set by a response and never reset. Only that response reaches it by today's parser; the flag is one of a single request.

What it plays besides, and what passed before: heads cut by FIN and RST at sampled positions, with length, chunks, both codings, neither; alone, after 100 and 103, after late copies with length, chunks, neither; on kept connections; at the client of the store and of followed routers, at reports; at another router.

Change: send() resets it.

--- a/src/martenrun/net/client.py
+++ b/src/martenrun/net/client.py
@@ -50,7 +50,8 @@
         was_kept_alive: whether the connection was kept open after an earlier response.
         opened_at: monotonic time at which it was opened.
         failure: how it failed, or an empty string.
-        is_close_delimited: whether the end of the last response is that of the connection.
+        is_close_delimited: whether the end of the last request's response is that of the
+            connection.
         idle_since: monotonic time since which the connection is idle.
         keep_alive_s: keep-alive timeout that the peer announced, in seconds, or None.
     """
@@ -121,6 +122,7 @@
         self._request = request
         self._parser = httptools.HttpResponseParser(self)
         self._size = ResponseSize()
+        self.is_close_delimited = False
         self._is_response_complete = False
         if self._is_connected:
             self._send_now()
