A response in a transfer coding is complete only with its last chunk

By test: chunks that were cut by a close passed as a complete body if the response has two Transfer-Encoding fields and the first one is not "chunked"; so did a body in a coding that is never decoded (gzip).

Cause: whether the connection's end delimits a body was read from the first Transfer-Encoding field; the parser decodes chunks if the last one names them.

Failed before: 9 cuts of test_cut_chunks_are_no_complete_response and test_a_coded_body_without_chunks_is_no_complete_response[gzip].

Change: no response with a Transfer-Encoding field ends with its connection. Ruled out: reading the last coding, as then a body in chunks followed by another coding passes with the chunks undecoded. A response with "identity", which is obsolete, and no length now counts as broken.

--- a/src/martenrun/net/client.py
+++ b/src/martenrun/net/client.py
@@ -229,12 +229,15 @@
             self._is_response_complete = True
 
     def _body_length(self, status: int) -> int | None:
-        """Return the body's length, or None if chunks or the connection's close delimit it."""
+        """Return the body's length, or None if chunks or the connection's close delimit it.
+
+        A body in any transfer coding is complete only if the parser finds the end of its chunks.
+        """
         length = find_header(self._headers, b"content-length")
         if length is not None:
             return int(length)
-        is_chunked = b"chunked" in (find_header(self._headers, b"transfer-encoding") or b"").lower()
-        self.is_close_delimited = not is_chunked and status not in (204, 304)
+        is_coded = find_header(self._headers, b"transfer-encoding") is not None
+        self.is_close_delimited = not is_coded and status not in (204, 304)
         return None
 
     def _read_keep_alive(self) -> None:
--- a/tests/router/test_cut_heads.py
+++ b/tests/router/test_cut_heads.py
@@ -137,6 +137,30 @@
         exchange.close()
 
 
+# Guards against chunks cut by a close that pass as a body that ends with its connection.
+@pytest.mark.parametrize("framing", ["chunks", "two codings"])
+@pytest.mark.parametrize("kept", [0, 1, 3, 5, 7, 9, 10, 12, 13])
+def test_cut_chunks_are_no_complete_response(exchanges, framing, kept):
+    exchange = exchanges()
+    reader, peer = exchange.send(b"1")
+    answer(peer, head_of(framing) + BODIES["chunks"][:kept], resets=False)
+    serve_until(exchange.loop, lambda: reader.events[2:])
+    assert reader.events == ["sent", 200, ("broken", True)]
+
+
+# Guards against a body in another coding that passes as the runner's, however it ends.
+@pytest.mark.parametrize("coding", [b"gzip", b"chunked, gzip", b"chunked;x=1"])
+def test_a_coded_body_without_chunks_is_no_complete_response(exchanges, coding):
+    exchange = exchanges()
+    reader, peer = exchange.send(b"1")
+    coded = b"Transfer-Encoding: " + coding + b"\r\n"
+    answer(peer, head_of("chunks").replace(FRAMINGS["chunks"], coded) + b"body", resets=False)
+    serve_until(
+        exchange.loop, lambda: ("broken", True) in reader.events or "complete" in reader.events
+    )
+    assert reader.events[-1] == ("broken", True)
+
+
 def collect(loop, address, calls, client):
     responses = []
     if client == "runner":
