A response of another router that ends with its connection is broken

By test: a response of another router that has neither length nor chunks passed as complete at its close, empty or after its first event, and nobody checks what became of the router (PeerAttempt.ends_by_connection is False by declaration).

Cause: that routers frame every response was assumed and not checked.

Change: it counts as broken, like one that is reset.

--- a/src/martenrun/router/peer_attempt.py
+++ b/src/martenrun/router/peer_attempt.py
@@ -32,7 +32,7 @@
     """A broken connection to a router does not show that a runner crashed."""
 
     ends_by_connection = False
-    """Routers frame every response; the one that received it from a runner has checked its end."""
+    """Routers frame every response: the one that received it from a runner has checked its end."""
 
     def __init__(
         self,
@@ -112,9 +112,12 @@
             self._fail(Failure.BROKEN)
 
     def on_complete(self) -> None:
-        """Process the end of a complete response."""
+        """Process the end of a response; one that ends with its connection was cut."""
         if self._is_over:
             return
+        if self.connection is not None and self.connection.is_close_delimited:
+            self._fail(Failure.BROKEN)
+            return
         self._is_over = True
         self._buffer.release()
         if self._is_streamed:
--- a/tests/router/test_cut_heads.py
+++ b/tests/router/test_cut_heads.py
@@ -240,3 +240,10 @@
     for position in positions(framing, f"{kind} {framing} {resets}"):
         data = head_of(framing)[:position]
         assert play_peer(kind, data, resets) is Failure.BROKEN, position
+
+
+# Guards against a response of another router that passes as complete, though routers frame all.
+@pytest.mark.parametrize("kind", [RouteKind.SAFE, RouteKind.STREAM])
+@pytest.mark.parametrize("body", [b"", b"id: 1\ndata: x\n\n"], ids=["empty", "begun"])
+def test_a_response_of_another_router_does_not_end_with_its_connection(kind, body):
+    assert play_peer(kind, head_of("neither") + body, resets=False) is Failure.BROKEN
