A buffered success that ends right after its head is broken

By test: a runner that sends the head of a success without length and chunks, closes the connection and lives on: its caller gets a 200 with an empty body.

Cause: only the runner's life was asked for. A stream without events has counted as broken in that case; a buffered response had no such check.

Failed before: test_a_closed_success_without_a_body_is_broken, both kinds.

Change: such a success (2xx, no body, no framing) is repeated or answered with 502, without asking the runner. Failures, responses to HEAD, 204 and 304 stay as they are. Weighed: a runner whose whole answer is empty sends a length of 0; one that doesn't is now taken for broken. A body cut later by a runner that lives on is not recognised: nothing tells it from a whole one.

--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -31,6 +31,7 @@
 suspended meanwhile.
 """
 
+STATUS_MULTIPLE_CHOICES = 300
 STATUS_MISDIRECTED = 421
 STATUS_SERVER_ERROR = 500
 
@@ -256,11 +257,11 @@
         if metadata.is_not_executed:
             return
         self.state.record_accepted(self.started_at)
-        if metadata.is_encoded or (status < 300 and not metadata.is_signed):
+        if metadata.is_encoded or (status < STATUS_MULTIPLE_CHOICES and not metadata.is_signed):
             self._fail(Failure.BROKEN)
             return
         is_stream = self._admitted.route.kind is RouteKind.STREAM
-        self.is_streamed = is_stream and status < 300
+        self.is_streamed = is_stream and status < STATUS_MULTIPLE_CHOICES
         if self.is_streamed:
             self._listener.on_response_head(self)
         elif not self._buffer.fits(length or 0):
--- a/src/martenrun/router/crashes/request_check.py
+++ b/src/martenrun/router/crashes/request_check.py
@@ -5,7 +5,12 @@
 import attrs
 
 from martenrun.net.http import HttpRequest
-from martenrun.router.attempt import STATUS_SERVER_ERROR, Attempt, SentRequest
+from martenrun.router.attempt import (
+    STATUS_MULTIPLE_CHOICES,
+    STATUS_SERVER_ERROR,
+    Attempt,
+    SentRequest,
+)
 from martenrun.router.crashes.features import part_keys, part_name
 from martenrun.router.crashes.outcome_check import (
     BUFFERED_CONFIRMATION_S,
@@ -114,7 +119,8 @@
         """Call back with whether a response that looks complete may have been cut.
 
         One that ended with its connection may have been, unless its runner is known to have
-        outlived it; a completion is recorded only then.
+        outlived it; a completion is recorded only then.  One that ends right after the head of a
+        success was cut, whether its runner lives or not.
         """
         is_success = attempt.status < STATUS_SERVER_ERROR
 
@@ -123,13 +129,20 @@
                 self.record_completion(is_success)
             on_checked(outcome is not RunnerOutcome.ALIVE)
 
-        if isinstance(attempt, Attempt) and attempt.ends_by_connection:
+        if not isinstance(attempt, Attempt) or not attempt.ends_by_connection:
+            on_outcome(RunnerOutcome.ALIVE)
+        elif self._is_empty_success(attempt):
+            on_checked(True)
+        else:
             confirmation_s = (
                 STREAM_CONFIRMATION_S if attempt.is_streamed else BUFFERED_CONFIRMATION_S
             )
             self._tracker.check_outcome(attempt.state, self._admitted, confirmation_s, on_outcome)
-        else:
-            on_outcome(RunnerOutcome.ALIVE)
+
+    def _is_empty_success(self, attempt: Attempt) -> bool:
+        if attempt.is_streamed or attempt.body or self._request.method == b"HEAD":
+            return False
+        return attempt.status < STATUS_MULTIPLE_CHOICES
 
     def _part_keys(self) -> tuple[bytes, ...]:
         if self._parts is None:
--- a/src/martenrun/router/peer_attempt.py
+++ b/src/martenrun/router/peer_attempt.py
@@ -3,7 +3,7 @@
 from martenrun.net.client import ClientConnection
 from martenrun.net.http import Headers
 from martenrun.net.response_limits import BodyBuffer
-from martenrun.router.attempt import AttemptListener
+from martenrun.router.attempt import STATUS_MULTIPLE_CHOICES, AttemptListener
 from martenrun.router.event_stream import BrokenStreamError
 from martenrun.router.forwarded_request import (
     read_instance,
@@ -16,8 +16,6 @@
 from martenrun.router.retry import Failure
 from martenrun.router.runner_responses import record_drain
 
-STATUS_MULTIPLE_CHOICES = 300
-
 
 class PeerAttempt:
     """An attempt at another router; see :class:`martenrun.net.client.ResponseReader`.
--- a/tests/router/test_closed_responses.py
+++ b/tests/router/test_closed_responses.py
@@ -336,3 +336,37 @@
     respond_unframed(case)
     case.run(1.0)
     assert case.exchange.responses[0][0] == 200 and case.outcomes == ["served"]
+
+
+# Guards against a head that its runner sent before it broke off, passed on as an empty response.
+@pytest.mark.parametrize("kind", [RouteKind.SAFE, RouteKind.UNSAFE])
+def test_a_closed_success_without_a_body_is_broken(kind):
+    case = ForwardingCase(custom_route=route(kind=kind))
+    case.pool.readers[-1].on_head(200, SIGNED, None)
+    close(case)
+    case.run(1.0)
+    assert all(status == 502 for status, _, _ in case.exchange.responses)
+    if kind is RouteKind.SAFE:
+        assert len(set(case.pool.sent)) == 2
+    else:
+        assert case.outcomes == ["unknown"]
+
+
+# Guards against responses that have no body by their method and are taken for cut ones.
+def test_a_closed_response_to_a_head_request_has_no_body():
+    def set_method(case):
+        case.exchange.request.method = b"HEAD"
+
+    case = ForwardingCase(custom_route=route(kind=RouteKind.UNSAFE), setup=set_method)
+    case.pool.readers[-1].on_head(200, SIGNED, None)
+    close(case)
+    case.run(1.0)
+    assert case.exchange.responses[0][0] == 200
+
+
+def test_a_closed_failure_without_a_body_is_returned():
+    case = ForwardingCase(custom_route=route(kind=RouteKind.UNSAFE))
+    case.pool.readers[-1].on_head(500, SIGNED, None)
+    close(case)
+    case.run(1.0)
+    assert case.exchange.responses[0][0] == 500
