A request that offers another protocol is served

Cause: httptools raises HttpParserUpgrade once such a request is queued, and ServerConnection.on_data took that for invalid input. Serving the queued request alone would not do: the parser ends the message at its head, so that the body would be lost and then be taken for the next request.

Change: net/request_parser.py parses the head again without the offer, with a new parser, and then the body and what follows it, so that length, chunks, pipelined requests, limits and checks of the framing hold as for any request. CONNECT gets the response of a request without a route (404), and what follows it on its connection is not read. HTTP2-Settings is hop-by-hop, also where Connection does not list it.

--- a/src/martenrun/net/http.py
+++ b/src/martenrun/net/http.py
@@ -16,6 +16,7 @@
         b"trailer",
         b"transfer-encoding",
         b"upgrade",
+        b"http2-settings",
         b"content-length",
         b"expect",
     }
--- a/src/martenrun/net/server.py
+++ b/src/martenrun/net/server.py
@@ -7,13 +7,13 @@
 import collections
 import socket
 from collections.abc import Callable
-from typing import Any
 
 import attrs
 import httptools
 
 from martenrun.net.http import Headers, HttpRequest, response_head
 from martenrun.net.loop import Loop
+from martenrun.net.request_parser import RequestParser
 from martenrun.net.stream import Stream, listen
 
 SWEEP_INTERVAL_S = 0.25
@@ -134,11 +134,9 @@
 
     def __init__(self, server: "Server", sock: socket.socket) -> None:
         self._server = server
-        self._parser: Any = httptools.HttpRequestParser(self)
+        self._parser = RequestParser(self)
         self._queue: collections.deque[HttpRequest] = collections.deque()
         self._current: Exchange | None = None
-        self._target = b""
-        self._headers: Headers = []
         self._body = bytearray()
         self._header_bytes = 0
         self._head_received_at = 0.0
@@ -169,8 +167,8 @@
             self.phase_started_at = self._server.loop.now()
         self._header_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._parser.feed(data)
+        except httptools.HttpParserError:
             self._reject(400)
             return
         if not self._is_rejected and self._is_head_too_long():
@@ -197,29 +195,19 @@
     def on_message_begin(self) -> None:
         """Reset the parsing state for a new request."""
         self._is_in_message = True
-        self._target = b""
-        self._headers = []
         self._body = bytearray()
         self._head_received_at = 0.0
 
-    def on_url(self, url: bytes) -> None:
-        """Append a part of the request target."""
-        self._target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header field."""
-        self._headers.append((name, value))
-
     def on_headers_complete(self) -> None:
         """Check the announced size of the body and reply to ``Expect: 100-continue``."""
         late_s = self._server.loop.late_s
         suspended_s = late_s if late_s > SUSPENSION_THRESHOLD_S else 0.0
         self._head_received_at = self._server.loop.now() - suspended_s
         self._header_bytes = 0
-        if self._content_length() > self._server.limits.maximum_body_bytes:
+        if self._parser.content_length() > self._server.limits.maximum_body_bytes:
             self._reject(413)
             return
-        for name, value in self._headers:
+        for name, value in self._parser.headers:
             if name.lower() == b"expect" and value.lower() == b"100-continue":
                 self.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -237,12 +225,16 @@
         self._header_bytes = 0
         if self._is_rejected:
             return
-        if not self._parser.should_keep_alive():
+        parser = self._parser
+        if not parser.keeps_alive:
             self._ends_after_queue = True
-        method = self._parser.get_method()
         self._queue.append(
             HttpRequest(
-                method, self._target, self._headers, bytes(self._body), self._head_received_at
+                parser.method,
+                parser.target,
+                parser.headers,
+                bytes(self._body),
+                self._head_received_at,
             )
         )
 
@@ -310,12 +302,6 @@
             self._server.handler(self._current)
         self.stream.pause(len(self._queue) >= MAXIMUM_QUEUED_REQUESTS)
 
-    def _content_length(self) -> int:
-        for name, value in self._headers:
-            if name.lower() == b"content-length":
-                return int(value)
-        return 0
-
     def _is_head_too_long(self) -> bool:
         is_in_head = self._is_in_message and self._head_received_at == 0.0
         return is_in_head and self._header_bytes > self._server.limits.maximum_header_bytes
--- a/tests/router/test_platform_adapter.py
+++ b/tests/router/test_platform_adapter.py
@@ -219,6 +219,20 @@
     assert fields[b"x-expect-instance"] == b"i-1"
 
 
+@pytest.mark.parametrize("connection", [b"Upgrade, HTTP2-Settings", b"Upgrade"])
+def test_an_offer_of_another_protocol_is_not_forwarded(connection):
+    headers = [
+        (b"Host", b"a"),
+        (b"Connection", connection),
+        (b"Upgrade", b"h2c"),
+        (b"HTTP2-Settings", b"AAMAAABk"),
+    ]
+    dispatch = Dispatch("i-1", 1.25, None, None, None, None, None, None, None)
+    sent = PLATFORM_ADAPTER.runner_headers(headers, dispatch)
+    names = {name.lower() for name, _ in sent}
+    assert names == {b"host", b"x-deadline-ms", b"x-expect-instance"}
+
+
 def test_configuration_is_converted():
     spec = {
         "version": 7,
--- a/tests/router/test_server.py
+++ b/tests/router/test_server.py
@@ -210,3 +210,85 @@
     again = server_setup.connect()
     server_setup.serve_until(lambda: server_setup.server.connections == 3)
     again.close()
+
+
+OFFER = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMAAABk\r\n"
+OFFERS = [
+    pytest.param(b"GET /a HTTP/1.1\r\nHost: a\r\n" + OFFER + b"\r\n", b"", id="no body"),
+    pytest.param(POST + OFFER + b"Content-Length: 3\r\n\r\nabc", b"abc", id="length"),
+    pytest.param(
+        POST + OFFER + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        b"abc",
+        id="chunks",
+    ),
+]
+
+
+# Guards against requests that offer HTTP/2 and are never answered.
+@pytest.mark.parametrize(("data", "body"), OFFERS)
+def test_requests_that_offer_another_protocol_and_those_behind_them_are_served(
+    server_setup, data, body
+):
+    peer = server_setup.connect()
+    peer.send(data + GET + data)
+    for number, expected in enumerate((body, b"", body), 1):
+        server_setup.serve_until(lambda count=number: len(server_setup.exchanges) == count)
+        exchange = server_setup.exchanges[-1]
+        assert exchange.request.body == expected
+        assert exchange.request.header(b"host") == b"a"
+        exchange.respond(200, [], b"answer %d" % number)
+        server_setup.serve_until(lambda count=number: b"answer %d" % count in peer.read())
+    assert not peer.is_closed and not server_setup.server.has_work
+
+
+# Guards against a body behind an offer that is lost or taken for the next request.
+@pytest.mark.parametrize(("data", "body"), OFFERS)
+def test_a_request_that_offers_another_protocol_may_arrive_byte_by_byte(server_setup, data, body):
+    peer = server_setup.connect()
+    for number in range(len(data)):
+        peer.send(data[number : number + 1])
+        server_setup.loop.call_later(0, lambda: None)
+        server_setup.loop.run_once()
+    server_setup.serve_until(lambda: server_setup.exchanges)
+    assert [exchange.request.body for exchange in server_setup.exchanges] == [body]
+    assert not server_setup.exchanges[0].is_over
+
+
+@pytest.mark.parametrize("data", AMBIGUOUS_REQUESTS[:4])
+def test_an_offer_does_not_hide_ambiguous_framing(server_setup, data):
+    peer = server_setup.connect()
+    peer.send(data.replace(POST, POST + OFFER))
+    server_setup.serve_until(lambda: peer.read() and peer.is_closed)
+    assert peer.received.startswith(b"HTTP/1.1 400")
+    assert server_setup.exchanges == []
+
+
+def test_a_request_with_an_offer_keeps_the_limits(server_setup):
+    server_setup.server.limits = ServerLimits(maximum_body_bytes=10)
+    peer = server_setup.connect()
+    peer.send(POST + OFFER + b"Content-Length: 11\r\n\r\n")
+    server_setup.serve_until(lambda: peer.read() and peer.is_closed)
+    assert peer.received.startswith(b"HTTP/1.1 413")
+
+
+def test_a_request_with_an_offer_is_told_once_to_go_on(server_setup):
+    peer = server_setup.connect()
+    peer.send(POST + OFFER + b"Expect: 100-continue\r\nContent-Length: 3\r\n\r\n")
+    server_setup.serve_until(lambda: peer.read())
+    peer.send(b"abc")
+    server_setup.serve_until(lambda: server_setup.exchanges)
+    assert server_setup.exchanges[0].request.body == b"abc"
+    assert peer.read() == b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+# Guards against a tunnel request that is never answered, and against bytes of it that are served.
+def test_a_tunnel_request_is_answered_in_turn_and_nothing_behind_it_is_served(server_setup):
+    peer = server_setup.connect()
+    peer.send(GET + b"CONNECT b.example:443 HTTP/1.1\r\nHost: b.example\r\n\r\n" + GET)
+    for number, method in enumerate((b"GET", b"CONNECT"), 1):
+        server_setup.serve_until(lambda count=number: len(server_setup.exchanges) == count)
+        assert server_setup.exchanges[-1].request.method == method
+        server_setup.exchanges[-1].respond(404, [], b"answer %d" % number)
+    server_setup.serve_until(lambda: peer.read() and peer.is_closed)
+    assert peer.received.endswith(b"Connection: close\r\n\r\nanswer 2")
+    assert len(server_setup.exchanges) == 2
--- a/tests/router/test_whole_path.py
+++ b/tests/router/test_whole_path.py
@@ -3,9 +3,11 @@
 import contextlib
 import json
 import signal
+import socket
 from pathlib import Path
 
 import pytest
+import urllib3
 from click.testing import CliRunner
 from platform_deployment import MODEL, PlatformDeployment
 
@@ -76,6 +78,32 @@
             assert runs[0].cache_salt.startswith(f"{MODEL}/1/")
 
 
+# Guards against requests that offer HTTP/2 and are never answered.
+@pytest.mark.parametrize("path", ["/pay/x", "/slip/x", "/once/x"])
+def test_a_request_that_offers_another_protocol_is_served_as_any_other(deployment, path):
+    request_id = "offer" + path.replace("/", "-")
+    offer = {
+        "Connection": "Upgrade, HTTP2-Settings",
+        "Upgrade": "h2c",
+        "HTTP2_Settings": "AAMAAABkAAQAoAAAAAIAAAAA",
+    }
+    assert deployment.ask(path, request_id, **offer).status == 200
+    runs = deployment.runs_of(request_id)
+    assert len(runs) == 1
+    assert path == "/slip/x" or runs[0].body == b"body of " + request_id.encode()
+
+
+def test_a_tunnel_request_is_denied(deployment):
+    front = urllib3.util.parse_url(deployment.routers[0].url("front", "/"))
+    with socket.create_connection((front.host, front.port), timeout=4) as caller:
+        head = (
+            b"CONNECT b.example:443 HTTP/1.1\r\nHost: b.example\r\nX-Request-Id: tunnel-1\r\n\r\n"
+        )
+        caller.sendall(head)
+        received = b"".join(iter(lambda: caller.recv(4096), b""))
+    assert received.startswith(b"HTTP/1.1 404 ")
+
+
 def test_unknown_routes_and_keys_are_denied(deployment):
     assert deployment.ask("/nowhere/", "deny-1").status == 404
     assert deployment.ask("/slip/x", "deny-2", key="wrong").status == 401
