Invalid bytes behind a complete request no longer leave it unanswered

Invalid bytes beside a streamed response kept the connection open for good, since it counted as busy.

Cause: ServerConnection.on_data returned after a parser error without serving the queued requests; _reject only marks the connection to end after them. A response that had started before the error ended without that mark being looked at.

Change: what is queued is served after a parser error, and the connection is shut down after the last response due.

Measured: test_invalid_bytes_behind_a_request_neither_hold_it_up_nor_are_served (six inputs) and test_a_connection_with_invalid_bytes_closes_after_the_response_in_progress failed before; tests/router/test_server.py passes since.

--- a/src/martenrun/net/server.py
+++ b/src/martenrun/net/server.py
@@ -170,7 +170,6 @@
             self._parser.feed(data)
         except httptools.HttpParserError:
             self._reject(400)
-            return
         if not self._is_rejected and self._is_head_too_long():
             self._reject(431)
         self._serve_next()
@@ -258,7 +257,7 @@
         """Continue with the next request, or close the connection."""
         self._current = None
         self.phase_started_at = self._server.loop.now()
-        if is_closing:
+        if is_closing or (self._ends_after_queue and not self._queue):
             self.shut_down()
         elif self._queue:
             self._server.loop.call_later(0, self._serve_next)
--- a/tests/router/test_server.py
+++ b/tests/router/test_server.py
@@ -292,3 +292,33 @@
     server_setup.serve_until(lambda: peer.read() and peer.is_closed)
     assert peer.received.endswith(b"Connection: close\r\n\r\nanswer 2")
     assert len(server_setup.exchanges) == 2
+
+
+# Guards against a complete request that is never answered because of the bytes behind it.
+@pytest.mark.parametrize("data", AMBIGUOUS_REQUESTS)
+def test_invalid_bytes_behind_a_request_neither_hold_it_up_nor_are_served(server_setup, data):
+    peer = server_setup.connect()
+    peer.send(GET + GET + data)
+    for number in (1, 2):
+        server_setup.serve_until(lambda count=number: len(server_setup.exchanges) == count)
+        server_setup.exchanges[-1].respond(200, [], b"answer %d" % number)
+    server_setup.serve_until(lambda: peer.read() and peer.is_closed)
+    assert peer.received.endswith(b"Connection: close\r\n\r\nanswer 2")
+    assert len(server_setup.exchanges) == 2
+
+
+# Guards against connections that stay open for good after invalid bytes beside a response.
+def test_a_connection_with_invalid_bytes_closes_after_the_response_in_progress(server_setup):
+    peer = server_setup.connect()
+    peer.send(GET)
+    server_setup.serve_until(lambda: server_setup.exchanges)
+    exchange = server_setup.exchanges[0]
+    exchange.start(200, [], None)
+    exchange.send(b"one")
+    server_setup.serve_until(lambda: peer.read().endswith(b"one\r\n"))
+    peer.send(b"\x16\x03\x01\x02\x00")
+    connection = exchange._connection
+    server_setup.serve_until(lambda: connection._is_rejected)
+    exchange.end()
+    server_setup.serve_until(lambda: peer.read() and peer.is_closed)
+    assert peer.received.endswith(b"0\r\n\r\n")
