--- a/src/martenrun/platform/__init__.py
+++ b/src/martenrun/platform/__init__.py
@@ -1,6 +1,6 @@
 """Adapter of the platform: translates its names, formats and calls, and makes no decisions."""
 
-from martenrun.platform import endpoints, headers, objects, orders, settings, specs
+from martenrun.platform import endpoints, headers, objects, orders, router_specs, settings, specs
 from martenrun.router.platform_adapter import PlatformAdapter, SettingsSource
 
 SETTINGS_VARIABLE = settings.SETTINGS_VARIABLE
@@ -26,14 +26,14 @@
     read_configuration=specs.read_configuration,
     read_runner=specs.read_runner,
     read_weights=specs.read_weights,
-    read_lease=specs.read_lease,
-    lease_spec=specs.lease_spec,
-    read_crash_records=specs.read_crash_records,
-    crash_records_spec=specs.crash_records_spec,
-    read_peer_addresses=specs.read_peer_addresses,
-    peer_addresses_spec=specs.peer_addresses_spec,
-    read_software_versions=specs.read_software_versions,
-    software_versions_spec=specs.software_versions_spec,
+    read_lease=router_specs.read_lease,
+    lease_spec=router_specs.lease_spec,
+    read_crash_records=router_specs.read_crash_records,
+    crash_records_spec=router_specs.crash_records_spec,
+    read_peer_addresses=router_specs.read_peer_addresses,
+    peer_addresses_spec=router_specs.peer_addresses_spec,
+    read_software_versions=router_specs.read_software_versions,
+    software_versions_spec=router_specs.software_versions_spec,
     order_weights=orders.order_weights,
     read_order_outcome=orders.read_order_outcome,
     report_request=orders.report_request,
--- a/src/martenrun/platform/objects.py
+++ b/src/martenrun/platform/objects.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from martenrun.net.http import Headers, find_header
+from martenrun.platform.fields import DECODE_ERRORS
 from martenrun.router.messages import (
     Dataset,
     HttpCall,
@@ -122,9 +123,6 @@
 _DECODE_OBJECT = msgspec.json.Decoder(_Object).decode
 _DECODE_NAMED_OBJECT = msgspec.json.Decoder(_NamedObject).decode
 
-DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
-"""Exceptions that decoding raises for invalid input."""
-
 
 def read_page(body: bytes, era: int) -> StorePage:
     """Decode a page of a list read in an era; raises UnreadableError if it is invalid."""
