Connections to invalid addresses fail at once and leave nothing open

Callers saw: requests for a runner whose entry has a port out of range stayed unanswered until their deadline; a timer of a connection that was never made logged AttributeError; a socket stayed open.

Cause: connect() raises OverflowError for such a port and int() ValueError, which pass the callers' `except OSError`, and open_stream closed its socket for OSError only; ClientConnection started its timer before the connection. A host name was resolved on the loop's thread, which blocks all callers.

Change: open_stream checks for an IPv4 address and a port first and raises InvalidAddressError, an OSError; any failure closes the socket; the timer starts after the connection.

--- a/src/martenrun/net/client.py
+++ b/src/martenrun/net/client.py
@@ -46,6 +46,9 @@
         on_idle: called after a complete response if the connection can be reused.
         on_end: called once when the connection can no longer be used.
 
+    Raises:
+        OSError: the connection cannot be opened; nothing of it remains.
+
     Attributes:
         was_kept_alive: whether the connection was kept open after an earlier response.
         opened_at: monotonic time at which it was opened.
@@ -84,10 +87,10 @@
         self.failure = ""
         self.idle_since = self.opened_at
         self.keep_alive_s: float | None = None
+        self._stream: Stream | None = open_stream(loop, address, self)
         self._connect_timer: Timer | None = loop.call_later(
             CONNECT_TIMEOUT_S, self._on_connect_timeout
         )
-        self._stream: Stream | None = open_stream(loop, address, self)
 
     @property
     def is_open(self) -> bool:
--- a/src/martenrun/net/stream.py
+++ b/src/martenrun/net/stream.py
@@ -1,6 +1,8 @@
 """A non-blocking TCP connection with buffered writes and back-pressure."""
 
 import contextlib
+import errno
+import re
 import socket
 from collections.abc import Callable
 from typing import Protocol
@@ -31,6 +33,14 @@
 """
 
 
+MAXIMUM_PORT = 65_535
+
+LOGGED_CHARACTERS = 40
+"""Length to which an invalid address is truncated in an error's text."""
+
+_PORT = re.compile("[0-9]{1,5}")
+
+
 class StreamOwner(Protocol):
     """Receives the events of a :class:`Stream`."""
 
@@ -224,20 +234,41 @@
             self._owner.on_closed(is_clean)
 
 
+class InvalidAddressError(OSError):
+    """An address is not an IPv4 address and a port from 1 to 65535; its errno is EINVAL."""
+
+    def __init__(self, address: str) -> None:
+        super().__init__(errno.EINVAL, f"invalid address {address[:LOGGED_CHARACTERS]!r}")
+
+
 def open_stream(loop: Loop, address: str, owner: StreamOwner) -> Stream:
-    """Open a connection to ``IP:port``; raises OSError if that fails at once."""
-    host, _, port = address.rpartition(":")
+    """Open a connection to ``IP:port``; raises OSError if that fails at once.
+
+    Host names are not resolved, since a look-up would block the loop: they are invalid addresses.
+    """
+    endpoint = _parse_endpoint(address)
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setblocking(False)
-    _set_options(sock, OPENED_ACK_TIMEOUT_MS)
     try:
-        sock.connect((host, int(port)))
-    except BlockingIOError:
-        pass
-    except OSError:
+        sock.setblocking(False)
+        _set_options(sock, OPENED_ACK_TIMEOUT_MS)
+        with contextlib.suppress(BlockingIOError):
+            sock.connect(endpoint)
+        return Stream(loop, sock, owner, is_opened=True)
+    except BaseException:
         sock.close()
         raise
-    return Stream(loop, sock, owner, is_opened=True)
+
+
+def _parse_endpoint(address: str) -> tuple[str, int]:
+    """Split ``IP:port``; raises InvalidAddressError."""
+    host, _, port = address.rpartition(":")
+    if _PORT.fullmatch(port) is None or not 0 < int(port) <= MAXIMUM_PORT:
+        raise InvalidAddressError(address)
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError) as exc:
+        raise InvalidAddressError(address) from exc
+    return host, int(port)
 
 
 def listen(loop: Loop, address: str, on_accept: Callable[[socket.socket], None]) -> socket.socket:
