Fields of stored objects and reports have ranges

Callers saw: a runner listed with port 65536 or 256.1.1.1 was chosen and its requests failed; an integer above 2**64 in a runner's entry, in target weights or in a lease got into messages between routers, where encoding it raises OverflowError, so that followers of the list, or all gossip, stopped.

Cause: what others write was checked for its types, not for range and size.

Change: integers have at most 63 bits, durations, weights and rates are at most 1e15, addresses are IPv4 with valid octets and a port from 1 to 65535 (the pattern took other scripts' digits and a trailing newline), names have at most 1,024 characters; in configuration, runners' entries and reports, weights, leases, crash records and software versions. A fencing token is at most 2**62, so that there is always a higher one.

--- a/src/martenrun/platform/router_specs.py
+++ b/src/martenrun/platform/router_specs.py
@@ -5,18 +5,27 @@
 
 import msgspec
 
-from martenrun.platform.fields import MS_PER_S, Amount, Count, NonEmptyText, convert_spec
+from martenrun.platform.fields import (
+    MS_PER_S,
+    Amount,
+    Count,
+    FencingToken,
+    Integer,
+    NonEmptyText,
+    Text,
+    convert_spec,
+)
 from martenrun.router.crashes.messages import CrashRecord
 from martenrun.router.messages import LeaseRecord, StoredObject
 
 
 class _Lease(msgspec.Struct):
-    holder: str
-    fence_token: Count
+    holder: Text
+    fence_token: FencingToken
     renewals: Count = 0
     pause_ms: Amount = 0.0
     released_idle_ms: Amount | None = None
-    ages_ms: dict[str, list[tuple[int, int]]] = {}
+    ages_ms: dict[str, list[tuple[Integer, Integer]]] = {}
     ordered_ms: dict[str, Count] | None = None
 
 
@@ -26,10 +35,10 @@
 
 
 class _CrashRecord(msgspec.Struct):
-    fingerprint: Annotated[str, msgspec.Meta(pattern="^([0-9a-f]{2})+$")]
+    fingerprint: Annotated[str, msgspec.Meta(pattern=r"^([0-9a-f]{2}){1,128}\Z")]
     ended: list[_CrashedInstance]
     whole_ms: Count | None = None
-    beside: list[Annotated[str, msgspec.Meta(pattern="^([0-9a-f]{2})+$")]] = []
+    beside: list[Annotated[str, msgspec.Meta(pattern=r"^([0-9a-f]{2}){1,128}\Z")]] = []
 
 
 class _CrashRecords(msgspec.Struct):
@@ -41,7 +50,7 @@
 
 
 class _SoftwareVersions(msgspec.Struct):
-    services: dict[str, list[str]]
+    services: dict[str, list[Text]]
 
 
 def read_lease(stored: StoredObject) -> LeaseRecord:
--- a/src/martenrun/platform/specs.py
+++ b/src/martenrun/platform/specs.py
@@ -17,9 +17,11 @@
     Address,
     Amount,
     Count,
+    Integer,
+    LocationText,
     NonEmptyText,
     Positive,
-    Units,
+    Text,
     Version,
     convert_spec,
 )
@@ -79,15 +81,15 @@
 
 
 class _Route(msgspec.Struct):
-    hostname: NonEmptyText
-    path_prefix: NonEmptyText
+    hostname: LocationText
+    path_prefix: LocationText
     kind: RouteKind
     timeout_ms: Amount
-    name: str = ""
-    service: str | None = None
+    name: Text = ""
+    service: Text | None = None
     traffic_split: list[_WeightedService] | None = None
     target_latency_ms: Amount = 1000.0
-    priority: int = 0
+    priority: Integer = 0
     max_attempts: Count = 1
     no_auth: bool = False
     resumable: bool = False
@@ -108,7 +110,7 @@
     max_connections: Count = 100
     engine: _Engine | None = None
     kv_store_addr: Address | None = None
-    zone: str = ""
+    zone: Text = ""
 
 
 class _Limits(msgspec.Struct):
@@ -120,11 +122,11 @@
 
 class _Tenant(msgspec.Struct):
     name: NonEmptyText
-    api_keys: list[str] = []
-    priority: int | None = None
+    api_keys: list[Text] = []
+    priority: Integer | None = None
     isolated: bool = False
-    rate_per_s: Units = 0.0
-    burst: Units = 0.0
+    rate_per_s: Amount = 0.0
+    burst: Amount = 0.0
     unit: Literal["token_count"] | None = None
     plain_tokens: Count = 1
 
