One odd object of the store harms itself alone

Callers saw: after another writer had left one entry nested 3,000 deep among those of the runners, routers read neither lists nor watches; new runners were not used, and routers that started again were not ready. With an integer beyond 64 bits in any field, also an unknown one, the lists that routers serve each other stopped.

Cause: skipping a value recurses, so that RecursionError ended the decode of the whole response; what one item may hold depended on the stack in use. A spec is passed on whole, and encoding its integers raised OverflowError. A page whose last names are unreadable counted as the last one if none was readable, which deletes all objects after it. A name was put into the query unquoted.

Change: an object beyond 32 levels or 64 bits is decoded without its spec, once for all kinds (platform/nesting.py). A response that cannot be decoded is repaired by a pass over its tokens that does not recurse. msgspec has no bound on depth, a recursive type of bounded depth does not compile in reasonable time, and its union of list and dict is as deep. A single object whose metadata is readable is read without spec, too, so that a lease can be taken over. Log: answer_repaired.

--- a/src/martenrun/platform/objects.py
+++ b/src/martenrun/platform/objects.py
@@ -1,15 +1,18 @@
 """The platform's store: its calls, and the envelopes of its responses.
 
 The specs of objects are converted in :mod:`martenrun.platform.specs`.  An object that cannot be
-decoded does not affect the other objects of its response.
+decoded does not affect the other objects of its response; one beyond the limits of
+:mod:`martenrun.platform.nesting` has no spec.
 """
 
-from typing import Any
+from typing import Any, TypeVar
+from urllib.parse import quote
 
 import msgspec
 
 from martenrun.net.http import Headers, find_header
-from martenrun.platform.fields import DECODE_ERRORS
+from martenrun.platform.fields import DECODE_ERRORS, Count, Name
+from martenrun.platform.nesting import is_within_limits, limit_nesting, repair_response
 from martenrun.router.messages import (
     Dataset,
     HttpCall,
@@ -55,7 +58,7 @@
 
 def list_objects(dataset: Dataset, after: str | None) -> HttpCall:
     """Return the call that lists a page of a dataset."""
-    query = f"?after={after}" if after else ""
+    query = f"?after={quote(after, safe='')}" if after else ""
     return HttpCall(b"GET", (_path(dataset) + query).encode(), [])
 
 
@@ -84,8 +87,8 @@
 
 
 class _Metadata(msgspec.Struct):
-    name: str
-    revision: int
+    name: Name
+    revision: Count
 
 
 class _Object(msgspec.Struct):
@@ -93,8 +96,12 @@
     spec: Any = None
 
 
+class _ObjectWithoutSpec(msgspec.Struct):
+    metadata: _Metadata
+
+
 class _NameOnly(msgspec.Struct):
-    name: str
+    name: Name
 
 
 class _NamedObject(msgspec.Struct):
@@ -103,7 +110,7 @@
 
 class _Page(msgspec.Struct):
     items: list[msgspec.Raw]
-    at: int
+    at: Count
     more: bool = False
 
 
@@ -114,53 +121,83 @@
 
 class _Changes(msgspec.Struct):
     events: list[msgspec.Raw]
-    at: int
+    at: Count
 
 
-_DECODE_PAGE = msgspec.json.Decoder(_Page).decode
-_DECODE_CHANGES = msgspec.json.Decoder(_Changes).decode
 _DECODE_EVENT = msgspec.json.Decoder(_Event).decode
-_DECODE_OBJECT = msgspec.json.Decoder(_Object).decode
+_DECODE_OBJECT_WITHOUT_SPEC = msgspec.json.Decoder(_ObjectWithoutSpec).decode
 _DECODE_NAMED_OBJECT = msgspec.json.Decoder(_NamedObject).decode
 
+_Response = TypeVar("_Response", _Page, _Changes)
+
 
 def read_page(body: bytes, era: int) -> StorePage:
     """Decode a page of a list read in an era; raises UnreadableError if it is invalid."""
-    try:
-        page = _DECODE_PAGE(body)
-    except DECODE_ERRORS as exc:
-        raise UnreadableError(f"invalid page of a list: {exc}") from exc
+    page, is_repaired = _decode_response(body, _Page, "page of a list")
     position = StorePosition(era, page.at)
     objects = [_decode_item(item, position) for item in page.items]
     readable = [stored for stored in objects if stored is not None]
-    next_after = readable[-1].name if page.more and readable else None
-    return StorePage(tuple(readable), position, next_after, len(objects) - len(readable))
+    if page.more and not readable:
+        raise UnreadableError("invalid page of a list: no name after which the next one starts")
+    # Objects after the last readable name are listed again by the next page.
+    next_after = readable[-1].name if page.more else None
+    unreadable = len(objects) - len(readable)
+    return StorePage(tuple(readable), position, next_after, unreadable, is_repaired)
 
 
 def read_changes(body: bytes, era: int) -> StoreChanges:
     """Decode the response of a watch in an era; raises UnreadableError if it is invalid."""
-    try:
-        changes = _DECODE_CHANGES(body)
-    except DECODE_ERRORS as exc:
-        raise UnreadableError(f"invalid watch response: {exc}") from exc
+    changes, is_repaired = _decode_response(body, _Changes, "watch response")
     position = StorePosition(era, changes.at)
     events = [_decode_event(item, position) for item in changes.events]
     readable = tuple(event for event in events if event is not None)
-    return StoreChanges(readable, position, len(events) - len(readable))
+    return StoreChanges(readable, position, len(events) - len(readable), is_repaired)
+
+
+def _decode_response(body: bytes, schema: type[_Response], subject: str) -> tuple[_Response, bool]:
+    """Decode a response, and say whether it had to be repaired; raises UnreadableError."""
+    try:
+        return msgspec.json.decode(body, type=schema), False
+    except DECODE_ERRORS as exc:
+        fault = exc
+    repaired = repair_response(body)
+    try:
+        if repaired is not None:
+            return msgspec.json.decode(repaired, type=schema), True
+    except DECODE_ERRORS as exc:
+        fault = exc
+    raise UnreadableError(f"invalid {subject}: {fault}") from fault
 
 
 def read_stored(body: bytes, era: int) -> StoredObject:
-    """Decode one object read in an era; raises UnreadableError if it is invalid."""
+    """Decode one object read in an era; without a spec if that is beyond the limits.
+
+    Raises UnreadableError if its metadata is invalid.
+    """
     try:
-        return _stored_object(_DECODE_OBJECT(body), era)
+        return _decode_object(body, era)
+    except DECODE_ERRORS:
+        pass
+    try:
+        return _decode_without_spec(limit_nesting(body), era)
     except DECODE_ERRORS as exc:
         raise UnreadableError(f"invalid object: {exc}") from exc
 
 
-def _stored_object(item: _Object, era: int) -> StoredObject:
+def _decode_object(body: bytes | msgspec.Raw, era: int) -> StoredObject:
+    """Decode an object; raises one of DECODE_ERRORS, also if a part of it is beyond the limits."""
+    value = _DECODE(body)
+    if not is_within_limits(value):
+        raise ValueError("nested too deep, or an integer is out of range")
+    item = msgspec.convert(value, _Object)
     return StoredObject(item.metadata.name, item.metadata.revision, item.spec, era)
 
 
+def _decode_without_spec(body: bytes, era: int) -> StoredObject:
+    metadata = _DECODE_OBJECT_WITHOUT_SPEC(body).metadata
+    return StoredObject(metadata.name, metadata.revision, None, era)
+
+
 def _decode_event(item: msgspec.Raw, position: StorePosition) -> StoreEvent | None:
     try:
         event = _DECODE_EVENT(item)
@@ -173,11 +210,11 @@
 def _decode_item(item: msgspec.Raw, position: StorePosition) -> StoredObject | None:
     """Decode an object of a list; without a spec if only its name is valid, else None."""
     try:
-        return _stored_object(_DECODE_OBJECT(item), position.era)
+        return _decode_object(item, position.era)
     except DECODE_ERRORS:
         pass
     try:
-        name = _DECODE_NAMED_OBJECT(item).metadata.name
+        name = _DECODE_NAMED_OBJECT(limit_nesting(bytes(item))).metadata.name
         return StoredObject(name, position.revision, None, position.era)
     except DECODE_ERRORS:
         return None
--- a/src/martenrun/router/messages.py
+++ b/src/martenrun/router/messages.py
@@ -282,21 +282,24 @@
 
     ``next_after`` is the name after which the next page starts, or None at the end.
     ``unreadable`` counts objects that are omitted because not even their names can be decoded.
+    ``is_repaired``: the page could only be decoded after parts of it were replaced.
     """
 
     objects: tuple[StoredObject, ...]
     position: StorePosition
     next_after: str | None
     unreadable: int = 0
+    is_repaired: bool = False
 
 
 @attrs.frozen
 class StoreChanges:
-    """Response of a watch; ``unreadable`` counts omitted events, as in :class:`StorePage`."""
+    """Response of a watch; ``unreadable`` and ``is_repaired`` are as in :class:`StorePage`."""
 
     events: tuple[StoreEvent, ...]
     position: StorePosition
     unreadable: int = 0
+    is_repaired: bool = False
 
 
 @attrs.frozen
--- a/src/martenrun/router/store/follower.py
+++ b/src/martenrun/router/store/follower.py
@@ -8,7 +8,13 @@
 from martenrun.net.http import STATUS_OK, HttpResponse
 from martenrun.net.loop import Loop
 from martenrun.router.log import log_event, log_warning
-from martenrun.router.messages import StoredObject, StorePosition, UnreadableError
+from martenrun.router.messages import (
+    StoreChanges,
+    StoredObject,
+    StorePage,
+    StorePosition,
+    UnreadableError,
+)
 from martenrun.router.platform_adapter import PlatformAdapter
 from martenrun.router.store.client import StoreClient
 from martenrun.router.store.replica import DatasetReplica
@@ -168,7 +174,7 @@
         except UnreadableError as exc:
             self._fail_unreadable(response, exc)
             return
-        self._log_skipped(page.unreadable)
+        self._log_faults(page)
         self._replica.eras.record_position(page.position)
         if self._list_position is None:
             # Later pages may include changes that the watch repeats, which is harmless.
@@ -232,7 +238,7 @@
             return
         self._gone_pause_s = 0.0
         self._succeed()
-        self._log_skipped(changes.unreadable)
+        self._log_faults(changes)
         is_after_outage = self._is_after_outage()
         for event in changes.events:
             changed = [] if event.is_deleted else [event.stored]
@@ -267,9 +273,12 @@
         log_warning("answer_unreadable", dataset=self._replica.dataset.value, fault=str(exc)[:100])
         self._fail(response, lambda: self._list(None, self._loop.now()))
 
-    def _log_skipped(self, count: int) -> None:
-        if count:
-            log_warning("objects_left_out", dataset=self._replica.dataset.value, count=count)
+    def _log_faults(self, read: StorePage | StoreChanges) -> None:
+        dataset = self._replica.dataset.value
+        if read.is_repaired:
+            log_warning("answer_repaired", dataset=dataset, revision=read.position.revision)
+        if read.unreadable:
+            log_warning("objects_left_out", dataset=dataset, count=read.unreadable)
 
     def _call_after(self, pause_s: float, retry: Callable[[], None]) -> None:
         """Make the next call after a pause, unless the follower is stopped before."""
