Limits of decoded values are checked without recursion

Cause: the check of nesting and integers, added with the odd objects, took 66 ms for a configuration of 4,200 routes (0.9 MB), five times its decode (11 ms). The test of descriptors collects the sockets of earlier tests first: it failed once when they went between its two counts (15 instead of 23); its assertion is unchanged.

--- a/src/martenrun/platform/nesting.py
+++ b/src/martenrun/platform/nesting.py
@@ -34,12 +34,18 @@
 
 def is_within_limits(value: Any, levels: int = MAX_LEVELS) -> bool:
     """Return whether a decoded value has at most so many levels and no integer out of range."""
-    if isinstance(value, int):
-        return -MAX_INTEGER - 1 <= value <= MAX_INTEGER
-    if not isinstance(value, dict | list):
-        return True
-    parts = value.values() if isinstance(value, dict) else value
-    return levels > 0 and all(is_within_limits(part, levels - 1) for part in parts)
+    parts = [value]
+    for level in range(levels + 1):
+        contained: list[Any] = []
+        for part in parts:
+            if isinstance(part, dict | list):
+                if level == levels:
+                    return False
+                contained.extend(part.values() if isinstance(part, dict) else part)
+            elif isinstance(part, int) and not -MAX_INTEGER - 1 <= part <= MAX_INTEGER:
+                return False
+        parts = contained
+    return True
 
 
 def limit_nesting(body: bytes) -> bytes:
--- a/tests/router/test_invalid_addresses.py
+++ b/tests/router/test_invalid_addresses.py
@@ -1,5 +1,6 @@
 """Connections to addresses that are no IPv4 address and port."""
 
+import gc
 import os
 import socket
 
@@ -37,6 +38,8 @@
 
 
 def open_descriptors():
+    # Sockets of earlier tests that are still to be collected must not count.
+    gc.collect()
     return len(os.listdir("/proc/self/fd"))
 
 
