Gossip goes on whatever one round, record or datagram raises

What was seen: one odd entry (2**64 in a model's version) stopped the gossip of all routers for good; each then took the others for dead. Beside real routers also: one datagram with a record of the address "a:b" does the same.

Cause: Peers._tick scheduled itself at its end, and what it does may raise: the encoding of a record (OverflowError beyond 64 bits), int() of a port, a listener. One datagram that raised left the rest of a round of reading to the next one, and one bad address kept an update from the routers behind it in the list.

Change: net/periodic.py repeats work whatever a round raises, logs the exception (task in loop_call) and counts it (martenrun_task_failures_total). The parts of a gossip round and the handlers of datagrams run beside each other. A record that cannot be encoded is sent without its details. Addresses must be IP:port (a name would be looked up, which blocks the loop). Ages, heartbeats, incarnations and amounts have bounds that are checked where datagrams are decoded; ages that grow are kept within them when they are sent again.

--- a/src/martenrun/net/loop.py
+++ b/src/martenrun/net/loop.py
@@ -11,11 +11,10 @@
 import signal
 import socket
 from collections.abc import Callable
-from typing import Any
 
 from martenrun.net import clock
 from martenrun.net.pacing import Pacer
-from martenrun.router.log import log_exception
+from martenrun.net.periodic import call_safely
 
 READ = selectors.EVENT_READ
 WRITE = selectors.EVENT_WRITE
@@ -141,9 +140,9 @@
         self._ready_since = self._polled_at + (polled_at - wait_started_at) - overslept_s
         self._polled_at = polled_at
         for key, ready in events:
-            _call_safely(key.data, ready)
+            call_safely("loop", key.data, ready)
         while self._pending_signals:
-            _call_safely(self._signal_handlers[self._pending_signals.pop(0)])
+            call_safely("loop", self._signal_handlers[self._pending_signals.pop(0)])
         self._run_timers()
 
     def _wait_s(self, now: float) -> float:
@@ -161,7 +160,7 @@
                 self._cancelled_timers = max(0, self._cancelled_timers - 1)
                 continue
             timer.is_cancelled = True
-            _call_safely(timer.call)
+            call_safely("loop", timer.call)
 
     def _open_wakeup_pipe(self) -> None:
         """Open the pipe that signal handlers write to, so that a signal ends a wait at once."""
@@ -181,11 +180,3 @@
 
 def _do_nothing() -> None:
     return None
-
-
-def _call_safely(call: Callable[..., None], *arguments: Any) -> None:
-    """Make a call; log its exception, so that one failing callback does not end the loop."""
-    try:
-        call(*arguments)
-    except Exception as exc:
-        log_exception("loop_call", exc)
--- a/src/martenrun/router/brittle_messages.py
+++ b/src/martenrun/router/brittle_messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from martenrun.net.wire_types import Amount, Milliseconds
+
 
 class BrittleRecord(msgspec.Struct, array_like=True, frozen=True):
     """A service with brittle runners.
@@ -12,8 +14,8 @@
     """
 
     service: str
-    rejections_per_s: float
-    age_ms: int
+    rejections_per_s: Amount
+    age_ms: Milliseconds
 
 
 class BrittleUpdate(msgspec.Struct, array_like=True, tag="brittle"):
--- a/src/martenrun/router/crashes/messages.py
+++ b/src/martenrun/router/crashes/messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from martenrun.net.wire_types import Milliseconds
+
 
 class CrashRecord(msgspec.Struct, array_like=True, frozen=True):
     """The crash record of one feature of requests.
@@ -14,8 +16,8 @@
     """
 
     fingerprint: bytes
-    crashes: list[tuple[str, int]]
-    completed_ms: int | None = None
+    crashes: list[tuple[str, Milliseconds]]
+    completed_ms: Milliseconds | None = None
     companions: list[bytes] = []
 
 
--- a/src/martenrun/router/limit_messages.py
+++ b/src/martenrun/router/limit_messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from martenrun.net.wire_types import Amount, Milliseconds
+
 
 class LimitRecord(msgspec.Struct, array_like=True, frozen=True):
     """The limit of one runner instance.
@@ -16,10 +18,10 @@
 
     instance: str
     version: int
-    requests_per_s: float
+    requests_per_s: Amount
     recovery_steps: int
-    changed_ago_ms: int
-    confirmed_ago_ms: int
+    changed_ago_ms: Milliseconds
+    confirmed_ago_ms: Milliseconds
 
 
 class LimitUpdate(msgspec.Struct, array_like=True, tag="limit"):
--- a/src/martenrun/router/log.py
+++ b/src/martenrun/router/log.py
@@ -122,8 +122,8 @@
     EVENT_LOG.write(event, True, fields)
 
 
-def log_exception(event: str, exc: BaseException) -> None:
+def log_exception(event: str, exc: BaseException, **fields: Value) -> None:
     """Log an unexpected exception with the innermost frames of its traceback."""
     place = traceback.extract_tb(exc.__traceback__)[-4:]
     where = " < ".join(f"{frame.name}:{frame.lineno}" for frame in reversed(place))
-    log_warning(event, fault=type(exc).__name__, text=str(exc)[:200], where=where)
+    log_warning(event, **fields, fault=type(exc).__name__, text=str(exc)[:200], where=where)
--- a/src/martenrun/router/metrics.py
+++ b/src/martenrun/router/metrics.py
@@ -12,6 +12,8 @@
 
 import attrs
 
+from martenrun.net.periodic import FAILED_CALLS
+
 LATENCY_BOUNDS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
 """Upper bounds of the latency buckets, in seconds."""
 
@@ -76,6 +78,8 @@
         lines = []
         for (name, labels), value in sorted(self._counters.items()):
             lines.append(f"martenrun_{name}_total{{{labels}}} {value}")
+        for task, count in sorted(FAILED_CALLS.items()):
+            lines.append(f'martenrun_task_failures_total{{task="{task}"}} {count}')
         for (name, labels), histogram in sorted(self._histograms.items()):
             lines += histogram.lines(f"martenrun_{name}_seconds", labels)
         for sample in [*self._read_samples(), *_process_samples()]:
--- a/src/martenrun/router/origins/messages.py
+++ b/src/martenrun/router/origins/messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from martenrun.net.wire_types import Milliseconds
+
 
 class OriginRecord(msgspec.Struct, array_like=True, frozen=True):
     """The runner's service and software version to which a stream was sent.
@@ -16,8 +18,8 @@
     key: int
     service: str
     software: str
-    sent_after_ms: int
-    left_ms: int
+    sent_after_ms: Milliseconds
+    left_ms: Milliseconds
 
 
 class OriginUpdate(msgspec.Struct, array_like=True, tag="origins"):
--- a/src/martenrun/router/peer_messages.py
+++ b/src/martenrun/router/peer_messages.py
@@ -5,6 +5,8 @@
 import msgspec
 
 from martenrun.identity.rendezvous import weight
+from martenrun.net.periodic import record_failure
+from martenrun.net.wire_types import Amount, Count, Incarnation, Milliseconds
 from martenrun.router.brittle_messages import BrittleUpdate
 from martenrun.router.crashes.messages import CrashUpdate
 from martenrun.router.drain_messages import DrainUpdate
@@ -70,8 +72,8 @@
     """
 
     address: str
-    incarnation: int
-    heartbeat: int
+    incarnation: Incarnation
+    heartbeat: Count
     front: str
     zone: str
     is_leaving: bool
@@ -80,22 +82,35 @@
     lease_revision: int
     lease_token: int
     loads: dict[str, RunnerLoad]
-    weights: dict[str, list[tuple[int, int]]]
-    age_ms: int = 0
+    weights: dict[str, list[tuple[int, Milliseconds]]]
+    age_ms: Milliseconds = 0
     reads_store: bool = False
-    capacity: float = 0.0
-    configurations: list[tuple[int, int]] = []
+    capacity: Amount = 0.0
+    configurations: list[tuple[int, Milliseconds]] = []
     quota_stage: int = QuotaStage.NONE.value
     unreachable_services: list[str] = []
     is_cut_off: bool = False
     accepts_forwarded: bool = False
     keeps_stream_software: bool = False
-    software_versions: dict[str, list[tuple[str, int]]] = {}
+    software_versions: dict[str, list[tuple[str, Milliseconds]]] = {}
     store_era: int = 0
     has_state: bool = False
     knows_software_history: bool = False
     confirms_versions: bool = False
 
+    def without_details(self) -> "RouterRecord":
+        """Return the record without what it says about runners, versions and the lease."""
+        return msgspec.structs.replace(
+            self,
+            loads={},
+            weights={},
+            configurations=[],
+            software_versions={},
+            lease_revision=0,
+            lease_token=0,
+            store_era=0,
+        )
+
 
 class RouterHeartbeat(msgspec.Struct, array_like=True, frozen=True):
     """The latest heartbeat of a router and its age, without the record.
@@ -107,8 +122,8 @@
     """
 
     incarnation_id: int
-    heartbeat: int
-    age_ms: int
+    heartbeat: Count
+    age_ms: Milliseconds
 
 
 def incarnation_id(address: str, incarnation: int) -> int:
@@ -148,15 +163,15 @@
     holder: str
     fencing_token: int
     revision: int
-    idle_ms: int
+    idle_ms: Milliseconds
 
 
 class LoadUpdate(msgspec.Struct, array_like=True, tag="reading"):
     """Load on one runner, sent ahead of the router's next record."""
 
     address: str
-    incarnation: int
-    heartbeat: int
+    incarnation: Incarnation
+    heartbeat: Count
     instance: str
     load: RunnerLoad
 
@@ -206,7 +221,24 @@
 )
 
 decode: Callable[[bytes], Message] = msgspec.msgpack.Decoder(Message).decode
-"""Decode a datagram; raises msgspec.MsgspecError if it is invalid."""
+"""Decode a datagram; raises msgspec.MsgspecError, ValueError or RecursionError if it is invalid."""
 
 encode: Callable[[Message], bytes] = msgspec.msgpack.Encoder().encode
 """Encode a message as a datagram."""
+
+
+def encode_safely(message: Message) -> bytes | None:
+    """Return a message as a datagram, or None if it contains what the encoding cannot express.
+
+    Without the details of its sender, gossip still shows that the sender is alive.
+    """
+    messages = [message]
+    if isinstance(message, Gossip) and message.records:
+        records = [message.records[0].without_details(), *message.records[1:]]
+        messages.append(Gossip(records, message.heartbeats))
+    for item in messages:
+        try:
+            return encode(item)
+        except (ValueError, TypeError, OverflowError, RecursionError) as exc:
+            record_failure("encode_message", exc)
+    return None
--- a/src/martenrun/router/peers.py
+++ b/src/martenrun/router/peers.py
@@ -13,7 +13,9 @@
 
 import msgspec
 
+from martenrun.net.datagrams import parse_address, send_datagram
 from martenrun.net.loop import READ, Loop
+from martenrun.net.periodic import PeriodicCall, call_safely
 from martenrun.router.brittle_messages import BrittleUpdate
 from martenrun.router.crashes.messages import CrashUpdate
 from martenrun.router.drain_messages import DrainUpdate
@@ -33,7 +35,7 @@
     WeightsUpdate,
     ZoneLoads,
     decode,
-    encode,
+    encode_safely,
 )
 from martenrun.router.quotas.messages import QuotaMessage
 from martenrun.router.router_table import RouterTable
@@ -148,7 +150,7 @@
 
     def start(self) -> None:
         """Start the periodic gossip."""
-        self._tick()
+        PeriodicCall(self._loop, "gossip", self._gossip_interval_s, self._tick).start()
 
     def live(self) -> list[RouterRecord]:
         """Return the records of the other routers that are alive."""
@@ -222,22 +224,28 @@
         self.broadcast_record()
 
     def _send_to(self, addresses: list[str], message: Message) -> None:
-        data = encode(message)
-        for address in addresses:
-            self._send(address, data)
+        data = encode_safely(message)
+        if data is not None:
+            for address in addresses:
+                self._send(address, data)
+
+    def _gossip_interval_s(self) -> float:
+        return GOSSIP_INTERVAL_S * self.table.slowdown() * self._rng.uniform(0.8, 1.2)
 
     def _tick(self) -> None:
         now = self._loop.now()
-        self.table.update_liveness(now)
-        self.table.forget_dead(now)
+        call_safely("gossip_liveness", self.table.update_liveness, now)
+        call_safely("gossip_forget", self.table.forget_dead, now)
+        call_safely("gossip_send", self._send_gossip, now)
+        call_safely("gossip_records", self._on_records)
+
+    def _send_gossip(self, now: float) -> None:
         self._advance_heartbeat()
         heartbeats = self._select_heartbeats(now)
-        data = encode(self._build_gossip(heartbeats, now))
-        for address in self._choose_targets(now):
-            self._send(address, data)
-        self._on_records()
-        interval_s = GOSSIP_INTERVAL_S * self.table.slowdown() * self._rng.uniform(0.8, 1.2)
-        self._loop.call_later(interval_s, self._tick)
+        data = encode_safely(self._build_gossip(heartbeats, now))
+        if data is not None:
+            for address in self._choose_targets(now):
+                self._send(address, data)
 
     def _build_gossip(self, heartbeats: list[RouterHeartbeat], now: float) -> Gossip:
         limit = RECORDS_WITH_HEARTBEATS if heartbeats else RECORDS_PER_DATAGRAM
@@ -251,7 +259,7 @@
 
     def _advance_heartbeat(self) -> None:
         self.own.heartbeat += 1
-        self._refresh(self.own)
+        call_safely("own_record", self._refresh, self.own)
 
     def _choose_targets(self, now: float) -> list[str]:
         records = self.table.live(now)
@@ -279,11 +287,7 @@
         return sock
 
     def _send(self, address: str, data: bytes) -> None:
-        host, _, port = address.rpartition(":")
-        try:
-            self._socket.sendto(data, (host, int(port)))
-        except OSError:
-            return
+        send_datagram(self._socket, address, data)
 
     def _receive(self) -> None:
         """Handle the waiting datagrams, with the earliest time at which they may have arrived."""
@@ -297,12 +301,9 @@
             except OSError:
                 self._unread_late_s = 0.0
                 return
-            try:
-                message = decode(data)
-            except msgspec.MsgspecError:
-                log_warning("datagram_unreadable", length=len(data))
-                continue
-            self._handle_message(message, arrived_at)
+            message = _read_datagram(data)
+            if message is not None:
+                call_safely("datagram", self._handle_message, message, arrived_at)
         self._unread_late_s = late_s
 
     def _handle_message(self, message: Message, arrived_at: float) -> None:
@@ -340,13 +341,12 @@
         for sender in message.records[:1]:
             later = self.table.later_incarnation(sender)
             if later is not None:
-                self._send(sender.address, encode(Gossip([later])))
+                self._send_to([sender.address], Gossip([later]))
             elif is_new_sender and self.table.knows_incarnation(sender):
-                self._send(
-                    sender.address, encode(self._build_gossip(self._select_heartbeats(now), now))
-                )
+                gossip = self._build_gossip(self._select_heartbeats(now), now)
+                self._send_to([sender.address], gossip)
                 for update in self._updates_for_new_router(self.table.count()):
-                    self._send(sender.address, encode(update))
+                    self._send_to([sender.address], update)
             self._request_records(missing, sender.address, now)
 
     def _request_records(self, missing: list[int], sender: str, now: float) -> None:
@@ -361,16 +361,32 @@
                 item: at for item, at in self._requested_at.items() if now - at < REQUEST_RETRY_S
             }
             self._requested_at.update(dict.fromkeys(requested, now))
-            self._send(sender, encode(RecordsRequest(self.own.address, requested)))
+            self._send_to([sender], RecordsRequest(self.own.address, requested))
 
     def _send_requested_records(self, request: RecordsRequest, now: float) -> None:
         """Send records that another router requested."""
         records = self.table.records_of(request.incarnation_ids[:MAX_REQUESTED_RECORDS], now)
         limit = RECORDS_PER_DATAGRAM - 1
         for first in range(0, len(records), limit):
-            self._send(
-                request.requester, encode(Gossip([self.own, *records[first : first + limit]]))
-            )
+            self._send_to([request.requester], Gossip([self.own, *records[first : first + limit]]))
+
+
+def _read_datagram(data: bytes) -> Message | None:
+    """Return a datagram's message, or None if it is unreadable or gossip of no router.
+
+    Records of routers that nothing can be sent to are left out.
+    """
+    try:
+        message = decode(data)
+    except (msgspec.MsgspecError, ValueError, RecursionError):
+        log_warning("datagram_unreadable", length=len(data))
+        return None
+    if isinstance(message, Gossip):
+        usable = [item for item in message.records if parse_address(item.address) is not None]
+        if usable[:1] != message.records[:1]:
+            return None
+        message.records = usable
+    return message
 
 
 def first_incarnation() -> int:
--- a/src/martenrun/router/quotas/messages.py
+++ b/src/martenrun/router/quotas/messages.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from martenrun.net.wire_types import Amount, Milliseconds
+
 
 class QuotaStage(enum.IntEnum):
     """How far a router takes part in owning accounts."""
@@ -22,8 +24,8 @@
     """A limit as known to the requester; the one of the newest configuration applies."""
 
     configuration: int
-    units_per_s: float
-    burst_units: float
+    units_per_s: Amount
+    burst_units: Amount
 
 
 class QuotaRequest(msgspec.Struct, array_like=True, frozen=True, tag="quota"):
@@ -53,7 +55,7 @@
 
     number: int
     is_granted: bool
-    wait_ms: int = 0
+    wait_ms: Milliseconds = 0
     owner: str = ""
     balance: int = 0
 
@@ -102,7 +104,7 @@
     requester: str
     number: int
     units: int
-    age_ms: int
+    age_ms: Milliseconds
 
 
 class RecalledAccount(msgspec.Struct, array_like=True, frozen=True):
@@ -115,7 +117,7 @@
     """
 
     balance: int
-    covered_ms: int
+    covered_ms: Milliseconds
     uses: list[RecalledUse]
 
 
@@ -131,7 +133,7 @@
 
     tenant: str
     sender: str
-    remembered_ms: int
+    remembered_ms: Milliseconds
     uses: list[RecalledUse]
     account: RecalledAccount | None = None
 
--- a/src/martenrun/router/router_discovery.py
+++ b/src/martenrun/router/router_discovery.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from martenrun.net.periodic import call_safely
 from martenrun.net.server import Exchange
 from martenrun.router.peer_messages import RouterRecord
 from martenrun.router.peers import Peers
@@ -64,7 +65,7 @@
         runners: a few routers could not serve the callers of all others.
         """
         own = self._peers.own
-        self._refresh(own)
+        call_safely("own_record", self._refresh, own)
         records = [record for record in [own, *self._peers.live()] if not record.is_leaving]
         reaching = [record for record in records if not record.is_cut_off] or records
         current = [record for record in reaching if record.is_current] or reaching
--- a/src/martenrun/router/router_table.py
+++ b/src/martenrun/router/router_table.py
@@ -8,6 +8,7 @@
 import math
 import sys
 
+from martenrun.net.wire_types import MAXIMUM_INCARNATION, bounded_ms
 from martenrun.router.known_router import KnownRouter
 from martenrun.router.log import log_event, log_warning
 from martenrun.router.peer_messages import LoadUpdate, RouterHeartbeat, RouterRecord
@@ -74,7 +75,7 @@
         for record in records:
             if record.address == self.own.address:
                 if record.incarnation > self.own.incarnation:
-                    self.own.incarnation = record.incarnation + 1
+                    self.own.incarnation = min(MAXIMUM_INCARNATION, record.incarnation + 1)
                 continue
             heartbeat_at = now - late_s - record.age_ms / MS_PER_S
             known = self._known.get(record.address)
@@ -347,7 +348,7 @@
 
 
 def _age_ms(heartbeat_at: float, now: float) -> int:
-    return max(0, math.ceil((now - heartbeat_at) * MS_PER_S))
+    return bounded_ms(math.ceil((now - heartbeat_at) * MS_PER_S))
 
 
 def _version(record: RouterRecord) -> tuple[int, int]:
--- a/src/martenrun/router/software_history.py
+++ b/src/martenrun/router/software_history.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 
+from martenrun.net.wire_types import bounded_ms
 from martenrun.router.messages import Runner
 
 RETENTION_S = 60.0
@@ -72,7 +73,7 @@
         """Return for each service its versions seen last and their ages."""
         return {
             service: [
-                (software, round((now - at) * 1000))
+                (software, bounded_ms(round((now - at) * 1000)))
                 for software, at in sorted(seen_at.items(), key=lambda item: -item[1])
             ][:MAXIMUM_SHARED]
             for service, seen_at in self._seen_at.items()
--- a/src/martenrun/router/store/state.py
+++ b/src/martenrun/router/store/state.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from typing import TypeVar
 
+from martenrun.net.periodic import call_safely, record_failure
+from martenrun.net.wire_types import bounded_ms
 from martenrun.router.log import log_event, log_warning
 from martenrun.router.messages import (
     Configuration,
@@ -65,7 +67,7 @@
         self._behind_since = self._earliest_in_force_after(configuration.version)
         log_event("configuration_taken", version=configuration.version, store_era=era or None)
         for call in self.on_changed:
-            call(configuration)
+            call_safely("configuration_changed", call, configuration)
 
     def mark_unreadable(self) -> None:
         """Record that the store holds a configuration that cannot be decoded.
@@ -106,7 +108,7 @@
     def versions_in_force(self, now: float) -> list[tuple[int, int]]:
         """Return the latest versions in force on any router and their ages in milliseconds."""
         newest = sorted(self._in_force_since.items())[-GOSSIPED_VERSIONS:]
-        return [(version, int((now - since) * 1000)) for version, since in newest]
+        return [(version, bounded_ms(int((now - since) * 1000))) for version, since in newest]
 
     def behind_s(self, now: float) -> float:
         """Return for how long a newer version has been in force on another router, in seconds."""
@@ -176,7 +178,7 @@
         history.append((now, target.version))
         del history[:-REMEMBERED_VERSIONS]
         log_event("weights_named", model=target.model, version=target.version)
-        self.on_changed()
+        call_safely("weights_changed", self.on_changed)
 
     def known_versions(self, model: str) -> list[tuple[float, int]]:
         """Return when each version of a model's weights became known, the latest last."""
@@ -186,7 +188,7 @@
         """Return for each model how long its latest versions have been known, in milliseconds."""
         return {
             model: [
-                (version, int((now - since) * 1000))
+                (version, bounded_ms(int((now - since) * 1000)))
                 for since, version in history[-GOSSIPED_VERSIONS:]
             ]
             for model, history in self._known_since.items()
@@ -223,6 +225,10 @@
         name = stored.name if isinstance(stored, StoredObject) else None
         log_warning("object_unreadable", name=name, fault=str(exc)[:100])
         return None
+    except Exception as exc:
+        # One object must not keep the others of its response from being applied.
+        record_failure("decode_object", exc)
+        return None
 
 
 def _nothing() -> None:
--- a/tests/router/fakes.py
+++ b/tests/router/fakes.py
@@ -4,6 +4,7 @@
 import itertools
 
 from martenrun.net.http import HttpResponse
+from martenrun.net.periodic import call_safely
 from martenrun.platform import PLATFORM_ADAPTER
 from martenrun.platform.objects import _DECODE, _ENCODE
 from martenrun.router.messages import StorePosition
@@ -43,6 +44,13 @@
         self.time = until
 
 
+class TolerantLoop(FakeLoop):
+    """Goes on after a call that raised, like the real loop."""
+
+    def call_later(self, delay_s, call):
+        return super().call_later(delay_s, lambda: call_safely("loop", call))
+
+
 class FakeStore:
     """Objects with revisions; responds after a short delay, or not at all while ``is_silent``."""
 
