An exception in a handler of a response ends no chain of calls

What callers see: a router whose follower has ended hears no more of runners or configurations and keeps saying that it reads the store.

Cause: the next call was made at the end of the handler of the last one. What a listener, a decoder or the relay to others raised ended the chain for good, or left a flag set that kept it from being started again (crash records whose write could not be built, checks of a runner whose report raised). A replica took a position before what it stands for was applied, so that a watch from there missed it.

Change: StoreFollower goes on with a list after a pause, with the calls made before the exception left out; RelayFollower tells that the router failed, so that another one is asked; RelayServer refuses a query that it cannot answer; listeners of replicas, eras and configurations, waiting requests and parts of one answer do not keep each other from running. HttpClient and StoreClient always call back. A configuration that cannot be put in force confirms nothing, as before an unreadable one. A replica keeps its position only once all changes at it are applied. Stored versions of software are read again with pauses, not in each round.

test_store_sync.py starts the planning by start(), since _check() is now one round.

--- a/src/martenrun/router/crashes/detector.py
+++ b/src/martenrun/router/crashes/detector.py
@@ -25,6 +25,7 @@
 import attrs
 
 from martenrun.net.loop import Loop, Timer
+from martenrun.net.periodic import call_safely
 from martenrun.net.stream import Stream, open_stream
 from martenrun.router.crashes.features import RequestFeatures, part_name
 from martenrun.router.crashes.outcome_check import (
@@ -313,7 +314,7 @@
             self._schedule_probe(investigation, RETRY_DELAYS_S[investigation.probe_count - 1])
         callbacks, investigation.callbacks = investigation.callbacks, []
         for callback in callbacks:
-            callback()
+            call_safely("crash_resolved", callback)
 
     def _confirm_crash(self, investigation: Investigation) -> None:
         investigation.has_crashed = True
@@ -325,7 +326,8 @@
             fingerprints=" ".join(each.fingerprint.hex() for each in requests[:MAX_LOGGED]),
             parts=" ".join(_part_names(each) for each in requests[:MAX_LOGGED]),
         )
-        self._on_crashed(investigation.runner.instance, requests)
+        instance = investigation.runner.instance
+        call_safely("runner_crashed", self._on_crashed, instance, requests)
 
 
 def _part_names(features: RequestFeatures) -> str:
--- a/src/martenrun/router/crashes/record_writer.py
+++ b/src/martenrun/router/crashes/record_writer.py
@@ -74,8 +74,9 @@
             self._tracker.merge_stored([])
         if not self._tracker.missing_from_store() and not self._needs_refresh(stored, now):
             return
+        call = self._write_call(stored, now)
         self._is_calling = True
-        self._store.call(self._write_call(stored, now), WRITE_TIMEOUT_S, self._on_written)
+        self._store.call(call, WRITE_TIMEOUT_S, self._on_written)
 
     def _stored(self) -> StoredObject | None:
         """Return the object as the store has it, not as it had it before it lost changes."""
--- a/src/martenrun/router/denials.py
+++ b/src/martenrun/router/denials.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from martenrun.net.http import HttpResponse
+from martenrun.net.periodic import call_safely, record_failure
 from martenrun.net.server import Exchange
 from martenrun.router.admission import Admission, Refusal, send_refusal
 from martenrun.router.messages import AdmittedRequest, Call, Dataset, StoredObject
@@ -86,14 +87,19 @@
 
     def _on_read(self, response: HttpResponse | None, sent_at: float) -> None:
         self._is_reading = False
-        is_confirmed = self._is_confirmed(response, sent_at)
+        is_confirmed = False
+        try:
+            is_confirmed = self._is_confirmed(response, sent_at)
+        except Exception as exc:
+            # Requests wait for the end of this read.
+            record_failure("confirm_configuration", exc)
         self._failed_at = None if is_confirmed else self._world.loop.now()
         waiting, self._waiting = self._waiting, []
         for exchange, call in waiting:
             if exchange.is_over:
                 continue
             if is_confirmed:
-                self._decide(exchange, call)
+                call_safely("decide_again", self._decide, exchange, call)
             else:
                 send_refusal(exchange, Refusal(503, "not_confirmed"), call)
 
--- a/src/martenrun/router/instance_check.py
+++ b/src/martenrun/router/instance_check.py
@@ -5,11 +5,11 @@
 describe runners that get a new id at each start, which the runner itself verifies.
 """
 
-import contextlib
 from collections.abc import Callable
 
 from martenrun.net.http import STATUS_OK, HttpResponse
 from martenrun.net.loop import Loop
+from martenrun.net.periodic import call_safely, record_failure
 from martenrun.router.log import log_warning
 from martenrun.router.messages import HttpCall, Runner, RunnerReport, UnreadableError
 from martenrun.router.runner_state import RunnerState
@@ -78,10 +78,11 @@
         sent_at = self._loop.now()
 
         def on_report(report: RunnerReport | None) -> None:
+            waiting = self._waiting.pop(instance, ())
             if report is not None:
-                self._apply(state, report, sent_at)
-            for call in self._waiting.pop(instance, ()):
-                call()
+                call_safely("apply_report", self._apply, state, report, sent_at)
+            for call in waiting:
+                call_safely("runner_checked", call)
 
         self.request_report(state, on_report)
 
@@ -129,11 +130,16 @@
         """Request a runner's report; passes on None if no readable one is received."""
 
         def on_response(response: HttpResponse | None) -> None:
-            self._record_response(state, response)
+            call_safely("record_response", self._record_response, state, response)
             report = None
             if response is not None and response.status == STATUS_OK:
-                with contextlib.suppress(UnreadableError):
+                try:
                     report = self._read_report(response.body)
+                except UnreadableError:
+                    report = None
+                except Exception as exc:
+                    # Whoever asked for the report waits for the end of this check.
+                    record_failure("read_report", exc)
             on_report(report)
 
         self._probe(state.runner.address, self._report_request(), on_response)
--- a/src/martenrun/router/origins/stored_versions.py
+++ b/src/martenrun/router/origins/stored_versions.py
@@ -154,21 +154,24 @@
 
     def _on_response(self, response: HttpResponse | None) -> None:
         self._is_calling = False
+        pause_s = self._pause_s
+        self._not_before = self._loop.now() + pause_s * self._rng.uniform(0.5, 1.0)
+        self._pause_s = min(LONGEST_PAUSE_S, 2 * pause_s)
+        if self._handle_response(response):
+            self._not_before = 0.0
+            self._pause_s = FIRST_PAUSE_S
+
+    def _handle_response(self, response: HttpResponse | None) -> bool:
+        """Apply a response; return False if the next call has to wait."""
         status = None if response is None else response.status
-        is_applied = False
         if response is not None and status in (STATUS_OK, STATUS_CREATED, STATUS_CONFLICT):
-            is_applied = self._apply(response)
-        elif status == STATUS_NOT_FOUND:
-            is_applied = self._apply_missing()
-        else:
-            # A write may have succeeded, or the object may be deleted: it is read again.
-            self._known = None
-            log_warning("software_versions_not_stored", status=status)
-        if is_applied:
-            self._pause_s = FIRST_PAUSE_S
-            return
-        self._not_before = self._loop.now() + self._pause_s * self._rng.uniform(0.5, 1.0)
-        self._pause_s = min(LONGEST_PAUSE_S, 2 * self._pause_s)
+            return self._apply(response)
+        if status == STATUS_NOT_FOUND:
+            return self._apply_missing()
+        # A write may have succeeded, or the object may be deleted: it is read again.
+        self._known = None
+        log_warning("software_versions_not_stored", status=status)
+        return False
 
     def _apply(self, response: HttpResponse) -> bool:
         read_stored = self._adapter.read_stored
--- a/src/martenrun/router/quotas/service.py
+++ b/src/martenrun/router/quotas/service.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from martenrun.net.loop import Loop, Timer
+from martenrun.net.periodic import call_safely
 from martenrun.router.log import log_event
 from martenrun.router.quotas.account import LimitShare, PastUse, QuotaDecision
 from martenrun.router.quotas.ledger import MAX_IDLE_S, AccountView, Ledger
@@ -295,7 +296,7 @@
             previous_owners=",".join(self._owners.previous_owners(tenant)),
         )
         for request, respond in pending.waiting_requests:
-            self._decide_now(request, respond)
+            call_safely("quota_decision", self._decide_now, request, respond)
 
     # Shares
 
--- a/src/martenrun/router/store/client.py
+++ b/src/martenrun/router/store/client.py
@@ -12,6 +12,7 @@
 from martenrun.net.client import ClientConnection
 from martenrun.net.http import STATUS_OK, Headers, HttpResponse, request_bytes
 from martenrun.net.loop import Loop, Timer
+from martenrun.net.periodic import call_safely, record_failure
 from martenrun.router.log import log_warning
 from martenrun.router.messages import HttpCall
 from martenrun.router.store.eras import UNKNOWN_ERA, StoreEras
@@ -109,7 +110,7 @@
     def _record_part(self) -> None:
         self._last_part_at = self._loop.now()
         if self._status == STATUS_OK:
-            self._on_part()
+            call_safely("response_part", self._on_part)
 
     def _check_timeout(self) -> None:
         """Give up the call unless its response is arriving, in which case check again later."""
@@ -132,7 +133,7 @@
         if not self._is_over:
             self._is_over = True
             self._timer.cancel()
-            self._on_response(response)
+            call_safely("response", self._on_response, response)
 
 
 class HttpClient:
@@ -163,11 +164,16 @@
         headers = [(b"Host", self._address.encode()), *call.headers]
         try:
             connection = self._connection()
+            reader.connection = connection
+            connection.send(request_bytes(call.method, call.target, headers, call.body), reader)
         except OSError:
             self._loop.call_later(0, lambda: reader.on_broken(False))
-            return
-        reader.connection = connection
-        connection.send(request_bytes(call.method, call.target, headers, call.body), reader)
+        except Exception as exc:
+            # Callers wait for the response before they make the next call.
+            record_failure("send_call", exc)
+            if reader.connection is not None:
+                reader.connection.close()
+            self._loop.call_later(0, lambda: reader.on_broken(False))
 
     def _connection(self) -> ClientConnection:
         now = self._loop.now()
@@ -242,7 +248,13 @@
         sent_in = self._eras.current
 
         def handle_response(response: HttpResponse | None) -> None:
-            on_response(None if response is None else self._accept(response, call, sent_in))
+            accepted = None
+            try:
+                accepted = None if response is None else self._accept(response, call, sent_in)
+            except Exception as exc:
+                # The caller waits for the response before it makes the next call.
+                record_failure("accept_response", exc)
+            on_response(accepted)
 
         self._http.call(call, timeout_s, handle_response, on_part, max_response_s)
 
--- a/src/martenrun/router/store/eras.py
+++ b/src/martenrun/router/store/eras.py
@@ -9,6 +9,7 @@
 import math
 from collections.abc import Callable, Iterable
 
+from martenrun.net.periodic import call_safely
 from martenrun.router.log import log_warning
 from martenrun.router.messages import StorePosition
 
@@ -54,7 +55,7 @@
         if before != UNKNOWN_ERA:
             log_warning("store_era_changed", before=before, era=era, source=source)
         for call in self.on_changed:
-            call(before)
+            call_safely("era_changed", call, before)
 
     def age_s(self) -> float:
         """Return for how long this router has known the current era, in seconds."""
--- a/src/martenrun/router/store/feed.py
+++ b/src/martenrun/router/store/feed.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 
+from martenrun.net.periodic import call_safely
 from martenrun.router.messages import Dataset, StoredObject, StorePosition, UnreadableError
 from martenrun.router.metrics import Metrics
 from martenrun.router.request_services import RequestServices
@@ -67,11 +68,10 @@
             return
         self._newest_position = stored.position
         configuration = decode_or_log(stored, self._world.adapter.read_configuration)
-        if configuration is None:
+        put = self._world.configuration.put
+        if configuration is None or not call_safely("put", put, configuration, stored.era):
             self._count_unreadable(Dataset.CONFIGURATION)
             self._world.configuration.mark_unreadable()
-        else:
-            self._world.configuration.put(configuration, stored.era)
 
     def is_in_force(self, stored: StoredObject) -> bool:
         """Return whether a stored configuration is not older than the one in force."""
@@ -81,11 +81,9 @@
     def _put_runner(self, stored: StoredObject) -> None:
         """Update a runner; an entry that cannot be decoded removes the runner it listed before."""
         runner = decode_or_log(stored, self._world.adapter.read_runner)
-        if runner is None:
+        if runner is None or not call_safely("put", self._world.runners.put, runner):
             self._count_unreadable(Dataset.RUNNERS)
             self._world.runners.remove(stored.name)
-        else:
-            self._world.runners.put(runner)
 
     def _by_drain(self, later: StoredObject, earlier: StoredObject) -> bool | None:
         """Return whether the later entry of one instance drains; None unless only one of both."""
--- a/src/martenrun/router/store/follower.py
+++ b/src/martenrun/router/store/follower.py
@@ -7,6 +7,7 @@
 
 from martenrun.net.http import STATUS_OK, HttpResponse
 from martenrun.net.loop import Loop
+from martenrun.net.periodic import call_safely
 from martenrun.router.log import log_event, log_warning
 from martenrun.router.messages import (
     StoreChanges,
@@ -104,9 +105,9 @@
         self.is_running = True
         self._generation += 1
         if self._replica.is_loaded:
-            self._watch()
+            self._advance(self._watch)
         else:
-            self._list(None, self._loop.now())
+            self._advance(lambda: self._list(None, self._loop.now()))
 
     def stop(self) -> None:
         """Stop; responses to pending calls are ignored."""
@@ -119,7 +120,7 @@
         """Read a list at once after the store returned from a copy; pending calls are ignored."""
         if self.is_running and self._replica.position is not None:
             self._generation += 1
-            self._list(None, self._loop.now())
+            self._advance(lambda: self._list(None, self._loop.now()))
 
     def _while_running(
         self, due_at: float, call: Callable[[HttpResponse | None], None]
@@ -149,10 +150,17 @@
             if self.is_running and generation == self._generation:
                 begin()
                 self._due_at = None
-                call(response)
+                self._advance(lambda: call(response))
 
         return handle_response, handle_part
 
+    def _advance(self, step: Callable[[], None]) -> None:
+        """Take a step that makes the next call; if it raises, go on with a list after a pause."""
+        if not call_safely("store_follower", step) and self.is_running:
+            # A call that was made before the exception must not go on beside the list.
+            self._generation += 1
+            self._fail(None, lambda: self._list(None, self._loop.now()))
+
     def _list(self, after: str | None, began_at: float) -> None:
         if not self.is_running:
             return
@@ -252,7 +260,7 @@
     def _finish_response(self, sent_at: float, rest_s: float = 0.0) -> None:
         self.is_current = True
         self._replica.confirm(sent_at)
-        self._on_applied()
+        call_safely("state_applied", self._on_applied)
         if rest_s:
             self._call_after(rest_s, self._watch)
         else:
@@ -283,7 +291,12 @@
     def _call_after(self, pause_s: float, retry: Callable[[], None]) -> None:
         """Make the next call after a pause, unless the follower is stopped before."""
         generation = self._generation
-        self._loop.call_later(pause_s, lambda: retry() if generation == self._generation else None)
+
+        def run_retry() -> None:
+            if generation == self._generation:
+                self._advance(retry)
+
+        self._loop.call_later(pause_s, run_retry)
 
     def _succeed(self) -> None:
         if self._failures:
--- a/src/martenrun/router/store/relay.py
+++ b/src/martenrun/router/store/relay.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from martenrun.net.loop import Loop
+from martenrun.net.periodic import call_safely
 from martenrun.net.server import Exchange
 from martenrun.router.messages import Dataset, StoredObject, StorePosition
 from martenrun.router.store.relay_messages import (
@@ -117,7 +118,11 @@
             return
         if not self._may_respond(pending.query):
             self._refuse(pending.exchange)
-            return
+        elif not call_safely("relay_state", self._send_state, pending):
+            # The other router asks another one, or the store.
+            self._refuse(pending.exchange)
+
+    def _send_state(self, pending: PendingQuery) -> None:
         now = self._loop.now()
         query = pending.query
         sequence_numbers = query.sequence_numbers if query.incarnation == self._incarnation else {}
--- a/src/martenrun/router/store/relay_follower.py
+++ b/src/martenrun/router/store/relay_follower.py
@@ -7,6 +7,7 @@
 
 from martenrun.net.http import HttpResponse
 from martenrun.net.loop import Loop
+from martenrun.net.periodic import call_safely, record_failure
 from martenrun.router.log import log_warning
 from martenrun.router.messages import Dataset, HttpCall, StoredObject, StorePosition
 from martenrun.router.store.client import HttpClient
@@ -98,10 +99,10 @@
             self._address = address
             self._incarnation = 0
             self._sequence_numbers = {}
-        self._is_querying = True
         is_new = not all(replica.is_loaded for replica in self._replicas.values())
         query = FollowQuery(self._incarnation, self._sequence_numbers, int(HOLD_S * 1000), is_new)
         call = HttpCall(b"POST", FOLLOW_PATH, [], ENCODE(query))
+        self._is_querying = True
         sent_at = self._loop.now()
         client = self._clients.get(address)
         if client is None:
@@ -128,6 +129,20 @@
             self._reader_response_at = None
             self._on_failed(address, response is not None and _reports_lost_store(response))
             return
+        try:
+            is_applied = self._apply_response(response, address, sent_at)
+        except Exception as exc:
+            record_failure("apply_relayed", exc)
+            is_applied = False
+        if not is_applied:
+            self._reader_response_at = None
+            self._on_failed(address, False)
+            return
+        call_safely("state_applied", self._on_applied)
+        self._send_query()
+
+    def _apply_response(self, response: HttpResponse, address: str, sent_at: float) -> bool:
+        """Apply a response; return False if it is unreadable or not comparable."""
         try:
             relayed = RESPONSE_DECODER.decode(response.body)
             objects = {
@@ -135,22 +150,17 @@
             }
         except (msgspec.MsgspecError, zlib.error):
             log_warning("relay_unreadable", address=address)
-            self._reader_response_at = None
-            self._on_failed(address, False)
-            return
+            return False
         if not self._observe_eras(relayed):
             log_warning("relay_without_era", address=address)
-            self._reader_response_at = None
-            self._on_failed(address, False)
-            return
+            return False
         self._incarnation = relayed.incarnation
         self._reader_response_at = self._loop.now() if relayed.is_reader else None
         for name, dataset in relayed.datasets.items():
             not_before = sent_at + relayed.held_ms / 1000.0
             self._apply(self._replicas[Dataset(name)], dataset, objects[name], not_before)
             self._sequence_numbers[name] = dataset.sequence_number
-        self._on_applied()
-        self._send_query()
+        return True
 
     def _observe_eras(self, relayed: FollowResponse) -> bool:
         """Record the eras that a router names; return False if it does not know them.
--- a/src/martenrun/router/store/replica.py
+++ b/src/martenrun/router/store/replica.py
@@ -10,11 +10,13 @@
 """
 
 import collections
+import contextlib
 import math
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping
 
 import attrs
 
+from martenrun.net.periodic import call_safely
 from martenrun.router.log import log_warning
 from martenrun.router.messages import Dataset, StoredObject, StorePosition
 from martenrun.router.store.eras import StoreEras
@@ -159,14 +161,14 @@
         if known is not None and position < known:
             return False
         is_new_era = known is not None and known.era < position.era
-        self.position = position
         listed = {stored.name for stored in objects}
         self._outdated = {name: item for name, item in self._outdated.items() if name in listed}
-        for stored in objects:
-            self._put(stored, missing.get(stored.name))
-        for name in [name for name in self._objects if name not in listed]:
-            self._remove(name, is_after_outage or is_new_era, now, is_lapsed=True)
-        self._listener.on_applied()
+        with self._moved_to(position):
+            for stored in objects:
+                self._put(stored, missing.get(stored.name))
+            for name in [name for name in self._objects if name not in listed]:
+                self._remove(name, is_after_outage or is_new_era, now, is_lapsed=True)
+        call_safely("objects_applied", self._listener.on_applied)
         if is_new_era:
             self._log_era(position, listed)
         return True
@@ -187,15 +189,25 @@
             missing: since when changed objects are missing in the store.
             lapsed: objects that another router dropped since the store lacks them.
         """
-        self.position = position if self.position is None else max(position, self.position)
-        for stored in changed:
-            self._put(stored, missing.get(stored.name))
-        for name in deleted:
-            self._outdated.pop(name, None)
-            self._remove(name, is_after_outage, now)
-        for name in lapsed:
-            self._remove(name, is_after_outage, now, is_lapsed=True)
-        self._listener.on_applied()
+        with self._moved_to(max(position, self.position or position)):
+            for stored in changed:
+                self._put(stored, missing.get(stored.name))
+            for name in deleted:
+                self._outdated.pop(name, None)
+                self._remove(name, is_after_outage, now)
+            for name in lapsed:
+                self._remove(name, is_after_outage, now, is_lapsed=True)
+        call_safely("objects_applied", self._listener.on_applied)
+
+    @contextlib.contextmanager
+    def _moved_to(self, position: StorePosition) -> Iterator[None]:
+        """Apply changes at a position; it is kept only if none of them raises."""
+        before, self.position = self.position, position
+        try:
+            yield
+        except BaseException:
+            self.position = before
+            raise
 
     def merge_earlier(
         self, objects: list[StoredObject], deletions: Mapping[str, Deletion], now: float
@@ -210,7 +222,7 @@
             is_missing = stored.name not in self._objects and not self._listener.keeps_lost
             since = now if is_missing else self._missing_since.get(stored.name)
             self._put(stored, since)
-        self._listener.on_applied()
+        call_safely("objects_applied", self._listener.on_applied)
 
     def confirm(self, sent_at: float) -> None:
         """Record that a read sent at ``sent_at`` was applied; the times only increase.
@@ -237,7 +249,7 @@
         for stored in list(self._outdated.values()):
             self._put(stored, None)
         if late or before != self.sequence_number:
-            self._listener.on_applied()
+            call_safely("objects_applied", self._listener.on_applied)
 
     def changes_after(self, number: int) -> list[Change] | None:
         """Return the changes after a sequence number, or None if some are no longer kept."""
@@ -270,7 +282,7 @@
         is_new = known is None or known.position != stored.position
         if is_new:
             self._objects[stored.name] = stored
-            self._listener.on_put(stored)
+            call_safely("object_put", self._listener.on_put, stored)
         if is_new or previous_missing_since != self._missing_since.get(stored.name):
             self._append_change(stored.name, stored)
 
@@ -340,7 +352,7 @@
             if not is_lapsed:
                 self._deletions[name] = Deletion(self.position or known.position, now)
             self._append_change(name, None, is_lapsed)
-            self._listener.on_deleted(name)
+            call_safely("object_deleted", self._listener.on_deleted, name)
 
     def _log_era(self, position: StorePosition, listed: set[str]) -> None:
         """Log what the store lost when it returned from a copy, as far as it is known here."""
--- a/src/martenrun/router/store/sync.py
+++ b/src/martenrun/router/store/sync.py
@@ -6,6 +6,7 @@
 import attrs
 
 from martenrun.net.loop import Loop
+from martenrun.net.periodic import PeriodicCall, call_safely
 from martenrun.router.log import log_event
 from martenrun.router.messages import Dataset
 from martenrun.router.peer_messages import RouterRecord
@@ -133,6 +134,7 @@
             lambda: self._planner.record_partial_response(self._loop.now()),
             parts.make_client,
         )
+        self._checks = PeriodicCall(self._loop, "plan_reads", CHECK_S, self._check)
         self._followers = [
             StoreFollower(
                 self._loop,
@@ -166,23 +168,22 @@
 
     def start(self) -> None:
         """Start the periodic planning."""
-        self._check()
+        self._checks.start()
 
     def _check(self) -> None:
         now = self._loop.now()
         if any(item.is_failing or item.is_overdue(now) for item in self._followers):
-            self._mark_store_lost(now)
+            call_safely("mark_store_lost", self._mark_store_lost, now)
         for replica in self._replicas.values():
-            replica.update(now)
+            call_safely("update_replica", replica.update, now)
         self._plan(now)
-        self._loop.call_later(CHECK_S, self._check)
 
     def _mark_store_lost(self, now: float) -> None:
         """Broadcast at once that this router cannot read for others."""
         is_first = not self.has_lost_store
         self._lost_at = now
         if is_first:
-            self._peers.broadcast_record()
+            call_safely("broadcast_record", self._peers.broadcast_record)
             self.relay.refuse_pending()
 
     def _plan_source(self, now: float) -> ReadPlan:
@@ -279,14 +280,14 @@
         if self.reads_store and not self._is_reading_announced:
             # Until they learn of it, other routers start to read as well.
             self._is_reading_announced = True
-            self._peers.broadcast_record()
-        self.relay.respond_with_changes()
+            call_safely("broadcast_record", self._peers.broadcast_record)
+        call_safely("relay_changes", self.relay.respond_with_changes)
         self._on_confirmed()
 
     def _on_relayed(self) -> None:
         self._has_followed = True
         self._planner.record_response(self._loop.now())
-        self.relay.respond_with_changes()
+        call_safely("relay_changes", self.relay.respond_with_changes)
         self._failures = 0
         if not self._reads_store:
             self._stop_reading()
--- a/tests/router/test_store_sync.py
+++ b/tests/router/test_store_sync.py
@@ -63,7 +63,7 @@
     Server(loop, own, sync.relay.serve)
     for follower in sync._followers:
         follower.stop()
-    sync._check()
+    sync.start()
     return sync, store
 
 
