--- a/src/martenrun/net/server.py
+++ b/src/martenrun/net/server.py
@@ -13,6 +13,7 @@
 
 from martenrun.net.http import Headers, HttpRequest, response_head
 from martenrun.net.loop import Loop
+from martenrun.net.periodic import PeriodicCall, call_safely
 from martenrun.net.request_parser import RequestParser
 from martenrun.net.stream import Stream, listen
 
@@ -347,7 +348,7 @@
         self._maximum_connections = maximum_connections
         self._connections: set[ServerConnection] = set()
         self._listener = listen(loop, address, self._on_accept)
-        loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+        PeriodicCall(loop, "connection_timeouts", SWEEP_INTERVAL_S, self._sweep).start_later()
 
     @property
     def connections(self) -> int:
@@ -378,5 +379,4 @@
     def _sweep(self) -> None:
         now = self.loop.now()
         for connection in list(self._connections):
-            connection.check_timeouts(now)
-        self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+            call_safely("connection_timeout", connection.check_timeouts, now)
--- a/src/martenrun/router/lease.py
+++ b/src/martenrun/router/lease.py
@@ -37,6 +37,7 @@
     takeover_at,
 )
 from martenrun.router.order_schedule import OrderSchedule
+from martenrun.router.peer_messages import RouterRecord
 from martenrun.router.platform_adapter import PlatformAdapter
 from martenrun.router.store.client import StoreClient
 from martenrun.router.store.eras import UNKNOWN_ERA, StoreEras
@@ -158,6 +159,13 @@
         if record.router != self._router and self._is_of_this_era(record):
             self._other_held_since = True
 
+    def record_holder(self, record: RouterRecord) -> None:
+        """Record the lease that another router says it holds."""
+        if record.lease_revision:
+            holder = f"{record.address}#{record.incarnation}"
+            position = StorePosition(record.store_era, record.lease_revision)
+            self.record_position(LeaseRecord(holder, record.lease_token), position)
+
     def is_held(self) -> bool:
         """Return whether this router may act on the lease now."""
         return self._loop.now() < self._held_until - HOLDER_MARGIN_S
--- a/src/martenrun/router/load_exchange.py
+++ b/src/martenrun/router/load_exchange.py
@@ -9,6 +9,8 @@
 
 from collections.abc import Iterable
 
+from martenrun.net.loop import Loop
+from martenrun.net.periodic import PeriodicCall
 from martenrun.router.peer_messages import RouterRecord, RunnerLoad, ZoneLoads
 from martenrun.router.peers import Peers
 from martenrun.router.runner_pool import RunnerPool
@@ -119,6 +121,10 @@
                 self._sum_loads(state, records)
         self._outdated.clear()
 
+    def start(self, loop: Loop) -> None:
+        """Start to send the sums between zones."""
+        PeriodicCall(loop, "zone_loads", SEND_INTERVAL_S, self.send_zone_loads).start()
+
     def send_zone_loads(self) -> float:
         """Send the sums that are due between zones; return the seconds until the next call."""
         own = self._peers.own
--- a/src/martenrun/router/partition_monitor.py
+++ b/src/martenrun/router/partition_monitor.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from martenrun.net.http import HttpResponse
+from martenrun.net.periodic import call_safely
 from martenrun.net.server import Server
 from martenrun.router.log import log_event, log_warning
 from martenrun.router.messages import HttpCall
@@ -70,7 +71,7 @@
         reachability = self._services.reachability
         for service in self._services.pool.services():
             if reachability.is_unreachable(service, now) or self._is_silent(service, now):
-                self._probe_service(service, now)
+                call_safely("probe_service", self._probe_service, service, now)
         self._publish(reachability.unreachable_services(now), reachability.is_cut_off(now))
 
     def _publish(self, unreachable: list[str], is_cut_off: bool) -> None:
--- a/src/martenrun/router/peer_addresses.py
+++ b/src/martenrun/router/peer_addresses.py
@@ -13,6 +13,7 @@
 
 from martenrun.net.http import STATUS_OK, HttpResponse
 from martenrun.net.loop import Loop
+from martenrun.net.periodic import PeriodicCall
 from martenrun.router.log import log_event, log_warning
 from martenrun.router.messages import Dataset, HttpCall, StoredObject
 from martenrun.router.peers import Peers
@@ -106,6 +107,9 @@
         self._next_call_at = 0.0
         self._is_resolved = False
         self._was_absent: bool | None = None
+        self._checks = PeriodicCall(
+            loop, "peer_addresses", lambda: CHECK_S * self._rng.uniform(0.8, 1.2), self._check
+        )
 
     @property
     def is_resolved(self) -> bool:
@@ -157,13 +161,12 @@
 
     def start(self) -> None:
         """Start the periodic checks."""
-        self._loop.call_later(CHECK_S * self._rng.uniform(0.8, 1.2), self._check)
+        self._checks.start_later()
 
     def _check(self) -> None:
         now = self._loop.now()
         if not self._is_calling and now >= self._next_call_at:
             self._read_or_write(now)
-        self._loop.call_later(CHECK_S * self._rng.uniform(0.8, 1.2), self._check)
 
     def _read_or_write(self, now: float) -> None:
         known = self._known
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -7,6 +7,7 @@
 from martenrun.errors import SettingsError
 from martenrun.net.http import HttpResponse
 from martenrun.net.loop import Loop
+from martenrun.net.periodic import PeriodicCall, call_safely
 from martenrun.net.server import Server
 from martenrun.router.brittle_services import BrittleServices
 from martenrun.router.crashes.detector import RunnerView
@@ -23,17 +24,15 @@
     Configuration,
     Dataset,
     HttpCall,
-    LeaseRecord,
     Route,
     Runner,
-    StorePosition,
 )
 from martenrun.router.metrics import Metrics
 from martenrun.router.origins.store_probe import ProbedStore
 from martenrun.router.origins.stored_versions import FleetView, VersionStore
 from martenrun.router.partition_monitor import PROBE_TIMEOUT_S, PartitionMonitor
 from martenrun.router.peer_addresses import PeerAddressDirectory
-from martenrun.router.peer_messages import RouterRecord, UnresponsiveRunnerUpdate
+from martenrun.router.peer_messages import RouterRecord
 from martenrun.router.peer_updates import dispatch_update, updates_for_new_router
 from martenrun.router.peers import Peers, first_incarnation
 from martenrun.router.placement import Placement
@@ -56,7 +55,7 @@
 from martenrun.router.store.sync import MERGE_S, StoreSync, StoreSyncParts
 from martenrun.router.stream_software import StreamSoftware
 from martenrun.router.tuning import DEFAULTS, TuningParameters, load_tuning_parameters
-from martenrun.router.unresponsive_runners import newly_unresponsive, record_unresponsive
+from martenrun.router.unresponsive_runners import report_unresponsive
 from martenrun.router.weights_rollout import WeightsRollout
 
 CALLER_CONNECTIONS_SHARE = 0.6
@@ -328,8 +327,9 @@
         self._keeper.start()
         self._peers.start()
         self._peer_addresses.start()
-        self._run_maintenance()
-        self._broadcast_load_sums()
+        maintain = self._run_maintenance
+        PeriodicCall(self._loop, "maintenance", MAINTENANCE_INTERVAL_S, maintain).start()
+        self._loads.start(self._loop)
         self._loop.run()
         log_event("stopped")
         EVENT_LOG.flush()
@@ -345,13 +345,13 @@
             self._peers.schedule_record_broadcast()
 
     def _on_runners_updated(self) -> None:
-        self._services.pool.update(self._services.runners.runners)
-        self._services.runner_limits.forget_unlisted(
-            self._services.runners.runners, self._loop.now()
-        )
-        self._services.silent_runners.forget_unlisted(set(self._services.runners.runners))
-        self._services.suspects.detector.check_replaced()
-        self._streams.record_listed()
+        listed = self._services.runners.runners
+        self._services.pool.update(listed)
+        forget_limits = self._services.runner_limits.forget_unlisted
+        call_safely("runner_limits", forget_limits, listed, self._loop.now())
+        self._services.silent_runners.forget_unlisted(set(listed))
+        call_safely("crash_records", self._services.suspects.detector.check_replaced)
+        call_safely("listed_software", self._streams.record_listed)
         self._rollout.schedule_step()
 
     # Other routers
@@ -382,20 +382,18 @@
     def _on_peer_records(self) -> None:
         self._loads.update_from_records()
         for record, received_at in self._peers.table.timed_records():
-            self._services.configuration.merge_versions(record.configurations, received_at)
-            self._streams.merge_record(record, received_at)
+            versions = record.configurations
+            call_safely(
+                "record", self._services.configuration.merge_versions, versions, received_at
+            )
+            call_safely("record", self._streams.merge_record, record, received_at)
         for record in self._peers.live():
-            self._eras.observe(record.store_era, "gossip")
-            self._services.weights.merge_ages(record.weights, self._loop.now())
-            if record.lease_revision:
-                holder = f"{record.address}#{record.incarnation}"
-                self._lease.record_position(
-                    LeaseRecord(holder, record.lease_token),
-                    StorePosition(record.store_era, record.lease_revision),
-                )
-
-    def _broadcast_load_sums(self) -> None:
-        self._loop.call_later(self._loads.send_zone_loads(), self._broadcast_load_sums)
+            call_safely("record", self._merge_live_record, record)
+
+    def _merge_live_record(self, record: RouterRecord) -> None:
+        self._eras.observe(record.store_era, "gossip")
+        self._services.weights.merge_ages(record.weights, self._loop.now())
+        self._lease.record_holder(record)
 
     def _on_runner_restarted(self, runner: Runner) -> None:
         """Handle a runner that has restarted before its entry says so."""
@@ -450,25 +448,24 @@
 
     def _run_maintenance(self) -> None:
         now = self._loop.now()
-        self._partitions.run_maintenance(now)
-        self._requests.run_maintenance(now)
-        self._loads.repeat_reports()
-        for instance in newly_unresponsive(self._services, now):
-            update = UnresponsiveRunnerUpdate(self._peers.own.address, instance)
-            record_unresponsive(self._services, update, now)
-            self._peers.broadcast(update)
-        self._services.suspects.run_maintenance()
-        self._services.runner_limits.repeat_broadcasts(now)
-        self._blame_store.write_if_due()
-        self._quotas.run_maintenance()
-        self._streams.run_maintenance()
+        call_safely("partitions", self._partitions.run_maintenance, now)
+        call_safely("requests", self._requests.run_maintenance, now)
+        call_safely("load_reports", self._loads.repeat_reports)
+        call_safely("unresponsive_runners", report_unresponsive, self._services, self._peers, now)
+        call_safely("crash_records", self._services.suspects.run_maintenance)
+        call_safely("runner_limits", self._services.runner_limits.repeat_broadcasts, now)
+        call_safely("stored_crash_records", self._blame_store.write_if_due)
+        call_safely("quotas", self._quotas.run_maintenance)
+        call_safely("streams", self._streams.run_maintenance)
+        call_safely("settings", self._reload_if_changed)
         self._rollout.schedule_step()
-        if self._settings_source.stamp() != self._settings_stamp:
-            self._reload()
         EVENT_LOG.flush()
         if self._stop is not None:
             self._continue_stop(self._stop, now)
-        self._loop.call_later(MAINTENANCE_INTERVAL_S, self._run_maintenance)
+
+    def _reload_if_changed(self) -> None:
+        if self._settings_source.stamp() != self._settings_stamp:
+            self._reload()
 
     def _continue_stop(self, stop: PlannedStop, now: float) -> None:
         if now > stop.aborts_at:
--- a/src/martenrun/router/request_server.py
+++ b/src/martenrun/router/request_server.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from martenrun.net.periodic import call_safely
 from martenrun.net.server import Exchange
 from martenrun.router.admission import Admission, Refusal, send_refusal
 from martenrun.router.denials import DenialRecheck
@@ -110,7 +111,7 @@
     def run_maintenance(self, now: float) -> None:
         """Move requests off runners that can no longer serve them."""
         for forwarder in list(self.forwarders):
-            move_off_runners(self._services, forwarder, now)
+            call_safely("move_requests", move_off_runners, self._services, forwarder, now)
 
 
 def _services_of(admitted: AdmittedRequest) -> list[str]:
--- a/src/martenrun/router/stream_software.py
+++ b/src/martenrun/router/stream_software.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 
 from martenrun.net.loop import Loop
+from martenrun.net.periodic import call_safely
 from martenrun.router.messages import Runner, unknown_software
 from martenrun.router.origins.exchange import OriginExchange
 from martenrun.router.origins.messages import RunnerRestart, SoftwareMessage, VersionMessage
@@ -102,10 +103,10 @@
 
     def run_maintenance(self) -> None:
         """Forget old versions and expired origins; share origins with new owners."""
-        self.record_listed()
-        self._check.run_maintenance()
-        self._versions.run_maintenance()
-        self._origins.run_maintenance()
+        call_safely("listed_software", self.record_listed)
+        call_safely("version_check", self._check.run_maintenance)
+        call_safely("stored_versions", self._versions.run_maintenance)
+        call_safely("stream_origins", self._origins.run_maintenance)
 
     def may_be_mixed(self, service: str) -> bool:
         """Return whether several software versions of a service may have served lately.
--- a/src/martenrun/router/unresponsive_runners.py
+++ b/src/martenrun/router/unresponsive_runners.py
@@ -3,6 +3,7 @@
 from martenrun.net.client import CONNECT_TIMEOUT_S
 from martenrun.router.log import log_event
 from martenrun.router.peer_messages import UnresponsiveRunnerUpdate
+from martenrun.router.peers import Peers
 from martenrun.router.request_services import RequestServices
 from martenrun.router.runner_state import UNRESPONSIVE_AFTER_S, RunnerState
 
@@ -13,6 +14,14 @@
 """Time after which a connection attempt that has stalled causes no report, in seconds."""
 
 
+def report_unresponsive(world: RequestServices, peers: Peers, now: float) -> None:
+    """Report the runners that are unresponsive to this router to all routers."""
+    for instance in newly_unresponsive(world, now):
+        update = UnresponsiveRunnerUpdate(peers.own.address, instance)
+        record_unresponsive(world, update, now)
+        peers.broadcast(update)
+
+
 def newly_unresponsive(world: RequestServices, now: float) -> list[str]:
     """Return the unresponsive runners to report, and record them as reported.
 
--- a/src/martenrun/router/weights_rollout.py
+++ b/src/martenrun/router/weights_rollout.py
@@ -10,6 +10,7 @@
 import attrs
 
 from martenrun.net.http import HttpResponse
+from martenrun.net.periodic import PeriodicCall, call_safely
 from martenrun.router.lease import Lease
 from martenrun.router.log import log_event, log_warning
 from martenrun.router.messages import (
@@ -85,7 +86,7 @@
         self._not_before: dict[str, float] = {}
         self._needed_since: float | None = None
         self._callers: dict[str, HttpClient] = {}
-        self._is_step_scheduled = False
+        self._steps = PeriodicCall(world.loop, "weights_rollout", STEP_INTERVAL_S, self._step)
         self._update_batcher = WeightsUpdateBatcher(world.loop, peers)
         self._stops_at = math.inf
         self._load_time_s = world.decisions.roll.first_turn_s
@@ -96,9 +97,7 @@
 
     def schedule_step(self) -> None:
         """Schedule a step of the rollout; called after every change of targets or runners."""
-        if not self._is_step_scheduled:
-            self._is_step_scheduled = True
-            self._world.loop.call_later(0, self._step)
+        self._steps.start_later(0.0)
 
     def stop_by(self, stops_at: float) -> None:
         """Start no load that cannot be ordered before a time, and release the lease by then."""
@@ -115,7 +114,6 @@
         self.schedule_step()
 
     def _step(self) -> None:
-        self._is_step_scheduled = False
         now = self._world.loop.now()
         models = self._outdated_models()
         if self._is_finished(models, now):
@@ -124,21 +122,23 @@
             self._needed_since = None
             for instance in list(self._loads):
                 self._remove_load(instance)
+            self._steps.stop()
             return
         if self._needed_since is None:
             self._needed_since = now
         may_order = not self._is_unreachable(models, now)
         if may_order:
             # Otherwise the lease expires, and a router that reaches the runners acquires it.
-            self._acquire_lease(now)
+            call_safely("acquire_lease", self._acquire_lease, now)
         for model in models:
-            self._check_loads(model, self._world.weights.targets[model].version, now)
-            if may_order and self._lease.is_held():
-                self._start_loads(model, now)
-            else:
-                self._cancel_unordered_loads(model)
-        self._is_step_scheduled = True
-        self._world.loop.call_later(STEP_INTERVAL_S, self._step)
+            call_safely("weights_rollout", self._step_model, model, may_order, now)
+
+    def _step_model(self, model: str, may_order: bool, now: float) -> None:
+        self._check_loads(model, self._world.weights.targets[model].version, now)
+        if may_order and self._lease.is_held():
+            self._start_loads(model, now)
+        else:
+            self._cancel_unordered_loads(model)
 
     def _acquire_lease(self, now: float) -> None:
         is_held = self._lease.is_held()
--- a/tests/router/test_server.py
+++ b/tests/router/test_server.py
@@ -322,3 +322,19 @@
     exchange.end()
     server_setup.serve_until(lambda: peer.read() and peer.is_closed)
     assert peer.received.endswith(b"0\r\n\r\n")
+
+
+# Guards against connections that are never timed out since one of them raised in a sweep.
+def test_connection_that_raises_does_not_keep_others_from_their_timeouts(server_setup):
+    def check_timeouts(_now):
+        raise OverflowError
+
+    peers = [server_setup.connect() for _ in range(3)]
+    for peer in peers:
+        peer.send(GET[:-2])
+    server_setup.serve_until(lambda: len(server_setup.server._connections) == 3)
+    next(iter(server_setup.server._connections)).check_timeouts = check_timeouts
+    server_setup.server.limits = ServerLimits(header_timeout_s=0.1)
+    server_setup.serve_until(
+        lambda: [peer.read() and peer.is_closed for peer in peers].count(True) == 2
+    )
