Probe of the store ends its questions if it raises

Cause: found by the test of periodic work as the parts were joined: a probe that raises before its calls are sent would leave its questions waiting, and schedule no further one. Change: they end as not confirmed. The messages' ages have the bounds of the others; a test records exceptions where they are logged now.

--- a/src/martenrun/router/origins/messages.py
+++ b/src/martenrun/router/origins/messages.py
@@ -82,7 +82,7 @@
 
     number: int
     sender: str
-    versions: dict[str, list[tuple[str, int]]] | None = None
+    versions: dict[str, list[tuple[str, Milliseconds]]] | None = None
 
 
 OriginMessage = OriginUpdate | OriginQuery | OriginResponse
--- a/src/martenrun/router/origins/store_probe.py
+++ b/src/martenrun/router/origins/store_probe.py
@@ -84,6 +84,13 @@
     def _call(self) -> None:
         waiting, self._waiting = self._waiting, []
         self._next_call_at = self._loop.now() + MIN_CALL_INTERVAL_S
+        try:
+            self._read_store(waiting)
+        except Exception:
+            self._finish(waiting, False)
+            raise
+
+    def _read_store(self, waiting: list[OnConfirmed]) -> None:
         position = self._store.position()
         if position is None or self._store.is_merging():
             self._finish(waiting, False)
--- a/tests/router/test_periodic.py
+++ b/tests/router/test_periodic.py
@@ -123,6 +123,9 @@
     ("router/forwarding.py", "RequestForwarder._continue"): "one request until its deadline",
     ("router/quotas/gate.py", "QuotaGate._on_timeout"): "one call for each owner of one account",
     ("router/crashes/detector.py", "CrashDetector._repeat_probe"): "some probes of one crash",
+    ("router/crashes/outcome_check.py", "OutcomeCheck.start"): "some reports of one response",
+    ("router/crashes/outcome_check.py", "OutcomeCheck._confirm"): "some reports of one response",
+    ("router/origins/store_probe.py", "StoreProbe._call"): "ends its questions if it raises",
     ("router/origins/exchange.py", "OriginExchange._ask_further"): "two rounds of one search",
 }
 """Methods that schedule themselves, and why that is not periodic work that an exception ends."""
