A runner's refusal that may be untrue is returned as a failure

Cause: only X-Not-Executed says that a runner has not run a request. A refusal without it was taken for a run, and rightly not repeated, but its status was returned as it was.

Change: the adapter tells which statuses are such refusals, and runner_responses.returned_head replaces them by 502, 408 by 504, without the stamp and Retry-After, for all kinds of requests. Those that may be repeated go to another runner first, as after a server error; 408 and 429 did not. It is logged and counted (refusal_unconfirmed). A router that gets the request from another one does the same before its response goes back.

--- a/src/martenrun/platform/__init__.py
+++ b/src/martenrun/platform/__init__.py
@@ -12,6 +12,7 @@
     runner_headers=headers.runner_headers,
     request_id_field=headers.REQUEST_ID,
     read_response_metadata=headers.read_response_metadata,
+    without_status_fields=headers.without_status_fields,
     responding_instance=headers.responding_instance,
     read_era=objects.read_era,
     list_objects=objects.list_objects,
--- a/src/martenrun/platform/headers.py
+++ b/src/martenrun/platform/headers.py
@@ -111,6 +111,20 @@
 
 STATUS_UNAVAILABLE = 503
 
+REFUSAL_STATUSES = frozenset({408, 429, STATUS_UNAVAILABLE})
+"""Statuses that promise callers that the request has not run and never will.
+
+So does 421, which a runner sends only before it would run a request.
+"""
+
+_BOUND_TO_STATUS = frozenset({b"x-response-stamp", RETRY_AFTER})
+"""Fields of a response that hold only with its own status, in lower case."""
+
+
+def without_status_fields(headers: Headers) -> Headers:
+    """Return the fields of a response that hold with another status, too."""
+    return [(name, value) for name, value in headers if name.lower() not in _BOUND_TO_STATUS]
+
 
 def read_response_metadata(status: int, headers: Headers) -> ResponseMetadata:
     """Read the metadata in the status and header fields of a runner's response."""
@@ -118,6 +132,7 @@
     return ResponseMetadata(
         is_signed=find_header(headers, b"x-response-stamp") is not None,
         is_not_executed=is_not_executed,
+        is_unconfirmed_refusal=status in REFUSAL_STATUSES and not is_not_executed,
         is_encoded=find_header(headers, b"content-encoding") is not None,
         rate_limit=_advertised_limit(headers),
         tolerated_rejections_per_s=_advertised_brittleness(headers),
--- a/src/martenrun/platform/standins/runner.py
+++ b/src/martenrun/platform/standins/runner.py
@@ -14,6 +14,7 @@
 
 from martenrun.platform.standins.http_server import QuietServer
 from martenrun.platform.standins.runner_records import (
+    FAILURE_STATUSES,
     Arrival,
     Crash,
     CrashPoint,
@@ -290,8 +291,8 @@
         elif fault is Fault.SILENT:
             self.close_connection = True
             time.sleep(2.0)
-        elif fault is Fault.ERROR:
-            self._send(500, b"failed", self._signature())
+        elif fault in FAILURE_STATUSES:
+            self._send(FAILURE_STATUSES[fault], b"failed", self._signature())
         elif "X-Prefix-Hash" in self.headers:
             is_complete = False
             try:
--- a/src/martenrun/platform/standins/runner_records.py
+++ b/src/martenrun/platform/standins/runner_records.py
@@ -15,6 +15,11 @@
     CUT_MIDWAY = "cut midway"
     NO_SIGNATURE = "no signature"
     SILENT = "silent"
+    UNCONFIRMED_REFUSAL = "unconfirmed refusal"
+
+
+FAILURE_STATUSES = {Fault.ERROR: 500, Fault.UNCONFIRMED_REFUSAL: 503}
+"""Statuses of signed responses to requests that ran and failed."""
 
 
 class CrashPoint(enum.Enum):
--- a/src/martenrun/router/attempt.py
+++ b/src/martenrun/router/attempt.py
@@ -16,7 +16,7 @@
 from martenrun.router.request_services import RequestServices
 from martenrun.router.response_metadata import ResponseMetadata
 from martenrun.router.retry import Failure
-from martenrun.router.runner_responses import RunnerResponse, record_response
+from martenrun.router.runner_responses import RunnerResponse, record_response, returned_head
 from martenrun.router.runner_state import (
     FULL_RUNNER_INTERVAL_S,
     LOADING_TIMEOUT_S,
@@ -260,6 +260,8 @@
         if metadata.is_encoded or (status < STATUS_MULTIPLE_CHOICES and not metadata.is_signed):
             self._fail(Failure.BROKEN)
             return
+        head = RunnerResponse(self.headers, metadata, self.started_at)
+        self.status, self.headers = returned_head(self._services, self.state, head, status)
         is_stream = self._admitted.route.kind is RouteKind.STREAM
         self.is_streamed = is_stream and status < STATUS_MULTIPLE_CHOICES
         if self.is_streamed:
--- a/src/martenrun/router/platform_adapter.py
+++ b/src/martenrun/router/platform_adapter.py
@@ -56,6 +56,8 @@
         runner_headers: returns the headers of the request as sent to a runner.
         request_id_field: name of the header that carries a request's id, in lower case.
         read_response_metadata: parses the status and headers of a runner's response.
+        without_status_fields: returns a response's headers without those that hold only with its
+            own status, such as its signature.
         responding_instance: returns the runner instance that a response's headers name.
         read_era: returns the era of the store that a response's headers name, or None.
         list_objects: builds the request for a page of a dataset after a name.
@@ -85,6 +87,7 @@
     runner_headers: Callable[[Headers, Dispatch], Headers]
     request_id_field: bytes
     read_response_metadata: Callable[[int, Headers], ResponseMetadata]
+    without_status_fields: Callable[[Headers], Headers]
     responding_instance: Callable[[Headers], str | None]
     read_era: Callable[[Headers], int | None]
     list_objects: Callable[[Dataset, str | None], HttpCall]
--- a/src/martenrun/router/response_metadata.py
+++ b/src/martenrun/router/response_metadata.py
@@ -36,6 +36,8 @@
     Attributes:
         is_signed: whether the response carries the runner's stamp.
         is_not_executed: whether the runner states that it has not run the request.
+        is_unconfirmed_refusal: whether the status means that the request has not run, although the
+            runner does not state it.
         is_encoded: whether the body has a content encoding.
         rate_limit: the limit that the response advertises; None if it advertises none.
         tolerated_rejections_per_s: rejections per second on more of which the runner crashes, as
@@ -47,6 +49,7 @@
     is_signed: bool
     is_not_executed: bool
     is_encoded: bool
+    is_unconfirmed_refusal: bool = False
     rate_limit: AdvertisedLimit | None = None
     tolerated_rejections_per_s: float | None = None
     is_draining: bool = False
--- a/src/martenrun/router/runner_responses.py
+++ b/src/martenrun/router/runner_responses.py
@@ -12,6 +12,10 @@
 INSTANCES_PER_DATAGRAM = 1_000
 """Maximum number of instances in one datagram."""
 
+STATUS_REQUEST_TIMEOUT = 408
+STATUS_BAD_GATEWAY = 502
+STATUS_GATEWAY_TIMEOUT = 504
+
 
 @attrs.frozen
 class RunnerResponse:
@@ -26,6 +30,22 @@
     sent_at: float
 
 
+def returned_head(
+    services: RequestServices, state: RunnerState, head: RunnerResponse, status: int
+) -> tuple[int, Headers]:
+    """Return the status and header fields with which a response is returned to the caller.
+
+    Callers repeat what was refused.  Where the runner does not state that it has not run the
+    request, the response is returned as a failure, which promises nothing.
+    """
+    if not head.metadata.is_unconfirmed_refusal:
+        return status, head.headers
+    services.count_notice("refusal_unconfirmed")
+    log_event("refusal_unconfirmed", instance=state.runner.instance, status=status)
+    failure = STATUS_GATEWAY_TIMEOUT if status == STATUS_REQUEST_TIMEOUT else STATUS_BAD_GATEWAY
+    return failure, services.adapter.without_status_fields(head.headers)
+
+
 def record_response(services: RequestServices, state: RunnerState, head: RunnerResponse) -> None:
     """Record what a response to a caller's request says about its runner.
 
--- a/tests/router/test_whole_path.py
+++ b/tests/router/test_whole_path.py
@@ -125,6 +125,18 @@
     assert len(deployment.runs_of("lost-2")) == 2
 
 
+# Guards against a caller that pays twice because its payment looks as if it had not run.
+def test_an_unsafe_request_gets_no_promise_that_its_runner_has_not_made(deployment):
+    inject_fault(deployment, "ledger", Fault.UNCONFIRMED_REFUSAL)
+    response = deployment.ask("/pay/x", "refused-1")
+    assert response.status == 502 and response.data == b"failed"
+    assert "X-Response-Stamp" not in response.headers
+    assert len(deployment.runs_of("refused-1")) == 1
+    inject_fault(deployment, "ledger", Fault.UNCONFIRMED_REFUSAL)
+    assert deployment.ask("/slip/x", "refused-2").status == 200
+    assert len(deployment.runs_of("refused-2")) == 2
+
+
 def test_a_request_that_no_runner_accepts_gets_a_retry_time_and_is_explained(deployment):
     for runner in deployment.runners:
         runner.fault = lambda: Fault.FULL
