--- a/src/martenrun/platform/standins/store.py
+++ b/src/martenrun/platform/standins/store.py
@@ -8,6 +8,7 @@
 
 import threading
 import time
+from collections.abc import Mapping
 from http.server import BaseHTTPRequestHandler
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -19,6 +20,7 @@
 
 ROOT = "/martenrun/objects/"
 
+NO_METADATA: Mapping[str, object] = {}
 
 WRITTEN_BY_OTHERS = ("config", "versions", "servers")
 """Kinds that the operator and runners write, the operator's first."""
@@ -61,14 +63,26 @@
         self._server.shutdown()
         self._server.server_close()
 
-    def put(self, kind: str, name: str, spec: object) -> int:
-        """Write an object as the operator or a runner would; return its revision."""
+    def put(
+        self, kind: str, name: str, spec: object, metadata: Mapping[str, object] = NO_METADATA
+    ) -> int:
+        """Write an object as the operator or a runner would; return its revision.
+
+        Args:
+            spec: any value; the bytes of a ``msgspec.Raw`` are served as they are.
+            metadata: fields beside those that the store sets.
+        """
         with self._changed:
             if kind in WRITTEN_BY_OTHERS:
                 self._newest[(kind, name)] = spec
             self.revision += 1
             item = {
-                "metadata": {"name": name, "revision": self.revision, "finalizers": []},
+                "metadata": {
+                    "name": name,
+                    "revision": self.revision,
+                    "finalizers": [],
+                    **metadata,
+                },
                 "spec": spec,
             }
             self._objects[(kind, name)] = item
