Numbers of callers and ids of events have ranges

What could be seen: an event id of 5,000 digits raised a plain ValueError inside the handling of a runner's response instead of the malformed event that it is; a caller's Last-Event-Id or prompt part beyond 64 bits was accepted, though no message between routers can carry it.

Cause: int() over bytes of others without a bound; CPython refuses more than 4,300 digits.

--- a/src/martenrun/platform/headers.py
+++ b/src/martenrun/platform/headers.py
@@ -4,6 +4,7 @@
 import re
 
 from martenrun.net.http import Headers, HttpRequest, end_to_end, find_header
+from martenrun.platform.nesting import MAX_INTEGER
 from martenrun.router.messages import Call, Dispatch, PromptPart
 from martenrun.router.response_metadata import AdvertisedLimit, RequestedBackoff, ResponseMetadata
 
@@ -46,12 +47,20 @@
         model=None if model is None else model.decode("latin-1"),
         parts=_prompt_parts(fields.get(b"x-prefix-hash", b"")),
         prompt_tokens=prompt_tokens,
-        last_event_id=int(fields.get(b"last-event-id", b"0") or b"0"),
+        last_event_id=_count(fields.get(b"last-event-id") or b"0", MAX_INTEGER),
         counted_tokens=counted_tokens,
         resumed_id=fields.get(b"resumes") or None,
     )
 
 
+def _count(text: bytes, maximum: int) -> int:
+    """Parse a number from 0 to ``maximum``; raises ValueError."""
+    number = int(text)
+    if not 0 <= number <= maximum:
+        raise ValueError(f"a number of a request must be from 0 to {maximum}")
+    return number
+
+
 MAXIMUM_TOKENS = 10**9
 """Maximum token count in a request; a higher one is an error of the caller."""
 
@@ -65,9 +74,7 @@
     if text is None:
         return 0, None
     prompt, _, output = text.partition(b",")
-    numbers = int(prompt), int(output or b"0")
-    if min(numbers) < 0 or max(numbers) > MAXIMUM_TOKENS:
-        raise ValueError(f"token counts of a request must be from 0 to {MAXIMUM_TOKENS}")
+    numbers = _count(prompt, MAXIMUM_TOKENS), _count(output or b"0", MAXIMUM_TOKENS)
     return numbers[0], sum(numbers)
 
 
@@ -75,7 +82,7 @@
     parts = []
     for part in text.split(b",") if text else ():
         part_id, _, tokens = part.strip().rpartition(b":")
-        parts.append(PromptPart(part_id, int(tokens)))
+        parts.append(PromptPart(part_id, _count(tokens, MAXIMUM_TOKENS)))
     return tuple(parts)
 
 
--- a/src/martenrun/router/event_stream.py
+++ b/src/martenrun/router/event_stream.py
@@ -11,6 +11,9 @@
 MAXIMUM_EVENT_BYTES = 1_048_576
 """Maximum size of one event."""
 
+MAXIMUM_ID_DIGITS = 18
+"""Maximum number of digits of an event's id: it has to fit into a message between routers."""
+
 
 class BrokenStreamError(ValueError):
     """An event is malformed, too long or out of sequence."""
@@ -110,6 +113,6 @@
     if len(values) > 1:
         raise BrokenStreamError("event has several ids")
     value = values[0].strip(b" \r")
-    if not value.isdigit():
+    if not value.isdigit() or len(value) > MAXIMUM_ID_DIGITS:
         raise BrokenStreamError("event id is not an integer")
     return int(value)
