--- a/src/martenrun/net/stream.py
+++ b/src/martenrun/net/stream.py
@@ -1,12 +1,11 @@
 """A non-blocking TCP connection with buffered writes and back-pressure."""
 
 import contextlib
-import errno
-import re
 import socket
 from collections.abc import Callable
 from typing import Protocol
 
+from martenrun.net.addresses import parse_endpoint
 from martenrun.net.loop import READ, WRITE, Loop
 
 READ_BYTES = 65536
@@ -33,14 +32,6 @@
 """
 
 
-MAXIMUM_PORT = 65_535
-
-LOGGED_CHARACTERS = 40
-"""Length to which an invalid address is truncated in an error's text."""
-
-_PORT = re.compile("[0-9]{1,5}")
-
-
 class StreamOwner(Protocol):
     """Receives the events of a :class:`Stream`."""
 
@@ -234,19 +225,12 @@
             self._owner.on_closed(is_clean)
 
 
-class InvalidAddressError(OSError):
-    """An address is not an IPv4 address and a port from 1 to 65535; its errno is EINVAL."""
-
-    def __init__(self, address: str) -> None:
-        super().__init__(errno.EINVAL, f"invalid address {address[:LOGGED_CHARACTERS]!r}")
-
-
 def open_stream(loop: Loop, address: str, owner: StreamOwner) -> Stream:
     """Open a connection to ``IP:port``; raises OSError if that fails at once.
 
     Host names are not resolved, since a look-up would block the loop: they are invalid addresses.
     """
-    endpoint = _parse_endpoint(address)
+    endpoint = parse_endpoint(address)
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setblocking(False)
@@ -259,18 +243,6 @@
         raise
 
 
-def _parse_endpoint(address: str) -> tuple[str, int]:
-    """Split ``IP:port``; raises InvalidAddressError."""
-    host, _, port = address.rpartition(":")
-    if _PORT.fullmatch(port) is None or not 0 < int(port) <= MAXIMUM_PORT:
-        raise InvalidAddressError(address)
-    try:
-        socket.inet_pton(socket.AF_INET, host)
-    except (OSError, ValueError) as exc:
-        raise InvalidAddressError(address) from exc
-    return host, int(port)
-
-
 def listen(loop: Loop, address: str, on_accept: Callable[[socket.socket], None]) -> socket.socket:
     """Listen on ``IP:port`` and pass each accepted, non-blocking socket to ``on_accept``."""
     host, _, port = address.rpartition(":")
