--- a/src/martenrun/router/origins/version_check.py
+++ b/src/martenrun/router/origins/version_check.py
@@ -118,7 +118,7 @@
         """Find out whether all versions that are listed now are known."""
         readers = [] if self._peers.own.reads_store else self._readers()
         if not readers or self._loop.now() - self._unanswered_at < FAILURE_MEMORY_S:
-            self._probe_store(on_confirmed)
+            self._probe.run(on_confirmed)
             return
         asked = random.sample(readers, min(READERS_ASKED, len(readers)))
         number = next(self._numbers)
@@ -154,13 +154,7 @@
         check = self._close(number)
         if check is not None:
             self._unanswered_at = self._loop.now()
-            self._probe_store(check.on_confirmed)
-
-    def _probe_store(self, on_confirmed: OnConfirmed) -> None:
-        if self._peers.own.has_lost_store:
-            on_confirmed(False)
-        else:
-            self._probe.run(on_confirmed)
+            self._probe.run(check.on_confirmed)
 
     def _close(self, number: int) -> PendingCheck | None:
         check = self._pending.pop(number, None)
