Further plays of streams that are resumed at routers out of touch

Routers are suspended, suspended and cut off, slow, or miss a version that joins and leaves again; streams are also resumed just after a cut.

--- a/scripts/router_partition.py
+++ b/scripts/router_partition.py
@@ -39,15 +39,11 @@
     def __init__(self, deployment: PlatformDeployment, routers: Sequence[RouterRun]) -> None:
         self._deployment = deployment
         self.routers = list(routers)
+        self._ways = Way(0)
+        self._delay_s: float | None = None
+        self._harmed: set[FaultyRelay] = set()
         for router in self.routers:
-            store = deployment.store.address
-            router.router_links[store] = FaultyRelay(store, router.ip)
-            for other in deployment.routers:
-                if other is not router:
-                    _link(router, other)
-                    _link(other, router)
-        for router in deployment.routers:
-            router.write_links()
+            link_router(deployment, router)
 
     @property
     def others(self) -> list[RouterRun]:
@@ -56,53 +52,76 @@
 
     def cut(self, ways: Way = Way.ALL) -> None:
         """Let no packet pass until :meth:`restore`; open connections stop and new ones hang."""
-        for relay in self._relays(ways):
-            relay.stall()
-        self._write_datagram_faults(ways, None)
+        self._ways, self._delay_s = ways, None
+        self.refresh()
 
     def slow_down(self, delay_s: float, ways: Way = Way.ALL) -> None:
         """Delay each datagram and each piece of a connection until :meth:`restore`, in seconds."""
-        for relay in self._relays(ways):
-            relay.delay_s = delay_s
-        self._write_datagram_faults(ways, delay_s)
+        self._ways, self._delay_s = ways, delay_s
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Harm also the ways to routers that have been linked since."""
+        for relay in set(self._relays(self._ways)) - self._harmed:
+            self._harmed.add(relay)
+            if self._delay_s is None:
+                relay.stall()
+            else:
+                relay.delay_s = self._delay_s
+        self._write_datagram_faults()
 
     def restore(self) -> None:
         """Let all packets pass again; what connections held up passes now."""
-        for relay in self._relays(Way.ALL):
+        for relay in self._harmed:
             relay.restore()
-        for router in self._deployment.routers:
-            router.write_datagram_faults({})
+        self._harmed.clear()
+        self._ways = Way(0)
+        self._write_datagram_faults()
 
     def _relays(self, ways: Way) -> Iterable[FaultyRelay]:
-        store = self._deployment.store.address
         separated = {router.ip for router in self.routers}
         for router in self._deployment.routers:
+            store = _store_address(self._deployment, router)
             for address, relay in router.router_links.items():
-                if address == store:
-                    way = Way.STORE
-                elif router.ip in separated:
-                    way = Way.CONNECTIONS_OUT
-                    if address.rpartition(":")[0] in separated:
-                        way |= Way.CONNECTIONS_IN
-                else:
-                    way = Way.CONNECTIONS_IN
+                way = Way(0)
+                if router.ip in separated:
+                    way |= Way.STORE if address == store else Way.CONNECTIONS_OUT
+                if address.rpartition(":")[0] in separated:
+                    way |= Way.CONNECTIONS_IN
                 if way & ways:
                     yield relay
 
-    def _write_datagram_faults(self, ways: Way, delay_s: float | None) -> None:
-        separated = [router.ip for router in self.routers]
+    def _write_datagram_faults(self) -> None:
+        separated = {router.ip for router in self.routers}
         for router in self._deployment.routers:
-            others = [it.ip for it in self._deployment.routers if it is not router]
+            others = {it.ip for it in self._deployment.routers} - {router.ip}
             harmed: set[str] = set()
-            if Way.DATAGRAMS_OUT in ways and router in self.routers:
-                harmed.update(others)
-            if Way.DATAGRAMS_IN in ways:
-                harmed.update(ip for ip in separated if ip != router.ip)
-            router.write_datagram_faults(dict.fromkeys(sorted(harmed), delay_s))
-
-
-def _link(router: RouterRun, other: RouterRun) -> None:
-    """Give a router relays of its own to another one."""
-    for address in (other.internal, other.front):
-        if address not in router.router_links:
-            router.router_links[address] = FaultyRelay(address, router.ip)
+            if Way.DATAGRAMS_OUT in self._ways and router.ip in separated:
+                harmed |= others
+            if Way.DATAGRAMS_IN in self._ways:
+                harmed |= separated & others
+            router.write_datagram_faults(dict.fromkeys(sorted(harmed), self._delay_s))
+
+
+def link_router(deployment: PlatformDeployment, router: RouterRun) -> None:
+    """Let a router and all others reach each other through relays, and the router the store."""
+    _relay(router, _store_address(deployment, router))
+    for other in deployment.routers:
+        if other is not router:
+            for address in (other.internal, other.front):
+                _relay(router, address)
+            for address in (router.internal, router.front):
+                _relay(other, address)
+            other.write_links()
+    router.write_links()
+
+
+def _store_address(deployment: PlatformDeployment, router: RouterRun) -> str:
+    """Return the store's address in the router's settings."""
+    return deployment.store.address if router.store is None else router.store.address
+
+
+def _relay(router: RouterRun, address: str) -> None:
+    """Give a router a relay of its own to an address."""
+    if address not in router.router_links:
+        router.router_links[address] = FaultyRelay(address, router.ip)
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -24,6 +24,7 @@
 import click
 from platform_deployment import LINKED_ROUTER, PlatformDeployment
 from resuming_callers import ResumingCallers
+from router_partition import link_router
 from router_run import ROUTER
 from soak_callers import (
     GREEDY,
@@ -49,9 +50,11 @@
 from martenrun.proof.soak_schedule import (
     NOTICE_KINDS,
     PARTITION_KINDS,
+    SEPARATION_KINDS,
     SOFTWARE_KINDS,
     Step,
     add_restores,
+    add_separations,
     draw_schedule,
     from_text,
     to_text,
@@ -61,11 +64,15 @@
 CALLERS = 12
 
 RESUMING_CALLERS = 10
+RESUMING_CALLERS_WITH_SEPARATIONS = 30
 """Callers that resume streams, while runners have several software versions."""
 
 LINKED_KINDS = {**PARTITION_KINDS, **NOTICE_KINDS}
 """Kinds for which each router needs links of its own to the runners."""
 
+FAILURE_PAUSE_S = 0.05
+"""How long they wait after an attempt without a response, while routers are separated."""
+
 MODEL_RUNNERS = 3
 MODEL_RUNNERS_WITH_VERSIONS = 6
 """Model runners of a deployment, without and with several software versions."""
@@ -180,7 +187,12 @@
         faults = Faults(deployment, random.Random(seed) if hangs_up_starts else None)
         callers, lookers, meter = Callers(deployment, seed), Lookers(deployment), DelayMeter()
         has_versions = any(step.kind in SOFTWARE_KINDS for step in steps)
-        resuming = ResumingCallers(deployment, RESUMING_CALLERS, seed, suffix=SLOW_MARK)
+        has_separations = any(step.kind in SEPARATION_KINDS for step in steps)
+        count = RESUMING_CALLERS_WITH_SEPARATIONS if has_separations else RESUMING_CALLERS
+        pause_s = FAILURE_PAUSE_S if has_separations else 0.0
+        resuming = ResumingCallers(
+            deployment, count, seed, suffix=SLOW_MARK, failure_pause_s=pause_s
+        )
         faults.send_deadly = callers.send_deadly
         faults.send_deadly_part = callers.send_deadly_part
         meter.start()
@@ -284,6 +296,7 @@
 @click.option("--software", is_flag=True, help="runners change their software version")
 @click.option("--notices", is_flag=True, help="runners announce drains and request backoffs")
 @click.option("--restores", is_flag=True, help="the store returns from older copies")
+@click.option("--separations", is_flag=True, help="routers are cut off from store and routers")
 @click.option("--hang-up-starts", is_flag=True, help="each router that starts gets a SIGHUP")
 @click.option("--schedule", type=click.Path(path_type=Path, exists=True), help="play this one")
 @click.option("--keep-logs", type=click.Path(path_type=Path), help="folder for logs of violations")
@@ -300,6 +313,7 @@
     software: bool,
     notices: bool,
     restores: bool,
+    separations: bool,
     hang_up_starts: bool,
     schedule: Path | None,
     keep_logs: Path | None,
@@ -325,18 +339,24 @@
             )
             if restores:
                 steps = add_restores(steps, number, minutes * 60)
+            if separations:
+                steps = add_separations(steps, number, minutes * 60)
         else:
             steps = from_text(schedule.read_text())
         has_links = any(step.kind in LINKED_KINDS for step in steps)
         has_versions = any(step.kind in SOFTWARE_KINDS for step in steps)
+        has_separations = any(step.kind in SEPARATION_KINDS for step in steps)
         deployment = PlatformDeployment(
             routers,
             MODEL_RUNNERS_WITH_VERSIONS if has_versions else MODEL_RUNNERS,
             3,
             has_relays=True,
-            program=LINKED_ROUTER if has_links else ROUTER,
+            program=LINKED_ROUTER if has_links or has_separations else ROUTER,
             has_links=has_links,
         )
+        if has_separations:
+            for router in deployment.routers:
+                link_router(deployment, router)
         outcome = play(steps, number, deployment, keep_logs, hangs_up_starts=hang_up_starts)
         outcomes.append(outcome)
         click.echo(outcome.row())
--- a/scripts/soak_faults.py
+++ b/scripts/soak_faults.py
@@ -16,9 +16,10 @@
 from faulty_relay import FaultyRelay
 from platform_deployment import PlatformDeployment
 from router_run import RouterRun
-from soak_runner_faults import SETTLED_S, RunnerFaults, mute
+from soak_partitions import PartitionFaults
+from soak_runner_faults import SETTLED_S, mute
 
-from martenrun.proof.router_records import Partition, RouterLife, Trouble
+from martenrun.proof.router_records import RouterLife, Trouble
 from martenrun.proof.soak_schedule import HERD_SHARE, Step
 
 RESTART_S = 0.2
@@ -48,7 +49,7 @@
 """How long after the store's return entries that lapsed are back, in seconds."""
 
 
-class Faults(RunnerFaults):
+class Faults(PartitionFaults):
     """What strikes, and the record of it; routers and the store here, the rest in the base.
 
     Args:
@@ -68,9 +69,7 @@
         self.lives = {router.name: [self._born(router)] for router in deployment.routers}
         self.done: list[str] = []
         self.own_ends: list[str] = []
-        self.partitions: list[Partition] = []
         self.suspensions: list[Trouble] = []
-        self._partitioned: dict[str, int] = {}
 
     # What is asked from outside
 
@@ -198,6 +197,7 @@
 
     def _join(self) -> None:
         router = self._deployment.add_router()
+        self._link_joined(router)
         self._stays.add(router.name)
         self._start(router)
 
@@ -344,37 +344,3 @@
 
     def _silence_store(self, step: Step) -> None:
         self._harm_link(step, lambda relay: relay.silence_open(), lambda _relay: None)
-
-    # Routers and all runners
-
-    def _partition(self, step: Step, harm: Callable[[FaultyRelay], None]) -> None:
-        """Cut routers off from all runners; several partitions of a router end with the last."""
-        for router in self._chosen(step):
-            began_at = time.monotonic()
-            links = list(router.links.values())
-            self._partitioned[router.name] = self._partitioned.get(router.name, 0) + 1
-            if self._partitioned[router.name] == 1:
-                for link in links:
-                    harm(link)
-
-            def end(
-                router: RouterRun = router,
-                links: list[FaultyRelay] = links,
-                began_at: float = began_at,
-            ) -> None:
-                self._partitioned[router.name] -= 1
-                if not self._partitioned[router.name]:
-                    for link in links:
-                        link.restore()
-                self.partitions.append(Partition(router.front, began_at, time.monotonic()))
-
-            self._later(step.lasts_s, end)
-
-    def _stall_links(self, step: Step) -> None:
-        self._partition(step, lambda link: link.stall())
-
-    def _reset_links(self, step: Step) -> None:
-        self._partition(step, lambda link: link.cut())
-
-    def _refuse_new_links(self, step: Step) -> None:
-        self._partition(step, lambda link: link.refuse_new())
--- a/src/martenrun/proof/soak_schedule.py
+++ b/src/martenrun/proof/soak_schedule.py
@@ -70,6 +70,7 @@
         "lapse_entries",
         "restore_store",
         *("stall_links", "reset_links", "refuse_new_links"),
+        "separate_routers",
     }
 )
 """Kinds whose steps end after a while."""
@@ -105,6 +106,18 @@
 RESTORE_KINDS = {"restore_store": 0}
 """Kinds, added on request, in which the store returns from an older copy."""
 
+SEPARATION_KINDS = {"separate_routers": 2}
+"""Kinds, added on request, in which routers are cut off from the store and from other routers."""
+
+FIRST_SEPARATION_S = (0.5, 2.5)
+"""Earliest and latest begin of the first separation, in seconds."""
+
+ROLLED_AFTER_S = (0.1, 1.3)
+"""When runners of another software version join, after the begin of a separation, in seconds."""
+
+ROLLED = (2, 3)
+"""Targets that let two runners be replaced by others with the second software version."""
+
 EXTRA_PARTITION_DURATION_S = 4.0
 """Time added to the duration of partitions, in seconds, so that requests of a while count."""
 
@@ -118,6 +131,7 @@
     **SOFTWARE_KINDS,
     **NOTICE_KINDS,
     **RESTORE_KINDS,
+    **SEPARATION_KINDS,
 }
 
 MOST_DEADLY = 3
@@ -224,6 +238,26 @@
     return sorted([*steps, *restores], key=lambda step: step.at_s)
 
 
+def add_separations(steps: Sequence[Step], seed: int, seconds: float) -> list[Step]:
+    """Return a schedule with separations of routers within which runners change their software.
+
+    The first one begins early, since routers remember versions that have served: most miss a
+    version only while all that they have heard of is the same.
+    """
+    number = 1 + max((step.series for step in steps), default=0)
+    rng = random.Random(f"{seed} separations")
+    at_s = rng.uniform(*FIRST_SEPARATION_S)
+    added = []
+    while at_s < seconds:
+        targets = tuple(rng.randrange(1_000) for _ in range(SEPARATION_KINDS["separate_routers"]))
+        lasts_s = rng.uniform(*LASTING_S)
+        added.append(Step(round(at_s, 3), "separate_routers", targets, round(lasts_s, 3), number))
+        rolled_at_s = at_s + rng.uniform(*ROLLED_AFTER_S)
+        added.append(Step(round(rolled_at_s, 3), "roll_software", ROLLED, 0.0, number + 1))
+        at_s += lasts_s + rng.uniform(*PAUSES_S)
+    return sorted([*steps, *added], key=lambda step: step.at_s)
+
+
 def _draw_added(seed: str, kinds: Iterable[str], first: int, seconds: float) -> list[Step]:
     """Return a series of each kind, numbered from ``first`` on."""
     rng = random.Random(seed)
