Soak in which routers miss that runners have changed their software version

`--separations` adds cuts of two routers from the store and from all other routers, and lets two runners be replaced by others of another version within each. Callers leave streams of routers in touch and resume many at the separated ones. The steps come on top of a seed's, which stay the same.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -38,6 +38,7 @@
 )
 from soak_faults import Faults
 from soak_history import history_of
+from soak_partitions import LeavingCallers
 
 from martenrun.proof.router_checkers import check_all
 from martenrun.proof.router_records import (
@@ -64,15 +65,11 @@
 CALLERS = 12
 
 RESUMING_CALLERS = 10
-RESUMING_CALLERS_WITH_SEPARATIONS = 30
 """Callers that resume streams, while runners have several software versions."""
 
 LINKED_KINDS = {**PARTITION_KINDS, **NOTICE_KINDS}
 """Kinds for which each router needs links of its own to the runners."""
 
-FAILURE_PAUSE_S = 0.05
-"""How long they wait after an attempt without a response, while routers are separated."""
-
 MODEL_RUNNERS = 3
 MODEL_RUNNERS_WITH_VERSIONS = 6
 """Model runners of a deployment, without and with several software versions."""
@@ -187,12 +184,9 @@
         faults = Faults(deployment, random.Random(seed) if hangs_up_starts else None)
         callers, lookers, meter = Callers(deployment, seed), Lookers(deployment), DelayMeter()
         has_versions = any(step.kind in SOFTWARE_KINDS for step in steps)
-        has_separations = any(step.kind in SEPARATION_KINDS for step in steps)
-        count = RESUMING_CALLERS_WITH_SEPARATIONS if has_separations else RESUMING_CALLERS
-        pause_s = FAILURE_PAUSE_S if has_separations else 0.0
-        resuming = ResumingCallers(
-            deployment, count, seed, suffix=SLOW_MARK, failure_pause_s=pause_s
-        )
+        resuming = ResumingCallers(deployment, RESUMING_CALLERS, seed, suffix=SLOW_MARK)
+        if any(step.kind in SEPARATION_KINDS for step in steps):
+            resuming = LeavingCallers(deployment, seed, faults)
         faults.send_deadly = callers.send_deadly
         faults.send_deadly_part = callers.send_deadly_part
         meter.start()
--- a/scripts/soak_callers.py
+++ b/scripts/soak_callers.py
@@ -45,9 +45,16 @@
 """Pause between two events of such a stream, in seconds."""
 
 
+LEFT_MARK = "l"
+"""Last character of the id of a request whose stream lasts long enough to be left."""
+
+LEFT_PAUSE_S = 0.04
+"""Pause between two events of such a stream, in seconds."""
+
+
 def pause_of(request_id: str) -> float:
     """Return a runner's pause between two events of a request's stream."""
-    return SLOW_PAUSE_S if request_id.endswith(SLOW_MARK) else 0.005
+    return {SLOW_MARK: SLOW_PAUSE_S, LEFT_MARK: LEFT_PAUSE_S}.get(request_id[-1:], 0.005)
 
 
 PROMPT_UNITS = 1_020
--- a/scripts/soak_partitions.py
+++ b/scripts/soak_partitions.py
@@ -1,17 +1,27 @@
 """Partitions of routers in a soak: from all runners, or from the store and other routers."""
 
+import random
 import time
 from collections.abc import Callable
 
 from faulty_relay import FaultyRelay
 from platform_deployment import PlatformDeployment
+from resuming_callers import ResumingCallers
 from router_partition import RouterPartition, link_router
 from router_run import RouterRun
+from soak_callers import LEFT_MARK
 from soak_runner_faults import RunnerFaults
 
 from martenrun.proof.router_records import Partition
 from martenrun.proof.soak_schedule import Step
 
+LEAVING_CALLERS = 30
+LEFT_SHARE = 0.6
+"""Share of attempts that these break off, and of resumptions at separated routers."""
+
+FAILURE_PAUSE_S = 0.05
+"""How long they wait after an attempt without a response, in seconds."""
+
 
 class PartitionFaults(RunnerFaults):
     """Partitions, and the record of them."""
@@ -22,6 +32,11 @@
         self._partitioned: dict[str, int] = {}
         self._separation: RouterPartition | None = None
 
+    def separated(self) -> list[str]:
+        """Return the addresses of the routers that are cut off from store and routers now."""
+        separation = self._separation
+        return [] if separation is None else [router.front for router in separation.routers]
+
     def _chosen(self, step: Step, share: float = 0.0) -> list[RouterRun]:
         raise NotImplementedError
 
@@ -84,3 +99,29 @@
                 self._note(router.front, began_at, time.monotonic())
 
         self._later(step.lasts_s, end)
+
+
+class LeavingCallers(ResumingCallers):
+    """Callers that leave streams of routers in touch and resume many at separated ones."""
+
+    def __init__(self, deployment: PlatformDeployment, seed: int, faults: PartitionFaults) -> None:
+        super().__init__(
+            deployment, LEAVING_CALLERS, seed, suffix=LEFT_MARK, failure_pause_s=FAILURE_PAUSE_S
+        )
+        self._faults = faults
+
+    def choose_router(self, rng: random.Random, is_resumption: bool) -> str:
+        """Return the address of the router for the next attempt."""
+        separated = self._faults.separated()
+        if is_resumption and separated and rng.random() < LEFT_SHARE:
+            return rng.choice(separated)
+        routers = [router.front for router in self._deployment.routers]
+        return rng.choice([front for front in routers if front not in separated] or routers)
+
+    def prompt_parts(self, stream_id: str) -> str:
+        """Return a part of its own for each stream, which no runner has yet."""
+        return f"{stream_id}:1000"
+
+    def break_share(self) -> float:
+        """Return the share of attempts that callers break off after some events."""
+        return LEFT_SHARE
--- a/tests/router/test_soak.py
+++ b/tests/router/test_soak.py
@@ -22,8 +22,10 @@
     NOTICE_KINDS,
     PARTITION_KINDS,
     RUNNER_KINDS,
+    SEPARATION_KINDS,
     SOFTWARE_KINDS,
     STRUCK_AT_ONCE,
+    add_separations,
     draw_schedule,
     from_text,
     to_text,
@@ -108,6 +110,13 @@
     assert_holds(options, tmp_path)
 
 
+# Guards against streams joined from two versions by routers that have missed one of them.
+@pytest.mark.parametrize("seed", [17002])
+def test_promises_hold_while_routers_miss_software_versions(seed, tmp_path):
+    options = ["--minutes", "0.25", "--seed", str(seed), "--routers", "5"]
+    assert_holds([*options, "--software", "--separations"], tmp_path)
+
+
 # Guards against streams resumed at a runner whose new software version no entry shows yet.
 def test_streams_stay_at_their_software_version_while_entries_are_old(tmp_path):
     schedule = SCHEDULES / "software-while-store-away.jsonl"
@@ -208,6 +217,18 @@
         assert {step.kind for step in noticed if step not in steps} == set(NOTICE_KINDS)
 
 
+# Guards against schedules of other seeds that change, and separations without a new version.
+def test_separations_are_added_to_a_seeds_unchanged_schedule():
+    for seed in range(20):
+        steps = draw_schedule(seed, 60.0, has_software=True)
+        separated = add_separations(steps, seed, 60.0)
+        added = [step for step in separated if step not in steps]
+        assert [step for step in separated if step in steps] == steps
+        assert {step.kind for step in added} == {*SEPARATION_KINDS, "roll_software"}
+        cuts = [step for step in added if step.kind in SEPARATION_KINDS]
+        assert len(cuts) * 2 == len(added) and all(step.lasts_s > 0 for step in cuts)
+
+
 def test_a_schedule_depends_on_its_seed_only_and_survives_serialization():
     steps = draw_schedule(7, 60.0)
     assert steps == draw_schedule(7, 60.0) != draw_schedule(8, 60.0)
