A test's comment in plain terms

Cause: the line above a test of test_version_check.py said figuratively what it guards against. Change: it names the failure, origins that are not shared while the store is too slow to confirm versions.

--- a/tests/router/test_version_check.py
+++ b/tests/router/test_version_check.py
@@ -271,7 +271,7 @@
     assert not router.check.is_available
 
 
-# Guards against origins that nobody is told of because a reader waits in vain for a slow store.
+# Guards against origins that are not shared while the store is too slow to confirm versions.
 def test_a_reader_that_the_store_does_not_answer_in_time_is_not_relied_on(world):
     reader = world.routers["r0"]
     reader.check.update_record(reader.record)
