--- a/scripts/platform_deployment.py
+++ b/scripts/platform_deployment.py
@@ -39,6 +39,9 @@
 START_S = 1.0
 """How much longer the start may take for each router: all are started at once."""
 
+MAXIMUM_DESCRIPTORS = 1_024
+MEMORY_MB = 300
+
 MOST_NAMED = 64
 """Most addresses in one answer of the directory."""
 
@@ -55,6 +58,8 @@
         program: what is started as a router.
         later_program: what routers come back as, or join as, once all have begun.
         environment: variables that it gets beside this process's own.
+        maximum_descriptors: descriptors that a router may open.
+        memory_mb: memory of a router's machine, in megabytes.
     """
 
     def __init__(
@@ -67,8 +72,11 @@
         environment: Mapping[str, str] = NOTHING_MORE,
         later_program: Path | None = None,
         has_links: bool = False,
+        maximum_descriptors: int = MAXIMUM_DESCRIPTORS,
+        memory_mb: int = MEMORY_MB,
     ) -> None:
         self.has_links = has_links
+        self._machine_limits = {"max_fds": maximum_descriptors, "memory_mb": memory_mb}
         self.front_by_ip: dict[str, str] = {}
         self._program = program
         self._later_program = later_program or program
@@ -343,6 +351,7 @@
                 ip=ip,
                 seeds=str(seeds).replace("'", '"'),
                 store=self.store.address if relay is None else relay.address,
+                **self._machine_limits,
                 **ports,
             )
         )
--- a/scripts/router_run.py
+++ b/scripts/router_run.py
@@ -28,7 +28,8 @@
 ready = "{ip}:{ready}"
 directory = "{ip}:{directory}"
 [limits]
-max_fds = 1024
+max_fds = {max_fds}
+memory_mb = {memory_mb}
 [bounds]
 drain_ms = 2000
 grace_s = 8
--- a/src/martenrun/platform/standins/runner.py
+++ b/src/martenrun/platform/standins/runner.py
@@ -55,6 +55,7 @@
         ends_by_connection: whether the response to a request has neither a length nor chunks and
             ends with its connection.
         on_crash: called when the runner crashes.
+        padding_of: returns by how many bytes the response to a request without a stream is longer.
     """
 
     def __init__(self, service: str, model: str | None, events: int = 6) -> None:
@@ -96,6 +97,7 @@
         self.crashes_by_reset = True
         self.ends_by_connection: Callable[[str], bool] = lambda _request_id: False
         self.on_crash: Callable[[RunnerStandin], None] = lambda _runner: None
+        self.padding_of: Callable[[str], int] = lambda _request_id: 0
         self.crashes: list[Crash] = []
         self._crash_lock = threading.Lock()
         self._reserved_port: socket.socket | None = None
@@ -304,7 +306,9 @@
             self._send(200, b"forged", {})
         else:
             time.sleep(self.runner.work_s)
-            self._send(200, b"answer to " + self._request_id().encode(), self._signature())
+            padding = bytes(self.runner.padding_of(self._request_id()))
+            body = b"answer to " + self._request_id().encode() + padding
+            self._send(200, body, self._signature())
 
     def _matches_expectations(self) -> bool:
         if self.headers.get("X-Expect-Instance", self.runner.instance) != self.runner.instance:
