The server's connections and exchanges have modules of their own

server.py held the exchange, the connection and the listener; limits on what connections hold will be added to each. Code moved only; mypy and the tests of the server, of forwarding and of suspension pass.

--- a/src/martenrun/router/admission.py
+++ b/src/martenrun/router/admission.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from martenrun.net.server import Exchange
+from martenrun.net.exchange import Exchange
 from martenrun.router.log import log_warning
 from martenrun.router.messages import AdmittedRequest, Call
 from martenrun.router.request_services import RequestServices
--- a/src/martenrun/router/caller_stream.py
+++ b/src/martenrun/router/caller_stream.py
@@ -1,8 +1,8 @@
 """Streams complete events to a caller and measures the gaps between them."""
 
+from martenrun.net.exchange import Exchange
 from martenrun.net.http import end_to_end
 from martenrun.net.loop import Loop
-from martenrun.net.server import Exchange
 from martenrun.router.attempt import SentRequest
 from martenrun.router.event_stream import EventSplitter, StreamEvent
 from martenrun.router.forwarded_request import software_field
--- a/src/martenrun/router/crashes/page.py
+++ b/src/martenrun/router/crashes/page.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
+from martenrun.net.exchange import Exchange
 from martenrun.net.http import STATUS_OK
-from martenrun.net.server import Exchange
 from martenrun.router.crashes.table import CrashSummary
 from martenrun.router.crashes.tracker import CrashTracker
 from martenrun.router.log import log_event
--- a/src/martenrun/router/denials.py
+++ b/src/martenrun/router/denials.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
+from martenrun.net.exchange import Exchange
 from martenrun.net.http import HttpResponse
 from martenrun.net.periodic import call_safely, record_failure
-from martenrun.net.server import Exchange
 from martenrun.router.admission import Admission, Refusal, send_refusal
 from martenrun.router.messages import AdmittedRequest, Call, Dataset, StoredObject
 from martenrun.router.request_services import RequestServices
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -5,9 +5,9 @@
 
 import attrs
 
+from martenrun.net.exchange import Exchange
 from martenrun.net.http import end_to_end
 from martenrun.net.loop import Timer
-from martenrun.net.server import Exchange
 from martenrun.router.attempt import STATUS_SERVER_ERROR, Attempt, SentRequest
 from martenrun.router.caller_stream import CallerStream
 from martenrun.router.messages import AMBIGUOUS_SOFTWARE, AdmittedRequest
--- a/src/martenrun/router/internal_interface.py
+++ b/src/martenrun/router/internal_interface.py
@@ -5,8 +5,8 @@
 
 from collections.abc import Callable
 
+from martenrun.net.exchange import Exchange
 from martenrun.net.http import STATUS_OK
-from martenrun.net.server import Exchange
 from martenrun.router.crashes.page import BLAME_PATH, serve_crash_records
 from martenrun.router.crashes.tracker import CrashTracker
 from martenrun.router.forwarded_request import is_forwarded
--- a/src/martenrun/router/quotas/page.py
+++ b/src/martenrun/router/quotas/page.py
@@ -3,8 +3,8 @@
 import attrs
 import msgspec
 
+from martenrun.net.exchange import Exchange
 from martenrun.net.http import STATUS_OK
-from martenrun.net.server import Exchange
 from martenrun.router.quotas.gate import QuotaGate
 
 QUOTAS_PATH = b"/quotas"
--- a/src/martenrun/router/request_server.py
+++ b/src/martenrun/router/request_server.py
@@ -4,8 +4,8 @@
 
 import attrs
 
+from martenrun.net.exchange import Exchange
 from martenrun.net.periodic import call_safely
-from martenrun.net.server import Exchange
 from martenrun.router.admission import Admission, Refusal, send_refusal
 from martenrun.router.denials import DenialRecheck
 from martenrun.router.forwarded_request import ForwardedState, read_forwarded
--- a/src/martenrun/router/router_discovery.py
+++ b/src/martenrun/router/router_discovery.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 
+from martenrun.net.exchange import Exchange
 from martenrun.net.periodic import call_safely
-from martenrun.net.server import Exchange
 from martenrun.router.peer_messages import RouterRecord
 from martenrun.router.peers import Peers
 from martenrun.router.platform_adapter import PlatformAdapter
--- a/src/martenrun/router/store/relay.py
+++ b/src/martenrun/router/store/relay.py
@@ -9,9 +9,9 @@
 
 import msgspec
 
+from martenrun.net.exchange import Exchange
 from martenrun.net.loop import Loop
 from martenrun.net.periodic import call_safely
-from martenrun.net.server import Exchange
 from martenrun.router.messages import Dataset, StoredObject, StorePosition
 from martenrun.router.store.relay_messages import (
     ENCODE,
