Trailer fields no longer fill the memory

Users: a client that sent trailer fields without end behind a chunked body ended the process (914 MB for 75 MB sent).

Cause: httptools reports trailer fields like header fields, and the parser kept all of them; the size of a head was counted only until its end. One trailer field without end, or a chunk extension, was counted nowhere.

Change: trailer fields are dropped (a server may, RFC 9110, 6.5.1). What arrives of a message without any content of it in between, a head, the head of a chunk or trailers, may not exceed the configured size of a head; 431 and the connection is closed.

--- a/src/martenrun/net/request_parser.py
+++ b/src/martenrun/net/request_parser.py
@@ -34,13 +34,15 @@
 
     Attributes:
         target: the request target received so far.
-        headers: the header fields received so far, without an ignored offer.
+        headers: the header fields received so far, without an ignored offer.  Trailer fields are
+            dropped, as RFC 9110, section 6.5.1, allows.
     """
 
     def __init__(self, listener: RequestListener) -> None:
         self._listener = listener
         self._parser: Any = httptools.HttpRequestParser(self)
         self._is_at_tunnel = False
+        self._is_in_head = True
         self.target = b""
         self.headers: Headers = []
 
@@ -91,6 +93,7 @@
 
     def on_message_begin(self) -> None:
         """Begin a request."""
+        self._is_in_head = True
         self.target = b""
         self.headers = []
         self._listener.on_message_begin()
@@ -100,11 +103,13 @@
         self.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header field."""
-        self.headers.append((name, value))
+        """Store a header field, unless it is a trailer field."""
+        if self._is_in_head:
+            self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Pass on the end of the head."""
+        self._is_in_head = False
         if not self._skips_message():
             self._listener.on_headers_complete()
 
--- a/src/martenrun/net/server_connection.py
+++ b/src/martenrun/net/server_connection.py
@@ -37,7 +37,7 @@
         self._queue: collections.deque[HttpRequest] = collections.deque()
         self._current: Exchange | None = None
         self._body = bytearray()
-        self._header_bytes = 0
+        self._bytes_since_content = 0
         self._head_received_at = 0.0
         self._is_in_message = False
         self._is_rejected = False
@@ -64,12 +64,12 @@
             return
         if not self._is_in_message:
             self.phase_started_at = self._server.loop.now()
-        self._header_bytes += len(data)
+        self._bytes_since_content += len(data)
         try:
             self._parser.feed(data)
         except httptools.HttpParserError:
             self._reject(400)
-        if not self._is_rejected and self._is_head_too_long():
+        if not self._is_rejected and self._has_too_many_fields():
             self._reject(431)
         self._serve_next()
 
@@ -101,7 +101,7 @@
         late_s = self._server.loop.late_s
         suspended_s = late_s if late_s > SUSPENSION_THRESHOLD_S else 0.0
         self._head_received_at = self._server.loop.now() - suspended_s
-        self._header_bytes = 0
+        self._bytes_since_content = 0
         if self._parser.content_length() > self._server.limits.maximum_body_bytes:
             self._reject(413)
             return
@@ -111,6 +111,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body and check its size."""
+        self._bytes_since_content = 0
         if self._is_rejected:
             return
         self._body += data
@@ -120,7 +121,7 @@
     def on_message_complete(self) -> None:
         """Queue the complete request."""
         self._is_in_message = False
-        self._header_bytes = 0
+        self._bytes_since_content = 0
         if self._is_rejected:
             return
         parser = self._parser
@@ -200,9 +201,10 @@
             self._server.handler(self._current)
         self.stream.pause(len(self._queue) >= MAXIMUM_QUEUED_REQUESTS)
 
-    def _is_head_too_long(self) -> bool:
-        is_in_head = self._is_in_message and self._head_received_at == 0.0
-        return is_in_head and self._header_bytes > self._server.limits.maximum_header_bytes
+    def _has_too_many_fields(self) -> bool:
+        """Return whether a head, the trailer fields or the head of a chunk are too long."""
+        limit = self._server.limits.maximum_header_bytes
+        return self._is_in_message and self._bytes_since_content > limit
 
     def _reject(self, status: int) -> None:
         """Reject the input: respond with an error, or close after the responses still due."""
