A refused request is let go of at once

Users: bodies far over the limit, sent on after the refusal, took 907 MB in 2 s (60 clients).

Cause: a refused connection kept the 4 MiB received so far until it closed, a second and more later, and went on reading whatever came.

Change: the body and the fields are dropped with the refusal. What still arrives is thrown away, for a second as before; after more than the largest body the connection is reset, so that a caller that sends its whole request first can still read the response.

The new test of test_server fails before (no close while the linger time is set aside).

--- a/src/martenrun/net/request_parser.py
+++ b/src/martenrun/net/request_parser.py
@@ -69,6 +69,10 @@
                 data = self._head_without_offer() + data[exc.args[0] :]
                 self._parser = httptools.HttpRequestParser(self)
 
+    def drop_fields(self) -> None:
+        """Drop the header fields of a request that is rejected."""
+        self.headers = []
+
     def content_length(self) -> int:
         """Return the announced size of the body in bytes, or 0."""
         for name, value in self.headers:
--- a/src/martenrun/net/server_connection.py
+++ b/src/martenrun/net/server_connection.py
@@ -41,6 +41,7 @@
         self._head_received_at = 0.0
         self._is_in_message = False
         self._is_rejected = False
+        self._discarded_bytes = 0
         self._ends_after_queue = False
         self.announced_close = False
         self.served_requests = 0
@@ -61,6 +62,7 @@
     def on_data(self, data: bytes) -> None:
         """Parse received bytes."""
         if self._is_rejected or self.shut_down_at is not None:
+            self._discard(data)
             return
         if not self._is_in_message:
             self.phase_started_at = self._server.loop.now()
@@ -206,11 +208,24 @@
         limit = self._server.limits.maximum_header_bytes
         return self._is_in_message and self._bytes_since_content > limit
 
+    def _discard(self, data: bytes) -> None:
+        """Drop what arrives after a rejection; reset a connection on which that does not end.
+
+        A caller that sends its whole request before it reads must be able to read the response.
+        """
+        self._discarded_bytes += len(data)
+        is_too_much = self._discarded_bytes > self._server.limits.maximum_body_bytes
+        if is_too_much and self.shut_down_at is not None:
+            self._server.remove(self)
+            self.stream.reset()
+
     def _reject(self, status: int) -> None:
         """Reject the input: respond with an error, or close after the responses still due."""
         if self._is_rejected or self.shut_down_at is not None:
             return
         self._is_rejected = True
+        self._body = bytearray()
+        self._parser.drop_fields()
         if self._current is None and not self._queue:
             head = response_head(status, [], b"Content-Length: 0", True)
             self.stream.write(head)
--- a/tests/router/test_server.py
+++ b/tests/router/test_server.py
@@ -5,6 +5,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from martenrun.net import server_connection
 from martenrun.net.loop import Loop
 from martenrun.net.server import Server, ServerLimits
 
@@ -132,6 +133,20 @@
     assert server_setup.exchanges == []
 
 
+# Guards against callers whose refused bodies are read for as long as they send.
+def test_connection_is_closed_if_much_more_follows_after_a_refusal(server_setup, monkeypatch):
+    monkeypatch.setattr(server_connection, "LINGER_S", 60.0)
+    server_setup.server.limits = ServerLimits(maximum_body_bytes=100_000)
+    peer = server_setup.connect()
+    peer.send(POST + b"Content-Length: 100001\r\n\r\n" + bytes(40_000))
+    server_setup.serve_until(lambda: peer.read().startswith(b"HTTP/1.1 413"))
+    assert server_setup.server.connections == 1
+    peer.sock.setblocking(True)
+    peer.sock.sendall(bytes(110_000))
+    peer.sock.setblocking(False)
+    server_setup.serve_until(lambda: server_setup.server.connections == 0)
+
+
 def test_idle_connection_is_closed_without_response(server_setup):
     server_setup.server.limits = ServerLimits(idle_timeout_s=0.2)
     peer = server_setup.connect()
