One count of the memory of responses that callers do not read

Cause: the next request of a connection was served as soon as the last response was buffered, read or not; and nothing bounded the sum of what is buffered for callers.

Change: a connection is served further only while its unread responses are below the mark at which streams pause. UnreadMemory counts what is buffered for all callers, with a budget of 0.1 of the machine's memory (32 MiB at most); beyond it the connection whose caller has read least in the last quarter of a second is reset, which ends its request as if the caller had left. A sole response always fits. Buffered responses of runners have 0.1 of the memory as well, 32 MiB at most as before. A large response is not copied to join its head.

Two new tests of test_server fail before.

--- a/src/martenrun/net/client.py
+++ b/src/martenrun/net/client.py
@@ -6,7 +6,7 @@
 
 import httptools
 
-from martenrun.net.http import Headers, find_header
+from martenrun.net.http import JOINED_BODY_BYTES, Headers, find_header
 from martenrun.net.loop import Loop, Timer
 from martenrun.net.response_limits import ResponseSize
 from martenrun.net.stream import Stream, open_stream
@@ -14,9 +14,6 @@
 CONNECT_TIMEOUT_S = 0.4
 """Timeout for establishing a connection, in seconds."""
 
-JOINED_BODY_BYTES = 16_384
-"""Bodies up to this size are copied behind the head, so that one write sends both."""
-
 MAXIMUM_REQUESTS = 200
 """Number of requests after which a connection is closed; bounds the memory for their ids."""
 
--- a/src/martenrun/net/exchange.py
+++ b/src/martenrun/net/exchange.py
@@ -38,7 +38,11 @@
         return self._connection.stream.is_congested
 
     def respond(
-        self, status: int, headers: Headers, body: bytes = b"", is_closing: bool = False
+        self,
+        status: int,
+        headers: Headers,
+        body: bytes | bytearray = b"",
+        is_closing: bool = False,
     ) -> None:
         """Send a complete response."""
         if self.is_over or self.has_started:
@@ -48,7 +52,7 @@
         closing = is_closing or self._connection.decide_close()
         if self.request.method == b"HEAD":
             body = b""
-        self._connection.write(response_head(status, headers, framing, closing) + body)
+        self._connection.write_response(response_head(status, headers, framing, closing), body)
         self._finish(closing)
 
     def start(self, status: int, headers: Headers, length: int | None) -> None:
--- a/src/martenrun/net/http.py
+++ b/src/martenrun/net/http.py
@@ -23,6 +23,9 @@
 )
 """Hop-by-hop header fields, which are never forwarded (RFC 9110, section 7.6.1)."""
 
+JOINED_BODY_BYTES = 16_384
+"""Bodies up to this size are copied behind their head, so that one write sends both."""
+
 STATUS_OK = 200
 """Status of a successful response."""
 
--- a/src/martenrun/net/response_limits.py
+++ b/src/martenrun/net/response_limits.py
@@ -19,7 +19,7 @@
 """Maximum size of a body that is buffered until it is complete."""
 
 MAXIMUM_BUFFERED_BYTES = 33_554_432
-"""Maximum size of all bodies that are buffered at a time."""
+"""Default maximum size of all bodies that are buffered at a time."""
 
 SMALL_BODY_BYTES = 262_144
 """Bodies up to this size are buffered whatever the others take."""
@@ -60,9 +60,14 @@
 
 
 class BodyMemory:
-    """Counts the memory of all buffered bodies."""
+    """Counts the memory of all buffered bodies.
 
-    def __init__(self) -> None:
+    Args:
+        budget: maximum size of all of them, in bytes.
+    """
+
+    def __init__(self, budget: int = MAXIMUM_BUFFERED_BYTES) -> None:
+        self.budget = budget
         self.size = 0
 
 
@@ -82,7 +87,7 @@
         """Return whether this many more bytes may be buffered."""
         size = self._reserved + more
         is_small = size <= SMALL_BODY_BYTES
-        has_memory = self._memory.size + more <= MAXIMUM_BUFFERED_BYTES
+        has_memory = self._memory.size + more <= self._memory.budget
         return size <= MAXIMUM_BODY_BYTES and (is_small or has_memory)
 
     def append(self, data: bytes) -> bool:
--- a/src/martenrun/net/server_connection.py
+++ b/src/martenrun/net/server_connection.py
@@ -9,10 +9,11 @@
 import httptools
 
 from martenrun.net.exchange import Exchange
-from martenrun.net.http import Headers, HttpRequest, response_head
+from martenrun.net.http import JOINED_BODY_BYTES, Headers, HttpRequest, response_head
 from martenrun.net.request_memory import FIELD_BYTES, SMALL_REQUEST_BYTES, RequestBuffer
 from martenrun.net.request_parser import RequestParser
 from martenrun.net.stream import Stream
+from martenrun.net.unread_memory import UnreadOutput
 
 if TYPE_CHECKING:
     from martenrun.net.server import Server
@@ -73,7 +74,8 @@
         self.served_requests = 0
         self.phase_started_at = server.loop.now()
         self.shut_down_at: float | None = None
-        self.stream = Stream(server.loop, sock, self)
+        self._output = UnreadOutput(server.memory.unread, self._reset)
+        self.stream = Stream(server.loop, sock, self, on_unsent=self._output.set_size)
 
     @property
     def is_busy(self) -> bool:
@@ -114,8 +116,10 @@
         self._release_all()
 
     def on_drained(self) -> None:
-        """Notify the current exchange that the caller has caught up."""
-        if self._current is not None and self._current.on_drained is not None:
+        """Notify the current exchange that the caller has caught up, or serve the next request."""
+        if self._current is None:
+            self._serve_next()
+        elif self._current.on_drained is not None:
             self._current.on_drained()
 
     # Parser events
@@ -179,6 +183,14 @@
         """Send bytes to the caller."""
         self.stream.write(data)
 
+    def write_response(self, head: bytes, body: bytes | bytearray) -> None:
+        """Send a complete response."""
+        if len(body) <= JOINED_BODY_BYTES:
+            self.stream.write(head + body)
+        else:
+            self.stream.write(head)
+            self.stream.write(body)
+
     def decide_close(self) -> bool:
         """Decide whether the connection closes after the response that is being started."""
         self.announced_close = (
@@ -233,7 +245,9 @@
         return limits.header_timeout_s + limits.idle_timeout_s
 
     def _serve_next(self) -> None:
-        if self._current is None and self._queue and not self.stream.is_closed:
+        # Responses of further requests would pile up behind one that is not read.
+        may_serve = not self.stream.is_closed and not self.stream.is_congested
+        if self._current is None and self._queue and may_serve:
             self._served = self._queue.popleft()
             self._current = Exchange(self, self._served.request)
             self.served_requests += 1
@@ -275,6 +289,11 @@
         limit = self._server.limits.maximum_header_bytes
         return self._is_in_message and self._bytes_since_content > limit
 
+    def _reset(self) -> None:
+        """Close the connection at once with a TCP reset, as if its caller had."""
+        self.stream.reset()
+        self.on_closed(False)
+
     def _discard(self, data: bytes) -> None:
         """Drop what arrives after a rejection; reset a connection on which that does not end.
 
@@ -283,8 +302,7 @@
         self._discarded_bytes += len(data)
         is_too_much = self._discarded_bytes > self._server.limits.maximum_body_bytes
         if is_too_much and self.shut_down_at is not None:
-            self._server.remove(self)
-            self.stream.reset()
+            self._reset()
 
     def _refuse(self) -> None:
         """Refuse the incomplete request, for which there is no memory."""
--- a/src/martenrun/net/stream.py
+++ b/src/martenrun/net/stream.py
@@ -52,6 +52,10 @@
         """Called when the unsent bytes are below the high-water mark again."""
 
 
+def _ignore(_unsent_bytes: int) -> None:
+    return None
+
+
 class Stream:
     """One TCP connection.
 
@@ -59,6 +63,7 @@
         loop: the loop that serves the connection.
         sock: its socket, already non-blocking.
         owner: receives the connection's events.
+        on_unsent: called with the number of unsent bytes when it has changed.
         is_opened: whether this side opens the connection.  Only opened connections are paced: they
             send prompts, which can wait; responses on accepted ones carry updates to routers.
 
@@ -67,11 +72,17 @@
     """
 
     def __init__(
-        self, loop: Loop, sock: socket.socket, owner: StreamOwner, is_opened: bool = False
+        self,
+        loop: Loop,
+        sock: socket.socket,
+        owner: StreamOwner,
+        is_opened: bool = False,
+        on_unsent: Callable[[int], None] = _ignore,
     ) -> None:
         self._loop = loop
         self._sock = sock
         self._owner = owner
+        self._on_unsent = on_unsent
         self._unsent: collections.deque[bytearray | memoryview] = collections.deque()
         self._unsent_bytes = 0
         self._is_connecting = is_opened
@@ -94,7 +105,7 @@
         """Whether a writer should pause."""
         return self._unsent_bytes > HIGH_WATER_BYTES
 
-    def write(self, data: bytes) -> None:
+    def write(self, data: bytes | bytearray) -> None:
         """Send bytes, or buffer them until the peer can receive them."""
         unsent = self._send_first(data)
         if unsent:
@@ -125,6 +136,7 @@
         self._unsent_bytes += size
         self._was_congested = self._was_congested or self.is_congested
         self._watch()
+        self._on_unsent(self._unsent_bytes)
 
     def pause(self, is_paused: bool) -> None:
         """Stop or resume reading."""
@@ -141,6 +153,7 @@
         self._unsent_bytes = 0
         self._loop.watch(self._sock, 0, self._on_ready)
         self._sock.close()
+        self._on_unsent(0)
 
     def reset(self) -> None:
         """Close at once with a TCP reset."""
@@ -224,6 +237,7 @@
             del first[:size]
         else:
             self._unsent[0] = first[size:]
+        self._on_unsent(self._unsent_bytes)
 
     def _send_paced(self, data: bytearray | memoryview) -> int:
         """Send as much as the pacer allows; return the number of bytes sent."""
--- a/src/martenrun/router/forwarding.py
+++ b/src/martenrun/router/forwarding.py
@@ -257,7 +257,7 @@
         if self._exchange.has_started:
             self._abort(attempt)
             return
-        self._exchange.respond(attempt.status, end_to_end(attempt.headers), bytes(attempt.body))
+        self._exchange.respond(attempt.status, end_to_end(attempt.headers), attempt.body)
         self._end(outcome, attempt)
 
     def on_failure(self, failure: Failure, attempt: SentRequest) -> None:
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -131,6 +131,7 @@
                 self._on_limit_changed,
                 lambda outcome: self._metrics.count("runner_limits", outcome=outcome),
             ),
+            body_memory=self._memory.responses,
             brittle=BrittleServices(lambda update: self._peers.broadcast(update)),
             broadcast_drains=lambda update: self._peers.broadcast(update),
             count_notice=lambda notice: self._metrics.count("runner_notices", notice=notice),
--- a/tests/router/test_server.py
+++ b/tests/router/test_server.py
@@ -191,6 +191,42 @@
     assert memory.size == 0
 
 
+# Guards against responses that pile up behind one that is not read.
+def test_pipelined_requests_are_served_only_as_responses_are_read(server_setup):
+    peer = server_setup.connect()
+    peer.send(GET * 3)
+    server_setup.serve_until(lambda: server_setup.exchanges)
+    body = bytes(20_000_000)
+    server_setup.exchanges[0].respond(200, [], body)
+    for _ in range(20):
+        server_setup.loop.call_later(0.01, lambda: None)
+        server_setup.loop.run_once()
+    assert len(server_setup.exchanges) == 1
+    server_setup.serve_until(lambda: len(peer.read()) > len(body))
+    server_setup.serve_until(lambda: len(server_setup.exchanges) == 2)
+
+
+# Guards against callers that read nothing of many large responses.
+def test_request_whose_response_is_not_read_ends_when_its_connection_is_reset():
+    loop, exchanges, address = Loop(), [], free_address()
+    memory = HeldMemory(memory_bytes=50_000_000)
+    Server(loop, address, exchanges.append, memory=memory)
+    peers = [Peer.connected(address) for _ in range(4)]
+    disconnects = []
+    for count, peer in enumerate(peers, 1):
+        peer.send(GET)
+        serve_until(loop, lambda count=count: len(exchanges) == count)
+        exchanges[-1].on_disconnect = lambda count=count: disconnects.append(count)
+        exchanges[-1].start(200, [], None)
+        for _ in range(20):
+            exchanges[-1].send(bytes(1_000_000))
+            memory.end_interval()
+    # Only the last one is left, which is alone.
+    assert disconnects == [1, 2, 3]
+    for peer in peers[:3]:
+        serve_until(loop, lambda peer=peer: peer.read() and peer.is_closed)
+
+
 def test_idle_connection_is_closed_without_response(server_setup):
     server_setup.server.limits = ServerLimits(idle_timeout_s=0.2)
     peer = server_setup.connect()
