Connections that are taken and not used make room

Users: clients that open connections and ask nothing, or let a head trickle, took all connections of a port; ordinary callers were reset. The ready, directory and internal ports allowed 1,000 connections each, more than the settings allow in all.

Cause: connections beyond the maximum were closed, whoever came; and empty lines in front of a request renewed the idle timeout.

Change: beyond the maximum, the connection that has rested or received for longest is closed, first one that only waits for its peer to close it; the new one is closed only if all others are being served. Each port has a share of max_fds: 0.6 for callers as before, 0.1 internal, 0.05 directory, 0.02 readiness, 16 at least. The time of a request runs from its first byte.

The test of connections beyond the maximum now has all others being served, as that is when the new one is closed; a new one has the rest. The guard that holds callers' connections back knows the front by its larger maximum, since all ports have one now.

--- a/src/martenrun/net/server.py
+++ b/src/martenrun/net/server.py
@@ -15,6 +15,7 @@
 from martenrun.net.periodic import PeriodicCall, call_safely
 from martenrun.net.server_connection import ServerConnection
 from martenrun.net.stream import listen
+from martenrun.router.log import log_warning
 
 SWEEP_INTERVAL_S = 0.25
 """Interval between two checks of the connections' timeouts, in seconds."""
@@ -40,7 +41,8 @@
         loop: the loop that serves the connections.
         address: ``IP:port`` to listen on.
         handler: called with each complete request.
-        maximum_connections: connections beyond these are closed at once.
+        maximum_connections: for each connection beyond these, the one is closed that has rested or
+            received for longest; if all are being served, the new one.
         memory: counts what the connections of all servers of the process hold.
 
     Attributes:
@@ -64,6 +66,8 @@
         self.sheds_connections = False
         self._maximum_connections = maximum_connections
         self._connections: set[ServerConnection] = set()
+        self._waiting: dict[ServerConnection, None] = {}
+        self._shut_down: dict[ServerConnection, None] = {}
         self._listener = listen(loop, address, self._on_accept)
         PeriodicCall(loop, "connection_timeouts", SWEEP_INTERVAL_S, self._sweep).start_later()
 
@@ -80,6 +84,22 @@
     def remove(self, connection: ServerConnection) -> None:
         """Remove a closed connection."""
         self._connections.discard(connection)
+        self._waiting.pop(connection, None)
+        self._shut_down.pop(connection, None)
+
+    def record_waiting(self, connection: ServerConnection) -> None:
+        """Record that a connection begins to rest, or to receive a request."""
+        self._waiting.pop(connection, None)
+        self._waiting[connection] = None
+
+    def record_serving(self, connection: ServerConnection) -> None:
+        """Record that a request of a connection is being served."""
+        self._waiting.pop(connection, None)
+
+    def record_shut_down(self, connection: ServerConnection) -> None:
+        """Record that a connection only waits for its peer to close it."""
+        self._waiting.pop(connection, None)
+        self._shut_down[connection] = None
 
     def shut_down_idle(self) -> None:
         """Shut down every connection that has no request in progress."""
@@ -89,8 +109,12 @@
 
     def _on_accept(self, sock: socket.socket) -> None:
         if len(self._connections) >= self._maximum_connections:
-            sock.close()
-            return
+            oldest = next(iter(self._shut_down or self._waiting), None)
+            if oldest is None:
+                sock.close()
+                return
+            log_warning("connections_used_up", connections=len(self._connections))
+            oldest.abort()
         self._connections.add(ServerConnection(self, sock))
 
     def _sweep(self) -> None:
--- a/src/martenrun/net/server_connection.py
+++ b/src/martenrun/net/server_connection.py
@@ -14,6 +14,7 @@
 from martenrun.net.request_parser import RequestParser
 from martenrun.net.stream import Stream
 from martenrun.net.unread_memory import UnreadOutput
+from martenrun.router.log import log_warning
 
 if TYPE_CHECKING:
     from martenrun.net.server import Server
@@ -72,7 +73,7 @@
         self._ends_after_queue = False
         self.announced_close = False
         self.served_requests = 0
-        self.phase_started_at = server.loop.now()
+        self._begin_phase()
         self.shut_down_at: float | None = None
         self._output = UnreadOutput(server.memory.unread, self._reset)
         self.stream = Stream(server.loop, sock, self, on_unsent=self._output.set_size)
@@ -92,8 +93,6 @@
         if self._is_rejected or self.shut_down_at is not None:
             self._discard(data)
             return
-        if not self._is_in_message:
-            self.phase_started_at = self._server.loop.now()
         self._bytes_since_content += len(data)
         try:
             self._parser.feed(data)
@@ -127,6 +126,7 @@
     def on_message_begin(self) -> None:
         """Reset the parsing state for a new request."""
         self._is_in_message = True
+        self._begin_phase()
         self._head_received_at = 0.0
         self._counted_head_bytes = 0
         self._drop_incoming()
@@ -205,7 +205,7 @@
         """Continue with the next request, or close the connection."""
         self._current = None
         self._release_served()
-        self.phase_started_at = self._server.loop.now()
+        self._begin_phase()
         if is_closing or (self._ends_after_queue and not self._queue):
             self.shut_down()
         elif self._queue:
@@ -215,6 +215,7 @@
         """Shut the connection down once all responses are sent."""
         if self.shut_down_at is None and not self.stream.is_closed:
             self.shut_down_at = self._server.loop.now()
+            self._server.record_shut_down(self)
             self._release_all()
             self.stream.pause(False)
             self.stream.finish()
@@ -251,9 +252,16 @@
             self._served = self._queue.popleft()
             self._current = Exchange(self, self._served.request)
             self.served_requests += 1
+            self._server.record_serving(self)
             self._server.handler(self._current)
         self.stream.pause(self._has_enough_queued())
 
+    def _begin_phase(self) -> None:
+        """Begin to rest, or to receive a request."""
+        self.phase_started_at = self._server.loop.now()
+        if self._current is None:
+            self._server.record_waiting(self)
+
     def _has_enough_queued(self) -> bool:
         queued_bytes = sum(received.buffer.size for received in self._queue)
         return len(self._queue) >= MAXIMUM_QUEUED_REQUESTS or queued_bytes > SMALL_REQUEST_BYTES
@@ -291,6 +299,7 @@
 
     def _reset(self) -> None:
         """Close the connection at once with a TCP reset, as if its caller had."""
+        log_warning("connection_reset", unread=self.stream.unsent_bytes)
         self.stream.reset()
         self.on_closed(False)
 
@@ -306,6 +315,7 @@
 
     def _refuse(self) -> None:
         """Refuse the incomplete request, for which there is no memory."""
+        log_warning("request_memory_full", held=self._server.memory.requests.size)
         retry_after_s = random.uniform(*MEMORY_RETRY_S)
         self._reject(503, [(b"Retry-After", b"%.2f" % retry_after_s)])
 
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from martenrun.errors import SettingsError
+from martenrun.net.exchange import Exchange
 from martenrun.net.held_memory import HeldMemory
 from martenrun.net.http import HttpResponse
 from martenrun.net.loop import Loop
@@ -60,7 +61,16 @@
 from martenrun.router.weights_rollout import WeightsRollout
 
 CALLER_CONNECTIONS_SHARE = 0.6
-"""Share of the process's file descriptors available to callers' connections."""
+INTERNAL_CONNECTIONS_SHARE = 0.1
+DIRECTORY_CONNECTIONS_SHARE = 0.05
+READINESS_CONNECTIONS_SHARE = 0.02
+"""Shares of the process's file descriptors available to the connections of each port.
+
+The rest is for connections to runners, the store and other routers.
+"""
+
+MINIMUM_CONNECTIONS = 16
+"""Minimum number of connections of each port."""
 
 MAINTENANCE_INTERVAL_S = 0.25
 """Interval of the periodic maintenance, in seconds."""
@@ -248,25 +258,18 @@
             self._requests.serve_forwarded,
         )
         discovery = RouterDiscovery(adapter, self._peers, self._refresh, self._is_ready)
-        self._front = Server(
-            self._loop,
-            settings.front_address,
-            self._requests.serve,
-            int(settings.maximum_descriptors * CALLER_CONNECTIONS_SHARE),
-            self._memory,
+        self._front = self._create_server(
+            settings.front_address, self._requests.serve, CALLER_CONNECTIONS_SHARE
         )
-        self._internal = Server(
-            self._loop, settings.internal_address, internal.serve, memory=self._memory
+        self._internal = self._create_server(
+            settings.internal_address, internal.serve, INTERNAL_CONNECTIONS_SHARE
+        )
+        self._create_server(
+            settings.ready_address, discovery.serve_ready, READINESS_CONNECTIONS_SHARE
+        )
+        self._create_server(
+            settings.directory_address, discovery.serve_directory, DIRECTORY_CONNECTIONS_SHARE
         )
-        self._other_servers = [
-            Server(self._loop, settings.ready_address, discovery.serve_ready, memory=self._memory),
-            Server(
-                self._loop,
-                settings.directory_address,
-                discovery.serve_directory,
-                memory=self._memory,
-            ),
-        ]
         self._partitions = PartitionMonitor(
             self._services, self._peers, self._front, self._probe_runner
         )
@@ -283,6 +286,13 @@
         self._services.configuration.on_changed.append(self._on_configuration)
         self._services.weights.on_changed = self._rollout.schedule_step
 
+    def _create_server(
+        self, address: str, handler: Callable[[Exchange], None], connections_share: float
+    ) -> Server:
+        descriptors = self._services.settings.maximum_descriptors
+        connections = max(MINIMUM_CONNECTIONS, int(descriptors * connections_share))
+        return Server(self._loop, address, handler, connections, self._memory)
+
     def _create_version_store(self, history: SoftwareHistory) -> VersionStore:
         fleet = FleetView(
             lambda: self._peer_addresses.is_writer and not self._peers.own.is_leaving,
--- a/tests/router/test_server.py
+++ b/tests/router/test_server.py
@@ -1,5 +1,7 @@
 """The HTTP server: framing, limits, order, caller disconnects, aborted responses."""
 
+import contextlib
+
 import attrs
 import pytest
 from hypothesis import HealthCheck, given, settings
@@ -292,21 +294,66 @@
     server_setup.serve_until(lambda: server_setup.server.connections == 0)
 
 
-def test_connections_beyond_maximum_are_closed_and_others_served(server_setup):
+def test_connections_beyond_maximum_are_closed_while_all_others_are_served(server_setup):
     server_setup.server._maximum_connections = 3
     first = [server_setup.connect() for _ in range(3)]
-    server_setup.serve_until(lambda: server_setup.server.connections == 3)
+    for peer in first:
+        peer.send(GET)
+    server_setup.serve_until(lambda: len(server_setup.exchanges) == 3)
     beyond = server_setup.connect()
     server_setup.serve_until(lambda: beyond.read() == b"" and beyond.is_closed)
-    first[0].send(GET)
-    server_setup.serve_until(lambda: server_setup.exchanges)
+    assert server_setup.server.connections == 3
+    server_setup.exchanges[0].respond(200, [], b"hello")
+    server_setup.serve_until(lambda: first[0].read().endswith(b"hello"))
     first[1].close()
     server_setup.serve_until(lambda: server_setup.server.connections == 2)
     again = server_setup.connect()
     server_setup.serve_until(lambda: server_setup.server.connections == 3)
+    assert not first[0].is_closed
     again.close()
 
 
+# Guards against connections that are taken and never used, so that nobody else gets in.
+@pytest.mark.parametrize("sent", [b"", b"GET / HTTP/1.1\r\nA: ", b"\r\n", GET])
+def test_connection_that_waits_for_longest_makes_room(server_setup, sent):
+    server_setup.server._maximum_connections = 3
+    waiting = []
+    for _ in range(3):
+        waiting.append(server_setup.connect())
+        server_setup.serve_until(lambda: server_setup.server.connections == len(waiting))
+        if sent:
+            waiting[-1].send(sent)
+    if sent == GET:
+        server_setup.serve_until(lambda: len(server_setup.exchanges) == 3)
+        # The first one rests for longest once its request has been served.
+        for exchange in server_setup.exchanges:
+            exchange.respond(200, [], b"hello")
+        server_setup.exchanges.clear()
+    served = server_setup.connect()
+    served.send(GET)
+    server_setup.serve_until(lambda: len(server_setup.exchanges) == 1)
+    server_setup.serve_until(lambda: waiting[0].read() is not None and waiting[0].is_closed)
+    for peer in waiting[1:]:
+        peer.read()
+        assert not peer.is_closed
+    assert server_setup.server.connections == 3
+
+
+# Guards against callers that keep a connection by empty lines in front of a request.
+def test_connection_with_nothing_but_empty_lines_is_idle(server_setup):
+    server_setup.server.limits = ServerLimits(idle_timeout_s=0.5)
+    peer = server_setup.connect()
+
+    def send_line():
+        if not peer.is_closed:
+            with contextlib.suppress(OSError):
+                peer.send(b"\r\n")
+        return peer.read() == b"" and peer.is_closed
+
+    server_setup.serve_until(send_line)
+    assert server_setup.exchanges == []
+
+
 OFFER = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMAAABk\r\n"
 OFFERS = [
     pytest.param(b"GET /a HTTP/1.1\r\nHost: a\r\n" + OFFER + b"\r\n", b"", id="no body"),
--- a/tests/router/unguarded_router.py
+++ b/tests/router/unguarded_router.py
@@ -61,7 +61,7 @@
     accepted, began_at, held = Server._on_accept, time.monotonic(), []
 
     def accept(self, sock):
-        is_front = self._maximum_connections != 1_000
+        is_front = self._maximum_connections > 500
         if is_front and time.monotonic() - began_at > 3.0:
             held.append(sock)
         else:
