Long ids of a prompt's parts are kept as digests

A client that names parts of prompts by long ids (14.5 KB, within the limit of a head) made a router keep each of them: 4,800 such requests took it from 27 to 169 MB. Found while listing what grows with what others send.

Cause: the tables of placement keep 4,096 entries each, whatever the length of an id; so do rankings and whatever holds a request's parts.

Change: an id of more than 32 bytes is replaced by its digest when a request is read, as crash records did already (same length and digest, so their keys stay the same between versions).

Ids only serve as keys; runners get the field as sent.

--- a/src/martenrun/router/crashes/features.py
+++ b/src/martenrun/router/crashes/features.py
@@ -5,20 +5,15 @@
 the request holds.  Parts are not tied to a caller, route, service or weights version.
 """
 
-import hashlib
-
 import attrs
 
 from martenrun.net.http import HttpRequest
 from martenrun.router.crashes.fingerprint import PREFIX_BYTES, request_fingerprint
-from martenrun.router.messages import AdmittedRequest, Call
+from martenrun.router.messages import AdmittedRequest, Call, bounded_part_id
 
 PART_TAG = b"\xffpart\xff\xff:"
 """Begins the keys of parts; as long as the prefix of a request's fingerprint."""
 
-MAX_PART_ID_BYTES = 32
-"""Longer part ids are replaced by a digest of this length."""
-
 MAX_PARTS = 16
 """Maximum number of parts of one request that are features, the first ones."""
 
@@ -50,9 +45,7 @@
 
 def part_key(part_id: bytes) -> bytes:
     """Return the key of a part of a prompt."""
-    if len(part_id) > MAX_PART_ID_BYTES:
-        part_id = hashlib.blake2b(part_id, digest_size=MAX_PART_ID_BYTES).digest()
-    return PART_TAG + part_id
+    return PART_TAG + bounded_part_id(part_id)
 
 
 def part_name(key: bytes) -> str | None:
--- a/src/martenrun/router/messages.py
+++ b/src/martenrun/router/messages.py
@@ -4,6 +4,7 @@
 """
 
 import enum
+import hashlib
 from collections.abc import Mapping
 
 import attrs
@@ -154,11 +155,22 @@
     version: int
 
 
+MAXIMUM_PART_ID_BYTES = 32
+"""Longer ids of parts are replaced by a digest of this length: tables keep them for a while."""
+
+
+def bounded_part_id(part_id: bytes) -> bytes:
+    """Return the id by which a part of a prompt is kept."""
+    if len(part_id) <= MAXIMUM_PART_ID_BYTES:
+        return part_id
+    return hashlib.blake2b(part_id, digest_size=MAXIMUM_PART_ID_BYTES).digest()
+
+
 @attrs.frozen
 class PromptPart:
     """A part of a prompt, shared between requests with the same beginning."""
 
-    part_id: bytes
+    part_id: bytes = attrs.field(converter=bounded_part_id)
     tokens: int
 
 
