Held queries end with their senders

A query for changes at the internal port names how long it may wait, and a router kept it that long after its sender had left: a timer, the query and its exchange for each, without bound. Found by reading, while listing what grows with what others send; not seen at the users'.

Change: the wait ends with the connection, and after 10 s at most (routers ask for 0.8 s).

The new test fails before in both forms: the query stays pending, and its timer is due after some 30,000 years.

--- a/src/martenrun/router/store/relay.py
+++ b/src/martenrun/router/store/relay.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from martenrun.net.exchange import Exchange
-from martenrun.net.loop import Loop
+from martenrun.net.loop import Loop, Timer
 from martenrun.net.periodic import call_safely
 from martenrun.router.messages import Dataset, StoredObject, StorePosition
 from martenrun.router.store.relay_messages import (
@@ -33,13 +33,22 @@
 Replicas = Mapping[Dataset, DatasetReplica]
 
 
+MAXIMUM_HOLD_S = 10.0
+"""Longest time for which a query waits for a change, in seconds."""
+
+
 class PendingQuery:
-    """A query whose response waits for a change."""
+    """A query whose response waits for a change.
+
+    Attributes:
+        timer: ends the wait; None before it begins.
+    """
 
     def __init__(self, exchange: Exchange, query: FollowQuery, received_at: float) -> None:
         self.exchange = exchange
         self.query = query
         self.received_at = received_at
+        self.timer: Timer | None = None
 
 
 class RelayServer:
@@ -84,9 +93,10 @@
         if query.incarnation != self._incarnation or self._has_changed(query):
             self._respond(pending)
             return
+        hold_s = max(0.0, min(MAXIMUM_HOLD_S, query.hold_ms / 1000.0))
+        pending.timer = self._loop.call_later(hold_s, lambda: self._respond(pending))
         self._pending.add(pending)
-        exchange.on_disconnect = lambda: self._pending.discard(pending)
-        self._loop.call_later(query.hold_ms / 1000.0, lambda: self._respond(pending))
+        exchange.on_disconnect = lambda: self._end(pending)
 
     def refuse_pending(self) -> None:
         """Refuse all waiting queries, because this router has lost the store."""
@@ -112,8 +122,14 @@
             for dataset, replica in self._replicas.items()
         )
 
-    def _respond(self, pending: PendingQuery) -> None:
+    def _end(self, pending: PendingQuery) -> None:
+        """End the wait of a query, so that nothing refers to it any more."""
         self._pending.discard(pending)
+        if pending.timer is not None:
+            pending.timer.cancel()
+
+    def _respond(self, pending: PendingQuery) -> None:
+        self._end(pending)
         if pending.exchange.is_over:
             return
         if not self._may_respond(pending.query):
--- a/tests/router/test_relay.py
+++ b/tests/router/test_relay.py
@@ -1,17 +1,24 @@
 """State relayed between routers is complete, timely, has its age and never goes back."""
 
+import msgspec
 import pytest
 
 from martenrun.net.loop import Loop
 from martenrun.net.server import Server
 from martenrun.router.messages import Dataset, StoredObject
+from martenrun.router.store import relay
 from martenrun.router.store.relay import EncodedChanges, RelayServer
 from martenrun.router.store.relay_follower import RelayFollower
-from martenrun.router.store.relay_messages import RelayedObject, decode_objects, encode_objects
+from martenrun.router.store.relay_messages import (
+    FollowQuery,
+    RelayedObject,
+    decode_objects,
+    encode_objects,
+)
 from martenrun.router.store.replica import RETURN_GRACE_S, DatasetReplica, ReplicaListener
 
 from .fakes import at
-from .loopback import free_address, serve_until
+from .loopback import Peer, free_address, serve_until
 
 
 def nothing(*_arguments):
@@ -220,6 +227,25 @@
     assert not pair.follower.follows_reader()
 
 
+# Guards against queries that a router keeps for as long as their senders name, after they left.
+@pytest.mark.parametrize("leaves", [True, False])
+def test_query_is_kept_neither_for_long_nor_after_its_sender_has_left(pair, leaves, monkeypatch):
+    monkeypatch.setattr(relay, "MAXIMUM_HOLD_S", 60.0 if leaves else 0.2, raising=False)
+    pair.put("main", 1)
+    number = pair.source_replicas[Dataset.CONFIGURATION].sequence_number
+    numbers = {Dataset.CONFIGURATION.value: number}
+    body = msgspec.msgpack.encode(FollowQuery(1, numbers, 10**15, False))
+    peer = Peer.connected(pair.address)
+    peer.send(b"POST /follow HTTP/1.1\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+    serve_until(pair.loop, lambda: pair.relay._pending)
+    if leaves:
+        peer.close()
+    serve_until(pair.loop, lambda: not pair.relay._pending)
+    now = pair.loop.now()
+    timers = [timer for timer in pair.loop._timers if not timer.is_cancelled]
+    assert all(timer.due_at - now < 10.0 for timer in timers)
+
+
 def test_sequence_numbers_of_another_incarnation_are_ignored(pair):
     pair.put("a", 1)
     pair.follower.start()
