--- a/tests/router/test_misbehaving_clients.py
+++ b/tests/router/test_misbehaving_clients.py
@@ -7,6 +7,7 @@
 import contextlib
 import re
 import signal
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import attrs
@@ -273,6 +274,25 @@
         assert_serves(deployment)
 
 
+EVENTS = 20
+
+
+def test_stream_in_progress_outlives_clients_that_misbehave():
+    """Guards against connections of ordinary callers that give way to a crowd while served."""
+    with started() as (deployment, router), contextlib.ExitStack() as stack:
+        for runner in deployment.runners:
+            runner.events = EVENTS
+            runner.event_pause_of = lambda name: 0.05 if name == "ordinary-stream" else 0.0
+        pool = stack.enter_context(ThreadPoolExecutor(1))
+        stream = pool.submit(deployment.ask, "/ask/x", "ordinary-stream")
+        deployment.wait(lambda: deployment.runs_of("ordinary-stream"))
+        for play in [PLAYS[name] for name in MIXED]:
+            crowd = Crowd(router.front, play.clients, play.data_of)
+            stack.callback(crowd.close)
+            crowd.send(lambda: is_too_large(router))
+        assert stream.result().data.count(b"data: piece") == EVENTS
+
+
 @pytest.mark.parametrize(
     "name", ["trailer fields", "unfinished bodies", "responses of callers not read"]
 )
