--- a/src/martenrun/net/request_memory.py
+++ b/src/martenrun/net/request_memory.py
@@ -17,6 +17,10 @@
 """Requests up to this size may also use the budget that is kept for them, in bytes."""
 
 
+ROOM_SHARE = 0.95
+"""Share of a budget down to which room is made, so that requests are not sorted for each byte."""
+
+
 class RequestMemory:
     """Counts the memory of all requests that are being received, queued or served.
 
@@ -55,20 +59,22 @@
         """Count more memory; refuse requests until the rest fits."""
         self.size += size
         if size > 0 and self.size > self._budget:
-            self._refuse_while_over(self._budget, SMALL_REQUEST_BYTES)
-            self._refuse_while_over(self._budget + self._small_budget, 0)
+            self._make_room(self._budget, SMALL_REQUEST_BYTES)
+            self._make_room(self._budget + self._small_budget, 0)
 
     def remove(self, buffer: "RequestBuffer") -> None:
         """Stop offering a request that is complete or refused as one that may give way."""
         self._receiving.discard(buffer)
 
-    def _refuse_while_over(self, budget: int, minimum_size: int) -> None:
-        while self.size > budget:
-            candidates = [item for item in self._receiving if item.size > minimum_size]
-            slowest = min(candidates, key=RequestBuffer.urgency, default=None)
-            if slowest is None or self._fits_alone(slowest):
+    def _make_room(self, budget: int, minimum_size: int) -> None:
+        """Refuse incomplete requests above a size, the slowest first, if a budget is exceeded."""
+        if self.size <= budget:
+            return
+        candidates = [item for item in self._receiving if item.size > minimum_size]
+        for buffer in sorted(candidates, key=RequestBuffer.urgency):
+            if self.size <= budget * ROOM_SHARE or self._fits_alone(buffer):
                 return
-            slowest.refuse()
+            buffer.refuse()
 
     def _fits_alone(self, buffer: "RequestBuffer") -> bool:
         """Return whether a request, however large, meets only small ones: it is served."""
--- a/src/martenrun/router/gauges.py
+++ b/src/martenrun/router/gauges.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from martenrun.net.held_memory import HeldMemory
 from martenrun.router.lease import Lease
 from martenrun.router.metrics import Sample
 from martenrun.router.peers import Peers
@@ -20,6 +21,7 @@
         requests: returns the number of requests in progress.
         connections: returns the number of callers' connections.
         stream_origins: returns the number of streams whose origins are kept.
+        memory: what the connections of all ports hold.
     """
 
     services: RequestServices
@@ -30,6 +32,7 @@
     request_count: Callable[[], int]
     connection_count: Callable[[], int]
     stream_origin_count: Callable[[], int]
+    memory: HeldMemory
 
 
 def read_gauges(sources: GaugeSources) -> list[Sample]:
@@ -41,6 +44,9 @@
     return [
         Sample("requests_in_flight", sources.request_count()),
         Sample("caller_connections", sources.connection_count()),
+        Sample("held_request_bytes", sources.memory.requests.size),
+        Sample("held_response_bytes", sources.memory.responses.size),
+        Sample("held_unread_bytes", sources.memory.unread.size),
         Sample("stream_origins", sources.stream_origin_count()),
         Sample("runners", len(states)),
         Sample("runners_avoided", sum(state.is_avoided(now) for state in states)),
--- a/src/martenrun/router/process.py
+++ b/src/martenrun/router/process.py
@@ -48,7 +48,13 @@
 from martenrun.router.runner_limits import RunnerLimits
 from martenrun.router.runner_pool import RunnerPool
 from martenrun.router.runner_responses import record_control_response
-from martenrun.router.settings import RouterSettings
+from martenrun.router.settings import (
+    CALLER_CONNECTIONS_SHARE,
+    DIRECTORY_CONNECTIONS_SHARE,
+    INTERNAL_CONNECTIONS_SHARE,
+    READINESS_CONNECTIONS_SHARE,
+    RouterSettings,
+)
 from martenrun.router.software_history import SoftwareHistory
 from martenrun.router.store.client import HttpClient, StoreClient, call_runner
 from martenrun.router.store.eras import StoreEras
@@ -60,18 +66,6 @@
 from martenrun.router.unresponsive_runners import report_unresponsive
 from martenrun.router.weights_rollout import WeightsRollout
 
-CALLER_CONNECTIONS_SHARE = 0.6
-INTERNAL_CONNECTIONS_SHARE = 0.1
-DIRECTORY_CONNECTIONS_SHARE = 0.05
-READINESS_CONNECTIONS_SHARE = 0.02
-"""Shares of the process's file descriptors available to the connections of each port.
-
-The rest is for connections to runners, the store and other routers.
-"""
-
-MINIMUM_CONNECTIONS = 16
-"""Minimum number of connections of each port."""
-
 MAINTENANCE_INTERVAL_S = 0.25
 """Interval of the periodic maintenance, in seconds."""
 
@@ -282,6 +276,7 @@
             request_count=lambda: len(self._requests.forwarders),
             connection_count=lambda: self._front.connections,
             stream_origin_count=lambda: self._streams.origin_count,
+            memory=self._memory,
         )
         self._services.configuration.on_changed.append(self._on_configuration)
         self._services.weights.on_changed = self._rollout.schedule_step
@@ -289,8 +284,7 @@
     def _create_server(
         self, address: str, handler: Callable[[Exchange], None], connections_share: float
     ) -> Server:
-        descriptors = self._services.settings.maximum_descriptors
-        connections = max(MINIMUM_CONNECTIONS, int(descriptors * connections_share))
+        connections = self._services.settings.maximum_connections(connections_share)
         return Server(self._loop, address, handler, connections, self._memory)
 
     def _create_version_store(self, history: SoftwareHistory) -> VersionStore:
--- a/src/martenrun/router/settings.py
+++ b/src/martenrun/router/settings.py
@@ -11,6 +11,18 @@
     is_runner_account,
 )
 
+CALLER_CONNECTIONS_SHARE = 0.6
+INTERNAL_CONNECTIONS_SHARE = 0.1
+DIRECTORY_CONNECTIONS_SHARE = 0.05
+READINESS_CONNECTIONS_SHARE = 0.02
+"""Shares of the process's file descriptors available to the connections of each port.
+
+The rest is for connections to runners, the store and other routers.
+"""
+
+MINIMUM_CONNECTIONS = 16
+"""Minimum number of connections of each port."""
+
 
 @attrs.frozen
 class Bounds:
@@ -67,3 +79,7 @@
     capacity: float
     is_first_start: bool = False
     memory_bytes: float = DEFAULT_MACHINE_BYTES
+
+    def maximum_connections(self, share: float) -> int:
+        """Return how many connections a port with this share of the descriptors accepts."""
+        return max(MINIMUM_CONNECTIONS, int(self.maximum_descriptors * share))
