Closed connections are no candidates for making room

Found when the change was read again: a connection that was reset while its response was written began another phase afterwards and was kept as one that could make room; later connections then went beyond the maximum. Those that still sent their last response were closed first.

Change: only open connections are kept; one that still sends a response is closed only if there is no other. An input that is refused while its head arrives gets no interim response behind the refusal.

--- a/src/martenrun/net/server.py
+++ b/src/martenrun/net/server.py
@@ -4,6 +4,7 @@
 is detected while its request is served.  An aborted response never looks complete.
 """
 
+import itertools
 import socket
 from collections.abc import Callable
 
@@ -88,9 +89,10 @@
         self._shut_down.pop(connection, None)
 
     def record_waiting(self, connection: ServerConnection) -> None:
-        """Record that a connection begins to rest, or to receive a request."""
-        self._waiting.pop(connection, None)
-        self._waiting[connection] = None
+        """Record that an open connection begins to rest, or to receive a request."""
+        if connection in self._connections and connection not in self._shut_down:
+            self._waiting.pop(connection, None)
+            self._waiting[connection] = None
 
     def record_serving(self, connection: ServerConnection) -> None:
         """Record that a request of a connection is being served."""
@@ -109,13 +111,24 @@
 
     def _on_accept(self, sock: socket.socket) -> None:
         if len(self._connections) >= self._maximum_connections:
-            oldest = next(iter(self._shut_down or self._waiting), None)
-            if oldest is None:
+            dispensable = self._dispensable_connection()
+            if dispensable is None:
                 sock.close()
                 return
             log_warning("connections_used_up", connections=len(self._connections))
-            oldest.abort()
-        self._connections.add(ServerConnection(self, sock))
+            dispensable.abort()
+        connection = ServerConnection(self, sock)
+        self._connections.add(connection)
+        self.record_waiting(connection)
+
+    def _dispensable_connection(self) -> ServerConnection | None:
+        """Return the connection to close for a new one, or None if all are being served.
+
+        One that still sends a response is closed only if there is no other.
+        """
+        waiting = itertools.chain(self._shut_down, self._waiting)
+        has_sent_all = (item for item in waiting if not item.stream.unsent_bytes)
+        return next(has_sent_all, None) or next(iter(self._waiting), None)
 
     def _sweep(self) -> None:
         now = self.loop.now()
--- a/src/martenrun/net/server_connection.py
+++ b/src/martenrun/net/server_connection.py
@@ -73,7 +73,7 @@
         self._ends_after_queue = False
         self.announced_close = False
         self.served_requests = 0
-        self._begin_phase()
+        self.phase_started_at = server.loop.now()
         self.shut_down_at: float | None = None
         self._output = UnreadOutput(server.memory.unread, self._reset)
         self.stream = Stream(server.loop, sock, self, on_unsent=self._output.set_size)
@@ -136,11 +136,15 @@
 
     def on_headers_complete(self) -> None:
         """Check the announced size of the body and reply to ``Expect: 100-continue``."""
+        if self._is_rejected:
+            return
         late_s = self._server.loop.late_s
         suspended_s = late_s if late_s > SUSPENSION_THRESHOLD_S else 0.0
         self._head_received_at = self._server.loop.now() - suspended_s
         self._bytes_since_content = 0
         self._count_head(sum(len(name) + len(value) for name, value in self._parser.headers))
+        if self._is_rejected:
+            return
         if self._parser.content_length() > self._server.limits.maximum_body_bytes:
             self._reject(413)
             return
--- a/tests/router/test_server.py
+++ b/tests/router/test_server.py
@@ -208,6 +208,25 @@
     server_setup.serve_until(lambda: len(server_setup.exchanges) == 2)
 
 
+# Guards against closed connections that are kept as ones that could make room.
+def test_connection_that_is_reset_while_it_responds_is_forgotten():
+    loop, exchanges, address = Loop(), [], free_address()
+    memory = HeldMemory(memory_bytes=50_000_000)
+    server = Server(loop, address, exchanges.append, maximum_connections=3, memory=memory)
+    peers = []
+    for count in range(1, 5):
+        peers.append(Peer.connected(address))
+        peers[-1].send(GET)
+        serve_until(loop, lambda count=count: len(exchanges) == count)
+        exchanges[-1].respond(200, [], bytes(20_000_000))
+    # Each response resets the connection of the one before.
+    assert server.connections == 1
+    more = [Peer.connected(address) for _ in range(5)]
+    serve_until(loop, lambda: sum(peer.read() == b"" and peer.is_closed for peer in more) == 3)
+    assert server.connections == 3
+    assert peers[-1].read()
+
+
 # Guards against callers that read nothing of many large responses.
 def test_request_whose_response_is_not_read_ends_when_its_connection_is_reset():
     loop, exchanges, address = Loop(), [], free_address()
